--- /dev/null
+++ b/crates/core/src/main.rs
@@ -0,0 +1,3 @@
+//! The eelgrassmill command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Targets: the adapter to model engines and to plain services.
--- /dev/null
+++ b/crates/group/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model groups: membership, wholeness evidence, node leases, fencing and the repair policy.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between nodes: membership, dissemination, quotas and events, over tonic.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for engines, plain services and the platform, with faults that are switched over HTTP.
