--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -1,5 +1,7 @@
 //! The table service as the rest of the system sees it.
 
+use std::sync::Arc;
+
 use eelgrassmill_base::{RowVersion, TxnId, value};
 use smol_str::SmolStr;
 
@@ -25,6 +27,20 @@
     fn commit(&self, txn: &Txn) -> Result<TxnOutcome, TableError>;
 }
 
+impl<T: Table> Table for Arc<T> {
+    fn get(&self, key: &str) -> Result<Option<Row>, TableError> {
+        T::get(self, key)
+    }
+
+    fn scan(&self, prefix: &str) -> Result<Vec<Row>, TableError> {
+        T::scan(self, prefix)
+    }
+
+    fn commit(&self, txn: &Txn) -> Result<TxnOutcome, TableError> {
+        T::commit(self, txn)
+    }
+}
+
 value! { wire
     /// One row.
     pub struct Row {
