Reach targets: probes, orders, kept connections and token streams

Cause: a caller may be told "not run" only when no byte left for a target, and an answer that was cut must never look whole.

Change: HostControl over the blocking caller; TargetClient over hyper with sharded, bounded, expiring connections. Not sent is said only when hyper gives the request back unwritten or the connect failed. The echoed id is checked before anything is handed out. Answers that end with the connection are refused, unless they are event streams. Dropping an answer closes its connection at once.

--- /dev/null
+++ b/crates/engine/src/client.rs
@@ -0,0 +1,280 @@
+//! Requests to targets over kept connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassmill_base::RequestId;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::pool::{Conn, Pool, PoolLimits};
+use crate::response::Lease;
+use crate::{SendError, TargetResponse};
+
+const REQUEST_ID: &str = "x-request-id";
+const MAX_HEADER_BYTES: usize = 64 << 10;
+/// A connection that just ended an answer needs a moment to be ready again.
+const READY_TIME: Duration = Duration::from_millis(20);
+
+type TargetHttpRequest = Request<Full<Bytes>>;
+
+/// Sends requests to targets. Cheap to clone; all clones share the connections.
+#[derive(Clone, Debug)]
+pub struct TargetClient {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) pool: Pool,
+    pub(crate) idle_body_timeout: Duration,
+    connect_timeout: Duration,
+    head_timeout: Duration,
+}
+
+/// Sets up a [`TargetClient`].
+#[derive(Debug)]
+pub struct TargetClientBuilder {
+    connect_timeout: Duration,
+    head_timeout: Duration,
+    idle_body_timeout: Duration,
+    limits: PoolLimits,
+}
+
+/// One request to a target.
+#[derive(Clone, Debug)]
+pub struct TargetRequest {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers; `x-request-id` is required.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What became of an attempt on one connection.
+enum Attempt {
+    Answered(Response<Incoming>),
+    /// Nothing was written; the request comes back.
+    Unwritten(Box<TargetHttpRequest>),
+}
+
+impl TargetClientBuilder {
+    /// Bounds the connect; 1 s by default.
+    pub fn connect_timeout(mut self, timeout: Duration) -> TargetClientBuilder {
+        self.connect_timeout = timeout;
+        self
+    }
+
+    /// Bounds the wait for the head of an answer; 60 s by default.
+    pub fn head_timeout(mut self, timeout: Duration) -> TargetClientBuilder {
+        self.head_timeout = timeout;
+        self
+    }
+
+    /// Bounds the wait for each next piece of a body; 30 s by default.
+    pub fn idle_body_timeout(mut self, timeout: Duration) -> TargetClientBuilder {
+        self.idle_body_timeout = timeout;
+        self
+    }
+
+    /// Bounds how long a connection is kept unused; 15 s by default.
+    pub fn idle_time(mut self, time: Duration) -> TargetClientBuilder {
+        self.limits.idle_time = time;
+        self
+    }
+
+    /// Bounds the unused connections per address; 32 by default.
+    pub fn max_idle(mut self, connections: usize) -> TargetClientBuilder {
+        self.limits.max_idle = connections;
+        self
+    }
+
+    /// Bounds the connections in use per address; 256 by default.
+    pub fn max_in_use(mut self, connections: usize) -> TargetClientBuilder {
+        self.limits.max_in_use = connections;
+        self
+    }
+
+    /// The client as set up.
+    pub fn build(self) -> TargetClient {
+        TargetClient {
+            shared: Arc::new(Shared {
+                pool: Pool::new(self.limits),
+                idle_body_timeout: self.idle_body_timeout,
+                connect_timeout: self.connect_timeout,
+                head_timeout: self.head_timeout,
+            }),
+        }
+    }
+}
+
+impl Default for TargetClient {
+    fn default() -> TargetClient {
+        TargetClient::builder().build()
+    }
+}
+
+impl TargetClient {
+    /// Sets up a client.
+    pub fn builder() -> TargetClientBuilder {
+        TargetClientBuilder {
+            connect_timeout: Duration::from_secs(1),
+            head_timeout: Duration::from_secs(60),
+            idle_body_timeout: Duration::from_secs(30),
+            limits: PoolLimits {
+                idle_time: Duration::from_secs(15),
+                max_idle: 32,
+                max_in_use: 256,
+            },
+        }
+    }
+
+    /// Sends `req` to the target at `address` (`IP:PORT`) and waits for the
+    /// head of the answer. Dropping this future closes the connection, so that
+    /// the target can stop.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] only when no byte of the request left.
+    pub async fn send(
+        &self,
+        address: &str,
+        req: TargetRequest,
+    ) -> Result<TargetResponse, SendError> {
+        let address = SmolStr::from(address);
+        let expected = request_id(&req.headers)?;
+        let req = http_request(&address, req)?;
+        let mut lease = Lease::enter(Arc::clone(&self.shared), address)?;
+        let response = self.exchange(&mut lease, req).await?;
+        check_echo(&response, expected)?;
+        check_framing(&response)?;
+        Ok(TargetResponse::new(response, lease))
+    }
+
+    async fn exchange(
+        &self,
+        lease: &mut Lease,
+        mut req: TargetHttpRequest,
+    ) -> Result<Response<Incoming>, SendError> {
+        while let Some(conn) = self.shared.pool.take(lease.address()) {
+            lease.conn = Some(conn);
+            match self.attempt(lease, req).await? {
+                Attempt::Answered(response) => return Ok(response),
+                // The target closed this kept connection before anything was
+                // written to it; the next one may serve.
+                Attempt::Unwritten(back) => req = *back,
+            }
+        }
+        lease.conn = Some(self.connect(lease.address()).await?);
+        match self.attempt(lease, req).await? {
+            Attempt::Answered(response) => Ok(response),
+            Attempt::Unwritten(_) => Err(SendError::NotSent("connection closed".to_owned())),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        lease: &mut Lease,
+        req: TargetHttpRequest,
+    ) -> Result<Attempt, SendError> {
+        let Some(conn) = &mut lease.conn else {
+            return Ok(Attempt::Unwritten(Box::new(req)));
+        };
+        if !matches!(timeout(READY_TIME, conn.sender.ready()).await, Ok(Ok(()))) {
+            return Ok(Attempt::Unwritten(Box::new(req)));
+        }
+        let answer = timeout(self.shared.head_timeout, conn.sender.try_send_request(req)).await;
+        match answer {
+            Ok(Ok(response)) => Ok(Attempt::Answered(response)),
+            Ok(Err(mut failed)) => match failed.take_message() {
+                // hyper gives the message back only when it wrote none of it.
+                Some(req) => Ok(Attempt::Unwritten(Box::new(req))),
+                None => Err(SendError::Unknown(failed.into_error().to_string())),
+            },
+            Err(_) => Err(SendError::Unknown("no answer in time".to_owned())),
+        }
+    }
+
+    async fn connect(&self, address: &str) -> Result<Conn, SendError> {
+        let not_sent = |why: String| SendError::NotSent(format!("{address}: {why}"));
+        let connected = timeout(self.shared.connect_timeout, TcpStream::connect(address)).await;
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(not_sent(e.to_string())),
+            Err(_) => return Err(not_sent("connect took too long".to_owned())),
+        };
+        stream
+            .set_nodelay(true)
+            .map_err(|e| not_sent(e.to_string()))?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEADER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
+        // Its errors reach whoever waits for the answer.
+        let task = tokio::spawn(async move { drop(connection.await) });
+        Ok(Conn::new(sender, task.abort_handle()))
+    }
+}
+
+fn request_id(headers: &HeaderMap) -> Result<RequestId, SendError> {
+    let id = headers
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    let id = id.filter(|id| !id.is_empty()).map(RequestId::from);
+    id.ok_or_else(|| SendError::NotSent("request has no id".to_owned()))
+}
+
+fn http_request(address: &str, req: TargetRequest) -> Result<TargetHttpRequest, SendError> {
+    let not_sent = |e: String| SendError::NotSent(e);
+    let mut out = Request::new(Full::new(req.body));
+    *out.method_mut() = req.method;
+    *out.uri_mut() = req
+        .path
+        .parse()
+        .map_err(|e: http::uri::InvalidUri| not_sent(e.to_string()))?;
+    *out.headers_mut() = req.headers;
+    let host = HeaderValue::from_str(address).map_err(|e| not_sent(e.to_string()))?;
+    out.headers_mut().insert(header::HOST, host);
+    Ok(out)
+}
+
+/// A late answer to an earlier request on a kept connection, or one that the
+/// target mixed up, would otherwise reach the wrong caller.
+fn check_echo(response: &Response<Incoming>, expected: RequestId) -> Result<(), SendError> {
+    let got = response
+        .headers()
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    if got == Some(expected.as_str()) {
+        return Ok(());
+    }
+    Err(SendError::WrongId {
+        expected,
+        got: got.map(RequestId::from),
+    })
+}
+
+/// A body that ends with the connection looks whole also when it was cut; only
+/// an event stream has an end marker of its own.
+fn check_framing(response: &Response<Incoming>) -> Result<(), SendError> {
+    let headers = response.headers();
+    let framed = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || response.status() == http::StatusCode::NO_CONTENT;
+    let kind = headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let stream = kind.is_some_and(|kind| kind.starts_with(b"text/event-stream"));
+    if framed || stream {
+        Ok(())
+    } else {
+        Err(SendError::Unframed)
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,18 @@
 //! Targets: the adapter to model engines and to plain services.
+//!
+//! [`HostControl`] probes hosts and gives them orders, blocking, one connection
+//! a call. [`TargetClient`] carries requests and token streams over kept
+//! connections, on the caller's tokio runtime.
+
+mod client;
+mod control;
+mod error;
+mod pool;
+mod response;
+mod stream;
+
+pub use crate::client::{TargetClient, TargetClientBuilder, TargetRequest};
+pub use crate::control::{HostControl, HostControlBuilder};
+pub use crate::error::{BodyError, SendError, TargetError};
+pub use crate::response::TargetResponse;
+pub use crate::stream::{StreamEvent, TokenEvent, TokenStream};
--- /dev/null
+++ b/crates/engine/src/response.rs
@@ -0,0 +1,126 @@
+//! Answers of targets, read piece by piece.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use crate::client::Shared;
+use crate::pool::Conn;
+use crate::{BodyError, SendError};
+
+/// A connection in use, counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    shared: Arc<Shared>,
+    address: SmolStr,
+    pub(crate) conn: Option<Conn>,
+}
+
+impl Lease {
+    pub(crate) fn enter(shared: Arc<Shared>, address: SmolStr) -> Result<Lease, SendError> {
+        if !shared.pool.enter(&address) {
+            return Err(SendError::NotSent(format!(
+                "too many connections to {address}"
+            )));
+        }
+        Ok(Lease {
+            shared,
+            address,
+            conn: None,
+        })
+    }
+
+    pub(crate) fn address(&self) -> &SmolStr {
+        &self.address
+    }
+
+    fn keep(&mut self) {
+        if let Some(conn) = self.conn.take() {
+            self.shared.pool.keep(&self.address, conn);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.shared.pool.leave(&self.address);
+    }
+}
+
+/// The answer of a target, its id checked. Dropping it before its end closes
+/// the connection, so that the target can stop.
+#[derive(Debug)]
+pub struct TargetResponse {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    /// The connection goes back to the pool when the body has ended.
+    lease: Lease,
+}
+
+impl TargetResponse {
+    pub(crate) fn new(response: Response<Incoming>, lease: Lease) -> TargetResponse {
+        let (head, body) = response.into_parts();
+        TargetResponse {
+            status: head.status,
+            headers: head.headers,
+            body,
+            lease,
+        }
+    }
+
+    /// Whether the target says that it refused the request and ran nothing.
+    pub fn is_refusal(&self) -> bool {
+        let refused = matches!(self.status.as_u16(), 409 | 503);
+        refused
+            && self
+                .headers
+                .get("x-outcome")
+                .is_some_and(|value| value == "not-run")
+    }
+
+    /// The next piece of the body; `None` at its checked end.
+    ///
+    /// # Errors
+    /// When the body is cut off or nothing comes for the idle timeout.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            let idle = self.lease.shared.idle_body_timeout;
+            let frame = match timeout(idle, self.body.frame()).await {
+                Err(_) => return Err(BodyError::Idle),
+                Ok(Some(Err(e))) => return Err(BodyError::Cut(e.to_string())),
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => {
+                    self.lease.keep();
+                    return Ok(None);
+                }
+            };
+            // Trailers carry nothing for us.
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// The whole body, when it is no longer than `limit` bytes.
+    ///
+    /// # Errors
+    /// When it is cut off, too long, or the target goes silent within it.
+    pub async fn read_whole(mut self, limit: usize) -> Result<Bytes, BodyError> {
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.chunk().await? {
+            if body.len() + piece.len() > limit {
+                return Err(BodyError::TooLong(limit));
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    }
+}
--- a/crates/standin/src/builder.rs
+++ b/crates/standin/src/builder.rs
@@ -110,7 +110,10 @@
             .thread_name("standin")
             .enable_all()
             .build()?;
-        let mut started = runtime.block_on(self.start_all())?;
+        // On a thread of its own, as the caller's may belong to another runtime.
+        let start = || runtime.block_on(self.start_all());
+        let started = std::thread::scope(|scope| scope.spawn(start).join());
+        let mut started = started.unwrap_or_else(|panic| std::panic::resume_unwind(panic))?;
         started.runtime = Some(runtime);
         Ok(started)
     }
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -241,6 +241,12 @@
         self.lock().incarnation
     }
 
+    /// Whether it is alive and has not restarted since `incarnation`.
+    pub(crate) fn is_still(&self, incarnation: Incarnation) -> bool {
+        let state = self.lock();
+        state.alive && state.incarnation == incarnation
+    }
+
     /// Its membership, when it is alive, placed and ready.
     pub(crate) fn membership(&self) -> Option<Membership> {
         let state = self.lock();
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -15,7 +15,7 @@
 use crate::meta::Meta;
 use crate::runs::{RunEnd, RunLog};
 
-/// Ends a run when it is dropped, also by a caller that leaves.
+/// Ends a run when it is dropped.
 struct RunGuard<'a> {
     runs: &'a RunLog,
     place: Option<usize>,
@@ -32,7 +32,9 @@
 ///
 /// # Errors
 /// When the connection is to break with no answer.
-pub(crate) async fn call(host: &Arc<Host>, req: Request<Incoming>) -> Result<Answer, CutOff> {
+pub(crate) async fn call(host: Arc<Host>, req: Request<Incoming>) -> Result<Answer, CutOff> {
+    let host = &host;
+    let incarnation = host.incarnation();
     let meta = Meta::parse(req.headers());
     let path = req.uri().path().to_owned();
     let body = match read_body(req).await {
@@ -57,6 +59,9 @@
             "queue is full",
         ));
     };
+    if !host.is_still(incarnation) {
+        return Err(CutOff);
+    }
     let body = String::from_utf8_lossy(&body);
     run(host, &meta, &path, &body).await
 }
@@ -80,6 +85,9 @@
         "request": meta.request, "path": path, "answer": expected_plain_answer(body),
     });
     let answer = answer.to_string();
+    if !host.is_alive() {
+        return Err(CutOff);
+    }
     guard.end = RunEnd::Whole;
     keep(host, meta, &answer);
     delivery.wait().await;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -33,7 +33,7 @@
             host.unpaused().await;
             Ok(json_answer(StatusCode::OK, &host.report()))
         }
-        (&Method::POST, "/order") => Ok(order(world, host, req).await),
+        (&Method::POST, "/order") => unhurried(order(world, host, req)).await,
         (&Method::GET, "/cache-events") => {
             let since = query_number(req.uri(), "since").unwrap_or(0);
             host.unpaused().await;
@@ -50,7 +50,7 @@
                 &json!({ "cancelled": cancelled }),
             ))
         }
-        _ if host.spec.kind == TargetKind::Plain => plain::call(&host, req).await,
+        _ if host.spec.kind == TargetKind::Plain => unhurried(plain::call(host, req)).await,
         (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
             engine::complete(&world, &host, req).await
         }
@@ -58,19 +58,41 @@
     }
 }
 
-async fn order(world: Arc<World>, host: Arc<Host>, req: Request<Incoming>) -> Answer {
+/// Goes on with `work` also when its caller leaves.
+///
+/// A process that was frozen reads, once it goes on, what lay in its socket,
+/// and acts on it with nobody waiting. Were the work dropped with the
+/// connection, no order or call would ever take effect late.
+async fn unhurried(
+    work: impl Future<Output = Result<Answer, CutOff>> + Send + 'static,
+) -> Result<Answer, CutOff> {
+    tokio::spawn(work).await.unwrap_or(Err(CutOff))
+}
+
+async fn order(
+    world: Arc<World>,
+    host: Arc<Host>,
+    req: Request<Incoming>,
+) -> Result<Answer, CutOff> {
+    let incarnation = host.incarnation();
     let body = match read_body(req).await {
         Ok(body) => body,
-        Err(answer) => return answer,
+        Err(answer) => return Ok(answer),
     };
     let order: Order = match serde_json::from_slice(&body) {
         Ok(order) => order,
-        Err(e) => return text(StatusCode::BAD_REQUEST, &format!("order: {e}")),
+        Err(e) => return Ok(text(StatusCode::BAD_REQUEST, &format!("order: {e}"))),
     };
     if order.host != host.spec.id {
-        return text(StatusCode::BAD_REQUEST, "this order is for another host");
+        return Ok(text(
+            StatusCode::BAD_REQUEST,
+            "this order is for another host",
+        ));
     }
     host.unpaused().await;
+    if !host.is_still(incarnation) {
+        return Err(CutOff);
+    }
     let (reply, loading) = host.take(&order);
     if let Some(loading) = loading {
         let host = Arc::clone(&host);
@@ -81,5 +103,5 @@
         OrderReply::Fenced(_) => StatusCode::CONFLICT,
     };
     host.unpaused().await;
-    json_answer(status, &reply)
+    Ok(json_answer(status, &reply))
 }
