--- a/crates/engine/tests/breaks.rs
+++ b/crates/engine/tests/breaks.rs
@@ -234,3 +234,25 @@
     });
     checked.expect("no body breaks the reader");
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_serves_one_request_after_the_other() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    // It accepts once, so a second connection would get no answer.
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller");
+        for _ in 0..3 {
+            let answer = format!("{HEAD}content-length: 2\r\n\r\nok");
+            serve(&mut stream, 1, answer.as_bytes(), &AtomicUsize::new(0));
+        }
+    });
+    let client = client();
+    for _ in 0..3 {
+        let req = completion("r1", "hello", 4, false);
+        let response = client.send(&address, req).await.unwrap();
+        expect_that!(response.read_whole(16).await, ok(eq("ok")));
+    }
+    server.join().expect("the server ends");
+}
--- a/crates/standin/src/builder.rs
+++ b/crates/standin/src/builder.rs
@@ -21,6 +21,8 @@
 use crate::{control, platform_http};
 
 const DEFAULT_THREADS: usize = 2;
+/// How long tasks may take to stop.
+const STOP_TIME: Duration = Duration::from_secs(2);
 const DEFAULT_BYTES_PER_SECOND: u64 = 1 << 30;
 
 /// Sets up the stand-ins.
@@ -229,8 +231,12 @@
 
 impl Drop for Standins {
     fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
+        let Some(runtime) = self.runtime.take() else {
+            return;
+        };
+        // Waits, so that nothing answers any more when this returns; on a thread
+        // of its own, as a runtime's own thread must not wait for another.
+        let stop = || runtime.shutdown_timeout(STOP_TIME);
+        std::thread::scope(|scope| drop(scope.spawn(stop).join()));
     }
 }
