--- /dev/null
+++ b/crates/group/src/lease/takeover.rs
@@ -0,0 +1,116 @@
+//! Becoming the planner of a region.
+
+use std::time::Duration;
+
+use eelgrassmill_base::{RowVersion, value};
+
+use crate::lease::LeaseObserver;
+use crate::rows::{Change, NodeRow, NodeState, PlannerRow, RowValue, node_key, planner_key};
+
+value! {
+    /// What a node has read of its region's planner.
+    pub struct PlannerSeen {
+        /// The planner row and its version; `None` when it is absent.
+        pub planner: Option<(PlannerRow, RowVersion)>,
+        /// The lease row of the node that the planner row names, and its version.
+        pub holder: Option<(NodeRow, RowVersion)>,
+    }
+}
+
+value! {
+    /// A transaction that makes this node the planner, and what it must do after it.
+    pub struct Takeover {
+        /// The transaction.
+        pub change: Change,
+        /// How long after it an order of the planner before may still be under way.
+        ///
+        /// Until then the new planner orders only hosts that check fencing
+        /// numbers: any other host would obey whichever order comes last.
+        pub quiet: Duration,
+    }
+}
+
+/// Why a node doesn't become planner now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotYet {
+    /// It is the planner already.
+    #[error("this node is the planner")]
+    Already,
+    /// The planner's lease has not been seen to lapse.
+    #[error("the planner's lease may be valid")]
+    HolderMayLive,
+    /// This node is leaving.
+    #[error("this node is leaving")]
+    Leaving,
+}
+
+/// The transaction by which the node of `own` becomes planner of its region.
+///
+/// It deletes the old holder's lease row. Every later transaction of the old
+/// holder expects that row's version and fails, however long it was paused.
+///
+/// # Errors
+/// Says why it may not become planner now.
+pub fn takeover(
+    own: &NodeRow,
+    own_version: RowVersion,
+    seen: &PlannerSeen,
+    observer: &LeaseObserver,
+) -> Result<Takeover, NotYet> {
+    if own.state == NodeState::Leaving {
+        return Err(NotYet::Leaving);
+    }
+    let planner = planner_key(&own.region);
+    let base = Change::new().expect(node_key(&own.node), own_version);
+    let timing = observer.timing();
+    let (change, quiet) = match &seen.planner {
+        // Whoever gives the region up does so after its last order was answered or failed.
+        None => (base.expect(planner.clone(), 0), timing.order_transit),
+        Some((row, _)) if row.node == own.node && row.incarnation == own.incarnation => {
+            return Err(NotYet::Already);
+        }
+        Some((row, version)) => {
+            let base = base.expect(planner.clone(), *version);
+            unseat(base, own, row, seen.holder.as_ref(), observer)?
+        }
+    };
+    let value = RowValue::Planner(PlannerRow {
+        node: own.node.clone(),
+        incarnation: own.incarnation,
+    });
+    Ok(Takeover {
+        change: change.put(planner, value),
+        quiet,
+    })
+}
+
+fn unseat(
+    base: Change,
+    own: &NodeRow,
+    planner: &PlannerRow,
+    holder: Option<&(NodeRow, RowVersion)>,
+    observer: &LeaseObserver,
+) -> Result<(Change, Duration), NotYet> {
+    // Without a lapse that was seen, the holder may believe in its lease for the whole term.
+    let unseen = observer.timing().outlived_after();
+    let key = node_key(&planner.node);
+    // An earlier start of this node: its row is this node's row by now.
+    if planner.node == own.node {
+        return Ok((base, unseen));
+    }
+    let Some((row, version)) = holder else {
+        return Ok((base.expect(key, 0), unseen));
+    };
+    // The named start is over when a later one wrote the row.
+    if row.incarnation != planner.incarnation {
+        return Ok((base.expect(key, *version), unseen));
+    }
+    // A leaving holder gives the region up itself; until then its lease counts.
+    if !observer.lapsed(&planner.node, *version) {
+        return Err(NotYet::HolderMayLive);
+    }
+    let change = base
+        .expect(key.clone(), *version)
+        .put(key, RowValue::Absent);
+    Ok((change, observer.timing().order_transit))
+}
