Publish the first working request policy and at-most-once claims

Cause: routing and claims were empty crates, and the node that wires them needs their interfaces early.

Change: weighted fair queue, group picker, quotas, retry budget, and the claim aggregate with its rows, batches, eras and store gate. All of it is pure; callers keep clocks and sockets.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,1 +1,23 @@
 //! Requests that run at most once: claims, their settlement and the answers kept for repeats.
+//!
+//! An entry writes a claim row before it dispatches, and dispatches only when
+//! the write is known to be made. A key is claimed anew only after its owner
+//! wrote that nothing ran. Everything else is about telling callers the truth.
+
+mod batch;
+mod claim;
+mod decide;
+mod era;
+mod gate;
+mod key;
+mod row;
+
+pub use crate::batch::{Batch, ClaimBatcher, ConflictRow, KeyBusy, Split};
+pub use crate::claim::{Claim, Claimed, DispatchOutcome, MAX_HOLD};
+pub use crate::decide::{ClaimRequest, Decision, OwnerState, decide};
+pub use crate::era::{ERA_KEY, ERA_LENGTH, Era, EraChange, EraClock};
+pub use crate::gate::{StoreDown, StoreGate};
+pub use crate::key::{CLAIM_PREFIX, ClaimKey, Fingerprint, claim_key, fingerprint};
+pub use crate::row::{
+    AttemptId, ClaimError, ClaimRow, ClaimState, KeptAnswer, Owner, RowChange, Seen, WriteOutcome,
+};
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,21 @@
 //! Request policy: admission, fair share, priorities, quotas, choice of group, retries and addresses.
+//!
+//! Everything here is pure: it takes events and an instant and returns what
+//! to do. Callers keep the clocks, locks and sockets.
+
+mod pick;
+mod queue;
+mod quota;
+mod retry;
+
+pub use crate::pick::{
+    CacheEvent, Candidate, FIRST_TOKEN_AIM, GroupPicker, Pick, PrefixHash, PrefixHashes, Sample,
+    TOKEN_GAP_AIM, prefix_hashes,
+};
+pub use crate::queue::{
+    Offer, QueueOptions, Refusal, RefusalReason, ServiceQueue, SlotKind, Slots, Started, Ticket,
+};
+pub use crate::quota::{
+    Demand, Grant, QUOTA_MARGIN, QUOTA_TERM, QuotaHolder, QuotaIssuer, fallback_part,
+};
+pub use crate::retry::{MAX_ATTEMPTS, NoRetry, RetryBudget, backoff, may_retry};
--- /dev/null
+++ b/crates/route/src/pick/group.rs
@@ -0,0 +1,169 @@
+//! What one entry knows of one group.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::Epoch;
+
+use crate::pick::limit::AdaptiveLimit;
+use crate::pick::prefix::Holder;
+use crate::pick::{Candidate, FIRST_TOKEN_AIM, Sample, TOKEN_GAP_AIM};
+use crate::queue::{SlotKind, Slots};
+
+/// A group that is new or returning gets this part of its slots at first.
+const RAMP_START: f64 = 0.1;
+/// It gets all of them after this time.
+const RAMP: Duration = Duration::from_secs(20);
+/// A group whose time per token is this many times its peers' median is slow.
+const SLOW_RATIO: f64 = 1.5;
+/// A slow group keeps at least this part, so that its recovery is seen.
+const SLOW_FLOOR: f64 = 0.1;
+/// Share of a new sample in the moving mean.
+const NEW_SAMPLE: f64 = 0.1;
+/// A mean without samples for this long is forgotten and the group starts gradually.
+const SAMPLE_LIFE: Duration = Duration::from_secs(30);
+/// Longest record of requests sent since the last report.
+const MAX_SENT: usize = 1024;
+
+#[derive(Debug)]
+pub(crate) struct GroupState {
+    pub(crate) candidate: Candidate,
+    pub(crate) holder: Holder,
+    since: Instant,
+    in_flight: Slots,
+    reported: u32,
+    /// When each request was sent that the last load report can't have seen.
+    sent: VecDeque<Instant>,
+    limit: AdaptiveLimit,
+    token_gap: Option<f64>,
+    sampled: Instant,
+    /// Part of the slots left by being slower than the peers.
+    slow_part: f64,
+    pub(crate) next_event: u64,
+    pub(crate) doubt_before: Option<Instant>,
+}
+
+impl GroupState {
+    pub(crate) fn new(candidate: Candidate, holder: Holder, now: Instant) -> GroupState {
+        GroupState {
+            candidate,
+            holder,
+            since: now,
+            in_flight: Slots::NONE,
+            reported: 0,
+            sent: VecDeque::new(),
+            limit: AdaptiveLimit::new(now),
+            token_gap: None,
+            sampled: now,
+            slow_part: 1.0,
+            next_event: 0,
+            doubt_before: None,
+        }
+    }
+
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.candidate.epoch
+    }
+
+    pub(crate) fn token_gap(&self) -> Option<f64> {
+        self.token_gap
+    }
+
+    /// The part of its slots that the group is given now.
+    pub(crate) fn part(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.since).as_secs_f64();
+        let ramp = (RAMP_START + age / RAMP.as_secs_f64()).min(1.0);
+        ramp.min(self.limit.part()).min(self.slow_part)
+    }
+
+    /// Slots that this entry may still occupy there.
+    pub(crate) fn free(&self, now: Instant) -> Slots {
+        let quota = self.candidate.quota;
+        if self.candidate.leaving {
+            return Slots::NONE;
+        }
+        let allowed = f64::from(quota.normal) * self.part(now);
+        let allowed = (allowed as u32).max(quota.normal.min(1));
+        Slots {
+            normal: allowed.saturating_sub(self.in_flight.normal),
+            urgent: quota.urgent.saturating_sub(self.in_flight.urgent),
+        }
+    }
+
+    /// Work there over what it is given; 1 is full.
+    pub(crate) fn utilisation(&self, now: Instant) -> f64 {
+        let own = self.in_flight.total();
+        let load = own.max(self.reported + self.sent.len() as u32) + 1;
+        let room = f64::from(self.candidate.slots.max(1)) * self.part(now);
+        f64::from(load) / room.max(1.0)
+    }
+
+    pub(crate) fn begin(&mut self, slot: SlotKind, now: Instant) {
+        *self.counter(slot) += 1;
+        if self.sent.len() == MAX_SENT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+        if self.free(now).normal == 0 {
+            self.limit.note_full();
+        }
+    }
+
+    pub(crate) fn end(&mut self, slot: SlotKind) {
+        let counter = self.counter(slot);
+        *counter = counter.saturating_sub(1);
+    }
+
+    fn counter(&mut self, slot: SlotKind) -> &mut u32 {
+        match slot {
+            SlotKind::Normal => &mut self.in_flight.normal,
+            SlotKind::Urgent => &mut self.in_flight.urgent,
+        }
+    }
+
+    /// Takes a report; what was sent before it was taken is in it.
+    pub(crate) fn report(&mut self, running: u32, taken_at: Instant) {
+        self.reported = running;
+        while self.sent.front().is_some_and(|at| *at <= taken_at) {
+            self.sent.pop_front();
+        }
+    }
+
+    pub(crate) fn observe(&mut self, sample: Sample, now: Instant) {
+        let late = match sample {
+            Sample::FirstToken(took) => took > FIRST_TOKEN_AIM,
+            Sample::TokenGap(gap) => {
+                self.observe_gap(gap.as_secs_f64(), now);
+                gap > TOKEN_GAP_AIM
+            }
+        };
+        self.limit.observe(late, now);
+    }
+
+    fn observe_gap(&mut self, gap: f64, now: Instant) {
+        if now.saturating_duration_since(self.sampled) > SAMPLE_LIFE {
+            self.token_gap = None;
+            self.since = now;
+        }
+        self.sampled = now;
+        self.token_gap = Some(match self.token_gap {
+            Some(mean) => mean + NEW_SAMPLE * (gap - mean),
+            None => gap,
+        });
+    }
+
+    /// Compares the group with its peers' median time between tokens.
+    pub(crate) fn compare(&mut self, median: Option<f64>) {
+        self.slow_part = match (self.token_gap, median) {
+            (Some(own), Some(median)) if own > SLOW_RATIO * median => {
+                (median / own).max(SLOW_FLOOR)
+            }
+            _ => 1.0,
+        };
+    }
+
+    /// Starts gradually again, for a group that served nothing for a while.
+    pub(crate) fn restart_ramp(&mut self, now: Instant) {
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/route/src/queue/mod.rs
@@ -0,0 +1,304 @@
+//! Admission and weighted fair order of one service's requests at one node.
+//!
+//! Start-time fair queueing in tokens: each tenant has a virtual finish time,
+//! the tenant with the earliest one starts next. Urgent requests go first and
+//! may use the slots held back for them, as long as their tenant is not ahead
+//! of a waiting tenant by more than a fixed lead; beyond it they count as any
+//! other request of that tenant.
+
+mod account;
+mod admit;
+mod offer;
+mod pace;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{TenantId, Tokens};
+
+use crate::queue::account::{Account, Position, Queued, VirtualTime, cost};
+pub use crate::queue::offer::{Offer, Refusal, RefusalReason, SlotKind, Slots, Started, Ticket};
+use crate::queue::pace::Pace;
+
+/// Settings of a [`ServiceQueue`].
+#[derive(Clone, Debug)]
+pub struct QueueOptions {
+    max_queue: usize,
+    urgent_lead: Tokens,
+    min_retry_after: Duration,
+    max_retry_after: Duration,
+    seed: u64,
+}
+
+impl Default for QueueOptions {
+    fn default() -> QueueOptions {
+        QueueOptions {
+            max_queue: 1000,
+            urgent_lead: 4096,
+            min_retry_after: Duration::from_secs(1),
+            max_retry_after: Duration::from_secs(30),
+            seed: 0,
+        }
+    }
+}
+
+impl QueueOptions {
+    /// Longest queue over all tenants, in requests.
+    pub fn max_queue(mut self, requests: u32) -> QueueOptions {
+        self.max_queue = requests as usize;
+        self
+    }
+
+    /// Tokens by which a tenant's urgent requests may run ahead of a waiting tenant.
+    pub fn urgent_lead(mut self, tokens: Tokens) -> QueueOptions {
+        self.urgent_lead = tokens;
+        self
+    }
+
+    /// Seed of the jitter in `retry_after`; give each node its own.
+    pub fn seed(mut self, seed: u64) -> QueueOptions {
+        self.seed = seed;
+        self
+    }
+}
+
+/// A started request until it is settled.
+#[derive(Debug)]
+struct Running {
+    tenant: TenantId,
+    tokens: Tokens,
+    urgent: bool,
+    since: Instant,
+}
+
+/// The queue of one service at one node. `T` is the caller's payload.
+///
+/// Requests that the queue gives up on come out of [`ServiceQueue::expire`];
+/// call it after each `offer` and `start` and at [`ServiceQueue::next_deadline`],
+/// so that each gets its final answer at once.
+#[derive(Debug)]
+pub struct ServiceQueue<T> {
+    opts: QueueOptions,
+    rng: fastrand::Rng,
+    tenants: BTreeMap<TenantId, Account<T>>,
+    /// Invariant: exactly the tenants with something queued, by finish time.
+    backlog: BTreeSet<(VirtualTime, TenantId)>,
+    /// Invariant: the part of `backlog` with an urgent request queued.
+    urgent_backlog: BTreeSet<(VirtualTime, TenantId)>,
+    /// Invariant: the sum of the weights in `backlog`.
+    backlog_weight: u64,
+    waiting: BTreeMap<Ticket, (TenantId, Position)>,
+    running: BTreeMap<Ticket, Running>,
+    running_urgent: usize,
+    give_up: BTreeSet<(Instant, Ticket)>,
+    given_up: Vec<(T, Refusal)>,
+    /// Start tag of the last request started in fair order; never falls.
+    virtual_now: VirtualTime,
+    queued_tokens: Tokens,
+    queued_urgent_tokens: Tokens,
+    normal_pace: Pace,
+    urgent_pace: Pace,
+    last_ticket: u64,
+}
+
+impl<T> ServiceQueue<T> {
+    /// Makes an empty queue.
+    pub fn new(opts: QueueOptions) -> ServiceQueue<T> {
+        ServiceQueue {
+            rng: fastrand::Rng::with_seed(opts.seed),
+            opts,
+            tenants: BTreeMap::new(),
+            backlog: BTreeSet::new(),
+            urgent_backlog: BTreeSet::new(),
+            backlog_weight: 0,
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            running_urgent: 0,
+            give_up: BTreeSet::new(),
+            given_up: Vec::new(),
+            virtual_now: 0,
+            queued_tokens: 0,
+            queued_urgent_tokens: 0,
+            normal_pace: Pace::default(),
+            urgent_pace: Pace::default(),
+            last_ticket: 0,
+        }
+    }
+
+    /// Requests waiting.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Requests started and not settled.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Waiting requests, the urgent ones apart, as demand for quotas.
+    pub fn demand(&self) -> Slots {
+        let urgent = self
+            .waiting
+            .values()
+            .filter(|(_, (u, _))| u.is_urgent())
+            .count();
+        Slots {
+            normal: (self.waiting.len() - urgent) as u32,
+            urgent: urgent as u32,
+        }
+    }
+
+    /// Takes the next request that may start in `free`, which the caller then occupies.
+    pub fn start(&mut self, free: Slots, now: Instant) -> Option<Started<T>> {
+        self.give_up_late(now);
+        if let Some((tenant, slot)) = self.next_urgent(free) {
+            return self.begin(tenant, slot, now);
+        }
+        let (finish, tenant) = self.backlog.first().cloned()?;
+        if free.normal == 0 {
+            return None;
+        }
+        self.virtual_now = self.virtual_now.max(finish);
+        self.begin(tenant, SlotKind::Normal, now)
+    }
+
+    /// Ends a started request that really used `tokens`.
+    pub fn settle(&mut self, ticket: Ticket, tokens: Tokens, now: Instant) {
+        let Some(run) = self.end(ticket) else {
+            return;
+        };
+        let pace = match run.urgent {
+            true => &mut self.urgent_pace,
+            false => &mut self.normal_pace,
+        };
+        pace.observe(now.saturating_duration_since(run.since), run.tokens);
+        self.correct(&run, tokens);
+    }
+
+    /// Withdraws a request whose caller has gone.
+    ///
+    /// A waiting one costs its tenant nothing and gives its payload back; a
+    /// started one that never reached a target is not charged either.
+    pub fn cancel(&mut self, ticket: Ticket) -> Option<T> {
+        if let Some(run) = self.end(ticket) {
+            self.correct(&run, 0);
+            return None;
+        }
+        self.take(ticket).map(|q| q.payload)
+    }
+
+    /// Requests given up on since the last call; each is to be answered at once.
+    pub fn expire(&mut self, now: Instant) -> Vec<(T, Refusal)> {
+        self.give_up_late(now);
+        std::mem::take(&mut self.given_up)
+    }
+
+    /// When `expire` has to be called next.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.give_up.first().map(|(at, _)| *at)
+    }
+
+    /// The least served tenant with an urgent request, unless it is over its lead.
+    ///
+    /// The set is ordered by finish time, so when the first is over, all are.
+    fn next_urgent(&self, free: Slots) -> Option<(TenantId, SlotKind)> {
+        let slot = match free {
+            Slots { urgent: 1.., .. } => SlotKind::Urgent,
+            Slots { normal: 1.., .. } => SlotKind::Normal,
+            _ => return None,
+        };
+        let (finish, tenant) = self.urgent_backlog.first()?;
+        let weight = self.tenants.get(tenant)?.weight;
+        let others = self.backlog.iter().find(|(_, t)| t != tenant);
+        let lead = cost(self.opts.urgent_lead, weight);
+        let over = others.is_some_and(|(least, _)| *finish > least.saturating_add(lead));
+        (!over).then(|| (tenant.clone(), slot))
+    }
+
+    fn begin(&mut self, tenant: TenantId, slot: SlotKind, now: Instant) -> Option<Started<T>> {
+        let position = self.tenants.get(&tenant)?.head()?;
+        let ticket = position.1;
+        let queued = self.take(ticket)?;
+        self.change(&tenant, |account| {
+            account.running += 1;
+            account.charge(queued.tokens);
+        });
+        let urgent = position.0.is_urgent();
+        self.running_urgent += usize::from(urgent);
+        let run = Running {
+            tenant,
+            tokens: queued.tokens,
+            urgent,
+            since: now,
+        };
+        self.running.insert(ticket, run);
+        Some(Started {
+            ticket,
+            slot,
+            payload: queued.payload,
+        })
+    }
+
+    fn end(&mut self, ticket: Ticket) -> Option<Running> {
+        let run = self.running.remove(&ticket)?;
+        self.running_urgent -= usize::from(run.urgent);
+        Some(run)
+    }
+
+    fn correct(&mut self, run: &Running, real: Tokens) {
+        self.change(&run.tenant, |account| {
+            account.running -= 1;
+            account.correct(run.tokens, real);
+        });
+        self.forget_idle(&run.tenant);
+    }
+
+    /// Drops the account of a tenant that is owed and owes nothing.
+    ///
+    /// Without this, every tenant ever seen would cost memory for good.
+    fn forget_idle(&mut self, tenant: &TenantId) {
+        let idle = self
+            .tenants
+            .get(tenant)
+            .is_some_and(|a| a.running == 0 && a.queued.is_empty() && a.finish <= self.virtual_now);
+        if idle {
+            self.tenants.remove(tenant);
+        }
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<Queued<T>> {
+        let (tenant, position) = self.waiting.remove(&ticket)?;
+        let queued = self.change(&tenant, |account| account.remove(position))??;
+        self.give_up.remove(&(queued.give_up_at, ticket));
+        self.queued_tokens -= queued.tokens;
+        if position.0.is_urgent() {
+            self.queued_urgent_tokens -= queued.tokens;
+        }
+        Some(queued)
+    }
+
+    /// Changes an account and keeps the ordered sets in step with it.
+    fn change<R>(&mut self, tenant: &TenantId, f: impl FnOnce(&mut Account<T>) -> R) -> Option<R> {
+        let account = self.tenants.get_mut(tenant)?;
+        let key = (account.finish, tenant.clone());
+        if self.backlog.remove(&key) {
+            self.backlog_weight -= u64::from(account.weight);
+        }
+        self.urgent_backlog.remove(&key);
+        let result = f(account);
+        let key = (account.finish, key.1);
+        if account.has_urgent() {
+            self.urgent_backlog.insert(key.clone());
+        }
+        if !account.queued.is_empty() {
+            self.backlog_weight += u64::from(account.weight);
+            self.backlog.insert(key);
+        }
+        Some(result)
+    }
+}
--- /dev/null
+++ b/crates/route/src/queue/pace.rs
@@ -0,0 +1,33 @@
+//! Measured service pace.
+
+use std::time::Duration;
+
+use eelgrassmill_base::Tokens;
+
+/// Share of a new sample in the moving mean.
+const NEW_SAMPLE: f64 = 0.1;
+
+/// Mean time that one estimated token takes from start to end of a request.
+///
+/// Estimates, not real tokens, so that a tenant population that always asks
+/// for more tokens than it uses is still predicted well.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    seconds_per_token: Option<f64>,
+}
+
+impl Pace {
+    pub(crate) fn observe(&mut self, took: Duration, tokens: Tokens) {
+        let sample = took.as_secs_f64() / tokens.max(1) as f64;
+        self.seconds_per_token = Some(match self.seconds_per_token {
+            Some(mean) => mean + NEW_SAMPLE * (sample - mean),
+            None => sample,
+        });
+    }
+
+    /// Time for `tokens` with `parallel` slots; zero while nothing is measured.
+    pub(crate) fn time_for(&self, tokens: Tokens, parallel: usize) -> Duration {
+        let seconds = self.seconds_per_token.unwrap_or(0.0) * tokens as f64;
+        Duration::try_from_secs_f64(seconds / parallel.max(1) as f64).unwrap_or(Duration::MAX)
+    }
+}
