Read, check, compare and accept the operators' text

The INI library tells no lines for semantic errors, joins a line without a sign with the next one and takes an indented comment for a key; ruled out working round that by a parser of our own. The lines are checked one by one first and the library reads what is left, so both agree on every entry.

Keys stand in tables with limits, defaults and meaning; the reader and the reference page come from the same tables.

Acceptance is a pure decision over the row of the table. The row remembers the last submissions, so a repeat after a lost answer is told its version and not a conflict with itself. The log keeps a bounded number of versions.

--- /dev/null
+++ b/crates/config/src/accept.rs
@@ -0,0 +1,237 @@
+//! Acceptance: which submitted text becomes the next version, as a pure decision.
+//!
+//! A submission becomes version V+1 by one transaction whose condition is the
+//! row of version V that the operator saw. Of two operators at once one
+//! transaction fails; its caller reads the row again and gets [`Decision::Conflict`].
+
+use eelgrassmill_base::{ConfigVersion, RowVersion, SubmitId, value};
+use smol_str::SmolStr;
+
+use crate::canonical::{Change, checksum, diff};
+use crate::model::Config;
+use crate::problem::ConfigErrors;
+
+/// Key of the row that holds the accepted text.
+pub const CURRENT_KEY: &str = "config/current";
+/// Prefix of the rows that hold earlier and current versions.
+pub const LOG_PREFIX: &str = "config/log/";
+/// Versions kept in the log; older rows are deleted with each acceptance.
+pub const LOG_KEPT: u64 = 500;
+/// Earlier submissions that the current row remembers, the latest last.
+pub const RECENT_KEPT: usize = 128;
+
+/// Key of version `v` in the log; the digits keep the rows in order of their versions.
+pub fn log_key(v: ConfigVersion) -> SmolStr {
+    format!("{LOG_PREFIX}{v:012}").into()
+}
+
+value! { wire
+    /// What row `config/current` holds.
+    pub struct CurrentRow {
+        /// Rises by one with each acceptance; the first is 1.
+        pub version: ConfigVersion,
+        /// The text as it was submitted.
+        pub text: String,
+        /// [`checksum`] of the text.
+        pub checksum: SmolStr,
+        /// Who submitted it.
+        pub author: SmolStr,
+        /// The submission that it came from.
+        pub submit_id: SubmitId,
+        /// The last submissions, this one included; at most [`RECENT_KEPT`].
+        pub recent: Vec<Accepted>,
+    }
+
+    /// What row `config/log/V` holds.
+    pub struct LogRow {
+        /// V.
+        pub version: ConfigVersion,
+        /// The text as it was submitted.
+        pub text: String,
+        /// [`checksum`] of the text.
+        pub checksum: SmolStr,
+        /// Who submitted it.
+        pub author: SmolStr,
+        /// The submission that it came from.
+        pub submit_id: SubmitId,
+    }
+
+    /// One accepted submission, without its text.
+    pub struct Accepted {
+        /// The version it became.
+        pub version: ConfigVersion,
+        /// Who submitted it.
+        pub author: SmolStr,
+        /// Its id.
+        pub submit_id: SubmitId,
+    }
+
+    /// A text that an operator asks to accept.
+    pub struct Submit {
+        /// Chosen by the submitter; the same for each repeat of one submission.
+        pub id: SubmitId,
+        /// The version that the operator saw and changed; 0 for none yet.
+        pub base: ConfigVersion,
+        /// Who submits.
+        pub author: SmolStr,
+        /// The whole text.
+        pub text: String,
+    }
+
+    /// Why a submission lost against others.
+    pub struct Conflict {
+        /// The version accepted now.
+        pub version: ConfigVersion,
+        /// The submissions accepted since the base, as far as they are remembered.
+        pub by: Vec<Accepted>,
+        /// What they changed; `None` when the base version isn't at hand.
+        pub changes: Option<Vec<Change>>,
+    }
+}
+
+value! {
+    /// A row to write under a condition.
+    pub struct RowWrite {
+        /// Its key.
+        pub key: SmolStr,
+        /// The version it must have (0 for absent); `None` for any.
+        pub expect: Option<RowVersion>,
+        /// Its value as JSON; `None` deletes it.
+        pub value: Option<String>,
+    }
+
+    /// The rows that make a submission the next version, for one transaction.
+    pub struct Acceptance {
+        /// The version it becomes when the transaction commits.
+        pub version: ConfigVersion,
+        /// The new `config/current`.
+        pub current: CurrentRow,
+        /// All writes with their conditions.
+        pub writes: Vec<RowWrite>,
+    }
+
+    /// What is to be done with a submission.
+    pub enum Decision {
+        /// Commit this; when its condition fails, read again and decide again.
+        Accept(Box<Acceptance>),
+        /// A repeat of a submission that is already this version.
+        AlreadyAccepted(ConfigVersion),
+        /// Others were accepted since the version the operator saw; nothing is merged.
+        Conflict(Conflict),
+        /// The text is wrong.
+        Invalid(ConfigErrors),
+    }
+}
+
+/// Decides on `submit` against the current row, given with its row version.
+///
+/// `base` is the log row of the version the operator saw, if at hand; it only
+/// serves to say what changed since.
+pub fn decide_submit(
+    current: Option<(RowVersion, &CurrentRow)>,
+    base: Option<&LogRow>,
+    submit: &Submit,
+) -> Decision {
+    let recent = current.map_or(&[][..], |(_, row)| &row.recent);
+    // The answer to an accepted submission can get lost. Its repeat must say
+    // so; judged by its base it would look like a conflict with itself.
+    if let Some(accepted) = recent.iter().find(|a| a.submit_id == submit.id) {
+        return Decision::AlreadyAccepted(accepted.version);
+    }
+    if let Err(errors) = Config::parse(&submit.text, "text") {
+        return Decision::Invalid(errors);
+    }
+    let version = current.map_or(0, |(_, row)| row.version);
+    match current {
+        Some((_, row)) if version != submit.base => Decision::Conflict(conflict(row, base, submit)),
+        None if submit.base != 0 => Decision::Conflict(Conflict {
+            version: 0,
+            by: Vec::new(),
+            changes: None,
+        }),
+        _ => Decision::Accept(Box::new(acceptance(current, submit))),
+    }
+}
+
+fn conflict(current: &CurrentRow, base: Option<&LogRow>, submit: &Submit) -> Conflict {
+    let by = current
+        .recent
+        .iter()
+        .filter(|a| a.version > submit.base)
+        .cloned()
+        .collect();
+    let base_text = match base.filter(|row| row.version == submit.base) {
+        Some(row) => Some(row.text.as_str()),
+        None if submit.base == 0 => Some(""),
+        None => None,
+    };
+    let changes = base_text.and_then(|text| {
+        let old = Config::parse(text, "base").ok()?;
+        let new = Config::parse(&current.text, "current").ok()?;
+        Some(diff(&old, &new))
+    });
+    Conflict {
+        version: current.version,
+        by,
+        changes,
+    }
+}
+
+fn acceptance(current: Option<(RowVersion, &CurrentRow)>, submit: &Submit) -> Acceptance {
+    let version = current.map_or(0, |(_, row)| row.version) + 1;
+    let accepted = Accepted {
+        version,
+        author: submit.author.clone(),
+        submit_id: submit.id.clone(),
+    };
+    let mut recent = current.map_or_else(Vec::new, |(_, row)| row.recent.clone());
+    recent.push(accepted);
+    let surplus = recent.len().saturating_sub(RECENT_KEPT);
+    recent.drain(..surplus);
+    let row = CurrentRow {
+        version,
+        text: submit.text.clone(),
+        checksum: checksum(&submit.text),
+        author: submit.author.clone(),
+        submit_id: submit.id.clone(),
+        recent,
+    };
+    let mut writes = vec![
+        RowWrite {
+            key: CURRENT_KEY.into(),
+            expect: Some(current.map_or(0, |(row_version, _)| row_version)),
+            value: Some(to_json(&row)),
+        },
+        RowWrite {
+            key: log_key(version),
+            expect: None,
+            value: Some(to_json(&log_row(&row))),
+        },
+    ];
+    if let Some(old) = version.checked_sub(LOG_KEPT).filter(|v| *v > 0) {
+        writes.push(RowWrite {
+            key: log_key(old),
+            expect: None,
+            value: None,
+        });
+    }
+    Acceptance {
+        version,
+        current: row,
+        writes,
+    }
+}
+
+fn log_row(row: &CurrentRow) -> LogRow {
+    LogRow {
+        version: row.version,
+        text: row.text.clone(),
+        checksum: row.checksum.clone(),
+        author: row.author.clone(),
+        submit_id: row.submit_id.clone(),
+    }
+}
+
+fn to_json(row: &impl serde::Serialize) -> String {
+    serde_json::to_string(row).expect("rows hold only numbers, strings and lists")
+}
--- /dev/null
+++ b/crates/config/src/canonical.rs
@@ -0,0 +1,249 @@
+//! The canonical text of a configuration, and what changed between two.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use eelgrassmill_base::{HostId, NodeId, ServiceName, TenantId, value};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+
+use crate::model::{Config, NodeRule, RepairWeight, Service, ServiceKind, TargetRule, Tenant};
+use crate::units::format_duration;
+
+/// Digits of a token's SHA-256 that are shown in a difference.
+const SHOWN_DIGITS: usize = 8;
+
+value! {
+    /// One section of the text.
+    #[derive(PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum SectionName {
+        /// `[fleet]`.
+        Fleet,
+        /// `[tenant NAME]`.
+        Tenant(TenantId),
+        /// `[service NAME]`.
+        Service(ServiceName),
+        /// `[target HOST]`.
+        Target(HostId),
+        /// `[node NODE]`.
+        Node(NodeId),
+    }
+}
+
+value! { wire
+    /// One difference between two configurations.
+    #[serde(rename_all = "kebab-case", tag = "change")]
+    pub enum Change {
+        /// A section that wasn't there.
+        Added {
+            /// The section.
+            section: SectionName,
+        },
+        /// A section that is gone.
+        Removed {
+            /// The section.
+            section: SectionName,
+        },
+        /// A key with another value.
+        Set {
+            /// The section.
+            section: SectionName,
+            /// The key.
+            key: SmolStr,
+            /// Its old value; `None` when it had none.
+            from: Option<String>,
+            /// Its new value; `None` when it has none.
+            to: Option<String>,
+        },
+    }
+}
+
+impl fmt::Display for SectionName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SectionName::Fleet => write!(f, "[fleet]"),
+            SectionName::Tenant(name) => write!(f, "[tenant {name}]"),
+            SectionName::Service(name) => write!(f, "[service {name}]"),
+            SectionName::Target(name) => write!(f, "[target {name}]"),
+            SectionName::Node(name) => write!(f, "[node {name}]"),
+        }
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::Added { section } => write!(f, "{section} added"),
+            Change::Removed { section } => write!(f, "{section} removed"),
+            Change::Set {
+                section,
+                key,
+                from,
+                to,
+            } => {
+                let from = from.as_deref().unwrap_or("(nothing)");
+                let to = to.as_deref().unwrap_or("(nothing)");
+                write!(f, "{section} {key}: {from} -> {to}")
+            }
+        }
+    }
+}
+
+type Entries = Vec<(&'static str, String)>;
+
+/// The text of `config` with every key written out, always the same for the same configuration.
+pub fn canonical(config: &Config) -> String {
+    let mut text = String::new();
+    for (section, entries) in sections(config) {
+        if !text.is_empty() {
+            text.push('\n');
+        }
+        text.push_str(&format!("{section}\n"));
+        for (key, value) in entries {
+            text.push_str(format!("{key} = {value}").trim_end());
+            text.push('\n');
+        }
+    }
+    text
+}
+
+/// SHA-256 of a text, as 64 lower-case hexadecimal digits.
+pub fn checksum(text: &str) -> SmolStr {
+    let digest = Sha256::digest(text.as_bytes());
+    let digits: String = digest.iter().map(|b| format!("{b:02x}")).collect();
+    digits.into()
+}
+
+/// What one must change in `from` to have `to`, in the order of the sections.
+pub fn diff(from: &Config, to: &Config) -> Vec<Change> {
+    let old = sections(from);
+    let new = sections(to);
+    let mut changes = Vec::new();
+    let names: std::collections::BTreeSet<&SectionName> = old.keys().chain(new.keys()).collect();
+    for section in names {
+        match (old.get(section), new.get(section)) {
+            (Some(old), Some(new)) => diff_section(section, old, new, &mut changes),
+            (None, _) => changes.push(Change::Added {
+                section: section.clone(),
+            }),
+            (_, None) => changes.push(Change::Removed {
+                section: section.clone(),
+            }),
+        }
+    }
+    changes
+}
+
+fn diff_section(section: &SectionName, old: &Entries, new: &Entries, changes: &mut Vec<Change>) {
+    let value = |entries: &Entries, key: &str| -> Option<String> {
+        entries
+            .iter()
+            .find(|(k, _)| *k == key)
+            .map(|(_, v)| v.clone())
+    };
+    let gone = old.iter().filter(|(k, _)| value(new, k).is_none());
+    for (key, _) in new.iter().chain(gone) {
+        let (from, to) = (value(old, key), value(new, key));
+        if from != to {
+            changes.push(Change::Set {
+                section: section.clone(),
+                key: SmolStr::new_static(key),
+                from: from.map(|v| shown(key, v)),
+                to: to.map(|v| shown(key, v)),
+            });
+        }
+    }
+}
+
+fn shown(key: &str, mut value: String) -> String {
+    if key == "token_sha256" {
+        value.truncate(SHOWN_DIGITS);
+        value.push_str("...");
+    }
+    value
+}
+
+fn sections(config: &Config) -> BTreeMap<SectionName, Entries> {
+    let mut all = BTreeMap::new();
+    all.insert(SectionName::Fleet, fleet_entries(config));
+    for (name, tenant) in &config.tenants {
+        all.insert(SectionName::Tenant(name.clone()), tenant_entries(tenant));
+    }
+    for (name, service) in &config.services {
+        all.insert(SectionName::Service(name.clone()), service_entries(service));
+    }
+    for (name, rule) in &config.targets {
+        all.insert(SectionName::Target(name.clone()), target_entries(rule));
+    }
+    for (name, rule) in &config.nodes {
+        all.insert(SectionName::Node(name.clone()), node_entries(rule));
+    }
+    all
+}
+
+fn fleet_entries(config: &Config) -> Entries {
+    let repair = match config.repair {
+        RepairWeight::Downtime => "downtime",
+        RepairWeight::Stranded => "stranded",
+    };
+    vec![("repair", repair.to_owned())]
+}
+
+fn tenant_entries(tenant: &Tenant) -> Entries {
+    vec![
+        ("token_sha256", tenant.token_sha256.to_string()),
+        ("weight", tenant.weight.to_string()),
+        ("max_queue", tenant.max_queue.to_string()),
+    ]
+}
+
+fn target_entries(rule: &TargetRule) -> Entries {
+    vec![
+        ("checks_orders", yes_no(rule.checks_orders)),
+        ("drain", yes_no(rule.drain)),
+    ]
+}
+
+fn node_entries(rule: &NodeRule) -> Entries {
+    vec![("drain", yes_no(rule.drain))]
+}
+
+fn service_entries(service: &Service) -> Entries {
+    let mut entries = kind_entries(&service.kind);
+    entries.push(("depends_on", service.depends_on.join(", ")));
+    entries.push(("repeatable", yes_no(service.repeatable)));
+    entries.push(("keep_answers", format_duration(service.keep_answers)));
+    entries.push(("timeout", format_duration(service.timeout)));
+    entries.push(("max_queue", service.max_queue.to_string()));
+    entries
+}
+
+fn kind_entries(kind: &ServiceKind) -> Entries {
+    match kind {
+        ServiceKind::Model(m) => vec![
+            ("kind", "model".to_owned()),
+            ("model", m.model.to_string()),
+            ("version", m.version.to_string()),
+            ("groups", m.groups.to_string()),
+            ("hosts_per_group", m.hosts_per_group.to_string()),
+            ("floor", m.floor.to_string()),
+            ("slots", m.slots.to_string()),
+            ("urgent_slots", m.urgent_slots.to_string()),
+        ],
+        ServiceKind::Plain { targets, slots } => vec![
+            ("kind", "plain".to_owned()),
+            ("targets", targets.join(", ")),
+            ("slots", slots.to_string()),
+        ],
+        ServiceKind::Adapter { base, adapter } => vec![
+            ("kind", "adapter".to_owned()),
+            ("base", base.to_string()),
+            ("adapter", adapter.to_string()),
+        ],
+    }
+}
+
+fn yes_no(value: bool) -> String {
+    (if value { "yes" } else { "no" }).to_owned()
+}
--- /dev/null
+++ b/crates/config/src/keys.rs
@@ -0,0 +1,184 @@
+//! Tables of keys: what may be written in a section, with defaults and limits.
+//!
+//! The reader and the reference page both come from these tables, so that a
+//! limit can't be one thing in the code and another on the page.
+
+use std::time::Duration;
+
+use eelgrassmill_base::value;
+
+use crate::units::format_duration;
+
+value! {
+    /// What a value must look like.
+    pub enum Shape {
+        /// A whole number from `min` to `max`.
+        Number {
+            /// Lowest.
+            min: u64,
+            /// Highest.
+            max: u64,
+        },
+        /// A duration like `250ms`, `10s`, `10m` or `2h`.
+        Duration {
+            /// Shortest.
+            min: Duration,
+            /// Longest.
+            max: Duration,
+        },
+        /// One of these words.
+        Choice(&'static [&'static str]),
+        /// A name, see [`crate::is_name`].
+        Name,
+        /// Names with commas between them.
+        Names {
+            /// Longest list.
+            max: usize,
+        },
+        /// `IP:PORT` with a numeric address.
+        Address,
+        /// `IP:PORT`s with commas between them.
+        Addresses {
+            /// Longest list.
+            max: usize,
+        },
+        /// A SHA-256 as 64 hexadecimal digits.
+        Sha256,
+        /// The path of a file.
+        Path,
+    }
+
+    /// What happens when a key is left out.
+    pub enum Absent {
+        /// It can't be left out.
+        Required,
+        /// This value counts.
+        Default(&'static str),
+        /// Another rule counts, said in words.
+        Rule(&'static str),
+    }
+
+    /// One key.
+    pub struct Key {
+        /// Its name.
+        pub name: &'static str,
+        /// What its value must look like.
+        pub shape: Shape,
+        /// What happens when it is left out.
+        pub absent: Absent,
+        /// What it does, in one line.
+        pub meaning: &'static str,
+    }
+
+    /// The keys of one kind of section.
+    pub struct SectionKeys {
+        /// The section as it is written, like `[tenant NAME]`.
+        pub section: &'static str,
+        /// Its keys.
+        pub keys: &'static [Key],
+    }
+}
+
+/// A required key.
+pub const fn required(name: &'static str, shape: Shape, meaning: &'static str) -> Key {
+    Key {
+        name,
+        shape,
+        absent: Absent::Required,
+        meaning,
+    }
+}
+
+/// A key with a default value.
+pub const fn defaulted(
+    name: &'static str,
+    shape: Shape,
+    value: &'static str,
+    meaning: &'static str,
+) -> Key {
+    Key {
+        name,
+        shape,
+        absent: Absent::Default(value),
+        meaning,
+    }
+}
+
+/// A key whose absence has a meaning of its own.
+pub const fn optional(
+    name: &'static str,
+    shape: Shape,
+    rule: &'static str,
+    meaning: &'static str,
+) -> Key {
+    Key {
+        name,
+        shape,
+        absent: Absent::Rule(rule),
+        meaning,
+    }
+}
+
+impl Shape {
+    /// A number's shape.
+    pub const fn number(min: u64, max: u64) -> Shape {
+        Shape::Number { min, max }
+    }
+
+    /// A duration's shape.
+    pub const fn duration(min: Duration, max: Duration) -> Shape {
+        Shape::Duration { min, max }
+    }
+
+    /// What to write, for errors and for the reference page.
+    pub fn describe(&self) -> String {
+        match self {
+            Shape::Number { min, max } => format!("a whole number from {min} to {max}"),
+            Shape::Duration { min, max } => format!(
+                "a duration like 250ms, 10s, 10m or 2h, from {} to {}",
+                format_duration(*min),
+                format_duration(*max)
+            ),
+            Shape::Choice(words) => words.join(" or "),
+            Shape::Name => "a name of letters, digits, `.`, `_` and `-`, at most 64".to_owned(),
+            Shape::Names { max } => format!("names with commas between them, at most {max}"),
+            Shape::Address => "IP:PORT with a numeric address".to_owned(),
+            Shape::Addresses { max } => {
+                format!("IP:PORTs with commas between them, at most {max}")
+            }
+            Shape::Sha256 => "a SHA-256 as 64 hexadecimal digits".to_owned(),
+            Shape::Path => "the path of a file".to_owned(),
+        }
+    }
+}
+
+impl Absent {
+    /// As it stands on the reference page.
+    pub fn describe(&self) -> &'static str {
+        match self {
+            Absent::Required => "required",
+            Absent::Default(value) => value,
+            Absent::Rule(rule) => rule,
+        }
+    }
+}
+
+impl SectionKeys {
+    /// Rows of a table for the reference page: key, what to write, default, meaning.
+    pub fn reference(&self) -> String {
+        let mut page = format!("### `{}`\n\n", self.section);
+        page.push_str("| key | what to write | when left out | meaning |\n");
+        page.push_str("| --- | --- | --- | --- |\n");
+        for key in self.keys {
+            let line = format!(
+                "| `{}` | {} | {} | {} |\n",
+                key.name,
+                key.shape.describe(),
+                key.absent.describe(),
+                key.meaning
+            );
+            page.push_str(&line);
+        }
+        page
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,7 +1,35 @@
 //! The operators' text: parse, check, compare, canonical form and version.
+//!
+//! Pure: nothing here reads a file, a clock or the table. [`decide_submit`]
+//! says which rows a submission writes, [`Applied`] what a node has in force.
 
+mod accept;
+mod applied;
+mod canonical;
+mod delta;
+mod document;
+mod keys;
 mod model;
+mod parse;
+mod problem;
+mod reader;
+mod references;
+mod text_keys;
+mod units;
 
+pub use crate::accept::{
+    Acceptance, Accepted, CURRENT_KEY, Conflict, CurrentRow, Decision, LOG_KEPT, LOG_PREFIX,
+    LogRow, RECENT_KEPT, RowWrite, Submit, decide_submit, log_key,
+};
+pub use crate::applied::{Applied, OfferError, Offered};
+pub use crate::canonical::{Change, SectionName, canonical, checksum, diff};
+pub use crate::delta::{DeltaError, TextDelta};
+pub use crate::document::{Entry, MAX_TEXT, Section, read_sections};
+pub use crate::keys::{Absent, Key, SectionKeys, Shape, defaulted, optional, required};
 pub use crate::model::{
-    Config, ModelService, RepairWeight, Service, ServiceKind, TargetRule, Tenant,
+    Config, ModelService, NodeRule, RepairWeight, Service, ServiceKind, TargetRule, Tenant,
 };
+pub use crate::problem::{ConfigError, ConfigErrors, Problems};
+pub use crate::reader::Reader;
+pub use crate::text_keys::TEXT_SECTIONS;
+pub use crate::units::{MAX_NAME, format_duration, is_name, parse_duration};
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use eelgrassmill_base::{HostId, ModelName, ModelVersion, ServiceName, TenantId, value};
+use eelgrassmill_base::{HostId, ModelName, ModelVersion, NodeId, ServiceName, TenantId, value};
 use smol_str::SmolStr;
 
 value! { copy
@@ -30,6 +30,8 @@
         pub tenants: BTreeMap<TenantId, Tenant>,
         /// What is said of single targets, by host.
         pub targets: BTreeMap<HostId, TargetRule>,
+        /// What is said of single nodes, by node.
+        pub nodes: BTreeMap<NodeId, NodeRule>,
     }
 
     /// One service.
@@ -104,6 +106,27 @@
     pub struct TargetRule {
         /// Whether the target refuses an order with an old fencing number.
         pub checks_orders: bool,
+        /// Whether it is to be emptied: it gets nothing new and its group moves off it.
+        pub drain: bool,
+    }
+
+    /// What is said of one node.
+    pub struct NodeRule {
+        /// Whether callers are to be sent elsewhere.
+        pub drain: bool,
+    }
+}
+
+impl Default for Config {
+    /// The empty text: no service, no tenant.
+    fn default() -> Config {
+        Config {
+            repair: RepairWeight::Downtime,
+            services: BTreeMap::new(),
+            tenants: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+        }
     }
 }
 
@@ -112,4 +135,14 @@
     pub fn checks_orders(&self, host: &str) -> bool {
         self.targets.get(host).is_some_and(|t| t.checks_orders)
     }
+
+    /// Whether the text asks to empty target `host`.
+    pub fn drains_target(&self, host: &str) -> bool {
+        self.targets.get(host).is_some_and(|t| t.drain)
+    }
+
+    /// Whether the text asks to send callers away from `node`.
+    pub fn drains_node(&self, node: &str) -> bool {
+        self.nodes.get(node).is_some_and(|n| n.drain)
+    }
 }
--- /dev/null
+++ b/crates/config/src/parse.rs
@@ -0,0 +1,237 @@
+//! From the operators' text to a [`Config`].
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::document::{Section, read_sections};
+use crate::model::ModelService;
+use crate::model::{Config, NodeRule, RepairWeight, Service, ServiceKind, TargetRule, Tenant};
+use crate::problem::{ConfigErrors, Problems};
+use crate::reader::Reader;
+use crate::units::is_name;
+use crate::{references, text_keys};
+
+/// Most sections of one kind; bounds what a text can make every node hold.
+const MAX_SECTIONS: usize = 10_000;
+
+const NO_KIND: &str = "write [fleet], [tenant NAME], [service NAME], [target HOST] or [node NODE]";
+
+impl Config {
+    /// Reads and checks the operators' text; `file` is named in the errors.
+    ///
+    /// # Errors
+    /// All mistakes, each with its line and what to write.
+    pub fn parse(text: &str, file: &str) -> Result<Config, ConfigErrors> {
+        let mut problems = Problems::new(file);
+        let sections = read_sections(text, &mut problems);
+        let mut draft = Draft::default();
+        for section in sections.iter().take(MAX_SECTIONS) {
+            draft.take_section(section, &mut problems);
+        }
+        if let Some(section) = sections.get(MAX_SECTIONS) {
+            problems.add(
+                section.line,
+                format!("too many sections, write at most {MAX_SECTIONS}"),
+            );
+        }
+        references::check(&draft, &mut problems);
+        problems.finish(draft.config)
+    }
+}
+
+/// A text that is being read: values, and the lines to blame for them.
+#[derive(Default)]
+pub(crate) struct Draft {
+    pub(crate) config: Config,
+    /// Line of each section by its name as written.
+    sections: BTreeMap<String, usize>,
+    /// Lines of a service's references.
+    pub(crate) lines: BTreeMap<SmolStr, ServiceLines>,
+    /// Line of each tenant's token.
+    pub(crate) token_lines: BTreeMap<SmolStr, usize>,
+}
+
+/// Where a service names others.
+pub(crate) struct ServiceLines {
+    pub(crate) depends_on: usize,
+    pub(crate) base: usize,
+}
+
+impl Draft {
+    /// Whether the text has a section for service `name`, readable or not.
+    pub(crate) fn has_service_section(&self, name: &str) -> bool {
+        self.sections.contains_key(&format!("service {name}"))
+    }
+
+    fn take_section(&mut self, section: &Section, problems: &mut Problems) {
+        if let Some(first) = self.sections.get(&section.name) {
+            let what = format!("[{}] again after line {first}, write it once", section.name);
+            problems.add(section.line, what);
+            return;
+        }
+        self.sections.insert(section.name.clone(), section.line);
+        let (kind, name) = section.name.split_once(' ').unwrap_or((&section.name, ""));
+        match (kind, name) {
+            ("fleet", "") => self.take_fleet(section, problems),
+            ("tenant" | "service" | "target" | "node", name) if !is_name(name) => {
+                let what = format!(
+                    "[{}] has no usable name, write [{kind} NAME] with letters, digits, `.`, `_` and `-`",
+                    section.name
+                );
+                problems.add(section.line, what);
+            }
+            ("tenant", name) => self.take_tenant(name.into(), section, problems),
+            ("service", name) => self.take_service(name.into(), section, problems),
+            ("target", name) => self.take_target(name.into(), section, problems),
+            ("node", name) => self.take_node(name.into(), section, problems),
+            _ => problems.add(
+                section.line,
+                format!("[{}] is unknown, {NO_KIND}", section.name),
+            ),
+        }
+    }
+
+    fn take_fleet(&mut self, section: &Section, problems: &mut Problems) {
+        let reader = Reader::new(section, &[text_keys::FLEET], problems);
+        self.config.repair = match reader.choice("repair", problems) {
+            "stranded" => RepairWeight::Stranded,
+            _ => RepairWeight::Downtime,
+        };
+    }
+
+    fn take_tenant(&mut self, name: SmolStr, section: &Section, problems: &mut Problems) {
+        let reader = Reader::new(section, &[text_keys::TENANT], problems);
+        let tenant = Tenant {
+            name: name.clone(),
+            token_sha256: reader.sha256("token_sha256", problems).unwrap_or_default(),
+            weight: reader.number("weight", problems),
+            max_queue: reader.number("max_queue", problems),
+        };
+        self.token_lines
+            .insert(name.clone(), reader.line("token_sha256"));
+        self.config.tenants.insert(name, tenant);
+    }
+
+    fn take_target(&mut self, name: SmolStr, section: &Section, problems: &mut Problems) {
+        let reader = Reader::new(section, &[text_keys::TARGET], problems);
+        let rule = TargetRule {
+            checks_orders: reader.yes("checks_orders", problems),
+            drain: reader.yes("drain", problems),
+        };
+        self.config.targets.insert(name, rule);
+    }
+
+    fn take_node(&mut self, name: SmolStr, section: &Section, problems: &mut Problems) {
+        let reader = Reader::new(section, &[text_keys::NODE], problems);
+        let rule = NodeRule {
+            drain: reader.yes("drain", problems),
+        };
+        self.config.nodes.insert(name, rule);
+    }
+
+    fn take_service(&mut self, name: SmolStr, section: &Section, problems: &mut Problems) {
+        let Some(kind_entry) = section.entries.iter().find(|e| e.key == text_keys::KIND) else {
+            let what = format!(
+                "[{}] has no `kind`, write model, plain or adapter",
+                section.name
+            );
+            problems.add(section.line, what);
+            return;
+        };
+        let kind_keys = match kind_entry.value.as_str() {
+            "model" => text_keys::MODEL,
+            "plain" => text_keys::PLAIN,
+            "adapter" => text_keys::ADAPTER,
+            other => {
+                let shown: String = other.chars().take(80).collect();
+                let what = format!("`kind = {shown}` can't be, write model, plain or adapter");
+                problems.add(kind_entry.line, what);
+                return;
+            }
+        };
+        let reader = Reader::new(section, &[text_keys::SERVICE, kind_keys], problems);
+        let kind = match kind_entry.value.as_str() {
+            "model" => ServiceKind::Model(read_model(&reader, problems)),
+            "plain" => read_plain(&reader, problems),
+            _ => read_adapter(&reader, problems),
+        };
+        let service = read_common(name.clone(), kind, &reader, problems);
+        let lines = ServiceLines {
+            depends_on: reader.line("depends_on"),
+            base: if kind_entry.value == "adapter" {
+                reader.line("base")
+            } else {
+                section.line
+            },
+        };
+        self.lines.insert(name.clone(), lines);
+        self.config.services.insert(name, service);
+    }
+}
+
+fn read_common(
+    name: SmolStr,
+    kind: ServiceKind,
+    reader: &Reader<'_>,
+    problems: &mut Problems,
+) -> Service {
+    // A plain service's calls may have effects outside of the system, so
+    // running one twice must be asked for.
+    let repeatable_default = !matches!(kind, ServiceKind::Plain { .. });
+    Service {
+        name,
+        kind,
+        depends_on: reader.names("depends_on", problems),
+        repeatable: reader
+            .yes_or_absent("repeatable", problems)
+            .unwrap_or(repeatable_default),
+        keep_answers: reader.duration("keep_answers", problems),
+        timeout: reader.duration("timeout", problems),
+        max_queue: reader.number("max_queue", problems),
+    }
+}
+
+fn read_model(reader: &Reader<'_>, problems: &mut Problems) -> ModelService {
+    let groups = reader.number("groups", problems);
+    let slots = reader.number("slots", problems);
+    let floor = reader
+        .number_or_absent("floor", problems)
+        .unwrap_or(groups.saturating_sub(1));
+    let urgent_slots = reader
+        .number_or_absent("urgent_slots", problems)
+        .unwrap_or(slots / 8);
+    if floor > groups {
+        let what = format!("`floor` is above `groups`, write at most {groups}");
+        problems.add(reader.line("floor"), what);
+    }
+    if urgent_slots >= slots {
+        let what = format!("`urgent_slots` leaves no slot for the rest, write less than {slots}");
+        problems.add(reader.line("urgent_slots"), what);
+    }
+    ModelService {
+        model: reader.name("model", problems),
+        version: reader.name("version", problems),
+        groups,
+        hosts_per_group: reader.number("hosts_per_group", problems),
+        floor,
+        slots,
+        urgent_slots,
+    }
+}
+
+fn read_plain(reader: &Reader<'_>, problems: &mut Problems) -> ServiceKind {
+    let targets = reader.names("targets", problems);
+    ServiceKind::Plain {
+        targets,
+        slots: reader.number("slots", problems),
+    }
+}
+
+fn read_adapter(reader: &Reader<'_>, problems: &mut Problems) -> ServiceKind {
+    let base = reader.name("base", problems);
+    ServiceKind::Adapter {
+        base,
+        adapter: reader.name("adapter", problems),
+    }
+}
--- /dev/null
+++ b/crates/config/src/problem.rs
@@ -0,0 +1,87 @@
+//! Errors in a text, each with its line and what to write instead.
+
+use std::fmt;
+
+use smol_str::SmolStr;
+
+/// One mistake in a text, shown as `file:line: what is wrong, what to write`.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}:{line}: {what}")]
+pub struct ConfigError {
+    /// The file, or whatever the text came from.
+    pub file: SmolStr,
+    /// The line, counted from 1.
+    pub line: usize,
+    /// What is wrong and what to write.
+    pub what: String,
+}
+
+/// All mistakes of a text in the order of its lines, one a line when shown.
+///
+/// Invariant: never empty, and no longer than [`ConfigErrors::MOST`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigErrors(Vec<ConfigError>);
+
+impl ConfigErrors {
+    /// Mistakes that are kept; a text that is no INI at all can have one in each of its lines.
+    pub const MOST: usize = 100;
+
+    /// The mistakes.
+    pub fn as_slice(&self) -> &[ConfigError] {
+        &self.0
+    }
+}
+
+impl fmt::Display for ConfigErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, error) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for ConfigErrors {}
+
+/// Gathers mistakes while a text is read.
+#[derive(Debug)]
+pub struct Problems {
+    file: SmolStr,
+    found: Vec<ConfigError>,
+}
+
+impl Problems {
+    /// None yet, in `file`.
+    pub fn new(file: &str) -> Problems {
+        Problems {
+            file: file.into(),
+            found: Vec::new(),
+        }
+    }
+
+    /// Adds one.
+    pub fn add(&mut self, line: usize, what: impl Into<String>) {
+        self.found.push(ConfigError {
+            file: self.file.clone(),
+            line,
+            what: what.into(),
+        });
+    }
+
+    /// `value` when nothing was found wrong.
+    ///
+    /// # Errors
+    /// All that was found.
+    pub fn finish<T>(mut self, value: T) -> Result<T, ConfigErrors> {
+        if self.found.is_empty() {
+            return Ok(value);
+        }
+        self.found.sort_by_key(|e| e.line);
+        self.found.dedup();
+        self.found.truncate(ConfigErrors::MOST);
+        Err(ConfigErrors(self.found))
+    }
+}
--- /dev/null
+++ b/crates/config/src/units.rs
@@ -0,0 +1,39 @@
+//! Durations and names as they are written in texts.
+
+use std::time::Duration;
+
+/// Longest name of a service, tenant, host, model or version, in bytes.
+pub const MAX_NAME: usize = 64;
+
+const UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+
+/// Reads `250ms`, `10s`, `10m` or `2h`; `None` for anything else.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (number, unit) = text.split_at(digits);
+    let number: u64 = number.parse().ok()?;
+    let (_, millis) = UNITS.iter().find(|(name, _)| *name == unit)?;
+    number.checked_mul(*millis).map(Duration::from_millis)
+}
+
+/// Writes `d`, rounded down to milliseconds, in the largest unit that gives a whole number.
+pub fn format_duration(d: Duration) -> String {
+    let millis = u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+    let (unit, size) = UNITS
+        .iter()
+        .rev()
+        .find(|(_, size)| millis >= *size && millis % size == 0)
+        .unwrap_or(&UNITS[0]);
+    format!("{}{unit}", millis / size)
+}
+
+/// Whether `name` may name something: letters, digits, `.`, `_` and `-`, a letter or digit first.
+///
+/// Names end up in paths, table keys and header values; a slash or a space in
+/// one would let it be taken for another.
+pub fn is_name(name: &str) -> bool {
+    let mut bytes = name.bytes();
+    let first = bytes.next().is_some_and(|b| b.is_ascii_alphanumeric());
+    let rest = bytes.all(|b| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-'));
+    first && rest && name.len() <= MAX_NAME
+}
