Order events of all nodes on one time line

Wall clocks of nodes differ, so an order could stand after its confirmation; a hybrid logical clock keeps causes before effects and a bound on drift keeps one broken clock from carrying over to every node.

Rings by class, each under its own lock and bounded by count and bytes: a flood of requests doesn't push out the few events that explain it. One walk over an event's fields serves filters, text and sizes.

--- a/crates/timeline/src/lib.rs
+++ b/crates/timeline/src/lib.rs
@@ -1,1 +1,15 @@
 //! The time line: bounded event logs ordered by a hybrid logical clock, merged over all nodes.
+//!
+//! Pure but for the locks of [`EventLog`]: wall times are passed in.
+
+mod event;
+mod fields;
+mod hlc;
+mod log;
+mod query;
+mod text;
+
+pub use crate::event::{Event, EventClass, EventKind};
+pub use crate::hlc::{DriftError, Hlc, HlcClock, MAX_DRIFT};
+pub use crate::log::{Bound, Bounds, EventLog};
+pub use crate::query::{Answer, DEFAULT_LIMIT, MAX_LIMIT, Query, Timeline, merge};
