--- /dev/null
+++ b/crates/peer/src/dissemination/mod.rs
@@ -0,0 +1,295 @@
+//! Dissemination of soft state as a pure state machine: no I/O and no clock.
+//!
+//! Each node owns the items that it publishes. Whoever holds an origin's state
+//! identifies it by a fingerprint of name, start and last sequence number; a
+//! confirmation is a fingerprint and an age, so that unchanged state stays fresh
+//! for a few bytes. A node that is told of a fingerprint that it does not know
+//! asks for that state: confirmations double as the search for lost updates.
+//!
+//! What is new goes down the [`Overlay`]'s trees with the next tick, and with the
+//! next flush when it is urgent. Three slower ways mend what the trees lose:
+//! unknown fingerprints are asked for, states that nobody confirmed for a while are
+//! asked about in turn at other nodes, and every few seconds all fingerprints are
+//! compared with one more node.
+
+mod membership;
+mod receive;
+mod record;
+mod send;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{FailureDomain, Incarnation, NodeId, Region, stable_hash, value};
+use smol_str::SmolStr;
+
+use crate::delay::SenderClock;
+use crate::dissemination::membership::{Absent, Backoff};
+use crate::dissemination::record::{Fingerprint, Record};
+use crate::item::{Item, ItemKey, Pace, Update};
+use crate::overlay::Overlay;
+use crate::wire::messages::Batch;
+
+/// Ages beyond this count as this.
+const LONG_AGO: Duration = Duration::from_secs(3600);
+
+value! {
+    /// A node as the lead of its process knows it from the table or from settings.
+    pub struct Member {
+        /// Its name.
+        pub id: NodeId,
+        /// `IP:PORT` for other nodes.
+        pub address: SmolStr,
+        /// Its failure domain.
+        pub failure_domain: FailureDomain,
+        /// Its region.
+        pub region: Region,
+    }
+
+    /// Times and limits of dissemination. The defaults are for production.
+    pub struct Timing {
+        /// Urgent changes wait at most this long at each hop.
+        pub flush: Duration,
+        /// Other changes wait at most this long at each hop of a full mesh.
+        pub tick: Duration,
+        /// The same in a larger system, where each tick costs more messages.
+        pub large_tick: Duration,
+        /// Slow items and the liveness of nodes without verdicts travel this far apart.
+        pub slow: Duration,
+        /// All fingerprints are compared with one other node this far apart.
+        pub sync: Duration,
+        /// Nodes that are cut off are tried this far apart, one at a time.
+        pub probe: Duration,
+        /// An origin that is silent for this long is forgotten.
+        pub expire: Duration,
+        /// A call takes at most this long; what is known of a sender's clock starts with it.
+        pub max_transit: Duration,
+        /// Most bytes of one batch.
+        pub max_batch: usize,
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            flush: Duration::from_millis(50),
+            tick: Duration::from_millis(250),
+            large_tick: Duration::from_millis(500),
+            slow: Duration::from_secs(2),
+            sync: Duration::from_secs(10),
+            probe: Duration::from_secs(2),
+            expire: Duration::from_secs(30),
+            max_transit: Duration::from_secs(2),
+            max_batch: 64 * 1024,
+        }
+    }
+}
+
+value! {
+    /// Who this node is.
+    pub struct DisseminationConfig {
+        /// This node.
+        pub me: Member,
+        /// This start of it. A later start must have a higher one.
+        pub incarnation: Incarnation,
+        /// Times and limits.
+        pub timing: Timing,
+    }
+}
+
+/// What a tick gives.
+#[derive(Clone, Debug, Default)]
+pub struct Output {
+    /// Batches to send, at most one for each node.
+    pub batches: Vec<(NodeId, Batch)>,
+    /// What expired.
+    pub updates: Vec<Update>,
+}
+
+/// What is owed to one node beside what the trees give it.
+#[derive(Clone, Debug, Default)]
+struct Owed {
+    /// Origins whose whole state it lacks.
+    states: BTreeSet<NodeId>,
+    /// Origins whose confirmation it lacks.
+    confirmations: BTreeSet<NodeId>,
+    /// Fingerprints that we lack.
+    want: BTreeSet<Fingerprint>,
+    /// Whether to ask about the states that nobody confirmed lately.
+    ask_stale: bool,
+    /// Whether to compare all fingerprints with it.
+    sync: bool,
+}
+
+/// The state that a node holds of all nodes, and what it has yet to hand on.
+///
+/// Bounded: at most [`MAX_ORIGINS`] origins with a bounded number of items each,
+/// and one mark for each origin and child in the trees.
+#[derive(Clone, Debug)]
+pub struct Dissemination {
+    cfg: DisseminationConfig,
+    /// Our monotonic clock's zero, against which batches are dated.
+    began: Instant,
+    records: BTreeMap<NodeId, Record>,
+    /// Invariant: exactly the fingerprints of `records`.
+    current: BTreeMap<Fingerprint, NodeId>,
+    /// Slow items that wait for their turn.
+    waiting: BTreeMap<ItemKey, Item>,
+    members: BTreeMap<NodeId, Listed>,
+    absent: Absent,
+    overlay: Overlay,
+    overlay_outdated: bool,
+    backoff: BTreeMap<NodeId, Backoff>,
+    clocks: BTreeMap<NodeId, SenderClock>,
+    /// What each child in the trees was sent of each origin: its start and sequence number.
+    marks: BTreeMap<NodeId, BTreeMap<NodeId, (Incarnation, u64)>>,
+    owed: BTreeMap<NodeId, Owed>,
+    due: Due,
+    /// Counts the turns in which other nodes are asked.
+    turn: usize,
+}
+
+/// Most origins held.
+pub const MAX_ORIGINS: usize = 1024;
+
+/// A member and since when it is on the list.
+#[derive(Clone, Debug)]
+struct Listed {
+    member: Member,
+    since: Instant,
+}
+
+/// When what is next.
+#[derive(Clone, Debug)]
+struct Due {
+    tick: Instant,
+    slow: Instant,
+    sync: Instant,
+    probe: Instant,
+}
+
+impl Dissemination {
+    /// Starts with nothing known but this node.
+    pub fn new(cfg: DisseminationConfig, now: Instant) -> Dissemination {
+        // Nodes that start together would otherwise tick and sync together for ever.
+        let phase = |period: Duration, what: &str| {
+            let hash = stable_hash([cfg.me.id.as_str(), what]);
+            now + period.mul_f64((hash % 1000) as f64 / 1000.0)
+        };
+        let due = Due {
+            tick: phase(cfg.timing.tick, "tick"),
+            slow: phase(cfg.timing.slow, "slow"),
+            sync: phase(cfg.timing.sync, "sync"),
+            probe: phase(cfg.timing.probe, "probe"),
+        };
+        let own = Record::new(&cfg.me.id, cfg.incarnation, now);
+        let turn = (stable_hash([cfg.me.id.as_str()]) % 1000) as usize;
+        let mut machine = Dissemination {
+            began: now,
+            records: BTreeMap::from([(cfg.me.id.clone(), own)]),
+            current: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            members: BTreeMap::new(),
+            absent: Absent::default(),
+            overlay: Overlay::new([(&cfg.me.id, &cfg.me.failure_domain)]),
+            overlay_outdated: false,
+            backoff: BTreeMap::new(),
+            clocks: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            due,
+            turn,
+            cfg,
+        };
+        let me = machine.cfg.me.id.clone();
+        machine.index(&me);
+        machine
+    }
+
+    /// Publishes an item until it is replaced or withdrawn.
+    ///
+    /// Slow items wait for their turn; only the last value travels.
+    pub fn publish(&mut self, item: Item, now: Instant) {
+        if item.pace() == Pace::Slow {
+            self.waiting.insert(item.key(), item);
+            return;
+        }
+        self.put(item, None, now);
+    }
+
+    /// Publishes an item that every node drops `ttl` after `now`.
+    pub fn publish_for(&mut self, item: Item, ttl: Duration, now: Instant) {
+        self.put(item, Some(ttl), now);
+    }
+
+    /// Withdraws an item of ours.
+    pub fn withdraw(&mut self, key: &ItemKey, now: Instant) {
+        self.waiting.remove(key);
+        self.change_own(|record| record.remove(key, now));
+    }
+
+    /// Says that everything published by this node still held at `as_of`.
+    ///
+    /// A watcher calls it with the time of the oldest probe that its verdicts rest on.
+    pub fn confirm(&mut self, as_of: Instant) {
+        self.change_own(|record| record.confirm(as_of));
+    }
+
+    /// Everything held of `origin`, with sequence numbers and times of observation.
+    pub fn items_of(&self, origin: &str) -> impl Iterator<Item = (&Item, u64, Instant)> {
+        self.records.get(origin).into_iter().flat_map(Record::items)
+    }
+
+    /// The origins held, their starts and when each was last confirmed.
+    pub fn origins(&self) -> impl Iterator<Item = (&NodeId, Incarnation, Instant)> {
+        self.records
+            .iter()
+            .map(|(id, record)| (id, record.incarnation(), record.confirmed()))
+    }
+
+    /// Who hands what on to whom, as this node sees it.
+    pub fn overlay(&self) -> &Overlay {
+        &self.overlay
+    }
+
+    fn put(&mut self, item: Item, ttl: Option<Duration>, now: Instant) {
+        let status = matches!(item, Item::Status(_));
+        self.change_own(|record| record.put(item, ttl, now));
+        self.overlay_outdated |= status;
+    }
+
+    fn change_own(&mut self, change: impl FnOnce(&mut Record) -> bool) {
+        let me = self.cfg.me.id.clone();
+        self.change(&me, change);
+    }
+
+    /// Changes a record and keeps the index of fingerprints true.
+    fn change<T>(&mut self, origin: &NodeId, change: impl FnOnce(&mut Record) -> T) -> Option<T> {
+        let record = self.records.get_mut(origin)?;
+        let before = record.fingerprint();
+        let result = change(record);
+        let after = record.fingerprint();
+        if before != after {
+            self.current.remove(&before);
+            self.current.insert(after, origin.clone());
+        }
+        Some(result)
+    }
+
+    fn index(&mut self, origin: &NodeId) {
+        if let Some(record) = self.records.get(origin) {
+            self.current.insert(record.fingerprint(), origin.clone());
+        }
+    }
+}
+
+/// How long ago `at` was, in whole milliseconds rounded up.
+fn age_ms(at: Instant, now: Instant) -> u64 {
+    let age = now.saturating_duration_since(at).min(LONG_AGO);
+    age.as_micros().div_ceil(1000) as u64
+}
+
+/// The instant `age` before `now`; `None` where the clock does not reach back so far.
+fn before(now: Instant, age: Duration) -> Option<Instant> {
+    now.checked_sub(age.min(LONG_AGO))
+}
--- /dev/null
+++ b/crates/peer/src/item.rs
@@ -0,0 +1,193 @@
+//! What nodes tell each other: items of soft state and their keys.
+
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{
+    ConfigVersion, Epoch, FailureDomain, GroupId, HostId, Incarnation, NodeId, Region, value,
+};
+use smol_str::SmolStr;
+
+value! {
+    /// One item of soft state, which belongs to the node that published it.
+    pub enum Item {
+        /// A configuration that was accepted.
+        Config(ConfigAnnouncement),
+        /// What a watcher found of a group.
+        Verdict(Verdict),
+        /// What the node is.
+        Status(NodeStatus),
+        /// What changes often at the node.
+        Load(NodeLoad),
+        /// A target that takes no new work.
+        Leaving(LeavingTarget),
+        /// A request under suspicion of killing targets.
+        Suspect(Suspect),
+        /// The load of a group.
+        GroupLoad(GroupLoad),
+    }
+
+    /// A configuration that was accepted; its text is fetched on demand.
+    pub struct ConfigAnnouncement {
+        /// Its version.
+        pub version: ConfigVersion,
+        /// SHA-256 of its text in hexadecimal digits.
+        pub checksum: SmolStr,
+    }
+
+    /// What a watcher found of a group.
+    pub struct Verdict {
+        /// The group.
+        pub group: GroupId,
+        /// The epoch it was found in.
+        pub epoch: Epoch,
+        /// Whether the group may serve.
+        pub serves: bool,
+        /// The watcher's code for the reason; its meaning is the group policy's.
+        pub code: u32,
+        /// The reason in words, at most [`MAX_TEXT`] bytes.
+        pub reason: SmolStr,
+    }
+
+    /// What a node is.
+    pub struct NodeStatus {
+        /// `IP:PORT` for other nodes.
+        pub peer_address: SmolStr,
+        /// `IP:PORT` for callers.
+        pub entry_address: SmolStr,
+        /// `IP:PORT` for operators.
+        pub admin_address: SmolStr,
+        /// Its failure domain.
+        pub failure_domain: FailureDomain,
+        /// Its region.
+        pub region: Region,
+        /// Whether it is about to stop.
+        pub leaving: bool,
+    }
+
+    /// What changes often at a node. It travels with the slow items.
+    pub struct NodeLoad {
+        /// The configuration in force there; 0 for none.
+        pub config_version: ConfigVersion,
+        /// How full it is, in thousandths.
+        pub load_permille: u32,
+    }
+
+    /// A target that takes no new work.
+    pub struct LeavingTarget {
+        /// Its host.
+        pub host: HostId,
+        /// The start of the host that said so; 0 where the host list said it.
+        pub incarnation: Incarnation,
+    }
+
+    /// A request under suspicion of killing targets.
+    pub struct Suspect {
+        /// Fingerprint of the request.
+        pub fingerprint: SmolStr,
+        /// What is known of it; opaque here, at most [`MAX_RECORD`] bytes.
+        pub record: Vec<u8>,
+    }
+
+    /// The load of a group. It travels with the slow items.
+    pub struct GroupLoad {
+        /// The group.
+        pub group: GroupId,
+        /// The epoch it was measured in.
+        pub epoch: Epoch,
+        /// Requests that run.
+        pub running: u32,
+        /// Requests that wait at the group.
+        pub waiting: u32,
+    }
+
+    /// A change that a node learned of.
+    pub struct Update {
+        /// The node whose state changed.
+        pub origin: NodeId,
+        /// Its start.
+        pub incarnation: Incarnation,
+        /// What changed.
+        pub change: Change,
+    }
+
+    /// What changed at an origin.
+    pub enum Change {
+        /// An item is new or has a new value.
+        Put {
+            /// The item.
+            item: Item,
+            /// The origin's sequence number of the change.
+            sequence: u64,
+            /// When it was observed, on this node's clock and never later than it truly was.
+            as_of: Instant,
+            /// It is dropped at this age.
+            ttl: Option<Duration>,
+        },
+        /// An item is gone.
+        Removed(ItemKey),
+        /// Every item held of this origin still held at this instant.
+        Confirmed(Instant),
+        /// The origin was silent for too long, or has restarted: nothing that it said counts.
+        Forgotten,
+    }
+}
+
+/// Names one item of an origin.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ItemKey {
+    /// The configuration that it announces.
+    Config,
+    /// Its verdict on a group.
+    Verdict(GroupId),
+    /// Its status.
+    Status,
+    /// Its load.
+    Load,
+    /// A leaving target that it reports.
+    Leaving(HostId),
+    /// A suspect by fingerprint.
+    Suspect(SmolStr),
+    /// The load of a group.
+    GroupLoad(GroupId),
+}
+
+/// Longest name or reason, in bytes.
+pub const MAX_TEXT: usize = 200;
+/// Longest record of a suspect, in bytes.
+pub const MAX_RECORD: usize = 2048;
+
+/// How soon a change of an item must travel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Pace {
+    /// With the slow items, a few seconds apart.
+    Slow,
+    /// On the next tick.
+    Normal,
+    /// On the next flush.
+    Urgent,
+}
+
+impl Item {
+    /// The key under which its origin holds it.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Item::Config(_) => ItemKey::Config,
+            Item::Verdict(v) => ItemKey::Verdict(v.group.clone()),
+            Item::Status(_) => ItemKey::Status,
+            Item::Load(_) => ItemKey::Load,
+            Item::Leaving(l) => ItemKey::Leaving(l.host.clone()),
+            Item::Suspect(s) => ItemKey::Suspect(s.fingerprint.clone()),
+            Item::GroupLoad(g) => ItemKey::GroupLoad(g.group.clone()),
+        }
+    }
+
+    pub(crate) fn pace(&self) -> Pace {
+        match self {
+            Item::Config(_) | Item::Leaving(_) | Item::Suspect(_) => Pace::Urgent,
+            Item::Verdict(v) if !v.serves => Pace::Urgent,
+            Item::Status(s) if s.leaving => Pace::Urgent,
+            Item::Verdict(_) | Item::Status(_) => Pace::Normal,
+            Item::Load(_) | Item::GroupLoad(_) => Pace::Slow,
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,34 @@
 //! The protocol between nodes: membership, dissemination, quotas and events, over tonic.
+//!
+//! [`Dissemination`] is the pure state machine: what is known of whom, and who is
+//! told what next. [`PeerNode`] gives it a clock, a server and connections.
+
+mod calls;
+mod config_text;
+mod delay;
+mod dissemination;
+mod error;
+mod item;
+mod meter;
+mod node;
+mod overlay;
+mod refusals;
+mod wire;
+
+pub use crate::config_text::{ConfigText, checksum};
+pub use crate::dissemination::{
+    Dissemination, DisseminationConfig, MAX_ORIGINS, Member, Output, Timing,
+};
+pub use crate::error::PeerError;
+pub use crate::item::{
+    Change, ConfigAnnouncement, GroupLoad, Item, ItemKey, LeavingTarget, MAX_RECORD, MAX_TEXT,
+    NodeLoad, NodeStatus, Suspect, Update, Verdict,
+};
+pub use crate::meter::Traffic;
+pub use crate::node::{PeerHandler, PeerNode, PeerNodeConfig};
+pub use crate::overlay::{FAN_OUT, MESH_LIMIT, Overlay};
+pub use crate::refusals::Refusals;
+pub use crate::wire::messages::{
+    Batch, Demand, Grant, Item as WireItem, Kind as WireKind, OriginUpdate, QuotaReply,
+    QuotaRequest,
+};
--- /dev/null
+++ b/crates/peer/src/meter.rs
@@ -0,0 +1,164 @@
+//! Connections that are counted, in number and in bytes.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use eelgrassmill_base::value;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tonic::codegen::Service;
+use tonic::transport::server::{Connected, TcpConnectInfo};
+
+value! { copy
+    /// Bytes that went over a node's connections to other nodes, without TCP's own.
+    pub struct Traffic {
+        /// Bytes sent.
+        pub sent: u64,
+        /// Bytes received.
+        pub received: u64,
+        /// Calls made.
+        pub calls: u64,
+        /// Calls made that failed.
+        pub failed: u64,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    sent: AtomicU64,
+    received: AtomicU64,
+    calls: AtomicU64,
+    failed: AtomicU64,
+}
+
+/// Counts for one node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Meter {
+    counters: Arc<Counters>,
+}
+
+impl Meter {
+    pub(crate) fn traffic(&self) -> Traffic {
+        Traffic {
+            sent: self.counters.sent.load(Ordering::Relaxed),
+            received: self.counters.received.load(Ordering::Relaxed),
+            calls: self.counters.calls.load(Ordering::Relaxed),
+            failed: self.counters.failed.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn called(&self, well: bool) {
+        self.counters.calls.fetch_add(1, Ordering::Relaxed);
+        if !well {
+            self.counters.failed.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A connection whose bytes are counted, and which holds its place among the accepted ones.
+pub(crate) struct Metered {
+    io: TcpStream,
+    meter: Meter,
+    _place: Option<OwnedSemaphorePermit>,
+}
+
+impl Metered {
+    pub(crate) fn new(io: TcpStream, meter: Meter, place: Option<OwnedSemaphorePermit>) -> Metered {
+        Metered {
+            io,
+            meter,
+            _place: place,
+        }
+    }
+}
+
+impl Connected for Metered {
+    type ConnectInfo = TcpConnectInfo;
+
+    fn connect_info(&self) -> TcpConnectInfo {
+        self.io.connect_info()
+    }
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.io).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        let received = &self.meter.counters.received;
+        received.fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.io).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = polled {
+            let sent = &self.meter.counters.sent;
+            sent.fetch_add(written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
+
+/// Dials `IP:PORT` and counts what goes over the connection.
+#[derive(Clone)]
+pub(crate) struct Connector {
+    meter: Meter,
+}
+
+impl Connector {
+    pub(crate) fn new(meter: Meter) -> Connector {
+        Connector { meter }
+    }
+}
+
+impl Service<http::Uri> for Connector {
+    type Response = TokioIo<Metered>;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: http::Uri) -> Self::Future {
+        let meter = self.meter.clone();
+        Box::pin(async move {
+            let stream = TcpStream::connect(numeric(&uri)?).await?;
+            stream.set_nodelay(true)?;
+            Ok(TokioIo::new(Metered::new(stream, meter, None)))
+        })
+    }
+}
+
+/// The address in `uri`, which must be numeric: nodes ask no name service.
+fn numeric(uri: &http::Uri) -> io::Result<SocketAddr> {
+    uri.authority()
+        .and_then(|authority| authority.as_str().parse().ok())
+        .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidInput, "not a numeric IP:PORT"))
+}
--- /dev/null
+++ b/crates/peer/src/node.rs
@@ -0,0 +1,464 @@
+//! The thin side that does the I/O: a server, the tick loop and the calls.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{NodeId, value};
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::config_text::{ConfigText, restore};
+use crate::dissemination::{Dissemination, DisseminationConfig, Member};
+use crate::error::PeerError;
+use crate::item::{Item, ItemKey, Update};
+use crate::meter::{Meter, Metered, Traffic};
+use crate::refusals::Refusals;
+use crate::wire::client::Pool;
+use crate::wire::messages::{
+    Batch, FetchConfigReply, FetchConfigRequest, QuotaReply, QuotaRequest, TimelineReply,
+    TimelineRequest,
+};
+use crate::wire::path;
+use crate::wire::server::PeerServer;
+
+/// Most connections that a node accepts from others.
+const MAX_ACCEPTED: usize = 256;
+/// Most calls that one connection has under way.
+const MAX_STREAMS: u32 = 32;
+/// Most batches to one node that are under way.
+const MAX_UNDER_WAY: usize = 4;
+/// Most batches whose updates wait for the handler.
+const MAX_UNHANDLED: usize = 1024;
+/// A connection over which nothing comes back for this long is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// What a node does with what it learns, and answers when it is asked.
+///
+/// No method may wait for I/O.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Takes what this node learned, in the order in which it did.
+    fn updated(&self, updates: Vec<Update>);
+
+    /// The configuration in force here.
+    fn config(&self) -> Option<ConfigText>;
+
+    /// A former configuration, when it is still at hand, so that a difference can be made.
+    fn former_config(&self, version: u64) -> Option<ConfigText>;
+
+    /// The events that `query` selects.
+    fn timeline(&self, query: &[u8]) -> Vec<u8>;
+
+    /// The slots that an entry is granted.
+    fn quota(&self, req: QuotaRequest) -> QuotaReply;
+}
+
+value! {
+    /// How a node takes part.
+    pub struct PeerNodeConfig {
+        /// Who it is. `me.address` is replaced by the address that it listens on.
+        pub dissemination: DisseminationConfig,
+        /// Where it listens; port 0 for a free one.
+        pub listen: SocketAddr,
+        /// Nodes that are asked when no other is known.
+        pub seeds: Vec<SocketAddr>,
+    }
+}
+
+/// A node's part in the protocol.
+pub struct PeerNode<H> {
+    inner: Arc<Inner<H>>,
+    local: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+/// What the server, the tick loop and the calls share.
+pub(crate) struct Inner<H> {
+    pub(crate) me: NodeId,
+    state: Mutex<Dissemination>,
+    pub(crate) handler: Arc<H>,
+    pub(crate) refusals: Refusals,
+    pool: Pool,
+    meter: Meter,
+    seeds: Vec<SocketAddr>,
+    flush: Duration,
+    max_transit: Duration,
+    probe: Duration,
+    /// Updates on their way to the handler. A place is reserved before the state is
+    /// changed, so that the order is kept and nothing is lost when it lags behind.
+    unhandled: mpsc::Sender<Vec<Update>>,
+    under_way: Mutex<BTreeMap<NodeId, usize>>,
+}
+
+impl<H: PeerHandler> PeerNode<H> {
+    /// Listens, and runs the server and the tick loop on `runtime` until [`PeerNode::stop`].
+    ///
+    /// # Errors
+    /// When `cfg.listen` can't be listened on.
+    pub fn start(
+        mut cfg: PeerNodeConfig,
+        handler: Arc<H>,
+        refusals: Refusals,
+        runtime: &Handle,
+    ) -> Result<PeerNode<H>, PeerError> {
+        let listener = std::net::TcpListener::bind(cfg.listen).map_err(PeerError::Listen)?;
+        listener.set_nonblocking(true).map_err(PeerError::Listen)?;
+        let local = listener.local_addr().map_err(PeerError::Listen)?;
+        cfg.dissemination.me.address = local.to_string().into();
+        let (unhandled, waiting) = mpsc::channel(MAX_UNHANDLED);
+        let inner = Arc::new(Inner::new(cfg, handler, refusals, unhandled));
+        let (stop, stopped) = watch::channel(false);
+        {
+            let _guard = runtime.enter();
+            let listener =
+                tokio::net::TcpListener::from_std(listener).map_err(PeerError::Listen)?;
+            runtime.spawn(serve(Arc::clone(&inner), listener, stopped.clone()));
+        }
+        runtime.spawn(deliver(Arc::clone(&inner.handler), waiting));
+        runtime.spawn(run(Arc::clone(&inner), stopped));
+        Ok(PeerNode { inner, local, stop })
+    }
+
+    /// Where it listens.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Reads the state, or publishes and changes members. Must be quick.
+    pub fn with<T>(&self, use_state: impl FnOnce(&mut Dissemination) -> T) -> T {
+        use_state(&mut self.inner.state())
+    }
+
+    /// Publishes an item until it is replaced or withdrawn.
+    pub fn publish(&self, item: Item) {
+        self.inner.state().publish(item, Instant::now());
+    }
+
+    /// Publishes an item that every node drops after `ttl`.
+    pub fn publish_for(&self, item: Item, ttl: Duration) {
+        self.inner.state().publish_for(item, ttl, Instant::now());
+    }
+
+    /// Withdraws an item.
+    pub fn withdraw(&self, key: &ItemKey) {
+        self.inner.state().withdraw(key, Instant::now());
+    }
+
+    /// Says that everything published by this node still held at `as_of`.
+    pub fn confirm(&self, as_of: Instant) {
+        self.inner.state().confirm(as_of);
+    }
+
+    /// Takes the list of members as read from the table.
+    pub fn peers_changed(&self, members: impl IntoIterator<Item = Member>) {
+        self.inner.state().peers_changed(members, Instant::now());
+    }
+
+    /// The events of `node` that `query` selects.
+    ///
+    /// # Errors
+    /// When the node can't be reached, is too slow or refuses.
+    pub async fn timeline_of(
+        &self,
+        node: &NodeId,
+        query: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
+        let from = self.inner.me.to_string();
+        let req = TimelineRequest { from, query };
+        let reply: TimelineReply = self.inner.call(node, path::TIMELINE, req, timeout).await?;
+        Ok(reply.events)
+    }
+
+    /// The slots that the watcher `node` grants.
+    ///
+    /// # Errors
+    /// When the node can't be reached, is too slow or refuses.
+    pub async fn quota_of(
+        &self,
+        node: &NodeId,
+        req: QuotaRequest,
+        timeout: Duration,
+    ) -> Result<QuotaReply, PeerError> {
+        self.inner.call(node, path::QUOTA, req, timeout).await
+    }
+
+    /// The configuration in force at `node`, as a difference from `base` where that
+    /// node still has it.
+    ///
+    /// # Errors
+    /// When the node can't be reached, has none, or its text does not match its checksum.
+    pub async fn config_of(
+        &self,
+        node: &NodeId,
+        base: Option<&ConfigText>,
+        timeout: Duration,
+    ) -> Result<ConfigText, PeerError> {
+        let restored = self.fetch_config(node, base, timeout).await;
+        match restored {
+            // The node's idea of our version is not ours; the whole text settles it.
+            Err(PeerError::Checksum) if base.is_some() => {
+                self.fetch_config(node, None, timeout).await
+            }
+            other => other,
+        }
+    }
+
+    async fn fetch_config(
+        &self,
+        node: &NodeId,
+        base: Option<&ConfigText>,
+        timeout: Duration,
+    ) -> Result<ConfigText, PeerError> {
+        let req = FetchConfigRequest {
+            from: self.inner.me.to_string(),
+            have_version: base.map_or(0, |base| base.version),
+            have_checksum: base.map_or_else(String::new, |base| base.checksum.to_string()),
+        };
+        let inner = &self.inner;
+        let reply: FetchConfigReply = inner.call(node, path::FETCH_CONFIG, req, timeout).await?;
+        restore(reply, base)
+    }
+
+    /// What went over the connections to other nodes so far.
+    pub fn traffic(&self) -> Traffic {
+        self.inner.meter.traffic()
+    }
+
+    /// Stops listening and ticking. Calls under way end.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+}
+
+impl<H> Drop for PeerNode<H> {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+    }
+}
+
+impl<H: PeerHandler> Inner<H> {
+    fn new(
+        cfg: PeerNodeConfig,
+        handler: Arc<H>,
+        refusals: Refusals,
+        unhandled: mpsc::Sender<Vec<Update>>,
+    ) -> Inner<H> {
+        let meter = Meter::default();
+        let timing = &cfg.dissemination.timing;
+        Inner {
+            me: cfg.dissemination.me.id.clone(),
+            handler,
+            refusals,
+            pool: Pool::new(timing.max_transit, meter.clone()),
+            meter,
+            seeds: cfg.seeds,
+            flush: timing.flush,
+            max_transit: timing.max_transit,
+            probe: timing.probe,
+            unhandled,
+            under_way: Mutex::new(BTreeMap::new()),
+            state: Mutex::new(Dissemination::new(cfg.dissemination, Instant::now())),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, Dissemination> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in a batch; gives what is owed to its sender, or `None` when the
+    /// handler lags so far behind that the batch must come again.
+    pub(crate) fn receive(&self, from: &NodeId, batch: Batch) -> Option<Batch> {
+        let place = self.unhandled.try_reserve().ok()?;
+        let mut state = self.state();
+        let now = Instant::now();
+        let updates = state.receive(from, batch, now);
+        let answer = state.answer(from, now);
+        place.send(updates);
+        Some(answer)
+    }
+
+    /// Takes in the answer to a batch of ours; what it asks for goes with the next flush.
+    fn receive_answer(&self, from: &NodeId, batch: Batch) {
+        let Ok(place) = self.unhandled.try_reserve() else {
+            return;
+        };
+        let mut state = self.state();
+        let updates = state.receive(from, batch, Instant::now());
+        place.send(updates);
+    }
+
+    fn address(&self, node: &NodeId) -> Result<SocketAddr, PeerError> {
+        let known = self.state().address_of(node);
+        let address = known.ok_or_else(|| PeerError::NoAddress(node.clone()))?;
+        address
+            .parse()
+            .map_err(|_| PeerError::BadAddress(address.to_string()))
+    }
+
+    async fn call<Req, Res>(
+        &self,
+        node: &NodeId,
+        path: &'static str,
+        req: Req,
+        timeout: Duration,
+    ) -> Result<Res, PeerError>
+    where
+        Req: prost::Message + Default + 'static,
+        Res: prost::Message + Default + 'static,
+    {
+        if self.refusals.refuses(node) {
+            return Err(PeerError::SwitchedOff(node.clone()));
+        }
+        let address = self.address(node)?;
+        let result = self.pool.call(address, path, req, timeout).await;
+        self.meter.called(result.is_ok());
+        result
+    }
+
+    /// Whether one more batch to `node` may be under way.
+    fn enter(&self, node: &NodeId) -> bool {
+        let mut under_way = self.under_way();
+        let count = under_way.entry(node.clone()).or_default();
+        let free = *count < MAX_UNDER_WAY;
+        *count += usize::from(free);
+        free
+    }
+
+    fn leave(&self, node: &NodeId) {
+        let mut under_way = self.under_way();
+        if let Some(count) = under_way.get_mut(node) {
+            *count -= 1;
+            if *count == 0 {
+                under_way.remove(node);
+            }
+        }
+    }
+
+    fn under_way(&self) -> MutexGuard<'_, BTreeMap<NodeId, usize>> {
+        self.under_way
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn exchange(&self, node: NodeId, batch: Batch) {
+        let result: Result<Batch, PeerError> = self
+            .call(&node, path::EXCHANGE, batch, self.max_transit)
+            .await;
+        self.leave(&node);
+        match result {
+            Ok(answer) => self.receive_answer(&node, answer),
+            Err(_) => self.state().failed(&node, Instant::now()),
+        }
+    }
+
+    async fn greet(&self, seed: SocketAddr, hello: Batch) {
+        let result: Result<Batch, PeerError> = self
+            .pool
+            .call(seed, path::EXCHANGE, hello, self.max_transit)
+            .await;
+        self.meter.called(result.is_ok());
+        if let Ok(answer) = result {
+            let from = NodeId::from(answer.from.as_str());
+            if !self.refusals.refuses(&from) {
+                self.receive_answer(&from, answer);
+            }
+        }
+    }
+}
+
+/// Takes connections until stopped.
+async fn serve<H: PeerHandler>(
+    inner: Arc<Inner<H>>,
+    listener: tokio::net::TcpListener,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let places = Arc::new(Semaphore::new(MAX_ACCEPTED));
+    let meter = inner.meter.clone();
+    let timeout = inner.max_transit;
+    let incoming = TcpListenerStream::new(listener).filter_map(move |accepted| {
+        let io = accepted.ok()?;
+        let place = Arc::clone(&places).try_acquire_owned().ok()?;
+        let metered = Metered::new(io, meter.clone(), Some(place));
+        Some(Ok::<_, std::io::Error>(metered))
+    });
+    let served = tonic::transport::Server::builder()
+        .timeout(timeout)
+        .max_concurrent_streams(MAX_STREAMS)
+        .http2_keepalive_interval(Some(KEEP_ALIVE))
+        .http2_keepalive_timeout(Some(KEEP_ALIVE))
+        .add_service(PeerServer::new(inner))
+        .serve_with_incoming_shutdown(incoming, async move {
+            let _ = stopped.wait_for(|&stopped| stopped).await;
+        })
+        .await;
+    if let Err(err) = served {
+        tracing::error!(%err, "peer server ended");
+    }
+}
+
+/// Hands updates to the handler, in order.
+async fn deliver<H: PeerHandler>(handler: Arc<H>, mut waiting: mpsc::Receiver<Vec<Update>>) {
+    while let Some(updates) = waiting.recv().await {
+        if !updates.is_empty() {
+            handler.updated(updates);
+        }
+    }
+}
+
+/// Sends what is due, once in each flush period, until stopped.
+async fn run<H: PeerHandler>(inner: Arc<Inner<H>>, mut stopped: watch::Receiver<bool>) {
+    let mut flushes = tokio::time::interval(inner.flush);
+    flushes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut greet_next = Instant::now();
+    loop {
+        tokio::select! {
+            _ = flushes.tick() => {}
+            _ = stopped.wait_for(|&stopped| stopped) => return,
+        }
+        send_due(&inner);
+        if Instant::now() >= greet_next {
+            greet_next = Instant::now() + inner.probe;
+            greet_seeds(&inner);
+        }
+    }
+}
+
+fn send_due<H: PeerHandler>(inner: &Arc<Inner<H>>) {
+    let Ok(place) = inner.unhandled.try_reserve() else {
+        return;
+    };
+    let output = {
+        let mut state = inner.state();
+        let output = state.tick(Instant::now());
+        place.send(output.updates);
+        output.batches
+    };
+    for (node, batch) in output {
+        if inner.enter(&node) {
+            let inner = Arc::clone(inner);
+            tokio::spawn(async move { inner.exchange(node, batch).await });
+        } else {
+            inner.state().failed(&node, Instant::now());
+        }
+    }
+}
+
+/// Introduces this node to the seeds while it knows no other node.
+fn greet_seeds<H: PeerHandler>(inner: &Arc<Inner<H>>) {
+    let hello = {
+        let state = inner.state();
+        if state.overlay().len() > 1 {
+            return;
+        }
+        state.hello(Instant::now())
+    };
+    for &seed in &inner.seeds {
+        let inner = Arc::clone(inner);
+        let hello = hello.clone();
+        tokio::spawn(async move { inner.greet(seed, hello).await });
+    }
+}
--- /dev/null
+++ b/crates/peer/src/wire/convert.rs
@@ -0,0 +1,145 @@
+//! Between items as this crate has them and items as they travel.
+
+use eelgrassmill_base::Incarnation;
+
+use crate::item::{
+    ConfigAnnouncement, GroupLoad, Item, ItemKey, LeavingTarget, MAX_RECORD, MAX_TEXT, NodeLoad,
+    NodeStatus, Suspect, Verdict,
+};
+use crate::wire::messages::{self as wire, Kind};
+
+/// An item or the key of one that is gone, as received.
+pub(crate) enum Received {
+    Put(Item),
+    Removed(ItemKey),
+}
+
+/// Takes an item apart for the wire.
+pub(crate) fn to_kind(item: &Item) -> Kind {
+    match item {
+        Item::Config(c) => Kind::Config(wire::ConfigAnnouncement {
+            version: c.version,
+            checksum: c.checksum.to_string(),
+        }),
+        Item::Verdict(v) => Kind::Verdict(wire::Verdict {
+            group: v.group.to_string(),
+            epoch: v.epoch,
+            serves: v.serves,
+            code: v.code,
+            reason: v.reason.to_string(),
+        }),
+        Item::Status(s) => Kind::Status(wire::NodeStatus {
+            peer_address: s.peer_address.to_string(),
+            entry_address: s.entry_address.to_string(),
+            admin_address: s.admin_address.to_string(),
+            failure_domain: s.failure_domain.to_string(),
+            region: s.region.to_string(),
+            leaving: s.leaving,
+        }),
+        Item::Load(l) => Kind::Load(wire::NodeLoad {
+            config_version: l.config_version,
+            load_permille: l.load_permille,
+        }),
+        Item::Leaving(l) => Kind::Leaving(wire::LeavingTarget {
+            host: l.host.to_string(),
+            incarnation: l.incarnation,
+        }),
+        Item::Suspect(s) => Kind::Suspect(wire::Suspect {
+            fingerprint: s.fingerprint.to_string(),
+            record: s.record.clone(),
+        }),
+        Item::GroupLoad(g) => Kind::GroupLoad(wire::GroupLoad {
+            group: g.group.to_string(),
+            epoch: g.epoch,
+            running: g.running,
+            waiting: g.waiting,
+        }),
+    }
+}
+
+/// The wire form of the key of an item that is gone.
+pub(crate) fn to_removed(key: &ItemKey) -> Kind {
+    let (kind, name) = match key {
+        ItemKey::Config => (4, ""),
+        ItemKey::Verdict(name) => (5, name.as_str()),
+        ItemKey::Status => (6, ""),
+        ItemKey::Load => (7, ""),
+        ItemKey::Leaving(name) => (8, name.as_str()),
+        ItemKey::Suspect(name) => (9, name.as_str()),
+        ItemKey::GroupLoad(name) => (10, name.as_str()),
+    };
+    Kind::Removed(wire::Removed {
+        kind,
+        name: name.to_string(),
+    })
+}
+
+/// Checks and takes in an item; `None` for a kind that this build does not know, and
+/// for names and records over their limits.
+pub(crate) fn from_kind(kind: Kind) -> Option<Received> {
+    let item = match kind {
+        Kind::Config(c) => Item::Config(ConfigAnnouncement {
+            version: c.version,
+            checksum: text(c.checksum)?,
+        }),
+        Kind::Verdict(v) => Item::Verdict(Verdict {
+            group: name(v.group)?,
+            epoch: v.epoch,
+            serves: v.serves,
+            code: v.code,
+            reason: text(v.reason)?,
+        }),
+        Kind::Status(s) => Item::Status(NodeStatus {
+            peer_address: text(s.peer_address)?,
+            entry_address: text(s.entry_address)?,
+            admin_address: text(s.admin_address)?,
+            failure_domain: text(s.failure_domain)?,
+            region: text(s.region)?,
+            leaving: s.leaving,
+        }),
+        Kind::Load(l) => Item::Load(NodeLoad {
+            config_version: l.config_version,
+            load_permille: l.load_permille,
+        }),
+        Kind::Leaving(l) => Item::Leaving(LeavingTarget {
+            host: name(l.host)?,
+            incarnation: l.incarnation as Incarnation,
+        }),
+        Kind::Suspect(s) if s.record.len() <= MAX_RECORD => Item::Suspect(Suspect {
+            fingerprint: name(s.fingerprint)?,
+            record: s.record,
+        }),
+        Kind::Suspect(_) => return None,
+        Kind::GroupLoad(g) => Item::GroupLoad(GroupLoad {
+            group: name(g.group)?,
+            epoch: g.epoch,
+            running: g.running,
+            waiting: g.waiting,
+        }),
+        Kind::Removed(r) => return removed_key(r).map(Received::Removed),
+    };
+    Some(Received::Put(item))
+}
+
+fn removed_key(removed: wire::Removed) -> Option<ItemKey> {
+    Some(match removed.kind {
+        4 => ItemKey::Config,
+        5 => ItemKey::Verdict(name(removed.name)?),
+        6 => ItemKey::Status,
+        7 => ItemKey::Load,
+        8 => ItemKey::Leaving(name(removed.name)?),
+        9 => ItemKey::Suspect(name(removed.name)?),
+        10 => ItemKey::GroupLoad(name(removed.name)?),
+        _ => return None,
+    })
+}
+
+/// A text that may be empty.
+fn text(value: String) -> Option<smol_str::SmolStr> {
+    (value.len() <= MAX_TEXT).then(|| value.into())
+}
+
+/// A text that names something.
+pub(crate) fn name(value: String) -> Option<smol_str::SmolStr> {
+    (!value.is_empty()).then(|| text(value))?
+}
--- /dev/null
+++ b/crates/peer/src/wire/messages.rs
@@ -0,0 +1,363 @@
+//! Messages as they travel. Field numbers never change their meaning.
+
+/// What one node hands to another at one moment.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Batch {
+    /// The sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The sender's start.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// When it was put together: milliseconds since the sender's start, on its monotonic clock.
+    #[prost(uint64, tag = "3")]
+    pub sent_ms: u64,
+    /// Changed state, one entry for each origin.
+    #[prost(message, repeated, tag = "4")]
+    pub updates: Vec<OriginUpdate>,
+    /// Fingerprints of states that were confirmed.
+    #[prost(fixed32, repeated, tag = "5")]
+    pub confirmed: Vec<u32>,
+    /// In the same order, how long ago, in units of 20 ms, rounded up.
+    #[prost(uint32, repeated, tag = "6")]
+    pub confirmed_age: Vec<u32>,
+    /// Fingerprints of states that the sender was told of and does not have.
+    #[prost(fixed32, repeated, tag = "7")]
+    pub want: Vec<u32>,
+    /// Fingerprints of the sender's states that nobody has confirmed to it for too long.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub stale: Vec<u32>,
+    /// Whether `have` is a full account, to be answered with all that is not in it.
+    #[prost(bool, tag = "9")]
+    pub sync: bool,
+    /// Fingerprints of every state that the sender has.
+    #[prost(fixed32, repeated, tag = "10")]
+    pub have: Vec<u32>,
+    /// Whether the limit of a batch cut this one short.
+    #[prost(bool, tag = "11")]
+    pub more: bool,
+}
+
+/// What changed at one origin.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OriginUpdate {
+    /// The node whose state it is.
+    #[prost(string, tag = "1")]
+    pub origin: String,
+    /// Its start.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The items are all changes after this sequence number; at 0 they are the whole state.
+    #[prost(uint64, tag = "3")]
+    pub base: u64,
+    /// The origin's last sequence number.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// How long ago the origin confirmed its state, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
+    /// The changes.
+    #[prost(message, repeated, tag = "6")]
+    pub items: Vec<Item>,
+}
+
+/// One item of soft state.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Item {
+    /// The origin's sequence number at its last change.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// How long ago it was observed, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// It is dropped at this age, in milliseconds; at 0 it stays as long as its origin.
+    #[prost(uint64, tag = "3")]
+    pub ttl_ms: u64,
+    /// What it is.
+    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    pub kind: Option<Kind>,
+}
+
+/// The kinds of items.
+#[derive(Clone, PartialEq, ::prost::Oneof)]
+pub enum Kind {
+    /// A configuration that was accepted.
+    #[prost(message, tag = "4")]
+    Config(ConfigAnnouncement),
+    /// What a watcher found of a group.
+    #[prost(message, tag = "5")]
+    Verdict(Verdict),
+    /// What a node is.
+    #[prost(message, tag = "6")]
+    Status(NodeStatus),
+    /// What changes often at a node.
+    #[prost(message, tag = "7")]
+    Load(NodeLoad),
+    /// A target that takes no new work.
+    #[prost(message, tag = "8")]
+    Leaving(LeavingTarget),
+    /// A request under suspicion.
+    #[prost(message, tag = "9")]
+    Suspect(Suspect),
+    /// The load of a group.
+    #[prost(message, tag = "10")]
+    GroupLoad(GroupLoad),
+    /// The key of an item that is gone.
+    #[prost(message, tag = "11")]
+    Removed(Removed),
+}
+
+/// A configuration that was accepted.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigAnnouncement {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Checksum of its text.
+    #[prost(string, tag = "2")]
+    pub checksum: String,
+}
+
+/// What a watcher found of a group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Verdict {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The epoch it was found in.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Whether the group may serve.
+    #[prost(bool, tag = "3")]
+    pub serves: bool,
+    /// The watcher's code for the reason.
+    #[prost(uint32, tag = "4")]
+    pub code: u32,
+    /// The reason in words.
+    #[prost(string, tag = "5")]
+    pub reason: String,
+}
+
+/// What a node is.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeStatus {
+    /// `IP:PORT` for other nodes.
+    #[prost(string, tag = "1")]
+    pub peer_address: String,
+    /// `IP:PORT` for callers.
+    #[prost(string, tag = "2")]
+    pub entry_address: String,
+    /// `IP:PORT` for operators.
+    #[prost(string, tag = "3")]
+    pub admin_address: String,
+    /// Its failure domain.
+    #[prost(string, tag = "4")]
+    pub failure_domain: String,
+    /// Its region.
+    #[prost(string, tag = "5")]
+    pub region: String,
+    /// Whether it is about to stop.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+}
+
+/// What changes often at a node.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeLoad {
+    /// The configuration in force there.
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    /// How full it is, in thousandths.
+    #[prost(uint32, tag = "2")]
+    pub load_permille: u32,
+}
+
+/// A target that takes no new work.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LeavingTarget {
+    /// Its host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// The start of the host that said so; 0 where the host list said it.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+/// A request under suspicion of killing targets.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Suspect {
+    /// Fingerprint of the request.
+    #[prost(string, tag = "1")]
+    pub fingerprint: String,
+    /// What is known of it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub record: Vec<u8>,
+}
+
+/// The load of a group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GroupLoad {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The epoch it was measured in.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Requests that run.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait at the group.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+}
+
+/// The key of an item that is gone.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Removed {
+    /// The tag of its kind in [`Kind`].
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// Its name within the kind.
+    #[prost(string, tag = "2")]
+    pub name: String,
+}
+
+/// Asks for the accepted configuration.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub(crate) struct FetchConfigRequest {
+    /// The asking node.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The version at hand; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub have_version: u64,
+    /// Its checksum.
+    #[prost(string, tag = "3")]
+    pub have_checksum: String,
+}
+
+/// The accepted configuration as the answering node has it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub(crate) struct FetchConfigReply {
+    /// Its version; 0 when the node has none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Checksum of the whole text.
+    #[prost(string, tag = "2")]
+    pub checksum: String,
+    /// Who submitted it.
+    #[prost(string, tag = "3")]
+    pub author: String,
+    /// The submitter's id for the submission.
+    #[prost(string, tag = "4")]
+    pub submit_id: String,
+    /// The text.
+    #[prost(oneof = "Body", tags = "5, 6, 7")]
+    pub body: Option<Body>,
+}
+
+/// How a text travels.
+#[derive(Clone, PartialEq, ::prost::Oneof)]
+pub(crate) enum Body {
+    /// As it is.
+    #[prost(string, tag = "5")]
+    Whole(String),
+    /// As a change of the text at hand.
+    #[prost(message, tag = "6")]
+    Difference(TextDifference),
+    /// Not at all, since the asker has it.
+    #[prost(bool, tag = "7")]
+    Unchanged(bool),
+}
+
+/// A text as a change of another: head and tail kept, the middle replaced.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub(crate) struct TextDifference {
+    /// Bytes kept at the start.
+    #[prost(uint64, tag = "1")]
+    pub keep_head: u64,
+    /// Bytes kept at the end.
+    #[prost(uint64, tag = "2")]
+    pub keep_tail: u64,
+    /// What stands between them.
+    #[prost(string, tag = "3")]
+    pub middle: String,
+}
+
+/// Asks for events.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub(crate) struct TimelineRequest {
+    /// The asking node.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The query; its form is the time line's.
+    #[prost(bytes = "vec", tag = "2")]
+    pub query: Vec<u8>,
+}
+
+/// Events of one node.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub(crate) struct TimelineReply {
+    /// The events; their form is the time line's.
+    #[prost(bytes = "vec", tag = "1")]
+    pub events: Vec<u8>,
+}
+
+/// Asks a watcher for slots.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaRequest {
+    /// The asking node.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Its start.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// One for each group that it could use.
+    #[prost(message, repeated, tag = "3")]
+    pub demands: Vec<Demand>,
+}
+
+/// What an entry could use of a group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Demand {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Requests that it runs there.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Requests that wait for it.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    /// Urgent ones among them.
+    #[prost(uint32, tag = "4")]
+    pub urgent_waiting: u32,
+}
+
+/// A watcher's answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaReply {
+    /// One for each group that it grants slots of.
+    #[prost(message, repeated, tag = "1")]
+    pub grants: Vec<Grant>,
+}
+
+/// What an entry may use of a group for a while.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Grant {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The epoch that the grant is for.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Requests that may run at a time.
+    #[prost(uint32, tag = "3")]
+    pub slots: u32,
+    /// Slots beside these for urgent requests only.
+    #[prost(uint32, tag = "4")]
+    pub urgent_slots: u32,
+    /// How long it holds, in milliseconds from when the asker sent its question.
+    #[prost(uint64, tag = "5")]
+    pub term_ms: u64,
+}
--- /dev/null
+++ b/crates/peer/tests/support/mod.rs
@@ -0,0 +1,4 @@
+//! What the tests of this crate share.
+#![allow(dead_code)]
+
+pub(crate) mod net;
