--- /dev/null
+++ b/crates/peer/tests/nodes.rs
@@ -0,0 +1,234 @@
+//! Real nodes that talk over loopback.
+
+mod support;
+
+use std::time::Duration;
+
+use eelgrassmill_base::NodeId;
+use eelgrassmill_peer::{
+    Change, ConfigAnnouncement, Demand, Item, PeerError, QuotaRequest, Verdict,
+};
+use googletest::prelude::*;
+
+use crate::support::cluster::{Cluster, wait};
+use crate::support::net::status;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn missing(group: &str) -> Item {
+    Item::Verdict(Verdict {
+        group: group.into(),
+        epoch: 7,
+        serves: false,
+        code: 1,
+        reason: "host-3 is missing".into(),
+    })
+}
+
+#[gtest]
+fn an_update_reaches_eight_nodes() {
+    let cluster = Cluster::start(8);
+    let item = missing("replies/0");
+    cluster.node("node-3").publish(item.clone());
+    expect_that!(
+        wait(LIMIT, || cluster.all_hold("node-3", &item)),
+        some(anything())
+    );
+    let told = || {
+        let updates = cluster.nodes["node-0"].handler.updates.lock();
+        let updates = updates.expect("the lock is whole");
+        updates
+            .iter()
+            .any(|(_, u)| matches!(&u.change, Change::Put { item: put, .. } if *put == item))
+    };
+    expect_that!(wait(LIMIT, told), some(anything()));
+}
+
+#[gtest]
+fn nodes_that_were_cut_off_catch_up() {
+    // A line between two nodes fails while a third reaches both: what the one says
+    // still comes to the other, by way of the third. Then one node is cut off from
+    // all, and learns what it missed when it is back.
+    let cluster = Cluster::start(3);
+    expect_that!(
+        wait(LIMIT, || cluster
+            .all_hold("node-0", &status(&cluster.nodes["node-0"].member))),
+        some(anything())
+    );
+    cluster.cut("node-0", "node-1");
+    let first = missing("replies/0");
+    cluster.node("node-0").publish(first.clone());
+    let took = wait(LIMIT, || cluster.holds("node-1", "node-0", &first));
+    expect_that!(took, some(anything()));
+
+    let others: Vec<NodeId> = vec!["node-0".into(), "node-1".into()];
+    cluster.nodes["node-2"].refusals.set(others);
+    let second = missing("replies/1");
+    cluster.node("node-1").publish(second.clone());
+    let reached = wait(Duration::from_millis(1500), || {
+        cluster.holds("node-2", "node-1", &second)
+    });
+    expect_that!(reached, none());
+    for running in cluster.nodes.values() {
+        running.refusals.set([]);
+    }
+    let took = wait(LIMIT, || cluster.all_hold("node-1", &second));
+    expect_that!(took, some(anything()));
+}
+
+#[gtest]
+fn a_restarted_node_with_another_address_takes_its_place() {
+    // A node is replaced: same name, another port, a higher incarnation. The others
+    // must drop what the former one said and find the new one by its own word.
+    let mut cluster = Cluster::start(4);
+    let item = missing("replies/0");
+    cluster.node("node-2").publish(item.clone());
+    expect_that!(
+        wait(LIMIT, || cluster.all_hold("node-2", &item)),
+        some(anything())
+    );
+    cluster.node("node-2").stop();
+    cluster.nodes.remove("node-2");
+    cluster.add("node-2", 2, &["node-0"]);
+    let now = status(&cluster.nodes["node-2"].member);
+    let took = wait(LIMIT, || {
+        cluster.all_hold("node-2", &now)
+            && cluster
+                .nodes
+                .keys()
+                .all(|node| !cluster.holds(node, "node-2", &item))
+    });
+    expect_that!(took, some(anything()));
+    let back = missing("replies/1");
+    cluster.node("node-3").publish(back.clone());
+    expect_that!(
+        wait(LIMIT, || cluster.all_hold("node-3", &back)),
+        some(anything())
+    );
+}
+
+#[gtest]
+fn a_node_that_knows_one_seed_takes_part() {
+    // The table service is down when a node starts: it has no list of members.
+    let mut cluster = Cluster::start(3);
+    cluster.add("late", 1, &["node-1"]);
+    let late = status(&cluster.nodes["late"].member);
+    expect_that!(
+        wait(LIMIT, || cluster.all_hold("late", &late)),
+        some(anything())
+    );
+    let item = missing("replies/0");
+    cluster.node("node-2").publish(item.clone());
+    expect_that!(
+        wait(LIMIT, || cluster.holds("late", "node-2", &item)),
+        some(anything())
+    );
+}
+
+#[gtest]
+fn calls_are_answered_and_refused() {
+    let cluster = Cluster::start(2);
+    let here = cluster.node("node-0");
+    let other = NodeId::from("node-1");
+    let events = here.timeline_of(&other, b"since=3".to_vec(), LIMIT);
+    let events = cluster.runtime.block_on(events).expect("it answers");
+    expect_that!(events, eq(b"events for since=3"));
+
+    let req = QuotaRequest {
+        from: "node-0".into(),
+        incarnation: 1,
+        demands: vec![Demand {
+            group: "replies/0".into(),
+            running: 1,
+            waiting: 5,
+            urgent_waiting: 2,
+        }],
+    };
+    let quota = cluster.runtime.block_on(here.quota_of(&other, req, LIMIT));
+    let grants = quota.expect("it answers").grants;
+    expect_that!(grants.len(), eq(1));
+    expect_that!(grants[0].slots, eq(5));
+
+    let stranger = NodeId::from("nobody");
+    let nobody = here.timeline_of(&stranger, Vec::new(), LIMIT);
+    let nobody = cluster.runtime.block_on(nobody);
+    expect_that!(nobody, err(pat!(PeerError::NoAddress(_))));
+
+    let huge = here.timeline_of(&other, vec![0; 1024 * 1024], LIMIT);
+    let huge = cluster.runtime.block_on(huge);
+    expect_that!(huge, err(pat!(PeerError::Refused(_))));
+
+    cluster.nodes["node-1"].refusals.set(["node-0".into()]);
+    let refused = here.timeline_of(&other, Vec::new(), LIMIT);
+    let refused = cluster.runtime.block_on(refused);
+    expect_that!(refused, err(pat!(PeerError::Unreachable(_))));
+}
+
+#[gtest]
+fn a_text_travels_as_a_difference_and_is_checked() {
+    let cluster = Cluster::start(2);
+    let here = cluster.node("node-0");
+    let other = NodeId::from("node-1");
+    let none = cluster
+        .runtime
+        .block_on(here.config_of(&other, None, LIMIT));
+    expect_that!(none, err(pat!(PeerError::NoConfig)));
+
+    let long: String = (0..2000).map(|i| format!("key-{i} = väl\n")).collect();
+    let serving = &cluster.nodes["node-1"].handler;
+    serving.put_text(1, &long);
+    let whole = cluster
+        .runtime
+        .block_on(here.config_of(&other, None, LIMIT))
+        .expect("it answers");
+    expect_that!(whole.text, eq(&long));
+    expect_that!(whole.author, eq("ada"));
+
+    let next = long.replace("key-1000 = väl", "key-1000 = vål");
+    serving.put_text(2, &next);
+    let before = cluster.node("node-1").traffic().sent;
+    let changed = cluster
+        .runtime
+        .block_on(here.config_of(&other, Some(&whole), LIMIT))
+        .expect("it answers");
+    let after = cluster.node("node-1").traffic().sent;
+    expect_that!(changed.text, eq(&next));
+    expect_that!(after - before, le(long.len() as u64 / 4));
+
+    // A node whose text of that version is another one must not patch it blindly.
+    let mut mistaken = changed.clone();
+    mistaken.text.push('x');
+    serving.put_text(3, &long);
+    let settled = cluster
+        .runtime
+        .block_on(here.config_of(&other, Some(&mistaken), LIMIT))
+        .expect("it answers");
+    expect_that!(settled.text, eq(&long));
+}
+
+#[gtest]
+fn a_version_is_known_at_eight_nodes_well_within_three_seconds() {
+    let cluster = Cluster::start(8);
+    let everybody = || {
+        cluster
+            .nodes
+            .values()
+            .all(|n| cluster.all_hold(&n.member.id, &status(&n.member)))
+    };
+    expect_that!(wait(LIMIT, everybody), some(anything()));
+    cluster.nodes["node-0"].handler.put_text(1, "a = 1\n");
+    let item = Item::Config(ConfigAnnouncement {
+        version: 1,
+        checksum: eelgrassmill_peer::checksum("a = 1\n"),
+    });
+    cluster.node("node-0").publish(item.clone());
+    let took = wait(LIMIT, || cluster.all_hold("node-0", &item));
+    println!("known at 8 nodes after {took:?}");
+    expect_that!(took, some(le(Duration::from_secs(3))));
+    let text = cluster.runtime.block_on(cluster.node("node-7").config_of(
+        &"node-0".into(),
+        None,
+        LIMIT,
+    ));
+    expect_that!(text.map(|t| t.version).ok(), some(eq(1)));
+}
--- /dev/null
+++ b/crates/peer/tests/support/cluster.rs
@@ -0,0 +1,177 @@
+//! Real nodes on loopback.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::NodeId;
+use eelgrassmill_peer::{
+    ConfigText, DisseminationConfig, Grant, Item, Member, PeerHandler, PeerNode, PeerNodeConfig,
+    QuotaReply, QuotaRequest, Refusals, Timing, Update, checksum,
+};
+
+use super::net::status;
+
+/// Keeps what it is told, and answers from what the test gave it.
+#[derive(Default)]
+pub(crate) struct Recorder {
+    pub(crate) updates: Mutex<Vec<(Instant, Update)>>,
+    pub(crate) texts: Mutex<BTreeMap<u64, ConfigText>>,
+}
+
+impl Recorder {
+    pub(crate) fn put_text(&self, version: u64, text: &str) {
+        let config = ConfigText {
+            version,
+            checksum: checksum(text),
+            author: "ada".into(),
+            submit_id: "submit-1".into(),
+            text: text.into(),
+        };
+        let mut texts = self.texts.lock().unwrap_or_else(PoisonError::into_inner);
+        texts.insert(version, config);
+    }
+}
+
+impl PeerHandler for Recorder {
+    fn updated(&self, updates: Vec<Update>) {
+        let now = Instant::now();
+        let mut kept = self.updates.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.extend(updates.into_iter().map(|update| (now, update)));
+    }
+
+    fn config(&self) -> Option<ConfigText> {
+        let texts = self.texts.lock().unwrap_or_else(PoisonError::into_inner);
+        texts.values().next_back().cloned()
+    }
+
+    fn former_config(&self, version: u64) -> Option<ConfigText> {
+        let texts = self.texts.lock().unwrap_or_else(PoisonError::into_inner);
+        texts.get(&version).cloned()
+    }
+
+    fn timeline(&self, query: &[u8]) -> Vec<u8> {
+        [b"events for ", query].concat()
+    }
+
+    fn quota(&self, req: QuotaRequest) -> QuotaReply {
+        let grant = |demand: &eelgrassmill_peer::Demand| Grant {
+            group: demand.group.clone(),
+            epoch: 1,
+            slots: demand.waiting,
+            urgent_slots: demand.urgent_waiting,
+            term_ms: 1000,
+        };
+        QuotaReply {
+            grants: req.demands.iter().map(grant).collect(),
+        }
+    }
+}
+
+/// One node and what the test holds of it.
+pub(crate) struct Running {
+    pub(crate) member: Member,
+    pub(crate) handler: Arc<Recorder>,
+    pub(crate) refusals: Refusals,
+    pub(crate) node: PeerNode<Recorder>,
+}
+
+pub(crate) struct Cluster {
+    pub(crate) runtime: tokio::runtime::Runtime,
+    pub(crate) nodes: BTreeMap<NodeId, Running>,
+}
+
+impl Cluster {
+    /// `count` nodes that know each other.
+    pub(crate) fn start(count: usize) -> Cluster {
+        let mut cluster = Cluster {
+            runtime: tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(2)
+                .enable_all()
+                .build()
+                .expect("a runtime starts"),
+            nodes: BTreeMap::new(),
+        };
+        for i in 0..count {
+            cluster.add(&format!("node-{i}"), 1, &[]);
+        }
+        cluster.introduce();
+        cluster
+    }
+
+    /// Starts one node, which knows only the seeds.
+    pub(crate) fn add(&mut self, name: &str, incarnation: u64, seeds: &[&str]) {
+        let seeds = seeds
+            .iter()
+            .map(|seed| self.nodes[*seed].node.local_address())
+            .collect();
+        let mut member = super::net::member(name, "domain-0");
+        let cfg = PeerNodeConfig {
+            dissemination: DisseminationConfig {
+                me: member.clone(),
+                incarnation,
+                timing: Timing::default(),
+            },
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            seeds,
+        };
+        let handler = Arc::new(Recorder::default());
+        let refusals = Refusals::default();
+        let node = PeerNode::start(
+            cfg,
+            Arc::clone(&handler),
+            refusals.clone(),
+            self.runtime.handle(),
+        )
+        .expect("the node starts");
+        member.address = node.local_address().to_string().into();
+        node.publish(status(&member));
+        let running = Running {
+            member,
+            handler,
+            refusals,
+            node,
+        };
+        self.nodes.insert(name.into(), running);
+    }
+
+    /// Gives all nodes the list of all.
+    pub(crate) fn introduce(&self) {
+        let list: Vec<Member> = self.nodes.values().map(|n| n.member.clone()).collect();
+        for running in self.nodes.values() {
+            running.node.peers_changed(list.iter().cloned());
+        }
+    }
+
+    pub(crate) fn node(&self, name: &str) -> &PeerNode<Recorder> {
+        &self.nodes[name].node
+    }
+
+    /// Whether `node` holds `item` as published by `origin`.
+    pub(crate) fn holds(&self, node: &str, origin: &str, item: &Item) -> bool {
+        self.node(node)
+            .with(|state| state.items_of(origin).any(|(held, _, _)| held == item))
+    }
+
+    pub(crate) fn all_hold(&self, origin: &str, item: &Item) -> bool {
+        self.nodes.keys().all(|node| self.holds(node, origin, item))
+    }
+
+    /// Makes `a` and `b` refuse each other, both ways.
+    pub(crate) fn cut(&self, a: &str, b: &str) {
+        self.nodes[a].refusals.set([b.into()]);
+        self.nodes[b].refusals.set([a.into()]);
+    }
+}
+
+/// Waits until `done` holds; how long it took, or `None` after `limit`.
+pub(crate) fn wait(limit: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
+    let began = Instant::now();
+    while !done() {
+        if began.elapsed() >= limit {
+            return None;
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    Some(began.elapsed())
+}
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! What the tests of this crate share.
 #![allow(dead_code)]
 
+pub(crate) mod cluster;
 pub(crate) mod net;
