--- a/crates/timeline/tests/timeline.rs
+++ b/crates/timeline/tests/timeline.rs
@@ -80,7 +80,7 @@
       {"event":"request-answered","request":"q1","status":200,"took_ms":12},
       {"event":"request-refused","request":"q1","status":503,"outcome":"not-run","reason":""}
     ]"#;
-    serde_json::from_str(json).unwrap()
+    serde_json::from_str(json).expect("one event of each kind")
 }
 
 #[gtest]
