--- /dev/null
+++ b/crates/node/src/settings_keys.rs
@@ -0,0 +1,213 @@
+//! The keys of a node's settings file.
+
+use std::time::Duration;
+
+use eelgrassmill_config::{Key, SectionKeys, Shape, defaulted, optional, required};
+
+const MAX_ADDRESSES: usize = 64;
+const MILLIS_50: Duration = Duration::from_millis(50);
+const MILLIS_100: Duration = Duration::from_millis(100);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(3_600);
+
+const KIB: u64 = 1_024;
+const MIB: u64 = 1_024 * KIB;
+
+pub(crate) const NODE: &[Key] = &[
+    required("id", Shape::Name, "The node's name, unique over all nodes."),
+    required("region", Shape::Name, "Its region."),
+    required("failure_domain", Shape::Name, "Its failure domain."),
+];
+
+pub(crate) const LISTEN: &[Key] = &[
+    required(
+        "callers",
+        Shape::Address,
+        "Where callers reach it; told to them as it stands.",
+    ),
+    required(
+        "admin",
+        Shape::Address,
+        "Where operators and the metrics collector reach it.",
+    ),
+    required(
+        "peers",
+        Shape::Address,
+        "Where other nodes reach it; told to them as it stands.",
+    ),
+];
+
+pub(crate) const PLATFORM: &[Key] = &[
+    required("table", Shape::Address, "The table service."),
+    optional(
+        "objects",
+        Shape::Address,
+        "same as table",
+        "The object store.",
+    ),
+    optional(
+        "weights",
+        Shape::Address,
+        "same as table",
+        "The weight store.",
+    ),
+    optional("hosts", Shape::Address, "same as table", "The host list."),
+];
+
+pub(crate) const ADMIN: &[Key] = &[
+    optional(
+        "token_sha256",
+        Shape::Sha256,
+        "token_file counts",
+        "SHA-256 of the operators' bearer token.",
+    ),
+    optional(
+        "token_file",
+        Shape::Path,
+        "token_sha256 counts",
+        "File that holds the operators' bearer token alone; read at the start.",
+    ),
+    defaulted(
+        "connections",
+        Shape::number(1, 1_000),
+        "32",
+        "Connections at a time; more are closed at once.",
+    ),
+];
+
+pub(crate) const PEERS: &[Key] = &[defaulted(
+    "seeds",
+    Shape::Addresses { max: MAX_ADDRESSES },
+    "",
+    "Peer addresses of some other nodes, to learn of the rest when the table is down.",
+)];
+
+pub(crate) const TIMING: &[Key] = &[
+    defaulted(
+        "lease_term",
+        Shape::duration(SECOND, MINUTE),
+        "10s",
+        "How long the node's lease counts from before the renewal that succeeded.",
+    ),
+    defaulted(
+        "clock_margin",
+        Shape::duration(MILLIS_100, MINUTE),
+        "1s",
+        "Added to another node's term before its lease counts as lapsed.",
+    ),
+    defaulted(
+        "order_time",
+        Shape::duration(MILLIS_100, MINUTE),
+        "5s",
+        "Longest time that an order can be under way to a host.",
+    ),
+    defaulted(
+        "probe_interval",
+        Shape::duration(MILLIS_50, MINUTE),
+        "500ms",
+        "Time between two probes of a host by one watcher.",
+    ),
+    defaulted(
+        "evidence_age",
+        Shape::duration(MILLIS_100, MINUTE),
+        "2s",
+        "Older evidence of a member doesn't let its group serve; at least twice probe_interval.",
+    ),
+    defaulted(
+        "host_list_interval",
+        Shape::duration(MILLIS_100, MINUTE),
+        "1s",
+        "Time between two reads of the host list.",
+    ),
+    defaulted(
+        "address_keep",
+        Shape::duration(MILLIS_100, HOUR),
+        "5s",
+        "How long callers may keep the answer to which address to use.",
+    ),
+    defaulted(
+        "stop_time",
+        Shape::duration(SECOND, HOUR),
+        "60s",
+        "Longest time that a stopping node waits for requests in progress.",
+    ),
+];
+
+pub(crate) const LIMITS: &[Key] = &[
+    defaulted(
+        "connections",
+        Shape::number(1, 100_000),
+        "4096",
+        "Connections of callers at a time.",
+    ),
+    defaulted(
+        "max_body",
+        Shape::number(KIB, 64 * MIB),
+        "4194304",
+        "Longest body of a caller's request, in bytes.",
+    ),
+    defaulted(
+        "header_time",
+        Shape::duration(MILLIS_100, MINUTE),
+        "5s",
+        "Longest time for the headers of a request to arrive, on each port.",
+    ),
+    defaulted(
+        "body_time",
+        Shape::duration(MILLIS_100, HOUR),
+        "30s",
+        "Longest time for the body of a request to arrive, on each port.",
+    ),
+];
+
+pub(crate) const LOG: &[Key] = &[
+    defaulted(
+        "format",
+        Shape::Choice(&["text", "json"]),
+        "text",
+        "Form of the lines.",
+    ),
+    defaulted(
+        "level",
+        Shape::Choice(&["error", "warn", "info", "debug"]),
+        "info",
+        "The least important lines to write.",
+    ),
+];
+
+/// Every section of the settings file with its keys, in the order of the reference page.
+pub const SETTINGS_SECTIONS: &[SectionKeys] = &[
+    SectionKeys {
+        section: "[node]",
+        keys: NODE,
+    },
+    SectionKeys {
+        section: "[listen]",
+        keys: LISTEN,
+    },
+    SectionKeys {
+        section: "[platform]",
+        keys: PLATFORM,
+    },
+    SectionKeys {
+        section: "[admin]",
+        keys: ADMIN,
+    },
+    SectionKeys {
+        section: "[peers]",
+        keys: PEERS,
+    },
+    SectionKeys {
+        section: "[timing]",
+        keys: TIMING,
+    },
+    SectionKeys {
+        section: "[limits]",
+        keys: LIMITS,
+    },
+    SectionKeys {
+        section: "[log]",
+        keys: LOG,
+    },
+];
