--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,442 @@
+//! Counters, gauges and histograms of one node, as Prometheus reads them.
+
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use eelgrassmill_base::{Urgency, value};
+use prometheus::{
+    Counter, CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Most values of a label that comes from the text, such as tenants.
+///
+/// A text may name thousands; each would be a time series at each node for as
+/// long as it runs. Later ones share the value `other`.
+pub const MAX_LABEL_VALUES: usize = 200;
+
+const OTHER: &str = "other";
+
+/// Upper bounds in seconds; the middle is close where the aim lies (first token within 1.3 s).
+const WAIT_BUCKETS: [f64; 14] = [
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.9, 1.3, 2.0, 5.0, 10.0, 30.0, 120.0,
+];
+
+value! { copy
+    /// What must always hold.
+    pub enum Promise {
+        /// No group serves while a host of it is missing.
+        GroupWhole,
+        /// No host belongs to two groups.
+        HostInOneGroup,
+        /// Each caller gets the whole answer to its own request.
+        WholeOwnAnswer,
+        /// What was called not run was not run.
+        NotRunIsTrue,
+        /// What must not be repeated runs at most once.
+        AtMostOnce,
+        /// A leaving target gets no new work.
+        LeavingGetsNothing,
+        /// A planned stop cuts off no request.
+        GracefulStop,
+        /// An accepted configuration never reverts.
+        ConfigNeverReverts,
+    }
+
+    /// How a request ended, for counting.
+    pub enum RequestEnd {
+        /// The whole answer went out.
+        Answered,
+        /// Told as not run.
+        NotRun,
+        /// Told as unknown.
+        Unknown,
+        /// The caller left.
+        CallerLeft,
+    }
+
+    /// Why an admin call was refused.
+    pub enum AdminRefusal {
+        /// No bearer token.
+        TokenMissing,
+        /// Another token.
+        TokenWrong,
+        /// Headers or body too long.
+        TooLarge,
+        /// Headers or body took too long.
+        TooSlow,
+        /// Not HTTP, or a body that can't be read.
+        Malformed,
+        /// No such call.
+        UnknownCall,
+        /// Too many connections at a time.
+        TooMany,
+    }
+
+    /// A call to the table service, for counting.
+    pub enum TableCall {
+        /// One row read.
+        Get,
+        /// Rows read by prefix.
+        Scan,
+        /// A transaction.
+        Commit,
+    }
+
+    /// How a call to the table service ended, for counting.
+    pub enum TableResult {
+        /// Done.
+        Ok,
+        /// A condition failed.
+        Conflict,
+        /// Certainly without effect.
+        Unavailable,
+        /// No answer: it may have had an effect.
+        Unknown,
+    }
+}
+
+impl Promise {
+    /// All of them.
+    pub const ALL: [Promise; 8] = [
+        Promise::GroupWhole,
+        Promise::HostInOneGroup,
+        Promise::WholeOwnAnswer,
+        Promise::NotRunIsTrue,
+        Promise::AtMostOnce,
+        Promise::LeavingGetsNothing,
+        Promise::GracefulStop,
+        Promise::ConfigNeverReverts,
+    ];
+
+    /// The label's value.
+    pub fn name(self) -> &'static str {
+        match self {
+            Promise::GroupWhole => "group-whole",
+            Promise::HostInOneGroup => "host-in-one-group",
+            Promise::WholeOwnAnswer => "whole-own-answer",
+            Promise::NotRunIsTrue => "not-run-is-true",
+            Promise::AtMostOnce => "at-most-once",
+            Promise::LeavingGetsNothing => "leaving-gets-nothing",
+            Promise::GracefulStop => "graceful-stop",
+            Promise::ConfigNeverReverts => "config-never-reverts",
+        }
+    }
+}
+
+impl RequestEnd {
+    fn name(self) -> &'static str {
+        match self {
+            RequestEnd::Answered => "answered",
+            RequestEnd::NotRun => "not-run",
+            RequestEnd::Unknown => "unknown",
+            RequestEnd::CallerLeft => "caller-left",
+        }
+    }
+}
+
+impl AdminRefusal {
+    /// The label's value.
+    pub fn name(self) -> &'static str {
+        match self {
+            AdminRefusal::TokenMissing => "token-missing",
+            AdminRefusal::TokenWrong => "token-wrong",
+            AdminRefusal::TooLarge => "too-large",
+            AdminRefusal::TooSlow => "too-slow",
+            AdminRefusal::Malformed => "malformed",
+            AdminRefusal::UnknownCall => "unknown-call",
+            AdminRefusal::TooMany => "too-many",
+        }
+    }
+}
+
+impl TableCall {
+    fn name(self) -> &'static str {
+        match self {
+            TableCall::Get => "get",
+            TableCall::Scan => "scan",
+            TableCall::Commit => "commit",
+        }
+    }
+}
+
+impl TableResult {
+    fn name(self) -> &'static str {
+        match self {
+            TableResult::Ok => "ok",
+            TableResult::Conflict => "conflict",
+            TableResult::Unavailable => "unavailable",
+            TableResult::Unknown => "unknown",
+        }
+    }
+}
+
+/// All metrics of one node. Cheap to share by reference; every method takes `&self`.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    promise_guarded: IntCounterVec,
+    promise_broken: IntCounterVec,
+    group_downtime: CounterVec,
+    stranded: Counter,
+    requests: IntCounterVec,
+    waiting: HistogramVec,
+    first_token: HistogramVec,
+    answering: HistogramVec,
+    table_calls: IntCounterVec,
+    admin_refusals: IntCounterVec,
+    groups: IntGaugeVec,
+    config_version: IntGauge,
+    /// Values of the tenant label in use. Invariant: at most [`MAX_LABEL_VALUES`].
+    tenants: Mutex<BTreeSet<String>>,
+    /// Values of the service label in use. Invariant: at most [`MAX_LABEL_VALUES`].
+    services: Mutex<BTreeSet<String>>,
+}
+
+impl Metrics {
+    /// A registry of its own, so that several nodes can be in one process.
+    ///
+    /// # Errors
+    /// When a metric's name or label isn't one that Prometheus takes.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let r = Registry::new();
+        let metrics = Metrics {
+            promise_guarded: counters(
+                &r,
+                "promise_guarded_total",
+                "Times that a guard kept a promise from being broken.",
+                &["promise"],
+            )?,
+            promise_broken: counters(
+                &r,
+                "promise_broken_total",
+                "Times that a promise was seen broken. Anything but 0 is an alarm.",
+                &["promise"],
+            )?,
+            group_downtime: downtime(&r)?,
+            stranded: stranded(&r)?,
+            requests: counters(
+                &r,
+                "requests_total",
+                "Requests by how they ended.",
+                &["tenant", "class", "end"],
+            )?,
+            waiting: histogram(&r, "waiting_seconds", "Time from admission to a target.")?,
+            first_token: histogram(
+                &r,
+                "first_token_seconds",
+                "Time from admission to first byte.",
+            )?,
+            answering: histogram(
+                &r,
+                "answer_seconds",
+                "Time from admission to the whole answer.",
+            )?,
+            table_calls: counters(
+                &r,
+                "table_calls_total",
+                "Calls to the table service.",
+                &["call", "result"],
+            )?,
+            admin_refusals: counters(
+                &r,
+                "admin_refusals_total",
+                "Admin calls that were refused.",
+                &["reason"],
+            )?,
+            groups: groups(&r)?,
+            config_version: config_version(&r)?,
+            tenants: Mutex::default(),
+            services: Mutex::default(),
+            registry: r,
+        };
+        metrics.start_promises_at_zero();
+        Ok(metrics)
+    }
+
+    /// An alarm on a series that doesn't exist until its first count can miss that count.
+    fn start_promises_at_zero(&self) {
+        for promise in Promise::ALL {
+            self.promise_guarded.with_label_values(&[promise.name()]);
+            self.promise_broken.with_label_values(&[promise.name()]);
+        }
+    }
+
+    /// A guard kept `promise` from being broken.
+    pub fn promise_guarded(&self, promise: Promise) {
+        self.promise_guarded
+            .with_label_values(&[promise.name()])
+            .inc();
+    }
+
+    /// `promise` was seen broken.
+    pub fn promise_broken(&self, promise: Promise) {
+        self.promise_broken
+            .with_label_values(&[promise.name()])
+            .inc();
+    }
+
+    /// A group of `service` could not serve for `time` more.
+    pub fn add_group_downtime(&self, service: &str, time: Duration) {
+        let service = bounded(&self.services, service);
+        self.group_downtime
+            .with_label_values(&[service])
+            .inc_by(time.as_secs_f64());
+    }
+
+    /// `accelerators` healthy ones sat idle in incomplete groups for `time` more.
+    pub fn add_stranded(&self, accelerators: u32, time: Duration) {
+        self.stranded
+            .inc_by(f64::from(accelerators) * time.as_secs_f64());
+    }
+
+    /// A request ended.
+    pub fn request_ended(&self, tenant: &str, urgency: Urgency, end: RequestEnd) {
+        let tenant = bounded(&self.tenants, tenant);
+        self.requests
+            .with_label_values(&[tenant, class(urgency), end.name()])
+            .inc();
+    }
+
+    /// A request waited so long before it went to a target.
+    pub fn waited(&self, urgency: Urgency, time: Duration) {
+        self.waiting
+            .with_label_values(&[class(urgency)])
+            .observe(time.as_secs_f64());
+    }
+
+    /// The first byte of an answer went to the caller.
+    pub fn first_token(&self, urgency: Urgency, time: Duration) {
+        self.first_token
+            .with_label_values(&[class(urgency)])
+            .observe(time.as_secs_f64());
+    }
+
+    /// The whole answer went to the caller.
+    pub fn answered(&self, urgency: Urgency, time: Duration) {
+        self.answering
+            .with_label_values(&[class(urgency)])
+            .observe(time.as_secs_f64());
+    }
+
+    /// A call to the table service ended.
+    pub fn table_call(&self, call: TableCall, result: TableResult) {
+        self.table_calls
+            .with_label_values(&[call.name(), result.name()])
+            .inc();
+    }
+
+    /// An admin call was refused.
+    pub fn admin_refused(&self, reason: AdminRefusal) {
+        self.admin_refusals
+            .with_label_values(&[reason.name()])
+            .inc();
+    }
+
+    /// Admin calls refused for `reason` so far.
+    pub fn admin_refusals(&self, reason: AdminRefusal) -> u64 {
+        self.admin_refusals
+            .with_label_values(&[reason.name()])
+            .get()
+    }
+
+    /// How many groups this node sees serving and not serving.
+    pub fn set_groups(&self, serving: usize, down: usize) {
+        let gauge = |state: &str, n| {
+            self.groups
+                .with_label_values(&[state])
+                .set(i64::try_from(n).unwrap_or(i64::MAX));
+        };
+        gauge("serving", serving);
+        gauge("down", down);
+    }
+
+    /// The version of the configuration in force here.
+    pub fn set_config_version(&self, version: u64) {
+        self.config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// All of it in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        // Writing to memory fails only for metrics without a value, which the registry leaves out.
+        let written = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        match written {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(e) => format!("# not rendered: {e}\n"),
+        }
+    }
+}
+
+fn class(urgency: Urgency) -> &'static str {
+    if urgency.is_urgent() {
+        "urgent"
+    } else {
+        "normal"
+    }
+}
+
+fn bounded<'a>(known: &Mutex<BTreeSet<String>>, value: &'a str) -> &'a str {
+    let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
+    if known.contains(value) {
+        return value;
+    }
+    if known.len() >= MAX_LABEL_VALUES {
+        return OTHER;
+    }
+    known.insert(value.to_owned());
+    value
+}
+
+fn full_name(name: &str) -> String {
+    format!("eelgrassmill_{name}")
+}
+
+fn counters(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let counters = IntCounterVec::new(Opts::new(full_name(name), help), labels)?;
+    r.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn histogram(r: &Registry, name: &str, help: &str) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::new(full_name(name), help).buckets(WAIT_BUCKETS.to_vec());
+    let histogram = HistogramVec::new(opts, &["class"])?;
+    r.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
+
+fn downtime(r: &Registry) -> Result<CounterVec, prometheus::Error> {
+    let help = "Time in which groups could not serve, summed over groups.";
+    let opts = Opts::new(full_name("group_downtime_seconds_total"), help);
+    let counters = CounterVec::new(opts, &["service"])?;
+    r.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn stranded(r: &Registry) -> Result<Counter, prometheus::Error> {
+    let help = "Healthy accelerators idle in incomplete groups, times seconds.";
+    let counter = Counter::new(full_name("stranded_accelerator_seconds_total"), help)?;
+    r.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn groups(r: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
+    let help = "Groups as this node sees them.";
+    let gauges = IntGaugeVec::new(Opts::new(full_name("groups"), help), &["state"])?;
+    r.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
+fn config_version(r: &Registry) -> Result<IntGauge, prometheus::Error> {
+    let help = "Version of the configuration in force at this node.";
+    let gauge = IntGauge::new(full_name("config_version"), help)?;
+    r.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
