Specify at-most-once claims and check every interleaving

Cause: at-most-once and not-run come before the policies, and reasoning about lost and late store answers by hand misses cases.

Change: a model of one key, three attempts at two entries, a store that may make a write long after its sender gave up, owners that die or seem lapsed, and targets that run late.

Ruled out: releasing an abandoned claim on the version guessed to follow the lost write. The late write then lands after the release and the key stays in progress for good (counterexample ReleaseOnSameCondition). The release uses the claim's own condition, so that the late write can't be made any more.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,3 @@
 //! A small specification of ownership, configuration and at-most-once claims, for model checking and as a test oracle.
+
+pub mod claims;
