--- a/crates/claim/src/claim.rs
+++ b/crates/claim/src/claim.rs
@@ -32,6 +32,8 @@
         /// Nothing is or will be dispatched: tell the caller `not-run` at once.
         /// The change, if any, is to be written until it is settled.
         Abandoned(Option<RowChange>),
+        /// A doubled or late word on a write that is settled: nothing changes.
+        Ignored,
     }
 }
 
@@ -83,6 +85,11 @@
         &self.change.key
     }
 
+    /// The attempt that it makes.
+    pub fn attempt(&self) -> &str {
+        &self.row.attempt
+    }
+
     /// Takes the outcome of the claim's own write.
     ///
     /// A write whose answer was lost may be made now or later. The entry
@@ -93,7 +100,7 @@
     /// it is repeated on that row's version.
     pub fn on_claimed(&mut self, outcome: WriteOutcome) -> Claimed {
         if self.phase != Phase::Claiming {
-            return Claimed::Abandoned(None);
+            return Claimed::Ignored;
         }
         match outcome {
             WriteOutcome::Committed => {
@@ -103,6 +110,13 @@
                 self.change.version += 1;
                 Claimed::Held
             }
+            WriteOutcome::Conflict(Some(seen)) if seen.row == self.row => {
+                // A write that was sent twice conflicts with itself: the claim is made.
+                // Taken for another's claim, it would be in progress for good.
+                self.phase = Phase::Held;
+                self.change.version = seen.version;
+                Claimed::Held
+            }
             WriteOutcome::Conflict(seen) => {
                 self.phase = Phase::Closed;
                 Claimed::Lost(seen)
--- a/crates/claim/src/row.rs
+++ b/crates/claim/src/row.rs
@@ -6,7 +6,8 @@
 use crate::era::Era;
 use crate::key::{ClaimKey, Fingerprint, sha256};
 
-/// Names one attempt to claim, unique over all nodes and time.
+/// Names one attempt to claim, unique over all nodes and time; a request that decides
+/// anew after a lost claim takes a new one.
 pub type AttemptId = SmolStr;
 
 value! { wire
--- /dev/null
+++ b/crates/claim/tests/fuzz/store.rs
@@ -0,0 +1,43 @@
+//! A table service that the fuzz can make late, lossy and doubled.
+
+use std::collections::BTreeMap;
+
+use eelgrassmill_claim::{Batch, ClaimKey, ClaimRow, ConflictRow, Seen};
+
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    rows: BTreeMap<ClaimKey, (u64, ClaimRow)>,
+}
+
+impl Store {
+    pub(crate) fn read(&self, key: &ClaimKey) -> Option<Seen> {
+        let (version, row) = self.rows.get(key)?.clone();
+        Some(Seen { row, version })
+    }
+
+    /// Makes all changes, or none and names the rows there whose condition failed.
+    pub(crate) fn commit(&mut self, batch: &Batch) -> Result<(), Vec<ConflictRow>> {
+        let failed = |key: &ClaimKey, version| self.rows.get(key).map_or(0, |(v, _)| *v) != version;
+        let lost: Vec<_> = batch
+            .changes
+            .iter()
+            .filter(|c| failed(&c.key, c.version))
+            .collect();
+        if !lost.is_empty() {
+            let there = lost.iter().filter_map(|c| {
+                let seen = self.read(&c.key)?;
+                Some(ConflictRow {
+                    key: c.key.clone(),
+                    seen,
+                })
+            });
+            return Err(there.collect());
+        }
+        for change in &batch.changes {
+            let row = change.row.clone().expect("the fuzz deletes no row");
+            self.rows
+                .insert(change.key.clone(), (change.version + 1, row));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/claim/tests/fuzz/world.rs
@@ -0,0 +1,429 @@
+//! Callers, entries, targets and a store around the real queue, claims and retries.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Outcome, Urgency};
+use eelgrassmill_claim::*;
+use eelgrassmill_route::*;
+
+use crate::store::Store;
+
+pub(crate) const ENTRIES: usize = 2;
+const TENANT: &str = "lindach";
+const KEEP: Duration = Duration::from_secs(3600);
+
+/// What a caller was told of one call.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Told {
+    NotRun,
+    Unknown,
+    /// The answer of the run with this number.
+    Answer(u64),
+    InProgress,
+    Mismatch,
+}
+
+#[derive(Debug)]
+pub(crate) struct Call {
+    entry: usize,
+    incarnation: u64,
+    pub(crate) key: usize,
+    pub(crate) body: u8,
+    claim: Option<Claim>,
+    abandoned: bool,
+    attempts: u32,
+    tries: u32,
+    /// A step of it is under way, and this is which one.
+    awaits: Option<u32>,
+    steps: u32,
+    /// Runs at targets on behalf of this call.
+    pub(crate) runs: u32,
+    pub(crate) told: Option<Told>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Message {
+    Write {
+        entry: usize,
+        incarnation: u64,
+        batch: Batch,
+    },
+    Written {
+        entry: usize,
+        incarnation: u64,
+        batch: Batch,
+        lost: Option<Vec<ConflictRow>>,
+    },
+    Request {
+        call: usize,
+        step: u32,
+    },
+    Reply {
+        call: usize,
+        step: u32,
+        ran: Option<u64>,
+    },
+}
+
+#[derive(Debug)]
+struct Entry {
+    incarnation: u64,
+    queue: ServiceQueue<usize>,
+    batcher: ClaimBatcher,
+    budget: RetryBudget,
+}
+
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    store: Store,
+    entries: Vec<Entry>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) messages: Vec<Message>,
+    /// Owners that observers take for lapsed.
+    lapsed: BTreeSet<(usize, u64)>,
+    /// Key and body of every run, in order.
+    pub(crate) runs: Vec<(usize, u8)>,
+}
+
+impl Entry {
+    fn new(incarnation: u64) -> Entry {
+        Entry {
+            incarnation,
+            queue: ServiceQueue::new(QueueOptions::default()),
+            batcher: ClaimBatcher::default(),
+            budget: RetryBudget::default(),
+        }
+    }
+}
+
+impl World {
+    pub(crate) fn new() -> World {
+        World {
+            now: Instant::now(),
+            store: Store::default(),
+            entries: (0..ENTRIES).map(|_| Entry::new(1)).collect(),
+            calls: Vec::new(),
+            messages: Vec::new(),
+            lapsed: BTreeSet::new(),
+            runs: Vec::new(),
+        }
+    }
+
+    pub(crate) fn submit(&mut self, entry: usize, key: usize, body: u8) {
+        let call = self.calls.len();
+        let at = &mut self.entries[entry];
+        at.budget.on_request(&TENANT.into());
+        let offer = Offer {
+            tenant: TENANT.into(),
+            weight: 1,
+            urgency: Urgency::DEFAULT,
+            tokens: 10,
+            deadline: self.now + Duration::from_secs(20),
+            max_tenant_queue: 4,
+        };
+        let refused = at.queue.offer(offer, call, self.now).is_err();
+        self.calls.push(Call {
+            entry,
+            incarnation: at.incarnation,
+            key,
+            body,
+            claim: None,
+            abandoned: false,
+            attempts: 0,
+            tries: 0,
+            awaits: None,
+            steps: 0,
+            runs: 0,
+            told: refused.then_some(Told::NotRun),
+        });
+    }
+
+    /// Lets time pass and every entry do what is due.
+    pub(crate) fn tick(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        for entry in 0..ENTRIES {
+            for (call, _) in self.entries[entry].queue.expire(self.now) {
+                self.calls[call].told = Some(Told::NotRun);
+            }
+            let free = Slots {
+                normal: 1,
+                urgent: 0,
+            };
+            if let Some(started) = self.entries[entry].queue.start(free, self.now) {
+                self.decide(started.payload);
+                let now = self.now;
+                self.entries[entry].queue.settle(started.ticket, 10, now);
+            }
+            if let Some(batch) = self.entries[entry].batcher.due(self.now) {
+                self.send(entry, batch);
+            }
+        }
+    }
+
+    fn send(&mut self, entry: usize, batch: Batch) {
+        let incarnation = self.entries[entry].incarnation;
+        self.messages.push(Message::Write {
+            entry,
+            incarnation,
+            batch,
+        });
+    }
+
+    fn decide(&mut self, i: usize) {
+        let call = &mut self.calls[i];
+        call.attempts += 1;
+        let req = ClaimRequest {
+            key: claim_key(TENANT, "refunds", &call.key.to_string()),
+            fingerprint: fingerprint("POST", "/refund", &[call.body]),
+            owner: Owner {
+                node: call.entry.to_string().into(),
+                incarnation: call.incarnation,
+            },
+            attempt: format!("{i}.{}", call.attempts).into(),
+            era: 0,
+            keep: KEEP,
+        };
+        let seen = self.store.read(&req.key);
+        let owner = seen
+            .as_ref()
+            .map_or(OwnerState::Alive, |s| self.owner_state(&s.row, &req.owner));
+        let told = match decide(seen.as_ref(), &req, owner) {
+            Decision::MakeClaim(change) => return self.claim(i, change),
+            Decision::ReplayAnswer(kept) => Told::Answer(kept.length),
+            Decision::InProgress { .. } => Told::InProgress,
+            Decision::ToldUnknown { mark } => {
+                let entry = self.calls[i].entry;
+                mark.into_iter().for_each(|c| self.write(entry, c));
+                Told::Unknown
+            }
+            Decision::MismatchedBody => Told::Mismatch,
+        };
+        self.calls[i].told = Some(told);
+    }
+
+    fn owner_state(&self, row: &ClaimRow, me: &Owner) -> OwnerState {
+        let call = &self.calls[call_of(row)];
+        if row.owner == *me && call.abandoned {
+            return OwnerState::Abandoned;
+        }
+        let dead = call.incarnation != self.entries[call.entry].incarnation;
+        match dead || self.lapsed.contains(&(call.entry, call.incarnation)) {
+            true => OwnerState::Lapsed,
+            false => OwnerState::Alive,
+        }
+    }
+
+    fn claim(&mut self, i: usize, change: RowChange) {
+        let call = &mut self.calls[i];
+        call.claim = Some(Claim::new(change.clone(), self.now).expect("a claim"));
+        call.awaits = Some(call.steps);
+        match self.entries[call.entry].batcher.push(change, self.now) {
+            Ok(None) => (),
+            Ok(Some(batch)) => self.send(self.calls[i].entry, batch),
+            Err(KeyBusy) => {
+                self.calls[i].claim = None;
+                self.calls[i].awaits = None;
+                self.calls[i].told = Some(Told::InProgress);
+            }
+        }
+    }
+
+    fn write(&mut self, entry: usize, change: RowChange) {
+        self.send(
+            entry,
+            Batch {
+                changes: vec![change],
+            },
+        );
+    }
+
+    /// Delivers one message; `refuse` makes a target refuse without running.
+    pub(crate) fn deliver(&mut self, at: usize, keep: bool, refuse: bool) {
+        let message = match keep {
+            true => self.messages[at].clone(),
+            false => self.messages.remove(at),
+        };
+        match message {
+            Message::Write {
+                entry,
+                incarnation,
+                batch,
+            } => {
+                let lost = self.store.commit(&batch).err();
+                self.messages.push(Message::Written {
+                    entry,
+                    incarnation,
+                    batch,
+                    lost,
+                });
+            }
+            Message::Written {
+                entry,
+                incarnation,
+                batch,
+                lost,
+            } => {
+                if self.entries[entry].incarnation == incarnation {
+                    self.written(entry, batch, lost);
+                }
+            }
+            Message::Request { call, step } => {
+                let ran = (!refuse).then(|| self.run(call));
+                self.messages.push(Message::Reply { call, step, ran });
+            }
+            Message::Reply { call, step, ran } => self.replied(call, step, ran),
+        }
+    }
+
+    fn run(&mut self, i: usize) -> u64 {
+        let call = &mut self.calls[i];
+        call.runs += 1;
+        self.runs.push((call.key, call.body));
+        self.runs.len() as u64
+    }
+
+    fn written(&mut self, entry: usize, batch: Batch, lost: Option<Vec<ConflictRow>>) {
+        let Some(rows) = lost else {
+            for change in batch.changes {
+                self.outcome(&change, WriteOutcome::Committed);
+            }
+            return;
+        };
+        let split = batch.split(rows);
+        for batch in split.again {
+            self.send(entry, batch);
+        }
+        for (change, seen) in split.lost {
+            self.outcome(&change, WriteOutcome::Conflict(seen));
+        }
+    }
+
+    fn outcome(&mut self, change: &RowChange, outcome: WriteOutcome) {
+        let row = change.row.as_ref().expect("no deletions");
+        let i = call_of(row);
+        let call = &mut self.calls[i];
+        if row.state != ClaimState::Claimed {
+            let next = call.claim.as_mut().and_then(|c| c.on_written(outcome));
+            let entry = call.entry;
+            return next.into_iter().for_each(|c| self.write(entry, c));
+        }
+        let current = call.claim.as_mut().filter(|c| c.attempt() == row.attempt);
+        let Some(claim) = current else { return };
+        match claim.on_claimed(outcome) {
+            Claimed::Ignored => (),
+            Claimed::Held => self.dispatch(i),
+            Claimed::Lost(_) => self.decide(i),
+            Claimed::Abandoned(change) => {
+                call.abandoned = true;
+                call.told = Some(Told::NotRun);
+                let entry = call.entry;
+                change.into_iter().for_each(|c| self.write(entry, c));
+            }
+        }
+    }
+
+    fn dispatch(&mut self, i: usize) {
+        let call = &mut self.calls[i];
+        let permitted = call
+            .claim
+            .as_mut()
+            .is_some_and(|c| c.dispatch(self.now).is_ok());
+        if !permitted {
+            return self.give_up(i);
+        }
+        call.tries += 1;
+        call.awaits = Some(call.steps);
+        let step = call.steps;
+        self.messages.push(Message::Request { call: i, step });
+    }
+
+    fn give_up(&mut self, i: usize) {
+        let call = &mut self.calls[i];
+        call.told = Some(Told::NotRun);
+        let change = call.claim.as_mut().and_then(|c| c.release());
+        let entry = call.entry;
+        change.into_iter().for_each(|c| self.write(entry, c));
+    }
+
+    fn replied(&mut self, i: usize, step: u32, ran: Option<u64>) {
+        let call = &mut self.calls[i];
+        let alive = self.entries[call.entry].incarnation == call.incarnation;
+        if !alive || call.awaits != Some(step) {
+            return;
+        }
+        match ran {
+            Some(run) => {
+                let kept = KeptAnswer::new("o", 200, "text/plain", &vec![b'x'; run as usize]);
+                self.after(i, DispatchOutcome::Answered(kept), Some(Told::Answer(run)));
+            }
+            None => {
+                self.after(i, DispatchOutcome::NotRun, None);
+                self.retry(i, Outcome::NotRun);
+            }
+        }
+    }
+
+    fn after(&mut self, i: usize, outcome: DispatchOutcome, told: Option<Told>) {
+        let call = &mut self.calls[i];
+        call.awaits = None;
+        call.steps += 1;
+        call.told = told;
+        let change = call.claim.as_mut().and_then(|c| c.after(outcome));
+        let entry = call.entry;
+        change.into_iter().for_each(|c| self.write(entry, c));
+    }
+
+    fn retry(&mut self, i: usize, outcome: Outcome) {
+        let call = &mut self.calls[i];
+        let budget = &mut self.entries[call.entry].budget;
+        match may_retry(outcome, false, call.tries, &TENANT.into(), budget) {
+            Ok(()) => self.dispatch(i),
+            Err(_) if outcome == Outcome::NotRun => self.give_up(i),
+            Err(_) => call.told = Some(Told::Unknown),
+        }
+    }
+
+    /// The entry waits no longer for what the call awaits.
+    pub(crate) fn time_out(&mut self, i: usize) {
+        let call = &mut self.calls[i];
+        let alive = self.entries[call.entry].incarnation == call.incarnation;
+        let Some(claim) = call
+            .claim
+            .as_mut()
+            .filter(|_| alive && call.awaits.is_some())
+        else {
+            return;
+        };
+        if call.tries > 0 {
+            self.after(i, DispatchOutcome::Unknown, None);
+            return self.retry(i, Outcome::Unknown);
+        }
+        if let Claimed::Abandoned(change) = claim.on_claimed(WriteOutcome::Unknown) {
+            call.awaits = None;
+            call.steps += 1;
+            call.abandoned = true;
+            call.told = Some(Told::NotRun);
+            let entry = call.entry;
+            change.into_iter().for_each(|c| self.write(entry, c));
+        }
+    }
+
+    /// The entry dies and starts anew; its callers lose their connections.
+    pub(crate) fn kill(&mut self, entry: usize) {
+        let next = self.entries[entry].incarnation + 1;
+        self.entries[entry] = Entry::new(next);
+    }
+
+    /// Observers take the entry for lapsed although it runs on.
+    pub(crate) fn seem_lapsed(&mut self, entry: usize) {
+        self.lapsed.insert((entry, self.entries[entry].incarnation));
+    }
+}
+
+/// The call whose attempt wrote the row.
+fn call_of(row: &ClaimRow) -> usize {
+    let call = row.attempt.split('.').next();
+    call.and_then(|c| c.parse().ok()).expect("an index")
+}
