--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,7 +6,6 @@
 mod accept;
 mod applied;
 mod canonical;
-mod delta;
 mod document;
 mod keys;
 mod model;
@@ -23,7 +22,6 @@
 };
 pub use crate::applied::{Applied, OfferError, Offered};
 pub use crate::canonical::{Change, SectionName, canonical, checksum, diff};
-pub use crate::delta::{DeltaError, TextDelta};
 pub use crate::document::{Entry, MAX_TEXT, Section, read_sections};
 pub use crate::keys::{Absent, Key, SectionKeys, Shape, defaulted, optional, required};
 pub use crate::model::{
--- a/crates/config/tests/canonical.rs
+++ b/crates/config/tests/canonical.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{TEXT, config, runner};
-use eelgrassmill_config::{Config, TextDelta, canonical, checksum, diff};
+use eelgrassmill_config::{Config, canonical, checksum, diff};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -54,41 +54,3 @@
         eq("9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08")
     );
 }
-
-#[gtest]
-fn a_difference_gives_the_new_text_and_only_from_its_base() {
-    let texts = ("[a-cé\n]{0,40}", "[a-cé\n]{0,40}", "[a-cé\n]{0,40}");
-    let tested = runner(4).run(&texts, |(old, new, other)| {
-        let delta = TextDelta::between(&old, &new);
-        prop_assert_eq!(delta.apply(&old), Ok(new));
-        prop_assert_eq!(delta.apply(&other).is_ok(), other == old);
-        Ok(())
-    });
-    expect_that!(tested, ok(anything()));
-}
-
-#[gtest]
-fn a_damaged_difference_is_refused_and_never_panics() {
-    let parts = (
-        "[aé]{0,9}",
-        any::<usize>(),
-        0usize..20,
-        0usize..20,
-        "[aé]{0,9}",
-    );
-    let tested = runner(5).run(&parts, |(old, huge, prefix, suffix, middle)| {
-        let sum = checksum("what nobody wrote");
-        let mut delta = TextDelta {
-            base: checksum(&old),
-            prefix,
-            suffix,
-            middle,
-            checksum: sum,
-        };
-        prop_assert!(delta.apply(&old).is_err());
-        delta.prefix = huge;
-        prop_assert!(delta.apply(&old).is_err());
-        Ok(())
-    });
-    expect_that!(tested, ok(anything()));
-}
