Take out settings that nothing reads

evidence_age, host_list_interval and the callers' body and header bounds are constants of the crates that use them; a key without an effect tells an operator something untrue. Probes are now at most 750 ms apart: a report counts for 1.5 s, and with a longer interval one lost probe would stop its group.

--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -30,6 +30,20 @@
     pub fn as_slice(&self) -> &[ConfigError] {
         &self.0
     }
+
+    /// The mistakes, one after the other.
+    pub fn iter(&self) -> std::slice::Iter<'_, ConfigError> {
+        self.0.iter()
+    }
+}
+
+impl<'a> IntoIterator for &'a ConfigErrors {
+    type Item = &'a ConfigError;
+    type IntoIter = std::slice::Iter<'a, ConfigError>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.iter()
+    }
 }
 
 impl fmt::Display for ConfigErrors {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -57,9 +57,7 @@
 
     /// Terms and intervals.
     ///
-    /// Invariants: `evidence_age` is at least twice `probe_interval`, or one
-    /// lost probe would stop a group; `clock_margin` is at most half of
-    /// `lease_term`.
+    /// Invariant: `clock_margin` is at most half of `lease_term`.
     pub struct Timing {
         /// How long the node's lease counts from before the renewal that succeeded.
         pub lease_term: Duration,
@@ -69,10 +67,6 @@
         pub order_time: Duration,
         /// Time between two probes of a host by one watcher.
         pub probe_interval: Duration,
-        /// Older evidence doesn't let a group serve.
-        pub evidence_age: Duration,
-        /// Time between two reads of the host list.
-        pub host_list_interval: Duration,
         /// How long callers may keep addresses.
         pub address_keep: Duration,
         /// Longest time that a stopping node waits for requests in progress.
@@ -83,12 +77,6 @@
     pub struct Limits {
         /// Connections of callers at a time.
         pub connections: u32,
-        /// Longest body of a caller's request, in bytes.
-        pub max_body: u32,
-        /// Longest time for the headers of a request to arrive.
-        pub header_time: Duration,
-        /// Longest time for the body of a request to arrive.
-        pub body_time: Duration,
     }
 
     /// How a node logs.
--- a/crates/node/src/settings_keys.rs
+++ b/crates/node/src/settings_keys.rs
@@ -11,8 +11,9 @@
 const MINUTE: Duration = Duration::from_secs(60);
 const HOUR: Duration = Duration::from_secs(3_600);
 
-const KIB: u64 = 1_024;
-const MIB: u64 = 1_024 * KIB;
+/// Half of the age at which a host's report no longer counts: with a longer
+/// interval one lost probe would stop the host's group.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(750);
 
 pub(crate) const NODE: &[Key] = &[
     required("id", Shape::Name, "The node's name, unique over all nodes."),
@@ -104,22 +105,10 @@
     ),
     defaulted(
         "probe_interval",
-        Shape::duration(MILLIS_50, MINUTE),
+        Shape::duration(MILLIS_50, MAX_PROBE_INTERVAL),
         "500ms",
         "Time between two probes of a host by one watcher.",
     ),
-    defaulted(
-        "evidence_age",
-        Shape::duration(MILLIS_100, MINUTE),
-        "2s",
-        "Older evidence of a member doesn't let its group serve; at least twice probe_interval.",
-    ),
-    defaulted(
-        "host_list_interval",
-        Shape::duration(MILLIS_100, MINUTE),
-        "1s",
-        "Time between two reads of the host list.",
-    ),
     defaulted(
         "address_keep",
         Shape::duration(MILLIS_100, HOUR),
@@ -134,32 +123,12 @@
     ),
 ];
 
-pub(crate) const LIMITS: &[Key] = &[
-    defaulted(
-        "connections",
-        Shape::number(1, 100_000),
-        "4096",
-        "Connections of callers at a time.",
-    ),
-    defaulted(
-        "max_body",
-        Shape::number(KIB, 64 * MIB),
-        "4194304",
-        "Longest body of a caller's request, in bytes.",
-    ),
-    defaulted(
-        "header_time",
-        Shape::duration(MILLIS_100, MINUTE),
-        "5s",
-        "Longest time for the headers of a request to arrive, on each port.",
-    ),
-    defaulted(
-        "body_time",
-        Shape::duration(MILLIS_100, HOUR),
-        "30s",
-        "Longest time for the body of a request to arrive, on each port.",
-    ),
-];
+pub(crate) const LIMITS: &[Key] = &[defaulted(
+    "connections",
+    Shape::number(1, 100_000),
+    "4096",
+    "Connections of callers at a time.",
+)];
 
 pub(crate) const LOG: &[Key] = &[
     defaulted(
--- a/crates/node/src/settings_read.rs
+++ b/crates/node/src/settings_read.rs
@@ -218,18 +218,11 @@
         clock_margin: reader.duration("clock_margin", problems),
         order_time: reader.duration("order_time", problems),
         probe_interval: reader.duration("probe_interval", problems),
-        evidence_age: reader.duration("evidence_age", problems),
-        host_list_interval: reader.duration("host_list_interval", problems),
         address_keep: reader.duration("address_keep", problems),
         stop_time: reader.duration("stop_time", problems),
     };
-    let (age, term) = (timing.evidence_age, timing.lease_term);
+    let term = timing.lease_term;
     // Zero stands for a value that is wrong by itself and was told.
-    if !age.is_zero() && age < 2 * timing.probe_interval {
-        let what = "`evidence_age` is under twice `probe_interval`, one lost probe would stop a \
-                    group; write a longer one";
-        problems.add(reader.line("evidence_age"), what);
-    }
     if !term.is_zero() && term < 2 * timing.clock_margin {
         let what = "`clock_margin` is over half of `lease_term`, write a shorter one";
         problems.add(reader.line("clock_margin"), what);
@@ -240,9 +233,6 @@
 pub(crate) fn limits(reader: &Reader<'_>, problems: &mut Problems) -> Limits {
     Limits {
         connections: reader.number("connections", problems),
-        max_body: reader.number("max_body", problems),
-        header_time: reader.duration("header_time", problems),
-        body_time: reader.duration("body_time", problems),
     }
 }
 
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -75,8 +75,8 @@
 connections = 0
 [timing]
 probe_interval = 2s
-lease_term = 1h
-clock_margin = 40s
+lease_term = 10s
+clock_margin = 6s
 [log]
 level = loud
 [logs]
