--- /dev/null
+++ b/crates/node/src/entry/attempt.rs
@@ -0,0 +1,186 @@
+//! One attempt: a place in the queue, a slot at a group, the request to its lead.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use eelgrassmill_base::{Epoch, HostId, Tokens};
+use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
+use eelgrassmill_route::Pick;
+use eelgrassmill_timeline::EventKind;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+
+use super::call::{Call, Failure, nothing_serves, put, refused};
+use super::problem::Problem;
+use crate::loops::watcher::target_name;
+use crate::state::core::Core;
+use crate::state::lock::lock;
+use crate::state::shard::{Avoided, Place, Shard, Turn};
+
+/// Header in which a target echoes the group epoch that it answered in.
+const EPOCH_HEADER: &str = "x-group-epoch";
+/// Header from which an engine takes up a stream.
+const RESUME_HEADER: &str = "x-resume-from";
+
+/// Where an attempt is sent.
+struct Destination {
+    host: HostId,
+    address: SmolStr,
+    /// Group and epoch; `None` for plain targets.
+    group: Option<(SmolStr, Epoch)>,
+}
+
+/// An answer whose head has come, and the slot that it occupies.
+pub(crate) struct Started {
+    pub(crate) place: Place,
+    pub(crate) response: TargetResponse,
+    pub(crate) host: HostId,
+    pub(crate) sent: Instant,
+}
+
+impl Started {
+    /// Whether the engine says that it goes on from token `from`.
+    pub(crate) fn resumes_from(&self, from: Tokens) -> bool {
+        let echoed = self.response.headers.get(RESUME_HEADER);
+        let echoed = echoed.and_then(|v| v.to_str().ok());
+        echoed.and_then(|v| v.parse().ok()) == Some(from)
+    }
+}
+
+/// Why an attempt has no answer.
+pub(crate) enum NotStarted {
+    /// The queue's final word.
+    Refused(Problem),
+    /// The attempt failed at a group.
+    Failed(Failure, Pick),
+}
+
+/// Takes a place, waits for the turn and sends the call.
+pub(crate) async fn start(
+    core: &Core,
+    shard: &Arc<Shard>,
+    call: &Call,
+    avoid: &Avoided,
+    attempt: u32,
+    resume_from: Tokens,
+) -> Result<Started, NotStarted> {
+    let now = Instant::now();
+    let mut place = shard
+        .offer(call.offer(), call.prefixes.clone(), avoid.clone(), now)
+        .map_err(|refusal| NotStarted::Refused(refused(&refusal)))?;
+    let pick = match tokio::time::timeout(call.left(now), place.turn()).await {
+        Ok(Turn::Start(pick)) => pick,
+        Ok(Turn::GivenUp(refusal)) => return Err(NotStarted::Refused(refused(&refusal))),
+        Ok(Turn::NoGroup) => {
+            return Err(NotStarted::Refused(nothing_serves(&call.service, "")));
+        }
+        Err(_) => {
+            let problem = nothing_serves(&call.service, " within the deadline");
+            return Err(NotStarted::Refused(problem));
+        }
+    };
+    match send(core, call, &pick, attempt, resume_from, &mut place).await {
+        Ok((response, host, sent)) => Ok(Started {
+            place,
+            response,
+            host,
+            sent,
+        }),
+        Err(failure) => Err(NotStarted::Failed(failure, pick)),
+    }
+}
+
+async fn send(
+    core: &Core,
+    call: &Call,
+    pick: &Pick,
+    attempt: u32,
+    resume_from: Tokens,
+    place: &mut Place,
+) -> Result<(TargetResponse, HostId, Instant), Failure> {
+    let to = destination(core, pick)?;
+    let mut headers = call.target_headers();
+    if let Some((group, epoch)) = &to.group {
+        put(&mut headers, "x-group", group);
+        put(&mut headers, EPOCH_HEADER, &epoch.to_smolstr());
+    }
+    if resume_from > 0 {
+        put(&mut headers, RESUME_HEADER, &resume_from.to_smolstr());
+    }
+    let req = TargetRequest {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers,
+        body: call.body.clone(),
+    };
+    core.journal.note(EventKind::RequestDispatched {
+        request: call.id.clone(),
+        host: to.host.clone(),
+        group: to.group.as_ref().map(|(group, _)| group.clone()),
+        attempt,
+    });
+    let sent = Instant::now();
+    let sending = core.targets.send(&to.address, req);
+    let response = match tokio::time::timeout(call.left(sent), sending).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(err)) => {
+            // What may have run is charged; a target that broke off did work for it.
+            if !matches!(err, SendError::NotSent(_)) {
+                place.used(call.tokens);
+            }
+            return Err(Failure {
+                outcome: err.outcome(),
+                detail: format_smolstr!("{err}"),
+            });
+        }
+        Err(_) => {
+            place.used(call.tokens);
+            return Err(Failure::unknown("no answer within the deadline"));
+        }
+    };
+    if response.is_refusal() {
+        return Err(Failure::not_run("the target refused it"));
+    }
+    place.used(call.tokens);
+    check_epoch(&to, &response)?;
+    Ok((response, to.host, sent))
+}
+
+/// The lead of the picked group, if the group may still serve in that epoch.
+///
+/// Time passes between the pick and this last step before the bytes leave: a
+/// group may have lost a host meanwhile, and a request sent now would run on a
+/// group that is not whole.
+fn destination(core: &Core, pick: &Pick) -> Result<Destination, Failure> {
+    let now = Instant::now();
+    let fleet = lock(&core.fleet);
+    let serving = lock(&core.whole)
+        .serving(&pick.group, now)
+        .map_err(|why| Failure::not_run(format_smolstr!("{why}")))?;
+    if serving.epoch != pick.epoch {
+        return Err(Failure::not_run("the group was formed anew"));
+    }
+    let address = fleet
+        .address(&serving.lead)
+        .ok_or_else(|| Failure::not_run("the host is not in the host list"))?;
+    let is_plain = pick.group == target_name(&serving.lead);
+    Ok(Destination {
+        group: (!is_plain).then(|| (pick.group.clone(), pick.epoch)),
+        host: serving.lead,
+        address,
+    })
+}
+
+/// An answer from another epoch comes from hosts that are no longer this group.
+fn check_epoch(to: &Destination, response: &TargetResponse) -> Result<(), Failure> {
+    let Some((_, epoch)) = &to.group else {
+        return Ok(());
+    };
+    let echoed = response.headers.get(EPOCH_HEADER);
+    let echoed = echoed.and_then(|v| v.to_str().ok());
+    if echoed.and_then(|v| v.parse().ok()) == Some(*epoch) {
+        return Ok(());
+    }
+    Err(Failure::unknown(
+        "the answer is from another epoch of the group",
+    ))
+}
--- /dev/null
+++ b/crates/node/src/entry/listen.rs
@@ -0,0 +1,97 @@
+//! The callers' port: accepting, bounding and draining connections.
+//!
+//! oxhttp's server can't serve here: it holds a stream back until 16 KiB have
+//! gathered and never learns that a caller left (docs/DESIGN.md has the
+//! measurement), so this port is hyper's.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use super::body::AnswerBody;
+
+/// A caller that has not sent its headers after this long is cut off.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most headers of one request.
+const MAX_HEADERS: usize = 64;
+/// Largest head of one request, in bytes; hyper's floor is 8 KiB.
+const MAX_HEAD: usize = 32 * 1024;
+/// How long accepting pauses when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers one request of a caller.
+pub(crate) trait Handler: Send + Sync + 'static {
+    fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>> + Send;
+}
+
+/// Accepts connections until `stop` turns true, then waits for every request in progress.
+///
+/// At most `max_connections` are held at once; more wait in the kernel's
+/// queue, where they cost nothing.
+pub(crate) async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    max_connections: usize,
+    mut stop: watch::Receiver<bool>,
+) {
+    let slots = Arc::new(Semaphore::new(max_connections));
+    loop {
+        let Ok(permit) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handler = handler.clone();
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            connection(stream, handler, stop).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    // All permits free means that no connection is left.
+    let all = u32::try_from(max_connections).unwrap_or(u32::MAX);
+    let _ = slots.acquire_many(all).await;
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Tokens are small writes; waiting to join them would delay each.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        _ = stop.wait_for(|s| *s) => {}
+    }
+    // The request in progress is answered; then the connection closes.
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
+}
--- /dev/null
+++ b/crates/node/src/entry/relay.rs
@@ -0,0 +1,267 @@
+//! Token streams: relayed token by token, and taken up elsewhere when they break.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use eelgrassmill_base::{HostId, Outcome, Tokens};
+use eelgrassmill_engine::{BodyError, StreamEvent, TokenEvent, TokenStream};
+use eelgrassmill_route::{Sample, may_retry};
+use eelgrassmill_timeline::EventKind;
+use http::{HeaderValue, Response, header};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::mpsc;
+
+use super::attempt::{self, NotStarted, Started};
+use super::body::{AnswerBody, Broken};
+use super::call::{Call, Failure};
+use crate::state::core::Core;
+use crate::state::lock::lock;
+use crate::state::shard::{Avoided, Place, Shard};
+
+/// Tokens that wait for a slow caller before reading from the engine stops.
+const BACKLOG: usize = 64;
+const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
+const DONE: &[u8] = b"data: [DONE]\n\n";
+/// How often a stalled stream is reported as slow.
+const STALL_REPORT: Duration = Duration::from_secs(1);
+
+/// Where the tokens go.
+pub(crate) struct Audience {
+    tx: mpsc::Sender<Result<Bytes, Broken>>,
+    /// The whole stream so far, for calls whose answer is kept for repeats.
+    kept: Option<BytesMut>,
+}
+
+/// A stream on its way from an engine to a caller.
+pub(crate) struct Relay {
+    core: Arc<Core>,
+    shard: Arc<Shard>,
+    call: Call,
+    place: Place,
+    stream: TokenStream,
+    host: HostId,
+    group: SmolStr,
+    /// Tokens handed on so far.
+    tokens: Tokens,
+    last: Instant,
+    attempt: u32,
+}
+
+/// How a relayed stream ended.
+pub(crate) enum Ended {
+    /// Whole; the bytes where they were kept.
+    Whole(Option<Bytes>),
+    /// It broke off, and what the caller has is a part that is seen as one.
+    Broken(Failure),
+    /// The caller has gone.
+    CallerLeft,
+}
+
+impl Audience {
+    /// An audience and the body that its tokens come out of.
+    pub(crate) fn new(keep: bool) -> (Audience, AnswerBody) {
+        let (tx, rx) = mpsc::channel(BACKLOG);
+        let audience = Audience {
+            tx,
+            kept: keep.then(BytesMut::new),
+        };
+        (audience, AnswerBody::Stream(rx))
+    }
+
+    /// Hands bytes on; false when nobody wants them any more.
+    ///
+    /// A call whose answer is kept runs to its end though its caller has left:
+    /// the caller asks again under the same key, and the call can't run twice.
+    async fn push(&mut self, bytes: Bytes) -> bool {
+        if let Some(kept) = &mut self.kept {
+            kept.extend_from_slice(&bytes);
+        }
+        let taken = self.tx.send(Ok(bytes)).await.is_ok();
+        taken || self.kept.is_some()
+    }
+
+    async fn broke(&mut self) {
+        let _ = self.tx.send(Err(Broken)).await;
+    }
+}
+
+/// The head of a streamed answer.
+pub(crate) fn response(body: AnswerBody) -> Response<AnswerBody> {
+    let mut resp = Response::new(body);
+    let headers = resp.headers_mut();
+    headers.insert(header::CONTENT_TYPE, EVENT_STREAM);
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    resp
+}
+
+impl Relay {
+    /// Waits for the first event, so that a stream that breaks before it can
+    /// still be answered like any failed attempt.
+    pub(crate) async fn begin(
+        core: Arc<Core>,
+        shard: Arc<Shard>,
+        call: Call,
+        started: Started,
+        attempt: u32,
+    ) -> Result<(Relay, StreamEvent), Failure> {
+        let mut relay = Relay {
+            core,
+            shard,
+            call,
+            group: started.place.group().unwrap_or_default(),
+            place: started.place,
+            stream: TokenStream::new(started.response),
+            host: started.host,
+            tokens: 0,
+            last: started.sent,
+            attempt,
+        };
+        match relay.next().await {
+            Ok(event) => Ok((relay, event)),
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Relays to the end, the caller's leaving, or a break that can't be mended.
+    pub(crate) async fn run(mut self, first: StreamEvent, mut audience: Audience) -> Ended {
+        let mut next = Ok(first);
+        loop {
+            match next {
+                Ok(StreamEvent::Token(token)) => {
+                    if !audience.push(frame(&token)).await {
+                        return Ended::CallerLeft;
+                    }
+                }
+                Ok(StreamEvent::Done) => return self.finish(audience).await,
+                Err(failure) => match self.resume(failure).await {
+                    Ok(()) => {}
+                    Err(failure) => {
+                        audience.broke().await;
+                        return Ended::Broken(failure);
+                    }
+                },
+            }
+            next = self.next().await;
+        }
+    }
+
+    async fn finish(mut self, mut audience: Audience) -> Ended {
+        self.place.used(self.used());
+        if !audience.push(Bytes::from_static(DONE)).await {
+            return Ended::CallerLeft;
+        }
+        Ended::Whole(audience.kept.map(BytesMut::freeze))
+    }
+
+    fn used(&self) -> Tokens {
+        self.call.prompt_tokens() + self.tokens
+    }
+
+    /// The next event, with its time measured.
+    async fn next(&mut self) -> Result<StreamEvent, Failure> {
+        loop {
+            let now = Instant::now();
+            let left = self.call.left(now);
+            if left.is_zero() {
+                return Err(Failure::unknown("no whole answer within the deadline"));
+            }
+            let wait = left.min(STALL_REPORT);
+            match tokio::time::timeout(wait, self.stream.next()).await {
+                Ok(Ok(event)) => {
+                    if let StreamEvent::Token(_) = event {
+                        self.measure();
+                    }
+                    return Ok(event);
+                }
+                Ok(Err(err)) => return Err(broke(&err)),
+                Err(_) if self.tokens > 0 => {
+                    let stalled = self.last.elapsed();
+                    self.place
+                        .observe(Sample::TokenGap(stalled), Instant::now());
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn measure(&mut self) {
+        let now = Instant::now();
+        let took = now.saturating_duration_since(self.last);
+        let sample = if self.tokens == 0 {
+            let waited = self.call.began.elapsed();
+            self.core.metrics.first_token(self.call.urgency, waited);
+            Sample::FirstToken(took)
+        } else {
+            Sample::TokenGap(took)
+        };
+        self.place.observe(sample, now);
+        self.last = now;
+        self.tokens += 1;
+        self.place.used(self.used());
+    }
+
+    /// Takes the stream up at another group from the next token, where that may be done.
+    async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
+        if self.call.left(Instant::now()).is_zero() {
+            return Err(failure);
+        }
+        let repeatable = self.call.repeatable;
+        let allowed = {
+            let mut budget = lock(&self.core.retries);
+            may_retry(
+                Outcome::Unknown,
+                repeatable,
+                self.attempt,
+                &self.call.tenant,
+                &mut budget,
+            )
+        };
+        if allowed.is_err() {
+            return Err(failure);
+        }
+        self.core.journal.note(EventKind::RequestRetried {
+            request: self.call.id.clone(),
+            attempt: self.attempt,
+            reason: failure.detail.clone(),
+        });
+        self.attempt += 1;
+        let avoid = Avoided::from_iter([self.group.clone()]);
+        let started = attempt::start(
+            &self.core,
+            &self.shard,
+            &self.call,
+            &avoid,
+            self.attempt,
+            self.tokens,
+        )
+        .await;
+        let started = match started {
+            Ok(started) => started,
+            Err(NotStarted::Refused(_)) => return Err(failure),
+            Err(NotStarted::Failed(failure, _)) => return Err(failure),
+        };
+        // An engine that can't take a stream up starts from its beginning; the
+        // caller would get the first tokens twice and take them for the answer.
+        if !started.resumes_from(self.tokens) {
+            return Err(Failure::unknown("the engine can't take the stream up"));
+        }
+        self.host = started.host;
+        self.group = started.place.group().unwrap_or_default();
+        self.place = started.place;
+        self.stream = TokenStream::new(started.response);
+        Ok(())
+    }
+}
+
+fn frame(token: &TokenEvent) -> Bytes {
+    let mut buf = BytesMut::with_capacity(token.data.len() + 8);
+    buf.extend_from_slice(b"data: ");
+    buf.extend_from_slice(token.data.as_bytes());
+    buf.extend_from_slice(b"\n\n");
+    buf.freeze()
+}
+
+fn broke(err: &BodyError) -> Failure {
+    Failure::unknown(format_smolstr!("{err}"))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,10 +2,18 @@
 
 mod admin;
 mod admin_token;
+mod apply;
+mod backend;
+mod entry;
+mod loops;
 mod metrics;
+mod node;
+mod once;
+mod peers;
 mod settings;
 mod settings_keys;
 mod settings_read;
+mod state;
 
 pub use crate::admin::{
     AdminBackend, AdminLimits, AdminServer, AdminServerError, BackendError, ConfigStatus,
@@ -16,6 +24,7 @@
 pub use crate::metrics::{
     AdminRefusal, MAX_LABEL_VALUES, Metrics, Promise, RequestEnd, TableCall, TableResult,
 };
+pub use crate::node::{Node, NodeError};
 pub use crate::settings::{
     Limits, LogSettings, PlatformAddresses, Settings, SettingsError, Timing,
 };
--- /dev/null
+++ b/crates/node/src/loops/planner.rs
@@ -0,0 +1,528 @@
+//! Planning a region: becoming its planner, and carrying out what the plan says.
+
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Sender, TrySendError, bounded};
+use eelgrassmill_base::{HostEntry, HostState, NodeId, Order, OrderReply, RowVersion};
+use eelgrassmill_config::ServiceKind;
+use eelgrassmill_group::{
+    Action, Change, FleetView, FreedBecause, GROUP_PREFIX, GroupRow, HOST_PREFIX, HostRow,
+    NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue, Takeover, node_key, plan,
+    planner_key, takeover, weights_name,
+};
+use eelgrassmill_platform::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
+use eelgrassmill_timeline::EventKind;
+use smol_str::{SmolStr, format_smolstr};
+
+use super::probe::ProbePool;
+use super::reader::Seen;
+use super::rows::{decode, scan, txn};
+use crate::metrics::TableCall;
+use crate::state::core::Core;
+use crate::state::lock::lock;
+
+/// Nodes that try to take a region over, the first by rendezvous hashing. All
+/// of a region at once would be one write each for one that succeeds.
+const CONTENDERS: usize = 3;
+/// Orders under way at a time.
+const ORDER_THREADS: usize = 16;
+/// Orders that wait for a thread; more are given again by the next plan.
+const ORDERS_WAITING: usize = 256;
+/// Rounds between two readings of the weight store.
+const WEIGHTS_EVERY: u32 = 40;
+/// Rounds between two probes of hosts that no change concerns.
+const CALM_EVERY: u32 = 2;
+
+/// What a planner keeps while it plans.
+struct Planning {
+    view: FleetView,
+    policy: RepairPolicy,
+    /// Version of the planner row that names this start of this node.
+    version: RowVersion,
+    round: u32,
+}
+
+/// Plans the region while this node is its planner.
+pub(crate) struct Planner {
+    core: Arc<Core>,
+    seen: Arc<Mutex<Seen>>,
+    pool: Arc<ProbePool>,
+    orders: OrderPool,
+    planning: Option<Planning>,
+}
+
+impl Planner {
+    pub(crate) fn new(core: Arc<Core>, seen: Arc<Mutex<Seen>>, pool: Arc<ProbePool>) -> Planner {
+        Planner {
+            orders: OrderPool::start(&core),
+            core,
+            seen,
+            pool,
+            planning: None,
+        }
+    }
+
+    /// One round.
+    pub(crate) fn step(&mut self) {
+        self.note_planner();
+        if !self.core.holds_lease() {
+            return self.lost();
+        }
+        if self.core.is_leaving() {
+            return self.give_up();
+        }
+        if self.planning.is_none() {
+            self.try_takeover();
+        }
+        if let Some(mut planning) = self.planning.take() {
+            match self.round(&mut planning) {
+                Ok(true) => self.planning = Some(planning),
+                Ok(false) => self.note_lost(),
+                Err(err) => {
+                    self.core.table_failed(TableCall::Scan, &err);
+                    self.planning = Some(planning);
+                }
+            }
+        }
+    }
+
+    fn note_planner(&self) {
+        let named = lock(&self.seen)
+            .planner
+            .as_ref()
+            .map(|(row, _)| row.node.clone());
+        *lock(&self.core.planner) = named;
+    }
+
+    fn lost(&mut self) {
+        if self.planning.take().is_some() {
+            self.note_lost();
+        }
+    }
+
+    fn note_lost(&self) {
+        let region = self.core.ident.region.clone();
+        self.core.journal.note(EventKind::PlannerLost { region });
+    }
+
+    /// Deletes the planner row, so that another node may take over at once.
+    pub(crate) fn give_up(&mut self) {
+        let Some(planning) = self.planning.take() else {
+            return;
+        };
+        self.orders.finish();
+        let key = planner_key(&self.core.ident.region);
+        let change = Change::new()
+            .expect(key.clone(), planning.version)
+            .put(key, RowValue::Absent);
+        let txn = txn(self.core.ident.unique(), &change);
+        if let Err(err) = self.core.platform.table.commit(&txn) {
+            tracing::warn!(%err, "planner row not given back");
+        }
+        self.note_lost();
+    }
+
+    fn try_takeover(&mut self) {
+        if !self.is_contender() {
+            return;
+        }
+        let Some(own_version) = lock(&self.core.lease).row_version() else {
+            return;
+        };
+        let own = self.core.ident.row(NodeState::Serving, 0);
+        let (seen, wanted) = {
+            let seen = lock(&self.seen);
+            let planner = seen.planner.clone();
+            let holder = planner
+                .as_ref()
+                .and_then(|(row, _)| lock(&self.core.fleet).nodes.get(&row.node).cloned());
+            let known = PlannerSeen { planner, holder };
+            let wanted = takeover(&own, own_version, &known, &seen.observer);
+            (known, wanted)
+        };
+        let Ok(Takeover { change, quiet }) = wanted else {
+            return;
+        };
+        let from: Option<NodeId> = seen.planner.map(|(row, _)| row.node);
+        let txn = txn(self.core.ident.unique(), &change);
+        match settle(&self.core.platform.table, &txn, &SettleBudget::default()) {
+            Ok(Settled::Committed) => self.begin(quiet, from),
+            Ok(_) => {}
+            Err(err) => tracing::error!(%err, "takeover is not a settled transaction"),
+        }
+    }
+
+    fn is_contender(&self) -> bool {
+        let region = &self.core.ident.region;
+        let seen = lock(&self.seen);
+        let fleet = lock(&self.core.fleet);
+        let lapsed = |row: &eelgrassmill_group::NodeRow| {
+            let version = fleet.nodes.get(&row.node).map_or(0, |(_, v)| *v);
+            seen.observer.lapsed(&row.node, version)
+        };
+        let alive: Vec<&NodeId> = fleet
+            .serving_nodes()
+            .filter(|row| row.region == *region && !lapsed(row))
+            .map(|row| &row.node)
+            .collect();
+        let ranked = eelgrassmill_base::rendezvous(region, alive);
+        ranked
+            .iter()
+            .take(CONTENDERS)
+            .any(|node| **node == self.core.ident.node)
+    }
+
+    fn begin(&mut self, quiet: Duration, from: Option<NodeId>) {
+        let ident = &self.core.ident;
+        let row = match self.core.platform.table.get(&planner_key(&ident.region)) {
+            Ok(row) => row.as_ref().and_then(decode::<PlannerRow>),
+            // The next round takes over again from the row that names this node.
+            Err(_) => None,
+        };
+        let Some((row, version)) = row else {
+            return;
+        };
+        if row.node != ident.node || row.incarnation != ident.incarnation {
+            return;
+        }
+        let cfg = self.core.config.config();
+        let quiet_until = Instant::now() + quiet;
+        let policy = RepairPolicy {
+            timing: self.core.timing,
+            ..RepairPolicy::new(cfg.repair)
+        };
+        self.planning = Some(Planning {
+            view: FleetView::new(ident.node.clone(), ident.region.clone(), cfg, quiet_until),
+            policy,
+            version,
+            round: 0,
+        });
+        let region = ident.region.clone();
+        self.core
+            .journal
+            .note(EventKind::PlannerTaken { region, from });
+    }
+
+    /// One round of planning; false when the region is another's.
+    fn round(&mut self, planning: &mut Planning) -> Result<bool, TableError> {
+        let table = &self.core.platform.table;
+        let key = planner_key(&self.core.ident.region);
+        let row = table.get(&key)?;
+        if row.map(|r| r.version) != Some(planning.version) {
+            return Ok(false);
+        }
+        let hosts: Vec<(HostRow, RowVersion)> = scan(table, HOST_PREFIX)?;
+        let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
+        self.refresh(planning, &hosts, &groups);
+        let actions = plan(&planning.view, &planning.policy, Instant::now());
+        for action in actions {
+            self.carry_out(planning, action);
+        }
+        self.delete_lapsed_nodes(planning);
+        planning.round = planning.round.wrapping_add(1);
+        Ok(true)
+    }
+
+    fn refresh(
+        &self,
+        planning: &mut Planning,
+        hosts: &[(HostRow, RowVersion)],
+        groups: &[(GroupRow, RowVersion)],
+    ) {
+        let now = Instant::now();
+        let cfg = self.core.config.config();
+        let view = &mut planning.view;
+        planning.policy.weight = cfg.repair;
+        view.config = cfg;
+        let entries = self.entries(view);
+        if !entries.is_empty() {
+            view.on_host_list(&entries, now);
+        }
+        for (row, version) in hosts {
+            view.on_host_row(row, *version, now);
+        }
+        for (row, version) in groups {
+            view.on_group_row(row, *version, now);
+        }
+        let gone: Vec<SmolStr> = view
+            .groups
+            .keys()
+            .filter(|g| groups.iter().all(|(row, _)| row.group != **g))
+            .cloned()
+            .collect();
+        for group in gone {
+            view.on_group_gone(&group);
+        }
+        if planning.round.is_multiple_of(WEIGHTS_EVERY) {
+            self.read_weights(view);
+        }
+        self.take_evidence(view, now);
+        self.probe(planning.round, view);
+    }
+
+    /// The host list, with the hosts that the text asks to empty marked as leaving.
+    fn entries(&self, view: &FleetView) -> Vec<HostEntry> {
+        let fleet = lock(&self.core.fleet);
+        let mut entries: Vec<HostEntry> = fleet.hosts.values().cloned().collect();
+        for entry in &mut entries {
+            if view.config.drains_target(&entry.id) {
+                entry.state = HostState::Leaving;
+            }
+        }
+        entries
+    }
+
+    fn take_evidence(&self, view: &mut FleetView, now: Instant) {
+        let whole = lock(&self.core.whole);
+        let rows: Vec<(SmolStr, u64)> = view
+            .groups
+            .iter()
+            .map(|(group, facts)| (group.clone(), facts.row.epoch))
+            .collect();
+        for (group, epoch) in rows {
+            let serving = whole.serving(&group, now);
+            let serving = serving.is_ok_and(|s| s.epoch == epoch);
+            let restarted = whole.restarted(&group, epoch).cloned();
+            view.on_serving(&group, epoch, serving, restarted.as_ref(), now);
+        }
+    }
+
+    /// Takes the newest reports and asks for newer ones.
+    ///
+    /// Hosts in the middle of a change are asked each round; those of a serving
+    /// group and spares less often, since their watchers see to them.
+    fn probe(&self, round: u32, view: &mut FleetView) {
+        let hosts: Vec<SmolStr> = view.hosts.keys().cloned().collect();
+        let calm_too = round.is_multiple_of(CALM_EVERY);
+        for host in hosts {
+            if let Some(answered) = self.core.reports.get(&host) {
+                view.on_report(&answered.report, answered.sent);
+            }
+            let Some(facts) = view.hosts.get(&host) else {
+                continue;
+            };
+            let group = facts.row.group.as_ref();
+            let in_change = group.is_some_and(|g| view.groups.get(g).is_none_or(|f| !f.serving));
+            let Some(entry) = &facts.entry else { continue };
+            if in_change || calm_too {
+                self.pool.ask(&host, entry.address.clone());
+            }
+        }
+    }
+
+    fn read_weights(&self, view: &mut FleetView) {
+        let cfg = view.config.clone();
+        for service in cfg.services.values() {
+            let ServiceKind::Model(model) = &service.kind else {
+                continue;
+            };
+            let info = self
+                .core
+                .platform
+                .weights
+                .info(&model.model, &model.version);
+            if let Ok(Some(info)) = info {
+                let name = weights_name(&model.model, &model.version);
+                view.weights.insert(name, info.bytes);
+                view.store_rate = info.bytes_per_second;
+            }
+        }
+    }
+
+    fn carry_out(&self, planning: &mut Planning, action: Action) {
+        if let Some(order) = action.order() {
+            let address = lock(&self.core.fleet).address(&order.host);
+            if let Some(address) = address
+                && self.orders.send(order.clone(), address)
+            {
+                planning.view.on_order_sent(order, Instant::now());
+            }
+            return;
+        }
+        let Some(change) = action.change() else {
+            return;
+        };
+        if self.commit(planning.version, change.clone()) {
+            self.note(&action);
+        }
+    }
+
+    /// Commits under the lease as it is now; a lost race is planned anew.
+    fn commit(&self, planner_version: RowVersion, change: Change) -> bool {
+        let ident = &self.core.ident;
+        let node_version = {
+            let lease = lock(&self.core.lease);
+            match lease.check(Instant::now()) {
+                Ok(_) => lease.row_version(),
+                Err(_) => None,
+            }
+        };
+        let Some(node_version) = node_version else {
+            return false;
+        };
+        let change = change.under_lease(&ident.node, node_version, &ident.region, planner_version);
+        let txn = txn(ident.unique(), &change);
+        match settle(&self.core.platform.table, &txn, &SettleBudget::default()) {
+            Ok(settled) => settled == Settled::Committed,
+            Err(err) => {
+                tracing::error!(%err, "plan is not a settled transaction");
+                false
+            }
+        }
+    }
+
+    fn note(&self, action: &Action) {
+        let journal = &self.core.journal;
+        match action {
+            Action::Form { row, .. } => {
+                journal.note(EventKind::GroupForming {
+                    group: row.group.clone(),
+                    epoch: row.epoch,
+                    version: row.version.clone(),
+                    members: row.members.clone(),
+                });
+                for host in &row.members {
+                    journal.note(EventKind::HostTaken {
+                        host: host.clone(),
+                        group: row.group.clone(),
+                        epoch: row.epoch,
+                    });
+                }
+            }
+            Action::BeginEnding { group, reason, .. } => {
+                let fleet = lock(&self.core.fleet);
+                let epoch = fleet.groups.get(group).map_or(0, |(row, _)| row.epoch);
+                journal.note(EventKind::GroupEnding {
+                    group: group.clone(),
+                    epoch,
+                    reason: format_smolstr!("{reason:?}"),
+                });
+            }
+            Action::FreeHost { host, because, .. } => journal.note(EventKind::HostFreed {
+                host: host.clone(),
+                group: SmolStr::default(),
+                reason: match because {
+                    FreedBecause::Confirmed => "its own report".into(),
+                    FreedBecause::Outlived => "outlived".into(),
+                },
+            }),
+            Action::RemoveGroup { .. } | Action::SendJoin { .. } | Action::SendLeave { .. } => {}
+        }
+    }
+
+    /// Deletes the rows of nodes whose lease was seen to lapse.
+    ///
+    /// A row of a dead node would count as an entry that shares the slots and
+    /// as the live owner of its claims. A node that was only paused notices
+    /// that its row is gone and joins anew.
+    fn delete_lapsed_nodes(&self, planning: &Planning) {
+        let lapsed: Vec<(NodeId, RowVersion)> = {
+            let seen = lock(&self.seen);
+            let fleet = lock(&self.core.fleet);
+            let rows = fleet.nodes.values();
+            rows.filter(|(row, version)| {
+                !self.core.is_me(&row.node) && seen.observer.lapsed(&row.node, *version)
+            })
+            .map(|(row, version)| (row.node.clone(), *version))
+            .collect()
+        };
+        for (node, version) in lapsed {
+            let key = node_key(&node);
+            let change = Change::new()
+                .expect(key.clone(), version)
+                .put(key, RowValue::Absent);
+            if self.commit(planning.version, change) {
+                let reason = "lease lapsed".into();
+                let peer = node;
+                self.core.journal.note(EventKind::NodeLeft { peer, reason });
+            }
+        }
+    }
+}
+
+/// Threads that carry orders to hosts.
+struct OrderPool {
+    tx: Option<Sender<(Order, SmolStr)>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl OrderPool {
+    fn start(core: &Arc<Core>) -> OrderPool {
+        let (tx, rx) = bounded::<(Order, SmolStr)>(ORDERS_WAITING);
+        let threads = (0..ORDER_THREADS).map(|_| {
+            let rx = rx.clone();
+            let core = core.clone();
+            std::thread::spawn(move || {
+                while let Ok((order, address)) = rx.recv() {
+                    deliver(&core, &order, &address);
+                }
+            })
+        });
+        OrderPool {
+            tx: Some(tx),
+            threads: threads.collect(),
+        }
+    }
+
+    /// Hands an order over; false when there is no room now.
+    fn send(&self, order: Order, address: SmolStr) -> bool {
+        let Some(tx) = &self.tx else { return false };
+        match tx.try_send((order, address)) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        }
+    }
+
+    /// Waits until no order is under way. None can be sent after it.
+    fn finish(&mut self) {
+        self.tx = None;
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Sends one order between the two checks of the lease.
+fn deliver(core: &Core, order: &Order, address: &str) {
+    // The last step before the bytes leave: an order that waited here while
+    // the lease lapsed must not be sent, since another planner may have given
+    // the host to another group.
+    let Ok(proof) = lock(&core.lease).check(Instant::now()) else {
+        return;
+    };
+    core.journal.note(EventKind::OrderSent {
+        host: order.host.clone(),
+        group: order.placement.group.clone(),
+        epoch: order.placement.epoch,
+        fence: order.fence,
+        order: order.kind,
+    });
+    let sent = Instant::now();
+    let reply = core.control.order(address, order);
+    let confirmed = lock(&core.lease).confirm(proof, Instant::now());
+    let refused = |reason: SmolStr| EventKind::OrderRefused {
+        host: order.host.clone(),
+        group: order.placement.group.clone(),
+        fence: order.fence,
+        reason,
+    };
+    let event = match (reply, confirmed) {
+        (Ok(OrderReply::Obeyed(report)), Ok(())) => {
+            core.reports.put(report, sent);
+            EventKind::OrderConfirmed {
+                host: order.host.clone(),
+                group: order.placement.group.clone(),
+                fence: order.fence,
+            }
+        }
+        (Ok(OrderReply::Fenced(fence)), _) => {
+            refused(format_smolstr!("the host has obeyed fence {fence}"))
+        }
+        // Not counted as obeyed: the host's state is read back by probes.
+        (Ok(OrderReply::Obeyed(_)), Err(err)) => refused(format_smolstr!("{err}")),
+        (Err(err), _) => refused(format_smolstr!("{err}")),
+    };
+    core.journal.note(event);
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,419 @@
+//! Starting and stopping one node.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::Incarnation;
+use eelgrassmill_group::{LeaseObserver, NodeRow, node_key};
+use eelgrassmill_peer::{
+    DisseminationConfig, Item, Member, NodeLoad, NodeStatus, PeerError, PeerNode, PeerNodeConfig,
+    Refusals,
+};
+use eelgrassmill_platform::{
+    HttpCaller, HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, Table,
+};
+use eelgrassmill_timeline::EventKind;
+use smol_str::ToSmolStr;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+
+use crate::admin::{AdminLimits, AdminServer, AdminServerError};
+use crate::backend::Backend;
+use crate::entry::handler::Entry;
+use crate::entry::listen;
+use crate::loops::era::EraKeeper;
+use crate::loops::every;
+use crate::loops::lease::{LeaseKeeper, RENEWALS_PER_TERM};
+use crate::loops::planner::Planner;
+use crate::loops::probe::ProbePool;
+use crate::loops::pulse::Pulse;
+use crate::loops::reader::{Reader, Seen};
+use crate::loops::rows::decode;
+use crate::loops::watcher::{JUDGEMENTS_PER_PROBE, Watcher};
+use crate::metrics::Metrics;
+use crate::once::{ClaimStore, Once};
+use crate::peers::Peers;
+use crate::state::core::{Core, Platform};
+use crate::state::ident::Ident;
+use crate::state::journal::wall_ms;
+use crate::state::lock::lock;
+use crate::{Settings, admin};
+
+/// Period of reading the table, the host list and, for the planner, of a round of planning.
+const READ_PERIOD: Duration = Duration::from_millis(500);
+/// Period of refreshing candidates; evidence that lapses is noticed this soon.
+const PULSE_PERIOD: Duration = Duration::from_millis(50);
+/// Period of telling others this node's load.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+/// Period of reading the claims' era.
+const ERA_PERIOD: Duration = Duration::from_secs(20);
+/// Threads that carry requests.
+const WORKERS: usize = 4;
+
+/// Why a node does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// A port can't be listened on.
+    #[error("can't listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The threads for requests can't be had.
+    #[error("no runtime: {0}")]
+    Runtime(std::io::Error),
+    /// The peers' port does not start.
+    #[error("peers' port: {0}")]
+    Peers(#[from] PeerError),
+    /// The admin port does not start.
+    #[error("admin port: {0}")]
+    Admin(#[from] AdminServerError),
+    /// The metrics can't be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// A running node.
+pub struct Node {
+    core: Arc<Core>,
+    peer: Arc<PeerNode<Peers>>,
+    refusals: Refusals,
+    admin: Option<AdminServer>,
+    lease: Arc<Mutex<LeaseKeeper>>,
+    planner: Arc<Mutex<Planner>>,
+    threads: Vec<JoinHandle<()>>,
+    stop_entry: watch::Sender<bool>,
+    entry_done: Option<tokio::task::JoinHandle<()>>,
+    runtime: Option<Runtime>,
+    claims: Option<ClaimStore>,
+    pool: Option<Arc<ProbePool>>,
+}
+
+impl Node {
+    /// Starts a node. Port 0 in the settings takes a free port.
+    ///
+    /// # Errors
+    /// When a port can't be listened on. A platform that is down is no error:
+    /// the node starts, learns from its peers, and goes on trying.
+    pub fn start(settings: Settings) -> Result<Node, NodeError> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(WORKERS)
+            .thread_name("request")
+            .enable_all()
+            .build()
+            .map_err(NodeError::Runtime)?;
+        let callers = bind(settings.callers)?;
+        let admin = bind(settings.admin)?;
+        let peers = settings.peers;
+        let platform = platform(&settings);
+        let incarnation = incarnation(&platform, &settings);
+        // The peers' port is bound by the peer crate; it needs a number before that.
+        let peers = reserve(peers)?;
+        let ident = Ident::new(
+            &settings,
+            incarnation,
+            local(&callers)?,
+            peers,
+            local(&admin)?,
+        );
+        let metrics = Arc::new(Metrics::new()?);
+        let core = Arc::new(Core::new(ident, settings, platform, metrics.clone()));
+        let refusals = Refusals::default();
+        let peer = start_peer(&core, &refusals, &runtime)?;
+        let (claims, mut threads) = ClaimStore::start(&core);
+        let (pool, probers) = ProbePool::start(&core.control, &core.reports);
+        threads.extend(probers);
+        let pool = Arc::new(pool);
+        let seen = Arc::new(Mutex::new(Seen {
+            observer: LeaseObserver::new(core.timing),
+            planner: None,
+        }));
+        let lease = Arc::new(Mutex::new(LeaseKeeper::new(core.clone())));
+        let planner = Planner::new(core.clone(), seen.clone(), pool.clone());
+        let planner = Arc::new(Mutex::new(planner));
+        threads.extend(start_loops(&core, &peer, &pool, &seen, &lease, &planner));
+        let (stop_entry, entry_stopped) = watch::channel(false);
+        let once = Once::new(claims.clone());
+        let entry_done = start_entry(&core, once, callers, entry_stopped, &runtime);
+        let backend = Backend::new(core.clone(), peer.clone(), runtime.handle().clone());
+        let admin = AdminServer::start(
+            admin,
+            Arc::new(backend),
+            core.settings.admin_token,
+            metrics,
+            admin_limits(&core.settings),
+        )?;
+        Ok(Node {
+            core,
+            peer,
+            refusals,
+            admin: Some(admin),
+            lease,
+            planner,
+            threads,
+            stop_entry,
+            entry_done: Some(entry_done),
+            runtime: Some(runtime),
+            claims: Some(claims),
+            pool: Some(pool),
+        })
+    }
+
+    /// Where callers reach it.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.core.ident.caller
+    }
+
+    /// Where operators reach it.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.core.ident.admin
+    }
+
+    /// Where other nodes reach it.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.core.ident.peer
+    }
+
+    /// Peers whose calls are refused both ways, to cut the network in tests.
+    pub fn refusals(&self) -> &Refusals {
+        &self.refusals
+    }
+
+    /// Stops gracefully: leaves the addresses, waits until the answers that
+    /// callers keep have run out, finishes what runs, gives back what it holds.
+    ///
+    /// Blocks for up to the time that addresses are kept and the stop time of
+    /// the settings. Gives whether every request in progress could be finished.
+    pub fn stop(mut self) -> bool {
+        self.core.journal.note(EventKind::NodeStopping {});
+        self.core.begin_leaving();
+        publish_status(&self.core, &self.peer);
+        // Others learn of it with the next flush; callers that asked before
+        // then keep their answer for this long and still connect here.
+        std::thread::sleep(self.core.settings.timing.address_keep);
+        self.stop_entry.send_replace(true);
+        let finished = self.finish_requests();
+        lock(&self.planner).give_up();
+        self.core.stop();
+        self.end_threads();
+        lock(&self.lease).give_back();
+        self.peer.stop();
+        if let Some(admin) = self.admin.take() {
+            admin.stop();
+        }
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_timeout(Duration::from_secs(1));
+        }
+        finished
+    }
+
+    fn finish_requests(&mut self) -> bool {
+        let (Some(done), Some(runtime)) = (self.entry_done.take(), &self.runtime) else {
+            return true;
+        };
+        let limit = self.core.settings.timing.stop_time;
+        runtime.block_on(async { tokio::time::timeout(limit, done).await.is_ok() })
+    }
+
+    fn end_threads(&mut self) {
+        self.claims = None;
+        self.pool = None;
+        let deadline = Instant::now() + Duration::from_secs(5);
+        for thread in self.threads.drain(..) {
+            // A thread that hangs in a call to a dead platform ends with the process.
+            while !thread.is_finished() && Instant::now() < deadline {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+}
+
+impl Drop for Node {
+    /// Ends the loops at once, as a crash would, without giving anything back.
+    fn drop(&mut self) {
+        self.core.stop();
+        self.peer.stop();
+        self.stop_entry.send_replace(true);
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).map_err(|error| NodeError::Listen { address, error })
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddr, NodeError> {
+    let address = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener
+        .local_addr()
+        .map_err(|error| NodeError::Listen { address, error })
+}
+
+/// A free port when none is named.
+fn reserve(address: SocketAddr) -> Result<SocketAddr, NodeError> {
+    if address.port() != 0 {
+        return Ok(address);
+    }
+    local(&bind(address)?)
+}
+
+fn platform(settings: &Settings) -> Platform {
+    let at = &settings.platform;
+    let caller = |address: SocketAddr| HttpCaller::builder(address.to_smolstr()).build();
+    Platform {
+        table: HttpTable::new(caller(at.table)),
+        objects: HttpObjectStore::new(caller(at.objects)),
+        weights: HttpWeightStore::new(caller(at.weights)),
+        hosts: HttpHostList::new(caller(at.hosts)),
+    }
+}
+
+/// A number above that of every earlier start, even if the wall clock went back.
+///
+/// With the table down, the wall clock alone has to do.
+fn incarnation(platform: &Platform, settings: &Settings) -> Incarnation {
+    let row = platform.table.get(&node_key(&settings.node)).ok().flatten();
+    let before: Option<(NodeRow, _)> = row.as_ref().and_then(decode);
+    let after = before.map_or(0, |(row, _)| row.incarnation + 1);
+    wall_ms().max(after)
+}
+
+fn start_peer(
+    core: &Arc<Core>,
+    refusals: &Refusals,
+    runtime: &Runtime,
+) -> Result<Arc<PeerNode<Peers>>, NodeError> {
+    let ident = &core.ident;
+    let cfg = PeerNodeConfig {
+        dissemination: DisseminationConfig {
+            me: Member {
+                id: ident.node.clone(),
+                address: ident.peer.to_smolstr(),
+                failure_domain: ident.failure_domain.clone(),
+                region: ident.region.clone(),
+            },
+            incarnation: ident.incarnation,
+            timing: eelgrassmill_peer::Timing::default(),
+        },
+        listen: ident.peer,
+        seeds: core.settings.seeds.clone(),
+    };
+    let handler = Arc::new(Peers::new(core.clone(), runtime.handle().clone()));
+    let node = PeerNode::start(cfg, handler.clone(), refusals.clone(), runtime.handle())?;
+    let node = Arc::new(node);
+    handler.set_node(&node);
+    publish_status(core, &node);
+    Ok(node)
+}
+
+fn publish_status(core: &Core, peer: &PeerNode<Peers>) {
+    let ident = &core.ident;
+    peer.publish(Item::Status(NodeStatus {
+        peer_address: ident.peer.to_smolstr(),
+        entry_address: ident.caller.to_smolstr(),
+        admin_address: ident.admin.to_smolstr(),
+        failure_domain: ident.failure_domain.clone(),
+        region: ident.region.clone(),
+        leaving: core.is_leaving(),
+    }));
+}
+
+fn publish_load(core: &Core, peer: &PeerNode<Peers>) {
+    let (mut waiting, mut running) = (0, 0);
+    for shard in core.all_shards() {
+        let (demand, runs) = shard.demand();
+        waiting += demand.total();
+        running += runs as u32;
+    }
+    // Waiting requests count in full: a node with a queue is full, whatever it runs.
+    let load_permille = (waiting * 1000 / (waiting + running + 1)).min(1000);
+    peer.publish(Item::Load(NodeLoad {
+        config_version: core.config.version(),
+        load_permille,
+    }));
+}
+
+fn start_loops(
+    core: &Arc<Core>,
+    peer: &Arc<PeerNode<Peers>>,
+    pool: &Arc<ProbePool>,
+    seen: &Arc<Mutex<Seen>>,
+    lease: &Arc<Mutex<LeaseKeeper>>,
+    planner: &Arc<Mutex<Planner>>,
+) -> Vec<JoinHandle<()>> {
+    let timing = &core.settings.timing;
+    let mut watcher = Watcher::new(core.clone(), peer.clone(), pool.clone());
+    let mut reader = Reader::new(core.clone(), peer.clone(), seen.clone());
+    let mut pulse = Pulse::new(core.clone());
+    let mut era = EraKeeper::new(core.clone());
+    let lease = lease.clone();
+    let planner = planner.clone();
+    let (load_core, load_peer) = (core.clone(), peer.clone());
+    let mut was_leaving = false;
+    vec![
+        every(
+            core,
+            "lease",
+            timing.lease_term / RENEWALS_PER_TERM,
+            move || {
+                lock(&lease).step();
+            },
+        ),
+        every(core, "reader", READ_PERIOD, move || reader.step()),
+        every(
+            core,
+            "watcher",
+            timing.probe_interval / JUDGEMENTS_PER_PROBE,
+            move || {
+                watcher.step();
+            },
+        ),
+        every(core, "pulse", PULSE_PERIOD, move || pulse.step()),
+        every(core, "planner", READ_PERIOD, move || lock(&planner).step()),
+        every(core, "era", ERA_PERIOD, move || era.step()),
+        every(core, "load", LOAD_PERIOD, move || {
+            publish_load(&load_core, &load_peer);
+            let leaving = load_core.is_leaving();
+            if leaving != was_leaving {
+                publish_status(&load_core, &load_peer);
+                was_leaving = leaving;
+            }
+        }),
+    ]
+}
+
+fn start_entry(
+    core: &Arc<Core>,
+    once: Once,
+    listener: TcpListener,
+    stopped: watch::Receiver<bool>,
+    runtime: &Runtime,
+) -> tokio::task::JoinHandle<()> {
+    let entry = Arc::new(Entry {
+        core: core.clone(),
+        once,
+    });
+    let connections = core.settings.limits.connections as usize;
+    runtime.spawn(async move {
+        let ready = listener
+            .set_nonblocking(true)
+            .and_then(|()| tokio::net::TcpListener::from_std(listener));
+        match ready {
+            Ok(listener) => listen::serve(listener, entry, connections, stopped).await,
+            Err(err) => tracing::error!(%err, "callers' port does not start"),
+        }
+    })
+}
+
+fn admin_limits(settings: &Settings) -> AdminLimits {
+    admin::AdminLimits {
+        connections: settings.admin_connections,
+        ..AdminLimits::default()
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,211 @@
+//! What this node does with what other nodes tell it.
+
+use std::sync::{Arc, OnceLock, Weak};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{ConfigVersion, HostId, Incarnation, NodeId};
+use eelgrassmill_group::{Verdict, Why};
+use eelgrassmill_peer::{
+    Change, ConfigText, Item, ItemKey, PeerHandler, PeerNode, QuotaReply, QuotaRequest, Update,
+    Verdict as VerdictItem,
+};
+use eelgrassmill_timeline::{EventKind, Query};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::runtime::Handle;
+
+use crate::apply::apply_config;
+use crate::state::core::Core;
+use crate::state::lock::lock;
+use crate::state::wholeness::Finding;
+
+/// Longest wait for a peer's text of a configuration.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Codes of verdicts between nodes.
+///
+/// Invariant: a code keeps its meaning over releases; an unknown one counts as
+/// a member that is silent, which never lets a group serve.
+mod code {
+    pub(super) const WHOLE: u32 = 0;
+    pub(super) const SILENT: u32 = 1;
+    pub(super) const RESTARTED: u32 = 2;
+    pub(super) const ELSEWHERE: u32 = 3;
+    pub(super) const NOT_READY: u32 = 4;
+    pub(super) const ENDING: u32 = 5;
+}
+
+/// Takes the updates and answers the questions of peers.
+pub(crate) struct Peers {
+    core: Arc<Core>,
+    runtime: Handle,
+    /// Set once the peer node runs; weak, since the peer node owns this handler.
+    node: OnceLock<Weak<PeerNode<Peers>>>,
+}
+
+impl Peers {
+    pub(crate) fn new(core: Arc<Core>, runtime: Handle) -> Peers {
+        Peers {
+            core,
+            runtime,
+            node: OnceLock::new(),
+        }
+    }
+
+    pub(crate) fn set_node(&self, node: &Arc<PeerNode<Peers>>) {
+        // Set by the one start of the node; a second call would change nothing.
+        let _ = self.node.set(Arc::downgrade(node));
+    }
+
+    fn take(&self, update: Update) {
+        let Update {
+            origin,
+            incarnation,
+            change,
+        } = update;
+        if self.core.is_me(&origin) {
+            return;
+        }
+        match change {
+            Change::Put { item, as_of, .. } => self.put(&origin, incarnation, item, as_of),
+            Change::Removed(key) => self.removed(&origin, &key),
+            Change::Confirmed(as_of) => {
+                let mut whole = lock(&self.core.whole);
+                whole.on_confirmed(&origin, incarnation, as_of, Instant::now());
+            }
+            Change::Forgotten => self.forgotten(&origin),
+        }
+    }
+
+    fn put(&self, origin: &NodeId, incarnation: Incarnation, item: Item, as_of: Instant) {
+        match item {
+            Item::Verdict(item) => {
+                let now = Instant::now();
+                let mut whole = lock(&self.core.whole);
+                whole.on_finding(origin, incarnation, finding(&item), as_of, now);
+            }
+            Item::Config(announced) => {
+                if announced.version > self.core.config.version() {
+                    self.fetch(origin.clone());
+                }
+            }
+            Item::Status(status) => {
+                lock(&self.core.directory).on_status(origin, incarnation, &status);
+            }
+            Item::Load(load) => lock(&self.core.directory).on_load(origin, &load),
+            Item::Leaving(leaving) => self.leaving(&leaving.host, origin, true),
+            Item::Suspect(_) | Item::GroupLoad(_) => {}
+        }
+    }
+
+    fn removed(&self, origin: &NodeId, key: &ItemKey) {
+        match key {
+            ItemKey::Verdict(group) => lock(&self.core.whole).withdraw(origin, group),
+            ItemKey::Leaving(host) => self.leaving(host, origin, false),
+            _ => {}
+        }
+    }
+
+    fn leaving(&self, host: &HostId, by: &NodeId, leaving: bool) {
+        lock(&self.core.fleet).set_leaving(host, by, leaving);
+    }
+
+    fn forgotten(&self, origin: &NodeId) {
+        lock(&self.core.whole).forget_watcher(origin);
+        lock(&self.core.fleet).forget_watcher(origin);
+        if lock(&self.core.directory).forget(origin) {
+            let peer = origin.clone();
+            let reason = "not heard from".into();
+            self.core.journal.note(EventKind::NodeLeft { peer, reason });
+        }
+    }
+
+    /// Fetches the text of a version that a peer announced.
+    fn fetch(&self, from: NodeId) {
+        let Some(node) = self.node.get().and_then(Weak::upgrade) else {
+            return;
+        };
+        let core = self.core.clone();
+        self.runtime.spawn(async move {
+            let base = core.config.text();
+            match node.config_of(&from, base.as_ref(), FETCH_TIMEOUT).await {
+                Ok(text) => apply_config(&core, &node, &text),
+                // The table's reader brings it too, and the announcement comes
+                // again from other nodes that have it in force.
+                Err(err) => tracing::debug!(%err, %from, "configuration not fetched"),
+            }
+        });
+    }
+}
+
+impl PeerHandler for Peers {
+    fn updated(&self, updates: Vec<Update>) {
+        for update in updates {
+            self.take(update);
+        }
+    }
+
+    fn config(&self) -> Option<ConfigText> {
+        self.core.config.text()
+    }
+
+    fn former_config(&self, version: ConfigVersion) -> Option<ConfigText> {
+        self.core.config.former(version)
+    }
+
+    fn timeline(&self, query: &[u8]) -> Vec<u8> {
+        let query: Query = serde_json::from_slice(query).unwrap_or_default();
+        let answer = self.core.journal.query(&query);
+        serde_json::to_vec(&answer).unwrap_or_default()
+    }
+
+    fn quota(&self, _req: QuotaRequest) -> QuotaReply {
+        QuotaReply::default()
+    }
+}
+
+/// A finding as it travels: the code, and lead and missing host in the text.
+pub(crate) fn verdict_item(finding: &Finding) -> VerdictItem {
+    let (code, host) = match &finding.verdict {
+        Verdict::Whole => (code::WHOLE, ""),
+        Verdict::Ending => (code::ENDING, ""),
+        Verdict::Missing { host, why } => (code_of(*why), host.as_str()),
+    };
+    VerdictItem {
+        group: finding.group.clone(),
+        epoch: finding.epoch,
+        serves: code == code::WHOLE,
+        code,
+        reason: format_smolstr!("{} {host}", finding.lead),
+    }
+}
+
+fn code_of(why: Why) -> u32 {
+    match why {
+        Why::Silent => code::SILENT,
+        Why::Restarted => code::RESTARTED,
+        Why::Elsewhere => code::ELSEWHERE,
+        Why::NotReady => code::NOT_READY,
+    }
+}
+
+fn finding(item: &VerdictItem) -> Finding {
+    let (lead, host) = item.reason.split_once(' ').unwrap_or((&item.reason, ""));
+    let missing = |why| Verdict::Missing {
+        host: SmolStr::new(host),
+        why,
+    };
+    let verdict = match item.code {
+        code::WHOLE if item.serves => Verdict::Whole,
+        code::RESTARTED => missing(Why::Restarted),
+        code::ELSEWHERE => missing(Why::Elsewhere),
+        code::NOT_READY => missing(Why::NotReady),
+        code::ENDING => Verdict::Ending,
+        _ => missing(Why::Silent),
+    };
+    Finding {
+        group: item.group.clone(),
+        epoch: item.epoch,
+        lead: lead.into(),
+        verdict,
+    }
+}
--- /dev/null
+++ b/crates/node/src/state/core.rs
@@ -0,0 +1,254 @@
+//! Everything that the ports and loops of one node share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Instant;
+
+use eelgrassmill_base::{Epoch, HostId, NodeId, ServiceName, TargetKind, TenantId};
+use eelgrassmill_claim::EraClock;
+use eelgrassmill_config::{Config, Service, ServiceKind};
+use eelgrassmill_engine::{HostControl, TargetClient};
+use eelgrassmill_group::{HeldLease, LeaseTiming, NodeState};
+use eelgrassmill_platform::{
+    HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, TableError,
+};
+use eelgrassmill_route::{RetryBudget, Slots, fallback_part};
+
+use smol_str::SmolStr;
+
+use super::config::ConfigCell;
+use super::directory::Directory;
+use super::fleet::Fleet;
+use super::ident::Ident;
+use super::journal::Journal;
+use super::lock::lock;
+use super::reports::Reports;
+use super::shard::Shard;
+use super::wholeness::Wholeness;
+use crate::Settings;
+use crate::metrics::{Metrics, TableCall, TableResult};
+
+/// Clients of the platform's services.
+pub(crate) struct Platform {
+    pub(crate) table: HttpTable,
+    pub(crate) objects: HttpObjectStore,
+    pub(crate) weights: HttpWeightStore,
+    pub(crate) hosts: HttpHostList,
+}
+
+/// What a tenant's requests did at this node.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TenantCount {
+    pub(crate) running: u64,
+    pub(crate) queued: u64,
+    pub(crate) admitted: u64,
+    pub(crate) refused: u64,
+}
+
+/// What one node knows and uses.
+///
+/// Each field has its own lock. Where two are held together, it is in the
+/// order in which they stand here; none is held over an await or a call.
+pub(crate) struct Core {
+    pub(crate) ident: Ident,
+    pub(crate) settings: Settings,
+    pub(crate) timing: LeaseTiming,
+    pub(crate) journal: Journal,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) platform: Platform,
+    pub(crate) control: Arc<HostControl>,
+    pub(crate) targets: TargetClient,
+    pub(crate) reports: Arc<Reports>,
+    pub(crate) config: ConfigCell,
+    pub(crate) lease: Mutex<HeldLease>,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) whole: Mutex<Wholeness>,
+    pub(crate) directory: Mutex<Directory>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) era: Mutex<EraClock>,
+    /// The node that the planner row of this region names.
+    pub(crate) planner: Mutex<Option<NodeId>>,
+    pub(crate) tenant_counts: Mutex<BTreeMap<TenantId, TenantCount>>,
+    /// Why services can't serve though groups of them are whole, as last worked out.
+    pub(crate) held_up: Mutex<BTreeMap<ServiceName, SmolStr>>,
+    shards: RwLock<BTreeMap<ServiceName, Arc<Shard>>>,
+    leaving: AtomicBool,
+    stopped: AtomicBool,
+}
+
+impl Core {
+    pub(crate) fn new(
+        ident: Ident,
+        settings: Settings,
+        platform: Platform,
+        metrics: Arc<Metrics>,
+    ) -> Core {
+        let timing = LeaseTiming {
+            term: settings.timing.lease_term,
+            margin: settings.timing.clock_margin,
+            order_transit: settings.timing.order_time,
+            sighting_gap: settings.timing.lease_term / 2,
+        };
+        let control = HostControl::builder()
+            .step_timeout(settings.timing.probe_interval)
+            .total_timeout(settings.timing.probe_interval * 2)
+            .build();
+        Core {
+            timing,
+            journal: Journal::new(ident.node.clone(), ident.incarnation),
+            metrics,
+            platform,
+            control: Arc::new(control),
+            targets: TargetClient::builder().build(),
+            reports: Arc::new(Reports::new()),
+            config: ConfigCell::new(),
+            lease: Mutex::new(HeldLease::new(timing, ident.incarnation)),
+            fleet: Mutex::new(Fleet::default()),
+            whole: Mutex::new(Wholeness::default()),
+            directory: Mutex::new(Directory::default()),
+            retries: Mutex::new(RetryBudget::default()),
+            era: Mutex::new(EraClock::default()),
+            planner: Mutex::new(None),
+            tenant_counts: Mutex::new(BTreeMap::new()),
+            held_up: Mutex::new(BTreeMap::new()),
+            shards: RwLock::new(BTreeMap::new()),
+            leaving: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            ident,
+            settings,
+        }
+    }
+
+    /// Whether this node takes no new work, by order to stop or by the text.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire) || self.config.config().drains_node(&self.ident.node)
+    }
+
+    pub(crate) fn begin_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether the loops are to end.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn node_state(&self) -> NodeState {
+        if self.is_leaving() {
+            NodeState::Leaving
+        } else {
+            NodeState::Serving
+        }
+    }
+
+    /// Whether `node` is another node's name.
+    pub(crate) fn is_me(&self, node: &NodeId) -> bool {
+        *node == self.ident.node
+    }
+
+    /// The shard of a service of groups or targets of its own.
+    pub(crate) fn shard(&self, service: &str) -> Option<Arc<Shard>> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.get(service).cloned()
+    }
+
+    pub(crate) fn all_shards(&self) -> Vec<Arc<Shard>> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.values().cloned().collect()
+    }
+
+    /// Makes shards for new services and drops those of services that are gone.
+    ///
+    /// Requests in progress keep the shard that they began with.
+    pub(crate) fn set_services(&self, cfg: &Config) {
+        let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
+        shards.retain(|name, _| cfg.services.get(name).is_some_and(has_own_targets));
+        for service in cfg.services.values().filter(|s| has_own_targets(s)) {
+            shards.entry(service.name.clone()).or_insert_with(|| {
+                let seed = self.ident.seed(&service.name);
+                Arc::new(Shard::new(service.name.clone(), service.max_queue, seed))
+            });
+        }
+        drop(shards);
+        lock(&self.retries).retain(|tenant| cfg.tenants.contains_key(tenant));
+        lock(&self.tenant_counts).retain(|tenant, _| cfg.tenants.contains_key(tenant));
+    }
+
+    /// Plain targets of the configuration that the host list knows.
+    pub(crate) fn plain_targets(&self, cfg: &Config) -> Vec<HostId> {
+        let fleet = lock(&self.fleet);
+        let mut targets: Vec<HostId> = Vec::new();
+        for service in cfg.services.values() {
+            if let ServiceKind::Plain { targets: named, .. } = &service.kind {
+                targets.extend(named.iter().cloned());
+            }
+        }
+        targets.retain(|t| {
+            let kind = fleet.hosts.get(t).map(|h| h.kind);
+            kind == Some(TargetKind::Plain)
+        });
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+
+    /// Counts a failed call to the table service.
+    pub(crate) fn table_failed(&self, call: TableCall, err: &TableError) {
+        let result = match err {
+            TableError::Unavailable(_) => TableResult::Unavailable,
+            TableError::Unknown(_) | TableError::Protocol(_) => TableResult::Unknown,
+        };
+        self.metrics.table_call(call, result);
+    }
+
+    /// What this entry may have running at a group.
+    pub(crate) fn quota(
+        &self,
+        _group: &str,
+        _epoch: Epoch,
+        slots: Slots,
+        fleet: &Fleet,
+        _now: Instant,
+    ) -> Slots {
+        let entries = fleet.serving_nodes().count().max(1) as u32;
+        fallback_part(slots, entries)
+    }
+
+    /// Changes the counts of a tenant.
+    pub(crate) fn count(&self, tenant: &TenantId, change: impl FnOnce(&mut TenantCount)) {
+        change(lock(&self.tenant_counts).entry(tenant.clone()).or_default());
+    }
+
+    /// Why a service can't serve though groups of it are whole.
+    pub(crate) fn why_not_serving(&self, service: &str) -> Option<SmolStr> {
+        lock(&self.held_up).get(service).cloned()
+    }
+
+    /// Whether the node's lease is valid now.
+    pub(crate) fn holds_lease(&self) -> bool {
+        lock(&self.lease).valid_at(Instant::now())
+    }
+}
+
+/// Adapters are served by the groups of their base and have no shard.
+fn has_own_targets(service: &Service) -> bool {
+    !matches!(service.kind, ServiceKind::Adapter { .. })
+}
+
+/// The service whose groups or targets serve `service`.
+///
+/// The checked configuration has no cycles, so this ends.
+pub(crate) fn serving_service<'a>(cfg: &'a Config, service: &'a Service) -> &'a Service {
+    match &service.kind {
+        ServiceKind::Adapter { base, .. } => match cfg.services.get(base) {
+            Some(base) => serving_service(cfg, base),
+            None => service,
+        },
+        _ => service,
+    }
+}
--- /dev/null
+++ b/crates/node/src/state/mod.rs
@@ -0,0 +1,12 @@
+//! What one node knows, in shards that each have their own lock.
+
+pub(crate) mod config;
+pub(crate) mod core;
+pub(crate) mod directory;
+pub(crate) mod fleet;
+pub(crate) mod ident;
+pub(crate) mod journal;
+pub(crate) mod lock;
+pub(crate) mod reports;
+pub(crate) mod shard;
+pub(crate) mod wholeness;
--- /dev/null
+++ b/crates/node/src/state/shard.rs
@@ -0,0 +1,250 @@
+//! One service's queue and groups, under one lock.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{GroupId, ServiceName, Tokens};
+use eelgrassmill_route::{
+    Candidate, GroupPicker, Offer, Pick, PrefixHashes, QueueOptions, Refusal, Sample, ServiceQueue,
+    SlotKind, Slots, Ticket,
+};
+use smallvec::SmallVec;
+use tokio::sync::oneshot;
+
+use super::lock::lock;
+
+/// Requests wait this long for a group when none may serve. Evidence may lapse
+/// for a moment when a watcher dies; a group that is formed anew takes longer,
+/// and whoever waits for it is better told at once when to come back.
+const DESERTED_GRACE: Duration = Duration::from_secs(3);
+
+/// Groups that a request failed at before.
+pub(crate) type Avoided = SmallVec<[GroupId; 2]>;
+
+/// A request that waits for its turn.
+struct Waiter {
+    tx: oneshot::Sender<Turn>,
+    prefixes: PrefixHashes,
+    avoid: Avoided,
+}
+
+/// What a waiting request is told.
+#[derive(Debug)]
+pub(crate) enum Turn {
+    /// It may be sent to the group of the pick.
+    Start(Pick),
+    /// It is given up on, and has its final answer now.
+    GivenUp(Refusal),
+    /// No group is left that could take it.
+    NoGroup,
+}
+
+struct State {
+    queue: ServiceQueue<Waiter>,
+    picker: GroupPicker,
+    /// Invariant: holds every ticket that waits in `queue`, and maybe some that no longer do.
+    waiting: BTreeSet<Ticket>,
+    /// Since when there is no group or target that may serve; `None` while there is one.
+    deserted: Option<Instant>,
+}
+
+/// One service at this node. Its lock is held for a few steps only and never over an await.
+pub(crate) struct Shard {
+    service: ServiceName,
+    state: Mutex<State>,
+}
+
+/// A place in the queue, and after its turn a slot at a group; given back when dropped.
+///
+/// The caller may leave at any await. Without this guard the slot of a request
+/// whose future was dropped would stay taken for good.
+pub(crate) struct Place {
+    shard: Arc<Shard>,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Turn>,
+    pick: Option<Pick>,
+    /// What is charged when the place is given back; `None` until something ran.
+    used: Option<Tokens>,
+}
+
+impl Shard {
+    pub(crate) fn new(service: ServiceName, max_queue: u32, seed: u64) -> Shard {
+        let opts = QueueOptions::default().max_queue(max_queue).seed(seed);
+        Shard {
+            service,
+            state: Mutex::new(State {
+                queue: ServiceQueue::new(opts),
+                picker: GroupPicker::new(seed),
+                waiting: BTreeSet::new(),
+                deserted: Some(Instant::now()),
+            }),
+        }
+    }
+
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Asks for a place.
+    ///
+    /// # Errors
+    /// When the request is refused at once. With no group for long, its turn is
+    /// [`Turn::NoGroup`] at once.
+    pub(crate) fn offer(
+        self: &Arc<Shard>,
+        offer: Offer,
+        prefixes: PrefixHashes,
+        avoid: Avoided,
+        now: Instant,
+    ) -> Result<Place, Refusal> {
+        let (tx, rx) = oneshot::channel();
+        let waiter = Waiter {
+            tx,
+            prefixes,
+            avoid,
+        };
+        let mut state = self.state();
+        let ticket = state.queue.offer(offer, waiter, now)?;
+        state.waiting.insert(ticket);
+        state.pump(now);
+        drop(state);
+        Ok(Place {
+            shard: self.clone(),
+            ticket,
+            rx,
+            pick: None,
+            used: None,
+        })
+    }
+
+    /// Replaces the groups that may be picked.
+    pub(crate) fn set_candidates(&self, candidates: Vec<Candidate>, now: Instant) {
+        let mut state = self.state();
+        state.deserted = match candidates.is_empty() {
+            true => state.deserted.or(Some(now)),
+            false => None,
+        };
+        state.picker.update(candidates, now);
+        state.pump(now);
+    }
+
+    pub(crate) fn observe(&self, pick: &Pick, sample: Sample, now: Instant) {
+        self.state()
+            .picker
+            .observe(&pick.group, pick.epoch, sample, now);
+    }
+
+    pub(crate) fn report(&self, pick: (&GroupId, u64), running: u32, taken_at: Instant) {
+        self.state()
+            .picker
+            .report(pick.0, pick.1, running, taken_at);
+    }
+
+    /// Waiting requests by kind of slot, and running ones.
+    pub(crate) fn demand(&self) -> (Slots, usize) {
+        let state = self.state();
+        (state.queue.demand(), state.queue.running())
+    }
+}
+
+impl State {
+    fn pump(&mut self, now: Instant) {
+        for (waiter, refusal) in self.queue.expire(now) {
+            // A caller that has left wants no refusal.
+            let _ = waiter.tx.send(Turn::GivenUp(refusal));
+        }
+        if self.is_deserted(now) {
+            self.send_all_away();
+        }
+        while let Some(started) = self.queue.start(self.picker.free(now), now) {
+            self.waiting.remove(&started.ticket);
+            let waiter = started.payload;
+            let Some(pick) = self.pick(started.slot, &waiter, now) else {
+                self.queue.cancel(started.ticket);
+                let _ = waiter.tx.send(Turn::NoGroup);
+                continue;
+            };
+            if let Err(Turn::Start(pick)) = waiter.tx.send(Turn::Start(pick)) {
+                self.picker.ended(&pick);
+                self.queue.cancel(started.ticket);
+            }
+        }
+    }
+}
+
+impl State {
+    fn is_deserted(&self, now: Instant) -> bool {
+        self.deserted
+            .is_some_and(|since| now.saturating_duration_since(since) >= DESERTED_GRACE)
+    }
+
+    fn send_all_away(&mut self) {
+        for ticket in std::mem::take(&mut self.waiting) {
+            if let Some(waiter) = self.queue.cancel(ticket) {
+                let _ = waiter.tx.send(Turn::NoGroup);
+            }
+        }
+    }
+
+    /// A group that the request has not failed at, or any when there is no other.
+    fn pick(&mut self, slot: SlotKind, waiter: &Waiter, now: Instant) -> Option<Pick> {
+        let elsewhere = self.picker.pick(slot, &waiter.prefixes, &waiter.avoid, now);
+        elsewhere.or_else(|| self.picker.pick(slot, &waiter.prefixes, &[], now))
+    }
+}
+
+impl Place {
+    /// Waits for the turn.
+    pub(crate) async fn turn(&mut self) -> Turn {
+        match (&mut self.rx).await {
+            Ok(Turn::Start(pick)) => {
+                self.pick = Some(pick.clone());
+                Turn::Start(pick)
+            }
+            Ok(turn) => turn,
+            Err(_) => Turn::NoGroup,
+        }
+    }
+
+    /// Notes what the request has really used; nothing is charged without.
+    pub(crate) fn used(&mut self, tokens: Tokens) {
+        self.used = Some(tokens);
+    }
+
+    /// The group whose slot it holds.
+    pub(crate) fn group(&self) -> Option<GroupId> {
+        self.pick.as_ref().map(|pick| pick.group.clone())
+    }
+
+    pub(crate) fn observe(&self, sample: Sample, now: Instant) {
+        if let Some(pick) = &self.pick {
+            self.shard.observe(pick, sample, now);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut state = self.shard.state();
+        state.waiting.remove(&self.ticket);
+        // The turn may have come between the last poll and this drop.
+        self.rx.close();
+        if let Ok(Turn::Start(pick)) = self.rx.try_recv() {
+            self.pick = Some(pick);
+        }
+        if let Some(pick) = &self.pick {
+            state.picker.ended(pick);
+        }
+        match self.used {
+            Some(tokens) => state.queue.settle(self.ticket, tokens, now),
+            None => drop(state.queue.cancel(self.ticket)),
+        }
+        state.pump(now);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/util/mod.rs
@@ -0,0 +1,186 @@
+//! Nodes and stand-ins in one process, and a caller's and an operator's view of them.
+// Each test file uses a part of it, and a panic is how a test fails.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_node::{Node, Settings};
+use eelgrassmill_standin::{Standins, engine_specs, plain_specs};
+use oxhttp::Client;
+use oxhttp::model::{Body, Request, Response};
+use serde_json::Value;
+
+pub const ADMIN_TOKEN: &str = "admin-token-of-the-tests";
+pub const TENANT_TOKEN: &str = "front-desk-token";
+/// SHA-256 of `front-desk-token`.
+const TENANT_SHA: &str = "4041b16b35e6017fd6730601da4767cb77320f501eec6fc573dddddb52a7298e";
+
+pub struct Answer {
+    pub status: u16,
+    pub retry_after: Option<String>,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or_else(|e| panic!("{e}: {}", self.text))
+    }
+
+    pub fn outcome(&self) -> String {
+        self.json()["outcome"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+pub struct Cluster {
+    pub standins: Standins,
+    pub nodes: Vec<Node>,
+}
+
+/// A text with one model service of groups of two and one plain service.
+pub fn text(groups: u32) -> String {
+    format!(
+        "[fleet]\nrepair = downtime\n\n\
+         [tenant front-desk]\ntoken_sha256 = {TENANT_SHA}\nweight = 1\nmax_queue = 100\n\n\
+         [service reply]\nkind = model\nmodel = lm\nversion = 1\ngroups = {groups}\n\
+         hosts_per_group = 2\nfloor = 0\nslots = 8\nurgent_slots = 2\nrepeatable = yes\n\
+         timeout = 20s\nmax_queue = 100\n\n\
+         [service booking]\nkind = plain\ntargets = plain-0\nslots = 8\nrepeatable = no\n\
+         timeout = 10s\nmax_queue = 100\n"
+    )
+}
+
+pub fn settings(i: usize, standins: &Standins) -> Settings {
+    let platform: SocketAddr = standins.platform_address().parse().unwrap();
+    let mut settings = Settings::loopback(format!("node-{i}"), platform, ADMIN_TOKEN);
+    settings.region = "region-1".into();
+    settings.failure_domain = format!("domain-{}", i % 3 + 1).into();
+    settings.timing.lease_term = Duration::from_secs(3);
+    settings.timing.clock_margin = Duration::from_millis(300);
+    settings.timing.order_time = Duration::from_secs(1);
+    settings.timing.address_keep = Duration::from_secs(1);
+    settings
+}
+
+impl Cluster {
+    pub fn start(nodes: usize, engines: usize) -> Cluster {
+        let standins = Standins::builder()
+            .hosts(engine_specs(engines, 4))
+            .hosts(plain_specs(1))
+            .weights("lm", "1", 1 << 20)
+            .start()
+            .unwrap();
+        let nodes = (0..nodes).map(|i| Node::start(settings(i, &standins)).unwrap());
+        let nodes = nodes.collect();
+        Cluster { standins, nodes }
+    }
+
+    /// Submits `text` at node 0 and waits until every node has it in force.
+    pub fn accept(&self, text: &str, base: u64) -> u64 {
+        let submit = serde_json::json!({
+            "id": format!("submit-{base}"), "base": base, "author": "test", "text": text,
+        });
+        let answer = self.admin(0, "POST", "/admin/v1/config", &submit.to_string());
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        let version = answer.json()["version"].as_u64().unwrap();
+        eventually("config in force everywhere", || {
+            let status = self.admin(0, "GET", "/admin/v1/config/status", "").json();
+            let nodes = status["nodes"].as_array().unwrap().clone();
+            nodes.len() == self.nodes.len()
+                && nodes.iter().all(|n| n["version"].as_u64() == Some(version))
+        });
+        version
+    }
+
+    pub fn wait_whole(&self, groups: usize) {
+        for i in 0..self.nodes.len() {
+            eventually("groups whole", || self.serving(i).len() == groups);
+        }
+    }
+
+    /// Groups that node `i` takes to serve, with their members.
+    pub fn serving(&self, i: usize) -> Vec<(String, Vec<String>)> {
+        let groups = self.admin(i, "GET", "/admin/v1/groups", "").json();
+        let serving = groups.as_array().unwrap().iter();
+        serving
+            .filter(|g| g["serving"].as_bool().unwrap())
+            .map(|g| {
+                let members = g["members"].as_array().unwrap().iter();
+                let members = members.map(|m| m.as_str().unwrap().to_owned());
+                (g["group"].as_str().unwrap().to_owned(), members.collect())
+            })
+            .collect()
+    }
+
+    pub fn admin(&self, i: usize, method: &str, path: &str, body: &str) -> Answer {
+        let token = format!("Bearer {ADMIN_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        call(self.nodes[i].admin_address(), method, path, &headers, body)
+    }
+
+    pub fn complete(&self, i: usize, prompt: &str, tokens: u64) -> Answer {
+        let body = completion(prompt, tokens, false);
+        self.caller(i, "/v1/completions", &[], &body)
+    }
+
+    pub fn caller(&self, i: usize, path: &str, more: &[(&str, &str)], body: &str) -> Answer {
+        let token = format!("Bearer {TENANT_TOKEN}");
+        let mut headers = vec![("authorization", token.as_str())];
+        headers.extend_from_slice(more);
+        call(self.nodes[i].caller_address(), "POST", path, &headers, body)
+    }
+
+    /// Switches a fault of a stand-in host on.
+    pub fn fault(&self, host: &str, name: &str, query: &str) {
+        let control = self.standins.control_address().parse().unwrap();
+        let path = format!("/fault?target={host}&name={name}{query}");
+        let answer = call(control, "POST", &path, &[], "");
+        assert_eq!(answer.status / 100, 2, "{path}: {}", answer.text);
+    }
+}
+
+pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
+    serde_json::json!({
+        "model": "reply", "prompt": prompt, "max_tokens": tokens, "stream": stream,
+    })
+    .to_string()
+}
+
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut req = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(Body::from(body.to_owned())).unwrap();
+    let client = Client::new().with_global_timeout(Duration::from_secs(30));
+    let resp: Response<Body> = client.request(req).unwrap();
+    let status = resp.status().as_u16();
+    let retry_after = resp.headers().get("retry-after");
+    let retry_after = retry_after.map(|v| v.to_str().unwrap().to_owned());
+    let text = resp.into_body().to_string().unwrap();
+    Answer {
+        status,
+        retry_after,
+        text,
+    }
+}
+
+/// Waits until `check` holds; fails after a bound far above what it should take.
+pub fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !check() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
