Name cache events by the beginnings that the choice of group uses

Cause: the stand-in cut prompts into blocks of 64 bytes with names of its own, so its events could not correct the record of what was sent.

Change: beginnings at 256, 512, 1,024 bytes and so on, named by a chain of stable hashes, on both sides; a cache bounded in bytes; HostControl asks for events and cancels requests.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use eelgrassmill_base::{HostId, HostReport, Order, OrderReply};
-use eelgrassmill_platform::{HttpCaller, Reply};
+use eelgrassmill_base::{HostId, HostReport, Order, OrderReply, value};
+use eelgrassmill_platform::{HttpCaller, Reply, percent_encode};
+use serde::Deserialize;
 
 use crate::TargetError;
 
@@ -12,6 +13,43 @@
 const OK: u16 = 200;
 const CONFLICT: u16 = 409;
 
+value! { wire copy
+    /// What happened to a beginning of prompts in an engine's prefix cache.
+    pub enum CacheChange {
+        /// It is in the cache now.
+        Stored,
+        /// It was thrown out.
+        Evicted,
+    }
+}
+
+value! { wire
+    /// One event of a prefix cache.
+    pub struct CacheEvent {
+        /// Rises by one with every event; a number left out was lost.
+        pub seq: u64,
+        /// What happened.
+        pub change: CacheChange,
+        /// The beginning's name.
+        pub prefix: u64,
+    }
+
+    /// Events of a prefix cache, as far as they are published.
+    pub struct CacheEvents {
+        /// The start of the host that counts these events; a new one starts over.
+        pub incarnation: u64,
+        /// What to ask for next.
+        pub next: u64,
+        /// The events, in the order of their numbers.
+        pub events: Vec<CacheEvent>,
+    }
+}
+
+#[derive(Deserialize)]
+struct Cancelled {
+    cancelled: bool,
+}
+
 /// Probes hosts and gives them orders. Every call blocks for a bounded time.
 #[derive(Clone, Debug)]
 pub struct HostControl {
@@ -99,6 +137,32 @@
         }
     }
 
+    /// Asks an engine for the events of its prefix cache from number `since` on.
+    ///
+    /// # Errors
+    /// When no answer came.
+    pub fn cache_events(&self, address: &str, since: u64) -> Result<CacheEvents, TargetError> {
+        let caller = self.caller(address);
+        let reply = caller.get(&format!("/cache-events?since={since}"))?;
+        match reply.status.as_u16() {
+            OK => Ok(caller.json(&reply)?),
+            _ => Err(caller.unexpected(&reply).into()),
+        }
+    }
+
+    /// Asks an engine to stop a request; whether it was there to be stopped.
+    ///
+    /// # Errors
+    /// When no answer came.
+    pub fn cancel(&self, address: &str, request: &str) -> Result<bool, TargetError> {
+        let caller = self.caller(address);
+        let reply = caller.post_json(&format!("/v1/cancel/{}", percent_encode(request)), &())?;
+        match reply.status.as_u16() {
+            OK => Ok(caller.json::<Cancelled>(&reply)?.cancelled),
+            _ => Err(caller.unexpected(&reply).into()),
+        }
+    }
+
     fn caller(&self, address: &str) -> HttpCaller {
         HttpCaller::builder(address)
             .step_timeout(self.step_timeout)
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,7 +12,7 @@
 mod stream;
 
 pub use crate::client::{TargetClient, TargetClientBuilder, TargetRequest};
-pub use crate::control::{HostControl, HostControlBuilder};
+pub use crate::control::{CacheChange, CacheEvent, CacheEvents, HostControl, HostControlBuilder};
 pub use crate::error::{BodyError, SendError, TargetError};
 pub use crate::response::TargetResponse;
 pub use crate::stream::{StreamEvent, TokenEvent, TokenStream};
--- a/crates/engine/tests/targets.rs
+++ b/crates/engine/tests/targets.rs
@@ -11,9 +11,7 @@
 use eelgrassmill_engine::{
     BodyError, SendError, StreamEvent, TargetClient, TargetError, TokenStream,
 };
-use eelgrassmill_standin::{
-    CacheEvents, RunEnd, expected_answer, expected_plain_answer, prefix_blocks,
-};
+use eelgrassmill_standin::{RunEnd, expected_answer, expected_plain_answer, prefix_names};
 use googletest::prelude::*;
 
 #[gtest]
@@ -316,20 +314,41 @@
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn cache_events_name_the_blocks_of_a_prompt() {
+async fn cache_events_come_late_and_name_the_beginnings_of_a_prompt() {
     let bench = Bench::start();
-    let prompt = "0123456789abcdef".repeat(9);
-    let req = completion("r1", &prompt, 1, false);
+    let prompt = "0123456789abcdef".repeat(70);
     let (client, lead) = (TargetClient::default(), bench.address(LEAD));
-    ask(&client, &lead, req).await.unwrap();
-    let caller = eelgrassmill_platform::HttpCaller::builder(lead).build();
-    let mut blocks = Vec::new();
+    ask(&client, &lead, completion("r1", &prompt, 1, false))
+        .await
+        .unwrap();
+    expect_that!(
+        bench.control.cache_events(&lead, 0).unwrap().events,
+        is_empty()
+    );
+    let mut events = Vec::new();
     wait_for("the events are published", || {
-        let reply = caller.get("/cache-events?since=0").unwrap();
-        let events: CacheEvents = caller.json(&reply).unwrap();
-        blocks = events.events.into_iter().map(|event| event.block).collect();
-        !blocks.is_empty()
+        events = bench.control.cache_events(&lead, 0).unwrap().events;
+        !events.is_empty()
     });
-    expect_that!(blocks, eq(&prefix_blocks(&prompt)));
-    expect_that!(blocks.len(), eq(2));
+    let names: Vec<u64> = events.iter().map(|event| event.prefix).collect();
+    expect_that!(names, eq(&prefix_names(&prompt)));
+    expect_that!(names.len(), eq(3));
+    let rest = bench.control.cache_events(&lead, 3).unwrap();
+    expect_that!((rest.next, rest.events.len()), eq((4, 1)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_request_breaks_off() {
+    let bench = Bench::with_token_time(Duration::from_millis(5));
+    let (client, lead) = (TargetClient::default(), bench.address(LEAD));
+    let response = client
+        .send(&lead, completion("r1", PROMPT, 100_000, true))
+        .await
+        .unwrap();
+    let reading = tokio::spawn(read_stream(response));
+    expect_that!(bench.control.cancel(&lead, "r1"), ok(eq(&true)));
+    let end = reading.await.unwrap();
+    expect_that!(end, err(pat!(Fail::Body(pat!(BodyError::Cut(anything()))))));
+    expect_that!(bench.control.cancel(&lead, "r1"), ok(eq(&false)));
 }
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -102,7 +102,7 @@
         };
         Host {
             slots: Slots::new(spec.slots, spec.queue),
-            cache: PrefixCache::new(spec.cache_blocks, spec.event_lag),
+            cache: PrefixCache::new(spec.cache_bytes, spec.event_lag),
             spec,
             address,
             faults: FaultSet::new(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,6 +28,6 @@
 pub use crate::builder::{Standins, StandinsBuilder, StartError};
 pub use crate::engine::KILLER_MARK;
 pub use crate::faults::{Fault, PlatformFault};
-pub use crate::prefix::{BLOCK_BYTES, CacheChange, CacheEvent, CacheEvents, prefix_blocks};
+pub use crate::prefix::{CacheChange, CacheEvent, CacheEvents, prefix_names};
 pub use crate::runs::{OrderSeen, Run, RunEnd, RunReport};
 pub use crate::spec::{HostSpec, Pace, engine_specs, plain_specs};
--- a/crates/standin/src/prefix.rs
+++ b/crates/standin/src/prefix.rs
@@ -1,19 +1,18 @@
 //! The prefix cache of an engine and the events it publishes.
 //!
-//! A prompt is cut into blocks of [`BLOCK_BYTES`] bytes (rounded down to whole
-//! characters; a shorter rest is no block). The name of a block is the stable
-//! hash of the name of the block before it, as 16 hexadecimal digits or empty,
-//! and its text.
+//! The beginnings of a prompt count at 256 bytes, 512, 1,024 and so on, each
+//! rounded down to whole characters. A beginning is named by the stable hash of
+//! the name of the one before it (in decimal; empty for the first) and of the
+//! text since its end.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{stable_hash, value};
-use smol_str::{SmolStr, format_smolstr};
 
-/// Bytes of prompt text in a block.
-pub const BLOCK_BYTES: usize = 64;
+/// Bytes of the shortest beginning that counts.
+const FIRST_PREFIX: usize = 256;
 /// Prompt bytes that count as one token.
 pub(crate) const BYTES_PER_TOKEN: usize = 4;
 /// Every event with a number divisible by this one is never published.
@@ -21,7 +20,7 @@
 const MAX_EVENTS: usize = 4_096;
 
 value! { wire copy
-    /// What happened to a block.
+    /// What happened to a beginning.
     pub enum CacheChange {
         /// It is in the cache now.
         Stored,
@@ -37,8 +36,8 @@
         pub seq: u64,
         /// What happened.
         pub change: CacheChange,
-        /// The block's name.
-        pub block: SmolStr,
+        /// The beginning's name.
+        pub prefix: u64,
     }
 
     /// Answer to `GET /cache-events?since=N`.
@@ -52,64 +51,90 @@
     }
 }
 
-/// Names of the blocks of `prompt`, in order.
-pub fn prefix_blocks(prompt: &str) -> Vec<SmolStr> {
-    let mut names = Vec::new();
-    let mut before = SmolStr::default();
-    let mut rest = prompt;
-    while rest.len() >= BLOCK_BYTES {
-        let (block, tail) = rest.split_at(rest.floor_char_boundary(BLOCK_BYTES));
-        before = format_smolstr!("{:016x}", stable_hash([before.as_str(), block]));
-        names.push(before.clone());
-        rest = tail;
+/// One beginning of a prompt.
+struct Prefix {
+    name: u64,
+    /// Where it ends in the prompt.
+    end: usize,
+    /// Bytes beyond the beginning before it.
+    bytes: usize,
+}
+
+/// Names of the beginnings of `prompt`, the shortest first.
+pub fn prefix_names(prompt: &str) -> Vec<u64> {
+    prefixes(prompt).iter().map(|prefix| prefix.name).collect()
+}
+
+fn prefixes(prompt: &str) -> Vec<Prefix> {
+    let mut prefixes = Vec::new();
+    let mut before = String::new();
+    let (mut from, mut to) = (0, FIRST_PREFIX);
+    while to <= prompt.len() {
+        let end = prompt.floor_char_boundary(to);
+        let name = stable_hash([before.as_str(), &prompt[from..end]]);
+        prefixes.push(Prefix {
+            name,
+            end,
+            bytes: end - from,
+        });
+        before = name.to_string();
+        (from, to) = (end, to * 2);
     }
-    names
+    prefixes
 }
 
 #[derive(Debug)]
 pub(crate) struct PrefixCache {
     inner: Mutex<Inner>,
-    max_blocks: usize,
+    max_bytes: usize,
     event_lag: Duration,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
-    /// Last use of each block held.
-    blocks: BTreeMap<SmolStr, u64>,
+    held: BTreeMap<u64, Held>,
+    /// Sum of the bytes of all that is held.
+    bytes: usize,
     uses: u64,
     events: VecDeque<(Instant, CacheEvent)>,
     next_seq: u64,
 }
 
+#[derive(Debug)]
+struct Held {
+    bytes: usize,
+    last_use: u64,
+}
+
 impl PrefixCache {
-    pub(crate) fn new(max_blocks: usize, event_lag: Duration) -> PrefixCache {
+    pub(crate) fn new(max_bytes: usize, event_lag: Duration) -> PrefixCache {
         PrefixCache {
-            inner: Mutex::new(Inner {
-                next_seq: 1,
-                ..Inner::default()
-            }),
-            max_blocks,
+            inner: Mutex::new(Inner::new()),
+            max_bytes,
             event_lag,
         }
     }
 
     /// Takes the prompt into the cache; gives the tokens that were not there.
     pub(crate) fn admit(&self, prompt: &str) -> u64 {
-        let names = prefix_blocks(prompt);
+        let prefixes = prefixes(prompt);
         let mut inner = self.lock();
-        let held = names
+        let held = prefixes
             .iter()
-            .take_while(|name| inner.blocks.contains_key(*name))
-            .count();
-        for name in names.into_iter().take(self.max_blocks) {
-            inner.touch(name);
+            .take_while(|prefix| inner.held.contains_key(&prefix.name));
+        let known = held.last().map_or(0, |prefix| prefix.end);
+        // A prompt larger than the cache leaves its beginnings, not its end.
+        for prefix in prefixes
+            .iter()
+            .take_while(|prefix| prefix.end <= self.max_bytes)
+        {
+            inner.touch(prefix);
         }
-        while inner.blocks.len() > self.max_blocks {
+        while inner.bytes > self.max_bytes {
             inner.evict();
         }
-        let missing = prompt.len().saturating_sub(held * BLOCK_BYTES);
-        u64::try_from(missing.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
+        let missing = (prompt.len() - known).div_ceil(BYTES_PER_TOKEN);
+        u64::try_from(missing).unwrap_or(u64::MAX)
     }
 
     /// Published events from `since` on.
@@ -137,10 +162,7 @@
     }
 
     pub(crate) fn clear(&self) {
-        *self.lock() = Inner {
-            next_seq: 1,
-            ..Inner::default()
-        };
+        *self.lock() = Inner::new();
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -149,27 +171,43 @@
 }
 
 impl Inner {
-    fn touch(&mut self, name: SmolStr) {
+    fn new() -> Inner {
+        Inner {
+            held: BTreeMap::new(),
+            bytes: 0,
+            uses: 0,
+            events: VecDeque::new(),
+            next_seq: 1,
+        }
+    }
+
+    fn touch(&mut self, prefix: &Prefix) {
         self.uses += 1;
-        if self.blocks.insert(name.clone(), self.uses).is_none() {
-            self.publish(CacheChange::Stored, name);
+        let held = Held {
+            bytes: prefix.bytes,
+            last_use: self.uses,
+        };
+        if self.held.insert(prefix.name, held).is_none() {
+            self.bytes += prefix.bytes;
+            self.publish(CacheChange::Stored, prefix.name);
         }
     }
 
     fn evict(&mut self) {
-        let oldest = self.blocks.iter().min_by_key(|(_, used)| **used);
-        let Some(name) = oldest.map(|(name, _)| name.clone()) else {
+        let oldest = self.held.iter().min_by_key(|(_, held)| held.last_use);
+        let Some(name) = oldest.map(|(name, _)| *name) else {
             return;
         };
-        self.blocks.remove(&name);
+        let freed = self.held.remove(&name).map_or(0, |held| held.bytes);
+        self.bytes -= freed;
         self.publish(CacheChange::Evicted, name);
     }
 
-    fn publish(&mut self, change: CacheChange, block: SmolStr) {
+    fn publish(&mut self, change: CacheChange, prefix: u64) {
         let event = CacheEvent {
             seq: self.next_seq,
             change,
-            block,
+            prefix,
         };
         self.next_seq += 1;
         self.events.push_back((Instant::now(), event));
--- a/crates/standin/src/spec.rs
+++ b/crates/standin/src/spec.rs
@@ -23,7 +23,7 @@
         pub(crate) slots: usize,
         pub(crate) queue: usize,
         pub(crate) pace: Pace,
-        pub(crate) cache_blocks: usize,
+        pub(crate) cache_bytes: usize,
         pub(crate) event_lag: Duration,
         pub(crate) load_lag: Duration,
         pub(crate) crash_time: Duration,
@@ -60,7 +60,7 @@
                 prefill: Duration::from_micros(20),
                 batch_permille: 20,
             },
-            cache_blocks: 4_096,
+            cache_bytes: 256 << 10,
             event_lag: Duration::from_millis(300),
             load_lag: Duration::from_millis(500),
             crash_time: Duration::from_millis(300),
@@ -127,9 +127,9 @@
         self
     }
 
-    /// Sets the size of the prefix cache in blocks and how late its events come.
-    pub fn cache(mut self, blocks: usize, event_lag: Duration) -> HostSpec {
-        self.cache_blocks = blocks;
+    /// Sets the size of the prefix cache in bytes of prompt and how late its events come.
+    pub fn cache(mut self, bytes: usize, event_lag: Duration) -> HostSpec {
+        self.cache_bytes = bytes;
         self.event_lag = event_lag;
         self
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use eelgrassmill_base::{Order, OrderReply, TargetKind};
+use eelgrassmill_platform::percent_decode;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -44,7 +45,8 @@
         }
         (&Method::POST, cancel) if cancel.starts_with(CANCEL) => {
             host.unpaused().await;
-            let cancelled = host.cancel(&cancel[CANCEL.len()..]);
+            let request = percent_decode(&cancel[CANCEL.len()..]);
+            let cancelled = request.is_some_and(|request| host.cancel(&request));
             Ok(json_answer(
                 StatusCode::OK,
                 &json!({ "cancelled": cancelled }),
