--- a/crates/claim/tests/fuzz/world.rs
+++ b/crates/claim/tests/fuzz/world.rs
@@ -309,13 +309,25 @@
             let entry = call.entry;
             return next.into_iter().for_each(|c| self.write(entry, c));
         }
-        let current = call.claim.as_mut().filter(|c| c.attempt() == row.attempt);
-        let Some(claim) = current else { return };
+        if call
+            .claim
+            .as_ref()
+            .is_some_and(|c| c.attempt() == row.attempt)
+        {
+            self.claimed(i, outcome);
+        }
+    }
+
+    fn claimed(&mut self, i: usize, outcome: WriteOutcome) {
+        let call = &mut self.calls[i];
+        let Some(claim) = &mut call.claim else { return };
         match claim.on_claimed(outcome) {
             Claimed::Ignored => (),
             Claimed::Held => self.dispatch(i),
             Claimed::Lost(_) => self.decide(i),
             Claimed::Abandoned(change) => {
+                call.awaits = None;
+                call.steps += 1;
                 call.abandoned = true;
                 call.told = Some(Told::NotRun);
                 let entry = call.entry;
@@ -389,25 +401,14 @@
     pub(crate) fn time_out(&mut self, i: usize) {
         let call = &mut self.calls[i];
         let alive = self.entries[call.entry].incarnation == call.incarnation;
-        let Some(claim) = call
-            .claim
-            .as_mut()
-            .filter(|_| alive && call.awaits.is_some())
-        else {
+        if !alive || call.awaits.is_none() {
             return;
-        };
-        if call.tries > 0 {
-            self.after(i, DispatchOutcome::Unknown, None);
-            return self.retry(i, Outcome::Unknown);
         }
-        if let Claimed::Abandoned(change) = claim.on_claimed(WriteOutcome::Unknown) {
-            call.awaits = None;
-            call.steps += 1;
-            call.abandoned = true;
-            call.told = Some(Told::NotRun);
-            let entry = call.entry;
-            change.into_iter().for_each(|c| self.write(entry, c));
+        if call.tries == 0 {
+            return self.claimed(i, WriteOutcome::Unknown);
         }
+        self.after(i, DispatchOutcome::Unknown, None);
+        self.retry(i, Outcome::Unknown);
     }
 
     /// The entry dies and starts anew; its callers lose their connections.
