--- a/crates/config/src/keys.rs
+++ b/crates/config/src/keys.rs
@@ -157,6 +157,7 @@
     pub fn describe(&self) -> &'static str {
         match self {
             Absent::Required => "required",
+            Absent::Default("") => "none",
             Absent::Default(value) => value,
             Absent::Rule(rule) => rule,
         }
