Show the whole path with one command, and serve one node by another

Cause: the path could be seen by tests only. Change: the commands demo, serve and load; a plain target counts as there when it answers its probe. Ruled out: reading the plain target's ready flag as its own word, since it only speaks of what an order asks a host to load.

--- a/crates/core/src/client.rs
+++ b/crates/core/src/client.rs
@@ -73,6 +73,12 @@
     }
 }
 
+/// The text that a node's admin port answers with.
+pub(crate) fn get_text(address: SocketAddr, path: &str, token: &str) -> Result<String, CliError> {
+    let answer = send(address, "GET", path, Some(token), "")?;
+    text_of(address, answer)
+}
+
 /// Asks the callers' port of a node; no token.
 pub(crate) fn get_from_entry(address: SocketAddr, path: &str) -> Result<(bool, String), CliError> {
     let answer = send(address, "GET", path, None, "")?;
--- a/crates/core/src/commands/mod.rs
+++ b/crates/core/src/commands/mod.rs
@@ -2,7 +2,10 @@
 
 mod addresses;
 mod config;
+mod demo;
 mod lists;
+mod load;
+mod serve;
 mod standin;
 mod timeline;
 
@@ -29,13 +32,16 @@
         "timeline" => timeline::run(args),
         "addresses" => addresses::run(args),
         "standin" => standin::run(args),
+        "serve" => serve::run(args),
+        "demo" => demo::run(args),
+        "load" => load::run(args),
         "" => Err(CliError::Usage("no command".to_owned())),
         other => Err(CliError::Usage(format!("`{other}` is no command"))),
     }
 }
 
 /// Prints `text` as it is.
-fn print(text: &str) -> Result<(), CliError> {
+pub(crate) fn print(text: &str) -> Result<(), CliError> {
     use std::io::Write;
     let mut out = std::io::stdout().lock();
     // A reader that has seen enough, like `head`, closes the pipe: no fault.
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -18,6 +18,9 @@
     /// A settings file is wrong.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// A scenario file is wrong.
+    #[error("{0}")]
+    Scenario(String),
     /// No node answers.
     #[error("no answer from {address}: {why}")]
     NoAnswer { address: String, why: String },
@@ -38,6 +41,7 @@
             CliError::Usage(_)
             | CliError::File { .. }
             | CliError::Text(_)
+            | CliError::Scenario(_)
             | CliError::Settings(_) => 2,
             CliError::NoAnswer { .. }
             | CliError::Nonsense { .. }
--- a/crates/core/src/help.rs
+++ b/crates/core/src/help.rs
@@ -16,6 +16,9 @@
                          what a node knows of them
   timeline               events of all nodes in causal order
   addresses              which addresses callers are to use
+  serve                  one node, until it is told to stop
+  demo                   nodes and stand-ins in one process, a load, and a host that dies
+  load SCENARIO          open-loop load from a scenario file
   standin                stand-ins for engines, plain services and the platform
 
   --help                 this, or a command's flags after its name
@@ -82,6 +85,32 @@
 SIGTERM or SIGINT.
 ";
 
+const SERVE: &str = "\
+usage: eelgrassmill serve --settings FILE
+
+  --settings FILE        the node's settings, see docs/REFERENCE.md
+
+Runs until SIGTERM or SIGINT; then callers are sent elsewhere, requests in
+progress are finished, and it exits 0, or 1 when one could not be finished.
+";
+
+const DEMO: &str = "\
+usage: eelgrassmill demo [--nodes N] [--hold SECS]
+
+  --nodes N              nodes in this process, default 3
+  --hold SECS            keep everything up this long after the run
+
+Prints one line of JSON with all addresses, switches and tokens first.
+";
+
+const LOAD: &str = "\
+usage: eelgrassmill load SCENARIO --entries IP:PORT[,...] [FLAGS]
+
+  --entries IP:PORT,...  callers' addresses of nodes on this machine
+  --control IP:PORT      the stand-ins' switches, for faults and checks
+  --json                 print the result as JSON
+";
+
 /// A command's help; the overview for unknown ones.
 pub(crate) fn of(command: &str) -> String {
     match command {
@@ -90,6 +119,9 @@
         "timeline" => format!("{TIMELINE}{ADMIN}"),
         "addresses" => ADDRESSES.to_owned(),
         "standin" => STANDIN.to_owned(),
+        "serve" => SERVE.to_owned(),
+        "demo" => DEMO.to_owned(),
+        "load" => LOAD.to_owned(),
         _ => OVERVIEW.to_owned(),
     }
 }
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -5,6 +5,7 @@
 mod args;
 mod client;
 mod commands;
+mod demo;
 mod error;
 mod help;
 mod logs;
--- a/crates/node/src/admin_token.rs
+++ b/crates/node/src/admin_token.rs
@@ -44,3 +44,10 @@
         f.write_str("TokenHash(..)")
     }
 }
+
+impl std::fmt::Display for TokenHash {
+    /// The digits that settings and texts name the token by.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- a/crates/node/src/loops/watcher.rs
+++ b/crates/node/src/loops/watcher.rs
@@ -148,9 +148,11 @@
     }
 
     fn judge_plain(&self, host: &HostId, now: Instant) -> (Finding, Instant) {
-        let fresh = self.core.reports.get(host).filter(|answered| {
-            now.saturating_duration_since(answered.sent) <= REPORT_MAX_AGE && answered.report.ready
-        });
+        let fresh = self
+            .core
+            .reports
+            .get(host)
+            .filter(|answered| now.saturating_duration_since(answered.sent) <= REPORT_MAX_AGE);
         let verdict = match &fresh {
             Some(_) => Verdict::Whole,
             None => Verdict::Missing {
