Test how stand-ins work, and that the load sees double runs

Cause: tests of routing rest on the order of urgency, the prefix cache, load times and refusals of the stand-ins; the load's comparison with the targets' counts had no test.

--- a/crates/load/tests/common/mod.rs
+++ b/crates/load/tests/common/mod.rs
@@ -26,6 +26,13 @@
 
 impl Entry {
     pub(crate) fn start() -> Entry {
+        Entry::before(None)
+    }
+
+    /// An entry that passes plain calls on to `target`: twice when the body
+    /// says so, and telling that it did not run when the body says so.
+    pub(crate) fn before(target: Option<String>) -> Entry {
+        let target: Arc<Option<String>> = Arc::new(target);
         let runtime = Runtime::new().expect("a runtime");
         let listener = runtime
             .block_on(TcpListener::bind("127.0.0.1:0"))
@@ -38,9 +45,11 @@
                 let Ok((stream, _)) = listener.accept().await else {
                     return;
                 };
-                let count = Arc::clone(&count);
+                let (count, target) = (Arc::clone(&count), Arc::clone(&target));
                 tokio::spawn(async move {
-                    let service = service_fn(move |req| answer(req, address, Arc::clone(&count)));
+                    let service = service_fn(move |req| {
+                        answer(req, address, Arc::clone(&count), Arc::clone(&target))
+                    });
                     let stream = TokioIo::new(stream);
                     let _ = http1::Builder::new()
                         .serve_connection(stream, service)
@@ -60,6 +69,7 @@
     req: Request<Incoming>,
     address: SocketAddr,
     asked: Arc<AtomicU64>,
+    target: Arc<Option<String>>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     if req.uri().path() == "/v1/addresses" {
         asked.fetch_add(1, Ordering::Relaxed);
@@ -67,6 +77,7 @@
         return Ok(reply(StatusCode::OK, book.to_string()));
     }
     let call = req.uri().path().starts_with("/services/");
+    let key = req.headers().get("idempotency-key").cloned();
     let body = req
         .into_body()
         .collect()
@@ -74,6 +85,9 @@
         .expect("a whole body")
         .to_bytes();
     let body = String::from_utf8(body.to_vec()).expect("text");
+    if let Some(target) = target.as_ref() {
+        return Ok(pass_on(target, key, &body).await);
+    }
     if call {
         let answer = json!({ "answer": format!("{:016x}", stable_hash([body.as_str()])) });
         return Ok(reply(StatusCode::OK, answer.to_string()));
@@ -82,6 +96,46 @@
     Ok(completion(&body))
 }
 
+async fn pass_on(
+    target: &str,
+    key: Option<http::HeaderValue>,
+    body: &str,
+) -> Response<Full<Bytes>> {
+    let times = if body.contains("DO-TWICE") { 2 } else { 1 };
+    let mut answer = Bytes::new();
+    for _ in 0..times {
+        let mut req = Request::post("/refunds").header("host", target);
+        req = req.header("x-request-id", "r1");
+        if let Some(key) = &key {
+            req = req.header("idempotency-key", key);
+        }
+        let req = req
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a good request");
+        let stream = tokio::net::TcpStream::connect(target)
+            .await
+            .expect("it listens");
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .expect("HTTP");
+        tokio::spawn(connection);
+        let reply = sender.send_request(req).await.expect("an answer");
+        answer = reply
+            .into_body()
+            .collect()
+            .await
+            .expect("a whole answer")
+            .to_bytes();
+    }
+    if body.contains("DO-LIE") {
+        return problem("not-run");
+    }
+    reply(
+        StatusCode::OK,
+        String::from_utf8(answer.to_vec()).expect("text"),
+    )
+}
+
 fn completion(body: &Value) -> Response<Full<Bytes>> {
     let prompt = body["prompt"].as_str().expect("a prompt");
     let tokens = body["max_tokens"].as_u64().expect("a number of tokens");
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use common::Entry;
-use eelgrassmill_load::{Counts, EntryFault, LoadError, Report, Scenario, Targets, run};
+use eelgrassmill_load::{Counts, EntryFault, LoadError, Report, RunChecks, Scenario, Targets, run};
+use eelgrassmill_standin::{Standins, plain_specs};
 use googletest::prelude::*;
 
 fn scenario(mark: &str, more: &str) -> Scenario {
@@ -138,3 +139,73 @@
     expect_that!(sent(7), eq(first));
     expect_that!(sent(8), not(eq(first)));
 }
+
+/// Runs keyed calls through an entry before a stand-in service.
+fn keyed(mark: &str) -> Report {
+    let standins = Standins::builder()
+        .hosts(plain_specs(1))
+        .start()
+        .expect("stand-ins start");
+    let target = standins.address_of("plain-0").expect("it runs").to_owned();
+    let entry = Entry::before(Some(target));
+    let targets = Targets {
+        entries: vec![entry.address.as_str().into()],
+        control: Some(standins.control_address().into()),
+        ..Targets::default()
+    };
+    let scenario = scenario(mark, "api = call\nat-most-once = yes\n");
+    run(&scenario, &targets).expect("it runs")
+}
+
+#[gtest]
+fn the_targets_say_whether_a_key_ran_once() {
+    // An entry sends a refund twice, or tells its caller "not run" of one that
+    // ran. No caller can see that; the target's own count shows it.
+    let well = keyed("");
+    let sent = well.all.counts.sent;
+    expect_that!(well.all.counts.whole, eq(sent));
+    let checks = RunChecks {
+        keys: sent,
+        double_runs: 0,
+        false_not_run: 0,
+    };
+    expect_that!(well.checks, some(eq(checks)));
+    expect_that!(
+        keyed("DO-TWICE").checks,
+        some(eq(RunChecks {
+            double_runs: sent,
+            ..checks
+        }))
+    );
+    expect_that!(
+        keyed("DO-LIE").checks,
+        some(eq(RunChecks {
+            false_not_run: sent,
+            ..checks
+        }))
+    );
+}
+
+#[gtest]
+fn faults_are_switched_at_the_stand_ins() {
+    let standins = Standins::builder()
+        .hosts(plain_specs(1))
+        .start()
+        .expect("stand-ins start");
+    let entry = Entry::start();
+    let targets = Targets {
+        entries: vec![entry.address.as_str().into()],
+        control: Some(standins.control_address().into()),
+        ..Targets::default()
+    };
+    let fault = |name: &str| format!("[fault one]\nat = 0.1\ntarget = plain-0\nname = {name}\n");
+    let good = run(&scenario("", &fault("die")), &targets).expect("it runs");
+    expect_that!(good.fault_errors, is_empty());
+    let address = standins.address_of("plain-0").expect("it was there");
+    expect_that!(std::net::TcpStream::connect(address), err(anything()));
+    let bad = run(&scenario("", &fault("explode")), &targets).expect("it runs");
+    expect_that!(
+        bad.fault_errors,
+        elements_are![contains_substring("no fault of this name")]
+    );
+}
--- a/crates/standin/src/builder.rs
+++ b/crates/standin/src/builder.rs
@@ -223,6 +223,11 @@
         self.world.hosts.get(host).map(|host| host.runs.report())
     }
 
+    /// How many requests wait for a slot of a host.
+    pub fn waiting(&self, host: &str) -> Option<usize> {
+        self.world.hosts.get(host).map(|host| host.slots.waiting())
+    }
+
     /// Every address and fault switch, as JSON.
     pub fn serve_description(&self) -> Value {
         (*self.description).clone()
--- a/crates/standin/src/slots.rs
+++ b/crates/standin/src/slots.rs
@@ -65,6 +65,15 @@
         self.total - self.lock().free
     }
 
+    /// Requests that wait for a slot.
+    pub(crate) fn waiting(&self) -> usize {
+        self.lock()
+            .waiting
+            .values()
+            .filter(|tx| !tx.is_closed())
+            .count()
+    }
+
     fn give_back(self: &Arc<Slots>) {
         let first = {
             let mut inner = self.lock();
