--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,11 +3,14 @@
 //! Everything here is pure: it takes events and an instant and returns what
 //! to do. Callers keep the clocks, locks and sockets.
 
+mod addresses;
 mod pick;
 mod queue;
 mod quota;
 mod retry;
+mod suspects;
 
+pub use crate::addresses::{AddressAnswer, EntryView, LoadBand, choose_addresses};
 pub use crate::pick::{
     CacheEvent, Candidate, FIRST_TOKEN_AIM, GroupPicker, Pick, PrefixHash, PrefixHashes, Sample,
     TOKEN_GAP_AIM, prefix_hashes,
@@ -19,3 +22,7 @@
     Demand, Grant, QUOTA_MARGIN, QUOTA_TERM, QuotaHolder, QuotaIssuer, fallback_part,
 };
 pub use crate::retry::{MAX_ATTEMPTS, NoRetry, RetryBudget, backoff, may_retry};
+pub use crate::suspects::{
+    COMMON_CAUSE_WINDOW, CULPRIT_TERM, ClearedRecord, DEATH_LIFE, DeathId, DeathRecord, Judgement,
+    RequestPrint, SuspectNews, Suspects, TrialRecord, death_id, request_print,
+};
--- /dev/null
+++ b/crates/route/tests/suspects.rs
@@ -0,0 +1,118 @@
+//! Naming the request that kills, and nothing else.
+
+use std::time::{Duration, Instant};
+
+use eelgrassmill_route::*;
+use googletest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+const KILLER: RequestPrint = 666;
+
+fn die(s: &mut Suspects, group: &str, domain: &str, running: &[RequestPrint], now: Instant) {
+    s.on_death(
+        &group.into(),
+        1,
+        &domain.into(),
+        running.iter().copied(),
+        now,
+    );
+}
+
+fn is_culprit(s: &Suspects, print: RequestPrint, now: Instant) -> bool {
+    matches!(s.judge(print, now), Judgement::Culprit { .. })
+}
+
+/// A request crashes each engine that runs it, and its caller sends it again. The
+/// second death names it, and no request that merely ran beside it.
+#[googletest::test]
+fn the_second_death_names_the_killer_alone() {
+    let now = Instant::now();
+    let mut s = Suspects::default();
+    die(&mut s, "draft/0", "a", &[KILLER, 1, 2], now);
+    expect_that!(s.judge(1, now), eq(Judgement::Suspect));
+    expect_that!(s.begin_trial(KILLER, &"draft/1".into(), now), eq(true));
+    expect_that!(s.begin_trial(1, &"draft/1".into(), now), eq(false));
+    expect_that!(s.begin_trial(1, &"draft/2".into(), now), eq(true));
+    die(&mut s, "draft/1", "a", &[KILLER, 7], now + 6 * SECOND);
+    let now = now + 7 * SECOND;
+    expect_that!(is_culprit(&s, KILLER, now), eq(true));
+    expect_that!(s.judge(7, now), eq(Judgement::Suspect));
+    s.on_survived(1, now);
+    expect_that!(s.judge(1, now), eq(Judgement::Clear));
+}
+
+/// A rack goes dark while a request that was retried runs on its second group there.
+/// Named for it, an innocent request would be refused for minutes.
+#[googletest::test]
+fn a_dark_failure_domain_names_nobody() {
+    let now = Instant::now();
+    let mut s = Suspects::default();
+    die(&mut s, "draft/0", "a", &[1, 2], now);
+    die(&mut s, "draft/1", "a", &[1, 3], now + SECOND);
+    die(&mut s, "draft/2", "a", &[], now + 2 * SECOND);
+    expect_that!(is_culprit(&s, 1, now + 3 * SECOND), eq(false));
+    expect_that!(s.judge(2, now + 3 * SECOND), eq(Judgement::Clear));
+}
+
+/// A request was named because two hosts died under it for reasons of their own.
+/// After a while it is tried again alone, and cleared when it runs to its end.
+#[googletest::test]
+fn a_wrongly_named_request_is_tried_again() {
+    let now = Instant::now();
+    let mut s = Suspects::default();
+    die(&mut s, "draft/0", "a", &[1], now);
+    die(&mut s, "draft/1", "b", &[1], now + 60 * SECOND);
+    expect_that!(is_culprit(&s, 1, now + 61 * SECOND), eq(true));
+    let later = now + 60 * SECOND + CULPRIT_TERM;
+    expect_that!(s.judge(1, later), eq(Judgement::Suspect));
+    s.on_survived(1, later);
+    expect_that!(s.judge(1, later), eq(Judgement::Clear));
+    expect_that!(s.judge(1, now + DEATH_LIFE * 2), eq(Judgement::Clear));
+}
+
+/// The caller sends the killer to another entry after each death. The entries tell each
+/// other of the deaths, doubled and in any order, and agree on the culprit.
+#[googletest::test]
+fn entries_agree_whatever_order_news_arrive_in() {
+    let now = Instant::now();
+    let (mut a, mut b, mut c) = (
+        Suspects::default(),
+        Suspects::default(),
+        Suspects::default(),
+    );
+    die(&mut a, "draft/0", "a", &[KILLER, 1], now);
+    die(&mut b, "draft/0", "a", &[2], now);
+    die(&mut b, "draft/1", "b", &[KILLER], now + 10 * SECOND);
+    let now = now + 11 * SECOND;
+    let (from_a, from_b) = (a.export(now), b.export(now));
+    for news in [&from_b, &from_a, &from_b, &from_a] {
+        c.import(news.clone(), now);
+    }
+    a.import(from_b, now);
+    for s in [&a, &c] {
+        expect_that!(is_culprit(s, KILLER, now), eq(true));
+        expect_that!(s.judge(1, now), eq(Judgement::Suspect));
+    }
+    expect_that!(a.export(now).deaths, eq(&c.export(now).deaths));
+}
+
+/// Two different killers at work in one failure domain look like a common cause.
+/// They must be named all the same before long.
+#[googletest::test]
+fn two_killers_at_once_are_named_by_their_third_death() {
+    let mut now = Instant::now();
+    let mut s = Suspects::default();
+    for round in 0..3 {
+        die(&mut s, &format!("draft/{round}"), "a", &[KILLER], now);
+        die(
+            &mut s,
+            &format!("reply/{round}"),
+            "a",
+            &[KILLER + 1],
+            now + SECOND,
+        );
+        now += 10 * SECOND;
+    }
+    expect_that!(is_culprit(&s, KILLER, now), eq(true));
+    expect_that!(is_culprit(&s, KILLER + 1, now), eq(true));
+}
