Let tenants use a bounded part of the share they left unused

Each of the others used 80% of its share on average, but start-time fair queueing forgets unused share at once, so whenever a tenant's requests bunched it waited in turn with the greedy one.

Ruled out: the wait for the next free slot (0.34 s on average at 60 normal slots, against 6 s seen).

Change: an idle tenant's account may stand up to 16,384 tokens behind (QueueOptions::burst).

--- a/crates/route/src/queue/admit.rs
+++ b/crates/route/src/queue/admit.rs
@@ -38,15 +38,15 @@
             give_up_at,
             payload,
         };
-        let virtual_now = self.virtual_now;
+        let earliest = self.earliest_finish(offer.weight);
         self.tenants
             .entry(offer.tenant.clone())
-            .or_insert_with(|| Account::new(offer.weight, virtual_now));
+            .or_insert_with(|| Account::new(offer.weight, earliest));
         self.change(&offer.tenant, |account| {
             account.weight = offer.weight.max(1);
-            // A tenant that was idle has no claim on the time it left unused.
+            // A tenant that was idle has no claim on all the time it left unused.
             if account.queued.is_empty() {
-                account.finish = account.finish.max(virtual_now);
+                account.finish = account.finish.max(earliest);
             }
             account.push(position, queued);
         });
--- a/crates/route/src/queue/mod.rs
+++ b/crates/route/src/queue/mod.rs
@@ -25,6 +25,7 @@
 pub struct QueueOptions {
     max_queue: usize,
     urgent_lead: Tokens,
+    burst: Tokens,
     min_retry_after: Duration,
     max_retry_after: Duration,
     seed: u64,
@@ -35,6 +36,7 @@
         QueueOptions {
             max_queue: 1000,
             urgent_lead: 4096,
+            burst: 16_384,
             min_retry_after: Duration::from_secs(1),
             max_retry_after: Duration::from_secs(30),
             seed: 0,
@@ -55,6 +57,15 @@
         self
     }
 
+    /// Tokens of its share that a tenant may leave unused and use later, at once.
+    ///
+    /// Without any, a tenant well within its share on average waits whenever its
+    /// requests bunch, for as long as a greedy tenant is there.
+    pub fn burst(mut self, tokens: Tokens) -> QueueOptions {
+        self.burst = tokens;
+        self
+    }
+
     /// Seed of the jitter in `retry_after`; give each node its own.
     pub fn seed(mut self, seed: u64) -> QueueOptions {
         self.seed = seed;
@@ -258,14 +269,20 @@
         self.forget_idle(&run.tenant);
     }
 
-    /// Drops the account of a tenant that is owed and owes nothing.
+    /// Where a tenant's account stands that has left its share unused for long.
+    fn earliest_finish(&self, weight: u32) -> VirtualTime {
+        self.virtual_now
+            .saturating_sub(cost(self.opts.burst, weight))
+    }
+
+    /// Drops the account of a tenant that stands no better than a new one.
     ///
     /// Without this, every tenant ever seen would cost memory for good.
     fn forget_idle(&mut self, tenant: &TenantId) {
-        let idle = self
-            .tenants
-            .get(tenant)
-            .is_some_and(|a| a.running == 0 && a.queued.is_empty() && a.finish <= self.virtual_now);
+        let idle = self.tenants.get(tenant).is_some_and(|a| {
+            let unused = a.running == 0 && a.queued.is_empty();
+            unused && a.finish <= self.earliest_finish(a.weight)
+        });
         if idle {
             self.tenants.remove(tenant);
         }
