--- a/crates/core/src/args.rs
+++ b/crates/core/src/args.rs
@@ -34,21 +34,23 @@
             .split(',')
             .map(address)
             .collect::<Result<Vec<_>, _>>()?;
-        let client = AdminClient::new(addresses, token(args)?);
+        let client = AdminClient::new(addresses, token(args, TOKEN_VARIABLE)?);
         Ok(Common { client, json })
     }
 }
 
+/// A token, from `--token-file` or else from `variable`.
+///
 /// The token comes from a file or a variable and never from a flag, which every
 /// user of the machine could read in the list of processes.
-fn token(args: &mut Arguments) -> Result<String, CliError> {
+pub(crate) fn token(args: &mut Arguments, variable: &str) -> Result<String, CliError> {
     let file: Option<PathBuf> = args.opt_value_from_os_str("--token-file", path)?;
     if let Some(file) = file {
         return Ok(read(&file)?.trim().to_owned());
     }
-    std::env::var(TOKEN_VARIABLE).map_err(|_| {
+    std::env::var(variable).map_err(|_| {
         CliError::Usage(format!(
-            "no admin token, write --token-file FILE or set {TOKEN_VARIABLE}"
+            "no token, write --token-file FILE or set {variable}"
         ))
     })
 }
--- a/crates/core/src/client.rs
+++ b/crates/core/src/client.rs
@@ -58,55 +58,54 @@
         path: &str,
         body: &str,
     ) -> Result<T, CliError> {
-        let answer = send(address, method, path, Some(&self.token), body)?;
-        let nonsense = |e: serde_json::Error| CliError::Nonsense {
-            address: address.to_string(),
-            why: e.to_string(),
-        };
-        let status = answer.status();
-        let text = text_of(address, answer)?;
-        if status.is_success() {
-            return serde_json::from_str(&text).map_err(nonsense);
-        }
-        let problem: Problem = serde_json::from_str(&text).map_err(nonsense)?;
-        Err(CliError::Refused(Box::new(problem)))
+        read(address, send(address, method, path, &self.token, body)?)
     }
 }
 
-/// Asks the callers' port of a node; no token.
-pub(crate) fn get_from_entry(address: SocketAddr, path: &str) -> Result<(bool, String), CliError> {
-    let answer = send(address, "GET", path, None, "")?;
-    let good = answer.status().is_success();
-    Ok((good, text_of(address, answer)?))
+/// Asks the callers' port of a node, with a tenant's token.
+pub(crate) fn get_from_entry<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    token: &str,
+) -> Result<T, CliError> {
+    read(address, send(address, "GET", path, token, "")?)
+}
+
+fn read<T: DeserializeOwned>(address: SocketAddr, answer: Response<Body>) -> Result<T, CliError> {
+    let nonsense = |e: serde_json::Error| CliError::Nonsense {
+        address: address.to_string(),
+        why: e.to_string(),
+    };
+    let status = answer.status();
+    let text = answer
+        .into_body()
+        .to_string()
+        .map_err(|e| no_answer(address, &e))?;
+    if status.is_success() {
+        return serde_json::from_str(&text).map_err(nonsense);
+    }
+    // Problems of the callers' port have the same fields as those of the admin port.
+    let problem: Problem = serde_json::from_str(&text).map_err(nonsense)?;
+    Err(CliError::Refused(Box::new(problem)))
 }
 
 fn send(
     address: SocketAddr,
     method: &str,
     path: &str,
-    token: Option<&str>,
+    token: &str,
     body: &str,
 ) -> Result<Response<Body>, CliError> {
-    let mut req = Request::builder()
+    let req = Request::builder()
         .method(method)
-        .uri(format!("http://{address}{path}"));
-    if let Some(token) = token {
-        req = req.header("authorization", format!("Bearer {token}"));
-    }
-    let req = req
+        .uri(format!("http://{address}{path}"))
+        .header("authorization", format!("Bearer {token}"))
         .body(body.to_owned())
         .map_err(|_| CliError::Usage("the token or a name isn't plain text".to_owned()))?;
     let client = Client::new().with_global_timeout(TIMEOUT);
     client.request(req).map_err(|e| no_answer(address, &e))
 }
 
-fn text_of(address: SocketAddr, answer: Response<Body>) -> Result<String, CliError> {
-    answer
-        .into_body()
-        .to_string()
-        .map_err(|e| no_answer(address, &e))
-}
-
 fn no_answer(address: SocketAddr, error: &std::io::Error) -> CliError {
     CliError::NoAnswer {
         address: address.to_string(),
--- a/crates/core/src/help.rs
+++ b/crates/core/src/help.rs
@@ -64,6 +64,9 @@
 
   --entry IP:PORT        the callers' address of any node
   --service NAME         the service to call
+  --token-file FILE      file with a tenant's token (or EELGRASSMILL_TENANT_TOKEN, the token
+                         itself)
+  --json                 print JSON
 ";
 
 const STANDIN: &str = "\
--- a/crates/core/tests/commands.rs
+++ b/crates/core/tests/commands.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpListener;
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
-use common::{Node, program, run};
+use common::{Node, program, ran, run};
 use googletest::prelude::*;
 
 #[gtest]
@@ -50,7 +51,15 @@
             "--since",
             "soon",
         ],
-        &["addresses", "--entry", "127.0.0.1:1", "--service", "a b"],
+        &[
+            "addresses",
+            "--entry",
+            "127.0.0.1:1",
+            "--token-file",
+            "/dev/null",
+            "--service",
+            "a b",
+        ],
         &["standin", "--engines", "many"],
     ];
     for args in wrong {
@@ -92,6 +101,39 @@
     expect_that!(smuggled.code, some(eq(2)));
 }
 
+#[gtest]
+fn addresses_are_asked_for_with_a_tenants_token() {
+    let entry = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = entry.local_addr().unwrap().to_string();
+    let served = std::thread::spawn(move || {
+        let (stream, _) = entry.accept().unwrap();
+        let mut lines = BufReader::new(&stream).lines();
+        let head: Vec<String> = lines
+            .by_ref()
+            .map_while(|l| l.ok().filter(|l| !l.is_empty()))
+            .collect();
+        let body = r#"{"addresses":["10.0.0.1:8000","10.0.0.2:8000"],"keep_seconds":4}"#;
+        let length = body.len();
+        (&stream)
+            .write_all(
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}").as_bytes(),
+            )
+            .unwrap();
+        head
+    });
+    let args = ["addresses", "--entry", &address, "--service", "chat"];
+    let told = ran(program()
+        .args(args)
+        .env("EELGRASSMILL_TENANT_TOKEN", "guest-token"));
+    expect_that!(
+        told.out,
+        eq("10.0.0.1:8000\n10.0.0.2:8000\n# keep for 4 s\n")
+    );
+    let head = served.join().unwrap();
+    expect_that!(head[0], eq("GET /v1/addresses?service=chat HTTP/1.1"));
+    expect_that!(head, contains(eq("authorization: Bearer guest-token")));
+}
+
 #[gtest]
 fn standin_tells_its_addresses_and_ends_on_sigterm() {
     let mut child = program()
