--- a/crates/core/tests/pages.rs
+++ b/crates/core/tests/pages.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use eelgrassmill_base::Urgency;
-use eelgrassmill_config::{SectionKeys, TEXT_SECTIONS};
+use eelgrassmill_config::{Config, SectionKeys, TEXT_SECTIONS};
 use eelgrassmill_node::{
-    AdminRefusal, Metrics, RequestEnd, SETTINGS_SECTIONS, TableCall, TableResult,
+    AdminRefusal, Metrics, RequestEnd, SETTINGS_SECTIONS, Settings, TableCall, TableResult,
+    TokenHash,
 };
 use googletest::prelude::*;
 
@@ -112,3 +113,33 @@
         .collect();
     expect_that!(told, eq(&there));
 }
+
+/// The indented block of the guide that has `line` in it.
+fn block(line: &str) -> String {
+    let guide = page("GUIDE.md");
+    let blocks = guide.split("\n\n").collect::<Vec<_>>();
+    let is_code = |b: &&str| b.lines().all(|l| l.starts_with("    "));
+    let at = blocks
+        .iter()
+        .position(|b| b.contains(line))
+        .expect("the block");
+    let first = blocks[..=at]
+        .iter()
+        .rposition(|b| !is_code(b))
+        .expect("text before it")
+        + 1;
+    let rest = blocks[first..].iter().take_while(|b| is_code(b));
+    rest.copied().collect::<Vec<_>>().join("\n\n")
+}
+
+#[gtest]
+fn the_guides_settings_and_text_are_right() {
+    let token = "a-long-secret-for-operators";
+    let settings = Settings::parse(&block("id = node-a"), "a.ini", |_| Ok(token.to_owned()));
+    expect_that!(settings.map(|s| s.seeds.len()), ok(eq(&3)));
+    let config = Config::parse(&block("[tenant baths]"), "fleet.ini").unwrap();
+    let digits = &config.tenants["baths"].token_sha256;
+    let hash = TokenHash::from_hex(digits).expect("a hash");
+    expect_true!(hash.matches("guest-token"));
+    expect_that!(config.services.len(), eq(2));
+}
