--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,6 +6,8 @@
 mod info;
 mod problem;
 mod server;
+#[cfg(test)]
+mod tests;
 
 pub use backend::{AdminBackend, BackendError};
 pub use info::{
