Bound the log of accepted texts and give readers a small row

Cause: the deletion of old log rows had no condition, since their versions aren't at hand, so the node left it out and the log grew with every version: 47,910 bytes each at the size aimed at. And nodes that look for a new version twice a second read the whole text each time.

Ruled out: deleting by an unconditional write, as a transaction whose answer was lost couldn't be sent again; a cleaner of its own, one more thing that can stop. Change: versions take the rows of the log in turn, 500 of them, whose row versions follow from the version itself; config/head holds version and checksum alone. A reader of an old version checks the version in the row, and the admin API does so for every backend.

API: HEAD_KEY and HeadRow are new, log_key gives shared rows, every RowWrite has a condition and a value.

--- a/crates/config/src/accept.rs
+++ b/crates/config/src/accept.rs
@@ -3,6 +3,10 @@
 //! A submission becomes version V+1 by one transaction whose condition is the
 //! row of version V that the operator saw. Of two operators at once one
 //! transaction fails; its caller reads the row again and gets [`Decision::Conflict`].
+//!
+//! Every row that an acceptance writes is written by acceptances alone, so each
+//! write has a condition. A transaction whose answer was lost can then be sent
+//! again as it stands: it commits once, or finds that it did.
 
 use eelgrassmill_base::{ConfigVersion, RowVersion, SubmitId, value};
 use smol_str::SmolStr;
@@ -13,16 +17,26 @@
 
 /// Key of the row that holds the accepted text.
 pub const CURRENT_KEY: &str = "config/current";
+/// Key of the row that says which version is accepted, without its text.
+///
+/// Nodes look for new versions all the time, and the text of a large fleet
+/// has tens of kilobytes: they read this row, and the text when it changed.
+pub const HEAD_KEY: &str = "config/head";
 /// Prefix of the rows that hold earlier and current versions.
 pub const LOG_PREFIX: &str = "config/log/";
-/// Versions kept in the log; older rows are deleted with each acceptance.
+/// Versions kept in the log. Each takes the row of the one that is this many older.
 pub const LOG_KEPT: u64 = 500;
 /// Earlier submissions that the current row remembers, the latest last.
 pub const RECENT_KEPT: usize = 128;
 
-/// Key of version `v` in the log; the digits keep the rows in order of their versions.
+/// Key of the row that holds version `v`, as long as it is kept: see [`LogRow::version`].
 pub fn log_key(v: ConfigVersion) -> SmolStr {
-    format!("{LOG_PREFIX}{v:012}").into()
+    format!("{LOG_PREFIX}{:03}", v % LOG_KEPT).into()
+}
+
+/// Version that the log row for `v` has before `v` is written to it.
+fn log_row_version(v: ConfigVersion) -> RowVersion {
+    (v - 1) / LOG_KEPT
 }
 
 value! { wire
@@ -42,9 +56,17 @@
         pub recent: Vec<Accepted>,
     }
 
-    /// What row `config/log/V` holds.
+    /// What row `config/head` holds.
+    pub struct HeadRow {
+        /// The accepted version.
+        pub version: ConfigVersion,
+        /// [`checksum`] of its text.
+        pub checksum: SmolStr,
+    }
+
+    /// What a row under `config/log/` holds.
     pub struct LogRow {
-        /// V.
+        /// The version. A reader that asked for an older one finds that it isn't kept any more.
         pub version: ConfigVersion,
         /// The text as it was submitted.
         pub text: String,
@@ -196,25 +218,26 @@
         submit_id: submit.id.clone(),
         recent,
     };
-    let mut writes = vec![
-        RowWrite {
-            key: CURRENT_KEY.into(),
-            expect: Some(current.map_or(0, |(row_version, _)| row_version)),
-            value: Some(to_json(&row)),
-        },
-        RowWrite {
-            key: log_key(version),
-            expect: None,
-            value: Some(to_json(&log_row(&row))),
-        },
+    let head = HeadRow {
+        version,
+        checksum: row.checksum.clone(),
+    };
+    let row_version = current.map_or(0, |(row_version, _)| row_version);
+    let write = |key: SmolStr, expect, value| RowWrite {
+        key,
+        expect: Some(expect),
+        value: Some(value),
+    };
+    let writes = vec![
+        write(CURRENT_KEY.into(), row_version, to_json(&row)),
+        // Written together with the current row from the first one on.
+        write(HEAD_KEY.into(), row_version, to_json(&head)),
+        write(
+            log_key(version),
+            log_row_version(version),
+            to_json(&log_row(&row)),
+        ),
     ];
-    if let Some(old) = version.checked_sub(LOG_KEPT).filter(|v| *v > 0) {
-        writes.push(RowWrite {
-            key: log_key(old),
-            expect: None,
-            value: None,
-        });
-    }
     Acceptance {
         version,
         current: row,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -17,8 +17,8 @@
 mod units;
 
 pub use crate::accept::{
-    Acceptance, Accepted, CURRENT_KEY, Conflict, CurrentRow, Decision, LOG_KEPT, LOG_PREFIX,
-    LogRow, RECENT_KEPT, RowWrite, Submit, decide_submit, log_key,
+    Acceptance, Accepted, CURRENT_KEY, Conflict, CurrentRow, Decision, HEAD_KEY, HeadRow, LOG_KEPT,
+    LOG_PREFIX, LogRow, RECENT_KEPT, RowWrite, Submit, decide_submit, log_key,
 };
 pub use crate::applied::{Applied, OfferError, Offered};
 pub use crate::canonical::{Change, SectionName, canonical, checksum, diff};
--- a/crates/config/tests/accept.rs
+++ b/crates/config/tests/accept.rs
@@ -2,13 +2,16 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::{TEXT, runner};
 use eelgrassmill_config::{
-    Applied, CURRENT_KEY, CurrentRow, Decision, LOG_KEPT, LogRow, OfferError, Offered, RECENT_KEPT,
-    Submit, checksum, decide_submit, log_key,
+    Applied, CURRENT_KEY, CurrentRow, Decision, HEAD_KEY, HeadRow, LOG_KEPT, LogRow, OfferError,
+    Offered, RECENT_KEPT, RowWrite, Submit, checksum, decide_submit, log_key,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
+use smol_str::SmolStr;
 
 fn submit(id: &str, base: u64, author: &str, text: &str) -> Submit {
     Submit {
@@ -43,23 +46,77 @@
         panic!("{decision:?}")
     };
     expect_that!(a.version, eq(1));
-    expect_that!(a.writes.len(), eq(2));
-    expect_that!(a.writes[0].key.as_str(), eq(CURRENT_KEY));
-    expect_that!(a.writes[0].expect, some(eq(0)));
-    expect_that!(a.writes[1].key.as_str(), eq("config/log/000000000001"));
+    let keys: Vec<&str> = a.writes.iter().map(|w| w.key.as_str()).collect();
+    expect_that!(keys, eq(&vec![CURRENT_KEY, HEAD_KEY, "config/log/001"]));
+    expect_true!(a.writes.iter().all(|w| w.expect == Some(0)));
+}
+
+/// A table as far as acceptance needs one: rows with versions, all conditions or nothing.
+#[derive(Default)]
+struct Rows(BTreeMap<SmolStr, (u64, String)>);
+
+impl Rows {
+    fn commit(&mut self, writes: &[RowWrite]) -> bool {
+        let version = |key| self.0.get(key).map_or(0, |(v, _)| *v);
+        if writes
+            .iter()
+            .any(|w| w.expect.is_some_and(|e| e != version(&w.key)))
+        {
+            return false;
+        }
+        for write in writes {
+            let row = self.0.entry(write.key.clone()).or_default();
+            *row = (row.0 + 1, write.value.clone().unwrap_or_default());
+        }
+        true
+    }
+
+    fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Option<(u64, T)> {
+        let (version, value) = self.0.get(key)?;
+        Some((
+            *version,
+            serde_json::from_str(value).expect("a row of its kind"),
+        ))
+    }
+}
+
+/// Versions come and go for months. Unless rows are used again, the log fills
+/// the table; and unless their conditions stay true, one day nothing can be
+/// accepted any more.
+#[gtest]
+fn acceptance_goes_on_and_the_log_stays_bounded() {
+    let mut rows = Rows::default();
+    let last = 2 * LOG_KEPT + 3;
+    for v in 1..=last {
+        let current: Option<(u64, CurrentRow)> = rows.read(CURRENT_KEY);
+        let current = current.as_ref().map(|(version, row)| (*version, row));
+        let submit = submit(&format!("s-{v}"), v - 1, "ada", TEXT);
+        let Decision::Accept(a) = decide_submit(current, None, &submit) else {
+            panic!("version {v}");
+        };
+        assert!(rows.commit(&a.writes), "version {v}");
+        // The same transaction again, as after a lost answer, has no effect.
+        assert!(!rows.commit(&a.writes), "version {v} again");
+    }
+    expect_that!(rows.0.len(), eq(LOG_KEPT as usize + 2));
+    let head: HeadRow = rows.read(HEAD_KEY).unwrap().1;
+    expect_that!((head.version, head.checksum), eq(&(last, checksum(TEXT))));
+    let oldest = last - LOG_KEPT + 1;
+    let kept: LogRow = rows.read(&log_key(oldest)).unwrap().1;
+    expect_that!(kept.version, eq(oldest));
+    let reused: LogRow = rows.read(&log_key(oldest - 1)).unwrap().1;
+    expect_that!(reused.version, eq(last));
 }
 
 #[gtest]
-fn the_row_version_seen_is_the_condition_and_old_log_rows_go() {
-    let mut row = accepted(None, &submit("s1", 0, "ada", TEXT));
-    row.version = LOG_KEPT;
-    let decision = decide_submit(Some((77, &row)), None, &submit("s2", LOG_KEPT, "ada", TEXT));
+fn the_row_version_seen_is_the_condition() {
+    let row = accepted(None, &submit("s1", 0, "ada", TEXT));
+    let decision = decide_submit(Some((77, &row)), None, &submit("s2", 1, "ada", TEXT));
     let Decision::Accept(a) = decision else {
         panic!("{decision:?}")
     };
     expect_that!(a.writes[0].expect, some(eq(77)));
-    expect_that!(a.writes[2].key, eq(&log_key(1)));
-    expect_that!(a.writes[2].value, none());
+    expect_that!(a.writes[1].expect, some(eq(77)));
 }
 
 /// Two operators change the text at the same moment. The one whose transaction
--- a/crates/node/src/admin/handler.rs
+++ b/crates/node/src/admin/handler.rs
@@ -1,6 +1,7 @@
 //! From a whole request to a whole answer, without any I/O of its own.
 
 use bytes::Bytes;
+use eelgrassmill_base::ConfigVersion;
 use eelgrassmill_config::{Config, Submit, diff};
 use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, request};
@@ -8,7 +9,7 @@
 
 use super::backend::{AdminBackend, BackendError};
 use super::call::{Call, CallError};
-use super::info::SubmitReply;
+use super::info::{ConfigVersionInfo, SubmitReply};
 use super::problem::Problem;
 use crate::admin_token::TokenHash;
 use crate::metrics::{AdminRefusal, Metrics};
@@ -116,7 +117,7 @@
         Call::Submit => submit(backend, body),
         Call::Check => check(body),
         Call::Diff => compare(backend, body),
-        Call::Show(version) => shown(backend.show(version)),
+        Call::Show(version) => shown(show(backend, version)),
         Call::Log => shown(backend.log()),
         Call::Status => shown(backend.config_status()),
         Call::Groups => Ok(json(&backend.groups())),
@@ -188,6 +189,21 @@
     })
 }
 
+/// Versions share rows of the log with later ones: a backend that reads a row
+/// whose version has moved on must not pass it off as the one asked for.
+fn show(
+    backend: &impl AdminBackend,
+    version: Option<ConfigVersion>,
+) -> Result<ConfigVersionInfo, BackendError> {
+    let info = backend.show(version)?;
+    match version {
+        Some(asked) if asked != info.version => Err(BackendError::NotFound(format!(
+            "version {asked} is no longer kept"
+        ))),
+        _ => Ok(info),
+    }
+}
+
 fn text_of(body: &Bytes) -> Result<&str, Refused> {
     std::str::from_utf8(body).map_err(|e| malformed(format!("the body is no UTF-8 text ({e})")))
 }
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -52,6 +52,8 @@
                 checksum: "00".into(),
                 text: Some(TEXT.to_owned()),
             }),
+            // The row of version 507 is that of version 7.
+            Some(507) => self.show(Some(7)),
             Some(v) => Err(BackendError::NotFound(format!("version {v} is not kept"))),
         }
     }
