--- a/crates/node/tests/util/mod.rs
+++ b/crates/node/tests/util/mod.rs
@@ -2,6 +2,8 @@
 // Each test file uses a part of it, and a panic is how a test fails.
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
 
+pub mod stream;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -133,6 +135,41 @@
         call(self.nodes[i].caller_address(), "POST", path, &headers, body)
     }
 
+    pub fn raw(&self, i: usize, path: &str, more: &[(&str, &str)], body: &str) -> stream::Raw {
+        let token = format!("Bearer {TENANT_TOKEN}");
+        let mut headers = vec![("authorization", token.as_str())];
+        headers.extend_from_slice(more);
+        stream::post(self.nodes[i].caller_address(), path, &headers, body)
+    }
+
+    /// Switches all faults of a stand-in host, or of the platform, off.
+    pub fn mend(&self, target: &str) {
+        let control = self.standins.control_address().parse().unwrap();
+        let answer = call(
+            control,
+            "DELETE",
+            &format!("/fault?target={target}"),
+            &[],
+            "",
+        );
+        assert_eq!(answer.status / 100, 2, "{}", answer.text);
+    }
+
+    /// Sets what the host list says of a host.
+    pub fn list_as(&self, host: &str, state: &str) {
+        let control = self.standins.control_address().parse().unwrap();
+        let path = format!("/host-state?host={host}&state={state}");
+        let answer = call(control, "POST", &path, &[], "");
+        assert_eq!(answer.status / 100, 2, "{}", answer.text);
+    }
+
+    /// Every request that ran on an engine, by id.
+    pub fn engine_runs(&self) -> Vec<eelgrassmill_standin::Run> {
+        let hosts = self.standins.host_entries();
+        let runs = hosts.iter().filter_map(|h| self.standins.runs(&h.id));
+        runs.flat_map(|r| r.runs).collect()
+    }
+
     /// Switches a fault of a stand-in host on.
     pub fn fault(&self, host: &str, name: &str, query: &str) {
         let control = self.standins.control_address().parse().unwrap();
--- /dev/null
+++ b/crates/node/tests/util/stream.rs
@@ -0,0 +1,109 @@
+//! A caller that reads a raw HTTP answer to the last byte that comes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// What came over the connection, and whether it is a whole HTTP answer.
+pub struct Raw {
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body came to the end that its framing announces.
+    pub ended: bool,
+    /// When each piece came, from the sending of the request.
+    pub pieces: Vec<(Duration, usize)>,
+}
+
+impl Raw {
+    pub fn status(&self) -> u16 {
+        self.head[9..12].parse().unwrap()
+    }
+
+    /// The texts of the token events.
+    pub fn tokens(&self) -> Vec<String> {
+        let body = String::from_utf8_lossy(&self.body);
+        let events = body.lines().filter_map(|l| l.strip_prefix("data: "));
+        events
+            .filter(|e| *e != "[DONE]")
+            .map(|e| {
+                let event: serde_json::Value = serde_json::from_str(e).unwrap();
+                event["choices"][0]["text"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .to_owned()
+            })
+            .collect()
+    }
+}
+
+/// Sends a POST and reads until the connection closes.
+pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Raw {
+    let mut conn = TcpStream::connect(address).unwrap();
+    conn.set_read_timeout(Some(Duration::from_secs(30)))
+        .unwrap();
+    let mut req = format!("POST {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        req.push_str(&format!("{name}: {value}\r\n"));
+    }
+    req.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    let sent = Instant::now();
+    conn.write_all(req.as_bytes()).unwrap();
+    let mut all = Vec::new();
+    let mut pieces = Vec::new();
+    let mut buf = [0; 16 * 1024];
+    loop {
+        match conn.read(&mut buf) {
+            Ok(0) | Err(_) => break,
+            Ok(n) => {
+                all.extend_from_slice(&buf[..n]);
+                pieces.push((sent.elapsed(), n));
+            }
+        }
+    }
+    parse(&all, pieces)
+}
+
+fn parse(all: &[u8], pieces: Vec<(Duration, usize)>) -> Raw {
+    let split = all
+        .windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .unwrap_or(all.len());
+    let head = String::from_utf8_lossy(&all[..split]).to_lowercase();
+    let rest = all.get(split + 4..).unwrap_or_default();
+    let (body, ended) = if head.contains("transfer-encoding: chunked") {
+        dechunk(rest)
+    } else {
+        let length = head
+            .lines()
+            .find_map(|l| l.strip_prefix("content-length: "));
+        let length: usize = length.map_or(0, |l| l.trim().parse().unwrap());
+        (rest.to_vec(), rest.len() == length)
+    };
+    Raw {
+        head,
+        body,
+        ended,
+        pieces,
+    }
+}
+
+fn dechunk(mut rest: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(end) = rest.windows(2).position(|w| w == b"\r\n") else {
+            return (body, false);
+        };
+        let size = std::str::from_utf8(&rest[..end]).unwrap_or_default();
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            return (body, false);
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = rest.get(end + 2..end + 2 + size) else {
+            return (body, false);
+        };
+        body.extend_from_slice(chunk);
+        rest = rest.get(end + 4 + size..).unwrap_or_default();
+    }
+}
