--- /dev/null
+++ b/crates/group/examples/repair/fake.rs
@@ -0,0 +1,502 @@
+//! A few lines of hosts and a table in memory, enough to play faults over the pure policy.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{
+    GroupId, HostEntry, HostId, HostReport, HostState, Order, OrderKind, Placement, TargetKind,
+};
+use eelgrassmill_config::Config;
+use eelgrassmill_group::{
+    Action, Change, FleetView, GroupPhase, GroupRow, GroupWatch, RepairPolicy, RowValue, Verdict,
+    Why, plan, weights_name,
+};
+use smol_str::{SmolStr, format_smolstr};
+
+/// Time between two rounds; hosts are probed and rows read once in each.
+pub(crate) const STEP: Duration = Duration::from_millis(500);
+/// Time until a transaction or an order is answered.
+const ANSWER: Duration = Duration::from_millis(50);
+/// Most rounds of planning in one step.
+const MOST_ROUNDS: u32 = 8;
+/// Models whose weights a host can hold at once.
+const WARM_LIMIT: usize = 2;
+/// How late the host list shows a change.
+const LIST_LAG: Duration = Duration::from_secs(5);
+
+/// What happens to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// It stops for so many seconds and goes on as if nothing had happened.
+    Pause(u64),
+    /// It is down for so many seconds and comes back empty.
+    Restart(u64),
+    /// It never comes back; the host list drops it after two minutes.
+    Die,
+    /// It is announced as leaving, goes after so many seconds, and a new host takes its
+    /// place five minutes later.
+    Leave(u64),
+}
+
+/// One host.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeHost {
+    pub(crate) entry: HostEntry,
+    pub(crate) incarnation: u64,
+    pub(crate) placement: Option<Placement>,
+    pub(crate) fence: u64,
+    pub(crate) checks_orders: bool,
+    pub(crate) warm: Vec<SmolStr>,
+    /// Bytes that it has yet to load for its placement.
+    pub(crate) to_load: u64,
+    /// Until when it doesn't run; `None` while it runs.
+    pub(crate) away_until: Option<Instant>,
+    /// Whether it comes back empty.
+    empty_on_return: bool,
+    /// Whether and when the host list changes its line.
+    listing: Option<(Instant, Option<HostState>)>,
+    listed: bool,
+    /// When it goes after it was announced as leaving.
+    goes_at: Option<Instant>,
+}
+
+impl FakeHost {
+    pub(crate) fn new(entry: HostEntry, checks_orders: bool) -> FakeHost {
+        FakeHost {
+            entry,
+            incarnation: 1,
+            placement: None,
+            fence: 0,
+            checks_orders,
+            warm: Vec::new(),
+            to_load: 0,
+            away_until: None,
+            empty_on_return: false,
+            listing: None,
+            listed: true,
+            goes_at: None,
+        }
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.away_until.is_none()
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.placement.is_some() && self.to_load == 0
+    }
+
+    pub(crate) fn report(&self) -> HostReport {
+        HostReport {
+            host: self.entry.id.clone(),
+            incarnation: self.incarnation,
+            placement: self.placement.clone(),
+            ready: self.is_ready(),
+            fence: self.fence,
+            leaving: false,
+            running: 0,
+            warm: self.warm.clone(),
+        }
+    }
+
+    /// Obeys an order, or refuses it if it checks orders and has obeyed a higher fence.
+    pub(crate) fn obey(&mut self, order: &Order, load_bytes: u64) {
+        if self.checks_orders && order.fence < self.fence {
+            return;
+        }
+        self.fence = self.fence.max(order.fence);
+        match order.kind {
+            OrderKind::Join => self.join(&order.placement, load_bytes),
+            OrderKind::Leave => {
+                let same = |p: &Placement| {
+                    (&p.group, p.epoch) == (&order.placement.group, order.placement.epoch)
+                };
+                if self.placement.as_ref().is_some_and(same) {
+                    self.placement = None;
+                    self.to_load = 0;
+                }
+            }
+        }
+    }
+
+    fn join(&mut self, placement: &Placement, load_bytes: u64) {
+        if self.placement.as_ref() == Some(placement) {
+            return;
+        }
+        let weights = weights_name(&placement.model, &placement.version);
+        self.to_load = if self.warm.contains(&weights) {
+            0
+        } else {
+            load_bytes
+        };
+        self.placement = Some(placement.clone());
+    }
+
+    fn load(&mut self, bytes: u64) {
+        let Some(placement) = &self.placement else {
+            return;
+        };
+        self.to_load = self.to_load.saturating_sub(bytes);
+        let weights = weights_name(&placement.model, &placement.version);
+        if self.to_load == 0 && !self.warm.contains(&weights) {
+            self.warm.push(weights);
+            let excess = self.warm.len().saturating_sub(WARM_LIMIT);
+            self.warm.drain(..excess);
+        }
+    }
+
+    fn go(&mut self, until: Instant, empty: bool) {
+        self.away_until = Some(until);
+        self.empty_on_return = empty;
+    }
+
+    pub(crate) fn suffer(&mut self, fault: Fault, now: Instant) {
+        let after = |s| now + Duration::from_secs(s);
+        let never = after(1_000_000);
+        match fault {
+            Fault::Pause(s) => self.go(after(s), false),
+            Fault::Restart(s) => self.go(after(s), true),
+            Fault::Die => {
+                self.go(never, true);
+                self.listing = Some((after(120), None));
+            }
+            Fault::Leave(s) => {
+                self.listing = Some((now + LIST_LAG, Some(HostState::Leaving)));
+                self.goes_at = Some(after(s));
+            }
+        }
+    }
+
+    /// Lets time pass; whether its line in the host list changed.
+    fn pass(&mut self, now: Instant) -> bool {
+        if self.goes_at.is_some_and(|at| now >= at) {
+            self.goes_at = None;
+            self.go(now + Duration::from_secs(300), true);
+            self.listing = Some((now + LIST_LAG, None));
+        }
+        if self.away_until.is_some_and(|at| now >= at) {
+            self.come_back(now);
+        }
+        if let Some((at, state)) = self.listing
+            && now >= at
+        {
+            self.listing = None;
+            self.listed = state.is_some();
+            self.entry.state = state.unwrap_or(HostState::Live);
+            return true;
+        }
+        false
+    }
+
+    fn come_back(&mut self, now: Instant) {
+        self.away_until = None;
+        if self.empty_on_return {
+            self.incarnation += 1;
+            self.placement = None;
+            self.to_load = 0;
+            self.warm.clear();
+            self.fence = 0;
+        }
+        if !self.listed {
+            self.listing = Some((now + LIST_LAG, Some(HostState::Live)));
+        }
+    }
+}
+
+/// Rates of the weight store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Store {
+    /// For all loads together, in bytes a second.
+    pub(crate) rate: u64,
+    /// For one host, in bytes a second.
+    pub(crate) host_rate: u64,
+}
+
+/// Totals of one run.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Totals {
+    /// Seconds in which wanted groups could not serve, summed over them.
+    pub(crate) downtime: f64,
+    /// Seconds in which healthy accelerators that a group lacked were idle, summed over them.
+    pub(crate) stranded: f64,
+    /// Transactions committed.
+    pub(crate) changes: u64,
+    /// Most transactions in one round.
+    pub(crate) most_changes: u64,
+    /// Most hosts that loaded at once.
+    pub(crate) most_loads: u64,
+}
+
+/// Hosts, a table and one planner.
+#[derive(Clone)]
+pub(crate) struct Fake {
+    pub(crate) now: Instant,
+    pub(crate) hosts: BTreeMap<HostId, FakeHost>,
+    pub(crate) rows: BTreeMap<SmolStr, (u64, RowValue)>,
+    pub(crate) view: FleetView,
+    pub(crate) policy: RepairPolicy,
+    pub(crate) watches: BTreeMap<GroupId, GroupWatch>,
+    pub(crate) totals: Totals,
+    pub(crate) store: Store,
+    list_changed: bool,
+}
+
+impl Fake {
+    pub(crate) fn new(
+        hosts: Vec<FakeHost>,
+        config: Config,
+        sizes: &[(SmolStr, u64)],
+        store: Store,
+        policy: RepairPolicy,
+    ) -> Fake {
+        let now = Instant::now() + Duration::from_secs(1000);
+        let mut view = FleetView::new("n1", "region-1", Arc::new(config), now);
+        view.weights = sizes.iter().cloned().collect();
+        view.store_rate = store.rate;
+        Fake {
+            now,
+            hosts: hosts.into_iter().map(|h| (h.entry.id.clone(), h)).collect(),
+            rows: BTreeMap::new(),
+            view,
+            policy,
+            watches: BTreeMap::new(),
+            totals: Totals::default(),
+            store,
+            list_changed: true,
+        }
+    }
+
+    /// One step: time passes, hosts are probed, rows are read, and the plan is carried out.
+    ///
+    /// The planner goes on as soon as a transaction or order is answered, which
+    /// takes [`ANSWER`], and doesn't wait for the next probe.
+    pub(crate) fn step(&mut self) -> Vec<Action> {
+        let next = self.now + STEP;
+        self.pass();
+        self.observe();
+        let mut all = Vec::new();
+        for _ in 0..MOST_ROUNDS {
+            let actions = plan(&self.view, &self.policy, self.now);
+            if actions.is_empty() {
+                break;
+            }
+            self.now += ANSWER;
+            self.carry_out(&actions);
+            self.read_rows();
+            all.extend(actions);
+        }
+        self.now = next;
+        self.measure();
+        all
+    }
+
+    pub(crate) fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub(crate) fn suffer(&mut self, host: &str, fault: Fault) {
+        let now = self.now;
+        if let Some(host) = self.hosts.get_mut(host) {
+            host.suffer(fault, now);
+        }
+    }
+
+    fn pass(&mut self) {
+        let now = self.now;
+        let loading = |h: &&mut FakeHost| h.is_up() && h.to_load > 0;
+        let count = self.hosts.values_mut().filter(loading).count() as u64;
+        let each = self.store.host_rate.min(self.store.rate / count.max(1));
+        let bytes = each * STEP.as_millis() as u64 / 1000;
+        for host in self.hosts.values_mut() {
+            self.list_changed |= host.pass(now);
+            if host.is_up() && host.to_load > 0 {
+                host.load(bytes);
+            }
+        }
+        self.totals.most_loads = self.totals.most_loads.max(count);
+    }
+
+    /// Brings the view up to date, as the node crate does with real answers.
+    pub(crate) fn observe(&mut self) {
+        let now = self.now;
+        let listed = self.hosts.values().filter(|h| h.listed);
+        let entries: Vec<HostEntry> = listed.map(|h| h.entry.clone()).collect();
+        self.view.on_host_list(&entries, now);
+        self.read_rows();
+        for host in self.hosts.values().filter(|h| h.is_up()) {
+            let report = host.report();
+            self.view.on_report(&report, now);
+            for watch in self.watches.values_mut() {
+                if report
+                    .placement
+                    .as_ref()
+                    .is_some_and(|p| p.group == watch.row().group)
+                    || watch.row().members.contains(&report.host)
+                {
+                    watch.on_report(&report, now);
+                }
+            }
+        }
+        for (group, watch) in &mut self.watches {
+            let (verdict, _) = watch.verdict(now);
+            let restarted = match &verdict {
+                Verdict::Missing {
+                    host,
+                    why: Why::Restarted,
+                } => Some(host.clone()),
+                _ => None,
+            };
+            let epoch = watch.row().epoch;
+            let whole = verdict == Verdict::Whole;
+            self.view
+                .on_serving(group, epoch, whole, restarted.as_ref(), now);
+        }
+    }
+
+    fn read_rows(&mut self) {
+        let now = self.now;
+        let mut groups = BTreeSet::new();
+        for (version, value) in self.rows.values() {
+            match value {
+                RowValue::Host(row) => self.view.on_host_row(row, *version, now),
+                RowValue::Group(row) => {
+                    groups.insert(row.group.clone());
+                    self.view.on_group_row(row, *version, now);
+                    self.watches
+                        .entry(row.group.clone())
+                        .or_insert_with(|| GroupWatch::new(row.clone()))
+                        .set_row(row.clone());
+                }
+                _ => {}
+            }
+        }
+        let known: Vec<GroupId> = self.view.groups.keys().cloned().collect();
+        for gone in known.iter().filter(|g| !groups.contains(*g)) {
+            self.view.on_group_gone(gone);
+            self.watches.remove(gone);
+        }
+    }
+
+    pub(crate) fn carry_out(&mut self, actions: &[Action]) {
+        let mut changes = 0;
+        for action in actions {
+            if let Some(change) = action.change() {
+                assert!(self.commit(change), "conflict in {action:?}");
+                changes += 1;
+            }
+            if let Some(order) = action.order() {
+                self.send(order);
+            }
+        }
+        self.totals.changes += changes;
+        self.totals.most_changes = self.totals.most_changes.max(changes);
+    }
+
+    pub(crate) fn send(&mut self, order: &Order) {
+        self.view.on_order_sent(order, self.now);
+        let placement = &order.placement;
+        let weights = weights_name(&placement.model, &placement.version);
+        let bytes = self.view.weights.get(&weights).copied().unwrap_or(0);
+        let per_host = bytes / self.hosts_per_group(&placement.model);
+        let host = self.hosts.get_mut(&order.host).filter(|h| h.is_up());
+        if let Some(host) = host {
+            host.obey(order, per_host);
+            let report = host.report();
+            self.view
+                .on_report(&report, self.now + Duration::from_millis(1));
+        }
+    }
+
+    fn hosts_per_group(&self, model: &str) -> u64 {
+        use eelgrassmill_config::ServiceKind::Model;
+        let sizes = self
+            .view
+            .config
+            .services
+            .values()
+            .filter_map(|s| match &s.kind {
+                Model(m) if m.model == model => Some(u64::from(m.hosts_per_group)),
+                _ => None,
+            });
+        sizes.max().unwrap_or(1)
+    }
+
+    /// Commits a change if all its expectations hold.
+    pub(crate) fn commit(&mut self, change: &Change) -> bool {
+        let version = |key: &SmolStr| match self.rows.get(key) {
+            None | Some((_, RowValue::Absent)) => 0,
+            Some((version, _)) => *version,
+        };
+        if change.expect.iter().any(|e| version(&e.key) != e.version) {
+            return false;
+        }
+        for put in &change.puts {
+            let row = self
+                .rows
+                .entry(put.key.clone())
+                .or_insert((0, RowValue::Absent));
+            row.0 += 1;
+            row.1 = put.value.clone();
+        }
+        true
+    }
+
+    /// Whether a group with this row can truly serve at this moment.
+    pub(crate) fn is_serving(&self, row: &GroupRow) -> bool {
+        row.phase == GroupPhase::Formed
+            && self.view.groups.get(&row.group).is_some_and(|g| g.serving)
+            && row.members.iter().all(|id| {
+                let host = &self.hosts[id];
+                let placed = host.placement.as_ref();
+                host.is_up() && host.is_ready() && placed.is_some_and(|p| p.epoch == row.epoch)
+            })
+    }
+
+    pub(crate) fn serving_groups(&self) -> Vec<&GroupRow> {
+        let rows = self.rows.values().filter_map(|(_, value)| match value {
+            RowValue::Group(row) => Some(row),
+            _ => None,
+        });
+        rows.filter(|row| self.is_serving(row)).collect()
+    }
+
+    fn measure(&mut self) {
+        use eelgrassmill_config::ServiceKind::Model;
+        let serving = self.serving_groups();
+        let busy: BTreeSet<&HostId> = serving.iter().flat_map(|r| &r.members).collect();
+        let mut lacking = 0;
+        let mut down = 0;
+        for service in self.view.config.services.values() {
+            if let Model(model) = &service.kind {
+                let have = serving.iter().filter(|r| r.service == service.name).count();
+                let less = (model.groups as usize).saturating_sub(have);
+                down += less;
+                lacking += less * model.hosts_per_group as usize;
+            }
+        }
+        let healthy = self.hosts.values().filter(|h| h.is_up());
+        let idle = healthy.filter(|h| !busy.contains(&h.entry.id));
+        let accelerators = idle.take(lacking).map(|h| u64::from(h.entry.accelerators));
+        let stranded: u64 = accelerators.sum();
+        self.totals.downtime += down as f64 * STEP.as_secs_f64();
+        self.totals.stranded += stranded as f64 * STEP.as_secs_f64();
+    }
+}
+
+/// A host list line.
+pub(crate) fn entry(id: &str, failure: &str, fabric: &str, accelerators: u32) -> HostEntry {
+    HostEntry {
+        id: id.into(),
+        address: format_smolstr!("127.0.0.1:1"),
+        kind: TargetKind::Engine,
+        region: "region-1".into(),
+        failure_domain: failure.into(),
+        fabric_domain: fabric.into(),
+        accelerators,
+        state: HostState::Live,
+    }
+}
--- a/crates/group/src/evidence/store.rs
+++ b/crates/group/src/evidence/store.rs
@@ -127,7 +127,7 @@
         };
         let known = self.at_epoch(&row.group, row.epoch, lead);
         if let Some(known) = known {
-            known.ending |= row.phase == GroupPhase::Ending;
+            known.ending |= row.phase != GroupPhase::Formed;
         }
     }
 
--- a/crates/group/src/evidence/verdict.rs
+++ b/crates/group/src/evidence/verdict.rs
@@ -35,7 +35,7 @@
             /// Why it doesn't count.
             why: Why,
         },
-        /// The group's row says that it ends.
+        /// The group's row says that it is not for serving: it ends, or it only loads.
         Ending,
     }
 }
@@ -85,7 +85,7 @@
     whole_as: &[Incarnation],
     now: Instant,
 ) -> Verdict {
-    if row.phase == GroupPhase::Ending {
+    if row.phase != GroupPhase::Formed {
         return Verdict::Ending;
     }
     let mut reports = reports.into_iter();
--- a/crates/group/src/evidence/watch.rs
+++ b/crates/group/src/evidence/watch.rs
@@ -131,7 +131,7 @@
     /// A group found whole for the first time in this epoch binds its members'
     /// incarnations: a member that restarts later holds nothing, whatever it says.
     pub fn verdict(&mut self, now: Instant) -> (Verdict, Instant) {
-        if self.row.phase == GroupPhase::Ending {
+        if self.row.phase != GroupPhase::Formed {
             return (Verdict::Ending, now);
         }
         let mut worst = None;
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod evidence;
 mod lease;
+mod plan;
 mod rows;
 
 pub use crate::evidence::{
@@ -17,8 +18,12 @@
     HeldLease, LeaseError, LeaseObserver, LeaseProof, LeaseTiming, NotYet, PlannerSeen, Takeover,
     takeover,
 };
+pub use crate::plan::{
+    Absence, Action, FleetView, FreedBecause, GroupFacts, HostFacts, RepairChoice, RepairPolicy,
+    ReturnModel, plan,
+};
 pub use crate::rows::{
     Change, EndReason, Expect, GROUP_PREFIX, GroupPhase, GroupRow, HOST_PREFIX, HostRow,
     NODE_PREFIX, NodeRow, NodeState, PLANNER_PREFIX, PlannerRow, Put, RowValue, group_id,
-    group_key, host_key, node_key, planner_key, split_group_id, weights_name,
+    group_key, host_key, node_key, planner_key, split_group_id, warming_id, weights_name,
 };
--- /dev/null
+++ b/crates/group/src/plan/end.rs
@@ -0,0 +1,71 @@
+//! The transaction that begins to end a group.
+
+use crate::plan::action::Action;
+use crate::plan::round::Round;
+use crate::plan::view::GroupFacts;
+use crate::rows::{
+    Change, EndReason, GroupPhase, GroupRow, HostRow, RowValue, group_key, host_key,
+};
+
+/// Whether the group could serve when it was ended, so that requests in progress matter.
+pub(crate) fn is_planned(reason: Option<EndReason>) -> bool {
+    !matches!(
+        reason,
+        Some(EndReason::MemberLost | EndReason::MemberRestarted | EndReason::Warmed)
+    )
+}
+
+/// Whether the group is to be formed again from the same hosts where that is possible.
+pub(crate) fn is_reformed(reason: Option<EndReason>) -> bool {
+    matches!(
+        reason,
+        Some(
+            EndReason::MemberLost
+                | EndReason::MemberRestarted
+                | EndReason::MemberLeaving
+                | EndReason::Rollout
+        )
+    )
+}
+
+/// Begins to end a group; whether this round's bound allowed it.
+///
+/// The fence of every member rises with it, so that a host that checks orders
+/// refuses a `Join` of this epoch that is still under way.
+pub(crate) fn end_group(round: &mut Round<'_>, group: &GroupFacts, reason: EndReason) -> bool {
+    if !round.may_change() || !group.is_live() {
+        return false;
+    }
+    let row = GroupRow {
+        phase: GroupPhase::Ending,
+        reason: Some(reason),
+        ..group.row.clone()
+    };
+    let key = group_key(&row.group);
+    let mut change = Change::new()
+        .expect(key.clone(), group.row_version)
+        .put(key, RowValue::Group(row));
+    for id in &group.row.members {
+        let Some(host) = round
+            .view
+            .hosts
+            .get(id)
+            .filter(|h| h.is_bound_to(&group.row))
+        else {
+            continue;
+        };
+        let raised = HostRow {
+            fence: host.row.fence + 1,
+            ..host.row.clone()
+        };
+        change = change
+            .expect(host_key(id), host.row_version)
+            .put(host_key(id), RowValue::Host(raised));
+    }
+    round.push_change(Action::BeginEnding {
+        group: group.row.group.clone(),
+        reason,
+        change,
+    });
+    true
+}
--- /dev/null
+++ b/crates/group/src/plan/mod.rs
@@ -0,0 +1,41 @@
+//! The planner: a pure function from what is known of a region to what is to be done.
+//!
+//! One round looks at every host and group once, in this order: release and
+//! order hosts, end groups that are not wanted or can be mended better in
+//! another shape, form groups from free hosts, and load spares. Each round is
+//! bounded in transactions and in hosts that load at once, so that a dark
+//! fabric domain starts no storm; what doesn't fit waits for the next round.
+
+mod action;
+mod end;
+mod form;
+mod policy;
+mod repair;
+mod returns;
+mod round;
+mod settle;
+mod shape;
+mod view;
+mod warm;
+
+use std::time::Instant;
+
+pub use crate::plan::action::{Action, FreedBecause};
+pub use crate::plan::policy::{RepairChoice, RepairPolicy};
+pub use crate::plan::returns::{Absence, ReturnModel};
+pub use crate::plan::view::{FleetView, GroupFacts, HostFacts};
+
+use crate::plan::round::Round;
+
+/// What is to be done now, the most urgent first.
+pub fn plan(view: &FleetView, policy: &RepairPolicy, now: Instant) -> Vec<Action> {
+    let mut round = Round::new(view, policy, now);
+    settle::settle(&mut round);
+    shape::end_surplus(&mut round);
+    form::reform_ended(&mut round);
+    repair::repair(&mut round);
+    form::form_missing(&mut round);
+    shape::roll_out(&mut round);
+    warm::warm_spares(&mut round);
+    round.actions
+}
--- /dev/null
+++ b/crates/group/src/plan/policy.rs
@@ -0,0 +1,77 @@
+//! Settings of the repair policy.
+
+use std::time::Duration;
+
+use eelgrassmill_config::RepairWeight;
+
+use crate::lease::LeaseTiming;
+
+/// How a broken group is mended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepairChoice {
+    /// Weighs waiting, spares, joining, yielding and moving; what the product uses.
+    Weighed,
+    /// Waits for the missing host until the host list drops it; for comparison.
+    WaitForReturn,
+    /// Takes the first spare as soon as a host is missing; for comparison.
+    FirstSpare,
+}
+
+/// Settings of the planner; see [`RepairPolicy::new`] for the defaults.
+#[derive(Clone, Debug)]
+pub struct RepairPolicy {
+    /// How a broken group is mended.
+    pub choice: RepairChoice,
+    /// What is saved first.
+    pub weight: RepairWeight,
+    /// Silence after which a host counts as missing.
+    pub detect: Duration,
+    /// Assumed time from ending a group until it is whole again when all weights are warm.
+    pub reform_time: Duration,
+    /// Most hosts that load weights at once.
+    pub max_loads: usize,
+    /// Most transactions in one round.
+    pub max_changes: usize,
+    /// Time between two sendings of an order that hasn't shown effect.
+    pub resend: Duration,
+    /// Least time that a group which served keeps its members after it began to end, so
+    /// that every node has stopped routing to it.
+    pub drain_least: Duration,
+    /// Longest time that requests in progress may keep an ending group.
+    pub drain_most: Duration,
+    /// How long a group that ended is expected to be formed again from the same hosts.
+    pub reform_limit: Duration,
+    /// How long a service goes without a group before one is formed over several fabric domains.
+    pub span_after: Duration,
+    /// Loading that takes longer than this is counted as failed.
+    pub load_limit: Duration,
+    /// Durations of leases and orders.
+    pub timing: LeaseTiming,
+}
+
+impl RepairPolicy {
+    /// The defaults for a weight.
+    pub fn new(weight: RepairWeight) -> RepairPolicy {
+        RepairPolicy {
+            choice: RepairChoice::Weighed,
+            weight,
+            detect: Duration::from_secs(2),
+            reform_time: Duration::from_millis(1500),
+            max_loads: 16,
+            max_changes: 32,
+            resend: Duration::from_secs(1),
+            drain_least: Duration::from_secs(3),
+            drain_most: Duration::from_secs(60),
+            reform_limit: Duration::from_secs(20),
+            span_after: Duration::from_secs(10),
+            load_limit: Duration::from_secs(900),
+            timing: LeaseTiming::default(),
+        }
+    }
+
+    /// The same with another way to mend, for comparison.
+    pub fn with_choice(mut self, choice: RepairChoice) -> RepairPolicy {
+        self.choice = choice;
+        self
+    }
+}
--- /dev/null
+++ b/crates/group/src/plan/repair.rs
@@ -0,0 +1,387 @@
+//! What to do about groups that have lost a member or are about to.
+//!
+//! The ways are tried in the order of what they cost: swap the lost members
+//! for warm spares of the same fabric domain, load a spare there while the
+//! missing host may still come back, join the hosts of two broken groups,
+//! and, in [`crate::plan::form`], replace the group elsewhere.
+
+use std::time::Duration;
+
+use eelgrassmill_base::FabricDomain;
+
+use crate::plan::end::end_group;
+use crate::plan::form::{has_room, sort_by_use};
+use crate::plan::policy::RepairChoice;
+use crate::plan::returns::Absence;
+use crate::plan::round::{Group, Lost, Round, Standing};
+use crate::plan::view::HostFacts;
+use crate::rows::EndReason;
+use eelgrassmill_config::RepairWeight;
+
+/// Looks at every group that has lost a member.
+pub(crate) fn repair(round: &mut Round<'_>) {
+    for (service, index) in damaged(round) {
+        match round.policy.choice {
+            RepairChoice::Weighed => weigh(round, service, index),
+            RepairChoice::WaitForReturn => wait_for_return(round, service, index),
+            RepairChoice::FirstSpare => first_spare(round, service, index),
+        }
+    }
+    if round.policy.choice == RepairChoice::Weighed {
+        join_broken(round);
+        yield_to_need(round);
+    }
+}
+
+/// Damaged groups, those first that need the fewest other hosts.
+fn damaged(round: &Round<'_>) -> Vec<(usize, usize)> {
+    let mut found = Vec::new();
+    for (service, wanted) in round.wanted.iter().enumerate() {
+        for (index, group) in wanted.groups.iter().enumerate() {
+            if group.is_formed() && !group.lost.is_empty() {
+                let served = group.standing == Standing::Serving;
+                found.push((served, group.lost.len(), service, index));
+            }
+        }
+    }
+    found.sort_unstable();
+    found
+        .into_iter()
+        .map(|(_, _, service, index)| (service, index))
+        .collect()
+}
+
+fn weigh(round: &mut Round<'_>, service: usize, index: usize) {
+    let group = &round.wanted[service].groups[index];
+    let Some(domain) = group.domain else {
+        return;
+    };
+    match group.standing {
+        Standing::Serving => weigh_leaving(round, service, index, domain),
+        Standing::Coming | Standing::Broken => weigh_broken(round, service, index, domain),
+        Standing::Ending => {}
+    }
+}
+
+/// A group that serves and has a member leaving: replaced whole where that fits, else its
+/// leaving members are swapped for spares that are warm already.
+fn weigh_leaving(round: &mut Round<'_>, service: usize, index: usize, domain: &FabricDomain) {
+    let wanted = &round.wanted[service];
+    let group = &wanted.groups[index];
+    let leaving = group
+        .lost
+        .iter()
+        .filter(|(_, why)| *why == Lost::Leaving)
+        .count();
+    if leaving == 0 || has_room(round, wanted) {
+        return;
+    }
+    let spared = wanted.serving() > wanted.cfg.floor as usize;
+    match spares(round, service, domain, leaving) {
+        Spares::Warm(hosts) if spared => {
+            end(round, service, index, EndReason::MemberLeaving);
+            round.reserve(domain, &hosts);
+        }
+        Spares::Warm(hosts) => round.reserve(domain, &hosts),
+        Spares::Cold(hosts) => wish(round, service, domain, hosts),
+        Spares::Loading | Spares::TooFew => {}
+    }
+}
+
+fn weigh_broken(round: &mut Round<'_>, service: usize, index: usize, domain: &FabricDomain) {
+    let group = &round.wanted[service].groups[index];
+    let fit_again = group
+        .lost
+        .iter()
+        .filter(|(_, why)| *why == Lost::Restarted)
+        .count();
+    let missing = group.lost.len() - fit_again;
+    let reason = if fit_again > 0 {
+        EndReason::MemberRestarted
+    } else {
+        EndReason::MemberLost
+    };
+    // Nothing is gained by waiting when a member has restarted: the group can't come back.
+    let beyond_return = fit_again > 0 || !may_return(group);
+    if missing == 0 {
+        end(round, service, index, reason);
+        return;
+    }
+    let acts = beyond_return || is_time(round, group, round.policy.reform_time);
+    match spares(round, service, domain, missing) {
+        Spares::Warm(hosts) => {
+            round.reserve(domain, &hosts);
+            round.wanted[service].groups[index].mending = true;
+            if acts {
+                end(round, service, index, reason);
+            }
+        }
+        Spares::Cold(hosts) => {
+            round.wanted[service].groups[index].mending = true;
+            wish(round, service, domain, hosts);
+        }
+        Spares::Loading => round.wanted[service].groups[index].mending = true,
+        Spares::TooFew => {}
+    }
+}
+
+/// Whether the group becomes whole if its silent members answer again.
+fn may_return(group: &Group<'_>) -> bool {
+    group.lost.iter().all(|(_, why)| *why == Lost::Silent)
+}
+
+/// Whether acting at `cost` now is expected to cost less downtime than waiting on.
+fn is_time(round: &Round<'_>, group: &Group<'_>, cost: Duration) -> bool {
+    let Some(absence) = absence(round, group) else {
+        return true;
+    };
+    silence(round, group) >= round.view.returns.act_after(absence, cost)
+}
+
+fn absence(round: &Round<'_>, group: &Group<'_>) -> Option<Absence> {
+    let (host, _) = group.lost.first()?;
+    Some(round.view.absence_of(host, round.now))
+}
+
+/// How long the member has been silent that was lost last.
+fn silence(round: &Round<'_>, group: &Group<'_>) -> Duration {
+    let hosts = group
+        .lost
+        .iter()
+        .filter_map(|(id, _)| round.view.hosts.get(*id));
+    let silences = hosts.map(|h| h.silent_for(round.now));
+    silences.min().unwrap_or_default()
+}
+
+/// Spares of a fabric domain for one group.
+enum Spares<'a> {
+    /// Enough that hold the weights.
+    Warm(Vec<&'a HostFacts>),
+    /// Enough, and these have to load first.
+    Cold(Vec<&'a HostFacts>),
+    /// Enough, of which the rest are loading already.
+    Loading,
+    TooFew,
+}
+
+fn spares<'a>(
+    round: &mut Round<'a>,
+    service: usize,
+    domain: &FabricDomain,
+    missing: usize,
+) -> Spares<'a> {
+    let wanted = &round.wanted[service];
+    let mut free: Vec<&HostFacts> = round.free.get(domain).cloned().unwrap_or_default();
+    sort_by_use(&mut free, wanted);
+    let warm = free.iter().filter(|h| h.is_warm(&wanted.weights)).count();
+    if warm >= missing {
+        free.truncate(missing);
+        return Spares::Warm(free);
+    }
+    let name = wanted.name.as_str();
+    let loading = round
+        .warming
+        .iter_mut()
+        .find(|((s, d), _)| *s == name && *d == domain);
+    let mut none = 0;
+    let loading = loading.map_or(&mut none, |(_, count)| count);
+    let used = (*loading).min(missing - warm);
+    if free.len() + used < missing {
+        return Spares::TooFew;
+    }
+    *loading -= used;
+    if warm + used >= missing {
+        free.truncate(warm);
+        round.reserve(domain, &free);
+        return Spares::Loading;
+    }
+    free.truncate(missing - used);
+    Spares::Cold(free)
+}
+
+/// Keeps the hosts for the service and asks for those that are cold to be loaded.
+fn wish<'a>(
+    round: &mut Round<'a>,
+    service: usize,
+    domain: &FabricDomain,
+    hosts: Vec<&'a HostFacts>,
+) {
+    round.reserve(domain, &hosts);
+    let weights = round.wanted[service].weights.clone();
+    let cold = hosts.into_iter().filter(|h| !h.is_warm(&weights));
+    round.wishes.extend(cold.map(|h| (service, h)));
+}
+
+fn end(round: &mut Round<'_>, service: usize, index: usize, reason: EndReason) {
+    let facts = round.wanted[service].groups[index].facts;
+    if end_group(round, facts, reason) {
+        let group = &mut round.wanted[service].groups[index];
+        group.ended_now = true;
+        group.mending = true;
+    }
+}
+
+/// Joins the hosts of two broken groups of one service and fabric domain into one.
+///
+/// Both hold the same weights, so the one that is completed is back without a
+/// load, while the other would have stayed broken in any case.
+fn join_broken(round: &mut Round<'_>) {
+    for service in 0..round.wanted.len() {
+        let mut stuck: Vec<(usize, usize, &FabricDomain)> = Vec::new();
+        for (index, group) in round.wanted[service].groups.iter().enumerate() {
+            let cost = round.policy.reform_time * 2;
+            let ripe = !may_return(group) || is_time(round, group, cost);
+            if let Some(domain) = group.domain.filter(|_| is_stuck(group) && ripe) {
+                stuck.push((group.lost.len(), index, domain));
+            }
+        }
+        stuck.sort_unstable();
+        join_in_pairs(round, service, &stuck);
+    }
+}
+
+fn is_stuck(group: &Group<'_>) -> bool {
+    group.standing == Standing::Broken && group.is_formed() && !group.mending
+}
+
+/// Completes the least damaged group of each fabric domain from the most damaged one.
+fn join_in_pairs(round: &mut Round<'_>, service: usize, stuck: &[(usize, usize, &FabricDomain)]) {
+    for (place, (lost, receiver, domain)) in stuck.iter().enumerate() {
+        if !is_stuck(&round.wanted[service].groups[*receiver]) {
+            continue;
+        }
+        let free = round.free.get(domain).map_or(0, Vec::len);
+        let donors = stuck[place + 1..]
+            .iter()
+            .rev()
+            .filter(|(_, _, d)| d == domain);
+        let donor = donors.map(|(l, index, _)| (*l, *index)).find(|(l, index)| {
+            let group = &round.wanted[service].groups[*index];
+            let size = group.facts.row.members.len();
+            is_stuck(group) && size - l + free >= *lost
+        });
+        let Some((_, donor)) = donor else {
+            continue;
+        };
+        end(round, service, *receiver, EndReason::MemberLost);
+        end(round, service, donor, EndReason::MemberLost);
+        // The donor is not expected back by itself; its hosts are free for all.
+        round.wanted[service].groups[donor].mending = false;
+    }
+}
+
+/// Ends a group whose hosts are needed more by another service.
+///
+/// A service below its need, which is the demand and its floor at least, takes
+/// the hosts of a group that another service has above its own need. With
+/// [`RepairWeight::Stranded`] it also takes the hosts of a broken group that
+/// isn't expected back, rather than leave them idle.
+fn yield_to_need(round: &mut Round<'_>) {
+    for service in 0..round.wanted.len() {
+        let wanted = &round.wanted[service];
+        if wanted.expected() >= wanted.need || has_room(round, wanted) {
+            continue;
+        }
+        let waiting = wanted.groups.iter().any(|g| is_releasing(g) || g.mending);
+        if waiting || someone_yields(round) {
+            continue;
+        }
+        if let Some((giver, index)) = find_giver(round, service) {
+            let facts = round.wanted[giver].groups[index].facts;
+            if end_group(round, facts, EndReason::Yield) {
+                round.wanted[giver].groups[index].ended_now = true;
+            }
+        }
+    }
+}
+
+fn is_releasing(group: &Group<'_>) -> bool {
+    group.ended_now || group.standing == Standing::Ending
+}
+
+fn someone_yields(round: &Round<'_>) -> bool {
+    let mut groups = round.wanted.iter().flat_map(|w| &w.groups);
+    groups.any(|g| is_releasing(g) && g.facts.row.reason == Some(EndReason::Yield))
+}
+
+fn find_giver(round: &Round<'_>, service: usize) -> Option<(usize, usize)> {
+    let size = round.wanted[service].cfg.hosts_per_group as usize;
+    let mut found: Option<(usize, usize, usize)> = None;
+    for (giver, wanted) in round
+        .wanted
+        .iter()
+        .enumerate()
+        .filter(|(i, _)| *i != service)
+    {
+        for (index, group) in wanted.groups.iter().enumerate() {
+            let fit = group.facts.row.members.len() - group.lost.len();
+            let free = group
+                .domain
+                .and_then(|d| round.free.get(d))
+                .map_or(0, Vec::len);
+            if fit + free < size || !may_give(round, giver, group) {
+                continue;
+            }
+            let above = wanted.serving().saturating_sub(wanted.need);
+            if found.is_none_or(|(best, _, _)| above > best) {
+                found = Some((above, giver, index));
+            }
+        }
+    }
+    found.map(|(_, giver, index)| (giver, index))
+}
+
+fn may_give(round: &Round<'_>, giver: usize, group: &Group<'_>) -> bool {
+    let wanted = &round.wanted[giver];
+    let above = group.is_serving() && wanted.serving() > wanted.need;
+    let load = round.load_time(wanted.load_bytes, 1);
+    let stranded = round.policy.weight == RepairWeight::Stranded
+        && is_stuck(group)
+        && is_time(round, group, round.policy.reform_time + load);
+    above || stranded
+}
+
+/// The baseline that waits: ends a group only when its member can't come back.
+fn wait_for_return(round: &mut Round<'_>, service: usize, index: usize) {
+    let group = &round.wanted[service].groups[index];
+    let hopeless = !may_return(group) && group.standing != Standing::Serving;
+    round.wanted[service].groups[index].mending = true;
+    if hopeless {
+        take_any(round, service, index);
+    }
+}
+
+/// The baseline that takes the first spare as soon as a member is missing.
+fn first_spare(round: &mut Round<'_>, service: usize, index: usize) {
+    let served = round.wanted[service].groups[index].standing == Standing::Serving;
+    round.wanted[service].groups[index].mending = true;
+    if !served {
+        take_any(round, service, index);
+    }
+}
+
+fn take_any(round: &mut Round<'_>, service: usize, index: usize) {
+    let group = &round.wanted[service].groups[index];
+    let fit_again = group
+        .lost
+        .iter()
+        .filter(|(_, why)| *why == Lost::Restarted)
+        .count();
+    let missing = group.lost.len() - fit_again;
+    let near = group.domain.and_then(|d| round.free.get(d));
+    let far = round.free.iter().filter(|(d, _)| Some(**d) != group.domain);
+    let all = near
+        .into_iter()
+        .flatten()
+        .chain(far.flat_map(|(_, free)| free));
+    let hosts: Vec<&HostFacts> = all.copied().take(missing).collect();
+    if hosts.len() < missing {
+        return;
+    }
+    for host in hosts {
+        if let Some(entry) = &host.entry {
+            round.reserve(&entry.fabric_domain, &[host]);
+        }
+    }
+    end(round, service, index, EndReason::MemberLost);
+}
--- /dev/null
+++ b/crates/group/src/plan/returns.rs
@@ -0,0 +1,152 @@
+//! How long missing hosts stay away, learned from those that came back.
+
+use std::time::Duration;
+
+use eelgrassmill_base::value;
+
+/// Upper bounds of the classes by which absences are counted, in milliseconds.
+const BOUNDS_MS: [u64; 18] = [
+    1_000, 2_000, 3_000, 4_000, 6_000, 8_000, 12_000, 16_000, 24_000, 32_000, 48_000, 64_000,
+    96_000, 128_000, 256_000, 512_000, 1_024_000, 4_096_000,
+];
+/// What is believed before anything was seen, as (class, count): pauses, restarts, long repairs.
+const PRIOR: [(usize, u32); 5] = [(2, 1), (3, 1), (5, 1), (11, 2), (14, 1)];
+/// Absences believed never to end, before anything was seen.
+const PRIOR_NEVER: u32 = 1;
+/// Counts are halved at this sum, so that the newest thousand or so absences decide.
+const FORGET_AT: u32 = 2_000;
+
+value! { copy
+    /// What went missing.
+    pub enum Absence {
+        /// One host, or a few.
+        Single,
+        /// A large part of a fabric domain at once.
+        Together,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Histogram {
+    counts: [u32; BOUNDS_MS.len()],
+    never: u32,
+}
+
+/// How long absences last.
+///
+/// A fixed wait is wrong on one side or the other: hosts that are paused come
+/// back within seconds, those that restart within minutes, broken ones never,
+/// and which is usual differs from fleet to fleet.
+#[derive(Clone, Debug)]
+pub struct ReturnModel {
+    single: Histogram,
+    together: Histogram,
+}
+
+impl ReturnModel {
+    /// Believes the prior only.
+    pub fn new() -> ReturnModel {
+        ReturnModel {
+            single: Histogram::prior(),
+            together: Histogram::prior(),
+        }
+    }
+
+    /// Notes that an absence ended after `lasted`.
+    pub fn record(&mut self, absence: Absence, lasted: Duration) {
+        let histogram = self.of_mut(absence);
+        let class = class_of(lasted);
+        histogram.counts[class] += 1;
+        histogram.forget();
+    }
+
+    /// Notes that a host that was missing has left the host list.
+    pub fn record_never(&mut self, absence: Absence) {
+        let histogram = self.of_mut(absence);
+        histogram.never += 1;
+        histogram.forget();
+    }
+
+    /// How long after the start of an absence to act, if acting takes `cost` until the group
+    /// is whole and the absent host's own return would make it whole at once.
+    ///
+    /// The answer has the least expected downtime over all absences seen: those
+    /// shorter than it cost themselves, the rest it plus `cost`.
+    pub fn act_after(&self, absence: Absence, cost: Duration) -> Duration {
+        let histogram = self.of(absence);
+        let cost_ms = millis(cost);
+        let waits = std::iter::once(0).chain(BOUNDS_MS);
+        let best = waits.min_by_key(|wait| histogram.expected_downtime(*wait, cost_ms));
+        Duration::from_millis(best.unwrap_or(0))
+    }
+
+    fn of(&self, absence: Absence) -> &Histogram {
+        match absence {
+            Absence::Single => &self.single,
+            Absence::Together => &self.together,
+        }
+    }
+
+    fn of_mut(&mut self, absence: Absence) -> &mut Histogram {
+        match absence {
+            Absence::Single => &mut self.single,
+            Absence::Together => &mut self.together,
+        }
+    }
+}
+
+impl Default for ReturnModel {
+    fn default() -> ReturnModel {
+        ReturnModel::new()
+    }
+}
+
+impl Histogram {
+    fn prior() -> Histogram {
+        let mut counts = [0; BOUNDS_MS.len()];
+        for (class, count) in PRIOR {
+            counts[class] = count;
+        }
+        Histogram {
+            counts,
+            never: PRIOR_NEVER,
+        }
+    }
+
+    fn forget(&mut self) {
+        let sum: u32 = self.counts.iter().sum::<u32>() + self.never;
+        if sum < FORGET_AT {
+            return;
+        }
+        for count in &mut self.counts {
+            *count /= 2;
+        }
+        self.never = (self.never / 2).max(1);
+    }
+
+    /// Sum over all absences of the downtime in milliseconds, if acting after `wait`.
+    fn expected_downtime(&self, wait: u64, cost: u64) -> u64 {
+        let mut sum = u64::from(self.never) * (wait + cost);
+        let mut lower = 0;
+        for (count, upper) in self.counts.iter().zip(BOUNDS_MS) {
+            let lasted = if upper <= wait {
+                (lower + upper) / 2
+            } else {
+                wait + cost
+            };
+            sum += u64::from(*count) * lasted;
+            lower = upper;
+        }
+        sum
+    }
+}
+
+fn class_of(lasted: Duration) -> usize {
+    let ms = millis(lasted);
+    let class = BOUNDS_MS.partition_point(|upper| *upper < ms);
+    class.min(BOUNDS_MS.len() - 1)
+}
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/group/src/plan/round.rs
@@ -0,0 +1,371 @@
+//! Working state of one round of planning.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ServiceName, TargetKind};
+use eelgrassmill_config::{ModelService, ServiceKind};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+
+use crate::plan::action::Action;
+use crate::plan::policy::RepairPolicy;
+use crate::plan::view::{FleetView, GroupFacts, HostFacts};
+use crate::rows::{EndReason, GroupPhase, GroupRow, split_group_id, weights_name};
+
+/// What is wrong with a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lost {
+    /// It doesn't answer.
+    Silent,
+    /// It doesn't answer and the host list has dropped it.
+    Gone,
+    /// It restarted after the group had been whole; the host itself is fit for use.
+    Restarted,
+    /// It is to leave.
+    Leaving,
+}
+
+/// How a group stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// It serves.
+    Serving,
+    /// It doesn't serve yet, and no member is lost.
+    Coming,
+    /// It doesn't serve, and a member is lost.
+    Broken,
+    /// Its row says that it ends.
+    Ending,
+}
+
+/// One group of a wanted service, as this round sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Group<'a> {
+    pub(crate) facts: &'a GroupFacts,
+    /// Its fabric domain; `None` when it spans several or none is known.
+    pub(crate) domain: Option<&'a FabricDomain>,
+    pub(crate) standing: Standing,
+    /// Members that are lost or leaving.
+    pub(crate) lost: SmallVec<[(&'a HostId, Lost); 4]>,
+    /// Whether a transaction of this round ends it.
+    pub(crate) ended_now: bool,
+    /// Whether it is on its way to be whole without a replacement elsewhere.
+    pub(crate) mending: bool,
+}
+
+/// One model service.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted<'a> {
+    pub(crate) name: &'a ServiceName,
+    pub(crate) cfg: &'a ModelService,
+    /// Groups that this region is to have.
+    pub(crate) count: usize,
+    /// Groups needed now: the demand, and the floor at least.
+    pub(crate) need: usize,
+    /// `MODEL@VERSION`.
+    pub(crate) weights: SmolStr,
+    /// Bytes that each member loads.
+    pub(crate) load_bytes: u64,
+    pub(crate) groups: Vec<Group<'a>>,
+    /// Groups that this round forms beside those.
+    pub(crate) formed_now: usize,
+}
+
+/// Working state of one round.
+pub(crate) struct Round<'a> {
+    pub(crate) view: &'a FleetView,
+    pub(crate) policy: &'a RepairPolicy,
+    pub(crate) now: Instant,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) wanted: Vec<Wanted<'a>>,
+    /// Hosts that may be taken, by fabric domain. Invariant: in order of their names.
+    pub(crate) free: BTreeMap<&'a FabricDomain, Vec<&'a HostFacts>>,
+    /// Hosts loading now or ordered to by this round.
+    pub(crate) loading: usize,
+    pub(crate) changes: usize,
+    /// Spares that load weights or are being released after it, by service and fabric domain.
+    pub(crate) warming: BTreeMap<(&'a str, &'a FabricDomain), usize>,
+    /// Spares that a broken group needs warm: the service's place in `wanted`, and the host.
+    pub(crate) wishes: Vec<(usize, &'a HostFacts)>,
+    /// Groups formed by this round: the service's place in `wanted`, and the index.
+    formed: Vec<(usize, u32)>,
+    next_epoch: Epoch,
+}
+
+impl<'a> Round<'a> {
+    pub(crate) fn new(view: &'a FleetView, policy: &'a RepairPolicy, now: Instant) -> Round<'a> {
+        let mut round = Round {
+            view,
+            policy,
+            now,
+            actions: Vec::new(),
+            wanted: Vec::new(),
+            free: BTreeMap::new(),
+            loading: 0,
+            changes: 0,
+            warming: BTreeMap::new(),
+            wishes: Vec::new(),
+            formed: Vec::new(),
+            next_epoch: highest_epoch(view) + 1,
+        };
+        round.index_hosts();
+        round.index_warming();
+        round.wanted = round.index_services();
+        round
+    }
+
+    /// The epoch for the next group formed, above all that any host or group ever had.
+    pub(crate) fn take_epoch(&mut self) -> Epoch {
+        self.next_epoch += 1;
+        self.next_epoch - 1
+    }
+
+    /// Remembers a group that this round forms, so that it counts and its index is taken.
+    pub(crate) fn note_formed(&mut self, service: usize, row: &GroupRow) {
+        if row.phase != GroupPhase::Formed {
+            return;
+        }
+        if let Some((_, index)) = split_group_id(&row.group) {
+            self.formed.push((service, index));
+        }
+        let again = |g: &&mut Group<'_>| g.facts.row.group == row.group;
+        let wanted = &mut self.wanted[service];
+        match wanted.groups.iter_mut().find(again) {
+            Some(group) => group.mending = true,
+            None => wanted.formed_now += 1,
+        }
+    }
+
+    /// Indexes of the service's groups that this round forms.
+    pub(crate) fn formed_now(&self, service: &str) -> impl Iterator<Item = u32> + use<'_> {
+        let place = self.wanted.iter().position(|w| w.name == service);
+        let formed = self.formed.iter().filter(move |(s, _)| Some(*s) == place);
+        formed.map(|(_, index)| *index)
+    }
+
+    /// Whether this round may write another transaction.
+    pub(crate) fn may_change(&self) -> bool {
+        self.changes < self.policy.max_changes
+    }
+
+    /// Adds a transaction.
+    pub(crate) fn push_change(&mut self, action: Action) {
+        self.changes += 1;
+        self.actions.push(action);
+    }
+
+    /// Whether `count` more hosts may load. A group larger than the bound may load alone.
+    pub(crate) fn may_load(&self, count: usize) -> bool {
+        count == 0 || self.loading == 0 || self.loading + count <= self.policy.max_loads
+    }
+
+    /// Whether the host answers, is listed as live and is not leaving.
+    pub(crate) fn is_healthy(&self, host: &HostFacts) -> bool {
+        host.entry.is_some()
+            && !host.is_leaving()
+            && host.report.is_some()
+            && host.silent_for(self.now) <= self.policy.detect
+    }
+
+    /// How long one host's load takes with `at_once` loads sharing the store.
+    pub(crate) fn load_time(&self, bytes: u64, at_once: usize) -> Duration {
+        let rate = self.view.store_rate.max(1);
+        let total = bytes.saturating_mul(at_once.max(1) as u64);
+        Duration::from_millis(total.saturating_mul(1000) / rate)
+    }
+
+    /// Takes hosts out of the free ones.
+    pub(crate) fn reserve(&mut self, domain: &FabricDomain, hosts: &[&HostFacts]) {
+        if let Some(free) = self.free.get_mut(domain) {
+            free.retain(|f| hosts.iter().all(|h| h.row.host != f.row.host));
+        }
+    }
+
+    /// Whether the group belongs to this region's planner.
+    ///
+    /// Without this two planners would release each other's groups.
+    pub(crate) fn is_ours(&self, group: &GroupFacts) -> bool {
+        let listed = |id: &HostId| self.view.hosts.get(id).is_some_and(|h| h.entry.is_some());
+        self.view.regions.len() <= 1 || group.row.members.iter().any(listed)
+    }
+
+    fn index_hosts(&mut self) {
+        for host in self.view.hosts.values() {
+            self.loading += usize::from(is_loading(host));
+            if let Some(entry) = host.entry.as_ref().filter(|_| self.is_takeable(host)) {
+                let free = self.free.entry(&entry.fabric_domain).or_default();
+                free.push(host);
+            }
+        }
+    }
+
+    fn index_warming(&mut self) {
+        for group in self.view.groups.values() {
+            let row = &group.row;
+            let warming = row.phase == GroupPhase::Warming || row.reason == Some(EndReason::Warmed);
+            let host = row.members.first().and_then(|m| self.view.hosts.get(m));
+            let entry = host.and_then(|h| h.entry.as_ref());
+            if let Some(entry) = entry.filter(|_| warming) {
+                let key = (row.service.as_str(), &entry.fabric_domain);
+                *self.warming.entry(key).or_default() += 1;
+            }
+        }
+    }
+
+    /// Whether the host may become a member: its row is free and it says itself that it holds
+    /// nothing. A host that came back with an old placement has to leave that first.
+    fn is_takeable(&self, host: &HostFacts) -> bool {
+        let empty = host.report.as_ref().is_some_and(|r| r.placement.is_none());
+        let quiet = self.may_order(&host.row.host);
+        host.row.group.is_none() && empty && quiet && self.is_healthy(host)
+    }
+
+    /// Whether the host may be ordered: one that doesn't check fencing numbers only when no
+    /// order of the planner before can be under way.
+    pub(crate) fn may_order(&self, host: &HostId) -> bool {
+        self.now >= self.view.quiet_until || self.view.config.checks_orders(host)
+    }
+
+    fn index_services(&self) -> Vec<Wanted<'a>> {
+        let mut groups: BTreeMap<&str, Vec<&'a GroupFacts>> = BTreeMap::new();
+        for group in self.view.groups.values() {
+            if split_group_id(&group.row.group).is_some() && self.is_ours(group) {
+                groups.entry(&group.row.service).or_default().push(group);
+            }
+        }
+        let mut wanted = Vec::new();
+        for service in self.view.config.services.values() {
+            let ServiceKind::Model(cfg) = &service.kind else {
+                continue;
+            };
+            let mine = groups.remove(service.name.as_str()).unwrap_or_default();
+            let weights = weights_name(&cfg.model, &cfg.version);
+            let bytes = self.view.weights.get(&weights).copied().unwrap_or(0);
+            let demand = self.view.demand.get(&service.name).copied().unwrap_or(0);
+            wanted.push(Wanted {
+                name: &service.name,
+                cfg,
+                count: self.share_of(cfg.groups),
+                need: demand.max(cfg.floor) as usize,
+                weights,
+                load_bytes: bytes / u64::from(cfg.hosts_per_group.max(1)),
+                groups: mine.into_iter().map(|g| self.index_group(g)).collect(),
+                formed_now: 0,
+            });
+        }
+        wanted
+    }
+
+    /// Groups of a service that this region is to have: index I belongs to the region that
+    /// is I-th in order, counted round.
+    fn share_of(&self, groups: u32) -> usize {
+        let regions = self.view.regions.len().max(1);
+        let own = self.region_number();
+        (0..groups as usize).filter(|i| i % regions == own).count()
+    }
+
+    /// Place of this region among all.
+    pub(crate) fn region_number(&self) -> usize {
+        let mut regions = self.view.regions.iter();
+        let found = regions.position(|r| *r == self.view.region);
+        found.unwrap_or(0)
+    }
+
+    fn index_group(&self, facts: &'a GroupFacts) -> Group<'a> {
+        let mut lost = SmallVec::new();
+        let mut domains: SmallVec<[&FabricDomain; 2]> = SmallVec::new();
+        for id in &facts.row.members {
+            let host = self.view.hosts.get(id);
+            if let Some(why) = self.lost(facts, id, host) {
+                lost.push((id, why));
+            }
+            if let Some(entry) = host.and_then(|h| h.entry.as_ref())
+                && !domains.contains(&&entry.fabric_domain)
+            {
+                domains.push(&entry.fabric_domain);
+            }
+        }
+        let away = lost.iter().any(|(_, why)| *why != Lost::Leaving);
+        let standing = match facts.row.phase {
+            GroupPhase::Ending => Standing::Ending,
+            _ if facts.serving => Standing::Serving,
+            _ if away => Standing::Broken,
+            _ => Standing::Coming,
+        };
+        Group {
+            facts,
+            domain: (domains.len() == 1).then(|| domains[0]),
+            standing,
+            lost,
+            ended_now: false,
+            mending: false,
+        }
+    }
+
+    fn lost(&self, group: &GroupFacts, id: &HostId, host: Option<&HostFacts>) -> Option<Lost> {
+        let Some(host) = host else {
+            return Some(Lost::Gone);
+        };
+        if host.silent_for(self.now) > self.policy.detect {
+            let gone = host.entry.is_none();
+            return Some(if gone { Lost::Gone } else { Lost::Silent });
+        }
+        if group.restarted.as_ref() == Some(id) {
+            return Some(Lost::Restarted);
+        }
+        (host.is_leaving() || host.entry.is_none()).then_some(Lost::Leaving)
+    }
+}
+
+impl Group<'_> {
+    pub(crate) fn id(&self) -> &GroupId {
+        &self.facts.row.group
+    }
+
+    /// Whether it counts as lasting capacity: what it serves is wanted and nobody is leaving.
+    pub(crate) fn is_good(&self, wanted: &Wanted<'_>) -> bool {
+        let current = self.facts.row.model == wanted.cfg.model
+            && self.facts.row.version == wanted.cfg.version
+            && self.facts.row.members.len() == wanted.cfg.hosts_per_group as usize;
+        let stands = matches!(self.standing, Standing::Serving | Standing::Coming);
+        current && self.lost.is_empty() && stands && !self.ended_now
+    }
+
+    /// Whether its row is formed and no transaction of this round ends it.
+    pub(crate) fn is_formed(&self) -> bool {
+        self.standing != Standing::Ending && !self.ended_now
+    }
+
+    /// Whether it serves and goes on doing so.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.standing == Standing::Serving && !self.ended_now
+    }
+}
+
+impl Wanted<'_> {
+    /// Groups that serve.
+    pub(crate) fn serving(&self) -> usize {
+        self.groups.iter().filter(|g| g.is_serving()).count()
+    }
+
+    /// Groups that serve, or will without a replacement.
+    pub(crate) fn expected(&self) -> usize {
+        let counts = |g: &&Group<'_>| g.is_good(self) || g.mending;
+        self.groups.iter().filter(counts).count() + self.formed_now
+    }
+}
+
+fn is_loading(host: &HostFacts) -> bool {
+    let report = host.report.as_ref();
+    host.entry
+        .as_ref()
+        .is_some_and(|e| e.kind == TargetKind::Engine)
+        && report.is_some_and(|r| r.placement.is_some() && !r.ready)
+}
+
+fn highest_epoch(view: &FleetView) -> Epoch {
+    let groups = view.groups.values().map(|g| g.row.epoch);
+    let hosts = view.hosts.values().map(|h| h.row.epoch);
+    groups.chain(hosts).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/group/src/plan/settle.rs
@@ -0,0 +1,255 @@
+//! Orders to hosts, and the release of hosts whose group has ended.
+
+use eelgrassmill_base::{HostReport, Order, OrderKind, Placement};
+
+use crate::plan::action::{Action, FreedBecause};
+use crate::plan::end;
+use crate::plan::round::Round;
+use crate::plan::view::{GroupFacts, HostFacts};
+use crate::rows::{
+    Change, EndReason, GroupPhase, GroupRow, HostRow, RowValue, group_key, host_key,
+};
+
+/// Sends what hosts have yet to obey, frees what has been released, and removes what is over.
+pub(crate) fn settle(round: &mut Round<'_>) {
+    let view = round.view;
+    for host in view.hosts.values() {
+        settle_host(round, host);
+    }
+    for group in view.groups.values() {
+        if round.is_ours(group) {
+            settle_group(round, group);
+        }
+    }
+}
+
+fn settle_host(round: &mut Round<'_>, host: &HostFacts) {
+    let group = host
+        .row
+        .group
+        .as_ref()
+        .and_then(|g| round.view.groups.get(g));
+    let ours = group.is_some_and(|g| round.is_ours(g));
+    if host.entry.is_none() && !ours {
+        return;
+    }
+    let live = group.filter(|g| g.is_live() && host.is_bound_to(&g.row));
+    let fresh = host.silent_for(round.now) <= round.policy.detect;
+    if let Some(report) = host.report.as_ref().filter(|_| fresh) {
+        order(round, host, report, group, live);
+    }
+    if host.row.group.is_some() && live.is_none() {
+        release(round, host, fresh);
+    }
+}
+
+/// Orders a host whose report differs from its row.
+///
+/// A host that was paused or cut off comes back as if nothing had happened and
+/// may report a group that has long been formed without it. What it holds is
+/// compared with its row only, never taken from its own word.
+fn order(
+    round: &mut Round<'_>,
+    host: &HostFacts,
+    report: &HostReport,
+    group: Option<&GroupFacts>,
+    live: Option<&GroupFacts>,
+) {
+    let held = report.placement.as_ref();
+    match (held, live) {
+        (Some(held), Some(live)) if holds(held, &live.row) => {}
+        (Some(held), _) => {
+            let draining = group.is_some_and(|g| holds(held, &g.row) && !is_drained(round, g));
+            if !draining {
+                send(round, host, OrderKind::Leave, held.clone());
+            }
+        }
+        (None, Some(live)) if live.restarted.is_none() => {
+            send(round, host, OrderKind::Join, placement_of(&live.row));
+        }
+        (None, None) if must_raise_fence(round, host, report) => {
+            send(round, host, OrderKind::Leave, last_placement(host, group));
+        }
+        (None, _) => {}
+    }
+}
+
+fn holds(held: &Placement, row: &GroupRow) -> bool {
+    held.group == row.group && held.epoch == row.epoch
+}
+
+/// A bound host that checks orders must have seen the newest fence before it is free.
+fn must_raise_fence(round: &Round<'_>, host: &HostFacts, report: &HostReport) -> bool {
+    host.row.group.is_some()
+        && round.view.config.checks_orders(&host.row.host)
+        && report.fence < host.row.fence
+}
+
+fn send(round: &mut Round<'_>, host: &HostFacts, kind: OrderKind, placement: Placement) {
+    let waited = host
+        .order_sent
+        .map(|at| round.now.saturating_duration_since(at));
+    let answered_since = host.order_sent.is_none_or(|at| host.answered > Some(at));
+    // An order is repeated when a later answer shows no effect, and not more often.
+    if waited.is_some_and(|w| w < round.policy.resend) || !answered_since {
+        return;
+    }
+    if !round.may_order(&host.row.host) {
+        return;
+    }
+    let order = Order {
+        host: host.row.host.clone(),
+        kind,
+        placement,
+        fence: host.row.fence,
+        from: round.view.node.clone(),
+    };
+    round.actions.push(match kind {
+        OrderKind::Join => Action::SendJoin { order },
+        OrderKind::Leave => Action::SendLeave { order },
+    });
+}
+
+fn placement_of(row: &GroupRow) -> Placement {
+    Placement {
+        group: row.group.clone(),
+        epoch: row.epoch,
+        model: row.model.clone(),
+        version: row.version.clone(),
+        members: row.members.clone(),
+    }
+}
+
+/// What a `Leave` names for a host that reports nothing: its row's group and epoch.
+fn last_placement(host: &HostFacts, group: Option<&GroupFacts>) -> Placement {
+    let row = group.map(|g| &g.row);
+    Placement {
+        group: host.row.group.clone().unwrap_or_default(),
+        epoch: host.row.epoch,
+        model: row.map(|r| r.model.clone()).unwrap_or_default(),
+        version: row.map(|r| r.version.clone()).unwrap_or_default(),
+        members: Vec::new(),
+    }
+}
+
+/// Whether the requests in progress of an ending group have ended or had their time.
+fn is_drained(round: &Round<'_>, group: &GroupFacts) -> bool {
+    if group.is_live() || !end::is_planned(group.row.reason) || !group.served {
+        return true;
+    }
+    let ending_for = round.now.saturating_duration_since(group.since);
+    let idle = |id| {
+        let host: Option<&HostFacts> = round.view.hosts.get(id);
+        host.and_then(|h| h.report.as_ref())
+            .is_none_or(|r| r.running == 0)
+    };
+    let all_idle = group.row.members.iter().all(idle);
+    ending_for >= round.policy.drain_most || (all_idle && ending_for >= round.policy.drain_least)
+}
+
+/// Frees a host of a group that ended, when that is confirmed or outlived.
+fn release(round: &mut Round<'_>, host: &HostFacts, fresh: bool) {
+    let because = match host.report.as_ref() {
+        Some(report) if fresh => confirms(round, host, report).then_some(FreedBecause::Confirmed),
+        _ => is_outlived(round, host).then_some(FreedBecause::Outlived),
+    };
+    let Some(because) = because.filter(|_| round.may_change()) else {
+        return;
+    };
+    let row = HostRow {
+        group: None,
+        ..host.row.clone()
+    };
+    let key = host_key(&host.row.host);
+    let change = Change::new()
+        .expect(key.clone(), host.row_version)
+        .put(key, RowValue::Host(row));
+    let host = host.row.host.clone();
+    round.push_change(Action::FreeHost {
+        host,
+        because,
+        change,
+    });
+}
+
+/// Whether the report proves that the host holds nothing and will obey no older order.
+///
+/// A host that checks orders proves it by the fence that it has obeyed. For
+/// any other host a `Join` may still be under way behind an empty report;
+/// only an answer to a probe sent after the last `Join` has had its time counts.
+fn confirms(round: &Round<'_>, host: &HostFacts, report: &HostReport) -> bool {
+    if report.placement.is_some() {
+        return false;
+    }
+    if round.view.config.checks_orders(&host.row.host) {
+        return report.fence >= host.row.fence;
+    }
+    let transit = round.policy.timing.order_transit;
+    let own = host.join_sent.map(|at| at + transit);
+    let settled = own.map_or(round.view.quiet_until, |at| at.max(round.view.quiet_until));
+    host.answered.is_some_and(|sent| sent >= settled)
+}
+
+/// Whether the host has been silent, and its group ended, for so long that nothing which the
+/// old row allowed can still reach it.
+///
+/// Beginning to end a group writes the row of every member, so the row's age is
+/// the time since then at most.
+fn is_outlived(round: &Round<'_>, host: &HostFacts) -> bool {
+    let ended_for = round.now.saturating_duration_since(host.row_since);
+    let needed = round.policy.timing.outlived_after();
+    ended_for >= needed && host.silent_for(round.now) >= needed
+}
+
+/// Ends a group that has done its work or is in no configuration, and removes one that is over.
+fn settle_group(round: &mut Round<'_>, group: &GroupFacts) {
+    match group.row.phase {
+        GroupPhase::Ending => remove_if_over(round, group),
+        GroupPhase::Warming => end_if_warm(round, group),
+        GroupPhase::Formed => {}
+    }
+}
+
+fn end_if_warm(round: &mut Round<'_>, group: &GroupFacts) {
+    let Some(host) = group
+        .row
+        .members
+        .first()
+        .and_then(|m| round.view.hosts.get(m))
+    else {
+        end::end_group(round, group, EndReason::Unwanted);
+        return;
+    };
+    let report = host.report.as_ref();
+    let ready = report
+        .is_some_and(|r| r.ready && r.placement.as_ref().is_some_and(|p| holds(p, &group.row)));
+    let late = round.now.saturating_duration_since(group.since) > round.policy.load_limit;
+    if ready || late || !round.is_healthy(host) {
+        end::end_group(round, group, EndReason::Warmed);
+    }
+}
+
+/// Deletes the row of a group that no service will form anew and that binds no host.
+fn remove_if_over(round: &mut Round<'_>, group: &GroupFacts) {
+    let wanted = round.wanted.iter().any(|w| *w.name == group.row.service);
+    let again = wanted && end::is_reformed(group.row.reason);
+    let waiting = round.now.saturating_duration_since(group.since) < round.policy.reform_limit;
+    if (again && waiting) || !round.may_change() {
+        return;
+    }
+    let bound = |id| {
+        let host: Option<&HostFacts> = round.view.hosts.get(id);
+        host.is_some_and(|h| h.row.group.as_ref() == Some(&group.row.group))
+    };
+    if group.row.members.iter().any(bound) {
+        return;
+    }
+    let key = group_key(&group.row.group);
+    let change = Change::new()
+        .expect(key.clone(), group.row_version)
+        .put(key, RowValue::Absent);
+    round.push_change(Action::RemoveGroup {
+        group: group.row.group.clone(),
+        change,
+    });
+}
--- /dev/null
+++ b/crates/group/src/plan/shape.rs
@@ -0,0 +1,127 @@
+//! Ending groups that are not wanted, are replaced, or serve an old version.
+
+use std::cmp::Reverse;
+
+use crate::plan::end::end_group;
+use crate::plan::form::has_room;
+use crate::plan::round::{Group, Round, Standing, Wanted};
+use crate::rows::{EndReason, GroupPhase, split_group_id};
+
+/// Ends groups of services that are gone, and those beyond the number wanted.
+pub(crate) fn end_surplus(round: &mut Round<'_>) {
+    end_unconfigured(round);
+    for service in 0..round.wanted.len() {
+        end_beyond_count(round, service);
+    }
+}
+
+fn end_unconfigured(round: &mut Round<'_>) {
+    let view = round.view;
+    for group in view.groups.values() {
+        let known = round.wanted.iter().any(|w| *w.name == group.row.service);
+        let formed = group.row.phase == GroupPhase::Formed;
+        if formed && !known && round.is_ours(group) {
+            end_group(round, group, EndReason::Unwanted);
+        }
+    }
+}
+
+/// Ends the worst groups of a service while enough others serve.
+///
+/// A group that serves is ended only when as many as wanted still serve
+/// without it; so a replacement, whatever it is for, is whole before its
+/// predecessor ends.
+fn end_beyond_count(round: &mut Round<'_>, service: usize) {
+    let wanted = &round.wanted[service];
+    let mut order: Vec<usize> = (0..wanted.groups.len()).collect();
+    order.retain(|i| wanted.groups[*i].is_formed());
+    order.sort_by_key(|i| worth(wanted, &wanted.groups[*i]));
+    for index in order {
+        let wanted = &round.wanted[service];
+        let formed = wanted.groups.iter().filter(|g| g.is_formed()).count();
+        if formed <= wanted.count {
+            return;
+        }
+        if !may_end(wanted, &wanted.groups[index], formed) {
+            continue;
+        }
+        let group = &wanted.groups[index];
+        let reason = if group.is_good(wanted) {
+            EndReason::Unwanted
+        } else {
+            EndReason::Replaced
+        };
+        let facts = group.facts;
+        if end_group(round, facts, reason) {
+            round.wanted[service].groups[index].ended_now = true;
+        }
+    }
+}
+
+/// Lower for groups that are ended first.
+fn worth(wanted: &Wanted<'_>, group: &Group<'_>) -> (bool, bool, bool, Reverse<u32>) {
+    let index = split_group_id(group.id()).map_or(u32::MAX, |(_, index)| index);
+    let serving = group.is_serving();
+    (
+        serving,
+        group.is_good(wanted),
+        group.domain.is_some(),
+        Reverse(index),
+    )
+}
+
+fn may_end(wanted: &Wanted<'_>, group: &Group<'_>, formed: usize) -> bool {
+    let serving = wanted.serving();
+    if group.is_serving() {
+        return serving > wanted.count;
+    }
+    // Of those that don't serve yet, two for each that is missing may race.
+    let others = formed - serving - 1;
+    serving >= wanted.count || others >= 2 * (wanted.count - serving)
+}
+
+/// Ends groups of an old version where there is no room to replace them first.
+pub(crate) fn roll_out(round: &mut Round<'_>) {
+    for service in 0..round.wanted.len() {
+        let mut left = rollouts_allowed(round, service);
+        for index in 0..round.wanted[service].groups.len() {
+            let wanted = &round.wanted[service];
+            let group = &wanted.groups[index];
+            if left == 0 || !group.is_formed() || !is_old(wanted, group) {
+                continue;
+            }
+            // A broken group costs no capacity; it is ended whatever the floor.
+            let costs = usize::from(group.is_serving());
+            if costs > 0 && wanted.serving() <= wanted.cfg.floor as usize {
+                continue;
+            }
+            let facts = group.facts;
+            if end_group(round, facts, EndReason::Rollout) {
+                round.wanted[service].groups[index].ended_now = true;
+                left -= 1;
+            }
+        }
+    }
+}
+
+/// How many groups may be between versions at once, less those that are.
+fn rollouts_allowed(round: &Round<'_>, service: usize) -> usize {
+    let wanted = &round.wanted[service];
+    if has_room(round, wanted) {
+        return 0;
+    }
+    let size = wanted.cfg.hosts_per_group.max(1) as usize;
+    let at_once = (round.policy.max_loads / size).max(1);
+    let under_way = wanted.groups.iter().filter(|g| is_under_way(g)).count();
+    at_once.saturating_sub(under_way + round.formed_now(wanted.name).count())
+}
+
+fn is_under_way(group: &Group<'_>) -> bool {
+    group.ended_now || matches!(group.standing, Standing::Ending | Standing::Coming)
+}
+
+fn is_old(wanted: &Wanted<'_>, group: &Group<'_>) -> bool {
+    let row = &group.facts.row;
+    let size = row.members.len() != wanted.cfg.hosts_per_group as usize;
+    row.model != wanted.cfg.model || row.version != wanted.cfg.version || size
+}
--- /dev/null
+++ b/crates/group/src/plan/view.rs
@@ -0,0 +1,326 @@
+//! What the planner knows of its region.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{
+    Epoch, GroupId, HostEntry, HostId, HostReport, HostState, NodeId, Order, OrderKind, Region,
+    RowVersion, ServiceName, TargetKind,
+};
+use eelgrassmill_config::Config;
+use smol_str::SmolStr;
+
+use crate::plan::returns::{Absence, ReturnModel};
+use crate::rows::{GroupPhase, GroupRow, HostRow};
+
+/// So many silent hosts of one fabric domain count as one event that hit the domain.
+const TOGETHER: usize = 4;
+
+/// What is known of one host.
+#[derive(Clone, Debug)]
+pub struct HostFacts {
+    /// Its line in the host list; `None` when the list doesn't have it.
+    pub entry: Option<HostEntry>,
+    /// Its row, or that of a host never bound.
+    pub row: HostRow,
+    /// The row's version; 0 while it has none.
+    pub row_version: RowVersion,
+    /// When this view first saw this version of the row.
+    pub row_since: Instant,
+    /// Its newest report.
+    pub report: Option<HostReport>,
+    /// When the probe was sent that the report answers.
+    pub answered: Option<Instant>,
+    /// When this view first heard of it.
+    pub first_seen: Instant,
+    /// When a `Join` was last sent to it by this planner.
+    pub join_sent: Option<Instant>,
+    /// When any order was last sent to it by this planner.
+    pub order_sent: Option<Instant>,
+}
+
+/// What is known of one group.
+#[derive(Clone, Debug)]
+pub struct GroupFacts {
+    /// Its row.
+    pub row: GroupRow,
+    /// The row's version.
+    pub row_version: RowVersion,
+    /// When this view first saw this epoch and phase.
+    pub since: Instant,
+    /// Whether evidence says that it serves.
+    pub serving: bool,
+    /// Whether it has served in this epoch, as far as this view knows.
+    pub served: bool,
+    /// Since when it has not served, while it doesn't.
+    pub down_since: Instant,
+    /// A member that restarted after this epoch had been whole.
+    pub restarted: Option<HostId>,
+}
+
+/// What the planner of one region knows, kept up to date by events.
+///
+/// Rows are taken as read: a view that lags behind the table costs a failed
+/// transaction and never a wrong one, since every change expects the versions
+/// that are kept here.
+#[derive(Clone, Debug)]
+pub struct FleetView {
+    /// The planner's node.
+    pub node: NodeId,
+    /// The region that is planned.
+    pub region: Region,
+    /// All regions of the host list.
+    pub regions: BTreeSet<Region>,
+    /// The accepted configuration.
+    pub config: Arc<Config>,
+    /// Hosts of the region, and others that a group of the region still binds.
+    pub hosts: BTreeMap<HostId, HostFacts>,
+    /// Groups by name.
+    pub groups: BTreeMap<GroupId, GroupFacts>,
+    /// Groups that each service needs for its demand now.
+    pub demand: BTreeMap<ServiceName, u32>,
+    /// Size of each model version in the weight store, in bytes.
+    pub weights: BTreeMap<SmolStr, u64>,
+    /// What the weight store gives to all loads together, in bytes a second.
+    pub store_rate: u64,
+    /// Until when an order of the planner before may be under way; see [`crate::Takeover`].
+    pub quiet_until: Instant,
+    /// How long missing hosts stay away.
+    pub returns: ReturnModel,
+    /// Silence after which a host counts as missing.
+    pub detect: Duration,
+}
+
+impl FleetView {
+    /// A view that knows only the configuration.
+    pub fn new(
+        node: impl Into<NodeId>,
+        region: impl Into<Region>,
+        config: Arc<Config>,
+        quiet_until: Instant,
+    ) -> FleetView {
+        FleetView {
+            node: node.into(),
+            region: region.into(),
+            regions: BTreeSet::new(),
+            config,
+            hosts: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            weights: BTreeMap::new(),
+            store_rate: 0,
+            quiet_until,
+            returns: ReturnModel::new(),
+            detect: Duration::from_secs(2),
+        }
+    }
+
+    /// Takes a reading of the whole host list.
+    pub fn on_host_list(&mut self, entries: &[HostEntry], now: Instant) {
+        self.regions = entries.iter().map(|e| e.region.clone()).collect();
+        let mut listed = BTreeSet::new();
+        for entry in entries {
+            if entry.region != self.region || entry.kind != TargetKind::Engine {
+                continue;
+            }
+            listed.insert(entry.id.clone());
+            self.host_mut(&entry.id, now).entry = Some(entry.clone());
+        }
+        let dropped: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|(id, host)| host.entry.is_some() && !listed.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in dropped {
+            self.drop_from_list(&id, now);
+        }
+    }
+
+    /// Takes a reading of a host's row.
+    pub fn on_host_row(&mut self, row: &HostRow, version: RowVersion, now: Instant) {
+        let host = self.host_mut(&row.host, now);
+        if version > host.row_version {
+            host.row = row.clone();
+            host.row_version = version;
+            host.row_since = now;
+        }
+    }
+
+    /// Takes a reading of a group's row.
+    pub fn on_group_row(&mut self, row: &GroupRow, version: RowVersion, now: Instant) {
+        let fresh = || GroupFacts {
+            row: row.clone(),
+            row_version: version,
+            since: now,
+            serving: false,
+            served: false,
+            down_since: now,
+            restarted: None,
+        };
+        let Some(group) = self.groups.get_mut(&row.group) else {
+            self.groups.insert(row.group.clone(), fresh());
+            return;
+        };
+        if version <= group.row_version {
+            return;
+        }
+        if row.epoch != group.row.epoch {
+            let down_since = group.down_since;
+            let serving = group.serving;
+            *group = fresh();
+            if !serving {
+                group.down_since = down_since;
+            }
+            return;
+        }
+        if row.phase != group.row.phase {
+            group.since = now;
+        }
+        group.row = row.clone();
+        group.row_version = version;
+    }
+
+    /// Notes that a group's row is gone, as a scan of all group rows shows.
+    pub fn on_group_gone(&mut self, group: &str) {
+        self.groups.remove(group);
+    }
+
+    /// Takes a host's answer to a probe that was sent at `sent`.
+    pub fn on_report(&mut self, report: &HostReport, sent: Instant) {
+        let detect = self.detect;
+        let Some(host) = self.hosts.get(&report.host) else {
+            return;
+        };
+        if host.answered.is_some_and(|known| known >= sent) {
+            return;
+        }
+        let away = host.answered.map(|known| sent.duration_since(known));
+        let known = host.report.as_ref().map(|r| r.incarnation);
+        if let Some(away) = away.filter(|away| *away > detect) {
+            let absence = self.absence_of(&report.host, sent);
+            // A host that comes back empty does not make its group whole again.
+            if known == Some(report.incarnation) {
+                self.returns.record(absence, away);
+            } else {
+                self.returns.record_never(absence);
+            }
+        }
+        if let Some(host) = self.hosts.get_mut(&report.host) {
+            host.answered = Some(sent);
+            host.report = Some(report.clone());
+        }
+    }
+
+    /// Takes what evidence says of a group's epoch.
+    pub fn on_serving(
+        &mut self,
+        group: &str,
+        epoch: Epoch,
+        serving: bool,
+        restarted: Option<&HostId>,
+        now: Instant,
+    ) {
+        let Some(facts) = self.groups.get_mut(group) else {
+            return;
+        };
+        if facts.row.epoch != epoch {
+            return;
+        }
+        if facts.serving && !serving {
+            facts.down_since = now;
+        }
+        facts.serving = serving;
+        facts.served |= serving;
+        facts.restarted = restarted.cloned();
+    }
+
+    /// Notes that an order was sent.
+    pub fn on_order_sent(&mut self, order: &Order, now: Instant) {
+        let Some(host) = self.hosts.get_mut(&order.host) else {
+            return;
+        };
+        host.order_sent = Some(now);
+        if order.kind == OrderKind::Join {
+            host.join_sent = Some(now);
+        }
+    }
+
+    /// What kind of absence a host's silence at `now` belongs to.
+    pub fn absence_of(&self, host: &str, now: Instant) -> Absence {
+        let domain = |h: &HostFacts| h.entry.as_ref().map(|e| e.fabric_domain.clone());
+        let Some(own) = self.hosts.get(host).and_then(domain) else {
+            return Absence::Single;
+        };
+        let silent = |h: &&HostFacts| {
+            h.entry.as_ref().is_some_and(|e| e.fabric_domain == own)
+                && h.silent_for(now) > self.detect
+        };
+        if self.hosts.values().filter(silent).take(TOGETHER).count() == TOGETHER {
+            Absence::Together
+        } else {
+            Absence::Single
+        }
+    }
+
+    fn host_mut(&mut self, id: &HostId, now: Instant) -> &mut HostFacts {
+        let fresh = || HostFacts {
+            entry: None,
+            row: HostRow::new(id.clone()),
+            row_version: 0,
+            row_since: now,
+            report: None,
+            answered: None,
+            first_seen: now,
+            join_sent: None,
+            order_sent: None,
+        };
+        self.hosts.entry(id.clone()).or_insert_with(fresh)
+    }
+
+    fn drop_from_list(&mut self, id: &HostId, now: Instant) {
+        let absence = self.absence_of(id, now);
+        let detect = self.detect;
+        let Some(host) = self.hosts.get_mut(id) else {
+            return;
+        };
+        let leaving = host.is_leaving();
+        host.entry = None;
+        if host.silent_for(now) > detect && !leaving {
+            self.returns.record_never(absence);
+        }
+    }
+}
+
+impl HostFacts {
+    /// How long it has not answered a probe.
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.answered.unwrap_or(self.first_seen))
+    }
+
+    /// Whether the list or the host itself says that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        let listed = self.entry.as_ref().map(|e| e.state);
+        let said = self.report.as_ref().is_some_and(|r| r.leaving);
+        listed == Some(HostState::Leaving) || said
+    }
+
+    /// Whether it still holds the weights `MODEL@VERSION`.
+    pub fn is_warm(&self, weights: &str) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|r| r.warm.iter().any(|w| w == weights))
+    }
+
+    /// Whether its row binds it to this epoch of this group.
+    pub fn is_bound_to(&self, row: &GroupRow) -> bool {
+        self.row.epoch == row.epoch && self.row.group.as_ref() == Some(&row.group)
+    }
+}
+
+impl GroupFacts {
+    /// Whether its row binds hosts that may work, for serving or for loading.
+    pub fn is_live(&self) -> bool {
+        self.row.phase != GroupPhase::Ending
+    }
+}
--- /dev/null
+++ b/crates/group/src/plan/warm.rs
@@ -0,0 +1,72 @@
+//! Loading weights on spares, so that a lost member can be replaced without a load.
+
+use eelgrassmill_base::FabricDomain;
+
+use crate::plan::form::{NewGroup, form};
+use crate::plan::policy::RepairChoice;
+use crate::plan::round::Round;
+use crate::plan::view::HostFacts;
+use crate::rows::{GroupPhase, warming_id};
+
+/// Loads the spares that broken groups wait for, then idle ones where they mend most.
+pub(crate) fn warm_spares(round: &mut Round<'_>) {
+    if round.policy.choice != RepairChoice::Weighed {
+        return;
+    }
+    for (service, host) in std::mem::take(&mut round.wishes) {
+        warm(round, service, host);
+    }
+    let domains: Vec<&FabricDomain> = round.free.keys().copied().collect();
+    for domain in domains {
+        warm_idle(round, domain);
+    }
+}
+
+/// Loads one idle spare of a fabric domain that is warm for nothing.
+///
+/// Idle loading takes half of the bound at most: repairs that come meanwhile
+/// find the store free enough.
+fn warm_idle(round: &mut Round<'_>, domain: &FabricDomain) {
+    if round.loading >= round.policy.max_loads / 2 {
+        return;
+    }
+    let free: Vec<&HostFacts> = round.free.get(domain).cloned().unwrap_or_default();
+    let is_useful = |h: &HostFacts| round.wanted.iter().any(|w| h.is_warm(&w.weights));
+    let Some(host) = free.iter().copied().find(|h| !is_useful(h)) else {
+        return;
+    };
+    if let Some(service) = least_covered(round, domain, &free) {
+        warm(round, service, host);
+    }
+}
+
+/// The service with the most members in the domain for each spare that is warm for it.
+fn least_covered(round: &Round<'_>, domain: &FabricDomain, free: &[&HostFacts]) -> Option<usize> {
+    let cover = |wanted: &crate::plan::round::Wanted<'_>| {
+        let groups = wanted.groups.iter().filter(|g| g.is_formed());
+        let here = groups.filter(|g| g.domain == Some(domain)).count();
+        let warm = free.iter().filter(|h| h.is_warm(&wanted.weights)).count();
+        let loading = round.warming.get(&(wanted.name.as_str(), domain));
+        let spares = warm + loading.copied().unwrap_or(0);
+        here * 1000 / (spares + 1)
+    };
+    let scored = round.wanted.iter().enumerate().map(|(i, w)| (cover(w), i));
+    let best = scored.filter(|(score, _)| *score > 0);
+    best.max_by_key(|(score, i)| (*score, std::cmp::Reverse(*i)))
+        .map(|(_, i)| i)
+}
+
+fn warm(round: &mut Round<'_>, service: usize, host: &HostFacts) {
+    let group = warming_id(round.wanted[service].name, &host.row.host);
+    // A row of an earlier warming is removed first.
+    if round.view.groups.contains_key(&group) {
+        return;
+    }
+    let new = NewGroup {
+        group,
+        row_version: 0,
+        phase: GroupPhase::Warming,
+        members: vec![host],
+    };
+    form(round, service, new);
+}
--- a/crates/group/src/rows.rs
+++ b/crates/group/src/rows.rs
@@ -48,6 +48,8 @@
     pub enum GroupPhase {
         /// Its members are bound to it; whether it serves is for evidence to say.
         Formed,
+        /// Its only member loads weights to be a warm spare; it never serves.
+        Warming,
         /// It takes no new requests and its members are being released.
         Ending,
     }
@@ -60,16 +62,16 @@
         MemberRestarted,
         /// A member is leaving its host.
         MemberLeaving,
-        /// A member that was missing came back sooner than its replacement got ready.
-        MemberReturned,
         /// Another version of the model is wanted.
         Rollout,
         /// Its hosts are needed more by another group.
         Yield,
-        /// It moves to another fabric domain.
-        Move,
+        /// Another group that serves has taken its place.
+        Replaced,
         /// The configuration wants it no more.
         Unwanted,
+        /// Its spare has loaded the weights.
+        Warmed,
     }
 }
 
@@ -239,6 +241,11 @@
     format_smolstr!("{service}/{index}")
 }
 
+/// Name of the group by which a spare loads the weights of a service.
+pub fn warming_id(service: &str, host: &str) -> GroupId {
+    format_smolstr!("{service}/warm-{host}")
+}
+
 /// Service and index of a group's name.
 pub fn split_group_id(group: &str) -> Option<(&str, u32)> {
     let (service, index) = group.rsplit_once('/')?;
