--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{Method, Request, header};
 use http_body_util::Full;
 use serde_json::{Value, json};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::addresses::AddressBook;
 use crate::http::{Answer, CallError, call};
@@ -20,6 +20,10 @@
 /// How long a caller waits that gives no deadline.
 const NO_DEADLINE: Duration = Duration::from_secs(60);
 
+const GAVE_UP: &str = "caller gave up";
+const NO_ANSWER: &str = "connection broke before an answer";
+const NOT_REACHED: &str = "no entry reached";
+
 /// What a request came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Ending {
@@ -39,8 +43,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Outcome {
     pub(crate) ending: Ending,
-    /// Status of the last answer; `None` when there was none.
-    pub(crate) status: Option<StatusCode>,
+    /// What the last answer said or what broke; empty for a whole answer.
+    pub(crate) reason: SmolStr,
     pub(crate) retries: u32,
     /// The first token, or the whole answer where it doesn't stream.
     pub(crate) first: Option<Duration>,
@@ -57,16 +61,16 @@
 /// One attempt's end.
 struct Attempt {
     ending: Ending,
-    status: Option<StatusCode>,
+    reason: SmolStr,
     retry_after: Option<Duration>,
     tokens: Vec<Instant>,
 }
 
 impl Attempt {
-    fn without_answer(ending: Ending) -> Attempt {
+    fn without_answer(ending: Ending, reason: impl Into<SmolStr>) -> Attempt {
         Attempt {
             ending,
-            status: None,
+            reason: reason.into(),
             retry_after: None,
             tokens: Vec::new(),
         }
@@ -82,7 +86,8 @@
         loop {
             let sent = self.attempt(class, &request);
             let attempt = tokio::time::timeout_at(give_up.into(), sent).await;
-            let attempt = attempt.unwrap_or(Attempt::without_answer(Ending::Unknown));
+            let attempt =
+                attempt.unwrap_or_else(|_| Attempt::without_answer(Ending::Unknown, GAVE_UP));
             let again = attempt
                 .retry_after
                 .filter(|wait| retries < class.retries && Instant::now() + *wait < give_up);
@@ -105,53 +110,60 @@
                 Ok(answer) => return judge(answer, class, request).await,
                 // Nothing was sent, so the next address may be tried.
                 Err(CallError::NotReached(_)) => {}
-                Err(CallError::NoAnswer(_)) => return Attempt::without_answer(Ending::Unknown),
+                Err(CallError::NoAnswer(_)) => {
+                    return Attempt::without_answer(Ending::Unknown, NO_ANSWER);
+                }
             }
         }
         self.book.forget(&request.tenant, &class.service);
-        Attempt::without_answer(Ending::NotRun)
+        Attempt::without_answer(Ending::NotRun, NOT_REACHED)
     }
 }
 
 async fn judge(answer: Answer, class: &Class, request: &Planned) -> Attempt {
-    let status = Some(answer.head.status());
     let retry_after = answer
         .header("retry-after")
         .and_then(|seconds| seconds.parse().ok());
-    let retry_after = retry_after.map(Duration::from_secs);
+    if !answer.head.status().is_success() {
+        let (ending, reason) = refusal(answer).await;
+        let retry_after = retry_after.map(Duration::from_secs);
+        return Attempt {
+            ending,
+            reason,
+            retry_after,
+            tokens: Vec::new(),
+        };
+    }
     let mut tokens = Vec::new();
-    let ending = if !answer.head.status().is_success() {
-        refusal(answer).await
+    let verdict = if class.stream && class.api != Api::Call {
+        check_stream(answer, request, |at| tokens.push(at)).await
     } else {
-        let verdict = if class.stream && class.api != Api::Call {
-            check_stream(answer, request, |at| tokens.push(at)).await
-        } else {
-            check_whole(answer, class, request).await
-        };
-        match verdict {
-            Verdict::Whole => Ending::Whole,
-            Verdict::Wrong => Ending::Wrong,
-            Verdict::Cut => Ending::Cut,
-        }
+        check_whole(answer, class, request).await
+    };
+    let (ending, reason) = match verdict {
+        Verdict::Whole => (Ending::Whole, ""),
+        Verdict::Wrong => (Ending::Wrong, "wrong answer"),
+        Verdict::Cut => (Ending::Cut, "answer cut off"),
     };
-    // Only a refusal says when to come again.
-    let refused = matches!(ending, Ending::NotRun | Ending::Unknown);
     Attempt {
         ending,
-        status,
-        retry_after: retry_after.filter(|_| refused),
+        reason: reason.into(),
+        retry_after: None,
         tokens,
     }
 }
 
 /// What an error answer says of the request; without a word it may have run.
-async fn refusal(answer: Answer) -> Ending {
+async fn refusal(answer: Answer) -> (Ending, SmolStr) {
+    let status = answer.head.status().as_u16();
     let body = answer.whole().await.unwrap_or_default();
     let problem: Value = serde_json::from_slice(&body).unwrap_or_default();
-    match problem["outcome"].as_str() {
+    let detail = problem["detail"].as_str().unwrap_or("without a reason");
+    let ending = match problem["outcome"].as_str() {
         Some("not-run") => Ending::NotRun,
         _ => Ending::Unknown,
-    }
+    };
+    (ending, format_smolstr!("{status} {detail}"))
 }
 
 fn outcome(attempt: &Attempt, retries: u32, due: Instant) -> Outcome {
@@ -161,7 +173,7 @@
     let pairs = attempt.tokens.windows(2);
     Outcome {
         ending: attempt.ending,
-        status: attempt.status,
+        reason: attempt.reason.clone(),
         retries,
         first: first.or(whole.then_some(total)),
         between: pairs.map(|pair| pair[1].duration_since(pair[0])).collect(),
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -9,6 +9,10 @@
 
 use crate::histogram::Quantiles;
 
+/// Reasons told apart.
+const MAX_REASONS: usize = 32;
+const OTHER_REASONS: &str = "other reasons";
+
 /// What became of the requests. Invariant, once a run is over: `sent` is the
 /// sum of `whole`, `not_run`, `unknown`, `wrong` and `cut`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
@@ -31,8 +35,8 @@
     pub retries: u64,
     /// Tokens asked for by the requests that were answered whole.
     pub useful_tokens: Tokens,
-    /// All ends but whole ones by the status of the last answer; 0 where there was none.
-    pub failures_by_status: BTreeMap<u16, u64>,
+    /// All ends but whole ones by what the last answer said or what broke.
+    pub failures: BTreeMap<SmolStr, u64>,
 }
 
 /// One tenant and class.
@@ -93,10 +97,21 @@
         self.cut += other.cut;
         self.retries += other.retries;
         self.useful_tokens += other.useful_tokens;
-        for (status, count) in &other.failures_by_status {
-            *self.failures_by_status.entry(*status).or_default() += count;
+        for (reason, count) in &other.failures {
+            self.add_failures(reason, *count);
         }
     }
+
+    /// Counts failures; reasons beyond a bound go together, since texts may differ each time.
+    pub(crate) fn add_failures(&mut self, reason: &SmolStr, count: u64) {
+        let known = self.failures.contains_key(reason) || self.failures.len() < MAX_REASONS;
+        let reason = if known {
+            reason.clone()
+        } else {
+            OTHER_REASONS.into()
+        };
+        *self.failures.entry(reason).or_default() += count;
+    }
 }
 
 impl Report {
@@ -147,6 +162,9 @@
             )?,
             None => writeln!(f, "runs at the targets: not checked")?,
         }
+        for (reason, count) in &self.all.counts.failures {
+            writeln!(f, "{count:>6} x {reason}")?;
+        }
         for error in &self.fault_errors {
             writeln!(f, "fault not switched: {error}")?;
         }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -161,7 +161,7 @@
         }
         let outcome = Outcome {
             ending: Ending::Unknown,
-            status: None,
+            reason: "run was over".into(),
             retries: 0,
             first: None,
             between: Vec::new(),
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -138,8 +138,7 @@
             Ending::Cut => counts.cut += 1,
         }
         if outcome.ending != Ending::Whole {
-            let status = outcome.status.map_or(0, |status| status.as_u16());
-            *counts.failures_by_status.entry(status).or_default() += 1;
+            counts.add_failures(&outcome.reason, 1);
         }
         if let Some(first) = outcome.first {
             self.first.record(first);
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -26,7 +26,11 @@
         cut: 2,
         retries: 5,
         useful_tokens: 800,
-        failures_by_status: BTreeMap::from([(0, 2), (429, 6), (502, 2)]),
+        failures: BTreeMap::from([
+            ("429 queue is full".into(), 6),
+            ("answer cut off".into(), 2),
+            ("no entry reached".into(), 2),
+        ]),
     };
     ReportRow {
         tenant: tenant.into(),
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -71,7 +71,7 @@
     let doubtful = counts("DO-DOUBT", "");
     expect_that!((doubtful.unknown, doubtful.retries), eq((doubtful.sent, 0)));
     expect_that!(
-        doubtful.failures_by_status.get(&503),
+        doubtful.failures.get("503 without a reason"),
         some(eq(&doubtful.sent))
     );
 }
