Report plain stand-ins as ready

Cause: a plain host reported ready = false, for ever, as it never loads.

Change: a plain host has nothing to load and is ready.

Failing first: a_plain_host_is_ready_without_a_placement FAILED, actual (false, None); after: passed, with the 8 others of its file.

--- a/crates/engine/tests/work.rs
+++ b/crates/engine/tests/work.rs
@@ -113,6 +113,15 @@
     );
 }
 
+#[gtest]
+fn a_plain_host_is_ready_without_a_placement() {
+    let bench = Bench::start();
+    let plain = bench.control.probe(&bench.address(PLAIN)).unwrap();
+    expect_that!((plain.ready, plain.placement), eq(&(true, None)));
+    let spare = bench.control.probe(&bench.address("engine-2")).unwrap();
+    expect_that!(spare.ready, eq(false));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_engine_is_slow_by_its_factor() {
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -7,7 +7,7 @@
 
 use eelgrassmill_base::{
     Epoch, Fence, GroupId, HostEntry, HostReport, HostState, Incarnation, Order, OrderKind,
-    OrderReply, Placement, RequestId,
+    OrderReply, Placement, RequestId, TargetKind,
 };
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::Notify;
@@ -141,7 +141,8 @@
             host: self.spec.id.clone(),
             incarnation: state.incarnation,
             placement: state.placement.clone(),
-            ready: state.ready,
+            // A plain service has nothing to load.
+            ready: state.ready || self.spec.kind == TargetKind::Plain,
             fence: state.fence,
             leaving: self.faults.is_on(Fault::Leaving),
             running: state.load.running,
