--- a/crates/route/src/queue/account.rs
+++ b/crates/route/src/queue/account.rs
@@ -24,6 +24,8 @@
     pub(crate) tokens: Tokens,
     /// From here on it can't be answered in time even when started at once.
     pub(crate) give_up_at: Instant,
+    /// It was cancelled and resumed once.
+    pub(crate) resumed: bool,
     pub(crate) payload: T,
 }
 
@@ -79,6 +81,10 @@
         self.head().is_some_and(|(u, _)| u.is_urgent())
     }
 
+    pub(crate) fn is_active(&self) -> bool {
+        self.running > 0 || !self.queued.is_empty()
+    }
+
     /// Charges a started request.
     pub(crate) fn charge(&mut self, tokens: Tokens) {
         self.finish = self.finish.saturating_add(cost(tokens, self.weight));
--- a/crates/route/src/queue/admit.rs
+++ b/crates/route/src/queue/admit.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::TenantId;
+use eelgrassmill_base::{TenantId, Urgency};
 
 use crate::queue::account::{Account, Queued};
 use crate::queue::{Offer, Refusal, RefusalReason, ServiceQueue, Ticket};
@@ -30,32 +30,43 @@
     }
 
     fn admit(&mut self, offer: Offer, payload: T, give_up_at: Instant) -> Ticket {
-        self.last_ticket += 1;
-        let ticket = Ticket(self.last_ticket);
-        let position = (offer.urgency, ticket);
         let queued = Queued {
             tokens: offer.tokens,
             give_up_at,
+            resumed: false,
             payload,
         };
-        let earliest = self.earliest_finish(offer.weight);
+        self.enqueue(offer.tenant, offer.weight, offer.urgency, queued)
+    }
+
+    pub(super) fn enqueue(
+        &mut self,
+        tenant: TenantId,
+        weight: u32,
+        urgency: Urgency,
+        queued: Queued<T>,
+    ) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        let position = (urgency, ticket);
+        self.queued_tokens += queued.tokens;
+        if urgency.is_urgent() {
+            self.queued_urgent_tokens += queued.tokens;
+        }
+        self.give_up.insert((queued.give_up_at, ticket));
+        let earliest = self.earliest_finish(weight);
         self.tenants
-            .entry(offer.tenant.clone())
-            .or_insert_with(|| Account::new(offer.weight, earliest));
-        self.change(&offer.tenant, |account| {
-            account.weight = offer.weight.max(1);
+            .entry(tenant.clone())
+            .or_insert_with(|| Account::new(weight, earliest));
+        self.change(&tenant, |account| {
+            account.weight = weight.max(1);
             // A tenant that was idle has no claim on all the time it left unused.
             if account.queued.is_empty() {
                 account.finish = account.finish.max(earliest);
             }
             account.push(position, queued);
         });
-        self.queued_tokens += offer.tokens;
-        if offer.urgency.is_urgent() {
-            self.queued_urgent_tokens += offer.tokens;
-        }
-        self.give_up.insert((give_up_at, ticket));
-        self.waiting.insert(ticket, (offer.tenant, position));
+        self.waiting.insert(ticket, (tenant, position));
         ticket
     }
 
--- a/crates/route/src/queue/mod.rs
+++ b/crates/route/src/queue/mod.rs
@@ -10,16 +10,20 @@
 mod admit;
 mod offer;
 mod pace;
+mod preempt;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{TenantId, Tokens};
+use eelgrassmill_base::{TenantId, Tokens, Urgency};
 
 use crate::queue::account::{Account, Position, Queued, VirtualTime, cost};
 pub use crate::queue::offer::{Offer, Refusal, RefusalReason, SlotKind, Slots, Started, Ticket};
 use crate::queue::pace::Pace;
 
+/// One normal slot in this many is kept free of tenants that are over their share.
+const HEADROOM_PART: u64 = 12;
+
 /// Settings of a [`ServiceQueue`].
 #[derive(Clone, Debug)]
 pub struct QueueOptions {
@@ -77,9 +81,13 @@
 #[derive(Debug)]
 struct Running {
     tenant: TenantId,
+    weight: u32,
     tokens: Tokens,
-    urgent: bool,
+    urgency: Urgency,
     since: Instant,
+    give_up_at: Instant,
+    /// It was cancelled and resumed once.
+    resumed: bool,
 }
 
 /// The queue of one service at one node. `T` is the caller's payload.
@@ -101,6 +109,8 @@
     waiting: BTreeMap<Ticket, (TenantId, Position)>,
     running: BTreeMap<Ticket, Running>,
     running_urgent: usize,
+    /// Invariant: the sum of the weights of tenants with anything waiting or running.
+    active_weight: u64,
     give_up: BTreeSet<(Instant, Ticket)>,
     given_up: Vec<(T, Refusal)>,
     /// Start tag of the last request started in fair order; never falls.
@@ -125,6 +135,7 @@
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
             running_urgent: 0,
+            active_weight: 0,
             give_up: BTreeSet::new(),
             given_up: Vec::new(),
             virtual_now: 0,
@@ -171,7 +182,7 @@
             return self.begin(tenant, slot, now);
         }
         let (finish, tenant) = self.backlog.first().cloned()?;
-        if free.normal == 0 {
+        if free.normal <= self.headroom(&tenant, free) {
             return None;
         }
         self.virtual_now = self.virtual_now.max(finish);
@@ -183,7 +194,7 @@
         let Some(run) = self.end(ticket) else {
             return;
         };
-        let pace = match run.urgent {
+        let pace = match run.urgency.is_urgent() {
             true => &mut self.urgent_pace,
             false => &mut self.normal_pace,
         };
@@ -231,21 +242,48 @@
         (!over).then(|| (tenant.clone(), slot))
     }
 
+    /// Normal slots that the tenant has to leave free.
+    ///
+    /// A tenant that has used up what it left unused and runs its share leaves a few to
+    /// the active tenants that have nothing waiting: their next requests would
+    /// otherwise wait for one of its drafts to end.
+    fn headroom(&self, tenant: &TenantId, free: Slots) -> u32 {
+        let Some(account) = self.tenants.get(tenant) else {
+            return 0;
+        };
+        let normal = (self.running.len() - self.running_urgent) as u64;
+        let all = normal + u64::from(free.normal);
+        let active = self.active_weight.max(1);
+        let share = all * u64::from(account.weight) / active;
+        if account.finish < self.virtual_now || u64::from(account.running) < share {
+            return 0;
+        }
+        if all < HEADROOM_PART {
+            return 0;
+        }
+        let not_waiting = self.active_weight - self.backlog_weight;
+        (all * not_waiting).div_ceil(active * HEADROOM_PART) as u32
+    }
+
     fn begin(&mut self, tenant: TenantId, slot: SlotKind, now: Instant) -> Option<Started<T>> {
         let position = self.tenants.get(&tenant)?.head()?;
         let ticket = position.1;
         let queued = self.take(ticket)?;
-        self.change(&tenant, |account| {
+        let weight = self.change(&tenant, |account| {
             account.running += 1;
             account.charge(queued.tokens);
-        });
-        let urgent = position.0.is_urgent();
-        self.running_urgent += usize::from(urgent);
+            account.weight
+        })?;
+        let urgency = position.0;
+        self.running_urgent += usize::from(urgency.is_urgent());
         let run = Running {
             tenant,
+            weight,
             tokens: queued.tokens,
-            urgent,
+            urgency,
             since: now,
+            give_up_at: queued.give_up_at,
+            resumed: queued.resumed,
         };
         self.running.insert(ticket, run);
         Some(Started {
@@ -257,7 +295,7 @@
 
     fn end(&mut self, ticket: Ticket) -> Option<Running> {
         let run = self.running.remove(&ticket)?;
-        self.running_urgent -= usize::from(run.urgent);
+        self.running_urgent -= usize::from(run.urgency.is_urgent());
         Some(run)
     }
 
@@ -307,7 +345,13 @@
             self.backlog_weight -= u64::from(account.weight);
         }
         self.urgent_backlog.remove(&key);
+        if account.is_active() {
+            self.active_weight -= u64::from(account.weight);
+        }
         let result = f(account);
+        if account.is_active() {
+            self.active_weight += u64::from(account.weight);
+        }
         let key = (account.finish, key.1);
         if account.has_urgent() {
             self.urgent_backlog.insert(key.clone());
