--- a/crates/route/src/pick/group.rs
+++ b/crates/route/src/pick/group.rs
@@ -20,7 +20,7 @@
 const SLOW_FLOOR: f64 = 0.1;
 /// Share of a new sample in the moving mean.
 const NEW_SAMPLE: f64 = 0.1;
-/// A mean without samples for this long is forgotten and the group starts gradually.
+/// A mean without samples for this long is forgotten.
 const SAMPLE_LIFE: Duration = Duration::from_secs(30);
 /// Longest record of requests sent since the last report.
 const MAX_SENT: usize = 1024;
@@ -142,8 +142,7 @@
 
     fn observe_gap(&mut self, gap: f64, now: Instant) {
         if now.saturating_duration_since(self.sampled) > SAMPLE_LIFE {
-            self.token_gap = None;
-            self.since = now;
+            self.forget_pace(now);
         }
         self.sampled = now;
         self.token_gap = Some(match self.token_gap {
@@ -152,6 +151,15 @@
         });
     }
 
+    /// Only a group that was slow starts gradually again. Were every idle group to, the
+    /// first burst after a quiet hour would find a tenth of the slots.
+    fn forget_pace(&mut self, now: Instant) {
+        self.token_gap = None;
+        if self.slow_part < 1.0 {
+            self.restart_ramp(now);
+        }
+    }
+
     /// Compares the group with its peers' median time between tokens.
     pub(crate) fn compare(&mut self, median: Option<f64>) {
         self.slow_part = match (self.token_gap, median) {
--- /dev/null
+++ b/crates/route/tests/pick.rs
@@ -0,0 +1,211 @@
+//! Choice of group: whole and staying groups, load against affinity, slow and new ones.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_route::*;
+use googletest::prelude::*;
+
+const MILLI: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn candidate(i: usize, hops: u8) -> Candidate {
+    Candidate {
+        group: format!("draft/{i}").into(),
+        epoch: 1,
+        hops,
+        slots: 20,
+        quota: Slots {
+            normal: 18,
+            urgent: 2,
+        },
+        leaving: false,
+    }
+}
+
+/// A picker whose groups have been there long enough to get all of their slots.
+fn picker(hops: &[u8]) -> (GroupPicker, Instant) {
+    let start = Instant::now();
+    let mut picker = GroupPicker::new(7);
+    picker.update(
+        hops.iter().enumerate().map(|(i, h)| candidate(i, *h)),
+        start,
+    );
+    (picker, start + 60 * SECOND)
+}
+
+fn pick(picker: &mut GroupPicker, prefixes: &[PrefixHash], now: Instant) -> Option<String> {
+    let pick = picker.pick(SlotKind::Normal, prefixes, &[], now);
+    pick.map(|p| p.group.to_string())
+}
+
+fn counts(picker: &mut GroupPicker, picks: usize, now: Instant) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..picks {
+        if let Some(group) = pick(picker, &[], now) {
+            *counts.entry(group).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// A host of a group is taken away, and another group has been formed anew. Work sent to
+/// the leaving one would be cut off; the pick of the old epoch must not free a new slot.
+#[googletest::test]
+fn leaving_groups_and_ended_epochs_get_nothing_new() {
+    let (mut picker, now) = picker(&[0, 0]);
+    let old = picker
+        .pick(SlotKind::Normal, &[], &["draft/0".into()], now)
+        .expect("a group");
+    expect_that!(old.group.as_str(), eq("draft/1"));
+    let mut leaving = candidate(0, 0);
+    leaving.leaving = true;
+    let mut renewed = candidate(1, 0);
+    renewed.epoch = 2;
+    renewed.quota = Slots {
+        normal: 1,
+        urgent: 0,
+    };
+    picker.update([leaving, renewed], now);
+    let new = picker
+        .pick(SlotKind::Normal, &[], &[], now)
+        .expect("the new epoch");
+    expect_that!((new.group.as_str(), new.epoch), eq(("draft/1", 2)));
+    picker.ended(&old);
+    expect_that!(pick(&mut picker, &[], now), none());
+    picker.update([], now);
+    expect_that!(picker.free(now), eq(Slots::NONE));
+}
+
+/// Load reports are a second old. Without adding what was sent since, the whole burst
+/// goes to the group that was emptiest a second ago.
+#[googletest::test]
+fn a_burst_between_reports_is_spread() {
+    let (mut picker, now) = picker(&[0, 0, 0, 0]);
+    for (i, running) in [0, 4, 4, 4].into_iter().enumerate() {
+        picker.report(&format!("draft/{i}"), 1, running, now - SECOND);
+    }
+    let counts = counts(&mut picker, 40, now);
+    expect_that!(counts["draft/0"], le(16));
+    expect_that!(counts.values().min(), some(ge(&6)));
+}
+
+/// The own failure domain's group is nearly full. Requests spill to the next domain
+/// instead of queueing at home, and come back when there is room.
+#[googletest::test]
+fn the_nearest_domain_comes_first_and_spills() {
+    let (mut picker, now) = picker(&[0, 1]);
+    expect_that!(pick(&mut picker, &[], now), some(eq("draft/0")));
+    picker.report("draft/0", 1, 18, now);
+    expect_that!(pick(&mut picker, &[], now), some(eq("draft/1")));
+    picker.report("draft/0", 1, 2, now);
+    expect_that!(pick(&mut picker, &[], now), some(eq("draft/0")));
+}
+
+/// Council digests share a long beginning that one group has in its cache. They go
+/// there, until it is so much fuller that the cache isn't worth the wait.
+#[googletest::test]
+fn a_cached_prefix_attracts_until_load_outweighs_it() {
+    let (mut picker, now) = picker(&[0, 0, 0]);
+    let prefixes = prefix_hashes(&"council digest ".repeat(100));
+    let home = pick(&mut picker, &prefixes, now).expect("a group");
+    for _ in 0..5 {
+        expect_that!(pick(&mut picker, &prefixes, now), some(eq(&home)));
+    }
+    picker.report(&home, 1, 18, now);
+    expect_that!(pick(&mut picker, &prefixes, now), some(not(eq(&home))));
+}
+
+/// Cache events come late and with gaps. An eviction from before our last request must
+/// not undo it; after a gap the record is believed only half.
+#[googletest::test]
+fn late_and_missing_cache_events_correct_the_record() {
+    let (mut picker, now) = picker(&[0, 0]);
+    let prefixes = prefix_hashes(&"claim summary ".repeat(30));
+    let hash = *prefixes.last().expect("long enough");
+    let events = [CacheEvent::Evicted(hash)];
+    picker
+        .pick(SlotKind::Normal, &prefixes, &["draft/1".into()], now)
+        .expect("draft/0");
+    picker.cache_events("draft/0", 1, 0, &events, now - SECOND);
+    picker.report("draft/0", 1, 5, now);
+    expect_that!(pick(&mut picker, &prefixes, now), some(eq("draft/0")));
+    // After the gap a match is worth half: not enough against this load any more.
+    let later = now + 10 * SECOND;
+    picker.cache_events("draft/0", 1, 9, &[], later);
+    picker.report("draft/0", 1, 8, later);
+    expect_that!(pick(&mut picker, &prefixes, later), some(eq("draft/1")));
+    // Confirmed, it counts in full again.
+    picker.cache_events("draft/0", 1, 9, &[CacheEvent::Stored(hash)], later + SECOND);
+    picker.cache_events("draft/1", 1, 0, &events, later + SECOND);
+    expect_that!(
+        pick(&mut picker, &prefixes, later + SECOND),
+        some(eq("draft/0"))
+    );
+}
+
+/// A group's fabric link has gone bad: it lives and answers, at a quarter of the pace.
+/// It gets less, but still enough to be seen recovering.
+#[googletest::test]
+fn a_slow_group_is_noticed_and_gets_less() {
+    let (mut picker, mut now) = picker(&[0, 0, 0, 0]);
+    let measure = |picker: &mut GroupPicker, gaps: [u32; 4], now| {
+        for (i, gap) in gaps.into_iter().enumerate() {
+            for _ in 0..50 {
+                picker.observe(&format!("draft/{i}"), 1, Sample::TokenGap(gap * MILLI), now);
+            }
+        }
+    };
+    measure(&mut picker, [15, 15, 15, 60], now);
+    let slow = counts(&mut picker, 50, now);
+    expect_that!(slow["draft/3"], le(5));
+    expect_that!(slow["draft/0"], ge(12));
+    now += SECOND;
+    measure(&mut picker, [15, 15, 15, 15], now);
+    picker.update((0..4).map(|i| candidate(i, 0)), now);
+    let recovered = counts(&mut picker, 20, now);
+    expect_that!(recovered["draft/3"], ge(8));
+}
+
+/// A group has just been formed: its caches are cold, and nobody has seen it serve yet.
+/// It gets a few requests at first and its full part after some seconds.
+#[googletest::test]
+fn a_new_group_starts_gradually() {
+    let (mut picker, now) = picker(&[0]);
+    picker.update([candidate(0, 0), candidate(1, 0)], now);
+    let first = counts(&mut picker, 19, now);
+    expect_that!(first["draft/1"], le(2));
+    expect_that!(picker.free(now + 30 * SECOND).normal, eq(36 - 19));
+}
+
+/// An engine whose tokens slow down as more requests run on it: 20 ms and 5 ms for
+/// each. At 18 requests every token comes too late; the limit settles where 95 in 100
+/// are in time, and stays near it.
+#[googletest::test]
+fn concurrency_follows_the_measured_pace() {
+    let (mut picker, mut now) = picker(&[0]);
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut running = Vec::new();
+    let mut levels = Vec::new();
+    for round in 0..600 {
+        while let Some(pick) = picker.pick(SlotKind::Normal, &[], &[], now) {
+            running.push(pick);
+        }
+        let load = running.len() as u32;
+        for _ in 0..load {
+            let gap =
+                Duration::from_secs_f64(0.02 + 0.005 * f64::from(load) * (0.9 + 0.2 * rng.f64()));
+            picker.observe("draft/0", 1, Sample::TokenGap(gap), now);
+        }
+        if let Some(pick) = running.pop() {
+            picker.ended(&pick);
+        }
+        now += 200 * MILLI;
+        if round >= 300 {
+            levels.push(load);
+        }
+    }
+    // 76 ms are reached at 11 requests, or 10 with the noise.
+    let mean = f64::from(levels.iter().sum::<u32>()) / levels.len() as f64;
+    expect_that!(mean, near(10.0, 1.5));
+}
