Give the repair example's texts the fields that drains brought

Cause: merging two parts left the example without fields that the configuration gained; clippy over all targets failed. Ruled out: a Default for TargetRule, since a silent default for a guard's setting hides a decision. Conclusion: clippy is clean again.

--- a/crates/group/examples/repair/fleets.rs
+++ b/crates/group/examples/repair/fleets.rs
@@ -42,12 +42,19 @@
 ) -> Config {
     let rule = |host: &str| {
         let checks_orders = true;
-        (host.into(), TargetRule { checks_orders })
+        (
+            host.into(),
+            TargetRule {
+                checks_orders,
+                drain: false,
+            },
+        )
     };
     Config {
         repair: RepairWeight::Downtime,
         services: services.into_iter().collect(),
         tenants: BTreeMap::new(),
+        nodes: BTreeMap::new(),
         targets: checking.into_iter().map(rule).collect(),
     }
 }
