--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -46,6 +46,8 @@
     /// What the last answer said or what broke; empty for a whole answer.
     pub(crate) reason: SmolStr,
     pub(crate) retries: u32,
+    /// Addresses that could not be reached on the way.
+    pub(crate) moved: u32,
     /// The first token, or the whole answer where it doesn't stream.
     pub(crate) first: Option<Duration>,
     pub(crate) between: Vec<Duration>,
@@ -82,9 +84,9 @@
     pub(crate) async fn carry(self: Arc<Callers>, request: Arc<Planned>, due: Instant) -> Outcome {
         let class = &self.scenario.classes[&request.class];
         let give_up = due + class.deadline.unwrap_or(NO_DEADLINE) + GRACE;
-        let mut retries = 0;
+        let (mut retries, mut moved) = (0, 0);
         loop {
-            let sent = self.attempt(class, &request);
+            let sent = self.attempt(class, &request, &mut moved);
             let attempt = tokio::time::timeout_at(give_up.into(), sent).await;
             let attempt =
                 attempt.unwrap_or_else(|_| Attempt::without_answer(Ending::Unknown, GAVE_UP));
@@ -92,14 +94,14 @@
                 .retry_after
                 .filter(|wait| retries < class.retries && Instant::now() + *wait < give_up);
             let Some(wait) = again else {
-                return outcome(&attempt, retries, due);
+                return outcome(&attempt, retries, moved, due);
             };
             tokio::time::sleep(wait).await;
             retries += 1;
         }
     }
 
-    async fn attempt(&self, class: &Class, request: &Planned) -> Attempt {
+    async fn attempt(&self, class: &Class, request: &Planned, moved: &mut u32) -> Attempt {
         let token = &self.scenario.tenants[&request.tenant].token;
         let caller = Caller {
             tenant: request.tenant.clone(),
@@ -111,7 +113,7 @@
             match call(address, http_request(address, token, class, request)).await {
                 Ok(answer) => return judge(answer, class, request).await,
                 // Nothing was sent, so the next address may be tried.
-                Err(CallError::NotReached(_)) => {}
+                Err(CallError::NotReached(_)) => *moved += 1,
                 Err(CallError::NoAnswer(_)) => {
                     return Attempt::without_answer(Ending::Unknown, NO_ANSWER);
                 }
@@ -184,7 +186,7 @@
     out
 }
 
-fn outcome(attempt: &Attempt, retries: u32, due: Instant) -> Outcome {
+fn outcome(attempt: &Attempt, retries: u32, moved: u32, due: Instant) -> Outcome {
     let total = due.elapsed();
     let whole = attempt.ending == Ending::Whole;
     let first = attempt.tokens.first().map(|at| at.duration_since(due));
@@ -193,6 +195,7 @@
         ending: attempt.ending,
         reason: attempt.reason.clone(),
         retries,
+        moved,
         first: first.or(whole.then_some(total)),
         between: pairs.map(|pair| pair[1].duration_since(pair[0])).collect(),
         total,
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -33,6 +33,8 @@
     pub cut: u64,
     /// Times that a request was sent again after `Retry-After`.
     pub retries: u64,
+    /// Times that a caller went on to its next address, as one could not be reached.
+    pub moved: u64,
     /// Tokens asked for by the requests that were answered whole.
     pub useful_tokens: Tokens,
     /// All ends but whole ones by what the last answer said or what broke.
@@ -96,6 +98,7 @@
         self.wrong += other.wrong;
         self.cut += other.cut;
         self.retries += other.retries;
+        self.moved += other.moved;
         self.useful_tokens += other.useful_tokens;
         for (reason, count) in &other.failures {
             self.add_failures(reason, *count);
@@ -173,7 +176,7 @@
 }
 
 const HEADER: &str = "tenant         class          sent  whole not-run unknown wrong  cut retry \
-                      first p50     p95 between p50     p95 whole p95";
+                      moved first p50     p95 between p50     p95 whole p95";
 
 impl fmt::Display for ReportRow {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -191,8 +194,8 @@
         let (first, between) = (&self.first_token, &self.between_tokens);
         write!(
             f,
-            "{:>5} {:>9.1} {:>7.1} ",
-            c.retries, first.p50_ms, first.p95_ms
+            "{:>5} {:>5} {:>9.1} {:>7.1} ",
+            c.retries, c.moved, first.p50_ms, first.p95_ms
         )?;
         write!(f, "{:>11.1} {:>7.1} ", between.p50_ms, between.p95_ms)?;
         write!(f, "{:>9.1}", self.whole_answer.p95_ms)
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -163,6 +163,7 @@
             ending: Ending::Unknown,
             reason: "run was over".into(),
             retries: 0,
+            moved: 0,
             first: None,
             between: Vec::new(),
             total: self.due.elapsed(),
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -126,6 +126,7 @@
     fn add(&mut self, outcome: &Outcome, tokens: Tokens) {
         let counts = &mut self.counts;
         counts.retries += u64::from(outcome.retries);
+        counts.moved += u64::from(outcome.moved);
         match outcome.ending {
             Ending::Whole => {
                 counts.whole += 1;
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -25,6 +25,7 @@
         wrong: 0,
         cut: 2,
         retries: 5,
+        moved: 1,
         useful_tokens: 800,
         failures: BTreeMap::from([
             ("429 queue is full".into(), 6),
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -102,6 +102,7 @@
         .all
         .counts;
     expect_that!(counts.not_run, all![gt(0), eq(counts.sent)]);
+    expect_that!(counts.moved, eq(counts.sent));
     let none = run(&scenario("", ""), &Targets::default());
     expect_that!(none, err(pat!(LoadError::NoEntries)));
 }
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -65,7 +65,8 @@
 }
 
 impl HttpCallerBuilder {
-    /// Bounds the connect, and each read and write, on its own.
+    /// Bounds the connect, and each read and write, on its own. The head of an
+    /// answer is bounded by this for each read and to 8 KiB, and by nothing else.
     pub fn step_timeout(mut self, timeout: Duration) -> HttpCallerBuilder {
         self.0.step_timeout = timeout;
         self
