Name nobody for three attempts in a dark failure domain; close gaps in tests

Cause: a failure domain going dark group by group named a request that was tried on three of its groups (named by any third death). Trials with one rule broken at a time also showed four rules that no test needed: an older grant, a grant of the former issuer, a doubled demand, a second cancellation of a draft.

Change: within one failure domain the fourth death names, across domains still the third. Suspects::on_trial lists the groups to avoid.

--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -3,8 +3,9 @@
 //! What ran on a group when it died is suspect and is tried again alone: one
 //! suspect per group at a time. A request is named the culprit when two deaths
 //! that have no other common cause hold it, one of them without any other
-//! request that was in two; or when any three hold it. What is known is a set of deaths, merged by
-//! union, so that nodes agree whatever order they hear in.
+//! request that was in two; or when any three hold it, four if all are in one
+//! failure domain. What is known is a set of deaths, merged by union, so that
+//! nodes agree whatever order they hear in.
 
 mod record;
 
@@ -41,6 +42,9 @@
 /// Deaths that name one whatever else speaks for it. Two killers at work at once look
 /// like a common cause, and without this bound they would go on for good.
 const NAMING_ANYWAY: usize = 3;
+/// The same when all were in one failure domain, which may be failing: more than the
+/// attempts of one request.
+const NAMING_IN_ONE_DOMAIN: usize = 4;
 
 /// The fingerprint of a request.
 pub fn request_print(tenant: &str, service: &str, body: &str) -> RequestPrint {
@@ -120,7 +124,7 @@
             return Judgement::Clear;
         }
         let age = now.saturating_duration_since(last);
-        let named = all.len() >= NAMING_ANYWAY || self.is_named(print, &own, now);
+        let named = all.len() >= naming_anyway(&all) || self.is_named(print, &own, now);
         match named && age < CULPRIT_TERM {
             true => Judgement::Culprit {
                 retry_after: CULPRIT_TERM - age,
@@ -150,6 +154,15 @@
             .is_none_or(|t| !t.local && t.until <= now)
     }
 
+    /// Groups where a suspect runs: another suspect has to avoid them.
+    pub fn on_trial(&self, now: Instant) -> impl Iterator<Item = &GroupId> {
+        let runs = move |t: &Trial| t.local || now < t.until;
+        self.trials
+            .iter()
+            .filter(move |(_, t)| runs(t))
+            .map(|(group, _)| group)
+    }
+
     /// Ends a suspect's run at the group, however it ended.
     pub fn end_trial(&mut self, print: RequestPrint, group: &GroupId) {
         if self.trials.get(group).is_some_and(|t| t.print == print) {
@@ -228,6 +241,14 @@
     }
 }
 
+fn naming_anyway(deaths: &[&Death]) -> usize {
+    let domain = |d: &[&Death]| d[0].failure_domain == d[1].failure_domain;
+    match deaths.windows(2).all(domain) {
+        true => NAMING_IN_ONE_DOMAIN,
+        false => NAMING_ANYWAY,
+    }
+}
+
 fn gap(a: Instant, b: Instant) -> Duration {
     a.saturating_duration_since(b)
         .max(b.saturating_duration_since(a))
--- a/crates/route/tests/quota.rs
+++ b/crates/route/tests/quota.rs
@@ -261,3 +261,59 @@
         })
     );
 }
+
+fn ask(holder: &mut QuotaHolder, running: u32, waiting: u32, now: Instant) -> Demand {
+    let slots = |normal| Slots { normal, urgent: 0 };
+    holder.ask(slots(running), slots(waiting), now)
+}
+
+/// An entry's share has been cut and it has said so; the others use the slots. Then
+/// the older, larger grant comes in late. Taken, it would use those slots twice.
+#[googletest::test]
+fn a_late_larger_grant_is_not_taken() {
+    let start = Instant::now();
+    let now = start + QUOTA_TERM + QUOTA_MARGIN;
+    let (mut issuer, mut holder) = (issuer(0, start), holder(0, 1));
+    let first = ask(&mut holder, 0, 9, now);
+    let second = ask(&mut holder, 0, 0, now);
+    let large = issuer.on_demand(&first, now).expect("a grant");
+    let small = Grant {
+        slots: Slots::NONE,
+        ..issuer.on_demand(&second, now).expect("a grant")
+    };
+    expect_that!(large.slots.normal, gt(0));
+    expect_that!(holder.on_grant(&small), eq(true));
+    expect_that!(holder.on_grant(&large), eq(false));
+    expect_that!(holder.current(now), eq(Slots::NONE));
+}
+
+/// Another node takes over as issuer and knows nothing of the former one's grants. An
+/// entry that kept such a grant would use slots that are given to others by then.
+#[googletest::test]
+fn a_grant_ends_with_its_issuer() {
+    let start = Instant::now();
+    let now = start + QUOTA_TERM + QUOTA_MARGIN;
+    let (mut issuer, mut holder) = (issuer(0, start), holder(0, 1));
+    let grant = issuer
+        .on_demand(&ask(&mut holder, 0, 9, now), now)
+        .expect("a grant");
+    expect_that!(holder.on_grant(&grant), eq(true));
+    holder.set_issuer(&"issuer-1".into());
+    expect_that!(holder.is_granted(now), eq(false));
+    expect_that!(holder.on_grant(&grant), eq(false));
+}
+
+/// A demand is delivered a second time, after a newer one. Believed again, it would
+/// hide what the entry has running since.
+#[googletest::test]
+fn a_doubled_demand_changes_nothing() {
+    let start = Instant::now();
+    let now = start + QUOTA_TERM + QUOTA_MARGIN;
+    let (mut issuer, mut holder) = (issuer(0, start), holder(0, 1));
+    let first = ask(&mut holder, 0, 0, now);
+    let second = ask(&mut holder, 9, 4, now);
+    expect_that!(issuer.on_demand(&first, now), some(anything()));
+    expect_that!(issuer.on_demand(&second, now), some(anything()));
+    expect_that!(issuer.on_demand(&first, now), none());
+    expect_that!(issuer.on_demand(&second, now), none());
+}
