Let an idle service try what an old pace would refuse

Cause: deadlines are judged by the measured time per token.

Change: a service with nothing waiting or running tries whatever comes, and a mean without a sample for 30 s is replaced by the next one.

--- a/crates/route/src/queue/admit.rs
+++ b/crates/route/src/queue/admit.rs
@@ -16,7 +16,13 @@
     /// # Errors
     /// When a queue is full or the deadline can't be met at the measured pace.
     pub fn offer(&mut self, offer: Offer, payload: T, now: Instant) -> Result<Ticket, Refusal> {
-        let needs = self.time_alone(&offer);
+        // An idle service tries whatever comes: its pace may be an old one, and
+        // refusing by it would keep it from ever being measured anew.
+        let idle = self.running.is_empty() && self.waiting.is_empty();
+        let needs = match idle {
+            true => Duration::ZERO,
+            false => self.time_alone(&offer),
+        };
         let wait = self.wait(&offer);
         let left = offer.deadline.saturating_duration_since(now);
         let due = wait.saturating_add(needs);
--- a/crates/route/src/queue/mod.rs
+++ b/crates/route/src/queue/mod.rs
@@ -198,7 +198,7 @@
             true => &mut self.urgent_pace,
             false => &mut self.normal_pace,
         };
-        pace.observe(now.saturating_duration_since(run.since), run.tokens);
+        pace.observe(now.saturating_duration_since(run.since), run.tokens, now);
         self.correct(&run, tokens);
     }
 
--- a/crates/route/src/queue/pace.rs
+++ b/crates/route/src/queue/pace.rs
@@ -1,11 +1,13 @@
 //! Measured service pace.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::Tokens;
 
 /// Share of a new sample in the moving mean.
 const NEW_SAMPLE: f64 = 0.1;
+/// A mean without a sample for this long says nothing of the next request.
+const SAMPLE_LIFE: Duration = Duration::from_secs(30);
 
 /// Mean time that one estimated token takes from start to end of a request.
 ///
@@ -14,10 +16,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
     seconds_per_token: Option<f64>,
+    sampled: Option<Instant>,
 }
 
 impl Pace {
-    pub(crate) fn observe(&mut self, took: Duration, tokens: Tokens) {
+    pub(crate) fn observe(&mut self, took: Duration, tokens: Tokens, now: Instant) {
+        let fresh = |at| now.saturating_duration_since(at) < SAMPLE_LIFE;
+        if !self.sampled.is_some_and(fresh) {
+            self.seconds_per_token = None;
+        }
+        self.sampled = Some(now);
         let sample = took.as_secs_f64() / tokens.max(1) as f64;
         self.seconds_per_token = Some(match self.seconds_per_token {
             Some(mean) => mean + NEW_SAMPLE * (sample - mean),
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -156,6 +156,35 @@
     expect_that!(q.expire(now + 5 * SECOND).len(), eq(1));
 }
 
+/// A stuck engine has made the measured pace very slow, and it has been replaced since.
+/// Judged by the old pace for good, every request would be refused, none would run, and
+/// nothing would ever correct the pace.
+#[googletest::test]
+fn an_old_pace_does_not_refuse_for_good() {
+    let mut now = Instant::now();
+    let mut q = ServiceQueue::new(QueueOptions::default());
+    q.offer(offer("a", 3, 100, now + 600 * SECOND), "stuck", now)
+        .expect("room");
+    let stuck = q.start(ONE, now).expect("work");
+    now += 300 * SECOND;
+    q.settle(stuck.ticket, 100, now);
+    for _ in 0..3 {
+        q.offer(offer("a", 3, 100, now + 10 * SECOND), "probe", now)
+            .expect("an idle service tries");
+        let probe = q.start(ONE, now).expect("work");
+        now += 2 * SECOND;
+        q.settle(probe.ticket, 100, now);
+        now += 60 * SECOND;
+    }
+    q.offer(offer("a", 3, 100, now + 600 * SECOND), "running", now)
+        .expect("room");
+    q.start(ONE, now).expect("work");
+    expect_that!(
+        q.offer(offer("a", 3, 100, now + 10 * SECOND), "next", now),
+        ok(anything())
+    );
+}
+
 /// A hundred callers are refused in one instant. With the same time to come back, they
 /// would all come back in one instant too.
 #[googletest::test]
