Fuzz at-most-once calls over the deletion of old claims

Cause: the fuzz never deleted rows, so what happens to a request that outlives its key's time was covered by a unit test alone.

Change: a step lets the keeping time pass and deletes what may go; runs are counted per key and keeping time. It failed after 785 cases: a key ran twice: {(0, 0): 2} A request lost its claim, its row was deleted, and it claimed the free key with a fresh starting time. ClaimRequest::keep covers the service's timeout as well, since it counts from the claim.

--- a/crates/claim/src/claim.rs
+++ b/crates/claim/src/claim.rs
@@ -63,18 +63,21 @@
 }
 
 impl Claim {
-    /// Begins with the change that [`decide`](crate::decide) asked for; `now` is
-    /// before the row was read.
+    /// Begins with the change that [`decide`](crate::decide) asked for.
+    ///
+    /// `began` is when the request's row was first read. A request that decides anew after
+    /// a lost claim keeps it: with the time of the last read, one that was paused
+    /// until its row was deleted would find the key free and run a second time.
     ///
     /// # Errors
     /// [`ClaimError::NoDispatch`] when the change is no claim.
-    pub fn new(change: RowChange, now: Instant) -> Result<Claim, ClaimError> {
+    pub fn new(change: RowChange, began: Instant) -> Result<Claim, ClaimError> {
         match &change.row {
             Some(row) if row.state == ClaimState::Claimed => Ok(Claim {
                 phase: Phase::Claiming,
                 row: row.clone(),
                 change,
-                began: now,
+                began,
             }),
             _ => Err(ClaimError::NoDispatch),
         }
--- a/crates/claim/src/decide.rs
+++ b/crates/claim/src/decide.rs
@@ -26,7 +26,8 @@
         pub attempt: AttemptId,
         /// The era that the entry sees.
         pub era: Era,
-        /// How long the answer is kept, from the service's settings.
+        /// How long the row is kept, counted from the claim: the service's
+        /// `keep_answers`, and its `timeout` for the run itself.
         pub keep: Duration,
     }
 
--- a/crates/claim/tests/fuzz/main.rs
+++ b/crates/claim/tests/fuzz/main.rs
@@ -23,6 +23,7 @@
     Lose { at: usize },
     TimeOut { call: usize },
     Kill { entry: usize },
+    Sweep,
     SeemLapsed { entry: usize },
 }
 
@@ -49,6 +50,7 @@
             1 => (0..64usize).prop_map(|at| Step::Lose { at }),
             3 => (0..64usize).prop_map(|call| Step::TimeOut { call }),
             1 => entry.clone().prop_map(|entry| Step::Kill { entry }),
+            1 => Just(Step::Sweep),
             1 => entry.prop_map(|entry| Step::SeemLapsed { entry }),
         ]
         .boxed()
@@ -85,6 +87,7 @@
             }
             Step::TimeOut { call } if calls > 0 => world.time_out(call % calls),
             Step::Kill { entry } => world.kill(entry),
+            Step::Sweep => world.sweep(),
             Step::SeemLapsed { entry } => world.seem_lapsed(entry),
             _ => (),
         }
@@ -92,9 +95,10 @@
     }
 
     fn check_invariants(world: &World, _: &()) {
-        let mut runs: BTreeMap<usize, u32> = BTreeMap::new();
-        for (key, _) in &world.runs {
-            *runs.entry(*key).or_default() += 1;
+        // A key that is older than it was kept for is a new request.
+        let mut runs: BTreeMap<(usize, u32), u32> = BTreeMap::new();
+        for run in &world.runs {
+            *runs.entry((run.key, run.generation)).or_default() += 1;
         }
         assert!(runs.values().all(|n| *n <= 1), "a key ran twice: {runs:?}");
         for call in &world.calls {
@@ -103,7 +107,7 @@
                 Some(Told::Answer(run)) => {
                     let ran = world.runs[*run as usize - 1];
                     assert_eq!(
-                        ran,
+                        (ran.key, ran.body),
                         (call.key, call.body),
                         "someone else's answer: {call:?}"
                     );
--- a/crates/claim/tests/fuzz/store.rs
+++ b/crates/claim/tests/fuzz/store.rs
@@ -6,18 +6,23 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Store {
-    rows: BTreeMap<ClaimKey, (u64, ClaimRow)>,
+    /// Versions go on over deletions.
+    rows: BTreeMap<ClaimKey, (u64, Option<ClaimRow>)>,
 }
 
 impl Store {
     pub(crate) fn read(&self, key: &ClaimKey) -> Option<Seen> {
         let (version, row) = self.rows.get(key)?.clone();
-        Some(Seen { row, version })
+        row.map(|row| Seen { row, version })
+    }
+
+    pub(crate) fn keys(&self) -> Vec<ClaimKey> {
+        self.rows.keys().cloned().collect()
     }
 
     /// Makes all changes, or none and names the rows there whose condition failed.
     pub(crate) fn commit(&mut self, batch: &Batch) -> Result<(), Vec<ConflictRow>> {
-        let failed = |key: &ClaimKey, version| self.rows.get(key).map_or(0, |(v, _)| *v) != version;
+        let failed = |key: &ClaimKey, version| self.read(key).map_or(0, |s| s.version) != version;
         let lost: Vec<_> = batch
             .changes
             .iter()
@@ -34,9 +39,9 @@
             return Err(there.collect());
         }
         for change in &batch.changes {
-            let row = change.row.clone().expect("the fuzz deletes no row");
-            self.rows
-                .insert(change.key.clone(), (change.version + 1, row));
+            let (version, row) = self.rows.entry(change.key.clone()).or_default();
+            *version += 1;
+            *row = change.row.clone();
         }
         Ok(())
     }
--- a/crates/claim/tests/fuzz/world.rs
+++ b/crates/claim/tests/fuzz/world.rs
@@ -24,12 +24,22 @@
     Mismatch,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Run {
+    pub(crate) key: usize,
+    pub(crate) body: u8,
+    pub(crate) generation: u32,
+}
+
 #[derive(Debug)]
 pub(crate) struct Call {
     entry: usize,
     incarnation: u64,
     pub(crate) key: usize,
     pub(crate) body: u8,
+    /// Keys were kept for their time this often before it came.
+    pub(crate) generation: u32,
+    began: Instant,
     claim: Option<Claim>,
     abandoned: bool,
     attempts: u32,
@@ -83,8 +93,9 @@
     pub(crate) messages: Vec<Message>,
     /// Owners that observers take for lapsed.
     lapsed: BTreeSet<(usize, u64)>,
-    /// Key and body of every run, in order.
-    pub(crate) runs: Vec<(usize, u8)>,
+    /// Every run, in order.
+    pub(crate) runs: Vec<Run>,
+    generation: u32,
 }
 
 impl Entry {
@@ -108,6 +119,7 @@
             messages: Vec::new(),
             lapsed: BTreeSet::new(),
             runs: Vec::new(),
+            generation: 0,
         }
     }
 
@@ -129,6 +141,8 @@
             incarnation: at.incarnation,
             key,
             body,
+            generation: self.generation,
+            began: self.now,
             claim: None,
             abandoned: false,
             attempts: 0,
@@ -186,9 +200,9 @@
             keep: KEEP,
         };
         let seen = self.store.read(&req.key);
-        let owner = seen
-            .as_ref()
-            .map_or(OwnerState::Alive, |s| self.owner_state(&s.row, &req.owner));
+        let owner = seen.as_ref().map_or(OwnerState::Alive, |s| {
+            self.owner_state(&s.row, Some(&req.owner))
+        });
         let told = match decide(seen.as_ref(), &req, owner) {
             Decision::MakeClaim(change) => return self.claim(i, change),
             Decision::ReplayAnswer(kept) => Told::Answer(kept.length),
@@ -203,9 +217,9 @@
         self.calls[i].told = Some(told);
     }
 
-    fn owner_state(&self, row: &ClaimRow, me: &Owner) -> OwnerState {
+    fn owner_state(&self, row: &ClaimRow, me: Option<&Owner>) -> OwnerState {
         let call = &self.calls[call_of(row)];
-        if row.owner == *me && call.abandoned {
+        if Some(&row.owner) == me && call.abandoned {
             return OwnerState::Abandoned;
         }
         let dead = call.incarnation != self.entries[call.entry].incarnation;
@@ -217,7 +231,7 @@
 
     fn claim(&mut self, i: usize, change: RowChange) {
         let call = &mut self.calls[i];
-        call.claim = Some(Claim::new(change.clone(), self.now).expect("a claim"));
+        call.claim = Some(Claim::new(change.clone(), call.began).expect("a claim"));
         call.awaits = Some(call.steps);
         match self.entries[call.entry].batcher.push(change, self.now) {
             Ok(None) => (),
@@ -280,7 +294,11 @@
     fn run(&mut self, i: usize) -> u64 {
         let call = &mut self.calls[i];
         call.runs += 1;
-        self.runs.push((call.key, call.body));
+        self.runs.push(Run {
+            key: call.key,
+            body: call.body,
+            generation: call.generation,
+        });
         self.runs.len() as u64
     }
 
@@ -417,6 +435,26 @@
         self.entries[entry] = Entry::new(next);
     }
 
+    /// Keys have been kept for their time, and the rows that may go are deleted.
+    pub(crate) fn sweep(&mut self) {
+        self.now += KEEP + 2 * ERA_LENGTH;
+        self.generation += 1;
+        let mut clock = EraClock::default();
+        clock.observe(Era::MAX, 1, self.now);
+        for key in self.store.keys() {
+            let Some(seen) = self.store.read(&key) else {
+                continue;
+            };
+            let owner = self.owner_state(&seen.row, None);
+            if let Some(change) = clock.sweep(&key, &seen, owner) {
+                let deleted = self.store.commit(&Batch {
+                    changes: vec![change],
+                });
+                assert!(deleted.is_ok(), "nothing came between");
+            }
+        }
+    }
+
     /// Observers take the entry for lapsed although it runs on.
     pub(crate) fn seem_lapsed(&mut self, entry: usize) {
         self.lapsed.insert((entry, self.entries[entry].incarnation));
