--- a/crates/spec/src/claims.rs
+++ b/crates/spec/src/claims.rs
@@ -4,10 +4,18 @@
 //! that stays pending. Both need no step of their own. An observer may take an
 //! owner for lapsed at any moment, rightly or not.
 
+mod state;
+
 use std::fmt;
 
 use pathfinding::prelude::{bfs, bfs_reach};
 
+pub use self::state::State;
+use self::state::{
+    Attempt, Channel, Phase, Reply, Row, RowState, Target, Told, arrive, close, final_state,
+    hear_dispatch, release, take_write, write,
+};
+
 /// Attempts in the model. Attempts 0 and 2 are made at the same entry.
 pub const ATTEMPTS: usize = 3;
 
@@ -34,100 +42,6 @@
     FinalStateStays,
 }
 
-/// State part of the claim row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum RowState {
-    Claimed,
-    Answered,
-    Unknown,
-    Released,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Row {
-    attempt: u8,
-    state: RowState,
-}
-
-/// A conditional write on its way to the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Write {
-    condition: u8,
-    row: Row,
-}
-
-/// The store's answer on its way to the owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Reply {
-    Committed,
-    /// With the row that is there, and its version.
-    Conflict(Option<Row>, u8),
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-enum Channel {
-    #[default]
-    Idle,
-    Write(Write),
-    Reply(Reply),
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-enum Phase {
-    #[default]
-    Unused,
-    Claiming,
-    Held,
-    Dispatched,
-    Closed,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-enum Target {
-    #[default]
-    Idle,
-    /// The request is on its way.
-    Arriving,
-    Ran,
-    Refused,
-}
-
-/// What the caller of an attempt was told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Told {
-    NotRun,
-    Unknown,
-    Answer,
-    Replay,
-    InProgress,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Attempt {
-    phase: Phase,
-    dead: bool,
-    lapsed: bool,
-    /// The version that its claim's write is conditional on.
-    condition: u8,
-    /// Set once the claim was given up on a lost answer.
-    abandoned: bool,
-    claim: Channel,
-    /// The write of the final state.
-    close: Channel,
-    target: Target,
-    dispatches: u8,
-    runs: u8,
-    told: Option<Told>,
-}
-
-/// One state of the whole system.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct State {
-    version: u8,
-    row: Option<Row>,
-    attempts: [Attempt; ATTEMPTS],
-}
-
 /// A step of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Action {
@@ -481,78 +395,3 @@
         (faults < usize::from(self.bounds.faults)).then_some(())
     }
 }
-
-fn write(condition: u8, attempt: usize, state: RowState) -> Channel {
-    let attempt = attempt as u8;
-    Channel::Write(Write {
-        condition,
-        row: Row { attempt, state },
-    })
-}
-
-fn final_state(attempt: &Attempt) -> RowState {
-    match attempt.told {
-        Some(Told::Answer) => RowState::Answered,
-        Some(Told::NotRun) => RowState::Released,
-        _ => RowState::Unknown,
-    }
-}
-
-/// The store takes a pending write, also long after its sender gave up on it.
-fn take_write(
-    state: &mut State,
-    i: usize,
-    channel: fn(&mut Attempt) -> &mut Channel,
-    unconditional: bool,
-) -> Option<()> {
-    let (version, row) = (state.version, state.row);
-    let channel = channel(&mut state.attempts[i]);
-    let Channel::Write(w) = *channel else {
-        return None;
-    };
-    if w.condition != version && !unconditional {
-        *channel = Channel::Reply(Reply::Conflict(row, version));
-        return Some(());
-    }
-    *channel = Channel::Reply(Reply::Committed);
-    state.version += 1;
-    state.row = Some(w.row);
-    Some(())
-}
-
-fn release(state: &mut State, i: usize) -> Option<()> {
-    if state.attempts[i].phase != Phase::Held {
-        return None;
-    }
-    close(state, i, RowState::Released, Told::NotRun);
-    Some(())
-}
-
-fn arrive(attempt: &mut Attempt, outcome: Target) -> Option<()> {
-    if attempt.target != Target::Arriving {
-        return None;
-    }
-    attempt.target = outcome;
-    Some(())
-}
-
-fn hear_dispatch(state: &mut State, i: usize) -> Option<()> {
-    let attempt = &mut state.attempts[i];
-    if attempt.phase != Phase::Dispatched {
-        return None;
-    }
-    match attempt.target {
-        Target::Ran => close(state, i, RowState::Answered, Told::Answer),
-        Target::Refused => attempt.phase = Phase::Held,
-        Target::Idle | Target::Arriving => return None,
-    }
-    Some(())
-}
-
-/// Ends the attempt; its final state goes over the version that its claim made.
-fn close(state: &mut State, i: usize, row: RowState, told: Told) {
-    let attempt = &mut state.attempts[i];
-    attempt.phase = Phase::Closed;
-    attempt.told = Some(told);
-    attempt.close = write(attempt.condition + 1, i, row);
-}
