Keep what runs at a group over a gap in its evidence

Cause: two faults, each shown by a test first. (2) A restarted entry started gradually with groups that had served for weeks: picker.free: expected 18, actual 1

Change: groups that are no candidates are kept aside while anything runs there; one that was gone for less than 10 s goes on as before. Groups found within 10 s of an entry's first look don't start gradually.

--- a/crates/route/examples/pick.rs
+++ b/crates/route/examples/pick.rs
@@ -267,8 +267,7 @@
         println!("{rate} requests a second");
         let zero = Instant::now();
         let mut picker = GroupPicker::new(1);
-        // Long enough ago for the gradual start to be over.
-        picker.update(candidates(), zero - Duration::from_secs(60));
+        picker.update(candidates(), zero);
         println!("  picker");
         let policy = Simulation::new(Policy(picker), |c, _, pick| c.0.ended(pick), zero);
         let policy = print(policy.run(rate));
--- a/crates/route/src/pick/group.rs
+++ b/crates/route/src/pick/group.rs
@@ -29,7 +29,8 @@
 pub(crate) struct GroupState {
     pub(crate) candidate: Candidate,
     pub(crate) holder: Holder,
-    since: Instant,
+    /// Since when it starts gradually; `None` when it doesn't.
+    ramp_since: Option<Instant>,
     in_flight: Slots,
     reported: u32,
     /// When each request was sent that the last load report can't have seen.
@@ -48,7 +49,7 @@
         GroupState {
             candidate,
             holder,
-            since: now,
+            ramp_since: None,
             in_flight: Slots::NONE,
             reported: 0,
             sent: VecDeque::new(),
@@ -65,14 +66,20 @@
         self.candidate.epoch
     }
 
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight == Slots::NONE
+    }
+
     pub(crate) fn token_gap(&self) -> Option<f64> {
         self.token_gap
     }
 
     /// The part of its slots that the group is given now.
     pub(crate) fn part(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.since).as_secs_f64();
-        let ramp = (RAMP_START + age / RAMP.as_secs_f64()).min(1.0);
+        let ramp = self.ramp_since.map_or(1.0, |since| {
+            let age = now.saturating_duration_since(since).as_secs_f64();
+            (RAMP_START + age / RAMP.as_secs_f64()).min(1.0)
+        });
         ramp.min(self.limit.part()).min(self.slow_part)
     }
 
@@ -178,6 +185,6 @@
 
     /// Starts gradually again, for a group that served nothing for a while.
     pub(crate) fn restart_ramp(&mut self, now: Instant) {
-        self.since = now;
+        self.ramp_since = Some(now);
     }
 }
--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -27,6 +27,12 @@
 const NOISE: f64 = 0.05;
 /// The peers' median is worked out at most this often.
 const COMPARE_EVERY: Duration = Duration::from_millis(250);
+/// A group that was gone for less than this goes on as before; after it, it starts gradually.
+const RETURN_GRACE: Duration = Duration::from_secs(10);
+/// Groups that an entry finds within this time of its first look have been there before it.
+const FIRST_LOOK: Duration = Duration::from_secs(10);
+/// What runs at a group that is gone is counted for this long.
+const ABSENT_LIFE: Duration = Duration::from_secs(600);
 /// Records of (prefix, group) kept by default.
 const MAX_PREFIXES: usize = 16_384;
 
@@ -73,8 +79,12 @@
 #[derive(Debug)]
 pub struct GroupPicker {
     groups: BTreeMap<GroupId, GroupState>,
+    /// Groups that were candidates lately. What runs there goes on and counts when
+    /// they come back; forgotten, it would be sent a second time over.
+    absent: BTreeMap<GroupId, Absent>,
     prefixes: PrefixRecord,
     last_holder: Holder,
+    first_look: Option<Instant>,
     compared: Option<Instant>,
     rng: fastrand::Rng,
 }
@@ -84,8 +94,10 @@
     pub fn new(seed: u64) -> GroupPicker {
         GroupPicker {
             groups: BTreeMap::new(),
+            absent: BTreeMap::new(),
             prefixes: PrefixRecord::new(MAX_PREFIXES),
             last_holder: 0,
+            first_look: None,
             compared: None,
             rng: fastrand::Rng::with_seed(seed),
         }
@@ -93,6 +105,7 @@
 
     /// Replaces the candidates. What isn't in the list gets nothing new.
     pub fn update(&mut self, candidates: impl IntoIterator<Item = Candidate>, now: Instant) {
+        self.first_look.get_or_insert(now);
         let mut known = std::mem::take(&mut self.groups);
         for candidate in candidates {
             let group = candidate.group.clone();
@@ -104,15 +117,38 @@
                     state.candidate = candidate;
                     state
                 }
-                _ => self.meet(candidate, now),
+                _ => self.welcome(candidate, now),
             };
             self.groups.insert(group, state);
         }
+        let gone = known.into_iter();
+        let gone = gone.map(|(group, state)| (group, Absent { state, since: now }));
+        self.absent.extend(gone);
+        self.absent.retain(|_, a| !a.is_over(now));
+    }
+
+    /// A candidate that wasn't one just now: back after a gap, or new.
+    fn welcome(&mut self, candidate: Candidate, now: Instant) -> GroupState {
+        match self.absent.remove(&candidate.group) {
+            Some(Absent { mut state, since }) if state.epoch() == candidate.epoch => {
+                if now.saturating_duration_since(since) >= RETURN_GRACE {
+                    state.restart_ramp(now);
+                }
+                state.candidate = candidate;
+                state
+            }
+            _ => self.meet(candidate, now),
+        }
     }
 
     fn meet(&mut self, candidate: Candidate, now: Instant) -> GroupState {
         self.last_holder += 1;
-        GroupState::new(candidate, self.last_holder, now)
+        let mut state = GroupState::new(candidate, self.last_holder, now);
+        let first = self.first_look.unwrap_or(now);
+        if now.saturating_duration_since(first) >= FIRST_LOOK {
+            state.restart_ramp(now);
+        }
+        state
     }
 
     /// Changes what this entry may have running at a group.
@@ -201,7 +237,9 @@
 
     /// Frees the slot of a pick, also of one whose group has ended since.
     pub fn ended(&mut self, pick: &Pick) {
-        if let Some(state) = self.current(&pick.group, pick.epoch) {
+        let absent = self.absent.get_mut(&pick.group).map(|a| &mut a.state);
+        let state = self.groups.get_mut(&pick.group).or(absent);
+        if let Some(state) = state.filter(|s| s.epoch() == pick.epoch) {
             state.end(pick.slot);
         }
     }
@@ -270,6 +308,20 @@
     }
 }
 
+/// A group that is no candidate now.
+#[derive(Debug)]
+struct Absent {
+    state: GroupState,
+    since: Instant,
+}
+
+impl Absent {
+    fn is_over(&self, now: Instant) -> bool {
+        let gone = now.saturating_duration_since(self.since);
+        gone >= ABSENT_LIFE || gone >= RETURN_GRACE && self.state.is_idle()
+    }
+}
+
 /// A prompt's longest prefix that a group is thought to hold.
 struct Match {
     holder: Holder,
--- a/crates/route/tests/pick.rs
+++ b/crates/route/tests/pick.rs
@@ -178,6 +178,34 @@
     expect_that!(picker.free(now + 30 * SECOND).normal, eq(36 - 19));
 }
 
+/// Evidence of all groups is late for three seconds while a watcher is replaced. Forgotten
+/// meanwhile, what still runs there would be sent a second time over, and every
+/// group would start with a tenth of its slots. One that was gone for long does start anew.
+#[googletest::test]
+fn a_short_gap_in_the_evidence_is_no_new_start() {
+    let (mut picker, now) = picker(&[0]);
+    let picks: Vec<Pick> = (0..10)
+        .filter_map(|_| picker.pick(SlotKind::Normal, &[], &[], now))
+        .collect();
+    picker.update([], now);
+    expect_that!(pick(&mut picker, &[], now), none());
+    picker.ended(&picks[0]);
+    let back = now + 3 * SECOND;
+    picker.update([candidate(0, 0)], back);
+    expect_that!(
+        picker.free(back),
+        eq(Slots {
+            normal: 18 - 9,
+            urgent: 2
+        })
+    );
+    picker.update([], back);
+    let late = back + 60 * SECOND;
+    picker.update([candidate(0, 0)], late);
+    expect_that!(picker.free(late).normal, eq(0));
+    expect_that!(picker.free(late + 30 * SECOND).normal, eq(18 - 9));
+}
+
 /// Runs drafts of 200 tokens on one group as fast as the picker lets them in, on an
 /// engine that takes `gap` between tokens; gives how many ran in the last five minutes.
 fn concurrency(gap: impl Fn(f64) -> f64) -> Vec<u32> {
@@ -213,6 +241,19 @@
     f64::from(levels.iter().sum::<u32>()) / levels.len() as f64
 }
 
+/// An entry has been restarted and learns of groups that have served for weeks. To start
+/// gradually with each of them would refuse its callers for a reason of its own.
+#[googletest::test]
+fn a_new_entry_trusts_the_groups_it_finds() {
+    let now = Instant::now();
+    let mut picker = GroupPicker::new(1);
+    picker.update([], now);
+    picker.update([candidate(0, 0)], now + SECOND);
+    expect_that!(picker.free(now + SECOND).normal, eq(18));
+    picker.update([candidate(0, 0), candidate(1, 0)], now + 60 * SECOND);
+    expect_that!(picker.free(now + 60 * SECOND).normal, eq(18 + 1));
+}
+
 /// An engine whose tokens slow down as more requests run on it: 20 ms and 5 ms for
 /// each. At 18 requests every token comes too late; the limit settles where 95 in 100
 /// are in time, 10 requests with the noise, though drafts take many seconds to end.
