Measure quotas against equal parts and one queue

Cause: the choice of quotas over one home node per group had no figure.

Change: an example with eight entries, each with its queue, picker and quota holders, and one entry with five times the callers of each other.

--- /dev/null
+++ b/crates/route/examples/entries.rs
@@ -0,0 +1,281 @@
+//! Eight entries that share the slots of eight groups, in virtual time.
+//!
+//! One entry gets five times the callers of each other. Shares of slots are fixed and
+//! equal, or follow demand by quotas; beside them stands one queue for all entries, which
+//! is what one home node for all work would have at best.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{GroupId, NodeId, Urgency};
+use eelgrassmill_route::{
+    Candidate, GroupPicker, Offer, Pick, QueueOptions, QuotaHolder, QuotaIssuer, ServiceQueue,
+    Slots, Ticket, fallback_part,
+};
+
+const ENTRIES: usize = 8;
+const GROUPS: usize = 8;
+const SLOTS: Slots = Slots {
+    normal: 16,
+    urgent: 0,
+};
+const TICK: Duration = Duration::from_millis(50);
+/// An entry asks each issuer this often, in ticks.
+const ASK_EVERY: u64 = 5;
+const TICKS: u64 = 12_000;
+const WARM_UP: u64 = 2_000;
+const PER_TOKEN: Duration = Duration::from_millis(25);
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Callers of the first entry for each of another's.
+const SKEW: f64 = 5.0;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Sharing {
+    OneQueue,
+    Equal,
+    Quotas,
+}
+
+#[derive(Clone, Copy)]
+struct Request {
+    at: u64,
+    tokens: u64,
+}
+
+struct Running {
+    entry: usize,
+    req: Request,
+    ticket: Ticket,
+    pick: Pick,
+}
+
+struct Entry {
+    queue: ServiceQueue<Request>,
+    picker: GroupPicker,
+    holders: BTreeMap<GroupId, QuotaHolder>,
+    in_flight: BTreeMap<GroupId, u32>,
+}
+
+struct Fleet {
+    sharing: Sharing,
+    entries: Vec<Entry>,
+    issuers: BTreeMap<GroupId, QuotaIssuer>,
+    ends: BTreeMap<u64, Vec<Running>>,
+    zero: Instant,
+    latencies: Vec<u64>,
+    tokens: u64,
+    refused: u64,
+    most_over: u32,
+}
+
+fn group(i: usize) -> GroupId {
+    format!("draft/{i}").into()
+}
+
+fn node(i: usize) -> NodeId {
+    format!("entry-{i}").into()
+}
+
+fn entry(i: usize, slots: Slots, now: Instant) -> Entry {
+    let candidate = |g| Candidate {
+        group: group(g),
+        epoch: 1,
+        hops: 0,
+        slots: SLOTS.normal,
+        quota: slots,
+        leaving: false,
+    };
+    let mut picker = GroupPicker::new(i as u64);
+    picker.update((0..GROUPS).map(candidate), now);
+    let holder = |g| {
+        let mut holder = QuotaHolder::new(node(i), 1, group(g), 1, SLOTS, ENTRIES as u32);
+        holder.set_issuer(&"issuer".into());
+        (group(g), holder)
+    };
+    Entry {
+        queue: ServiceQueue::new(QueueOptions::default().seed(i as u64)),
+        picker,
+        holders: (0..GROUPS).map(holder).collect(),
+        in_flight: BTreeMap::new(),
+    }
+}
+
+impl Fleet {
+    fn new(sharing: Sharing) -> Fleet {
+        let zero = Instant::now();
+        let (entries, slots) = match sharing {
+            Sharing::OneQueue => (1, SLOTS),
+            Sharing::Equal | Sharing::Quotas => (ENTRIES, fallback_part(SLOTS, ENTRIES as u32)),
+        };
+        let issuer = |g| {
+            let entries = (0..ENTRIES).map(node);
+            let issuer = QuotaIssuer::new("issuer".into(), group(g), 1, SLOTS, entries, zero);
+            (group(g), issuer)
+        };
+        Fleet {
+            sharing,
+            entries: (0..entries).map(|i| entry(i, slots, zero)).collect(),
+            issuers: (0..GROUPS).map(issuer).collect(),
+            ends: BTreeMap::new(),
+            zero,
+            latencies: Vec::new(),
+            tokens: 0,
+            refused: 0,
+            most_over: 0,
+        }
+    }
+
+    fn now(&self, tick: u64) -> Instant {
+        self.zero + TICK * tick as u32
+    }
+
+    fn run(mut self, load: f64) -> Fleet {
+        let mut rng = fastrand::Rng::with_seed(11);
+        // Requests of 400 tokens on average.
+        let capacity = f64::from(SLOTS.normal) * GROUPS as f64 / (PER_TOKEN * 400).as_secs_f64();
+        let per_tick = load * capacity * TICK.as_secs_f64();
+        for tick in 0..TICKS {
+            self.end(tick);
+            for entry in 0..ENTRIES {
+                let weight = if entry == 0 { SKEW } else { 1.0 };
+                let mean = per_tick * weight / (SKEW + ENTRIES as f64 - 1.0);
+                if rng.f64() < mean {
+                    let tokens = rng.u64(200..600);
+                    self.offer(entry, Request { at: tick, tokens }, rng.u64(0..10));
+                }
+            }
+            if self.sharing == Sharing::Quotas {
+                self.share(tick);
+            }
+            for entry in 0..self.entries.len() {
+                self.start(entry, tick);
+            }
+            self.note_over();
+        }
+        self
+    }
+
+    fn offer(&mut self, entry: usize, req: Request, tenant: u64) {
+        let now = self.now(req.at);
+        let offer = Offer {
+            tenant: format!("tenant-{tenant}").into(),
+            weight: 1,
+            urgency: Urgency::DEFAULT,
+            tokens: req.tokens,
+            deadline: now + PATIENCE,
+            max_tenant_queue: 1000,
+        };
+        let entry = entry.min(self.entries.len() - 1);
+        if self.entries[entry].queue.offer(offer, req, now).is_err() {
+            self.refuse(req);
+        }
+    }
+
+    fn refuse(&mut self, req: Request) {
+        self.refused += u64::from(req.at >= WARM_UP);
+    }
+
+    fn start(&mut self, i: usize, tick: u64) {
+        let now = self.now(tick);
+        let entry = &mut self.entries[i];
+        while let Some(started) = entry.queue.start(entry.picker.free(now), now) {
+            let Some(pick) = entry.picker.pick(started.slot, &[], &[], now) else {
+                return;
+            };
+            *entry.in_flight.entry(pick.group.clone()).or_default() += 1;
+            let req = started.payload;
+            let took = (PER_TOKEN * req.tokens as u32).as_millis() / TICK.as_millis();
+            let ticket = started.ticket;
+            let run = Running {
+                entry: i,
+                req,
+                ticket,
+                pick,
+            };
+            self.ends.entry(tick + took as u64).or_default().push(run);
+        }
+        let expired = entry.queue.expire(now);
+        expired.into_iter().for_each(|(req, _)| self.refuse(req));
+    }
+
+    fn end(&mut self, tick: u64) {
+        let now = self.now(tick);
+        for run in self.ends.remove(&tick).unwrap_or_default() {
+            let entry = &mut self.entries[run.entry];
+            entry.picker.ended(&run.pick);
+            entry.queue.settle(run.ticket, run.req.tokens, now);
+            if let Some(n) = entry.in_flight.get_mut(&run.pick.group) {
+                *n -= 1;
+            }
+            if run.req.at >= WARM_UP {
+                self.latencies.push(tick - run.req.at);
+                self.tokens += run.req.tokens;
+            }
+        }
+    }
+
+    /// Each entry in its turn asks all issuers; what waits is spread over the groups.
+    fn share(&mut self, tick: u64) {
+        let now = self.now(tick);
+        for (i, entry) in self.entries.iter_mut().enumerate() {
+            let asks = (tick + i as u64).is_multiple_of(ASK_EVERY);
+            for (group, holder) in &mut entry.holders {
+                if asks {
+                    let running = entry.in_flight.get(group).copied().unwrap_or_default();
+                    let waiting = (entry.queue.len() as u32).div_ceil(GROUPS as u32);
+                    let of = |normal| Slots { normal, urgent: 0 };
+                    let demand = holder.ask(of(running), of(waiting), now);
+                    let issuer = self.issuers.get_mut(group);
+                    if let Some(grant) = issuer.and_then(|x| x.on_demand(&demand, now)) {
+                        holder.on_grant(&grant);
+                    }
+                }
+                entry.picker.set_quota(group, 1, holder.current(now));
+            }
+        }
+    }
+
+    /// Requests above a group's slots, at the worst moment.
+    fn note_over(&mut self) {
+        for g in 0..GROUPS {
+            let in_flight = self
+                .entries
+                .iter()
+                .filter_map(|e| e.in_flight.get(&group(g)));
+            let over = in_flight.sum::<u32>().saturating_sub(SLOTS.normal);
+            self.most_over = self.most_over.max(over);
+        }
+    }
+
+    fn p95(&mut self) -> f64 {
+        self.latencies.sort();
+        let at = self.latencies.len() * 95 / 100;
+        self.latencies.get(at).map_or(f64::NAN, |t| *t as f64)
+    }
+}
+
+fn main() {
+    println!(
+        "load | slots shared | p95 over one queue | tokens over one queue | refused | most above a group's slots"
+    );
+    for load in [0.5, 0.8, 1.2] {
+        let mut ideal = Fleet::new(Sharing::OneQueue).run(load);
+        let (p95, tokens) = (ideal.p95(), ideal.tokens as f64);
+        for (name, sharing) in [("equally", Sharing::Equal), ("by demand", Sharing::Quotas)] {
+            let mut fleet = Fleet::new(sharing).run(load);
+            let answered = fleet.latencies.len() as f64;
+            println!(
+                "{load:4} | {name:12} | {:18.2} | {:21.2} | {:7.2} | {}",
+                fleet.p95() / p95,
+                fleet.tokens as f64 / tokens,
+                fleet.refused as f64 / (fleet.refused as f64 + answered),
+                fleet.most_over,
+            );
+        }
+        let refused = ideal.refused as f64 / (ideal.refused as f64 + ideal.latencies.len() as f64);
+        println!(
+            "{load:4} | one queue    | {:18.2} | {:21.2} | {refused:7.2} | {}",
+            1.0, 1.0, ideal.most_over
+        );
+    }
+}
