Charge tenants at each entry for what they use at the others

Cause: each entry's queue was fair by itself only.

Change: ServiceQueue::take_usage tells what tenants used, charge_elsewhere charges it at the other entries, up to the burst bound.

Ruled out: giving an entry slots by the weights of its tenants. A tenant that is at every entry counts at every entry, which is the fault itself.

--- a/crates/route/examples/entries.rs
+++ b/crates/route/examples/entries.rs
@@ -1,8 +1,9 @@
 //! Eight entries that share the slots of eight groups, in virtual time.
 //!
-//! One entry gets five times the callers of each other. Shares of slots are fixed and
+//! First, one entry gets five times the callers of each other. Shares of slots are fixed and
 //! equal, or follow demand by quotas; beside them stands one queue for all entries, which
-//! is what one home node for all work would have at best.
+//! is what one home node for all work would have at best. Then, one tenant
+//! sends ten times its share to all entries, and each other tenant to one entry only.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -10,10 +11,11 @@
 use eelgrassmill_base::{GroupId, NodeId, Urgency};
 use eelgrassmill_route::{
     Candidate, GroupPicker, Offer, Pick, QueueOptions, QuotaHolder, QuotaIssuer, ServiceQueue,
-    Slots, Ticket, fallback_part,
+    Slots, Ticket, Usage, fallback_part,
 };
 
 const ENTRIES: usize = 8;
+const TENANTS: usize = 10;
 const GROUPS: usize = 8;
 const SLOTS: Slots = Slots {
     normal: 16,
@@ -22,6 +24,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// An entry asks each issuer this often, in ticks.
 const ASK_EVERY: u64 = 5;
+/// Entries tell each other what tenants used this often, in ticks.
+const TELL_EVERY: u64 = 20;
 const TICKS: u64 = 12_000;
 const WARM_UP: u64 = 2_000;
 const PER_TOKEN: Duration = Duration::from_millis(25);
@@ -29,6 +33,16 @@
 /// Callers of the first entry for each of another's.
 const SKEW: f64 = 5.0;
 
+/// Who sends what.
+#[derive(Clone, Copy)]
+enum Load {
+    /// Ten tenants, this much of the capacity together, most of it to the first entry.
+    Skewed(f64),
+    /// Tenant 0 at this many times its share to all entries; each other at 0.8 times
+    /// its share to an entry of its own.
+    Greedy(f64),
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Sharing {
     OneQueue,
@@ -39,6 +53,7 @@
 #[derive(Clone, Copy)]
 struct Request {
     at: u64,
+    tenant: usize,
     tokens: u64,
 }
 
@@ -58,12 +73,14 @@
 
 struct Fleet {
     sharing: Sharing,
+    /// Whether entries tell each other what tenants used.
+    tells_usage: bool,
     entries: Vec<Entry>,
     issuers: BTreeMap<GroupId, QuotaIssuer>,
     ends: BTreeMap<u64, Vec<Running>>,
     zero: Instant,
-    latencies: Vec<u64>,
-    tokens: u64,
+    latencies: BTreeMap<usize, Vec<u64>>,
+    tokens: BTreeMap<usize, u64>,
     refused: u64,
     most_over: u32,
 }
@@ -101,7 +118,7 @@
 }
 
 impl Fleet {
-    fn new(sharing: Sharing) -> Fleet {
+    fn new(sharing: Sharing, tells_usage: bool) -> Fleet {
         let zero = Instant::now();
         let (entries, slots) = match sharing {
             Sharing::OneQueue => (1, SLOTS),
@@ -114,12 +131,13 @@
         };
         Fleet {
             sharing,
+            tells_usage,
             entries: (0..entries).map(|i| entry(i, slots, zero)).collect(),
             issuers: (0..GROUPS).map(issuer).collect(),
             ends: BTreeMap::new(),
             zero,
-            latencies: Vec::new(),
-            tokens: 0,
+            latencies: BTreeMap::new(),
+            tokens: BTreeMap::new(),
             refused: 0,
             most_over: 0,
         }
@@ -129,24 +147,31 @@
         self.zero + TICK * tick as u32
     }
 
-    fn run(mut self, load: f64) -> Fleet {
+    fn run(mut self, load: Load) -> Fleet {
         let mut rng = fastrand::Rng::with_seed(11);
-        // Requests of 400 tokens on average.
-        let capacity = f64::from(SLOTS.normal) * GROUPS as f64 / (PER_TOKEN * 400).as_secs_f64();
-        let per_tick = load * capacity * TICK.as_secs_f64();
         for tick in 0..TICKS {
             self.end(tick);
             for entry in 0..ENTRIES {
-                let weight = if entry == 0 { SKEW } else { 1.0 };
-                let mean = per_tick * weight / (SKEW + ENTRIES as f64 - 1.0);
-                if rng.f64() < mean {
-                    let tokens = rng.u64(200..600);
-                    self.offer(entry, Request { at: tick, tokens }, rng.u64(0..10));
+                for (tenant, mean) in arrivals(load, entry) {
+                    if rng.f64() < mean {
+                        let tokens = rng.u64(200..600);
+                        self.offer(
+                            entry,
+                            Request {
+                                at: tick,
+                                tenant,
+                                tokens,
+                            },
+                        );
+                    }
                 }
             }
             if self.sharing == Sharing::Quotas {
                 self.share(tick);
             }
+            if self.tells_usage && tick.is_multiple_of(TELL_EVERY) {
+                self.tell_usage();
+            }
             for entry in 0..self.entries.len() {
                 self.start(entry, tick);
             }
@@ -155,10 +180,24 @@
         self
     }
 
-    fn offer(&mut self, entry: usize, req: Request, tenant: u64) {
+    fn tell_usage(&mut self) {
+        let used: Vec<Vec<Usage>> = self
+            .entries
+            .iter_mut()
+            .map(|e| e.queue.take_usage())
+            .collect();
+        for (i, entry) in self.entries.iter_mut().enumerate() {
+            let others = used.iter().enumerate().filter(|(from, _)| *from != i);
+            for usage in others.flat_map(|(_, usages)| usages) {
+                entry.queue.charge_elsewhere(usage);
+            }
+        }
+    }
+
+    fn offer(&mut self, entry: usize, req: Request) {
         let now = self.now(req.at);
         let offer = Offer {
-            tenant: format!("tenant-{tenant}").into(),
+            tenant: format!("tenant-{}", req.tenant).into(),
             weight: 1,
             urgency: Urgency::DEFAULT,
             tokens: req.tokens,
@@ -208,8 +247,9 @@
                 *n -= 1;
             }
             if run.req.at >= WARM_UP {
-                self.latencies.push(tick - run.req.at);
-                self.tokens += run.req.tokens;
+                let latencies = self.latencies.entry(run.req.tenant).or_default();
+                latencies.push(tick - run.req.at);
+                *self.tokens.entry(run.req.tenant).or_default() += run.req.tokens;
             }
         }
     }
@@ -247,35 +287,90 @@
         }
     }
 
-    fn p95(&mut self) -> f64 {
-        self.latencies.sort();
-        let at = self.latencies.len() * 95 / 100;
-        self.latencies.get(at).map_or(f64::NAN, |t| *t as f64)
+    fn answered(&self, of: impl Fn(usize) -> bool) -> Vec<u64> {
+        let chosen = self.latencies.iter().filter(|(t, _)| of(**t));
+        chosen.flat_map(|(_, list)| list.iter().copied()).collect()
+    }
+
+    fn p95(&self, of: impl Fn(usize) -> bool) -> f64 {
+        let mut all = self.answered(of);
+        all.sort();
+        all.get(all.len() * 95 / 100)
+            .map_or(f64::NAN, |t| *t as f64)
+    }
+
+    fn tokens(&self, of: impl Fn(usize) -> bool) -> f64 {
+        let chosen = self.tokens.iter().filter(|(t, _)| of(**t));
+        chosen.map(|(_, n)| *n as f64).sum()
+    }
+
+    fn refused(&self) -> f64 {
+        let refused = self.refused as f64;
+        refused / (refused + self.answered(|_| true).len() as f64)
     }
 }
 
-fn main() {
+/// Requests a tick of each tenant at the entry.
+fn arrivals(load: Load, entry: usize) -> Vec<(usize, f64)> {
+    // Requests have 400 tokens on average.
+    let capacity = f64::from(SLOTS.normal) * GROUPS as f64 / (PER_TOKEN * 400).as_secs_f64();
+    let full = capacity * TICK.as_secs_f64();
+    match load {
+        Load::Skewed(part) => {
+            let weight = if entry == 0 { SKEW } else { 1.0 };
+            let mean = part * full * weight / (SKEW + ENTRIES as f64 - 1.0);
+            (0..TENANTS).map(|t| (t, mean / TENANTS as f64)).collect()
+        }
+        Load::Greedy(times) => {
+            let share = full / (ENTRIES + 1) as f64;
+            vec![
+                (0, times * share / ENTRIES as f64),
+                (entry + 1, 0.8 * share),
+            ]
+        }
+    }
+}
+
+fn skewed() {
     println!(
         "load | slots shared | p95 over one queue | tokens over one queue | refused | most above a group's slots"
     );
-    for load in [0.5, 0.8, 1.2] {
-        let mut ideal = Fleet::new(Sharing::OneQueue).run(load);
-        let (p95, tokens) = (ideal.p95(), ideal.tokens as f64);
-        for (name, sharing) in [("equally", Sharing::Equal), ("by demand", Sharing::Quotas)] {
-            let mut fleet = Fleet::new(sharing).run(load);
-            let answered = fleet.latencies.len() as f64;
+    for part in [0.5, 0.8, 1.2] {
+        let run = |sharing| Fleet::new(sharing, false).run(Load::Skewed(part));
+        let ideal = run(Sharing::OneQueue);
+        for (name, fleet) in [
+            ("equally", run(Sharing::Equal)),
+            ("by demand", run(Sharing::Quotas)),
+            ("one queue", run(Sharing::OneQueue)),
+        ] {
             println!(
-                "{load:4} | {name:12} | {:18.2} | {:21.2} | {:7.2} | {}",
-                fleet.p95() / p95,
-                fleet.tokens as f64 / tokens,
-                fleet.refused as f64 / (fleet.refused as f64 + answered),
+                "{part:4} | {name:12} | {:18.2} | {:21.2} | {:7.2} | {}",
+                fleet.p95(|_| true) / ideal.p95(|_| true),
+                fleet.tokens(|_| true) / ideal.tokens(|_| true),
+                fleet.refused(),
                 fleet.most_over,
             );
         }
-        let refused = ideal.refused as f64 / (ideal.refused as f64 + ideal.latencies.len() as f64);
+    }
+}
+
+fn greedy() {
+    println!(
+        "usage told | others' p95 with the greedy tenant over without | others' tokens, the same"
+    );
+    for told in [false, true] {
+        let run = |times| Fleet::new(Sharing::Quotas, told).run(Load::Greedy(times));
+        let (without, with) = (run(0.0), run(10.0));
+        let others = |tenant| tenant != 0;
         println!(
-            "{load:4} | one queue    | {:18.2} | {:21.2} | {refused:7.2} | {}",
-            1.0, 1.0, ideal.most_over
+            "{told:10} | {:48.2} | {:.2}",
+            with.p95(others) / without.p95(others),
+            with.tokens(others) / without.tokens(others),
         );
     }
 }
+
+fn main() {
+    skewed();
+    greedy();
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 };
 pub use crate::queue::{
     Offer, QueueOptions, Refusal, RefusalReason, ServiceQueue, SlotKind, Slots, Started, Ticket,
+    Usage,
 };
 pub use crate::quota::{
     Demand, Grant, QUOTA_MARGIN, QUOTA_TERM, QuotaHolder, QuotaIssuer, fallback_part,
--- a/crates/route/src/queue/mod.rs
+++ b/crates/route/src/queue/mod.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod admit;
+mod elsewhere;
 mod offer;
 mod pace;
 mod preempt;
@@ -18,6 +19,7 @@
 use eelgrassmill_base::{TenantId, Tokens, Urgency};
 
 use crate::queue::account::{Account, Position, Queued, VirtualTime, cost};
+pub use crate::queue::elsewhere::Usage;
 pub use crate::queue::offer::{Offer, Refusal, RefusalReason, SlotKind, Slots, Started, Ticket};
 use crate::queue::pace::Pace;
 
@@ -117,6 +119,8 @@
     virtual_now: VirtualTime,
     queued_tokens: Tokens,
     queued_urgent_tokens: Tokens,
+    /// Weight and tokens charged by tenant, not yet told to other entries.
+    usage: BTreeMap<TenantId, (u32, i64)>,
     normal_pace: Pace,
     urgent_pace: Pace,
     last_ticket: u64,
@@ -141,6 +145,7 @@
             virtual_now: 0,
             queued_tokens: 0,
             queued_urgent_tokens: 0,
+            usage: BTreeMap::new(),
             normal_pace: Pace::default(),
             urgent_pace: Pace::default(),
             last_ticket: 0,
@@ -274,6 +279,7 @@
             account.charge(queued.tokens);
             account.weight
         })?;
+        self.note_usage(&tenant, weight, queued.tokens as i64);
         let urgency = position.0;
         self.running_urgent += usize::from(urgency.is_urgent());
         let run = Running {
@@ -304,6 +310,8 @@
             account.running -= 1;
             account.correct(run.tokens, real);
         });
+        let difference = real as i64 - run.tokens as i64;
+        self.note_usage(&run.tenant, run.weight, difference);
         self.forget_idle(&run.tenant);
     }
 
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -201,6 +201,61 @@
     expect_that!(times.len(), ge(90));
 }
 
+/// One tenant sends to all entries and another to this one only. Were each entry fair by
+/// itself alone, the first would get a share at each of them. What it used elsewhere is
+/// charged here, up to a bound: hours of idle slots elsewhere must not shut it out.
+#[googletest::test]
+fn what_a_tenant_used_elsewhere_counts_here() {
+    let now = Instant::now();
+    let order = |elsewhere: i64| {
+        let mut q = ServiceQueue::new(QueueOptions::default().burst(1000));
+        for _ in 0..30 {
+            q.offer(
+                offer("everywhere", 3, 100, now + 60 * SECOND),
+                "everywhere",
+                now,
+            )
+            .expect("room");
+            q.offer(offer("here", 3, 100, now + 60 * SECOND), "here", now)
+                .expect("room");
+        }
+        let tenant = "everywhere".into();
+        q.charge_elsewhere(&Usage {
+            tenant,
+            weight: 1,
+            tokens: elsewhere,
+        });
+        let order = drain(&mut q, now);
+        order[..20]
+            .iter()
+            .filter(|who| **who == "everywhere")
+            .count()
+    };
+    expect_that!(order(0), eq(10));
+    expect_that!(order(600), eq(7));
+    expect_that!(order(1_000_000), eq(5));
+}
+
+/// Entries tell each other what was really used. Told the estimates only, a tenant that
+/// always asks for too many tokens would be charged for them at every other entry.
+#[googletest::test]
+fn usage_told_to_others_is_what_was_used() {
+    let now = Instant::now();
+    let mut q = ServiceQueue::new(QueueOptions::default());
+    q.offer(offer("a", 3, 1000, now + 60 * SECOND), "draft", now)
+        .expect("room");
+    let started = q.start(ONE, now).expect("work");
+    let used = |tokens| Usage {
+        tenant: "a".into(),
+        weight: 1,
+        tokens,
+    };
+    expect_that!(q.take_usage(), elements_are![eq(&used(1000))]);
+    q.settle(started.ticket, 300, now);
+    expect_that!(q.take_usage(), elements_are![eq(&used(-700))]);
+    expect_that!(q.take_usage(), is_empty());
+}
+
 /// A greedy tenant's drafts hold every slot each time a guest's refund check comes in. The
 /// youngest draft is cancelled and goes on later; none is cancelled twice, or it would
 /// never end.
