--- a/crates/route/src/quota/issuer.rs
+++ b/crates/route/src/quota/issuer.rs
@@ -194,10 +194,11 @@
     fn held_back(&self, now: Instant) -> Slots {
         let part = fallback_part(self.slots, self.entries.len() as u32);
         let term = QUOTA_TERM / 2;
+        let fresh = |a: &Asker| now.saturating_duration_since(a.heard) < term;
         let heard = |entry: &NodeId| {
-            self.askers
-                .iter()
-                .any(|((e, _), a)| e == entry && now.saturating_duration_since(a.heard) < term)
+            let first = (entry.clone(), Incarnation::MIN);
+            let last = (entry.clone(), Incarnation::MAX);
+            self.askers.range(first..=last).any(|(_, a)| fresh(a))
         };
         let silent = self.entries.iter().filter(|e| !heard(e)).count() as u32;
         Slots {
