--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -156,6 +156,35 @@
     expect_that!(q.expire(now + 5 * SECOND).len(), eq(1));
 }
 
+/// A stuck engine has made the measured pace very slow, and it has been replaced since.
+/// Judged by the old pace for good, every request would be refused, none would run, and
+/// nothing would ever correct the pace.
+#[googletest::test]
+fn an_old_pace_does_not_refuse_for_good() {
+    let mut now = Instant::now();
+    let mut q = ServiceQueue::new(QueueOptions::default());
+    q.offer(offer("a", 3, 100, now + 600 * SECOND), "stuck", now)
+        .expect("room");
+    let stuck = q.start(ONE, now).expect("work");
+    now += 300 * SECOND;
+    q.settle(stuck.ticket, 100, now);
+    for _ in 0..3 {
+        q.offer(offer("a", 3, 100, now + 10 * SECOND), "probe", now)
+            .expect("an idle service tries");
+        let probe = q.start(ONE, now).expect("work");
+        now += 2 * SECOND;
+        q.settle(probe.ticket, 100, now);
+        now += 60 * SECOND;
+    }
+    q.offer(offer("a", 3, 100, now + 600 * SECOND), "running", now)
+        .expect("room");
+    q.start(ONE, now).expect("work");
+    expect_that!(
+        q.offer(offer("a", 3, 100, now + 10 * SECOND), "next", now),
+        ok(anything())
+    );
+}
+
 /// A hundred callers are refused in one instant. With the same time to come back, they
 /// would all come back in one instant too.
 #[googletest::test]
@@ -172,34 +201,87 @@
     expect_that!(times.len(), ge(90));
 }
 
-/// A greedy tenant's drafts hold every slot when a guest's refund check comes in. The
+/// One tenant sends to all entries and another to this one only. Were each entry fair by
+/// itself alone, the first would get a share at each of them. What it used elsewhere is
+/// charged here, up to a bound: hours of idle slots elsewhere must not shut it out.
+#[googletest::test]
+fn what_a_tenant_used_elsewhere_counts_here() {
+    let now = Instant::now();
+    let order = |elsewhere: i64| {
+        let mut q = ServiceQueue::new(QueueOptions::default().burst(1000));
+        for _ in 0..30 {
+            q.offer(
+                offer("everywhere", 3, 100, now + 60 * SECOND),
+                "everywhere",
+                now,
+            )
+            .expect("room");
+            q.offer(offer("here", 3, 100, now + 60 * SECOND), "here", now)
+                .expect("room");
+        }
+        let tenant = "everywhere".into();
+        q.charge_elsewhere(&Usage {
+            tenant,
+            weight: 1,
+            tokens: elsewhere,
+        });
+        let order = drain(&mut q, now);
+        order[..20]
+            .iter()
+            .filter(|who| **who == "everywhere")
+            .count()
+    };
+    expect_that!(order(0), eq(10));
+    expect_that!(order(600), eq(7));
+    expect_that!(order(1_000_000), eq(5));
+}
+
+/// Entries tell each other what was really used. Told the estimates only, a tenant that
+/// always asks for too many tokens would be charged for them at every other entry.
+#[googletest::test]
+fn usage_told_to_others_is_what_was_used() {
+    let now = Instant::now();
+    let mut q = ServiceQueue::new(QueueOptions::default());
+    q.offer(offer("a", 3, 1000, now + 60 * SECOND), "draft", now)
+        .expect("room");
+    let started = q.start(ONE, now).expect("work");
+    let used = |tokens| Usage {
+        tenant: "a".into(),
+        weight: 1,
+        tokens,
+    };
+    expect_that!(q.take_usage(), elements_are![eq(&used(1000))]);
+    q.settle(started.ticket, 300, now);
+    expect_that!(q.take_usage(), elements_are![eq(&used(-700))]);
+    expect_that!(q.take_usage(), is_empty());
+}
+
+/// A greedy tenant's drafts hold every slot each time a guest's refund check comes in. The
 /// youngest draft is cancelled and goes on later; none is cancelled twice, or it would
 /// never end.
 #[googletest::test]
 fn a_draft_over_its_share_gives_way_once() {
     let now = Instant::now();
     let mut q = ServiceQueue::new(QueueOptions::default());
-    let tickets: Vec<Ticket> = ["old", "young"]
-        .iter()
-        .map(|draft| {
-            q.offer(offer("greedy", 3, 500, now + 600 * SECOND), *draft, now)
-                .expect("room");
-            q.start(ONE, now).expect("a slot").ticket
-        })
+    for _ in 0..4 {
+        q.offer(offer("greedy", 3, 500, now + 600 * SECOND), "draft", now)
+            .expect("room");
+    }
+    let mut first: Vec<Ticket> = (0..4)
+        .map(|_| q.start(ONE, now).expect("work").ticket)
         .collect();
     expect_that!(q.victim(Slots::NONE), none());
-    for _ in 0..2 {
+    while let Some(youngest) = first.pop() {
         q.offer(offer("guest", 1, 20, now + 60 * SECOND), "refund", now)
             .expect("room");
+        expect_that!(q.victim(ONE), none());
+        expect_that!(q.victim(Slots::NONE), some(eq(youngest)));
+        expect_that!(q.resume(youngest, 100, "draft"), some(anything()));
+        let refund = q.start(ONE, now).expect("the refund");
+        expect_that!(refund.payload, eq("refund"));
+        q.settle(refund.ticket, 20, now);
+        expect_that!(q.start(ONE, now).map(|s| s.payload), some(eq("draft")));
     }
-    expect_that!(q.victim(ONE), none());
-    expect_that!(q.victim(Slots::NONE), some(eq(tickets[1])));
-    expect_that!(q.resume(tickets[1], 100, "young"), some(anything()));
-    expect_that!(q.start(ONE, now).map(|s| s.payload), some(eq("refund")));
-    expect_that!(q.victim(Slots::NONE), none());
-    let resumed = (0..2).map(|_| q.start(ONE, now).expect("work")).last();
-    expect_that!(resumed.map(|s| s.payload), some(eq("young")));
-    q.settle(tickets[0], 500, now);
     q.offer(offer("guest", 1, 20, now + 60 * SECOND), "refund", now)
         .expect("room");
     expect_that!(q.victim(Slots::NONE), none());
