Say of a submission that had no effect that it had none

With the table down the command called every refused submission open, though 503 says that nothing was done. Only a lost answer leaves it open now.

--- a/crates/core/src/commands/config.rs
+++ b/crates/core/src/commands/config.rs
@@ -93,33 +93,45 @@
 /// was accepted is told so again, and never accepted twice.
 fn ask_until_answered(client: &AdminClient, submit: &Submit) -> Result<SubmitReply, CliError> {
     let body = serde_json::to_string(submit).map_err(|e| CliError::Failed(e.to_string()))?;
+    let mut lost = false;
     let mut attempt = 1;
     loop {
-        match client.post("/admin/v1/config", &body) {
-            Err(e) if attempt < SUBMIT_ATTEMPTS && is_open(&e) => {
-                eprintln!("eelgrassmill: {e}; asking again");
-                std::thread::sleep(SUBMIT_PAUSE);
-                attempt += 1;
-            }
-            Err(e) if is_open(&e) => {
-                let id = &submit.id;
-                let what = format!("{e}\nit may have been accepted: repeat it with --id {id}");
-                return Err(CliError::Failed(what));
-            }
+        let error = match client.post("/admin/v1/config", &body) {
+            Err(e) if is_lost(&e) || is_unavailable(&e) => e,
             answer => return answer,
+        };
+        lost |= is_lost(&error);
+        if attempt == SUBMIT_ATTEMPTS {
+            return Err(given_up(&error, lost, submit));
         }
+        eprintln!("eelgrassmill: {error}; asking again");
+        std::thread::sleep(SUBMIT_PAUSE);
+        attempt += 1;
     }
 }
 
-/// Whether the submission may have been accepted, or may be by a repeat.
-fn is_open(error: &CliError) -> bool {
+fn given_up(error: &CliError, lost: bool, submit: &Submit) -> CliError {
+    let id = &submit.id;
+    CliError::Failed(if lost {
+        format!("{error}\nit may have been accepted: repeat it with --id {id}")
+    } else {
+        format!("{error}\nit was not accepted, try again later")
+    })
+}
+
+/// Whether the submission may have been accepted though no answer says so.
+fn is_lost(error: &CliError) -> bool {
     match error {
         CliError::NoAnswer { .. } => true,
-        CliError::Refused(problem) => matches!(problem.status, 503 | 504),
+        CliError::Refused(problem) => problem.status == 504,
         _ => false,
     }
 }
 
+fn is_unavailable(error: &CliError) -> bool {
+    matches!(error, CliError::Refused(problem) if problem.status == 503)
+}
+
 fn show(mut args: Arguments) -> Result<(), CliError> {
     let common = Common::take(&mut args)?;
     let version: Option<u64> = args.opt_free_from_str()?;
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -76,10 +76,15 @@
     rows: Mutex<Vec<CurrentRow>>,
     /// Answers of submissions that get lost after they had their effect.
     pub(crate) lose_answers: Mutex<u32>,
+    /// Whether submissions are refused without any effect.
+    pub(crate) down: std::sync::atomic::AtomicBool,
 }
 
 impl AdminBackend for Memory {
     fn submit(&self, submit: Submit) -> Result<SubmitReply, BackendError> {
+        if self.down.load(std::sync::atomic::Ordering::SeqCst) {
+            return Err(BackendError::Unavailable("the table is down".to_owned()));
+        }
         let mut rows = self.rows.lock().expect("rows");
         let current = rows.last().map(|row| (row.version, row));
         let base = rows.iter().find(|r| r.version == submit.base).map(log_row);
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -131,6 +131,21 @@
     );
 }
 
+#[gtest]
+fn a_submission_that_had_no_effect_is_not_called_open() {
+    let node = Node::start();
+    node.memory
+        .down
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    let file = TempFile::new("down.ini", TEXT);
+    let refused = node.run(&["config", "submit", file.path(), "--base", "0"]);
+    expect_that!(refused.code, some(eq(1)));
+    expect_that!(
+        refused.err,
+        ends_with("it was not accepted, try again later\n")
+    );
+}
+
 #[gtest]
 fn the_next_admin_address_is_tried_when_one_does_not_answer() {
     let node = Node::start();
