--- a/crates/group/src/plan/policy.rs
+++ b/crates/group/src/plan/policy.rs
@@ -56,7 +56,7 @@
             choice: RepairChoice::Weighed,
             weight,
             detect: Duration::from_secs(2),
-            reform_time: Duration::from_secs(4),
+            reform_time: Duration::from_millis(1500),
             max_loads: 16,
             max_changes: 32,
             resend: Duration::from_secs(1),
