Look for secrets and request lines in the nodes' logs; name the project's subjects

The operator's walk reads each node's log at the end: the changes of state are there by the names of their events, no token and no line for a request.

--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -31,11 +31,11 @@
 struct Process(Child);
 
 impl Process {
-    fn start(args: &[&str]) -> (Process, BufReader<std::process::ChildStdout>) {
+    fn start(args: &[&str], log: Stdio) -> (Process, BufReader<std::process::ChildStdout>) {
         let mut child = program()
             .args(args)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         let out = BufReader::new(child.stdout.take().expect("its output"));
@@ -82,6 +82,7 @@
     callers: SocketAddr,
     admin: SocketAddr,
     process: Process,
+    log: TempFile,
     _settings: TempFile,
 }
 
@@ -97,11 +98,15 @@
              address_keep = 200ms\n"
         );
         let settings = TempFile::new(&format!("{name}.ini"), &settings);
-        let (process, _) = Process::start(&["serve", "--settings", settings.path()]);
+        let log = TempFile::new(&format!("{name}.log"), "");
+        let lines = std::fs::File::create(&log.0).expect("a log file");
+        let args = ["serve", "--settings", settings.path()];
+        let (process, _) = Process::start(&args, lines.into());
         Node {
             callers,
             admin,
             process,
+            log,
             _settings: settings,
         }
     }
@@ -115,7 +120,10 @@
 
 impl System {
     fn start(nodes: usize) -> System {
-        let (standin, mut out) = Process::start(&["standin", "--engines", "4", "--plain", "0"]);
+        let (standin, mut out) = Process::start(
+            &["standin", "--engines", "4", "--plain", "0"],
+            Stdio::null(),
+        );
         let mut line = String::new();
         out.read_line(&mut line).expect("its line");
         let told: Value = serde_json::from_str(&line).expect("JSON");
@@ -257,5 +265,16 @@
     }
     for node in &mut system.nodes[..2] {
         expect_that!(node.process.exit_code(), some(eq(0)));
+        let log = std::fs::read_to_string(&node.log.0).expect("the log");
+        let names = [
+            "lease-taken",
+            "config-applied",
+            "group-broken",
+            "node-stopping",
+        ];
+        expect_true!(names.iter().all(|n| log.contains(n)));
+        // Neither a secret nor a line for each request.
+        let unwanted = [TOKEN, GUEST, "request-"];
+        expect_false!(unwanted.iter().any(|w| log.contains(w)));
     }
 }
