--- a/crates/timeline/src/hlc.rs
+++ b/crates/timeline/src/hlc.rs
@@ -12,6 +12,7 @@
     #[derive(Default)]
     pub struct Hlc {
         /// Milliseconds since 1970, UTC; never behind any stamp seen before.
+        #[serde(rename = "wall_ms")]
         pub wall_ms: u64,
         /// Tells apart stamps of one millisecond.
         pub counter: u32,
--- a/crates/timeline/tests/timeline.rs
+++ b/crates/timeline/tests/timeline.rs
@@ -97,6 +97,7 @@
             json,
             contains_substring(format!("\"event\":\"{}\"", event.kind.name()))
         );
+        expect_that!(json, starts_with("{\"hlc\":{\"wall_ms\":1772000000000,"));
         expect_that!(event.to_string().lines().count(), eq(1));
     }
     let timeline = Timeline {
