--- a/crates/core/src/commands/config.rs
+++ b/crates/core/src/commands/config.rs
@@ -2,10 +2,10 @@
 
 use std::hash::{BuildHasher, RandomState};
 use std::path::PathBuf;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use eelgrassmill_config::{Change, Config, Submit, is_name};
-use eelgrassmill_node::{ConfigStatus, ConfigVersionInfo, SubmitReply};
+use eelgrassmill_config::{Change, Config, Submit, is_name, parse_duration};
+use eelgrassmill_node::{ConfigStatus, ConfigVersionInfo, NodeConfig, SubmitReply};
 use pico_args::Arguments;
 
 use super::{print, print_json};
@@ -21,6 +21,10 @@
 const SUBMIT_ATTEMPTS: u32 = 4;
 const SUBMIT_PAUSE: Duration = Duration::from_secs(1);
 
+/// Longest `--wait`.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+const STATUS_PAUSE: Duration = Duration::from_millis(200);
+
 pub(crate) fn run(mut args: Arguments) -> Result<(), CliError> {
     let action = args.subcommand()?.unwrap_or_default();
     match action.as_str() {
@@ -185,10 +189,45 @@
 
 fn status(mut args: Arguments) -> Result<(), CliError> {
     let common = Common::take(&mut args)?;
+    let wait: Option<String> = args.opt_value_from_str("--wait")?;
     finish(args)?;
-    let status: ConfigStatus = common.client.get("/admin/v1/config/status")?;
+    let wait = wait.as_deref().map(wait_time).transpose()?;
+    let until = Instant::now() + wait.unwrap_or_default();
+    let status = loop {
+        let status: ConfigStatus = common.client.get("/admin/v1/config/status")?;
+        if is_everywhere(&status) || Instant::now() >= until {
+            break status;
+        }
+        std::thread::sleep(STATUS_PAUSE);
+    };
+    show_status(&common, &status)?;
+    if wait.is_some() && !is_everywhere(&status) {
+        return Err(CliError::Failed(
+            "not in force at every node in time".to_owned(),
+        ));
+    }
+    Ok(())
+}
+
+fn wait_time(text: &str) -> Result<Duration, CliError> {
+    let wait = parse_duration(text).filter(|d| *d <= MAX_WAIT);
+    wait.ok_or_else(|| {
+        CliError::Usage(format!(
+            "`--wait {text}` can't be, write a duration like 14s, at most 1h"
+        ))
+    })
+}
+
+fn is_everywhere(status: &ConfigStatus) -> bool {
+    status
+        .nodes
+        .iter()
+        .all(|n| n.version == Some(status.accepted))
+}
+
+fn show_status(common: &Common, status: &ConfigStatus) -> Result<(), CliError> {
     if common.json {
-        return print_json(&status);
+        return print_json(status);
     }
     let in_force = |v: Option<u64>| v == Some(status.accepted);
     let there = status.nodes.iter().filter(|n| in_force(n.version)).count();
@@ -197,15 +236,12 @@
         "version {} is in force at {there} of {all} nodes\n",
         status.accepted
     ))?;
-    let rows: Vec<Vec<String>> = status
-        .nodes
-        .iter()
-        .map(|n| {
-            let version = n.version.map_or_else(|| "?".to_owned(), |v| v.to_string());
-            let behind = n.behind.as_deref().unwrap_or("-").to_owned();
-            vec![n.node.to_string(), version, behind]
-        })
-        .collect();
+    let row = |n: &NodeConfig| {
+        let version = n.version.map_or_else(|| "?".to_owned(), |v| v.to_string());
+        let behind = n.behind.as_deref().unwrap_or("-").to_owned();
+        vec![n.node.to_string(), version, behind]
+    };
+    let rows: Vec<Vec<String>> = status.nodes.iter().map(row).collect();
     print(&table(&["NODE", "VERSION", "BEHIND BECAUSE"], &rows))
 }
 
--- a/crates/core/src/help.rs
+++ b/crates/core/src/help.rs
@@ -39,12 +39,13 @@
        eelgrassmill config show [V]
        eelgrassmill config diff FILE
        eelgrassmill config log
-       eelgrassmill config status
+       eelgrassmill config status [--wait DURATION]
 
   --base V               the version that FILE was made from, 0 for the first;
                          left out when FILE has the first line of `config show`
   --author NAME          who submits (or USER)
   --id ID                repeat an earlier submission whose answer was lost
+  --wait DURATION        wait until the version is in force at every node; 1 if it isn't in time
 ";
 
 const LIST: &str = "\
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -82,6 +82,22 @@
     insta::assert_snapshot!(node.run(&["config", "status"]).out);
 }
 
+#[gtest]
+fn waiting_for_every_node_ends_in_time() {
+    let node = Node::start();
+    let waited = node.run(&["config", "status", "--wait", "300ms"]);
+    expect_that!(waited.code, some(eq(1)));
+    expect_that!(waited.out, contains_substring("node-b"));
+    expect_that!(
+        waited.err,
+        contains_substring("not in force at every node in time")
+    );
+    expect_that!(
+        node.run(&["config", "status", "--wait", "soon"]).code,
+        some(eq(2))
+    );
+}
+
 /// Two operators start from the same version. The second one to submit must
 /// not undo the first one's change without knowing it.
 #[gtest]
--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -206,11 +206,12 @@
         let submitted = system.run(&["config", "submit", file.path(), "--base", "0", "--id", "s"]);
         (submitted.code == Some(0)).then_some(())
     });
-    eventually("it is in force at each node", || {
-        let told = system.run(&["config", "status"]).out;
-        told.starts_with("version 1 is in force at 3 of 3 nodes")
-            .then_some(())
-    });
+    let everywhere = system.run(&["config", "status", "--wait", "15s"]);
+    expect_that!(everywhere.code, some(eq(0)));
+    expect_that!(
+        everywhere.out,
+        starts_with("version 1 is in force at 3 of 3 nodes")
+    );
     let (group, members) = eventually("a group serves", || system.serving());
     let (status, answer) = system.complete(1, "Good morning");
     expect_that!(status, eq(200));
