--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -82,6 +82,22 @@
     insta::assert_snapshot!(node.run(&["config", "status"]).out);
 }
 
+#[gtest]
+fn waiting_for_every_node_ends_in_time() {
+    let node = Node::start();
+    let waited = node.run(&["config", "status", "--wait", "300ms"]);
+    expect_that!(waited.code, some(eq(1)));
+    expect_that!(waited.out, contains_substring("node-b"));
+    expect_that!(
+        waited.err,
+        contains_substring("not in force at every node in time")
+    );
+    expect_that!(
+        node.run(&["config", "status", "--wait", "soon"]).code,
+        some(eq(2))
+    );
+}
+
 /// Two operators start from the same version. The second one to submit must
 /// not undo the first one's change without knowing it.
 #[gtest]
@@ -131,6 +147,21 @@
     );
 }
 
+#[gtest]
+fn a_submission_that_had_no_effect_is_not_called_open() {
+    let node = Node::start();
+    node.memory
+        .down
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    let file = TempFile::new("down.ini", TEXT);
+    let refused = node.run(&["config", "submit", file.path(), "--base", "0"]);
+    expect_that!(refused.code, some(eq(1)));
+    expect_that!(
+        refused.err,
+        ends_with("it was not accepted, try again later\n")
+    );
+}
+
 #[gtest]
 fn the_next_admin_address_is_tried_when_one_does_not_answer() {
     let node = Node::start();
