--- a/crates/group/examples/repair/fake.rs
+++ b/crates/group/examples/repair/fake.rs
@@ -254,6 +254,7 @@
         let mut view = FleetView::new("n1", "region-1", Arc::new(config), now);
         view.weights = sizes.iter().cloned().collect();
         view.store_rate = store.rate;
+        view.host_rate = store.host_rate;
         Fake {
             now,
             hosts: hosts.into_iter().map(|h| (h.entry.id.clone(), h)).collect(),
--- a/crates/group/examples/repair/fleets.rs
+++ b/crates/group/examples/repair/fleets.rs
@@ -157,9 +157,11 @@
         fake.policy.choice = eelgrassmill_group::RepairChoice::WaitForReturn;
         fake.store.rate = u64::MAX / 1_000_000;
         fake.store.host_rate = fake.store.rate;
+        fake.view.host_rate = 0;
         (fake.policy.max_loads, fake.policy.max_changes) = (10_000, 10_000);
         fake.run(Duration::from_secs(20));
         fake.store = rates;
+        fake.view.host_rate = rates.host_rate;
         (fake.policy.max_loads, fake.policy.max_changes) = bounds;
         fake.policy.choice = choice;
     }
--- a/crates/group/src/plan/form.rs
+++ b/crates/group/src/plan/form.rs
@@ -7,7 +7,7 @@
 use crate::plan::action::Action;
 use crate::plan::end::is_reformed;
 use crate::plan::policy::RepairChoice;
-use crate::plan::round::{Round, Standing, Wanted};
+use crate::plan::round::{Group, Round, Standing, Wanted};
 use crate::plan::view::HostFacts;
 use crate::rows::{
     Change, GroupPhase, GroupRow, HostRow, RowValue, group_id, group_key, host_key, split_group_id,
@@ -88,12 +88,8 @@
     };
     let members = row.members.iter().filter_map(|id| round.view.hosts.get(id));
     let mut picked: Vec<&HostFacts> = members.filter(|h| own(h)).collect();
-    let spares = spares_for(round, group.domain, size.saturating_sub(picked.len()));
-    for spare in spares {
-        if !row.members.contains(&spare.row.host) {
-            picked.push(spare);
-        }
-    }
+    let missing = size.saturating_sub(picked.len());
+    picked.extend(spares_for(round, wanted, group, missing));
     // A warm spare goes before a member that restarted and has to load anew.
     if round.policy.choice == RepairChoice::Weighed {
         picked.sort_by_key(|h| !h.is_warm(&wanted.weights));
@@ -111,24 +107,32 @@
     })
 }
 
-/// Free hosts that may complete a group of this fabric domain.
+/// Free hosts that may complete the group: those of its fabric domain, or where they don't
+/// suffice, those of others too, since a slow group is better than none.
 fn spares_for<'a>(
     round: &Round<'a>,
-    domain: Option<&FabricDomain>,
+    wanted: &Wanted<'a>,
+    group: &Group<'a>,
     missing: usize,
 ) -> Vec<&'a HostFacts> {
-    let near = domain.and_then(|d| round.free.get(d));
-    let mut spares: Vec<&HostFacts> = near.map(|f| f.to_vec()).unwrap_or_default();
-    // The baseline takes any spare, also at the price of a slow group.
-    let anywhere = domain.is_none() || round.policy.choice != RepairChoice::Weighed;
-    if anywhere && spares.len() < missing {
-        let far = round.free.iter().filter(|(d, _)| Some(**d) != domain);
-        spares.extend(far.flat_map(|(_, free)| free.iter().copied()));
+    let foreign = |h: &&HostFacts| !group.facts.row.members.contains(&h.row.host);
+    let near = group.domain.and_then(|d| round.free.get(d));
+    let near = near.into_iter().flatten().copied();
+    let mut spares: Vec<&HostFacts> = near.filter(foreign).collect();
+    if spares.len() < missing {
+        let far = round.free.iter().filter(|(d, _)| Some(**d) != group.domain);
+        let far = far.flat_map(|(_, free)| free.iter().copied());
+        let mut far: Vec<&HostFacts> = far.filter(foreign).collect();
+        if round.policy.choice == RepairChoice::Weighed {
+            sort_by_use(&mut far, wanted);
+        }
+        spares.extend(far.into_iter().take(missing - spares.len()));
     }
     spares
 }
 
-fn keep(round: &mut Round<'_>, hosts: &[&HostFacts]) {
+/// Takes the hosts out of the free ones.
+pub(crate) fn keep(round: &mut Round<'_>, hosts: &[&HostFacts]) {
     for host in hosts {
         if let Some(entry) = &host.entry {
             round.reserve(&entry.fabric_domain, &[host]);
@@ -248,12 +252,12 @@
     });
 }
 
-/// Hosts of several fabric domains, where the demand can't be met in any other way.
+/// Hosts of several fabric domains, where a group can't be had in any other way.
 ///
 /// Such a group is slow. It is the last resort after the service has been short
 /// for a while, since hosts that come back may make a better one.
 fn span<'a>(round: &Round<'a>, wanted: &Wanted<'a>, size: usize) -> Option<Vec<&'a HostFacts>> {
-    let short = wanted.serving() < wanted.need && !wanted.groups.iter().any(|g| g.mending);
+    let short = wanted.standing() < wanted.count;
     let since = |at: Instant| round.now.saturating_duration_since(at) >= round.policy.span_after;
     let waited = wanted
         .groups
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -10,7 +10,7 @@
 use eelgrassmill_base::FabricDomain;
 
 use crate::plan::end::end_group;
-use crate::plan::form::{has_room, sort_by_use};
+use crate::plan::form::{has_room, keep, sort_by_use};
 use crate::plan::policy::RepairChoice;
 use crate::plan::returns::Absence;
 use crate::plan::round::{Group, Lost, Round, Standing};
@@ -29,6 +29,7 @@
     }
     if round.policy.choice == RepairChoice::Weighed {
         join_broken(round);
+        borrow(round);
         yield_to_need(round);
     }
 }
@@ -83,7 +84,7 @@
             round.reserve(domain, &hosts);
         }
         Spares::Warm(hosts) => round.reserve(domain, &hosts),
-        Spares::Cold(hosts) => wish(round, service, domain, hosts),
+        Spares::Cold(hosts) => wish(round, service, hosts),
         Spares::Loading | Spares::TooFew => {}
     }
 }
@@ -118,7 +119,7 @@
         }
         Spares::Cold(hosts) => {
             round.wanted[service].groups[index].mending = true;
-            wish(round, service, domain, hosts);
+            wish(round, service, hosts);
         }
         Spares::Loading => round.wanted[service].groups[index].mending = true,
         Spares::TooFew => {}
@@ -200,13 +201,8 @@
 }
 
 /// Keeps the hosts for the service and asks for those that are cold to be loaded.
-fn wish<'a>(
-    round: &mut Round<'a>,
-    service: usize,
-    domain: &FabricDomain,
-    hosts: Vec<&'a HostFacts>,
-) {
-    round.reserve(domain, &hosts);
+fn wish<'a>(round: &mut Round<'a>, service: usize, hosts: Vec<&'a HostFacts>) {
+    keep(round, &hosts);
     let weights = round.wanted[service].weights.clone();
     let cold = hosts.into_iter().filter(|h| !h.is_warm(&weights));
     round.wishes.extend(cold.map(|h| (service, h)));
@@ -240,6 +236,38 @@
     }
 }
 
+/// Completes stuck groups with spares of other fabric domains.
+///
+/// Such a group is slow, which is better than none; where a whole group fits
+/// into one fabric domain, that is made instead.
+fn borrow(round: &mut Round<'_>) {
+    for (service, index) in damaged(round) {
+        let wanted = &round.wanted[service];
+        let group = &wanted.groups[index];
+        let size = group.facts.row.members.len();
+        let ripe = !may_return(group) || is_time(round, group, round.policy.reform_time * 2);
+        let lost = group.lost.len();
+        if !is_stuck(group) || has_room(round, wanted) || lost == size || !ripe {
+            continue;
+        }
+        let mut far: Vec<&HostFacts> = round.free.values().flatten().copied().collect();
+        sort_by_use(&mut far, wanted);
+        far.truncate(lost);
+        if far.len() < lost {
+            continue;
+        }
+        let warm = far.iter().all(|h| h.is_warm(&wanted.weights));
+        let hopeless = !may_return(group);
+        round.wanted[service].groups[index].mending = true;
+        if warm || hopeless {
+            keep(round, &far);
+            end(round, service, index, EndReason::MemberLost);
+        } else {
+            wish(round, service, far);
+        }
+    }
+}
+
 fn is_stuck(group: &Group<'_>) -> bool {
     group.standing == Standing::Broken && group.is_formed() && !group.mending
 }
@@ -378,10 +406,6 @@
     if hosts.len() < missing {
         return;
     }
-    for host in hosts {
-        if let Some(entry) = &host.entry {
-            round.reserve(&entry.fabric_domain, &[host]);
-        }
-    }
+    keep(round, &hosts);
     end(round, service, index, EndReason::MemberLost);
 }
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -156,8 +156,19 @@
     }
 
     /// Whether `count` more hosts may load. A group larger than the bound may load alone.
+    ///
+    /// Beyond what the weight store can feed at full speed more loads return
+    /// nothing sooner: two groups that share the store are both late, while one
+    /// after the other the first is back in half the time.
     pub(crate) fn may_load(&self, count: usize) -> bool {
-        count == 0 || self.loading == 0 || self.loading + count <= self.policy.max_loads
+        count == 0 || self.loading == 0 || self.loading + count <= self.most_loads()
+    }
+
+    /// Most hosts that load at once.
+    pub(crate) fn most_loads(&self) -> usize {
+        let fed = self.view.store_rate.checked_div(self.view.host_rate);
+        let fed = fed.map_or(usize::MAX, |fed| fed.max(1) as usize);
+        self.policy.max_loads.min(fed)
     }
 
     /// Whether the host answers, is listed as live and is not leaving.
@@ -329,7 +340,9 @@
             && self.facts.row.version == wanted.cfg.version
             && self.facts.row.members.len() == wanted.cfg.hosts_per_group as usize;
         let stands = matches!(self.standing, Standing::Serving | Standing::Coming);
-        current && self.lost.is_empty() && stands && !self.ended_now
+        // A group that spans fabric domains is slow; it serves until one is made that doesn't.
+        let near = self.domain.is_some() || self.standing == Standing::Coming;
+        current && near && self.lost.is_empty() && stands && !self.ended_now
     }
 
     /// Whether its row is formed and no transaction of this round ends it.
@@ -349,6 +362,12 @@
         self.groups.iter().filter(|g| g.is_serving()).count()
     }
 
+    /// Groups that serve in whatever way, or will without a replacement.
+    pub(crate) fn standing(&self) -> usize {
+        let counts = |g: &&Group<'_>| g.is_serving() || g.is_good(self) || g.mending;
+        self.groups.iter().filter(counts).count() + self.formed_now
+    }
+
     /// Groups that serve, or will without a replacement.
     pub(crate) fn expected(&self) -> usize {
         let counts = |g: &&Group<'_>| g.is_good(self) || g.mending;
--- a/crates/group/src/plan/settle.rs
+++ b/crates/group/src/plan/settle.rs
@@ -86,12 +86,7 @@
 }
 
 fn send(round: &mut Round<'_>, host: &HostFacts, kind: OrderKind, placement: Placement) {
-    let waited = host
-        .order_sent
-        .map(|at| round.now.saturating_duration_since(at));
-    let answered_since = host.order_sent.is_none_or(|at| host.answered > Some(at));
-    // An order is repeated when a later answer shows no effect, and not more often.
-    if waited.is_some_and(|w| w < round.policy.resend) || !answered_since {
+    if !is_due(round, host, kind, &placement) {
         return;
     }
     if !round.may_order(&host.row.host) {
@@ -110,6 +105,17 @@
     });
 }
 
+/// Whether the order is new to the host, or was sent a while ago and an answer since shows no
+/// effect.
+fn is_due(round: &Round<'_>, host: &HostFacts, kind: OrderKind, placement: &Placement) -> bool {
+    let Some((last, epoch, at)) = host.order_sent else {
+        return true;
+    };
+    let waited = round.now.saturating_duration_since(at) >= round.policy.resend;
+    let same = last == kind && epoch == placement.epoch;
+    !same || (waited && host.answered > Some(at))
+}
+
 fn placement_of(row: &GroupRow) -> Placement {
     Placement {
         group: row.group.clone(),
--- a/crates/group/src/plan/view.rs
+++ b/crates/group/src/plan/view.rs
@@ -36,8 +36,8 @@
     pub first_seen: Instant,
     /// When a `Join` was last sent to it by this planner.
     pub join_sent: Option<Instant>,
-    /// When any order was last sent to it by this planner.
-    pub order_sent: Option<Instant>,
+    /// The order last sent to it by this planner, and when.
+    pub order_sent: Option<(OrderKind, Epoch, Instant)>,
 }
 
 /// What is known of one group.
@@ -84,6 +84,8 @@
     pub weights: BTreeMap<SmolStr, u64>,
     /// What the weight store gives to all loads together, in bytes a second.
     pub store_rate: u64,
+    /// What one host loads at most, in bytes a second; 0 while it is not known.
+    pub host_rate: u64,
     /// Until when an order of the planner before may be under way; see [`crate::Takeover`].
     pub quiet_until: Instant,
     /// How long missing hosts stay away.
@@ -110,6 +112,7 @@
             demand: BTreeMap::new(),
             weights: BTreeMap::new(),
             store_rate: 0,
+            host_rate: 0,
             quiet_until,
             returns: ReturnModel::new(),
             detect: Duration::from_secs(2),
@@ -241,7 +244,7 @@
         let Some(host) = self.hosts.get_mut(&order.host) else {
             return;
         };
-        host.order_sent = Some(now);
+        host.order_sent = Some((order.kind, order.placement.epoch, now));
         if order.kind == OrderKind::Join {
             host.join_sent = Some(now);
         }
--- a/crates/group/src/plan/warm.rs
+++ b/crates/group/src/plan/warm.rs
@@ -24,10 +24,11 @@
 
 /// Loads one idle spare of a fabric domain that is warm for nothing.
 ///
-/// Idle loading takes half of the bound at most: repairs that come meanwhile
-/// find the store free enough.
+/// Idle loading takes half of the bound at most and starts only while every
+/// group serves: it must not slow down the loads that repairs wait for.
 fn warm_idle(round: &mut Round<'_>, domain: &FabricDomain) {
-    if round.loading >= round.policy.max_loads / 2 {
+    let short = round.wanted.iter().any(|w| w.serving() < w.count);
+    if short || round.loading >= round.most_loads().div_ceil(2) {
         return;
     }
     let free: Vec<&HostFacts> = round.free.get(domain).cloned().unwrap_or_default();
