--- a/crates/group/examples/repair/fake.rs
+++ b/crates/group/examples/repair/fake.rs
@@ -59,11 +59,23 @@
     listed: bool,
     /// When it goes after it was announced as leaving.
     goes_at: Option<Instant>,
+    report: Arc<HostReport>,
 }
 
 impl FakeHost {
     pub(crate) fn new(entry: HostEntry, checks_orders: bool) -> FakeHost {
+        let report = Arc::new(HostReport {
+            host: entry.id.clone(),
+            incarnation: 1,
+            placement: None,
+            ready: false,
+            fence: 0,
+            leaving: false,
+            running: 0,
+            warm: Vec::new(),
+        });
         FakeHost {
+            report,
             entry,
             incarnation: 1,
             placement: None,
@@ -87,7 +99,16 @@
         self.placement.is_some() && self.to_load == 0
     }
 
-    pub(crate) fn report(&self) -> HostReport {
+    /// Its newest report; made anew only after a change.
+    pub(crate) fn report(&self) -> Arc<HostReport> {
+        self.report.clone()
+    }
+
+    fn renew_report(&mut self) {
+        self.report = Arc::new(self.make_report());
+    }
+
+    fn make_report(&self) -> HostReport {
         HostReport {
             host: self.entry.id.clone(),
             incarnation: self.incarnation,
@@ -118,6 +139,7 @@
                 }
             }
         }
+        self.renew_report();
     }
 
     fn join(&mut self, placement: &Placement, load_bytes: u64) {
@@ -144,6 +166,12 @@
             let excess = self.warm.len().saturating_sub(WARM_LIMIT);
             self.warm.drain(..excess);
         }
+        self.renew_report();
+    }
+
+    /// Whether nothing is about to happen to it.
+    fn is_quiet(&self) -> bool {
+        self.is_up() && self.to_load == 0 && self.listing.is_none() && self.goes_at.is_none()
     }
 
     fn go(&mut self, until: Instant, empty: bool) {
@@ -197,6 +225,7 @@
             self.to_load = 0;
             self.warm.clear();
             self.fence = 0;
+            self.renew_report();
         }
         if !self.listed {
             self.listing = Some((now + LIST_LAG, Some(HostState::Live)));
@@ -240,6 +269,8 @@
     pub(crate) totals: Totals,
     pub(crate) store: Store,
     list_changed: bool,
+    /// Steps since the planner last did anything.
+    idle_steps: u32,
 }
 
 impl Fake {
@@ -265,6 +296,7 @@
             totals: Totals::default(),
             store,
             list_changed: true,
+            idle_steps: 0,
         }
     }
 
@@ -288,6 +320,11 @@
             all.extend(actions);
         }
         self.now = next;
+        self.idle_steps = if all.is_empty() {
+            self.idle_steps + 1
+        } else {
+            0
+        };
         self.measure();
         all
     }
@@ -299,6 +336,12 @@
         }
     }
 
+    /// Whether nothing will happen until the next fault.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let settled = self.view.groups.values().all(|g| g.is_live() && g.serving);
+        self.idle_steps > 4 && settled && self.hosts.values().all(FakeHost::is_quiet)
+    }
+
     pub(crate) fn suffer(&mut self, host: &str, fault: Fault) {
         let now = self.now;
         if let Some(host) = self.hosts.get_mut(host) {
@@ -366,11 +409,14 @@
                 RowValue::Host(row) => self.view.on_host_row(row, *version, now),
                 RowValue::Group(row) => {
                     groups.insert(row.group.clone());
+                    let known = self.view.groups.get(&row.group).map(|g| g.row_version);
+                    if known == Some(*version) {
+                        continue;
+                    }
                     self.view.on_group_row(row, *version, now);
-                    self.watches
-                        .entry(row.group.clone())
-                        .or_insert_with(|| GroupWatch::new(row.clone()))
-                        .set_row(row.clone());
+                    let watch = self.watches.entry(row.group.clone());
+                    let watch = watch.or_insert_with(|| GroupWatch::new(row.clone()));
+                    watch.set_row(row.clone());
                 }
                 _ => {}
             }
--- a/crates/group/examples/repair/fleets.rs
+++ b/crates/group/examples/repair/fleets.rs
@@ -144,7 +144,12 @@
         );
         let mut fake = Fake::new(hosts, config, &self.sizes, self.store, policy);
         self.form_at_once(&mut fake);
-        fake.run(Duration::from_secs(600));
+        for _ in 0..1200 {
+            fake.step();
+            if fake.is_quiet() {
+                break;
+            }
+        }
         fake.totals = Default::default();
         fake
     }
--- a/crates/group/examples/repair/main.rs
+++ b/crates/group/examples/repair/main.rs
@@ -11,9 +11,9 @@
 use eelgrassmill_config::RepairWeight;
 use eelgrassmill_group::{RepairChoice, RepairPolicy};
 
-use crate::fake::{Fake, Totals};
+use crate::fake::{Fake, STEP, Totals};
 use crate::fleets::Fleet;
-use crate::scripts::{Hit, SCRIPTS, Script};
+use crate::scripts::{Hit, Script};
 
 const CHOICES: [RepairChoice; 3] = [
     RepairChoice::WaitForReturn,
@@ -39,10 +39,10 @@
         "{:<34}{:>20}{:>20}{:>20}",
         "script", "wait-for-return", "first-spare", "weighed"
     );
-    let starts = CHOICES.map(|choice| fleet.start(policy(choice)));
+    let starts = at_once(|i| fleet.start(policy(CHOICES[i])));
     let mut sums = [Totals::default(); 3];
-    for script in SCRIPTS {
-        let runs = [0, 1, 2].map(|i| play(&starts[i], script));
+    for script in scripts::scripts(fleet) {
+        let runs = at_once(|i| play(&starts[i], &script));
         print_line(script.name, &runs);
         for (sum, run) in sums.iter_mut().zip(&runs) {
             sum.downtime += run.downtime;
@@ -64,23 +64,41 @@
     );
 }
 
+/// Runs `f` for the place of each choice, each in its own thread.
+fn at_once<T: Send>(f: impl Fn(usize) -> T + Sync) -> [T; 3] {
+    std::thread::scope(|scope| {
+        let threads = [0, 1, 2].map(|i| {
+            scope.spawn({
+                let f = &f;
+                move || f(i)
+            })
+        });
+        threads.map(|t| t.join().expect("a run panicked"))
+    })
+}
+
 fn policy(choice: RepairChoice) -> RepairPolicy {
     RepairPolicy::new(RepairWeight::Downtime).with_choice(choice)
 }
 
 fn play(start: &Fake, script: &Script) -> Totals {
     let mut fake = start.clone();
-    let begin = fake.now;
+    let mut clock = Duration::ZERO;
     let mut lines = script.lines.iter().peekable();
-    while fake.now < begin + Duration::from_secs(script.length) {
-        while let Some((_, hit, fault)) =
-            lines.next_if(|(at, ..)| fake.now >= begin + Duration::from_secs(*at))
-        {
+    let length = Duration::from_secs(script.length);
+    while clock < length {
+        while let Some((_, hit, fault)) = lines.next_if(|(at, ..)| clock.as_secs() >= *at) {
             for host in hosts_of(&fake, *hit) {
                 fake.suffer(&host, *fault);
             }
         }
         fake.step();
+        clock += STEP;
+        // Time in which nothing happens adds nothing to the figures.
+        if fake.is_quiet() {
+            let next = lines.peek().map(|(at, ..)| Duration::from_secs(*at));
+            clock = clock.max(next.unwrap_or(length));
+        }
     }
     fake.totals
 }
--- a/crates/group/examples/repair/scripts.rs
+++ b/crates/group/examples/repair/scripts.rs
@@ -1,6 +1,9 @@
 //! The fault scripts: what happens to which host, and when.
 
+use std::borrow::Cow;
+
 use crate::fake::Fault;
+use crate::fleets::Fleet;
 
 /// What a fault hits.
 #[derive(Clone, Copy, Debug)]
@@ -21,100 +24,139 @@
     pub(crate) name: &'static str,
     /// Seconds that are played.
     pub(crate) length: u64,
-    pub(crate) lines: &'static [Line],
+    pub(crate) lines: Cow<'static, [Line]>,
 }
 
 use Fault::{Die, Leave, Pause, Restart};
 use Hit::{Fabric, Failure, Host};
 
-/// All scripts.
-pub(crate) const SCRIPTS: &[Script] = &[
-    Script {
-        name: "short pauses",
-        length: 600,
-        lines: &[
-            (10, Host(0, 0), Pause(3)),
-            (60, Host(1, 1), Pause(4)),
-            (120, Host(2, 2), Pause(6)),
-            (180, Host(3, 3), Pause(3)),
-            (240, Host(4, 5), Pause(5)),
-            (300, Host(0, 6), Pause(3)),
-            (360, Host(1, 7), Pause(12)),
-        ],
-    },
-    Script {
-        name: "long pauses",
-        length: 900,
-        lines: &[
-            (10, Host(0, 1), Pause(60)),
-            (100, Host(2, 3), Pause(200)),
-            (200, Host(4, 0), Pause(120)),
-        ],
-    },
-    Script {
-        name: "one host dies",
-        length: 900,
-        lines: &[(10, Host(1, 2), Die)],
-    },
-    Script {
-        name: "hosts restart",
-        length: 900,
-        lines: &[
-            (10, Host(0, 2), Restart(30)),
-            (150, Host(3, 1), Restart(60)),
-            (300, Host(5, 6), Restart(90)),
-        ],
-    },
-    Script {
-        name: "two die in one fabric domain",
-        length: 1200,
-        lines: &[(10, Host(0, 0), Die), (12, Host(0, 5), Die)],
-    },
-    Script {
-        name: "two groups miss hosts for long",
-        length: 1500,
-        lines: &[
-            (10, Host(2, 0), Pause(600)),
-            (30, Host(2, 4), Pause(900)),
-            (35, Host(2, 8), Pause(700)),
-        ],
-    },
-    Script {
-        name: "fabric domain dark, short",
-        length: 600,
-        lines: &[(10, Fabric(1), Pause(20))],
-    },
-    Script {
-        name: "fabric domain dark, long",
-        length: 1500,
-        lines: &[(10, Fabric(1), Pause(600))],
-    },
-    Script {
-        name: "fabric domain loses power",
-        length: 1500,
-        lines: &[(10, Fabric(3), Restart(180))],
-    },
-    Script {
-        name: "failure domain dark",
-        length: 1200,
-        lines: &[(10, Failure(2), Pause(300))],
-    },
-    Script {
-        name: "hosts are replaced",
-        length: 1500,
-        lines: &[
-            (10, Host(0, 0), Leave(120)),
-            (100, Host(1, 1), Leave(120)),
-            (200, Host(4, 2), Leave(120)),
-        ],
-    },
+/// All scripts for a fleet.
+pub(crate) fn scripts(fleet: &Fleet) -> Vec<Script> {
+    let mut all = fixed();
+    all.push(ordinary_day(fleet));
+    all
+}
+
+/// What an ordinary day brings, in an hour: of 880 hosts 9 fail and 180 are restarted or
+/// replaced, and as many in proportion of a smaller fleet.
+fn ordinary_day(fleet: &Fleet) -> Script {
+    let hosts: Vec<(usize, usize)> = fleet
+        .fabrics
+        .iter()
+        .enumerate()
+        .flat_map(|(fabric, (_, count))| (0..*count).map(move |n| (fabric, n)))
+        .collect();
+    let failed = (9 * hosts.len()).div_ceil(880);
+    let restarted = (180 * hosts.len()).div_ceil(880);
+    let count = failed + restarted;
+    let mut lines = Vec::new();
+    for i in 0..count {
+        // A stride without common factor visits no host twice and no domain in a row.
+        let (fabric, n) = hosts[(i * 37 + 11) % hosts.len()];
+        let at = (10 + 3400 * i / count) as u64;
+        let fault = match i {
+            _ if i % (count / failed) == 1 => Die,
+            _ if i % 2 == 0 => Restart(45),
+            _ => Leave(120),
+        };
+        lines.push((at, Host(fabric, n), fault));
+    }
     Script {
-        name: "a death while another is mended",
-        length: 1200,
-        lines: &[
-            (10, Host(3, 0), Die),
-            (16, Host(3, 1), Pause(90)),
-            (25, Host(3, 8), Restart(40)),
-        ],
-    },
-];
+        name: "an ordinary day in an hour",
+        length: 3600,
+        lines: Cow::Owned(lines),
+    }
+}
+
+fn fixed() -> Vec<Script> {
+    vec![
+        Script {
+            name: "short pauses",
+            length: 600,
+            lines: Cow::Borrowed(&[
+                (10, Host(0, 0), Pause(3)),
+                (60, Host(1, 1), Pause(4)),
+                (120, Host(2, 2), Pause(6)),
+                (180, Host(3, 3), Pause(3)),
+                (240, Host(4, 5), Pause(5)),
+                (300, Host(0, 6), Pause(3)),
+                (360, Host(1, 7), Pause(12)),
+            ]),
+        },
+        Script {
+            name: "long pauses",
+            length: 900,
+            lines: Cow::Borrowed(&[
+                (10, Host(0, 1), Pause(60)),
+                (100, Host(2, 3), Pause(200)),
+                (200, Host(4, 0), Pause(120)),
+            ]),
+        },
+        Script {
+            name: "one host dies",
+            length: 900,
+            lines: Cow::Borrowed(&[(10, Host(1, 2), Die)]),
+        },
+        Script {
+            name: "hosts restart",
+            length: 900,
+            lines: Cow::Borrowed(&[
+                (10, Host(0, 2), Restart(30)),
+                (150, Host(3, 1), Restart(60)),
+                (300, Host(5, 6), Restart(90)),
+            ]),
+        },
+        Script {
+            name: "two die in one fabric domain",
+            length: 1200,
+            lines: Cow::Borrowed(&[(10, Host(0, 0), Die), (12, Host(0, 5), Die)]),
+        },
+        Script {
+            name: "two groups miss hosts for long",
+            length: 1500,
+            lines: Cow::Borrowed(&[
+                (10, Host(2, 0), Pause(600)),
+                (30, Host(2, 4), Pause(900)),
+                (35, Host(2, 8), Pause(700)),
+            ]),
+        },
+        Script {
+            name: "fabric domain dark, short",
+            length: 600,
+            lines: Cow::Borrowed(&[(10, Fabric(1), Pause(20))]),
+        },
+        Script {
+            name: "fabric domain dark, long",
+            length: 1500,
+            lines: Cow::Borrowed(&[(10, Fabric(1), Pause(600))]),
+        },
+        Script {
+            name: "fabric domain loses power",
+            length: 1500,
+            lines: Cow::Borrowed(&[(10, Fabric(3), Restart(180))]),
+        },
+        Script {
+            name: "failure domain dark",
+            length: 1200,
+            lines: Cow::Borrowed(&[(10, Failure(2), Pause(300))]),
+        },
+        Script {
+            name: "hosts are replaced",
+            length: 1500,
+            lines: Cow::Borrowed(&[
+                (10, Host(0, 0), Leave(120)),
+                (100, Host(1, 1), Leave(120)),
+                (200, Host(4, 2), Leave(120)),
+            ]),
+        },
+        Script {
+            name: "a death while another is mended",
+            length: 1200,
+            lines: Cow::Borrowed(&[
+                (10, Host(3, 0), Die),
+                (16, Host(3, 1), Pause(90)),
+                (25, Host(3, 8), Restart(40)),
+            ]),
+        },
+    ]
+}
--- a/crates/group/src/plan/form.rs
+++ b/crates/group/src/plan/form.rs
@@ -268,8 +268,9 @@
     }
     let mut domains: Vec<&Vec<&HostFacts>> = round.free.values().collect();
     domains.sort_by_key(|free| std::cmp::Reverse(free.len()));
-    let all = domains.into_iter().flatten();
-    let hosts: Vec<&HostFacts> = all.copied().take(size).collect();
+    let mut hosts: Vec<&HostFacts> = domains.into_iter().flatten().copied().collect();
+    sort_by_use(&mut hosts, wanted);
+    hosts.truncate(size);
     let settled = hosts.iter().all(|h| since(h.first_seen));
     (hosts.len() == size && settled).then_some(hosts)
 }
--- a/crates/group/src/plan/policy.rs
+++ b/crates/group/src/plan/policy.rs
@@ -41,7 +41,7 @@
     pub drain_most: Duration,
     /// How long a group that ended is expected to be formed again from the same hosts.
     pub reform_limit: Duration,
-    /// How long a service goes without a group before one is formed over several fabric domains.
+    /// How long a group has been down before one is formed over several fabric domains.
     pub span_after: Duration,
     /// Loading that takes longer than this is counted as failed.
     pub load_limit: Duration,
@@ -63,7 +63,7 @@
             drain_least: Duration::from_secs(3),
             drain_most: Duration::from_secs(60),
             reform_limit: Duration::from_secs(20),
-            span_after: Duration::from_secs(10),
+            span_after: Duration::ZERO,
             load_limit: Duration::from_secs(900),
             timing: LeaseTiming::default(),
         }
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ServiceName, TargetKind};
+use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ServiceName};
 use eelgrassmill_config::{ModelService, ServiceKind};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -203,7 +203,7 @@
 
     fn index_hosts(&mut self) {
         for host in self.view.hosts.values() {
-            self.loading += usize::from(is_loading(host));
+            self.loading += usize::from(self.is_loading(host));
             if let Some(entry) = host.entry.as_ref().filter(|_| self.is_takeable(host)) {
                 let free = self.free.entry(&entry.fabric_domain).or_default();
                 free.push(host);
@@ -224,6 +224,21 @@
         }
     }
 
+    /// Whether the host loads weights, or will as soon as its order arrives.
+    fn is_loading(&self, host: &HostFacts) -> bool {
+        let group = host
+            .row
+            .group
+            .as_ref()
+            .and_then(|g| self.view.groups.get(g));
+        let Some(group) = group.filter(|g| g.is_live() && host.is_bound_to(&g.row)) else {
+            return false;
+        };
+        let answers = host.silent_for(self.now) <= self.policy.detect;
+        let warm = host.is_warm(&group.row.weights());
+        answers && !group.served && !warm
+    }
+
     /// Whether the host may become a member: its row is free and it says itself that it holds
     /// nothing. A host that came back with an old placement has to leave that first.
     fn is_takeable(&self, host: &HostFacts) -> bool {
@@ -362,6 +377,12 @@
         self.groups.iter().filter(|g| g.is_serving()).count()
     }
 
+    /// Groups that serve and need no replacement.
+    pub(crate) fn serving_well(&self) -> usize {
+        let well = |g: &&Group<'_>| g.is_serving() && g.is_good(self);
+        self.groups.iter().filter(well).count()
+    }
+
     /// Groups that serve in whatever way, or will without a replacement.
     pub(crate) fn standing(&self) -> usize {
         let counts = |g: &&Group<'_>| g.is_serving() || g.is_good(self) || g.mending;
@@ -375,14 +396,6 @@
     }
 }
 
-fn is_loading(host: &HostFacts) -> bool {
-    let report = host.report.as_ref();
-    host.entry
-        .as_ref()
-        .is_some_and(|e| e.kind == TargetKind::Engine)
-        && report.is_some_and(|r| r.placement.is_some() && !r.ready)
-}
-
 fn highest_epoch(view: &FleetView) -> Epoch {
     let groups = view.groups.values().map(|g| g.row.epoch);
     let hosts = view.hosts.values().map(|h| h.row.epoch);
--- a/crates/group/src/plan/shape.rs
+++ b/crates/group/src/plan/shape.rs
@@ -75,9 +75,15 @@
     if group.is_serving() {
         return serving > wanted.count;
     }
+    // A replacement on its way is kept until enough groups serve that need none.
+    let enough = if group.is_good(wanted) {
+        wanted.serving_well()
+    } else {
+        serving
+    };
     // Of those that don't serve yet, two for each that is missing may race.
     let others = formed - serving - 1;
-    serving >= wanted.count || others >= 2 * (wanted.count - serving)
+    enough >= wanted.count || others >= 2 * wanted.count.saturating_sub(serving).max(1)
 }
 
 /// Ends groups of an old version where there is no room to replace them first.
--- a/crates/group/src/plan/view.rs
+++ b/crates/group/src/plan/view.rs
@@ -212,7 +212,10 @@
         }
         if let Some(host) = self.hosts.get_mut(&report.host) {
             host.answered = Some(sent);
-            host.report = Some(report.clone());
+            // Most reports repeat the one before.
+            if host.report.as_ref() != Some(report) {
+                host.report = Some(report.clone());
+            }
         }
     }
 
