--- a/crates/group/examples/repair/fleets.rs
+++ b/crates/group/examples/repair/fleets.rs
@@ -76,6 +76,7 @@
     /// Failure domain and number of hosts of each fabric domain.
     pub(crate) fabrics: Vec<(usize, usize)>,
     pub(crate) accelerators: u32,
+    pub(crate) group_size: usize,
     pub(crate) services: Vec<(ServiceName, Service)>,
     pub(crate) sizes: Vec<(SmolStr, u64)>,
     pub(crate) store: Store,
@@ -87,6 +88,7 @@
         name: "today",
         fabrics: vec![(0, 9), (0, 9), (1, 9), (1, 9), (2, 9), (2, 10)],
         accelerators: 8,
+        group_size: 4,
         services: vec![service("reply", 9, 4, 6), service("booking", 3, 4, 1)],
         sizes: vec![
             ("reply-model@1".into(), 160 * GB),
@@ -110,6 +112,7 @@
         name: "full",
         fabrics,
         accelerators: 4,
+        group_size: 8,
         services: vec![service("reply", 80, 8, 60), service("draft", 30, 8, 20)],
         sizes: vec![
             ("reply-model@1".into(), 640 * GB),
--- a/crates/group/examples/repair/main.rs
+++ b/crates/group/examples/repair/main.rs
@@ -42,7 +42,7 @@
     let starts = at_once(|i| fleet.start(policy(CHOICES[i])));
     let mut sums = [Totals::default(); 3];
     for script in scripts::scripts(fleet) {
-        let runs = at_once(|i| play(&starts[i], &script));
+        let runs = at_once(|i| play(&starts[i], fleet.group_size, &script));
         print_line(script.name, &runs);
         for (sum, run) in sums.iter_mut().zip(&runs) {
             sum.downtime += run.downtime;
@@ -81,14 +81,14 @@
     RepairPolicy::new(RepairWeight::Downtime).with_choice(choice)
 }
 
-fn play(start: &Fake, script: &Script) -> Totals {
+fn play(start: &Fake, size: usize, script: &Script) -> Totals {
     let mut fake = start.clone();
     let mut clock = Duration::ZERO;
     let mut lines = script.lines.iter().peekable();
     let length = Duration::from_secs(script.length);
     while clock < length {
         while let Some((_, hit, fault)) = lines.next_if(|(at, ..)| clock.as_secs() >= *at) {
-            for host in hosts_of(&fake, *hit) {
+            for host in hosts_of(&fake, size, *hit) {
                 fake.suffer(&host, *fault);
             }
         }
@@ -103,8 +103,11 @@
     fake.totals
 }
 
-fn hosts_of(fake: &Fake, hit: Hit) -> Vec<String> {
+fn hosts_of(fake: &Fake, size: usize, hit: Hit) -> Vec<String> {
     let matches = |h: &fake::FakeHost| match hit {
+        Hit::Member(fabric, group, rank) => {
+            h.entry.id == format!("h{fabric}-{:02}", group * size + rank)
+        }
         Hit::Host(fabric, n) => h.entry.id == format!("h{fabric}-{n:02}"),
         Hit::Fabric(n) => h.entry.fabric_domain == format!("f{n}"),
         Hit::Failure(n) => h.entry.failure_domain == format!("d{n}"),
--- a/crates/group/examples/repair/scripts.rs
+++ b/crates/group/examples/repair/scripts.rs
@@ -8,6 +8,8 @@
 /// What a fault hits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Hit {
+    /// Member of a fabric domain's first, second, ... group, by rank.
+    Member(usize, usize, usize),
     /// Host N of a fabric domain.
     Host(usize, usize),
     /// A whole fabric domain.
@@ -28,7 +30,7 @@
 }
 
 use Fault::{Die, Leave, Pause, Restart};
-use Hit::{Fabric, Failure, Host};
+use Hit::{Fabric, Failure, Host, Member};
 
 /// All scripts for a fleet.
 pub(crate) fn scripts(fleet: &Fleet) -> Vec<Script> {
@@ -74,49 +76,49 @@
             name: "short pauses",
             length: 600,
             lines: Cow::Borrowed(&[
-                (10, Host(0, 0), Pause(3)),
-                (60, Host(1, 1), Pause(4)),
-                (120, Host(2, 2), Pause(6)),
-                (180, Host(3, 3), Pause(3)),
-                (240, Host(4, 5), Pause(5)),
-                (300, Host(0, 6), Pause(3)),
-                (360, Host(1, 7), Pause(12)),
+                (10, Member(0, 0, 0), Pause(3)),
+                (60, Member(1, 0, 1), Pause(4)),
+                (120, Member(2, 0, 2), Pause(6)),
+                (180, Member(3, 0, 3), Pause(3)),
+                (240, Member(4, 1, 1), Pause(5)),
+                (300, Member(0, 1, 2), Pause(3)),
+                (360, Member(1, 1, 3), Pause(12)),
             ]),
         },
         Script {
             name: "long pauses",
             length: 900,
             lines: Cow::Borrowed(&[
-                (10, Host(0, 1), Pause(60)),
-                (100, Host(2, 3), Pause(200)),
-                (200, Host(4, 0), Pause(120)),
+                (10, Member(0, 0, 1), Pause(60)),
+                (100, Member(2, 0, 3), Pause(200)),
+                (200, Member(4, 0, 0), Pause(120)),
             ]),
         },
         Script {
             name: "one host dies",
             length: 900,
-            lines: Cow::Borrowed(&[(10, Host(1, 2), Die)]),
+            lines: Cow::Borrowed(&[(10, Member(1, 0, 2), Die)]),
         },
         Script {
             name: "hosts restart",
             length: 900,
             lines: Cow::Borrowed(&[
-                (10, Host(0, 2), Restart(30)),
-                (150, Host(3, 1), Restart(60)),
-                (300, Host(5, 6), Restart(90)),
+                (10, Member(0, 0, 2), Restart(30)),
+                (150, Member(3, 0, 1), Restart(60)),
+                (300, Member(5, 1, 2), Restart(90)),
             ]),
         },
         Script {
             name: "two die in one fabric domain",
             length: 1200,
-            lines: Cow::Borrowed(&[(10, Host(0, 0), Die), (12, Host(0, 5), Die)]),
+            lines: Cow::Borrowed(&[(10, Member(0, 0, 0), Die), (12, Member(0, 1, 1), Die)]),
         },
         Script {
             name: "two groups miss hosts for long",
             length: 1500,
             lines: Cow::Borrowed(&[
-                (10, Host(2, 0), Pause(600)),
-                (30, Host(2, 4), Pause(900)),
+                (10, Member(2, 0, 0), Pause(600)),
+                (30, Member(2, 1, 0), Pause(900)),
                 (35, Host(2, 8), Pause(700)),
             ]),
         },
@@ -144,17 +146,17 @@
             name: "hosts are replaced",
             length: 1500,
             lines: Cow::Borrowed(&[
-                (10, Host(0, 0), Leave(120)),
-                (100, Host(1, 1), Leave(120)),
-                (200, Host(4, 2), Leave(120)),
+                (10, Member(0, 0, 0), Leave(120)),
+                (100, Member(1, 0, 1), Leave(120)),
+                (200, Member(4, 0, 2), Leave(120)),
             ]),
         },
         Script {
             name: "a death while another is mended",
             length: 1200,
             lines: Cow::Borrowed(&[
-                (10, Host(3, 0), Die),
-                (16, Host(3, 1), Pause(90)),
+                (10, Member(3, 0, 0), Die),
+                (16, Member(3, 0, 1), Pause(90)),
                 (25, Host(3, 8), Restart(40)),
             ]),
         },
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -5,6 +5,7 @@
 //! missing host may still come back, join the hosts of two broken groups,
 //! and, in [`crate::plan::form`], replace the group elsewhere.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use eelgrassmill_base::FabricDomain;
@@ -217,22 +218,106 @@
     }
 }
 
-/// Joins the hosts of two broken groups of one service and fabric domain into one.
+/// How far apart two groups may be whose hosts are joined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// One service and fabric domain: no load, and the result is as fast as before.
+    Fabric,
+    /// One service: no load, but the result is slow.
+    Service,
+    /// Any: the donor's hosts have to load.
+    Any,
+}
+
+/// A broken group that isn't expected back in time.
+#[derive(Clone, Copy, Debug)]
+struct Stuck {
+    lost: usize,
+    service: usize,
+    index: usize,
+    /// Members that are fit.
+    fit: usize,
+}
+
+/// Joins the hosts of broken groups into fewer whole ones.
 ///
-/// Both hold the same weights, so the one that is completed is back without a
-/// load, while the other would have stayed broken in any case.
+/// The one that is completed is back, while its donor would have stayed broken
+/// in any case. The nearest donors are tried first.
 fn join_broken(round: &mut Round<'_>) {
-    for service in 0..round.wanted.len() {
-        let mut stuck: Vec<(usize, usize, &FabricDomain)> = Vec::new();
-        for (index, group) in round.wanted[service].groups.iter().enumerate() {
-            let cost = round.policy.reform_time * 2;
-            let ripe = !may_return(group) || is_time(round, group, cost);
-            if let Some(domain) = group.domain.filter(|_| is_stuck(group) && ripe) {
-                stuck.push((group.lost.len(), index, domain));
+    for reach in [Reach::Fabric, Reach::Service, Reach::Any] {
+        let mut stuck = stuck_groups(round, reach);
+        stuck.sort_unstable_by_key(|s| (s.lost, s.service, s.index));
+        join(round, &stuck, reach);
+    }
+}
+
+fn stuck_groups(round: &Round<'_>, reach: Reach) -> Vec<Stuck> {
+    let mut found = Vec::new();
+    for (service, wanted) in round.wanted.iter().enumerate() {
+        let load = match reach {
+            Reach::Any => round.load_time(wanted.load_bytes, 1),
+            Reach::Fabric | Reach::Service => Duration::ZERO,
+        };
+        let cost = round.policy.reform_time * 2 + load;
+        for (index, group) in wanted.groups.iter().enumerate() {
+            if is_stuck(group) && (!may_return(group) || is_time(round, group, cost)) {
+                let lost = group.lost.len();
+                let fit = group.facts.row.members.len() - lost;
+                found.push(Stuck {
+                    lost,
+                    service,
+                    index,
+                    fit,
+                });
             }
         }
-        stuck.sort_unstable();
-        join_in_pairs(round, service, &stuck);
+    }
+    found
+}
+
+/// Completes the least damaged groups from the most damaged ones.
+fn join(round: &mut Round<'_>, stuck: &[Stuck], reach: Reach) {
+    let mut given: BTreeMap<usize, usize> = BTreeMap::new();
+    for (place, receiver) in stuck.iter().enumerate() {
+        if given.contains_key(&place) || !is_stuck(group_of(round, receiver)) {
+            continue;
+        }
+        let donor = (place + 1..stuck.len()).rev().find(|other| {
+            let donor = &stuck[*other];
+            let left = donor.fit - given.get(other).copied().unwrap_or(0);
+            let usable = given.contains_key(other) || is_stuck(group_of(round, donor));
+            usable && left >= receiver.lost && reaches(round, receiver, donor, reach)
+        });
+        let Some(donor) = donor else {
+            continue;
+        };
+        *given.entry(donor).or_default() += receiver.lost;
+        let donor = stuck[donor];
+        end(
+            round,
+            receiver.service,
+            receiver.index,
+            EndReason::MemberLost,
+        );
+        if !group_of(round, &donor).ended_now {
+            end(round, donor.service, donor.index, EndReason::MemberLost);
+        }
+        // The donor is not expected back by itself; its hosts are free for all.
+        round.wanted[donor.service].groups[donor.index].mending = false;
+    }
+}
+
+fn group_of<'r, 'a>(round: &'r Round<'a>, stuck: &Stuck) -> &'r Group<'a> {
+    &round.wanted[stuck.service].groups[stuck.index]
+}
+
+fn reaches(round: &Round<'_>, receiver: &Stuck, donor: &Stuck, reach: Reach) -> bool {
+    let (to, from) = (group_of(round, receiver), group_of(round, donor));
+    let same_service = receiver.service == donor.service;
+    match reach {
+        Reach::Fabric => same_service && to.domain.is_some() && to.domain == from.domain,
+        Reach::Service => same_service,
+        Reach::Any => true,
     }
 }
 
@@ -272,32 +357,6 @@
     group.standing == Standing::Broken && group.is_formed() && !group.mending
 }
 
-/// Completes the least damaged group of each fabric domain from the most damaged one.
-fn join_in_pairs(round: &mut Round<'_>, service: usize, stuck: &[(usize, usize, &FabricDomain)]) {
-    for (place, (lost, receiver, domain)) in stuck.iter().enumerate() {
-        if !is_stuck(&round.wanted[service].groups[*receiver]) {
-            continue;
-        }
-        let free = round.free.get(domain).map_or(0, Vec::len);
-        let donors = stuck[place + 1..]
-            .iter()
-            .rev()
-            .filter(|(_, _, d)| d == domain);
-        let donor = donors.map(|(l, index, _)| (*l, *index)).find(|(l, index)| {
-            let group = &round.wanted[service].groups[*index];
-            let size = group.facts.row.members.len();
-            is_stuck(group) && size - l + free >= *lost
-        });
-        let Some((_, donor)) = donor else {
-            continue;
-        };
-        end(round, service, *receiver, EndReason::MemberLost);
-        end(round, service, donor, EndReason::MemberLost);
-        // The donor is not expected back by itself; its hosts are free for all.
-        round.wanted[service].groups[donor].mending = false;
-    }
-}
-
 /// Ends a group whose hosts are needed more by another service.
 ///
 /// A service below its need, which is the demand and its floor at least, takes
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,5 @@
 //! A small specification of ownership, configuration and at-most-once claims, for model checking and as a test oracle.
+
+pub mod acceptance;
+pub mod check;
+pub mod ownership;
