--- a/crates/group/examples/repair/fleets.rs
+++ b/crates/group/examples/repair/fleets.rs
@@ -83,6 +83,7 @@
     /// Failure domain and number of hosts of each fabric domain.
     pub(crate) fabrics: Vec<(usize, usize)>,
     pub(crate) accelerators: u32,
+    pub(crate) group_size: usize,
     pub(crate) services: Vec<(ServiceName, Service)>,
     pub(crate) sizes: Vec<(SmolStr, u64)>,
     pub(crate) store: Store,
@@ -94,6 +95,7 @@
         name: "today",
         fabrics: vec![(0, 9), (0, 9), (1, 9), (1, 9), (2, 9), (2, 10)],
         accelerators: 8,
+        group_size: 4,
         services: vec![service("reply", 9, 4, 6), service("booking", 3, 4, 1)],
         sizes: vec![
             ("reply-model@1".into(), 160 * GB),
@@ -117,6 +119,7 @@
         name: "full",
         fabrics,
         accelerators: 4,
+        group_size: 8,
         services: vec![service("reply", 80, 8, 60), service("draft", 30, 8, 20)],
         sizes: vec![
             ("reply-model@1".into(), 640 * GB),
@@ -151,7 +154,12 @@
         );
         let mut fake = Fake::new(hosts, config, &self.sizes, self.store, policy);
         self.form_at_once(&mut fake);
-        fake.run(Duration::from_secs(600));
+        for _ in 0..1200 {
+            fake.step();
+            if fake.is_quiet() {
+                break;
+            }
+        }
         fake.totals = Default::default();
         fake
     }
@@ -164,9 +172,11 @@
         fake.policy.choice = eelgrassmill_group::RepairChoice::WaitForReturn;
         fake.store.rate = u64::MAX / 1_000_000;
         fake.store.host_rate = fake.store.rate;
+        fake.view.host_rate = 0;
         (fake.policy.max_loads, fake.policy.max_changes) = (10_000, 10_000);
         fake.run(Duration::from_secs(20));
         fake.store = rates;
+        fake.view.host_rate = rates.host_rate;
         (fake.policy.max_loads, fake.policy.max_changes) = bounds;
         fake.policy.choice = choice;
     }
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -5,12 +5,13 @@
 //! missing host may still come back, join the hosts of two broken groups,
 //! and, in [`crate::plan::form`], replace the group elsewhere.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use eelgrassmill_base::FabricDomain;
 
 use crate::plan::end::end_group;
-use crate::plan::form::{has_room, sort_by_use};
+use crate::plan::form::{has_room, keep, sort_by_use};
 use crate::plan::policy::RepairChoice;
 use crate::plan::returns::Absence;
 use crate::plan::round::{Group, Lost, Round, Standing};
@@ -29,6 +30,7 @@
     }
     if round.policy.choice == RepairChoice::Weighed {
         join_broken(round);
+        borrow(round);
         yield_to_need(round);
     }
 }
@@ -83,7 +85,7 @@
             round.reserve(domain, &hosts);
         }
         Spares::Warm(hosts) => round.reserve(domain, &hosts),
-        Spares::Cold(hosts) => wish(round, service, domain, hosts),
+        Spares::Cold(hosts) => wish(round, service, hosts),
         Spares::Loading | Spares::TooFew => {}
     }
 }
@@ -118,7 +120,7 @@
         }
         Spares::Cold(hosts) => {
             round.wanted[service].groups[index].mending = true;
-            wish(round, service, domain, hosts);
+            wish(round, service, hosts);
         }
         Spares::Loading => round.wanted[service].groups[index].mending = true,
         Spares::TooFew => {}
@@ -200,13 +202,8 @@
 }
 
 /// Keeps the hosts for the service and asks for those that are cold to be loaded.
-fn wish<'a>(
-    round: &mut Round<'a>,
-    service: usize,
-    domain: &FabricDomain,
-    hosts: Vec<&'a HostFacts>,
-) {
-    round.reserve(domain, &hosts);
+fn wish<'a>(round: &mut Round<'a>, service: usize, hosts: Vec<&'a HostFacts>) {
+    keep(round, &hosts);
     let weights = round.wanted[service].weights.clone();
     let cold = hosts.into_iter().filter(|h| !h.is_warm(&weights));
     round.wishes.extend(cold.map(|h| (service, h)));
@@ -221,55 +218,145 @@
     }
 }
 
-/// Joins the hosts of two broken groups of one service and fabric domain into one.
+/// How far apart two groups may be whose hosts are joined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// One service and fabric domain: no load, and the result is as fast as before.
+    Fabric,
+    /// One service: no load, but the result is slow.
+    Service,
+    /// Any: the donor's hosts have to load.
+    Any,
+}
+
+/// A broken group that isn't expected back in time.
+#[derive(Clone, Copy, Debug)]
+struct Stuck {
+    lost: usize,
+    service: usize,
+    index: usize,
+    /// Members that are fit.
+    fit: usize,
+}
+
+/// Joins the hosts of broken groups into fewer whole ones.
 ///
-/// Both hold the same weights, so the one that is completed is back without a
-/// load, while the other would have stayed broken in any case.
+/// The one that is completed is back, while its donor would have stayed broken
+/// in any case. The nearest donors are tried first.
 fn join_broken(round: &mut Round<'_>) {
-    for service in 0..round.wanted.len() {
-        let mut stuck: Vec<(usize, usize, &FabricDomain)> = Vec::new();
-        for (index, group) in round.wanted[service].groups.iter().enumerate() {
-            let cost = round.policy.reform_time * 2;
-            let ripe = !may_return(group) || is_time(round, group, cost);
-            if let Some(domain) = group.domain.filter(|_| is_stuck(group) && ripe) {
-                stuck.push((group.lost.len(), index, domain));
-            }
-        }
-        stuck.sort_unstable();
-        join_in_pairs(round, service, &stuck);
+    for reach in [Reach::Fabric, Reach::Service, Reach::Any] {
+        let mut stuck = stuck_groups(round, reach);
+        stuck.sort_unstable_by_key(|s| (s.lost, s.service, s.index));
+        join(round, &stuck, reach);
     }
 }
 
-fn is_stuck(group: &Group<'_>) -> bool {
-    group.standing == Standing::Broken && group.is_formed() && !group.mending
+fn stuck_groups(round: &Round<'_>, reach: Reach) -> Vec<Stuck> {
+    let mut found = Vec::new();
+    for (service, wanted) in round.wanted.iter().enumerate() {
+        let load = match reach {
+            Reach::Any => round.load_time(wanted.load_bytes, 1),
+            Reach::Fabric | Reach::Service => Duration::ZERO,
+        };
+        let cost = round.policy.reform_time * 2 + load;
+        for (index, group) in wanted.groups.iter().enumerate() {
+            if is_stuck(group) && (!may_return(group) || is_time(round, group, cost)) {
+                let lost = group.lost.len();
+                let fit = group.facts.row.members.len() - lost;
+                found.push(Stuck {
+                    lost,
+                    service,
+                    index,
+                    fit,
+                });
+            }
+        }
+    }
+    found
 }
 
-/// Completes the least damaged group of each fabric domain from the most damaged one.
-fn join_in_pairs(round: &mut Round<'_>, service: usize, stuck: &[(usize, usize, &FabricDomain)]) {
-    for (place, (lost, receiver, domain)) in stuck.iter().enumerate() {
-        if !is_stuck(&round.wanted[service].groups[*receiver]) {
+/// Completes the least damaged groups from the most damaged ones.
+fn join(round: &mut Round<'_>, stuck: &[Stuck], reach: Reach) {
+    let mut given: BTreeMap<usize, usize> = BTreeMap::new();
+    for (place, receiver) in stuck.iter().enumerate() {
+        if given.contains_key(&place) || !is_stuck(group_of(round, receiver)) {
             continue;
         }
-        let free = round.free.get(domain).map_or(0, Vec::len);
-        let donors = stuck[place + 1..]
-            .iter()
-            .rev()
-            .filter(|(_, _, d)| d == domain);
-        let donor = donors.map(|(l, index, _)| (*l, *index)).find(|(l, index)| {
-            let group = &round.wanted[service].groups[*index];
-            let size = group.facts.row.members.len();
-            is_stuck(group) && size - l + free >= *lost
+        let donor = (place + 1..stuck.len()).rev().find(|other| {
+            let donor = &stuck[*other];
+            let left = donor.fit - given.get(other).copied().unwrap_or(0);
+            let usable = given.contains_key(other) || is_stuck(group_of(round, donor));
+            usable && left >= receiver.lost && reaches(round, receiver, donor, reach)
         });
-        let Some((_, donor)) = donor else {
+        let Some(donor) = donor else {
             continue;
         };
-        end(round, service, *receiver, EndReason::MemberLost);
-        end(round, service, donor, EndReason::MemberLost);
+        *given.entry(donor).or_default() += receiver.lost;
+        let donor = stuck[donor];
+        end(
+            round,
+            receiver.service,
+            receiver.index,
+            EndReason::MemberLost,
+        );
+        if !group_of(round, &donor).ended_now {
+            end(round, donor.service, donor.index, EndReason::MemberLost);
+        }
         // The donor is not expected back by itself; its hosts are free for all.
-        round.wanted[service].groups[donor].mending = false;
+        round.wanted[donor.service].groups[donor.index].mending = false;
     }
 }
 
+fn group_of<'r, 'a>(round: &'r Round<'a>, stuck: &Stuck) -> &'r Group<'a> {
+    &round.wanted[stuck.service].groups[stuck.index]
+}
+
+fn reaches(round: &Round<'_>, receiver: &Stuck, donor: &Stuck, reach: Reach) -> bool {
+    let (to, from) = (group_of(round, receiver), group_of(round, donor));
+    let same_service = receiver.service == donor.service;
+    match reach {
+        Reach::Fabric => same_service && to.domain.is_some() && to.domain == from.domain,
+        Reach::Service => same_service,
+        Reach::Any => true,
+    }
+}
+
+/// Completes stuck groups with spares of other fabric domains.
+///
+/// Such a group is slow, which is better than none; where a whole group fits
+/// into one fabric domain, that is made instead.
+fn borrow(round: &mut Round<'_>) {
+    for (service, index) in damaged(round) {
+        let wanted = &round.wanted[service];
+        let group = &wanted.groups[index];
+        let size = group.facts.row.members.len();
+        let ripe = !may_return(group) || is_time(round, group, round.policy.reform_time * 2);
+        let lost = group.lost.len();
+        if !is_stuck(group) || has_room(round, wanted) || lost == size || !ripe {
+            continue;
+        }
+        let mut far: Vec<&HostFacts> = round.free.values().flatten().copied().collect();
+        sort_by_use(&mut far, wanted);
+        far.truncate(lost);
+        if far.len() < lost {
+            continue;
+        }
+        let warm = far.iter().all(|h| h.is_warm(&wanted.weights));
+        let hopeless = !may_return(group);
+        round.wanted[service].groups[index].mending = true;
+        if warm || hopeless {
+            keep(round, &far);
+            end(round, service, index, EndReason::MemberLost);
+        } else {
+            wish(round, service, far);
+        }
+    }
+}
+
+fn is_stuck(group: &Group<'_>) -> bool {
+    group.standing == Standing::Broken && group.is_formed() && !group.mending
+}
+
 /// Ends a group whose hosts are needed more by another service.
 ///
 /// A service below its need, which is the demand and its floor at least, takes
@@ -279,7 +366,7 @@
 fn yield_to_need(round: &mut Round<'_>) {
     for service in 0..round.wanted.len() {
         let wanted = &round.wanted[service];
-        if wanted.expected() >= wanted.need || has_room(round, wanted) {
+        if wanted.standing() >= wanted.need || has_room(round, wanted) {
             continue;
         }
         let waiting = wanted.groups.iter().any(|g| is_releasing(g) || g.mending);
@@ -378,10 +465,6 @@
     if hosts.len() < missing {
         return;
     }
-    for host in hosts {
-        if let Some(entry) = &host.entry {
-            round.reserve(&entry.fabric_domain, &[host]);
-        }
-    }
+    keep(round, &hosts);
     end(round, service, index, EndReason::MemberLost);
 }
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ServiceName, TargetKind};
+use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ServiceName};
 use eelgrassmill_config::{ModelService, ServiceKind};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -156,8 +156,19 @@
     }
 
     /// Whether `count` more hosts may load. A group larger than the bound may load alone.
+    ///
+    /// Beyond what the weight store can feed at full speed more loads return
+    /// nothing sooner: two groups that share the store are both late, while one
+    /// after the other the first is back in half the time.
     pub(crate) fn may_load(&self, count: usize) -> bool {
-        count == 0 || self.loading == 0 || self.loading + count <= self.policy.max_loads
+        count == 0 || self.loading == 0 || self.loading + count <= self.most_loads()
+    }
+
+    /// Most hosts that load at once.
+    pub(crate) fn most_loads(&self) -> usize {
+        let fed = self.view.store_rate.checked_div(self.view.host_rate);
+        let fed = fed.map_or(usize::MAX, |fed| fed.max(1) as usize);
+        self.policy.max_loads.min(fed)
     }
 
     /// Whether the host answers, is listed as live and is not leaving.
@@ -192,7 +203,7 @@
 
     fn index_hosts(&mut self) {
         for host in self.view.hosts.values() {
-            self.loading += usize::from(is_loading(host));
+            self.loading += usize::from(self.is_loading(host));
             if let Some(entry) = host.entry.as_ref().filter(|_| self.is_takeable(host)) {
                 let free = self.free.entry(&entry.fabric_domain).or_default();
                 free.push(host);
@@ -213,6 +224,21 @@
         }
     }
 
+    /// Whether the host loads weights, or will as soon as its order arrives.
+    fn is_loading(&self, host: &HostFacts) -> bool {
+        let group = host
+            .row
+            .group
+            .as_ref()
+            .and_then(|g| self.view.groups.get(g));
+        let Some(group) = group.filter(|g| g.is_live() && host.is_bound_to(&g.row)) else {
+            return false;
+        };
+        let answers = host.silent_for(self.now) <= self.policy.detect;
+        let warm = host.is_warm(&group.row.weights());
+        answers && !group.served && !warm
+    }
+
     /// Whether the host may become a member: its row is free and it says itself that it holds
     /// nothing. A host that came back with an old placement has to leave that first.
     fn is_takeable(&self, host: &HostFacts) -> bool {
@@ -329,7 +355,9 @@
             && self.facts.row.version == wanted.cfg.version
             && self.facts.row.members.len() == wanted.cfg.hosts_per_group as usize;
         let stands = matches!(self.standing, Standing::Serving | Standing::Coming);
-        current && self.lost.is_empty() && stands && !self.ended_now
+        // A group that spans fabric domains is slow; it serves until one is made that doesn't.
+        let near = self.domain.is_some() || self.standing == Standing::Coming;
+        current && near && self.lost.is_empty() && stands && !self.ended_now
     }
 
     /// Whether its row is formed and no transaction of this round ends it.
@@ -349,6 +377,18 @@
         self.groups.iter().filter(|g| g.is_serving()).count()
     }
 
+    /// Groups that serve and need no replacement.
+    pub(crate) fn serving_well(&self) -> usize {
+        let well = |g: &&Group<'_>| g.is_serving() && g.is_good(self);
+        self.groups.iter().filter(well).count()
+    }
+
+    /// Groups that serve in whatever way, or will without a replacement.
+    pub(crate) fn standing(&self) -> usize {
+        let counts = |g: &&Group<'_>| g.is_serving() || g.is_good(self) || g.mending;
+        self.groups.iter().filter(counts).count() + self.formed_now
+    }
+
     /// Groups that serve, or will without a replacement.
     pub(crate) fn expected(&self) -> usize {
         let counts = |g: &&Group<'_>| g.is_good(self) || g.mending;
@@ -356,14 +396,6 @@
     }
 }
 
-fn is_loading(host: &HostFacts) -> bool {
-    let report = host.report.as_ref();
-    host.entry
-        .as_ref()
-        .is_some_and(|e| e.kind == TargetKind::Engine)
-        && report.is_some_and(|r| r.placement.is_some() && !r.ready)
-}
-
 fn highest_epoch(view: &FleetView) -> Epoch {
     let groups = view.groups.values().map(|g| g.row.epoch);
     let hosts = view.hosts.values().map(|h| h.row.epoch);
