--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod acceptance;
 pub mod check;
+pub mod claims;
 pub mod ownership;
