Stand-in engines echo the offset at which they resume

Cause: the entry takes a broken stream up only where the answer echoes x-resume-from; the stand-in resumed without saying so, so no stream ever went on.

--- a/crates/node/tests/util/mod.rs
+++ b/crates/node/tests/util/mod.rs
@@ -2,13 +2,15 @@
 // Each test file uses a part of it, and a panic is how a test fails.
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
 
+pub mod load;
+pub mod observe;
 pub mod stream;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use eelgrassmill_node::{Node, Settings};
-use eelgrassmill_standin::{Standins, engine_specs, plain_specs};
+use eelgrassmill_standin::{HostSpec, Standins, engine_specs, plain_specs};
 use oxhttp::Client;
 use oxhttp::model::{Body, Request, Response};
 use serde_json::Value;
@@ -29,6 +31,11 @@
         serde_json::from_str(&self.text).unwrap_or_else(|e| panic!("{e}: {}", self.text))
     }
 
+    /// Whether it is an error with this outcome.
+    pub fn outcome_is(&self, outcome: &str) -> bool {
+        self.status >= 400 && self.outcome() == outcome
+    }
+
     pub fn outcome(&self) -> String {
         self.json()["outcome"]
             .as_str()
@@ -69,25 +76,43 @@
 
 impl Cluster {
     pub fn start(nodes: usize, engines: usize) -> Cluster {
+        Cluster::of(nodes, engine_specs(engines, 4))
+    }
+
+    /// Nodes and these engine hosts, two plain hosts, and the versions 1 and 2 of a model.
+    pub fn of(nodes: usize, engines: Vec<HostSpec>) -> Cluster {
+        Cluster::with_settings(nodes, engines, |_, _| {})
+    }
+
+    /// Like [`Cluster::of`], with each node's settings changed by `change`.
+    pub fn with_settings(
+        nodes: usize,
+        engines: Vec<HostSpec>,
+        change: impl Fn(usize, &mut Settings),
+    ) -> Cluster {
         let standins = Standins::builder()
-            .hosts(engine_specs(engines, 4))
-            .hosts(plain_specs(1))
+            .hosts(engines)
+            .hosts(plain_specs(2))
             .weights("lm", "1", 1 << 20)
+            .weights("lm", "2", 1 << 20)
             .start()
             .unwrap();
-        let nodes = (0..nodes).map(|i| Node::start(settings(i, &standins)).unwrap());
-        let nodes = nodes.collect();
-        Cluster { standins, nodes }
+        let mut started: Vec<Node> = Vec::new();
+        for i in 0..nodes {
+            let mut settings = settings(i, &standins);
+            settings.seeds = started.iter().map(Node::peer_address).collect();
+            change(i, &mut settings);
+            started.push(Node::start(settings).unwrap());
+        }
+        Cluster {
+            standins,
+            nodes: started,
+        }
     }
 
     /// Submits `text` at node 0 and waits until every node has it in force.
     pub fn accept(&self, text: &str, base: u64) -> u64 {
-        let submit = serde_json::json!({
-            "id": format!("submit-{base}"), "base": base, "author": "test", "text": text,
-        });
-        let answer = self.admin(0, "POST", "/admin/v1/config", &submit.to_string());
-        assert_eq!(answer.status, 200, "{}", answer.text);
-        let version = answer.json()["version"].as_u64().unwrap();
+        let version = self.submit(0, text, base);
         eventually("config in force everywhere", || {
             let status = self.admin(0, "GET", "/admin/v1/config/status", "").json();
             let nodes = status["nodes"].as_array().unwrap().clone();
@@ -97,6 +122,48 @@
         version
     }
 
+    /// Submits `text` at node `i`; gives the version that was accepted.
+    pub fn submit(&self, i: usize, text: &str, base: u64) -> u64 {
+        let submit = serde_json::json!({
+            "id": format!("submit-{base}"), "base": base, "author": "test", "text": text,
+        });
+        let answer = self.admin(i, "POST", "/admin/v1/config", &submit.to_string());
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        answer.json()["version"].as_u64().unwrap()
+    }
+
+    /// The version that node `i` itself has in force.
+    pub fn version_at(&self, i: usize) -> u64 {
+        let status = self.admin(i, "GET", "/admin/v1/config/status", "").json();
+        status["accepted"].as_u64().unwrap()
+    }
+
+    /// Cuts the nodes of each part off from all nodes outside it; one part heals all cuts.
+    pub fn partition(&self, parts: &[&[usize]]) {
+        for part in parts {
+            for i in *part {
+                let outside = (0..self.nodes.len()).filter(|n| !part.contains(n));
+                let refused = outside.map(|n| format!("node-{n}").into());
+                self.nodes[*i].refusals().set(refused);
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        for node in &self.nodes {
+            node.refusals().set([]);
+        }
+    }
+
+    /// The number of the node that decides formations, as node 0 knows.
+    pub fn planner(&self) -> Option<usize> {
+        let nodes = self.admin(0, "GET", "/admin/v1/nodes", "").json();
+        let nodes = nodes.as_array().unwrap();
+        let planner = nodes.iter().find(|n| n["planner"] == true)?;
+        let name = planner["node"].as_str()?;
+        name.strip_prefix("node-")?.parse().ok()
+    }
+
     pub fn wait_whole(&self, groups: usize) {
         for i in 0..self.nodes.len() {
             eventually("groups whole", || self.serving(i).len() == groups);
@@ -142,6 +209,13 @@
         stream::post(self.nodes[i].caller_address(), path, &headers, body)
     }
 
+    /// Begins a call whose answer is read piece by piece.
+    pub fn open(&self, i: usize, path: &str, body: &str) -> stream::Reading {
+        let token = format!("Bearer {TENANT_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        stream::open(self.nodes[i].caller_address(), path, &headers, body)
+    }
+
     /// Switches all faults of a stand-in host, or of the platform, off.
     pub fn mend(&self, target: &str) {
         let control = self.standins.control_address().parse().unwrap();
--- a/crates/node/tests/util/stream.rs
+++ b/crates/node/tests/util/stream.rs
@@ -36,8 +36,21 @@
     }
 }
 
+/// An answer that is still coming.
+pub struct Reading {
+    conn: TcpStream,
+    sent: Instant,
+    all: Vec<u8>,
+    pieces: Vec<(Duration, usize)>,
+}
+
 /// Sends a POST and reads until the connection closes.
 pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Raw {
+    open(address, path, headers, body).to_end()
+}
+
+/// Sends a POST.
+pub fn open(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Reading {
     let mut conn = TcpStream::connect(address).unwrap();
     conn.set_read_timeout(Some(Duration::from_secs(30)))
         .unwrap();
@@ -48,19 +61,39 @@
     req.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
     let sent = Instant::now();
     conn.write_all(req.as_bytes()).unwrap();
-    let mut all = Vec::new();
-    let mut pieces = Vec::new();
-    let mut buf = [0; 16 * 1024];
-    loop {
-        match conn.read(&mut buf) {
-            Ok(0) | Err(_) => break,
+    Reading {
+        conn,
+        sent,
+        all: Vec::new(),
+        pieces: Vec::new(),
+    }
+}
+
+impl Reading {
+    /// Reads until `count` events have come; panics when the answer ends before.
+    pub fn events(&mut self, count: usize) {
+        while self.all.windows(6).filter(|w| w == b"data: ").count() < count {
+            assert!(self.read(), "ended before {count} events");
+        }
+    }
+
+    /// Reads until the connection closes.
+    pub fn to_end(mut self) -> Raw {
+        while self.read() {}
+        parse(&self.all, self.pieces)
+    }
+
+    fn read(&mut self) -> bool {
+        let mut buf = [0; 16 * 1024];
+        match self.conn.read(&mut buf) {
+            Ok(0) | Err(_) => false,
             Ok(n) => {
-                all.extend_from_slice(&buf[..n]);
-                pieces.push((sent.elapsed(), n));
+                self.all.extend_from_slice(&buf[..n]);
+                self.pieces.push((self.sent.elapsed(), n));
+                true
             }
         }
     }
-    parse(&all, pieces)
 }
 
 fn parse(all: &[u8], pieces: Vec<(Duration, usize)>) -> Raw {
--- a/crates/standin/src/delivery.rs
+++ b/crates/standin/src/delivery.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassmill_base::Tokens;
 use http::{HeaderValue, Response, StatusCode, header};
 use tokio::sync::mpsc;
 
@@ -22,6 +23,8 @@
 pub(crate) struct Delivery {
     echo: String,
     epoch: u64,
+    /// Offset at which a resumed answer goes on; 0 for one from its start.
+    resume_from: Tokens,
     cut_after: Option<usize>,
     headers_only: bool,
     late: Duration,
@@ -50,6 +53,7 @@
         Delivery {
             echo,
             epoch: meta.epoch,
+            resume_from: meta.resume_from,
             cut_after: cut_after.map(|n| usize::try_from(n).unwrap_or(usize::MAX)),
             headers_only: host.faults.is_on(Fault::CloseAfterHeaders),
             late: Duration::from_millis(late),
@@ -100,6 +104,9 @@
             headers.insert("x-request-id", echo);
         }
         headers.insert("x-group-epoch", HeaderValue::from(self.epoch));
+        if self.resume_from > 0 {
+            headers.insert("x-resume-from", HeaderValue::from(self.resume_from));
+        }
         answer
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -54,7 +54,10 @@
     host: &Arc<Host>,
     req: Request<Incoming>,
 ) -> Result<Answer, CutOff> {
-    let meta = Meta::parse(req.headers());
+    let mut meta = Meta::parse(req.headers());
+    if host.faults.is_on(Fault::NoResume) {
+        meta.resume_from = 0;
+    }
     let body = match read_body(req).await {
         Ok(body) => body,
         Err(answer) => return Ok(answer),
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -33,6 +33,8 @@
         Refuse,
         /// Says of itself that it is leaving.
         Leaving,
+        /// Can't resume streams: starts each answer from its first token and echoes no offset.
+        NoResume,
     }
 
     /// A fault of the platform.
@@ -56,7 +58,7 @@
 }
 
 /// Every fault of a target, with the name that switches it.
-pub(crate) const FAULTS: [(&str, Fault); 12] = [
+pub(crate) const FAULTS: [(&str, Fault); 13] = [
     ("die", Fault::Die),
     ("restart", Fault::Restart),
     ("pause", Fault::Pause),
@@ -69,6 +71,7 @@
     ("ignore-fences", Fault::IgnoreFences),
     ("refuse", Fault::Refuse),
     ("leaving", Fault::Leaving),
+    ("no-resume", Fault::NoResume),
 ];
 
 /// Every fault of the platform, with the name that switches it.
