--- a/crates/node/tests/util/load.rs
+++ b/crates/node/tests/util/load.rs
@@ -1,7 +1,7 @@
 //! Callers that ask all the time while something happens.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_standin::expected_answer;
 
@@ -25,6 +25,9 @@
     }
 }
 
+/// Pause between two calls of one caller.
+const PACE: Duration = Duration::from_millis(20);
+
 /// Asks for short completions at every node, one after the other, while `during` runs.
 pub fn under_load<T>(cluster: &Cluster, during: impl FnOnce() -> T) -> (T, Vec<Called>) {
     let stop = AtomicBool::new(false);
@@ -55,6 +58,7 @@
         let answered = Instant::now();
         let right = answer.status == 200
             && answer.json()["choices"][0]["text"] == expected_answer(&prompt, 8);
+        std::thread::sleep(PACE);
         calls.push(Called {
             node,
             sent,
