Name the request that kills, and share slots among entries by demand

Cause: slots stood idle while requests waited (each entry used only its equal part of a group), and a request that crashes its engine was retried until every group was down. Change: an entry asks a group's first watcher for a quota four times a term and falls back to its equal part; a run whose answer breaks off asks the engine whether it died, deaths with what ran travel to all nodes, a suspect runs apart from other suspects, a named one is refused as not run with 422. Claims: each round is an attempt of its own, abandoned ones are known as such, and an answer no longer waits for a table that is down. Ruled out: taking the death from evidence, which comes two seconds after the retry has killed the next group; taking every broken answer for a death, since an engine that cuts answers would condemn innocent requests.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -121,7 +121,7 @@
     }
 
     fn suspects(&self) -> Vec<SuspectInfo> {
-        Vec::new()
+        show::suspects(&self.core)
     }
 
     fn timeline(&self, query: &Query) -> Timeline {
--- a/crates/node/src/backend/show.rs
+++ b/crates/node/src/backend/show.rs
@@ -6,7 +6,9 @@
 use eelgrassmill_group::{GroupRow, NodeState};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
-use crate::admin::{ConfigStatus, GroupInfo, HostInfo, NodeConfig, NodeInfo, TenantInfo};
+use crate::admin::{
+    ConfigStatus, GroupInfo, HostInfo, NodeConfig, NodeInfo, SuspectInfo, TenantInfo,
+};
 use crate::state::core::Core;
 use crate::state::lock::lock;
 
@@ -167,3 +169,16 @@
     });
     tenants.collect()
 }
+
+pub(super) fn suspects(core: &Core) -> Vec<SuspectInfo> {
+    let listed = lock(&core.guard).listed(Instant::now());
+    let infos = listed
+        .into_iter()
+        .map(|(print, crashes, named)| SuspectInfo {
+            fingerprint: format_smolstr!("{print:016x}"),
+            request: SmolStr::default(),
+            crashes,
+            named,
+        });
+    infos.collect()
+}
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -42,6 +42,7 @@
     let Started {
         mut place,
         response,
+        run,
         ..
     } = started;
     let status = response.status;
@@ -50,13 +51,22 @@
     let reading = response.read_whole(MAX_ANSWER);
     let body = match tokio::time::timeout(left, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(err)) => return Err(Failure::unknown(format_smolstr!("{err}"))),
+        Ok(Err(err)) => {
+            drop(place);
+            if let Some(run) = &run {
+                run.broke(call).await;
+            }
+            return Err(Failure::unknown(format_smolstr!("{err}")).broken());
+        }
         Err(_) => return Err(Failure::unknown("no whole answer within the deadline")),
     };
     if call.completion && status.is_success() {
         let used = check_completion(&body)?;
         place.used(used.unwrap_or(call.tokens));
     }
+    if let Some(run) = &run {
+        run.survived();
+    }
     Ok(Whole {
         status,
         content_type,
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::call::{Call, Failure, nothing_serves, put, refused};
 use super::problem::Problem;
+use super::trial::{Run, print_of};
 use crate::loops::watcher::target_name;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -33,7 +34,8 @@
 pub(crate) struct Started {
     pub(crate) place: Place,
     pub(crate) response: TargetResponse,
-    pub(crate) host: HostId,
+    /// The run at a group; `None` at plain targets.
+    pub(crate) run: Option<Run>,
     pub(crate) sent: Instant,
 }
 
@@ -54,18 +56,33 @@
     Failed(Failure, Pick),
 }
 
+/// What one attempt is.
+pub(crate) struct Attempt {
+    /// Counted from 1.
+    pub(crate) number: u32,
+    /// Groups that it keeps away from where others can take it.
+    pub(crate) avoid: Avoided,
+    /// Whether the call is a suspect.
+    pub(crate) suspect: bool,
+    /// Tokens that the caller has already.
+    pub(crate) resume_from: Tokens,
+}
+
 /// Takes a place, waits for the turn and sends the call.
 pub(crate) async fn start(
-    core: &Core,
+    core: &Arc<Core>,
     shard: &Arc<Shard>,
     call: &Call,
-    avoid: &Avoided,
-    attempt: u32,
-    resume_from: Tokens,
+    attempt: &Attempt,
 ) -> Result<Started, NotStarted> {
     let now = Instant::now();
     let mut place = shard
-        .offer(call.offer(), call.prefixes.clone(), avoid.clone(), now)
+        .offer(
+            call.offer(),
+            call.prefixes.clone(),
+            attempt.avoid.clone(),
+            now,
+        )
         .map_err(|refusal| NotStarted::Refused(refused(&refusal)))?;
     let pick = match tokio::time::timeout(call.left(now), place.turn()).await {
         Ok(Turn::Start(pick)) => pick,
@@ -78,33 +95,67 @@
             return Err(NotStarted::Refused(problem));
         }
     };
-    match send(core, call, &pick, attempt, resume_from, &mut place).await {
-        Ok((response, host, sent)) => Ok(Started {
+    match begin(core, call, &pick, attempt, place).await {
+        Ok(started) => Ok(started),
+        Err(failure) => Err(NotStarted::Failed(failure, pick)),
+    }
+}
+
+/// Begins the run at the picked group and sends the call to its lead.
+async fn begin(
+    core: &Arc<Core>,
+    call: &Call,
+    pick: &Pick,
+    attempt: &Attempt,
+    mut place: Place,
+) -> Result<Started, Failure> {
+    let to = destination(core, pick)?;
+    let run = match &to.group {
+        Some((group, epoch)) => {
+            let host = (&to.host, &to.address);
+            let print = print_of(call);
+            let run = Run::begin(core, print, attempt.suspect, (group, *epoch), host)?;
+            Some(run)
+        }
+        None => None,
+    };
+    let sent = Instant::now();
+    match send(core, call, &to, attempt, &mut place).await {
+        Ok(response) => Ok(Started {
             place,
             response,
-            host,
+            run,
             sent,
         }),
-        Err(failure) => Err(NotStarted::Failed(failure, pick)),
+        Err(failure) => {
+            // The slot is free while the engine is asked whether it lives.
+            drop(place);
+            if let (true, Some(run)) = (failure.broke, &run) {
+                run.broke(call).await;
+            }
+            Err(failure)
+        }
     }
 }
 
 async fn send(
     core: &Core,
     call: &Call,
-    pick: &Pick,
-    attempt: u32,
-    resume_from: Tokens,
+    to: &Destination,
+    attempt: &Attempt,
     place: &mut Place,
-) -> Result<(TargetResponse, HostId, Instant), Failure> {
-    let to = destination(core, pick)?;
+) -> Result<TargetResponse, Failure> {
     let mut headers = call.target_headers();
     if let Some((group, epoch)) = &to.group {
         put(&mut headers, "x-group", group);
         put(&mut headers, EPOCH_HEADER, &epoch.to_smolstr());
     }
-    if resume_from > 0 {
-        put(&mut headers, RESUME_HEADER, &resume_from.to_smolstr());
+    if attempt.resume_from > 0 {
+        put(
+            &mut headers,
+            RESUME_HEADER,
+            &attempt.resume_from.to_smolstr(),
+        );
     }
     let req = TargetRequest {
         method: call.method.clone(),
@@ -116,7 +167,7 @@
         request: call.id.clone(),
         host: to.host.clone(),
         group: to.group.as_ref().map(|(group, _)| group.clone()),
-        attempt,
+        attempt: attempt.number,
     });
     let sent = Instant::now();
     let sending = core.targets.send(&to.address, req);
@@ -127,9 +178,11 @@
             if !matches!(err, SendError::NotSent(_)) {
                 place.used(call.tokens);
             }
+            let broke = matches!(err, SendError::Unknown(_));
             return Err(Failure {
                 outcome: err.outcome(),
-                detail: format_smolstr!("{err}"),
+                broke,
+                ..Failure::unknown(format_smolstr!("{err}"))
             });
         }
         Err(_) => {
@@ -141,8 +194,8 @@
         return Err(Failure::not_run("the target refused it"));
     }
     place.used(call.tokens);
-    check_epoch(&to, &response)?;
-    Ok((response, to.host, sent))
+    check_epoch(to, &response)?;
+    Ok(response)
 }
 
 /// The lead of the picked group, if the group may still serve in that epoch.
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -100,6 +100,10 @@
 pub(crate) struct Failure {
     pub(crate) outcome: Outcome,
     pub(crate) detail: SmolStr,
+    /// The connection broke, as when an engine dies.
+    pub(crate) broke: bool,
+    /// Nothing is wrong with the group: the call only has to wait.
+    pub(crate) waits: bool,
 }
 
 impl Failure {
@@ -107,6 +111,8 @@
         Failure {
             outcome: Outcome::NotRun,
             detail: detail.into(),
+            broke: false,
+            waits: false,
         }
     }
 
@@ -114,6 +120,24 @@
         Failure {
             outcome: Outcome::Unknown,
             detail: detail.into(),
+            broke: false,
+            waits: false,
+        }
+    }
+
+    /// The same, of a connection that broke.
+    pub(crate) fn broken(self) -> Failure {
+        Failure {
+            broke: true,
+            ..self
+        }
+    }
+
+    /// The same, of a call that only has to wait.
+    pub(crate) fn waiting(self) -> Failure {
+        Failure {
+            waits: true,
+            ..self
         }
     }
 
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -16,13 +16,14 @@
 
 use super::addresses;
 use super::answer::{self, Whole};
-use super::attempt::{self, NotStarted, Started};
+use super::attempt::{self, Attempt, NotStarted, Started};
 use super::body::AnswerBody;
 use super::call::{Call, Failure};
 use super::listen::Handler;
 use super::parse::{self, Route, Wishes};
 use super::problem::Problem;
 use super::relay::{Ended, Relay};
+use super::trial::{self, TRIAL_PAUSE};
 use crate::metrics::RequestEnd;
 use crate::once::Once;
 use crate::state::core::{Core, serving_service};
@@ -304,10 +305,18 @@
     let shard = core
         .shard(&call.served_by)
         .ok_or_else(|| super::call::nothing_serves(&call.service, ""))?;
+    let print = trial::print_of(call);
     let mut avoid = Avoided::new();
     let mut attempt = 1;
     loop {
-        let failure = match attempt::start(core, &shard, call, &avoid, attempt, 0).await {
+        let suspect = trial::check(core, call, print)?;
+        let next = Attempt {
+            number: attempt,
+            avoid: away(core, &avoid, suspect),
+            suspect,
+            resume_from: 0,
+        };
+        let failure = match attempt::start(core, &shard, call, &next).await {
             Ok(started) => {
                 avoid.extend(started.place.group());
                 match finish(core, &shard, call, started, attempt).await {
@@ -316,6 +325,12 @@
                 }
             }
             Err(NotStarted::Refused(problem)) => return Err(problem),
+            Err(NotStarted::Failed(failure, _))
+                if failure.waits && !call.left(Instant::now()).is_zero() =>
+            {
+                tokio::time::sleep(TRIAL_PAUSE).await;
+                continue;
+            }
             Err(NotStarted::Failed(failure, pick)) => {
                 avoid.push(pick.group);
                 failure
@@ -329,6 +344,15 @@
     }
 }
 
+/// Groups to keep away from: those that failed, and for a suspect those where another runs.
+fn away(core: &Core, failed: &Avoided, suspect: bool) -> Avoided {
+    let mut avoid = failed.clone();
+    if suspect {
+        avoid.extend(lock(&core.guard).on_trial(Instant::now()));
+    }
+    avoid
+}
+
 async fn finish(
     core: &Arc<Core>,
     shard: &Arc<Shard>,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod parse;
 pub(crate) mod problem;
 pub(crate) mod relay;
+pub(crate) mod trial;
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use eelgrassmill_base::{HostId, Outcome, Tokens};
+use eelgrassmill_base::{Outcome, Tokens};
 use eelgrassmill_engine::{BodyError, StreamEvent, TokenEvent, TokenStream};
 use eelgrassmill_route::{Sample, may_retry};
 use eelgrassmill_timeline::EventKind;
@@ -12,9 +12,10 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::mpsc;
 
-use super::attempt::{self, NotStarted, Started};
+use super::attempt::{self, Attempt, NotStarted, Started};
 use super::body::{AnswerBody, Broken};
 use super::call::{Call, Failure};
+use super::trial::{self, Run};
 use crate::state::core::Core;
 use crate::state::lock::lock;
 use crate::state::shard::{Avoided, Place, Shard};
@@ -40,7 +41,7 @@
     call: Call,
     place: Place,
     stream: TokenStream,
-    host: HostId,
+    run: Option<Run>,
     group: SmolStr,
     /// Tokens handed on so far.
     tokens: Tokens,
@@ -112,14 +113,23 @@
             group: started.place.group().unwrap_or_default(),
             place: started.place,
             stream: TokenStream::new(started.response),
-            host: started.host,
+            run: started.run,
             tokens: 0,
             last: started.sent,
             attempt,
         };
         match relay.next().await {
             Ok(event) => Ok((relay, event)),
-            Err(failure) => Err(failure),
+            Err(failure) => {
+                relay.ask_whether_it_died(&failure).await;
+                Err(failure)
+            }
+        }
+    }
+
+    async fn ask_whether_it_died(&self, failure: &Failure) {
+        if let (true, Some(run)) = (failure.broke, &self.run) {
+            run.broke(&self.call).await;
         }
     }
 
@@ -148,6 +158,9 @@
 
     async fn finish(mut self, mut audience: Audience) -> Ended {
         self.place.used(self.used());
+        if let Some(run) = &self.run {
+            run.survived();
+        }
         if !audience.push(Bytes::from_static(DONE)).await {
             return Ended::CallerLeft;
         }
@@ -206,6 +219,9 @@
         if self.call.left(Instant::now()).is_zero() {
             return Err(failure);
         }
+        self.ask_whether_it_died(&failure).await;
+        // Ends a trial before another group is tried.
+        self.run = None;
         let repeatable = self.call.repeatable;
         let allowed = {
             let mut budget = lock(&self.core.retries);
@@ -226,16 +242,14 @@
             reason: failure.detail.clone(),
         });
         self.attempt += 1;
-        let avoid = Avoided::from_iter([self.group.clone()]);
-        let started = attempt::start(
-            &self.core,
-            &self.shard,
-            &self.call,
-            &avoid,
-            self.attempt,
-            self.tokens,
-        )
-        .await;
+        let attempt = Attempt {
+            number: self.attempt,
+            avoid: Avoided::from_iter([self.group.clone()]),
+            suspect: trial::check(&self.core, &self.call, trial::print_of(&self.call))
+                .map_err(|_| failure.clone())?,
+            resume_from: self.tokens,
+        };
+        let started = attempt::start(&self.core, &self.shard, &self.call, &attempt).await;
         let started = match started {
             Ok(started) => started,
             Err(NotStarted::Refused(_)) => return Err(failure),
@@ -246,7 +260,7 @@
         if !started.resumes_from(self.tokens) {
             return Err(Failure::unknown("the engine can't take the stream up"));
         }
-        self.host = started.host;
+        self.run = started.run;
         self.group = started.place.group().unwrap_or_default();
         self.place = started.place;
         self.stream = TokenStream::new(started.response);
@@ -263,5 +277,5 @@
 }
 
 fn broke(err: &BodyError) -> Failure {
-    Failure::unknown(format_smolstr!("{err}"))
+    Failure::unknown(format_smolstr!("{err}")).broken()
 }
--- /dev/null
+++ b/crates/node/src/entry/trial.rs
@@ -0,0 +1,144 @@
+//! One run of a request at a group, as far as suspicion is concerned.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, GroupId, HostId};
+use eelgrassmill_group::GroupPhase;
+use eelgrassmill_route::{Judgement, RequestPrint, request_print};
+use eelgrassmill_timeline::EventKind;
+use http::StatusCode;
+use smol_str::SmolStr;
+
+use super::call::{Call, Failure};
+use super::problem::Problem;
+use crate::state::core::Core;
+use crate::state::lock::lock;
+
+/// Pause before a suspect looks again for a group without another suspect.
+pub(crate) const TRIAL_PAUSE: Duration = Duration::from_millis(100);
+
+/// The fingerprint of a call.
+pub(crate) fn print_of(call: &Call) -> RequestPrint {
+    let body = String::from_utf8_lossy(&call.body);
+    request_print(&call.tenant, &call.service, &body)
+}
+
+/// Whether the call is a suspect, which runs apart from other suspects.
+///
+/// # Errors
+/// When it is named as a culprit: it is refused at every entry.
+pub(crate) fn check(core: &Core, call: &Call, print: RequestPrint) -> Result<bool, Problem> {
+    let now = Instant::now();
+    let (judgement, crashes) = {
+        let guard = lock(&core.guard);
+        (guard.judge(print, now), guard.deaths_of(print, now))
+    };
+    match judgement {
+        Judgement::Clear => Ok(false),
+        Judgement::Suspect => Ok(true),
+        Judgement::Culprit { retry_after } => {
+            core.journal.note(EventKind::SuspectNamed {
+                request: call.id.clone(),
+                crashes,
+            });
+            let detail = "requests like this one have crashed the engines that ran them; \
+                          it was not run again";
+            Err(Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, detail).retry_after(retry_after))
+        }
+    }
+}
+
+/// A run that has begun; a trial ends when this is dropped.
+pub(crate) struct Run {
+    core: Arc<Core>,
+    print: RequestPrint,
+    group: GroupId,
+    epoch: Epoch,
+    host: HostId,
+    address: SmolStr,
+    on_trial: bool,
+}
+
+impl Run {
+    /// Begins a run of `print`, a suspect or not, at the group.
+    ///
+    /// # Errors
+    /// When another suspect runs there: were the group to die, nobody could
+    /// tell which of the two killed it.
+    pub(crate) fn begin(
+        core: &Arc<Core>,
+        print: RequestPrint,
+        suspect: bool,
+        at: (&GroupId, Epoch),
+        host: (&HostId, &SmolStr),
+    ) -> Result<Run, Failure> {
+        let (group, epoch) = at;
+        let now = Instant::now();
+        if suspect && !lock(&core.guard).begin_trial(print, group, now) {
+            return Err(Failure::not_run("another suspect is being tried there").waiting());
+        }
+        Ok(Run {
+            core: core.clone(),
+            print,
+            group: group.clone(),
+            epoch,
+            host: host.0.clone(),
+            address: host.1.clone(),
+            on_trial: suspect,
+        })
+    }
+
+    /// The run came to its end and the group lives.
+    pub(crate) fn survived(&self) {
+        lock(&self.core.guard).survived(self.print, Instant::now());
+    }
+
+    /// The answer broke off: finds out whether the engine died with it.
+    pub(crate) async fn broke(&self, call: &Call) {
+        let core = self.core.clone();
+        let address = self.address.clone();
+        let probe = tokio::task::spawn_blocking(move || core.control.probe(&address)).await;
+        let lives = match probe {
+            // A restarted engine holds no group; one that still does has not died.
+            Ok(Ok(report)) => {
+                let placed = report.placement.as_ref();
+                placed.is_some_and(|p| p.group == self.group && p.epoch == self.epoch)
+            }
+            Ok(Err(_)) => false,
+            // The probe itself broke; it says nothing.
+            Err(_) => true,
+        };
+        if lives || self.was_ended() {
+            return;
+        }
+        let domain = {
+            let fleet = lock(&self.core.fleet);
+            let host = fleet.hosts.get(&self.host);
+            host.map(|h| h.failure_domain.clone()).unwrap_or_default()
+        };
+        let now = Instant::now();
+        let crashes =
+            lock(&self.core.guard).died(&self.group, self.epoch, &domain, self.print, now);
+        self.core.journal.note(EventKind::SuspectNoted {
+            request: call.id.clone(),
+            host: self.host.clone(),
+            crashes,
+        });
+    }
+
+    /// Whether the group was ended on purpose, so that its members left it.
+    fn was_ended(&self) -> bool {
+        let fleet = lock(&self.core.fleet);
+        let row = fleet.groups.get(&self.group).map(|(row, _)| row);
+        row.is_some_and(|row| row.epoch == self.epoch && row.phase == GroupPhase::Ending)
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.on_trial {
+            lock(&self.core.guard).end_trial(self.print, &self.group);
+        }
+    }
+}
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod planner;
 pub(crate) mod probe;
 pub(crate) mod pulse;
+pub(crate) mod quota;
 pub(crate) mod reader;
 pub(crate) mod rows;
 pub(crate) mod watcher;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,7 @@
 };
 use eelgrassmill_timeline::EventKind;
 use smol_str::ToSmolStr;
-use tokio::runtime::Runtime;
+use tokio::runtime::{Handle, Runtime};
 use tokio::sync::watch;
 
 use crate::admin::{AdminLimits, AdminServer, AdminServerError};
@@ -29,6 +29,7 @@
 use crate::loops::planner::Planner;
 use crate::loops::probe::ProbePool;
 use crate::loops::pulse::Pulse;
+use crate::loops::quota::{ASK_PERIOD, QuotaKeeper};
 use crate::loops::reader::{Reader, Seen};
 use crate::loops::rows::decode;
 use crate::loops::watcher::{JUDGEMENTS_PER_PROBE, Watcher};
@@ -135,7 +136,15 @@
         let lease = Arc::new(Mutex::new(LeaseKeeper::new(core.clone())));
         let planner = Planner::new(core.clone(), seen.clone(), pool.clone());
         let planner = Arc::new(Mutex::new(planner));
-        threads.extend(start_loops(&core, &peer, &pool, &seen, &lease, &planner));
+        threads.extend(start_loops(
+            &core,
+            &peer,
+            &pool,
+            &seen,
+            &lease,
+            &planner,
+            runtime.handle(),
+        ));
         let (stop_entry, entry_stopped) = watch::channel(false);
         let once = Once::new(claims.clone());
         let entry_done = start_entry(&core, once, callers, entry_stopped, &runtime);
@@ -346,15 +355,18 @@
     seen: &Arc<Mutex<Seen>>,
     lease: &Arc<Mutex<LeaseKeeper>>,
     planner: &Arc<Mutex<Planner>>,
+    runtime: &Handle,
 ) -> Vec<JoinHandle<()>> {
     let timing = &core.settings.timing;
     let mut watcher = Watcher::new(core.clone(), peer.clone(), pool.clone());
     let mut reader = Reader::new(core.clone(), peer.clone(), seen.clone());
     let mut pulse = Pulse::new(core.clone());
     let mut era = EraKeeper::new(core.clone());
+    let mut quota = QuotaKeeper::new(core.clone(), peer.clone(), runtime.clone());
     let lease = lease.clone();
     let planner = planner.clone();
     let (load_core, load_peer) = (core.clone(), peer.clone());
+    let (news_core, news_peer) = (core.clone(), peer.clone());
     let mut was_leaving = false;
     vec![
         every(
@@ -377,6 +389,13 @@
         every(core, "pulse", PULSE_PERIOD, move || pulse.step()),
         every(core, "planner", READ_PERIOD, move || lock(&planner).step()),
         every(core, "era", ERA_PERIOD, move || era.step()),
+        every(core, "quota", ASK_PERIOD, move || quota.step()),
+        every(core, "suspects", PULSE_PERIOD, move || {
+            let news = lock(&news_core.guard).take_news(Instant::now());
+            for (item, life) in news {
+                news_peer.publish_for(item, life);
+            }
+        }),
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
             let leaving = load_core.is_leaving();
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -1,13 +1,14 @@
 //! One call under a claim: claimed, run to its end, kept for repeats.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eelgrassmill_base::Outcome;
 use eelgrassmill_claim::{
-    Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, OwnerState, RowChange,
-    Seen, WriteOutcome, claim_key, decide, fingerprint,
+    AttemptId, Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, OwnerState,
+    RowChange, Seen, WriteOutcome, claim_key, decide, fingerprint,
 };
 use eelgrassmill_platform::ObjectStore;
 use eelgrassmill_timeline::EventKind;
@@ -42,11 +43,17 @@
 #[derive(Clone)]
 pub(crate) struct Once {
     store: ClaimStore,
+    /// Attempts that were given up before any dispatch and whose rows may still
+    /// say that they are claimed.
+    abandoned: Arc<Mutex<BTreeSet<AttemptId>>>,
 }
 
 impl Once {
     pub(crate) fn new(store: ClaimStore) -> Once {
-        Once { store }
+        Once {
+            store,
+            abandoned: Arc::new(Mutex::new(BTreeSet::new())),
+        }
     }
 
     /// Answers a call that carries a key.
@@ -94,11 +101,13 @@
 
     /// Tries for the claim until it is held or the row says what to tell.
     async fn claim(&self) -> Next {
-        let req = self.request();
-        let began = Instant::now();
         // Most keys are new: the first try goes without a read.
         let mut seen: Option<Seen> = None;
-        for _ in 0..ROUNDS {
+        for round in 0..ROUNDS {
+            // Each round is an attempt of its own: a late write of an earlier one
+            // must not be taken for this one's.
+            let req = self.request(round);
+            let began = Instant::now();
             let owner = seen.as_ref().map_or(OwnerState::Alive, |s| self.owner(s));
             let change = match decide(seen.as_ref(), &req, owner) {
                 Decision::MakeClaim(change) => change,
@@ -126,16 +135,18 @@
         Next::Tell(Err(problem.retry_after(WRITE_AGAIN)))
     }
 
-    fn request(&self) -> ClaimRequest {
+    fn request(&self, round: usize) -> ClaimRequest {
         let call = &self.call;
         let key = call.key.as_deref().unwrap_or_default();
         let cfg = self.core.config.config();
-        let keep = cfg.services.get(&call.service).map(|s| s.keep_answers);
+        // Kept from the answer on, and counted from the claim.
+        let keep = cfg.services.get(&call.service);
+        let keep = keep.map(|s| s.keep_answers + s.timeout);
         ClaimRequest {
             key: claim_key(&call.tenant, &call.service, key),
             fingerprint: fingerprint(call.method.as_str(), &call.path, &call.body),
             owner: self.core.ident.owner(),
-            attempt: call.id.clone(),
+            attempt: format_smolstr!("{}.{round}", call.id),
             era: lock(&self.core.era).era(),
             keep: keep.unwrap_or_default(),
         }
@@ -145,7 +156,10 @@
     fn owner(&self, seen: &Seen) -> OwnerState {
         let owner = &seen.row.owner;
         if *owner == self.core.ident.owner() {
-            return OwnerState::Alive;
+            return match lock(&self.once.abandoned).contains(&seen.row.attempt) {
+                true => OwnerState::Abandoned,
+                false => OwnerState::Alive,
+            };
         }
         let fleet = lock(&self.core.fleet);
         match fleet.nodes.get(&owner.node) {
@@ -222,10 +236,12 @@
             Ok(Ran::Whole(whole)) => {
                 let outcome = self.keep(&whole).await;
                 let change = claim.after(outcome);
-                // Written before the caller is answered, so that a repeat that
-                // follows the answer finds it.
-                self.settle(claim, change).await;
+                // Written once before the caller is answered, so that a repeat that
+                // follows the answer finds it; a table that is down must not hold
+                // the answer back.
+                let change = self.write_once(&mut claim, change).await;
                 drop(tx.send(Ok(whole.into_response())));
+                self.settle(claim, change).await;
             }
             Ok(Ran::Stream(relay, first)) => {
                 let (audience, body) = Audience::new(true);
@@ -274,13 +290,25 @@
         }
     }
 
+    /// Writes that an abandoned attempt dispatches nothing, until the table has it.
     fn settle_later(&self, claim: Claim, change: Option<RowChange>) {
+        let attempt = AttemptId::from(claim.attempt());
+        lock(&self.once.abandoned).insert(attempt.clone());
         let task = Task {
             once: self.once.clone(),
             core: self.core.clone(),
             call: self.call.clone(),
         };
-        tokio::spawn(async move { task.settle(claim, change).await });
+        tokio::spawn(async move {
+            task.settle(claim, change).await;
+            lock(&task.once.abandoned).remove(&attempt);
+        });
+    }
+
+    /// Writes the claim's state once; gives what is still to be written.
+    async fn write_once(&self, claim: &mut Claim, change: Option<RowChange>) -> Option<RowChange> {
+        let outcome = self.once.store.write(change?).await;
+        claim.on_written(outcome)
     }
 
     /// Writes the claim's state until the table has it.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,6 +14,7 @@
 use tokio::runtime::Handle;
 
 use crate::apply::apply_config;
+use crate::loops::quota::answer;
 use crate::state::core::Core;
 use crate::state::lock::lock;
 use crate::state::wholeness::Finding;
@@ -93,7 +94,11 @@
             }
             Item::Load(load) => lock(&self.core.directory).on_load(origin, &load),
             Item::Leaving(leaving) => self.leaving(&leaving.host, origin, true),
-            Item::Suspect(_) | Item::GroupLoad(_) => {}
+            Item::Suspect(suspect) => {
+                let now = Instant::now();
+                lock(&self.core.guard).hear(origin, &suspect, as_of, now);
+            }
+            Item::GroupLoad(_) => {}
         }
     }
 
@@ -112,6 +117,7 @@
     fn forgotten(&self, origin: &NodeId) {
         lock(&self.core.whole).forget_watcher(origin);
         lock(&self.core.fleet).forget_watcher(origin);
+        lock(&self.core.guard).forget(origin);
         if lock(&self.core.directory).forget(origin) {
             let peer = origin.clone();
             let reason = "not heard from".into();
@@ -158,8 +164,8 @@
         serde_json::to_vec(&answer).unwrap_or_default()
     }
 
-    fn quota(&self, _req: QuotaRequest) -> QuotaReply {
-        QuotaReply::default()
+    fn quota(&self, req: QuotaRequest) -> QuotaReply {
+        answer(&self.core, &req)
     }
 }
 
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -13,16 +13,18 @@
 use eelgrassmill_platform::{
     HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, TableError,
 };
-use eelgrassmill_route::{RetryBudget, Slots, fallback_part};
+use eelgrassmill_route::{RetryBudget, Slots};
 
 use smol_str::SmolStr;
 
 use super::config::ConfigCell;
 use super::directory::Directory;
 use super::fleet::Fleet;
+use super::guard::Guard;
 use super::ident::Ident;
 use super::journal::Journal;
 use super::lock::lock;
+use super::quotas::{Quotas, without_quota};
 use super::reports::Reports;
 use super::shard::Shard;
 use super::wholeness::Wholeness;
@@ -64,8 +66,10 @@
     pub(crate) lease: Mutex<HeldLease>,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) whole: Mutex<Wholeness>,
+    pub(crate) quotas: Mutex<Quotas>,
     pub(crate) directory: Mutex<Directory>,
     pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) guard: Mutex<Guard>,
     pub(crate) era: Mutex<EraClock>,
     /// The node that the planner row of this region names.
     pub(crate) planner: Mutex<Option<NodeId>>,
@@ -106,8 +110,10 @@
             lease: Mutex::new(HeldLease::new(timing, ident.incarnation)),
             fleet: Mutex::new(Fleet::default()),
             whole: Mutex::new(Wholeness::default()),
+            quotas: Mutex::new(Quotas::new(ident.node.clone(), ident.incarnation)),
             directory: Mutex::new(Directory::default()),
             retries: Mutex::new(RetryBudget::default()),
+            guard: Mutex::new(Guard::default()),
             era: Mutex::new(EraClock::default()),
             planner: Mutex::new(None),
             tenant_counts: Mutex::new(BTreeMap::new()),
@@ -209,14 +215,14 @@
     /// What this entry may have running at a group.
     pub(crate) fn quota(
         &self,
-        _group: &str,
-        _epoch: Epoch,
+        group: &str,
+        epoch: Epoch,
         slots: Slots,
         fleet: &Fleet,
-        _now: Instant,
+        now: Instant,
     ) -> Slots {
-        let entries = fleet.serving_nodes().count().max(1) as u32;
-        fallback_part(slots, entries)
+        let held = lock(&self.quotas).current(group, epoch, now);
+        held.unwrap_or_else(|| without_quota(slots, fleet.serving_nodes().count()))
     }
 
     /// Changes the counts of a tenant.
--- /dev/null
+++ b/crates/node/src/state/quotas.rs
@@ -0,0 +1,124 @@
+//! Quotas of this node: those that it holds as an entry and issues as a watcher.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use eelgrassmill_base::{Epoch, GroupId, Incarnation, NodeId};
+use eelgrassmill_route::{Demand, Grant, QuotaHolder, QuotaIssuer, Slots, fallback_part};
+
+/// What a group has to share, and among whom.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+    pub(crate) group: GroupId,
+    pub(crate) epoch: Epoch,
+    pub(crate) slots: Slots,
+    pub(crate) entries: Vec<NodeId>,
+    /// The watcher that issues its quotas.
+    pub(crate) issuer: NodeId,
+}
+
+/// Quotas held and issued here.
+pub(crate) struct Quotas {
+    me: NodeId,
+    incarnation: Incarnation,
+    /// By group, with the epoch that each is for.
+    holders: BTreeMap<GroupId, (Epoch, QuotaHolder)>,
+    issuers: BTreeMap<GroupId, (Epoch, QuotaIssuer)>,
+}
+
+impl Quotas {
+    pub(crate) fn new(me: NodeId, incarnation: Incarnation) -> Quotas {
+        Quotas {
+            me,
+            incarnation,
+            holders: BTreeMap::new(),
+            issuers: BTreeMap::new(),
+        }
+    }
+
+    /// Drops what belongs to groups that are gone.
+    pub(crate) fn retain(&mut self, known: impl Fn(&GroupId) -> bool) {
+        self.holders.retain(|group, _| known(group));
+        self.issuers.retain(|group, _| known(group));
+    }
+
+    /// What this entry may have running at a group.
+    pub(crate) fn current(&self, group: &str, epoch: Epoch, now: Instant) -> Option<Slots> {
+        let (held_for, holder) = self.holders.get(group)?;
+        (*held_for == epoch).then(|| holder.current(now))
+    }
+
+    /// The next demand of this entry for a group.
+    pub(crate) fn ask(
+        &mut self,
+        shared: &Shared,
+        running: Slots,
+        waiting: Slots,
+        now: Instant,
+    ) -> Demand {
+        let entries = shared.entries.len().max(1) as u32;
+        let fresh = || {
+            let holder = QuotaHolder::new(
+                self.me.clone(),
+                self.incarnation,
+                shared.group.clone(),
+                shared.epoch,
+                shared.slots,
+                entries,
+            );
+            (shared.epoch, holder)
+        };
+        let held = self.holders.entry(shared.group.clone());
+        let (held_for, holder) = held.or_insert_with(fresh);
+        if *held_for != shared.epoch {
+            (*held_for, *holder) = fresh();
+        }
+        holder.share_of(shared.slots, entries);
+        holder.set_issuer(&shared.issuer);
+        holder.ask(running, waiting, now)
+    }
+
+    /// Takes a grant for this entry.
+    pub(crate) fn on_grant(&mut self, grant: &Grant) {
+        if let Some((_, holder)) = self.holders.get_mut(&grant.group) {
+            holder.on_grant(grant);
+        }
+    }
+
+    /// Answers a demand as the group's issuer; nothing where this node isn't that.
+    pub(crate) fn issue(
+        &mut self,
+        shared: &Shared,
+        demand: &Demand,
+        now: Instant,
+    ) -> Option<Grant> {
+        if shared.issuer != self.me {
+            self.issuers.remove(&shared.group);
+            return None;
+        }
+        let fresh = || {
+            let issuer = QuotaIssuer::new(
+                self.me.clone(),
+                shared.group.clone(),
+                shared.epoch,
+                shared.slots,
+                shared.entries.iter().cloned(),
+                now,
+            );
+            (shared.epoch, issuer)
+        };
+        let issued = self.issuers.entry(shared.group.clone());
+        let (issued_for, issuer) = issued.or_insert_with(fresh);
+        if *issued_for != shared.epoch {
+            (*issued_for, *issuer) = fresh();
+        }
+        issuer.set_slots(shared.slots);
+        issuer.set_entries(shared.entries.iter().cloned());
+        issuer.on_demand(demand, now)
+    }
+}
+
+/// What an entry may use of a group of which it holds no quota yet.
+pub(crate) fn without_quota(slots: Slots, entries: usize) -> Slots {
+    fallback_part(slots, entries.max(1) as u32)
+}
--- a/crates/node/src/state/shard.rs
+++ b/crates/node/src/state/shard.rs
@@ -1,6 +1,6 @@
 //! One service's queue and groups, under one lock.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -45,6 +45,8 @@
     picker: GroupPicker,
     /// Invariant: holds every ticket that waits in `queue`, and maybe some that no longer do.
     waiting: BTreeSet<Ticket>,
+    /// Slots taken here at each group; no entry for a group without any.
+    in_flight: BTreeMap<GroupId, Slots>,
     /// Since when there is no group or target that may serve; `None` while there is one.
     deserted: Option<Instant>,
 }
@@ -77,6 +79,7 @@
                 queue: ServiceQueue::new(opts),
                 picker: GroupPicker::new(seed),
                 waiting: BTreeSet::new(),
+                in_flight: BTreeMap::new(),
                 deserted: Some(Instant::now()),
             }),
         }
@@ -145,6 +148,12 @@
             .report(pick.0, pick.1, running, taken_at);
     }
 
+    /// Slots that this entry has taken at a group.
+    pub(crate) fn in_flight(&self, group: &str) -> Slots {
+        let state = self.state();
+        state.in_flight.get(group).copied().unwrap_or(Slots::NONE)
+    }
+
     /// Waiting requests by kind of slot, and running ones.
     pub(crate) fn demand(&self) -> (Slots, usize) {
         let state = self.state();
@@ -169,8 +178,9 @@
                 let _ = waiter.tx.send(Turn::NoGroup);
                 continue;
             };
+            self.occupy(&pick);
             if let Err(Turn::Start(pick)) = waiter.tx.send(Turn::Start(pick)) {
-                self.picker.ended(&pick);
+                self.ended(&pick);
                 self.queue.cancel(started.ticket);
             }
         }
@@ -178,6 +188,26 @@
 }
 
 impl State {
+    fn occupy(&mut self, pick: &Pick) {
+        let taken = self
+            .in_flight
+            .entry(pick.group.clone())
+            .or_insert(Slots::NONE);
+        *count(taken, pick.slot) += 1;
+    }
+
+    fn ended(&mut self, pick: &Pick) {
+        self.picker.ended(pick);
+        let Some(taken) = self.in_flight.get_mut(&pick.group) else {
+            return;
+        };
+        let count = count(taken, pick.slot);
+        *count = count.saturating_sub(1);
+        if taken.total() == 0 {
+            self.in_flight.remove(&pick.group);
+        }
+    }
+
     fn is_deserted(&self, now: Instant) -> bool {
         self.deserted
             .is_some_and(|since| now.saturating_duration_since(since) >= DESERTED_GRACE)
@@ -198,6 +228,13 @@
     }
 }
 
+fn count(slots: &mut Slots, kind: SlotKind) -> &mut u32 {
+    match kind {
+        SlotKind::Normal => &mut slots.normal,
+        SlotKind::Urgent => &mut slots.urgent,
+    }
+}
+
 impl Place {
     /// Waits for the turn.
     pub(crate) async fn turn(&mut self) -> Turn {
@@ -239,7 +276,7 @@
             self.pick = Some(pick);
         }
         if let Some(pick) = &self.pick {
-            state.picker.ended(pick);
+            state.ended(pick);
         }
         match self.used {
             Some(tokens) => state.queue.settle(self.ticket, tokens, now),
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -329,9 +329,21 @@
     /// Requests that wait for it.
     #[prost(uint32, tag = "3")]
     pub waiting: u32,
-    /// Urgent ones among them.
+    /// Urgent requests that wait, besides.
     #[prost(uint32, tag = "4")]
     pub urgent_waiting: u32,
+    /// The epoch that the demand is for.
+    #[prost(uint64, tag = "5")]
+    pub epoch: u64,
+    /// Rises with every demand of the entry for the group.
+    #[prost(uint64, tag = "6")]
+    pub seq: u64,
+    /// The newest demand whose grant the entry has taken, 0 for none.
+    #[prost(uint64, tag = "7")]
+    pub holding: u64,
+    /// Urgent requests that it runs there, besides.
+    #[prost(uint32, tag = "8")]
+    pub urgent_running: u32,
 }
 
 /// A watcher's answer.
@@ -360,4 +372,7 @@
     /// How long it holds, in milliseconds from when the asker sent its question.
     #[prost(uint64, tag = "5")]
     pub term_ms: u64,
+    /// The demand that it answers.
+    #[prost(uint64, tag = "6")]
+    pub seq: u64,
 }
--- a/crates/peer/tests/nodes.rs
+++ b/crates/peer/tests/nodes.rs
@@ -142,6 +142,7 @@
             running: 1,
             waiting: 5,
             urgent_waiting: 2,
+            ..Demand::default()
         }],
     };
     let quota = cluster.runtime.block_on(here.quota_of(&other, req, LIMIT));
--- a/crates/peer/tests/support/cluster.rs
+++ b/crates/peer/tests/support/cluster.rs
@@ -61,6 +61,7 @@
             slots: demand.waiting,
             urgent_slots: demand.urgent_waiting,
             term_ms: 1000,
+            seq: demand.seq,
         };
         QuotaReply {
             grants: req.demands.iter().map(grant).collect(),
