Mend groups that no evidence brings back

A watcher that had seen a group whole before a member restarted said so; its record stayed with the entry for ever after that watcher was replaced. The record is now lifted when that watcher says otherwise or has been silent for 30 s. 2. A planner that judged by its own probes missed a restart that another watcher had seen, and left the group formed. on_serving takes what a store finds that hears all watchers. 3. A broken group that spans fabric domains was never looked at when a member restarted.

--- a/crates/group/src/evidence/store.rs
+++ b/crates/group/src/evidence/store.rs
@@ -15,6 +15,8 @@
 /// A watcher's silence about a host doesn't count against an answer that another watcher
 /// got at most this much earlier: a cut between one watcher and a host is not the host's fault.
 pub const SILENCE_GRACE: Duration = Duration::from_millis(700);
+/// How long a watcher that has gone silent is believed about a member's restart.
+pub const RESTART_MEMORY: Duration = Duration::from_secs(30);
 /// Watchers remembered for each group; above [`MAX_WATCHERS`], since nodes disagree for a
 /// while about who watches.
 const REMEMBERED_WATCHERS: usize = 2 * MAX_WATCHERS;
@@ -81,6 +83,14 @@
     },
 }
 
+/// A restart of a member after its group had been whole.
+#[derive(Clone, Debug)]
+struct Restart {
+    watcher: NodeId,
+    host: HostId,
+    at: Instant,
+}
+
 /// The newest message of one watcher.
 #[derive(Clone, Debug)]
 struct Heard {
@@ -99,12 +109,15 @@
     lead: HostId,
     /// Invariant: once set, stays for this epoch.
     ending: bool,
-    /// The member that restarted after this epoch had been whole.
+    /// The member that restarted after this epoch had been whole, and who said so.
     ///
-    /// Invariant: once set, stays for this epoch. The other members hold
-    /// connections and cache of a process that is gone; only a new epoch, which
-    /// every member has to confirm, makes the group whole again.
-    restarted: Option<HostId>,
+    /// The other members hold connections and cache of a process that is gone,
+    /// so another watcher's "whole" doesn't lift it: that watcher may have begun
+    /// after the restart. The planner, which is told too, ends the epoch. Should
+    /// the planner miss it, the record is lifted when the watcher that made it
+    /// says otherwise or has been silent for [`RESTART_MEMORY`]; else the group
+    /// would stay out of service for ever, as nobody else knows why.
+    restarted: Option<Restart>,
     heard: SmallVec<[Heard; REMEMBERED_WATCHERS]>,
 }
 
@@ -151,14 +164,8 @@
         if !known.hear(evidence, at) {
             return false;
         }
-        match &evidence.verdict {
-            Verdict::Ending => known.ending = true,
-            Verdict::Missing {
-                host,
-                why: Why::Restarted,
-            } => known.restarted = Some(host.clone()),
-            _ => {}
-        }
+        known.ending |= evidence.verdict == Verdict::Ending;
+        known.note_restart(evidence, at);
         true
     }
 
@@ -178,7 +185,8 @@
     /// The member of the group's newest epoch that restarted after it had been whole.
     pub fn restarted(&self, group: &str, epoch: Epoch) -> Option<&HostId> {
         let known = self.groups.get(group)?;
-        known.restarted.as_ref().filter(|_| known.epoch == epoch)
+        let restart = known.restarted.as_ref().filter(|_| known.epoch == epoch);
+        restart.map(|r| &r.host)
     }
 
     /// The newest epoch known of a group.
@@ -242,6 +250,28 @@
         true
     }
 
+    fn note_restart(&mut self, evidence: &Evidence, at: Instant) {
+        match &evidence.verdict {
+            Verdict::Missing {
+                host,
+                why: Why::Restarted,
+            } => {
+                self.restarted = Some(Restart {
+                    watcher: evidence.watcher.clone(),
+                    host: host.clone(),
+                    at,
+                });
+            }
+            Verdict::Whole => {
+                let same = |r: &Restart| r.watcher == evidence.watcher;
+                if self.restarted.as_ref().is_some_and(same) {
+                    self.restarted = None;
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn drop_oldest(&mut self) {
         let oldest = self.heard.iter().enumerate().min_by_key(|(_, h)| h.at);
         if let Some(index) = oldest.map(|(index, _)| index) {
@@ -253,9 +283,10 @@
         if self.ending {
             return Err(NotServing::Ending);
         }
-        if let Some(host) = &self.restarted {
+        let recent = |r: &&Restart| now.saturating_duration_since(r.at) <= RESTART_MEMORY;
+        if let Some(restart) = self.restarted.as_ref().filter(recent) {
             return Err(NotServing::Missing {
-                host: host.clone(),
+                host: restart.host.clone(),
                 why: Why::Restarted,
             });
         }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub use crate::evidence::{
     AgeKeeper, CannotServe, EVIDENCE_MAX_AGE, Evidence, EvidenceStore, GroupWatch, MAX_WATCHERS,
-    NotServing, REPORT_MAX_AGE, SILENCE_GRACE, ServingAs, Verdict, WatcherList, Why, can_serve,
-    judge, watchers,
+    NotServing, REPORT_MAX_AGE, RESTART_MEMORY, SILENCE_GRACE, ServingAs, Verdict, WatcherList,
+    Why, can_serve, judge, watchers,
 };
 pub use crate::lease::{
     HeldLease, LeaseError, LeaseObserver, LeaseProof, LeaseTiming, NotYet, PlannerSeen, Takeover,
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -56,6 +56,10 @@
 fn weigh(round: &mut Round<'_>, service: usize, index: usize) {
     let group = &round.wanted[service].groups[index];
     let Some(domain) = group.domain else {
+        // Spares of other fabric domains are considered later; a restart needs none.
+        if group.standing == Standing::Broken && missing(group) == 0 {
+            end(round, service, index, EndReason::MemberRestarted);
+        }
         return;
     };
     match group.standing {
@@ -92,12 +96,8 @@
 
 fn weigh_broken(round: &mut Round<'_>, service: usize, index: usize, domain: &FabricDomain) {
     let group = &round.wanted[service].groups[index];
-    let fit_again = group
-        .lost
-        .iter()
-        .filter(|(_, why)| *why == Lost::Restarted)
-        .count();
-    let missing = group.lost.len() - fit_again;
+    let missing = missing(group);
+    let fit_again = group.lost.len() - missing;
     let reason = if fit_again > 0 {
         EndReason::MemberRestarted
     } else {
@@ -127,6 +127,12 @@
     }
 }
 
+/// Members that have to be replaced; one that restarted is fit to be a member again.
+fn missing(group: &Group<'_>) -> usize {
+    let gone = group.lost.iter().filter(|(_, why)| *why != Lost::Restarted);
+    gone.count()
+}
+
 /// Whether the group becomes whole if its silent members answer again.
 fn may_return(group: &Group<'_>) -> bool {
     group.lost.iter().all(|(_, why)| *why == Lost::Silent)
@@ -331,7 +337,7 @@
         let group = &wanted.groups[index];
         let size = group.facts.row.members.len();
         let ripe = !may_return(group) || is_time(round, group, round.policy.reform_time * 2);
-        let lost = group.lost.len();
+        let lost = missing(group);
         if !is_stuck(group) || has_room(round, wanted) || lost == size || !ripe {
             continue;
         }
@@ -449,12 +455,7 @@
 
 fn take_any(round: &mut Round<'_>, service: usize, index: usize) {
     let group = &round.wanted[service].groups[index];
-    let fit_again = group
-        .lost
-        .iter()
-        .filter(|(_, why)| *why == Lost::Restarted)
-        .count();
-    let missing = group.lost.len() - fit_again;
+    let missing = missing(group);
     let near = group.domain.and_then(|d| round.free.get(d));
     let far = round.free.iter().filter(|(d, _)| Some(**d) != group.domain);
     let all = near
--- a/crates/group/src/plan/view.rs
+++ b/crates/group/src/plan/view.rs
@@ -219,7 +219,12 @@
         }
     }
 
-    /// Takes what evidence says of a group's epoch.
+    /// Takes what evidence says of a group's epoch: [`crate::EvidenceStore::serving`] and
+    /// [`crate::EvidenceStore::restarted`] of a store that hears all watchers of the group.
+    ///
+    /// The planner's own probes are not enough. Another watcher may have found
+    /// the group whole just before a member restarted; it keeps the group out of
+    /// service from then on, and the planner would never learn why.
     pub fn on_serving(
         &mut self,
         group: &str,
--- a/crates/group/tests/support/world.rs
+++ b/crates/group/tests/support/world.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_group::{
     Change, Evidence, EvidenceStore, FleetView, GroupRow, GroupWatch, HeldLease, LeaseObserver,
     LeaseProof, LeaseTiming, NodeRow, NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue,
-    Verdict, Why, node_key, plan, planner_key, takeover,
+    node_key, plan, planner_key, takeover,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -455,18 +455,18 @@
         for host in self.hosts.keys().filter(|h| self.reaches(n, h)) {
             view.on_report(&self.hosts[host].report(), now);
         }
-        for watch in self.nodes[n].watches.values_mut() {
-            let (verdict, _) = watch.verdict(now);
-            let restarted = match &verdict {
-                Verdict::Missing {
-                    host,
-                    why: Why::Restarted,
-                } => Some(host.clone()),
-                _ => None,
-            };
-            let (group, epoch) = (watch.row().group.clone(), watch.row().epoch);
-            let whole = verdict == Verdict::Whole;
-            view.on_serving(&group, epoch, whole, restarted.as_ref(), now);
+        // The planner hears what all watchers find, not only itself: another may have seen a
+        // group whole, and a member restart, between two of its own probes.
+        let epochs: Vec<(SmolStr, u64)> = view
+            .groups
+            .values()
+            .map(|g| (g.row.group.clone(), g.row.epoch))
+            .collect();
+        for (group, epoch) in epochs {
+            let serving = self.entry.serving(&group, now);
+            let serving = serving.is_ok_and(|s| s.epoch == epoch);
+            let restarted = self.entry.restarted(&group, epoch).cloned();
+            view.on_serving(&group, epoch, serving, restarted.as_ref(), now);
         }
     }
 
