Give temporary files of tests names of their own, and know all nodes first

Two tests of one file wrote the same settings when they ran side by side, and a node that knows no other yet says of itself alone that a version is in force everywhere.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
 use eelgrassmill_config::{CurrentRow, Decision, LogRow, Submit, decide_submit};
@@ -54,7 +55,11 @@
 
 impl TempFile {
     pub(crate) fn new(name: &str, text: &str) -> TempFile {
-        let path = std::env::temp_dir().join(format!("{}-{name}", std::process::id()));
+        // Tests of one process run side by side and may use the same name.
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("eelgrassmill-{}-{count}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
         std::fs::write(&path, text).expect("a temporary file");
         TempFile(path)
     }
@@ -77,12 +82,12 @@
     /// Answers of submissions that get lost after they had their effect.
     pub(crate) lose_answers: Mutex<u32>,
     /// Whether submissions are refused without any effect.
-    pub(crate) down: std::sync::atomic::AtomicBool,
+    pub(crate) down: AtomicBool,
 }
 
 impl AdminBackend for Memory {
     fn submit(&self, submit: Submit) -> Result<SubmitReply, BackendError> {
-        if self.down.load(std::sync::atomic::Ordering::SeqCst) {
+        if self.down.load(Ordering::SeqCst) {
             return Err(BackendError::Unavailable("the table is down".to_owned()));
         }
         let mut rows = self.rows.lock().expect("rows");
--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -201,6 +201,10 @@
 #[gtest]
 fn the_time_line_tells_of_a_dead_host_and_a_killed_node() {
     let mut system = System::start(3);
+    eventually("the nodes know each other", || {
+        let nodes = system.json(&["nodes"]);
+        (nodes.as_array()?.len() == 3).then_some(())
+    });
     let file = TempFile::new("operator.ini", TEXT);
     eventually("a text is accepted", || {
         let submitted = system.run(&["config", "submit", file.path(), "--base", "0", "--id", "s"]);
