--- a/crates/route/src/pick/group.rs
+++ b/crates/route/src/pick/group.rs
@@ -29,7 +29,8 @@
 pub(crate) struct GroupState {
     pub(crate) candidate: Candidate,
     pub(crate) holder: Holder,
-    since: Instant,
+    /// Since when it starts gradually; `None` when it doesn't.
+    ramp_since: Option<Instant>,
     in_flight: Slots,
     reported: u32,
     /// When each request was sent that the last load report can't have seen.
@@ -48,7 +49,7 @@
         GroupState {
             candidate,
             holder,
-            since: now,
+            ramp_since: None,
             in_flight: Slots::NONE,
             reported: 0,
             sent: VecDeque::new(),
@@ -65,14 +66,20 @@
         self.candidate.epoch
     }
 
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight == Slots::NONE
+    }
+
     pub(crate) fn token_gap(&self) -> Option<f64> {
         self.token_gap
     }
 
     /// The part of its slots that the group is given now.
     pub(crate) fn part(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.since).as_secs_f64();
-        let ramp = (RAMP_START + age / RAMP.as_secs_f64()).min(1.0);
+        let ramp = self.ramp_since.map_or(1.0, |since| {
+            let age = now.saturating_duration_since(since).as_secs_f64();
+            (RAMP_START + age / RAMP.as_secs_f64()).min(1.0)
+        });
         ramp.min(self.limit.part()).min(self.slow_part)
     }
 
@@ -82,14 +89,19 @@
         if self.candidate.leaving {
             return Slots::NONE;
         }
-        let allowed = f64::from(quota.normal) * self.part(now);
-        let allowed = (allowed as u32).max(quota.normal.min(1));
         Slots {
-            normal: allowed.saturating_sub(self.in_flight.normal),
+            normal: self.allowed(now).saturating_sub(self.in_flight.normal),
             urgent: quota.urgent.saturating_sub(self.in_flight.urgent),
         }
     }
 
+    /// Normal slots that the entry may occupy of its quota.
+    fn allowed(&self, now: Instant) -> u32 {
+        let quota = self.candidate.quota.normal;
+        let allowed = f64::from(quota) * self.part(now);
+        (allowed as u32).max(quota.min(1))
+    }
+
     /// Work there over what it is given; 1 is full.
     pub(crate) fn utilisation(&self, now: Instant) -> f64 {
         let own = self.in_flight.total();
@@ -130,14 +142,15 @@
     }
 
     pub(crate) fn observe(&mut self, sample: Sample, now: Instant) {
-        let late = match sample {
-            Sample::FirstToken(took) => took > FIRST_TOKEN_AIM,
+        let over_aim = match sample {
+            Sample::FirstToken(took) => took.as_secs_f64() / FIRST_TOKEN_AIM.as_secs_f64(),
             Sample::TokenGap(gap) => {
                 self.observe_gap(gap.as_secs_f64(), now);
-                gap > TOKEN_GAP_AIM
+                gap.as_secs_f64() / TOKEN_GAP_AIM.as_secs_f64()
             }
         };
-        self.limit.observe(late, now);
+        let above = self.in_flight.normal > self.allowed(now);
+        self.limit.observe(over_aim, above, now);
     }
 
     fn observe_gap(&mut self, gap: f64, now: Instant) {
@@ -172,6 +185,6 @@
 
     /// Starts gradually again, for a group that served nothing for a while.
     pub(crate) fn restart_ramp(&mut self, now: Instant) {
-        self.since = now;
+        self.ramp_since = Some(now);
     }
 }
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,3 +1,6 @@
 //! A small specification of ownership, configuration and at-most-once claims, for model checking and as a test oracle.
 
+pub mod acceptance;
+pub mod check;
 pub mod claims;
+pub mod ownership;
