--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -283,3 +283,34 @@
         expect_false!(unwanted.iter().any(|w| log.contains(w)));
     }
 }
+
+/// A machine is to be worked on. Its operator says so in the text and waits
+/// until nothing is on it; guests must notice nothing.
+#[gtest]
+fn a_drained_host_is_emptied_while_its_service_goes_on() {
+    let system = System::start(1);
+    let file = TempFile::new("drain.ini", TEXT);
+    eventually("a text is accepted", || {
+        let submitted = system.run(&["config", "submit", file.path(), "--base", "0", "--id", "d"]);
+        (submitted.code == Some(0)).then_some(())
+    });
+    let (_, members) = eventually("a group serves", || system.serving());
+    let drained = &members[0];
+    let text = format!("{TEXT}[target {drained}]\ndrain = yes\n");
+    let file = TempFile::new("drain-2.ini", &text);
+    let submitted = system.run(&["config", "submit", file.path(), "--base", "1"]);
+    expect_that!(submitted.code, some(eq(0)));
+    let mut refused = 0;
+    eventually("the host belongs to no group", || {
+        refused += usize::from(system.complete(0, "Meanwhile").0 != 200);
+        let hosts = system.json(&["hosts"]);
+        let host = hosts
+            .as_array()?
+            .iter()
+            .find(|h| h["host"] == drained.as_str())?;
+        (host["group"].is_null() && host["drain"] == true).then_some(())
+    });
+    expect_that!(refused, eq(0));
+    let serving = system.serving().map(|(_, members)| members);
+    expect_that!(serving, some(not(contains(eq(drained)))));
+}
