Wait for spares that are being released before a leaving group is swapped

Cause: leaving.rs, host leaving while its two spares had just loaded: one row was free and the other to be freed within two rounds, so no room for a whole replacement was seen, and the group that served was ended to swap its member. Ruled out: lagging evidence (the group was whole until its row said ending) and missing spares (both held the weights). Change: room that is about to come from released spares counts as room, so a replacement is formed and the old group serves until it is whole.

--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -14,7 +14,7 @@
 use crate::plan::form::{has_room, keep, sort_by_use};
 use crate::plan::policy::RepairChoice;
 use crate::plan::returns::Absence;
-use crate::plan::round::{Group, Lost, Round, Standing};
+use crate::plan::round::{Group, Lost, Round, Standing, Wanted};
 use crate::plan::view::HostFacts;
 use crate::rows::EndReason;
 use eelgrassmill_config::RepairWeight;
@@ -82,7 +82,8 @@
     // A replacement that is on its way is waited for: ending the group now would take
     // away capacity that it still gives.
     let replaced = wanted.expected() >= wanted.count;
-    if leaving == 0 || replaced || has_room(round, wanted) {
+    let room = has_room(round, wanted) || room_is_coming(round, wanted, domain);
+    if leaving == 0 || replaced || room {
         return;
     }
     let spared = wanted.serving() > wanted.cfg.floor as usize;
@@ -97,6 +98,22 @@
     }
 }
 
+/// Whether spares that have just loaded are about to make room for a whole group.
+///
+/// Their rows are freed within a few rounds. Swapping a member meanwhile would stop a
+/// group that serves, for the whole of its draining, where a replacement costs nothing.
+fn room_is_coming(round: &Round<'_>, wanted: &Wanted<'_>, domain: &FabricDomain) -> bool {
+    let released = |h: &&HostFacts| {
+        let group = h.row.group.as_ref().and_then(|g| round.view.groups.get(g));
+        let warmed = group.is_some_and(|g| g.row.reason == Some(EndReason::Warmed));
+        let near = h.entry.as_ref().is_some_and(|e| e.fabric_domain == *domain);
+        warmed && near && round.is_healthy(h)
+    };
+    let coming = round.view.hosts.values().filter(released).count();
+    let free = round.free.get(domain).map_or(0, Vec::len);
+    free + coming >= wanted.cfg.hosts_per_group as usize
+}
+
 fn weigh_broken(round: &mut Round<'_>, service: usize, index: usize, domain: &FabricDomain) {
     let group = &round.wanted[service].groups[index];
     let missing = missing(group);
