Let a leaving group stand in until its replacement is there; hold adapters to their own dependencies

A service refused everything from the word that a host of its only group leaves until a replacement was whole, though host and spares were there: the entry gave leaving groups nothing at once. Now a leaving candidate may get work for 2 s where no other can (loops/handover.rs).

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -75,6 +75,7 @@
     call: &Call,
     attempt: &Attempt,
 ) -> Result<Started, NotStarted> {
+    adapter_may_serve(core, call).map_err(NotStarted::Refused)?;
     let now = Instant::now();
     let mut place = shard
         .offer(
@@ -138,6 +139,20 @@
     }
 }
 
+/// Refuses a call of an adapter whose own dependencies are missing.
+///
+/// The groups it would run on are those of its base, which may serve all the
+/// same, so the lack of candidates that stops other services doesn't stop it.
+fn adapter_may_serve(core: &Core, call: &Call) -> Result<(), Problem> {
+    if call.service == call.served_by {
+        return Ok(());
+    }
+    match core.why_not_serving(&call.service) {
+        Some(why) => Err(nothing_serves(&call.service, &format!(": {why}"))),
+        None => Ok(()),
+    }
+}
+
 async fn send(
     core: &Core,
     call: &Call,
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -1,6 +1,7 @@
 //! The node's loops: each does one job, on a thread of its own, until the node stops.
 
 pub(crate) mod era;
+pub(crate) mod handover;
 pub(crate) mod lease;
 pub(crate) mod planner;
 pub(crate) mod probe;
--- a/crates/node/src/loops/pulse.rs
+++ b/crates/node/src/loops/pulse.rs
@@ -10,6 +10,7 @@
 use eelgrassmill_timeline::EventKind;
 use smol_str::format_smolstr;
 
+use super::handover::Handover;
 use super::watcher::target_name;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -21,6 +22,7 @@
     core: Arc<Core>,
     /// When downtime was last counted.
     counted: Instant,
+    handover: Handover,
 }
 
 impl Pulse {
@@ -28,6 +30,7 @@
         Pulse {
             core,
             counted: Instant::now(),
+            handover: Handover::default(),
         }
     }
 
@@ -37,10 +40,18 @@
         self.note_turned(now);
         for shard in self.core.all_shards() {
             if let Some(service) = cfg.services.get(shard.service()) {
-                shard.set_candidates(self.candidates(&cfg, service, now), now);
+                let mut candidates = self.candidates(&cfg, service, now);
+                self.handover.apply(&mut candidates, now);
+                shard.set_candidates(candidates, now);
                 self.report_load(&shard, service);
             }
         }
+        for service in cfg.services.values() {
+            // An adapter has no candidates of its own, but may have dependencies of its own.
+            if matches!(service.kind, ServiceKind::Adapter { .. }) {
+                self.may_serve(&cfg, service, now);
+            }
+        }
         self.count_downtime(&cfg, now);
     }
 
@@ -66,20 +77,28 @@
 
     /// Groups or targets of `service` that may get work now.
     fn candidates(&self, cfg: &Config, service: &Service, now: Instant) -> Vec<Candidate> {
+        // A service whose dependency is missing doesn't serve, though its groups are whole.
+        if !self.may_serve(cfg, service, now) {
+            return Vec::new();
+        }
+        self.own_candidates(cfg, service, now)
+    }
+
+    /// Whether `service` and all that it depends on can serve; notes why not.
+    fn may_serve(&self, cfg: &Config, service: &Service, now: Instant) -> bool {
         let there = |name: &smol_str::SmolStr| match cfg.services.get(name) {
             Some(s) => !self.own_candidates(cfg, s, now).is_empty(),
             None => false,
         };
-        // A service whose dependency is missing doesn't serve, though its groups are whole.
         match can_serve(cfg, &service.name, &there) {
             Ok(()) => {
                 lock(&self.core.held_up).remove(&service.name);
-                self.own_candidates(cfg, service, now)
+                true
             }
             Err(why) => {
                 let why = format_smolstr!("{why}");
                 lock(&self.core.held_up).insert(service.name.clone(), why);
-                Vec::new()
+                false
             }
         }
     }
