Spread callers over entries by caller, and order events over nodes

Cause: all callers of one tenant were told the same entry, and events of two nodes were put in order by their wall clocks alone. Change: the address answer comes from the pure policy, with the caller's own name or connection as its key, load bands and leaving entries taken into account; each batch between peers carries the sender's stamp. A stopping node waits for the others to have heard of it before the kept answers count as run out. Ruled out: the tenant alone as the key, since a large tenant would stay on one entry.

--- a/crates/node/src/entry/addresses.rs
+++ b/crates/node/src/entry/addresses.rs
@@ -1,51 +1,52 @@
 //! Which entries a caller is told to use.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use eelgrassmill_base::{NodeId, stable_hash};
 use eelgrassmill_config::{Config, Tenant};
+use eelgrassmill_route::{AddressAnswer, EntryView, LoadBand, choose_addresses};
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 use super::body::AnswerBody;
 use super::problem::Problem;
 use crate::state::core::Core;
 use crate::state::lock::lock;
 
-/// Entries named in one answer.
-const NAMED: usize = 3;
-/// Largest part by which the time to keep an answer is shortened, so that
-/// callers that asked together don't ask again together.
-const KEEP_SPREAD: f64 = 0.3;
-
 #[derive(Serialize)]
-struct Document {
-    addresses: Vec<SocketAddr>,
+struct Document<'a> {
+    addresses: &'a [SmolStr],
     /// Seconds for which the answer may be kept.
     keep_seconds: u64,
 }
 
-/// Answers `GET /v1/addresses?service=NAME`.
+/// What a caller says of itself in the query.
+struct Asker<'a> {
+    service: &'a str,
+    /// Its failure domain, where it has one.
+    domain: &'a str,
+    /// Its own name, which keeps the order the same over its connections.
+    name: Option<&'a str>,
+}
+
+/// Answers `GET /v1/addresses?service=NAME[&domain=DOMAIN][&caller=NAME]`.
 pub(crate) fn answer(
     core: &Core,
     cfg: &Config,
     parts: &Parts,
     tenant: Option<&Tenant>,
 ) -> Result<Response<AnswerBody>, Problem> {
-    let service = service(parts)?;
-    if !cfg.services.contains_key(service) {
-        let detail = format!("no such service: {service}");
+    let asker = asker(parts)?;
+    if !cfg.services.contains_key(asker.service) {
+        let detail = format!("no such service: {}", asker.service);
         return Err(Problem::not_run(StatusCode::NOT_FOUND, detail));
     }
-    let caller = match tenant {
-        Some(tenant) => format!("{}/{service}", tenant.name),
-        None => service.to_owned(),
-    };
+    let told = choose(core, cfg, &key(&asker, parts, tenant), asker.domain, None);
+    let keep = told.keep_for.min(core.settings.timing.address_keep);
     let doc = Document {
-        addresses: entries(core, cfg, &caller),
-        keep_seconds: keep(core).as_secs().max(1),
+        addresses: &told.addresses,
+        keep_seconds: keep.as_secs().max(1),
     };
     let body = serde_json::to_vec(&doc).unwrap_or_default();
     let mut resp = Response::new(AnswerBody::whole(body));
@@ -54,37 +55,71 @@
     Ok(resp)
 }
 
-fn service(parts: &Parts) -> Result<&str, Problem> {
+/// Other entries, for a caller that found this one full.
+pub(crate) fn others(core: &Core, cfg: &Config, caller: &str) -> Vec<String> {
+    let told = choose(core, cfg, caller, "", Some(&core.ident.node));
+    told.addresses.iter().map(ToString::to_string).collect()
+}
+
+/// By what callers are told apart: by tenant alone, a large tenant's callers
+/// would all be told the same entry.
+fn key(asker: &Asker<'_>, parts: &Parts, tenant: Option<&Tenant>) -> SmolStr {
+    let tenant = tenant.map_or("", |t| t.name.as_str());
+    let remote = parts.extensions.get::<SocketAddr>();
+    let caller = match asker.name {
+        Some(name) => SmolStr::new(name),
+        None => remote.map(ToSmolStr::to_smolstr).unwrap_or_default(),
+    };
+    format_smolstr!("{tenant}/{}/{caller}", asker.service)
+}
+
+fn asker(parts: &Parts) -> Result<Asker<'_>, Problem> {
     let query = parts.uri.query().unwrap_or_default();
-    let named = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("service="));
-    named
-        .filter(|s| !s.is_empty())
-        .ok_or_else(|| Problem::not_run(StatusCode::BAD_REQUEST, "the query names no service"))
+    let named = |key: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find_map(|(name, value)| (name == key && !value.is_empty()).then_some(value))
+    };
+    let service = named("service")
+        .ok_or_else(|| Problem::not_run(StatusCode::BAD_REQUEST, "the query names no service"))?;
+    Ok(Asker {
+        service,
+        domain: named("domain").unwrap_or_default(),
+        name: named("caller"),
+    })
 }
 
-/// Entries that take work, spread by caller.
-pub(crate) fn entries(core: &Core, cfg: &Config, caller: &str) -> Vec<SocketAddr> {
-    let mut known: Vec<(NodeId, SocketAddr, bool)> = lock(&core.directory)
-        .entries()
-        .map(|(node, e)| (node.clone(), e.caller, e.leaving || cfg.drains_node(node)))
-        .collect();
-    let me = (
-        core.ident.node.clone(),
-        core.ident.caller,
-        core.is_leaving(),
-    );
-    known.push(me);
-    // When every entry is leaving, a leaving one is better than none.
-    if known.iter().any(|(_, _, leaving)| !leaving) {
-        known.retain(|(_, _, leaving)| !leaving);
-    }
-    known.sort_by_key(|(node, _, _)| stable_hash([caller, node]));
-    known.into_iter().map(|(_, at, _)| at).take(NAMED).collect()
+fn choose(
+    core: &Core,
+    cfg: &Config,
+    caller: &str,
+    domain: &str,
+    except: Option<&str>,
+) -> AddressAnswer {
+    let entries = entries(core, cfg);
+    choose_addresses(caller, domain, &entries, except, &mut fastrand::Rng::new())
 }
 
-fn keep(core: &Core) -> Duration {
-    let keep = core.settings.timing.address_keep;
-    keep.mul_f64(1.0 - KEEP_SPREAD * fastrand::f64())
+fn entries(core: &Core, cfg: &Config) -> Vec<EntryView> {
+    let ident = &core.ident;
+    let mut entries = vec![EntryView {
+        node: ident.node.clone(),
+        address: ident.caller.to_smolstr(),
+        failure_domain: ident.failure_domain.clone(),
+        near: true,
+        load: LoadBand::default(),
+        leaving: core.is_leaving(),
+        alive: true,
+    }];
+    let directory = lock(&core.directory);
+    entries.extend(directory.entries().map(|(node, entry)| EntryView {
+        node: node.clone(),
+        address: entry.caller.to_smolstr(),
+        failure_domain: entry.failure_domain.clone(),
+        near: entry.region == ident.region,
+        load: entry.band,
+        leaving: entry.leaving || cfg.drains_node(node),
+        // An entry that falls silent is dropped from the directory.
+        alive: true,
+    }));
+    entries
 }
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -96,9 +96,8 @@
         if problem.status() != StatusCode::SERVICE_UNAVAILABLE {
             return problem;
         }
-        let entries = addresses::entries(&self.core, cfg, "");
-        let others = entries.iter().filter(|at| **at != self.core.ident.caller);
-        problem.instead(others.map(ToString::to_string).collect())
+        let caller = self.core.ident.unique();
+        problem.instead(addresses::others(&self.core, cfg, &caller))
     }
 
     /// A call that needs no claim.
--- a/crates/node/src/entry/listen.rs
+++ b/crates/node/src/entry/listen.rs
@@ -6,6 +6,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,14 +53,14 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|s| *s) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, remote)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let handler = handler.clone();
         let stop = stop.clone();
         tokio::spawn(async move {
-            connection(stream, handler, stop).await;
+            connection(stream, remote, handler, stop).await;
             drop(permit);
         });
     }
@@ -71,12 +72,14 @@
 
 async fn connection<H: Handler>(
     stream: TcpStream,
+    remote: SocketAddr,
     handler: Arc<H>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Tokens are small writes; waiting to join them would delay each.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(remote);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(req).await) }
     });
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,6 +50,8 @@
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// Period of reading the claims' era.
 const ERA_PERIOD: Duration = Duration::from_secs(20);
+/// Longest time until the other nodes no longer name a leaving one.
+const LEAVE_NOTICE: Duration = Duration::from_secs(1);
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -203,7 +205,7 @@
         publish_status(&self.core, &self.peer);
         // Others learn of it with the next flush; callers that asked before
         // then keep their answer for this long and still connect here.
-        std::thread::sleep(self.core.settings.timing.address_keep);
+        std::thread::sleep(self.core.settings.timing.address_keep + LEAVE_NOTICE);
         self.stop_entry.send_replace(true);
         let finished = self.finish_requests();
         lock(&self.planner).give_up();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,10 +6,10 @@
 use eelgrassmill_base::{ConfigVersion, HostId, Incarnation, NodeId};
 use eelgrassmill_group::{Verdict, Why};
 use eelgrassmill_peer::{
-    Change, ConfigText, Item, ItemKey, PeerHandler, PeerNode, QuotaReply, QuotaRequest, Update,
-    Verdict as VerdictItem,
+    Change, ConfigText, Item, ItemKey, PeerHandler, PeerNode, QuotaReply, QuotaRequest, Stamp,
+    Update, Verdict as VerdictItem,
 };
-use eelgrassmill_timeline::{EventKind, Query};
+use eelgrassmill_timeline::{EventKind, Hlc, Query};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::runtime::Handle;
 
@@ -164,6 +164,21 @@
         serde_json::to_vec(&answer).unwrap_or_default()
     }
 
+    fn stamp(&self) -> Stamp {
+        let hlc = self.core.journal.stamp();
+        Stamp {
+            ms: hlc.wall_ms,
+            count: hlc.counter,
+        }
+    }
+
+    fn observed(&self, stamp: Stamp) {
+        self.core.journal.observe(Hlc {
+            wall_ms: stamp.ms,
+            counter: stamp.count,
+        });
+    }
+
     fn quota(&self, req: QuotaRequest) -> QuotaReply {
         answer(&self.core, &req)
     }
--- a/crates/node/src/state/directory.rs
+++ b/crates/node/src/state/directory.rs
@@ -5,6 +5,10 @@
 
 use eelgrassmill_base::{ConfigVersion, FailureDomain, Incarnation, NodeId, Region};
 use eelgrassmill_peer::{NodeLoad, NodeStatus};
+use eelgrassmill_route::LoadBand;
+
+/// Load at which a node is full, in thousandths.
+const FULL_PERMILLE: f64 = 1000.0;
 
 /// One other node as it describes itself.
 #[derive(Clone, Debug)]
@@ -14,8 +18,8 @@
     pub(crate) failure_domain: FailureDomain,
     pub(crate) region: Region,
     pub(crate) leaving: bool,
-    /// In thousandths of what it can take.
-    pub(crate) load_permille: u32,
+    /// How loaded it calls itself.
+    pub(crate) band: LoadBand,
     pub(crate) config_version: ConfigVersion,
 }
 
@@ -38,7 +42,7 @@
             failure_domain: s.failure_domain.clone(),
             region: s.region.clone(),
             leaving: s.leaving,
-            load_permille: before.map_or(0, |e| e.load_permille),
+            band: before.map_or(LoadBand::default(), |e| e.band),
             config_version: before.map_or(0, |e| e.config_version),
         };
         self.entries.insert(node.clone(), entry);
@@ -46,7 +50,9 @@
 
     pub(crate) fn on_load(&mut self, node: &NodeId, load: &NodeLoad) {
         if let Some(entry) = self.entries.get_mut(node) {
-            entry.load_permille = load.load_permille;
+            entry.band = entry
+                .band
+                .next(f64::from(load.load_permille) / FULL_PERMILLE);
             entry.config_version = load.config_version;
         }
     }
--- a/crates/node/src/state/journal.rs
+++ b/crates/node/src/state/journal.rs
@@ -3,7 +3,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use eelgrassmill_base::{Incarnation, NodeId};
-use eelgrassmill_timeline::{Answer, Bounds, EventClass, EventKind, EventLog, Query};
+use eelgrassmill_timeline::{Answer, Bounds, EventClass, EventKind, EventLog, Hlc, Query};
 
 /// Milliseconds since 1970 by this machine's wall clock.
 ///
@@ -34,6 +34,19 @@
         }
     }
 
+    /// The stamp to send along with a message.
+    pub(crate) fn stamp(&self) -> Hlc {
+        self.log.stamp(wall_ms())
+    }
+
+    /// Takes notice of a stamp that came with a message.
+    ///
+    /// A stamp too far ahead is ignored: one node with a wrong clock must not
+    /// push the time line of all others into the future.
+    pub(crate) fn observe(&self, remote: Hlc) {
+        let _ = self.log.observe(remote, wall_ms());
+    }
+
     pub(crate) fn query(&self, query: &Query) -> Answer {
         self.log.query(query)
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,7 +25,7 @@
     NodeLoad, NodeStatus, Suspect, Update, Verdict,
 };
 pub use crate::meter::Traffic;
-pub use crate::node::{PeerHandler, PeerNode, PeerNodeConfig};
+pub use crate::node::{PeerHandler, PeerNode, PeerNodeConfig, Stamp};
 pub use crate::overlay::{FAN_OUT, MESH_LIMIT, Overlay};
 pub use crate::refusals::Refusals;
 pub use crate::wire::messages::{
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -54,6 +54,25 @@
 
     /// The slots that an entry is granted.
     fn quota(&self, req: QuotaRequest) -> QuotaReply;
+
+    /// The stamp that a batch carries, so that events of two nodes can be put in causal order.
+    fn stamp(&self) -> Stamp {
+        Stamp::default()
+    }
+
+    /// Takes notice of the stamp of another node's batch.
+    fn observed(&self, _stamp: Stamp) {}
+}
+
+value! { copy
+    /// A stamp of a hybrid logical clock; the timeline crate gives it its meaning.
+    #[derive(Default)]
+    pub struct Stamp {
+        /// Milliseconds since 1970.
+        pub ms: u64,
+        /// Counts stamps within one millisecond.
+        pub count: u32,
+    }
 }
 
 value! {
@@ -272,17 +291,34 @@
     /// Takes in a batch; gives what is owed to its sender, or `None` when the
     /// handler lags so far behind that the batch must come again.
     pub(crate) fn receive(&self, from: &NodeId, batch: Batch) -> Option<Batch> {
+        self.observe(&batch);
         let place = self.unhandled.try_reserve().ok()?;
         let mut state = self.state();
         let now = Instant::now();
         let updates = state.receive(from, batch, now);
-        let answer = state.answer(from, now);
+        let mut answer = state.answer(from, now);
         place.send(updates);
+        drop(state);
+        self.put_stamp(&mut answer);
         Some(answer)
     }
 
+    fn observe(&self, batch: &Batch) {
+        self.handler.observed(Stamp {
+            ms: batch.stamp_ms,
+            count: batch.stamp_count,
+        });
+    }
+
+    fn put_stamp(&self, batch: &mut Batch) {
+        let stamp = self.handler.stamp();
+        batch.stamp_ms = stamp.ms;
+        batch.stamp_count = stamp.count;
+    }
+
     /// Takes in the answer to a batch of ours; what it asks for goes with the next flush.
     fn receive_answer(&self, from: &NodeId, batch: Batch) {
+        self.observe(&batch);
         let Ok(place) = self.unhandled.try_reserve() else {
             return;
         };
@@ -344,7 +380,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn exchange(&self, node: NodeId, batch: Batch) {
+    async fn exchange(&self, node: NodeId, mut batch: Batch) {
+        self.put_stamp(&mut batch);
         let result: Result<Batch, PeerError> = self
             .call(&node, path::EXCHANGE, batch, self.max_transit)
             .await;
