Let news of a suspect arrive before it is sent again; tell usage between entries

Two causes, both from the time line of a failing run. (1) A restarted engine was told to join its group again before the entry looked whether it had died, and passed for the same. (2) A caller that asks the next entry at once is ahead of the news of the deaths. Ruled out: the naming rule itself (two deaths did name it wherever both were known). Change: findings carry the lead's start, which is compared; a suspect waits 250 ms for news and is judged again before it is sent anywhere. Tenants' use travels between entries as counts since the node's start, told in steps. Conclusion: entries asked at the very same moment can still lose a group each; asked one after the other they lose two in all.

--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -308,7 +308,7 @@
     let mut avoid = Avoided::new();
     let mut attempt = 1;
     loop {
-        let suspect = trial::check(core, call, print)?;
+        let suspect = trial::check(core, call, print).await?;
         let next = Attempt {
             number: attempt,
             avoid: away(core, &avoid, suspect),
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -246,6 +246,7 @@
             number: self.attempt,
             avoid: Avoided::from_iter([self.group.clone()]),
             suspect: trial::check(&self.core, &self.call, trial::print_of(&self.call))
+                .await
                 .map_err(|_| failure.clone())?,
             resume_from: self.tokens,
         };
--- a/crates/node/src/entry/trial.rs
+++ b/crates/node/src/entry/trial.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, GroupId, HostId};
+use eelgrassmill_base::{Epoch, GroupId, HostId, HostReport, Incarnation};
 use eelgrassmill_group::GroupPhase;
 use eelgrassmill_route::{Judgement, RequestPrint, request_print};
 use eelgrassmill_timeline::EventKind;
@@ -18,17 +18,32 @@
 /// Pause before a suspect looks again for a group without another suspect.
 pub(crate) const TRIAL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause before a suspect is sent to a group: what others have just seen of its
+/// like has arrived by then, with the next telling, the next flush and the way.
+///
+/// Without it a caller that asks entry after entry is always ahead of the
+/// news, and each entry loses a group to learn what the last one knew.
+const NEWS_PAUSE: Duration = Duration::from_millis(250);
+
 /// The fingerprint of a call.
 pub(crate) fn print_of(call: &Call) -> RequestPrint {
     let body = String::from_utf8_lossy(&call.body);
     request_print(&call.tenant, &call.service, &body)
 }
 
-/// Whether the call is a suspect, which runs apart from other suspects.
+/// Whether the call is a suspect, which runs apart from other suspects; waits for news of it.
 ///
 /// # Errors
 /// When it is named as a culprit: it is refused at every entry.
-pub(crate) fn check(core: &Core, call: &Call, print: RequestPrint) -> Result<bool, Problem> {
+pub(crate) async fn check(core: &Core, call: &Call, print: RequestPrint) -> Result<bool, Problem> {
+    if !look(core, call, print)? {
+        return Ok(false);
+    }
+    tokio::time::sleep(NEWS_PAUSE.min(call.left(Instant::now()))).await;
+    look(core, call, print)
+}
+
+fn look(core: &Core, call: &Call, print: RequestPrint) -> Result<bool, Problem> {
     let now = Instant::now();
     let (judgement, crashes) = {
         let guard = lock(&core.guard);
@@ -57,6 +72,8 @@
     epoch: Epoch,
     host: HostId,
     address: SmolStr,
+    /// The start of the lead when the run began, where it is known.
+    lead_start: Option<Incarnation>,
     on_trial: bool,
 }
 
@@ -85,6 +102,7 @@
             epoch,
             host: host.0.clone(),
             address: host.1.clone(),
+            lead_start: lock(&core.whole).lead_start(group, epoch),
             on_trial: suspect,
         })
     }
@@ -100,11 +118,7 @@
         let address = self.address.clone();
         let probe = tokio::task::spawn_blocking(move || core.control.probe(&address)).await;
         let lives = match probe {
-            // A restarted engine holds no group; one that still does has not died.
-            Ok(Ok(report)) => {
-                let placed = report.placement.as_ref();
-                placed.is_some_and(|p| p.group == self.group && p.epoch == self.epoch)
-            }
+            Ok(Ok(report)) => self.is_as_before(&report),
             Ok(Err(_)) => false,
             // The probe itself broke; it says nothing.
             Err(_) => true,
@@ -127,6 +141,19 @@
         });
     }
 
+    /// Whether the lead is still the one that the run was sent to.
+    ///
+    /// A restarted engine holds no group, but the planner may have told it to
+    /// join again before this look at it; its start tells even then.
+    fn is_as_before(&self, report: &HostReport) -> bool {
+        let placed = report.placement.as_ref();
+        let placed = placed.is_some_and(|p| p.group == self.group && p.epoch == self.epoch);
+        placed
+            && self
+                .lead_start
+                .is_none_or(|start| start == report.incarnation)
+    }
+
     /// Whether the group was ended on purpose, so that its members left it.
     fn was_ended(&self) -> bool {
         let fleet = lock(&self.core.fleet);
--- a/crates/node/src/loops/watcher.rs
+++ b/crates/node/src/loops/watcher.rs
@@ -132,10 +132,16 @@
             let Some(lead) = watch.row().lead().cloned() else {
                 continue;
             };
+            let report = self.core.reports.get(&lead);
+            let lead_start = match verdict {
+                Verdict::Whole => report.map_or(0, |answered| answered.report.incarnation),
+                _ => 0,
+            };
             findings.push(Finding {
                 group: row.group.clone(),
                 epoch: watch.row().epoch,
                 lead,
+                lead_start,
                 verdict,
             });
         }
@@ -164,6 +170,7 @@
             group: target_name(host),
             epoch: 0,
             lead: host.clone(),
+            lead_start: 0,
             verdict,
         };
         (finding, fresh.map_or(now, |answered| answered.sent))
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -350,6 +350,15 @@
     }));
 }
 
+fn publish_usage(core: &Core, peer: &PeerNode<Peers>) {
+    for shard in core.all_shards() {
+        let used = shard.take_usage();
+        for item in lock(&core.usage).used(shard.service(), used) {
+            peer.publish(item);
+        }
+    }
+}
+
 fn start_loops(
     core: &Arc<Core>,
     peer: &Arc<PeerNode<Peers>>,
@@ -400,6 +409,7 @@
         }),
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
+            publish_usage(&load_core, &load_peer);
             let leaving = load_core.is_leaving();
             if leaving != was_leaving {
                 publish_status(&load_core, &load_peer);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -98,6 +98,12 @@
                 let now = Instant::now();
                 lock(&self.core.guard).hear(origin, &suspect, as_of, now);
             }
+            Item::Usage(item) => {
+                let usage = lock(&self.core.usage).heard(origin, &item);
+                if let Some(shard) = self.core.shard(&item.service) {
+                    shard.charge_elsewhere(&usage);
+                }
+            }
             Item::GroupLoad(_) => {}
         }
     }
@@ -118,6 +124,7 @@
         lock(&self.core.whole).forget_watcher(origin);
         lock(&self.core.fleet).forget_watcher(origin);
         lock(&self.core.guard).forget(origin);
+        lock(&self.core.usage).forget(origin);
         if lock(&self.core.directory).forget(origin) {
             let peer = origin.clone();
             let reason = "not heard from".into();
@@ -184,7 +191,7 @@
     }
 }
 
-/// A finding as it travels: the code, and lead and missing host in the text.
+/// A finding as it travels: the code, and in the text the lead, its start and the missing host.
 pub(crate) fn verdict_item(finding: &Finding) -> VerdictItem {
     let (code, host) = match &finding.verdict {
         Verdict::Whole => (code::WHOLE, ""),
@@ -196,7 +203,7 @@
         epoch: finding.epoch,
         serves: code == code::WHOLE,
         code,
-        reason: format_smolstr!("{} {host}", finding.lead),
+        reason: format_smolstr!("{} {} {host}", finding.lead, finding.lead_start),
     }
 }
 
@@ -210,7 +217,10 @@
 }
 
 fn finding(item: &VerdictItem) -> Finding {
-    let (lead, host) = item.reason.split_once(' ').unwrap_or((&item.reason, ""));
+    let mut words = item.reason.split(' ');
+    let lead = words.next().unwrap_or_default();
+    let lead_start = words.next().and_then(|w| w.parse().ok());
+    let host = words.next().unwrap_or_default();
     let missing = |why| Verdict::Missing {
         host: SmolStr::new(host),
         why,
@@ -227,6 +237,7 @@
         group: item.group.clone(),
         epoch: item.epoch,
         lead: lead.into(),
+        lead_start: lead_start.unwrap_or_default(),
         verdict,
     }
 }
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -27,6 +27,7 @@
 use super::quotas::{Quotas, without_quota};
 use super::reports::Reports;
 use super::shard::Shard;
+use super::usage::UsageBook;
 use super::wholeness::Wholeness;
 use crate::Settings;
 use crate::metrics::{Metrics, TableCall, TableResult};
@@ -69,6 +70,7 @@
     pub(crate) quotas: Mutex<Quotas>,
     pub(crate) directory: Mutex<Directory>,
     pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) usage: Mutex<UsageBook>,
     pub(crate) guard: Mutex<Guard>,
     pub(crate) era: Mutex<EraClock>,
     /// The node that the planner row of this region names.
@@ -113,6 +115,7 @@
             quotas: Mutex::new(Quotas::new(ident.node.clone(), ident.incarnation)),
             directory: Mutex::new(Directory::default()),
             retries: Mutex::new(RetryBudget::default()),
+            usage: Mutex::new(UsageBook::default()),
             guard: Mutex::new(Guard::default()),
             era: Mutex::new(EraClock::default()),
             planner: Mutex::new(None),
@@ -182,6 +185,7 @@
         }
         drop(shards);
         lock(&self.retries).retain(|tenant| cfg.tenants.contains_key(tenant));
+        lock(&self.usage).retain(|tenant| cfg.tenants.contains_key(tenant));
         lock(&self.tenant_counts).retain(|tenant, _| cfg.tenants.contains_key(tenant));
     }
 
--- a/crates/node/src/state/mod.rs
+++ b/crates/node/src/state/mod.rs
@@ -11,4 +11,5 @@
 pub(crate) mod quotas;
 pub(crate) mod reports;
 pub(crate) mod shard;
+pub(crate) mod usage;
 pub(crate) mod wholeness;
--- a/crates/node/src/state/shard.rs
+++ b/crates/node/src/state/shard.rs
@@ -7,7 +7,7 @@
 use eelgrassmill_base::{GroupId, ServiceName, Tokens};
 use eelgrassmill_route::{
     Candidate, GroupPicker, Offer, Pick, PrefixHashes, QueueOptions, Refusal, Sample, ServiceQueue,
-    SlotKind, Slots, Ticket,
+    SlotKind, Slots, Ticket, Usage,
 };
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
@@ -154,6 +154,16 @@
         state.in_flight.get(group).copied().unwrap_or(Slots::NONE)
     }
 
+    /// What tenants used here since the last call.
+    pub(crate) fn take_usage(&self) -> Vec<Usage> {
+        self.state().queue.take_usage()
+    }
+
+    /// Charges what a tenant used at another entry.
+    pub(crate) fn charge_elsewhere(&self, usage: &Usage) {
+        self.state().queue.charge_elsewhere(usage);
+    }
+
     /// Waiting requests by kind of slot, and running ones.
     pub(crate) fn demand(&self) -> (Slots, usize) {
         let state = self.state();
--- a/crates/node/src/state/wholeness.rs
+++ b/crates/node/src/state/wholeness.rs
@@ -12,6 +12,8 @@
     pub(crate) group: GroupId,
     pub(crate) epoch: Epoch,
     pub(crate) lead: HostId,
+    /// The start of the lead that the group was found whole with; 0 in other findings.
+    pub(crate) lead_start: Incarnation,
     pub(crate) verdict: Verdict,
 }
 
@@ -114,6 +116,13 @@
         self.store.serving(group, now)
     }
 
+    /// The start of the lead that the group was last found whole with in this epoch.
+    pub(crate) fn lead_start(&self, group: &str, epoch: Epoch) -> Option<Incarnation> {
+        let findings = self.watchers.values().filter_map(|w| w.findings.get(group));
+        let starts = findings.filter(|f| f.epoch == epoch).map(|f| f.lead_start);
+        starts.filter(|start| *start > 0).max()
+    }
+
     pub(crate) fn restarted(&self, group: &str, epoch: Epoch) -> Option<&HostId> {
         self.store.restarted(group, epoch)
     }
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{
-    ConfigVersion, Epoch, FailureDomain, GroupId, HostId, Incarnation, NodeId, Region, value,
+    ConfigVersion, Epoch, FailureDomain, GroupId, HostId, Incarnation, NodeId, Region, ServiceName,
+    TenantId, value,
 };
 use smol_str::SmolStr;
 
@@ -24,6 +25,8 @@
         Suspect(Suspect),
         /// The load of a group.
         GroupLoad(GroupLoad),
+        /// What tenants have used at the node.
+        Usage(Usage),
     }
 
     /// A configuration that was accepted; its text is fetched on demand.
@@ -100,6 +103,18 @@
         pub waiting: u32,
     }
 
+    /// What one tenant has used of a service at the node. It travels with the slow items.
+    pub struct Usage {
+        /// The service.
+        pub service: ServiceName,
+        /// The tenant.
+        pub tenant: TenantId,
+        /// The tenant's weight.
+        pub weight: u32,
+        /// Tokens since the node's start, so that a lost or doubled report does no harm.
+        pub tokens: i64,
+    }
+
     /// A change that a node learned of.
     pub struct Update {
         /// The node whose state changed.
@@ -149,6 +164,8 @@
     Suspect(SmolStr),
     /// The load of a group.
     GroupLoad(GroupId),
+    /// What a tenant has used of a service.
+    Usage(ServiceName, TenantId),
 }
 
 /// Longest name or reason, in bytes.
@@ -181,6 +198,7 @@
             Item::Leaving(l) => ItemKey::Leaving(l.host.clone()),
             Item::Suspect(s) => ItemKey::Suspect(s.fingerprint.clone()),
             Item::GroupLoad(g) => ItemKey::GroupLoad(g.group.clone()),
+            Item::Usage(u) => ItemKey::Usage(u.service.clone(), u.tenant.clone()),
         }
     }
 
@@ -215,7 +233,7 @@
             Item::Verdict(v) if !v.serves => Pace::Urgent,
             Item::Status(s) if s.leaving => Pace::Urgent,
             Item::Verdict(_) | Item::Status(_) => Pace::Normal,
-            Item::Load(_) | Item::GroupLoad(_) => Pace::Slow,
+            Item::Load(_) | Item::GroupLoad(_) | Item::Usage(_) => Pace::Slow,
         }
     }
 }
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -4,10 +4,13 @@
 
 use crate::item::{
     ConfigAnnouncement, GroupLoad, Item, ItemKey, LeavingTarget, MAX_RECORD, MAX_TEXT, NodeLoad,
-    NodeStatus, Suspect, Verdict,
+    NodeStatus, Suspect, Usage, Verdict,
 };
 use crate::wire::messages::{self as wire, Kind};
 
+/// Stands between service and tenant in the key of a usage; no name holds it.
+const USAGE_SEPARATOR: char = '\u{1f}';
+
 /// An item or the key of one that is gone, as received.
 pub(crate) enum Received {
     Put(Item),
@@ -54,6 +57,12 @@
             running: g.running,
             waiting: g.waiting,
         }),
+        Item::Usage(u) => Kind::Usage(wire::Usage {
+            service: u.service.to_string(),
+            tenant: u.tenant.to_string(),
+            weight: u.weight,
+            tokens: u.tokens,
+        }),
     }
 }
 
@@ -67,6 +76,12 @@
         ItemKey::Leaving(name) => (8, name.as_str()),
         ItemKey::Suspect(name) => (9, name.as_str()),
         ItemKey::GroupLoad(name) => (10, name.as_str()),
+        ItemKey::Usage(service, tenant) => {
+            return Kind::Removed(wire::Removed {
+                kind: 12,
+                name: format!("{service}{USAGE_SEPARATOR}{tenant}"),
+            });
+        }
     };
     Kind::Removed(wire::Removed {
         kind,
@@ -116,6 +131,12 @@
             running: g.running,
             waiting: g.waiting,
         }),
+        Kind::Usage(u) => Item::Usage(Usage {
+            service: name(u.service)?,
+            tenant: name(u.tenant)?,
+            weight: u.weight,
+            tokens: u.tokens,
+        }),
         Kind::Removed(r) => return removed_key(r).map(Received::Removed),
     };
     Some(Received::Put(item))
@@ -130,6 +151,10 @@
         8 => ItemKey::Leaving(name(removed.name)?),
         9 => ItemKey::Suspect(name(removed.name)?),
         10 => ItemKey::GroupLoad(name(removed.name)?),
+        12 => {
+            let (service, tenant) = removed.name.split_once(USAGE_SEPARATOR)?;
+            ItemKey::Usage(name(service.to_owned())?, name(tenant.to_owned())?)
+        }
         _ => return None,
     })
 }
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -80,7 +80,7 @@
     #[prost(uint64, tag = "3")]
     pub ttl_ms: u64,
     /// What it is.
-    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub kind: Option<Kind>,
 }
 
@@ -108,6 +108,9 @@
     /// The load of a group.
     #[prost(message, tag = "10")]
     GroupLoad(GroupLoad),
+    /// What a tenant has used.
+    #[prost(message, tag = "12")]
+    Usage(Usage),
     /// The key of an item that is gone.
     #[prost(message, tag = "11")]
     Removed(Removed),
@@ -200,6 +203,23 @@
     pub record: Vec<u8>,
 }
 
+/// What one tenant has used of a service at a node.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Usage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The tenant.
+    #[prost(string, tag = "2")]
+    pub tenant: String,
+    /// The tenant's weight.
+    #[prost(uint32, tag = "3")]
+    pub weight: u32,
+    /// Tokens since the node's start.
+    #[prost(sint64, tag = "4")]
+    pub tokens: i64,
+}
+
 /// The load of a group.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct GroupLoad {
