--- a/crates/config/tests/accept.rs
+++ b/crates/config/tests/accept.rs
@@ -2,16 +2,14 @@
 
 mod common;
 
-use std::collections::BTreeMap;
-
+use common::rows::Rows;
 use common::{TEXT, runner};
 use eelgrassmill_config::{
     Applied, CURRENT_KEY, CurrentRow, Decision, HEAD_KEY, HeadRow, LOG_KEPT, LogRow, OfferError,
-    Offered, RECENT_KEPT, RowWrite, Submit, checksum, decide_submit, log_key,
+    Offered, RECENT_KEPT, Submit, checksum, decide_submit, log_key,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
-use smol_str::SmolStr;
 
 fn submit(id: &str, base: u64, author: &str, text: &str) -> Submit {
     Submit {
@@ -51,35 +49,6 @@
     expect_true!(a.writes.iter().all(|w| w.expect == Some(0)));
 }
 
-/// A table as far as acceptance needs one: rows with versions, all conditions or nothing.
-#[derive(Default)]
-struct Rows(BTreeMap<SmolStr, (u64, String)>);
-
-impl Rows {
-    fn commit(&mut self, writes: &[RowWrite]) -> bool {
-        let version = |key| self.0.get(key).map_or(0, |(v, _)| *v);
-        if writes
-            .iter()
-            .any(|w| w.expect.is_some_and(|e| e != version(&w.key)))
-        {
-            return false;
-        }
-        for write in writes {
-            let row = self.0.entry(write.key.clone()).or_default();
-            *row = (row.0 + 1, write.value.clone().unwrap_or_default());
-        }
-        true
-    }
-
-    fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Option<(u64, T)> {
-        let (version, value) = self.0.get(key)?;
-        Some((
-            *version,
-            serde_json::from_str(value).expect("a row of its kind"),
-        ))
-    }
-}
-
 /// Versions come and go for months. Unless rows are used again, the log fills
 /// the table; and unless their conditions stay true, one day nothing can be
 /// accepted any more.
@@ -98,7 +67,7 @@
         // The same transaction again, as after a lost answer, has no effect.
         assert!(!rows.commit(&a.writes), "version {v} again");
     }
-    expect_that!(rows.0.len(), eq(LOG_KEPT as usize + 2));
+    expect_that!(rows.len(), eq(LOG_KEPT as usize + 2));
     let head: HeadRow = rows.read(HEAD_KEY).unwrap().1;
     expect_that!((head.version, head.checksum), eq(&(last, checksum(TEXT))));
     let oldest = last - LOG_KEPT + 1;
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub(crate) mod rows;
+
 use std::time::Duration;
 
 use eelgrassmill_config::{
