--- /dev/null
+++ b/crates/peer/examples/capacity/main.rs
@@ -0,0 +1,46 @@
+//! Measures the slopes of `docs/CAPACITY.md` and prints them with the totals.
+//!
+//! `cargo run --release -p eelgrassmill-peer --example capacity`
+//!
+//! Counts (bytes, calls) come out the same each time; times are of this machine and of
+//! its other work. `--days` plays the bad days as well, in virtual time.
+
+mod counting;
+mod days;
+mod policy;
+mod rows;
+mod spread;
+#[path = "../../tests/support/mod.rs"]
+mod support;
+mod transport;
+
+use eelgrassmill_peer::capacity::{Inputs, Line, Size, table};
+
+/// One measurement at one size.
+pub(crate) type Point = (f64, f64);
+
+fn main() {
+    let mut inputs = Inputs::default();
+    spread::measure(&mut inputs);
+    transport::measure(&mut inputs);
+    policy::measure(&mut inputs);
+    rows::measure(&mut inputs);
+    println!("\ninputs: the cost at 0, and what each adds\n\n{inputs}");
+    println!(
+        "totals for each node at the aim\n\n{}",
+        table(&Size::AIM, &inputs)
+    );
+    if std::env::args().any(|arg| arg == "--days") {
+        days::play();
+    }
+}
+
+/// Prints the points of a slope and gives its line.
+pub(crate) fn line(name: &str, points: &[Point]) -> Line {
+    print!("{name:<16}");
+    for (n, cost) in points {
+        print!("  {n:>6}: {cost:.4e}");
+    }
+    println!();
+    Line::through(points)
+}
--- /dev/null
+++ b/crates/peer/src/capacity/roles.rs
@@ -0,0 +1,365 @@
+//! What each role of a node needs at a size.
+
+use std::fmt::Write;
+
+use eelgrassmill_base::value;
+
+use crate::capacity::Inputs;
+
+/// Probes of a host a second by one watcher.
+const PROBES: f64 = 2.0;
+/// Findings on a group a second by one watcher.
+const FINDINGS: f64 = 8.0;
+/// Watchers of a group.
+const WATCHERS: f64 = 3.0;
+/// Rounds of reading and of planning a second.
+const ROUNDS: f64 = 2.0;
+/// Times a second at which candidates are worked out.
+const PULSES: f64 = 20.0;
+/// Renewals of a node's lease a second: three in a term of six seconds.
+const RENEWALS: f64 = 0.5;
+/// Planner's probes of a host a second: every second round.
+const PLANNER_PROBES: f64 = 1.0;
+/// Events of a request.
+const REQUEST_EVENTS: f64 = 3.0;
+/// Events that a log keeps of requests, by its default bounds.
+const KEPT_EVENTS: f64 = 10_000.0;
+/// Seconds for which a caller keeps an address answer.
+const ADDRESS_TERM: f64 = 60.0;
+/// Rows written for a request that runs at most once: the claim and its end.
+const CLAIM_WRITES: f64 = 2.0;
+/// Seconds of a day.
+const DAY: f64 = 86_400.0;
+
+/// A size of the system.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Size {
+    /// Nodes.
+    pub nodes: f64,
+    /// Hosts that groups are formed of.
+    pub hosts: f64,
+    /// Groups.
+    pub groups: f64,
+    /// Hosts of a group.
+    pub hosts_per_group: f64,
+    /// Regions.
+    pub regions: f64,
+    /// Tenants.
+    pub tenants: f64,
+    /// Requests a second.
+    pub requests: f64,
+    /// Changes of the configuration a day.
+    pub changes: f64,
+    /// Callers that ask for addresses; assumed, since the aim does not say.
+    pub callers: f64,
+    /// Share of requests that run at most once; assumed, since the aim does not say.
+    pub claimed: f64,
+    /// Requests that wait at one node at the peak; assumed.
+    pub waiting: f64,
+}
+
+impl Size {
+    /// The size aimed at.
+    pub const AIM: Size = Size {
+        nodes: 370.0,
+        hosts: 880.0,
+        groups: 110.0,
+        hosts_per_group: 8.0,
+        regions: 3.0,
+        tenants: 100.0,
+        requests: 5_200.0,
+        changes: 2_100.0,
+        callers: 5_200.0,
+        claimed: 0.05,
+        waiting: 200.0,
+    };
+
+    /// Groups that one node watches, on average.
+    pub fn watched(&self) -> f64 {
+        self.groups * WATCHERS / self.nodes
+    }
+}
+
+/// What a node may spend on control.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Share of a core.
+    pub core: f64,
+    /// Bytes of memory.
+    pub state: f64,
+    /// Bytes a second, both ways.
+    pub bytes: f64,
+}
+
+impl Budget {
+    /// The budget of the aim.
+    pub const AIM: Budget = Budget {
+        core: 0.027,
+        state: 32.0 * 1024.0 * 1024.0,
+        bytes: 16.0 * 1024.0,
+    };
+}
+
+value! { copy
+    /// A role of a node.
+    pub enum Role {
+        /// Handing soft state on.
+        Dissemination,
+        /// Probing the groups that it watches.
+        Watcher,
+        /// Working out which groups may serve.
+        Evidence,
+        /// Keeping its lease.
+        Lease,
+        /// Reading the table and the host list.
+        Reader,
+        /// Planning a region; one node of each.
+        Planner,
+        /// Admitting requests and picking groups.
+        Entry,
+        /// Answering which entries to use.
+        Addresses,
+        /// Claiming requests that run at most once.
+        Claims,
+        /// Keeping events.
+        TimeLine,
+    }
+}
+
+/// What a role needs at one node, each a second where it is a rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Bytes of memory.
+    pub state: f64,
+    /// Messages sent and received.
+    pub messages: f64,
+    /// Bytes sent and received.
+    pub bytes: f64,
+    /// Share of a core.
+    pub core: f64,
+    /// Table reads.
+    pub reads: f64,
+    /// Table writes.
+    pub writes: f64,
+}
+
+impl Role {
+    /// All roles.
+    pub const ALL: [Role; 10] = [
+        Role::Dissemination,
+        Role::Watcher,
+        Role::Evidence,
+        Role::Lease,
+        Role::Reader,
+        Role::Planner,
+        Role::Entry,
+        Role::Addresses,
+        Role::Claims,
+        Role::TimeLine,
+    ];
+
+    /// Its name in the page.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Dissemination => "dissemination",
+            Role::Watcher => "watcher",
+            Role::Evidence => "evidence",
+            Role::Lease => "lease",
+            Role::Reader => "reader",
+            Role::Planner => "planner",
+            Role::Entry => "entry",
+            Role::Addresses => "addresses",
+            Role::Claims => "claims",
+            Role::TimeLine => "time line",
+        }
+    }
+
+    /// Whether every node has it; a planner is one node of a region.
+    pub fn is_everywhere(self) -> bool {
+        self != Role::Planner
+    }
+
+    /// What it needs at one node.
+    pub fn usage(self, size: &Size, inputs: &Inputs) -> Usage {
+        match self {
+            Role::Dissemination => dissemination(size, inputs),
+            Role::Watcher => watcher(size, inputs),
+            Role::Evidence => Usage {
+                state: inputs.evidence_state.at(size.groups),
+                core: PULSES * inputs.pulse_core.at(size.groups),
+                ..Usage::default()
+            },
+            Role::Lease => Usage {
+                messages: 2.0 * RENEWALS,
+                bytes: RENEWALS * inputs.node_row.at(1.0),
+                writes: RENEWALS,
+                ..Usage::default()
+            },
+            Role::Reader => reader(size, inputs),
+            Role::Planner => planner(size, inputs),
+            Role::Entry => entry(size, inputs),
+            Role::Addresses => addresses(size, inputs),
+            Role::Claims => claims(size, inputs),
+            Role::TimeLine => time_line(size, inputs),
+        }
+    }
+}
+
+fn dissemination(size: &Size, inputs: &Inputs) -> Usage {
+    let calls = inputs.spread_calls.at(size.nodes);
+    Usage {
+        state: inputs.spread_state.at(size.nodes),
+        // Each node makes and answers as many calls; a call is two messages.
+        messages: 4.0 * calls,
+        bytes: inputs.spread_bytes.at(size.nodes) + 2.0 * calls * inputs.call_bytes.at(1.0),
+        core: inputs.spread_core.at(size.nodes) + calls * inputs.call_core.at(1.0),
+        ..Usage::default()
+    }
+}
+
+fn watcher(size: &Size, inputs: &Inputs) -> Usage {
+    let hosts = size.hosts_per_group;
+    let probes = size.watched() * hosts * PROBES;
+    Usage {
+        state: size.watched() * inputs.watch_state.at(hosts),
+        messages: 2.0 * probes,
+        bytes: probes * inputs.probe_bytes.at(hosts),
+        core: probes * inputs.probe_core.at(hosts)
+            + size.watched() * FINDINGS * inputs.judge_core.at(hosts),
+        ..Usage::default()
+    }
+}
+
+fn reader(size: &Size, inputs: &Inputs) -> Usage {
+    let round = inputs.config_row.at(size.groups)
+        + size.nodes * inputs.node_row.at(1.0)
+        + size.groups * inputs.group_row.at(size.hosts_per_group)
+        + size.hosts * inputs.host_entry.at(1.0);
+    Usage {
+        // One copy of what was read, counted as it travels.
+        state: round,
+        // Two rows and two ranges of the table, and the host list.
+        messages: 2.0 * 5.0 * ROUNDS,
+        bytes: ROUNDS * round,
+        reads: 4.0 * ROUNDS,
+        ..Usage::default()
+    }
+}
+
+fn planner(size: &Size, inputs: &Inputs) -> Usage {
+    let groups = size.groups / size.regions;
+    let probes = size.hosts / size.regions * PLANNER_PROBES;
+    // The rows of all regions are read, since the keys do not name the region.
+    let round = size.hosts * inputs.host_row.at(1.0)
+        + size.groups * inputs.group_row.at(size.hosts_per_group);
+    Usage {
+        state: inputs.plan_state.at(groups),
+        messages: 2.0 * (3.0 * ROUNDS + probes),
+        bytes: ROUNDS * round + probes * inputs.probe_bytes.at(size.hosts_per_group),
+        core: ROUNDS * inputs.plan_core.at(groups)
+            + probes * inputs.probe_core.at(size.hosts_per_group),
+        reads: 3.0 * ROUNDS,
+        ..Usage::default()
+    }
+}
+
+fn entry(size: &Size, inputs: &Inputs) -> Usage {
+    let requests = size.requests / size.nodes;
+    let each = inputs.admit_core.at(size.tenants) + inputs.pick_core.at(size.groups);
+    Usage {
+        state: inputs.waiting_state.at(size.waiting),
+        core: requests * each,
+        ..Usage::default()
+    }
+}
+
+fn addresses(size: &Size, inputs: &Inputs) -> Usage {
+    let answers = size.callers / ADDRESS_TERM / size.nodes;
+    Usage {
+        messages: 2.0 * answers,
+        core: answers * inputs.address_core.at(size.nodes),
+        ..Usage::default()
+    }
+}
+
+fn claims(size: &Size, inputs: &Inputs) -> Usage {
+    let writes = size.requests * size.claimed * CLAIM_WRITES / size.nodes;
+    Usage {
+        messages: 2.0 * writes,
+        bytes: writes * inputs.claim_row.at(1.0),
+        writes,
+        ..Usage::default()
+    }
+}
+
+fn time_line(size: &Size, inputs: &Inputs) -> Usage {
+    let events = size.requests / size.nodes * REQUEST_EVENTS;
+    Usage {
+        state: inputs.event_state.at(KEPT_EVENTS),
+        core: events * inputs.event_core.at(1.0),
+        ..Usage::default()
+    }
+}
+
+/// What a node that has every role but the planner's needs.
+pub fn total(size: &Size, inputs: &Inputs) -> Usage {
+    let roles = Role::ALL.into_iter().filter(|role| role.is_everywhere());
+    roles.fold(Usage::default(), |sum, role| {
+        let usage = role.usage(size, inputs);
+        Usage {
+            state: sum.state + usage.state,
+            messages: sum.messages + usage.messages,
+            bytes: sum.bytes + usage.bytes,
+            core: sum.core + usage.core,
+            reads: sum.reads + usage.reads,
+            writes: sum.writes + usage.writes,
+        }
+    })
+}
+
+/// What all nodes together ask of the table service: reads and writes a second.
+pub fn store_load(size: &Size, inputs: &Inputs) -> (f64, f64) {
+    let everywhere = total(size, inputs);
+    let planner = Role::Planner.usage(size, inputs);
+    let reads = size.nodes * everywhere.reads + size.regions * planner.reads;
+    let changes = size.changes / DAY;
+    (reads, size.nodes * everywhere.writes + changes)
+}
+
+/// The totals as the page has them.
+pub fn table(size: &Size, inputs: &Inputs) -> String {
+    let mut out = String::new();
+    let head = "| role | state, KB | messages/s | bytes/s | core, % | reads/s | writes/s |";
+    let rule = "| --- | ---: | ---: | ---: | ---: | ---: | ---: |";
+    let _ = writeln!(out, "{head}\n{rule}");
+    for role in Role::ALL {
+        row(&mut out, role.name(), &role.usage(size, inputs));
+    }
+    row(&mut out, "**all but planner**", &total(size, inputs));
+    let budget = Usage {
+        state: Budget::AIM.state,
+        bytes: Budget::AIM.bytes,
+        core: Budget::AIM.core,
+        ..Usage::default()
+    };
+    row(&mut out, "**budget**", &budget);
+    let (reads, writes) = store_load(size, inputs);
+    let _ = writeln!(
+        out,
+        "\nAll nodes together: {reads:.0} table reads and {writes:.0} writes a second."
+    );
+    out
+}
+
+fn row(out: &mut String, name: &str, usage: &Usage) {
+    let _ = writeln!(
+        out,
+        "| {name} | {:.1} | {:.1} | {:.0} | {:.3} | {:.2} | {:.2} |",
+        usage.state / 1024.0,
+        usage.messages,
+        usage.bytes,
+        usage.core * 100.0,
+        usage.reads,
+        usage.writes,
+    );
+}
--- a/crates/peer/src/dissemination/mod.rs
+++ b/crates/peer/src/dissemination/mod.rs
@@ -84,7 +84,7 @@
             alive: Duration::from_secs(2),
             large_alive: Duration::from_secs(4),
             slow: Duration::from_secs(2),
-            large_slow: Duration::from_secs(10),
+            large_slow: Duration::from_secs(20),
             sync: Duration::from_secs(10),
             probe: Duration::from_secs(2),
             expire: Duration::from_secs(30),
--- a/crates/peer/src/dissemination/send.rs
+++ b/crates/peer/src/dissemination/send.rs
@@ -49,7 +49,8 @@
     /// Whether this flush is a tick; if so, plans the next one.
     fn is_tick(&mut self, now: Instant) -> bool {
         let period = self.tick_period();
-        let probed = self.due.after_probes && now >= self.due.last_tick + period / 2;
+        // Confirmations that come more often than ticks must not make more of them.
+        let probed = self.due.after_probes && now >= self.due.last_tick + period * 9 / 10;
         if !probed && now < self.due.tick {
             return false;
         }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! told what next. [`PeerNode`] gives it a clock, a server and connections.
 
 mod calls;
+pub mod capacity;
 mod config_text;
 mod delay;
 mod dissemination;
--- /dev/null
+++ b/crates/peer/tests/capacity.rs
@@ -0,0 +1,88 @@
+//! The arithmetic of the capacity page, and the page against it.
+
+use eelgrassmill_peer::capacity::{Inputs, Line, Role, Size, store_load, table, total};
+use googletest::prelude::*;
+
+fn page() -> String {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/CAPACITY.md");
+    std::fs::read_to_string(path).expect("the page is there")
+}
+
+fn constant(fixed: f64) -> Line {
+    Line { fixed, each: 0.0 }
+}
+
+fn slope(each: f64) -> Line {
+    Line { fixed: 0.0, each }
+}
+
+#[gtest]
+fn a_line_goes_through_points_that_lie_on_one() {
+    let line = Line::through(&[(10.0, 25.0), (20.0, 45.0), (40.0, 85.0)]);
+    expect_that!(line.fixed, near(5.0, 1e-9));
+    expect_that!(line.each, near(2.0, 1e-9));
+    expect_that!(line.at(100.0), near(205.0, 1e-9));
+    expect_that!(Line::through(&[(7.0, 3.0)]).at(99.0), near(3.0, 1e-9));
+}
+
+#[gtest]
+fn inputs_are_read_as_they_are_printed() {
+    let inputs = Inputs {
+        node_row: constant(331.0),
+        plan_core: Line {
+            fixed: -4.5e-5,
+            each: 5.125e-6,
+        },
+        ..Inputs::default()
+    };
+    expect_that!(Inputs::parse(&inputs.to_string()), ok(eq(&inputs)));
+    expect_that!(
+        Inputs::parse("spread_bytes = 1 +2 per node"),
+        err(anything())
+    );
+}
+
+#[gtest]
+fn totals_follow_from_the_inputs() {
+    let inputs = Inputs {
+        spread_bytes: slope(10.0),
+        spread_calls: constant(20.0),
+        call_bytes: constant(100.0),
+        probe_bytes: constant(400.0),
+        node_row: constant(300.0),
+        ..Inputs::default()
+    };
+    let size = Size::AIM;
+    // 110 groups with 3 watchers over 370 nodes; 8 hosts of each probed twice a second.
+    let probes = 110.0 * 3.0 / 370.0 * 8.0 * 2.0;
+    let watcher = Role::Watcher.usage(&size, &inputs);
+    expect_that!(watcher.bytes, near(probes * 400.0, 1e-6));
+    expect_that!(watcher.messages, near(2.0 * probes, 1e-6));
+    let spread = Role::Dissemination.usage(&size, &inputs);
+    expect_that!(spread.bytes, near(3_700.0 + 2.0 * 20.0 * 100.0, 1e-6));
+    let reader = Role::Reader.usage(&size, &inputs);
+    expect_that!(reader.bytes, near(2.0 * 370.0 * 300.0, 1e-6));
+    let sum: f64 = Role::ALL
+        .iter()
+        .filter(|role| role.is_everywhere())
+        .map(|role| role.usage(&size, &inputs).bytes)
+        .sum();
+    expect_that!(total(&size, &inputs).bytes, near(sum, 1e-6));
+    let (reads, writes) = store_load(&size, &inputs);
+    // Two rows and two ranges in each of two rounds; a planner reads three in each.
+    expect_that!(reads, near(370.0 * 8.0 + 3.0 * 6.0, 1e-6));
+    // Leases, claims of one request in twenty, and changes of the configuration.
+    let claims = 5_200.0 * 0.05 * 2.0;
+    expect_that!(
+        writes,
+        near(370.0 * 0.5 + claims + 2_100.0 / 86_400.0, 1e-6)
+    );
+}
+
+#[gtest]
+fn the_page_s_totals_follow_from_the_page_s_inputs() {
+    let page = page();
+    let inputs = Inputs::parse(&page).expect("the page has all inputs");
+    let totals = table(&Size::AIM, &inputs);
+    expect_that!(page, contains_substring(totals.trim()));
+}
--- a/crates/peer/tests/support/net.rs
+++ b/crates/peer/tests/support/net.rs
@@ -30,6 +30,8 @@
     pub(crate) calls: u64,
     pub(crate) sent: u64,
     pub(crate) received: u64,
+    /// Spent in the node's own code and in encoding and decoding.
+    pub(crate) busy: Duration,
 }
 
 /// How the network behaves.
@@ -222,12 +224,16 @@
 
     fn flush(&mut self, name: &NodeId) {
         let now = self.now;
+        let began = Instant::now();
         let output = self.node(name).tick(now);
+        let encoded = |(to, batch): (NodeId, Batch)| (to, batch.encode_to_vec());
+        let parcels: Vec<(NodeId, Vec<u8>)> = output.batches.into_iter().map(encoded).collect();
+        self.spent(name, began);
         let flush = Timing::default().flush;
         self.next_flush.insert(name.clone(), now + flush);
         self.learn(name, output.updates);
-        for (to, batch) in output.batches {
-            self.post(name.clone(), to, Parcel::Request(batch.encode_to_vec()));
+        for (to, bytes) in parcels {
+            self.post(name.clone(), to, Parcel::Request(bytes));
         }
     }
 
@@ -252,18 +258,28 @@
         match parcel {
             Parcel::Failure => node.failed(&from, now),
             Parcel::Answer(bytes) => {
+                let began = Instant::now();
                 let updates = node.receive(&from, decoded(&bytes), now);
+                self.spent(&to, began);
                 self.learn(&to, updates);
             }
             Parcel::Request(bytes) => {
+                let began = Instant::now();
                 let updates = node.receive(&from, decoded(&bytes), now);
                 let answer = node.answer(&from, now).encode_to_vec();
+                self.spent(&to, began);
                 self.learn(&to, updates);
                 self.post(to, from, Parcel::Answer(answer));
             }
         }
     }
 
+    fn spent(&mut self, node: &NodeId, began: Instant) {
+        if let Some(tally) = self.tally.get_mut(node) {
+            tally.busy += began.elapsed();
+        }
+    }
+
     fn learn(&mut self, node: &NodeId, updates: Vec<Update>) {
         if !self.keep_learned {
             return;
