Measure the cost of a decision; test the planner over whole histories

A rollout with room ended groups in place beside the replacement that was loading ('least: expected >= 3, actual 2'); it now waits for replacements and for the room that they leave.

--- a/crates/group/examples/repair/fake.rs
+++ b/crates/group/examples/repair/fake.rs
@@ -60,6 +60,9 @@
     /// When it goes after it was announced as leaving.
     goes_at: Option<Instant>,
     report: Arc<HostReport>,
+    running: u32,
+    /// Whether it takes no orders.
+    pub(crate) deaf: bool,
 }
 
 impl FakeHost {
@@ -76,6 +79,8 @@
         });
         FakeHost {
             report,
+            running: 0,
+            deaf: false,
             entry,
             incarnation: 1,
             placement: None,
@@ -104,6 +109,12 @@
         self.report.clone()
     }
 
+    /// Sets the number of requests that it reports.
+    pub(crate) fn set_running(&mut self, running: u32) {
+        self.running = running;
+        self.renew_report();
+    }
+
     fn renew_report(&mut self) {
         self.report = Arc::new(self.make_report());
     }
@@ -116,14 +127,14 @@
             ready: self.is_ready(),
             fence: self.fence,
             leaving: false,
-            running: 0,
+            running: self.running,
             warm: self.warm.clone(),
         }
     }
 
     /// Obeys an order, or refuses it if it checks orders and has obeyed a higher fence.
     pub(crate) fn obey(&mut self, order: &Order, load_bytes: u64) {
-        if self.checks_orders && order.fence < self.fence {
+        if self.deaf || (self.checks_orders && order.fence < self.fence) {
             return;
         }
         self.fence = self.fence.max(order.fence);
@@ -336,6 +347,17 @@
         }
     }
 
+    /// Gives every host all weights, as if spares had had time to load.
+    pub(crate) fn warm_all(&mut self) {
+        let all: Vec<SmolStr> = self.view.weights.keys().cloned().collect();
+        for host in self.hosts.values_mut() {
+            host.warm.clone_from(&all);
+            host.renew_report();
+        }
+        self.now += STEP;
+        self.observe();
+    }
+
     /// Whether nothing will happen until the next fault.
     pub(crate) fn is_quiet(&self) -> bool {
         let settled = self.view.groups.values().all(|g| g.is_live() && g.serving);
@@ -367,22 +389,23 @@
     /// Brings the view up to date, as the node crate does with real answers.
     pub(crate) fn observe(&mut self) {
         let now = self.now;
-        let listed = self.hosts.values().filter(|h| h.listed);
-        let entries: Vec<HostEntry> = listed.map(|h| h.entry.clone()).collect();
-        self.view.on_host_list(&entries, now);
+        if std::mem::take(&mut self.list_changed) {
+            let listed = self.hosts.values().filter(|h| h.listed);
+            let entries: Vec<HostEntry> = listed.map(|h| h.entry.clone()).collect();
+            self.view.on_host_list(&entries, now);
+        }
         self.read_rows();
         for host in self.hosts.values().filter(|h| h.is_up()) {
-            let report = host.report();
-            self.view.on_report(&report, now);
-            for watch in self.watches.values_mut() {
-                if report
-                    .placement
-                    .as_ref()
-                    .is_some_and(|p| p.group == watch.row().group)
-                    || watch.row().members.contains(&report.host)
-                {
-                    watch.on_report(&report, now);
-                }
+            self.view.on_report(&host.report(), now);
+        }
+        for watch in self.watches.values_mut() {
+            let members = watch.row().members.clone();
+            let up = members
+                .iter()
+                .map(|id| &self.hosts[id])
+                .filter(|h| h.is_up());
+            for host in up {
+                watch.on_report(&host.report(), now);
             }
         }
         for (group, watch) in &mut self.watches {
--- a/crates/group/examples/repair/fleets.rs
+++ b/crates/group/examples/repair/fleets.rs
@@ -136,8 +136,29 @@
 }
 
 impl Fleet {
+    /// So many groups of 8, with one spare to every 24 hosts.
+    pub(crate) fn of_groups(groups: usize) -> Fleet {
+        let mut fleet = full();
+        fleet.fabrics = (0..groups.div_ceil(3)).map(|i| (i % 6, 25)).collect();
+        fleet.services = vec![service("reply", groups as u32, 8, 1)];
+        fleet
+    }
+
     /// The fleet with all groups whole; spares have had ten minutes to load.
     pub(crate) fn start(&self, policy: RepairPolicy) -> Fake {
+        let mut fake = self.form(policy);
+        for _ in 0..1200 {
+            fake.step();
+            if fake.is_quiet() {
+                break;
+            }
+        }
+        fake.totals = Default::default();
+        fake
+    }
+
+    /// The fleet with all groups just formed.
+    pub(crate) fn form(&self, policy: RepairPolicy) -> Fake {
         let hosts = hosts(&self.fabrics, self.accelerators);
         let ids: Vec<SmolStr> = hosts.iter().map(|h| h.entry.id.clone()).collect();
         let checking = ids.iter().enumerate().filter(|(i, _)| i % 2 == 0);
@@ -147,13 +168,6 @@
         );
         let mut fake = Fake::new(hosts, config, &self.sizes, self.store, policy);
         self.form_at_once(&mut fake);
-        for _ in 0..1200 {
-            fake.step();
-            if fake.is_quiet() {
-                break;
-            }
-        }
-        fake.totals = Default::default();
         fake
     }
 
--- a/crates/group/examples/repair/main.rs
+++ b/crates/group/examples/repair/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `cargo run --release -p eelgrassmill-group --example repair`
 
+mod cost;
 mod fake;
 mod fleets;
 mod scripts;
@@ -28,6 +29,9 @@
             play_all(&fleet);
         }
     }
+    if only.is_none_or(|name| name == "cost") {
+        cost::measure();
+    }
 }
 
 fn play_all(fleet: &Fleet) {
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -151,7 +151,8 @@
 
 fn absence(round: &Round<'_>, group: &Group<'_>) -> Option<Absence> {
     let (host, _) = group.lost.first()?;
-    Some(round.view.absence_of(host, round.now))
+    let entry = round.view.hosts.get(*host)?.entry.as_ref()?;
+    Some(round.absence_in(&entry.fabric_domain))
 }
 
 /// How long the member has been silent that was lost last.
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -10,7 +10,8 @@
 
 use crate::plan::action::Action;
 use crate::plan::policy::RepairPolicy;
-use crate::plan::view::{FleetView, GroupFacts, HostFacts};
+use crate::plan::returns::Absence;
+use crate::plan::view::{FleetView, GroupFacts, HostFacts, TOGETHER};
 use crate::rows::{EndReason, GroupPhase, GroupRow, split_group_id, weights_name};
 
 /// What is wrong with a member.
@@ -81,6 +82,8 @@
     pub(crate) wanted: Vec<Wanted<'a>>,
     /// Hosts that may be taken, by fabric domain. Invariant: in order of their names.
     pub(crate) free: BTreeMap<&'a FabricDomain, Vec<&'a HostFacts>>,
+    /// Hosts that don't answer, by fabric domain.
+    silent: BTreeMap<&'a FabricDomain, usize>,
     /// Hosts loading now or ordered to by this round.
     pub(crate) loading: usize,
     pub(crate) changes: usize,
@@ -102,6 +105,7 @@
             actions: Vec::new(),
             wanted: Vec::new(),
             free: BTreeMap::new(),
+            silent: BTreeMap::new(),
             loading: 0,
             changes: 0,
             warming: BTreeMap::new(),
@@ -179,6 +183,16 @@
             && host.silent_for(self.now) <= self.policy.detect
     }
 
+    /// What kind of absence the silence of a host of this fabric domain belongs to.
+    pub(crate) fn absence_in(&self, domain: &FabricDomain) -> Absence {
+        let silent = self.silent.get(domain).copied().unwrap_or(0);
+        if silent >= TOGETHER {
+            Absence::Together
+        } else {
+            Absence::Single
+        }
+    }
+
     /// How long one host's load takes with `at_once` loads sharing the store.
     pub(crate) fn load_time(&self, bytes: u64, at_once: usize) -> Duration {
         let rate = self.view.store_rate.max(1);
@@ -204,6 +218,11 @@
     fn index_hosts(&mut self) {
         for host in self.view.hosts.values() {
             self.loading += usize::from(self.is_loading(host));
+            if let Some(entry) = &host.entry
+                && host.silent_for(self.now) > self.policy.detect
+            {
+                *self.silent.entry(&entry.fabric_domain).or_default() += 1;
+            }
             if let Some(entry) = host.entry.as_ref().filter(|_| self.is_takeable(host)) {
                 let free = self.free.entry(&entry.fabric_domain).or_default();
                 free.push(host);
--- a/crates/group/src/plan/shape.rs
+++ b/crates/group/src/plan/shape.rs
@@ -113,7 +113,7 @@
 /// How many groups may be between versions at once, less those that are.
 fn rollouts_allowed(round: &Round<'_>, service: usize) -> usize {
     let wanted = &round.wanted[service];
-    if has_room(round, wanted) {
+    if has_room(round, wanted) || is_replacing(round, wanted) {
         return 0;
     }
     let size = wanted.cfg.hosts_per_group.max(1) as usize;
@@ -122,6 +122,19 @@
     at_once.saturating_sub(under_way + round.formed_now(wanted.name).count())
 }
 
+/// Whether a replacement is on its way, or the hosts of a group replaced are about to make room
+/// for the next.
+fn is_replacing(round: &Round<'_>, wanted: &Wanted<'_>) -> bool {
+    let formed = wanted.groups.iter().filter(|g| g.is_formed()).count();
+    let releasing = |g: &Group<'_>| {
+        let again = g.facts.row.reason == Some(EndReason::Rollout);
+        let ending = g.standing == Standing::Ending && !again;
+        ending || (g.ended_now && !again)
+    };
+    let added = round.formed_now(wanted.name).count();
+    formed + added > wanted.count || wanted.groups.iter().any(releasing)
+}
+
 fn is_under_way(group: &Group<'_>) -> bool {
     group.ended_now || matches!(group.standing, Standing::Ending | Standing::Coming)
 }
--- a/crates/group/src/plan/view.rs
+++ b/crates/group/src/plan/view.rs
@@ -15,7 +15,7 @@
 use crate::rows::{GroupPhase, GroupRow, HostRow};
 
 /// So many silent hosts of one fabric domain count as one event that hit the domain.
-const TOGETHER: usize = 4;
+pub(crate) const TOGETHER: usize = 4;
 
 /// What is known of one host.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/group/tests/plan.rs
@@ -0,0 +1,302 @@
+//! What the planner decides, seen through whole histories of small fleets.
+
+#[path = "../examples/repair/fake.rs"]
+#[allow(dead_code)]
+mod fake;
+#[path = "../examples/repair/fleets.rs"]
+#[allow(dead_code)]
+mod fleets;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassmill_config::{Config, RepairWeight, ServiceKind};
+use eelgrassmill_group::{Absence, Action, GroupRow, RepairPolicy, ReturnModel};
+use googletest::prelude::*;
+use smol_str::SmolStr;
+
+use crate::fake::{Fake, Fault, Store};
+
+const SECOND: Duration = Duration::from_secs(1);
+const GB: u64 = 1_000_000_000;
+
+/// Services as (name, groups, hosts in each, floor); hosts by (failure domain, count) of each
+/// fabric domain. A host loads a model in eight seconds at most.
+fn fake(
+    services: &[(&str, u32, u32, u32)],
+    fabrics: &[(usize, usize)],
+    weight: RepairWeight,
+) -> Fake {
+    let hosts = fleets::hosts(fabrics, 8);
+    let services = services
+        .iter()
+        .map(|(name, n, size, floor)| fleets::service(name, *n, *size, *floor));
+    let services: Vec<_> = services.collect();
+    let mut sizes: Vec<(SmolStr, u64)> = Vec::new();
+    for (name, _) in &services {
+        sizes.push((format!("{name}-model@1").into(), 16 * GB));
+        sizes.push((format!("{name}-model@2").into(), 16 * GB));
+    }
+    let store = Store {
+        rate: 16 * GB,
+        host_rate: GB,
+    };
+    let config = fleets::config(services, []);
+    let mut fake = Fake::new(hosts, config, &sizes, store, RepairPolicy::new(weight));
+    fake.run(120 * SECOND);
+    fake
+}
+
+fn change(fake: &mut Fake, change: impl FnOnce(&mut Config)) {
+    let mut config = (*fake.view.config).clone();
+    change(&mut config);
+    fake.view.config = Arc::new(config);
+}
+
+fn model<'a>(config: &'a mut Config, service: &str) -> &'a mut eelgrassmill_config::ModelService {
+    let service = config.services.get_mut(service).expect("it is configured");
+    match &mut service.kind {
+        ServiceKind::Model(model) => model,
+        _ => panic!("a model service"),
+    }
+}
+
+fn serving(fake: &Fake, service: &str) -> Vec<GroupRow> {
+    let all = fake.serving_groups().into_iter();
+    all.filter(|g| g.service == service).cloned().collect()
+}
+
+/// Runs on and gives the fewest groups of a service that served at any step.
+fn least_serving(fake: &mut Fake, service: &str, time: Duration) -> usize {
+    let end = fake.now + time;
+    let mut least = usize::MAX;
+    while fake.now < end {
+        fake.step();
+        least = least.min(serving(fake, service).len());
+    }
+    least
+}
+
+fn domains_of(fake: &Fake, row: &GroupRow) -> BTreeSet<SmolStr> {
+    let entry = |id: &SmolStr| fake.hosts[id].entry.fabric_domain.clone();
+    row.members.iter().map(entry).collect()
+}
+
+#[gtest]
+fn groups_keep_to_one_fabric_domain_and_spread_over_failure_domains() {
+    let fake = fake(
+        &[("a", 6, 3, 1)],
+        &[(0, 8), (1, 8), (2, 8)],
+        RepairWeight::Downtime,
+    );
+    let rows = serving(&fake, "a");
+    assert_that!(rows.len(), eq(6));
+    let mut per_domain: BTreeMap<SmolStr, usize> = BTreeMap::new();
+    for row in &rows {
+        let domains = domains_of(&fake, row);
+        expect_that!(domains.len(), eq(1));
+        *per_domain
+            .entry(domains.into_iter().next().unwrap())
+            .or_default() += 1;
+    }
+    expect_that!(
+        per_domain.values().copied().collect::<Vec<_>>(),
+        elements_are![eq(&2), eq(&2), eq(&2)]
+    );
+}
+
+#[gtest]
+fn a_rollout_with_room_loses_no_capacity() {
+    let mut fake = fake(&[("a", 3, 2, 2)], &[(0, 5), (1, 5)], RepairWeight::Downtime);
+    change(&mut fake, |c| model(c, "a").version = "2".into());
+    let least = least_serving(&mut fake, "a", 300 * SECOND);
+    expect_that!(least, ge(3));
+    expect_true!(serving(&fake, "a").iter().all(|g| g.version == "2"));
+    expect_that!(serving(&fake, "a").len(), eq(3));
+}
+
+/// No host is left over, so each group has to end before it can begin anew.
+#[gtest]
+fn a_rollout_without_room_keeps_the_floor() {
+    let mut fake = fake(&[("a", 4, 2, 3)], &[(0, 4), (1, 4)], RepairWeight::Downtime);
+    change(&mut fake, |c| model(c, "a").version = "2".into());
+    let least = least_serving(&mut fake, "a", 300 * SECOND);
+    expect_that!(least, eq(3));
+    let rows = serving(&fake, "a");
+    expect_that!(rows.len(), eq(4));
+    expect_true!(rows.iter().all(|g| g.version == "2"));
+}
+
+#[gtest]
+fn groups_wanted_fewer_more_and_not_at_all() {
+    let mut fake = fake(
+        &[("a", 3, 2, 1), ("b", 1, 2, 1)],
+        &[(0, 6), (1, 6)],
+        RepairWeight::Downtime,
+    );
+    change(&mut fake, |c| model(c, "a").groups = 1);
+    fake.run(60 * SECOND);
+    expect_that!(serving(&fake, "a").len(), eq(1));
+    change(&mut fake, |c| model(c, "a").groups = 4);
+    fake.run(60 * SECOND);
+    expect_that!(serving(&fake, "a").len(), eq(4));
+    change(&mut fake, |c| {
+        c.services.remove("b");
+    });
+    fake.run(120 * SECOND);
+    let left: Vec<_> = fake
+        .view
+        .groups
+        .values()
+        .filter(|g| g.row.service == "b")
+        .collect();
+    expect_true!(left.is_empty(), "{left:?}");
+}
+
+/// Requests in progress keep a group from being taken apart, but not for ever.
+#[gtest]
+fn an_ending_group_is_drained_first() {
+    let mut fake = fake(&[("a", 1, 2, 0)], &[(0, 3)], RepairWeight::Downtime);
+    let row = serving(&fake, "a").remove(0);
+    fake.hosts.get_mut(&row.members[0]).unwrap().set_running(5);
+    change(&mut fake, |c| model(c, "a").groups = 0);
+    fake.run(20 * SECOND);
+    let holds = |f: &Fake| f.hosts[&row.members[0]].placement.is_some();
+    expect_true!(holds(&fake));
+    fake.hosts.get_mut(&row.members[0]).unwrap().set_running(0);
+    fake.run(2 * SECOND);
+    expect_false!(holds(&fake));
+}
+
+/// A whole fabric domain of twelve groups goes dark and comes back empty. The
+/// table and the weight store must not be flooded.
+#[gtest]
+fn a_dark_domain_starts_no_storm() {
+    let mut fake = fake(
+        &[("a", 24, 2, 8)],
+        &[(0, 26), (1, 26)],
+        RepairWeight::Downtime,
+    );
+    expect_that!(serving(&fake, "a").len(), eq(24));
+    let dark: Vec<SmolStr> = fake
+        .hosts
+        .keys()
+        .filter(|h| h.starts_with("h0"))
+        .cloned()
+        .collect();
+    fake.totals = Default::default();
+    for host in &dark {
+        fake.suffer(host, Fault::Restart(30));
+    }
+    fake.run(240 * SECOND);
+    expect_that!(serving(&fake, "a").len(), eq(24));
+    expect_that!(fake.totals.most_loads, le(16));
+    expect_that!(fake.totals.most_changes, le(32));
+}
+
+/// Two groups of two services each miss a host for long, and there is no
+/// spare. One of them is completed with the other's host.
+#[gtest]
+fn broken_groups_are_joined_where_no_spare_is_left() {
+    for weight in [RepairWeight::Downtime, RepairWeight::Stranded] {
+        let mut fake = fake(&[("a", 2, 3, 0)], &[(0, 6)], weight);
+        let rows = serving(&fake, "a");
+        for row in &rows {
+            fake.suffer(&row.members[1], Fault::Pause(500));
+        }
+        fake.run(60 * SECOND);
+        expect_that!(serving(&fake, "a").len(), eq(1));
+    }
+}
+
+/// The service `b` can't have a group for its floor, while `a` has one more
+/// than it needs.
+#[gtest]
+fn the_least_needed_group_yields_its_hosts() {
+    let mut fake = fake(
+        &[("a", 2, 2, 1), ("b", 1, 2, 1)],
+        &[(0, 4), (1, 2)],
+        RepairWeight::Downtime,
+    );
+    let b = serving(&fake, "b").remove(0);
+    for host in &b.members {
+        fake.suffer(host, Fault::Die);
+    }
+    fake.run(20 * SECOND);
+    expect_that!(serving(&fake, "a").len(), eq(2), "it yields too early");
+    fake.run(60 * SECOND);
+    expect_that!(serving(&fake, "b").len(), eq(1));
+    expect_that!(serving(&fake, "a").len(), eq(1));
+}
+
+/// A broken group of `a` is not expected back for a long time and `b` lacks
+/// one. With the weight on stranded accelerators its healthy hosts serve `b`;
+/// with the weight on downtime they are kept together for the missing host.
+#[gtest]
+fn the_weight_decides_whether_healthy_hosts_wait() {
+    for (weight, expected) in [(RepairWeight::Downtime, 0), (RepairWeight::Stranded, 1)] {
+        let mut fake = fake(&[("a", 1, 4, 1), ("b", 1, 2, 1)], &[(0, 6)], weight);
+        let (a, b) = (serving(&fake, "a").remove(0), serving(&fake, "b").remove(0));
+        for host in b.members.iter().chain(&a.members[..2]) {
+            fake.suffer(host, Fault::Pause(900));
+        }
+        fake.run(100 * SECOND);
+        expect_that!(serving(&fake, "b").len(), eq(expected), "{weight:?}");
+    }
+}
+
+/// A spare that is warm replaces a host without a load.
+#[gtest]
+fn spares_are_warm_before_they_are_needed() {
+    let mut fake = fake(&[("a", 2, 2, 1)], &[(0, 5)], RepairWeight::Downtime);
+    let spare = fake
+        .hosts
+        .values()
+        .find(|h| h.placement.is_none())
+        .expect("one is left");
+    expect_that!(spare.warm, not(is_empty()));
+    let row = serving(&fake, "a").remove(0);
+    fake.suffer(&row.members[0], Fault::Die);
+    fake.run(5 * SECOND);
+    expect_that!(serving(&fake, "a").len(), eq(2));
+}
+
+/// An order is repeated until the host's report shows it, not in every round.
+#[gtest]
+fn orders_are_repeated_with_a_pause() {
+    let mut fake = fake(&[("a", 1, 2, 1)], &[(0, 2)], RepairWeight::Downtime);
+    let row = serving(&fake, "a").remove(0);
+    fake.hosts.get_mut(&row.members[0]).unwrap().deaf = true;
+    change(&mut fake, |c| model(c, "a").groups = 0);
+    let mut leaves = 0;
+    for _ in 0..40 {
+        let sent =
+            |a: &Action| matches!(a, Action::SendLeave { order } if order.host == row.members[0]);
+        leaves += fake.step().iter().filter(|a| sent(a)).count();
+    }
+    // Twenty seconds, of which the first three drain the group; one a second at most.
+    expect_that!(leaves, all!(ge(8), le(17)));
+}
+
+#[gtest]
+fn waiting_pays_as_long_as_hosts_have_come_back_soon() {
+    let cost = 2 * SECOND;
+    let mut model = ReturnModel::new();
+    for _ in 0..500 {
+        model.record(Absence::Single, 5 * SECOND);
+    }
+    let patient = model.act_after(Absence::Single, cost);
+    expect_that!(patient, eq(Duration::ZERO), "5 s cost more than 2 s");
+    expect_that!(model.act_after(Absence::Single, 9 * SECOND), eq(6 * SECOND));
+    for _ in 0..1500 {
+        model.record_never(Absence::Single);
+    }
+    expect_that!(
+        model.act_after(Absence::Single, 9 * SECOND),
+        eq(Duration::ZERO)
+    );
+    // What single hosts do says nothing of whole domains.
+    let fresh = ReturnModel::new().act_after(Absence::Together, 9 * SECOND);
+    expect_that!(model.act_after(Absence::Together, 9 * SECOND), eq(fresh));
+}
