--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -133,10 +133,14 @@
         last
     });
     if std::env::var("TRIAL").is_ok() {
-        let t = cluster.admin(0, "GET", "/admin/v1/timeline?limit=10000", "").json();
+        let t = cluster
+            .admin(0, "GET", "/admin/v1/timeline?limit=10000", "")
+            .json();
         for e in t["events"].as_array().unwrap_or(&vec![]) {
             let line = e.to_string();
-            if !line.contains("request-") { println!("{line}"); }
+            if !line.contains("request-") {
+                println!("{line}");
+            }
         }
     }
     no_gap(&calls);
