--- a/crates/group/examples/repair/fake.rs
+++ b/crates/group/examples/repair/fake.rs
@@ -109,6 +109,12 @@
         self.report.clone()
     }
 
+    /// Sets the number of requests that it reports.
+    pub(crate) fn set_running(&mut self, running: u32) {
+        self.running = running;
+        self.renew_report();
+    }
+
     fn renew_report(&mut self) {
         self.report = Arc::new(self.make_report());
     }
