--- a/crates/group/tests/evidence.rs
+++ b/crates/group/tests/evidence.rs
@@ -180,15 +180,21 @@
     let mut store = EvidenceStore::new();
     let now = Instant::now();
     store.on_evidence(&say("w1", 1, 3, Verdict::Whole, 300 * MS), now);
-    store.on_evidence(&say("w2", 1, 3, missing("h2", Why::Silent), 0 * MS), now);
+    store.on_evidence(
+        &say("w2", 1, 3, missing("h2", Why::Silent), Duration::ZERO),
+        now,
+    );
     expect_that!(store.serving("a/0", now), ok(anything()));
     let later = now + 500 * MS;
-    store.on_evidence(&say("w2", 2, 3, missing("h2", Why::Silent), 0 * MS), later);
+    store.on_evidence(
+        &say("w2", 2, 3, missing("h2", Why::Silent), Duration::ZERO),
+        later,
+    );
     expect_that!(store.serving("a/0", later), err(anything()));
     store.on_evidence(&say("w1", 2, 3, Verdict::Whole, 300 * MS), later);
     expect_that!(store.serving("a/0", later), ok(anything()));
     store.on_evidence(
-        &say("w2", 3, 3, missing("h2", Why::Elsewhere), 0 * MS),
+        &say("w2", 3, 3, missing("h2", Why::Elsewhere), Duration::ZERO),
         later,
     );
     expect_that!(store.serving("a/0", later), err(anything()));
@@ -201,10 +207,10 @@
     let mut store = EvidenceStore::new();
     let now = Instant::now();
     store.on_evidence(&say("w1", 1, 3, missing("h2", Why::Restarted), MS), now);
-    store.on_evidence(&say("w2", 1, 3, Verdict::Whole, 0 * MS), now);
+    store.on_evidence(&say("w2", 1, 3, Verdict::Whole, Duration::ZERO), now);
     expect_that!(store.serving("a/0", now), err(anything()));
     expect_that!(store.restarted("a/0", 3), some(eq("h2")));
-    let mut next_start = say("w1", 1, 3, Verdict::Whole, 0 * MS);
+    let mut next_start = say("w1", 1, 3, Verdict::Whole, Duration::ZERO);
     next_start.incarnation = 2;
     store.on_evidence(&next_start, now);
     expect_that!(store.serving("a/0", now), ok(anything()));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,6 +50,8 @@
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// Period of reading the claims' era.
 const ERA_PERIOD: Duration = Duration::from_secs(20);
+/// Longest time until the other nodes no longer name a leaving one.
+const LEAVE_NOTICE: Duration = Duration::from_secs(1);
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -203,7 +205,7 @@
         publish_status(&self.core, &self.peer);
         // Others learn of it with the next flush; callers that asked before
         // then keep their answer for this long and still connect here.
-        std::thread::sleep(self.core.settings.timing.address_keep);
+        std::thread::sleep(self.core.settings.timing.address_keep + LEAVE_NOTICE);
         self.stop_entry.send_replace(true);
         let finished = self.finish_requests();
         lock(&self.planner).give_up();
@@ -348,6 +350,15 @@
     }));
 }
 
+fn publish_usage(core: &Core, peer: &PeerNode<Peers>) {
+    for shard in core.all_shards() {
+        let used = shard.take_usage();
+        for item in lock(&core.usage).used(shard.service(), used) {
+            peer.publish(item);
+        }
+    }
+}
+
 fn start_loops(
     core: &Arc<Core>,
     peer: &Arc<PeerNode<Peers>>,
@@ -398,6 +409,7 @@
         }),
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
+            publish_usage(&load_core, &load_peer);
             let leaving = load_core.is_leaving();
             if leaving != was_leaving {
                 publish_status(&load_core, &load_peer);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! told what next. [`PeerNode`] gives it a clock, a server and connections.
 
 mod calls;
+pub mod capacity;
 mod config_text;
 mod delay;
 mod dissemination;
@@ -22,10 +23,10 @@
 pub use crate::error::PeerError;
 pub use crate::item::{
     Change, ConfigAnnouncement, GroupLoad, Item, ItemKey, LeavingTarget, MAX_RECORD, MAX_TEXT,
-    NodeLoad, NodeStatus, Suspect, Update, Verdict,
+    NodeLoad, NodeStatus, Suspect, Update, Usage, Verdict,
 };
 pub use crate::meter::Traffic;
-pub use crate::node::{PeerHandler, PeerNode, PeerNodeConfig};
+pub use crate::node::{PeerHandler, PeerNode, PeerNodeConfig, Stamp};
 pub use crate::overlay::{FAN_OUT, MESH_LIMIT, Overlay};
 pub use crate::refusals::Refusals;
 pub use crate::wire::messages::{
