--- a/crates/node/tests/targets.rs
+++ b/crates/node/tests/targets.rs
@@ -57,6 +57,16 @@
     assert_eq!((answer.status, answer.outcome().as_str()), (502, "unknown"));
 }
 
+/// The engine answers for the group as it was before it was formed anew: with
+/// weights and a cache of members that are gone.
+#[test]
+fn an_answer_from_another_epoch_is_not_handed_on() {
+    let (cluster, lead) = one_group();
+    cluster.fault(&lead, "wrong-epoch", "");
+    let answer = cluster.complete(0, "which group is this", 10);
+    assert_eq!((answer.status, answer.outcome().as_str()), (502, "unknown"));
+}
+
 /// The engine gives an earlier answer once more in place of the next one.
 #[test]
 fn a_doubled_answer_reaches_nobody_else() {
--- a/crates/standin/src/delivery.rs
+++ b/crates/standin/src/delivery.rs
@@ -52,7 +52,9 @@
             .unwrap_or(0);
         Delivery {
             echo,
-            epoch: meta.epoch,
+            epoch: meta
+                .epoch
+                .saturating_sub(u64::from(host.faults.is_on(Fault::WrongEpoch))),
             resume_from: meta.resume_from,
             cut_after: cut_after.map(|n| usize::try_from(n).unwrap_or(usize::MAX)),
             headers_only: host.faults.is_on(Fault::CloseAfterHeaders),
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -25,6 +25,8 @@
         Twice,
         /// Echoes the id of another request.
         WrongId,
+        /// Echoes the epoch before the one that the request names.
+        WrongEpoch,
         /// Sends the head of each answer and closes.
         CloseAfterHeaders,
         /// Obeys orders with old fencing numbers.
@@ -58,7 +60,7 @@
 }
 
 /// Every fault of a target, with the name that switches it.
-pub(crate) const FAULTS: [(&str, Fault); 13] = [
+pub(crate) const FAULTS: [(&str, Fault); 14] = [
     ("die", Fault::Die),
     ("restart", Fault::Restart),
     ("pause", Fault::Pause),
@@ -67,6 +69,7 @@
     ("late", Fault::Late),
     ("twice", Fault::Twice),
     ("wrong-id", Fault::WrongId),
+    ("wrong-epoch", Fault::WrongEpoch),
     ("close-after-headers", Fault::CloseAfterHeaders),
     ("ignore-fences", Fault::IgnoreFences),
     ("refuse", Fault::Refuse),
