Tell group rows from the planner, and let few nodes read the table

Cause: every node scanned nodes and groups and read the whole text and host list twice a second, which at 370 nodes is over the table's 2,000 reads a second; a node that started while the platform was down served nothing; a killed node was named to callers for 30 s. Change: four nodes of each failure domain read often, the others every 10 s; the text is read when the small head row says that it is new; the planner tells each group's row with its hosts' addresses; readers tell which hosts the list says are leaving; callers aren't sent to a node silent for 6 s. Ruled out: every reader telling rows, which would tell each row 24 times.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -84,7 +84,9 @@
         };
         let row = table.get(&log_key(version)).map_err(|e| unavailable(&e))?;
         let logged: Option<(LogRow, _)> = row.as_ref().and_then(decode);
+        // A row of the log is used again for a later version.
         let (row, _) = logged
+            .filter(|(row, _)| row.version == version)
             .ok_or_else(|| BackendError::NotFound(format!("version {version} is not kept")))?;
         Ok(log_info(row, true))
     }
--- a/crates/node/src/backend/show.rs
+++ b/crates/node/src/backend/show.rs
@@ -112,7 +112,7 @@
             region: entry.region.clone(),
             failure_domain: entry.failure_domain.clone(),
             callers: entry.caller.to_smolstr(),
-            alive: true,
+            alive: entry.is_alive(Instant::now()),
             draining: entry.leaving || cfg.drains_node(node),
             lease: fleet.nodes.contains_key(node),
             planner: planner.as_ref() == Some(node),
--- a/crates/node/src/backend/submit.rs
+++ b/crates/node/src/backend/submit.rs
@@ -81,19 +81,16 @@
     Ok(Some(SubmitReply::Accepted { version }))
 }
 
-/// The writes under their conditions.
-///
-/// The log row of a version is written with the version's acceptance and never
-/// before it, so "absent" is a true condition; a lost answer can then be
-/// settled by sending the same transaction again. Deletions of old log rows
-/// are left to a later time: their versions aren't at hand here.
+/// The writes, each under its condition, so that a lost answer can be settled
+/// by sending the same transaction again.
 fn transaction(id: smol_str::SmolStr, acceptance: &Acceptance) -> Txn {
-    let kept = acceptance.writes.iter().filter(|w| w.value.is_some());
-    let conditions = kept.clone().map(|w| Condition {
-        key: w.key.clone(),
-        version: w.expect.unwrap_or(0),
+    let conditions = acceptance.writes.iter().filter_map(|w| {
+        Some(Condition {
+            key: w.key.clone(),
+            version: w.expect?,
+        })
     });
-    let writes = kept.clone().map(|w| Write {
+    let writes = acceptance.writes.iter().map(|w| Write {
         key: w.key.clone(),
         value: w.value.clone(),
     });
--- a/crates/node/src/entry/addresses.rs
+++ b/crates/node/src/entry/addresses.rs
@@ -1,6 +1,7 @@
 //! Which entries a caller is told to use.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use eelgrassmill_config::{Config, Tenant};
 use eelgrassmill_route::{AddressAnswer, EntryView, LoadBand, choose_addresses};
@@ -110,6 +111,7 @@
         leaving: core.is_leaving(),
         alive: true,
     }];
+    let now = Instant::now();
     let directory = lock(&core.directory);
     entries.extend(directory.entries().map(|(node, entry)| EntryView {
         node: node.clone(),
@@ -118,8 +120,7 @@
         near: entry.region == ident.region,
         load: entry.band,
         leaving: entry.leaving || cfg.drains_node(node),
-        // An entry that falls silent is dropped from the directory.
-        alive: true,
+        alive: entry.is_alive(now),
     }));
     entries
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod apply;
 mod backend;
 mod entry;
+mod group_rows;
 mod loops;
 mod metrics;
 mod node;
--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -12,6 +12,7 @@
     NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue, Takeover, node_key, plan,
     planner_key, takeover, weights_name,
 };
+use eelgrassmill_peer::PeerNode;
 use eelgrassmill_platform::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
 use eelgrassmill_timeline::EventKind;
 use smol_str::{SmolStr, format_smolstr};
@@ -19,7 +20,9 @@
 use super::probe::ProbePool;
 use super::reader::Seen;
 use super::rows::{decode, scan, txn};
+use crate::group_rows::Teller;
 use crate::metrics::TableCall;
+use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
 
@@ -49,17 +52,26 @@
     core: Arc<Core>,
     seen: Arc<Mutex<Seen>>,
     pool: Arc<ProbePool>,
+    peer: Arc<PeerNode<Peers>>,
+    teller: Teller,
     orders: OrderPool,
     planning: Option<Planning>,
 }
 
 impl Planner {
-    pub(crate) fn new(core: Arc<Core>, seen: Arc<Mutex<Seen>>, pool: Arc<ProbePool>) -> Planner {
+    pub(crate) fn new(
+        core: Arc<Core>,
+        seen: Arc<Mutex<Seen>>,
+        pool: Arc<ProbePool>,
+        peer: Arc<PeerNode<Peers>>,
+    ) -> Planner {
         Planner {
             orders: OrderPool::start(&core),
             core,
             seen,
             pool,
+            peer,
+            teller: Teller::default(),
             planning: None,
         }
     }
@@ -102,7 +114,8 @@
         }
     }
 
-    fn note_lost(&self) {
+    fn note_lost(&mut self) {
+        self.teller.end(&self.peer);
         let region = self.core.ident.region.clone();
         self.core.journal.note(EventKind::PlannerLost { region });
     }
@@ -164,7 +177,7 @@
         };
         let alive: Vec<&NodeId> = fleet
             .serving_nodes()
-            .filter(|row| row.region == *region && !lapsed(row))
+            .filter(|row| row.region == *region && !lapsed(row) && fleet.is_reader(&row.node))
             .map(|row| &row.node)
             .collect();
         let ranked = eelgrassmill_base::rendezvous(region, alive);
@@ -215,6 +228,7 @@
         }
         let hosts: Vec<(HostRow, RowVersion)> = scan(table, HOST_PREFIX)?;
         let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
+        self.teller.tell(&self.core, &self.peer, &groups);
         self.refresh(planning, &hosts, &groups);
         let actions = plan(&planning.view, &planning.policy, Instant::now());
         for action in actions {
--- a/crates/node/src/loops/reader.rs
+++ b/crates/node/src/loops/reader.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use eelgrassmill_base::RowVersion;
-use eelgrassmill_config::{CURRENT_KEY, CurrentRow};
+use eelgrassmill_config::{CURRENT_KEY, CurrentRow, HEAD_KEY, HeadRow};
 use eelgrassmill_group::{
     GROUP_PREFIX, GroupRow, LeaseObserver, NODE_PREFIX, NodeRow, PlannerRow, planner_key,
 };
@@ -25,11 +25,18 @@
     pub(crate) planner: Option<(PlannerRow, RowVersion)>,
 }
 
+/// Rounds of reading that a node leaves out which is no reader of its failure domain.
+///
+/// At 370 nodes, all reading at every round would ask several thousand times a
+/// second; what the others learn late here, they learn at once from their peers.
+const OTHERS_EVERY: u32 = 20;
+
 /// Reads what this node has to know of the table and the host list.
 pub(crate) struct Reader {
     core: Arc<Core>,
     peer: Arc<PeerNode<Peers>>,
     seen: Arc<Mutex<Seen>>,
+    round: u32,
 }
 
 impl Reader {
@@ -38,11 +45,22 @@
         peer: Arc<PeerNode<Peers>>,
         seen: Arc<Mutex<Seen>>,
     ) -> Reader {
-        Reader { core, peer, seen }
+        Reader {
+            core,
+            peer,
+            seen,
+            round: 0,
+        }
     }
 
     /// One round of reads. Without the table or the list, what was read last stays.
     pub(crate) fn step(&mut self) {
+        let round = self.round;
+        self.round = round.wrapping_add(1);
+        let is_reader = lock(&self.core.fleet).is_reader(&self.core.ident.node);
+        if !is_reader && !round.is_multiple_of(OTHERS_EVERY) {
+            return;
+        }
         if let Err(err) = self.read_table() {
             self.core.table_failed(TableCall::Scan, &err);
         }
@@ -60,16 +78,31 @@
 
     fn read_table(&mut self) -> Result<(), TableError> {
         let table = &self.core.platform.table;
+        self.read_config()?;
+        let nodes: Vec<(NodeRow, RowVersion)> = scan(table, NODE_PREFIX)?;
+        let planner = table.get(&planner_key(&self.core.ident.region))?;
+        self.take_nodes(nodes, planner.as_ref().and_then(decode));
+        let began = Instant::now();
+        let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
+        self.take_groups(groups, began);
+        Ok(())
+    }
+
+    /// Reads the text only when the small row beside it says that it is new.
+    fn read_config(&self) -> Result<(), TableError> {
+        let table = &self.core.platform.table;
+        let head = table.get(HEAD_KEY)?;
+        let Some((head, _)) = head.as_ref().and_then(decode::<HeadRow>) else {
+            return Ok(());
+        };
+        if head.version <= self.core.config.version() {
+            return Ok(());
+        }
         if let Some(row) = table.get(CURRENT_KEY)?
             && let Some((current, _)) = decode::<CurrentRow>(&row)
         {
             apply_config(&self.core, &self.peer, &config_text(current));
         }
-        let nodes: Vec<(NodeRow, RowVersion)> = scan(table, NODE_PREFIX)?;
-        let planner = table.get(&planner_key(&self.core.ident.region))?;
-        self.take_nodes(nodes, planner.as_ref().and_then(decode));
-        let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
-        self.take_groups(groups);
         Ok(())
     }
 
@@ -98,13 +131,13 @@
         }
     }
 
-    fn take_groups(&self, groups: Vec<(GroupRow, RowVersion)>) {
+    fn take_groups(&self, groups: Vec<(GroupRow, RowVersion)>, began: Instant) {
         let mut fleet = lock(&self.core.fleet);
         let mut whole = lock(&self.core.whole);
         for (row, _) in &groups {
             whole.on_row(row);
         }
-        for gone in fleet.set_groups(groups) {
+        for gone in fleet.set_groups(groups, began) {
             whole.forget(&gone);
         }
         fleet.scanned = Some(Instant::now());
--- a/crates/node/src/loops/watcher.rs
+++ b/crates/node/src/loops/watcher.rs
@@ -208,9 +208,29 @@
         self.peer.confirm(as_of);
     }
 
+    /// Hosts that the list says are leaving, at nodes that read it often.
+    ///
+    /// They tell the others, which read it too seldom to stop sending in time.
+    fn listed_leaving(&self) -> BTreeSet<HostId> {
+        let fleet = lock(&self.core.fleet);
+        match fleet.is_reader(&self.core.ident.node) {
+            true => fleet.listed_leaving().cloned().collect(),
+            false => BTreeSet::new(),
+        }
+    }
+
+    fn who_says(&self, host: &HostId) -> &'static str {
+        let fleet = lock(&self.core.fleet);
+        let listed = fleet.listed_leaving().any(|listed| listed == host);
+        match listed {
+            true => "the host list says so",
+            false => "the target says so",
+        }
+    }
+
     /// Publishes which of the probed targets say that they are leaving.
     fn publish_leaving<'a>(&mut self, hosts: impl Iterator<Item = &'a HostId>) {
-        let mut leaving = BTreeSet::new();
+        let mut leaving = self.listed_leaving();
         for host in hosts {
             let answered = self.core.reports.get(host);
             if answered.is_some_and(|a| a.report.leaving) {
@@ -231,7 +251,7 @@
             }));
             self.core.journal.note(EventKind::TargetLeaving {
                 host: host.clone(),
-                reason: "the target says so".into(),
+                reason: self.who_says(host).into(),
             });
         }
         for host in self.leaving.difference(&leaving) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -136,7 +136,7 @@
             planner: None,
         }));
         let lease = Arc::new(Mutex::new(LeaseKeeper::new(core.clone())));
-        let planner = Planner::new(core.clone(), seen.clone(), pool.clone());
+        let planner = Planner::new(core.clone(), seen.clone(), pool.clone(), peer.clone());
         let planner = Arc::new(Mutex::new(planner));
         threads.extend(start_loops(
             &core,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,6 +14,7 @@
 use tokio::runtime::Handle;
 
 use crate::apply::apply_config;
+use crate::group_rows;
 use crate::loops::quota::answer;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -67,9 +68,13 @@
             return;
         }
         match change {
-            Change::Put { item, as_of, .. } => self.put(&origin, incarnation, item, as_of),
+            Change::Put { item, as_of, .. } => {
+                lock(&self.core.directory).heard(&origin, as_of);
+                self.put(&origin, incarnation, item, as_of);
+            }
             Change::Removed(key) => self.removed(&origin, &key),
             Change::Confirmed(as_of) => {
+                lock(&self.core.directory).heard(&origin, as_of);
                 let mut whole = lock(&self.core.whole);
                 whole.on_confirmed(&origin, incarnation, as_of, Instant::now());
             }
@@ -90,7 +95,7 @@
                 }
             }
             Item::Status(status) => {
-                lock(&self.core.directory).on_status(origin, incarnation, &status);
+                lock(&self.core.directory).on_status(origin, incarnation, &status, as_of);
             }
             Item::Load(load) => lock(&self.core.directory).on_load(origin, &load),
             Item::Leaving(leaving) => self.leaving(&leaving.host, origin, true),
@@ -104,6 +109,7 @@
                     shard.charge_elsewhere(&usage);
                 }
             }
+            Item::Group(told) => group_rows::take(&self.core, &told),
             Item::GroupLoad(_) => {}
         }
     }
--- a/crates/node/src/state/directory.rs
+++ b/crates/node/src/state/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{ConfigVersion, FailureDomain, Incarnation, NodeId, Region};
 use eelgrassmill_peer::{NodeLoad, NodeStatus};
@@ -10,6 +11,10 @@
 /// Load at which a node is full, in thousandths.
 const FULL_PERMILLE: f64 = 1000.0;
 
+/// Callers are not sent to a node that was silent for this long. In a large system
+/// a node that watches nothing is confirmed every two seconds.
+const ALIVE_FOR: Duration = Duration::from_secs(6);
+
 /// One other node as it describes itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
@@ -21,6 +26,8 @@
     /// How loaded it calls itself.
     pub(crate) band: LoadBand,
     pub(crate) config_version: ConfigVersion,
+    /// When it was last known to live.
+    pub(crate) heard: Instant,
 }
 
 /// What other nodes say of themselves. An entry goes when its node falls silent.
@@ -29,9 +36,22 @@
     entries: BTreeMap<NodeId, Entry>,
 }
 
+impl Entry {
+    /// Whether it was heard from so lately that callers may be sent to it.
+    pub(crate) fn is_alive(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < ALIVE_FOR
+    }
+}
+
 impl Directory {
     /// Takes a node's status; one whose address can't be used is left out.
-    pub(crate) fn on_status(&mut self, node: &NodeId, incarnation: Incarnation, s: &NodeStatus) {
+    pub(crate) fn on_status(
+        &mut self,
+        node: &NodeId,
+        incarnation: Incarnation,
+        s: &NodeStatus,
+        as_of: Instant,
+    ) {
         let Ok(caller) = s.entry_address.parse() else {
             return;
         };
@@ -44,6 +64,7 @@
             leaving: s.leaving,
             band: before.map_or(LoadBand::default(), |e| e.band),
             config_version: before.map_or(0, |e| e.config_version),
+            heard: before.map_or(as_of, |e| e.heard.max(as_of)),
         };
         self.entries.insert(node.clone(), entry);
     }
@@ -57,6 +78,13 @@
         }
     }
 
+    /// Notes that a node lived at `as_of`.
+    pub(crate) fn heard(&mut self, node: &NodeId, as_of: Instant) {
+        if let Some(entry) = self.entries.get_mut(node) {
+            entry.heard = entry.heard.max(as_of);
+        }
+    }
+
     pub(crate) fn forget(&mut self, node: &NodeId) -> bool {
         self.entries.remove(node).is_some()
     }
--- a/crates/node/src/state/fleet.rs
+++ b/crates/node/src/state/fleet.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use eelgrassmill_base::{GroupId, HostEntry, HostId, HostState, NodeId, RowVersion};
+use eelgrassmill_base::{GroupId, HostEntry, HostId, HostState, NodeId, RowVersion, rendezvous};
 use eelgrassmill_group::{GroupRow, NodeRow, NodeState};
 use smol_str::SmolStr;
 
+/// Nodes of each failure domain that read the table and the host list often.
+const READERS: usize = 4;
+
 /// Rows and lists as last read. Everything here may lag.
 #[derive(Default)]
 pub(crate) struct Fleet {
@@ -15,23 +18,61 @@
     pub(crate) hosts: BTreeMap<HostId, HostEntry>,
     /// Hosts that a target, or a watcher that asked it, says are leaving, and by whom.
     said_leaving: BTreeMap<HostId, BTreeSet<NodeId>>,
+    /// When rows were told by the planner, until a later scan.
+    told: BTreeMap<GroupId, Instant>,
     /// When the last scan of the table was answered; `None` before the first.
     pub(crate) scanned: Option<Instant>,
 }
 
 impl Fleet {
-    /// Takes a scan of all group rows; gives the groups that are gone.
-    pub(crate) fn set_groups(&mut self, rows: Vec<(GroupRow, RowVersion)>) -> Vec<GroupId> {
-        let fresh: BTreeMap<GroupId, (GroupRow, RowVersion)> = rows
+    /// Takes a scan of all group rows that began at `began`; gives the groups that are gone.
+    ///
+    /// The planner tells of a row as soon as it has written it. A scan that
+    /// began before then must not undo what was told: the node would lose the
+    /// evidence of a new group, and serve nothing until it came again.
+    pub(crate) fn set_groups(
+        &mut self,
+        rows: Vec<(GroupRow, RowVersion)>,
+        began: Instant,
+    ) -> Vec<GroupId> {
+        let mut fresh: BTreeMap<GroupId, (GroupRow, RowVersion)> = rows
             .into_iter()
             .map(|(row, version)| (row.group.clone(), (row, version)))
             .collect();
+        self.told.retain(|_, at| *at > began);
+        for group in self.told.keys() {
+            let Some((row, version)) = self.groups.get(group) else {
+                continue;
+            };
+            if fresh.get(group).is_none_or(|(_, read)| read < version) {
+                fresh.insert(group.clone(), (row.clone(), *version));
+            }
+        }
         let gone = self.groups.keys().filter(|g| !fresh.contains_key(*g));
         let gone = gone.cloned().collect();
         self.groups = fresh;
         gone
     }
 
+    /// Takes a row that the planner tells of; false when it is no news.
+    pub(crate) fn on_told(&mut self, row: &GroupRow, version: RowVersion, now: Instant) -> bool {
+        let known = self.groups.get(&row.group);
+        if known.is_some_and(|(_, known)| *known >= version) {
+            return false;
+        }
+        self.groups
+            .insert(row.group.clone(), (row.clone(), version));
+        self.told.insert(row.group.clone(), now);
+        true
+    }
+
+    /// Takes hosts that the planner tells of, where the list has not been read.
+    pub(crate) fn on_told_hosts(&mut self, hosts: Vec<HostEntry>) {
+        for entry in hosts {
+            self.hosts.entry(entry.id.clone()).or_insert(entry);
+        }
+    }
+
     /// Takes a scan of all node rows; gives the nodes that came and those that went.
     pub(crate) fn set_nodes(
         &mut self,
@@ -86,6 +127,32 @@
         self.hosts.get(host).map(|e| e.address.clone())
     }
 
+    /// Whether a node reads the table often: the first few of each failure domain.
+    ///
+    /// A node that is not listed yet reads too, since it knows nothing.
+    pub(crate) fn is_reader(&self, node: &str) -> bool {
+        let Some((row, _)) = self.nodes.get(node) else {
+            return true;
+        };
+        let peers = self.nodes.values().map(|(row, _)| row);
+        let domain = peers.filter(|p| p.failure_domain == row.failure_domain);
+        let names: Vec<&NodeId> = domain.map(|p| &p.node).collect();
+        let ranked = rendezvous(&row.failure_domain, names);
+        ranked
+            .iter()
+            .take(READERS)
+            .any(|name| name.as_str() == node)
+    }
+
+    /// Hosts that the host list says are leaving.
+    pub(crate) fn listed_leaving(&self) -> impl Iterator<Item = &HostId> {
+        let leaving = self
+            .hosts
+            .values()
+            .filter(|h| h.state == HostState::Leaving);
+        leaving.map(|h| &h.id)
+    }
+
     /// Nodes that take new work.
     pub(crate) fn serving_nodes(&self) -> impl Iterator<Item = &NodeRow> {
         self.nodes
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{
-    ConfigVersion, Epoch, FailureDomain, GroupId, HostId, Incarnation, NodeId, Region, ServiceName,
-    TenantId, value,
+    ConfigVersion, Epoch, FailureDomain, GroupId, HostId, Incarnation, NodeId, Region, RowVersion,
+    ServiceName, TenantId, value,
 };
 use smol_str::SmolStr;
 
@@ -27,6 +27,8 @@
         GroupLoad(GroupLoad),
         /// What tenants have used at the node.
         Usage(Usage),
+        /// A group's row, told by the node that plans it.
+        Group(GroupRecord),
     }
 
     /// A configuration that was accepted; its text is fetched on demand.
@@ -103,6 +105,16 @@
         pub waiting: u32,
     }
 
+    /// A group's row as its planner wrote it.
+    pub struct GroupRecord {
+        /// The group.
+        pub group: GroupId,
+        /// The row's version in the table.
+        pub version: RowVersion,
+        /// The row and what else is told with it; opaque here, at most [`MAX_GROUP_RECORD`] bytes.
+        pub record: Vec<u8>,
+    }
+
     /// What one tenant has used of a service at the node. It travels with the slow items.
     pub struct Usage {
         /// The service.
@@ -166,10 +178,14 @@
     GroupLoad(GroupId),
     /// What a tenant has used of a service.
     Usage(ServiceName, TenantId),
+    /// A group's row.
+    Group(GroupId),
 }
 
 /// Longest name or reason, in bytes.
 pub const MAX_TEXT: usize = 200;
+/// Longest record of a group, in bytes: a row of some tens of members with their addresses.
+pub const MAX_GROUP_RECORD: usize = 16 * 1024;
 /// Longest record of a suspect, in bytes.
 pub const MAX_RECORD: usize = 2048;
 
@@ -199,6 +215,7 @@
             Item::Suspect(s) => ItemKey::Suspect(s.fingerprint.clone()),
             Item::GroupLoad(g) => ItemKey::GroupLoad(g.group.clone()),
             Item::Usage(u) => ItemKey::Usage(u.service.clone(), u.tenant.clone()),
+            Item::Group(g) => ItemKey::Group(g.group.clone()),
         }
     }
 
@@ -229,7 +246,7 @@
 
     pub(crate) fn pace(&self) -> Pace {
         match self {
-            Item::Config(_) | Item::Leaving(_) | Item::Suspect(_) => Pace::Urgent,
+            Item::Config(_) | Item::Leaving(_) | Item::Suspect(_) | Item::Group(_) => Pace::Urgent,
             Item::Verdict(v) if !v.serves => Pace::Urgent,
             Item::Status(s) if s.leaving => Pace::Urgent,
             Item::Verdict(_) | Item::Status(_) => Pace::Normal,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -22,8 +22,8 @@
 };
 pub use crate::error::PeerError;
 pub use crate::item::{
-    Change, ConfigAnnouncement, GroupLoad, Item, ItemKey, LeavingTarget, MAX_RECORD, MAX_TEXT,
-    NodeLoad, NodeStatus, Suspect, Update, Usage, Verdict,
+    Change, ConfigAnnouncement, GroupLoad, GroupRecord, Item, ItemKey, LeavingTarget,
+    MAX_GROUP_RECORD, MAX_RECORD, MAX_TEXT, NodeLoad, NodeStatus, Suspect, Update, Usage, Verdict,
 };
 pub use crate::meter::Traffic;
 pub use crate::node::{PeerHandler, PeerNode, PeerNodeConfig, Stamp};
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -3,8 +3,8 @@
 use eelgrassmill_base::Incarnation;
 
 use crate::item::{
-    ConfigAnnouncement, GroupLoad, Item, ItemKey, LeavingTarget, MAX_RECORD, MAX_TEXT, NodeLoad,
-    NodeStatus, Suspect, Usage, Verdict,
+    ConfigAnnouncement, GroupLoad, GroupRecord, Item, ItemKey, LeavingTarget, MAX_GROUP_RECORD,
+    MAX_RECORD, MAX_TEXT, NodeLoad, NodeStatus, Suspect, Usage, Verdict,
 };
 use crate::wire::messages::{self as wire, Kind};
 
@@ -57,6 +57,11 @@
             running: g.running,
             waiting: g.waiting,
         }),
+        Item::Group(g) => Kind::Group(wire::GroupRecord {
+            group: g.group.to_string(),
+            version: g.version,
+            record: g.record.clone(),
+        }),
         Item::Usage(u) => Kind::Usage(wire::Usage {
             service: u.service.to_string(),
             tenant: u.tenant.to_string(),
@@ -76,6 +81,7 @@
         ItemKey::Leaving(name) => (8, name.as_str()),
         ItemKey::Suspect(name) => (9, name.as_str()),
         ItemKey::GroupLoad(name) => (10, name.as_str()),
+        ItemKey::Group(name) => (13, name.as_str()),
         ItemKey::Usage(service, tenant) => {
             return Kind::Removed(wire::Removed {
                 kind: 12,
@@ -131,6 +137,12 @@
             running: g.running,
             waiting: g.waiting,
         }),
+        Kind::Group(g) if g.record.len() <= MAX_GROUP_RECORD => Item::Group(GroupRecord {
+            group: name(g.group)?,
+            version: g.version,
+            record: g.record,
+        }),
+        Kind::Group(_) => return None,
         Kind::Usage(u) => Item::Usage(Usage {
             service: name(u.service)?,
             tenant: name(u.tenant)?,
@@ -151,6 +163,7 @@
         8 => ItemKey::Leaving(name(removed.name)?),
         9 => ItemKey::Suspect(name(removed.name)?),
         10 => ItemKey::GroupLoad(name(removed.name)?),
+        13 => ItemKey::Group(name(removed.name)?),
         12 => {
             let (service, tenant) = removed.name.split_once(USAGE_SEPARATOR)?;
             ItemKey::Usage(name(service.to_owned())?, name(tenant.to_owned())?)
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -80,7 +80,7 @@
     #[prost(uint64, tag = "3")]
     pub ttl_ms: u64,
     /// What it is.
-    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub kind: Option<Kind>,
 }
 
@@ -111,6 +111,9 @@
     /// What a tenant has used.
     #[prost(message, tag = "12")]
     Usage(Usage),
+    /// A group's row.
+    #[prost(message, tag = "13")]
+    Group(GroupRecord),
     /// The key of an item that is gone.
     #[prost(message, tag = "11")]
     Removed(Removed),
@@ -203,6 +206,20 @@
     pub record: Vec<u8>,
 }
 
+/// A group's row as its planner wrote it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GroupRecord {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The row's version in the table.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The row and what else is told with it.
+    #[prost(bytes = "vec", tag = "3")]
+    pub record: Vec<u8>,
+}
+
 /// What one tenant has used of a service at a node.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Usage {
