Answer a refund that ran although the table is down; name no entry that knows no groups

Cause, first: a whole answer to a keyed call waited until its claim's final state was in the table, at the longest 120 s. A table that went down while the call ran held the answer back for the whole outage. Ruled out: the gate before claims; new calls were refused within 8 ms all the time. Change: one write is tried for at most 1 s, then the caller gets the answer and the write goes on. The row says 'claimed' until then, which keeps the call from a second run.

Cause, second: a node that starts while the table is down tells the others its address at once, and callers are sent there, but it knows no groups before it has read the table. Ruled out: evidence; the other nodes served all calls. Change: until it has read the rows once it tells others, and its own callers, what a leaving node tells. It still can't serve model calls itself: the rows of groups don't travel between nodes.

--- a/crates/node/src/entry/addresses.rs
+++ b/crates/node/src/entry/addresses.rs
@@ -73,7 +73,7 @@
     let me = (
         core.ident.node.clone(),
         core.ident.caller,
-        core.is_leaving(),
+        takes_no_callers(core),
     );
     known.push(me);
     // When every entry is leaving, a leaving one is better than none.
@@ -84,6 +84,14 @@
     known.into_iter().map(|(_, at, _)| at).take(NAMED).collect()
 }
 
+/// Whether callers are to be sent elsewhere.
+///
+/// A node that started while the table is down knows no groups; callers that
+/// were told its address would be refused although the groups serve.
+pub(crate) fn takes_no_callers(core: &Core) -> bool {
+    core.is_leaving() || lock(&core.fleet).scanned.is_none()
+}
+
 fn keep(core: &Core) -> Duration {
     let keep = core.settings.timing.address_keep;
     keep.mul_f64(1.0 - KEEP_SPREAD * fastrand::f64())
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::admin::{AdminLimits, AdminServer, AdminServerError};
 use crate::backend::Backend;
+use crate::entry::addresses::takes_no_callers;
 use crate::entry::handler::Entry;
 use crate::entry::listen;
 use crate::loops::era::EraKeeper;
@@ -320,7 +321,7 @@
         admin_address: ident.admin.to_smolstr(),
         failure_domain: ident.failure_domain.clone(),
         region: ident.region.clone(),
-        leaving: core.is_leaving(),
+        leaving: takes_no_callers(core),
     }));
 }
 
@@ -355,7 +356,8 @@
     let lease = lease.clone();
     let planner = planner.clone();
     let (load_core, load_peer) = (core.clone(), peer.clone());
-    let mut was_leaving = false;
+    // What start_peer() published: no row has been read then.
+    let mut was_leaving = true;
     vec![
         every(
             core,
@@ -379,7 +381,7 @@
         every(core, "era", ERA_PERIOD, move || era.step()),
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
-            let leaving = load_core.is_leaving();
+            let leaving = takes_no_callers(&load_core);
             if leaving != was_leaving {
                 publish_status(&load_core, &load_peer);
                 was_leaving = leaving;
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -30,6 +30,8 @@
 const ROUNDS: usize = 4;
 /// Pause before the state of a settled claim is written again.
 const WRITE_AGAIN: Duration = Duration::from_millis(500);
+/// Longest time for which a whole answer waits for its claim's state to be written.
+const FIRST_WRITE: Duration = Duration::from_secs(1);
 /// Attempts to write it. The row says `claimed` until then, which is safe:
 /// repeats are told `in progress`, and `unknown` once this node is gone.
 const WRITE_ATTEMPTS: u32 = 240;
@@ -223,9 +225,12 @@
                 let outcome = self.keep(&whole).await;
                 let change = claim.after(outcome);
                 // Written before the caller is answered, so that a repeat that
-                // follows the answer finds it.
-                self.settle(claim, change).await;
+                // follows the answer finds it. One try only: a table that is down
+                // would hold the answer back for as long, and the row protects
+                // the call from a second run as it is.
+                let change = self.write_soon(&mut claim, change).await;
                 drop(tx.send(Ok(whole.into_response())));
+                self.settle(claim, change).await;
             }
             Ok(Ran::Stream(relay, first)) => {
                 let (audience, body) = Audience::new(true);
@@ -283,6 +288,13 @@
         tokio::spawn(async move { task.settle(claim, change).await });
     }
 
+    /// Tries once, for a bounded time, to write the claim's state; gives what is left to write.
+    async fn write_soon(&self, claim: &mut Claim, change: Option<RowChange>) -> Option<RowChange> {
+        let writing = self.once.store.write(change?);
+        let outcome = tokio::time::timeout(FIRST_WRITE, writing).await;
+        claim.on_written(outcome.unwrap_or(WriteOutcome::Unknown))
+    }
+
     /// Writes the claim's state until the table has it.
     async fn settle(&self, mut claim: Claim, change: Option<RowChange>) {
         let told = claim.told();
