--- a/crates/core/tests/process/watch.rs
+++ b/crates/core/tests/process/watch.rs
@@ -19,8 +19,19 @@
 /// A node that is frozen must not hold the looks at the others up.
 const NODE_ANSWERS: Duration = Duration::from_millis(300);
 
-/// Where a host says it belongs, and since when at the latest.
-type Placements = BTreeMap<String, (Option<(String, u64)>, Instant)>;
+/// Where a host is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum There {
+    /// It does not answer.
+    Missing,
+    /// In no group, by its own word.
+    Free,
+    /// In the group and epoch, by its own word.
+    In(String, u64),
+}
+
+/// Where each host is, and since when at the latest.
+type Placements = BTreeMap<String, (There, Instant)>;
 
 /// Watches until it is stopped.
 pub struct Watch {
@@ -107,11 +118,11 @@
 
     fn update(&self, placements: &mut Placements) {
         for (host, at) in &self.engines {
-            let Some(report) = health(*at) else {
-                placements.remove(host);
-                continue;
+            let now = match health(*at).map(|report| report.placement) {
+                None => There::Missing,
+                Some(None) => There::Free,
+                Some(Some(p)) => There::In(p.group.to_string(), p.epoch),
             };
-            let now = report.placement.map(|p| (p.group.to_string(), p.epoch));
             match placements.get(host) {
                 Some((before, _)) if *before == now => {}
                 _ => {
@@ -136,7 +147,7 @@
     fn serving_is_true(&self, groups: &[GroupInfo], placements: &Placements, now: Instant) {
         let mut seen = BTreeSet::new();
         for group in groups.iter().filter(|g| g.serving) {
-            let own = Some((group.group.to_string(), group.epoch));
+            let own = There::In(group.group.to_string(), group.epoch);
             for host in &group.members {
                 if !seen.insert(host.clone()) {
                     self.note(format!("{host} is in two groups that serve: {groups:?}"));
