--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -73,6 +73,31 @@
     pub(crate) formed_now: usize,
 }
 
+type Members<'a> = SmallVec<[&'a HostFacts; 8]>;
+
+/// Looks groups up by name, and remembers the last: neighbours in the order of names are
+/// mostly in one group.
+pub(crate) struct GroupFinder<'a> {
+    view: &'a FleetView,
+    last: Option<&'a GroupFacts>,
+}
+
+impl<'a> GroupFinder<'a> {
+    pub(crate) fn new(view: &'a FleetView) -> GroupFinder<'a> {
+        GroupFinder { view, last: None }
+    }
+
+    /// The group that the host's row names.
+    pub(crate) fn of(&mut self, host: &HostFacts) -> Option<&'a GroupFacts> {
+        let name = host.row.group.as_ref()?;
+        if let Some(last) = self.last.filter(|last| last.row.group == *name) {
+            return Some(last);
+        }
+        self.last = self.view.groups.get(name);
+        self.last
+    }
+}
+
 /// Working state of one round.
 pub(crate) struct Round<'a> {
     pub(crate) view: &'a FleetView,
@@ -82,6 +107,9 @@
     pub(crate) wanted: Vec<Wanted<'a>>,
     /// Hosts that may be taken, by fabric domain. Invariant: in order of their names.
     pub(crate) free: BTreeMap<&'a FabricDomain, Vec<&'a HostFacts>>,
+    /// Hosts by the group that their rows name; most groups are indexed from here without a
+    /// search for each member.
+    bound: BTreeMap<&'a GroupId, Members<'a>>,
     /// Hosts that don't answer, by fabric domain.
     silent: BTreeMap<&'a FabricDomain, usize>,
     /// Hosts loading now or ordered to by this round.
@@ -105,6 +133,7 @@
             actions: Vec::new(),
             wanted: Vec::new(),
             free: BTreeMap::new(),
+            bound: BTreeMap::new(),
             silent: BTreeMap::new(),
             loading: 0,
             changes: 0,
@@ -216,8 +245,20 @@
     }
 
     fn index_hosts(&mut self) {
+        let mut groups = GroupFinder::new(self.view);
+        let mut together: Option<(&GroupId, Members<'a>)> = None;
         for host in self.view.hosts.values() {
-            self.loading += usize::from(self.is_loading(host));
+            let group = groups.of(host);
+            self.loading += usize::from(self.is_loading(host, group));
+            if let Some(name) = &host.row.group {
+                match &mut together {
+                    Some((last, members)) if *last == name => members.push(host),
+                    _ => {
+                        let done = together.replace((name, SmallVec::from_slice(&[host])));
+                        self.note_bound(done);
+                    }
+                }
+            }
             if let Some(entry) = &host.entry
                 && host.silent_for(self.now) > self.policy.detect
             {
@@ -228,6 +269,19 @@
                 free.push(host);
             }
         }
+        self.note_bound(together);
+    }
+
+    fn note_bound(&mut self, together: Option<(&'a GroupId, Members<'a>)>) {
+        if let Some((group, members)) = together {
+            self.bound.entry(group).or_default().extend(members);
+        }
+    }
+
+    /// The host of a name, from the group's own hosts where possible.
+    fn member(&self, bound: Option<&Members<'a>>, id: &HostId) -> Option<&'a HostFacts> {
+        let own = bound.and_then(|b| b.iter().copied().find(|h| h.row.host == *id));
+        own.or_else(|| self.view.hosts.get(id))
     }
 
     fn index_warming(&mut self) {
@@ -244,12 +298,7 @@
     }
 
     /// Whether the host loads weights, or will as soon as its order arrives.
-    fn is_loading(&self, host: &HostFacts) -> bool {
-        let group = host
-            .row
-            .group
-            .as_ref()
-            .and_then(|g| self.view.groups.get(g));
+    fn is_loading(&self, host: &HostFacts, group: Option<&GroupFacts>) -> bool {
         let Some(group) = group.filter(|g| g.is_live() && host.is_bound_to(&g.row)) else {
             return false;
         };
@@ -320,8 +369,9 @@
     fn index_group(&self, facts: &'a GroupFacts) -> Group<'a> {
         let mut lost = SmallVec::new();
         let mut domains: SmallVec<[&FabricDomain; 2]> = SmallVec::new();
+        let bound = self.bound.get(&facts.row.group);
         for id in &facts.row.members {
-            let host = self.view.hosts.get(id);
+            let host = self.member(bound, id);
             if let Some(why) = self.lost(facts, id, host) {
                 lost.push((id, why));
             }
--- a/crates/group/src/plan/settle.rs
+++ b/crates/group/src/plan/settle.rs
@@ -4,7 +4,7 @@
 
 use crate::plan::action::{Action, FreedBecause};
 use crate::plan::end;
-use crate::plan::round::Round;
+use crate::plan::round::{GroupFinder, Round};
 use crate::plan::view::{GroupFacts, HostFacts};
 use crate::rows::{
     Change, EndReason, GroupPhase, GroupRow, HostRow, RowValue, group_key, host_key,
@@ -13,8 +13,9 @@
 /// Sends what hosts have yet to obey, frees what has been released, and removes what is over.
 pub(crate) fn settle(round: &mut Round<'_>) {
     let view = round.view;
+    let mut groups = GroupFinder::new(view);
     for host in view.hosts.values() {
-        settle_host(round, host);
+        settle_host(round, host, groups.of(host));
     }
     for group in view.groups.values() {
         if round.is_ours(group) {
@@ -23,12 +24,7 @@
     }
 }
 
-fn settle_host(round: &mut Round<'_>, host: &HostFacts) {
-    let group = host
-        .row
-        .group
-        .as_ref()
-        .and_then(|g| round.view.groups.get(g));
+fn settle_host(round: &mut Round<'_>, host: &HostFacts, group: Option<&GroupFacts>) {
     let ours = group.is_some_and(|g| round.is_ours(g));
     if host.entry.is_none() && !ours {
         return;
--- a/crates/group/src/plan/shape.rs
+++ b/crates/group/src/plan/shape.rs
@@ -33,16 +33,19 @@
 /// predecessor ends.
 fn end_beyond_count(round: &mut Round<'_>, service: usize) {
     let wanted = &round.wanted[service];
+    let mut counts = Counts::of(wanted);
+    if counts.formed <= wanted.count {
+        return;
+    }
     let mut order: Vec<usize> = (0..wanted.groups.len()).collect();
     order.retain(|i| wanted.groups[*i].is_formed());
-    order.sort_by_key(|i| worth(wanted, &wanted.groups[*i]));
+    order.sort_by_cached_key(|i| worth(wanted, &wanted.groups[*i]));
     for index in order {
         let wanted = &round.wanted[service];
-        let formed = wanted.groups.iter().filter(|g| g.is_formed()).count();
-        if formed <= wanted.count {
+        if counts.formed <= wanted.count {
             return;
         }
-        if !may_end(wanted, &wanted.groups[index], formed) {
+        if !counts.may_end(wanted, &wanted.groups[index]) {
             continue;
         }
         let group = &wanted.groups[index];
@@ -54,7 +57,43 @@
         let facts = group.facts;
         if end_group(round, facts, reason) {
             round.wanted[service].groups[index].ended_now = true;
+            counts = Counts::of(&round.wanted[service]);
+        }
+    }
+}
+
+/// Groups of one service, counted once and not for each group that is looked at.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    formed: usize,
+    serving: usize,
+    /// Those of the serving that need no replacement.
+    serving_well: usize,
+}
+
+impl Counts {
+    fn of(wanted: &Wanted<'_>) -> Counts {
+        Counts {
+            formed: wanted.groups.iter().filter(|g| g.is_formed()).count(),
+            serving: wanted.serving(),
+            serving_well: wanted.serving_well(),
+        }
+    }
+
+    fn may_end(self, wanted: &Wanted<'_>, group: &Group<'_>) -> bool {
+        if group.is_serving() {
+            return self.serving > wanted.count;
         }
+        // A replacement on its way is kept until enough groups serve that need none.
+        let enough = if group.is_good(wanted) {
+            self.serving_well
+        } else {
+            self.serving
+        };
+        // Of those that don't serve yet, two for each that is missing may race.
+        let others = self.formed - self.serving - 1;
+        let missing = wanted.count.saturating_sub(self.serving).max(1);
+        enough >= wanted.count || others >= 2 * missing
     }
 }
 
@@ -70,26 +109,11 @@
     )
 }
 
-fn may_end(wanted: &Wanted<'_>, group: &Group<'_>, formed: usize) -> bool {
-    let serving = wanted.serving();
-    if group.is_serving() {
-        return serving > wanted.count;
-    }
-    // A replacement on its way is kept until enough groups serve that need none.
-    let enough = if group.is_good(wanted) {
-        wanted.serving_well()
-    } else {
-        serving
-    };
-    // Of those that don't serve yet, two for each that is missing may race.
-    let others = formed - serving - 1;
-    enough >= wanted.count || others >= 2 * wanted.count.saturating_sub(serving).max(1)
-}
-
 /// Ends groups of an old version where there is no room to replace them first.
 pub(crate) fn roll_out(round: &mut Round<'_>) {
     for service in 0..round.wanted.len() {
         let mut left = rollouts_allowed(round, service);
+        let mut serving = round.wanted[service].serving();
         for index in 0..round.wanted[service].groups.len() {
             let wanted = &round.wanted[service];
             let group = &wanted.groups[index];
@@ -98,13 +122,14 @@
             }
             // A broken group costs no capacity; it is ended whatever the floor.
             let costs = usize::from(group.is_serving());
-            if costs > 0 && wanted.serving() <= wanted.cfg.floor as usize {
+            if costs > 0 && serving <= wanted.cfg.floor as usize {
                 continue;
             }
             let facts = group.facts;
             if end_group(round, facts, EndReason::Rollout) {
                 round.wanted[service].groups[index].ended_now = true;
                 left -= 1;
+                serving -= costs;
             }
         }
     }
--- a/crates/group/src/plan/warm.rs
+++ b/crates/group/src/plan/warm.rs
@@ -8,7 +8,8 @@
 use crate::plan::view::HostFacts;
 use crate::rows::{GroupPhase, warming_id};
 
-/// Loads the spares that broken groups wait for, then idle ones where they mend most.
+/// Loads the spares that broken groups wait for and, while every group serves, idle ones
+/// where they mend most.
 pub(crate) fn warm_spares(round: &mut Round<'_>) {
     if round.policy.choice != RepairChoice::Weighed {
         return;
@@ -16,6 +17,9 @@
     for (service, host) in std::mem::take(&mut round.wishes) {
         warm(round, service, host);
     }
+    if round.wanted.iter().any(|w| w.serving() < w.count) {
+        return;
+    }
     let domains: Vec<&FabricDomain> = round.free.keys().copied().collect();
     for domain in domains {
         warm_idle(round, domain);
@@ -24,11 +28,10 @@
 
 /// Loads one idle spare of a fabric domain that is warm for nothing.
 ///
-/// Idle loading takes half of the bound at most and starts only while every
-/// group serves: it must not slow down the loads that repairs wait for.
+/// Idle loading takes half of the bound at most: a repair that comes meanwhile
+/// finds the store free enough.
 fn warm_idle(round: &mut Round<'_>, domain: &FabricDomain) {
-    let short = round.wanted.iter().any(|w| w.serving() < w.count);
-    if short || round.loading >= round.most_loads().div_ceil(2) {
+    if round.loading >= round.most_loads().div_ceil(2) {
         return;
     }
     let free: Vec<&HostFacts> = round.free.get(domain).cloned().unwrap_or_default();
