Tell returns that keep a group's state from those that don't

Cause: the planner weighed joining broken groups against returns that make a group whole at once; a host that comes back empty counted as never back, though it is fit to be a member again.

--- a/crates/group/examples/repair/fake.rs
+++ b/crates/group/examples/repair/fake.rs
@@ -110,6 +110,7 @@
     }
 
     /// Sets the number of requests that it reports.
+    #[allow(dead_code)] // For the tests that share this file.
     pub(crate) fn set_running(&mut self, running: u32) {
         self.running = running;
         self.renew_report();
@@ -268,6 +269,17 @@
     pub(crate) most_loads: u64,
 }
 
+impl Totals {
+    /// Adds another run.
+    pub(crate) fn add(&mut self, run: &Totals) {
+        self.downtime += run.downtime;
+        self.stranded += run.stranded;
+        self.changes += run.changes;
+        self.most_changes = self.most_changes.max(run.most_changes);
+        self.most_loads = self.most_loads.max(run.most_loads);
+    }
+}
+
 /// Hosts, a table and one planner.
 #[derive(Clone)]
 pub(crate) struct Fake {
--- a/crates/group/examples/repair/main.rs
+++ b/crates/group/examples/repair/main.rs
@@ -24,17 +24,26 @@
 
 fn main() {
     let only = std::env::args().nth(1);
+    let mut totals = [Totals::default(); 3];
     for fleet in [fleets::today(), fleets::full(), fleets::spared()] {
         if only.as_ref().is_none_or(|name| name == fleet.name) {
-            play_all(&fleet);
+            let sums = play_all(&fleet);
+            for (total, sum) in totals.iter_mut().zip(&sums) {
+                total.add(sum);
+            }
         }
     }
+    if only.is_none() {
+        println!();
+        print_line("all fleets", &totals);
+        print_ratios(&totals);
+    }
     if only.is_none_or(|name| name == "cost") {
         cost::measure();
     }
 }
 
-fn play_all(fleet: &Fleet) {
+fn play_all(fleet: &Fleet) -> [Totals; 3] {
     println!(
         "\n{}: group downtime in s, stranded accelerator-seconds",
         fleet.name
@@ -45,19 +54,22 @@
     );
     let starts = at_once(|i| fleet.start(policy(CHOICES[i])));
     let mut sums = [Totals::default(); 3];
-    for script in scripts::scripts(fleet) {
+    let only = std::env::args().nth(2).unwrap_or_default();
+    let scripts = scripts::scripts(fleet).into_iter();
+    for script in scripts.filter(|s| s.name.contains(&only)) {
         let runs = at_once(|i| play(&starts[i], fleet.group_size, &script));
         print_line(script.name, &runs);
         for (sum, run) in sums.iter_mut().zip(&runs) {
-            sum.downtime += run.downtime;
-            sum.stranded += run.stranded;
-            sum.changes += run.changes;
-            sum.most_changes = sum.most_changes.max(run.most_changes);
-            sum.most_loads = sum.most_loads.max(run.most_loads);
+            sum.add(run);
         }
     }
     print_line("sum", &sums);
-    let [wait, spare, ours] = &sums;
+    print_ratios(&sums);
+    sums
+}
+
+fn print_ratios(sums: &[Totals; 3]) {
+    let [wait, spare, ours] = sums;
     println!(
         "downtime against wait-for-return {:.2}, against first-spare {:.2}; most transactions \
          in a round {}, most loads at once {}",
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -20,7 +20,7 @@
 };
 pub use crate::plan::{
     Absence, Action, FleetView, FreedBecause, GroupFacts, HostFacts, RepairChoice, RepairPolicy,
-    ReturnModel, plan,
+    Return, ReturnModel, plan,
 };
 pub use crate::rows::{
     Change, EndReason, Expect, GROUP_PREFIX, GroupPhase, GroupRow, HOST_PREFIX, HostRow,
--- a/crates/group/src/plan/mod.rs
+++ b/crates/group/src/plan/mod.rs
@@ -22,7 +22,7 @@
 
 pub use crate::plan::action::{Action, FreedBecause};
 pub use crate::plan::policy::{RepairChoice, RepairPolicy};
-pub use crate::plan::returns::{Absence, ReturnModel};
+pub use crate::plan::returns::{Absence, Return, ReturnModel};
 pub use crate::plan::view::{FleetView, GroupFacts, HostFacts};
 
 use crate::plan::round::Round;
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -13,7 +13,7 @@
 use crate::plan::end::end_group;
 use crate::plan::form::{has_room, keep, sort_by_use};
 use crate::plan::policy::RepairChoice;
-use crate::plan::returns::Absence;
+use crate::plan::returns::{Absence, Return};
 use crate::plan::round::{Group, Lost, Round, Standing};
 use crate::plan::view::HostFacts;
 use crate::rows::EndReason;
@@ -112,7 +112,7 @@
         end(round, service, index, reason);
         return;
     }
-    let acts = beyond_return || is_time(round, group, round.policy.reform_time);
+    let acts = beyond_return || is_time(round, group, Return::Whole, round.policy.reform_time);
     match spares(round, service, domain, missing) {
         Spares::Warm(hosts) => {
             round.reserve(domain, &hosts);
@@ -141,12 +141,13 @@
     group.lost.iter().all(|(_, why)| *why == Lost::Silent)
 }
 
-/// Whether acting at `cost` now is expected to cost less downtime than waiting on.
-fn is_time(round: &Round<'_>, group: &Group<'_>, cost: Duration) -> bool {
+/// Whether acting at `cost` now is expected to cost less downtime than waiting on for a
+/// return of this worth.
+fn is_time(round: &Round<'_>, group: &Group<'_>, back: Return, cost: Duration) -> bool {
     let Some(absence) = absence(round, group) else {
         return true;
     };
-    silence(round, group) >= round.view.returns.act_after(absence, cost)
+    silence(round, group) >= round.view.returns.act_after(absence, back, cost)
 }
 
 fn absence(round: &Round<'_>, group: &Group<'_>) -> Option<Absence> {
@@ -270,7 +271,7 @@
         };
         let cost = round.policy.reform_time * 2 + load;
         for (index, group) in wanted.groups.iter().enumerate() {
-            if is_stuck(group) && (!may_return(group) || is_time(round, group, cost)) {
+            if is_stuck(group) && (!may_return(group) || is_time(round, group, Return::Fit, cost)) {
                 let lost = group.lost.len();
                 let fit = group.facts.row.members.len() - lost;
                 found.push(Stuck {
@@ -340,7 +341,8 @@
         let wanted = &round.wanted[service];
         let group = &wanted.groups[index];
         let size = group.facts.row.members.len();
-        let ripe = !may_return(group) || is_time(round, group, round.policy.reform_time * 2);
+        let ripe = !may_return(group)
+            || is_time(round, group, Return::Whole, round.policy.reform_time * 2);
         let lost = missing(group);
         if !is_stuck(group) || has_room(round, wanted) || lost == size || !ripe {
             continue;
@@ -443,7 +445,7 @@
     let load = round.load_time(wanted.load_bytes, 1);
     let stranded = round.policy.weight == RepairWeight::Stranded
         && is_stuck(group)
-        && is_time(round, group, round.policy.reform_time + load);
+        && is_time(round, group, Return::Fit, round.policy.reform_time + load);
     above || stranded
 }
 
--- a/crates/group/src/plan/returns.rs
+++ b/crates/group/src/plan/returns.rs
@@ -26,6 +26,16 @@
     }
 }
 
+value! { copy
+    /// What a return is worth.
+    pub enum Return {
+        /// The host still holds what it held, so its group is whole at once.
+        Whole,
+        /// The host is fit to be a member again, whether or not it holds anything.
+        Fit,
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Histogram {
     counts: [u32; BOUNDS_MS.len()],
@@ -39,55 +49,68 @@
 /// and which is usual differs from fleet to fleet.
 #[derive(Clone, Debug)]
 pub struct ReturnModel {
-    single: Histogram,
-    together: Histogram,
+    single: Returns,
+    together: Returns,
+}
+
+#[derive(Clone, Debug)]
+struct Returns {
+    whole: Histogram,
+    fit: Histogram,
 }
 
 impl ReturnModel {
     /// Believes the prior only.
     pub fn new() -> ReturnModel {
         ReturnModel {
-            single: Histogram::prior(),
-            together: Histogram::prior(),
+            single: Returns::prior(),
+            together: Returns::prior(),
         }
     }
 
-    /// Notes that an absence ended after `lasted`.
-    pub fn record(&mut self, absence: Absence, lasted: Duration) {
-        let histogram = self.of_mut(absence);
-        let class = class_of(lasted);
-        histogram.counts[class] += 1;
-        histogram.forget();
+    /// Notes that an absence ended after `lasted`, in a return of this worth.
+    pub fn record(&mut self, absence: Absence, back: Return, lasted: Duration) {
+        let returns = self.of_mut(absence);
+        returns.fit.add(lasted);
+        match back {
+            Return::Whole => returns.whole.add(lasted),
+            // A host that comes back empty does not make its group whole again.
+            Return::Fit => returns.whole.add_never(),
+        }
     }
 
     /// Notes that a host that was missing has left the host list.
     pub fn record_never(&mut self, absence: Absence) {
-        let histogram = self.of_mut(absence);
-        histogram.never += 1;
-        histogram.forget();
+        let returns = self.of_mut(absence);
+        returns.fit.add_never();
+        returns.whole.add_never();
     }
 
     /// How long after the start of an absence to act, if acting takes `cost` until the group
-    /// is whole and the absent host's own return would make it whole at once.
+    /// is whole and a return of this worth would make it whole at once.
     ///
     /// The answer has the least expected downtime over all absences seen: those
     /// shorter than it cost themselves, the rest it plus `cost`.
-    pub fn act_after(&self, absence: Absence, cost: Duration) -> Duration {
-        let histogram = self.of(absence);
+    pub fn act_after(&self, absence: Absence, back: Return, cost: Duration) -> Duration {
+        let returns = self.of(absence);
+        let histogram = match back {
+            Return::Whole => &returns.whole,
+            Return::Fit => &returns.fit,
+        };
         let cost_ms = millis(cost);
         let waits = std::iter::once(0).chain(BOUNDS_MS);
         let best = waits.min_by_key(|wait| histogram.expected_downtime(*wait, cost_ms));
         Duration::from_millis(best.unwrap_or(0))
     }
 
-    fn of(&self, absence: Absence) -> &Histogram {
+    fn of(&self, absence: Absence) -> &Returns {
         match absence {
             Absence::Single => &self.single,
             Absence::Together => &self.together,
         }
     }
 
-    fn of_mut(&mut self, absence: Absence) -> &mut Histogram {
+    fn of_mut(&mut self, absence: Absence) -> &mut Returns {
         match absence {
             Absence::Single => &mut self.single,
             Absence::Together => &mut self.together,
@@ -101,7 +124,26 @@
     }
 }
 
+impl Returns {
+    fn prior() -> Returns {
+        Returns {
+            whole: Histogram::prior(),
+            fit: Histogram::prior(),
+        }
+    }
+}
+
 impl Histogram {
+    fn add(&mut self, lasted: Duration) {
+        self.counts[class_of(lasted)] += 1;
+        self.forget();
+    }
+
+    fn add_never(&mut self) {
+        self.never += 1;
+        self.forget();
+    }
+
     fn prior() -> Histogram {
         let mut counts = [0; BOUNDS_MS.len()];
         for (class, count) in PRIOR {
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -140,7 +140,7 @@
             warming: BTreeMap::new(),
             wishes: Vec::new(),
             formed: Vec::new(),
-            next_epoch: highest_epoch(view) + 1,
+            next_epoch: view.groups.values().map(|g| g.row.epoch).max().unwrap_or(0) + 1,
         };
         round.index_hosts();
         round.index_warming();
@@ -249,6 +249,7 @@
         let mut together: Option<(&GroupId, Members<'a>)> = None;
         for host in self.view.hosts.values() {
             let group = groups.of(host);
+            self.next_epoch = self.next_epoch.max(host.row.epoch + 1);
             self.loading += usize::from(self.is_loading(host, group));
             if let Some(name) = &host.row.group {
                 match &mut together {
@@ -303,8 +304,7 @@
             return false;
         };
         let answers = host.silent_for(self.now) <= self.policy.detect;
-        let warm = host.is_warm(&group.row.weights());
-        answers && !group.served && !warm
+        answers && !group.served && !host.is_warm(&group.row.weights())
     }
 
     /// Whether the host may become a member: its row is free and it says itself that it holds
@@ -464,9 +464,3 @@
         self.groups.iter().filter(counts).count() + self.formed_now
     }
 }
-
-fn highest_epoch(view: &FleetView) -> Epoch {
-    let groups = view.groups.values().map(|g| g.row.epoch);
-    let hosts = view.hosts.values().map(|h| h.row.epoch);
-    groups.chain(hosts).max().unwrap_or(0)
-}
--- a/crates/group/src/plan/view.rs
+++ b/crates/group/src/plan/view.rs
@@ -11,7 +11,7 @@
 use eelgrassmill_config::Config;
 use smol_str::SmolStr;
 
-use crate::plan::returns::{Absence, ReturnModel};
+use crate::plan::returns::{Absence, Return, ReturnModel};
 use crate::rows::{GroupPhase, GroupRow, HostRow};
 
 /// So many silent hosts of one fabric domain count as one event that hit the domain.
@@ -203,12 +203,12 @@
         let known = host.report.as_ref().map(|r| r.incarnation);
         if let Some(away) = away.filter(|away| *away > detect) {
             let absence = self.absence_of(&report.host, sent);
-            // A host that comes back empty does not make its group whole again.
-            if known == Some(report.incarnation) {
-                self.returns.record(absence, away);
+            let back = if known == Some(report.incarnation) {
+                Return::Whole
             } else {
-                self.returns.record_never(absence);
-            }
+                Return::Fit
+            };
+            self.returns.record(absence, back, away);
         }
         if let Some(host) = self.hosts.get_mut(&report.host) {
             host.answered = Some(sent);
--- a/crates/group/tests/evidence.rs
+++ b/crates/group/tests/evidence.rs
@@ -139,8 +139,8 @@
         store.serving("a/0", now),
         err(eq(&NotServing::NoEvidence { epoch: 3 }))
     );
-    store.on_evidence(&say("w1", 1, 3, Verdict::Whole, 500 * MS), now);
-    let serving = store.serving("a/0", now + 1500 * MS).expect("fresh");
+    store.on_evidence(&say("w1", 1, 3, Verdict::Whole, 50Duration::ZERO), now);
+    let serving = store.serving("a/0", now + 150Duration::ZERO).expect("fresh");
     expect_that!((serving.epoch, serving.lead.as_str()), eq((3, "h1")));
     let age = 2001 * MS;
     expect_that!(
@@ -165,7 +165,7 @@
     expect_false!(store.on_evidence(&say("w2", 1, 2, Verdict::Whole, MS), now));
     expect_true!(stopped(&store));
     // An older finding of another watcher does not outweigh a newer one either.
-    store.on_evidence(&say("w2", 2, 3, Verdict::Whole, 100 * MS), now);
+    store.on_evidence(&say("w2", 2, 3, Verdict::Whole, 10Duration::ZERO), now);
     expect_true!(stopped(&store));
     store.on_evidence(&say("w2", 3, 4, Verdict::Whole, MS), now);
     expect_false!(stopped(&store));
@@ -179,16 +179,16 @@
 fn silence_counts_less_than_a_word() {
     let mut store = EvidenceStore::new();
     let now = Instant::now();
-    store.on_evidence(&say("w1", 1, 3, Verdict::Whole, 300 * MS), now);
-    store.on_evidence(&say("w2", 1, 3, missing("h2", Why::Silent), 0 * MS), now);
+    store.on_evidence(&say("w1", 1, 3, Verdict::Whole, 30Duration::ZERO), now);
+    store.on_evidence(&say("w2", 1, 3, missing("h2", Why::Silent), Duration::ZERO), now);
     expect_that!(store.serving("a/0", now), ok(anything()));
-    let later = now + 500 * MS;
-    store.on_evidence(&say("w2", 2, 3, missing("h2", Why::Silent), 0 * MS), later);
+    let later = now + 50Duration::ZERO;
+    store.on_evidence(&say("w2", 2, 3, missing("h2", Why::Silent), Duration::ZERO), later);
     expect_that!(store.serving("a/0", later), err(anything()));
-    store.on_evidence(&say("w1", 2, 3, Verdict::Whole, 300 * MS), later);
+    store.on_evidence(&say("w1", 2, 3, Verdict::Whole, 30Duration::ZERO), later);
     expect_that!(store.serving("a/0", later), ok(anything()));
     store.on_evidence(
-        &say("w2", 3, 3, missing("h2", Why::Elsewhere), 0 * MS),
+        &say("w2", 3, 3, missing("h2", Why::Elsewhere), Duration::ZERO),
         later,
     );
     expect_that!(store.serving("a/0", later), err(anything()));
@@ -201,10 +201,10 @@
     let mut store = EvidenceStore::new();
     let now = Instant::now();
     store.on_evidence(&say("w1", 1, 3, missing("h2", Why::Restarted), MS), now);
-    store.on_evidence(&say("w2", 1, 3, Verdict::Whole, 0 * MS), now);
+    store.on_evidence(&say("w2", 1, 3, Verdict::Whole, Duration::ZERO), now);
     expect_that!(store.serving("a/0", now), err(anything()));
     expect_that!(store.restarted("a/0", 3), some(eq("h2")));
-    let mut next_start = say("w1", 1, 3, Verdict::Whole, 0 * MS);
+    let mut next_start = say("w1", 1, 3, Verdict::Whole, Duration::ZERO);
     next_start.incarnation = 2;
     store.on_evidence(&next_start, now);
     expect_that!(store.serving("a/0", now), ok(anything()));
@@ -217,11 +217,11 @@
     let mut ages = AgeKeeper::new();
     let start = Instant::now();
     let sender = SmolStr::from("w1");
-    let mut age = |uptime, now| ages.age_at_receipt(&sender, 1, uptime, 10 * MS, now);
-    expect_that!(age(1000 * MS, start + 1005 * MS), eq(10 * MS));
-    expect_that!(age(2000 * MS, start + 5005 * MS), eq(3010 * MS));
-    expect_that!(age(5000 * MS, start + 5001 * MS), eq(10 * MS));
-    expect_that!(age(6000 * MS, start + 6005 * MS), eq(14 * MS));
+    let mut age = |uptime, now| ages.age_at_receipt(&sender, 1, uptime, 1Duration::ZERO, now);
+    expect_that!(age(100Duration::ZERO, start + 1005 * MS), eq(10 * MS));
+    expect_that!(age(200Duration::ZERO, start + 5005 * MS), eq(3010 * MS));
+    expect_that!(age(500Duration::ZERO, start + 5001 * MS), eq(10 * MS));
+    expect_that!(age(600Duration::ZERO, start + 6005 * MS), eq(14 * MS));
 }
 
 #[gtest]
--- a/crates/group/tests/plan.rs
+++ b/crates/group/tests/plan.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use eelgrassmill_config::{Config, RepairWeight, ServiceKind};
-use eelgrassmill_group::{Absence, Action, GroupRow, RepairPolicy, ReturnModel};
+use eelgrassmill_group::{Absence, Action, GroupRow, RepairPolicy, Return, ReturnModel};
 use googletest::prelude::*;
 use smol_str::SmolStr;
 
@@ -284,19 +284,25 @@
     let cost = 2 * SECOND;
     let mut model = ReturnModel::new();
     for _ in 0..500 {
-        model.record(Absence::Single, 5 * SECOND);
+        model.record(Absence::Single, Return::Whole, 5 * SECOND);
     }
-    let patient = model.act_after(Absence::Single, cost);
+    let patient = model.act_after(Absence::Single, Return::Whole, cost);
     expect_that!(patient, eq(Duration::ZERO), "5 s cost more than 2 s");
-    expect_that!(model.act_after(Absence::Single, 9 * SECOND), eq(6 * SECOND));
+    expect_that!(
+        model.act_after(Absence::Single, Return::Whole, 9 * SECOND),
+        eq(6 * SECOND)
+    );
     for _ in 0..1500 {
         model.record_never(Absence::Single);
     }
     expect_that!(
-        model.act_after(Absence::Single, 9 * SECOND),
+        model.act_after(Absence::Single, Return::Whole, 9 * SECOND),
         eq(Duration::ZERO)
     );
     // What single hosts do says nothing of whole domains.
-    let fresh = ReturnModel::new().act_after(Absence::Together, 9 * SECOND);
-    expect_that!(model.act_after(Absence::Together, 9 * SECOND), eq(fresh));
+    let fresh = ReturnModel::new().act_after(Absence::Together, Return::Whole, 9 * SECOND);
+    expect_that!(
+        model.act_after(Absence::Together, Return::Whole, 9 * SECOND),
+        eq(fresh)
+    );
 }
