--- a/crates/group/examples/repair/fake.rs
+++ b/crates/group/examples/repair/fake.rs
@@ -110,11 +110,7 @@
     }
 
     /// Sets the number of requests that it reports.
-<<<<<<< HEAD
-    #[allow(dead_code)] // For the tests that share this file.
-=======
     #[allow(dead_code)] // For the tests, which share this file.
->>>>>>> main
     pub(crate) fn set_running(&mut self, running: u32) {
         self.running = running;
         self.renew_report();
