Delete claims whose time is over

Cause: claim rows were never deleted, so the table grew by each keyed call. Change: the planner's node looks at the rows in 256 parts, eight a second, and deletes those whose era has come, conditional on the version read; a claim whose owner lives stays. Ruled out: deleting at the owner, which may be gone; one scan of all rows, which at the aim's rates would be megabytes at a time. Conclusion: rows are bounded by the keyed calls of keep_answers and two eras; kept answers in the object store are not deleted by the product yet.

--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod quota;
 pub(crate) mod reader;
 pub(crate) mod rows;
+pub(crate) mod sweep;
 pub(crate) mod watcher;
 
 use std::sync::Arc;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,7 @@
 use crate::loops::quota::{ASK_PERIOD, QuotaKeeper};
 use crate::loops::reader::{Reader, Seen};
 use crate::loops::rows::decode;
+use crate::loops::sweep::Sweeper;
 use crate::loops::watcher::{JUDGEMENTS_PER_PROBE, Watcher};
 use crate::metrics::Metrics;
 use crate::once::{ClaimStore, Once};
@@ -53,6 +54,8 @@
 const ERA_PERIOD: Duration = Duration::from_secs(20);
 /// Longest time until the other nodes no longer name a leaving one.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// Period of looking for claims whose time is over.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -139,6 +142,8 @@
         let lease = Arc::new(Mutex::new(LeaseKeeper::new(core.clone())));
         let planner = Planner::new(core.clone(), seen.clone(), pool.clone(), peer.clone());
         let planner = Arc::new(Mutex::new(planner));
+        let mut sweeper = Sweeper::new(core.clone(), claims.clone());
+        threads.push(every(&core, "sweep", SWEEP_PERIOD, move || sweeper.step()));
         threads.extend(start_loops(
             &core,
             &peer,
--- a/crates/node/src/once/mod.rs
+++ b/crates/node/src/once/mod.rs
@@ -3,5 +3,5 @@
 mod run;
 mod store;
 
-pub(crate) use run::Once;
+pub(crate) use run::{Once, owner_state};
 pub(crate) use store::ClaimStore;
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use eelgrassmill_base::Outcome;
 use eelgrassmill_claim::{
-    AttemptId, Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, OwnerState,
-    RowChange, Seen, WriteOutcome, claim_key, decide, fingerprint,
+    AttemptId, Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, Owner,
+    OwnerState, RowChange, Seen, WriteOutcome, claim_key, decide, fingerprint,
 };
 use eelgrassmill_platform::ObjectStore;
 use eelgrassmill_timeline::EventKind;
@@ -163,14 +163,7 @@
                 false => OwnerState::Alive,
             };
         }
-        let fleet = lock(&self.core.fleet);
-        match fleet.nodes.get(&owner.node) {
-            Some((row, _)) if row.incarnation == owner.incarnation => OwnerState::Alive,
-            Some((row, _)) if row.incarnation > owner.incarnation => OwnerState::Lapsed,
-            // Without a scan yet, nothing is known of any owner.
-            _ if fleet.scanned.is_none() => OwnerState::Alive,
-            _ => OwnerState::Lapsed,
-        }
+        owner_state(&self.core, owner)
     }
 
     async fn tell(&self, told: Decision) -> Reply {
@@ -348,6 +341,18 @@
     }
 }
 
+/// Whether another node that owns a claim may still be running it.
+pub(crate) fn owner_state(core: &Core, owner: &Owner) -> OwnerState {
+    let fleet = lock(&core.fleet);
+    match fleet.nodes.get(&owner.node) {
+        Some((row, _)) if row.incarnation == owner.incarnation => OwnerState::Alive,
+        Some((row, _)) if row.incarnation > owner.incarnation => OwnerState::Lapsed,
+        // Without a scan yet, nothing is known of any owner.
+        _ if fleet.scanned.is_none() => OwnerState::Alive,
+        _ => OwnerState::Lapsed,
+    }
+}
+
 const BUSY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
 fn table_gone() -> Problem {
--- a/crates/node/src/once/store.rs
+++ b/crates/node/src/once/store.rs
@@ -5,7 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use eelgrassmill_claim::{
     Batch, ClaimBatcher, ClaimRow, ConflictRow, RowChange, Seen, StoreDown, StoreGate, WriteOutcome,
 };
@@ -62,15 +62,28 @@
         lock(&self.gate).admit(Instant::now())
     }
 
+    /// Writes one change from a thread that may block.
+    pub(crate) fn write_blocking(&self, change: RowChange) -> WriteOutcome {
+        match self.send(change) {
+            Some(rx) => rx.blocking_recv().unwrap_or(WriteOutcome::Unknown),
+            None => WriteOutcome::Unavailable,
+        }
+    }
+
     /// Writes one change.
     pub(crate) async fn write(&self, change: RowChange) -> WriteOutcome {
-        let (tx, rx) = oneshot::channel();
-        match self.tx.try_send(Command { change, tx }) {
-            Ok(()) => rx.await.unwrap_or(WriteOutcome::Unknown),
-            // It never reached the writer.
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => WriteOutcome::Unavailable,
+        match self.send(change) {
+            Some(rx) => rx.await.unwrap_or(WriteOutcome::Unknown),
+            None => WriteOutcome::Unavailable,
         }
     }
+
+    /// Hands a change to the writers; `None` when it never reached them.
+    fn send(&self, change: RowChange) -> Option<oneshot::Receiver<WriteOutcome>> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.try_send(Command { change, tx }).ok()?;
+        Some(rx)
+    }
 }
 
 struct Writer {
