--- a/crates/group/tests/fuzz.rs
+++ b/crates/group/tests/fuzz.rs
@@ -12,9 +12,9 @@
 
 use std::time::Duration;
 
-use eelgrassmill_base::{Order, OrderKind, Placement};
-use eelgrassmill_config::RepairWeight;
-use eelgrassmill_group::{GroupPhase, RepairPolicy};
+use eelgrassmill_base::{HostState, Order, OrderKind, Placement};
+use eelgrassmill_config::{Config, RepairWeight, ServiceKind};
+use eelgrassmill_group::{GroupPhase, GroupRow, RepairPolicy};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -35,6 +35,8 @@
     EvidenceDelay(u64),
     Cut(usize, usize),
     Mend,
+    Leaving(usize, bool),
+    Version(bool),
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +70,8 @@
             1 => (0u64..3000).prop_map(Event::EvidenceDelay),
             1 => (0usize..2, 0..HOSTS).prop_map(|(n, h)| Event::Cut(n, h)),
             1 => Just(Event::Mend),
+            1 => (0..HOSTS, any::<bool>()).prop_map(|(h, leaving)| Event::Leaving(h, leaving)),
+            1 => any::<bool>().prop_map(Event::Version),
         ]
         .boxed()
     }
@@ -108,18 +112,21 @@
 
     fn check_invariants(_: &World, _: &()) {}
 
-    /// Once every fault is over, all groups serve again.
+    /// Once every fault is over, all groups serve the wanted version again.
     fn teardown(mut world: World, _: ()) {
         world.table.weather = None;
         world.evidence_delay = Duration::from_millis(20);
         world.cut = None;
+        for host in 0..HOSTS {
+            set_leaving(&mut world, host, false);
+        }
         for n in 0..2 {
             if world.nodes[n].paused {
                 world.resume(n);
             }
         }
         let most = Duration::from_secs(180);
-        let served = world.run_until(most, |w| w.served().len() >= 3);
+        let served = world.run_until(most, |w| w.served().len() >= 3 && is_current(w));
         let rows: Vec<_> = world.table.groups().collect();
         assert!(
             served,
@@ -152,6 +159,8 @@
             let host = world.hosts.keys().nth(host).cloned();
             world.cut = host.map(|h| (n, h));
         }
+        Event::Leaving(host, leaving) => set_leaving(world, host, leaving),
+        Event::Version(second) => world.configure(|c| set_version(c, second)),
         Event::Mend => {
             world.cut = None;
             world.table.weather = None;
@@ -159,6 +168,40 @@
     }
 }
 
+fn is_current(world: &World) -> bool {
+    let wanted = |row: &GroupRow| match world.config().services.get(&row.service).map(|s| &s.kind) {
+        // With the floor at all groups and no room, the floor forbids to go on.
+        Some(ServiceKind::Model(model)) => {
+            model.version == row.version || model.floor == model.groups
+        }
+        _ => false,
+    };
+    let mut formed = world
+        .table
+        .groups()
+        .filter(|g| g.phase == GroupPhase::Formed);
+    formed.all(wanted)
+}
+
+fn set_leaving(world: &mut World, host: usize, leaving: bool) {
+    let state = if leaving {
+        HostState::Leaving
+    } else {
+        HostState::Live
+    };
+    if let Some(host) = world.hosts.values_mut().nth(host) {
+        host.entry.state = state;
+    }
+}
+
+fn set_version(config: &mut Config, second: bool) {
+    for service in config.services.values_mut() {
+        if let ServiceKind::Model(model) = &mut service.kind {
+            model.version = if second { "2" } else { "1" }.into();
+        }
+    }
+}
+
 fn strike(world: &mut World, host: usize, event: HostEvent) {
     let now = world.now;
     let fault = match event {
--- a/crates/group/tests/support/world.rs
+++ b/crates/group/tests/support/world.rs
@@ -188,6 +188,20 @@
         done(self)
     }
 
+    pub(crate) fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Puts another configuration in force at both nodes.
+    pub(crate) fn configure(&mut self, change: impl FnOnce(&mut Config)) {
+        let mut config = (*self.config).clone();
+        change(&mut config);
+        self.config = Arc::new(config);
+        for view in self.nodes.iter_mut().filter_map(|n| n.view.as_mut()) {
+            view.config = self.config.clone();
+        }
+    }
+
     /// Names of the groups that the entry would serve now.
     pub(crate) fn served(&self) -> Vec<SmolStr> {
         let groups = self.entry.groups();
