--- a/crates/core/tests/process_planner.rs
+++ b/crates/core/tests/process_planner.rs
@@ -7,6 +7,9 @@
 use process::world::{Shape, World, health, rows};
 use process::{secs, wait};
 
+/// From a decision, made with a slow table, to the middle of the round that sends its orders.
+const INTO_THE_ROUND: std::time::Duration = std::time::Duration::from_millis(1_500);
+
 /// The planner's host loses power. Nobody plans until its lease has lapsed, but
 /// groups serve by evidence alone, so callers of the other nodes notice nothing.
 /// When a host of a group dies after that, the next planner has to mend the
@@ -91,13 +94,17 @@
     let watch = Watch::start(&world);
     let victim = world.groups(others[0])[0].members[1].clone();
     let before = epochs(&world);
+    // A slow table stretches the round that reads the rows and sends the orders.
+    world.fault("platform", "slow", "&n=400");
     world.fault(&victim, "die", "");
-    // Stopped between the transaction and the orders that follow it.
     let end = std::time::Instant::now() + secs(20);
     while epochs(&world) == before {
         assert!(std::time::Instant::now() < end, "no repair was decided");
     }
+    // Into the next round, whose rows are read and whose orders aren't sent.
+    std::thread::sleep(INTO_THE_ROUND);
     world.nodes[old].process.signal("STOP");
+    world.end_fault("platform", "slow");
 
     let next = wait("the next planner", secs(20), || {
         world.planner(others[0]).filter(|p| *p != old)
--- a/crates/core/tests/process_platform.rs
+++ b/crates/core/tests/process_platform.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use process::caller::{Call, Callers, End, send};
+use process::watch::Watch;
 use process::world::{Shape, World, submit};
 use process::{secs, wait};
 use serde_json::Value;
@@ -68,6 +69,34 @@
     assert_eq!(world.most_runs_of_a_key(), 1);
 }
 
+/// A host dies while the store is down, so nobody can end its group or form it
+/// anew. Without a look at the hosts themselves the group would still count as
+/// whole by its row, and its callers would get refusals or broken answers for as
+/// long as the outage lasts instead of answers of the other group.
+#[test]
+fn a_group_that_lost_a_host_stops_although_the_table_is_down() {
+    let world = World::start(Shape::default());
+    let watch = Watch::start(&world);
+    let broken = world.groups(0)[0].clone();
+    world.fault("platform", "down", "&ms=10000");
+    let down = Instant::now();
+    world.fault(&broken.members[1], "die", "");
+    for node in 0..3 {
+        wait("the group stops", secs(4), || {
+            let groups = world.groups(node);
+            let group = groups.iter().find(|g| g.group == broken.group)?;
+            (!group.serving).then_some(())
+        });
+    }
+    let callers = Callers::start(&world.entries(), Call::Short, 4);
+    std::thread::sleep(secs(8).saturating_sub(down.elapsed()));
+    let tally = callers.stop();
+    assert_eq!(tally.failed(), 0, "{tally:?}");
+    assert!(tally.whole > 50, "{tally:?}");
+    world.wait_serving(2, secs(30));
+    watch.finish();
+}
+
 /// The store goes down just while a refund runs. The refund is made and its
 /// answer is there; if the entry waited for the store before it passed the
 /// answer on, the guest would look at an empty page for as long as the outage
