--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Sender, TrySendError, bounded};
-use eelgrassmill_base::{HostEntry, HostState, NodeId, Order, OrderReply, RowVersion};
+use eelgrassmill_base::{GroupId, HostEntry, HostState, NodeId, Order, OrderReply, RowVersion};
 use eelgrassmill_config::ServiceKind;
 use eelgrassmill_group::{
     Action, Change, FleetView, FreedBecause, GROUP_PREFIX, GroupRow, HOST_PREFIX, HostRow,
@@ -21,7 +21,7 @@
 use super::reader::Seen;
 use super::rows::{decode, scan, txn};
 use crate::group_rows::Teller;
-use crate::metrics::TableCall;
+use crate::metrics::Promise;
 use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -93,7 +93,7 @@
                 Ok(true) => self.planning = Some(planning),
                 Ok(false) => self.note_lost(),
                 Err(err) => {
-                    self.core.table_failed(TableCall::Scan, &err);
+                    tracing::debug!(%err, "no round of planning");
                     self.planning = Some(planning);
                 }
             }
@@ -359,7 +359,7 @@
             return;
         };
         if self.commit(planning.version, change.clone()) {
-            self.note(&action);
+            self.note(&planning.view, &action);
         }
     }
 
@@ -387,7 +387,7 @@
         }
     }
 
-    fn note(&self, action: &Action) {
+    fn note(&self, view: &FleetView, action: &Action) {
         let journal = &self.core.journal;
         match action {
             Action::Form { row, .. } => {
@@ -416,7 +416,7 @@
             }
             Action::FreeHost { host, because, .. } => journal.note(EventKind::HostFreed {
                 host: host.clone(),
-                group: SmolStr::default(),
+                group: group_of(view, host),
                 reason: match because {
                     FreedBecause::Confirmed => "its own report".into(),
                     FreedBecause::Outlived => "outlived".into(),
@@ -456,6 +456,12 @@
     }
 }
 
+/// The group that a host was bound to; empty for none.
+fn group_of(view: &FleetView, host: &str) -> GroupId {
+    let group = view.hosts.get(host).and_then(|h| h.row.group.clone());
+    group.unwrap_or_default()
+}
+
 /// Threads that carry orders to hosts.
 struct OrderPool {
     tx: Option<Sender<(Order, SmolStr)>>,
@@ -504,6 +510,7 @@
     // the lease lapsed must not be sent, since another planner may have given
     // the host to another group.
     let Ok(proof) = lock(&core.lease).check(Instant::now()) else {
+        core.metrics.promise_guarded(Promise::HostInOneGroup);
         return;
     };
     core.journal.note(EventKind::OrderSent {
@@ -532,10 +539,14 @@
             }
         }
         (Ok(OrderReply::Fenced(fence)), _) => {
+            core.metrics.promise_guarded(Promise::HostInOneGroup);
             refused(format_smolstr!("the host has obeyed fence {fence}"))
         }
         // Not counted as obeyed: the host's state is read back by probes.
-        (Ok(OrderReply::Obeyed(_)), Err(err)) => refused(format_smolstr!("{err}")),
+        (Ok(OrderReply::Obeyed(_)), Err(err)) => {
+            core.metrics.promise_guarded(Promise::HostInOneGroup);
+            refused(format_smolstr!("{err}"))
+        }
         (Err(err), _) => refused(format_smolstr!("{err}")),
     };
     core.journal.note(event);
--- a/crates/node/src/loops/reader.rs
+++ b/crates/node/src/loops/reader.rs
@@ -14,7 +14,6 @@
 
 use super::rows::{decode, scan};
 use crate::apply::apply_config;
-use crate::metrics::TableCall;
 use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -62,7 +61,7 @@
             return;
         }
         if let Err(err) = self.read_table() {
-            self.core.table_failed(TableCall::Scan, &err);
+            tracing::debug!(%err, "table not read");
         }
         match self.core.platform.hosts.hosts() {
             Ok(entries) => {
--- a/crates/node/tests/refused.rs
+++ b/crates/node/tests/refused.rs
@@ -175,7 +175,7 @@
     let mut waiting = cluster.open(0, "/v1/completions", &completion("p", 4, false));
     assert!(!waiting.comes_within(Duration::from_millis(500)));
     drop(held);
-    let raw = waiting.to_end();
+    let raw = waiting.into_whole();
     assert_eq!(raw.status(), 200, "{}", raw.head);
 }
 
