--- a/crates/group/src/plan/form.rs
+++ b/crates/group/src/plan/form.rs
@@ -6,8 +6,9 @@
 
 use crate::plan::action::Action;
 use crate::plan::end::is_reformed;
+use crate::plan::group::{Group, Standing, Wanted};
 use crate::plan::policy::RepairChoice;
-use crate::plan::round::{Group, Round, Standing, Wanted};
+use crate::plan::round::Round;
 use crate::plan::view::HostFacts;
 use crate::rows::{
     Change, GroupPhase, GroupRow, HostRow, RowValue, group_id, group_key, host_key, split_group_id,
--- a/crates/group/src/plan/mod.rs
+++ b/crates/group/src/plan/mod.rs
@@ -7,8 +7,12 @@
 //! fabric domain starts no storm; what doesn't fit waits for the next round.
 
 mod action;
+mod baseline;
 mod end;
 mod form;
+mod give;
+mod group;
+mod join;
 mod policy;
 mod repair;
 mod returns;
--- a/crates/group/src/plan/repair.rs
+++ b/crates/group/src/plan/repair.rs
@@ -5,19 +5,21 @@
 //! missing host may still come back, join the hosts of two broken groups,
 //! and, in [`crate::plan::form`], replace the group elsewhere.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use eelgrassmill_base::FabricDomain;
 
+use crate::plan::baseline::{first_spare, wait_for_return};
 use crate::plan::end::end_group;
 use crate::plan::form::{has_room, keep, sort_by_use};
+use crate::plan::give::yield_to_need;
+use crate::plan::group::{Group, Lost, Standing};
+use crate::plan::join::join_broken;
 use crate::plan::policy::RepairChoice;
 use crate::plan::returns::{Absence, Return};
-use crate::plan::round::{Group, Lost, Round, Standing};
+use crate::plan::round::Round;
 use crate::plan::view::HostFacts;
 use crate::rows::EndReason;
-use eelgrassmill_config::RepairWeight;
 
 /// Looks at every group that has lost a member.
 pub(crate) fn repair(round: &mut Round<'_>) {
@@ -131,19 +133,19 @@
 }
 
 /// Members that have to be replaced; one that restarted is fit to be a member again.
-fn missing(group: &Group<'_>) -> usize {
+pub(crate) fn missing(group: &Group<'_>) -> usize {
     let gone = group.lost.iter().filter(|(_, why)| *why != Lost::Restarted);
     gone.count()
 }
 
 /// Whether the group becomes whole if its silent members answer again.
-fn may_return(group: &Group<'_>) -> bool {
+pub(crate) fn may_return(group: &Group<'_>) -> bool {
     group.lost.iter().all(|(_, why)| *why == Lost::Silent)
 }
 
 /// Whether acting at `cost` now is expected to cost less downtime than waiting on for a
 /// return of this worth.
-fn is_time(round: &Round<'_>, group: &Group<'_>, back: Return, cost: Duration) -> bool {
+pub(crate) fn is_time(round: &Round<'_>, group: &Group<'_>, back: Return, cost: Duration) -> bool {
     let Some(absence) = absence(round, group) else {
         return true;
     };
@@ -220,7 +222,7 @@
     round.wishes.extend(cold.map(|h| (service, h)));
 }
 
-fn end(round: &mut Round<'_>, service: usize, index: usize, reason: EndReason) {
+pub(crate) fn end(round: &mut Round<'_>, service: usize, index: usize, reason: EndReason) {
     let facts = round.wanted[service].groups[index].facts;
     if end_group(round, facts, reason) {
         let group = &mut round.wanted[service].groups[index];
@@ -229,109 +231,6 @@
     }
 }
 
-/// How far apart two groups may be whose hosts are joined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reach {
-    /// One service and fabric domain: no load, and the result is as fast as before.
-    Fabric,
-    /// One service: no load, but the result is slow.
-    Service,
-    /// Any: the donor's hosts have to load.
-    Any,
-}
-
-/// A broken group that isn't expected back in time.
-#[derive(Clone, Copy, Debug)]
-struct Stuck {
-    lost: usize,
-    service: usize,
-    index: usize,
-    /// Members that are fit.
-    fit: usize,
-}
-
-/// Joins the hosts of broken groups into fewer whole ones.
-///
-/// The one that is completed is back, while its donor would have stayed broken
-/// in any case. The nearest donors are tried first.
-fn join_broken(round: &mut Round<'_>) {
-    for reach in [Reach::Fabric, Reach::Service, Reach::Any] {
-        let mut stuck = stuck_groups(round, reach);
-        stuck.sort_unstable_by_key(|s| (s.lost, s.service, s.index));
-        join(round, &stuck, reach);
-    }
-}
-
-fn stuck_groups(round: &Round<'_>, reach: Reach) -> Vec<Stuck> {
-    let mut found = Vec::new();
-    for (service, wanted) in round.wanted.iter().enumerate() {
-        let load = match reach {
-            Reach::Any => round.load_time(wanted.load_bytes, 1),
-            Reach::Fabric | Reach::Service => Duration::ZERO,
-        };
-        let cost = round.policy.reform_time * 2 + load;
-        for (index, group) in wanted.groups.iter().enumerate() {
-            if is_stuck(group) && (!may_return(group) || is_time(round, group, Return::Fit, cost)) {
-                let lost = group.lost.len();
-                let fit = group.facts.row.members.len() - lost;
-                found.push(Stuck {
-                    lost,
-                    service,
-                    index,
-                    fit,
-                });
-            }
-        }
-    }
-    found
-}
-
-/// Completes the least damaged groups from the most damaged ones.
-fn join(round: &mut Round<'_>, stuck: &[Stuck], reach: Reach) {
-    let mut given: BTreeMap<usize, usize> = BTreeMap::new();
-    for (place, receiver) in stuck.iter().enumerate() {
-        if given.contains_key(&place) || !is_stuck(group_of(round, receiver)) {
-            continue;
-        }
-        let donor = (place + 1..stuck.len()).rev().find(|other| {
-            let donor = &stuck[*other];
-            let left = donor.fit - given.get(other).copied().unwrap_or(0);
-            let usable = given.contains_key(other) || is_stuck(group_of(round, donor));
-            usable && left >= receiver.lost && reaches(round, receiver, donor, reach)
-        });
-        let Some(donor) = donor else {
-            continue;
-        };
-        *given.entry(donor).or_default() += receiver.lost;
-        let donor = stuck[donor];
-        end(
-            round,
-            receiver.service,
-            receiver.index,
-            EndReason::MemberLost,
-        );
-        if !group_of(round, &donor).ended_now {
-            end(round, donor.service, donor.index, EndReason::MemberLost);
-        }
-        // The donor is not expected back by itself; its hosts are free for all.
-        round.wanted[donor.service].groups[donor.index].mending = false;
-    }
-}
-
-fn group_of<'r, 'a>(round: &'r Round<'a>, stuck: &Stuck) -> &'r Group<'a> {
-    &round.wanted[stuck.service].groups[stuck.index]
-}
-
-fn reaches(round: &Round<'_>, receiver: &Stuck, donor: &Stuck, reach: Reach) -> bool {
-    let (to, from) = (group_of(round, receiver), group_of(round, donor));
-    let same_service = receiver.service == donor.service;
-    match reach {
-        Reach::Fabric => same_service && to.domain.is_some() && to.domain == from.domain,
-        Reach::Service => same_service,
-        Reach::Any => true,
-    }
-}
-
 /// Completes stuck groups with spares of other fabric domains.
 ///
 /// Such a group is slow, which is better than none; where a whole group fits
@@ -365,122 +264,6 @@
     }
 }
 
-fn is_stuck(group: &Group<'_>) -> bool {
+pub(crate) fn is_stuck(group: &Group<'_>) -> bool {
     group.standing == Standing::Broken && group.is_formed() && !group.mending
 }
-
-/// Ends a group whose hosts are needed more by another service.
-///
-/// A service below its need, which is the demand and its floor at least, takes
-/// the hosts of a group that another service has above its own need. With
-/// [`RepairWeight::Stranded`] it also takes the hosts of a broken group that
-/// isn't expected back, rather than leave them idle.
-fn yield_to_need(round: &mut Round<'_>) {
-    for service in 0..round.wanted.len() {
-        let wanted = &round.wanted[service];
-        if wanted.standing() >= wanted.need || has_room(round, wanted) {
-            continue;
-        }
-        let waiting = wanted
-            .groups
-            .iter()
-            .any(|g| is_releasing(g) || g.mending || is_recent(round, g));
-        if waiting || someone_yields(round) {
-            continue;
-        }
-        if let Some((giver, index)) = find_giver(round, service) {
-            let facts = round.wanted[giver].groups[index].facts;
-            if end_group(round, facts, EndReason::Yield) {
-                round.wanted[giver].groups[index].ended_now = true;
-            }
-        }
-    }
-}
-
-/// Whether the group may be back before another one, ended for its sake, would have paid.
-fn is_recent(round: &Round<'_>, group: &Group<'_>) -> bool {
-    let down = round.now.saturating_duration_since(group.facts.down_since);
-    !group.is_serving() && down < round.policy.yield_after
-}
-
-fn is_releasing(group: &Group<'_>) -> bool {
-    group.ended_now || group.standing == Standing::Ending
-}
-
-fn someone_yields(round: &Round<'_>) -> bool {
-    let mut groups = round.wanted.iter().flat_map(|w| &w.groups);
-    groups.any(|g| is_releasing(g) && g.facts.row.reason == Some(EndReason::Yield))
-}
-
-fn find_giver(round: &Round<'_>, service: usize) -> Option<(usize, usize)> {
-    let size = round.wanted[service].cfg.hosts_per_group as usize;
-    let mut found: Option<(usize, usize, usize)> = None;
-    for (giver, wanted) in round
-        .wanted
-        .iter()
-        .enumerate()
-        .filter(|(i, _)| *i != service)
-    {
-        for (index, group) in wanted.groups.iter().enumerate() {
-            let fit = group.facts.row.members.len() - group.lost.len();
-            let free = group
-                .domain
-                .and_then(|d| round.free.get(d))
-                .map_or(0, Vec::len);
-            if fit + free < size || !may_give(round, giver, group) {
-                continue;
-            }
-            let above = wanted.serving().saturating_sub(wanted.need);
-            if found.is_none_or(|(best, _, _)| above > best) {
-                found = Some((above, giver, index));
-            }
-        }
-    }
-    found.map(|(_, giver, index)| (giver, index))
-}
-
-fn may_give(round: &Round<'_>, giver: usize, group: &Group<'_>) -> bool {
-    let wanted = &round.wanted[giver];
-    let above = group.is_serving() && wanted.serving() > wanted.need;
-    let load = round.load_time(wanted.load_bytes, 1);
-    let stranded = round.policy.weight == RepairWeight::Stranded
-        && is_stuck(group)
-        && is_time(round, group, Return::Fit, round.policy.reform_time + load);
-    above || stranded
-}
-
-/// The baseline that waits: ends a group only when its member can't come back.
-fn wait_for_return(round: &mut Round<'_>, service: usize, index: usize) {
-    let group = &round.wanted[service].groups[index];
-    let hopeless = !may_return(group) && group.standing != Standing::Serving;
-    round.wanted[service].groups[index].mending = true;
-    if hopeless {
-        take_any(round, service, index);
-    }
-}
-
-/// The baseline that takes the first spare as soon as a member is missing.
-fn first_spare(round: &mut Round<'_>, service: usize, index: usize) {
-    let served = round.wanted[service].groups[index].standing == Standing::Serving;
-    round.wanted[service].groups[index].mending = true;
-    if !served {
-        take_any(round, service, index);
-    }
-}
-
-fn take_any(round: &mut Round<'_>, service: usize, index: usize) {
-    let group = &round.wanted[service].groups[index];
-    let missing = missing(group);
-    let near = group.domain.and_then(|d| round.free.get(d));
-    let far = round.free.iter().filter(|(d, _)| Some(**d) != group.domain);
-    let all = near
-        .into_iter()
-        .flatten()
-        .chain(far.flat_map(|(_, free)| free));
-    let hosts: Vec<&HostFacts> = all.copied().take(missing).collect();
-    if hosts.len() < missing {
-        return;
-    }
-    keep(round, &hosts);
-    end(round, service, index, EndReason::MemberLost);
-}
--- a/crates/group/src/plan/shape.rs
+++ b/crates/group/src/plan/shape.rs
@@ -4,7 +4,8 @@
 
 use crate::plan::end::end_group;
 use crate::plan::form::has_room;
-use crate::plan::round::{Group, Round, Standing, Wanted};
+use crate::plan::group::{Group, Standing, Wanted};
+use crate::plan::round::Round;
 use crate::rows::{EndReason, GroupPhase, split_group_id};
 
 /// Ends groups of services that are gone, and those beyond the number wanted.
--- a/crates/group/src/plan/warm.rs
+++ b/crates/group/src/plan/warm.rs
@@ -46,7 +46,7 @@
 
 /// The service with the most members in the domain for each spare that is warm for it.
 fn least_covered(round: &Round<'_>, domain: &FabricDomain, free: &[&HostFacts]) -> Option<usize> {
-    let cover = |wanted: &crate::plan::round::Wanted<'_>| {
+    let cover = |wanted: &crate::plan::group::Wanted<'_>| {
         let groups = wanted.groups.iter().filter(|g| g.is_formed());
         let here = groups.filter(|g| g.domain == Some(domain)).count();
         let warm = free.iter().filter(|h| h.is_warm(&wanted.weights)).count();
