--- a/crates/node/tests/refused.rs
+++ b/crates/node/tests/refused.rs
@@ -1,4 +1,6 @@
 //! Bad input at the callers' port, and requests that are given up on.
+// A panic is how a test fails.
+#![allow(clippy::unwrap_used)]
 
 mod util;
 
