Let drafts give way to urgent calls and go on afterwards

Cause: with all slots of a group taken by long drafts an urgent call of another tenant waited until one of them ended. Change: a stream whose engine says at its start that it can resume is asked to give way when a waiting request has a better claim; its slot is freed, it waits for another turn and goes on from its next token. A broken stream frees its slot before it asks for another. The reader of token streams keeps a half read event, which a time-out could have lost. Ruled out: streams of engines that don't confirm an offset; cancelling one of those would cut the caller off. Conclusion: head-of-line blocking by drafts that can resume is gone; urgent slots remain for the others.

--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -48,6 +48,9 @@
     buf: BytesMut,
     /// Bytes of `buf` that hold no line end.
     searched: usize,
+    /// Data lines of the event that is being read. Kept here and not in the
+    /// future that reads it: one that is dropped at a time-out must lose nothing.
+    data: Option<String>,
     done: bool,
 }
 
@@ -58,6 +61,7 @@
             response,
             buf: BytesMut::new(),
             searched: 0,
+            data: None,
             done: false,
         }
     }
@@ -84,11 +88,10 @@
 
     /// Reads lines up to a blank one; gives their data joined by line ends.
     async fn event(&mut self) -> Result<String, BodyError> {
-        let mut data: Option<String> = None;
         loop {
             let line = self.line().await?;
             if line.is_empty() {
-                if let Some(data) = data.take() {
+                if let Some(data) = self.data.take() {
                     return Ok(data);
                 }
                 continue;
@@ -97,14 +100,18 @@
                 continue;
             };
             let value = value.strip_prefix(' ').unwrap_or(value);
-            match &mut data {
-                None => data = Some(value.to_owned()),
+            match &mut self.data {
+                None => self.data = Some(value.to_owned()),
                 Some(data) => {
                     data.push('\n');
                     data.push_str(value);
                 }
             }
-            if data.as_ref().is_some_and(|data| data.len() > MAX_EVENT) {
+            if self
+                .data
+                .as_ref()
+                .is_some_and(|data| data.len() > MAX_EVENT)
+            {
                 return Err(BodyError::TooLong(MAX_EVENT));
             }
         }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -88,6 +88,17 @@
         )
         .map_err(|refusal| NotStarted::Refused(refused(&refusal)))?;
     place.take_seat(Seat::waiting(core, &call.tenant));
+    wait_and_begin(core, call, attempt, place).await
+}
+
+/// Waits for the turn of a place and sends the call.
+pub(crate) async fn wait_and_begin(
+    core: &Arc<Core>,
+    call: &Call,
+    attempt: &Attempt,
+    mut place: Place,
+) -> Result<Started, NotStarted> {
+    let now = Instant::now();
     let pick = match tokio::time::timeout(call.left(now), place.turn()).await {
         Ok(Turn::Start(pick)) => pick,
         Ok(Turn::GivenUp(refusal)) => return Err(NotStarted::Refused(refused(&refusal))),
@@ -172,7 +183,8 @@
         put(&mut headers, "x-group", group);
         put(&mut headers, EPOCH_HEADER, &epoch.to_smolstr());
     }
-    if attempt.resume_from > 0 {
+    // Named at the start too: an engine that echoes it can take the stream up later.
+    if call.stream && call.repeatable {
         put(
             &mut headers,
             RESUME_HEADER,
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -10,7 +10,7 @@
 use eelgrassmill_timeline::EventKind;
 use http::{HeaderValue, Response, header};
 use smol_str::{SmolStr, format_smolstr};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::attempt::{self, Attempt, NotStarted, Started};
 use super::body::{AnswerBody, Broken};
@@ -41,8 +41,12 @@
     core: Arc<Core>,
     shard: Arc<Shard>,
     call: Call,
-    place: Place,
-    stream: TokenStream,
+    /// `None` only while the stream is taken up elsewhere.
+    place: Option<Place>,
+    /// `None` only while the stream is taken up elsewhere.
+    stream: Option<TokenStream>,
+    /// Told when the stream is to give way to a request with a better claim.
+    way: Option<oneshot::Receiver<()>>,
     run: Option<Run>,
     group: SmolStr,
     /// Tokens handed on so far.
@@ -111,10 +115,11 @@
         let mut relay = Relay {
             core,
             shard,
-            call,
             group: started.place.group().unwrap_or_default(),
-            place: started.place,
-            stream: TokenStream::new(started.response),
+            way: way(&call, &started),
+            call,
+            place: Some(started.place),
+            stream: Some(TokenStream::new(started.response)),
             run: started.run,
             tokens: 0,
             last: started.sent,
@@ -162,12 +167,76 @@
                     }
                 },
             }
-            next = self.next().await;
+            next = self.next_or_give_way().await;
         }
     }
 
+    /// The next event, unless the stream is asked to give way first.
+    async fn next_or_give_way(&mut self) -> Result<StreamEvent, Failure> {
+        let Some(mut way) = self.way.take() else {
+            return self.next().await;
+        };
+        let asked = tokio::select! {
+            biased;
+            asked = &mut way => asked.is_ok(),
+            next = self.next() => {
+                self.way = Some(way);
+                return next;
+            }
+        };
+        if asked {
+            self.give_way().await?;
+        }
+        self.next().await
+    }
+
+    /// Frees the slot, waits for another turn, and takes the stream up there.
+    ///
+    /// The engine stops when its connection closes, and keeps the prefix.
+    async fn give_way(&mut self) -> Result<(), Failure> {
+        let Some(mut place) = self.place.take() else {
+            return Ok(());
+        };
+        self.stream = None;
+        self.run = None;
+        self.core.journal.note(EventKind::RequestRetried {
+            request: self.call.id.clone(),
+            attempt: self.attempt,
+            reason: "gave way to a request with a better claim".into(),
+        });
+        place.give_way(self.used(), self.call.prefixes.clone(), Instant::now());
+        self.attempt += 1;
+        let attempt = Attempt {
+            number: self.attempt,
+            avoid: Avoided::new(),
+            suspect: false,
+            resume_from: self.tokens,
+        };
+        let started = attempt::wait_and_begin(&self.core, &self.call, &attempt, place).await;
+        match started {
+            Ok(started) => self.go_on(started),
+            Err(NotStarted::Refused(problem)) => Err(Failure::unknown(problem.detail())),
+            Err(NotStarted::Failed(failure, _)) => Err(failure),
+        }
+    }
+
+    /// Goes on with a stream that was taken up.
+    fn go_on(&mut self, started: Started) -> Result<(), Failure> {
+        // An engine that can't take a stream up starts from its beginning; the
+        // caller would get the first tokens twice and take them for the answer.
+        if !started.resumes_from(self.tokens) {
+            return Err(Failure::unknown("the engine can't take the stream up"));
+        }
+        self.run = started.run;
+        self.group = started.place.group().unwrap_or_default();
+        self.place = Some(started.place);
+        self.stream = Some(TokenStream::new(started.response));
+        self.last = Instant::now();
+        Ok(())
+    }
+
     async fn finish(mut self, mut audience: Audience) -> Ended {
-        self.place.used(self.used());
+        self.note_used();
         if let Some(run) = &self.run {
             run.survived();
         }
@@ -181,6 +250,19 @@
         self.call.prompt_tokens() + self.tokens
     }
 
+    fn note_used(&mut self) {
+        let used = self.used();
+        if let Some(place) = &mut self.place {
+            place.used(used);
+        }
+    }
+
+    fn observe(&self, sample: Sample, now: Instant) {
+        if let Some(place) = &self.place {
+            place.observe(sample, now);
+        }
+    }
+
     /// The next event, with its time measured.
     async fn next(&mut self) -> Result<StreamEvent, Failure> {
         loop {
@@ -190,7 +272,10 @@
                 return Err(Failure::unknown("no whole answer within the deadline"));
             }
             let wait = left.min(STALL_REPORT);
-            match tokio::time::timeout(wait, self.stream.next()).await {
+            let Some(stream) = &mut self.stream else {
+                return Err(Failure::unknown("the stream was given up"));
+            };
+            match tokio::time::timeout(wait, stream.next()).await {
                 Ok(Ok(event)) => {
                     if let StreamEvent::Token(_) = event {
                         self.measure();
@@ -200,8 +285,7 @@
                 Ok(Err(err)) => return Err(self.broke(&err)),
                 Err(_) if self.tokens > 0 => {
                     let stalled = self.last.elapsed();
-                    self.place
-                        .observe(Sample::TokenGap(stalled), Instant::now());
+                    self.observe(Sample::TokenGap(stalled), Instant::now());
                 }
                 Err(_) => {}
             }
@@ -224,10 +308,10 @@
         } else {
             Sample::TokenGap(took)
         };
-        self.place.observe(sample, now);
+        self.observe(sample, now);
         self.last = now;
         self.tokens += 1;
-        self.place.used(self.used());
+        self.note_used();
     }
 
     /// Takes the stream up at another group from the next token, where that may be done.
@@ -236,8 +320,9 @@
             return Err(failure);
         }
         self.ask_whether_it_died(&failure).await;
-        // Ends a trial before another group is tried.
+        // Ends a trial, and frees the slot, before another group is tried.
         self.run = None;
+        self.place = None;
         let repeatable = self.call.repeatable;
         let allowed = {
             let mut budget = lock(&self.core.retries);
@@ -267,24 +352,20 @@
             resume_from: self.tokens,
         };
         let started = attempt::start(&self.core, &self.shard, &self.call, &attempt).await;
-        let started = match started {
-            Ok(started) => started,
-            Err(NotStarted::Refused(_)) => return Err(failure),
-            Err(NotStarted::Failed(failure, _)) => return Err(failure),
-        };
-        // An engine that can't take a stream up starts from its beginning; the
-        // caller would get the first tokens twice and take them for the answer.
-        if !started.resumes_from(self.tokens) {
-            return Err(Failure::unknown("the engine can't take the stream up"));
+        match started {
+            Ok(started) => self.go_on(started),
+            Err(NotStarted::Refused(_)) => Err(failure),
+            Err(NotStarted::Failed(failure, _)) => Err(failure),
         }
-        self.run = started.run;
-        self.group = started.place.group().unwrap_or_default();
-        self.place = started.place;
-        self.stream = TokenStream::new(started.response);
-        Ok(())
     }
 }
 
+/// Asks to be told when to give way, for a stream that can be taken up again.
+fn way(call: &Call, started: &Started) -> Option<oneshot::Receiver<()>> {
+    let can = call.repeatable && started.resumes_from(0);
+    can.then(|| started.place.gives_way())
+}
+
 fn frame(token: &TokenEvent) -> Bytes {
     let mut buf = BytesMut::with_capacity(token.data.len() + 8);
     buf.extend_from_slice(b"data: ");
--- a/crates/node/src/state/shard.rs
+++ b/crates/node/src/state/shard.rs
@@ -48,6 +48,8 @@
     waiting: BTreeSet<Ticket>,
     /// Slots taken here at each group; no entry for a group without any.
     in_flight: BTreeMap<GroupId, Slots>,
+    /// Running drafts that give way when asked to.
+    givers: BTreeMap<Ticket, oneshot::Sender<()>>,
     /// Since when there is no group or target that may get work; `None` while there is one.
     deserted: Option<Instant>,
 }
@@ -83,6 +85,7 @@
                 picker: GroupPicker::new(seed),
                 waiting: BTreeSet::new(),
                 in_flight: BTreeMap::new(),
+                givers: BTreeMap::new(),
                 deserted: Some(Instant::now()),
             }),
         }
@@ -204,10 +207,19 @@
                 self.queue.cancel(started.ticket);
             }
         }
+        self.ask_to_give_way(now);
+    }
+
+    /// Asks the draft to give way that a waiting request has a better claim than.
+    fn ask_to_give_way(&mut self, now: Instant) {
+        let free = self.picker.free(now);
+        let victim = self.queue.victim(free, |t| self.givers.contains_key(&t));
+        // Asked once: until it has given way its entry here is gone.
+        if let Some(tx) = victim.and_then(|ticket| self.givers.remove(&ticket)) {
+            let _ = tx.send(());
+        }
     }
-}
 
-impl State {
     fn occupy(&mut self, pick: &Pick) {
         let taken = self
             .in_flight
@@ -268,6 +280,39 @@
         }
     }
 
+    /// Says that the request can be cancelled at its engine and taken up again; the
+    /// receiver is told when it is to give way.
+    pub(crate) fn gives_way(&self) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        self.shard.state().givers.insert(self.ticket, tx);
+        rx
+    }
+
+    /// Gives the slot up and waits in the queue again, after `used` tokens.
+    pub(crate) fn give_way(&mut self, used: Tokens, prefixes: PrefixHashes, now: Instant) {
+        let (tx, rx) = oneshot::channel();
+        let waiter = Waiter {
+            tx,
+            prefixes,
+            avoid: Avoided::new(),
+        };
+        let mut state = self.shard.state();
+        if let Some(pick) = self.pick.take() {
+            state.ended(&pick);
+        }
+        state.givers.remove(&self.ticket);
+        // A ticket that no longer runs leaves the receiver without a sender,
+        // which is a turn without a group.
+        if let Some(ticket) = state.queue.resume(self.ticket, used, waiter) {
+            self.ticket = ticket;
+            state.waiting.insert(ticket);
+        }
+        state.pump(now);
+        drop(state);
+        self.rx = rx;
+        self.used = None;
+    }
+
     /// Keeps `seat` for as long as the place is held.
     pub(crate) fn take_seat(&mut self, seat: Seat) {
         self.seat = Some(seat);
@@ -302,6 +347,7 @@
         let now = Instant::now();
         let mut state = self.shard.state();
         state.waiting.remove(&self.ticket);
+        state.givers.remove(&self.ticket);
         // The turn may have come between the last poll and this drop.
         self.rx.close();
         if let Ok(Turn::Start(pick)) = self.rx.try_recv() {
--- a/crates/route/examples/fairness.rs
+++ b/crates/route/examples/fairness.rs
@@ -98,7 +98,7 @@
     }
 
     fn victim(&self, free: Slots) -> Option<Ticket> {
-        self.queue.victim(free).filter(|_| self.preempts)
+        self.queue.victim(free, |_| true).filter(|_| self.preempts)
     }
 
     fn resume(&mut self, req: Request, ticket: Ticket, used: u64) {
--- a/crates/route/src/queue/preempt.rs
+++ b/crates/route/src/queue/preempt.rs
@@ -11,8 +11,9 @@
     /// Ask when `start` gives nothing. There is one when an urgent request waits, or
     /// a tenant with unused share, while another runs more than its share: the
     /// youngest draft of that one. A draft is cancelled once at most, so that
-    /// each makes progress. Give it back with [`ServiceQueue::resume`].
-    pub fn victim(&self, free: Slots) -> Option<Ticket> {
+    /// each makes progress. Only those for which `can` holds are considered. Give it
+    /// back with [`ServiceQueue::resume`].
+    pub fn victim(&self, free: Slots, can: impl Fn(Ticket) -> bool) -> Option<Ticket> {
         if free.normal > 0 {
             return None;
         }
@@ -20,7 +21,7 @@
         let candidates = self.running.iter().rev();
         let mut drafts = candidates.filter(|(_, r)| !r.urgency.is_urgent() && !r.resumed);
         drafts
-            .find(|(_, r)| r.tenant != *claimant && self.is_over(&r.tenant))
+            .find(|(t, r)| r.tenant != *claimant && self.is_over(&r.tenant) && can(**t))
             .map(|(ticket, _)| *ticket)
     }
 
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -270,12 +270,12 @@
     let mut first: Vec<Ticket> = (0..4)
         .map(|_| q.start(ONE, now).expect("work").ticket)
         .collect();
-    expect_that!(q.victim(Slots::NONE), none());
+    expect_that!(q.victim(Slots::NONE, |_| true), none());
     while let Some(youngest) = first.pop() {
         q.offer(offer("guest", 1, 20, now + 60 * SECOND), "refund", now)
             .expect("room");
-        expect_that!(q.victim(ONE), none());
-        expect_that!(q.victim(Slots::NONE), some(eq(youngest)));
+        expect_that!(q.victim(ONE, |_| true), none());
+        expect_that!(q.victim(Slots::NONE, |_| true), some(eq(youngest)));
         expect_that!(q.resume(youngest, 100, "draft"), some(anything()));
         let refund = q.start(ONE, now).expect("the refund");
         expect_that!(refund.payload, eq("refund"));
@@ -284,7 +284,7 @@
     }
     q.offer(offer("guest", 1, 20, now + 60 * SECOND), "refund", now)
         .expect("room");
-    expect_that!(q.victim(Slots::NONE), none());
+    expect_that!(q.victim(Slots::NONE, |_| true), none());
 }
 
 #[derive(Clone, Debug)]
@@ -361,7 +361,7 @@
                     }
                 }
                 Step::Preempt => {
-                    if let Some(victim) = q.victim(Slots::NONE) {
+                    if let Some(victim) = q.victim(Slots::NONE, |_| true) {
                         preempted += 1;
                         let at = running.iter().position(|(t, ..)| *t == victim).expect("runs");
                         let (_, id, deadline) = running.remove(at);
--- a/crates/standin/src/delivery.rs
+++ b/crates/standin/src/delivery.rs
@@ -23,8 +23,8 @@
 pub(crate) struct Delivery {
     echo: String,
     epoch: u64,
-    /// Offset at which a resumed answer goes on; 0 for one from its start.
-    resume_from: Tokens,
+    /// Offset at which the answer goes on, echoed where the request named one.
+    resume_from: Option<Tokens>,
     cut_after: Option<usize>,
     headers_only: bool,
     late: Duration,
@@ -53,7 +53,7 @@
         Delivery {
             echo,
             epoch: meta.epoch,
-            resume_from: meta.resume_from,
+            resume_from: meta.names_offset.then_some(meta.resume_from),
             cut_after: cut_after.map(|n| usize::try_from(n).unwrap_or(usize::MAX)),
             headers_only: host.faults.is_on(Fault::CloseAfterHeaders),
             late: Duration::from_millis(late),
@@ -104,8 +104,8 @@
             headers.insert("x-request-id", echo);
         }
         headers.insert("x-group-epoch", HeaderValue::from(self.epoch));
-        if self.resume_from > 0 {
-            headers.insert("x-resume-from", HeaderValue::from(self.resume_from));
+        if let Some(offset) = self.resume_from {
+            headers.insert("x-resume-from", HeaderValue::from(offset));
         }
         answer
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -57,6 +57,7 @@
     let mut meta = Meta::parse(req.headers());
     if host.faults.is_on(Fault::NoResume) {
         meta.resume_from = 0;
+        meta.names_offset = false;
     }
     let body = match read_body(req).await {
         Ok(body) => body,
--- a/crates/standin/src/meta.rs
+++ b/crates/standin/src/meta.rs
@@ -17,6 +17,8 @@
     pub(crate) key: Option<IdempotencyKey>,
     pub(crate) urgency: Urgency,
     pub(crate) resume_from: Tokens,
+    /// Whether the request names an offset, be it 0.
+    pub(crate) names_offset: bool,
 }
 
 impl Meta {
@@ -30,6 +32,7 @@
             key: (!key.is_empty()).then(|| key.into()),
             urgency: urgency(header_text(headers, "priority")),
             resume_from: header_number(headers, "x-resume-from").unwrap_or(0),
+            names_offset: headers.contains_key("x-resume-from"),
         }
     }
 
