Leave a serving group alone that only the planner can't reach

Failing first: the group was replaced, 'Actual: a/0 epoch 7' where a/1 epoch 2 was expected, as the planner counted its own silence against a group that others found whole. Silence now counts only while the group doesn't serve.

--- a/crates/group/src/plan/group.rs
+++ b/crates/group/src/plan/group.rs
@@ -79,7 +79,10 @@
         let stands = matches!(self.standing, Standing::Serving | Standing::Coming);
         // A group that spans fabric domains is slow; it serves until one is made that doesn't.
         let near = self.domain.is_some() || self.standing == Standing::Coming;
-        current && near && self.lost.is_empty() && stands && !self.ended_now
+        // Silence towards the planner alone, while the group serves, is a cut between the two.
+        let cut_off = |why: Lost| why == Lost::Silent && self.standing == Standing::Serving;
+        let fit = self.lost.iter().all(|(_, why)| cut_off(*why));
+        current && near && fit && stands && !self.ended_now
     }
 
     /// Whether its row is formed and no transaction of this round ends it.
--- a/crates/group/tests/failures.rs
+++ b/crates/group/tests/failures.rs
@@ -364,3 +364,17 @@
     );
     assert!(world.run_until(60 * SECOND, all_served));
 }
+
+/// The planner itself is cut off from a host that everybody else reaches. The
+/// group serves; to replace it would load weights for nothing.
+#[gtest]
+fn a_cut_between_the_planner_and_a_host_changes_nothing() {
+    let mut world = world();
+    let before: Vec<GroupRow> = world.table.groups().cloned().collect();
+    let host = before[0].members[0].clone();
+    world.cut = world.planner().map(|planner| (planner, host));
+    world.run(20 * SECOND);
+    let after: Vec<GroupRow> = world.table.groups().cloned().collect();
+    expect_that!(after, eq(&before));
+    expect_that!(world.served().len(), eq(3));
+}
