--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::admin::{AdminLimits, AdminServer, AdminServerError};
 use crate::backend::Backend;
+use crate::entry::addresses::takes_no_callers;
 use crate::entry::handler::Entry;
 use crate::entry::listen;
 use crate::loops::era::EraKeeper;
@@ -32,14 +33,16 @@
 use crate::loops::quota::{ASK_PERIOD, QuotaKeeper};
 use crate::loops::reader::{Reader, Seen};
 use crate::loops::rows::decode;
+use crate::loops::sweep::Sweeper;
 use crate::loops::watcher::{JUDGEMENTS_PER_PROBE, Watcher};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Promise};
 use crate::once::{ClaimStore, Once};
 use crate::peers::Peers;
 use crate::state::core::{Core, Platform};
 use crate::state::ident::Ident;
 use crate::state::journal::wall_ms;
 use crate::state::lock::lock;
+use crate::state::table::CountedTable;
 use crate::{Settings, admin};
 
 /// Period of reading the table, the host list and, for the planner, of a round of planning.
@@ -52,6 +55,8 @@
 const ERA_PERIOD: Duration = Duration::from_secs(20);
 /// Longest time until the other nodes no longer name a leaving one.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// Period of looking for claims whose time is over.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -93,7 +98,7 @@
     entry_done: Option<tokio::task::JoinHandle<()>>,
     runtime: Option<Runtime>,
     claims: Option<ClaimStore>,
-    pool: Option<Arc<ProbePool>>,
+    pool: Arc<ProbePool>,
 }
 
 impl Node {
@@ -112,7 +117,8 @@
         let callers = bind(settings.callers)?;
         let admin = bind(settings.admin)?;
         let peers = settings.peers;
-        let platform = platform(&settings);
+        let metrics = Arc::new(Metrics::new()?);
+        let platform = platform(&settings, &metrics);
         let incarnation = incarnation(&platform, &settings);
         // The peers' port is bound by the peer crate; it needs a number before that.
         let peers = reserve(peers)?;
@@ -123,7 +129,6 @@
             peers,
             local(&admin)?,
         );
-        let metrics = Arc::new(Metrics::new()?);
         let core = Arc::new(Core::new(ident, settings, platform, metrics.clone()));
         let refusals = Refusals::default();
         let peer = start_peer(&core, &refusals, &runtime)?;
@@ -136,8 +141,10 @@
             planner: None,
         }));
         let lease = Arc::new(Mutex::new(LeaseKeeper::new(core.clone())));
-        let planner = Planner::new(core.clone(), seen.clone(), pool.clone());
+        let planner = Planner::new(core.clone(), seen.clone(), pool.clone(), peer.clone());
         let planner = Arc::new(Mutex::new(planner));
+        let mut sweeper = Sweeper::new(core.clone(), claims.clone());
+        threads.push(every(&core, "sweep", SWEEP_PERIOD, move || sweeper.step()));
         threads.extend(start_loops(
             &core,
             &peer,
@@ -170,7 +177,7 @@
             entry_done: Some(entry_done),
             runtime: Some(runtime),
             claims: Some(claims),
-            pool: Some(pool),
+            pool,
         })
     }
 
@@ -189,6 +196,11 @@
         self.core.ident.peer
     }
 
+    /// What it counts; outlives the node.
+    pub fn metrics(&self) -> Arc<Metrics> {
+        self.core.metrics.clone()
+    }
+
     /// Peers whose calls are refused both ways, to cut the network in tests.
     pub fn refusals(&self) -> &Refusals {
         &self.refusals
@@ -208,6 +220,9 @@
         std::thread::sleep(self.core.settings.timing.address_keep + LEAVE_NOTICE);
         self.stop_entry.send_replace(true);
         let finished = self.finish_requests();
+        if !finished {
+            self.core.metrics.promise_broken(Promise::GracefulStop);
+        }
         lock(&self.planner).give_up();
         self.core.stop();
         self.end_threads();
@@ -232,7 +247,8 @@
 
     fn end_threads(&mut self) {
         self.claims = None;
-        self.pool = None;
+        // Others hold the pool too, so that dropping it here would end no thread.
+        self.pool.close();
         let deadline = Instant::now() + Duration::from_secs(5);
         for thread in self.threads.drain(..) {
             // A thread that hangs in a call to a dead platform ends with the process.
@@ -274,11 +290,11 @@
     local(&bind(address)?)
 }
 
-fn platform(settings: &Settings) -> Platform {
+fn platform(settings: &Settings, metrics: &Arc<Metrics>) -> Platform {
     let at = &settings.platform;
     let caller = |address: SocketAddr| HttpCaller::builder(address.to_smolstr()).build();
     Platform {
-        table: HttpTable::new(caller(at.table)),
+        table: CountedTable::new(HttpTable::new(caller(at.table)), metrics.clone()),
         objects: HttpObjectStore::new(caller(at.objects)),
         weights: HttpWeightStore::new(caller(at.weights)),
         hosts: HttpHostList::new(caller(at.hosts)),
@@ -331,7 +347,7 @@
         admin_address: ident.admin.to_smolstr(),
         failure_domain: ident.failure_domain.clone(),
         region: ident.region.clone(),
-        leaving: core.is_leaving(),
+        leaving: takes_no_callers(core),
     }));
 }
 
@@ -378,7 +394,8 @@
     let planner = planner.clone();
     let (load_core, load_peer) = (core.clone(), peer.clone());
     let (news_core, news_peer) = (core.clone(), peer.clone());
-    let mut was_leaving = false;
+    // What start_peer() published: no row is known then.
+    let mut was_leaving = true;
     vec![
         every(
             core,
@@ -410,7 +427,7 @@
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
             publish_usage(&load_core, &load_peer);
-            let leaving = load_core.is_leaving();
+            let leaving = takes_no_callers(&load_core);
             if leaving != was_leaving {
                 publish_status(&load_core, &load_peer);
                 was_leaving = leaving;
--- a/crates/node/src/state/shard.rs
+++ b/crates/node/src/state/shard.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::lock::lock;
+use super::seat::Seat;
 
 /// Requests wait this long for a group when none may serve. Evidence may lapse
 /// for a moment when a watcher dies; a group that is formed anew takes longer,
@@ -47,7 +48,7 @@
     waiting: BTreeSet<Ticket>,
     /// Slots taken here at each group; no entry for a group without any.
     in_flight: BTreeMap<GroupId, Slots>,
-    /// Since when there is no group or target that may serve; `None` while there is one.
+    /// Since when there is no group or target that may get work; `None` while there is one.
     deserted: Option<Instant>,
 }
 
@@ -68,6 +69,8 @@
     pick: Option<Pick>,
     /// What is charged when the place is given back; `None` until something ran.
     used: Option<Tokens>,
+    /// Counts the request among its tenant's.
+    seat: Option<Seat>,
 }
 
 impl Shard {
@@ -85,6 +88,10 @@
         }
     }
 
+    pub(crate) fn set_max_queue(&self, requests: u32) {
+        self.state().queue.set_max_queue(requests);
+    }
+
     pub(crate) fn service(&self) -> &ServiceName {
         &self.service
     }
@@ -122,13 +129,16 @@
             rx,
             pick: None,
             used: None,
+            seat: None,
         })
     }
 
     /// Replaces the groups that may be picked.
     pub(crate) fn set_candidates(&self, candidates: Vec<Candidate>, now: Instant) {
         let mut state = self.state();
-        state.deserted = match candidates.is_empty() {
+        // A leaving group gets nothing new: whoever waits for it alone waits in vain,
+        // and would be told so only when its deadline has passed.
+        state.deserted = match candidates.iter().all(|c| c.leaving) {
             true => state.deserted.or(Some(now)),
             false => None,
         };
@@ -258,6 +268,18 @@
         }
     }
 
+    /// Keeps `seat` for as long as the place is held.
+    pub(crate) fn take_seat(&mut self, seat: Seat) {
+        self.seat = Some(seat);
+    }
+
+    /// Counts the request as running.
+    pub(crate) fn seat_runs(&mut self) {
+        if let Some(seat) = &mut self.seat {
+            seat.runs();
+        }
+    }
+
     /// Notes what the request has really used; nothing is charged without.
     pub(crate) fn used(&mut self, tokens: Tokens) {
         self.used = Some(tokens);
