Plan again when the lease comes back and the region is still ours

Cause: after a table outage longer than the lease the planner's lease lapsed and came back, its row still named it, so it counted as planner already and never planned again; no other node could unseat it, since its lease was held. A group that lost a host stayed broken for good. Ruled out: the repair policy and the evidence; the log of a failing run shows planner-lost at the lapse, lease-taken after the outage, and nothing more. Change: a node that the row names takes up planning after the time that an earlier order of its own may be under way.

--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -138,6 +138,12 @@
     }
 
     fn try_takeover(&mut self) {
+        if self.is_named() {
+            // The lease lapsed and came back, and nobody took the region meanwhile.
+            // Without this the row would name a planner that doesn't plan, and
+            // that no other node may unseat, since its lease is held.
+            return self.begin(self.core.timing.order_transit, None);
+        }
         if !self.is_contender() {
             return;
         }
@@ -167,6 +173,15 @@
         }
     }
 
+    /// Whether the planner row names this start of this node.
+    fn is_named(&self) -> bool {
+        let seen = lock(&self.seen);
+        let ident = &self.core.ident;
+        seen.planner
+            .as_ref()
+            .is_some_and(|(row, _)| row.node == ident.node && row.incarnation == ident.incarnation)
+    }
+
     fn is_contender(&self) -> bool {
         let region = &self.core.ident.region;
         let seen = lock(&self.seen);
@@ -191,7 +206,7 @@
         let ident = &self.core.ident;
         let row = match self.core.platform.table.get(&planner_key(&ident.region)) {
             Ok(row) => row.as_ref().and_then(decode::<PlannerRow>),
-            // The next round takes over again from the row that names this node.
+            // The next round finds that the row names this node.
             Err(_) => None,
         };
         let Some((row, version)) = row else {
