--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -13,11 +13,7 @@
 /// The table's reader and the peers' announcements both end here, so a version
 /// is in force as soon as the quicker of the two brings it.
 pub(crate) fn apply_config(core: &Core, peer: &PeerNode<Peers>, text: &ConfigText) {
-    let in_force = core.config.version();
-    if text.version < in_force {
-        core.metrics.promise_guarded(Promise::ConfigNeverReverts);
-    }
-    if text.version <= in_force {
+    if text.version <= core.config.version() {
         return;
     }
     match core.config.offer(text) {
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -19,6 +19,7 @@
     SubmitReply, SuspectInfo, TenantInfo,
 };
 use crate::loops::rows::{decode, scan};
+use crate::metrics::process::ProcessMetrics;
 use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -31,15 +32,21 @@
     pub(crate) core: Arc<Core>,
     pub(crate) peer: Arc<PeerNode<Peers>>,
     runtime: Handle,
+    process: ProcessMetrics,
 }
 
 impl Backend {
-    pub(crate) fn new(core: Arc<Core>, peer: Arc<PeerNode<Peers>>, runtime: Handle) -> Backend {
-        Backend {
+    pub(crate) fn new(
+        core: Arc<Core>,
+        peer: Arc<PeerNode<Peers>>,
+        runtime: Handle,
+    ) -> Result<Backend, prometheus::Error> {
+        Ok(Backend {
             core,
             peer,
             runtime,
-        }
+            process: ProcessMetrics::new()?,
+        })
     }
 
     /// Asks all nodes at once; gives who was asked and the answers that came.
@@ -84,7 +91,9 @@
         };
         let row = table.get(&log_key(version)).map_err(|e| unavailable(&e))?;
         let logged: Option<(LogRow, _)> = row.as_ref().and_then(decode);
+        // A row of the log is used again for a later version.
         let (row, _) = logged
+            .filter(|(row, _)| row.version == version)
             .ok_or_else(|| BackendError::NotFound(format!("version {version} is not kept")))?;
         Ok(log_info(row, true))
     }
@@ -130,7 +139,7 @@
     }
 
     fn metrics(&self) -> String {
-        self.core.metrics.render()
+        self.core.metrics.render() + &self.process.render()
     }
 }
 
--- a/crates/node/src/entry/addresses.rs
+++ b/crates/node/src/entry/addresses.rs
@@ -1,6 +1,7 @@
 //! Which entries a caller is told to use.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use eelgrassmill_config::{Config, Tenant};
 use eelgrassmill_route::{AddressAnswer, EntryView, LoadBand, choose_addresses};
@@ -107,9 +108,10 @@
         failure_domain: ident.failure_domain.clone(),
         near: true,
         load: LoadBand::default(),
-        leaving: core.is_leaving(),
+        leaving: takes_no_callers(core),
         alive: true,
     }];
+    let now = Instant::now();
     let directory = lock(&core.directory);
     entries.extend(directory.entries().map(|(node, entry)| EntryView {
         node: node.clone(),
@@ -118,8 +120,15 @@
         near: entry.region == ident.region,
         load: entry.band,
         leaving: entry.leaving || cfg.drains_node(node),
-        // An entry that falls silent is dropped from the directory.
-        alive: true,
+        alive: entry.is_alive(now),
     }));
     entries
 }
+
+/// Whether callers are to be sent elsewhere.
+///
+/// A node that has just started and knows no groups yet would refuse callers
+/// that were told its address, although the groups serve.
+pub(crate) fn takes_no_callers(core: &Core) -> bool {
+    core.is_leaving() || !lock(&core.fleet).knows_groups()
+}
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -1,6 +1,7 @@
 //! The node's loops: each does one job, on a thread of its own, until the node stops.
 
 pub(crate) mod era;
+pub(crate) mod handover;
 pub(crate) mod lease;
 pub(crate) mod planner;
 pub(crate) mod probe;
@@ -8,6 +9,7 @@
 pub(crate) mod quota;
 pub(crate) mod reader;
 pub(crate) mod rows;
+pub(crate) mod sweep;
 pub(crate) mod watcher;
 
 use std::sync::Arc;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_group::{LeaseObserver, NodeRow, node_key};
 use eelgrassmill_peer::{
     DisseminationConfig, Item, Member, NodeLoad, NodeStatus, PeerError, PeerNode, PeerNodeConfig,
-    Refusals,
+    Refusals, Traffic,
 };
 use eelgrassmill_platform::{
     HttpCaller, HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, Table,
@@ -21,6 +21,7 @@
 
 use crate::admin::{AdminLimits, AdminServer, AdminServerError};
 use crate::backend::Backend;
+use crate::entry::addresses::takes_no_callers;
 use crate::entry::handler::Entry;
 use crate::entry::listen;
 use crate::loops::era::EraKeeper;
@@ -32,6 +33,7 @@
 use crate::loops::quota::{ASK_PERIOD, QuotaKeeper};
 use crate::loops::reader::{Reader, Seen};
 use crate::loops::rows::decode;
+use crate::loops::sweep::Sweeper;
 use crate::loops::watcher::{JUDGEMENTS_PER_PROBE, Watcher};
 use crate::metrics::{Metrics, Promise};
 use crate::once::{ClaimStore, Once};
@@ -53,6 +55,8 @@
 const ERA_PERIOD: Duration = Duration::from_secs(20);
 /// Longest time until the other nodes no longer name a leaving one.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// Period of looking for claims whose time is over.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -137,8 +141,10 @@
             planner: None,
         }));
         let lease = Arc::new(Mutex::new(LeaseKeeper::new(core.clone())));
-        let planner = Planner::new(core.clone(), seen.clone(), pool.clone());
+        let planner = Planner::new(core.clone(), seen.clone(), pool.clone(), peer.clone());
         let planner = Arc::new(Mutex::new(planner));
+        let mut sweeper = Sweeper::new(core.clone(), claims.clone());
+        threads.push(every(&core, "sweep", SWEEP_PERIOD, move || sweeper.step()));
         threads.extend(start_loops(
             &core,
             &peer,
@@ -151,7 +157,7 @@
         let (stop_entry, entry_stopped) = watch::channel(false);
         let once = Once::new(claims.clone());
         let entry_done = start_entry(&core, once, callers, entry_stopped, &runtime);
-        let backend = Backend::new(core.clone(), peer.clone(), runtime.handle().clone());
+        let backend = Backend::new(core.clone(), peer.clone(), runtime.handle().clone())?;
         let admin = AdminServer::start(
             admin,
             Arc::new(backend),
@@ -341,7 +347,7 @@
         admin_address: ident.admin.to_smolstr(),
         failure_domain: ident.failure_domain.clone(),
         region: ident.region.clone(),
-        leaving: core.is_leaving(),
+        leaving: takes_no_callers(core),
     }));
 }
 
@@ -360,6 +366,15 @@
     }));
 }
 
+/// Counts what went over the connections to peers since `last`; gives the state now.
+fn count_traffic(core: &Core, peer: &PeerNode<Peers>, last: Traffic) -> Traffic {
+    let now = peer.traffic();
+    let sent = now.sent.saturating_sub(last.sent);
+    let received = now.received.saturating_sub(last.received);
+    core.metrics.add_peer_bytes(sent, received);
+    now
+}
+
 fn publish_usage(core: &Core, peer: &PeerNode<Peers>) {
     for shard in core.all_shards() {
         let used = shard.take_usage();
@@ -388,7 +403,9 @@
     let planner = planner.clone();
     let (load_core, load_peer) = (core.clone(), peer.clone());
     let (news_core, news_peer) = (core.clone(), peer.clone());
-    let mut was_leaving = false;
+    // What start_peer() published: no row is known then.
+    let mut was_leaving = true;
+    let mut traffic = peer.traffic();
     vec![
         every(
             core,
@@ -420,7 +437,8 @@
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
             publish_usage(&load_core, &load_peer);
-            let leaving = load_core.is_leaving();
+            traffic = count_traffic(&load_core, &load_peer, traffic);
+            let leaving = takes_no_callers(&load_core);
             if leaving != was_leaving {
                 publish_status(&load_core, &load_peer);
                 was_leaving = leaving;
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use eelgrassmill_base::Outcome;
 use eelgrassmill_claim::{
-    AttemptId, Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, OwnerState,
-    RowChange, Seen, WriteOutcome, claim_key, decide, fingerprint,
+    AttemptId, Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, Owner,
+    OwnerState, RowChange, Seen, WriteOutcome, claim_key, decide, fingerprint,
 };
 use eelgrassmill_platform::ObjectStore;
 use eelgrassmill_timeline::EventKind;
@@ -32,6 +32,8 @@
 const ROUNDS: usize = 4;
 /// Pause before the state of a settled claim is written again.
 const WRITE_AGAIN: Duration = Duration::from_millis(500);
+/// Longest time for which a whole answer waits for its claim's state to be written.
+const FIRST_WRITE: Duration = Duration::from_secs(1);
 /// Attempts to write it. The row says `claimed` until then, which is safe:
 /// repeats are told `in progress`, and `unknown` once this node is gone.
 const WRITE_ATTEMPTS: u32 = 240;
@@ -162,14 +164,7 @@
                 false => OwnerState::Alive,
             };
         }
-        let fleet = lock(&self.core.fleet);
-        match fleet.nodes.get(&owner.node) {
-            Some((row, _)) if row.incarnation == owner.incarnation => OwnerState::Alive,
-            Some((row, _)) if row.incarnation > owner.incarnation => OwnerState::Lapsed,
-            // Without a scan yet, nothing is known of any owner.
-            _ if fleet.scanned.is_none() => OwnerState::Alive,
-            _ => OwnerState::Lapsed,
-        }
+        owner_state(&self.core, owner)
     }
 
     async fn tell(&self, told: Decision) -> Reply {
@@ -240,10 +235,11 @@
             Ok(Ran::Whole(whole)) => {
                 let outcome = self.keep(&whole).await;
                 let change = claim.after(outcome);
-                // Written once before the caller is answered, so that a repeat that
-                // follows the answer finds it; a table that is down must not hold
-                // the answer back.
-                let change = self.write_once(&mut claim, change).await;
+                // Written before the caller is answered, so that a repeat that
+                // follows the answer finds it. One try only: a table that is down
+                // would hold the answer back for as long, and the row protects
+                // the call from a second run as it is.
+                let change = self.write_soon(&mut claim, change).await;
                 drop(tx.send(Ok(whole.into_response())));
                 self.settle(claim, change).await;
             }
@@ -309,10 +305,11 @@
         });
     }
 
-    /// Writes the claim's state once; gives what is still to be written.
-    async fn write_once(&self, claim: &mut Claim, change: Option<RowChange>) -> Option<RowChange> {
-        let outcome = self.once.store.write(change?).await;
-        claim.on_written(outcome)
+    /// Tries once, for a bounded time, to write the claim's state; gives what is left to write.
+    async fn write_soon(&self, claim: &mut Claim, change: Option<RowChange>) -> Option<RowChange> {
+        let writing = self.once.store.write(change?);
+        let outcome = tokio::time::timeout(FIRST_WRITE, writing).await;
+        claim.on_written(outcome.unwrap_or(WriteOutcome::Unknown))
     }
 
     /// Writes the claim's state until the table has it.
@@ -348,6 +345,18 @@
     }
 }
 
+/// Whether another node that owns a claim may still be running it.
+pub(crate) fn owner_state(core: &Core, owner: &Owner) -> OwnerState {
+    let fleet = lock(&core.fleet);
+    match fleet.nodes.get(&owner.node) {
+        Some((row, _)) if row.incarnation == owner.incarnation => OwnerState::Alive,
+        Some((row, _)) if row.incarnation > owner.incarnation => OwnerState::Lapsed,
+        // Without a scan yet, nothing is known of any owner.
+        _ if fleet.scanned.is_none() => OwnerState::Alive,
+        _ => OwnerState::Lapsed,
+    }
+}
+
 const BUSY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
 fn table_gone() -> Problem {
--- a/crates/node/tests/metrics_fed.rs
+++ b/crates/node/tests/metrics_fed.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use eelgrassmill_base::{Order, OrderKind, Placement};
-use eelgrassmill_config::{CURRENT_KEY, CurrentRow, checksum};
+use eelgrassmill_config::{CURRENT_KEY, CurrentRow, HEAD_KEY, HeadRow, checksum};
 use eelgrassmill_node::Metrics;
 use eelgrassmill_platform::{
     Condition, HttpCaller, HttpTable, Table, Txn, TxnOutcome, Write as RowWrite,
@@ -68,6 +68,24 @@
     }
 }
 
+#[test]
+fn traffic_between_nodes_and_the_process_are_counted() {
+    let cluster = whole_cluster(2, 2);
+    for metrics in all_metrics(&cluster) {
+        eventually("bytes went both ways", || {
+            sum(&metrics, &["peer_bytes_total", "sent"]) > 0.0
+                && sum(&metrics, &["peer_bytes_total", "received"]) > 0.0
+        });
+    }
+    let shown = cluster.admin(0, "GET", "/metrics", "").text;
+    let value = |name: &str| -> f64 {
+        let line = shown.lines().find(|l| l.starts_with(name));
+        line.unwrap().rsplit(' ').next().unwrap().parse().unwrap()
+    };
+    assert!(value("process_cpu_seconds_total ") > 0.0);
+    assert!(value("process_resident_memory_bytes ") > f64::from(1 << 20));
+}
+
 /// A guest clicks twice on the refund. The second call finds the first one's
 /// claim in the table, and its answer is told again without a second refund.
 #[test]
@@ -155,11 +173,14 @@
     });
 }
 
-/// Writes the row of the current configuration past all acceptance.
+/// Writes the rows of the current configuration past all acceptance.
 fn write_current(cluster: &Cluster, version: u64, text: &str) {
     let caller = HttpCaller::builder(cluster.standins.platform_address()).build();
     let table = HttpTable::new(caller);
-    let there = table.get(CURRENT_KEY).unwrap().unwrap();
+    let head = HeadRow {
+        version,
+        checksum: checksum(text),
+    };
     let row = CurrentRow {
         version,
         text: text.to_owned(),
@@ -168,16 +189,23 @@
         submit_id: "by hand".into(),
         recent: Vec::new(),
     };
+    let rows = [
+        (CURRENT_KEY, serde_json::to_string(&row).unwrap()),
+        (HEAD_KEY, serde_json::to_string(&head).unwrap()),
+    ];
+    let conditions = rows.iter().map(|(key, _)| Condition {
+        key: (*key).into(),
+        version: table.get(key).unwrap().unwrap().version,
+    });
     let txn = Txn {
         id: format!("by hand {version}").into(),
-        conditions: vec![Condition {
-            key: CURRENT_KEY.into(),
-            version: there.version,
-        }],
-        writes: vec![RowWrite {
-            key: CURRENT_KEY.into(),
-            value: Some(serde_json::to_string(&row).unwrap()),
-        }],
+        conditions: conditions.collect(),
+        writes: rows
+            .map(|(key, value)| RowWrite {
+                key: key.into(),
+                value: Some(value),
+            })
+            .into(),
     };
     assert_eq!(table.commit(&txn).unwrap(), TxnOutcome::Committed);
 }
--- a/crates/node/tests/stream.rs
+++ b/crates/node/tests/stream.rs
@@ -1,4 +1,6 @@
 //! Streams whose engine dies: taken up at another group, or seen to have broken off.
+// A panic is how a test fails.
+#![allow(clippy::unwrap_used)]
 
 mod util;
 
@@ -37,7 +39,7 @@
     reading.events(SOME);
     let host = cluster.engine_runs()[0].host.clone();
     then(&host);
-    reading.to_end()
+    reading.into_whole()
 }
 
 /// How many engines took a stream up in its middle.
