--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -19,6 +19,7 @@
     SubmitReply, SuspectInfo, TenantInfo,
 };
 use crate::loops::rows::{decode, scan};
+use crate::metrics::process::ProcessMetrics;
 use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -31,15 +32,21 @@
     pub(crate) core: Arc<Core>,
     pub(crate) peer: Arc<PeerNode<Peers>>,
     runtime: Handle,
+    process: ProcessMetrics,
 }
 
 impl Backend {
-    pub(crate) fn new(core: Arc<Core>, peer: Arc<PeerNode<Peers>>, runtime: Handle) -> Backend {
-        Backend {
+    pub(crate) fn new(
+        core: Arc<Core>,
+        peer: Arc<PeerNode<Peers>>,
+        runtime: Handle,
+    ) -> Result<Backend, prometheus::Error> {
+        Ok(Backend {
             core,
             peer,
             runtime,
-        }
+            process: ProcessMetrics::new()?,
+        })
     }
 
     /// Asks all nodes at once; gives who was asked and the answers that came.
@@ -132,7 +139,7 @@
     }
 
     fn metrics(&self) -> String {
-        self.core.metrics.render()
+        self.core.metrics.render() + &self.process.render()
     }
 }
 
--- a/crates/node/src/loops/reader.rs
+++ b/crates/node/src/loops/reader.rs
@@ -14,6 +14,7 @@
 
 use super::rows::{decode, scan};
 use crate::apply::apply_config;
+use crate::metrics::Promise;
 use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
@@ -90,10 +91,16 @@
     /// Reads the text only when the small row beside it says that it is new.
     fn read_config(&self) -> Result<(), TableError> {
         let table = &self.core.platform.table;
+        let in_force = self.core.config.version();
         let head = table.get(HEAD_KEY)?;
         let Some((head, _)) = head.as_ref().and_then(decode::<HeadRow>) else {
             return Ok(());
         };
+        if head.version < in_force {
+            self.core
+                .metrics
+                .promise_guarded(Promise::ConfigNeverReverts);
+        }
         if head.version <= self.core.config.version() {
             return Ok(());
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of one node, as Prometheus reads them.
 
 mod labels;
+pub(crate) mod process;
 
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
@@ -40,6 +41,7 @@
     first_token: HistogramVec,
     answering: HistogramVec,
     table_calls: IntCounterVec,
+    peer_bytes: IntCounterVec,
     admin_refusals: IntCounterVec,
     groups: IntGaugeVec,
     config_version: IntGauge,
@@ -94,6 +96,12 @@
                 "Calls to the table service.",
                 &["call", "result"],
             )?,
+            peer_bytes: counters(
+                &r,
+                "peer_bytes_total",
+                "Bytes over the connections to other nodes.",
+                &["direction"],
+            )?,
             admin_refusals: counters(
                 &r,
                 "admin_refusals_total",
@@ -182,6 +190,15 @@
             .inc();
     }
 
+    /// So many bytes more went to other nodes and came from them.
+    pub fn add_peer_bytes(&self, sent: u64, received: u64) {
+        let count = |direction: &str, n| {
+            self.peer_bytes.with_label_values(&[direction]).inc_by(n);
+        };
+        count("sent", sent);
+        count("received", received);
+    }
+
     /// An admin call was refused.
     pub fn admin_refused(&self, reason: AdminRefusal) {
         self.admin_refusals
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_group::{LeaseObserver, NodeRow, node_key};
 use eelgrassmill_peer::{
     DisseminationConfig, Item, Member, NodeLoad, NodeStatus, PeerError, PeerNode, PeerNodeConfig,
-    Refusals,
+    Refusals, Traffic,
 };
 use eelgrassmill_platform::{
     HttpCaller, HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, Table,
@@ -157,7 +157,7 @@
         let (stop_entry, entry_stopped) = watch::channel(false);
         let once = Once::new(claims.clone());
         let entry_done = start_entry(&core, once, callers, entry_stopped, &runtime);
-        let backend = Backend::new(core.clone(), peer.clone(), runtime.handle().clone());
+        let backend = Backend::new(core.clone(), peer.clone(), runtime.handle().clone())?;
         let admin = AdminServer::start(
             admin,
             Arc::new(backend),
@@ -366,6 +366,15 @@
     }));
 }
 
+/// Counts what went over the connections to peers since `last`; gives the state now.
+fn count_traffic(core: &Core, peer: &PeerNode<Peers>, last: Traffic) -> Traffic {
+    let now = peer.traffic();
+    let sent = now.sent.saturating_sub(last.sent);
+    let received = now.received.saturating_sub(last.received);
+    core.metrics.add_peer_bytes(sent, received);
+    now
+}
+
 fn publish_usage(core: &Core, peer: &PeerNode<Peers>) {
     for shard in core.all_shards() {
         let used = shard.take_usage();
@@ -396,6 +405,7 @@
     let (news_core, news_peer) = (core.clone(), peer.clone());
     // What start_peer() published: no row is known then.
     let mut was_leaving = true;
+    let mut traffic = peer.traffic();
     vec![
         every(
             core,
@@ -427,6 +437,7 @@
         every(core, "load", LOAD_PERIOD, move || {
             publish_load(&load_core, &load_peer);
             publish_usage(&load_core, &load_peer);
+            traffic = count_traffic(&load_core, &load_peer, traffic);
             let leaving = takes_no_callers(&load_core);
             if leaving != was_leaving {
                 publish_status(&load_core, &load_peer);
