Search the matches of a pick by holder

Cause: a beginning of a prompt that is popular is held by every group. For each holder of each of its prefixes GroupPicker::matches searched all matches found so far, and GroupPicker::best searched them again for each group: steps grow with the square of the groups. Ruled out: free() and utilisation() (constant for a group), the record of prefixes (a range per prefix), the comparison of peers (every 250 ms only).

Change: matches are kept in the order of their holders and found by binary search. The choice is the same: the longest match of a holder still comes first and stays.

--- a/crates/route/src/pick/mod.rs
+++ b/crates/route/src/pick/mod.rs
@@ -209,8 +209,8 @@
             if room == 0 || avoid.contains(group) {
                 continue;
             }
-            let affinity = matches.iter().find(|m| m.holder == state.holder);
-            let affinity = affinity.map_or(0.0, |m| m.worth(state) / prefixes.len() as f64);
+            let found = matches.binary_search_by_key(&state.holder, |m| m.holder);
+            let affinity = found.map_or(0.0, |at| matches[at].worth(state) / prefixes.len() as f64);
             let score = state.utilisation(now) + HOP_COST * f64::from(state.candidate.hops)
                 - AFFINITY_GAIN * affinity
                 + NOISE * self.rng.f64();
@@ -221,14 +221,18 @@
         best.map(|(_, group)| group.clone())
     }
 
-    /// The longest match of each group that has one.
+    /// The longest match of each group that has one, by holder.
+    ///
+    /// The order matters for the cost: a popular beginning is held by every
+    /// group, and a search of an unordered list for each of them would make
+    /// every pick grow with the square of the groups.
     fn matches(&self, prefixes: &[PrefixHash]) -> SmallVec<[Match; 8]> {
         let mut matches: SmallVec<[Match; 8]> = SmallVec::new();
         for (i, hash) in prefixes.iter().enumerate().rev() {
             for (holder, at) in self.prefixes.holders(*hash) {
-                if matches.iter().all(|m| m.holder != holder) {
-                    let length = i + 1;
-                    matches.push(Match { holder, length, at });
+                let length = i + 1;
+                if let Err(place) = matches.binary_search_by_key(&holder, |m| m.holder) {
+                    matches.insert(place, Match { holder, length, at });
                 }
             }
         }
