--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -276,6 +276,7 @@
             "config-applied",
             "group-broken",
             "node-stopping",
+            "given back",
         ];
         expect_true!(names.iter().all(|n| log.contains(n)));
         // Neither a secret nor a line for each request.
--- a/crates/group/src/plan/mod.rs
+++ b/crates/group/src/plan/mod.rs
@@ -7,8 +7,12 @@
 //! fabric domain starts no storm; what doesn't fit waits for the next round.
 
 mod action;
+mod baseline;
 mod end;
 mod form;
+mod give;
+mod group;
+mod join;
 mod policy;
 mod repair;
 mod returns;
@@ -22,7 +26,7 @@
 
 pub use crate::plan::action::{Action, FreedBecause};
 pub use crate::plan::policy::{RepairChoice, RepairPolicy};
-pub use crate::plan::returns::{Absence, ReturnModel};
+pub use crate::plan::returns::{Absence, Return, ReturnModel};
 pub use crate::plan::view::{FleetView, GroupFacts, HostFacts};
 
 use crate::plan::round::Round;
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -3,74 +3,40 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ServiceName};
-use eelgrassmill_config::{ModelService, ServiceKind};
+use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId};
+use eelgrassmill_config::ServiceKind;
 use smallvec::SmallVec;
-use smol_str::SmolStr;
 
 use crate::plan::action::Action;
+use crate::plan::group::{Group, Lost, Standing, Wanted};
 use crate::plan::policy::RepairPolicy;
 use crate::plan::returns::Absence;
 use crate::plan::view::{FleetView, GroupFacts, HostFacts, TOGETHER};
 use crate::rows::{EndReason, GroupPhase, GroupRow, split_group_id, weights_name};
 
-/// What is wrong with a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Lost {
-    /// It doesn't answer.
-    Silent,
-    /// It doesn't answer and the host list has dropped it.
-    Gone,
-    /// It restarted after the group had been whole; the host itself is fit for use.
-    Restarted,
-    /// It is to leave.
-    Leaving,
-}
+type Members<'a> = SmallVec<[&'a HostFacts; 8]>;
 
-/// How a group stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
-    /// It serves.
-    Serving,
-    /// It doesn't serve yet, and no member is lost.
-    Coming,
-    /// It doesn't serve, and a member is lost.
-    Broken,
-    /// Its row says that it ends.
-    Ending,
+/// Looks groups up by name, and remembers the last: neighbours in the order of names are
+/// mostly in one group.
+pub(crate) struct GroupFinder<'a> {
+    view: &'a FleetView,
+    last: Option<&'a GroupFacts>,
 }
 
-/// One group of a wanted service, as this round sees it.
-#[derive(Clone, Debug)]
-pub(crate) struct Group<'a> {
-    pub(crate) facts: &'a GroupFacts,
-    /// Its fabric domain; `None` when it spans several or none is known.
-    pub(crate) domain: Option<&'a FabricDomain>,
-    pub(crate) standing: Standing,
-    /// Members that are lost or leaving.
-    pub(crate) lost: SmallVec<[(&'a HostId, Lost); 4]>,
-    /// Whether a transaction of this round ends it.
-    pub(crate) ended_now: bool,
-    /// Whether it is on its way to be whole without a replacement elsewhere.
-    pub(crate) mending: bool,
-}
+impl<'a> GroupFinder<'a> {
+    pub(crate) fn new(view: &'a FleetView) -> GroupFinder<'a> {
+        GroupFinder { view, last: None }
+    }
 
-/// One model service.
-#[derive(Clone, Debug)]
-pub(crate) struct Wanted<'a> {
-    pub(crate) name: &'a ServiceName,
-    pub(crate) cfg: &'a ModelService,
-    /// Groups that this region is to have.
-    pub(crate) count: usize,
-    /// Groups needed now: the demand, and the floor at least.
-    pub(crate) need: usize,
-    /// `MODEL@VERSION`.
-    pub(crate) weights: SmolStr,
-    /// Bytes that each member loads.
-    pub(crate) load_bytes: u64,
-    pub(crate) groups: Vec<Group<'a>>,
-    /// Groups that this round forms beside those.
-    pub(crate) formed_now: usize,
+    /// The group that the host's row names.
+    pub(crate) fn of(&mut self, host: &HostFacts) -> Option<&'a GroupFacts> {
+        let name = host.row.group.as_ref()?;
+        if let Some(last) = self.last.filter(|last| last.row.group == *name) {
+            return Some(last);
+        }
+        self.last = self.view.groups.get(name);
+        self.last
+    }
 }
 
 /// Working state of one round.
@@ -82,6 +48,9 @@
     pub(crate) wanted: Vec<Wanted<'a>>,
     /// Hosts that may be taken, by fabric domain. Invariant: in order of their names.
     pub(crate) free: BTreeMap<&'a FabricDomain, Vec<&'a HostFacts>>,
+    /// Hosts by the group that their rows name; most groups are indexed from here without a
+    /// search for each member.
+    bound: BTreeMap<&'a GroupId, Members<'a>>,
     /// Hosts that don't answer, by fabric domain.
     silent: BTreeMap<&'a FabricDomain, usize>,
     /// Hosts loading now or ordered to by this round.
@@ -105,13 +74,14 @@
             actions: Vec::new(),
             wanted: Vec::new(),
             free: BTreeMap::new(),
+            bound: BTreeMap::new(),
             silent: BTreeMap::new(),
             loading: 0,
             changes: 0,
             warming: BTreeMap::new(),
             wishes: Vec::new(),
             formed: Vec::new(),
-            next_epoch: highest_epoch(view) + 1,
+            next_epoch: view.groups.values().map(|g| g.row.epoch).max().unwrap_or(0) + 1,
         };
         round.index_hosts();
         round.index_warming();
@@ -216,8 +186,21 @@
     }
 
     fn index_hosts(&mut self) {
+        let mut groups = GroupFinder::new(self.view);
+        let mut together: Option<(&GroupId, Members<'a>)> = None;
         for host in self.view.hosts.values() {
-            self.loading += usize::from(self.is_loading(host));
+            let group = groups.of(host);
+            self.next_epoch = self.next_epoch.max(host.row.epoch + 1);
+            self.loading += usize::from(self.is_loading(host, group));
+            if let Some(name) = &host.row.group {
+                match &mut together {
+                    Some((last, members)) if *last == name => members.push(host),
+                    _ => {
+                        let done = together.replace((name, SmallVec::from_slice(&[host])));
+                        self.note_bound(done);
+                    }
+                }
+            }
             if let Some(entry) = &host.entry
                 && host.silent_for(self.now) > self.policy.detect
             {
@@ -228,6 +211,19 @@
                 free.push(host);
             }
         }
+        self.note_bound(together);
+    }
+
+    fn note_bound(&mut self, together: Option<(&'a GroupId, Members<'a>)>) {
+        if let Some((group, members)) = together {
+            self.bound.entry(group).or_default().extend(members);
+        }
+    }
+
+    /// The host of a name, from the group's own hosts where possible.
+    fn member(&self, bound: Option<&Members<'a>>, id: &HostId) -> Option<&'a HostFacts> {
+        let own = bound.and_then(|b| b.iter().copied().find(|h| h.row.host == *id));
+        own.or_else(|| self.view.hosts.get(id))
     }
 
     fn index_warming(&mut self) {
@@ -244,18 +240,12 @@
     }
 
     /// Whether the host loads weights, or will as soon as its order arrives.
-    fn is_loading(&self, host: &HostFacts) -> bool {
-        let group = host
-            .row
-            .group
-            .as_ref()
-            .and_then(|g| self.view.groups.get(g));
+    fn is_loading(&self, host: &HostFacts, group: Option<&GroupFacts>) -> bool {
         let Some(group) = group.filter(|g| g.is_live() && host.is_bound_to(&g.row)) else {
             return false;
         };
         let answers = host.silent_for(self.now) <= self.policy.detect;
-        let warm = host.is_warm(&group.row.weights());
-        answers && !group.served && !warm
+        answers && !group.served && !host.is_warm(&group.row.weights())
     }
 
     /// Whether the host may become a member: its row is free and it says itself that it holds
@@ -320,8 +310,9 @@
     fn index_group(&self, facts: &'a GroupFacts) -> Group<'a> {
         let mut lost = SmallVec::new();
         let mut domains: SmallVec<[&FabricDomain; 2]> = SmallVec::new();
+        let bound = self.bound.get(&facts.row.group);
         for id in &facts.row.members {
-            let host = self.view.hosts.get(id);
+            let host = self.member(bound, id);
             if let Some(why) = self.lost(facts, id, host) {
                 lost.push((id, why));
             }
@@ -362,61 +353,3 @@
         (host.is_leaving() || host.entry.is_none()).then_some(Lost::Leaving)
     }
 }
-
-impl Group<'_> {
-    pub(crate) fn id(&self) -> &GroupId {
-        &self.facts.row.group
-    }
-
-    /// Whether it counts as lasting capacity: what it serves is wanted and nobody is leaving.
-    pub(crate) fn is_good(&self, wanted: &Wanted<'_>) -> bool {
-        let current = self.facts.row.model == wanted.cfg.model
-            && self.facts.row.version == wanted.cfg.version
-            && self.facts.row.members.len() == wanted.cfg.hosts_per_group as usize;
-        let stands = matches!(self.standing, Standing::Serving | Standing::Coming);
-        // A group that spans fabric domains is slow; it serves until one is made that doesn't.
-        let near = self.domain.is_some() || self.standing == Standing::Coming;
-        current && near && self.lost.is_empty() && stands && !self.ended_now
-    }
-
-    /// Whether its row is formed and no transaction of this round ends it.
-    pub(crate) fn is_formed(&self) -> bool {
-        self.standing != Standing::Ending && !self.ended_now
-    }
-
-    /// Whether it serves and goes on doing so.
-    pub(crate) fn is_serving(&self) -> bool {
-        self.standing == Standing::Serving && !self.ended_now
-    }
-}
-
-impl Wanted<'_> {
-    /// Groups that serve.
-    pub(crate) fn serving(&self) -> usize {
-        self.groups.iter().filter(|g| g.is_serving()).count()
-    }
-
-    /// Groups that serve and need no replacement.
-    pub(crate) fn serving_well(&self) -> usize {
-        let well = |g: &&Group<'_>| g.is_serving() && g.is_good(self);
-        self.groups.iter().filter(well).count()
-    }
-
-    /// Groups that serve in whatever way, or will without a replacement.
-    pub(crate) fn standing(&self) -> usize {
-        let counts = |g: &&Group<'_>| g.is_serving() || g.is_good(self) || g.mending;
-        self.groups.iter().filter(counts).count() + self.formed_now
-    }
-
-    /// Groups that serve, or will without a replacement.
-    pub(crate) fn expected(&self) -> usize {
-        let counts = |g: &&Group<'_>| g.is_good(self) || g.mending;
-        self.groups.iter().filter(counts).count() + self.formed_now
-    }
-}
-
-fn highest_epoch(view: &FleetView) -> Epoch {
-    let groups = view.groups.values().map(|g| g.row.epoch);
-    let hosts = view.hosts.values().map(|h| h.row.epoch);
-    groups.chain(hosts).max().unwrap_or(0)
-}
--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Sender, TrySendError, bounded};
-use eelgrassmill_base::{HostEntry, HostState, NodeId, Order, OrderReply, RowVersion};
+use eelgrassmill_base::{GroupId, HostEntry, HostState, NodeId, Order, OrderReply, RowVersion};
 use eelgrassmill_config::ServiceKind;
 use eelgrassmill_group::{
     Action, Change, FleetView, FreedBecause, GROUP_PREFIX, GroupRow, HOST_PREFIX, HostRow,
     NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue, Takeover, node_key, plan,
     planner_key, takeover, weights_name,
 };
+use eelgrassmill_peer::PeerNode;
 use eelgrassmill_platform::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
 use eelgrassmill_timeline::EventKind;
 use smol_str::{SmolStr, format_smolstr};
@@ -19,7 +20,9 @@
 use super::probe::ProbePool;
 use super::reader::Seen;
 use super::rows::{decode, scan, txn};
-use crate::metrics::TableCall;
+use crate::group_rows::Teller;
+use crate::metrics::Promise;
+use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
 
@@ -49,17 +52,26 @@
     core: Arc<Core>,
     seen: Arc<Mutex<Seen>>,
     pool: Arc<ProbePool>,
+    peer: Arc<PeerNode<Peers>>,
+    teller: Teller,
     orders: OrderPool,
     planning: Option<Planning>,
 }
 
 impl Planner {
-    pub(crate) fn new(core: Arc<Core>, seen: Arc<Mutex<Seen>>, pool: Arc<ProbePool>) -> Planner {
+    pub(crate) fn new(
+        core: Arc<Core>,
+        seen: Arc<Mutex<Seen>>,
+        pool: Arc<ProbePool>,
+        peer: Arc<PeerNode<Peers>>,
+    ) -> Planner {
         Planner {
             orders: OrderPool::start(&core),
             core,
             seen,
             pool,
+            peer,
+            teller: Teller::default(),
             planning: None,
         }
     }
@@ -81,7 +93,7 @@
                 Ok(true) => self.planning = Some(planning),
                 Ok(false) => self.note_lost(),
                 Err(err) => {
-                    self.core.table_failed(TableCall::Scan, &err);
+                    tracing::debug!(%err, "no round of planning");
                     self.planning = Some(planning);
                 }
             }
@@ -102,7 +114,8 @@
         }
     }
 
-    fn note_lost(&self) {
+    fn note_lost(&mut self) {
+        self.teller.end(&self.peer);
         let region = self.core.ident.region.clone();
         self.core.journal.note(EventKind::PlannerLost { region });
     }
@@ -125,6 +138,12 @@
     }
 
     fn try_takeover(&mut self) {
+        if self.is_named() {
+            // The lease lapsed and came back, and nobody took the region meanwhile.
+            // Without this the row would name a planner that doesn't plan, and
+            // that no other node may unseat, since its lease is held.
+            return self.begin(self.core.timing.order_transit, None);
+        }
         if !self.is_contender() {
             return;
         }
@@ -154,6 +173,15 @@
         }
     }
 
+    /// Whether the planner row names this start of this node.
+    fn is_named(&self) -> bool {
+        let seen = lock(&self.seen);
+        let ident = &self.core.ident;
+        seen.planner
+            .as_ref()
+            .is_some_and(|(row, _)| row.node == ident.node && row.incarnation == ident.incarnation)
+    }
+
     fn is_contender(&self) -> bool {
         let region = &self.core.ident.region;
         let seen = lock(&self.seen);
@@ -164,7 +192,7 @@
         };
         let alive: Vec<&NodeId> = fleet
             .serving_nodes()
-            .filter(|row| row.region == *region && !lapsed(row))
+            .filter(|row| row.region == *region && !lapsed(row) && fleet.is_reader(&row.node))
             .map(|row| &row.node)
             .collect();
         let ranked = eelgrassmill_base::rendezvous(region, alive);
@@ -178,7 +206,7 @@
         let ident = &self.core.ident;
         let row = match self.core.platform.table.get(&planner_key(&ident.region)) {
             Ok(row) => row.as_ref().and_then(decode::<PlannerRow>),
-            // The next round takes over again from the row that names this node.
+            // The next round finds that the row names this node.
             Err(_) => None,
         };
         let Some((row, version)) = row else {
@@ -215,6 +243,7 @@
         }
         let hosts: Vec<(HostRow, RowVersion)> = scan(table, HOST_PREFIX)?;
         let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
+        self.teller.tell(&self.core, &self.peer, &groups);
         self.refresh(planning, &hosts, &groups);
         let actions = plan(&planning.view, &planning.policy, Instant::now());
         for action in actions {
@@ -345,7 +374,7 @@
             return;
         };
         if self.commit(planning.version, change.clone()) {
-            self.note(&action);
+            self.note(&planning.view, &action);
         }
     }
 
@@ -373,7 +402,7 @@
         }
     }
 
-    fn note(&self, action: &Action) {
+    fn note(&self, view: &FleetView, action: &Action) {
         let journal = &self.core.journal;
         match action {
             Action::Form { row, .. } => {
@@ -402,7 +431,7 @@
             }
             Action::FreeHost { host, because, .. } => journal.note(EventKind::HostFreed {
                 host: host.clone(),
-                group: SmolStr::default(),
+                group: group_of(view, host),
                 reason: match because {
                     FreedBecause::Confirmed => "its own report".into(),
                     FreedBecause::Outlived => "outlived".into(),
@@ -442,6 +471,12 @@
     }
 }
 
+/// The group that a host was bound to; empty for none.
+fn group_of(view: &FleetView, host: &str) -> GroupId {
+    let group = view.hosts.get(host).and_then(|h| h.row.group.clone());
+    group.unwrap_or_default()
+}
+
 /// Threads that carry orders to hosts.
 struct OrderPool {
     tx: Option<Sender<(Order, SmolStr)>>,
@@ -490,6 +525,7 @@
     // the lease lapsed must not be sent, since another planner may have given
     // the host to another group.
     let Ok(proof) = lock(&core.lease).check(Instant::now()) else {
+        core.metrics.promise_guarded(Promise::HostInOneGroup);
         return;
     };
     core.journal.note(EventKind::OrderSent {
@@ -518,10 +554,14 @@
             }
         }
         (Ok(OrderReply::Fenced(fence)), _) => {
+            core.metrics.promise_guarded(Promise::HostInOneGroup);
             refused(format_smolstr!("the host has obeyed fence {fence}"))
         }
         // Not counted as obeyed: the host's state is read back by probes.
-        (Ok(OrderReply::Obeyed(_)), Err(err)) => refused(format_smolstr!("{err}")),
+        (Ok(OrderReply::Obeyed(_)), Err(err)) => {
+            core.metrics.promise_guarded(Promise::HostInOneGroup);
+            refused(format_smolstr!("{err}"))
+        }
         (Err(err), _) => refused(format_smolstr!("{err}")),
     };
     core.journal.note(event);
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -234,7 +234,7 @@
     let mut streaming = cluster.open(0, "/v1/completions", &body);
     streaming.events(10);
     cluster.list_as(&lead, "leaving");
-    let raw = streaming.finish();
+    let raw = streaming.into_whole();
     assert!(raw.ended, "{}", raw.head);
     assert_eq!(
         raw.tokens().concat(),
