Count in the capacity page what nodes do now

Cause: the page was measured before few nodes read the table and before the planner told group rows, and it never counted demands for slots, nor the choice of watchers.

Change: roles for a seldom reader and for quotas; inputs for the small rows, a told group row, a demand with its grant, a decision on a demand, and a choice of watchers; `--inputs FILE` works totals out without measuring.

--- a/crates/peer/examples/capacity/main.rs
+++ b/crates/peer/examples/capacity/main.rs
@@ -3,7 +3,8 @@
 //! `cargo run --release -p eelgrassmill-peer --example capacity`
 //!
 //! Counts (bytes, calls) come out the same each time; times are of this machine and of
-//! its other work. `--days` plays the bad days as well, in virtual time.
+//! its other work. `--days` plays the bad days as well, in virtual time. `--inputs FILE`
+//! measures nothing and works the totals out from the inputs in the file, such as the page.
 
 mod counting;
 mod days;
@@ -20,6 +21,10 @@
 pub(crate) type Point = (f64, f64);
 
 fn main() {
+    let mut args = std::env::args().skip_while(|arg| arg != "--inputs");
+    if let Some(file) = args.nth(1) {
+        return print_totals(&file);
+    }
     let mut inputs = Inputs::default();
     spread::measure(&mut inputs);
     transport::measure(&mut inputs);
@@ -37,6 +42,12 @@
     }
 }
 
+fn print_totals(file: &str) {
+    let text = std::fs::read_to_string(file).expect("the file can be read");
+    let inputs = Inputs::parse(&text).expect("the file has all inputs");
+    println!("{}", table(&Size::AIM, &inputs));
+}
+
 /// Prints the points of a slope and gives its line.
 pub(crate) fn line(name: &str, points: &[Point]) -> Line {
     print!("{name:<16}");
--- a/crates/peer/examples/capacity/policy.rs
+++ b/crates/peer/examples/capacity/policy.rs
@@ -7,19 +7,19 @@
 use eelgrassmill_base::{HostEntry, Urgency};
 use eelgrassmill_config::{CURRENT_KEY, Config, Decision, RepairWeight, Submit, decide_submit};
 use eelgrassmill_group::{
-    Evidence, EvidenceStore, FleetView, GroupWatch, HostRow, RepairPolicy, Verdict, plan,
+    Evidence, EvidenceStore, FleetView, GroupWatch, HostRow, RepairPolicy, Verdict, plan, watchers,
 };
 use eelgrassmill_peer::capacity::Inputs;
 use eelgrassmill_route::{
-    Candidate, EntryView, GroupPicker, LoadBand, Offer, QueueOptions, ServiceQueue, SlotKind,
-    Slots, choose_addresses,
+    Candidate, Demand, EntryView, GroupPicker, LoadBand, Offer, QueueOptions, QuotaIssuer,
+    ServiceQueue, SlotKind, Slots, choose_addresses,
 };
 use eelgrassmill_timeline::{Bounds, EventKind, EventLog};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::counting::{held_by, seconds};
 use crate::line;
-use crate::rows::{group_row, host_entry, report_of, row_bytes};
+use crate::rows::{group_row, host_entry, node_row, report_of, row_bytes};
 
 /// A tenth, a third and all of the groups of the aim.
 const GROUPS: [usize; 3] = [11, 37, 110];
@@ -32,6 +32,8 @@
 pub(crate) fn measure(inputs: &mut Inputs) {
     println!("\npolicy, by size");
     watching(inputs);
+    choosing(inputs);
+    issuing(inputs);
     evidence(inputs);
     planning(inputs);
     config(inputs);
@@ -74,6 +76,49 @@
     inputs.watch_state = line("watch_state", &state);
 }
 
+/// Which nodes watch a group.
+fn choosing(inputs: &mut Inputs) {
+    let core = [60, 185, 370].map(|nodes| {
+        let rows: Vec<_> = (0..nodes).map(node_row).collect();
+        let one = || drop(black_box(watchers("drafting/17", rows.iter())));
+        (nodes as f64, seconds(200, one))
+    });
+    inputs.watchers_core = line("watchers_core", &core);
+}
+
+/// One demand of an idle entry, where all entries have asked before.
+fn issuing(inputs: &mut Inputs) {
+    let core = [60, 185, 370].map(|nodes| {
+        let names: Vec<SmolStr> = (0..nodes).map(|i| format_smolstr!("node-{i}")).collect();
+        let mut now = Instant::now();
+        let me = names[0].clone();
+        let all = || names.iter().cloned();
+        let mut issuer = QuotaIssuer::new(me, "drafting/17".into(), 1, SLOTS, all(), now);
+        let mut seq = 0;
+        let mut ask = |entry: &SmolStr, now| {
+            seq += 1;
+            let demand = Demand {
+                entry: entry.clone(),
+                incarnation: 1,
+                group: "drafting/17".into(),
+                epoch: 1,
+                seq,
+                holding: seq.saturating_sub(1),
+                running: Slots::NONE,
+                waiting: Slots::NONE,
+            };
+            issuer.set_entries(all());
+            black_box(issuer.on_demand(&demand, now));
+        };
+        now += Duration::from_secs(3);
+        names.iter().for_each(|entry| ask(entry, now));
+        let mut next = names.iter().cycle();
+        let one = || ask(next.next().expect("a cycle"), now);
+        (f64::from(nodes), seconds(200, one))
+    });
+    inputs.issue_core = line("issue_core", &core);
+}
+
 fn store(groups: usize, now: Instant) -> EvidenceStore {
     let mut store = EvidenceStore::new();
     for index in 0..groups {
--- a/crates/peer/examples/capacity/rows.rs
+++ b/crates/peer/examples/capacity/rows.rs
@@ -2,11 +2,15 @@
 
 use eelgrassmill_base::{HostEntry, HostReport, HostState, Placement, TargetKind};
 use eelgrassmill_claim::{ClaimRow, ClaimState, Owner, claim_key, fingerprint};
+use eelgrassmill_config::{HEAD_KEY, HeadRow};
 use eelgrassmill_group::{
-    GroupPhase, GroupRow, HostRow, NodeRow, NodeState, group_key, host_key, node_key,
+    GroupPhase, GroupRow, HostRow, NodeRow, NodeState, PlannerRow, group_key, host_key, node_key,
+    planner_key,
 };
 use eelgrassmill_peer::capacity::{Inputs, Line};
+use eelgrassmill_peer::{Demand, Grant, QuotaReply, QuotaRequest};
 use eelgrassmill_platform::Row;
+use prost::Message;
 use serde::Serialize;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -32,6 +36,23 @@
         (f64::from(hosts), row_bytes(&group_key(&row.group), &row))
     });
     inputs.group_row = line("group_row", &groups);
+    let head = HeadRow {
+        version: 12_345,
+        checksum: "0".repeat(64).into(),
+    };
+    inputs.head_row = fixed("head_row", row_bytes(HEAD_KEY, &head));
+    let planner = PlannerRow {
+        node: "node-123".into(),
+        incarnation: INCARNATION,
+    };
+    inputs.planner_row = fixed("planner_row", row_bytes(&planner_key("region-0"), &planner));
+    let told = [2, 4, 8].map(|hosts| {
+        let row = group_row(17, hosts);
+        let entries: Vec<HostEntry> = (0..hosts as usize).map(host_entry).collect();
+        (f64::from(hosts), json_bytes(&(row, entries)))
+    });
+    inputs.group_item = line("group_item", &told);
+    inputs.quota_demand = fixed("quota_demand", demand_bytes());
     let claim = ClaimRow {
         fingerprint: fingerprint("POST", "/services/booking/refund", b"{}"),
         owner: Owner {
@@ -46,6 +67,33 @@
     inputs.claim_row = fixed("claim_row", row_bytes(&key, &claim));
 }
 
+/// A demand of an idle entry and its grant as they travel.
+fn demand_bytes() -> f64 {
+    let demand = Demand {
+        group: "drafting/17".into(),
+        epoch: 12,
+        seq: 4_567,
+        holding: 4_566,
+        ..Demand::default()
+    };
+    let grant = Grant {
+        group: "drafting/17".into(),
+        epoch: 12,
+        seq: 4_567,
+        slots: 1,
+        urgent_slots: 0,
+        term_ms: 2_000,
+    };
+    let req = QuotaRequest {
+        demands: vec![demand],
+        ..QuotaRequest::default()
+    };
+    let reply = QuotaReply {
+        grants: vec![grant],
+    };
+    (req.encoded_len() + reply.encoded_len()) as f64
+}
+
 fn fixed(name: &str, bytes: f64) -> Line {
     println!("{name:<16}  {bytes}");
     Line {
--- a/crates/peer/src/capacity/inputs.rs
+++ b/crates/peer/src/capacity/inputs.rs
@@ -150,6 +150,18 @@
     node_row by "node row",
     /// Bytes of a group row as read.
     group_row by "host of a group",
+    /// Bytes of the small row beside the configuration.
+    head_row by "row",
+    /// Bytes of a planner row as read.
+    planner_row by "row",
+    /// Bytes of a group row with its hosts as the planner tells it.
+    group_item by "host of a group",
+    /// Bytes of one demand for slots and its grant, without the call.
+    quota_demand by "demand",
+    /// Seconds of a core to decide on one demand for slots.
+    issue_core by "entry",
+    /// Seconds of a core to choose the watchers of one group.
+    watchers_core by "node",
     /// Bytes of a host row as read.
     host_row by "host row",
     /// Bytes of a line of the host list as read.
--- a/crates/peer/src/capacity/roles.rs
+++ b/crates/peer/src/capacity/roles.rs
@@ -16,6 +16,16 @@
 const ROUNDS: f64 = 2.0;
 /// Times a second at which candidates are worked out.
 const PULSES: f64 = 20.0;
+/// Nodes of each failure domain that read the table at each round.
+const READERS: f64 = 4.0;
+/// Rounds a second of the other nodes.
+const SELDOM_ROUNDS: f64 = 0.1;
+/// Host and group rows read a second by a planner, each.
+const PLANNER_SCANS: f64 = ROUNDS;
+/// Demands for slots a second for a group at which the entry runs something.
+const BUSY_DEMANDS: f64 = 4.0;
+/// Demands for slots a second for a group at which it runs nothing.
+const IDLE_DEMANDS: f64 = BUSY_DEMANDS;
 /// Renewals of a node's lease a second: three in a term of six seconds.
 const RENEWALS: f64 = 0.5;
 /// Planner's probes of a host a second: every second round.
@@ -44,6 +54,10 @@
     pub groups: f64,
     /// Hosts of a group.
     pub hosts_per_group: f64,
+    /// Failure domains.
+    pub failure_domains: f64,
+    /// Requests that run at a time, over all groups.
+    pub running: f64,
     /// Regions.
     pub regions: f64,
     /// Tenants.
@@ -67,6 +81,8 @@
         hosts: 880.0,
         groups: 110.0,
         hosts_per_group: 8.0,
+        failure_domains: 6.0,
+        running: 880.0,
         regions: 3.0,
         tenants: 100.0,
         requests: 5_200.0,
@@ -80,6 +96,17 @@
     pub fn watched(&self) -> f64 {
         self.groups * WATCHERS / self.nodes
     }
+
+    /// Nodes that read the table often.
+    pub fn readers(&self) -> f64 {
+        (self.failure_domains * READERS).min(self.nodes)
+    }
+
+    /// Nodes that one entry asks for slots: each group's first watcher, chosen by hashing.
+    pub fn issuers(&self) -> f64 {
+        let spared = (1.0 - 1.0 / self.nodes).powf(self.groups);
+        self.nodes * (1.0 - spared)
+    }
 }
 
 /// What a node may spend on control.
@@ -113,10 +140,14 @@
         Evidence,
         /// Keeping its lease.
         Lease,
-        /// Reading the table and the host list.
+        /// Reading the table and the host list now and then.
+        SeldomReader,
+        /// Reading them at each round; a few nodes of each failure domain.
         Reader,
         /// Planning a region; one node of each.
         Planner,
+        /// Asking for slots of all groups, and giving out those of its own.
+        Quotas,
         /// Admitting requests and picking groups.
         Entry,
         /// Answering which entries to use.
@@ -147,17 +178,19 @@
 
 impl Role {
     /// All roles.
-    pub const ALL: [Role; 10] = [
+    pub const ALL: [Role; 12] = [
         Role::Dissemination,
         Role::Watcher,
         Role::Evidence,
         Role::Lease,
-        Role::Reader,
-        Role::Planner,
+        Role::SeldomReader,
+        Role::Quotas,
         Role::Entry,
         Role::Addresses,
         Role::Claims,
         Role::TimeLine,
+        Role::Reader,
+        Role::Planner,
     ];
 
     /// Its name in the page.
@@ -167,7 +200,9 @@
             Role::Watcher => "watcher",
             Role::Evidence => "evidence",
             Role::Lease => "lease",
+            Role::SeldomReader => "seldom reader",
             Role::Reader => "reader",
+            Role::Quotas => "quotas",
             Role::Planner => "planner",
             Role::Entry => "entry",
             Role::Addresses => "addresses",
@@ -176,9 +211,11 @@
         }
     }
 
-    /// Whether every node has it; a planner is one node of a region.
+    /// Whether every node has it.
+    ///
+    /// A planner is one node of a region. A reader reads often in place of seldom.
     pub fn is_everywhere(self) -> bool {
-        self != Role::Planner
+        !matches!(self, Role::Planner | Role::Reader)
     }
 
     /// What it needs at one node.
@@ -197,7 +234,9 @@
                 writes: RENEWALS,
                 ..Usage::default()
             },
+            Role::SeldomReader => seldom_reader(size, inputs),
             Role::Reader => reader(size, inputs),
+            Role::Quotas => quotas(size, inputs),
             Role::Planner => planner(size, inputs),
             Role::Entry => entry(size, inputs),
             Role::Addresses => addresses(size, inputs),
@@ -210,7 +249,8 @@
 fn dissemination(size: &Size, inputs: &Inputs) -> Usage {
     let calls = inputs.spread_calls.at(size.nodes);
     Usage {
-        state: inputs.spread_state.at(size.nodes),
+        state: inputs.spread_state.at(size.nodes)
+            + size.groups * inputs.group_item.at(size.hosts_per_group),
         // Each node makes and answers as many calls; a call is two messages.
         messages: 4.0 * calls,
         bytes: inputs.spread_bytes.at(size.nodes) + 2.0 * calls * inputs.call_bytes.at(1.0),
@@ -227,23 +267,57 @@
         messages: 2.0 * probes,
         bytes: probes * inputs.probe_bytes.at(hosts),
         core: probes * inputs.probe_core.at(hosts)
-            + size.watched() * FINDINGS * inputs.judge_core.at(hosts),
+            + size.watched() * FINDINGS * inputs.judge_core.at(hosts)
+            + size.groups * FINDINGS * inputs.watchers_core.at(size.nodes),
         ..Usage::default()
     }
 }
 
-fn reader(size: &Size, inputs: &Inputs) -> Usage {
-    let round = inputs.config_row.at(size.groups)
-        + size.nodes * inputs.node_row.at(1.0)
-        + size.groups * inputs.group_row.at(size.hosts_per_group)
-        + size.hosts * inputs.host_entry.at(1.0);
+/// Bytes of all that a node reads in a round.
+struct Round {
+    nodes: f64,
+    groups: f64,
+    hosts: f64,
+    /// The head of the configuration and the region's planner row.
+    small: f64,
+}
+
+impl Round {
+    fn new(size: &Size, inputs: &Inputs) -> Round {
+        Round {
+            nodes: size.nodes * inputs.node_row.at(1.0),
+            groups: size.groups * inputs.group_row.at(size.hosts_per_group),
+            hosts: size.hosts * inputs.host_entry.at(1.0),
+            small: inputs.head_row.at(1.0) + inputs.planner_row.at(1.0),
+        }
+    }
+
+    fn sum(&self) -> f64 {
+        self.nodes + self.groups + self.hosts + self.small
+    }
+}
+
+fn seldom_reader(size: &Size, inputs: &Inputs) -> Usage {
+    let round = Round::new(size, inputs).sum();
     Usage {
         // One copy of what was read, counted as it travels.
         state: round,
         // Two rows and two ranges of the table, and the host list.
+        messages: 2.0 * 5.0 * SELDOM_ROUNDS,
+        bytes: SELDOM_ROUNDS * round,
+        reads: 4.0 * SELDOM_ROUNDS,
+        ..Usage::default()
+    }
+}
+
+fn reader(size: &Size, inputs: &Inputs) -> Usage {
+    let round = Round::new(size, inputs);
+    let texts = size.changes / DAY * inputs.config_row.at(size.groups);
+    Usage {
+        state: round.sum(),
         messages: 2.0 * 5.0 * ROUNDS,
-        bytes: ROUNDS * round,
-        reads: 4.0 * ROUNDS,
+        bytes: ROUNDS * round.sum() + texts,
+        reads: 4.0 * ROUNDS + size.changes / DAY,
         ..Usage::default()
     }
 }
@@ -252,15 +326,35 @@
     let groups = size.groups / size.regions;
     let probes = size.hosts / size.regions * PLANNER_PROBES;
     // The rows of all regions are read, since the keys do not name the region.
-    let round = size.hosts * inputs.host_row.at(1.0)
+    let scan = size.hosts * inputs.host_row.at(1.0)
         + size.groups * inputs.group_row.at(size.hosts_per_group);
+    let reads = ROUNDS + 2.0 * PLANNER_SCANS;
     Usage {
         state: inputs.plan_state.at(groups),
-        messages: 2.0 * (3.0 * ROUNDS + probes),
-        bytes: ROUNDS * round + probes * inputs.probe_bytes.at(size.hosts_per_group),
+        messages: 2.0 * (reads + probes),
+        bytes: ROUNDS * inputs.planner_row.at(1.0)
+            + PLANNER_SCANS * scan
+            + probes * inputs.probe_bytes.at(size.hosts_per_group),
         core: ROUNDS * inputs.plan_core.at(groups)
             + probes * inputs.probe_core.at(size.hosts_per_group),
-        reads: 3.0 * ROUNDS,
+        reads,
+        ..Usage::default()
+    }
+}
+
+/// Every entry asks for every group; a node answers as many demands as it makes.
+fn quotas(size: &Size, inputs: &Inputs) -> Usage {
+    let busy = (size.running / size.nodes).min(size.groups) * (BUSY_DEMANDS - IDLE_DEMANDS);
+    let calls = size.issuers() * IDLE_DEMANDS + busy;
+    let demands = size.groups * IDLE_DEMANDS + busy;
+    // Watchers are chosen for every group at each round of asking, and for each answer.
+    let chosen = size.groups * BUSY_DEMANDS + demands;
+    Usage {
+        messages: 4.0 * calls,
+        bytes: 2.0 * (calls * inputs.call_bytes.at(1.0) + demands * inputs.quota_demand.at(1.0)),
+        core: calls * inputs.call_core.at(1.0)
+            + demands * inputs.issue_core.at(size.nodes)
+            + chosen * inputs.watchers_core.at(size.nodes),
         ..Usage::default()
     }
 }
@@ -304,7 +398,7 @@
     }
 }
 
-/// What a node that has every role but the planner's needs.
+/// What a node needs that is neither planner nor reader.
 pub fn total(size: &Size, inputs: &Inputs) -> Usage {
     let roles = Role::ALL.into_iter().filter(|role| role.is_everywhere());
     roles.fold(Usage::default(), |sum, role| {
@@ -324,7 +418,11 @@
 pub fn store_load(size: &Size, inputs: &Inputs) -> (f64, f64) {
     let everywhere = total(size, inputs);
     let planner = Role::Planner.usage(size, inputs);
-    let reads = size.nodes * everywhere.reads + size.regions * planner.reads;
+    let often = Role::Reader.usage(size, inputs).reads;
+    let seldom = Role::SeldomReader.usage(size, inputs).reads;
+    let reads = size.nodes * everywhere.reads
+        + size.readers() * (often - seldom)
+        + size.regions * planner.reads;
     let changes = size.changes / DAY;
     (reads, size.nodes * everywhere.writes + changes)
 }
@@ -338,7 +436,11 @@
     for role in Role::ALL {
         row(&mut out, role.name(), &role.usage(size, inputs));
     }
-    row(&mut out, "**all but planner**", &total(size, inputs));
+    row(
+        &mut out,
+        "**all but reader and planner**",
+        &total(size, inputs),
+    );
     let budget = Usage {
         state: Budget::AIM.state,
         bytes: Budget::AIM.bytes,
