Look on after two quick texts long enough to see what the first began

Cause: the test was over before the nodes were looked at once, as both texts were accepted and version 1 still served everywhere: 'samples after the moment', failed in one run of three over the crate.

--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -120,6 +120,10 @@
         for i in 0..NODES {
             eventually("in force", || cluster.version_at(i) == version);
         }
+        let end = Instant::now() + Duration::from_secs(3);
+        eventually("what the first text began would show", || {
+            Instant::now() > end
+        });
         eventually("version 1 everywhere", || all_at(&cluster, "1"));
         from
     });
