--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -67,11 +67,16 @@
         "engine-dead",
         "engine-slow",
         "entry-killed",
+        "greedy-absent",
         "greedy-tenant",
         "killer-request",
         "lehota",
         "lindach",
+        "overload",
+        "peak",
         "store-down",
+        "urgent-alone",
+        "urgent-drafts",
     ];
     expect_that!(names, eq(&wanted));
 }
