Fetch a new text from one of the nodes that have it

Cause: every node asked the node whose announcement it saw first, at hundreds of nodes as many calls to one. Change: each asks one of those whose load says that they have the version in force, another for each asker, and the announcer only while none says so. Not measured beyond three nodes; the tests of texts under partition pass.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{ConfigVersion, HostId, Incarnation, NodeId};
+use eelgrassmill_base::{ConfigVersion, HostId, Incarnation, NodeId, rendezvous};
 use eelgrassmill_group::{Verdict, Why};
 use eelgrassmill_peer::{
     Change, ConfigText, Item, ItemKey, PeerHandler, PeerNode, QuotaReply, QuotaRequest, Stamp,
@@ -91,7 +91,7 @@
             }
             Item::Config(announced) => {
                 if announced.version > self.core.config.version() {
-                    self.fetch(origin.clone());
+                    self.fetch(self.holder(announced.version, origin));
                 }
             }
             Item::Status(status) => {
@@ -138,6 +138,20 @@
         }
     }
 
+    /// A node to fetch a version from: each asks another of those that have it in force.
+    ///
+    /// All asking the one that announced it first would be hundreds of calls to it at once.
+    fn holder(&self, version: ConfigVersion, announcer: &NodeId) -> NodeId {
+        let now = Instant::now();
+        let directory = lock(&self.core.directory);
+        let holders = directory
+            .entries()
+            .filter(|(_, entry)| entry.is_alive(now) && entry.config_version >= version)
+            .map(|(node, _)| node);
+        let ranked = rendezvous(&self.core.ident.node, holders.collect::<Vec<_>>());
+        ranked.first().map_or(announcer, |node| *node).clone()
+    }
+
     /// Fetches the text of a version that a peer announced.
     fn fetch(&self, from: NodeId) {
         let Some(node) = self.node.get().and_then(Weak::upgrade) else {
