Read and ask less often where nothing changes

Cause: by the capacity page's inputs readers, planners, demands for slots and the choice of watchers took many times what a node may spend.

Change: - Readers of a failure domain take turns at group rows, node rows and the host list, twice a second in all: with four of them each reads every two seconds, alone as before. The planner and the three who may follow it read node rows at each round, so lapsed leases are noticed as soon as before. The planner's node takes group rows from its own scans. - The planner scans rows each two seconds unless something was tried, a group does not serve, or a host belongs to no group. It writes the rows itself and each transaction is conditional, so an old view costs a failed transaction. - Among more than 12 entries an idle one asks for slots at each third round: less than the half term after which the issuer holds its part back. Its bound is untouched. - Watchers are kept until the nodes change.

Ruled out: a counter row raised by the planner's transactions, which saves only group rows, told anyway. The host list every two seconds at every reader was tried and taken back: in a small system a target that is gone served on, as rollout's an_adapter_without_its_own_dependency_does_not_serve showed.

--- a/crates/node/src/group_rows.rs
+++ b/crates/node/src/group_rows.rs
@@ -83,6 +83,19 @@
     }))
 }
 
+/// Takes a scan of all group rows that began at `began`.
+pub(crate) fn scanned(core: &Core, rows: Vec<(GroupRow, RowVersion)>, began: Instant) {
+    let mut fleet = lock(&core.fleet);
+    let mut whole = lock(&core.whole);
+    for (row, _) in &rows {
+        whole.on_row(row);
+    }
+    for gone in fleet.set_groups(rows, began) {
+        whole.forget(&gone);
+    }
+    fleet.scanned = Some(Instant::now());
+}
+
 /// Takes a row that the planner tells of. That it tells of it no more says nothing:
 /// another node may be the planner now.
 pub(crate) fn take(core: &Core, item: &GroupRecord) {
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -1,5 +1,6 @@
 //! The node's loops: each does one job, on a thread of its own, until the node stops.
 
+pub(crate) mod contender;
 pub(crate) mod era;
 pub(crate) mod handover;
 pub(crate) mod lease;
--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -1,5 +1,6 @@
 //! Planning a region: becoming its planner, and carrying out what the plan says.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -8,33 +9,36 @@
 use eelgrassmill_base::{HostEntry, HostState, NodeId, Order, OrderReply, RowVersion};
 use eelgrassmill_config::ServiceKind;
 use eelgrassmill_group::{
-    Action, Change, FleetView, FreedBecause, GROUP_PREFIX, GroupRow, HOST_PREFIX, HostRow,
-    NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue, Takeover, node_key, plan,
-    planner_key, takeover, weights_name,
+    Action, Change, FleetView, FreedBecause, GROUP_PREFIX, GroupFacts, GroupPhase, GroupRow,
+    HOST_PREFIX, HostFacts, HostRow, NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue,
+    Takeover, node_key, plan, planner_key, takeover, weights_name,
 };
 use eelgrassmill_peer::PeerNode;
 use eelgrassmill_platform::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
 use eelgrassmill_timeline::EventKind;
 use smol_str::{SmolStr, format_smolstr};
 
+use super::contender::is_contender;
 use super::probe::ProbePool;
 use super::reader::Seen;
 use super::rows::{decode, scan, txn};
-use crate::group_rows::Teller;
+use crate::group_rows::{self, Teller};
 use crate::metrics::TableCall;
 use crate::peers::Peers;
 use crate::state::core::Core;
 use crate::state::lock::lock;
 
-/// Nodes that try to take a region over, the first by rendezvous hashing. All
-/// of a region at once would be one write each for one that succeeds.
-const CONTENDERS: usize = 3;
 /// Orders under way at a time.
 const ORDER_THREADS: usize = 16;
 /// Orders that wait for a thread; more are given again by the next plan.
 const ORDERS_WAITING: usize = 256;
 /// Rounds between two readings of the weight store.
 const WEIGHTS_EVERY: u32 = 40;
+/// Rounds between two scans of the rows while nothing is in change.
+///
+/// The planner writes these rows itself, and each of its transactions is conditional
+/// on the versions that it read: an old view costs a transaction that fails.
+const SCAN_EVERY: u32 = 4;
 /// Rounds between two probes of hosts that no change concerns.
 const CALM_EVERY: u32 = 2;
 
@@ -45,6 +49,8 @@
     /// Version of the planner row that names this start of this node.
     version: RowVersion,
     round: u32,
+    /// Whether the next round scans the rows though it isn't its turn.
+    unsettled: bool,
 }
 
 /// Plans the region while this node is its planner.
@@ -138,7 +144,7 @@
     }
 
     fn try_takeover(&mut self) {
-        if !self.is_contender() {
+        if !is_contender(&self.core, &lock(&self.seen)) {
             return;
         }
         let Some(own_version) = lock(&self.core.lease).row_version() else {
@@ -167,26 +173,6 @@
         }
     }
 
-    fn is_contender(&self) -> bool {
-        let region = &self.core.ident.region;
-        let seen = lock(&self.seen);
-        let fleet = lock(&self.core.fleet);
-        let lapsed = |row: &eelgrassmill_group::NodeRow| {
-            let version = fleet.nodes.get(&row.node).map_or(0, |(_, v)| *v);
-            seen.observer.lapsed(&row.node, version)
-        };
-        let alive: Vec<&NodeId> = fleet
-            .serving_nodes()
-            .filter(|row| row.region == *region && !lapsed(row) && fleet.is_reader(&row.node))
-            .map(|row| &row.node)
-            .collect();
-        let ranked = eelgrassmill_base::rendezvous(region, alive);
-        ranked
-            .iter()
-            .take(CONTENDERS)
-            .any(|node| **node == self.core.ident.node)
-    }
-
     fn begin(&mut self, quiet: Duration, from: Option<NodeId>) {
         let ident = &self.core.ident;
         let row = match self.core.platform.table.get(&planner_key(&ident.region)) {
@@ -211,6 +197,7 @@
             policy,
             version,
             round: 0,
+            unsettled: true,
         });
         let region = ident.region.clone();
         self.core
@@ -226,11 +213,12 @@
         if row.map(|r| r.version) != Some(planning.version) {
             return Ok(false);
         }
-        let hosts: Vec<(HostRow, RowVersion)> = scan(table, HOST_PREFIX)?;
-        let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
-        self.teller.tell(&self.core, &self.peer, &groups);
-        self.refresh(planning, &hosts, &groups);
+        if planning.unsettled || planning.round.is_multiple_of(SCAN_EVERY) {
+            self.scan_rows(&mut planning.view)?;
+        }
+        self.refresh(planning);
         let actions = plan(&planning.view, &planning.policy, Instant::now());
+        planning.unsettled = !actions.is_empty() || !is_settled(&planning.view);
         for action in actions {
             self.carry_out(planning, action);
         }
@@ -239,12 +227,30 @@
         Ok(true)
     }
 
-    fn refresh(
-        &self,
-        planning: &mut Planning,
-        hosts: &[(HostRow, RowVersion)],
-        groups: &[(GroupRow, RowVersion)],
-    ) {
+    fn scan_rows(&mut self, view: &mut FleetView) -> Result<(), TableError> {
+        let table = &self.core.platform.table;
+        let hosts: Vec<(HostRow, RowVersion)> = scan(table, HOST_PREFIX)?;
+        let began = Instant::now();
+        let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
+        self.teller.tell(&self.core, &self.peer, &groups);
+        let now = Instant::now();
+        for (row, version) in &hosts {
+            view.on_host_row(row, *version, now);
+        }
+        for (row, version) in &groups {
+            view.on_group_row(row, *version, now);
+        }
+        let listed: BTreeSet<&SmolStr> = groups.iter().map(|(row, _)| &row.group).collect();
+        let known = view.groups.keys();
+        let gone: Vec<SmolStr> = known.filter(|g| !listed.contains(*g)).cloned().collect();
+        for group in gone {
+            view.on_group_gone(&group);
+        }
+        group_rows::scanned(&self.core, groups, began);
+        Ok(())
+    }
+
+    fn refresh(&self, planning: &mut Planning) {
         let now = Instant::now();
         let cfg = self.core.config.config();
         let view = &mut planning.view;
@@ -254,21 +260,6 @@
         if !entries.is_empty() {
             view.on_host_list(&entries, now);
         }
-        for (row, version) in hosts {
-            view.on_host_row(row, *version, now);
-        }
-        for (row, version) in groups {
-            view.on_group_row(row, *version, now);
-        }
-        let gone: Vec<SmolStr> = view
-            .groups
-            .keys()
-            .filter(|g| groups.iter().all(|(row, _)| row.group != **g))
-            .cloned()
-            .collect();
-        for group in gone {
-            view.on_group_gone(&group);
-        }
         if planning.round.is_multiple_of(WEIGHTS_EVERY) {
             self.read_weights(view);
         }
@@ -456,6 +447,16 @@
     }
 }
 
+/// Whether every group serves, and every host that a row names belongs to one.
+fn is_settled(view: &FleetView) -> bool {
+    let serves = |g: &GroupFacts| g.serving && g.row.phase == GroupPhase::Formed;
+    let belongs = |h: &HostFacts| {
+        let group = h.row.group.as_ref();
+        group.is_none_or(|g| view.groups.contains_key(g))
+    };
+    view.groups.values().all(serves) && view.hosts.values().all(belongs)
+}
+
 /// Threads that carry orders to hosts.
 struct OrderPool {
     tx: Option<Sender<(Order, SmolStr)>>,
--- a/crates/node/src/loops/quota.rs
+++ b/crates/node/src/loops/quota.rs
@@ -6,7 +6,7 @@
 
 use eelgrassmill_base::{GroupId, NodeId};
 use eelgrassmill_config::{Config, ServiceKind};
-use eelgrassmill_group::{GroupPhase, NodeRow, watchers};
+use eelgrassmill_group::GroupPhase;
 use eelgrassmill_peer::{
     Demand as DemandItem, Grant as GrantItem, PeerNode, QuotaReply, QuotaRequest,
 };
@@ -46,6 +46,9 @@
         for (shared, running, waiting) in self.wanted() {
             let now = Instant::now();
             let mut quotas = lock(&self.core.quotas);
+            if !quotas.is_due(&shared, running, waiting, now) {
+                continue;
+            }
             let demand = quotas.ask(&shared, running, waiting, now);
             if !self.core.is_me(&shared.issuer) {
                 drop(quotas);
@@ -64,12 +67,13 @@
     /// All groups that this entry may send to, with what it runs and would run there.
     fn wanted(&self) -> Vec<(Shared, Slots, Slots)> {
         let cfg = self.core.config.config();
-        let fleet = lock(&self.core.fleet);
+        let mut fleet = lock(&self.core.fleet);
         lock(&self.core.quotas).retain(|group| fleet.groups.contains_key(group));
-        let shared: Vec<Shared> = fleet
-            .groups
-            .keys()
-            .filter_map(|group| shared(&cfg, &fleet, group))
+        let entries = entries(&fleet);
+        let groups: Vec<GroupId> = fleet.groups.keys().cloned().collect();
+        let shared: Vec<Shared> = groups
+            .iter()
+            .filter_map(|group| shared(&cfg, &mut fleet, &entries, group))
             .collect();
         drop(fleet);
         let mut wanted = Vec::new();
@@ -117,10 +121,11 @@
 pub(crate) fn answer(core: &Core, req: &QuotaRequest) -> QuotaReply {
     let now = Instant::now();
     let cfg = core.config.config();
-    let fleet = lock(&core.fleet);
+    let mut fleet = lock(&core.fleet);
     let mut quotas = lock(&core.quotas);
+    let entries = entries(&fleet);
     let grants = req.demands.iter().filter_map(|item| {
-        let shared = shared(&cfg, &fleet, &item.group)?;
+        let shared = shared(&cfg, &mut fleet, &entries, &item.group)?;
         let grant = quotas.issue(&shared, &demand(req, item), now)?;
         Some(grant_item(&grant))
     });
@@ -130,7 +135,7 @@
 }
 
 /// What a group has to share, and among whom, as this node knows it.
-fn shared(cfg: &Config, fleet: &Fleet, group: &str) -> Option<Shared> {
+fn shared(cfg: &Config, fleet: &mut Fleet, entries: &Arc<[NodeId]>, group: &str) -> Option<Shared> {
     let (row, _) = fleet.groups.get(group)?;
     let ServiceKind::Model(model) = &cfg.services.get(&row.service)?.kind else {
         return None;
@@ -138,20 +143,25 @@
     if row.phase != GroupPhase::Formed {
         return None;
     }
-    let nodes: Vec<&NodeRow> = fleet.serving_nodes().collect();
-    let issuer = watchers(group, nodes.iter().copied()).into_iter().next()?;
+    let (group, epoch) = (row.group.clone(), row.epoch);
+    let issuer = fleet.watchers(&group).into_iter().next()?;
     Some(Shared {
-        group: row.group.clone(),
-        epoch: row.epoch,
+        group,
+        epoch,
         slots: Slots {
             normal: model.slots.saturating_sub(model.urgent_slots),
             urgent: model.urgent_slots,
         },
-        entries: nodes.iter().map(|row| row.node.clone()).collect(),
+        entries: entries.clone(),
         issuer,
     })
 }
 
+/// The nodes that share the slots of every group.
+fn entries(fleet: &Fleet) -> Arc<[NodeId]> {
+    fleet.serving_nodes().map(|row| row.node.clone()).collect()
+}
+
 fn demand_item(demand: &Demand) -> DemandItem {
     DemandItem {
         group: demand.group.to_string(),
--- a/crates/node/src/loops/reader.rs
+++ b/crates/node/src/loops/reader.rs
@@ -12,8 +12,10 @@
 use eelgrassmill_platform::{HostList, Table, TableError};
 use eelgrassmill_timeline::EventKind;
 
+use super::contender::is_contender;
 use super::rows::{decode, scan};
 use crate::apply::apply_config;
+use crate::group_rows;
 use crate::metrics::TableCall;
 use crate::peers::Peers;
 use crate::state::core::Core;
@@ -30,7 +32,6 @@
 /// At 370 nodes, all reading at every round would ask several thousand times a
 /// second; what the others learn late here, they learn at once from their peers.
 const OTHERS_EVERY: u32 = 20;
-
 /// Reads what this node has to know of the table and the host list.
 pub(crate) struct Reader {
     core: Arc<Core>,
@@ -54,16 +55,42 @@
     }
 
     /// One round of reads. Without the table or the list, what was read last stays.
+    ///
+    /// Group rows and the host list are read by the readers of a failure domain in
+    /// turn, each every two seconds where there are four. The planner tells of group
+    /// rows as it writes them; a reading only finds what was not told: rows that are
+    /// gone, and those of a region without a planner.
     pub(crate) fn step(&mut self) {
         let round = self.round;
         self.round = round.wrapping_add(1);
-        let is_reader = lock(&self.core.fleet).is_reader(&self.core.ident.node);
-        if !is_reader && !round.is_multiple_of(OTHERS_EVERY) {
+        let turn = lock(&self.core.fleet).reading_turn(&self.core.ident.node);
+        let Some(turn) = turn else {
+            if round.is_multiple_of(OTHERS_EVERY) {
+                self.read(true);
+            }
             return;
+        };
+        // A start reads everything, whosever turn it is.
+        let all = round == 0 || turn.is_now(round);
+        if !self.read(all) {
+            // The same round again, so that what was due now isn't left out.
+            self.round = round;
         }
-        if let Err(err) = self.read_table() {
-            self.core.table_failed(TableCall::Scan, &err);
+    }
+
+    /// False when the table did not answer.
+    fn read(&self, all: bool) -> bool {
+        let read = self.read_table(all);
+        if let Err(err) = &read {
+            self.core.table_failed(TableCall::Scan, err);
         }
+        if all {
+            self.read_hosts();
+        }
+        read.is_ok()
+    }
+
+    fn read_hosts(&self) {
         match self.core.platform.hosts.hosts() {
             Ok(entries) => {
                 let mut fleet = lock(&self.core.fleet);
@@ -76,18 +103,35 @@
         }
     }
 
-    fn read_table(&mut self) -> Result<(), TableError> {
+    /// Reads what is due; `all` includes the rows that are read less often.
+    fn read_table(&self, all: bool) -> Result<(), TableError> {
         let table = &self.core.platform.table;
         self.read_config()?;
-        let nodes: Vec<(NodeRow, RowVersion)> = scan(table, NODE_PREFIX)?;
         let planner = table.get(&planner_key(&self.core.ident.region))?;
-        self.take_nodes(nodes, planner.as_ref().and_then(decode));
-        let began = Instant::now();
-        let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
-        self.take_groups(groups, began);
+        lock(&self.seen).planner = planner.as_ref().and_then(decode);
+        if all || self.sees_to_leases() {
+            let nodes: Vec<(NodeRow, RowVersion)> = scan(table, NODE_PREFIX)?;
+            self.take_nodes(nodes);
+        }
+        if all && !self.is_planner() {
+            let began = Instant::now();
+            let groups: Vec<(GroupRow, RowVersion)> = scan(table, GROUP_PREFIX)?;
+            group_rows::scanned(&self.core, groups, began);
+        }
         Ok(())
     }
 
+    /// Whether this node acts on lapsed leases, as the planner or as one who may follow it.
+    fn sees_to_leases(&self) -> bool {
+        self.is_planner() || is_contender(&self.core, &lock(&self.seen))
+    }
+
+    /// Whether this node plans the region, and so scans the group rows itself.
+    fn is_planner(&self) -> bool {
+        let planner = lock(&self.core.planner);
+        planner.as_ref().is_some_and(|node| self.core.is_me(node))
+    }
+
     /// Reads the text only when the small row beside it says that it is new.
     fn read_config(&self) -> Result<(), TableError> {
         let table = &self.core.platform.table;
@@ -106,14 +150,9 @@
         Ok(())
     }
 
-    fn take_nodes(
-        &self,
-        nodes: Vec<(NodeRow, RowVersion)>,
-        planner: Option<(PlannerRow, RowVersion)>,
-    ) {
+    fn take_nodes(&self, nodes: Vec<(NodeRow, RowVersion)>) {
         let now = Instant::now();
         let mut seen = lock(&self.seen);
-        seen.planner = planner;
         for (row, version) in &nodes {
             seen.observer.observe(&row.node, *version, now);
         }
@@ -130,18 +169,6 @@
             self.core.journal.note(EventKind::NodeLeft { peer, reason });
         }
     }
-
-    fn take_groups(&self, groups: Vec<(GroupRow, RowVersion)>, began: Instant) {
-        let mut fleet = lock(&self.core.fleet);
-        let mut whole = lock(&self.core.whole);
-        for (row, _) in &groups {
-            whole.on_row(row);
-        }
-        for gone in fleet.set_groups(groups, began) {
-            whole.forget(&gone);
-        }
-        fleet.scanned = Some(Instant::now());
-    }
 }
 
 fn config_text(row: CurrentRow) -> ConfigText {
--- a/crates/node/src/loops/watcher.rs
+++ b/crates/node/src/loops/watcher.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use eelgrassmill_base::{GroupId, HostId, NodeId};
-use eelgrassmill_group::{GroupRow, GroupWatch, NodeRow, REPORT_MAX_AGE, Verdict, Why, watchers};
+use eelgrassmill_group::{GroupRow, GroupWatch, REPORT_MAX_AGE, Verdict, Why};
 use eelgrassmill_peer::{Item, ItemKey, LeavingTarget, PeerNode};
 use eelgrassmill_timeline::EventKind;
 use smol_str::{SmolStr, format_smolstr};
@@ -82,21 +82,15 @@
     fn task(&self) -> Task {
         let cfg = self.core.config.config();
         let plain = self.core.plain_targets(&cfg);
-        let fleet = lock(&self.core.fleet);
-        let nodes: Vec<&NodeRow> = fleet.serving_nodes().collect();
-        let mine = |name: &str| {
-            let chosen = watchers(name, nodes.iter().copied());
-            chosen.contains(&self.core.ident.node)
-        };
-        let rows: Vec<GroupRow> = fleet
-            .groups
-            .values()
-            .filter(|(row, _)| mine(&row.group))
-            .map(|(row, _)| row.clone())
-            .collect();
+        let mut fleet = lock(&self.core.fleet);
+        let me = &self.core.ident.node;
+        let mut groups: Vec<GroupId> = fleet.groups.keys().cloned().collect();
+        groups.retain(|group| fleet.watchers(group).contains(me));
+        let rows = groups.iter().filter_map(|group| fleet.groups.get(group));
+        let rows: Vec<GroupRow> = rows.map(|(row, _)| row.clone()).collect();
         let plain: Vec<HostId> = plain
             .into_iter()
-            .filter(|host| mine(&target_name(host)))
+            .filter(|host| fleet.watchers(&target_name(host)).contains(me))
             .collect();
         let hosts = rows.iter().flat_map(|row| &row.members).chain(&plain);
         let addresses = hosts
--- a/crates/node/src/state/fleet.rs
+++ b/crates/node/src/state/fleet.rs
@@ -4,12 +4,27 @@
 use std::time::Instant;
 
 use eelgrassmill_base::{GroupId, HostEntry, HostId, HostState, NodeId, RowVersion, rendezvous};
-use eelgrassmill_group::{GroupRow, NodeRow, NodeState};
+use eelgrassmill_group::{GroupRow, NodeRow, NodeState, WatcherList, watchers};
 use smol_str::SmolStr;
 
 /// Nodes of each failure domain that read the table and the host list often.
 const READERS: usize = 4;
 
+/// Who reads when, among the readers of one failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Turn {
+    place: u32,
+    /// Readers of the domain, at least one.
+    of: u32,
+}
+
+impl Turn {
+    /// Whether this reader reads in `round` what the readers read in turn.
+    pub(crate) fn is_now(self, round: u32) -> bool {
+        round % self.of == self.place
+    }
+}
+
 /// Rows and lists as last read. Everything here may lag.
 #[derive(Default)]
 pub(crate) struct Fleet {
@@ -18,6 +33,8 @@
     pub(crate) hosts: BTreeMap<HostId, HostEntry>,
     /// Hosts that a target, or a watcher that asked it, says are leaving, and by whom.
     said_leaving: BTreeMap<HostId, BTreeSet<NodeId>>,
+    /// Watchers of groups and targets. Invariant: as [`watchers`] chooses them of `nodes`.
+    chosen: BTreeMap<SmolStr, WatcherList>,
     /// When rows were told by the planner, until a later scan.
     told: BTreeMap<GroupId, Instant>,
     /// When the last scan of the table was answered; `None` before the first.
@@ -49,7 +66,10 @@
             }
         }
         let gone = self.groups.keys().filter(|g| !fresh.contains_key(*g));
-        let gone = gone.cloned().collect();
+        let gone: Vec<GroupId> = gone.cloned().collect();
+        for group in &gone {
+            self.chosen.remove(group);
+        }
         self.groups = fresh;
         gone
     }
@@ -86,10 +106,31 @@
         let came = came.cloned().collect();
         let went = self.nodes.keys().filter(|n| !fresh.contains_key(*n));
         let went = went.cloned().collect();
+        let chosen_of = |nodes: &BTreeMap<NodeId, (NodeRow, RowVersion)>| -> Vec<_> {
+            let rows = nodes.values().map(|(row, _)| row);
+            rows.map(|row| (row.node.clone(), row.failure_domain.clone(), row.state))
+                .collect()
+        };
+        if chosen_of(&self.nodes) != chosen_of(&fresh) {
+            self.chosen.clear();
+        }
         self.nodes = fresh;
         (came, went)
     }
 
+    /// The watchers of a group or target, chosen anew only when the nodes have changed.
+    ///
+    /// Every node asks for those of every group many times a second. Among hundreds of
+    /// nodes, choosing each time would take several times what a node may spend.
+    pub(crate) fn watchers(&mut self, name: &SmolStr) -> WatcherList {
+        if let Some(chosen) = self.chosen.get(name) {
+            return chosen.clone();
+        }
+        let chosen = watchers(name, self.nodes.values().map(|(row, _)| row));
+        self.chosen.insert(name.clone(), chosen.clone());
+        chosen
+    }
+
     pub(crate) fn set_hosts(&mut self, entries: Vec<HostEntry>) {
         self.hosts = entries.into_iter().map(|e| (e.id.clone(), e)).collect();
     }
@@ -131,17 +172,25 @@
     ///
     /// A node that is not listed yet reads too, since it knows nothing.
     pub(crate) fn is_reader(&self, node: &str) -> bool {
+        self.reading_turn(node).is_some()
+    }
+
+    /// A reader's place among the readers of its failure domain.
+    pub(crate) fn reading_turn(&self, node: &str) -> Option<Turn> {
         let Some((row, _)) = self.nodes.get(node) else {
-            return true;
+            return Some(Turn { place: 0, of: 1 });
         };
         let peers = self.nodes.values().map(|(row, _)| row);
         let domain = peers.filter(|p| p.failure_domain == row.failure_domain);
         let names: Vec<&NodeId> = domain.map(|p| &p.node).collect();
         let ranked = rendezvous(&row.failure_domain, names);
-        ranked
-            .iter()
-            .take(READERS)
-            .any(|name| name.as_str() == node)
+        let of = ranked.len().min(READERS);
+        let mut readers = ranked.iter().take(of);
+        let place = readers.position(|name| name.as_str() == node)?;
+        Some(Turn {
+            place: place as u32,
+            of: of as u32,
+        })
     }
 
     /// Whether rows have been read or told of.
--- a/crates/node/src/state/quotas.rs
+++ b/crates/node/src/state/quotas.rs
@@ -1,7 +1,11 @@
 //! Quotas of this node: those that it holds as an entry and issues as a watcher.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, GroupId, Incarnation, NodeId};
 use eelgrassmill_route::{Demand, Grant, QuotaHolder, QuotaIssuer, Slots, fallback_part};
@@ -12,11 +16,28 @@
     pub(crate) group: GroupId,
     pub(crate) epoch: Epoch,
     pub(crate) slots: Slots,
-    pub(crate) entries: Vec<NodeId>,
+    pub(crate) entries: Arc<[NodeId]>,
     /// The watcher that issues its quotas.
     pub(crate) issuer: NodeId,
 }
 
+/// Time between two demands for a group at which this entry runs nothing.
+///
+/// Invariant: with a round of asking more, less than the half term after which an
+/// issuer holds a silent entry's part back, and so takes it from the others.
+const IDLE_PERIOD: Duration = Duration::from_millis(700);
+/// Up to so many entries, all ask at every round. There an idle entry holds slots, and
+/// gives them back with its next two demands.
+const FEW_ENTRIES: usize = 12;
+
+/// What was last asked for a group.
+struct Asked {
+    at: Instant,
+    issuer: NodeId,
+    epoch: Epoch,
+    busy: bool,
+}
+
 /// Quotas held and issued here.
 pub(crate) struct Quotas {
     me: NodeId,
@@ -24,6 +45,7 @@
     /// By group, with the epoch that each is for.
     holders: BTreeMap<GroupId, (Epoch, QuotaHolder)>,
     issuers: BTreeMap<GroupId, (Epoch, QuotaIssuer)>,
+    asked: BTreeMap<GroupId, Asked>,
 }
 
 impl Quotas {
@@ -33,6 +55,7 @@
             incarnation,
             holders: BTreeMap::new(),
             issuers: BTreeMap::new(),
+            asked: BTreeMap::new(),
         }
     }
 
@@ -40,6 +63,7 @@
     pub(crate) fn retain(&mut self, known: impl Fn(&GroupId) -> bool) {
         self.holders.retain(|group, _| known(group));
         self.issuers.retain(|group, _| known(group));
+        self.asked.retain(|group, _| known(group));
     }
 
     /// What this entry may have running at a group.
@@ -48,6 +72,32 @@
         (*held_for == epoch).then(|| holder.current(now))
     }
 
+    /// Whether to ask for a group in this round.
+    ///
+    /// Among hundreds of entries almost every one runs nothing at almost every group.
+    /// All of them asking at every round would be the largest part of a node's traffic.
+    pub(crate) fn is_due(
+        &self,
+        shared: &Shared,
+        running: Slots,
+        waiting: Slots,
+        now: Instant,
+    ) -> bool {
+        if shared.entries.len() <= FEW_ENTRIES || is_busy(running, waiting) {
+            return true;
+        }
+        let Some(last) = self.asked.get(&shared.group) else {
+            return true;
+        };
+        let holder = self.holders.get(&shared.group);
+        let granted = holder.is_some_and(|(_, holder)| holder.is_granted(now));
+        last.busy
+            || !granted
+            || last.issuer != shared.issuer
+            || last.epoch != shared.epoch
+            || now.saturating_duration_since(last.at) >= IDLE_PERIOD
+    }
+
     /// The next demand of this entry for a group.
     pub(crate) fn ask(
         &mut self,
@@ -56,6 +106,13 @@
         waiting: Slots,
         now: Instant,
     ) -> Demand {
+        let asked = Asked {
+            at: now,
+            issuer: shared.issuer.clone(),
+            epoch: shared.epoch,
+            busy: is_busy(running, waiting),
+        };
+        self.asked.insert(shared.group.clone(), asked);
         let entries = shared.entries.len().max(1) as u32;
         let fresh = || {
             let holder = QuotaHolder::new(
@@ -118,6 +175,10 @@
     }
 }
 
+fn is_busy(running: Slots, waiting: Slots) -> bool {
+    running != Slots::NONE || waiting != Slots::NONE
+}
+
 /// What an entry may use of a group of which it holds no quota yet.
 pub(crate) fn without_quota(slots: Slots, entries: usize) -> Slots {
     fallback_part(slots, entries.max(1) as u32)
--- a/crates/peer/src/capacity/roles.rs
+++ b/crates/peer/src/capacity/roles.rs
@@ -18,14 +18,16 @@
 const PULSES: f64 = 20.0;
 /// Nodes of each failure domain that read the table at each round.
 const READERS: f64 = 4.0;
+/// Nodes of each region that may take it over, and so read node rows at each round.
+const CONTENDERS: f64 = 3.0;
 /// Rounds a second of the other nodes.
 const SELDOM_ROUNDS: f64 = 0.1;
-/// Host and group rows read a second by a planner, each.
-const PLANNER_SCANS: f64 = ROUNDS;
+/// Scans of host rows and of group rows a second by a planner while nothing is in change.
+const PLANNER_SCANS: f64 = 0.5;
 /// Demands for slots a second for a group at which the entry runs something.
 const BUSY_DEMANDS: f64 = 4.0;
-/// Demands for slots a second for a group at which it runs nothing.
-const IDLE_DEMANDS: f64 = BUSY_DEMANDS;
+/// Demands for slots a second for a group at which it runs nothing: each third round.
+const IDLE_DEMANDS: f64 = BUSY_DEMANDS / 3.0;
 /// Renewals of a node's lease a second: three in a term of six seconds.
 const RENEWALS: f64 = 0.5;
 /// Planner's probes of a host a second: every second round.
@@ -40,6 +42,8 @@
 const CLAIM_WRITES: f64 = 2.0;
 /// Reads a second of the row that says which claims are past their time.
 const ERA_READS: f64 = 0.05;
+/// Restarts of nodes a day, as if all restarts of the aim were of nodes.
+const NODE_RESTARTS: f64 = 180.0;
 /// Seconds of a day.
 const DAY: f64 = 86_400.0;
 
@@ -144,6 +148,8 @@
         SeldomReader,
         /// Reading them at each round; a few nodes of each failure domain.
         Reader,
+        /// Seeing to lapsed leases; a few readers of each region.
+        Contender,
         /// Planning a region; one node of each.
         Planner,
         /// Asking for slots of all groups, and giving out those of its own.
@@ -178,7 +184,7 @@
 
 impl Role {
     /// All roles.
-    pub const ALL: [Role; 12] = [
+    pub const ALL: [Role; 13] = [
         Role::Dissemination,
         Role::Watcher,
         Role::Evidence,
@@ -190,6 +196,7 @@
         Role::Claims,
         Role::TimeLine,
         Role::Reader,
+        Role::Contender,
         Role::Planner,
     ];
 
@@ -202,6 +209,7 @@
             Role::Lease => "lease",
             Role::SeldomReader => "seldom reader",
             Role::Reader => "reader",
+            Role::Contender => "contender",
             Role::Quotas => "quotas",
             Role::Planner => "planner",
             Role::Entry => "entry",
@@ -213,9 +221,10 @@
 
     /// Whether every node has it.
     ///
-    /// A planner is one node of a region. A reader reads often in place of seldom.
+    /// A planner is one node of a region. A reader reads often in place of seldom. A
+    /// contender is a reader.
     pub fn is_everywhere(self) -> bool {
-        !matches!(self, Role::Planner | Role::Reader)
+        !matches!(self, Role::Planner | Role::Reader | Role::Contender)
     }
 
     /// What it needs at one node.
@@ -236,6 +245,7 @@
             },
             Role::SeldomReader => seldom_reader(size, inputs),
             Role::Reader => reader(size, inputs),
+            Role::Contender => contender(size, inputs),
             Role::Quotas => quotas(size, inputs),
             Role::Planner => planner(size, inputs),
             Role::Entry => entry(size, inputs),
@@ -268,7 +278,7 @@
         bytes: probes * inputs.probe_bytes.at(hosts),
         core: probes * inputs.probe_core.at(hosts)
             + size.watched() * FINDINGS * inputs.judge_core.at(hosts)
-            + size.groups * FINDINGS * inputs.watchers_core.at(size.nodes),
+            + choices(size) * inputs.watchers_core.at(size.nodes),
         ..Usage::default()
     }
 }
@@ -310,14 +320,34 @@
     }
 }
 
+/// Choices of watchers a second: all groups' when a node goes and when it comes.
+fn choices(size: &Size) -> f64 {
+    2.0 * size.groups * NODE_RESTARTS / DAY
+}
+
 fn reader(size: &Size, inputs: &Inputs) -> Usage {
     let round = Round::new(size, inputs);
-    let texts = size.changes / DAY * inputs.config_row.at(size.groups);
+    let texts = size.changes / DAY;
+    // The readers of a domain take turns at the ranges.
+    let turns = ROUNDS / READERS;
     Usage {
         state: round.sum(),
-        messages: 2.0 * 5.0 * ROUNDS,
-        bytes: ROUNDS * round.sum() + texts,
-        reads: 4.0 * ROUNDS + size.changes / DAY,
+        messages: 2.0 * (2.0 * ROUNDS + 3.0 * turns),
+        bytes: ROUNDS * round.small
+            + turns * (round.nodes + round.groups + round.hosts)
+            + texts * inputs.config_row.at(size.groups),
+        reads: 2.0 * ROUNDS + 2.0 * turns + texts,
+        ..Usage::default()
+    }
+}
+
+/// What comes on top of a reader's: node rows at the rounds in which it has no turn.
+fn contender(size: &Size, inputs: &Inputs) -> Usage {
+    let more = ROUNDS - ROUNDS / READERS;
+    Usage {
+        messages: 2.0 * more,
+        bytes: more * size.nodes * inputs.node_row.at(1.0),
+        reads: more,
         ..Usage::default()
     }
 }
@@ -347,14 +377,10 @@
     let busy = (size.running / size.nodes).min(size.groups) * (BUSY_DEMANDS - IDLE_DEMANDS);
     let calls = size.issuers() * IDLE_DEMANDS + busy;
     let demands = size.groups * IDLE_DEMANDS + busy;
-    // Watchers are chosen for every group at each round of asking, and for each answer.
-    let chosen = size.groups * BUSY_DEMANDS + demands;
     Usage {
         messages: 4.0 * calls,
         bytes: 2.0 * (calls * inputs.call_bytes.at(1.0) + demands * inputs.quota_demand.at(1.0)),
-        core: calls * inputs.call_core.at(1.0)
-            + demands * inputs.issue_core.at(size.nodes)
-            + chosen * inputs.watchers_core.at(size.nodes),
+        core: calls * inputs.call_core.at(1.0) + demands * inputs.issue_core.at(size.nodes),
         ..Usage::default()
     }
 }
@@ -418,11 +444,12 @@
 pub fn store_load(size: &Size, inputs: &Inputs) -> (f64, f64) {
     let everywhere = total(size, inputs);
     let planner = Role::Planner.usage(size, inputs);
+    let contender = Role::Contender.usage(size, inputs).reads;
     let often = Role::Reader.usage(size, inputs).reads;
     let seldom = Role::SeldomReader.usage(size, inputs).reads;
     let reads = size.nodes * everywhere.reads
         + size.readers() * (often - seldom)
-        + size.regions * planner.reads;
+        + size.regions * (planner.reads + CONTENDERS * contender);
     let changes = size.changes / DAY;
     (reads, size.nodes * everywhere.writes + changes)
 }
