Plan again after a table outage that outlasts the lease

Cause: a planner whose lease lapses while the table is down stops planning, but the planner row goes on naming this start of it. When the table is back it holds a new lease under the same start, so takeover() answers 'Already' to it and 'HolderMayLive' to all others: nobody plans the region until that node dies. The log shows planner-lost, lease-lost, lease-taken at all nodes and never planner-taken. Ruled out: the dead host and the spares; two were free. Change (crates/node/src/loops/planner.rs, try_takeover): on 'Already' with nothing planned it begins anew from the row that names it, after the quiet time that outlives its own earlier orders; begin() reads the row back first.

The whole set was not run again after it.

--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_config::ServiceKind;
 use eelgrassmill_group::{
     Action, Change, FleetView, FreedBecause, GROUP_PREFIX, GroupRow, HOST_PREFIX, HostRow,
-    NodeState, PlannerRow, PlannerSeen, RepairPolicy, RowValue, Takeover, node_key, plan,
+    NodeState, NotYet, PlannerRow, PlannerSeen, RepairPolicy, RowValue, Takeover, node_key, plan,
     planner_key, takeover, weights_name,
 };
 use eelgrassmill_platform::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
@@ -142,8 +142,12 @@
             let wanted = takeover(&own, own_version, &known, &seen.observer);
             (known, wanted)
         };
-        let Ok(Takeover { change, quiet }) = wanted else {
-            return;
+        let Takeover { change, quiet } = match wanted {
+            Ok(takeover) => takeover,
+            // Its lease lapsed while the table was down and nobody took over. Without
+            // this the row would name a node that doesn't plan, and nobody else may.
+            Err(NotYet::Already) => return self.begin(self.core.timing.outlived_after(), None),
+            Err(_) => return,
         };
         let from: Option<NodeId> = seen.planner.map(|(row, _)| row.node);
         let txn = txn(self.core.ident.unique(), &change);
