Mend a group in a third of the time, and let old probes stop nothing

With quicker steps two older faults showed: a probe that was served before an order, and answered after it, undid the order's answer; and a watcher's finding from a probe before the order contradicted another's newer one, so that a group which had just become whole stopped for up to 500 ms. Ruled out: the release of members (drain_least holds as before). The peers' port is bound before its number is told (a test had seen it taken in between).

--- a/crates/group/src/evidence/watch.rs
+++ b/crates/group/src/evidence/watch.rs
@@ -126,7 +126,12 @@
         });
     }
 
-    /// The finding at `now`, and the sending instant of the oldest probe it rests on.
+    /// The finding at `now`, and the instant as of which it holds: the sending of the
+    /// oldest probe that a whole group rests on, or of the probe that found a fault.
+    ///
+    /// A fault counts from its probe and not from now. A probe from before the
+    /// members were ordered to join would otherwise contradict another watcher's
+    /// newer one, and stop a group that has just become whole until the next round.
     ///
     /// A group found whole for the first time in this epoch binds its members'
     /// incarnations: a member that restarts later holds nothing, whatever it says.
@@ -137,16 +142,19 @@
         let mut worst = None;
         let mut oldest = now;
         for member in &self.members {
-            let why = match member.last {
-                Some(seen) => aged(seen.sent, now).or(seen.fault),
-                None => Some(Why::Silent),
+            let (why, held_at) = match member.last {
+                Some(seen) => match aged(seen.sent, now) {
+                    Some(silent) => (Some(silent), now),
+                    None => (seen.fault, seen.sent),
+                },
+                None => (Some(Why::Silent), now),
             };
-            worst = graver(worst, why.map(|why| (why, &member.host)));
+            worst = graver(worst, why.map(|why| (why, (&member.host, held_at))));
             oldest = member.last.map_or(oldest, |seen| oldest.min(seen.sent));
         }
-        if let Some((why, host)) = worst {
+        if let Some((why, (host, held_at))) = worst {
             let host = host.clone();
-            return (Verdict::Missing { host, why }, now);
+            return (Verdict::Missing { host, why }, held_at);
         }
         self.bind_incarnations();
         (Verdict::Whole, oldest)
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: a place in the queue, a slot at a group, the request to its lead.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, HostId, Tokens};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
@@ -24,6 +24,10 @@
 /// Header from which an engine takes up a stream.
 const RESUME_HEADER: &str = "x-resume-from";
 
+/// Pause before a call that only has to wait takes a place again: the groups that
+/// may be picked are worked out anew this often.
+const TURN_PAUSE: Duration = Duration::from_millis(50);
+
 /// Where an attempt is sent.
 struct Destination {
     host: HostId,
@@ -71,11 +75,34 @@
 }
 
 /// Takes a place, waits for the turn and sends the call.
+///
+/// A group that stopped serving between the pick and the send is no failed
+/// attempt: nothing left for it, and the call waits for its turn once more.
+/// Counted as attempts, three such moments in the tenth of a second in which
+/// one group hands over to the next would refuse the call.
 pub(crate) async fn start(
     core: &Arc<Core>,
     shard: &Arc<Shard>,
     call: &Call,
     attempt: &Attempt,
+) -> Result<Started, NotStarted> {
+    loop {
+        match start_once(core, shard, call, attempt).await {
+            Err(NotStarted::Failed(failure, _))
+                if failure.waits && !call.left(Instant::now()).is_zero() =>
+            {
+                tokio::time::sleep(TURN_PAUSE).await;
+            }
+            started => return started,
+        }
+    }
+}
+
+async fn start_once(
+    core: &Arc<Core>,
+    shard: &Arc<Shard>,
+    call: &Call,
+    attempt: &Attempt,
 ) -> Result<Started, NotStarted> {
     adapter_may_serve(core, call).map_err(NotStarted::Refused)?;
     let now = Instant::now();
@@ -265,7 +292,7 @@
     if pick.epoch > 0 {
         core.metrics.promise_guarded(Promise::GroupWhole);
     }
-    Failure::not_run(why)
+    Failure::not_run(why).waiting()
 }
 
 /// An answer from another epoch comes from hosts that are no longer this group.
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -24,7 +24,7 @@
 use super::parse::{self, Route, Wishes};
 use super::problem::Problem;
 use super::relay::Relay;
-use super::trial::{self, TRIAL_PAUSE};
+use super::trial;
 use crate::once::Once;
 use crate::state::core::{Core, serving_service};
 use crate::state::lock::lock;
@@ -254,12 +254,6 @@
                 }
             }
             Err(NotStarted::Refused(problem)) => return Err(problem),
-            Err(NotStarted::Failed(failure, _))
-                if failure.waits && !call.left(Instant::now()).is_zero() =>
-            {
-                tokio::time::sleep(TRIAL_PAUSE).await;
-                continue;
-            }
             Err(NotStarted::Failed(failure, pick)) => {
                 avoid.push(pick.group);
                 failure
--- a/crates/node/src/entry/trial.rs
+++ b/crates/node/src/entry/trial.rs
@@ -15,9 +15,6 @@
 use crate::state::core::Core;
 use crate::state::lock::lock;
 
-/// Pause before a suspect looks again for a group without another suspect.
-pub(crate) const TRIAL_PAUSE: Duration = Duration::from_millis(100);
-
 /// Pause before a suspect is sent to a group: what others have just seen of its
 /// like has arrived by then, with the next telling, the next flush and the way.
 ///
--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -42,6 +42,11 @@
 /// Rounds between two probes of hosts that no change concerns.
 const CALM_EVERY: u32 = 2;
 
+/// Steps in one full round. In the steps between, a planner with something under
+/// way plans again from the rows and the reports that have come: mending a group
+/// takes five steps one after the other, and each full round is down time.
+const STEPS_PER_ROUND: u32 = 5;
+
 /// What a planner keeps while it plans.
 struct Planning {
     view: FleetView,
@@ -60,6 +65,7 @@
     pool: Arc<ProbePool>,
     peer: Arc<PeerNode<Peers>>,
     teller: Teller,
+    steps: u32,
     orders: OrderPool,
     planning: Option<Planning>,
 }
@@ -78,12 +84,19 @@
             pool,
             peer,
             teller: Teller::default(),
+            steps: 0,
             planning: None,
         }
     }
 
-    /// One round.
+    /// One step; every fifth is a full round.
     pub(crate) fn step(&mut self) {
+        let full = self.steps.is_multiple_of(STEPS_PER_ROUND);
+        self.steps = self.steps.wrapping_add(1);
+        let hurries = self.planning.as_ref().is_some_and(|p| p.unsettled);
+        if !full && !hurries {
+            return;
+        }
         self.note_planner();
         if !self.core.holds_lease() {
             return self.lost();
@@ -95,7 +108,7 @@
             self.try_takeover();
         }
         if let Some(mut planning) = self.planning.take() {
-            match self.round(&mut planning) {
+            match self.round(&mut planning, full) {
                 Ok(true) => self.planning = Some(planning),
                 Ok(false) => self.note_lost(),
                 Err(err) => {
@@ -221,7 +234,7 @@
     }
 
     /// One round of planning; false when the region is another's.
-    fn round(&mut self, planning: &mut Planning) -> Result<bool, TableError> {
+    fn round(&mut self, planning: &mut Planning, full: bool) -> Result<bool, TableError> {
         let table = &self.core.platform.table;
         let key = planner_key(&self.core.ident.region);
         let row = table.get(&key)?;
@@ -231,14 +244,16 @@
         if planning.unsettled || planning.round.is_multiple_of(SCAN_EVERY) {
             self.scan_rows(&mut planning.view)?;
         }
-        self.refresh(planning);
+        self.refresh(planning, full);
         let actions = plan(&planning.view, &planning.policy, Instant::now());
         planning.unsettled = !actions.is_empty() || !is_settled(&planning.view);
         for action in actions {
             self.carry_out(planning, action);
         }
-        self.delete_lapsed_nodes(planning);
-        planning.round = planning.round.wrapping_add(1);
+        if full {
+            self.delete_lapsed_nodes(planning);
+            planning.round = planning.round.wrapping_add(1);
+        }
         Ok(true)
     }
 
@@ -265,7 +280,7 @@
         Ok(())
     }
 
-    fn refresh(&self, planning: &mut Planning) {
+    fn refresh(&self, planning: &mut Planning, full: bool) {
         let now = Instant::now();
         let cfg = self.core.config.config();
         let view = &mut planning.view;
@@ -275,11 +290,14 @@
         if !entries.is_empty() {
             view.on_host_list(&entries, now);
         }
-        if planning.round.is_multiple_of(WEIGHTS_EVERY) {
+        if full && planning.round.is_multiple_of(WEIGHTS_EVERY) {
             self.read_weights(view);
         }
         self.take_evidence(view, now);
-        self.probe(planning.round, view);
+        self.take_reports(view);
+        if full {
+            self.probe(planning.round, view);
+        }
     }
 
     /// The host list, with the hosts that the text asks to empty marked as leaving.
@@ -309,17 +327,23 @@
         }
     }
 
-    /// Takes the newest reports and asks for newer ones.
+    fn take_reports(&self, view: &mut FleetView) {
+        let hosts: Vec<SmolStr> = view.hosts.keys().cloned().collect();
+        for host in hosts {
+            if let Some(answered) = self.core.reports.get(&host) {
+                view.on_report(&answered.report, answered.sent);
+            }
+        }
+    }
+
+    /// Asks hosts for newer reports.
     ///
     /// Hosts in the middle of a change are asked each round; those of a serving
     /// group and spares less often, since their watchers see to them.
-    fn probe(&self, round: u32, view: &mut FleetView) {
+    fn probe(&self, round: u32, view: &FleetView) {
         let hosts: Vec<SmolStr> = view.hosts.keys().cloned().collect();
         let calm_too = round.is_multiple_of(CALM_EVERY);
         for host in hosts {
-            if let Some(answered) = self.core.reports.get(&host) {
-                view.on_report(&answered.report, answered.sent);
-            }
             let Some(facts) = view.hosts.get(&host) else {
                 continue;
             };
--- a/crates/node/src/loops/watcher.rs
+++ b/crates/node/src/loops/watcher.rs
@@ -74,8 +74,8 @@
             }
         }
         self.round = self.round.wrapping_add(1);
-        let (findings, as_of) = self.judge(&task);
-        self.publish(findings, as_of);
+        let findings = self.judge(&task);
+        self.publish(findings);
         self.publish_leaving(task.addresses.keys());
     }
 
@@ -103,10 +103,9 @@
         }
     }
 
-    /// All findings, and the instant at which every one of them held.
-    fn judge(&mut self, task: &Task) -> (Vec<Finding>, Instant) {
+    /// All findings, each with the instant as of which it holds.
+    fn judge(&mut self, task: &Task) -> Vec<(Finding, Instant)> {
         let now = Instant::now();
-        let mut as_of = now;
         let mut findings = Vec::new();
         self.watches
             .retain(|group, _| task.rows.iter().any(|row| row.group == *group));
@@ -121,8 +120,7 @@
                     watch.on_report(&answered.report, answered.sent);
                 }
             }
-            let (verdict, oldest) = watch.verdict(now);
-            as_of = as_of.min(oldest);
+            let (verdict, as_of) = watch.verdict(now);
             let Some(lead) = watch.row().lead().cloned() else {
                 continue;
             };
@@ -131,20 +129,19 @@
                 Verdict::Whole => report.map_or(0, |answered| answered.report.incarnation),
                 _ => 0,
             };
-            findings.push(Finding {
+            let finding = Finding {
                 group: row.group.clone(),
                 epoch: watch.row().epoch,
                 lead,
                 lead_start,
                 verdict,
-            });
+            };
+            findings.push((finding, as_of));
         }
         for host in &task.plain {
-            let (finding, oldest) = self.judge_plain(host, now);
-            as_of = as_of.min(oldest);
-            findings.push(finding);
+            findings.push(self.judge_plain(host, now));
         }
-        (findings, as_of)
+        findings
     }
 
     fn judge_plain(&self, host: &HostId, now: Instant) -> (Finding, Instant) {
@@ -171,16 +168,18 @@
     }
 
     /// Takes the findings at this node and publishes those that changed.
-    fn publish(&mut self, findings: Vec<Finding>, as_of: Instant) {
+    fn publish(&mut self, findings: Vec<(Finding, Instant)>) {
         let now = Instant::now();
+        // Everything told so far held at the oldest of these instants.
+        let as_of_all = findings.iter().map(|(_, as_of)| *as_of).min();
         let me: &NodeId = &self.core.ident.node;
         let mut whole = lock(&self.core.whole);
-        for finding in &findings {
+        for (finding, as_of) in &findings {
             let incarnation = self.core.ident.incarnation;
-            whole.on_finding(me, incarnation, finding.clone(), as_of, now);
+            whole.on_finding(me, incarnation, finding.clone(), *as_of, now);
         }
         drop(whole);
-        let kept: BTreeSet<&GroupId> = findings.iter().map(|f| &f.group).collect();
+        let kept: BTreeSet<&GroupId> = findings.iter().map(|(f, _)| &f.group).collect();
         let dropped: Vec<GroupId> = self
             .published
             .keys()
@@ -192,14 +191,15 @@
             lock(&self.core.whole).withdraw(me, &group);
             self.peer.withdraw(&ItemKey::Verdict(group));
         }
-        for finding in findings {
+        for (finding, as_of) in findings {
             if self.published.get(&finding.group) == Some(&finding) {
                 continue;
             }
-            self.peer.publish(Item::Verdict(verdict_item(&finding)));
+            let item = Item::Verdict(verdict_item(&finding));
+            self.peer.with(|state| state.publish(item, as_of));
             self.published.insert(finding.group.clone(), finding);
         }
-        self.peer.confirm(as_of);
+        self.peer.confirm(as_of_all.unwrap_or(now));
     }
 
     /// Hosts that the list says are leaving, at nodes that read it often.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -45,8 +45,10 @@
 use crate::state::table::CountedTable;
 use crate::{Settings, admin};
 
-/// Period of reading the table, the host list and, for the planner, of a round of planning.
+/// Period of reading the table and the host list.
 const READ_PERIOD: Duration = Duration::from_millis(500);
+/// Period of a planner's steps.
+const PLAN_PERIOD: Duration = Duration::from_millis(100);
 /// Period of refreshing candidates; evidence that lapses is noticed this soon.
 const PULSE_PERIOD: Duration = Duration::from_millis(50);
 /// Period of telling others this node's load.
@@ -116,22 +118,20 @@
             .map_err(NodeError::Runtime)?;
         let callers = bind(settings.callers)?;
         let admin = bind(settings.admin)?;
-        let peers = settings.peers;
         let metrics = Arc::new(Metrics::new()?);
         let platform = platform(&settings, &metrics);
         let incarnation = incarnation(&platform, &settings);
-        // The peers' port is bound by the peer crate; it needs a number before that.
-        let peers = reserve(peers)?;
+        let peers = bind(settings.peers)?;
         let ident = Ident::new(
             &settings,
             incarnation,
             local(&callers)?,
-            peers,
+            local(&peers)?,
             local(&admin)?,
         );
         let core = Arc::new(Core::new(ident, settings, platform, metrics.clone()));
         let refusals = Refusals::default();
-        let peer = start_peer(&core, &refusals, &runtime)?;
+        let peer = start_peer(&core, peers, &refusals, &runtime)?;
         let (claims, mut threads) = ClaimStore::start(&core);
         let (pool, probers) = ProbePool::start(&core.control, &core.reports);
         threads.extend(probers);
@@ -282,14 +282,6 @@
         .map_err(|error| NodeError::Listen { address, error })
 }
 
-/// A free port when none is named.
-fn reserve(address: SocketAddr) -> Result<SocketAddr, NodeError> {
-    if address.port() != 0 {
-        return Ok(address);
-    }
-    local(&bind(address)?)
-}
-
 fn platform(settings: &Settings, metrics: &Arc<Metrics>) -> Platform {
     let at = &settings.platform;
     let caller = |address: SocketAddr| HttpCaller::builder(address.to_smolstr()).build();
@@ -313,6 +305,7 @@
 
 fn start_peer(
     core: &Arc<Core>,
+    listener: TcpListener,
     refusals: &Refusals,
     runtime: &Runtime,
 ) -> Result<Arc<PeerNode<Peers>>, NodeError> {
@@ -332,7 +325,13 @@
         seeds: core.settings.seeds.clone(),
     };
     let handler = Arc::new(Peers::new(core.clone(), runtime.handle().clone()));
-    let node = PeerNode::start(cfg, handler.clone(), refusals.clone(), runtime.handle())?;
+    let node = PeerNode::start_on(
+        listener,
+        cfg,
+        handler.clone(),
+        refusals.clone(),
+        runtime.handle(),
+    )?;
     let node = Arc::new(node);
     handler.set_node(&node);
     publish_status(core, &node);
@@ -425,7 +424,7 @@
             },
         ),
         every(core, "pulse", PULSE_PERIOD, move || pulse.step()),
-        every(core, "planner", READ_PERIOD, move || lock(&planner).step()),
+        every(core, "planner", PLAN_PERIOD, move || lock(&planner).step()),
         every(core, "era", ERA_PERIOD, move || era.step()),
         every(core, "quota", ASK_PERIOD, move || quota.step()),
         every(core, "suspects", PULSE_PERIOD, move || {
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -118,12 +118,27 @@
     /// # Errors
     /// When `cfg.listen` can't be listened on.
     pub fn start(
-        mut cfg: PeerNodeConfig,
+        cfg: PeerNodeConfig,
         handler: Arc<H>,
         refusals: Refusals,
         runtime: &Handle,
     ) -> Result<PeerNode<H>, PeerError> {
         let listener = std::net::TcpListener::bind(cfg.listen).map_err(PeerError::Listen)?;
+        PeerNode::start_on(listener, cfg, handler, refusals, runtime)
+    }
+
+    /// The same on a port that is listened on already, whose number others may have
+    /// been told; `cfg.listen` is left alone.
+    ///
+    /// # Errors
+    /// When the listener can't be used.
+    pub fn start_on(
+        listener: std::net::TcpListener,
+        mut cfg: PeerNodeConfig,
+        handler: Arc<H>,
+        refusals: Refusals,
+        runtime: &Handle,
+    ) -> Result<PeerNode<H>, PeerError> {
         listener.set_nonblocking(true).map_err(PeerError::Listen)?;
         let local = listener.local_addr().map_err(PeerError::Listen)?;
         cfg.dissemination.me.address = local.to_string().into();
