Give the carrying of orders a file of its own

Change: loops/orders.rs has the threads and the two checks of the lease. Ruled out: splitting the rounds, which share the planner's state. Conclusion: no line of logic changed.

--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod era;
 pub(crate) mod handover;
 pub(crate) mod lease;
+pub(crate) mod orders;
 pub(crate) mod planner;
 pub(crate) mod probe;
 pub(crate) mod pulse;
