Say "not run" of a whole call and not of its last attempt

Cause: a call whose first attempt had crashed an engine and whose next one was refused, by its name as a culprit or by a full queue, was told not-run, since the last attempt's refusal was passed on as it was. Ruled out: keyed calls, which are never sent again after an attempt that may have run; streams, which break off. Change: once an attempt may have run, the call's final word is unknown. Conclusion: the promise about not-run holds over retries.

--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassmill_base::Tokens;
+use eelgrassmill_base::{Outcome, Tokens};
 use eelgrassmill_config::{Config, Service, ServiceKind, Tenant};
 use eelgrassmill_engine::StreamEvent;
 use eelgrassmill_route::{NoRetry, PrefixHashes, backoff, may_retry, prefix_hashes};
@@ -231,6 +231,16 @@
 
 /// Runs a call, with retries where nothing ran or the call may be repeated.
 pub(crate) async fn run(core: &Arc<Core>, call: &Call) -> Result<Ran, Problem> {
+    let mut may_have_run = false;
+    let ran = attempts(core, call, &mut may_have_run).await;
+    // "Not run" is said of the whole call and not of its last attempt.
+    ran.map_err(|problem| match may_have_run {
+        true => problem.after_a_run(),
+        false => problem,
+    })
+}
+
+async fn attempts(core: &Arc<Core>, call: &Call, may_have_run: &mut bool) -> Result<Ran, Problem> {
     let shard = core
         .shard(&call.served_by)
         .ok_or_else(|| super::call::nothing_serves(&call.service, ""))?;
@@ -259,6 +269,7 @@
                 failure
             }
         };
+        *may_have_run |= failure.outcome != Outcome::NotRun;
         if retry(core, call, attempt, &failure).is_err() {
             return Err(failure.into_problem());
         }
--- a/crates/node/src/entry/parse.rs
+++ b/crates/node/src/entry/parse/mod.rs
@@ -265,3 +265,6 @@
     let contents: Vec<&str> = messages.iter().map(|m| m.content.as_str()).collect();
     contents.join("\n")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/entry/problem.rs
+++ b/crates/node/src/entry/problem.rs
@@ -61,6 +61,18 @@
         self
     }
 
+    /// The same of a call of which an earlier attempt may have run.
+    ///
+    /// The last attempt's refusal speaks of itself alone. Passed on as it is, a
+    /// caller would be told "not run" of a request that crashed an engine before.
+    pub(crate) fn after_a_run(mut self) -> Problem {
+        if self.outcome == Outcome::NotRun {
+            self.outcome = Outcome::Unknown;
+            self.detail.push_str("; an earlier attempt may have run");
+        }
+        self
+    }
+
     /// Names entries that may have room.
     pub(crate) fn instead(mut self, addresses: Vec<String>) -> Problem {
         self.instead = addresses;
--- a/crates/node/tests/suspects.rs
+++ b/crates/node/tests/suspects.rs
@@ -20,8 +20,12 @@
     let killer = format!("please read {KILLER_MARK}");
     let mut told = Vec::new();
     for i in 0..9 {
+        let before = cluster.engine_runs().len();
         let answer = cluster.complete(i % 3, &killer, 8);
         assert_ne!(answer.status, 200, "{}", answer.text);
+        // "Not run" holds for the whole call, whichever of its attempts was refused.
+        let ran = cluster.engine_runs().len() > before;
+        assert!(!ran || answer.outcome() == "unknown", "{}", answer.text);
         told.push(answer.status);
     }
     let runs = cluster.engine_runs();
