Wake threads that have nothing to do less often

Cause: eight idle nodes took 2.2 to 3.5% of a core each, over the budget of 2.7 at five of them. Ten loops and four claim writers woke twenty times a second to see whether the node stops. Ruled out: the pulse that refreshes candidates; a slower one shows in the hand-over from one group to the next. Change: loops look for a stop every 250 ms, writers are woken by what they wait for.

--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -21,7 +21,7 @@
 use crate::state::core::Core;
 
 /// Longest sleep in one piece, so that a stop is noticed soon.
-const NAP: Duration = Duration::from_millis(50);
+const NAP: Duration = Duration::from_millis(250);
 
 /// Runs `step` every `period` on a thread of its own until the node stops.
 ///
--- a/crates/node/src/once/store.rs
+++ b/crates/node/src/once/store.rs
@@ -19,8 +19,8 @@
 const WAITING: usize = 4096;
 /// Transactions under way at a time. While one waits for a slow table, others go on.
 const WRITERS: usize = 4;
-/// Longest sleep of a writer, so that a stop is noticed.
-const NAP: Duration = Duration::from_millis(50);
+/// Longest sleep of a writer. A change wakes it, and so does the end of the last sender.
+const NAP: Duration = Duration::from_secs(1);
 
 struct Command {
     change: RowChange,
