--- a/crates/config/src/keys.rs
+++ b/crates/config/src/keys.rs
@@ -19,6 +19,11 @@
             /// Highest.
             max: u64,
         },
+        /// A number of zero or more with decimals, like `0.2`.
+        Decimal {
+            /// Highest.
+            max: u64,
+        },
         /// A duration like `250ms`, `10s`, `10m` or `2h`.
         Duration {
             /// Shortest.
@@ -134,6 +139,7 @@
     pub fn describe(&self) -> String {
         match self {
             Shape::Number { min, max } => format!("a whole number from {min} to {max}"),
+            Shape::Decimal { max } => format!("a number like 0.2 from 0 to {max}"),
             Shape::Duration { min, max } => format!(
                 "a duration like 250ms, 10s, 10m or 2h, from {} to {}",
                 format_duration(*min),
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -136,6 +136,18 @@
         self.number_or_absent(name, problems).unwrap_or(lowest)
     }
 
+    /// A number with decimals; zero when wrong.
+    pub fn decimal(&self, name: &str, problems: &mut Problems) -> f64 {
+        let found = self.value(name, problems, |text, shape| {
+            let Shape::Decimal { max } = shape else {
+                return None;
+            };
+            let number: f64 = text.parse().ok()?;
+            (number >= 0.0 && number <= *max as f64).then_some(number)
+        });
+        found.unwrap_or_default()
+    }
+
     /// A duration.
     pub fn duration(&self, name: &str, problems: &mut Problems) -> Duration {
         let found = self.value(name, problems, |text, shape| {
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use eelgrassmill_base::RequestId;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -18,7 +18,8 @@
 use crate::response::Lease;
 use crate::{SendError, TargetResponse};
 
-const REQUEST_ID: &str = "x-request-id";
+/// The header in which targets echo the id of a request, unless another is set.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// A connection that just ended an answer needs a moment to be ready again.
 const READY_TIME: Duration = Duration::from_millis(20);
@@ -37,6 +38,8 @@
     pub(crate) idle_body_timeout: Duration,
     connect_timeout: Duration,
     head_timeout: Duration,
+    echo: Option<HeaderName>,
+    accept_unframed: bool,
 }
 
 /// Sets up a [`TargetClient`].
@@ -46,6 +49,8 @@
     head_timeout: Duration,
     idle_body_timeout: Duration,
     limits: PoolLimits,
+    echo: Option<HeaderName>,
+    accept_unframed: bool,
 }
 
 /// One request to a target.
@@ -55,7 +60,8 @@
     pub method: Method,
     /// Path and query.
     pub path: String,
-    /// Headers; `x-request-id` is required.
+    /// Headers; the one that targets echo is required. `Host` names the target where
+    /// it is left out.
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
@@ -105,6 +111,24 @@
         self
     }
 
+    /// The header that an answer must echo; `x-request-id` by default.
+    ///
+    /// `None` is for services whose answers carry no id: their connections must then
+    /// be given up after any answer that came late.
+    pub fn echo(mut self, header: Option<HeaderName>) -> TargetClientBuilder {
+        self.echo = header;
+        self
+    }
+
+    /// Whether an answer may end with its connection; not by default.
+    ///
+    /// A body that is cut by a reset still counts as cut. One that is cut by an
+    /// orderly close looks whole, so this is only for targets that never do that.
+    pub fn accept_unframed(mut self, accept: bool) -> TargetClientBuilder {
+        self.accept_unframed = accept;
+        self
+    }
+
     /// The client as set up.
     pub fn build(self) -> TargetClient {
         TargetClient {
@@ -113,6 +137,8 @@
                 idle_body_timeout: self.idle_body_timeout,
                 connect_timeout: self.connect_timeout,
                 head_timeout: self.head_timeout,
+                echo: self.echo,
+                accept_unframed: self.accept_unframed,
             }),
         }
     }
@@ -136,6 +162,8 @@
                 max_idle: 32,
                 max_in_use: 256,
             },
+            echo: Some(REQUEST_ID),
+            accept_unframed: false,
         }
     }
 
@@ -149,14 +177,35 @@
         &self,
         address: &str,
         req: TargetRequest,
+    ) -> Result<TargetResponse, SendError> {
+        self.send_within(address, req, self.shared.head_timeout)
+            .await
+    }
+
+    /// Like [`TargetClient::send`], with a bound of its own on the wait for the head.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] only when no byte of the request left.
+    pub async fn send_within(
+        &self,
+        address: &str,
+        req: TargetRequest,
+        head_timeout: Duration,
     ) -> Result<TargetResponse, SendError> {
         let address = SmolStr::from(address);
-        let expected = request_id(&req.headers)?;
+        let echo = self.shared.echo.as_ref();
+        let expected = echo
+            .map(|name| request_id(&req.headers, name))
+            .transpose()?;
         let req = http_request(&address, req)?;
         let mut lease = Lease::enter(Arc::clone(&self.shared), address)?;
-        let response = self.exchange(&mut lease, req).await?;
-        check_echo(&response, expected)?;
-        check_framing(&response)?;
+        let response = self.exchange(&mut lease, req, head_timeout).await?;
+        if let (Some(name), Some(expected)) = (echo, expected) {
+            check_echo(&response, name, expected)?;
+        }
+        if !self.shared.accept_unframed {
+            check_framing(&response)?;
+        }
         Ok(TargetResponse::new(response, lease))
     }
 
@@ -164,10 +213,11 @@
         &self,
         lease: &mut Lease,
         mut req: TargetHttpRequest,
+        head_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         while let Some(conn) = self.shared.pool.take(lease.address()) {
             lease.conn = Some(conn);
-            match self.attempt(lease, req).await? {
+            match self.attempt(lease, req, head_timeout).await? {
                 Attempt::Answered(response) => return Ok(response),
                 // The target closed this kept connection before anything was
                 // written to it; the next one may serve.
@@ -175,7 +225,7 @@
             }
         }
         lease.conn = Some(self.connect(lease.address()).await?);
-        match self.attempt(lease, req).await? {
+        match self.attempt(lease, req, head_timeout).await? {
             Attempt::Answered(response) => Ok(response),
             Attempt::Unwritten(_) => Err(SendError::NotSent("connection closed".to_owned())),
         }
@@ -185,6 +235,7 @@
         &self,
         lease: &mut Lease,
         req: TargetHttpRequest,
+        head_timeout: Duration,
     ) -> Result<Attempt, SendError> {
         let Some(conn) = &mut lease.conn else {
             return Ok(Attempt::Unwritten(Box::new(req)));
@@ -192,7 +243,7 @@
         if !matches!(timeout(READY_TIME, conn.sender.ready()).await, Ok(Ok(()))) {
             return Ok(Attempt::Unwritten(Box::new(req)));
         }
-        let answer = timeout(self.shared.head_timeout, conn.sender.try_send_request(req)).await;
+        let answer = timeout(head_timeout, conn.sender.try_send_request(req)).await;
         match answer {
             Ok(Ok(response)) => Ok(Attempt::Answered(response)),
             Ok(Err(mut failed)) => match failed.take_message() {
@@ -225,10 +276,8 @@
     }
 }
 
-fn request_id(headers: &HeaderMap) -> Result<RequestId, SendError> {
-    let id = headers
-        .get(REQUEST_ID)
-        .and_then(|value| value.to_str().ok());
+fn request_id(headers: &HeaderMap, name: &HeaderName) -> Result<RequestId, SendError> {
+    let id = headers.get(name).and_then(|value| value.to_str().ok());
     let id = id.filter(|id| !id.is_empty()).map(RequestId::from);
     id.ok_or_else(|| SendError::NotSent("request has no id".to_owned()))
 }
@@ -242,17 +291,23 @@
         .parse()
         .map_err(|e: http::uri::InvalidUri| not_sent(e.to_string()))?;
     *out.headers_mut() = req.headers;
-    let host = HeaderValue::from_str(address).map_err(|e| not_sent(e.to_string()))?;
-    out.headers_mut().insert(header::HOST, host);
+    if !out.headers().contains_key(header::HOST) {
+        let host = HeaderValue::from_str(address).map_err(|e| not_sent(e.to_string()))?;
+        out.headers_mut().insert(header::HOST, host);
+    }
     Ok(out)
 }
 
 /// A late answer to an earlier request on a kept connection, or one that the
 /// target mixed up, would otherwise reach the wrong caller.
-fn check_echo(response: &Response<Incoming>, expected: RequestId) -> Result<(), SendError> {
+fn check_echo(
+    response: &Response<Incoming>,
+    name: &HeaderName,
+    expected: RequestId,
+) -> Result<(), SendError> {
     let got = response
         .headers()
-        .get(REQUEST_ID)
+        .get(name)
         .and_then(|value| value.to_str().ok());
     if got == Some(expected.as_str()) {
         return Ok(());
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,166 @@
+//! What is known of all hosts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, GroupId, HostId, value};
+use smallvec::SmallVec;
+
+use crate::host::{Host, HostState};
+
+/// How long a host whose entry vanished during an outage of the store is kept after the
+/// store is back. The platform promises that live hosts are listed again within about 2 s.
+const RELIST_TIME: Duration = Duration::from_millis(2000);
+
+value! {
+    /// A change of the host list.
+    pub enum FleetChange {
+        /// A host's entry is new or has changed.
+        Put(Host),
+        /// A host's entry is gone.
+        Removed(HostId),
+        /// The whole list was read anew; whoever isn't in it is gone.
+        Snapshot(Vec<Host>),
+    }
+
+    /// A replica as its members report it.
+    pub struct Replica {
+        /// Its name.
+        pub id: GroupId,
+        /// Its formation.
+        pub epoch: Epoch,
+        /// Members that are listed, by rank.
+        pub members: SmallVec<[(usize, HostId); 8]>,
+    }
+}
+
+/// The hosts that are listed, and those that are kept although they aren't.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    hosts: BTreeMap<HostId, Host>,
+    /// Hosts whose entries vanished while the store was disturbed.
+    missing: BTreeSet<HostId>,
+    /// Until then a host that isn't listed may only have lapsed.
+    lenient_until: Option<Instant>,
+    loaded: bool,
+}
+
+impl Fleet {
+    /// Whether the list was read at least once.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// The hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values()
+    }
+
+    /// A host by name.
+    pub fn host(&self, id: &str) -> Option<&Host> {
+        self.hosts.get(id)
+    }
+
+    /// Notes that the store could not be reached or refused at `now`.
+    ///
+    /// Entries lapse while hosts can't write them, so the first lists after an outage
+    /// lack hosts that are well. Without this every group would be given up at once.
+    pub fn store_disturbed(&mut self, now: Instant) {
+        self.lenient_until = Some(now + RELIST_TIME);
+    }
+
+    /// Takes a change. Gives the hosts that are gone.
+    pub fn apply(&mut self, change: FleetChange, now: Instant) -> Vec<HostId> {
+        match change {
+            FleetChange::Put(host) => {
+                self.missing.remove(&host.id);
+                self.hosts.insert(host.id.clone(), host);
+                Vec::new()
+            }
+            FleetChange::Removed(id) => self.remove(id, now).into_iter().collect(),
+            FleetChange::Snapshot(hosts) => self.replace(hosts, now),
+        }
+    }
+
+    /// Drops hosts that were kept and are still missing. Gives those that are gone.
+    pub fn expire(&mut self, now: Instant) -> Vec<HostId> {
+        if self.missing.is_empty() || self.is_lenient(now) {
+            return Vec::new();
+        }
+        let gone = std::mem::take(&mut self.missing);
+        for id in &gone {
+            self.hosts.remove(id);
+        }
+        gone.into_iter().collect()
+    }
+
+    /// Takes a host's own word, which is newer than its entry.
+    pub fn heard(&mut self, host: Host) {
+        if let Some(known) = self.hosts.get_mut(&host.id) {
+            *known = host;
+        }
+    }
+
+    /// Marks a host as leaving.
+    pub fn leaving(&mut self, id: &str) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.state = HostState::Leaving;
+        }
+    }
+
+    /// The replicas that hosts report, each with the members that are listed.
+    pub fn replicas(&self) -> Vec<Replica> {
+        let mut found: BTreeMap<(GroupId, Epoch), Replica> = BTreeMap::new();
+        for host in self.hosts.values() {
+            let Some(m) = &host.membership else { continue };
+            let key = (m.replica.clone(), m.epoch);
+            let replica = found.entry(key).or_insert_with(|| Replica {
+                id: m.replica.clone(),
+                epoch: m.epoch,
+                members: SmallVec::new(),
+            });
+            replica.members.push((m.rank, host.id.clone()));
+        }
+        let mut replicas: Vec<Replica> = found.into_values().collect();
+        for replica in &mut replicas {
+            replica.members.sort_unstable();
+        }
+        replicas
+    }
+
+    fn is_lenient(&self, now: Instant) -> bool {
+        self.lenient_until.is_some_and(|until| now < until)
+    }
+
+    fn remove(&mut self, id: HostId, now: Instant) -> Option<HostId> {
+        if !self.hosts.contains_key(&id) {
+            return None;
+        }
+        if self.is_lenient(now) {
+            self.missing.insert(id);
+            return None;
+        }
+        self.missing.remove(&id);
+        self.hosts.remove(&id);
+        Some(id)
+    }
+
+    fn replace(&mut self, hosts: Vec<Host>, now: Instant) -> Vec<HostId> {
+        self.loaded = true;
+        let listed: BTreeSet<HostId> = hosts.iter().map(|h| h.id.clone()).collect();
+        for host in hosts {
+            self.missing.remove(&host.id);
+            self.hosts.insert(host.id.clone(), host);
+        }
+        let unlisted: Vec<HostId> = self
+            .hosts
+            .keys()
+            .filter(|id| !listed.contains(*id))
+            .cloned()
+            .collect();
+        unlisted
+            .into_iter()
+            .filter_map(|id| self.remove(id, now))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,27 @@
+//! Policy for hosts that obey orders and report what they hold.
+//!
+//! Everything here is pure: it takes events and an instant and returns what to
+//! do. [`Catalog`] is the accepted configuration, [`Fleet`] what is known of
+//! hosts, [`Planner`] decides which hosts form a replica, [`place`] chooses the
+//! host of a request, and [`RetryWindow`] bounds what is sent a second time.
+
+mod catalog;
+mod fleet;
+mod host;
+mod place;
+mod planner;
+mod retry;
+mod stall;
+
+pub use crate::catalog::{
+    Caller, CallerLimits, Catalog, Engine, Millionths, ModelSpec, Repeat, Route, RouteRefusal,
+    Service, StreamRules,
+};
+pub use crate::fleet::{Fleet, FleetChange, Replica};
+pub use crate::host::{Host, HostState, Membership, MembershipPhase};
+pub use crate::place::{Candidate, place};
+pub use crate::planner::{
+    Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
+};
+pub use crate::retry::RetryWindow;
+pub use crate::stall::{Progress, StallRule};
--- /dev/null
+++ b/crates/fleet/src/planner.rs
@@ -0,0 +1,615 @@
+//! Which hosts form a replica of which model, and the orders that make it so.
+//!
+//! The load it answers: a pool of hosts in fabric domains that loses a host every few
+//! seconds, now and then a whole domain, while demand stays. What costs callers most is
+//! the time that a replica can't serve, so each domain keeps spares that have joined a
+//! replica of the model before and join again in a fraction of a second.
+//!
+//! Safety rests on three rules, each checked in one place:
+//! - A replica is opened only after every member said that it is ready in this very
+//!   formation ([`Planner::advance_joining`]).
+//! - Hosts of a replica that may serve are given nothing else until its head has left or
+//!   is known to be gone ([`Planner::advance_dissolving`]).
+//! - Every formation has an epoch of its own that is higher than all before it, also
+//!   those of earlier planners, so that a late order of an older one is refused.
+
+mod choose;
+mod formation;
+mod order;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName, ServiceName, value};
+use smol_str::format_smolstr;
+
+pub use crate::planner::formation::{Formation, Loss, Purpose, Step};
+pub use crate::planner::order::{Command, Order, OrderReply};
+
+use crate::catalog::{ModelSpec, Service};
+use crate::fleet::Fleet;
+use crate::host::{Host, MembershipPhase};
+
+/// Formations that one planner's term has room for; far more than a term can last.
+const EPOCHS_PER_TERM: u64 = 1 << 20;
+/// A join from nothing in a host that was a member of a replica of this model: 0.2 s by
+/// the platform's page.
+const PRIMED_JOIN: Duration = Duration::from_millis(200);
+/// A host that gave no answer this often in a row counts as silent.
+const MAX_UNANSWERED: u32 = 2;
+
+value! {
+    /// Times of the planner.
+    pub struct PlannerTiming {
+        /// An order without an answer is sent again after this.
+        pub resend: Duration,
+        /// Between two questions to a host that is about to be ready. Entries of hosts
+        /// come 200 to 300 ms late, which would be the larger part of a repair.
+        pub ask: Duration,
+        /// An open replica whose members' entries say otherwise for this long is given
+        /// up: entries lag behind orders, so a shorter time would end sound replicas.
+        pub entry_lag: Duration,
+        /// How long a head may finish what runs when a member is leaving.
+        pub drain: Duration,
+        /// The window of the bound on loads from the weight store.
+        pub load_window: Duration,
+    }
+}
+
+impl Default for PlannerTiming {
+    fn default() -> PlannerTiming {
+        PlannerTiming {
+            resend: Duration::from_millis(300),
+            ask: Duration::from_millis(120),
+            entry_lag: Duration::from_millis(1500),
+            drain: Duration::from_millis(1500),
+            load_window: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The planner's state. It is rebuilt from the hosts' own reports by any new planner.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    term: u64,
+    formed: u64,
+    timing: PlannerTiming,
+    /// Invariant: a host is a member of at most one formation.
+    formations: BTreeMap<GroupId, Formation>,
+    /// Hosts that give no answer, and their start when that was noticed.
+    silent: BTreeMap<HostId, u64>,
+    unanswered: BTreeMap<HostId, u32>,
+    /// Orders and questions under way or sent lately, and when.
+    sent: BTreeMap<(HostId, SentKind), Instant>,
+    /// Hosts that have been members of a replica of a model, by their start.
+    primed: BTreeMap<HostId, (u64, ModelName)>,
+    /// When loads from the weight store began.
+    loads: VecDeque<Instant>,
+}
+
+/// What was sent to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum SentKind {
+    Join,
+    Open,
+    Close,
+    Leave,
+    Question,
+}
+
+impl Planner {
+    /// A planner whose epochs are above those of all terms before `term`.
+    pub fn new(term: u64, timing: PlannerTiming) -> Planner {
+        Planner {
+            term,
+            formed: 0,
+            timing,
+            formations: BTreeMap::new(),
+            silent: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            primed: BTreeMap::new(),
+            loads: VecDeque::new(),
+        }
+    }
+
+    /// The formations it is responsible for.
+    pub fn formations(&self) -> impl Iterator<Item = &Formation> {
+        self.formations.values()
+    }
+
+    /// Notes that a host gives no answer though others do.
+    pub fn host_silent(&mut self, host: &HostId, fleet: &Fleet) {
+        let born = fleet.host(host).map_or(0, |h| h.born_ms);
+        self.silent.insert(host.clone(), born);
+    }
+
+    /// Notes that a replica no longer serves.
+    pub fn replica_lost(&mut self, replica: &str, epoch: Epoch, loss: Loss, now: Instant) {
+        if let Some(f) = self
+            .formations
+            .get_mut(replica)
+            .filter(|f| f.epoch == epoch)
+        {
+            if f.step == Step::Open {
+                f.lose(loss, now);
+            }
+        }
+    }
+
+    /// Notes that a host has answered.
+    pub fn host_answered(&mut self, host: &HostId) {
+        self.silent.remove(host);
+        self.unanswered.remove(host);
+        self.sent.remove(&(host.clone(), SentKind::Question));
+    }
+
+    /// Notes that a host did not answer a question or an order.
+    pub fn host_unanswered(&mut self, host: &HostId, fleet: &Fleet) {
+        let count = self.unanswered.entry(host.clone()).or_default();
+        *count += 1;
+        if *count >= MAX_UNANSWERED {
+            self.host_silent(host, fleet);
+        }
+    }
+
+    /// Takes what a host answered to an order; `None` when no answer came.
+    pub fn on_reply(
+        &mut self,
+        host: &HostId,
+        order: &Order,
+        reply: Option<OrderReply>,
+        now: Instant,
+    ) {
+        self.sent.remove(&(host.clone(), order.kind()));
+        if reply.is_some() {
+            self.unanswered.remove(host);
+        }
+        let (replica, epoch) = order.formation();
+        let known = self.formations.get_mut(replica);
+        let Some(formation) = known.filter(|f| f.epoch == epoch) else {
+            return;
+        };
+        match (order, reply) {
+            (Order::Join { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
+                formation.accepted.insert(host.clone());
+            }
+            (Order::Join { .. }, Some(OrderReply::Fenced | OrderReply::WrongHost)) => {
+                formation.lose(Loss::Refused(host.clone()), now);
+            }
+            (Order::Open { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
+                formation.enter(Step::Open, now);
+            }
+            (Order::Leave { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
+                formation.head_left = true;
+            }
+            (Order::Leave { .. }, Some(OrderReply::WrongHost)) => {
+                formation.head_left = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides what to do now. `cold` while no request was ever served, when loads are
+    /// quick and bounded by nothing.
+    pub fn step(
+        &mut self,
+        fleet: &Fleet,
+        services: &[&Service],
+        cold: bool,
+        now: Instant,
+    ) -> Vec<Command> {
+        let mut commands = Vec::new();
+        self.forget_returned(fleet);
+        self.adopt(fleet, services, now);
+        let ids: Vec<GroupId> = self.formations.keys().cloned().collect();
+        for id in ids {
+            self.advance(&id, fleet, services, cold, now, &mut commands);
+        }
+        for service in services {
+            if let Some(engine) = &service.engine {
+                self.form(service, engine, fleet, cold, now);
+            }
+        }
+        // Formations that were just decided are ordered at once.
+        let joining = |f: &Formation| f.step == Step::Joining && f.accepted.is_empty();
+        let fresh: Vec<GroupId> = self
+            .formations
+            .values()
+            .filter(|f| joining(f))
+            .map(|f| f.id.clone())
+            .collect();
+        for id in fresh {
+            self.advance(&id, fleet, services, cold, now, &mut commands);
+        }
+        commands
+    }
+
+    /// A silent host counts again once it is listed with another start.
+    fn forget_returned(&mut self, fleet: &Fleet) {
+        self.silent
+            .retain(|id, born| fleet.host(id).is_none_or(|h| h.born_ms == *born));
+        let listed = |id: &HostId| fleet.host(id).is_some();
+        self.unanswered.retain(|id, _| listed(id));
+        self.sent.retain(|(id, _), _| listed(id));
+        self.primed
+            .retain(|id, (born, _)| fleet.host(id).is_some_and(|h| h.born_ms == *born));
+        for host in fleet.hosts() {
+            let joined = host
+                .membership
+                .as_ref()
+                .is_some_and(|m| m.phase != MembershipPhase::Joining);
+            if let (true, Some(model)) = (joined, &host.model) {
+                self.primed
+                    .insert(host.id.clone(), (host.born_ms, model.clone()));
+            }
+        }
+    }
+
+    /// Takes over replicas that serve or are about to, from whoever formed them.
+    fn adopt(&mut self, fleet: &Fleet, services: &[&Service], now: Instant) {
+        for replica in fleet.replicas() {
+            if self.formations.contains_key(&replica.id) {
+                continue;
+            }
+            let head = replica.members.first().and_then(|(_, id)| fleet.host(id));
+            let Some(head) = head.filter(|h| h.is_open_head()) else {
+                continue;
+            };
+            let Some(model) = model_of(head, services) else {
+                continue;
+            };
+            let ranks = replica.members.iter().map(|(rank, _)| *rank);
+            let whole = replica.members.len() == model.size && ranks.eq(0..model.size);
+            let members: Vec<HostId> = replica.members.iter().map(|(_, id)| id.clone()).collect();
+            if members.iter().any(|m| self.formation_of(m).is_some()) {
+                continue;
+            }
+            let mut formation =
+                Formation::new(replica.id.clone(), replica.epoch, head, model, members, now);
+            formation.enter(Step::Open, now);
+            if !whole {
+                formation.lose(Loss::Incomplete, now);
+            }
+            self.formations.insert(replica.id, formation);
+        }
+    }
+
+    /// The formation that a host is a member of.
+    pub fn formation_of(&self, host: &str) -> Option<&Formation> {
+        self.formations
+            .values()
+            .find(|f| f.members.iter().any(|m| m == host))
+    }
+
+    fn is_lost(&self, host: &HostId, fleet: &Fleet) -> Option<Loss> {
+        if self.silent.contains_key(host) {
+            return Some(Loss::Silent(host.clone()));
+        }
+        match fleet.host(host) {
+            None => Some(Loss::Gone(host.clone())),
+            Some(h) if !h.is_ready() => Some(Loss::Leaving(host.clone())),
+            Some(_) => None,
+        }
+    }
+
+    fn advance(
+        &mut self,
+        id: &GroupId,
+        fleet: &Fleet,
+        services: &[&Service],
+        cold: bool,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(mut formation) = self.formations.remove(id) else {
+            return;
+        };
+        let lost = formation
+            .members
+            .iter()
+            .find_map(|m| self.is_lost(m, fleet));
+        let keep = match formation.step {
+            Step::Joining | Step::Opening => {
+                let model = find_model(services, &formation.service, &formation.model);
+                self.advance_joining(&mut formation, lost, model, fleet, cold, now, commands)
+            }
+            Step::Open => {
+                self.advance_open(&mut formation, lost, fleet, now);
+                true
+            }
+            Step::Draining => self.advance_draining(&mut formation, lost, fleet, now, commands),
+            Step::Dissolving => self.advance_dissolving(&mut formation, fleet, now, commands),
+        };
+        if keep {
+            self.formations.insert(id.clone(), formation);
+        }
+    }
+
+    /// Orders members to join, asks them, and opens once each said that it is ready.
+    #[allow(clippy::too_many_arguments)]
+    fn advance_joining(
+        &mut self,
+        f: &mut Formation,
+        lost: Option<Loss>,
+        model: Option<&ModelSpec>,
+        fleet: &Fleet,
+        cold: bool,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if f.purpose == Purpose::Prime {
+            return self.advance_priming(f, lost, model, fleet, now, commands);
+        }
+        if lost.is_some() || f.loss.is_some() {
+            // The order to open may be under way: until the head has left it may serve.
+            if f.step == Step::Opening {
+                f.lose(lost.unwrap_or(Loss::Incomplete), now);
+                return true;
+            }
+            return false;
+        }
+        for member in f.members.clone() {
+            let Some(host) = fleet.host(&member) else {
+                continue;
+            };
+            if f.is_ready_member(host) {
+                self.primed
+                    .insert(member.clone(), (host.born_ms, f.model.clone()));
+                f.ready.insert(member);
+                continue;
+            }
+            if f.ready.contains(&member) {
+                continue;
+            }
+            if !f.accepted.contains(&member) {
+                self.send(f.join(), &member, now, commands);
+                continue;
+            }
+            let expected = f.since + self.join_time(host, model);
+            // Before there are requests, entries are early enough.
+            let patience = if cold {
+                self.timing.entry_lag
+            } else {
+                Duration::ZERO
+            };
+            if now >= expected + patience {
+                self.ask(&member, now, commands);
+            }
+        }
+        if f.ready.len() == f.members.len() {
+            self.open(f, fleet, now, commands);
+        }
+        true
+    }
+
+    fn open(
+        &mut self,
+        f: &mut Formation,
+        fleet: &Fleet,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(head) = f.head().cloned() else {
+            return;
+        };
+        if fleet
+            .host(&head)
+            .is_some_and(|h| f.is_member(h) && h.is_open_head())
+        {
+            f.enter(Step::Open, now);
+            return;
+        }
+        if f.step != Step::Opening {
+            f.enter(Step::Opening, now);
+        }
+        let open = Order::Open {
+            replica: f.id.clone(),
+            epoch: f.epoch,
+        };
+        self.send(open, &head, now, commands);
+    }
+
+    /// A spare joins a replica of its own that is never opened, so that it joins a
+    /// serving one in 0.2 s instead of the time that its weights take.
+    fn advance_priming(
+        &mut self,
+        f: &mut Formation,
+        lost: Option<Loss>,
+        model: Option<&ModelSpec>,
+        fleet: &Fleet,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if lost.is_some() || f.loss.is_some() || model.is_none() {
+            return false;
+        }
+        for member in f.members.clone() {
+            let Some(host) = fleet.host(&member) else {
+                continue;
+            };
+            if f.is_ready_member(host) {
+                self.primed
+                    .insert(member.clone(), (host.born_ms, f.model.clone()));
+                f.ready.insert(member);
+            } else if !f.accepted.contains(&member) {
+                self.send(f.join(), &member, now, commands);
+            }
+        }
+        true
+    }
+
+    fn advance_open(&mut self, f: &mut Formation, lost: Option<Loss>, fleet: &Fleet, now: Instant) {
+        if let Some(loss) = lost {
+            let leaving = matches!(loss, Loss::Leaving(_));
+            f.lose(loss, now);
+            if leaving {
+                f.enter(Step::Draining, now);
+            }
+            return;
+        }
+        if now.saturating_duration_since(f.since) < self.timing.entry_lag {
+            return;
+        }
+        for member in &f.members {
+            let Some(host) = fleet.host(member) else {
+                continue;
+            };
+            if !f.is_member(host) {
+                f.lose(Loss::Elsewhere(member.clone()), now);
+                return;
+            }
+        }
+        let head = f.head().and_then(|h| fleet.host(h));
+        match head.and_then(|h| h.membership.as_ref()).map(|m| m.phase) {
+            Some(MembershipPhase::Broken) => f.lose(Loss::Broken, now),
+            // A late order closed it: open it again.
+            Some(MembershipPhase::Ready) => f.enter(Step::Joining, now),
+            _ => {}
+        }
+    }
+
+    /// The head finishes what runs; then the replica is dissolved and formed anew.
+    fn advance_draining(
+        &mut self,
+        f: &mut Formation,
+        lost: Option<Loss>,
+        fleet: &Fleet,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        let Some(head) = f.head().cloned() else {
+            return false;
+        };
+        let phase = fleet.host(&head).filter(|h| f.is_member(h));
+        let phase = phase.and_then(|h| h.membership.as_ref()).map(|m| m.phase);
+        let finished = matches!(
+            phase,
+            Some(MembershipPhase::Ready | MembershipPhase::Broken)
+        );
+        let over = now.saturating_duration_since(f.since) >= self.timing.drain;
+        let worse = lost.is_some_and(|l| !matches!(l, Loss::Leaving(_)));
+        if finished || over || worse {
+            f.enter(Step::Dissolving, now);
+            return self.advance_dissolving(f, fleet, now, commands);
+        }
+        if phase == Some(MembershipPhase::Open) {
+            let close = Order::Close {
+                replica: f.id.clone(),
+                epoch: f.epoch,
+            };
+            self.send(close, &head, now, commands);
+        }
+        true
+    }
+
+    /// Tells the head to leave, and keeps the members bound until it has left or is gone.
+    ///
+    /// A host that joins another replica while its old head serves would tear answers
+    /// in progress apart, which callers see as streams that stand still.
+    fn advance_dissolving(
+        &mut self,
+        f: &mut Formation,
+        fleet: &Fleet,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if f.head_left {
+            return false;
+        }
+        let Some(head) = f.head().cloned() else {
+            return false;
+        };
+        let Some(host) = fleet.host(&head) else {
+            return false;
+        };
+        let reborn = host.born_ms != f.head_born;
+        let entry_is_new = now.saturating_duration_since(f.since) >= self.timing.entry_lag;
+        if reborn || (entry_is_new && !f.is_member(host)) {
+            return false;
+        }
+        let leave = Order::Leave {
+            replica: f.id.clone(),
+            epoch: f.epoch,
+        };
+        self.send(leave, &head, now, commands);
+        true
+    }
+
+    fn send(&mut self, order: Order, host: &HostId, now: Instant, commands: &mut Vec<Command>) {
+        if self.claim(host, order.kind(), self.timing.resend, now) {
+            commands.push(Command::Order {
+                host: host.clone(),
+                order,
+            });
+        }
+    }
+
+    fn ask(&mut self, host: &HostId, now: Instant, commands: &mut Vec<Command>) {
+        if self.claim(host, SentKind::Question, self.timing.ask, now) {
+            commands.push(Command::Ask { host: host.clone() });
+        }
+    }
+
+    /// Whether it is time to send this to the host again.
+    fn claim(&mut self, host: &HostId, kind: SentKind, every: Duration, now: Instant) -> bool {
+        let key = (host.clone(), kind);
+        let last = self.sent.get(&key);
+        if last.is_some_and(|last| now.saturating_duration_since(*last) < every) {
+            return false;
+        }
+        self.sent.insert(key, now);
+        true
+    }
+
+    fn next_formation(&mut self) -> (GroupId, Epoch) {
+        self.formed += 1;
+        let epoch = self.term * EPOCHS_PER_TERM + self.formed;
+        (format_smolstr!("r{}-{}", self.term, self.formed), epoch)
+    }
+
+    /// How long a host takes to be ready in a replica of `model`.
+    fn join_time(&self, host: &Host, model: Option<&ModelSpec>) -> Duration {
+        let Some(model) = model else {
+            return Duration::ZERO;
+        };
+        if self
+            .primed
+            .get(&host.id)
+            .is_some_and(|(_, m)| *m == model.name)
+        {
+            return PRIMED_JOIN;
+        }
+        if host.staged.contains(&model.name) {
+            model.warm
+        } else {
+            model.load
+        }
+    }
+
+    fn members(&self) -> BTreeSet<&HostId> {
+        let bound = self
+            .formations
+            .values()
+            .filter(|f| f.purpose == Purpose::Serve);
+        bound.flat_map(|f| f.members.iter()).collect()
+    }
+}
+
+fn find_model<'s>(
+    services: &[&'s Service],
+    service: &ServiceName,
+    model: &str,
+) -> Option<&'s ModelSpec> {
+    let service = services.iter().find(|s| s.name == *service)?;
+    service
+        .engine
+        .as_ref()?
+        .models
+        .iter()
+        .find(|m| m.name == model)
+}
+
+fn model_of<'s>(head: &Host, services: &[&'s Service]) -> Option<&'s ModelSpec> {
+    find_model(services, &head.service, head.model.as_ref()?)
+}
--- /dev/null
+++ b/crates/fleet/src/planner/choose.rs
@@ -0,0 +1,231 @@
+//! Choosing models and members for hosts that are free.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use eelgrassmill_base::{FabricDomain, HostId};
+
+use crate::catalog::{Engine, ModelSpec, Service};
+use crate::fleet::Fleet;
+use crate::host::Host;
+use crate::planner::Planner;
+use crate::planner::formation::{Formation, Purpose};
+
+impl Planner {
+    /// Forms replicas from free hosts, and primes those that are left over.
+    pub(super) fn form(
+        &mut self,
+        service: &Service,
+        engine: &Engine,
+        fleet: &Fleet,
+        cold: bool,
+        now: Instant,
+    ) {
+        let mut domains = self.free_hosts(service, fleet);
+        for (fabric, free) in &mut domains {
+            while let Some(model) = self.next_model(service, engine, fabric, free) {
+                if !self.form_one(model, engine, free, cold, now) {
+                    break;
+                }
+            }
+        }
+        for (fabric, free) in &domains {
+            for host in free {
+                self.prime(service, engine, fabric, host, cold, now);
+            }
+        }
+    }
+
+    /// Hosts that no serving formation has, by fabric domain.
+    fn free_hosts<'f>(
+        &self,
+        service: &Service,
+        fleet: &'f Fleet,
+    ) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
+        let bound = self.members();
+        let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
+        for host in fleet.hosts() {
+            let usable = host.service == service.name && host.is_ready();
+            if usable && !bound.contains(&host.id) && !self.silent.contains_key(&host.id) {
+                domains.entry(host.fabric.clone()).or_default().push(host);
+            }
+        }
+        domains
+    }
+
+    /// The model that free hosts of a domain should form next.
+    ///
+    /// The one with the most work for each of its replicas, counting one more. A second
+    /// replica of a model in one domain is formed only where that model is the neediest:
+    /// otherwise hosts that wait for one more would be taken from a needier model.
+    fn next_model<'e>(
+        &self,
+        service: &Service,
+        engine: &'e Engine,
+        fabric: &FabricDomain,
+        free: &[&Host],
+    ) -> Option<&'e ModelSpec> {
+        let need = |m: &ModelSpec| m.share.get() / (self.serving(service, m, None) + 1) as f64;
+        let mut models: Vec<&ModelSpec> = engine.models.iter().collect();
+        models.sort_by(|a, b| need(b).total_cmp(&need(a)));
+        let neediest = models.first().map(|m| m.name.clone());
+        models.into_iter().find(|m| {
+            let first = self.serving(service, m, Some(fabric)) == 0;
+            let spares_left = free.len().saturating_sub(m.size) >= engine.models.len();
+            let wanted = first || (neediest.as_ref() == Some(&m.name) && spares_left);
+            wanted && m.size > 0 && m.size <= free.len()
+        })
+    }
+
+    /// Replicas of a model that serve or are about to.
+    fn serving(
+        &self,
+        service: &Service,
+        model: &ModelSpec,
+        fabric: Option<&FabricDomain>,
+    ) -> usize {
+        let counts = |f: &&Formation| {
+            f.purpose == Purpose::Serve
+                && f.loss.is_none()
+                && f.service == service.name
+                && f.model == model.name
+                && fabric.is_none_or(|d| f.fabric == *d)
+        };
+        self.formations.values().filter(counts).count()
+    }
+
+    /// Takes the hosts that are ready soonest. `false` when loads must wait.
+    fn form_one(
+        &mut self,
+        model: &ModelSpec,
+        engine: &Engine,
+        free: &mut Vec<&Host>,
+        cold: bool,
+        now: Instant,
+    ) -> bool {
+        free.sort_by_key(|h| (self.join_time(h, Some(model)), h.id.clone()));
+        let chosen: Vec<&Host> = free.iter().take(model.size).copied().collect();
+        let loads = chosen.iter().filter(|h| self.needs_load(h, model)).count();
+        if !self.take_loads(loads, engine, cold, now) {
+            return false;
+        }
+        let members: Vec<HostId> = chosen.iter().map(|h| h.id.clone()).collect();
+        let Some(head) = chosen.first() else {
+            return false;
+        };
+        let (id, epoch) = self.next_formation();
+        let formation = Formation::new(id.clone(), epoch, head, model, members.clone(), now);
+        self.drop_priming(&members);
+        self.formations.insert(id, formation);
+        free.drain(..model.size);
+        true
+    }
+
+    /// Whether joining takes a load from the weight store.
+    fn needs_load(&self, host: &Host, model: &ModelSpec) -> bool {
+        !host.staged.contains(&model.name)
+    }
+
+    /// Whether `count` loads may start now; counts them if so.
+    ///
+    /// The weight store serves a bounded number of loads, and each one beyond makes all
+    /// slower, so that spares loading at once would delay the replica that waits.
+    fn take_loads(&mut self, count: usize, engine: &Engine, cold: bool, now: Instant) -> bool {
+        if count == 0 {
+            return true;
+        }
+        let window = self.timing.load_window;
+        while self
+            .loads
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) > window)
+        {
+            self.loads.pop_front();
+        }
+        let permitted = engine.loads_per_ks as f64 / 1000.0 * window.as_secs_f64();
+        if !cold && (self.loads.len() + count) as f64 > permitted.max(count as f64) {
+            return false;
+        }
+        self.loads.extend(std::iter::repeat_n(now, count));
+        true
+    }
+
+    /// Spares give up their own formations when a serving one takes them.
+    fn drop_priming(&mut self, members: &[HostId]) {
+        let taken = |f: &Formation| f.members.iter().any(|m| members.contains(m));
+        self.formations
+            .retain(|_, f| f.purpose == Purpose::Serve || !taken(f));
+    }
+
+    /// Has a spare join a replica of its own, of the model that most needs one.
+    fn prime(
+        &mut self,
+        service: &Service,
+        engine: &Engine,
+        fabric: &FabricDomain,
+        host: &Host,
+        cold: bool,
+        now: Instant,
+    ) {
+        if self.primed.contains_key(&host.id) || self.formation_of(&host.id).is_some() {
+            return;
+        }
+        // Before requests come, replicas that serve are loaded first.
+        if cold
+            && self
+                .formations
+                .values()
+                .any(|f| f.step != crate::planner::Step::Open)
+        {
+            return;
+        }
+        let Some(model) = self.model_to_prime(service, engine, fabric, host) else {
+            return;
+        };
+        let loads = usize::from(self.needs_load(host, model));
+        if !self.take_loads(loads, engine, cold, now) {
+            return;
+        }
+        let (id, epoch) = self.next_formation();
+        let members = vec![host.id.clone()];
+        let mut formation = Formation::new(id.clone(), epoch, host, model, members, now);
+        formation.purpose = Purpose::Prime;
+        self.formations.insert(id, formation);
+    }
+
+    /// The model with the most members in this domain for each spare that could replace one.
+    fn model_to_prime<'e>(
+        &self,
+        service: &Service,
+        engine: &'e Engine,
+        fabric: &FabricDomain,
+        host: &Host,
+    ) -> Option<&'e ModelSpec> {
+        let spares = self.spares(service, fabric);
+        let need = |m: &ModelSpec| {
+            let members = m.size * self.serving(service, m, Some(fabric)).max(1);
+            let ready = spares.iter().filter(|s| **s == m.name.as_str()).count();
+            let staged = if host.staged.contains(&m.name) {
+                1.5
+            } else {
+                1.0
+            };
+            staged * members as f64 / (ready + 1) as f64
+        };
+        engine
+            .models
+            .iter()
+            .max_by(|a, b| need(a).total_cmp(&need(b)))
+    }
+
+    /// The models for which the spares of a domain are primed.
+    fn spares(&self, service: &Service, fabric: &FabricDomain) -> Vec<&str> {
+        let bound: BTreeSet<&HostId> = self.members();
+        let of_domain = |f: &&Formation| {
+            f.purpose == Purpose::Prime && f.service == service.name && f.fabric == *fabric
+        };
+        let priming = self.formations.values().filter(of_domain);
+        let free = priming.filter(|f| f.members.iter().all(|m| !bound.contains(m)));
+        free.map(|f| f.model.as_str()).collect()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner/order.rs
@@ -0,0 +1,98 @@
+//! What the planner wants done.
+
+use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName, value};
+
+use crate::planner::SentKind;
+
+value! {
+    /// An order to one host.
+    pub enum Order {
+        /// Become a member of a replica.
+        Join {
+            /// The replica.
+            replica: GroupId,
+            /// Its formation.
+            epoch: Epoch,
+            /// Its model.
+            model: ModelName,
+            /// All members; the first is the head.
+            members: Vec<HostId>,
+        },
+        /// To a head: begin to serve.
+        Open {
+            /// The replica.
+            replica: GroupId,
+            /// Its formation.
+            epoch: Epoch,
+        },
+        /// To a head: finish what runs and take nothing new.
+        Close {
+            /// The replica.
+            replica: GroupId,
+            /// Its formation.
+            epoch: Epoch,
+        },
+        /// Stop being a member, at once.
+        Leave {
+            /// The replica.
+            replica: GroupId,
+            /// Its formation.
+            epoch: Epoch,
+        },
+    }
+
+    /// What the planner wants done.
+    pub enum Command {
+        /// Send an order and report the reply.
+        Order {
+            /// To this host.
+            host: HostId,
+            /// This order.
+            order: Order,
+        },
+        /// Ask a host what it holds.
+        Ask {
+            /// The host.
+            host: HostId,
+        },
+    }
+}
+
+value! { copy
+    /// What a host answers to an order.
+    pub enum OrderReply {
+        /// It has begun.
+        Begun,
+        /// It is done, or was already so.
+        Done,
+        /// It doesn't fit what the host holds.
+        Conflict,
+        /// Its epoch is older than one that the host has seen.
+        Fenced,
+        /// Another host has this address now.
+        WrongHost,
+        /// It was refused otherwise, with this status.
+        Refused(u16),
+    }
+}
+
+impl Order {
+    /// The formation that it is about.
+    pub fn formation(&self) -> (&GroupId, Epoch) {
+        match self {
+            Order::Join { replica, epoch, .. }
+            | Order::Open { replica, epoch }
+            | Order::Close { replica, epoch }
+            | Order::Leave { replica, epoch } => (replica, *epoch),
+        }
+    }
+
+    pub(crate) fn kind(&self) -> SentKind {
+        match self {
+            Order::Join { .. } => SentKind::Join,
+            Order::Open { .. } => SentKind::Open,
+            Order::Close { .. } => SentKind::Close,
+            Order::Leave { .. } => SentKind::Leave,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/retry.rs
@@ -0,0 +1,64 @@
+//! How much is sent a second time, over all nodes together.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Part of the permitted repeats that is used. The rest covers that nodes don't see the
+/// same number of nodes at the same moment, and that callers' requests come unevenly.
+const USED_PART: f64 = 0.8;
+
+/// A sliding window over the requests and repeats of one service at this node.
+///
+/// The bound holds for all nodes together: `ratio` x requests + `slack` in any window.
+/// Requests add up over nodes, so each node may use `ratio` of its own; the slack is
+/// divided by the number of nodes. No message between nodes is needed.
+#[derive(Clone, Debug)]
+pub struct RetryWindow {
+    window: Duration,
+    ratio: f64,
+    slack: f64,
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl RetryWindow {
+    /// An empty window.
+    pub fn new(window: Duration, ratio: f64, slack: f64) -> RetryWindow {
+        RetryWindow {
+            window,
+            ratio,
+            slack,
+            requests: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
+    }
+
+    /// Notes a request of a caller.
+    pub fn on_request(&mut self, now: Instant) {
+        self.forget_old(now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat from the budget, if there is one left among `nodes` nodes.
+    pub fn try_repeat(&mut self, nodes: usize, now: Instant) -> bool {
+        self.forget_old(now);
+        let own_slack = self.slack / nodes.max(1) as f64;
+        let permitted = USED_PART * (self.ratio * self.requests.len() as f64 + own_slack);
+        let left = (self.repeats.len() as f64) + 1.0 <= permitted;
+        if left {
+            self.repeats.push_back(now);
+        }
+        left
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let window = self.window;
+        let old = |at: &Instant| now.saturating_duration_since(*at) > window;
+        while self.requests.front().is_some_and(old) {
+            self.requests.pop_front();
+        }
+        while self.repeats.front().is_some_and(old) {
+            self.repeats.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/stall.rs
@@ -0,0 +1,63 @@
+//! Noticing that a replica stands still.
+
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::value;
+
+value! { copy
+    /// When a replica counts as standing still.
+    pub struct StallRule {
+        /// Silence of all streams of a replica that is never suspicious. A pass takes
+        /// some 50 ms; a prompt's piece, a lost packet and its repetition about 250 ms.
+        pub floor: Duration,
+        /// Silence as a multiple of the usual pause, so that a slow replica isn't taken
+        /// for one that stands still.
+        pub pauses: u32,
+    }
+}
+
+impl Default for StallRule {
+    fn default() -> StallRule {
+        StallRule {
+            floor: Duration::from_millis(320),
+            pauses: 6,
+        }
+    }
+}
+
+/// When a replica last gave an event of any stream to this node.
+///
+/// A replica that lost a member gives nothing at all from that moment, on all of its
+/// streams, while its head still accepts requests. That silence is the earliest sign,
+/// seconds before the platform's host list says anything.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    last: Option<Instant>,
+    /// Usual pause between two events, a moving average.
+    pause: Duration,
+}
+
+/// Weight of the newest pause in the average, as 1 / this.
+const PAUSE_MEMORY: u32 = 8;
+
+impl Progress {
+    /// Notes an event, or that a stream's answer began.
+    pub fn event(&mut self, now: Instant) {
+        if let Some(last) = self.last {
+            let pause = now.saturating_duration_since(last);
+            self.pause = (self.pause * (PAUSE_MEMORY - 1) + pause) / PAUSE_MEMORY;
+        }
+        self.last = Some(now);
+    }
+
+    /// Notes that the replica got work after it had none: its silence counts from here.
+    pub fn resumed(&mut self, now: Instant) {
+        self.last = Some(now);
+    }
+
+    /// When it will count as standing still.
+    pub fn stalls_at(&self, rule: &StallRule) -> Option<Instant> {
+        let silence = rule.floor.max(self.pause * rule.pauses);
+        self.last.map(|last| last + silence)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,118 @@
+//! Answers that a node gives by itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrassmill_base::value;
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::body::AnswerBody;
+
+value! { copy
+    /// Why a request got no answer of a host.
+    pub enum RefusalCause {
+        /// This node knows no configuration or no hosts yet.
+        NotLoaded,
+        /// No route takes it.
+        NoRoute,
+        /// Its key is missing or unknown.
+        UnknownKey,
+        /// Its body is longer than the limit.
+        TooLong,
+        /// Its body did not come in time or broke off.
+        BodyCut,
+        /// No host or replica can serve it now.
+        NothingServes,
+        /// All are full.
+        Full,
+        /// Hosts refused it, and no further attempt is permitted.
+        HostsRefused,
+        /// Its time was over before it was sent to a host.
+        OutOfTime,
+        /// It was sent, and no answer came in time.
+        NoAnswerInTime,
+        /// It was sent, and the answer broke off or was of no use.
+        AnswerBroken,
+    }
+}
+
+impl RefusalCause {
+    /// The word for it in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalCause::NotLoaded => "not-loaded",
+            RefusalCause::NoRoute => "no-route",
+            RefusalCause::UnknownKey => "unknown-key",
+            RefusalCause::TooLong => "too-long",
+            RefusalCause::BodyCut => "body-cut",
+            RefusalCause::NothingServes => "nothing-serves",
+            RefusalCause::Full => "full",
+            RefusalCause::HostsRefused => "hosts-refused",
+            RefusalCause::OutOfTime => "out-of-time",
+            RefusalCause::NoAnswerInTime => "no-answer-in-time",
+            RefusalCause::AnswerBroken => "answer-broken",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            RefusalCause::NotLoaded
+            | RefusalCause::NothingServes
+            | RefusalCause::Full
+            | RefusalCause::HostsRefused
+            | RefusalCause::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
+            RefusalCause::NoRoute => StatusCode::NOT_FOUND,
+            RefusalCause::UnknownKey => StatusCode::UNAUTHORIZED,
+            RefusalCause::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalCause::BodyCut => StatusCode::REQUEST_TIMEOUT,
+            RefusalCause::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
+            RefusalCause::AnswerBroken => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+value! { copy
+    /// The final answer to a request that was given up.
+    pub struct Refusal {
+        /// Why.
+        pub cause: RefusalCause,
+        /// When the caller should come back. Only for requests that have not run.
+        pub retry_after: Option<Duration>,
+    }
+}
+
+impl Refusal {
+    /// A refusal with nothing to wait for.
+    pub fn new(cause: RefusalCause) -> Refusal {
+        Refusal {
+            cause,
+            retry_after: None,
+        }
+    }
+
+    /// A refusal of a request that has not run, and when to come back.
+    pub fn later(cause: RefusalCause, wait: Duration) -> Refusal {
+        Refusal {
+            cause,
+            retry_after: Some(wait),
+        }
+    }
+
+    /// As an HTTP answer.
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let text = format!("{{\"error\":\"{}\"}}", self.cause.name());
+        let mut answer = Response::new(AnswerBody::whole(Bytes::from(text)));
+        *answer.status_mut() = self.cause.status();
+        let headers = answer.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        let seconds = self.retry_after.map(|w| format!("{:.2}", w.as_secs_f64()));
+        // Digits and a point are always a valid header value.
+        if let Some(value) = seconds.and_then(|s| HeaderValue::from_str(&s).ok()) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,70 @@
+//! One request of a caller, decoded.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassmill_base::{ModelName, RequestId, TenantId, value};
+use eelgrassmill_fleet::{Caller, Repeat, Route};
+use http::{HeaderMap, Method};
+use smol_str::SmolStr;
+
+value! {
+    /// The size of a request to a model.
+    pub struct Prompt {
+        /// The model that it is for.
+        pub model: ModelName,
+        /// Prompt tokens.
+        pub tokens: u64,
+        /// Most tokens of the answer.
+        pub answer_tokens: u64,
+    }
+
+    /// What a request's headers say.
+    pub struct CallHead {
+        /// The id of this attempt of the caller; empty where it has none.
+        pub id: RequestId,
+        /// How long the caller waits.
+        pub timeout: Option<Duration>,
+        /// Set on requests to a model.
+        pub prompt: Option<Prompt>,
+        /// The last event that the caller has of this stream.
+        pub resume_after: Option<SmolStr>,
+    }
+}
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) head: CallHead,
+    pub(crate) method: Method,
+    /// Path and query as the caller wrote them.
+    pub(crate) path: SmolStr,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) caller: Option<Arc<Caller>>,
+    pub(crate) arrived: Instant,
+    /// When its caller gives up or its route's timeout is over, whichever is first.
+    pub(crate) deadline: Instant,
+}
+
+impl Call {
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn repeatable(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    pub(crate) fn tenant(&self) -> Option<TenantId> {
+        self.caller.as_ref().map(|c| c.tenant.clone())
+    }
+
+    /// The tenant's urgency goes before the route's.
+    pub(crate) fn urgency(&self) -> u8 {
+        let caller = self.caller.as_ref().and_then(|c| c.urgency);
+        caller.unwrap_or(self.route.urgency)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,194 @@
+//! What the parts of a node share, each part under its own lock.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, RwLock};
+use std::time::Instant;
+
+use eelgrassmill_base::{NodeId, ServiceName};
+use eelgrassmill_engine::TargetClient;
+use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow};
+use eelgrassmill_peer::PeerNode;
+use tokio::sync::watch;
+
+use crate::config::GatewayConfig;
+use crate::dispatch::TargetStats;
+use crate::heads::{HeadTable, locked};
+use crate::metrics::Metrics;
+use crate::nodes::Nodes;
+use crate::peers::Peers;
+use crate::planning::PlanningEvent;
+use crate::ports::Platform;
+use crate::turn::Turns;
+
+/// A node's state.
+pub(crate) struct Core<P: Platform> {
+    pub(crate) cfg: GatewayConfig,
+    pub(crate) platform: P,
+    pub(crate) http: TargetClient,
+    /// Invariant: its version never falls.
+    catalog: RwLock<Arc<Catalog>>,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) heads: Mutex<HeadTable>,
+    pub(crate) targets: Mutex<TargetStats>,
+    pub(crate) nodes: Mutex<Nodes>,
+    /// Other nodes that say that they hold the planner's seat, and their terms.
+    pub(crate) seats: Mutex<BTreeMap<NodeId, u64>>,
+    pub(crate) retries: Mutex<HashMap<ServiceName, RetryWindow>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) turns: Turns,
+    /// What the planner should know, while this node has one.
+    pub(crate) planning: watch::Sender<u64>,
+    planning_events: Mutex<Vec<PlanningEvent>>,
+    pub(crate) leaving: AtomicBool,
+    pub(crate) stopping: watch::Sender<bool>,
+    served: AtomicBool,
+    store_failures: AtomicU64,
+    peer: OnceLock<Arc<PeerNode<Peers<P>>>>,
+    pub(crate) began: Instant,
+}
+
+impl<P: Platform> Core<P> {
+    pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
+        Core {
+            cfg,
+            platform,
+            http,
+            catalog: RwLock::default(),
+            fleet: Mutex::default(),
+            heads: Mutex::default(),
+            targets: Mutex::default(),
+            nodes: Mutex::default(),
+            seats: Mutex::default(),
+            retries: Mutex::default(),
+            metrics: Metrics::default(),
+            turns: Turns::default(),
+            planning: watch::Sender::new(0),
+            planning_events: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            stopping: watch::Sender::new(false),
+            served: AtomicBool::new(false),
+            store_failures: AtomicU64::new(0),
+            peer: OnceLock::new(),
+            began: Instant::now(),
+        }
+    }
+
+    /// The configuration in force here.
+    pub(crate) fn catalog(&self) -> Arc<Catalog> {
+        let catalog = self.catalog.read().unwrap_or_else(|e| e.into_inner());
+        Arc::clone(&catalog)
+    }
+
+    /// Puts a configuration in force, unless it is no newer. Whether it did.
+    ///
+    /// The store's answers may be seconds old, and a new connection may show an older
+    /// state than the last one did; a version that has been in force is never left.
+    pub(crate) fn offer(&self, catalog: Catalog) -> bool {
+        let mut held = self.catalog.write().unwrap_or_else(|e| e.into_inner());
+        if catalog.version() <= held.version() {
+            return false;
+        }
+        *held = Arc::new(catalog);
+        true
+    }
+
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.catalog().version() > 0 && locked(&self.fleet).is_loaded()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a request was served, here or elsewhere.
+    pub(crate) fn set_served(&self) {
+        self.served.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn has_served(&self) -> bool {
+        self.served.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_peer(&self, peer: Arc<PeerNode<Peers<P>>>) {
+        // Set by the one start of the node; a second call would change nothing.
+        let _ = self.peer.set(peer);
+    }
+
+    pub(crate) fn peer(&self) -> Option<&Arc<PeerNode<Peers<P>>>> {
+        self.peer.get()
+    }
+
+    /// Failures of calls to the store in a row; 0 while it answers.
+    pub(crate) fn store_failures(&self) -> u64 {
+        self.store_failures.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn store_failed(&self) {
+        self.store_failures.fetch_add(1, Ordering::Relaxed);
+        locked(&self.fleet).store_disturbed(Instant::now());
+    }
+
+    pub(crate) fn store_answered(&self) {
+        self.store_failures.store(0, Ordering::Relaxed);
+    }
+
+    /// Tells the planner something, if this node has one.
+    pub(crate) fn tell_planner(&self, event: PlanningEvent) {
+        locked(&self.planning_events).push(event);
+        self.wake_planner();
+    }
+
+    pub(crate) fn wake_planner(&self) {
+        self.planning.send_modify(|n| *n += 1);
+    }
+
+    pub(crate) fn take_planning_events(&self) -> Vec<PlanningEvent> {
+        std::mem::take(&mut *locked(&self.planning_events))
+    }
+
+    /// Nodes that share the bound on repeats, this one among them.
+    pub(crate) fn node_count(&self) -> usize {
+        locked(&self.nodes).alive(Instant::now()).count() + 1
+    }
+
+    /// Says that a place at a head may have become free.
+    pub(crate) fn freed(&self) {
+        self.turns.wake();
+    }
+
+    /// Takes the hosts' entries over into the table of heads.
+    pub(crate) fn refresh_heads(&self) {
+        {
+            let fleet = locked(&self.fleet);
+            locked(&self.heads).update(&fleet);
+        }
+        self.freed();
+        self.wake_planner();
+    }
+
+    /// Counts a caller's request for the bound on repeats.
+    pub(crate) fn count_request(&self, service: &ServiceName) {
+        let mut retries = locked(&self.retries);
+        self.window(&mut retries, service)
+            .on_request(Instant::now());
+    }
+
+    /// Whether one more repeat for this service is permitted; counts it if so.
+    pub(crate) fn try_repeat(&self, service: &ServiceName) -> bool {
+        let nodes = self.node_count();
+        let mut retries = locked(&self.retries);
+        self.window(&mut retries, service)
+            .try_repeat(nodes, Instant::now())
+    }
+
+    fn window<'w>(
+        &self,
+        windows: &'w mut HashMap<ServiceName, RetryWindow>,
+        service: &ServiceName,
+    ) -> &'w mut RetryWindow {
+        let rules = self.cfg.retries;
+        let fresh = || RetryWindow::new(rules.window, rules.ratio, rules.slack);
+        windows.entry(service.clone()).or_insert_with(fresh)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,323 @@
+//! Requests with a whole answer: sent to a host, read to the end, then handed on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassmill_base::{HostId, ServiceName};
+use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
+use eelgrassmill_fleet::{Candidate, Host, place};
+use http::{Response, StatusCode};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use tracing::info;
+
+use crate::answer::{Refusal, RefusalCause};
+use crate::body::AnswerBody;
+use crate::call::Call;
+use crate::core::Core;
+use crate::heads::locked;
+use crate::ports::{AnswerMeaning, AttemptHead, Dialect, Platform};
+
+/// Longest whole answer that is held in memory.
+const MAX_ANSWER: usize = 8 << 20;
+/// A first attempt that may be repeated is given up after this many times the aim: by
+/// then the answer is late, and half of the route's timeout is left for another host.
+const PATIENCE_IN_AIMS: u32 = 2;
+/// When a caller should come back after every host refused: hosts refuse while their
+/// short queue is full, which a few answers later it no longer is.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
+/// Weight of the newest outcome in a host's failure rate, as 1 / this.
+const FAILURE_MEMORY: u32 = 8;
+
+/// What this node sees of each host of plain services.
+#[derive(Debug, Default)]
+pub(crate) struct TargetStats {
+    hosts: HashMap<HostId, TargetStat>,
+}
+
+#[derive(Debug, Default)]
+struct TargetStat {
+    running: usize,
+    failing_permille: u32,
+}
+
+impl TargetStats {
+    fn enter(&mut self, host: &HostId) {
+        self.hosts.entry(host.clone()).or_default().running += 1;
+    }
+
+    fn leave(&mut self, host: &HostId, failed: bool) {
+        let Some(stat) = self.hosts.get_mut(host) else {
+            return;
+        };
+        stat.running = stat.running.saturating_sub(1);
+        let outcome = if failed { 1000 } else { 0 };
+        stat.failing_permille =
+            (stat.failing_permille * (FAILURE_MEMORY - 1) + outcome) / FAILURE_MEMORY;
+    }
+
+    fn of(&self, host: &str) -> (usize, u32) {
+        self.hosts
+            .get(host)
+            .map_or((0, 0), |s| (s.running, s.failing_permille))
+    }
+}
+
+/// Counts a request at a host until it is dropped. Failed unless said otherwise, so that
+/// an attempt that is given up counts as one.
+struct Running<'c, P: Platform> {
+    core: &'c Core<P>,
+    host: HostId,
+    failed: bool,
+}
+
+impl<P: Platform> Drop for Running<'_, P> {
+    fn drop(&mut self) {
+        locked(&self.core.targets).leave(&self.host, self.failed);
+    }
+}
+
+/// What became of one attempt.
+enum Attempt {
+    /// A whole answer.
+    Answered(StatusCode, http::HeaderMap, Bytes),
+    /// It reached nobody.
+    NotSent(SmolStr),
+    /// A host refused it and will not run it.
+    NotRun(SmolStr),
+    /// It may have run.
+    Unknown(SmolStr),
+}
+
+/// Serves a call whose answer is handed on whole.
+pub(crate) async fn run<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Call,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let service = pick_service(core, call)?;
+    core.count_request(&service);
+    let mut tried: SmallVec<[HostId; 4]> = SmallVec::new();
+    let mut runs = 0;
+    let mut arrived = 0;
+    let mut fallback = None;
+    while !call.left().is_zero() {
+        let Some(host) = pick_host(core, &service, &tried) else {
+            break;
+        };
+        if arrived > 0 && !core.try_repeat(&service) {
+            break;
+        }
+        let patience = patience(call, runs);
+        let attempt = attempt(core, call, &host, patience).await;
+        tried.push(host.id.clone());
+        note(call, &host, &attempt);
+        match attempt {
+            Attempt::Answered(status, headers, body) => {
+                runs += 1;
+                arrived += 1;
+                let failed = status.is_server_error();
+                let answer = whole_answer(core, status, &headers, body);
+                if !failed || !call.repeatable() || runs >= call.route.attempts {
+                    return Ok(answer);
+                }
+                fallback = Some(answer);
+            }
+            Attempt::NotSent(_) => {}
+            Attempt::NotRun(_) => arrived += 1,
+            Attempt::Unknown(_) => {
+                runs += 1;
+                arrived += 1;
+                if !call.repeatable() || runs >= call.route.attempts {
+                    break;
+                }
+            }
+        }
+    }
+    fallback.ok_or_else(|| give_up(call, runs, arrived))
+}
+
+/// The refusal of a call that no host answered. "Not run" is said only where that is
+/// certain or where running it twice does no harm.
+fn give_up(call: &Call, runs: u32, arrived: u32) -> Refusal {
+    let out_of_time = call.left().is_zero();
+    if runs > 0 {
+        let cause = if out_of_time {
+            RefusalCause::NoAnswerInTime
+        } else {
+            RefusalCause::AnswerBroken
+        };
+        return Refusal::new(cause);
+    }
+    if out_of_time {
+        return Refusal::new(RefusalCause::OutOfTime);
+    }
+    let cause = if arrived > 0 {
+        RefusalCause::HostsRefused
+    } else {
+        RefusalCause::NothingServes
+    };
+    Refusal::later(cause, RETRY_AFTER_FULL)
+}
+
+fn patience(call: &Call, runs: u32) -> Duration {
+    let left = call.left();
+    if call.repeatable() && runs + 1 < call.route.attempts {
+        left.min((call.route.aim * PATIENCE_IN_AIMS).max(left / 4))
+    } else {
+        left
+    }
+}
+
+/// One of the route's services, by weight.
+pub(crate) fn pick_service<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+) -> Result<ServiceName, Refusal> {
+    let services = &call.route.services;
+    let total: u32 = services.iter().map(|(_, weight)| *weight).sum();
+    let nothing = || Refusal::later(RefusalCause::NothingServes, RETRY_AFTER_FULL);
+    let mut at = fastrand::u32(0..total.max(1));
+    let mut chosen = None;
+    for (service, weight) in services {
+        if at < *weight {
+            chosen = Some(service.clone());
+            break;
+        }
+        at -= weight;
+    }
+    let first = services.first().map(|(service, _)| service.clone());
+    let service = chosen.or(first).ok_or_else(nothing)?;
+    let fleet = locked(&core.fleet);
+    if fleet.hosts().any(|h| h.service == service && h.is_ready()) {
+        return Ok(service);
+    }
+    // Where a divided route's service has no host at all, another one serves.
+    let serves = |s: &ServiceName| fleet.hosts().any(|h| h.service == *s && h.is_ready());
+    let other = services.iter().find(|(s, weight)| *weight > 0 && serves(s));
+    other.map(|(s, _)| s.clone()).ok_or_else(nothing)
+}
+
+fn pick_host<P: Platform>(core: &Core<P>, service: &str, tried: &[HostId]) -> Option<Host> {
+    let fleet = locked(&core.fleet);
+    let stats = locked(&core.targets);
+    let usable = |h: &&Host| h.service == service && h.is_ready() && !tried.contains(&h.id);
+    let candidates: Vec<Candidate> = fleet
+        .hosts()
+        .filter(usable)
+        .map(|h| {
+            let (load, failing_permille) = stats.of(&h.id);
+            Candidate {
+                host: h.id.clone(),
+                load,
+                slots: h.slots,
+                near: h.failure_domain == core.cfg.failure_domain,
+                failing_permille,
+            }
+        })
+        .collect();
+    let chosen = place(&candidates, fastrand::usize(..))?;
+    fleet.host(&chosen.host).cloned()
+}
+
+async fn attempt<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    host: &Host,
+    patience: Duration,
+) -> Attempt {
+    locked(&core.targets).enter(&host.id);
+    let mut running = Running {
+        core,
+        host: host.id.clone(),
+        failed: true,
+    };
+    let req = target_request(core, call, &host.id, None, None);
+    let until = Instant::now() + patience;
+    let sent = core.http.send_within(&host.address, req, patience).await;
+    let response = match sent {
+        Ok(response) => response,
+        Err(SendError::NotSent(why)) => return Attempt::NotSent(why.into()),
+        Err(err) => return Attempt::Unknown(err.to_string().into()),
+    };
+    let status = response.status;
+    match core.platform.dialect().meaning(status, &response.headers) {
+        AnswerMeaning::NotRun => {
+            running.failed = false;
+            Attempt::NotRun("refused".into())
+        }
+        AnswerMeaning::WrongHost => Attempt::NotRun("another host has this address".into()),
+        AnswerMeaning::Unproven => Attempt::Unknown("answer without proof".into()),
+        AnswerMeaning::Answered => {
+            let read = read_whole(response, until).await;
+            running.failed = read.is_err() || status.is_server_error();
+            match read {
+                Ok((headers, body)) => Attempt::Answered(status, headers, body),
+                Err(why) => Attempt::Unknown(why),
+            }
+        }
+    }
+}
+
+async fn read_whole(
+    response: TargetResponse,
+    until: Instant,
+) -> Result<(http::HeaderMap, Bytes), SmolStr> {
+    let headers = response.headers.clone();
+    let left = until.saturating_duration_since(Instant::now());
+    match tokio::time::timeout(left, response.read_whole(MAX_ANSWER)).await {
+        Ok(Ok(body)) => Ok((headers, body)),
+        Ok(Err(err)) => Err(err.to_string().into()),
+        Err(_) => Err("the answer's body did not come in time".into()),
+    }
+}
+
+/// The request as a host gets it.
+pub(crate) fn target_request<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    host: &HostId,
+    urgency: Option<u8>,
+    resume_after: Option<SmolStr>,
+) -> TargetRequest {
+    let attempt = AttemptHead {
+        host: host.clone(),
+        timeout: call.left(),
+        tenant: call.tenant(),
+        urgency,
+        resume_after,
+    };
+    TargetRequest {
+        method: call.method.clone(),
+        path: call.path.to_string(),
+        headers: core
+            .platform
+            .dialect()
+            .target_headers(&call.headers, &attempt),
+        body: call.body.clone(),
+    }
+}
+
+fn whole_answer<P: Platform>(
+    core: &Core<P>,
+    status: StatusCode,
+    headers: &http::HeaderMap,
+    body: Bytes,
+) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = core.platform.dialect().caller_headers(headers);
+    answer
+}
+
+fn note(call: &Call, host: &Host, attempt: &Attempt) {
+    let (outcome, why) = match attempt {
+        Attempt::Answered(status, ..) if !status.is_server_error() => return,
+        Attempt::Answered(status, ..) => ("failed", SmolStr::from(status.as_str())),
+        Attempt::NotSent(why) => ("not-sent", why.clone()),
+        Attempt::NotRun(why) => ("not-run", why.clone()),
+        Attempt::Unknown(why) => ("unknown", why.clone()),
+    };
+    info!(event = "attempt", request = %call.head.id, host = %host.id, outcome, %why);
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,161 @@
+//! Starting and stopping a node.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use eelgrassmill_engine::TargetClient;
+use eelgrassmill_peer::{PeerError, PeerNode};
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tracing::info;
+
+use crate::config::GatewayConfig;
+use crate::core::Core;
+use crate::follow::{CatalogSink, HostSink, follow};
+use crate::peers::{self, Peers};
+use crate::ports::Platform;
+use crate::server::{self, OpenConnections};
+use crate::{seat, side, watch};
+
+/// After the signal to stop new connections are still taken for this long, in which
+/// callers' answers with this node's address run out: they keep them for the time that
+/// they are told, and some three times as long.
+const STILL_OPEN_TTLS: u32 = 3;
+/// Part of the grace in which requests that run may end. The rest is for the exit.
+const GRACE_PART: f64 = 0.9;
+/// How often a stopping node looks whether it is done.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[error("can't listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, #[source] io::Error),
+    /// The port for other nodes can't be used.
+    #[error("can't reach other nodes: {0}")]
+    Peers(#[from] PeerError),
+}
+
+/// A node that runs.
+pub struct Gateway<P: Platform> {
+    core: Arc<Core<P>>,
+    open: Arc<OpenConnections>,
+    peer: Arc<PeerNode<Peers<P>>>,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Listens, and starts everything on the current runtime.
+    ///
+    /// # Errors
+    /// When an address can't be listened on.
+    pub async fn start(
+        cfg: GatewayConfig,
+        platform: P,
+        http: TargetClient,
+    ) -> Result<Gateway<P>, GatewayError> {
+        let core = Arc::new(Core::new(cfg, platform, http));
+        let addresses = core.cfg.addresses.clone();
+        let callers = listen(addresses.callers).await?;
+        let ready = listen(addresses.ready).await?;
+        let directory = listen(addresses.directory).await?;
+        let peer = peers::start(&core, incarnation(), &Handle::current())?;
+        let open = Arc::new(OpenConnections::default());
+        serve_callers(&core, callers, Arc::clone(&open));
+        serve_side(&core, ready);
+        serve_side(&core, directory);
+        spawn_loops(&core);
+        Ok(Gateway { core, open, peer })
+    }
+
+    /// Stops: leaves the addresses first, then ends connections between requests, and
+    /// gives those that run their time. `false` when some still ran at the end.
+    pub async fn stop(&self) -> bool {
+        let began = Instant::now();
+        self.core.leaving.store(true, Ordering::Relaxed);
+        peers::publish_status(&self.core);
+        info!(event = "stop", connections = self.open.count());
+        let end = began + self.core.cfg.grace.mul_f64(GRACE_PART);
+        let still_open = self.core.cfg.address_ttl * STILL_OPEN_TTLS;
+        let close = end.min(began + still_open.min(self.core.cfg.grace.mul_f64(0.4)));
+        self.wait_until(close).await;
+        self.core.stopping.send_replace(true);
+        let done = self.wait_until(end).await;
+        self.peer.stop();
+        done
+    }
+
+    /// Waits until no connection is open or `end` is reached; whether none is.
+    async fn wait_until(&self, end: Instant) -> bool {
+        // Callers that keep their connections are still being told where else to go.
+        while self.open.count() > 0 || !*self.core.stopping.borrow() {
+            if Instant::now() >= end {
+                return self.open.count() == 0;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        true
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|err| GatewayError::Listen(address, err))
+}
+
+/// This start of the node; a later one is higher unless the time of day jumped back.
+fn incarnation() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn serve_callers<P: Platform>(
+    core: &Arc<Core<P>>,
+    listener: TcpListener,
+    open: Arc<OpenConnections>,
+) {
+    let (for_limits, for_calls) = (Arc::clone(core), Arc::clone(core));
+    let stopping = core.stopping.subscribe();
+    let limits = move || server::limits(&*for_limits);
+    tokio::spawn(server::listen(
+        listener,
+        open,
+        limits,
+        stopping,
+        move |req| server::answer(Arc::clone(&for_calls), req),
+    ));
+}
+
+/// Serves questions to the node itself until the process ends.
+fn serve_side<P: Platform>(core: &Arc<Core<P>>, listener: TcpListener) {
+    let (for_limits, for_calls) = (Arc::clone(core), Arc::clone(core));
+    let (never, stopping) = tokio::sync::watch::channel(false);
+    let limits = move || server::limits(&*for_limits);
+    let open = Arc::new(OpenConnections::default());
+    tokio::spawn(async move {
+        let _never = never;
+        server::listen(listener, open, limits, stopping, move |req| {
+            side::answer(Arc::clone(&for_calls), req)
+        })
+        .await;
+    });
+}
+
+fn spawn_loops<P: Platform>(core: &Arc<Core<P>>) {
+    let at = Arc::clone(core);
+    tokio::spawn(async move {
+        follow(&*at, at.platform.hosts(), &HostSink(Arc::clone(&at))).await;
+    });
+    let at = Arc::clone(core);
+    tokio::spawn(async move {
+        follow(&*at, at.platform.catalogs(), &CatalogSink(Arc::clone(&at))).await;
+    });
+    tokio::spawn(seat::run(Arc::clone(core)));
+    tokio::spawn(watch::run(Arc::clone(core)));
+    tokio::spawn(peers::publish_loads(Arc::clone(core)));
+}
--- /dev/null
+++ b/crates/gateway/src/heads.rs
@@ -0,0 +1,178 @@
+//! Heads of replicas that serve, with what this node knows of each.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, ModelName, NodeId, ServiceName};
+use eelgrassmill_fleet::{Fleet, Host, Progress};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+/// The head of one replica in one formation.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub(crate) host: HostId,
+    pub(crate) address: SmolStr,
+    pub(crate) service: ServiceName,
+    pub(crate) model: ModelName,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) replica: GroupId,
+    pub(crate) epoch: Epoch,
+    pub(crate) slots: usize,
+    /// Requests of this node that it has.
+    running: AtomicUsize,
+    /// The same of each other node, as it last said.
+    elsewhere: Mutex<BTreeMap<NodeId, usize>>,
+    progress: Mutex<Progress>,
+    /// Set once, when a member is known to be lost: nothing will come any more.
+    lost: watch::Sender<bool>,
+}
+
+impl Head {
+    fn new(host: &Host, model: ModelName) -> Option<Head> {
+        let membership = host.membership.as_ref()?;
+        Some(Head {
+            host: host.id.clone(),
+            address: host.address.clone(),
+            service: host.service.clone(),
+            model,
+            failure_domain: host.failure_domain.clone(),
+            replica: membership.replica.clone(),
+            epoch: membership.epoch,
+            slots: host.slots,
+            running: AtomicUsize::new(0),
+            elsewhere: Mutex::default(),
+            progress: Mutex::default(),
+            lost: watch::Sender::new(false),
+        })
+    }
+
+    /// Requests of this node that it has.
+    pub(crate) fn running_here(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Requests of all nodes that it has, as far as they said.
+    pub(crate) fn load(&self) -> usize {
+        let elsewhere: usize = locked(&self.elsewhere).values().sum();
+        self.running_here() + elsewhere
+    }
+
+    /// Notes what another node said.
+    pub(crate) fn heard(&self, node: &NodeId, running: usize) {
+        let mut elsewhere = locked(&self.elsewhere);
+        if running == 0 {
+            elsewhere.remove(node);
+        } else {
+            elsewhere.insert(node.clone(), running);
+        }
+    }
+
+    /// Forgets what a node said that is gone.
+    pub(crate) fn forget(&self, node: &str) {
+        locked(&self.elsewhere).remove(node);
+    }
+
+    /// Counts one more request, until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Head>) -> InProgress {
+        if self.running.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.progress().resumed(Instant::now());
+        }
+        InProgress {
+            head: Arc::clone(self),
+        }
+    }
+
+    pub(crate) fn progress(&self) -> MutexGuard<'_, Progress> {
+        locked(&self.progress)
+    }
+
+    /// Says that nothing will come of it any more.
+    pub(crate) fn set_lost(&self) {
+        self.lost.send_replace(true);
+    }
+
+    pub(crate) fn is_lost(&self) -> bool {
+        *self.lost.borrow()
+    }
+
+    /// Waits until it is lost.
+    pub(crate) async fn until_lost(&self) {
+        let mut rx = self.lost.subscribe();
+        // The sender lives as long as `self`, so this ends only by the value.
+        let _ = rx.wait_for(|lost| *lost).await;
+    }
+}
+
+/// A request that counts at a head.
+#[derive(Debug)]
+pub(crate) struct InProgress {
+    pub(crate) head: Arc<Head>,
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.head.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Names a replica's formation.
+pub(crate) type HeadKey = (GroupId, Epoch);
+
+/// The heads that serve, and those that still finish something.
+#[derive(Debug, Default)]
+pub(crate) struct HeadTable {
+    /// Invariant: each head reported to be open, and the planner opens only whole replicas.
+    open: BTreeMap<HeadKey, Arc<Head>>,
+    /// Heads that take nothing new but still run requests of this node.
+    ending: BTreeMap<HeadKey, Arc<Head>>,
+}
+
+impl HeadTable {
+    /// Takes over what hosts report.
+    pub(crate) fn update(&mut self, fleet: &Fleet) {
+        let mut open = BTreeMap::new();
+        for host in fleet.hosts().filter(|h| h.is_open_head() && h.is_ready()) {
+            let (Some(m), Some(model)) = (&host.membership, &host.model) else {
+                continue;
+            };
+            let key = (m.replica.clone(), m.epoch);
+            let known = self.open.remove(&key).or_else(|| self.ending.remove(&key));
+            let head = known.or_else(|| Head::new(host, model.clone()).map(Arc::new));
+            if let Some(head) = head {
+                open.insert(key, head);
+            }
+        }
+        let closed = std::mem::replace(&mut self.open, open);
+        self.ending.extend(closed);
+        self.ending.retain(|_, head| head.running_here() > 0);
+    }
+
+    /// Heads of a model that can take a request.
+    pub(crate) fn of_model<'t>(
+        &'t self,
+        service: &'t str,
+        model: &'t str,
+    ) -> impl Iterator<Item = &'t Arc<Head>> {
+        let takes = move |h: &&Arc<Head>| h.service == service && h.model == model && !h.is_lost();
+        self.open.values().filter(takes)
+    }
+
+    /// All heads that have anything to do with this node.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Head>> {
+        self.open.values().chain(self.ending.values())
+    }
+
+    /// The head of a formation.
+    pub(crate) fn get(&self, replica: &str, epoch: Epoch) -> Option<&Arc<Head>> {
+        self.all()
+            .find(|h| h.replica == replica && h.epoch == epoch)
+    }
+}
+
+/// Locks a mutex whose holder may have panicked: each holder leaves the value usable.
+pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,38 @@
+//! The request path: from a caller's connection to a host and back.
+//!
+//! [`Gateway`] is one node: it takes callers' requests, chooses hosts, relays answers
+//! and streams, tells other nodes what it knows, and plans replicas while it holds the
+//! planner's seat. What differs from platform to platform stands behind the traits of
+//! [`ports`](crate::Platform): how hosts are listed, ordered and asked, how callers'
+//! headers are spelled, and where the seat is kept.
+
+mod answer;
+mod body;
+mod call;
+mod config;
+mod core;
+mod dispatch;
+mod events;
+mod follow;
+mod gateway;
+mod heads;
+mod metrics;
+mod nodes;
+mod peers;
+mod planning;
+mod ports;
+mod seat;
+mod server;
+mod side;
+mod stream;
+mod turn;
+mod watch;
+
+pub use crate::answer::{Refusal, RefusalCause};
+pub use crate::call::{CallHead, Prompt};
+pub use crate::config::{Addresses, GatewayConfig, RetryRules};
+pub use crate::gateway::{Gateway, GatewayError};
+pub use crate::ports::{
+    AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport, HostUnavailable,
+    Platform, Seat, SeatRecord, SideRequest, Source, SourceError,
+};
--- /dev/null
+++ b/crates/gateway/src/nodes.rs
@@ -0,0 +1,113 @@
+//! The nodes that are up, as they tell each other.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{FailureDomain, NodeId};
+use smol_str::SmolStr;
+
+/// A node that was not heard of for this long is taken for dead. Nodes confirm every
+/// 500 ms, and a lost packet takes a second to come again.
+const DEAD_AFTER: Duration = Duration::from_millis(2200);
+
+/// Most addresses in one answer, the most that callers take.
+const MAX_ADDRESSES: usize = 64;
+
+/// In a failure domain with fewer nodes than this, callers get all nodes: with one
+/// address, its death leaves them none until they ask again.
+const ENOUGH_NEAR: usize = 2;
+
+#[derive(Clone, Debug)]
+struct Known {
+    address: SmolStr,
+    failure_domain: FailureDomain,
+    leaving: bool,
+    heard: Instant,
+}
+
+/// The other nodes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Nodes {
+    known: BTreeMap<NodeId, Known>,
+}
+
+impl Nodes {
+    /// Notes what a node says of itself.
+    pub(crate) fn on_status(
+        &mut self,
+        node: &NodeId,
+        address: SmolStr,
+        failure_domain: FailureDomain,
+        leaving: bool,
+        heard: Instant,
+    ) {
+        let known = Known {
+            address,
+            failure_domain,
+            leaving,
+            heard,
+        };
+        self.known.insert(node.clone(), known);
+    }
+
+    /// Notes a sign of life.
+    pub(crate) fn heard(&mut self, node: &str, at: Instant) {
+        if let Some(known) = self.known.get_mut(node) {
+            known.heard = known.heard.max(at);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, node: &str) {
+        self.known.remove(node);
+    }
+
+    /// Whether a node is up.
+    pub(crate) fn is_alive(&self, node: &str, now: Instant) -> bool {
+        self.known.get(node).is_some_and(|k| k.is_alive(now))
+    }
+
+    /// The nodes that are up and stay, in the order of their names.
+    pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
+        let stays = move |k: &Known| k.is_alive(now) && !k.leaving;
+        self.known
+            .iter()
+            .filter(move |(_, k)| stays(k))
+            .map(|(id, _)| id)
+    }
+
+    /// The addresses for callers in `near`, `own` among them unless it is `None`.
+    pub(crate) fn addresses(
+        &self,
+        own: Option<(&SmolStr, &FailureDomain)>,
+        near: &str,
+        now: Instant,
+    ) -> Vec<SmolStr> {
+        let others = self
+            .known
+            .values()
+            .filter(|k| k.is_alive(now) && !k.leaving);
+        let others = others.map(|k| (&k.address, &k.failure_domain));
+        let all: Vec<_> = own.into_iter().chain(others).collect();
+        let close: Vec<_> = all
+            .iter()
+            .filter(|(_, d)| d.as_str() == near)
+            .copied()
+            .collect();
+        let chosen = if close.len() >= ENOUGH_NEAR {
+            close
+        } else {
+            all
+        };
+        chosen
+            .into_iter()
+            .take(MAX_ADDRESSES)
+            .map(|(a, _)| a.clone())
+            .collect()
+    }
+}
+
+impl Known {
+    fn is_alive(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < DEAD_AFTER
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/planning.rs
@@ -0,0 +1,187 @@
+//! Running the planner while this node holds the seat.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::HostId;
+use eelgrassmill_fleet::{
+    Command, Host, Loss, Order, OrderReply, Planner, PlannerTiming, Service, Step,
+};
+use tracing::info;
+
+use crate::core::Core;
+use crate::heads::locked;
+use crate::ports::{HostControl, HostReport, HostUnavailable, Platform, SeatRecord};
+use crate::watch::LostReplica;
+
+/// The planner looks at everything at least this often: its shortest own time is the
+/// 120 ms between two questions to a host.
+const STEP: Duration = Duration::from_millis(60);
+/// An order without an answer for this long counts as unanswered. Answers take 1 to 5 ms.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
+/// A question without an answer for this long counts as unanswered.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Until then the first loads of a system that starts for the first time are quick.
+const COLD_TIME: Duration = Duration::from_secs(12);
+
+/// What the planner should know.
+#[derive(Debug)]
+pub(crate) enum PlanningEvent {
+    /// A replica lost a member.
+    Lost(LostReplica),
+    /// What became of an order.
+    Reply(HostId, Order, Result<OrderReply, HostUnavailable>),
+    /// What became of a question.
+    Report(HostId, Result<HostReport, HostUnavailable>),
+}
+
+/// One term of the planner. Ends when `may_plan` says no.
+pub(crate) struct Term<P: Platform> {
+    core: Arc<Core<P>>,
+    planner: Planner,
+}
+
+impl<P: Platform> Term<P> {
+    pub(crate) fn new(core: Arc<Core<P>>, seat: &SeatRecord) -> Term<P> {
+        core.take_planning_events();
+        let planner = Planner::new(seat.term, PlannerTiming::default());
+        Term { core, planner }
+    }
+
+    /// Waits until there may be something to decide.
+    pub(crate) async fn wait(&self) {
+        let mut changed = self.core.planning.subscribe();
+        // Running out is the other way to look again.
+        let _ = tokio::time::timeout(STEP, changed.changed()).await;
+    }
+
+    /// Takes in what happened, decides, and starts to carry it out.
+    pub(crate) fn step(&mut self) {
+        let now = Instant::now();
+        for event in self.core.take_planning_events() {
+            self.take(event, now);
+        }
+        let catalog = self.core.catalog();
+        let services: Vec<&Service> = catalog.services().collect();
+        let core = &self.core;
+        let cold = core.cfg.first_start && !core.has_served() && core.began.elapsed() < COLD_TIME;
+        let commands = {
+            let fleet = locked(&core.fleet);
+            if !fleet.is_loaded() {
+                return;
+            }
+            self.planner.step(&fleet, &services, cold, now)
+        };
+        let open = self
+            .planner
+            .formations()
+            .filter(|f| f.step == Step::Open)
+            .count();
+        core.metrics
+            .open_replicas
+            .set(i64::try_from(open).unwrap_or(i64::MAX));
+        for command in commands {
+            self.carry_out(command);
+        }
+    }
+
+    fn take(&mut self, event: PlanningEvent, now: Instant) {
+        match event {
+            PlanningEvent::Lost(lost) => {
+                let fleet = locked(&self.core.fleet);
+                for host in &lost.silent {
+                    self.planner.host_silent(host, &fleet);
+                }
+                if lost.silent.is_empty() {
+                    self.planner
+                        .replica_lost(&lost.replica, lost.epoch, Loss::Broken, now);
+                }
+            }
+            PlanningEvent::Reply(host, order, reply) => {
+                let fleet = locked(&self.core.fleet);
+                if reply.is_err() {
+                    self.planner.host_unanswered(&host, &fleet);
+                }
+                self.planner.on_reply(&host, &order, reply.ok(), now);
+            }
+            PlanningEvent::Report(host, Ok(report)) => {
+                self.planner.host_answered(&host);
+                let mut fleet = locked(&self.core.fleet);
+                if let Some(known) = fleet.host(&host).cloned() {
+                    fleet.heard(updated(known, report));
+                }
+            }
+            PlanningEvent::Report(host, Err(_)) => {
+                let fleet = locked(&self.core.fleet);
+                self.planner.host_unanswered(&host, &fleet);
+            }
+        }
+    }
+
+    fn carry_out(&self, command: Command) {
+        let core = Arc::clone(&self.core);
+        let (Command::Order { host, .. } | Command::Ask { host }) = &command;
+        let Some(address) = locked(&core.fleet).host(host).map(|h| h.address.clone()) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let control = core.platform.control();
+            let event = match command {
+                Command::Order { host, order } => {
+                    let reply = control.order(&host, &address, &order, ORDER_TIMEOUT).await;
+                    note(&core, &host, &order, &reply);
+                    PlanningEvent::Reply(host, order, reply)
+                }
+                Command::Ask { host } => {
+                    let report = control.report(&address, REPORT_TIMEOUT).await;
+                    PlanningEvent::Report(host, report)
+                }
+            };
+            core.tell_planner(event);
+        });
+    }
+}
+
+fn updated(known: Host, report: HostReport) -> Host {
+    let born_ms = if report.born_ms > 0 {
+        report.born_ms
+    } else {
+        known.born_ms
+    };
+    Host {
+        born_ms,
+        staged: report.staged,
+        membership: report.membership,
+        ..known
+    }
+}
+
+fn note<P: Platform>(
+    core: &Core<P>,
+    host: &HostId,
+    order: &Order,
+    reply: &Result<OrderReply, HostUnavailable>,
+) {
+    let (replica, epoch) = order.formation();
+    let kind = match order {
+        Order::Join { .. } => "join",
+        Order::Open { .. } => "open",
+        Order::Close { .. } => "close",
+        Order::Leave { .. } => "leave",
+    };
+    let outcome = match reply {
+        Ok(OrderReply::Begun) => "begun",
+        Ok(OrderReply::Done) => "done",
+        Ok(OrderReply::Conflict) => "conflict",
+        Ok(OrderReply::Fenced) => "fenced",
+        Ok(OrderReply::WrongHost) => "wrong-host",
+        Ok(OrderReply::Refused(_)) => "refused",
+        Err(HostUnavailable::NotReached(_)) => "not-reached",
+        Err(HostUnavailable::NoAnswer(_)) => "no-answer",
+    };
+    core.metrics
+        .orders
+        .with_label_values(&[kind, outcome])
+        .inc();
+    info!(event = "order", order = kind, %host, %replica, epoch, outcome);
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,298 @@
+//! The port for callers' requests.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassmill_fleet::{CallerLimits, RouteRefusal};
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tracing::{info, warn};
+
+use crate::answer::{Refusal, RefusalCause};
+use crate::body::AnswerBody;
+use crate::call::Call;
+use crate::core::Core;
+use crate::ports::{Dialect, Platform};
+use crate::{dispatch, stream};
+
+/// Limits before any configuration is known, those of a usual one.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+/// A caller that says no timeout is kept waiting this long at most.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// When a caller should come back to a node that knows nothing yet. Nodes load within a
+/// second of their start.
+const RETRY_AFTER_START: Duration = Duration::from_millis(300);
+/// Pause after a failure to take a connection, such as no free descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Smallest buffer that hyper accepts.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// Connections that are open.
+#[derive(Debug, Default)]
+pub(crate) struct OpenConnections(AtomicUsize);
+
+impl OpenConnections {
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+struct Counted(Arc<OpenConnections>);
+
+impl Counted {
+    fn new(open: &Arc<OpenConnections>) -> Counted {
+        open.0.fetch_add(1, Ordering::Relaxed);
+        Counted(Arc::clone(open))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves connections with `service` until told to stop; then each ends after what it does.
+pub(crate) async fn listen<S, F>(
+    listener: TcpListener,
+    open: Arc<OpenConnections>,
+    limits: impl Fn() -> CallerLimits,
+    mut stopping: watch::Receiver<bool>,
+    service: S,
+) where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, Infallible>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = told_to_stop(&mut stopping) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let counted = Counted::new(&open);
+                let stopping = stopping.clone();
+                tokio::spawn(connection(
+                    stream,
+                    limits(),
+                    stopping,
+                    service.clone(),
+                    counted,
+                ));
+            }
+            Err(err) => {
+                warn!(event = "accept", %err);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits for the sign to stop; the node that gives it going away is the same.
+async fn told_to_stop(stopping: &mut watch::Receiver<bool>) {
+    let _ = stopping.wait_for(|stop| *stop).await;
+}
+
+async fn connection<S, F>(
+    stream: TcpStream,
+    limits: CallerLimits,
+    mut stopping: watch::Receiver<bool>,
+    service: S,
+    _counted: Counted,
+) where
+    S: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, Infallible>> + Send + 'static,
+{
+    if let Err(err) = stream.set_nodelay(true) {
+        // The caller has already gone.
+        tracing::debug!(%err, "connection lost before its first request");
+        return;
+    }
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // hyper counts the time between two requests as time for a head too.
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER));
+    let conn = builder.serve_connection(TokioIo::new(stream), service_fn(service));
+    tokio::pin!(conn);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = told_to_stop(&mut stopping) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    // Callers that leave, and answers that are cut off, end connections with an error.
+    if let Err(err) = ended {
+        tracing::debug!(%err, "connection ended");
+    }
+}
+
+/// What callers may send under the configuration in force.
+pub(crate) fn limits<P: Platform>(core: &Core<P>) -> CallerLimits {
+    core.catalog().limits().cloned().unwrap_or(FIRST_LIMITS)
+}
+
+/// Answers one request.
+pub(crate) async fn answer<P: Platform>(
+    core: Arc<Core<P>>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    core.set_served();
+    let arrived = Instant::now();
+    let mut response = match serve(&core, req, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.into_response(),
+    };
+    if core.is_leaving() {
+        // The caller opens its next connection to a node that stays.
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+async fn serve<P: Platform>(
+    core: &Arc<Core<P>>,
+    req: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let call = match read_call(core, req, arrived).await {
+        Ok(call) => Arc::new(call),
+        Err(refusal) => {
+            let outcome = refusal.cause.name();
+            core.metrics.ended("none", "none", outcome);
+            info!(event = "request", request = "", outcome);
+            return Err(refusal);
+        }
+    };
+    let kind = if call.route.stream.is_some() {
+        "stream"
+    } else {
+        "whole"
+    };
+    let result = if call.route.stream.is_some() {
+        stream::run(core, &call).await
+    } else {
+        tokio::time::timeout(call.left(), dispatch::run(core, &call))
+            .await
+            .unwrap_or_else(|_| {
+                // The attempt that was under way may have run.
+                Err(Refusal::new(RefusalCause::NoAnswerInTime))
+            })
+    };
+    note(core, &call, kind, &result);
+    result
+}
+
+fn note<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    kind: &str,
+    result: &Result<Response<AnswerBody>, Refusal>,
+) {
+    let service = call
+        .route
+        .services
+        .first()
+        .map_or("none", |(s, _)| s.as_str());
+    let took = call.arrived.elapsed();
+    match result {
+        Ok(response) => {
+            core.metrics.answered_after(service, kind, took);
+            core.metrics
+                .ended(service, kind, response.status().as_str());
+            if took > call.route.aim {
+                info!(
+                    event = "request", request = %call.head.id, route = %call.route.name,
+                    outcome = "late", ms = took.as_millis() as u64,
+                );
+            }
+        }
+        Err(refusal) => {
+            let outcome = refusal.cause.name();
+            core.metrics.ended(service, kind, outcome);
+            info!(
+                event = "request", request = %call.head.id, route = %call.route.name, outcome,
+                ms = took.as_millis() as u64, config = core.catalog().version(),
+            );
+        }
+    }
+}
+
+async fn read_call<P: Platform>(
+    core: &Arc<Core<P>>,
+    req: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Call, Refusal> {
+    if !core.is_loaded() {
+        return Err(Refusal::later(RefusalCause::NotLoaded, RETRY_AFTER_START));
+    }
+    let (parts, body) = req.into_parts();
+    let catalog = core.catalog();
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let route = catalog.route(host, parts.uri.path()).map_err(refused)?;
+    let key = core.platform.dialect().key(&parts.headers);
+    let caller = catalog.caller(route, key).map_err(refused)?;
+    let head = core.platform.dialect().call_head(&parts.headers);
+    let patience = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let deadline = arrived + patience;
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |p| p.as_str())
+        .into();
+    let most = catalog
+        .limits()
+        .map_or(FIRST_LIMITS.body_bytes, |l| l.body_bytes);
+    let body = read_body(body, most, deadline).await?;
+    Ok(Call {
+        head,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+        route: Arc::clone(route),
+        caller,
+        arrived,
+        deadline,
+    })
+}
+
+fn refused(refusal: RouteRefusal) -> Refusal {
+    Refusal::new(match refusal {
+        RouteRefusal::NoRoute => RefusalCause::NoRoute,
+        RouteRefusal::UnknownKey => RefusalCause::UnknownKey,
+    })
+}
+
+async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let read = tokio::time::timeout(left, Limited::new(body, most).collect()).await;
+    match read {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::new(RefusalCause::TooLong)),
+        _ => Err(Refusal::new(RefusalCause::BodyCut)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/side.rs
@@ -0,0 +1,74 @@
+//! Requests to the node itself: whether it is ready, which addresses to use, metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::body::AnswerBody;
+use crate::core::Core;
+use crate::heads::locked;
+use crate::ports::{Dialect, Platform, SideRequest};
+
+/// Answers one request to the node itself.
+pub(crate) async fn answer<P: Platform>(
+    core: Arc<Core<P>>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    Ok(
+        match core
+            .platform
+            .dialect()
+            .side_request(req.method(), req.uri())
+        {
+            SideRequest::Ready => ready(&core),
+            SideRequest::Resolve { failure_domain } => resolve(&core, &failure_domain),
+            SideRequest::Metrics => text(core.metrics.page().into(), "text/plain; version=0.0.4"),
+            SideRequest::Unknown => status(StatusCode::NOT_FOUND),
+        },
+    )
+}
+
+fn takes_requests<P: Platform>(core: &Core<P>) -> bool {
+    core.is_loaded() && !core.is_leaving()
+}
+
+fn ready<P: Platform>(core: &Core<P>) -> Response<AnswerBody> {
+    if takes_requests(core) {
+        status(StatusCode::OK)
+    } else {
+        status(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+fn resolve<P: Platform>(core: &Core<P>, near: &str) -> Response<AnswerBody> {
+    let own: SmolStr = core.cfg.addresses.callers.to_smolstr();
+    let own = takes_requests(core).then_some((&own, &core.cfg.failure_domain));
+    let addresses = locked(&core.nodes).addresses(own, near, Instant::now());
+    if addresses.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let body = core
+        .platform
+        .dialect()
+        .addresses(&addresses, core.cfg.address_ttl);
+    text(body, "application/json")
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn text(body: Bytes, kind: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,359 @@
+//! Requests that are answered with a stream of events.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassmill_base::{HostId, ModelName, ServiceName};
+use eelgrassmill_engine::{SendError, TargetResponse};
+use http::{HeaderMap, Response, StatusCode};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tracing::info;
+
+use crate::answer::{Refusal, RefusalCause};
+use crate::body::{AnswerBody, CutOff, Piece};
+use crate::call::Call;
+use crate::core::Core;
+use crate::dispatch::{pick_service, target_request};
+use crate::events::EventSplitter;
+use crate::heads::{Head, InProgress};
+use crate::ports::{AnswerMeaning, Dialect, Platform};
+use crate::turn;
+
+/// Pieces that wait for a slow caller before its stream stops reading from the host.
+const PIECES_AHEAD: usize = 64;
+/// Refusals by hosts after which a call is given up: each was news from a host that was
+/// fuller than it looked, and by then the picture is a second old.
+const MAX_REFUSALS: u32 = 4;
+/// When a caller should come back whose request hosts refused.
+const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(300);
+/// Longest answer of a host that is no stream.
+const MAX_WHOLE: usize = 1 << 20;
+
+/// One call's way through one or more replicas.
+struct Run<P: Platform> {
+    core: Arc<Core<P>>,
+    call: Arc<Call>,
+    service: ServiceName,
+    model: ModelName,
+    /// Hosts on which it failed or was refused.
+    avoid: SmallVec<[HostId; 4]>,
+    /// Hosts at which it may have run.
+    runs: u32,
+    /// Times that it arrived at a host.
+    arrivals: u32,
+    refusals: u32,
+    events: EventSplitter,
+}
+
+/// An answer that has begun.
+struct Begun {
+    place: InProgress,
+    response: TargetResponse,
+}
+
+/// Why an attempt brought no answer.
+enum NoAnswer {
+    /// No host ran it.
+    NotRun,
+    /// One may have.
+    Unknown,
+}
+
+/// How reading an answer ended.
+enum ReadEnd {
+    /// Its end was reached.
+    Complete,
+    /// It broke off or its replica was lost.
+    Broken(SmolStr),
+    /// The call's time is over.
+    OutOfTime,
+    /// The caller has left.
+    CallerLeft,
+}
+
+/// Serves a call whose answer is a stream.
+pub(crate) async fn run<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Arc<Call>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let service = pick_service(core, call)?;
+    core.count_request(&service);
+    let prompt = call.head.prompt.as_ref();
+    let model = prompt.map(|p| p.model.clone()).unwrap_or_default();
+    let mut run = Run {
+        core: Arc::clone(core),
+        call: Arc::clone(call),
+        service,
+        model,
+        avoid: SmallVec::new(),
+        runs: 0,
+        arrivals: 0,
+        refusals: 0,
+        events: EventSplitter::default(),
+    };
+    let begun = run.begin().await?;
+    run.hand_on(begun).await
+}
+
+impl<P: Platform> Run<P> {
+    /// Brings the call to a replica that begins to answer it.
+    async fn begin(&mut self) -> Result<Begun, Refusal> {
+        loop {
+            let place = self.place().await?;
+            if self.arrivals > 0 && !self.core.try_repeat(&self.service) {
+                return Err(self.given_up());
+            }
+            match self.attempt(place).await {
+                Ok(begun) => return Ok(begun),
+                Err(NoAnswer::NotRun) if self.refusals < MAX_REFUSALS => {}
+                Err(NoAnswer::Unknown) if self.may_run_again() => {}
+                Err(_) => return Err(self.given_up()),
+            }
+        }
+    }
+
+    async fn place(&mut self) -> Result<InProgress, Refusal> {
+        let taken = turn::take(
+            &self.core,
+            &self.call,
+            &self.service,
+            &self.model,
+            &self.avoid,
+        )
+        .await;
+        taken.map_err(|refusal| {
+            if self.runs > 0 {
+                self.given_up()
+            } else {
+                refusal
+            }
+        })
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.call.repeatable() && self.runs < self.call.route.attempts
+    }
+
+    fn given_up(&self) -> Refusal {
+        let late = self.call.left().is_zero();
+        // A stream that may be resumed may run again, so its caller may come back.
+        if self.runs > 0 && !self.call.repeatable() {
+            let cause = if late {
+                RefusalCause::NoAnswerInTime
+            } else {
+                RefusalCause::AnswerBroken
+            };
+            return Refusal::new(cause);
+        }
+        if late {
+            let cause = if self.runs > 0 {
+                RefusalCause::NoAnswerInTime
+            } else {
+                RefusalCause::OutOfTime
+            };
+            return Refusal::new(cause);
+        }
+        Refusal::later(RefusalCause::HostsRefused, RETRY_AFTER_REFUSED)
+    }
+
+    async fn attempt(&mut self, place: InProgress) -> Result<Begun, NoAnswer> {
+        let head = Arc::clone(&place.head);
+        let resume = self
+            .events
+            .last_id()
+            .cloned()
+            .or_else(|| self.call.head.resume_after.clone());
+        let urgency = Some(self.call.urgency().min(9));
+        let req = target_request(&*self.core, &self.call, &head.host, urgency, resume);
+        let sent = tokio::select! {
+            sent = self.core.http.send_within(&head.address, req, self.call.left()) => sent,
+            () = head.until_lost() => Err(SendError::Unknown("its replica was lost".to_owned())),
+        };
+        let response = match sent {
+            Ok(response) => response,
+            Err(SendError::NotSent(why)) => {
+                self.note(&head, "not-sent", &why);
+                return Err(self.refused(&head));
+            }
+            Err(err) => {
+                self.arrivals += 1;
+                self.note(&head, "unknown", &err.to_string());
+                return Err(self.failed(&head));
+            }
+        };
+        self.arrivals += 1;
+        match self
+            .core
+            .platform
+            .dialect()
+            .meaning(response.status, &response.headers)
+        {
+            AnswerMeaning::NotRun | AnswerMeaning::WrongHost => {
+                self.note(&head, "not-run", response.status.as_str());
+                Err(self.refused(&head))
+            }
+            AnswerMeaning::Unproven => {
+                self.note(&head, "unknown", "answer without proof");
+                Err(self.failed(&head))
+            }
+            AnswerMeaning::Answered
+                if response.status.is_server_error() && self.may_run_again() =>
+            {
+                self.note(&head, "failed", response.status.as_str());
+                Err(self.failed(&head))
+            }
+            AnswerMeaning::Answered => Ok(Begun { place, response }),
+        }
+    }
+
+    fn refused(&mut self, head: &Head) -> NoAnswer {
+        self.avoid.push(head.host.clone());
+        self.refusals += 1;
+        NoAnswer::NotRun
+    }
+
+    fn failed(&mut self, head: &Head) -> NoAnswer {
+        self.avoid.push(head.host.clone());
+        self.runs += 1;
+        NoAnswer::Unknown
+    }
+
+    /// Answers the caller with what the host answered.
+    async fn hand_on(mut self, begun: Begun) -> Result<Response<AnswerBody>, Refusal> {
+        let status = begun.response.status;
+        let headers = self
+            .core
+            .platform
+            .dialect()
+            .caller_headers(&begun.response.headers);
+        if status != StatusCode::OK {
+            return self.hand_on_whole(begun, status, headers).await;
+        }
+        let (tx, rx) = mpsc::channel(PIECES_AHEAD);
+        let mut answer = Response::new(AnswerBody::Stream(rx));
+        *answer.headers_mut() = headers;
+        tokio::spawn(async move { self.relay(begun, tx).await });
+        Ok(answer)
+    }
+
+    /// Anything but a stream is read to its end first.
+    async fn hand_on_whole(
+        &mut self,
+        begun: Begun,
+        status: StatusCode,
+        headers: HeaderMap,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let read = begun.response.read_whole(MAX_WHOLE);
+        let body = match tokio::time::timeout(self.call.left(), read).await {
+            Ok(Ok(body)) => body,
+            _ => {
+                self.failed(&begun.place.head);
+                return Err(Refusal::new(RefusalCause::AnswerBroken));
+            }
+        };
+        let mut answer = Response::new(AnswerBody::whole(body));
+        *answer.status_mut() = status;
+        *answer.headers_mut() = headers;
+        Ok(answer)
+    }
+
+    /// Hands events on; where the run breaks off, goes on at another replica.
+    async fn relay(mut self, mut begun: Begun, tx: mpsc::Sender<Piece>) {
+        loop {
+            let end = self.read(&mut begun, &tx).await;
+            let head = Arc::clone(&begun.place.head);
+            // Closes the connection to the host, which stops working on it.
+            drop(begun);
+            self.core.freed();
+            let why = match end {
+                ReadEnd::Complete => return self.ended("answered"),
+                ReadEnd::CallerLeft => return self.ended("caller-left"),
+                ReadEnd::OutOfTime => return self.cut(&tx, "out of time").await,
+                ReadEnd::Broken(why) => why,
+            };
+            self.note(&head, "broken", &why);
+            self.events.restart();
+            self.failed(&head);
+            let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
+            if !resumable || tx.is_closed() {
+                return self.cut(&tx, "not resumable").await;
+            }
+            let resumed = tokio::select! {
+                resumed = self.begin() => resumed,
+                () = tx.closed() => return self.ended("caller-left"),
+            };
+            begun = match resumed {
+                Ok(next) if next.response.status == StatusCode::OK => next,
+                Ok(_) => return self.cut(&tx, "the run that went on failed").await,
+                Err(refusal) => return self.cut(&tx, refusal.cause.name()).await,
+            };
+            self.core
+                .metrics
+                .repeats
+                .with_label_values(&[self.service.as_str(), "resume"])
+                .inc();
+        }
+    }
+
+    async fn read(&mut self, begun: &mut Begun, tx: &mpsc::Sender<Piece>) -> ReadEnd {
+        let head = Arc::clone(&begun.place.head);
+        loop {
+            let chunk = tokio::select! {
+                chunk = begun.response.chunk() => chunk,
+                () = head.until_lost() => return ReadEnd::Broken("its replica was lost".into()),
+                () = tokio::time::sleep(self.call.left()) => return ReadEnd::OutOfTime,
+                () = tx.closed() => return ReadEnd::CallerLeft,
+            };
+            let bytes = match chunk {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) if self.events.is_mid_event() => {
+                    return ReadEnd::Broken("it ended within an event".into());
+                }
+                Ok(None) => return ReadEnd::Complete,
+                Err(err) => return ReadEnd::Broken(err.to_string().into()),
+            };
+            head.progress().event(Instant::now());
+            let Some(events) = self.events.push(&bytes) else {
+                continue;
+            };
+            if !self.send(tx, events).await {
+                return ReadEnd::CallerLeft;
+            }
+        }
+    }
+
+    async fn send(&self, tx: &mpsc::Sender<Piece>, events: Bytes) -> bool {
+        tokio::select! {
+            sent = tx.send(Ok(events)) => sent.is_ok(),
+            () = tokio::time::sleep(self.call.left()) => false,
+        }
+    }
+
+    /// Ends the caller's answer so that it can see that it isn't whole.
+    async fn cut(&self, tx: &mpsc::Sender<Piece>, why: &str) {
+        info!(
+            event = "request", request = %self.call.head.id, outcome = "cut", why,
+            runs = self.runs, after = self.events.last_id().map_or("", |id| id.as_str()),
+        );
+        self.ended("cut");
+        // A caller that has left needs no mark.
+        let _ = tokio::time::timeout(Duration::from_millis(100), tx.send(Err(CutOff))).await;
+    }
+
+    fn ended(&self, outcome: &str) {
+        self.core
+            .metrics
+            .ended(&self.service, "stream-end", outcome);
+    }
+
+    fn note(&self, head: &Head, outcome: &str, why: &str) {
+        info!(
+            event = "attempt", request = %self.call.head.id, host = %head.host,
+            replica = %head.replica, epoch = head.epoch, outcome, why,
+            after = self.events.last_id().map_or("", |id| id.as_str()),
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/turn.rs
@@ -0,0 +1,210 @@
+//! Waiting for a place at a replica.
+//!
+//! The load it answers: bursts in which more streams arrive than replicas have places.
+//! A stream that got its first event late is worth a quarter of one on time, so those
+//! that can still be on time go before those that can't; within each, by urgency and
+//! then in the order in which they came.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{HostId, ModelName, ServiceName};
+use eelgrassmill_fleet::{Candidate, place};
+use tokio::sync::Notify;
+
+use crate::answer::{Refusal, RefusalCause};
+use crate::call::Call;
+use crate::core::Core;
+use crate::heads::{Head, InProgress, locked};
+use crate::ports::Platform;
+
+/// Requests beyond a replica's slots that are sent to it. They keep its batch full
+/// between the end of one stream and the news of it, some 100 ms at most.
+const AHEAD: usize = 3;
+/// A waiting request looks again after this, also when nothing told it to: other nodes'
+/// loads fall without anything happening here.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// Part of a call's time that must be left for its answer; below it waiting is in vain.
+const NEEDED_PART: f64 = 0.4;
+/// When a caller should come back that found every replica full, times a random 1 to 2:
+/// a third of a stream's usual duration, spread so that callers don't return at once.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
+
+type Key = (bool, u8, u64);
+
+/// Requests that wait, by model.
+#[derive(Debug, Default)]
+pub(crate) struct Turns {
+    queues: Mutex<BTreeMap<(ServiceName, ModelName), Queue>>,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    next: u64,
+    waiting: BTreeMap<Key, Arc<Notify>>,
+}
+
+/// A place in a queue, given up when dropped.
+struct Waiting<'t> {
+    turns: &'t Turns,
+    queue: (ServiceName, ModelName),
+    key: Key,
+    woken: Arc<Notify>,
+}
+
+impl Turns {
+    fn enter(&self, service: &ServiceName, model: &ModelName, urgency: u8) -> Waiting<'_> {
+        let name = (service.clone(), model.clone());
+        let mut queues = locked(&self.queues);
+        let queue = queues.entry(name.clone()).or_default();
+        let key = (false, urgency, queue.next);
+        queue.next += 1;
+        let woken = Arc::new(Notify::new());
+        queue.waiting.insert(key, Arc::clone(&woken));
+        Waiting {
+            turns: self,
+            queue: name,
+            key,
+            woken,
+        }
+    }
+
+    /// Wakes the first of each queue.
+    pub(crate) fn wake(&self) {
+        for queue in locked(&self.queues).values() {
+            if let Some(first) = queue.waiting.values().next() {
+                first.notify_one();
+            }
+        }
+    }
+}
+
+impl Waiting<'_> {
+    fn is_first(&self) -> bool {
+        let queues = locked(&self.turns.queues);
+        let first = queues
+            .get(&self.queue)
+            .and_then(|q| q.waiting.keys().next());
+        first == Some(&self.key)
+    }
+
+    fn others(&self) -> usize {
+        let queues = locked(&self.turns.queues);
+        queues
+            .get(&self.queue)
+            .map_or(0, |q| q.waiting.len().saturating_sub(1))
+    }
+
+    /// Moves behind those that can still be on time.
+    fn too_late(&mut self) {
+        if self.key.0 {
+            return;
+        }
+        let mut queues = locked(&self.turns.queues);
+        if let Some(queue) = queues.get_mut(&self.queue) {
+            queue.waiting.remove(&self.key);
+            self.key.0 = true;
+            queue.waiting.insert(self.key, Arc::clone(&self.woken));
+        }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut queues = locked(&self.turns.queues);
+        if let Some(queue) = queues.get_mut(&self.queue) {
+            queue.waiting.remove(&self.key);
+            if let Some(first) = queue.waiting.values().next() {
+                first.notify_one();
+            }
+        }
+    }
+}
+
+/// Waits for a place at a replica of `model`, not at one of `avoid` if there is another.
+///
+/// # Errors
+/// When there is none in time, or so many wait that there can't be.
+pub(crate) async fn take<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Call,
+    service: &ServiceName,
+    model: &ModelName,
+    avoid: &[HostId],
+) -> Result<InProgress, Refusal> {
+    let mut waiting = core.turns.enter(service, model, call.urgency());
+    let full = |cause| Refusal::later(cause, RETRY_AFTER_FULL.mul_f64(1.0 + fastrand::f64()));
+    let needed = (call.deadline - call.arrived).mul_f64(NEEDED_PART);
+    loop {
+        if waiting.is_first() {
+            match choose(core, service, model, avoid) {
+                Choice::Free(head) => return Ok(head.enter()),
+                Choice::Full { places } if waiting.others() >= places => {
+                    return Err(full(RefusalCause::Full));
+                }
+                _ => {}
+            }
+        }
+        let now = Instant::now();
+        let left = call.deadline.saturating_duration_since(now);
+        if left <= needed {
+            let cause = if is_served(core, service, model) {
+                RefusalCause::Full
+            } else {
+                RefusalCause::NothingServes
+            };
+            return Err(full(cause));
+        }
+        if now >= call.arrived + call.route.aim {
+            waiting.too_late();
+        }
+        let woken = Arc::clone(&waiting.woken);
+        // Running out is the other way to look again.
+        let _ = tokio::time::timeout(LOOK_AGAIN.min(left - needed), woken.notified()).await;
+    }
+}
+
+enum Choice {
+    Free(Arc<Head>),
+    /// All are full; together they have so many places.
+    Full {
+        places: usize,
+    },
+    None,
+}
+
+fn is_served<P: Platform>(core: &Core<P>, service: &str, model: &str) -> bool {
+    locked(&core.heads)
+        .of_model(service, model)
+        .next()
+        .is_some()
+}
+
+fn choose<P: Platform>(core: &Core<P>, service: &str, model: &str, avoid: &[HostId]) -> Choice {
+    let heads = locked(&core.heads);
+    let mut open: Vec<&Arc<Head>> = heads.of_model(service, model).collect();
+    if open.iter().any(|h| !avoid.contains(&h.host)) {
+        open.retain(|h| !avoid.contains(&h.host));
+    }
+    if open.is_empty() {
+        return Choice::None;
+    }
+    let places: usize = open.iter().map(|h| h.slots).sum();
+    let candidates: Vec<Candidate> = open
+        .iter()
+        .map(|h| Candidate {
+            host: h.host.clone(),
+            load: h.load(),
+            slots: h.slots,
+            near: h.failure_domain == core.cfg.failure_domain,
+            failing_permille: 0,
+        })
+        .collect();
+    let free = candidates.iter().filter(|c| c.load < c.slots + AHEAD);
+    let Some(chosen) = place(free, fastrand::usize(..)) else {
+        return Choice::Full { places };
+    };
+    let head = open.iter().find(|h| h.host == chosen.host);
+    head.map_or(Choice::None, |h| Choice::Free(Arc::clone(h)))
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,180 @@
+//! Finding out that a replica has lost a member.
+//!
+//! The load it answers: hosts die in the middle of streams. The head then still takes
+//! requests, but nothing moves, for seconds; the platform's list shows the death after
+//! 3 s and more. The streams' silence shows it after some 300 ms, and a question to each
+//! member then tells a dead member from a slow replica.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, GroupId, HostId, value};
+use eelgrassmill_fleet::{Host, MembershipPhase, StallRule};
+use eelgrassmill_peer::{Item, Verdict};
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use tokio::task::JoinSet;
+use tracing::info;
+
+use crate::core::Core;
+use crate::heads::{Head, locked};
+use crate::planning::PlanningEvent;
+use crate::ports::{HostControl, HostReport, HostUnavailable, Platform};
+
+/// Replicas are looked at this often: a sixth of the shortest silence that counts.
+const LOOK: Duration = Duration::from_millis(50);
+/// A member that gives no report for this long counts as silent: a report takes 1 to 5 ms
+/// between failure domains, and one repeated packet some 200 ms.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
+/// How long other nodes hold on to the news: until long after the replica was dissolved.
+const NEWS_TTL: Duration = Duration::from_secs(15);
+/// The verdict's code for a member that is silent.
+const CODE_SILENT: u32 = 1;
+
+value! {
+    /// Why a replica counts as lost.
+    pub(crate) struct LostReplica {
+        pub(crate) replica: GroupId,
+        pub(crate) epoch: Epoch,
+        /// Members that gave no answer.
+        pub(crate) silent: SmallVec<[HostId; 2]>,
+    }
+}
+
+/// Looks for replicas that stand still, for ever.
+pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
+    let rule = StallRule::default();
+    let mut looks = tokio::time::interval(LOOK);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        for head in standing_still(&core, &rule) {
+            // The next look must not begin a second check beside this one.
+            head.progress().resumed(Instant::now());
+            tokio::spawn(check(Arc::clone(&core), head));
+        }
+    }
+}
+
+fn standing_still<P: Platform>(core: &Core<P>, rule: &StallRule) -> Vec<Arc<Head>> {
+    let now = Instant::now();
+    let heads = locked(&core.heads);
+    let still = |h: &&Arc<Head>| {
+        h.running_here() > 0
+            && !h.is_lost()
+            && h.progress().stalls_at(rule).is_some_and(|at| at <= now)
+    };
+    heads.all().filter(still).cloned().collect()
+}
+
+/// Asks all members of a replica that stands still.
+async fn check<P: Platform>(core: Arc<Core<P>>, head: Arc<Head>) {
+    let members: Vec<Host> = {
+        let fleet = locked(&core.fleet);
+        let members = fleet
+            .hosts()
+            .filter(|h| h.belongs_to(&head.replica, head.epoch));
+        members.cloned().collect()
+    };
+    let mut questions = JoinSet::new();
+    for host in members {
+        let core = Arc::clone(&core);
+        questions.spawn(async move {
+            let report = core
+                .platform
+                .control()
+                .report(&host.address, REPORT_TIMEOUT)
+                .await;
+            (host, report)
+        });
+    }
+    let mut silent = SmallVec::new();
+    let mut broken = false;
+    while let Some(answered) = questions.join_next().await {
+        // A question can't panic; one that did would say nothing of its host.
+        let Ok((host, report)) = answered else {
+            continue;
+        };
+        match report {
+            Ok(report) => broken |= is_broken(&head, &report),
+            Err(err) => {
+                note(&head, &host, &err);
+                silent.push(host.id);
+            }
+        }
+    }
+    if silent.is_empty() && !broken {
+        info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
+        return;
+    }
+    lose(&core, &head, silent);
+}
+
+fn is_broken(head: &Head, report: &HostReport) -> bool {
+    match &report.membership {
+        None => true,
+        Some(m) => {
+            m.replica != head.replica || m.epoch != head.epoch || m.phase == MembershipPhase::Broken
+        }
+    }
+}
+
+fn note(head: &Head, host: &Host, err: &HostUnavailable) {
+    info!(
+        event = "member-silent", replica = %head.replica, epoch = head.epoch,
+        host = %host.id, %err,
+    );
+}
+
+/// Gives a replica up here, and tells the planner and the other nodes.
+fn lose<P: Platform>(core: &Core<P>, head: &Head, silent: SmallVec<[HostId; 2]>) {
+    info!(
+        event = "replica-lost", replica = %head.replica, epoch = head.epoch,
+        silent = ?silent, running = head.running_here(),
+    );
+    head.set_lost();
+    core.freed();
+    if let Some(peer) = core.peer() {
+        let names: Vec<&str> = silent.iter().map(SmolStr::as_str).collect();
+        let verdict = Verdict {
+            group: head.replica.clone(),
+            epoch: head.epoch,
+            serves: false,
+            code: CODE_SILENT,
+            reason: names.join(",").into(),
+        };
+        peer.publish_for(Item::Verdict(verdict), NEWS_TTL);
+    }
+    let lost = LostReplica {
+        replica: head.replica.clone(),
+        epoch: head.epoch,
+        silent,
+    };
+    core.tell_planner(PlanningEvent::Lost(lost));
+}
+
+/// Takes another node's word that a replica is lost.
+pub(crate) fn heard<P: Platform>(core: &Core<P>, verdict: &Verdict) {
+    if verdict.serves {
+        return;
+    }
+    let head = locked(&core.heads)
+        .get(&verdict.group, verdict.epoch)
+        .cloned();
+    if let Some(head) = head {
+        head.set_lost();
+        core.freed();
+    }
+    let silent = verdict
+        .reason
+        .split(',')
+        .filter(|s| !s.is_empty())
+        .map(HostId::from)
+        .collect();
+    let lost = LostReplica {
+        replica: verdict.group.clone(),
+        epoch: verdict.epoch,
+        silent,
+    };
+    core.tell_planner(PlanningEvent::Lost(lost));
+}
