Tell lost replicas as records; adopt what earlier planners formed

Cause: a node that published a verdict counted as a watcher, no longer confirmed itself and was taken for dead: node counts fell to 1 (the share of repeats rose), and the planner's seat moved for nothing. Ruled out: the window's own arithmetic.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -27,7 +27,7 @@
 pub use crate::planner::order::{Command, Order, OrderReply};
 
 use crate::catalog::{ModelSpec, Service};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Replica};
 use crate::host::{Host, MembershipPhase};
 
 /// Formations that one planner's term has room for; far more than a term can last.
@@ -72,6 +72,7 @@
 #[derive(Clone, Debug)]
 pub struct Planner {
     term: u64,
+    began: Instant,
     formed: u64,
     timing: PlannerTiming,
     /// Invariant: a host is a member of at most one formation.
@@ -99,9 +100,10 @@
 
 impl Planner {
     /// A planner whose epochs are above those of all terms before `term`.
-    pub fn new(term: u64, timing: PlannerTiming) -> Planner {
+    pub fn new(term: u64, timing: PlannerTiming, now: Instant) -> Planner {
         Planner {
             term,
+            began: now,
             formed: 0,
             timing,
             formations: BTreeMap::new(),
@@ -206,7 +208,8 @@
         for id in ids {
             self.advance(&id, fleet, services, cold, now, &mut commands);
         }
-        for service in services {
+        let settled = !self.is_settling(now);
+        for service in services.iter().filter(|_| settled) {
             if let Some(engine) = &service.engine {
                 self.form(service, engine, fleet, cold, now);
             }
@@ -246,28 +249,39 @@
         }
     }
 
-    /// Takes over replicas that serve or are about to, from whoever formed them.
+    /// Takes over the replicas of earlier planners, whole or not.
+    ///
+    /// An order to open one may still be under way from the planner before. Were its
+    /// hosts taken as free, they could be given away while it serves.
     fn adopt(&mut self, fleet: &Fleet, services: &[&Service], now: Instant) {
         for replica in fleet.replicas() {
-            if self.formations.contains_key(&replica.id) {
+            let known = self.formations.contains_key(&replica.id);
+            let primes_only = replica.members.len() == 1 && !leads_many(&replica, fleet, services);
+            if known || primes_only || self.own_epoch(replica.epoch) {
                 continue;
             }
-            let head = replica.members.first().and_then(|(_, id)| fleet.host(id));
-            let Some(head) = head.filter(|h| h.is_open_head()) else {
+            let members: Vec<HostId> = replica.members.iter().map(|(_, id)| id.clone()).collect();
+            if members.iter().any(|m| self.formation_of(m).is_some()) {
                 continue;
-            };
-            let Some(model) = model_of(head, services) else {
+            }
+            let first = replica.members.first().and_then(|(_, id)| fleet.host(id));
+            let Some(first) = first else { continue };
+            let Some(model) = model_of(first, services) else {
                 continue;
             };
             let ranks = replica.members.iter().map(|(rank, _)| *rank);
             let whole = replica.members.len() == model.size && ranks.eq(0..model.size);
-            let members: Vec<HostId> = replica.members.iter().map(|(_, id)| id.clone()).collect();
-            if members.iter().any(|m| self.formation_of(m).is_some()) {
+            let has_head = replica.members.first().is_some_and(|(rank, _)| *rank == 0);
+            if !has_head {
+                // Without its head it can't serve, and its hosts are free.
                 continue;
             }
-            let mut formation =
-                Formation::new(replica.id.clone(), replica.epoch, head, model, members, now);
-            formation.enter(Step::Open, now);
+            let (id, epoch) = (replica.id.clone(), replica.epoch);
+            let mut formation = Formation::new(id, epoch, first, model, members, now);
+            formation.accepted = formation.members.iter().cloned().collect();
+            if first.is_open_head() {
+                formation.enter(Step::Open, now);
+            }
             if !whole {
                 formation.lose(Loss::Incomplete, now);
             }
@@ -275,6 +289,16 @@
         }
     }
 
+    /// Whether this planner made the epoch.
+    fn own_epoch(&self, epoch: Epoch) -> bool {
+        epoch / EPOCHS_PER_TERM == self.term
+    }
+
+    /// Whether an order of a planner before this one may be about to be shown by hosts.
+    fn is_settling(&self, now: Instant) -> bool {
+        self.term > 1 && now.saturating_duration_since(self.began) < self.timing.entry_lag
+    }
+
     /// The formation that a host is a member of.
     pub fn formation_of(&self, host: &str) -> Option<&Formation> {
         self.formations
@@ -596,6 +620,13 @@
     }
 }
 
+/// Whether a lone member of a replica may be the head of one that serves.
+fn leads_many(replica: &Replica, fleet: &Fleet, services: &[&Service]) -> bool {
+    let head = replica.members.first().and_then(|(_, id)| fleet.host(id));
+    let Some(head) = head else { return false };
+    head.is_open_head() || model_of(head, services).is_some_and(|m| m.size == 1)
+}
+
 fn find_model<'s>(
     services: &[&'s Service],
     service: &ServiceName,
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -143,7 +143,9 @@
             self.loads.pop_front();
         }
         let permitted = engine.loads_per_ks as f64 / 1000.0 * window.as_secs_f64();
-        if !cold && (self.loads.len() + count) as f64 > permitted.max(count as f64) {
+        // What a planner before this one began in the window isn't known.
+        let before = self.term > 1 && now.saturating_duration_since(self.began) < window;
+        if !cold && (before || (self.loads.len() + count) as f64 > permitted) {
             return false;
         }
         self.loads.extend(std::iter::repeat_n(now, count));
--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -3,13 +3,17 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, ModelName, NodeId, ServiceName};
 use eelgrassmill_fleet::{Fleet, Host, Progress};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+/// How long a head that refused a request gets none: the time in which other nodes tell
+/// their loads anew.
+const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
+
 /// The head of one replica in one formation.
 #[derive(Debug)]
 pub(crate) struct Head {
@@ -26,6 +30,8 @@
     /// The same of each other node, as it last said.
     elsewhere: Mutex<BTreeMap<NodeId, usize>>,
     progress: Mutex<Progress>,
+    /// It refused a request: nothing is sent to it until then.
+    refuses_until: Mutex<Option<Instant>>,
     /// Set once, when a member is known to be lost: nothing will come any more.
     lost: watch::Sender<bool>,
 }
@@ -45,6 +51,7 @@
             running: AtomicUsize::new(0),
             elsewhere: Mutex::default(),
             progress: Mutex::default(),
+            refuses_until: Mutex::default(),
             lost: watch::Sender::new(false),
         })
     }
@@ -94,6 +101,19 @@
         self.lost.send_replace(true);
     }
 
+    /// Notes that it refused a request.
+    ///
+    /// Until others' loads are heard again a full head looks as empty as before, and the
+    /// next attempts would be refused like this one, each at the cost of a repeat.
+    pub(crate) fn refused(&self, now: Instant) {
+        *locked(&self.refuses_until) = Some(now + REFUSAL_MEMORY);
+    }
+
+    /// Whether it refused a request just now.
+    pub(crate) fn refuses(&self, now: Instant) -> bool {
+        locked(&self.refuses_until).is_some_and(|until| now < until)
+    }
+
     pub(crate) fn is_lost(&self) -> bool {
         *self.lost.borrow()
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -43,7 +43,7 @@
             }
             Change::Confirmed(as_of) => locked(&self.core.nodes).heard(&origin, as_of),
             Change::Removed(ItemKey::GroupLoad(replica)) => self.load(&origin, &replica, None, 0),
-            Change::Removed(ItemKey::Group(_)) => {
+            Change::Removed(ItemKey::Group(name)) if name == SEAT => {
                 locked(&self.core.seats).remove(&origin);
             }
             Change::Removed(_) => {}
@@ -58,10 +58,10 @@
                 let running = (load.running + load.waiting) as usize;
                 self.load(origin, &load.group, Some(load.epoch), running);
             }
-            Item::Verdict(verdict) => watch::heard(&self.core, &verdict),
-            Item::Group(record) => {
+            Item::Group(record) if record.group == SEAT => {
                 locked(&self.core.seats).insert(origin.clone(), record.version);
             }
+            Item::Group(news) => watch::heard(&self.core, &news),
             // A load says that callers' requests have come: loads of weights are slow now.
             Item::Load(load) if load.load_permille > 0 => self.core.set_served(),
             _ => {}
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -44,7 +44,7 @@
 impl<P: Platform> Term<P> {
     pub(crate) fn new(core: Arc<Core<P>>, seat: &SeatRecord) -> Term<P> {
         core.take_planning_events();
-        let planner = Planner::new(seat.term, PlannerTiming::default());
+        let planner = Planner::new(seat.term, PlannerTiming::default(), Instant::now());
         Term { core, planner }
     }
 
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -55,7 +55,12 @@
     if core.is_leaving() || !core.is_loaded() || core.store_failures() > 0 {
         return None;
     }
-    if holder_is_heard(core, now) || !is_first(core, now) {
+    if let Some(holder) = heard_holder(core, now) {
+        // It needs no introduction should it fall silent.
+        seen.record = now.checked_sub(INTRODUCTION).map(|since| (holder, since));
+        return None;
+    }
+    if !is_first(core, now) {
         return None;
     }
     // A holder that was named lately may not have been heard yet.
@@ -110,12 +115,16 @@
     }
 }
 
-/// Whether a node that is up says that it holds the seat.
-fn holder_is_heard<P: Platform>(core: &Core<P>, now: Instant) -> bool {
+/// The node that is up and says that it holds the seat.
+fn heard_holder<P: Platform>(core: &Core<P>, now: Instant) -> Option<SeatRecord> {
     let nodes = locked(&core.nodes);
-    locked(&core.seats)
-        .keys()
-        .any(|node| nodes.is_alive(node, now))
+    let seats = locked(&core.seats);
+    let up = seats.iter().filter(|(node, _)| nodes.is_alive(node, now));
+    let (node, term) = up.max_by_key(|(_, term)| **term)?;
+    Some(SeatRecord {
+        node: node.clone(),
+        term: *term,
+    })
 }
 
 /// Whether this node is the first of those that are up, which alone takes the seat.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -211,6 +211,7 @@
 
     fn refused(&mut self, head: &Head) -> NoAnswer {
         self.avoid.push(head.host.clone());
+        head.refused(Instant::now());
         self.refusals += 1;
         NoAnswer::NotRun
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -201,7 +201,11 @@
             failing_permille: 0,
         })
         .collect();
-    let free = candidates.iter().filter(|c| c.load < c.slots + AHEAD);
+    let now = Instant::now();
+    let refuses = |c: &Candidate| open.iter().any(|h| h.host == c.host && h.refuses(now));
+    let free = candidates
+        .iter()
+        .filter(|c| c.load < c.slots + AHEAD && !refuses(c));
     let Some(chosen) = place(free, fastrand::usize(..)) else {
         return Choice::Full { places };
     };
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,7 +10,7 @@
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, value};
 use eelgrassmill_fleet::{Host, MembershipPhase, StallRule};
-use eelgrassmill_peer::{Item, Verdict};
+use eelgrassmill_peer::{GroupRecord, Item};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::task::JoinSet;
@@ -28,8 +28,6 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
 /// How long other nodes hold on to the news: until long after the replica was dissolved.
 const NEWS_TTL: Duration = Duration::from_secs(15);
-/// The verdict's code for a member that is silent.
-const CODE_SILENT: u32 = 1;
 
 value! {
     /// Why a replica counts as lost.
@@ -136,14 +134,14 @@
     core.freed();
     if let Some(peer) = core.peer() {
         let names: Vec<&str> = silent.iter().map(SmolStr::as_str).collect();
-        let verdict = Verdict {
+        // Not a verdict: a node that holds one counts as a watcher, which is taken for
+        // dead unless it confirms its verdicts all the time.
+        let news = GroupRecord {
             group: head.replica.clone(),
-            epoch: head.epoch,
-            serves: false,
-            code: CODE_SILENT,
-            reason: names.join(",").into(),
+            version: head.epoch,
+            record: names.join(",").into_bytes(),
         };
-        peer.publish_for(Item::Verdict(verdict), NEWS_TTL);
+        peer.publish_for(Item::Group(news), NEWS_TTL);
     }
     let lost = LostReplica {
         replica: head.replica.clone(),
@@ -154,26 +152,21 @@
 }
 
 /// Takes another node's word that a replica is lost.
-pub(crate) fn heard<P: Platform>(core: &Core<P>, verdict: &Verdict) {
-    if verdict.serves {
-        return;
-    }
-    let head = locked(&core.heads)
-        .get(&verdict.group, verdict.epoch)
-        .cloned();
+pub(crate) fn heard<P: Platform>(core: &Core<P>, news: &GroupRecord) {
+    let head = locked(&core.heads).get(&news.group, news.version).cloned();
     if let Some(head) = head {
         head.set_lost();
         core.freed();
     }
-    let silent = verdict
-        .reason
+    let names = String::from_utf8_lossy(&news.record);
+    let silent = names
         .split(',')
         .filter(|s| !s.is_empty())
         .map(HostId::from)
         .collect();
     let lost = LostReplica {
-        replica: verdict.group.clone(),
-        epoch: verdict.epoch,
+        replica: news.group.clone(),
+        epoch: news.version,
         silent,
     };
     core.tell_planner(PlanningEvent::Lost(lost));
