Prime spares before requests come, and space questions to hosts

Cause: spares were primed one at a time, since a spare that is being primed counted as a replica that must serve first; the rest loaded for 16 s under traffic and each repair waited for them. Questions went out on every answer. Ruled out: orders, which were all taken at once.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -43,6 +43,8 @@
     pub struct PlannerTiming {
         /// An order without an answer is sent again after this.
         pub resend: Duration,
+        /// The same to a host that gives no answer at all, until it is no longer listed.
+        pub resend_silent: Duration,
         /// Between two questions to a host that is about to be ready. Entries of hosts
         /// come 200 to 300 ms late, which would be the larger part of a repair.
         pub ask: Duration,
@@ -60,6 +62,7 @@
     fn default() -> PlannerTiming {
         PlannerTiming {
             resend: Duration::from_millis(300),
+            resend_silent: Duration::from_millis(1000),
             ask: Duration::from_millis(120),
             entry_lag: Duration::from_millis(1500),
             drain: Duration::from_millis(1500),
@@ -143,7 +146,6 @@
     pub fn host_answered(&mut self, host: &HostId) {
         self.silent.remove(host);
         self.unanswered.remove(host);
-        self.sent.remove(&(host.clone(), SentKind::Question));
     }
 
     /// Notes that a host did not answer a question or an order.
@@ -163,8 +165,8 @@
         reply: Option<OrderReply>,
         now: Instant,
     ) {
-        self.sent.remove(&(host.clone(), order.kind()));
         if reply.is_some() {
+            self.sent.remove(&(host.clone(), order.kind()));
             self.unanswered.remove(host);
         }
         let (replica, epoch) = order.formation();
@@ -561,7 +563,18 @@
     }
 
     fn send(&mut self, order: Order, host: &HostId, now: Instant, commands: &mut Vec<Command>) {
-        if self.claim(host, order.kind(), self.timing.resend, now) {
+        self.send_every(order, host, self.timing.resend, now, commands);
+    }
+
+    fn send_every(
+        &mut self,
+        order: Order,
+        host: &HostId,
+        every: Duration,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        if self.claim(host, order.kind(), every, now) {
             commands.push(Command::Order {
                 host: host.clone(),
                 order,
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -9,7 +9,7 @@
 use crate::fleet::Fleet;
 use crate::host::Host;
 use crate::planner::Planner;
-use crate::planner::formation::{Formation, Purpose};
+use crate::planner::formation::{Formation, Purpose, Step};
 
 impl Planner {
     /// Forms replicas from free hosts, and primes those that are left over.
@@ -173,12 +173,8 @@
             return;
         }
         // Before requests come, replicas that serve are loaded first.
-        if cold
-            && self
-                .formations
-                .values()
-                .any(|f| f.step != crate::planner::Step::Open)
-        {
+        let waits = |f: &Formation| f.purpose == Purpose::Serve && f.step != Step::Open;
+        if cold && self.formations.values().any(waits) {
             return;
         }
         let Some(model) = self.model_to_prime(service, engine, fabric, host) else {
