Have each member leave by itself before it joins elsewhere

Cause: a host whose entry vanishes, or that is out of our reach, may be the head of a replica that serves on (it left without a word, or is cut from the store). A member that has itself left is free whatever its head does. Ruled out: waiting for the head's entry longer, since nothing says how long it serves.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -8,8 +8,8 @@
 //! Safety rests on three rules, each checked in one place:
 //! - A replica is opened only after every member said that it is ready in this very
 //!   formation ([`Planner::advance_joining`]).
-//! - Hosts of a replica that may serve are given nothing else until its head has left or
-//!   is known to be gone ([`Planner::advance_dissolving`]).
+//! - A host of a replica that may serve is given nothing else until it has itself left
+//!   ([`Planner::advance_dissolving`]). Its head may be out of reach and serve on.
 //! - Every formation has an epoch of its own that is higher than all before it, also
 //!   those of earlier planners, so that a late order of an older one is refused.
 
@@ -27,7 +27,7 @@
 pub use crate::planner::order::{Command, Order, OrderReply};
 
 use crate::catalog::{ModelSpec, Service};
-use crate::fleet::{Fleet, Replica};
+use crate::fleet::Fleet;
 use crate::host::{Host, MembershipPhase};
 
 /// Formations that one planner's term has room for; far more than a term can last.
@@ -80,8 +80,10 @@
     timing: PlannerTiming,
     /// Invariant: a host is a member of at most one formation.
     formations: BTreeMap<GroupId, Formation>,
-    /// Hosts that give no answer, and their start when that was noticed.
-    silent: BTreeMap<HostId, u64>,
+    /// Hosts that give no answer.
+    silent: BTreeMap<HostId, Silence>,
+    /// Formations whose hosts are free, for as long as entries may still show them.
+    dissolved: BTreeMap<GroupId, Instant>,
     unanswered: BTreeMap<HostId, u32>,
     /// Orders and questions under way or sent lately, and when.
     sent: BTreeMap<(HostId, SentKind), Instant>,
@@ -91,6 +93,15 @@
     loads: VecDeque<Instant>,
 }
 
+/// What is remembered of a host that gives no answer.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// Its start when that was noticed.
+    born_ms: u64,
+    /// Whether it has been listed ever since.
+    listed: bool,
+}
+
 /// What was sent to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum SentKind {
@@ -111,6 +122,7 @@
             timing,
             formations: BTreeMap::new(),
             silent: BTreeMap::new(),
+            dissolved: BTreeMap::new(),
             unanswered: BTreeMap::new(),
             sent: BTreeMap::new(),
             primed: BTreeMap::new(),
@@ -125,8 +137,12 @@
 
     /// Notes that a host gives no answer though others do.
     pub fn host_silent(&mut self, host: &HostId, fleet: &Fleet) {
-        let born = fleet.host(host).map_or(0, |h| h.born_ms);
-        self.silent.insert(host.clone(), born);
+        let entry = fleet.host(host);
+        let silence = Silence {
+            born_ms: entry.map_or(0, |h| h.born_ms),
+            listed: entry.is_some(),
+        };
+        self.silent.entry(host.clone()).or_insert(silence);
     }
 
     /// Notes that a replica no longer serves.
@@ -184,11 +200,10 @@
             (Order::Open { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
                 formation.enter(Step::Open, now);
             }
-            (Order::Leave { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
-                formation.head_left = true;
-            }
-            (Order::Leave { .. }, Some(OrderReply::WrongHost)) => {
-                formation.head_left = true;
+            // A conflict means that it is no member, and another host at its address
+            // that it is gone.
+            (Order::Leave { .. }, Some(reply)) if !matches!(reply, OrderReply::Refused(_)) => {
+                formation.left.insert(host.clone());
             }
             _ => {}
         }
@@ -216,6 +231,7 @@
                 self.form(service, engine, fleet, cold, now);
             }
         }
+        self.ask_silent(fleet, now, &mut commands);
         // Formations that were just decided are ordered at once.
         let joining = |f: &Formation| f.step == Step::Joining && f.accepted.is_empty();
         let fresh: Vec<GroupId> = self
@@ -230,13 +246,25 @@
         commands
     }
 
-    /// A silent host counts again once it is listed with another start.
+    /// A silent host counts again once it is listed anew or with another start.
     fn forget_returned(&mut self, fleet: &Fleet) {
-        self.silent
-            .retain(|id, born| fleet.host(id).is_none_or(|h| h.born_ms == *born));
+        self.silent.retain(|id, silence| match fleet.host(id) {
+            None => {
+                silence.listed = false;
+                true
+            }
+            Some(host) => silence.listed && host.born_ms == silence.born_ms,
+        });
         let listed = |id: &HostId| fleet.host(id).is_some();
-        self.unanswered.retain(|id, _| listed(id));
-        self.sent.retain(|(id, _), _| listed(id));
+        let bound: BTreeSet<HostId> = self
+            .formations
+            .values()
+            .flat_map(|f| f.bound().cloned())
+            .collect();
+        self.unanswered
+            .retain(|id, _| listed(id) || bound.contains(id));
+        self.sent
+            .retain(|(id, _), _| listed(id) || bound.contains(id));
         self.primed
             .retain(|id, (born, _)| fleet.host(id).is_some_and(|h| h.born_ms == *born));
         for host in fleet.hosts() {
@@ -251,40 +279,41 @@
         }
     }
 
-    /// Takes over the replicas of earlier planners, whole or not.
+    /// Takes over the replicas that hosts report and no formation here knows.
     ///
-    /// An order to open one may still be under way from the planner before. Were its
-    /// hosts taken as free, they could be given away while it serves.
+    /// An order to open one may still be under way from the planner before, and a host
+    /// that was out of reach comes back as a member of one that was given up. Were such
+    /// hosts taken as free, they could be given away while their replica serves.
     fn adopt(&mut self, fleet: &Fleet, services: &[&Service], now: Instant) {
+        let lag = self.timing.entry_lag;
+        self.dissolved
+            .retain(|_, at| now.saturating_duration_since(*at) < lag);
         for replica in fleet.replicas() {
             let known = self.formations.contains_key(&replica.id);
-            let primes_only = replica.members.len() == 1 && !leads_many(&replica, fleet, services);
-            if known || primes_only || self.own_epoch(replica.epoch) {
+            if known || self.dissolved.contains_key(&replica.id) {
                 continue;
             }
-            let members: Vec<HostId> = replica.members.iter().map(|(_, id)| id.clone()).collect();
-            if members.iter().any(|m| self.formation_of(m).is_some()) {
+            let hosts = replica.members.iter().filter_map(|(_, id)| fleet.host(id));
+            let hosts: Vec<&Host> = hosts
+                .filter(|h| self.formation_of(&h.id).is_none())
+                .collect();
+            let Some(first) = hosts.first().copied() else {
                 continue;
-            }
-            let first = replica.members.first().and_then(|(_, id)| fleet.host(id));
-            let Some(first) = first else { continue };
+            };
             let Some(model) = model_of(first, services) else {
                 continue;
             };
             let ranks = replica.members.iter().map(|(rank, _)| *rank);
-            let whole = replica.members.len() == model.size && ranks.eq(0..model.size);
-            let has_head = replica.members.first().is_some_and(|(rank, _)| *rank == 0);
-            if !has_head {
-                // Without its head it can't serve, and its hosts are free.
-                continue;
-            }
+            let whole = hosts.len() == model.size && ranks.eq(0..model.size);
             let (id, epoch) = (replica.id.clone(), replica.epoch);
-            let mut formation = Formation::new(id, epoch, first, model, members, now);
+            let Some(mut formation) = Formation::new(id, epoch, model, &hosts, now) else {
+                continue;
+            };
             formation.accepted = formation.members.iter().cloned().collect();
             if first.is_open_head() {
                 formation.enter(Step::Open, now);
             }
-            if !whole {
+            if !whole || self.own_epoch(replica.epoch) {
                 formation.lose(Loss::Incomplete, now);
             }
             self.formations.insert(replica.id, formation);
@@ -305,7 +334,7 @@
     pub fn formation_of(&self, host: &str) -> Option<&Formation> {
         self.formations
             .values()
-            .find(|f| f.members.iter().any(|m| m == host))
+            .find(|f| f.bound().any(|m| m == host))
     }
 
     fn is_lost(&self, host: &HostId, fleet: &Fleet) -> Option<Loss> {
@@ -389,7 +418,7 @@
                 continue;
             }
             if !f.accepted.contains(&member) {
-                self.send(f.join(), &member, now, commands);
+                self.send(f.join(), f, &member, now, commands);
                 continue;
             }
             let expected = f.since + self.join_time(host, model);
@@ -433,7 +462,7 @@
             replica: f.id.clone(),
             epoch: f.epoch,
         };
-        self.send(open, &head, now, commands);
+        self.send(open, f, &head, now, commands);
     }
 
     /// A spare joins a replica of its own that is never opened, so that it joins a
@@ -459,7 +488,7 @@
                     .insert(member.clone(), (host.born_ms, f.model.clone()));
                 f.ready.insert(member);
             } else if !f.accepted.contains(&member) {
-                self.send(f.join(), &member, now, commands);
+                self.send(f.join(), f, &member, now, commands);
             }
         }
         true
@@ -467,9 +496,10 @@
 
     fn advance_open(&mut self, f: &mut Formation, lost: Option<Loss>, fleet: &Fleet, now: Instant) {
         if let Some(loss) = lost {
-            let leaving = matches!(loss, Loss::Leaving(_));
+            // A host whose entry vanished may be leaving without a word, and serve on.
+            let planned = matches!(loss, Loss::Leaving(_) | Loss::Gone(_));
             f.lose(loss, now);
-            if leaving {
+            if planned {
                 f.enter(Step::Draining, now);
             }
             return;
@@ -514,25 +544,26 @@
             Some(MembershipPhase::Ready | MembershipPhase::Broken)
         );
         let over = now.saturating_duration_since(f.since) >= self.timing.drain;
-        let worse = lost.is_some_and(|l| !matches!(l, Loss::Leaving(_)));
+        let worse = lost.is_some_and(|l| matches!(l, Loss::Silent(_)));
         if finished || over || worse {
             f.enter(Step::Dissolving, now);
             return self.advance_dissolving(f, fleet, now, commands);
         }
-        if phase == Some(MembershipPhase::Open) {
+        if phase.is_none_or(|p| p == MembershipPhase::Open) {
             let close = Order::Close {
                 replica: f.id.clone(),
                 epoch: f.epoch,
             };
-            self.send(close, &head, now, commands);
+            self.send(close, f, &head, now, commands);
         }
         true
     }
 
-    /// Tells the head to leave, and keeps the members bound until it has left or is gone.
+    /// Tells all members to leave, and keeps each bound until it has.
     ///
     /// A host that joins another replica while its old head serves would tear answers
-    /// in progress apart, which callers see as streams that stand still.
+    /// in progress apart, which callers see as streams that stand still. A member that
+    /// has left stops the replica by itself, so the head needs not be in reach.
     fn advance_dissolving(
         &mut self,
         f: &mut Formation,
@@ -540,43 +571,68 @@
         now: Instant,
         commands: &mut Vec<Command>,
     ) -> bool {
-        if f.head_left {
-            return false;
+        let entries_are_new = now.saturating_duration_since(f.since) >= self.timing.entry_lag;
+        for member in f.bound().cloned().collect::<Vec<_>>() {
+            let silent = self.silent.contains_key(&member);
+            let holds_nothing = match (fleet.host(&member), f.seats.get(&member)) {
+                (Some(host), Some(seat)) => {
+                    let reborn = host.born_ms != seat.born_ms;
+                    reborn || (entries_are_new && !f.is_member(host))
+                }
+                // Should it come back, its own report says of what it is a member.
+                (None, _) => silent,
+                (Some(_), None) => true,
+            };
+            if holds_nothing {
+                f.left.insert(member);
+                continue;
+            }
+            let leave = Order::Leave {
+                replica: f.id.clone(),
+                epoch: f.epoch,
+            };
+            let every = if silent {
+                self.timing.resend_silent
+            } else {
+                self.timing.resend
+            };
+            self.send_every(leave, f, &member, every, now, commands);
         }
-        let Some(head) = f.head().cloned() else {
-            return false;
-        };
-        let Some(host) = fleet.host(&head) else {
-            return false;
-        };
-        let reborn = host.born_ms != f.head_born;
-        let entry_is_new = now.saturating_duration_since(f.since) >= self.timing.entry_lag;
-        if reborn || (entry_is_new && !f.is_member(host)) {
-            return false;
+        let done = f.bound().next().is_none();
+        if done {
+            self.dissolved.insert(f.id.clone(), now);
         }
-        let leave = Order::Leave {
-            replica: f.id.clone(),
-            epoch: f.epoch,
-        };
-        self.send(leave, &head, now, commands);
-        true
+        !done
     }
 
-    fn send(&mut self, order: Order, host: &HostId, now: Instant, commands: &mut Vec<Command>) {
-        self.send_every(order, host, self.timing.resend, now, commands);
+    fn send(
+        &mut self,
+        order: Order,
+        f: &Formation,
+        host: &HostId,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        self.send_every(order, f, host, self.timing.resend, now, commands);
     }
 
     fn send_every(
         &mut self,
         order: Order,
+        f: &Formation,
         host: &HostId,
         every: Duration,
         now: Instant,
         commands: &mut Vec<Command>,
     ) {
+        let Some(seat) = f.seats.get(host) else {
+            return;
+        };
         if self.claim(host, order.kind(), every, now) {
+            let address = seat.address.clone();
             commands.push(Command::Order {
                 host: host.clone(),
+                address,
                 order,
             });
         }
@@ -588,6 +644,17 @@
         }
     }
 
+    /// Asks silent hosts that are still listed: one that was only cut off must not be
+    /// lost as a spare.
+    fn ask_silent(&mut self, fleet: &Fleet, now: Instant, commands: &mut Vec<Command>) {
+        let listed = self.silent.keys().filter(|id| fleet.host(id).is_some());
+        for host in listed.cloned().collect::<Vec<_>>() {
+            if self.claim(&host, SentKind::Question, self.timing.resend_silent, now) {
+                commands.push(Command::Ask { host });
+            }
+        }
+    }
+
     /// Whether it is time to send this to the host again.
     fn claim(&mut self, host: &HostId, kind: SentKind, every: Duration, now: Instant) -> bool {
         let key = (host.clone(), kind);
@@ -629,17 +696,10 @@
             .formations
             .values()
             .filter(|f| f.purpose == Purpose::Serve);
-        bound.flat_map(|f| f.members.iter()).collect()
+        bound.flat_map(Formation::bound).collect()
     }
 }
 
-/// Whether a lone member of a replica may be the head of one that serves.
-fn leads_many(replica: &Replica, fleet: &Fleet, services: &[&Service]) -> bool {
-    let head = replica.members.first().and_then(|(_, id)| fleet.host(id));
-    let Some(head) = head else { return false };
-    head.is_open_head() || model_of(head, services).is_some_and(|m| m.size == 1)
-}
-
 fn find_model<'s>(
     services: &[&'s Service],
     service: &ServiceName,
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -109,13 +109,11 @@
         if !self.take_loads(loads, engine, cold, now) {
             return false;
         }
-        let members: Vec<HostId> = chosen.iter().map(|h| h.id.clone()).collect();
-        let Some(head) = chosen.first() else {
+        let (id, epoch) = self.next_formation();
+        let Some(formation) = Formation::new(id.clone(), epoch, model, &chosen, now) else {
             return false;
         };
-        let (id, epoch) = self.next_formation();
-        let formation = Formation::new(id.clone(), epoch, head, model, members.clone(), now);
-        self.drop_priming(&members);
+        self.drop_priming(&formation.members);
         self.formations.insert(id, formation);
         free.drain(..model.size);
         true
@@ -185,8 +183,9 @@
             return;
         }
         let (id, epoch) = self.next_formation();
-        let members = vec![host.id.clone()];
-        let mut formation = Formation::new(id.clone(), epoch, host, model, members, now);
+        let Some(mut formation) = Formation::new(id.clone(), epoch, model, &[host], now) else {
+            return;
+        };
         formation.purpose = Purpose::Prime;
         self.formations.insert(id, formation);
     }
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -1,10 +1,12 @@
 //! One replica from the decision to form it until its hosts are free again.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ModelName, ServiceName, value};
 
+use smol_str::SmolStr;
+
 use crate::catalog::ModelSpec;
 use crate::host::{Host, MembershipPhase};
 use crate::planner::order::Order;
@@ -80,36 +82,60 @@
     pub(crate) accepted: BTreeSet<HostId>,
     /// Members that said that they are ready.
     pub(crate) ready: BTreeSet<HostId>,
-    /// The start of the head when it was chosen.
-    pub(crate) head_born: u64,
-    pub(crate) head_left: bool,
+    /// Each member's start and address when it was chosen. The address is needed also
+    /// after its entry is gone: a host whose entry vanished may serve on for seconds.
+    pub(crate) seats: BTreeMap<HostId, MemberSeat>,
+    /// Members that have left. Invariant: only these and hosts that are gone or have
+    /// started again are given to other formations.
+    pub(crate) left: BTreeSet<HostId>,
+}
+
+value! {
+    /// What is remembered of a member.
+    pub(crate) struct MemberSeat {
+        pub(crate) born_ms: u64,
+        pub(crate) address: SmolStr,
+    }
 }
 
 impl Formation {
+    /// A formation of these hosts, the first of which is its head; `None` without any.
     pub(crate) fn new(
         id: GroupId,
         epoch: Epoch,
-        head: &Host,
         model: &ModelSpec,
-        members: Vec<HostId>,
+        hosts: &[&Host],
         now: Instant,
-    ) -> Formation {
-        Formation {
+    ) -> Option<Formation> {
+        let head = hosts.first()?;
+        let seat = |h: &&Host| {
+            let seat = MemberSeat {
+                born_ms: h.born_ms,
+                address: h.address.clone(),
+            };
+            (h.id.clone(), seat)
+        };
+        Some(Formation {
             id,
             epoch,
             service: head.service.clone(),
             model: model.name.clone(),
             fabric: head.fabric.clone(),
-            members,
+            members: hosts.iter().map(|h| h.id.clone()).collect(),
             purpose: Purpose::Serve,
             step: Step::Joining,
             since: now,
             loss: None,
             accepted: BTreeSet::new(),
             ready: BTreeSet::new(),
-            head_born: head.born_ms,
-            head_left: false,
-        }
+            seats: hosts.iter().map(seat).collect(),
+            left: BTreeSet::new(),
+        })
+    }
+
+    /// Members that are not free for anything else.
+    pub(crate) fn bound(&self) -> impl Iterator<Item = &HostId> {
+        self.members.iter().filter(|m| !self.left.contains(*m))
     }
 
     /// The member that takes the requests.
--- a/crates/fleet/src/planner/order.rs
+++ b/crates/fleet/src/planner/order.rs
@@ -2,6 +2,8 @@
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName, value};
 
+use smol_str::SmolStr;
+
 use crate::planner::SentKind;
 
 value! {
@@ -47,6 +49,8 @@
         Order {
             /// To this host.
             host: HostId,
+            /// Its address, also where it is no longer listed.
+            address: SmolStr,
             /// This order.
             order: Order,
         },
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,6 +44,9 @@
     loop {
         let result = match cursor {
             None => source.snapshot().await,
+            // After a failure the first question is one that is answered at once: a wait
+            // on a connection that is dead would hide for seconds that the store is back.
+            Some(since) if !healthy => source.changes(since, Duration::ZERO).await,
             Some(since) => source.changes(since, WAIT).await,
         };
         match result {
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -120,14 +120,15 @@
 
     fn carry_out(&self, command: Command) {
         let core = Arc::clone(&self.core);
-        let (Command::Order { host, .. } | Command::Ask { host }) = &command;
-        let Some(address) = locked(&core.fleet).host(host).map(|h| h.address.clone()) else {
-            return;
+        let address = match &command {
+            Command::Order { address, .. } => Some(address.clone()),
+            Command::Ask { host } => locked(&core.fleet).host(host).map(|h| h.address.clone()),
         };
+        let Some(address) = address else { return };
         tokio::spawn(async move {
             let control = core.platform.control();
             let event = match command {
-                Command::Order { host, order } => {
+                Command::Order { host, order, .. } => {
                     let reply = control.order(&host, &address, &order, ORDER_TIMEOUT).await;
                     note(&core, &host, &order, &reply);
                     PlanningEvent::Reply(host, order, reply)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -279,8 +279,8 @@
             self.events.restart();
             self.failed(&head);
             let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
-            if !resumable || tx.is_closed() {
-                return self.cut(&tx, "not resumable").await;
+            if !resumable || !self.may_run_again() {
+                return self.cut(&tx, "it may not run again").await;
             }
             let resumed = tokio::select! {
                 resumed = self.begin() => resumed,
