Wait until the members of a lost replica have left before forming anew

Cause: a replica was formed as soon as enough hosts were free, while the last survivor was still leaving; a spare of the other model took its place and loaded for 16 s. Ruled out: joins that take longer after a leave (reports showed the others ready).

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -51,6 +51,9 @@
         /// An open replica whose members' entries say otherwise for this long is given
         /// up: entries lag behind orders, so a shorter time would end sound replicas.
         pub entry_lag: Duration,
+        /// How long the members of a lost replica are waited for before others take their
+        /// places: two orders' time.
+        pub leave: Duration,
         /// How long a head may finish what runs when a member is leaving.
         pub drain: Duration,
         /// The window of the bound on loads from the weight store.
@@ -65,6 +68,7 @@
             resend_silent: Duration::from_millis(1000),
             ask: Duration::from_millis(120),
             entry_lag: Duration::from_millis(1500),
+            leave: Duration::from_millis(700),
             drain: Duration::from_millis(1500),
             load_window: Duration::from_secs(5),
         }
@@ -246,25 +250,24 @@
         commands
     }
 
-    /// A silent host counts again once it is listed anew or with another start.
+    /// Drops what is remembered of hosts that are gone. A silent host counts again once
+    /// it is listed anew or with another start.
     fn forget_returned(&mut self, fleet: &Fleet) {
+        let bound: BTreeSet<HostId> = self
+            .formations
+            .values()
+            .flat_map(|f| f.bound().cloned())
+            .collect();
+        let concerns = |id: &HostId| fleet.host(id).is_some() || bound.contains(id);
+        self.unanswered.retain(|id, _| concerns(id));
+        self.sent.retain(|(id, _), _| concerns(id));
         self.silent.retain(|id, silence| match fleet.host(id) {
             None => {
                 silence.listed = false;
-                true
+                bound.contains(id)
             }
             Some(host) => silence.listed && host.born_ms == silence.born_ms,
         });
-        let listed = |id: &HostId| fleet.host(id).is_some();
-        let bound: BTreeSet<HostId> = self
-            .formations
-            .values()
-            .flat_map(|f| f.bound().cloned())
-            .collect();
-        self.unanswered
-            .retain(|id, _| listed(id) || bound.contains(id));
-        self.sent
-            .retain(|(id, _), _| listed(id) || bound.contains(id));
         self.primed
             .retain(|id, (born, _)| fleet.host(id).is_some_and(|h| h.born_ms == *born));
         for host in fleet.hosts() {
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -23,6 +23,9 @@
     ) {
         let mut domains = self.free_hosts(service, fleet);
         for (fabric, free) in &mut domains {
+            if self.is_being_freed(fabric, now) {
+                continue;
+            }
             while let Some(model) = self.next_model(service, engine, fabric, free) {
                 if !self.form_one(model, engine, free, cold, now) {
                     break;
@@ -36,6 +39,20 @@
         }
     }
 
+    /// Whether hosts of a domain are about to be free that hold a model already.
+    ///
+    /// Members of a lost replica leave within milliseconds of each other. One formed in
+    /// between would take spares that must load the model, for 16 s instead of 0.2 s.
+    fn is_being_freed(&self, fabric: &FabricDomain, now: Instant) -> bool {
+        let waits_for = |m: &HostId| !self.silent.contains_key(m);
+        let leaving = |f: &&Formation| f.step == Step::Dissolving && f.fabric == *fabric;
+        let mut leaving = self.formations.values().filter(leaving);
+        leaving.any(|f| {
+            let recent = now.saturating_duration_since(f.since) < self.timing.leave;
+            recent && f.bound().any(waits_for)
+        })
+    }
+
     /// Hosts that no serving formation has, by fabric domain.
     fn free_hosts<'f>(
         &self,
