Bind hosts again that come back as members of a lost replica

Ruled out: a wrong entry (it said what the host held). Hosts that are out of reach now count as members again when they are listed.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -87,7 +87,7 @@
     /// Hosts that give no answer.
     silent: BTreeMap<HostId, Silence>,
     /// Formations whose hosts are free, for as long as entries may still show them.
-    dissolved: BTreeMap<GroupId, Instant>,
+    dissolved: BTreeMap<GroupId, Dissolved>,
     unanswered: BTreeMap<HostId, u32>,
     /// Orders and questions under way or sent lately, and when.
     sent: BTreeMap<(HostId, SentKind), Instant>,
@@ -106,6 +106,14 @@
     listed: bool,
 }
 
+/// What is remembered of a formation that has ended.
+#[derive(Clone, Debug)]
+struct Dissolved {
+    at: Instant,
+    /// Members that left it, whatever their entries still say.
+    left: BTreeSet<HostId>,
+}
+
 /// What was sent to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum SentKind {
@@ -290,15 +298,16 @@
     fn adopt(&mut self, fleet: &Fleet, services: &[&Service], now: Instant) {
         let lag = self.timing.entry_lag;
         self.dissolved
-            .retain(|_, at| now.saturating_duration_since(*at) < lag);
+            .retain(|_, dissolved| now.saturating_duration_since(dissolved.at) < lag);
         for replica in fleet.replicas() {
-            let known = self.formations.contains_key(&replica.id);
-            if known || self.dissolved.contains_key(&replica.id) {
+            if self.formations.contains_key(&replica.id) {
                 continue;
             }
+            let dissolved = self.dissolved.get(&replica.id);
+            let has_left = |h: &Host| dissolved.is_some_and(|d| d.left.contains(&h.id));
             let hosts = replica.members.iter().filter_map(|(_, id)| fleet.host(id));
             let hosts: Vec<&Host> = hosts
-                .filter(|h| self.formation_of(&h.id).is_none())
+                .filter(|h| self.formation_of(&h.id).is_none() && !has_left(h))
                 .collect();
             let Some(first) = hosts.first().copied() else {
                 continue;
@@ -575,39 +584,56 @@
         commands: &mut Vec<Command>,
     ) -> bool {
         let entries_are_new = now.saturating_duration_since(f.since) >= self.timing.entry_lag;
+        f.gone.retain(|m| fleet.host(m).is_none());
         for member in f.bound().cloned().collect::<Vec<_>>() {
             let silent = self.silent.contains_key(&member);
-            let holds_nothing = match (fleet.host(&member), f.seats.get(&member)) {
-                (Some(host), Some(seat)) => {
-                    let reborn = host.born_ms != seat.born_ms;
-                    reborn || (entries_are_new && !f.is_member(host))
+            let Some(host) = fleet.host(&member) else {
+                if silent {
+                    f.gone.insert(member);
+                    continue;
                 }
-                // Should it come back, its own report says of what it is a member.
-                (None, _) => silent,
-                (Some(_), None) => true,
+                self.order_to_leave(f, &member, self.timing.resend, now, commands);
+                continue;
             };
-            if holds_nothing {
+            let reborn = f
+                .seats
+                .get(&member)
+                .is_none_or(|seat| seat.born_ms != host.born_ms);
+            if reborn || (entries_are_new && !f.is_member(host)) {
                 f.left.insert(member);
                 continue;
             }
-            let leave = Order::Leave {
-                replica: f.id.clone(),
-                epoch: f.epoch,
-            };
             let every = if silent {
                 self.timing.resend_silent
             } else {
                 self.timing.resend
             };
-            self.send_every(leave, f, &member, every, now, commands);
+            self.order_to_leave(f, &member, every, now, commands);
         }
         let done = f.bound().next().is_none();
         if done {
-            self.dissolved.insert(f.id.clone(), now);
+            let left = f.left.clone();
+            self.dissolved
+                .insert(f.id.clone(), Dissolved { at: now, left });
         }
         !done
     }
 
+    fn order_to_leave(
+        &mut self,
+        f: &Formation,
+        member: &HostId,
+        every: Duration,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        let leave = Order::Leave {
+            replica: f.id.clone(),
+            epoch: f.epoch,
+        };
+        self.send_every(leave, f, member, every, now, commands);
+    }
+
     fn send(
         &mut self,
         order: Order,
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -88,6 +88,9 @@
     /// Members that have left. Invariant: only these and hosts that are gone or have
     /// started again are given to other formations.
     pub(crate) left: BTreeSet<HostId>,
+    /// Members that are out of reach and not listed. They count as members again should
+    /// they be listed again: a host that was only cut off still holds what it held.
+    pub(crate) gone: BTreeSet<HostId>,
 }
 
 value! {
@@ -130,12 +133,14 @@
             ready: BTreeSet::new(),
             seats: hosts.iter().map(seat).collect(),
             left: BTreeSet::new(),
+            gone: BTreeSet::new(),
         })
     }
 
     /// Members that are not free for anything else.
     pub(crate) fn bound(&self) -> impl Iterator<Item = &HostId> {
-        self.members.iter().filter(|m| !self.left.contains(*m))
+        let free = |m: &HostId| self.left.contains(m) || self.gone.contains(m);
+        self.members.iter().filter(move |m| !free(m))
     }
 
     /// The member that takes the requests.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_fleet::{Catalog, FleetChange};
+use eelgrassmill_fleet::{Catalog, FleetChange, Host};
 use tracing::{info, warn};
 
 use crate::core::Core;
@@ -104,6 +104,9 @@
             let mut fleet = locked(&self.0.fleet);
             let mut gone = Vec::new();
             for change in changes {
+                if let FleetChange::Put(host) = &change {
+                    note(host);
+                }
                 gone.extend(fleet.apply(change, now));
             }
             gone.extend(fleet.expire(now));
@@ -118,6 +121,16 @@
     }
 }
 
+fn note(host: &Host) {
+    let m = host.membership.as_ref();
+    info!(
+        event = "host", host = %host.id, state = ?host.state, born = host.born_ms,
+        replica = m.map_or("", |m| m.replica.as_str()), epoch = m.map_or(0, |m| m.epoch),
+        rank = m.map_or(0, |m| m.rank), phase = ?m.map(|m| m.phase),
+        model = host.model.as_deref().unwrap_or_default(),
+    );
+}
+
 /// Takes configurations into force.
 pub(crate) struct CatalogSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
