Test the planner against a pool of hosts and random faults

The pool obeys orders late or not at all, loses, cuts and returns hosts, and checks two rules: nothing serves without all its members, and nothing that serves is torn apart. Each guard was taken out to see a test fail: member leaves before it joins, all members ready before a replica opens, epochs by term, members that return. Taking out the pause of a new planner failed no test; it saves orders and is no matter of safety.

--- /dev/null
+++ b/crates/fleet/tests/planner.rs
@@ -0,0 +1,228 @@
+//! Forming replicas, mending them, and what must never happen to a host.
+
+mod support;
+
+use std::time::Duration;
+
+use eelgrassmill_base::HostId;
+use googletest::prelude::*;
+
+use crate::support::World;
+
+const fn seconds(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+const fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Time for all first loads, priming and staging of one domain.
+const SETTLED: Duration = seconds(90);
+
+fn settled(domains: usize, each: usize) -> World {
+    let mut world = World::new(domains, each, 1);
+    world.run(SETTLED);
+    assert_that!(world.violations, is_empty());
+    world
+}
+
+/// Runs until `count` replicas serve; gives how long that took.
+fn until_serving(world: &mut World, count: usize, most: Duration) -> Option<Duration> {
+    let began = world.now;
+    while world.now < began + most {
+        if world.serving() >= count {
+            return Some(world.now - began);
+        }
+        world.run(millis(20));
+    }
+    None
+}
+
+#[gtest]
+fn each_domain_gets_a_replica_of_each_model_and_primed_spares() {
+    let mut world = settled(2, 11);
+    expect_that!(world.serving(), eq(4));
+    for fabric in ["d0", "d1"] {
+        expect_that!(world.members(fabric, "large").len(), eq(6));
+        expect_that!(world.members(fabric, "small").len(), eq(3));
+    }
+    // Every spare was a member for one model and holds the other's weights.
+    let spares: Vec<HostId> = {
+        let serving: Vec<HostId> = ["d0", "d1"]
+            .iter()
+            .flat_map(|d| [world.members(d, "large"), world.members(d, "small")].concat())
+            .collect();
+        world
+            .hosts
+            .keys()
+            .filter(|h| !serving.contains(h))
+            .cloned()
+            .collect()
+    };
+    expect_that!(spares.len(), eq(4));
+    for spare in spares {
+        let host = world.host(&spare);
+        let primed = host.last_model.clone();
+        expect_that!(primed, some(anything()));
+        expect_that!(
+            host.staged.iter().any(|m| Some(m) != primed.as_ref()),
+            eq(true)
+        );
+    }
+}
+
+/// A member dies in the middle of streams. Its replica stands still, and callers wait
+/// until a spare has taken the place.
+#[gtest]
+fn a_lost_member_is_replaced_within_a_second_of_being_noticed() {
+    let mut world = settled(1, 11);
+    let lost = world.members("d0", "large")[3].clone();
+    world.kill(&lost);
+    let took = until_serving(&mut world, 2, seconds(10));
+    // It counts as serving until its end is noticed, so time passes first.
+    expect_that!(took, some(eq(Duration::ZERO)).or(some(le(millis(1500)))));
+    world.run(millis(1500));
+    expect_that!(world.serving(), eq(2));
+    expect_that!(world.members("d0", "large"), not(contains(eq(&lost))));
+    expect_that!(world.violations, is_empty());
+}
+
+/// The head itself dies. It can't be told to leave, and nothing says whether it is dead
+/// or only out of reach, but its members can leave by themselves.
+#[gtest]
+fn a_lost_head_is_replaced_without_waiting_for_its_entry_to_lapse() {
+    let mut world = settled(1, 11);
+    let head = world.members("d0", "large")[0].clone();
+    world.kill(&head);
+    world.run(millis(2200));
+    expect_that!(world.serving(), eq(2));
+    expect_that!(world.violations, is_empty());
+}
+
+/// A second member of the same model dies in one domain. The spare that was primed for
+/// it is used up, and loading the weights anew would take 16 s.
+#[gtest]
+fn the_second_loss_of_a_model_is_mended_from_staged_weights() {
+    let mut world = settled(1, 11);
+    for _ in 0..2 {
+        let lost = world.members("d0", "large")[2].clone();
+        world.kill(&lost);
+        world.run(seconds(4));
+    }
+    expect_that!(world.members("d0", "large").len(), eq(6));
+    expect_that!(world.serving(), eq(2));
+    expect_that!(world.violations, is_empty());
+}
+
+/// A head leaves without a word: its entry is removed, but it serves on for seconds. Were
+/// its members taken as free, answers in progress would be torn apart.
+#[gtest]
+fn members_of_a_head_whose_entry_vanished_leave_before_they_join_elsewhere() {
+    let mut world = settled(1, 11);
+    let head = world.members("d0", "large")[0].clone();
+    world.vanish(&head);
+    world.run(seconds(8));
+    expect_that!(world.violations, is_empty());
+    expect_that!(world.members("d0", "large"), not(contains(eq(&head))));
+    expect_that!(world.serving(), eq(2));
+}
+
+/// A head is cut off and later comes back, still at the head of the replica that was
+/// given up. It must leave that before it joins another one.
+#[gtest]
+fn a_head_that_was_cut_off_leaves_what_it_held_when_it_returns() {
+    let mut world = settled(1, 11);
+    let head = world.members("d0", "large")[0].clone();
+    world.cut(&head);
+    world.run(seconds(6));
+    expect_that!(world.serving(), ge(2));
+    world.heal(&head);
+    world.run(seconds(3));
+    // A further loss makes the planner look for hosts.
+    let lost = world.members("d0", "small")[1].clone();
+    world.kill(&lost);
+    world.run(seconds(20));
+    expect_that!(world.violations, is_empty());
+    expect_that!(world.serving(), eq(2));
+}
+
+/// A head and a member are cut off together, and the list shows the member all the time,
+/// so that the replica isn't done with when the head comes back. The head still serves.
+#[gtest]
+fn a_head_that_returns_while_its_replica_is_being_given_up_leaves_first() {
+    let mut world = settled(1, 11);
+    let members = world.members("d0", "large");
+    world.cut_from_planners(&members[3]);
+    world.cut(&members[0]);
+    world.run(seconds(6));
+    world.heal(&members[0]);
+    world.run(seconds(10));
+    expect_that!(world.violations, is_empty());
+    expect_that!(world.serving(), eq(2));
+}
+
+/// All hosts of the pool are members when the planner is killed. The next one finds
+/// them serving and must not touch what is whole.
+#[gtest]
+fn a_new_planner_takes_over_what_serves() {
+    let mut world = settled(2, 11);
+    let before = world.members("d0", "large");
+    world.new_planner(None);
+    world.run(seconds(5));
+    expect_that!(world.members("d0", "large"), eq(&before));
+    let lost = before[1].clone();
+    world.kill(&lost);
+    world.run(seconds(3));
+    expect_that!(world.serving(), eq(4));
+    expect_that!(world.violations, is_empty());
+}
+
+/// A planner is paused and goes on with its old picture while another one plans. Hosts
+/// refuse its orders by their epochs, and no replica loses a member to it.
+#[gtest]
+fn an_old_planner_that_acts_on_does_no_harm() {
+    let mut world = settled(2, 11);
+    world.new_planner(Some(seconds(10)));
+    for fabric in ["d0", "d1"] {
+        let lost = world.members(fabric, "large")[4].clone();
+        world.kill(&lost);
+        world.run(seconds(2));
+    }
+    world.run(seconds(20));
+    expect_that!(world.violations, is_empty());
+    expect_that!(world.serving(), eq(4));
+}
+
+/// A member says that it is leaving. The head first finishes what runs, then the replica
+/// is formed anew without that member.
+#[gtest]
+fn a_leaving_member_is_replaced() {
+    let mut world = settled(1, 11);
+    let leaving = world.members("d0", "large")[2].clone();
+    world.drain(&leaving);
+    world.run(seconds(5));
+    expect_that!(world.members("d0", "large"), not(contains(eq(&leaving))));
+    expect_that!(world.serving(), eq(2));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Loads from the weight store are bounded in any five seconds, also when a whole domain
+/// comes up empty at once and when planners change.
+#[gtest]
+fn loads_stay_under_their_rate() {
+    let mut world = World::new(6, 11, 1);
+    world.run(seconds(4));
+    world.new_planner(None);
+    world.run(SETTLED);
+    let loads = world.loads.clone();
+    let most = loads.iter().map(|from| {
+        loads
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + seconds(5))
+            .count()
+    });
+    // 5.5 a second over 5 s, a tenth more, and three.
+    expect_that!(most.max().unwrap_or(0), le(33));
+    expect_that!(world.serving(), eq(12));
+}
--- /dev/null
+++ b/crates/fleet/tests/planner_fuzz.rs
@@ -0,0 +1,79 @@
+//! Random faults over the planner, against an oracle that knows two rules: no replica
+//! begins to serve without all its members, and no host is taken from one that may serve.
+//!
+//! `FLEET_FUZZ_SEEDS=2000 cargo test -p eelgrassmill-fleet --test planner_fuzz` runs longer.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use crate::support::World;
+
+/// Seeds of one run in CI: each takes some 400 ms.
+const SEEDS: u64 = 40;
+/// Faults of one run.
+const FAULTS: usize = 25;
+
+fn fault(world: &mut World) {
+    let host = world.pick(true);
+    match world.roll(9) {
+        0 | 1 => world.kill(&host),
+        2 => world.cut(&host),
+        3 => world.heal(&host),
+        4 => world.vanish(&host),
+        5 => world.drain(&host),
+        6 => {
+            let overlap = Duration::from_millis(world.roll(6000));
+            world.new_planner(Some(overlap));
+        }
+        7 => {
+            let fabric = format!("d{}", world.roll(2));
+            world.add_host(&fabric);
+        }
+        _ => world.late_share = if world.late_share > 0.0 { 0.0 } else { 0.3 },
+    }
+    let pause = Duration::from_millis(world.roll(4000));
+    world.run(pause);
+}
+
+fn play(seed: u64) -> Vec<String> {
+    let mut world = World::new(2, 11, seed);
+    world.run(Duration::from_secs(40));
+    for _ in 0..FAULTS {
+        fault(&mut world);
+    }
+    world.late_share = 0.0;
+    let ids: Vec<_> = world.hosts.keys().cloned().collect();
+    for id in ids {
+        world.heal(&id);
+    }
+    world.run(Duration::from_secs(60));
+    let mut found = world.violations.clone();
+    if world.serving() == 0 && enough_hosts(&world) {
+        found.push("nothing serves long after all faults are over".to_owned());
+    }
+    found
+}
+
+/// Whether some domain still has hosts for the small model.
+fn enough_hosts(world: &World) -> bool {
+    ["d0", "d1"].iter().any(|fabric| {
+        let usable = world.hosts.values().filter(|h| {
+            h.alive && h.fabric == *fabric && h.state == eelgrassmill_fleet::HostState::Ready
+        });
+        usable.count() >= 8
+    })
+}
+
+#[gtest]
+fn no_rule_is_broken_under_random_faults() {
+    let seeds = std::env::var("FLEET_FUZZ_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    for seed in 0..seeds.unwrap_or(SEEDS) {
+        let found = play(seed);
+        expect_that!(found, is_empty(), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,662 @@
+//! A pool of hosts that obey orders as the platform's do, with an oracle over what they do.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName};
+use eelgrassmill_fleet::{
+    Command, Engine, Fleet, FleetChange, Host, HostState, Membership, MembershipPhase, Millionths,
+    ModelSpec, Order, OrderReply, Planner, PlannerTiming, Service,
+};
+use smol_str::{SmolStr, format_smolstr};
+
+/// One step of the world.
+const TICK: Duration = Duration::from_millis(20);
+/// Entries show a change this much later.
+const ENTRY_LAG: Duration = Duration::from_millis(250);
+/// An entry lapses this long after its host fell silent.
+const LAPSE: Duration = Duration::from_millis(3000);
+/// Callers' streams show a lost member after this.
+const STALL_SEEN: Duration = Duration::from_millis(500);
+/// A head that lost a member is broken after this.
+const BREAKS: Duration = Duration::from_secs(6);
+const SERVICE: &str = "writer";
+const LARGE: &str = "large";
+const SMALL: &str = "small";
+
+/// A host as it really is.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeHost {
+    pub(crate) id: HostId,
+    pub(crate) fabric: SmolStr,
+    pub(crate) staged: Vec<ModelName>,
+    pub(crate) last_model: Option<ModelName>,
+    pub(crate) part: Option<Part>,
+    pub(crate) alive: bool,
+    /// Whether planners reach it.
+    pub(crate) reachable: bool,
+    pub(crate) state: HostState,
+    highest_epoch: Epoch,
+    staging: Option<(ModelName, Duration)>,
+    silent_since: Option<Duration>,
+    listed: bool,
+    shown: Option<Host>,
+}
+
+/// A host's part in a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Part {
+    pub(crate) replica: GroupId,
+    pub(crate) epoch: Epoch,
+    pub(crate) model: ModelName,
+    pub(crate) members: Vec<HostId>,
+    pub(crate) phase: MembershipPhase,
+    ready_at: Duration,
+    opens_at: Option<Duration>,
+}
+
+/// A planner with its term; an old one may still act.
+pub(crate) struct Actor {
+    pub(crate) planner: Planner,
+    pub(crate) until: Option<Duration>,
+}
+
+/// All hosts, the planners, and what must never happen.
+pub(crate) struct World {
+    began: Instant,
+    pub(crate) now: Duration,
+    pub(crate) hosts: BTreeMap<HostId, FakeHost>,
+    pub(crate) fleet: Fleet,
+    pub(crate) actors: Vec<Actor>,
+    service: Service,
+    entries: Vec<(Duration, FleetChange)>,
+    late: Vec<(Duration, HostId, Order)>,
+    /// Part of orders that get no answer and are carried out seconds later, of 1.
+    pub(crate) late_share: f64,
+    ready_once: BTreeSet<(GroupId, Epoch, HostId)>,
+    pub(crate) violations: Vec<String>,
+    pub(crate) orders: usize,
+    pub(crate) questions: usize,
+    pub(crate) loads: Vec<Duration>,
+    rng: fastrand::Rng,
+    term: u64,
+    next_host: usize,
+}
+
+fn model(name: &str, size: usize, share: f64, load: u64, warm: u64) -> ModelSpec {
+    ModelSpec {
+        name: name.into(),
+        size,
+        share: Millionths::of(share),
+        pace: Millionths::of(1.0),
+        load: Duration::from_millis(load),
+        warm: Duration::from_millis(warm),
+    }
+}
+
+pub(crate) fn service() -> Service {
+    Service {
+        name: SERVICE.into(),
+        max_connections: 100,
+        engine: Some(Engine {
+            slots: 26,
+            models: vec![
+                model(LARGE, 6, 0.67, 16_000, 1_600),
+                model(SMALL, 3, 0.33, 12_000, 1_100),
+            ],
+            loads_per_ks: 5_500,
+            loads_at_once: 8,
+            opening: Duration::from_millis(300),
+            step: Duration::from_millis(6),
+            step_per_request: Duration::from_micros(100),
+            stride: 6,
+            read_per_s: 56_000,
+            chunk: 2048,
+        }),
+    }
+}
+
+impl World {
+    /// `domains` fabric domains of `each` hosts, and a first planner.
+    pub(crate) fn new(domains: usize, each: usize, seed: u64) -> World {
+        let began = Instant::now();
+        let mut world = World {
+            began,
+            now: Duration::ZERO,
+            hosts: BTreeMap::new(),
+            fleet: Fleet::default(),
+            actors: Vec::new(),
+            service: service(),
+            entries: Vec::new(),
+            late: Vec::new(),
+            late_share: 0.0,
+            ready_once: BTreeSet::new(),
+            violations: Vec::new(),
+            orders: 0,
+            questions: 0,
+            loads: Vec::new(),
+            rng: fastrand::Rng::with_seed(seed),
+            term: 0,
+            next_host: 0,
+        };
+        for domain in 0..domains {
+            for _ in 0..each {
+                world.add_host(&format!("d{domain}"));
+            }
+        }
+        let hosts = world.hosts.values().map(|h| world.entry(h)).collect();
+        world.fleet.apply(FleetChange::Snapshot(hosts), began);
+        world.new_planner(None);
+        world
+    }
+
+    pub(crate) fn add_host(&mut self, fabric: &str) -> HostId {
+        let id = format_smolstr!("h{:03}", self.next_host);
+        self.next_host += 1;
+        let host = FakeHost {
+            id: id.clone(),
+            fabric: fabric.into(),
+            staged: Vec::new(),
+            last_model: None,
+            part: None,
+            alive: true,
+            reachable: true,
+            state: HostState::Ready,
+            highest_epoch: 0,
+            staging: None,
+            silent_since: None,
+            listed: true,
+            shown: None,
+        };
+        self.hosts.insert(id.clone(), host);
+        id
+    }
+
+    /// A new planner takes over; the one before acts on for `overlap`, if any.
+    pub(crate) fn new_planner(&mut self, overlap: Option<Duration>) {
+        self.term += 1;
+        let until = overlap.map_or(self.now, |o| self.now + o);
+        for actor in &mut self.actors {
+            actor.until.get_or_insert(until);
+        }
+        let planner = Planner::new(self.term, PlannerTiming::default(), self.began + self.now);
+        self.actors.push(Actor {
+            planner,
+            until: None,
+        });
+    }
+
+    pub(crate) fn planner(&self) -> &Planner {
+        &self
+            .actors
+            .last()
+            .expect("there is always a planner")
+            .planner
+    }
+
+    /// The host's power goes for good.
+    pub(crate) fn kill(&mut self, id: &HostId) {
+        let now = self.now;
+        let host = self.host(id);
+        host.alive = false;
+        host.reachable = false;
+        host.silent_since = Some(now);
+    }
+
+    /// The host serves on, but neither planners nor the list reach it.
+    pub(crate) fn cut(&mut self, id: &HostId) {
+        let now = self.now;
+        let host = self.host(id);
+        host.reachable = false;
+        host.silent_since = Some(now);
+    }
+
+    /// The same, but the list still shows it.
+    pub(crate) fn cut_from_planners(&mut self, id: &HostId) {
+        self.host(id).reachable = false;
+    }
+
+    pub(crate) fn heal(&mut self, id: &HostId) {
+        let host = self.host(id);
+        if host.alive {
+            host.reachable = true;
+            host.silent_since = None;
+            host.listed = true;
+            host.shown = None;
+        }
+    }
+
+    /// The host's entry goes without a word, while it serves on and obeys.
+    pub(crate) fn vanish(&mut self, id: &HostId) {
+        self.host(id).listed = false;
+        let due = self.now + ENTRY_LAG;
+        self.entries.push((due, FleetChange::Removed(id.clone())));
+    }
+
+    pub(crate) fn drain(&mut self, id: &HostId) {
+        self.host(id).state = HostState::Leaving;
+    }
+
+    pub(crate) fn host(&mut self, id: &HostId) -> &mut FakeHost {
+        self.hosts
+            .get_mut(id)
+            .expect("the test names a host that exists")
+    }
+
+    /// Members of the replica of `model` that serves in `fabric`, the head first.
+    pub(crate) fn members(&self, fabric: &str, model: &str) -> Vec<HostId> {
+        let serves = |h: &&FakeHost| {
+            h.alive
+                && h.fabric == fabric
+                && h.part.as_ref().is_some_and(|p| {
+                    p.model == model && p.phase == MembershipPhase::Open && p.members[0] == h.id
+                })
+        };
+        let head = self.hosts.values().find(serves);
+        head.and_then(|h| h.part.as_ref())
+            .map(|p| p.members.clone())
+            .unwrap_or_default()
+    }
+
+    /// Replicas that serve and have all their members.
+    pub(crate) fn serving(&self) -> usize {
+        let heads = self.hosts.values().filter(|h| h.alive);
+        let parts = heads.filter_map(|h| h.part.as_ref().map(|p| (h, p)));
+        parts
+            .filter(|(h, p)| p.members[0] == h.id && p.phase == MembershipPhase::Open)
+            .filter(|(_, p)| p.members.iter().all(|m| self.belongs(m, p)))
+            .count()
+    }
+
+    fn belongs(&self, id: &HostId, part: &Part) -> bool {
+        let host = self.hosts.get(id).filter(|h| h.alive);
+        let own = host.and_then(|h| h.part.as_ref());
+        own.is_some_and(|p| p.replica == part.replica && p.epoch == part.epoch)
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.tick();
+        }
+    }
+
+    fn instant(&self) -> Instant {
+        self.began + self.now
+    }
+
+    fn tick(&mut self) {
+        self.carry_out_late();
+        self.let_time_pass();
+        self.write_entries();
+        self.deliver_entries();
+        self.notice_stalls();
+        let now = self.now;
+        self.actors
+            .retain(|a| a.until.is_none_or(|until| now < until));
+        for i in 0..self.actors.len() {
+            self.step(i);
+        }
+    }
+
+    fn step(&mut self, i: usize) {
+        let now = self.instant();
+        let services = [&self.service];
+        let commands = self.actors[i]
+            .planner
+            .step(&self.fleet, &services, false, now);
+        for command in commands {
+            match command {
+                Command::Order { host, order, .. } => self.order(i, host, order),
+                Command::Ask { host } => self.ask(i, &host),
+            }
+        }
+    }
+
+    fn order(&mut self, i: usize, host: HostId, order: Order) {
+        self.orders += 1;
+        let now = self.instant();
+        let reached = self.hosts.get(&host).is_some_and(|h| h.reachable);
+        let late = reached && self.rng.f64() < self.late_share;
+        if late {
+            let due = self.now + Duration::from_millis(self.rng.u64(2_000..12_000));
+            self.late.push((due, host.clone(), order.clone()));
+        }
+        let planner = &mut self.actors[i].planner;
+        if !reached || late {
+            planner.host_unanswered(&host, &self.fleet);
+            planner.on_reply(&host, &order, None, now);
+            return;
+        }
+        let reply = self.obey(&host, &order);
+        self.actors[i]
+            .planner
+            .on_reply(&host, &order, Some(reply), now);
+    }
+
+    fn ask(&mut self, i: usize, id: &HostId) {
+        self.questions += 1;
+        let host = self.hosts.get(id).filter(|h| h.reachable);
+        let Some(entry) = host.map(|h| self.entry(h)) else {
+            self.actors[i].planner.host_unanswered(id, &self.fleet);
+            return;
+        };
+        self.actors[i].planner.host_answered(id);
+        self.fleet.heard(entry);
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.late.drain(..).partition(|(at, ..)| *at <= now);
+        self.late = later;
+        for (_, host, order) in due {
+            if self.hosts.get(&host).is_some_and(|h| h.alive) {
+                self.obey(&host, &order);
+            }
+        }
+    }
+
+    fn obey(&mut self, id: &HostId, order: &Order) -> OrderReply {
+        match order {
+            Order::Join {
+                replica,
+                epoch,
+                model,
+                members,
+            } => self.join(id, replica, *epoch, model, members),
+            Order::Open { replica, epoch } => self.open(id, replica, *epoch),
+            Order::Close { replica, epoch } => self.close(id, replica, *epoch),
+            Order::Leave { replica, epoch } => {
+                let host = self.host(id);
+                if host
+                    .part
+                    .as_ref()
+                    .is_some_and(|p| p.replica == *replica && p.epoch == *epoch)
+                {
+                    host.part = None;
+                }
+                OrderReply::Done
+            }
+            Order::Stage { model } => {
+                let load = self.load_time(model);
+                let now = self.now;
+                self.loads.push(now);
+                self.host(id).staging = Some((model.clone(), now + load));
+                OrderReply::Begun
+            }
+        }
+    }
+
+    fn load_time(&self, model: &str) -> Duration {
+        let engine = self
+            .service
+            .engine
+            .as_ref()
+            .expect("the service has an engine");
+        engine
+            .models
+            .iter()
+            .find(|m| m.name == model)
+            .map(|m| m.load)
+            .unwrap_or_default()
+    }
+
+    fn join(
+        &mut self,
+        id: &HostId,
+        replica: &GroupId,
+        epoch: Epoch,
+        model: &ModelName,
+        members: &[HostId],
+    ) -> OrderReply {
+        let host = self.hosts[id].clone();
+        if epoch < host.highest_epoch {
+            return OrderReply::Fenced;
+        }
+        if let Some(part) = &host.part {
+            if part.replica == *replica && part.epoch == epoch {
+                return OrderReply::Done;
+            }
+            self.check_taken_away(&host, part);
+        }
+        let now = self.now;
+        let takes = if host.last_model.as_ref() == Some(model) {
+            Duration::from_millis(200)
+        } else if host.staged.contains(model) {
+            Duration::from_millis(1_600)
+        } else {
+            self.loads.push(now);
+            self.load_time(model)
+        };
+        let host = self.host(id);
+        host.highest_epoch = epoch;
+        host.last_model = Some(model.clone());
+        if !host.staged.contains(model) {
+            host.staged = vec![model.clone()];
+        }
+        host.part = Some(Part {
+            replica: replica.clone(),
+            epoch,
+            model: model.clone(),
+            members: members.to_vec(),
+            phase: MembershipPhase::Joining,
+            ready_at: now + takes,
+            opens_at: None,
+        });
+        OrderReply::Begun
+    }
+
+    /// A host must not be taken from a replica whose head may serve.
+    fn check_taken_away(&mut self, host: &FakeHost, part: &Part) {
+        let head = &part.members[0];
+        let Some(head) = self.hosts.get(head).filter(|h| h.alive) else {
+            return;
+        };
+        let Some(of_head) = &head.part else { return };
+        let same = of_head.replica == part.replica && of_head.epoch == part.epoch;
+        let serves = matches!(
+            of_head.phase,
+            MembershipPhase::Open | MembershipPhase::Closing
+        );
+        if same && serves {
+            let what = format!(
+                "{} was taken from {} whose head serves",
+                host.id, part.replica
+            );
+            self.violations.push(what);
+        }
+    }
+
+    fn open(&mut self, id: &HostId, replica: &GroupId, epoch: Epoch) -> OrderReply {
+        let now = self.now;
+        let host = self.host(id);
+        match &mut host.part {
+            Some(p) if p.replica == *replica && p.epoch == epoch => match p.phase {
+                MembershipPhase::Ready => {
+                    p.opens_at.get_or_insert(now + Duration::from_millis(300));
+                    OrderReply::Begun
+                }
+                MembershipPhase::Open => OrderReply::Done,
+                _ => OrderReply::Conflict,
+            },
+            _ => OrderReply::Conflict,
+        }
+    }
+
+    fn close(&mut self, id: &HostId, replica: &GroupId, epoch: Epoch) -> OrderReply {
+        let host = self.host(id);
+        match &mut host.part {
+            Some(p) if p.replica == *replica && p.epoch == epoch => {
+                p.phase = MembershipPhase::Ready;
+                p.opens_at = None;
+                OrderReply::Begun
+            }
+            _ => OrderReply::Conflict,
+        }
+    }
+
+    fn let_time_pass(&mut self) {
+        let now = self.now;
+        let mut opened = Vec::new();
+        for host in self.hosts.values_mut().filter(|h| h.alive) {
+            if let Some((model, _)) = host.staging.take_if(|(_, at)| *at <= now) {
+                host.staged = vec![model];
+            }
+            let Some(part) = &mut host.part else { continue };
+            if part.phase == MembershipPhase::Joining && part.ready_at <= now {
+                part.phase = MembershipPhase::Ready;
+                self.ready_once
+                    .insert((part.replica.clone(), part.epoch, host.id.clone()));
+            }
+            if part.opens_at.is_some_and(|at| at <= now) {
+                part.opens_at = None;
+                part.phase = MembershipPhase::Open;
+                opened.push(part.clone());
+            }
+        }
+        for part in opened {
+            self.check_whole(&part);
+        }
+    }
+
+    /// A replica must not begin to serve without a member that was ready in it.
+    fn check_whole(&mut self, part: &Part) {
+        let engine = self
+            .service
+            .engine
+            .as_ref()
+            .expect("the service has an engine");
+        let size = engine
+            .models
+            .iter()
+            .find(|m| m.name == part.model)
+            .map_or(0, |m| m.size);
+        let was_ready = |m: &&HostId| {
+            self.ready_once
+                .contains(&(part.replica.clone(), part.epoch, (*m).clone()))
+        };
+        if part.members.len() != size || !part.members.iter().all(|m| was_ready(&m)) {
+            self.violations.push(format!(
+                "{} began to serve without all members",
+                part.replica
+            ));
+        }
+    }
+
+    fn entry(&self, host: &FakeHost) -> Host {
+        let membership = host.part.as_ref().map(|p| Membership {
+            replica: p.replica.clone(),
+            epoch: p.epoch,
+            rank: p.members.iter().position(|m| *m == host.id).unwrap_or(0),
+            phase: p.phase,
+        });
+        let joined = host
+            .part
+            .as_ref()
+            .filter(|p| p.phase != MembershipPhase::Joining);
+        Host {
+            id: host.id.clone(),
+            born_ms: 0,
+            service: SERVICE.into(),
+            address: format_smolstr!("10.0.0.1:{}", host.id),
+            failure_domain: "z1".into(),
+            fabric: host.fabric.clone(),
+            state: host.state,
+            slots: 26,
+            staged: host.staged.iter().cloned().collect(),
+            model: joined.map(|p| p.model.clone()),
+            membership,
+        }
+    }
+
+    fn write_entries(&mut self) {
+        let due = self.now + ENTRY_LAG;
+        let ids: Vec<HostId> = self.hosts.keys().cloned().collect();
+        for id in ids {
+            let host = &self.hosts[&id];
+            if !host.listed {
+                continue;
+            }
+            if host
+                .silent_since
+                .is_some_and(|since| self.now >= since + LAPSE)
+            {
+                self.host(&id).listed = false;
+                self.entries.push((self.now, FleetChange::Removed(id)));
+                continue;
+            }
+            let entry = self.entry(host);
+            if host.silent_since.is_none() && host.shown.as_ref() != Some(&entry) {
+                self.host(&id).shown = Some(entry.clone());
+                self.entries.push((due, FleetChange::Put(Box::new(entry))));
+            }
+        }
+    }
+
+    fn deliver_entries(&mut self) {
+        let now = self.now;
+        let instant = self.instant();
+        let (due, later): (Vec<_>, Vec<_>) = self.entries.drain(..).partition(|(at, _)| *at <= now);
+        self.entries = later;
+        for (_, change) in due {
+            self.fleet.apply(change, instant);
+        }
+    }
+
+    /// Streams stand still once a member is lost; nodes then find out which.
+    fn notice_stalls(&mut self) {
+        let now = self.now;
+        let mut silent = Vec::new();
+        let mut broken = Vec::new();
+        for host in self.hosts.values() {
+            let Some(part) = &host.part else { continue };
+            if part.members[0] != host.id || part.phase != MembershipPhase::Open {
+                continue;
+            }
+            for member in &part.members {
+                let lost = &self.hosts[member];
+                let Some(since) = lost.silent_since else {
+                    continue;
+                };
+                if now == round(since + STALL_SEEN) {
+                    silent.push(member.clone());
+                }
+                if host.alive && !lost.alive && now >= since + BREAKS {
+                    broken.push(host.id.clone());
+                }
+            }
+        }
+        for id in broken {
+            if let Some(part) = &mut self.host(&id).part {
+                part.phase = MembershipPhase::Broken;
+            }
+        }
+        for id in silent {
+            for actor in &mut self.actors {
+                actor.planner.host_silent(&id, &self.fleet);
+            }
+        }
+    }
+
+    pub(crate) fn pick(&mut self, alive: bool) -> HostId {
+        let ids: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|h| h.alive == alive)
+            .map(|h| h.id.clone())
+            .collect();
+        ids[self.rng.usize(..ids.len())].clone()
+    }
+
+    pub(crate) fn roll(&mut self, sides: u64) -> u64 {
+        self.rng.u64(..sides)
+    }
+}
+
+fn round(at: Duration) -> Duration {
+    let tick = TICK.as_millis() as u64;
+    Duration::from_millis((at.as_millis() as u64).div_ceil(tick) * tick)
+}
