--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -157,6 +157,10 @@
     world.cut(&members[0]);
     world.run(seconds(6));
     world.heal(&members[0]);
+    world.run(millis(400));
+    // No other host is free to take this one's place.
+    let lost = world.members("d0", "large")[1].clone();
+    world.kill(&lost);
     world.run(seconds(10));
     expect_that!(world.violations, is_empty());
     expect_that!(world.serving(), eq(2));
