Refuse a waiting request before its caller leaves

Cause: requests waited until 0.4 of their time was left, but callers leave after 2 s without an event, so that the wait was in vain and nobody told them when to come back.

--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -27,6 +27,9 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Part of a call's time that must be left for its answer; below it waiting is in vain.
 const NEEDED_PART: f64 = 0.4;
+/// Longest wait of a request that no host has seen. Callers leave 2 s after they asked
+/// when nothing has come, and the first event takes some 300 ms from here.
+const LONGEST_WAIT: Duration = Duration::from_millis(1400);
 /// When a caller should come back that found every replica full, times a random 1 to 2:
 /// a third of a stream's usual duration, spread so that callers don't return at once.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
@@ -136,6 +139,7 @@
     let mut waiting = core.turns.enter(service, model, call.urgency());
     let full = |cause| Refusal::later(cause, RETRY_AFTER_FULL.mul_f64(1.0 + fastrand::f64()));
     let needed = (call.deadline - call.arrived).mul_f64(NEEDED_PART);
+    let give_up = (call.deadline - needed).min(Instant::now() + LONGEST_WAIT);
     loop {
         if waiting.is_first() {
             match choose(core, service, model, avoid) {
@@ -147,8 +151,8 @@
             }
         }
         let now = Instant::now();
-        let left = call.deadline.saturating_duration_since(now);
-        if left <= needed {
+        let left = give_up.saturating_duration_since(now);
+        if left.is_zero() {
             let cause = if is_served(core, service, model) {
                 RefusalCause::Full
             } else {
@@ -161,7 +165,7 @@
         }
         let woken = Arc::clone(&waiting.woken);
         // Running out is the other way to look again.
-        let _ = tokio::time::timeout(LOOK_AGAIN.min(left - needed), woken.notified()).await;
+        let _ = tokio::time::timeout(LOOK_AGAIN.min(left), woken.notified()).await;
     }
 }
 
