Load weights beside, and form replicas only of hosts that hold them

Cause: a host that loaded for 16 s as a member bound five others for that time, began anew when the planner changed, and was not swapped when a better host became free; a replica with a leaving member was given up at once though nobody could take its place.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -29,6 +29,7 @@
 use crate::catalog::{ModelSpec, Service};
 use crate::fleet::Fleet;
 use crate::host::{Host, MembershipPhase};
+use crate::planner::choose::View;
 
 /// Formations that one planner's term has room for; far more than a term can last.
 const EPOCHS_PER_TERM: u64 = 1 << 20;
@@ -54,6 +55,9 @@
         /// How long the members of a lost replica are waited for before others take their
         /// places: two orders' time.
         pub leave: Duration,
+        /// How long a replica serves on with a member that is leaving. Members stay for up
+        /// to 10 s; what is left is for the head to finish its work.
+        pub stay: Duration,
         /// How long a head may finish what runs when a member is leaving.
         pub drain: Duration,
         /// The window of the bound on loads from the weight store.
@@ -69,6 +73,7 @@
             ask: Duration::from_millis(120),
             entry_lag: Duration::from_millis(1500),
             leave: Duration::from_millis(700),
+            stay: Duration::from_millis(6000),
             drain: Duration::from_millis(1500),
             load_window: Duration::from_secs(5),
         }
@@ -242,11 +247,19 @@
         for id in ids {
             self.advance(&id, fleet, services, cold, now, &mut commands);
         }
-        let settled = !self.is_settling(now);
-        for service in services.iter().filter(|_| settled) {
-            if let Some(engine) = &service.engine {
-                self.form(service, engine, fleet, cold, now);
-                self.stage_spares(service, engine, fleet, cold, now, &mut commands);
+        if !self.is_settling(now) {
+            for service in services {
+                let Some(engine) = &service.engine else {
+                    continue;
+                };
+                let view = View {
+                    service,
+                    engine,
+                    fleet,
+                    cold,
+                    now,
+                };
+                self.form(&view, &mut commands);
             }
         }
         self.ask_silent(fleet, now, &mut commands);
@@ -356,6 +369,13 @@
             .find(|f| f.bound().any(|m| m == host))
     }
 
+    /// A member that is silent goes before one that is leaving and may still work.
+    fn worst_loss(&self, f: &Formation, fleet: &Fleet) -> Option<Loss> {
+        let silent = f.members.iter().find(|m| self.silent.contains_key(*m));
+        let lost = || f.members.iter().find_map(|m| self.is_lost(m, fleet));
+        silent.map(|m| Loss::Silent(m.clone())).or_else(lost)
+    }
+
     fn is_lost(&self, host: &HostId, fleet: &Fleet) -> Option<Loss> {
         if self.silent.contains_key(host) {
             return Some(Loss::Silent(host.clone()));
@@ -379,10 +399,7 @@
         let Some(mut formation) = self.formations.remove(id) else {
             return;
         };
-        let lost = formation
-            .members
-            .iter()
-            .find_map(|m| self.is_lost(m, fleet));
+        let lost = self.worst_loss(&formation, fleet);
         let keep = match formation.step {
             Step::Joining | Step::Opening => {
                 let model = find_model(services, &formation.service, &formation.model);
@@ -440,7 +457,7 @@
                 self.send(f.join(), f, &member, now, commands);
                 continue;
             }
-            let expected = f.since + self.join_time(host, model);
+            let expected = f.since + self.join_time(host, model, now);
             // Before there are requests, entries are early enough.
             let patience = if cold {
                 self.timing.entry_lag
@@ -517,6 +534,9 @@
         if let Some(loss) = lost {
             // A host whose entry vanished may be leaving without a word, and serve on.
             let planned = matches!(loss, Loss::Leaving(_) | Loss::Gone(_));
+            if planned && self.may_stay(f, fleet, now) {
+                return;
+            }
             f.lose(loss, now);
             if planned {
                 f.enter(Step::Draining, now);
@@ -544,6 +564,35 @@
         }
     }
 
+    /// Whether a replica serves on although a member is leaving.
+    ///
+    /// A member, unlike a head, gets no requests, and stays for up to 10 s while its head
+    /// has work. Where no spare can take its place at once, the replica is of more use
+    /// with it than dissolved.
+    fn may_stay(&mut self, f: &mut Formation, fleet: &Fleet, now: Instant) -> bool {
+        let head_stays = f.head().is_some_and(|h| self.is_lost(h, fleet).is_none());
+        let since = *f.leaving_since.get_or_insert(now);
+        let long = now.saturating_duration_since(since) >= self.timing.stay;
+        head_stays && !long && !self.can_replace(f, fleet)
+    }
+
+    /// Whether free hosts could join now in place of all members that are leaving.
+    fn can_replace(&self, f: &Formation, fleet: &Fleet) -> bool {
+        let lost = f
+            .members
+            .iter()
+            .filter(|m| self.is_lost(m, fleet).is_some())
+            .count();
+        let bound = self.members();
+        let primed = |h: &&Host| {
+            let model = self.primed.get(&h.id).is_some_and(|(_, m)| *m == f.model);
+            h.fabric == f.fabric && h.is_ready() && (model || h.staged.contains(&f.model))
+        };
+        let free = fleet.hosts().filter(primed);
+        let free = free.filter(|h| !bound.contains(&h.id) && !self.silent.contains_key(&h.id));
+        free.take(lost).count() == lost
+    }
+
     /// The head finishes what runs; then the replica is dissolved and formed anew.
     fn advance_draining(
         &mut self,
@@ -708,25 +757,6 @@
         (format_smolstr!("r{}-{}", self.term, self.formed), epoch)
     }
 
-    /// How long a host takes to be ready in a replica of `model`.
-    fn join_time(&self, host: &Host, model: Option<&ModelSpec>) -> Duration {
-        let Some(model) = model else {
-            return Duration::ZERO;
-        };
-        if self
-            .primed
-            .get(&host.id)
-            .is_some_and(|(_, m)| *m == model.name)
-        {
-            return PRIMED_JOIN;
-        }
-        if host.staged.contains(&model.name) {
-            model.warm
-        } else {
-            model.load
-        }
-    }
-
     fn members(&self) -> BTreeSet<&HostId> {
         let bound = self
             .formations
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -1,9 +1,15 @@
 //! Choosing models and members for hosts that are free.
+//!
+//! Weights take ten times longer to load from the weight store than all else in a repair.
+//! So a replica is formed only of hosts that hold its weights already; what is missing is
+//! loaded beside, and whoever is ready first takes the place. A host that loads as a
+//! member would bind the others for that time, and begin anew whenever the replica is
+//! formed differently or another planner takes over.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FabricDomain, HostId};
+use eelgrassmill_base::{FabricDomain, HostId, ModelName};
 
 use crate::catalog::{Engine, ModelSpec, Service};
 use crate::fleet::Fleet;
@@ -15,38 +21,90 @@
 /// the loads that the weight store serves at once each takes proportionally longer.
 const STAGE_PATIENCE: u32 = 2;
 
+/// What the decisions of one step rest on.
+pub(super) struct View<'v> {
+    pub(super) service: &'v Service,
+    pub(super) engine: &'v Engine,
+    pub(super) fleet: &'v Fleet,
+    /// Whether no request was ever served, so that loads are quick and not bounded.
+    pub(super) cold: bool,
+    pub(super) now: Instant,
+}
+
 impl Planner {
-    /// Forms replicas from free hosts, and primes those that are left over.
-    pub(super) fn form(
+    /// Forms replicas from free hosts, and readies those that are left over.
+    pub(super) fn form(&mut self, view: &View<'_>, commands: &mut Vec<Command>) {
+        let mut domains = self.free_hosts(view);
+        for (fabric, free) in &mut domains {
+            self.form_in(view, fabric, free, commands);
+        }
+        // Before requests come, replicas that serve are loaded first.
+        let waits = |f: &Formation| f.purpose == Purpose::Serve && f.step != Step::Open;
+        if view.cold && self.formations.values().any(waits) {
+            return;
+        }
+        for (fabric, free) in &domains {
+            for host in free {
+                self.ready_spare(view, fabric, host, commands);
+            }
+        }
+    }
+
+    /// Hosts that no serving formation has, by fabric domain.
+    fn free_hosts<'f>(&self, view: &View<'f>) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
+        let bound = self.members();
+        let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
+        for host in view.fleet.hosts() {
+            let usable = host.service == view.service.name && host.is_ready();
+            if usable && !bound.contains(&host.id) && !self.silent.contains_key(&host.id) {
+                domains.entry(host.fabric.clone()).or_default().push(host);
+            }
+        }
+        domains
+    }
+
+    /// Forms what a domain's free hosts can form. Leaves those that aren't spoken for.
+    fn form_in(
         &mut self,
-        service: &Service,
-        engine: &Engine,
-        fleet: &Fleet,
-        cold: bool,
-        now: Instant,
+        view: &View<'_>,
+        fabric: &FabricDomain,
+        free: &mut Vec<&Host>,
+        commands: &mut Vec<Command>,
     ) {
-        let mut domains = self.free_hosts(service, fleet);
-        for (fabric, free) in &mut domains {
-            if self.is_being_freed(fabric, now) {
+        for model in self.wanted_models(view, fabric) {
+            let first = self.serving(view, model, Some(fabric)) == 0;
+            let kept = if first { 0 } else { view.engine.models.len() };
+            if model.size == 0 || free.len() < model.size + kept {
                 continue;
             }
-            while let Some(model) = self.next_model(service, engine, fabric, free) {
-                if !self.form_one(model, engine, free, cold, now) {
-                    break;
+            free.sort_by_key(|h| (self.join_time(h, Some(model), view.now), h.id.clone()));
+            let chosen: Vec<&Host> = free.iter().take(model.size).copied().collect();
+            let lacking = chosen.iter().filter(|h| !self.holds(h, model)).count();
+            if lacking == 0 || view.cold {
+                if !self.is_being_freed(fabric, view.now) && self.form_one(view, model, &chosen) {
+                    free.drain(..model.size);
                 }
+                continue;
             }
-        }
-        for (fabric, free) in &domains {
-            for host in free {
-                self.prime(service, engine, fabric, host, cold, now);
+            // A further replica isn't worth binding spares for.
+            if first {
+                for host in chosen {
+                    self.stage(view, host, model, commands);
+                }
+                free.drain(..model.size);
             }
         }
     }
 
+    /// Whether a host joins a replica of the model without a load.
+    fn holds(&self, host: &Host, model: &ModelSpec) -> bool {
+        host.staged.contains(&model.name) || self.is_primed(host, model)
+    }
+
     /// Whether hosts of a domain are about to be free that hold a model already.
     ///
     /// Members of a lost replica leave within milliseconds of each other. One formed in
-    /// between would take spares that must load the model, for 16 s instead of 0.2 s.
+    /// between would take spares in their place and leave none.
     fn is_being_freed(&self, fabric: &FabricDomain, now: Instant) -> bool {
         let waits_for = |m: &HostId| !self.silent.contains_key(m);
         let leaving = |f: &&Formation| f.step == Step::Dissolving && f.fabric == *fabric;
@@ -57,114 +115,94 @@
         })
     }
 
-    /// Hosts that no serving formation has, by fabric domain.
-    fn free_hosts<'f>(
-        &self,
-        service: &Service,
-        fleet: &'f Fleet,
-    ) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
-        let bound = self.members();
-        let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
-        for host in fleet.hosts() {
-            let usable = host.service == service.name && host.is_ready();
-            if usable && !bound.contains(&host.id) && !self.silent.contains_key(&host.id) {
-                domains.entry(host.fabric.clone()).or_default().push(host);
-            }
-        }
-        domains
-    }
-
-    /// The model that free hosts of a domain should form next.
+    /// The models that a domain should form, the neediest first.
     ///
-    /// The one with the most work for each of its replicas, counting one more. A second
-    /// replica of a model in one domain is formed only where that model is the neediest:
-    /// otherwise hosts that wait for one more would be taken from a needier model.
-    fn next_model<'e>(
-        &self,
-        service: &Service,
-        engine: &'e Engine,
-        fabric: &FabricDomain,
-        free: &[&Host],
-    ) -> Option<&'e ModelSpec> {
-        let need = |m: &ModelSpec| m.share.get() / (self.serving(service, m, None) + 1) as f64;
-        let mut models: Vec<&ModelSpec> = engine.models.iter().collect();
+    /// Need is the work for each replica, counting one more. A second replica of a model
+    /// in one domain is wanted only of the neediest model: otherwise hosts that wait for
+    /// one more would be taken from it.
+    fn wanted_models<'e>(&self, view: &View<'e>, fabric: &FabricDomain) -> Vec<&'e ModelSpec> {
+        let need = |m: &ModelSpec| m.share.get() / (self.serving(view, m, None) + 1) as f64;
+        let mut models: Vec<&ModelSpec> = view.engine.models.iter().collect();
         models.sort_by(|a, b| need(b).total_cmp(&need(a)));
         let neediest = models.first().map(|m| m.name.clone());
-        models.into_iter().find(|m| {
-            let first = self.serving(service, m, Some(fabric)) == 0;
-            let spares_left = free.len().saturating_sub(m.size) >= engine.models.len();
-            let wanted = first || (neediest.as_ref() == Some(&m.name) && spares_left);
-            wanted && m.size > 0 && m.size <= free.len()
-        })
+        models.retain(|m| {
+            let first = self.serving(view, m, Some(fabric)) == 0;
+            first || neediest.as_ref() == Some(&m.name)
+        });
+        models
     }
 
     /// Replicas of a model that serve or are about to.
-    fn serving(
-        &self,
-        service: &Service,
-        model: &ModelSpec,
-        fabric: Option<&FabricDomain>,
-    ) -> usize {
+    fn serving(&self, view: &View<'_>, model: &ModelSpec, fabric: Option<&FabricDomain>) -> usize {
         let counts = |f: &&Formation| {
             f.purpose == Purpose::Serve
                 && f.loss.is_none()
-                && f.service == service.name
+                && f.service == view.service.name
                 && f.model == model.name
                 && fabric.is_none_or(|d| f.fabric == *d)
         };
         self.formations.values().filter(counts).count()
     }
 
-    /// Takes the hosts that are ready soonest. `false` when loads must wait.
-    fn form_one(
-        &mut self,
-        model: &ModelSpec,
-        engine: &Engine,
-        free: &mut Vec<&Host>,
-        cold: bool,
-        now: Instant,
-    ) -> bool {
-        free.sort_by_key(|h| (self.join_time(h, Some(model)), h.id.clone()));
-        let chosen: Vec<&Host> = free.iter().take(model.size).copied().collect();
-        let loads = chosen.iter().filter(|h| self.needs_load(h, model)).count();
-        if !self.take_loads(loads, engine, cold, now) {
+    /// `false` when the loads that it takes must wait.
+    fn form_one(&mut self, view: &View<'_>, model: &ModelSpec, chosen: &[&Host]) -> bool {
+        let loads = chosen.iter().filter(|h| !self.holds(h, model)).count();
+        if !self.take_loads(loads, view) {
             return false;
         }
         let (id, epoch) = self.next_formation();
-        let Some(formation) = Formation::new(id.clone(), epoch, model, &chosen, now) else {
+        let Some(formation) = Formation::new(id.clone(), epoch, model, chosen, view.now) else {
             return false;
         };
         self.drop_priming(&formation.members);
         self.formations.insert(id, formation);
-        free.drain(..model.size);
         true
     }
 
-    /// Whether joining takes a load from the weight store.
-    fn needs_load(&self, host: &Host, model: &ModelSpec) -> bool {
-        !host.staged.contains(&model.name)
+    /// Has a host load a model beside what it does, unless it does so already.
+    fn stage(
+        &mut self,
+        view: &View<'_>,
+        host: &Host,
+        model: &ModelSpec,
+        commands: &mut Vec<Command>,
+    ) {
+        let busy = self
+            .staging
+            .get(&host.id)
+            .is_some_and(|(_, until)| view.now < *until);
+        if busy || self.holds(host, model) || !self.take_loads(1, view) {
+            return;
+        }
+        let until = view.now + model.load * STAGE_PATIENCE;
+        self.staging
+            .insert(host.id.clone(), (model.name.clone(), until));
+        commands.push(Command::Order {
+            host: host.id.clone(),
+            address: host.address.clone(),
+            order: Order::Stage {
+                model: model.name.clone(),
+            },
+        });
     }
 
     /// Whether `count` loads may start now; counts them if so.
     ///
     /// The weight store serves a bounded number of loads, and each one beyond makes all
     /// slower, so that spares loading at once would delay the replica that waits.
-    fn take_loads(&mut self, count: usize, engine: &Engine, cold: bool, now: Instant) -> bool {
+    fn take_loads(&mut self, count: usize, view: &View<'_>) -> bool {
         if count == 0 {
             return true;
         }
-        let window = self.timing.load_window;
-        while self
-            .loads
-            .front()
-            .is_some_and(|at| now.saturating_duration_since(*at) > window)
-        {
+        let (window, now) = (self.timing.load_window, view.now);
+        let old = |at: &Instant| now.saturating_duration_since(*at) > window;
+        while self.loads.front().is_some_and(old) {
             self.loads.pop_front();
         }
-        let permitted = engine.loads_per_ks as f64 / 1000.0 * window.as_secs_f64();
+        let permitted = view.engine.loads_per_ks as f64 / 1000.0 * window.as_secs_f64();
         // What a planner before this one began in the window isn't known.
         let before = self.term > 1 && now.saturating_duration_since(self.began) < window;
-        if !cold && (before || (self.loads.len() + count) as f64 > permitted) {
+        if !view.cold && (before || (self.loads.len() + count) as f64 > permitted) {
             return false;
         }
         self.loads.extend(std::iter::repeat_n(now, count));
@@ -178,110 +216,79 @@
             .retain(|_, f| f.purpose == Purpose::Serve || !taken(f));
     }
 
-    /// Has a spare join a replica of its own, of the model that most needs one.
-    fn prime(
+    /// Makes a spare able to replace a member of any model.
+    ///
+    /// A host joins in 0.2 s the model that it was last a member for, whatever weights
+    /// its memory holds by now, and in 1.6 s one whose weights it holds. So it is made a
+    /// member for one model, in a replica of its own that is never opened, and then loads
+    /// another model. With one model a spare, the second loss of the same model in a
+    /// domain would wait 16 s for a load.
+    fn ready_spare(
         &mut self,
-        service: &Service,
-        engine: &Engine,
+        view: &View<'_>,
         fabric: &FabricDomain,
         host: &Host,
-        cold: bool,
-        now: Instant,
+        commands: &mut Vec<Command>,
     ) {
-        if self.primed.contains_key(&host.id) || self.formation_of(&host.id).is_some() {
-            return;
-        }
-        // Before requests come, replicas that serve are loaded first.
-        let waits = |f: &Formation| f.purpose == Purpose::Serve && f.step != Step::Open;
-        if cold && self.formations.values().any(waits) {
+        if self
+            .formation_of(&host.id)
+            .is_some_and(|f| f.ready.is_empty())
+        {
             return;
         }
-        let Some(model) = self.model_to_prime(service, engine, fabric, host) else {
+        let Some(primed) = self.primed_model(host) else {
+            let Some(model) = self.model_to_prime(view, fabric, host) else {
+                return;
+            };
+            if self.holds(host, model) || view.cold {
+                self.prime(view, host, model);
+            } else {
+                self.stage(view, host, model, commands);
+            }
             return;
         };
-        let loads = usize::from(self.needs_load(host, model));
-        if !self.take_loads(loads, engine, cold, now) {
+        let others = || view.engine.models.iter().filter(|m| m.name != primed);
+        if others().any(|m| host.staged.contains(&m.name)) {
             return;
         }
-        let (id, epoch) = self.next_formation();
-        let Some(mut formation) = Formation::new(id.clone(), epoch, model, &[host], now) else {
-            return;
-        };
-        formation.purpose = Purpose::Prime;
-        self.formations.insert(id, formation);
+        let members = |m: &&ModelSpec| m.size * self.serving(view, m, Some(fabric)).max(1);
+        if let Some(model) = others().max_by_key(members) {
+            self.stage(view, host, model, commands);
+        }
     }
 
-    /// Has spares that are primed for one model load another one as well.
-    ///
-    /// A host joins in 0.2 s the model that it was last a member for, whatever weights
-    /// its memory holds by now, and in 1.6 s one whose weights it holds. With both, each
-    /// spare can replace a member of either model; with one, the second loss of the same
-    /// model in a domain would wait 16 s for a load.
-    pub(super) fn stage_spares(
-        &mut self,
-        service: &Service,
-        engine: &Engine,
-        fleet: &Fleet,
-        cold: bool,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) {
-        if engine.models.len() < 2 {
+    fn primed_model(&self, host: &Host) -> Option<ModelName> {
+        self.primed.get(&host.id).map(|(_, model)| model.clone())
+    }
+
+    /// Has a spare join a replica of its own.
+    fn prime(&mut self, view: &View<'_>, host: &Host, model: &ModelSpec) {
+        if self.formation_of(&host.id).is_some() {
             return;
         }
-        let domains = self.free_hosts(service, fleet);
-        for (fabric, host) in domains
-            .iter()
-            .flat_map(|(f, hosts)| hosts.iter().map(move |h| (f, h)))
-        {
-            let Some((_, primed)) = self.primed.get(&host.id) else {
-                continue;
-            };
-            let busy = self
-                .staging
-                .get(&host.id)
-                .is_some_and(|(_, until)| now < *until);
-            let others = |m: &&ModelSpec| m.name != *primed;
-            let held = engine
-                .models
-                .iter()
-                .filter(others)
-                .any(|m| host.staged.contains(&m.name));
-            if busy || held {
-                continue;
-            }
-            let size = |m: &&ModelSpec| m.size * self.serving(service, m, Some(fabric)).max(1);
-            let Some(model) = engine.models.iter().filter(others).max_by_key(size) else {
-                continue;
-            };
-            if !self.take_loads(1, engine, cold, now) {
-                return;
-            }
-            let until = now + model.load * STAGE_PATIENCE;
-            self.staging
-                .insert(host.id.clone(), (model.name.clone(), until));
-            commands.push(Command::Order {
-                host: host.id.clone(),
-                address: host.address.clone(),
-                order: Order::Stage {
-                    model: model.name.clone(),
-                },
-            });
+        let loads = usize::from(!self.holds(host, model));
+        if !self.take_loads(loads, view) {
+            return;
+        }
+        let (id, epoch) = self.next_formation();
+        let formation = Formation::new(id.clone(), epoch, model, &[host], view.now);
+        if let Some(mut formation) = formation {
+            formation.purpose = Purpose::Prime;
+            self.formations.insert(id, formation);
         }
     }
 
     /// The model with the most members in this domain for each spare that could replace one.
     fn model_to_prime<'e>(
         &self,
-        service: &Service,
-        engine: &'e Engine,
+        view: &View<'e>,
         fabric: &FabricDomain,
         host: &Host,
     ) -> Option<&'e ModelSpec> {
-        let spares = self.spares(service, fabric);
+        let spares = self.spares(view, fabric);
         let need = |m: &ModelSpec| {
-            let members = m.size * self.serving(service, m, Some(fabric)).max(1);
-            let ready = spares.iter().filter(|s| **s == m.name.as_str()).count();
+            let members = m.size * self.serving(view, m, Some(fabric)).max(1);
+            let ready = spares.iter().filter(|s| **s == m.name).count();
             let staged = if host.staged.contains(&m.name) {
                 1.5
             } else {
@@ -289,20 +296,49 @@
             };
             staged * members as f64 / (ready + 1) as f64
         };
-        engine
-            .models
-            .iter()
-            .max_by(|a, b| need(a).total_cmp(&need(b)))
+        let models = view.engine.models.iter();
+        models.max_by(|a, b| need(a).total_cmp(&need(b)))
     }
 
-    /// The models for which the spares of a domain are primed.
-    fn spares(&self, service: &Service, fabric: &FabricDomain) -> Vec<&str> {
-        let bound: BTreeSet<&HostId> = self.members();
-        let of_domain = |f: &&Formation| {
-            f.purpose == Purpose::Prime && f.service == service.name && f.fabric == *fabric
+    /// The models for which free hosts of a domain are primed, or about to be.
+    fn spares(&self, view: &View<'_>, fabric: &FabricDomain) -> Vec<ModelName> {
+        let free = self.free_hosts(view).remove(fabric).unwrap_or_default();
+        let models = free.into_iter().filter_map(|host| {
+            let priming = self.formation_of(&host.id).map(|f| f.model.clone());
+            let staging = self.staging.get(&host.id).map(|(model, _)| model.clone());
+            self.primed_model(host).or(priming).or(staging)
+        });
+        models.collect()
+    }
+
+    /// How long a host takes to be ready in a replica of `model`.
+    pub(super) fn join_time(
+        &self,
+        host: &Host,
+        model: Option<&ModelSpec>,
+        now: Instant,
+    ) -> Duration {
+        let Some(model) = model else {
+            return Duration::ZERO;
         };
-        let priming = self.formations.values().filter(of_domain);
-        let free = priming.filter(|f| f.members.iter().all(|m| !bound.contains(m)));
-        free.map(|f| f.model.as_str()).collect()
+        if self.is_primed(host, model) {
+            return super::PRIMED_JOIN;
+        }
+        if host.staged.contains(&model.name) {
+            return model.warm;
+        }
+        match self.staging.get(&host.id) {
+            Some((staging, until)) if *staging == model.name => {
+                let began_to_end = model.load * (STAGE_PATIENCE - 1);
+                let end = *until - began_to_end;
+                end.saturating_duration_since(now) + model.warm
+            }
+            _ => model.load + model.warm,
+        }
+    }
+
+    fn is_primed(&self, host: &Host, model: &ModelSpec) -> bool {
+        let primed = self.primed.get(&host.id);
+        primed.is_some_and(|(_, m)| *m == model.name)
     }
 }
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -78,6 +78,8 @@
     pub since: Instant,
     /// Why it was given up.
     pub loss: Option<Loss>,
+    /// Since when a member is leaving, while it serves on.
+    pub(crate) leaving_since: Option<Instant>,
     /// Members that took the order to join.
     pub(crate) accepted: BTreeSet<HostId>,
     /// Members that said that they are ready.
@@ -129,6 +131,7 @@
             step: Step::Joining,
             since: now,
             loss: None,
+            leaving_since: None,
             accepted: BTreeSet::new(),
             ready: BTreeSet::new(),
             seats: hosts.iter().map(seat).collect(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -125,6 +125,7 @@
     let m = host.membership.as_ref();
     info!(
         event = "host", host = %host.id, state = ?host.state, born = host.born_ms,
+        fabric = %host.fabric, staged = ?host.staged,
         replica = m.map_or("", |m| m.replica.as_str()), epoch = m.map_or(0, |m| m.epoch),
         rank = m.map_or(0, |m| m.rank), phase = ?m.map(|m| m.phase),
         model = host.model.as_deref().unwrap_or_default(),
