--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -52,7 +52,7 @@
 /// Connections to one address. Invariant: an entry without any is removed.
 #[derive(Debug, Default)]
 struct Entry {
-    /// Newest last, so that the oldest are the ones to lapse.
+    /// Newest last, with the instant from which each is no longer used.
     idle: Vec<(Instant, Conn)>,
     in_use: usize,
 }
@@ -90,21 +90,23 @@
     pub(crate) fn take(&self, address: &SmolStr) -> Option<Conn> {
         let mut shard = self.lock(address);
         let entry = shard.get_mut(address)?;
-        entry.forget_lapsed(self.limits.idle_time);
+        entry.forget_lapsed();
         entry.idle.pop().map(|(_, conn)| conn)
     }
 
-    /// Keeps `conn` for later.
-    pub(crate) fn keep(&self, address: &SmolStr, conn: Conn) {
+    /// Keeps `conn` for later, for at most `lifetime` where its target said one.
+    pub(crate) fn keep(&self, address: &SmolStr, conn: Conn, lifetime: Option<Duration>) {
         let mut shard = self.lock(address);
         // All addresses of the shard, since a target that has gone is never taken again.
         shard.retain(|_, entry| {
-            entry.forget_lapsed(self.limits.idle_time);
+            entry.forget_lapsed();
             entry.in_use > 0 || !entry.idle.is_empty()
         });
         let entry = shard.entry(address.clone()).or_default();
         if entry.idle.len() < self.limits.max_idle {
-            entry.idle.push((Instant::now(), conn));
+            let idle_time = self.limits.idle_time;
+            let lifetime = lifetime.map_or(idle_time, |l| l.min(idle_time));
+            entry.idle.push((Instant::now() + lifetime, conn));
         }
     }
 
@@ -117,8 +119,9 @@
 }
 
 impl Entry {
-    fn forget_lapsed(&mut self, idle_time: Duration) {
+    fn forget_lapsed(&mut self) {
+        let now = Instant::now();
         self.idle
-            .retain(|(since, conn)| since.elapsed() < idle_time && !conn.sender.is_closed());
+            .retain(|(until, conn)| now < *until && !conn.sender.is_closed());
     }
 }
--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -1,6 +1,7 @@
 //! Answers of targets, read piece by piece.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
@@ -39,9 +40,9 @@
         &self.address
     }
 
-    fn keep(&mut self) {
+    fn keep(&mut self, lifetime: Option<Duration>) {
         if let Some(conn) = self.conn.take() {
-            self.shared.pool.keep(&self.address, conn);
+            self.shared.pool.keep(&self.address, conn, lifetime);
         }
     }
 }
@@ -52,6 +53,20 @@
     }
 }
 
+/// What a target may be early with when it closes an idle connection: a request that is
+/// sent just then is lost, and one that must not repeat is lost for good.
+const CLOSE_MARGIN: Duration = Duration::from_millis(500);
+
+/// How long the connection may be kept by what the target said of it.
+fn lifetime(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut said = value
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds: u64 = said.next()?.parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(CLOSE_MARGIN))
+}
+
 /// The answer of a target, its id checked. Dropping it before its end closes
 /// the connection, so that the target can stop.
 #[derive(Debug)]
@@ -98,7 +113,7 @@
                 Ok(Some(Err(e))) => return Err(BodyError::Cut(e.to_string())),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => {
-                    self.lease.keep();
+                    self.lease.keep(lifetime(&self.headers));
                     return Ok(None);
                 }
             };
