--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -202,9 +202,6 @@
             self.sent.remove(&(host.clone(), order.kind()));
             self.unanswered.remove(host);
         }
-        if let (Order::Stage { .. }, Some(OrderReply::Conflict)) = (order, reply) {
-            self.staging.remove(host);
-        }
         let Some((replica, epoch)) = order.formation() else {
             return;
         };
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -45,9 +45,12 @@
         }
         for (fabric, free) in &domains {
             for host in free {
-                self.ready_spare(view, fabric, host, commands);
+                self.prime_spare(view, fabric, host, commands);
             }
         }
+        for (fabric, free) in &domains {
+            self.stage_spares(view, fabric, free, commands);
+        }
     }
 
     /// Hosts that no serving formation has, by fabric domain.
@@ -186,6 +189,18 @@
         });
     }
 
+    /// Loads that were ordered and aren't shown to be done.
+    ///
+    /// Beyond a number of loads at once the weight store makes each take longer: twenty at
+    /// once end after 40 s, the first eight of them after 16 s when the others wait.
+    fn loads_under_way(&self, view: &View<'_>) -> usize {
+        let is_loading = |(id, (model, until)): &(&HostId, &(ModelName, Instant))| {
+            let done = view.fleet.host(id).is_none_or(|h| h.staged.contains(model));
+            view.now < *until && !done
+        };
+        self.staging.iter().filter(is_loading).count()
+    }
+
     /// Whether `count` loads may start now; counts them if so.
     ///
     /// The weight store serves a bounded number of loads, and each one beyond makes all
@@ -216,44 +231,69 @@
             .retain(|_, f| f.purpose == Purpose::Serve || !taken(f));
     }
 
-    /// Makes a spare able to replace a member of any model.
+    /// Makes a spare a member for one model, in a replica of its own that is never opened.
     ///
     /// A host joins in 0.2 s the model that it was last a member for, whatever weights
-    /// its memory holds by now, and in 1.6 s one whose weights it holds. So it is made a
-    /// member for one model, in a replica of its own that is never opened, and then loads
-    /// another model. With one model a spare, the second loss of the same model in a
-    /// domain would wait 16 s for a load.
-    fn ready_spare(
+    /// its memory holds by now.
+    fn prime_spare(
         &mut self,
         view: &View<'_>,
         fabric: &FabricDomain,
         host: &Host,
         commands: &mut Vec<Command>,
     ) {
-        if self
-            .formation_of(&host.id)
-            .is_some_and(|f| f.ready.is_empty())
-        {
+        if self.primed_model(host).is_some() {
             return;
         }
-        let Some(primed) = self.primed_model(host) else {
-            let Some(model) = self.model_to_prime(view, fabric, host) else {
-                return;
-            };
-            if self.holds(host, model) || view.cold {
-                self.prime(view, host, model);
-            } else {
-                self.stage(view, host, model, commands);
-            }
+        let Some(model) = self.model_to_prime(view, fabric, host) else {
             return;
         };
-        let others = || view.engine.models.iter().filter(|m| m.name != primed);
-        if others().any(|m| host.staged.contains(&m.name)) {
+        if self.holds(host, model) || view.cold {
+            self.prime(view, host, model);
+        } else {
+            self.stage(view, host, model, commands);
+        }
+    }
+
+    /// Has primed spares load another model as well, so that each can replace a member of
+    /// any model: within 0.2 s for one and 1.6 s for the other.
+    ///
+    /// With one model a spare, the second loss of the same model in a domain would wait
+    /// 16 s for a load. A domain's spares beyond one a model, and spares while half of the
+    /// weight store's loads are under way, are left alone: what is missing loads first.
+    fn stage_spares(
+        &mut self,
+        view: &View<'_>,
+        fabric: &FabricDomain,
+        free: &[&Host],
+        commands: &mut Vec<Command>,
+    ) {
+        let ready = |h: &&&Host| {
+            let formation = self.formation_of(&h.id);
+            self.primed_model(h).is_some() && formation.is_none_or(|f| !f.ready.is_empty())
+        };
+        let spares: Vec<&Host> = free.iter().filter(ready).copied().collect();
+        if spares.len() > view.engine.models.len() {
             return;
         }
-        let members = |m: &&ModelSpec| m.size * self.serving(view, m, Some(fabric)).max(1);
-        if let Some(model) = others().max_by_key(members) {
-            self.stage(view, host, model, commands);
+        for host in spares {
+            if !view.cold && self.loads_under_way(view) * 2 >= view.engine.loads_at_once {
+                return;
+            }
+            let primed = self.primed_model(host);
+            let others = || {
+                view.engine
+                    .models
+                    .iter()
+                    .filter(|m| Some(&m.name) != primed.as_ref())
+            };
+            if others().any(|m| host.staged.contains(&m.name)) {
+                continue;
+            }
+            let members = |m: &&ModelSpec| m.size * self.serving(view, m, Some(fabric)).max(1);
+            if let Some(model) = others().max_by_key(members) {
+                self.stage(view, host, model, commands);
+            }
         }
     }
 
