--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod seat;
 mod server;
 mod side;
+mod story;
 mod stream;
 mod turn;
 mod watch;
@@ -36,3 +37,4 @@
     AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport, HostUnavailable,
     Platform, Seat, SeatRecord, SideRequest, Source, SourceError,
 };
+pub use crate::story::{LogReader, Subject};
--- /dev/null
+++ b/crates/gateway/src/story.rs
@@ -0,0 +1,179 @@
+//! The story of one request, replica, host or configuration, out of the logs of many nodes.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use eelgrassmill_base::value;
+use serde_json::{Map, Value};
+
+/// Lines about a request's replicas and hosts count when they are this close to it: the
+/// loss of a member is noticed 300 to 600 ms after it, and mended within 2 s.
+const AROUND: Duration = Duration::from_millis(2500);
+
+value! {
+    /// What to look for.
+    pub enum Subject {
+        /// A request by the id of one attempt of its caller.
+        Request(String),
+        /// A replica by name.
+        Replica(String),
+        /// A host by name.
+        Host(String),
+        /// A configuration by version.
+        Config(u64),
+    }
+}
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq)]
+struct Line {
+    /// Milliseconds since 1970.
+    at_ms: i64,
+    /// What stands before the line, or the file that it is from.
+    source: String,
+    fields: Map<String, Value>,
+}
+
+/// Reads lines and tells what they say of a subject, in the order of time.
+#[derive(Clone, Debug, Default)]
+pub struct LogReader {
+    lines: Vec<Line>,
+    sources: BTreeSet<String>,
+    unreadable: usize,
+}
+
+impl LogReader {
+    /// Takes a line of a log. What stands before its `{` names its node; without that,
+    /// `file` does.
+    pub fn push(&mut self, file: &str, text: &str) {
+        let Some(at) = text.find('{') else { return };
+        let (before, json) = text.split_at(at);
+        let Ok(fields) = serde_json::from_str::<Map<String, Value>>(json) else {
+            self.unreadable += 1;
+            return;
+        };
+        let Some(at_ms) = fields
+            .get("timestamp")
+            .and_then(Value::as_str)
+            .and_then(millis)
+        else {
+            return;
+        };
+        let node = before.split_whitespace().last().unwrap_or(file);
+        self.sources.insert(node.to_owned());
+        self.lines.push(Line {
+            at_ms,
+            source: node.to_owned(),
+            fields,
+        });
+    }
+
+    /// What the lines say of `subject`, one text a line.
+    pub fn tell(&self, subject: &Subject) -> Vec<String> {
+        let mut found: Vec<&Line> = self.lines.iter().filter(|l| l.is_about(subject)).collect();
+        if let Subject::Request(_) = subject {
+            found.extend(self.around(&found));
+        }
+        found.sort_by_key(|l| l.at_ms);
+        found.dedup();
+        let mut told: Vec<String> = found.into_iter().map(Line::tell).collect();
+        if told.is_empty() {
+            let nodes: Vec<&str> = self.sources.iter().map(String::as_str).collect();
+            told.push(format!(
+                "no line; an answer that is whole and on time leaves none. Logs read: {}",
+                nodes.join(", ")
+            ));
+        }
+        if self.unreadable > 0 {
+            told.push(format!("{} lines could not be read", self.unreadable));
+        }
+        told
+    }
+
+    /// What happened at the same time to the replicas and hosts that these lines name.
+    fn around(&self, lines: &[&Line]) -> Vec<&Line> {
+        let names = |field: &str| -> BTreeSet<&str> {
+            lines
+                .iter()
+                .filter_map(|l| l.text(field))
+                .filter(|t| !t.is_empty())
+                .collect()
+        };
+        let (replicas, hosts) = (names("replica"), names("host"));
+        let times = || lines.iter().map(|l| l.at_ms);
+        let (Some(first), Some(last)) = (times().min(), times().max()) else {
+            return Vec::new();
+        };
+        let margin = i64::try_from(AROUND.as_millis()).unwrap_or(i64::MAX);
+        let near = |l: &&Line| l.at_ms >= first - margin && l.at_ms <= last + margin;
+        let other = |l: &&Line| l.text("request").is_none();
+        let named = |l: &&Line| {
+            l.text("replica").is_some_and(|r| replicas.contains(r))
+                || (l.text("event") == Some("host-gone")
+                    && l.text("host").is_some_and(|h| hosts.contains(h)))
+        };
+        self.lines
+            .iter()
+            .filter(near)
+            .filter(other)
+            .filter(named)
+            .collect()
+    }
+}
+
+impl Line {
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field).and_then(Value::as_str)
+    }
+
+    fn is_about(&self, subject: &Subject) -> bool {
+        match subject {
+            Subject::Request(id) => self.text("request") == Some(id),
+            Subject::Replica(name) => self.text("replica") == Some(name),
+            Subject::Host(name) => {
+                let silent = self
+                    .text("silent")
+                    .is_some_and(|s| s.contains(name.as_str()));
+                self.text("host") == Some(name) || silent
+            }
+            Subject::Config(version) => {
+                let event = self.text("event") == Some("config");
+                event && self.fields.get("version").and_then(Value::as_u64) == Some(*version)
+            }
+        }
+    }
+
+    fn tell(&self) -> String {
+        let time = self
+            .text("timestamp")
+            .and_then(|t| t.get(11..23))
+            .unwrap_or_default();
+        let event = self.text("event").unwrap_or("?");
+        let skipped = ["timestamp", "level", "event"];
+        let rest = self
+            .fields
+            .iter()
+            .filter(|(name, _)| !skipped.contains(&name.as_str()));
+        let rest = rest.map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        });
+        let rest: Vec<String> = rest.collect();
+        format!("{time} {} {event} {}", self.source, rest.join(" "))
+    }
+}
+
+/// Milliseconds of a time like `2026-05-03T21:06:03.005590Z`, counted from the first day
+/// of its month: lines of one story are minutes apart at most.
+fn millis(time: &str) -> Option<i64> {
+    let part = |from: usize, to: usize| time.get(from..to)?.parse::<i64>().ok();
+    let (day, hour) = (part(8, 10)?, part(11, 13)?);
+    let (minute, second) = (part(14, 16)?, part(17, 19)?);
+    let fraction = time
+        .get(20..)?
+        .trim_end_matches('Z')
+        .get(..3)?
+        .parse::<i64>()
+        .ok()?;
+    Some((((day * 24 + hour) * 60 + minute) * 60 + second) * 1000 + fraction)
+}
