--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -27,6 +27,8 @@
         Full,
         /// Hosts refused it, and no further attempt is permitted.
         HostsRefused,
+        /// It would have to be sent again, and the bound on repeats is reached.
+        NoRepeatsLeft,
         /// Its time was over before it was sent to a host.
         OutOfTime,
         /// It was sent, and no answer came in time.
@@ -48,6 +50,7 @@
             RefusalCause::NothingServes => "nothing-serves",
             RefusalCause::Full => "full",
             RefusalCause::HostsRefused => "hosts-refused",
+            RefusalCause::NoRepeatsLeft => "no-repeats-left",
             RefusalCause::OutOfTime => "out-of-time",
             RefusalCause::NoAnswerInTime => "no-answer-in-time",
             RefusalCause::AnswerBroken => "answer-broken",
@@ -60,6 +63,7 @@
             | RefusalCause::NothingServes
             | RefusalCause::Full
             | RefusalCause::HostsRefused
+            | RefusalCause::NoRepeatsLeft
             | RefusalCause::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
             RefusalCause::NoRoute => StatusCode::NOT_FOUND,
             RefusalCause::UnknownKey => StatusCode::UNAUTHORIZED,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -104,13 +104,13 @@
         loop {
             let place = self.place().await?;
             if self.arrivals > 0 && !self.core.try_repeat(&self.service) {
-                return Err(self.given_up());
+                return Err(self.given_up(RefusalCause::NoRepeatsLeft));
             }
             match self.attempt(place).await {
                 Ok(begun) => return Ok(begun),
                 Err(NoAnswer::NotRun) if self.refusals < MAX_REFUSALS => {}
                 Err(NoAnswer::Unknown) if self.may_run_again() => {}
-                Err(_) => return Err(self.given_up()),
+                Err(_) => return Err(self.given_up(RefusalCause::HostsRefused)),
             }
         }
     }
@@ -126,7 +126,7 @@
         .await;
         taken.map_err(|refusal| {
             if self.runs > 0 {
-                self.given_up()
+                self.given_up(refusal.cause)
             } else {
                 refusal
             }
@@ -137,7 +137,9 @@
         self.call.repeatable() && self.runs < self.call.route.attempts
     }
 
-    fn given_up(&self) -> Refusal {
+    /// The refusal of a call that was tried. `cause` is for one that has not run, or that
+    /// may run again.
+    fn given_up(&self, cause: RefusalCause) -> Refusal {
         let late = self.call.left().is_zero();
         // A stream that may be resumed may run again, so its caller may come back.
         if self.runs > 0 && !self.call.repeatable() {
@@ -156,7 +158,7 @@
             };
             return Refusal::new(cause);
         }
-        Refusal::later(RefusalCause::HostsRefused, RETRY_AFTER_REFUSED)
+        Refusal::later(cause, RETRY_AFTER_REFUSED)
     }
 
     async fn attempt(&mut self, place: InProgress) -> Result<Begun, NoAnswer> {
