--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -13,9 +13,11 @@
 //! - Every formation has an epoch of its own that is higher than all before it, also
 //!   those of earlier planners, so that a late order of an older one is refused.
 
+mod advance;
 mod choose;
 mod formation;
 mod order;
+mod send;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -29,6 +31,7 @@
 use crate::catalog::{ModelSpec, Service};
 use crate::fleet::Fleet;
 use crate::host::{Host, MembershipPhase};
+use crate::planner::advance::Moment;
 use crate::planner::choose::View;
 
 /// Formations that one planner's term has room for; far more than a term can last.
@@ -240,9 +243,15 @@
         let mut commands = Vec::new();
         self.forget_returned(fleet, now);
         self.adopt(fleet, services, now);
+        let at = Moment {
+            fleet,
+            services,
+            cold,
+            now,
+        };
         let ids: Vec<GroupId> = self.formations.keys().cloned().collect();
         for id in ids {
-            self.advance(&id, fleet, services, cold, now, &mut commands);
+            self.advance(&id, &at, &mut commands);
         }
         if !self.is_settling(now) {
             for service in services {
@@ -269,7 +278,7 @@
             .map(|f| f.id.clone())
             .collect();
         for id in fresh {
-            self.advance(&id, fleet, services, cold, now, &mut commands);
+            self.advance(&id, &at, &mut commands);
         }
         commands
     }
@@ -388,380 +397,6 @@
         }
     }
 
-    fn advance(
-        &mut self,
-        id: &GroupId,
-        fleet: &Fleet,
-        services: &[&Service],
-        cold: bool,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) {
-        let Some(mut formation) = self.formations.remove(id) else {
-            return;
-        };
-        let lost = self.worst_loss(&formation, fleet);
-        let keep = match formation.step {
-            Step::Joining | Step::Opening => {
-                let model = find_model(services, &formation.service, &formation.model);
-                self.advance_joining(&mut formation, lost, model, fleet, cold, now, commands)
-            }
-            Step::Open => {
-                self.advance_open(&mut formation, lost, fleet, now);
-                true
-            }
-            Step::Draining => self.advance_draining(&mut formation, lost, fleet, now, commands),
-            Step::Dissolving => self.advance_dissolving(&mut formation, fleet, now, commands),
-        };
-        if keep {
-            self.formations.insert(id.clone(), formation);
-        }
-    }
-
-    /// Orders members to join, asks them, and opens once each said that it is ready.
-    #[allow(clippy::too_many_arguments)]
-    fn advance_joining(
-        &mut self,
-        f: &mut Formation,
-        lost: Option<Loss>,
-        model: Option<&ModelSpec>,
-        fleet: &Fleet,
-        cold: bool,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) -> bool {
-        if f.purpose == Purpose::Prime {
-            return self.advance_priming(f, lost, model, fleet, now, commands);
-        }
-        if lost.is_some() || f.loss.is_some() {
-            // The order to open may be under way: until the head has left it may serve.
-            if f.step == Step::Opening {
-                f.lose(lost.unwrap_or(Loss::Incomplete), now);
-                return true;
-            }
-            return false;
-        }
-        for member in f.members.clone() {
-            let Some(host) = fleet.host(&member) else {
-                continue;
-            };
-            if f.is_ready_member(host) {
-                self.primed
-                    .insert(member.clone(), (host.born_ms, f.model.clone()));
-                f.ready.insert(member);
-                continue;
-            }
-            if f.ready.contains(&member) {
-                continue;
-            }
-            if !f.accepted.contains(&member) {
-                self.send(f.join(), f, &member, now, commands);
-                continue;
-            }
-            let expected = f.since + self.join_time(host, model, now);
-            // Before there are requests, entries are early enough.
-            let patience = if cold {
-                self.timing.entry_lag
-            } else {
-                Duration::ZERO
-            };
-            if now >= expected + patience {
-                self.ask(&member, now, commands);
-            }
-        }
-        if f.ready.len() == f.members.len() {
-            self.open(f, fleet, now, commands);
-        }
-        true
-    }
-
-    fn open(
-        &mut self,
-        f: &mut Formation,
-        fleet: &Fleet,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) {
-        let Some(head) = f.head().cloned() else {
-            return;
-        };
-        if fleet
-            .host(&head)
-            .is_some_and(|h| f.is_member(h) && h.is_open_head())
-        {
-            f.enter(Step::Open, now);
-            return;
-        }
-        if f.step != Step::Opening {
-            f.enter(Step::Opening, now);
-        }
-        let open = Order::Open {
-            replica: f.id.clone(),
-            epoch: f.epoch,
-        };
-        self.send(open, f, &head, now, commands);
-    }
-
-    /// A spare joins a replica of its own that is never opened, so that it joins a
-    /// serving one in 0.2 s instead of the time that its weights take.
-    fn advance_priming(
-        &mut self,
-        f: &mut Formation,
-        lost: Option<Loss>,
-        model: Option<&ModelSpec>,
-        fleet: &Fleet,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) -> bool {
-        if lost.is_some() || f.loss.is_some() || model.is_none() {
-            return false;
-        }
-        for member in f.members.clone() {
-            let Some(host) = fleet.host(&member) else {
-                continue;
-            };
-            if f.is_ready_member(host) {
-                self.primed
-                    .insert(member.clone(), (host.born_ms, f.model.clone()));
-                f.ready.insert(member);
-            } else if !f.accepted.contains(&member) {
-                self.send(f.join(), f, &member, now, commands);
-            }
-        }
-        true
-    }
-
-    fn advance_open(&mut self, f: &mut Formation, lost: Option<Loss>, fleet: &Fleet, now: Instant) {
-        if let Some(loss) = lost {
-            // A host whose entry vanished may be leaving without a word, and serve on.
-            let planned = matches!(loss, Loss::Leaving(_) | Loss::Gone(_));
-            if planned && self.may_stay(f, fleet, now) {
-                return;
-            }
-            f.lose(loss, now);
-            if planned {
-                f.enter(Step::Draining, now);
-            }
-            return;
-        }
-        if now.saturating_duration_since(f.since) < self.timing.entry_lag {
-            return;
-        }
-        for member in &f.members {
-            let Some(host) = fleet.host(member) else {
-                continue;
-            };
-            if !f.is_member(host) {
-                f.lose(Loss::Elsewhere(member.clone()), now);
-                return;
-            }
-        }
-        let head = f.head().and_then(|h| fleet.host(h));
-        match head.and_then(|h| h.membership.as_ref()).map(|m| m.phase) {
-            Some(MembershipPhase::Broken) => f.lose(Loss::Broken, now),
-            // A late order closed it: open it again.
-            Some(MembershipPhase::Ready) => f.enter(Step::Joining, now),
-            _ => {}
-        }
-    }
-
-    /// Whether a replica serves on although a member is leaving.
-    ///
-    /// A member, unlike a head, gets no requests, and stays for up to 10 s while its head
-    /// has work. Where no spare can take its place at once, the replica is of more use
-    /// with it than dissolved.
-    fn may_stay(&mut self, f: &mut Formation, fleet: &Fleet, now: Instant) -> bool {
-        let head_stays = f.head().is_some_and(|h| self.is_lost(h, fleet).is_none());
-        let since = *f.leaving_since.get_or_insert(now);
-        let long = now.saturating_duration_since(since) >= self.timing.stay;
-        head_stays && !long && !self.can_replace(f, fleet)
-    }
-
-    /// Whether free hosts could join now in place of all members that are leaving.
-    fn can_replace(&self, f: &Formation, fleet: &Fleet) -> bool {
-        let lost = f
-            .members
-            .iter()
-            .filter(|m| self.is_lost(m, fleet).is_some())
-            .count();
-        let bound = self.members();
-        let primed = |h: &&Host| {
-            let model = self.primed.get(&h.id).is_some_and(|(_, m)| *m == f.model);
-            h.fabric == f.fabric && h.is_ready() && (model || h.staged.contains(&f.model))
-        };
-        let free = fleet.hosts().filter(primed);
-        let free = free.filter(|h| !bound.contains(&h.id) && !self.silent.contains_key(&h.id));
-        free.take(lost).count() == lost
-    }
-
-    /// The head finishes what runs; then the replica is dissolved and formed anew.
-    fn advance_draining(
-        &mut self,
-        f: &mut Formation,
-        lost: Option<Loss>,
-        fleet: &Fleet,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) -> bool {
-        let Some(head) = f.head().cloned() else {
-            return false;
-        };
-        let phase = fleet.host(&head).filter(|h| f.is_member(h));
-        let phase = phase.and_then(|h| h.membership.as_ref()).map(|m| m.phase);
-        let finished = matches!(
-            phase,
-            Some(MembershipPhase::Ready | MembershipPhase::Broken)
-        );
-        let over = now.saturating_duration_since(f.since) >= self.timing.drain;
-        let worse = lost.is_some_and(|l| matches!(l, Loss::Silent(_)));
-        if finished || over || worse {
-            f.enter(Step::Dissolving, now);
-            return self.advance_dissolving(f, fleet, now, commands);
-        }
-        if phase.is_none_or(|p| p == MembershipPhase::Open) {
-            let close = Order::Close {
-                replica: f.id.clone(),
-                epoch: f.epoch,
-            };
-            self.send(close, f, &head, now, commands);
-        }
-        true
-    }
-
-    /// Tells all members to leave, and keeps each bound until it has.
-    ///
-    /// A host that joins another replica while its old head serves would tear answers
-    /// in progress apart, which callers see as streams that stand still. A member that
-    /// has left stops the replica by itself, so the head needs not be in reach.
-    fn advance_dissolving(
-        &mut self,
-        f: &mut Formation,
-        fleet: &Fleet,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) -> bool {
-        let entries_are_new = now.saturating_duration_since(f.since) >= self.timing.entry_lag;
-        f.gone.retain(|m| fleet.host(m).is_none());
-        for member in f.bound().cloned().collect::<Vec<_>>() {
-            let silent = self.silent.contains_key(&member);
-            let Some(host) = fleet.host(&member) else {
-                if silent {
-                    f.gone.insert(member);
-                    continue;
-                }
-                self.order_to_leave(f, &member, self.timing.resend, now, commands);
-                continue;
-            };
-            let reborn = f
-                .seats
-                .get(&member)
-                .is_none_or(|seat| seat.born_ms != host.born_ms);
-            if reborn || (entries_are_new && !f.is_member(host)) {
-                f.left.insert(member);
-                continue;
-            }
-            let every = if silent {
-                self.timing.resend_silent
-            } else {
-                self.timing.resend
-            };
-            self.order_to_leave(f, &member, every, now, commands);
-        }
-        let done = f.bound().next().is_none();
-        if done {
-            let left = f.left.clone();
-            self.dissolved
-                .insert(f.id.clone(), Dissolved { at: now, left });
-        }
-        !done
-    }
-
-    fn order_to_leave(
-        &mut self,
-        f: &Formation,
-        member: &HostId,
-        every: Duration,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) {
-        let leave = Order::Leave {
-            replica: f.id.clone(),
-            epoch: f.epoch,
-        };
-        self.send_every(leave, f, member, every, now, commands);
-    }
-
-    fn send(
-        &mut self,
-        order: Order,
-        f: &Formation,
-        host: &HostId,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) {
-        self.send_every(order, f, host, self.timing.resend, now, commands);
-    }
-
-    fn send_every(
-        &mut self,
-        order: Order,
-        f: &Formation,
-        host: &HostId,
-        every: Duration,
-        now: Instant,
-        commands: &mut Vec<Command>,
-    ) {
-        let Some(seat) = f.seats.get(host) else {
-            return;
-        };
-        if self.claim(host, order.kind(), f.epoch, every, now) {
-            let address = seat.address.clone();
-            commands.push(Command::Order {
-                host: host.clone(),
-                address,
-                order,
-            });
-        }
-    }
-
-    fn ask(&mut self, host: &HostId, now: Instant, commands: &mut Vec<Command>) {
-        if self.claim(host, SentKind::Question, 0, self.timing.ask, now) {
-            commands.push(Command::Ask { host: host.clone() });
-        }
-    }
-
-    /// Asks silent hosts that are still listed: one that was only cut off must not be
-    /// lost as a spare.
-    fn ask_silent(&mut self, fleet: &Fleet, now: Instant, commands: &mut Vec<Command>) {
-        let listed = self.silent.keys().filter(|id| fleet.host(id).is_some());
-        for host in listed.cloned().collect::<Vec<_>>() {
-            if self.claim(&host, SentKind::Question, 0, self.timing.resend_silent, now) {
-                commands.push(Command::Ask { host });
-            }
-        }
-    }
-
-    /// Whether it is time to send this to the host again.
-    ///
-    /// An answer alone is no reason: each wakes the planner, which would send the order
-    /// again at once for as long as the host's entry lags behind.
-    fn claim(
-        &mut self,
-        host: &HostId,
-        kind: SentKind,
-        epoch: Epoch,
-        every: Duration,
-        now: Instant,
-    ) -> bool {
-        let key = (host.clone(), kind, epoch);
-        let last = self.sent.get(&key);
-        if last.is_some_and(|last| now.saturating_duration_since(*last) < every) {
-            return false;
-        }
-        self.sent.insert(key, now);
-        true
-    }
-
     fn next_formation(&mut self) -> (GroupId, Epoch) {
         self.formed += 1;
         let epoch = self.term * EPOCHS_PER_TERM + self.formed;
--- /dev/null
+++ b/crates/fleet/src/planner/advance.rs
@@ -0,0 +1,294 @@
+//! Carrying a formation from one step to the next.
+
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::GroupId;
+
+use crate::catalog::{ModelSpec, Service};
+use crate::fleet::Fleet;
+use crate::host::{Host, MembershipPhase};
+use crate::planner::formation::{Formation, Loss, Purpose, Step};
+use crate::planner::order::{Command, Order};
+use crate::planner::{Dissolved, Planner, find_model};
+
+/// What one step of the planner rests on.
+pub(super) struct Moment<'m> {
+    pub(super) fleet: &'m Fleet,
+    pub(super) services: &'m [&'m Service],
+    /// Whether no request was ever served, so that loads are quick and not bounded.
+    pub(super) cold: bool,
+    pub(super) now: Instant,
+}
+
+impl Planner {
+    pub(super) fn advance(&mut self, id: &GroupId, at: &Moment<'_>, commands: &mut Vec<Command>) {
+        let Some(mut formation) = self.formations.remove(id) else {
+            return;
+        };
+        let lost = self.worst_loss(&formation, at.fleet);
+        let keep = match formation.step {
+            Step::Joining | Step::Opening => {
+                let model = find_model(at.services, &formation.service, &formation.model);
+                self.advance_joining(&mut formation, lost, model, at, commands)
+            }
+            Step::Open => {
+                self.advance_open(&mut formation, lost, at);
+                true
+            }
+            Step::Draining => self.advance_draining(&mut formation, lost, at, commands),
+            Step::Dissolving => self.advance_dissolving(&mut formation, at, commands),
+        };
+        if keep {
+            self.formations.insert(id.clone(), formation);
+        }
+    }
+
+    /// Orders members to join, asks them, and opens once each said that it is ready.
+    fn advance_joining(
+        &mut self,
+        f: &mut Formation,
+        lost: Option<Loss>,
+        model: Option<&ModelSpec>,
+        at: &Moment<'_>,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if f.purpose == Purpose::Prime {
+            return self.advance_priming(f, lost, model, at, commands);
+        }
+        if lost.is_some() || f.loss.is_some() {
+            // The order to open may be under way: until the head has left it may serve.
+            if f.step == Step::Opening {
+                f.lose(lost.unwrap_or(Loss::Incomplete), at.now);
+                return true;
+            }
+            return false;
+        }
+        for member in f.members.clone() {
+            let Some(host) = at.fleet.host(&member) else {
+                continue;
+            };
+            if f.is_ready_member(host) {
+                self.primed
+                    .insert(member.clone(), (host.born_ms, f.model.clone()));
+                f.ready.insert(member);
+                continue;
+            }
+            if f.ready.contains(&member) {
+                continue;
+            }
+            if !f.accepted.contains(&member) {
+                self.send(f.join(), f, &member, at.now, commands);
+                continue;
+            }
+            let expected = f.since + self.join_time(host, model, at.now);
+            // Before there are requests, entries are early enough.
+            let patience = if at.cold {
+                self.timing.entry_lag
+            } else {
+                Duration::ZERO
+            };
+            if at.now >= expected + patience {
+                self.ask(&member, at.now, commands);
+            }
+        }
+        if f.ready.len() == f.members.len() {
+            self.open(f, at, commands);
+        }
+        true
+    }
+
+    fn open(&mut self, f: &mut Formation, at: &Moment<'_>, commands: &mut Vec<Command>) {
+        let Some(head) = f.head().cloned() else {
+            return;
+        };
+        if at
+            .fleet
+            .host(&head)
+            .is_some_and(|h| f.is_member(h) && h.is_open_head())
+        {
+            f.enter(Step::Open, at.now);
+            return;
+        }
+        if f.step != Step::Opening {
+            f.enter(Step::Opening, at.now);
+        }
+        let open = Order::Open {
+            replica: f.id.clone(),
+            epoch: f.epoch,
+        };
+        self.send(open, f, &head, at.now, commands);
+    }
+
+    /// A spare joins a replica of its own that is never opened, so that it joins a
+    /// serving one in 0.2 s instead of the time that its weights take.
+    fn advance_priming(
+        &mut self,
+        f: &mut Formation,
+        lost: Option<Loss>,
+        model: Option<&ModelSpec>,
+        at: &Moment<'_>,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if lost.is_some() || f.loss.is_some() || model.is_none() {
+            return false;
+        }
+        for member in f.members.clone() {
+            let Some(host) = at.fleet.host(&member) else {
+                continue;
+            };
+            if f.is_ready_member(host) {
+                self.primed
+                    .insert(member.clone(), (host.born_ms, f.model.clone()));
+                f.ready.insert(member);
+            } else if !f.accepted.contains(&member) {
+                self.send(f.join(), f, &member, at.now, commands);
+            }
+        }
+        true
+    }
+
+    fn advance_open(&mut self, f: &mut Formation, lost: Option<Loss>, at: &Moment<'_>) {
+        if let Some(loss) = lost {
+            // A host whose entry vanished may be leaving without a word, and serve on.
+            let planned = matches!(loss, Loss::Leaving(_) | Loss::Gone(_));
+            if planned && self.may_stay(f, at) {
+                return;
+            }
+            f.lose(loss, at.now);
+            if planned {
+                f.enter(Step::Draining, at.now);
+            }
+            return;
+        }
+        if at.now.saturating_duration_since(f.since) < self.timing.entry_lag {
+            return;
+        }
+        for member in &f.members {
+            let Some(host) = at.fleet.host(member) else {
+                continue;
+            };
+            if !f.is_member(host) {
+                f.lose(Loss::Elsewhere(member.clone()), at.now);
+                return;
+            }
+        }
+        let head = f.head().and_then(|h| at.fleet.host(h));
+        match head.and_then(|h| h.membership.as_ref()).map(|m| m.phase) {
+            Some(MembershipPhase::Broken) => f.lose(Loss::Broken, at.now),
+            // A late order closed it: open it again.
+            Some(MembershipPhase::Ready) => f.enter(Step::Joining, at.now),
+            _ => {}
+        }
+    }
+
+    /// Whether a replica serves on although a member is leaving.
+    ///
+    /// A member, unlike a head, gets no requests, and stays for up to 10 s while its head
+    /// has work. Where no spare can take its place at once, the replica is of more use
+    /// with it than dissolved.
+    fn may_stay(&mut self, f: &mut Formation, at: &Moment<'_>) -> bool {
+        let head_stays = f
+            .head()
+            .is_some_and(|h| self.is_lost(h, at.fleet).is_none());
+        let since = *f.leaving_since.get_or_insert(at.now);
+        let long = at.now.saturating_duration_since(since) >= self.timing.stay;
+        head_stays && !long && !self.can_replace(f, at.fleet)
+    }
+
+    /// Whether free hosts could join at.now in place of all members that are leaving.
+    fn can_replace(&self, f: &Formation, fleet: &Fleet) -> bool {
+        let lost = f
+            .members
+            .iter()
+            .filter(|m| self.is_lost(m, fleet).is_some())
+            .count();
+        let bound = self.members();
+        let primed = |h: &&Host| {
+            let model = self.primed.get(&h.id).is_some_and(|(_, m)| *m == f.model);
+            h.fabric == f.fabric && h.is_ready() && (model || h.staged.contains(&f.model))
+        };
+        let free = fleet.hosts().filter(primed);
+        let free = free.filter(|h| !bound.contains(&h.id) && !self.silent.contains_key(&h.id));
+        free.take(lost).count() == lost
+    }
+
+    /// The head finishes what runs; then the replica is dissolved and formed anew.
+    fn advance_draining(
+        &mut self,
+        f: &mut Formation,
+        lost: Option<Loss>,
+        at: &Moment<'_>,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        let Some(head) = f.head().cloned() else {
+            return false;
+        };
+        let phase = at.fleet.host(&head).filter(|h| f.is_member(h));
+        let phase = phase.and_then(|h| h.membership.as_ref()).map(|m| m.phase);
+        let finished = matches!(
+            phase,
+            Some(MembershipPhase::Ready | MembershipPhase::Broken)
+        );
+        let over = at.now.saturating_duration_since(f.since) >= self.timing.drain;
+        let worse = lost.is_some_and(|l| matches!(l, Loss::Silent(_)));
+        if finished || over || worse {
+            f.enter(Step::Dissolving, at.now);
+            return self.advance_dissolving(f, at, commands);
+        }
+        if phase.is_none_or(|p| p == MembershipPhase::Open) {
+            let close = Order::Close {
+                replica: f.id.clone(),
+                epoch: f.epoch,
+            };
+            self.send(close, f, &head, at.now, commands);
+        }
+        true
+    }
+
+    /// Tells all members to leave, and keeps each bound until it has.
+    ///
+    /// A host that joins another replica while its old head serves would tear answers
+    /// in progress apart, which callers see as streams that stand still. A member that
+    /// has left stops the replica by itself, so the head needs not be in reach.
+    fn advance_dissolving(
+        &mut self,
+        f: &mut Formation,
+        at: &Moment<'_>,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        let entries_are_new = at.now.saturating_duration_since(f.since) >= self.timing.entry_lag;
+        f.gone.retain(|m| at.fleet.host(m).is_none());
+        for member in f.bound().cloned().collect::<Vec<_>>() {
+            let silent = self.silent.contains_key(&member);
+            let Some(host) = at.fleet.host(&member) else {
+                if silent {
+                    f.gone.insert(member);
+                    continue;
+                }
+                self.order_to_leave(f, &member, self.timing.resend, at.now, commands);
+                continue;
+            };
+            let reborn = f
+                .seats
+                .get(&member)
+                .is_none_or(|seat| seat.born_ms != host.born_ms);
+            if reborn || (entries_are_new && !f.is_member(host)) {
+                f.left.insert(member);
+                continue;
+            }
+            let every = if silent {
+                self.timing.resend_silent
+            } else {
+                self.timing.resend
+            };
+            self.order_to_leave(f, &member, every, at.now, commands);
+        }
+        let done = f.bound().next().is_none();
+        if done {
+            let left = f.left.clone();
+            self.dissolved
+                .insert(f.id.clone(), Dissolved { at: at.now, left });
+        }
+        !done
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner/send.rs
@@ -0,0 +1,98 @@
+//! Sending orders and questions, each no more often than its interval.
+
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{Epoch, HostId};
+
+use crate::fleet::Fleet;
+use crate::planner::formation::Formation;
+use crate::planner::order::{Command, Order};
+use crate::planner::{Planner, SentKind};
+
+impl Planner {
+    pub(super) fn order_to_leave(
+        &mut self,
+        f: &Formation,
+        member: &HostId,
+        every: Duration,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        let leave = Order::Leave {
+            replica: f.id.clone(),
+            epoch: f.epoch,
+        };
+        self.send_every(leave, f, member, every, now, commands);
+    }
+
+    pub(super) fn send(
+        &mut self,
+        order: Order,
+        f: &Formation,
+        host: &HostId,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        self.send_every(order, f, host, self.timing.resend, now, commands);
+    }
+
+    pub(super) fn send_every(
+        &mut self,
+        order: Order,
+        f: &Formation,
+        host: &HostId,
+        every: Duration,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(seat) = f.seats.get(host) else {
+            return;
+        };
+        if self.claim(host, order.kind(), f.epoch, every, now) {
+            let address = seat.address.clone();
+            commands.push(Command::Order {
+                host: host.clone(),
+                address,
+                order,
+            });
+        }
+    }
+
+    pub(super) fn ask(&mut self, host: &HostId, now: Instant, commands: &mut Vec<Command>) {
+        if self.claim(host, SentKind::Question, 0, self.timing.ask, now) {
+            commands.push(Command::Ask { host: host.clone() });
+        }
+    }
+
+    /// Asks silent hosts that are still listed: one that was only cut off must not be
+    /// lost as a spare.
+    pub(super) fn ask_silent(&mut self, fleet: &Fleet, now: Instant, commands: &mut Vec<Command>) {
+        let listed = self.silent.keys().filter(|id| fleet.host(id).is_some());
+        for host in listed.cloned().collect::<Vec<_>>() {
+            if self.claim(&host, SentKind::Question, 0, self.timing.resend_silent, now) {
+                commands.push(Command::Ask { host });
+            }
+        }
+    }
+
+    /// Whether it is time to send this to the host again.
+    ///
+    /// An answer alone is no reason: each wakes the planner, which would send the order
+    /// again at once for as long as the host's entry lags behind.
+    pub(super) fn claim(
+        &mut self,
+        host: &HostId,
+        kind: SentKind,
+        epoch: Epoch,
+        every: Duration,
+        now: Instant,
+    ) -> bool {
+        let key = (host.clone(), kind, epoch);
+        let last = self.sent.get(&key);
+        if last.is_some_and(|last| now.saturating_duration_since(*last) < every) {
+            return false;
+        }
+        self.sent.insert(key, now);
+        true
+    }
+}
