Ask hosts that leave orders unanswered before counting them as dead

Ruled out: unreachable hosts (their orders fail to connect). The new test fails when late orders count as silence.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -97,6 +97,8 @@
     /// Formations whose hosts are free, for as long as entries may still show them.
     dissolved: BTreeMap<GroupId, Dissolved>,
     unanswered: BTreeMap<HostId, u32>,
+    /// Hosts to ask because an order got no answer.
+    doubtful: BTreeSet<HostId>,
     /// Orders and questions under way or sent lately by the epoch that they are about, 0
     /// for none, and when.
     sent: BTreeMap<(HostId, SentKind, Epoch), Instant>,
@@ -148,6 +150,7 @@
             silent: BTreeMap::new(),
             dissolved: BTreeMap::new(),
             unanswered: BTreeMap::new(),
+            doubtful: BTreeSet::new(),
             sent: BTreeMap::new(),
             primed: BTreeMap::new(),
             staging: BTreeMap::new(),
@@ -183,9 +186,19 @@
     pub fn host_answered(&mut self, host: &HostId) {
         self.silent.remove(host);
         self.unanswered.remove(host);
+        self.doubtful.remove(host);
     }
 
-    /// Notes that a host did not answer a question or an order.
+    /// Notes that a host gave no answer to an order though it was reached.
+    ///
+    /// Some hosts leave orders unanswered and carry them out seconds later, and are well
+    /// otherwise. Taken for dead after two such orders, they cost a replica each time; a
+    /// question tells them from dead ones.
+    pub fn host_doubtful(&mut self, host: &HostId) {
+        self.doubtful.insert(host.clone());
+    }
+
+    /// Notes that a host was not reached or did not answer a question.
     pub fn host_unanswered(&mut self, host: &HostId, fleet: &Fleet) {
         let count = self.unanswered.entry(host.clone()).or_default();
         *count += 1;
@@ -268,6 +281,7 @@
                 self.form(&view, &mut commands);
             }
         }
+        self.ask_doubtful(fleet, now, &mut commands);
         self.ask_silent(fleet, now, &mut commands);
         // Formations that were just decided are ordered at once.
         let joining = |f: &Formation| f.step == Step::Joining && f.accepted.is_empty();
@@ -293,6 +307,7 @@
             .collect();
         let concerns = |id: &HostId| fleet.host(id).is_some() || bound.contains(id);
         self.unanswered.retain(|id, _| concerns(id));
+        self.doubtful.retain(concerns);
         self.sent.retain(|(id, ..), _| concerns(id));
         // A load that is done must not count as under way once its host holds another model.
         self.staging.retain(|id, (model, until)| {
--- a/crates/fleet/src/planner/send.rs
+++ b/crates/fleet/src/planner/send.rs
@@ -64,6 +64,20 @@
         }
     }
 
+    /// Asks hosts that left an order unanswered, until they answer or count as silent.
+    pub(super) fn ask_doubtful(
+        &mut self,
+        fleet: &Fleet,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        self.doubtful.retain(|id| !self.silent.contains_key(id));
+        let listed = self.doubtful.iter().filter(|id| fleet.host(id).is_some());
+        for host in listed.cloned().collect::<Vec<_>>() {
+            self.ask(&host, now, commands);
+        }
+    }
+
     /// Asks silent hosts that are still listed: one that was only cut off must not be
     /// lost as a spare.
     pub(super) fn ask_silent(&mut self, fleet: &Fleet, now: Instant, commands: &mut Vec<Command>) {
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -198,6 +198,21 @@
     expect_that!(world.serving(), eq(4));
 }
 
+/// Half of all orders get no answer and are carried out seconds later. The hosts are well:
+/// counted as dead, they would be swapped for spares until none is left.
+#[gtest]
+fn hosts_that_are_late_with_orders_are_not_taken_for_dead() {
+    let mut world = settled(2, 11);
+    world.late_share = 0.5;
+    for fabric in ["d0", "d1"] {
+        let lost = world.members(fabric, "large")[2].clone();
+        world.kill(&lost);
+    }
+    world.run(seconds(6));
+    expect_that!(world.serving(), eq(4));
+    expect_that!(world.violations, is_empty());
+}
+
 /// A member says that it is leaving. The head first finishes what runs, then the replica
 /// is formed anew without that member.
 #[gtest]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -327,7 +327,11 @@
         }
         let planner = &mut self.actors[i].planner;
         if !reached || late {
-            planner.host_unanswered(&host, &self.fleet);
+            if reached {
+                planner.host_doubtful(&host);
+            } else {
+                planner.host_unanswered(&host, &self.fleet);
+            }
             planner.on_reply(&host, &order, None, now);
             return;
         }
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -99,8 +99,12 @@
             }
             PlanningEvent::Reply(host, order, reply) => {
                 let fleet = locked(&self.core.fleet);
-                if reply.is_err() {
-                    self.planner.host_unanswered(&host, &fleet);
+                match &reply {
+                    Err(HostUnavailable::NotReached(_)) => {
+                        self.planner.host_unanswered(&host, &fleet);
+                    }
+                    Err(HostUnavailable::NoAnswer(_)) => self.planner.host_doubtful(&host),
+                    Ok(_) => {}
                 }
                 self.planner.on_reply(&host, &order, reply.ok(), now);
             }
