--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -109,7 +109,6 @@
                 }
                 gone.extend(fleet.apply(change, now));
             }
-            gone.extend(fleet.expire(now));
             changed |= !gone.is_empty();
             for host in gone {
                 info!(event = "host-gone", %host, reason = "no longer listed");
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,4 +1,4 @@
-//! Finding out that a replica has lost a member.
+//! Finding out that a replica has lost a member, and dropping hosts that stay unlisted.
 //!
 //! The load it answers: hosts die in the middle of streams. The head then still takes
 //! requests, but nothing moves, for seconds; the platform's list shows the death after
@@ -46,6 +46,7 @@
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         looks.tick().await;
+        drop_missing(&core);
         for head in standing_still(&core, &rule) {
             // The next look must not begin a second check beside this one.
             head.progress().resumed(Instant::now());
@@ -54,6 +55,21 @@
     }
 }
 
+/// Drops hosts whose entries went while the store was away and did not come back in time.
+///
+/// The store tells of nothing when that time is over, so it must not wait for the next
+/// change: a host that left would get requests for up to 3 s more.
+fn drop_missing<P: Platform>(core: &Core<P>) {
+    let gone = locked(&core.fleet).expire(Instant::now());
+    if gone.is_empty() {
+        return;
+    }
+    for host in gone {
+        info!(event = "host-gone", %host, reason = "not listed again");
+    }
+    core.refresh_heads();
+}
+
 fn standing_still<P: Platform>(core: &Core<P>, rule: &StallRule) -> Vec<Arc<Head>> {
     let now = Instant::now();
     let heads = locked(&core.heads);
