Call the crate of the project's own store clients what it is

crates/platform held the clients for the project's own table, objects, weights and host list; beside the new platform/ its name misled. Moved to crates/stores, nothing else.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eelgrassmill_base::{HostId, HostReport, Order, OrderReply, value};
-use eelgrassmill_platform::{HttpCaller, Reply, percent_encode};
+use eelgrassmill_stores::{HttpCaller, Reply, percent_encode};
 use serde::Deserialize;
 
 use crate::TargetError;
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -1,7 +1,7 @@
 //! What can go wrong between us and a target.
 
 use eelgrassmill_base::{HostId, Outcome, RequestId};
-use eelgrassmill_platform::CallError;
+use eelgrassmill_stores::CallError;
 
 /// Why a probe or an order gave no result.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -9,8 +9,8 @@
     BodyError, HostControl, SendError, StreamEvent, TargetClient, TargetRequest, TargetResponse,
     TokenStream,
 };
-use eelgrassmill_platform::HttpCaller;
 use eelgrassmill_standin::{HostSpec, Pace, Standins, engine_specs, plain_specs};
+use eelgrassmill_stores::HttpCaller;
 use http::{HeaderMap, HeaderValue, Method};
 
 pub(crate) const GROUP: &str = "model/0";
--- a/crates/engine/tests/oxhttp.rs
+++ b/crates/engine/tests/oxhttp.rs
@@ -12,7 +12,7 @@
 
 use common::{Bench, LEAD, PROMPT, completion};
 use eelgrassmill_engine::{StreamEvent, TargetClient, TokenStream};
-use eelgrassmill_platform::{CallError, HttpCaller};
+use eelgrassmill_stores::{CallError, HttpCaller};
 use googletest::prelude::*;
 use oxhttp::model::{Body, Request, Response};
 use oxhttp::{Client, Server};
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_base::{ConfigVersion, NodeId};
 use eelgrassmill_config::{CURRENT_KEY, CurrentRow, LOG_PREFIX, LogRow, Submit, log_key};
 use eelgrassmill_peer::PeerNode;
-use eelgrassmill_platform::{Table, TableError};
+use eelgrassmill_stores::{Table, TableError};
 use eelgrassmill_timeline::{Answer, Query, Timeline, merge};
 use smol_str::SmolStr;
 use tokio::runtime::Handle;
--- a/crates/node/src/backend/submit.rs
+++ b/crates/node/src/backend/submit.rs
@@ -5,7 +5,7 @@
     Acceptance, CURRENT_KEY, CurrentRow, Decision, LogRow, Submit, decide_submit, log_key,
 };
 use eelgrassmill_peer::ConfigText;
-use eelgrassmill_platform::{
+use eelgrassmill_stores::{
     Condition, SettleBudget, Settled, Table, TableError, Txn, Write, settle,
 };
 use eelgrassmill_timeline::EventKind;
--- a/crates/node/src/loops/era.rs
+++ b/crates/node/src/loops/era.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use eelgrassmill_claim::{ERA_KEY, Era};
-use eelgrassmill_platform::{Condition, Table, TableError, Txn, Write};
+use eelgrassmill_stores::{Condition, Table, TableError, Txn, Write};
 
 use super::rows::decode;
 use crate::state::core::Core;
--- a/crates/node/src/loops/lease.rs
+++ b/crates/node/src/loops/lease.rs
@@ -5,7 +5,7 @@
 
 use eelgrassmill_base::RowVersion;
 use eelgrassmill_group::{HeldLease, NodeRow, node_key};
-use eelgrassmill_platform::{Condition, Row, Table, Txn, TxnOutcome, Write};
+use eelgrassmill_stores::{Condition, Row, Table, Txn, TxnOutcome, Write};
 use eelgrassmill_timeline::EventKind;
 
 use super::rows::{decode, json};
--- a/crates/node/src/loops/planner.rs
+++ b/crates/node/src/loops/planner.rs
@@ -12,7 +12,7 @@
     Takeover, node_key, plan, planner_key, takeover, weights_name,
 };
 use eelgrassmill_peer::PeerNode;
-use eelgrassmill_platform::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
+use eelgrassmill_stores::{SettleBudget, Settled, Table, TableError, WeightStore, settle};
 use eelgrassmill_timeline::EventKind;
 use smol_str::{SmolStr, format_smolstr};
 
--- a/crates/node/src/loops/reader.rs
+++ b/crates/node/src/loops/reader.rs
@@ -9,7 +9,7 @@
     GROUP_PREFIX, GroupRow, LeaseObserver, NODE_PREFIX, NodeRow, PlannerRow, planner_key,
 };
 use eelgrassmill_peer::{ConfigText, Member, PeerNode};
-use eelgrassmill_platform::{HostList, Table, TableError};
+use eelgrassmill_stores::{HostList, Table, TableError};
 use eelgrassmill_timeline::EventKind;
 
 use super::contender::is_contender;
--- a/crates/node/src/loops/rows.rs
+++ b/crates/node/src/loops/rows.rs
@@ -2,7 +2,7 @@
 
 use eelgrassmill_base::{RowVersion, TxnId};
 use eelgrassmill_group::{Change, RowValue};
-use eelgrassmill_platform::{Condition, Row, Table, TableError, Txn, Write};
+use eelgrassmill_stores::{Condition, Row, Table, TableError, Txn, Write};
 use serde::de::DeserializeOwned;
 
 /// Reads one row's value; a value of another shape is left out and logged.
--- a/crates/node/src/loops/sweep.rs
+++ b/crates/node/src/loops/sweep.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use eelgrassmill_claim::{CLAIM_PREFIX, ClaimRow, OwnerState, RowChange, Seen, WriteOutcome};
-use eelgrassmill_platform::{Row, Table};
+use eelgrassmill_stores::{Row, Table};
 
 use crate::once::{ClaimStore, owner_state};
 use crate::state::core::Core;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,7 +11,7 @@
     DisseminationConfig, Item, Member, NodeLoad, NodeStatus, PeerError, PeerNode, PeerNodeConfig,
     Refusals, Traffic,
 };
-use eelgrassmill_platform::{
+use eelgrassmill_stores::{
     HttpCaller, HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, Table,
 };
 use eelgrassmill_timeline::EventKind;
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -10,7 +10,7 @@
     AttemptId, Claim, ClaimRequest, Claimed, Decision, DispatchOutcome, KeptAnswer, Owner,
     OwnerState, RowChange, Seen, WriteOutcome, claim_key, decide, fingerprint,
 };
-use eelgrassmill_platform::ObjectStore;
+use eelgrassmill_stores::ObjectStore;
 use eelgrassmill_timeline::EventKind;
 use http::{HeaderValue, Response, StatusCode, header};
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/node/src/once/store.rs
+++ b/crates/node/src/once/store.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_claim::{
     Batch, ClaimBatcher, ClaimRow, ConflictRow, RowChange, Seen, StoreDown, StoreGate, WriteOutcome,
 };
-use eelgrassmill_platform::{Condition, Row, Table, TableError, Txn, TxnOutcome, Write};
+use eelgrassmill_stores::{Condition, Row, Table, TableError, Txn, TxnOutcome, Write};
 use tokio::sync::oneshot;
 
 use crate::state::core::Core;
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -10,8 +10,8 @@
 use eelgrassmill_config::{Config, Service, ServiceKind};
 use eelgrassmill_engine::{HostControl, TargetClient};
 use eelgrassmill_group::{HeldLease, LeaseTiming, NodeState};
-use eelgrassmill_platform::{HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore};
 use eelgrassmill_route::{RetryBudget, Slots};
+use eelgrassmill_stores::{HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore};
 
 use smol_str::SmolStr;
 
--- a/crates/node/src/state/table.rs
+++ b/crates/node/src/state/table.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use eelgrassmill_platform::{Row, Table, TableError, Txn, TxnOutcome};
+use eelgrassmill_stores::{Row, Table, TableError, Txn, TxnOutcome};
 
 use crate::metrics::{Metrics, TableCall, TableResult};
 
--- a/crates/node/tests/metrics_fed.rs
+++ b/crates/node/tests/metrics_fed.rs
@@ -10,10 +10,10 @@
 use eelgrassmill_base::{Order, OrderKind, Placement};
 use eelgrassmill_config::{CURRENT_KEY, CurrentRow, HEAD_KEY, HeadRow, checksum};
 use eelgrassmill_node::Metrics;
-use eelgrassmill_platform::{
+use eelgrassmill_standin::engine_specs;
+use eelgrassmill_stores::{
     Condition, HttpCaller, HttpTable, Table, Txn, TxnOutcome, Write as RowWrite,
 };
-use eelgrassmill_standin::engine_specs;
 use util::load::under_load;
 use util::{Cluster, call, completion, eventually, text};
 
--- a/crates/peer/examples/capacity/rows.rs
+++ b/crates/peer/examples/capacity/rows.rs
@@ -9,7 +9,7 @@
 };
 use eelgrassmill_peer::capacity::{Inputs, Line};
 use eelgrassmill_peer::{Demand, Grant, QuotaReply, QuotaRequest};
-use eelgrassmill_platform::Row;
+use eelgrassmill_stores::Row;
 use prost::Message;
 use serde::Serialize;
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassmill_platform::percent_decode;
+use eelgrassmill_stores::percent_decode;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::HostEntry;
-use eelgrassmill_platform::{MemoryObjects, MemoryTable, WeightInfo};
+use eelgrassmill_stores::{MemoryObjects, MemoryTable, WeightInfo};
 use smol_str::SmolStr;
 
 use crate::faults::{FaultSet, PlatformFault};
--- a/crates/standin/src/platform_http.rs
+++ b/crates/standin/src/platform_http.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use eelgrassmill_platform::{ObjectStore, Table, TableError, Txn, percent_decode};
+use eelgrassmill_stores::{ObjectStore, Table, TableError, Txn, percent_decode};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use eelgrassmill_base::{Order, OrderReply, TargetKind};
-use eelgrassmill_platform::percent_decode;
+use eelgrassmill_stores::percent_decode;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::HostState;
-use eelgrassmill_platform::{
+use eelgrassmill_standin::{Standins, engine_specs, expected_answer, plain_specs};
+use eelgrassmill_stores::{
     Condition, HostList, HttpCaller, HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore,
     ObjectStore, SettleBudget, Settled, Table, TableError, Txn, TxnOutcome, WeightInfo,
     WeightStore, Write, settle,
 };
-use eelgrassmill_standin::{Standins, engine_specs, expected_answer, plain_specs};
 use googletest::prelude::*;
 
 const PATIENCE: Duration = Duration::from_secs(5);
--- a/crates/platform/tests/memory.rs
+++ b/crates/stores/tests/memory.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use eelgrassmill_platform::{
+use eelgrassmill_stores::{
     Condition, MemoryTable, Table, TableError, Txn, TxnOutcome, Write, percent_decode,
     percent_encode,
 };
--- a/crates/platform/tests/refusals.rs
+++ b/crates/stores/tests/refusals.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::thread::JoinHandle;
 
-use eelgrassmill_platform::{HttpCaller, HttpTable, Table, TableError};
+use eelgrassmill_stores::{HttpCaller, HttpTable, Table, TableError};
 use googletest::prelude::*;
 
 const REFUSAL: &[u8] =
--- a/crates/platform/tests/settle.rs
+++ b/crates/stores/tests/settle.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassmill_platform::{
+use eelgrassmill_stores::{
     Condition, MemoryTable, Row, SettleBudget, SettleError, Settled, Table, TableError, Txn,
     TxnOutcome, Write, settle,
 };
