--- /dev/null
+++ b/crates/fleet/tests/policy.rs
@@ -0,0 +1,203 @@
+//! The small policies: routes and keys, the host list, placing, repeats, stalls.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_fleet::{
+    Caller, Candidate, Catalog, Fleet, FleetChange, Host, HostState, Progress, Repeat, RetryWindow,
+    Route, RouteRefusal, StallRule, place,
+};
+use googletest::prelude::*;
+
+const fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn route(name: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: "site.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Once,
+        stream: None,
+        timeout: millis(1000),
+        aim: millis(100),
+        urgency: 1,
+        attempts: 1,
+        public,
+        services: [("desk".into(), 1)].into_iter().collect(),
+    }
+}
+
+fn catalog() -> Catalog {
+    let routes = [
+        route("a", "/a/", false),
+        route("ab", "/a/b/", false),
+        route("open", "/o/", true),
+    ];
+    let baths = Arc::new(Caller {
+        tenant: "baths".into(),
+        urgency: Some(0),
+    });
+    Catalog::new(3, routes, [], [("key-1".into(), baths)], None)
+}
+
+#[gtest]
+fn the_longest_prefix_takes_a_request() {
+    let catalog = catalog();
+    let name = |path: &str| {
+        catalog
+            .route("site.example", path)
+            .map(|r| r.name.to_string())
+    };
+    expect_that!(name("/a/x"), ok(eq("a")));
+    expect_that!(name("/a/b/x"), ok(eq("ab")));
+    expect_that!(name("/a/bx"), ok(eq("a")));
+    expect_that!(name("/c/"), err(eq(&RouteRefusal::NoRoute)));
+    expect_that!(catalog.route("other.example", "/a/x").is_err(), eq(true));
+}
+
+#[gtest]
+fn a_key_is_needed_but_on_public_routes() {
+    let catalog = catalog();
+    let of = |path: &str, key| {
+        let route = catalog
+            .route("site.example", path)
+            .expect("the route is there");
+        catalog
+            .caller(route, key)
+            .map(|c| c.map(|c| c.tenant.to_string()))
+    };
+    expect_that!(of("/a/x", Some("key-1")), ok(some(eq("baths"))));
+    expect_that!(
+        of("/a/x", Some("key-2")),
+        err(eq(&RouteRefusal::UnknownKey))
+    );
+    expect_that!(of("/a/x", None), err(eq(&RouteRefusal::UnknownKey)));
+    expect_that!(of("/o/x", None), ok(none()));
+}
+
+fn host(id: &str) -> Host {
+    Host {
+        id: id.into(),
+        born_ms: 0,
+        service: "desk".into(),
+        address: "10.0.0.1:1".into(),
+        failure_domain: "z1".into(),
+        fabric: "".into(),
+        state: HostState::Ready,
+        slots: 6,
+        staged: Default::default(),
+        model: None,
+        membership: None,
+    }
+}
+
+/// Entries lapse while the store is away. The first list after it lacks hosts that are
+/// well; given up at once, every replica would be formed anew.
+#[gtest]
+fn hosts_that_lapsed_with_the_store_are_kept_for_two_seconds() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.apply(
+        FleetChange::Snapshot(vec![host("a"), host("b"), host("c")]),
+        now,
+    );
+    fleet.store_disturbed(now);
+    let gone = fleet.apply(FleetChange::Snapshot(vec![host("a")]), now + millis(100));
+    expect_that!(gone, is_empty());
+    fleet.apply(FleetChange::Put(Box::new(host("b"))), now + millis(900));
+    expect_that!(fleet.expire(now + millis(1900)), is_empty());
+    expect_that!(fleet.expire(now + millis(2000)), elements_are![eq("c")]);
+    expect_that!(fleet.host("b"), some(anything()));
+}
+
+#[gtest]
+fn a_host_that_goes_while_the_store_is_well_is_gone_at_once() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.apply(FleetChange::Snapshot(vec![host("a")]), now);
+    let gone = fleet.apply(FleetChange::Removed("a".into()), now);
+    expect_that!(gone, elements_are![eq("a")]);
+}
+
+fn candidate(name: &str, load: usize, near: bool, failing_permille: u32) -> Candidate {
+    Candidate {
+        host: name.into(),
+        load,
+        slots: 26,
+        near,
+        failing_permille,
+    }
+}
+
+/// Four nodes see hosts of their own and of other failure domains under rising load. A
+/// request crosses only where its own domain's hosts are a quarter fuller, and a host that
+/// fails half of its requests is avoided even when it is empty.
+#[gtest]
+fn a_near_host_goes_first_until_it_is_much_fuller() {
+    let chosen = |near_load: usize| {
+        let hosts = [
+            candidate("near", near_load, true, 0),
+            candidate("far", 4, false, 0),
+        ];
+        place(&hosts, 0).map(|c| c.host.to_string())
+    };
+    expect_that!(chosen(4), some(eq("near")));
+    expect_that!(chosen(10), some(eq("near")));
+    expect_that!(chosen(11), some(eq("far")));
+    let hosts = [
+        candidate("failing", 0, true, 500),
+        candidate("busy", 20, true, 0),
+    ];
+    expect_that!(place(&hosts, 0).map(|c| c.host.as_str()), some(eq("busy")));
+    expect_that!(place(&[], 0), none());
+}
+
+/// All nodes repeat as much as they may while hosts fail. Over any window the sum stays
+/// under the bound, which counts requests of all nodes and one slack for them together.
+#[gtest]
+fn repeats_of_all_nodes_stay_under_their_bound() {
+    let began = Instant::now();
+    let window = Duration::from_secs(10);
+    let (nodes, slack, ratio) = (7, 132.0, 0.2);
+    let mut all: Vec<RetryWindow> = (0..nodes)
+        .map(|_| RetryWindow::new(window, ratio, slack))
+        .collect();
+    let mut repeats = Vec::new();
+    let mut requests = Vec::new();
+    for tick in 0..3000_u64 {
+        let now = began + millis(tick * 10);
+        let node = &mut all[(tick % nodes as u64) as usize];
+        node.on_request(now);
+        requests.push(now);
+        while node.try_repeat(nodes, now) {
+            repeats.push(now);
+        }
+    }
+    for from in requests.iter().step_by(100) {
+        let within = |at: &&Instant| **at >= *from && **at < *from + window;
+        let permitted = ratio * requests.iter().filter(within).count() as f64 + slack;
+        let used = repeats.iter().filter(within).count() as f64;
+        expect_that!(used, le(permitted));
+    }
+    expect_that!(repeats.len(), gt(300));
+}
+
+/// A replica loses a member: nothing comes any more. A slow one gives its events rarely
+/// but gives them, and must not be taken for one that stands still.
+#[gtest]
+fn silence_counts_by_the_usual_pause() {
+    let rule = StallRule::default();
+    let began = Instant::now();
+    let mut quick = Progress::default();
+    let mut slow = Progress::default();
+    for n in 0..40 {
+        quick.event(began + millis(n * 50));
+        slow.event(began + millis(n * 400));
+    }
+    let last = |n: u64| began + millis(39 * n);
+    expect_that!(quick.stalls_at(&rule), some(eq(last(50) + rule.floor)));
+    expect_that!(slow.stalls_at(&rule), some(gt(last(400) + millis(2000))));
+    expect_that!(Progress::default().stalls_at(&rule), none());
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,8 +26,6 @@
     const LIST: &'static str;
     /// Takes changes in order.
     fn take(&self, changes: Vec<C>);
-    /// Called at least as often as [`WAIT`], and after each failure.
-    fn idle(&self) {}
 }
 
 /// Keeps a sink up to date with a source, for ever.
@@ -81,7 +79,6 @@
                     warn!(event = "dependency", list = K::LIST, state = "fails", %err);
                 }
                 healthy = false;
-                sink.idle();
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
