--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod gateway;
 mod heads;
+mod logs;
 mod metrics;
 mod nodes;
 mod peers;
@@ -23,6 +24,7 @@
 mod ports;
 mod seat;
 mod server;
+mod settings;
 mod side;
 mod story;
 mod stream;
@@ -33,8 +35,10 @@
 pub use crate::call::{CallHead, Prompt};
 pub use crate::config::{Addresses, GatewayConfig, RetryRules};
 pub use crate::gateway::{Gateway, GatewayError};
+pub use crate::logs::{LogQueue, start as start_logs};
 pub use crate::ports::{
     AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport, HostUnavailable,
     Platform, Seat, SeatRecord, SideRequest, Source, SourceError,
 };
+pub use crate::settings::{SECTIONS, Settings, SettingsError};
 pub use crate::story::{LogReader, Subject};
--- a/platform/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,7 +8,8 @@
     ConfigErrors, Key, Problems, Reader, Section, SectionKeys, Shape, defaulted, read_sections,
     required,
 };
-use eelgrassmill_gateway::{Addresses, GatewayConfig, RetryRules};
+
+use crate::config::{Addresses, GatewayConfig, RetryRules};
 
 const MILLI: Duration = Duration::from_millis(1);
 const HOUR: Duration = Duration::from_secs(3_600);
--- a/platform/tests/logs.rs
+++ b/crates/gateway/tests/logs.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_adapter::LogQueue;
+use eelgrassmill_gateway::LogQueue;
 use googletest::prelude::*;
 
 /// A reader that never reads: the first write waits until the test ends.
