Take a host whose address is another's for gone, and let all leave that may open

A formation whose head had been told to open, and was given up while it was joining again, was dropped without its members leaving, though the order might still be carried out. Ruled out: epochs (the orders were refused, not obeyed). Questions now name the host that they are for, as orders do.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -225,6 +225,15 @@
         let Some(formation) = known.filter(|f| f.epoch == epoch) else {
             return;
         };
+        if let (Some(OrderReply::WrongHost), Some(seat)) = (reply, formation.seats.get(host)) {
+            // Its entry is about to go; chosen again meanwhile it would end each new
+            // formation at once.
+            let silence = Silence {
+                born_ms: seat.born_ms,
+                listed: true,
+            };
+            self.silent.insert(host.clone(), silence);
+        }
         match (order, reply) {
             (Order::Join { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
                 formation.accepted.insert(host.clone());
@@ -373,6 +382,7 @@
                 continue;
             };
             formation.accepted = formation.members.iter().cloned().collect();
+            formation.told_to_open = true;
             if first.is_open_head() {
                 formation.enter(Step::Open, now);
             }
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -57,7 +57,7 @@
         }
         if lost.is_some() || f.loss.is_some() {
             // The order to open may be under way: until the head has left it may serve.
-            if f.step == Step::Opening {
+            if f.told_to_open {
                 f.lose(lost.unwrap_or(Loss::Incomplete), at.now);
                 return true;
             }
@@ -109,6 +109,7 @@
             f.enter(Step::Open, at.now);
             return;
         }
+        f.told_to_open = true;
         if f.step != Step::Opening {
             f.enter(Step::Opening, at.now);
         }
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -83,6 +83,8 @@
     pub(crate) accepted: BTreeSet<HostId>,
     /// Members that said that they are ready.
     pub(crate) ready: BTreeSet<HostId>,
+    /// Whether its head was ever told to serve: such an order may be carried out late.
+    pub(crate) told_to_open: bool,
     /// Each member's start and address when it was chosen. The address is needed also
     /// after its entry is gone: a host whose entry vanished may serve on for seconds.
     pub(crate) seats: BTreeMap<HostId, MemberSeat>,
@@ -136,6 +138,7 @@
             leaving_since: None,
             accepted: BTreeSet::new(),
             ready: BTreeSet::new(),
+            told_to_open: false,
             seats: hosts.iter().map(seat).collect(),
             left: BTreeSet::new(),
             gone: BTreeSet::new(),
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -213,6 +213,29 @@
     expect_that!(world.violations, is_empty());
 }
 
+/// A spare has started again, and a host with another name answers at its address while
+/// its old entry still stands. Chosen again and again, it would end each new formation
+/// within a step, hundreds of times until its entry is gone.
+#[gtest]
+fn a_host_whose_address_is_anothers_is_not_chosen_again() {
+    let mut world = settled(1, 11);
+    let members = [world.members("d0", "large"), world.members("d0", "small")].concat();
+    let spares: Vec<HostId> = world
+        .hosts
+        .keys()
+        .filter(|h| !members.contains(h))
+        .cloned()
+        .collect();
+    for spare in &spares {
+        world.host(spare).replaced = true;
+    }
+    world.kill(&members[2]);
+    let before = world.orders;
+    world.run(seconds(5));
+    expect_that!(world.orders - before, le(60));
+    expect_that!(world.violations, is_empty());
+}
+
 /// A member says that it is leaving. The head first finishes what runs, then the replica
 /// is formed anew without that member.
 #[gtest]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -37,6 +37,8 @@
     pub(crate) alive: bool,
     /// Whether planners reach it.
     pub(crate) reachable: bool,
+    /// Another host has its address.
+    pub(crate) replaced: bool,
     pub(crate) state: HostState,
     highest_epoch: Epoch,
     staging: Option<(ModelName, Duration)>,
@@ -166,6 +168,7 @@
             part: None,
             alive: true,
             reachable: true,
+            replaced: false,
             state: HostState::Ready,
             highest_epoch: 0,
             staging: None,
@@ -358,7 +361,7 @@
 
     fn ask(&mut self, i: usize, id: &HostId) {
         self.questions += 1;
-        let host = self.hosts.get(id).filter(|h| h.reachable);
+        let host = self.hosts.get(id).filter(|h| h.reachable && !h.replaced);
         let Some(entry) = host.map(|h| self.entry(h)) else {
             self.actors[i].planner.host_unanswered(id, &self.fleet);
             return;
@@ -379,7 +382,12 @@
     }
 
     fn obey(&mut self, id: &HostId, order: &Order) -> OrderReply {
-        let reply = self.carry_out(id, order);
+        let replaced = self.hosts[id].replaced;
+        let reply = if replaced {
+            OrderReply::WrongHost
+        } else {
+            self.carry_out(id, order)
+        };
         let at = self.now.as_millis();
         self.history
             .push(format!("{at} {id} {order:?} -> {reply:?}"));
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -138,7 +138,7 @@
                     PlanningEvent::Reply(host, order, reply)
                 }
                 Command::Ask { host } => {
-                    let report = control.report(&address, REPORT_TIMEOUT).await;
+                    let report = control.report(&host, &address, REPORT_TIMEOUT).await;
                     PlanningEvent::Report(host, report)
                 }
             };
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -104,9 +104,10 @@
 
 /// Asks hosts and gives them orders.
 pub trait HostControl: Send + Sync + 'static {
-    /// What the host at `address` holds.
+    /// What `host` at `address` holds. Another host there is no answer.
     fn report(
         &self,
+        host: &HostId,
         address: &str,
         timeout: Duration,
     ) -> impl Future<Output = Result<HostReport, HostUnavailable>> + Send;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -97,7 +97,7 @@
             let report = core
                 .platform
                 .control()
-                .report(&host.address, REPORT_TIMEOUT)
+                .report(&host.id, &host.address, REPORT_TIMEOUT)
                 .await;
             (host, report)
         });
