Leave a replica given up whose head answers late that it opens

Cause: an answer to the order to open set a formation open whatever it was by then, also one that had been given up while the order was under way; it then served, for the planner, without the member that it had lost, and could be dropped later with members that had not left. The same for a join refused after the replica served. Found by reading. Before: the new test finds the formation open after its loss.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -234,14 +234,21 @@
             };
             self.silent.insert(host.clone(), silence);
         }
+        // A formation that was given up while the order was under way stays given up:
+        // taken back, it would serve without the member that it lost.
+        let step = formation.step;
         match (order, reply) {
             (Order::Join { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
                 formation.accepted.insert(host.clone());
             }
-            (Order::Join { .. }, Some(OrderReply::Fenced | OrderReply::WrongHost)) => {
+            (Order::Join { .. }, Some(OrderReply::Fenced | OrderReply::WrongHost))
+                if step == Step::Joining =>
+            {
                 formation.lose(Loss::Refused(host.clone()), now);
             }
-            (Order::Open { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
+            (Order::Open { .. }, Some(OrderReply::Begun | OrderReply::Done))
+                if step == Step::Opening =>
+            {
                 formation.enter(Step::Open, now);
             }
             // A conflict means that it is no member, and another host at its address
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eelgrassmill_base::HostId;
+use eelgrassmill_fleet::{Loss, Order, OrderReply, Step};
 use googletest::prelude::*;
 
 use crate::support::World;
@@ -236,6 +237,27 @@
     expect_that!(world.violations, is_empty());
 }
 
+/// The head's answer to the order to open comes after a member was found dead and the
+/// replica was given up. Taken as news that it serves, it would bring a replica back that
+/// has lost a member, and bind its hosts to it.
+#[gtest]
+fn an_answer_that_comes_after_a_loss_does_not_bring_the_replica_back() {
+    let mut world = settled(1, 11);
+    let formation = world.planner().formations().find(|f| f.model == "large");
+    let formation = formation.expect("the model is served");
+    let (id, epoch) = (formation.id.clone(), formation.epoch);
+    let (head, member) = (formation.members[0].clone(), formation.members[3].clone());
+    let planner = &mut world.actors[0].planner;
+    planner.replica_lost(&id, epoch, Loss::Silent(member), world.began);
+    let open = Order::Open {
+        replica: id.clone(),
+        epoch,
+    };
+    planner.on_reply(&head, &open, Some(OrderReply::Done), world.began);
+    let step = planner.formations().find(|f| f.id == id).map(|f| f.step);
+    expect_that!(step, some(eq(Step::Dissolving)));
+}
+
 /// A member says that it is leaving. The head first finishes what runs, then the replica
 /// is formed anew without that member.
 #[gtest]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -67,7 +67,7 @@
 
 /// All hosts, the planners, and what must never happen.
 pub(crate) struct World {
-    began: Instant,
+    pub(crate) began: Instant,
     pub(crate) now: Duration,
     pub(crate) hosts: BTreeMap<HostId, FakeHost>,
     pub(crate) fleet: Fleet,
