Keep events for the planner only at the node that has one

Cause: each node kept every lost replica that it heard of for a planner that it did not have, for ever; and a wake-up between the planner's look and its wait was lost, so that a repair could wait for the next look, 60 ms. The time that a report may take stood twice, as 230 and 250 ms; it is 230 now. Found by reading. Ruled out: a bound on the list, which would drop news that the planner needs. Before: with the list kept from the start, as it was, the new test finds the event that nobody reads. After: nothing is kept; tests of gateway and adapter pass.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,7 @@
 use crate::config::GatewayConfig;
 use crate::dispatch::TargetStats;
 use crate::heads::{HeadTable, locked};
+use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::peers::Peers;
@@ -37,9 +38,7 @@
     pub(crate) retries: Mutex<HashMap<ServiceName, RetryWindow>>,
     pub(crate) metrics: Metrics,
     pub(crate) turns: Turns,
-    /// What the planner should know, while this node has one.
-    pub(crate) planning: watch::Sender<u64>,
-    planning_events: Mutex<Vec<PlanningEvent>>,
+    pub(crate) planning: Inbox<PlanningEvent>,
     pub(crate) leaving: AtomicBool,
     pub(crate) stopping: watch::Sender<bool>,
     served: AtomicBool,
@@ -63,8 +62,7 @@
             retries: Mutex::default(),
             metrics: Metrics::default(),
             turns: Turns::default(),
-            planning: watch::Sender::new(0),
-            planning_events: Mutex::default(),
+            planning: Inbox::default(),
             leaving: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
             served: AtomicBool::new(false),
@@ -133,20 +131,6 @@
         self.store_failures.store(0, Ordering::Relaxed);
     }
 
-    /// Tells the planner something, if this node has one.
-    pub(crate) fn tell_planner(&self, event: PlanningEvent) {
-        locked(&self.planning_events).push(event);
-        self.wake_planner();
-    }
-
-    pub(crate) fn wake_planner(&self) {
-        self.planning.send_modify(|n| *n += 1);
-    }
-
-    pub(crate) fn take_planning_events(&self) -> Vec<PlanningEvent> {
-        std::mem::take(&mut *locked(&self.planning_events))
-    }
-
     /// Nodes that share the bound on repeats, this one among them.
     pub(crate) fn node_count(&self) -> usize {
         locked(&self.nodes).alive(Instant::now()).count() + 1
@@ -164,7 +148,7 @@
             locked(&self.heads).update(&fleet);
         }
         self.freed();
-        self.wake_planner();
+        self.planning.wake();
     }
 
     /// Counts a caller's request for the bound on repeats.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -141,7 +141,7 @@
                 info!(event = "config", version, outcome = "in-force");
                 let shown = i64::try_from(version).unwrap_or(i64::MAX);
                 self.0.metrics.config_version.set(shown);
-                self.0.wake_planner();
+                self.0.planning.wake();
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod gateway;
 mod heads;
+mod inbox;
 mod logs;
 mod metrics;
 mod nodes;
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -12,15 +12,13 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{HostControl, HostReport, HostUnavailable, Platform, SeatRecord};
-use crate::watch::LostReplica;
+use crate::watch::{LostReplica, REPORT_TIMEOUT};
 
 /// The planner looks at everything at least this often: its shortest own time is the
 /// 120 ms between two questions to a host.
 const STEP: Duration = Duration::from_millis(60);
 /// An order without an answer for this long counts as unanswered. Answers take 1 to 5 ms.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
-/// A question without an answer for this long counts as unanswered.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Until then the first loads of a system that starts for the first time are quick.
 const COLD_TIME: Duration = Duration::from_secs(12);
 
@@ -35,30 +33,35 @@
     Report(HostId, Result<HostReport, HostUnavailable>),
 }
 
-/// One term of the planner. Ends when `may_plan` says no.
+/// One term of the planner, from taking the seat until it is given up or lost.
 pub(crate) struct Term<P: Platform> {
     core: Arc<Core<P>>,
     planner: Planner,
 }
 
+impl<P: Platform> Drop for Term<P> {
+    fn drop(&mut self) {
+        self.core.planning.close();
+    }
+}
+
 impl<P: Platform> Term<P> {
     pub(crate) fn new(core: Arc<Core<P>>, seat: &SeatRecord) -> Term<P> {
-        core.take_planning_events();
+        core.planning.open();
         let planner = Planner::new(seat.term, PlannerTiming::default(), Instant::now());
         Term { core, planner }
     }
 
     /// Waits until there may be something to decide.
     pub(crate) async fn wait(&self) {
-        let mut changed = self.core.planning.subscribe();
         // Running out is the other way to look again.
-        let _ = tokio::time::timeout(STEP, changed.changed()).await;
+        let _ = tokio::time::timeout(STEP, self.core.planning.changed()).await;
     }
 
     /// Takes in what happened, decides, and starts to carry it out.
     pub(crate) fn step(&mut self) {
         let now = Instant::now();
-        for event in self.core.take_planning_events() {
+        for event in self.core.planning.take() {
             self.take(event, now);
         }
         let catalog = self.core.catalog();
@@ -142,7 +145,7 @@
                     PlanningEvent::Report(host, report)
                 }
             };
-            core.tell_planner(event);
+            core.planning.push(event);
         });
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -25,7 +25,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// A member that gives no report for this long counts as silent: a report takes 1 to 5 ms
 /// between failure domains, and one repeated packet some 200 ms.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
 /// How long other nodes hold on to the news: until long after the replica was dissolved.
 const NEWS_TTL: Duration = Duration::from_secs(15);
 
@@ -164,7 +164,7 @@
         epoch: head.epoch,
         silent,
     };
-    core.tell_planner(PlanningEvent::Lost(lost));
+    core.planning.push(PlanningEvent::Lost(lost));
 }
 
 /// Takes another node's word that a replica is lost.
@@ -185,5 +185,5 @@
         epoch: news.version,
         silent,
     };
-    core.tell_planner(PlanningEvent::Lost(lost));
+    core.planning.push(PlanningEvent::Lost(lost));
 }
