Remove what is decoded and never used; say each thing in one place

Cause: figures of the engine, counts of reports and sizes of prompts were decoded for a decision that isn't there; a member's readiness was noted in two places and a host's being free in two; limits before any configuration stood twice in the same file. Comments named what had been changed since (a planner's term, a formation's leaving, why a planner acts on without the store), and a forgotten history of the store left no line in the log. Ruled out: keeping the figures for placing by prompts that wait to be read; they come with that change. No behaviour changes but the line and the cause no-repeats-left, which whole calls now give like streams.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -63,8 +63,6 @@
         pub size: usize,
         /// The model's part of the work, of 1.
         pub share: Millionths,
-        /// Factor on all times of its replicas.
-        pub pace: Millionths,
         /// Time to load its weights from the weight store.
         pub load: Duration,
         /// Time to load its weights from the host's own memory.
@@ -81,18 +79,6 @@
         pub loads_per_ks: u64,
         /// Loads under way beyond which each takes longer.
         pub loads_at_once: usize,
-        /// From the order to serve until a replica serves.
-        pub opening: Duration,
-        /// Duration of one token step with nothing else running, before `pace`.
-        pub step: Duration,
-        /// What each running request adds to a step.
-        pub step_per_request: Duration,
-        /// Token steps between two turns of reading prompts.
-        pub stride: u32,
-        /// Prompt tokens read in a second.
-        pub read_per_s: u64,
-        /// Most prompt tokens read in one step.
-        pub chunk: u64,
     }
 
     /// One service.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -441,6 +441,11 @@
         (format_smolstr!("r{}-{}", self.term, self.formed), epoch)
     }
 
+    /// Whether a host takes orders and is none of `bound`, the members of serving formations.
+    fn is_free(&self, host: &Host, bound: &BTreeSet<&HostId>) -> bool {
+        host.is_ready() && !bound.contains(&host.id) && !self.silent.contains_key(&host.id)
+    }
+
     fn members(&self) -> BTreeSet<&HostId> {
         let bound = self
             .formations
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -67,13 +67,7 @@
             let Some(host) = at.fleet.host(&member) else {
                 continue;
             };
-            if f.is_ready_member(host) {
-                self.primed
-                    .insert(member.clone(), (host.born_ms, f.model.clone()));
-                f.ready.insert(member);
-                continue;
-            }
-            if f.ready.contains(&member) {
+            if self.note_ready(f, host) {
                 continue;
             }
             if !f.accepted.contains(&member) {
@@ -97,6 +91,16 @@
         true
     }
 
+    /// Whether a member has said that it is ready; notes it if it says so now.
+    fn note_ready(&mut self, f: &mut Formation, host: &Host) -> bool {
+        if f.is_ready_member(host) {
+            let joined = (host.born_ms, f.model.clone());
+            self.primed.insert(host.id.clone(), joined);
+            f.ready.insert(host.id.clone());
+        }
+        f.ready.contains(&host.id)
+    }
+
     fn open(&mut self, f: &mut Formation, at: &Moment<'_>, commands: &mut Vec<Command>) {
         let Some(head) = f.head().cloned() else {
             return;
@@ -137,11 +141,7 @@
             let Some(host) = at.fleet.host(&member) else {
                 continue;
             };
-            if f.is_ready_member(host) {
-                self.primed
-                    .insert(member.clone(), (host.born_ms, f.model.clone()));
-                f.ready.insert(member);
-            } else if !f.accepted.contains(&member) {
+            if !self.note_ready(f, host) && !f.accepted.contains(&member) {
                 self.send(f.join(), f, &member, at.now, commands);
             }
         }
@@ -196,7 +196,7 @@
         head_stays && !long && !self.can_replace(f, at.fleet)
     }
 
-    /// Whether free hosts could join at.now in place of all members that are leaving.
+    /// Whether free hosts could join now in place of all members that are leaving.
     fn can_replace(&self, f: &Formation, fleet: &Fleet) -> bool {
         let lost = f
             .members
@@ -204,13 +204,11 @@
             .filter(|m| self.is_lost(m, fleet).is_some())
             .count();
         let bound = self.members();
-        let primed = |h: &&Host| {
-            let model = self.primed.get(&h.id).is_some_and(|(_, m)| *m == f.model);
-            h.fabric == f.fabric && h.is_ready() && (model || h.staged.contains(&f.model))
-        };
-        let free = fleet.hosts().filter(primed);
-        let free = free.filter(|h| !bound.contains(&h.id) && !self.silent.contains_key(&h.id));
-        free.take(lost).count() == lost
+        let primed = |h: &Host| self.primed.get(&h.id).is_some_and(|(_, m)| *m == f.model);
+        let joins = |h: &&Host| primed(h) || h.staged.contains(&f.model);
+        let near = fleet.hosts().filter(|h| h.fabric == f.fabric);
+        let free = near.filter(|h| self.is_free(h, &bound));
+        free.filter(joins).take(lost).count() == lost
     }
 
     /// The head finishes what runs; then the replica is dissolved and formed anew.
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -58,8 +58,7 @@
         let bound = self.members();
         let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
         for host in view.fleet.hosts() {
-            let usable = host.service == view.service.name && host.is_ready();
-            if usable && !bound.contains(&host.id) && !self.silent.contains_key(&host.id) {
+            if host.service == view.service.name && self.is_free(host, &bound) {
                 domains.entry(host.fabric.clone()).or_default().push(host);
             }
         }
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ModelName, ServiceName, value};
-
 use smol_str::SmolStr;
 
 use crate::host::{Host, MembershipPhase};
@@ -29,7 +28,7 @@
         Open,
         /// The head finishes what runs.
         Draining,
-        /// The head was told to leave. Invariant: until it has, members join nothing else.
+        /// All members were told to leave. Invariant: until one has, it joins nothing else.
         Dissolving,
     }
 }
@@ -145,7 +144,8 @@
         })
     }
 
-    /// Takes a host in that reports to be a member and was not known as one.
+    /// Takes a host in that reports to be a member and was not known as one. Its place in
+    /// the list says nothing: only a formation that is being given up gains members.
     pub(crate) fn add_member(&mut self, host: &Host) {
         self.members.push(host.id.clone());
         self.seats.insert(host.id.clone(), MemberSeat::of(host));
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -94,7 +94,6 @@
         name: name.into(),
         size,
         share: Millionths::of(share),
-        pace: Millionths::of(1.0),
         load: Duration::from_millis(load),
         warm: Duration::from_millis(warm),
     }
@@ -112,12 +111,6 @@
             ],
             loads_per_ks: 5_500,
             loads_at_once: 8,
-            opening: Duration::from_millis(300),
-            step: Duration::from_millis(6),
-            step_per_request: Duration::from_micros(100),
-            stride: 6,
-            read_per_s: 56_000,
-            chunk: 2048,
         }),
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,24 +10,14 @@
 use smol_str::SmolStr;
 
 value! {
-    /// The size of a request to a model.
-    pub struct Prompt {
-        /// The model that it is for.
-        pub model: ModelName,
-        /// Prompt tokens.
-        pub tokens: u64,
-        /// Most tokens of the answer.
-        pub answer_tokens: u64,
-    }
-
     /// What a request's headers say.
     pub struct CallHead {
         /// The id of this attempt of the caller; empty where it has none.
         pub id: RequestId,
         /// How long the caller waits.
         pub timeout: Option<Duration>,
-        /// Set on requests to a model.
-        pub prompt: Option<Prompt>,
+        /// The model that must answer it, where it names one.
+        pub model: Option<ModelName>,
         /// The last event that the caller has of this stream.
         pub resume_after: Option<SmolStr>,
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -102,11 +102,13 @@
     let mut runs = 0;
     let mut arrived = 0;
     let mut fallback = None;
+    let mut refused = RefusalCause::HostsRefused;
     while !call.left().is_zero() {
         let Some(host) = pick_host(core, &service, &tried) else {
             break;
         };
         if arrived > 0 && !core.try_repeat(&service) {
+            refused = RefusalCause::NoRepeatsLeft;
             break;
         }
         let patience = patience(call, runs);
@@ -135,12 +137,12 @@
             }
         }
     }
-    fallback.ok_or_else(|| give_up(call, runs, arrived))
+    fallback.ok_or_else(|| give_up(call, runs, arrived, refused))
 }
 
 /// The refusal of a call that no host answered. "Not run" is said only where that is
-/// certain or where running it twice does no harm.
-fn give_up(call: &Call, runs: u32, arrived: u32) -> Refusal {
+/// certain; `refused` is then the reason, if it reached a host at all.
+fn give_up(call: &Call, runs: u32, arrived: u32, refused: RefusalCause) -> Refusal {
     let out_of_time = call.left().is_zero();
     if runs > 0 {
         let cause = if out_of_time {
@@ -154,7 +156,7 @@
         return Refusal::new(RefusalCause::OutOfTime);
     }
     let cause = if arrived > 0 {
-        RefusalCause::HostsRefused
+        refused
     } else {
         RefusalCause::NothingServes
     };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -72,7 +72,10 @@
                     tokio::time::sleep(GATHER).await;
                 }
             }
-            Err(SourceError::Compacted) => cursor = None,
+            Err(SourceError::Compacted) => {
+                info!(event = "dependency", list = K::LIST, state = "history-gone");
+                cursor = None;
+            }
             Err(err) => {
                 core.store_failed();
                 if healthy || pause == FIRST_PAUSE {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,9 @@
 const STILL_OPEN_TTLS: u32 = 3;
 /// Part of the grace in which requests that run may end. The rest is for the exit.
 const GRACE_PART: f64 = 0.9;
+/// Part of the grace in which new connections are still taken, at most: a stream that
+/// comes at its end still has half of the grace to finish.
+const STILL_OPEN_PART: f64 = 0.4;
 /// How often a stopping node looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -79,7 +82,7 @@
         info!(event = "stop", connections = self.open.count());
         let end = began + self.core.cfg.grace.mul_f64(GRACE_PART);
         let still_open = self.core.cfg.address_ttl * STILL_OPEN_TTLS;
-        let close = end.min(began + still_open.min(self.core.cfg.grace.mul_f64(0.4)));
+        let close = end.min(began + still_open.min(self.core.cfg.grace.mul_f64(STILL_OPEN_PART)));
         self.wait_until(close).await;
         self.core.stopping.send_replace(true);
         let done = self.wait_until(end).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 mod watch;
 
 pub use crate::answer::{Refusal, RefusalCause};
-pub use crate::call::{CallHead, Prompt};
+pub use crate::call::CallHead;
 pub use crate::config::{Addresses, GatewayConfig, RetryRules};
 pub use crate::gateway::{Gateway, GatewayError};
 pub use crate::logs::{LogQueue, start as start_logs};
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -84,10 +84,6 @@
         pub staged: SmallVec<[ModelName; 2]>,
         /// The replica that it is a member of.
         pub membership: Option<Membership>,
-        /// Requests that run there.
-        pub running: usize,
-        /// Requests that wait there.
-        pub queued: usize,
     }
 }
 
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -149,7 +149,9 @@
             match core.platform.seat().read().await {
                 Ok((Some(record), _)) if record == *seat => {}
                 Ok(_) => return,
-                // Without the store nobody can take the seat by it either.
+                // Another node may have taken the seat where the store is away for this
+                // one only. Hosts then refuse what it orders by its lower epochs, and it
+                // hears of the higher term from the others.
                 Err(SourceError::Unreachable(_) | SourceError::Refused(_)) => {}
                 Err(err) => warn!(event = "seat", outcome = "not-read", %err),
             }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -263,9 +263,7 @@
         .path_and_query()
         .map_or("/", |p| p.as_str())
         .into();
-    let most = catalog
-        .limits()
-        .map_or(FIRST_LIMITS.body_bytes, |l| l.body_bytes);
+    let most = limits(core).body_bytes;
     let body = read_body(body, most, deadline).await?;
     Ok(Call {
         head,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,6 +29,8 @@
 const MAX_REFUSALS: u32 = 4;
 /// When a caller should come back whose request hosts refused.
 const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(300);
+/// How long a slow caller is waited for to tell it that its stream is cut off.
+const LAST_PIECE: Duration = Duration::from_millis(100);
 /// Longest answer of a host that is no stream.
 const MAX_WHOLE: usize = 1 << 20;
 
@@ -81,8 +83,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let service = pick_service(core, call)?;
     core.count_request(&service);
-    let prompt = call.head.prompt.as_ref();
-    let model = prompt.map(|p| p.model.clone()).unwrap_or_default();
+    let model = call.head.model.clone().unwrap_or_default();
     let mut run = Run {
         core: Arc::clone(core),
         call: Arc::clone(call),
@@ -344,7 +345,7 @@
         );
         self.ended("cut");
         // A caller that has left needs no mark.
-        let _ = tokio::time::timeout(Duration::from_millis(100), tx.send(Err(CutOff))).await;
+        let _ = tokio::time::timeout(LAST_PIECE, tx.send(Err(CutOff))).await;
     }
 
     fn ended(&self, outcome: &str) {
