Read the sections of a settings text in one place

Cause: the gateway's settings checked for unknown and repeated sections again, with the node's own words; the node kept a field and a match arm a section for it. One type in the config crate does it for both, from the tables of keys that also make the reference page. Ruled out: one table for both programs; their sections differ.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -19,6 +19,17 @@
     pub entries: Vec<Entry>,
 }
 
+impl Section {
+    /// A section that was left out.
+    pub fn empty(name: &str) -> Section {
+        Section {
+            name: name.to_owned(),
+            line: 1,
+            entries: Vec::new(),
+        }
+    }
+}
+
 /// One `key = value`.
 #[derive(Debug)]
 pub struct Entry {
--- a/crates/config/src/keys.rs
+++ b/crates/config/src/keys.rs
@@ -171,6 +171,11 @@
 }
 
 impl SectionKeys {
+    /// The section's name without its brackets.
+    pub fn name(&self) -> &'static str {
+        self.section.trim_matches(['[', ']'])
+    }
+
     /// Rows of a table for the reference page: key, what to write, default, meaning.
     pub fn reference(&self) -> String {
         let mut page = format!("### `{}`\n\n", self.section);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,7 @@
 mod problem;
 mod reader;
 mod references;
+mod sections;
 mod text_keys;
 mod units;
 
@@ -29,5 +30,6 @@
 };
 pub use crate::problem::{ConfigError, ConfigErrors, Problems};
 pub use crate::reader::Reader;
+pub use crate::sections::Sections;
 pub use crate::text_keys::TEXT_SECTIONS;
 pub use crate::units::{MAX_NAME, format_duration, is_name, parse_duration};
--- /dev/null
+++ b/crates/config/src/sections.rs
@@ -0,0 +1,47 @@
+//! The sections of a settings text.
+
+use crate::document::{Section, read_sections};
+use crate::keys::SectionKeys;
+use crate::problem::Problems;
+
+/// The sections of a settings text, each once; one that is left out is empty.
+#[derive(Debug)]
+pub struct Sections {
+    found: Vec<Section>,
+}
+
+impl Sections {
+    /// Splits `text` into the sections of `known`; unknown and repeated ones are reported.
+    pub fn read(text: &str, known: &[SectionKeys], problems: &mut Problems) -> Sections {
+        let mut found: Vec<Section> = Vec::new();
+        for section in read_sections(text, problems) {
+            if let Some(first) = found.iter().find(|s| s.name == section.name) {
+                let (name, line) = (&section.name, first.line);
+                let what = format!("[{name}] again after line {line}, write it once");
+                problems.add(section.line, what);
+            } else if !known.iter().any(|k| k.name() == section.name) {
+                let names: Vec<&str> = known.iter().map(|k| k.section).collect();
+                let what = format!(
+                    "[{}] is unknown, write one of {}",
+                    section.name,
+                    names.join(", ")
+                );
+                problems.add(section.line, what);
+            } else {
+                found.push(section);
+            }
+        }
+        for keys in known {
+            if !found.iter().any(|s| s.name == keys.name()) {
+                found.push(Section::empty(keys.name()));
+            }
+        }
+        Sections { found }
+    }
+
+    /// A section by name.
+    pub fn get(&self, name: &str) -> &Section {
+        let found = self.found.iter().find(|s| s.name == name);
+        found.expect("the code asks only for sections of its own table")
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use eelgrassmill_config::{
-    ConfigErrors, Key, Problems, Reader, Section, SectionKeys, Shape, defaulted, read_sections,
-    required,
+    ConfigErrors, Key, Problems, Reader, SectionKeys, Sections, Shape, defaulted, required,
 };
 
 use crate::config::{Addresses, GatewayConfig, RetryRules};
@@ -181,8 +180,7 @@
     /// All mistakes, each with its line.
     pub fn parse(name: &str, text: &str) -> Result<Settings, ConfigErrors> {
         let mut problems = Problems::new(name);
-        let found = read_sections(text, &mut problems);
-        refuse_unknown(&found, &mut problems);
+        let found = Sections::read(text, SECTIONS, &mut problems);
         let mut read = Parts {
             found: &found,
             problems: &mut problems,
@@ -192,27 +190,8 @@
     }
 }
 
-fn refuse_unknown(found: &[Section], problems: &mut Problems) {
-    for (i, section) in found.iter().enumerate() {
-        let name = format!("[{}]", section.name);
-        if !SECTIONS.iter().any(|s| s.section == name) {
-            let known: Vec<&str> = SECTIONS.iter().map(|s| s.section).collect();
-            problems.add(
-                section.line,
-                format!("{name} is unknown, write one of {}", known.join(", ")),
-            );
-        }
-        if let Some(first) = found[..i].iter().find(|s| s.name == section.name) {
-            problems.add(
-                section.line,
-                format!("{name} again after line {}, write it once", first.line),
-            );
-        }
-    }
-}
-
 struct Parts<'a> {
-    found: &'a [Section],
+    found: &'a Sections,
     problems: &'a mut Problems,
 }
 
@@ -223,13 +202,7 @@
         keys: &'static [Key],
         read: impl Fn(&Reader<'_>, &mut Problems) -> T,
     ) -> T {
-        let empty = Section {
-            name: name.to_owned(),
-            line: 1,
-            entries: Vec::new(),
-        };
-        let section = self.found.iter().find(|s| s.name == name).unwrap_or(&empty);
-        let reader = Reader::new(section, &[keys], self.problems);
+        let reader = Reader::new(self.found.get(name), &[keys], self.problems);
         read(&reader, self.problems)
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use eelgrassmill_base::{FailureDomain, NodeId, Region, value};
-use eelgrassmill_config::{ConfigErrors, Problems, read_sections};
+use eelgrassmill_config::{ConfigErrors, Problems, Sections};
 
 use crate::admin_token::TokenHash;
 use crate::settings_keys as keys;
-use crate::settings_read::{self as read, Sections};
+use crate::settings_read as read;
 
 value! {
     /// Settings of one node. They stay the same while it runs.
@@ -156,8 +156,8 @@
         read_file: impl Fn(&str) -> io::Result<String>,
     ) -> Result<Settings, ConfigErrors> {
         let mut problems = Problems::new(file);
-        let sections = Sections::take(read_sections(text, &mut problems), &mut problems);
-        let settings = sections.settings(&read_file, &mut problems);
+        let sections = Sections::read(text, keys::SETTINGS_SECTIONS, &mut problems);
+        let settings = read::settings(&sections, &read_file, &mut problems);
         problems.finish(settings)
     }
 }
--- a/crates/node/src/settings_read.rs
+++ b/crates/node/src/settings_read.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use eelgrassmill_config::{Key, Problems, Reader, Section};
+use eelgrassmill_config::{Key, Problems, Reader, Section, Sections};
 
 use crate::admin_token::{MIN_TOKEN, TokenHash};
 use crate::settings::{Limits, LogSettings, PlatformAddresses, Settings, Timing};
@@ -16,120 +16,52 @@
     read: impl Fn(&Reader<'_>, &mut Problems) -> T,
 ) -> T {
     let mut problems = Problems::new("defaults");
-    let section = empty_section(name);
+    let section = Section::empty(name);
     read(
         &Reader::new(&section, &[table], &mut problems),
         &mut problems,
     )
 }
 
-fn empty_section(name: &str) -> Section {
-    Section {
-        name: name.to_owned(),
-        line: 1,
-        entries: Vec::new(),
-    }
-}
-
-/// The sections of a settings text, each at most once, empty ones where they are left out.
-pub(crate) struct Sections {
-    node: Section,
-    listen: Section,
-    platform: Section,
-    admin: Section,
-    peers: Section,
-    timing: Section,
-    limits: Section,
-    log: Section,
-}
-
-impl Sections {
-    pub(crate) fn take(found: Vec<Section>, problems: &mut Problems) -> Sections {
-        let mut sections = Sections {
-            node: empty_section("node"),
-            listen: empty_section("listen"),
-            platform: empty_section("platform"),
-            admin: empty_section("admin"),
-            peers: empty_section("peers"),
-            timing: empty_section("timing"),
-            limits: empty_section("limits"),
-            log: empty_section("log"),
-        };
-        let mut seen: Vec<(String, usize)> = Vec::new();
-        for section in found {
-            if let Some((_, first)) = seen.iter().find(|(name, _)| *name == section.name) {
-                let what = format!("[{}] again after line {first}, write it once", section.name);
-                problems.add(section.line, what);
-                continue;
-            }
-            seen.push((section.name.clone(), section.line));
-            match sections.slot(&section.name) {
-                Some(slot) => *slot = section,
-                None => {
-                    let known: Vec<&str> =
-                        keys::SETTINGS_SECTIONS.iter().map(|s| s.section).collect();
-                    let what = format!(
-                        "[{}] is unknown, write one of {}",
-                        section.name,
-                        known.join(", ")
-                    );
-                    problems.add(section.line, what);
-                }
-            }
-        }
-        sections
-    }
-
-    fn slot(&mut self, name: &str) -> Option<&mut Section> {
-        match name {
-            "node" => Some(&mut self.node),
-            "listen" => Some(&mut self.listen),
-            "platform" => Some(&mut self.platform),
-            "admin" => Some(&mut self.admin),
-            "peers" => Some(&mut self.peers),
-            "timing" => Some(&mut self.timing),
-            "limits" => Some(&mut self.limits),
-            "log" => Some(&mut self.log),
-            _ => None,
-        }
-    }
-
-    pub(crate) fn settings(
-        &self,
-        read_file: &impl Fn(&str) -> io::Result<String>,
-        problems: &mut Problems,
-    ) -> Settings {
-        let node = Reader::new(&self.node, &[keys::NODE], problems);
-        let admin = Reader::new(&self.admin, &[keys::ADMIN], problems);
-        let peers = Reader::new(&self.peers, &[keys::PEERS], problems);
-        let listen = Reader::new(&self.listen, &[keys::LISTEN], problems);
-        let settings = Settings {
-            node: node.name("id", problems),
-            region: node.name("region", problems),
-            failure_domain: node.name("failure_domain", problems),
-            callers: own_address(&listen, "callers", problems),
-            admin: own_address(&listen, "admin", problems),
-            peers: own_address(&listen, "peers", problems),
-            platform: platform(
-                &Reader::new(&self.platform, &[keys::PLATFORM], problems),
-                problems,
-            ),
-            admin_token: admin_token(&admin, read_file, problems),
-            admin_connections: admin.number("connections", problems),
-            seeds: peers.addresses("seeds", problems),
-            timing: timing(
-                &Reader::new(&self.timing, &[keys::TIMING], problems),
-                problems,
-            ),
-            limits: limits(
-                &Reader::new(&self.limits, &[keys::LIMITS], problems),
-                problems,
-            ),
-            log: log(&Reader::new(&self.log, &[keys::LOG], problems), problems),
-        };
-        check_ports_differ(&settings, &listen, problems);
-        settings
-    }
+/// The settings that a text holds.
+pub(crate) fn settings(
+    sections: &Sections,
+    read_file: &impl Fn(&str) -> io::Result<String>,
+    problems: &mut Problems,
+) -> Settings {
+    let node = Reader::new(sections.get("node"), &[keys::NODE], problems);
+    let admin = Reader::new(sections.get("admin"), &[keys::ADMIN], problems);
+    let peers = Reader::new(sections.get("peers"), &[keys::PEERS], problems);
+    let listen = Reader::new(sections.get("listen"), &[keys::LISTEN], problems);
+    let settings = Settings {
+        node: node.name("id", problems),
+        region: node.name("region", problems),
+        failure_domain: node.name("failure_domain", problems),
+        callers: own_address(&listen, "callers", problems),
+        admin: own_address(&listen, "admin", problems),
+        peers: own_address(&listen, "peers", problems),
+        platform: platform(
+            &Reader::new(sections.get("platform"), &[keys::PLATFORM], problems),
+            problems,
+        ),
+        admin_token: admin_token(&admin, read_file, problems),
+        admin_connections: admin.number("connections", problems),
+        seeds: peers.addresses("seeds", problems),
+        timing: timing(
+            &Reader::new(sections.get("timing"), &[keys::TIMING], problems),
+            problems,
+        ),
+        limits: limits(
+            &Reader::new(sections.get("limits"), &[keys::LIMITS], problems),
+            problems,
+        ),
+        log: log(
+            &Reader::new(sections.get("log"), &[keys::LOG], problems),
+            problems,
+        ),
+    };
+    check_ports_differ(&settings, &listen, problems);
+    settings
 }
 
 const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
