Let one planner act at a time, and use only hosts whose own word it has

Cause: a holder of the planner's seat that reached neither the store nor the other nodes went on ordering hosts beside its successor. Epochs stop it only at hosts that have seen a higher one; spares have not. A successor took hosts as free by entries from before their last join (a host that can't reach the store keeps its old entry for seconds). A member that left and then carried out an earlier order to join counted as free. News of a lost replica was lost with the planner that waited or was replaced. An entry that only repeats itself, read anew, ended a replica that served. Change: Lease (1.5 s from before the question that named the holder, or while all other nodes are heard; suspended time counts); a successor forms nothing for 1.9 s and then asks each free host once; members that say again that they belong are told to leave again; each step gives up what the node knows as lost. The fake pool gives each planner a view of its own and cuts hosts from the list alone.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -40,6 +40,9 @@
     hosts: BTreeMap<HostId, Host>,
     /// Hosts whose entries vanished while the store was disturbed.
     missing: BTreeSet<HostId>,
+    /// What the list last showed of hosts that have told something newer themselves.
+    /// Invariant: these hosts are in `hosts`.
+    outdated: BTreeMap<HostId, Host>,
     /// Until then a host that isn't listed may only have lapsed.
     lenient_until: Option<Instant>,
     loaded: bool,
@@ -74,6 +77,7 @@
         match change {
             FleetChange::Put(host) => {
                 self.missing.remove(&host.id);
+                self.outdated.remove(&host.id);
                 self.hosts.insert(host.id.clone(), *host);
                 Vec::new()
             }
@@ -89,7 +93,7 @@
         }
         let gone = std::mem::take(&mut self.missing);
         for id in &gone {
-            self.hosts.remove(id);
+            self.forget(id);
         }
         gone.into_iter().collect()
     }
@@ -97,10 +101,43 @@
     /// Takes a host's own word, which is newer than its entry.
     pub fn heard(&mut self, host: Host) {
         if let Some(known) = self.hosts.get_mut(&host.id) {
-            *known = host;
+            let listed = std::mem::replace(known, host);
+            self.outdated.entry(listed.id.clone()).or_insert(listed);
         }
     }
 
+    /// Takes a host's word that it left a formation.
+    pub fn left(&mut self, id: &str, replica: &str, epoch: Epoch) {
+        let known = self.hosts.get(id);
+        let member = known.filter(|h| h.belongs_to(replica, epoch)).cloned();
+        if let Some(host) = member {
+            self.heard(Host {
+                membership: None,
+                ..host
+            });
+        }
+    }
+
+    /// Takes an entry of the list read anew, unless it only repeats what a host's own word
+    /// has made outdated.
+    ///
+    /// A host that can't reach the store keeps its entry of before for seconds. Each time
+    /// the list was read anew, its replica would seem to have lost a member and be given
+    /// up, though it serves.
+    fn put_again(&mut self, entry: Host) {
+        self.missing.remove(&entry.id);
+        if self.outdated.get(&entry.id) == Some(&entry) {
+            return;
+        }
+        self.outdated.remove(&entry.id);
+        self.hosts.insert(entry.id.clone(), entry);
+    }
+
+    fn forget(&mut self, id: &HostId) {
+        self.hosts.remove(id);
+        self.outdated.remove(id);
+    }
+
     /// Marks a host as leaving.
     pub fn leaving(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
@@ -141,7 +178,7 @@
             return None;
         }
         self.missing.remove(&id);
-        self.hosts.remove(&id);
+        self.forget(&id);
         Some(id)
     }
 
@@ -149,8 +186,7 @@
         self.loaded = true;
         let listed: BTreeSet<HostId> = hosts.iter().map(|h| h.id.clone()).collect();
         for host in hosts {
-            self.missing.remove(&host.id);
-            self.hosts.insert(host.id.clone(), host);
+            self.put_again(host);
         }
         let unlisted: Vec<HostId> = self
             .hosts
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,11 +3,13 @@
 //! Everything here is pure: it takes events and an instant and returns what to
 //! do. [`Catalog`] is the accepted configuration, [`Fleet`] what is known of
 //! hosts, [`Planner`] decides which hosts form a replica, [`place`] chooses the
-//! host of a request, and [`RetryWindow`] bounds what is sent a second time.
+//! host of a request, [`RetryWindow`] bounds what is sent a second time, and [`Lease`]
+//! says for how long a planner may act.
 
 mod catalog;
 mod fleet;
 mod host;
+mod lease;
 mod place;
 mod planner;
 mod retry;
@@ -19,6 +21,7 @@
 };
 pub use crate::fleet::{Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
+pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing};
 pub use crate::place::{Candidate, place};
 pub use crate::planner::{
     Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -55,6 +55,9 @@
         /// An open replica whose members' entries say otherwise for this long is given
         /// up: entries lag behind orders, so a shorter time would end sound replicas.
         pub entry_lag: Duration,
+        /// A planner that takes over forms nothing for this long: the lease of the one
+        /// before, and the time that its last orders wait for answers.
+        pub settle: Duration,
         /// How long the members of a lost replica are waited for before others take their
         /// places: two orders' time.
         pub leave: Duration,
@@ -75,6 +78,7 @@
             resend_silent: Duration::from_millis(1000),
             ask: Duration::from_millis(120),
             entry_lag: Duration::from_millis(1500),
+            settle: Duration::from_millis(1900),
             leave: Duration::from_millis(700),
             stay: Duration::from_millis(6000),
             drain: Duration::from_millis(1500),
@@ -92,6 +96,10 @@
     timing: PlannerTiming,
     /// Invariant: a host is a member of at most one formation.
     formations: BTreeMap<GroupId, Formation>,
+    /// Hosts that told this planner themselves which replica they belong to, by their
+    /// start. Invariant: after the first term only these join anything, and none told it
+    /// while the planner before could still give orders.
+    asked: BTreeMap<HostId, u64>,
     /// Hosts that give no answer.
     silent: BTreeMap<HostId, Silence>,
     /// Formations whose hosts are free, for as long as entries may still show them.
@@ -147,6 +155,7 @@
             formed: 0,
             timing,
             formations: BTreeMap::new(),
+            asked: BTreeMap::new(),
             silent: BTreeMap::new(),
             dissolved: BTreeMap::new(),
             unanswered: BTreeMap::new(),
@@ -182,8 +191,11 @@
         }
     }
 
-    /// Notes that a host has answered.
-    pub fn host_answered(&mut self, host: &HostId) {
+    /// Notes that a host has answered a question. `born_ms` is its start.
+    pub fn host_answered(&mut self, host: &HostId, born_ms: u64, now: Instant) {
+        if !self.is_settling(now) {
+            self.asked.insert(host.clone(), born_ms);
+        }
         self.silent.remove(host);
         self.unanswered.remove(host);
         self.doubtful.remove(host);
@@ -254,7 +266,7 @@
             // A conflict means that it is no member, and another host at its address
             // that it is gone.
             (Order::Leave { .. }, Some(reply)) if !matches!(reply, OrderReply::Refused(_)) => {
-                formation.left.insert(host.clone());
+                formation.left.insert(host.clone(), now);
             }
             _ => {}
         }
@@ -297,6 +309,9 @@
                 self.form(&view, &mut commands);
             }
         }
+        if !self.is_settling(now) {
+            self.ask_unknown(fleet, services, now, &mut commands);
+        }
         self.ask_doubtful(fleet, now, &mut commands);
         self.ask_silent(fleet, now, &mut commands);
         // Formations that were just decided are ordered at once.
@@ -324,6 +339,8 @@
         let concerns = |id: &HostId| fleet.host(id).is_some() || bound.contains(id);
         self.unanswered.retain(|id, _| concerns(id));
         self.doubtful.retain(concerns);
+        self.asked
+            .retain(|id, born| fleet.host(id).is_some_and(|h| h.born_ms == *born));
         self.sent.retain(|(id, ..), _| concerns(id));
         // A load that is done must not count as under way once its host holds another model.
         self.staging.retain(|id, (model, until)| {
@@ -370,7 +387,9 @@
                 // Entries come one by one: members of a replica that is being given up
                 // may show only now, and its head may still be told to serve.
                 for host in hosts {
-                    if !known.members.contains(&host.id) {
+                    if known.members.contains(&host.id) {
+                        known.take_back(&host.id, now);
+                    } else {
                         known.add_member(host);
                     }
                 }
@@ -405,9 +424,10 @@
         epoch / EPOCHS_PER_TERM == self.term
     }
 
-    /// Whether an order of a planner before this one may be about to be shown by hosts.
+    /// Whether the planner before this one may still give orders, or hosts be about to show
+    /// what it ordered.
     fn is_settling(&self, now: Instant) -> bool {
-        self.term > 1 && now.saturating_duration_since(self.began) < self.timing.entry_lag
+        self.term > 1 && now.saturating_duration_since(self.began) < self.timing.settle
     }
 
     /// The formation that a host is a member of.
@@ -443,7 +463,19 @@
 
     /// Whether a host takes orders and is none of `bound`, the members of serving formations.
     fn is_free(&self, host: &Host, bound: &BTreeSet<&HostId>) -> bool {
-        host.is_ready() && !bound.contains(&host.id) && !self.silent.contains_key(&host.id)
+        host.is_ready()
+            && !bound.contains(&host.id)
+            && !self.silent.contains_key(&host.id)
+            && self.knows(host)
+    }
+
+    /// Whether this planner can tell which replica a host belongs to.
+    ///
+    /// A host that can't reach the store may have joined a replica for the planner before,
+    /// while its entry still shows it free. Given away, it would be torn from a replica
+    /// whose head serves. In the first term nobody can have ordered anything before.
+    fn knows(&self, host: &Host) -> bool {
+        self.term <= 1 || self.asked.contains_key(&host.id)
     }
 
     fn members(&self) -> BTreeSet<&HostId> {
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -272,7 +272,7 @@
                 .get(&member)
                 .is_none_or(|seat| seat.born_ms != host.born_ms);
             if reborn || (entries_are_new && !f.is_member(host)) {
-                f.left.insert(member);
+                f.left.insert(member, at.now);
                 continue;
             }
             let every = if silent {
@@ -284,7 +284,7 @@
         }
         let done = f.bound().next().is_none();
         if done {
-            let left = f.left.clone();
+            let left = f.left.keys().cloned().collect();
             self.dissolved
                 .insert(f.id.clone(), Dissolved { at: at.now, left });
         }
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -1,7 +1,7 @@
 //! One replica from the decision to form it until its hosts are free again.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FabricDomain, GroupId, HostId, ModelName, ServiceName, value};
 use smol_str::SmolStr;
@@ -53,6 +53,10 @@
     }
 }
 
+/// Entries may show for this long that a host is a member that has left: twice the time
+/// that they are late. Where they are later still, a host is told to leave once more.
+const ENTRY_DELAY: Duration = Duration::from_millis(500);
+
 /// One replica, as its planner knows it.
 #[derive(Clone, Debug)]
 pub struct Formation {
@@ -87,9 +91,9 @@
     /// Each member's start and address when it was chosen. The address is needed also
     /// after its entry is gone: a host whose entry vanished may serve on for seconds.
     pub(crate) seats: BTreeMap<HostId, MemberSeat>,
-    /// Members that have left. Invariant: only these and hosts that are gone or have
-    /// started again are given to other formations.
-    pub(crate) left: BTreeSet<HostId>,
+    /// Members that have left, and when that was known. Invariant: only these and hosts
+    /// that are gone or have started again are given to other formations.
+    pub(crate) left: BTreeMap<HostId, Instant>,
     /// Members that are out of reach and not listed. They count as members again should
     /// they be listed again: a host that was only cut off still holds what it held.
     pub(crate) gone: BTreeSet<HostId>,
@@ -139,7 +143,7 @@
             ready: BTreeSet::new(),
             told_to_open: false,
             seats: hosts.iter().map(seat).collect(),
-            left: BTreeSet::new(),
+            left: BTreeMap::new(),
             gone: BTreeSet::new(),
         })
     }
@@ -151,9 +155,21 @@
         self.seats.insert(host.id.clone(), MemberSeat::of(host));
     }
 
+    /// Takes a host back as a member that left and says long after that it is one again: an
+    /// order to join that got no answer was carried out after the one to leave.
+    ///
+    /// Taken as free it would be torn from a replica whose head is out of reach and may
+    /// still serve.
+    pub(crate) fn take_back(&mut self, host: &HostId, now: Instant) {
+        let long_ago = |at: &Instant| now.saturating_duration_since(*at) >= ENTRY_DELAY;
+        if self.left.get(host).is_some_and(long_ago) {
+            self.left.remove(host);
+        }
+    }
+
     /// Members that are not free for anything else.
     pub(crate) fn bound(&self) -> impl Iterator<Item = &HostId> {
-        let free = |m: &HostId| self.left.contains(m) || self.gone.contains(m);
+        let free = |m: &HostId| self.left.contains_key(m) || self.gone.contains(m);
         self.members.iter().filter(move |m| !free(m))
     }
 
--- a/crates/fleet/src/planner/send.rs
+++ b/crates/fleet/src/planner/send.rs
@@ -4,11 +4,17 @@
 
 use eelgrassmill_base::{Epoch, HostId};
 
+use crate::catalog::Service;
 use crate::fleet::Fleet;
+use crate::host::Host;
 use crate::planner::formation::Formation;
 use crate::planner::order::{Command, Order};
 use crate::planner::{Planner, SentKind};
 
+/// Most hosts that are asked in one step because nothing is known of them. Answers wake the
+/// planner within milliseconds, so 900 hosts take well under a second.
+const UNKNOWN_PER_STEP: usize = 64;
+
 impl Planner {
     pub(super) fn order_to_leave(
         &mut self,
@@ -64,6 +70,27 @@
         }
     }
 
+    /// Asks hosts that could join something if this planner knew what they belong to.
+    pub(super) fn ask_unknown(
+        &mut self,
+        fleet: &Fleet,
+        services: &[&Service],
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        let forms = |host: &Host| {
+            let service = services.iter().find(|s| s.name == host.service);
+            service.is_some_and(|s| s.engine.is_some())
+        };
+        let unknown = |h: &&Host| {
+            h.is_ready() && !self.knows(h) && !self.silent.contains_key(&h.id) && forms(h)
+        };
+        let hosts = fleet.hosts().filter(unknown).take(UNKNOWN_PER_STEP);
+        for host in hosts.map(|h| h.id.clone()).collect::<Vec<_>>() {
+            self.ask(&host, now, commands);
+        }
+    }
+
     /// Asks hosts that left an order unanswered, until they answer or count as silent.
     pub(super) fn ask_doubtful(
         &mut self,
--- /dev/null
+++ b/crates/fleet/tests/lease.rs
@@ -0,0 +1,71 @@
+//! When the holder of the planner's seat may act.
+
+use std::time::Duration;
+
+use eelgrassmill_fleet::{LEASE_TERM, Lease, PlannerTiming, Standing};
+use googletest::prelude::*;
+
+const STEP: u64 = 60;
+
+const fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Steps from `from` to `to`; gives when the standing first was another than `Act`.
+fn acts_until(lease: &mut Lease, from: u64, to: u64, hears_all: bool) -> Option<u64> {
+    (from..to)
+        .step_by(STEP as usize)
+        .find(|ms| lease.step(at(*ms), hears_all) != Standing::Act)
+}
+
+/// The holder is cut off from the store and from all nodes, but not from hosts. Another
+/// node takes the seat. Two planners that act at once tear each other's replicas apart.
+#[gtest]
+fn a_holder_that_hears_nobody_stops_within_its_term() {
+    let mut lease = Lease::new(at(1000));
+    lease.confirm(at(5000));
+    let mut stopped = Lease::clone(&lease);
+    expect_that!(acts_until(&mut stopped, 1000, 4000, true), none());
+    let stopped_at = acts_until(&mut lease, 5000, 9000, false);
+    expect_that!(stopped_at, some(le(5000 + 1500 + STEP)));
+    expect_that!(lease.step(at(6700), false), eq(Standing::Wait));
+}
+
+/// A successor claims the seat just after the holder asked for its last confirmation.
+#[gtest]
+fn a_successor_forms_nothing_before_the_term_is_over() {
+    let timing = PlannerTiming::default();
+    expect_that!(timing.settle, gt(LEASE_TERM + at(STEP)));
+}
+
+/// The store is away for everybody. Replicas still lose members, and the holder, which
+/// hears all other nodes, goes on to mend them.
+#[gtest]
+fn a_holder_that_hears_all_others_acts_while_the_store_is_away() {
+    let mut lease = Lease::new(at(0));
+    expect_that!(acts_until(&mut lease, 0, 20_000, true), none());
+}
+
+/// The holder's machine is suspended, or its process stopped, and then goes on. What it
+/// heard before says nothing: another node may have planned for seconds.
+#[gtest]
+fn a_holder_that_stood_still_waits_for_the_store() {
+    let mut lease = Lease::new(at(0));
+    expect_that!(lease.step(at(60), true), eq(Standing::Act));
+    expect_that!(lease.step(at(4060), true), eq(Standing::Wait));
+    // An answer to a question from before the pause is as old as the pause.
+    lease.confirm(at(50));
+    expect_that!(lease.step(at(4120), true), eq(Standing::Wait));
+    lease.confirm(at(4100));
+    expect_that!(lease.step(at(4180), true), eq(Standing::Act));
+}
+
+/// A holder that can't be sure must not keep the seat from those who can.
+#[gtest]
+fn a_holder_that_stays_unsure_gives_the_seat_up() {
+    let mut lease = Lease::new(at(0));
+    let first = (0..10_000)
+        .step_by(STEP as usize)
+        .find(|ms| lease.step(at(*ms), false) == Standing::GiveUp);
+    expect_that!(first, some(all![ge(3000), le(4000)]));
+}
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -40,6 +40,13 @@
     None
 }
 
+/// Hosts of the first domain that serve in no replica.
+fn spares(world: &World) -> Vec<HostId> {
+    let serving = [world.members("d0", "large"), world.members("d0", "small")].concat();
+    let hosts = world.hosts.keys();
+    hosts.filter(|h| !serving.contains(h)).cloned().collect()
+}
+
 #[gtest]
 fn each_domain_gets_a_replica_of_each_model_and_primed_spares() {
     let mut world = settled(2, 11);
@@ -220,17 +227,11 @@
 #[gtest]
 fn a_host_whose_address_is_anothers_is_not_chosen_again() {
     let mut world = settled(1, 11);
-    let members = [world.members("d0", "large"), world.members("d0", "small")].concat();
-    let spares: Vec<HostId> = world
-        .hosts
-        .keys()
-        .filter(|h| !members.contains(h))
-        .cloned()
-        .collect();
-    for spare in &spares {
-        world.host(spare).replaced = true;
+    for spare in spares(&world) {
+        world.host(&spare).replaced = true;
     }
-    world.kill(&members[2]);
+    let lost = world.members("d0", "large")[2].clone();
+    world.kill(&lost);
     let before = world.orders;
     world.run(seconds(5));
     expect_that!(world.orders - before, le(60));
@@ -294,3 +295,49 @@
     expect_that!(most.max().unwrap_or(0), le(33));
     expect_that!(world.serving(), eq(12));
 }
+
+/// A spare can't write its entry any more but still obeys, and takes a lost member's
+/// place. Then its replica's head is out of the planner's reach and the planner is
+/// replaced. The next one sees the spare as it was before, free, while the head serves.
+#[gtest]
+fn a_host_whose_entry_is_out_of_date_is_asked_before_it_is_taken_as_free() {
+    let mut world = settled(1, 11);
+    let spares = spares(&world);
+    for spare in &spares {
+        world.cut_from_list(spare);
+    }
+    let lost = world.members("d0", "large")[3].clone();
+    world.kill(&lost);
+    world.run(millis(1300));
+    let members = world.members("d0", "large");
+    assert_that!(members.iter().filter(|m| spares.contains(m)).count(), ge(1));
+    world.cut_from_planners(&members[0]);
+    world.new_planner(None);
+    world.run(seconds(8));
+    expect_that!(world.violations, is_empty());
+}
+
+/// A member joined after it could no longer write its entry, so the list shows it free.
+/// The planner knows better from the member itself, until its node reads the list anew.
+/// An entry that only repeats itself must not end a replica that serves.
+#[gtest]
+fn an_entry_from_before_a_join_ends_no_replica() {
+    let mut world = settled(1, 11);
+    let spares = spares(&world);
+    for spare in &spares {
+        world.cut_from_list(spare);
+    }
+    let lost = world.members("d0", "large")[3].clone();
+    world.kill(&lost);
+    world.run(millis(1300));
+    let members = world.members("d0", "large");
+    assert_that!(members.iter().filter(|m| spares.contains(m)).count(), ge(1));
+    let formation = world.planner().formations().find(|f| f.members == members);
+    let replica = formation.expect("the planner formed it").id.clone();
+    world.read_list_anew();
+    // Their entries lapse after 3 s, which is another matter.
+    world.run(millis(1600));
+    let serving: Vec<_> = world.planner().formations().map(|f| &f.id).collect();
+    expect_that!(serving, contains(eq(&&replica)));
+    expect_that!(world.violations, is_empty());
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -43,6 +43,8 @@
     highest_epoch: Epoch,
     staging: Option<(ModelName, Duration)>,
     silent_since: Option<Duration>,
+    /// Since when it can't write its entry, which shows an older state until it lapses.
+    unheard_since: Option<Duration>,
     listed: bool,
     shown: Option<Host>,
 }
@@ -63,6 +65,8 @@
 pub(crate) struct Actor {
     pub(crate) planner: Planner,
     pub(crate) until: Option<Duration>,
+    /// What its node knows: the list, and what hosts told it themselves.
+    fleet: Fleet,
 }
 
 /// All hosts, the planners, and what must never happen.
@@ -70,7 +74,8 @@
     pub(crate) began: Instant,
     pub(crate) now: Duration,
     pub(crate) hosts: BTreeMap<HostId, FakeHost>,
-    pub(crate) fleet: Fleet,
+    /// What the list alone shows, which is all that a new planner knows.
+    listed: Fleet,
     pub(crate) actors: Vec<Actor>,
     service: Service,
     entries: Vec<(Duration, FleetChange)>,
@@ -123,7 +128,7 @@
             began,
             now: Duration::ZERO,
             hosts: BTreeMap::new(),
-            fleet: Fleet::default(),
+            listed: Fleet::default(),
             actors: Vec::new(),
             service: service(),
             entries: Vec::new(),
@@ -145,7 +150,7 @@
             }
         }
         let hosts = world.hosts.values().map(|h| world.entry(h)).collect();
-        world.fleet.apply(FleetChange::Snapshot(hosts), began);
+        world.listed.apply(FleetChange::Snapshot(hosts), began);
         world.new_planner(None);
         world
     }
@@ -166,6 +171,7 @@
             highest_epoch: 0,
             staging: None,
             silent_since: None,
+            unheard_since: None,
             listed: true,
             shown: None,
         };
@@ -186,6 +192,7 @@
         self.actors.push(Actor {
             planner,
             until: None,
+            fleet: self.listed.clone(),
         });
     }
 
@@ -206,6 +213,7 @@
         host.alive = false;
         host.reachable = false;
         host.silent_since = Some(now);
+        host.unheard_since.get_or_insert(now);
     }
 
     /// The host serves on, but neither planners nor the list reach it.
@@ -216,6 +224,27 @@
         let host = self.host(id);
         host.reachable = false;
         host.silent_since = Some(now);
+        host.unheard_since.get_or_insert(now);
+    }
+
+    /// The host serves on and obeys, but its entry no longer changes, and then lapses.
+    pub(crate) fn cut_from_list(&mut self, id: &HostId) {
+        self.history
+            .push(format!("{} {id} cut from list", self.now.as_millis()));
+        let now = self.now;
+        self.host(id).unheard_since.get_or_insert(now);
+    }
+
+    /// The list is read anew, as after its history was dropped: the planners' nodes forget
+    /// what hosts told them themselves.
+    pub(crate) fn read_list_anew(&mut self) {
+        self.history
+            .push(format!("{} list read anew", self.now.as_millis()));
+        let hosts: Vec<Host> = self.listed.hosts().cloned().collect();
+        let now = self.instant();
+        for actor in &mut self.actors {
+            actor.fleet.apply(FleetChange::Snapshot(hosts.clone()), now);
+        }
     }
 
     /// The same, but the list still shows it.
@@ -230,6 +259,7 @@
         if host.alive {
             host.reachable = true;
             host.silent_since = None;
+            host.unheard_since = None;
             host.listed = true;
             host.shown = None;
         }
@@ -316,9 +346,8 @@
     fn step(&mut self, i: usize) {
         let now = self.instant();
         let services = [&self.service];
-        let commands = self.actors[i]
-            .planner
-            .step(&self.fleet, &services, false, now);
+        let Actor { planner, fleet, .. } = &mut self.actors[i];
+        let commands = planner.step(fleet, &services, false, now);
         for command in commands {
             match command {
                 Command::Order { host, order, .. } => self.order(i, host, order),
@@ -336,31 +365,36 @@
             let due = self.now + Duration::from_millis(self.rng.u64(2_000..12_000));
             self.late.push((due, host.clone(), order.clone()));
         }
-        let planner = &mut self.actors[i].planner;
+        let Actor { planner, fleet, .. } = &mut self.actors[i];
         if !reached || late {
             if reached {
                 planner.host_doubtful(&host);
             } else {
-                planner.host_unanswered(&host, &self.fleet);
+                planner.host_unanswered(&host, fleet);
             }
             planner.on_reply(&host, &order, None, now);
             return;
         }
         let reply = self.obey(&host, &order);
-        self.actors[i]
-            .planner
-            .on_reply(&host, &order, Some(reply), now);
+        let Actor { planner, fleet, .. } = &mut self.actors[i];
+        if let (Order::Leave { replica, epoch }, OrderReply::Done) = (&order, reply) {
+            fleet.left(&host, replica, *epoch);
+        }
+        planner.on_reply(&host, &order, Some(reply), now);
     }
 
     fn ask(&mut self, i: usize, id: &HostId) {
         self.questions += 1;
         let host = self.hosts.get(id).filter(|h| h.reachable && !h.replaced);
-        let Some(entry) = host.map(|h| self.entry(h)) else {
-            self.actors[i].planner.host_unanswered(id, &self.fleet);
+        let entry = host.map(|h| self.entry(h));
+        let now = self.instant();
+        let Actor { planner, fleet, .. } = &mut self.actors[i];
+        let Some(entry) = entry else {
+            planner.host_unanswered(id, fleet);
             return;
         };
-        self.actors[i].planner.host_answered(id);
-        self.fleet.heard(entry);
+        planner.host_answered(id, entry.born_ms, now);
+        fleet.heard(entry);
     }
 
     fn carry_out_late(&mut self) {
@@ -617,7 +651,7 @@
                 continue;
             }
             if host
-                .silent_since
+                .unheard_since
                 .is_some_and(|since| self.now >= since + LAPSE)
             {
                 self.host(&id).listed = false;
@@ -625,7 +659,7 @@
                 continue;
             }
             let entry = self.entry(host);
-            if host.silent_since.is_none() && host.shown.as_ref() != Some(&entry) {
+            if host.unheard_since.is_none() && host.shown.as_ref() != Some(&entry) {
                 self.host(&id).shown = Some(entry.clone());
                 self.entries.push((due, FleetChange::Put(Box::new(entry))));
             }
@@ -638,7 +672,10 @@
         let (due, later): (Vec<_>, Vec<_>) = self.entries.drain(..).partition(|(at, _)| *at <= now);
         self.entries = later;
         for (_, change) in due {
-            self.fleet.apply(change, instant);
+            for actor in &mut self.actors {
+                actor.fleet.apply(change.clone(), instant);
+            }
+            self.listed.apply(change, instant);
         }
     }
 
@@ -672,7 +709,7 @@
         }
         for id in silent {
             for actor in &mut self.actors {
-                actor.planner.host_silent(&id, &self.fleet);
+                actor.planner.host_silent(&id, &actor.fleet);
             }
         }
     }
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -66,6 +66,13 @@
         self.known.get(node).is_some_and(|k| k.is_alive(now))
     }
 
+    /// Whether each node that stays was heard within `time`. `false` where there is none: a
+    /// node that knows no other can't tell that it is alone from being cut off.
+    pub(crate) fn all_heard_within(&self, time: Duration, now: Instant) -> bool {
+        let mut staying = self.known.values().filter(|k| !k.leaving).peekable();
+        staying.peek().is_some() && staying.all(|k| now.saturating_duration_since(k.heard) < time)
+    }
+
     /// The nodes that are up and stay, in the order of their names.
     pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
         let stays = move |k: &Known| k.is_alive(now) && !k.leaving;
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -64,6 +64,7 @@
         for event in self.core.planning.take() {
             self.take(event, now);
         }
+        self.take_lost_heads(now);
         let catalog = self.core.catalog();
         let services: Vec<&Service> = catalog.services().collect();
         let core = &self.core;
@@ -88,6 +89,19 @@
         }
     }
 
+    /// Gives up replicas that are known here to be lost.
+    ///
+    /// News of a loss that comes before this planner knows the replica, or while it waits
+    /// for its seat to be confirmed, is gone as an event. The replica would get no request
+    /// from any node and never be mended.
+    fn take_lost_heads(&mut self, now: Instant) {
+        let heads = locked(&self.core.heads);
+        for head in heads.all().filter(|h| h.is_lost()) {
+            self.planner
+                .replica_lost(&head.replica, head.epoch, Loss::Broken, now);
+        }
+    }
+
     fn take(&mut self, event: PlanningEvent, now: Instant) {
         match event {
             PlanningEvent::Lost(lost) => {
@@ -101,7 +115,10 @@
                 }
             }
             PlanningEvent::Reply(host, order, reply) => {
-                let fleet = locked(&self.core.fleet);
+                let mut fleet = locked(&self.core.fleet);
+                if let (Order::Leave { replica, epoch }, Ok(OrderReply::Done)) = (&order, &reply) {
+                    fleet.left(&host, replica, *epoch);
+                }
                 match &reply {
                     Err(HostUnavailable::NotReached(_)) => {
                         self.planner.host_unanswered(&host, &fleet);
@@ -112,10 +129,11 @@
                 self.planner.on_reply(&host, &order, reply.ok(), now);
             }
             PlanningEvent::Report(host, Ok(report)) => {
-                self.planner.host_answered(&host);
                 let mut fleet = locked(&self.core.fleet);
                 if let Some(known) = fleet.host(&host).cloned() {
-                    fleet.heard(updated(known, report));
+                    let host = updated(known, report);
+                    self.planner.host_answered(&host.id, host.born_ms, now);
+                    fleet.heard(host);
                 }
             }
             PlanningEvent::Report(host, Err(_)) => {
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -2,31 +2,37 @@
 //!
 //! The seat is a row of the platform's store that names a node and counts the holders.
 //! Nodes hear from the holder directly; one takes over when the holder is no longer
-//! heard. No renewal is written: an old holder that acts on does no harm, since hosts
-//! refuse the lower epochs of its term, and it steps down when it hears of a higher one
-//! or reads the row.
+//! heard. No renewal is written: a holder reads the row again and again, and acts only
+//! while its [`Lease`] holds, which a successor waits out.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use eelgrassmill_fleet::{LEASE_TERM, Lease, SinceBoot, Standing};
+use rustix::time::{ClockId, clock_gettime};
 use tracing::{info, warn};
 
 use crate::core::Core;
 use crate::heads::locked;
 use crate::peers::publish_seat;
 use crate::planning::Term;
-use crate::ports::{Platform, Seat, SeatRecord, SourceError};
+use crate::ports::{Platform, Seat, SeatRecord};
 
 /// How often a node without the seat looks whether it is vacant.
 const LOOK: Duration = Duration::from_millis(250);
 /// A holder that was named lately is given this long to be heard of: nodes that start
 /// together hear of each other within a second.
 const INTRODUCTION: Duration = Duration::from_millis(2500);
-/// A holder reads the row again after this, and before it acts after a pause.
-const CHECK: Duration = Duration::from_secs(4);
-/// A longer time between two steps means that the process stood still, and that another
-/// node may hold the seat by now.
-const PAUSE: Duration = Duration::from_millis(900);
+/// Between two looks of a holder whether the row still names it: two in a lease.
+const CONFIRM: Duration = Duration::from_millis(700);
+
+/// The time since the machine started, also while it was suspended.
+fn since_boot() -> SinceBoot {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
 
 /// What a node has read of the seat.
 #[derive(Debug, Default)]
@@ -39,10 +45,11 @@
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let mut seen = Seen::default();
     loop {
+        let asked = since_boot();
         if let Some(seat) = try_take(&core, &mut seen).await {
             info!(event = "seat", term = seat.term, outcome = "taken");
             publish_seat(&core, Some(&seat));
-            hold(&core, &seat).await;
+            hold(&core, &seat, Lease::new(asked)).await;
             publish_seat(&core, None);
             info!(event = "seat", term = seat.term, outcome = "given-up");
         }
@@ -135,34 +142,68 @@
         .is_none_or(|first| core.cfg.node <= *first)
 }
 
-/// Plans until the seat is another's.
-async fn hold<P: Platform>(core: &Arc<Core<P>>, seat: &SeatRecord) {
+/// Plans until the seat is another's, or this node can't be sure that it isn't.
+async fn hold<P: Platform>(core: &Arc<Core<P>>, seat: &SeatRecord, lease: Lease) {
+    let lease = Mutex::new(lease);
+    tokio::select! {
+        () = confirm(core, seat, &lease) => {}
+        () = plan(core, seat, &lease) => {}
+    }
+}
+
+/// Reads the row until it names another holder.
+async fn confirm<P: Platform>(core: &Core<P>, seat: &SeatRecord, lease: &Mutex<Lease>) {
+    let mut answered = true;
+    loop {
+        tokio::time::sleep(CONFIRM).await;
+        let asked = since_boot();
+        let read = core.platform.seat().read().await;
+        match &read {
+            Ok((Some(record), _)) if record == seat => locked(lease).confirm(asked),
+            Ok(_) => return,
+            Err(err) if answered => {
+                warn!(event = "seat", term = seat.term, outcome = "not-confirmed", %err);
+            }
+            // Told when it began.
+            Err(_) => {}
+        }
+        answered = read.is_ok();
+    }
+}
+
+async fn plan<P: Platform>(core: &Arc<Core<P>>, seat: &SeatRecord, lease: &Mutex<Lease>) {
     let mut term = Term::new(Arc::clone(core), seat);
-    let mut checked = Instant::now();
-    let mut stepped = Instant::now();
+    let mut last = Standing::Act;
     loop {
         if core.is_leaving() || another_holds(core, seat) {
             return;
         }
-        let paused = stepped.elapsed() > PAUSE;
-        if paused || checked.elapsed() > CHECK {
-            match core.platform.seat().read().await {
-                Ok((Some(record), _)) if record == *seat => {}
-                Ok(_) => return,
-                // Another node may have taken the seat where the store is away for this
-                // one only. Hosts then refuse what it orders by its lower epochs, and it
-                // hears of the higher term from the others.
-                Err(SourceError::Unreachable(_) | SourceError::Refused(_)) => {}
-                Err(err) => warn!(event = "seat", outcome = "not-read", %err),
-            }
-            checked = Instant::now();
+        let hears_all = hears_all(core, Instant::now());
+        let standing = locked(lease).step(since_boot(), hears_all);
+        if standing != last {
+            info!(
+                event = "seat",
+                term = seat.term,
+                outcome = "standing",
+                ?standing,
+                hears_all
+            );
+            last = standing;
+        }
+        match standing {
+            Standing::Act => term.step(),
+            Standing::Wait => {}
+            Standing::GiveUp => return,
         }
-        stepped = Instant::now();
-        term.step();
         term.wait().await;
     }
 }
 
+/// Whether every node that could take the seat was heard lately.
+fn hears_all<P: Platform>(core: &Core<P>, now: Instant) -> bool {
+    locked(&core.nodes).all_heard_within(LEASE_TERM, now)
+}
+
 /// Whether another node tells a higher term.
 fn another_holds<P: Platform>(core: &Core<P>, seat: &SeatRecord) -> bool {
     locked(&core.seats).values().any(|term| *term > seat.term)
