Take a new configuration from another node where the store doesn't show it

Cause: nodes told each other their versions, but one that the store turned away could do nothing with that: for as long as it was turned away it accepted keys that were taken away and refused routes that were added. Ruled out: telling the text with each change to all nodes, 24 KB and more to each for what the store shows within 10 ms. Change: the accepted text is kept beside the catalog and served to other nodes by the call that there was; a node that hears of a newer version gives the store 0.4 s, then fetches from any node that has it, as a difference, until it has it.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, RwLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
 use eelgrassmill_base::{NodeId, ServiceName};
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::config::GatewayConfig;
+use crate::configuration::Configuration;
 use crate::dispatch::TargetStats;
 use crate::heads::{HeadTable, locked};
 use crate::inbox::Inbox;
@@ -27,8 +28,7 @@
     pub(crate) cfg: GatewayConfig,
     pub(crate) platform: P,
     pub(crate) http: TargetClient,
-    /// Invariant: its version never falls.
-    catalog: RwLock<Arc<Catalog>>,
+    pub(crate) configuration: Configuration,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) heads: Mutex<HeadTable>,
     pub(crate) targets: Mutex<TargetStats>,
@@ -53,7 +53,7 @@
             cfg,
             platform,
             http,
-            catalog: RwLock::default(),
+            configuration: Configuration::default(),
             fleet: Mutex::default(),
             heads: Mutex::default(),
             targets: Mutex::default(),
@@ -74,21 +74,7 @@
 
     /// The configuration in force here.
     pub(crate) fn catalog(&self) -> Arc<Catalog> {
-        let catalog = self.catalog.read().unwrap_or_else(|e| e.into_inner());
-        Arc::clone(&catalog)
-    }
-
-    /// Puts a configuration in force, unless it is no newer. Whether it did.
-    ///
-    /// The store's answers may be seconds old, and a new connection may show an older
-    /// state than the last one did; a version that has been in force is never left.
-    pub(crate) fn offer(&self, catalog: Catalog) -> bool {
-        let mut held = self.catalog.write().unwrap_or_else(|e| e.into_inner());
-        if catalog.version() <= held.version() {
-            return false;
-        }
-        *held = Arc::new(catalog);
-        true
+        self.configuration.catalog()
     }
 
     pub(crate) fn is_loaded(&self) -> bool {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_fleet::{Catalog, FleetChange, Host};
+use eelgrassmill_fleet::{FleetChange, Host};
 use tracing::{info, warn};
 
+use crate::configuration;
 use crate::core::Core;
 use crate::heads::locked;
-use crate::ports::{Cursor, Platform, Source, SourceError};
+use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
 
 /// Longest wait of one question for changes. A connection that went silent for good shows
 /// only as a question without an answer, so this bounds how long a change goes unseen.
@@ -134,18 +135,12 @@
 /// Takes configurations into force.
 pub(crate) struct CatalogSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
-impl<P: Platform> Sink<Catalog> for CatalogSink<P> {
+impl<P: Platform> Sink<Accepted> for CatalogSink<P> {
     const LIST: &'static str = "configuration";
 
-    fn take(&self, changes: Vec<Catalog>) {
-        for catalog in changes {
-            let version = catalog.version();
-            if self.0.offer(catalog) {
-                info!(event = "config", version, outcome = "in-force");
-                let shown = i64::try_from(version).unwrap_or(i64::MAX);
-                self.0.metrics.config_version.set(shown);
-                self.0.planning.wake();
-            }
+    fn take(&self, changes: Vec<Accepted>) {
+        for accepted in changes {
+            configuration::take(&self.0, accepted, "store");
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::peers::{self, Peers};
 use crate::ports::Platform;
 use crate::server::{self, OpenConnections};
-use crate::{seat, side, watch};
+use crate::{configuration, seat, side, watch};
 
 /// After the signal to stop new connections are still taken for this long, in which
 /// callers' answers with this node's address run out: they keep them for the time that
@@ -158,6 +158,7 @@
     tokio::spawn(async move {
         follow(&*at, at.platform.catalogs(), &CatalogSink(Arc::clone(&at))).await;
     });
+    tokio::spawn(configuration::follow_nodes(Arc::clone(core)));
     tokio::spawn(seat::run(Arc::clone(core)));
     tokio::spawn(watch::run(Arc::clone(core)));
     tokio::spawn(peers::publish_loads(Arc::clone(core)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod call;
 mod config;
+mod configuration;
 mod core;
 mod dispatch;
 mod events;
@@ -38,8 +39,8 @@
 pub use crate::gateway::{Gateway, GatewayError};
 pub use crate::logs::{LogQueue, start as start_logs};
 pub use crate::ports::{
-    AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport, HostUnavailable,
-    Platform, Seat, SeatRecord, SideRequest, Source, SourceError,
+    Accepted, AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport,
+    HostUnavailable, Platform, Seat, SeatRecord, SideRequest, Source, SourceError,
 };
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
 pub use crate::story::{LogReader, Subject};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,12 +62,19 @@
                 locked(&self.core.seats).insert(origin.clone(), record.version);
             }
             Item::Group(news) => watch::heard(&self.core, &news),
-            // A load says that callers' requests have come: loads of weights are slow now.
-            Item::Load(load) if load.load_permille > 0 => self.core.set_served(),
+            Item::Load(load) => self.node_load(origin, &load),
             _ => {}
         }
     }
 
+    fn node_load(&self, origin: &NodeId, load: &NodeLoad) {
+        self.core.configuration.heard(origin, load.config_version);
+        // A load says that callers' requests have come: loads of weights are slow now.
+        if load.load_permille > 0 {
+            self.core.set_served();
+        }
+    }
+
     fn status(&self, origin: &NodeId, status: NodeStatus, as_of: Instant) {
         let mut nodes = locked(&self.core.nodes);
         let domain = status.failure_domain;
@@ -90,6 +97,7 @@
     fn forget(&self, origin: &NodeId) {
         locked(&self.core.nodes).forget(origin);
         locked(&self.core.seats).remove(origin);
+        self.core.configuration.forget(origin);
         for head in locked(&self.core.heads).all() {
             head.forget(origin);
         }
@@ -105,7 +113,7 @@
     }
 
     fn config(&self) -> Option<ConfigText> {
-        None
+        self.core.configuration.text()
     }
 
     fn former_config(&self, _version: u64) -> Option<ConfigText> {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -50,6 +50,15 @@
     ) -> impl Future<Output = Result<(Vec<Self::Change>, Cursor), SourceError>> + Send;
 }
 
+/// An accepted configuration, with the text that it was read from.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// What it says.
+    pub catalog: Catalog,
+    /// The platform's own text, which nodes tell each other.
+    pub text: String,
+}
+
 value! {
     /// Who holds the planner's seat.
     pub struct SeatRecord {
@@ -194,7 +203,7 @@
     /// The list of hosts.
     type Hosts: Source<Change = FleetChange>;
     /// The accepted configuration; a change is the whole of it.
-    type Catalogs: Source<Change = Catalog>;
+    type Catalogs: Source<Change = Accepted>;
     /// The planner's seat.
     type Seat: Seat;
     /// Orders and questions to hosts.
@@ -206,6 +215,11 @@
     fn hosts(&self) -> &Self::Hosts;
     /// The accepted configuration.
     fn catalogs(&self) -> &Self::Catalogs;
+    /// Reads a configuration's text, which another node had from the same source.
+    ///
+    /// # Errors
+    /// [`SourceError::Malformed`].
+    fn read_catalog(&self, text: &str) -> Result<Catalog, SourceError>;
     /// The planner's seat.
     fn seat(&self) -> &Self::Seat;
     /// Orders and questions to hosts.
