Ask a host that left an order unanswered right before it joins

Cause: hosts carry out orders seconds after they were given. A member that has left is then one again. Its entry shows it 0.3 s later, and not at all while the store is away or the host is cut off from it; the planner took it as free though its old head, out of reach, could serve. Besides: a formation whose members another planner had taken was ordered to open for ever; an entry without a start counted as a new start and freed its host. Ruled out: orders conditional on the count of orders that a host has taken. It would close the last gap of a few milliseconds, but the count in reports is up to 0.2 s old, so that each order after another would first be refused. Before: the new test takes a host from a replica whose head serves; the test of the planner that acts on finds 3 replicas of 4 (with the guard against joining out of another replica).

--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -71,6 +71,15 @@
     }
 }
 
+impl Membership {
+    /// Whether the replica may have requests that run. A head knows that of itself; any
+    /// other member's head may serve whatever the member knows.
+    pub(crate) fn may_serve(&self) -> bool {
+        let serves = matches!(self.phase, MembershipPhase::Open | MembershipPhase::Closing);
+        self.rank > 0 || serves
+    }
+}
+
 impl Host {
     /// Whether it takes new work.
     pub fn is_ready(&self) -> bool {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -39,6 +39,11 @@
 /// A join from nothing in a host that was a member of a replica of this model: 0.2 s by
 /// the platform's page.
 const PRIMED_JOIN: Duration = Duration::from_millis(200);
+/// Orders without an answer are carried out up to 12 s later; some reserve.
+const LATE_ORDERS: Duration = Duration::from_secs(15);
+/// An answer of a host counts as its present state for this long: the planner acts within
+/// a few milliseconds of it, and of a hundred late orders one at most falls in between.
+const FRESH: Duration = Duration::from_millis(100);
 /// A host that gave no answer this often in a row counts as silent.
 const MAX_UNANSWERED: u32 = 2;
 
@@ -96,10 +101,12 @@
     timing: PlannerTiming,
     /// Invariant: a host is a member of at most one formation.
     formations: BTreeMap<GroupId, Formation>,
-    /// Hosts that told this planner themselves which replica they belong to, by their
-    /// start. Invariant: after the first term only these join anything, and none told it
-    /// while the planner before could still give orders.
-    asked: BTreeMap<HostId, u64>,
+    /// Hosts that told this planner themselves which replica they belong to. Invariant:
+    /// after the first term only these join anything, and none told it while the planner
+    /// before could still give orders.
+    asked: BTreeMap<HostId, Asked>,
+    /// Hosts that left an order unanswered, and when. They may carry it out yet.
+    unsettled: BTreeMap<HostId, Instant>,
     /// Hosts that give no answer.
     silent: BTreeMap<HostId, Silence>,
     /// Formations whose hosts are free, for as long as entries may still show them.
@@ -127,6 +134,14 @@
     listed: bool,
 }
 
+/// A host's last answer to a question.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// Its start.
+    born_ms: u64,
+    at: Instant,
+}
+
 /// What is remembered of a formation that has ended.
 #[derive(Clone, Debug)]
 struct Dissolved {
@@ -156,6 +171,7 @@
             timing,
             formations: BTreeMap::new(),
             asked: BTreeMap::new(),
+            unsettled: BTreeMap::new(),
             silent: BTreeMap::new(),
             dissolved: BTreeMap::new(),
             unanswered: BTreeMap::new(),
@@ -194,7 +210,8 @@
     /// Notes that a host has answered a question. `born_ms` is its start.
     pub fn host_answered(&mut self, host: &HostId, born_ms: u64, now: Instant) {
         if !self.is_settling(now) {
-            self.asked.insert(host.clone(), born_ms);
+            let asked = Asked { born_ms, at: now };
+            self.asked.insert(host.clone(), asked);
         }
         self.silent.remove(host);
         self.unanswered.remove(host);
@@ -229,6 +246,8 @@
     ) {
         if reply.is_some() {
             self.unanswered.remove(host);
+        } else {
+            self.unsettled.insert(host.clone(), now);
         }
         let Some((replica, epoch)) = order.formation() else {
             return;
@@ -263,6 +282,13 @@
             {
                 formation.enter(Step::Open, now);
             }
+            // It was ready, so it has been taken out of the formation. Told again and again,
+            // it would never serve, and its hosts be bound for good.
+            (Order::Open { .. }, Some(OrderReply::Conflict | OrderReply::WrongHost))
+                if step == Step::Opening =>
+            {
+                formation.lose(Loss::Refused(host.clone()), now);
+            }
             // A conflict means that it is no member, and another host at its address
             // that it is gone.
             (Order::Leave { .. }, Some(reply)) if !matches!(reply, OrderReply::Refused(_)) => {
@@ -340,7 +366,9 @@
         self.unanswered.retain(|id, _| concerns(id));
         self.doubtful.retain(concerns);
         self.asked
-            .retain(|id, born| fleet.host(id).is_some_and(|h| h.born_ms == *born));
+            .retain(|id, a| fleet.host(id).is_some_and(|h| h.born_ms == a.born_ms));
+        self.unsettled
+            .retain(|_, at| now.saturating_duration_since(*at) < LATE_ORDERS);
         self.sent.retain(|(id, ..), _| concerns(id));
         // A load that is done must not count as under way once its host holds another model.
         self.staging.retain(|id, (model, until)| {
@@ -478,6 +506,20 @@
         self.term <= 1 || self.asked.contains_key(&host.id)
     }
 
+    /// Whether a host may have carried out an order that this planner knows nothing of.
+    ///
+    /// A host that left carries out an earlier order to join seconds later and is a member
+    /// again. Its entry shows that late, and not at all while the store is away.
+    fn is_doubtful(&self, host: &HostId, now: Instant) -> bool {
+        let lately = |since: Instant| now.saturating_duration_since(since) < LATE_ORDERS;
+        let by_others = self.term > 1 && lately(self.began);
+        if !by_others && !self.unsettled.contains_key(host) {
+            return false;
+        }
+        let fresh = |a: &Asked| now.saturating_duration_since(a.at) < FRESH;
+        !self.asked.get(host).is_some_and(fresh)
+    }
+
     fn members(&self) -> BTreeSet<&HostId> {
         let bound = self
             .formations
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -71,7 +71,7 @@
                 continue;
             }
             if !f.accepted.contains(&member) {
-                self.send(f.join(), f, &member, at.now, commands);
+                self.order_to_join(f, host, at.now, commands);
                 continue;
             }
             let expected = f.since + self.join_time(host, model, at.now);
@@ -142,7 +142,7 @@
                 continue;
             };
             if !self.note_ready(f, host) && !f.accepted.contains(&member) {
-                self.send(f.join(), f, &member, at.now, commands);
+                self.order_to_join(f, host, at.now, commands);
             }
         }
         true
@@ -267,10 +267,7 @@
                 self.order_to_leave(f, &member, self.timing.resend, at.now, commands);
                 continue;
             };
-            let reborn = f
-                .seats
-                .get(&member)
-                .is_none_or(|seat| seat.born_ms != host.born_ms);
+            let reborn = f.seats.get(&member).is_none_or(|seat| seat.is_reborn(host));
             if reborn || (entries_are_new && !f.is_member(host)) {
                 f.left.insert(member, at.now);
                 continue;
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -114,6 +114,12 @@
             address: host.address.clone(),
         }
     }
+
+    /// Whether the host has started again since. An entry without a start says nothing of
+    /// that; taken for a new start it would free a member whose head serves.
+    pub(crate) fn is_reborn(&self, host: &Host) -> bool {
+        self.born_ms != 0 && host.born_ms != 0 && self.born_ms != host.born_ms
+    }
 }
 
 impl Formation {
--- a/crates/fleet/src/planner/send.rs
+++ b/crates/fleet/src/planner/send.rs
@@ -31,6 +31,30 @@
         self.send_every(leave, f, member, every, now, commands);
     }
 
+    /// Orders a host to join, once it is sure that this tears no other replica apart.
+    pub(super) fn order_to_join(
+        &mut self,
+        f: &Formation,
+        host: &Host,
+        now: Instant,
+        commands: &mut Vec<Command>,
+    ) {
+        if self.is_doubtful(&host.id, now) {
+            self.ask(&host.id, now, commands);
+            return;
+        }
+        let other = host.membership.as_ref().filter(|_| !f.is_member(host));
+        if let Some(m) = other.filter(|m| m.may_serve()) {
+            let leave = Order::Leave {
+                replica: m.replica.clone(),
+                epoch: m.epoch,
+            };
+            self.send(leave, f, &host.id, now, commands);
+            return;
+        }
+        self.send(f.join(), f, &host.id, now, commands);
+    }
+
     pub(super) fn send(
         &mut self,
         order: Order,
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eelgrassmill_base::HostId;
-use eelgrassmill_fleet::{Loss, Order, OrderReply, Step};
+use eelgrassmill_fleet::{Loss, Order, OrderReply, Purpose, Step};
 use googletest::prelude::*;
 
 use crate::support::World;
@@ -341,3 +341,48 @@
     expect_that!(serving, contains(eq(&&replica)));
     expect_that!(world.violations, is_empty());
 }
+
+/// A member leaves a replica whose head is out of reach and serves on. An order to join
+/// it that got no answer is carried out after that, while the list doesn't show it. The
+/// next time that a host is needed, this one seems to be free.
+#[gtest]
+fn a_host_that_left_an_order_unanswered_is_asked_before_it_joins() {
+    let mut world = settled(1, 11);
+    let members = world.members("d0", "large");
+    let formation = world.planner().formations().find(|f| f.members == members);
+    let formation = formation.expect("the planner formed it");
+    let join = Order::Join {
+        replica: formation.id.clone(),
+        epoch: formation.epoch,
+        model: formation.model.clone(),
+        members: members.clone(),
+    };
+    world.cut_from_planners(&members[0]);
+    let now = world.began + world.now;
+    let planner = &mut world.actors[0].planner;
+    for member in &members[1..] {
+        planner.on_reply(member, &join, None, now);
+    }
+    world.say_silent(&members[0]);
+    // For a moment it is out of reach too, so that others are taken.
+    let left_over = members[5].clone();
+    world.cut_from_planners(&left_over);
+    world.say_silent(&left_over);
+    world.run(millis(100));
+    let next = world
+        .planner()
+        .formations()
+        .find(|f| f.model == "large" && f.purpose == Purpose::Serve && f.members[0] != members[0]);
+    let next = next.expect("others form one").members.clone();
+    assert_that!(next, not(contains(eq(&left_over))));
+    world.host(&left_over).reachable = true;
+    world.run(millis(1500));
+    assert_that!(world.hosts[&left_over].part, none());
+    world.cut_from_list(&left_over);
+    world.obey(&left_over, &join);
+    let lost = next.iter().find(|m| members.contains(m)).cloned();
+    world.kill(&lost.expect("some were members before"));
+    world.run(millis(2500));
+    expect_that!(world.serving(), ge(2));
+    expect_that!(world.violations, is_empty());
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -247,6 +247,13 @@
         }
     }
 
+    /// Tells the planners that a host gives no answer.
+    pub(crate) fn say_silent(&mut self, id: &HostId) {
+        for actor in &mut self.actors {
+            actor.planner.host_silent(id, &actor.fleet);
+        }
+    }
+
     /// The same, but the list still shows it.
     pub(crate) fn cut_from_planners(&mut self, id: &HostId) {
         self.host(id).reachable = false;
@@ -408,7 +415,7 @@
         }
     }
 
-    fn obey(&mut self, id: &HostId, order: &Order) -> OrderReply {
+    pub(crate) fn obey(&mut self, id: &HostId, order: &Order) -> OrderReply {
         let replaced = self.hosts[id].replaced;
         let reply = if replaced {
             OrderReply::WrongHost
