Take no other host's answer for the word of the one that was asked

Cause: a host that crashed behind a cut starts again under another name at its address, while its old entry comes back. Questions, unlike orders, are answered by whoever is there. The old host then seemed to be a member of its successor's replica: the replica got a fourth member of three, or was opened on the word of a member that never was ready. Ruled out: the lease and the questions before joins as the cause; the same code took the answers before, those only ask more often. Change: an answer that names another member's place counts as no answer; only a replica that is being given up gains members that it didn't have.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -207,15 +207,43 @@
         }
     }
 
-    /// Notes that a host has answered a question. `born_ms` is its start.
-    pub fn host_answered(&mut self, host: &HostId, born_ms: u64, now: Instant) {
+    /// Takes a host's answer to a question: the host as it now says it is. `false` where
+    /// another host must have answered, so that nothing is to be concluded from it.
+    pub fn on_report(&mut self, told: &Host, fleet: &Fleet, now: Instant) -> bool {
+        if !self.is_own_word(told, fleet) {
+            self.host_unanswered(&told.id, fleet);
+            return false;
+        }
         if !self.is_settling(now) {
-            let asked = Asked { born_ms, at: now };
-            self.asked.insert(host.clone(), asked);
+            let asked = Asked {
+                born_ms: told.born_ms,
+                at: now,
+            };
+            self.asked.insert(told.id.clone(), asked);
+        }
+        self.silent.remove(&told.id);
+        self.unanswered.remove(&told.id);
+        self.doubtful.remove(&told.id);
+        true
+    }
+
+    /// Whether an answer fits the host that was asked.
+    ///
+    /// A host that crashed starts again under another name at its address, while its old
+    /// entry stands, and hosts tell who asks what they are without a look at whom was
+    /// asked for. Its new self may be a member already. Taken for the old one's word, the
+    /// replica would seem to have a member more, or one to be ready that never was.
+    fn is_own_word(&self, told: &Host, fleet: &Fleet) -> bool {
+        let Some(m) = &told.membership else {
+            return true;
+        };
+        let known = self.formations.get(&m.replica);
+        if let Some(f) = known.filter(|f| f.epoch == m.epoch && f.loss.is_none()) {
+            return f.members.get(m.rank) == Some(&told.id);
         }
-        self.silent.remove(host);
-        self.unanswered.remove(host);
-        self.doubtful.remove(host);
+        let is_rank = |h: &Host| h.membership.as_ref().is_some_and(|o| o.rank == m.rank);
+        let has_part = |h: &Host| h.belongs_to(&m.replica, m.epoch) && is_rank(h);
+        !fleet.hosts().any(|h| h.id != told.id && has_part(h))
     }
 
     /// Notes that a host gave no answer to an order though it was reached.
@@ -417,7 +445,7 @@
                 for host in hosts {
                     if known.members.contains(&host.id) {
                         known.take_back(&host.id, now);
-                    } else {
+                    } else if known.loss.is_some() {
                         known.add_member(host);
                     }
                 }
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -386,3 +386,27 @@
     expect_that!(world.serving(), ge(2));
     expect_that!(world.violations, is_empty());
 }
+
+/// A spare crashed and started again under another name at its address; its old entry still
+/// stands, and the new one is a member of a replica already. The planner asks the old one
+/// and hears the new one. The replica must not gain a member by that.
+#[gtest]
+fn what_another_host_says_at_its_address_is_not_a_hosts_word() {
+    let mut world = settled(1, 11);
+    let members = world.members("d0", "large");
+    let spare = spares(&world)[0].clone();
+    world.host(&spare).replaced = true;
+    world.host(&spare).answered_by = Some(members[4].clone());
+    world.cut_from_list(&spare);
+    world.new_planner(None);
+    world.run(millis(2500));
+    let formations: Vec<_> = world.planner().formations().collect();
+    let large = formations
+        .iter()
+        .filter(|f| f.model == "large" && f.purpose == Purpose::Serve);
+    let sizes: Vec<usize> = large
+        .filter(|f| f.loss.is_none())
+        .map(|f| f.members.len())
+        .collect();
+    expect_that!(sizes, each(eq(&6)));
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -39,6 +39,8 @@
     pub(crate) reachable: bool,
     /// Another host has its address.
     pub(crate) replaced: bool,
+    /// That host, where it answers questions that are meant for this one.
+    pub(crate) answered_by: Option<HostId>,
     pub(crate) state: HostState,
     highest_epoch: Epoch,
     staging: Option<(ModelName, Duration)>,
@@ -167,6 +169,7 @@
             alive: true,
             reachable: true,
             replaced: false,
+            answered_by: None,
             state: HostState::Ready,
             highest_epoch: 0,
             staging: None,
@@ -394,14 +397,21 @@
         self.questions += 1;
         let host = self.hosts.get(id).filter(|h| h.reachable && !h.replaced);
         let entry = host.map(|h| self.entry(h));
+        let answers = self.hosts.get(id).and_then(|h| h.answered_by.as_ref());
+        let entry = answers.map_or(entry, |other| {
+            let other = self.entry(&self.hosts[other]);
+            let id = id.clone();
+            Some(Host { id, ..other })
+        });
         let now = self.instant();
         let Actor { planner, fleet, .. } = &mut self.actors[i];
         let Some(entry) = entry else {
             planner.host_unanswered(id, fleet);
             return;
         };
-        planner.host_answered(id, entry.born_ms, now);
-        fleet.heard(entry);
+        if planner.on_report(&entry, fleet, now) {
+            fleet.heard(entry);
+        }
     }
 
     fn carry_out_late(&mut self) {
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -131,9 +131,12 @@
             PlanningEvent::Report(host, Ok(report)) => {
                 let mut fleet = locked(&self.core.fleet);
                 if let Some(known) = fleet.host(&host).cloned() {
-                    let host = updated(known, report);
-                    self.planner.host_answered(&host.id, host.born_ms, now);
-                    fleet.heard(host);
+                    let told = updated(known, report);
+                    if self.planner.on_report(&told, &fleet, now) {
+                        fleet.heard(told);
+                    } else {
+                        info!(event = "host-entry", %host, outcome = "another-answers");
+                    }
                 }
             }
             PlanningEvent::Report(host, Err(_)) => {
