Weigh another node's word that a replica is lost by the streams here

Cause: a node that no longer reaches some hosts finds their replicas silent and says so. All nodes believed it, and the planner took replicas apart that served everybody else. Ruled out: a vote of two nodes: three nodes that lose the same path say it at once. Waiting for contradiction: 0.1 s more for each repair of a loss that is real. Change: a node whose streams of that replica gave an event in the last 320 ms doesn't believe it; a real loss stops all streams at once and is told 550 ms later. A head counts as lost for 4 s and is then tried again where its entry still says that it serves. A planner that is itself cut off from hosts still takes their replicas apart.

--- a/crates/fleet/src/stall.rs
+++ b/crates/fleet/src/stall.rs
@@ -32,7 +32,9 @@
 /// seconds before the platform's host list says anything.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
+    /// Where its silence counts from: an event, or work after it had none.
     last: Option<Instant>,
+    event: Option<Instant>,
     /// Usual pause between two events, a moving average.
     pause: Duration,
 }
@@ -48,6 +50,19 @@
             self.pause = (self.pause * (PAUSE_MEMORY - 1) + pause) / PAUSE_MEMORY;
         }
         self.last = Some(now);
+        self.event = Some(now);
+    }
+
+    /// Whether it gave an event so lately that it can't have lost a member, whatever
+    /// another node says.
+    ///
+    /// A node that reaches some hosts no more finds their replicas silent. Believed, it
+    /// would have replicas taken apart that serve all other nodes. A loss that is real
+    /// stops the streams of all nodes at once, and is told after [`StallRule::floor`] and
+    /// a question, so that the last event is older then.
+    pub fn moves(&self, rule: &StallRule, now: Instant) -> bool {
+        let lately = |at: Instant| now.saturating_duration_since(at) < rule.floor;
+        self.event.is_some_and(lately)
     }
 
     /// Notes that the replica got work after it had none: its silence counts from here.
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -201,3 +201,18 @@
     expect_that!(slow.stalls_at(&rule), some(gt(last(400) + millis(2000))));
     expect_that!(Progress::default().stalls_at(&rule), none());
 }
+
+/// Another node has lost sight of a replica. Its streams here come as always, so it can't
+/// have lost a member; streams that got work but no event say nothing.
+#[gtest]
+fn only_events_show_that_a_replica_moves() {
+    let rule = StallRule::default();
+    let now = Instant::now();
+    let mut progress = Progress::default();
+    progress.resumed(now);
+    expect_that!(progress.moves(&rule, now), eq(false));
+    progress.event(now);
+    expect_that!(progress.moves(&rule, now + millis(200)), eq(true));
+    // The earliest news of a loss that is real.
+    expect_that!(progress.moves(&rule, now + millis(320 + 230)), eq(false));
+}
--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -14,6 +14,11 @@
 /// their loads anew.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
 
+/// How long a replica counts as lost. One that really is has been given up by the planner
+/// by then, or its head's entry has lapsed; another is only out of this node's reach, and
+/// may be so no longer.
+const LOSS_MEMORY: Duration = Duration::from_secs(4);
+
 /// The head of one replica in one formation.
 #[derive(Debug)]
 pub(crate) struct Head {
@@ -32,8 +37,9 @@
     progress: Mutex<Progress>,
     /// It refused a request: nothing is sent to it until then.
     refuses_until: Mutex<Option<Instant>>,
-    /// Set once, when a member is known to be lost: nothing will come any more.
-    lost: watch::Sender<bool>,
+    /// When a member was known to be lost: nothing will come any more. Set once; see
+    /// [`HeadTable::renew`].
+    lost: watch::Sender<Option<Instant>>,
 }
 
 impl Head {
@@ -52,7 +58,7 @@
             elsewhere: Mutex::default(),
             progress: Mutex::default(),
             refuses_until: Mutex::default(),
-            lost: watch::Sender::new(false),
+            lost: watch::Sender::new(None),
         })
     }
 
@@ -98,7 +104,11 @@
 
     /// Says that nothing will come of it any more.
     pub(crate) fn set_lost(&self) {
-        self.lost.send_replace(true);
+        self.lost.send_if_modified(|lost| {
+            let first = lost.is_none();
+            lost.get_or_insert_with(Instant::now);
+            first
+        });
     }
 
     /// Notes that it refused a request.
@@ -115,14 +125,38 @@
     }
 
     pub(crate) fn is_lost(&self) -> bool {
-        *self.lost.borrow()
+        self.lost.borrow().is_some()
+    }
+
+    fn was_lost_long_ago(&self, now: Instant) -> bool {
+        let long_ago = |at: Instant| now.saturating_duration_since(at) >= LOSS_MEMORY;
+        self.lost.borrow().is_some_and(long_ago)
+    }
+
+    /// The same head, as it is before anything is known of it.
+    fn anew(&self) -> Head {
+        Head {
+            host: self.host.clone(),
+            address: self.address.clone(),
+            service: self.service.clone(),
+            model: self.model.clone(),
+            failure_domain: self.failure_domain.clone(),
+            replica: self.replica.clone(),
+            epoch: self.epoch,
+            slots: self.slots,
+            running: AtomicUsize::new(0),
+            elsewhere: Mutex::new(locked(&self.elsewhere).clone()),
+            progress: Mutex::default(),
+            refuses_until: Mutex::default(),
+            lost: watch::Sender::new(None),
+        }
     }
 
     /// Waits until it is lost.
     pub(crate) async fn until_lost(&self) {
         let mut rx = self.lost.subscribe();
         // The sender lives as long as `self`, so this ends only by the value.
-        let _ = rx.wait_for(|lost| *lost).await;
+        let _ = rx.wait_for(Option::is_some).await;
     }
 }
 
@@ -170,6 +204,13 @@
         self.ending.retain(|_, head| head.running_here() > 0);
     }
 
+    /// Tries heads again that were lost long ago and still serve by their entries.
+    pub(crate) fn renew(&mut self, now: Instant) {
+        for head in self.open.values_mut().filter(|h| h.was_lost_long_ago(now)) {
+            *head = Arc::new(head.anew());
+        }
+    }
+
     /// Heads of a model that can take a request.
     pub(crate) fn of_model<'t>(
         &'t self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -61,7 +61,7 @@
             Item::Group(record) if record.group == SEAT => {
                 locked(&self.core.seats).insert(origin.clone(), record.version);
             }
-            Item::Group(news) => watch::heard(&self.core, &news),
+            Item::Group(news) => watch::heard(&self.core, origin, &news),
             Item::Load(load) => self.node_load(origin, &load),
             _ => {}
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, GroupId, HostId, value};
+use eelgrassmill_base::{Epoch, GroupId, HostId, NodeId, value};
 use eelgrassmill_fleet::{Host, MembershipPhase, StallRule};
 use eelgrassmill_peer::{GroupRecord, Item};
 use smallvec::SmallVec;
@@ -47,6 +47,7 @@
     loop {
         looks.tick().await;
         drop_missing(&core);
+        locked(&core.heads).renew(Instant::now());
         for head in standing_still(&core, &rule) {
             // The next look must not begin a second check beside this one.
             head.progress().resumed(Instant::now());
@@ -167,10 +168,17 @@
     core.planning.push(PlanningEvent::Lost(lost));
 }
 
-/// Takes another node's word that a replica is lost.
-pub(crate) fn heard<P: Platform>(core: &Core<P>, news: &GroupRecord) {
+/// Takes another node's word that a replica is lost, unless its streams here say otherwise.
+pub(crate) fn heard<P: Platform>(core: &Core<P>, from: &NodeId, news: &GroupRecord) {
     let head = locked(&core.heads).get(&news.group, news.version).cloned();
     if let Some(head) = head {
+        if head.progress().moves(&StallRule::default(), Instant::now()) {
+            info!(
+                event = "replica-moves", replica = %head.replica, epoch = head.epoch,
+                %from, running = head.running_here(),
+            );
+            return;
+        }
         head.set_lost();
         core.freed();
     }
