--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -297,6 +297,9 @@
         // taken back, it would serve without the member that it lost.
         let step = formation.step;
         match (order, reply) {
+            (Order::Join { .. }, None) => {
+                formation.unsettled.insert(host.clone());
+            }
             (Order::Join { .. }, Some(OrderReply::Begun | OrderReply::Done)) => {
                 formation.accepted.insert(host.clone());
             }
@@ -523,6 +526,7 @@
             && !bound.contains(&host.id)
             && !self.silent.contains_key(&host.id)
             && self.knows(host)
+            && !self.formations.values().any(|f| f.holds(&host.id))
     }
 
     /// Whether this planner can tell which replica a host belongs to.
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -84,6 +84,8 @@
     pub(crate) leaving_since: Option<Instant>,
     /// Members that took the order to join.
     pub(crate) accepted: BTreeSet<HostId>,
+    /// Members that left an order to join unanswered: they may carry it out after they left.
+    pub(crate) unsettled: BTreeSet<HostId>,
     /// Members that said that they are ready.
     pub(crate) ready: BTreeSet<HostId>,
     /// Whether its head was ever told to serve: such an order may be carried out late.
@@ -146,6 +148,7 @@
             loss: None,
             leaving_since: None,
             accepted: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
             ready: BTreeSet::new(),
             told_to_open: false,
             seats: hosts.iter().map(seat).collect(),
@@ -179,6 +182,15 @@
         self.members.iter().filter(move |m| !free(m))
     }
 
+    /// Whether a host that left may become a member again while the head may serve.
+    ///
+    /// Two orders that are both carried out late would otherwise tear it away: the one to
+    /// join here, then the one to join elsewhere. A head that is gone holds nobody.
+    pub(crate) fn holds(&self, host: &HostId) -> bool {
+        let head_is_bound = self.bound().next() == self.head();
+        self.step == Step::Dissolving && self.unsettled.contains(host) && head_is_bound
+    }
+
     /// The member that takes the requests.
     pub fn head(&self) -> Option<&HostId> {
         self.members.first()
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -346,7 +346,7 @@
 /// it that got no answer is carried out after that, while the list doesn't show it. The
 /// next time that a host is needed, this one seems to be free.
 #[gtest]
-fn a_host_that_left_an_order_unanswered_is_asked_before_it_joins() {
+fn a_host_that_left_an_order_unanswered_is_not_torn_away() {
     let mut world = settled(1, 11);
     let members = world.members("d0", "large");
     let formation = world.planner().formations().find(|f| f.members == members);
@@ -359,13 +359,11 @@
     };
     world.cut_from_planners(&members[0]);
     let now = world.began + world.now;
+    let left_over = members[5].clone();
     let planner = &mut world.actors[0].planner;
-    for member in &members[1..] {
-        planner.on_reply(member, &join, None, now);
-    }
+    planner.on_reply(&left_over, &join, None, now);
     world.say_silent(&members[0]);
     // For a moment it is out of reach too, so that others are taken.
-    let left_over = members[5].clone();
     world.cut_from_planners(&left_over);
     world.say_silent(&left_over);
     world.run(millis(100));
@@ -383,6 +381,11 @@
     let lost = next.iter().find(|m| members.contains(m)).cloned();
     world.kill(&lost.expect("some were members before"));
     world.run(millis(2500));
+    expect_that!(world.violations, is_empty());
+    // Once the old head is in reach and has left, nothing is held back.
+    world.heal(&members[0]);
+    world.heal(&left_over);
+    world.run(seconds(4));
     expect_that!(world.serving(), ge(2));
     expect_that!(world.violations, is_empty());
 }
