Refuse late requests at once after one waited in vain

Cause: while more streams of a model arrive than are served, those that can still be on time take every place. Each late one waited 1.4 s behind them and was refused all the same, with a second less for its caller to come back in. Ruled out: an estimate from the rate of turns, which needs the rate of those that will yet come in front; one that waited in vain says it directly, and one that is served takes it back.

--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -35,6 +35,11 @@
 /// a third of a stream's usual duration, spread so that callers don't return at once.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
 
+/// After one waited in vain for its whole time, those that can't be on time any more are
+/// refused at once for this long: half a stream's usual duration, in which places become
+/// free again.
+const IN_VAIN: Duration = Duration::from_millis(600);
+
 /// Who goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -58,6 +63,8 @@
 struct Queue {
     next: u64,
     waiting: BTreeMap<Key, Arc<Notify>>,
+    /// Until then it is known that late ones get no turn.
+    in_vain_until: Option<Instant>,
 }
 
 /// A place in a queue, given up when dropped.
@@ -111,6 +118,28 @@
             .map_or(0, |q| q.waiting.len().saturating_sub(1))
     }
 
+    /// Notes whether a late one got its turn or waited in vain.
+    ///
+    /// While more arrive than are served, those on time take every place, and each late one
+    /// would wait for a second only to be refused. Told at once, its caller can come back
+    /// while there is still time.
+    fn late_ended(&self, served: bool, now: Instant) {
+        if !matches!(self.key.0, Rank::Late(_)) {
+            return;
+        }
+        let mut queues = locked(&self.turns.queues);
+        if let Some(queue) = queues.get_mut(&self.queue) {
+            queue.in_vain_until = (!served).then_some(now + IN_VAIN);
+        }
+    }
+
+    /// Whether it is late and late ones are known to get no turn.
+    fn is_in_vain(&self, now: Instant) -> bool {
+        let queues = locked(&self.turns.queues);
+        let until = queues.get(&self.queue).and_then(|q| q.in_vain_until);
+        matches!(self.key.0, Rank::Late(_)) && until.is_some_and(|until| now < until)
+    }
+
     /// Moves behind those that can still be on time.
     fn too_late(&mut self) {
         let Rank::OnTime(urgency) = self.key.0 else {
@@ -162,7 +191,10 @@
     loop {
         if waiting.is_first() {
             match choose(core, service, model, avoid) {
-                Choice::Free(head) => return Ok(head.enter()),
+                Choice::Free(head) => {
+                    waiting.late_ended(true, Instant::now());
+                    return Ok(head.enter());
+                }
                 Choice::Full { places } if waiting.others() >= places => {
                     return Err(full(RefusalCause::Full));
                 }
@@ -172,16 +204,15 @@
         let now = Instant::now();
         let left = give_up.saturating_duration_since(now);
         if left.is_zero() {
-            let cause = if is_served(core, service, model) {
-                RefusalCause::Full
-            } else {
-                RefusalCause::NothingServes
-            };
-            return Err(full(cause));
+            waiting.late_ended(false, now);
+            return Err(full(why_not(core, service, model)));
         }
         if now >= call.arrived + call.route.aim {
             waiting.too_late();
         }
+        if waiting.is_in_vain(now) && !waiting.is_first() {
+            return Err(full(why_not(core, service, model)));
+        }
         let woken = Arc::clone(&waiting.woken);
         // Running out is the other way to look again.
         let _ = tokio::time::timeout(LOOK_AGAIN.min(left), woken.notified()).await;
@@ -197,11 +228,15 @@
     None,
 }
 
-fn is_served<P: Platform>(core: &Core<P>, service: &str, model: &str) -> bool {
-    locked(&core.heads)
-        .of_model(service, model)
-        .next()
-        .is_some()
+/// Why there is no place.
+fn why_not<P: Platform>(core: &Core<P>, service: &str, model: &str) -> RefusalCause {
+    let heads = locked(&core.heads);
+    let is_served = heads.of_model(service, model).next().is_some();
+    if is_served {
+        RefusalCause::Full
+    } else {
+        RefusalCause::NothingServes
+    }
 }
 
 fn choose<P: Platform>(core: &Core<P>, service: &str, model: &str, avoid: &[HostId]) -> Choice {
