Give processes that tests start loopback addresses of their own

Addresses for processes were ports of 127.0.0.1 that were free a moment before; until the process listens, any other test or the near end of any connection may take one. A node whose port is taken ends at once and its test waits 15 s in vain. The same was seen at the adapter's tests once, there with the reason ("Address already in use"). Ruled out: that the machine was only slow: 16 runs of the file, four at a time, passed. Not proved that it was a taken port: the log was deleted with the test. With the port of one node taken on purpose the test fails with the same line. Change: free_address in the stand-ins' crate gives each caller an IP address of its own, used by all tests that start nodes; where nodes don't find each other the test prints exits and logs. After: the files pass.

--- a/crates/core/tests/control_cost.rs
+++ b/crates/core/tests/control_cost.rs
@@ -3,10 +3,11 @@
 mod process;
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use eelgrassmill_node::TokenHash;
+use eelgrassmill_standin::free_address;
 use process::child::Process;
 use process::http::ask;
 use process::world::{ADMIN, admin, submit};
@@ -90,8 +91,7 @@
 }
 
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    free_address().expect("a free port")
 }
 
 fn start_standins(dir: &Path) -> (Process, String) {
--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -3,12 +3,12 @@
 mod common;
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use common::{Ran, TOKEN, TempFile, program, ran};
-use eelgrassmill_standin::expected_answer;
+use eelgrassmill_standin::{expected_answer, free_address};
 use googletest::prelude::*;
 use serde_json::Value;
 
@@ -74,8 +74,7 @@
 }
 
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    free_address().expect("a free port")
 }
 
 struct Node {
@@ -140,6 +139,28 @@
         }
     }
 
+    /// Waits until the nodes know each other. Otherwise shows what they logged: one that
+    /// ended at once says there why.
+    fn wait_for_nodes(&mut self) {
+        let start = Instant::now();
+        let all = |system: &System| {
+            let nodes = system.json(&["nodes"]);
+            nodes
+                .as_array()
+                .is_some_and(|n| n.len() == system.nodes.len())
+        };
+        while !all(self) {
+            if start.elapsed() >= BOUND {
+                for node in &mut self.nodes {
+                    let log = std::fs::read_to_string(&node.log.0).unwrap_or_default();
+                    println!("exit {:?}:\n{log}", node.process.0.try_wait());
+                }
+                panic!("not in time: the nodes know each other");
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     /// Runs a command that may ask any node.
     fn run(&self, args: &[&str]) -> Ran {
         let admins: Vec<String> = self.nodes.iter().map(|n| n.admin.to_string()).collect();
@@ -201,10 +222,7 @@
 #[gtest]
 fn the_time_line_tells_of_a_dead_host_and_a_killed_node() {
     let mut system = System::start(3);
-    eventually("the nodes know each other", || {
-        let nodes = system.json(&["nodes"]);
-        (nodes.as_array()?.len() == 3).then_some(())
-    });
+    system.wait_for_nodes();
     let file = TempFile::new("operator.ini", TEXT);
     eventually("a text is accepted", || {
         let submitted = system.run(&["config", "submit", file.path(), "--base", "0", "--id", "s"]);
--- a/crates/core/tests/process/world.rs
+++ b/crates/core/tests/process/world.rs
@@ -1,13 +1,13 @@
 //! One set of stand-ins and nodes.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use eelgrassmill_base::HostReport;
 use eelgrassmill_node::{ConfigStatus, GroupInfo, NodeInfo, TokenHash};
-use eelgrassmill_standin::RunReport;
+use eelgrassmill_standin::{RunReport, free_address};
 use serde_json::{Value, json};
 
 use super::child::Process;
@@ -314,15 +314,11 @@
 }
 
 fn reserve() -> Ports {
-    // All three at once, so that they differ.
-    let held: Vec<TcpListener> = (0..3)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    let at = |i: usize| held[i].local_addr().expect("its address");
+    let address = || free_address().expect("a free port");
     Ports {
-        callers: at(0),
-        admin: at(1),
-        peers: at(2),
+        callers: address(),
+        admin: address(),
+        peers: address(),
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They exist for tests and the demonstration. Everything runs on a runtime of
 //! its own within the process that starts it; each host listens by itself.
 
+mod address;
 mod answer;
 mod builder;
 mod control;
@@ -24,6 +25,7 @@
 mod target;
 mod world;
 
+pub use crate::address::free_address;
 pub use crate::answer::{expected_answer, expected_plain_answer, expected_token};
 pub use crate::builder::{Standins, StandinsBuilder, StartError};
 pub use crate::engine::KILLER_MARK;
