Keep the planner's seat while most nodes are heard

Cause: a planner that the store doesn't answer was sure of its seat only while it heard all other nodes. Heads that were lost were also tried again after 4 s while the store was away and entries of dead heads stood. Ruled out: that the questions before joins cost it; each took a few milliseconds in the log. Lost heads are tried again only while the store answers.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -37,11 +37,33 @@
     }
 }
 
+/// Whether a holder that the store doesn't answer hears enough other nodes to be sure that
+/// none has taken the seat. `silences` are the times since each one was heard, those that
+/// are gone since lately among them.
+///
+/// Nodes take the seat only where they hear most others, so that one of those that the
+/// holder hears would know of it. Were all of them needed, one dead node would stop all
+/// repairs while the store is away.
+pub fn hears_enough(silences: impl Iterator<Item = Duration> + Clone) -> bool {
+    // A node that knows no other can't tell that it is alone from being cut off.
+    silences.clone().next().is_some() && are_most(silences, LEASE_TERM)
+}
+
+/// Whether nodes heard within `time` are, with this one, more than half.
+pub fn are_most(silences: impl Iterator<Item = Duration>, time: Duration) -> bool {
+    let (mut all, mut heard) = (1, 1);
+    for silence in silences {
+        all += 1;
+        heard += usize::from(silence < time);
+    }
+    heard * 2 > all
+}
+
 /// A holder's right to act.
 ///
-/// It is sure of the seat for [`LEASE_TERM`] after the store showed it as the holder. It is
-/// also sure while it hears all other nodes: one that takes the seat says so, and takes it
-/// only where it hears no holder. So planning goes on while the store is away for all.
+/// It is sure of the seat for [`LEASE_TERM`] after the store showed it as the holder, and
+/// while it [hears enough](hears_enough) other nodes. So planning goes on while the store is
+/// away for all.
 #[derive(Clone, Debug)]
 pub struct Lease {
     confirmed: SinceBoot,
@@ -69,16 +91,15 @@
         self.paused.take_if(|woke| *woke <= asked);
     }
 
-    /// Whether the holder may plan at `now`. `hears_all` says whether each other node that
-    /// could take the seat was heard within [`LEASE_TERM`].
-    pub fn step(&mut self, now: SinceBoot, hears_all: bool) -> Standing {
+    /// Whether the holder may plan at `now`, when [`hears_enough`] says `heard`.
+    pub fn step(&mut self, now: SinceBoot, heard: bool) -> Standing {
         if now.saturating_sub(self.stepped) > PAUSE {
             // What it heard before it stood still says nothing of now.
             self.paused = Some(now);
         }
         self.stepped = now;
         let fresh = now.saturating_sub(self.confirmed) < LEASE_TERM;
-        if self.paused.is_none() && (fresh || hears_all) {
+        if self.paused.is_none() && (fresh || heard) {
             self.unsure = None;
             return Standing::Act;
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 };
 pub use crate::fleet::{Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
-pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing};
+pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing, are_most, hears_enough};
 pub use crate::place::{Candidate, place};
 pub use crate::planner::{
     Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, NodeId};
+use eelgrassmill_fleet::are_most;
 use smol_str::SmolStr;
 
 /// A node that was not heard of for this long is taken for dead. Nodes confirm every
@@ -25,10 +26,18 @@
     heard: Instant,
 }
 
+/// How long a node that is gone counts when it is asked whether most are heard: longer than
+/// nodes are usually cut off. Were it forgotten as soon as it isn't told of any more, a node
+/// that is cut off from all would soon be most of those that it knows.
+const REMEMBERED: Duration = Duration::from_secs(20);
+
 /// The other nodes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Nodes {
     known: BTreeMap<NodeId, Known>,
+    /// Nodes that were given up without having said that they leave, and when they were
+    /// last heard.
+    lost: BTreeMap<NodeId, Instant>,
 }
 
 impl Nodes {
@@ -47,6 +56,7 @@
             leaving,
             heard,
         };
+        self.lost.remove(node);
         self.known.insert(node.clone(), known);
     }
 
@@ -58,7 +68,12 @@
     }
 
     pub(crate) fn forget(&mut self, node: &str) {
-        self.known.remove(node);
+        let gone = self.known.remove_entry(node);
+        if let Some((node, known)) = gone.filter(|(_, k)| !k.leaving) {
+            let lately = |at: &Instant| known.heard.saturating_duration_since(*at) < REMEMBERED;
+            self.lost.retain(|_, at| lately(at));
+            self.lost.insert(node, known.heard);
+        }
     }
 
     /// Whether a node is up.
@@ -66,11 +81,17 @@
         self.known.get(node).is_some_and(|k| k.is_alive(now))
     }
 
-    /// Whether each node that stays was heard within `time`. `false` where there is none: a
-    /// node that knows no other can't tell that it is alone from being cut off.
-    pub(crate) fn all_heard_within(&self, time: Duration, now: Instant) -> bool {
-        let mut staying = self.known.values().filter(|k| !k.leaving).peekable();
-        staying.peek().is_some() && staying.all(|k| now.saturating_duration_since(k.heard) < time)
+    /// For how long each node that stays, or was lost lately, was not heard.
+    pub(crate) fn silences(&self, now: Instant) -> impl Iterator<Item = Duration> + Clone {
+        let staying = self.known.values().filter(|k| !k.leaving);
+        let heard = staying.map(|k| k.heard).chain(self.lost.values().copied());
+        let silences = heard.map(move |at| now.saturating_duration_since(at));
+        silences.filter(|silence| *silence < REMEMBERED)
+    }
+
+    /// Whether most nodes are up, as far as this one hears.
+    pub(crate) fn hears_most(&self, now: Instant) -> bool {
+        are_most(self.silences(now), DEAD_AFTER)
     }
 
     /// The nodes that are up and stay, in the order of their names.
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_fleet::{LEASE_TERM, Lease, SinceBoot, Standing};
+use eelgrassmill_fleet::{Lease, SinceBoot, Standing, hears_enough};
 use rustix::time::{ClockId, clock_gettime};
 use tracing::{info, warn};
 
@@ -67,7 +67,9 @@
         seen.record = now.checked_sub(INTRODUCTION).map(|since| (holder, since));
         return None;
     }
-    if !is_first(core, now) {
+    // Where most others aren't heard the holder may be one of them, and act on by what it
+    // hears from the rest.
+    if !is_first(core, now) || !locked(&core.nodes).hears_most(now) {
         return None;
     }
     // A holder that was named lately may not have been heard yet.
@@ -178,15 +180,15 @@
         if core.is_leaving() || another_holds(core, seat) {
             return;
         }
-        let hears_all = hears_all(core, Instant::now());
-        let standing = locked(lease).step(since_boot(), hears_all);
+        let heard = hears_enough(locked(&core.nodes).silences(Instant::now()));
+        let standing = locked(lease).step(since_boot(), heard);
         if standing != last {
             info!(
                 event = "seat",
                 term = seat.term,
                 outcome = "standing",
                 ?standing,
-                hears_all
+                heard
             );
             last = standing;
         }
@@ -199,11 +201,6 @@
     }
 }
 
-/// Whether every node that could take the seat was heard lately.
-fn hears_all<P: Platform>(core: &Core<P>, now: Instant) -> bool {
-    locked(&core.nodes).all_heard_within(LEASE_TERM, now)
-}
-
 /// Whether another node tells a higher term.
 fn another_holds<P: Platform>(core: &Core<P>, seat: &SeatRecord) -> bool {
     locked(&core.seats).values().any(|term| *term > seat.term)
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -47,7 +47,10 @@
     loop {
         looks.tick().await;
         drop_missing(&core);
-        locked(&core.heads).renew(Instant::now());
+        // While the store is away entries of dead heads stand: each try would cost streams.
+        if core.store_failures() == 0 {
+            locked(&core.heads).renew(Instant::now());
+        }
         for head in standing_still(&core, &rule) {
             // The next look must not begin a second check beside this one.
             head.progress().resumed(Instant::now());
