--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -6,7 +6,7 @@
 use eelgrassmill_base::{Epoch, GroupId, HostId, value};
 use smallvec::SmallVec;
 
-use crate::host::{Host, HostState};
+use crate::host::Host;
 
 /// How long a host whose entry vanished during an outage of the store is kept after the
 /// store is back. The platform promises that live hosts are listed again within about 2 s.
@@ -138,13 +138,6 @@
         self.outdated.remove(id);
     }
 
-    /// Marks a host as leaving.
-    pub fn leaving(&mut self, id: &str) {
-        if let Some(host) = self.hosts.get_mut(id) {
-            host.state = HostState::Leaving;
-        }
-    }
-
     /// The replicas that hosts report, each with the members that are listed.
     pub fn replicas(&self) -> Vec<Replica> {
         let mut found: BTreeMap<(GroupId, Epoch), Replica> = BTreeMap::new();
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -187,8 +187,8 @@
     /// Two orders that are both carried out late would otherwise tear it away: the one to
     /// join here, then the one to join elsewhere. A head that is gone holds nobody.
     pub(crate) fn holds(&self, host: &HostId) -> bool {
-        let head_is_bound = self.bound().next() == self.head();
-        self.step == Step::Dissolving && self.unsettled.contains(host) && head_is_bound
+        let dissolving = self.step == Step::Dissolving;
+        dissolving && self.unsettled.contains(host) && self.bound().next() == self.head()
     }
 
     /// The member that takes the requests.
--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -37,7 +37,7 @@
     progress: Mutex<Progress>,
     /// It refused a request: nothing is sent to it until then.
     refuses_until: Mutex<Option<Instant>>,
-    /// When a member was known to be lost: nothing will come any more. Set once; see
+    /// When a member was known to be lost: nothing will come any more. Taken back by
     /// [`HeadTable::renew`].
     lost: watch::Sender<Option<Instant>>,
 }
@@ -133,25 +133,6 @@
         self.lost.borrow().is_some_and(long_ago)
     }
 
-    /// The same head, as it is before anything is known of it.
-    fn anew(&self) -> Head {
-        Head {
-            host: self.host.clone(),
-            address: self.address.clone(),
-            service: self.service.clone(),
-            model: self.model.clone(),
-            failure_domain: self.failure_domain.clone(),
-            replica: self.replica.clone(),
-            epoch: self.epoch,
-            slots: self.slots,
-            running: AtomicUsize::new(0),
-            elsewhere: Mutex::new(locked(&self.elsewhere).clone()),
-            progress: Mutex::default(),
-            refuses_until: Mutex::default(),
-            lost: watch::Sender::new(None),
-        }
-    }
-
     /// Waits until it is lost.
     pub(crate) async fn until_lost(&self) {
         let mut rx = self.lost.subscribe();
@@ -204,10 +185,11 @@
         self.ending.retain(|_, head| head.running_here() > 0);
     }
 
-    /// Tries heads again that were lost long ago and still serve by their entries.
-    pub(crate) fn renew(&mut self, now: Instant) {
-        for head in self.open.values_mut().filter(|h| h.was_lost_long_ago(now)) {
-            *head = Arc::new(head.anew());
+    /// Tries heads again that were lost long ago and still serve by their entries. Nothing
+    /// runs at them any more: what did has gone on elsewhere when they were lost.
+    pub(crate) fn renew(&self, now: Instant) {
+        for head in self.open.values().filter(|h| h.was_lost_long_ago(now)) {
+            head.lost.send_replace(None);
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,8 +7,8 @@
 use eelgrassmill_base::NodeId;
 use eelgrassmill_peer::{
     Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey, Member,
-    NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode, PeerNodeConfig, QuotaReply,
-    QuotaRequest, Refusals, Timing, Update,
+    NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode, PeerNodeConfig, Refusals, Timing,
+    Update,
 };
 use smol_str::ToSmolStr;
 use tokio::runtime::Handle;
@@ -115,18 +115,6 @@
     fn config(&self) -> Option<ConfigText> {
         self.core.configuration.text()
     }
-
-    fn former_config(&self, _version: u64) -> Option<ConfigText> {
-        None
-    }
-
-    fn timeline(&self, _query: &[u8]) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn quota(&self, _req: QuotaRequest) -> QuotaReply {
-        QuotaReply::default()
-    }
 }
 
 /// Starts this node's part in the protocol between nodes.
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -43,17 +43,25 @@
     /// Takes what this node learned, in the order in which it did.
     fn updated(&self, updates: Vec<Update>);
 
-    /// The configuration in force here.
-    fn config(&self) -> Option<ConfigText>;
+    /// The configuration in force here, where this node has one to tell.
+    fn config(&self) -> Option<ConfigText> {
+        None
+    }
 
     /// A former configuration, when it is still at hand, so that a difference can be made.
-    fn former_config(&self, version: u64) -> Option<ConfigText>;
+    fn former_config(&self, _version: u64) -> Option<ConfigText> {
+        None
+    }
 
-    /// The events that `query` selects.
-    fn timeline(&self, query: &[u8]) -> Vec<u8>;
+    /// The events that `query` selects, where this node keeps any.
+    fn timeline(&self, _query: &[u8]) -> Vec<u8> {
+        Vec::new()
+    }
 
-    /// The slots that an entry is granted.
-    fn quota(&self, req: QuotaRequest) -> QuotaReply;
+    /// The slots that an entry is granted, where this node grants any.
+    fn quota(&self, _req: QuotaRequest) -> QuotaReply {
+        QuotaReply::default()
+    }
 
     /// The stamp that a batch carries, so that events of two nodes can be put in causal order.
     fn stamp(&self) -> Stamp {
