Count all nodes for the repeat bound, and spread requests by how old loads are

Cause: with more than twelve nodes state travels down trees, whose times were those of the product's own interface: confirmations every 4 s, loads every 20 s. Nodes count as dead after 2.2 s, so that of 74 nodes each heard about 14, and each took a fourteenth of the slack of the bound on repeats (2,273 repeats in 10 s where 1,609 are permitted; 0.8 x (0.2 x 6,654 + 278 x 5.4) fits). Callers' own returns were ruled out: they are new requests. A second cause of crowding: all nodes sent to the head that was emptiest by old loads.

Change: confirmations every 0.5 s, loads every 0.5 s and ticks of 0.25 s at any size; the slack is divided by all nodes that are known or were lost lately, and unused in the first window of a node's life, since one that just started knows no other; requests are spread by water level over what other nodes have likely sent since.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod place;
 mod planner;
+mod rate;
 mod retry;
 mod stall;
 
@@ -26,5 +27,6 @@
 pub use crate::planner::{
     Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
 };
+pub use crate::rate::Rate;
 pub use crate::retry::RetryWindow;
 pub use crate::stall::{Progress, StallRule};
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -32,30 +32,67 @@
     }
 }
 
+/// Unseen requests count this many times: while they came, about as many ended, and the old
+/// loads still hold those. Counted once, the busiest host of the play that [`place`] tells
+/// of has 2.3 times the mean.
+const TURNOVER: f64 = 2.0;
+/// Loads that differ by less than this count as equal.
+const SAME: f64 = 1e-9;
+
 /// The candidate that should run the request: the emptiest, a near one before a far one.
 ///
-/// `pick` is any number; it decides between equals, so that nodes that see the same
-/// don't all choose the same host.
+/// `unseen` is how many requests other nodes are likely to have sent since the loads were
+/// told. Nodes that all send to the emptiest host by the same old figures fill it far beyond
+/// its places while others stay empty. So the unseen requests are thought to be spread as
+/// evenly as the loads permit, and the choice falls on each host with the part that it gets
+/// of them. With fresh loads that is the emptiest host, with old ones nearly any. Played
+/// with 74 nodes, 24 hosts and loads up to 0.75 s old, no host has more than 1.97 times the
+/// mean; by the emptiest alone it is 13 times the mean.
+///
+/// `pick` is any number from 0 up to 1; nodes that see the same must not draw the same.
 pub fn place<'c>(
     candidates: impl IntoIterator<Item = &'c Candidate>,
-    pick: usize,
+    unseen: f64,
+    pick: f64,
 ) -> Option<&'c Candidate> {
-    let mut best: Vec<&Candidate> = Vec::new();
-    let mut least = f64::INFINITY;
-    for candidate in candidates {
-        let cost = candidate.cost();
-        if cost < least - 1e-9 {
-            least = cost;
-            best.clear();
+    let mut open: Vec<(f64, &Candidate)> = candidates.into_iter().map(|c| (c.cost(), c)).collect();
+    open.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let level = level(&open, unseen * TURNOVER);
+    let part = |(cost, c): &(f64, &Candidate)| {
+        if *cost > level + SAME {
+            return 0.0;
+        }
+        // Equals at the level share what is left where nothing is unseen.
+        (level - cost).max(SAME) * c.slots.max(1) as f64
+    };
+    let total: f64 = open.iter().map(part).sum();
+    let mut at = pick * total;
+    for entry in &open {
+        at -= part(entry);
+        if at < 0.0 {
+            return Some(entry.1);
         }
-        if cost <= least + 1e-9 {
-            best.push(candidate);
+    }
+    open.first().map(|(_, c)| *c)
+}
+
+/// The cost that all candidates below it reach once `unseen` requests were spread over them.
+/// `open` is sorted by cost.
+fn level(open: &[(f64, &Candidate)], unseen: f64) -> f64 {
+    let mut level = open.first().map_or(0.0, |(cost, _)| *cost);
+    let mut slots = 0.0;
+    let mut left = unseen;
+    for (index, (cost, candidate)) in open.iter().enumerate() {
+        let rise = (cost - level).max(0.0) * slots;
+        if index > 0 && rise > left {
+            break;
         }
+        left -= rise;
+        level = level.max(*cost);
+        slots += candidate.slots.max(1) as f64;
     }
-    let count = best.len();
-    if count == 0 {
-        None
-    } else {
-        best.get(pick % count).copied()
+    if slots > 0.0 {
+        level += left.max(0.0) / slots;
     }
+    level
 }
--- a/crates/fleet/src/retry.rs
+++ b/crates/fleet/src/retry.rs
@@ -12,22 +12,30 @@
 /// The bound holds for all nodes together: `ratio` x requests + `slack` in any window.
 /// Requests add up over nodes, so each node may use `ratio` of its own; the slack is
 /// divided by the number of nodes. No message between nodes is needed.
+///
+/// In the first window of its life a node uses none of the slack. Before it was started
+/// another node, or itself, may have used its part in the same window, and it doesn't know
+/// yet how many others there are: of 74 nodes that were killed and started again together
+/// each would take the whole slack for itself.
 #[derive(Clone, Debug)]
 pub struct RetryWindow {
     window: Duration,
     ratio: f64,
     slack: f64,
+    /// When the node started.
+    began: Instant,
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// An empty window.
-    pub fn new(window: Duration, ratio: f64, slack: f64) -> RetryWindow {
+    /// The empty window of a node that started at `began`.
+    pub fn new(window: Duration, ratio: f64, slack: f64, began: Instant) -> RetryWindow {
         RetryWindow {
             window,
             ratio,
             slack,
+            began,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
         }
@@ -42,7 +50,7 @@
     /// Takes one repeat from the budget, if there is one left among `nodes` nodes.
     pub fn try_repeat(&mut self, nodes: usize, now: Instant) -> bool {
         self.forget_old(now);
-        let own_slack = self.slack / nodes.max(1) as f64;
+        let own_slack = self.slack_at(now) / nodes.max(1) as f64;
         let permitted = USED_PART * (self.ratio * self.requests.len() as f64 + own_slack);
         let left = (self.repeats.len() as f64) + 1.0 <= permitted;
         if left {
@@ -51,6 +59,12 @@
         left
     }
 
+    /// The slack that nodes of this one's age may use together.
+    fn slack_at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.began);
+        if age < self.window { 0.0 } else { self.slack }
+    }
+
     fn forget_old(&mut self, now: Instant) {
         let window = self.window;
         let old = |at: &Instant| now.saturating_duration_since(*at) > window;
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -141,7 +141,7 @@
             candidate("near", near_load, true, 0),
             candidate("far", 4, false, 0),
         ];
-        place(&hosts, 0).map(|c| c.host.to_string())
+        place(&hosts, 0.0, 0.5).map(|c| c.host.to_string())
     };
     expect_that!(chosen(4), some(eq("near")));
     expect_that!(chosen(10), some(eq("near")));
@@ -150,8 +150,62 @@
         candidate("failing", 0, true, 500),
         candidate("busy", 20, true, 0),
     ];
-    expect_that!(place(&hosts, 0).map(|c| c.host.as_str()), some(eq("busy")));
-    expect_that!(place(&[], 0), none());
+    expect_that!(
+        place(&hosts, 0.0, 0.5).map(|c| c.host.as_str()),
+        some(eq("busy"))
+    );
+    expect_that!(place(&[], 0.0, 0.5), none());
+}
+
+/// 74 nodes send 433 requests a second to 24 heads and hear of each other's loads every half
+/// second, three quarters of a second late at most. If each chose the emptiest by what it
+/// heard, all would crowd one head after the other: it refuses what it has no place for, and
+/// its callers wait while other heads do nothing.
+#[gtest]
+fn many_nodes_with_old_loads_spread_over_all_heads() {
+    expect_that!(busiest_over_mean(74, 24, 0.0), gt(10.0));
+    expect_that!(busiest_over_mean(74, 24, 1.0), lt(2.0));
+    expect_that!(busiest_over_mean(7, 24, 1.0), lt(2.0));
+}
+
+/// The most requests that one of `heads` has at any time, over the mean of all: 433 requests
+/// come in a second, each runs for 0.9 s, and loads of others are known as they were up to
+/// 0.75 s ago. `counted` is the part of the unseen requests that nodes reckon with.
+fn busiest_over_mean(nodes: usize, heads: usize, counted: f64) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut ends, mut loads) = (Vec::new(), vec![0_usize; heads]);
+    let mut told = loads.clone();
+    let mut history = vec![loads.clone()];
+    let unseen = counted * 433.0 * 0.5 * (nodes - 1) as f64 / nodes as f64;
+    let (mut most, mut sum, mut seen) = (0, 0, 0);
+    for tick in 0..4330_u64 {
+        let ms = tick * 1000 / 433;
+        ends.retain(|(end, head): &(u64, usize)| {
+            let done = *end <= ms;
+            loads[*head] -= usize::from(done);
+            !done
+        });
+        history.push(loads.clone());
+        if tick % 216 == 0 {
+            // 250 ms on the way.
+            told.clone_from(&history[history.len().saturating_sub(108)]);
+        }
+        let candidates: Vec<Candidate> = told
+            .iter()
+            .enumerate()
+            .map(|(n, load)| candidate(&n.to_string(), *load, true, 0))
+            .collect();
+        let chosen = place(&candidates, unseen, rng.f64()).expect("heads are there");
+        let head: usize = chosen.host.parse().expect("a number");
+        loads[head] += 1;
+        ends.push((ms + 900, head));
+        if tick > 1000 {
+            most = most.max(loads[head]);
+            sum += loads.iter().sum::<usize>();
+            seen += 1;
+        }
+    }
+    most as f64 * heads as f64 * f64::from(seen) / sum as f64
 }
 
 /// All nodes repeat as much as they may while hosts fail. Over any window the sum stays
@@ -162,7 +216,7 @@
     let window = Duration::from_secs(10);
     let (nodes, slack, ratio) = (7, 132.0, 0.2);
     let mut all: Vec<RetryWindow> = (0..nodes)
-        .map(|_| RetryWindow::new(window, ratio, slack))
+        .map(|_| RetryWindow::new(window, ratio, slack, began))
         .collect();
     let mut repeats = Vec::new();
     let mut requests = Vec::new();
@@ -184,6 +238,41 @@
     expect_that!(repeats.len(), gt(300));
 }
 
+/// All nodes are killed and start again while hosts fail. A node that has just started knows
+/// no other, and some of the window's repeats were used before its start: the sum must stay
+/// under the bound all the same, or hosts that fail get still more work.
+#[gtest]
+fn nodes_that_start_again_together_stay_under_the_bound_on_repeats() {
+    let began = Instant::now();
+    let window = Duration::from_secs(10);
+    let (nodes, slack, ratio) = (74, 278.0, 0.2);
+    let fresh = |at| RetryWindow::new(window, ratio, slack, at);
+    let mut all: Vec<RetryWindow> = (0..nodes).map(|_| fresh(began)).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    let restart = began + millis(20_000);
+    for tick in 0..20_000_u64 {
+        let now = began + millis(tick * 2);
+        if now == restart {
+            all = (0..nodes).map(|_| fresh(now)).collect();
+        }
+        // For half a second after a start a node has heard of no other.
+        let alone = now >= restart && now < restart + millis(500);
+        let known = if alone { 1 } else { nodes };
+        let node = &mut all[(tick % nodes as u64) as usize];
+        node.on_request(now);
+        requests.push(now);
+        while node.try_repeat(known, now) {
+            repeats.push(now);
+        }
+    }
+    for from in requests.iter().step_by(100) {
+        let within = |at: &&Instant| **at >= *from && **at < *from + window;
+        let permitted = ratio * requests.iter().filter(within).count() as f64 + slack;
+        let used = repeats.iter().filter(within).count() as f64;
+        expect_that!(used, le(permitted));
+    }
+}
+
 /// A replica loses a member: nothing comes any more. A slow one gives its events rarely
 /// but gives them, and must not be taken for one that stands still.
 #[gtest]
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{NodeId, ServiceName};
 use eelgrassmill_engine::TargetClient;
@@ -18,7 +18,7 @@
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
-use crate::peers::Peers;
+use crate::peers::{LOAD_INTERVAL, Peers};
 use crate::planning::PlanningEvent;
 use crate::ports::Platform;
 use crate::turn::Turns;
@@ -44,9 +44,15 @@
     served: AtomicBool,
     store_failures: AtomicU64,
     peer: OnceLock<Arc<PeerNode<Peers<P>>>>,
+    /// How old other nodes' loads are when they are heard.
+    load_transit: Mutex<Duration>,
     pub(crate) began: Instant,
 }
 
+/// Weight of the newest time in the average of [`Core::load_age`], as 1 / this: some
+/// hundred are heard in a second.
+const TRANSIT_MEMORY: u32 = 64;
+
 impl<P: Platform> Core<P> {
     pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
         Core {
@@ -68,6 +74,7 @@
             served: AtomicBool::new(false),
             store_failures: AtomicU64::new(0),
             peer: OnceLock::new(),
+            load_transit: Mutex::new(LOAD_INTERVAL),
             began: Instant::now(),
         }
     }
@@ -117,9 +124,20 @@
         self.store_failures.store(0, Ordering::Relaxed);
     }
 
-    /// Nodes that share the bound on repeats, this one among them.
+    /// Nodes that take requests, this one among them, as far as it knows.
     pub(crate) fn node_count(&self) -> usize {
-        locked(&self.nodes).alive(Instant::now()).count() + 1
+        locked(&self.nodes).sharing(Instant::now())
+    }
+
+    /// Notes how old another node's load was when it was heard.
+    pub(crate) fn load_heard(&self, transit: Duration) {
+        let mut mean = locked(&self.load_transit);
+        *mean = (*mean * (TRANSIT_MEMORY - 1) + transit) / TRANSIT_MEMORY;
+    }
+
+    /// How old other nodes' loads are on average when they are used.
+    pub(crate) fn load_age(&self) -> Duration {
+        *locked(&self.load_transit) + LOAD_INTERVAL / 2
     }
 
     /// Says that a place at a head may have become free.
@@ -158,7 +176,7 @@
         service: &ServiceName,
     ) -> &'w mut RetryWindow {
         let rules = self.cfg.retries;
-        let fresh = || RetryWindow::new(rules.window, rules.ratio, rules.slack);
+        let fresh = || RetryWindow::new(rules.window, rules.ratio, rules.slack, self.began);
         windows.entry(service.clone()).or_insert_with(fresh)
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -219,7 +219,7 @@
             }
         })
         .collect();
-    let chosen = place(&candidates, fastrand::usize(..))?;
+    let chosen = place(&candidates, 0.0, fastrand::f64())?;
     fleet.host(&chosen.host).cloned()
 }
 
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -8,7 +8,8 @@
 use smol_str::SmolStr;
 
 /// A node that was not heard of for this long is taken for dead. Nodes confirm every
-/// 500 ms, and a lost packet takes a second to come again.
+/// 500 ms, which takes three hops of 250 ms in a larger system, and a lost packet takes a
+/// second to come again.
 const DEAD_AFTER: Duration = Duration::from_millis(2200);
 
 /// Most addresses in one answer, the most that callers take.
@@ -89,6 +90,14 @@
         silences.filter(|silence| *silence < REMEMBERED)
     }
 
+    /// How many nodes, this one among them, may be sending requests or have sent some
+    /// lately: all that are known, whether heard just now or not, and those that were lost.
+    pub(crate) fn sharing(&self, now: Instant) -> usize {
+        let lately = |at: &&Instant| now.saturating_duration_since(**at) < REMEMBERED;
+        let lost = self.lost.values().filter(lately).count();
+        1 + self.known.len() + lost
+    }
+
     /// Whether most nodes are up, as far as this one hears.
     pub(crate) fn hears_most(&self, now: Instant) -> bool {
         are_most(self.silences(now), DEAD_AFTER)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,7 +23,16 @@
 const SEAT: &str = "planner";
 /// Loads are told this often: heads hold some 25 requests and turn over that many in a
 /// second, so that older figures would send bursts to heads that are already full.
-const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+/// The same where updates take several hops, each of which adds up to a tick: news that
+/// are older on their way anyway gain little by coming more often.
+const LARGE_LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Nodes confirm that they are up this often, whatever their number: callers are given the
+/// addresses of nodes that were heard lately, and a confirmation is five bytes.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Ticks of a larger system. Three hops and a confirmation's interval stay well under
+/// [`crate::nodes::DEAD_AFTER`].
+const LARGE_TICK: Duration = Duration::from_millis(250);
 
 /// Takes the updates of other nodes.
 pub(crate) struct Peers<P: Platform> {
@@ -56,6 +65,7 @@
             Item::Status(status) => self.status(origin, status, as_of),
             Item::GroupLoad(load) => {
                 let running = (load.running + load.waiting) as usize;
+                self.core.load_heard(as_of.elapsed());
                 self.load(origin, &load.group, Some(load.epoch), running);
             }
             Item::Group(record) if record.group == SEAT => {
@@ -125,8 +135,11 @@
 ) -> Result<Arc<PeerNode<Peers<P>>>, PeerError> {
     let cfg = &core.cfg;
     let timing = Timing {
-        alive: Duration::from_millis(500),
+        alive: ALIVE_INTERVAL,
+        large_alive: ALIVE_INTERVAL,
+        large_tick: LARGE_TICK,
         slow: LOAD_INTERVAL,
+        large_slow: LARGE_LOAD_INTERVAL,
         expire: Duration::from_secs(8),
         ..Timing::default()
     };
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
-use eelgrassmill_fleet::{Candidate, place};
+use eelgrassmill_fleet::{Candidate, Rate, place};
 use tokio::sync::Notify;
 
 use crate::answer::{Refusal, RefusalCause};
@@ -63,6 +63,7 @@
 struct Queue {
     next: u64,
     waiting: BTreeMap<Key, Arc<Notify>>,
+    arrivals: Rate,
     /// Until then it is known that late ones get no turn.
     in_vain_until: Option<Instant>,
 }
@@ -80,6 +81,7 @@
         let name = (service.clone(), model.clone());
         let mut queues = locked(&self.queues);
         let queue = queues.entry(name.clone()).or_default();
+        queue.arrivals.on_event(Instant::now());
         let key = (rank, queue.next);
         queue.next += 1;
         let woken = Arc::new(Notify::new());
@@ -92,6 +94,13 @@
         }
     }
 
+    /// Requests for a model that come to this node in a second.
+    fn arrivals(&self, service: &ServiceName, model: &ModelName) -> f64 {
+        let queues = locked(&self.queues);
+        let queue = queues.get(&(service.clone(), model.clone()));
+        queue.map_or(0.0, |q| q.arrivals.per_second(Instant::now()))
+    }
+
     /// Wakes the first of each queue.
     pub(crate) fn wake(&self) {
         for queue in locked(&self.queues).values() {
@@ -239,7 +248,20 @@
     }
 }
 
-fn choose<P: Platform>(core: &Core<P>, service: &str, model: &str, avoid: &[HostId]) -> Choice {
+/// Requests for a model that other nodes are likely to have sent since they told their loads:
+/// callers choose among all nodes alike, so that each gets about as many as this one.
+fn unseen<P: Platform>(core: &Core<P>, service: &ServiceName, model: &ModelName) -> f64 {
+    let others = core.node_count().saturating_sub(1) as f64;
+    core.turns.arrivals(service, model) * others * core.load_age().as_secs_f64()
+}
+
+fn choose<P: Platform>(
+    core: &Core<P>,
+    service: &ServiceName,
+    model: &ModelName,
+    avoid: &[HostId],
+) -> Choice {
+    let unseen = unseen(core, service, model);
     let heads = locked(&core.heads);
     let mut open: Vec<&Arc<Head>> = heads.of_model(service, model).collect();
     if open.iter().any(|h| !avoid.contains(&h.host)) {
@@ -264,7 +286,7 @@
     let free = candidates
         .iter()
         .filter(|c| c.load < c.slots + AHEAD && !refuses(c));
-    let Some(chosen) = place(free, fastrand::usize(..)) else {
+    let Some(chosen) = place(free, unseen, fastrand::f64()) else {
         return Choice::Full { places };
     };
     let head = open.iter().find(|h| h.host == chosen.host);
