Choose models by the work of hosts, not of replicas

Cause: on grown Linsa, with replicas of 16 and 4 hosts and equal shares, the planner formed one of each a domain and left 17 of 37 hosts idle: need was share / replicas, so the model of 16 always came first and no longer fitted. A share is of the work of all hosts, so need is share / (replicas x size): four replicas of 4 for one of 16. On the smaller sites shares are as sizes, and nothing changes.

--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -119,11 +119,16 @@
 
     /// The models that a domain should form, the neediest first.
     ///
-    /// Need is the work for each replica, counting one more. A second replica of a model
+    /// Need is the work for each replica, counting one more. A model's share is of the work
+    /// of all hosts, so that one with small replicas needs more of them for the same share:
+    /// with sizes of 16 and 4 and equal shares four to one. A second replica of a model
     /// in one domain is wanted only of the neediest model: otherwise hosts that wait for
     /// one more would be taken from it.
     fn wanted_models<'e>(&self, view: &View<'e>, fabric: &FabricDomain) -> Vec<&'e ModelSpec> {
-        let need = |m: &ModelSpec| m.share.get() / (self.serving(view, m, None) + 1) as f64;
+        let need = |m: &ModelSpec| {
+            let replicas = (self.serving(view, m, None) + 1) as f64;
+            m.share.get() / (replicas * m.size.max(1) as f64)
+        };
         let mut models: Vec<&ModelSpec> = view.engine.models.iter().collect();
         models.sort_by(|a, b| need(b).total_cmp(&need(a)));
         let neediest = models.first().map(|m| m.name.clone());
