Have the platform's lists from other nodes, not each from the store

Longer pauses between questions were ruled out: heads that open would be seen later everywhere, and calls would still grow with nodes.

Change: the holder of the planner's seat reads the store, one node of each failure domain asks it, the others that one, by long polls with the list's age. A copy older than 1.1 s, a parent that gives no answer or that the store turns away, and the store is asked at once. Host entries are logged by the node that read them; others log the version. In the first window after a restart, not after the system's first start, the slack of the repeat bound is unused.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,7 +12,7 @@
 /// store is back. The platform promises that live hosts are listed again within about 2 s.
 const RELIST_TIME: Duration = Duration::from_millis(2000);
 
-value! {
+value! { wire
     /// A change of the host list.
     pub enum FleetChange {
         /// A host's entry is new or has changed.
@@ -22,7 +22,9 @@
         /// The whole list was read anew; whoever isn't in it is gone.
         Snapshot(Vec<Host>),
     }
+}
 
+value! {
     /// A replica as its members report it.
     pub struct Replica {
         /// Its name.
@@ -64,6 +66,15 @@
         self.hosts.get(id)
     }
 
+    /// The entries as the list last showed them, without what hosts said of themselves later.
+    pub fn listed(&self) -> impl Iterator<Item = &Host> {
+        let listed = self
+            .hosts
+            .values()
+            .filter(|h| !self.missing.contains(&h.id));
+        listed.map(|h| self.outdated.get(&h.id).unwrap_or(h))
+    }
+
     /// Notes that the store could not be reached or refused at `now`.
     ///
     /// Entries lapse while hosts can't write them, so the first lists after an outage
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-value! { copy
+value! { wire copy
     /// Whether a host takes new work.
     pub enum HostState {
         /// It does.
@@ -30,7 +30,7 @@
     }
 }
 
-value! {
+value! { wire
     /// A host's part in a replica.
     pub struct Membership {
         /// The replica.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod place;
 mod planner;
 mod rate;
+mod relay;
 mod retry;
 mod stall;
 
@@ -28,5 +29,6 @@
     Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
 };
 pub use crate::rate::Rate;
+pub use crate::relay::{Lacking, ListLog, list_parent};
 pub use crate::retry::RetryWindow;
 pub use crate::stall::{Progress, StallRule};
--- /dev/null
+++ b/crates/fleet/src/relay.rs
@@ -0,0 +1,130 @@
+//! Having the platform's lists from other nodes.
+//!
+//! The load it answers: many nodes that follow the same lists. Each would ask the platform's
+//! store for every change, so that its calls grow with nodes times changes: 19,600 calls in
+//! 48 s with 74 nodes and 225 hosts, a quarter of what the answers of that time were worth.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{FailureDomain, NodeId, rendezvous, value};
+
+/// How long changes are kept for nodes that lag behind. They ask twice a second; one that
+/// stood still for longer gets the whole list.
+const HISTORY: Duration = Duration::from_secs(5);
+
+/// The node from which `me` in `domain` has the lists; `None` where it reads them itself.
+///
+/// The `holder` of the planner's seat reads the store: it acts on what it reads. One node of
+/// each failure domain asks the holder, and the others of the domain that one, so that the
+/// store's calls don't grow with the number of nodes and few bytes cross between domains.
+/// `others` are the nodes that may have a copy, with their domains.
+pub fn list_parent<'n>(
+    me: &'n NodeId,
+    domain: &FailureDomain,
+    holder: Option<&'n NodeId>,
+    others: impl Iterator<Item = (&'n NodeId, &'n FailureDomain)>,
+) -> Option<&'n NodeId> {
+    if holder == Some(me) {
+        return None;
+    }
+    let mut holder_is_up = false;
+    let mut near = vec![me];
+    for (id, its_domain) in others {
+        let holds = holder == Some(id);
+        holder_is_up |= holds;
+        if its_domain == domain {
+            if holds {
+                return Some(id);
+            }
+            near.push(id);
+        }
+    }
+    let first = rendezvous(domain, near.iter().copied()).first().copied();
+    first
+        .filter(|id| *id != me)
+        .or(holder.filter(|_| holder_is_up))
+}
+
+value! {
+    /// What a node that has a list up to some version lacks.
+    pub enum Lacking {
+        /// These changes, in order.
+        Changes(Vec<Vec<u8>>),
+        /// More than is kept: the whole list has to be told.
+        Whole,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Batch {
+    /// The list's version with these changes.
+    version: u64,
+    at: Instant,
+    changes: Vec<Vec<u8>>,
+}
+
+/// The latest changes of a list, as this node learned of them.
+#[derive(Clone, Debug, Default)]
+pub struct ListLog {
+    /// Who has this version lacks nothing older than `batches`.
+    from: u64,
+    /// Invariant: in the order of their versions.
+    batches: VecDeque<Batch>,
+    version: u64,
+    /// When the list is known to have been as it is here.
+    as_of: Option<Instant>,
+}
+
+impl ListLog {
+    /// The list's version here; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// For how long nothing is known of the list; `None` where nothing ever was.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.as_of.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Takes the changes up to `version`, as the list was at `as_of`.
+    pub fn take(&mut self, changes: Vec<Vec<u8>>, version: u64, as_of: Instant, now: Instant) {
+        self.seen(version, as_of);
+        if !changes.is_empty() {
+            let at = now;
+            self.batches.push_back(Batch {
+                version,
+                at,
+                changes,
+            });
+        }
+        let old = |b: &Batch| now.saturating_duration_since(b.at) > HISTORY;
+        while let Some(batch) = self.batches.pop_front_if(|b| old(b)) {
+            self.from = batch.version;
+        }
+    }
+
+    /// Notes that the whole list was read: no change before `version` is known.
+    pub fn take_whole(&mut self, version: u64, as_of: Instant) {
+        self.batches.clear();
+        self.from = version;
+        self.seen(version, as_of);
+    }
+
+    fn seen(&mut self, version: u64, as_of: Instant) {
+        self.version = self.version.max(version);
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+
+    /// What a node lacks that has the list up to `since`.
+    ///
+    /// A batch whose beginning the node has already is told whole: taken in order, its
+    /// changes lead to the same end.
+    pub fn after(&self, since: u64) -> Lacking {
+        if since < self.from || since == 0 || self.as_of.is_none() {
+            return Lacking::Whole;
+        }
+        let newer = self.batches.iter().filter(|b| b.version > since);
+        Lacking::Changes(newer.flat_map(|b| b.changes.iter().cloned()).collect())
+    }
+}
--- a/crates/fleet/src/retry.rs
+++ b/crates/fleet/src/retry.rs
@@ -13,7 +13,7 @@
 /// Requests add up over nodes, so each node may use `ratio` of its own; the slack is
 /// divided by the number of nodes. No message between nodes is needed.
 ///
-/// In the first window of its life a node uses none of the slack. Before it was started
+/// In the first window after a restart a node uses none of the slack. Before it was started
 /// another node, or itself, may have used its part in the same window, and it doesn't know
 /// yet how many others there are: of 74 nodes that were killed and started again together
 /// each would take the whole slack for itself.
@@ -22,20 +22,26 @@
     window: Duration,
     ratio: f64,
     slack: f64,
-    /// When the node started.
-    began: Instant,
+    /// When the node started, if the system had run before.
+    restarted: Option<Instant>,
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// The empty window of a node that started at `began`.
-    pub fn new(window: Duration, ratio: f64, slack: f64, began: Instant) -> RetryWindow {
+    /// An empty window. `restarted` is when the node started, unless the whole system started
+    /// then for the first time.
+    pub fn new(
+        window: Duration,
+        ratio: f64,
+        slack: f64,
+        restarted: Option<Instant>,
+    ) -> RetryWindow {
         RetryWindow {
             window,
             ratio,
             slack,
-            began,
+            restarted,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
         }
@@ -61,8 +67,12 @@
 
     /// The slack that nodes of this one's age may use together.
     fn slack_at(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.began);
-        if age < self.window { 0.0 } else { self.slack }
+        let young = |at: Instant| now.saturating_duration_since(at) < self.window;
+        if self.restarted.is_some_and(young) {
+            0.0
+        } else {
+            self.slack
+        }
     }
 
     fn forget_old(&mut self, now: Instant) {
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -216,7 +216,7 @@
     let window = Duration::from_secs(10);
     let (nodes, slack, ratio) = (7, 132.0, 0.2);
     let mut all: Vec<RetryWindow> = (0..nodes)
-        .map(|_| RetryWindow::new(window, ratio, slack, began))
+        .map(|_| RetryWindow::new(window, ratio, slack, None))
         .collect();
     let mut repeats = Vec::new();
     let mut requests = Vec::new();
@@ -246,7 +246,7 @@
     let began = Instant::now();
     let window = Duration::from_secs(10);
     let (nodes, slack, ratio) = (74, 278.0, 0.2);
-    let fresh = |at| RetryWindow::new(window, ratio, slack, at);
+    let fresh = |at| RetryWindow::new(window, ratio, slack, Some(at));
     let mut all: Vec<RetryWindow> = (0..nodes).map(|_| fresh(began)).collect();
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
     let restart = began + millis(20_000);
--- /dev/null
+++ b/crates/fleet/tests/relay.rs
@@ -0,0 +1,113 @@
+//! Who has the platform's lists from whom, and what is told of them.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{FailureDomain, NodeId};
+use eelgrassmill_fleet::{Lacking, ListLog, list_parent};
+use googletest::prelude::*;
+
+const fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Nodes in three failure domains.
+fn nodes(count: usize) -> Vec<(NodeId, FailureDomain)> {
+    let node = |n: usize| (format!("n{n}").into(), format!("z{}", n % 3).into());
+    (0..count).map(node).collect()
+}
+
+/// The parent of the node at `me`, among those of `up`.
+fn parent<'n>(
+    up: &'n [(NodeId, FailureDomain)],
+    me: usize,
+    holder: Option<&'n NodeId>,
+) -> Option<&'n NodeId> {
+    let others = up.iter().enumerate().filter(|(n, _)| *n != me);
+    let others = others.map(|(_, (id, domain))| (id, domain));
+    list_parent(&up[me].0, &up[me].1, holder, others)
+}
+
+/// How many of the nodes ask the store, and the longest way of a change from it.
+fn readers_and_hops(up: &[(NodeId, FailureDomain)], holder: Option<&NodeId>) -> (usize, usize) {
+    let index = |id: &NodeId| up.iter().position(|(other, _)| other == id);
+    let mut readers = 0;
+    let mut hops = 0;
+    for me in 0..up.len() {
+        let mut at = me;
+        let mut way = 0;
+        while let Some(next) = parent(up, at, holder) {
+            at = index(next).expect("parents are nodes that are up");
+            way += 1;
+            assert!(way <= up.len(), "nodes ask each other in a circle");
+        }
+        readers += usize::from(way == 0);
+        hops = hops.max(way);
+    }
+    (readers, hops)
+}
+
+/// From 5 to 300 nodes the store is asked by the holder of the seat alone, and while nobody
+/// holds it by one node of each failure domain. Any node may be gone.
+#[gtest]
+fn the_store_is_asked_by_a_handful_whatever_the_number_of_nodes() {
+    for count in [5, 7, 74, 300] {
+        let all = nodes(count);
+        for gone in 0..count.min(40) {
+            let mut up = all.clone();
+            let (gone, _) = up.remove(gone);
+            let domains: BTreeSet<&FailureDomain> = up.iter().map(|(_, d)| d).collect();
+            let one_a_domain = domains.len();
+            expect_that!(readers_and_hops(&up, None), eq((one_a_domain, 1)));
+            let holder = up[count / 2].0.clone();
+            let (readers, hops) = readers_and_hops(&up, Some(&holder));
+            expect_that!(readers, eq(1), "{count} nodes");
+            expect_that!(hops, le(2), "{count} nodes");
+            // It is still said to hold the seat, but nobody hears it.
+            expect_that!(readers_and_hops(&up, Some(&gone)), eq((one_a_domain, 1)));
+        }
+    }
+}
+
+fn change(n: u8) -> Vec<u8> {
+    vec![n]
+}
+
+/// A node that lags behind gets what it lacks, also when its version lies within a batch; one
+/// that lags too far gets the whole list, and never a part of it with a gap.
+#[gtest]
+fn changes_are_told_without_a_gap() {
+    let now = Instant::now();
+    let mut log = ListLog::default();
+    expect_that!(log.after(3), eq(&Lacking::Whole));
+    log.take_whole(10, now);
+    log.take(vec![change(1), change(2)], 14, now, now);
+    log.take(vec![], 17, now + millis(500), now + millis(500));
+    log.take(vec![change(3)], 20, now + millis(900), now + millis(900));
+    expect_that!(log.after(0), eq(&Lacking::Whole));
+    expect_that!(log.after(9), eq(&Lacking::Whole));
+    let changes = |parts: &[u8]| Lacking::Changes(parts.iter().map(|n| change(*n)).collect());
+    expect_that!(log.after(10), eq(&changes(&[1, 2, 3])));
+    expect_that!(log.after(12), eq(&changes(&[1, 2, 3])));
+    expect_that!(log.after(14), eq(&changes(&[3])));
+    expect_that!(log.after(20), eq(&changes(&[])));
+    log.take(vec![change(4)], 30, now + millis(6000), now + millis(6000));
+    expect_that!(log.after(14), eq(&Lacking::Whole));
+    expect_that!(log.after(20), eq(&changes(&[4])));
+}
+
+/// A node is cut off from the store and goes on answering others. The age that it tells must
+/// grow all the while, or they would take its old list for the present one.
+#[gtest]
+fn a_list_that_nothing_confirms_grows_old() {
+    let now = Instant::now();
+    let mut log = ListLog::default();
+    expect_that!(log.age(now), none());
+    log.take_whole(10, now);
+    log.take(vec![], 10, now + millis(400), now + millis(410));
+    expect_that!(log.age(now + millis(1000)), some(eq(millis(600))));
+    // News that is older than what is known makes it no younger and no older.
+    log.take(vec![], 8, now + millis(100), now + millis(1000));
+    expect_that!(log.age(now + millis(1000)), some(eq(millis(600))));
+    expect_that!(log.version(), eq(10));
+}
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -46,6 +46,16 @@
         Arc::clone(&held.catalog)
     }
 
+    /// The configuration in force with its text; `None` before there is one.
+    pub(crate) fn accepted(&self) -> Option<Accepted> {
+        let held = self.held.read().unwrap_or_else(PoisonError::into_inner);
+        let known = held.catalog.version() > 0;
+        known.then(|| Accepted {
+            catalog: Catalog::clone(&held.catalog),
+            text: held.text.clone(),
+        })
+    }
+
     /// Its text as other nodes get it; `None` before there is one.
     pub(crate) fn text(&self) -> Option<ConfigText> {
         let held = self.held.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -21,6 +21,7 @@
 use crate::peers::{LOAD_INTERVAL, Peers};
 use crate::planning::PlanningEvent;
 use crate::ports::Platform;
+use crate::relay::Lists;
 use crate::turn::Turns;
 
 /// A node's state.
@@ -33,8 +34,10 @@
     pub(crate) heads: Mutex<HeadTable>,
     pub(crate) targets: Mutex<TargetStats>,
     pub(crate) nodes: Mutex<Nodes>,
-    /// Other nodes that say that they hold the planner's seat, and their terms.
+    /// Nodes that say that they hold the planner's seat, this one too, and their terms.
     pub(crate) seats: Mutex<BTreeMap<NodeId, u64>>,
+    /// What this node tells others of the platform's lists.
+    pub(crate) lists: Lists,
     pub(crate) retries: Mutex<HashMap<ServiceName, RetryWindow>>,
     pub(crate) metrics: Metrics,
     pub(crate) turns: Turns,
@@ -65,6 +68,7 @@
             targets: Mutex::default(),
             nodes: Mutex::default(),
             seats: Mutex::default(),
+            lists: Lists::default(),
             retries: Mutex::default(),
             metrics: Metrics::default(),
             turns: Turns::default(),
@@ -176,7 +180,8 @@
         service: &ServiceName,
     ) -> &'w mut RetryWindow {
         let rules = self.cfg.retries;
-        let fresh = || RetryWindow::new(rules.window, rules.ratio, rules.slack, self.began);
+        let restarted = (!self.cfg.first_start).then_some(self.began);
+        let fresh = || RetryWindow::new(rules.window, rules.ratio, rules.slack, restarted);
         windows.entry(service.clone()).or_insert_with(fresh)
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,8 +1,9 @@
-//! Following the platform's lists.
+//! Following the platform's lists, in the store or through another node.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use eelgrassmill_base::NodeId;
 use eelgrassmill_fleet::{FleetChange, Host};
 use tracing::{info, warn};
 
@@ -10,10 +11,12 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
+use crate::relay::{self, News, Relayed};
 
-/// Longest wait of one question for changes. A connection that went silent for good shows
-/// only as a question without an answer, so this bounds how long a change goes unseen.
-const WAIT: Duration = Duration::from_secs(3);
+/// Longest wait of one question to the store for changes. The answer also says that nothing
+/// else has changed, which other nodes have to know twice a second, and a connection that
+/// went silent for good shows only as a question without an answer.
+const WAIT: Duration = Duration::from_millis(500);
 /// Pause after an answer with changes, so that changes that come together cost one call.
 const GATHER: Duration = Duration::from_millis(60);
 /// Pause after a failure; grows up to [`MAX_PAUSE`].
@@ -23,10 +26,115 @@
 
 /// What becomes of changes.
 pub(crate) trait Sink<C> {
-    /// The name of the list, for logs.
-    const LIST: &'static str;
-    /// Takes changes in order.
-    fn take(&self, changes: Vec<C>);
+    /// Takes changes in order. `from` is the node that told them, `None` for the store.
+    fn take(&self, changes: Vec<C>, version: Cursor, from: Option<&NodeId>);
+}
+
+/// What a node has read of a list.
+struct Reader<'r, P: Platform, S> {
+    core: &'r Core<P>,
+    source: &'r S,
+    /// Where the list's feed goes on; `None` where the whole list has to be read.
+    cursor: Option<Cursor>,
+    /// The highest version that was read.
+    newest: Cursor,
+    /// Whether the last question was answered.
+    healthy: bool,
+}
+
+/// An answer to a question for changes.
+struct Answer<C> {
+    news: News<C>,
+    encoded: Vec<Vec<u8>>,
+    /// The node that gave it; `None` for the store.
+    from: Option<NodeId>,
+}
+
+impl<P, S> Reader<'_, P, S>
+where
+    P: Platform,
+    S: Source,
+    S::Change: Relayed<P>,
+{
+    /// What is new, from the node that should tell it, or else from the store.
+    async fn next(&self) -> Result<Answer<S::Change>, SourceError> {
+        let Some(parent) = relay::parent(self.core) else {
+            // After a failure the first question is one that is answered at once: a wait
+            // on a connection that is dead would hide for seconds that the store is back.
+            let wait = if self.healthy { WAIT } else { Duration::ZERO };
+            return self.read_store(wait).await;
+        };
+        let since = self.cursor.unwrap_or_default();
+        match relay::ask::<P, S::Change>(self.core, &parent, since).await {
+            Ok((news, encoded)) => Ok(Answer {
+                news,
+                encoded,
+                from: Some(parent),
+            }),
+            Err(why) => {
+                info!(event = "no-copy", list = S::Change::LIST, node = %parent, %why);
+                locked(&self.core.nodes).gave_no_copy(&parent, Instant::now());
+                self.read_store(Duration::ZERO).await
+            }
+        }
+    }
+
+    async fn read_store(&self, wait: Duration) -> Result<Answer<S::Change>, SourceError> {
+        let (changes, version) = match self.cursor {
+            None => self.source.snapshot().await?,
+            Some(since) => self.source.changes(since, wait).await?,
+        };
+        let encoded: Result<Vec<_>, _> = changes.iter().map(Relayed::encode).collect();
+        Ok(Answer {
+            encoded: encoded?,
+            news: News {
+                changes,
+                version,
+                as_of: Instant::now(),
+                whole: self.cursor.is_none(),
+            },
+            from: None,
+        })
+    }
+
+    /// Whether an answer shows an older state than one before, and so says nothing of now.
+    fn is_older(&self, news: &News<S::Change>) -> bool {
+        news.whole && news.version < self.newest
+    }
+
+    /// Takes an answer over. Whether it brought changes.
+    fn take(&mut self, answer: Answer<S::Change>, sink: &impl Sink<S::Change>) -> bool {
+        let Answer {
+            news,
+            encoded,
+            from,
+        } = answer;
+        if !self.healthy {
+            info!(
+                event = "dependency",
+                list = S::Change::LIST,
+                state = "answers",
+                version = news.version,
+                from = from.as_deref().unwrap_or("store"),
+            );
+        }
+        self.healthy = true;
+        self.newest = self.newest.max(news.version);
+        self.cursor = Some(self.newest);
+        let changed = !news.changes.is_empty();
+        if changed {
+            sink.take(news.changes, news.version, from.as_ref());
+        }
+        // Told on only once it is in force here: a node that is asked for the whole list
+        // tells what it has.
+        S::Change::log(self.core).take(&News {
+            changes: encoded,
+            version: news.version,
+            as_of: news.as_of,
+            whole: news.whole,
+        });
+        changed
+    }
 }
 
 /// Keeps a sink up to date with a source, for ever.
@@ -34,55 +142,38 @@
 where
     P: Platform,
     S: Source,
+    S::Change: Relayed<P>,
     K: Sink<S::Change>,
 {
-    let mut cursor: Option<Cursor> = None;
-    let mut newest: Cursor = 0;
+    let list = S::Change::LIST;
+    let mut reader = Reader {
+        core,
+        source,
+        cursor: None,
+        newest: 0,
+        healthy: false,
+    };
     let mut pause = FIRST_PAUSE;
-    let mut healthy = false;
     loop {
-        let result = match cursor {
-            None => source.snapshot().await,
-            // After a failure the first question is one that is answered at once: a wait
-            // on a connection that is dead would hide for seconds that the store is back.
-            Some(since) if !healthy => source.changes(since, Duration::ZERO).await,
-            Some(since) => source.changes(since, WAIT).await,
-        };
-        match result {
-            // A read that shows an older state than one before says nothing of now.
-            Ok((_, at)) if cursor.is_none() && at < newest => {
-                tokio::time::sleep(pause).await;
-            }
-            Ok((changes, at)) => {
+        match reader.next().await {
+            Ok(answer) if reader.is_older(&answer.news) => tokio::time::sleep(pause).await,
+            Ok(answer) => {
                 core.store_answered();
-                if !healthy {
-                    info!(
-                        event = "dependency",
-                        list = K::LIST,
-                        state = "answers",
-                        version = at
-                    );
-                }
-                healthy = true;
                 pause = FIRST_PAUSE;
-                newest = newest.max(at);
-                cursor = Some(newest);
-                let quiet = changes.is_empty();
-                sink.take(changes);
-                if !quiet {
+                if reader.take(answer, sink) {
                     tokio::time::sleep(GATHER).await;
                 }
             }
             Err(SourceError::Compacted) => {
-                info!(event = "dependency", list = K::LIST, state = "history-gone");
-                cursor = None;
+                info!(event = "dependency", list, state = "history-gone");
+                reader.cursor = None;
             }
             Err(err) => {
                 core.store_failed();
-                if healthy || pause == FIRST_PAUSE {
-                    warn!(event = "dependency", list = K::LIST, state = "fails", %err);
+                if reader.healthy || pause == FIRST_PAUSE {
+                    warn!(event = "dependency", list, state = "fails", %err);
                 }
-                healthy = false;
+                reader.healthy = false;
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
@@ -96,35 +187,34 @@
 pub(crate) struct HostSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
 impl<P: Platform> Sink<FleetChange> for HostSink<P> {
-    const LIST: &'static str = "hosts";
-
-    fn take(&self, changes: Vec<FleetChange>) {
+    fn take(&self, changes: Vec<FleetChange>, version: Cursor, from: Option<&NodeId>) {
         let now = Instant::now();
-        let mut changed = !changes.is_empty();
+        // The node that reads the store tells each change; the others which ones they have,
+        // by their version. With 74 nodes all of them would be 55,000 lines in 15 s.
+        if let Some(from) = from {
+            info!(event = "hosts", version, changes = changes.len(), %from);
+        }
         {
             let mut fleet = locked(&self.0.fleet);
             let mut gone = Vec::new();
             for change in changes {
-                if let FleetChange::Put(host) = &change {
-                    note(host);
+                if let (FleetChange::Put(host), None) = (&change, from) {
+                    note(host, version);
                 }
                 gone.extend(fleet.apply(change, now));
             }
-            changed |= !gone.is_empty();
             for host in gone {
                 info!(event = "host-gone", %host, reason = "no longer listed");
             }
         }
-        if changed {
-            self.0.refresh_heads();
-        }
+        self.0.refresh_heads();
     }
 }
 
-fn note(host: &Host) {
+fn note(host: &Host, version: Cursor) {
     let m = host.membership.as_ref();
     info!(
-        event = "host", host = %host.id, state = ?host.state, born = host.born_ms,
+        event = "host", version, host = %host.id, state = ?host.state, born = host.born_ms,
         fabric = %host.fabric, staged = ?host.staged,
         replica = m.map_or("", |m| m.replica.as_str()), epoch = m.map_or(0, |m| m.epoch),
         rank = m.map_or(0, |m| m.rank), phase = ?m.map(|m| m.phase),
@@ -136,11 +226,10 @@
 pub(crate) struct CatalogSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
 impl<P: Platform> Sink<Accepted> for CatalogSink<P> {
-    const LIST: &'static str = "configuration";
-
-    fn take(&self, changes: Vec<Accepted>) {
+    fn take(&self, changes: Vec<Accepted>, _version: Cursor, from: Option<&NodeId>) {
+        let source = from.map_or("store", |node| node.as_str());
         for accepted in changes {
-            configuration::take(&self.0, accepted, "store");
+            configuration::take(&self.0, accepted, source);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod planning;
 mod ports;
+mod relay;
 mod seat;
 mod server;
 mod settings;
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -32,6 +32,10 @@
 /// that is cut off from all would soon be most of those that it knows.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
+/// A node that gave no usable copy of a list is asked for none for this long: until a node
+/// that died counts as dead, and longer than most connections are silent.
+const NO_COPY: Duration = Duration::from_secs(3);
+
 /// The other nodes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Nodes {
@@ -39,6 +43,8 @@
     /// Nodes that were given up without having said that they leave, and when they were
     /// last heard.
     lost: BTreeMap<NodeId, Instant>,
+    /// Nodes that gave no usable copy of the platform's lists, and when.
+    no_copy: BTreeMap<NodeId, Instant>,
 }
 
 impl Nodes {
@@ -112,6 +118,27 @@
             .map(|(id, _)| id)
     }
 
+    /// Notes that a node gave no usable copy of a list.
+    pub(crate) fn gave_no_copy(&mut self, node: &NodeId, now: Instant) {
+        self.no_copy.insert(node.clone(), now);
+    }
+
+    /// The nodes that are up and may have a copy of the platform's lists, with their failure
+    /// domains.
+    pub(crate) fn with_copies(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&NodeId, &FailureDomain)> {
+        let lately = move |at: &Instant| now.saturating_duration_since(*at) < NO_COPY;
+        let has_copy = move |id: &NodeId| !self.no_copy.get(id).is_some_and(lately);
+        let stays = move |k: &Known| k.is_alive(now) && !k.leaving;
+        let usable = self
+            .known
+            .iter()
+            .filter(move |(id, k)| stays(k) && has_copy(id));
+        usable.map(|(id, k)| (id, &k.failure_domain))
+    }
+
     /// The addresses for callers in `near`, `own` among them unless it is `None`.
     pub(crate) fn addresses(
         &self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,14 +1,15 @@
 //! What this node does with what other nodes tell it.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
 use eelgrassmill_peer::{
-    Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey, Member,
-    NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode, PeerNodeConfig, Refusals, Timing,
-    Update,
+    Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey, ListReply,
+    ListRequest, Member, NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode, PeerNodeConfig,
+    Refusals, Timing, Update,
 };
 use smol_str::ToSmolStr;
 use tokio::runtime::Handle;
@@ -17,7 +18,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Platform, SeatRecord};
-use crate::watch;
+use crate::{relay, watch};
 
 /// Under this name the holder of the planner's seat tells its term.
 const SEAT: &str = "planner";
@@ -125,6 +126,10 @@
     fn config(&self) -> Option<ConfigText> {
         self.core.configuration.text()
     }
+
+    fn list(&self, req: ListRequest) -> impl Future<Output = ListReply> + Send {
+        relay::answer(Arc::clone(&self.core), req)
+    }
 }
 
 /// Starts this node's part in the protocol between nodes.
@@ -189,6 +194,11 @@
 
 /// Tells the other nodes that this one holds the seat, or no longer does.
 pub(crate) fn publish_seat<P: Platform>(core: &Core<P>, seat: Option<&SeatRecord>) {
+    let me = &core.cfg.node;
+    match seat {
+        Some(seat) => locked(&core.seats).insert(me.clone(), seat.term),
+        None => locked(&core.seats).remove(me),
+    };
     let Some(peer) = core.peer() else { return };
     match seat {
         Some(seat) => peer.publish(Item::Group(GroupRecord {
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,250 @@
+//! Telling other nodes the platform's lists, and having them from other nodes.
+//!
+//! Who asks whom is [`list_parent`]'s choice. A node whose parent gives no fresh copy within a
+//! fraction of a second asks the store itself, so that a parent's death or its being cut off
+//! from the store costs less time than a change may stay unseen.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::NodeId;
+use eelgrassmill_fleet::{FleetChange, Lacking, ListLog, list_parent};
+use eelgrassmill_peer::{ListReply, ListRequest};
+use tokio::sync::watch;
+
+use crate::core::Core;
+use crate::heads::locked;
+use crate::ports::{Accepted, Cursor, Platform, SourceError};
+use crate::seat;
+
+/// A copy that is older than this is of no use: with one more question to the store a
+/// change must be seen within 2 s, the shortest bound that platforms set. Copies in order
+/// are half a second old at the node that asks the store, and as much more one hop on.
+const MAX_AGE: Duration = Duration::from_millis(1100);
+/// Longest wait of one question to another node.
+const WAIT: Duration = Duration::from_millis(400);
+/// An answer may take this long beyond its wait; between failure domains it takes 1 to 5 ms,
+/// and one repeated packet some 200 ms.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// A list as other nodes get it.
+#[derive(Debug, Default)]
+pub(crate) struct SharedLog {
+    log: Mutex<ListLog>,
+    version: watch::Sender<Cursor>,
+}
+
+impl SharedLog {
+    /// Notes what was read, as it is now known to be or to have been.
+    pub(crate) fn take(&self, news: &News<Vec<u8>>) {
+        {
+            let mut log = locked(&self.log);
+            if news.whole {
+                log.take_whole(news.version, news.as_of);
+            } else {
+                let changes = news.changes.clone();
+                log.take(changes, news.version, news.as_of, Instant::now());
+            }
+        }
+        self.version.send_if_modified(|version| {
+            let newer = news.version > *version;
+            *version = news.version.max(*version);
+            newer
+        });
+    }
+
+    /// Waits until the list is newer than `since`.
+    async fn newer_than(&self, since: Cursor) {
+        let mut rx = self.version.subscribe();
+        // The sender lives as long as `self`.
+        let _ = rx.wait_for(|version| *version > since).await;
+    }
+}
+
+/// All lists that nodes tell each other.
+#[derive(Debug, Default)]
+pub(crate) struct Lists {
+    pub(crate) hosts: SharedLog,
+    pub(crate) configuration: SharedLog,
+}
+
+/// Changes of a list, and how it is known.
+#[derive(Clone, Debug)]
+pub(crate) struct News<C> {
+    pub(crate) changes: Vec<C>,
+    pub(crate) version: Cursor,
+    /// When the list is known to have been like this.
+    pub(crate) as_of: Instant,
+    /// The changes are the whole list.
+    pub(crate) whole: bool,
+}
+
+/// A list that nodes tell each other, with the spelling of its changes.
+pub(crate) trait Relayed<P: Platform>: Sized {
+    /// The name of the list, in questions and logs.
+    const LIST: &'static str;
+
+    /// Where it is kept for other nodes.
+    fn log(core: &Core<P>) -> &SharedLog;
+
+    /// The whole list as this node has it; nothing where it has none.
+    fn whole(core: &Core<P>) -> Vec<Self>;
+
+    /// The change as it travels.
+    fn encode(&self) -> Result<Vec<u8>, SourceError>;
+
+    /// Reads what travelled.
+    fn decode(platform: &P, bytes: &[u8]) -> Result<Self, SourceError>;
+}
+
+impl<P: Platform> Relayed<P> for FleetChange {
+    const LIST: &'static str = "hosts";
+
+    fn log(core: &Core<P>) -> &SharedLog {
+        &core.lists.hosts
+    }
+
+    fn whole(core: &Core<P>) -> Vec<FleetChange> {
+        let fleet = locked(&core.fleet);
+        if !fleet.is_loaded() {
+            return Vec::new();
+        }
+        vec![FleetChange::Snapshot(fleet.listed().cloned().collect())]
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, SourceError> {
+        serde_json::to_vec(self).map_err(|e| SourceError::Malformed(e.to_string()))
+    }
+
+    fn decode(_platform: &P, bytes: &[u8]) -> Result<FleetChange, SourceError> {
+        serde_json::from_slice(bytes).map_err(|e| SourceError::Malformed(e.to_string()))
+    }
+}
+
+impl<P: Platform> Relayed<P> for Accepted {
+    const LIST: &'static str = "configuration";
+
+    fn log(core: &Core<P>) -> &SharedLog {
+        &core.lists.configuration
+    }
+
+    fn whole(core: &Core<P>) -> Vec<Accepted> {
+        core.configuration.accepted().into_iter().collect()
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, SourceError> {
+        Ok(self.text.clone().into_bytes())
+    }
+
+    fn decode(platform: &P, bytes: &[u8]) -> Result<Accepted, SourceError> {
+        let text = String::from_utf8(bytes.to_vec());
+        let text = text.map_err(|e| SourceError::Malformed(e.to_string()))?;
+        let catalog = platform.read_catalog(&text)?;
+        Ok(Accepted { catalog, text })
+    }
+}
+
+/// Answers another node's question for a list.
+pub(crate) async fn answer<P: Platform>(core: Arc<Core<P>>, req: ListRequest) -> ListReply {
+    if req.list == <FleetChange as Relayed<P>>::LIST {
+        return answer_for::<P, FleetChange>(&core, &req).await;
+    }
+    if req.list == <Accepted as Relayed<P>>::LIST {
+        return answer_for::<P, Accepted>(&core, &req).await;
+    }
+    ListReply::default()
+}
+
+async fn answer_for<P: Platform, C: Relayed<P>>(core: &Core<P>, req: &ListRequest) -> ListReply {
+    let shared = C::log(core);
+    if req.since > 0 {
+        let wait = Duration::from_millis(req.wait_ms.into()).min(WAIT);
+        // Running out is the usual end.
+        let _ = tokio::time::timeout(wait, shared.newer_than(req.since)).await;
+    }
+    let (version, age, lacking) = {
+        let log = locked(&shared.log);
+        (log.version(), log.age(Instant::now()), log.after(req.since))
+    };
+    let Some(age) = age else {
+        return ListReply::default();
+    };
+    let (whole, changes) = match lacking {
+        Lacking::Changes(changes) => (false, Ok(changes)),
+        Lacking::Whole => (true, C::whole(core).iter().map(C::encode).collect()),
+    };
+    let Ok(changes) = changes else {
+        return ListReply::default();
+    };
+    ListReply {
+        version,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        failing: core.store_failures() > 0,
+        whole,
+        changes,
+    }
+}
+
+/// Why a node's copy of a list is of no use.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum NoCopy {
+    /// It wasn't reached or gave no answer.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// It has none.
+    #[error("it has none")]
+    None,
+    /// It gets no answers from the store itself.
+    #[error("the store gives it no answers")]
+    Failing,
+    /// It may have missed changes.
+    #[error("it is {0:?} old")]
+    Old(Duration),
+    /// It can't be read.
+    #[error(transparent)]
+    Malformed(SourceError),
+}
+
+/// The node to ask for lists, unless this one is to ask the store.
+pub(crate) fn parent<P: Platform>(core: &Core<P>) -> Option<NodeId> {
+    let now = Instant::now();
+    let holder = seat::holder(core, now);
+    let nodes = locked(&core.nodes);
+    let others = nodes.with_copies(now);
+    let me = &core.cfg.node;
+    list_parent(me, &core.cfg.failure_domain, holder.as_ref(), others).cloned()
+}
+
+/// Asks another node for what changed since `since`, or for all at 0.
+pub(crate) async fn ask<P: Platform, C: Relayed<P>>(
+    core: &Core<P>,
+    node: &NodeId,
+    since: Cursor,
+) -> Result<(News<C>, Vec<Vec<u8>>), NoCopy> {
+    let peer = core.peer().ok_or(NoCopy::None)?;
+    let answered = peer.list_of(node, C::LIST, since, WAIT, ANSWER_TIME).await;
+    let reply = answered.map_err(|e| NoCopy::NoAnswer(e.to_string()))?;
+    let now = Instant::now();
+    if reply.version == 0 {
+        return Err(NoCopy::None);
+    }
+    if reply.failing {
+        return Err(NoCopy::Failing);
+    }
+    let age = Duration::from_millis(reply.age_ms.into());
+    if age > MAX_AGE {
+        return Err(NoCopy::Old(age));
+    }
+    let read = reply
+        .changes
+        .iter()
+        .map(|bytes| C::decode(&core.platform, bytes));
+    let changes: Result<Vec<C>, SourceError> = read.collect();
+    let news = News {
+        changes: changes.map_err(NoCopy::Malformed)?,
+        version: reply.version,
+        as_of: now.checked_sub(age).unwrap_or(now),
+        whole: reply.whole,
+    };
+    Ok((news, reply.changes))
+}
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use eelgrassmill_base::NodeId;
 use eelgrassmill_fleet::{Lease, SinceBoot, Standing, hears_enough};
 use rustix::time::{ClockId, clock_gettime};
 use tracing::{info, warn};
@@ -124,7 +125,19 @@
     }
 }
 
-/// The node that is up and says that it holds the seat.
+/// The node, this one or one that is up, that says that it holds the seat.
+pub(crate) fn holder<P: Platform>(core: &Core<P>, now: Instant) -> Option<NodeId> {
+    let me = &core.cfg.node;
+    let nodes = locked(&core.nodes);
+    let seats = locked(&core.seats);
+    let up = seats
+        .iter()
+        .filter(|(node, _)| *node == me || nodes.is_alive(node, now));
+    up.max_by_key(|(_, term)| **term)
+        .map(|(node, _)| node.clone())
+}
+
+/// Another node that is up and says that it holds the seat.
 fn heard_holder<P: Platform>(core: &Core<P>, now: Instant) -> Option<SeatRecord> {
     let nodes = locked(&core.nodes);
     let seats = locked(&core.seats);
--- a/crates/peer/src/calls.rs
+++ b/crates/peer/src/calls.rs
@@ -7,8 +7,8 @@
 use crate::node::{Inner, PeerHandler};
 use crate::wire::convert::name;
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, QuotaReply, QuotaRequest, TimelineReply,
-    TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
+    TimelineReply, TimelineRequest,
 };
 use crate::wire::server::Calls;
 
@@ -39,6 +39,11 @@
         self.admit(&req.from)?;
         Ok(self.handler.quota(req))
     }
+
+    async fn list(&self, req: ListRequest) -> Result<ListReply, Status> {
+        self.admit(&req.from)?;
+        Ok(self.handler.list(req).await)
+    }
 }
 
 impl<H: PeerHandler> Inner<H> {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -30,6 +30,6 @@
 pub use crate::overlay::{FAN_OUT, MESH_LIMIT, Overlay};
 pub use crate::refusals::Refusals;
 pub use crate::wire::messages::{
-    Batch, Demand, Grant, Item as WireItem, Kind as WireKind, OriginUpdate, QuotaReply,
-    QuotaRequest,
+    Batch, Demand, Grant, Item as WireItem, Kind as WireKind, ListReply, ListRequest, OriginUpdate,
+    QuotaReply, QuotaRequest,
 };
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -1,6 +1,7 @@
 //! The thin side that does the I/O: a server, the tick loop and the calls.
 
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -19,8 +20,8 @@
 use crate::refusals::Refusals;
 use crate::wire::client::Pool;
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, QuotaReply, QuotaRequest, TimelineReply,
-    TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
+    TimelineReply, TimelineRequest,
 };
 use crate::wire::path;
 use crate::wire::server::PeerServer;
@@ -38,7 +39,7 @@
 
 /// What a node does with what it learns, and answers when it is asked.
 ///
-/// No method may wait for I/O.
+/// No method but [`PeerHandler::list`] may wait.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Takes what this node learned, in the order in which it did.
     fn updated(&self, updates: Vec<Update>);
@@ -63,6 +64,12 @@
         QuotaReply::default()
     }
 
+    /// The changes of a list that the platform keeps, once there are any or the asker's time
+    /// to wait is over, where this node knows any.
+    fn list(&self, _req: ListRequest) -> impl Future<Output = ListReply> + Send {
+        std::future::ready(ListReply::default())
+    }
+
     /// The stamp that a batch carries, so that events of two nodes can be put in causal order.
     fn stamp(&self) -> Stamp {
         Stamp::default()
@@ -228,6 +235,27 @@
         self.inner.call(node, path::QUOTA, req, timeout).await
     }
 
+    /// The changes of `list` after `since` as `node` knows them, waited for as long as `wait`.
+    ///
+    /// # Errors
+    /// When the node can't be reached, is too slow or refuses.
+    pub async fn list_of(
+        &self,
+        node: &NodeId,
+        list: &str,
+        since: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<ListReply, PeerError> {
+        let req = ListRequest {
+            from: self.inner.me.to_string(),
+            list: list.to_owned(),
+            since,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        self.inner.call(node, path::LIST, req, wait + timeout).await
+    }
+
     /// The configuration in force at `node`, as a difference from `base` where that
     /// node still has it.
     ///
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -419,3 +419,40 @@
     #[prost(uint64, tag = "6")]
     pub seq: u64,
 }
+
+/// Asks for the changes of a list that the platform keeps.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ListRequest {
+    /// The asking node.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The list's name.
+    #[prost(string, tag = "2")]
+    pub list: String,
+    /// The version up to which the asker knows it; 0 for nothing.
+    #[prost(uint64, tag = "3")]
+    pub since: u64,
+    /// How long to wait for a change, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
+}
+
+/// Changes of a list.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ListReply {
+    /// The list's version at the answering node; 0 where it doesn't know the list.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// How long ago the list is known to have been like this, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Whether the answering node gets no answers from the platform itself.
+    #[prost(bool, tag = "3")]
+    pub failing: bool,
+    /// Whether the changes are the whole list.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
+    /// The changes in order, in the spelling of the nodes' own code.
+    #[prost(bytes = "vec", repeated, tag = "5")]
+    pub changes: Vec<Vec<u8>>,
+}
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -17,6 +17,7 @@
     pub(crate) const EXCHANGE: &str = "/eelgrassmill.peer.v1.Peer/Exchange";
     pub(crate) const FETCH_CONFIG: &str = "/eelgrassmill.peer.v1.Peer/FetchConfig";
     pub(crate) const TIMELINE: &str = "/eelgrassmill.peer.v1.Peer/Timeline";
+    pub(crate) const LIST: &str = "/eelgrassmill.peer.v1.Peer/List";
     pub(crate) const QUOTA: &str = "/eelgrassmill.peer.v1.Peer/Quota";
 }
 
--- a/crates/peer/src/wire/server.rs
+++ b/crates/peer/src/wire/server.rs
@@ -1,6 +1,7 @@
 //! The serving side of the calls.
 
 use std::convert::Infallible;
+use std::future::{Future, ready};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
@@ -11,8 +12,8 @@
 use tonic_prost::ProstCodec;
 
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, QuotaReply, QuotaRequest, TimelineReply,
-    TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
+    TimelineReply, TimelineRequest,
 };
 use crate::wire::{MAX_EXCHANGE, MAX_REPLY, SERVICE, path};
 
@@ -22,6 +23,8 @@
     fn fetch_config(&self, req: FetchConfigRequest) -> Result<FetchConfigReply, Status>;
     fn timeline(&self, req: TimelineRequest) -> Result<TimelineReply, Status>;
     fn quota(&self, req: QuotaRequest) -> Result<QuotaReply, Status>;
+    /// The one call that may wait, for a change of the list.
+    fn list(&self, req: ListRequest) -> impl Future<Output = Result<ListReply, Status>> + Send;
 }
 
 /// The service that takes the calls off HTTP/2.
@@ -57,22 +60,28 @@
     fn call(&mut self, req: http::Request<Body>) -> Self::Future {
         let calls = Arc::clone(&self.calls);
         match req.uri().path() {
-            path::EXCHANGE => unary(req, MAX_EXCHANGE, move |batch| calls.exchange(batch)),
-            path::FETCH_CONFIG => unary(req, MAX_EXCHANGE, move |r| calls.fetch_config(r)),
-            path::TIMELINE => unary(req, MAX_EXCHANGE, move |r| calls.timeline(r)),
-            path::QUOTA => unary(req, MAX_EXCHANGE, move |r| calls.quota(r)),
+            path::EXCHANGE => unary(req, MAX_EXCHANGE, move |batch| ready(calls.exchange(batch))),
+            path::FETCH_CONFIG => unary(req, MAX_EXCHANGE, move |r| ready(calls.fetch_config(r))),
+            path::TIMELINE => unary(req, MAX_EXCHANGE, move |r| ready(calls.timeline(r))),
+            path::QUOTA => unary(req, MAX_EXCHANGE, move |r| ready(calls.quota(r))),
+            path::LIST => unary(
+                req,
+                MAX_EXCHANGE,
+                move |r| async move { calls.list(r).await },
+            ),
             _ => Box::pin(async { Ok(Status::unimplemented("unknown call").into_http()) }),
         }
     }
 }
 
 /// Decodes one message of at most `limit` bytes, calls `answer` with it and encodes the result.
-fn unary<Req, Res>(
+fn unary<Req, Res, Fut>(
     req: http::Request<Body>,
     limit: usize,
-    answer: impl FnOnce(Req) -> Result<Res, Status> + Send + 'static,
+    answer: impl FnOnce(Req) -> Fut + Send + 'static,
 ) -> BoxFuture<http::Response<Body>, Infallible>
 where
+    Fut: Future<Output = Result<Res, Status>> + Send + 'static,
     Req: prost::Message + Default + 'static,
     Res: prost::Message + Default + 'static,
 {
@@ -93,25 +102,28 @@
     answer: Option<F>,
 }
 
-impl<F, Req, Res> Service<Request<Req>> for Method<F>
+impl<F, Fut, Req, Res> Service<Request<Req>> for Method<F>
 where
-    F: FnOnce(Req) -> Result<Res, Status> + Send + 'static,
+    F: FnOnce(Req) -> Fut + Send + 'static,
+    Fut: Future<Output = Result<Res, Status>> + Send + 'static,
     Req: Send + 'static,
     Res: Send + 'static,
 {
     type Response = Response<Res>;
     type Error = Status;
-    type Future = std::future::Ready<Result<Response<Res>, Status>>;
+    type Future = BoxFuture<Response<Res>, Status>;
 
     fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Status>> {
         Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, req: Request<Req>) -> Self::Future {
-        let result = match self.answer.take() {
-            Some(answer) => answer(req.into_inner()).map(Response::new),
-            None => Err(Status::internal("a call was answered twice")),
-        };
-        std::future::ready(result)
+        let answer = self.answer.take();
+        Box::pin(async move {
+            match answer {
+                Some(answer) => answer(req.into_inner()).await.map(Response::new),
+                None => Err(Status::internal("a call was answered twice")),
+            }
+        })
     }
 }
