--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -18,6 +18,7 @@
 mod formation;
 mod knowledge;
 mod order;
+mod ready;
 mod send;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -15,11 +15,11 @@
 use crate::fleet::Fleet;
 use crate::host::Host;
 use crate::planner::formation::{Formation, Purpose, Step};
-use crate::planner::{Command, Order, Planner};
+use crate::planner::{Command, Planner};
 
 /// A load that was ordered is ordered again after this many times its usual time: beyond
 /// the loads that the weight store serves at once each takes proportionally longer.
-const STAGE_PATIENCE: u32 = 2;
+pub(super) const STAGE_PATIENCE: u32 = 2;
 
 /// A model whose replicas have this many times less work each than another's would have
 /// leaves hosts that the other waits for to it.
@@ -45,6 +45,10 @@
 impl Planner {
     /// Forms replicas from free hosts, and readies those that are left over.
     pub(super) fn form(&mut self, view: &View<'_>, commands: &mut Vec<Command>) {
+        // Of hosts that are listed one by one, the first few would go to whichever model fits.
+        if view.cold && !self.all_are_listed(view.now) {
+            return;
+        }
         let mut domains = self.free_hosts(view);
         for (fabric, free) in &mut domains {
             self.form_in(view, fabric, free, commands);
@@ -65,7 +69,7 @@
     }
 
     /// Hosts that no serving formation has, by fabric domain.
-    fn free_hosts<'f>(&self, view: &View<'f>) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
+    pub(super) fn free_hosts<'f>(&self, view: &View<'f>) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
         let bound = self.members();
         let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
         for host in view.fleet.hosts() {
@@ -139,7 +143,7 @@
     }
 
     /// Whether a host joins a replica of the model without a load.
-    fn holds(&self, host: &Host, model: &ModelSpec) -> bool {
+    pub(super) fn holds(&self, host: &Host, model: &ModelSpec) -> bool {
         host.staged.contains(&model.name) || self.is_primed(host, model)
     }
 
@@ -202,7 +206,12 @@
     }
 
     /// Replicas of a model that serve or are about to.
-    fn serving(&self, view: &View<'_>, model: &ModelSpec, fabric: Option<&FabricDomain>) -> usize {
+    pub(super) fn serving(
+        &self,
+        view: &View<'_>,
+        model: &ModelSpec,
+        fabric: Option<&FabricDomain>,
+    ) -> usize {
         let counts = |f: &&Formation| {
             f.purpose == Purpose::Serve
                 && f.loss.is_none()
@@ -229,65 +238,6 @@
         true
     }
 
-    /// Has a host load a model beside what it does, unless it does so already.
-    fn stage(
-        &mut self,
-        view: &View<'_>,
-        host: &Host,
-        model: &ModelSpec,
-        commands: &mut Vec<Command>,
-    ) {
-        let busy = self
-            .staging
-            .get(&host.id)
-            .is_some_and(|(_, until)| view.now < *until);
-        if busy || self.holds(host, model) || !self.take_loads(1, view) {
-            return;
-        }
-        let until = view.now + model.load * STAGE_PATIENCE;
-        self.staging
-            .insert(host.id.clone(), (model.name.clone(), until));
-        commands.push(Command::Order {
-            host: host.id.clone(),
-            address: host.address.clone(),
-            order: Order::Stage {
-                model: model.name.clone(),
-            },
-        });
-    }
-
-    /// Loads that were ordered and aren't shown to be done.
-    ///
-    /// Beyond a number of loads at once the weight store makes each take longer: twenty at
-    /// once end after 40 s, the first eight of them after 16 s when the others wait.
-    fn loads_under_way(&self, view: &View<'_>) -> usize {
-        let is_loading = |(_, until): &&(ModelName, Instant)| view.now < *until;
-        self.staging.values().filter(is_loading).count()
-    }
-
-    /// Whether `count` loads may start now; counts them if so.
-    ///
-    /// The weight store serves a bounded number of loads, and each one beyond makes all
-    /// slower, so that spares loading at once would delay the replica that waits.
-    fn take_loads(&mut self, count: usize, view: &View<'_>) -> bool {
-        if count == 0 {
-            return true;
-        }
-        let (window, now) = (self.timing.load_window, view.now);
-        let old = |at: &Instant| now.saturating_duration_since(*at) > window;
-        while self.loads.front().is_some_and(old) {
-            self.loads.pop_front();
-        }
-        let permitted = view.engine.loads_per_ks as f64 / 1000.0 * window.as_secs_f64();
-        // What a planner before this one began in the window isn't known.
-        let before = self.term > 1 && now.saturating_duration_since(self.began) < window;
-        if !view.cold && (before || (self.loads.len() + count) as f64 > permitted) {
-            return false;
-        }
-        self.loads.extend(std::iter::repeat_n(now, count));
-        true
-    }
-
     /// Spares give up their own formations when a serving one takes them.
     fn drop_priming(&mut self, members: &[HostId]) {
         let taken = |f: &Formation| f.members.iter().any(|m| members.contains(m));
@@ -295,126 +245,10 @@
             .retain(|_, f| f.purpose == Purpose::Serve || !taken(f));
     }
 
-    /// Makes a spare a member for one model, in a replica of its own that is never opened.
-    ///
-    /// A host joins in 0.2 s the model that it was last a member for, whatever weights
-    /// its memory holds by now.
-    fn prime_spare(
-        &mut self,
-        view: &View<'_>,
-        fabric: &FabricDomain,
-        host: &Host,
-        commands: &mut Vec<Command>,
-    ) {
-        if self.primed_model(host).is_some() {
-            return;
-        }
-        let Some(model) = self.model_to_prime(view, fabric, host) else {
-            return;
-        };
-        if self.holds(host, model) || view.cold {
-            self.prime(view, host, model);
-        } else {
-            self.stage(view, host, model, commands);
-        }
-    }
-
-    /// Has primed spares load another model as well, so that each can replace a member of
-    /// any model: within 0.2 s for one and 1.6 s for the other.
-    ///
-    /// With one model a spare, the second loss of the same model in a domain would wait
-    /// 16 s for a load. A domain's spares beyond one a model, and spares while half of the
-    /// weight store's loads are under way, are left alone: what is missing loads first.
-    fn stage_spares(
-        &mut self,
-        view: &View<'_>,
-        fabric: &FabricDomain,
-        free: &[&Host],
-        commands: &mut Vec<Command>,
-    ) {
-        let ready = |h: &&&Host| {
-            let formation = self.formation_of(&h.id);
-            self.primed_model(h).is_some() && formation.is_none_or(|f| !f.ready.is_empty())
-        };
-        let spares: Vec<&Host> = free.iter().filter(ready).copied().collect();
-        if spares.len() > view.engine.models.len() {
-            return;
-        }
-        for host in spares {
-            if !view.cold && self.loads_under_way(view) * 2 >= view.engine.loads_at_once {
-                return;
-            }
-            let primed = self.primed_model(host);
-            let others = || {
-                view.engine
-                    .models
-                    .iter()
-                    .filter(|m| Some(&m.name) != primed.as_ref())
-            };
-            if others().any(|m| host.staged.contains(&m.name)) {
-                continue;
-            }
-            let members = |m: &&ModelSpec| m.size * self.serving(view, m, Some(fabric)).max(1);
-            if let Some(model) = others().max_by_key(members) {
-                self.stage(view, host, model, commands);
-            }
-        }
-    }
-
-    fn primed_model(&self, host: &Host) -> Option<ModelName> {
+    pub(super) fn primed_model(&self, host: &Host) -> Option<ModelName> {
         self.primed.get(&host.id).map(|(_, model)| model.clone())
     }
 
-    /// Has a spare join a replica of its own.
-    fn prime(&mut self, view: &View<'_>, host: &Host, model: &ModelSpec) {
-        if self.formation_of(&host.id).is_some() {
-            return;
-        }
-        let loads = usize::from(!self.holds(host, model));
-        if !self.take_loads(loads, view) {
-            return;
-        }
-        let (id, epoch) = self.next_formation();
-        let formation = Formation::new(id.clone(), epoch, &model.name, &[host], view.now);
-        if let Some(mut formation) = formation {
-            formation.purpose = Purpose::Prime;
-            self.formations.insert(id, formation);
-        }
-    }
-
-    /// The model with the most members in this domain for each spare that could replace one.
-    fn model_to_prime<'e>(
-        &self,
-        view: &View<'e>,
-        fabric: &FabricDomain,
-        host: &Host,
-    ) -> Option<&'e ModelSpec> {
-        let spares = self.spares(view, fabric);
-        let need = |m: &ModelSpec| {
-            let members = m.size * self.serving(view, m, Some(fabric)).max(1);
-            let ready = spares.iter().filter(|s| **s == m.name).count();
-            let staged = if host.staged.contains(&m.name) {
-                1.5
-            } else {
-                1.0
-            };
-            staged * members as f64 / (ready + 1) as f64
-        };
-        let models = view.engine.models.iter();
-        models.max_by(|a, b| need(a).total_cmp(&need(b)))
-    }
-
-    /// The models for which free hosts of a domain are primed, or about to be.
-    fn spares(&self, view: &View<'_>, fabric: &FabricDomain) -> Vec<ModelName> {
-        let free = self.free_hosts(view).remove(fabric).unwrap_or_default();
-        let models = free.into_iter().filter_map(|host| {
-            let priming = self.formation_of(&host.id).map(|f| f.model.clone());
-            let staging = self.staging.get(&host.id).map(|(model, _)| model.clone());
-            self.primed_model(host).or(priming).or(staging)
-        });
-        models.collect()
-    }
-
     /// How long a host takes to be ready in a replica of `model`.
     pub(super) fn join_time(
         &self,
@@ -441,7 +275,7 @@
         }
     }
 
-    fn is_primed(&self, host: &Host, model: &ModelSpec) -> bool {
+    pub(super) fn is_primed(&self, host: &Host, model: &ModelSpec) -> bool {
         let primed = self.primed.get(&host.id);
         primed.is_some_and(|(_, m)| *m == model.name)
     }
