Take no grant for a head that is known to be leaving

The node that places requests was cut off from the store and granted places at the leaving head; nodes that knew better took the grants, as such a head stays in their table while something of theirs runs there. Late lists were ruled out: the logs show the entry at all of them 0.1 s after the acknowledgement.

Change: a grant counts only for a head that is open at the asking node.

--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads.rs
@@ -237,6 +237,11 @@
         self.open.values().chain(self.ending.values())
     }
 
+    /// The head of a formation, if it takes requests.
+    pub(crate) fn open(&self, replica: &str, epoch: Epoch) -> Option<&Arc<Head>> {
+        self.open.get(&(replica.into(), epoch))
+    }
+
     /// The head of a formation.
     pub(crate) fn get(&self, replica: &str, epoch: Epoch) -> Option<&Arc<Head>> {
         self.all()
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -209,11 +209,15 @@
     }
 }
 
-/// The granted head, unless this node knows that it is lost or doesn't know it at all.
+/// The granted head, unless this node knows that it is lost or takes nothing new, or doesn't
+/// know it at all.
+///
+/// The node that places requests may be cut off from the store and not know that a host is
+/// leaving. Those that do know must not send it anything.
 fn usable<P: Platform>(core: &Core<P>, reply: &ScheduleReply) -> Option<Arc<Head>> {
     let (replica, epoch) = scheduler::granted(reply)?;
     let heads = locked(&core.heads);
-    let head = heads.get(&replica, epoch)?;
+    let head = heads.open(&replica, epoch)?;
     (!head.is_lost()).then(|| Arc::clone(head))
 }
 
