Say of each request that a node's exit cuts off

Cause: a stopping node that ran out of time ended its process, and with it every answer that was still under way, without a line that named one. Nothing in its log told such a cut from a replica that was given up or from a call that ran out of time; callers of whole answers got a closed connection and no word.

Ruled out: telling it from the stop's last line alone, which counts and names nothing; leaving this to connections' errors, which come also from callers that leave.

Change: 150 ms before its end a node that has yet to finish something says so to what still runs. Streams are cut off and leave the usual line (request, outcome=cut, why=this node exits) with the last event that was handed on; other requests get 502 with the cause node-ends. The closing of the port is a line of its own, with the connections that are open then.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -35,6 +35,8 @@
         NoAnswerInTime,
         /// It was sent, and the answer broke off or was of no use.
         AnswerBroken,
+        /// This node exits and may have sent it.
+        NodeEnds,
     }
 }
 
@@ -54,6 +56,7 @@
             RefusalCause::OutOfTime => "out-of-time",
             RefusalCause::NoAnswerInTime => "no-answer-in-time",
             RefusalCause::AnswerBroken => "answer-broken",
+            RefusalCause::NodeEnds => "node-ends",
         }
     }
 
@@ -70,7 +73,7 @@
             RefusalCause::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalCause::BodyCut => StatusCode::REQUEST_TIMEOUT,
             RefusalCause::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
-            RefusalCause::AnswerBroken => StatusCode::BAD_GATEWAY,
+            RefusalCause::AnswerBroken | RefusalCause::NodeEnds => StatusCode::BAD_GATEWAY,
         }
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -49,6 +49,8 @@
     pub(crate) planning: Inbox<PlanningEvent>,
     pub(crate) leaving: AtomicBool,
     pub(crate) stopping: watch::Sender<bool>,
+    /// Whether the time of those that still run is over: the process is about to exit.
+    ending: watch::Sender<bool>,
     served: AtomicBool,
     store_failures: AtomicU64,
     peer: OnceLock<Arc<PeerNode<Peers<P>>>>,
@@ -82,6 +84,7 @@
             planning: Inbox::default(),
             leaving: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             served: AtomicBool::new(false),
             store_failures: AtomicU64::new(0),
             peer: OnceLock::new(),
@@ -103,6 +106,18 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Says to all that still runs that the process is about to exit.
+    pub(crate) fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn until_end(&self) {
+        let mut rx = self.ending.subscribe();
+        // The sender lives as long as `self`, so this ends only by the value.
+        let _ = rx.wait_for(|ending| *ending).await;
+    }
+
     /// Notes that a request was served, here or elsewhere.
     pub(crate) fn set_served(&self) {
         self.served.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,8 @@
 /// Part of the grace in which new connections are still taken, at most: a stream that
 /// comes at its end still has half of the grace to finish.
 const STILL_OPEN_PART: f64 = 0.4;
+/// Before the exit, callers whose answers are cut off are told so for this long.
+const LAST_WORDS: Duration = Duration::from_millis(150);
 /// How often a stopping node looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -85,7 +87,16 @@
         let close = end.min(began + still_open.min(self.core.cfg.grace.mul_f64(STILL_OPEN_PART)));
         self.wait_until(close).await;
         self.core.stopping.send_replace(true);
-        let done = self.wait_until(end).await;
+        info!(
+            event = "stop",
+            outcome = "port closed",
+            connections = self.open.count()
+        );
+        let done = self.wait_until(end - LAST_WORDS).await;
+        if !done {
+            self.core.end();
+            self.wait_until(end).await;
+        }
         self.peer.stop();
         done
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -190,18 +190,28 @@
     } else {
         "whole"
     };
-    let result = if call.route.stream.is_some() {
-        stream::run(core, &call).await
-    } else {
-        let all = tokio::time::timeout(call.left() + LAST_WORD, dispatch::run(core, &call));
-        // The attempt that was under way may have run.
-        all.await
-            .unwrap_or_else(|_| Err(Refusal::new(RefusalCause::NoAnswerInTime)))
+    let result = tokio::select! {
+        result = run(core, &call) => result,
+        // A caller that is told so knows that nothing more will come.
+        () = core.until_end() => Err(Refusal::new(RefusalCause::NodeEnds)),
     };
     note(core, &call, kind, &result);
     result
 }
 
+async fn run<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Arc<Call>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    if call.route.stream.is_some() {
+        return stream::run(core, call).await;
+    }
+    let all = tokio::time::timeout(call.left() + LAST_WORD, dispatch::run(core, call));
+    // The attempt that was under way may have run.
+    all.await
+        .unwrap_or_else(|_| Err(Refusal::new(RefusalCause::NoAnswerInTime)))
+}
+
 fn note<P: Platform>(
     core: &Core<P>,
     call: &Call,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -31,6 +31,8 @@
 const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(300);
 /// How long a slow caller is waited for to tell it that its stream is cut off.
 const LAST_PIECE: Duration = Duration::from_millis(100);
+/// Why a stream is cut off that outlasts this node.
+const NODE_ENDS: &str = "this node exits";
 /// Longest answer of a host that is no stream.
 const MAX_WHOLE: usize = 1 << 20;
 
@@ -74,6 +76,8 @@
     OutOfTime,
     /// The caller has left.
     CallerLeft,
+    /// This node exits.
+    NodeEnds,
 }
 
 /// Serves a call whose answer is a stream.
@@ -278,6 +282,7 @@
                 ReadEnd::Complete => return self.ended("answered"),
                 ReadEnd::CallerLeft => return self.ended("caller-left"),
                 ReadEnd::OutOfTime => return self.cut(&tx, "out of time").await,
+                ReadEnd::NodeEnds => return self.cut(&tx, NODE_ENDS).await,
                 ReadEnd::Broken(why) => why,
             };
             self.note(&head, "broken", &why);
@@ -287,9 +292,11 @@
             if !resumable || !self.may_run_again() {
                 return self.cut(&tx, "it may not run again").await;
             }
+            let core = Arc::clone(&self.core);
             let resumed = tokio::select! {
                 resumed = self.begin() => resumed,
                 () = tx.closed() => return self.ended("caller-left"),
+                () = core.until_end() => return self.cut(&tx, NODE_ENDS).await,
             };
             begun = match resumed {
                 Ok(next) if next.response.status == StatusCode::OK => next,
@@ -313,6 +320,7 @@
                 () = head.until_lost() => return ReadEnd::Broken("its replica was lost".into()),
                 () = tokio::time::sleep(self.call.left()) => return ReadEnd::OutOfTime,
                 () = tx.closed() => return ReadEnd::CallerLeft,
+                () = self.core.until_end() => return ReadEnd::NodeEnds,
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
