Let a stopping node begin only what is over before its end

Seen by callers: while entry hosts are replaced and model hosts are full, a stream that began at a node some 3 s after its signal to stop breaks off 4 s later, in the middle.

Cause: a node takes connections for 0.4 of its grace and exits at 0.9, as if whatever it begins in the last moment takes no longer than half of the grace. A request may take all the time that its caller gives it, 6 or 8 s of the 8 s of grace; at a full host 1.7 s of that pass in its queue.

Ruled out: the replica was given up (no order, no other attempt, and both of the users' streams ended 7.2 s after the signal, when their nodes did); the calls' own time (1.8 s were left). Weighed and left: an estimate by what requests lately took, which takes more of them but breaks the rule whenever hosts turn slow, which is just when it matters; a port that closes earlier, which turns away short calls that have time enough.

Change: one rule for all programs, base::Shutdown: what may last longer than the process is not begun. It is answered 503 at once, with the cause node-leaves and Retry-After 0; that it has not run is true, and the caller's next connection goes to another node. What runs has until 0.95 of the grace.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,7 +1,7 @@
 //! Ids, shared value types and the derive macro used by every eelgrassmill crate.
 //!
-//! This crate is the vocabulary of the system and nothing else: no I/O, no
-//! clock, no policy. Two crates that must agree on what a host report or an
+//! This crate is the vocabulary of the system and nothing else: no I/O, no clock, and of
+//! policy only the rule of [`Shutdown`], which all programs share. Two crates that must agree on what a host report or an
 //! order is find it here, so that neither has to depend on the other.
 
 mod hash;
@@ -9,6 +9,7 @@
 mod ids;
 mod macros;
 mod outcome;
+mod shutdown;
 
 pub use crate::hash::{rendezvous, stable_hash};
 pub use crate::host::{
@@ -20,3 +21,4 @@
     SubmitId, TenantId, Tokens, TxnId,
 };
 pub use crate::outcome::{Outcome, Urgency};
+pub use crate::shutdown::Shutdown;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -21,6 +21,8 @@
         TooLong,
         /// Its body did not come in time or broke off.
         BodyCut,
+        /// It may outlast this node, which was told to stop.
+        NodeLeaves,
         /// No host or replica can serve it now.
         NothingServes,
         /// All are full.
@@ -49,6 +51,7 @@
             RefusalCause::UnknownKey => "unknown-key",
             RefusalCause::TooLong => "too-long",
             RefusalCause::BodyCut => "body-cut",
+            RefusalCause::NodeLeaves => "node-leaves",
             RefusalCause::NothingServes => "nothing-serves",
             RefusalCause::Full => "full",
             RefusalCause::HostsRefused => "hosts-refused",
@@ -63,6 +66,7 @@
     fn status(self) -> StatusCode {
         match self {
             RefusalCause::NotLoaded
+            | RefusalCause::NodeLeaves
             | RefusalCause::NothingServes
             | RefusalCause::Full
             | RefusalCause::HostsRefused
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, ServiceName};
+use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow};
 use eelgrassmill_peer::PeerNode;
@@ -47,7 +47,8 @@
     pub(crate) schedulers: Schedulers,
     pub(crate) placing: Placing,
     pub(crate) planning: Inbox<PlanningEvent>,
-    pub(crate) leaving: AtomicBool,
+    /// Set once this node was told to stop.
+    shutdown: OnceLock<Shutdown>,
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether the time of those that still run is over: the process is about to exit.
     ending: watch::Sender<bool>,
@@ -82,7 +83,7 @@
             schedulers: Schedulers::default(),
             placing: Placing::default(),
             planning: Inbox::default(),
-            leaving: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
             ending: watch::Sender::new(false),
             served: AtomicBool::new(false),
@@ -103,7 +104,17 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.shutdown.get().is_some()
+    }
+
+    /// Says that this node was told to stop. The first word counts.
+    pub(crate) fn leave(&self, shutdown: Shutdown) -> &Shutdown {
+        self.shutdown.get_or_init(|| shutdown)
+    }
+
+    /// Whether this node may begin what can last until `deadline`.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        self.shutdown.get().is_none_or(|s| s.may_begin(deadline))
     }
 
     /// Says to all that still runs that the process is about to exit.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,9 +2,9 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use eelgrassmill_base::Shutdown;
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_peer::{PeerError, PeerNode};
 use tokio::net::TcpListener;
@@ -23,11 +23,11 @@
 /// callers' answers with this node's address run out: they keep them for the time that
 /// they are told, and some three times as long.
 const STILL_OPEN_TTLS: u32 = 3;
-/// Part of the grace in which requests that run may end. The rest is for the exit.
-const GRACE_PART: f64 = 0.9;
-/// Part of the grace in which new connections are still taken, at most: a stream that
-/// comes at its end still has half of the grace to finish.
+/// Part of the grace in which new connections are still taken, at most.
 const STILL_OPEN_PART: f64 = 0.4;
+/// Part of the grace in which requests that run may end. The rest is for [`LAST_WORDS`] and
+/// the exit.
+const GRACE_PART: f64 = 0.95;
 /// Before the exit, callers whose answers are cut off are told so for this long.
 const LAST_WORDS: Duration = Duration::from_millis(150);
 /// How often a stopping node looks whether it is done.
@@ -78,29 +78,32 @@
     /// Stops: leaves the addresses first, then ends connections between requests, and
     /// gives those that run their time. `false` when some still ran at the end.
     pub async fn stop(&self) -> bool {
-        let began = Instant::now();
-        self.core.leaving.store(true, Ordering::Relaxed);
+        let shutdown = self.core.leave(self.shutdown_from(Instant::now()));
         peers::publish_status(&self.core);
         info!(event = "stop", connections = self.open.count());
-        let end = began + self.core.cfg.grace.mul_f64(GRACE_PART);
-        let still_open = self.core.cfg.address_ttl * STILL_OPEN_TTLS;
-        let close = end.min(began + still_open.min(self.core.cfg.grace.mul_f64(STILL_OPEN_PART)));
-        self.wait_until(close).await;
+        self.wait_until(shutdown.closes()).await;
         self.core.stopping.send_replace(true);
         info!(
             event = "stop",
             outcome = "port closed",
             connections = self.open.count()
         );
-        let done = self.wait_until(end - LAST_WORDS).await;
+        let done = self.wait_until(shutdown.ends()).await;
         if !done {
             self.core.end();
-            self.wait_until(end).await;
+            self.wait_until(shutdown.ends() + LAST_WORDS).await;
         }
         self.peer.stop();
         done
     }
 
+    fn shutdown_from(&self, told: Instant) -> Shutdown {
+        let cfg = &self.core.cfg;
+        let kept = cfg.address_ttl * STILL_OPEN_TTLS;
+        let open = kept.min(cfg.grace.mul_f64(STILL_OPEN_PART));
+        Shutdown::new(told, open, cfg.grace.mul_f64(GRACE_PART))
+    }
+
     /// Waits until no connection is open or `end` is reached; whether none is.
     async fn wait_until(&self, end: Instant) -> bool {
         // Callers that keep their connections are still being told where else to go.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
@@ -193,7 +192,7 @@
         admin_address: cfg.addresses.ready.to_smolstr(),
         failure_domain: cfg.failure_domain.clone(),
         region: cfg.region.clone(),
-        leaving: core.leaving.load(Ordering::Relaxed),
+        leaving: core.is_leaving(),
     }));
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -37,6 +37,8 @@
 /// When a caller should come back to a node that knows nothing yet. Nodes load within a
 /// second of their start.
 const RETRY_AFTER_START: Duration = Duration::from_millis(300);
+/// When a caller should come back that asked a node that leaves: at once, at another one.
+const RETRY_AFTER_LEAVE: Duration = Duration::ZERO;
 /// Pause after a failure to take a connection, such as no free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// What an attempt that ends with its call's time may take to say so.
@@ -203,6 +205,11 @@
     core: &Arc<Core<P>>,
     call: &Arc<Call>,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    // Not before the body is read: closing a connection with unread bytes resets it, and the
+    // caller may never see this answer.
+    if !core.may_begin(call.deadline) {
+        return Err(Refusal::later(RefusalCause::NodeLeaves, RETRY_AFTER_LEAVE));
+    }
     if call.route.stream.is_some() {
         return stream::run(core, call).await;
     }
