--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,10 +25,9 @@
 const STILL_OPEN_TTLS: u32 = 3;
 /// Part of the grace in which new connections are still taken, at most.
 const STILL_OPEN_PART: f64 = 0.4;
-/// Part of the grace in which requests that run may end. The rest is for [`LAST_WORDS`] and
-/// the exit.
+/// Part of the grace after which a node has ended. The rest is for the exit of its process.
 const GRACE_PART: f64 = 0.95;
-/// Before the exit, callers whose answers are cut off are told so for this long.
+/// The last of that, in which callers whose answers are cut off are told so.
 const LAST_WORDS: Duration = Duration::from_millis(150);
 /// How often a stopping node looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
@@ -101,7 +100,8 @@
         let cfg = &self.core.cfg;
         let kept = cfg.address_ttl * STILL_OPEN_TTLS;
         let open = kept.min(cfg.grace.mul_f64(STILL_OPEN_PART));
-        Shutdown::new(told, open, cfg.grace.mul_f64(GRACE_PART))
+        let all = cfg.grace.mul_f64(GRACE_PART);
+        Shutdown::new(told, open, all.saturating_sub(LAST_WORDS))
     }
 
     /// Waits until no connection is open or `end` is reached; whether none is.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -207,7 +207,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     // Not before the body is read: closing a connection with unread bytes resets it, and the
     // caller may never see this answer.
-    if !core.may_begin(call.deadline) {
+    if !core.may_begin(call.deadline + LAST_WORD) {
         return Err(Refusal::later(RefusalCause::NodeLeaves, RETRY_AFTER_LEAVE));
     }
     if call.route.stream.is_some() {
