Take a stream for whole only if its end was handed on

Seen by callers: one whose machine stands still until its time is over reads some of a long stream's events and the mark of a whole answer.

Cause: the end of the channel to a caller's connection meant the end of the answer. What is cut off was told by a last piece, for which a channel that is full has no place; after 100 ms the sender went away, and so the answer looked whole. An answer that was given up while a piece waited for room was noted as left by its caller besides, and the node's exit was not seen there.

Ruled out: waiting longer for room (a caller may read nothing for as long as it likes); a larger channel (memory for each slow caller).

Change: the end is a piece of its own, and a channel that ends without it is an answer that was cut off, so that nothing has to be told at the worst moment. Waiting for a host, for room and for another replica all end for the same three reasons, in one place.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -20,10 +20,18 @@
     }
 }
 
-/// A piece of a stream, or its being cut off. The end of the channel is its end.
-pub(crate) type Piece = Result<Bytes, CutOff>;
+/// What is handed on of a stream.
+#[derive(Debug)]
+pub(crate) enum Piece {
+    Events(Bytes),
+    /// All events have come.
+    End,
+}
 
 /// The body of an answer.
+///
+/// A stream is whole only if it was said to be: a channel that ends without [`Piece::End`] is an
+/// answer that was cut off, also where its caller reads too slowly to be told of anything.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
     Whole(Option<Bytes>),
@@ -49,7 +57,11 @@
                 let bytes = bytes.take().filter(|b| !b.is_empty());
                 Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
             }
-            AnswerBody::Stream(rx) => rx.poll_recv(cx).map(|p| p.map(|p| p.map(Frame::data))),
+            AnswerBody::Stream(rx) => rx.poll_recv(cx).map(|piece| match piece {
+                Some(Piece::Events(events)) => Some(Ok(Frame::data(events))),
+                Some(Piece::End) => None,
+                None => Some(Err(CutOff)),
+            }),
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
 use eelgrassmill_engine::{SendError, TargetResponse};
 use http::{HeaderMap, Response, StatusCode};
@@ -13,7 +12,7 @@
 use tracing::info;
 
 use crate::answer::{Refusal, RefusalCause};
-use crate::body::{AnswerBody, CutOff, Piece};
+use crate::body::{AnswerBody, Piece};
 use crate::call::Call;
 use crate::core::Core;
 use crate::dispatch::{pick_service, target_request};
@@ -29,10 +28,6 @@
 const MAX_REFUSALS: u32 = 4;
 /// When a caller should come back whose request hosts refused.
 const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(300);
-/// How long a slow caller is waited for to tell it that its stream is cut off.
-const LAST_PIECE: Duration = Duration::from_millis(100);
-/// Why a stream is cut off that outlasts this node.
-const NODE_ENDS: &str = "this node exits";
 /// Longest answer of a host that is no stream.
 const MAX_WHOLE: usize = 1 << 20;
 
@@ -72,6 +67,12 @@
     Complete,
     /// It broke off or its replica was lost.
     Broken(SmolStr),
+    /// There is no reason to go on.
+    Over(Over),
+}
+
+/// Why an answer has no reason to go on.
+enum Over {
     /// The call's time is over.
     OutOfTime,
     /// The caller has left.
@@ -80,6 +81,22 @@
     NodeEnds,
 }
 
+impl From<Result<(), Over>> for ReadEnd {
+    /// How an answer ended whose end was handed on, or could not be.
+    fn from(handed_on: Result<(), Over>) -> ReadEnd {
+        handed_on.map_or_else(ReadEnd::Over, |()| ReadEnd::Complete)
+    }
+}
+
+/// Waits until an answer has no reason to go on.
+async fn until_over<P: Platform>(core: &Core<P>, call: &Call, tx: &mpsc::Sender<Piece>) -> Over {
+    tokio::select! {
+        () = tokio::time::sleep(call.left()) => Over::OutOfTime,
+        () = tx.closed() => Over::CallerLeft,
+        () = core.until_end() => Over::NodeEnds,
+    }
+}
+
 /// Serves a call whose answer is a stream.
 pub(crate) async fn run<P: Platform>(
     core: &Arc<Core<P>>,
@@ -280,9 +297,7 @@
             self.core.freed();
             let why = match end {
                 ReadEnd::Complete => return self.ended("answered"),
-                ReadEnd::CallerLeft => return self.ended("caller-left"),
-                ReadEnd::OutOfTime => return self.cut(&tx, "out of time").await,
-                ReadEnd::NodeEnds => return self.cut(&tx, NODE_ENDS).await,
+                ReadEnd::Over(over) => return self.ended_by(over),
                 ReadEnd::Broken(why) => why,
             };
             self.note(&head, "broken", &why);
@@ -290,18 +305,17 @@
             self.failed(&head);
             let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
             if !resumable || !self.may_run_again() {
-                return self.cut(&tx, "it may not run again").await;
+                return self.cut("it may not run again");
             }
-            let core = Arc::clone(&self.core);
+            let (core, call) = (Arc::clone(&self.core), Arc::clone(&self.call));
             let resumed = tokio::select! {
                 resumed = self.begin() => resumed,
-                () = tx.closed() => return self.ended("caller-left"),
-                () = core.until_end() => return self.cut(&tx, NODE_ENDS).await,
+                over = until_over(&core, &call, &tx) => return self.ended_by(over),
             };
             begun = match resumed {
                 Ok(next) if next.response.status == StatusCode::OK => next,
-                Ok(_) => return self.cut(&tx, "the run that went on failed").await,
-                Err(refusal) => return self.cut(&tx, refusal.cause.name()).await,
+                Ok(_) => return self.cut("the run that went on failed"),
+                Err(refusal) => return self.cut(refusal.cause.name()),
             };
             self.core
                 .metrics
@@ -318,16 +332,14 @@
             let chunk = tokio::select! {
                 chunk = begun.response.chunk() => chunk,
                 () = head.until_lost() => return ReadEnd::Broken("its replica was lost".into()),
-                () = tokio::time::sleep(self.call.left()) => return ReadEnd::OutOfTime,
-                () = tx.closed() => return ReadEnd::CallerLeft,
-                () = self.core.until_end() => return ReadEnd::NodeEnds,
+                over = until_over(&self.core, &self.call, tx) => return ReadEnd::Over(over),
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) if self.events.is_mid_event() => {
                     return ReadEnd::Broken("it ended within an event".into());
                 }
-                Ok(None) => return ReadEnd::Complete,
+                Ok(None) => return self.send(tx, Piece::End).await.into(),
                 Err(err) => return ReadEnd::Broken(err.to_string().into()),
             };
             head.progress().event(Instant::now());
@@ -338,28 +350,34 @@
             let Some(events) = self.events.push(&bytes) else {
                 continue;
             };
-            if !self.send(tx, events).await {
-                return ReadEnd::CallerLeft;
+            if let Err(over) = self.send(tx, Piece::Events(events)).await {
+                return ReadEnd::Over(over);
             }
         }
     }
 
-    async fn send(&self, tx: &mpsc::Sender<Piece>, events: Bytes) -> bool {
+    async fn send(&self, tx: &mpsc::Sender<Piece>, piece: Piece) -> Result<(), Over> {
         tokio::select! {
-            sent = tx.send(Ok(events)) => sent.is_ok(),
-            () = tokio::time::sleep(self.call.left()) => false,
+            sent = tx.send(piece) => sent.map_err(|_| Over::CallerLeft),
+            over = until_over(&self.core, &self.call, tx) => Err(over),
+        }
+    }
+
+    fn ended_by(&self, over: Over) {
+        match over {
+            Over::OutOfTime => self.cut("out of time"),
+            Over::CallerLeft => self.ended("caller-left"),
+            Over::NodeEnds => self.cut("this node exits"),
         }
     }
 
-    /// Ends the caller's answer so that it can see that it isn't whole.
-    async fn cut(&self, tx: &mpsc::Sender<Piece>, why: &str) {
+    /// Notes that the caller's answer ends without its end: the caller sees it by the channel's.
+    fn cut(&self, why: &str) {
         info!(
             event = "request", request = %self.call.head.id, outcome = "cut", why,
             runs = self.runs, after = self.events.last_id().map_or("", |id| id.as_str()),
         );
         self.ended("cut");
-        // A caller that has left needs no mark.
-        let _ = tokio::time::timeout(LAST_PIECE, tx.send(Err(CutOff))).await;
     }
 
     fn ended(&self, outcome: &str) {
