Show that a leaving node of the own interface cuts off letters that it took late

Seen by callers: one that keeps the address of a node which was told to stop asks it for a long letter while its port is still open. The stream breaks off in the middle, or the connection closes without a byte, though the other node would have had the time.

--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -1,16 +1,91 @@
 //! Stopping a node on purpose.
+// A panic is how a test fails, in its helpers too.
+#![allow(clippy::unwrap_used)]
 
 mod util;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_standin::engine_specs;
-use util::{Cluster, text};
+use eelgrassmill_standin::{HostSpec, Pace, engine_specs, expected_answer};
+use util::stream::{Raw, post};
+use util::{Cluster, TENANT_TOKEN, completion, eventually, text};
 
 /// How long callers keep the addresses that they were told.
 const KEEP: Duration = Duration::from_secs(1);
 /// What the news of the leaving and the end of the node's threads may take beyond that.
 const REST: Duration = Duration::from_millis(1_800);
+/// What may run may end for this long after the port has closed.
+const STOP_TIME: Duration = Duration::from_secs(3);
+/// A letter that takes 12 s, longer than a node with [`STOP_TIME`] is still there.
+const LONG: u64 = 1_200;
+const TOKEN_TIME: Duration = Duration::from_millis(10);
+const PROMPT: &str = "a letter";
+
+/// Two nodes that stop within [`KEEP`], 1 s and [`STOP_TIME`], before slow engines.
+fn slow_cluster() -> Cluster {
+    let pace = Pace {
+        token: TOKEN_TIME,
+        prefill: Duration::ZERO,
+        batch_permille: 0,
+    };
+    let slow = |h: HostSpec| h.pace(pace.clone());
+    let engines = engine_specs(2, 4).into_iter().map(slow).collect();
+    let cluster = Cluster::with_settings(2, engines, |_, settings| {
+        settings.timing.address_keep = KEEP;
+        settings.timing.stop_time = STOP_TIME;
+    });
+    cluster.accept(&text(1), 0);
+    cluster.wait_whole(1);
+    cluster
+}
+
+/// Stops node 0; once node 1 no longer names it, and so within [`KEEP`] of its port's closing,
+/// does `late` with its address. Gives whether all of node 0 could be finished.
+fn stop_and<T>(mut cluster: Cluster, late: impl FnOnce(SocketAddr) -> T) -> (bool, T) {
+    let node = cluster.nodes.remove(0);
+    let address = node.caller_address();
+    std::thread::scope(|scope| {
+        let stop = scope.spawn(|| node.stop());
+        eventually("it is no longer named", || {
+            let told = util::call(
+                cluster.nodes[0].caller_address(),
+                "GET",
+                "/v1/addresses?service=reply",
+                &[],
+                "",
+            );
+            !told.text.contains(&address.to_string())
+        });
+        let came = late(address);
+        (stop.join().unwrap(), came)
+    })
+}
+
+/// Asks for a completion; `timeout` is the caller's own, in seconds.
+fn ask(address: SocketAddr, tokens: u64, stream: bool, timeout: Option<&str>) -> Raw {
+    let token = format!("Bearer {TENANT_TOKEN}");
+    let mut headers = vec![("authorization", token.as_str())];
+    headers.extend(timeout.map(|secs| ("x-request-timeout", secs)));
+    let body = completion(PROMPT, tokens, stream);
+    post(address, "/v1/completions", &headers, &body)
+}
+
+/// Whether it is word that nothing has run and when to come back.
+fn is_not_run(raw: &Raw) -> bool {
+    let outcome =
+        || serde_json::from_slice::<serde_json::Value>(&raw.body).unwrap()["outcome"].clone();
+    raw.status() == 503 && raw.head.contains("retry-after: ") && outcome() == "not-run"
+}
+
+fn shown(raw: &Raw) -> String {
+    format!(
+        "{} ended: {}, {} bytes",
+        raw.head,
+        raw.ended,
+        raw.body.len()
+    )
+}
 
 /// An operator replaces a node on which nothing runs. Threads that wait for work
 /// which never comes held the process for five seconds more, and a roll over all
@@ -29,3 +104,40 @@
     assert!(took >= KEEP, "{took:?}");
     assert!(took < KEEP + REST, "{took:?}");
 }
+
+/// A node is told to stop. A caller that keeps its address asks it for a long letter shortly
+/// before its port closes. The letter takes longer than the node is still there and breaks off
+/// in the middle when the process exits; the other node had all the time for it. A call that
+/// names a time which is over before then is answered.
+#[test]
+fn a_stopping_node_begins_nothing_that_may_outlast_it() {
+    let cluster = slow_cluster();
+    let (finished, late) = stop_and(cluster, |address| {
+        std::thread::scope(|scope| {
+            // Without a time of its own the first has the service's, 20 s.
+            let calls = [
+                (LONG, true, None),
+                (LONG, true, Some("16")),
+                (LONG, false, None),
+                (5, false, Some("2")),
+                (5, true, Some("2")),
+            ];
+            let asked = calls.map(|(tokens, stream, timeout)| {
+                scope.spawn(move || ask(address, tokens, stream, timeout))
+            });
+            asked.map(|a| a.join().unwrap())
+        })
+    });
+    for raw in &late {
+        println!("{}", shown(raw));
+    }
+    let [long, own_time, unstreamed, short, short_stream] = late;
+    for raw in [&long, &own_time, &unstreamed] {
+        assert!(is_not_run(raw), "{}", shown(raw));
+    }
+    for raw in [&short, &short_stream] {
+        assert!(raw.status() == 200 && raw.ended, "{}", shown(raw));
+    }
+    assert_eq!(short_stream.tokens().concat(), expected_answer(PROMPT, 5));
+    assert!(finished);
+}
