Say of each request that a leaving node of the own interface cuts off

Cause: when the time to stop ran out, a node ended its loops and then its runtime. What still ran went on until its threads were done, up to 5 s more, and was then dropped: no line named it, no counter counted it, and who waited for a whole answer got a closed connection without a byte.

Ruled out: the time line, which ends with its node; logging all requests.

Change: at its end a node says so to what still runs and gives 200 ms for the word. A stream breaks off and is noted as such; other callers get 502 with the outcome unknown. Each leaves a line with its request and tenant. A break is now noted before its caller, who may be slow, is told of it.

Before and after: the streamed letter of a_stop_that_cuts_a_request_off_is_counted_as_broken, which now also looks at its reader and at the counter of requests, came whole after the stop time (its new check failed) and is cut off at it, counted once; the call of callers_are_told_when_a_node_stops_before_their_answer_ends gets 502.

--- a/crates/node/src/entry/ending.rs
+++ b/crates/node/src/entry/ending.rs
@@ -14,6 +14,9 @@
 use crate::metrics::RequestEnd;
 use crate::state::core::Core;
 
+/// Why a request breaks off that outlasts this node.
+const NODE_ENDS: &str = "this node exits before its end";
+
 /// What is noted of a call at its end.
 pub(crate) struct Ending {
     pub(crate) id: RequestId,
@@ -54,6 +57,19 @@
         }
     }
 
+    /// Notes that this node's exit cuts it off; gives the word for its caller.
+    ///
+    /// Logged, since the time line of a node ends with it.
+    pub(crate) fn cut(&self) -> &'static str {
+        tracing::warn!(
+            request = %self.id,
+            tenant = %self.tenant,
+            ran_ms = self.began.elapsed().as_millis() as u64,
+            "cut off, {NODE_ENDS}"
+        );
+        NODE_ENDS
+    }
+
     fn answered(&self, core: &Core, status: StatusCode) {
         let took = self.began.elapsed();
         let end = RequestEnd::Answered;
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -79,9 +79,10 @@
             urgency: call.urgency,
         });
         let ending = Ending::of(&call);
-        let result = match call.key {
-            Some(_) => self.once.answer(&self.core, call).await,
-            None => self.plain_answer(call).await,
+        let result = tokio::select! {
+            result = self.run(call) => result,
+            // A caller that is told so knows that nothing more will come.
+            () = self.core.until_end() => Err(Problem::unknown(ending.cut())),
         };
         let result = result.map_err(|problem| self.with_others(&cfg, problem));
         ending.note(&self.core, &result);
@@ -100,6 +101,13 @@
         problem.instead(addresses::others(&self.core, cfg, &caller))
     }
 
+    async fn run(&self, call: Call) -> Result<Response<AnswerBody>, Problem> {
+        match call.key {
+            Some(_) => self.once.answer(&self.core, call).await,
+            None => self.plain_answer(call).await,
+        }
+    }
+
     /// A call that needs no claim.
     async fn plain_answer(&self, call: Call) -> Result<Response<AnswerBody>, Problem> {
         match run(&self.core, &call).await? {
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -87,10 +87,6 @@
         let taken = self.tx.send(Ok(bytes)).await.is_ok();
         taken || self.kept.is_some()
     }
-
-    async fn broke(&mut self) {
-        let _ = self.tx.send(Err(Broken)).await;
-    }
 }
 
 /// The head of a streamed answer.
@@ -144,8 +140,16 @@
     pub(crate) async fn run(self, first: StreamEvent, audience: Audience) -> Ended {
         let core = self.core.clone();
         let ending = Ending::of(&self.call);
-        let ended = self.relay(first, audience).await;
+        let tx = audience.tx.clone();
+        let ended = tokio::select! {
+            ended = self.relay(first, audience) => ended,
+            () = core.until_end() => Ended::Broken(Failure::unknown(ending.cut())),
+        };
         ending.note_stream(&core, &ended);
+        if let Ended::Broken(_) = ended {
+            // Without it the answer would end like a whole one.
+            let _ = tx.send(Err(Broken)).await;
+        }
         ended
     }
 
@@ -161,10 +165,7 @@
                 Ok(StreamEvent::Done) => return self.finish(audience).await,
                 Err(failure) => match self.resume(failure).await {
                     Ok(()) => {}
-                    Err(failure) => {
-                        audience.broke().await;
-                        return Ended::Broken(failure);
-                    }
+                    Err(failure) => return Ended::Broken(failure),
                 },
             }
             next = self.next_or_give_way().await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -57,6 +57,8 @@
 const ERA_PERIOD: Duration = Duration::from_secs(20);
 /// Longest time until the other nodes no longer name a leaving one.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// Before the exit, callers whose answers are cut off are told so for this long.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// Period of looking for claims whose time is over.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Threads that carry requests.
@@ -238,11 +240,18 @@
     }
 
     fn finish_requests(&mut self) -> bool {
-        let (Some(done), Some(runtime)) = (self.entry_done.take(), &self.runtime) else {
+        let (Some(mut done), Some(runtime)) = (self.entry_done.take(), &self.runtime) else {
             return true;
         };
         let limit = self.core.settings.timing.stop_time;
-        runtime.block_on(async { tokio::time::timeout(limit, done).await.is_ok() })
+        runtime.block_on(async {
+            let finished = tokio::time::timeout(limit, &mut done).await.is_ok();
+            if !finished {
+                self.core.end();
+                let _ = tokio::time::timeout(LAST_WORDS, done).await;
+            }
+            finished
+        })
     }
 
     fn end_threads(&mut self) {
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -14,6 +14,7 @@
 use eelgrassmill_stores::{HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore};
 
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use super::config::ConfigCell;
 use super::directory::Directory;
@@ -79,6 +80,8 @@
     pub(crate) held_up: Mutex<BTreeMap<ServiceName, SmolStr>>,
     shards: RwLock<BTreeMap<ServiceName, Arc<Shard>>>,
     leaving: AtomicBool,
+    /// Whether the time of those that still run is over: the process is about to exit.
+    ending: watch::Sender<bool>,
     stopped: AtomicBool,
 }
 
@@ -122,6 +125,7 @@
             held_up: Mutex::new(BTreeMap::new()),
             shards: RwLock::new(BTreeMap::new()),
             leaving: AtomicBool::new(false),
+            ending: watch::Sender::new(false),
             stopped: AtomicBool::new(false),
             ident,
             settings,
@@ -137,6 +141,18 @@
         self.leaving.store(true, Ordering::Release);
     }
 
+    /// Says to all that still runs that the process is about to exit.
+    pub(crate) fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn until_end(&self) {
+        let mut rx = self.ending.subscribe();
+        // The sender lives as long as `self`, so this ends only by the value.
+        let _ = rx.wait_for(|ending| *ending).await;
+    }
+
     /// Whether the loops are to end.
     pub(crate) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Acquire)
--- a/crates/node/tests/metrics_fed.rs
+++ b/crates/node/tests/metrics_fed.rs
@@ -250,6 +250,9 @@
     assert!(!node.stop());
     let broken = ["promise_broken_total", "graceful-stop"];
     assert_eq!(sum(&metrics, &broken), 1.0);
+    assert!(!reading.into_whole().ended);
+    let cut = ["requests_total", "end=\"unknown\""];
+    assert_eq!(sum(&metrics, &cut), 1.0);
 }
 
 /// An operator asks who fills the queue.
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -71,11 +71,14 @@
     post(address, "/v1/completions", &headers, &body)
 }
 
+fn outcome(raw: &Raw) -> String {
+    let problem: serde_json::Value = serde_json::from_slice(&raw.body).unwrap();
+    problem["outcome"].as_str().unwrap_or_default().to_owned()
+}
+
 /// Whether it is word that nothing has run and when to come back.
 fn is_not_run(raw: &Raw) -> bool {
-    let outcome =
-        || serde_json::from_slice::<serde_json::Value>(&raw.body).unwrap()["outcome"].clone();
-    raw.status() == 503 && raw.head.contains("retry-after: ") && outcome() == "not-run"
+    raw.status() == 503 && raw.head.contains("retry-after: ") && outcome(raw) == "not-run"
 }
 
 fn shown(raw: &Raw) -> String {
@@ -141,3 +144,23 @@
     assert_eq!(short_stream.tokens().concat(), expected_answer(PROMPT, 5));
     assert!(finished);
 }
+
+/// Letters were under way when their node was told to stop, and take longer than its time. It
+/// has to cut them off. The reader of a stream sees it break off; who waits for a whole answer
+/// is told that it may have run, rather than getting a closed connection and no word.
+#[test]
+fn callers_are_told_when_a_node_stops_before_their_answer_ends() {
+    let mut cluster = slow_cluster();
+    let node = cluster.nodes.remove(0);
+    let address = node.caller_address();
+    std::thread::scope(|scope| {
+        let stream = scope.spawn(|| ask(address, LONG, true, None));
+        let whole = scope.spawn(|| ask(address, LONG, false, None));
+        eventually("both run", || cluster.engine_runs().len() == 2);
+        assert!(!node.stop());
+        let (stream, whole) = (stream.join().unwrap(), whole.join().unwrap());
+        assert!(!stream.ended, "{}", shown(&stream));
+        assert!(whole.status() == 502 && whole.ended, "{}", shown(&whole));
+        assert_eq!(outcome(&whole), "unknown");
+    });
+}
