Let a leaving node of the own interface begin only what is over before its end

Seen by callers: a letter that a node takes after its signal to stop, while callers still keep its address, breaks off in the middle or gets no byte, and the next caller has to find another node.

The node took whatever came until its port closed, as if none took longer than the stop time, and looked at no call's own deadline.

Ruled out: an end of the whole node by its calls' deadlines, which would make stop_time no bound; refusing before the claim of a call with a key, which would say "not run" of kept answers.

Change: the node uses base::Shutdown. A call whose deadline, its own or its service's, is after the end gets 503 not-run with Retry-After 1 and other entries in instead. Its claim is given back. The end is the port's closing, 250 ms for closing it, and stop_time, so that a stop_time as long as the longest timeout refuses nothing.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -13,6 +13,10 @@
 /// When a caller may come back to a service without a group that may serve.
 const NO_GROUP_RETRY: Duration = Duration::from_secs(3);
 
+/// When a caller may ask again that a leaving node refused. Meanwhile it asks one of those that
+/// it is told instead.
+const LEAVING_RETRY: Duration = Duration::from_secs(1);
+
 /// A checked call.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
@@ -161,6 +165,12 @@
     Problem::not_run(status, refusal.reason.to_string()).retry_after(refusal.retry_after)
 }
 
+/// What a caller is told of a call that a leaving node can't be sure to finish.
+pub(crate) fn may_outlast_node() -> Problem {
+    let detail = "this node leaves, and the call may take longer than it is there";
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail).retry_after(LEAVING_RETRY)
+}
+
 /// What a caller is told of a service that nothing serves.
 pub(crate) fn nothing_serves(service: &str, why: &str) -> Problem {
     let detail = format!("no group or target of service {service} can serve now{why}");
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -239,6 +239,10 @@
 
 /// Runs a call, with retries where nothing ran or the call may be repeated.
 pub(crate) async fn run(core: &Arc<Core>, call: &Call) -> Result<Ran, Problem> {
+    // After the claim of a call that has a key: an answer that is kept is told to the end.
+    if !core.may_begin(call.deadline) {
+        return Err(super::call::may_outlast_node());
+    }
     let mut may_have_run = false;
     let ran = attempts(core, call, &mut may_have_run).await;
     // "Not run" is said of the whole call and not of its last attempt.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::Incarnation;
+use eelgrassmill_base::{Incarnation, Shutdown};
 use eelgrassmill_group::{LeaseObserver, NodeRow, node_key};
 use eelgrassmill_peer::{
     DisseminationConfig, Item, Member, NodeLoad, NodeStatus, PeerError, PeerNode, PeerNodeConfig,
@@ -57,7 +57,11 @@
 const ERA_PERIOD: Duration = Duration::from_secs(20);
 /// Longest time until the other nodes no longer name a leaving one.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
-/// Before the exit, callers whose answers are cut off are told so for this long.
+/// What closing the callers' port may take. Added to the stop time, so that where it is as long
+/// as the longest timeout, nothing is refused that comes before the port closes.
+const CLOSE_TIME: Duration = Duration::from_millis(250);
+/// How long callers may be told the last word: at the end of the stop time, that theirs ran out
+/// of time; after it, that this node's exit cuts them off.
 const LAST_WORDS: Duration = Duration::from_millis(200);
 /// Period of looking for claims whose time is over.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
@@ -215,13 +219,13 @@
     /// the settings. Gives whether every request in progress could be finished.
     pub fn stop(mut self) -> bool {
         self.core.journal.note(EventKind::NodeStopping {});
-        self.core.begin_leaving();
+        let shutdown = self.shutdown_from(Instant::now());
+        self.core.begin_leaving(shutdown);
+        self.warn_of_long_services();
         publish_status(&self.core, &self.peer);
-        // Others learn of it with the next flush; callers that asked before
-        // then keep their answer for this long and still connect here.
-        std::thread::sleep(self.core.settings.timing.address_keep + LEAVE_NOTICE);
+        std::thread::sleep(until(shutdown.closes()));
         self.stop_entry.send_replace(true);
-        let finished = self.finish_requests();
+        let finished = self.finish_requests(shutdown.ends());
         if !finished {
             self.core.metrics.promise_broken(Promise::GracefulStop);
         }
@@ -239,11 +243,35 @@
         finished
     }
 
-    fn finish_requests(&mut self) -> bool {
+    fn shutdown_from(&self, told: Instant) -> Shutdown {
+        let timing = &self.core.settings.timing;
+        // Others learn of it with the next flush; callers that asked before
+        // then keep their answer for this long and still connect here.
+        let open = timing.address_keep + LEAVE_NOTICE;
+        Shutdown::new(told, open, open + CLOSE_TIME + timing.stop_time)
+    }
+
+    /// Names services of which calls are refused though callers were still sent here.
+    fn warn_of_long_services(&self) {
+        let stop_time = self.core.settings.timing.stop_time;
+        let cfg = self.core.config.config();
+        for service in cfg.services.values().filter(|s| s.timeout > stop_time) {
+            tracing::warn!(
+                service = %service.name,
+                timeout = ?service.timeout,
+                ?stop_time,
+                "calls of this service may outlast this node and are refused"
+            );
+        }
+    }
+
+    /// Waits until `ends` for the requests in progress; whether all could be finished.
+    fn finish_requests(&mut self, ends: Instant) -> bool {
         let (Some(mut done), Some(runtime)) = (self.entry_done.take(), &self.runtime) else {
             return true;
         };
-        let limit = self.core.settings.timing.stop_time;
+        // One that ends with its deadline says so after it.
+        let limit = until(ends) + LAST_WORDS;
         runtime.block_on(async {
             let finished = tokio::time::timeout(limit, &mut done).await.is_ok();
             if !finished {
@@ -280,6 +308,10 @@
     }
 }
 
+fn until(moment: Instant) -> Duration {
+    moment.saturating_duration_since(Instant::now())
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address).map_err(|error| NodeError::Listen { address, error })
 }
--- a/crates/node/src/settings_keys.rs
+++ b/crates/node/src/settings_keys.rs
@@ -119,7 +119,7 @@
         "stop_time",
         Shape::duration(SECOND, HOUR),
         "60s",
-        "Longest time that a stopping node waits for requests in progress.",
+        "Longest time that a stopping node waits for requests in progress. Where a service's timeout is longer, a stop refuses calls.",
     ),
 ];
 
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
 
-use eelgrassmill_base::{Epoch, HostId, NodeId, ServiceName, TargetKind, TenantId};
+use eelgrassmill_base::{Epoch, HostId, NodeId, ServiceName, Shutdown, TargetKind, TenantId};
 use eelgrassmill_claim::EraClock;
 use eelgrassmill_config::{Config, Service, ServiceKind};
 use eelgrassmill_engine::{HostControl, TargetClient};
@@ -79,7 +79,8 @@
     /// Why services can't serve though groups of them are whole, as last worked out.
     pub(crate) held_up: Mutex<BTreeMap<ServiceName, SmolStr>>,
     shards: RwLock<BTreeMap<ServiceName, Arc<Shard>>>,
-    leaving: AtomicBool,
+    /// Set once this node was told to stop.
+    shutdown: OnceLock<Shutdown>,
     /// Whether the time of those that still run is over: the process is about to exit.
     ending: watch::Sender<bool>,
     stopped: AtomicBool,
@@ -124,7 +125,7 @@
             tenant_counts: Mutex::new(BTreeMap::new()),
             held_up: Mutex::new(BTreeMap::new()),
             shards: RwLock::new(BTreeMap::new()),
-            leaving: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             ending: watch::Sender::new(false),
             stopped: AtomicBool::new(false),
             ident,
@@ -134,11 +135,18 @@
 
     /// Whether this node takes no new work, by order to stop or by the text.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire) || self.config.config().drains_node(&self.ident.node)
+        self.shutdown.get().is_some() || self.config.config().drains_node(&self.ident.node)
     }
 
-    pub(crate) fn begin_leaving(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Says that this node was told to stop.
+    pub(crate) fn begin_leaving(&self, shutdown: Shutdown) {
+        // It is told once: a stop consumes the node.
+        let _ = self.shutdown.set(shutdown);
+    }
+
+    /// Whether this node may begin what can last until `deadline`.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        self.shutdown.get().is_none_or(|s| s.may_begin(deadline))
     }
 
     /// Says to all that still runs that the process is about to exit.
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -7,9 +7,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_standin::{HostSpec, Pace, engine_specs, expected_answer};
+use eelgrassmill_standin::{HostSpec, Pace, Standins, engine_specs, expected_answer};
 use util::stream::{Raw, post};
-use util::{Cluster, TENANT_TOKEN, completion, eventually, text};
+use util::{Answer, Cluster, TENANT_TOKEN, completion, eventually, text};
 
 /// How long callers keep the addresses that they were told.
 const KEEP: Duration = Duration::from_secs(1);
@@ -42,7 +42,7 @@
 
 /// Stops node 0; once node 1 no longer names it, and so within [`KEEP`] of its port's closing,
 /// does `late` with its address. Gives whether all of node 0 could be finished.
-fn stop_and<T>(mut cluster: Cluster, late: impl FnOnce(SocketAddr) -> T) -> (bool, T) {
+fn stop_and<T>(cluster: &mut Cluster, late: impl FnOnce(&Cluster, SocketAddr) -> T) -> (bool, T) {
     let node = cluster.nodes.remove(0);
     let address = node.caller_address();
     std::thread::scope(|scope| {
@@ -57,7 +57,7 @@
             );
             !told.text.contains(&address.to_string())
         });
-        let came = late(address);
+        let came = late(cluster, address);
         (stop.join().unwrap(), came)
     })
 }
@@ -81,6 +81,13 @@
     raw.status() == 503 && raw.head.contains("retry-after: ") && outcome(raw) == "not-run"
 }
 
+/// Asks for a refund, which may take the service's 10 s.
+fn refund(address: SocketAddr, key: &str) -> Answer {
+    let token = format!("Bearer {TENANT_TOKEN}");
+    let headers = [("authorization", token.as_str()), ("idempotency-key", key)];
+    util::call(address, "POST", "/services/booking/refund", &headers, key)
+}
+
 fn shown(raw: &Raw) -> String {
     format!(
         "{} ended: {}, {} bytes",
@@ -112,10 +119,14 @@
 /// before its port closes. The letter takes longer than the node is still there and breaks off
 /// in the middle when the process exits; the other node had all the time for it. A call that
 /// names a time which is over before then is answered.
+///
+/// The cause: until its port closed the node took whatever came, as if none took longer than the
+/// stop time, and looked at no call's own time. With 5 s left it began letters of 12 s. Both
+/// streams had got 200 and some 125 KB when the process ended; the third caller got no byte.
 #[test]
 fn a_stopping_node_begins_nothing_that_may_outlast_it() {
-    let cluster = slow_cluster();
-    let (finished, late) = stop_and(cluster, |address| {
+    let mut cluster = slow_cluster();
+    let (finished, late) = stop_and(&mut cluster, |_, address| {
         std::thread::scope(|scope| {
             // Without a time of its own the first has the service's, 20 s.
             let calls = [
@@ -164,3 +175,34 @@
         assert_eq!(outcome(&whole), "unknown");
     });
 }
+
+/// A node that leaves refuses a refund which may outlast it. The booking desk sends it again
+/// elsewhere, under the same key: it runs there, once. An answer that is kept is told to the
+/// end: who asks for it must not hear that nothing ran.
+#[test]
+fn a_stopping_node_tells_kept_answers_and_begins_no_long_call_with_a_key() {
+    let mut cluster = slow_cluster();
+    eventually("the plain service serves", || {
+        refund(cluster.nodes[0].caller_address(), "kept").status == 200
+    });
+    let other = cluster.nodes[1].caller_address();
+    let runs_of = |standins: &Standins, key: &str| {
+        let runs = standins.runs("plain-0").unwrap();
+        runs.by_key.get(key).copied().unwrap_or_default()
+    };
+    let (finished, ()) = stop_and(&mut cluster, |cluster, address| {
+        let kept = refund(address, "kept");
+        assert_eq!(kept.status, 200, "{}", kept.text);
+        let refused = refund(address, "new");
+        assert!(refused.outcome_is("not-run"), "{}", refused.text);
+        assert!(refused.retry_after.is_some());
+        assert_eq!(refused.json()["instead"][0], other.to_string());
+        assert_eq!(runs_of(&cluster.standins, "new"), 0);
+        // Its claim is given back within moments.
+        eventually("it runs elsewhere", || refund(other, "new").status == 200);
+    });
+    assert!(finished);
+    for key in ["kept", "new"] {
+        assert_eq!(runs_of(&cluster.standins, key), 1, "{key}");
+    }
+}
