Show that a stop cuts off a call with a key whose caller has left

Seen by callers: a caller whose connection broke asks again under its key, as it should, and hears that the call may have run; nobody has the letter. The node that ran it was stopped meanwhile, with 20 s of stop time left and 12 s to go, and exited with "all finished".

--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -17,13 +17,15 @@
 const REST: Duration = Duration::from_millis(1_800);
 /// What may run may end for this long after the port has closed.
 const STOP_TIME: Duration = Duration::from_secs(3);
+/// Longer than any call may take here.
+const LONG_STOP_TIME: Duration = Duration::from_secs(20);
 /// A letter that takes 12 s, longer than a node with [`STOP_TIME`] is still there.
 const LONG: u64 = 1_200;
 const TOKEN_TIME: Duration = Duration::from_millis(10);
 const PROMPT: &str = "a letter";
 
-/// Two nodes that stop within [`KEEP`], 1 s and [`STOP_TIME`], before slow engines.
-fn slow_cluster() -> Cluster {
+/// Two nodes that stop within [`KEEP`], 1 s and `stop_time`, before slow engines.
+fn slow_cluster(stop_time: Duration) -> Cluster {
     let pace = Pace {
         token: TOKEN_TIME,
         prefill: Duration::ZERO,
@@ -33,7 +35,7 @@
     let engines = engine_specs(2, 4).into_iter().map(slow).collect();
     let cluster = Cluster::with_settings(2, engines, |_, settings| {
         settings.timing.address_keep = KEEP;
-        settings.timing.stop_time = STOP_TIME;
+        settings.timing.stop_time = stop_time;
     });
     cluster.accept(&text(1), 0);
     cluster.wait_whole(1);
@@ -125,7 +127,7 @@
 /// streams had got 200 and some 125 KB when the process ended; the third caller got no byte.
 #[test]
 fn a_stopping_node_begins_nothing_that_may_outlast_it() {
-    let mut cluster = slow_cluster();
+    let mut cluster = slow_cluster(STOP_TIME);
     let (finished, late) = stop_and(&mut cluster, |_, address| {
         std::thread::scope(|scope| {
             // Without a time of its own the first has the service's, 20 s.
@@ -161,7 +163,7 @@
 /// is told that it may have run, rather than getting a closed connection and no word.
 #[test]
 fn callers_are_told_when_a_node_stops_before_their_answer_ends() {
-    let mut cluster = slow_cluster();
+    let mut cluster = slow_cluster(STOP_TIME);
     let node = cluster.nodes.remove(0);
     let address = node.caller_address();
     std::thread::scope(|scope| {
@@ -181,7 +183,7 @@
 /// end: who asks for it must not hear that nothing ran.
 #[test]
 fn a_stopping_node_tells_kept_answers_and_begins_no_long_call_with_a_key() {
-    let mut cluster = slow_cluster();
+    let mut cluster = slow_cluster(STOP_TIME);
     eventually("the plain service serves", || {
         refund(cluster.nodes[0].caller_address(), "kept").status == 200
     });
@@ -206,3 +208,28 @@
         assert_eq!(runs_of(&cluster.standins, key), 1, "{key}");
     }
 }
+
+/// A caller asks for a long letter under a key and its connection breaks. The call runs on, since
+/// it can't be run a second time, and the caller means to ask for its answer under the key. Then
+/// the node is told to stop. It has the time for the letter, and exits without waiting for it: the
+/// caller hears that it may have run, and nobody has the letter.
+#[test]
+fn a_stopping_node_finishes_a_call_with_a_key_whose_caller_has_left() {
+    let mut cluster = slow_cluster(LONG_STOP_TIME);
+    let key = [("idempotency-key", "letter-1")];
+    let body = completion(PROMPT, LONG, false);
+    let asked = cluster.open_with(0, "/v1/completions", &key, &body);
+    eventually("it runs", || cluster.engine_runs().len() == 1);
+    drop(asked);
+    let node = cluster.nodes.remove(0);
+    assert!(node.stop());
+    let mut again = cluster.caller(0, "/v1/completions", &key, &body);
+    eventually("its claim is settled", || {
+        again = cluster.caller(0, "/v1/completions", &key, &body);
+        again.status != 409
+    });
+    assert_eq!(again.status, 200, "{}", again.text);
+    let letter = &again.json()["choices"][0]["text"];
+    assert_eq!(*letter, expected_answer(PROMPT, LONG));
+    assert_eq!(cluster.engine_runs().len(), 1);
+}
