Give the stopping node of a test as long as its services' timeouts

The test of a planned stop ran with a stop_time of 20 s and a service whose calls may take 30 s. By the rule that a leaving node begins only what is over before its end, it refuses calls that name no time, as not run, from the signal on: the test failed with NotRun in place of Whole. The settings were what contradicts itself; the stop's section in docs/OPERATIONS.md asks for a stop_time of at least the longest timeout. All of the test's checks stay as they are. What happens where stop_time is shorter is checked by a_stopping_node_begins_nothing_that_may_outlast_it.

--- a/crates/core/tests/process/world.rs
+++ b/crates/core/tests/process/world.rs
@@ -152,7 +152,7 @@
              [listen]\ncallers = {}\nadmin = {}\npeers = {}\n\
              [platform]\ntable = {}\n[admin]\ntoken_sha256 = {}\n[peers]\nseeds = {}\n\
              [timing]\nlease_term = 3s\nclock_margin = 500ms\norder_time = 1s\n\
-             address_keep = 2s\nstop_time = 20s\n",
+             address_keep = 2s\nstop_time = 30s\n",
             place % 3 + 1,
             ports.callers,
             ports.admin,
