--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -21,6 +21,8 @@
         TooLong,
         /// Its body did not come in time or broke off.
         BodyCut,
+        /// It may outlast this node, which was told to stop.
+        NodeLeaves,
         /// No host or replica can serve it now.
         NothingServes,
         /// All are full.
@@ -35,6 +37,8 @@
         NoAnswerInTime,
         /// It was sent, and the answer broke off or was of no use.
         AnswerBroken,
+        /// This node exits and may have sent it.
+        NodeEnds,
     }
 }
 
@@ -47,6 +51,7 @@
             RefusalCause::UnknownKey => "unknown-key",
             RefusalCause::TooLong => "too-long",
             RefusalCause::BodyCut => "body-cut",
+            RefusalCause::NodeLeaves => "node-leaves",
             RefusalCause::NothingServes => "nothing-serves",
             RefusalCause::Full => "full",
             RefusalCause::HostsRefused => "hosts-refused",
@@ -54,12 +59,14 @@
             RefusalCause::OutOfTime => "out-of-time",
             RefusalCause::NoAnswerInTime => "no-answer-in-time",
             RefusalCause::AnswerBroken => "answer-broken",
+            RefusalCause::NodeEnds => "node-ends",
         }
     }
 
     fn status(self) -> StatusCode {
         match self {
             RefusalCause::NotLoaded
+            | RefusalCause::NodeLeaves
             | RefusalCause::NothingServes
             | RefusalCause::Full
             | RefusalCause::HostsRefused
@@ -70,7 +77,7 @@
             RefusalCause::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalCause::BodyCut => StatusCode::REQUEST_TIMEOUT,
             RefusalCause::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
-            RefusalCause::AnswerBroken => StatusCode::BAD_GATEWAY,
+            RefusalCause::AnswerBroken | RefusalCause::NodeEnds => StatusCode::BAD_GATEWAY,
         }
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, ServiceName};
+use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow};
 use eelgrassmill_peer::PeerNode;
@@ -47,8 +47,11 @@
     pub(crate) schedulers: Schedulers,
     pub(crate) placing: Placing,
     pub(crate) planning: Inbox<PlanningEvent>,
-    pub(crate) leaving: AtomicBool,
+    /// Set once this node was told to stop.
+    shutdown: OnceLock<Shutdown>,
     pub(crate) stopping: watch::Sender<bool>,
+    /// Whether the time of those that still run is over: the process is about to exit.
+    ending: watch::Sender<bool>,
     served: AtomicBool,
     store_failures: AtomicU64,
     peer: OnceLock<Arc<PeerNode<Peers<P>>>>,
@@ -80,8 +83,9 @@
             schedulers: Schedulers::default(),
             placing: Placing::default(),
             planning: Inbox::default(),
-            leaving: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             served: AtomicBool::new(false),
             store_failures: AtomicU64::new(0),
             peer: OnceLock::new(),
@@ -100,7 +104,29 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.shutdown.get().is_some()
+    }
+
+    /// Says that this node was told to stop. The first word counts.
+    pub(crate) fn leave(&self, shutdown: Shutdown) -> &Shutdown {
+        self.shutdown.get_or_init(|| shutdown)
+    }
+
+    /// Whether this node may begin what can last until `deadline`.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        self.shutdown.get().is_none_or(|s| s.may_begin(deadline))
+    }
+
+    /// Says to all that still runs that the process is about to exit.
+    pub(crate) fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn until_end(&self) {
+        let mut rx = self.ending.subscribe();
+        // The sender lives as long as `self`, so this ends only by the value.
+        let _ = rx.wait_for(|ending| *ending).await;
     }
 
     /// Notes that a request was served, here or elsewhere.
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
 
-use eelgrassmill_base::{Epoch, HostId, NodeId, ServiceName, TargetKind, TenantId};
+use eelgrassmill_base::{Epoch, HostId, NodeId, ServiceName, Shutdown, TargetKind, TenantId};
 use eelgrassmill_claim::EraClock;
 use eelgrassmill_config::{Config, Service, ServiceKind};
 use eelgrassmill_engine::{HostControl, TargetClient};
@@ -14,6 +14,7 @@
 use eelgrassmill_stores::{HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore};
 
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use super::config::ConfigCell;
 use super::directory::Directory;
@@ -24,6 +25,7 @@
 use super::lock::lock;
 use super::quotas::{Quotas, without_quota};
 use super::reports::Reports;
+use super::running::Running;
 use super::shard::Shard;
 use super::table::CountedTable;
 use super::usage::UsageBook;
@@ -78,7 +80,11 @@
     /// Why services can't serve though groups of them are whole, as last worked out.
     pub(crate) held_up: Mutex<BTreeMap<ServiceName, SmolStr>>,
     shards: RwLock<BTreeMap<ServiceName, Arc<Shard>>>,
-    leaving: AtomicBool,
+    pub(crate) running: Running,
+    /// Set once this node was told to stop.
+    shutdown: OnceLock<Shutdown>,
+    /// Whether the time of those that still run is over: the process is about to exit.
+    ending: watch::Sender<bool>,
     stopped: AtomicBool,
 }
 
@@ -121,7 +127,9 @@
             tenant_counts: Mutex::new(BTreeMap::new()),
             held_up: Mutex::new(BTreeMap::new()),
             shards: RwLock::new(BTreeMap::new()),
-            leaving: AtomicBool::new(false),
+            running: Running::default(),
+            shutdown: OnceLock::new(),
+            ending: watch::Sender::new(false),
             stopped: AtomicBool::new(false),
             ident,
             settings,
@@ -130,11 +138,30 @@
 
     /// Whether this node takes no new work, by order to stop or by the text.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire) || self.config.config().drains_node(&self.ident.node)
+        self.shutdown.get().is_some() || self.config.config().drains_node(&self.ident.node)
     }
 
-    pub(crate) fn begin_leaving(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Says that this node was told to stop.
+    pub(crate) fn begin_leaving(&self, shutdown: Shutdown) {
+        // It is told once: a stop consumes the node.
+        let _ = self.shutdown.set(shutdown);
+    }
+
+    /// Whether this node may begin what can last until `deadline`.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        self.shutdown.get().is_none_or(|s| s.may_begin(deadline))
+    }
+
+    /// Says to all that still runs that the process is about to exit.
+    pub(crate) fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn until_end(&self) {
+        let mut rx = self.ending.subscribe();
+        // The sender lives as long as `self`, so this ends only by the value.
+        let _ = rx.wait_for(|ending| *ending).await;
     }
 
     /// Whether the loops are to end.
