Observer of the node tests: take readiness from the host, not from the next look

In a whole run of the tests the check of a rollout failed once: a node served an epoch though a member "has been missing for 7.4 s". Cause: the observer only took looks at the host that began before the node was asked. Right after a formation there is none yet, and the check then fell back to the very first look of the run, so that the time it named was the age of the run and the bound didn't apply at all.

Ruled out: a node that serves without its member. In that run it joined before.

Change: the stand-in notes when it became ready in an epoch of a group, before any report can show it. A listing is a fault when the host became ready only after the node had answered, or never; once it has been seen ready, the bound counts from the last look as before; until then from the moment of readiness. That is as strict as before, since a moment between question and answer is all that an observer can know of the listing, and stricter in the first 2.9 s of a run, where a group served before its host was ready passed.

Conclusion: the failure was the observer's. The same runs showed two real faults of rollouts, in which all groups were out of service for a while; they are separate.

--- a/crates/node/tests/util/observe.rs
+++ b/crates/node/tests/util/observe.rs
@@ -31,21 +31,27 @@
     pub serving: bool,
 }
 
-/// What one node listed at one moment; the moment is before it was asked.
+/// What one node listed at a moment between its being asked and its answer.
 #[derive(Clone, Debug)]
 pub struct Sample {
+    /// Before it was asked.
     pub at: Instant,
+    /// After it had answered.
+    pub answered: Instant,
     pub groups: Vec<Listed>,
 }
 
 /// The group and epoch in which a host was ready when it was asked at a moment.
-type HostSample = (Instant, Option<(String, u64)>);
+pub type HostSample = (Instant, Option<(String, u64)>);
+/// When each host became ready in an epoch of a group, by its own account and not as seen.
+type Readied = BTreeMap<(String, String, u64), Instant>;
 
 /// Everything that was seen.
 #[derive(Default)]
 pub struct Observed {
     nodes: Mutex<BTreeMap<usize, Vec<Sample>>>,
     hosts: Mutex<BTreeMap<String, Vec<HostSample>>>,
+    readied: Mutex<Readied>,
     stop: AtomicBool,
 }
 
@@ -78,18 +84,56 @@
         }
         during(&seen)
     });
+    seen.ask_when_ready(cluster);
     (result, seen)
 }
 
 impl Observed {
+    /// Adds what a node listed.
+    pub fn node_listed(&self, node: usize, sample: Sample) {
+        lock(&self.nodes).entry(node).or_default().push(sample);
+    }
+
+    /// Adds what a look at a host showed.
+    pub fn host_showed(&self, host: &str, look: HostSample) {
+        let mut hosts = lock(&self.hosts);
+        hosts.entry(host.to_owned()).or_default().push(look);
+    }
+
+    /// Adds when a host became ready in an epoch of a group.
+    pub fn became_ready(&self, host: &str, group: &str, epoch: u64, at: Instant) {
+        let place = (host.to_owned(), group.to_owned(), epoch);
+        lock(&self.readied).insert(place, at);
+    }
+
+    /// Asks the stand-ins when the members of each group that was listed became ready.
+    fn ask_when_ready(&self, cluster: &Cluster) {
+        let all = lock(&self.nodes).clone();
+        let mut places = BTreeSet::new();
+        for group in all.values().flatten().flat_map(|s| &s.groups) {
+            for member in &group.members {
+                places.insert((member.clone(), group.group.clone(), group.epoch));
+            }
+        }
+        for (host, group, epoch) in places {
+            if let Some(at) = cluster.standins.ready_since(&host, &group, epoch) {
+                self.became_ready(&host, &group, epoch, at);
+            }
+        }
+    }
+
     fn follow_node(&self, cluster: &Cluster, i: usize) {
         while !self.stop.load(Ordering::Acquire) {
             let at = Instant::now();
             let groups = cluster.admin(i, "GET", "/admin/v1/groups", "").json();
             let groups = groups.as_array().unwrap().iter().map(listed).collect();
-            let mut nodes = lock(&self.nodes);
-            nodes.entry(i).or_default().push(Sample { at, groups });
-            drop(nodes);
+            let answered = Instant::now();
+            let sample = Sample {
+                at,
+                answered,
+                groups,
+            };
+            self.node_listed(i, sample);
             rest(at);
         }
     }
@@ -101,10 +145,7 @@
                 let placement = report.placement.filter(|_| report.ready)?;
                 Some((placement.group.to_string(), placement.epoch))
             });
-            lock(&self.hosts)
-                .entry(host.to_owned())
-                .or_default()
-                .push((at, ready));
+            self.host_showed(host, (at, ready));
             rest(at);
         }
     }
@@ -131,31 +172,46 @@
     }
 
     /// Panics when a host was in two serving groups, or a group was listed as serving
-    /// longer than evidence counts after one of its hosts was last ready in it.
+    /// before one of its hosts became ready in it, or longer than evidence counts after one
+    /// of them was last ready in it.
     pub fn check(&self) {
         let all = lock(&self.nodes).clone();
         for (i, samples) in &all {
             for sample in samples {
                 no_host_twice(*i, sample);
                 for group in sample.groups.iter().filter(|g| g.serving) {
-                    self.members_were_there(*i, sample.at, group);
+                    self.members_were_there(*i, sample, group);
                 }
             }
         }
     }
 
-    fn members_were_there(&self, node: usize, at: Instant, group: &Listed) {
+    fn members_were_there(&self, node: usize, sample: &Sample, group: &Listed) {
         let hosts = lock(&self.hosts);
+        let readied = lock(&self.readied);
         for member in &group.members {
-            let Some(samples) = hosts.get(member) else {
+            let Some(looks) = hosts.get(member) else {
                 continue;
             };
-            let first = samples.first().map_or(at, |(at, _)| *at);
+            let place = (member.clone(), group.group.clone(), group.epoch);
+            let since = readied.get(&place).copied();
+            // The looks may miss the beginning by as long as one of them comes late; the
+            // host itself doesn't.
+            let since = since.filter(|since| *since <= sample.answered);
+            assert!(
+                since.is_some(),
+                "node-{node} serves {} in epoch {} though {member} has not been ready in it",
+                group.group,
+                group.epoch,
+            );
             let here = Some((group.group.clone(), group.epoch));
-            let fits = |(asked, ready): &&HostSample| *asked <= at && *ready == here;
-            // Before the first look at the host nothing is known against it.
-            let last = samples.iter().rev().find(fits).map_or(first, |(at, _)| *at);
-            let missing = at.saturating_duration_since(last);
+            let fits = |(asked, ready): &&HostSample| *asked <= sample.at && *ready == here;
+            let seen = looks.iter().rev().find(fits).map(|(asked, _)| *asked);
+            // Before the first look at the host, and before the next one after it became
+            // ready, nothing is known against it.
+            let first = looks.first().map(|(asked, _)| *asked);
+            let last = seen.or(first.max(since)).unwrap_or(sample.at);
+            let missing = sample.at.saturating_duration_since(last);
             assert!(
                 missing <= EVIDENCE_TIME + SLACK,
                 "node-{node} serves {} in epoch {} though {member} has been missing for {missing:?}",
--- a/crates/standin/src/builder.rs
+++ b/crates/standin/src/builder.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{HostEntry, HostId, HostState};
+use eelgrassmill_base::{Epoch, HostEntry, HostId, HostState};
 use serde_json::Value;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use tokio::net::TcpListener;
@@ -223,6 +223,12 @@
         self.world.hosts.get(host).map(|host| host.runs.report())
     }
 
+    /// When a host first became ready in this epoch of a group, exactly and by its own
+    /// account: also where it has not answered anybody since.
+    pub fn ready_since(&self, host: &str, group: &str, epoch: Epoch) -> Option<Instant> {
+        self.world.hosts.get(host)?.ready_since(group, epoch)
+    }
+
     /// How many requests wait for a slot of a host.
     pub fn waiting(&self, host: &str) -> Option<usize> {
         self.world.hosts.get(host).map(|host| host.slots.waiting())
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -1,6 +1,6 @@
 //! One stand-in host: its state and the orders it takes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -20,6 +20,8 @@
 
 /// Model versions whose weights stay warm at most.
 const MAX_WARM: usize = 2;
+/// Placements remembered with the moment of readiness at most.
+const MAX_READIED: usize = 1024;
 /// How often a paused host looks whether it may go on.
 const PAUSE_STEP: Duration = Duration::from_millis(5);
 const DEFAULT_SLOWNESS: u64 = 4;
@@ -43,6 +45,8 @@
     alive: bool,
     placement: Option<Placement>,
     ready: bool,
+    /// Each placement that it became ready in, and when; kept over restarts.
+    readied: VecDeque<Readied>,
     /// Lost with a restart, as the host has no disk.
     fence: Fence,
     leaving_since: Option<Instant>,
@@ -75,6 +79,13 @@
     incarnation: Incarnation,
 }
 
+/// The moment at which a host became ready in a group.
+struct Readied {
+    group: GroupId,
+    epoch: Epoch,
+    at: Instant,
+}
+
 /// Weights to be loaded for a placement.
 pub(crate) struct Loading {
     pub(crate) model: SmolStr,
@@ -89,6 +100,7 @@
             alive: true,
             placement: None,
             ready: false,
+            readied: VecDeque::new(),
             fence: 0,
             leaving_since: None,
             listed_leaving: false,
@@ -192,7 +204,7 @@
         if !same || state.incarnation != loading.incarnation || !state.alive {
             return;
         }
-        state.ready = true;
+        state.become_ready(&loading.placement);
         state.warm.retain(|model| *model != loading.model);
         state.warm.push(loading.model.clone());
         if state.warm.len() > MAX_WARM {
@@ -242,6 +254,13 @@
         self.lock().incarnation
     }
 
+    /// When it first became ready in this epoch of a group, as far as it remembers.
+    pub(crate) fn ready_since(&self, group: &str, epoch: Epoch) -> Option<Instant> {
+        let state = self.lock();
+        let here = |r: &&Readied| r.group == group && r.epoch == epoch;
+        state.readied.iter().find(here).map(|r| r.at)
+    }
+
     /// Whether it is alive and has not restarted since `incarnation`.
     pub(crate) fn is_still(&self, incarnation: Incarnation) -> bool {
         let state = self.lock();
@@ -352,7 +371,10 @@
         }
         let model = format_smolstr!("{}@{}", placement.model, placement.version);
         self.placement = Some(placement.clone());
-        self.ready = self.warm.contains(&model);
+        self.ready = false;
+        if self.warm.contains(&model) {
+            self.become_ready(placement);
+        }
         let loading = Loading {
             model,
             incarnation: self.incarnation,
@@ -361,6 +383,19 @@
         (!self.ready).then_some(loading)
     }
 
+    /// The moment is noted before any report can show the readiness, as reports wait for the state.
+    fn become_ready(&mut self, placement: &Placement) {
+        self.ready = true;
+        if self.readied.len() == MAX_READIED {
+            self.readied.pop_front();
+        }
+        self.readied.push_back(Readied {
+            group: placement.group.clone(),
+            epoch: placement.epoch,
+            at: Instant::now(),
+        });
+    }
+
     fn leave(&mut self, meant: &Placement) {
         let same = |held: &Placement| held.group == meant.group && held.epoch == meant.epoch;
         if self.placement.as_ref().is_some_and(same) {
