A rollout doesn't end the last group for a moment of silence

Found by runs of a_version_without_spares_rolls_out_above_the_floor beside other load: "node-0 had 0 groups serving", in one of them for 3.5 s (88 samples). Traced there: all hosts answered nobody for a second (the test's own looks at them neither); the group that kept the floor stopped for 0.15 s for the silence of a member, and 62 ms after it had stopped the planner ended it for the rollout: a group that doesn't serve was ended whatever the floor. It was whole again 88 ms after that, and from then on nothing served until the other was loaded.

Change: while none of its members is known to be lost, a group that has served and has stopped is kept for the floor like one that serves, for as long as a group that ended is expected to be formed again. One that has lost a member is ended as before.

Ruled out: other ways to end it; the reason in the time line is Rollout. Also tried and left out: waiting longer, by the rule of repairs for silent members, whose prior acts at once here.

Tests: a_moment_of_silence_does_not_end_the_last_group_of_a_rollout fails before and passes after; a_group_that_does_not_come_back_does_not_hold_a_rollout_up passes before and after, and fails without the bound in time. All tests of the crate pass.

--- a/crates/group/src/plan/shape.rs
+++ b/crates/group/src/plan/shape.rs
@@ -121,9 +121,10 @@
             if left == 0 || !group.is_formed() || !is_old(wanted, group) {
                 continue;
             }
-            // A broken group costs no capacity; it is ended whatever the floor.
+            // A group that can't come back costs no capacity; it is ended whatever the floor.
             let costs = usize::from(group.is_serving());
-            if costs > 0 && serving <= wanted.cfg.floor as usize {
+            let kept = costs > 0 || comes_back(round, group);
+            if kept && serving - costs < wanted.cfg.floor as usize {
                 continue;
             }
             let facts = group.facts;
@@ -136,6 +137,16 @@
     }
 }
 
+/// Whether a group that has stopped serving is expected back as it is: none of its members
+/// is known to be lost.
+///
+/// A moment in which its hosts don't answer is over much sooner than a load.
+fn comes_back(round: &Round<'_>, group: &Group<'_>) -> bool {
+    let down = round.now.saturating_duration_since(group.facts.down_since);
+    let unharmed = group.standing == Standing::Coming;
+    unharmed && group.facts.served && down <= round.policy.reform_limit
+}
+
 /// How many groups may be between versions at once, less those that are.
 fn rollouts_allowed(round: &Round<'_>, service: usize) -> usize {
     let wanted = &round.wanted[service];
--- a/crates/group/tests/plan.rs
+++ b/crates/group/tests/plan.rs
@@ -13,7 +13,8 @@
 
 use eelgrassmill_config::{Config, RepairWeight, ServiceKind};
 use eelgrassmill_group::{
-    Absence, Action, Change, FreedBecause, GroupRow, RepairPolicy, Return, ReturnModel, RowValue,
+    Absence, Action, Change, FreedBecause, GroupPhase, GroupRow, RepairPolicy, Return, ReturnModel,
+    RowValue,
 };
 use googletest::prelude::*;
 use smol_str::SmolStr;
@@ -130,6 +131,46 @@
     expect_true!(rows.iter().all(|g| g.version == "2"));
 }
 
+/// While one of two groups is between versions, all hosts fall silent for a moment, and the
+/// other group stops with them. It would be back in half a second; were it ended for the
+/// new version now, callers would wait for as long as a group takes to load.
+#[gtest]
+fn a_moment_of_silence_does_not_end_the_last_group_of_a_rollout() {
+    let mut fake = fake(&[("a", 2, 2, 1)], &[(0, 4)], RepairWeight::Downtime);
+    change(&mut fake, |c| model(c, "a").version = "2".into());
+    while serving(&fake, "a").len() == 2 {
+        fake.step();
+    }
+    let last = serving(&fake, "a").remove(0);
+    let hosts: Vec<SmolStr> = fake.hosts.keys().cloned().collect();
+    for host in &hosts {
+        fake.suffer(host, Fault::Pause(2));
+    }
+    expect_that!(least_serving(&mut fake, "a", 3 * SECOND), eq(0));
+    let back = serving(&fake, "a").iter().any(|g| g.epoch == last.epoch);
+    expect_true!(back);
+    fake.run(120 * SECOND);
+    let rows = serving(&fake, "a");
+    expect_that!(rows.len(), eq(2));
+    expect_true!(rows.iter().all(|g| g.version == "2"));
+}
+
+/// The last group of an old version hangs: a host has lost its place and takes no orders. The
+/// rollout must not wait for it for ever.
+#[gtest]
+fn a_group_that_does_not_come_back_does_not_hold_a_rollout_up() {
+    let mut fake = fake(&[("a", 1, 2, 1)], &[(0, 2)], RepairWeight::Downtime);
+    let old = serving(&fake, "a").remove(0);
+    let host = fake.hosts.get_mut(&old.members[0]).unwrap();
+    host.placement = None;
+    host.deaf = true;
+    host.set_running(0);
+    change(&mut fake, |c| model(c, "a").version = "2".into());
+    fake.run(30 * SECOND);
+    let held = |row: &GroupRow| row.epoch == old.epoch && row.phase == GroupPhase::Formed;
+    expect_false!(fake.view.groups.values().any(|g| held(&g.row)));
+}
+
 #[gtest]
 fn groups_wanted_fewer_more_and_not_at_all() {
     let mut fake = fake(
