A group counts for the floor only once every node knows that it serves

Found by runs of a_version_without_spares_rolls_out_above_the_floor beside other load: "node-0 had 0 groups serving", for two looks 40 ms apart. The printed lists and time lines show it: node-1, the planner, found the new group whole and ended the last old one 12 ms later; node-0 learned of the ending at once, and that the new group is whole 150 ms after the planner. In between it had no group at all, and its callers waited.

Change: the planner ends a group that serves, for a version or for a replacement, only when the others that keep the floor or the number wanted have served for a second. A group that few know of is not ended as one too many either: it may be the replacement.

A leaving host's group ends up to a second later after its replacement is whole.

Tests: a_new_group_keeps_the_floor_only_once_every_node_knows_of_it fails before (three endings, each with one group known too few) and passes after. All tests of the crate pass, of the node rollout, membership, partition, leaving, settings and whole_path.

--- a/crates/group/src/plan/group.rs
+++ b/crates/group/src/plan/group.rs
@@ -40,6 +40,8 @@
     /// Its fabric domain; `None` when it spans several or none is known.
     pub(crate) domain: Option<&'a FabricDomain>,
     pub(crate) standing: Standing,
+    /// Whether it has served for as long as every node takes to learn of it.
+    pub(crate) known: bool,
     /// Members that are lost or leaving.
     pub(crate) lost: SmallVec<[(&'a HostId, Lost); 4]>,
     /// Whether a transaction of this round ends it.
@@ -90,6 +92,11 @@
         self.standing != Standing::Ending && !self.ended_now
     }
 
+    /// Whether callers at every node may rely on it.
+    pub(crate) fn is_known(&self) -> bool {
+        self.is_serving() && self.known
+    }
+
     /// Whether it serves and goes on doing so.
     pub(crate) fn is_serving(&self) -> bool {
         self.standing == Standing::Serving && !self.ended_now
@@ -102,6 +109,11 @@
         self.groups.iter().filter(|g| g.is_serving()).count()
     }
 
+    /// Groups that serve as every node knows.
+    pub(crate) fn known(&self) -> usize {
+        self.groups.iter().filter(|g| g.is_known()).count()
+    }
+
     /// Groups that serve and need no replacement.
     pub(crate) fn serving_well(&self) -> usize {
         let well = |g: &&Group<'_>| g.is_serving() && g.is_good(self);
--- a/crates/group/src/plan/policy.rs
+++ b/crates/group/src/plan/policy.rs
@@ -34,6 +34,9 @@
     pub max_changes: usize,
     /// Time between two sendings of an order that hasn't shown effect.
     pub resend: Duration,
+    /// Time in which every node learns that a group serves. Until then another one that
+    /// keeps the floor is not ended for it.
+    pub heard: Duration,
     /// Least time that a group which served keeps its members after it began to end, so
     /// that every node has stopped routing to it.
     pub drain_least: Duration,
@@ -62,6 +65,7 @@
             max_loads: 16,
             max_changes: 32,
             resend: Duration::from_secs(1),
+            heard: Duration::from_secs(1),
             drain_least: Duration::from_secs(3),
             drain_most: Duration::from_secs(60),
             reform_limit: Duration::from_secs(20),
--- a/crates/group/src/plan/round.rs
+++ b/crates/group/src/plan/round.rs
@@ -333,6 +333,7 @@
             facts,
             domain: (domains.len() == 1).then(|| domains[0]),
             standing,
+            known: self.now.saturating_duration_since(facts.up_since) >= self.policy.heard,
             lost,
             ended_now: false,
             mending: false,
--- a/crates/group/src/plan/shape.rs
+++ b/crates/group/src/plan/shape.rs
@@ -30,8 +30,8 @@
 /// Ends the worst groups of a service while enough others serve.
 ///
 /// A group that serves is ended only when as many as wanted still serve
-/// without it; so a replacement, whatever it is for, is whole before its
-/// predecessor ends.
+/// without it, and every node knows of them; so a replacement, whatever it is
+/// for, gets work before its predecessor ends.
 fn end_beyond_count(round: &mut Round<'_>, service: usize) {
     let wanted = &round.wanted[service];
     let mut counts = Counts::of(wanted);
@@ -68,6 +68,8 @@
 struct Counts {
     formed: usize,
     serving: usize,
+    /// Those of the serving that every node knows of.
+    known: usize,
     /// Those of the serving that need no replacement.
     serving_well: usize,
 }
@@ -77,13 +79,15 @@
         Counts {
             formed: wanted.groups.iter().filter(|g| g.is_formed()).count(),
             serving: wanted.serving(),
+            known: wanted.known(),
             serving_well: wanted.serving_well(),
         }
     }
 
     fn may_end(self, wanted: &Wanted<'_>, group: &Group<'_>) -> bool {
         if group.is_serving() {
-            return self.serving > wanted.count;
+            // One that few know of may be the replacement of another.
+            return group.is_known() && self.known > wanted.count;
         }
         // A replacement on its way is kept until enough groups serve that need none.
         let enough = if group.is_good(wanted) {
@@ -114,7 +118,7 @@
 pub(crate) fn roll_out(round: &mut Round<'_>) {
     for service in 0..round.wanted.len() {
         let mut left = rollouts_allowed(round, service);
-        let mut serving = round.wanted[service].serving();
+        let mut known = round.wanted[service].known();
         for index in 0..round.wanted[service].groups.len() {
             let wanted = &round.wanted[service];
             let group = &wanted.groups[index];
@@ -122,16 +126,16 @@
                 continue;
             }
             // A group that can't come back costs no capacity; it is ended whatever the floor.
-            let costs = usize::from(group.is_serving());
-            let kept = costs > 0 || comes_back(round, group);
-            if kept && serving - costs < wanted.cfg.floor as usize {
+            let costs = usize::from(group.is_known());
+            let kept = group.is_serving() || comes_back(round, group);
+            if kept && known - costs < wanted.cfg.floor as usize {
                 continue;
             }
             let facts = group.facts;
             if end_group(round, facts, EndReason::Rollout) {
                 round.wanted[service].groups[index].ended_now = true;
                 left -= 1;
-                serving -= costs;
+                known -= costs;
             }
         }
     }
--- a/crates/group/src/plan/view.rs
+++ b/crates/group/src/plan/view.rs
@@ -55,6 +55,8 @@
     pub served: bool,
     /// Since when it has not served, while it doesn't.
     pub down_since: Instant,
+    /// Since when it has served, while it does.
+    pub up_since: Instant,
     /// A member that restarted after this epoch had been whole.
     pub restarted: Option<HostId>,
 }
@@ -160,6 +162,7 @@
             serving: false,
             served: false,
             down_since: now,
+            up_since: now,
             restarted: None,
         };
         let Some(group) = self.groups.get_mut(&row.group) else {
@@ -242,6 +245,9 @@
         if facts.serving && !serving {
             facts.down_since = now;
         }
+        if !facts.serving && serving {
+            facts.up_since = now;
+        }
         facts.serving = serving;
         facts.served |= serving;
         facts.restarted = restarted.cloned();
--- a/crates/group/tests/plan.rs
+++ b/crates/group/tests/plan.rs
@@ -9,12 +9,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_config::{Config, RepairWeight, ServiceKind};
 use eelgrassmill_group::{
-    Absence, Action, Change, FreedBecause, GroupPhase, GroupRow, RepairPolicy, Return, ReturnModel,
-    RowValue,
+    Absence, Action, Change, EndReason, FreedBecause, GroupPhase, GroupRow, RepairPolicy, Return,
+    ReturnModel, RowValue,
 };
 use googletest::prelude::*;
 use smol_str::SmolStr;
@@ -155,6 +155,46 @@
     expect_true!(rows.iter().all(|g| g.version == "2"));
 }
 
+fn is_rollout(action: &Action) -> bool {
+    let ended = |reason: &EndReason| matches!(reason, EndReason::Rollout | EndReason::Replaced);
+    matches!(action, Action::BeginEnding { reason, .. } if ended(reason))
+}
+
+/// The planner is the first to know that a group serves; to the other nodes the news takes a
+/// moment. Were the last old group ended at once, their callers would find no group at all.
+#[gtest]
+fn a_new_group_keeps_the_floor_only_once_every_node_knows_of_it() {
+    for (groups, floor, hosts) in [(2, 1, 4), (2, 2, 6)] {
+        let mut fake = fake(
+            &[("a", groups, 2, floor)],
+            &[(0, hosts)],
+            RepairWeight::Downtime,
+        );
+        change(&mut fake, |c| model(c, "a").version = "2".into());
+        let known = fake.policy.heard;
+        let old = serving(&fake, "a")
+            .into_iter()
+            .map(|g| (g.epoch, fake.now - known));
+        let mut since: BTreeMap<u64, Instant> = old.collect();
+        let end = fake.now + 300 * SECOND;
+        while fake.now < end {
+            let now = fake.now;
+            let ends = fake.step().into_iter().filter(is_rollout).count();
+            if ends > 0 {
+                let told = since.values().filter(|at| now - **at >= known).count();
+                expect_that!(told, ge(floor as usize + ends));
+            }
+            let epochs: BTreeSet<u64> = serving(&fake, "a").iter().map(|g| g.epoch).collect();
+            since.retain(|epoch, _| epochs.contains(epoch));
+            for epoch in epochs {
+                since.entry(epoch).or_insert(now);
+            }
+        }
+        expect_true!(serving(&fake, "a").iter().all(|g| g.version == "2"));
+        expect_that!(serving(&fake, "a").len(), eq(groups as usize));
+    }
+}
+
 /// The last group of an old version hangs: a host has lost its place and takes no orders. The
 /// rollout must not wait for it for ever.
 #[gtest]
