Tell those whose request is still coming that nothing ran when a node exits

Seen by callers: one whose body comes slowly when its node's time is over gets a closed connection and no word. Found by the review of stops (trial: the caller got nothing).

Cause: only requests that had been read saw the node's exit. A connection that the listener took in the very moment in which the port closed could also be missed by the count that a stop waits for; by reading, not seen.

Change: reading a request ends with the node too, with 503 node-leaves, which is true since nothing was sent; the stop waits for the listener before it counts.

Ruled out: 408, which says that the caller was at fault. Left: a call that waits for a place when the node ends is told 502 node-ends, though 503 would be true; it would have to wait for longer than any does.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -47,7 +47,8 @@
     pub(crate) schedulers: Schedulers,
     pub(crate) placing: Placing,
     pub(crate) planning: Inbox<PlanningEvent>,
-    /// Set once this node was told to stop.
+    /// Set once this node was told to stop. It then closes its port (`stopping`), and cuts off
+    /// what still runs (`ending`).
     shutdown: OnceLock<Shutdown>,
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether the time of those that still run is over: the process is about to exit.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping a node.
 
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eelgrassmill_base::Shutdown;
@@ -9,11 +9,13 @@
 use eelgrassmill_peer::{PeerError, PeerNode};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
 use tracing::info;
 
 use crate::config::GatewayConfig;
 use crate::core::Core;
 use crate::follow::{CatalogSink, HostSink, follow};
+use crate::heads::locked;
 use crate::peers::{self, Peers};
 use crate::ports::Platform;
 use crate::server::{self, OpenConnections};
@@ -47,6 +49,8 @@
 pub struct Gateway<P: Platform> {
     core: Arc<Core<P>>,
     open: Arc<OpenConnections>,
+    /// Takes callers' connections until the port closes.
+    port: Mutex<Option<JoinHandle<()>>>,
     peer: Arc<PeerNode<Peers<P>>>,
 }
 
@@ -67,11 +71,16 @@
         let directory = listen(addresses.directory).await?;
         let peer = peers::start(&core, incarnation(), &Handle::current())?;
         let open = Arc::new(OpenConnections::default());
-        serve_callers(&core, callers, Arc::clone(&open));
+        let port = serve_callers(&core, callers, Arc::clone(&open));
         serve_side(&core, ready);
         serve_side(&core, directory);
         spawn_loops(&core);
-        Ok(Gateway { core, open, peer })
+        Ok(Gateway {
+            core,
+            open,
+            port: Mutex::new(Some(port)),
+            peer,
+        })
     }
 
     /// Stops: leaves the addresses first, then ends connections between requests, and
@@ -82,6 +91,7 @@
         info!(event = "stop", connections = self.open.count());
         self.wait_until(shutdown.closes()).await;
         self.core.stopping.send_replace(true);
+        self.port_closed().await;
         info!(
             event = "stop",
             outcome = "port closed",
@@ -96,6 +106,16 @@
         done
     }
 
+    /// Waits until no connection is taken any more. One that is taken in the last moment must
+    /// count: the process would exit with its request.
+    async fn port_closed(&self) {
+        let port = locked(&self.port).take();
+        if let Some(port) = port {
+            // It ends by returning or with the runtime.
+            let _ = port.await;
+        }
+    }
+
     fn shutdown_from(&self, told: Instant) -> Shutdown {
         let cfg = &self.core.cfg;
         let kept = cfg.address_ttl * STILL_OPEN_TTLS;
@@ -135,7 +155,7 @@
     core: &Arc<Core<P>>,
     listener: TcpListener,
     open: Arc<OpenConnections>,
-) {
+) -> JoinHandle<()> {
     let (for_limits, for_calls) = (Arc::clone(core), Arc::clone(core));
     let stopping = core.stopping.subscribe();
     let limits = move || server::limits(&*for_limits);
@@ -145,7 +165,7 @@
         limits,
         stopping,
         move |req| server::answer(Arc::clone(&for_calls), req),
-    ));
+    ))
 }
 
 /// Serves questions to the node itself until the process ends.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -178,7 +178,12 @@
     req: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let call = match read_call(core, req, arrived).await {
+    let read = tokio::select! {
+        read = read_call(core, req, arrived) => read,
+        // Nothing was sent of what has not been read yet.
+        () = core.until_end() => Err(Refusal::later(RefusalCause::NodeLeaves, RETRY_AFTER_LEAVE)),
+    };
+    let call = match read {
         Ok(call) => Arc::new(call),
         Err(refusal) => {
             let outcome = refusal.cause.name();
