--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,8 +1,8 @@
 //! Ids, shared value types and the derive macro used by every eelgrassmill crate.
 //!
-//! This crate is the vocabulary of the system and nothing else: no I/O, no clock, and of
-//! policy only the rule of [`Shutdown`], which all programs share. Two crates that must agree on what a host report or an
-//! order is find it here, so that neither has to depend on the other.
+//! This crate is the vocabulary of the system: no I/O and no clock. Two crates that must
+//! agree on what a host report, an order or a shutdown is find it here, so that neither has
+//! to depend on the other.
 
 mod hash;
 mod host;
