Note how far replicas are and why one is given up

Change: the planner's node leaves a line for each step of a replica that serves or is to serve, with its model, fabric domain and the loss.

Before and after: no decision changes.

--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -1,11 +1,13 @@
 //! Running the planner while this node holds the seat.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::HostId;
+use eelgrassmill_base::{GroupId, HostId};
 use eelgrassmill_fleet::{
-    Command, Host, Loss, Order, OrderReply, Planner, PlannerTiming, Service, Step,
+    Command, Formation, Host, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Service,
+    Step,
 };
 use tracing::info;
 
@@ -37,6 +39,8 @@
 pub(crate) struct Term<P: Platform> {
     core: Arc<Core<P>>,
     planner: Planner,
+    /// How far each replica was when it was last noted.
+    noted: BTreeMap<GroupId, Step>,
 }
 
 impl<P: Platform> Drop for Term<P> {
@@ -49,7 +53,11 @@
     pub(crate) fn new(core: Arc<Core<P>>, seat: &SeatRecord) -> Term<P> {
         core.planning.open();
         let planner = Planner::new(seat.term, PlannerTiming::default(), Instant::now());
-        Term { core, planner }
+        Term {
+            core,
+            planner,
+            noted: BTreeMap::new(),
+        }
     }
 
     /// Waits until there may be something to decide.
@@ -84,11 +92,31 @@
         core.metrics
             .open_replicas
             .set(i64::try_from(open).unwrap_or(i64::MAX));
+        self.note_formations();
         for command in commands {
             self.carry_out(command);
         }
     }
 
+    /// Notes how far the replicas are that serve or are to serve, and why one is given up: the
+    /// orders alone don't say what they are for.
+    fn note_formations(&mut self) {
+        let serving = |f: &&Formation| f.purpose == Purpose::Serve;
+        for f in self.planner.formations().filter(serving) {
+            if self.noted.get(&f.id) == Some(&f.step) {
+                continue;
+            }
+            let why = f.loss.as_ref().map(|loss| format!("{loss:?}"));
+            info!(
+                event = "formation", replica = %f.id, epoch = f.epoch, model = %f.model,
+                fabric = %f.fabric, members = f.members.len(), step = ?f.step,
+                why = why.unwrap_or_default(),
+            );
+        }
+        let formations = self.planner.formations().filter(serving);
+        self.noted = formations.map(|f| (f.id.clone(), f.step)).collect();
+    }
+
     /// Gives up replicas that are known here to be lost.
     ///
     /// News of a loss that comes before this planner knows the replica, or while nobody
