Show that hosts that wait for one model are told to load another in a passing moment

Seen by callers on grown sites: long replies served far less than others for tens of seconds, while nearly half of all hosts serve nobody.

The test gives up a small replica whose members are well while five hosts wait for a sixth.

--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -426,3 +426,31 @@
     expect_that!(serving.map(|f| f.epoch), eq(before.map(|epoch| epoch + 1)));
     expect_that!(world.violations, is_empty());
 }
+
+/// Hosts that hold the large model's weights wait for the one that still loads them. Meanwhile
+/// the domain's small replica is given up for a moment, and its members have yet to leave. Told to
+/// load the small model in that moment, the waiting hosts lose the weights that they hold, and
+/// the large model is away for another 16 s.
+#[gtest]
+fn hosts_that_wait_load_nothing_while_members_of_a_lost_replica_leave() {
+    let mut world = settled(2, 11);
+    for spare in spares(&world) {
+        world.kill(&spare);
+    }
+    // One large replica and one small one are left, so that the small model lacks more.
+    let lost = world.members("d0", "large")[3].clone();
+    let also_lost = world.members("d1", "small")[1].clone();
+    world.kill(&lost);
+    world.kill(&also_lost);
+    world.run(seconds(4));
+    let fresh = world.add_host("d0");
+    world.run(seconds(4));
+    expect_that!(world.serving(), eq(2));
+    let small = world.members("d0", "small");
+    world.give_up(&small[0]);
+    world.run(seconds(2));
+    expect_that!(world.members("d0", "small"), eq(&small));
+    world.run(seconds(16));
+    expect_that!(world.members("d0", "large"), contains(eq(&fresh)));
+    expect_that!(world.violations, is_empty());
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -7,8 +7,8 @@
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName};
 use eelgrassmill_fleet::{
-    Command, Engine, EngineSpeed, Fleet, FleetChange, Host, HostState, Membership, MembershipPhase,
-    Millionths, ModelSpec, Order, OrderReply, Planner, PlannerTiming, Service,
+    Command, Engine, EngineSpeed, Fleet, FleetChange, Host, HostState, Loss, Membership,
+    MembershipPhase, Millionths, ModelSpec, Order, OrderReply, Planner, PlannerTiming, Service,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -285,6 +285,16 @@
         }
     }
 
+    /// A node says that the replica of a head stands still, though all its members are well.
+    pub(crate) fn give_up(&mut self, head: &HostId) {
+        let at = self.instant();
+        let part = self.hosts.get(head).and_then(|h| h.part.clone());
+        if let (Some(part), Some(actor)) = (part, self.actors.last_mut()) {
+            let planner = &mut actor.planner;
+            planner.replica_lost(&part.replica, part.epoch, Loss::Broken, at);
+        }
+    }
+
     /// The same, but the list still shows it.
     pub(crate) fn cut_from_planners(&mut self, id: &HostId) {
         self.host(id).reachable = false;
