Load nothing anew while members of a lost replica leave

Seen by callers on grown sites: long replies served far less than others for tens of seconds, while nearly half of all hosts serve nobody.

Cause: a model without a replica in a domain has weights loaded there at once, by the hosts that are free. A replica that is given up counts as none from that moment on, though its members, free some 20 ms later, form it anew without a load. Where that model is the neediest then, the hosts that are told to load are those that hold the other model's weights and wait for one that still loads them. They keep one model: 16 s later they hold the wrong one.

--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -104,8 +104,10 @@
                 }
                 continue;
             }
-            // A further replica isn't worth binding spares for.
-            if first {
+            // A further replica isn't worth binding spares for. While members of a lost one
+            // leave, a model may only seem to have none: told to load it, hosts that wait for
+            // another model would lose that one's weights.
+            if first && !self.is_being_freed(fabric, view.now) {
                 for host in chosen {
                     self.stage(view, host, model, commands);
                 }
