--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -130,7 +130,7 @@
         let neediest = wanted.first().map_or(0.0, |m| self.need(view, m));
         for model in wanted {
             let first = self.serving(view, model, Some(fabric)) == 0;
-            let kept = if first { 0 } else { view.engine.models.len() };
+            let kept = usize::from(!first);
             let is_needed = self.need(view, model) * PLENTY >= neediest;
             if model.size == 0 || free.len() < model.size + kept || !is_needed {
                 continue;
--- a/crates/fleet/tests/packing.rs
+++ b/crates/fleet/tests/packing.rs
@@ -138,3 +138,19 @@
     let formed = formed(&fleet(hosts.collect(), now), &service, false, now);
     expect_that!(formed.get("small"), some(eq(&1)));
 }
+
+/// A domain has lost hosts, and those that no replica has hold the small model's weights. They can
+/// serve at once but for one that stays behind. Kept as spares for a second loss they would serve
+/// nobody, while callers are refused.
+#[gtest]
+fn hosts_that_hold_the_weights_serve_rather_than_wait_as_spares() {
+    let now = Instant::now();
+    let service = service(vec![model("large", 12, 0.5), model("small", 6, 0.5)]);
+    let formed_of = |each: usize| {
+        let hosts = (0..each).map(|n| host(0, n, Some("small")));
+        let formed = formed(&fleet(hosts.collect(), now), &service, false, now);
+        formed.get("small").copied()
+    };
+    expect_that!(formed_of(13), some(eq(2)));
+    expect_that!(formed_of(12), some(eq(1)));
+}
