Free a stream's place at its host before its caller takes the end

The doc of what is formed without a load says why one spare is left. Adapter's tests pass (soak among them).

--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -122,6 +122,8 @@
     /// that time, others that hold another model would wait with them: after an outage of the
     /// store in which eight of twelve replicas were lost, 33 of 54 hosts waited for 6 s and
     /// longer. Not for a model that has more than enough beside one that lacks these hosts.
+    /// Beside a further replica one spare is left: more would serve nobody, and the next loss of
+    /// such a replica is mended from its own survivors.
     fn form_from_holders(&mut self, view: &View<'_>, fabric: &FabricDomain, free: &mut Vec<&Host>) {
         if view.cold || self.is_being_freed(fabric, view.now) {
             return;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -81,13 +81,6 @@
     NodeEnds,
 }
 
-impl From<Result<(), Over>> for ReadEnd {
-    /// How an answer ended whose end was handed on, or could not be.
-    fn from(handed_on: Result<(), Over>) -> ReadEnd {
-        handed_on.map_or_else(ReadEnd::Over, |()| ReadEnd::Complete)
-    }
-}
-
 /// Waits until an answer has no reason to go on.
 async fn until_over<P: Platform>(core: &Core<P>, call: &Call, tx: &mpsc::Sender<Piece>) -> Over {
     tokio::select! {
@@ -296,7 +289,7 @@
             drop(begun);
             self.core.freed();
             let why = match end {
-                ReadEnd::Complete => return self.ended("answered"),
+                ReadEnd::Complete => return self.finish(&tx).await,
                 ReadEnd::Over(over) => return self.ended_by(over),
                 ReadEnd::Broken(why) => why,
             };
@@ -339,7 +332,7 @@
                 Ok(None) if self.events.is_mid_event() => {
                     return ReadEnd::Broken("it ended within an event".into());
                 }
-                Ok(None) => return self.send(tx, Piece::End).await.into(),
+                Ok(None) => return ReadEnd::Complete,
                 Err(err) => return ReadEnd::Broken(err.to_string().into()),
             };
             head.progress().event(Instant::now());
@@ -363,6 +356,15 @@
         }
     }
 
+    /// Tells the caller that all events have come. By now its place at the host is free, so that a
+    /// caller that reads slowly holds nobody up.
+    async fn finish(&self, tx: &mpsc::Sender<Piece>) {
+        match self.send(tx, Piece::End).await {
+            Ok(()) => self.ended("answered"),
+            Err(over) => self.ended_by(over),
+        }
+    }
+
     fn ended_by(&self, over: Over) {
         match over {
             Over::OutOfTime => self.cut("out of time"),
