Index the planner's formations by member

Cause: a planner step cost the cube of the fleet's size. Each spare that was not primed had the free hosts of all domains found anew, and each host was looked up by a search through all formations. At 875 hosts one step took 0.18 s of a full core; the seat was on a node of 0.12 to 0.5 of a core, with callers' requests, a scheduler shard and the relayed lists on the same thread.

Ruled out: the scheduler's own cost, 1 to 4 us a request with 5 to 24 heads (bench schedule).

Change: formations in a type of their own with an index by member, serving replicas counted once a step, free hosts found once a step, and what was sent to a host forgotten after 2 s.

Decisions are the same: planner, packing and planner_fuzz tests pass unchanged.

--- /dev/null
+++ b/crates/fleet/benches/schedule.rs
@@ -0,0 +1,79 @@
+//! What one request costs at its scheduler.
+//!
+//! Run with `cargo bench -p eelgrassmill-fleet --bench schedule`.
+
+use std::time::{Duration, Instant};
+
+use divan::Bencher;
+use eelgrassmill_fleet::{Ask, EngineSpeed, Millionths, OpenHead, RequestKey, Scheduler};
+use smol_str::format_smolstr;
+
+const SLOTS: usize = 13;
+/// Requests that run at each head.
+const RUNNING: u64 = 9;
+
+fn main() {
+    divan::main();
+}
+
+fn heads(count: usize) -> Vec<OpenHead> {
+    let head = |n: usize| OpenHead {
+        key: (format_smolstr!("r1-{n}"), 1),
+        host: format_smolstr!("host-{n}"),
+        slots: SLOTS,
+        failure_domain: "east".into(),
+        told: 0,
+    };
+    (0..count).map(head).collect()
+}
+
+fn ask(number: u64, now: Instant) -> Ask {
+    Ask {
+        key: RequestKey {
+            node: "node-1".into(),
+            number,
+        },
+        failure_domain: "east".into(),
+        prompt: 700,
+        resumed: false,
+        urgency: 1,
+        on_time_until: now + Duration::from_millis(300),
+        until: now + Duration::from_millis(1400),
+        pause: Duration::from_millis(200),
+        avoid: Default::default(),
+    }
+}
+
+/// One request from its ask to its end, by the number of heads.
+#[divan::bench(args = [5, 24, 120])]
+fn request(bencher: Bencher, count: usize) {
+    let speed = EngineSpeed {
+        step: Duration::from_millis(6),
+        per_request: Duration::from_micros(45),
+        steps: 7,
+        read: Duration::from_micros(18),
+        pace: Millionths::of(1.0),
+    };
+    let heads = heads(count);
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(speed, now);
+    let mut number = 0;
+    let mut run = |scheduler: &mut Scheduler| {
+        number += 1;
+        let asked = ask(number, now);
+        let key = asked.key.clone();
+        scheduler.ask(asked, now);
+        scheduler.assign(&heads, now);
+        scheduler.began(&key, now);
+        key
+    };
+    for _ in 0..RUNNING * count as u64 {
+        run(&mut scheduler);
+    }
+    bencher.bench_local(|| {
+        let key = run(&mut scheduler);
+        scheduler.assign(&heads, now);
+        scheduler.ended(&key);
+        scheduler.assign(&heads, now);
+    });
+}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -16,10 +16,12 @@
 mod advance;
 mod choose;
 mod formation;
+mod formations;
 mod knowledge;
 mod order;
 mod ready;
 mod send;
+mod serving;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -35,10 +37,15 @@
 use crate::host::{Host, MembershipPhase};
 use crate::planner::advance::Moment;
 use crate::planner::choose::View;
+use crate::planner::formations::Formations;
 use crate::planner::knowledge::{Asked, LATE_ORDERS, Silence};
+use crate::planner::serving::ServingCounts;
 
 /// Formations that one planner's term has room for; far more than a term can last.
 const EPOCHS_PER_TERM: u64 = 1 << 20;
+/// How long it is remembered what was sent to a host: longer than any interval between two
+/// orders of a kind.
+const SENT_MEMORY: Duration = Duration::from_secs(2);
 /// A join from nothing in a host that was a member of a replica of this model: 0.2 s by
 /// the platform's page.
 const PRIMED_JOIN: Duration = Duration::from_millis(200);
@@ -96,7 +103,9 @@
     formed: u64,
     timing: PlannerTiming,
     /// Invariant: a host is a member of at most one formation.
-    formations: BTreeMap<GroupId, Formation>,
+    formations: Formations,
+    /// Invariant: true while replicas are being formed, and outdated between two steps.
+    serving: ServingCounts,
     /// Hosts that told this planner themselves which replica they belong to. Invariant:
     /// after the first term only these join anything, and none told it while the planner
     /// before could still give orders.
@@ -150,7 +159,8 @@
             began: now,
             formed: 0,
             timing,
-            formations: BTreeMap::new(),
+            formations: Formations::default(),
+            serving: ServingCounts::default(),
             asked: BTreeMap::new(),
             unsettled: BTreeMap::new(),
             silent: BTreeMap::new(),
@@ -271,11 +281,12 @@
             cold,
             now,
         };
-        let ids: Vec<GroupId> = self.formations.keys().cloned().collect();
+        let ids: Vec<GroupId> = self.formations.ids().cloned().collect();
         for id in ids {
             self.advance(&id, &at, &mut commands);
         }
         if !self.is_settling(now) {
+            self.serving = ServingCounts::of(self.formations.values());
             for service in services {
                 let Some(engine) = &service.engine else {
                     continue;
@@ -324,7 +335,8 @@
             .retain(|id, a| fleet.host(id).is_some_and(|h| h.born_ms == a.born_ms));
         self.unsettled
             .retain(|_, at| now.saturating_duration_since(*at) < LATE_ORDERS);
-        self.sent.retain(|(id, ..), _| concerns(id));
+        let recent = |at: Instant| now.saturating_duration_since(at) < SENT_MEMORY;
+        self.sent.retain(|(id, ..), at| recent(*at) && concerns(id));
         // A load that is done must not count as under way once its host holds another model.
         self.staging.retain(|id, (model, until)| {
             let host = fleet.host(id);
@@ -344,9 +356,13 @@
                 .membership
                 .as_ref()
                 .is_some_and(|m| m.phase != MembershipPhase::Joining);
-            if let (true, Some(model)) = (joined, &host.model) {
-                self.primed
-                    .insert(host.id.clone(), (host.born_ms, model.clone()));
+            let Some(model) = host.model.as_ref().filter(|_| joined) else {
+                continue;
+            };
+            let known = self.primed.get(&host.id);
+            if known.is_none_or(|(born, m)| *born != host.born_ms || m != model) {
+                let primed = (host.born_ms, model.clone());
+                self.primed.insert(host.id.clone(), primed);
             }
         }
     }
@@ -366,16 +382,8 @@
             let hosts = replica.members.iter().filter_map(|(_, id)| fleet.host(id));
             let unknown = |h: &&Host| self.formation_of(&h.id).is_none() && !has_left(h);
             let hosts: Vec<&Host> = hosts.filter(unknown).collect();
-            if let Some(known) = self.formations.get_mut(&replica.id) {
-                // Entries come one by one: members of a replica that is being given up
-                // may show only now, and its head may still be told to serve.
-                for host in hosts {
-                    if known.members.contains(&host.id) {
-                        known.take_back(&host.id, now);
-                    } else if known.loss.is_some() {
-                        known.add_member(host);
-                    }
-                }
+            if self.formations.get(&replica.id).is_some() {
+                self.update_members(&replica.id, &hosts, now);
                 continue;
             }
             let Some(first) = hosts.first().copied() else {
@@ -398,7 +406,24 @@
             if !whole || self.own_epoch(replica.epoch) {
                 formation.lose(Loss::Incomplete, now);
             }
-            self.formations.insert(replica.id, formation);
+            self.formations.insert(formation);
+        }
+    }
+
+    /// Takes in hosts that report to be members of a formation and don't count as such.
+    ///
+    /// Entries come one by one: members of a replica that is being given up may show only
+    /// now, and its head may still be told to serve.
+    fn update_members(&mut self, replica: &GroupId, hosts: &[&Host], now: Instant) {
+        for host in hosts {
+            let Some(known) = self.formations.get_mut(replica) else {
+                return;
+            };
+            if known.members.contains(&host.id) {
+                known.take_back(&host.id, now);
+            } else if known.loss.is_some() {
+                self.formations.add_member(replica, host);
+            }
         }
     }
 
@@ -415,9 +440,7 @@
 
     /// The formation that a host is a member of.
     pub fn formation_of(&self, host: &str) -> Option<&Formation> {
-        self.formations
-            .values()
-            .find(|f| f.bound().any(|m| m == host))
+        self.formations.listing(host).find(|f| f.binds(host))
     }
 
     /// A member that is silent goes before one that is leaving and may still work.
@@ -444,21 +467,16 @@
         (format_smolstr!("r{}-{}", self.term, self.formed), epoch)
     }
 
-    /// Whether a host takes orders and is none of `bound`, the members of serving formations.
-    fn is_free(&self, host: &Host, bound: &BTreeSet<&HostId>) -> bool {
+    /// Whether a host takes orders and is no member of a serving formation.
+    fn is_free(&self, host: &Host) -> bool {
+        let is_taken = |f: &Formation| {
+            let serves = f.purpose == Purpose::Serve;
+            serves && f.binds(&host.id) || f.holds(&host.id)
+        };
         host.is_ready()
-            && !bound.contains(&host.id)
             && !self.silent.contains_key(&host.id)
             && self.knows(host)
-            && !self.formations.values().any(|f| f.holds(&host.id))
-    }
-
-    fn members(&self) -> BTreeSet<&HostId> {
-        let bound = self
-            .formations
-            .values()
-            .filter(|f| f.purpose == Purpose::Serve);
-        bound.flat_map(Formation::bound).collect()
+            && !self.formations.listing(&host.id).any(is_taken)
     }
 }
 
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -22,7 +22,7 @@
 
 impl Planner {
     pub(super) fn advance(&mut self, id: &GroupId, at: &Moment<'_>, commands: &mut Vec<Command>) {
-        let Some(mut formation) = self.formations.remove(id) else {
+        let Some(mut formation) = self.formations.take(id) else {
             return;
         };
         let lost = self.worst_loss(&formation, at.fleet);
@@ -39,7 +39,9 @@
             Step::Dissolving => self.advance_dissolving(&mut formation, at, commands),
         };
         if keep {
-            self.formations.insert(id.clone(), formation);
+            self.formations.put_back(formation);
+        } else {
+            self.formations.dropped(&formation);
         }
     }
 
@@ -203,11 +205,10 @@
             .iter()
             .filter(|m| self.is_lost(m, fleet).is_some())
             .count();
-        let bound = self.members();
         let primed = |h: &Host| self.primed.get(&h.id).is_some_and(|(_, m)| *m == f.model);
         let joins = |h: &&Host| primed(h) || h.staged.contains(&f.model);
         let near = fleet.hosts().filter(|h| h.fabric == f.fabric);
-        let free = near.filter(|h| self.is_free(h, &bound));
+        let free = near.filter(|h| self.is_free(h));
         free.filter(joins).take(lost).count() == lost
     }
 
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -9,7 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FabricDomain, HostId, ModelName};
+use eelgrassmill_base::{FabricDomain, GroupId, HostId, ModelName};
+use smallvec::SmallVec;
 
 use crate::catalog::{Engine, ModelSpec, Service};
 use crate::fleet::Fleet;
@@ -58,9 +59,11 @@
         if view.cold && self.formations.values().any(waits) {
             return;
         }
+        let unbound = self.free_hosts(view);
         for (fabric, free) in &domains {
+            let spares = unbound.get(fabric).map_or(&[][..], Vec::as_slice);
             for host in free {
-                self.prime_spare(view, fabric, host, commands);
+                self.prime_spare(view, spares, host, commands);
             }
         }
         for (fabric, free) in &domains {
@@ -70,10 +73,9 @@
 
     /// Hosts that no serving formation has, by fabric domain.
     pub(super) fn free_hosts<'f>(&self, view: &View<'f>) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
-        let bound = self.members();
         let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
         for host in view.fleet.hosts() {
-            if host.service == view.service.name && self.is_free(host, &bound) {
+            if host.service == view.service.name && self.is_free(host) {
                 domains.entry(host.fabric.clone()).or_default().push(host);
             }
         }
@@ -216,14 +218,7 @@
         model: &ModelSpec,
         fabric: Option<&FabricDomain>,
     ) -> usize {
-        let counts = |f: &&Formation| {
-            f.purpose == Purpose::Serve
-                && f.loss.is_none()
-                && f.service == view.service.name
-                && f.model == model.name
-                && fabric.is_none_or(|d| f.fabric == *d)
-        };
-        self.formations.values().filter(counts).count()
+        self.serving.count(&view.service.name, &model.name, fabric)
     }
 
     /// `false` when the loads that it takes must wait.
@@ -233,20 +228,25 @@
             return false;
         }
         let (id, epoch) = self.next_formation();
-        let Some(formation) = Formation::new(id.clone(), epoch, &model.name, chosen, view.now)
-        else {
+        let Some(formation) = Formation::new(id, epoch, &model.name, chosen, view.now) else {
             return false;
         };
         self.drop_priming(&formation.members);
-        self.formations.insert(id, formation);
+        self.serving.add(&formation);
+        self.formations.insert(formation);
         true
     }
 
     /// Spares give up their own formations when a serving one takes them.
     fn drop_priming(&mut self, members: &[HostId]) {
-        let taken = |f: &Formation| f.members.iter().any(|m| members.contains(m));
-        self.formations
-            .retain(|_, f| f.purpose == Purpose::Serve || !taken(f));
+        for member in members {
+            let listing = self.formations.listing(member);
+            let priming = listing.filter(|f| f.purpose == Purpose::Prime);
+            let ids: SmallVec<[GroupId; 2]> = priming.map(|f| f.id.clone()).collect();
+            for id in ids {
+                self.formations.remove(&id);
+            }
+        }
     }
 
     pub(super) fn primed_model(&self, host: &Host) -> Option<ModelName> {
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -182,6 +182,12 @@
         self.members.iter().filter(move |m| !free(m))
     }
 
+    /// Whether a host is a member that is not free for anything else.
+    pub(crate) fn binds(&self, host: &str) -> bool {
+        let is_free = self.left.contains_key(host) || self.gone.contains(host);
+        !is_free && self.members.iter().any(|m| m == host)
+    }
+
     /// Whether a host that left may become a member again while the head may serve.
     ///
     /// Two orders that are both carried out late would otherwise tear it away: the one to
--- /dev/null
+++ b/crates/fleet/src/planner/formations.rs
@@ -0,0 +1,96 @@
+//! All formations of a planner, by name and by member.
+
+use std::collections::{BTreeMap, HashMap};
+
+use eelgrassmill_base::{GroupId, HostId};
+use smallvec::SmallVec;
+
+use crate::host::Host;
+use crate::planner::formation::Formation;
+
+/// Formations by name, with an index of their members.
+///
+/// A planner asks several times in each step which formation a host belongs to. A search
+/// through all formations for each host would make a step cost the square of the fleet's size.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Formations {
+    by_id: BTreeMap<GroupId, Formation>,
+    /// Invariant: for each host the formations that list it as a member, in the order of their
+    /// names, and those that were taken out to be advanced.
+    of_host: HashMap<HostId, SmallVec<[GroupId; 2]>>,
+}
+
+impl Formations {
+    pub(super) fn get(&self, id: &str) -> Option<&Formation> {
+        self.by_id.get(id)
+    }
+
+    /// A formation to change. Members are added by [`Formations::add_member`] alone.
+    pub(super) fn get_mut(&mut self, id: &str) -> Option<&mut Formation> {
+        self.by_id.get_mut(id)
+    }
+
+    pub(super) fn ids(&self) -> impl Iterator<Item = &GroupId> {
+        self.by_id.keys()
+    }
+
+    pub(super) fn values(&self) -> impl Iterator<Item = &Formation> {
+        self.by_id.values()
+    }
+
+    /// The formations that list a host as a member, also where it has left.
+    pub(super) fn listing(&self, host: &str) -> impl Iterator<Item = &Formation> {
+        let ids = self.of_host.get(host).into_iter().flatten();
+        ids.filter_map(|id| self.by_id.get(id))
+    }
+
+    pub(super) fn insert(&mut self, formation: Formation) {
+        for member in &formation.members {
+            index(&mut self.of_host, member, &formation.id);
+        }
+        self.by_id.insert(formation.id.clone(), formation);
+    }
+
+    pub(super) fn add_member(&mut self, id: &str, host: &Host) {
+        if let Some(formation) = self.by_id.get_mut(id) {
+            formation.add_member(host);
+            index(&mut self.of_host, &host.id, &formation.id);
+        }
+    }
+
+    /// Takes a formation out while it is advanced, to be put back or dropped.
+    pub(super) fn take(&mut self, id: &str) -> Option<Formation> {
+        self.by_id.remove(id)
+    }
+
+    /// Puts back what [`Formations::take`] gave, with the same members.
+    pub(super) fn put_back(&mut self, formation: Formation) {
+        self.by_id.insert(formation.id.clone(), formation);
+    }
+
+    /// Drops what [`Formations::take`] gave.
+    pub(super) fn dropped(&mut self, formation: &Formation) {
+        for member in &formation.members {
+            if let Some(ids) = self.of_host.get_mut(member) {
+                ids.retain(|id| *id != formation.id);
+                if ids.is_empty() {
+                    self.of_host.remove(member);
+                }
+            }
+        }
+    }
+
+    /// Removes a formation.
+    pub(super) fn remove(&mut self, id: &str) {
+        if let Some(formation) = self.take(id) {
+            self.dropped(&formation);
+        }
+    }
+}
+
+fn index(of_host: &mut HashMap<HostId, SmallVec<[GroupId; 2]>>, host: &HostId, id: &GroupId) {
+    let ids = of_host.entry(host.clone()).or_default();
+    if let Err(at) = ids.binary_search(id) {
+        ids.insert(at, id.clone());
+    }
+}
--- a/crates/fleet/src/planner/ready.rs
+++ b/crates/fleet/src/planner/ready.rs
@@ -81,14 +81,14 @@
     pub(super) fn prime_spare(
         &mut self,
         view: &View<'_>,
-        fabric: &FabricDomain,
+        unbound: &[&Host],
         host: &Host,
         commands: &mut Vec<Command>,
     ) {
         if self.primed_model(host).is_some() {
             return;
         }
-        let Some(model) = self.model_to_prime(view, fabric, host) else {
+        let Some(model) = self.model_to_prime(view, unbound, host) else {
             return;
         };
         if self.holds(host, model) || view.cold {
@@ -150,10 +150,10 @@
             return;
         }
         let (id, epoch) = self.next_formation();
-        let formation = Formation::new(id.clone(), epoch, &model.name, &[host], view.now);
+        let formation = Formation::new(id, epoch, &model.name, &[host], view.now);
         if let Some(mut formation) = formation {
             formation.purpose = Purpose::Prime;
-            self.formations.insert(id, formation);
+            self.formations.insert(formation);
         }
     }
 
@@ -161,12 +161,12 @@
     fn model_to_prime<'e>(
         &self,
         view: &View<'e>,
-        fabric: &FabricDomain,
+        unbound: &[&Host],
         host: &Host,
     ) -> Option<&'e ModelSpec> {
-        let spares = self.spares(view, fabric);
+        let spares = self.spares(unbound);
         let need = |m: &ModelSpec| {
-            let members = m.size * self.serving(view, m, Some(fabric)).max(1);
+            let members = m.size * self.serving(view, m, Some(&host.fabric)).max(1);
             let ready = spares.iter().filter(|s| **s == m.name).count();
             let staged = if host.staged.contains(&m.name) {
                 1.5
@@ -179,10 +179,9 @@
         models.max_by(|a, b| need(a).total_cmp(&need(b)))
     }
 
-    /// The models for which free hosts of a domain are primed, or about to be.
-    fn spares(&self, view: &View<'_>, fabric: &FabricDomain) -> Vec<ModelName> {
-        let free = self.free_hosts(view).remove(fabric).unwrap_or_default();
-        let models = free.into_iter().filter_map(|host| {
+    /// The models for which free hosts are primed, or about to be.
+    fn spares(&self, unbound: &[&Host]) -> Vec<ModelName> {
+        let models = unbound.iter().filter_map(|host| {
             let priming = self.formation_of(&host.id).map(|f| f.model.clone());
             let staging = self.staging.get(&host.id).map(|(model, _)| model.clone());
             self.primed_model(host).or(priming).or(staging)
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -377,6 +377,11 @@
         self.began + self.now
     }
 
+    /// One step of the newest planner.
+    pub(crate) fn step_planner(&mut self) {
+        self.step(self.actors.len() - 1);
+    }
+
     fn tick(&mut self) {
         self.carry_out_late();
         self.let_time_pass();
