Keep the connection to a node that answers late, and add up batch sizes

Cause: any call that timed out dropped the connection that all calls to that node share. A scheduler that was late with one of 195 callers' asks was dialled anew by each of them, which costs it a handshake of TCP and HTTP/2 for each late answer, and made it later still.

Change: after a timeout a connection is dropped only if it answered nothing for 1 s; a node that vanished is still noticed.

Also: putting a batch together measured the whole batch for each update it took, the square of their number; sizes are added up instead.

--- a/crates/peer/src/dissemination/send.rs
+++ b/crates/peer/src/dissemination/send.rs
@@ -11,9 +11,28 @@
 use crate::item::{ItemKey, Pace, Update};
 use crate::wire::messages::Batch;
 
+/// Most bytes that an update takes in a batch beside its own: a tag and its length.
+const UPDATE_OVERHEAD: usize = 6;
 /// Confirmations are missed after this many of their periods.
 const MISSED_PERIODS: u32 = 3;
 
+/// A batch that is being put together.
+struct Draft {
+    batch: Batch,
+    /// Bytes of its updates. Summed up as they are added: measuring the batch anew for each of
+    /// them would cost the square of their number.
+    updates_size: usize,
+}
+
+impl Draft {
+    fn new(batch: Batch) -> Draft {
+        Draft {
+            batch,
+            updates_size: 0,
+        }
+    }
+}
+
 impl Dissemination {
     /// Gives what is due at `now`; to be called once in each flush period.
     pub fn tick(&mut self, now: Instant) -> Output {
@@ -206,26 +225,27 @@
             .filter(|(_, record)| record.news >= Some(pace) && record.sequence() > 0)
             .map(|(origin, _)| origin.clone())
             .collect();
-        let mut drafts = BTreeMap::new();
+        let mut drafts: BTreeMap<NodeId, Draft> = BTreeMap::new();
         for origin in origins {
             let children = self
                 .overlay
                 .children(&self.cfg.me.id, &origin, &unreachable);
             for child in children.into_iter().filter(|child| *child != origin) {
-                let batch = drafts
+                let draft = drafts
                     .entry(child.clone())
-                    .or_insert_with(|| self.empty_batch(now));
-                self.add_news(&child, &origin, batch, now);
+                    .or_insert_with(|| Draft::new(self.empty_batch(now)));
+                self.add_news(&child, &origin, draft, now);
             }
             if let Some(record) = self.records.get_mut(&origin) {
                 record.news = None;
             }
         }
-        drafts
+        let batches = drafts.into_iter();
+        batches.map(|(node, draft)| (node, draft.batch)).collect()
     }
 
     /// Adds what `child` was not sent of `origin` yet.
-    fn add_news(&mut self, child: &NodeId, origin: &NodeId, batch: &mut Batch, now: Instant) {
+    fn add_news(&mut self, child: &NodeId, origin: &NodeId, draft: &mut Draft, now: Instant) {
         let Some(record) = self.records.get(origin) else {
             return;
         };
@@ -233,21 +253,23 @@
         let marks = self.marks.entry(child.clone()).or_default();
         let known = match marks.get(origin) {
             Some(&mark) if mark == state => {
-                add_confirmation(batch, record, now);
+                add_confirmation(&mut draft.batch, record, now);
                 return;
             }
             Some(&(incarnation, sequence)) if incarnation == state.0 => sequence,
             _ => 0,
         };
         let update = record.since(origin, known, now);
-        if batch.encoded_len() + update.encoded_len() > self.cfg.timing.max_batch {
+        let size = draft.updates_size + update.encoded_len() + UPDATE_OVERHEAD;
+        if size > self.cfg.timing.max_batch {
             // Without the mark it is sent whole with the next news, or asked for before.
             marks.remove(origin);
-            add_confirmation(batch, record, now);
+            add_confirmation(&mut draft.batch, record, now);
             return;
         }
         marks.insert(origin.clone(), state);
-        batch.updates.push(update);
+        draft.updates_size = size;
+        draft.batch.updates.push(update);
     }
 
     /// Adds what is owed to `to`; what does not fit stays owed.
@@ -282,7 +304,7 @@
                 continue;
             };
             let update = record.since(&origin, 0, now);
-            size += update.encoded_len() + 4;
+            size += update.encoded_len() + UPDATE_OVERHEAD;
             if size > self.cfg.timing.max_batch {
                 owed.states.insert(origin);
                 return;
--- a/crates/peer/src/meter.rs
+++ b/crates/peer/src/meter.rs
@@ -27,6 +27,8 @@
         pub calls: u64,
         /// Calls made that failed.
         pub failed: u64,
+        /// Connections dialled.
+        pub dialled: u64,
     }
 }
 
@@ -36,6 +38,7 @@
     received: AtomicU64,
     calls: AtomicU64,
     failed: AtomicU64,
+    dialled: AtomicU64,
 }
 
 /// Counts for one node.
@@ -51,6 +54,7 @@
             received: self.counters.received.load(Ordering::Relaxed),
             calls: self.counters.calls.load(Ordering::Relaxed),
             failed: self.counters.failed.load(Ordering::Relaxed),
+            dialled: self.counters.dialled.load(Ordering::Relaxed),
         }
     }
 
@@ -148,6 +152,7 @@
 
     fn call(&mut self, uri: http::Uri) -> Self::Future {
         let meter = self.meter.clone();
+        meter.counters.dialled.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             let stream = TcpStream::connect(numeric(&uri)?).await?;
             stream.set_nodelay(true)?;
--- a/crates/peer/src/wire/client.rs
+++ b/crates/peer/src/wire/client.rs
@@ -18,10 +18,18 @@
 /// the ones that it asks in turn.
 const MAX_CONNECTIONS: usize = 48;
 
-/// One connection and when it was last used.
+/// A connection whose calls time out is dropped once it has answered nothing for this long.
+/// A node that is merely slow would otherwise have to take a new connection for each call that
+/// it is late with, which makes it slower still.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// One connection.
 struct Entry {
     channel: Channel,
+    /// When it was last used.
     used: Instant,
+    /// When it last answered; when it was dialled, before its first answer.
+    answered: Instant,
 }
 
 /// Connections by address. A connection is dialled at its first call.
@@ -60,10 +68,13 @@
             .await
             .map_err(|_| PeerError::Timeout)
             .and_then(|answered| answered);
-        if result.is_err() {
+        match &result {
+            Ok(_) => self.answered(address),
+            Err(PeerError::Refused(_)) => {}
             // A connection whose other end vanished without a word would go on
             // to swallow calls until TCP gives up, after many minutes.
-            self.drop_channel(address);
+            Err(PeerError::Timeout) => self.drop_if_silent(address),
+            Err(_) => self.drop_channel(address),
         }
         result
     }
@@ -88,11 +99,27 @@
         let entry = Entry {
             channel: channel.clone(),
             used: now,
+            answered: now,
         };
         channels.insert(address, entry);
         Ok(channel)
     }
 
+    fn answered(&self, address: SocketAddr) {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(entry) = channels.get_mut(&address) {
+            entry.answered = Instant::now();
+        }
+    }
+
+    fn drop_if_silent(&self, address: SocketAddr) {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        let silent = |entry: &Entry| entry.answered.elapsed() >= SILENCE_LIMIT;
+        if channels.get(&address).is_some_and(silent) {
+            channels.remove(&address);
+        }
+    }
+
     fn drop_channel(&self, address: SocketAddr) {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         channels.remove(&address);
--- a/crates/peer/tests/nodes.rs
+++ b/crates/peer/tests/nodes.rs
@@ -6,7 +6,8 @@
 
 use eelgrassmill_base::NodeId;
 use eelgrassmill_peer::{
-    Change, ConfigAnnouncement, Demand, Item, PeerError, QuotaRequest, Verdict,
+    Change, ConfigAnnouncement, Demand, Item, PeerError, PlaceRequest, QuotaRequest,
+    ScheduleRequest, Verdict,
 };
 use googletest::prelude::*;
 
@@ -233,3 +234,31 @@
     ));
     expect_that!(text.map(|t| t.version).ok(), some(eq(1)));
 }
+
+/// Guards against a node that answers late being dialled anew for each call, which would make
+/// it later still.
+#[gtest]
+fn calls_that_time_out_keep_the_connection_to_a_slow_node() {
+    let cluster = Cluster::start(2);
+    let here = cluster.node("node-0");
+    let other = NodeId::from("node-1");
+    let ask = |wait_ms, timeout| {
+        let req = ScheduleRequest {
+            ask: Some(PlaceRequest {
+                wait_ms,
+                ..PlaceRequest::default()
+            }),
+            from: "node-0".into(),
+            ..ScheduleRequest::default()
+        };
+        let asked = here.schedule_at(&other, req, Duration::from_millis(timeout));
+        cluster.runtime.block_on(asked)
+    };
+    expect_that!(ask(0, 5_000), ok(anything()));
+    let before = here.traffic().dialled;
+    for _ in 0..5 {
+        expect_that!(ask(60, 30), err(pat!(PeerError::Timeout)));
+    }
+    expect_that!(ask(0, 5_000), ok(anything()));
+    expect_that!(here.traffic().dialled - before, eq(0));
+}
--- a/crates/peer/tests/support/cluster.rs
+++ b/crates/peer/tests/support/cluster.rs
@@ -7,7 +7,7 @@
 use eelgrassmill_base::NodeId;
 use eelgrassmill_peer::{
     ConfigText, DisseminationConfig, Grant, Item, Member, PeerHandler, PeerNode, PeerNodeConfig,
-    QuotaReply, QuotaRequest, Refusals, Timing, Update, checksum,
+    QuotaReply, QuotaRequest, Refusals, ScheduleReply, ScheduleRequest, Timing, Update, checksum,
 };
 
 use super::net::status;
@@ -54,6 +54,13 @@
         [b"events for ", query].concat()
     }
 
+    /// Answers after the time that the request may wait.
+    async fn schedule(&self, req: ScheduleRequest) -> ScheduleReply {
+        let wait_ms = req.ask.map_or(0, |ask| ask.wait_ms);
+        tokio::time::sleep(Duration::from_millis(wait_ms.into())).await;
+        ScheduleReply::default()
+    }
+
     fn quota(&self, req: QuotaRequest) -> QuotaReply {
         let grant = |demand: &eelgrassmill_peer::Demand| Grant {
             group: demand.group.clone(),
