Put shared roles on the strongest nodes, and let schedulers report the loads

Cause, on the large deployment: 180 of 195 nodes have 0.12 of a core, and any of them could be the planner, a scheduler or the relay of the lists; the first by name, or the rendezvous winner. Each node also reported its own requests at every head to all 194 others twice a second, some 3,900 updates a second at each node, and half of the lines that it logged at its start were of other nodes and hosts. A saturated scheduler was late, 195 nodes placed by old loads meanwhile, heads refused, and refused requests came back: more work for the saturated nodes.

Change: - Nodes tell how much processor they have; roles go to those with half of the most or more, in the failure domain that they are for (roles.rs). - A scheduler reports what it assigned to each head; nodes report only what they placed without one. The newest report of a scheduler replaces the one before, so none counts twice. - Requests stay with the heads of their own failure domain until those are fuller than the others (spill.rs); before, the domain was drawn at random, and four of five crossed. - A scheduler that timed out is ejected, and the second choice asked, before a node places by itself. - host and node lines are written by the planner, which decides by them.

Tests: roles, spill (without spilling 0.50 of the requests found their domain full; bound 0.05), heads.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,9 @@
 mod rate;
 mod relay;
 mod retry;
+mod roles;
 mod schedule;
+mod spill;
 mod stall;
 
 pub use crate::catalog::{
@@ -34,5 +36,7 @@
 pub use crate::rate::Rate;
 pub use crate::relay::{Lacking, ListLog, list_parent};
 pub use crate::retry::RetryWindow;
+pub use crate::roles::{RoleCandidate, ranked_for_role, strongest};
 pub use crate::schedule::{Ask, HeadKey, OpenHead, Outcome, RequestKey, Scheduler};
+pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{Progress, StallRule};
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -7,42 +7,44 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, NodeId, rendezvous, value};
+use eelgrassmill_base::{NodeId, value};
+
+use crate::roles::{RoleCandidate, ranked_for_role};
 
 /// How long changes are kept for nodes that lag behind. They ask twice a second; one that
 /// stood still for longer gets the whole list.
 const HISTORY: Duration = Duration::from_secs(5);
 
-/// The node from which `me` in `domain` has the lists; `None` where it reads them itself.
+/// The node from which `me` has the lists; `None` where it reads them itself.
 ///
 /// The `holder` of the planner's seat reads the store: it acts on what it reads. One node of
 /// each failure domain asks the holder, and the others of the domain that one, so that the
 /// store's calls don't grow with the number of nodes and few bytes cross between domains.
-/// `others` are the nodes that may have a copy, with their domains.
+/// `others` are the nodes that may have a copy.
 pub fn list_parent<'n>(
-    me: &'n NodeId,
-    domain: &FailureDomain,
+    me: RoleCandidate<'n>,
     holder: Option<&'n NodeId>,
-    others: impl Iterator<Item = (&'n NodeId, &'n FailureDomain)>,
+    others: impl Iterator<Item = RoleCandidate<'n>>,
 ) -> Option<&'n NodeId> {
-    if holder == Some(me) {
+    if holder == Some(me.id) {
         return None;
     }
     let mut holder_is_up = false;
     let mut near = vec![me];
-    for (id, its_domain) in others {
-        let holds = holder == Some(id);
+    for other in others {
+        let holds = holder == Some(other.id);
         holder_is_up |= holds;
-        if its_domain == domain {
+        if other.failure_domain == me.failure_domain {
             if holds {
-                return Some(id);
+                return Some(other.id);
             }
-            near.push(id);
+            near.push(other);
         }
     }
-    let first = rendezvous(domain, near.iter().copied()).first().copied();
+    let ranked = ranked_for_role(me.failure_domain, None, near);
+    let first = ranked.first().copied();
     first
-        .filter(|id| *id != me)
+        .filter(|id| *id != me.id)
         .or(holder.filter(|_| holder_is_up))
 }
 
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -171,6 +171,12 @@
         self.speed = speed;
     }
 
+    /// The heads that have requests, and how many.
+    pub fn loads(&self) -> impl Iterator<Item = (&HeadKey, usize)> {
+        let busy = self.work.iter().filter(|(_, work)| work.requests > 0);
+        busy.map(|(key, work)| (key, work.requests))
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, NodeId};
-use eelgrassmill_fleet::{Lacking, ListLog, list_parent};
+use eelgrassmill_fleet::{Lacking, ListLog, RoleCandidate, list_parent};
 use googletest::prelude::*;
 
 const fn millis(ms: u64) -> Duration {
@@ -17,6 +17,14 @@
     (0..count).map(node).collect()
 }
 
+fn candidate((id, failure_domain): &(NodeId, FailureDomain)) -> RoleCandidate<'_> {
+    RoleCandidate {
+        id,
+        failure_domain,
+        processor: 250,
+    }
+}
+
 /// The parent of the node at `me`, among those of `up`.
 fn parent<'n>(
     up: &'n [(NodeId, FailureDomain)],
@@ -24,8 +32,8 @@
     holder: Option<&'n NodeId>,
 ) -> Option<&'n NodeId> {
     let others = up.iter().enumerate().filter(|(n, _)| *n != me);
-    let others = others.map(|(_, (id, domain))| (id, domain));
-    list_parent(&up[me].0, &up[me].1, holder, others)
+    let others = others.map(|(_, node)| candidate(node));
+    list_parent(candidate(&up[me]), holder, others)
 }
 
 /// How many of the nodes ask the store, and the longest way of a change from it.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -41,6 +41,8 @@
     pub region: Region,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// Processor that it may use, in thousandths of a core; 0 where that isn't known.
+    pub processor: u32,
     /// Where it listens.
     pub addresses: Addresses,
     /// The bound on repeats.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,7 +7,7 @@
 
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
-use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow};
+use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow, RoleCandidate};
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
 
@@ -162,6 +162,20 @@
         self.store_failures.store(0, Ordering::Relaxed);
     }
 
+    /// This node as one that could take a role.
+    pub(crate) fn as_candidate(&self) -> RoleCandidate<'_> {
+        RoleCandidate {
+            id: &self.cfg.node,
+            failure_domain: &self.cfg.failure_domain,
+            processor: self.cfg.processor,
+        }
+    }
+
+    /// Whether this node says that it holds the planner's seat.
+    pub(crate) fn is_planner(&self) -> bool {
+        locked(&self.seats).contains_key(&self.cfg.node)
+    }
+
     /// Nodes that take requests, this one among them, as far as it knows.
     pub(crate) fn node_count(&self) -> usize {
         locked(&self.nodes).sharing(Instant::now())
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -189,21 +189,26 @@
 impl<P: Platform> Sink<FleetChange> for HostSink<P> {
     fn take(&self, changes: Vec<FleetChange>, version: Cursor, from: Option<&NodeId>) {
         let now = Instant::now();
-        // The node that reads the store tells each change; the others which ones they have,
-        // by their version. With 74 nodes all of them would be 55,000 lines in 15 s.
-        if let Some(from) = from {
-            info!(event = "hosts", version, changes = changes.len(), %from);
-        }
+        // The planner, which decides by them, logs each change; the others which ones they
+        // have, by their version.
+        let from_name = from.map_or("store", |node| node.as_str());
+        info!(
+            event = "hosts",
+            version,
+            changes = changes.len(),
+            from = from_name
+        );
+        let decides = self.0.is_planner();
         {
             let mut fleet = locked(&self.0.fleet);
             let mut gone = Vec::new();
             for change in changes {
-                if let (FleetChange::Put(host), None) = (&change, from) {
+                if let (FleetChange::Put(host), true) = (&change, decides) {
                     note(host, version);
                 }
                 gone.extend(fleet.apply(change, now));
             }
-            for host in gone {
+            for host in gone.iter().filter(|_| decides) {
                 info!(event = "host-gone", %host, reason = "no longer listed");
             }
         }
--- a/crates/gateway/src/heads.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -1,5 +1,8 @@
 //! Heads of replicas that serve, with what this node knows of each.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,8 +38,9 @@
     pub(crate) slots: usize,
     /// Requests of this node that it has.
     running: AtomicUsize,
-    /// The same of each other node, as it last said.
-    elsewhere: Mutex<BTreeMap<NodeId, usize>>,
+    /// Those of them that this node placed without a scheduler.
+    unscheduled: AtomicUsize,
+    reports: Mutex<LoadReports>,
     progress: Mutex<Progress>,
     /// It refused a request: nothing is sent to it until then.
     refuses_until: Mutex<Option<Instant>>,
@@ -45,6 +49,24 @@
     lost: watch::Sender<Option<Instant>>,
 }
 
+/// What nodes reported of a head's load.
+#[derive(Debug, Default)]
+struct LoadReports {
+    /// Requests that each other node placed without a scheduler.
+    unscheduled: BTreeMap<NodeId, usize>,
+    /// The newest report of a scheduler: who it is, and what it has assigned. After a change of
+    /// schedulers the former one's report stands until the new one's comes, so that the two
+    /// are never added up.
+    assigned: Option<Assigned>,
+}
+
+#[derive(Debug)]
+struct Assigned {
+    by: NodeId,
+    requests: usize,
+    as_of: Instant,
+}
+
 impl Head {
     fn new(host: &Host, model: ModelName) -> Option<Head> {
         let membership = host.membership.as_ref()?;
@@ -58,7 +80,8 @@
             epoch: membership.epoch,
             slots: host.slots,
             running: AtomicUsize::new(0),
-            elsewhere: Mutex::default(),
+            unscheduled: AtomicUsize::new(0),
+            reports: Mutex::default(),
             progress: Mutex::default(),
             refuses_until: Mutex::default(),
             lost: watch::Sender::new(None),
@@ -70,25 +93,52 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Requests of all nodes that it has, as far as they said.
+    /// Requests that this node placed there without a scheduler.
+    pub(crate) fn unscheduled_here(&self) -> usize {
+        self.unscheduled.load(Ordering::Relaxed)
+    }
+
+    /// Requests of all nodes that it has, as far as they reported.
     pub(crate) fn load(&self) -> usize {
-        let elsewhere: usize = locked(&self.elsewhere).values().sum();
-        self.running_here() + elsewhere
+        let reports = locked(&self.reports);
+        let elsewhere: usize = reports.unscheduled.values().sum();
+        let assigned = reports.assigned.as_ref().map_or(0, |a| a.requests);
+        self.unscheduled_here() + elsewhere + assigned
     }
 
-    /// Notes what another node said.
-    pub(crate) fn heard(&self, node: &NodeId, running: usize) {
-        let mut elsewhere = locked(&self.elsewhere);
-        if running == 0 {
-            elsewhere.remove(node);
+    /// Takes another node's report of what it placed without a scheduler.
+    pub(crate) fn reported_unscheduled(&self, node: &NodeId, requests: usize) {
+        let mut reports = locked(&self.reports);
+        if requests == 0 {
+            reports.unscheduled.remove(node);
         } else {
-            elsewhere.insert(node.clone(), running);
+            reports.unscheduled.insert(node.clone(), requests);
         }
     }
 
-    /// Forgets what a node said that is gone.
+    /// Takes the report of a scheduler, which may be this node; 0 where it schedules nothing.
+    pub(crate) fn reported_assigned(&self, by: &NodeId, requests: usize, as_of: Instant) {
+        let mut reports = locked(&self.reports);
+        let known = reports.assigned.as_ref();
+        let is_same = known.is_some_and(|a| a.by == *by);
+        let is_newer = known.is_none_or(|a| a.as_of < as_of);
+        if requests == 0 && is_same {
+            reports.assigned = None;
+        } else if requests > 0 && (is_same || is_newer) {
+            let by = by.clone();
+            reports.assigned = Some(Assigned {
+                by,
+                requests,
+                as_of,
+            });
+        }
+    }
+
+    /// Forgets the reports of a node that is gone.
     pub(crate) fn forget(&self, node: &str) {
-        locked(&self.elsewhere).remove(node);
+        let mut reports = locked(&self.reports);
+        reports.unscheduled.remove(node);
+        reports.assigned.take_if(|a| a.by == node);
     }
 
     /// Counts one more request, until the guard is dropped.
@@ -96,7 +146,11 @@
         if self.running.fetch_add(1, Ordering::Relaxed) == 0 {
             self.progress().resumed(Instant::now());
         }
+        if ticket.is_none() {
+            self.unscheduled.fetch_add(1, Ordering::Relaxed);
+        }
         InProgress {
+            is_scheduled: ticket.is_some(),
             head: Arc::clone(self),
             ticket,
         }
@@ -150,6 +204,7 @@
     pub(crate) head: Arc<Head>,
     /// Where another node, or this one, placed it.
     ticket: Option<Ticket<P>>,
+    is_scheduled: bool,
 }
 
 impl<P: Platform> InProgress<P> {
@@ -171,6 +226,9 @@
 impl<P: Platform> Drop for InProgress<P> {
     fn drop(&mut self) {
         self.head.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.is_scheduled {
+            self.head.unscheduled.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
@@ -244,8 +302,8 @@
 
     /// The head of a formation.
     pub(crate) fn get(&self, replica: &str, epoch: Epoch) -> Option<&Arc<Head>> {
-        self.all()
-            .find(|h| h.replica == replica && h.epoch == epoch)
+        let key = (replica.into(), epoch);
+        self.open.get(&key).or_else(|| self.ending.get(&key))
     }
 }
 
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, NodeId};
-use eelgrassmill_fleet::are_most;
+use eelgrassmill_base::{FailureDomain, NodeId, value};
+use eelgrassmill_fleet::{RoleCandidate, are_most};
 use smol_str::SmolStr;
 
 /// A node that was not heard of for this long is taken for dead. Nodes confirm every
@@ -19,11 +19,21 @@
 /// address, its death leaves them none until they ask again.
 const ENOUGH_NEAR: usize = 2;
 
+value! {
+    /// What a node says of itself.
+    pub(crate) struct NodeInfo {
+        /// For callers.
+        pub(crate) address: SmolStr,
+        pub(crate) failure_domain: FailureDomain,
+        /// In thousandths of a core; 0 where it doesn't say.
+        pub(crate) processor: u32,
+        pub(crate) leaving: bool,
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Known {
-    address: SmolStr,
-    failure_domain: FailureDomain,
-    leaving: bool,
+    info: NodeInfo,
     heard: Instant,
 }
 
@@ -48,23 +58,12 @@
 }
 
 impl Nodes {
-    /// Notes what a node says of itself.
-    pub(crate) fn on_status(
-        &mut self,
-        node: &NodeId,
-        address: SmolStr,
-        failure_domain: FailureDomain,
-        leaving: bool,
-        heard: Instant,
-    ) {
-        let known = Known {
-            address,
-            failure_domain,
-            leaving,
-            heard,
-        };
+    /// Takes what a node says of itself. Whether the node was unknown or says something new.
+    pub(crate) fn on_status(&mut self, node: &NodeId, info: NodeInfo, heard: Instant) -> bool {
         self.lost.remove(node);
-        self.known.insert(node.clone(), known);
+        let changed = self.known.get(node).is_none_or(|k| k.info != info);
+        self.known.insert(node.clone(), Known { info, heard });
+        changed
     }
 
     /// Notes a sign of life.
@@ -76,7 +75,7 @@
 
     pub(crate) fn forget(&mut self, node: &str) {
         let gone = self.known.remove_entry(node);
-        if let Some((node, known)) = gone.filter(|(_, k)| !k.leaving) {
+        if let Some((node, known)) = gone.filter(|(_, k)| !k.info.leaving) {
             let lately = |at: &Instant| known.heard.saturating_duration_since(*at) < REMEMBERED;
             self.lost.retain(|_, at| lately(at));
             self.lost.insert(node, known.heard);
@@ -90,7 +89,7 @@
 
     /// For how long each node that stays, or was lost lately, was not heard.
     pub(crate) fn silences(&self, now: Instant) -> impl Iterator<Item = Duration> + Clone {
-        let staying = self.known.values().filter(|k| !k.leaving);
+        let staying = self.known.values().filter(|k| !k.info.leaving);
         let heard = staying.map(|k| k.heard).chain(self.lost.values().copied());
         let silences = heard.map(move |at| now.saturating_duration_since(at));
         silences.filter(|silence| *silence < REMEMBERED)
@@ -110,12 +109,12 @@
     }
 
     /// The nodes that are up and stay, in the order of their names.
-    pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
-        self.staying(now).map(|(id, _)| id)
+    pub(crate) fn alive(&self, now: Instant) -> impl Iterator<Item = RoleCandidate<'_>> {
+        self.staying(now).map(candidate)
     }
 
     fn staying(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &Known)> {
-        let stays = move |k: &Known| k.is_alive(now) && !k.leaving;
+        let stays = move |k: &Known| k.is_alive(now) && !k.info.leaving;
         self.known.iter().filter(move |(_, k)| stays(k))
     }
 
@@ -126,16 +125,12 @@
         self.no_copy.insert(node.clone(), now);
     }
 
-    /// The nodes that are up and may have a copy of the platform's lists, with their failure
-    /// domains.
-    pub(crate) fn with_copies(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (&NodeId, &FailureDomain)> {
+    /// The nodes that are up and may have a copy of the platform's lists.
+    pub(crate) fn with_copies(&self, now: Instant) -> impl Iterator<Item = RoleCandidate<'_>> {
         let lately = move |at: &Instant| now.saturating_duration_since(*at) < NO_COPY;
         let has_copy = move |id: &NodeId| !self.no_copy.get(id).is_some_and(lately);
         let usable = self.staying(now).filter(move |(id, _)| has_copy(id));
-        usable.map(|(id, k)| (id, &k.failure_domain))
+        usable.map(candidate)
     }
 
     /// The addresses for callers in `near`, `own` among them unless it is `None`.
@@ -146,7 +141,7 @@
         now: Instant,
     ) -> Vec<SmolStr> {
         let others = self.staying(now);
-        let others = others.map(|(_, k)| (&k.address, &k.failure_domain));
+        let others = others.map(|(_, k)| (&k.info.address, &k.info.failure_domain));
         let all: Vec<_> = own.into_iter().chain(others).collect();
         let close: Vec<_> = all
             .iter()
@@ -166,6 +161,14 @@
     }
 }
 
+fn candidate<'n>((id, known): (&'n NodeId, &'n Known)) -> RoleCandidate<'n> {
+    RoleCandidate {
+        id,
+        failure_domain: &known.info.failure_domain,
+        processor: known.info.processor,
+    }
+}
+
 impl Known {
     fn is_alive(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.heard) < DEAD_AFTER
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,10 +1,11 @@
 //! What this node does with what other nodes tell it.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::NodeId;
+use eelgrassmill_base::{GroupId, NodeId};
 use eelgrassmill_peer::{
     Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey, ListReply,
     ListRequest, Member, NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode, PeerNodeConfig,
@@ -16,6 +17,7 @@
 
 use crate::core::Core;
 use crate::heads::locked;
+use crate::nodes::NodeInfo;
 use crate::ports::{Platform, SeatRecord};
 use crate::{relay, scheduler, watch};
 
@@ -51,7 +53,7 @@
                 self.put(&origin, item, as_of);
             }
             Change::Confirmed(as_of) => locked(&self.core.nodes).heard(&origin, as_of),
-            Change::Removed(ItemKey::GroupLoad(replica)) => self.load(&origin, &replica, None, 0),
+            Change::Removed(ItemKey::GroupLoad(replica)) => self.no_load(&origin, &replica),
             Change::Removed(ItemKey::Group(name)) if name == SEAT => {
                 locked(&self.core.seats).remove(&origin);
             }
@@ -64,9 +66,8 @@
         match item {
             Item::Status(status) => self.status(origin, status, as_of),
             Item::GroupLoad(load) => {
-                let running = (load.running + load.waiting) as usize;
                 self.core.load_heard(as_of.elapsed());
-                self.load(origin, &load.group, Some(load.epoch), running);
+                self.load(origin, &load, as_of);
             }
             Item::Group(record) if record.group == SEAT => {
                 locked(&self.core.seats).insert(origin.clone(), record.version);
@@ -86,21 +87,35 @@
     }
 
     fn status(&self, origin: &NodeId, status: NodeStatus, as_of: Instant) {
-        let mut nodes = locked(&self.core.nodes);
-        let domain = status.failure_domain;
-        nodes.on_status(origin, status.entry_address, domain, status.leaving, as_of);
-        drop(nodes);
-        info!(event = "node", node = %origin, leaving = status.leaving);
+        let leaving = status.leaving;
+        let info = NodeInfo {
+            address: status.entry_address,
+            failure_domain: status.failure_domain,
+            processor: status.processor,
+            leaving,
+        };
+        let changed = locked(&self.core.nodes).on_status(origin, info, as_of);
+        // The planner alone acts for all nodes; written by each, the lines would grow with the
+        // square of their number.
+        if changed && self.core.is_planner() {
+            info!(event = "node", node = %origin, leaving);
+        }
+    }
+
+    fn load(&self, origin: &NodeId, load: &GroupLoad, as_of: Instant) {
+        let heads = locked(&self.core.heads);
+        if let Some(head) = heads.get(&load.group, load.epoch) {
+            let unscheduled = load.running.saturating_add(load.waiting);
+            head.reported_unscheduled(origin, unscheduled as usize);
+            head.reported_assigned(origin, load.assigned as usize, as_of);
+        }
     }
 
-    fn load(&self, origin: &NodeId, replica: &str, epoch: Option<u64>, running: usize) {
+    /// A node has nothing at a replica any more.
+    fn no_load(&self, origin: &NodeId, replica: &str) {
         let heads = locked(&self.core.heads);
-        let same = |e: u64| epoch.is_none_or(|epoch| epoch == e);
-        for head in heads
-            .all()
-            .filter(|h| h.replica == replica && same(h.epoch))
-        {
-            head.heard(origin, running);
+        for head in heads.all().filter(|h| h.replica == replica) {
+            head.forget(origin);
         }
     }
 
@@ -112,7 +127,9 @@
         for head in locked(&self.core.heads).all() {
             head.forget(origin);
         }
-        info!(event = "node", node = %origin, state = "not heard from");
+        if self.core.is_planner() {
+            info!(event = "node", node = %origin, state = "not heard from");
+        }
     }
 }
 
@@ -193,6 +210,7 @@
         failure_domain: cfg.failure_domain.clone(),
         region: cfg.region.clone(),
         leaving: core.is_leaving(),
+        processor: cfg.processor,
     }));
 }
 
@@ -214,29 +232,20 @@
     }
 }
 
-/// Tells the other nodes how many requests this one has at each head, for ever.
+/// Reports loads to the other nodes until the process ends: what this node has assigned to
+/// heads as their scheduler, and what it placed without one.
 pub(crate) async fn publish_loads<P: Platform>(core: Arc<Core<P>>) {
-    let mut told = std::collections::BTreeSet::new();
+    let mut reported = BTreeSet::new();
     loop {
         tokio::time::sleep(LOAD_INTERVAL).await;
         let Some(peer) = core.peer() else { continue };
-        let loads: Vec<_> = locked(&core.heads)
-            .all()
-            .map(|h| (h.replica.clone(), h.epoch, h.running_here()))
-            .filter(|(_, _, running)| *running > 0)
-            .collect();
-        let now: std::collections::BTreeSet<_> = loads.iter().map(|l| l.0.clone()).collect();
-        for gone in told.difference(&now) {
+        let loads = group_loads(&core, Instant::now());
+        let current: BTreeSet<GroupId> = loads.iter().map(|l| l.group.clone()).collect();
+        for gone in reported.difference(&current) {
             peer.withdraw(&ItemKey::GroupLoad(gone.clone()));
         }
-        for (group, epoch, running) in loads {
-            let running = u32::try_from(running).unwrap_or(u32::MAX);
-            peer.publish(Item::GroupLoad(GroupLoad {
-                group,
-                epoch,
-                running,
-                waiting: 0,
-            }));
+        for load in loads {
+            peer.publish(Item::GroupLoad(load));
         }
         let load_permille = if core.has_served() { 1000 } else { 0 };
         let config_version = core.catalog().version();
@@ -244,6 +253,26 @@
             config_version,
             load_permille,
         }));
-        told = now;
+        reported = current;
     }
 }
+
+/// What this node has to report of heads' loads.
+fn group_loads<P: Platform>(core: &Core<P>, now: Instant) -> Vec<GroupLoad> {
+    let assigned = core.schedulers.loads();
+    let count = |requests: usize| u32::try_from(requests).unwrap_or(u32::MAX);
+    let heads = locked(&core.heads);
+    let loads = heads.all().map(|head| {
+        let key = (head.replica.clone(), head.epoch);
+        let assigned = assigned.get(&key).copied().unwrap_or_default();
+        head.reported_assigned(&core.cfg.node, assigned, now);
+        GroupLoad {
+            group: key.0,
+            epoch: key.1,
+            running: count(head.unscheduled_here()),
+            waiting: 0,
+            assigned: count(assigned),
+        }
+    });
+    loads.filter(|l| l.running > 0 || l.assigned > 0).collect()
+}
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -8,7 +8,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, HostId, ModelName, NodeId, ServiceName, rendezvous};
+use eelgrassmill_base::{FailureDomain, HostId, ModelName, NodeId, ServiceName};
+use eelgrassmill_fleet::{DomainLoad, choose_domain, ranked_for_role};
 use eelgrassmill_peer::{
     PlaceDecision, PlaceEvent, PlaceNotice, PlaceRequest, ScheduleReply, ScheduleRequest,
 };
@@ -30,8 +31,11 @@
 /// An answer may take this long beyond its wait: 1 to 5 ms on the way, and a packet that is
 /// lost comes again after some 200 ms, which is too late to wait for.
 const ANSWER_TIME: Duration = Duration::from_millis(80);
-/// A node that gave no answer is not asked for this long, until it counts as dead or is well.
-const DISTRUST: Duration = Duration::from_secs(2);
+/// How long a scheduler that timed out stays ejected: until it counts as dead or is well.
+const EJECTION_PERIOD: Duration = Duration::from_secs(2);
+/// Choices of schedulers for a scope. A node that has ejected all of them is likely cut off
+/// itself, and must not become a scheduler that knows of no other node's requests.
+const MAX_SCHEDULER_CHOICES: usize = 2;
 /// What becomes of requests is told this much later, with all else until then.
 const GATHER: Duration = Duration::from_millis(5);
 /// A notice that doesn't arrive within this is not sent again: its request's place lapses.
@@ -43,7 +47,7 @@
 /// What this node knows of the nodes that place requests.
 #[derive(Debug, Default)]
 pub(crate) struct Placing {
-    distrusted: Mutex<BTreeMap<NodeId, Instant>>,
+    ejected: Mutex<BTreeMap<NodeId, Instant>>,
     /// What has yet to be told.
     notices: Mutex<HashMap<(NodeId, Scope), Vec<PlaceNotice>>>,
 }
@@ -171,10 +175,7 @@
 
 /// Asks for a place.
 pub(crate) async fn place<P: Platform>(core: &Arc<Core<P>>, wanted: &Wanted<'_>) -> Placed<P> {
-    let Some(scope) = scope(core, wanted.service, wanted.model) else {
-        return Placed::Unknown;
-    };
-    let Some(node) = node_for(core, &scope) else {
+    let Some((scope, node)) = scheduler_for(core, wanted.service, wanted.model) else {
         return Placed::Unknown;
     };
     let mut useless = 0;
@@ -185,7 +186,7 @@
         let wait = Duration::from_millis(ask.wait_ms.into());
         let req = request(core, &scope, Some(ask), notices);
         let Some(reply) = send(core, &node, req, wait + ANSWER_TIME).await else {
-            distrust(core, &node, &scope);
+            eject(core, &node, &scope);
             return Placed::Unknown;
         };
         match reply.decision() {
@@ -255,53 +256,96 @@
     }
 }
 
-fn distrust<P: Platform>(core: &Core<P>, node: &NodeId, scope: &Scope) {
+fn eject<P: Platform>(core: &Core<P>, node: &NodeId, scope: &Scope) {
     info!(event = "no-scheduler", %node, model = %scope.model, outcome = "no answer");
     let now = Instant::now();
-    let mut distrusted = locked(&core.placing.distrusted);
-    distrusted.retain(|_, at| now.saturating_duration_since(*at) < DISTRUST);
-    distrusted.insert(node.clone(), now);
+    let mut ejected = locked(&core.placing.ejected);
+    ejected.retain(|_, at| now.saturating_duration_since(*at) < EJECTION_PERIOD);
+    ejected.insert(node.clone(), now);
 }
 
-/// The scope in which a request is placed: for models of many replicas any failure domain,
-/// each as often as it has heads.
-fn scope<P: Platform>(core: &Core<P>, service: &ServiceName, model: &ModelName) -> Option<Scope> {
-    let catalog = core.catalog();
-    let (_, spec) = catalog.model(service, model)?;
-    let heads = locked(&core.heads);
-    let hosts = heads.hosts_of(service) as f64;
-    let expected = hosts * spec.share.get() / spec.size.max(1) as f64;
-    let mut domains: Vec<&FailureDomain> = heads
-        .of_model(service, model)
-        .map(|h| &h.failure_domain)
-        .collect();
+/// The scope of a request, and the node that schedules it; `None` where no such node answers.
+///
+/// Models of many replicas have a scope for each failure domain, with a scheduler there.
+fn scheduler_for<P: Platform>(
+    core: &Core<P>,
+    service: &ServiceName,
+    model: &ModelName,
+) -> Option<(Scope, NodeId)> {
+    let domains = open_domains(core, service, model);
+    let scope = |heads_in: Option<FailureDomain>| Scope {
+        service: service.clone(),
+        model: model.clone(),
+        heads_in,
+    };
     if domains.is_empty() {
         return None;
     }
-    let many = expected > MOST_FOR_ONE;
-    let chosen = domains.swap_remove(fastrand::usize(..domains.len()));
-    Some(Scope {
-        service: service.clone(),
-        model: model.clone(),
-        heads_in: many.then(|| chosen.clone()),
-    })
+    if !is_sharded(core, service, model) {
+        let scope = scope(None);
+        let node = scheduler_of(core, &scope)?;
+        return Some((scope, node));
+    }
+    let sharded = domains.iter().filter_map(|(domain, load)| {
+        let scope = scope(Some(domain.clone()));
+        let node = scheduler_of(core, &scope)?;
+        Some((domain, load, scope, node))
+    });
+    let mut shards: Vec<_> = sharded.collect();
+    let loads = shards.iter().map(|(failure_domain, load, ..)| DomainLoad {
+        failure_domain,
+        load: load.0,
+        slots: load.1,
+    });
+    let home = &core.cfg.failure_domain;
+    let chosen = choose_domain(home, loads, fastrand::f64(), fastrand::f64())?;
+    let index = shards.iter().position(|(domain, ..)| *domain == chosen)?;
+    let (_, _, scope, node) = shards.swap_remove(index);
+    Some((scope, node))
+}
+
+/// Whether a model has so many replicas that one scheduler for all would saturate its node.
+fn is_sharded<P: Platform>(core: &Core<P>, service: &ServiceName, model: &ModelName) -> bool {
+    let catalog = core.catalog();
+    let Some((_, spec)) = catalog.model(service, model) else {
+        return false;
+    };
+    let hosts = locked(&core.heads).hosts_of(service) as f64;
+    hosts * spec.share.get() / spec.size.max(1) as f64 > MOST_FOR_ONE
+}
+
+/// The failure domains in which a model has heads, with their requests and slots.
+fn open_domains<P: Platform>(
+    core: &Core<P>,
+    service: &ServiceName,
+    model: &ModelName,
+) -> BTreeMap<FailureDomain, (usize, usize)> {
+    let mut domains: BTreeMap<FailureDomain, (usize, usize)> = BTreeMap::new();
+    let heads = locked(&core.heads);
+    for head in heads.of_model(service, model) {
+        let domain = domains.entry(head.failure_domain.clone()).or_default();
+        domain.0 += head.load();
+        domain.1 += head.slots;
+    }
+    domains
 }
 
-/// The node that places the requests of a scope; `None` while it gives no answers.
-fn node_for<P: Platform>(core: &Core<P>, scope: &Scope) -> Option<NodeId> {
+/// The node that schedules a scope; `None` while its first choices are all ejected.
+fn scheduler_of<P: Platform>(core: &Core<P>, scope: &Scope) -> Option<NodeId> {
     let now = Instant::now();
     let nodes = locked(&core.nodes);
-    let me = &core.cfg.node;
+    let own = (!core.is_leaving()).then(|| core.as_candidate());
     let key = format!(
         "{}/{}/{}",
         scope.service,
         scope.model,
         scope.heads_in.as_deref().unwrap_or_default()
     );
-    let leaving = core.is_leaving();
-    let all = nodes.alive(now).chain((!leaving).then_some(me));
-    let first = rendezvous(&key, all).first().copied()?.clone();
-    let distrusted = locked(&core.placing.distrusted);
-    let lately = |at: &Instant| now.saturating_duration_since(*at) < DISTRUST;
-    (!distrusted.get(&first).is_some_and(lately)).then_some(first)
+    let near = scope.heads_in.as_ref();
+    let ranked = ranked_for_role(&key, near, nodes.alive(now).chain(own));
+    let ejected = locked(&core.placing.ejected);
+    let lately = |at: &Instant| now.saturating_duration_since(*at) < EJECTION_PERIOD;
+    let mut choices = ranked.into_iter().take(MAX_SCHEDULER_CHOICES);
+    let chosen = choices.find(|id| !ejected.get(*id).is_some_and(lately));
+    chosen.cloned()
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -211,8 +211,7 @@
     let holder = seat::holder(core, now).map(|seat| seat.node);
     let nodes = locked(&core.nodes);
     let others = nodes.with_copies(now);
-    let me = &core.cfg.node;
-    list_parent(me, &core.cfg.failure_domain, holder.as_ref(), others).cloned()
+    list_parent(core.as_candidate(), holder.as_ref(), others).cloned()
 }
 
 /// Asks another node for what changed since `since`, or for all at 0.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -58,6 +58,17 @@
 }
 
 impl Schedulers {
+    /// What the schedulers of this node have assigned to each head.
+    pub(crate) fn loads(&self) -> HashMap<HeadKey, usize> {
+        let mut loads = HashMap::new();
+        for running in locked(&self.running).values() {
+            let running = locked(running);
+            let assigned = running.scheduler.loads();
+            loads.extend(assigned.map(|(key, requests)| (key.clone(), requests)));
+        }
+        loads
+    }
+
     /// Forgets the requests of a node that is gone.
     pub(crate) fn forget(&self, node: &str) {
         for running in locked(&self.running).values() {
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{Lease, SinceBoot, Standing, hears_enough};
+use eelgrassmill_fleet::{Lease, SinceBoot, Standing, hears_enough, strongest};
 use rustix::time::{ClockId, clock_gettime};
 use tracing::{info, warn};
 
@@ -139,12 +139,12 @@
     })
 }
 
-/// Whether this node is the first of those that are up, which alone takes the seat.
+/// Whether this node is the first by name of the strongest that are up, which alone takes the
+/// seat.
 fn is_first<P: Platform>(core: &Core<P>, now: Instant) -> bool {
-    locked(&core.nodes)
-        .alive(now)
-        .next()
-        .is_none_or(|first| core.cfg.node <= *first)
+    let nodes = locked(&core.nodes);
+    let able = strongest(nodes.alive(now).chain([core.as_candidate()]));
+    able.iter().map(|c| c.id).min() == Some(&core.cfg.node)
 }
 
 /// Plans until the seat is another's, or this node can't be sure that it isn't.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,6 +14,7 @@
 const HOUR: Duration = Duration::from_secs(3_600);
 const TIME: Shape = Shape::duration(MILLI, HOUR);
 const MAX_SEEDS: usize = 64;
+const MAX_CORES: u64 = 1024;
 
 /// Callers are told to keep an answer with addresses this long, unless less is permitted:
 /// each answer costs a little, and a stopping node waits until they have run out.
@@ -29,6 +30,18 @@
         "no",
         "Whether the whole system starts for the first time, so that loads are quick.",
     ),
+    defaulted(
+        "processor_share",
+        Shape::Decimal { max: 1 },
+        "1",
+        "The part of its processor that the node may use. Nodes with more take on roles for others.",
+    ),
+    defaulted(
+        "processor_cores",
+        Shape::Decimal { max: MAX_CORES },
+        "1",
+        "How fast that processor is, in cores.",
+    ),
 ];
 
 const LISTEN: &[Key] = &[
@@ -216,6 +229,10 @@
             );
             (names.0, names.1, names.2, r.yes("first_start", p))
         });
+        let processor = self.read("node", NODE, |r, p| {
+            let cores = r.decimal("processor_share", p) * r.decimal("processor_cores", p);
+            (cores * 1000.0).round() as u32
+        });
         let seeds = self.read("peers", PEERS, |r, p| r.addresses("seeds", p));
         let addresses = self.read("listen", LISTEN, |r, p| Addresses {
             callers: r.address("callers", p).unwrap_or(any),
@@ -240,6 +257,7 @@
             node,
             region,
             failure_domain,
+            processor,
             addresses,
             retries,
             grace,
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -69,7 +69,6 @@
         let name = (service.clone(), model.clone());
         let mut queues = locked(&self.queues);
         let queue = queues.entry(name.clone()).or_default();
-        queue.arrivals.on_event(Instant::now());
         let key = (rank, queue.next);
         queue.next += 1;
         let woken = Arc::new(Notify::new());
@@ -82,6 +81,14 @@
         }
     }
 
+    /// Counts a request for a model.
+    fn arrived(&self, service: &ServiceName, model: &ModelName) {
+        let name = (service.clone(), model.clone());
+        let mut queues = locked(&self.queues);
+        let queue = queues.entry(name).or_default();
+        queue.arrivals.on_event(Instant::now());
+    }
+
     /// Requests for a model that come to this node in a second.
     fn arrivals(&self, service: &ServiceName, model: &ModelName) -> f64 {
         let queues = locked(&self.queues);
@@ -168,6 +175,7 @@
     resumed: bool,
     avoid: &[HostId],
 ) -> Result<InProgress<P>, Refusal> {
+    core.turns.arrived(service, model);
     let needed = (call.deadline - call.arrived).mul_f64(NEEDED_PART);
     let give_up = (call.deadline - needed).min(Instant::now() + LONGEST_WAIT);
     let wanted = Wanted {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -68,7 +68,7 @@
     if gone.is_empty() {
         return;
     }
-    for host in gone {
+    for host in gone.iter().filter(|_| core.is_planner()) {
         info!(event = "host-gone", %host, reason = "not listed again");
     }
     core.refresh_heads();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -394,6 +394,7 @@
         failure_domain: ident.failure_domain.clone(),
         region: ident.region.clone(),
         leaving: takes_no_callers(core),
+        processor: 0,
     }));
 }
 
--- a/crates/peer/examples/capacity/spread.rs
+++ b/crates/peer/examples/capacity/spread.rs
@@ -109,6 +109,7 @@
                     epoch: 3,
                     running: round / 20 % 16,
                     waiting: 0,
+                    assigned: 0,
                 };
                 self.net.publish(&watcher, Item::GroupLoad(load));
             }
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -67,6 +67,8 @@
         pub region: Region,
         /// Whether it is about to stop.
         pub leaving: bool,
+        /// Processor that it may use, in thousandths of a core; 0 where it doesn't say.
+        pub processor: u32,
     }
 
     /// What changes often at a node. It travels with the slow items.
@@ -103,6 +105,8 @@
         pub running: u32,
         /// Requests that wait at the group.
         pub waiting: u32,
+        /// Requests of all nodes that this node, as the group's scheduler, has assigned to it.
+        pub assigned: u32,
     }
 
     /// A group's row as its planner wrote it.
@@ -203,6 +207,13 @@
     Urgent,
 }
 
+impl GroupLoad {
+    fn work(&self) -> u32 {
+        let own = self.running.saturating_add(self.waiting);
+        own.saturating_add(self.assigned)
+    }
+}
+
 impl Item {
     /// The key under which its origin holds it.
     pub fn key(&self) -> ItemKey {
@@ -228,9 +239,8 @@
                     && a.load_permille.abs_diff(b.load_permille) < LOAD_STEP
             }
             (Item::GroupLoad(a), Item::GroupLoad(b)) => {
-                let work = |load: &GroupLoad| load.running.saturating_add(load.waiting);
-                let step = (work(a) / 4).max(1);
-                a.epoch == b.epoch && work(a).abs_diff(work(b)) < step
+                let step = (a.work() / 4).max(1);
+                a.epoch == b.epoch && a.work().abs_diff(b.work()) < step
             }
             (a, b) => a == b,
         }
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -38,6 +38,7 @@
             failure_domain: s.failure_domain.to_string(),
             region: s.region.to_string(),
             leaving: s.leaving,
+            processor: s.processor,
         }),
         Item::Load(l) => Kind::Load(wire::NodeLoad {
             config_version: l.config_version,
@@ -56,6 +57,7 @@
             epoch: g.epoch,
             running: g.running,
             waiting: g.waiting,
+            assigned: g.assigned,
         }),
         Item::Group(g) => Kind::Group(wire::GroupRecord {
             group: g.group.to_string(),
@@ -117,6 +119,7 @@
             failure_domain: text(s.failure_domain)?,
             region: text(s.region)?,
             leaving: s.leaving,
+            processor: s.processor,
         }),
         Kind::Load(l) => Item::Load(NodeLoad {
             config_version: l.config_version,
@@ -136,6 +139,7 @@
             epoch: g.epoch,
             running: g.running,
             waiting: g.waiting,
+            assigned: g.assigned,
         }),
         Kind::Group(g) if g.record.len() <= MAX_GROUP_RECORD => Item::Group(GroupRecord {
             group: name(g.group)?,
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -171,6 +171,9 @@
     /// Whether it is about to stop.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    /// Processor that it may use, in thousandths of a core; 0 where it doesn't say.
+    #[prost(uint32, tag = "7")]
+    pub processor: u32,
 }
 
 /// What changes often at a node.
@@ -252,6 +255,9 @@
     /// Requests that wait at the group.
     #[prost(uint32, tag = "4")]
     pub waiting: u32,
+    /// Requests of all nodes that the node, as the group's scheduler, has assigned to it.
+    #[prost(uint32, tag = "5")]
+    pub assigned: u32,
 }
 
 /// The key of an item that is gone.
--- a/crates/peer/tests/support/net.rs
+++ b/crates/peer/tests/support/net.rs
@@ -94,6 +94,7 @@
         failure_domain: member.failure_domain.clone(),
         region: member.region.clone(),
         leaving: false,
+        processor: 0,
     })
 }
 
