Have a node's first lists from other nodes when all start at once

Cause: a node that has just started knows no other node, so it read the lists from the store, and went on asking it for every change until it had heard who else is there.

Change: a node that has seeds gives others up to 1 s to introduce themselves and to have a copy, unless it is the one of its failure domain that asks the store.

Also: the planner pauses after a step for four times what the step took, so that answers to orders, which wake it one by one, can't take the whole processor of its node. Not measured alone.

--- a/crates/fleet/src/roles.rs
+++ b/crates/fleet/src/roles.rs
@@ -3,7 +3,7 @@
 //! Entry hosts differ in processor. A role that serves all nodes costs several times what a
 //! node's own callers cost, so that on a small host it would saturate and stall every node.
 
-use eelgrassmill_base::{FailureDomain, NodeId, stable_hash, value};
+use eelgrassmill_base::{FailureDomain, NodeId, rendezvous, value};
 
 /// Nodes with this part of the largest processor or more may take a role.
 const MIN_PROCESSOR_RATIO: f64 = 0.5;
@@ -38,10 +38,10 @@
     near: Option<&FailureDomain>,
     candidates: impl IntoIterator<Item = RoleCandidate<'n>>,
 ) -> Vec<&'n NodeId> {
-    let mut able = strongest(candidates);
-    able.sort_by_cached_key(|c| {
-        let is_far = near != Some(c.failure_domain);
-        (is_far, stable_hash([key, c.id.as_str()]), c.id)
-    });
-    able.into_iter().map(|c| c.id).collect()
+    let is_near = |c: &RoleCandidate<'_>| near == Some(c.failure_domain);
+    let (close, far): (Vec<_>, Vec<_>) = strongest(candidates).into_iter().partition(is_near);
+    let ranked = |some: Vec<RoleCandidate<'n>>| rendezvous(key, some.into_iter().map(|c| c.id));
+    let mut all = ranked(close);
+    all.extend(ranked(far));
+    all
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Whether another node is known to be up.
+    pub(crate) fn knows_others(&self) -> bool {
+        locked(&self.nodes).alive(Instant::now()).next().is_some()
+    }
+
     /// Whether this node says that it holds the planner's seat.
     pub(crate) fn is_planner(&self) -> bool {
         locked(&self.seats).contains_key(&self.cfg.node)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
-use crate::relay::{self, News, Relayed};
+use crate::relay::{self, News, NoCopy, Relayed};
 
 /// Longest wait of one question to the store for changes. The answer also says that nothing
 /// else has changed, which other nodes have to know twice a second, and a connection that
@@ -19,6 +19,12 @@
 const WAIT: Duration = Duration::from_millis(500);
 /// Pause after an answer with changes, so that changes that come together cost one call.
 const GATHER: Duration = Duration::from_millis(60);
+/// A node that has just started gives others this long to introduce themselves and to have a
+/// copy of the lists, before it asks the store. When all nodes start at once each would
+/// otherwise read whole lists that change several times a second.
+const INTRODUCTION: Duration = Duration::from_millis(1000);
+/// How often it looks meanwhile.
+const INTRODUCTION_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failure; grows up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// A store that is back must be read again well within the 2 s in which a change counts.
@@ -58,27 +64,59 @@
 {
     /// What is new, from the node that should tell it, or else from the store.
     async fn next(&self) -> Result<Answer<S::Change>, SourceError> {
+        while self.awaits_introduction() {
+            if self.core.knows_others() {
+                let Some(parent) = relay::parent(self.core) else {
+                    break;
+                };
+                match self.ask(&parent).await {
+                    Err(NoCopy::None) => {}
+                    Err(why) => return self.read_instead(&parent, &why).await,
+                    Ok(answer) => return Ok(answer),
+                }
+            }
+            tokio::time::sleep(INTRODUCTION_POLL).await;
+        }
         let Some(parent) = relay::parent(self.core) else {
             // After a failure the first question is one that is answered at once: a wait
             // on a connection that is dead would hide for seconds that the store is back.
             let wait = if self.healthy { WAIT } else { Duration::ZERO };
             return self.read_store(wait).await;
         };
-        let since = self.cursor.unwrap_or_default();
-        match relay::ask::<P, S::Change>(self.core, &parent, since).await {
-            Ok((news, encoded)) => Ok(Answer {
-                news,
-                encoded,
-                from: Some(parent),
-            }),
-            Err(why) => {
-                info!(event = "no-copy", list = S::Change::LIST, node = %parent, %why);
-                locked(&self.core.nodes).gave_no_copy(&parent, Instant::now());
-                self.read_store(Duration::ZERO).await
-            }
+        match self.ask(&parent).await {
+            Ok(answer) => Ok(answer),
+            Err(why) => self.read_instead(&parent, &why).await,
         }
     }
 
+    async fn ask(&self, parent: &NodeId) -> Result<Answer<S::Change>, NoCopy> {
+        let since = self.cursor.unwrap_or_default();
+        let (news, encoded) = relay::ask::<P, S::Change>(self.core, parent, since).await?;
+        Ok(Answer {
+            news,
+            encoded,
+            from: Some(parent.clone()),
+        })
+    }
+
+    /// Reads the store in place of a node that gave no usable copy.
+    async fn read_instead(
+        &self,
+        parent: &NodeId,
+        why: &NoCopy,
+    ) -> Result<Answer<S::Change>, SourceError> {
+        info!(event = "no-copy", list = S::Change::LIST, node = %parent, %why);
+        locked(&self.core.nodes).gave_no_copy(parent, Instant::now());
+        self.read_store(Duration::ZERO).await
+    }
+
+    /// Whether this node has just started, has read nothing and is to hear of others.
+    fn awaits_introduction(&self) -> bool {
+        let addresses = &self.core.cfg.addresses;
+        let has_seeds = addresses.seeds.iter().any(|s| *s != addresses.peers);
+        has_seeds && self.cursor.is_none() && self.core.began.elapsed() < INTRODUCTION
+    }
+
     async fn read_store(&self, wait: Duration) -> Result<Answer<S::Change>, SourceError> {
         let (changes, version) = match self.cursor {
             None => self.source.snapshot().await?,
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -19,6 +19,9 @@
 /// The planner looks at everything at least this often: its shortest own time is the
 /// 120 ms between two questions to a host.
 const STEP: Duration = Duration::from_millis(60);
+/// Pause after a step, in times of what it took. Answers to orders come one by one, by the
+/// hundred: a step for each would leave callers' requests no processor at this node.
+const PAUSE_PER_STEP: u32 = 4;
 /// An order without an answer for this long counts as unanswered. Answers take 1 to 5 ms.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Until then the first loads of a system that starts for the first time are quick.
@@ -39,6 +42,8 @@
 pub(crate) struct Term<P: Platform> {
     core: Arc<Core<P>>,
     planner: Planner,
+    /// How long the last step took.
+    last_step: Duration,
     /// How far each replica was when it was last noted.
     noted: BTreeMap<GroupId, Step>,
 }
@@ -56,19 +61,26 @@
         Term {
             core,
             planner,
+            last_step: Duration::ZERO,
             noted: BTreeMap::new(),
         }
     }
 
     /// Waits until there may be something to decide.
     pub(crate) async fn wait(&self) {
+        tokio::time::sleep(self.last_step * PAUSE_PER_STEP).await;
         // Running out is the other way to look again.
         let _ = tokio::time::timeout(STEP, self.core.planning.changed()).await;
     }
 
     /// Takes in what happened, decides, and starts to carry it out.
     pub(crate) fn step(&mut self) {
-        let now = Instant::now();
+        let began = Instant::now();
+        self.decide(began);
+        self.last_step = began.elapsed().min(STEP);
+    }
+
+    fn decide(&mut self, now: Instant) {
         for event in self.core.planning.take() {
             self.take(event, now);
         }
