--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -22,7 +22,7 @@
         host: format_smolstr!("host-{n}"),
         slots: SLOTS,
         failure_domain: "east".into(),
-        told: 0,
+        reported: 0,
     };
     (0..count).map(head).collect()
 }
@@ -64,7 +64,7 @@
         let key = asked.key.clone();
         scheduler.ask(asked, now);
         scheduler.assign(&heads, now);
-        scheduler.began(&key, now);
+        scheduler.started(&key, now);
         key
     };
     for _ in 0..RUNNING * count as u64 {
@@ -73,7 +73,7 @@
     bencher.bench_local(|| {
         let key = run(&mut scheduler);
         scheduler.assign(&heads, now);
-        scheduler.ended(&key);
+        scheduler.released(&key);
         scheduler.assign(&heads, now);
     });
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -1,4 +1,4 @@
-//! For how long the holder of the planner's seat may act.
+//! For how long the holder of the planner's lease may act.
 //!
 //! What goes wrong without it: a holder that is cut off from the store and from the other
 //! nodes still reaches hosts. It would go on forming replicas while its successor does,
@@ -21,7 +21,7 @@
 /// A holder steps that often that a longer time between two steps means that its process
 /// stood still: fifteen steps.
 const PAUSE: Duration = Duration::from_millis(900);
-/// A holder that isn't sure for this long gives the seat up: one more question to the
+/// A holder that isn't sure for this long gives the lease up: one more question to the
 /// store, with the time that it waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(2000);
 
@@ -32,16 +32,16 @@
         Act,
         /// Nothing, until it is confirmed.
         Wait,
-        /// Leave the seat to another node.
+        /// Leave the lease to another node.
         GiveUp,
     }
 }
 
 /// Whether a holder that the store doesn't answer hears enough other nodes to be sure that
-/// none has taken the seat. `silences` are the times since each one was heard, those that
+/// none has taken the lease. `silences` are the times since each one was heard, those that
 /// are gone since lately among them.
 ///
-/// Nodes take the seat only where they hear most others, so that one of those that the
+/// Nodes take the lease only where they hear most others, so that one of those that the
 /// holder hears would know of it. Were all of them needed, one dead node would stop all
 /// repairs while the store is away.
 pub fn hears_enough(silences: impl Iterator<Item = Duration> + Clone) -> bool {
@@ -61,7 +61,7 @@
 
 /// A holder's right to act.
 ///
-/// It is sure of the seat for [`LEASE_TERM`] after the store showed it as the holder, and
+/// It is sure of the lease for [`LEASE_TERM`] after the store showed it as the holder, and
 /// while it [hears enough](hears_enough) other nodes. So planning goes on while the store is
 /// away for all.
 #[derive(Clone, Debug)]
@@ -75,7 +75,7 @@
 }
 
 impl Lease {
-    /// The lease of a holder that asked for the seat at `claimed`.
+    /// The lease of a holder that asked for the lease at `claimed`.
     pub fn new(claimed: SinceBoot) -> Lease {
         Lease {
             confirmed: claimed,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,7 +32,7 @@
 pub use crate::planner::{
     Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
 };
-pub use crate::rank::{InVain, Rank};
+pub use crate::rank::{LateRejection, Rank};
 pub use crate::rate::Rate;
 pub use crate::relay::{Lacking, ListLog, list_parent};
 pub use crate::retry::RetryWindow;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -2,9 +2,7 @@
 
 use eelgrassmill_base::{HostId, value};
 
-/// What a host in another failure domain counts more, in requests for each slot.
-/// A stream moves some 6 KB, and the wires between failure domains are dear, so that a
-/// request crosses only where its own domain's hosts are this much fuller.
+/// Cost of a host in another failure domain, in requests for each slot.
 const DISTANCE: f64 = 0.25;
 
 value! {
@@ -32,9 +30,8 @@
     }
 }
 
-/// Unseen requests count this many times: while they came, about as many ended, and the old
-/// loads still hold those. Counted once, the busiest host of the play that [`place`] tells
-/// of has 2.3 times the mean.
+/// Unseen requests count this many times: while they came, about as many ended, which the old
+/// loads still include.
 const TURNOVER: f64 = 2.0;
 /// Loads that differ by less than this count as equal.
 const SAME: f64 = 1e-9;
@@ -42,12 +39,9 @@
 /// The candidate that should run the request: the emptiest, a near one before a far one.
 ///
 /// `unseen` is how many requests other nodes are likely to have sent since the loads were
-/// told. Nodes that all send to the emptiest host by the same old figures fill it far beyond
-/// its places while others stay empty. So the unseen requests are thought to be spread as
-/// evenly as the loads permit, and the choice falls on each host with the part that it gets
-/// of them. With fresh loads that is the emptiest host, with old ones nearly any. Played
-/// with 74 nodes, 24 hosts and loads up to 0.75 s old, no host has more than 1.97 times the
-/// mean; by the emptiest alone it is 13 times the mean.
+/// reported. Nodes that all send to the emptiest host by the same old report overfill it. So the
+/// unseen requests are assumed to be spread as evenly as the loads permit, and each host is
+/// chosen with its part of them: with fresh loads the emptiest host, with old ones nearly any.
 ///
 /// `pick` is any number from 0 up to 1; nodes that see the same must not draw the same.
 pub fn place<'c>(
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -214,11 +214,12 @@
         let Some(formation) = known.filter(|f| f.epoch == epoch) else {
             return;
         };
-        if let (Some(OrderReply::WrongHost), Some(seat)) = (reply, formation.seats.get(host)) {
+        if let (Some(OrderReply::WrongHost), Some(info)) = (reply, formation.member_info.get(host))
+        {
             // Its entry is about to go; chosen again meanwhile it would end each new
             // formation at once.
             let silence = Silence {
-                born_ms: seat.born_ms,
+                born_ms: info.born_ms,
                 listed: true,
             };
             self.silent.insert(host.clone(), silence);
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -268,7 +268,10 @@
                 self.order_to_leave(f, &member, self.timing.resend, at.now, commands);
                 continue;
             };
-            let reborn = f.seats.get(&member).is_none_or(|seat| seat.is_reborn(host));
+            let reborn = f
+                .member_info
+                .get(&member)
+                .is_none_or(|info| info.is_reborn(host));
             if reborn || (entries_are_new && !f.is_member(host)) {
                 f.left.insert(member, at.now);
                 continue;
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -24,11 +24,11 @@
 
 /// A model whose replicas have this many times less work each than another's would have
 /// leaves hosts that the other waits for to it.
-const PLENTY: f64 = 2.0;
+const REBALANCE_RATIO: f64 = 2.0;
 
 /// Hosts for which others wait: one arrives in a domain every few seconds while hosts are
 /// lost and replaced, and none is to be expected before the first request.
-const WORTH_WAITING: usize = 1;
+const MAX_MISSING_HOSTS: usize = 1;
 
 /// Hosts that start together are listed within a second of each other.
 const LISTED_AFTER: Duration = Duration::from_secs(1);
@@ -135,7 +135,7 @@
         for model in wanted {
             let first = self.serving(view, model, Some(fabric)) == 0;
             let kept = usize::from(!first);
-            let is_needed = self.need(view, model) * PLENTY >= neediest;
+            let is_needed = self.need(view, model) * REBALANCE_RATIO >= neediest;
             if model.size == 0 || free.len() < model.size + kept || !is_needed {
                 continue;
             }
@@ -186,7 +186,7 @@
             return models;
         };
         let lacking = (neediest.size + models.len()).saturating_sub(free);
-        let waits_for = if view.cold { 0 } else { WORTH_WAITING };
+        let waits_for = if view.cold { 0 } else { MAX_MISSING_HOSTS };
         let others_too = lacking > waits_for && self.all_are_listed(view.now);
         models.retain(|m| {
             let first = self.serving(view, m, Some(fabric)) == 0;
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -92,7 +92,7 @@
     pub(crate) told_to_open: bool,
     /// Each member's start and address when it was chosen. The address is needed also
     /// after its entry is gone: a host whose entry vanished may serve on for seconds.
-    pub(crate) seats: BTreeMap<HostId, MemberSeat>,
+    pub(crate) member_info: BTreeMap<HostId, MemberInfo>,
     /// Members that have left, and when that was known. Invariant: only these and hosts
     /// that are gone or have started again are given to other formations.
     pub(crate) left: BTreeMap<HostId, Instant>,
@@ -103,15 +103,15 @@
 
 value! {
     /// What is remembered of a member.
-    pub(crate) struct MemberSeat {
+    pub(crate) struct MemberInfo {
         pub(crate) born_ms: u64,
         pub(crate) address: SmolStr,
     }
 }
 
-impl MemberSeat {
-    fn of(host: &Host) -> MemberSeat {
-        MemberSeat {
+impl MemberInfo {
+    fn of(host: &Host) -> MemberInfo {
+        MemberInfo {
             born_ms: host.born_ms,
             address: host.address.clone(),
         }
@@ -134,7 +134,7 @@
         now: Instant,
     ) -> Option<Formation> {
         let head = hosts.first()?;
-        let seat = |h: &&Host| (h.id.clone(), MemberSeat::of(h));
+        let info = |h: &&Host| (h.id.clone(), MemberInfo::of(h));
         Some(Formation {
             id,
             epoch,
@@ -151,7 +151,7 @@
             unsettled: BTreeSet::new(),
             ready: BTreeSet::new(),
             told_to_open: false,
-            seats: hosts.iter().map(seat).collect(),
+            member_info: hosts.iter().map(info).collect(),
             left: BTreeMap::new(),
             gone: BTreeSet::new(),
         })
@@ -161,7 +161,8 @@
     /// the list says nothing: only a formation that is being given up gains members.
     pub(crate) fn add_member(&mut self, host: &Host) {
         self.members.push(host.id.clone());
-        self.seats.insert(host.id.clone(), MemberSeat::of(host));
+        self.member_info
+            .insert(host.id.clone(), MemberInfo::of(host));
     }
 
     /// Takes a host back as a member that left and says long after that it is one again: an
--- a/crates/fleet/src/planner/send.rs
+++ b/crates/fleet/src/planner/send.rs
@@ -75,11 +75,11 @@
         now: Instant,
         commands: &mut Vec<Command>,
     ) {
-        let Some(seat) = f.seats.get(host) else {
+        let Some(info) = f.member_info.get(host) else {
             return;
         };
         if self.claim(host, order.kind(), f.epoch, every, now) {
-            let address = seat.address.clone();
+            let address = info.address.clone();
             commands.push(Command::Order {
                 host: host.clone(),
                 address,
--- a/crates/fleet/src/rank.rs
+++ b/crates/fleet/src/rank.rs
@@ -1,18 +1,16 @@
-//! The order in which requests wait for a place.
+//! Priority of requests that wait for a slot.
 
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::value;
 
-/// After one waited in vain for its whole time, those that can't be on time any more are
-/// refused at once for this long: half a stream's usual duration, in which places become
-/// free again.
-const IN_VAIN: Duration = Duration::from_millis(600);
+/// How long late requests are rejected at once after one of them got no slot in time.
+const LATE_REJECTION_PERIOD: Duration = Duration::from_millis(600);
 
 value! { copy
     /// Who goes first.
     pub enum Rank {
-        /// A stream that goes on: its caller has part of the answer and leaves soon.
+        /// A stream that continues elsewhere: its caller has part of the answer and leaves soon.
         Resumed,
         /// One that can be on time, by urgency.
         OnTime(u8),
@@ -37,25 +35,24 @@
     }
 }
 
-/// Whether late requests are known to get no turn.
+/// Deadline check: whether late requests are rejected without waiting.
 ///
-/// While more arrive than are served, those on time take every place, and each late one
-/// would wait for a second only to be refused. Told at once, its caller can come back
-/// while there is still time.
+/// While more arrive than are served, those on time take every slot, and each late one would wait
+/// for a second only to be rejected. Told at once, its caller can come back in time.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct InVain {
+pub struct LateRejection {
     until: Option<Instant>,
 }
 
-impl InVain {
-    /// Notes that a request got its turn, or waited in vain for all its time.
+impl LateRejection {
+    /// Notes that a request got a slot, or none in all its time.
     pub fn ended(&mut self, rank: Rank, served: bool, now: Instant) {
         if rank.is_late() {
-            self.until = (!served).then_some(now + IN_VAIN);
+            self.until = (!served).then_some(now + LATE_REJECTION_PERIOD);
         }
     }
 
-    /// Whether a request of this rank would wait in vain.
+    /// Whether a request of this rank is rejected at once.
     pub fn holds_for(&self, rank: Rank, now: Instant) -> bool {
         rank.is_late() && self.until.is_some_and(|until| now < until)
     }
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -17,7 +17,7 @@
 
 /// The node from which `me` has the lists; `None` where it reads them itself.
 ///
-/// The `holder` of the planner's seat reads the store: it acts on what it reads. One node of
+/// The `holder` of the planner's lease reads the store: it acts on what it reads. One node of
 /// each failure domain asks the holder, and the others of the domain that one, so that the
 /// store's calls don't grow with the number of nodes and few bytes cross between domains.
 /// `others` are the nodes that may have a copy.
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -1,14 +1,13 @@
 //! Which replica of a model runs which request, and who waits.
 //!
-//! The load it answers: many nodes that each send a few requests a second to the same few
-//! heads. A head reads prompts between the tokens of the streams that it writes; how long a
-//! first event takes, and how long the pauses of all its streams are, depends on what was sent
-//! to it in the last tenth of a second. Nodes that tell each other their loads twice a second
-//! know nothing of that. So one node has all requests of a model told to it and places them.
+//! Sized for many nodes that each send a few requests a second to the same heads. A head prefills
+//! prompts between the tokens of its streams; the time to a first event, and the pauses of all its
+//! streams, depend on what was sent to it in the last tenth of a second, which reported loads
+//! don't show. So one node schedules all requests of a model.
 //!
-//! A head gets no more prompt tokens than it can read within the pause that its streams may
-//! have. What is beyond that waits here, where it can still go first, or be refused: at a head
-//! it would make all streams late that run there.
+//! A head gets no more prompt tokens than it can prefill within the pause that its streams may
+//! have. Further requests wait here, where they can be reordered or rejected; at the head they
+//! would make all its streams late.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -17,39 +16,33 @@
 use smallvec::SmallVec;
 
 use crate::catalog::EngineSpeed;
-use crate::rank::{InVain, Rank};
+use crate::rank::{LateRejection, Rank};
 use crate::rate::Rate;
 
-/// Requests beyond a head's slots that are sent to it, so that its batch stays full between
-/// the end of one stream and the news of it.
-const AHEAD: usize = 1;
-/// Part of the pause that a stream may have which one pass of its head may take. The rest is
-/// for the way, for what the estimate leaves out, and for a prompt that comes beside. Reckoned,
-/// not measured.
-const PAUSE_PART: f64 = 0.8;
-/// What a replica in another failure domain counts more: the time that a stream's bytes
-/// between failure domains are worth, about that of reading one prompt.
-const FAR: Duration = Duration::from_millis(20);
-/// What a full batch counts more than an empty one: with 30 requests a pass takes 9 ms longer by
-/// the engines' own figures; the rest keeps batches even, so that no replica is without a slot
-/// while others have many. Reckoned, not measured.
-const FULL_BATCH: Duration = Duration::from_millis(40);
-/// How long a head that refused a request gets none: as long as a few answers take.
+/// Requests beyond a head's slots that are sent to it, to keep its batch full until the end of a
+/// stream is reported.
+const PIPELINE_DEPTH: usize = 1;
+/// Part of the pause that a stream may have which one pass of its head may take. The rest covers
+/// the network and errors of the estimate.
+const MAX_PASS_RATIO: f64 = 0.8;
+/// Cost of a head in another failure domain, as time to a first event.
+const CROSS_DOMAIN_COST: Duration = Duration::from_millis(20);
+/// Cost of a full batch over an empty one, as time to a first event. Keeps batches even, so that
+/// no replica is without a slot while others have many.
+const FULL_BATCH_COST: Duration = Duration::from_millis(40);
+/// How long a head that refused a request gets none.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
 /// A scheduler that has just begun counts the loads that nodes tell for this long: requests
-/// that another one placed are under way.
-const YOUNG: Duration = Duration::from_secs(2);
+/// that another one assigned are under way.
+const WARM_UP: Duration = Duration::from_secs(2);
 
-/// Weight of the newest time to a first event in the average, as 1 / this: some ten come in
-/// a tenth of a second.
+/// Weight of the newest time to a first event in the average, as 1 / this.
 const LEAD_MEMORY: u32 = 16;
-/// A first event may take this many times the usual time. In the play of the tests 1.0 and 1.6
-/// give fewer answers on time, with 90 and 110 drafts a second.
+/// A first event may take this many times the usual time.
 const LEAD_MARGIN: f64 = 1.25;
-/// A request whose end nobody tells of keeps its place for this long: longer than streams
-/// usually take, so that a lost message does little harm and a long stream loses its count
-/// only at its end.
-const PLACE_TIME: Duration = Duration::from_secs(4);
+/// How long a slot whose release is not reported stays assigned: longer than streams usually
+/// take.
+const ASSIGNMENT_TTL: Duration = Duration::from_secs(4);
 
 /// Names a replica's formation.
 pub type HeadKey = (GroupId, Epoch);
@@ -74,11 +67,11 @@
         pub slots: usize,
         /// Its failure domain.
         pub failure_domain: FailureDomain,
-        /// Requests that it has as far as nodes told.
-        pub told: usize,
+        /// Requests that it has, as far as nodes reported.
+        pub reported: usize,
     }
 
-    /// A request that wants a place.
+    /// A request that needs a slot.
     pub struct Ask {
         /// Who asks.
         pub key: RequestKey,
@@ -106,13 +99,13 @@
     pub enum Outcome {
         /// It is to be sent to this head.
         Granted(HeadKey),
-        /// There was no place in time.
+        /// No slot became free in time.
         Full,
     }
 }
 
 #[derive(Clone, Debug)]
-struct Placed {
+struct Assignment {
     head: HeadKey,
     at: Instant,
     prompt: u64,
@@ -138,12 +131,12 @@
 pub struct Scheduler {
     speed: EngineSpeed,
     began: Instant,
-    /// Invariant: sums over `placed`.
+    /// Invariant: sums over `assigned`.
     work: BTreeMap<HeadKey, HeadWork>,
-    placed: HashMap<RequestKey, Placed>,
+    assigned: HashMap<RequestKey, Assignment>,
     next: u64,
     waiting: BTreeMap<(Rank, u64), Ask>,
-    in_vain: InVain,
+    late_rejection: LateRejection,
     /// Time from a grant to its first event, a moving average.
     lead: Duration,
     /// Requests that came with time to be answered on time.
@@ -157,10 +150,10 @@
             speed,
             began: now,
             work: BTreeMap::new(),
-            placed: HashMap::new(),
+            assigned: HashMap::new(),
             next: 0,
             waiting: BTreeMap::new(),
-            in_vain: InVain::default(),
+            late_rejection: LateRejection::default(),
             lead: Duration::ZERO,
             arrivals: Rate::default(),
         }
@@ -182,7 +175,7 @@
         self.waiting.len()
     }
 
-    /// Takes a request that wants a place. One that waits already keeps its place.
+    /// Takes a request that needs a slot. One that waits already keeps its position.
     pub fn ask(&mut self, ask: Ask, now: Instant) {
         if self.waiting.values().any(|w| w.key == ask.key) {
             return;
@@ -196,9 +189,9 @@
     }
 
     /// Notes that the first event of a request has come.
-    pub fn began(&mut self, key: &RequestKey, now: Instant) {
-        if let Some(placed) = self.placed.get(key).filter(|p| !p.began) {
-            let lead = now.saturating_duration_since(placed.at);
+    pub fn started(&mut self, key: &RequestKey, now: Instant) {
+        if let Some(assigned) = self.assigned.get(key).filter(|p| !p.began) {
+            let lead = now.saturating_duration_since(assigned.at);
             self.lead = (self.lead * (LEAD_MEMORY - 1) + lead) / LEAD_MEMORY;
             self.read(key);
         }
@@ -206,23 +199,23 @@
 
     /// Notes that nothing is left to be read of a request's prompt.
     fn read(&mut self, key: &RequestKey) {
-        let Some(placed) = self.placed.get_mut(key).filter(|p| !p.began) else {
+        let Some(assigned) = self.assigned.get_mut(key).filter(|p| !p.began) else {
             return;
         };
-        placed.began = true;
-        if let Some(work) = self.work.get_mut(&placed.head) {
-            work.unread = work.unread.saturating_sub(placed.prompt);
+        assigned.began = true;
+        if let Some(work) = self.work.get_mut(&assigned.head) {
+            work.unread = work.unread.saturating_sub(assigned.prompt);
         }
     }
 
-    /// Notes that a request has ended or been given up, whether it has a place or waits.
-    pub fn ended(&mut self, key: &RequestKey) {
+    /// Notes that a request has ended or been given up, whether it has a slot or waits.
+    pub fn released(&mut self, key: &RequestKey) {
         self.read(key);
         self.waiting.retain(|_, ask| ask.key != *key);
-        let Some(placed) = self.placed.remove(key) else {
+        let Some(assigned) = self.assigned.remove(key) else {
             return;
         };
-        if let Some(work) = self.work.get_mut(&placed.head) {
+        if let Some(work) = self.work.get_mut(&assigned.head) {
             work.requests = work.requests.saturating_sub(1);
             if work.requests == 0 {
                 work.pause = None;
@@ -230,13 +223,13 @@
         }
     }
 
-    /// Notes that a head refused a request, which is placed nowhere any more.
-    pub fn refused(&mut self, key: &RequestKey, now: Instant) {
-        if let Some(placed) = self.placed.get(key) {
-            let work = self.work.entry(placed.head.clone()).or_default();
+    /// Notes that a head refused a request, which is assigned nowhere any more.
+    pub fn rejected(&mut self, key: &RequestKey, now: Instant) {
+        if let Some(assigned) = self.assigned.get(key) {
+            let work = self.work.entry(assigned.head.clone()).or_default();
             work.refuses_until = Some(now + REFUSAL_MEMORY);
         }
-        self.ended(key);
+        self.released(key);
     }
 
     /// Forgets the requests of a node that is gone.
@@ -244,14 +237,14 @@
         let of_node = |key: &&RequestKey| key.node == node;
         let waiting = self.waiting.values().map(|ask| &ask.key);
         let keys: BTreeSet<RequestKey> = self
-            .placed
+            .assigned
             .keys()
             .chain(waiting)
             .filter(of_node)
             .cloned()
             .collect();
         for key in keys {
-            self.ended(&key);
+            self.released(&key);
         }
     }
 
@@ -273,14 +266,14 @@
             };
             if let Some(head) = head {
                 self.waiting.remove(&key);
-                self.in_vain.ended(key.0, true, now);
+                self.late_rejection.ended(key.0, true, now);
                 self.put(&ask, head.clone(), now);
                 decided.push((ask.key, Outcome::Granted(head)));
             } else if now >= ask.until {
                 self.waiting.remove(&key);
-                self.in_vain.ended(key.0, false, now);
+                self.late_rejection.ended(key.0, false, now);
                 decided.push((ask.key, Outcome::Full));
-            } else if self.in_vain.holds_for(key.0, now) {
+            } else if self.late_rejection.holds_for(key.0, now) {
                 self.waiting.remove(&key);
                 decided.push((ask.key, Outcome::Full));
             }
@@ -293,14 +286,14 @@
         work.requests += 1;
         work.unread += ask.prompt;
         work.pause = Some(work.pause.map_or(ask.pause, |p| p.min(ask.pause)));
-        let placed = Placed {
+        let assigned = Assignment {
             head,
             at: now,
             prompt: ask.prompt,
             began: false,
-            until: ask.until.max(now) + PLACE_TIME,
+            until: ask.until.max(now) + ASSIGNMENT_TTL,
         };
-        self.placed.insert(ask.key.clone(), placed);
+        self.assigned.insert(ask.key.clone(), assigned);
     }
 
     /// The head at which the request would give its first event soonest, if one has room.
@@ -309,21 +302,25 @@
         let wanted = heads
             .iter()
             .filter(|h| !other || !ask.avoid.contains(&h.host));
-        let young = now.saturating_duration_since(self.began) < YOUNG;
+        let warming_up = now.saturating_duration_since(self.began) < WARM_UP;
         let idle = HeadWork::default();
         let mut best: Option<(Duration, &HeadKey)> = None;
         for head in wanted {
             let work = self.work.get(&head.key).unwrap_or(&idle);
-            let told = if young { head.told } else { 0 };
-            let requests = work.requests.max(told);
+            let reported = if warming_up { head.reported } else { 0 };
+            let requests = work.requests.max(reported);
             if !self.has_room(work, requests, ask, head.slots, now) {
                 continue;
             }
             let fill = requests as f64 / head.slots.max(1) as f64;
             let near = head.failure_domain == ask.failure_domain;
             let cost = self.speed.pass(requests, work.unread + ask.prompt)
-                + FULL_BATCH.mul_f64(fill)
-                + if near { Duration::ZERO } else { FAR };
+                + FULL_BATCH_COST.mul_f64(fill)
+                + if near {
+                    Duration::ZERO
+                } else {
+                    CROSS_DOMAIN_COST
+                };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, &head.key));
             }
@@ -331,11 +328,10 @@
         best.map(|(_, key)| key.clone())
     }
 
-    /// Whether all places that are free will soon be wanted by requests that can be on time.
+    /// Whether all free slots will soon be needed by requests that can be on time.
     ///
-    /// A late one that takes the last place runs for seconds, and those that come meanwhile are
-    /// late in turn: the state would keep itself up long after a burst. In the play of the
-    /// tests with 110 drafts a second it lifts the part on time from 0.51 to 0.70.
+    /// A late request that takes the last slot runs for seconds, and makes those late that arrive
+    /// meanwhile: the overload would outlast its cause.
     fn is_tight(&self, heads: &[OpenHead], now: Instant) -> bool {
         let requests = |h: &OpenHead| self.work.get(&h.key).map_or(0, |w| w.requests);
         let free = heads.iter().map(|h| h.slots.saturating_sub(requests(h)));
@@ -352,7 +348,8 @@
         slots: usize,
         now: Instant,
     ) -> bool {
-        if requests >= slots + AHEAD || work.refuses_until.is_some_and(|until| now < until) {
+        if requests >= slots + PIPELINE_DEPTH || work.refuses_until.is_some_and(|until| now < until)
+        {
             return false;
         }
         // The longest prompt must run somewhere, and alone it harms least.
@@ -360,16 +357,16 @@
             return true;
         }
         let pause = work.pause.map_or(ask.pause, |p| p.min(ask.pause));
-        self.speed.pass(requests, work.unread + ask.prompt) <= pause.mul_f64(PAUSE_PART)
+        self.speed.pass(requests, work.unread + ask.prompt) <= pause.mul_f64(MAX_PASS_RATIO)
     }
 
-    /// Drops requests whose end nobody told of, and heads that are gone.
+    /// Drops requests whose end nobody reported, and heads that are gone.
     fn forget_old(&mut self, heads: &[OpenHead], now: Instant) {
-        let over = |p: &Placed| now >= p.until;
-        let keys = self.placed.iter().filter(|(_, p)| over(p));
+        let over = |p: &Assignment| now >= p.until;
+        let keys = self.assigned.iter().filter(|(_, p)| over(p));
         let keys: Vec<RequestKey> = keys.map(|(key, _)| key.clone()).collect();
         for key in keys {
-            self.ended(&key);
+            self.released(&key);
         }
         let open = |key: &HeadKey| heads.iter().any(|h| h.key == *key);
         self.work.retain(|key, work| work.requests > 0 || open(key));
@@ -377,9 +374,8 @@
 
     /// Those that can't be on time any more go behind those that can.
     ///
-    /// Were the time to the first event left out, the next place would always go to one that
-    /// waited until it could only just be late: of 110 drafts a second at heads that can serve
-    /// 95, a tenth was on time in the play of the tests, and with it half.
+    /// Without the time to the first event, each slot would go to the request that waited until
+    /// it could only just be late.
     fn rank_late(&mut self, now: Instant) {
         let lead = self.lead.mul_f64(LEAD_MARGIN);
         let is_late = |(key, ask): (&(Rank, u64), &Ask)| {
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -1,4 +1,4 @@
-//! When the holder of the planner's seat may act.
+//! When the holder of the planner's lease may act.
 
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 }
 
 /// The holder is cut off from the store and from all nodes, but not from hosts. Another
-/// node takes the seat. Two planners that act at once tear each other's replicas apart.
+/// node takes the lease. Two planners that act at once tear each other's replicas apart.
 #[gtest]
 fn a_holder_that_hears_nobody_stops_within_its_term() {
     let mut lease = Lease::new(at(1000));
@@ -31,7 +31,7 @@
     expect_that!(lease.step(at(6700), false), eq(Standing::Wait));
 }
 
-/// A successor claims the seat just after the holder asked for its last confirmation.
+/// A successor claims the lease just after the holder asked for its last confirmation.
 #[gtest]
 fn a_successor_forms_nothing_before_the_term_is_over() {
     let timing = PlannerTiming::default();
@@ -60,7 +60,7 @@
     expect_that!(lease.step(at(4180), true), eq(Standing::Act));
 }
 
-/// A holder that can't be sure must not keep the seat from those who can.
+/// A holder that can't be sure must not keep the lease from those who can.
 #[gtest]
 fn a_holder_that_stays_unsure_gives_the_seat_up() {
     let mut lease = Lease::new(at(0));
@@ -81,7 +81,7 @@
 }
 
 /// The nodes are cut in two. A side on which the holder is sure and one on which a node may
-/// take the seat would give two planners.
+/// take the lease would give two planners.
 #[gtest]
 fn of_two_sides_one_at_most_has_most_nodes() {
     for nodes in 2..12_usize {
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -55,7 +55,7 @@
     (readers, hops)
 }
 
-/// From 5 to 300 nodes the store is asked by the holder of the seat alone, and while nobody
+/// From 5 to 300 nodes the store is asked by the holder of the lease alone, and while nobody
 /// holds it by one node of each failure domain. Any node may be gone.
 #[gtest]
 fn the_store_is_asked_by_a_handful_whatever_the_number_of_nodes() {
@@ -71,7 +71,7 @@
             let (readers, hops) = readers_and_hops(&up, Some(&holder));
             expect_that!(readers, eq(1), "{count} nodes");
             expect_that!(hops, le(2), "{count} nodes");
-            // It is still said to hold the seat, but nobody hears it.
+            // It is still said to hold the lease, but nobody hears it.
             expect_that!(readers_and_hops(&up, Some(&gone)), eq((one_a_domain, 1)));
         }
     }
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -32,7 +32,7 @@
         host: format_smolstr!("h{n}"),
         slots: SLOTS,
         failure_domain: "z1".into(),
-        told: 0,
+        reported: 0,
     };
     (0..count).map(head).collect()
 }
@@ -101,7 +101,7 @@
     fates: Vec<Fate>,
     scheduler: Scheduler,
     way: Way,
-    told: Vec<usize>,
+    reported: Vec<usize>,
     /// Prompts of requests that have no place yet.
     prompts: HashMap<u64, u64>,
 }
@@ -121,7 +121,7 @@
             // Old enough to count only what it places itself.
             scheduler: Scheduler::new(speed(), now - Duration::from_secs(10)),
             way,
-            told: vec![0; count],
+            reported: vec![0; count],
             prompts: HashMap::new(),
         }
     }
@@ -131,7 +131,7 @@
         for ms in 0..length.as_millis() as u64 {
             self.now += millis(1);
             if ms % 500 == 0 {
-                self.told = self.heads.iter().map(|h| h.streams.len()).collect();
+                self.reported = self.heads.iter().map(|h| h.streams.len()).collect();
             }
             if self.rng.f64() < rate / 1000.0 {
                 self.arrive();
@@ -171,7 +171,7 @@
             near: true,
             failing_permille: 0,
         };
-        let candidates: Vec<Candidate> = self.told.iter().enumerate().map(candidate).collect();
+        let candidates: Vec<Candidate> = self.reported.iter().enumerate().map(candidate).collect();
         let chosen = place(&candidates, 35.0, self.rng.f64()).expect("there are heads");
         chosen.host.parse().expect("a head's number")
     }
@@ -219,7 +219,7 @@
                 fate.longest_pause = fate.longest_pause.max(pause);
                 if stream.last_event.is_none() {
                     fate.first = Some(now);
-                    self.scheduler.began(&key(stream.number), now);
+                    self.scheduler.started(&key(stream.number), now);
                 }
                 stream.last_event = Some(now);
                 stream.events -= 1;
@@ -231,7 +231,7 @@
         head.streams.retain(|s| s.events > 0);
         for number in ended {
             self.fates[number as usize].done = true;
-            self.scheduler.ended(&key(number));
+            self.scheduler.released(&key(number));
         }
         self.begin_pass(n);
     }
@@ -317,7 +317,7 @@
     let now = Instant::now();
     let mut scheduler = Scheduler::new(speed(), now);
     let mut open = heads(2);
-    open[0].told = SLOTS + 1;
+    open[0].reported = SLOTS + 1;
     for n in 0..5 {
         scheduler.ask(ask(n, 100, now), now);
     }
@@ -364,7 +364,7 @@
 fn requests_that_are_given_up_keep_no_place() {
     let now = Instant::now();
     let (mut scheduler, open) = full(now);
-    scheduler.ended(&key(39));
+    scheduler.released(&key(39));
     expect_that!(scheduler.waiting(), eq(40 - SLOTS - 2));
     scheduler.node_gone("n1");
     expect_that!(scheduler.waiting(), eq(0));
@@ -387,7 +387,7 @@
         },
         now,
     );
-    scheduler.ended(&key(0));
+    scheduler.released(&key(0));
     let next = scheduler.assign(&open, now);
     expect_that!(
         next,
@@ -404,7 +404,7 @@
     let open = heads(2);
     scheduler.ask(ask(0, 100, now), now);
     let first = scheduler.assign(&open, now).remove(0).1;
-    scheduler.refused(&key(0), now);
+    scheduler.rejected(&key(0), now);
     for n in 1..4 {
         scheduler.ask(ask(n, 100, now), now);
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,50 +1,47 @@
-//! Waiting for a place at a replica.
+//! Admission queues: order requests while every replica is full, by model.
 //!
-//! Places are given by the node that [`placing`](crate::placing) asks. What waits here are
-//! requests for which that node gives no answer; this one places them by the loads that nodes
-//! tell, in the same order.
+//! Slots are granted by the scheduler that [`scheduler_client`](crate::scheduler_client) asks.
+//! Requests for which no scheduler answers wait here and are placed by reported loads.
 //!
-//! The load it answers: bursts in which more streams arrive than replicas have places.
-//! A stream that got its first event late is worth a quarter of one on time, so those
-//! that can still be on time go before those that can't; within each, by urgency and
-//! then in the order in which they came. A stream that has lost its replica goes before
-//! all of them: its caller has part of the answer and leaves within 2 s.
+//! Sized for bursts above capacity. Requests that can still be on time go before late ones; within
+//! each, by urgency and then in the order of arrival. A stream that has lost its replica goes
+//! before all of them: its caller has part of the answer and leaves within 2 s.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
-use eelgrassmill_fleet::{Candidate, InVain, Rank, Rate, place};
+use eelgrassmill_fleet::{Candidate, LateRejection, Rank, Rate, place};
 use tokio::sync::Notify;
 
 use crate::answer::{Refusal, RefusalCause};
 use crate::call::Call;
 use crate::core::Core;
 use crate::heads::{Head, InProgress, locked};
-use crate::placing::{self, Placed, Wanted};
 use crate::ports::Platform;
+use crate::scheduler_client::{self, Acquired, SlotWanted};
 
-/// Requests beyond a replica's slots that are sent to it. They keep its batch full
-/// between the end of one stream and the news of it, some 100 ms at most.
-const AHEAD: usize = 3;
-/// A waiting request looks again after this, also when nothing told it to: other nodes'
-/// loads fall without anything happening here.
-const LOOK_AGAIN: Duration = Duration::from_millis(100);
-/// Part of a call's time that must be left for its answer; below it waiting is in vain.
-const NEEDED_PART: f64 = 0.4;
-/// Longest wait of a request that no host has seen. Callers leave 2 s after they asked
-/// when nothing has come, and the first event takes some 300 ms from here.
-const LONGEST_WAIT: Duration = Duration::from_millis(1400);
-/// When a caller should come back that found every replica full, times a random 1 to 2:
-/// a third of a stream's usual duration, spread so that callers don't return at once.
+/// Requests beyond a replica's slots that are sent to it, to keep its batch full until the end
+/// of a stream is reported.
+const PIPELINE_DEPTH: usize = 3;
+/// A waiting request checks for free slots this often: other nodes' loads fall without an event
+/// here.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of a call's time that must remain for its answer.
+const MIN_REMAINING_RATIO: f64 = 0.4;
+/// Longest wait of a request. Callers leave when nothing has come for 2 s, of which the first
+/// event takes some 300 ms.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(1400);
+/// Retry-After where every replica is full, times a random 1 to 2 so that callers don't return
+/// together.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
 
 type Key = (Rank, u64);
 
 /// Requests that wait, by model.
 #[derive(Debug, Default)]
-pub(crate) struct Turns {
+pub(crate) struct AdmissionQueues {
     queues: Mutex<BTreeMap<(ServiceName, ModelName), Queue>>,
 }
 
@@ -53,18 +50,18 @@
     next: u64,
     waiting: BTreeMap<Key, Arc<Notify>>,
     arrivals: Rate,
-    in_vain: InVain,
+    late_rejection: LateRejection,
 }
 
-/// A place in a queue, given up when dropped.
+/// A queue entry. Dropping it leaves the queue.
 struct Waiting<'t> {
-    turns: &'t Turns,
+    admission: &'t AdmissionQueues,
     queue: (ServiceName, ModelName),
     key: Key,
     woken: Arc<Notify>,
 }
 
-impl Turns {
+impl AdmissionQueues {
     fn enter(&self, service: &ServiceName, model: &ModelName, rank: Rank) -> Waiting<'_> {
         let name = (service.clone(), model.clone());
         let mut queues = locked(&self.queues);
@@ -74,7 +71,7 @@
         let woken = Arc::new(Notify::new());
         queue.waiting.insert(key, Arc::clone(&woken));
         Waiting {
-            turns: self,
+            admission: self,
             queue: name,
             key,
             woken,
@@ -108,7 +105,7 @@
 
 impl Waiting<'_> {
     fn is_first(&self) -> bool {
-        let queues = locked(&self.turns.queues);
+        let queues = locked(&self.admission.queues);
         let first = queues
             .get(&self.queue)
             .and_then(|q| q.waiting.keys().next());
@@ -116,24 +113,24 @@
     }
 
     fn others(&self) -> usize {
-        let queues = locked(&self.turns.queues);
+        let queues = locked(&self.admission.queues);
         queues
             .get(&self.queue)
             .map_or(0, |q| q.waiting.len().saturating_sub(1))
     }
 
-    /// Notes whether it got its turn or waited in vain.
+    /// Notes whether it got a slot or was rejected.
     fn ended(&self, served: bool, now: Instant) {
-        let mut queues = locked(&self.turns.queues);
+        let mut queues = locked(&self.admission.queues);
         if let Some(queue) = queues.get_mut(&self.queue) {
-            queue.in_vain.ended(self.key.0, served, now);
+            queue.late_rejection.ended(self.key.0, served, now);
         }
     }
 
-    fn is_in_vain(&self, now: Instant) -> bool {
-        let queues = locked(&self.turns.queues);
+    fn is_rejected_as_late(&self, now: Instant) -> bool {
+        let queues = locked(&self.admission.queues);
         let queue = queues.get(&self.queue);
-        queue.is_some_and(|q| q.in_vain.holds_for(self.key.0, now))
+        queue.is_some_and(|q| q.late_rejection.holds_for(self.key.0, now))
     }
 
     /// Moves behind those that can still be on time.
@@ -141,7 +138,7 @@
         let Rank::OnTime(urgency) = self.key.0 else {
             return;
         };
-        let mut queues = locked(&self.turns.queues);
+        let mut queues = locked(&self.admission.queues);
         if let Some(queue) = queues.get_mut(&self.queue) {
             queue.waiting.remove(&self.key);
             self.key.0 = Rank::Late(urgency);
@@ -152,7 +149,7 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let mut queues = locked(&self.turns.queues);
+        let mut queues = locked(&self.admission.queues);
         if let Some(queue) = queues.get_mut(&self.queue) {
             queue.waiting.remove(&self.key);
             if let Some(first) = queue.waiting.values().next() {
@@ -162,12 +159,12 @@
     }
 }
 
-/// Waits for a place at a replica of `model`, not at one of `avoid` if there is another.
-/// `resumed` is for a stream that goes on.
+/// Waits for a slot at a replica of `model`, not at one of `avoid` if there is another.
+/// `resumed` is for a stream that continues elsewhere.
 ///
 /// # Errors
 /// When there is none in time, or so many wait that there can't be.
-pub(crate) async fn take<P: Platform>(
+pub(crate) async fn admit<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Call,
     service: &ServiceName,
@@ -175,10 +172,10 @@
     resumed: bool,
     avoid: &[HostId],
 ) -> Result<InProgress<P>, Refusal> {
-    core.turns.arrived(service, model);
-    let needed = (call.deadline - call.arrived).mul_f64(NEEDED_PART);
-    let give_up = (call.deadline - needed).min(Instant::now() + LONGEST_WAIT);
-    let wanted = Wanted {
+    core.admission.arrived(service, model);
+    let needed = (call.deadline - call.arrived).mul_f64(MIN_REMAINING_RATIO);
+    let give_up = (call.deadline - needed).min(Instant::now() + MAX_QUEUE_TIME);
+    let wanted = SlotWanted {
         call,
         service,
         model,
@@ -186,13 +183,13 @@
         avoid,
         until: give_up,
     };
-    match placing::place(core, &wanted).await {
-        Placed::At(place) => return Ok(place),
-        Placed::Full => return Err(full(why_not(core, service, model))),
-        Placed::Unknown => {}
+    match scheduler_client::acquire(core, &wanted).await {
+        Acquired::Granted(slot) => return Ok(slot),
+        Acquired::Full => return Err(full(why_not(core, service, model))),
+        Acquired::NoScheduler => {}
     }
     let rank = Rank::first(resumed, call.urgency());
-    let mut waiting = core.turns.enter(service, model, rank);
+    let mut waiting = core.admission.enter(service, model, rank);
     loop {
         if waiting.is_first() {
             match choose(core, service, model, avoid) {
@@ -215,12 +212,12 @@
         if now >= call.arrived + call.route.aim {
             waiting.too_late();
         }
-        if waiting.is_in_vain(now) && !waiting.is_first() {
+        if waiting.is_rejected_as_late(now) && !waiting.is_first() {
             return Err(full(why_not(core, service, model)));
         }
         let woken = Arc::clone(&waiting.woken);
         // Running out is the other way to look again.
-        let _ = tokio::time::timeout(LOOK_AGAIN.min(left), woken.notified()).await;
+        let _ = tokio::time::timeout(RECHECK_INTERVAL.min(left), woken.notified()).await;
     }
 }
 
@@ -230,14 +227,14 @@
 
 enum Choice {
     Free(Arc<Head>),
-    /// All are full; together they have so many places.
+    /// All are full; together they have so many slots.
     Full {
         places: usize,
     },
     None,
 }
 
-/// Why there is no place.
+/// Why there is no slot.
 fn why_not<P: Platform>(core: &Core<P>, service: &str, model: &str) -> RefusalCause {
     let heads = locked(&core.heads);
     let is_served = heads.of_model(service, model).next().is_some();
@@ -252,7 +249,7 @@
 /// callers choose among all nodes alike, so that each gets about as many as this one.
 fn unseen<P: Platform>(core: &Core<P>, service: &ServiceName, model: &ModelName) -> f64 {
     let others = core.node_count().saturating_sub(1) as f64;
-    core.turns.arrivals(service, model) * others * core.load_age().as_secs_f64()
+    core.admission.arrivals(service, model) * others * core.load_age().as_secs_f64()
 }
 
 fn choose<P: Platform>(
@@ -285,7 +282,7 @@
     let refuses = |c: &Candidate| open.iter().any(|h| h.host == c.host && h.refuses(now));
     let free = candidates
         .iter()
-        .filter(|c| c.load < c.slots + AHEAD && !refuses(c));
+        .filter(|c| c.load < c.slots + PIPELINE_DEPTH && !refuses(c));
     let Some(chosen) = place(free, unseen, fastrand::f64()) else {
         return Choice::Full { places };
     };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -11,6 +11,7 @@
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
 
+use crate::admission::AdmissionQueues;
 use crate::config::GatewayConfig;
 use crate::configuration::Configuration;
 use crate::dispatch::TargetStats;
@@ -19,12 +20,11 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::peers::{LOAD_INTERVAL, Peers};
-use crate::placing::Placing;
 use crate::planning::PlanningEvent;
 use crate::ports::Platform;
-use crate::relay::Lists;
 use crate::scheduler::Schedulers;
-use crate::turn::Turns;
+use crate::scheduler_client::SchedulerClient;
+use crate::snapshot_relay::SnapshotRelay;
 
 /// A node's state.
 pub(crate) struct Core<P: Platform> {
@@ -36,16 +36,16 @@
     pub(crate) heads: Mutex<HeadTable>,
     pub(crate) targets: Mutex<TargetStats>,
     pub(crate) nodes: Mutex<Nodes>,
-    /// Nodes that say that they hold the planner's seat, this one too, and their terms.
-    pub(crate) seats: Mutex<BTreeMap<NodeId, u64>>,
+    /// Nodes that say that they are the planner's leader, this one too, and their terms.
+    pub(crate) leaders: Mutex<BTreeMap<NodeId, u64>>,
     /// What this node tells others of the platform's lists.
-    pub(crate) lists: Lists,
+    pub(crate) lists: SnapshotRelay,
     pub(crate) retries: Mutex<HashMap<ServiceName, RetryWindow>>,
     pub(crate) metrics: Metrics,
-    pub(crate) turns: Turns,
+    pub(crate) admission: AdmissionQueues,
     /// Requests that this node places for all nodes.
     pub(crate) schedulers: Schedulers,
-    pub(crate) placing: Placing,
+    pub(crate) scheduler_client: SchedulerClient,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set once this node was told to stop. It then closes its port (`stopping`), and cuts off
     /// what still runs (`ending`).
@@ -76,13 +76,13 @@
             heads: Mutex::default(),
             targets: Mutex::default(),
             nodes: Mutex::default(),
-            seats: Mutex::default(),
-            lists: Lists::default(),
+            leaders: Mutex::default(),
+            lists: SnapshotRelay::default(),
             retries: Mutex::default(),
             metrics: Metrics::default(),
-            turns: Turns::default(),
+            admission: AdmissionQueues::default(),
             schedulers: Schedulers::default(),
-            placing: Placing::default(),
+            scheduler_client: SchedulerClient::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
@@ -176,9 +176,9 @@
         locked(&self.nodes).alive(Instant::now()).next().is_some()
     }
 
-    /// Whether this node says that it holds the planner's seat.
+    /// Whether this node says that it is the planner's leader.
     pub(crate) fn is_planner(&self) -> bool {
-        locked(&self.seats).contains_key(&self.cfg.node)
+        locked(&self.leaders).contains_key(&self.cfg.node)
     }
 
     /// Nodes that take requests, this one among them, as far as it knows.
@@ -199,7 +199,7 @@
 
     /// Says that a place at a head may have become free.
     pub(crate) fn freed(&self) {
-        self.turns.wake();
+        self.admission.wake();
     }
 
     /// Takes the hosts' entries over into the table of heads.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,14 +11,14 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
-use crate::relay::{self, News, NoCopy, Relayed};
+use crate::snapshot_relay::{self, ListUpdate, NoCopy, Relayed};
 
 /// Longest wait of one question to the store for changes. The answer also says that nothing
 /// else has changed, which other nodes have to know twice a second, and a connection that
 /// went silent for good shows only as a question without an answer.
-const WAIT: Duration = Duration::from_millis(500);
+const POLL_TIME: Duration = Duration::from_millis(500);
 /// Pause after an answer with changes, so that changes that come together cost one call.
-const GATHER: Duration = Duration::from_millis(60);
+const BATCH_DELAY: Duration = Duration::from_millis(60);
 /// A node that has just started gives others this long to introduce themselves and to have a
 /// copy of the lists, before it asks the store. When all nodes start at once each would
 /// otherwise read whole lists that change several times a second.
@@ -50,7 +50,7 @@
 
 /// An answer to a question for changes.
 struct Answer<C> {
-    news: News<C>,
+    update: ListUpdate<C>,
     encoded: Vec<Vec<u8>>,
     /// The node that gave it; `None` for the store.
     from: Option<NodeId>,
@@ -66,7 +66,7 @@
     async fn next(&self) -> Result<Answer<S::Change>, SourceError> {
         while self.awaits_introduction() {
             if self.core.knows_others() {
-                let Some(parent) = relay::parent(self.core) else {
+                let Some(parent) = snapshot_relay::parent(self.core) else {
                     break;
                 };
                 match self.ask(&parent).await {
@@ -77,10 +77,14 @@
             }
             tokio::time::sleep(INTRODUCTION_POLL).await;
         }
-        let Some(parent) = relay::parent(self.core) else {
+        let Some(parent) = snapshot_relay::parent(self.core) else {
             // After a failure the first question is one that is answered at once: a wait
             // on a connection that is dead would hide for seconds that the store is back.
-            let wait = if self.healthy { WAIT } else { Duration::ZERO };
+            let wait = if self.healthy {
+                POLL_TIME
+            } else {
+                Duration::ZERO
+            };
             return self.read_store(wait).await;
         };
         match self.ask(&parent).await {
@@ -91,9 +95,10 @@
 
     async fn ask(&self, parent: &NodeId) -> Result<Answer<S::Change>, NoCopy> {
         let since = self.cursor.unwrap_or_default();
-        let (news, encoded) = relay::ask::<P, S::Change>(self.core, parent, since).await?;
+        let (update, encoded) =
+            snapshot_relay::ask::<P, S::Change>(self.core, parent, since).await?;
         Ok(Answer {
-            news,
+            update,
             encoded,
             from: Some(parent.clone()),
         })
@@ -125,7 +130,7 @@
         let encoded: Result<Vec<_>, _> = changes.iter().map(Relayed::encode).collect();
         Ok(Answer {
             encoded: encoded?,
-            news: News {
+            update: ListUpdate {
                 changes,
                 version,
                 as_of: Instant::now(),
@@ -136,14 +141,14 @@
     }
 
     /// Whether an answer shows an older state than one before, and so says nothing of now.
-    fn is_older(&self, news: &News<S::Change>) -> bool {
-        news.whole && news.version < self.newest
+    fn is_older(&self, update: &ListUpdate<S::Change>) -> bool {
+        update.whole && update.version < self.newest
     }
 
     /// Takes an answer over. Whether it brought changes.
     fn take(&mut self, answer: Answer<S::Change>, sink: &impl Sink<S::Change>) -> bool {
         let Answer {
-            news,
+            update,
             encoded,
             from,
         } = answer;
@@ -152,24 +157,24 @@
                 event = "dependency",
                 list = S::Change::LIST,
                 state = "answers",
-                version = news.version,
+                version = update.version,
                 from = from.as_deref().unwrap_or("store"),
             );
         }
         self.healthy = true;
-        self.newest = self.newest.max(news.version);
+        self.newest = self.newest.max(update.version);
         self.cursor = Some(self.newest);
-        let changed = !news.changes.is_empty();
+        let changed = !update.changes.is_empty();
         if changed {
-            sink.take(news.changes, news.version, from.as_ref());
+            sink.take(update.changes, update.version, from.as_ref());
         }
         // Told on only once it is in force here: a node that is asked for the whole list
         // tells what it has.
-        S::Change::log(self.core).take(&News {
+        S::Change::log(self.core).take(&ListUpdate {
             changes: encoded,
-            version: news.version,
-            as_of: news.as_of,
-            whole: news.whole,
+            version: update.version,
+            as_of: update.as_of,
+            whole: update.whole,
         });
         changed
     }
@@ -194,12 +199,12 @@
     let mut pause = FIRST_PAUSE;
     loop {
         match reader.next().await {
-            Ok(answer) if reader.is_older(&answer.news) => tokio::time::sleep(pause).await,
+            Ok(answer) if reader.is_older(&answer.update) => tokio::time::sleep(pause).await,
             Ok(answer) => {
                 core.store_answered();
                 pause = FIRST_PAUSE;
                 if reader.take(answer, sink) {
-                    tokio::time::sleep(GATHER).await;
+                    tokio::time::sleep(BATCH_DELAY).await;
                 }
             }
             Err(SourceError::Compacted) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,20 +19,20 @@
 use crate::peers::{self, Peers};
 use crate::ports::Platform;
 use crate::server::{self, OpenConnections};
-use crate::{configuration, seat, side, watch};
+use crate::{configuration, leader, side, watch};
 
 /// After the signal to stop new connections are still taken for this long, in which
 /// callers' answers with this node's address run out: they keep them for the time that
 /// they are told, and some three times as long.
-const STILL_OPEN_TTLS: u32 = 3;
+const OPEN_PORT_TTLS: u32 = 3;
 /// Part of the grace in which new connections are still taken, at most.
-const STILL_OPEN_PART: f64 = 0.4;
+const MAX_OPEN_PORT_RATIO: f64 = 0.4;
 /// Part of the grace after which a node has ended. The rest is for the exit of its process.
-const GRACE_PART: f64 = 0.95;
+const GRACE_RATIO: f64 = 0.95;
 /// The last of that, in which callers whose answers are cut off are told so.
-const LAST_WORDS: Duration = Duration::from_millis(150);
+const SHUTDOWN_NOTICE: Duration = Duration::from_millis(150);
 /// How often a stopping node looks whether it is done.
-const LOOK: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -100,7 +100,7 @@
         let done = self.wait_until(shutdown.ends()).await;
         if !done {
             self.core.end();
-            self.wait_until(shutdown.ends() + LAST_WORDS).await;
+            self.wait_until(shutdown.ends() + SHUTDOWN_NOTICE).await;
         }
         self.peer.stop();
         done
@@ -118,10 +118,10 @@
 
     fn shutdown_from(&self, told: Instant) -> Shutdown {
         let cfg = &self.core.cfg;
-        let kept = cfg.address_ttl * STILL_OPEN_TTLS;
-        let open = kept.min(cfg.grace.mul_f64(STILL_OPEN_PART));
-        let all = cfg.grace.mul_f64(GRACE_PART);
-        Shutdown::new(told, open, all.saturating_sub(LAST_WORDS))
+        let kept = cfg.address_ttl * OPEN_PORT_TTLS;
+        let open = kept.min(cfg.grace.mul_f64(MAX_OPEN_PORT_RATIO));
+        let all = cfg.grace.mul_f64(GRACE_RATIO);
+        Shutdown::new(told, open, all.saturating_sub(SHUTDOWN_NOTICE))
     }
 
     /// Waits until no connection is open or `end` is reached; whether none is.
@@ -131,7 +131,7 @@
             if Instant::now() >= end {
                 return self.open.count() == 0;
             }
-            tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
         true
     }
@@ -193,7 +193,7 @@
         follow(&*at, at.platform.catalogs(), &CatalogSink(Arc::clone(&at))).await;
     });
     tokio::spawn(configuration::follow_nodes(Arc::clone(core)));
-    tokio::spawn(seat::run(Arc::clone(core)));
+    tokio::spawn(leader::run(Arc::clone(core)));
     tokio::spawn(watch::run(Arc::clone(core)));
     tokio::spawn(peers::publish_loads(Arc::clone(core)));
 }
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -13,8 +13,8 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
-use crate::placing::Ticket;
 use crate::ports::Platform;
+use crate::scheduler_client::Permit;
 
 /// How long a head that refused a request gets none: the time in which other nodes tell
 /// their loads anew.
@@ -142,17 +142,17 @@
     }
 
     /// Counts one more request, until the guard is dropped.
-    pub(crate) fn enter<P: Platform>(self: &Arc<Head>, ticket: Option<Ticket<P>>) -> InProgress<P> {
+    pub(crate) fn enter<P: Platform>(self: &Arc<Head>, permit: Option<Permit<P>>) -> InProgress<P> {
         if self.running.fetch_add(1, Ordering::Relaxed) == 0 {
             self.progress().resumed(Instant::now());
         }
-        if ticket.is_none() {
+        if permit.is_none() {
             self.unscheduled.fetch_add(1, Ordering::Relaxed);
         }
         InProgress {
-            is_scheduled: ticket.is_some(),
+            is_scheduled: permit.is_some(),
             head: Arc::clone(self),
-            ticket,
+            permit,
         }
     }
 
@@ -202,23 +202,23 @@
 /// A request that counts at a head.
 pub(crate) struct InProgress<P: Platform> {
     pub(crate) head: Arc<Head>,
-    /// Where another node, or this one, placed it.
-    ticket: Option<Ticket<P>>,
+    /// `None` where it was placed without a scheduler.
+    permit: Option<Permit<P>>,
     is_scheduled: bool,
 }
 
 impl<P: Platform> InProgress<P> {
     /// Notes that its first event has come.
     pub(crate) fn began(&self) {
-        if let Some(ticket) = &self.ticket {
-            ticket.began();
+        if let Some(permit) = &self.permit {
+            permit.started();
         }
     }
 
     /// Notes that the head refused it.
     pub(crate) fn refused(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            ticket.refused();
+        if let Some(permit) = self.permit.take() {
+            permit.rejected();
         }
     }
 }
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/leader.rs
@@ -1,6 +1,6 @@
 //! Which node plans.
 //!
-//! The seat is a row of the platform's store that names a node and counts the holders.
+//! The leader is named by a row of the platform's store, which also counts its terms.
 //! Nodes hear from the holder directly; one takes over when the holder is no longer
 //! heard. No renewal is written: a holder reads the row again and again, and acts only
 //! while its [`Lease`] holds, which a successor waits out.
@@ -15,17 +15,17 @@
 
 use crate::core::Core;
 use crate::heads::locked;
-use crate::peers::publish_seat;
+use crate::peers::publish_leader;
 use crate::planning::Term;
-use crate::ports::{Platform, Seat, SeatRecord};
+use crate::ports::{LeaderElection, LeaderRecord, Platform};
 
-/// How often a node without the seat looks whether it is vacant.
-const LOOK: Duration = Duration::from_millis(250);
+/// How often a node that isn't the leader checks whether there is none.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// A holder that was named lately is given this long to be heard of: nodes that start
 /// together hear of each other within a second.
 const INTRODUCTION: Duration = Duration::from_millis(2500);
 /// Between two looks of a holder whether the row still names it: two in a lease.
-const CONFIRM: Duration = Duration::from_millis(700);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The time since the machine started, also while it was suspended.
 fn since_boot() -> SinceBoot {
@@ -35,35 +35,35 @@
     Duration::new(seconds, nanos)
 }
 
-/// What a node has read of the seat.
+/// What a node has read of the leader's row.
 #[derive(Debug, Default)]
 struct Seen {
     /// The record that was read last, and when it was first seen.
-    record: Option<(SeatRecord, Instant)>,
+    record: Option<(LeaderRecord, Instant)>,
 }
 
-/// Plans while the seat is this node's, for ever.
+/// Plans while this node is the leader, until the process ends.
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let mut seen = Seen::default();
     loop {
         let asked = since_boot();
-        if let Some(seat) = try_take(&core, &mut seen).await {
-            info!(event = "seat", term = seat.term, outcome = "taken");
-            publish_seat(&core, Some(&seat));
-            hold(&core, &seat, Lease::new(asked)).await;
-            publish_seat(&core, None);
-            info!(event = "seat", term = seat.term, outcome = "given-up");
+        if let Some(leader) = try_take(&core, &mut seen).await {
+            info!(event = "leader", term = leader.term, outcome = "taken");
+            publish_leader(&core, Some(&leader));
+            hold(&core, &leader, Lease::new(asked)).await;
+            publish_leader(&core, None);
+            info!(event = "leader", term = leader.term, outcome = "given-up");
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-async fn try_take<P: Platform>(core: &Arc<Core<P>>, seen: &mut Seen) -> Option<SeatRecord> {
+async fn try_take<P: Platform>(core: &Arc<Core<P>>, seen: &mut Seen) -> Option<LeaderRecord> {
     let now = Instant::now();
     if core.is_leaving() || !core.is_loaded() || core.store_failures() > 0 {
         return None;
     }
-    if let Some(holder) = holder(core, now) {
+    if let Some(holder) = current(core, now) {
         // It needs no introduction should it fall silent.
         seen.record = now.checked_sub(INTRODUCTION).map(|since| (holder, since));
         return None;
@@ -80,11 +80,11 @@
     if introduced {
         return None;
     }
-    let read = core.platform.seat().read().await;
+    let read = core.platform.leader().read().await;
     let (record, version) = match read {
         Ok(read) => read,
         Err(err) => {
-            warn!(event = "seat", outcome = "not-read", %err);
+            warn!(event = "leader", outcome = "not-read", %err);
             return None;
         }
     };
@@ -92,16 +92,16 @@
         return None;
     }
     let term = record.map_or(0, |r| r.term) + 1;
-    let claim = SeatRecord {
+    let claim = LeaderRecord {
         node: core.cfg.node.clone(),
         term,
     };
-    match core.platform.seat().claim(version, &claim).await {
+    match core.platform.leader().claim(version, &claim).await {
         Ok(true) => Some(claim),
         Ok(false) => None,
         Err(err) => {
             // It may have been written all the same; the next look reads it.
-            warn!(event = "seat", outcome = "unknown", %err);
+            warn!(event = "leader", outcome = "unknown", %err);
             None
         }
     }
@@ -109,7 +109,7 @@
 
 impl Seen {
     /// Notes what was read. Whether it names another node that has to be waited for.
-    fn is_new(&mut self, record: Option<&SeatRecord>, me: &str, now: Instant) -> bool {
+    fn is_new(&mut self, record: Option<&LeaderRecord>, me: &str, now: Instant) -> bool {
         let Some(record) = record.filter(|r| r.node != me) else {
             return false;
         };
@@ -125,49 +125,49 @@
     }
 }
 
-/// The node, this one or one that is up, that says that it holds the seat.
-pub(crate) fn holder<P: Platform>(core: &Core<P>, now: Instant) -> Option<SeatRecord> {
+/// The node, this one or one that is up, that says that it is the leader.
+pub(crate) fn current<P: Platform>(core: &Core<P>, now: Instant) -> Option<LeaderRecord> {
     let me = &core.cfg.node;
     let nodes = locked(&core.nodes);
-    let seats = locked(&core.seats);
+    let leaders = locked(&core.leaders);
     let is_up = |node: &NodeId| node == me || nodes.is_alive(node, now);
-    let up = seats.iter().filter(|(node, _)| is_up(node));
+    let up = leaders.iter().filter(|(node, _)| is_up(node));
     let (node, term) = up.max_by_key(|(_, term)| **term)?;
-    Some(SeatRecord {
+    Some(LeaderRecord {
         node: node.clone(),
         term: *term,
     })
 }
 
 /// Whether this node is the first by name of the strongest that are up, which alone takes the
-/// seat.
+/// leader.
 fn is_first<P: Platform>(core: &Core<P>, now: Instant) -> bool {
     let nodes = locked(&core.nodes);
     let able = strongest(nodes.alive(now).chain([core.as_candidate()]));
     able.iter().map(|c| c.id).min() == Some(&core.cfg.node)
 }
 
-/// Plans until the seat is another's, or this node can't be sure that it isn't.
-async fn hold<P: Platform>(core: &Arc<Core<P>>, seat: &SeatRecord, lease: Lease) {
+/// Plans until another node is the leader, or may be.
+async fn hold<P: Platform>(core: &Arc<Core<P>>, leader: &LeaderRecord, lease: Lease) {
     let lease = Mutex::new(lease);
     tokio::select! {
-        () = confirm(core, seat, &lease) => {}
-        () = plan(core, seat, &lease) => {}
+        () = confirm(core, leader, &lease) => {}
+        () = plan(core, leader, &lease) => {}
     }
 }
 
 /// Reads the row until it names another holder.
-async fn confirm<P: Platform>(core: &Core<P>, seat: &SeatRecord, lease: &Mutex<Lease>) {
+async fn confirm<P: Platform>(core: &Core<P>, leader: &LeaderRecord, lease: &Mutex<Lease>) {
     let mut answered = true;
     loop {
-        tokio::time::sleep(CONFIRM).await;
+        tokio::time::sleep(CONFIRM_INTERVAL).await;
         let asked = since_boot();
-        let read = core.platform.seat().read().await;
+        let read = core.platform.leader().read().await;
         match &read {
-            Ok((Some(record), _)) if record == seat => locked(lease).confirm(asked),
+            Ok((Some(record), _)) if record == leader => locked(lease).confirm(asked),
             Ok(_) => return,
             Err(err) if answered => {
-                warn!(event = "seat", term = seat.term, outcome = "not-confirmed", %err);
+                warn!(event = "leader", term = leader.term, outcome = "not-confirmed", %err);
             }
             // Told when it began.
             Err(_) => {}
@@ -176,19 +176,19 @@
     }
 }
 
-async fn plan<P: Platform>(core: &Arc<Core<P>>, seat: &SeatRecord, lease: &Mutex<Lease>) {
-    let mut term = Term::new(Arc::clone(core), seat);
+async fn plan<P: Platform>(core: &Arc<Core<P>>, leader: &LeaderRecord, lease: &Mutex<Lease>) {
+    let mut term = Term::new(Arc::clone(core), leader);
     let mut last = Standing::Act;
     loop {
-        if core.is_leaving() || another_holds(core, seat) {
+        if core.is_leaving() || another_holds(core, leader) {
             return;
         }
         let heard = hears_enough(locked(&core.nodes).silences(Instant::now()));
         let standing = locked(lease).step(since_boot(), heard);
         if standing != last {
             info!(
-                event = "seat",
-                term = seat.term,
+                event = "leader",
+                term = leader.term,
                 outcome = "standing",
                 ?standing,
                 heard
@@ -205,6 +205,8 @@
 }
 
 /// Whether another node tells a higher term.
-fn another_holds<P: Platform>(core: &Core<P>, seat: &SeatRecord) -> bool {
-    locked(&core.seats).values().any(|term| *term > seat.term)
+fn another_holds<P: Platform>(core: &Core<P>, leader: &LeaderRecord) -> bool {
+    locked(&core.leaders)
+        .values()
+        .any(|term| *term > leader.term)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! [`Gateway`] is one node: it takes callers' requests, chooses hosts, relays answers
 //! and streams, tells other nodes what it knows, and plans replicas while it holds the
-//! planner's seat. What differs from platform to platform stands behind the traits of
+//! planner's leader. What differs from platform to platform stands behind the traits of
 //! [`ports`](crate::Platform): how hosts are listed, ordered and asked, how callers'
-//! headers are spelled, and where the seat is kept.
+//! headers are spelled, and where the leader is recorded.
 
+mod admission;
 mod answer;
 mod body;
 mod call;
@@ -18,22 +19,21 @@
 mod gateway;
 mod heads;
 mod inbox;
+mod leader;
 mod logs;
 mod metrics;
 mod nodes;
 mod peers;
-mod placing;
 mod planning;
 mod ports;
-mod relay;
 mod scheduler;
-mod seat;
+mod scheduler_client;
 mod server;
 mod settings;
 mod side;
+mod snapshot_relay;
 mod story;
 mod stream;
-mod turn;
 mod watch;
 
 pub use crate::answer::{Refusal, RefusalCause};
@@ -43,7 +43,7 @@
 pub use crate::logs::{LogQueue, start as start_logs};
 pub use crate::ports::{
     Accepted, AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport,
-    HostUnavailable, Platform, Seat, SeatRecord, SideRequest, Source, SourceError,
+    HostUnavailable, LeaderElection, LeaderRecord, Platform, SideRequest, Source, SourceError,
 };
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
 pub use crate::story::{LogReader, Subject};
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -25,7 +25,7 @@
 const PIECE: usize = 4096;
 /// The lines of at most this time are written together, so that the thread that writes
 /// wakes up a few times a second and not for each line.
-const GATHER: Duration = Duration::from_millis(100);
+const BATCH_DELAY: Duration = Duration::from_millis(100);
 
 /// Where lines go; cheap to clone.
 #[derive(Clone, Debug)]
@@ -61,7 +61,7 @@
     pub fn drain(&self, most: Duration) {
         let end = Instant::now() + most;
         while self.waiting.load(Ordering::Acquire) > 0 && Instant::now() < end {
-            thread::sleep(GATHER / 4);
+            thread::sleep(BATCH_DELAY / 4);
         }
     }
 
@@ -103,7 +103,7 @@
     let mut second = Instant::now();
     let mut written = 0;
     while let Ok(first) = lines.recv() {
-        thread::sleep(GATHER);
+        thread::sleep(BATCH_DELAY);
         if second.elapsed() >= Duration::from_secs(1) {
             second = Instant::now();
             written = 0;
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -17,7 +17,7 @@
 
 /// In a failure domain with fewer nodes than this, callers get all nodes: with one
 /// address, its death leaves them none until they ask again.
-const ENOUGH_NEAR: usize = 2;
+const MIN_LOCAL_NODES: usize = 2;
 
 value! {
     /// What a node says of itself.
@@ -40,11 +40,11 @@
 /// How long a node that is gone counts when it is asked whether most are heard: longer than
 /// nodes are usually cut off. Were it forgotten as soon as it isn't told of any more, a node
 /// that is cut off from all would soon be most of those that it knows.
-const REMEMBERED: Duration = Duration::from_secs(20);
+const LOST_NODE_MEMORY: Duration = Duration::from_secs(20);
 
 /// A node that gave no usable copy of a list is asked for none for this long: until a node
 /// that died counts as dead, and longer than most connections are silent.
-const NO_COPY: Duration = Duration::from_secs(3);
+const COPY_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 /// The other nodes.
 #[derive(Clone, Debug, Default)]
@@ -76,7 +76,8 @@
     pub(crate) fn forget(&mut self, node: &str) {
         let gone = self.known.remove_entry(node);
         if let Some((node, known)) = gone.filter(|(_, k)| !k.info.leaving) {
-            let lately = |at: &Instant| known.heard.saturating_duration_since(*at) < REMEMBERED;
+            let lately =
+                |at: &Instant| known.heard.saturating_duration_since(*at) < LOST_NODE_MEMORY;
             self.lost.retain(|_, at| lately(at));
             self.lost.insert(node, known.heard);
         }
@@ -92,13 +93,13 @@
         let staying = self.known.values().filter(|k| !k.info.leaving);
         let heard = staying.map(|k| k.heard).chain(self.lost.values().copied());
         let silences = heard.map(move |at| now.saturating_duration_since(at));
-        silences.filter(|silence| *silence < REMEMBERED)
+        silences.filter(|silence| *silence < LOST_NODE_MEMORY)
     }
 
     /// How many nodes, this one among them, may be sending requests or have sent some
     /// lately: all that are known, whether heard just now or not, and those that were lost.
     pub(crate) fn sharing(&self, now: Instant) -> usize {
-        let lately = |at: &&Instant| now.saturating_duration_since(**at) < REMEMBERED;
+        let lately = |at: &&Instant| now.saturating_duration_since(**at) < LOST_NODE_MEMORY;
         let lost = self.lost.values().filter(lately).count();
         1 + self.known.len() + lost
     }
@@ -120,14 +121,14 @@
 
     /// Notes that a node gave no usable copy of a list.
     pub(crate) fn gave_no_copy(&mut self, node: &NodeId, now: Instant) {
-        let lately = |at: &Instant| now.saturating_duration_since(*at) < NO_COPY;
+        let lately = |at: &Instant| now.saturating_duration_since(*at) < COPY_RETRY_AFTER;
         self.no_copy.retain(|_, at| lately(at));
         self.no_copy.insert(node.clone(), now);
     }
 
     /// The nodes that are up and may have a copy of the platform's lists.
     pub(crate) fn with_copies(&self, now: Instant) -> impl Iterator<Item = RoleCandidate<'_>> {
-        let lately = move |at: &Instant| now.saturating_duration_since(*at) < NO_COPY;
+        let lately = move |at: &Instant| now.saturating_duration_since(*at) < COPY_RETRY_AFTER;
         let has_copy = move |id: &NodeId| !self.no_copy.get(id).is_some_and(lately);
         let usable = self.staying(now).filter(move |(id, _)| has_copy(id));
         usable.map(candidate)
@@ -148,7 +149,7 @@
             .filter(|(_, d)| d.as_str() == near)
             .copied()
             .collect();
-        let chosen = if close.len() >= ENOUGH_NEAR {
+        let chosen = if close.len() >= MIN_LOCAL_NODES {
             close
         } else {
             all
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,15 +18,15 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::nodes::NodeInfo;
-use crate::ports::{Platform, SeatRecord};
-use crate::{relay, scheduler, watch};
+use crate::ports::{LeaderRecord, Platform};
+use crate::{scheduler, snapshot_relay, watch};
 
-/// Under this name the holder of the planner's seat tells its term.
+/// Under this name the leader publishes its term.
 const SEAT: &str = "planner";
 /// Loads are told this often: heads hold some 25 requests and turn over that many in a
 /// second, so that older figures would send bursts to heads that are already full.
 pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
-/// The same where updates take several hops, each of which adds up to a tick: news that
+/// The same where updates take several hops, each of which adds up to a tick: updates that
 /// are older on their way anyway gain little by coming more often.
 const LARGE_LOAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Nodes confirm that they are up this often, whatever their number: callers are given the
@@ -55,7 +55,7 @@
             Change::Confirmed(as_of) => locked(&self.core.nodes).heard(&origin, as_of),
             Change::Removed(ItemKey::GroupLoad(replica)) => self.no_load(&origin, &replica),
             Change::Removed(ItemKey::Group(name)) if name == SEAT => {
-                locked(&self.core.seats).remove(&origin);
+                locked(&self.core.leaders).remove(&origin);
             }
             Change::Removed(_) => {}
             Change::Forgotten => self.forget(&origin),
@@ -70,9 +70,9 @@
                 self.load(origin, &load, as_of);
             }
             Item::Group(record) if record.group == SEAT => {
-                locked(&self.core.seats).insert(origin.clone(), record.version);
+                locked(&self.core.leaders).insert(origin.clone(), record.version);
             }
-            Item::Group(news) => watch::heard(&self.core, origin, &news),
+            Item::Group(update) => watch::heard(&self.core, origin, &update),
             Item::Load(load) => self.node_load(origin, &load),
             _ => {}
         }
@@ -121,7 +121,7 @@
 
     fn forget(&self, origin: &NodeId) {
         locked(&self.core.nodes).forget(origin);
-        locked(&self.core.seats).remove(origin);
+        locked(&self.core.leaders).remove(origin);
         self.core.configuration.forget(origin);
         self.core.schedulers.forget(origin);
         for head in locked(&self.core.heads).all() {
@@ -145,7 +145,7 @@
     }
 
     fn list(&self, req: ListRequest) -> impl Future<Output = ListReply> + Send {
-        relay::answer(Arc::clone(&self.core), req)
+        snapshot_relay::answer(Arc::clone(&self.core), req)
     }
 
     fn schedule(&self, req: ScheduleRequest) -> impl Future<Output = ScheduleReply> + Send {
@@ -214,18 +214,18 @@
     }));
 }
 
-/// Tells the other nodes that this one holds the seat, or no longer does.
-pub(crate) fn publish_seat<P: Platform>(core: &Core<P>, seat: Option<&SeatRecord>) {
+/// Tells the other nodes that this one is the leader, or no longer is.
+pub(crate) fn publish_leader<P: Platform>(core: &Core<P>, leader: Option<&LeaderRecord>) {
     let me = &core.cfg.node;
-    match seat {
-        Some(seat) => locked(&core.seats).insert(me.clone(), seat.term),
-        None => locked(&core.seats).remove(me),
+    match leader {
+        Some(leader) => locked(&core.leaders).insert(me.clone(), leader.term),
+        None => locked(&core.leaders).remove(me),
     };
     let Some(peer) = core.peer() else { return };
-    match seat {
-        Some(seat) => peer.publish(Item::Group(GroupRecord {
+    match leader {
+        Some(leader) => peer.publish(Item::Group(GroupRecord {
             group: SEAT.into(),
-            version: seat.term,
+            version: leader.term,
             record: Vec::new(),
         })),
         None => peer.withdraw(&ItemKey::Group(SEAT.into())),
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -1,4 +1,4 @@
-//! Running the planner while this node holds the seat.
+//! Running the planner while this node is the leader.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 
 use crate::core::Core;
 use crate::heads::locked;
-use crate::ports::{HostControl, HostReport, HostUnavailable, Platform, SeatRecord};
+use crate::ports::{HostControl, HostReport, HostUnavailable, LeaderRecord, Platform};
 use crate::watch::{LostReplica, REPORT_TIMEOUT};
 
 /// The planner looks at everything at least this often: its shortest own time is the
@@ -38,7 +38,7 @@
     Report(HostId, Result<HostReport, HostUnavailable>),
 }
 
-/// One term of the planner, from taking the seat until it is given up or lost.
+/// One term of the planner, from becoming the leader until that is given up or lost.
 pub(crate) struct Term<P: Platform> {
     core: Arc<Core<P>>,
     planner: Planner,
@@ -55,9 +55,9 @@
 }
 
 impl<P: Platform> Term<P> {
-    pub(crate) fn new(core: Arc<Core<P>>, seat: &SeatRecord) -> Term<P> {
+    pub(crate) fn new(core: Arc<Core<P>>, leader: &LeaderRecord) -> Term<P> {
         core.planning.open();
-        let planner = Planner::new(seat.term, PlannerTiming::default(), Instant::now());
+        let planner = Planner::new(leader.term, PlannerTiming::default(), Instant::now());
         Term {
             core,
             planner,
@@ -131,7 +131,7 @@
 
     /// Gives up replicas that are known here to be lost.
     ///
-    /// News of a loss that comes before this planner knows the replica, or while nobody
+    /// ListUpdate of a loss that comes before this planner knows the replica, or while nobody
     /// plans, is gone as an event. The planner would find the silent member only by asking
     /// all hosts: 2.4 s later in the test of a loss while nobody plans (one run each).
     fn take_lost_heads(&mut self, now: Instant) {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -60,8 +60,8 @@
 }
 
 value! {
-    /// Who holds the planner's seat.
-    pub struct SeatRecord {
+    /// Who is the planner's leader.
+    pub struct LeaderRecord {
         /// The node.
         pub node: NodeId,
         /// Counts the holders. Each term's epochs are above those of all before it.
@@ -70,17 +70,17 @@
 }
 
 /// Where it is kept which node plans.
-pub trait Seat: Send + Sync + 'static {
+pub trait LeaderElection: Send + Sync + 'static {
     /// The record and its version; `None` and 0 where it was never written.
     fn read(
         &self,
-    ) -> impl Future<Output = Result<(Option<SeatRecord>, RowVersion), SourceError>> + Send;
+    ) -> impl Future<Output = Result<(Option<LeaderRecord>, RowVersion), SourceError>> + Send;
 
     /// Writes the record if it still has `version`. `false` when it has another.
     fn claim(
         &self,
         version: RowVersion,
-        record: &SeatRecord,
+        record: &LeaderRecord,
     ) -> impl Future<Output = Result<bool, SourceError>> + Send;
 }
 
@@ -204,8 +204,8 @@
     type Hosts: Source<Change = FleetChange>;
     /// The accepted configuration; a change is the whole of it.
     type Catalogs: Source<Change = Accepted>;
-    /// The planner's seat.
-    type Seat: Seat;
+    /// The planner's leader.
+    type LeaderElection: LeaderElection;
     /// Orders and questions to hosts.
     type Control: HostControl;
     /// Headers.
@@ -220,8 +220,8 @@
     /// # Errors
     /// [`SourceError::Malformed`].
     fn read_catalog(&self, text: &str) -> Result<Catalog, SourceError>;
-    /// The planner's seat.
-    fn seat(&self) -> &Self::Seat;
+    /// The planner's leader.
+    fn leader(&self) -> &Self::LeaderElection;
     /// Orders and questions to hosts.
     fn control(&self) -> &Self::Control;
     /// Headers.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -1,6 +1,7 @@
-//! Placing the requests of models for all nodes, where this node is the one that does.
+//! Schedulers: assign the requests of all nodes to the heads of a model, where this node is the
+//! one that does.
 //!
-//! Who places which model is [`crate::placing`]'s choice. The policy is [`Scheduler`]'s.
+//! [`crate::scheduler_client`] chooses the node; the policy is [`Scheduler`]'s.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -11,7 +12,7 @@
     Ask, EngineSpeed, HeadKey, Millionths, OpenHead, Outcome, RequestKey, Scheduler,
 };
 use eelgrassmill_peer::{
-    PlaceDecision, PlaceEvent, PlaceNotice, PlaceRequest, ScheduleReply, ScheduleRequest,
+    ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent, SlotEventKind, SlotRequest,
 };
 use tokio::sync::oneshot;
 
@@ -19,19 +20,18 @@
 use crate::heads::locked;
 use crate::ports::Platform;
 
-/// While requests wait, it is looked this often whether time has decided for some: a tenth
-/// of the shortest time in which an answer is on time.
-const LOOK: Duration = Duration::from_millis(20);
-/// A decision that its node doesn't come for within this is taken back. It asks again within
-/// a few milliseconds of being told to wait.
-const COLLECT: Duration = Duration::from_millis(200);
-/// A scheduler that nobody has asked or told anything for this long is dropped.
-const UNUSED: Duration = Duration::from_secs(10);
-/// Longest that one question waits for its answer.
-const MOST_WAIT: Duration = Duration::from_millis(250);
+/// While requests wait, deadlines and free slots are checked this often.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// A decision that its node doesn't collect within this is taken back. Nodes ask again within a
+/// few milliseconds of being told to wait.
+const COLLECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// A scheduler that nobody has called for this long is dropped.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest that one ask is held.
+const MAX_RPC_WAIT: Duration = Duration::from_millis(250);
 
 value! {
-    /// The requests that one node places.
+    /// What one scheduler serves.
     #[derive(Hash, PartialOrd, Ord)]
     pub(crate) struct Scope {
         pub(crate) service: ServiceName,
@@ -52,7 +52,7 @@
     scheduler: Scheduler,
     /// Who waits for which decision.
     askers: HashMap<RequestKey, oneshot::Sender<Outcome>>,
-    /// Decisions that nobody waited for at that moment.
+    /// Decisions that no ask was waiting for.
     uncollected: HashMap<RequestKey, (Outcome, Instant)>,
     used: Instant,
 }
@@ -80,7 +80,7 @@
     }
 }
 
-/// Answers a node that wants a place or tells what became of requests.
+/// Answers a node that asks for a slot or reports slot events.
 pub(crate) async fn answer<P: Platform>(core: Arc<Core<P>>, req: ScheduleRequest) -> ScheduleReply {
     let scope = Scope {
         service: req.service.as_str().into(),
@@ -92,8 +92,8 @@
     };
     let node = NodeId::from(req.from.as_str());
     let now = Instant::now();
-    for notice in &req.notices {
-        locked(&running).take(&node, notice, now);
+    for slot_event in &req.slot_events {
+        locked(&running).take(&node, slot_event, now);
     }
     let Some(wanted) = &req.ask else {
         locked(&running).decide(&heads(&core, &scope), now);
@@ -101,14 +101,14 @@
     };
     let ask = read(&node, &req.failure_domain, wanted, now);
     let asked = locked(&running).ask(ask, &heads(&core, &scope), now);
-    let wait = Duration::from_millis(wanted.wait_ms.into()).min(MOST_WAIT);
+    let wait = Duration::from_millis(wanted.wait_ms.into()).min(MAX_RPC_WAIT);
     match tokio::time::timeout(wait, asked).await {
         Ok(Ok(outcome)) => reply(outcome),
-        _ => decision(PlaceDecision::Waiting),
+        _ => decision(SlotDecision::Waiting),
     }
 }
 
-fn read(node: &NodeId, domain: &str, wanted: &PlaceRequest, now: Instant) -> Ask {
+fn read(node: &NodeId, domain: &str, wanted: &SlotRequest, now: Instant) -> Ask {
     let ms = |ms: u32| Duration::from_millis(ms.into());
     Ask {
         key: RequestKey {
@@ -129,15 +129,15 @@
 fn reply(outcome: Outcome) -> ScheduleReply {
     match outcome {
         Outcome::Granted((replica, epoch)) => ScheduleReply {
-            decision: PlaceDecision::Granted.into(),
+            decision: SlotDecision::Granted.into(),
             replica: replica.to_string(),
             epoch,
         },
-        Outcome::Full => decision(PlaceDecision::Full),
+        Outcome::Full => decision(SlotDecision::Full),
     }
 }
 
-fn decision(decision: PlaceDecision) -> ScheduleReply {
+fn decision(decision: SlotDecision) -> ScheduleReply {
     ScheduleReply {
         decision: decision.into(),
         replica: String::new(),
@@ -177,10 +177,10 @@
     })
 }
 
-/// Decides what time decides, until the scheduler is no longer used.
+/// Rechecks waiting requests, until the scheduler is no longer used.
 async fn look<P: Platform>(core: Arc<Core<P>>, scope: Scope, running: Arc<Mutex<Running>>) {
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(RECHECK_INTERVAL).await;
         let now = Instant::now();
         let waits = locked(&running).is_waiting();
         if waits {
@@ -189,7 +189,7 @@
         }
         // Under both locks: one that is asked again just now must not be lost with its places.
         let mut all = locked(&core.schedulers.running);
-        if now.saturating_duration_since(locked(&running).used) > UNUSED {
+        if now.saturating_duration_since(locked(&running).used) > IDLE_TIMEOUT {
             all.remove(&scope);
             return;
         }
@@ -206,7 +206,7 @@
         host: h.host.clone(),
         slots: h.slots,
         failure_domain: h.failure_domain.clone(),
-        told: h.load(),
+        reported: h.load(),
     });
     open.collect()
 }
@@ -216,18 +216,18 @@
         self.scheduler.waiting() > 0 || !self.uncollected.is_empty()
     }
 
-    fn take(&mut self, node: &NodeId, notice: &PlaceNotice, now: Instant) {
+    fn take(&mut self, node: &NodeId, slot_event: &SlotEvent, now: Instant) {
         let key = RequestKey {
             node: node.clone(),
-            number: notice.number,
+            number: slot_event.number,
         };
-        match notice.event() {
-            PlaceEvent::Began => self.scheduler.began(&key, now),
-            PlaceEvent::Refused => self.scheduler.refused(&key, now),
-            PlaceEvent::Ended => {
+        match slot_event.event() {
+            SlotEventKind::Started => self.scheduler.started(&key, now),
+            SlotEventKind::Rejected => self.scheduler.rejected(&key, now),
+            SlotEventKind::Released => {
                 self.askers.remove(&key);
                 self.uncollected.remove(&key);
-                self.scheduler.ended(&key);
+                self.scheduler.released(&key);
             }
         }
     }
@@ -245,7 +245,7 @@
         rx
     }
 
-    /// Tells what can be decided now.
+    /// Answers what can be decided now.
     fn decide(&mut self, heads: &[OpenHead], now: Instant) {
         for (key, outcome) in self.scheduler.assign(heads, now) {
             let unsent = match self.askers.remove(&key) {
@@ -256,7 +256,7 @@
                 self.uncollected.insert(key, (outcome, now));
             }
         }
-        let stale = |at: Instant| now.saturating_duration_since(at) > COLLECT;
+        let stale = |at: Instant| now.saturating_duration_since(at) > COLLECT_TIMEOUT;
         let given_up: Vec<RequestKey> = self
             .uncollected
             .iter()
@@ -265,13 +265,13 @@
             .collect();
         for key in given_up {
             self.uncollected.remove(&key);
-            self.scheduler.ended(&key);
+            self.scheduler.released(&key);
         }
     }
 }
 
 /// The head that a reply names.
 pub(crate) fn granted(reply: &ScheduleReply) -> Option<HeadKey> {
-    let granted = reply.decision() == PlaceDecision::Granted;
+    let granted = reply.decision() == SlotDecision::Granted;
     granted.then(|| (GroupId::from(reply.replica.as_str()), reply.epoch))
 }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -1,8 +1,7 @@
-//! Asking the node that places a model's requests for a place.
+//! Scheduler client: asks a model's scheduler for a slot at one of the model's heads.
 //!
-//! Each model of few replicas is placed by one node, one of many by one node for the heads of
-//! each failure domain, chosen by rendezvous. Where that node gives no answer, this one places
-//! its requests itself by what nodes tell of their loads.
+//! A model of few replicas has one scheduler; a larger one is sharded by failure domain. Where no
+//! scheduler answers, the node places the request itself by reported loads.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
@@ -11,7 +10,7 @@
 use eelgrassmill_base::{FailureDomain, HostId, ModelName, NodeId, ServiceName};
 use eelgrassmill_fleet::{DomainLoad, choose_domain, ranked_for_role};
 use eelgrassmill_peer::{
-    PlaceDecision, PlaceEvent, PlaceNotice, PlaceRequest, ScheduleReply, ScheduleRequest,
+    ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent, SlotEventKind, SlotRequest,
 };
 use tracing::info;
 
@@ -21,110 +20,109 @@
 use crate::ports::Platform;
 use crate::scheduler::{self, Scope};
 
-/// Replicas of a model beyond which one node for all would have too much to do: each of them
-/// has some 20 requests a second and each request is three messages. Reckoned with 50 us a
-/// message, which is not measured, ten replicas are 3% of a core.
-const MOST_FOR_ONE: f64 = 10.0;
-/// Longest that one question waits for a decision. A node that died shows only as a question
-/// without an answer, and a request that waits for it is late soon.
-const WAIT: Duration = Duration::from_millis(150);
-/// An answer may take this long beyond its wait: 1 to 5 ms on the way, and a packet that is
-/// lost comes again after some 200 ms, which is too late to wait for.
-const ANSWER_TIME: Duration = Duration::from_millis(80);
+/// Replicas served by one scheduler shard; larger models are sharded by failure domain.
+const MAX_REPLICAS_PER_SHARD: f64 = 10.0;
+/// How long a scheduler may hold an ask before it answers that the request still waits. A
+/// scheduler that died shows only as an ask without an answer.
+const RPC_WAIT: Duration = Duration::from_millis(150);
+/// What an answer may take beyond that; shorter than the retransmission of a lost packet.
+const RPC_SLACK: Duration = Duration::from_millis(80);
 /// How long a scheduler that timed out stays ejected: until it counts as dead or is well.
 const EJECTION_PERIOD: Duration = Duration::from_secs(2);
 /// Choices of schedulers for a scope. A node that has ejected all of them is likely cut off
 /// itself, and must not become a scheduler that knows of no other node's requests.
 const MAX_SCHEDULER_CHOICES: usize = 2;
-/// What becomes of requests is told this much later, with all else until then.
-const GATHER: Duration = Duration::from_millis(5);
-/// A notice that doesn't arrive within this is not sent again: its request's place lapses.
-const NOTICE_TIME: Duration = Duration::from_millis(500);
-/// Grants for heads that this node knows to be lost, or not yet to be open, before it places
-/// the request itself.
-const MOST_USELESS: usize = 2;
+/// How long slot events wait to be sent together.
+const BATCH_DELAY: Duration = Duration::from_millis(5);
+/// Slot events that don't arrive within this are not sent again: their slots expire.
+const SLOT_EVENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Grants of heads that this node knows to be lost, or doesn't know yet, before it places the
+/// request itself.
+const MAX_STALE_GRANTS: usize = 2;
 
-/// What this node knows of the nodes that place requests.
+/// What this node knows of schedulers.
 #[derive(Debug, Default)]
-pub(crate) struct Placing {
+pub(crate) struct SchedulerClient {
     ejected: Mutex<BTreeMap<NodeId, Instant>>,
-    /// What has yet to be told.
-    notices: Mutex<HashMap<(NodeId, Scope), Vec<PlaceNotice>>>,
+    /// Not yet sent.
+    slot_events: Mutex<HashMap<(NodeId, Scope), Vec<SlotEvent>>>,
 }
 
-/// A request for a place, or a place that was granted. Dropped, it is told to have ended, also
-/// where its caller left while it waited: its place would be missing until it lapses.
-pub(crate) struct Ticket<P: Platform> {
+/// A slot that was asked for or granted. Dropping it releases the slot, also where the caller left
+/// while the request waited.
+pub(crate) struct Permit<P: Platform> {
     core: Arc<Core<P>>,
     node: NodeId,
     scope: Scope,
     number: u64,
-    /// Whether the other node knows that it has ended.
-    is_over: bool,
+    /// Whether the scheduler knows that the slot is free.
+    is_released: bool,
 }
 
-impl<P: Platform> Drop for Ticket<P> {
+impl<P: Platform> Drop for Permit<P> {
     fn drop(&mut self) {
-        if !self.is_over {
-            self.tell(PlaceEvent::Ended);
+        if !self.is_released {
+            self.report(SlotEventKind::Released);
         }
     }
 }
 
-impl<P: Platform> Ticket<P> {
-    /// Tells that the request's first event has come.
-    pub(crate) fn began(&self) {
-        self.tell(PlaceEvent::Began);
+impl<P: Platform> Permit<P> {
+    /// Reports the first token.
+    pub(crate) fn started(&self) {
+        self.report(SlotEventKind::Started);
     }
 
-    /// Tells that the head refused the request, or is none to send one to.
-    pub(crate) fn refused(mut self) {
-        self.tell(PlaceEvent::Refused);
-        self.is_over = true;
+    /// Reports that the head rejected the request, or that nothing is to be sent to it.
+    pub(crate) fn rejected(mut self) {
+        self.report(SlotEventKind::Rejected);
+        self.is_released = true;
     }
 
-    /// With a little delay.
-    fn tell(&self, event: PlaceEvent) {
-        let notice = PlaceNotice {
+    /// Reports after [`BATCH_DELAY`].
+    fn report(&self, event: SlotEventKind) {
+        let slot_event = SlotEvent {
             number: self.number,
             event: event.into(),
         };
         let to = (self.node.clone(), self.scope.clone());
         let first = {
-            let mut notices = locked(&self.core.placing.notices);
-            let list = notices.entry(to.clone()).or_default();
-            list.push(notice);
+            let mut slot_events = locked(&self.core.scheduler_client.slot_events);
+            let list = slot_events.entry(to.clone()).or_default();
+            list.push(slot_event);
             list.len() == 1
         };
         if first {
             let core = Arc::clone(&self.core);
             tokio::spawn(async move {
-                tokio::time::sleep(GATHER).await;
-                send_notices(&core, to).await;
+                tokio::time::sleep(BATCH_DELAY).await;
+                send_slot_events(&core, to).await;
             });
         }
     }
 }
 
-async fn send_notices<P: Platform>(core: &Arc<Core<P>>, to: (NodeId, Scope)) {
-    let notices = take_notices(core, &to);
-    if notices.is_empty() {
+async fn send_slot_events<P: Platform>(core: &Arc<Core<P>>, to: (NodeId, Scope)) {
+    let slot_events = take_slot_events(core, &to);
+    if slot_events.is_empty() {
         return;
     }
-    let req = request(core, &to.1, None, notices);
-    // Unheard, it costs a place until that lapses.
-    let _ = send(core, &to.0, req, NOTICE_TIME).await;
+    let req = request(core, &to.1, None, slot_events);
+    // Events that are lost cost a slot until it expires.
+    let _ = send(core, &to.0, req, SLOT_EVENT_TIMEOUT).await;
 }
 
-fn take_notices<P: Platform>(core: &Core<P>, to: &(NodeId, Scope)) -> Vec<PlaceNotice> {
-    locked(&core.placing.notices).remove(to).unwrap_or_default()
+fn take_slot_events<P: Platform>(core: &Core<P>, to: &(NodeId, Scope)) -> Vec<SlotEvent> {
+    locked(&core.scheduler_client.slot_events)
+        .remove(to)
+        .unwrap_or_default()
 }
 
 fn request<P: Platform>(
     core: &Core<P>,
     scope: &Scope,
-    ask: Option<PlaceRequest>,
-    notices: Vec<PlaceNotice>,
+    ask: Option<SlotRequest>,
+    slot_events: Vec<SlotEvent>,
 ) -> ScheduleRequest {
     ScheduleRequest {
         from: core.cfg.node.to_string(),
@@ -133,11 +131,11 @@
         model: scope.model.to_string(),
         heads_in: scope.heads_in.as_deref().unwrap_or_default().to_owned(),
         ask,
-        notices,
+        slot_events,
     }
 }
 
-/// Tells a node, which may be this one. `None` without an answer.
+/// Calls a scheduler, which may be at this node. `None` without an answer.
 async fn send<P: Platform>(
     core: &Arc<Core<P>>,
     node: &NodeId,
@@ -151,70 +149,72 @@
     peer.schedule_at(node, req, timeout).await.ok()
 }
 
-/// What came of asking for a place.
-pub(crate) enum Placed<P: Platform> {
-    /// It has one.
-    At(InProgress<P>),
-    /// There was none in time.
+/// The outcome of asking for a slot.
+pub(crate) enum Acquired<P: Platform> {
+    /// A slot was granted.
+    Granted(InProgress<P>),
+    /// None became free in time.
     Full,
-    /// Nobody can say: it has to be placed by what is known here.
-    Unknown,
+    /// No scheduler answers.
+    NoScheduler,
 }
 
-/// A request that wants a place.
-pub(crate) struct Wanted<'w> {
+/// A request that needs a slot.
+pub(crate) struct SlotWanted<'w> {
     pub(crate) call: &'w Call,
     pub(crate) service: &'w ServiceName,
     pub(crate) model: &'w ModelName,
-    /// It goes on after its replica was lost.
+    /// It continues after its replica was lost.
     pub(crate) resumed: bool,
     pub(crate) avoid: &'w [HostId],
-    /// Until then it is worth waiting.
+    /// When to give up.
     pub(crate) until: Instant,
 }
 
-/// Asks for a place.
-pub(crate) async fn place<P: Platform>(core: &Arc<Core<P>>, wanted: &Wanted<'_>) -> Placed<P> {
+/// Asks for a slot.
+pub(crate) async fn acquire<P: Platform>(
+    core: &Arc<Core<P>>,
+    wanted: &SlotWanted<'_>,
+) -> Acquired<P> {
     let Some((scope, node)) = scheduler_for(core, wanted.service, wanted.model) else {
-        return Placed::Unknown;
+        return Acquired::NoScheduler;
     };
-    let mut useless = 0;
-    let mut ticket = fresh_ticket(core, &node, &scope);
+    let mut stale = 0;
+    let mut permit = new_permit(core, &node, &scope);
     loop {
-        let ask = ask(wanted, ticket.number);
-        let notices = take_notices(core, &(node.clone(), scope.clone()));
+        let ask = ask(wanted, permit.number);
+        let slot_events = take_slot_events(core, &(node.clone(), scope.clone()));
         let wait = Duration::from_millis(ask.wait_ms.into());
-        let req = request(core, &scope, Some(ask), notices);
-        let Some(reply) = send(core, &node, req, wait + ANSWER_TIME).await else {
+        let req = request(core, &scope, Some(ask), slot_events);
+        let Some(reply) = send(core, &node, req, wait + RPC_SLACK).await else {
             eject(core, &node, &scope);
-            return Placed::Unknown;
+            return Acquired::NoScheduler;
         };
         match reply.decision() {
-            PlaceDecision::Waiting => continue,
-            PlaceDecision::Full => {
-                ticket.is_over = true;
-                return Placed::Full;
+            SlotDecision::Waiting => continue,
+            SlotDecision::Full => {
+                permit.is_released = true;
+                return Acquired::Full;
             }
-            PlaceDecision::Unknown => return Placed::Unknown,
-            PlaceDecision::Granted => {}
+            SlotDecision::Unknown => return Acquired::NoScheduler,
+            SlotDecision::Granted => {}
         }
         if let Some(head) = usable(core, &reply) {
-            return Placed::At(head.enter(Some(ticket)));
+            return Acquired::Granted(head.enter(Some(permit)));
         }
-        ticket.refused();
-        useless += 1;
-        if useless >= MOST_USELESS {
-            return Placed::Unknown;
+        permit.rejected();
+        stale += 1;
+        if stale >= MAX_STALE_GRANTS {
+            return Acquired::NoScheduler;
         }
-        ticket = fresh_ticket(core, &node, &scope);
+        permit = new_permit(core, &node, &scope);
     }
 }
 
-/// The granted head, unless this node knows that it is lost or takes nothing new, or doesn't
-/// know it at all.
+/// The granted head, unless this node doesn't know it or knows that it takes nothing new.
 ///
-/// The node that places requests may be cut off from the store and not know that a host is
-/// leaving. Those that do know must not send it anything.
+/// A scheduler that is cut off from the store may grant a host that is leaving. Nodes that know
+/// better must not send it anything.
 fn usable<P: Platform>(core: &Core<P>, reply: &ScheduleReply) -> Option<Arc<Head>> {
     let (replica, epoch) = scheduler::granted(reply)?;
     let heads = locked(&core.heads);
@@ -222,24 +222,24 @@
     (!head.is_lost()).then(|| Arc::clone(head))
 }
 
-fn fresh_ticket<P: Platform>(core: &Arc<Core<P>>, node: &NodeId, scope: &Scope) -> Ticket<P> {
-    Ticket {
+fn new_permit<P: Platform>(core: &Arc<Core<P>>, node: &NodeId, scope: &Scope) -> Permit<P> {
+    Permit {
         core: Arc::clone(core),
         node: node.clone(),
         scope: scope.clone(),
         // Unlike a count it can't be one that this node used before it was started again.
         number: fastrand::u64(..),
-        is_over: false,
+        is_released: false,
     }
 }
 
-fn ask(wanted: &Wanted<'_>, number: u64) -> PlaceRequest {
+fn ask(wanted: &SlotWanted<'_>, number: u64) -> SlotRequest {
     let now = Instant::now();
     let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     let call = wanted.call;
     let on_time = (call.arrived + call.route.aim).saturating_duration_since(now);
     let patience = wanted.until.saturating_duration_since(now);
-    PlaceRequest {
+    SlotRequest {
         number,
         prompt: call.head.prompt_tokens,
         resumed: wanted.resumed,
@@ -252,14 +252,14 @@
             .as_ref()
             .map_or(call.route.aim, |s| s.pause)),
         avoid: wanted.avoid.iter().map(ToString::to_string).collect(),
-        wait_ms: ms(WAIT),
+        wait_ms: ms(RPC_WAIT),
     }
 }
 
 fn eject<P: Platform>(core: &Core<P>, node: &NodeId, scope: &Scope) {
     info!(event = "no-scheduler", %node, model = %scope.model, outcome = "no answer");
     let now = Instant::now();
-    let mut ejected = locked(&core.placing.ejected);
+    let mut ejected = locked(&core.scheduler_client.ejected);
     ejected.retain(|_, at| now.saturating_duration_since(*at) < EJECTION_PERIOD);
     ejected.insert(node.clone(), now);
 }
@@ -311,7 +311,7 @@
         return false;
     };
     let hosts = locked(&core.heads).hosts_of(service) as f64;
-    hosts * spec.share.get() / spec.size.max(1) as f64 > MOST_FOR_ONE
+    hosts * spec.share.get() / spec.size.max(1) as f64 > MAX_REPLICAS_PER_SHARD
 }
 
 /// The failure domains in which a model has heads, with their requests and slots.
@@ -343,7 +343,7 @@
     );
     let near = scope.heads_in.as_ref();
     let ranked = ranked_for_role(&key, near, nodes.alive(now).chain(own));
-    let ejected = locked(&core.placing.ejected);
+    let ejected = locked(&core.scheduler_client.ejected);
     let lately = |at: &Instant| now.saturating_duration_since(*at) < EJECTION_PERIOD;
     let mut choices = ranked.into_iter().take(MAX_SCHEDULER_CHOICES);
     let chosen = choices.find(|id| !ejected.get(*id).is_some_and(lately));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -14,18 +14,18 @@
 
 use crate::core::Core;
 use crate::heads::locked;
+use crate::leader;
 use crate::ports::{Accepted, Cursor, Platform, SourceError};
-use crate::seat;
 
 /// A copy that is older than this is of no use: with one more question to the store a
 /// change must be seen within 2 s, the shortest bound that platforms set. Copies in order
 /// are half a second old at the node that asks the store, and as much more one hop on.
 const MAX_AGE: Duration = Duration::from_millis(1100);
 /// Longest wait of one question to another node.
-const WAIT: Duration = Duration::from_millis(400);
+const POLL_TIME: Duration = Duration::from_millis(400);
 /// An answer may take this long beyond its wait; between failure domains it takes 1 to 5 ms,
 /// and one repeated packet some 200 ms.
-const ANSWER_TIME: Duration = Duration::from_millis(250);
+const RPC_SLACK: Duration = Duration::from_millis(250);
 
 /// A list as other nodes get it.
 #[derive(Debug, Default)]
@@ -36,19 +36,19 @@
 
 impl SharedLog {
     /// Notes what was read, as it is now known to be or to have been.
-    pub(crate) fn take(&self, news: &News<Vec<u8>>) {
+    pub(crate) fn take(&self, update: &ListUpdate<Vec<u8>>) {
         {
             let mut log = locked(&self.log);
-            if news.whole {
-                log.take_whole(news.version, news.as_of);
+            if update.whole {
+                log.take_whole(update.version, update.as_of);
             } else {
-                let changes = news.changes.clone();
-                log.take(changes, news.version, news.as_of, Instant::now());
+                let changes = update.changes.clone();
+                log.take(changes, update.version, update.as_of, Instant::now());
             }
         }
         self.version.send_if_modified(|version| {
-            let newer = news.version > *version;
-            *version = news.version.max(*version);
+            let newer = update.version > *version;
+            *version = update.version.max(*version);
             newer
         });
     }
@@ -63,14 +63,14 @@
 
 /// All lists that nodes tell each other.
 #[derive(Debug, Default)]
-pub(crate) struct Lists {
+pub(crate) struct SnapshotRelay {
     pub(crate) hosts: SharedLog,
     pub(crate) configuration: SharedLog,
 }
 
 /// Changes of a list, and how it is known.
 #[derive(Clone, Debug)]
-pub(crate) struct News<C> {
+pub(crate) struct ListUpdate<C> {
     pub(crate) changes: Vec<C>,
     pub(crate) version: Cursor,
     /// When the list is known to have been like this.
@@ -158,7 +158,7 @@
 async fn answer_for<P: Platform, C: Relayed<P>>(core: &Core<P>, req: &ListRequest) -> ListReply {
     let shared = C::log(core);
     if req.since > 0 {
-        let wait = Duration::from_millis(req.wait_ms.into()).min(WAIT);
+        let wait = Duration::from_millis(req.wait_ms.into()).min(POLL_TIME);
         // Running out is the usual end.
         let _ = tokio::time::timeout(wait, shared.newer_than(req.since)).await;
     }
@@ -208,7 +208,7 @@
 /// The node to ask for lists, unless this one is to ask the store.
 pub(crate) fn parent<P: Platform>(core: &Core<P>) -> Option<NodeId> {
     let now = Instant::now();
-    let holder = seat::holder(core, now).map(|seat| seat.node);
+    let holder = leader::current(core, now).map(|leader| leader.node);
     let nodes = locked(&core.nodes);
     let others = nodes.with_copies(now);
     list_parent(core.as_candidate(), holder.as_ref(), others).cloned()
@@ -219,9 +219,11 @@
     core: &Core<P>,
     node: &NodeId,
     since: Cursor,
-) -> Result<(News<C>, Vec<Vec<u8>>), NoCopy> {
+) -> Result<(ListUpdate<C>, Vec<Vec<u8>>), NoCopy> {
     let peer = core.peer().ok_or(NoCopy::None)?;
-    let answered = peer.list_of(node, C::LIST, since, WAIT, ANSWER_TIME).await;
+    let answered = peer
+        .list_of(node, C::LIST, since, POLL_TIME, RPC_SLACK)
+        .await;
     let reply = answered.map_err(|e| NoCopy::NoAnswer(e.to_string()))?;
     let now = Instant::now();
     if reply.version == 0 {
@@ -239,11 +241,11 @@
         .iter()
         .map(|bytes| C::decode(&core.platform, bytes));
     let changes: Result<Vec<C>, SourceError> = read.collect();
-    let news = News {
+    let update = ListUpdate {
         changes: changes.map_err(NoCopy::Malformed)?,
         version: reply.version,
         as_of: now.checked_sub(age).unwrap_or(now),
         whole: reply.whole,
     };
-    Ok((news, reply.changes))
+    Ok((update, reply.changes))
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tracing::info;
 
+use crate::admission;
 use crate::answer::{Refusal, RefusalCause};
 use crate::body::{AnswerBody, Piece};
 use crate::call::Call;
@@ -19,11 +20,10 @@
 use crate::events::EventSplitter;
 use crate::heads::{Head, InProgress};
 use crate::ports::{AnswerMeaning, Dialect, Platform};
-use crate::turn;
 
 /// Pieces that wait for a slow caller before its stream stops reading from the host.
 const PIECES_AHEAD: usize = 64;
-/// Refusals by hosts after which a call is given up: each was news from a host that was
+/// Refusals by hosts after which a call is given up: each showed a host that was
 /// fuller than it looked, and by then the picture is a second old.
 const MAX_REFUSALS: u32 = 4;
 /// When a caller should come back whose request hosts refused.
@@ -131,7 +131,7 @@
     }
 
     async fn place(&mut self) -> Result<InProgress<P>, Refusal> {
-        let taken = turn::take(
+        let taken = admission::admit(
             &self.core,
             &self.call,
             &self.service,
@@ -255,7 +255,7 @@
         let (tx, rx) = mpsc::channel(PIECES_AHEAD);
         let mut answer = Response::new(AnswerBody::Stream(rx));
         *answer.headers_mut() = headers;
-        tokio::spawn(async move { self.relay(begun, tx).await });
+        tokio::spawn(async move { self.snapshot_relay(begun, tx).await });
         Ok(answer)
     }
 
@@ -281,7 +281,7 @@
     }
 
     /// Hands events on; where the run breaks off, goes on at another replica.
-    async fn relay(mut self, mut begun: Begun<P>, tx: mpsc::Sender<Piece>) {
+    async fn snapshot_relay(mut self, mut begun: Begun<P>, tx: mpsc::Sender<Piece>) {
         loop {
             let end = self.read(&mut begun, &tx).await;
             let head = Arc::clone(&begun.place.head);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -22,12 +22,12 @@
 use crate::ports::{HostControl, HostReport, HostUnavailable, Platform};
 
 /// Replicas are looked at this often: a sixth of the shortest silence that counts.
-const LOOK: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// A member that gives no report for this long counts as silent: a report takes 1 to 5 ms
 /// between failure domains, and one repeated packet some 200 ms.
 pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
-/// How long other nodes hold on to the news: until long after the replica was dissolved.
-const NEWS_TTL: Duration = Duration::from_secs(15);
+/// How long other nodes hold on to the report: until long after the replica was dissolved.
+const LOSS_REPORT_TTL: Duration = Duration::from_secs(15);
 
 value! {
     /// Why a replica counts as lost.
@@ -42,7 +42,7 @@
 /// Looks for replicas that stand still, for ever.
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let rule = StallRule::default();
-    let mut looks = tokio::time::interval(LOOK);
+    let mut looks = tokio::time::interval(POLL_INTERVAL);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         looks.tick().await;
@@ -156,12 +156,12 @@
         let names: Vec<&str> = silent.iter().map(SmolStr::as_str).collect();
         // Not a verdict: a node that holds one counts as a watcher, which is taken for
         // dead unless it confirms its verdicts all the time.
-        let news = GroupRecord {
+        let update = GroupRecord {
             group: head.replica.clone(),
             version: head.epoch,
             record: names.join(",").into_bytes(),
         };
-        peer.publish_for(Item::Group(news), NEWS_TTL);
+        peer.publish_for(Item::Group(update), LOSS_REPORT_TTL);
     }
     let lost = LostReplica {
         replica: head.replica.clone(),
@@ -172,8 +172,10 @@
 }
 
 /// Takes another node's word that a replica is lost, unless its streams here say otherwise.
-pub(crate) fn heard<P: Platform>(core: &Core<P>, from: &NodeId, news: &GroupRecord) {
-    let head = locked(&core.heads).get(&news.group, news.version).cloned();
+pub(crate) fn heard<P: Platform>(core: &Core<P>, from: &NodeId, update: &GroupRecord) {
+    let head = locked(&core.heads)
+        .get(&update.group, update.version)
+        .cloned();
     if let Some(head) = head {
         if head.progress().moves(&StallRule::default(), Instant::now()) {
             info!(
@@ -185,15 +187,15 @@
         head.set_lost();
         core.freed();
     }
-    let names = String::from_utf8_lossy(&news.record);
+    let names = String::from_utf8_lossy(&update.record);
     let silent = names
         .split(',')
         .filter(|s| !s.is_empty())
         .map(HostId::from)
         .collect();
     let lost = LostReplica {
-        replica: news.group.clone(),
-        epoch: news.version,
+        replica: update.group.clone(),
+        epoch: update.version,
         silent,
     };
     core.planning.push(PlanningEvent::Lost(lost));
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -31,6 +31,6 @@
 pub use crate::refusals::Refusals;
 pub use crate::wire::messages::{
     Batch, Demand, Grant, Item as WireItem, Kind as WireKind, ListReply, ListRequest, OriginUpdate,
-    PlaceDecision, PlaceEvent, PlaceNotice, PlaceRequest, QuotaReply, QuotaRequest, ScheduleReply,
-    ScheduleRequest,
+    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent,
+    SlotEventKind, SlotRequest,
 };
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -463,7 +463,7 @@
     pub changes: Vec<Vec<u8>>,
 }
 
-/// Tells the node that places a model's requests what became of some, and asks for a place.
+/// Reports slot events to a model's scheduler, and may ask it for a slot.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ScheduleRequest {
     /// The asking node.
@@ -481,24 +481,24 @@
     /// The failure domain whose heads are meant; empty for all.
     #[prost(string, tag = "5")]
     pub heads_in: String,
-    /// A request that wants a place.
+    /// A request that needs a slot.
     #[prost(message, optional, tag = "6")]
-    pub ask: Option<PlaceRequest>,
-    /// What became of requests that have one, in order.
+    pub ask: Option<SlotRequest>,
+    /// What became of requests that have or had one, in order.
     #[prost(message, repeated, tag = "7")]
-    pub notices: Vec<PlaceNotice>,
+    pub slot_events: Vec<SlotEvent>,
 }
 
-/// A request that wants a place.
+/// A request that needs a slot.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct PlaceRequest {
+pub struct SlotRequest {
     /// Unique at the asking node. A request that waits is asked for again under its number.
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// Prompt tokens.
     #[prost(uint64, tag = "2")]
     pub prompt: u64,
-    /// Whether it goes on after its replica was lost.
+    /// Whether it continues after its replica was lost.
     #[prost(bool, tag = "3")]
     pub resumed: bool,
     /// 0 is the most urgent.
@@ -521,34 +521,34 @@
     pub wait_ms: u32,
 }
 
-/// What became of a request.
+/// A change of a slot.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct PlaceNotice {
-    /// Its number.
+pub struct SlotEvent {
+    /// The request's number.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// What became of it.
-    #[prost(enumeration = "PlaceEvent", tag = "2")]
+    /// What happened.
+    #[prost(enumeration = "SlotEventKind", tag = "2")]
     pub event: i32,
 }
 
-/// What becomes of a request that has a place.
+/// The kinds of slot events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ::prost::Enumeration)]
 #[repr(i32)]
-pub enum PlaceEvent {
-    /// It has ended or was given up.
-    Ended = 0,
+pub enum SlotEventKind {
+    /// The request has ended or was given up.
+    Released = 0,
     /// Its first event has come.
-    Began = 1,
-    /// The head refused it.
-    Refused = 2,
+    Started = 1,
+    /// The head rejected it.
+    Rejected = 2,
 }
 
-/// What was decided for a request that wants a place.
+/// A scheduler's answer.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ScheduleReply {
     /// What it is.
-    #[prost(enumeration = "PlaceDecision", tag = "1")]
+    #[prost(enumeration = "SlotDecision", tag = "1")]
     pub decision: i32,
     /// The replica whose head gets it.
     #[prost(string, tag = "2")]
@@ -558,16 +558,16 @@
     pub epoch: u64,
 }
 
-/// What is decided for a request that wants a place.
+/// The decisions on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ::prost::Enumeration)]
 #[repr(i32)]
-pub enum PlaceDecision {
-    /// Nothing: this node places no requests, or none was asked for.
+pub enum SlotDecision {
+    /// None: this node has no such scheduler, or nothing was asked.
     Unknown = 0,
     /// It is to be sent to the head that is named.
     Granted = 1,
     /// It waits; ask again.
     Waiting = 2,
-    /// There was no place in time.
+    /// No slot became free in time.
     Full = 3,
 }
--- a/crates/peer/tests/nodes.rs
+++ b/crates/peer/tests/nodes.rs
@@ -6,8 +6,8 @@
 
 use eelgrassmill_base::NodeId;
 use eelgrassmill_peer::{
-    Change, ConfigAnnouncement, Demand, Item, PeerError, PlaceRequest, QuotaRequest,
-    ScheduleRequest, Verdict,
+    Change, ConfigAnnouncement, Demand, Item, PeerError, QuotaRequest, ScheduleRequest,
+    SlotRequest, Verdict,
 };
 use googletest::prelude::*;
 
@@ -244,9 +244,9 @@
     let other = NodeId::from("node-1");
     let ask = |wait_ms, timeout| {
         let req = ScheduleRequest {
-            ask: Some(PlaceRequest {
+            ask: Some(SlotRequest {
                 wait_ms,
-                ..PlaceRequest::default()
+                ..SlotRequest::default()
             }),
             from: "node-0".into(),
             ..ScheduleRequest::default()
