Count a scheduler's queue in the load of its failure domain

Change: schedulers report, with what they assigned to a head, its part of the requests that wait; the choice of a domain counts both. While a request waits, its domain is chosen anew. After an ejection the second choice of scheduler is asked for the same request. Placing without a scheduler no longer searches all heads for each head, which cost the square of their number.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -197,7 +197,7 @@
                     waiting.ended(true, Instant::now());
                     return Ok(head.enter(None));
                 }
-                Choice::Full { places } if waiting.others() >= places => {
+                Choice::Full { slots } if waiting.others() >= slots => {
                     return Err(full(RefusalCause::Full));
                 }
                 _ => {}
@@ -229,7 +229,7 @@
     Free(Arc<Head>),
     /// All are full; together they have so many slots.
     Full {
-        places: usize,
+        slots: usize,
     },
     None,
 }
@@ -267,24 +267,20 @@
     if open.is_empty() {
         return Choice::None;
     }
-    let places: usize = open.iter().map(|h| h.slots).sum();
-    let candidates: Vec<Candidate> = open
-        .iter()
-        .map(|h| Candidate {
-            host: h.host.clone(),
-            load: h.load(),
-            slots: h.slots,
-            near: h.failure_domain == core.cfg.failure_domain,
-            failing_permille: 0,
-        })
-        .collect();
+    let slots: usize = open.iter().map(|h| h.slots).sum();
     let now = Instant::now();
-    let refuses = |c: &Candidate| open.iter().any(|h| h.host == c.host && h.refuses(now));
-    let free = candidates
-        .iter()
-        .filter(|c| c.load < c.slots + PIPELINE_DEPTH && !refuses(c));
-    let Some(chosen) = place(free, unseen, fastrand::f64()) else {
-        return Choice::Full { places };
+    let accepting = open.iter().filter(|h| !h.refuses(now));
+    let candidates = accepting.map(|h| Candidate {
+        host: h.host.clone(),
+        load: h.load(),
+        slots: h.slots,
+        near: h.failure_domain == core.cfg.failure_domain,
+        failing_permille: 0,
+    });
+    let candidates = candidates.filter(|c| c.load < c.slots + PIPELINE_DEPTH);
+    let free: Vec<Candidate> = candidates.collect();
+    let Some(chosen) = place(&free, unseen, fastrand::f64()) else {
+        return Choice::Full { slots };
     };
     let head = open.iter().find(|h| h.host == chosen.host);
     head.map_or(Choice::None, |h| Choice::Free(Arc::clone(h)))
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::ports::Platform;
+use crate::scheduler::ScheduledLoad;
 use crate::scheduler_client::Permit;
 
 /// How long a head that refused a request gets none: the time in which other nodes tell
@@ -64,6 +65,8 @@
 struct Assigned {
     by: NodeId,
     requests: usize,
+    /// This head's part of the requests that wait at the scheduler.
+    queued: usize,
     as_of: Instant,
 }
 
@@ -106,6 +109,12 @@
         self.unscheduled_here() + elsewhere + assigned
     }
 
+    /// Requests that wait at its scheduler, counted in equal parts for each head.
+    pub(crate) fn queued(&self) -> usize {
+        let reports = locked(&self.reports);
+        reports.assigned.as_ref().map_or(0, |a| a.queued)
+    }
+
     /// Takes another node's report of what it placed without a scheduler.
     pub(crate) fn reported_unscheduled(&self, node: &NodeId, requests: usize) {
         let mut reports = locked(&self.reports);
@@ -116,19 +125,19 @@
         }
     }
 
-    /// Takes the report of a scheduler, which may be this node; 0 where it schedules nothing.
-    pub(crate) fn reported_assigned(&self, by: &NodeId, requests: usize, as_of: Instant) {
+    /// Takes the report of a scheduler, which may be this node; no load where it schedules nothing.
+    pub(crate) fn reported_assigned(&self, by: &NodeId, load: ScheduledLoad, as_of: Instant) {
         let mut reports = locked(&self.reports);
         let known = reports.assigned.as_ref();
         let is_same = known.is_some_and(|a| a.by == *by);
         let is_newer = known.is_none_or(|a| a.as_of < as_of);
-        if requests == 0 && is_same {
+        if load == ScheduledLoad::default() && is_same {
             reports.assigned = None;
-        } else if requests > 0 && (is_same || is_newer) {
-            let by = by.clone();
+        } else if load != ScheduledLoad::default() && (is_same || is_newer) {
             reports.assigned = Some(Assigned {
-                by,
-                requests,
+                by: by.clone(),
+                requests: load.assigned,
+                queued: load.queued,
                 as_of,
             });
         }
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -5,6 +5,14 @@
 use googletest::prelude::*;
 
 use crate::heads::Head;
+use crate::scheduler::ScheduledLoad;
+
+fn assigned(assigned: usize) -> ScheduledLoad {
+    ScheduledLoad {
+        assigned,
+        queued: 0,
+    }
+}
 
 fn head() -> Head {
     let host = Host {
@@ -35,13 +43,13 @@
     let head = head();
     let now = Instant::now();
     let (former, successor): (NodeId, NodeId) = ("n1".into(), "n2".into());
-    head.reported_assigned(&former, 9, now);
-    head.reported_assigned(&successor, 4, now + Duration::from_secs(1));
+    head.reported_assigned(&former, assigned(9), now);
+    head.reported_assigned(&successor, assigned(4), now + Duration::from_secs(1));
     expect_that!(head.load(), eq(4));
     // A report of before the change comes late.
-    head.reported_assigned(&former, 9, now);
+    head.reported_assigned(&former, assigned(9), now);
     expect_that!(head.load(), eq(4));
-    head.reported_assigned(&former, 0, now + Duration::from_secs(2));
+    head.reported_assigned(&former, assigned(0), now + Duration::from_secs(2));
     expect_that!(head.load(), eq(4));
     head.forget(&successor);
     expect_that!(head.load(), eq(0));
@@ -51,7 +59,7 @@
 fn requests_placed_without_a_scheduler_count_beside_its_own() {
     let head = head();
     let now = Instant::now();
-    head.reported_assigned(&"n1".into(), 5, now);
+    head.reported_assigned(&"n1".into(), assigned(5), now);
     head.reported_unscheduled(&"n2".into(), 2);
     head.reported_unscheduled(&"n3".into(), 1);
     expect_that!(head.load(), eq(8));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use crate::heads::locked;
 use crate::nodes::NodeInfo;
 use crate::ports::{LeaderRecord, Platform};
+use crate::scheduler::ScheduledLoad;
 use crate::{scheduler, snapshot_relay, watch};
 
 /// Under this name the leader publishes its term.
@@ -105,9 +106,12 @@
     fn load(&self, origin: &NodeId, load: &GroupLoad, as_of: Instant) {
         let heads = locked(&self.core.heads);
         if let Some(head) = heads.get(&load.group, load.epoch) {
-            let unscheduled = load.running.saturating_add(load.waiting);
-            head.reported_unscheduled(origin, unscheduled as usize);
-            head.reported_assigned(origin, load.assigned as usize, as_of);
+            head.reported_unscheduled(origin, load.running as usize);
+            let scheduled = ScheduledLoad {
+                assigned: load.assigned as usize,
+                queued: load.waiting as usize,
+            };
+            head.reported_assigned(origin, scheduled, as_of);
         }
     }
 
@@ -259,19 +263,19 @@
 
 /// What this node has to report of heads' loads.
 fn group_loads<P: Platform>(core: &Core<P>, now: Instant) -> Vec<GroupLoad> {
-    let assigned = core.schedulers.loads();
+    let scheduled = core.schedulers.loads();
     let count = |requests: usize| u32::try_from(requests).unwrap_or(u32::MAX);
     let heads = locked(&core.heads);
     let loads = heads.all().map(|head| {
         let key = (head.replica.clone(), head.epoch);
-        let assigned = assigned.get(&key).copied().unwrap_or_default();
-        head.reported_assigned(&core.cfg.node, assigned, now);
+        let load = scheduled.get(&key).copied().unwrap_or_default();
+        head.reported_assigned(&core.cfg.node, load, now);
         GroupLoad {
             group: key.0,
             epoch: key.1,
             running: count(head.unscheduled_here()),
-            waiting: 0,
-            assigned: count(assigned),
+            waiting: count(load.queued),
+            assigned: count(load.assigned),
         }
     });
     loads.filter(|l| l.running > 0 || l.assigned > 0).collect()
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -57,14 +57,30 @@
     used: Instant,
 }
 
+value! { copy
+    /// What a scheduler reports of a head.
+    #[derive(Default)]
+    pub(crate) struct ScheduledLoad {
+        /// Requests that it has assigned to the head.
+        pub(crate) assigned: usize,
+        /// The head's part of the requests that wait.
+        pub(crate) queued: usize,
+    }
+}
+
 impl Schedulers {
-    /// What the schedulers of this node have assigned to each head.
-    pub(crate) fn loads(&self) -> HashMap<HeadKey, usize> {
+    /// What the schedulers of this node have to report of each head.
+    pub(crate) fn loads(&self) -> HashMap<HeadKey, ScheduledLoad> {
         let mut loads = HashMap::new();
         for running in locked(&self.running).values() {
             let running = locked(running);
-            let assigned = running.scheduler.loads();
-            loads.extend(assigned.map(|(key, requests)| (key.clone(), requests)));
+            let heads = running.scheduler.loads().count().max(1);
+            let queued = running.scheduler.waiting().div_ceil(heads);
+            let reports = running.scheduler.loads().map(|(key, assigned)| {
+                let load = ScheduledLoad { assigned, queued };
+                (key.clone(), load)
+            });
+            loads.extend(reports);
         }
         loads
     }
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -176,22 +176,32 @@
     core: &Arc<Core<P>>,
     wanted: &SlotWanted<'_>,
 ) -> Acquired<P> {
-    let Some((scope, node)) = scheduler_for(core, wanted.service, wanted.model) else {
-        return Acquired::NoScheduler;
-    };
     let mut stale = 0;
-    let mut permit = new_permit(core, &node, &scope);
+    let mut ejected = 0;
+    let mut waiting: Option<Permit<P>> = None;
     loop {
-        let ask = ask(wanted, permit.number);
-        let slot_events = take_slot_events(core, &(node.clone(), scope.clone()));
-        let wait = Duration::from_millis(ask.wait_ms.into());
-        let req = request(core, &scope, Some(ask), slot_events);
-        let Some(reply) = send(core, &node, req, wait + RPC_SLACK).await else {
-            eject(core, &node, &scope);
+        // Chosen anew while the request waits: the heads of another failure domain may have room,
+        // and after an ejection another node schedules.
+        let Some((scope, node)) = scheduler_for(core, wanted.service, wanted.model) else {
             return Acquired::NoScheduler;
         };
+        let same = waiting
+            .take()
+            .filter(|p| p.node == node && p.scope == scope);
+        let mut permit = same.unwrap_or_else(|| new_permit(core, node, scope));
+        let Some(reply) = ask_scheduler(core, wanted, &permit).await else {
+            eject(core, &permit.node, &permit.scope);
+            ejected += 1;
+            if ejected >= MAX_SCHEDULER_CHOICES {
+                return Acquired::NoScheduler;
+            }
+            continue;
+        };
         match reply.decision() {
-            SlotDecision::Waiting => continue,
+            SlotDecision::Waiting => {
+                waiting = Some(permit);
+                continue;
+            }
             SlotDecision::Full => {
                 permit.is_released = true;
                 return Acquired::Full;
@@ -207,10 +217,22 @@
         if stale >= MAX_STALE_GRANTS {
             return Acquired::NoScheduler;
         }
-        permit = new_permit(core, &node, &scope);
     }
 }
 
+/// Asks for a slot under the number of `permit`. `None` without an answer.
+async fn ask_scheduler<P: Platform>(
+    core: &Arc<Core<P>>,
+    wanted: &SlotWanted<'_>,
+    permit: &Permit<P>,
+) -> Option<ScheduleReply> {
+    let ask = ask(wanted, permit.number);
+    let slot_events = take_slot_events(core, &(permit.node.clone(), permit.scope.clone()));
+    let wait = Duration::from_millis(ask.wait_ms.into());
+    let req = request(core, &permit.scope, Some(ask), slot_events);
+    send(core, &permit.node, req, wait + RPC_SLACK).await
+}
+
 /// The granted head, unless this node doesn't know it or knows that it takes nothing new.
 ///
 /// A scheduler that is cut off from the store may grant a host that is leaving. Nodes that know
@@ -222,11 +244,11 @@
     (!head.is_lost()).then(|| Arc::clone(head))
 }
 
-fn new_permit<P: Platform>(core: &Arc<Core<P>>, node: &NodeId, scope: &Scope) -> Permit<P> {
+fn new_permit<P: Platform>(core: &Arc<Core<P>>, node: NodeId, scope: Scope) -> Permit<P> {
     Permit {
         core: Arc::clone(core),
-        node: node.clone(),
-        scope: scope.clone(),
+        node,
+        scope,
         // Unlike a count it can't be one that this node used before it was started again.
         number: fastrand::u64(..),
         is_released: false,
@@ -324,7 +346,7 @@
     let heads = locked(&core.heads);
     for head in heads.of_model(service, model) {
         let domain = domains.entry(head.failure_domain.clone()).or_default();
-        domain.0 += head.load();
+        domain.0 += head.load() + head.queued();
         domain.1 += head.slots;
     }
     domains
