Let a new scheduler count what the one before had assigned

Cause: since schedulers report the loads, a new scheduler's own first report replaced that of the one before, so that it took heads for empty whose slots were still in use.

Change: a scheduler takes over what its predecessor reported, as its first decision finds it, and counts ever fewer of these requests for 2 s; requests that nodes placed without a scheduler take slots, too. Tests a_new_scheduler_counts_what_the_one_before_assigned_until_it_has_ended and requests_placed_without_the_scheduler_take_slots.

--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -23,6 +23,7 @@
         slots: SLOTS,
         failure_domain: "east".into(),
         reported: 0,
+        unscheduled: 0,
     };
     (0..count).map(head).collect()
 }
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -32,9 +32,9 @@
 const FULL_BATCH_COST: Duration = Duration::from_millis(40);
 /// How long a head that refused a request gets none.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
-/// A scheduler that has just begun counts the loads that nodes tell for this long: requests
-/// that another one assigned are under way.
-const WARM_UP: Duration = Duration::from_secs(2);
+/// How long requests that an earlier scheduler assigned are counted, ever fewer of them: about as
+/// long as streams take.
+const INHERITED_TTL: Duration = Duration::from_secs(2);
 
 /// Weight of the newest time to a first event in the average, as 1 / this.
 const LEAD_MEMORY: u32 = 16;
@@ -67,8 +67,10 @@
         pub slots: usize,
         /// Its failure domain.
         pub failure_domain: FailureDomain,
-        /// Requests that it has, as far as nodes reported.
+        /// Requests that an earlier scheduler reported to have assigned to it.
         pub reported: usize,
+        /// Requests that nodes placed there without a scheduler.
+        pub unscheduled: usize,
     }
 
     /// A request that needs a slot.
@@ -131,6 +133,8 @@
 pub struct Scheduler {
     speed: EngineSpeed,
     began: Instant,
+    /// What an earlier scheduler had assigned, as the first decision found it.
+    inherited: Option<BTreeMap<HeadKey, usize>>,
     /// Invariant: sums over `assigned`.
     work: BTreeMap<HeadKey, HeadWork>,
     assigned: HashMap<RequestKey, Assignment>,
@@ -149,6 +153,7 @@
         Scheduler {
             speed,
             began: now,
+            inherited: None,
             work: BTreeMap::new(),
             assigned: HashMap::new(),
             next: 0,
@@ -165,9 +170,22 @@
     }
 
     /// The heads that have requests, and how many.
-    pub fn loads(&self) -> impl Iterator<Item = (&HeadKey, usize)> {
-        let busy = self.work.iter().filter(|(_, work)| work.requests > 0);
-        busy.map(|(key, work)| (key, work.requests))
+    pub fn loads(&self, now: Instant) -> BTreeMap<&HeadKey, usize> {
+        let inherited = self.inherited.iter().flat_map(BTreeMap::keys);
+        let keys = self.work.keys().chain(inherited);
+        let loads = keys.map(|key| (key, self.requests_at(key, now)));
+        loads.filter(|(_, requests)| *requests > 0).collect()
+    }
+
+    /// Requests at a head: those that this scheduler has assigned, and what is likely left of
+    /// those of the one before.
+    fn requests_at(&self, key: &HeadKey, now: Instant) -> usize {
+        let own = self.work.get(key).map_or(0, |work| work.requests);
+        let inherited = self.inherited.as_ref().and_then(|all| all.get(key));
+        let age = now.saturating_duration_since(self.began).as_secs_f64();
+        let left = (1.0 - age / INHERITED_TTL.as_secs_f64()).max(0.0);
+        let inherited = inherited.map_or(0.0, |requests| *requests as f64 * left);
+        own + inherited.ceil() as usize
     }
 
     /// Requests that wait.
@@ -250,6 +268,10 @@
 
     /// Decides for as many of those that wait as can be decided now.
     pub fn assign(&mut self, heads: &[OpenHead], now: Instant) -> Vec<(RequestKey, Outcome)> {
+        self.inherited.get_or_insert_with(|| {
+            let busy = heads.iter().filter(|h| h.reported > 0);
+            busy.map(|h| (h.key.clone(), h.reported)).collect()
+        });
         self.forget_old(heads, now);
         self.rank_late(now);
         let mut decided = Vec::new();
@@ -302,13 +324,11 @@
         let wanted = heads
             .iter()
             .filter(|h| !other || !ask.avoid.contains(&h.host));
-        let warming_up = now.saturating_duration_since(self.began) < WARM_UP;
         let idle = HeadWork::default();
         let mut best: Option<(Duration, &HeadKey)> = None;
         for head in wanted {
             let work = self.work.get(&head.key).unwrap_or(&idle);
-            let reported = if warming_up { head.reported } else { 0 };
-            let requests = work.requests.max(reported);
+            let requests = self.requests_at(&head.key, now) + head.unscheduled;
             if !self.has_room(work, requests, ask, head.slots, now) {
                 continue;
             }
@@ -333,7 +353,7 @@
     /// A late request that takes the last slot runs for seconds, and makes those late that arrive
     /// meanwhile: the overload would outlast its cause.
     fn is_tight(&self, heads: &[OpenHead], now: Instant) -> bool {
-        let requests = |h: &OpenHead| self.work.get(&h.key).map_or(0, |w| w.requests);
+        let requests = |h: &OpenHead| self.requests_at(&h.key, now) + h.unscheduled;
         let free = heads.iter().map(|h| h.slots.saturating_sub(requests(h)));
         let free: usize = free.sum();
         let wanted = self.arrivals.per_second(now) * self.lead.as_secs_f64();
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -33,6 +33,7 @@
         slots: SLOTS,
         failure_domain: "z1".into(),
         reported: 0,
+        unscheduled: 0,
     };
     (0..count).map(head).collect()
 }
@@ -328,6 +329,44 @@
     }
 }
 
+/// Guards against a new scheduler that fills heads anew once its own first report has replaced
+/// that of the scheduler before.
+#[gtest]
+fn a_new_scheduler_counts_what_the_one_before_assigned_until_it_has_ended() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(speed(), now);
+    let mut open = heads(2);
+    open[0].reported = SLOTS;
+    open[1].reported = SLOTS;
+    scheduler.assign(&open, now);
+    for head in &mut open {
+        head.reported = 0;
+    }
+    let soon = now + millis(500);
+    for n in 0..2 * SLOTS as u64 {
+        scheduler.ask(ask(n, 0, soon), soon);
+    }
+    let assigned = scheduler.assign(&open, soon).len();
+    // A quarter of the streams of before have ended, and each head takes one beyond its slots.
+    expect_that!(assigned, all![ge(SLOTS / 2), le(SLOTS / 2 + 2)]);
+    let later = now + millis(2000);
+    expect_that!(scheduler.assign(&open, later).len(), gt(SLOTS));
+}
+
+/// Guards against a scheduler filling heads that nodes have filled without it.
+#[gtest]
+fn requests_placed_without_the_scheduler_take_slots() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(speed(), now - Duration::from_secs(10));
+    let mut open = heads(1);
+    open[0].unscheduled = SLOTS - 1;
+    for n in 0..SLOTS as u64 {
+        scheduler.ask(ask(n, 0, now), now);
+    }
+    // The last slot, and one request beyond the slots.
+    expect_that!(scheduler.assign(&open, now).len(), eq(2));
+}
+
 /// The message that a stream has ended is lost. Its place must not be missing for ever, or
 /// heads would seem full while they do nothing.
 #[gtest]
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -103,10 +103,19 @@
 
     /// Requests of all nodes that it has, as far as they reported.
     pub(crate) fn load(&self) -> usize {
+        self.unscheduled() + self.assigned()
+    }
+
+    /// Requests that nodes placed there without a scheduler, as far as they reported.
+    pub(crate) fn unscheduled(&self) -> usize {
+        let elsewhere: usize = locked(&self.reports).unscheduled.values().sum();
+        self.unscheduled_here() + elsewhere
+    }
+
+    /// Requests that a scheduler reported to have assigned to it.
+    pub(crate) fn assigned(&self) -> usize {
         let reports = locked(&self.reports);
-        let elsewhere: usize = reports.unscheduled.values().sum();
-        let assigned = reports.assigned.as_ref().map_or(0, |a| a.requests);
-        self.unscheduled_here() + elsewhere + assigned
+        reports.assigned.as_ref().map_or(0, |a| a.requests)
     }
 
     /// Requests that wait at its scheduler, counted in equal parts for each head.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -263,7 +263,7 @@
 
 /// What this node has to report of heads' loads.
 fn group_loads<P: Platform>(core: &Core<P>, now: Instant) -> Vec<GroupLoad> {
-    let scheduled = core.schedulers.loads();
+    let scheduled = core.schedulers.loads(now);
     let count = |requests: usize| u32::try_from(requests).unwrap_or(u32::MAX);
     let heads = locked(&core.heads);
     let loads = heads.all().map(|head| {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -70,13 +70,13 @@
 
 impl Schedulers {
     /// What the schedulers of this node have to report of each head.
-    pub(crate) fn loads(&self) -> HashMap<HeadKey, ScheduledLoad> {
+    pub(crate) fn loads(&self, now: Instant) -> HashMap<HeadKey, ScheduledLoad> {
         let mut loads = HashMap::new();
         for running in locked(&self.running).values() {
             let running = locked(running);
-            let heads = running.scheduler.loads().count().max(1);
-            let queued = running.scheduler.waiting().div_ceil(heads);
-            let reports = running.scheduler.loads().map(|(key, assigned)| {
+            let assigned = running.scheduler.loads(now);
+            let queued = running.scheduler.waiting().div_ceil(assigned.len().max(1));
+            let reports = assigned.into_iter().map(|(key, assigned)| {
                 let load = ScheduledLoad { assigned, queued };
                 (key.clone(), load)
             });
@@ -222,7 +222,8 @@
         host: h.host.clone(),
         slots: h.slots,
         failure_domain: h.failure_domain.clone(),
-        reported: h.load(),
+        reported: h.assigned(),
+        unscheduled: h.unscheduled(),
     });
     open.collect()
 }
