Move roles away from nodes that run late

Cause: a scheduler or a relay of lists at a host that turns slow stays there while its node counts as up; each caller finds out by a timeout of its own, and goes back after 2 s.

Change: each node measures how late its timer runs. Connections accepted from other nodes 256 to 512, since roles are at fewer nodes now.

Not yet played on a deployment.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod schedule;
 mod spill;
 mod stall;
+mod strain;
 
 pub use crate::catalog::{
     Caller, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec, Repeat, Route,
@@ -40,3 +41,4 @@
 pub use crate::schedule::{Ask, HeadKey, OpenHead, Outcome, RequestKey, Scheduler};
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{Progress, StallRule};
+pub use crate::strain::Strain;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -18,7 +18,7 @@
 use crate::heads::{HeadTable, locked};
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
-use crate::nodes::Nodes;
+use crate::nodes::{Nodes, usable_processor};
 use crate::peers::{LOAD_INTERVAL, Peers};
 use crate::planning::PlanningEvent;
 use crate::ports::Platform;
@@ -54,6 +54,7 @@
     /// Whether the time of those that still run is over: the process is about to exit.
     ending: watch::Sender<bool>,
     served: AtomicBool,
+    strained: AtomicBool,
     store_failures: AtomicU64,
     peer: OnceLock<Arc<PeerNode<Peers<P>>>>,
     /// How old other nodes' loads are when they are heard.
@@ -88,6 +89,7 @@
             stopping: watch::Sender::new(false),
             ending: watch::Sender::new(false),
             served: AtomicBool::new(false),
+            strained: AtomicBool::new(false),
             store_failures: AtomicU64::new(0),
             peer: OnceLock::new(),
             load_transit: Mutex::new(LOAD_INTERVAL),
@@ -167,10 +169,19 @@
         RoleCandidate {
             id: &self.cfg.node,
             failure_domain: &self.cfg.failure_domain,
-            processor: self.cfg.processor,
+            processor: usable_processor(self.cfg.processor, self.is_strained()),
         }
     }
 
+    /// Whether this node has too little processor for what it does.
+    pub(crate) fn is_strained(&self) -> bool {
+        self.strained.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_strained(&self, strained: bool) {
+        self.strained.store(strained, Ordering::Relaxed);
+    }
+
     /// Whether another node is known to be up.
     pub(crate) fn knows_others(&self) -> bool {
         locked(&self.nodes).alive(Instant::now()).next().is_some()
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes/mod.rs
@@ -1,5 +1,8 @@
 //! The nodes that are up, as they tell each other.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -34,6 +37,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     info: NodeInfo,
+    /// It has too little processor for what it does.
+    strained: bool,
     heard: Instant,
 }
 
@@ -46,6 +51,10 @@
 /// that died counts as dead, and longer than most connections are silent.
 const COPY_RETRY_AFTER: Duration = Duration::from_secs(3);
 
+/// A strained node counts as one with its processor divided by this, so that it takes a role only
+/// where nearly all others are strained, too.
+const STRAIN_DIVISOR: u32 = 4;
+
 /// The other nodes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Nodes {
@@ -61,11 +70,25 @@
     /// Takes what a node says of itself. Whether the node was unknown or says something new.
     pub(crate) fn on_status(&mut self, node: &NodeId, info: NodeInfo, heard: Instant) -> bool {
         self.lost.remove(node);
-        let changed = self.known.get(node).is_none_or(|k| k.info != info);
-        self.known.insert(node.clone(), Known { info, heard });
+        let known = self.known.get(node);
+        let changed = known.is_none_or(|k| k.info != info);
+        let strained = known.is_some_and(|k| k.strained);
+        let known = Known {
+            info,
+            strained,
+            heard,
+        };
+        self.known.insert(node.clone(), known);
         changed
     }
 
+    /// Takes a node's word whether it is strained.
+    pub(crate) fn set_strained(&mut self, node: &str, strained: bool) {
+        if let Some(known) = self.known.get_mut(node) {
+            known.strained = strained;
+        }
+    }
+
     /// Notes a sign of life.
     pub(crate) fn heard(&mut self, node: &str, at: Instant) {
         if let Some(known) = self.known.get_mut(node) {
@@ -162,11 +185,20 @@
     }
 }
 
+/// Processor that a node has for a role, in thousandths of a core.
+pub(crate) fn usable_processor(processor: u32, strained: bool) -> u32 {
+    if strained {
+        processor / STRAIN_DIVISOR
+    } else {
+        processor
+    }
+}
+
 fn candidate<'n>((id, known): (&'n NodeId, &'n Known)) -> RoleCandidate<'n> {
     RoleCandidate {
         id,
         failure_domain: &known.info.failure_domain,
-        processor: known.info.processor,
+        processor: usable_processor(known.info.processor, known.strained),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/nodes/tests.rs
@@ -0,0 +1,39 @@
+use std::time::Instant;
+
+use eelgrassmill_base::NodeId;
+use eelgrassmill_fleet::ranked_for_role;
+use googletest::prelude::*;
+
+use crate::nodes::{NodeInfo, Nodes};
+
+fn nodes(now: Instant) -> Nodes {
+    let mut nodes = Nodes::default();
+    for (id, processor) in [("large-1", 500), ("large-2", 500), ("small-1", 120)] {
+        let info = NodeInfo {
+            address: "127.0.0.1:1".into(),
+            failure_domain: "east".into(),
+            processor,
+            leaving: false,
+        };
+        nodes.on_status(&id.into(), info, now);
+    }
+    nodes
+}
+
+fn first(nodes: &Nodes, now: Instant) -> Option<NodeId> {
+    let ranked = ranked_for_role("role", None, nodes.alive(now));
+    ranked.first().map(|id| NodeId::clone(id))
+}
+
+/// Guards against a role staying at a node that has turned slow.
+#[gtest]
+fn a_role_leaves_a_strained_node_and_comes_back() {
+    let now = Instant::now();
+    let mut nodes = nodes(now);
+    let usual = first(&nodes, now).expect("one takes it");
+    nodes.set_strained(&usual, true);
+    let other = first(&nodes, now).expect("one takes it");
+    expect_that!(other, all![not(eq(&usual)), not(eq("small-1"))]);
+    nodes.set_strained(&usual, false);
+    expect_that!(first(&nodes, now), some(eq(&usual)));
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,7 @@
 
     fn node_load(&self, origin: &NodeId, load: &NodeLoad) {
         self.core.configuration.heard(origin, load.config_version);
+        locked(&self.core.nodes).set_strained(origin, load.strained);
         // A load says that callers' requests have come: loads of weights are slow now.
         if load.load_permille > 0 {
             self.core.set_served();
@@ -256,6 +257,7 @@
         peer.publish(Item::Load(NodeLoad {
             config_version,
             load_permille,
+            strained: core.is_strained(),
         }));
         reported = current;
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, NodeId, value};
-use eelgrassmill_fleet::{Host, MembershipPhase, StallRule};
+use eelgrassmill_fleet::{Host, MembershipPhase, StallRule, Strain};
 use eelgrassmill_peer::{GroupRecord, Item};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -42,10 +42,11 @@
 /// Looks for replicas that stand still, for ever.
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let rule = StallRule::default();
-    let mut looks = tokio::time::interval(POLL_INTERVAL);
-    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut strain = Strain::default();
     loop {
-        looks.tick().await;
+        let due = Instant::now() + POLL_INTERVAL;
+        tokio::time::sleep_until(due.into()).await;
+        note_strain(&core, &mut strain, due);
         drop_missing(&core);
         // While the store is away entries of dead heads stand: each try would cost streams.
         if core.store_failures() == 0 {
@@ -59,6 +60,16 @@
     }
 }
 
+/// Takes how late this loop's timer was.
+fn note_strain<P: Platform>(core: &Core<P>, strain: &mut Strain, due: Instant) {
+    let now = Instant::now();
+    strain.on_timer(now.saturating_duration_since(due), now);
+    if strain.is_strained() != core.is_strained() {
+        core.set_strained(strain.is_strained());
+        info!(event = "strain", strained = strain.is_strained());
+    }
+}
+
 /// Drops hosts whose entries went while the store was away and did not come back in time.
 ///
 /// The store tells of nothing when that time is over, so it must not wait for the next
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -410,6 +410,7 @@
     peer.publish(Item::Load(NodeLoad {
         config_version: core.config.version(),
         load_permille,
+        strained: false,
     }));
 }
 
--- a/crates/peer/examples/capacity/spread.rs
+++ b/crates/peer/examples/capacity/spread.rs
@@ -93,6 +93,7 @@
             let load = NodeLoad {
                 config_version: 4,
                 load_permille,
+                strained: false,
             };
             self.net.publish(&member.id, Item::Load(load));
         }
--- a/crates/peer/src/dissemination/mod.rs
+++ b/crates/peer/src/dissemination/mod.rs
@@ -226,7 +226,7 @@
     ///
     /// Loads wait for their turn; only the last value travels, and only when it differs
     /// enough from the one that the others have. A load that tells of another
-    /// configuration in force goes with the next tick.
+    /// configuration in force, or of strain, goes with the next tick.
     pub fn publish(&mut self, item: Item, now: Instant) {
         if item.pace() != Pace::Slow {
             self.put(item, None, now);
@@ -237,7 +237,7 @@
         let own = self.records.get(&self.cfg.me.id);
         match own.and_then(|record| record.get(&key)) {
             Some(held) if held.is_close_to(&item) => {}
-            Some(held) if held.config_version() != item.config_version() => {
+            Some(held) if held.urgent_part() != item.urgent_part() => {
                 self.put(item, None, now);
             }
             _ => {
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -77,6 +77,8 @@
         pub config_version: ConfigVersion,
         /// How full it is, in thousandths.
         pub load_permille: u32,
+        /// Whether it has too little processor for what it does.
+        pub strained: bool,
     }
 
     /// A target that takes no new work.
@@ -236,6 +238,7 @@
         match (self, new) {
             (Item::Load(a), Item::Load(b)) => {
                 a.config_version == b.config_version
+                    && a.strained == b.strained
                     && a.load_permille.abs_diff(b.load_permille) < LOAD_STEP
             }
             (Item::GroupLoad(a), Item::GroupLoad(b)) => {
@@ -246,10 +249,10 @@
         }
     }
 
-    /// The configuration in force that a load tells of.
-    pub(crate) fn config_version(&self) -> Option<ConfigVersion> {
+    /// What a load says that others act on at once: the configuration in force, and strain.
+    pub(crate) fn urgent_part(&self) -> Option<(ConfigVersion, bool)> {
         match self {
-            Item::Load(load) => Some(load.config_version),
+            Item::Load(load) => Some((load.config_version, load.strained)),
             _ => None,
         }
     }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -27,7 +27,7 @@
 use crate::wire::server::PeerServer;
 
 /// Most connections that a node accepts from others.
-const MAX_ACCEPTED: usize = 256;
+const MAX_ACCEPTED: usize = 512;
 /// Most calls that one connection has under way. Beside short calls these are requests of one node that wait for places, for 1.4 s at most.
 const MAX_STREAMS: u32 = 256;
 /// Most batches to one node that are under way.
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -43,6 +43,7 @@
         Item::Load(l) => Kind::Load(wire::NodeLoad {
             config_version: l.config_version,
             load_permille: l.load_permille,
+            strained: l.strained,
         }),
         Item::Leaving(l) => Kind::Leaving(wire::LeavingTarget {
             host: l.host.to_string(),
@@ -124,6 +125,7 @@
         Kind::Load(l) => Item::Load(NodeLoad {
             config_version: l.config_version,
             load_permille: l.load_permille,
+            strained: l.strained,
         }),
         Kind::Leaving(l) => Item::Leaving(LeavingTarget {
             host: name(l.host)?,
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -185,6 +185,9 @@
     /// How full it is, in thousandths.
     #[prost(uint32, tag = "2")]
     pub load_permille: u32,
+    /// Whether it has too little processor for what it does.
+    #[prost(bool, tag = "3")]
+    pub strained: bool,
 }
 
 /// A target that takes no new work.
