Score heads by the time that they take to a first event

Cause: a replica is as slow as its slowest member. The scheduler reckoned with the engines' own speed for all heads, and a slow one got fewer requests only once its batch had filled up, by then with requests that were late.

Change: the time to a first event is averaged for each head; a head that takes more than 1.5 times the usual time counts as that much slower, for 2 s after the last measure.

Not yet played on a deployment.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -38,6 +38,16 @@
 
 /// Weight of the newest time to a first event in the average, as 1 / this.
 const LEAD_MEMORY: u32 = 16;
+/// A head's own time to a first event counts for this long after the last one. Then it is tried
+/// again like the others.
+const PACE_TTL: Duration = Duration::from_secs(2);
+/// Weight of the newest time to a first event in a head's own average, as 1 / this.
+const PACE_MEMORY: u32 = 4;
+/// Bounds of a head's pace, in the usual times to a first event.
+const MIN_PACE: f64 = 1.0;
+const MAX_PACE: f64 = 20.0;
+/// A head that takes less than this many usual times counts as no slower than the others.
+const SLOW_PACE: f64 = 1.5;
 /// A first event may take this many times the usual time.
 const LEAD_MARGIN: f64 = 1.25;
 /// How long a slot whose release is not reported stays assigned: longer than streams usually
@@ -126,6 +136,18 @@
     /// The shortest pause that one of its requests may have.
     pause: Option<Duration>,
     refuses_until: Option<Instant>,
+    /// Time from a grant to its first event, a moving average, and when it was last measured.
+    lead: Option<(Duration, Instant)>,
+}
+
+impl HeadWork {
+    /// Its time to a first event, unless none was measured lately.
+    fn recent_lead(&self, now: Instant) -> Option<Duration> {
+        let recent = |at: Instant| now.saturating_duration_since(at) < PACE_TTL;
+        self.lead
+            .filter(|(_, at)| recent(*at))
+            .map(|(lead, _)| lead)
+    }
 }
 
 /// Places the requests of one model at its heads.
@@ -211,6 +233,11 @@
         if let Some(assigned) = self.assigned.get(key).filter(|p| !p.began) {
             let lead = now.saturating_duration_since(assigned.at);
             self.lead = (self.lead * (LEAD_MEMORY - 1) + lead) / LEAD_MEMORY;
+            if let Some(work) = self.work.get_mut(&assigned.head) {
+                let before = work.recent_lead(now).unwrap_or(lead);
+                let mean = (before * (PACE_MEMORY - 1) + lead) / PACE_MEMORY;
+                work.lead = Some((mean, now));
+            }
             self.read(key);
         }
     }
@@ -334,7 +361,8 @@
             }
             let fill = requests as f64 / head.slots.max(1) as f64;
             let near = head.failure_domain == ask.failure_domain;
-            let cost = self.speed.pass(requests, work.unread + ask.prompt)
+            let pass = self.speed.pass(requests, work.unread + ask.prompt);
+            let cost = pass.mul_f64(self.pace_of(work, now))
                 + FULL_BATCH_COST.mul_f64(fill)
                 + if near {
                     Duration::ZERO
@@ -348,6 +376,20 @@
         best.map(|(_, key)| key.clone())
     }
 
+    /// How many times the usual time a head takes to a first event: a replica is as slow as its
+    /// slowest member.
+    fn pace_of(&self, work: &HeadWork, now: Instant) -> f64 {
+        let Some(lead) = work.recent_lead(now) else {
+            return MIN_PACE;
+        };
+        let usual = self.lead.as_secs_f64().max(f64::EPSILON);
+        let pace = lead.as_secs_f64() / usual;
+        if pace < SLOW_PACE {
+            return MIN_PACE;
+        }
+        pace.min(MAX_PACE)
+    }
+
     /// Whether all free slots will soon be needed by requests that can be on time.
     ///
     /// A late request that takes the last slot runs for seconds, and makes those late that arrive
@@ -377,7 +419,8 @@
             return true;
         }
         let pause = work.pause.map_or(ask.pause, |p| p.min(ask.pause));
-        self.speed.pass(requests, work.unread + ask.prompt) <= pause.mul_f64(MAX_PASS_RATIO)
+        let pass = self.speed.pass(requests, work.unread + ask.prompt);
+        pass.mul_f64(self.pace_of(work, now)) <= pause.mul_f64(MAX_PASS_RATIO)
     }
 
     /// Drops requests whose end nobody reported, and heads that are gone.
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -76,6 +76,8 @@
 struct Head {
     streams: Vec<Stream>,
     pass_ends: Option<Instant>,
+    /// Its passes take this many times the usual time.
+    slowness: f64,
 }
 
 /// What became of a request.
@@ -113,6 +115,7 @@
         let idle = Head {
             streams: Vec::new(),
             pass_ends: None,
+            slowness: 1.0,
         };
         World {
             now,
@@ -251,7 +254,8 @@
         }
         if !head.streams.is_empty() {
             let writers = head.streams.len().min(SLOTS);
-            head.pass_ends = Some(self.now + speed().pass(writers, read));
+            let pass = speed().pass(writers, read).mul_f64(head.slowness);
+            head.pass_ends = Some(self.now + pass);
         }
     }
 
@@ -293,6 +297,33 @@
     expect_that!(on_time(Way::Scheduler, 110.0), gt(0.6));
 }
 
+/// Guards against requests being sent to replicas with a slow member while others have room.
+#[gtest]
+fn requests_avoid_heads_that_turned_slow() {
+    for slowness in [2.5, 5.0, 12.0] {
+        play_slow_heads(slowness);
+    }
+}
+
+fn play_slow_heads(slowness: f64) {
+    let mut world = World::new(6, Way::Scheduler);
+    world.play(50.0, Duration::from_secs(5));
+    for head in &mut world.heads[..2] {
+        head.slowness = slowness;
+    }
+    let from = world.now + Duration::from_secs(2);
+    world.play(50.0, Duration::from_secs(12));
+    // The four others can write 63 in a second.
+    expect_that!(world.on_time(from, from + Duration::from_secs(8)), gt(0.9));
+    for head in &mut world.heads {
+        head.slowness = 1.0;
+    }
+    let from = world.now + Duration::from_secs(4);
+    // More than the four can write: the others are used again.
+    world.play(75.0, Duration::from_secs(10));
+    expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.9));
+}
+
 /// For five seconds three times as many drafts come as heads can serve. Those that can be on
 /// time go first, others are told to come back. Three seconds after the burst all is as
 /// before. Where each node sends what it has, heads still read old prompts then.
