Revert "Serve at once after a start"

Cause: nodes that know no other yet can't know their share of the heads' slots, and took on all that came. Without the lists they answer 503 with a time to come back for half a second, until they know who schedules.

Conclusion: reverted. A bound on what a node that has just started takes on is untried.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -62,9 +62,6 @@
     pub(crate) began: Instant,
 }
 
-/// Nodes that start together hear of each other within this. Until then a node neither asks the
-/// store for each change nor takes itself for the only candidate for a role.
-const INTRODUCTION: Duration = Duration::from_millis(1000);
 /// Weight of the newest time in the average of [`Core::load_age`], as 1 / this: some
 /// hundred are heard in a second.
 const TRANSIT_MEMORY: u32 = 64;
@@ -185,18 +182,6 @@
         self.strained.store(strained, Ordering::Relaxed);
     }
 
-    /// Whether this node has others to hear of and has not had the time yet.
-    pub(crate) fn has_just_started(&self) -> bool {
-        let addresses = &self.cfg.addresses;
-        let has_seeds = addresses.seeds.iter().any(|s| *s != addresses.peers);
-        has_seeds && self.began.elapsed() < INTRODUCTION
-    }
-
-    /// Whether this node has just started and has yet to hear of any other.
-    pub(crate) fn awaits_introduction(&self) -> bool {
-        self.has_just_started() && !self.knows_others()
-    }
-
     /// Whether another node is known to be up.
     pub(crate) fn knows_others(&self) -> bool {
         locked(&self.nodes).alive(Instant::now()).next().is_some()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,7 +19,11 @@
 const POLL_TIME: Duration = Duration::from_millis(500);
 /// Pause after an answer with changes, so that changes that come together cost one call.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
-/// How often a node that has just started checks whether it knows others.
+/// A node that has just started gives others this long to introduce themselves and to have a
+/// copy of the lists, before it asks the store. When all nodes start at once each would
+/// otherwise read whole lists that change several times a second.
+const INTRODUCTION: Duration = Duration::from_millis(1000);
+/// How often it looks meanwhile.
 const INTRODUCTION_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failure; grows up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -60,28 +64,32 @@
 {
     /// What is new, from the node that should tell it, or else from the store.
     async fn next(&self) -> Result<Answer<S::Change>, SourceError> {
-        // The first lists are read at once: callers wait for a node that has just started.
-        while self.cursor.is_some() && self.core.awaits_introduction() {
-            tokio::time::sleep(INTRODUCTION_POLL).await;
-        }
-        loop {
-            let Some(parent) = snapshot_relay::parent(self.core) else {
-                // After a failure the first question is one that is answered at once: a wait
-                // on a connection that is dead would hide for seconds that the store is back.
-                let wait = if self.healthy {
-                    POLL_TIME
-                } else {
-                    Duration::ZERO
+        while self.awaits_introduction() {
+            if self.core.knows_others() {
+                let Some(parent) = snapshot_relay::parent(self.core) else {
+                    break;
                 };
-                return self.read_store(wait).await;
-            };
-            match self.ask(&parent).await {
-                Ok(answer) => return Ok(answer),
-                Err(NoCopy::None) if self.cursor.is_some() && self.core.has_just_started() => {
-                    tokio::time::sleep(INTRODUCTION_POLL).await;
+                match self.ask(&parent).await {
+                    Err(NoCopy::None) => {}
+                    Err(why) => return self.read_instead(&parent, &why).await,
+                    Ok(answer) => return Ok(answer),
                 }
-                Err(why) => return self.read_instead(&parent, &why).await,
             }
+            tokio::time::sleep(INTRODUCTION_POLL).await;
+        }
+        let Some(parent) = snapshot_relay::parent(self.core) else {
+            // After a failure the first question is one that is answered at once: a wait
+            // on a connection that is dead would hide for seconds that the store is back.
+            let wait = if self.healthy {
+                POLL_TIME
+            } else {
+                Duration::ZERO
+            };
+            return self.read_store(wait).await;
+        };
+        match self.ask(&parent).await {
+            Ok(answer) => Ok(answer),
+            Err(why) => self.read_instead(&parent, &why).await,
         }
     }
 
@@ -107,6 +115,13 @@
         self.read_store(Duration::ZERO).await
     }
 
+    /// Whether this node has just started, has read nothing and is to hear of others.
+    fn awaits_introduction(&self) -> bool {
+        let addresses = &self.core.cfg.addresses;
+        let has_seeds = addresses.seeds.iter().any(|s| *s != addresses.peers);
+        has_seeds && self.cursor.is_none() && self.core.began.elapsed() < INTRODUCTION
+    }
+
     async fn read_store(&self, wait: Duration) -> Result<Answer<S::Change>, SourceError> {
         let (changes, version) = match self.cursor {
             None => self.source.snapshot().await?,
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -294,10 +294,6 @@
     service: &ServiceName,
     model: &ModelName,
 ) -> Option<(Scope, NodeId)> {
-    // Nodes that start together would each schedule all requests of their own, at the same heads.
-    if core.has_just_started() {
-        return None;
-    }
     let domains = open_domains(core, service, model);
     let scope = |heads_in: Option<FailureDomain>| Scope {
         service: service.clone(),
