Start in order: greet seeds often, one leader, and ask all hosts before forming

Cause, from the logs of such a start: of nodes that start within 0.3 s of each other most greet seeds that don't listen yet, and greeted again after 2 s. Until then each took itself for the first of its failure domain and followed the lists in the store. A node led at -12.6 s that wasn't the first of the strongest; the right one had not heard of it and took over at -10.2 s. As a second leader it may use only hosts that told it themselves where they belong; they answered one by one, and of the first few in each domain it formed five replicas of 4 and none of 16. After the first request 16 loads a replica take minutes.

Change: seeds are greeted every 0.2 s while nobody else is known; a node claims the lease no sooner than 1.5 s after its start; a domain forms nothing while hosts in it have yet to be asked; after its first read of a list a node that has just started waits for its parent.

Tests, each failing before: a_node_that_starts_before_its_seed_hears_of_it_soon (1.8 s, bound 1 s), a_new_planner_forms_nothing_of_the_first_hosts_that_answer (8 of 4 and 0 of 16 in a domain of 35). Ruled out: the order of loads in the seconds before traffic, which is right where one leader stays.

--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -6,7 +6,7 @@
 //! member would bind the others for that time, and begin anew whenever the replica is
 //! formed differently or another planner takes over.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FabricDomain, GroupId, HostId, ModelName};
@@ -51,8 +51,12 @@
             return;
         }
         let mut domains = self.free_hosts(view);
+        let unasked = self.domains_to_ask(view);
         for (fabric, free) in &mut domains {
-            self.form_in(view, fabric, free, commands);
+            // The first few hosts that answer a new planner would go to whichever model fits.
+            if !unasked.contains(fabric) {
+                self.form_in(view, fabric, free, commands);
+            }
         }
         // Before requests come, replicas that serve are loaded first.
         let waits = |f: &Formation| f.purpose == Purpose::Serve && f.step != Step::Open;
@@ -71,6 +75,16 @@
         }
     }
 
+    /// Fabric domains with hosts that have yet to tell this planner which replica they belong to.
+    fn domains_to_ask<'f>(&self, view: &View<'f>) -> BTreeSet<&'f FabricDomain> {
+        let unasked = |h: &&Host| {
+            let is_ours = h.service == view.service.name && h.is_ready();
+            is_ours && !self.knows(h) && !self.silent.contains_key(&h.id)
+        };
+        let hosts = view.fleet.hosts().filter(unasked);
+        hosts.map(|h| &h.fabric).collect()
+    }
+
     /// Hosts that no serving formation has, by fabric domain.
     pub(super) fn free_hosts<'f>(&self, view: &View<'f>) -> BTreeMap<FabricDomain, Vec<&'f Host>> {
         let mut domains: BTreeMap<FabricDomain, Vec<&Host>> = BTreeMap::new();
--- a/crates/fleet/tests/packing.rs
+++ b/crates/fleet/tests/packing.rs
@@ -90,6 +90,45 @@
     counts
 }
 
+/// Guards against a model without replicas for hours after the planner changed while all started:
+/// hosts answer the new planner one by one, and the first few only fit the small model.
+#[gtest]
+fn a_new_planner_forms_nothing_of_the_first_hosts_that_answer() {
+    let began = Instant::now();
+    let service = service(vec![model("large", 16, 0.5), model("small", 4, 0.5)]);
+    let hosts: Vec<Host> = (0..35).map(|n| host(0, n, None)).collect();
+    let fleet = fleet(hosts.clone(), began);
+    let mut planner = Planner::new(2, PlannerTiming::default(), began);
+    let mut sizes: BTreeMap<SmolStr, usize> = BTreeMap::new();
+    for step in 0..100 {
+        let at = began + Duration::from_millis(60) * step;
+        // Asked once the planner before can give no orders; then five more answer in each step.
+        let settled = (step as usize).saturating_sub(33);
+        let able = &hosts[..hosts.len().min(settled * 5)];
+        for command in planner.step(&fleet, &[&service], true, at) {
+            match command {
+                Command::Ask { host } => {
+                    let told = able.iter().find(|h| h.id == host);
+                    told.map(|told| planner.on_report(told, &fleet, at));
+                }
+                Command::Order {
+                    order:
+                        Order::Join {
+                            replica, members, ..
+                        },
+                    ..
+                } => {
+                    sizes.insert(replica, members.len());
+                }
+                Command::Order { .. } => {}
+            }
+        }
+    }
+    let of_size = |size: usize| sizes.values().filter(|s| **s == size).count();
+    expect_that!(of_size(16), eq(1), "{sizes:?}");
+    expect_that!(of_size(4), eq(4), "{sizes:?}");
+}
+
 /// The share of a model is of the work of all hosts. One with small replicas needs more of
 /// them for its share; were replicas counted alike, the hosts that the large model doesn't fit
 /// on any more would do nothing, 17 of 37 in each domain, and the small one's callers wait.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -22,7 +22,7 @@
 /// A node that has just started gives others this long to introduce themselves and to have a
 /// copy of the lists, before it asks the store. When all nodes start at once each would
 /// otherwise read whole lists that change several times a second.
-const INTRODUCTION: Duration = Duration::from_millis(1000);
+const INTRODUCTION: Duration = Duration::from_millis(1500);
 /// How often it looks meanwhile.
 const INTRODUCTION_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failure; grows up to [`MAX_PAUSE`].
@@ -64,16 +64,17 @@
 {
     /// What is new, from the node that should tell it, or else from the store.
     async fn next(&self) -> Result<Answer<S::Change>, SourceError> {
-        while self.awaits_introduction() {
-            if self.core.knows_others() {
-                let Some(parent) = snapshot_relay::parent(self.core) else {
-                    break;
-                };
+        while self.has_just_started() {
+            if let Some(parent) = snapshot_relay::parent(self.core) {
                 match self.ask(&parent).await {
                     Err(NoCopy::None) => {}
                     Err(why) => return self.read_instead(&parent, &why).await,
                     Ok(answer) => return Ok(answer),
                 }
+            } else if self.cursor.is_none() && self.core.knows_others() {
+                // Nearly all nodes take themselves for their domain's first until they know the
+                // others, so that what follows the first read waits for that.
+                break;
             }
             tokio::time::sleep(INTRODUCTION_POLL).await;
         }
@@ -115,11 +116,11 @@
         self.read_store(Duration::ZERO).await
     }
 
-    /// Whether this node has just started, has read nothing and is to hear of others.
-    fn awaits_introduction(&self) -> bool {
+    /// Whether this node is to hear of others and has not had the time yet.
+    fn has_just_started(&self) -> bool {
         let addresses = &self.core.cfg.addresses;
         let has_seeds = addresses.seeds.iter().any(|s| *s != addresses.peers);
-        has_seeds && self.cursor.is_none() && self.core.began.elapsed() < INTRODUCTION
+        has_seeds && self.core.began.elapsed() < INTRODUCTION
     }
 
     async fn read_store(&self, wait: Duration) -> Result<Answer<S::Change>, SourceError> {
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -24,6 +24,9 @@
 /// A holder that was named lately is given this long to be heard of: nodes that start
 /// together hear of each other within a second.
 const INTRODUCTION: Duration = Duration::from_millis(2500);
+/// A node doesn't claim the lease for this long after its start: nodes that start together know of
+/// each other then.
+const START_DELAY: Duration = Duration::from_millis(1500);
 /// Between two looks of a holder whether the row still names it: two in a lease.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -68,6 +71,11 @@
         seen.record = now.checked_sub(INTRODUCTION).map(|since| (holder, since));
         return None;
     }
+    // A node that has just started may not have heard of the one that should lead, and a change of
+    // leaders costs the seconds in which loads are quick.
+    if core.began.elapsed() < START_DELAY {
+        return None;
+    }
     // Where most others aren't heard the holder may be one of them, and act on by what it
     // hears from the rest.
     if !is_first(core, now) || !locked(&core.nodes).hears_most(now) {
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -34,6 +34,9 @@
 const MAX_UNDER_WAY: usize = 4;
 /// Most batches whose updates wait for the handler.
 const MAX_UNHANDLED: usize = 1024;
+/// A node that knows no other greets the seeds this often: of nodes that start together the
+/// seeds may be the last.
+const GREET_INTERVAL: Duration = Duration::from_millis(200);
 /// A connection over which nothing comes back for this long is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
@@ -126,7 +129,6 @@
     seeds: Vec<SocketAddr>,
     flush: Duration,
     max_transit: Duration,
-    probe: Duration,
     /// Updates on their way to the handler. A place is reserved before the state is
     /// changed, so that the order is kept and nothing is lost when it lags behind.
     unhandled: mpsc::Sender<Vec<Update>>,
@@ -347,7 +349,6 @@
             seeds: cfg.seeds,
             flush: timing.flush,
             max_transit: timing.max_transit,
-            probe: timing.probe,
             unhandled,
             under_way: Mutex::new(BTreeMap::new()),
             state: Mutex::new(Dissemination::new(cfg.dissemination, Instant::now())),
@@ -528,7 +529,7 @@
         }
         send_due(&inner);
         if Instant::now() >= greet_next {
-            greet_next = Instant::now() + inner.probe;
+            greet_next = Instant::now() + GREET_INTERVAL;
             greet_seeds(&inner);
         }
     }
--- a/crates/peer/tests/nodes.rs
+++ b/crates/peer/tests/nodes.rs
@@ -262,3 +262,20 @@
     expect_that!(ask(0, 5_000), ok(anything()));
     expect_that!(here.traffic().dialled - before, eq(0));
 }
+
+/// Guards against nodes that start together knowing nobody for seconds, since the seeds were the
+/// last of them to start.
+#[gtest]
+fn a_node_that_starts_before_its_seed_hears_of_it_soon() {
+    let reserved = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let seed = reserved.local_addr().expect("its address");
+    drop(reserved);
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let mut cluster = Cluster::start(0);
+    cluster.add_at("node-1", 1, any, vec![seed]);
+    std::thread::sleep(Duration::from_millis(300));
+    cluster.add_at("node-0", 1, seed, Vec::new());
+    let item = status(&cluster.nodes["node-0"].member);
+    let heard = wait(LIMIT, || cluster.holds("node-1", "node-0", &item));
+    expect_that!(heard, some(le(Duration::from_millis(1000))));
+}
--- a/crates/peer/tests/support/cluster.rs
+++ b/crates/peer/tests/support/cluster.rs
@@ -1,6 +1,7 @@
 //! Real nodes on loopback.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -113,6 +114,18 @@
             .iter()
             .map(|seed| self.nodes[*seed].node.local_address())
             .collect();
+        let any = "127.0.0.1:0".parse().expect("an address");
+        self.add_at(name, incarnation, any, seeds);
+    }
+
+    /// Starts one node that listens at `listen`.
+    pub(crate) fn add_at(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        listen: SocketAddr,
+        seeds: Vec<SocketAddr>,
+    ) {
         let mut member = super::net::member(name, "domain-0");
         let cfg = PeerNodeConfig {
             dissemination: DisseminationConfig {
@@ -120,7 +133,7 @@
                 incarnation,
                 timing: Timing::default(),
             },
-            listen: "127.0.0.1:0".parse().expect("an address"),
+            listen,
             seeds,
         };
         let handler = Arc::new(Recorder::default());
