--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -216,7 +216,7 @@
             return Err(full(why_not(core, service, model)));
         }
         let woken = Arc::clone(&waiting.woken);
-        // Running out is the other way to look again.
+        // The timeout is the regular recheck.
         let _ = tokio::time::timeout(RECHECK_INTERVAL.min(left), woken.notified()).await;
     }
 }
@@ -245,7 +245,7 @@
     }
 }
 
-/// Requests for a model that other nodes are likely to have sent since they told their loads:
+/// Requests for a model that other nodes are likely to have sent since they reported their loads:
 /// callers choose among all nodes alike, so that each gets about as many as this one.
 fn unseen<P: Platform>(core: &Core<P>, service: &ServiceName, model: &ModelName) -> f64 {
     let others = core.node_count().saturating_sub(1) as f64;
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -17,8 +17,7 @@
 use crate::scheduler::ScheduledLoad;
 use crate::scheduler_client::Permit;
 
-/// How long a head that refused a request gets none: the time in which other nodes tell
-/// their loads anew.
+/// How long a head that refused a request gets none, until loads are reported again.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
 
 /// How long a replica counts as lost. One that really is has been given up by the planner
@@ -189,7 +188,7 @@
 
     /// Notes that it refused a request.
     ///
-    /// Until others' loads are heard again a full head looks as empty as before, and the
+    /// Until loads are reported again a full head looks as empty as before, and the
     /// next attempts would be refused like this one, each at the cost of a repeat.
     pub(crate) fn refused(&self, now: Instant) {
         *locked(&self.refuses_until) = Some(now + REFUSAL_MEMORY);
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -27,7 +27,7 @@
 /// A node doesn't claim the lease for this long after its start: nodes that start together know of
 /// each other then.
 const START_DELAY: Duration = Duration::from_millis(1500);
-/// Between two looks of a holder whether the row still names it: two in a lease.
+/// How often a leader reads the row that names it: twice in a lease.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The time since the machine started, also while it was suspended.
@@ -108,7 +108,7 @@
         Ok(true) => Some(claim),
         Ok(false) => None,
         Err(err) => {
-            // It may have been written all the same; the next look reads it.
+            // It may have been written all the same; the next read shows it.
             warn!(event = "leader", outcome = "unknown", %err);
             None
         }
@@ -212,7 +212,7 @@
     }
 }
 
-/// Whether another node tells a higher term.
+/// Whether another node reports a higher term.
 fn another_holds<P: Platform>(core: &Core<P>, leader: &LeaderRecord) -> bool {
     locked(&core.leaders)
         .values()
--- a/crates/gateway/src/nodes/mod.rs
+++ b/crates/gateway/src/nodes/mod.rs
@@ -43,8 +43,8 @@
 }
 
 /// How long a node that is gone counts when it is asked whether most are heard: longer than
-/// nodes are usually cut off. Were it forgotten as soon as it isn't told of any more, a node
-/// that is cut off from all would soon be most of those that it knows.
+/// nodes are usually cut off. Forgotten sooner, a
+/// node that is cut off from all would soon be most of those that it knows.
 const LOST_NODE_MEMORY: Duration = Duration::from_secs(20);
 
 /// A node that gave no usable copy of a list is asked for none for this long: until a node
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,15 +23,14 @@
 use crate::{scheduler, snapshot_relay, watch};
 
 /// Under this name the leader publishes its term.
-const SEAT: &str = "planner";
-/// Loads are told this often: heads hold some 25 requests and turn over that many in a
-/// second, so that older figures would send bursts to heads that are already full.
+const LEADER: &str = "planner";
+/// How often loads are reported. Heads turn over their batches in about a second; older reports
+/// would send bursts to heads that are already full.
 pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
-/// The same where updates take several hops, each of which adds up to a tick: updates that
-/// are older on their way anyway gain little by coming more often.
+/// The same where updates take several hops, each of which adds up to a tick.
 const LARGE_LOAD_INTERVAL: Duration = Duration::from_millis(500);
-/// Nodes confirm that they are up this often, whatever their number: callers are given the
-/// addresses of nodes that were heard lately, and a confirmation is five bytes.
+/// How often nodes confirm that they are up: callers get the addresses of nodes that were heard
+/// lately.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Ticks of a larger system. Three hops and a confirmation's interval stay well under
 /// [`crate::nodes::DEAD_AFTER`].
@@ -55,7 +54,7 @@
             }
             Change::Confirmed(as_of) => locked(&self.core.nodes).heard(&origin, as_of),
             Change::Removed(ItemKey::GroupLoad(replica)) => self.no_load(&origin, &replica),
-            Change::Removed(ItemKey::Group(name)) if name == SEAT => {
+            Change::Removed(ItemKey::Group(name)) if name == LEADER => {
                 locked(&self.core.leaders).remove(&origin);
             }
             Change::Removed(_) => {}
@@ -70,7 +69,7 @@
                 self.core.load_heard(as_of.elapsed());
                 self.load(origin, &load, as_of);
             }
-            Item::Group(record) if record.group == SEAT => {
+            Item::Group(record) if record.group == LEADER => {
                 locked(&self.core.leaders).insert(origin.clone(), record.version);
             }
             Item::Group(update) => watch::heard(&self.core, origin, &update),
@@ -229,11 +228,11 @@
     let Some(peer) = core.peer() else { return };
     match leader {
         Some(leader) => peer.publish(Item::Group(GroupRecord {
-            group: SEAT.into(),
+            group: LEADER.into(),
             version: leader.term,
             record: Vec::new(),
         })),
-        None => peer.withdraw(&ItemKey::Group(SEAT.into())),
+        None => peer.withdraw(&ItemKey::Group(LEADER.into())),
     }
 }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -179,7 +179,11 @@
         used: now,
     }));
     all.insert(scope.clone(), Arc::clone(&running));
-    tokio::spawn(look(Arc::clone(core), scope.clone(), Arc::clone(&running)));
+    tokio::spawn(recheck(
+        Arc::clone(core),
+        scope.clone(),
+        Arc::clone(&running),
+    ));
     Some(running)
 }
 
@@ -194,7 +198,7 @@
 }
 
 /// Rechecks waiting requests, until the scheduler is no longer used.
-async fn look<P: Platform>(core: Arc<Core<P>>, scope: Scope, running: Arc<Mutex<Running>>) {
+async fn recheck<P: Platform>(core: Arc<Core<P>>, scope: Scope, running: Arc<Mutex<Running>>) {
     loop {
         tokio::time::sleep(RECHECK_INTERVAL).await;
         let now = Instant::now();
