Take over replicas as incomplete only once the list of hosts is whole

Cause: a new planner forms nothing until its predecessor can give no orders, but gave up at once what seemed incomplete.

Test a_new_planner_waits_for_the_list_before_it_takes_replicas_for_incomplete fails before (all 16 members told to leave); planner, failures, fuzz with two planners pass.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -394,6 +394,11 @@
             let model = model_of(first, services);
             let ranks = replica.members.iter().map(|(rank, _)| *rank);
             let whole = model.is_some_and(|m| hosts.len() == m.size && ranks.eq(0..m.size));
+            // After an outage of the store hosts are listed again one by one; replicas that
+            // serve would be given up for members that are still to come.
+            if !whole && self.is_settling(now) {
+                continue;
+            }
             let name = model.map(|m| m.name.clone()).unwrap_or_default();
             let (id, epoch) = (replica.id.clone(), replica.epoch);
             let Some(mut formation) = Formation::new(id, epoch, &name, &hosts, now) else {
--- a/crates/fleet/tests/packing.rs
+++ b/crates/fleet/tests/packing.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_fleet::{
-    Command, Engine, Fleet, FleetChange, Host, HostState, Millionths, ModelSpec, Order, Planner,
-    PlannerTiming, Service,
+    Command, Engine, Fleet, FleetChange, Host, HostState, Membership, MembershipPhase, Millionths,
+    ModelSpec, Order, Planner, PlannerTiming, Service, Step,
 };
 use googletest::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
@@ -129,6 +129,54 @@
     expect_that!(of_size(4), eq(4), "{sizes:?}");
 }
 
+/// Guards against a planner that takes over while hosts are being listed again giving up every
+/// replica that serves.
+#[gtest]
+fn a_new_planner_waits_for_the_list_before_it_takes_replicas_for_incomplete() {
+    let began = Instant::now();
+    let service = service(vec![model("large", 16, 0.5), model("small", 4, 0.5)]);
+    let member = |n: usize| Host {
+        model: Some("large".into()),
+        membership: Some(Membership {
+            replica: "r1-1".into(),
+            epoch: 1 << 20,
+            rank: n,
+            phase: if n == 0 {
+                MembershipPhase::Open
+            } else {
+                MembershipPhase::Ready
+            },
+        }),
+        ..host(0, n, Some("large"))
+    };
+    let hosts: Vec<Host> = (0..16).map(member).collect();
+    let mut planner = Planner::new(2, PlannerTiming::default(), began);
+    let mut left = Vec::new();
+    for step in 0..60 {
+        let at = began + Duration::from_millis(60) * step;
+        // Half are listed at first, all after a second.
+        let listed = if step < 17 { 8 } else { 16 };
+        let fleet = fleet(hosts[..listed].to_vec(), at);
+        for command in planner.step(&fleet, &[&service], false, at) {
+            match command {
+                Command::Ask { host } => {
+                    let told = hosts.iter().find(|h| h.id == host);
+                    told.map(|told| planner.on_report(told, &fleet, at));
+                }
+                Command::Order {
+                    host,
+                    order: Order::Leave { .. },
+                    ..
+                } => left.push(host),
+                Command::Order { .. } => {}
+            }
+        }
+    }
+    expect_that!(left, is_empty());
+    let open = planner.formations().filter(|f| f.step == Step::Open);
+    expect_that!(open.count(), eq(1));
+}
+
 /// The share of a model is of the work of all hosts. One with small replicas needs more of
 /// them for its share; were replicas counted alike, the hosts that the large model doesn't fit
 /// on any more would do nothing, 17 of 37 in each domain, and the small one's callers wait.
