Reword comments that read as paraphrase

Comments only, no change of behavior. The comment on INTRODUCTION said that a node waits before it asks the store; since it reads each list once and waits before it follows them.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -136,12 +136,12 @@
     /// The shortest pause that one of its requests may have.
     pause: Option<Duration>,
     refuses_until: Option<Instant>,
-    /// Time from a grant to its first event, a moving average, and when it was last measured.
+    /// Moving average of the time from a grant to its first event, and when it was last updated.
     lead: Option<(Duration, Instant)>,
 }
 
 impl HeadWork {
-    /// Its time to a first event, unless none was measured lately.
+    /// Its average time to a first event; `None` once that is older than [`PACE_TTL`].
     fn recent_lead(&self, now: Instant) -> Option<Duration> {
         let recent = |at: Instant| now.saturating_duration_since(at) < PACE_TTL;
         self.lead
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,11 +19,10 @@
 const POLL_TIME: Duration = Duration::from_millis(500);
 /// Pause after an answer with changes, so that changes that come together cost one call.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
-/// A node that has just started gives others this long to introduce themselves and to have a
-/// copy of the lists, before it asks the store. When all nodes start at once each would
-/// otherwise read whole lists that change several times a second.
+/// How long a node that has just started waits for others to introduce themselves and to have a
+/// copy of the lists. When all nodes start at once each would otherwise follow them in the store.
 const INTRODUCTION: Duration = Duration::from_millis(1500);
-/// How often it looks meanwhile.
+/// How often it checks meanwhile.
 const INTRODUCTION_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failure; grows up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,7 +29,7 @@
 const MAX_OPEN_PORT_RATIO: f64 = 0.4;
 /// Part of the grace after which a node has ended. The rest is for the exit of its process.
 const GRACE_RATIO: f64 = 0.95;
-/// The last of that, in which callers whose answers are cut off are told so.
+/// The end of that period, in which callers get an error for answers that are cut off.
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(150);
 /// How often a stopping node looks whether it is done.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -199,7 +199,7 @@
     };
     let result = tokio::select! {
         result = run(core, &call) => result,
-        // A caller that is told so knows that nothing more will come.
+        // Signals the caller not to wait for more.
         () = core.until_end() => Err(Refusal::new(RefusalCause::NodeEnds)),
     };
     note(core, &call, kind, &result);
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -13,8 +13,7 @@
 /// When a caller may come back to a service without a group that may serve.
 const NO_GROUP_RETRY: Duration = Duration::from_secs(3);
 
-/// When a caller may ask again that a leaving node refused. Meanwhile it asks one of those that
-/// it is told instead.
+/// Retry-After of a leaving node. Meanwhile the caller uses another of the addresses it is given.
 const LEAVING_RETRY: Duration = Duration::from_secs(1);
 
 /// A checked call.
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -81,7 +81,7 @@
         let ending = Ending::of(&call);
         let result = tokio::select! {
             result = self.run(call) => result,
-            // A caller that is told so knows that nothing more will come.
+            // Signals the caller not to wait for more.
             () = self.core.until_end() => Err(Problem::unknown(ending.cut())),
         };
         let result = result.map_err(|problem| self.with_others(&cfg, problem));
