Say what a scheduler knows when requests get no slot, and what a node's retry budget is

A scheduler now writes at most one line a second while requests get no slot: heads, slots, what runs, how many heads reject, how many requests wait, and the usual time to a first event. A node writes at most one a second while its part of the retry budget is used up: the number of nodes that it divides by, requests, repeats and what is permitted. Repeats are counted by reason; so far only streams that go on elsewhere were. No decision changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,9 +36,9 @@
 pub use crate::rank::{LateRejection, Rank};
 pub use crate::rate::Rate;
 pub use crate::relay::{Lacking, ListLog, list_parent};
-pub use crate::retry::RetryWindow;
+pub use crate::retry::{RetryBudget, RetryWindow};
 pub use crate::roles::{RoleCandidate, ranked_for_role, strongest};
-pub use crate::schedule::{Ask, HeadKey, OpenHead, Outcome, RequestKey, Scheduler};
+pub use crate::schedule::{Ask, HeadKey, OpenHead, Outcome, RequestKey, Scheduler, SchedulerState};
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{Progress, StallRule};
 pub use crate::strain::Strain;
--- a/crates/fleet/src/retry.rs
+++ b/crates/fleet/src/retry.rs
@@ -3,10 +3,24 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use eelgrassmill_base::value;
+
 /// Part of the permitted repeats that is used. The rest covers that nodes don't see the
 /// same number of nodes at the same moment, and that callers' requests come unevenly.
 const USED_PART: f64 = 0.8;
 
+value! { copy
+    /// A node's part of the retry budget, over the last window.
+    pub struct RetryBudget {
+        /// Callers' requests.
+        pub requests: usize,
+        /// Repeats taken from the budget.
+        pub repeats: usize,
+        /// Repeats that the budget permits.
+        pub permitted: usize,
+    }
+}
+
 /// A sliding window over the requests and repeats of one service at this node.
 ///
 /// The bound holds for all nodes together: `ratio` x requests + `slack` in any window.
@@ -55,16 +69,26 @@
 
     /// Takes one repeat from the budget, if there is one left among `nodes` nodes.
     pub fn try_repeat(&mut self, nodes: usize, now: Instant) -> bool {
-        self.forget_old(now);
-        let own_slack = self.slack_at(now) / nodes.max(1) as f64;
-        let permitted = USED_PART * (self.ratio * self.requests.len() as f64 + own_slack);
-        let left = (self.repeats.len() as f64) + 1.0 <= permitted;
+        let budget = self.budget(nodes, now);
+        let left = budget.repeats < budget.permitted;
         if left {
             self.repeats.push_back(now);
         }
         left
     }
 
+    /// This node's part of the budget among `nodes` nodes.
+    pub fn budget(&mut self, nodes: usize, now: Instant) -> RetryBudget {
+        self.forget_old(now);
+        let own_slack = self.slack_at(now) / nodes.max(1) as f64;
+        let permitted = self.ratio * self.requests.len() as f64 + own_slack;
+        RetryBudget {
+            requests: self.requests.len(),
+            repeats: self.repeats.len(),
+            permitted: (USED_PART * permitted) as usize,
+        }
+    }
+
     /// The slack that nodes of this one's age may use together.
     fn slack_at(&self, now: Instant) -> f64 {
         let young = |at: Instant| now.saturating_duration_since(at) < self.window;
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -116,6 +116,25 @@
     }
 }
 
+value! { copy
+    /// What a scheduler knows of its heads and its queue.
+    #[derive(Default)]
+    pub struct SchedulerState {
+        /// Heads that take requests.
+        pub heads: usize,
+        /// Requests that they run at once.
+        pub slots: usize,
+        /// Requests that they have.
+        pub requests: usize,
+        /// Heads that get nothing because they rejected a request.
+        pub rejecting: usize,
+        /// Requests that wait.
+        pub waiting: usize,
+        /// Time from a grant to its first event, a moving average.
+        pub lead: Duration,
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Assignment {
     head: HeadKey,
@@ -141,6 +160,11 @@
 }
 
 impl HeadWork {
+    /// Whether it gets nothing because it rejected a request.
+    fn rejects(&self, now: Instant) -> bool {
+        self.refuses_until.is_some_and(|until| now < until)
+    }
+
     /// Its average time to a first event; `None` once that is older than [`PACE_TTL`].
     fn recent_lead(&self, now: Instant) -> Option<Duration> {
         let recent = |at: Instant| now.saturating_duration_since(at) < PACE_TTL;
@@ -210,6 +234,24 @@
         own + inherited.ceil() as usize
     }
 
+    /// What it knows of `heads` and its queue.
+    pub fn state(&self, heads: &[OpenHead], now: Instant) -> SchedulerState {
+        let rejects = |h: &&OpenHead| self.work.get(&h.key).is_some_and(|w| w.rejects(now));
+        SchedulerState {
+            heads: heads.len(),
+            slots: heads.iter().map(|h| h.slots).sum(),
+            requests: heads.iter().map(|h| self.requests_of(h, now)).sum(),
+            rejecting: heads.iter().filter(rejects).count(),
+            waiting: self.waiting.len(),
+            lead: self.lead,
+        }
+    }
+
+    /// Requests at a head, whoever sent them.
+    fn requests_of(&self, head: &OpenHead, now: Instant) -> usize {
+        self.requests_at(&head.key, now) + head.unscheduled
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -355,7 +397,7 @@
         let mut best: Option<(Duration, &HeadKey)> = None;
         for head in wanted {
             let work = self.work.get(&head.key).unwrap_or(&idle);
-            let requests = self.requests_at(&head.key, now) + head.unscheduled;
+            let requests = self.requests_of(head, now);
             if !self.has_room(work, requests, ask, head.slots, now) {
                 continue;
             }
@@ -395,8 +437,9 @@
     /// A late request that takes the last slot runs for seconds, and makes those late that arrive
     /// meanwhile: the overload would outlast its cause.
     fn is_tight(&self, heads: &[OpenHead], now: Instant) -> bool {
-        let requests = |h: &OpenHead| self.requests_at(&h.key, now) + h.unscheduled;
-        let free = heads.iter().map(|h| h.slots.saturating_sub(requests(h)));
+        let free = heads
+            .iter()
+            .map(|h| h.slots.saturating_sub(self.requests_of(h, now)));
         let free: usize = free.sum();
         let wanted = self.arrivals.per_second(now) * self.lead.as_secs_f64();
         (free as f64) < wanted
@@ -410,8 +453,7 @@
         slots: usize,
         now: Instant,
     ) -> bool {
-        if requests >= slots + PIPELINE_DEPTH || work.refuses_until.is_some_and(|until| now < until)
-        {
+        if requests >= slots + PIPELINE_DEPTH || work.rejects(now) {
             return false;
         }
         // The longest prompt must run somewhere, and alone it harms least.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -10,6 +10,7 @@
 use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow, RoleCandidate};
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
+use tracing::info;
 
 use crate::admission::AdmissionQueues;
 use crate::config::GatewayConfig;
@@ -17,6 +18,7 @@
 use crate::dispatch::TargetStats;
 use crate::heads::{HeadTable, locked};
 use crate::inbox::Inbox;
+use crate::logs::LineLimit;
 use crate::metrics::Metrics;
 use crate::nodes::{Nodes, usable_processor};
 use crate::peers::{LOAD_INTERVAL, Peers};
@@ -41,6 +43,8 @@
     /// What this node tells others of the platform's lists.
     pub(crate) lists: SnapshotRelay,
     pub(crate) retries: Mutex<HashMap<ServiceName, RetryWindow>>,
+    /// Bounds the lines on exhausted retry budgets.
+    budget_lines: Mutex<LineLimit>,
     pub(crate) metrics: Metrics,
     pub(crate) admission: AdmissionQueues,
     /// Requests that this node places for all nodes.
@@ -80,6 +84,7 @@
             leaders: Mutex::default(),
             lists: SnapshotRelay::default(),
             retries: Mutex::default(),
+            budget_lines: Mutex::default(),
             metrics: Metrics::default(),
             admission: AdmissionQueues::default(),
             schedulers: Schedulers::default(),
@@ -232,10 +237,22 @@
 
     /// Whether one more repeat for this service is permitted; counts it if so.
     pub(crate) fn try_repeat(&self, service: &ServiceName) -> bool {
-        let nodes = self.node_count();
+        let (nodes, now) = (self.node_count(), Instant::now());
         let mut retries = locked(&self.retries);
-        self.window(&mut retries, service)
-            .try_repeat(nodes, Instant::now())
+        let window = self.window(&mut retries, service);
+        if window.try_repeat(nodes, now) {
+            self.metrics.repeated(service, "attempt");
+            return true;
+        }
+        let budget = window.budget(nodes, now);
+        if locked(&self.budget_lines).is_due(now) {
+            info!(
+                event = "retry-budget", %service, outcome = "exhausted", nodes,
+                requests = budget.requests, repeats = budget.repeats,
+                permitted = budget.permitted,
+            );
+        }
+        false
     }
 
     fn window<'w>(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,6 +99,11 @@
             .inc();
     }
 
+    /// Counts a request that is sent once more.
+    pub(crate) fn repeated(&self, service: &str, reason: &str) {
+        self.repeats.with_label_values(&[service, reason]).inc();
+    }
+
     /// Counts the time to the first byte of an answer.
     pub(crate) fn answered_after(&self, service: &str, kind: &str, time: Duration) {
         let histogram = self.first_byte.with_label_values(&[service, kind]);
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -15,9 +15,11 @@
     ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent, SlotEventKind, SlotRequest,
 };
 use tokio::sync::oneshot;
+use tracing::info;
 
 use crate::core::Core;
 use crate::heads::locked;
+use crate::logs::LineLimit;
 use crate::ports::Platform;
 
 /// While requests wait, deadlines and free slots are checked this often.
@@ -49,7 +51,11 @@
 
 #[derive(Debug)]
 struct Running {
+    scope: Scope,
     scheduler: Scheduler,
+    /// Requests that got no slot since the last line on them.
+    unserved: usize,
+    lines: LineLimit,
     /// Who waits for which decision.
     askers: HashMap<RequestKey, oneshot::Sender<Outcome>>,
     /// Decisions that no ask was waiting for.
@@ -173,7 +179,10 @@
     }
     let now = Instant::now();
     let running = Arc::new(Mutex::new(Running {
+        scope: scope.clone(),
         scheduler: Scheduler::new(speed, now),
+        unserved: 0,
+        lines: LineLimit::default(),
         askers: HashMap::new(),
         uncollected: HashMap::new(),
         used: now,
@@ -269,6 +278,9 @@
     /// Answers what can be decided now.
     fn decide(&mut self, heads: &[OpenHead], now: Instant) {
         for (key, outcome) in self.scheduler.assign(heads, now) {
+            if outcome == Outcome::Full {
+                self.unserved += 1;
+            }
             let unsent = match self.askers.remove(&key) {
                 Some(tx) => tx.send(outcome).err(),
                 None => Some(outcome),
@@ -288,6 +300,21 @@
             self.uncollected.remove(&key);
             self.scheduler.released(&key);
         }
+        if self.unserved > 0 && self.lines.is_due(now) {
+            self.log_unserved(heads, now);
+        }
+    }
+
+    fn log_unserved(&mut self, heads: &[OpenHead], now: Instant) {
+        let state = self.scheduler.state(heads, now);
+        info!(
+            event = "queue", model = %self.scope.model,
+            heads_in = self.scope.heads_in.as_deref().unwrap_or_default(), outcome = "full",
+            requests = self.unserved, waiting = state.waiting, heads = state.heads,
+            slots = state.slots, running = state.requests, rejecting = state.rejecting,
+            lead_ms = state.lead.as_millis() as u64,
+        );
+        self.unserved = 0;
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -310,11 +310,7 @@
                 Ok(_) => return self.cut("the run that went on failed"),
                 Err(refusal) => return self.cut(refusal.cause.name()),
             };
-            self.core
-                .metrics
-                .repeats
-                .with_label_values(&[self.service.as_str(), "resume"])
-                .inc();
+            self.core.metrics.repeated(&self.service, "resume");
         }
     }
 
