Show that heads that reject get batches of requests again and again

To the scheduler such a head is the emptiest of all: 250 ms after a rejection it gets a whole batch again, and each request of it costs a repeat.

--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -17,6 +17,12 @@
 const PAUSE: Duration = Duration::from_millis(300);
 const PATIENCE: Duration = Duration::from_millis(1400);
 const SLOTS: usize = 30;
+/// Time from a grant until the scheduler hears that the head rejected the request.
+const REJECTION_TIME: Duration = millis(8);
+/// Heads that a request is sent to beyond the first.
+const MAX_REJECTIONS: usize = 3;
+/// How long a head that rejected a request gets none.
+const REJECTION_PAUSE: Duration = millis(250);
 
 const fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -78,6 +84,8 @@
     pass_ends: Option<Instant>,
     /// Its passes take this many times the usual time.
     slowness: f64,
+    /// The part of its requests that it rejects at once.
+    rejects: f64,
 }
 
 /// What became of a request.
@@ -107,6 +115,18 @@
     reported: Vec<usize>,
     /// Prompts of requests that have no place yet.
     prompts: HashMap<u64, u64>,
+    /// Rejections that the scheduler hears of at that moment.
+    rejections: Vec<(Instant, Rejection)>,
+    rejected: u64,
+    /// Heads that rejected a request.
+    avoid: HashMap<u64, Vec<usize>>,
+}
+
+#[derive(Clone, Copy)]
+struct Rejection {
+    number: u64,
+    prompt: u64,
+    head: usize,
 }
 
 impl World {
@@ -116,6 +136,7 @@
             streams: Vec::new(),
             pass_ends: None,
             slowness: 1.0,
+            rejects: 0.0,
         };
         World {
             now,
@@ -127,6 +148,9 @@
             way,
             reported: vec![0; count],
             prompts: HashMap::new(),
+            rejections: Vec::new(),
+            rejected: 0,
+            avoid: HashMap::new(),
         }
     }
 
@@ -141,6 +165,7 @@
                 self.arrive();
             }
             if self.way == Way::Scheduler {
+                self.report_rejections();
                 self.assign();
             }
             for n in 0..self.heads.len() {
@@ -195,6 +220,16 @@
     }
 
     fn send(&mut self, n: usize, number: u64, prompt: u64) {
+        if self.rng.f64() < self.heads[n].rejects {
+            self.rejected += 1;
+            let rejection = Rejection {
+                number,
+                prompt,
+                head: n,
+            };
+            self.rejections.push((self.now + REJECTION_TIME, rejection));
+            return;
+        }
         self.heads[n].streams.push(Stream {
             number,
             unread: prompt,
@@ -204,6 +239,34 @@
         });
     }
 
+    /// Asks again for requests that were rejected, not for the heads that did.
+    fn report_rejections(&mut self) {
+        let now = self.now;
+        let heard = self.rejections.extract_if(.., |(at, _)| *at <= now);
+        let heard: Vec<Rejection> = heard.map(|(_, rejection)| rejection).collect();
+        for Rejection {
+            number,
+            prompt,
+            head,
+        } in heard
+        {
+            self.scheduler.rejected(&key(number), now);
+            let avoid = self.avoid.entry(number).or_default();
+            avoid.push(head);
+            if avoid.len() > MAX_REJECTIONS {
+                self.fates[number as usize].refused = true;
+                continue;
+            }
+            let arrived = self.fates[number as usize].arrived.expect("it has arrived");
+            let again = Ask {
+                avoid: avoid.iter().map(|n| format_smolstr!("h{n}")).collect(),
+                ..ask(number, prompt, arrived)
+            };
+            self.prompts.insert(number, prompt);
+            self.scheduler.ask(again, now);
+        }
+    }
+
     /// Ends the head's pass if it is over, and begins the next.
     fn work(&mut self, n: usize) {
         let now = self.now;
@@ -324,6 +387,64 @@
     expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.9));
 }
 
+/// Guards against a head that rejects everything getting a batch of requests each time that it is
+/// tried again, because it looks empty.
+#[gtest]
+fn a_head_that_rejects_everything_is_tried_with_one_request_at_a_time() {
+    let mut world = World::new(6, Way::Scheduler);
+    world.play(50.0, Duration::from_secs(3));
+    world.heads[0].rejects = 1.0;
+    let length = Duration::from_secs(10);
+    // More than the five others can write, so that requests wait.
+    world.play(100.0, length);
+    let tries = length.div_duration_f64(REJECTION_PAUSE) as u64;
+    // The first rejection is heard of after requests that were sent meanwhile.
+    expect_that!(world.rejected, le(tries + SLOTS as u64));
+}
+
+/// Guards against callers waiting and retries being used up while some heads reject half of their
+/// requests and the others have room for all.
+#[gtest]
+fn heads_that_reject_half_of_their_requests_are_avoided_while_others_have_room() {
+    let mut world = World::new(10, Way::Scheduler);
+    world.play(70.0, Duration::from_secs(3));
+    for head in &mut world.heads[..4] {
+        head.rejects = 0.5;
+    }
+    let (from, before) = (world.now, world.fates.len());
+    // The six others can write 95 in a second.
+    world.play(70.0, Duration::from_secs(10));
+    let requests = (world.fates.len() - before) as f64;
+    expect_that!(world.rejected as f64, lt(0.1 * requests));
+    expect_that!(world.on_time(from, from + Duration::from_secs(8)), gt(0.97));
+    for head in &mut world.heads {
+        head.rejects = 0.0;
+    }
+    world.play(70.0, Duration::from_secs(2));
+    // More than the six can write: the others are used again.
+    let from = world.now;
+    world.play(140.0, Duration::from_secs(6));
+    expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.9));
+}
+
+/// Guards against an overload by heads that reject their requests outlasting its cause.
+#[gtest]
+fn callers_are_served_again_after_heads_have_rejected_most_requests() {
+    let mut world = World::new(10, Way::Scheduler);
+    world.play(75.0, Duration::from_secs(3));
+    for head in &mut world.heads[..4] {
+        head.rejects = 0.9;
+    }
+    world.play(75.0, Duration::from_secs(3));
+    world.play(150.0, Duration::from_secs(6));
+    for head in &mut world.heads {
+        head.rejects = 0.0;
+    }
+    world.play(75.0, Duration::from_secs(8));
+    let from = world.now - Duration::from_secs(6);
+    expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.95));
+}
+
 /// For five seconds three times as many drafts come as heads can serve. Those that can be on
 /// time go first, others are told to come back. Three seconds after the burst all is as
 /// before. Where each node sends what it has, heads still read old prompts then.
