Eject heads that reject, and try them with one request at a time

Cause: a head that rejects has no requests, so it is the cheapest of all. 250 ms after a rejection it got a whole batch (39) again. The class: a failing target that answers fast attracts load.

Change: fleet::Ejection. A head that rejects is ejected for 250 ms, longer each time while it accepts nothing (1 s at most); then it may have one request that it has not accepted, and one more with each that it accepts. For 2 s after a rejection it gets only what no other has room for. Rejections of requests that were sent before the ejection count once.

Ruled out: a longer fixed pause (a head that is back would idle), no pause but a cost (the first batches are sent before any rejection is heard of).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! says for how long a planner may act.
 
 mod catalog;
+mod ejection;
 mod fleet;
 mod host;
 mod lease;
@@ -26,6 +27,7 @@
     Caller, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec, Repeat, Route,
     RouteRefusal, Service, StreamRules,
 };
+pub use crate::ejection::Ejection;
 pub use crate::fleet::{Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing, are_most, hears_enough};
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -16,6 +16,7 @@
 use smallvec::SmallVec;
 
 use crate::catalog::EngineSpeed;
+use crate::ejection::Ejection;
 use crate::rank::{LateRejection, Rank};
 use crate::rate::Rate;
 
@@ -30,8 +31,6 @@
 /// Cost of a full batch over an empty one, as time to a first event. Keeps batches even, so that
 /// no replica is without a slot while others have many.
 const FULL_BATCH_COST: Duration = Duration::from_millis(40);
-/// How long a head that refused a request gets none.
-const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
 /// How long requests that an earlier scheduler assigned are counted, ever fewer of them: about as
 /// long as streams take.
 const INHERITED_TTL: Duration = Duration::from_secs(2);
@@ -126,7 +125,7 @@
         pub slots: usize,
         /// Requests that they have.
         pub requests: usize,
-        /// Heads that get nothing because they rejected a request.
+        /// Heads that rejected a request lately.
         pub rejecting: usize,
         /// Requests that wait.
         pub waiting: usize,
@@ -138,6 +137,8 @@
 #[derive(Clone, Debug)]
 struct Assignment {
     head: HeadKey,
+    /// Requests that the head runs at once.
+    slots: usize,
     at: Instant,
     prompt: u64,
     /// Whether its first event has come.
@@ -150,21 +151,18 @@
 #[derive(Clone, Debug, Default)]
 struct HeadWork {
     requests: usize,
-    /// Prompt tokens of requests that have not begun.
+    /// Requests that have not begun.
+    unstarted: usize,
+    /// Their prompt tokens.
     unread: u64,
     /// The shortest pause that one of its requests may have.
     pause: Option<Duration>,
-    refuses_until: Option<Instant>,
+    ejection: Ejection,
     /// Moving average of the time from a grant to its first event, and when it was last updated.
     lead: Option<(Duration, Instant)>,
 }
 
 impl HeadWork {
-    /// Whether it gets nothing because it rejected a request.
-    fn rejects(&self, now: Instant) -> bool {
-        self.refuses_until.is_some_and(|until| now < until)
-    }
-
     /// Its average time to a first event; `None` once that is older than [`PACE_TTL`].
     fn recent_lead(&self, now: Instant) -> Option<Duration> {
         let recent = |at: Instant| now.saturating_duration_since(at) < PACE_TTL;
@@ -236,7 +234,8 @@
 
     /// What it knows of `heads` and its queue.
     pub fn state(&self, heads: &[OpenHead], now: Instant) -> SchedulerState {
-        let rejects = |h: &&OpenHead| self.work.get(&h.key).is_some_and(|w| w.rejects(now));
+        let suspected = |w: &HeadWork| w.ejection.is_suspected(now);
+        let rejects = |h: &&OpenHead| self.work.get(&h.key).is_some_and(suspected);
         SchedulerState {
             heads: heads.len(),
             slots: heads.iter().map(|h| h.slots).sum(),
@@ -279,6 +278,7 @@
                 let before = work.recent_lead(now).unwrap_or(lead);
                 let mean = (before * (PACE_MEMORY - 1) + lead) / PACE_MEMORY;
                 work.lead = Some((mean, now));
+                work.ejection.accepted(assigned.at, assigned.slots);
             }
             self.read(key);
         }
@@ -292,6 +292,7 @@
         assigned.began = true;
         if let Some(work) = self.work.get_mut(&assigned.head) {
             work.unread = work.unread.saturating_sub(assigned.prompt);
+            work.unstarted = work.unstarted.saturating_sub(1);
         }
     }
 
@@ -314,7 +315,7 @@
     pub fn rejected(&mut self, key: &RequestKey, now: Instant) {
         if let Some(assigned) = self.assigned.get(key) {
             let work = self.work.entry(assigned.head.clone()).or_default();
-            work.refuses_until = Some(now + REFUSAL_MEMORY);
+            work.ejection.rejected(assigned.at, now);
         }
         self.released(key);
     }
@@ -358,8 +359,8 @@
             if let Some(head) = head {
                 self.waiting.remove(&key);
                 self.late_rejection.ended(key.0, true, now);
-                self.put(&ask, head.clone(), now);
-                decided.push((ask.key, Outcome::Granted(head)));
+                self.put(&ask, head, now);
+                decided.push((ask.key, Outcome::Granted(head.key.clone())));
             } else if now >= ask.until {
                 self.waiting.remove(&key);
                 self.late_rejection.ended(key.0, false, now);
@@ -372,13 +373,15 @@
         decided
     }
 
-    fn put(&mut self, ask: &Ask, head: HeadKey, now: Instant) {
-        let work = self.work.entry(head.clone()).or_default();
+    fn put(&mut self, ask: &Ask, head: &OpenHead, now: Instant) {
+        let work = self.work.entry(head.key.clone()).or_default();
         work.requests += 1;
+        work.unstarted += 1;
         work.unread += ask.prompt;
         work.pause = Some(work.pause.map_or(ask.pause, |p| p.min(ask.pause)));
         let assigned = Assignment {
-            head,
+            head: head.key.clone(),
+            slots: head.slots,
             at: now,
             prompt: ask.prompt,
             began: false,
@@ -388,13 +391,13 @@
     }
 
     /// The head at which the request would give its first event soonest, if one has room.
-    fn choose(&self, ask: &Ask, heads: &[OpenHead], now: Instant) -> Option<HeadKey> {
+    fn choose<'h>(&self, ask: &Ask, heads: &'h [OpenHead], now: Instant) -> Option<&'h OpenHead> {
         let other = heads.iter().any(|h| !ask.avoid.contains(&h.host));
         let wanted = heads
             .iter()
             .filter(|h| !other || !ask.avoid.contains(&h.host));
         let idle = HeadWork::default();
-        let mut best: Option<(Duration, &HeadKey)> = None;
+        let mut best: Option<((bool, Duration), &OpenHead)> = None;
         for head in wanted {
             let work = self.work.get(&head.key).unwrap_or(&idle);
             let requests = self.requests_of(head, now);
@@ -411,11 +414,12 @@
                 } else {
                     CROSS_DOMAIN_COST
                 };
+            let cost = (work.ejection.is_suspected(now), cost);
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, &head.key));
+                best = Some((cost, head));
             }
         }
-        best.map(|(_, key)| key.clone())
+        best.map(|(_, head)| head)
     }
 
     /// How many times the usual time a head takes to a first event: a replica is as slow as its
@@ -453,7 +457,7 @@
         slots: usize,
         now: Instant,
     ) -> bool {
-        if requests >= slots + PIPELINE_DEPTH || work.rejects(now) {
+        if requests >= slots + PIPELINE_DEPTH || !work.ejection.admits(work.unstarted, now) {
             return false;
         }
         // The longest prompt must run somewhere, and alone it harms least.
