Show that requests wait at idle heads after a time of late first events

The scheduler's line says 'waiting 260, running 1 of 152 slots, rejecting 0, lead 542 ms' at a moment when all heads were well.

--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -445,6 +445,59 @@
     expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.95));
 }
 
+/// Guards against requests waiting while all heads idle, because first events took long before.
+#[gtest]
+fn idle_heads_serve_late_requests_whatever_first_events_took_before() {
+    let began = Instant::now();
+    let mut scheduler = Scheduler::new(speed(), began - Duration::from_secs(10));
+    let open = heads(5);
+    let full = 5 * (SLOTS as u64 + 1);
+    for n in 0..full {
+        scheduler.ask(ask(n, 0, began), began);
+    }
+    expect_that!(scheduler.assign(&open, began).len(), eq(full as usize));
+    // More come in a second than the heads have slots.
+    let come = |scheduler: &mut Scheduler, n: u64| {
+        let now = began + millis(3 * (n - full));
+        scheduler.ask(ask(n, 0, now), now);
+        (now, scheduler.assign(&open, now))
+    };
+    for n in full..full + 300 {
+        come(&mut scheduler, n);
+    }
+    let idle = began + millis(900);
+    for n in 0..full {
+        scheduler.started(&key(n), idle);
+        scheduler.released(&key(n));
+    }
+    for n in full + 300..full + 400 {
+        let (now, outcomes) = come(&mut scheduler, n);
+        for (key, outcome) in outcomes {
+            expect_that!(outcome, not(eq(&Outcome::Full)));
+            scheduler.started(&key, now + millis(150));
+            scheduler.released(&key);
+        }
+    }
+    expect_that!(scheduler.waiting(), eq(0));
+}
+
+/// Guards against an overload that lasts because all heads rejected their requests for a while.
+#[gtest]
+fn callers_are_served_again_after_all_heads_have_rejected_their_requests() {
+    let mut world = World::new(6, Way::Scheduler);
+    world.play(110.0, Duration::from_secs(4));
+    for head in &mut world.heads {
+        head.rejects = 1.0;
+    }
+    world.play(90.0, Duration::from_secs(3));
+    for head in &mut world.heads {
+        head.rejects = 0.0;
+    }
+    let from = world.now + Duration::from_secs(2);
+    world.play(60.0, Duration::from_secs(8));
+    expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.9));
+}
+
 /// For five seconds three times as many drafts come as heads can serve. Those that can be on
 /// time go first, others are told to come back. Three seconds after the burst all is as
 /// before. Where each node sends what it has, heads still read old prompts then.
