Let late requests have half of the slots at least

What callers saw: after a time of overload requests were refused while heads idled, in bursts two seconds apart, until callers gave up.

Cause: late requests leave the slots free that requests on time will need, by their rate and the time to a first event. That time is learned from requests that start. Once it made every request late, and rate times it was more than all slots, nothing was started and nothing corrected it. The class: a control loop that switches off its own measurement (metastable failure).

Change: late requests leave at most half of the slots free.

Test: 400 requests waited at five idle heads, now none.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -49,6 +49,8 @@
 const SLOW_PACE: f64 = 1.5;
 /// A first event may take this many times the usual time.
 const LEAD_MARGIN: f64 = 1.25;
+/// Part of the slots that late requests leave free at most.
+const MAX_RESERVED_RATIO: f64 = 0.5;
 /// How long a slot whose release is not reported stays assigned: longer than streams usually
 /// take.
 const ASSIGNMENT_TTL: Duration = Duration::from_secs(4);
@@ -439,14 +441,16 @@
     /// Whether all free slots will soon be needed by requests that can be on time.
     ///
     /// A late request that takes the last slot runs for seconds, and makes those late that arrive
-    /// meanwhile: the overload would outlast its cause.
+    /// meanwhile: the overload would outlast its cause. Without [`MAX_RESERVED_RATIO`] an estimate
+    /// that makes all requests late would keep all slots free, and nothing would correct it.
     fn is_tight(&self, heads: &[OpenHead], now: Instant) -> bool {
         let free = heads
             .iter()
             .map(|h| h.slots.saturating_sub(self.requests_of(h, now)));
         let free: usize = free.sum();
+        let slots: usize = heads.iter().map(|h| h.slots).sum();
         let wanted = self.arrivals.per_second(now) * self.lead.as_secs_f64();
-        (free as f64) < wanted
+        (free as f64) < wanted.min(MAX_RESERVED_RATIO * slots as f64)
     }
 
     fn has_room(
