Ask heads for room once a decision, not once for each request that waits

The class: work that grows with the square of a backlog.

Change: once a round finds that no head may take even the shortest prompt, the rest of the queue is only checked for its time; whether slots are kept free is looked up once a round; requests that wait are found by an index; an ask that only goes on waiting decides nothing.

--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -45,19 +45,45 @@
     }
 }
 
-/// One request from its ask to its end, by the number of heads.
-#[divan::bench(args = [5, 24, 120])]
-fn request(bencher: Bencher, count: usize) {
-    let speed = EngineSpeed {
+fn speed() -> EngineSpeed {
+    EngineSpeed {
         step: Duration::from_millis(6),
         per_request: Duration::from_micros(45),
         steps: 7,
         read: Duration::from_micros(18),
         pace: Millionths::of(1.0),
-    };
+    }
+}
+
+/// One more ask and decision while all heads are full, by the number of requests that wait.
+#[divan::bench(args = [30, 300, 1000])]
+fn ask_while_full(bencher: Bencher, waiting: u64) {
+    let heads = heads(16);
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(speed(), now);
+    let full = (heads.len() * (SLOTS + 1)) as u64;
+    for n in 0..full {
+        scheduler.ask(ask(n, now), now);
+        scheduler.assign(&heads, now);
+        scheduler.started(&ask(n, now).key, now);
+    }
+    for n in full..full + waiting {
+        scheduler.ask(ask(n, now), now);
+    }
+    scheduler.assign(&heads, now);
+    let again = ask(full + waiting / 2, now);
+    bencher.bench_local(|| {
+        scheduler.ask(again.clone(), now);
+        scheduler.assign(&heads, now).len()
+    });
+}
+
+/// One request from its ask to its end, by the number of heads.
+#[divan::bench(args = [5, 24, 120])]
+fn request(bencher: Bencher, count: usize) {
     let heads = heads(count);
     let now = Instant::now();
-    let mut scheduler = Scheduler::new(speed, now);
+    let mut scheduler = Scheduler::new(speed(), now);
     let mut number = 0;
     let mut run = |scheduler: &mut Scheduler| {
         number += 1;
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -149,6 +149,19 @@
     until: Instant,
 }
 
+/// Order in the queue.
+type Turn = (Rank, u64);
+
+/// What one round of decisions has found out, so that a queue of hundreds doesn't ask each head
+/// hundreds of times in vain.
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    /// No head may take even the shortest prompt.
+    is_full: bool,
+    /// Whether all free slots will soon be needed by requests that can be on time.
+    is_tight: Option<bool>,
+}
+
 /// What was sent to one head.
 #[derive(Clone, Debug, Default)]
 struct HeadWork {
@@ -185,7 +198,9 @@
     work: BTreeMap<HeadKey, HeadWork>,
     assigned: HashMap<RequestKey, Assignment>,
     next: u64,
-    waiting: BTreeMap<(Rank, u64), Ask>,
+    waiting: BTreeMap<Turn, Ask>,
+    /// Invariant: the keys of `waiting`.
+    turns: HashMap<RequestKey, Turn>,
     late_rejection: LateRejection,
     /// Time from a grant to its first event, a moving average.
     lead: Duration,
@@ -204,6 +219,7 @@
             assigned: HashMap::new(),
             next: 0,
             waiting: BTreeMap::new(),
+            turns: HashMap::new(),
             late_rejection: LateRejection::default(),
             lead: Duration::ZERO,
             arrivals: Rate::default(),
@@ -258,17 +274,29 @@
         self.waiting.len()
     }
 
-    /// Takes a request that needs a slot. One that waits already keeps its position.
-    pub fn ask(&mut self, ask: Ask, now: Instant) {
-        if self.waiting.values().any(|w| w.key == ask.key) {
-            return;
+    /// Takes a request that needs a slot, unless it waits already. Whether it did.
+    pub fn ask(&mut self, ask: Ask, now: Instant) -> bool {
+        if self.turns.contains_key(&ask.key) {
+            return false;
         }
         if now < ask.on_time_until {
             self.arrivals.on_event(now);
         }
         let rank = Rank::first(ask.resumed, ask.urgency);
-        self.waiting.insert((rank, self.next), ask);
+        self.enqueue((rank, self.next), ask);
         self.next += 1;
+        true
+    }
+
+    fn enqueue(&mut self, turn: Turn, ask: Ask) {
+        self.turns.insert(ask.key.clone(), turn);
+        self.waiting.insert(turn, ask);
+    }
+
+    fn dequeue(&mut self, turn: Turn) -> Option<Ask> {
+        let ask = self.waiting.remove(&turn)?;
+        self.turns.remove(&ask.key);
+        Some(ask)
     }
 
     /// Notes that the first event of a request has come.
@@ -301,7 +329,9 @@
     /// Notes that a request has ended or been given up, whether it has a slot or waits.
     pub fn released(&mut self, key: &RequestKey) {
         self.read(key);
-        self.waiting.retain(|_, ask| ask.key != *key);
+        if let Some(turn) = self.turns.get(key) {
+            self.dequeue(*turn);
+        }
         let Some(assigned) = self.assigned.remove(key) else {
             return;
         };
@@ -325,11 +355,10 @@
     /// Forgets the requests of a node that is gone.
     pub fn node_gone(&mut self, node: &str) {
         let of_node = |key: &&RequestKey| key.node == node;
-        let waiting = self.waiting.values().map(|ask| &ask.key);
         let keys: BTreeSet<RequestKey> = self
             .assigned
             .keys()
-            .chain(waiting)
+            .chain(self.turns.keys())
             .filter(of_node)
             .cloned()
             .collect();
@@ -347,34 +376,76 @@
         self.forget_old(heads, now);
         self.rank_late(now);
         let mut decided = Vec::new();
-        let keys: Vec<(Rank, u64)> = self.waiting.keys().copied().collect();
-        for key in keys {
-            let Some(ask) = self.waiting.get(&key).cloned() else {
+        let mut round = Round::default();
+        let turns: Vec<Turn> = self.waiting.keys().copied().collect();
+        for turn in turns {
+            let Some((outcome, head)) = self.decide(turn, &mut round, heads, now) else {
                 continue;
             };
-            let kept_free = key.0.is_late() && self.is_tight(heads, now);
-            let head = if kept_free {
-                None
-            } else {
-                self.choose(&ask, heads, now)
+            let Some(ask) = self.dequeue(turn) else {
+                continue;
             };
             if let Some(head) = head {
-                self.waiting.remove(&key);
-                self.late_rejection.ended(key.0, true, now);
                 self.put(&ask, head, now);
-                decided.push((ask.key, Outcome::Granted(head.key.clone())));
-            } else if now >= ask.until {
-                self.waiting.remove(&key);
-                self.late_rejection.ended(key.0, false, now);
-                decided.push((ask.key, Outcome::Full));
-            } else if self.late_rejection.holds_for(key.0, now) {
-                self.waiting.remove(&key);
-                decided.push((ask.key, Outcome::Full));
+                round.is_tight = None;
             }
+            decided.push((ask.key, outcome));
         }
         decided
     }
 
+    /// What becomes of a request that waits, and its head; `None` where it goes on waiting.
+    fn decide<'h>(
+        &mut self,
+        turn: Turn,
+        round: &mut Round,
+        heads: &'h [OpenHead],
+        now: Instant,
+    ) -> Option<(Outcome, Option<&'h OpenHead>)> {
+        let rank = turn.0;
+        if let Some(head) = self.head_for(turn, round, heads, now) {
+            self.late_rejection.ended(rank, true, now);
+            return Some((Outcome::Granted(head.key.clone()), Some(head)));
+        }
+        if now >= self.waiting.get(&turn)?.until {
+            self.late_rejection.ended(rank, false, now);
+            return Some((Outcome::Full, None));
+        }
+        let is_rejected = self.late_rejection.holds_for(rank, now);
+        is_rejected.then_some((Outcome::Full, None))
+    }
+
+    fn head_for<'h>(
+        &self,
+        turn: Turn,
+        round: &mut Round,
+        heads: &'h [OpenHead],
+        now: Instant,
+    ) -> Option<&'h OpenHead> {
+        let is_tight = |round: &mut Round| {
+            let is_tight = round.is_tight.unwrap_or_else(|| self.is_tight(heads, now));
+            round.is_tight = Some(is_tight);
+            is_tight
+        };
+        if round.is_full || (turn.0.is_late() && is_tight(round)) {
+            return None;
+        }
+        let head = self.choose(self.waiting.get(&turn)?, heads, now);
+        if head.is_none() {
+            round.is_full = !heads.iter().any(|h| self.may_take(h, now));
+        }
+        head
+    }
+
+    /// Whether a head has room for the shortest prompt.
+    fn may_take(&self, head: &OpenHead, now: Instant) -> bool {
+        let requests = self.requests_of(head, now);
+        let Some(work) = self.work.get(&head.key) else {
+            return requests < head.slots + PIPELINE_DEPTH;
+        };
+        self.has_room(work, requests, head.slots, 0, Duration::MAX, now)
+    }
+
     fn put(&mut self, ask: &Ask, head: &OpenHead, now: Instant) {
         let work = self.work.entry(head.key.clone()).or_default();
         work.requests += 1;
@@ -403,7 +474,7 @@
         for head in wanted {
             let work = self.work.get(&head.key).unwrap_or(&idle);
             let requests = self.requests_of(head, now);
-            if !self.has_room(work, requests, ask, head.slots, now) {
+            if !self.has_room(work, requests, head.slots, ask.prompt, ask.pause, now) {
                 continue;
             }
             let fill = requests as f64 / head.slots.max(1) as f64;
@@ -457,8 +528,9 @@
         &self,
         work: &HeadWork,
         requests: usize,
-        ask: &Ask,
         slots: usize,
+        prompt: u64,
+        pause: Duration,
         now: Instant,
     ) -> bool {
         if requests >= slots + PIPELINE_DEPTH || !work.ejection.admits(work.unstarted, now) {
@@ -468,8 +540,8 @@
         if work.unread == 0 {
             return true;
         }
-        let pause = work.pause.map_or(ask.pause, |p| p.min(ask.pause));
-        let pass = self.speed.pass(requests, work.unread + ask.prompt);
+        let pause = work.pause.map_or(pause, |p| p.min(pause));
+        let pass = self.speed.pass(requests, work.unread + prompt);
         pass.mul_f64(self.pace_of(work, now)) <= pause.mul_f64(MAX_PASS_RATIO)
     }
 
@@ -491,18 +563,15 @@
     /// it could only just be late.
     fn rank_late(&mut self, now: Instant) {
         let lead = self.lead.mul_f64(LEAD_MARGIN);
-        let is_late = |(key, ask): (&(Rank, u64), &Ask)| {
-            matches!(key.0, Rank::OnTime(_)) && now + lead >= ask.on_time_until
-        };
-        let late: Vec<(Rank, u64)> = self
+        let late: Vec<Turn> = self
             .waiting
-            .iter()
-            .filter(|entry| is_late(*entry))
-            .map(|(key, _)| *key)
+            .range((Rank::OnTime(0), 0)..(Rank::Late(0), 0))
+            .filter(|(_, ask)| now + lead >= ask.on_time_until)
+            .map(|(turn, _)| *turn)
             .collect();
-        for key in late {
-            if let (Some(ask), Rank::OnTime(urgency)) = (self.waiting.remove(&key), key.0) {
-                self.waiting.insert((Rank::Late(urgency), key.1), ask);
+        for turn in late {
+            if let (Rank::OnTime(urgency), Some(ask)) = (turn.0, self.dequeue(turn)) {
+                self.enqueue((Rank::Late(urgency), turn.1), ask);
             }
         }
     }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -270,8 +270,9 @@
             return rx;
         }
         self.askers.insert(ask.key.clone(), tx);
-        self.scheduler.ask(ask, now);
-        self.decide(heads, now);
+        if self.scheduler.ask(ask, now) {
+            self.decide(heads, now);
+        }
         rx
     }
 
