Report each head of a scheduler, with the requests that it may have at once

Cause: a scheduler reported heads that have requests. A shard whose heads have none, because they reject, reported nothing, neither its queue nor the rejections: the emptiest of all.

Change: a scheduler reports all heads that it knows, with their part of its queue, and a bound where a head is ejected or tried again. Nodes count such a head with that many slots when they choose the failure domain: a few requests still go there, which is how it comes back.

Tests: heads_that_reject_are_reported_with_their_bound, a_head_that_rejected_requests_counts_with_the_slots_that_it_may_use.

--- a/crates/fleet/src/ejection.rs
+++ b/crates/fleet/src/ejection.rs
@@ -56,6 +56,11 @@
         !self.is_ejected(now) && self.limit.is_none_or(|limit| unaccepted < limit)
     }
 
+    /// Requests that it may have without having accepted them; `None` for any number.
+    pub fn limit(&self) -> Option<usize> {
+        self.limit
+    }
+
     /// Whether it gets nothing.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,7 +40,9 @@
 pub use crate::relay::{Lacking, ListLog, list_parent};
 pub use crate::retry::{RetryBudget, RetryWindow};
 pub use crate::roles::{RoleCandidate, ranked_for_role, strongest};
-pub use crate::schedule::{Ask, HeadKey, OpenHead, Outcome, RequestKey, Scheduler, SchedulerState};
+pub use crate::schedule::{
+    Ask, HeadKey, HeadLoad, OpenHead, Outcome, RequestKey, Scheduler, SchedulerState,
+};
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{Progress, StallRule};
 pub use crate::strain::Strain;
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -118,6 +118,14 @@
 }
 
 value! { copy
+    /// What a scheduler knows of one head.
+    pub struct HeadLoad {
+        /// Requests that it has.
+        pub requests: usize,
+        /// Requests that it may have at once, where it rejected some.
+        pub limit: Option<usize>,
+    }
+
     /// What a scheduler knows of its heads and its queue.
     #[derive(Default)]
     pub struct SchedulerState {
@@ -194,7 +202,7 @@
     began: Instant,
     /// What an earlier scheduler had assigned, as the first decision found it.
     inherited: Option<BTreeMap<HeadKey, usize>>,
-    /// Invariant: sums over `assigned`.
+    /// Invariant: sums over `assigned`, with an entry for each head of the last decision.
     work: BTreeMap<HeadKey, HeadWork>,
     assigned: HashMap<RequestKey, Assignment>,
     next: u64,
@@ -231,12 +239,17 @@
         self.speed = speed;
     }
 
-    /// The heads that have requests, and how many.
-    pub fn loads(&self, now: Instant) -> BTreeMap<&HeadKey, usize> {
+    /// The open heads, and those that still have requests.
+    pub fn loads(&self, now: Instant) -> BTreeMap<&HeadKey, HeadLoad> {
         let inherited = self.inherited.iter().flat_map(BTreeMap::keys);
-        let keys = self.work.keys().chain(inherited);
-        let loads = keys.map(|key| (key, self.requests_at(key, now)));
-        loads.filter(|(_, requests)| *requests > 0).collect()
+        let loads = self.work.keys().chain(inherited).map(|key| {
+            let load = HeadLoad {
+                requests: self.requests_at(key, now),
+                limit: self.work.get(key).and_then(|work| work.ejection.limit()),
+            };
+            (key, load)
+        });
+        loads.collect()
     }
 
     /// Requests at a head: those that this scheduler has assigned, and what is likely left of
@@ -373,7 +386,7 @@
             let busy = heads.iter().filter(|h| h.reported > 0);
             busy.map(|h| (h.key.clone(), h.reported)).collect()
         });
-        self.forget_old(heads, now);
+        self.update_heads(heads, now);
         self.rank_late(now);
         let mut decided = Vec::new();
         let mut round = Round::default();
@@ -440,10 +453,8 @@
     /// Whether a head has room for the shortest prompt.
     fn may_take(&self, head: &OpenHead, now: Instant) -> bool {
         let requests = self.requests_of(head, now);
-        let Some(work) = self.work.get(&head.key) else {
-            return requests < head.slots + PIPELINE_DEPTH;
-        };
-        self.has_room(work, requests, head.slots, 0, Duration::MAX, now)
+        let work = self.work.get(&head.key);
+        work.is_some_and(|w| self.has_room(w, requests, head.slots, 0, Duration::MAX, now))
     }
 
     fn put(&mut self, ask: &Ask, head: &OpenHead, now: Instant) {
@@ -469,10 +480,11 @@
         let wanted = heads
             .iter()
             .filter(|h| !other || !ask.avoid.contains(&h.host));
-        let idle = HeadWork::default();
         let mut best: Option<((bool, Duration), &OpenHead)> = None;
         for head in wanted {
-            let work = self.work.get(&head.key).unwrap_or(&idle);
+            let Some(work) = self.work.get(&head.key) else {
+                continue;
+            };
             let requests = self.requests_of(head, now);
             if !self.has_room(work, requests, head.slots, ask.prompt, ask.pause, now) {
                 continue;
@@ -545,8 +557,8 @@
         pass.mul_f64(self.pace_of(work, now)) <= pause.mul_f64(MAX_PASS_RATIO)
     }
 
-    /// Drops requests whose end nobody reported, and heads that are gone.
-    fn forget_old(&mut self, heads: &[OpenHead], now: Instant) {
+    /// Drops requests whose end nobody reported and heads that are gone; takes in new heads.
+    fn update_heads(&mut self, heads: &[OpenHead], now: Instant) {
         let over = |p: &Assignment| now >= p.until;
         let keys = self.assigned.iter().filter(|(_, p)| over(p));
         let keys: Vec<RequestKey> = keys.map(|(key, _)| key.clone()).collect();
@@ -555,6 +567,11 @@
         }
         let open = |key: &HeadKey| heads.iter().any(|h| h.key == *key);
         self.work.retain(|key, work| work.requests > 0 || open(key));
+        for head in heads {
+            if !self.work.contains_key(&head.key) {
+                self.work.insert(head.key.clone(), HeadWork::default());
+            }
+        }
     }
 
     /// Those that can't be on time any more go behind those that can.
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -445,6 +445,26 @@
     expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.95));
 }
 
+/// Guards against a queue that no node hears of, because no head has a request.
+#[gtest]
+fn heads_that_reject_are_reported_with_their_bound() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(speed(), now - Duration::from_secs(10));
+    let open = heads(2);
+    scheduler.ask(ask(0, 100, now), now);
+    scheduler.assign(&open, now);
+    scheduler.rejected(&key(0), now);
+    let loads = scheduler.loads(now);
+    let limits: Vec<_> = loads
+        .values()
+        .map(|load| (load.requests, load.limit))
+        .collect();
+    expect_that!(
+        limits,
+        unordered_elements_are![eq(&(0, Some(1))), eq(&(0, None))]
+    );
+}
+
 /// Guards against requests waiting while all heads idle, because first events took long before.
 #[gtest]
 fn idle_heads_serve_late_requests_whatever_first_events_took_before() {
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -66,6 +66,8 @@
     requests: usize,
     /// This head's part of the requests that wait at the scheduler.
     queued: usize,
+    /// Requests that it may have at once, where it rejected some.
+    limit: Option<usize>,
     as_of: Instant,
 }
 
@@ -123,6 +125,13 @@
         reports.assigned.as_ref().map_or(0, |a| a.queued)
     }
 
+    /// Requests that it may have at once: its slots, or fewer where it rejected some.
+    pub(crate) fn usable_slots(&self) -> usize {
+        let reports = locked(&self.reports);
+        let limit = reports.assigned.as_ref().and_then(|a| a.limit);
+        limit.map_or(self.slots, |limit| limit.min(self.slots))
+    }
+
     /// Takes another node's report of what it placed without a scheduler.
     pub(crate) fn reported_unscheduled(&self, node: &NodeId, requests: usize) {
         let mut reports = locked(&self.reports);
@@ -146,6 +155,7 @@
                 by: by.clone(),
                 requests: load.assigned,
                 queued: load.queued,
+                limit: load.limit,
                 as_of,
             });
         }
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -11,6 +11,7 @@
     ScheduledLoad {
         assigned,
         queued: 0,
+        limit: None,
     }
 }
 
@@ -66,3 +67,20 @@
     head.reported_unscheduled(&"n2".into(), 0);
     expect_that!(head.load(), eq(6));
 }
+
+/// Guards against a failure domain whose heads all reject their requests looking like an idle one.
+#[gtest]
+fn a_head_that_rejected_requests_counts_with_the_slots_that_it_may_use() {
+    let head = head();
+    let now = Instant::now();
+    let scheduler = NodeId::from("n1");
+    let rejecting = ScheduledLoad {
+        limit: Some(1),
+        ..assigned(0)
+    };
+    expect_that!(head.usable_slots(), eq(13));
+    head.reported_assigned(&scheduler, rejecting, now);
+    expect_that!(head.usable_slots(), eq(1));
+    head.reported_assigned(&scheduler, assigned(0), now + Duration::from_secs(1));
+    expect_that!(head.usable_slots(), eq(13));
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -110,6 +110,7 @@
             let scheduled = ScheduledLoad {
                 assigned: load.assigned as usize,
                 queued: load.waiting as usize,
+                limit: load.limit.map(|limit| limit as usize),
             };
             head.reported_assigned(origin, scheduled, as_of);
         }
@@ -277,7 +278,8 @@
             running: count(head.unscheduled_here()),
             waiting: count(load.queued),
             assigned: count(load.assigned),
+            limit: load.limit.map(count),
         }
     });
-    loads.filter(|l| l.running > 0 || l.assigned > 0).collect()
+    loads.filter(GroupLoad::says_anything).collect()
 }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -71,6 +71,8 @@
         pub(crate) assigned: usize,
         /// The head's part of the requests that wait.
         pub(crate) queued: usize,
+        /// Requests that the head may have at once, where it rejected some.
+        pub(crate) limit: Option<usize>,
     }
 }
 
@@ -80,10 +82,14 @@
         let mut loads = HashMap::new();
         for running in locked(&self.running).values() {
             let running = locked(running);
-            let assigned = running.scheduler.loads(now);
-            let queued = running.scheduler.waiting().div_ceil(assigned.len().max(1));
-            let reports = assigned.into_iter().map(|(key, assigned)| {
-                let load = ScheduledLoad { assigned, queued };
+            let heads = running.scheduler.loads(now);
+            let queued = running.scheduler.waiting().div_ceil(heads.len().max(1));
+            let reports = heads.into_iter().map(|(key, head)| {
+                let load = ScheduledLoad {
+                    assigned: head.requests,
+                    queued,
+                    limit: head.limit,
+                };
                 (key.clone(), load)
             });
             loads.extend(reports);
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -336,7 +336,7 @@
     hosts * spec.share.get() / spec.size.max(1) as f64 > MAX_REPLICAS_PER_SHARD
 }
 
-/// The failure domains in which a model has heads, with their requests and slots.
+/// The failure domains in which a model has heads, with their requests and usable slots.
 fn open_domains<P: Platform>(
     core: &Core<P>,
     service: &ServiceName,
@@ -347,7 +347,7 @@
     for head in heads.of_model(service, model) {
         let domain = domains.entry(head.failure_domain.clone()).or_default();
         domain.0 += head.load() + head.queued();
-        domain.1 += head.slots;
+        domain.1 += head.usable_slots();
     }
     domains
 }
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -109,6 +109,8 @@
         pub waiting: u32,
         /// Requests of all nodes that this node, as the group's scheduler, has assigned to it.
         pub assigned: u32,
+        /// Requests that it may have at once, where it rejected some.
+        pub limit: Option<u32>,
     }
 
     /// A group's row as its planner wrote it.
@@ -210,6 +212,11 @@
 }
 
 impl GroupLoad {
+    /// Whether it differs from a group that nobody has reported.
+    pub fn says_anything(&self) -> bool {
+        self.work() > 0 || self.limit.is_some()
+    }
+
     fn work(&self) -> u32 {
         let own = self.running.saturating_add(self.waiting);
         own.saturating_add(self.assigned)
@@ -243,7 +250,8 @@
             }
             (Item::GroupLoad(a), Item::GroupLoad(b)) => {
                 let step = (a.work() / 4).max(1);
-                a.epoch == b.epoch && a.work().abs_diff(b.work()) < step
+                let same = a.epoch == b.epoch && a.limit == b.limit;
+                same && a.work().abs_diff(b.work()) < step
             }
             (a, b) => a == b,
         }
