Reject requests at once that the queue can't serve in their time

What callers saw: under a long overload hundreds waited for up to 1.4 s at heads that serve some 40 a second, were refused together, and came back together: bursts of 1,500 to 2,400 refusals every two seconds, with idle slots in between.

Change: once requests have waited for half a second without a break, the rate at which others get a slot shows what the heads can serve. What waits beyond that is rejected, the last in order first; streams that go on elsewhere are not. The load that it answers: bursts and lost heads that leave several times more requests than slots, for seconds.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -51,6 +51,8 @@
 const LEAD_MARGIN: f64 = 1.25;
 /// Part of the slots that late requests leave free at most.
 const MAX_RESERVED_RATIO: f64 = 0.5;
+/// Once requests have waited for this long, those that get a slot show what heads can serve.
+const LEARNING_PERIOD: Duration = Duration::from_millis(500);
 /// How long a slot whose release is not reported stays assigned: longer than streams usually
 /// take.
 const ASSIGNMENT_TTL: Duration = Duration::from_secs(4);
@@ -209,11 +211,15 @@
     waiting: BTreeMap<Turn, Ask>,
     /// Invariant: the keys of `waiting`.
     turns: HashMap<RequestKey, Turn>,
+    /// Since when requests have waited without a break.
+    queued_since: Option<Instant>,
     late_rejection: LateRejection,
     /// Time from a grant to its first event, a moving average.
     lead: Duration,
     /// Requests that came with time to be answered on time.
     arrivals: Rate,
+    /// Requests that got a slot.
+    grants: Rate,
 }
 
 impl Scheduler {
@@ -228,9 +234,11 @@
             next: 0,
             waiting: BTreeMap::new(),
             turns: HashMap::new(),
+            queued_since: None,
             late_rejection: LateRejection::default(),
             lead: Duration::ZERO,
             arrivals: Rate::default(),
+            grants: Rate::default(),
         }
     }
 
@@ -404,9 +412,30 @@
             }
             decided.push((ask.key, outcome));
         }
+        let is_queued = !self.waiting.is_empty();
+        self.queued_since = is_queued.then(|| self.queued_since.unwrap_or(now));
+        while let Some(turn) = self.unservable(heads, now) {
+            let rejected = self.dequeue(turn);
+            decided.extend(rejected.map(|ask| (ask.key, Outcome::Full)));
+        }
         decided
     }
 
+    /// The last in the queue, if more wait than will get a slot in its time.
+    ///
+    /// Told at once, its caller can come back in time; after a wait it would come back with all
+    /// others that waited as long.
+    fn unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Turn> {
+        let (turn, ask) = self.waiting.last_key_value()?;
+        let queued = now.saturating_duration_since(self.queued_since?);
+        if queued < LEARNING_PERIOD || turn.0 == Rank::Resumed {
+            return None;
+        }
+        let time = ask.until.saturating_duration_since(now).as_secs_f64();
+        let servable = heads.len() as f64 + self.grants.per_second(now) * time;
+        (self.waiting.len() as f64 > servable).then_some(*turn)
+    }
+
     /// What becomes of a request that waits, and its head; `None` where it goes on waiting.
     fn decide<'h>(
         &mut self,
@@ -458,6 +487,7 @@
     }
 
     fn put(&mut self, ask: &Ask, head: &OpenHead, now: Instant) {
+        self.grants.on_event(now);
         let work = self.work.entry(head.key.clone()).or_default();
         work.requests += 1;
         work.unstarted += 1;
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -94,7 +94,7 @@
     arrived: Option<Instant>,
     first: Option<Instant>,
     longest_pause: Duration,
-    refused: bool,
+    refused: Option<Instant>,
     done: bool,
 }
 
@@ -210,7 +210,7 @@
         for (key, outcome) in self.scheduler.assign(&open, self.now) {
             let prompt = self.prompts.remove(&key.number);
             match outcome {
-                Outcome::Full => self.fates[key.number as usize].refused = true,
+                Outcome::Full => self.fates[key.number as usize].refused = Some(self.now),
                 Outcome::Granted((replica, _)) => {
                     let n = replica[1..].parse().expect("a head's number");
                     self.send(n, key.number, prompt.expect("it was asked for"));
@@ -254,7 +254,7 @@
             let avoid = self.avoid.entry(number).or_default();
             avoid.push(head);
             if avoid.len() > MAX_REJECTIONS {
-                self.fates[number as usize].refused = true;
+                self.fates[number as usize].refused = Some(now);
                 continue;
             }
             let arrived = self.fates[number as usize].arrived.expect("it has arrived");
@@ -322,6 +322,17 @@
         }
     }
 
+    /// How long requests waited that were refused, the shortest first.
+    fn waits_in_vain(&self) -> Vec<Duration> {
+        let refused = self
+            .fates
+            .iter()
+            .filter_map(|f| Some((f.arrived?, f.refused?)));
+        let mut waits: Vec<Duration> = refused.map(|(arrived, at)| at - arrived).collect();
+        waits.sort();
+        waits
+    }
+
     /// The part of the requests that were on time, of those that came `from` to `to`.
     fn on_time(&self, from: Instant, to: Instant) -> f64 {
         let came = |f: &&Fate| f.arrived.is_some_and(|at| from <= at && at < to);
@@ -360,6 +371,20 @@
     expect_that!(on_time(Way::Scheduler, 110.0), gt(0.6));
 }
 
+/// Guards against callers waiting for slots that can't become free in their time.
+#[gtest]
+fn requests_that_the_queue_can_not_serve_in_time_are_rejected_at_once() {
+    let mut world = World::new(6, Way::Scheduler);
+    world.play(71.0, Duration::from_secs(3));
+    // Three times as many as the heads can write.
+    let from = world.now;
+    world.play(285.0, Duration::from_secs(10));
+    let waits = world.waits_in_vain();
+    expect_that!(waits[waits.len() / 2], lt(AIM));
+    // A third of them is what the heads can write.
+    expect_that!(world.on_time(from, from + Duration::from_secs(8)), gt(0.2));
+}
+
 /// Guards against requests being sent to replicas with a slow member while others have room.
 #[gtest]
 fn requests_avoid_heads_that_turned_slow() {
