Write that a call may have run before its caller is told so

What callers saw: a call with a key was told 502, may have run; a repeat right after it was told 409, still in progress, in place of 502. It didn't run again.

Cause: the answer went out before the claim's end was written, so a repeat that came in between, at any node, read a row that said 'claimed'. Ruled out: a second run (none in any run), the table taking over 1 s (it fails with tables that answer in milliseconds, beside load).

Change: the end is written first, for 1 s at most, as for whole answers. Calls that have not run are still told at once.

--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -284,16 +284,18 @@
         problem: Problem,
         tx: oneshot::Sender<Reply>,
     ) -> Option<RowChange> {
-        let change = match problem.outcome() {
-            Outcome::NotRun => {
-                claim.after(DispatchOutcome::NotRun);
-                claim.release()
-            }
-            _ => claim.after(DispatchOutcome::Unknown),
-        };
-        // Told before the row is written: the caller's answer doesn't wait for the table.
+        if problem.outcome() == Outcome::NotRun {
+            claim.after(DispatchOutcome::NotRun);
+            let change = claim.release();
+            // Told before the row is written: the caller's answer doesn't wait for the table.
+            drop(tx.send(Err(problem)));
+            return self.write_soon(claim, change).await;
+        }
+        let change = claim.after(DispatchOutcome::Unknown);
+        // Written before the caller is told, as for whole answers.
+        let change = self.write_soon(claim, change).await;
         drop(tx.send(Err(problem)));
-        self.write_soon(claim, change).await
+        change
     }
 
     /// Puts an answer where repeats find it.
