Count rejections of plain hosts as failures, and failures less with their age

And a host that had failed for a while was left out until the others were four times full, since its failure rate changed only with requests that it got.

Change: what a node sees of plain hosts moves to fleet::TargetStats, without a network.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod spill;
 mod stall;
 mod strain;
+mod targets;
 
 pub use crate::catalog::{
     Caller, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec, Repeat, Route,
@@ -46,3 +47,4 @@
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{Progress, StallRule};
 pub use crate::strain::Strain;
+pub use crate::targets::{TargetOutcome, TargetStats};
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use eelgrassmill_base::HostId;
 use eelgrassmill_fleet::{
     Caller, Candidate, Catalog, Fleet, FleetChange, Host, HostState, Progress, Repeat, RetryWindow,
-    Route, RouteRefusal, StallRule, place,
+    Route, RouteRefusal, StallRule, TargetOutcome, TargetStats, place,
 };
 use googletest::prelude::*;
 
@@ -279,6 +280,61 @@
     expect_within_bound(&requests, &repeats, window, ratio, slack);
 }
 
+/// Plays 100 requests a second of one node at three hosts; `rejects` says whether the first one
+/// rejects at that second. The part of each second's requests that were sent to it.
+fn sent_to_the_first(seconds: u64, rejects: impl Fn(u64) -> bool) -> Vec<f64> {
+    let began = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(5);
+    let hosts: [HostId; 3] = ["h0".into(), "h1".into(), "h2".into()];
+    let mut stats = TargetStats::default();
+    let mut running: Vec<(u64, usize)> = Vec::new();
+    let mut sent = vec![0.0; seconds as usize];
+    for ms in (0..seconds * 1000).step_by(10) {
+        let now = began + millis(ms);
+        for (_, host) in running.extract_if(.., |(end, _)| *end <= ms) {
+            stats.leave(&hosts[host], TargetOutcome::Served, now);
+        }
+        let candidates: Vec<Candidate> = hosts
+            .iter()
+            .map(|host| {
+                let (load, failing_permille) = stats.of(host, now);
+                Candidate {
+                    host: host.clone(),
+                    load,
+                    slots: 6,
+                    near: true,
+                    failing_permille,
+                }
+            })
+            .collect();
+        let chosen = place(&candidates, 0.0, rng.f64()).expect("there are hosts");
+        let index = hosts
+            .iter()
+            .position(|h| *h == chosen.host)
+            .expect("a host");
+        stats.enter(&hosts[index]);
+        if index == 0 {
+            sent[(ms / 1000) as usize] += 0.01;
+        }
+        if index == 0 && rejects(ms / 1000) {
+            stats.leave(&hosts[0], TargetOutcome::Failed, now);
+        } else {
+            running.push((ms + 60, index));
+        }
+    }
+    sent
+}
+
+/// Guards against a host that rejects at once being sent every request, and against one that has
+/// recovered being left out for good.
+#[gtest]
+fn a_plain_host_that_rejects_is_left_out_until_it_serves_again() {
+    let sent = sent_to_the_first(20, |second| (2..8).contains(&second));
+    expect_that!(sent[1], gt(0.25));
+    expect_that!(sent[3..8].iter().sum::<f64>() / 5.0, lt(0.1));
+    expect_that!(sent[14..].iter().sum::<f64>() / 6.0, gt(0.25));
+}
+
 /// A replica loses a member: nothing comes any more. A slow one gives its events rarely
 /// but gives them, and must not be taken for one that stands still.
 #[gtest]
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,7 +7,7 @@
 
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
-use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow, RoleCandidate};
+use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow, RoleCandidate, TargetStats};
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
 use tracing::info;
@@ -15,7 +15,6 @@
 use crate::admission::AdmissionQueues;
 use crate::config::GatewayConfig;
 use crate::configuration::Configuration;
-use crate::dispatch::TargetStats;
 use crate::heads::{HeadTable, locked};
 use crate::inbox::Inbox;
 use crate::logs::LineLimit;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,13 +1,12 @@
 //! Requests with a whole answer: sent to a host, read to the end, then handed on.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ServiceName};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
-use eelgrassmill_fleet::{Candidate, Host, place};
+use eelgrassmill_fleet::{Candidate, Host, TargetOutcome, place};
 use http::{Response, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -28,54 +27,17 @@
 /// When a caller should come back after every host refused: hosts refuse while their
 /// short queue is full, which a few answers later it no longer is.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
-/// Weight of the newest outcome in a host's failure rate, as 1 / this.
-const FAILURE_MEMORY: u32 = 8;
-
-/// What this node sees of each host of plain services.
-#[derive(Debug, Default)]
-pub(crate) struct TargetStats {
-    hosts: HashMap<HostId, TargetStat>,
-}
-
-#[derive(Debug, Default)]
-struct TargetStat {
-    running: usize,
-    failing_permille: u32,
-}
-
-impl TargetStats {
-    fn enter(&mut self, host: &HostId) {
-        self.hosts.entry(host.clone()).or_default().running += 1;
-    }
-
-    fn leave(&mut self, host: &HostId, failed: bool) {
-        let Some(stat) = self.hosts.get_mut(host) else {
-            return;
-        };
-        stat.running = stat.running.saturating_sub(1);
-        let outcome = if failed { 1000 } else { 0 };
-        stat.failing_permille =
-            (stat.failing_permille * (FAILURE_MEMORY - 1) + outcome) / FAILURE_MEMORY;
-    }
-
-    fn of(&self, host: &str) -> (usize, u32) {
-        self.hosts
-            .get(host)
-            .map_or((0, 0), |s| (s.running, s.failing_permille))
-    }
-}
-
 /// Counts a request at a host until it is dropped. Failed unless said otherwise, so that
 /// an attempt that is given up counts as one.
 struct Running<'c, P: Platform> {
     core: &'c Core<P>,
     host: HostId,
-    failed: bool,
+    outcome: TargetOutcome,
 }
 
 impl<P: Platform> Drop for Running<'_, P> {
     fn drop(&mut self) {
-        locked(&self.core.targets).leave(&self.host, self.failed);
+        locked(&self.core.targets).leave(&self.host, self.outcome, Instant::now());
     }
 }
 
@@ -204,12 +166,13 @@
 fn pick_host<P: Platform>(core: &Core<P>, service: &str, tried: &[HostId]) -> Option<Host> {
     let fleet = locked(&core.fleet);
     let stats = locked(&core.targets);
+    let now = Instant::now();
     let usable = |h: &&Host| h.service == service && h.is_ready() && !tried.contains(&h.id);
     let candidates: Vec<Candidate> = fleet
         .hosts()
         .filter(usable)
         .map(|h| {
-            let (load, failing_permille) = stats.of(&h.id);
+            let (load, failing_permille) = stats.of(&h.id, now);
             Candidate {
                 host: h.id.clone(),
                 load,
@@ -233,7 +196,7 @@
     let mut running = Running {
         core,
         host: host.id.clone(),
-        failed: true,
+        outcome: TargetOutcome::Failed,
     };
     let req = target_request(core, call, &host.id, None, None);
     let until = Instant::now() + patience;
@@ -245,15 +208,14 @@
     };
     let status = response.status;
     match core.platform.dialect().meaning(status, &response.headers) {
-        AnswerMeaning::NotRun => {
-            running.failed = false;
-            Attempt::NotRun("refused".into())
-        }
+        AnswerMeaning::NotRun => Attempt::NotRun("refused".into()),
         AnswerMeaning::WrongHost => Attempt::NotRun("another host has this address".into()),
         AnswerMeaning::Unproven => Attempt::Unknown("answer without proof".into()),
         AnswerMeaning::Answered => {
             let read = read_whole(response, until).await;
-            running.failed = read.is_err() || status.is_server_error();
+            if read.is_ok() && !status.is_server_error() {
+                running.outcome = TargetOutcome::Served;
+            }
             match read {
                 Ok((headers, body)) => Attempt::Answered(status, headers, body),
                 Err(why) => Attempt::Unknown(why),
