Leave heads that reject a part of their requests in use, and eject those that reject all

Cause, found by measuring: the first ejection was too harsh. It ejected a head at its first rejection and took only a first event, 160 ms later, for an acceptance.

Change: a request that was not rejected for 50 ms counts as accepted; a rejection halves what a head may have without having accepted it; only three single requests rejected in a row eject it. A scheduler reports a head as ejected, with one usable slot, only until it accepts again. Suspected heads still get only what the others have no room for.

--- a/crates/fleet/src/ejection.rs
+++ b/crates/fleet/src/ejection.rs
@@ -6,7 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-/// How long a host that rejected a request gets none. Doubles while it accepts nothing.
+/// Single requests in a row that a host rejects before it is ejected.
+const MAX_STRIKES: u32 = 3;
+/// How long it is ejected. Doubles while it accepts nothing.
 const EJECTION_PERIOD: Duration = Duration::from_millis(250);
 /// Longest such time.
 const MAX_EJECTION_PERIOD: Duration = Duration::from_secs(1);
@@ -15,12 +17,14 @@
 
 /// What a host's rejections say of it.
 ///
-/// After a rejection it is ejected for a while. Then it may have one request at a time until it
-/// accepts one, and one more with each that it accepts.
+/// Each rejection halves what it may have without having accepted it; each request that it accepts
+/// adds one. Where it goes on to reject single ones, it is ejected for a while.
 #[derive(Clone, Debug, Default)]
 pub struct Ejection {
     /// Requests that it may have without having accepted them; `None` for any number.
     limit: Option<usize>,
+    /// Single requests that it has rejected in a row.
+    strikes: u32,
     ejected_until: Option<Instant>,
     suspected_until: Option<Instant>,
     /// The last time for which it was ejected; `None` once it has accepted a request since.
@@ -28,18 +32,27 @@
 }
 
 impl Ejection {
-    /// Notes that it rejected a request that was sent at `sent`.
-    pub fn rejected(&mut self, sent: Instant, now: Instant) {
+    /// Notes that it rejected a request that was sent at `sent`, one of `unaccepted` that it had
+    /// not yet accepted.
+    pub fn rejected(&mut self, sent: Instant, unaccepted: usize, now: Instant) {
         if self.is_outdated(sent) {
             return;
         }
+        self.suspected_until = Some(now + SUSPICION_PERIOD);
+        if self.limit != Some(1) {
+            let limit = self.limit.map_or(unaccepted, |limit| limit.min(unaccepted));
+            self.limit = Some((limit / 2).max(1));
+            return;
+        }
+        self.strikes += 1;
+        if self.strikes < MAX_STRIKES {
+            return;
+        }
         let period = self.period.map_or(EJECTION_PERIOD, |p| {
             p.saturating_mul(2).min(MAX_EJECTION_PERIOD)
         });
         self.period = Some(period);
-        self.limit = Some(1);
         self.ejected_until = Some(now + period);
-        self.suspected_until = Some(now + SUSPICION_PERIOD);
     }
 
     /// Notes that it accepted a request that was sent at `sent`. `slots` is what it runs at once.
@@ -48,22 +61,19 @@
             return;
         }
         self.period = None;
+        self.strikes = 0;
         self.limit = self.limit.map(|l| l + 1).filter(|l| *l <= slots);
     }
 
     /// Whether it may get a request while it has `unaccepted` that it has not yet accepted.
     pub fn admits(&self, unaccepted: usize, now: Instant) -> bool {
-        !self.is_ejected(now) && self.limit.is_none_or(|limit| unaccepted < limit)
-    }
-
-    /// Requests that it may have without having accepted them; `None` for any number.
-    pub fn limit(&self) -> Option<usize> {
-        self.limit
+        let is_due = self.ejected_until.is_none_or(|until| now >= until);
+        is_due && self.limit.is_none_or(|limit| unaccepted < limit)
     }
 
-    /// Whether it gets nothing.
-    pub fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
+    /// Whether it was ejected and has accepted nothing since.
+    pub fn is_ejected(&self) -> bool {
+        self.period.is_some()
     }
 
     /// Whether it gets only what no other has room for.
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -9,7 +9,7 @@
 //! have. Further requests wait here, where they can be reordered or rejected; at the head they
 //! would make all its streams late.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, NodeId, value};
@@ -31,6 +31,9 @@
 /// Cost of a full batch over an empty one, as time to a first event. Keeps batches even, so that
 /// no replica is without a slot while others have many.
 const FULL_BATCH_COST: Duration = Duration::from_millis(40);
+/// A request that was not rejected for this long has been accepted: heads reject within
+/// milliseconds.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long requests that an earlier scheduler assigned are counted, ever fewer of them: about as
 /// long as streams take.
 const INHERITED_TTL: Duration = Duration::from_secs(2);
@@ -124,8 +127,8 @@
     pub struct HeadLoad {
         /// Requests that it has.
         pub requests: usize,
-        /// Requests that it may have at once, where it rejected some.
-        pub limit: Option<usize>,
+        /// Whether it rejects all requests.
+        pub is_ejected: bool,
     }
 
     /// What a scheduler knows of its heads and its queue.
@@ -155,6 +158,8 @@
     prompt: u64,
     /// Whether its first event has come.
     began: bool,
+    /// Whether the head will not reject it any more.
+    accepted: bool,
     /// Its time is over then, should nobody tell of its end.
     until: Instant,
 }
@@ -176,9 +181,9 @@
 #[derive(Clone, Debug, Default)]
 struct HeadWork {
     requests: usize,
-    /// Requests that have not begun.
-    unstarted: usize,
-    /// Their prompt tokens.
+    /// Requests that it may yet reject.
+    unaccepted: usize,
+    /// Prompt tokens of requests that have not begun.
     unread: u64,
     /// The shortest pause that one of its requests may have.
     pause: Option<Duration>,
@@ -207,6 +212,8 @@
     /// Invariant: sums over `assigned`, with an entry for each head of the last decision.
     work: BTreeMap<HeadKey, HeadWork>,
     assigned: HashMap<RequestKey, Assignment>,
+    /// Requests that their heads may yet reject, in the order of their grants.
+    unanswered: VecDeque<(Instant, RequestKey)>,
     next: u64,
     waiting: BTreeMap<Turn, Ask>,
     /// Invariant: the keys of `waiting`.
@@ -231,6 +238,7 @@
             inherited: None,
             work: BTreeMap::new(),
             assigned: HashMap::new(),
+            unanswered: VecDeque::new(),
             next: 0,
             waiting: BTreeMap::new(),
             turns: HashMap::new(),
@@ -253,7 +261,7 @@
         let loads = self.work.keys().chain(inherited).map(|key| {
             let load = HeadLoad {
                 requests: self.requests_at(key, now),
-                limit: self.work.get(key).and_then(|work| work.ejection.limit()),
+                is_ejected: self.work.get(key).is_some_and(|w| w.ejection.is_ejected()),
             };
             (key, load)
         });
@@ -329,12 +337,32 @@
                 let before = work.recent_lead(now).unwrap_or(lead);
                 let mean = (before * (PACE_MEMORY - 1) + lead) / PACE_MEMORY;
                 work.lead = Some((mean, now));
-                work.ejection.accepted(assigned.at, assigned.slots);
             }
+            self.accepted(key);
             self.read(key);
         }
     }
 
+    /// Notes that a head will not reject a request any more.
+    fn accepted(&mut self, key: &RequestKey) {
+        let Some(assigned) = self.assigned.get_mut(key).filter(|a| !a.accepted) else {
+            return;
+        };
+        assigned.accepted = true;
+        if let Some(work) = self.work.get_mut(&assigned.head) {
+            work.unaccepted = work.unaccepted.saturating_sub(1);
+            work.ejection.accepted(assigned.at, assigned.slots);
+        }
+    }
+
+    /// Takes requests for accepted that were sent some time ago.
+    fn accept_unanswered(&mut self, now: Instant) {
+        let old = |at: Instant| now.saturating_duration_since(at) >= REJECTION_TIMEOUT;
+        while let Some((_, key)) = self.unanswered.pop_front_if(|(at, _)| old(*at)) {
+            self.accepted(&key);
+        }
+    }
+
     /// Notes that nothing is left to be read of a request's prompt.
     fn read(&mut self, key: &RequestKey) {
         let Some(assigned) = self.assigned.get_mut(key).filter(|p| !p.began) else {
@@ -343,7 +371,6 @@
         assigned.began = true;
         if let Some(work) = self.work.get_mut(&assigned.head) {
             work.unread = work.unread.saturating_sub(assigned.prompt);
-            work.unstarted = work.unstarted.saturating_sub(1);
         }
     }
 
@@ -358,6 +385,9 @@
         };
         if let Some(work) = self.work.get_mut(&assigned.head) {
             work.requests = work.requests.saturating_sub(1);
+            if !assigned.accepted {
+                work.unaccepted = work.unaccepted.saturating_sub(1);
+            }
             if work.requests == 0 {
                 work.pause = None;
             }
@@ -368,7 +398,7 @@
     pub fn rejected(&mut self, key: &RequestKey, now: Instant) {
         if let Some(assigned) = self.assigned.get(key) {
             let work = self.work.entry(assigned.head.clone()).or_default();
-            work.ejection.rejected(assigned.at, now);
+            work.ejection.rejected(assigned.at, work.unaccepted, now);
         }
         self.released(key);
     }
@@ -395,6 +425,7 @@
             busy.map(|h| (h.key.clone(), h.reported)).collect()
         });
         self.update_heads(heads, now);
+        self.accept_unanswered(now);
         self.rank_late(now);
         let mut decided = Vec::new();
         let mut round = Round::default();
@@ -490,7 +521,7 @@
         self.grants.on_event(now);
         let work = self.work.entry(head.key.clone()).or_default();
         work.requests += 1;
-        work.unstarted += 1;
+        work.unaccepted += 1;
         work.unread += ask.prompt;
         work.pause = Some(work.pause.map_or(ask.pause, |p| p.min(ask.pause)));
         let assigned = Assignment {
@@ -499,9 +530,11 @@
             at: now,
             prompt: ask.prompt,
             began: false,
+            accepted: false,
             until: ask.until.max(now) + ASSIGNMENT_TTL,
         };
         self.assigned.insert(ask.key.clone(), assigned);
+        self.unanswered.push_back((now, ask.key.clone()));
     }
 
     /// The head at which the request would give its first event soonest, if one has room.
@@ -575,7 +608,7 @@
         pause: Duration,
         now: Instant,
     ) -> bool {
-        if requests >= slots + PIPELINE_DEPTH || !work.ejection.admits(work.unstarted, now) {
+        if requests >= slots + PIPELINE_DEPTH || !work.ejection.admits(work.unaccepted, now) {
             return false;
         }
         // The longest prompt must run somewhere, and alone it harms least.
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -66,8 +66,7 @@
     requests: usize,
     /// This head's part of the requests that wait at the scheduler.
     queued: usize,
-    /// Requests that it may have at once, where it rejected some.
-    limit: Option<usize>,
+    is_ejected: bool,
     as_of: Instant,
 }
 
@@ -125,11 +124,11 @@
         reports.assigned.as_ref().map_or(0, |a| a.queued)
     }
 
-    /// Requests that it may have at once: its slots, or fewer where it rejected some.
+    /// Its slots; one while it rejects all requests, by which it is tried again.
     pub(crate) fn usable_slots(&self) -> usize {
         let reports = locked(&self.reports);
-        let limit = reports.assigned.as_ref().and_then(|a| a.limit);
-        limit.map_or(self.slots, |limit| limit.min(self.slots))
+        let is_ejected = reports.assigned.as_ref().is_some_and(|a| a.is_ejected);
+        if is_ejected { 1 } else { self.slots }
     }
 
     /// Takes another node's report of what it placed without a scheduler.
@@ -155,7 +154,7 @@
                 by: by.clone(),
                 requests: load.assigned,
                 queued: load.queued,
-                limit: load.limit,
+                is_ejected: load.is_ejected,
                 as_of,
             });
         }
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -11,7 +11,7 @@
     ScheduledLoad {
         assigned,
         queued: 0,
-        limit: None,
+        is_ejected: false,
     }
 }
 
@@ -70,12 +70,12 @@
 
 /// Guards against a failure domain whose heads all reject their requests looking like an idle one.
 #[gtest]
-fn a_head_that_rejected_requests_counts_with_the_slots_that_it_may_use() {
+fn a_head_that_rejects_all_requests_counts_with_the_one_slot_that_it_is_tried_by() {
     let head = head();
     let now = Instant::now();
     let scheduler = NodeId::from("n1");
     let rejecting = ScheduledLoad {
-        limit: Some(1),
+        is_ejected: true,
         ..assigned(0)
     };
     expect_that!(head.usable_slots(), eq(13));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -110,7 +110,7 @@
             let scheduled = ScheduledLoad {
                 assigned: load.assigned as usize,
                 queued: load.waiting as usize,
-                limit: load.limit.map(|limit| limit as usize),
+                is_ejected: load.ejected,
             };
             head.reported_assigned(origin, scheduled, as_of);
         }
@@ -278,7 +278,7 @@
             running: count(head.unscheduled_here()),
             waiting: count(load.queued),
             assigned: count(load.assigned),
-            limit: load.limit.map(count),
+            ejected: load.is_ejected,
         }
     });
     loads.filter(GroupLoad::says_anything).collect()
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -71,8 +71,8 @@
         pub(crate) assigned: usize,
         /// The head's part of the requests that wait.
         pub(crate) queued: usize,
-        /// Requests that the head may have at once, where it rejected some.
-        pub(crate) limit: Option<usize>,
+        /// Whether the head rejects all requests.
+        pub(crate) is_ejected: bool,
     }
 }
 
@@ -88,7 +88,7 @@
                 let load = ScheduledLoad {
                     assigned: head.requests,
                     queued,
-                    limit: head.limit,
+                    is_ejected: head.is_ejected,
                 };
                 (key.clone(), load)
             });
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -109,8 +109,8 @@
         pub waiting: u32,
         /// Requests of all nodes that this node, as the group's scheduler, has assigned to it.
         pub assigned: u32,
-        /// Requests that it may have at once, where it rejected some.
-        pub limit: Option<u32>,
+        /// Whether it rejects all requests.
+        pub ejected: bool,
     }
 
     /// A group's row as its planner wrote it.
@@ -214,7 +214,7 @@
 impl GroupLoad {
     /// Whether it differs from a group that nobody has reported.
     pub fn says_anything(&self) -> bool {
-        self.work() > 0 || self.limit.is_some()
+        self.work() > 0 || self.ejected
     }
 
     fn work(&self) -> u32 {
@@ -250,7 +250,7 @@
             }
             (Item::GroupLoad(a), Item::GroupLoad(b)) => {
                 let step = (a.work() / 4).max(1);
-                let same = a.epoch == b.epoch && a.limit == b.limit;
+                let same = a.epoch == b.epoch && a.ejected == b.ejected;
                 same && a.work().abs_diff(b.work()) < step
             }
             (a, b) => a == b,
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -59,7 +59,7 @@
             running: g.running,
             waiting: g.waiting,
             assigned: g.assigned,
-            limit: g.limit,
+            ejected: g.ejected,
         }),
         Item::Group(g) => Kind::Group(wire::GroupRecord {
             group: g.group.to_string(),
@@ -143,7 +143,7 @@
             running: g.running,
             waiting: g.waiting,
             assigned: g.assigned,
-            limit: g.limit,
+            ejected: g.ejected,
         }),
         Kind::Group(g) if g.record.len() <= MAX_GROUP_RECORD => Item::Group(GroupRecord {
             group: name(g.group)?,
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -261,9 +261,9 @@
     /// Requests of all nodes that the node, as the group's scheduler, has assigned to it.
     #[prost(uint32, tag = "5")]
     pub assigned: u32,
-    /// Requests that it may have at once, where it rejected some.
-    #[prost(uint32, optional, tag = "6")]
-    pub limit: Option<u32>,
+    /// Whether it rejects all requests.
+    #[prost(bool, tag = "6")]
+    pub ejected: bool,
 }
 
 /// The key of an item that is gone.
