--- a/crates/gateway/src/nodes/tests.rs
+++ b/crates/gateway/src/nodes/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
 use eelgrassmill_fleet::ranked_for_role;
@@ -37,3 +37,17 @@
     nodes.set_strained(&usual, false);
     expect_that!(first(&nodes, now), some(eq(&usual)));
 }
+
+/// Guards against each node taking a larger share of the retry budget while others are not heard.
+#[gtest]
+fn the_retry_budget_is_divided_by_all_nodes_that_were_heard_lately() {
+    let now = Instant::now();
+    let mut nodes = nodes(now);
+    let later = now + Duration::from_secs(3);
+    expect_that!(nodes.alive(later).count(), eq(0));
+    expect_that!(nodes.sharing(later), eq(4));
+    nodes.forget("small-1");
+    expect_that!(nodes.sharing(later), eq(4));
+    let long_after = now + Duration::from_secs(30);
+    expect_that!(nodes.sharing(long_after), eq(3));
+}
