--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -18,7 +18,7 @@
 use crate::heads::{HeadTable, locked};
 use crate::inbox::Inbox;
 use crate::logs::LineLimit;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, RepeatReason};
 use crate::nodes::{Nodes, usable_processor};
 use crate::peers::{LOAD_INTERVAL, Peers};
 use crate::planning::PlanningEvent;
@@ -235,12 +235,12 @@
     }
 
     /// Whether one more repeat for this service is permitted; counts it if so.
-    pub(crate) fn try_repeat(&self, service: &ServiceName) -> bool {
+    pub(crate) fn try_repeat(&self, service: &ServiceName, reason: RepeatReason) -> bool {
         let (nodes, now) = (self.node_count(), Instant::now());
         let mut retries = locked(&self.retries);
         let window = self.window(&mut retries, service);
         if window.try_repeat(nodes, now) {
-            self.metrics.repeated(service, "attempt");
+            self.metrics.repeated(service, reason);
             return true;
         }
         let budget = window.budget(nodes, now);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::call::Call;
 use crate::core::Core;
 use crate::heads::locked;
+use crate::metrics::RepeatReason;
 use crate::ports::{AnswerMeaning, AttemptHead, Dialect, Platform};
 
 /// Longest whole answer that is held in memory.
@@ -69,7 +70,7 @@
         let Some(host) = pick_host(core, &service, &tried) else {
             break;
         };
-        if arrived > 0 && !core.try_repeat(&service) {
+        if arrived > 0 && !core.try_repeat(&service, RepeatReason::Attempt) {
             refused = RefusalCause::NoRepeatsLeft;
             break;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,24 @@
     0.025, 0.05, 0.1, 0.2, 0.25, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, 15.0,
 ];
 
+/// Why a request is sent once more.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RepeatReason {
+    /// A host did not serve it.
+    Attempt,
+    /// Its stream broke off and goes on at another replica.
+    Resume,
+}
+
+impl RepeatReason {
+    fn name(self) -> &'static str {
+        match self {
+            RepeatReason::Attempt => "attempt",
+            RepeatReason::Resume => "resume",
+        }
+    }
+}
+
 /// A node's metrics.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -100,8 +118,9 @@
     }
 
     /// Counts a request that is sent once more.
-    pub(crate) fn repeated(&self, service: &str, reason: &str) {
-        self.repeats.with_label_values(&[service, reason]).inc();
+    pub(crate) fn repeated(&self, service: &str, reason: RepeatReason) {
+        let labels = [service, reason.name()];
+        self.repeats.with_label_values(&labels).inc();
     }
 
     /// Counts the time to the first byte of an answer.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::{pick_service, target_request};
 use crate::events::EventSplitter;
 use crate::heads::{Head, InProgress};
+use crate::metrics::RepeatReason;
 use crate::ports::{AnswerMeaning, Dialect, Platform};
 
 /// Pieces that wait for a slow caller before its stream stops reading from the host.
@@ -118,7 +119,7 @@
     async fn begin(&mut self) -> Result<Begun<P>, Refusal> {
         loop {
             let place = self.place().await?;
-            if self.arrivals > 0 && !self.core.try_repeat(&self.service) {
+            if self.arrivals > 0 && !self.core.try_repeat(&self.service, self.repeat_reason()) {
                 return Err(self.given_up(RefusalCause::NoRepeatsLeft));
             }
             match self.attempt(place).await {
@@ -149,6 +150,14 @@
         })
     }
 
+    fn repeat_reason(&self) -> RepeatReason {
+        if self.events.last_id().is_some() {
+            RepeatReason::Resume
+        } else {
+            RepeatReason::Attempt
+        }
+    }
+
     fn may_run_again(&self) -> bool {
         self.call.repeatable() && self.runs < self.call.route.attempts
     }
@@ -310,7 +319,6 @@
                 Ok(_) => return self.cut("the run that went on failed"),
                 Err(refusal) => return self.cut(refusal.cause.name()),
             };
-            self.core.metrics.repeated(&self.service, "resume");
         }
     }
 
