Form a replica anew with another head where its head rejects requests

Change: the planner hears from schedulers which heads are ejected. One that rejects for 0.7 s and has room is given up as head: its replica drains and is formed anew, with a member that doesn't reject as its head. One replica at a time in a fabric domain, and only where such a member exists, so that heads that reject for a reason that all share are left alone.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -20,6 +20,7 @@
 mod knowledge;
 mod order;
 mod ready;
+mod rejecting;
 mod send;
 mod serving;
 
@@ -39,6 +40,7 @@
 use crate::planner::choose::View;
 use crate::planner::formations::Formations;
 use crate::planner::knowledge::{Asked, LATE_ORDERS, Silence};
+use crate::planner::rejecting::RejectingHosts;
 use crate::planner::serving::ServingCounts;
 
 /// Formations that one planner's term has room for; far more than a term can last.
@@ -128,6 +130,8 @@
     staging: BTreeMap<HostId, (ModelName, Instant)>,
     /// When loads from the weight store began.
     loads: VecDeque<Instant>,
+    /// Hosts that reject requests as heads.
+    rejecting: RejectingHosts,
     /// How many hosts there are, and since when.
     host_count: (usize, Instant),
 }
@@ -171,6 +175,7 @@
             primed: BTreeMap::new(),
             staging: BTreeMap::new(),
             loads: VecDeque::new(),
+            rejecting: RejectingHosts::default(),
             host_count: (0, now),
         }
     }
@@ -275,6 +280,7 @@
             self.host_count = (count, now);
         }
         self.forget_returned(fleet, now);
+        self.rejecting.forget_old(now);
         self.adopt(fleet, services, now);
         let at = Moment {
             fleet,
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -166,6 +166,11 @@
         if at.now.saturating_duration_since(f.since) < self.timing.entry_lag {
             return;
         }
+        if let Some(head) = f.head().filter(|_| self.needs_another_head(f, at)) {
+            f.lose(Loss::Rejects(head.clone()), at.now);
+            f.enter(Step::Draining, at.now);
+            return;
+        }
         for member in &f.members {
             let Some(host) = at.fleet.host(member) else {
                 continue;
--- a/crates/fleet/src/planner/choose.rs
+++ b/crates/fleet/src/planner/choose.rs
@@ -242,7 +242,10 @@
             return false;
         }
         let (id, epoch) = self.next_formation();
-        let Some(formation) = Formation::new(id, epoch, &model.name, chosen, view.now) else {
+        let mut chosen = chosen.to_vec();
+        // The first becomes the head.
+        chosen.sort_by_key(|h| self.rejecting.is_unfit(&h.id));
+        let Some(formation) = Formation::new(id, epoch, &model.name, &chosen, view.now) else {
             return false;
         };
         self.drop_priming(&formation.members);
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -48,6 +48,8 @@
         Refused(HostId),
         /// Not all members are known.
         Incomplete,
+        /// The head rejects requests.
+        Rejects(HostId),
         /// The head says that it lost a member.
         Broken,
     }
--- /dev/null
+++ b/crates/fleet/src/planner/rejecting.rs
@@ -0,0 +1,81 @@
+//! Heads that reject their requests, whose place another member takes.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::HostId;
+
+use crate::planner::Planner;
+use crate::planner::advance::Moment;
+use crate::planner::formation::{Formation, Step};
+
+/// How long a head rejects requests before its replica is formed anew: heads that are only
+/// full for a moment must not be given up.
+const MIN_REJECTING: Duration = Duration::from_millis(700);
+/// A head that rejects is reported at least this often.
+const REPORT_GAP: Duration = Duration::from_secs(1);
+/// How long a host that rejected requests is no head while there are other members.
+const UNFIT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Hosts that reject requests, as schedulers report them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RejectingHosts {
+    hosts: BTreeMap<HostId, Span>,
+}
+
+/// When a host was first and last reported without a gap.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    first: Instant,
+    last: Instant,
+}
+
+impl RejectingHosts {
+    fn reported(&mut self, host: &HostId, now: Instant) {
+        let known = self.hosts.get(host).copied();
+        let unbroken = known.filter(|s| now.saturating_duration_since(s.last) < REPORT_GAP);
+        let first = unbroken.map_or(now, |s| s.first);
+        self.hosts.insert(host.clone(), Span { first, last: now });
+    }
+
+    pub(super) fn forget_old(&mut self, now: Instant) {
+        self.hosts
+            .retain(|_, s| now.saturating_duration_since(s.last) < UNFIT_PERIOD);
+    }
+
+    /// Whether a host has rejected requests for so long that it should be no head.
+    pub(super) fn is_unfit(&self, host: &str) -> bool {
+        let span = self.hosts.get(host);
+        span.is_some_and(|s| s.last.saturating_duration_since(s.first) >= MIN_REJECTING)
+    }
+
+    fn rejects_now(&self, host: &str, now: Instant) -> bool {
+        let span = self.hosts.get(host);
+        let recent = span.is_some_and(|s| now.saturating_duration_since(s.last) < REPORT_GAP);
+        recent && self.is_unfit(host)
+    }
+}
+
+impl Planner {
+    /// Notes that a head rejects all requests although it has room.
+    pub fn head_rejects(&mut self, head: &HostId, now: Instant) {
+        self.rejecting.reported(head, now);
+    }
+
+    /// Whether a replica should be formed anew with another head.
+    ///
+    /// One at a time in a fabric domain: where heads reject for a reason that all share, the
+    /// others go on with what they accept.
+    pub(super) fn needs_another_head(&self, f: &Formation, at: &Moment<'_>) -> bool {
+        let Some(head) = f.head().filter(|h| self.rejecting.rejects_now(h, at.now)) else {
+            return false;
+        };
+        let others = f.members.iter().filter(|m| *m != head);
+        let is_fit =
+            |m: &HostId| !self.rejecting.is_unfit(m) && self.is_lost(m, at.fleet).is_none();
+        let given_up = |o: &Formation| {
+            o.fabric == f.fabric && matches!(o.step, Step::Draining | Step::Dissolving)
+        };
+        others.into_iter().any(is_fit) && !self.formations.values().any(given_up)
+    }
+}
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -264,6 +264,43 @@
     expect_that!(step, some(eq(Step::Dissolving)));
 }
 
+/// Guards against a replica that serves nothing because its head rejects requests.
+#[gtest]
+fn another_member_takes_the_place_of_a_head_that_rejects() {
+    let mut world = settled(1, 11);
+    let before = world.members("d0", "large");
+    for _ in 0..15 {
+        world.say_rejects(&before[0]);
+        world.run(millis(100));
+    }
+    world.run(seconds(3));
+    let after = world.members("d0", "large");
+    expect_that!(after.len(), eq(before.len()));
+    expect_that!(after[0], not(eq(&before[0])));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Guards against replicas being given up for heads that are full for a moment, or that have no
+/// other member to take their place.
+#[gtest]
+fn a_head_stays_where_it_rejects_for_a_moment_or_all_others_do() {
+    let mut world = settled(1, 11);
+    let before = world.members("d0", "large");
+    world.say_rejects(&before[0]);
+    world.run(millis(500));
+    world.say_rejects(&before[0]);
+    world.run(seconds(3));
+    expect_that!(world.members("d0", "large"), eq(&before));
+    for _ in 0..30 {
+        for member in &before {
+            world.say_rejects(member);
+        }
+        world.run(millis(100));
+    }
+    world.run(seconds(3));
+    expect_that!(world.members("d0", "large"), eq(&before));
+}
+
 /// A member says that it is leaving. The head first finishes what runs, then the replica
 /// is formed anew without that member.
 #[gtest]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -285,6 +285,14 @@
         }
     }
 
+    /// Schedulers report that a head rejects requests.
+    pub(crate) fn say_rejects(&mut self, head: &HostId) {
+        let at = self.instant();
+        for actor in &mut self.actors {
+            actor.planner.head_rejects(head, at);
+        }
+    }
+
     /// A node says that the replica of a head stands still, though all its members are well.
     pub(crate) fn give_up(&mut self, head: &HostId) {
         let at = self.instant();
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -126,9 +126,18 @@
 
     /// Its slots; one while it rejects all requests, by which it is tried again.
     pub(crate) fn usable_slots(&self) -> usize {
+        if self.is_ejected() { 1 } else { self.slots }
+    }
+
+    /// Whether its scheduler reported that it rejects all requests.
+    pub(crate) fn is_ejected(&self) -> bool {
         let reports = locked(&self.reports);
-        let is_ejected = reports.assigned.as_ref().is_some_and(|a| a.is_ejected);
-        if is_ejected { 1 } else { self.slots }
+        reports.assigned.as_ref().is_some_and(|a| a.is_ejected)
+    }
+
+    /// Whether half of its slots are taken, as far as nodes reported.
+    pub(crate) fn is_half_full(&self) -> bool {
+        self.load() * 2 >= self.slots
     }
 
     /// Takes another node's report of what it placed without a scheduler.
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -85,6 +85,7 @@
             self.take(event, now);
         }
         self.take_lost_heads(now);
+        self.take_rejecting_heads(now);
         let catalog = self.core.catalog();
         let services: Vec<&Service> = catalog.services().collect();
         let core = &self.core;
@@ -142,6 +143,14 @@
         }
     }
 
+    /// Tells the planner of heads that reject requests and have room.
+    fn take_rejecting_heads(&mut self, now: Instant) {
+        let heads = locked(&self.core.heads);
+        for head in heads.all().filter(|h| h.is_ejected() && !h.is_half_full()) {
+            self.planner.head_rejects(&head.host, now);
+        }
+    }
+
     fn take(&mut self, event: PlanningEvent, now: Instant) {
         match event {
             PlanningEvent::Lost(lost) => {
