--- a/crates/fleet/src/ejection.rs
+++ b/crates/fleet/src/ejection.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Single requests in a row that a host rejects before it is ejected.
-const MAX_STRIKES: u32 = 3;
+const MAX_CONSECUTIVE_REJECTIONS: u32 = 3;
 /// How long it is ejected. Doubles while it accepts nothing.
 const EJECTION_PERIOD: Duration = Duration::from_millis(250);
 /// Longest such time.
@@ -17,14 +17,15 @@
 
 /// What a host's rejections say of it.
 ///
-/// Each rejection halves what it may have without having accepted it; each request that it accepts
-/// adds one. Where it goes on to reject single ones, it is ejected for a while.
+/// Additive increase, multiplicative decrease: each rejection halves the requests that it may have
+/// without having accepted them, each accepted request adds one. A host that goes on to reject
+/// single requests is ejected for a while.
 #[derive(Clone, Debug, Default)]
 pub struct Ejection {
     /// Requests that it may have without having accepted them; `None` for any number.
     limit: Option<usize>,
     /// Single requests that it has rejected in a row.
-    strikes: u32,
+    consecutive_rejections: u32,
     ejected_until: Option<Instant>,
     suspected_until: Option<Instant>,
     /// The last time for which it was ejected; `None` once it has accepted a request since.
@@ -44,8 +45,8 @@
             self.limit = Some((limit / 2).max(1));
             return;
         }
-        self.strikes += 1;
-        if self.strikes < MAX_STRIKES {
+        self.consecutive_rejections += 1;
+        if self.consecutive_rejections < MAX_CONSECUTIVE_REJECTIONS {
             return;
         }
         let period = self.period.map_or(EJECTION_PERIOD, |p| {
@@ -61,7 +62,7 @@
             return;
         }
         self.period = None;
-        self.strikes = 0;
+        self.consecutive_rejections = 0;
         self.limit = self.limit.map(|l| l + 1).filter(|l| *l <= slots);
     }
 
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -164,11 +164,11 @@
     until: Instant,
 }
 
-/// Order in the queue.
-type Turn = (Rank, u64);
+/// A position in the queue: by rank, then in the order of arrival.
+type Position = (Rank, u64);
 
-/// What one round of decisions has found out, so that a queue of hundreds doesn't ask each head
-/// hundreds of times in vain.
+/// What holds for the rest of one round of decisions. Checked anew for each request that waits, it
+/// would cost the length of the queue times the number of heads.
 #[derive(Clone, Copy, Debug, Default)]
 struct Round {
     /// No head may take even the shortest prompt.
@@ -215,9 +215,9 @@
     /// Requests that their heads may yet reject, in the order of their grants.
     unanswered: VecDeque<(Instant, RequestKey)>,
     next: u64,
-    waiting: BTreeMap<Turn, Ask>,
+    waiting: BTreeMap<Position, Ask>,
     /// Invariant: the keys of `waiting`.
-    turns: HashMap<RequestKey, Turn>,
+    positions: HashMap<RequestKey, Position>,
     /// Since when requests have waited without a break.
     queued_since: Option<Instant>,
     late_rejection: LateRejection,
@@ -241,7 +241,7 @@
             unanswered: VecDeque::new(),
             next: 0,
             waiting: BTreeMap::new(),
-            turns: HashMap::new(),
+            positions: HashMap::new(),
             queued_since: None,
             late_rejection: LateRejection::default(),
             lead: Duration::ZERO,
@@ -305,7 +305,7 @@
 
     /// Takes a request that needs a slot, unless it waits already. Whether it did.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> bool {
-        if self.turns.contains_key(&ask.key) {
+        if self.positions.contains_key(&ask.key) {
             return false;
         }
         if now < ask.on_time_until {
@@ -317,14 +317,14 @@
         true
     }
 
-    fn enqueue(&mut self, turn: Turn, ask: Ask) {
-        self.turns.insert(ask.key.clone(), turn);
-        self.waiting.insert(turn, ask);
+    fn enqueue(&mut self, position: Position, ask: Ask) {
+        self.positions.insert(ask.key.clone(), position);
+        self.waiting.insert(position, ask);
     }
 
-    fn dequeue(&mut self, turn: Turn) -> Option<Ask> {
-        let ask = self.waiting.remove(&turn)?;
-        self.turns.remove(&ask.key);
+    fn dequeue(&mut self, position: Position) -> Option<Ask> {
+        let ask = self.waiting.remove(&position)?;
+        self.positions.remove(&ask.key);
         Some(ask)
     }
 
@@ -377,8 +377,8 @@
     /// Notes that a request has ended or been given up, whether it has a slot or waits.
     pub fn released(&mut self, key: &RequestKey) {
         self.read(key);
-        if let Some(turn) = self.turns.get(key) {
-            self.dequeue(*turn);
+        if let Some(position) = self.positions.get(key) {
+            self.dequeue(*position);
         }
         let Some(assigned) = self.assigned.remove(key) else {
             return;
@@ -409,7 +409,7 @@
         let keys: BTreeSet<RequestKey> = self
             .assigned
             .keys()
-            .chain(self.turns.keys())
+            .chain(self.positions.keys())
             .filter(of_node)
             .cloned()
             .collect();
@@ -429,12 +429,12 @@
         self.rank_late(now);
         let mut decided = Vec::new();
         let mut round = Round::default();
-        let turns: Vec<Turn> = self.waiting.keys().copied().collect();
-        for turn in turns {
-            let Some((outcome, head)) = self.decide(turn, &mut round, heads, now) else {
+        let positions: Vec<Position> = self.waiting.keys().copied().collect();
+        for position in positions {
+            let Some((outcome, head)) = self.decide(position, &mut round, heads, now) else {
                 continue;
             };
-            let Some(ask) = self.dequeue(turn) else {
+            let Some(ask) = self.dequeue(position) else {
                 continue;
             };
             if let Some(head) = head {
@@ -445,8 +445,8 @@
         }
         let is_queued = !self.waiting.is_empty();
         self.queued_since = is_queued.then(|| self.queued_since.unwrap_or(now));
-        while let Some(turn) = self.unservable(heads, now) {
-            let rejected = self.dequeue(turn);
+        while let Some(position) = self.unservable(heads, now) {
+            let rejected = self.dequeue(position);
             decided.extend(rejected.map(|ask| (ask.key, Outcome::Full)));
         }
         decided
@@ -456,31 +456,31 @@
     ///
     /// Told at once, its caller can come back in time; after a wait it would come back with all
     /// others that waited as long.
-    fn unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Turn> {
-        let (turn, ask) = self.waiting.last_key_value()?;
+    fn unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Position> {
+        let (position, ask) = self.waiting.last_key_value()?;
         let queued = now.saturating_duration_since(self.queued_since?);
-        if queued < LEARNING_PERIOD || turn.0 == Rank::Resumed {
+        if queued < LEARNING_PERIOD || position.0 == Rank::Resumed {
             return None;
         }
         let time = ask.until.saturating_duration_since(now).as_secs_f64();
         let servable = heads.len() as f64 + self.grants.per_second(now) * time;
-        (self.waiting.len() as f64 > servable).then_some(*turn)
+        (self.waiting.len() as f64 > servable).then_some(*position)
     }
 
     /// What becomes of a request that waits, and its head; `None` where it goes on waiting.
     fn decide<'h>(
         &mut self,
-        turn: Turn,
+        position: Position,
         round: &mut Round,
         heads: &'h [OpenHead],
         now: Instant,
     ) -> Option<(Outcome, Option<&'h OpenHead>)> {
-        let rank = turn.0;
-        if let Some(head) = self.head_for(turn, round, heads, now) {
+        let rank = position.0;
+        if let Some(head) = self.head_for(position, round, heads, now) {
             self.late_rejection.ended(rank, true, now);
             return Some((Outcome::Granted(head.key.clone()), Some(head)));
         }
-        if now >= self.waiting.get(&turn)?.until {
+        if now >= self.waiting.get(&position)?.until {
             self.late_rejection.ended(rank, false, now);
             return Some((Outcome::Full, None));
         }
@@ -490,7 +490,7 @@
 
     fn head_for<'h>(
         &self,
-        turn: Turn,
+        position: Position,
         round: &mut Round,
         heads: &'h [OpenHead],
         now: Instant,
@@ -500,10 +500,10 @@
             round.is_tight = Some(is_tight);
             is_tight
         };
-        if round.is_full || (turn.0.is_late() && is_tight(round)) {
+        if round.is_full || (position.0.is_late() && is_tight(round)) {
             return None;
         }
-        let head = self.choose(self.waiting.get(&turn)?, heads, now);
+        let head = self.choose(self.waiting.get(&position)?, heads, now);
         if head.is_none() {
             round.is_full = !heads.iter().any(|h| self.may_take(h, now));
         }
@@ -643,15 +643,15 @@
     /// it could only just be late.
     fn rank_late(&mut self, now: Instant) {
         let lead = self.lead.mul_f64(LEAD_MARGIN);
-        let late: Vec<Turn> = self
+        let late: Vec<Position> = self
             .waiting
             .range((Rank::OnTime(0), 0)..(Rank::Late(0), 0))
             .filter(|(_, ask)| now + lead >= ask.on_time_until)
-            .map(|(turn, _)| *turn)
+            .map(|(position, _)| *position)
             .collect();
-        for turn in late {
-            if let (Rank::OnTime(urgency), Some(ask)) = (turn.0, self.dequeue(turn)) {
-                self.enqueue((Rank::Late(urgency), turn.1), ask);
+        for position in late {
+            if let (Rank::OnTime(urgency), Some(ask)) = (position.0, self.dequeue(position)) {
+                self.enqueue((Rank::Late(urgency), position.1), ask);
             }
         }
     }
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -327,7 +327,7 @@
     }
 
     /// How long requests waited that were refused, the shortest first.
-    fn waits_in_vain(&self) -> Vec<Duration> {
+    fn rejected_waits(&self) -> Vec<Duration> {
         let refused = self
             .fates
             .iter()
@@ -383,7 +383,7 @@
     // Three times as many as the heads can write.
     let from = world.now;
     world.play(285.0, Duration::from_secs(10));
-    let waits = world.waits_in_vain();
+    let waits = world.rejected_waits();
     expect_that!(waits[waits.len() / 2], lt(AIM));
     // A third of them is what the heads can write.
     expect_that!(world.on_time(from, from + Duration::from_secs(8)), gt(0.2));
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -46,7 +46,7 @@
     budget_lines: Mutex<LineLimit>,
     pub(crate) metrics: Metrics,
     pub(crate) admission: AdmissionQueues,
-    /// Requests that this node places for all nodes.
+    /// Schedulers that run at this node.
     pub(crate) schedulers: Schedulers,
     pub(crate) scheduler_client: SchedulerClient,
     pub(crate) planning: Inbox<PlanningEvent>,
@@ -212,7 +212,7 @@
         *locked(&self.load_transit) + LOAD_INTERVAL / 2
     }
 
-    /// Says that a place at a head may have become free.
+    /// Wakes the admission queues: a slot may have become free.
     pub(crate) fn freed(&self) {
         self.admission.wake();
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -77,7 +77,7 @@
         let patience = patience(call, runs);
         let attempt = attempt(core, call, &host, patience).await;
         tried.push(host.id.clone());
-        note(call, &host, &attempt);
+        log_attempt(call, &host, &attempt);
         match attempt {
             Attempt::Answered(status, headers, body) => {
                 runs += 1;
@@ -276,7 +276,7 @@
     answer
 }
 
-fn note(call: &Call, host: &Host, attempt: &Attempt) {
+fn log_attempt(call: &Call, host: &Host, attempt: &Attempt) {
     let (outcome, why) = match attempt {
         Attempt::Answered(status, ..) if !status.is_server_error() => return,
         Attempt::Answered(status, ..) => ("failed", SmolStr::from(status.as_str())),
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -222,7 +222,7 @@
             let heads = heads(&core, &scope);
             locked(&running).decide(&heads, now);
         }
-        // Under both locks: one that is asked again just now must not be lost with its places.
+        // Under both locks: one that is asked again just now must not be lost with its slots.
         let mut all = locked(&core.schedulers.running);
         if now.saturating_duration_since(locked(&running).used) > IDLE_TIMEOUT {
             all.remove(&scope);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -50,7 +50,7 @@
 
 /// An answer that has begun.
 struct Begun<P: Platform> {
-    place: InProgress<P>,
+    slot: InProgress<P>,
     response: TargetResponse,
 }
 
@@ -111,18 +111,18 @@
         events: EventSplitter::default(),
     };
     let begun = run.begin().await?;
-    run.hand_on(begun).await
+    run.forward(begun).await
 }
 
 impl<P: Platform> Run<P> {
     /// Brings the call to a replica that begins to answer it.
     async fn begin(&mut self) -> Result<Begun<P>, Refusal> {
         loop {
-            let place = self.place().await?;
+            let slot = self.acquire_slot().await?;
             if self.arrivals > 0 && !self.core.try_repeat(&self.service, self.repeat_reason()) {
                 return Err(self.given_up(RefusalCause::NoRepeatsLeft));
             }
-            match self.attempt(place).await {
+            match self.attempt(slot).await {
                 Ok(begun) => return Ok(begun),
                 Err(NoAnswer::NotRun) if self.refusals < MAX_REFUSALS => {}
                 Err(NoAnswer::Unknown) if self.may_run_again() => {}
@@ -131,8 +131,8 @@
         }
     }
 
-    async fn place(&mut self) -> Result<InProgress<P>, Refusal> {
-        let taken = admission::admit(
+    async fn acquire_slot(&mut self) -> Result<InProgress<P>, Refusal> {
+        let admitted = admission::admit(
             &self.core,
             &self.call,
             &self.service,
@@ -141,7 +141,7 @@
             &self.avoid,
         )
         .await;
-        taken.map_err(|refusal| {
+        admitted.map_err(|refusal| {
             if self.runs > 0 {
                 self.given_up(refusal.cause)
             } else {
@@ -186,8 +186,8 @@
         Refusal::later(cause, RETRY_AFTER_REFUSED)
     }
 
-    async fn attempt(&mut self, mut place: InProgress<P>) -> Result<Begun<P>, NoAnswer> {
-        let head = Arc::clone(&place.head);
+    async fn attempt(&mut self, mut slot: InProgress<P>) -> Result<Begun<P>, NoAnswer> {
+        let head = Arc::clone(&slot.head);
         let resume = self
             .events
             .last_id()
@@ -202,12 +202,12 @@
         let response = match sent {
             Ok(response) => response,
             Err(SendError::NotSent(why)) => {
-                self.note(&head, "not-sent", &why);
+                self.log_attempt(&head, "not-sent", &why);
                 return Err(self.refused(&head));
             }
             Err(err) => {
                 self.arrivals += 1;
-                self.note(&head, "unknown", &err.to_string());
+                self.log_attempt(&head, "unknown", &err.to_string());
                 return Err(self.failed(&head));
             }
         };
@@ -219,21 +219,21 @@
             .meaning(response.status, &response.headers)
         {
             AnswerMeaning::NotRun | AnswerMeaning::WrongHost => {
-                self.note(&head, "not-run", response.status.as_str());
-                place.refused();
+                self.log_attempt(&head, "not-run", response.status.as_str());
+                slot.refused();
                 Err(self.refused(&head))
             }
             AnswerMeaning::Unproven => {
-                self.note(&head, "unknown", "answer without proof");
+                self.log_attempt(&head, "unknown", "answer without proof");
                 Err(self.failed(&head))
             }
             AnswerMeaning::Answered
                 if response.status.is_server_error() && self.may_run_again() =>
             {
-                self.note(&head, "failed", response.status.as_str());
+                self.log_attempt(&head, "failed", response.status.as_str());
                 Err(self.failed(&head))
             }
-            AnswerMeaning::Answered => Ok(Begun { place, response }),
+            AnswerMeaning::Answered => Ok(Begun { slot, response }),
         }
     }
 
@@ -250,8 +250,8 @@
         NoAnswer::Unknown
     }
 
-    /// Answers the caller with what the host answered.
-    async fn hand_on(mut self, begun: Begun<P>) -> Result<Response<AnswerBody>, Refusal> {
+    /// Answers the caller with the host's answer.
+    async fn forward(mut self, begun: Begun<P>) -> Result<Response<AnswerBody>, Refusal> {
         let status = begun.response.status;
         let headers = self
             .core
@@ -259,17 +259,17 @@
             .dialect()
             .caller_headers(&begun.response.headers);
         if status != StatusCode::OK {
-            return self.hand_on_whole(begun, status, headers).await;
+            return self.forward_whole(begun, status, headers).await;
         }
         let (tx, rx) = mpsc::channel(PIECES_AHEAD);
         let mut answer = Response::new(AnswerBody::Stream(rx));
         *answer.headers_mut() = headers;
-        tokio::spawn(async move { self.snapshot_relay(begun, tx).await });
+        tokio::spawn(async move { self.forward_events(begun, tx).await });
         Ok(answer)
     }
 
     /// Anything but a stream is read to its end first.
-    async fn hand_on_whole(
+    async fn forward_whole(
         &mut self,
         begun: Begun<P>,
         status: StatusCode,
@@ -279,7 +279,7 @@
         let body = match tokio::time::timeout(self.call.left(), read).await {
             Ok(Ok(body)) => body,
             _ => {
-                self.failed(&begun.place.head);
+                self.failed(&begun.slot.head);
                 return Err(Refusal::new(RefusalCause::AnswerBroken));
             }
         };
@@ -289,20 +289,20 @@
         Ok(answer)
     }
 
-    /// Hands events on; where the run breaks off, goes on at another replica.
-    async fn snapshot_relay(mut self, mut begun: Begun<P>, tx: mpsc::Sender<Piece>) {
+    /// Forwards events; where the run breaks off, resumes at another replica.
+    async fn forward_events(mut self, mut begun: Begun<P>, tx: mpsc::Sender<Piece>) {
         loop {
             let end = self.read(&mut begun, &tx).await;
-            let head = Arc::clone(&begun.place.head);
+            let head = Arc::clone(&begun.slot.head);
             // Closes the connection to the host, which stops working on it.
             drop(begun);
             self.core.freed();
             let why = match end {
                 ReadEnd::Complete => return self.finish(&tx).await,
-                ReadEnd::Over(over) => return self.ended_by(over),
+                ReadEnd::Over(over) => return self.abort(over),
                 ReadEnd::Broken(why) => why,
             };
-            self.note(&head, "broken", &why);
+            self.log_attempt(&head, "broken", &why);
             self.events.restart();
             self.failed(&head);
             let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
@@ -312,7 +312,7 @@
             let (core, call) = (Arc::clone(&self.core), Arc::clone(&self.call));
             let resumed = tokio::select! {
                 resumed = self.begin() => resumed,
-                over = until_over(&core, &call, &tx) => return self.ended_by(over),
+                over = until_over(&core, &call, &tx) => return self.abort(over),
             };
             begun = match resumed {
                 Ok(next) if next.response.status == StatusCode::OK => next,
@@ -323,7 +323,7 @@
     }
 
     async fn read(&mut self, begun: &mut Begun<P>, tx: &mpsc::Sender<Piece>) -> ReadEnd {
-        let head = Arc::clone(&begun.place.head);
+        let head = Arc::clone(&begun.slot.head);
         let mut began = false;
         loop {
             let chunk = tokio::select! {
@@ -342,7 +342,7 @@
             head.progress().event(Instant::now());
             if !began {
                 began = true;
-                begun.place.began();
+                begun.slot.began();
             }
             let Some(events) = self.events.push(&bytes) else {
                 continue;
@@ -360,39 +360,39 @@
         }
     }
 
-    /// Tells the caller that all events have come. By now its place at the host is free, so that a
-    /// caller that reads slowly holds nobody up.
+    /// Sends the end of the stream. The slot at the host is free by now, so that a slow caller
+    /// doesn't hold it.
     async fn finish(&self, tx: &mpsc::Sender<Piece>) {
         match self.send(tx, Piece::End).await {
-            Ok(()) => self.ended("answered"),
-            Err(over) => self.ended_by(over),
+            Ok(()) => self.count_end("answered"),
+            Err(over) => self.abort(over),
         }
     }
 
-    fn ended_by(&self, over: Over) {
+    fn abort(&self, over: Over) {
         match over {
             Over::OutOfTime => self.cut("out of time"),
-            Over::CallerLeft => self.ended("caller-left"),
+            Over::CallerLeft => self.count_end("caller-left"),
             Over::NodeEnds => self.cut("this node exits"),
         }
     }
 
-    /// Notes that the caller's answer ends without its end: the caller sees it by the channel's.
+    /// Logs that the stream is cut off: the caller sees its channel end without the last event.
     fn cut(&self, why: &str) {
         info!(
             event = "request", request = %self.call.head.id, outcome = "cut", why,
             runs = self.runs, after = self.events.last_id().map_or("", |id| id.as_str()),
         );
-        self.ended("cut");
+        self.count_end("cut");
     }
 
-    fn ended(&self, outcome: &str) {
+    fn count_end(&self, outcome: &str) {
         self.core
             .metrics
             .ended(&self.service, "stream-end", outcome);
     }
 
-    fn note(&self, head: &Head, outcome: &str, why: &str) {
+    fn log_attempt(&self, head: &Head, outcome: &str, why: &str) {
         info!(
             event = "attempt", request = %self.call.head.id, host = %head.host,
             replica = %head.replica, epoch = head.epoch, outcome, why,
