--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -9,6 +9,9 @@
 //! have. Further requests wait here, where they can be reordered or rejected; at the head they
 //! would make all its streams late.
 
+mod head;
+mod queue;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -16,16 +19,11 @@
 use smallvec::SmallVec;
 
 use crate::catalog::EngineSpeed;
-use crate::ejection::Ejection;
 use crate::rank::{LateRejection, Rank};
 use crate::rate::Rate;
+use crate::schedule::head::{Demand, HeadWork};
+use crate::schedule::queue::{Position, Queue};
 
-/// Requests beyond a head's slots that are sent to it, to keep its batch full until the end of a
-/// stream is reported.
-const PIPELINE_DEPTH: usize = 1;
-/// Part of the pause that a stream may have which one pass of its head may take. The rest covers
-/// the network and errors of the estimate.
-const MAX_PASS_RATIO: f64 = 0.8;
 /// Cost of a head in another failure domain, as time to a first event.
 const CROSS_DOMAIN_COST: Duration = Duration::from_millis(20);
 /// Cost of a full batch over an empty one, as time to a first event. Keeps batches even, so that
@@ -40,16 +38,6 @@
 
 /// Weight of the newest time to a first event in the average, as 1 / this.
 const LEAD_MEMORY: u32 = 16;
-/// A head's own time to a first event counts for this long after the last one. Then it is tried
-/// again like the others.
-const PACE_TTL: Duration = Duration::from_secs(2);
-/// Weight of the newest time to a first event in a head's own average, as 1 / this.
-const PACE_MEMORY: u32 = 4;
-/// Bounds of a head's pace, in the usual times to a first event.
-const MIN_PACE: f64 = 1.0;
-const MAX_PACE: f64 = 20.0;
-/// A head that takes less than this many usual times counts as no slower than the others.
-const SLOW_PACE: f64 = 1.5;
 /// A first event may take this many times the usual time.
 const LEAD_MARGIN: f64 = 1.25;
 /// Part of the slots that late requests leave free at most.
@@ -164,9 +152,6 @@
     until: Instant,
 }
 
-/// A position in the queue: by rank, then in the order of arrival.
-type Position = (Rank, u64);
-
 /// What holds for the rest of one round of decisions. Checked anew for each request that waits, it
 /// would cost the length of the queue times the number of heads.
 #[derive(Clone, Copy, Debug, Default)]
@@ -177,31 +162,6 @@
     is_tight: Option<bool>,
 }
 
-/// What was sent to one head.
-#[derive(Clone, Debug, Default)]
-struct HeadWork {
-    requests: usize,
-    /// Requests that it may yet reject.
-    unaccepted: usize,
-    /// Prompt tokens of requests that have not begun.
-    unread: u64,
-    /// The shortest pause that one of its requests may have.
-    pause: Option<Duration>,
-    ejection: Ejection,
-    /// Moving average of the time from a grant to its first event, and when it was last updated.
-    lead: Option<(Duration, Instant)>,
-}
-
-impl HeadWork {
-    /// Its average time to a first event; `None` once that is older than [`PACE_TTL`].
-    fn recent_lead(&self, now: Instant) -> Option<Duration> {
-        let recent = |at: Instant| now.saturating_duration_since(at) < PACE_TTL;
-        self.lead
-            .filter(|(_, at)| recent(*at))
-            .map(|(lead, _)| lead)
-    }
-}
-
 /// Places the requests of one model at its heads.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -214,12 +174,7 @@
     assigned: HashMap<RequestKey, Assignment>,
     /// Requests that their heads may yet reject, in the order of their grants.
     unanswered: VecDeque<(Instant, RequestKey)>,
-    next: u64,
-    waiting: BTreeMap<Position, Ask>,
-    /// Invariant: the keys of `waiting`.
-    positions: HashMap<RequestKey, Position>,
-    /// Since when requests have waited without a break.
-    queued_since: Option<Instant>,
+    queue: Queue,
     late_rejection: LateRejection,
     /// Time from a grant to its first event, a moving average.
     lead: Duration,
@@ -239,10 +194,7 @@
             work: BTreeMap::new(),
             assigned: HashMap::new(),
             unanswered: VecDeque::new(),
-            next: 0,
-            waiting: BTreeMap::new(),
-            positions: HashMap::new(),
-            queued_since: None,
+            queue: Queue::default(),
             late_rejection: LateRejection::default(),
             lead: Duration::ZERO,
             arrivals: Rate::default(),
@@ -288,7 +240,7 @@
             slots: heads.iter().map(|h| h.slots).sum(),
             requests: heads.iter().map(|h| self.requests_of(h, now)).sum(),
             rejecting: heads.iter().filter(rejects).count(),
-            waiting: self.waiting.len(),
+            waiting: self.queue.len(),
             lead: self.lead,
         }
     }
@@ -300,43 +252,29 @@
 
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.queue.len()
     }
 
     /// Takes a request that needs a slot, unless it waits already. Whether it did.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> bool {
-        if self.positions.contains_key(&ask.key) {
+        if self.queue.contains(&ask.key) {
             return false;
         }
         if now < ask.on_time_until {
             self.arrivals.on_event(now);
         }
         let rank = Rank::first(ask.resumed, ask.urgency);
-        self.enqueue((rank, self.next), ask);
-        self.next += 1;
+        self.queue.push(rank, ask);
         true
     }
 
-    fn enqueue(&mut self, position: Position, ask: Ask) {
-        self.positions.insert(ask.key.clone(), position);
-        self.waiting.insert(position, ask);
-    }
-
-    fn dequeue(&mut self, position: Position) -> Option<Ask> {
-        let ask = self.waiting.remove(&position)?;
-        self.positions.remove(&ask.key);
-        Some(ask)
-    }
-
     /// Notes that the first event of a request has come.
     pub fn started(&mut self, key: &RequestKey, now: Instant) {
         if let Some(assigned) = self.assigned.get(key).filter(|p| !p.began) {
             let lead = now.saturating_duration_since(assigned.at);
             self.lead = (self.lead * (LEAD_MEMORY - 1) + lead) / LEAD_MEMORY;
             if let Some(work) = self.work.get_mut(&assigned.head) {
-                let before = work.recent_lead(now).unwrap_or(lead);
-                let mean = (before * (PACE_MEMORY - 1) + lead) / PACE_MEMORY;
-                work.lead = Some((mean, now));
+                work.started(lead, now);
             }
             self.accepted(key);
             self.read(key);
@@ -377,9 +315,7 @@
     /// Notes that a request has ended or been given up, whether it has a slot or waits.
     pub fn released(&mut self, key: &RequestKey) {
         self.read(key);
-        if let Some(position) = self.positions.get(key) {
-            self.dequeue(*position);
-        }
+        self.queue.remove_key(key);
         let Some(assigned) = self.assigned.remove(key) else {
             return;
         };
@@ -409,7 +345,7 @@
         let keys: BTreeSet<RequestKey> = self
             .assigned
             .keys()
-            .chain(self.positions.keys())
+            .chain(self.queue.keys())
             .filter(of_node)
             .cloned()
             .collect();
@@ -426,15 +362,15 @@
         });
         self.update_heads(heads, now);
         self.accept_unanswered(now);
-        self.rank_late(now);
+        let lead = self.lead.mul_f64(LEAD_MARGIN);
+        self.queue.rank_late(lead, now);
         let mut decided = Vec::new();
         let mut round = Round::default();
-        let positions: Vec<Position> = self.waiting.keys().copied().collect();
-        for position in positions {
+        for position in self.queue.positions() {
             let Some((outcome, head)) = self.decide(position, &mut round, heads, now) else {
                 continue;
             };
-            let Some(ask) = self.dequeue(position) else {
+            let Some(ask) = self.queue.remove(position) else {
                 continue;
             };
             if let Some(head) = head {
@@ -443,10 +379,9 @@
             }
             decided.push((ask.key, outcome));
         }
-        let is_queued = !self.waiting.is_empty();
-        self.queued_since = is_queued.then(|| self.queued_since.unwrap_or(now));
+        self.queue.decided(now);
         while let Some(position) = self.unservable(heads, now) {
-            let rejected = self.dequeue(position);
+            let rejected = self.queue.remove(position);
             decided.extend(rejected.map(|ask| (ask.key, Outcome::Full)));
         }
         decided
@@ -457,14 +392,13 @@
     /// Told at once, its caller can come back in time; after a wait it would come back with all
     /// others that waited as long.
     fn unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Position> {
-        let (position, ask) = self.waiting.last_key_value()?;
-        let queued = now.saturating_duration_since(self.queued_since?);
-        if queued < LEARNING_PERIOD || position.0 == Rank::Resumed {
+        let (position, ask) = self.queue.last()?;
+        if self.queue.busy_for(now) < LEARNING_PERIOD || position.0 == Rank::Resumed {
             return None;
         }
         let time = ask.until.saturating_duration_since(now).as_secs_f64();
         let servable = heads.len() as f64 + self.grants.per_second(now) * time;
-        (self.waiting.len() as f64 > servable).then_some(*position)
+        (self.queue.len() as f64 > servable).then_some(position)
     }
 
     /// What becomes of a request that waits, and its head; `None` where it goes on waiting.
@@ -480,7 +414,7 @@
             self.late_rejection.ended(rank, true, now);
             return Some((Outcome::Granted(head.key.clone()), Some(head)));
         }
-        if now >= self.waiting.get(&position)?.until {
+        if now >= self.queue.get(position)?.until {
             self.late_rejection.ended(rank, false, now);
             return Some((Outcome::Full, None));
         }
@@ -503,7 +437,7 @@
         if round.is_full || (position.0.is_late() && is_tight(round)) {
             return None;
         }
-        let head = self.choose(self.waiting.get(&position)?, heads, now);
+        let head = self.choose(self.queue.get(position)?, heads, now);
         if head.is_none() {
             round.is_full = !heads.iter().any(|h| self.may_take(h, now));
         }
@@ -512,9 +446,18 @@
 
     /// Whether a head has room for the shortest prompt.
     fn may_take(&self, head: &OpenHead, now: Instant) -> bool {
-        let requests = self.requests_of(head, now);
+        let demand = self.demand(head, 0, Duration::MAX, now);
         let work = self.work.get(&head.key);
-        work.is_some_and(|w| self.has_room(w, requests, head.slots, 0, Duration::MAX, now))
+        work.is_some_and(|w| w.has_room(&self.speed, demand, self.lead, now))
+    }
+
+    fn demand(&self, head: &OpenHead, prompt: u64, pause: Duration, now: Instant) -> Demand {
+        Demand {
+            requests: self.requests_of(head, now),
+            slots: head.slots,
+            prompt,
+            pause,
+        }
     }
 
     fn put(&mut self, ask: &Ask, head: &OpenHead, now: Instant) {
@@ -548,14 +491,14 @@
             let Some(work) = self.work.get(&head.key) else {
                 continue;
             };
-            let requests = self.requests_of(head, now);
-            if !self.has_room(work, requests, head.slots, ask.prompt, ask.pause, now) {
+            let demand = self.demand(head, ask.prompt, ask.pause, now);
+            if !work.has_room(&self.speed, demand, self.lead, now) {
                 continue;
             }
-            let fill = requests as f64 / head.slots.max(1) as f64;
+            let fill = demand.requests as f64 / head.slots.max(1) as f64;
             let near = head.failure_domain == ask.failure_domain;
-            let pass = self.speed.pass(requests, work.unread + ask.prompt);
-            let cost = pass.mul_f64(self.pace_of(work, now))
+            let pass = self.speed.pass(demand.requests, work.unread + ask.prompt);
+            let cost = pass.mul_f64(work.pace(self.lead, now))
                 + FULL_BATCH_COST.mul_f64(fill)
                 + if near {
                     Duration::ZERO
@@ -570,20 +513,6 @@
         best.map(|(_, head)| head)
     }
 
-    /// How many times the usual time a head takes to a first event: a replica is as slow as its
-    /// slowest member.
-    fn pace_of(&self, work: &HeadWork, now: Instant) -> f64 {
-        let Some(lead) = work.recent_lead(now) else {
-            return MIN_PACE;
-        };
-        let usual = self.lead.as_secs_f64().max(f64::EPSILON);
-        let pace = lead.as_secs_f64() / usual;
-        if pace < SLOW_PACE {
-            return MIN_PACE;
-        }
-        pace.min(MAX_PACE)
-    }
-
     /// Whether all free slots will soon be needed by requests that can be on time.
     ///
     /// A late request that takes the last slot runs for seconds, and makes those late that arrive
@@ -599,27 +528,6 @@
         (free as f64) < wanted.min(MAX_RESERVED_RATIO * slots as f64)
     }
 
-    fn has_room(
-        &self,
-        work: &HeadWork,
-        requests: usize,
-        slots: usize,
-        prompt: u64,
-        pause: Duration,
-        now: Instant,
-    ) -> bool {
-        if requests >= slots + PIPELINE_DEPTH || !work.ejection.admits(work.unaccepted, now) {
-            return false;
-        }
-        // The longest prompt must run somewhere, and alone it harms least.
-        if work.unread == 0 {
-            return true;
-        }
-        let pause = work.pause.map_or(pause, |p| p.min(pause));
-        let pass = self.speed.pass(requests, work.unread + prompt);
-        pass.mul_f64(self.pace_of(work, now)) <= pause.mul_f64(MAX_PASS_RATIO)
-    }
-
     /// Drops requests whose end nobody reported and heads that are gone; takes in new heads.
     fn update_heads(&mut self, heads: &[OpenHead], now: Instant) {
         let over = |p: &Assignment| now >= p.until;
@@ -636,23 +544,4 @@
             }
         }
     }
-
-    /// Those that can't be on time any more go behind those that can.
-    ///
-    /// Without the time to the first event, each slot would go to the request that waited until
-    /// it could only just be late.
-    fn rank_late(&mut self, now: Instant) {
-        let lead = self.lead.mul_f64(LEAD_MARGIN);
-        let late: Vec<Position> = self
-            .waiting
-            .range((Rank::OnTime(0), 0)..(Rank::Late(0), 0))
-            .filter(|(_, ask)| now + lead >= ask.on_time_until)
-            .map(|(position, _)| *position)
-            .collect();
-        for position in late {
-            if let (Rank::OnTime(urgency), Some(ask)) = (position.0, self.dequeue(position)) {
-                self.enqueue((Rank::Late(urgency), position.1), ask);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/fleet/src/schedule/queue.rs
@@ -0,0 +1,103 @@
+//! Requests that wait for a slot.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::rank::Rank;
+use crate::schedule::{Ask, RequestKey};
+
+/// A position in the queue: by rank, then in the order of arrival.
+pub(super) type Position = (Rank, u64);
+
+/// Requests that wait, by position.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Queue {
+    next: u64,
+    waiting: BTreeMap<Position, Ask>,
+    /// Invariant: the keys of `waiting`.
+    positions: HashMap<RequestKey, Position>,
+    /// Since when requests have waited without a break.
+    since: Option<Instant>,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn contains(&self, key: &RequestKey) -> bool {
+        self.positions.contains_key(key)
+    }
+
+    pub(super) fn keys(&self) -> impl Iterator<Item = &RequestKey> {
+        self.positions.keys()
+    }
+
+    /// The positions, the first in the queue first.
+    pub(super) fn positions(&self) -> Vec<Position> {
+        self.waiting.keys().copied().collect()
+    }
+
+    pub(super) fn get(&self, position: Position) -> Option<&Ask> {
+        self.waiting.get(&position)
+    }
+
+    pub(super) fn last(&self) -> Option<(Position, &Ask)> {
+        let last = self.waiting.last_key_value();
+        last.map(|(position, ask)| (*position, ask))
+    }
+
+    /// Adds a request behind all others of its rank.
+    pub(super) fn push(&mut self, rank: Rank, ask: Ask) {
+        self.insert((rank, self.next), ask);
+        self.next += 1;
+    }
+
+    fn insert(&mut self, position: Position, ask: Ask) {
+        self.positions.insert(ask.key.clone(), position);
+        self.waiting.insert(position, ask);
+    }
+
+    pub(super) fn remove(&mut self, position: Position) -> Option<Ask> {
+        let ask = self.waiting.remove(&position)?;
+        self.positions.remove(&ask.key);
+        Some(ask)
+    }
+
+    pub(super) fn remove_key(&mut self, key: &RequestKey) {
+        if let Some(position) = self.positions.get(key) {
+            self.remove(*position);
+        }
+    }
+
+    /// Notes whether any request waits after a round of decisions.
+    pub(super) fn decided(&mut self, now: Instant) {
+        let waits = !self.waiting.is_empty();
+        self.since = waits.then(|| self.since.unwrap_or(now));
+    }
+
+    /// How long requests have waited without a break.
+    pub(super) fn busy_for(&self, now: Instant) -> Duration {
+        let busy = |since| now.saturating_duration_since(since);
+        self.since.map_or(Duration::ZERO, busy)
+    }
+
+    /// Moves requests that can't be on time any more behind those that can. `lead` is the time to
+    /// a first event.
+    ///
+    /// Without `lead`, each slot would go to the request that waited until it could only just be
+    /// late.
+    pub(super) fn rank_late(&mut self, lead: Duration, now: Instant) {
+        let late: Vec<Position> = self
+            .waiting
+            .range((Rank::OnTime(0), 0)..(Rank::Late(0), 0))
+            .filter(|(_, ask)| now + lead >= ask.on_time_until)
+            .map(|(position, _)| *position)
+            .collect();
+        for position in late {
+            if let (Rank::OnTime(urgency), Some(ask)) = (position.0, self.remove(position)) {
+                self.insert((Rank::Late(urgency), position.1), ask);
+            }
+        }
+    }
+}
