--- a/crates/fleet/src/planner/rejecting.rs
+++ b/crates/fleet/src/planner/rejecting.rs
@@ -12,7 +12,7 @@
 /// How long a head rejects requests before its replica is formed anew: heads that are only
 /// full for a moment must not be given up.
 const MIN_REJECTING: Duration = Duration::from_millis(700);
-/// A head that rejects is reported at least this often.
+/// A head that was not reported for this long has accepted requests since.
 const REPORT_GAP: Duration = Duration::from_secs(1);
 /// How long a host that rejected requests is no head while there are other members.
 const UNFIT_PERIOD: Duration = Duration::from_secs(10);
@@ -70,12 +70,12 @@
         let Some(head) = f.head().filter(|h| self.rejecting.rejects_now(h, at.now)) else {
             return false;
         };
-        let others = f.members.iter().filter(|m| *m != head);
+        let mut others = f.members.iter().filter(|m| *m != head);
         let is_fit =
             |m: &HostId| !self.rejecting.is_unfit(m) && self.is_lost(m, at.fleet).is_none();
         let given_up = |o: &Formation| {
             o.fabric == f.fabric && matches!(o.step, Step::Draining | Step::Dissolving)
         };
-        others.into_iter().any(is_fit) && !self.formations.values().any(given_up)
+        others.any(is_fit) && !self.formations.values().any(given_up)
     }
 }
