--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -287,12 +287,12 @@
         if problem.outcome() == Outcome::NotRun {
             claim.after(DispatchOutcome::NotRun);
             let change = claim.release();
-            // Told before the row is written: the caller's answer doesn't wait for the table.
+            // The answer goes out before the row is written: it doesn't wait for the table.
             drop(tx.send(Err(problem)));
             return self.write_soon(claim, change).await;
         }
         let change = claim.after(DispatchOutcome::Unknown);
-        // Written before the caller is told, as for whole answers.
+        // The row is written before the answer goes out, as for whole answers.
         let change = self.write_soon(claim, change).await;
         drop(tx.send(Err(problem)));
         change
