Count a request that a head fails at once as a rejection, if the head is an outlier

Cause: a head that resets or fails a request at once frees its slot at once, and its scheduler, which hears only that the slot is free, takes it for the emptiest one.

Change: nodes report a slot as failed, not released, if its request failed before its first event while there was time left. The scheduler counts that as a rejection if the head serves less than 0.8 of what the others serve of theirs. Without a scheduler a node ejects a head for rejections and failures alike, for 250 ms and twice as long each time. Plain hosts already counted failures.

--- a/crates/fleet/src/ejection.rs
+++ b/crates/fleet/src/ejection.rs
@@ -26,17 +26,60 @@
     limit: Option<usize>,
     /// Single requests that it has rejected in a row.
     consecutive_rejections: u32,
-    ejected_until: Option<Instant>,
     suspected_until: Option<Instant>,
+    backoff: EjectionBackoff,
+}
+
+/// Times for which a host gets nothing, each twice as long as the one before while it accepts
+/// nothing.
+#[derive(Clone, Debug, Default)]
+pub struct EjectionBackoff {
+    until: Option<Instant>,
     /// The last time for which it was ejected; `None` once it has accepted a request since.
     period: Option<Duration>,
 }
 
+impl EjectionBackoff {
+    /// Ejects the host for a rejection of a request that was sent at `sent`.
+    pub fn eject(&mut self, sent: Instant, now: Instant) {
+        if self.is_outdated(sent) {
+            return;
+        }
+        let period = self.period.map_or(EJECTION_PERIOD, |p| {
+            p.saturating_mul(2).min(MAX_EJECTION_PERIOD)
+        });
+        self.period = Some(period);
+        self.until = Some(now + period);
+    }
+
+    /// Notes that it accepted a request that was sent at `sent`.
+    pub fn accepted(&mut self, sent: Instant) {
+        if !self.is_outdated(sent) {
+            self.period = None;
+        }
+    }
+
+    /// Whether the host may be tried.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| now >= until)
+    }
+
+    /// Whether it was ejected and has accepted nothing since.
+    pub fn is_ejected(&self) -> bool {
+        self.period.is_some()
+    }
+
+    /// Requests of before the last ejection say nothing of the host since.
+    fn is_outdated(&self, sent: Instant) -> bool {
+        self.until.is_some_and(|until| sent < until)
+    }
+}
+
 impl Ejection {
     /// Notes that it rejected a request that was sent at `sent`, one of `unaccepted` that it had
     /// not yet accepted.
     pub fn rejected(&mut self, sent: Instant, unaccepted: usize, now: Instant) {
-        if self.is_outdated(sent) {
+        if self.backoff.is_outdated(sent) {
             return;
         }
         self.suspected_until = Some(now + SUSPICION_PERIOD);
@@ -49,41 +92,31 @@
         if self.consecutive_rejections < MAX_CONSECUTIVE_REJECTIONS {
             return;
         }
-        let period = self.period.map_or(EJECTION_PERIOD, |p| {
-            p.saturating_mul(2).min(MAX_EJECTION_PERIOD)
-        });
-        self.period = Some(period);
-        self.ejected_until = Some(now + period);
+        self.backoff.eject(sent, now);
     }
 
     /// Notes that it accepted a request that was sent at `sent`. `slots` is what it runs at once.
     pub fn accepted(&mut self, sent: Instant, slots: usize) {
-        if self.is_outdated(sent) {
+        if self.backoff.is_outdated(sent) {
             return;
         }
-        self.period = None;
+        self.backoff.accepted(sent);
         self.consecutive_rejections = 0;
         self.limit = self.limit.map(|l| l + 1).filter(|l| *l <= slots);
     }
 
     /// Whether it may get a request while it has `unaccepted` that it has not yet accepted.
     pub fn admits(&self, unaccepted: usize, now: Instant) -> bool {
-        let is_due = self.ejected_until.is_none_or(|until| now >= until);
-        is_due && self.limit.is_none_or(|limit| unaccepted < limit)
+        self.backoff.is_due(now) && self.limit.is_none_or(|limit| unaccepted < limit)
     }
 
     /// Whether it was ejected and has accepted nothing since.
     pub fn is_ejected(&self) -> bool {
-        self.period.is_some()
+        self.backoff.is_ejected()
     }
 
     /// Whether it gets only what no other has room for.
     pub fn is_suspected(&self, now: Instant) -> bool {
         self.suspected_until.is_some_and(|until| now < until)
     }
-
-    /// Requests of before the last ejection say nothing of the host since.
-    fn is_outdated(&self, sent: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| sent < until)
-    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,13 +22,14 @@
 mod spill;
 mod stall;
 mod strain;
+mod success;
 mod targets;
 
 pub use crate::catalog::{
     Caller, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec, Repeat, Route,
     RouteRefusal, Service, StreamRules,
 };
-pub use crate::ejection::Ejection;
+pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing, are_most, hears_enough};
@@ -47,4 +48,5 @@
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{Progress, StallRule};
 pub use crate::strain::Strain;
+pub use crate::success::SuccessRate;
 pub use crate::targets::{TargetOutcome, TargetStats};
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -339,6 +339,25 @@
         self.released(key);
     }
 
+    /// Notes that a head failed a request before its first event.
+    ///
+    /// Its slot is free at once, so that a head that fails everything looks like the emptiest one.
+    /// Counts as a rejection if the head fails more than the others do.
+    pub fn failed(&mut self, key: &RequestKey, now: Instant) {
+        let Some(head) = self.assigned.get(key).map(|a| a.head.clone()) else {
+            return self.released(key);
+        };
+        let work = self.work.entry(head.clone()).or_default();
+        work.success.on_failed(now);
+        let success = work.success;
+        let others = self.work.iter().filter(|(other, _)| **other != head);
+        if success.is_outlier(others.map(|(_, work)| &work.success), now) {
+            self.rejected(key, now);
+        } else {
+            self.released(key);
+        }
+    }
+
     /// Forgets the requests of a node that is gone.
     pub fn node_gone(&mut self, node: &str) {
         let of_node = |key: &&RequestKey| key.node == node;
--- a/crates/fleet/src/schedule/head.rs
+++ b/crates/fleet/src/schedule/head.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::EngineSpeed;
 use crate::ejection::Ejection;
+use crate::success::SuccessRate;
 
 /// Requests beyond a head's slots that are sent to it, to keep its batch full until the end of a
 /// stream is reported.
@@ -33,6 +34,7 @@
     /// The shortest pause that one of its requests may have.
     pub(super) pause: Option<Duration>,
     pub(super) ejection: Ejection,
+    pub(super) success: SuccessRate,
     /// Moving average of the time from a grant to its first event, and when it was last updated.
     lead: Option<(Duration, Instant)>,
 }
@@ -53,6 +55,7 @@
 impl HeadWork {
     /// Takes the time from a grant to its first event into the average.
     pub(super) fn started(&mut self, lead: Duration, now: Instant) {
+        self.success.on_served(now);
         let before = self.recent_lead(now).unwrap_or(lead);
         let mean = (before * (PACE_MEMORY - 1) + lead) / PACE_MEMORY;
         self.lead = Some((mean, now));
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -23,6 +23,8 @@
 const REJECTION_TIME: Duration = millis(8);
 /// Heads that a request is sent to beyond the first.
 const MAX_REJECTIONS: usize = 3;
+/// Heads at which a request may run.
+const MAX_RUNS: usize = 2;
 /// Retries that the budget permits for each request.
 const RETRY_RATIO: f64 = 0.2;
 /// How long a head that rejected a request gets none.
@@ -90,6 +92,8 @@
     slowness: f64,
     /// The part of its requests that it rejects at once.
     rejects: f64,
+    /// The part of its requests that it fails at once.
+    fails: f64,
 }
 
 /// What became of a request.
@@ -131,6 +135,8 @@
     number: u64,
     prompt: u64,
     head: usize,
+    /// Whether the head failed the request, which may have run.
+    is_failure: bool,
 }
 
 impl World {
@@ -141,6 +147,7 @@
             pass_ends: None,
             slowness: 1.0,
             rejects: 0.0,
+            fails: 0.0,
         };
         World {
             now,
@@ -224,12 +231,15 @@
     }
 
     fn send(&mut self, n: usize, number: u64, prompt: u64) {
-        if self.rng.f64() < self.heads[n].rejects {
+        let rejects = self.rng.f64() < self.heads[n].rejects;
+        let is_failure = self.heads[n].fails > 0.0 && self.rng.f64() < self.heads[n].fails;
+        if rejects || is_failure {
             self.rejected += 1;
             let rejection = Rejection {
                 number,
                 prompt,
                 head: n,
+                is_failure,
             };
             self.rejections.push((self.now + REJECTION_TIME, rejection));
             return;
@@ -252,12 +262,19 @@
             number,
             prompt,
             head,
+            is_failure,
         } in heard
         {
-            self.scheduler.rejected(&key(number), now);
+            let most = if is_failure {
+                self.scheduler.failed(&key(number), now);
+                MAX_RUNS - 1
+            } else {
+                self.scheduler.rejected(&key(number), now);
+                MAX_REJECTIONS
+            };
             let avoid = self.avoid.entry(number).or_default();
             avoid.push(head);
-            if avoid.len() > MAX_REJECTIONS {
+            if avoid.len() > most {
                 self.fates[number as usize].refused = Some(now);
                 continue;
             }
@@ -456,6 +473,46 @@
     expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.9));
 }
 
+/// Guards against heads that fail their requests at once, and so have all slots free, drawing the
+/// requests of the others.
+#[gtest]
+fn heads_that_fail_everything_at_once_are_avoided_while_others_have_room() {
+    for failing in [1, 4] {
+        let mut world = World::new(10, Way::Scheduler);
+        world.play(60.0, Duration::from_secs(3));
+        for head in &mut world.heads[..failing] {
+            head.fails = 1.0;
+        }
+        let from = world.now;
+        world.play(60.0, Duration::from_secs(10));
+        expect_that!(world.on_time(from, from + Duration::from_secs(8)), gt(0.95));
+        for head in &mut world.heads {
+            head.fails = 0.0;
+        }
+        world.play(60.0, Duration::from_secs(2));
+        // More than the six others can write: all are used again.
+        let from = world.now;
+        world.play(130.0, Duration::from_secs(6));
+        expect_that!(world.on_time(from, from + Duration::from_secs(4)), gt(0.9));
+    }
+}
+
+/// Guards against ejecting heads, and with them capacity, for a fault that all of them share.
+#[gtest]
+fn heads_that_all_fail_alike_stay_in_use() {
+    let mut world = World::new(6, Way::Scheduler);
+    world.play(90.0, Duration::from_secs(3));
+    for head in &mut world.heads {
+        head.fails = 0.7;
+    }
+    let from = world.now;
+    world.play(150.0, Duration::from_secs(10));
+    // Of two runs both fail. The heads can write what is left.
+    let servable = 1.0 - 0.7 * 0.7;
+    let on_time = world.on_time(from, from + Duration::from_secs(8));
+    expect_that!(on_time, gt(0.9 * servable));
+}
+
 /// Guards against heads that serve half of their requests being left out when the others are full.
 #[gtest]
 fn heads_that_reject_half_of_their_requests_serve_what_others_have_no_room_for() {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -269,7 +269,7 @@
     }
     let slots: usize = open.iter().map(|h| h.slots).sum();
     let now = Instant::now();
-    let accepting = open.iter().filter(|h| !h.refuses(now));
+    let accepting = open.iter().filter(|h| h.is_due(now));
     let candidates = accepting.map(|h| Candidate {
         host: h.host.clone(),
         load: h.load(),
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, ModelName, NodeId, ServiceName};
-use eelgrassmill_fleet::{Fleet, HeadKey, Host, Progress};
+use eelgrassmill_fleet::{EjectionBackoff, Fleet, HeadKey, Host, Progress};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -17,9 +17,6 @@
 use crate::scheduler::ScheduledLoad;
 use crate::scheduler_client::Permit;
 
-/// How long a head that refused a request gets none, until loads are reported again.
-const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
-
 /// How long a replica counts as lost. One that really is has been given up by the planner
 /// by then, or its head's entry has lapsed; another is only out of this node's reach, and
 /// may be so no longer.
@@ -42,8 +39,8 @@
     unscheduled: AtomicUsize,
     reports: Mutex<LoadReports>,
     progress: Mutex<Progress>,
-    /// It refused a request: nothing is sent to it until then.
-    refuses_until: Mutex<Option<Instant>>,
+    /// What this node, without a scheduler, makes of requests that it rejected or failed.
+    backoff: Mutex<EjectionBackoff>,
     /// When a member was known to be lost: nothing will come any more. Taken back by
     /// [`HeadTable::renew`].
     lost: watch::Sender<Option<Instant>>,
@@ -86,7 +83,7 @@
             unscheduled: AtomicUsize::new(0),
             reports: Mutex::default(),
             progress: Mutex::default(),
-            refuses_until: Mutex::default(),
+            backoff: Mutex::default(),
             lost: watch::Sender::new(None),
         })
     }
@@ -188,6 +185,8 @@
             is_scheduled: permit.is_some(),
             head: Arc::clone(self),
             permit,
+            sent: Instant::now(),
+            has_begun: false,
         }
     }
 
@@ -204,17 +203,14 @@
         });
     }
 
-    /// Notes that it refused a request.
-    ///
-    /// Until loads are reported again a full head looks as empty as before, and the
-    /// next attempts would be refused like this one, each at the cost of a repeat.
-    pub(crate) fn refused(&self, now: Instant) {
-        *locked(&self.refuses_until) = Some(now + REFUSAL_MEMORY);
+    /// Ejects it for a while from what this node places by itself.
+    fn eject(&self, sent: Instant) {
+        locked(&self.backoff).eject(sent, Instant::now());
     }
 
-    /// Whether it refused a request just now.
-    pub(crate) fn refuses(&self, now: Instant) -> bool {
-        locked(&self.refuses_until).is_some_and(|until| now < until)
+    /// Whether this node may place a request there by itself.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        locked(&self.backoff).is_due(now)
     }
 
     pub(crate) fn is_lost(&self) -> bool {
@@ -240,22 +236,40 @@
     /// `None` where it was placed without a scheduler.
     permit: Option<Permit<P>>,
     is_scheduled: bool,
+    sent: Instant,
+    /// Whether its first event has come.
+    has_begun: bool,
 }
 
 impl<P: Platform> InProgress<P> {
     /// Notes that its first event has come.
-    pub(crate) fn began(&self) {
+    pub(crate) fn began(&mut self) {
+        self.has_begun = true;
+        locked(&self.head.backoff).accepted(self.sent);
         if let Some(permit) = &self.permit {
             permit.started();
         }
     }
 
-    /// Notes that the head refused it.
-    pub(crate) fn refused(&mut self) {
+    pub(crate) fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
+    /// Notes that the head rejected it.
+    pub(crate) fn rejected(&mut self) {
+        self.head.eject(self.sent);
         if let Some(permit) = self.permit.take() {
             permit.rejected();
         }
     }
+
+    /// Notes that the head failed it before its first event.
+    pub(crate) fn failed(&mut self) {
+        self.head.eject(self.sent);
+        if let Some(permit) = self.permit.take() {
+            permit.failed();
+        }
+    }
 }
 
 impl<P: Platform> Drop for InProgress<P> {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -260,6 +260,7 @@
         match slot_event.event() {
             SlotEventKind::Started => self.scheduler.started(&key, now),
             SlotEventKind::Rejected => self.scheduler.rejected(&key, now),
+            SlotEventKind::Failed => self.scheduler.failed(&key, now),
             SlotEventKind::Released => {
                 self.askers.remove(&key);
                 self.uncollected.remove(&key);
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -74,8 +74,17 @@
     }
 
     /// Reports that the head rejected the request, or that nothing is to be sent to it.
-    pub(crate) fn rejected(mut self) {
-        self.report(SlotEventKind::Rejected);
+    pub(crate) fn rejected(self) {
+        self.end(SlotEventKind::Rejected);
+    }
+
+    /// Reports that the head failed the request before its first event.
+    pub(crate) fn failed(self) {
+        self.end(SlotEventKind::Failed);
+    }
+
+    fn end(mut self, event: SlotEventKind) {
+        self.report(event);
         self.is_released = true;
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -203,12 +203,12 @@
             Ok(response) => response,
             Err(SendError::NotSent(why)) => {
                 self.log_attempt(&head, "not-sent", &why);
-                return Err(self.refused(&head));
+                return Err(self.rejected(&mut slot));
             }
             Err(err) => {
                 self.arrivals += 1;
                 self.log_attempt(&head, "unknown", &err.to_string());
-                return Err(self.failed(&head));
+                return Err(self.failed(&mut slot));
             }
         };
         self.arrivals += 1;
@@ -220,32 +220,40 @@
         {
             AnswerMeaning::NotRun | AnswerMeaning::WrongHost => {
                 self.log_attempt(&head, "not-run", response.status.as_str());
-                slot.refused();
-                Err(self.refused(&head))
+                Err(self.rejected(&mut slot))
             }
             AnswerMeaning::Unproven => {
                 self.log_attempt(&head, "unknown", "answer without proof");
-                Err(self.failed(&head))
+                Err(self.failed(&mut slot))
             }
-            AnswerMeaning::Answered
-                if response.status.is_server_error() && self.may_run_again() =>
-            {
+            AnswerMeaning::Answered if response.status.is_server_error() => {
                 self.log_attempt(&head, "failed", response.status.as_str());
-                Err(self.failed(&head))
+                let retries = self.may_run_again();
+                let failed = self.failed(&mut slot);
+                if retries {
+                    Err(failed)
+                } else {
+                    Ok(Begun { slot, response })
+                }
             }
             AnswerMeaning::Answered => Ok(Begun { slot, response }),
         }
     }
 
-    fn refused(&mut self, head: &Head) -> NoAnswer {
-        self.avoid.push(head.host.clone());
-        head.refused(Instant::now());
+    fn rejected(&mut self, slot: &mut InProgress<P>) -> NoAnswer {
+        self.avoid.push(slot.head.host.clone());
+        slot.rejected();
         self.refusals += 1;
         NoAnswer::NotRun
     }
 
-    fn failed(&mut self, head: &Head) -> NoAnswer {
-        self.avoid.push(head.host.clone());
+    fn failed(&mut self, slot: &mut InProgress<P>) -> NoAnswer {
+        self.avoid.push(slot.head.host.clone());
+        // The end of the call's time, or a member that was lost, says nothing of the head.
+        let is_heads_fault = !self.call.left().is_zero() && !slot.head.is_lost();
+        if is_heads_fault && !slot.has_begun() {
+            slot.failed();
+        }
         self.runs += 1;
         NoAnswer::Unknown
     }
@@ -271,7 +279,7 @@
     /// Anything but a stream is read to its end first.
     async fn forward_whole(
         &mut self,
-        begun: Begun<P>,
+        mut begun: Begun<P>,
         status: StatusCode,
         headers: HeaderMap,
     ) -> Result<Response<AnswerBody>, Refusal> {
@@ -279,7 +287,7 @@
         let body = match tokio::time::timeout(self.call.left(), read).await {
             Ok(Ok(body)) => body,
             _ => {
-                self.failed(&begun.slot.head);
+                self.failed(&mut begun.slot);
                 return Err(Refusal::new(RefusalCause::AnswerBroken));
             }
         };
@@ -293,18 +301,18 @@
     async fn forward_events(mut self, mut begun: Begun<P>, tx: mpsc::Sender<Piece>) {
         loop {
             let end = self.read(&mut begun, &tx).await;
-            let head = Arc::clone(&begun.slot.head);
+            if let ReadEnd::Broken(why) = &end {
+                self.log_attempt(&begun.slot.head, "broken", why);
+                self.failed(&mut begun.slot);
+            }
             // Closes the connection to the host, which stops working on it.
             drop(begun);
             self.core.freed();
-            let why = match end {
+            match end {
                 ReadEnd::Complete => return self.finish(&tx).await,
                 ReadEnd::Over(over) => return self.abort(over),
-                ReadEnd::Broken(why) => why,
-            };
-            self.log_attempt(&head, "broken", &why);
-            self.events.restart();
-            self.failed(&head);
+                ReadEnd::Broken(_) => self.events.restart(),
+            }
             let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
             if !resumable || !self.may_run_again() {
                 return self.cut("it may not run again");
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -548,6 +548,8 @@
     Started = 1,
     /// The head rejected it.
     Rejected = 2,
+    /// The head failed it before its first event.
+    Failed = 3,
 }
 
 /// A scheduler's answer.
