Give a node that starts its first lists within 0.2 s, from the store or from any node

Cause: a node that starts waited up to 1.5 s to hear of others before it read the lists in the store. After a power loss of all 75 nodes the seeds were the last to start, and greetings hung on a connection whose first packet was lost; 72 of 75 nodes had the lists 0.55 to 0.85 s after the last start, 1.0 to 1.2 s after their own. A node that started while the store was away took no list of others either, as theirs were old.

Change: a node without lists asks any node that has them, however old, and reads the store 150 to 200 ms after its start unless it has a copy by then. The first greetings wait for 300 ms each and dial anew.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
-use crate::snapshot_relay::{self, ListUpdate, NoCopy, Relayed};
+use crate::snapshot_relay::{self, ListCopy, ListUpdate, NoCopy, Relayed};
 
 /// Longest wait of one question to the store for changes. The answer also says that nothing
 /// else has changed, which other nodes have to know twice a second, and a connection that
@@ -19,11 +19,18 @@
 const POLL_TIME: Duration = Duration::from_millis(500);
 /// Pause after an answer with changes, so that changes that come together cost one call.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
-/// How long a node that has just started waits for others to introduce themselves and to have a
-/// copy of the lists. When all nodes start at once each would otherwise follow them in the store.
-const INTRODUCTION: Duration = Duration::from_millis(1500);
+/// A node that has just started reads the store after this long, unless it has a copy of another
+/// node by then. One that joins others hears of them sooner.
+const STORE_DELAY: Duration = Duration::from_millis(150);
+/// Nodes that start together read the store within this time of each other.
+const START_JITTER: Duration = Duration::from_millis(50);
+/// How often a node that has no copy checks whether another node has one.
+const COPY_POLL: Duration = Duration::from_millis(10);
+/// How long a node that has just started waits to hear of others before it follows a list in the
+/// store. When all nodes start at once each would otherwise follow it there.
+const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How often it checks meanwhile.
-const INTRODUCTION_POLL: Duration = Duration::from_millis(50);
+const PEER_DISCOVERY_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failure; grows up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// A store that is back must be read again well within the 2 s in which a change counts.
@@ -53,6 +60,19 @@
     encoded: Vec<Vec<u8>>,
     /// The node that gave it; `None` for the store.
     from: Option<NodeId>,
+    /// Whether it shows that the store answers.
+    is_fresh: bool,
+}
+
+impl<C> Answer<C> {
+    fn of(copy: ListCopy<C>, from: NodeId) -> Answer<C> {
+        Answer {
+            is_fresh: copy.check().is_ok(),
+            update: copy.update,
+            encoded: copy.encoded,
+            from: Some(from),
+        }
+    }
 }
 
 impl<P, S> Reader<'_, P, S>
@@ -63,19 +83,11 @@
 {
     /// What is new, from the node that should tell it, or else from the store.
     async fn next(&self) -> Result<Answer<S::Change>, SourceError> {
-        while self.has_just_started() {
-            if let Some(parent) = snapshot_relay::parent(self.core) {
-                match self.ask(&parent).await {
-                    Err(NoCopy::None) => {}
-                    Err(why) => return self.read_instead(&parent, &why).await,
-                    Ok(answer) => return Ok(answer),
-                }
-            } else if self.cursor.is_none() && self.core.knows_others() {
-                // Nearly all nodes take themselves for their domain's first until they know the
-                // others, so that what follows the first read waits for that.
-                break;
-            }
-            tokio::time::sleep(INTRODUCTION_POLL).await;
+        if self.cursor.is_none() {
+            return self.first().await;
+        }
+        while self.is_discovering_peers() {
+            tokio::time::sleep(PEER_DISCOVERY_POLL).await;
         }
         let Some(parent) = snapshot_relay::parent(self.core) else {
             // After a failure the first question is one that is answered at once: a wait
@@ -93,15 +105,46 @@
         }
     }
 
+    /// The whole list, from the store or from any node that has it, whichever is sooner.
+    ///
+    /// A node that starts serves nothing until then. While the store is away, what other nodes
+    /// serve by is as good as can be had.
+    async fn first(&self) -> Result<Answer<S::Change>, SourceError> {
+        let due = STORE_DELAY + START_JITTER.mul_f64(fastrand::f64());
+        let wait = due.saturating_sub(self.core.began.elapsed());
+        let store = async {
+            tokio::time::sleep(wait).await;
+            self.read_store(Duration::ZERO).await
+        };
+        tokio::select! {
+            read = store => read,
+            copy = self.copy_of_others() => Ok(copy),
+        }
+    }
+
+    /// Waits until another node gives its copy, however old.
+    async fn copy_of_others(&self) -> Answer<S::Change> {
+        loop {
+            tokio::time::sleep(COPY_POLL).await;
+            let Some(node) = snapshot_relay::any_node(self.core) else {
+                continue;
+            };
+            match snapshot_relay::fetch::<P, S::Change>(self.core, &node, 0).await {
+                Ok(copy) => return Answer::of(copy, node),
+                Err(NoCopy::None) => {}
+                Err(why) => {
+                    info!(event = "no-copy", list = S::Change::LIST, %node, %why);
+                    locked(&self.core.nodes).gave_no_copy(&node, Instant::now());
+                }
+            }
+        }
+    }
+
     async fn ask(&self, parent: &NodeId) -> Result<Answer<S::Change>, NoCopy> {
         let since = self.cursor.unwrap_or_default();
-        let (update, encoded) =
-            snapshot_relay::ask::<P, S::Change>(self.core, parent, since).await?;
-        Ok(Answer {
-            update,
-            encoded,
-            from: Some(parent.clone()),
-        })
+        let copy = snapshot_relay::fetch::<P, S::Change>(self.core, parent, since).await?;
+        copy.check()?;
+        Ok(Answer::of(copy, parent.clone()))
     }
 
     /// Reads the store in place of a node that gave no usable copy.
@@ -116,10 +159,10 @@
     }
 
     /// Whether this node is to hear of others and has not had the time yet.
-    fn has_just_started(&self) -> bool {
+    fn is_discovering_peers(&self) -> bool {
         let addresses = &self.core.cfg.addresses;
         let has_seeds = addresses.seeds.iter().any(|s| *s != addresses.peers);
-        has_seeds && self.core.began.elapsed() < INTRODUCTION
+        has_seeds && !self.core.knows_others() && self.core.began.elapsed() < PEER_DISCOVERY_TIMEOUT
     }
 
     async fn read_store(&self, wait: Duration) -> Result<Answer<S::Change>, SourceError> {
@@ -137,6 +180,7 @@
                 whole: self.cursor.is_none(),
             },
             from: None,
+            is_fresh: true,
         })
     }
 
@@ -151,6 +195,7 @@
             update,
             encoded,
             from,
+            ..
         } = answer;
         if !self.healthy {
             info!(
@@ -201,7 +246,9 @@
         match reader.next().await {
             Ok(answer) if reader.is_older(&answer.update) => tokio::time::sleep(pause).await,
             Ok(answer) => {
-                core.store_answered();
+                if answer.is_fresh {
+                    core.store_answered();
+                }
                 pause = FIRST_PAUSE;
                 if reader.take(answer, sink) {
                     tokio::time::sleep(BATCH_DELAY).await;
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -214,12 +214,49 @@
     list_parent(core.as_candidate(), holder.as_ref(), others).cloned()
 }
 
+/// Any node that may have lists, for a node that has none: the one to ask, or else one by chance.
+pub(crate) fn any_node<P: Platform>(core: &Core<P>) -> Option<NodeId> {
+    let parent = parent(core);
+    parent.or_else(|| {
+        let now = Instant::now();
+        let nodes = locked(&core.nodes);
+        let others: Vec<_> = nodes.with_copies(now).collect();
+        fastrand::choice(others).map(|node| node.id.clone())
+    })
+}
+
+/// Another node's copy of a list.
+#[derive(Clone, Debug)]
+pub(crate) struct ListCopy<C> {
+    pub(crate) update: ListUpdate<C>,
+    /// The changes as they travelled.
+    pub(crate) encoded: Vec<Vec<u8>>,
+    /// How old it is.
+    age: Duration,
+    /// The node gets no answers from the store.
+    failing: bool,
+}
+
+impl<C> ListCopy<C> {
+    /// # Errors
+    /// When it may lack changes that a node with access to the store would have.
+    pub(crate) fn check(&self) -> Result<(), NoCopy> {
+        if self.failing {
+            return Err(NoCopy::Failing);
+        }
+        if self.age > MAX_AGE {
+            return Err(NoCopy::Old(self.age));
+        }
+        Ok(())
+    }
+}
+
 /// Asks another node for what changed since `since`, or for all at 0.
-pub(crate) async fn ask<P: Platform, C: Relayed<P>>(
+pub(crate) async fn fetch<P: Platform, C: Relayed<P>>(
     core: &Core<P>,
     node: &NodeId,
     since: Cursor,
-) -> Result<(ListUpdate<C>, Vec<Vec<u8>>), NoCopy> {
+) -> Result<ListCopy<C>, NoCopy> {
     let peer = core.peer().ok_or(NoCopy::None)?;
     let answered = peer
         .list_of(node, C::LIST, since, POLL_TIME, RPC_SLACK)
@@ -229,23 +266,21 @@
     if reply.version == 0 {
         return Err(NoCopy::None);
     }
-    if reply.failing {
-        return Err(NoCopy::Failing);
-    }
     let age = Duration::from_millis(reply.age_ms.into());
-    if age > MAX_AGE {
-        return Err(NoCopy::Old(age));
-    }
     let read = reply
         .changes
         .iter()
         .map(|bytes| C::decode(&core.platform, bytes));
     let changes: Result<Vec<C>, SourceError> = read.collect();
-    let update = ListUpdate {
-        changes: changes.map_err(NoCopy::Malformed)?,
-        version: reply.version,
-        as_of: now.checked_sub(age).unwrap_or(now),
-        whole: reply.whole,
-    };
-    Ok((update, reply.changes))
+    Ok(ListCopy {
+        update: ListUpdate {
+            changes: changes.map_err(NoCopy::Malformed)?,
+            version: reply.version,
+            as_of: now.checked_sub(age).unwrap_or(now),
+            whole: reply.whole,
+        },
+        encoded: reply.changes,
+        age,
+        failing: reply.failing,
+    })
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -37,6 +37,11 @@
 /// A node that knows no other greets the seeds this often: of nodes that start together the
 /// seeds may be the last.
 const GREET_INTERVAL: Duration = Duration::from_millis(200);
+/// How long one of the first greetings waits for its answer. A seed that has no power shows only
+/// as silence, and its connection must be dialled anew once it is up.
+const GREET_TIMEOUT: Duration = Duration::from_millis(300);
+/// Greetings after which seeds are taken for slow, and given the longest transit.
+const FAST_GREETINGS: u32 = 6;
 /// A connection over which nothing comes back for this long is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
@@ -463,11 +468,13 @@
         }
     }
 
-    async fn greet(&self, seed: SocketAddr, hello: Batch) {
-        let result: Result<Batch, PeerError> = self
-            .pool
-            .call(seed, path::EXCHANGE, hello, self.max_transit)
-            .await;
+    async fn greet(&self, seed: SocketAddr, hello: Batch, timeout: Duration) {
+        let result: Result<Batch, PeerError> =
+            self.pool.call(seed, path::EXCHANGE, hello, timeout).await;
+        if matches!(result, Err(PeerError::Timeout)) {
+            // The packet that opens it is sent again only after a second.
+            self.pool.drop_channel(seed);
+        }
         self.meter.called(result.is_ok());
         if let Ok(answer) = result {
             let from = NodeId::from(answer.from.as_str());
@@ -522,6 +529,7 @@
     let mut flushes = tokio::time::interval(inner.flush);
     flushes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut greet_next = Instant::now();
+    let mut greetings = 0;
     loop {
         tokio::select! {
             _ = flushes.tick() => {}
@@ -529,8 +537,17 @@
         }
         send_due(&inner);
         if Instant::now() >= greet_next {
+            let is_fast = greetings < FAST_GREETINGS;
+            greetings += 1;
+            greet_seeds(
+                &inner,
+                if is_fast {
+                    GREET_TIMEOUT
+                } else {
+                    inner.max_transit
+                },
+            );
             greet_next = Instant::now() + GREET_INTERVAL;
-            greet_seeds(&inner);
         }
     }
 }
@@ -556,7 +573,7 @@
 }
 
 /// Introduces this node to the seeds while it knows no other node.
-fn greet_seeds<H: PeerHandler>(inner: &Arc<Inner<H>>) {
+fn greet_seeds<H: PeerHandler>(inner: &Arc<Inner<H>>, timeout: Duration) {
     let hello = {
         let state = inner.state();
         if state.overlay().len() > 1 {
@@ -567,6 +584,6 @@
     for &seed in &inner.seeds {
         let inner = Arc::clone(inner);
         let hello = hello.clone();
-        tokio::spawn(async move { inner.greet(seed, hello).await });
+        tokio::spawn(async move { inner.greet(seed, hello, timeout).await });
     }
 }
--- a/crates/peer/src/wire/client.rs
+++ b/crates/peer/src/wire/client.rs
@@ -120,7 +120,8 @@
         }
     }
 
-    fn drop_channel(&self, address: SocketAddr) {
+    /// Drops a connection; the next call dials anew.
+    pub(crate) fn drop_channel(&self, address: SocketAddr) {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         channels.remove(&address);
     }
