Bound the age of a first batch by the time for which its receiver is up

Cause: the first batch of a sender counts as having been under way for 2 s, the longest that a call may take. Word that came over two nodes at a start looked 4 s old, and nodes count as dead after 2.2 s: 0.4 s after a start nodes knew 64 others and took 2 to 19 of them for alive. Each scheduled requests as if it were alone, until 1.5 s after the start.

Change: a batch can't have been under way for longer than its receiver has been up. A node's word that is dated earlier than what was heard of it before takes nothing back.

--- a/crates/gateway/src/nodes/mod.rs
+++ b/crates/gateway/src/nodes/mod.rs
@@ -68,11 +68,15 @@
 
 impl Nodes {
     /// Takes what a node says of itself. Whether the node was unknown or says something new.
+    ///
+    /// `heard` is the latest instant at which it is certain to have said so.
     pub(crate) fn on_status(&mut self, node: &NodeId, info: NodeInfo, heard: Instant) -> bool {
         self.lost.remove(node);
         let known = self.known.get(node);
         let changed = known.is_none_or(|k| k.info != info);
         let strained = known.is_some_and(|k| k.strained);
+        // Word that came by way of another node may be dated earlier than what was heard before.
+        let heard = known.map_or(heard, |k| k.heard.max(heard));
         let known = Known {
             info,
             strained,
--- a/crates/peer/src/dissemination/receive.rs
+++ b/crates/peer/src/dissemination/receive.rs
@@ -71,8 +71,11 @@
             let clock = SenderClock::new(batch.incarnation, offset, now);
             self.clocks.insert(from.clone(), clock);
         }
-        // With nothing to compare with, it may have been under way for as long as a call may.
-        self.cfg.timing.max_transit
+        // With nothing to compare with, it may have been under way for as long as a call may, but
+        // not since before this node could take it. Without that bound nodes that start together
+        // would take each other for silent, and each act as if it were alone.
+        let up = now.saturating_duration_since(self.began);
+        self.cfg.timing.max_transit.min(up)
     }
 
     fn take_update(
--- a/crates/peer/tests/dissemination.rs
+++ b/crates/peer/tests/dissemination.rs
@@ -262,3 +262,25 @@
 fn sixty_nodes_agree_under_loss() {
     expect_that!(converges(60, 6, 11), some(le(Duration::from_secs(30))));
 }
+
+/// Guards against nodes that start together taking each other for silent, and acting as if each
+/// were alone, since their first batches count as having been under way for as long as a call may.
+#[gtest]
+fn nodes_that_start_together_know_that_the_others_are_up() {
+    let all = members(30, 3);
+    let mut net = Net::empty(5);
+    for member in &all {
+        net.start(member, 1, &[]);
+    }
+    for member in &all[1..] {
+        net.greet(&member.id, &all[0].id);
+    }
+    let began = net.now;
+    net.run(Duration::from_millis(800));
+    for member in &all {
+        let heard = net.nodes[&member.id].origins();
+        let late = heard.filter(|(_, _, confirmed)| *confirmed + Duration::from_secs(1) < began);
+        let late: Vec<_> = late.map(|(origin, ..)| origin.clone()).collect();
+        expect_that!(late, is_empty(), "at {}", member.id);
+    }
+}
