Rank requests of callers that come back by when they were first sent

Cause: a caller that comes back after a rejection or a restart was taken for a new one, and got the slot of a request that could still be on time.

Change: nodes keep a histogram of the timeouts that callers name, as parts of their routes' timeouts. One that lies more than an interquartile range below the first quartile is what is left of a longer one; the difference from the median is how long its caller has waited. Such a request can be on time only until its caller's first attempt can.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod host;
 mod lease;
+mod patience;
 mod place;
 mod planner;
 mod rank;
@@ -33,6 +34,7 @@
 pub use crate::fleet::{Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing, are_most, hears_enough};
+pub use crate::patience::CallerPatience;
 pub use crate::place::{Candidate, place};
 pub use crate::planner::{
     Command, Formation, Loss, Order, OrderReply, Planner, PlannerTiming, Purpose, Step,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -209,7 +209,7 @@
             waiting.ended(false, now);
             return Err(full(why_not(core, service, model)));
         }
-        if now >= call.arrived + call.route.aim {
+        if now >= call.on_time_until() {
             waiting.too_late();
         }
         if waiting.is_rejected_as_late(now) && !waiting.is_first() {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -37,6 +37,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) caller: Option<Arc<Caller>>,
     pub(crate) arrived: Instant,
+    /// When its caller is likely to have sent its first attempt; no later than `arrived`.
+    pub(crate) first_sent: Instant,
     /// When its caller gives up or its route's timeout is over, whichever is first.
     pub(crate) deadline: Instant,
 }
@@ -46,6 +48,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Until then an answer is on time.
+    pub(crate) fn on_time_until(&self) -> Instant {
+        self.first_sent + self.route.aim
+    }
+
     pub(crate) fn repeatable(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,7 +7,7 @@
 
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
-use eelgrassmill_fleet::{Catalog, Fleet, RetryWindow, RoleCandidate, TargetStats};
+use eelgrassmill_fleet::{CallerPatience, Catalog, Fleet, RetryWindow, RoleCandidate, TargetStats};
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
 use tracing::info;
@@ -48,6 +48,7 @@
     pub(crate) admission: AdmissionQueues,
     /// Schedulers that run at this node.
     pub(crate) schedulers: Schedulers,
+    pub(crate) patience: Mutex<CallerPatience>,
     pub(crate) scheduler_client: SchedulerClient,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set once this node was told to stop. It then closes its port (`stopping`), and cuts off
@@ -87,6 +88,7 @@
             metrics: Metrics::default(),
             admission: AdmissionQueues::default(),
             schedulers: Schedulers::default(),
+            patience: Mutex::default(),
             scheduler_client: SchedulerClient::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -268,7 +268,7 @@
     let now = Instant::now();
     let ms = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     let call = wanted.call;
-    let on_time = (call.arrived + call.route.aim).saturating_duration_since(now);
+    let on_time = call.on_time_until().saturating_duration_since(now);
     let patience = wanted.until.saturating_duration_since(now);
     SlotRequest {
         number,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,6 +22,7 @@
 use crate::body::AnswerBody;
 use crate::call::Call;
 use crate::core::Core;
+use crate::heads::locked;
 use crate::ports::{Dialect, Platform};
 use crate::{dispatch, stream};
 
@@ -280,6 +281,7 @@
     let head = core.platform.dialect().call_head(&parts.headers);
     let patience = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived + patience;
+    let first_sent = first_sent(core, head.timeout, route.timeout, arrived);
     let path = parts
         .uri
         .path_and_query()
@@ -296,10 +298,27 @@
         route: Arc::clone(route),
         caller,
         arrived,
+        first_sent,
         deadline,
     })
 }
 
+/// When the caller of a request that arrived just now is likely to have sent its first attempt.
+fn first_sent<P: Platform>(
+    core: &Core<P>,
+    named: Option<Duration>,
+    usual: Duration,
+    arrived: Instant,
+) -> Instant {
+    let Some(named) = named else {
+        return arrived;
+    };
+    let mut patience = locked(&core.patience);
+    let waited = patience.waited(named, usual);
+    patience.on_request(named, usual);
+    arrived.checked_sub(waited).unwrap_or(arrived)
+}
+
 fn refused(refusal: RouteRefusal) -> Refusal {
     Refusal::new(match refusal {
         RouteRefusal::NoRoute => RefusalCause::NoRoute,
