Grant slots to the newest requests first once requests wait

Cause: in a queue that doesn't empty, the oldest of the requests that can be on time goes first.

Change: once requests have waited for 50 ms without a break, the newest of those that can be on time goes first. A request stays among them until 0.85 of the usual time to a first event is left, in place of 1.25 times.

50 ms and 0.85 are those with which all plays of the scheduler hold.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -38,8 +38,9 @@
 
 /// Weight of the newest time to a first event in the average, as 1 / this.
 const LEAD_MEMORY: u32 = 16;
-/// A first event may take this many times the usual time.
-const LEAD_MARGIN: f64 = 1.25;
+/// A request can be on time while this part of the usual time to a first event is left: many take
+/// less than the mean.
+const MIN_LEAD_RATIO: f64 = 0.85;
 /// Part of the slots that late requests leave free at most.
 const MAX_RESERVED_RATIO: f64 = 0.5;
 /// Once requests have waited for this long, those that get a slot show what heads can serve.
@@ -381,11 +382,11 @@
         });
         self.update_heads(heads, now);
         self.accept_unanswered(now);
-        let lead = self.lead.mul_f64(LEAD_MARGIN);
+        let lead = self.lead.mul_f64(MIN_LEAD_RATIO);
         self.queue.rank_late(lead, now);
         let mut decided = Vec::new();
         let mut round = Round::default();
-        for position in self.queue.positions() {
+        for position in self.queue.positions(now) {
             let Some((outcome, head)) = self.decide(position, &mut round, heads, now) else {
                 continue;
             };
--- a/crates/fleet/src/schedule/queue.rs
+++ b/crates/fleet/src/schedule/queue.rs
@@ -6,6 +6,9 @@
 use crate::rank::Rank;
 use crate::schedule::{Ask, RequestKey};
 
+/// Requests that wait for this long without a break show that more come than are served.
+const LIFO_DELAY: Duration = Duration::from_millis(50);
+
 /// A position in the queue: by rank, then in the order of arrival.
 pub(super) type Position = (Rank, u64);
 
@@ -33,9 +36,21 @@
         self.positions.keys()
     }
 
-    /// The positions, the first in the queue first.
-    pub(super) fn positions(&self) -> Vec<Position> {
-        self.waiting.keys().copied().collect()
+    /// The positions in the order in which they are decided.
+    ///
+    /// Of requests that can be on time the oldest goes first; the newest once requests have waited
+    /// for [`LIFO_DELAY`]. In a queue that doesn't empty the oldest can only just be on time, and
+    /// with a slot each is late by the least delay.
+    pub(super) fn positions(&self, now: Instant) -> Vec<Position> {
+        let mut positions: Vec<Position> = self.waiting.keys().copied().collect();
+        if self.busy_for(now) >= LIFO_DELAY {
+            for same in positions.chunk_by_mut(|a, b| a.0 == b.0) {
+                if matches!(same.first(), Some((Rank::OnTime(_), _))) {
+                    same.reverse();
+                }
+            }
+        }
+        positions
     }
 
     pub(super) fn get(&self, position: Position) -> Option<&Ask> {
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -7,7 +7,7 @@
 
 use eelgrassmill_base::HostId;
 use eelgrassmill_fleet::{
-    Ask, Candidate, HeadKey, OpenHead, Outcome, RequestKey, Scheduler, place,
+    Ask, CallerPatience, Candidate, HeadKey, OpenHead, Outcome, RequestKey, Scheduler, place,
 };
 use googletest::prelude::*;
 use smallvec::SmallVec;
@@ -21,12 +21,17 @@
 const SLOTS: usize = 30;
 /// Time from a grant until the scheduler hears that the head rejected the request.
 const REJECTION_TIME: Duration = millis(8);
+/// Drafts that six heads can write in a second.
+const WRITABLE: f64 = 95.0;
 /// Heads that a request is sent to beyond the first.
 const MAX_REJECTIONS: usize = 3;
 /// Heads at which a request may run.
 const MAX_RUNS: usize = 2;
 /// Retries that the budget permits for each request.
 const RETRY_RATIO: f64 = 0.2;
+/// The timeout that callers name first, and the part of it by which they differ.
+const TIMEOUT: Duration = millis(5000);
+const TIMEOUT_SPREAD: f64 = 0.15;
 /// How long a head that rejected a request gets none.
 const REJECTION_PAUSE: Duration = millis(250);
 
@@ -113,6 +118,30 @@
     OldLoads,
 }
 
+/// Callers that come back once after a rejection.
+#[derive(Default)]
+struct Returns {
+    /// Whether they are told from new ones by the timeouts that they name; `None` where nobody
+    /// comes back.
+    told_apart: Option<bool>,
+    patience: CallerPatience,
+    /// Requests that come back, when, and the timeout that their callers named first.
+    due: Vec<(Instant, u64, Duration)>,
+    timeouts: HashMap<u64, Duration>,
+}
+
+impl Returns {
+    /// Until when a request can be on time that comes now, after `waited`.
+    fn on_time_until(&mut self, named: Duration, now: Instant) -> Instant {
+        if self.told_apart != Some(true) {
+            return now + AIM;
+        }
+        let waited = self.patience.waited(named, TIMEOUT);
+        self.patience.on_request(named, TIMEOUT);
+        now + AIM - waited
+    }
+}
+
 struct World {
     now: Instant,
     rng: fastrand::Rng,
@@ -128,6 +157,7 @@
     rejected: u64,
     /// Heads that rejected a request.
     avoid: HashMap<u64, Vec<usize>>,
+    returns: Returns,
 }
 
 #[derive(Clone, Copy)]
@@ -162,6 +192,7 @@
             rejections: Vec::new(),
             rejected: 0,
             avoid: HashMap::new(),
+            returns: Returns::default(),
         }
     }
 
@@ -176,6 +207,7 @@
                 self.arrive();
             }
             if self.way == Way::Scheduler {
+                self.come_back();
                 self.report_rejections();
                 self.assign();
             }
@@ -199,7 +231,41 @@
             return;
         }
         self.prompts.insert(number, prompt);
-        self.scheduler.ask(ask(number, prompt, self.now), self.now);
+        let mut ask = ask(number, prompt, self.now);
+        if self.returns.told_apart.is_some() {
+            let timeout = TIMEOUT.mul_f64(1.0 - TIMEOUT_SPREAD * self.rng.f64());
+            self.returns.timeouts.insert(number, timeout);
+            ask.on_time_until = self.returns.on_time_until(timeout, self.now);
+        }
+        self.scheduler.ask(ask, self.now);
+    }
+
+    /// Asks again for requests whose callers come back now.
+    fn come_back(&mut self) {
+        let now = self.now;
+        let due = self.returns.due.extract_if(.., |(at, ..)| *at <= now);
+        let due: Vec<_> = due.collect();
+        for (_, number, timeout) in due {
+            let waited = now - self.fates[number as usize].arrived.expect("it has arrived");
+            let named = timeout.saturating_sub(waited);
+            let on_time_until = self.returns.on_time_until(named, now);
+            let again = Ask {
+                on_time_until,
+                ..ask(number, 600, now)
+            };
+            self.fates[number as usize].refused = None;
+            self.prompts.insert(number, 600);
+            self.scheduler.ask(again, now);
+        }
+    }
+
+    /// Notes that a request was rejected; its caller may come back once.
+    fn reject(&mut self, number: u64) {
+        self.fates[number as usize].refused = Some(self.now);
+        if let Some(timeout) = self.returns.timeouts.remove(&number) {
+            let pause = millis(self.rng.u64(400..800));
+            self.returns.due.push((self.now + pause, number, timeout));
+        }
     }
 
     /// As each of many nodes chooses for itself.
@@ -221,7 +287,7 @@
         for (key, outcome) in self.scheduler.assign(&open, self.now) {
             let prompt = self.prompts.remove(&key.number);
             match outcome {
-                Outcome::Full => self.fates[key.number as usize].refused = Some(self.now),
+                Outcome::Full => self.reject(key.number),
                 Outcome::Granted((replica, _)) => {
                     let n = replica[1..].parse().expect("a head's number");
                     self.send(n, key.number, prompt.expect("it was asked for"));
@@ -392,6 +458,16 @@
     expect_that!(on_time(Way::Scheduler, 110.0), gt(0.6));
 }
 
+/// Guards against an overload in which each slot goes to the request that has waited longest, and
+/// is late by the least delay.
+#[gtest]
+fn most_of_what_heads_can_write_is_on_time_in_any_overload() {
+    for rate in [100.0, 110.0, 130.0, 200.0] {
+        let writable = WRITABLE / rate;
+        expect_that!(on_time(Way::Scheduler, rate), gt(0.75 * writable), "{rate}");
+    }
+}
+
 /// Guards against callers waiting for slots that can't become free in their time.
 #[gtest]
 fn requests_that_the_queue_can_not_serve_in_time_are_rejected_at_once() {
@@ -646,6 +722,25 @@
     expect_that!(after(Way::Scheduler), gt(0.9));
 }
 
+/// Guards against callers that come back after a rejection taking the slots of requests that can
+/// still be on time, so that a burst sinks as it lasts.
+#[gtest]
+fn callers_that_come_back_do_not_make_others_late() {
+    let burst = |told_apart| {
+        let mut world = World::new(6, Way::Scheduler);
+        world.returns.told_apart = Some(told_apart);
+        world.play(71.0, Duration::from_secs(5));
+        let from = world.now + Duration::from_secs(4);
+        world.play(130.0, Duration::from_secs(14));
+        world.on_time(from, from + Duration::from_secs(8))
+    };
+    let (told_apart, alike) = (burst(true), burst(false));
+    // Two thirds of what the heads can write.
+    let target = 2.0 / 3.0 * WRITABLE / 130.0;
+    expect_that!(alike, lt(target));
+    expect_that!(told_apart, gt(target));
+}
+
 /// Another node takes over. Requests that the one before placed still run, and only the
 /// loads that nodes tell show them: a head that is full must not get more.
 #[gtest]
