Use the usual names for responses, attempts and list copies; log how long callers waited

No change of behaviour. RelayError, mark_unavailable and relay-failed for copies of lists that nodes can't give; CatchUp for what a node lacks of a list; StartedResponse, AttemptError and StopReason in the path of a stream. The request line says how long the caller is likely to have waited before, which decides the request's rank.

--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -49,12 +49,12 @@
 }
 
 value! {
-    /// What a node that has a list up to some version lacks.
-    pub enum Lacking {
+    /// What brings a node that has a list up to some version up to date.
+    pub enum CatchUp {
         /// These changes, in order.
-        Changes(Vec<Vec<u8>>),
+        Delta(Vec<Vec<u8>>),
         /// More than is kept: the whole list has to be told.
-        Whole,
+        Snapshot,
     }
 }
 
@@ -122,11 +122,11 @@
     ///
     /// A batch whose beginning the node has already is told whole: taken in order, its
     /// changes lead to the same end.
-    pub fn after(&self, since: u64) -> Lacking {
+    pub fn after(&self, since: u64) -> CatchUp {
         if since < self.from || since == 0 || self.as_of.is_none() {
-            return Lacking::Whole;
+            return CatchUp::Snapshot;
         }
         let newer = self.batches.iter().filter(|b| b.version > since);
-        Lacking::Changes(newer.flat_map(|b| b.changes.iter().cloned()).collect())
+        CatchUp::Delta(newer.flat_map(|b| b.changes.iter().cloned()).collect())
     }
 }
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, NodeId};
-use eelgrassmill_fleet::{Lacking, ListLog, RoleCandidate, list_parent};
+use eelgrassmill_fleet::{CatchUp, ListLog, RoleCandidate, list_parent};
 use googletest::prelude::*;
 
 const fn millis(ms: u64) -> Duration {
@@ -87,20 +87,20 @@
 fn changes_are_told_without_a_gap() {
     let now = Instant::now();
     let mut log = ListLog::default();
-    expect_that!(log.after(3), eq(&Lacking::Whole));
+    expect_that!(log.after(3), eq(&CatchUp::Snapshot));
     log.take_whole(10, now);
     log.take(vec![change(1), change(2)], 14, now, now);
     log.take(vec![], 17, now + millis(500), now + millis(500));
     log.take(vec![change(3)], 20, now + millis(900), now + millis(900));
-    expect_that!(log.after(0), eq(&Lacking::Whole));
-    expect_that!(log.after(9), eq(&Lacking::Whole));
-    let changes = |parts: &[u8]| Lacking::Changes(parts.iter().map(|n| change(*n)).collect());
+    expect_that!(log.after(0), eq(&CatchUp::Snapshot));
+    expect_that!(log.after(9), eq(&CatchUp::Snapshot));
+    let changes = |parts: &[u8]| CatchUp::Delta(parts.iter().map(|n| change(*n)).collect());
     expect_that!(log.after(10), eq(&changes(&[1, 2, 3])));
     expect_that!(log.after(12), eq(&changes(&[1, 2, 3])));
     expect_that!(log.after(14), eq(&changes(&[3])));
     expect_that!(log.after(20), eq(&changes(&[])));
     log.take(vec![change(4)], 30, now + millis(6000), now + millis(6000));
-    expect_that!(log.after(14), eq(&Lacking::Whole));
+    expect_that!(log.after(14), eq(&CatchUp::Snapshot));
     expect_that!(log.after(20), eq(&changes(&[4])));
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
-use crate::snapshot_relay::{self, ListCopy, ListUpdate, NoCopy, Relayed};
+use crate::snapshot_relay::{self, ListCopy, ListUpdate, RelayError, Relayed};
 
 /// Longest wait of one question to the store for changes. The answer also says that nothing
 /// else has changed, which other nodes have to know twice a second, and a connection that
@@ -131,16 +131,16 @@
             };
             match snapshot_relay::fetch::<P, S::Change>(self.core, &node, 0).await {
                 Ok(copy) => return Answer::of(copy, node),
-                Err(NoCopy::None) => {}
+                Err(RelayError::None) => {}
                 Err(why) => {
-                    info!(event = "no-copy", list = S::Change::LIST, %node, %why);
-                    locked(&self.core.nodes).gave_no_copy(&node, Instant::now());
+                    info!(event = "relay-failed", list = S::Change::LIST, %node, %why);
+                    locked(&self.core.nodes).mark_unavailable(&node, Instant::now());
                 }
             }
         }
     }
 
-    async fn ask(&self, parent: &NodeId) -> Result<Answer<S::Change>, NoCopy> {
+    async fn ask(&self, parent: &NodeId) -> Result<Answer<S::Change>, RelayError> {
         let since = self.cursor.unwrap_or_default();
         let copy = snapshot_relay::fetch::<P, S::Change>(self.core, parent, since).await?;
         copy.check()?;
@@ -151,10 +151,10 @@
     async fn read_instead(
         &self,
         parent: &NodeId,
-        why: &NoCopy,
+        why: &RelayError,
     ) -> Result<Answer<S::Change>, SourceError> {
-        info!(event = "no-copy", list = S::Change::LIST, node = %parent, %why);
-        locked(&self.core.nodes).gave_no_copy(parent, Instant::now());
+        info!(event = "relay-failed", list = S::Change::LIST, node = %parent, %why);
+        locked(&self.core.nodes).mark_unavailable(parent, Instant::now());
         self.read_store(Duration::ZERO).await
     }
 
--- a/crates/gateway/src/nodes/mod.rs
+++ b/crates/gateway/src/nodes/mod.rs
@@ -63,7 +63,7 @@
     /// last heard.
     lost: BTreeMap<NodeId, Instant>,
     /// Nodes that gave no usable copy of the platform's lists, and when.
-    no_copy: BTreeMap<NodeId, Instant>,
+    unavailable: BTreeMap<NodeId, Instant>,
 }
 
 impl Nodes {
@@ -147,16 +147,16 @@
     }
 
     /// Notes that a node gave no usable copy of a list.
-    pub(crate) fn gave_no_copy(&mut self, node: &NodeId, now: Instant) {
+    pub(crate) fn mark_unavailable(&mut self, node: &NodeId, now: Instant) {
         let lately = |at: &Instant| now.saturating_duration_since(*at) < COPY_RETRY_AFTER;
-        self.no_copy.retain(|_, at| lately(at));
-        self.no_copy.insert(node.clone(), now);
+        self.unavailable.retain(|_, at| lately(at));
+        self.unavailable.insert(node.clone(), now);
     }
 
     /// The nodes that are up and may have a copy of the platform's lists.
     pub(crate) fn with_copies(&self, now: Instant) -> impl Iterator<Item = RoleCandidate<'_>> {
         let lately = move |at: &Instant| now.saturating_duration_since(*at) < COPY_RETRY_AFTER;
-        let has_copy = move |id: &NodeId| !self.no_copy.get(id).is_some_and(lately);
+        let has_copy = move |id: &NodeId| !self.unavailable.get(id).is_some_and(lately);
         let usable = self.staying(now).filter(move |(id, _)| has_copy(id));
         usable.map(candidate)
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -237,6 +237,8 @@
         .first()
         .map_or("none", |(s, _)| s.as_str());
     let took = call.arrived.elapsed();
+    let waited = call.arrived.saturating_duration_since(call.first_sent);
+    let waited_ms = waited.as_millis() as u64;
     match result {
         Ok(response) => {
             core.metrics.answered_after(service, kind, took);
@@ -245,7 +247,7 @@
             if took > call.route.aim {
                 info!(
                     event = "request", request = %call.head.id, route = %call.route.name,
-                    outcome = "late", ms = took.as_millis() as u64,
+                    outcome = "late", ms = took.as_millis() as u64, waited_ms,
                 );
             }
         }
@@ -254,7 +256,7 @@
             core.metrics.ended(service, kind, outcome);
             info!(
                 event = "request", request = %call.head.id, route = %call.route.name, outcome,
-                ms = took.as_millis() as u64, config = core.catalog().version(),
+                ms = took.as_millis() as u64, waited_ms, config = core.catalog().version(),
             );
         }
     }
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{FleetChange, Lacking, ListLog, list_parent};
+use eelgrassmill_fleet::{CatchUp, FleetChange, ListLog, list_parent};
 use eelgrassmill_peer::{ListReply, ListRequest};
 use tokio::sync::watch;
 
@@ -162,16 +162,16 @@
         // Running out is the usual end.
         let _ = tokio::time::timeout(wait, shared.newer_than(req.since)).await;
     }
-    let (version, age, lacking) = {
+    let (version, age, catch_up) = {
         let log = locked(&shared.log);
         (log.version(), log.age(Instant::now()), log.after(req.since))
     };
     let Some(age) = age else {
         return ListReply::default();
     };
-    let (whole, changes) = match lacking {
-        Lacking::Changes(changes) => (false, Ok(changes)),
-        Lacking::Whole => (true, C::whole(core).iter().map(C::encode).collect()),
+    let (whole, changes) = match catch_up {
+        CatchUp::Delta(changes) => (false, Ok(changes)),
+        CatchUp::Snapshot => (true, C::whole(core).iter().map(C::encode).collect()),
     };
     let Ok(changes) = changes else {
         return ListReply::default();
@@ -187,7 +187,7 @@
 
 /// Why a node's copy of a list is of no use.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum NoCopy {
+pub(crate) enum RelayError {
     /// It wasn't reached or gave no answer.
     #[error("no answer: {0}")]
     NoAnswer(String),
@@ -240,12 +240,12 @@
 impl<C> ListCopy<C> {
     /// # Errors
     /// When it may lack changes that a node with access to the store would have.
-    pub(crate) fn check(&self) -> Result<(), NoCopy> {
+    pub(crate) fn check(&self) -> Result<(), RelayError> {
         if self.failing {
-            return Err(NoCopy::Failing);
+            return Err(RelayError::Failing);
         }
         if self.age > MAX_AGE {
-            return Err(NoCopy::Old(self.age));
+            return Err(RelayError::Old(self.age));
         }
         Ok(())
     }
@@ -256,15 +256,15 @@
     core: &Core<P>,
     node: &NodeId,
     since: Cursor,
-) -> Result<ListCopy<C>, NoCopy> {
-    let peer = core.peer().ok_or(NoCopy::None)?;
+) -> Result<ListCopy<C>, RelayError> {
+    let peer = core.peer().ok_or(RelayError::None)?;
     let answered = peer
         .list_of(node, C::LIST, since, POLL_TIME, RPC_SLACK)
         .await;
-    let reply = answered.map_err(|e| NoCopy::NoAnswer(e.to_string()))?;
+    let reply = answered.map_err(|e| RelayError::NoAnswer(e.to_string()))?;
     let now = Instant::now();
     if reply.version == 0 {
-        return Err(NoCopy::None);
+        return Err(RelayError::None);
     }
     let age = Duration::from_millis(reply.age_ms.into());
     let read = reply
@@ -274,7 +274,7 @@
     let changes: Result<Vec<C>, SourceError> = read.collect();
     Ok(ListCopy {
         update: ListUpdate {
-            changes: changes.map_err(NoCopy::Malformed)?,
+            changes: changes.map_err(RelayError::Malformed)?,
             version: reply.version,
             as_of: now.checked_sub(age).unwrap_or(now),
             whole: reply.whole,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -48,14 +48,14 @@
     events: EventSplitter,
 }
 
-/// An answer that has begun.
-struct Begun<P: Platform> {
+/// An answer that has started.
+struct StartedResponse<P: Platform> {
     slot: InProgress<P>,
     response: TargetResponse,
 }
 
 /// Why an attempt brought no answer.
-enum NoAnswer {
+enum AttemptError {
     /// No host ran it.
     NotRun,
     /// One may have.
@@ -69,11 +69,11 @@
     /// It broke off or its replica was lost.
     Broken(SmolStr),
     /// There is no reason to go on.
-    Over(Over),
+    Stopped(StopReason),
 }
 
 /// Why an answer has no reason to go on.
-enum Over {
+enum StopReason {
     /// The call's time is over.
     OutOfTime,
     /// The caller has left.
@@ -83,11 +83,11 @@
 }
 
 /// Waits until an answer has no reason to go on.
-async fn until_over<P: Platform>(core: &Core<P>, call: &Call, tx: &mpsc::Sender<Piece>) -> Over {
+async fn stopped<P: Platform>(core: &Core<P>, call: &Call, tx: &mpsc::Sender<Piece>) -> StopReason {
     tokio::select! {
-        () = tokio::time::sleep(call.left()) => Over::OutOfTime,
-        () = tx.closed() => Over::CallerLeft,
-        () = core.until_end() => Over::NodeEnds,
+        () = tokio::time::sleep(call.left()) => StopReason::OutOfTime,
+        () = tx.closed() => StopReason::CallerLeft,
+        () = core.until_end() => StopReason::NodeEnds,
     }
 }
 
@@ -110,22 +110,22 @@
         refusals: 0,
         events: EventSplitter::default(),
     };
-    let begun = run.begin().await?;
-    run.forward(begun).await
+    let started = run.begin().await?;
+    run.forward(started).await
 }
 
 impl<P: Platform> Run<P> {
     /// Brings the call to a replica that begins to answer it.
-    async fn begin(&mut self) -> Result<Begun<P>, Refusal> {
+    async fn begin(&mut self) -> Result<StartedResponse<P>, Refusal> {
         loop {
             let slot = self.acquire_slot().await?;
             if self.arrivals > 0 && !self.core.try_repeat(&self.service, self.repeat_reason()) {
                 return Err(self.given_up(RefusalCause::NoRepeatsLeft));
             }
             match self.attempt(slot).await {
-                Ok(begun) => return Ok(begun),
-                Err(NoAnswer::NotRun) if self.refusals < MAX_REFUSALS => {}
-                Err(NoAnswer::Unknown) if self.may_run_again() => {}
+                Ok(started) => return Ok(started),
+                Err(AttemptError::NotRun) if self.refusals < MAX_REFUSALS => {}
+                Err(AttemptError::Unknown) if self.may_run_again() => {}
                 Err(_) => return Err(self.given_up(RefusalCause::HostsRefused)),
             }
         }
@@ -186,7 +186,10 @@
         Refusal::later(cause, RETRY_AFTER_REFUSED)
     }
 
-    async fn attempt(&mut self, mut slot: InProgress<P>) -> Result<Begun<P>, NoAnswer> {
+    async fn attempt(
+        &mut self,
+        mut slot: InProgress<P>,
+    ) -> Result<StartedResponse<P>, AttemptError> {
         let head = Arc::clone(&slot.head);
         let resume = self
             .events
@@ -233,21 +236,21 @@
                 if retries {
                     Err(failed)
                 } else {
-                    Ok(Begun { slot, response })
+                    Ok(StartedResponse { slot, response })
                 }
             }
-            AnswerMeaning::Answered => Ok(Begun { slot, response }),
+            AnswerMeaning::Answered => Ok(StartedResponse { slot, response }),
         }
     }
 
-    fn rejected(&mut self, slot: &mut InProgress<P>) -> NoAnswer {
+    fn rejected(&mut self, slot: &mut InProgress<P>) -> AttemptError {
         self.avoid.push(slot.head.host.clone());
         slot.rejected();
         self.refusals += 1;
-        NoAnswer::NotRun
+        AttemptError::NotRun
     }
 
-    fn failed(&mut self, slot: &mut InProgress<P>) -> NoAnswer {
+    fn failed(&mut self, slot: &mut InProgress<P>) -> AttemptError {
         self.avoid.push(slot.head.host.clone());
         // The end of the call's time, or a member that was lost, says nothing of the head.
         let is_heads_fault = !self.call.left().is_zero() && !slot.head.is_lost();
@@ -255,39 +258,42 @@
             slot.failed();
         }
         self.runs += 1;
-        NoAnswer::Unknown
+        AttemptError::Unknown
     }
 
     /// Answers the caller with the host's answer.
-    async fn forward(mut self, begun: Begun<P>) -> Result<Response<AnswerBody>, Refusal> {
-        let status = begun.response.status;
+    async fn forward(
+        mut self,
+        started: StartedResponse<P>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let status = started.response.status;
         let headers = self
             .core
             .platform
             .dialect()
-            .caller_headers(&begun.response.headers);
+            .caller_headers(&started.response.headers);
         if status != StatusCode::OK {
-            return self.forward_whole(begun, status, headers).await;
+            return self.forward_whole(started, status, headers).await;
         }
         let (tx, rx) = mpsc::channel(PIECES_AHEAD);
         let mut answer = Response::new(AnswerBody::Stream(rx));
         *answer.headers_mut() = headers;
-        tokio::spawn(async move { self.forward_events(begun, tx).await });
+        tokio::spawn(async move { self.forward_events(started, tx).await });
         Ok(answer)
     }
 
     /// Anything but a stream is read to its end first.
     async fn forward_whole(
         &mut self,
-        mut begun: Begun<P>,
+        mut started: StartedResponse<P>,
         status: StatusCode,
         headers: HeaderMap,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let read = begun.response.read_whole(MAX_WHOLE);
+        let read = started.response.read_whole(MAX_WHOLE);
         let body = match tokio::time::timeout(self.call.left(), read).await {
             Ok(Ok(body)) => body,
             _ => {
-                self.failed(&mut begun.slot);
+                self.failed(&mut started.slot);
                 return Err(Refusal::new(RefusalCause::AnswerBroken));
             }
         };
@@ -298,19 +304,19 @@
     }
 
     /// Forwards events; where the run breaks off, resumes at another replica.
-    async fn forward_events(mut self, mut begun: Begun<P>, tx: mpsc::Sender<Piece>) {
+    async fn forward_events(mut self, mut started: StartedResponse<P>, tx: mpsc::Sender<Piece>) {
         loop {
-            let end = self.read(&mut begun, &tx).await;
+            let end = self.read(&mut started, &tx).await;
             if let ReadEnd::Broken(why) = &end {
-                self.log_attempt(&begun.slot.head, "broken", why);
-                self.failed(&mut begun.slot);
+                self.log_attempt(&started.slot.head, "broken", why);
+                self.failed(&mut started.slot);
             }
             // Closes the connection to the host, which stops working on it.
-            drop(begun);
+            drop(started);
             self.core.freed();
             match end {
                 ReadEnd::Complete => return self.finish(&tx).await,
-                ReadEnd::Over(over) => return self.abort(over),
+                ReadEnd::Stopped(reason) => return self.abort(reason),
                 ReadEnd::Broken(_) => self.events.restart(),
             }
             let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
@@ -320,9 +326,9 @@
             let (core, call) = (Arc::clone(&self.core), Arc::clone(&self.call));
             let resumed = tokio::select! {
                 resumed = self.begin() => resumed,
-                over = until_over(&core, &call, &tx) => return self.abort(over),
+                reason = stopped(&core, &call, &tx) => return self.abort(reason),
             };
-            begun = match resumed {
+            started = match resumed {
                 Ok(next) if next.response.status == StatusCode::OK => next,
                 Ok(_) => return self.cut("the run that went on failed"),
                 Err(refusal) => return self.cut(refusal.cause.name()),
@@ -330,14 +336,18 @@
         }
     }
 
-    async fn read(&mut self, begun: &mut Begun<P>, tx: &mpsc::Sender<Piece>) -> ReadEnd {
-        let head = Arc::clone(&begun.slot.head);
+    async fn read(
+        &mut self,
+        started: &mut StartedResponse<P>,
+        tx: &mpsc::Sender<Piece>,
+    ) -> ReadEnd {
+        let head = Arc::clone(&started.slot.head);
         let mut began = false;
         loop {
             let chunk = tokio::select! {
-                chunk = begun.response.chunk() => chunk,
+                chunk = started.response.chunk() => chunk,
                 () = head.until_lost() => return ReadEnd::Broken("its replica was lost".into()),
-                over = until_over(&self.core, &self.call, tx) => return ReadEnd::Over(over),
+                reason = stopped(&self.core, &self.call, tx) => return ReadEnd::Stopped(reason),
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
@@ -350,21 +360,21 @@
             head.progress().event(Instant::now());
             if !began {
                 began = true;
-                begun.slot.began();
+                started.slot.began();
             }
             let Some(events) = self.events.push(&bytes) else {
                 continue;
             };
-            if let Err(over) = self.send(tx, Piece::Events(events)).await {
-                return ReadEnd::Over(over);
+            if let Err(reason) = self.send(tx, Piece::Events(events)).await {
+                return ReadEnd::Stopped(reason);
             }
         }
     }
 
-    async fn send(&self, tx: &mpsc::Sender<Piece>, piece: Piece) -> Result<(), Over> {
+    async fn send(&self, tx: &mpsc::Sender<Piece>, piece: Piece) -> Result<(), StopReason> {
         tokio::select! {
-            sent = tx.send(piece) => sent.map_err(|_| Over::CallerLeft),
-            over = until_over(&self.core, &self.call, tx) => Err(over),
+            sent = tx.send(piece) => sent.map_err(|_| StopReason::CallerLeft),
+            reason = stopped(&self.core, &self.call, tx) => Err(reason),
         }
     }
 
@@ -373,15 +383,15 @@
     async fn finish(&self, tx: &mpsc::Sender<Piece>) {
         match self.send(tx, Piece::End).await {
             Ok(()) => self.count_end("answered"),
-            Err(over) => self.abort(over),
+            Err(reason) => self.abort(reason),
         }
     }
 
-    fn abort(&self, over: Over) {
-        match over {
-            Over::OutOfTime => self.cut("out of time"),
-            Over::CallerLeft => self.count_end("caller-left"),
-            Over::NodeEnds => self.cut("this node exits"),
+    fn abort(&self, reason: StopReason) {
+        match reason {
+            StopReason::OutOfTime => self.cut("out of time"),
+            StopReason::CallerLeft => self.count_end("caller-left"),
+            StopReason::NodeEnds => self.cut("this node exits"),
         }
     }
 
