Wait for a parent that has no lists yet, and take old copies only once the store failed

Cause, found reading the change of first lists: a node that had its first list and asked a parent that started with it took that one for unavailable for 3 s, and followed the list in the store meanwhile. It also took any node's old copy although the store answers, for instance that of a node that is cut off from it.

It takes an old copy only once the store gave it no answer.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -99,9 +99,15 @@
             };
             return self.read_store(wait).await;
         };
-        match self.ask(&parent).await {
-            Ok(answer) => Ok(answer),
-            Err(why) => self.read_instead(&parent, &why).await,
+        loop {
+            match self.ask(&parent).await {
+                // Of nodes that start together the parent may be the last to have its first lists.
+                Err(RelayError::None) if self.has_just_started() => {
+                    tokio::time::sleep(PEER_DISCOVERY_POLL).await;
+                }
+                Err(why) => return self.read_instead(&parent, &why).await,
+                Ok(answer) => return Ok(answer),
+            }
         }
     }
 
@@ -122,7 +128,7 @@
         }
     }
 
-    /// Waits until another node gives its copy, however old.
+    /// Waits until another node gives its copy: a fresh one, or any once the store gave no answer.
     async fn copy_of_others(&self) -> Answer<S::Change> {
         loop {
             tokio::time::sleep(COPY_POLL).await;
@@ -130,8 +136,10 @@
                 continue;
             };
             match snapshot_relay::fetch::<P, S::Change>(self.core, &node, 0).await {
-                Ok(copy) => return Answer::of(copy, node),
-                Err(RelayError::None) => {}
+                Ok(copy) if copy.check().is_ok() || self.core.store_failures() > 0 => {
+                    return Answer::of(copy, node);
+                }
+                Ok(_) | Err(RelayError::None) => {}
                 Err(why) => {
                     info!(event = "relay-failed", list = S::Change::LIST, %node, %why);
                     locked(&self.core.nodes).mark_unavailable(&node, Instant::now());
@@ -162,7 +170,11 @@
     fn is_discovering_peers(&self) -> bool {
         let addresses = &self.core.cfg.addresses;
         let has_seeds = addresses.seeds.iter().any(|s| *s != addresses.peers);
-        has_seeds && !self.core.knows_others() && self.core.began.elapsed() < PEER_DISCOVERY_TIMEOUT
+        has_seeds && !self.core.knows_others() && self.has_just_started()
+    }
+
+    fn has_just_started(&self) -> bool {
+        self.core.began.elapsed() < PEER_DISCOVERY_TIMEOUT
     }
 
     async fn read_store(&self, wait: Duration) -> Result<Answer<S::Change>, SourceError> {
