Give other nodes time to hand over their lists once the store failed

Cause: after the store's first failure a starting node asked it anew at each try, which failed within milliseconds and ended the wait for another node's copy.

Ruled out: load alone. The code has no path on which a copy could win once both lists had failed.

Change: after each failure of the store a node that has no lists waits up to 500 ms for any other node's copy. While the store hasn't failed it takes fresh ones only, as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,6 +26,8 @@
 const START_JITTER: Duration = Duration::from_millis(50);
 /// How often a node that has no copy checks whether another node has one.
 const COPY_POLL: Duration = Duration::from_millis(10);
+/// How long it waits for the copy of another node after the store gave no answer.
+const COPY_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a node that has just started waits to hear of others before it follows a list in the
 /// store. When all nodes start at once each would otherwise follow it there.
 const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -42,6 +44,15 @@
     fn take(&self, changes: Vec<C>, version: Cursor, from: Option<&NodeId>);
 }
 
+/// Which copies of a list are of use.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Wanted {
+    /// Those that a node with access to the store would have.
+    Fresh,
+    /// Any, while the store gives no answer.
+    Any,
+}
+
 /// What a node has read of a list.
 struct Reader<'r, P: Platform, S> {
     core: &'r Core<P>,
@@ -122,21 +133,29 @@
             tokio::time::sleep(wait).await;
             self.read_store(Duration::ZERO).await
         };
-        tokio::select! {
+        let read = tokio::select! {
             read = store => read,
-            copy = self.copy_of_others() => Ok(copy),
+            copy = self.copy_of_others(Wanted::Fresh) => Ok(copy),
+        };
+        match read {
+            Ok(answer) => Ok(answer),
+            Err(err) => {
+                let copy = self.copy_of_others(Wanted::Any);
+                let copy = tokio::time::timeout(COPY_TIMEOUT, copy).await;
+                copy.map_err(|_| err)
+            }
         }
     }
 
-    /// Waits until another node gives its copy: a fresh one, or any once the store gave no answer.
-    async fn copy_of_others(&self) -> Answer<S::Change> {
+    /// Waits until another node gives its copy.
+    async fn copy_of_others(&self, wanted: Wanted) -> Answer<S::Change> {
         loop {
             tokio::time::sleep(COPY_POLL).await;
             let Some(node) = snapshot_relay::any_node(self.core) else {
                 continue;
             };
             match snapshot_relay::fetch::<P, S::Change>(self.core, &node, 0).await {
-                Ok(copy) if copy.check().is_ok() || self.core.store_failures() > 0 => {
+                Ok(copy) if wanted == Wanted::Any || copy.check().is_ok() => {
                     return Answer::of(copy, node);
                 }
                 Ok(_) | Err(RelayError::None) => {}
