--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -121,8 +121,7 @@
 /// Callers that come back once after a rejection.
 #[derive(Default)]
 struct Returns {
-    /// Whether they are told from new ones by the timeouts that they name; `None` where nobody
-    /// comes back.
+    /// Whether their timeouts set them apart from new callers; `None` without any.
     told_apart: Option<bool>,
     patience: CallerPatience,
     /// Requests that come back, when, and the timeout that their callers named first.
