Evacuate failure domains: their hosts take nothing new until they are taken back

Cause: the operator's rows op/evacuate/ZONE were read with the configuration, in the same call, and dropped.

Ruled out: a list of its own (six more calls to the store at each start, and a second age to keep); an item of dissemination (needs a bound on its age beside it, which a list's answer carries).

Change: the list that nodes relay is now of the operator's decisions: the configuration's text or an evacuation. The fleet keeps the evacuated domains, by which heads and plain hosts are left out; replicas stay. A node that starts serves nobody before it knows evacuations, also without the store. The relayed change has a new form: nodes of an older build ask the store themselves while both run.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, GroupId, HostId, value};
+use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, value};
 use smallvec::SmallVec;
 
 use crate::host::Host;
@@ -22,6 +22,16 @@
         /// The whole list was read anew; whoever isn't in it is gone.
         Snapshot(Vec<Host>),
     }
+
+    /// A change of the failure domains whose hosts are to take nothing new.
+    pub enum EvacuationChange {
+        /// The operator evacuates a failure domain.
+        Evacuated(FailureDomain),
+        /// The operator takes it back.
+        TakenBack(FailureDomain),
+        /// All that are evacuated; the others are taken back.
+        Snapshot(BTreeSet<FailureDomain>),
+    }
 }
 
 value! {
@@ -45,6 +55,8 @@
     /// What the list last showed of hosts that have told something newer themselves.
     /// Invariant: these hosts are in `hosts`.
     outdated: BTreeMap<HostId, Host>,
+    /// Failure domains whose hosts take nothing new; `None` until the operator's list was read.
+    evacuated: Option<BTreeSet<FailureDomain>>,
     /// Until then a host that isn't listed may only have lapsed.
     lenient_until: Option<Instant>,
     loaded: bool,
@@ -56,6 +68,36 @@
         self.loaded
     }
 
+    /// Whether it is known which failure domains are evacuated.
+    pub fn knows_evacuations(&self) -> bool {
+        self.evacuated.is_some()
+    }
+
+    /// The failure domains that are evacuated.
+    pub fn evacuated(&self) -> impl Iterator<Item = &FailureDomain> {
+        self.evacuated.iter().flatten()
+    }
+
+    /// Whether a host takes new requests: it is ready and its failure domain isn't evacuated.
+    pub fn takes_requests(&self, host: &Host) -> bool {
+        let is_evacuated = self.evacuated().any(|d| *d == host.failure_domain);
+        host.is_ready() && !is_evacuated
+    }
+
+    /// Takes a change of the evacuated failure domains. Whether it changed anything.
+    pub fn apply_evacuation(&mut self, change: EvacuationChange) -> bool {
+        let known = self.evacuated.get_or_insert_default();
+        match change {
+            EvacuationChange::Evacuated(domain) => known.insert(domain),
+            EvacuationChange::TakenBack(domain) => known.remove(&domain),
+            EvacuationChange::Snapshot(domains) => {
+                let changed = *known != domains;
+                *known = domains;
+                changed
+            }
+        }
+    }
+
     /// The hosts.
     pub fn hosts(&self) -> impl Iterator<Item = &Host> {
         self.hosts.values()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,7 +31,7 @@
     RouteRefusal, Service, StreamRules,
 };
 pub use crate::ejection::{Ejection, EjectionBackoff};
-pub use crate::fleet::{Fleet, FleetChange, Replica};
+pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::lease::{LEASE_TERM, Lease, SinceBoot, Standing, are_most, hears_enough};
 pub use crate::patience::CallerPatience;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -109,7 +109,8 @@
     }
 
     pub(crate) fn is_loaded(&self) -> bool {
-        self.catalog().version() > 0 && locked(&self.fleet).is_loaded()
+        let fleet = locked(&self.fleet);
+        self.catalog().version() > 0 && fleet.is_loaded() && fleet.knows_evacuations()
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -155,11 +155,15 @@
     let first = services.first().map(|(service, _)| service.clone());
     let service = chosen.or(first).ok_or_else(nothing)?;
     let fleet = locked(&core.fleet);
-    if fleet.hosts().any(|h| h.service == service && h.is_ready()) {
+    let serves = |s: &ServiceName| {
+        fleet
+            .hosts()
+            .any(|h| h.service == *s && fleet.takes_requests(h))
+    };
+    if serves(&service) {
         return Ok(service);
     }
     // Where a divided route's service has no host at all, another one serves.
-    let serves = |s: &ServiceName| fleet.hosts().any(|h| h.service == *s && h.is_ready());
     let other = services.iter().find(|(s, weight)| *weight > 0 && serves(s));
     other.map(|(s, _)| s.clone()).ok_or_else(nothing)
 }
@@ -168,7 +172,8 @@
     let fleet = locked(&core.fleet);
     let stats = locked(&core.targets);
     let now = Instant::now();
-    let usable = |h: &&Host| h.service == service && h.is_ready() && !tried.contains(&h.id);
+    let usable =
+        |h: &&Host| h.service == service && fleet.takes_requests(h) && !tried.contains(&h.id);
     let candidates: Vec<Candidate> = fleet
         .hosts()
         .filter(usable)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{FleetChange, Host};
+use eelgrassmill_base::{FailureDomain, NodeId};
+use eelgrassmill_fleet::{EvacuationChange, FleetChange, Host};
 use tracing::{info, warn};
 
 use crate::configuration;
 use crate::core::Core;
 use crate::heads::locked;
-use crate::ports::{Accepted, Cursor, Platform, Source, SourceError};
+use crate::ports::{Cursor, OperatorChange, Platform, Source, SourceError};
 use crate::snapshot_relay::{self, ListCopy, ListUpdate, RelayError, Relayed};
 
 /// Longest wait of one question to the store for changes. The answer also says that nothing
@@ -348,14 +348,40 @@
     );
 }
 
-/// Takes configurations into force.
-pub(crate) struct CatalogSink<P: Platform>(pub(crate) Arc<Core<P>>);
+/// Takes into force what the operator decided.
+pub(crate) struct OperatorSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
-impl<P: Platform> Sink<Accepted> for CatalogSink<P> {
-    fn take(&self, changes: Vec<Accepted>, _version: Cursor, from: Option<&NodeId>) {
+impl<P: Platform> Sink<OperatorChange> for OperatorSink<P> {
+    fn take(&self, changes: Vec<OperatorChange>, version: Cursor, from: Option<&NodeId>) {
         let source = from.map_or("store", |node| node.as_str());
-        for accepted in changes {
-            configuration::take(&self.0, accepted, source);
+        for change in changes {
+            match change {
+                OperatorChange::Configuration(accepted) => {
+                    configuration::take(&self.0, accepted, source);
+                }
+                OperatorChange::Evacuation(change) => {
+                    take_evacuation(&self.0, change, version, source);
+                }
+            }
         }
     }
 }
+
+fn take_evacuation<P: Platform>(
+    core: &Core<P>,
+    change: EvacuationChange,
+    version: Cursor,
+    source: &str,
+) {
+    let evacuated: Vec<FailureDomain> = {
+        let mut fleet = locked(&core.fleet);
+        if !fleet.apply_evacuation(change) {
+            return;
+        }
+        fleet.evacuated().cloned().collect()
+    };
+    info!(event = "evacuation", version, outcome = "in-force", evacuated = ?evacuated, source);
+    let shown = i64::try_from(evacuated.len()).unwrap_or(i64::MAX);
+    core.metrics.evacuated_domains.set(shown);
+    core.refresh_heads();
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 
 use crate::config::GatewayConfig;
 use crate::core::Core;
-use crate::follow::{CatalogSink, HostSink, follow};
+use crate::follow::{HostSink, OperatorSink, follow};
 use crate::heads::locked;
 use crate::peers::{self, Peers};
 use crate::ports::Platform;
@@ -190,7 +190,7 @@
     });
     let at = Arc::clone(core);
     tokio::spawn(async move {
-        follow(&*at, at.platform.catalogs(), &CatalogSink(Arc::clone(&at))).await;
+        follow(&*at, at.platform.operator(), &OperatorSink(Arc::clone(&at))).await;
     });
     tokio::spawn(configuration::follow_nodes(Arc::clone(core)));
     tokio::spawn(leader::run(Arc::clone(core)));
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -284,7 +284,8 @@
 /// The heads that serve, and those that still finish something.
 #[derive(Debug, Default)]
 pub(crate) struct HeadTable {
-    /// Invariant: each head reported to be open, and the planner opens only whole replicas.
+    /// Invariant: each head reported to be open, and the planner opens only whole replicas. None is
+    /// in an evacuated failure domain.
     open: BTreeMap<HeadKey, Arc<Head>>,
     /// Heads that take nothing new but still run requests of this node.
     ending: BTreeMap<HeadKey, Arc<Head>>,
@@ -300,7 +301,10 @@
             *self.hosts.entry(host.service.clone()).or_default() += 1;
         }
         let mut open = BTreeMap::new();
-        for host in fleet.hosts().filter(|h| h.is_open_head() && h.is_ready()) {
+        for host in fleet
+            .hosts()
+            .filter(|h| h.is_open_head() && fleet.takes_requests(h))
+        {
             let (Some(m), Some(model)) = (&host.membership, &host.model) else {
                 continue;
             };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,7 +43,8 @@
 pub use crate::logs::{LogQueue, start as start_logs};
 pub use crate::ports::{
     Accepted, AnswerMeaning, AttemptHead, Cursor, Dialect, HostControl, HostReport,
-    HostUnavailable, LeaderElection, LeaderRecord, Platform, SideRequest, Source, SourceError,
+    HostUnavailable, LeaderElection, LeaderRecord, OperatorChange, Platform, SideRequest, Source,
+    SourceError,
 };
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
 pub use crate::story::{LogReader, Subject};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
+    /// Failure domains whose hosts take nothing new.
+    pub(crate) evacuated_domains: IntGauge,
     /// Replicas that take requests.
     pub(crate) open_replicas: IntGauge,
     /// Failures of the platform's store in a row.
@@ -89,6 +91,10 @@
                 &["order", "reply"],
             ),
             config_version: gauge("gateway_config_version", "Configuration in force."),
+            evacuated_domains: gauge(
+                "gateway_evacuated_domains",
+                "Failure domains whose hosts take nothing new.",
+            ),
             open_replicas: gauge("gateway_open_replicas", "Replicas that take requests."),
             store_failures: gauge(
                 "gateway_store_failures",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ModelName, NodeId, RowVersion, TenantId, value};
-use eelgrassmill_fleet::{Catalog, FleetChange, Membership, Order, OrderReply};
+use eelgrassmill_fleet::{Catalog, EvacuationChange, FleetChange, Membership, Order, OrderReply};
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -59,6 +59,15 @@
     pub text: String,
 }
 
+/// A change of what the operator decided.
+#[derive(Clone, Debug)]
+pub enum OperatorChange {
+    /// A configuration was accepted.
+    Configuration(Accepted),
+    /// A failure domain was evacuated or taken back.
+    Evacuation(EvacuationChange),
+}
+
 value! {
     /// Who is the planner's leader.
     pub struct LeaderRecord {
@@ -202,8 +211,8 @@
 pub trait Platform: Send + Sync + Sized + 'static {
     /// The list of hosts.
     type Hosts: Source<Change = FleetChange>;
-    /// The accepted configuration; a change is the whole of it.
-    type Catalogs: Source<Change = Accepted>;
+    /// What the operator decided: the accepted configuration and evacuations.
+    type Operator: Source<Change = OperatorChange>;
     /// The planner's leader.
     type LeaderElection: LeaderElection;
     /// Orders and questions to hosts.
@@ -213,8 +222,8 @@
 
     /// The list of hosts.
     fn hosts(&self) -> &Self::Hosts;
-    /// The accepted configuration.
-    fn catalogs(&self) -> &Self::Catalogs;
+    /// What the operator decided.
+    fn operator(&self) -> &Self::Operator;
     /// Reads a configuration's text, which another node had from the same source.
     ///
     /// # Errors
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -4,18 +4,20 @@
 //! fraction of a second asks the store itself, so that a parent's death or its being cut off
 //! from the store costs less time than a change may stay unseen.
 
+use std::borrow::Cow;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{CatchUp, FleetChange, ListLog, list_parent};
+use eelgrassmill_fleet::{CatchUp, EvacuationChange, FleetChange, ListLog, list_parent};
 use eelgrassmill_peer::{ListReply, ListRequest};
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::core::Core;
 use crate::heads::locked;
 use crate::leader;
-use crate::ports::{Accepted, Cursor, Platform, SourceError};
+use crate::ports::{Accepted, Cursor, OperatorChange, Platform, SourceError};
 
 /// A copy that is older than this is of no use: with one more question to the store a
 /// change must be seen within 2 s, the shortest bound that platforms set. Copies in order
@@ -65,7 +67,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct SnapshotRelay {
     pub(crate) hosts: SharedLog,
-    pub(crate) configuration: SharedLog,
+    pub(crate) operator: SharedLog,
 }
 
 /// Changes of a list, and how it is known.
@@ -113,44 +115,71 @@
     }
 
     fn encode(&self) -> Result<Vec<u8>, SourceError> {
-        serde_json::to_vec(self).map_err(|e| SourceError::Malformed(e.to_string()))
+        serde_json::to_vec(self).map_err(malformed)
     }
 
     fn decode(_platform: &P, bytes: &[u8]) -> Result<FleetChange, SourceError> {
-        serde_json::from_slice(bytes).map_err(|e| SourceError::Malformed(e.to_string()))
+        serde_json::from_slice(bytes).map_err(malformed)
     }
 }
 
-impl<P: Platform> Relayed<P> for Accepted {
-    const LIST: &'static str = "configuration";
+/// An [`OperatorChange`] as it travels: a configuration as the platform's own text.
+#[derive(Serialize, Deserialize)]
+enum OperatorMessage<'m> {
+    Configuration(Cow<'m, str>),
+    Evacuation(Cow<'m, EvacuationChange>),
+}
+
+impl<P: Platform> Relayed<P> for OperatorChange {
+    const LIST: &'static str = "operator";
 
     fn log(core: &Core<P>) -> &SharedLog {
-        &core.lists.configuration
+        &core.lists.operator
     }
 
-    fn whole(core: &Core<P>) -> Vec<Accepted> {
-        core.configuration.accepted().into_iter().collect()
+    fn whole(core: &Core<P>) -> Vec<OperatorChange> {
+        let accepted = core.configuration.accepted();
+        let evacuated = locked(&core.fleet).evacuated().cloned().collect();
+        let evacuated = OperatorChange::Evacuation(EvacuationChange::Snapshot(evacuated));
+        let accepted = accepted.into_iter().map(OperatorChange::Configuration);
+        accepted.chain([evacuated]).collect()
     }
 
     fn encode(&self) -> Result<Vec<u8>, SourceError> {
-        Ok(self.text.clone().into_bytes())
+        let message = match self {
+            OperatorChange::Configuration(accepted) => {
+                OperatorMessage::Configuration(Cow::Borrowed(&accepted.text))
+            }
+            OperatorChange::Evacuation(change) => {
+                OperatorMessage::Evacuation(Cow::Borrowed(change))
+            }
+        };
+        serde_json::to_vec(&message).map_err(malformed)
     }
 
-    fn decode(platform: &P, bytes: &[u8]) -> Result<Accepted, SourceError> {
-        let text = String::from_utf8(bytes.to_vec());
-        let text = text.map_err(|e| SourceError::Malformed(e.to_string()))?;
-        let catalog = platform.read_catalog(&text)?;
-        Ok(Accepted { catalog, text })
+    fn decode(platform: &P, bytes: &[u8]) -> Result<OperatorChange, SourceError> {
+        let message = serde_json::from_slice(bytes).map_err(malformed)?;
+        Ok(match message {
+            OperatorMessage::Configuration(text) => {
+                let (catalog, text) = (platform.read_catalog(&text)?, text.into_owned());
+                OperatorChange::Configuration(Accepted { catalog, text })
+            }
+            OperatorMessage::Evacuation(change) => OperatorChange::Evacuation(change.into_owned()),
+        })
     }
 }
 
+fn malformed(err: serde_json::Error) -> SourceError {
+    SourceError::Malformed(err.to_string())
+}
+
 /// Answers another node's question for a list.
 pub(crate) async fn answer<P: Platform>(core: Arc<Core<P>>, req: ListRequest) -> ListReply {
     if req.list == <FleetChange as Relayed<P>>::LIST {
         return answer_for::<P, FleetChange>(&core, &req).await;
     }
-    if req.list == <Accepted as Relayed<P>>::LIST {
-        return answer_for::<P, Accepted>(&core, &req).await;
+    if req.list == <OperatorChange as Relayed<P>>::LIST {
+        return answer_for::<P, OperatorChange>(&core, &req).await;
     }
     ListReply::default()
 }
