Bound the requests of cold hosts over all nodes

Exact while there is one scheduler; a successor that knows nothing of its predecessor's grants uses half of the bound in its first second. Kept for heads. - Each node takes its part of the bound. Kept for plain hosts, which have no scheduler. - One node admits for all plain hosts: not built (a hop for each request).

A node without a scheduler sends nothing to cold heads. Hosts of a failure domain that is taken back count as cold for their service's time, as their entries show late that they are. An entry that is read once more doesn't make a host cold for longer.

--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -24,6 +24,7 @@
         failure_domain: "east".into(),
         reported: 0,
         unscheduled: 0,
+        cold: None,
     };
     (0..count).map(head).collect()
 }
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -8,6 +8,8 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use crate::cold::ColdStart;
+
 value! { copy
     /// Whether a request may run a second time.
     pub enum Repeat {
@@ -91,6 +93,8 @@
         pub name: ServiceName,
         /// Connections that one host accepts from all nodes together.
         pub max_connections: usize,
+        /// Set where its hosts are cold after a start.
+        pub cold: Option<ColdStart>,
         /// Set where its hosts form replicas of models.
         pub engine: Option<Engine>,
     }
--- /dev/null
+++ b/crates/fleet/src/cold.rs
@@ -0,0 +1,106 @@
+//! Hosts that are cold: for some seconds after a start they are slow, and crash under many requests.
+//!
+//! Sized for a failure domain whose hosts all come back at once beside full traffic. The bound on a
+//! cold host's requests is shared by all nodes. A scheduler, which assigns all requests of a head,
+//! counts them ([`GrantWindow`]); where each node chooses hosts by itself, it takes its part of the
+//! bound ([`ColdShares`]).
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{HostId, value};
+
+use crate::catalog::Millionths;
+
+/// Any span of this length counts for the bound on a cold host's requests.
+const WINDOW: Duration = Duration::from_secs(1);
+/// The part of the bound that nodes without a scheduler use together. Each draws by chance, so that
+/// their sum varies.
+const SHARED_RATIO: f64 = 0.5;
+/// The part of the bound that a scheduler uses in its first [`WINDOW`]: the one before it may have
+/// used all of it just then.
+const SUCCESSOR_RATIO: f64 = 0.5;
+
+value! { copy
+    /// What holds for a service's hosts after a start.
+    pub struct ColdStart {
+        /// How long they are cold.
+        pub time: Duration,
+        /// Requests a second that one bears meanwhile.
+        pub rate: Millionths,
+    }
+}
+
+impl ColdStart {
+    /// Requests that a scheduler may send to one host within any second.
+    pub(crate) fn grants(&self, began: Instant, now: Instant) -> usize {
+        let is_successor = now.saturating_duration_since(began) < WINDOW;
+        let ratio = if is_successor { SUCCESSOR_RATIO } else { 1.0 };
+        (self.rate.get() * ratio).floor().max(1.0) as usize
+    }
+}
+
+/// When a head got its last requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GrantWindow {
+    /// Invariant: in order; those older than [`WINDOW`] go with the next grant.
+    grants: VecDeque<Instant>,
+}
+
+impl GrantWindow {
+    pub(crate) fn on_grant(&mut self, now: Instant) {
+        while self.grants.pop_front_if(|at| is_over(*at, now)).is_some() {}
+        self.grants.push_back(now);
+    }
+
+    /// Grants within the last second.
+    pub(crate) fn count(&self, now: Instant) -> usize {
+        let recent = self.grants.iter().rev();
+        recent.take_while(|at| !is_over(**at, now)).count()
+    }
+}
+
+fn is_over(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) >= WINDOW
+}
+
+/// One node's part of the requests that cold hosts bear.
+#[derive(Clone, Debug, Default)]
+pub struct ColdShares {
+    /// Requests that the node may send to each host, as of an instant.
+    budgets: BTreeMap<HostId, (f64, Instant)>,
+}
+
+impl ColdShares {
+    /// Whether the node may send a request to a cold host, one of `nodes` that choose by
+    /// themselves. `draw` is any number from 0 up to 1; it is used at the first question about a
+    /// host, and nodes must not draw the same.
+    pub fn may_send(
+        &mut self,
+        host: &HostId,
+        cold: &ColdStart,
+        nodes: usize,
+        draw: f64,
+        now: Instant,
+    ) -> bool {
+        let rate = cold.rate.get() * SHARED_RATIO / nodes.max(1) as f64;
+        let (budget, at) = self.budgets.entry(host.clone()).or_insert((draw, now));
+        let earned = rate * now.saturating_duration_since(*at).as_secs_f64();
+        *budget = (*budget + earned).min(1.0);
+        *at = now;
+        *budget >= 1.0
+    }
+
+    /// Notes that a request was sent to a cold host.
+    pub fn sent(&mut self, host: &HostId) {
+        if let Some((budget, _)) = self.budgets.get_mut(host) {
+            *budget -= 1.0;
+        }
+    }
+
+    /// Forgets hosts about which nothing was asked for as long as hosts are cold.
+    pub fn forget_warm(&mut self, cold: &ColdStart, now: Instant) {
+        let asked = |at: &Instant| now.saturating_duration_since(*at) < cold.time;
+        self.budgets.retain(|_, (_, at)| asked(at));
+    }
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -6,6 +6,7 @@
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, value};
 use smallvec::SmallVec;
 
+use crate::cold::ColdStart;
 use crate::host::Host;
 
 /// How long a host whose entry vanished during an outage of the store is kept after the
@@ -57,6 +58,10 @@
     outdated: BTreeMap<HostId, Host>,
     /// Failure domains whose hosts take nothing new; `None` until the operator's list was read.
     evacuated: Option<BTreeSet<FailureDomain>>,
+    /// When failure domains were taken back: their hosts may have become cold meanwhile.
+    taken_back: BTreeMap<FailureDomain, Instant>,
+    /// Until when hosts are cold by their own word.
+    cold_until: BTreeMap<HostId, Instant>,
     /// Until then a host that isn't listed may only have lapsed.
     lenient_until: Option<Instant>,
     loaded: bool,
@@ -85,17 +90,29 @@
     }
 
     /// Takes a change of the evacuated failure domains. Whether it changed anything.
-    pub fn apply_evacuation(&mut self, change: EvacuationChange) -> bool {
+    pub fn apply_evacuation(&mut self, change: EvacuationChange, now: Instant) -> bool {
+        let before = self.evacuated.clone();
         let known = self.evacuated.get_or_insert_default();
         match change {
-            EvacuationChange::Evacuated(domain) => known.insert(domain),
-            EvacuationChange::TakenBack(domain) => known.remove(&domain),
-            EvacuationChange::Snapshot(domains) => {
-                let changed = *known != domains;
-                *known = domains;
-                changed
+            EvacuationChange::Evacuated(domain) => {
+                known.insert(domain);
             }
+            EvacuationChange::TakenBack(domain) => {
+                known.remove(&domain);
+            }
+            EvacuationChange::Snapshot(domains) => *known = domains,
         }
+        let is_back = |domain: &&FailureDomain| !known.contains(*domain);
+        let back = before.iter().flatten().filter(is_back).cloned();
+        self.taken_back.extend(back.map(|domain| (domain, now)));
+        self.evacuated != before
+    }
+
+    /// Until when a host of a service is to be treated as cold; `None` where it isn't known to be.
+    pub fn cold_until(&self, host: &Host, cold: &ColdStart) -> Option<Instant> {
+        let own = self.cold_until.get(&host.id).copied();
+        let back = self.taken_back.get(&host.failure_domain);
+        own.max(back.map(|at| *at + cold.time))
     }
 
     /// The hosts.
@@ -131,7 +148,7 @@
             FleetChange::Put(host) => {
                 self.missing.remove(&host.id);
                 self.outdated.remove(&host.id);
-                self.hosts.insert(host.id.clone(), *host);
+                self.insert(*host, now);
                 Vec::new()
             }
             FleetChange::Removed(id) => self.remove(id, now).into_iter().collect(),
@@ -177,16 +194,30 @@
     /// A host that can't reach the store keeps its entry of before for seconds. Each time
     /// the list was read anew, its replica would seem to have lost a member and be given
     /// up, though it serves.
-    fn put_again(&mut self, entry: Host) {
+    fn put_again(&mut self, entry: Host, now: Instant) {
         self.missing.remove(&entry.id);
         if self.outdated.get(&entry.id) == Some(&entry) {
             return;
         }
         self.outdated.remove(&entry.id);
+        self.insert(entry, now);
+    }
+
+    fn insert(&mut self, entry: Host, now: Instant) {
+        if self.hosts.get(&entry.id) == Some(&entry) {
+            return;
+        }
+        if entry.cold_ms > 0 {
+            let until = now + Duration::from_millis(entry.cold_ms);
+            self.cold_until.insert(entry.id.clone(), until);
+        } else {
+            self.cold_until.remove(&entry.id);
+        }
         self.hosts.insert(entry.id.clone(), entry);
     }
 
     fn forget(&mut self, id: &HostId) {
+        self.cold_until.remove(id);
         self.hosts.remove(id);
         self.outdated.remove(id);
     }
@@ -232,7 +263,7 @@
         self.loaded = true;
         let listed: BTreeSet<HostId> = hosts.iter().map(|h| h.id.clone()).collect();
         for host in hosts {
-            self.put_again(host);
+            self.put_again(host, now);
         }
         let unlisted: Vec<HostId> = self
             .hosts
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -62,6 +62,8 @@
         pub state: HostState,
         /// Requests that it runs at once.
         pub slots: usize,
+        /// How much longer it is cold, in milliseconds, as of when it said so.
+        pub cold_ms: u64,
         /// Models whose weights are in its memory.
         pub staged: SmallVec<[ModelName; 2]>,
         /// The model that it last joined a replica of, where it says so.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! says for how long a planner may act.
 
 mod catalog;
+mod cold;
 mod ejection;
 mod fleet;
 mod host;
@@ -30,6 +31,7 @@
     Caller, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec, Repeat, Route,
     RouteRefusal, Service, StreamRules,
 };
+pub use crate::cold::{ColdShares, ColdStart};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -19,6 +19,7 @@
 use smallvec::SmallVec;
 
 use crate::catalog::EngineSpeed;
+use crate::cold::ColdStart;
 use crate::rank::{LateRejection, Rank};
 use crate::rate::Rate;
 use crate::schedule::head::{Demand, HeadWork};
@@ -76,6 +77,8 @@
         pub reported: usize,
         /// Requests that nodes placed there without a scheduler.
         pub unscheduled: usize,
+        /// Set while it is cold.
+        pub cold: Option<ColdStart>,
     }
 
     /// A request that needs a slot.
@@ -477,6 +480,7 @@
             slots: head.slots,
             prompt,
             pause,
+            grants: head.cold.map(|cold| cold.grants(self.began, now)),
         }
     }
 
@@ -485,6 +489,7 @@
         let work = self.work.entry(head.key.clone()).or_default();
         work.requests += 1;
         work.unaccepted += 1;
+        work.window.on_grant(now);
         work.unread += ask.prompt;
         work.pause = Some(work.pause.map_or(ask.pause, |p| p.min(ask.pause)));
         let assigned = Assignment {
--- a/crates/fleet/src/schedule/head.rs
+++ b/crates/fleet/src/schedule/head.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::EngineSpeed;
+use crate::cold::GrantWindow;
 use crate::ejection::Ejection;
 use crate::success::SuccessRate;
 
@@ -35,6 +36,7 @@
     pub(super) pause: Option<Duration>,
     pub(super) ejection: Ejection,
     pub(super) success: SuccessRate,
+    pub(super) window: GrantWindow,
     /// Moving average of the time from a grant to its first event, and when it was last updated.
     lead: Option<(Duration, Instant)>,
 }
@@ -50,6 +52,8 @@
     pub(super) prompt: u64,
     /// The longest pause that the request's stream may have.
     pub(super) pause: Duration,
+    /// Requests that it may get within a second; set while it is cold.
+    pub(super) grants: Option<usize>,
 }
 
 impl HeadWork {
@@ -91,7 +95,10 @@
         now: Instant,
     ) -> bool {
         let is_full = demand.requests >= demand.slots + PIPELINE_DEPTH;
-        if is_full || !self.ejection.admits(self.unaccepted, now) {
+        let is_cold = demand
+            .grants
+            .is_some_and(|most| self.window.count(now) >= most);
+        if is_full || is_cold || !self.ejection.admits(self.unaccepted, now) {
             return false;
         }
         // The longest prompt must run somewhere, and alone it harms least.
--- a/crates/fleet/tests/packing.rs
+++ b/crates/fleet/tests/packing.rs
@@ -29,6 +29,7 @@
     Service {
         name: "writer".into(),
         max_connections: 100,
+        cold: None,
         engine: Some(Engine {
             slots: 26,
             models,
@@ -49,6 +50,7 @@
         fabric: format_smolstr!("d{fabric}"),
         state: HostState::Ready,
         slots: 26,
+        cold_ms: 0,
         staged: staged.into_iter().map(SmolStr::from).collect(),
         model: None,
         membership: None,
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -88,6 +88,7 @@
         fabric: "".into(),
         state: HostState::Ready,
         slots: 6,
+        cold_ms: 0,
         staged: Default::default(),
         model: None,
         membership: None,
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -51,6 +51,7 @@
         failure_domain: "z1".into(),
         reported: 0,
         unscheduled: 0,
+        cold: None,
     };
     (0..count).map(head).collect()
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -124,6 +124,7 @@
     Service {
         name: SERVICE.into(),
         max_connections: 100,
+        cold: None,
         engine: Some(Engine {
             slots: 26,
             models: vec![
@@ -703,6 +704,7 @@
             fabric: host.fabric.clone(),
             state: host.state,
             slots: 26,
+            cold_ms: 0,
             staged: host.staged.iter().cloned().collect(),
             model: joined.map(|p| p.model.clone()),
             membership,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -269,7 +269,10 @@
     }
     let slots: usize = open.iter().map(|h| h.slots).sum();
     let now = Instant::now();
-    let accepting = open.iter().filter(|h| h.is_due(now));
+    // What a cold head bears is counted by its scheduler alone.
+    let accepting = open
+        .iter()
+        .filter(|h| h.is_due(now) && h.cold(now).is_none());
     let candidates = accepting.map(|h| Candidate {
         host: h.host.clone(),
         load: h.load(),
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,7 +7,9 @@
 
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
-use eelgrassmill_fleet::{CallerPatience, Catalog, Fleet, RetryWindow, RoleCandidate, TargetStats};
+use eelgrassmill_fleet::{
+    CallerPatience, Catalog, ColdShares, Fleet, RetryWindow, RoleCandidate, TargetStats,
+};
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
 use tracing::info;
@@ -36,6 +38,8 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) heads: Mutex<HeadTable>,
     pub(crate) targets: Mutex<TargetStats>,
+    /// This node's part of the requests to plain hosts that are cold.
+    pub(crate) cold_shares: Mutex<ColdShares>,
     pub(crate) nodes: Mutex<Nodes>,
     /// Nodes that say that they are the planner's leader, this one too, and their terms.
     pub(crate) leaders: Mutex<BTreeMap<NodeId, u64>>,
@@ -80,6 +84,7 @@
             fleet: Mutex::default(),
             heads: Mutex::default(),
             targets: Mutex::default(),
+            cold_shares: Mutex::default(),
             nodes: Mutex::default(),
             leaders: Mutex::default(),
             lists: SnapshotRelay::default(),
@@ -224,7 +229,7 @@
     pub(crate) fn refresh_heads(&self) {
         {
             let fleet = locked(&self.fleet);
-            locked(&self.heads).update(&fleet);
+            locked(&self.heads).update(&fleet, &self.catalog());
         }
         self.freed();
         self.planning.wake();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ServiceName};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
-use eelgrassmill_fleet::{Candidate, Host, TargetOutcome, place};
+use eelgrassmill_fleet::{Candidate, ColdStart, Host, TargetOutcome, place};
 use http::{Response, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -169,11 +169,24 @@
 }
 
 fn pick_host<P: Platform>(core: &Core<P>, service: &str, tried: &[HostId]) -> Option<Host> {
+    let now = Instant::now();
+    let cold_start = core.catalog().service(service).and_then(|s| s.cold);
+    let nodes = core.node_count();
     let fleet = locked(&core.fleet);
     let stats = locked(&core.targets);
-    let now = Instant::now();
-    let usable =
-        |h: &&Host| h.service == service && fleet.takes_requests(h) && !tried.contains(&h.id);
+    let mut shares = locked(&core.cold_shares);
+    let is_cold = |h: &Host, cold: &ColdStart| fleet.cold_until(h, cold).is_some_and(|t| now < t);
+    if let Some(cold) = &cold_start {
+        shares.forget_warm(cold, now);
+    }
+    let mut bears = |h: &Host| {
+        let cold = cold_start.as_ref().filter(|cold| is_cold(h, cold));
+        cold.is_none_or(|cold| shares.may_send(&h.id, cold, nodes, fastrand::f64(), now))
+    };
+    let usable = |h: &&Host| {
+        let is_wanted = h.service == service && !tried.contains(&h.id);
+        is_wanted && fleet.takes_requests(h) && bears(h)
+    };
     let candidates: Vec<Candidate> = fleet
         .hosts()
         .filter(usable)
@@ -188,8 +201,14 @@
             }
         })
         .collect();
-    let chosen = place(&candidates, 0.0, fastrand::f64())?;
-    fleet.host(&chosen.host).cloned()
+    let chosen = fleet.host(&place(&candidates, 0.0, fastrand::f64())?.host)?;
+    if cold_start
+        .as_ref()
+        .is_some_and(|cold| is_cold(chosen, cold))
+    {
+        shares.sent(&chosen.id);
+    }
+    Some(chosen.clone())
 }
 
 async fn attempt<P: Platform>(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -375,7 +375,7 @@
 ) {
     let evacuated: Vec<FailureDomain> = {
         let mut fleet = locked(&core.fleet);
-        if !fleet.apply_evacuation(change) {
+        if !fleet.apply_evacuation(change, Instant::now()) {
             return;
         }
         fleet.evacuated().cloned().collect()
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, ModelName, NodeId, ServiceName};
-use eelgrassmill_fleet::{EjectionBackoff, Fleet, HeadKey, Host, Progress};
+use eelgrassmill_fleet::{Catalog, ColdStart, EjectionBackoff, Fleet, HeadKey, Host, Progress};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -41,6 +41,8 @@
     progress: Mutex<Progress>,
     /// What this node, without a scheduler, makes of requests that it rejected or failed.
     backoff: Mutex<EjectionBackoff>,
+    /// Set where it is or was cold, with the end of that.
+    cold: Mutex<Option<(ColdStart, Instant)>>,
     /// When a member was known to be lost: nothing will come any more. Taken back by
     /// [`HeadTable::renew`].
     lost: watch::Sender<Option<Instant>>,
@@ -84,6 +86,7 @@
             reports: Mutex::default(),
             progress: Mutex::default(),
             backoff: Mutex::default(),
+            cold: Mutex::default(),
             lost: watch::Sender::new(None),
         })
     }
@@ -203,6 +206,12 @@
         });
     }
 
+    /// What holds for it while it is cold; `None` while it isn't.
+    pub(crate) fn cold(&self, now: Instant) -> Option<ColdStart> {
+        let cold = *locked(&self.cold);
+        cold.filter(|(_, until)| now < *until).map(|(cold, _)| cold)
+    }
+
     /// Ejects it for a while from what this node places by itself.
     fn eject(&self, sent: Instant) {
         locked(&self.backoff).eject(sent, Instant::now());
@@ -295,7 +304,7 @@
 
 impl HeadTable {
     /// Takes over what hosts report.
-    pub(crate) fn update(&mut self, fleet: &Fleet) {
+    pub(crate) fn update(&mut self, fleet: &Fleet, catalog: &Catalog) {
         self.hosts.clear();
         for host in fleet.hosts() {
             *self.hosts.entry(host.service.clone()).or_default() += 1;
@@ -312,6 +321,9 @@
             let known = self.open.remove(&key).or_else(|| self.ending.remove(&key));
             let head = known.or_else(|| Head::new(host, model.clone()).map(Arc::new));
             if let Some(head) = head {
+                let cold = catalog.service(&host.service).and_then(|s| s.cold);
+                let until = |cold: ColdStart| Some((cold, fleet.cold_until(host, &cold)?));
+                *locked(&head.cold) = cold.and_then(until);
                 open.insert(key, head);
             }
         }
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -24,6 +24,7 @@
         fabric: "rack-1".into(),
         state: HostState::Ready,
         slots: 13,
+        cold_ms: 0,
         born_ms: 1,
         staged: Default::default(),
         model: Some("large".into()),
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -232,6 +232,7 @@
 }
 
 fn heads<P: Platform>(core: &Core<P>, scope: &Scope) -> Vec<OpenHead> {
+    let now = Instant::now();
     let heads = locked(&core.heads);
     let here = |domain: &FailureDomain| scope.heads_in.as_ref().is_none_or(|d| d == domain);
     let open = heads.of_model(&scope.service, &scope.model);
@@ -243,6 +244,7 @@
         failure_domain: h.failure_domain.clone(),
         reported: h.assigned(),
         unscheduled: h.unscheduled(),
+        cold: h.cold(now),
     });
     open.collect()
 }
