Relay dissemination through every eighth node of a large failure domain

Cause (whole fleet, 985 nodes in five failure domains): each origin had trees of its own over all nodes of a domain, so that each node exchanged batches with 21 others four times a second, 1.7% of a core by the cost of a call on the capacity page (1.96% at twice the size); each origin had a call of its own to each other domain with each confirmation. Besides, each status laid the overlay out anew, also where no node had moved: nodes that are learned of from others never had their place. In a profile of weak nodes beside a rolling restart that was half of dissemination's own time.

Ways: one shared tree for all origins (least calls, but the death of its root silences a domain until it is noticed; not built); slower ticks (halves the calls, and makes a node's death known later; not built); in domains of more than 64 nodes every eighth node relays for seven leaves, and the trees run over relays (kept). A relay's death concerns its leaves alone, which then act in its stead for what they say themselves.

Figures, tests/scale.rs, 985 and 1,970 nodes in five domains, calls of the mean node as a part of a core: 0.0171 and 0.0196 before (the test fails), now 0.0029 and 0.0032. The node in the middle has a link to 1 other, before 21.

The overlay is laid out anew only if a node's place changes, and no more often than each 250 us times the number of nodes. That statuses leave it alone is tested, but was not shown failing on the code before.

Conclusion: domains of up to 64 nodes keep their trees, so that the earlier deployments are untouched. Changes take up to two hops more in larger ones.

--- a/crates/peer/src/dissemination/membership.rs
+++ b/crates/peer/src/dissemination/membership.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, NodeId, stable_hash};
+use eelgrassmill_base::{NodeId, stable_hash};
 use smol_str::SmolStr;
 
 use crate::dissemination::{Dissemination, Listed, Member};
@@ -14,6 +14,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause after a failed call.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+/// Pause between two layouts of the overlay for each node in it. Nodes that start or stop one after
+/// the other would otherwise have it laid out at each flush, which costs a large system more than all
+/// it sends.
+const LAYOUT_PAUSE: Duration = Duration::from_micros(250);
 /// Most nodes that are remembered after they fell silent.
 const MAX_ABSENT: usize = 512;
 /// How long a node that fell silent is remembered unless it is on the list.
@@ -179,13 +183,6 @@
         }]
     }
 
-    /// Whether `node` is listed in `domain` and has its place in the overlay.
-    pub(super) fn has_place(&self, node: &NodeId, domain: &FailureDomain) -> bool {
-        let listed = self.members.get(node);
-        listed.is_some_and(|listed| listed.member.failure_domain == *domain)
-            && self.overlay.contains(node)
-    }
-
     /// Counts listed members as absent that have said nothing for too long.
     pub(super) fn note_silent_members(&mut self, now: Instant) {
         let overdue =
@@ -204,11 +201,14 @@
     }
 
     /// Lays the overlay out anew when who takes part has changed.
-    pub(super) fn refresh_overlay(&mut self) {
-        if !self.overlay_outdated {
+    pub(super) fn refresh_overlay(&mut self, now: Instant) {
+        if !self.overlay_outdated || now < self.due.overlay {
             return;
         }
         self.overlay_outdated = false;
+        self.layouts += 1;
+        let count = u32::try_from(self.records.len()).unwrap_or(u32::MAX);
+        self.due.overlay = now + LAYOUT_PAUSE.saturating_mul(count);
         self.overlay = self.lay_out();
         let overlay = &self.overlay;
         self.marks.retain(|node, _| overlay.contains(node));
--- a/crates/peer/src/dissemination/mod.rs
+++ b/crates/peer/src/dissemination/mod.rs
@@ -148,6 +148,8 @@
     absent: Absent,
     overlay: Overlay,
     overlay_outdated: bool,
+    /// How often the overlay was laid out.
+    layouts: u64,
     backoff: BTreeMap<NodeId, Backoff>,
     clocks: BTreeMap<NodeId, SenderClock>,
     /// What each child in the trees was sent of each origin: its start and sequence number.
@@ -179,6 +181,8 @@
     slow: Instant,
     sync: Instant,
     probe: Instant,
+    /// The overlay isn't laid out anew before this.
+    overlay: Instant,
 }
 
 impl Dissemination {
@@ -197,6 +201,7 @@
             slow: phase(cfg.timing.slow, "slow"),
             sync: phase(cfg.timing.sync, "sync"),
             probe: phase(cfg.timing.probe, "probe"),
+            overlay: now,
         };
         let own = Record::new(&cfg.me.id, cfg.incarnation, now);
         let turn = (stable_hash([cfg.me.id.as_str()]) % 1000) as usize;
@@ -209,6 +214,7 @@
             absent: Absent::default(),
             overlay: Overlay::new([(&cfg.me.id, &cfg.me.failure_domain)]),
             overlay_outdated: false,
+            layouts: 0,
             backoff: BTreeMap::new(),
             clocks: BTreeMap::new(),
             marks: BTreeMap::new(),
@@ -284,10 +290,19 @@
         &self.overlay
     }
 
+    /// How often the overlay was laid out anew.
+    pub fn layouts(&self) -> u64 {
+        self.layouts
+    }
+
     fn put(&mut self, item: Item, ttl: Option<Duration>, now: Instant) {
-        let status = matches!(item, Item::Status(_));
+        let me = &self.cfg.me.id;
+        let moves = match &item {
+            Item::Status(status) => !self.overlay.has_place(me, &status.failure_domain),
+            _ => false,
+        };
         self.change_own(|record| record.put(item, ttl, now));
-        self.overlay_outdated |= status;
+        self.overlay_outdated |= moves;
     }
 
     fn change_own(&mut self, change: impl FnOnce(&mut Record) -> bool) {
--- a/crates/peer/src/dissemination/receive.rs
+++ b/crates/peer/src/dissemination/receive.rs
@@ -115,7 +115,7 @@
             Change::Put {
                 item: Item::Status(status),
                 ..
-            } => !self.has_place(origin, &status.failure_domain),
+            } => !self.overlay.has_place(origin, &status.failure_domain),
             Change::Removed(ItemKey::Status) => true,
             _ => false,
         })
--- a/crates/peer/src/dissemination/send.rs
+++ b/crates/peer/src/dissemination/send.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 
 use crate::dissemination::receive::{AGE_UNIT, MAX_ASKED};
+use crate::dissemination::record::Record;
 use crate::dissemination::{Dissemination, Output, Owed};
 use crate::item::{ItemKey, Pace, Update};
 use crate::wire::messages::Batch;
@@ -42,7 +43,7 @@
             output.updates = self.expire(now);
             self.note_silent_members(now);
         }
-        self.refresh_overlay();
+        self.refresh_overlay(now);
         if ticks {
             self.publish_slow(now);
             self.confirm_alive(now);
@@ -219,10 +220,13 @@
     /// Gives the children in the trees what is new at `pace` or faster.
     fn hand_on(&mut self, pace: Pace, now: Instant) -> BTreeMap<NodeId, Batch> {
         let unreachable = self.unreachable(now);
+        let me = &self.cfg.me.id;
+        let relays = self.overlay.is_relay(me);
+        let is_due = |record: &Record| record.news >= Some(pace) && record.sequence() > 0;
         let origins: Vec<NodeId> = self
             .records
             .iter()
-            .filter(|(_, record)| record.news >= Some(pace) && record.sequence() > 0)
+            .filter(|(origin, record)| is_due(record) && (relays || *origin == me))
             .map(|(origin, _)| origin.clone())
             .collect();
         let mut drafts: BTreeMap<NodeId, Draft> = BTreeMap::new();
@@ -333,7 +337,7 @@
     }
 }
 
-fn add_confirmation(batch: &mut Batch, record: &super::record::Record, now: Instant) {
+fn add_confirmation(batch: &mut Batch, record: &Record, now: Instant) {
     let age = now.saturating_duration_since(record.confirmed());
     let units = age.as_millis().div_ceil(AGE_UNIT.as_millis());
     batch.confirmed.push(record.fingerprint());
--- a/crates/peer/tests/scale.rs
+++ b/crates/peer/tests/scale.rs
@@ -9,12 +9,24 @@
 use eelgrassmill_peer::{ConfigAnnouncement, Item, Member, Overlay, Timing, Verdict};
 use googletest::prelude::*;
 
-use crate::support::net::{Net, members};
+use crate::support::net::{Net, members, status};
 
 const NODES: usize = 370;
 const DOMAINS: usize = 6;
 /// From the origin to its partner in another domain, and two down that domain's tree.
 const HOPS: usize = 3;
+/// The same where domains have relays: to the origin's relay first, and from the last one to its
+/// leaf.
+const RELAYED_HOPS: usize = HOPS + 2;
+/// The largest fleet in service, and twice that.
+const FLEETS: [usize; 2] = [985, 1970];
+const FLEET_DOMAINS: usize = 5;
+/// Part of a core that one node may spend on calls to and from others.
+const CALL_BUDGET: f64 = 0.01;
+/// By which a node's costs may grow when the fleet doubles.
+const MAX_GROWTH: f64 = 1.2;
+/// What one call costs both ends together, in seconds of a core: `call_core` of docs/CAPACITY.md.
+const CALL_COST: f64 = 204e-6;
 
 fn overlay(list: &[Member]) -> Overlay {
     Overlay::new(list.iter().map(|m| (&m.id, &m.failure_domain)))
@@ -54,6 +66,93 @@
     }
 }
 
+/// Hands what some nodes say on and checks that it reaches all but the dead, once.
+fn reaches_the_living_once(count: usize, dead: impl Fn(usize, &Member) -> bool) {
+    let list = members(count, FLEET_DOMAINS);
+    let overlay = overlay(&list);
+    let (dead, living): (Vec<_>, Vec<_>) = list.iter().enumerate().partition(|(i, m)| dead(*i, m));
+    let dead: BTreeSet<NodeId> = dead.into_iter().map(|(_, m)| m.id.clone()).collect();
+    for (_, origin) in living.iter().step_by(1 + count / 40) {
+        let (hops, reached) = spread(&overlay, &origin.id, &dead);
+        let distinct: BTreeSet<&NodeId> = reached.iter().collect();
+        assert_that!(distinct.len(), eq(living.len()), "of {}", origin.id);
+        assert_that!(reached.len(), eq(living.len()), "of {}", origin.id);
+        assert_that!(hops, le(RELAYED_HOPS));
+    }
+}
+
+#[gtest]
+fn every_node_of_a_fleet_is_reached_once() {
+    for count in FLEETS.into_iter().chain([321, 325, 326, 400]) {
+        reaches_the_living_once(count, |_, _| false);
+    }
+}
+
+/// Guards against the leaves of a relay that is gone missing what others say, and others what they
+/// say.
+#[gtest]
+fn the_living_of_a_fleet_are_reached_past_dead_relays() {
+    for count in FLEETS {
+        reaches_the_living_once(count, |i, m| i % 5 == 0 || m.failure_domain == "domain-2");
+        reaches_the_living_once(count, |i, _| i % 3 == 0);
+    }
+}
+
+/// To how many others each node of a failure domain hands on what any node says, sorted.
+fn links_in_a_domain(count: usize) -> Vec<usize> {
+    let list = members(count, FLEET_DOMAINS);
+    let overlay = overlay(&list);
+    let nobody = BTreeSet::new();
+    let in_domain = list.iter().filter(|m| m.failure_domain == "domain-0");
+    let links = in_domain.map(|node| {
+        let origins = list.iter().map(|origin| &origin.id);
+        let children = origins.flat_map(|origin| overlay.children(&node.id, origin, &nobody));
+        children.collect::<BTreeSet<_>>().len()
+    });
+    let mut links: Vec<usize> = links.collect();
+    links.sort_unstable();
+    links
+}
+
+/// Guards against calls between nodes taking up the processor of each node of a large fleet.
+#[gtest]
+fn a_node_of_a_fleet_calls_few_others() {
+    let costs = FLEETS.map(|count| {
+        let links = links_in_a_domain(count);
+        expect_that!(links[links.len() / 2], eq(1), "{count} nodes");
+        expect_that!(links[links.len() - 1], le(48), "{count} nodes");
+        let mean = links.iter().sum::<usize>() as f64 / links.len() as f64;
+        let ticks = Timing::default().tick.as_secs_f64().recip();
+        mean * ticks * CALL_COST
+    });
+    expect_that!(costs, each(le(CALL_BUDGET)));
+    expect_that!(costs[1] / costs[0], le(MAX_GROWTH));
+}
+
+/// Guards against a fleet in which nodes come and go laying its overlay out at each flush.
+#[gtest]
+fn the_statuses_of_nodes_that_have_their_place_leave_the_overlay_alone() {
+    let list = members(30, 3);
+    let mut net = Net::new(&[], 1);
+    for member in &list {
+        net.start(member, 1, &[]);
+    }
+    for member in &list[1..] {
+        net.greet(&member.id, "node-0");
+    }
+    net.run(Duration::from_secs(3));
+    let before = net.node("node-0").layouts();
+    for member in &list {
+        let mut leaving = status(member);
+        if let Item::Status(status) = &mut leaving {
+            status.leaving = true;
+        }
+        net.publish(&member.id, leaving);
+    }
+    net.run(Duration::from_secs(3));
+    expect_that!(net.node("node-0").layouts(), eq(before));
+}
+
 #[gtest]
 fn the_living_are_reached_past_the_dead() {
     // A domain is dark and every fifth node elsewhere is gone. Whoever would have been
--- a/crates/peer/tests/support/net.rs
+++ b/crates/peer/tests/support/net.rs
@@ -61,6 +61,8 @@
     pub(crate) learned: BTreeMap<NodeId, Vec<(Instant, Update)>>,
     pub(crate) tally: BTreeMap<NodeId, Tally>,
     pub(crate) behaviour: Behaviour,
+    /// Of the nodes that are started.
+    pub(crate) timing: Timing,
     /// Whether what nodes learn is kept in `learned`.
     pub(crate) keep_learned: bool,
     cut: BTreeSet<(NodeId, NodeId)>,
@@ -119,6 +121,7 @@
             learned: BTreeMap::new(),
             tally: BTreeMap::new(),
             behaviour: Behaviour::default(),
+            timing: Timing::default(),
             keep_learned: true,
             cut: BTreeSet::new(),
             queue: BTreeMap::new(),
@@ -133,7 +136,7 @@
         let cfg = DisseminationConfig {
             me: member.clone(),
             incarnation,
-            timing: Timing::default(),
+            timing: self.timing.clone(),
         };
         let mut node = Dissemination::new(cfg, self.now);
         node.peers_changed(list.iter().cloned(), self.now);
