Copy first lists within the failure domain, and read the store in turn at a start

Cause (whole fleet): a node without lists took its first copy of the list of hosts from any node that it knew, four of five of which are in another failure domain, where bytes are priced; and each node that had no copy 150 to 200 ms after its start read the store, all of them at once when all start. Both grow with the number of nodes. Polls for a copy each 10 ms grow too.

Change: the copy comes from a node of the own failure domain while one is known there; after the usual delay nodes read the store in the order in which they would take the role, 30 ms apart and 1 s at most, while a node that knows nobody reads as before; polls back off to 40 ms.

Ways: a random delay that grows with the number of nodes (the last ones wait longest for no reason when the store turns the first away; not built).

Tested at 30, 985 and 1,970 nodes: four of a domain at most read in the time that one read takes. Not shown failing on the code before, which had no such policy.

--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -14,6 +14,11 @@
 /// How long changes are kept for nodes that lag behind. They ask twice a second; one that
 /// stood still for longer gets the whole list.
 const HISTORY: Duration = Duration::from_secs(5);
+/// Between the first reads of two nodes of a failure domain that start together: a third of the time
+/// that a read of the whole list takes.
+const READ_SPACING: Duration = Duration::from_millis(30);
+/// A node that has no copy by then reads the store, whatever the others do.
+const MAX_READ_DELAY: Duration = Duration::from_millis(1000);
 
 /// The node from which `me` has the lists; `None` where it reads them itself.
 ///
@@ -48,6 +53,37 @@
         .or(holder.filter(|_| holder_is_up))
 }
 
+/// The node that a node without lists asks for its first copy: one of its own failure domain, or any
+/// where it knows none there. `pick` is any number from 0 up to 1; nodes must not draw the same.
+pub fn copy_source<'n>(
+    me: RoleCandidate<'n>,
+    others: impl IntoIterator<Item = RoleCandidate<'n>>,
+    pick: f64,
+) -> Option<&'n NodeId> {
+    let is_near = |other: &RoleCandidate<'_>| other.failure_domain == me.failure_domain;
+    let (near, far): (Vec<_>, Vec<_>) = others.into_iter().partition(is_near);
+    let choices = if near.is_empty() { far } else { near };
+    let index = (pick * choices.len() as f64) as usize;
+    choices.get(index).map(|other| other.id)
+}
+
+/// How long a node without lists leaves the store to others, beyond what any node waits.
+///
+/// Nodes that start together know each other before they have lists. One of each failure domain
+/// reads the store first, the next one [`READ_SPACING`] later, and so on until copies are there.
+pub fn first_read_delay<'n>(
+    me: RoleCandidate<'n>,
+    others: impl IntoIterator<Item = RoleCandidate<'n>>,
+) -> Duration {
+    let near = others.into_iter();
+    let near = near.filter(|other| other.failure_domain == me.failure_domain);
+    let ranked = ranked_for_role(me.failure_domain, None, near.chain([me]));
+    // Those that are too weak for a role read last.
+    let rank = ranked.iter().position(|id| *id == me.id);
+    let rank = u32::try_from(rank.unwrap_or(ranked.len())).unwrap_or(u32::MAX);
+    READ_SPACING.saturating_mul(rank).min(MAX_READ_DELAY)
+}
+
 value! {
     /// What brings a node that has a list up to some version up to date.
     pub enum CatchUp {
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, NodeId};
-use eelgrassmill_fleet::{CatchUp, ListLog, RoleCandidate, list_parent};
+use eelgrassmill_fleet::{
+    CatchUp, ListLog, RoleCandidate, copy_source, first_read_delay, list_parent,
+};
 use googletest::prelude::*;
 
 const fn millis(ms: u64) -> Duration {
@@ -119,3 +121,49 @@
     expect_that!(log.age(now + millis(1000)), some(eq(millis(600))));
     expect_that!(log.version(), eq(10));
 }
+
+/// Guards against the first lists of a fleet crossing between failure domains once for each node.
+#[gtest]
+fn first_copies_come_from_the_own_failure_domain() {
+    let up = nodes(30);
+    for me in 0..up.len() {
+        let others = || up.iter().enumerate().filter(|(n, _)| *n != me);
+        for pick in [0.0, 0.3, 0.7, 0.999] {
+            let others = others().map(|(_, node)| candidate(node));
+            let source = copy_source(candidate(&up[me]), others, pick);
+            let source = up.iter().find(|(id, _)| Some(id) == source);
+            expect_that!(source.map(|(_, domain)| domain), some(eq(&up[me].1)));
+        }
+        let far = others().filter(|(_, node)| node.1 != up[me].1);
+        let far = far.map(|(_, node)| candidate(node));
+        expect_that!(copy_source(candidate(&up[me]), far, 0.5), some(anything()));
+    }
+}
+
+/// Guards against nodes that start together each reading the whole list from the store: however many
+/// they are, no more of a failure domain read before copies are there.
+#[gtest]
+fn few_nodes_that_start_together_read_the_store_first() {
+    let read_time = millis(100);
+    for count in [30, 985, 1970] {
+        let up = nodes(count);
+        let delay = |me: usize| {
+            let others = up.iter().enumerate().filter(|(n, _)| *n != me);
+            first_read_delay(candidate(&up[me]), others.map(|(_, node)| candidate(node)))
+        };
+        // Nodes of the first failure domain, each as late as any that counts.
+        let delays: Vec<Duration> = (0..count).step_by(3).take(200).map(delay).collect();
+        let first = delays.iter().filter(|delay| **delay < read_time).count();
+        expect_that!(first, le(4), "{count} nodes");
+        expect_that!(
+            delays.iter().max(),
+            some(le(&millis(1000))),
+            "{count} nodes"
+        );
+    }
+    let alone = nodes(1);
+    expect_that!(
+        first_read_delay(candidate(&alone[0]), []),
+        eq(Duration::ZERO)
+    );
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,6 +26,9 @@
 const START_JITTER: Duration = Duration::from_millis(50);
 /// How often a node that has no copy checks whether another node has one.
 const COPY_POLL: Duration = Duration::from_millis(10);
+/// The same after some polls: asked each [`COPY_POLL`] by all that start with them, nodes would have
+/// no time to read lists themselves.
+const MAX_COPY_POLL: Duration = Duration::from_millis(40);
 /// How long it waits for the copy of another node after the store gave no answer.
 const COPY_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a node that has just started waits to hear of others before it follows a list in the
@@ -128,9 +131,11 @@
     /// serve by is as good as can be had.
     async fn first(&self) -> Result<Answer<S::Change>, SourceError> {
         let due = STORE_DELAY + START_JITTER.mul_f64(fastrand::f64());
-        let wait = due.saturating_sub(self.core.began.elapsed());
         let store = async {
-            tokio::time::sleep(wait).await;
+            // The nodes that start beside this one are known only after a while.
+            while self.core.began.elapsed() < due + snapshot_relay::first_read_delay(self.core) {
+                tokio::time::sleep(MAX_COPY_POLL).await;
+            }
             self.read_store(Duration::ZERO).await
         };
         let read = tokio::select! {
@@ -149,8 +154,10 @@
 
     /// Waits until another node gives its copy.
     async fn copy_of_others(&self, wanted: Wanted) -> Answer<S::Change> {
+        let mut pause = COPY_POLL;
         loop {
-            tokio::time::sleep(COPY_POLL).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_COPY_POLL);
             let Some(node) = snapshot_relay::any_node(self.core) else {
                 continue;
             };
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{CatchUp, EvacuationChange, FleetChange, ListLog, list_parent};
+use eelgrassmill_fleet::{
+    CatchUp, EvacuationChange, FleetChange, ListLog, copy_source, list_parent,
+};
 use eelgrassmill_peer::{ListReply, ListRequest};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -247,13 +249,19 @@
 pub(crate) fn any_node<P: Platform>(core: &Core<P>) -> Option<NodeId> {
     let parent = parent(core);
     parent.or_else(|| {
-        let now = Instant::now();
         let nodes = locked(&core.nodes);
-        let others: Vec<_> = nodes.with_copies(now).collect();
-        fastrand::choice(others).map(|node| node.id.clone())
+        let others = nodes.with_copies(Instant::now());
+        copy_source(core.as_candidate(), others, fastrand::f64()).cloned()
     })
 }
 
+/// How long this node, which has no lists, leaves the store to others.
+pub(crate) fn first_read_delay<P: Platform>(core: &Core<P>) -> Duration {
+    let nodes = locked(&core.nodes);
+    let others = nodes.with_copies(Instant::now());
+    eelgrassmill_fleet::first_read_delay(core.as_candidate(), others)
+}
+
 /// Another node's copy of a list.
 #[derive(Clone, Debug)]
 pub(crate) struct ListCopy<C> {
