Tell whole lists compressed, and encode them once for nodes that start together

Cause (whole fleet): a whole list of 2,640 hosts is 795 KB of JSON, 0.3 s on the 20 Mbit/s of a weak node for each node that asks, and was encoded anew for each of them.

Change: whole lists of hosts travel as zlib streams (flate2); a list is told to further nodes for 0.3 s after it was encoded, which then ask for what changed since. Uncompressed lists are still read.

Ways: interned names in a codec of our own (a second spelling of each field to keep; not built); compression by tonic for all calls (costs processor in each small one; not built).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod heads;
 mod inbox;
 mod leader;
+mod list_codec;
 mod logs;
 mod metrics;
 mod nodes;
--- /dev/null
+++ b/crates/gateway/src/list_codec.rs
@@ -0,0 +1,121 @@
+//! Changes of lists as they travel between nodes: JSON, whole lists compressed.
+
+use std::io::{Read, Write};
+
+use eelgrassmill_fleet::FleetChange;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::ports::SourceError;
+
+/// The first byte of each zlib stream with the usual window; no JSON text begins with it.
+const ZLIB: u8 = b'x';
+/// Longest text of a list: 40,000 hosts.
+const MAX_TEXT: u64 = 16 << 20;
+
+pub(crate) fn to_json(value: &impl Serialize) -> Result<Vec<u8>, SourceError> {
+    serde_json::to_vec(value).map_err(malformed)
+}
+
+pub(crate) fn from_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, SourceError> {
+    serde_json::from_slice(bytes).map_err(malformed)
+}
+
+/// A change of the list of hosts; the whole list is compressed.
+pub(crate) fn encode_hosts(change: &FleetChange) -> Result<Vec<u8>, SourceError> {
+    let text = to_json(change)?;
+    if !matches!(change, FleetChange::Snapshot(_)) {
+        return Ok(text);
+    }
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&text).map_err(malformed)?;
+    encoder.finish().map_err(malformed)
+}
+
+/// Reads a change, also an uncompressed list of an older build.
+pub(crate) fn decode_hosts(bytes: &[u8]) -> Result<FleetChange, SourceError> {
+    if bytes.first() != Some(&ZLIB) {
+        return from_json(bytes);
+    }
+    let mut text = Vec::new();
+    let mut decoder = ZlibDecoder::new(bytes).take(MAX_TEXT);
+    decoder.read_to_end(&mut text).map_err(malformed)?;
+    from_json(&text)
+}
+
+fn malformed(err: impl std::fmt::Display) -> SourceError {
+    SourceError::Malformed(err.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use eelgrassmill_fleet::{Host, HostState, Membership, MembershipPhase};
+    use googletest::prelude::*;
+    use smol_str::format_smolstr;
+
+    use super::*;
+
+    /// Hosts of the largest fleet in service, named and addressed as platforms do.
+    const HOSTS: u64 = 2640;
+    /// The slowest link of a node, in bytes a second.
+    const SLOW_LINK: f64 = 20e6 / 8.0;
+    /// Within this a node that starts must have its first lists.
+    const MAX_TRANSFER: f64 = 0.1;
+
+    fn host(n: u64) -> Host {
+        let hash = n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24;
+        Host {
+            id: format_smolstr!("i-{hash:010x}"),
+            born_ms: 1_780_000_000_000 + hash % 60_000,
+            service: "hucu56a".into(),
+            address: format_smolstr!("10.1.{}.{}:8220", n / 250, n % 250),
+            failure_domain: format_smolstr!("hall-{}", n % 5),
+            fabric: format_smolstr!("fabric-{}", n / 35),
+            state: HostState::Ready,
+            slots: 13,
+            cold_ms: 0,
+            staged: ["model-large".into()].into_iter().collect(),
+            model: Some("model-large".into()),
+            membership: Some(Membership {
+                replica: format_smolstr!("r1-{}", n / 16),
+                epoch: (1 << 20) + n / 16,
+                rank: (n % 16) as usize,
+                phase: MembershipPhase::Ready,
+            }),
+        }
+    }
+
+    /// Guards against nodes with slow links waiting for their first lists, and against the node
+    /// that they ask sending megabytes to each.
+    #[gtest]
+    fn a_whole_list_fits_a_slow_link_at_twice_the_size_of_the_fleet() -> Result<()> {
+        for hosts in [HOSTS, 2 * HOSTS] {
+            let list = FleetChange::Snapshot((0..hosts).map(host).collect());
+            let bytes = encode_hosts(&list).or_fail()?;
+            let limit = MAX_TRANSFER * SLOW_LINK * hosts as f64 / HOSTS as f64 / 2.0;
+            expect_that!(bytes.len() as f64, le(limit), "{hosts} hosts");
+            expect_that!(decode_hosts(&bytes).or_fail()?, eq(&list));
+        }
+        Ok(())
+    }
+
+    #[gtest]
+    fn single_changes_and_uncompressed_lists_are_read() -> Result<()> {
+        let put = FleetChange::Put(Box::new(host(1)));
+        expect_that!(
+            decode_hosts(&encode_hosts(&put).or_fail()?).or_fail()?,
+            eq(&put)
+        );
+        let list = FleetChange::Snapshot(vec![host(1), host(2)]);
+        expect_that!(
+            decode_hosts(&to_json(&list).or_fail()?).or_fail()?,
+            eq(&list)
+        );
+        expect_that!(decode_hosts(b"x is no list"), err(anything()));
+        expect_that!(decode_hosts(b""), err(anything()));
+        Ok(())
+    }
+}
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -19,12 +19,15 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::leader;
+use crate::list_codec;
 use crate::ports::{Accepted, Cursor, OperatorChange, Platform, SourceError};
 
 /// A copy that is older than this is of no use: with one more question to the store a
 /// change must be seen within 2 s, the shortest bound that platforms set. Copies in order
 /// are half a second old at the node that asks the store, and as much more one hop on.
 const MAX_AGE: Duration = Duration::from_millis(1100);
+/// For how long an encoded list is told to further nodes, which then ask for what changed since.
+const ENCODED_LIST_TTL: Duration = Duration::from_millis(300);
 /// Longest wait of one question to another node.
 const POLL_TIME: Duration = Duration::from_millis(400);
 /// An answer may take this long beyond its wait; between failure domains it takes 1 to 5 ms,
@@ -36,6 +39,18 @@
 pub(crate) struct SharedLog {
     log: Mutex<ListLog>,
     version: watch::Sender<Cursor>,
+    whole: Mutex<Option<EncodedList>>,
+}
+
+/// The whole list as it was told last. Many nodes that start ask for it at once, and encoding it for
+/// each of them would take a weak node seconds.
+#[derive(Clone, Debug)]
+struct EncodedList {
+    version: Cursor,
+    /// When the list is known to have been like this.
+    as_of: Instant,
+    encoded: Instant,
+    changes: Vec<Vec<u8>>,
 }
 
 impl SharedLog {
@@ -117,11 +132,11 @@
     }
 
     fn encode(&self) -> Result<Vec<u8>, SourceError> {
-        serde_json::to_vec(self).map_err(malformed)
+        list_codec::encode_hosts(self)
     }
 
     fn decode(_platform: &P, bytes: &[u8]) -> Result<FleetChange, SourceError> {
-        serde_json::from_slice(bytes).map_err(malformed)
+        list_codec::decode_hosts(bytes)
     }
 }
 
@@ -156,12 +171,11 @@
                 OperatorMessage::Evacuation(Cow::Borrowed(change))
             }
         };
-        serde_json::to_vec(&message).map_err(malformed)
+        list_codec::to_json(&message)
     }
 
     fn decode(platform: &P, bytes: &[u8]) -> Result<OperatorChange, SourceError> {
-        let message = serde_json::from_slice(bytes).map_err(malformed)?;
-        Ok(match message {
+        Ok(match list_codec::from_json(bytes)? {
             OperatorMessage::Configuration(text) => {
                 let (catalog, text) = (platform.read_catalog(&text)?, text.into_owned());
                 OperatorChange::Configuration(Accepted { catalog, text })
@@ -171,10 +185,6 @@
     }
 }
 
-fn malformed(err: serde_json::Error) -> SourceError {
-    SourceError::Malformed(err.to_string())
-}
-
 /// Answers another node's question for a list.
 pub(crate) async fn answer<P: Platform>(core: Arc<Core<P>>, req: ListRequest) -> ListReply {
     if req.list == <FleetChange as Relayed<P>>::LIST {
@@ -193,29 +203,64 @@
         // Running out is the usual end.
         let _ = tokio::time::timeout(wait, shared.newer_than(req.since)).await;
     }
+    let now = Instant::now();
     let (version, age, catch_up) = {
         let log = locked(&shared.log);
-        (log.version(), log.age(Instant::now()), log.after(req.since))
+        (log.version(), log.age(now), log.after(req.since))
     };
-    let Some(age) = age else {
+    let as_of = age.and_then(|age| now.checked_sub(age));
+    let Some(as_of) = as_of else {
         return ListReply::default();
     };
-    let (whole, changes) = match catch_up {
-        CatchUp::Delta(changes) => (false, Ok(changes)),
-        CatchUp::Snapshot => (true, C::whole(core).iter().map(C::encode).collect()),
+    let (list, whole) = match catch_up {
+        CatchUp::Delta(changes) => {
+            let list = EncodedList {
+                version,
+                as_of,
+                encoded: now,
+                changes,
+            };
+            (Some(list), false)
+        }
+        CatchUp::Snapshot => (encoded_list::<P, C>(core, version, as_of, now), true),
     };
-    let Ok(changes) = changes else {
+    let Some(list) = list else {
         return ListReply::default();
     };
+    let age = now.saturating_duration_since(list.as_of);
     ListReply {
-        version,
+        version: list.version,
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         failing: core.store_failures() > 0,
         whole,
-        changes,
+        changes: list.changes,
     }
 }
 
+/// The whole list, as it was encoded a moment ago or as it is now.
+fn encoded_list<P: Platform, C: Relayed<P>>(
+    core: &Core<P>,
+    version: Cursor,
+    as_of: Instant,
+    now: Instant,
+) -> Option<EncodedList> {
+    let mut held = locked(&C::log(core).whole);
+    let is_recent =
+        |list: &EncodedList| now.saturating_duration_since(list.encoded) < ENCODED_LIST_TTL;
+    if let Some(list) = held.as_ref().filter(|list| is_recent(list)) {
+        return Some(list.clone());
+    }
+    let changes: Result<_, SourceError> = C::whole(core).iter().map(C::encode).collect();
+    let list = EncodedList {
+        version,
+        as_of,
+        encoded: now,
+        changes: changes.ok()?,
+    };
+    *held = Some(list.clone());
+    Some(list)
+}
+
 /// Why a node's copy of a list is of no use.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum RelayError {
