Hold all nodes of a fleet: 8,192 origins, and as many that fell silent

Cause (whole fleet): a node held 1,024 origins at most. 985 nodes, 83 that may be added and those that left in the last seconds are more; whoever was beyond the bound was taken for dead by nodes that heard of it late. 512 silent nodes were remembered, fewer than a kill of half of the fleet makes.

Test: a node that 1,231 and 2,462 nodes greet holds them all.

--- a/crates/peer/src/dissemination/membership.rs
+++ b/crates/peer/src/dissemination/membership.rs
@@ -6,7 +6,7 @@
 use eelgrassmill_base::{NodeId, stable_hash};
 use smol_str::SmolStr;
 
-use crate::dissemination::{Dissemination, Listed, Member};
+use crate::dissemination::{Dissemination, Listed, MAX_ORIGINS, Member};
 use crate::item::{Change, Item, ItemKey, NodeStatus, Update};
 use crate::overlay::Overlay;
 
@@ -19,7 +19,7 @@
 /// it sends.
 const LAYOUT_PAUSE: Duration = Duration::from_micros(250);
 /// Most nodes that are remembered after they fell silent.
-const MAX_ABSENT: usize = 512;
+const MAX_ABSENT: usize = MAX_ORIGINS;
 /// How long a node that fell silent is remembered unless it is on the list.
 const KEEP_ABSENT: Duration = Duration::from_secs(2 * 3600);
 
--- a/crates/peer/src/dissemination/mod.rs
+++ b/crates/peer/src/dissemination/mod.rs
@@ -161,7 +161,7 @@
 }
 
 /// Most origins held.
-pub const MAX_ORIGINS: usize = 1024;
+pub const MAX_ORIGINS: usize = 8192;
 
 /// A member and since when it is on the list.
 #[derive(Clone, Debug)]
--- a/crates/peer/tests/scale.rs
+++ b/crates/peer/tests/scale.rs
@@ -3,10 +3,12 @@
 mod support;
 
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_peer::{ConfigAnnouncement, Item, Member, Overlay, Timing, Verdict};
+use eelgrassmill_peer::{
+    ConfigAnnouncement, Dissemination, DisseminationConfig, Item, Member, Overlay, Timing, Verdict,
+};
 use googletest::prelude::*;
 
 use crate::support::net::{Net, members, status};
@@ -129,6 +131,32 @@
     expect_that!(costs[1] / costs[0], le(MAX_GROWTH));
 }
 
+/// Guards against nodes of a fleet taking each other for dead, since no node holds that many.
+#[gtest]
+fn a_node_holds_all_nodes_of_a_fleet_that_is_being_replaced() {
+    for count in FLEETS {
+        // The successors of a quarter are there before those are forgotten.
+        let all = count + count / 4;
+        let list = members(all, FLEET_DOMAINS);
+        let now = Instant::now();
+        let mut nodes = list.iter().map(|member| {
+            let cfg = DisseminationConfig {
+                me: member.clone(),
+                incarnation: 1,
+                timing: Timing::default(),
+            };
+            let mut node = Dissemination::new(cfg, now);
+            node.publish(status(member), now);
+            node
+        });
+        let mut first = nodes.next().expect("a fleet has nodes");
+        for (node, member) in nodes.zip(&list[1..]) {
+            first.receive(&member.id, node.hello(now), now);
+        }
+        expect_that!(first.origins().count(), eq(all));
+    }
+}
+
 /// Guards against a fleet in which nodes come and go laying its overlay out at each flush.
 #[gtest]
 fn the_statuses_of_nodes_that_have_their_place_leave_the_overlay_alone() {
