Tell lists down a tree of bounded fan-out in large failure domains

Cause (whole fleet): one node of a failure domain told both lists to the 196 others, five questions a second from each, some 980 calls a second and a tenth of a core of the strongest node; twice that at twice the size.

Change: in domains of more than 128 nodes as many nodes as the square root of their number ask that one, each other node one of those, by rendezvous. The inner nodes ask each 150 ms in place of 400, so that the list is no older at the leaves (0.8 s, where 1.1 s makes a node ask the store).

Ways: fan-out by the relays of dissemination (they needn't be the strongest; not built); fewer questions by each leaf (a list's age is bound to them).

Test: at 985 and 1,970 nodes no node tells the lists to more than 50 (197 and 394 before, by the rule as it stood), one reads the store, three hops at most.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -43,7 +43,7 @@
 };
 pub use crate::rank::{LateRejection, Rank};
 pub use crate::rate::Rate;
-pub use crate::relay::{CatchUp, ListLog, copy_source, first_read_delay, list_parent};
+pub use crate::relay::{CatchUp, ListLog, ListParent, copy_source, first_read_delay, list_parent};
 pub use crate::retry::{RetryBudget, RetryWindow};
 pub use crate::roles::{RoleCandidate, ranked_for_role, strongest};
 pub use crate::schedule::{
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -7,50 +7,84 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, value};
+use eelgrassmill_base::{NodeId, rendezvous, value};
 
 use crate::roles::{RoleCandidate, ranked_for_role};
 
 /// How long changes are kept for nodes that lag behind. They ask twice a second; one that
 /// stood still for longer gets the whole list.
 const HISTORY: Duration = Duration::from_secs(5);
+/// Most nodes of a failure domain that one node tells the lists by itself.
+const MAX_CHILDREN: usize = 128;
 /// Between the first reads of two nodes of a failure domain that start together: a third of the time
 /// that a read of the whole list takes.
 const READ_SPACING: Duration = Duration::from_millis(30);
 /// A node that has no copy by then reads the store, whatever the others do.
 const MAX_READ_DELAY: Duration = Duration::from_millis(1000);
 
+value! { copy
+    /// From whom a node has the lists.
+    pub struct ListParent<'n> {
+        /// The node to ask.
+        pub node: &'n NodeId,
+        /// Whether nodes that others have the lists from ask it in turn. They ask more often, since
+        /// a list is older by one question at each hop.
+        pub is_inner: bool,
+    }
+}
+
 /// The node from which `me` has the lists; `None` where it reads them itself.
 ///
 /// The `holder` of the planner's lease reads the store: it acts on what it reads. One node of
 /// each failure domain asks the holder, and the others of the domain that one, so that the
-/// store's calls don't grow with the number of nodes and few bytes cross between domains.
-/// `others` are the nodes that may have a copy.
+/// store's calls don't grow with the number of nodes and few bytes cross between domains. In a
+/// domain of more than [`MAX_CHILDREN`] nodes some, the square root of their number, ask that one,
+/// and each other node one of those. `others` are the nodes that may have a copy.
 pub fn list_parent<'n>(
     me: RoleCandidate<'n>,
     holder: Option<&'n NodeId>,
     others: impl Iterator<Item = RoleCandidate<'n>>,
-) -> Option<&'n NodeId> {
+) -> Option<ListParent<'n>> {
     if holder == Some(me.id) {
         return None;
     }
     let mut holder_is_up = false;
+    let mut near_holder = None;
     let mut near = vec![me];
     for other in others {
         let holds = holder == Some(other.id);
         holder_is_up |= holds;
         if other.failure_domain == me.failure_domain {
-            if holds {
-                return Some(other.id);
-            }
+            near_holder = near_holder.or(holds.then_some(other.id));
             near.push(other);
         }
     }
+    let count = near.len();
     let ranked = ranked_for_role(me.failure_domain, None, near);
-    let first = ranked.first().copied();
-    first
-        .filter(|id| *id != me.id)
-        .or(holder.filter(|_| holder_is_up))
+    let root = near_holder.or(ranked.first().copied())?;
+    let is_inner = count > MAX_CHILDREN;
+    if root == me.id {
+        let node = holder.filter(|_| holder_is_up)?;
+        return Some(ListParent { node, is_inner });
+    }
+    let at_root = ListParent {
+        node: root,
+        is_inner,
+    };
+    if !is_inner {
+        return Some(at_root);
+    }
+    let relays = ranked.into_iter().filter(|id| *id != root);
+    let relays: Vec<&NodeId> = relays.take(count.isqrt()).collect();
+    if relays.contains(&me.id) {
+        return Some(at_root);
+    }
+    let chosen = rendezvous(me.id, relays).into_iter().next();
+    let at_relay = |node| ListParent {
+        node,
+        is_inner: false,
+    };
+    Some(chosen.map_or(at_root, at_relay))
 }
 
 /// The node that a node without lists asks for its first copy: one of its own failure domain, or any
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Who has the platform's lists from whom, and what is told of them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, NodeId};
@@ -35,7 +35,7 @@
 ) -> Option<&'n NodeId> {
     let others = up.iter().enumerate().filter(|(n, _)| *n != me);
     let others = others.map(|(_, node)| candidate(node));
-    list_parent(candidate(&up[me]), holder, others)
+    list_parent(candidate(&up[me]), holder, others).map(|parent| parent.node)
 }
 
 /// How many of the nodes ask the store, and the longest way of a change from it.
@@ -79,6 +79,35 @@
     }
 }
 
+/// How many nodes have the lists from each node that has children.
+fn children(up: &[(NodeId, FailureDomain)], holder: &NodeId) -> BTreeMap<NodeId, usize> {
+    let mut children: BTreeMap<NodeId, usize> = BTreeMap::new();
+    for me in 0..up.len() {
+        if let Some(parent) = parent(up, me, Some(holder)) {
+            *children.entry(parent.clone()).or_default() += 1;
+        }
+    }
+    children
+}
+
+/// Guards against one node of a failure domain having to tell the lists to all others, whose number
+/// grows with the fleet.
+#[gtest]
+fn no_node_tells_lists_to_more_than_a_part_of_a_fleet() {
+    let most = [985, 1970].map(|count| {
+        let node = |n: usize| (format!("n{n}").into(), format!("z{}", n % 5).into());
+        let up: Vec<(NodeId, FailureDomain)> = (0..count).map(node).collect();
+        let holder = up[count / 2].0.clone();
+        let (readers, hops) = readers_and_hops(&up, Some(&holder));
+        expect_that!(readers, eq(1));
+        expect_that!(hops, le(3));
+        children(&up, &holder).into_values().max().unwrap_or(0)
+    });
+    expect_that!(most, each(le(50)));
+    // By the square root of the number of nodes.
+    expect_that!(most[1] as f64 / most[0] as f64, le(1.5));
+}
+
 fn change(n: u8) -> Vec<u8> {
     vec![n]
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Cursor, OperatorChange, Platform, Source, SourceError};
-use crate::snapshot_relay::{self, ListCopy, ListUpdate, RelayError, Relayed};
+use crate::snapshot_relay::{self, ListCopy, ListUpdate, Parent, RelayError, Relayed};
 
 /// Longest wait of one question to the store for changes. The answer also says that nothing
 /// else has changed, which other nodes have to know twice a second, and a connection that
@@ -29,6 +29,8 @@
 /// The same after some polls: asked each [`COPY_POLL`] by all that start with them, nodes would have
 /// no time to read lists themselves.
 const MAX_COPY_POLL: Duration = Duration::from_millis(40);
+/// Longest time in which another node prepares a copy.
+const COPY_TIME: Duration = Duration::from_millis(400);
 /// How long it waits for the copy of another node after the store gave no answer.
 const COPY_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a node that has just started waits to hear of others before it follows a list in the
@@ -119,7 +121,7 @@
                 Err(RelayError::None) if self.has_just_started() => {
                     tokio::time::sleep(PEER_DISCOVERY_POLL).await;
                 }
-                Err(why) => return self.read_instead(&parent, &why).await,
+                Err(why) => return self.read_instead(&parent.node, &why).await,
                 Ok(answer) => return Ok(answer),
             }
         }
@@ -161,7 +163,8 @@
             let Some(node) = snapshot_relay::any_node(self.core) else {
                 continue;
             };
-            match snapshot_relay::fetch::<P, S::Change>(self.core, &node, 0).await {
+            let copy = snapshot_relay::fetch(self.core, &node, 0, COPY_TIME).await;
+            match copy {
                 Ok(copy) if wanted == Wanted::Any || copy.check().is_ok() => {
                     return Answer::of(copy, node);
                 }
@@ -174,11 +177,12 @@
         }
     }
 
-    async fn ask(&self, parent: &NodeId) -> Result<Answer<S::Change>, RelayError> {
+    async fn ask(&self, parent: &Parent) -> Result<Answer<S::Change>, RelayError> {
         let since = self.cursor.unwrap_or_default();
-        let copy = snapshot_relay::fetch::<P, S::Change>(self.core, parent, since).await?;
+        let node = &parent.node;
+        let copy = snapshot_relay::fetch(self.core, node, since, parent.wait).await?;
         copy.check()?;
-        Ok(Answer::of(copy, parent.clone()))
+        Ok(Answer::of(copy, node.clone()))
     }
 
     /// Reads the store in place of a node that gave no usable copy.
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -10,7 +10,7 @@
 
 use eelgrassmill_base::NodeId;
 use eelgrassmill_fleet::{
-    CatchUp, EvacuationChange, FleetChange, ListLog, copy_source, list_parent,
+    CatchUp, EvacuationChange, FleetChange, ListLog, ListParent, copy_source, list_parent,
 };
 use eelgrassmill_peer::{ListReply, ListRequest};
 use serde::{Deserialize, Serialize};
@@ -30,6 +30,9 @@
 const ENCODED_LIST_TTL: Duration = Duration::from_millis(300);
 /// Longest wait of one question to another node.
 const POLL_TIME: Duration = Duration::from_millis(400);
+/// The same for nodes that have further nodes below them: with two such hops a list is 0.8 s old at
+/// most where the last node takes it.
+const INNER_POLL_TIME: Duration = Duration::from_millis(150);
 /// An answer may take this long beyond its wait; between failure domains it takes 1 to 5 ms,
 /// and one repeated packet some 200 ms.
 const RPC_SLACK: Duration = Duration::from_millis(250);
@@ -281,18 +284,39 @@
     Malformed(SourceError),
 }
 
+/// The node to ask for lists, and the wait of a question to it.
+#[derive(Clone, Debug)]
+pub(crate) struct Parent {
+    pub(crate) node: NodeId,
+    pub(crate) wait: Duration,
+}
+
+impl Parent {
+    fn new(parent: ListParent<'_>) -> Parent {
+        let wait = if parent.is_inner {
+            INNER_POLL_TIME
+        } else {
+            POLL_TIME
+        };
+        Parent {
+            node: parent.node.clone(),
+            wait,
+        }
+    }
+}
+
 /// The node to ask for lists, unless this one is to ask the store.
-pub(crate) fn parent<P: Platform>(core: &Core<P>) -> Option<NodeId> {
+pub(crate) fn parent<P: Platform>(core: &Core<P>) -> Option<Parent> {
     let now = Instant::now();
     let holder = leader::current(core, now).map(|leader| leader.node);
     let nodes = locked(&core.nodes);
     let others = nodes.with_copies(now);
-    list_parent(core.as_candidate(), holder.as_ref(), others).cloned()
+    list_parent(core.as_candidate(), holder.as_ref(), others).map(Parent::new)
 }
 
 /// Any node that may have lists, for a node that has none: the one to ask, or else one by chance.
 pub(crate) fn any_node<P: Platform>(core: &Core<P>) -> Option<NodeId> {
-    let parent = parent(core);
+    let parent = parent(core).map(|parent| parent.node);
     parent.or_else(|| {
         let nodes = locked(&core.nodes);
         let others = nodes.with_copies(Instant::now());
@@ -338,11 +362,10 @@
     core: &Core<P>,
     node: &NodeId,
     since: Cursor,
+    wait: Duration,
 ) -> Result<ListCopy<C>, RelayError> {
     let peer = core.peer().ok_or(RelayError::None)?;
-    let answered = peer
-        .list_of(node, C::LIST, since, POLL_TIME, RPC_SLACK)
-        .await;
+    let answered = peer.list_of(node, C::LIST, since, wait, RPC_SLACK).await;
     let reply = answered.map_err(|e| RelayError::NoAnswer(e.to_string()))?;
     let now = Instant::now();
     if reply.version == 0 {
