--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -23,6 +23,8 @@
 
 /// Replicas are looked at this often: a sixth of the shortest silence that counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Heads that were lost long ago are looked for this often, an eighth of that time.
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 /// A member that gives no report for this long counts as silent: a report takes 1 to 5 ms
 /// between failure domains, and one repeated packet some 200 ms.
 pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
@@ -43,13 +45,15 @@
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let rule = StallRule::default();
     let mut strain = Strain::default();
+    let mut renew_at = Instant::now();
     loop {
         let due = Instant::now() + POLL_INTERVAL;
         tokio::time::sleep_until(due.into()).await;
         note_strain(&core, &mut strain, due);
         drop_missing(&core);
         // While the store is away entries of dead heads stand: each try would cost streams.
-        if core.store_failures() == 0 {
+        if core.store_failures() == 0 && due >= renew_at {
+            renew_at = due + RENEW_INTERVAL;
             locked(&core.heads).renew(Instant::now());
         }
         for head in standing_still(&core, &rule) {
