Compress each long change between nodes, configurations among them

Suspected, not traced: a configuration with 333 customers and 250 routes is a text of some hundred kilobytes, which now travelled as an escaped JSON string to each node, on links of 20 Mbit/s that callers' requests share.

Change: changes of 1,200 bytes and more travel as zlib streams; the node that reads the store compresses them once, the others hand them on as they came.

Test: 250 routes take a quarter of their text at most.

--- a/crates/gateway/src/list_codec.rs
+++ b/crates/gateway/src/list_codec.rs
@@ -1,8 +1,7 @@
-//! Changes of lists as they travel between nodes: JSON, whole lists compressed.
+//! Changes of lists as they travel between nodes: JSON, compressed where it is long.
 
 use std::io::{Read, Write};
 
-use eelgrassmill_fleet::FleetChange;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
@@ -13,21 +12,15 @@
 
 /// The first byte of each zlib stream with the usual window; no JSON text begins with it.
 const ZLIB: u8 = b'x';
-/// Longest text of a list: 40,000 hosts.
+/// Longest text of a change: a list of 40,000 hosts.
 const MAX_TEXT: u64 = 16 << 20;
+/// Shorter texts travel as they are: they fit a packet.
+const MIN_COMPRESSED: usize = 1200;
 
-pub(crate) fn to_json(value: &impl Serialize) -> Result<Vec<u8>, SourceError> {
-    serde_json::to_vec(value).map_err(malformed)
-}
-
-pub(crate) fn from_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, SourceError> {
-    serde_json::from_slice(bytes).map_err(malformed)
-}
-
-/// A change of the list of hosts; the whole list is compressed.
-pub(crate) fn encode_hosts(change: &FleetChange) -> Result<Vec<u8>, SourceError> {
-    let text = to_json(change)?;
-    if !matches!(change, FleetChange::Snapshot(_)) {
+/// A change of a list as it travels.
+pub(crate) fn encode(change: &impl Serialize) -> Result<Vec<u8>, SourceError> {
+    let text = serde_json::to_vec(change).map_err(malformed)?;
+    if text.len() < MIN_COMPRESSED {
         return Ok(text);
     }
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
@@ -35,15 +28,15 @@
     encoder.finish().map_err(malformed)
 }
 
-/// Reads a change, also an uncompressed list of an older build.
-pub(crate) fn decode_hosts(bytes: &[u8]) -> Result<FleetChange, SourceError> {
+/// Reads a change, also one that an older build didn't compress.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, SourceError> {
     if bytes.first() != Some(&ZLIB) {
-        return from_json(bytes);
+        return serde_json::from_slice(bytes).map_err(malformed);
     }
     let mut text = Vec::new();
     let mut decoder = ZlibDecoder::new(bytes).take(MAX_TEXT);
     decoder.read_to_end(&mut text).map_err(malformed)?;
-    from_json(&text)
+    serde_json::from_slice(&text).map_err(malformed)
 }
 
 fn malformed(err: impl std::fmt::Display) -> SourceError {
@@ -52,7 +45,7 @@
 
 #[cfg(test)]
 mod tests {
-    use eelgrassmill_fleet::{Host, HostState, Membership, MembershipPhase};
+    use eelgrassmill_fleet::{FleetChange, Host, HostState, Membership, MembershipPhase};
     use googletest::prelude::*;
     use smol_str::format_smolstr;
 
@@ -94,10 +87,10 @@
     fn a_whole_list_fits_a_slow_link_at_twice_the_size_of_the_fleet() -> Result<()> {
         for hosts in [HOSTS, 2 * HOSTS] {
             let list = FleetChange::Snapshot((0..hosts).map(host).collect());
-            let bytes = encode_hosts(&list).or_fail()?;
+            let bytes = encode(&list).or_fail()?;
             let limit = MAX_TRANSFER * SLOW_LINK * hosts as f64 / HOSTS as f64 / 2.0;
             expect_that!(bytes.len() as f64, le(limit), "{hosts} hosts");
-            expect_that!(decode_hosts(&bytes).or_fail()?, eq(&list));
+            expect_that!(decode::<FleetChange>(&bytes).or_fail()?, eq(&list));
         }
         Ok(())
     }
@@ -105,17 +98,33 @@
     #[gtest]
     fn single_changes_and_uncompressed_lists_are_read() -> Result<()> {
         let put = FleetChange::Put(Box::new(host(1)));
-        expect_that!(
-            decode_hosts(&encode_hosts(&put).or_fail()?).or_fail()?,
-            eq(&put)
-        );
         let list = FleetChange::Snapshot(vec![host(1), host(2)]);
-        expect_that!(
-            decode_hosts(&to_json(&list).or_fail()?).or_fail()?,
-            eq(&list)
-        );
-        expect_that!(decode_hosts(b"x is no list"), err(anything()));
-        expect_that!(decode_hosts(b""), err(anything()));
+        for change in [put, list] {
+            let plain = serde_json::to_vec(&change).or_fail()?;
+            expect_that!(decode::<FleetChange>(&plain).or_fail()?, eq(&change));
+            let encoded = encode(&change).or_fail()?;
+            expect_that!(decode::<FleetChange>(&encoded).or_fail()?, eq(&change));
+        }
+        expect_that!(decode::<FleetChange>(b"x is no list"), err(anything()));
+        expect_that!(decode::<FleetChange>(b""), err(anything()));
+        Ok(())
+    }
+
+    /// Guards against a configuration that comes to each node's slow link as hundreds of kilobytes
+    /// and holds up callers' requests behind it.
+    #[gtest]
+    fn the_text_of_a_configuration_is_compressed() -> Result<()> {
+        let route = |n: usize| {
+            format!(
+                r#"{{"name":"r-{n:07}","host":"site{n}.example","prefix":"/p{n}/","kind":"stream",
+                "timeout_ms":6000,"target_latency_ms":300,"priority":1,"service":"hucu56a",
+                "attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":200}}"#
+            )
+        };
+        let text: String = (0..250).map(route).collect();
+        let bytes = encode(&text).or_fail()?;
+        expect_that!(bytes.len(), le(text.len() / 4));
+        expect_that!(decode::<String>(&bytes).or_fail()?, eq(&text));
         Ok(())
     }
 }
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -135,11 +135,11 @@
     }
 
     fn encode(&self) -> Result<Vec<u8>, SourceError> {
-        list_codec::encode_hosts(self)
+        list_codec::encode(self)
     }
 
     fn decode(_platform: &P, bytes: &[u8]) -> Result<FleetChange, SourceError> {
-        list_codec::decode_hosts(bytes)
+        list_codec::decode(bytes)
     }
 }
 
@@ -174,11 +174,11 @@
                 OperatorMessage::Evacuation(Cow::Borrowed(change))
             }
         };
-        list_codec::to_json(&message)
+        list_codec::encode(&message)
     }
 
     fn decode(platform: &P, bytes: &[u8]) -> Result<OperatorChange, SourceError> {
-        Ok(match list_codec::from_json(bytes)? {
+        Ok(match list_codec::decode(bytes)? {
             OperatorMessage::Configuration(text) => {
                 let (catalog, text) = (platform.read_catalog(&text)?, text.into_owned());
                 OperatorChange::Configuration(Accepted { catalog, text })
