--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,6 +24,10 @@
 const STORE_DELAY: Duration = Duration::from_millis(150);
 /// Nodes that start together read the store within this time of each other.
 const START_JITTER: Duration = Duration::from_millis(50);
+/// Longest time for which a node without lists waits for its seeds, beyond [`STORE_DELAY`]. Of nodes
+/// that start together the seeds may be the last, and the store can't give its whole lists to each
+/// node of a large fleet at once.
+const SEED_PATIENCE: Duration = Duration::from_millis(400);
 /// How often a node that has no copy checks whether another node has one.
 const COPY_POLL: Duration = Duration::from_millis(10);
 /// The same after some polls: asked each [`COPY_POLL`] by all that start with them, nodes would have
@@ -133,9 +137,10 @@
     /// serve by is as good as can be had.
     async fn first(&self) -> Result<Answer<S::Change>, SourceError> {
         let due = STORE_DELAY + START_JITTER.mul_f64(fastrand::f64());
+        let patience = SEED_PATIENCE.mul_f64(fastrand::f64());
         let store = async {
             // The nodes that start beside this one are known only after a while.
-            while self.core.began.elapsed() < due + snapshot_relay::first_read_delay(self.core) {
+            while self.core.began.elapsed() < due + self.first_read_delay(patience) {
                 tokio::time::sleep(MAX_COPY_POLL).await;
             }
             self.read_store(Duration::ZERO).await
@@ -154,6 +159,16 @@
         }
     }
 
+    /// How long this node leaves the store to others, `patience` while it has seeds that it hasn't
+    /// heard.
+    fn first_read_delay(&self, patience: Duration) -> Duration {
+        if self.is_discovering_peers() {
+            patience
+        } else {
+            snapshot_relay::first_read_delay(self.core)
+        }
+    }
+
     /// Waits until another node gives its copy.
     async fn copy_of_others(&self, wanted: Wanted) -> Answer<S::Change> {
         let mut pause = COPY_POLL;
