--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -1,8 +1,8 @@
 //! Hosts that are cold: for some seconds after a start they are slow, and crash under many requests.
 //!
-//! Sized for a failure domain whose hosts all come back at once beside full traffic. The bound on a
-//! cold host's requests is shared by all nodes. A scheduler, which assigns all requests of a head,
-//! counts them ([`GrantWindow`]); where each node chooses hosts by itself, it takes its part of the
+//! Sized for a failure domain whose hosts all come back at once beside full traffic. All nodes share
+//! the bound on a cold host's request rate. A scheduler, which assigns all requests of a head,
+//! counts its grants ([`GrantWindow`]); a node that chooses hosts by itself takes its part of the
 //! bound ([`ColdShares`]).
 
 use std::collections::{BTreeMap, VecDeque};
@@ -26,7 +26,7 @@
     pub struct ColdStart {
         /// How long they are cold.
         pub time: Duration,
-        /// Requests a second that one bears meanwhile.
+        /// Requests a second that one can take meanwhile.
         pub rate: Millionths,
     }
 }
@@ -64,17 +64,18 @@
     now.saturating_duration_since(at) >= WINDOW
 }
 
-/// One node's part of the requests that cold hosts bear.
+/// One node's part of the request rates of cold hosts: a token bucket for each, of one token.
 #[derive(Clone, Debug, Default)]
 pub struct ColdShares {
-    /// Requests that the node may send to each host, as of an instant.
-    budgets: BTreeMap<HostId, (f64, Instant)>,
+    /// Tokens by host, as of an instant.
+    tokens: BTreeMap<HostId, (f64, Instant)>,
 }
 
 impl ColdShares {
-    /// Whether the node may send a request to a cold host, one of `nodes` that choose by
-    /// themselves. `draw` is any number from 0 up to 1; it is used at the first question about a
-    /// host, and nodes must not draw the same.
+    /// Whether this node, one of `nodes`, may send a cold host a request now.
+    ///
+    /// `draw` is any number from 0 up to 1, with which a host's bucket begins; nodes must not draw
+    /// the same.
     pub fn may_send(
         &mut self,
         host: &HostId,
@@ -84,23 +85,23 @@
         now: Instant,
     ) -> bool {
         let rate = cold.rate.get() * SHARED_RATIO / nodes.max(1) as f64;
-        let (budget, at) = self.budgets.entry(host.clone()).or_insert((draw, now));
+        let (tokens, at) = self.tokens.entry(host.clone()).or_insert((draw, now));
         let earned = rate * now.saturating_duration_since(*at).as_secs_f64();
-        *budget = (*budget + earned).min(1.0);
+        *tokens = (*tokens + earned).min(1.0);
         *at = now;
-        *budget >= 1.0
+        *tokens >= 1.0
     }
 
     /// Notes that a request was sent to a cold host.
     pub fn sent(&mut self, host: &HostId) {
-        if let Some((budget, _)) = self.budgets.get_mut(host) {
-            *budget -= 1.0;
+        if let Some((tokens, _)) = self.tokens.get_mut(host) {
+            *tokens -= 1.0;
         }
     }
 
-    /// Forgets hosts about which nothing was asked for as long as hosts are cold.
+    /// Forgets hosts that can't be cold any more: no request was considered for them for that long.
     pub fn forget_warm(&mut self, cold: &ColdStart, now: Instant) {
         let asked = |at: &Instant| now.saturating_duration_since(*at) < cold.time;
-        self.budgets.retain(|_, (_, at)| asked(at));
+        self.tokens.retain(|_, (_, at)| asked(at));
     }
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -60,7 +60,7 @@
     evacuated: Option<BTreeSet<FailureDomain>>,
     /// When failure domains were taken back: their hosts may have become cold meanwhile.
     taken_back: BTreeMap<FailureDomain, Instant>,
-    /// Until when hosts are cold by their own word.
+    /// Until when hosts are cold by their entries.
     cold_until: BTreeMap<HostId, Instant>,
     /// Until then a host that isn't listed may only have lapsed.
     lenient_until: Option<Instant>,
@@ -108,7 +108,7 @@
         self.evacuated != before
     }
 
-    /// Until when a host of a service is to be treated as cold; `None` where it isn't known to be.
+    /// Until when a host counts as cold; `None` if nothing says that it is.
     pub fn cold_until(&self, host: &Host, cold: &ColdStart) -> Option<Instant> {
         let own = self.cold_until.get(&host.id).copied();
         let back = self.taken_back.get(&host.failure_domain);
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -62,7 +62,7 @@
         pub state: HostState,
         /// Requests that it runs at once.
         pub slots: usize,
-        /// How much longer it is cold, in milliseconds, as of when it said so.
+        /// For how much longer it is cold, in milliseconds, as of when it wrote its entry.
         pub cold_ms: u64,
         /// Models whose weights are in its memory.
         pub staged: SmallVec<[ModelName; 2]>,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ServiceName};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
-use eelgrassmill_fleet::{Candidate, ColdStart, Host, TargetOutcome, place};
+use eelgrassmill_fleet::{Candidate, ColdShares, ColdStart, Fleet, Host, TargetOutcome, place};
 use http::{Response, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -175,17 +175,17 @@
     let fleet = locked(&core.fleet);
     let stats = locked(&core.targets);
     let mut shares = locked(&core.cold_shares);
-    let is_cold = |h: &Host, cold: &ColdStart| fleet.cold_until(h, cold).is_some_and(|t| now < t);
+    let cold_start_of = |h: &Host| cold_start.filter(|cold| is_cold(&fleet, h, cold, now));
     if let Some(cold) = &cold_start {
         shares.forget_warm(cold, now);
     }
-    let mut bears = |h: &Host| {
-        let cold = cold_start.as_ref().filter(|cold| is_cold(h, cold));
-        cold.is_none_or(|cold| shares.may_send(&h.id, cold, nodes, fastrand::f64(), now))
+    let is_within_share = |h: &Host, shares: &mut ColdShares| {
+        let draw = fastrand::f64();
+        cold_start_of(h).is_none_or(|cold| shares.may_send(&h.id, &cold, nodes, draw, now))
     };
     let usable = |h: &&Host| {
         let is_wanted = h.service == service && !tried.contains(&h.id);
-        is_wanted && fleet.takes_requests(h) && bears(h)
+        is_wanted && fleet.takes_requests(h) && is_within_share(h, &mut shares)
     };
     let candidates: Vec<Candidate> = fleet
         .hosts()
@@ -201,16 +201,19 @@
             }
         })
         .collect();
-    let chosen = fleet.host(&place(&candidates, 0.0, fastrand::f64())?.host)?;
-    if cold_start
-        .as_ref()
-        .is_some_and(|cold| is_cold(chosen, cold))
-    {
+    let chosen = place(&candidates, 0.0, fastrand::f64())?;
+    let chosen = fleet.host(&chosen.host)?;
+    if cold_start_of(chosen).is_some() {
         shares.sent(&chosen.id);
     }
     Some(chosen.clone())
 }
 
+fn is_cold(fleet: &Fleet, host: &Host, cold: &ColdStart, now: Instant) -> bool {
+    let until = fleet.cold_until(host, cold);
+    until.is_some_and(|until| now < until)
+}
+
 async fn attempt<P: Platform>(
     core: &Core<P>,
     call: &Call,
