--- a/crates/gateway/src/list_codec.rs
+++ b/crates/gateway/src/list_codec.rs
@@ -63,7 +63,7 @@
         Host {
             id: format_smolstr!("i-{hash:010x}"),
             born_ms: 1_780_000_000_000 + hash % 60_000,
-            service: "hucu56a".into(),
+            service: "drafts".into(),
             address: format_smolstr!("10.1.{}.{}:8220", n / 250, n % 250),
             failure_domain: format_smolstr!("hall-{}", n % 5),
             fabric: format_smolstr!("fabric-{}", n / 35),
@@ -116,9 +116,9 @@
     fn the_text_of_a_configuration_is_compressed() -> Result<()> {
         let route = |n: usize| {
             format!(
-                r#"{{"name":"r-{n:07}","host":"site{n}.example","prefix":"/p{n}/","kind":"stream",
-                "timeout_ms":6000,"target_latency_ms":300,"priority":1,"service":"hucu56a",
-                "attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":200}}"#
+                r#"{{"route":"r-{n:07}","host":"site{n}.example","path":"/p{n}/","repeat":"once",
+                "timeout":6000,"aim":300,"urgency":1,"target":"drafts","attempts":2,
+                "needs-key":true,"stream":true,"resumable":true,"longest-pause":200}}"#
             )
         };
         let text: String = (0..250).map(route).collect();
