--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -26,12 +26,11 @@
 /// change must be seen within 2 s, the shortest bound that platforms set. Copies in order
 /// are half a second old at the node that asks the store, and as much more one hop on.
 const MAX_AGE: Duration = Duration::from_millis(1100);
-/// For how long an encoded list is told to further nodes, which then ask for what changed since.
+/// How long an encoded list is reused for other nodes; they fetch later changes as deltas.
 const ENCODED_LIST_TTL: Duration = Duration::from_millis(300);
 /// Longest wait of one question to another node.
 const POLL_TIME: Duration = Duration::from_millis(400);
-/// The same for nodes that have further nodes below them: with two such hops a list is 0.8 s old at
-/// most where the last node takes it.
+/// The same for inner nodes of the list tree: each hop adds to a list's age, bounded by [`MAX_AGE`].
 const INNER_POLL_TIME: Duration = Duration::from_millis(150);
 /// An answer may take this long beyond its wait; between failure domains it takes 1 to 5 ms,
 /// and one repeated packet some 200 ms.
@@ -45,8 +44,7 @@
     whole: Mutex<Option<EncodedList>>,
 }
 
-/// The whole list as it was told last. Many nodes that start ask for it at once, and encoding it for
-/// each of them would take a weak node seconds.
+/// A snapshot in its wire form, shared by the nodes that ask for it at once when they start.
 #[derive(Clone, Debug)]
 struct EncodedList {
     version: Cursor,
@@ -240,7 +238,7 @@
     }
 }
 
-/// The whole list, as it was encoded a moment ago or as it is now.
+/// The cached snapshot while it is recent, else a new one.
 fn encoded_list<P: Platform, C: Relayed<P>>(
     core: &Core<P>,
     version: Cursor,
@@ -284,7 +282,7 @@
     Malformed(SourceError),
 }
 
-/// The node to ask for lists, and the wait of a question to it.
+/// The node to poll for lists, and the longest wait of one poll.
 #[derive(Clone, Debug)]
 pub(crate) struct Parent {
     pub(crate) node: NodeId,
@@ -324,7 +322,7 @@
     })
 }
 
-/// How long this node, which has no lists, leaves the store to others.
+/// Delay of this node's first read of the store.
 pub(crate) fn first_read_delay<P: Platform>(core: &Core<P>) -> Duration {
     let nodes = locked(&core.nodes);
     let others = nodes.with_copies(Instant::now());
--- a/crates/peer/src/dissemination/membership.rs
+++ b/crates/peer/src/dissemination/membership.rs
@@ -14,9 +14,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause after a failed call.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
-/// Pause between two layouts of the overlay for each node in it. Nodes that start or stop one after
-/// the other would otherwise have it laid out at each flush, which costs a large system more than all
-/// it sends.
+/// Shortest interval between two layouts of the overlay, for each node in it: a layout costs time
+/// that grows with the number of nodes.
 const LAYOUT_PAUSE: Duration = Duration::from_micros(250);
 /// Most nodes that are remembered after they fell silent.
 const MAX_ABSENT: usize = MAX_ORIGINS;
