Log hosts that crash under requests, with the requests' fingerprints

When a response breaks, the node now connects to the host again. A crashed host refuses (SendError::Refused, split off NotSent), or can't be reached and is dropped from the host list. The line host-crashed names the host and the fingerprints of what this node had running there; gateway_host_crashes_total counts. Checks are shared by all requests that break at one host, and one found alive isn't checked again for 1 s.

No request is treated otherwise than before. A fingerprint is the hash of tenant, path and body; bodies are hashed as bytes now, also by the project's own entry, where only bodies that aren't UTF-8 get another one.

breaks.rs: the closed port is expected as Refused in place of NotSent; the race on a kept connection may show it too, as the case of NotSent that it was.

--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -5,14 +5,17 @@
 ///
 /// The standard library's hasher is seeded per process, so two nodes would
 /// disagree about which of them watches a group.
-pub fn stable_hash<'a>(parts: impl IntoIterator<Item = &'a str>) -> u64 {
+pub fn stable_hash<'a, T>(parts: impl IntoIterator<Item = &'a T>) -> u64
+where
+    T: AsRef<[u8]> + ?Sized + 'a,
+{
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     let mut hash = OFFSET;
     for part in parts {
         // The separator keeps ("ab", "c") and ("a", "bc") apart.
-        for byte in part.bytes().chain(std::iter::once(0xff)) {
-            hash ^= u64::from(byte);
+        for byte in part.as_ref().iter().chain(std::iter::once(&0xff)) {
+            hash ^= u64::from(*byte);
             hash = hash.wrapping_mul(PRIME);
         }
     }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,5 +1,6 @@
 //! Requests to targets over kept connections.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -172,7 +173,7 @@
     /// the target can stop.
     ///
     /// # Errors
-    /// [`SendError::NotSent`] only when no byte of the request left.
+    /// [`SendError::NotSent`] or [`SendError::Refused`] only when no byte of the request left.
     pub async fn send(
         &self,
         address: &str,
@@ -185,7 +186,7 @@
     /// Like [`TargetClient::send`], with a bound of its own on the wait for the head.
     ///
     /// # Errors
-    /// [`SendError::NotSent`] only when no byte of the request left.
+    /// [`SendError::NotSent`] or [`SendError::Refused`] only when no byte of the request left.
     pub async fn send_within(
         &self,
         address: &str,
@@ -209,6 +210,15 @@
         Ok(TargetResponse::new(response, lease))
     }
 
+    /// Opens a connection to the target at `address` and closes it.
+    ///
+    /// # Errors
+    /// [`SendError::Refused`] if nothing listens there, [`SendError::NotSent`] if it can't be
+    /// reached in time.
+    pub async fn check_listening(&self, address: &str) -> Result<(), SendError> {
+        self.open(address).await.map(drop)
+    }
+
     async fn exchange(
         &self,
         lease: &mut Lease,
@@ -255,14 +265,21 @@
         }
     }
 
+    async fn open(&self, address: &str) -> Result<TcpStream, SendError> {
+        let failed = |why: &dyn std::fmt::Display| format!("{address}: {why}");
+        match timeout(self.shared.connect_timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(SendError::Refused(failed(&e)))
+            }
+            Ok(Err(e)) => Err(SendError::NotSent(failed(&e))),
+            Err(_) => Err(SendError::NotSent(failed(&"connect took too long"))),
+        }
+    }
+
     async fn connect(&self, address: &str) -> Result<Conn, SendError> {
         let not_sent = |why: String| SendError::NotSent(format!("{address}: {why}"));
-        let connected = timeout(self.shared.connect_timeout, TcpStream::connect(address)).await;
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(not_sent(e.to_string())),
-            Err(_) => return Err(not_sent("connect took too long".to_owned())),
-        };
+        let stream = self.open(address).await?;
         stream
             .set_nodelay(true)
             .map_err(|e| not_sent(e.to_string()))?;
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -46,6 +46,9 @@
     /// No byte of it left for the target.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The connection was refused: nothing listens at the address.
+    #[error("not sent: {0}")]
+    Refused(String),
     /// It may have run.
     #[error("no answer: {0}")]
     Unknown(String),
@@ -66,7 +69,7 @@
     /// What the caller may be told.
     pub fn outcome(&self) -> Outcome {
         match self {
-            SendError::NotSent(_) => Outcome::NotRun,
+            SendError::NotSent(_) | SendError::Refused(_) => Outcome::NotRun,
             SendError::Unknown(_) | SendError::WrongId { .. } | SendError::Unframed => {
                 Outcome::Unknown
             }
--- a/crates/engine/tests/breaks.rs
+++ b/crates/engine/tests/breaks.rs
@@ -111,7 +111,9 @@
         .send(&address, completion("r1", "hello", 4, false))
         .await
         .map(drop);
-    expect_that!(sent, err(pat!(SendError::NotSent(anything()))));
+    expect_that!(sent, err(pat!(SendError::Refused(anything()))));
+    let listening = client().check_listening(&address).await;
+    expect_that!(listening, err(pat!(SendError::Refused(anything()))));
     let mut unnamed = completion("r1", "hello", 4, false);
     unnamed.headers.clear();
     let sent = client().send(&address, unnamed).await.map(drop);
@@ -137,6 +139,7 @@
         second,
         any![
             pat!(SendError::NotSent(anything())),
+            pat!(SendError::Refused(anything())),
             pat!(SendError::Unknown(anything()))
         ]
     );
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use eelgrassmill_base::{ModelName, RequestId, TenantId, value};
 use eelgrassmill_fleet::{Caller, RetryPolicy, Route};
+use eelgrassmill_route::{RequestFingerprint, request_fingerprint};
 use http::{HeaderMap, Method};
 use smol_str::SmolStr;
 
@@ -53,6 +54,12 @@
         self.first_sent + self.route.latency_objective
     }
 
+    /// Identifies the request whenever its caller sends it again.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let tenant = self.caller.as_ref().map_or("", |c| c.tenant.as_str());
+        request_fingerprint(tenant, &self.path, &self.body)
+    }
+
     pub(crate) fn is_idempotent(&self) -> bool {
         self.route.retry_policy == RetryPolicy::Idempotent
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,6 +17,7 @@
 use crate::admission::AdmissionQueues;
 use crate::config::GatewayConfig;
 use crate::configuration::Configuration;
+use crate::crash_detection::CrashDetection;
 use crate::heads::{HeadTable, locked};
 use crate::inbox::Inbox;
 use crate::logs::LogRateLimit;
@@ -55,6 +56,7 @@
     pub(crate) schedulers: Schedulers,
     pub(crate) caller_timeouts: Mutex<CallerTimeouts>,
     pub(crate) scheduler_client: SchedulerClient,
+    pub(crate) crash_detection: CrashDetection,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
     /// aborts the remaining requests (`exiting`).
@@ -98,6 +100,7 @@
             schedulers: Schedulers::default(),
             caller_timeouts: Mutex::default(),
             scheduler_client: SchedulerClient::default(),
+            crash_detection: CrashDetection::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::core::Core;
+use crate::crash_detection;
 use crate::heads::locked;
 use crate::metrics::RetryReason;
 use crate::ports::{AttemptMetadata, Dialect, Platform, ResponseClass};
@@ -78,7 +79,8 @@
             break;
         }
         let attempt_timeout = attempt_timeout(call, runs);
-        let attempt = attempt(core, call, &host, attempt_timeout).await;
+        let until = Instant::now() + attempt_timeout;
+        let attempt = attempt(core, call, &host, until).await;
         tried.push(host.id.clone());
         log_attempt(call, &host, &attempt);
         match attempt {
@@ -95,6 +97,9 @@
             AttemptResult::NotSent(_) => {}
             AttemptResult::NotRun(_) => delivered += 1,
             AttemptResult::Unknown(_) => {
+                if Instant::now() < until {
+                    crash_detection::on_broken(core, call, &host.id);
+                }
                 runs += 1;
                 delivered += 1;
                 if !call.is_idempotent() || runs >= call.route.attempts {
@@ -221,7 +226,7 @@
     core: &Core<P>,
     call: &Call,
     host: &Host,
-    attempt_timeout: Duration,
+    until: Instant,
 ) -> AttemptResult {
     locked(&core.targets).on_request_start(&host.id);
     let mut running = RequestGuard {
@@ -230,14 +235,16 @@
         outcome: TargetOutcome::Failed,
     };
     let req = target_request(core, call, &host.id, None, None);
-    let until = Instant::now() + attempt_timeout;
+    let attempt_timeout = until.saturating_duration_since(Instant::now());
     let sent = core
         .http
         .send_within(&host.address, req, attempt_timeout)
         .await;
     let response = match sent {
         Ok(response) => response,
-        Err(SendError::NotSent(why)) => return AttemptResult::NotSent(why.into()),
+        Err(SendError::NotSent(why) | SendError::Refused(why)) => {
+            return AttemptResult::NotSent(why.into());
+        }
         Err(err) => return AttemptResult::Unknown(err.to_string().into()),
     };
     let status = response.status;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod configuration;
 mod core;
+mod crash_detection;
 mod dispatch;
 mod gateway;
 mod heads;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub(crate) first_byte: HistogramVec,
     /// Retries by service and reason.
     pub(crate) retries: IntCounterVec,
+    /// Crashes of hosts under requests of this node, by service.
+    pub(crate) host_crashes: IntCounterVec,
     /// Orders by kind and reply.
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -85,6 +87,11 @@
                 "Requests that were sent once more.",
                 &["service", "reason"],
             ),
+            host_crashes: counter(
+                "gateway_host_crashes_total",
+                "Hosts that crashed under requests of this node.",
+                &["service"],
+            ),
             orders: counter(
                 "gateway_orders_total",
                 "Orders to hosts.",
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,6 @@
 use tokio::sync::mpsc;
 use tracing::info;
 
-use crate::admission;
 use crate::body::{ResponseBody, StreamChunk};
 use crate::call::Call;
 use crate::core::Core;
@@ -21,6 +20,7 @@
 use crate::ports::{Dialect, Platform, ResponseClass};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::sse::EventSplitter;
+use crate::{admission, crash_detection};
 
 /// Chunks that are buffered for a slow caller before its stream stops reading from the host.
 const STREAM_BUFFER_CHUNKS: usize = 64;
@@ -207,13 +207,14 @@
         };
         let response = match sent {
             Ok(response) => response,
-            Err(SendError::NotSent(why)) => {
+            Err(SendError::NotSent(why) | SendError::Refused(why)) => {
                 self.log_attempt(&head, "not-sent", &why);
                 return Err(self.rejected(&mut slot));
             }
             Err(err) => {
                 self.deliveries += 1;
                 self.log_attempt(&head, "unknown", &err.to_string());
+                self.check_for_crash(&head);
                 return Err(self.failed(&mut slot));
             }
         };
@@ -264,6 +265,13 @@
         AttemptError::Unknown
     }
 
+    /// Checks whether the head crashed, after its response broke.
+    fn check_for_crash(&self, head: &Head) {
+        if !self.call.remaining().is_zero() && !head.is_lost() {
+            crash_detection::on_broken(&self.core, &self.call, &head.host);
+        }
+    }
+
     /// Forwards the host's response to the caller.
     async fn forward(
         mut self,
@@ -316,6 +324,7 @@
             let end = self.forward_until_end(&mut started, &tx).await;
             if let ReadEnd::Broken(why) = &end {
                 self.log_attempt(&started.slot.head, "broken", why);
+                self.check_for_crash(&started.slot.head);
                 self.failed(&mut started.slot);
             }
             // Closes the connection to the host, which cancels the request there.
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, HostId, Tokens};
+use eelgrassmill_base::{Epoch, HostId, Outcome, Tokens};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
 use eelgrassmill_route::Pick;
 use eelgrassmill_timeline::EventKind;
@@ -236,7 +236,7 @@
         Ok(Ok(response)) => response,
         Ok(Err(err)) => {
             // What may have run is charged; a target that broke off did work for it.
-            if !matches!(err, SendError::NotSent(_)) {
+            if err.outcome() != Outcome::NotRun {
                 place.used(call.tokens);
             }
             if matches!(err, SendError::WrongId { .. } | SendError::Unframed) {
--- a/crates/node/src/entry/trial.rs
+++ b/crates/node/src/entry/trial.rs
@@ -24,8 +24,7 @@
 
 /// The fingerprint of a call.
 pub(crate) fn print_of(call: &Call) -> RequestFingerprint {
-    let body = String::from_utf8_lossy(&call.body);
-    request_fingerprint(&call.tenant, &call.service, &body)
+    request_fingerprint(&call.tenant, &call.service, &call.body)
 }
 
 /// Whether the call is a suspect, which runs apart from other suspects; waits for news of it.
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -48,8 +48,12 @@
 const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
 
 /// Hashes a request so that identical requests of a tenant share a fingerprint.
-pub fn request_fingerprint(tenant: &str, service: &str, body: &str) -> RequestFingerprint {
-    stable_hash([tenant, service, body])
+pub fn request_fingerprint(
+    tenant: &str,
+    service: &str,
+    body: impl AsRef<[u8]>,
+) -> RequestFingerprint {
+    stable_hash([tenant.as_bytes(), service.as_bytes(), body.as_ref()])
 }
 
 /// Returns the id of the crash of one epoch of a group.
