Add the policy of quarantine for fleets whose nodes share no requests

SuspectTracker finds requests that crash engines by exchanging each crash with all nodes. That suits the project's own entry; with 985 nodes, each report of each crash would go to all of them. QuarantineCoordinator takes the reports of all nodes on a service's hosts, lets the tracker find the cause, and returns decisions, which are few and which QuarantineTable applies at each node.

The tracker was wrong in cases that the gateway meets:

- Identical sound requests run at every host, so also at each that a crashing one crashes.
Among requests that were in the same crashes the one in more of them, or without output before the crash, is named first; crashes with a request that is already named don't count against others.
- Hosts that fail together crash under the same requests.
A crash counts only if the request was sent there after the last one that counts.

tests/quarantine.rs plays 985 nodes that receive a decision after up to 1.5 s and 20 requests, each of which comes to a random node ten times a second for 180 s; both coordinators lose their evidence after 30 s.

--- a/crates/node/src/state/guard.rs
+++ b/crates/node/src/state/guard.rs
@@ -6,7 +6,7 @@
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, NodeId};
 use eelgrassmill_peer::{Item, Suspect};
 use eelgrassmill_route::{
-    CRASH_TTL, ClearedRecord, CrashId, CrashRecord, RequestFingerprint, SuspectStatus,
+    CRASH_TTL, ClearedRecord, CrashId, CrashRecord, CrashedRun, RequestFingerprint, SuspectStatus,
     SuspectTracker, SuspectUpdate, TrialRecord, crash_id,
 };
 use serde::{Deserialize, Serialize};
@@ -110,7 +110,7 @@
         let with = news
             .crashes
             .iter()
-            .filter(|d| d.running.contains(&fingerprint));
+            .filter(|d| d.running.iter().any(|r| r.fingerprint == fingerprint));
         with.count() as u32
     }
 
@@ -118,8 +118,8 @@
     pub(crate) fn listed(&self, now: Instant) -> Vec<(RequestFingerprint, u32, bool)> {
         let news = self.suspects.export(now);
         let mut deaths: BTreeMap<RequestFingerprint, u32> = BTreeMap::new();
-        for fingerprint in news.crashes.iter().flat_map(|d| &d.running) {
-            *deaths.entry(*fingerprint).or_default() += 1;
+        for run in news.crashes.iter().flat_map(|d| &d.running) {
+            *deaths.entry(run.fingerprint).or_default() += 1;
         }
         let named = |fingerprint| {
             matches!(
@@ -180,7 +180,7 @@
                 id,
                 failure_domain: domain,
                 age,
-                running,
+                running: running.into_iter().map(CrashedRun::from).collect(),
             }),
             News::State { cleared, trials } => {
                 self.end_heard(from, &trials);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod addresses;
 mod pick;
+mod quarantine;
 mod queue;
 mod quota;
 mod retry;
@@ -15,6 +16,10 @@
     CacheEvent, Candidate, GroupPicker, INTER_TOKEN_LATENCY_SLO, LatencySample, Pick, PrefixHash,
     PrefixHashes, TIME_TO_FIRST_TOKEN_SLO, prefix_hashes,
 };
+pub use crate::quarantine::{
+    MAX_REPORTED_REQUESTS, QuarantineCoordinator, QuarantineRecord, QuarantineStatus,
+    QuarantineTable, TrialDenied,
+};
 pub use crate::queue::{
     AdmissionRequest, Dequeued, QueueOptions, Refusal, RefusalReason, ServiceQueue, SlotKind,
     Slots, TenantUsage, Ticket,
@@ -25,7 +30,7 @@
 };
 pub use crate::retry::{MAX_ATTEMPTS, RetryBudget, RetryDenied, backoff, may_retry};
 pub use crate::suspects::{
-    COMMON_CAUSE_WINDOW, CRASH_TTL, ClearedRecord, CrashId, CrashRecord, QUARANTINE_TERM,
-    RequestFingerprint, SuspectStatus, SuspectTracker, SuspectUpdate, TrialRecord, crash_id,
-    request_fingerprint,
+    COMMON_CAUSE_WINDOW, CRASH_TTL, ClearedRecord, CrashId, CrashRecord, CrashedRun,
+    QUARANTINE_TERM, RequestFingerprint, SuspectStatus, SuspectTracker, SuspectUpdate, TrialRecord,
+    crash_id, request_fingerprint,
 };
--- /dev/null
+++ b/crates/route/src/quarantine/mod.rs
@@ -0,0 +1,17 @@
+//! Quarantine at the nodes of a fleet that share no requests.
+//!
+//! A crashing request may be sent to a different node each time, so no node sees enough of its
+//! crashes. Sending each crash to all nodes would cost nodes times crashes. Instead, nodes report
+//! crashes to the [`QuarantineCoordinator`] of the service, which finds the cause and sends its
+//! decisions, which are few, to all nodes. Each node applies them from its [`QuarantineTable`].
+//!
+//! A request that was quarantined by mistake is cleared by a trial: after some seconds one attempt
+//! is permitted in the whole fleet. Each failed trial lengthens the quarantine.
+
+mod coordinator;
+mod table;
+
+pub use crate::quarantine::coordinator::{
+    MAX_REPORTED_REQUESTS, QuarantineCoordinator, TrialDenied,
+};
+pub use crate::quarantine::table::{QuarantineRecord, QuarantineStatus, QuarantineTable};
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -4,19 +4,22 @@
 //! retried in isolation: one suspect per group at a time. A request is quarantined
 //! after two crashes without another common cause, if in one of them no other
 //! request had been in two crashes; or after any three crashes, four if all were
-//! in one failure domain. The state is a set of crashes merged by union, so nodes
+//! in one failure domain, unless another request was in all of them. The state is a set of crashes merged by union, so nodes
 //! converge whatever order updates arrive in.
 
 mod record;
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, stable_hash, value};
 use smallvec::SmallVec;
 
-use crate::suspects::record::Crash;
-pub use crate::suspects::record::{ClearedRecord, CrashRecord, SuspectUpdate, TrialRecord};
+pub use crate::suspects::record::{
+    ClearedRecord, CrashRecord, CrashedRun, SuspectUpdate, TrialRecord,
+};
+use crate::suspects::record::{Crash, Run};
 
 /// Fingerprint of a request, the same whenever its caller sends it again.
 pub type RequestFingerprint = u64;
@@ -32,7 +35,10 @@
 /// are attributed to the domain and not to a request.
 pub const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(5);
 
-/// Maximum number of crashes kept; the oldest is dropped first.
+/// Error of the times that nodes report: their messages' time on the way.
+const TIME_ERROR: Duration = Duration::from_millis(25);
+
+/// Maximum number of crashes kept unless set otherwise; the oldest is dropped first.
 const MAX_CRASHES: usize = 64;
 /// How long a trial reported by another node counts without being reported again.
 const TRIAL_TTL: Duration = Duration::from_secs(60);
@@ -46,6 +52,8 @@
 /// The same if all were in one failure domain, which may itself be failing. Must exceed
 /// the attempts of one request.
 const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
+/// Further crashes that quarantine a request although another one was in all of its crashes.
+const SHARED_CRASHES: usize = 2;
 
 /// Hashes a request so that identical requests of a tenant share a fingerprint.
 pub fn request_fingerprint(
@@ -84,17 +92,44 @@
 }
 
 /// Crashes, suspects and their trials as known to one node.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SuspectTracker {
+    max_crashes: usize,
     crashes: BTreeMap<CrashId, Crash>,
     /// Invariant: for each request, the crashes in which it was running.
     by_fingerprint: BTreeMap<RequestFingerprint, SmallVec<[CrashId; 2]>>,
     /// When a request last completed on a group that stayed up; earlier crashes don't count.
     cleared: BTreeMap<RequestFingerprint, Instant>,
     trials: BTreeMap<GroupId, Trial>,
+    /// Requests that are known to crash what runs them. Crashes with one of them don't count
+    /// against others.
+    known_causes: BTreeSet<RequestFingerprint>,
+}
+
+impl Default for SuspectTracker {
+    fn default() -> SuspectTracker {
+        SuspectTracker::with_capacity(MAX_CRASHES)
+    }
 }
 
 impl SuspectTracker {
+    /// Creates a tracker that keeps up to `max_crashes` crashes.
+    pub fn with_capacity(max_crashes: usize) -> SuspectTracker {
+        SuspectTracker {
+            max_crashes,
+            crashes: BTreeMap::new(),
+            by_fingerprint: BTreeMap::new(),
+            cleared: BTreeMap::new(),
+            trials: BTreeMap::new(),
+            known_causes: BTreeSet::new(),
+        }
+    }
+
+    /// Sets the requests that are known to crash what runs them.
+    pub fn set_known_causes(&mut self, causes: impl IntoIterator<Item = RequestFingerprint>) {
+        self.known_causes = causes.into_iter().collect();
+    }
+
     /// Records a group's crash and the requests that this node had running on it.
     ///
     /// Crashes with no request running count too: they can show that the failure domain
@@ -108,6 +143,7 @@
         now: Instant,
     ) {
         self.trials.remove(group);
+        let running = running.into_iter().map(CrashedRun::from);
         self.merge_crash(crash_id(group, epoch), failure_domain, now, running);
         self.prune(now);
     }
@@ -130,7 +166,7 @@
             return SuspectStatus::Clear;
         }
         let age = now.saturating_duration_since(last_crash);
-        let quarantined = all.len() >= quarantine_threshold(&all)
+        let quarantined = self.is_over_limit(fingerprint, &all, now)
             || self.is_crash_cause(fingerprint, &independent, now);
         match quarantined && age < QUARANTINE_TERM {
             true => SuspectStatus::Quarantined {
@@ -140,6 +176,11 @@
         }
     }
 
+    /// Number of crashes that count against the request.
+    pub fn crash_count(&self, fingerprint: RequestFingerprint, now: Instant) -> usize {
+        self.crashes_of(fingerprint, now).len()
+    }
+
     /// Starts a suspect's trial at the group; returns false if another suspect runs there.
     pub fn begin_trial(
         &mut self,
@@ -186,14 +227,37 @@
         }
     }
 
-    /// Returns the crashes that count against the request.
+    /// Returns the crashes that count against the request, in the order of time.
+    ///
+    /// A crash counts if the request began to run there after the last one that counts: hosts that
+    /// fail at the same time crash under the same requests, and a crashing request crashes the next
+    /// host only once it is sent there.
     fn crashes_of(&self, fingerprint: RequestFingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
         let cleared = self.cleared.get(&fingerprint);
         let ids = self.by_fingerprint.get(&fingerprint).into_iter().flatten();
-        ids.filter_map(|id| self.crashes.get(id))
+        let mut crashes: SmallVec<[&Crash; 4]> = ids
+            .filter_map(|id| self.crashes.get(id))
             .filter(|c| now.saturating_duration_since(c.at) < CRASH_TTL)
             .filter(|c| cleared.is_none_or(|at| c.at > *at))
-            .collect()
+            .filter(|c| !self.is_explained(c, fingerprint))
+            .collect();
+        crashes.sort_by_key(|c| c.at);
+        let mut last: Option<Instant> = None;
+        crashes.retain(|c| {
+            let began = c.running.get(&fingerprint).map_or(c.at, |run| run.began);
+            let counts = last.is_none_or(|last| began + TIME_ERROR > last);
+            if counts {
+                last = Some(c.at);
+            }
+            counts
+        });
+        crashes
+    }
+
+    /// Whether another request is known to be the cause.
+    fn is_explained(&self, crash: &Crash, fingerprint: RequestFingerprint) -> bool {
+        let mut causes = self.known_causes.iter().filter(|p| **p != fingerprint);
+        causes.any(|p| crash.running.contains_key(p))
     }
 
     fn is_crash_cause(
@@ -204,10 +268,46 @@
     ) -> bool {
         let other = |p: &&RequestFingerprint| **p != fingerprint;
         let in_several = |p: &RequestFingerprint| self.crashes_of(*p, now).len() >= MIN_CRASHES;
-        let no_other_cause = |c: &&Crash| !c.running.iter().filter(other).any(in_several);
+        let no_other_cause = |c: &&Crash| !c.running.keys().filter(other).any(in_several);
         crashes.len() >= MIN_CRASHES && crashes.iter().any(no_other_cause)
     }
 
+    /// Whether the request was in too many crashes.
+    fn is_over_limit(
+        &self,
+        fingerprint: RequestFingerprint,
+        crashes: &[&Crash],
+        now: Instant,
+    ) -> bool {
+        let Some((first, rest)) = crashes.split_first() else {
+            return false;
+        };
+        let limit = quarantine_threshold(crashes);
+        let is_in_all = |p: &RequestFingerprint| rest.iter().all(|c| c.running.contains_key(p));
+        let others = first.running.keys().filter(|p| **p != fingerprint);
+        let likelihood = self.likelihood(fingerprint, now);
+        let likelier = others
+            .filter(|p| is_in_all(p))
+            .map(|p| self.likelihood(*p, now))
+            .filter(|other| *other >= likelihood)
+            .max();
+        match likelier {
+            None => crashes.len() >= limit,
+            Some(other) => other == likelihood && crashes.len() >= limit + SHARED_CRASHES,
+        }
+    }
+
+    /// Orders requests that were in the same crashes by how likely each is the cause.
+    ///
+    /// Requests that are retried beside a crashing one get into several crashes too, but not into
+    /// all of them. A crashing one rarely produces output first.
+    fn likelihood(&self, fingerprint: RequestFingerprint, now: Instant) -> (usize, Reverse<usize>) {
+        let crashes = self.crashes_of(fingerprint, now);
+        let has_started = |c: &&&Crash| c.running.get(&fingerprint).is_some_and(|run| run.started);
+        let started = crashes.iter().filter(has_started);
+        (crashes.len(), Reverse(started.count()))
+    }
+
     fn without_common_cause<'a>(&self, crashes: &[&'a Crash]) -> SmallVec<[&'a Crash; 4]> {
         let all = crashes.iter().copied();
         all.filter(|c| !self.has_common_cause(c)).collect()
@@ -221,7 +321,7 @@
         self.crashes.values().any(|other| {
             other.failure_domain == crash.failure_domain
                 && abs_diff(other.at, crash.at) < COMMON_CAUSE_WINDOW
-                && other.running.is_disjoint(&crash.running)
+                && other.is_disjoint(crash)
         })
     }
 
@@ -230,23 +330,31 @@
         id: CrashId,
         failure_domain: &FailureDomain,
         at: Instant,
-        running: impl IntoIterator<Item = RequestFingerprint>,
+        running: impl IntoIterator<Item = CrashedRun>,
     ) {
         let crash = self
             .crashes
             .entry(id)
             .or_insert_with(|| Crash::new(failure_domain.clone(), at));
-        for fingerprint in running {
-            if crash.running.insert(fingerprint) {
-                self.by_fingerprint.entry(fingerprint).or_default().push(id);
-            }
+        for run in running {
+            let began = at.checked_sub(run.ran_for).unwrap_or(at);
+            let known = crash.running.entry(run.fingerprint).or_insert_with(|| {
+                let crashes = self.by_fingerprint.entry(run.fingerprint).or_default();
+                crashes.push(id);
+                Run {
+                    began,
+                    started: run.started,
+                }
+            });
+            known.began = known.began.max(began);
+            known.started |= run.started;
         }
     }
 
     fn prune(&mut self, now: Instant) {
         let expired = |at: Instant| now.saturating_duration_since(at) >= CRASH_TTL;
         self.crashes.retain(|_, c| !expired(c.at));
-        while self.crashes.len() > MAX_CRASHES {
+        while self.crashes.len() > self.max_crashes {
             let oldest = self.crashes.iter().min_by_key(|(id, c)| (c.at, **id));
             let Some(id) = oldest.map(|(id, _)| *id) else {
                 break;
--- a/crates/route/src/suspects/record.rs
+++ b/crates/route/src/suspects/record.rs
@@ -1,6 +1,6 @@
 //! Exchange of crash records between nodes.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, GroupId, value};
@@ -11,7 +11,15 @@
 pub(crate) struct Crash {
     pub(crate) failure_domain: FailureDomain,
     pub(crate) at: Instant,
-    pub(crate) running: BTreeSet<RequestFingerprint>,
+    pub(crate) running: BTreeMap<RequestFingerprint, Run>,
+}
+
+/// A request's run on a group that crashed. Of several runs of one request, the one that began last.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub(crate) began: Instant,
+    /// Whether any of its runs there had produced output.
+    pub(crate) started: bool,
 }
 
 impl Crash {
@@ -19,12 +27,34 @@
         Crash {
             failure_domain,
             at,
-            running: BTreeSet::new(),
+            running: BTreeMap::new(),
         }
     }
+
+    fn runs(&self) -> impl Iterator<Item = CrashedRun> {
+        self.running.iter().map(|(fingerprint, run)| CrashedRun {
+            fingerprint: *fingerprint,
+            ran_for: self.at.saturating_duration_since(run.began),
+            started: run.started,
+        })
+    }
+
+    pub(crate) fn is_disjoint(&self, other: &Crash) -> bool {
+        !self.running.keys().any(|p| other.running.contains_key(p))
+    }
 }
 
 value! {
+    /// A request that was running in a crash.
+    pub struct CrashedRun {
+        /// The request.
+        pub fingerprint: RequestFingerprint,
+        /// Time from the start of its run to the crash; zero if unknown.
+        pub ran_for: Duration,
+        /// Whether it had produced output there.
+        pub started: bool,
+    }
+
     /// A crash and the requests running in it, as known to the sender.
     pub struct CrashRecord {
         /// Identifies the crash at every node.
@@ -33,8 +63,8 @@
         pub failure_domain: FailureDomain,
         /// Time since the sender saw it.
         pub age: Duration,
-        /// Fingerprints of the requests running on the group.
-        pub running: Vec<RequestFingerprint>,
+        /// The requests running on the group.
+        pub running: Vec<CrashedRun>,
     }
 
     /// A request that completed after a crash.
@@ -65,6 +95,17 @@
     }
 }
 
+impl From<RequestFingerprint> for CrashedRun {
+    /// A run of which nothing else is known.
+    fn from(fingerprint: RequestFingerprint) -> CrashedRun {
+        CrashedRun {
+            fingerprint,
+            ran_for: Duration::ZERO,
+            started: false,
+        }
+    }
+}
+
 impl SuspectTracker {
     /// Returns the state to send to other nodes.
     pub fn export(&self, now: Instant) -> SuspectUpdate {
@@ -73,7 +114,7 @@
             id: *id,
             failure_domain: c.failure_domain.clone(),
             age: age(c.at),
-            running: c.running.iter().copied().collect(),
+            running: c.runs().collect(),
         });
         let cleared = self.cleared.iter().map(|(fingerprint, at)| ClearedRecord {
             fingerprint: *fingerprint,
--- /dev/null
+++ b/crates/route/tests/quarantine.rs
@@ -0,0 +1,374 @@
+//! Tests of the quarantine coordinator: it quarantines requests that crash hosts in the whole fleet,
+//! and others not for long.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_route::*;
+use googletest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+const CRASHING: RequestFingerprint = 666;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A run of a request on a host that crashed.
+fn run(fingerprint: RequestFingerprint, ran_for: Duration, started: bool) -> CrashedRun {
+    CrashedRun {
+        fingerprint,
+        ran_for,
+        started,
+    }
+}
+
+/// A coordinator with its node's table.
+#[derive(Default)]
+struct Node {
+    table: QuarantineTable,
+    coordinator: QuarantineCoordinator,
+}
+
+impl Node {
+    fn crash(&mut self, host: &str, domain: &str, running: &[CrashedRun], now: Instant) {
+        let crash = CrashRecord {
+            id: crash_id(host, 0),
+            failure_domain: domain.into(),
+            age: Duration::ZERO,
+            running: running.to_vec(),
+        };
+        let decided = self
+            .coordinator
+            .on_crash(&"draft".into(), crash, &self.table, now);
+        self.apply(decided, now);
+    }
+
+    fn completed(&mut self, fingerprint: RequestFingerprint, now: Instant) {
+        let decided = self.coordinator.on_completed(
+            &"draft".into(),
+            fingerprint,
+            Duration::ZERO,
+            &self.table,
+            now,
+        );
+        self.apply(decided, now);
+    }
+
+    fn decide(&mut self, now: Instant) {
+        let decided = self.coordinator.decide(&self.table, now);
+        self.apply(decided, now);
+    }
+
+    fn may_try(&mut self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+        let permitted =
+            self.coordinator
+                .request_trial(&"draft".into(), fingerprint, SECOND, &self.table, now);
+        if let Ok(decided) = &permitted {
+            self.apply(decided.clone(), now);
+        }
+        permitted.is_ok()
+    }
+
+    fn apply(&mut self, decided: impl IntoIterator<Item = QuarantineRecord>, now: Instant) {
+        for record in decided {
+            self.table.merge(&record, now);
+        }
+    }
+
+    fn is_quarantined(&self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+        self.table.status(fingerprint, now) != QuarantineStatus::Clear
+    }
+}
+
+/// Guards against quarantining requests that were retried beside the crashing one on each host.
+#[gtest]
+fn a_crashing_request_is_told_from_those_retried_beside_it() {
+    let mut now = Instant::now();
+    let mut node = Node::default();
+    for (host, domain) in [("h1", "a"), ("h2", "b"), ("h3", "c")] {
+        let retried = [1, 2, 3].map(|p| run(p, ms(60), true));
+        let crashing = run(CRASHING, ms(60), false);
+        node.crash(host, domain, &[&[crashing], &retried[..]].concat(), now);
+        now += ms(400);
+        node.decide(now);
+    }
+    expect_that!(node.is_quarantined(CRASHING, now), eq(true));
+    for retried in 1..=3 {
+        expect_that!(node.is_quarantined(retried, now), eq(false));
+    }
+}
+
+/// Guards against quarantining a request that many callers send, and that so runs on each host which
+/// crashes.
+#[gtest]
+fn a_request_that_runs_everywhere_is_not_quarantined_for_crashes_of_another() {
+    let mut now = Instant::now();
+    let mut node = Node::default();
+    for n in 0..6 {
+        let common = run(1, ms(20 + n), false);
+        let crashing = run(CRASHING, ms(60), false);
+        let running = match node.is_quarantined(CRASHING, now) {
+            true => vec![],
+            false => vec![crashing, common],
+        };
+        node.crash(&format!("h{n}"), "a", &running, now);
+        now += SECOND;
+        node.decide(now);
+        node.completed(1, now);
+    }
+    expect_that!(node.is_quarantined(CRASHING, now), eq(true));
+    expect_that!(node.is_quarantined(1, now), eq(false));
+}
+
+/// Guards against counting hosts that fail together as crashes one after the other.
+#[gtest]
+fn hosts_that_crash_together_quarantine_nothing() {
+    let mut now = Instant::now();
+    let mut node = Node::default();
+    for (host, domain) in [("h1", "a"), ("h2", "b"), ("h3", "c"), ("h4", "a")] {
+        node.crash(host, domain, &[run(1, ms(200), false)], now);
+        now += ms(10);
+    }
+    node.decide(now + SECOND);
+    expect_that!(node.is_quarantined(1, now + SECOND), eq(false));
+}
+
+/// Guards against refusing a sound request for long: a trial clears it.
+#[gtest]
+fn a_completed_trial_clears_a_request() {
+    let now = Instant::now();
+    let mut node = Node::default();
+    node.crash("h1", "a", &[run(1, ms(50), false)], now);
+    node.crash("h2", "b", &[run(1, ms(50), false)], now + SECOND);
+    node.decide(now + 2 * SECOND);
+    expect_that!(node.may_try(1, now + 2 * SECOND), eq(false));
+    let due = now + 13 * SECOND;
+    expect_that!(node.may_try(1, due), eq(true));
+    expect_that!(node.may_try(1, due), eq(false), "one trial at a time");
+    node.completed(1, due + ms(300));
+    expect_that!(node.is_quarantined(1, due + ms(300)), eq(false));
+    expect_that!(node.may_try(1, due + ms(300)), eq(true));
+}
+
+/// Guards against trials that crash a host every few seconds for ever.
+#[gtest]
+fn failed_trials_lengthen_the_quarantine() {
+    let start = Instant::now();
+    let mut now = start;
+    let mut node = Node::default();
+    let mut crashes = 0;
+    while now < start + 24 * 3600 * SECOND {
+        if node.may_try(CRASHING, now) {
+            crashes += 1;
+            let host = format!("h{crashes}");
+            node.crash(&host, "a", &[run(CRASHING, ms(50), false)], now + ms(50));
+        }
+        now += SECOND;
+        node.decide(now);
+    }
+    // Two until the quarantine, and a trial after each of the first three terms.
+    expect_that!(crashes, eq(5));
+}
+
+/// Guards against a late message restoring a quarantine that was lifted, and against nodes that
+/// differ by the order in which they receive decisions.
+#[gtest]
+fn the_newest_decision_wins_in_any_order() {
+    let now = Instant::now();
+    let record = |offences, age| QuarantineRecord {
+        fingerprint: 1,
+        service: "draft".into(),
+        offences,
+        age,
+        retry_after: 10 * SECOND,
+    };
+    let decisions = [
+        record(1, 3 * SECOND),
+        record(2, 2 * SECOND),
+        record(0, SECOND),
+    ];
+    for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [2, 0, 1]] {
+        let mut table = QuarantineTable::default();
+        for index in order {
+            table.merge(&decisions[index], now);
+        }
+        expect_that!(
+            table.status(1, now),
+            eq(QuarantineStatus::Clear),
+            "{order:?}"
+        );
+    }
+}
+
+/// Guards against state that grows with the requests that crash hosts, or with the hosts.
+#[gtest]
+fn state_is_bounded() {
+    let start = Instant::now();
+    let mut node = Node::default();
+    for n in 0..4000 {
+        let now = start + n * ms(20);
+        let running = [run(u64::from(n / 2), ms(10), false)];
+        node.crash(&format!("h{n}"), ["a", "b"][n as usize % 2], &running, now);
+        node.decide(now);
+    }
+    expect_that!(node.table.quarantined(), le(256));
+    let exported = node.table.export(start + 80 * SECOND).count();
+    expect_that!(exported, le(256));
+}
+
+/// Entry hosts of the largest fleet.
+const NODES: usize = 985;
+/// Time until a decision has reached all nodes: three hops of a tick, and a lost message.
+const SPREAD: Duration = Duration::from_millis(1500);
+/// How long after its third crash a request may still reach hosts freely, and how often after that.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Nodes that receive each decision with a delay of their own.
+struct Fleet {
+    tables: Vec<(QuarantineTable, usize)>,
+    /// Decisions, in the order of time.
+    published: Vec<(Instant, QuarantineRecord)>,
+    coordinators: [Node; 2],
+    hosts: u64,
+    /// Arrivals at hosts and crashes, by request.
+    arrivals: BTreeMap<RequestFingerprint, Vec<Instant>>,
+    crashes: BTreeMap<RequestFingerprint, Vec<Instant>>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        Fleet {
+            tables: (0..NODES).map(|_| Default::default()).collect(),
+            published: Vec::new(),
+            coordinators: Default::default(),
+            hosts: 0,
+            arrivals: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+        }
+    }
+
+    fn status(
+        &mut self,
+        node: usize,
+        request: RequestFingerprint,
+        now: Instant,
+    ) -> QuarantineStatus {
+        let (table, received) = &mut self.tables[node];
+        let delay = SPREAD.mul_f64(node as f64 / NODES as f64);
+        while let Some((at, record)) = self.published.get(*received) {
+            if *at + delay > now {
+                break;
+            }
+            let age = now.saturating_duration_since(*at);
+            let record = QuarantineRecord {
+                age: record.age + age,
+                retry_after: record.retry_after.saturating_sub(age),
+                ..record.clone()
+            };
+            table.merge(&record, now);
+            *received += 1;
+        }
+        table.status(request, now)
+    }
+
+    /// Publishes what coordinators have decided since `before`.
+    fn publish(&mut self, before: &[Vec<QuarantineRecord>; 2], now: Instant) {
+        for (node, before) in self.coordinators.iter().zip(before) {
+            let newer = |r: &QuarantineRecord| {
+                let known = before.iter().find(|b| b.fingerprint == r.fingerprint);
+                known.is_none_or(|b| b.age > r.age)
+            };
+            let decided = node.table.export(now).filter(newer);
+            self.published.extend(decided.map(|record| (now, record)));
+        }
+    }
+
+    fn exported(&self, now: Instant) -> [Vec<QuarantineRecord>; 2] {
+        self.coordinators
+            .each_ref()
+            .map(|node| node.table.export(now).collect())
+    }
+
+    /// A request comes to a node; it runs at up to two hosts, which crash.
+    fn arrive(&mut self, node: usize, request: RequestFingerprint, now: Instant) {
+        let status = self.status(node, request, now);
+        let before = self.exported(now);
+        let attempts = match status {
+            QuarantineStatus::Clear => 2,
+            QuarantineStatus::TrialDue if self.coordinators[0].may_try(request, now) => 1,
+            _ => 0,
+        };
+        for attempt in 0..attempts {
+            let sent = now + attempt * ms(70);
+            if attempt > 0 && self.status(node, request, sent) != QuarantineStatus::Clear {
+                break;
+            }
+            self.hosts += 1;
+            self.arrivals.entry(request).or_default().push(sent);
+            let crashed = sent + ms(60);
+            self.crashes.entry(request).or_default().push(crashed);
+            let (host, domain) = (
+                format!("h{}", self.hosts),
+                ["a", "b", "c"][self.hosts as usize % 3],
+            );
+            for node in &mut self.coordinators {
+                node.crash(&host, domain, &[run(request, ms(60), false)], crashed);
+            }
+        }
+        self.publish(&before, now);
+    }
+
+    fn decide(&mut self, now: Instant) {
+        let before = self.exported(now);
+        for node in &mut self.coordinators {
+            node.decide(now);
+        }
+        self.publish(&before, now);
+        // The second coordinator takes over what the first one published, and the other way round.
+        let [first, second] = self.exported(now);
+        self.coordinators[0].apply(second, now);
+        self.coordinators[1].apply(first, now);
+    }
+
+    fn late_arrivals(&self, request: RequestFingerprint) -> usize {
+        let (Some(arrivals), Some(crashes)) =
+            (self.arrivals.get(&request), self.crashes.get(&request))
+        else {
+            return 0;
+        };
+        let third = crashes.get(2).or(crashes.last());
+        let late = |at: &&Instant| third.is_some_and(|third| **at > *third + NOTICE_TIME);
+        arrivals.iter().filter(late).count()
+    }
+}
+
+/// Guards against requests that go on crashing hosts because each attempt comes to another node of
+/// the largest fleet, while the coordinators are replaced.
+#[gtest]
+fn many_crashing_requests_stop_reaching_hosts_in_the_largest_fleet() {
+    const REQUESTS: u64 = 20;
+    let start = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut fleet = Fleet::new();
+    for step in 0..1800_u32 {
+        let now = start + step * ms(100);
+        for request in 0..REQUESTS {
+            fleet.arrive(rng.usize(..NODES), request, now);
+        }
+        fleet.decide(now + ms(99));
+        if step == 300 {
+            let [first, _] = fleet.exported(now);
+            for node in &mut fleet.coordinators {
+                node.coordinator = QuarantineCoordinator::default();
+                node.apply(first.clone(), now);
+            }
+        }
+    }
+    for request in 0..REQUESTS {
+        expect_that!(fleet.late_arrivals(request), le(MAX_LATE_ARRIVALS));
+    }
+    // Two coordinators: the quarantine, a trial and its failure for each of the first terms.
+    expect_that!(fleet.published.len() as u64, le(REQUESTS * 2 * 8));
+}
