Add the call of nodes to a service's quarantine coordinator

Carries crash reports, completions and requests for a trial. A node of an older build rejects the call as unknown, which the caller takes as no acknowledgement and no permission.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -31,7 +31,8 @@
 pub use crate::node::{HlcTimestamp, PeerHandler, PeerNode, PeerNodeConfig};
 pub use crate::overlay::{FAN_OUT, MAX_MESH_NODES, Overlay};
 pub use crate::wire::messages::{
-    Batch, Item as WireItem, Kind as WireKind, ListReply, ListRequest, OriginUpdate, QuotaReply,
-    QuotaRequest, ScheduleReply, ScheduleRequest, SlotDecision, SlotDemand, SlotEvent,
-    SlotEventKind, SlotGrant, SlotRequest,
+    Batch, CompletedReport, CrashReport, CrashedRun, Item as WireItem, Kind as WireKind, ListReply,
+    ListRequest, OriginUpdate, QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest,
+    SlotDecision, SlotDemand, SlotEvent, SlotEventKind, SlotGrant, SlotRequest, SuspectReply,
+    SuspectRequest, TrialRequest,
 };
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -21,7 +21,7 @@
 use crate::wire::client::Pool;
 use crate::wire::messages::{
     Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
+    ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, TimelineReply, TimelineRequest,
 };
 use crate::wire::path;
 use crate::wire::server::PeerServer;
@@ -73,6 +73,12 @@
         QuotaReply::default()
     }
 
+    /// Handles crash reports and a trial request as the quarantine coordinator of a service; by
+    /// default no trial is permitted.
+    fn suspects(&self, _req: SuspectRequest) -> SuspectReply {
+        SuspectReply::default()
+    }
+
     /// The changes of a list kept by the platform, once there are any or the caller's wait time
     /// is over; none by default.
     fn list(&self, _req: ListRequest) -> impl Future<Output = ListReply> + Send {
@@ -290,6 +296,19 @@
         self.inner.call(node, path::SCHEDULE, req, timeout).await
     }
 
+    /// Sends crash reports to the quarantine coordinator at `node` and may request a trial.
+    ///
+    /// # Errors
+    /// If the node can't be reached, times out or rejects the call.
+    pub async fn call_quarantine_coordinator(
+        &self,
+        node: &NodeId,
+        req: SuspectRequest,
+        timeout: Duration,
+    ) -> Result<SuspectReply, PeerError> {
+        self.inner.call(node, path::SUSPECTS, req, timeout).await
+    }
+
     /// Fetches the active configuration of `node`, as a difference from `base` if that node
     /// still has it.
     ///
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -8,7 +8,7 @@
 use crate::wire::convert::name;
 use crate::wire::messages::{
     Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
+    ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, TimelineReply, TimelineRequest,
 };
 use crate::wire::server::PeerService;
 
@@ -40,6 +40,11 @@
         Ok(self.handler.quota(req))
     }
 
+    fn suspects(&self, req: SuspectRequest) -> Result<SuspectReply, Status> {
+        self.check_caller(&req.from)?;
+        Ok(self.handler.suspects(req))
+    }
+
     async fn list(&self, req: ListRequest) -> Result<ListReply, Status> {
         self.check_caller(&req.from)?;
         Ok(self.handler.list(req).await)
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -18,6 +18,7 @@
     pub(crate) const TIMELINE: &str = "/eelgrassmill.peer.v1.Peer/Timeline";
     pub(crate) const LIST: &str = "/eelgrassmill.peer.v1.Peer/List";
     pub(crate) const SCHEDULE: &str = "/eelgrassmill.peer.v1.Peer/Schedule";
+    pub(crate) const SUSPECTS: &str = "/eelgrassmill.peer.v1.Peer/Suspects";
     pub(crate) const QUOTA: &str = "/eelgrassmill.peer.v1.Peer/Quota";
 }
 
--- a/crates/peer/src/wire/server.rs
+++ b/crates/peer/src/wire/server.rs
@@ -13,7 +13,7 @@
 
 use crate::wire::messages::{
     Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
+    ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, TimelineReply, TimelineRequest,
 };
 use crate::wire::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES, SERVICE, path};
 
@@ -23,6 +23,7 @@
     fn fetch_config(&self, req: FetchConfigRequest) -> Result<FetchConfigReply, Status>;
     fn timeline(&self, req: TimelineRequest) -> Result<TimelineReply, Status>;
     fn quota(&self, req: QuotaRequest) -> Result<QuotaReply, Status>;
+    fn suspects(&self, req: SuspectRequest) -> Result<SuspectReply, Status>;
     /// May wait for a change of the list.
     fn list(&self, req: ListRequest) -> impl Future<Output = Result<ListReply, Status>> + Send;
     /// May wait for a slot.
@@ -73,6 +74,7 @@
             }),
             path::TIMELINE => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.timeline(r))),
             path::QUOTA => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.quota(r))),
+            path::SUSPECTS => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.suspects(r))),
             path::SCHEDULE => unary(req, MAX_REQUEST_BYTES, move |r| async move {
                 service.schedule(r).await
             }),
