Quarantine requests that crash hosts at all nodes

Attempts reached hosts 11 to 16 times later than 3 s after its third crash, where 3 are permitted.

The gateway judged each attempt by itself. Ruled out: hosts that crash by load (they crash under this request alone, and not between the spells), and knowledge that spreads too late (there was none to spread).

Now each node reports crashes to two coordinators of the service; their decisions are urgent items that every node applies: the request gets 503 with a true Retry-After, or 502 where this attempt has run, and isn't sent again. Evidence that was not acknowledged is sent again, also to a new coordinator; coordinators publish what former ones decided, so that nodes that start later know it.

What remains: nodes that all restart at the same time forget decisions and evidence; a request that crashes only members which aren't the head isn't found.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! A decoded request of a caller.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -42,6 +42,8 @@
     pub(crate) first_sent: Instant,
     /// The end of the caller's or the route's timeout, whichever is first.
     pub(crate) deadline: Instant,
+    /// Computed at its first use.
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl Call {
@@ -56,8 +58,10 @@
 
     /// Identifies the request whenever its caller sends it again.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
-        let tenant = self.caller.as_ref().map_or("", |c| c.tenant.as_str());
-        request_fingerprint(tenant, &self.path, &self.body)
+        *self.fingerprint.get_or_init(|| {
+            let tenant = self.caller.as_ref().map_or("", |c| c.tenant.as_str());
+            request_fingerprint(tenant, &self.path, &self.body)
+        })
     }
 
     pub(crate) fn is_idempotent(&self) -> bool {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -26,6 +26,7 @@
 use crate::peers::{LOAD_INTERVAL, UpdateHandler};
 use crate::planning::PlanningEvent;
 use crate::ports::Platform;
+use crate::quarantine::Quarantine;
 use crate::scheduler::Schedulers;
 use crate::scheduler_client::SchedulerClient;
 use crate::snapshot_relay::SnapshotRelay;
@@ -57,6 +58,7 @@
     pub(crate) caller_timeouts: Mutex<CallerTimeouts>,
     pub(crate) scheduler_client: SchedulerClient,
     pub(crate) crash_detection: CrashDetection,
+    pub(crate) quarantine: Quarantine,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
     /// aborts the remaining requests (`exiting`).
@@ -101,6 +103,7 @@
             caller_timeouts: Mutex::default(),
             scheduler_client: SchedulerClient::default(),
             crash_detection: CrashDetection::default(),
+            quarantine: Quarantine::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -3,13 +3,13 @@
 //! A response that breaks doesn't tell a crash from a lost connection. So the node connects to the
 //! host again: a crashed one refuses, or can't be reached and is removed from the host list.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, HostId, value};
 use eelgrassmill_engine::SendError;
-use eelgrassmill_route::RequestFingerprint;
+use eelgrassmill_route::CrashedRun;
 use smol_str::SmolStr;
 use tracing::info;
 
@@ -17,6 +17,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::Platform;
+use crate::quarantine;
 
 /// Interval of the checks of a host that can't be reached.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -32,8 +33,10 @@
         pub(crate) host: HostId,
         pub(crate) service: SmolStr,
         pub(crate) failure_domain: FailureDomain,
-        /// The requests, each once.
-        pub(crate) running: Vec<RequestFingerprint>,
+        /// When the first response from it broke.
+        pub(crate) at: Instant,
+        /// The requests; one may have several runs.
+        pub(crate) running: Vec<CrashedRun>,
     }
 }
 
@@ -46,7 +49,9 @@
 #[derive(Debug)]
 struct Check {
     /// Requests that broke at the host since the check began.
-    running: Vec<RequestFingerprint>,
+    running: Vec<CrashedRun>,
+    /// When the first response broke.
+    broke_at: Instant,
     /// When the host was found alive; `None` while the check is in progress.
     alive_at: Option<Instant>,
 }
@@ -59,15 +64,27 @@
     Unreachable,
 }
 
-/// Records that the response to a call broke at a host, and checks whether the host crashed.
-pub(crate) fn on_broken<P: Platform>(core: &Arc<Core<P>>, call: &Call, host: &HostId) {
+/// Records that the response to a call broke at a host, and checks whether the host crashed. The
+/// call was sent at `sent`; `started` says whether a part of the response had arrived.
+pub(crate) fn on_broken<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Call,
+    host: &HostId,
+    sent: Instant,
+    started: bool,
+) {
     let now = Instant::now();
+    let run = CrashedRun {
+        fingerprint: call.fingerprint(),
+        ran_for: now.saturating_duration_since(sent),
+        started,
+    };
     let mut checks = locked(&core.crash_detection.checks);
     let is_recent = |at: Instant| now.saturating_duration_since(at) < RECHECK_DELAY;
     checks.retain(|_, check| check.alive_at.is_none_or(is_recent));
     if let Some(check) = checks.get_mut(host) {
         if check.alive_at.is_none() {
-            check.running.push(call.fingerprint());
+            check.running.push(run);
         }
         return;
     }
@@ -77,7 +94,8 @@
         return;
     }
     let check = Check {
-        running: vec![call.fingerprint()],
+        running: vec![run],
+        broke_at: now,
         alive_at: None,
     };
     checks.insert(host.clone(), check);
@@ -101,16 +119,15 @@
     let Some(check) = locked(&core.crash_detection.checks).remove(&id) else {
         return;
     };
-    let mut running = check.running;
-    running.sort_unstable();
-    running.dedup();
     let crash = Crash {
         host: id,
         service: host.service,
         failure_domain: host.failure_domain,
-        running,
+        at: check.broke_at,
+        running: check.running,
     };
-    on_crash(&core, &crash);
+    log_crash(&core, &crash);
+    quarantine::on_crash(&core, crash);
 }
 
 /// Ends a check that found no crash.
@@ -130,10 +147,11 @@
     }
 }
 
-fn on_crash<P: Platform>(core: &Core<P>, crash: &Crash) {
+fn log_crash<P: Platform>(core: &Core<P>, crash: &Crash) {
     let crashes = &core.metrics.host_crashes;
     crashes.with_label_values(&[crash.service.as_str()]).inc();
-    let requests: Vec<String> = crash.running.iter().map(|p| format!("{p:016x}")).collect();
+    let fingerprints: BTreeSet<_> = crash.running.iter().map(|r| r.fingerprint).collect();
+    let requests: Vec<String> = fingerprints.iter().map(|p| format!("{p:016x}")).collect();
     info!(
         event = "host-crashed", host = %crash.host, service = %crash.service,
         running = crash.running.len(), requests = requests.join(","),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -17,11 +17,12 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::core::Core;
-use crate::crash_detection;
 use crate::heads::locked;
 use crate::metrics::RetryReason;
 use crate::ports::{AttemptMetadata, Dialect, Platform, ResponseClass};
+use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
+use crate::{crash_detection, quarantine};
 
 /// Longest response that is held in memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -62,6 +63,7 @@
 pub(crate) async fn run<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Call,
+    admission: Admission,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let service = pick_service(core, call)?;
     core.count_for_retry_budget(&service);
@@ -74,12 +76,19 @@
         let Some(host) = pick_host(core, &service, &tried) else {
             break;
         };
+        if let Err(refusal) = quarantine::check_attempt(core, call, admission, runs) {
+            if runs > 0 {
+                break;
+            }
+            return Err(refusal);
+        }
         if delivered > 0 && !core.try_retry(&service, RetryReason::Attempt) {
             refused = RefusalCause::RetryBudgetExhausted;
             break;
         }
         let attempt_timeout = attempt_timeout(call, runs);
-        let until = Instant::now() + attempt_timeout;
+        let sent_at = Instant::now();
+        let until = sent_at + attempt_timeout;
         let attempt = attempt(core, call, &host, until).await;
         tried.push(host.id.clone());
         log_attempt(call, &host, &attempt);
@@ -87,6 +96,7 @@
             AttemptResult::Answered(status, headers, body) => {
                 runs += 1;
                 delivered += 1;
+                quarantine::on_completed(core, call, &service);
                 let failed = status.is_server_error();
                 let response = full_response(core, status, &headers, body);
                 if !failed || !call.is_idempotent() || runs >= call.route.attempts {
@@ -98,7 +108,7 @@
             AttemptResult::NotRun(_) => delivered += 1,
             AttemptResult::Unknown(_) => {
                 if Instant::now() < until {
-                    crash_detection::on_broken(core, call, &host.id);
+                    crash_detection::on_broken(core, call, &host.id, sent_at, false);
                 }
                 runs += 1;
                 delivered += 1;
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -262,6 +262,11 @@
         }
     }
 
+    /// When it got the slot, just before it was sent.
+    pub(crate) fn sent(&self) -> Instant {
+        self.sent
+    }
+
     pub(crate) fn has_started(&self) -> bool {
         self.has_started
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod planning;
 mod ports;
+mod quarantine;
 mod reflector;
 mod refusal;
 mod scheduler;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,10 @@
     pub(crate) retries: IntCounterVec,
     /// Crashes of hosts under requests of this node, by service.
     pub(crate) host_crashes: IntCounterVec,
+    /// Quarantined requests that this node knows of.
+    pub(crate) quarantined_requests: IntGauge,
+    /// Decisions of this node as a quarantine coordinator, by service and decision.
+    pub(crate) quarantine_decisions: IntCounterVec,
     /// Orders by kind and reply.
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -92,6 +96,15 @@
                 "Hosts that crashed under requests of this node.",
                 &["service"],
             ),
+            quarantined_requests: gauge(
+                "gateway_quarantined_requests",
+                "Requests that are rejected because they crash hosts.",
+            ),
+            quarantine_decisions: counter(
+                "gateway_quarantine_decisions_total",
+                "Decisions of this node as a quarantine coordinator.",
+                &["service", "decision"],
+            ),
             orders: counter(
                 "gateway_orders_total",
                 "Orders to hosts.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_peer::{
     BlockedPeers, Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey,
     ListReply, ListRequest, Member, NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode,
-    PeerNodeConfig, ScheduleReply, ScheduleRequest, Timing, Update,
+    PeerNodeConfig, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, Timing, Update,
 };
 use smol_str::ToSmolStr;
 use tokio::runtime::Handle;
@@ -20,7 +20,7 @@
 use crate::nodes::NodeInfo;
 use crate::ports::{LeaderRecord, Platform};
 use crate::scheduler::ScheduledLoad;
-use crate::{loss_detection, scheduler, snapshot_relay};
+use crate::{loss_detection, quarantine, scheduler, snapshot_relay};
 
 /// The group name under which the leader publishes its term.
 const LEADER_GROUP: &str = "planner";
@@ -73,6 +73,7 @@
                 locked(&self.core.leaders).insert(origin.clone(), record.version);
             }
             Item::Group(update) => loss_detection::on_loss_report(&self.core, origin, &update),
+            Item::Suspect(suspect) => quarantine::on_record(&self.core, &suspect, as_of),
             Item::Load(load) => self.apply_node_load(origin, &load),
             _ => {}
         }
@@ -155,6 +156,10 @@
         snapshot_relay::handle(Arc::clone(&self.core), req)
     }
 
+    fn suspects(&self, req: SuspectRequest) -> SuspectReply {
+        quarantine::handle(&self.core, req)
+    }
+
     fn schedule(&self, req: ScheduleRequest) -> impl Future<Output = ScheduleReply> + Send {
         scheduler::handle(Arc::clone(&self.core), req)
     }
--- /dev/null
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -0,0 +1,235 @@
+//! Quarantine of requests that crash hosts, at all nodes.
+//!
+//! [`crash_detection`](crate::crash_detection) finds the crashes, `reports` takes them to the
+//! coordinators of the service, `coordinator` sends their decisions to all nodes.
+
+mod coordinator;
+mod reports;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use eelgrassmill_base::{NodeId, ServiceName};
+use eelgrassmill_fleet::ranked_for_role;
+use eelgrassmill_peer::{SuspectReply, SuspectRequest, TrialRequest};
+use eelgrassmill_route::{
+    QuarantineCoordinator, QuarantineStatus, QuarantineTable, RequestFingerprint,
+};
+use smallvec::SmallVec;
+use tokio::sync::Notify;
+
+use crate::call::Call;
+use crate::core::Core;
+use crate::crash_detection::Crash;
+use crate::heads::locked;
+use crate::ports::Platform;
+use crate::quarantine::reports::ReportQueue;
+use crate::refusal::{Refusal, RefusalCause};
+
+pub(crate) use crate::quarantine::coordinator::{handle, on_record};
+
+/// Coordinators of a service. A second one keeps the evidence if the first one dies.
+const COORDINATORS: usize = 2;
+/// How often unacknowledged reports are sent again, and coordinators check what they have to
+/// publish.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// How long reports are batched before they are sent: requests that break together are reported
+/// together.
+const BATCH_DELAY: Duration = Duration::from_millis(10);
+/// Timeout of a report, and of a trial request.
+const RPC_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time that a trial may take. Longer ones count as unanswered.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(15);
+/// Time beyond a trial's deadline within which its outcome reaches the coordinator.
+const TRIAL_MARGIN: Duration = Duration::from_secs(1);
+/// Retry-After when the coordinator can't be asked for a trial: until another node has its role.
+const RETRY_AFTER_NO_COORDINATOR: Duration = Duration::from_secs(3);
+
+/// This node's part in the quarantine.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantine {
+    table: Mutex<QuarantineTable>,
+    coordinator: Mutex<QuarantineCoordinator>,
+    /// Decisions that this node published, by when they were decided.
+    published: Mutex<BTreeMap<RequestFingerprint, Instant>>,
+    reports: Mutex<ReportQueue>,
+    /// Notified of new reports.
+    reported: Notify,
+    /// Notified of other nodes' reports.
+    evidence: Notify,
+}
+
+/// How a call is allowed to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admission {
+    Free,
+    /// One attempt only.
+    Trial,
+}
+
+/// Decides whether a call may run. One whose quarantine is over needs the coordinator's permission.
+///
+/// # Errors
+/// When it is quarantined, or on trial elsewhere.
+pub(crate) async fn admit<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Call,
+) -> Result<Admission, Refusal> {
+    match status(core, call) {
+        QuarantineStatus::Clear => Ok(Admission::Free),
+        QuarantineStatus::Quarantined { retry_after } => Err(refusal(retry_after)),
+        QuarantineStatus::TrialDue => request_trial(core, call).await,
+    }
+}
+
+/// Checks a call again before an attempt: it may have been quarantined while it waited.
+///
+/// # Errors
+/// When it is quarantined.
+pub(crate) fn check_attempt<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    admission: Admission,
+    runs: u32,
+) -> Result<(), Refusal> {
+    if admission == Admission::Trial && runs == 0 {
+        return Ok(());
+    }
+    match status(core, call) {
+        QuarantineStatus::Clear => Ok(()),
+        QuarantineStatus::Quarantined { retry_after } => Err(refusal(retry_after)),
+        QuarantineStatus::TrialDue => Err(refusal(RETRY_AFTER_NO_COORDINATOR)),
+    }
+}
+
+fn status<P: Platform>(core: &Core<P>, call: &Call) -> QuarantineStatus {
+    let table = locked(&core.quarantine.table);
+    if table.is_empty() {
+        return QuarantineStatus::Clear;
+    }
+    table.status(call.fingerprint(), Instant::now())
+}
+
+fn refusal(retry_after: Duration) -> Refusal {
+    Refusal::with_retry_after(RefusalCause::Quarantined, retry_after)
+}
+
+async fn request_trial<P: Platform>(
+    core: &Arc<Core<P>>,
+    call: &Call,
+) -> Result<Admission, Refusal> {
+    // A split route has several services; hosts of any of them may have crashed.
+    let unknown = || refusal(RETRY_AFTER_NO_COORDINATOR);
+    let record = {
+        let table = locked(&core.quarantine.table);
+        let fingerprint = call.fingerprint();
+        let found = table
+            .export(Instant::now())
+            .find(|r| r.fingerprint == fingerprint);
+        found.ok_or_else(unknown)?
+    };
+    let coordinator = coordinators(core, &record.service)
+        .into_iter()
+        .next()
+        .ok_or_else(unknown)?;
+    let lease = call.remaining().min(MAX_TRIAL_TIME) + TRIAL_MARGIN;
+    let req = SuspectRequest {
+        from: core.cfg.node.to_string(),
+        service: record.service.to_string(),
+        trial: Some(TrialRequest {
+            fingerprint: record.fingerprint,
+            lease_ms: lease.as_millis() as u64,
+        }),
+        ..SuspectRequest::default()
+    };
+    let reply = send(core, &coordinator, req).await.ok_or_else(unknown)?;
+    if reply.trial_permitted {
+        Ok(Admission::Trial)
+    } else {
+        Err(refusal(Duration::from_millis(reply.retry_after_ms)))
+    }
+}
+
+/// Reports a crash under requests of this node.
+pub(crate) fn on_crash<P: Platform>(core: &Core<P>, crash: Crash) {
+    locked(&core.quarantine.reports).push_crash(crash);
+    core.quarantine.reported.notify_one();
+}
+
+/// Reports that a call completed on a host that stayed up, if that clears it.
+pub(crate) fn on_completed<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
+    let quarantine = &core.quarantine;
+    let is_known = locked(&quarantine.reports).is_watching()
+        && locked(&quarantine.reports).is_watched(call.fingerprint());
+    if !is_known && status(core, call) == QuarantineStatus::Clear {
+        return;
+    }
+    locked(&quarantine.reports).push_completed(service, call.fingerprint(), Instant::now());
+    quarantine.reported.notify_one();
+}
+
+/// Sends reports to coordinators until the process ends.
+pub(crate) async fn send_reports_loop<P: Platform>(core: Arc<Core<P>>) {
+    loop {
+        let reported = core.quarantine.reported.notified();
+        // A timeout is the periodic check for reports that were not acknowledged.
+        if tokio::time::timeout(CHECK_INTERVAL, reported).await.is_ok() {
+            tokio::time::sleep(BATCH_DELAY).await;
+        }
+        send_reports(&core).await;
+    }
+}
+
+/// Makes this node's decisions as a coordinator until the process ends.
+pub(crate) async fn decide_loop<P: Platform>(core: Arc<Core<P>>) {
+    loop {
+        let next_decision = locked(&core.quarantine.coordinator).next_decision();
+        let left = next_decision.map(|at| at.saturating_duration_since(Instant::now()));
+        let wait = left.map_or(CHECK_INTERVAL, |left| left.min(CHECK_INTERVAL));
+        // A timeout is the next decision or the periodic check.
+        let _ = tokio::time::timeout(wait, core.quarantine.evidence.notified()).await;
+        coordinator::decide(&core);
+        coordinator::publish_adopted(&core);
+    }
+}
+
+async fn send_reports<P: Platform>(core: &Arc<Core<P>>) {
+    let services = locked(&core.quarantine.reports).services();
+    for service in services {
+        for node in coordinators(core, &service) {
+            let now = Instant::now();
+            let from = &core.cfg.node;
+            let batch = locked(&core.quarantine.reports).batch(from, &service, &node, now);
+            let Some(batch) = batch else { continue };
+            if send(core, &node, batch.req).await.is_some() {
+                locked(&core.quarantine.reports).acknowledge(&batch.numbers, &node);
+            }
+        }
+    }
+}
+
+async fn send<P: Platform>(
+    core: &Arc<Core<P>>,
+    node: &NodeId,
+    req: SuspectRequest,
+) -> Option<SuspectReply> {
+    if *node == core.cfg.node {
+        return Some(handle(core, req));
+    }
+    let peer = core.peer()?;
+    let reply = peer.call_quarantine_coordinator(node, req, RPC_TIMEOUT);
+    reply.await.ok()
+}
+
+/// The coordinators of a service, the one that permits trials first.
+fn coordinators<P: Platform>(
+    core: &Core<P>,
+    service: &ServiceName,
+) -> SmallVec<[NodeId; COORDINATORS]> {
+    let nodes = locked(&core.nodes);
+    let own = (!core.is_leaving()).then(|| core.as_candidate());
+    let candidates = nodes.alive(Instant::now()).chain(own);
+    let ranked = ranked_for_role(&format!("quarantine/{service}"), None, candidates);
+    ranked.into_iter().take(COORDINATORS).cloned().collect()
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -31,6 +31,8 @@
         HostsRefused,
         /// It needs a retry, and the retry budget is exhausted.
         RetryBudgetExhausted,
+        /// It crashed the hosts that ran it.
+        Quarantined,
         /// Its deadline passed before a host received it.
         DeadlineExceeded,
         /// It was sent, and no response arrived before its deadline.
@@ -56,6 +58,7 @@
             RefusalCause::Full => "full",
             RefusalCause::HostsRefused => "hosts-refused",
             RefusalCause::RetryBudgetExhausted => "no-repeats-left",
+            RefusalCause::Quarantined => "quarantined",
             RefusalCause::DeadlineExceeded => "out-of-time",
             RefusalCause::ResponseTimeout => "no-answer-in-time",
             RefusalCause::BrokenResponse => "answer-broken",
@@ -71,6 +74,7 @@
             | RefusalCause::Full
             | RefusalCause::HostsRefused
             | RefusalCause::RetryBudgetExhausted
+            | RefusalCause::Quarantined
             | RefusalCause::DeadlineExceeded => StatusCode::SERVICE_UNAVAILABLE,
             RefusalCause::NoRoute => StatusCode::NOT_FOUND,
             RefusalCause::UnknownKey => StatusCode::UNAUTHORIZED,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -24,7 +24,7 @@
 use crate::heads::locked;
 use crate::ports::{Dialect, Platform};
 use crate::refusal::{Refusal, RefusalCause};
-use crate::{dispatch, stream};
+use crate::{dispatch, quarantine, stream};
 
 /// Limits before any configuration is known; typical values of a configuration.
 const DEFAULT_LIMITS: CallerLimits = CallerLimits {
@@ -220,12 +220,13 @@
             RETRY_AFTER_LEAVING,
         ));
     }
+    let admission = quarantine::admit(core, call).await?;
     if call.route.stream.is_some() {
-        return stream::run(core, call).await;
+        return stream::run(core, call, admission).await;
     }
     let dispatched = tokio::time::timeout(
         call.remaining() + FINAL_REPLY_MARGIN,
-        dispatch::run(core, call),
+        dispatch::run(core, call, admission),
     );
     // The attempt in progress may have run.
     dispatched
@@ -318,6 +319,7 @@
         arrived,
         first_sent,
         deadline,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,9 +18,10 @@
 use crate::heads::{Head, SlotGuard};
 use crate::metrics::RetryReason;
 use crate::ports::{Dialect, Platform, ResponseClass};
+use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::sse::EventSplitter;
-use crate::{admission, crash_detection};
+use crate::{admission, crash_detection, quarantine};
 
 /// Chunks that are buffered for a slow caller before its stream stops reading from the host.
 const STREAM_BUFFER_CHUNKS: usize = 64;
@@ -36,6 +37,7 @@
 struct StreamCall<P: Platform> {
     core: Arc<Core<P>>,
     call: Arc<Call>,
+    admission: Admission,
     service: ServiceName,
     model: ModelName,
     /// Hosts at which it failed or was refused.
@@ -99,6 +101,7 @@
 pub(crate) async fn run<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Arc<Call>,
+    admission: Admission,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let service = pick_service(core, call)?;
     core.count_for_retry_budget(&service);
@@ -106,6 +109,7 @@
     let mut stream = StreamCall {
         core: Arc::clone(core),
         call: Arc::clone(call),
+        admission,
         service,
         model,
         avoid: SmallVec::new(),
@@ -123,6 +127,8 @@
     async fn start_response(&mut self) -> Result<StartedResponse<P>, Refusal> {
         loop {
             let slot = self.acquire_slot().await?;
+            quarantine::check_attempt(&self.core, &self.call, self.admission, self.runs)
+                .map_err(|refusal| self.unless_run(refusal))?;
             if self.deliveries > 0 && !self.core.try_retry(&self.service, self.retry_reason()) {
                 return Err(self.refusal(RefusalCause::RetryBudgetExhausted));
             }
@@ -154,6 +160,15 @@
         })
     }
 
+    /// The refusal of a call that must not be sent again, whatever its kind.
+    fn unless_run(&self, refusal: Refusal) -> Refusal {
+        if self.runs > 0 {
+            Refusal::new(RefusalCause::BrokenResponse)
+        } else {
+            refusal
+        }
+    }
+
     fn retry_reason(&self) -> RetryReason {
         if self.events.last_id().is_some() {
             RetryReason::Resume
@@ -214,7 +229,7 @@
             Err(err) => {
                 self.deliveries += 1;
                 self.log_attempt(&head, "unknown", &err.to_string());
-                self.check_for_crash(&head);
+                self.check_for_crash(&slot);
                 return Err(self.failed(&mut slot));
             }
         };
@@ -266,9 +281,10 @@
     }
 
     /// Checks whether the head crashed, after its response broke.
-    fn check_for_crash(&self, head: &Head) {
-        if !self.call.remaining().is_zero() && !head.is_lost() {
-            crash_detection::on_broken(&self.core, &self.call, &head.host);
+    fn check_for_crash(&self, slot: &SlotGuard<P>) {
+        if !self.call.remaining().is_zero() && !slot.head.is_lost() {
+            let (sent, started) = (slot.sent(), slot.has_started());
+            crash_detection::on_broken(&self.core, &self.call, &slot.head.host, sent, started);
         }
     }
 
@@ -308,6 +324,7 @@
                 return Err(Refusal::new(RefusalCause::BrokenResponse));
             }
         };
+        quarantine::on_completed(&self.core, &self.call, &self.service);
         let mut response = Response::new(ResponseBody::full(body));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -324,14 +341,17 @@
             let end = self.forward_until_end(&mut started, &tx).await;
             if let ReadEnd::Broken(why) = &end {
                 self.log_attempt(&started.slot.head, "broken", why);
-                self.check_for_crash(&started.slot.head);
+                self.check_for_crash(&started.slot);
                 self.failed(&mut started.slot);
             }
             // Closes the connection to the host, which cancels the request there.
             drop(started);
             self.core.wake_waiting_requests();
             match end {
-                ReadEnd::Complete => return self.finish(&tx).await,
+                ReadEnd::Complete => {
+                    quarantine::on_completed(&self.core, &self.call, &self.service);
+                    return self.finish(&tx).await;
+                }
                 ReadEnd::Stopped(reason) => return self.abort(reason),
                 ReadEnd::Broken(_) => self.events.discard_partial_event(),
             }
