Log the limits that hosts name

The dialect now reads it from each answer of the host that was asked, and each node keeps what it saw: the line host-limit says that a host named a limit, changed it by more than a tenth or names none any more, and gateway_limited_hosts counts. No request is treated otherwise than before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod ejection;
 mod fleet;
 mod host;
+mod host_limits;
 mod lease;
 mod planner;
 mod priority;
@@ -38,6 +39,7 @@
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
+pub use crate::host_limits::{HostLimits, LimitObservation};
 pub use crate::lease::{LEASE_TERM, Lease, LeaseStatus, SinceBoot, hears_majority, is_majority};
 pub use crate::planner::{
     Command, Formation, FormationPhase, LossReason, Order, OrderReply, Planner, PlannerTiming,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -19,6 +19,7 @@
 use crate::configuration::Configuration;
 use crate::crash_detection::CrashDetection;
 use crate::heads::{HeadTable, locked};
+use crate::host_limits::LimitState;
 use crate::inbox::Inbox;
 use crate::logs::LogRateLimit;
 use crate::metrics::{Metrics, RetryReason};
@@ -59,6 +60,7 @@
     pub(crate) scheduler_client: SchedulerClient,
     pub(crate) crash_detection: CrashDetection,
     pub(crate) quarantine: Quarantine,
+    pub(crate) host_limits: LimitState,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
     /// aborts the remaining requests (`exiting`).
@@ -104,6 +106,7 @@
             scheduler_client: SchedulerClient::default(),
             crash_detection: CrashDetection::default(),
             quarantine: Quarantine::default(),
+            host_limits: LimitState::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -22,7 +22,7 @@
 use crate::ports::{AttemptMetadata, Dialect, Platform, ResponseClass};
 use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::{crash_detection, quarantine};
+use crate::{crash_detection, host_limits, quarantine};
 
 /// Longest response that is held in memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -258,7 +258,11 @@
         Err(err) => return AttemptResult::Unknown(err.to_string().into()),
     };
     let status = response.status;
-    match core.platform.dialect().classify(status, &response.headers) {
+    let class = core.platform.dialect().classify(status, &response.headers);
+    if class.is_of_host() {
+        host_limits::observe(core, &host.id, &response.headers);
+    }
+    match class {
         ResponseClass::NotRun => AttemptResult::NotRun("refused".into()),
         ResponseClass::WrongHost => AttemptResult::NotRun("another host has this address".into()),
         ResponseClass::Unverified => AttemptResult::Unknown("unverified response".into()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod dispatch;
 mod gateway;
 mod heads;
+mod host_limits;
 mod inbox;
 mod leader;
 mod list_codec;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) quarantined_requests: IntGauge,
     /// Decisions of this node as a quarantine coordinator, by service and decision.
     pub(crate) quarantine_decisions: IntCounterVec,
+    /// Hosts that name a limit, as far as this node knows.
+    pub(crate) limited_hosts: IntGauge,
     /// Orders by kind and reply.
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -105,6 +107,10 @@
                 "Decisions of this node as a quarantine coordinator.",
                 &["service", "decision"],
             ),
+            limited_hosts: gauge(
+                "gateway_limited_hosts",
+                "Hosts that name the requests a second that they take.",
+            ),
             orders: counter(
                 "gateway_orders_total",
                 "Orders to hosts.",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -167,6 +167,13 @@
     }
 }
 
+impl ResponseClass {
+    /// Whether the host that was asked sent the response.
+    pub(crate) fn is_of_host(self) -> bool {
+        matches!(self, ResponseClass::Answered | ResponseClass::NotRun)
+    }
+}
+
 value! {
     /// A request to the node itself.
     pub enum NodeRequest {
@@ -198,6 +205,10 @@
     /// Classifies a target's response by its status and headers.
     fn classify(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass;
 
+    /// The request rate that the target names in a response: requests per second that it takes from
+    /// all nodes together, for as long as it names it.
+    fn host_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
     /// The response headers for the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -21,7 +21,7 @@
 use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::sse::EventSplitter;
-use crate::{admission, crash_detection, quarantine};
+use crate::{admission, crash_detection, host_limits, quarantine};
 
 /// Chunks that are buffered for a slow caller before its stream stops reading from the host.
 const STREAM_BUFFER_CHUNKS: usize = 64;
@@ -234,12 +234,12 @@
             }
         };
         self.deliveries += 1;
-        match self
-            .core
-            .platform
-            .dialect()
-            .classify(response.status, &response.headers)
-        {
+        let dialect = self.core.platform.dialect();
+        let class = dialect.classify(response.status, &response.headers);
+        if class.is_of_host() {
+            host_limits::observe(&self.core, &head.host, &response.headers);
+        }
+        match class {
             ResponseClass::NotRun | ResponseClass::WrongHost => {
                 self.log_attempt(&head, "not-run", response.status.as_str());
                 Err(self.rejected(&mut slot))
