Add the policy for limits that hosts name

If all heads name limits, a request waits only while it can still be on time; else its outcome is Limited, at once, with a Retry-After behind those of the requests rejected before it.

--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -27,6 +27,7 @@
         inherited_requests: 0,
         unscheduled_requests: 0,
         cold: None,
+        limit: None,
     };
     (0..count).map(head).collect()
 }
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -161,6 +161,16 @@
         Millionths((x.max(0.0) * 1e6).round() as u64)
     }
 
+    /// A number of millionths.
+    pub fn from_count(millionths: u64) -> Millionths {
+        Millionths(millionths)
+    }
+
+    /// The number of millionths.
+    pub fn count(self) -> u64 {
+        self.0
+    }
+
     /// Converts to a floating-point number.
     pub fn get(self) -> f64 {
         self.0 as f64 / 1e6
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod planner;
 mod priority;
 mod rate;
+mod rate_limit;
 mod relay;
 mod retry;
 mod roles;
@@ -47,6 +48,7 @@
 };
 pub use crate::priority::{LateRejection, Priority};
 pub use crate::rate::Rate;
+pub use crate::rate_limit::{LimitReached, RequestPermits};
 pub use crate::relay::{
     ChangeLog, ListParent, SyncUpdate, initial_read_delay, initial_sync_source, list_parent,
 };
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -18,11 +18,12 @@
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, NodeId, value};
 use smallvec::SmallVec;
 
-use crate::catalog::EngineSpeed;
+use crate::catalog::{EngineSpeed, Millionths};
 use crate::cold::ColdStart;
 use crate::priority::{LateRejection, Priority};
 use crate::rate::Rate;
-use crate::schedule::head::{Demand, HeadState};
+use crate::rate_limit::{RetryTimes, usable_rate};
+use crate::schedule::head::{Demand, HeadState, LimitState};
 use crate::schedule::queue::{Position, Queue};
 
 /// Cost of a head in another failure domain, as additional latency of the first event.
@@ -80,6 +81,8 @@
         pub unscheduled_requests: usize,
         /// Set while it is cold.
         pub cold: Option<ColdStart>,
+        /// Requests per second that it takes from all nodes together, if it names a limit.
+        pub limit: Option<Millionths>,
     }
 
     /// A request that needs a slot.
@@ -112,6 +115,11 @@
     Granted(HeadKey),
         /// The request is rejected, since no slot is or will be free in time.
         Full,
+        /// The request is rejected, since the limits that the heads name are used up.
+        Limited {
+            /// Time until it can be served.
+            retry_after: Duration,
+        },
     }
 }
 
@@ -187,6 +195,8 @@
     arrivals: Rate,
     /// Rate of grants.
     grants: Rate,
+    /// When requests that the heads' limits don't admit may come back.
+    retry_times: RetryTimes,
 }
 
 impl Scheduler {
@@ -204,6 +214,7 @@
             first_event_latency: Duration::ZERO,
             arrivals: Rate::default(),
             grants: Rate::default(),
+            retry_times: RetryTimes::default(),
         }
     }
 
@@ -414,19 +425,57 @@
             decided.push((request.key, outcome));
         }
         self.queue.on_round_end(now);
-        while let Some(position) = self.last_unservable(heads, now) {
+        while let Some((position, outcome)) = self.last_unservable(heads, now) {
             let rejected = self.queue.remove(position);
-            decided.extend(rejected.map(|request| (request.key, SlotOutcome::Full)));
+            decided.extend(rejected.map(|request| (request.key, outcome)));
         }
         decided
     }
 
-    /// The last queued request, if more requests are queued than will get a slot before its
-    /// deadline.
+    /// Limits of the heads, if all of them name one.
+    fn limits(&self, heads: &[OpenHead]) -> Option<SmallVec<[LimitState; 8]>> {
+        let limits = heads.iter().map(|h| self.head_states.get(&h.key)?.limit);
+        limits
+            .collect::<Option<_>>()
+            .filter(|l: &SmallVec<_>| !l.is_empty())
+    }
+
+    /// The outcome of a request that the heads' limits don't admit in time. It waits only if its
+    /// response can still be on time: more wait than are served, so that longer waits would make
+    /// all responses late.
+    fn limited_outcome(
+        &mut self,
+        request: &PendingRequest,
+        limits: &[LimitState],
+        now: Instant,
+    ) -> Option<SlotOutcome> {
+        let until = request.deadline.min(request.on_time_until);
+        let time = until.saturating_duration_since(now).as_secs_f64();
+        let rate: f64 = limits.iter().map(|l| usable_rate(l.limit)).sum();
+        let tokens: f64 = limits.iter().map(|l| l.tokens(now)).sum();
+        let is_admitted = self.queue.len() as f64 <= tokens + rate * time;
+        (!is_admitted).then(|| SlotOutcome::Limited {
+            retry_after: self.retry_times.next(rate, now),
+        })
+    }
+
+    /// The last queued request and its outcome, if more requests are queued than will get a slot
+    /// before its deadline.
     ///
     /// If rejected immediately, its caller can retry in time; after waiting, it would retry
     /// together with all others that waited as long.
-    fn last_unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Position> {
+    fn last_unservable(
+        &mut self,
+        heads: &[OpenHead],
+        now: Instant,
+    ) -> Option<(Position, SlotOutcome)> {
+        let (position, request) = self.queue.last()?;
+        if let Some(limits) = self.limits(heads) {
+            let request = request.clone();
+            if let Some(outcome) = self.limited_outcome(&request, &limits, now) {
+                return Some((position, outcome));
+            }
+        }
         let (position, request) = self.queue.last()?;
         if self.queue.nonempty_for(now) < LEARNING_PERIOD || position.0 == Priority::Resumed {
             return None;
@@ -436,7 +485,7 @@
             .saturating_duration_since(now)
             .as_secs_f64();
         let servable = heads.len() as f64 + self.grants.per_second(now) * time;
-        (self.queue.len() as f64 > servable).then_some(position)
+        (self.queue.len() as f64 > servable).then_some((position, SlotOutcome::Full))
     }
 
     /// Decides on a queued request; `None` if it stays queued. Returns the head if it gets a slot.
@@ -513,7 +562,7 @@
         let state = self.head_states.entry(head.key.clone()).or_default();
         state.requests += 1;
         state.unaccepted += 1;
-        state.recent_grants.on_grant(now);
+        state.on_grant(now);
         state.unprefilled_tokens += request.prompt_tokens;
         state.max_event_gap = Some(
             state
@@ -605,6 +654,9 @@
                 self.head_states
                     .insert(head.key.clone(), HeadState::default());
             }
+            if let Some(state) = self.head_states.get_mut(&head.key) {
+                state.set_limit(head.limit, now);
+            }
         }
     }
 }
--- a/crates/fleet/src/schedule/head.rs
+++ b/crates/fleet/src/schedule/head.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::catalog::EngineSpeed;
+use crate::catalog::{EngineSpeed, Millionths};
 use crate::cold::GrantWindow;
 use crate::ejection::Ejection;
+use crate::rate_limit::TokenBucket;
 use crate::success::SuccessRate;
 
 /// Requests sent to a head beyond its slots, to keep its batch full until the end of a stream is
@@ -37,10 +38,25 @@
     pub(super) ejection: Ejection,
     pub(super) success: SuccessRate,
     pub(super) recent_grants: GrantWindow,
+    /// Set while the head names a limit.
+    pub(super) limit: Option<LimitState>,
     /// Moving average of the time from a grant to its first event, and when it was last updated.
     first_event_latency: Option<(Duration, Instant)>,
 }
 
+/// Limit that a head named, and what is left of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LimitState {
+    pub(super) limit: Millionths,
+    pub(super) bucket: TokenBucket,
+}
+
+impl LimitState {
+    pub(super) fn tokens(&self, now: Instant) -> f64 {
+        self.bucket.tokens(self.limit, now)
+    }
+}
+
 /// Load of a head and requirements of a request to be admitted.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
@@ -57,6 +73,25 @@
 }
 
 impl HeadState {
+    /// Updates the limit that the head names.
+    pub(super) fn set_limit(&mut self, limit: Option<Millionths>, now: Instant) {
+        self.limit = limit.map(|limit| LimitState {
+            limit,
+            bucket: self
+                .limit
+                .map_or_else(|| TokenBucket::new(now), |known| known.bucket),
+        });
+    }
+
+    /// Records that a request is sent to the head.
+    pub(super) fn on_grant(&mut self, now: Instant) {
+        self.recent_grants.on_grant(now);
+        if let Some(limit) = &mut self.limit {
+            // Only heads with a token get grants.
+            limit.bucket.take(limit.limit, now);
+        }
+    }
+
     /// Adds the time from a grant to its first event to the moving average.
     pub(super) fn on_first_event(&mut self, first_event_latency: Duration, now: Instant) {
         self.success.on_served(now);
@@ -100,7 +135,8 @@
         let is_cold = demand
             .max_grants
             .is_some_and(|most| self.recent_grants.count(now) >= most);
-        if is_full || is_cold || !self.ejection.admits(self.unaccepted, now) {
+        let is_limited = self.limit.is_some_and(|limit| limit.tokens(now) < 1.0);
+        if is_full || is_cold || is_limited || !self.ejection.admits(self.unaccepted, now) {
             return false;
         }
         // Even the longest prompt must run somewhere, and does the least harm on its own.
--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -69,6 +69,7 @@
             inherited_requests: 0,
             unscheduled_requests: 0,
             cold,
+            limit: None,
         };
         Play {
             head,
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -53,6 +53,7 @@
         inherited_requests: 0,
         unscheduled_requests: 0,
         cold: None,
+        limit: None,
     };
     (0..count).map(head).collect()
 }
@@ -289,7 +290,7 @@
         for (key, outcome) in self.scheduler.assign(&open, self.now) {
             let prompt = self.prompts.remove(&key.number);
             match outcome {
-                SlotOutcome::Full => self.reject(key.number),
+                SlotOutcome::Full | SlotOutcome::Limited { .. } => self.reject(key.number),
                 SlotOutcome::Granted((replica, _)) => {
                     let n = replica[1..].parse().expect("a head's number");
                     self.send(n, key.number, prompt.expect("it was asked for"));
