Add the item and the call that carry limits between nodes

A host's limit is an item of the node that keeps it. Nodes report what they observe to that node by a call that can ask for a permit, too. Nodes of older builds ignore the item and reject the call, which the caller takes as no permit. The scheduler's reply can say that the limits of the heads are used up.

--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -29,6 +29,19 @@
         Usage(UsageReport),
         /// A group's row, published by its planner.
         Group(GroupRecord),
+        /// A limit that a target named.
+        TargetLimit(TargetLimit),
+    }
+
+    /// What a target's answer said of the requests that it takes.
+    pub struct TargetLimit {
+        /// Its host.
+        pub host: HostId,
+        /// Millionths of a request per second that it takes from all nodes together; `None` if it
+        /// names no limit any more.
+        pub limit_millionths: Option<u64>,
+        /// Time from the answer until this was published.
+        pub age: Duration,
     }
 
     /// Announces an accepted configuration; its text is fetched on demand.
@@ -188,6 +201,8 @@
     Usage(ServiceName, TenantId),
     /// A group's row.
     Group(GroupId),
+    /// The limit of a target.
+    TargetLimit(HostId),
 }
 
 /// Longest name or reason, in bytes.
@@ -236,6 +251,7 @@
             Item::GroupLoad(g) => ItemKey::GroupLoad(g.group.clone()),
             Item::Usage(u) => ItemKey::Usage(u.service.clone(), u.tenant.clone()),
             Item::Group(g) => ItemKey::Group(g.group.clone()),
+            Item::TargetLimit(l) => ItemKey::TargetLimit(l.host.clone()),
         }
     }
 
@@ -272,7 +288,7 @@
             }
             Item::Health(v) if !v.serving => Priority::Urgent,
             Item::Status(s) if s.leaving => Priority::Urgent,
-            Item::Health(_) | Item::Status(_) => Priority::Normal,
+            Item::Health(_) | Item::Status(_) | Item::TargetLimit(_) => Priority::Normal,
             Item::Load(_) | Item::GroupLoad(_) | Item::Usage(_) => Priority::Low,
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,14 +25,14 @@
 pub use crate::item::{
     Change, ConfigAnnouncement, GroupLoad, GroupRecord, HealthReport, Item, ItemKey, LeavingTarget,
     MAX_GROUP_RECORD_BYTES, MAX_SUSPECT_RECORD_BYTES, MAX_TEXT_BYTES, NodeLoad, NodeStatus,
-    Suspect, Update, UsageReport,
+    Suspect, TargetLimit, Update, UsageReport,
 };
 pub use crate::meter::Traffic;
 pub use crate::node::{HlcTimestamp, PeerHandler, PeerNode, PeerNodeConfig};
 pub use crate::overlay::{FAN_OUT, MAX_MESH_NODES, Overlay};
 pub use crate::wire::messages::{
-    Batch, CompletedReport, CrashReport, CrashedRun, Item as WireItem, Kind as WireKind, ListReply,
-    ListRequest, OriginUpdate, QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest,
-    SlotDecision, SlotDemand, SlotEvent, SlotEventKind, SlotGrant, SlotRequest, SuspectReply,
-    SuspectRequest, TrialRequest,
+    Batch, CompletedReport, CrashReport, CrashedRun, Item as WireItem, Kind as WireKind,
+    LimitReply, LimitRequest, ListReply, ListRequest, OriginUpdate, QuotaReply, QuotaRequest,
+    ScheduleReply, ScheduleRequest, SlotDecision, SlotDemand, SlotEvent, SlotEventKind, SlotGrant,
+    SlotRequest, SuspectReply, SuspectRequest, TargetLimit as WireTargetLimit, TrialRequest,
 };
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -20,8 +20,9 @@
 use crate::meter::{Meter, MeteredStream, Traffic};
 use crate::wire::client::Pool;
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, TimelineReply, TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, LimitReply, LimitRequest, ListReply, ListRequest,
+    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest,
+    TimelineReply, TimelineRequest,
 };
 use crate::wire::path;
 use crate::wire::server::PeerServer;
@@ -79,6 +80,12 @@
         SuspectReply::default()
     }
 
+    /// Handles limits that the calling node observed, and decides whether it may send a request to a
+    /// limited target; by default it may not.
+    fn limits(&self, _req: LimitRequest) -> LimitReply {
+        LimitReply::default()
+    }
+
     /// The changes of a list kept by the platform, once there are any or the caller's wait time
     /// is over; none by default.
     fn list(&self, _req: ListRequest) -> impl Future<Output = ListReply> + Send {
@@ -309,6 +316,19 @@
         self.inner.call(node, path::SUSPECTS, req, timeout).await
     }
 
+    /// Reports limits to `node`, which keeps them, and may ask to send a request to a limited target.
+    ///
+    /// # Errors
+    /// If the node can't be reached, times out or rejects the call.
+    pub async fn call_limit_keeper(
+        &self,
+        node: &NodeId,
+        req: LimitRequest,
+        timeout: Duration,
+    ) -> Result<LimitReply, PeerError> {
+        self.inner.call(node, path::LIMITS, req, timeout).await
+    }
+
     /// Fetches the active configuration of `node`, as a difference from `base` if that node
     /// still has it.
     ///
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -7,8 +7,9 @@
 use crate::node::{Inner, PeerHandler};
 use crate::wire::convert::name;
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, TimelineReply, TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, LimitReply, LimitRequest, ListReply, ListRequest,
+    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest,
+    TimelineReply, TimelineRequest,
 };
 use crate::wire::server::PeerService;
 
@@ -45,6 +46,11 @@
         Ok(self.handler.suspects(req))
     }
 
+    fn limits(&self, req: LimitRequest) -> Result<LimitReply, Status> {
+        self.check_caller(&req.from)?;
+        Ok(self.handler.limits(req))
+    }
+
     async fn list(&self, req: ListRequest) -> Result<ListReply, Status> {
         self.check_caller(&req.from)?;
         Ok(self.handler.list(req).await)
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -1,11 +1,13 @@
 //! Conversion between items and their wire format.
 
+use std::time::Duration;
+
 use eelgrassmill_base::Incarnation;
 
 use crate::item::{
     ConfigAnnouncement, GroupLoad, GroupRecord, HealthReport, Item, ItemKey, LeavingTarget,
     MAX_GROUP_RECORD_BYTES, MAX_SUSPECT_RECORD_BYTES, MAX_TEXT_BYTES, NodeLoad, NodeStatus,
-    Suspect, UsageReport,
+    Suspect, TargetLimit, UsageReport,
 };
 use crate::wire::messages::{self as wire, Kind};
 
@@ -67,6 +69,11 @@
             version: g.version,
             record: g.record.clone(),
         }),
+        Item::TargetLimit(l) => Kind::TargetLimit(wire::TargetLimit {
+            host: l.host.to_string(),
+            limit_millionths: l.limit_millionths,
+            age_ms: u64::try_from(l.age.as_millis()).unwrap_or(u64::MAX),
+        }),
         Item::Usage(u) => Kind::Usage(wire::UsageReport {
             service: u.service.to_string(),
             tenant: u.tenant.to_string(),
@@ -87,6 +94,7 @@
         ItemKey::Suspect(name) => (9, name.as_str()),
         ItemKey::GroupLoad(name) => (10, name.as_str()),
         ItemKey::Group(name) => (13, name.as_str()),
+        ItemKey::TargetLimit(name) => (14, name.as_str()),
         ItemKey::Usage(service, tenant) => {
             return Kind::Removed(wire::Removed {
                 kind: 12,
@@ -158,6 +166,11 @@
             weight: u.weight,
             tokens: u.tokens,
         }),
+        Kind::TargetLimit(l) => Item::TargetLimit(TargetLimit {
+            host: name(l.host)?,
+            limit_millionths: l.limit_millionths,
+            age: Duration::from_millis(l.age_ms),
+        }),
         Kind::Removed(r) => return removed_key(r).map(Received::Removed),
     };
     Some(Received::Put(item))
@@ -173,6 +186,7 @@
         9 => ItemKey::Suspect(name(removed.name)?),
         10 => ItemKey::GroupLoad(name(removed.name)?),
         13 => ItemKey::Group(name(removed.name)?),
+        14 => ItemKey::TargetLimit(name(removed.name)?),
         12 => {
             let (service, tenant) = removed.name.split_once(USAGE_SEPARATOR)?;
             ItemKey::Usage(name(service.to_owned())?, name(tenant.to_owned())?)
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -80,7 +80,7 @@
     #[prost(uint64, tag = "3")]
     pub ttl_ms: u64,
     /// The value.
-    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub kind: Option<Kind>,
 }
 
@@ -114,11 +114,28 @@
     /// A group's row.
     #[prost(message, tag = "13")]
     Group(GroupRecord),
+    /// A limit that a target named.
+    #[prost(message, tag = "14")]
+    TargetLimit(TargetLimit),
     /// The key of a removed item.
     #[prost(message, tag = "11")]
     Removed(Removed),
 }
 
+/// What a target's answer said of the requests that it takes.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TargetLimit {
+    /// Its host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Millionths of a request per second; absent if it names no limit any more.
+    #[prost(uint64, optional, tag = "2")]
+    pub limit_millionths: Option<u64>,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
 /// An accepted configuration.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ConfigAnnouncement {
@@ -564,6 +581,9 @@
     /// The replica's epoch.
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
+    /// For [`SlotDecision::Limited`], time until the request can be served, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub retry_after_ms: u64,
 }
 
 /// The decisions on a request.
@@ -578,6 +598,8 @@
     Waiting = 2,
     /// No slot became free in time.
     Full = 3,
+    /// The limits that the head hosts name are used up.
+    Limited = 4,
 }
 
 /// Reports to the quarantine coordinator of a service, and may request a trial.
@@ -663,3 +685,31 @@
     #[prost(uint64, tag = "2")]
     pub retry_after_ms: u64,
 }
+
+/// Reports limits to the nodes that keep them, and may ask to send a request to a limited target.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitRequest {
+    /// The calling node.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Limits that the calling node has observed.
+    #[prost(message, repeated, tag = "2")]
+    pub observations: Vec<TargetLimit>,
+    /// The host to send a request to; empty for none.
+    #[prost(string, tag = "3")]
+    pub host: String,
+}
+
+/// The reply of a node that keeps limits.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitReply {
+    /// Whether the request may be sent.
+    #[prost(bool, tag = "1")]
+    pub permitted: bool,
+    /// If it may not, time until one may be, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub available_in_ms: u64,
+    /// Retry-After for the request's caller, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+}
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -19,6 +19,7 @@
     pub(crate) const LIST: &str = "/eelgrassmill.peer.v1.Peer/List";
     pub(crate) const SCHEDULE: &str = "/eelgrassmill.peer.v1.Peer/Schedule";
     pub(crate) const SUSPECTS: &str = "/eelgrassmill.peer.v1.Peer/Suspects";
+    pub(crate) const LIMITS: &str = "/eelgrassmill.peer.v1.Peer/Limits";
     pub(crate) const QUOTA: &str = "/eelgrassmill.peer.v1.Peer/Quota";
 }
 
--- a/crates/peer/src/wire/server.rs
+++ b/crates/peer/src/wire/server.rs
@@ -12,8 +12,9 @@
 use tonic_prost::ProstCodec;
 
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, TimelineReply, TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, LimitReply, LimitRequest, ListReply, ListRequest,
+    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest,
+    TimelineReply, TimelineRequest,
 };
 use crate::wire::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES, SERVICE, path};
 
@@ -24,6 +25,7 @@
     fn timeline(&self, req: TimelineRequest) -> Result<TimelineReply, Status>;
     fn quota(&self, req: QuotaRequest) -> Result<QuotaReply, Status>;
     fn suspects(&self, req: SuspectRequest) -> Result<SuspectReply, Status>;
+    fn limits(&self, req: LimitRequest) -> Result<LimitReply, Status>;
     /// May wait for a change of the list.
     fn list(&self, req: ListRequest) -> impl Future<Output = Result<ListReply, Status>> + Send;
     /// May wait for a slot.
@@ -74,6 +76,7 @@
             }),
             path::TIMELINE => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.timeline(r))),
             path::QUOTA => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.quota(r))),
+            path::LIMITS => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.limits(r))),
             path::SUSPECTS => unary(req, MAX_REQUEST_BYTES, move |r| ready(service.suspects(r))),
             path::SCHEDULE => unary(req, MAX_REQUEST_BYTES, move |r| async move {
                 service.schedule(r).await
