Keep the limits that hosts name over all nodes

Nothing read the limit: the heads got as much after naming it as before. Class: a signal of a host that is passed on to callers and not acted on.

Now one node decides on all requests to a host with a limit: the scheduler for heads, the keeper for plain hosts. Shares of nodes don't work when the limit is less than one request a second and node. Other hosts take the rest; what none takes is rejected at once with Retry-After. With several shards of a model the other shards are asked first, and a head with a limit counts as one slot where shards are compared.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -37,6 +37,10 @@
 /// don't return together.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
 
+/// Retry-After when no scheduler answers and only one can place the request: by then another node
+/// has the role.
+const RETRY_AFTER_NO_SCHEDULER: Duration = Duration::from_secs(2);
+
 type QueueKey = (Priority, u64);
 
 /// Waiting requests by model.
@@ -191,6 +195,7 @@
     match scheduler_client::acquire(core, &query).await {
         Acquired::Granted(slot) => return Ok(slot),
         Acquired::Full => return Err(full_refusal(no_slot_cause(core, service, model))),
+        Acquired::Limited(retry_after) => return Err(limit_refusal(core, service, retry_after)),
         Acquired::NoScheduler => {}
     }
     let priority = Priority::first(resumed, call.urgency());
@@ -202,6 +207,9 @@
                     waiting.ended(true, Instant::now());
                     return Ok(head.enter(None));
                 }
+                Choice::Limited => {
+                    return Err(limit_refusal(core, service, RETRY_AFTER_NO_SCHEDULER));
+                }
                 Choice::Full { slots } if waiting.others() >= slots => {
                     return Err(full_refusal(RefusalCause::Full));
                 }
@@ -226,6 +234,11 @@
     }
 }
 
+fn limit_refusal<P: Platform>(core: &Core<P>, service: &str, retry_after: Duration) -> Refusal {
+    core.metrics.count_limited(service);
+    Refusal::with_retry_after(RefusalCause::HostLimit, retry_after)
+}
+
 fn full_refusal(cause: RefusalCause) -> Refusal {
     Refusal::with_retry_after(cause, RETRY_AFTER_FULL.mul_f64(1.0 + fastrand::f64()))
 }
@@ -236,6 +249,8 @@
     Full {
         slots: usize,
     },
+    /// All heads name limits, which only a scheduler can keep.
+    Limited,
     NoHeads,
 }
 
@@ -274,10 +289,14 @@
     }
     let slots: usize = open.iter().map(|h| h.slots).sum();
     let now = Instant::now();
-    // Only a scheduler tracks how much load a cold head can take.
+    let is_limited = |h: &Head| core.host_limits.limit(&h.host).is_some();
+    if open.iter().all(|h| is_limited(h)) {
+        return Choice::Limited;
+    }
+    // Only a scheduler tracks how much load a cold or limited head can take.
     let accepting = open
         .iter()
-        .filter(|h| h.accepts_unscheduled(now) && h.cold(now).is_none());
+        .filter(|h| h.accepts_unscheduled(now) && h.cold(now).is_none() && !is_limited(h));
     let candidates = accepting.map(|h| HostCandidate {
         host: h.host.clone(),
         load: h.load(),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -33,6 +33,9 @@
 /// room again a few responses later.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 
+/// Hosts whose limits are found used up before a call is rejected.
+const MAX_DENIALS: u32 = 4;
+
 /// Counts a request at a host until it is dropped. The outcome defaults to failed, so that an
 /// attempt that is dropped early counts as a failure.
 struct RequestGuard<'c, P: Platform> {
@@ -70,6 +73,7 @@
     let mut tried: SmallVec<[HostId; 4]> = SmallVec::new();
     let mut runs = 0;
     let mut delivered = 0;
+    let mut denials = 0;
     let mut fallback = None;
     let mut refused = RefusalCause::HostsRefused;
     while !call.remaining().is_zero() {
@@ -82,6 +86,13 @@
             }
             return Err(refusal);
         }
+        if !host_limits::may_send(core, &host.id).await {
+            denials += 1;
+            if denials >= MAX_DENIALS {
+                break;
+            }
+            continue;
+        }
         if delivered > 0 && !core.try_retry(&service, RetryReason::Attempt) {
             refused = RefusalCause::RetryBudgetExhausted;
             break;
@@ -118,7 +129,27 @@
             }
         }
     }
-    fallback.ok_or_else(|| refusal_of(call, runs, delivered, refused))
+    fallback.ok_or_else(|| {
+        let limited = (delivered == 0).then(|| limit_refusal(core, &service));
+        limited
+            .flatten()
+            .unwrap_or_else(|| refusal_of(call, runs, delivered, refused))
+    })
+}
+
+/// The refusal of a call that no host received, if limits that hosts of the service name are used
+/// up.
+fn limit_refusal<P: Platform>(core: &Core<P>, service: &str) -> Option<Refusal> {
+    let now = Instant::now();
+    let fleet = locked(&core.fleet);
+    let hosts = fleet.hosts().filter(|h| h.service == service);
+    let retry_after = core.host_limits.retry_after(hosts.map(|h| &h.id), now)?;
+    // Callers of this node that are rejected until the same time must not return together.
+    let retry_after = retry_after.mul_f64(1.0 + fastrand::f64());
+    Some(Refusal::with_retry_after(
+        RefusalCause::HostLimit,
+        retry_after,
+    ))
 }
 
 /// The refusal of a call that no host answered. It states that the call didn't run only where
@@ -203,7 +234,10 @@
     };
     let usable = |h: &&Host| {
         let is_wanted = h.service == service && !tried.contains(&h.id);
-        is_wanted && fleet.takes_requests(h) && is_within_rate(h, &mut limiter)
+        is_wanted
+            && fleet.takes_requests(h)
+            && !core.host_limits.is_denied(&h.id, now)
+            && is_within_rate(h, &mut limiter)
     };
     let candidates: Vec<HostCandidate> = fleet
         .hosts()
@@ -260,7 +294,7 @@
     let status = response.status;
     let class = core.platform.dialect().classify(status, &response.headers);
     if class.is_of_host() {
-        host_limits::observe(core, &host.id, &response.headers);
+        host_limits::observe(core, &host.id, status, &response.headers);
     }
     match class {
         ResponseClass::NotRun => AttemptResult::NotRun("refused".into()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::ports::Platform;
 use crate::reflector::{HostSink, OperatorSink, run_reflector};
 use crate::server::{self, OpenConnections};
-use crate::{configuration, leader, loss_detection, node_api, quarantine};
+use crate::{configuration, host_limits, leader, loss_detection, node_api, quarantine};
 
 /// How long new connections are still accepted after the signal to stop, in multiples of the
 /// address TTL: callers keep this node's address for the TTL, and some for three times as long.
@@ -206,6 +206,7 @@
     tokio::spawn(configuration::fetch_from_peers(Arc::clone(core)));
     tokio::spawn(leader::run(Arc::clone(core)));
     tokio::spawn(loss_detection::run(Arc::clone(core)));
+    tokio::spawn(host_limits::run(Arc::clone(core)));
     tokio::spawn(quarantine::send_reports_loop(Arc::clone(core)));
     tokio::spawn(quarantine::decide_loop(Arc::clone(core)));
     tokio::spawn(peers::publish_loads(Arc::clone(core)));
--- a/crates/gateway/src/host_limits.rs
+++ b/crates/gateway/src/host_limits.rs
@@ -1,38 +1,352 @@
-//! Request rates that hosts in need name in their answers.
+//! Request rates that hosts in need name in their answers, kept over all nodes.
+//!
+//! A limit may be far less than one request per second and node, so nodes can't divide it. One node
+//! decides on all requests to a host: the scheduler of its model, or for plain hosts the node that
+//! ranks first for the host. That node also publishes the host's limit to all nodes.
 
-use std::sync::Mutex;
-use std::time::Instant;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-use eelgrassmill_base::HostId;
-use eelgrassmill_fleet::{HostLimits, Millionths};
-use http::HeaderMap;
+use eelgrassmill_base::{HostId, NodeId};
+use eelgrassmill_fleet::{
+    HostLimits, LimitObservation, Millionths, RequestPermits, ranked_for_role,
+};
+use eelgrassmill_peer::{Item, ItemKey, LimitReply, LimitRequest, TargetLimit, WireTargetLimit};
+use http::{HeaderMap, StatusCode};
 use tracing::info;
 
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Dialect, Platform};
 
-/// What this node knows of limits.
+/// How long observations are batched before they are reported. Another node's may arrive first.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// How often nodes check which limits they have to publish.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of limits checked at a time: ranking the nodes for each of a thousand hosts takes
+/// tens of milliseconds.
+const MAX_CHECKS: usize = 128;
+/// Timeout of a call to the node that keeps a limit.
+const RPC_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a host isn't asked for again if the node that keeps its limit gave no answer.
+const RETRY_AFTER_NO_KEEPER: Duration = Duration::from_secs(1);
+
+/// What this node knows of limits, and those that it keeps.
 #[derive(Debug, Default)]
 pub(crate) struct LimitState {
     limits: Mutex<HostLimits>,
+    permits: Mutex<RequestPermits>,
+    /// Observations that the nodes which publish them don't have yet.
+    unreported: Mutex<BTreeSet<HostId>>,
+    /// Limits that this node published, by when they were observed.
+    published: Mutex<BTreeMap<HostId, Instant>>,
+    /// Plain hosts whose limits are used up.
+    denied: Mutex<BTreeMap<HostId, Denial>>,
+}
+
+/// A used-up limit.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    /// When the host takes a request again.
+    until: Instant,
+    /// When callers that were rejected may come back.
+    retry_at: Instant,
+}
+
+impl LimitState {
+    /// The requests per second that a host takes from all nodes together, if it names a limit.
+    pub(crate) fn limit(&self, host: &str) -> Option<Millionths> {
+        locked(&self.limits).limit(host)
+    }
+
+    /// Whether a plain host's limit is known to be used up.
+    pub(crate) fn is_denied(&self, host: &str, now: Instant) -> bool {
+        let denied = locked(&self.denied);
+        denied.get(host).is_some_and(|denial| now < denial.until)
+    }
+
+    /// Time after which callers that some plain hosts don't take may come back; `None` if none of
+    /// the hosts has a limit that is used up.
+    pub(crate) fn retry_after<'h>(
+        &self,
+        hosts: impl Iterator<Item = &'h HostId>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let denied = locked(&self.denied);
+        let used_up = hosts.filter_map(|host| denied.get(host));
+        let used_up = used_up.filter(|denial| now < denial.until);
+        let retry_at = used_up.map(|denial| denial.retry_at).min()?;
+        Some(retry_at.saturating_duration_since(now))
+    }
 }
 
-/// Handles the headers of a host's answer.
-pub(crate) fn observe<P: Platform>(core: &Core<P>, host: &HostId, headers: &HeaderMap) {
+/// Handles the head of a host's answer. Only a success without a limit shows that there is none:
+/// hosts may reject requests in fewer words.
+pub(crate) fn observe<P: Platform>(
+    core: &Core<P>,
+    host: &HostId,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
     let limit = core.platform.dialect().host_limit(headers);
     let limit = limit.map(Millionths::of);
-    let is_news = locked(&core.host_limits.limits).observe(host, limit, Instant::now());
-    if is_news {
-        log_change(core, host, limit, "answer");
+    if limit.is_none() && !status.is_success() {
+        return;
+    }
+    let state = &core.host_limits;
+    if locked(&state.limits).observe(host, limit, Instant::now()) {
+        locked(&state.unreported).insert(host.clone());
+        on_change(core, host, limit, "answer");
     }
 }
 
-fn log_change<P: Platform>(core: &Core<P>, host: &HostId, limit: Option<Millionths>, source: &str) {
-    let limited = locked(&core.host_limits.limits).limited();
+/// Handles a limit that another node published.
+pub(crate) fn on_item<P: Platform>(core: &Core<P>, from: &NodeId, item: &TargetLimit, at: Instant) {
+    let limit = item.limit_millionths.map(Millionths::from_count);
+    let observation = LimitObservation {
+        host: item.host.clone(),
+        limit,
+        age: item.age + at.elapsed(),
+    };
+    merge(core, &observation, from);
+}
+
+/// Merges an observation. Returns whether it is newer than the known one.
+fn merge<P: Platform>(core: &Core<P>, observation: &LimitObservation, from: &NodeId) -> bool {
+    let state = &core.host_limits;
+    let host = &observation.host;
+    let before = state.limit(host);
+    let is_newer = locked(&state.limits).merge(observation, Instant::now());
+    if is_newer {
+        locked(&state.unreported).remove(host);
+        if before != observation.limit {
+            on_change(core, host, observation.limit, from);
+        }
+    }
+    is_newer
+}
+
+fn on_change<P: Platform>(core: &Core<P>, host: &HostId, limit: Option<Millionths>, source: &str) {
+    let state = &core.host_limits;
+    if limit.is_none() {
+        locked(&state.denied).remove(host);
+    }
+    let limited = locked(&state.limits).limited();
     let shown = i64::try_from(limited).unwrap_or(i64::MAX);
     core.metrics.limited_hosts.set(shown);
     let outcome = if limit.is_some() { "named" } else { "lifted" };
     let per_second = limit.map_or(0.0, Millionths::get);
     info!(event = "host-limit", %host, outcome, per_second, source);
 }
+
+/// Asks to send one request to a plain host. Always permitted if it names no limit.
+pub(crate) async fn may_send<P: Platform>(core: &Arc<Core<P>>, host: &HostId) -> bool {
+    if core.host_limits.limit(host).is_none() {
+        return true;
+    }
+    let req = request(core, [host], host);
+    let reply = match keeper(core, host) {
+        Some(node) => send(core, &node, req).await,
+        None => None,
+    };
+    let (available_in, retry_after) = match reply {
+        Some(reply) if reply.permitted => return true,
+        Some(reply) => (
+            Duration::from_millis(reply.available_in_ms),
+            Duration::from_millis(reply.retry_after_ms),
+        ),
+        None => (RETRY_AFTER_NO_KEEPER, RETRY_AFTER_NO_KEEPER),
+    };
+    let service = locked(&core.fleet).host(host).map(|h| h.service.clone());
+    core.metrics.count_limited(&service.unwrap_or_default());
+    let now = Instant::now();
+    let denial = Denial {
+        until: now + available_in,
+        retry_at: now + retry_after,
+    };
+    locked(&core.host_limits.denied).insert(host.clone(), denial);
+    false
+}
+
+fn request<'h, P: Platform>(
+    core: &Core<P>,
+    observed: impl IntoIterator<Item = &'h HostId>,
+    host: &str,
+) -> LimitRequest {
+    let now = Instant::now();
+    let limits = locked(&core.host_limits.limits);
+    let observations = observed
+        .into_iter()
+        .filter_map(|h| limits.observation(h, now));
+    LimitRequest {
+        from: core.cfg.node.to_string(),
+        observations: observations.map(wire_observation).collect(),
+        host: host.to_owned(),
+    }
+}
+
+fn wire_observation(observation: LimitObservation) -> WireTargetLimit {
+    WireTargetLimit {
+        host: observation.host.to_string(),
+        limit_millionths: observation.limit.map(Millionths::count),
+        age_ms: observation.age.as_millis() as u64,
+    }
+}
+
+async fn send<P: Platform>(
+    core: &Arc<Core<P>>,
+    node: &NodeId,
+    req: LimitRequest,
+) -> Option<LimitReply> {
+    if *node == core.cfg.node {
+        return Some(handle(core, req));
+    }
+    let peer = core.peer()?;
+    peer.call_limit_keeper(node, req, RPC_TIMEOUT).await.ok()
+}
+
+/// Handles another node's observations, and its request to a plain host whose limit is kept here.
+pub(crate) fn handle<P: Platform>(core: &Core<P>, req: LimitRequest) -> LimitReply {
+    let from = NodeId::from(req.from.as_str());
+    for observation in req.observations {
+        let observation = LimitObservation {
+            host: observation.host.into(),
+            limit: observation.limit_millionths.map(Millionths::from_count),
+            age: Duration::from_millis(observation.age_ms),
+        };
+        let is_newer = merge(core, &observation, &from);
+        if is_newer || from == core.cfg.node {
+            publish(core, &observation.host);
+        }
+    }
+    let Some(limit) = core.host_limits.limit(&req.host) else {
+        return LimitReply {
+            permitted: true,
+            ..LimitReply::default()
+        };
+    };
+    let host = HostId::from(req.host.as_str());
+    match locked(&core.host_limits.permits).request(&host, limit, Instant::now()) {
+        Ok(()) => LimitReply {
+            permitted: true,
+            ..LimitReply::default()
+        },
+        Err(reached) => LimitReply {
+            permitted: false,
+            available_in_ms: reached.available_in.as_millis() as u64,
+            retry_after_ms: reached.retry_after.as_millis() as u64,
+        },
+    }
+}
+
+/// Publishes what is known of a host's limit, unless it is published.
+fn publish<P: Platform>(core: &Core<P>, host: &HostId) {
+    let Some(peer) = core.peer() else { return };
+    let now = Instant::now();
+    let Some(known) = locked(&core.host_limits.limits).observation(host, now) else {
+        return;
+    };
+    let observed_at = now.checked_sub(known.age).unwrap_or(now);
+    let before = locked(&core.host_limits.published).insert(host.clone(), observed_at);
+    if before == Some(observed_at) {
+        return;
+    }
+    peer.publish(Item::TargetLimit(TargetLimit {
+        host: known.host,
+        limit_millionths: known.limit.map(Millionths::count),
+        age: known.age,
+    }));
+}
+
+/// Reports and publishes limits until the process ends.
+pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
+    let mut checked_at = Instant::now();
+    let mut next_check = None;
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        report(&core).await;
+        let now = Instant::now();
+        if now.saturating_duration_since(checked_at) >= CHECK_INTERVAL {
+            checked_at = now;
+            prune(&core, now);
+            next_check = publish_adopted(&core, next_check);
+        }
+    }
+}
+
+/// Reports this node's observations to the nodes that publish them. Those without an answer are
+/// reported again.
+async fn report<P: Platform>(core: &Arc<Core<P>>) {
+    let unreported = std::mem::take(&mut *locked(&core.host_limits.unreported));
+    let mut by_node: BTreeMap<NodeId, Vec<HostId>> = BTreeMap::new();
+    for host in unreported {
+        if let Some(node) = keeper(core, &host) {
+            by_node.entry(node).or_default().push(host);
+        }
+    }
+    for (node, hosts) in by_node {
+        let req = request(core, &hosts, "");
+        if send(core, &node, req).await.is_none() {
+            locked(&core.host_limits.unreported).extend(hosts);
+        }
+    }
+}
+
+/// Forgets hosts that are no longer listed.
+fn prune<P: Platform>(core: &Core<P>, now: Instant) {
+    let state = &core.host_limits;
+    if locked(&state.limits).hosts().next().is_none() {
+        return;
+    }
+    {
+        let fleet = locked(&core.fleet);
+        let listed: BTreeSet<&HostId> = fleet.hosts().map(|h| &h.id).collect();
+        locked(&state.limits).prune(&listed, now);
+    }
+    locked(&state.denied).retain(|_, denial| now < denial.until);
+    let limits = locked(&state.limits);
+    let shown = i64::try_from(limits.limited()).unwrap_or(i64::MAX);
+    core.metrics.limited_hosts.set(shown);
+    let is_known = |host: &HostId| limits.observation(host, now).is_some();
+    locked(&state.published).retain(|host, _| {
+        let keep = is_known(host);
+        if !keep && let Some(peer) = core.peer() {
+            peer.withdraw(&ItemKey::TargetLimit(host.clone()));
+        }
+        keep
+    });
+}
+
+/// Publishes limits that former nodes published, and withdraws those that are others' now. Checks
+/// up to [`MAX_CHECKS`] from `from` on, and returns where to go on.
+fn publish_adopted<P: Platform>(core: &Core<P>, from: Option<HostId>) -> Option<HostId> {
+    let mut hosts: Vec<HostId> = {
+        let limits = locked(&core.host_limits.limits);
+        let rest = limits
+            .hosts()
+            .filter(|h| from.as_ref().is_none_or(|f| *h >= f));
+        rest.take(MAX_CHECKS + 1).cloned().collect()
+    };
+    let next = (hosts.len() > MAX_CHECKS).then(|| hosts.pop()).flatten();
+    for host in hosts {
+        let is_kept_here = keeper(core, &host).is_some_and(|node| node == core.cfg.node);
+        if is_kept_here {
+            publish(core, &host);
+        } else if locked(&core.host_limits.published).remove(&host).is_some()
+            && let Some(peer) = core.peer()
+        {
+            peer.withdraw(&ItemKey::TargetLimit(host));
+        }
+    }
+    next
+}
+
+/// The node that publishes a host's limit, and keeps it if it is a plain host.
+fn keeper<P: Platform>(core: &Core<P>, host: &HostId) -> Option<NodeId> {
+    let nodes = locked(&core.nodes);
+    let own = (!core.is_leaving()).then(|| core.as_candidate());
+    let candidates = nodes.alive(Instant::now()).chain(own);
+    let ranked = ranked_for_role(&format!("limit/{host}"), None, candidates);
+    ranked.first().map(|node| (*node).clone())
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) quarantine_decisions: IntCounterVec,
     /// Hosts that name a limit, as far as this node knows.
     pub(crate) limited_hosts: IntGauge,
+    /// Times that a host's limit held back a request of this node, by service.
+    limited: IntCounterVec,
     /// Orders by kind and reply.
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -111,6 +113,11 @@
                 "gateway_limited_hosts",
                 "Hosts that name the requests a second that they take.",
             ),
+            limited: counter(
+                "gateway_limited_total",
+                "Times that a limit that hosts name held back a request.",
+                &["service"],
+            ),
             orders: counter(
                 "gateway_orders_total",
                 "Orders to hosts.",
@@ -155,6 +162,11 @@
         self.retries.with_label_values(&labels).inc();
     }
 
+    /// Counts a request that a limit held back.
+    pub(crate) fn count_limited(&self, service: &str) {
+        self.limited.with_label_values(&[service]).inc();
+    }
+
     /// Records the time to the first byte of a response.
     pub(crate) fn observe_first_byte(&self, service: &str, kind: &str, latency: Duration) {
         let histogram = self.first_byte.with_label_values(&[service, kind]);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,8 +8,9 @@
 use eelgrassmill_base::{GroupId, NodeId};
 use eelgrassmill_peer::{
     BlockedPeers, Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey,
-    ListReply, ListRequest, Member, NodeLoad, NodeStatus, PeerError, PeerHandler, PeerNode,
-    PeerNodeConfig, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest, Timing, Update,
+    LimitReply, LimitRequest, ListReply, ListRequest, Member, NodeLoad, NodeStatus, PeerError,
+    PeerHandler, PeerNode, PeerNodeConfig, ScheduleReply, ScheduleRequest, SuspectReply,
+    SuspectRequest, Timing, Update,
 };
 use smol_str::ToSmolStr;
 use tokio::runtime::Handle;
@@ -20,7 +21,7 @@
 use crate::nodes::NodeInfo;
 use crate::ports::{LeaderRecord, Platform};
 use crate::scheduler::ScheduledLoad;
-use crate::{loss_detection, quarantine, scheduler, snapshot_relay};
+use crate::{host_limits, loss_detection, quarantine, scheduler, snapshot_relay};
 
 /// The group name under which the leader publishes its term.
 const LEADER_GROUP: &str = "planner";
@@ -73,6 +74,7 @@
                 locked(&self.core.leaders).insert(origin.clone(), record.version);
             }
             Item::Group(update) => loss_detection::on_loss_report(&self.core, origin, &update),
+            Item::TargetLimit(limit) => host_limits::on_item(&self.core, origin, &limit, as_of),
             Item::Suspect(suspect) => quarantine::on_record(&self.core, &suspect, as_of),
             Item::Load(load) => self.apply_node_load(origin, &load),
             _ => {}
@@ -160,6 +162,10 @@
         quarantine::handle(&self.core, req)
     }
 
+    fn limits(&self, req: LimitRequest) -> LimitReply {
+        host_limits::handle(&self.core, req)
+    }
+
     fn schedule(&self, req: ScheduleRequest) -> impl Future<Output = ScheduleReply> + Send {
         scheduler::handle(Arc::clone(&self.core), req)
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -27,6 +27,8 @@
         NoHealthyTarget,
         /// All replicas are full.
         Full,
+        /// The limits that all its hosts name are used up.
+        HostLimit,
         /// Hosts refused it, and no further attempt is permitted.
         HostsRefused,
         /// It needs a retry, and the retry budget is exhausted.
@@ -56,6 +58,7 @@
             RefusalCause::NodeLeaving => "node-leaves",
             RefusalCause::NoHealthyTarget => "nothing-serves",
             RefusalCause::Full => "full",
+            RefusalCause::HostLimit => "host-limit",
             RefusalCause::HostsRefused => "hosts-refused",
             RefusalCause::RetryBudgetExhausted => "no-repeats-left",
             RefusalCause::Quarantined => "quarantined",
@@ -72,6 +75,7 @@
             | RefusalCause::NodeLeaving
             | RefusalCause::NoHealthyTarget
             | RefusalCause::Full
+            | RefusalCause::HostLimit
             | RefusalCause::HostsRefused
             | RefusalCause::RetryBudgetExhausted
             | RefusalCause::Quarantined
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -169,8 +169,13 @@
             decision: SlotDecision::Granted.into(),
             replica: replica.to_string(),
             epoch,
+            retry_after_ms: 0,
         },
         SlotOutcome::Full => decision(SlotDecision::Full),
+        SlotOutcome::Limited { retry_after } => ScheduleReply {
+            retry_after_ms: retry_after.as_millis() as u64,
+            ..decision(SlotDecision::Limited)
+        },
     }
 }
 
@@ -179,6 +184,7 @@
         decision: decision.into(),
         replica: String::new(),
         epoch: 0,
+        retry_after_ms: 0,
     }
 }
 
@@ -262,6 +268,7 @@
         inherited_requests: h.assigned(),
         unscheduled_requests: h.unscheduled(),
         cold: h.cold(now),
+        limit: core.host_limits.limit(&h.host),
     });
     open.collect()
 }
@@ -310,7 +317,7 @@
     /// Makes the decisions that are possible now and sends them to the pending calls.
     fn decide(&mut self, heads: &[OpenHead], now: Instant) {
         for (key, outcome) in self.scheduler.assign(heads, now) {
-            if outcome == SlotOutcome::Full {
+            if !matches!(outcome, SlotOutcome::Granted(_)) {
                 self.unserved += 1;
             }
             let unsent = match self.pending_replies.remove(&key) {
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -12,6 +12,7 @@
 use eelgrassmill_peer::{
     ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent, SlotEventKind, SlotRequest,
 };
+use smallvec::SmallVec;
 use tracing::info;
 
 use crate::call::Call;
@@ -164,6 +165,8 @@
     Granted(SlotGuard<P>),
     /// No slot became free in time.
     Full,
+    /// The limits that the heads name are used up for this long.
+    Limited(Duration),
     /// No scheduler answers.
     NoScheduler,
 }
@@ -188,11 +191,15 @@
     let mut stale = 0;
     let mut ejected = 0;
     let mut waiting: Option<Permit<P>> = None;
+    let mut limited = LimitedScopes::default();
     loop {
         // Chosen again at each turn: the heads of another failure domain may have room by now, and
         // after an ejection another node schedules.
-        let Some((scope, node)) = scheduler_for(core, query.service, query.model) else {
-            return Acquired::NoScheduler;
+        let chosen = scheduler_for(core, query.service, query.model, &limited.domains);
+        let Some((scope, node)) = chosen else {
+            return limited
+                .retry_after
+                .map_or(Acquired::NoScheduler, Acquired::Limited);
         };
         let same = waiting
             .take()
@@ -215,6 +222,12 @@
                 permit.is_released = true;
                 return Acquired::Full;
             }
+            SlotDecision::Limited => {
+                permit.is_released = true;
+                let retry_after = Duration::from_millis(reply.retry_after_ms);
+                limited.push(permit.scope.heads_in.clone(), retry_after);
+                continue;
+            }
             SlotDecision::Unknown => return Acquired::NoScheduler,
             SlotDecision::Granted => {}
         }
@@ -229,6 +242,23 @@
     }
 }
 
+/// The scopes whose heads' limits are used up for one request.
+#[derive(Debug, Default)]
+struct LimitedScopes {
+    /// Their failure domains; `None` for a scope of all heads.
+    domains: SmallVec<[Option<FailureDomain>; 4]>,
+    /// The shortest Retry-After.
+    retry_after: Option<Duration>,
+}
+
+impl LimitedScopes {
+    fn push(&mut self, domain: Option<FailureDomain>, retry_after: Duration) {
+        self.domains.push(domain);
+        let shortest = self.retry_after.map_or(retry_after, |r| r.min(retry_after));
+        self.retry_after = Some(shortest);
+    }
+}
+
 /// Asks for a slot under the number of `permit`. `None` if the scheduler gives no reply.
 async fn request_slot<P: Platform>(
     core: &Arc<Core<P>>,
@@ -295,15 +325,21 @@
     ejected.insert(node.clone(), now);
 }
 
-/// The scope of a request and the node that schedules it; `None` if no such node answers.
+/// The scope of a request and the node that schedules it; `None` if no such node answers, or all
+/// scopes are in `limited`.
 ///
 /// A model with many replicas has a scope and a scheduler for each failure domain.
 fn scheduler_for<P: Platform>(
     core: &Core<P>,
     service: &ServiceName,
     model: &ModelName,
+    limited: &[Option<FailureDomain>],
 ) -> Option<(Scope, NodeId)> {
-    let domains = open_domains(core, service, model);
+    let mut domains = open_domains(core, service, model);
+    if limited.contains(&None) {
+        return None;
+    }
+    domains.retain(|domain, _| !limited.contains(&Some(domain.clone())));
     let scope = |heads_in: Option<FailureDomain>| Scope {
         service: service.clone(),
         model: model.clone(),
@@ -345,7 +381,8 @@
     hosts * spec.share.get() / spec.size.max(1) as f64 > MAX_REPLICAS_PER_SHARD
 }
 
-/// The failure domains in which a model has heads, each with its requests and usable slots.
+/// The failure domains in which a model has heads, each with its requests and usable slots. A head
+/// that names a limit counts as one slot: it looks idle, but takes few requests.
 fn open_domains<P: Platform>(
     core: &Core<P>,
     service: &ServiceName,
@@ -356,7 +393,8 @@
     for head in heads.of_model(service, model) {
         let domain = domains.entry(head.failure_domain.clone()).or_default();
         domain.0 += head.load() + head.queued();
-        domain.1 += head.usable_slots();
+        let is_limited = core.host_limits.limit(&head.host).is_some();
+        domain.1 += if is_limited { 1 } else { head.usable_slots() };
     }
     domains
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -237,7 +237,7 @@
         let dialect = self.core.platform.dialect();
         let class = dialect.classify(response.status, &response.headers);
         if class.is_of_host() {
-            host_limits::observe(&self.core, &head.host, &response.headers);
+            host_limits::observe(&self.core, &head.host, response.status, &response.headers);
         }
         match class {
             ResponseClass::NotRun | ResponseClass::WrongHost => {
