Write a claim's final state again when its row was busy

Cause: a node writes changes of claim rows in batches. A change whose key already waits in the batch was answered like one whose row is gone. A new claim then looks at the row again, but a final state counted as settled and was never written: the row stayed claimed by a live owner. While the table is down, repeats write the same key, so that both meet in a batch. Ruled out: the time-out of the first write, which only brings the second one.

--- a/crates/claim/src/claim.rs
+++ b/crates/claim/src/claim.rs
@@ -127,6 +127,10 @@
                 self.phase = Phase::Closed;
                 ClaimResult::Lost(current)
             }
+            WriteOutcome::Busy => {
+                self.phase = Phase::Closed;
+                ClaimResult::Lost(None)
+            }
             WriteOutcome::Unavailable => {
                 self.phase = Phase::Closed;
                 ClaimResult::Abandoned(None)
@@ -187,7 +191,9 @@
     pub fn on_written(&mut self, outcome: WriteOutcome) -> Option<RowChange> {
         match outcome {
             WriteOutcome::Committed => None,
-            WriteOutcome::Unavailable | WriteOutcome::Unknown => Some(self.change.clone()),
+            WriteOutcome::Unavailable | WriteOutcome::Unknown | WriteOutcome::Busy => {
+                Some(self.change.clone())
+            }
             WriteOutcome::Conflict(current) => {
                 let current = current?;
                 if !current.row.is_same_attempt(&self.row) || !self.may_replace(&current.row.state)
--- a/crates/claim/src/row.rs
+++ b/crates/claim/src/row.rs
@@ -94,6 +94,9 @@
         Unavailable,
         /// It may have been committed or may be committed later.
         Unknown,
+        /// It was not written, since another change of the row was about to be; it certainly had
+        /// no effect.
+        Busy,
     }
 }
 
--- a/crates/claim/tests/claims.rs
+++ b/crates/claim/tests/claims.rs
@@ -225,3 +225,18 @@
     expect_that!(ClaimRow::decode("{}"), err(anything()));
     insta::assert_snapshot!(text);
 }
+
+/// Guards against a final state that is never written because another change of the row was about to
+/// be: the key would stay in progress for as long as its entry lives.
+#[googletest::test]
+fn final_state_that_found_its_row_busy_is_written_again() {
+    let now = Instant::now();
+    let change = claim_change(decide(None, &request("k", b"", "1"), OwnerState::Alive));
+    let mut claim = Claim::new(change, now).expect("change writes a claim");
+    claim.on_claim_written(WriteOutcome::Committed);
+    expect_that!(claim.begin_dispatch(now), ok(anything()));
+    let last = claim.on_dispatched(DispatchOutcome::Unknown);
+    expect_that!(last, some(anything()));
+    expect_that!(claim.on_written(WriteOutcome::Busy), eq(&last));
+    expect_that!(claim.on_written(WriteOutcome::Committed), none());
+}
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -349,7 +349,7 @@
                 return self.note_settled(told);
             };
             let outcome = self.once.store.write(next).await;
-            let failed = matches!(outcome, WriteOutcome::Unavailable | WriteOutcome::Unknown);
+            let failed = !matches!(outcome, WriteOutcome::Committed | WriteOutcome::Conflict(_));
             change = claim.on_written(outcome);
             if failed {
                 tokio::time::sleep(WRITE_AGAIN).await;
--- a/crates/node/src/once/store.rs
+++ b/crates/node/src/once/store.rs
@@ -122,9 +122,9 @@
                     self.commit(batch);
                 }
             }
-            // The same key waits in this batch. Both can't hold; the later one
-            // is told so without a write, and looks at the row again.
-            Err(_) => drop(command.tx.send(WriteOutcome::Conflict(None))),
+            // The same key waits in this batch, and both changes can't hold. A claim looks at the
+            // row again, and a final state is written again later.
+            Err(_) => drop(command.tx.send(WriteOutcome::Busy)),
         }
     }
 
