Split the check of heads' limits from that of the queue's length

last_unservable returned two kinds of outcome and copied the request. The requests that the limits don't admit are now found by a function of their own.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -425,10 +425,15 @@
             decided.push((request.key, outcome));
         }
         self.queue.on_round_end(now);
-        while let Some((position, outcome)) = self.last_unservable(heads, now) {
+        while let Some((position, retry_after)) = self.last_over_limits(heads, now) {
             let rejected = self.queue.remove(position);
+            let outcome = SlotOutcome::Limited { retry_after };
             decided.extend(rejected.map(|request| (request.key, outcome)));
         }
+        while let Some(position) = self.last_unservable(heads, now) {
+            let rejected = self.queue.remove(position);
+            decided.extend(rejected.map(|request| (request.key, SlotOutcome::Full)));
+        }
         decided
     }
 
@@ -440,42 +445,30 @@
             .filter(|l: &SmallVec<_>| !l.is_empty())
     }
 
-    /// The outcome of a request that the heads' limits don't admit in time. It waits only if its
-    /// response can still be on time: more wait than are served, so that longer waits would make
-    /// all responses late.
-    fn limited_outcome(
+    /// The last queued request and its Retry-After, if all heads name limits that don't admit it in
+    /// time. It waits only while its response can still be on time: more wait than are served, so
+    /// that longer waits would make all responses late.
+    fn last_over_limits(
         &mut self,
-        request: &PendingRequest,
-        limits: &[LimitState],
+        heads: &[OpenHead],
         now: Instant,
-    ) -> Option<SlotOutcome> {
+    ) -> Option<(Position, Duration)> {
+        let limits = self.limits(heads)?;
+        let (position, request) = self.queue.last()?;
         let until = request.deadline.min(request.on_time_until);
         let time = until.saturating_duration_since(now).as_secs_f64();
         let rate: f64 = limits.iter().map(|l| usable_rate(l.limit)).sum();
         let tokens: f64 = limits.iter().map(|l| l.tokens(now)).sum();
         let is_admitted = self.queue.len() as f64 <= tokens + rate * time;
-        (!is_admitted).then(|| SlotOutcome::Limited {
-            retry_after: self.retry_times.next(rate, now),
-        })
+        (!is_admitted).then(|| (position, self.retry_times.next(rate, now)))
     }
 
-    /// The last queued request and its outcome, if more requests are queued than will get a slot
-    /// before its deadline.
+    /// The last queued request, if more requests are queued than will get a slot before its
+    /// deadline.
     ///
     /// If rejected immediately, its caller can retry in time; after waiting, it would retry
     /// together with all others that waited as long.
-    fn last_unservable(
-        &mut self,
-        heads: &[OpenHead],
-        now: Instant,
-    ) -> Option<(Position, SlotOutcome)> {
-        let (position, request) = self.queue.last()?;
-        if let Some(limits) = self.limits(heads) {
-            let request = request.clone();
-            if let Some(outcome) = self.limited_outcome(&request, &limits, now) {
-                return Some((position, outcome));
-            }
-        }
+    fn last_unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Position> {
         let (position, request) = self.queue.last()?;
         if self.queue.nonempty_for(now) < LEARNING_PERIOD || position.0 == Priority::Resumed {
             return None;
@@ -485,7 +478,7 @@
             .saturating_duration_since(now)
             .as_secs_f64();
         let servable = heads.len() as f64 + self.grants.per_second(now) * time;
-        (self.queue.len() as f64 > servable).then_some((position, SlotOutcome::Full))
+        (self.queue.len() as f64 > servable).then_some(position)
     }
 
     /// Decides on a queued request; `None` if it stays queued. Returns the head if it gets a slot.
