Look up a quarantined request's service directly

The request of a trial exported the whole table to find one service, the body was hashed under the table's lock, and one check locked the reports twice. No change of behaviour: quarantine, suspects and crashes tests pass.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -104,11 +104,12 @@
 }
 
 fn status<P: Platform>(core: &Core<P>, call: &Call) -> QuarantineStatus {
-    let table = locked(&core.quarantine.table);
-    if table.is_empty() {
+    // The fingerprint costs a hash of the body.
+    if locked(&core.quarantine.table).is_empty() {
         return QuarantineStatus::Clear;
     }
-    table.status(call.fingerprint(), Instant::now())
+    let fingerprint = call.fingerprint();
+    locked(&core.quarantine.table).status(fingerprint, Instant::now())
 }
 
 fn refusal(retry_after: Duration) -> Refusal {
@@ -119,26 +120,21 @@
     core: &Arc<Core<P>>,
     call: &Call,
 ) -> Result<Admission, Refusal> {
-    // A split route has several services; hosts of any of them may have crashed.
     let unknown = || refusal(RETRY_AFTER_NO_COORDINATOR);
-    let record = {
-        let table = locked(&core.quarantine.table);
-        let fingerprint = call.fingerprint();
-        let found = table
-            .export(Instant::now())
-            .find(|r| r.fingerprint == fingerprint);
-        found.ok_or_else(unknown)?
-    };
-    let coordinator = coordinators(core, &record.service)
+    let fingerprint = call.fingerprint();
+    // Of the services of a split route, the one whose hosts crashed.
+    let service = locked(&core.quarantine.table).service(fingerprint).cloned();
+    let service = service.ok_or_else(unknown)?;
+    let coordinator = coordinators(core, &service)
         .into_iter()
         .next()
         .ok_or_else(unknown)?;
     let lease = call.remaining().min(MAX_TRIAL_TIME) + TRIAL_MARGIN;
     let req = SuspectRequest {
         from: core.cfg.node.to_string(),
-        service: record.service.to_string(),
+        service: service.to_string(),
         trial: Some(TrialRequest {
-            fingerprint: record.fingerprint,
+            fingerprint,
             lease_ms: lease.as_millis() as u64,
         }),
         ..SuspectRequest::default()
@@ -160,9 +156,11 @@
 /// Reports that a call completed on a host that stayed up, if that clears it.
 pub(crate) fn on_completed<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
     let quarantine = &core.quarantine;
-    let is_known = locked(&quarantine.reports).is_watching()
-        && locked(&quarantine.reports).is_watched(call.fingerprint());
-    if !is_known && status(core, call) == QuarantineStatus::Clear {
+    let is_watched = {
+        let reports = locked(&quarantine.reports);
+        reports.is_watching() && reports.is_watched(call.fingerprint())
+    };
+    if !is_watched && status(core, call) == QuarantineStatus::Clear {
         return;
     }
     locked(&quarantine.reports).push_completed(service, call.fingerprint(), Instant::now());
--- a/crates/route/src/quarantine/table.rs
+++ b/crates/route/src/quarantine/table.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// The service whose hosts the request crashed, if it is known.
+    pub fn service(&self, fingerprint: RequestFingerprint) -> Option<&ServiceName> {
+        self.requests.get(&fingerprint).map(|e| &e.service)
+    }
+
     /// How often the request was quarantined since it last completed.
     pub fn offences(&self, fingerprint: RequestFingerprint, now: Instant) -> u32 {
         let entry = self.requests.get(&fingerprint);
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -4,8 +4,9 @@
 //! retried in isolation: one suspect per group at a time. A request is quarantined
 //! after two crashes without another common cause, if in one of them no other
 //! request had been in two crashes; or after any three crashes, four if all were
-//! in one failure domain, unless another request was in all of them. The state is a set of crashes merged by union, so nodes
-//! converge whatever order updates arrive in.
+//! in one failure domain, unless another request was in all of them. The state is
+//! a set of crashes merged by union, so nodes converge whatever order updates
+//! arrive in.
 
 mod record;
 
