Move the messages on hosts to a file of their own

The messages to nodes that decide for all on hosts stand in wire/host_messages.rs; their encoding is as it was.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -30,9 +30,12 @@
 pub use crate::meter::Traffic;
 pub use crate::node::{HlcTimestamp, PeerHandler, PeerNode, PeerNodeConfig};
 pub use crate::overlay::{FAN_OUT, MAX_MESH_NODES, Overlay};
+pub use crate::wire::host_messages::{
+    CompletedReport, CrashReport, CrashedRun, LimitReply, LimitRequest, SuspectReply,
+    SuspectRequest, TrialRequest,
+};
 pub use crate::wire::messages::{
-    Batch, CompletedReport, CrashReport, CrashedRun, Item as WireItem, Kind as WireKind,
-    LimitReply, LimitRequest, ListReply, ListRequest, OriginUpdate, QuotaReply, QuotaRequest,
-    ScheduleReply, ScheduleRequest, SlotDecision, SlotDemand, SlotEvent, SlotEventKind, SlotGrant,
-    SlotRequest, SuspectReply, SuspectRequest, TargetLimit as WireTargetLimit, TrialRequest,
+    Batch, Item as WireItem, Kind as WireKind, ListReply, ListRequest, OriginUpdate, QuotaReply,
+    QuotaRequest, ScheduleReply, ScheduleRequest, SlotDecision, SlotDemand, SlotEvent,
+    SlotEventKind, SlotGrant, SlotRequest, TargetLimit as WireTargetLimit,
 };
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -19,10 +19,10 @@
 use crate::item::{Item, ItemKey, Update};
 use crate::meter::{Meter, MeteredStream, Traffic};
 use crate::wire::client::Pool;
+use crate::wire::host_messages::{LimitReply, LimitRequest, SuspectReply, SuspectRequest};
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, LimitReply, LimitRequest, ListReply, ListRequest,
-    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest,
-    TimelineReply, TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
+    ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
 };
 use crate::wire::path;
 use crate::wire::server::PeerServer;
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -6,10 +6,10 @@
 use crate::config_text::fetch_reply;
 use crate::node::{Inner, PeerHandler};
 use crate::wire::convert::name;
+use crate::wire::host_messages::{LimitReply, LimitRequest, SuspectReply, SuspectRequest};
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, LimitReply, LimitRequest, ListReply, ListRequest,
-    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest,
-    TimelineReply, TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
+    ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
 };
 use crate::wire::server::PeerService;
 
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod client;
 pub(crate) mod convert;
+pub(crate) mod host_messages;
 pub(crate) mod messages;
 pub(crate) mod server;
 
--- a/crates/peer/src/wire/server.rs
+++ b/crates/peer/src/wire/server.rs
@@ -11,10 +11,10 @@
 use tonic::{Request, Response, Status};
 use tonic_prost::ProstCodec;
 
+use crate::wire::host_messages::{LimitReply, LimitRequest, SuspectReply, SuspectRequest};
 use crate::wire::messages::{
-    Batch, FetchConfigReply, FetchConfigRequest, LimitReply, LimitRequest, ListReply, ListRequest,
-    QuotaReply, QuotaRequest, ScheduleReply, ScheduleRequest, SuspectReply, SuspectRequest,
-    TimelineReply, TimelineRequest,
+    Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
+    ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
 };
 use crate::wire::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES, SERVICE, path};
 
