Reject queued requests only if a slot is unlikely

What callers saw: the last of three requests that wait for a slot was rejected after 1.19 to 1.22 s, although it may wait 1.4 s and two others do.

With 203.6 to 182.8 ms left the estimate expects 2.9986 to 2.8879 slots for three requests, so the third is rejected when its chance is about even. The recheck every 20 ms decides whether that is before or after 1.2 s. Ruled out: whole milliseconds in renewed calls (each request is enqueued once, with 1399.0 ms), and the rejection of late requests after one timed out (it comes only later, at 1.41 s).

A request is now rejected when even one standard deviation more slots than expected wouldn't reach it. In a long queue that is a few percent, for one request beyond the expected ones its chance is then below a third.

a_request_stays_queued_while_a_slot_is_likely is new; before, the third request is rejected after 1.2 s and doesn't get the slot that becomes free at 1.3 s.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -48,6 +48,9 @@
 /// How long requests must have been queued before the grant rate is a valid estimate of the heads'
 /// capacity.
 const LEARNING_PERIOD: Duration = Duration::from_millis(500);
+/// Standard deviations by which more slots may become free than the grant rate predicts. A queue
+/// that is longer than that is very likely too long.
+const GRANT_DEVIATIONS: f64 = 1.0;
 /// How long a slot stays assigned after the request's deadline if its release is not reported:
 /// longer than streams usually take.
 const ASSIGNMENT_TTL: Duration = Duration::from_secs(4);
@@ -463,11 +466,12 @@
         (!is_admitted).then(|| (position, self.retry_times.next(rate, now)))
     }
 
-    /// The last queued request, if more requests are queued than will get a slot before its
-    /// deadline.
+    /// The last queued request, if more requests are queued than are likely to get a slot before
+    /// its deadline.
     ///
     /// If rejected immediately, its caller can retry in time; after waiting, it would retry
-    /// together with all others that waited as long.
+    /// together with all others that waited as long. Slots become free at random times, so their
+    /// number varies by its square root.
     fn last_unservable(&self, heads: &[OpenHead], now: Instant) -> Option<Position> {
         let (position, request) = self.queue.last()?;
         if self.queue.nonempty_for(now) < LEARNING_PERIOD || position.0 == Priority::Resumed {
@@ -477,7 +481,8 @@
             .deadline
             .saturating_duration_since(now)
             .as_secs_f64();
-        let servable = heads.len() as f64 + self.grants.per_second(now) * time;
+        let expected = self.grants.per_second(now) * time;
+        let servable = heads.len() as f64 + expected + GRANT_DEVIATIONS * expected.sqrt();
         (self.queue.len() as f64 > servable).then_some(position)
     }
 
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -485,6 +485,34 @@
     expect_that!(world.on_time(from, from + Duration::from_secs(8)), gt(0.2));
 }
 
+/// Guards against rejecting a request that is as likely as not to get a slot before its deadline.
+#[gtest]
+fn a_request_stays_queued_while_a_slot_is_likely() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(speed(), now);
+    let mut open = heads(2);
+    for head in &mut open {
+        head.slots = 8;
+    }
+    for n in 0..18 {
+        scheduler.enqueue(ask(n, 0, now), now);
+    }
+    assert_that!(scheduler.assign(&open, now).len(), eq(18));
+    let queued_at = now + millis(50);
+    for n in 18..21 {
+        scheduler.enqueue(ask(n, 0, queued_at), queued_at);
+    }
+    for waited in (0..1300).step_by(20).map(millis) {
+        let decided = scheduler.assign(&open, queued_at + waited);
+        assert_that!(decided, is_empty(), "after {waited:?}");
+    }
+    for n in 0..3 {
+        scheduler.release(&key(n));
+    }
+    let granted = scheduler.assign(&open, queued_at + millis(1300));
+    expect_that!(granted.len(), eq(3));
+}
+
 /// Guards against sending requests to replicas with a slow member while others have room.
 #[gtest]
 fn requests_avoid_slow_heads() {
