Report slot events until schedulers acknowledge them

What callers would see: streams rejected as full while heads are idle.

Cause: a node took slot events out of its list, sent them once and dropped them when the call failed, timed out after 0.5 s, or was cancelled with the request that carried it. The scheduler then keeps each slot until it expires, 4 s after the request's deadline.

Events now stay until a call that carries them is acknowledged, for the 6 s in which the slot could still be taken; a node that counts as dead gets no calls meanwhile. Repeated events have no effect: the scheduler ignores those of requests that have no slot.

Two tests of the list itself are new.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -30,6 +30,7 @@
 use crate::quarantine::Quarantine;
 use crate::scheduler::Schedulers;
 use crate::scheduler_client::SchedulerClient;
+use crate::slot_events::SlotEvents;
 use crate::snapshot_relay::SnapshotRelay;
 
 /// The state of one node.
@@ -58,6 +59,7 @@
     pub(crate) schedulers: Schedulers,
     pub(crate) caller_timeouts: Mutex<CallerTimeouts>,
     pub(crate) scheduler_client: SchedulerClient,
+    pub(crate) slot_events: SlotEvents,
     pub(crate) crash_detection: CrashDetection,
     pub(crate) quarantine: Quarantine,
     pub(crate) host_limits: LimitState,
@@ -104,6 +106,7 @@
             schedulers: Schedulers::default(),
             caller_timeouts: Mutex::default(),
             scheduler_client: SchedulerClient::default(),
+            slot_events: SlotEvents::default(),
             crash_detection: CrashDetection::default(),
             quarantine: Quarantine::default(),
             host_limits: LimitState::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod scheduler_client;
 mod server;
 mod settings;
+mod slot_events;
 mod snapshot_relay;
 mod sse;
 mod stream;
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -3,7 +3,7 @@
 //! A model with few replicas has one scheduler; a larger one is sharded by failure domain. If no
 //! scheduler answers, the node places the request itself by reported loads.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
 use crate::heads::{Head, SlotGuard, locked};
 use crate::ports::Platform;
 use crate::scheduler::{self, Scope};
+use crate::slot_events::{self, EventBatch, SchedulerKey};
 
 /// Replicas served by one scheduler shard; larger models are sharded by failure domain.
 const MAX_REPLICAS_PER_SHARD: f64 = 10.0;
@@ -33,20 +34,16 @@
 /// Candidate schedulers for a scope. A node that has ejected all of them is likely partitioned
 /// itself and must not become a scheduler that knows of no other node's requests.
 const MAX_SCHEDULER_CHOICES: usize = 2;
-/// How long slot events are batched before they are sent.
-const BATCH_DELAY: Duration = Duration::from_millis(5);
-/// Timeout for sending slot events. Lost events are not resent: their slots expire.
+/// Timeout for sending slot events.
 const SLOT_EVENT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Grants of heads that this node knows to be lost, or doesn't know yet, after which it places
 /// the request itself.
 const MAX_STALE_GRANTS: usize = 2;
 
-/// Schedulers ejected by this node, and slot events for them.
+/// Schedulers ejected by this node.
 #[derive(Debug, Default)]
 pub(crate) struct SchedulerClient {
     ejected: Mutex<BTreeMap<NodeId, Instant>>,
-    /// Not yet sent.
-    slot_events: Mutex<HashMap<(NodeId, Scope), Vec<SlotEvent>>>,
 }
 
 /// A slot that was requested or granted. Dropping it releases the slot, also if the caller
@@ -89,43 +86,28 @@
         self.is_released = true;
     }
 
-    /// Reports after [`BATCH_DELAY`].
     fn report(&self, event: SlotEventKind) {
         let slot_event = SlotEvent {
             request_number: self.number,
             event: event.into(),
         };
         let to = (self.node.clone(), self.scope.clone());
-        let first = {
-            let mut slot_events = locked(&self.core.scheduler_client.slot_events);
-            let list = slot_events.entry(to.clone()).or_default();
-            list.push(slot_event);
-            list.len() == 1
-        };
-        if first {
-            let core = Arc::clone(&self.core);
-            tokio::spawn(async move {
-                tokio::time::sleep(BATCH_DELAY).await;
-                send_slot_events(&core, to).await;
-            });
-        }
+        slot_events::report(&self.core, &to, slot_event);
     }
 }
 
-async fn send_slot_events<P: Platform>(core: &Arc<Core<P>>, to: (NodeId, Scope)) {
-    let slot_events = take_slot_events(core, &to);
-    if slot_events.is_empty() {
+/// Sends the slot events for a scheduler that no other call carries.
+pub(crate) async fn send_slot_events<P: Platform>(core: &Arc<Core<P>>, to: &SchedulerKey) {
+    let (node, scope) = to;
+    let batch = EventBatch::take(core, to);
+    let is_up = *node == core.cfg.node || locked(&core.nodes).is_alive(node, Instant::now());
+    if batch.is_empty() || !is_up {
         return;
     }
-    let req = request(core, &to.1, None, slot_events);
-    // A lost event costs a slot until it expires.
-    let _ = send(core, &to.0, req, SLOT_EVENT_TIMEOUT).await;
-}
-
-fn take_slot_events<P: Platform>(core: &Core<P>, to: &(NodeId, Scope)) -> Vec<SlotEvent> {
-    locked(&core.scheduler_client.slot_events)
-        .remove(to)
-        .unwrap_or_default()
+    let req = request(core, scope, None, batch.messages());
+    if send(core, node, req, SLOT_EVENT_TIMEOUT).await.is_some() {
+        batch.acknowledge();
+    }
 }
 
 fn request<P: Platform>(
@@ -266,10 +248,12 @@
     permit: &Permit<P>,
 ) -> Option<ScheduleReply> {
     let slot_request = slot_request(query, permit.number);
-    let slot_events = take_slot_events(core, &(permit.node.clone(), permit.scope.clone()));
+    let batch = EventBatch::take(core, &(permit.node.clone(), permit.scope.clone()));
     let wait = Duration::from_millis(slot_request.wait_ms.into());
-    let req = request(core, &permit.scope, Some(slot_request), slot_events);
-    send(core, &permit.node, req, wait + RPC_SLACK).await
+    let req = request(core, &permit.scope, Some(slot_request), batch.messages());
+    let reply = send(core, &permit.node, req, wait + RPC_SLACK).await?;
+    batch.acknowledge();
+    Some(reply)
 }
 
 /// The granted head, unless this node doesn't know it or knows that it takes no new requests.
