Detect crashes of hosts that are back or gone from the list at once

What callers saw: a stream that crashes each head went on to reach heads, and sound streams failed as long as it came, where a crashed head's entry goes at once and it is back 0.6 s later under its name at its address, or where its port accepts connections meanwhile.

Cause, two conditions: a broken response was ignored if its host wasn't listed as ready any more, and one probe decided: a host that accepts a connection counted as up for good. With the entry removed before the response is seen to break, or a host that is back before the probe, nothing was left to show the crash. Both are in the code that the failing tests run through; ruled out: lost reports and the decision itself, since no host-crashed line came.

A check now lasts 5 s and ends with a crash as soon as the port refuses, the list shows another start of the host, or the entry is gone although the host had not announced that it leaves, which the fleet remembers for a minute. Responses belong to a crash if they break together and were sent before; if the host sent anything later, an earlier reset is dropped and the host is probed again, so that a crash within a second of a reset counts, too.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::cold::ColdStart;
 use crate::host::Host;
+use crate::presence::{Departures, HostPresence};
 
 /// How long hosts that are missing after a store outage are kept once the store is back. The
 /// platform guarantees that live hosts are listed again within about 2 s.
@@ -63,6 +64,7 @@
     evacuation_ended: BTreeMap<FailureDomain, Instant>,
     /// Until when hosts are cold according to their entries.
     cold_until: BTreeMap<HostId, Instant>,
+    departures: Departures,
     /// End of the grace period in which missing hosts are kept.
     grace_until: Option<Instant>,
     loaded: bool,
@@ -127,6 +129,20 @@
         self.hosts.get(id)
     }
 
+    /// What the list says of the start of a host at `started_ms`, 0 if unknown.
+    ///
+    /// Hosts that are missing after a store outage still count as listed.
+    pub fn presence(&self, id: &str, started_ms: u64) -> HostPresence {
+        if self.departures.has_left(id, started_ms) {
+            return HostPresence::Left;
+        }
+        match self.hosts.get(id) {
+            None => HostPresence::Vanished,
+            Some(host) if !host.is_same_start(started_ms) => HostPresence::Restarted,
+            Some(_) => HostPresence::Listed,
+        }
+    }
+
     /// The entries as last listed, ignoring newer reports of the hosts themselves.
     pub fn listed(&self) -> impl Iterator<Item = &Host> {
         let listed = self
@@ -165,7 +181,7 @@
         }
         let gone = std::mem::take(&mut self.missing);
         for id in &gone {
-            self.discard(id);
+            self.discard(id, now);
         }
         gone.into_iter().collect()
     }
@@ -214,10 +230,12 @@
         } else {
             self.cold_until.remove(&entry.id);
         }
+        self.departures.on_listed(&entry, now);
         self.hosts.insert(entry.id.clone(), entry);
     }
 
-    fn discard(&mut self, id: &HostId) {
+    fn discard(&mut self, id: &HostId, now: Instant) {
+        self.departures.on_removed(id, now);
         self.cold_until.remove(id);
         self.hosts.remove(id);
         self.superseded.remove(id);
@@ -256,7 +274,7 @@
             return None;
         }
         self.missing.remove(&id);
-        self.discard(&id);
+        self.discard(&id, now);
         Some(id)
     }
 
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -89,6 +89,11 @@
         self.state == HostState::Ready
     }
 
+    /// Whether it may be the same start of the host as one at `started_ms`; 0 means unknown.
+    pub fn is_same_start(&self, started_ms: u64) -> bool {
+        self.started_ms == started_ms || self.started_ms == 0 || started_ms == 0
+    }
+
     /// Whether it is the head of an open replica.
     pub fn is_open_head(&self) -> bool {
         let open = |m: &Membership| m.rank == 0 && m.phase == MembershipPhase::Open;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,12 +11,14 @@
 mod catalog;
 mod cold;
 mod cpu_overload;
+mod crash_detector;
 mod ejection;
 mod fleet;
 mod host;
 mod host_limits;
 mod lease;
 mod planner;
+mod presence;
 mod priority;
 mod rate;
 mod rate_limit;
@@ -37,6 +39,9 @@
 };
 pub use crate::cold::{ColdRateLimiter, ColdStart};
 pub use crate::cpu_overload::CpuOverload;
+pub use crate::crash_detector::{
+    BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
+};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
@@ -46,6 +51,7 @@
     Command, Formation, FormationPhase, LossReason, Order, OrderReply, Planner, PlannerTiming,
     Purpose,
 };
+pub use crate::presence::HostPresence;
 pub use crate::priority::{LateRejection, Priority};
 pub use crate::rate::Rate;
 pub use crate::rate_limit::{LimitReached, RequestPermits};
--- a/crates/fleet/src/stall.rs
+++ b/crates/fleet/src/stall.rs
@@ -53,6 +53,11 @@
         self.last_event = Some(now);
     }
 
+    /// When the last event arrived.
+    pub fn last_event(&self) -> Option<Instant> {
+        self.last_event
+    }
+
     /// Whether it sent an event so recently that it can't have lost a member, whatever another node
     /// reports.
     ///
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -1,152 +1,167 @@
 //! Detects hosts that crashed under requests of this node.
 //!
-//! A response that breaks doesn't tell a crash from a lost connection. So the node connects to the
-//! host again: a crashed one refuses, or can't be reached and is removed from the host list.
+//! [`CrashDetector`] has the policy; this connects to hosts and reports crashes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use eelgrassmill_base::{FailureDomain, HostId, value};
+use eelgrassmill_base::{FailureDomain, HostId, ServiceName, value};
 use eelgrassmill_engine::SendError;
+use eelgrassmill_fleet::{
+    BrokenResponse, CheckStep, CrashDetector, Host, HostCrash, HostPresence, HostStart, ProbeResult,
+};
 use eelgrassmill_route::CrashedRun;
 use smol_str::SmolStr;
 use tracing::info;
 
 use crate::call::Call;
 use crate::core::Core;
-use crate::heads::locked;
+use crate::heads::{Head, locked};
 use crate::ports::Platform;
 use crate::quarantine;
 
-/// Interval of the checks of a host that can't be reached.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// How long an unreachable host is checked: the host list drops crashed hosts within 4 s.
-const MAX_CHECK_TIME: Duration = Duration::from_secs(5);
-/// How long a host that was found alive isn't checked again. One that resets connections would
-/// otherwise cost a connection for each reset.
-const RECHECK_DELAY: Duration = Duration::from_secs(1);
-
 value! {
     /// A host that crashed while requests of this node ran there.
     pub(crate) struct Crash {
         pub(crate) host: HostId,
-        pub(crate) service: SmolStr,
+        /// Start time of the host, 0 if unknown.
+        pub(crate) started_ms: u64,
+        pub(crate) service: ServiceName,
         pub(crate) failure_domain: FailureDomain,
         /// When the first response from it broke.
         pub(crate) at: Instant,
         /// The requests; one may have several runs.
         pub(crate) running: Vec<CrashedRun>,
     }
+
+    /// A host as it was when a request was sent to it.
+    pub(crate) struct UsedHost {
+        start: HostStart,
+        address: SmolStr,
+        service: ServiceName,
+        failure_domain: FailureDomain,
+    }
 }
 
-/// Checks in progress.
-#[derive(Debug, Default)]
-pub(crate) struct CrashDetection {
-    checks: Mutex<BTreeMap<HostId, Check>>,
+value! { copy
+    /// A response that broke.
+    pub(crate) struct Broken {
+        /// When the request was sent.
+        pub(crate) sent: Instant,
+        /// Whether a part of the response had arrived.
+        pub(crate) started: bool,
+        /// When this node last received anything from the host.
+        pub(crate) last_received: Option<Instant>,
+    }
+}
+
+impl From<&Head> for UsedHost {
+    fn from(head: &Head) -> UsedHost {
+        UsedHost {
+            start: (head.host.clone(), head.started_ms),
+            address: head.address.clone(),
+            service: head.service.clone(),
+            failure_domain: head.failure_domain.clone(),
+        }
+    }
 }
 
-#[derive(Debug)]
-struct Check {
-    /// Requests that broke at the host since the check began.
-    running: Vec<CrashedRun>,
-    /// When the first response broke.
-    broke_at: Instant,
-    /// When the host was found alive; `None` while the check is in progress.
-    alive_at: Option<Instant>,
+impl From<&Host> for UsedHost {
+    fn from(host: &Host) -> UsedHost {
+        UsedHost {
+            start: (host.id.clone(), host.started_ms),
+            address: host.address.clone(),
+            service: host.service.clone(),
+            failure_domain: host.failure_domain.clone(),
+        }
+    }
 }
 
-#[derive(Debug, PartialEq, Eq)]
-enum HostStatus {
-    Alive,
-    Crashed,
-    /// It neither accepts nor refuses connections.
-    Unreachable,
+/// Checks in progress.
+#[derive(Debug, Default)]
+pub(crate) struct CrashDetection {
+    detector: Mutex<CrashDetector<CrashedRun>>,
 }
 
-/// Records that the response to a call broke at a host, and checks whether the host crashed. The
-/// call was sent at `sent`; `started` says whether a part of the response had arrived.
+/// Records that the response to a call broke at a host, and checks whether the host crashed.
 pub(crate) fn on_broken<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Call,
-    host: &HostId,
-    sent: Instant,
-    started: bool,
+    host: UsedHost,
+    broken: Broken,
 ) {
     let now = Instant::now();
-    let run = CrashedRun {
-        fingerprint: call.fingerprint(),
-        ran_for: now.saturating_duration_since(sent),
-        started,
-    };
-    let mut checks = locked(&core.crash_detection.checks);
-    let is_recent = |at: Instant| now.saturating_duration_since(at) < RECHECK_DELAY;
-    checks.retain(|_, check| check.alive_at.is_none_or(is_recent));
-    if let Some(check) = checks.get_mut(host) {
-        if check.alive_at.is_none() {
-            check.running.push(run);
-        }
+    if presence(core, &host.start) == HostPresence::Left {
         return;
     }
-    // The response of a host that leaves may break without a crash.
-    let is_ready = locked(&core.fleet).host(host).is_some_and(|h| h.is_ready());
-    if !is_ready {
-        return;
-    }
-    let check = Check {
-        running: vec![run],
-        broke_at: now,
-        alive_at: None,
+    let response = BrokenResponse {
+        sent: broken.sent,
+        last_received: broken.last_received,
+        run: CrashedRun {
+            fingerprint: call.fingerprint(),
+            ran_for: now.saturating_duration_since(broken.sent),
+            started: broken.started,
+        },
     };
-    checks.insert(host.clone(), check);
-    drop(checks);
-    tokio::spawn(check_host(Arc::clone(core), host.clone()));
+    let begins = locked(&core.crash_detection.detector).on_broken(&host.start, response, now);
+    if begins {
+        tokio::spawn(check_host(Arc::clone(core), host));
+    }
 }
 
-async fn check_host<P: Platform>(core: Arc<Core<P>>, id: HostId) {
-    let Some(host) = locked(&core.fleet).host(&id).cloned() else {
-        return end_check(&core, &id);
-    };
-    let give_up_at = Instant::now() + MAX_CHECK_TIME;
-    let mut status = host_status(&core, &id, &host.address).await;
-    while status == HostStatus::Unreachable && Instant::now() < give_up_at {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        status = host_status(&core, &id, &host.address).await;
-    }
-    if status != HostStatus::Crashed {
-        return end_check(&core, &id);
+/// Records that a host answered.
+pub(crate) fn on_received<P: Platform>(core: &Core<P>, host: &Host) {
+    let mut detector = locked(&core.crash_detection.detector);
+    if !detector.is_idle() {
+        let start = (host.id.clone(), host.started_ms);
+        detector.on_received(&start, Instant::now());
     }
-    let Some(check) = locked(&core.crash_detection.checks).remove(&id) else {
-        return;
-    };
-    let crash = Crash {
-        host: id,
-        service: host.service,
-        failure_domain: host.failure_domain,
-        at: check.broke_at,
-        running: check.running,
-    };
-    log_crash(&core, &crash);
-    quarantine::on_crash(&core, crash);
 }
 
-/// Ends a check that found no crash.
-fn end_check<P: Platform>(core: &Core<P>, host: &HostId) {
-    if let Some(check) = locked(&core.crash_detection.checks).get_mut(host) {
-        check.alive_at = Some(Instant::now());
-        check.running = Vec::new();
+fn presence<P: Platform>(core: &Core<P>, (id, started_ms): &HostStart) -> HostPresence {
+    locked(&core.fleet).presence(id, *started_ms)
+}
+
+async fn check_host<P: Platform>(core: Arc<Core<P>>, host: UsedHost) {
+    let detector = &core.crash_detection.detector;
+    loop {
+        let presence = presence(&core, &host.start);
+        let step = locked(detector).step(&host.start, presence, Instant::now());
+        match step {
+            CheckStep::Probe => {
+                let result = probe(&core, &host.address).await;
+                locked(detector).on_probed(&host.start, result, Instant::now());
+            }
+            CheckStep::Wait(wait) => tokio::time::sleep(wait).await,
+            CheckStep::Crashed(crash) => report(&core, &host, crash),
+            CheckStep::End => return,
+        }
     }
 }
 
-async fn host_status<P: Platform>(core: &Core<P>, host: &HostId, address: &str) -> HostStatus {
+async fn probe<P: Platform>(core: &Core<P>, address: &str) -> ProbeResult {
     match core.http.check_listening(address).await {
-        Ok(()) => HostStatus::Alive,
-        Err(SendError::Refused(_)) => HostStatus::Crashed,
-        Err(_) if locked(&core.fleet).host(host).is_none() => HostStatus::Crashed,
-        Err(_) => HostStatus::Unreachable,
+        Ok(()) => ProbeResult::Accepted,
+        Err(SendError::Refused(_)) => ProbeResult::Refused,
+        Err(_) => ProbeResult::Unreachable,
     }
 }
 
+fn report<P: Platform>(core: &Core<P>, host: &UsedHost, crash: HostCrash<CrashedRun>) {
+    let (id, started_ms) = host.start.clone();
+    let crash = Crash {
+        host: id,
+        started_ms,
+        service: host.service.clone(),
+        failure_domain: host.failure_domain.clone(),
+        at: crash.at,
+        running: crash.running,
+    };
+    log_crash(core, &crash);
+    quarantine::on_crash(core, crash);
+}
+
 fn log_crash<P: Platform>(core: &Core<P>, crash: &Crash) {
     let crashes = &core.metrics.host_crashes;
     crashes.with_label_values(&[crash.service.as_str()]).inc();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::core::Core;
+use crate::crash_detection::Broken;
 use crate::heads::locked;
 use crate::metrics::RetryReason;
 use crate::ports::{AttemptMetadata, Dialect, Platform, ResponseClass};
@@ -119,7 +120,12 @@
             AttemptResult::NotRun(_) => delivered += 1,
             AttemptResult::Unknown(_) => {
                 if Instant::now() < until {
-                    crash_detection::on_broken(core, call, &host.id, sent_at, false);
+                    let broken = Broken {
+                        sent: sent_at,
+                        started: false,
+                        last_received: None,
+                    };
+                    crash_detection::on_broken(core, call, (&host).into(), broken);
                 }
                 runs += 1;
                 delivered += 1;
@@ -294,6 +300,7 @@
     let status = response.status;
     let class = core.platform.dialect().classify(status, &response.headers);
     if class.is_of_host() {
+        crash_detection::on_received(core, host);
         host_limits::observe(core, &host.id, status, &response.headers);
     }
     match class {
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub(crate) struct Head {
     pub(crate) host: HostId,
+    /// Start time of the host, 0 if unknown.
+    pub(crate) started_ms: u64,
     pub(crate) address: SmolStr,
     pub(crate) service: ServiceName,
     pub(crate) model: ModelName,
@@ -75,6 +77,7 @@
         let membership = host.membership.as_ref()?;
         Some(Head {
             host: host.id.clone(),
+            started_ms: host.started_ms,
             address: host.address.clone(),
             service: host.service.clone(),
             model,
@@ -191,6 +194,7 @@
             head: Arc::clone(self),
             permit,
             sent: Instant::now(),
+            responded_at: None,
             has_started: false,
         }
     }
@@ -248,11 +252,24 @@
     permit: Option<Permit<P>>,
     is_scheduled: bool,
     sent: Instant,
+    /// When its response's headers arrived.
+    responded_at: Option<Instant>,
     /// Whether its first event has arrived.
     has_started: bool,
 }
 
 impl<P: Platform> SlotGuard<P> {
+    /// Records that its response's headers have arrived.
+    pub(crate) fn on_response(&mut self) {
+        self.responded_at = Some(Instant::now());
+    }
+
+    /// When this node last received a part of any response from the head.
+    pub(crate) fn last_received(&self) -> Option<Instant> {
+        self.responded_at
+            .max(self.head.stream_activity().last_event())
+    }
+
     /// Records that its first event has arrived.
     pub(crate) fn on_first_event(&mut self) {
         self.has_started = true;
--- a/crates/gateway/src/quarantine/reports.rs
+++ b/crates/gateway/src/quarantine/reports.rs
@@ -129,6 +129,7 @@
                     failure_domain: crash.failure_domain.to_string(),
                     age_ms,
                     running: crash.running.iter().map(wire_run).collect(),
+                    started_ms: crash.started_ms,
                 }),
                 ReportKind::Completed(fingerprint) => batch.req.completed.push(CompletedReport {
                     fingerprint: *fingerprint,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::body::{ResponseBody, StreamChunk};
 use crate::call::Call;
 use crate::core::Core;
+use crate::crash_detection::Broken;
 use crate::dispatch::{pick_service, target_request};
 use crate::heads::{Head, SlotGuard};
 use crate::metrics::RetryReason;
@@ -234,6 +235,7 @@
             }
         };
         self.deliveries += 1;
+        slot.on_response();
         let dialect = self.core.platform.dialect();
         let class = dialect.classify(response.status, &response.headers);
         if class.is_of_host() {
@@ -283,8 +285,12 @@
     /// Checks whether the head crashed, after its response broke.
     fn check_for_crash(&self, slot: &SlotGuard<P>) {
         if !self.call.remaining().is_zero() && !slot.head.is_lost() {
-            let (sent, started) = (slot.sent(), slot.has_started());
-            crash_detection::on_broken(&self.core, &self.call, &slot.head.host, sent, started);
+            let broken = Broken {
+                sent: slot.sent(),
+                started: slot.has_started(),
+                last_received: slot.last_received(),
+            };
+            crash_detection::on_broken(&self.core, &self.call, (&*slot.head).into(), broken);
         }
     }
 
--- a/crates/peer/src/wire/host_messages.rs
+++ b/crates/peer/src/wire/host_messages.rs
@@ -37,6 +37,10 @@
     /// The requests that the calling node had running there.
     #[prost(message, repeated, tag = "4")]
     pub running: Vec<CrashedRun>,
+    /// Start time of the host in milliseconds since the Unix epoch, by its own clock; 0 if unknown.
+    /// Tells apart the crashes of a host that restarts under its name.
+    #[prost(uint64, tag = "5")]
+    pub started_ms: u64,
 }
 
 /// A request that was running in a crash.
