Count each crash of a host that restarts under its name

Coordinators identified a crash by the host's name alone. All crashes of a host that restarts in place were one, at the time of the first: where the same sound requests run in each crash, a decision needs four crashes, and a service of fewer hosts never gets there. A crash is now identified by the name and the host's start time, as the list has it; two nodes that report the same crash know the same one, since requests are only sent to listed heads.

Where the list names no start times, crashes of one name still count once.

--- a/crates/gateway/src/quarantine/coordinator.rs
+++ b/crates/gateway/src/quarantine/coordinator.rs
@@ -44,7 +44,7 @@
             started: run.started,
         });
         let crash = CrashRecord {
-            id: crash_id(&report.host, 0),
+            id: crash_id(&report.host, report.started_ms),
             failure_domain: report.failure_domain.into(),
             age: Duration::from_millis(report.age_ms),
             running: running.collect(),
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -65,9 +65,9 @@
     stable_hash([tenant.as_bytes(), service.as_bytes(), body.as_ref()])
 }
 
-/// Returns the id of the crash of one epoch of a group.
-pub fn crash_id(group: &str, epoch: Epoch) -> CrashId {
-    stable_hash([group, &epoch.to_string()])
+/// Returns the id of a crash: of one epoch of a group, or of a host that started at a certain time.
+pub fn crash_id(name: &str, epoch_or_start: u64) -> CrashId {
+    stable_hash([name, &epoch_or_start.to_string()])
 }
 
 value! { copy
