Count crashes of members other than the head

Cause, two conditions: streams that end because their replica was lost weren't looked at, and a stalled replica was checked by the members that are listed now. A member whose entry is gone was not among them, so that the replica counted as slow, and its streams stood still until their deadline.

A head now keeps the members that were listed when it opened. All of them are asked when its streams stall; those that are silent, or that the list shows to have crashed, are checked like a head whose response broke. A request can only be in that crash if it was sent before the replica's last event or within 150 ms after it: those sent later stalled, too, but ran on the survivors.

Ruled out: counting every request that stalls. Sound streams that were sent between the crash and its detection then look like the cause.

--- a/crates/fleet/src/crash_detector.rs
+++ b/crates/fleet/src/crash_detector.rs
@@ -32,6 +32,9 @@
     pub struct BrokenResponse<R> {
         /// When its request was sent.
         pub sent: Instant,
+        /// When it broke. Of a replica that stopped sending events, the latest time at which a
+        /// member may have crashed.
+        pub broke_at: Instant,
         /// When this node last received anything from the host, on any response.
         pub last_received: Option<Instant>,
         /// The run that it belongs to.
@@ -118,8 +121,11 @@
         now: Instant,
     ) -> bool {
         let Some(check) = self.checks.get_mut(host) else {
+            if response.sent > response.broke_at {
+                return false;
+            }
             let check = Check {
-                broke_at: now,
+                broke_at: response.broke_at,
                 running: vec![response.run],
                 crashed: false,
                 probe_at: Some(now),
@@ -134,7 +140,7 @@
             .last_received
             .is_some_and(|at| at > check.broke_at + BREAK_SPREAD);
         if was_up_later && !check.crashed {
-            check.broke_at = now;
+            check.broke_at = response.broke_at;
             check.running = vec![response.run];
             let earliest = check.accepted_at.map_or(now, |at| at + REPROBE_DELAY);
             check.probe_at = Some(now.max(earliest));
--- a/crates/fleet/src/stall.rs
+++ b/crates/fleet/src/stall.rs
@@ -53,6 +53,11 @@
         self.last_event = Some(now);
     }
 
+    /// Start of the time without events: the last event, or the first request after being idle.
+    pub fn silent_since(&self) -> Option<Instant> {
+        self.silent_since
+    }
+
     /// When the last event arrived.
     pub fn last_event(&self) -> Option<Instant> {
         self.last_event
--- a/crates/fleet/tests/crash_detector.rs
+++ b/crates/fleet/tests/crash_detector.rs
@@ -30,6 +30,7 @@
         let ago = |age: Duration| self.now.checked_sub(age).expect("the clock is past that");
         let response = BrokenResponse {
             sent: ago(sent),
+            broke_at: self.now,
             last_received: received.map(ago),
             run,
         };
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -37,8 +37,8 @@
 
     /// A host as it was when a request was sent to it.
     pub(crate) struct UsedHost {
-        start: HostStart,
-        address: SmolStr,
+        pub(crate) start: HostStart,
+        pub(crate) address: SmolStr,
         service: ServiceName,
         failure_domain: FailureDomain,
     }
@@ -49,6 +49,8 @@
     pub(crate) struct Broken {
         /// When the request was sent.
         pub(crate) sent: Instant,
+        /// When the response broke; the latest time of the crash if its replica stopped sending events.
+        pub(crate) at: Instant,
         /// Whether a part of the response had arrived.
         pub(crate) started: bool,
         /// When this node last received anything from the host.
@@ -91,20 +93,22 @@
     host: UsedHost,
     broken: Broken,
 ) {
-    let now = Instant::now();
     if presence(core, &host.start) == HostPresence::Left {
         return;
     }
     let response = BrokenResponse {
         sent: broken.sent,
+        broke_at: broken.at,
         last_received: broken.last_received,
         run: CrashedRun {
             fingerprint: call.fingerprint(),
-            ran_for: now.saturating_duration_since(broken.sent),
+            ran_for: broken.at.saturating_duration_since(broken.sent),
             started: broken.started,
         },
     };
-    let begins = locked(&core.crash_detection.detector).on_broken(&host.start, response, now);
+    let mut detector = locked(&core.crash_detection.detector);
+    let begins = detector.on_broken(&host.start, response, Instant::now());
+    drop(detector);
     if begins {
         tokio::spawn(check_host(Arc::clone(core), host));
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -122,6 +122,7 @@
                 if Instant::now() < until {
                     let broken = Broken {
                         sent: sent_at,
+                        at: Instant::now(),
                         started: false,
                         last_received: None,
                     };
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -12,9 +12,11 @@
 use eelgrassmill_fleet::{
     Catalog, ColdStart, EjectionBackoff, Fleet, HeadKey, Host, StreamActivity,
 };
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use crate::crash_detection::UsedHost;
 use crate::ports::Platform;
 use crate::scheduler::ScheduledLoad;
 use crate::scheduler_client::Permit;
@@ -35,6 +37,8 @@
     pub(crate) failure_domain: FailureDomain,
     pub(crate) replica: GroupId,
     pub(crate) epoch: Epoch,
+    /// Members of the replica that were listed when this node learned of the head.
+    pub(crate) members: SmallVec<[UsedHost; 8]>,
     pub(crate) slots: usize,
     /// Requests of this node that run there.
     running: AtomicUsize,
@@ -46,9 +50,20 @@
     backoff: Mutex<EjectionBackoff>,
     /// Set if it is or was cold, with the end of its cold phase.
     cold: Mutex<Option<(ColdStart, Instant)>>,
-    /// When a member was found to be lost, after which no events arrive. Reset by
+    /// Set once a member was found to be lost, after which no events arrive. Reset by
     /// [`HeadTable::retry_lost`].
-    lost: watch::Sender<Option<Instant>>,
+    lost: watch::Sender<Option<Loss>>,
+}
+
+/// The loss of a replica's member.
+#[derive(Clone, Debug)]
+pub(crate) struct Loss {
+    /// When it was found.
+    at: Instant,
+    /// Since when the replica had sent no events.
+    pub(crate) silent_since: Instant,
+    /// Members that gave no answer or, by the host list, have crashed.
+    pub(crate) silent: SmallVec<[UsedHost; 2]>,
 }
 
 /// Load reports of nodes on one head.
@@ -73,8 +88,11 @@
 }
 
 impl Head {
-    fn new(host: &Host, model: ModelName) -> Option<Head> {
+    fn new(host: &Host, model: ModelName, fleet: &Fleet) -> Option<Head> {
         let membership = host.membership.as_ref()?;
+        let members = fleet
+            .hosts()
+            .filter(|h| h.belongs_to(&membership.replica, membership.epoch));
         Some(Head {
             host: host.id.clone(),
             started_ms: host.started_ms,
@@ -84,6 +102,7 @@
             failure_domain: host.failure_domain.clone(),
             replica: membership.replica.clone(),
             epoch: membership.epoch,
+            members: members.map(UsedHost::from).collect(),
             slots: host.slots,
             running: AtomicUsize::new(0),
             unscheduled: AtomicUsize::new(0),
@@ -203,11 +222,23 @@
         locked(&self.stream_activity)
     }
 
-    /// Marks its replica as lost: no more events will arrive from it.
-    pub(crate) fn set_lost(&self) {
+    /// Marks its replica as lost: no more events will arrive from it. It had sent none since
+    /// `silent_since`, and the members in `silent` gave no answer.
+    pub(crate) fn set_lost(
+        &self,
+        silent_since: Option<Instant>,
+        silent: impl IntoIterator<Item = UsedHost>,
+    ) {
         self.lost.send_if_modified(|lost| {
             let first = lost.is_none();
-            lost.get_or_insert_with(Instant::now);
+            lost.get_or_insert_with(|| {
+                let at = Instant::now();
+                Loss {
+                    at,
+                    silent_since: silent_since.unwrap_or(at),
+                    silent: silent.into_iter().collect(),
+                }
+            });
             first
         });
     }
@@ -232,9 +263,15 @@
         self.lost.borrow().is_some()
     }
 
+    /// The loss of a member, if there was one.
+    pub(crate) fn loss(&self) -> Option<Loss> {
+        self.lost.borrow().clone()
+    }
+
     fn may_retry_lost(&self, now: Instant) -> bool {
-        let is_expired = |at: Instant| now.saturating_duration_since(at) >= LOST_HEAD_RETRY_AFTER;
-        self.lost.borrow().is_some_and(is_expired)
+        let is_expired =
+            |loss: &Loss| now.saturating_duration_since(loss.at) >= LOST_HEAD_RETRY_AFTER;
+        self.lost.borrow().as_ref().is_some_and(is_expired)
     }
 
     /// Waits until it is lost.
@@ -346,7 +383,7 @@
                 .open
                 .remove(&key)
                 .or_else(|| self.draining.remove(&key));
-            let head = known.or_else(|| Head::new(host, model.clone()).map(Arc::new));
+            let head = known.or_else(|| Head::new(host, model.clone(), fleet).map(Arc::new));
             if let Some(head) = head {
                 let cold = catalog.service(&host.service).and_then(|s| s.cold);
                 let until = |cold: ColdStart| Some((cold, fleet.cold_until(host, &cold)?));
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{Host, HostState, Membership, MembershipPhase};
+use eelgrassmill_fleet::{Fleet, Host, HostState, Membership, MembershipPhase};
 use googletest::prelude::*;
 
 use crate::heads::Head;
@@ -35,7 +35,7 @@
             phase: MembershipPhase::Open,
         }),
     };
-    Head::new(&host, "large".into()).expect("the host has a membership")
+    Head::new(&host, "large".into(), &Fleet::default()).expect("the host has a membership")
 }
 
 /// Guards against a head that looks full after its scheduler was replaced because the reports of
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, NodeId, value};
-use eelgrassmill_fleet::{CpuOverload, Host, MembershipPhase, StallThreshold};
+use eelgrassmill_fleet::{CpuOverload, HostPresence, MembershipPhase, StallThreshold};
 use eelgrassmill_peer::{GroupRecord, Item};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -16,6 +16,7 @@
 use tracing::info;
 
 use crate::core::Core;
+use crate::crash_detection::UsedHost;
 use crate::heads::{Head, locked};
 use crate::planning::PlanningEvent;
 use crate::ports::{HostControl, HostReport, HostUnavailable, Platform};
@@ -57,9 +58,10 @@
             locked(&core.heads).retry_lost(Instant::now());
         }
         for head in stalled_heads(&core, &threshold) {
+            let silent_since = head.stream_activity().silent_since();
             // Keeps the next round from starting a second check of the same replica.
             head.stream_activity().on_work_resumed(Instant::now());
-            tokio::spawn(check_members(Arc::clone(&core), head));
+            tokio::spawn(check_members(Arc::clone(&core), head, silent_since));
         }
     }
 }
@@ -103,39 +105,38 @@
     heads.all().filter(is_stalled).cloned().collect()
 }
 
-/// Requests a report from each member of a stalled replica.
-async fn check_members<P: Platform>(core: Arc<Core<P>>, head: Arc<Head>) {
-    let members: Vec<Host> = {
-        let fleet = locked(&core.fleet);
-        let members = fleet
-            .hosts()
-            .filter(|h| h.belongs_to(&head.replica, head.epoch));
-        members.cloned().collect()
-    };
+/// Requests a report from each member of a replica that has been silent since `silent_since`.
+async fn check_members<P: Platform>(
+    core: Arc<Core<P>>,
+    head: Arc<Head>,
+    silent_since: Option<Instant>,
+) {
+    let members = members_of(&core, &head);
     let mut reports = JoinSet::new();
-    for host in members {
+    for member in members {
         let core = Arc::clone(&core);
         reports.spawn(async move {
             let report = core
                 .platform
                 .control()
-                .report(&host.id, &host.address, REPORT_TIMEOUT)
+                .report(&member.start.0, &member.address, REPORT_TIMEOUT)
                 .await;
-            (host, report)
+            (member, report)
         });
     }
-    let mut silent = SmallVec::new();
+    let mut silent: SmallVec<[HostId; 2]> = SmallVec::new();
     let mut broken = false;
     while let Some(joined) = reports.join_next().await {
         // A report request can't panic; one that did would show nothing about its host.
-        let Ok((host, report)) = joined else {
+        let Ok((member, report)) = joined else {
             continue;
         };
         match report {
             Ok(report) => broken |= is_broken(&head, &report),
             Err(err) => {
-                log_silent_member(&head, &host, &err);
-                silent.push(host.id);
+                let id = member.start.0;
+                log_silent_member(&head, &id, &err);
+                silent.push(id);
             }
         }
     }
@@ -143,7 +144,39 @@
         info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
         return;
     }
-    report_loss(&core, &head, silent);
+    report_loss(&core, &head, silent_since, silent);
+}
+
+/// The members that were listed when this node learned of the head, and those listed now. The
+/// entry of a member that crashed may be gone.
+fn members_of<P: Platform>(core: &Core<P>, head: &Head) -> SmallVec<[UsedHost; 8]> {
+    let mut members = head.members.clone();
+    let fleet = locked(&core.fleet);
+    let listed = fleet
+        .hosts()
+        .filter(|h| h.belongs_to(&head.replica, head.epoch));
+    for member in listed.map(UsedHost::from) {
+        if !members.contains(&member) {
+            members.push(member);
+        }
+    }
+    members
+}
+
+/// The members in `silent`, and those that the host list shows to have crashed.
+fn lost_members<P: Platform>(
+    core: &Core<P>,
+    head: &Head,
+    silent: &[HostId],
+) -> SmallVec<[UsedHost; 2]> {
+    let fleet = locked(&core.fleet);
+    let is_lost = |member: &&UsedHost| {
+        let (id, started_ms) = &member.start;
+        let presence = fleet.presence(id, *started_ms);
+        let has_crashed = matches!(presence, HostPresence::Vanished | HostPresence::Restarted);
+        silent.contains(id) || has_crashed
+    };
+    head.members.iter().filter(is_lost).cloned().collect()
 }
 
 fn is_broken(head: &Head, report: &HostReport) -> bool {
@@ -155,20 +188,25 @@
     }
 }
 
-fn log_silent_member(head: &Head, host: &Host, err: &HostUnavailable) {
+fn log_silent_member(head: &Head, host: &HostId, err: &HostUnavailable) {
     info!(
         event = "member-silent", replica = %head.replica, epoch = head.epoch,
-        host = %host.id, %err,
+        %host, %err,
     );
 }
 
 /// Marks a replica as lost at this node and reports the loss to the planner and the other nodes.
-fn report_loss<P: Platform>(core: &Core<P>, head: &Head, silent: SmallVec<[HostId; 2]>) {
+fn report_loss<P: Platform>(
+    core: &Core<P>,
+    head: &Head,
+    silent_since: Option<Instant>,
+    silent: SmallVec<[HostId; 2]>,
+) {
     info!(
         event = "replica-lost", replica = %head.replica, epoch = head.epoch,
         silent = ?silent, running = head.running_here(),
     );
-    head.set_lost();
+    head.set_lost(silent_since, lost_members(core, head, &silent));
     core.wake_waiting_requests();
     if let Some(peer) = core.peer() {
         let names: Vec<&str> = silent.iter().map(SmolStr::as_str).collect();
@@ -192,6 +230,9 @@
 /// Handles another node's report that a replica is lost. Ignored if its streams here still make
 /// progress.
 pub(crate) fn on_loss_report<P: Platform>(core: &Core<P>, from: &NodeId, update: &GroupRecord) {
+    let names = String::from_utf8_lossy(&update.record);
+    let names = names.split(',').filter(|name| !name.is_empty());
+    let silent: SmallVec<[HostId; 2]> = names.map(HostId::from).collect();
     let head = locked(&core.heads)
         .get(&update.group, update.version)
         .cloned();
@@ -206,15 +247,10 @@
             );
             return;
         }
-        head.set_lost();
+        let silent_since = head.stream_activity().silent_since();
+        head.set_lost(silent_since, lost_members(core, &head, &silent));
         core.wake_waiting_requests();
     }
-    let names = String::from_utf8_lossy(&update.record);
-    let silent = names
-        .split(',')
-        .filter(|s| !s.is_empty())
-        .map(HostId::from)
-        .collect();
     let lost = LostReplica {
         replica: update.group.clone(),
         epoch: update.version,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -31,6 +31,9 @@
 const MAX_REFUSALS: u32 = 4;
 /// Retry-After when hosts refused a request.
 const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(300);
+/// Time from the last event of a replica within which a member crashed that stopped its streams:
+/// several passes, which usually take 50 ms.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(150);
 /// Longest response of a host that isn't a stream, in bytes.
 const MAX_FULL_BODY_BYTES: usize = 1 << 20;
 
@@ -282,15 +285,28 @@
         AttemptError::Unknown
     }
 
-    /// Checks whether the head crashed, after its response broke.
+    /// Checks whether the head crashed after its response broke, or which silent members did after
+    /// its replica was lost.
     fn check_for_crash(&self, slot: &SlotGuard<P>) {
-        if !self.call.remaining().is_zero() && !slot.head.is_lost() {
-            let broken = Broken {
-                sent: slot.sent(),
-                started: slot.has_started(),
-                last_received: slot.last_received(),
-            };
-            crash_detection::on_broken(&self.core, &self.call, (&*slot.head).into(), broken);
+        if self.call.remaining().is_zero() {
+            return;
+        }
+        let broken = Broken {
+            sent: slot.sent(),
+            at: Instant::now(),
+            started: slot.has_started(),
+            last_received: slot.last_received(),
+        };
+        let Some(loss) = slot.head.loss() else {
+            let head = (&*slot.head).into();
+            return crash_detection::on_broken(&self.core, &self.call, head, broken);
+        };
+        let broken = Broken {
+            at: loss.silent_since + MAX_EVENT_GAP,
+            ..broken
+        };
+        for member in loss.silent {
+            crash_detection::on_broken(&self.core, &self.call, member, broken);
         }
     }
 
