Await reports of crashes that are detected late for longer

A coordinator decides 150 ms after the first report of a crash. Nodes detect the loss of a replica's member from their own streams, 0.3 to 0.6 s after it, and so at different times.

The age of a crash at its first report shows how long its detection takes; others may take as long again. That is waited for now, 1 s at most. Crashes that show at once, as broken responses do, are decided on as before.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -18,6 +18,8 @@
 /// How long the reports of other nodes on a crash are awaited. Without them, a request that ran
 /// beside the crashing one would look like the only one in common with another crash.
 const SETTLE_TIME: Duration = Duration::from_millis(150);
+/// The same for crashes that nodes detect late, and so at different times.
+const MAX_SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time until the next trial, by the number of offences. The first is short for requests that
 /// merely ran on hosts that crashed for other reasons.
 const RETRY_AFTER: [Duration; 4] = [
@@ -66,6 +68,7 @@
     ) -> Vec<QuarantineRecord> {
         self.tracker.set_known_causes(table.fingerprints());
         let running = crash.running.clone();
+        let settle_time = crash.age.clamp(SETTLE_TIME, MAX_SETTLE_TIME);
         self.tracker.merge(
             SuspectUpdate {
                 crashes: vec![crash],
@@ -82,7 +85,7 @@
             } else if table.status(fingerprint, now) == QuarantineStatus::Clear
                 && self.tracker.crash_count(fingerprint, now) > 1
             {
-                let due = (service.clone(), now + SETTLE_TIME);
+                let due = (service.clone(), now + settle_time);
                 self.pending.entry(fingerprint).or_insert(due);
             }
         }
