--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -49,7 +49,8 @@
     pub(crate) struct Broken {
         /// When the request was sent.
         pub(crate) sent: Instant,
-        /// When the response broke; the latest time of the crash if its replica stopped sending events.
+        /// When the response broke. If its replica stopped sending events, the latest time of the
+        /// crash.
         pub(crate) at: Instant,
         /// Whether a part of the response had arrived.
         pub(crate) started: bool,
