Leave members that left a replica out of its check

What callers would have seen: a stream cut off at the former head of a replica that was dissolved in order, although the head goes on with it.

Trace: r1-1 is dissolved at 26.982 since its head rejects; the head goes on with a slow stream of 406 ms between events. At 27.392 the stream counts as stalled, and both members are asked. They report other memberships, as they left by order, so that the replica counts as lost with no silent member, and the stream is cut.

A head now forgets members as soon as the list shows them outside the replica. Of the others, those that are listed or that crashed by the list are asked. Ruled out: going by whether the head is still a member; the planner dissolves a replica within 0.3 s of a member's crash, and crashes_of_other_members_that_restart_in_no_time_count then failed.

--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -10,7 +10,7 @@
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, ModelName, NodeId, ServiceName};
 use eelgrassmill_fleet::{
-    Catalog, ColdStart, EjectionBackoff, Fleet, HeadKey, Host, StreamActivity,
+    Catalog, ColdStart, EjectionBackoff, Fleet, HeadKey, Host, HostPresence, StreamActivity,
 };
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -37,8 +37,9 @@
     pub(crate) failure_domain: FailureDomain,
     pub(crate) replica: GroupId,
     pub(crate) epoch: Epoch,
-    /// Members of the replica that were listed when this node learned of the head.
-    pub(crate) members: SmallVec<[UsedHost; 8]>,
+    /// Members of the replica that were listed when this node learned of the head and haven't left
+    /// it since.
+    members: Mutex<SmallVec<[UsedHost; 8]>>,
     pub(crate) slots: usize,
     /// Requests of this node that run there.
     running: AtomicUsize,
@@ -102,7 +103,7 @@
             failure_domain: host.failure_domain.clone(),
             replica: membership.replica.clone(),
             epoch: membership.epoch,
-            members: members.map(UsedHost::from).collect(),
+            members: Mutex::new(members.map(UsedHost::from).collect()),
             slots: host.slots,
             running: AtomicUsize::new(0),
             unscheduled: AtomicUsize::new(0),
@@ -268,6 +269,37 @@
         self.lost.borrow().clone()
     }
 
+    /// Forgets members that the host list shows outside the replica: they left it.
+    fn forget_left_members(&self, fleet: &Fleet) {
+        locked(&self.members).retain(|member| {
+            let (id, started_ms) = &member.start;
+            let is_member = |h: &Host| h.belongs_to(&self.replica, self.epoch);
+            match fleet.presence(id, *started_ms) {
+                HostPresence::Listed => fleet.host(id).is_some_and(is_member),
+                HostPresence::Left => false,
+                HostPresence::Vanished | HostPresence::Restarted => true,
+            }
+        });
+    }
+
+    /// Members that crashed, by the host list.
+    pub(crate) fn crashed_members(&self, fleet: &Fleet) -> SmallVec<[UsedHost; 2]> {
+        let has_crashed = |member: &&UsedHost| {
+            let (id, started_ms) = &member.start;
+            let presence = fleet.presence(id, *started_ms);
+            matches!(presence, HostPresence::Vanished | HostPresence::Restarted)
+        };
+        let members = locked(&self.members);
+        members.iter().filter(has_crashed).cloned().collect()
+    }
+
+    /// The members of the given names.
+    pub(crate) fn members_named(&self, names: &[HostId]) -> SmallVec<[UsedHost; 2]> {
+        let members = locked(&self.members);
+        let named = members.iter().filter(|m| names.contains(&m.start.0));
+        named.cloned().collect()
+    }
+
     fn may_retry_lost(&self, now: Instant) -> bool {
         let is_expired =
             |loss: &Loss| now.saturating_duration_since(loss.at) >= LOST_HEAD_RETRY_AFTER;
@@ -394,6 +426,9 @@
         let closed = std::mem::replace(&mut self.open, open);
         self.draining.extend(closed);
         self.draining.retain(|_, head| head.running_here() > 0);
+        for head in self.all() {
+            head.forget_left_members(fleet);
+        }
     }
 
     /// Makes heads available again that were lost [`LOST_HEAD_RETRY_AFTER`] ago and still serve by
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -1,8 +1,9 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{Fleet, Host, HostState, Membership, MembershipPhase};
+use eelgrassmill_fleet::{Fleet, FleetChange, Host, HostState, Membership, MembershipPhase};
 use googletest::prelude::*;
+use smol_str::SmolStr;
 
 use crate::heads::Head;
 use crate::scheduler::ScheduledLoad;
@@ -15,9 +16,10 @@
     }
 }
 
-fn head() -> Head {
-    let host = Host {
-        id: "host-1".into(),
+/// A member of the replica r1-1.
+fn member(id: &str, rank: usize) -> Host {
+    Host {
+        id: id.into(),
         address: "127.0.0.1:1".into(),
         service: "writer".into(),
         failure_domain: "east".into(),
@@ -31,11 +33,15 @@
         membership: Some(Membership {
             replica: "r1-1".into(),
             epoch: 7,
-            rank: 0,
+            rank,
             phase: MembershipPhase::Open,
         }),
-    };
-    Head::new(&host, "large".into(), &Fleet::default()).expect("the host has a membership")
+    }
+}
+
+fn head() -> Head {
+    Head::new(&member("host-1", 0), "large".into(), &Fleet::default())
+        .expect("the host has a membership")
 }
 
 /// Guards against a head that looks full after its scheduler was replaced because the reports of
@@ -85,3 +91,31 @@
     head.report_assigned(&scheduler, assigned(0), now + Duration::from_secs(1));
     expect_that!(head.usable_slots(), eq(13));
 }
+
+/// Guards against giving up streams that end at the head of a dissolved replica, since its members
+/// have left.
+#[gtest]
+fn members_that_left_did_not_crash() {
+    let now = Instant::now();
+    let put = |fleet: &mut Fleet, host: Host| fleet.apply(FleetChange::Put(Box::new(host)), now);
+    let mut fleet = Fleet::default();
+    for (rank, id) in ["host-1", "host-2", "host-3"].into_iter().enumerate() {
+        put(&mut fleet, member(id, rank));
+    }
+    let head = Head::new(&member("host-1", 0), "large".into(), &fleet).expect("it is a head");
+    let crashed = |fleet: &Fleet| -> Vec<SmolStr> {
+        head.forget_left_members(fleet);
+        let members = head.crashed_members(fleet).into_iter();
+        members.map(|member| member.start.0).collect()
+    };
+    let left = Host {
+        membership: None,
+        ..member("host-2", 1)
+    };
+    put(&mut fleet, left);
+    expect_that!(crashed(&fleet), is_empty());
+    fleet.apply(FleetChange::Removed("host-2".into()), now);
+    expect_that!(crashed(&fleet), is_empty());
+    fleet.apply(FleetChange::Removed("host-3".into()), now);
+    expect_that!(crashed(&fleet), eq(&vec![SmolStr::from("host-3")]));
+}
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, NodeId, value};
-use eelgrassmill_fleet::{CpuOverload, HostPresence, MembershipPhase, StallThreshold};
+use eelgrassmill_fleet::{CpuOverload, MembershipPhase, StallThreshold};
 use eelgrassmill_peer::{GroupRecord, Item};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -147,36 +147,31 @@
     report_loss(&core, &head, silent_since, silent);
 }
 
-/// The members that were listed when this node learned of the head, and those listed now. The
-/// entry of a member that crashed may be gone.
+/// The members that are listed, and those that crashed, whose entries may be gone.
 fn members_of<P: Platform>(core: &Core<P>, head: &Head) -> SmallVec<[UsedHost; 8]> {
-    let mut members = head.members.clone();
     let fleet = locked(&core.fleet);
     let listed = fleet
         .hosts()
         .filter(|h| h.belongs_to(&head.replica, head.epoch));
-    for member in listed.map(UsedHost::from) {
-        if !members.contains(&member) {
-            members.push(member);
-        }
-    }
-    members
+    listed
+        .map(UsedHost::from)
+        .chain(head.crashed_members(&fleet))
+        .collect()
 }
 
-/// The members in `silent`, and those that the host list shows to have crashed.
+/// The members in `silent`, and those that crashed by the host list.
 fn lost_members<P: Platform>(
     core: &Core<P>,
     head: &Head,
     silent: &[HostId],
 ) -> SmallVec<[UsedHost; 2]> {
-    let fleet = locked(&core.fleet);
-    let is_lost = |member: &&UsedHost| {
-        let (id, started_ms) = &member.start;
-        let presence = fleet.presence(id, *started_ms);
-        let has_crashed = matches!(presence, HostPresence::Vanished | HostPresence::Restarted);
-        silent.contains(id) || has_crashed
-    };
-    head.members.iter().filter(is_lost).cloned().collect()
+    let mut lost = head.crashed_members(&locked(&core.fleet));
+    for member in head.members_named(silent) {
+        if !lost.contains(&member) {
+            lost.push(member);
+        }
+    }
+    lost
 }
 
 fn is_broken(head: &Head, report: &HostReport) -> bool {
