Test the choice of the request to quarantine, and list what fails

Callers of a sound request got 503 for 10 s while the request that crashes hosts went on for five crashes.

Hypotheses before any change: 1. Runs are counted, not compared: the crashing request ran on two hosts at once, so that one of its crashes isn't counted, and the sound one has as many. 2. Once the sound one is quarantined, it explains the crashes, and the evidence on the other is gone. 3. Cut nodes report hosts that live, and these reports change the decision. The logs rule this out for the wrong decision: the first such report is of 6.06 s.

The new tests of route/tests/quarantine.rs have the first two, the first with these crashes.

--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -99,6 +99,75 @@
     }
 }
 
+/// Guards against quarantining a request that is sent again after each crash instead of the one that
+/// runs on several hosts at the same time and crashes them all.
+#[gtest]
+fn a_request_sent_again_after_crashes_is_told_from_one_that_ran_in_more_of_them() {
+    let start = Instant::now();
+    let mut node = Node::default();
+    let retried = |ran_for| run(1, ms(ran_for), false);
+    let crashing = |ran_for| run(CRASHING, ms(ran_for), true);
+    // The crashing request runs on h2 before h1 crashes, and on h3 before h2 does.
+    let crashes = [
+        (0, "h1", "a", vec![crashing(150), retried(300)]),
+        (140, "h2", "b", vec![crashing(160), retried(120)]),
+        (210, "h3", "c", vec![crashing(150)]),
+        (450, "h4", "a", vec![crashing(180), retried(200)]),
+    ];
+    for (at, host, domain, running) in crashes {
+        node.decide(start + ms(at));
+        node.crash(host, domain, &running, start + ms(at));
+    }
+    let now = start + ms(700);
+    node.decide(now);
+    expect_that!(node.is_quarantined(CRASHING, now), eq(true));
+    expect_that!(node.is_quarantined(1, now), eq(false));
+}
+
+/// Guards against losing the evidence on a crashing request when another one was quarantined, and
+/// against keeping that one quarantined once the cause is known.
+#[gtest]
+fn evidence_outlives_the_quarantine_of_another_request() {
+    let start = Instant::now();
+    let mut node = Node::default();
+    let hosts = [("h1", "a"), ("h2", "b"), ("h3", "c")];
+    for (n, (host, domain)) in (0..).zip(hosts) {
+        node.crash(host, domain, &[run(1, ms(60), false)], start + n * SECOND);
+        node.decide(start + n * SECOND + ms(900));
+    }
+    let now = start + 3 * SECOND;
+    expect_that!(node.is_quarantined(1, now), eq(true));
+    // Another node's reports on these crashes come late, and the next crash is without request 1.
+    for (n, (host, domain)) in (0..).zip(hosts) {
+        node.crash(
+            host,
+            domain,
+            &[run(CRASHING, ms(60), false)],
+            start + n * SECOND,
+        );
+    }
+    node.crash("h4", "a", &[run(CRASHING, ms(60), false)], now);
+    node.decide(now + SECOND);
+    expect_that!(node.is_quarantined(CRASHING, now + SECOND), eq(true));
+    expect_that!(node.is_quarantined(1, now + SECOND), eq(false));
+}
+
+/// Guards against a first trial after a few seconds of a request that was recognized late.
+#[gtest]
+fn a_request_that_crashed_many_hosts_is_quarantined_for_longer() {
+    let start = Instant::now();
+    let mut node = Node::default();
+    for n in 0..8 {
+        let host = format!("h{n}");
+        let at = start + n * SECOND;
+        node.crash(&host, "a", &[run(CRASHING, ms(60), false)], at);
+    }
+    let now = start + 9 * SECOND;
+    node.decide(now);
+    expect_that!(node.may_try(CRASHING, now + 30 * SECOND), eq(false));
+    expect_that!(node.may_try(CRASHING, now + 130 * SECOND), eq(true));
+}
+
 /// Guards against quarantining a request that many callers send, and that so runs on each host which
 /// crashes.
 #[gtest]
@@ -134,6 +203,23 @@
     expect_that!(node.is_quarantined(1, now + SECOND), eq(false));
 }
 
+/// Guards against counting a run twice that began on two hosts which crash within the error of the
+/// reported times.
+#[gtest]
+fn crashes_at_one_moment_count_once() {
+    let start = Instant::now();
+    let mut node = Node::default();
+    for round in 0..2 {
+        let at = start + round * 10 * SECOND;
+        let hosts = [format!("h{round}"), format!("i{round}")];
+        node.crash(&hosts[0], "a", &[run(1, ms(200), true)], at);
+        node.crash(&hosts[1], "b", &[run(1, ms(10), false)], at + ms(2));
+        node.decide(at + SECOND);
+        expect_that!(node.is_quarantined(1, at + SECOND), eq(false));
+        node.completed(1, at + 2 * SECOND);
+    }
+}
+
 /// Guards against refusing a sound request for long: a trial clears it.
 #[gtest]
 fn a_completed_trial_clears_a_request() {
