Quarantine the request that was in more of the crashes

Callers of a sound request were rejected for 10 s, and the request that crashes hosts went on for five crashes. Sound requests are sent again after a crash, and so begin at each next host that crashes: they look like independent crashes. The crashing request ran on two hosts at once, so that one of its crashes isn't counted, and it had produced output, which made it the less likely one. Once another was quarantined, crashes with that one no longer counted as evidence at all.

A request now outweighs another one if it was running in all of the other's crashes, and in more. Requests that are outweighed neither keep it from being the cause nor explain its crashes, and a new cause releases requests that it outweighs and that were quarantined once. Which crashes count as independent is unchanged, since hosts that fail together crash under the same requests.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -111,16 +111,11 @@
         );
         self.trials.remove(&fingerprint);
         let is_cleared = !self.is_cause(fingerprint, now);
-        (is_cleared && table.offences(fingerprint, now) > 0).then(|| QuarantineRecord {
-            fingerprint,
-            service: service.clone(),
-            offences: 0,
-            age: Duration::ZERO,
-            retry_after: Duration::ZERO,
-        })
+        (is_cleared && table.offences(fingerprint, now) > 0).then(|| clear(fingerprint, service))
     }
 
-    /// Decides on requests whose crash reports are complete.
+    /// Decides on requests whose crash reports are complete. A new cause releases requests that were
+    /// quarantined for its crashes.
     pub fn decide(&mut self, table: &QuarantineTable, now: Instant) -> Vec<QuarantineRecord> {
         self.tracker.set_known_causes(table.fingerprints());
         let due = |due_at: Instant| due_at <= now;
@@ -132,9 +127,15 @@
             table.status(*fingerprint, now) == QuarantineStatus::Clear
                 && self.is_cause(*fingerprint, now)
         });
-        undecided
-            .map(|(fingerprint, (service, _))| quarantine(fingerprint, &service, 1))
-            .collect()
+        let mut decided = Vec::new();
+        for (fingerprint, (service, _)) in undecided {
+            decided.push(quarantine(fingerprint, &service, 1));
+            let released = table.fingerprints().filter(|p| {
+                table.offences(*p, now) == 1 && self.tracker.outweighs(fingerprint, *p, now)
+            });
+            decided.extend(released.map(|p| clear(p, &service)));
+        }
+        decided
     }
 
     /// When [`QuarantineCoordinator::decide`] has to be called next.
@@ -179,6 +180,16 @@
     }
 }
 
+fn clear(fingerprint: RequestFingerprint, service: &ServiceName) -> QuarantineRecord {
+    QuarantineRecord {
+        fingerprint,
+        service: service.clone(),
+        offences: 0,
+        age: Duration::ZERO,
+        retry_after: Duration::ZERO,
+    }
+}
+
 fn quarantine(
     fingerprint: RequestFingerprint,
     service: &ServiceName,
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -234,15 +234,7 @@
     /// fail at the same time crash under the same requests, and a crashing request crashes the next
     /// host only once it is sent there.
     fn crashes_of(&self, fingerprint: RequestFingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
-        let cleared = self.cleared.get(&fingerprint);
-        let ids = self.by_fingerprint.get(&fingerprint).into_iter().flatten();
-        let mut crashes: SmallVec<[&Crash; 4]> = ids
-            .filter_map(|id| self.crashes.get(id))
-            .filter(|c| now.saturating_duration_since(c.at) < CRASH_TTL)
-            .filter(|c| cleared.is_none_or(|at| c.at > *at))
-            .filter(|c| !self.is_explained(c, fingerprint))
-            .collect();
-        crashes.sort_by_key(|c| c.at);
+        let mut crashes = self.unexplained_crashes(fingerprint, now);
         let mut last: Option<Instant> = None;
         crashes.retain(|c| {
             let began = c.running.get(&fingerprint).map_or(c.at, |run| run.began);
@@ -255,10 +247,54 @@
         crashes
     }
 
-    /// Whether another request is known to be the cause.
-    fn is_explained(&self, crash: &Crash, fingerprint: RequestFingerprint) -> bool {
-        let mut causes = self.known_causes.iter().filter(|p| **p != fingerprint);
-        causes.any(|p| crash.running.contains_key(p))
+    /// Returns the crashes in which the request was running, in the order of time.
+    fn crashes_with(&self, fingerprint: RequestFingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
+        let ids = self.by_fingerprint.get(&fingerprint).into_iter().flatten();
+        let mut crashes: SmallVec<[&Crash; 4]> = ids
+            .filter_map(|id| self.crashes.get(id))
+            .filter(|c| now.saturating_duration_since(c.at) < CRASH_TTL)
+            .filter(|c| self.was_running(fingerprint, c))
+            .collect();
+        crashes.sort_by_key(|c| c.at);
+        crashes
+    }
+
+    /// The same, without those of which another request is known to be the cause.
+    fn unexplained_crashes(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> SmallVec<[&Crash; 4]> {
+        let mut crashes = self.crashes_with(fingerprint, now);
+        let others = self.known_causes.iter().filter(|p| **p != fingerprint);
+        for cause in others {
+            let explains = crashes.iter().any(|c| self.was_running(*cause, c));
+            if explains && !self.outweighs(fingerprint, *cause, now) {
+                crashes.retain(|c| !c.running.contains_key(cause));
+            }
+        }
+        crashes
+    }
+
+    /// Whether the request was running in the crash and has not completed since.
+    fn was_running(&self, fingerprint: RequestFingerprint, crash: &Crash) -> bool {
+        let cleared = self.cleared.get(&fingerprint);
+        crash.running.contains_key(&fingerprint) && cleared.is_none_or(|at| crash.at > *at)
+    }
+
+    /// Whether the request was running in all crashes in which `other` was, and in more.
+    ///
+    /// A request that is sent again after each crash gets into several crashes of another one, but
+    /// not into all of them.
+    pub(crate) fn outweighs(
+        &self,
+        fingerprint: RequestFingerprint,
+        other: RequestFingerprint,
+        now: Instant,
+    ) -> bool {
+        let theirs = self.crashes_with(other, now);
+        let has_all = theirs.iter().all(|c| self.was_running(fingerprint, c));
+        has_all && !theirs.is_empty() && self.crashes_with(fingerprint, now).len() > theirs.len()
     }
 
     fn is_crash_cause(
@@ -268,8 +304,10 @@
         now: Instant,
     ) -> bool {
         let other = |p: &&RequestFingerprint| **p != fingerprint;
-        let in_several = |p: &RequestFingerprint| self.crashes_of(*p, now).len() >= MIN_CRASHES;
-        let no_other_cause = |c: &&Crash| !c.running.keys().filter(other).any(in_several);
+        let may_be_cause = |p: &RequestFingerprint| {
+            self.crashes_of(*p, now).len() >= MIN_CRASHES && !self.outweighs(fingerprint, *p, now)
+        };
+        let no_other_cause = |c: &&Crash| !c.running.keys().filter(other).any(may_be_cause);
         crashes.len() >= MIN_CRASHES && crashes.iter().any(no_other_cause)
     }
 
@@ -303,7 +341,7 @@
     /// Requests that are retried beside a crashing one get into several crashes too, but not into
     /// all of them. A crashing one rarely produces output first.
     fn likelihood(&self, fingerprint: RequestFingerprint, now: Instant) -> (usize, Reverse<usize>) {
-        let crashes = self.crashes_of(fingerprint, now);
+        let crashes = self.unexplained_crashes(fingerprint, now);
         let has_started = |c: &&&Crash| c.running.get(&fingerprint).is_some_and(|run| run.started);
         let started = crashes.iter().filter(has_started);
         (crashes.len(), Reverse(started.count()))
