Quarantine requests for longer that crashed many hosts

A request that had crashed nine hosts when it was recognized was tried again after 10 s and crashed the tenth. One that was in six counted crashes now starts with the second term, two minutes. Sound requests get there only if they run in six crashes in a row without completing in between.

The test failed always, and passes.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -20,6 +20,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(150);
 /// The same for crashes that nodes detect late, and so at different times.
 const MAX_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Crashes that count as two offences: the request was recognized late.
+const MANY_CRASHES: usize = 6;
 /// Time until the next trial, by the number of offences. The first is short for requests that
 /// merely ran on hosts that crashed for other reasons.
 const RETRY_AFTER: [Duration; 4] = [
@@ -129,7 +131,8 @@
         });
         let mut decided = Vec::new();
         for (fingerprint, (service, _)) in undecided {
-            decided.push(quarantine(fingerprint, &service, 1));
+            let is_late = self.tracker.crash_count(fingerprint, now) >= MANY_CRASHES;
+            decided.push(quarantine(fingerprint, &service, 1 + u32::from(is_late)));
             let released = table.fingerprints().filter(|p| {
                 table.offences(*p, now) == 1 && self.tracker.outweighs(fingerprint, *p, now)
             });
