Report completions of a request that is quarantined

After heads crashed for other reasons, a fifth of the sound streams were rejected for 10 s. Nodes report a completion, which clears a request, only if the request was in a crash at that node.

Each node now remembers the requests that completed there in the last 30 s, up to 2,048, and reports such a completion when the request is quarantined, so that the coordinators release it. A request that crashes each host has no completions.

--- a/crates/gateway/src/quarantine/coordinator.rs
+++ b/crates/gateway/src/quarantine/coordinator.rs
@@ -16,7 +16,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::Platform;
-use crate::quarantine::coordinators;
+use crate::quarantine::{coordinators, report_completion};
 
 /// Maximum number of decisions that a node publishes; the oldest is withdrawn first.
 const MAX_PUBLISHED: usize = 64;
@@ -108,10 +108,18 @@
 }
 
 fn merge<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
-    let mut table = locked(&core.quarantine.table);
-    table.merge(record, Instant::now());
-    let quarantined = i64::try_from(table.quarantined()).unwrap_or(i64::MAX);
-    core.metrics.quarantined_requests.set(quarantined);
+    let now = Instant::now();
+    let is_new = {
+        let mut table = locked(&core.quarantine.table);
+        let known = table.offences(record.fingerprint, now);
+        let is_newer = table.merge(record, now);
+        let quarantined = i64::try_from(table.quarantined()).unwrap_or(i64::MAX);
+        core.metrics.quarantined_requests.set(quarantined);
+        is_newer && known == 0 && record.offences > 0
+    };
+    if is_new {
+        report_completion(core, record);
+    }
 }
 
 fn log_decision<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -3,6 +3,7 @@
 //! [`crash_detection`](crate::crash_detection) finds the crashes, `reports` takes them to the
 //! coordinators of the service, `coordinator` sends their decisions to all nodes.
 
+mod completions;
 mod coordinator;
 mod reports;
 
@@ -14,7 +15,7 @@
 use eelgrassmill_fleet::ranked_for_role;
 use eelgrassmill_peer::{SuspectReply, SuspectRequest, TrialRequest};
 use eelgrassmill_route::{
-    QuarantineCoordinator, QuarantineStatus, QuarantineTable, RequestFingerprint,
+    QuarantineCoordinator, QuarantineRecord, QuarantineStatus, QuarantineTable, RequestFingerprint,
 };
 use smallvec::SmallVec;
 use tokio::sync::Notify;
@@ -24,6 +25,7 @@
 use crate::crash_detection::Crash;
 use crate::heads::locked;
 use crate::ports::Platform;
+use crate::quarantine::completions::RecentCompletions;
 use crate::quarantine::reports::ReportQueue;
 use crate::refusal::{Refusal, RefusalCause};
 
@@ -54,6 +56,7 @@
     /// Decisions that this node published, by when they were decided.
     published: Mutex<BTreeMap<RequestFingerprint, Instant>>,
     reports: Mutex<ReportQueue>,
+    completions: Mutex<RecentCompletions>,
     /// Notified of new reports.
     reported: Notify,
     /// Notified of other nodes' reports.
@@ -156,6 +159,8 @@
 /// Reports that a call completed on a host that stayed up, if that clears it.
 pub(crate) fn on_completed<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
     let quarantine = &core.quarantine;
+    let now = Instant::now();
+    locked(&quarantine.completions).on_completed(call.fingerprint(), now);
     let is_watched = {
         let reports = locked(&quarantine.reports);
         reports.is_watching() && reports.is_watched(call.fingerprint())
@@ -163,10 +168,23 @@
     if !is_watched && status(core, call) == QuarantineStatus::Clear {
         return;
     }
-    locked(&quarantine.reports).push_completed(service, call.fingerprint(), Instant::now());
+    locked(&quarantine.reports).push_completed(service, call.fingerprint(), now);
     quarantine.reported.notify_one();
 }
 
+/// Reports that a request which was just quarantined has completed here, if it has.
+///
+/// A request that many callers send runs on many hosts, and may be in several crashes at one node
+/// while it completes at others.
+fn report_completion<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
+    let quarantine = &core.quarantine;
+    let last = locked(&quarantine.completions).last(record.fingerprint, Instant::now());
+    if let Some(at) = last {
+        locked(&quarantine.reports).push_completed(&record.service, record.fingerprint, at);
+        quarantine.reported.notify_one();
+    }
+}
+
 /// Sends reports to coordinators until the process ends.
 pub(crate) async fn send_reports_loop<P: Platform>(core: Arc<Core<P>>) {
     loop {
