Reach hosts through other nodes where links to them are lost

Such a node has no way to a host but its own connections. The scheduler gives its slots to others. Ruled out: it grants slots to it at heads that it can't reach.

A node now opens each connection directly and, once that has failed or taken 150 ms, also through another node; the first one that is established is used. Targets that needed a relay are tried both ways at once for 2 s, so that links which are back are used at once. All else stays at the node that has the caller: deadline, identity, slots, retry budget, quarantine, and the end of the caller's connection closes the one to the host. The other node connects directly and only to listed hosts, so there is one hop. It carries up to 256 tunnels of 32 KB each way, none while it is leaving or cut off itself, and lets the open ones end as far as its time to stop permits. A node whose links are lost stays ready, since it serves.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eelgrassmill_base::RequestId;
@@ -12,10 +12,14 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use smol_str::SmolStr;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::blocked_targets::{BlockedTargets, LinkFault};
 use crate::pool::{Conn, Pool, PoolLimits};
+use crate::relay::{Relay, RelayError, RelayStream};
 use crate::response::Lease;
 use crate::{SendError, TargetResponse};
 
@@ -24,6 +28,8 @@
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// A connection that just ended an answer needs a moment to be ready again.
 const READY_TIME: Duration = Duration::from_millis(20);
+/// Time without an answer after which a request that may be repeated is also sent through a relay.
+const HEDGE_DELAY: Duration = Duration::from_millis(80);
 
 type TargetHttpRequest = Request<Full<Bytes>>;
 
@@ -41,6 +47,8 @@
     head_timeout: Duration,
     echo: Option<HeaderName>,
     accept_unframed: bool,
+    pub(crate) relay: Option<Relay>,
+    blocked_targets: Option<BlockedTargets>,
 }
 
 /// Sets up a [`TargetClient`].
@@ -52,6 +60,8 @@
     limits: PoolLimits,
     echo: Option<HeaderName>,
     accept_unframed: bool,
+    relay: Option<Relay>,
+    blocked_targets: Option<BlockedTargets>,
 }
 
 /// One request to a target.
@@ -75,6 +85,12 @@
     Unwritten(Box<TargetHttpRequest>),
 }
 
+/// An established connection.
+enum Established {
+    Direct(TcpStream),
+    Relayed(RelayStream),
+}
+
 impl TargetClientBuilder {
     /// Bounds the connect; 1 s by default.
     pub fn connect_timeout(mut self, timeout: Duration) -> TargetClientBuilder {
@@ -130,6 +146,18 @@
         self
     }
 
+    /// Where connections are opened that can't be opened directly; nowhere by default.
+    pub fn relay(mut self, relay: Option<Relay>) -> TargetClientBuilder {
+        self.relay = relay;
+        self
+    }
+
+    /// Links that fail; none by default.
+    pub fn blocked_targets(mut self, blocked: Option<BlockedTargets>) -> TargetClientBuilder {
+        self.blocked_targets = blocked;
+        self
+    }
+
     /// The client as set up.
     pub fn build(self) -> TargetClient {
         TargetClient {
@@ -140,6 +168,8 @@
                 head_timeout: self.head_timeout,
                 echo: self.echo,
                 accept_unframed: self.accept_unframed,
+                relay: self.relay,
+                blocked_targets: self.blocked_targets,
             }),
         }
     }
@@ -165,6 +195,8 @@
             },
             echo: Some(REQUEST_ID),
             accept_unframed: false,
+            relay: None,
+            blocked_targets: None,
         }
     }
 
@@ -192,6 +224,56 @@
         address: &str,
         req: TargetRequest,
         head_timeout: Duration,
+    ) -> Result<TargetResponse, SendError> {
+        self.send_over(address, req, head_timeout, false).await
+    }
+
+    /// Like [`TargetClient::send_within`], for a request that may be repeated: where no answer comes
+    /// soon, or its connection breaks, it is sent through a relay as well.
+    ///
+    /// # Errors
+    /// Those of [`TargetClient::send_within`].
+    pub async fn send_hedged(
+        &self,
+        address: &str,
+        req: TargetRequest,
+        head_timeout: Duration,
+    ) -> Result<TargetResponse, SendError> {
+        if self.shared.relay.is_none() {
+            return self.send_within(address, req, head_timeout).await;
+        }
+        let first = self.send_over(address, req.clone(), head_timeout, false);
+        let broken = Notify::new();
+        let second = async {
+            tokio::select! {
+                () = tokio::time::sleep(HEDGE_DELAY) => {}
+                () = broken.notified() => {}
+            }
+            self.send_over(address, req, head_timeout, true).await
+        };
+        tokio::pin!(first, second);
+        tokio::select! {
+            sent = &mut first => match sent {
+                // A kept connection may break although the target is well.
+                Err(SendError::Unknown(why)) => {
+                    broken.notify_one();
+                    second.await.map_err(|_| SendError::Unknown(why))
+                }
+                sent => sent,
+            },
+            sent = &mut second => match sent {
+                Ok(response) => Ok(response),
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    async fn send_over(
+        &self,
+        address: &str,
+        req: TargetRequest,
+        head_timeout: Duration,
+        relayed_only: bool,
     ) -> Result<TargetResponse, SendError> {
         let address = SmolStr::from(address);
         let echo = self.shared.echo.as_ref();
@@ -200,7 +282,12 @@
             .transpose()?;
         let req = http_request(&address, req)?;
         let mut lease = Lease::enter(Arc::clone(&self.shared), address)?;
-        let response = self.exchange(&mut lease, req, head_timeout).await?;
+        let response = if relayed_only {
+            lease.conn = Some(self.connect_relayed(lease.address()).await?);
+            self.attempt_once(&mut lease, req, head_timeout).await?
+        } else {
+            self.exchange(&mut lease, req, head_timeout).await?
+        };
         if let (Some(name), Some(expected)) = (echo, expected) {
             check_echo(&response, name, expected)?;
         }
@@ -216,7 +303,26 @@
     /// [`SendError::Refused`] if nothing listens there, [`SendError::NotSent`] if it can't be
     /// reached in time.
     pub async fn check_listening(&self, address: &str) -> Result<(), SendError> {
-        self.open(address).await.map(drop)
+        self.open(&SmolStr::from(address)).await.map(drop)
+    }
+
+    /// Whether the target at `address` is reached through a relay and not directly.
+    pub async fn needs_relay(&self, address: &str) -> bool {
+        let opened = self.open(&SmolStr::from(address)).await;
+        matches!(opened, Ok(Established::Relayed(_)))
+    }
+
+    /// Opens a direct connection to the target at `address` for another node.
+    ///
+    /// # Errors
+    /// [`SendError::Refused`] or [`SendError::NotSent`].
+    pub async fn open_for_peer(&self, address: &str) -> Result<TcpStream, SendError> {
+        self.open_direct(address).await
+    }
+
+    /// The client's relay, if it has one.
+    pub fn relay(&self) -> Option<&Relay> {
+        self.shared.relay.as_ref()
     }
 
     async fn exchange(
@@ -225,6 +331,10 @@
         mut req: TargetHttpRequest,
         head_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
+        if self.is_relayed(lease.address()) {
+            // Connections from before the link was lost would swallow the request.
+            self.shared.pool.clear(lease.address());
+        }
         while let Some(conn) = self.shared.pool.take(lease.address()) {
             lease.conn = Some(conn);
             match self.attempt(lease, req, head_timeout).await? {
@@ -235,12 +345,26 @@
             }
         }
         lease.conn = Some(self.connect(lease.address()).await?);
+        self.attempt_once(lease, req, head_timeout).await
+    }
+
+    async fn attempt_once(
+        &self,
+        lease: &mut Lease,
+        req: TargetHttpRequest,
+        head_timeout: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
         match self.attempt(lease, req, head_timeout).await? {
             Attempt::Answered(response) => Ok(response),
             Attempt::Unwritten(_) => Err(SendError::NotSent("connection closed".to_owned())),
         }
     }
 
+    fn is_relayed(&self, address: &str) -> bool {
+        let relay = self.shared.relay.as_ref();
+        relay.is_some_and(|relay| relay.is_relayed(address))
+    }
+
     async fn attempt(
         &self,
         lease: &mut Lease,
@@ -255,20 +379,93 @@
         }
         let answer = timeout(head_timeout, conn.sender.try_send_request(req)).await;
         match answer {
-            Ok(Ok(response)) => Ok(Attempt::Answered(response)),
+            Ok(Ok(response)) => {
+                if let Some(relay) = self.shared.relay.as_ref().filter(|_| conn.reusable) {
+                    relay.paths().on_received(Instant::now());
+                }
+                Ok(Attempt::Answered(response))
+            }
             Ok(Err(mut failed)) => match failed.take_message() {
                 // hyper gives the message back only when it wrote none of it.
                 Some(req) => Ok(Attempt::Unwritten(Box::new(req))),
                 None => Err(SendError::Unknown(failed.into_error().to_string())),
             },
-            Err(_) => Err(SendError::Unknown("no answer in time".to_owned())),
+            Err(_) => {
+                // Other kept connections to a target that can't be reached are lost, too.
+                self.shared.pool.clear(lease.address());
+                Err(SendError::Unknown("no answer in time".to_owned()))
+            }
+        }
+    }
+
+    /// Opens a connection, through a relay where the direct one fails or takes long.
+    async fn open(&self, address: &SmolStr) -> Result<Established, SendError> {
+        let Some(relay) = &self.shared.relay else {
+            return self.open_direct(address).await.map(Established::Direct);
+        };
+        let delay = relay.paths().relay_delay(address, Instant::now());
+        let failed = Notify::new();
+        let relayed = async {
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                () = failed.notified() => {}
+            }
+            relay.connect(address).await
+        };
+        let direct = self.open_direct(address);
+        tokio::pin!(direct, relayed);
+        let (direct_err, relayed) = tokio::select! {
+            biased;
+            opened = &mut direct => match opened {
+                Ok(stream) => return Ok(Established::Direct(stream)),
+                Err(err) => {
+                    failed.notify_one();
+                    (err, relayed.await)
+                }
+            },
+            opened = &mut relayed => match opened {
+                Ok(stream) => return Ok(self.relayed(address, stream)),
+                Err(relay_err) => match direct.await {
+                    Ok(stream) => return Ok(Established::Direct(stream)),
+                    Err(err) => (err, Err(relay_err)),
+                },
+            },
+        };
+        match relayed {
+            Ok(stream) => Ok(self.relayed(address, stream)),
+            Err(RelayError::Refused) => Err(SendError::Refused(format!("{address}: refused"))),
+            Err(RelayError::Unreachable | RelayError::Unavailable) => Err(direct_err),
+        }
+    }
+
+    fn relayed(&self, address: &SmolStr, stream: RelayStream) -> Established {
+        if let Some(relay) = &self.shared.relay {
+            relay.paths().on_relayed(address, Instant::now());
         }
+        self.shared.pool.clear(address);
+        Established::Relayed(stream)
     }
 
-    async fn open(&self, address: &str) -> Result<TcpStream, SendError> {
+    async fn open_direct(&self, address: &str) -> Result<TcpStream, SendError> {
         let failed = |why: &dyn std::fmt::Display| format!("{address}: {why}");
+        let blocked = self.shared.blocked_targets.as_ref();
+        match blocked.map(BlockedTargets::fault) {
+            None | Some(LinkFault::None) => {}
+            Some(LinkFault::Hang) => {
+                tokio::time::sleep(self.shared.connect_timeout).await;
+                return Err(SendError::NotSent(failed(&"connect took too long")));
+            }
+            Some(LinkFault::Reset | LinkFault::RefuseNew) => {
+                return Err(SendError::Refused(failed(&"connection refused")));
+            }
+        }
         match timeout(self.shared.connect_timeout, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => Ok(stream),
+            Ok(Ok(stream)) => {
+                if let Some(relay) = &self.shared.relay {
+                    relay.paths().on_direct(address, Instant::now());
+                }
+                Ok(stream)
+            }
             Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
                 Err(SendError::Refused(failed(&e)))
             }
@@ -277,20 +474,52 @@
         }
     }
 
-    async fn connect(&self, address: &str) -> Result<Conn, SendError> {
-        let not_sent = |why: String| SendError::NotSent(format!("{address}: {why}"));
-        let stream = self.open(address).await?;
-        stream
-            .set_nodelay(true)
-            .map_err(|e| not_sent(e.to_string()))?;
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HEADER_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
-        // Its errors reach whoever waits for the answer.
-        let task = tokio::spawn(async move { drop(connection.await) });
-        Ok(Conn::new(sender, task.abort_handle()))
+    async fn connect(&self, address: &SmolStr) -> Result<Conn, SendError> {
+        match self.open(address).await? {
+            Established::Direct(stream) => {
+                let nodelay = stream.set_nodelay(true);
+                nodelay.map_err(|e| SendError::NotSent(format!("{address}: {e}")))?;
+                let blocked = self.shared.blocked_targets.clone();
+                handshake(address, stream, true, blocked).await
+            }
+            Established::Relayed(stream) => handshake(address, stream, false, None).await,
+        }
     }
+
+    async fn connect_relayed(&self, address: &SmolStr) -> Result<Conn, SendError> {
+        let not_sent = |e: RelayError| SendError::NotSent(format!("{address}: {e}"));
+        let unavailable = || not_sent(RelayError::Unavailable);
+        let relay = self.shared.relay.as_ref().ok_or_else(unavailable)?;
+        let stream = relay.connect(address).await.map_err(not_sent)?;
+        handshake(address, stream, false, None).await
+    }
+}
+
+async fn handshake(
+    address: &SmolStr,
+    io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    reusable: bool,
+    blocked: Option<BlockedTargets>,
+) -> Result<Conn, SendError> {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEADER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(io)).await;
+    let (sender, connection) =
+        handshake.map_err(|e| SendError::NotSent(format!("{address}: {e}")))?;
+    // Its errors reach whoever waits for the answer.
+    let task = tokio::spawn(async move {
+        let Some(blocked) = blocked else {
+            return drop(connection.await);
+        };
+        tokio::pin!(connection);
+        tokio::select! {
+            _ = &mut connection => {}
+            fault = blocked.wait_broken() => if fault == LinkFault::Hang {
+                std::future::pending().await
+            }
+        }
+    });
+    Ok(Conn::new(sender, task.abort_handle(), reusable))
 }
 
 fn request_id(headers: &HeaderMap, name: &HeaderName) -> Result<RequestId, SendError> {
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -26,11 +26,18 @@
 pub(crate) struct Conn {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Whether it may carry another request. One through a relay would keep the relay from
+    /// stopping.
+    pub(crate) reusable: bool,
 }
 
 impl Conn {
-    pub(crate) fn new(sender: SendRequest<Full<Bytes>>, task: AbortHandle) -> Conn {
-        Conn { sender, task }
+    pub(crate) fn new(sender: SendRequest<Full<Bytes>>, task: AbortHandle, reusable: bool) -> Conn {
+        Conn {
+            sender,
+            task,
+            reusable,
+        }
     }
 }
 
@@ -94,6 +101,14 @@
         entry.idle.pop().map(|(_, conn)| conn)
     }
 
+    /// Closes the idle connections to `address`.
+    pub(crate) fn clear(&self, address: &SmolStr) {
+        let mut shard = self.lock(address);
+        if let Some(entry) = shard.get_mut(address) {
+            entry.idle.clear();
+        }
+    }
+
     /// Keeps `conn` for later, for at most `lifetime` where its target said one.
     pub(crate) fn keep(&self, address: &SmolStr, conn: Conn, lifetime: Option<Duration>) {
         let mut shard = self.lock(address);
--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -41,7 +41,7 @@
     }
 
     fn keep(&mut self, lifetime: Option<Duration>) {
-        if let Some(conn) = self.conn.take() {
+        if let Some(conn) = self.conn.take_if(|conn| conn.reusable) {
             self.shared.pool.keep(&self.address, conn, lifetime);
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod rate;
 mod rate_limit;
 mod relay;
+mod relay_choice;
 mod retry;
 mod roles;
 mod schedule;
@@ -58,6 +59,7 @@
 pub use crate::relay::{
     ChangeLog, ListParent, SyncUpdate, initial_read_delay, initial_sync_source, list_parent,
 };
+pub use crate::relay_choice::RelayChoice;
 pub use crate::retry::{RetryBudget, RetryWindow};
 pub use crate::roles::{RoleCandidate, ranked_for_role, strongest};
 pub use crate::schedule::{
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -20,6 +20,7 @@
 use crate::crash_detection::CrashDetection;
 use crate::heads::{HeadTable, locked};
 use crate::host_limits::LimitState;
+use crate::host_relay::HostRelay;
 use crate::inbox::Inbox;
 use crate::logs::LogRateLimit;
 use crate::metrics::{Metrics, RetryReason};
@@ -63,6 +64,7 @@
     pub(crate) crash_detection: CrashDetection,
     pub(crate) quarantine: Quarantine,
     pub(crate) host_limits: LimitState,
+    pub(crate) host_relay: HostRelay,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
     /// aborts the remaining requests (`exiting`).
@@ -110,6 +112,7 @@
             crash_detection: CrashDetection::default(),
             quarantine: Quarantine::default(),
             host_limits: LimitState::default(),
+            host_relay: HostRelay::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
@@ -152,6 +155,11 @@
         self.exiting.send_replace(true);
     }
 
+    /// True once the process is about to exit.
+    pub(crate) fn exiting(&self) -> watch::Receiver<bool> {
+        self.exiting.subscribe()
+    }
+
     /// Waits until the process is about to exit.
     pub(crate) async fn wait_for_exit(&self) {
         let mut rx = self.exiting.subscribe();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eelgrassmill_base::Shutdown;
-use eelgrassmill_engine::TargetClient;
+use eelgrassmill_engine::{RelayRequest, TargetClient};
 use eelgrassmill_peer::{PeerError, PeerNode};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tracing::info;
 
@@ -19,7 +20,7 @@
 use crate::ports::Platform;
 use crate::reflector::{HostSink, OperatorSink, run_reflector};
 use crate::server::{self, OpenConnections};
-use crate::{configuration, host_limits, leader, loss_detection, node_api, quarantine};
+use crate::{configuration, host_limits, host_relay, leader, loss_detection, node_api, quarantine};
 
 /// How long new connections are still accepted after the signal to stop, in multiples of the
 /// address TTL: callers keep this node's address for the TTL, and some for three times as long.
@@ -54,7 +55,8 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// Binds the listeners and starts all tasks on the current runtime.
+    /// Binds the listeners and starts all tasks on the current runtime. `relay_requests` are those
+    /// of the relay that `http` and the platform's clients use.
     ///
     /// # Errors
     /// When an address can't be listened on.
@@ -62,6 +64,7 @@
         cfg: GatewayConfig,
         platform: P,
         http: TargetClient,
+        relay_requests: mpsc::Receiver<RelayRequest>,
     ) -> Result<Gateway<P>, GatewayError> {
         let core = Arc::new(Core::new(cfg, platform, http));
         let addresses = core.cfg.addresses.clone();
@@ -74,6 +77,7 @@
         serve_node_api(&core, ready);
         serve_node_api(&core, directory);
         spawn_tasks(&core);
+        tokio::spawn(host_relay::run(Arc::clone(&core), relay_requests));
         Ok(Gateway {
             core,
             connections,
@@ -97,7 +101,9 @@
             connections = self.connections.count()
         );
         let done = self.wait_drained(shutdown.drain_until()).await;
-        if !done {
+        // Tunnels of other nodes count as requests in progress, but not as failures to finish.
+        self.wait_tunnels_closed(shutdown.drain_until()).await;
+        if !done || self.core.host_relay.carried() > 0 {
             self.core.signal_exit();
             self.wait_drained(shutdown.drain_until() + SHUTDOWN_NOTICE)
                 .await;
@@ -124,6 +130,13 @@
         Shutdown::new(signalled_at, open, total.saturating_sub(SHUTDOWN_NOTICE))
     }
 
+    /// Waits until this node carries no tunnel or `end` is reached.
+    async fn wait_tunnels_closed(&self, end: Instant) {
+        while self.core.host_relay.carried() > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until no connection is open or `end` is reached. Returns whether none is open.
     async fn wait_drained(&self, end: Instant) -> bool {
         // Before the port closes, callers with open connections still have to learn of other nodes.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod gateway;
 mod heads;
 mod host_limits;
+mod host_relay;
 mod inbox;
 mod leader;
 mod list_codec;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,8 @@
     pub(crate) limited_hosts: IntGauge,
     /// Times that a host's limit held back a request of this node, by service.
     limited: IntCounterVec,
+    /// Connections to hosts through other nodes by outcome, and those carried for other nodes.
+    pub(crate) relayed_connections: IntCounterVec,
     /// Orders by kind and reply.
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -113,6 +115,11 @@
                 "gateway_limited_hosts",
                 "Hosts that name the requests a second that they take.",
             ),
+            relayed_connections: counter(
+                "gateway_relayed_connections_total",
+                "Connections to hosts through other nodes, and for them.",
+                &["outcome"],
+            ),
             limited: counter(
                 "gateway_limited_total",
                 "Times that a limit that hosts name held back a request.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,10 +7,10 @@
 
 use eelgrassmill_base::{GroupId, NodeId};
 use eelgrassmill_peer::{
-    BlockedPeers, Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, Item, ItemKey,
-    LimitReply, LimitRequest, ListReply, ListRequest, Member, NodeLoad, NodeStatus, PeerError,
-    PeerHandler, PeerNode, PeerNodeConfig, ScheduleReply, ScheduleRequest, SuspectReply,
-    SuspectRequest, Timing, Update,
+    BlockedPeers, Change, ConfigText, DisseminationConfig, GroupLoad, GroupRecord, HostConnection,
+    Item, ItemKey, LimitReply, LimitRequest, ListReply, ListRequest, Member, NodeLoad, NodeStatus,
+    PeerError, PeerHandler, PeerNode, PeerNodeConfig, ScheduleReply, ScheduleRequest, SuspectReply,
+    SuspectRequest, Timing, TunnelError, Update,
 };
 use smol_str::ToSmolStr;
 use tokio::runtime::Handle;
@@ -21,7 +21,7 @@
 use crate::nodes::NodeInfo;
 use crate::ports::{LeaderRecord, Platform};
 use crate::scheduler::ScheduledLoad;
-use crate::{host_limits, loss_detection, quarantine, scheduler, snapshot_relay};
+use crate::{host_limits, host_relay, loss_detection, quarantine, scheduler, snapshot_relay};
 
 /// The group name under which the leader publishes its term.
 const LEADER_GROUP: &str = "planner";
@@ -169,6 +169,15 @@
     fn schedule(&self, req: ScheduleRequest) -> impl Future<Output = ScheduleReply> + Send {
         scheduler::handle(Arc::clone(&self.core), req)
     }
+
+    async fn connect_host(
+        &self,
+        from: &NodeId,
+        address: &str,
+        timeout: Duration,
+    ) -> Result<HostConnection, TunnelError> {
+        host_relay::connect_host(&self.core, from, address, timeout).await
+    }
 }
 
 /// Starts the peer protocol.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,6 +14,7 @@
 mod node;
 mod overlay;
 mod service;
+mod tunnel;
 mod wire;
 
 pub use crate::blocked_peers::BlockedPeers;
@@ -30,6 +31,7 @@
 pub use crate::meter::Traffic;
 pub use crate::node::{HlcTimestamp, PeerHandler, PeerNode, PeerNodeConfig};
 pub use crate::overlay::{FAN_OUT, MAX_MESH_NODES, Overlay};
+pub use crate::tunnel::{HostConnection, TunnelError, TunnelReader};
 pub use crate::wire::host_messages::{
     CompletedReport, CrashReport, CrashedRun, LimitReply, LimitRequest, SuspectReply,
     SuspectRequest, TrialRequest,
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{NodeId, value};
+use prost::bytes::Bytes;
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio_stream::StreamExt;
@@ -18,7 +19,8 @@
 use crate::error::PeerError;
 use crate::item::{Item, ItemKey, Update};
 use crate::meter::{Meter, MeteredStream, Traffic};
-use crate::wire::client::Pool;
+use crate::tunnel::{HostConnection, TunnelError, TunnelReader, outgoing};
+use crate::wire::client::{Pool, PoolKind};
 use crate::wire::host_messages::{LimitReply, LimitRequest, SuspectReply, SuspectRequest};
 use crate::wire::messages::{
     Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
@@ -98,6 +100,16 @@
         std::future::ready(ScheduleReply::default())
     }
 
+    /// Connects to a host for the node `from`; by default it does not.
+    fn connect_host(
+        &self,
+        _from: &NodeId,
+        _address: &str,
+        _timeout: Duration,
+    ) -> impl Future<Output = Result<HostConnection, TunnelError>> + Send {
+        std::future::ready(Err(TunnelError::Unavailable))
+    }
+
     /// The timestamp to send with a batch, so that events of two nodes can be ordered causally.
     fn timestamp(&self) -> HlcTimestamp {
         HlcTimestamp::default()
@@ -144,6 +156,8 @@
     pub(crate) handler: Arc<H>,
     pub(crate) blocked_peers: BlockedPeers,
     pool: Pool,
+    /// Connections for tunnels.
+    tunnels: Pool,
     meter: Meter,
     seeds: Vec<SocketAddr>,
     flush_interval: Duration,
@@ -329,6 +343,28 @@
         self.inner.call(node, path::LIMITS, req, timeout).await
     }
 
+    /// Opens a connection to the host at `address` through `node`, which takes the bytes in `sent`.
+    ///
+    /// # Errors
+    /// If `node` doesn't open it within `timeout`.
+    pub async fn open_tunnel(
+        &self,
+        node: &NodeId,
+        address: &str,
+        timeout: Duration,
+        sent: mpsc::Receiver<Bytes>,
+    ) -> Result<TunnelReader, TunnelError> {
+        let inner = &self.inner;
+        if inner.blocked_peers.contains(node) {
+            return Err(TunnelError::Unavailable);
+        }
+        let frames = outgoing(&inner.me, address, timeout, sent);
+        let node = inner.address(node)?;
+        let opened = inner.tunnels.open_tunnel(node, frames, timeout).await;
+        inner.meter.record_call(opened.is_ok());
+        opened.map(TunnelReader::from)
+    }
+
     /// Fetches the active configuration of `node`, as a difference from `base` if that node
     /// still has it.
     ///
@@ -396,7 +432,8 @@
             me: cfg.dissemination.me.id.clone(),
             handler,
             blocked_peers,
-            pool: Pool::new(timing.call_timeout, meter.clone()),
+            pool: Pool::new(timing.call_timeout, meter.clone(), PoolKind::Calls),
+            tunnels: Pool::new(timing.call_timeout, meter.clone(), PoolKind::Tunnels),
             meter,
             seeds: cfg.seeds,
             flush_interval: timing.flush_interval,
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -1,12 +1,18 @@
 //! Implements the peer service: the calls of other nodes.
 
+use std::time::Duration;
+
 use eelgrassmill_base::NodeId;
-use tonic::Status;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Status, Streaming};
 
 use crate::config_text::fetch_reply;
 use crate::node::{Inner, PeerHandler};
+use crate::tunnel::carry;
 use crate::wire::convert::name;
-use crate::wire::host_messages::{LimitReply, LimitRequest, SuspectReply, SuspectRequest};
+use crate::wire::host_messages::{
+    LimitReply, LimitRequest, SuspectReply, SuspectRequest, TunnelFrame,
+};
 use crate::wire::messages::{
     Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
     ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
@@ -60,6 +66,19 @@
         self.check_caller(&req.from)?;
         Ok(self.handler.schedule(req).await)
     }
+
+    async fn tunnel(
+        &self,
+        mut frames: Streaming<TunnelFrame>,
+    ) -> Result<ReceiverStream<Result<TunnelFrame, Status>>, Status> {
+        let first = frames.message().await?;
+        let first = first.ok_or_else(|| Status::invalid_argument("no frame"))?;
+        let from = self.check_caller(&first.from)?;
+        let timeout = Duration::from_millis(first.timeout_ms);
+        let host = self.handler.connect_host(&from, &first.address, timeout);
+        let host = host.await?;
+        Ok(carry(host, frames))
+    }
 }
 
 impl<H: PeerHandler> Inner<H> {
--- a/crates/peer/src/wire/client.rs
+++ b/crates/peer/src/wire/client.rs
@@ -6,13 +6,17 @@
 use std::time::{Duration, Instant};
 
 use http::uri::PathAndQuery;
+use tokio_stream::Stream;
+use tonic::Streaming;
 use tonic::client::Grpc;
 use tonic::transport::{Channel, Endpoint};
 use tonic_prost::ProstCodec;
 
 use crate::error::PeerError;
 use crate::meter::{Connector, Meter};
-use crate::wire::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES};
+use crate::tunnel::TunnelError;
+use crate::wire::host_messages::TunnelFrame;
+use crate::wire::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES, path};
 
 /// Maximum number of connections to other nodes: the children in the trees, and the
 /// nodes queried in round-robin order.
@@ -23,6 +27,17 @@
 /// which slows it down further.
 const MAX_SILENCE: Duration = Duration::from_millis(1000);
 
+/// Bytes of one tunnel that may be on their way, and of all tunnels over one connection.
+const TUNNEL_WINDOW_BYTES: u32 = 32 << 10;
+const TUNNEL_CONNECTION_WINDOW_BYTES: u32 = 2 << 20;
+
+/// What the connections of a pool carry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum PoolKind {
+    Calls,
+    Tunnels,
+}
+
 /// One connection.
 struct Connection {
     channel: Channel,
@@ -36,11 +51,13 @@
     connections: Mutex<BTreeMap<SocketAddr, Connection>>,
     connect_timeout: Duration,
     meter: Meter,
+    kind: PoolKind,
 }
 
 impl Pool {
-    pub(crate) fn new(connect_timeout: Duration, meter: Meter) -> Pool {
+    pub(crate) fn new(connect_timeout: Duration, meter: Meter, kind: PoolKind) -> Pool {
         Pool {
+            kind,
             connections: Mutex::new(BTreeMap::new()),
             connect_timeout,
             meter,
@@ -78,6 +95,37 @@
         result
     }
 
+    /// Opens a call to the node at `address` that carries frames both ways.
+    ///
+    /// # Errors
+    /// If the node can't be reached, doesn't open it within `timeout` or rejects it.
+    pub(crate) async fn open_tunnel(
+        &self,
+        address: SocketAddr,
+        frames: impl Stream<Item = TunnelFrame> + Send + 'static,
+        timeout: Duration,
+    ) -> Result<Streaming<TunnelFrame>, TunnelError> {
+        let channel = self.channel(address)?;
+        let opened = tokio::time::timeout(timeout, async {
+            let mut grpc = Grpc::new(channel).max_decoding_message_size(MAX_REPLY_BYTES);
+            grpc.ready().await.map_err(PeerError::from)?;
+            let path = PathAndQuery::from_static(path::TUNNEL);
+            let codec = ProstCodec::<TunnelFrame, TunnelFrame>::default();
+            let res = grpc.streaming(tonic::Request::new(frames), path, codec);
+            Ok(res.await?.into_inner())
+        });
+        match opened.await {
+            Ok(opened) => {
+                self.record_reply(address);
+                opened
+            }
+            Err(_) => {
+                self.drop_if_silent(address);
+                Err(TunnelError::Unavailable)
+            }
+        }
+    }
+
     fn channel(&self, address: SocketAddr) -> Result<Channel, PeerError> {
         let mut connections = self
             .connections
@@ -96,10 +144,15 @@
                 connections.remove(&oldest);
             }
         }
-        let channel = Endpoint::from_shared(format!("http://{address}"))?
+        let mut endpoint = Endpoint::from_shared(format!("http://{address}"))?
             .connect_timeout(self.connect_timeout)
-            .tcp_nodelay(true)
-            .connect_with_connector_lazy(Connector::new(self.meter.clone()));
+            .tcp_nodelay(true);
+        if self.kind == PoolKind::Tunnels {
+            endpoint = endpoint
+                .initial_stream_window_size(TUNNEL_WINDOW_BYTES)
+                .initial_connection_window_size(TUNNEL_CONNECTION_WINDOW_BYTES);
+        }
+        let channel = endpoint.connect_with_connector_lazy(Connector::new(self.meter.clone()));
         let connection = Connection {
             channel: channel.clone(),
             last_used: now,
--- a/crates/peer/src/wire/host_messages.rs
+++ b/crates/peer/src/wire/host_messages.rs
@@ -117,3 +117,21 @@
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
 }
+
+/// A part of a connection to a host through another node. The first one requests the connection, the
+/// others have bytes.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TunnelFrame {
+    /// The calling node; in the first frame only.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// `IP:PORT` of the host; in the first frame only.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Timeout of the connection to the host in milliseconds; in the first frame only.
+    #[prost(uint64, tag = "3")]
+    pub timeout_ms: u64,
+    /// Bytes to or from the host.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub data: ::prost::bytes::Bytes,
+}
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -21,6 +21,7 @@
     pub(crate) const SCHEDULE: &str = "/eelgrassmill.peer.v1.Peer/Schedule";
     pub(crate) const SUSPECTS: &str = "/eelgrassmill.peer.v1.Peer/Suspects";
     pub(crate) const LIMITS: &str = "/eelgrassmill.peer.v1.Peer/Limits";
+    pub(crate) const TUNNEL: &str = "/eelgrassmill.peer.v1.Peer/Tunnel";
     pub(crate) const QUOTA: &str = "/eelgrassmill.peer.v1.Peer/Quota";
 }
 
--- a/crates/peer/src/wire/server.rs
+++ b/crates/peer/src/wire/server.rs
@@ -5,13 +5,16 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::body::Body;
 use tonic::codegen::{BoxFuture, Service};
 use tonic::server::{Grpc, NamedService};
-use tonic::{Request, Response, Status};
+use tonic::{Request, Response, Status, Streaming};
 use tonic_prost::ProstCodec;
 
-use crate::wire::host_messages::{LimitReply, LimitRequest, SuspectReply, SuspectRequest};
+use crate::wire::host_messages::{
+    LimitReply, LimitRequest, SuspectReply, SuspectRequest, TunnelFrame,
+};
 use crate::wire::messages::{
     Batch, FetchConfigReply, FetchConfigRequest, ListReply, ListRequest, QuotaReply, QuotaRequest,
     ScheduleReply, ScheduleRequest, TimelineReply, TimelineRequest,
@@ -33,6 +36,11 @@
         &self,
         req: ScheduleRequest,
     ) -> impl Future<Output = Result<ScheduleReply, Status>> + Send;
+    /// Carries the bytes of a connection to a host.
+    fn tunnel(
+        &self,
+        frames: Streaming<TunnelFrame>,
+    ) -> impl Future<Output = Result<ReceiverStream<Result<TunnelFrame, Status>>, Status>> + Send;
 }
 
 /// Dispatches HTTP/2 requests to a [`PeerService`].
@@ -84,6 +92,15 @@
             path::LIST => unary(req, MAX_REQUEST_BYTES, move |r| async move {
                 service.list(r).await
             }),
+            path::TUNNEL => Box::pin(async move {
+                let codec = ProstCodec::<TunnelFrame, TunnelFrame>::default();
+                let mut grpc = Grpc::new(codec).max_decoding_message_size(MAX_REQUEST_BYTES);
+                let handler = move |frames| async move { service.tunnel(frames).await };
+                let method = Method {
+                    handler: Some(handler),
+                };
+                Ok(grpc.streaming(method, req).await)
+            }),
             _ => Box::pin(async { Ok(Status::unimplemented("unknown method").into_http()) }),
         }
     }
