Check hosts through other nodes before reporting them

Nodes that were cut off from all hosts reported 72 losses of 23 replicas and, in a second cut, 30 crashes of hosts that lived; the leader dissolved sound replicas, so that callers of all nodes were rejected as "full" or late.

The reports of a node's links can't be told from those of its hosts where only its own connections are tried. A replica whose head answers other nodes alone, and sent this one nothing since, is not lost: its streams here break and resume over new connections. Failures of attempts are reported to the scheduler, which ejects heads for all nodes, only if the head is still reached directly or not at all.

--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -54,6 +54,8 @@
     /// Set once a member was found to be lost, after which no events arrive. Reset by
     /// [`HeadTable::retry_lost`].
     lost: watch::Sender<Option<Loss>>,
+    /// Number of times that this node's connections to it were found to be dead.
+    link_losses: watch::Sender<u64>,
 }
 
 /// The loss of a replica's member.
@@ -112,6 +114,7 @@
             backoff: Mutex::default(),
             cold: Mutex::default(),
             lost: watch::Sender::new(None),
+            link_losses: watch::Sender::new(0),
         })
     }
 
@@ -211,6 +214,7 @@
         }
         SlotGuard {
             is_scheduled: permit.is_some(),
+            link_losses: self.link_losses.subscribe(),
             head: Arc::clone(self),
             permit,
             sent: Instant::now(),
@@ -312,6 +316,12 @@
         // The sender lives as long as `self`, so the channel can't close before the value is set.
         let _ = rx.wait_for(Option::is_some).await;
     }
+
+    /// Breaks the responses that began before now: their connections no longer work, although the
+    /// replica does.
+    pub(crate) fn break_responses(&self) {
+        self.link_losses.send_modify(|losses| *losses += 1);
+    }
 }
 
 /// A request's slot at a head; the head counts it until this is dropped.
@@ -325,6 +335,7 @@
     responded_at: Option<Instant>,
     /// Whether its first event has arrived.
     has_started: bool,
+    link_losses: watch::Receiver<u64>,
 }
 
 impl<P: Platform> SlotGuard<P> {
@@ -365,10 +376,38 @@
         }
     }
 
-    /// Records that the head failed it before its first event.
-    pub(crate) fn failed(&mut self) {
+    /// Takes the report that the head failed it before its first event.
+    pub(crate) fn take_failure(&mut self) -> HeadFailure<P> {
+        HeadFailure {
+            head: Arc::clone(&self.head),
+            sent: self.sent,
+            permit: self.permit.take(),
+        }
+    }
+
+    /// Waits until the head is lost or the connections to it are found to be dead.
+    pub(crate) async fn wait_until_broken(&self) -> &'static str {
+        let mut link_losses = self.link_losses.clone();
+        tokio::select! {
+            () = self.head.wait_until_lost() => "its replica was lost",
+            // The sender lives as long as the head.
+            _ = link_losses.changed() => "its connection was lost",
+        }
+    }
+}
+
+/// A failure of a head that is not reported yet. Dropping it releases the slot alone.
+pub(crate) struct HeadFailure<P: Platform> {
+    pub(crate) head: Arc<Head>,
+    sent: Instant,
+    permit: Option<Permit<P>>,
+}
+
+impl<P: Platform> HeadFailure<P> {
+    /// Reports it to the scheduler.
+    pub(crate) fn report(self) {
         self.head.eject(self.sent);
-        if let Some(permit) = self.permit.take() {
+        if let Some(permit) = self.permit {
             permit.failed();
         }
     }
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -140,11 +140,32 @@
             }
         }
     }
-    if silent.is_empty() && !broken {
+    if !silent.is_empty() || broken {
+        return report_loss(&core, &head, silent_since, silent);
+    }
+    if has_lost_link(&core, &head, silent_since).await {
+        info!(
+            event = "link-lost", replica = %head.replica, epoch = head.epoch,
+            running = head.running_here(),
+        );
+        head.break_responses();
+    } else {
         info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
-        return;
     }
-    report_loss(&core, &head, silent_since, silent);
+}
+
+/// Whether the head of a replica is reached through other nodes alone, and has sent this node
+/// nothing since `silent_since`.
+async fn has_lost_link<P: Platform>(
+    core: &Core<P>,
+    head: &Head,
+    silent_since: Option<Instant>,
+) -> bool {
+    // A node with too little CPU finds direct connections slow, too.
+    if core.is_overloaded() || !core.http.needs_relay(&head.address).await {
+        return false;
+    }
+    head.stream_activity().last_event() <= silent_since
 }
 
 /// The members that are listed, and those that crashed, whose entries may be gone.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -222,7 +222,7 @@
         let req = target_request(&*self.core, &self.call, &head.host, urgency, resume);
         let sent = tokio::select! {
             sent = self.core.http.send_within(&head.address, req, self.call.remaining()) => sent,
-            () = head.wait_until_lost() => Err(SendError::Unknown("its replica was lost".to_owned())),
+            why = slot.wait_until_broken() => Err(SendError::Unknown(why.to_owned())),
         };
         let response = match sent {
             Ok(response) => response,
@@ -279,12 +279,22 @@
         // An exceeded deadline or a lost member is not the head's failure.
         let head_failed = !self.call.remaining().is_zero() && !slot.head.is_lost();
         if head_failed && !slot.has_started() {
-            slot.failed();
+            self.report_failure(slot);
         }
         self.runs += 1;
         AttemptError::Unknown
     }
 
+    /// Reports that a head failed, unless this node has lost its link to it.
+    fn report_failure(&self, slot: &mut SlotGuard<P>) {
+        let (core, failure) = (Arc::clone(&self.core), slot.take_failure());
+        tokio::spawn(async move {
+            if !core.http.needs_relay(&failure.head.address).await {
+                failure.report();
+            }
+        });
+    }
+
     /// Checks whether the head crashed after its response broke, or which silent members did after
     /// its replica was lost.
     fn check_for_crash(&self, slot: &SlotGuard<P>) {
@@ -404,7 +414,7 @@
         loop {
             let chunk = tokio::select! {
                 chunk = started.response.chunk() => chunk,
-                () = head.wait_until_lost() => return ReadEnd::Broken("its replica was lost".into()),
+                why = started.slot.wait_until_broken() => return ReadEnd::Broken(why.into()),
                 reason = wait_for_stop(&self.core, &self.call, tx) => return ReadEnd::Stopped(reason),
             };
             let bytes = match chunk {
