Break single responses that stand still over lost links

Logs: the check of a stalled replica found it slow, since a stream that came through a relay had sent an event by then; with such streams at the same head it never counted as stalled again, and the older ones over direct connections waited on.

Each response now decides for itself: while its head is reached through relays alone, one over a direct connection that stands still for 250 ms is broken and resumes. A host that isn't listed is no reason to skip a relay for two seconds, and nodes that could not relay are asked last instead of not at all.

--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -75,6 +75,12 @@
         self.paths().is_relayed(address, Instant::now())
     }
 
+    /// Whether any target was recently reached through a relay and not directly.
+    pub fn is_in_use(&self) -> bool {
+        let now = Instant::now();
+        self.paths().relayed.values().any(|at| is_recent(*at, now))
+    }
+
     /// Whether this node has lost its links to targets, as far as it has tried them.
     pub fn is_cut_off(&self) -> bool {
         self.paths().is_cut_off(Instant::now())
--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether it comes through a relay.
+    pub fn is_relayed(&self) -> bool {
+        self.lease.conn.as_ref().is_some_and(|conn| !conn.reusable)
+    }
+
     /// Whether the target says that it refused the request and ran nothing.
     pub fn is_refusal(&self) -> bool {
         let refused = matches!(self.status.as_u16(), 409 | 503);
--- a/crates/fleet/src/relay_choice.rs
+++ b/crates/fleet/src/relay_choice.rs
@@ -8,7 +8,7 @@
 
 use crate::roles::{RoleCandidate, ranked_for_role};
 
-/// How long a node isn't asked that could not relay.
+/// How long a node that could not relay is asked only after all others.
 const UNAVAILABLE_TTL: Duration = Duration::from_secs(2);
 /// Nodes that are tried for one connection, so that it doesn't take long where most nodes are cut
 /// off.
@@ -21,10 +21,10 @@
 }
 
 impl RelayChoice {
-    /// Records that a node could not relay, or needs a relay itself.
+    /// Records that a node could not relay.
     pub fn mark_unavailable(&mut self, node: &NodeId, now: Instant) {
-        self.unavailable
-            .retain(|_, at| now.saturating_duration_since(*at) < UNAVAILABLE_TTL);
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNAVAILABLE_TTL;
+        self.unavailable.retain(|_, at| is_recent(at));
         self.unavailable.insert(node.clone(), now);
     }
 
@@ -36,11 +36,14 @@
         now: Instant,
     ) -> SmallVec<[NodeId; MAX_CANDIDATES]> {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNAVAILABLE_TTL;
-        let is_available =
-            |n: &RoleCandidate<'_>| !self.unavailable.get(n.id).is_some_and(is_recent);
-        let available = nodes.into_iter().filter(is_available);
+        let is_unavailable =
+            |n: &RoleCandidate<'_>| self.unavailable.get(n.id).is_some_and(is_recent);
+        let (unavailable, available): (Vec<_>, Vec<_>) =
+            nodes.into_iter().partition(is_unavailable);
         let key = format!("relay/{draw}");
-        let ranked = ranked_for_role(&key, None, available);
-        ranked.into_iter().take(MAX_CANDIDATES).cloned().collect()
+        let ranked = ranked_for_role(&key, None, available)
+            .into_iter()
+            .chain(ranked_for_role(&key, None, unavailable));
+        ranked.take(MAX_CANDIDATES).cloned().collect()
     }
 }
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -25,6 +25,10 @@
 /// head's entry has expired; otherwise this node only couldn't reach it, and may reach it again.
 const LOST_HEAD_RETRY_AFTER: Duration = Duration::from_secs(4);
 
+/// How long a response that is waited for over a lost link stands still until it counts as dead:
+/// most events come within 50 ms.
+const MIN_LINK_SILENCE: Duration = Duration::from_millis(250);
+
 /// The head of a replica in one epoch.
 #[derive(Debug)]
 pub(crate) struct Head {
@@ -54,7 +58,7 @@
     /// Set once a member was found to be lost, after which no events arrive. Reset by
     /// [`HeadTable::retry_lost`].
     lost: watch::Sender<Option<Loss>>,
-    /// Number of times that this node's connections to it were found to be dead.
+    /// Number of calls of [`Head::break_direct_responses`].
     link_losses: watch::Sender<u64>,
 }
 
@@ -215,6 +219,8 @@
         SlotGuard {
             is_scheduled: permit.is_some(),
             link_losses: self.link_losses.subscribe(),
+            is_relayed: false,
+            waiting_since: Instant::now(),
             head: Arc::clone(self),
             permit,
             sent: Instant::now(),
@@ -317,9 +323,9 @@
         let _ = rx.wait_for(Option::is_some).await;
     }
 
-    /// Breaks the responses that began before now: their connections no longer work, although the
-    /// replica does.
-    pub(crate) fn break_responses(&self) {
+    /// Breaks the responses that stand still over direct connections: this node has lost its link to
+    /// the head, while the replica works.
+    pub(crate) fn break_direct_responses(&self) {
         self.link_losses.send_modify(|losses| *losses += 1);
     }
 }
@@ -336,14 +342,28 @@
     /// Whether its first event has arrived.
     has_started: bool,
     link_losses: watch::Receiver<u64>,
+    /// Whether its connection leads through another node.
+    is_relayed: bool,
+    /// Since when the next part of its response is waited for.
+    waiting_since: Instant,
 }
 
 impl<P: Platform> SlotGuard<P> {
+    /// Records whether its connection leads through another node.
+    pub(crate) fn set_relayed(&mut self, is_relayed: bool) {
+        self.is_relayed = is_relayed;
+    }
+
     /// Records that its response's headers have arrived.
     pub(crate) fn on_response(&mut self) {
         self.responded_at = Some(Instant::now());
     }
 
+    /// Records that the next part of its response is waited for.
+    pub(crate) fn await_chunk(&mut self) {
+        self.waiting_since = Instant::now();
+    }
+
     /// When this node last received a part of any response from the head.
     pub(crate) fn last_received(&self) -> Option<Instant> {
         self.responded_at
@@ -385,15 +405,23 @@
         }
     }
 
-    /// Waits until the head is lost or the connections to it are found to be dead.
+    /// Waits until the head is lost or the connection to it is found to be dead.
     pub(crate) async fn wait_until_broken(&self) -> &'static str {
         let mut link_losses = self.link_losses.clone();
+        let link_lost = async {
+            // The sender lives as long as the head.
+            while link_losses.changed().await.is_ok() && !self.is_dead() {}
+        };
         tokio::select! {
             () = self.head.wait_until_lost() => "its replica was lost",
-            // The sender lives as long as the head.
-            _ = link_losses.changed() => "its connection was lost",
+            () = link_lost => "its connection was lost",
         }
     }
+
+    /// Whether nothing came for long over a link that is lost.
+    fn is_dead(&self) -> bool {
+        !self.is_relayed && self.waiting_since.elapsed() >= MIN_LINK_SILENCE
+    }
 }
 
 /// A failure of a head that is not reported yet. Dropping it releases the slot alone.
--- a/crates/gateway/src/host_relay.rs
+++ b/crates/gateway/src/host_relay.rs
@@ -32,7 +32,7 @@
 /// Nodes that have to agree that the host is the cause.
 const MAX_DENIALS: usize = 2;
 /// Time without an answer after which a further node is asked at the same time.
-const ASK_INTERVAL: Duration = Duration::from_millis(30);
+const ASK_INTERVAL: Duration = Duration::from_millis(40);
 /// A node vouches that a host is the cause only if it reached another host this recently.
 const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(500);
 /// Bytes that are read at once on the way to a host.
@@ -178,15 +178,14 @@
 /// Connects to a host for another node.
 pub(crate) async fn connect_host<P: Platform>(
     core: &Core<P>,
-    from: &NodeId,
     address: &str,
     timeout: Duration,
 ) -> Result<HostConnection, TunnelError> {
-    // A node that needs a relay can't be one.
-    locked(&core.host_relay.choice).mark_unavailable(from, Instant::now());
-    let is_listed = locked(&core.fleet).hosts().any(|h| h.address == address);
-    let is_cut_off = core.http.relay().is_some_and(|relay| relay.is_cut_off());
-    if !is_listed || is_cut_off || core.is_leaving() {
+    if !locked(&core.fleet).hosts().any(|h| h.address == address) {
+        return Err(TunnelError::Unreachable);
+    }
+    let is_cut_off = core.http.relay().is_some_and(Relay::is_cut_off);
+    if is_cut_off || core.is_leaving() {
         return Err(TunnelError::Unavailable);
     }
     let permit = Arc::clone(&core.host_relay.carried).try_acquire_owned();
@@ -232,7 +231,7 @@
     let connections = &core.metrics.relayed_connections;
     connections.with_label_values(&[outcome]).inc();
     if locked(&core.host_relay.log_limit).is_due(Instant::now()) {
-        let cut_off = core.http.relay().is_some_and(|relay| relay.is_cut_off());
+        let cut_off = core.http.relay().is_some_and(Relay::is_cut_off);
         info!(event = "host-relay", %address, outcome, cut_off);
     }
 }
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -57,6 +57,7 @@
             retry_lost_at = due + LOST_HEAD_RETRY_INTERVAL;
             locked(&core.heads).retry_lost(Instant::now());
         }
+        break_lost_links(&core);
         for head in stalled_heads(&core, &threshold) {
             let silent_since = head.stream_activity().silent_since();
             // Keeps the next round from starting a second check of the same replica.
@@ -92,6 +93,22 @@
     core.refresh_heads();
 }
 
+/// Breaks responses that stand still over links that are lost. Others of the same head may come
+/// through relays, so that the head doesn't count as stalled.
+fn break_lost_links<P: Platform>(core: &Core<P>) {
+    let Some(relay) = core.http.relay() else {
+        return;
+    };
+    // A node with too little CPU finds direct connections slow, too.
+    if core.is_overloaded() || !relay.is_in_use() {
+        return;
+    }
+    let heads = locked(&core.heads);
+    for head in heads.all().filter(|h| relay.is_relayed(&h.address)) {
+        head.break_direct_responses();
+    }
+}
+
 fn stalled_heads<P: Platform>(core: &Core<P>, threshold: &StallThreshold) -> Vec<Arc<Head>> {
     let now = Instant::now();
     let heads = locked(&core.heads);
@@ -143,29 +160,13 @@
     if !silent.is_empty() || broken {
         return report_loss(&core, &head, silent_since, silent);
     }
-    if has_lost_link(&core, &head, silent_since).await {
-        info!(
-            event = "link-lost", replica = %head.replica, epoch = head.epoch,
-            running = head.running_here(),
-        );
-        head.break_responses();
+    // Finds out whether only the link is lost, for `break_lost_links`.
+    let event = if core.http.needs_relay(&head.address).await {
+        "link-lost"
     } else {
-        info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
-    }
-}
-
-/// Whether the head of a replica is reached through other nodes alone, and has sent this node
-/// nothing since `silent_since`.
-async fn has_lost_link<P: Platform>(
-    core: &Core<P>,
-    head: &Head,
-    silent_since: Option<Instant>,
-) -> bool {
-    // A node with too little CPU finds direct connections slow, too.
-    if core.is_overloaded() || !core.http.needs_relay(&head.address).await {
-        return false;
-    }
-    head.stream_activity().last_event() <= silent_since
+        "replica-slow"
+    };
+    info!(event, replica = %head.replica, epoch = head.epoch, running = head.running_here());
 }
 
 /// The members that are listed, and those that crashed, whose entries may be gone.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -172,11 +172,11 @@
 
     async fn connect_host(
         &self,
-        from: &NodeId,
+        _from: &NodeId,
         address: &str,
         timeout: Duration,
     ) -> Result<HostConnection, TunnelError> {
-        host_relay::connect_host(&self.core, from, address, timeout).await
+        host_relay::connect_host(&self.core, address, timeout).await
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -220,6 +220,8 @@
             .or_else(|| self.call.metadata.resume_after.clone());
         let urgency = Some(self.call.urgency().min(9));
         let req = target_request(&*self.core, &self.call, &head.host, urgency, resume);
+        let relay = self.core.http.relay();
+        slot.set_relayed(relay.is_some_and(|relay| relay.is_relayed(&head.address)));
         let sent = tokio::select! {
             sent = self.core.http.send_within(&head.address, req, self.call.remaining()) => sent,
             why = slot.wait_until_broken() => Err(SendError::Unknown(why.to_owned())),
@@ -238,6 +240,7 @@
             }
         };
         self.deliveries += 1;
+        slot.set_relayed(response.is_relayed());
         slot.on_response();
         let dialect = self.core.platform.dialect();
         let class = dialect.classify(response.status, &response.headers);
@@ -412,6 +415,7 @@
         let head = Arc::clone(&started.slot.head);
         let mut first_event_seen = false;
         loop {
+            started.slot.await_chunk();
             let chunk = tokio::select! {
                 chunk = started.response.chunk() => chunk,
                 why = started.slot.wait_until_broken() => return ReadEnd::Broken(why.into()),
