Report nothing about hosts while no host is reached

A node that found all members of a replica silent, a host's port closed or a head failing now also needs a sign that its own links work: a host that it reached within 500 ms, or one of three others that accepts a connection. While hosts of other domains answer, this takes a few milliseconds, and losses with an answering member are reported as before. A node that knows it is cut off waits for relays for 400 ms instead of 120 ms, since it has no direct way.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -18,6 +18,7 @@
 use crate::call::Call;
 use crate::core::Core;
 use crate::heads::{Head, locked};
+use crate::host_relay::reaches_hosts;
 use crate::ports::Platform;
 use crate::quarantine;
 
@@ -135,7 +136,7 @@
         let step = locked(detector).step(&host.start, presence, Instant::now());
         match step {
             CheckStep::Probe => {
-                let result = probe(&core, &host.address).await;
+                let result = probe(&core, &host).await;
                 locked(detector).on_probed(&host.start, result, Instant::now());
             }
             CheckStep::Wait(wait) => tokio::time::sleep(wait).await,
@@ -145,10 +146,14 @@
     }
 }
 
-async fn probe<P: Platform>(core: &Core<P>, address: &str) -> ProbeResult {
-    match core.http.check_listening(address).await {
+async fn probe<P: Platform>(core: &Arc<Core<P>>, host: &UsedHost) -> ProbeResult {
+    match core.http.check_listening(&host.address).await {
         Ok(()) => ProbeResult::Accepted,
-        Err(SendError::Refused(_)) => ProbeResult::Refused,
+        Err(SendError::Refused(_))
+            if reaches_hosts(core, std::slice::from_ref(&host.start.0)).await =>
+        {
+            ProbeResult::Refused
+        }
         Err(_) => ProbeResult::Unreachable,
     }
 }
--- a/crates/gateway/src/host_relay.rs
+++ b/crates/gateway/src/host_relay.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use eelgrassmill_base::NodeId;
+use eelgrassmill_base::{HostId, NodeId};
 use eelgrassmill_engine::{Relay, RelayEnd, RelayError, RelayRequest, RelayStream, SendError};
 use eelgrassmill_fleet::RelayChoice;
 use eelgrassmill_peer::{HostConnection, TunnelError, TunnelReader};
@@ -31,6 +31,10 @@
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(120);
 /// Nodes that have to agree that the host is the cause.
 const MAX_DENIALS: usize = 2;
+/// The same at a node that has lost its links: no direct connection is waited for.
+const CUT_OFF_TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Hosts that are tried to find out whether this node reaches any.
+const MAX_REFERENCE_HOSTS: usize = 3;
 /// Time without an answer after which a further node is asked at the same time.
 const ASK_INTERVAL: Duration = Duration::from_millis(40);
 /// A node vouches that a host is the cause only if it reached another host this recently.
@@ -136,9 +140,13 @@
 ) -> Result<RelayStream, TunnelError> {
     let peer = core.peer().ok_or(TunnelError::Unavailable)?;
     let (sent, frames) = mpsc::channel(BUFFERED_FRAMES);
-    let reader = peer
-        .open_tunnel(&node, address, TUNNEL_TIMEOUT, frames)
-        .await;
+    let is_cut_off = core.http.relay().is_some_and(Relay::is_cut_off);
+    let timeout = if is_cut_off {
+        CUT_OFF_TUNNEL_TIMEOUT
+    } else {
+        TUNNEL_TIMEOUT
+    };
+    let reader = peer.open_tunnel(&node, address, timeout, frames).await;
     if matches!(reader, Err(TunnelError::Unavailable)) {
         locked(&core.host_relay.choice).mark_unavailable(&node, Instant::now());
     }
@@ -217,6 +225,34 @@
     last.is_some_and(|at| at.elapsed() < MAX_EVIDENCE_AGE)
 }
 
+/// Whether this node reaches hosts directly, by those other than `except`. Otherwise what it finds
+/// out about a host may be the state of its own links.
+pub(crate) async fn reaches_hosts<P: Platform>(core: &Arc<Core<P>>, except: &[HostId]) -> bool {
+    if core.http.relay().is_none() || reached_hosts_recently(core) {
+        return true;
+    }
+    let mut others: Vec<SmolStr> = {
+        let fleet = locked(&core.fleet);
+        let others = fleet.hosts().filter(|h| !except.contains(&h.id));
+        others.map(|h| h.address.clone()).collect()
+    };
+    if others.is_empty() {
+        return true;
+    }
+    fastrand::shuffle(&mut others);
+    let mut opening = JoinSet::new();
+    for address in others.into_iter().take(MAX_REFERENCE_HOSTS) {
+        let core = Arc::clone(core);
+        opening.spawn(async move { core.http.open_for_peer(&address).await.is_ok() });
+    }
+    while let Some(opened) = opening.join_next().await {
+        if opened.unwrap_or(false) {
+            return true;
+        }
+    }
+    false
+}
+
 fn log_opened<P: Platform>(
     core: &Core<P>,
     address: &str,
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -18,6 +18,7 @@
 use crate::core::Core;
 use crate::crash_detection::UsedHost;
 use crate::heads::{Head, locked};
+use crate::host_relay::reaches_hosts;
 use crate::planning::PlanningEvent;
 use crate::ports::{HostControl, HostReport, HostUnavailable, Platform};
 
@@ -129,6 +130,7 @@
     silent_since: Option<Instant>,
 ) {
     let members = members_of(&core, &head);
+    let member_count = members.len();
     let mut reports = JoinSet::new();
     for member in members {
         let core = Arc::clone(&core);
@@ -157,16 +159,19 @@
             }
         }
     }
+    if silent.len() == member_count && !reaches_hosts(&core, &silent).await {
+        info!(event = "links-lost", replica = %head.replica, epoch = head.epoch);
+        return;
+    }
     if !silent.is_empty() || broken {
         return report_loss(&core, &head, silent_since, silent);
     }
     // Finds out whether only the link is lost, for `break_lost_links`.
-    let event = if core.http.needs_relay(&head.address).await {
-        "link-lost"
+    if core.http.needs_relay(&head.address).await {
+        info!(event = "link-lost", replica = %head.replica, epoch = head.epoch);
     } else {
-        "replica-slow"
-    };
-    info!(event, replica = %head.replica, epoch = head.epoch, running = head.running_here());
+        info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
+    }
 }
 
 /// The members that are listed, and those that crashed, whose entries may be gone.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::crash_detection::Broken;
 use crate::dispatch::{pick_service, target_request};
 use crate::heads::{Head, SlotGuard};
+use crate::host_relay::reaches_hosts;
 use crate::metrics::RetryReason;
 use crate::ports::{Dialect, Platform, ResponseClass};
 use crate::quarantine::Admission;
@@ -292,7 +293,9 @@
     fn report_failure(&self, slot: &mut SlotGuard<P>) {
         let (core, failure) = (Arc::clone(&self.core), slot.take_failure());
         tokio::spawn(async move {
-            if !core.http.needs_relay(&failure.head.address).await {
+            let head = &failure.head;
+            let is_reached = !core.http.needs_relay(&head.address).await;
+            if is_reached && reaches_hosts(&core, std::slice::from_ref(&head.host)).await {
                 failure.report();
             }
         });
