Report heads as rejecting only where other hosts are reached

A connection to a head that failed both ways was reported to the scheduler as a rejection, which limits and ejects the head for all nodes, also by a node whose own links are lost while no relay answers. Such reports now need the same sign as those of losses and crashes. A relay's word that a host is the cause counts only if two of them agree, or the only one there is; one denial beside relays that didn't answer counted before.

--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -396,7 +396,7 @@
         }
     }
 
-    /// Takes the report that the head failed it before its first event.
+    /// Takes the report that the head gave it no response.
     pub(crate) fn take_failure(&mut self) -> HeadFailure<P> {
         HeadFailure {
             head: Arc::clone(&self.head),
@@ -432,13 +432,21 @@
 }
 
 impl<P: Platform> HeadFailure<P> {
-    /// Reports it to the scheduler.
-    pub(crate) fn report(self) {
+    /// Reports that the head failed the request before its first event.
+    pub(crate) fn report_failed(self) {
         self.head.eject(self.sent);
         if let Some(permit) = self.permit {
             permit.failed();
         }
     }
+
+    /// Reports that the head didn't take the request.
+    pub(crate) fn report_rejected(self) {
+        self.head.eject(self.sent);
+        if let Some(permit) = self.permit {
+            permit.rejected();
+        }
+    }
 }
 
 impl<P: Platform> Drop for SlotGuard<P> {
--- a/crates/gateway/src/host_relay.rs
+++ b/crates/gateway/src/host_relay.rs
@@ -29,10 +29,10 @@
 const MAX_OPENING: usize = 256;
 /// Timeout of a tunnel: connecting to a host takes 1 to 5 ms, and as long to another node.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(120);
-/// Nodes that have to agree that the host is the cause.
-const MAX_DENIALS: usize = 2;
 /// The same at a node that has lost its links: no direct connection is waited for.
 const CUT_OFF_TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Nodes that have to agree that the host is the cause, if so many can be asked.
+const MIN_DENIALS: usize = 2;
 /// Hosts that are tried to find out whether this node reaches any.
 const MAX_REFERENCE_HOSTS: usize = 3;
 /// Time without an answer after which a further node is asked at the same time.
@@ -102,9 +102,9 @@
         let nodes = locked(&core.nodes);
         locked(&core.host_relay.choice).candidates(nodes.alive(now), fastrand::u64(..), now)
     };
+    let needed_denials = MIN_DENIALS.min(candidates.len());
     let mut candidates = candidates.into_iter();
     let mut asked = JoinSet::new();
-    let mut result = RelayError::Unavailable;
     let mut denials = 0;
     loop {
         if let Some(node) = candidates.next() {
@@ -118,17 +118,17 @@
         };
         // The task can't panic; one that did would count as not asked.
         let Some(Ok(answered)) = answered else {
-            return Err(result);
+            return Err(RelayError::Unavailable);
         };
-        match answered {
+        let denial = match answered {
             Ok(stream) => return Ok(stream),
             Err(TunnelError::Unavailable) => continue,
-            Err(TunnelError::Refused) => result = RelayError::Refused,
-            Err(TunnelError::Unreachable) => result = RelayError::Unreachable,
-        }
+            Err(TunnelError::Refused) => RelayError::Refused,
+            Err(TunnelError::Unreachable) => RelayError::Unreachable,
+        };
         denials += 1;
-        if denials == MAX_DENIALS {
-            return Err(result);
+        if denials == needed_denials {
+            return Err(denial);
         }
     }
 }
@@ -140,8 +140,7 @@
 ) -> Result<RelayStream, TunnelError> {
     let peer = core.peer().ok_or(TunnelError::Unavailable)?;
     let (sent, frames) = mpsc::channel(BUFFERED_FRAMES);
-    let is_cut_off = core.http.relay().is_some_and(Relay::is_cut_off);
-    let timeout = if is_cut_off {
+    let timeout = if is_cut_off(core) {
         CUT_OFF_TUNNEL_TIMEOUT
     } else {
         TUNNEL_TIMEOUT
@@ -192,8 +191,7 @@
     if !locked(&core.fleet).hosts().any(|h| h.address == address) {
         return Err(TunnelError::Unreachable);
     }
-    let is_cut_off = core.http.relay().is_some_and(Relay::is_cut_off);
-    if is_cut_off || core.is_leaving() {
+    if is_cut_off(core) || core.is_leaving() {
         return Err(TunnelError::Unavailable);
     }
     let permit = Arc::clone(&core.host_relay.carried).try_acquire_owned();
@@ -220,6 +218,10 @@
     })
 }
 
+fn is_cut_off<P: Platform>(core: &Core<P>) -> bool {
+    core.http.relay().is_some_and(Relay::is_cut_off)
+}
+
 fn reached_hosts_recently<P: Platform>(core: &Core<P>) -> bool {
     let last = core.http.relay().and_then(Relay::last_direct);
     last.is_some_and(|at| at.elapsed() < MAX_EVIDENCE_AGE)
@@ -267,7 +269,6 @@
     let connections = &core.metrics.relayed_connections;
     connections.with_label_values(&[outcome]).inc();
     if locked(&core.host_relay.log_limit).is_due(Instant::now()) {
-        let cut_off = core.http.relay().is_some_and(Relay::is_cut_off);
-        info!(event = "host-relay", %address, outcome, cut_off);
+        info!(event = "host-relay", %address, outcome, cut_off = is_cut_off(core));
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -231,7 +231,7 @@
             Ok(response) => response,
             Err(SendError::NotSent(why) | SendError::Refused(why)) => {
                 self.log_attempt(&head, "not-sent", &why);
-                return Err(self.rejected(&mut slot));
+                return Err(self.not_reached(&mut slot));
             }
             Err(err) => {
                 self.deliveries += 1;
@@ -278,6 +278,19 @@
         AttemptError::NotRun
     }
 
+    /// Like [`StreamCall::rejected`], for a head that was reached neither directly nor otherwise.
+    fn not_reached(&mut self, slot: &mut SlotGuard<P>) -> AttemptError {
+        self.avoid.push(slot.head.host.clone());
+        self.refusals += 1;
+        let (core, failure) = (Arc::clone(&self.core), slot.take_failure());
+        tokio::spawn(async move {
+            if reaches_hosts(&core, std::slice::from_ref(&failure.head.host)).await {
+                failure.report_rejected();
+            }
+        });
+        AttemptError::NotRun
+    }
+
     fn failed(&mut self, slot: &mut SlotGuard<P>) -> AttemptError {
         self.avoid.push(slot.head.host.clone());
         // An exceeded deadline or a lost member is not the head's failure.
@@ -294,9 +307,10 @@
         let (core, failure) = (Arc::clone(&self.core), slot.take_failure());
         tokio::spawn(async move {
             let head = &failure.head;
-            let is_reached = !core.http.needs_relay(&head.address).await;
-            if is_reached && reaches_hosts(&core, std::slice::from_ref(&head.host)).await {
-                failure.report();
+            let is_link_lost = core.http.needs_relay(&head.address).await
+                || !reaches_hosts(&core, std::slice::from_ref(&head.host)).await;
+            if !is_link_lost {
+                failure.report_failed();
             }
         });
     }
