Bound the time without an answer beside a stopping node

The test of a stop now also bounds the longest time between two whole answers of each kind of caller by 2 s, so that a caller who waits for long can't be made up for after the stop.

--- a/crates/core/tests/process_stop.rs
+++ b/crates/core/tests/process_stop.rs
@@ -2,7 +2,7 @@
 
 mod process;
 
-use process::caller::{Call, Callers};
+use process::caller::{AT_ONCE, Call, Callers};
 use process::http::ask;
 use process::world::{Shape, World};
 use process::{secs, wait};
@@ -44,6 +44,7 @@
     for tally in &tallies {
         assert_eq!(tally.failed(), 0, "{tally:?}");
         assert!(tally.whole > 20, "{tally:?}");
+        assert!(tally.gap < AT_ONCE, "{tally:?}");
     }
     assert_eq!(world.most_runs_of_a_key(), 1);
 }
