--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use eelgrassmill_base::RequestId;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -566,11 +566,16 @@
 
 /// A body that ends with the connection looks whole also when it was cut; only
 /// an event stream has an end marker of its own.
+/// Whether the end of a response's body is marked, by its length or by chunks.
+pub(crate) fn is_framed(status: StatusCode, headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || status == StatusCode::NO_CONTENT
+}
+
 fn check_framing(response: &Response<Incoming>) -> Result<(), SendError> {
     let headers = response.headers();
-    let framed = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || response.status() == http::StatusCode::NO_CONTENT;
+    let framed = is_framed(response.status(), headers);
     let kind = headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
     let stream = kind.is_some_and(|kind| kind.starts_with(b"text/event-stream"));
     if framed || stream {
--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-use crate::client::Shared;
+use crate::client::{Shared, is_framed};
 use crate::pool::Conn;
 use crate::{BodyError, SendError};
 
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Whether the end of its body is marked. Otherwise the body ends with the connection, which may
+    /// also be the target's crash.
+    pub fn is_framed(&self) -> bool {
+        is_framed(self.status, &self.headers)
+    }
+
     /// Whether it comes through a relay.
     pub fn is_relayed(&self) -> bool {
         self.lease.conn.as_ref().is_some_and(|conn| !conn.reusable)
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -193,7 +193,7 @@
         until: give_up_at,
     };
     match scheduler_client::acquire(core, &query).await {
-        Acquired::Granted(slot) => return Ok(slot),
+        Acquired::Granted(slot) => return Ok(*slot),
         Acquired::Full => return Err(full_refusal(no_slot_cause(core, service, model))),
         Acquired::Limited(retry_after) => return Err(limit_refusal(core, service, retry_after)),
         Acquired::NoScheduler => {}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,8 +6,11 @@
 use bytes::Bytes;
 use eelgrassmill_base::{ModelName, RequestId, TenantId, value};
 use eelgrassmill_fleet::{Caller, RetryPolicy, Route};
-use eelgrassmill_route::{RequestFingerprint, request_fingerprint};
+use eelgrassmill_route::{
+    CrashCandidates, Fingerprint, PartId, crash_candidates, request_fingerprint,
+};
 use http::{HeaderMap, Method};
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 value! {
@@ -21,6 +24,8 @@
         pub model: Option<ModelName>,
         /// Tokens of its prompt; 0 if unknown.
         pub prompt_tokens: u64,
+        /// The parts of its prompt that other requests may share, in order.
+        pub prompt_parts: SmallVec<[PartId; 4]>,
         /// The id of the last event that the caller has of this stream.
         pub resume_after: Option<SmolStr>,
     }
@@ -43,7 +48,7 @@
     /// The end of the caller's or the route's timeout, whichever is first.
     pub(crate) deadline: Instant,
     /// Computed at its first use.
-    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Call {
@@ -57,13 +62,18 @@
     }
 
     /// Identifies the request whenever its caller sends it again.
-    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let tenant = self.caller.as_ref().map_or("", |c| c.tenant.as_str());
             request_fingerprint(tenant, &self.path, &self.body)
         })
     }
 
+    /// What may crash the hosts of a service that run it.
+    pub(crate) fn crash_candidates(&self, service: &str) -> CrashCandidates {
+        crash_candidates(self.fingerprint(), service, &self.metadata.prompt_parts)
+    }
+
     pub(crate) fn is_idempotent(&self) -> bool {
         self.route.retry_policy == RetryPolicy::Idempotent
     }
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -2,16 +2,15 @@
 //!
 //! [`CrashDetector`] has the policy; this connects to hosts and reports crashes.
 
-use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, HostId, ServiceName, value};
 use eelgrassmill_engine::SendError;
 use eelgrassmill_fleet::{
     BrokenResponse, CheckStep, CrashDetector, Host, HostCrash, HostPresence, HostStart, ProbeResult,
 };
-use eelgrassmill_route::CrashedRun;
+use eelgrassmill_route::{BrokenRun, CrashedRun, MAX_TIME_TO_CRASH, crashed_runs};
 use smol_str::SmolStr;
 use tracing::info;
 
@@ -22,6 +21,9 @@
 use crate::ports::Platform;
 use crate::quarantine;
 
+/// Maximum number of requests, and of prompt parts, that the log names for one crash.
+const MAX_LOGGED: usize = 64;
+
 value! {
     /// A host that crashed while requests of this node ran there.
     pub(crate) struct Crash {
@@ -32,7 +34,7 @@
         pub(crate) failure_domain: FailureDomain,
         /// When the first response from it broke.
         pub(crate) at: Instant,
-        /// The requests; one may have several runs.
+        /// The requests and the parts of their prompts.
         pub(crate) running: Vec<CrashedRun>,
     }
 
@@ -55,6 +57,8 @@
         pub(crate) at: Instant,
         /// Whether a part of the response had arrived.
         pub(crate) started: bool,
+        /// Time from the first part of the response to the last one.
+        pub(crate) wrote_for: Duration,
         /// When this node last received anything from the host.
         pub(crate) last_received: Option<Instant>,
     }
@@ -85,7 +89,7 @@
 /// Checks in progress.
 #[derive(Debug, Default)]
 pub(crate) struct CrashDetection {
-    detector: Mutex<CrashDetector<CrashedRun>>,
+    detector: Mutex<CrashDetector<BrokenRun>>,
 }
 
 /// Records that the response to a call broke at a host, and checks whether the host crashed.
@@ -102,10 +106,11 @@
         sent: broken.sent,
         broke_at: broken.at,
         last_received: broken.last_received,
-        run: CrashedRun {
-            fingerprint: call.fingerprint(),
+        run: BrokenRun {
+            candidates: call.crash_candidates(&host.service),
             ran_for: broken.at.saturating_duration_since(broken.sent),
             started: broken.started,
+            wrote_for: broken.wrote_for,
         },
     };
     let mut detector = locked(&core.crash_detection.detector);
@@ -158,7 +163,7 @@
     }
 }
 
-fn report<P: Platform>(core: &Core<P>, host: &UsedHost, crash: HostCrash<CrashedRun>) {
+fn report<P: Platform>(core: &Core<P>, host: &UsedHost, crash: HostCrash<BrokenRun>) {
     let (id, started_ms) = host.start.clone();
     let crash = Crash {
         host: id,
@@ -166,7 +171,7 @@
         service: host.service.clone(),
         failure_domain: host.failure_domain.clone(),
         at: crash.at,
-        running: crash.running,
+        running: crashed_runs(&crash.running),
     };
     log_crash(core, &crash);
     quarantine::on_crash(core, crash);
@@ -175,10 +180,15 @@
 fn log_crash<P: Platform>(core: &Core<P>, crash: &Crash) {
     let crashes = &core.metrics.host_crashes;
     crashes.with_label_values(&[crash.service.as_str()]).inc();
-    let fingerprints: BTreeSet<_> = crash.running.iter().map(|r| r.fingerprint).collect();
-    let requests: Vec<String> = fingerprints.iter().map(|p| format!("{p:016x}")).collect();
+    let names = |is_named: fn(&&CrashedRun) -> bool| {
+        let named = crash.running.iter().filter(is_named).take(MAX_LOGGED);
+        let names: Vec<String> = named.map(|r| format!("{:016x}", r.fingerprint)).collect();
+        names.join(",")
+    };
     info!(
         event = "host-crashed", host = %crash.host, service = %crash.service,
-        running = crash.running.len(), requests = requests.join(","),
+        running = crash.running.iter().filter(|r| r.breadth == 0).count(),
+        requests = names(|r| r.breadth == 0), parts = names(|r| r.breadth > 0),
+        long_running_parts = names(|r| r.breadth > 0 && r.wrote_for >= MAX_TIME_TO_CRASH),
     );
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -67,9 +67,9 @@
 pub(crate) async fn run<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Call,
+    service: ServiceName,
     admission: Admission,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let service = pick_service(core, call)?;
     core.count_for_retry_budget(&service);
     let mut tried: SmallVec<[HostId; 4]> = SmallVec::new();
     let mut runs = 0;
@@ -81,7 +81,7 @@
         let Some(host) = pick_host(core, &service, &tried) else {
             break;
         };
-        if let Err(refusal) = quarantine::check_attempt(core, call, admission, runs) {
+        if let Err(refusal) = quarantine::check_attempt(core, call, &service, admission, runs) {
             if runs > 0 {
                 break;
             }
@@ -108,8 +108,10 @@
             AttemptResult::Answered(status, headers, body) => {
                 runs += 1;
                 delivered += 1;
-                quarantine::on_completed(core, call, &service);
                 let failed = status.is_server_error();
+                if !failed {
+                    quarantine::on_completed(core, call, &service);
+                }
                 let response = full_response(core, status, &headers, body);
                 if !failed || !call.is_idempotent() || runs >= call.route.attempts {
                     return Ok(response);
@@ -124,6 +126,7 @@
                         sent: sent_at,
                         at: Instant::now(),
                         started: false,
+                        wrote_for: Duration::ZERO,
                         last_received: None,
                     };
                     crash_detection::on_broken(core, call, (&host).into(), broken);
@@ -191,17 +194,23 @@
     }
 }
 
-/// Picks one of the route's services by weight.
+/// Picks one of the route's services by weight, if possible one for which the call isn't
+/// quarantined.
 pub(crate) fn pick_service<P: Platform>(
     core: &Core<P>,
     call: &Call,
 ) -> Result<ServiceName, Refusal> {
-    let services = &call.route.services;
+    let is_allowed = |(service, _): &&(ServiceName, u32)| quarantine::is_clear(core, call, service);
+    let mut services: SmallVec<[&(ServiceName, u32); 2]> =
+        call.route.services.iter().filter(is_allowed).collect();
+    if services.is_empty() {
+        services.extend(&call.route.services);
+    }
     let total: u32 = services.iter().map(|(_, weight)| *weight).sum();
     let unavailable = || Refusal::with_retry_after(RefusalCause::NoHealthyTarget, RETRY_AFTER_FULL);
     let mut at = fastrand::u32(0..total.max(1));
     let mut chosen = None;
-    for (service, weight) in services {
+    for (service, weight) in &services {
         if at < *weight {
             chosen = Some(service.clone());
             break;
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -225,7 +225,7 @@
             permit,
             sent: Instant::now(),
             responded_at: None,
-            has_started: false,
+            events: None,
         }
     }
 
@@ -339,8 +339,8 @@
     sent: Instant,
     /// When its response's headers arrived.
     responded_at: Option<Instant>,
-    /// Whether its first event has arrived.
-    has_started: bool,
+    /// When its first and its last event so far arrived.
+    events: Option<(Instant, Instant)>,
     link_losses: watch::Receiver<u64>,
     /// Whether its connection leads through another node.
     is_relayed: bool,
@@ -370,9 +370,19 @@
             .max(self.head.stream_activity().last_event())
     }
 
-    /// Records that its first event has arrived.
-    pub(crate) fn on_first_event(&mut self) {
-        self.has_started = true;
+    /// Records that an event has arrived.
+    pub(crate) fn on_event(&mut self, now: Instant) {
+        self.head.stream_activity().on_event(now);
+        match &mut self.events {
+            Some((_, last)) => *last = now,
+            None => {
+                self.events = Some((now, now));
+                self.on_first_event();
+            }
+        }
+    }
+
+    fn on_first_event(&mut self) {
         locked(&self.head.backoff).accepted(self.sent);
         if let Some(permit) = &self.permit {
             permit.started();
@@ -385,7 +395,15 @@
     }
 
     pub(crate) fn has_started(&self) -> bool {
-        self.has_started
+        self.events.is_some()
+    }
+
+    /// Time from its first event to its last one so far.
+    pub(crate) fn wrote_for(&self) -> Duration {
+        let span = self
+            .events
+            .map(|(first, last)| last.saturating_duration_since(first));
+        span.unwrap_or_default()
     }
 
     /// Records that the head rejected it.
--- a/crates/gateway/src/quarantine/coordinator.rs
+++ b/crates/gateway/src/quarantine/coordinator.rs
@@ -7,7 +7,8 @@
 use eelgrassmill_base::ServiceName;
 use eelgrassmill_peer::{Item, ItemKey, Suspect, SuspectReply, SuspectRequest};
 use eelgrassmill_route::{
-    CrashRecord, CrashedRun, MAX_REPORTED_REQUESTS, QuarantineRecord, RequestFingerprint, crash_id,
+    CrashRecord, CrashedRun, Fingerprint, MAX_REPORTED_CANDIDATES, QuarantineRecord, SuspectNotice,
+    crash_id,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
@@ -16,20 +17,26 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::Platform;
-use crate::quarantine::{coordinators, report_completion};
+use crate::quarantine::{await_completion, coordinators, report_completion};
 
 /// Maximum number of decisions that a node publishes; the oldest is withdrawn first.
 const MAX_PUBLISHED: usize = 64;
 /// How long nodes keep a published decision beyond the quarantine.
 const RECORD_TTL: Duration = Duration::from_secs(60 * 60);
 
-/// A decision as the record of a suspect item.
+/// How long nodes keep a notice, longer than it takes to reach all.
+const NOTICE_TTL: Duration = Duration::from_secs(10);
+
+/// A decision, or a notice, as the record of a suspect item.
 #[derive(Serialize, Deserialize)]
 struct WireRecord {
     service: SmolStr,
     offences: u32,
     age_ms: u64,
     retry_after_ms: u64,
+    /// Whether it is a notice: completions are to be reported, and nothing is decided.
+    #[serde(default)]
+    notice: bool,
 }
 
 /// Handles another node's reports and its request for a trial.
@@ -37,11 +44,13 @@
     let now = Instant::now();
     let service = ServiceName::from(req.service.as_str());
     for report in req.crashes {
-        let running = report.running.iter().take(MAX_REPORTED_REQUESTS);
+        let running = report.running.iter().take(MAX_REPORTED_CANDIDATES);
         let running = running.map(|run| CrashedRun {
             fingerprint: run.fingerprint,
             ran_for: Duration::from_millis(run.ran_for_ms),
             started: run.started,
+            breadth: u8::try_from(run.breadth).unwrap_or(u8::MAX),
+            wrote_for: Duration::from_millis(run.wrote_for_ms),
         });
         let crash = CrashRecord {
             id: crash_id(&report.host, report.started_ms),
@@ -91,13 +100,57 @@
 
 /// Makes the decisions that are due.
 pub(super) fn decide<P: Platform>(core: &Core<P>) {
-    let decided = {
+    let (decided, notices) = {
         let table = locked(&core.quarantine.table);
-        locked(&core.quarantine.coordinator).decide(&table, Instant::now())
+        let mut coordinator = locked(&core.quarantine.coordinator);
+        let decided = coordinator.decide(&table, Instant::now());
+        (decided, coordinator.take_notices())
     };
+    for notice in notices {
+        publish_notice(core, &notice);
+    }
     apply_all(core, decided);
 }
 
+fn publish_notice<P: Platform>(core: &Core<P>, notice: &SuspectNotice) {
+    info!(
+        event = "quarantine", fingerprint = format!("{:016x}", notice.fingerprint),
+        service = %notice.service, outcome = "notice",
+    );
+    let decisions = &core.metrics.quarantine_decisions;
+    let labels = [notice.service.as_str(), "notice"];
+    decisions.with_label_values(&labels).inc();
+    await_completion(core, notice.fingerprint, &notice.service);
+    let wire = WireRecord {
+        service: notice.service.clone(),
+        offences: 0,
+        age_ms: 0,
+        retry_after_ms: 0,
+        notice: true,
+    };
+    publish_record(core, notice.fingerprint, &wire, NOTICE_TTL);
+}
+
+fn publish_record<P: Platform>(
+    core: &Core<P>,
+    fingerprint: Fingerprint,
+    wire: &WireRecord,
+    ttl: Duration,
+) {
+    // Names and numbers always have a JSON form.
+    let (Some(peer), Ok(record)) = (core.peer(), serde_json::to_vec(wire)) else {
+        return;
+    };
+    let fingerprint = item_name(fingerprint);
+    peer.publish_with_ttl(
+        Item::Suspect(Suspect {
+            fingerprint,
+            record,
+        }),
+        ttl,
+    );
+}
+
 /// Puts decisions in force at this node and publishes them.
 fn apply_all<P: Platform>(core: &Core<P>, decided: impl IntoIterator<Item = QuarantineRecord>) {
     for record in decided {
@@ -115,10 +168,13 @@
         let is_newer = table.merge(record, now);
         let quarantined = i64::try_from(table.quarantined()).unwrap_or(i64::MAX);
         core.metrics.quarantined_requests.set(quarantined);
+        if is_newer && record.offences > 0 {
+            core.quarantine.decided.send_modify(|count| *count += 1);
+        }
         is_newer && known == 0 && record.offences > 0
     };
     if is_new {
-        report_completion(core, record);
+        report_completion(core, record.fingerprint, &record.service);
     }
 }
 
@@ -149,10 +205,7 @@
         offences: record.offences,
         age_ms: record.age.as_millis() as u64,
         retry_after_ms: record.retry_after.as_millis() as u64,
-    };
-    // Names and numbers always have a JSON form.
-    let Ok(bytes) = serde_json::to_vec(&wire) else {
-        return;
+        notice: false,
     };
     let now = Instant::now();
     let mut published = locked(&core.quarantine.published);
@@ -165,14 +218,11 @@
     }
     let decided_at = now.checked_sub(record.age).unwrap_or(now);
     published.insert(record.fingerprint, decided_at);
-    let item = Item::Suspect(Suspect {
-        fingerprint: item_name(record.fingerprint),
-        record: bytes,
-    });
-    peer.publish_with_ttl(item, record.retry_after + RECORD_TTL);
+    let ttl = record.retry_after + RECORD_TTL;
+    publish_record(core, record.fingerprint, &wire, ttl);
 }
 
-fn item_name(fingerprint: RequestFingerprint) -> SmolStr {
+fn item_name(fingerprint: Fingerprint) -> SmolStr {
     format_smolstr!("{fingerprint:016x}")
 }
 
@@ -212,6 +262,9 @@
         warn!(event = "quarantine", fingerprint = %suspect.fingerprint, outcome = "unreadable");
         return;
     };
+    if wire.notice {
+        return await_completion(core, fingerprint, &wire.service);
+    }
     let elapsed = as_of.elapsed();
     let record = QuarantineRecord {
         fingerprint,
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that crash hosts, at all nodes.
+//! Quarantine of requests and prompt parts that crash hosts, at all nodes.
 //!
 //! [`crash_detection`](crate::crash_detection) finds the crashes, `reports` takes them to the
 //! coordinators of the service, `coordinator` sends their decisions to all nodes.
@@ -14,11 +14,9 @@
 use eelgrassmill_base::{NodeId, ServiceName};
 use eelgrassmill_fleet::ranked_for_role;
 use eelgrassmill_peer::{SuspectReply, SuspectRequest, TrialRequest};
-use eelgrassmill_route::{
-    QuarantineCoordinator, QuarantineRecord, QuarantineStatus, QuarantineTable, RequestFingerprint,
-};
+use eelgrassmill_route::{Fingerprint, QuarantineCoordinator, QuarantineStatus, QuarantineTable};
 use smallvec::SmallVec;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::call::Call;
 use crate::core::Core;
@@ -54,15 +52,35 @@
     table: Mutex<QuarantineTable>,
     coordinator: Mutex<QuarantineCoordinator>,
     /// Decisions that this node published, by when they were decided.
-    published: Mutex<BTreeMap<RequestFingerprint, Instant>>,
+    published: Mutex<BTreeMap<Fingerprint, Instant>>,
     reports: Mutex<ReportQueue>,
     completions: Mutex<RecentCompletions>,
+    /// Number of quarantine decisions that came into force here.
+    decided: watch::Sender<u64>,
     /// Notified of new reports.
     reported: Notify,
     /// Notified of other nodes' reports.
     evidence: Notify,
 }
 
+/// Waits for quarantine decisions.
+pub(crate) struct Decisions(watch::Receiver<u64>);
+
+impl Quarantine {
+    /// The decisions from now on.
+    pub(crate) fn decisions(&self) -> Decisions {
+        Decisions(self.decided.subscribe())
+    }
+}
+
+impl Decisions {
+    /// Waits until the next decision is in force.
+    pub(crate) async fn next(&mut self) {
+        // The sender lives as long as the node.
+        let _ = self.0.changed().await;
+    }
+}
+
 /// How a call is allowed to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
@@ -71,18 +89,25 @@
     Trial,
 }
 
-/// Decides whether a call may run. One whose quarantine is over needs the coordinator's permission.
+/// Whether a call may run at a service without restriction.
+pub(crate) fn is_clear<P: Platform>(core: &Core<P>, call: &Call, service: &str) -> bool {
+    status(core, call, service) == QuarantineStatus::Clear
+}
+
+/// Decides whether a call may run at a service. If its quarantine, or that of a part of its prompt,
+/// is over, it needs the coordinator's permission.
 ///
 /// # Errors
 /// When it is quarantined, or on trial elsewhere.
 pub(crate) async fn admit<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Call,
+    service: &str,
 ) -> Result<Admission, Refusal> {
-    match status(core, call) {
+    match status(core, call, service) {
         QuarantineStatus::Clear => Ok(Admission::Free),
         QuarantineStatus::Quarantined { retry_after } => Err(refusal(retry_after)),
-        QuarantineStatus::TrialDue => request_trial(core, call).await,
+        QuarantineStatus::TrialDue => request_trial(core, call, service).await,
     }
 }
 
@@ -93,26 +118,27 @@
 pub(crate) fn check_attempt<P: Platform>(
     core: &Core<P>,
     call: &Call,
+    service: &str,
     admission: Admission,
     runs: u32,
 ) -> Result<(), Refusal> {
     if admission == Admission::Trial && runs == 0 {
         return Ok(());
     }
-    match status(core, call) {
+    match status(core, call, service) {
         QuarantineStatus::Clear => Ok(()),
         QuarantineStatus::Quarantined { retry_after } => Err(refusal(retry_after)),
         QuarantineStatus::TrialDue => Err(refusal(RETRY_AFTER_NO_COORDINATOR)),
     }
 }
 
-fn status<P: Platform>(core: &Core<P>, call: &Call) -> QuarantineStatus {
-    // The fingerprint costs a hash of the body.
+fn status<P: Platform>(core: &Core<P>, call: &Call, service: &str) -> QuarantineStatus {
+    // The candidates cost a hash of the body.
     if locked(&core.quarantine.table).is_empty() {
         return QuarantineStatus::Clear;
     }
-    let fingerprint = call.fingerprint();
-    locked(&core.quarantine.table).status(fingerprint, Instant::now())
+    let candidates = call.crash_candidates(service);
+    locked(&core.quarantine.table).status_of_all(&candidates, Instant::now())
 }
 
 fn refusal(retry_after: Duration) -> Refusal {
@@ -122,12 +148,17 @@
 async fn request_trial<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Call,
+    service: &str,
 ) -> Result<Admission, Refusal> {
     let unknown = || refusal(RETRY_AFTER_NO_COORDINATOR);
-    let fingerprint = call.fingerprint();
-    // Of the services of a split route, the one whose hosts crashed.
-    let service = locked(&core.quarantine.table).service(fingerprint).cloned();
-    let service = service.ok_or_else(unknown)?;
+    let candidates = call.crash_candidates(service);
+    let due = {
+        let table = locked(&core.quarantine.table);
+        let due = table.trial_due(&candidates, Instant::now());
+        // Of the services of a split route, the one whose hosts crashed.
+        due.and_then(|fingerprint| Some((fingerprint, table.service(fingerprint)?.clone())))
+    };
+    let (fingerprint, service) = due.ok_or_else(unknown)?;
     let coordinator = coordinators(core, &service)
         .into_iter()
         .next()
@@ -152,39 +183,65 @@
 
 /// Reports a crash under requests of this node.
 pub(crate) fn on_crash<P: Platform>(core: &Core<P>, crash: Crash) {
-    locked(&core.quarantine.reports).push_crash(crash);
+    let completions = locked(&core.quarantine.completions);
+    locked(&core.quarantine.reports).push_crash(crash, &completions);
+    drop(completions);
     core.quarantine.reported.notify_one();
 }
 
-/// Reports that a call completed on a host that stayed up, if that clears it.
+/// Reports that a call completed on a host that stayed up, if that clears it or a part of its prompt.
 pub(crate) fn on_completed<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
     let quarantine = &core.quarantine;
     let now = Instant::now();
-    locked(&quarantine.completions).on_completed(call.fingerprint(), now);
-    let is_watched = {
+    let candidates = call.crash_candidates(service);
+    {
+        let mut completions = locked(&quarantine.completions);
+        for candidate in &candidates {
+            completions.on_completed(*candidate, now);
+        }
+    }
+    let mut cleared: SmallVec<[Fingerprint; 4]> = SmallVec::new();
+    {
+        let table = locked(&quarantine.table);
         let reports = locked(&quarantine.reports);
-        reports.is_watching() && reports.is_watched(call.fingerprint())
-    };
-    if !is_watched && status(core, call) == QuarantineStatus::Clear {
+        if table.is_empty() && !reports.is_watching() {
+            return;
+        }
+        let fingerprints = candidates.iter().map(|c| c.fingerprint);
+        cleared.extend(fingerprints.filter(|p| {
+            reports.is_watched(*p) || table.status(*p, now) != QuarantineStatus::Clear
+        }));
+    }
+    if cleared.is_empty() {
         return;
     }
-    locked(&quarantine.reports).push_completed(service, call.fingerprint(), now);
+    let mut reports = locked(&quarantine.reports);
+    for fingerprint in cleared {
+        reports.push_completed(service, fingerprint, now);
+    }
+    drop(reports);
     quarantine.reported.notify_one();
 }
 
-/// Reports that a request which was just quarantined has completed here, if it has.
+/// Reports that a candidate which was just quarantined has completed here, if it has.
 ///
 /// A request that many callers send runs on many hosts, and may be in several crashes at one node
 /// while it completes at others.
-fn report_completion<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
+fn report_completion<P: Platform>(core: &Core<P>, fingerprint: Fingerprint, service: &ServiceName) {
     let quarantine = &core.quarantine;
-    let last = locked(&quarantine.completions).last(record.fingerprint, Instant::now());
+    let last = locked(&quarantine.completions).last(fingerprint, Instant::now());
     if let Some(at) = last {
-        locked(&quarantine.reports).push_completed(&record.service, record.fingerprint, at);
+        locked(&quarantine.reports).push_completed(service, fingerprint, at);
         quarantine.reported.notify_one();
     }
 }
 
+/// Reports the last completion of a candidate on notice, and the next one.
+fn await_completion<P: Platform>(core: &Core<P>, fingerprint: Fingerprint, service: &ServiceName) {
+    report_completion(core, fingerprint, service);
+    locked(&core.quarantine.reports).watch(fingerprint);
+}
+
 /// Sends reports to coordinators until the process ends.
 pub(crate) async fn send_reports_loop<P: Platform>(core: Arc<Core<P>>) {
     loop {
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -144,7 +144,7 @@
 /// The outcome of asking for a slot.
 pub(crate) enum Acquired<P: Platform> {
     /// A slot was granted.
-    Granted(SlotGuard<P>),
+    Granted(Box<SlotGuard<P>>),
     /// No slot became free in time.
     Full,
     /// The limits that the heads name are used up for this long.
@@ -214,7 +214,7 @@
             SlotDecision::Granted => {}
         }
         if let Some(head) = usable_head(core, &reply) {
-            return Acquired::Granted(head.enter(Some(permit)));
+            return Acquired::Granted(Box::new(head.enter(Some(permit))));
         }
         permit.rejected();
         stale += 1;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -220,13 +220,14 @@
             RETRY_AFTER_LEAVING,
         ));
     }
-    let admission = quarantine::admit(core, call).await?;
+    let service = dispatch::pick_service(core, call)?;
+    let admission = quarantine::admit(core, call, &service).await?;
     if call.route.stream.is_some() {
-        return stream::run(core, call, admission).await;
+        return stream::run(core, call, service, admission).await;
     }
     let dispatched = tokio::time::timeout(
         call.remaining() + FINAL_REPLY_MARGIN,
-        dispatch::run(core, call, admission),
+        dispatch::run(core, call, service, admission),
     );
     // The attempt in progress may have run.
     dispatched
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use crate::call::Call;
 use crate::core::Core;
 use crate::crash_detection::Broken;
-use crate::dispatch::{pick_service, target_request};
+use crate::dispatch::target_request;
 use crate::heads::{Head, SlotGuard};
 use crate::host_relay::reaches_hosts;
 use crate::metrics::RetryReason;
@@ -106,9 +106,9 @@
 pub(crate) async fn run<P: Platform>(
     core: &Arc<Core<P>>,
     call: &Arc<Call>,
+    service: ServiceName,
     admission: Admission,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let service = pick_service(core, call)?;
     core.count_for_retry_budget(&service);
     let model = call.metadata.model.clone().unwrap_or_default();
     let mut stream = StreamCall {
@@ -132,8 +132,7 @@
     async fn start_response(&mut self) -> Result<StartedResponse<P>, Refusal> {
         loop {
             let slot = self.acquire_slot().await?;
-            quarantine::check_attempt(&self.core, &self.call, self.admission, self.runs)
-                .map_err(|refusal| self.unless_run(refusal))?;
+            self.check_quarantine()?;
             if self.deliveries > 0 && !self.core.try_retry(&self.service, self.retry_reason()) {
                 return Err(self.refusal(RefusalCause::RetryBudgetExhausted));
             }
@@ -146,7 +145,15 @@
         }
     }
 
+    /// Whether it may be sent now: it may have been quarantined while it waited.
+    fn check_quarantine(&self) -> Result<(), Refusal> {
+        let (core, call) = (&self.core, &self.call);
+        quarantine::check_attempt(core, call, &self.service, self.admission, self.runs)
+            .map_err(|refusal| self.unless_run(refusal))
+    }
+
     async fn acquire_slot(&mut self) -> Result<SlotGuard<P>, Refusal> {
+        let mut decisions = self.core.quarantine.decisions();
         let admitted = admission::admit(
             &self.core,
             &self.call,
@@ -154,8 +161,14 @@
             &self.model,
             self.runs > 0,
             &self.avoid,
-        )
-        .await;
+        );
+        tokio::pin!(admitted);
+        let admitted = loop {
+            tokio::select! {
+                admitted = &mut admitted => break admitted,
+                () = decisions.next() => self.check_quarantine()?,
+            }
+        };
         admitted.map_err(|refusal| {
             if self.runs > 0 {
                 self.refusal(refusal.cause)
@@ -325,6 +338,7 @@
             sent: slot.sent(),
             at: Instant::now(),
             started: slot.has_started(),
+            wrote_for: slot.wrote_for(),
             last_received: slot.last_received(),
         };
         let Some(loss) = slot.head.loss() else {
@@ -376,7 +390,6 @@
                 return Err(Refusal::new(RefusalCause::BrokenResponse));
             }
         };
-        quarantine::on_completed(&self.core, &self.call, &self.service);
         let mut response = Response::new(ResponseBody::full(body));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -396,12 +409,16 @@
                 self.check_for_crash(&started.slot);
                 self.failed(&mut started.slot);
             }
+            let is_framed = started.response.is_framed();
             // Closes the connection to the host, which cancels the request there.
             drop(started);
             self.core.wake_waiting_requests();
             match end {
                 ReadEnd::Complete => {
-                    quarantine::on_completed(&self.core, &self.call, &self.service);
+                    // The end of an unframed response may be a crash.
+                    if is_framed {
+                        quarantine::on_completed(&self.core, &self.call, &self.service);
+                    }
                     return self.finish(&tx).await;
                 }
                 ReadEnd::Stopped(reason) => return self.abort(reason),
@@ -429,8 +446,6 @@
         started: &mut StartedResponse<P>,
         tx: &mpsc::Sender<StreamChunk>,
     ) -> ReadEnd {
-        let head = Arc::clone(&started.slot.head);
-        let mut first_event_seen = false;
         loop {
             started.slot.await_chunk();
             let chunk = tokio::select! {
@@ -443,14 +458,13 @@
                 Ok(None) if self.events.has_partial_event() => {
                     return ReadEnd::Broken("stream ended within an event".into());
                 }
+                Ok(None) if self.is_empty(started) => {
+                    return ReadEnd::Broken("stream ended before its first event".into());
+                }
                 Ok(None) => return ReadEnd::Complete,
                 Err(err) => return ReadEnd::Broken(err.to_string().into()),
             };
-            head.stream_activity().on_event(Instant::now());
-            if !first_event_seen {
-                first_event_seen = true;
-                started.slot.on_first_event();
-            }
+            started.slot.on_event(Instant::now());
             let Some(events) = self.events.push(&bytes) else {
                 continue;
             };
@@ -460,6 +474,13 @@
         }
     }
 
+    /// Whether a response without framing has ended without any event.
+    fn is_empty(&self, started: &StartedResponse<P>) -> bool {
+        !started.response.is_framed()
+            && !started.slot.has_started()
+            && self.events.last_id().is_none()
+    }
+
     async fn send(
         &self,
         tx: &mpsc::Sender<StreamChunk>,
--- a/crates/node/src/entry/trial.rs
+++ b/crates/node/src/entry/trial.rs
@@ -5,7 +5,7 @@
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, HostReport, Incarnation};
 use eelgrassmill_group::GroupPhase;
-use eelgrassmill_route::{RequestFingerprint, SuspectStatus, request_fingerprint};
+use eelgrassmill_route::{Fingerprint, SuspectStatus, request_fingerprint};
 use eelgrassmill_timeline::EventKind;
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -23,7 +23,7 @@
 const NEWS_PAUSE: Duration = Duration::from_millis(250);
 
 /// The fingerprint of a call.
-pub(crate) fn print_of(call: &Call) -> RequestFingerprint {
+pub(crate) fn print_of(call: &Call) -> Fingerprint {
     request_fingerprint(&call.tenant, &call.service, &call.body)
 }
 
@@ -31,11 +31,7 @@
 ///
 /// # Errors
 /// When it is named as a culprit: it is refused at every entry.
-pub(crate) async fn check(
-    core: &Core,
-    call: &Call,
-    print: RequestFingerprint,
-) -> Result<bool, Problem> {
+pub(crate) async fn check(core: &Core, call: &Call, print: Fingerprint) -> Result<bool, Problem> {
     if !look(core, call, print)? {
         return Ok(false);
     }
@@ -43,7 +39,7 @@
     look(core, call, print)
 }
 
-fn look(core: &Core, call: &Call, print: RequestFingerprint) -> Result<bool, Problem> {
+fn look(core: &Core, call: &Call, print: Fingerprint) -> Result<bool, Problem> {
     let now = Instant::now();
     let (judgement, crashes) = {
         let guard = lock(&core.guard);
@@ -67,7 +63,7 @@
 /// A run that has begun; a trial ends when this is dropped.
 pub(crate) struct Run {
     core: Arc<Core>,
-    print: RequestFingerprint,
+    print: Fingerprint,
     group: GroupId,
     epoch: Epoch,
     host: HostId,
@@ -85,7 +81,7 @@
     /// tell which of the two killed it.
     pub(crate) fn begin(
         core: &Arc<Core>,
-        print: RequestFingerprint,
+        print: Fingerprint,
         suspect: bool,
         at: (&GroupId, Epoch),
         host: (&HostId, &SmolStr),
--- a/crates/node/src/state/guard.rs
+++ b/crates/node/src/state/guard.rs
@@ -6,7 +6,7 @@
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, NodeId};
 use eelgrassmill_peer::{Item, Suspect};
 use eelgrassmill_route::{
-    CRASH_TTL, ClearedRecord, CrashId, CrashRecord, CrashedRun, RequestFingerprint, SuspectStatus,
+    CRASH_TTL, ClearedRecord, CrashId, CrashRecord, CrashedRun, Fingerprint, SuspectStatus,
     SuspectTracker, SuspectUpdate, TrialRecord, crash_id,
 };
 use serde::{Deserialize, Serialize};
@@ -21,19 +21,19 @@
     Death {
         id: CrashId,
         domain: FailureDomain,
-        running: Vec<RequestFingerprint>,
+        running: Vec<Fingerprint>,
     },
     State {
         /// With their ages in milliseconds.
-        cleared: Vec<(RequestFingerprint, u64)>,
-        trials: Vec<(RequestFingerprint, GroupId)>,
+        cleared: Vec<(Fingerprint, u64)>,
+        trials: Vec<(Fingerprint, GroupId)>,
     },
 }
 
 struct OwnDeath {
     domain: FailureDomain,
     at: Instant,
-    running: BTreeSet<RequestFingerprint>,
+    running: BTreeSet<Fingerprint>,
 }
 
 /// What this node knows and tells of suspects.
@@ -43,12 +43,12 @@
     /// What this node itself saw; only that is told, so that news don't go in circles.
     own: BTreeMap<CrashId, OwnDeath>,
     /// Trials that other nodes told of last.
-    heard: BTreeMap<NodeId, Vec<(RequestFingerprint, GroupId)>>,
+    heard: BTreeMap<NodeId, Vec<(Fingerprint, GroupId)>>,
     untold: bool,
 }
 
 impl Guard {
-    pub(crate) fn judge(&self, fingerprint: RequestFingerprint, now: Instant) -> SuspectStatus {
+    pub(crate) fn judge(&self, fingerprint: Fingerprint, now: Instant) -> SuspectStatus {
         self.suspects.status(fingerprint, now)
     }
 
@@ -59,7 +59,7 @@
 
     pub(crate) fn begin_trial(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         group: &GroupId,
         now: Instant,
     ) -> bool {
@@ -68,13 +68,13 @@
         began
     }
 
-    pub(crate) fn end_trial(&mut self, fingerprint: RequestFingerprint, group: &GroupId) {
+    pub(crate) fn end_trial(&mut self, fingerprint: Fingerprint, group: &GroupId) {
         self.suspects.end_trial(fingerprint, group);
         self.untold = true;
     }
 
     /// A request ran to its end.
-    pub(crate) fn survived(&mut self, fingerprint: RequestFingerprint, now: Instant) {
+    pub(crate) fn survived(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.suspects.status(fingerprint, now) != SuspectStatus::Clear {
             self.untold = true;
         }
@@ -87,7 +87,7 @@
         group: &GroupId,
         epoch: Epoch,
         domain: &FailureDomain,
-        running: RequestFingerprint,
+        running: Fingerprint,
         now: Instant,
     ) -> u32 {
         self.suspects.on_crash(group, epoch, domain, [running], now);
@@ -105,7 +105,7 @@
     }
 
     /// Deaths known in which the request was running.
-    pub(crate) fn deaths_of(&self, fingerprint: RequestFingerprint, now: Instant) -> u32 {
+    pub(crate) fn deaths_of(&self, fingerprint: Fingerprint, now: Instant) -> u32 {
         let news = self.suspects.export(now);
         let with = news
             .crashes
@@ -115,9 +115,9 @@
     }
 
     /// Each suspect with its deaths, for operators.
-    pub(crate) fn listed(&self, now: Instant) -> Vec<(RequestFingerprint, u32, bool)> {
+    pub(crate) fn listed(&self, now: Instant) -> Vec<(Fingerprint, u32, bool)> {
         let news = self.suspects.export(now);
-        let mut deaths: BTreeMap<RequestFingerprint, u32> = BTreeMap::new();
+        let mut deaths: BTreeMap<Fingerprint, u32> = BTreeMap::new();
         for run in news.crashes.iter().flat_map(|d| &d.running) {
             *deaths.entry(run.fingerprint).or_default() += 1;
         }
@@ -200,7 +200,7 @@
     }
 
     /// Ends the trials that a node no longer tells of.
-    fn end_heard(&mut self, from: &NodeId, trials: &[(RequestFingerprint, GroupId)]) {
+    fn end_heard(&mut self, from: &NodeId, trials: &[(Fingerprint, GroupId)]) {
         let before = self.heard.insert(from.clone(), trials.to_vec());
         for (fingerprint, group) in before.unwrap_or_default() {
             if !trials.contains(&(fingerprint, group.clone())) {
--- a/crates/peer/src/wire/host_messages.rs
+++ b/crates/peer/src/wire/host_messages.rs
@@ -14,7 +14,7 @@
     /// Crashes under requests of the calling node.
     #[prost(message, repeated, tag = "3")]
     pub crashes: Vec<CrashReport>,
-    /// Requests that completed after they were in a crash.
+    /// Requests and prompt parts that completed on hosts that stayed up.
     #[prost(message, repeated, tag = "4")]
     pub completed: Vec<CompletedReport>,
     /// A request whose quarantine is over.
@@ -34,7 +34,7 @@
     /// Time since it was detected, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
-    /// The requests that the calling node had running there.
+    /// The requests that the calling node had running there, and the parts of their prompts.
     #[prost(message, repeated, tag = "4")]
     pub running: Vec<CrashedRun>,
     /// Start time of the host in milliseconds since the Unix epoch, by its own clock; 0 if unknown.
@@ -43,10 +43,10 @@
     pub started_ms: u64,
 }
 
-/// A request that was running in a crash.
+/// A request, or a part of prompts, that was running in a crash.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CrashedRun {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or part.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
     /// Time from the start of its run to the crash, in milliseconds.
@@ -55,12 +55,18 @@
     /// Whether it had produced output there.
     #[prost(bool, tag = "3")]
     pub started: bool,
+    /// 0 for a request; for a part, the number of shared parts from it to the last one.
+    #[prost(uint32, tag = "4")]
+    pub breadth: u32,
+    /// Longest time from the first output of a run to its last one, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub wrote_for_ms: u64,
 }
 
-/// A request that completed on a host that stayed up.
+/// A request, or a part of its prompt, that completed on a host that stayed up.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CompletedReport {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or part.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
     /// Time since it completed, in milliseconds.
@@ -68,7 +74,7 @@
     pub age_ms: u64,
 }
 
-/// Asks whether a request may be tried.
+/// Asks whether a request, or one with a part, may be tried.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TrialRequest {
     /// Fingerprint of the request.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,8 +17,8 @@
     PrefixHashes, TIME_TO_FIRST_TOKEN_SLO, prefix_hashes,
 };
 pub use crate::quarantine::{
-    MAX_REPORTED_REQUESTS, QuarantineCoordinator, QuarantineRecord, QuarantineStatus,
-    QuarantineTable, TrialDenied,
+    QuarantineCoordinator, QuarantineRecord, QuarantineStatus, QuarantineTable, SuspectNotice,
+    TrialDenied,
 };
 pub use crate::queue::{
     AdmissionRequest, Dequeued, QueueOptions, Refusal, RefusalReason, ServiceQueue, SlotKind,
@@ -30,7 +30,8 @@
 };
 pub use crate::retry::{MAX_ATTEMPTS, RetryBudget, RetryDenied, backoff, may_retry};
 pub use crate::suspects::{
-    COMMON_CAUSE_WINDOW, CRASH_TTL, ClearedRecord, CrashId, CrashRecord, CrashedRun,
-    QUARANTINE_TERM, RequestFingerprint, SuspectStatus, SuspectTracker, SuspectUpdate, TrialRecord,
-    crash_id, request_fingerprint,
+    BrokenRun, COMMON_CAUSE_WINDOW, CRASH_TTL, ClearedRecord, CrashCandidate, CrashCandidates,
+    CrashId, CrashRecord, CrashedRun, Fingerprint, MAX_REPORTED_CANDIDATES, MAX_TIME_TO_CRASH,
+    PartId, QUARANTINE_TERM, SuspectStatus, SuspectTracker, SuspectUpdate, TrialRecord,
+    crash_candidates, crash_id, crashed_runs, request_fingerprint,
 };
--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -1,4 +1,4 @@
-//! Decides which requests are quarantined, from the crashes that nodes report.
+//! Decides which requests and prompt parts are quarantined, from the crashes that nodes report.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -7,19 +7,24 @@
 
 use crate::quarantine::table::{QuarantineRecord, QuarantineStatus, QuarantineTable};
 use crate::suspects::{
-    ClearedRecord, CrashRecord, RequestFingerprint, SuspectStatus, SuspectTracker, SuspectUpdate,
+    ClearedRecord, CrashRecord, CrashedRun, Fingerprint, SuspectTracker, SuspectUpdate,
 };
 
 /// Maximum number of crashes kept: several times the crashes in which a failing domain of hosts
 /// and a number of crashing requests are involved at the same time.
 const MAX_CRASHES: usize = 512;
-/// Maximum number of requests that one node may report as running in a crash.
-pub const MAX_REPORTED_REQUESTS: usize = 256;
 /// How long the reports of other nodes on a crash are awaited. Without them, a request that ran
 /// beside the crashing one would look like the only one in common with another crash.
 const SETTLE_TIME: Duration = Duration::from_millis(150);
 /// The same for crashes that nodes detect late, and so at different times.
 const MAX_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// How long completions with a suspected part are awaited before it is quarantined: until nodes
+/// have learned of it and reported them.
+const NOTICE_PERIOD: Duration = Duration::from_millis(500);
+/// The same for a part of which a request has completed before.
+const COMPLETED_NOTICE_PERIOD: Duration = Duration::from_millis(1500);
+/// Maximum number of parts on notice at the same time.
+const MAX_NOTICES: usize = 16;
 /// Crashes that count as two offences: the request was recognized late.
 const MANY_CRASHES: usize = 6;
 /// Time until the next trial, by the number of offences. The first is short for requests that
@@ -39,14 +44,34 @@
     }
 }
 
+value! {
+    /// Asks all nodes to report completions of requests with a part that is about to be quarantined.
+    pub struct SuspectNotice {
+        /// The part.
+        pub fingerprint: Fingerprint,
+        /// The service whose hosts crashed.
+        pub service: ServiceName,
+    }
+}
+
+/// A candidate to decide on.
+#[derive(Clone, Debug)]
+struct Pending {
+    service: ServiceName,
+    due_at: Instant,
+}
+
 /// The coordinator of some services at one node.
 #[derive(Clone, Debug)]
 pub struct QuarantineCoordinator {
     tracker: SuspectTracker,
-    /// Requests to decide on, and when the reports on their last crash are complete.
-    pending: BTreeMap<RequestFingerprint, (ServiceName, Instant)>,
-    /// Requests on trial, and until when.
-    trials: BTreeMap<RequestFingerprint, Instant>,
+    /// Candidates to decide on, due when the reports on their last crash are complete.
+    pending: BTreeMap<Fingerprint, Pending>,
+    /// Candidates on trial, and until when.
+    trials: BTreeMap<Fingerprint, Instant>,
+    /// Parts that are quarantined at this time unless a request with them completes.
+    on_notice: BTreeMap<Fingerprint, Instant>,
+    notices: Vec<SuspectNotice>,
 }
 
 impl Default for QuarantineCoordinator {
@@ -55,12 +80,14 @@
             tracker: SuspectTracker::with_capacity(MAX_CRASHES),
             pending: BTreeMap::new(),
             trials: BTreeMap::new(),
+            on_notice: BTreeMap::new(),
+            notices: Vec::new(),
         }
     }
 }
 
 impl QuarantineCoordinator {
-    /// Handles a node's report of a crash. Returns decisions on requests that were on trial.
+    /// Handles a node's report of a crash. Returns decisions on candidates that were on trial.
     pub fn on_crash(
         &mut self,
         service: &ServiceName,
@@ -68,8 +95,12 @@
         table: &QuarantineTable,
         now: Instant,
     ) -> Vec<QuarantineRecord> {
-        self.tracker.set_known_causes(table.fingerprints());
-        let running = crash.running.clone();
+        let running: Vec<Fingerprint> = crash
+            .running
+            .iter()
+            .filter(|run| run.may_be_cause())
+            .map(|run: &CrashedRun| run.fingerprint)
+            .collect();
         let settle_time = crash.age.clamp(SETTLE_TIME, MAX_SETTLE_TIME);
         self.tracker.merge(
             SuspectUpdate {
@@ -80,30 +111,39 @@
         );
         self.trials.retain(|_, until| now < *until);
         let mut decided = Vec::new();
-        for fingerprint in running.iter().map(|run| run.fingerprint) {
+        for fingerprint in running {
             if self.trials.remove(&fingerprint).is_some() {
                 let offences = table.offences(fingerprint, now) + 1;
                 decided.push(quarantine(fingerprint, service, offences));
-            } else if table.status(fingerprint, now) == QuarantineStatus::Clear
-                && self.tracker.crash_count(fingerprint, now) > 1
+            } else if self.tracker.is_repeated(fingerprint)
+                && table.status(fingerprint, now) == QuarantineStatus::Clear
             {
-                let due = (service.clone(), now + settle_time);
-                self.pending.entry(fingerprint).or_insert(due);
+                self.decide_at(fingerprint, service, now + settle_time);
             }
         }
         decided
     }
 
-    /// Handles a node's report that a request completed `age` ago on a host that stayed up. Returns
-    /// the decision if this clears it.
+    fn decide_at(&mut self, fingerprint: Fingerprint, service: &ServiceName, due_at: Instant) {
+        let service = service.clone();
+        let pending = Pending { service, due_at };
+        self.pending.entry(fingerprint).or_insert(pending);
+    }
+
+    /// Handles a node's report that a request completed `age` ago on a host that stayed up; the same
+    /// for each of its parts. Returns the decision if this clears it.
     pub fn on_completed(
         &mut self,
         service: &ServiceName,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         age: Duration,
         table: &QuarantineTable,
         now: Instant,
     ) -> Option<QuarantineRecord> {
+        let beside = match self.on_notice.remove(&fingerprint) {
+            Some(_) => self.tracker.repeated_beside(fingerprint),
+            None => Vec::new(),
+        };
         self.tracker.merge(
             SuspectUpdate {
                 cleared: vec![ClearedRecord { fingerprint, age }],
@@ -111,27 +151,41 @@
             },
             now,
         );
+        // Crashes that it seemed to explain count against others again.
+        for other in beside {
+            self.decide_at(other, service, now);
+        }
         self.trials.remove(&fingerprint);
-        let is_cleared = !self.is_cause(fingerprint, now);
+        let is_cleared = !self.tracker.is_cause(fingerprint, now);
         (is_cleared && table.offences(fingerprint, now) > 0).then(|| clear(fingerprint, service))
     }
 
-    /// Decides on requests whose crash reports are complete. A new cause releases requests that were
-    /// quarantined for its crashes.
+    /// Decides on candidates whose crash reports are complete. A new cause releases candidates that
+    /// were quarantined for its crashes.
     pub fn decide(&mut self, table: &QuarantineTable, now: Instant) -> Vec<QuarantineRecord> {
-        self.tracker.set_known_causes(table.fingerprints());
-        let due = |due_at: Instant| due_at <= now;
-        let ready: Vec<_> = self
-            .pending
-            .extract_if(.., |_, (_, due_at)| due(*due_at))
-            .collect();
-        let undecided = ready.into_iter().filter(|(fingerprint, _)| {
-            table.status(*fingerprint, now) == QuarantineStatus::Clear
-                && self.is_cause(*fingerprint, now)
-        });
-        let mut decided = Vec::new();
-        for (fingerprint, (service, _)) in undecided {
-            let is_late = self.tracker.crash_count(fingerprint, now) >= MANY_CRASHES;
+        let due = |pending: &mut Pending| pending.due_at <= now;
+        let ready = self.pending.extract_if(.., |_, p| due(p));
+        let mut ready: Vec<(Fingerprint, Pending)> = ready.collect();
+        // The narrowest first: it explains crashes of the broader ones.
+        ready.sort_by_key(|(fingerprint, _)| self.tracker.breadth(*fingerprint));
+        if !ready.is_empty() {
+            self.update_causes(table, now);
+        }
+        let mut decided: Vec<QuarantineRecord> = Vec::new();
+        for (fingerprint, Pending { service, .. }) in ready {
+            let is_cause = table.status(fingerprint, now) == QuarantineStatus::Clear
+                && self.tracker.is_cause(fingerprint, now);
+            if !is_cause {
+                self.on_notice.remove(&fingerprint);
+                continue;
+            }
+            if let Some(until) = self.notice_end(fingerprint, &service, now) {
+                self.decide_at(fingerprint, &service, until);
+                self.update_causes(table, now);
+                continue;
+            }
+            let is_late = self.tracker.breadth(fingerprint) == 0
+                && self.tracker.crash_count(fingerprint, now) >= MANY_CRASHES;
             decided.push(quarantine(fingerprint, &service, 1 + u32::from(is_late)));
             let released = table.fingerprints().filter(|p| {
                 table.offences(*p, now) == 1 && self.tracker.outweighs(fingerprint, *p, now)
@@ -141,12 +195,55 @@
         decided
     }
 
+    /// Parts that have just been put on notice.
+    pub fn take_notices(&mut self) -> Vec<SuspectNotice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// When the notice of a candidate ends; `None` if it is over or none is needed. Puts a part on
+    /// notice that is not.
+    fn notice_end(
+        &mut self,
+        fingerprint: Fingerprint,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Option<Instant> {
+        if self.tracker.breadth(fingerprint) == 0 {
+            return None;
+        }
+        if let Some(until) = self.on_notice.get(&fingerprint).copied() {
+            let is_over = until <= now;
+            if is_over {
+                self.on_notice.remove(&fingerprint);
+            }
+            return (!is_over).then_some(until);
+        }
+        let period = match self.tracker.has_completed(fingerprint) {
+            true => COMPLETED_NOTICE_PERIOD,
+            false => NOTICE_PERIOD,
+        };
+        if self.on_notice.len() < MAX_NOTICES {
+            self.on_notice.insert(fingerprint, now + period);
+            self.notices.push(SuspectNotice {
+                fingerprint,
+                service: service.clone(),
+            });
+        }
+        Some(now + period)
+    }
+
+    fn update_causes(&mut self, table: &QuarantineTable, now: Instant) {
+        let known = table.fingerprints().chain(self.on_notice.keys().copied());
+        self.tracker.update_causes(known, now);
+    }
+
     /// When [`QuarantineCoordinator::decide`] has to be called next.
     pub fn next_decision(&self) -> Option<Instant> {
-        self.pending.values().map(|(_, due_at)| *due_at).min()
+        self.pending.values().map(|p| p.due_at).min()
     }
 
-    /// Permits one attempt of a request whose quarantine is over, which ends within `lease`.
+    /// Permits one attempt of a request whose quarantine, or that of its part, is over. It ends
+    /// within `lease`.
     /// Returns the decision that keeps other nodes from trying it too; `None` if it may run freely.
     ///
     /// # Errors
@@ -154,7 +251,7 @@
     pub fn request_trial(
         &mut self,
         service: &ServiceName,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         lease: Duration,
         table: &QuarantineTable,
         now: Instant,
@@ -174,16 +271,9 @@
             }
         }
     }
-
-    fn is_cause(&self, fingerprint: RequestFingerprint, now: Instant) -> bool {
-        matches!(
-            self.tracker.status(fingerprint, now),
-            SuspectStatus::Quarantined { .. }
-        )
-    }
 }
 
-fn clear(fingerprint: RequestFingerprint, service: &ServiceName) -> QuarantineRecord {
+fn clear(fingerprint: Fingerprint, service: &ServiceName) -> QuarantineRecord {
     QuarantineRecord {
         fingerprint,
         service: service.clone(),
@@ -193,11 +283,7 @@
     }
 }
 
-fn quarantine(
-    fingerprint: RequestFingerprint,
-    service: &ServiceName,
-    offences: u32,
-) -> QuarantineRecord {
+fn quarantine(fingerprint: Fingerprint, service: &ServiceName, offences: u32) -> QuarantineRecord {
     let index = (offences.max(1) as usize - 1).min(RETRY_AFTER.len() - 1);
     QuarantineRecord {
         fingerprint,
--- a/crates/route/src/quarantine/mod.rs
+++ b/crates/route/src/quarantine/mod.rs
@@ -5,13 +5,12 @@
 //! crashes to the [`QuarantineCoordinator`] of the service, which finds the cause and sends its
 //! decisions, which are few, to all nodes. Each node applies them from its [`QuarantineTable`].
 //!
-//! A request that was quarantined by mistake is cleared by a trial: after some seconds one attempt
-//! is permitted in the whole fleet. Each failed trial lengthens the quarantine.
+//! A request, or a part of prompts, that was quarantined by mistake is cleared by a trial: after some
+//! seconds one attempt is permitted in the whole fleet. Each failed trial lengthens the quarantine.
+//! Quarantining a part rejects all requests with it, so nodes are first asked whether any completed.
 
 mod coordinator;
 mod table;
 
-pub use crate::quarantine::coordinator::{
-    MAX_REPORTED_REQUESTS, QuarantineCoordinator, TrialDenied,
-};
+pub use crate::quarantine::coordinator::{QuarantineCoordinator, SuspectNotice, TrialDenied};
 pub use crate::quarantine::table::{QuarantineRecord, QuarantineStatus, QuarantineTable};
--- a/crates/route/src/quarantine/table.rs
+++ b/crates/route/src/quarantine/table.rs
@@ -5,7 +5,7 @@
 
 use eelgrassmill_base::{ServiceName, value};
 
-use crate::suspects::RequestFingerprint;
+use crate::suspects::{CrashCandidate, Fingerprint};
 
 /// Maximum number of requests kept; the one that was decided first is dropped first.
 const MAX_REQUESTS: usize = 256;
@@ -19,7 +19,7 @@
     /// A decision on a request, as nodes send it to each other.
     pub struct QuarantineRecord {
         /// The request.
-        pub fingerprint: RequestFingerprint,
+        pub fingerprint: Fingerprint,
         /// The service whose hosts it crashed.
         pub service: ServiceName,
         /// How often it was quarantined since it last completed; 0 if it is cleared.
@@ -32,7 +32,7 @@
 }
 
 value! { copy
-    /// Whether a request may run.
+    /// Whether a request may run, the least strict first.
     pub enum QuarantineStatus {
         /// Without restriction.
         Clear,
@@ -67,7 +67,7 @@
 /// Quarantined and recently cleared requests.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
-    requests: BTreeMap<RequestFingerprint, Entry>,
+    requests: BTreeMap<Fingerprint, Entry>,
 }
 
 impl QuarantineTable {
@@ -82,13 +82,13 @@
     }
 
     /// Fingerprints of the quarantined requests.
-    pub(crate) fn fingerprints(&self) -> impl Iterator<Item = RequestFingerprint> {
+    pub(crate) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
         let quarantined = self.requests.iter().filter(|(_, e)| e.offences > 0);
         quarantined.map(|(fingerprint, _)| *fingerprint)
     }
 
     /// Returns whether the request may run.
-    pub fn status(&self, fingerprint: RequestFingerprint, now: Instant) -> QuarantineStatus {
+    pub fn status(&self, fingerprint: Fingerprint, now: Instant) -> QuarantineStatus {
         let entry = self.requests.get(&fingerprint);
         let Some(entry) = entry.filter(|e| e.offences > 0 && now < e.expires_at()) else {
             return QuarantineStatus::Clear;
@@ -101,13 +101,27 @@
         }
     }
 
+    /// The strictest status of a request and the parts of its prompt.
+    pub fn status_of_all(&self, candidates: &[CrashCandidate], now: Instant) -> QuarantineStatus {
+        let statuses = candidates.iter().map(|c| self.status(c.fingerprint, now));
+        statuses.max().unwrap_or(QuarantineStatus::Clear)
+    }
+
+    /// The broadest candidate whose trial is due.
+    pub fn trial_due(&self, candidates: &[CrashCandidate], now: Instant) -> Option<Fingerprint> {
+        let is_due =
+            |c: &&CrashCandidate| self.status(c.fingerprint, now) == QuarantineStatus::TrialDue;
+        let broadest = candidates.iter().filter(is_due).max_by_key(|c| c.breadth);
+        broadest.map(|c| c.fingerprint)
+    }
+
     /// The service whose hosts the request crashed, if it is known.
-    pub fn service(&self, fingerprint: RequestFingerprint) -> Option<&ServiceName> {
+    pub fn service(&self, fingerprint: Fingerprint) -> Option<&ServiceName> {
         self.requests.get(&fingerprint).map(|e| &e.service)
     }
 
     /// How often the request was quarantined since it last completed.
-    pub fn offences(&self, fingerprint: RequestFingerprint, now: Instant) -> u32 {
+    pub fn offences(&self, fingerprint: Fingerprint, now: Instant) -> u32 {
         let entry = self.requests.get(&fingerprint);
         let entry = entry.filter(|e| now < e.expires_at());
         entry.map_or(0, |e| e.offences)
--- /dev/null
+++ b/crates/route/src/suspects/cause.rs
@@ -0,0 +1,285 @@
+//! Which candidates are the likely causes of crashes.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use crate::suspects::record::Crash;
+use crate::suspects::{
+    COMMON_CAUSE_WINDOW, CRASH_TTL, CrashId, Fingerprint, MAX_TIME_TO_CRASH, SuspectTracker,
+};
+
+/// Error of the times that nodes report: their messages' time on the way.
+const TIME_ERROR: Duration = Duration::from_millis(25);
+
+/// Crashes without a common cause that quarantine a request.
+const MIN_CRASHES: usize = 2;
+/// Crashes that quarantine a candidate regardless of other explanations. Two crashing
+/// requests at the same time look like a common cause, and without this bound neither
+/// would ever be quarantined.
+const CRASH_LIMIT: usize = 3;
+/// The same if all were in one failure domain, which may itself be failing. Must exceed
+/// the attempts of one request.
+const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
+/// Further crashes that quarantine a request although another one was in all of its crashes.
+const SHARED_CRASHES: usize = 2;
+/// The limit for a part of which a request has completed before: hosts may have changed since.
+const COMPLETED_CRASH_LIMIT: usize = 6;
+/// Multiple of the limit at which a part is the likelier cause than several narrower parts, each
+/// in some of its crashes.
+const COVERED_CRASH_FACTOR: usize = 2;
+
+impl SuspectTracker {
+    /// Updates which crashes the known causes explain, and which prompt parts were in several.
+    /// The other methods of this file use the result.
+    pub(crate) fn update_causes(
+        &mut self,
+        known: impl IntoIterator<Item = Fingerprint>,
+        now: Instant,
+    ) {
+        self.known_causes = known.into_iter().collect();
+        for crash in self.crashes.values_mut() {
+            crash.known_causes.clear();
+            crash.narrowest_part = None;
+        }
+        for cause in &self.known_causes {
+            let ids = self.appearances.get(cause).map(|a| &a.crashes);
+            for id in ids.into_iter().flatten() {
+                if let Some(crash) = self.crashes.get_mut(id) {
+                    crash.known_causes.push(*cause);
+                }
+            }
+        }
+        let parts: Vec<(Fingerprint, u8)> = self
+            .repeated
+            .iter()
+            .map(|p| (*p, self.breadth(*p)))
+            .filter(|(p, breadth)| *breadth > 0 && !self.has_completed(*p))
+            .filter(|(p, _)| self.crashes_of(*p, now).len() >= MIN_CRASHES)
+            .collect();
+        for (part, breadth) in parts {
+            let ids = self.appearances.get(&part).map(|a| a.crashes.clone());
+            for id in ids.into_iter().flatten() {
+                if let Some(crash) = self.crashes.get_mut(&id) {
+                    let narrowest = crash.narrowest_part.unwrap_or(breadth);
+                    crash.narrowest_part = Some(narrowest.min(breadth));
+                }
+            }
+        }
+    }
+
+    /// Whether the candidate is the likely cause of its crashes.
+    pub(crate) fn is_cause(&self, candidate: Fingerprint, now: Instant) -> bool {
+        let crashes = self.crashes_of(candidate, now);
+        if crashes.is_empty() {
+            return false;
+        }
+        if self.breadth(candidate) > 0 {
+            return self.is_cause_as_part(candidate, &crashes, now);
+        }
+        let independent = self.without_common_cause(&crashes);
+        self.is_over_limit(candidate, &crashes, now)
+            || self.is_only_cause(candidate, &independent, now)
+    }
+
+    /// 0 for a request; a broader part has a larger one.
+    pub(crate) fn breadth(&self, candidate: Fingerprint) -> u8 {
+        self.appearances.get(&candidate).map_or(0, |a| a.breadth)
+    }
+
+    /// Whether a request with this candidate has completed since the first crash that is kept.
+    pub(crate) fn has_completed(&self, candidate: Fingerprint) -> bool {
+        self.cleared.contains_key(&candidate)
+    }
+
+    /// Returns the crashes that count against the candidate, in the order of time.
+    pub(crate) fn crashes_of(&self, candidate: Fingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
+        let unexplained = self.unexplained_crashes(candidate, now);
+        successive(candidate, unexplained)
+    }
+
+    /// Returns the crashes in which the candidate was running, in the order of time.
+    fn crashes_with(&self, candidate: Fingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
+        let ids = self.appearances.get(&candidate).map(|a| &a.crashes);
+        let mut crashes: SmallVec<[&Crash; 4]> = ids
+            .into_iter()
+            .flatten()
+            .filter_map(|id: &CrashId| self.crashes.get(id))
+            .filter(|c| now.saturating_duration_since(c.at) < CRASH_TTL)
+            .filter(|c| self.may_have_caused(candidate, c))
+            .collect();
+        crashes.sort_by_key(|c| c.at);
+        crashes
+    }
+
+    /// The same, without those of which another candidate is known to be the cause.
+    fn unexplained_crashes(&self, candidate: Fingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
+        let mut crashes = self.crashes_with(candidate, now);
+        let mut causes: SmallVec<[Fingerprint; 4]> = SmallVec::new();
+        for crash in &crashes {
+            let known = crash.known_causes.iter().copied();
+            let others = known.filter(|p| *p != candidate && self.may_have_caused(*p, crash));
+            causes.extend(others);
+        }
+        causes.sort_unstable();
+        causes.dedup();
+        for cause in causes {
+            if !self.outweighs(candidate, cause, now) {
+                crashes.retain(|c| !c.running.contains_key(&cause));
+            }
+        }
+        crashes
+    }
+
+    /// Whether the candidate was running in the crash, has not completed since, and had not written
+    /// for so long that the crash has another cause.
+    fn may_have_caused(&self, candidate: Fingerprint, crash: &Crash) -> bool {
+        let cleared = self.cleared.get(&candidate);
+        let run = crash.running.get(&candidate);
+        run.is_some_and(|run| run.breadth == 0 || run.wrote_for < MAX_TIME_TO_CRASH)
+            && cleared.is_none_or(|at| crash.at > *at)
+    }
+
+    /// Whether the candidate was running in all crashes in which `other` was, and in more. A part
+    /// doesn't outweigh a narrower one, which is in fewer crashes whatever their cause.
+    ///
+    /// A request that is sent again after each crash gets into several crashes of another one, but
+    /// not into all of them.
+    pub(crate) fn outweighs(
+        &self,
+        candidate: Fingerprint,
+        other: Fingerprint,
+        now: Instant,
+    ) -> bool {
+        let narrower = 1..self.breadth(candidate);
+        if narrower.contains(&self.breadth(other)) {
+            return false;
+        }
+        let theirs = self.crashes_with(other, now);
+        let has_all = theirs.iter().all(|c| self.may_have_caused(candidate, c));
+        has_all && !theirs.is_empty() && self.crashes_with(candidate, now).len() > theirs.len()
+    }
+
+    /// Whether a prompt part is the likely cause. Requests that hold it hold broader and narrower
+    /// parts too; the narrowest one that explains the crashes is.
+    fn is_cause_as_part(&self, part: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
+        let breadth = self.breadth(part);
+        let is_covered = |c: &&&Crash| c.narrowest_part.is_some_and(|other| other < breadth);
+        let uncovered = crashes.iter().filter(|c| !is_covered(c)).count();
+        if self.has_completed(part) {
+            return uncovered >= COMPLETED_CRASH_LIMIT && !is_one_request(crashes);
+        }
+        if uncovered >= quarantine_threshold(crashes) {
+            return !is_one_request(crashes);
+        }
+        let all = successive(part, self.crashes_with(part, now));
+        all.len() >= quarantine_threshold(&all) * COVERED_CRASH_FACTOR && !is_one_request(&all)
+    }
+
+    /// Whether a request was in enough crashes that no other candidate explains.
+    fn is_only_cause(&self, request: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
+        let own = crashes.len();
+        let may_be_cause = |p: &Fingerprint| {
+            let theirs = match self.repeated.contains(p) {
+                true => self.crashes_of(*p, now).len(),
+                false => 1,
+            };
+            // A broader candidate is in as many crashes, whatever their cause.
+            let is_likely = theirs >= MIN_CRASHES && (self.breadth(*p) == 0 || theirs > own);
+            is_likely && !self.outweighs(request, *p, now)
+        };
+        let others = |c: &Crash| c.running.keys().any(|p| *p != request && may_be_cause(p));
+        own >= MIN_CRASHES && crashes.iter().any(|c| !others(c))
+    }
+
+    /// Whether a request was in too many crashes.
+    fn is_over_limit(&self, request: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
+        let Some((first, rest)) = crashes.split_first() else {
+            return false;
+        };
+        let limit = quarantine_threshold(crashes);
+        let is_in_all = |p: &Fingerprint| rest.iter().all(|c| c.running.contains_key(p));
+        let others = first.requests().filter(|p| *p != request);
+        let likelihood = self.likelihood(request, now);
+        let likelier = others
+            .filter(is_in_all)
+            .map(|p| self.likelihood(p, now))
+            .filter(|other| *other >= likelihood)
+            .max();
+        match likelier {
+            None => crashes.len() >= limit,
+            Some(other) => other == likelihood && crashes.len() >= limit + SHARED_CRASHES,
+        }
+    }
+
+    /// Orders requests that were in the same crashes by how likely each is the cause.
+    ///
+    /// Requests that are retried beside a crashing one get into several crashes too, but not into
+    /// all of them. A crashing one rarely produces output first.
+    fn likelihood(&self, request: Fingerprint, now: Instant) -> (usize, Reverse<usize>) {
+        let crashes = self.unexplained_crashes(request, now);
+        let has_started = |c: &&&Crash| c.running.get(&request).is_some_and(|run| run.started);
+        let started = crashes.iter().filter(has_started);
+        (crashes.len(), Reverse(started.count()))
+    }
+
+    pub(crate) fn without_common_cause<'a>(
+        &self,
+        crashes: &[&'a Crash],
+    ) -> SmallVec<[&'a Crash; 4]> {
+        let all = crashes.iter().copied();
+        all.filter(|c| !self.has_common_cause(c)).collect()
+    }
+
+    /// Returns whether the failure domain is the likelier cause of the crash.
+    ///
+    /// A failing rack or switch takes down groups that have no request in common.
+    /// Without this check, any request retried within the domain would be quarantined.
+    fn has_common_cause(&self, crash: &Crash) -> bool {
+        self.crashes.values().any(|other| {
+            other.failure_domain == crash.failure_domain
+                && abs_diff(other.at, crash.at) < COMMON_CAUSE_WINDOW
+                && other.has_no_request_of(crash)
+        })
+    }
+}
+
+/// Keeps the crashes in which a run of the candidate began after the previous one that is kept:
+/// hosts that fail at the same time crash under the same requests, and a crashing request crashes
+/// the next host only once it is sent there.
+fn successive(candidate: Fingerprint, mut crashes: SmallVec<[&Crash; 4]>) -> SmallVec<[&Crash; 4]> {
+    let mut last: Option<Instant> = None;
+    crashes.retain(|c| {
+        let began = c.running.get(&candidate).map_or(c.at, |run| run.began);
+        let is_later = |last| began + TIME_ERROR > last && c.at > last + TIME_ERROR;
+        let counts = last.is_none_or(is_later);
+        if counts {
+            last = Some(c.at);
+        }
+        counts
+    });
+    crashes
+}
+
+/// Whether one request was in all of the crashes, and so may be the cause instead of its parts.
+fn is_one_request(crashes: &[&Crash]) -> bool {
+    let Some((first, rest)) = crashes.split_first() else {
+        return false;
+    };
+    let mut requests = first.requests();
+    requests.any(|p| rest.iter().all(|c| c.running.contains_key(&p)))
+}
+
+fn quarantine_threshold(crashes: &[&Crash]) -> usize {
+    let same_domain = |c: &[&Crash]| c[0].failure_domain == c[1].failure_domain;
+    match crashes.windows(2).all(same_domain) {
+        true => ONE_DOMAIN_CRASH_LIMIT,
+        false => CRASH_LIMIT,
+    }
+}
+
+fn abs_diff(a: Instant, b: Instant) -> Duration {
+    a.saturating_duration_since(b)
+        .max(b.saturating_duration_since(a))
+}
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -1,29 +1,38 @@
-//! Finds requests that crash every target that runs them.
+//! Finds what crashes every target that runs it: a request, or a part of its prompt.
 //!
-//! Every request running on a group when it crashes becomes a suspect and is
-//! retried in isolation: one suspect per group at a time. A request is quarantined
-//! after two crashes without another common cause, if in one of them no other
-//! request had been in two crashes; or after any three crashes, four if all were
-//! in one failure domain, unless another request was in all of them. The state is
-//! a set of crashes merged by union, so nodes converge whatever order updates
-//! arrive in.
+//! Every request running on a group when it crashes is a candidate, and so is each part of its
+//! prompt that other requests may share. All compete for the crashes:
+//!
+//! - A request is quarantined after two crashes without another common cause, if in one of them no
+//!   other request had been in two crashes; or after any three crashes, four if all were in one
+//!   failure domain, unless another request was in all of them.
+//! - A part is quarantined after three crashes, or four in one domain, that neither one request nor a
+//!   narrower part explains. A part that has completed before needs more.
+//! - Completions clear candidates. A part is also no cause of a crash if a request with it had long
+//!   been writing on the host.
+//!
+//! Suspect requests are retried in isolation: one per group at a time. The state is a set of crashes
+//! merged by union, so nodes converge whatever order updates arrive in.
 
+mod candidate;
+mod cause;
 mod record;
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, stable_hash, value};
 use smallvec::SmallVec;
 
+pub use crate::suspects::candidate::{
+    BrokenRun, CrashCandidate, CrashCandidates, Fingerprint, MAX_REPORTED_CANDIDATES, PartId,
+    crash_candidates, crashed_runs, request_fingerprint,
+};
 pub use crate::suspects::record::{
     ClearedRecord, CrashRecord, CrashedRun, SuspectUpdate, TrialRecord,
 };
 use crate::suspects::record::{Crash, Run};
 
-/// Fingerprint of a request, the same whenever its caller sends it again.
-pub type RequestFingerprint = u64;
 /// Identifies one crash of one group, the same at every node that saw it.
 pub type CrashId = u64;
 
@@ -36,35 +45,19 @@
 /// are attributed to the domain and not to a request.
 pub const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(5);
 
-/// Error of the times that nodes report: their messages' time on the way.
-const TIME_ERROR: Duration = Duration::from_millis(25);
+/// Longest time from a run's first output to the crash that a part of its prompt causes. Hosts
+/// process the prompt before they write.
+pub const MAX_TIME_TO_CRASH: Duration = Duration::from_millis(500);
 
 /// Maximum number of crashes kept unless set otherwise; the oldest is dropped first.
 const MAX_CRASHES: usize = 64;
+/// Maximum number of candidates in all crashes that are kept; the oldest crash is dropped first.
+const MAX_CANDIDATES: usize = 32 << 10;
+/// Maximum number of crashes kept for one candidate, the newest ones.
+const MAX_CRASHES_OF_CANDIDATE: usize = 32;
 /// How long a trial reported by another node counts without being reported again.
 const TRIAL_TTL: Duration = Duration::from_secs(60);
 
-/// Crashes without a common cause that quarantine a request.
-const MIN_CRASHES: usize = 2;
-/// Crashes that quarantine a request regardless of other explanations. Two crashing
-/// requests at the same time look like a common cause, and without this bound neither
-/// would ever be quarantined.
-const CRASH_LIMIT: usize = 3;
-/// The same if all were in one failure domain, which may itself be failing. Must exceed
-/// the attempts of one request.
-const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
-/// Further crashes that quarantine a request although another one was in all of its crashes.
-const SHARED_CRASHES: usize = 2;
-
-/// Hashes a request so that identical requests of a tenant share a fingerprint.
-pub fn request_fingerprint(
-    tenant: &str,
-    service: &str,
-    body: impl AsRef<[u8]>,
-) -> RequestFingerprint {
-    stable_hash([tenant.as_bytes(), service.as_bytes(), body.as_ref()])
-}
-
 /// Returns the id of a crash: of one epoch of a group, or of a host that started at a certain time.
 pub fn crash_id(name: &str, epoch_or_start: u64) -> CrashId {
     stable_hash([name, &epoch_or_start.to_string()])
@@ -87,24 +80,37 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Trial {
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
     until: Instant,
     local: bool,
 }
 
+/// The crashes in which a candidate was running.
+#[derive(Clone, Debug, Default)]
+struct Appearances {
+    /// In the order in which they became known.
+    crashes: SmallVec<[CrashId; 2]>,
+    /// The largest of its breadths.
+    breadth: u8,
+}
+
 /// Crashes, suspects and their trials as known to one node.
 #[derive(Clone, Debug)]
 pub struct SuspectTracker {
     max_crashes: usize,
     crashes: BTreeMap<CrashId, Crash>,
-    /// Invariant: for each request, the crashes in which it was running.
-    by_fingerprint: BTreeMap<RequestFingerprint, SmallVec<[CrashId; 2]>>,
-    /// When a request last completed on a group that stayed up; earlier crashes don't count.
-    cleared: BTreeMap<RequestFingerprint, Instant>,
+    /// Invariant: only candidates that were in a crash which is kept.
+    appearances: BTreeMap<Fingerprint, Appearances>,
+    /// Invariant: the candidates with several crashes in `appearances`.
+    repeated: BTreeSet<Fingerprint>,
+    /// Invariant: the number of candidates in all `crashes`.
+    candidate_count: usize,
+    /// When a candidate last completed on a group that stayed up; earlier crashes don't count.
+    cleared: BTreeMap<Fingerprint, Instant>,
     trials: BTreeMap<GroupId, Trial>,
-    /// Requests that are known to crash what runs them. Crashes with one of them don't count
+    /// Candidates that are known to crash what runs them. Crashes with one of them don't count
     /// against others.
-    known_causes: BTreeSet<RequestFingerprint>,
+    known_causes: BTreeSet<Fingerprint>,
 }
 
 impl Default for SuspectTracker {
@@ -119,18 +125,15 @@
         SuspectTracker {
             max_crashes,
             crashes: BTreeMap::new(),
-            by_fingerprint: BTreeMap::new(),
+            appearances: BTreeMap::new(),
+            repeated: BTreeSet::new(),
+            candidate_count: 0,
             cleared: BTreeMap::new(),
             trials: BTreeMap::new(),
             known_causes: BTreeSet::new(),
         }
     }
 
-    /// Sets the requests that are known to crash what runs them.
-    pub fn set_known_causes(&mut self, causes: impl IntoIterator<Item = RequestFingerprint>) {
-        self.known_causes = causes.into_iter().collect();
-    }
-
     /// Records a group's crash and the requests that this node had running on it.
     ///
     /// Crashes with no request running count too: they can show that the failure domain
@@ -140,7 +143,7 @@
         group: &GroupId,
         epoch: Epoch,
         failure_domain: &FailureDomain,
-        running: impl IntoIterator<Item = RequestFingerprint>,
+        running: impl IntoIterator<Item = Fingerprint>,
         now: Instant,
     ) {
         self.trials.remove(group);
@@ -150,14 +153,14 @@
     }
 
     /// Clears a request that completed on a group that stayed up.
-    pub fn on_completed(&mut self, fingerprint: RequestFingerprint, now: Instant) {
-        if self.by_fingerprint.contains_key(&fingerprint) {
+    pub fn on_completed(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if self.appearances.contains_key(&fingerprint) {
             self.cleared.insert(fingerprint, now);
         }
     }
 
     /// Returns how the request is allowed to run.
-    pub fn status(&self, fingerprint: RequestFingerprint, now: Instant) -> SuspectStatus {
+    pub fn status(&self, fingerprint: Fingerprint, now: Instant) -> SuspectStatus {
         let all = self.crashes_of(fingerprint, now);
         let Some(last_crash) = all.iter().map(|c| c.at).max() else {
             return SuspectStatus::Clear;
@@ -167,8 +170,7 @@
             return SuspectStatus::Clear;
         }
         let age = now.saturating_duration_since(last_crash);
-        let quarantined = self.is_over_limit(fingerprint, &all, now)
-            || self.is_crash_cause(fingerprint, &independent, now);
+        let quarantined = self.is_cause(fingerprint, now);
         match quarantined && age < QUARANTINE_TERM {
             true => SuspectStatus::Quarantined {
                 retry_after: QUARANTINE_TERM - age,
@@ -178,17 +180,29 @@
     }
 
     /// Number of crashes that count against the request.
-    pub fn crash_count(&self, fingerprint: RequestFingerprint, now: Instant) -> usize {
+    pub fn crash_count(&self, fingerprint: Fingerprint, now: Instant) -> usize {
         self.crashes_of(fingerprint, now).len()
     }
 
+    /// Whether the candidate was in several of the crashes that are kept.
+    pub(crate) fn is_repeated(&self, candidate: Fingerprint) -> bool {
+        self.repeated.contains(&candidate)
+    }
+
+    /// The candidates in several crashes that were in one of this candidate's, without itself.
+    pub(crate) fn repeated_beside(&self, candidate: Fingerprint) -> Vec<Fingerprint> {
+        let ids = self.appearances.get(&candidate).map(|a| &a.crashes);
+        let crashes = ids.into_iter().flatten();
+        let running = crashes
+            .filter_map(|id| self.crashes.get(id))
+            .flat_map(|c| c.running.keys());
+        let beside = running.filter(|p| **p != candidate && self.repeated.contains(p));
+        let distinct: BTreeSet<Fingerprint> = beside.copied().collect();
+        distinct.into_iter().collect()
+    }
+
     /// Starts a suspect's trial at the group; returns false if another suspect runs there.
-    pub fn begin_trial(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        group: &GroupId,
-        now: Instant,
-    ) -> bool {
+    pub fn begin_trial(&mut self, fingerprint: Fingerprint, group: &GroupId, now: Instant) -> bool {
         if !self.may_begin_trial(group, now) {
             return false;
         }
@@ -218,7 +232,7 @@
     }
 
     /// Ends a suspect's trial at the group, whatever its outcome.
-    pub fn end_trial(&mut self, fingerprint: RequestFingerprint, group: &GroupId) {
+    pub fn end_trial(&mut self, fingerprint: Fingerprint, group: &GroupId) {
         if self
             .trials
             .get(group)
@@ -228,143 +242,6 @@
         }
     }
 
-    /// Returns the crashes that count against the request, in the order of time.
-    ///
-    /// A crash counts if the request began to run there after the last one that counts: hosts that
-    /// fail at the same time crash under the same requests, and a crashing request crashes the next
-    /// host only once it is sent there.
-    fn crashes_of(&self, fingerprint: RequestFingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
-        let mut crashes = self.unexplained_crashes(fingerprint, now);
-        let mut last: Option<Instant> = None;
-        crashes.retain(|c| {
-            let began = c.running.get(&fingerprint).map_or(c.at, |run| run.began);
-            let is_later = |last| began + TIME_ERROR > last && c.at > last + TIME_ERROR;
-            let counts = last.is_none_or(is_later);
-            if counts {
-                last = Some(c.at);
-            }
-            counts
-        });
-        crashes
-    }
-
-    /// Returns the crashes in which the request was running, in the order of time.
-    fn crashes_with(&self, fingerprint: RequestFingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
-        let ids = self.by_fingerprint.get(&fingerprint).into_iter().flatten();
-        let mut crashes: SmallVec<[&Crash; 4]> = ids
-            .filter_map(|id| self.crashes.get(id))
-            .filter(|c| now.saturating_duration_since(c.at) < CRASH_TTL)
-            .filter(|c| self.was_running(fingerprint, c))
-            .collect();
-        crashes.sort_by_key(|c| c.at);
-        crashes
-    }
-
-    /// The same, without those of which another request is known to be the cause.
-    fn unexplained_crashes(
-        &self,
-        fingerprint: RequestFingerprint,
-        now: Instant,
-    ) -> SmallVec<[&Crash; 4]> {
-        let mut crashes = self.crashes_with(fingerprint, now);
-        let others = self.known_causes.iter().filter(|p| **p != fingerprint);
-        for cause in others {
-            let explains = crashes.iter().any(|c| self.was_running(*cause, c));
-            if explains && !self.outweighs(fingerprint, *cause, now) {
-                crashes.retain(|c| !c.running.contains_key(cause));
-            }
-        }
-        crashes
-    }
-
-    /// Whether the request was running in the crash and has not completed since.
-    fn was_running(&self, fingerprint: RequestFingerprint, crash: &Crash) -> bool {
-        let cleared = self.cleared.get(&fingerprint);
-        crash.running.contains_key(&fingerprint) && cleared.is_none_or(|at| crash.at > *at)
-    }
-
-    /// Whether the request was running in all crashes in which `other` was, and in more.
-    ///
-    /// A request that is sent again after each crash gets into several crashes of another one, but
-    /// not into all of them.
-    pub(crate) fn outweighs(
-        &self,
-        fingerprint: RequestFingerprint,
-        other: RequestFingerprint,
-        now: Instant,
-    ) -> bool {
-        let theirs = self.crashes_with(other, now);
-        let has_all = theirs.iter().all(|c| self.was_running(fingerprint, c));
-        has_all && !theirs.is_empty() && self.crashes_with(fingerprint, now).len() > theirs.len()
-    }
-
-    fn is_crash_cause(
-        &self,
-        fingerprint: RequestFingerprint,
-        crashes: &[&Crash],
-        now: Instant,
-    ) -> bool {
-        let other = |p: &&RequestFingerprint| **p != fingerprint;
-        let may_be_cause = |p: &RequestFingerprint| {
-            self.crashes_of(*p, now).len() >= MIN_CRASHES && !self.outweighs(fingerprint, *p, now)
-        };
-        let no_other_cause = |c: &&Crash| !c.running.keys().filter(other).any(may_be_cause);
-        crashes.len() >= MIN_CRASHES && crashes.iter().any(no_other_cause)
-    }
-
-    /// Whether the request was in too many crashes.
-    fn is_over_limit(
-        &self,
-        fingerprint: RequestFingerprint,
-        crashes: &[&Crash],
-        now: Instant,
-    ) -> bool {
-        let Some((first, rest)) = crashes.split_first() else {
-            return false;
-        };
-        let limit = quarantine_threshold(crashes);
-        let is_in_all = |p: &RequestFingerprint| rest.iter().all(|c| c.running.contains_key(p));
-        let others = first.running.keys().filter(|p| **p != fingerprint);
-        let likelihood = self.likelihood(fingerprint, now);
-        let likelier = others
-            .filter(|p| is_in_all(p))
-            .map(|p| self.likelihood(*p, now))
-            .filter(|other| *other >= likelihood)
-            .max();
-        match likelier {
-            None => crashes.len() >= limit,
-            Some(other) => other == likelihood && crashes.len() >= limit + SHARED_CRASHES,
-        }
-    }
-
-    /// Orders requests that were in the same crashes by how likely each is the cause.
-    ///
-    /// Requests that are retried beside a crashing one get into several crashes too, but not into
-    /// all of them. A crashing one rarely produces output first.
-    fn likelihood(&self, fingerprint: RequestFingerprint, now: Instant) -> (usize, Reverse<usize>) {
-        let crashes = self.unexplained_crashes(fingerprint, now);
-        let has_started = |c: &&&Crash| c.running.get(&fingerprint).is_some_and(|run| run.started);
-        let started = crashes.iter().filter(has_started);
-        (crashes.len(), Reverse(started.count()))
-    }
-
-    fn without_common_cause<'a>(&self, crashes: &[&'a Crash]) -> SmallVec<[&'a Crash; 4]> {
-        let all = crashes.iter().copied();
-        all.filter(|c| !self.has_common_cause(c)).collect()
-    }
-
-    /// Returns whether the failure domain is the likelier cause of the crash.
-    ///
-    /// A failing rack or switch takes down groups that have no request in common.
-    /// Without this check, any request retried within the domain would be quarantined.
-    fn has_common_cause(&self, crash: &Crash) -> bool {
-        self.crashes.values().any(|other| {
-            other.failure_domain == crash.failure_domain
-                && abs_diff(other.at, crash.at) < COMMON_CAUSE_WINDOW
-                && other.is_disjoint(crash)
-        })
-    }
-
     fn merge_crash(
         &mut self,
         id: CrashId,
@@ -377,50 +254,59 @@
             .entry(id)
             .or_insert_with(|| Crash::new(failure_domain.clone(), at));
         for run in running {
-            let began = at.checked_sub(run.ran_for).unwrap_or(at);
-            let known = crash.running.entry(run.fingerprint).or_insert_with(|| {
-                let crashes = self.by_fingerprint.entry(run.fingerprint).or_default();
-                crashes.push(id);
-                Run {
-                    began,
-                    started: run.started,
-                }
-            });
-            known.began = known.began.max(began);
-            known.started |= run.started;
+            let found = Run::new(&run, at);
+            if let Some(known) = crash.running.get_mut(&run.fingerprint) {
+                known.merge(&found);
+                continue;
+            }
+            crash.running.insert(run.fingerprint, found);
+            self.candidate_count += 1;
+            let appearances = self.appearances.entry(run.fingerprint).or_default();
+            appearances.breadth = appearances.breadth.max(run.breadth);
+            if appearances.crashes.len() >= MAX_CRASHES_OF_CANDIDATE {
+                appearances.crashes.remove(0);
+            }
+            appearances.crashes.push(id);
+            if appearances.crashes.len() > 1 {
+                self.repeated.insert(run.fingerprint);
+            }
         }
     }
 
     fn prune(&mut self, now: Instant) {
-        let expired = |at: Instant| now.saturating_duration_since(at) >= CRASH_TTL;
-        self.crashes.retain(|_, c| !expired(c.at));
-        while self.crashes.len() > self.max_crashes {
+        self.trials.retain(|_, t| t.local || now < t.until);
+        let expired = |c: &Crash| now.saturating_duration_since(c.at) >= CRASH_TTL;
+        let is_over = |s: &SuspectTracker| {
+            s.crashes.len() > s.max_crashes || s.candidate_count > MAX_CANDIDATES
+        };
+        if !is_over(self) && !self.crashes.values().any(expired) {
+            let appearances = &self.appearances;
+            self.cleared.retain(|p, _| appearances.contains_key(p));
+            return;
+        }
+        self.crashes.retain(|_, c| !expired(c));
+        self.count_candidates();
+        while is_over(self) {
             let oldest = self.crashes.iter().min_by_key(|(id, c)| (c.at, **id));
             let Some(id) = oldest.map(|(id, _)| *id) else {
                 break;
             };
-            self.crashes.remove(&id);
+            if let Some(dropped) = self.crashes.remove(&id) {
+                self.candidate_count -= dropped.running.len();
+            }
         }
         let crashes = &self.crashes;
-        self.by_fingerprint.retain(|_, ids| {
-            ids.retain(|id| crashes.contains_key(id));
-            !ids.is_empty()
+        self.appearances.retain(|_, a| {
+            a.crashes.retain(|id| crashes.contains_key(id));
+            !a.crashes.is_empty()
         });
-        let by_fingerprint = &self.by_fingerprint;
-        self.cleared.retain(|p, _| by_fingerprint.contains_key(p));
-        self.trials.retain(|_, t| t.local || now < t.until);
+        let appearances = &self.appearances;
+        self.repeated
+            .retain(|p| appearances.get(p).is_some_and(|a| a.crashes.len() > 1));
+        self.cleared.retain(|p, _| appearances.contains_key(p));
     }
-}
 
-fn quarantine_threshold(crashes: &[&Crash]) -> usize {
-    let same_domain = |c: &[&Crash]| c[0].failure_domain == c[1].failure_domain;
-    match crashes.windows(2).all(same_domain) {
-        true => ONE_DOMAIN_CRASH_LIMIT,
-        false => CRASH_LIMIT,
+    fn count_candidates(&mut self) {
+        self.candidate_count = self.crashes.values().map(|c| c.running.len()).sum();
     }
 }
-
-fn abs_diff(a: Instant, b: Instant) -> Duration {
-    a.saturating_duration_since(b)
-        .max(b.saturating_duration_since(a))
-}
--- a/crates/route/src/suspects/record.rs
+++ b/crates/route/src/suspects/record.rs
@@ -4,22 +4,49 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{FailureDomain, GroupId, value};
+use smallvec::SmallVec;
 
-use crate::suspects::{CrashId, RequestFingerprint, SuspectTracker, TRIAL_TTL, Trial};
+use crate::suspects::{CrashId, Fingerprint, MAX_TIME_TO_CRASH, SuspectTracker, TRIAL_TTL, Trial};
 
 #[derive(Clone, Debug)]
 pub(crate) struct Crash {
     pub(crate) failure_domain: FailureDomain,
     pub(crate) at: Instant,
-    pub(crate) running: BTreeMap<RequestFingerprint, Run>,
+    pub(crate) running: BTreeMap<Fingerprint, Run>,
+    /// Those that are known to crash what runs them.
+    pub(crate) known_causes: SmallVec<[Fingerprint; 2]>,
+    /// The least breadth of the prompt parts that were in further crashes too.
+    pub(crate) narrowest_part: Option<u8>,
 }
 
-/// A request's run on a group that crashed. Of several runs of one request, the one that began last.
+/// A candidate's runs on a group that crashed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
+    pub(crate) breadth: u8,
+    /// When the last of them began.
     pub(crate) began: Instant,
-    /// Whether any of its runs there had produced output.
+    /// Whether any of them had produced output.
     pub(crate) started: bool,
+    /// The longest time for which one of them had produced output.
+    pub(crate) wrote_for: Duration,
+}
+
+impl Run {
+    pub(crate) fn new(run: &CrashedRun, crashed_at: Instant) -> Run {
+        Run {
+            breadth: run.breadth,
+            began: crashed_at.checked_sub(run.ran_for).unwrap_or(crashed_at),
+            started: run.started,
+            wrote_for: run.wrote_for,
+        }
+    }
+
+    pub(crate) fn merge(&mut self, other: &Run) {
+        self.breadth = self.breadth.max(other.breadth);
+        self.began = self.began.max(other.began);
+        self.started |= other.started;
+        self.wrote_for = self.wrote_for.max(other.wrote_for);
+    }
 }
 
 impl Crash {
@@ -28,31 +55,46 @@
             failure_domain,
             at,
             running: BTreeMap::new(),
+            known_causes: SmallVec::new(),
+            narrowest_part: None,
         }
     }
 
+    /// The requests that were running.
+    pub(crate) fn requests(&self) -> impl Iterator<Item = Fingerprint> {
+        let requests = self.running.iter().filter(|(_, run)| run.breadth == 0);
+        requests.map(|(fingerprint, _)| *fingerprint)
+    }
+
     fn runs(&self) -> impl Iterator<Item = CrashedRun> {
         self.running.iter().map(|(fingerprint, run)| CrashedRun {
             fingerprint: *fingerprint,
+            breadth: run.breadth,
             ran_for: self.at.saturating_duration_since(run.began),
             started: run.started,
+            wrote_for: run.wrote_for,
         })
     }
 
-    pub(crate) fn is_disjoint(&self, other: &Crash) -> bool {
-        !self.running.keys().any(|p| other.running.contains_key(p))
+    /// Whether no request was running in both crashes.
+    pub(crate) fn has_no_request_of(&self, other: &Crash) -> bool {
+        !self.requests().any(|p| other.running.contains_key(&p))
     }
 }
 
 value! {
-    /// A request that was running in a crash.
+    /// A request, or a part of prompts, that was running in a crash.
     pub struct CrashedRun {
-        /// The request.
-        pub fingerprint: RequestFingerprint,
-        /// Time from the start of its run to the crash; zero if unknown.
+        /// Identifies it.
+        pub fingerprint: Fingerprint,
+        /// 0 for a request; see [`CrashCandidate`](crate::CrashCandidate).
+        pub breadth: u8,
+        /// Time from the start of its last run to the crash; zero if unknown.
         pub ran_for: Duration,
-        /// Whether it had produced output there.
+        /// Whether a run had produced output there.
         pub started: bool,
+        /// The longest time from the first output of a run to its last one.
+        pub wrote_for: Duration,
     }
 
     /// A crash and the requests running in it, as known to the sender.
@@ -63,14 +105,14 @@
         pub failure_domain: FailureDomain,
         /// Time since the sender saw it.
         pub age: Duration,
-        /// The requests running on the group.
+        /// What was running on the group.
         pub running: Vec<CrashedRun>,
     }
 
-    /// A request that completed after a crash.
+    /// A request, or a part of prompts, that completed after a crash.
     pub struct ClearedRecord {
-        /// The request.
-        pub fingerprint: RequestFingerprint,
+        /// Identifies it.
+        pub fingerprint: Fingerprint,
         /// Time since it completed.
         pub age: Duration,
     }
@@ -78,7 +120,7 @@
     /// A suspect running on a group now.
     pub struct TrialRecord {
         /// The suspect.
-        pub fingerprint: RequestFingerprint,
+        pub fingerprint: Fingerprint,
         /// The group.
         pub group: GroupId,
     }
@@ -95,17 +137,35 @@
     }
 }
 
-impl From<RequestFingerprint> for CrashedRun {
+impl From<Fingerprint> for CrashedRun {
     /// A run of which nothing else is known.
-    fn from(fingerprint: RequestFingerprint) -> CrashedRun {
+    fn from(fingerprint: Fingerprint) -> CrashedRun {
         CrashedRun {
             fingerprint,
+            breadth: 0,
             ran_for: Duration::ZERO,
             started: false,
+            wrote_for: Duration::ZERO,
         }
     }
 }
 
+impl CrashedRun {
+    /// Adds another run of the same candidate in the same crash.
+    pub(crate) fn merge(&mut self, other: &CrashedRun) {
+        self.breadth = self.breadth.max(other.breadth);
+        self.ran_for = self.ran_for.min(other.ran_for);
+        self.started |= other.started;
+        self.wrote_for = self.wrote_for.max(other.wrote_for);
+    }
+
+    /// Whether it may have caused the crash: a part doesn't crash a host long after the first
+    /// output.
+    pub(crate) fn may_be_cause(&self) -> bool {
+        self.breadth == 0 || self.wrote_for < MAX_TIME_TO_CRASH
+    }
+}
+
 impl SuspectTracker {
     /// Returns the state to send to other nodes.
     pub fn export(&self, now: Instant) -> SuspectUpdate {
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -8,18 +8,18 @@
 use googletest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
-const CRASHING: RequestFingerprint = 666;
+const CRASHING: Fingerprint = 666;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
 /// A run of a request on a host that crashed.
-fn run(fingerprint: RequestFingerprint, ran_for: Duration, started: bool) -> CrashedRun {
+fn run(fingerprint: Fingerprint, ran_for: Duration, started: bool) -> CrashedRun {
     CrashedRun {
-        fingerprint,
         ran_for,
         started,
+        ..CrashedRun::from(fingerprint)
     }
 }
 
@@ -44,7 +44,7 @@
         self.apply(decided, now);
     }
 
-    fn completed(&mut self, fingerprint: RequestFingerprint, now: Instant) {
+    fn completed(&mut self, fingerprint: Fingerprint, now: Instant) {
         let decided = self.coordinator.on_completed(
             &"draft".into(),
             fingerprint,
@@ -60,7 +60,7 @@
         self.apply(decided, now);
     }
 
-    fn may_try(&mut self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+    fn may_try(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         let permitted =
             self.coordinator
                 .request_trial(&"draft".into(), fingerprint, SECOND, &self.table, now);
@@ -76,7 +76,7 @@
         }
     }
 
-    fn is_quarantined(&self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+    fn is_quarantined(&self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.table.status(fingerprint, now) != QuarantineStatus::Clear
     }
 }
@@ -319,8 +319,8 @@
     coordinators: [Node; 2],
     hosts: u64,
     /// Arrivals at hosts and crashes, by request.
-    arrivals: BTreeMap<RequestFingerprint, Vec<Instant>>,
-    crashes: BTreeMap<RequestFingerprint, Vec<Instant>>,
+    arrivals: BTreeMap<Fingerprint, Vec<Instant>>,
+    crashes: BTreeMap<Fingerprint, Vec<Instant>>,
 }
 
 impl Fleet {
@@ -335,12 +335,7 @@
         }
     }
 
-    fn status(
-        &mut self,
-        node: usize,
-        request: RequestFingerprint,
-        now: Instant,
-    ) -> QuarantineStatus {
+    fn status(&mut self, node: usize, request: Fingerprint, now: Instant) -> QuarantineStatus {
         let (table, received) = &mut self.tables[node];
         let delay = SPREAD.mul_f64(node as f64 / NODES as f64);
         while let Some((at, record)) = self.published.get(*received) {
@@ -378,7 +373,7 @@
     }
 
     /// A request comes to a node; it runs at up to two hosts, which crash.
-    fn arrive(&mut self, node: usize, request: RequestFingerprint, now: Instant) {
+    fn arrive(&mut self, node: usize, request: Fingerprint, now: Instant) {
         let status = self.status(node, request, now);
         let before = self.exported(now);
         let attempts = match status {
@@ -418,7 +413,7 @@
         self.coordinators[1].apply(first, now);
     }
 
-    fn late_arrivals(&self, request: RequestFingerprint) -> usize {
+    fn late_arrivals(&self, request: Fingerprint) -> usize {
         let (Some(arrivals), Some(crashes)) =
             (self.arrivals.get(&request), self.crashes.get(&request))
         else {
--- a/crates/route/tests/suspects.rs
+++ b/crates/route/tests/suspects.rs
@@ -6,15 +6,9 @@
 use googletest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
-const CRASHING: RequestFingerprint = 666;
+const CRASHING: Fingerprint = 666;
 
-fn crash(
-    s: &mut SuspectTracker,
-    group: &str,
-    domain: &str,
-    running: &[RequestFingerprint],
-    now: Instant,
-) {
+fn crash(s: &mut SuspectTracker, group: &str, domain: &str, running: &[Fingerprint], now: Instant) {
     s.on_crash(
         &group.into(),
         1,
@@ -24,7 +18,7 @@
     );
 }
 
-fn is_quarantined(s: &SuspectTracker, fingerprint: RequestFingerprint, now: Instant) -> bool {
+fn is_quarantined(s: &SuspectTracker, fingerprint: Fingerprint, now: Instant) -> bool {
     matches!(
         s.status(fingerprint, now),
         SuspectStatus::Quarantined { .. }
