Tell crashing parts from those that are merely present

Change: a run clears its parts once it has been writing for 0.5 s, and each node counts which parts many requests hold. These, and parts that have completed, need more crashes and a longer notice. Among others the part in more crashes is likelier, then the narrower one. A known cause explains a part's crashes only if it was in as many.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -14,7 +14,9 @@
 use eelgrassmill_base::{NodeId, ServiceName};
 use eelgrassmill_fleet::ranked_for_role;
 use eelgrassmill_peer::{SuspectReply, SuspectRequest, TrialRequest};
-use eelgrassmill_route::{Fingerprint, QuarantineCoordinator, QuarantineStatus, QuarantineTable};
+use eelgrassmill_route::{
+    CrashCandidate, Fingerprint, QuarantineCoordinator, QuarantineStatus, QuarantineTable,
+};
 use smallvec::SmallVec;
 use tokio::sync::{Notify, watch};
 
@@ -191,36 +193,42 @@
 
 /// Reports that a call completed on a host that stayed up, if that clears it or a part of its prompt.
 pub(crate) fn on_completed<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
+    clear(core, &call.crash_candidates(service), service);
+}
+
+/// Reports that a call has been producing output for so long that no part of its prompt crashes
+/// hosts, if that clears one.
+pub(crate) fn on_survived<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
+    let mut parts = call.crash_candidates(service);
+    parts.retain(|c| c.breadth > 0);
+    clear(core, &parts, service);
+}
+
+fn clear<P: Platform>(core: &Core<P>, candidates: &[CrashCandidate], service: &ServiceName) {
     let quarantine = &core.quarantine;
     let now = Instant::now();
-    let candidates = call.crash_candidates(service);
     {
         let mut completions = locked(&quarantine.completions);
-        for candidate in &candidates {
+        for candidate in candidates {
             completions.on_completed(*candidate, now);
         }
     }
-    let mut cleared: SmallVec<[Fingerprint; 4]> = SmallVec::new();
-    {
-        let table = locked(&quarantine.table);
-        let reports = locked(&quarantine.reports);
-        if table.is_empty() && !reports.is_watching() {
-            return;
-        }
-        let fingerprints = candidates.iter().map(|c| c.fingerprint);
-        cleared.extend(fingerprints.filter(|p| {
-            reports.is_watched(*p) || table.status(*p, now) != QuarantineStatus::Clear
-        }));
-    }
-    if cleared.is_empty() {
+    let table = locked(&quarantine.table);
+    let mut reports = locked(&quarantine.reports);
+    if table.is_empty() && !reports.is_watching() {
         return;
     }
-    let mut reports = locked(&quarantine.reports);
-    for fingerprint in cleared {
-        reports.push_completed(service, fingerprint, now);
+    let mut is_new = false;
+    for fingerprint in candidates.iter().map(|c| c.fingerprint) {
+        let is_clear = table.status(fingerprint, now) == QuarantineStatus::Clear;
+        if !is_clear || reports.is_watched(fingerprint) {
+            reports.push_completed(service, fingerprint, now);
+            is_new = true;
+        }
+    }
+    if is_new {
+        quarantine.reported.notify_one();
     }
-    drop(reports);
-    quarantine.reported.notify_one();
 }
 
 /// Reports that a candidate which was just quarantined has completed here, if it has.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
 use eelgrassmill_engine::{SendError, TargetResponse};
+use eelgrassmill_route::MAX_TIME_TO_CRASH;
 use http::{HeaderMap, Response, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -59,6 +60,18 @@
 struct StartedResponse<P: Platform> {
     slot: SlotGuard<P>,
     response: TargetResponse,
+    /// Whether events have come for so long that no part of its prompt crashes hosts.
+    has_survived: bool,
+}
+
+impl<P: Platform> StartedResponse<P> {
+    fn new(slot: SlotGuard<P>, response: TargetResponse) -> StartedResponse<P> {
+        StartedResponse {
+            slot,
+            response,
+            has_survived: false,
+        }
+    }
 }
 
 /// Why an attempt got no response.
@@ -277,10 +290,10 @@
                 if retries {
                     Err(failed)
                 } else {
-                    Ok(StartedResponse { slot, response })
+                    Ok(StartedResponse::new(slot, response))
                 }
             }
-            ResponseClass::Answered => Ok(StartedResponse { slot, response }),
+            ResponseClass::Answered => Ok(StartedResponse::new(slot, response)),
         }
     }
 
@@ -465,6 +478,10 @@
                 Err(err) => return ReadEnd::Broken(err.to_string().into()),
             };
             started.slot.on_event(Instant::now());
+            if !started.has_survived && started.slot.wrote_for() >= MAX_TIME_TO_CRASH {
+                started.has_survived = true;
+                quarantine::on_survived(&self.core, &self.call, &self.service);
+            }
             let Some(events) = self.events.push(&bytes) else {
                 continue;
             };
--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -7,7 +7,8 @@
 
 use crate::quarantine::table::{QuarantineRecord, QuarantineStatus, QuarantineTable};
 use crate::suspects::{
-    ClearedRecord, CrashRecord, CrashedRun, Fingerprint, SuspectTracker, SuspectUpdate,
+    ClearedRecord, CrashCandidate, CrashRecord, CrashedRun, Fingerprint, SuspectTracker,
+    SuspectUpdate,
 };
 
 /// Maximum number of crashes kept: several times the crashes in which a failing domain of hosts
@@ -21,8 +22,8 @@
 /// How long completions with a suspected part are awaited before it is quarantined: until nodes
 /// have learned of it and reported them.
 const NOTICE_PERIOD: Duration = Duration::from_millis(500);
-/// The same for a part of which a request has completed before.
-const COMPLETED_NOTICE_PERIOD: Duration = Duration::from_millis(1500);
+/// The same for a part that many requests have, or of which one has completed before.
+const LONG_NOTICE_PERIOD: Duration = Duration::from_millis(800);
 /// Maximum number of parts on notice at the same time.
 const MAX_NOTICES: usize = 16;
 /// Crashes that count as two offences: the request was recognized late.
@@ -87,6 +88,12 @@
 }
 
 impl QuarantineCoordinator {
+    /// Records a request that came to this node: from many requests it learns which parts are
+    /// common.
+    pub fn on_request(&mut self, service: &ServiceName, candidates: &[CrashCandidate]) {
+        self.tracker.on_request(service, candidates);
+    }
+
     /// Handles a node's report of a crash. Returns decisions on candidates that were on trial.
     pub fn on_crash(
         &mut self,
@@ -98,7 +105,7 @@
         let running: Vec<Fingerprint> = crash
             .running
             .iter()
-            .filter(|run| run.may_be_cause())
+            .filter(|run| !run.has_survived())
             .map(|run: &CrashedRun| run.fingerprint)
             .collect();
         let settle_time = crash.age.clamp(SETTLE_TIME, MAX_SETTLE_TIME);
@@ -169,7 +176,7 @@
         // The narrowest first: it explains crashes of the broader ones.
         ready.sort_by_key(|(fingerprint, _)| self.tracker.breadth(*fingerprint));
         if !ready.is_empty() {
-            self.update_causes(table, now);
+            self.update_causes(table);
         }
         let mut decided: Vec<QuarantineRecord> = Vec::new();
         for (fingerprint, Pending { service, .. }) in ready {
@@ -181,7 +188,7 @@
             }
             if let Some(until) = self.notice_end(fingerprint, &service, now) {
                 self.decide_at(fingerprint, &service, until);
-                self.update_causes(table, now);
+                self.update_causes(table);
                 continue;
             }
             let is_late = self.tracker.breadth(fingerprint) == 0
@@ -218,8 +225,8 @@
             }
             return (!is_over).then_some(until);
         }
-        let period = match self.tracker.has_completed(fingerprint) {
-            true => COMPLETED_NOTICE_PERIOD,
+        let period = match self.tracker.is_proven_part(fingerprint) {
+            true => LONG_NOTICE_PERIOD,
             false => NOTICE_PERIOD,
         };
         if self.on_notice.len() < MAX_NOTICES {
@@ -232,9 +239,9 @@
         Some(now + period)
     }
 
-    fn update_causes(&mut self, table: &QuarantineTable, now: Instant) {
+    fn update_causes(&mut self, table: &QuarantineTable) {
         let known = table.fingerprints().chain(self.on_notice.keys().copied());
-        self.tracker.update_causes(known, now);
+        self.tracker.update_causes(known);
     }
 
     /// When [`QuarantineCoordinator::decide`] has to be called next.
--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -6,9 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::suspects::record::Crash;
-use crate::suspects::{
-    COMMON_CAUSE_WINDOW, CRASH_TTL, CrashId, Fingerprint, MAX_TIME_TO_CRASH, SuspectTracker,
-};
+use crate::suspects::{COMMON_CAUSE_WINDOW, CRASH_TTL, CrashId, Fingerprint, SuspectTracker};
 
 /// Error of the times that nodes report: their messages' time on the way.
 const TIME_ERROR: Duration = Duration::from_millis(25);
@@ -22,26 +20,19 @@
 /// The same if all were in one failure domain, which may itself be failing. Must exceed
 /// the attempts of one request.
 const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
-/// Further crashes that quarantine a request although another one was in all of its crashes.
+/// Further crashes that quarantine a candidate although another one was in all of its crashes.
 const SHARED_CRASHES: usize = 2;
-/// The limit for a part of which a request has completed before: hosts may have changed since.
-const COMPLETED_CRASH_LIMIT: usize = 6;
-/// Multiple of the limit at which a part is the likelier cause than several narrower parts, each
-/// in some of its crashes.
-const COVERED_CRASH_FACTOR: usize = 2;
+/// The limit for a part that many requests have, or that has completed before.
+const PROVEN_PART_CRASH_LIMIT: usize = 6;
+/// Crashes since its last completion that quarantine a part although they have known causes.
+const EXPLAINED_CRASH_LIMIT: usize = 8;
 
 impl SuspectTracker {
-    /// Updates which crashes the known causes explain, and which prompt parts were in several.
-    /// The other methods of this file use the result.
-    pub(crate) fn update_causes(
-        &mut self,
-        known: impl IntoIterator<Item = Fingerprint>,
-        now: Instant,
-    ) {
+    /// Updates which crashes the known causes explain.
+    pub(crate) fn update_causes(&mut self, known: impl IntoIterator<Item = Fingerprint>) {
         self.known_causes = known.into_iter().collect();
         for crash in self.crashes.values_mut() {
             crash.known_causes.clear();
-            crash.narrowest_part = None;
         }
         for cause in &self.known_causes {
             let ids = self.appearances.get(cause).map(|a| &a.crashes);
@@ -51,22 +42,6 @@
                 }
             }
         }
-        let parts: Vec<(Fingerprint, u8)> = self
-            .repeated
-            .iter()
-            .map(|p| (*p, self.breadth(*p)))
-            .filter(|(p, breadth)| *breadth > 0 && !self.has_completed(*p))
-            .filter(|(p, _)| self.crashes_of(*p, now).len() >= MIN_CRASHES)
-            .collect();
-        for (part, breadth) in parts {
-            let ids = self.appearances.get(&part).map(|a| a.crashes.clone());
-            for id in ids.into_iter().flatten() {
-                if let Some(crash) = self.crashes.get_mut(&id) {
-                    let narrowest = crash.narrowest_part.unwrap_or(breadth);
-                    crash.narrowest_part = Some(narrowest.min(breadth));
-                }
-            }
-        }
     }
 
     /// Whether the candidate is the likely cause of its crashes.
@@ -88,11 +63,16 @@
         self.appearances.get(&candidate).map_or(0, |a| a.breadth)
     }
 
-    /// Whether a request with this candidate has completed since the first crash that is kept.
+    /// Whether a request with this candidate has completed, as far as the crashes that are kept go.
     pub(crate) fn has_completed(&self, candidate: Fingerprint) -> bool {
         self.cleared.contains_key(&candidate)
     }
 
+    /// Whether a part needs more evidence than others.
+    pub(crate) fn is_proven_part(&self, part: Fingerprint) -> bool {
+        self.has_completed(part) || self.is_common(part)
+    }
+
     /// Returns the crashes that count against the candidate, in the order of time.
     pub(crate) fn crashes_of(&self, candidate: Fingerprint, now: Instant) -> SmallVec<[&Crash; 4]> {
         let unexplained = self.unexplained_crashes(candidate, now);
@@ -125,24 +105,33 @@
         causes.sort_unstable();
         causes.dedup();
         for cause in causes {
-            if !self.outweighs(candidate, cause, now) {
+            if self.explains(cause, candidate, now) {
                 crashes.retain(|c| !c.running.contains_key(&cause));
             }
         }
         crashes
     }
 
-    /// Whether the candidate was running in the crash, has not completed since, and had not written
-    /// for so long that the crash has another cause.
+    /// Whether crashes with a known cause don't count against the candidate.
+    ///
+    /// A request that was sent again after each crash, or a part of it, may have been quarantined
+    /// although a part of others is the cause. It was in fewer crashes than that one.
+    fn explains(&self, cause: Fingerprint, candidate: Fingerprint, now: Instant) -> bool {
+        if self.breadth(candidate) > 0 && !self.is_common(candidate) {
+            let theirs = self.crashes_with(cause, now).len();
+            return theirs >= self.crashes_with(candidate, now).len();
+        }
+        !self.outweighs(candidate, cause, now)
+    }
+
+    /// Whether the candidate was running in the crash and has not completed since.
     fn may_have_caused(&self, candidate: Fingerprint, crash: &Crash) -> bool {
         let cleared = self.cleared.get(&candidate);
-        let run = crash.running.get(&candidate);
-        run.is_some_and(|run| run.breadth == 0 || run.wrote_for < MAX_TIME_TO_CRASH)
-            && cleared.is_none_or(|at| crash.at > *at)
+        crash.running.contains_key(&candidate) && cleared.is_none_or(|at| crash.at > *at)
     }
 
-    /// Whether the candidate was running in all crashes in which `other` was, and in more. A part
-    /// doesn't outweigh a narrower one, which is in fewer crashes whatever their cause.
+    /// Whether the candidate was running in all crashes in which `other` was, and in more. A common
+    /// part doesn't outweigh others, which are in fewer crashes whatever their cause.
     ///
     /// A request that is sent again after each crash gets into several crashes of another one, but
     /// not into all of them.
@@ -152,8 +141,7 @@
         other: Fingerprint,
         now: Instant,
     ) -> bool {
-        let narrower = 1..self.breadth(candidate);
-        if narrower.contains(&self.breadth(other)) {
+        if self.breadth(candidate) > 0 && self.breadth(other) > 0 && self.is_common(candidate) {
             return false;
         }
         let theirs = self.crashes_with(other, now);
@@ -161,20 +149,45 @@
         has_all && !theirs.is_empty() && self.crashes_with(candidate, now).len() > theirs.len()
     }
 
-    /// Whether a prompt part is the likely cause. Requests that hold it hold broader and narrower
-    /// parts too; the narrowest one that explains the crashes is.
+    /// Whether a prompt part is the likely cause. Requests that hold it hold others too.
     fn is_cause_as_part(&self, part: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
-        let breadth = self.breadth(part);
-        let is_covered = |c: &&&Crash| c.narrowest_part.is_some_and(|other| other < breadth);
-        let uncovered = crashes.iter().filter(|c| !is_covered(c)).count();
-        if self.has_completed(part) {
-            return uncovered >= COMPLETED_CRASH_LIMIT && !is_one_request(crashes);
-        }
-        if uncovered >= quarantine_threshold(crashes) {
-            return !is_one_request(crashes);
+        let limit = match self.is_proven_part(part) {
+            true => PROVEN_PART_CRASH_LIMIT,
+            false => quarantine_threshold(crashes),
+        };
+        if crashes.len() < limit {
+            // Several other parts may each explain some of the crashes.
+            let all = successive(part, self.crashes_with(part, now));
+            return all.len() >= EXPLAINED_CRASH_LIMIT;
         }
-        let all = successive(part, self.crashes_with(part, now));
-        all.len() >= quarantine_threshold(&all) * COVERED_CRASH_FACTOR && !is_one_request(&all)
+        // Also those that began before the one before had crashed: few others were in them.
+        let all = self.unexplained_crashes(part, now);
+        let is_shared = is_one_request(&all) || self.has_likelier_part(part, &all, now);
+        crashes.len() >= limit + SHARED_CRASHES || !is_shared
+    }
+
+    /// Whether another part was in all of the crashes and is likelier the cause: a narrower one, or
+    /// one that was in more crashes.
+    fn has_likelier_part(&self, part: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
+        let Some((first, rest)) = crashes.split_first() else {
+            return false;
+        };
+        let breadth = self.breadth(part);
+        let in_all = |p: &Fingerprint| rest.iter().all(|c| c.running.contains_key(p));
+        let others = first.running.iter().filter(|(_, run)| run.breadth > 0);
+        let mut others = others
+            .map(|(p, _)| *p)
+            .filter(|p| *p != part && self.repeated.contains(p) && in_all(p))
+            .filter(|p| !self.has_completed(*p) && !self.is_common(*p));
+        others.any(|p| {
+            let theirs = self.unexplained_crashes(p, now).len();
+            theirs > crashes.len() || (theirs == crashes.len() && self.breadth(p) < breadth)
+        })
+    }
+
+    /// Whether many requests hold the part, so that it is in most crashes whatever their cause.
+    fn is_common(&self, part: Fingerprint) -> bool {
+        self.traffic.is_common(part)
     }
 
     /// Whether a request was in enough crashes that no other candidate explains.
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -6,10 +6,11 @@
 //! - A request is quarantined after two crashes without another common cause, if in one of them no
 //!   other request had been in two crashes; or after any three crashes, four if all were in one
 //!   failure domain, unless another request was in all of them.
-//! - A part is quarantined after three crashes, or four in one domain, that neither one request nor a
-//!   narrower part explains. A part that has completed before needs more.
-//! - Completions clear candidates. A part is also no cause of a crash if a request with it had long
-//!   been writing on the host.
+//! - A part is quarantined after three crashes, or four in one domain, unless one request or a
+//!   likelier part was in all of them. A part that has completed before needs more, and so does one
+//!   that many requests have.
+//! - Completions clear candidates. A part is cleared as soon as a request with it has been writing
+//!   for some time.
 //!
 //! Suspect requests are retried in isolation: one per group at a time. The state is a set of crashes
 //! merged by union, so nodes converge whatever order updates arrive in.
@@ -17,11 +18,12 @@
 mod candidate;
 mod cause;
 mod record;
+mod traffic;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, FailureDomain, GroupId, stable_hash, value};
+use eelgrassmill_base::{Epoch, FailureDomain, GroupId, ServiceName, stable_hash, value};
 use smallvec::SmallVec;
 
 pub use crate::suspects::candidate::{
@@ -32,6 +34,7 @@
     ClearedRecord, CrashRecord, CrashedRun, SuspectUpdate, TrialRecord,
 };
 use crate::suspects::record::{Crash, Run};
+use crate::suspects::traffic::PartTraffic;
 
 /// Identifies one crash of one group, the same at every node that saw it.
 pub type CrashId = u64;
@@ -111,6 +114,7 @@
     /// Candidates that are known to crash what runs them. Crashes with one of them don't count
     /// against others.
     known_causes: BTreeSet<Fingerprint>,
+    traffic: PartTraffic,
 }
 
 impl Default for SuspectTracker {
@@ -131,9 +135,15 @@
             cleared: BTreeMap::new(),
             trials: BTreeMap::new(),
             known_causes: BTreeSet::new(),
+            traffic: PartTraffic::default(),
         }
     }
 
+    /// Records a request that came to this node.
+    pub(crate) fn on_request(&mut self, service: &ServiceName, candidates: &[CrashCandidate]) {
+        self.traffic.on_request(service, candidates);
+    }
+
     /// Records a group's crash and the requests that this node had running on it.
     ///
     /// Crashes with no request running count too: they can show that the failure domain
@@ -254,6 +264,10 @@
             .entry(id)
             .or_insert_with(|| Crash::new(failure_domain.clone(), at));
         for run in running {
+            if run.has_survived() {
+                let cleared = self.cleared.entry(run.fingerprint).or_insert(at);
+                *cleared = (*cleared).max(at);
+            }
             let found = Run::new(&run, at);
             if let Some(known) = crash.running.get_mut(&run.fingerprint) {
                 known.merge(&found);
--- a/crates/route/src/suspects/record.rs
+++ b/crates/route/src/suspects/record.rs
@@ -15,8 +15,6 @@
     pub(crate) running: BTreeMap<Fingerprint, Run>,
     /// Those that are known to crash what runs them.
     pub(crate) known_causes: SmallVec<[Fingerprint; 2]>,
-    /// The least breadth of the prompt parts that were in further crashes too.
-    pub(crate) narrowest_part: Option<u8>,
 }
 
 /// A candidate's runs on a group that crashed.
@@ -27,8 +25,6 @@
     pub(crate) began: Instant,
     /// Whether any of them had produced output.
     pub(crate) started: bool,
-    /// The longest time for which one of them had produced output.
-    pub(crate) wrote_for: Duration,
 }
 
 impl Run {
@@ -37,7 +33,6 @@
             breadth: run.breadth,
             began: crashed_at.checked_sub(run.ran_for).unwrap_or(crashed_at),
             started: run.started,
-            wrote_for: run.wrote_for,
         }
     }
 
@@ -45,7 +40,6 @@
         self.breadth = self.breadth.max(other.breadth);
         self.began = self.began.max(other.began);
         self.started |= other.started;
-        self.wrote_for = self.wrote_for.max(other.wrote_for);
     }
 }
 
@@ -56,7 +50,6 @@
             at,
             running: BTreeMap::new(),
             known_causes: SmallVec::new(),
-            narrowest_part: None,
         }
     }
 
@@ -72,7 +65,8 @@
             breadth: run.breadth,
             ran_for: self.at.saturating_duration_since(run.began),
             started: run.started,
-            wrote_for: run.wrote_for,
+            // What it clears is exported by itself.
+            wrote_for: Duration::ZERO,
         })
     }
 
@@ -93,7 +87,8 @@
         pub ran_for: Duration,
         /// Whether a run had produced output there.
         pub started: bool,
-        /// The longest time from the first output of a run to its last one.
+        /// The longest time from the first output of a run to its last one. A part with
+        /// [`MAX_TIME_TO_CRASH`] or more counts as completed.
         pub wrote_for: Duration,
     }
 
@@ -159,10 +154,9 @@
         self.wrote_for = self.wrote_for.max(other.wrote_for);
     }
 
-    /// Whether it may have caused the crash: a part doesn't crash a host long after the first
-    /// output.
-    pub(crate) fn may_be_cause(&self) -> bool {
-        self.breadth == 0 || self.wrote_for < MAX_TIME_TO_CRASH
+    /// Whether it had been writing for so long that the crash has another cause.
+    pub(crate) fn has_survived(&self) -> bool {
+        self.breadth > 0 && self.wrote_for >= MAX_TIME_TO_CRASH
     }
 }
 
