Decide on common prompt parts last

What callers would see: with two crashing parts before two replicas, the part that all requests hold was quarantined, and 0 of 77 streams were served afterwards.

Cause: at a node with few requests no share of a part is known. All parts then needed the same evidence, and the common one was in more crashes than either cause.

Change: until shares are known, the first part of prompts counts as common and others need two more crashes. A common part's notice is extended while other parts that were in its crashes are on notice, up to 1.2 s. Each node counts requests, which the gateway didn't report.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -91,6 +91,14 @@
     Trial,
 }
 
+/// Counts the parts of a call's prompt. A coordinator must know which ones many requests have.
+pub(crate) fn on_request<P: Platform>(core: &Core<P>, call: &Call, service: &ServiceName) {
+    if !call.metadata.prompt_parts.is_empty() {
+        let candidates = call.crash_candidates(service);
+        locked(&core.quarantine.coordinator).on_request(service, &candidates);
+    }
+}
+
 /// Whether a call may run at a service without restriction.
 pub(crate) fn is_clear<P: Platform>(core: &Core<P>, call: &Call, service: &str) -> bool {
     status(core, call, service) == QuarantineStatus::Clear
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -221,6 +221,7 @@
         ));
     }
     let service = dispatch::pick_service(core, call)?;
+    quarantine::on_request(core, call, &service);
     let admission = quarantine::admit(core, call, &service).await?;
     if call.route.stream.is_some() {
         return stream::run(core, call, service, admission).await;
--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -24,6 +24,11 @@
 const NOTICE_PERIOD: Duration = Duration::from_millis(500);
 /// The same for a part that many requests have, or of which one has completed before.
 const LONG_NOTICE_PERIOD: Duration = Duration::from_millis(800);
+/// How much longer a notice gets at a time.
+const NOTICE_EXTENSION: Duration = Duration::from_millis(200);
+/// Longest notice of a part that many requests have, while other parts that were in its crashes are
+/// on notice.
+const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(1200);
 /// Maximum number of parts on notice at the same time.
 const MAX_NOTICES: usize = 16;
 /// Crashes that count as two offences: the request was recognized late.
@@ -62,6 +67,12 @@
     due_at: Instant,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    began: Instant,
+    until: Instant,
+}
+
 /// The coordinator of some services at one node.
 #[derive(Clone, Debug)]
 pub struct QuarantineCoordinator {
@@ -70,8 +81,8 @@
     pending: BTreeMap<Fingerprint, Pending>,
     /// Candidates on trial, and until when.
     trials: BTreeMap<Fingerprint, Instant>,
-    /// Parts that are quarantined at this time unless a request with them completes.
-    on_notice: BTreeMap<Fingerprint, Instant>,
+    /// Parts that are quarantined unless a request with them completes.
+    on_notice: BTreeMap<Fingerprint, Notice>,
     notices: Vec<SuspectNotice>,
 }
 
@@ -218,19 +229,16 @@
         if self.tracker.breadth(fingerprint) == 0 {
             return None;
         }
-        if let Some(until) = self.on_notice.get(&fingerprint).copied() {
-            let is_over = until <= now;
-            if is_over {
-                self.on_notice.remove(&fingerprint);
-            }
-            return (!is_over).then_some(until);
+        if let Some(notice) = self.on_notice.get(&fingerprint).copied() {
+            return self.extend_notice(fingerprint, notice, now);
         }
         let period = match self.tracker.is_proven_part(fingerprint) {
             true => LONG_NOTICE_PERIOD,
             false => NOTICE_PERIOD,
         };
         if self.on_notice.len() < MAX_NOTICES {
-            self.on_notice.insert(fingerprint, now + period);
+            let (began, until) = (now, now + period);
+            self.on_notice.insert(fingerprint, Notice { began, until });
             self.notices.push(SuspectNotice {
                 fingerprint,
                 service: service.clone(),
@@ -239,6 +247,34 @@
         Some(now + period)
     }
 
+    /// When a running notice ends; `None` if it is over. Other parts are decided on before one that
+    /// many requests have.
+    fn extend_notice(
+        &mut self,
+        fingerprint: Fingerprint,
+        notice: Notice,
+        now: Instant,
+    ) -> Option<Instant> {
+        if now < notice.until {
+            return Some(notice.until);
+        }
+        let tracker = &self.tracker;
+        let is_rival = |other: &Fingerprint| {
+            !tracker.is_common_part(*other) && tracker.share_crash(fingerprint, *other)
+        };
+        let may_extend = tracker.is_common_part(fingerprint)
+            && now < notice.began + MAX_NOTICE_PERIOD
+            && self.on_notice.keys().any(is_rival);
+        if !may_extend {
+            self.on_notice.remove(&fingerprint);
+            return None;
+        }
+        let until = now + NOTICE_EXTENSION;
+        self.on_notice
+            .insert(fingerprint, Notice { until, ..notice });
+        Some(until)
+    }
+
     fn update_causes(&mut self, table: &QuarantineTable) {
         let known = table.fingerprints().chain(self.on_notice.keys().copied());
         self.tracker.update_causes(known);
--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -24,8 +24,9 @@
 const SHARED_CRASHES: usize = 2;
 /// The limit for a part that many requests have, or that has completed before.
 const PROVEN_PART_CRASH_LIMIT: usize = 6;
-/// Crashes since its last completion that quarantine a part although they have known causes.
-const EXPLAINED_CRASH_LIMIT: usize = 8;
+/// Parts each known to have caused some of the crashes of a common part, of which that one is the
+/// likelier cause.
+const MAX_EXPLAINING_PARTS: usize = 3;
 
 impl SuspectTracker {
     /// Updates which crashes the known causes explain.
@@ -70,7 +71,7 @@
 
     /// Whether a part needs more evidence than others.
     pub(crate) fn is_proven_part(&self, part: Fingerprint) -> bool {
-        self.has_completed(part) || self.is_common(part)
+        self.has_completed(part) || self.is_common_part(part)
     }
 
     /// Returns the crashes that count against the candidate, in the order of time.
@@ -104,6 +105,10 @@
         }
         causes.sort_unstable();
         causes.dedup();
+        let parts = causes.iter().filter(|p| self.breadth(**p) > 0).count();
+        if self.is_common_part(candidate) && parts >= MAX_EXPLAINING_PARTS {
+            return crashes;
+        }
         for cause in causes {
             if self.explains(cause, candidate, now) {
                 crashes.retain(|c| !c.running.contains_key(&cause));
@@ -117,7 +122,7 @@
     /// A request that was sent again after each crash, or a part of it, may have been quarantined
     /// although a part of others is the cause. It was in fewer crashes than that one.
     fn explains(&self, cause: Fingerprint, candidate: Fingerprint, now: Instant) -> bool {
-        if self.breadth(candidate) > 0 && !self.is_common(candidate) {
+        if self.breadth(candidate) > 0 && !self.is_common_part(candidate) {
             let theirs = self.crashes_with(cause, now).len();
             return theirs >= self.crashes_with(candidate, now).len();
         }
@@ -141,7 +146,7 @@
         other: Fingerprint,
         now: Instant,
     ) -> bool {
-        if self.breadth(candidate) > 0 && self.breadth(other) > 0 && self.is_common(candidate) {
+        if self.is_common_part(candidate) && self.breadth(other) > 0 {
             return false;
         }
         let theirs = self.crashes_with(other, now);
@@ -151,14 +156,15 @@
 
     /// Whether a prompt part is the likely cause. Requests that hold it hold others too.
     fn is_cause_as_part(&self, part: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
-        let limit = match self.is_proven_part(part) {
-            true => PROVEN_PART_CRASH_LIMIT,
-            false => quarantine_threshold(crashes),
+        let limit = if self.is_proven_part(part) {
+            PROVEN_PART_CRASH_LIMIT
+        } else if self.traffic.is_common(part).is_none() {
+            quarantine_threshold(crashes) + SHARED_CRASHES
+        } else {
+            quarantine_threshold(crashes)
         };
         if crashes.len() < limit {
-            // Several other parts may each explain some of the crashes.
-            let all = successive(part, self.crashes_with(part, now));
-            return all.len() >= EXPLAINED_CRASH_LIMIT;
+            return false;
         }
         // Also those that began before the one before had crashed: few others were in them.
         let all = self.unexplained_crashes(part, now);
@@ -178,16 +184,28 @@
         let mut others = others
             .map(|(p, _)| *p)
             .filter(|p| *p != part && self.repeated.contains(p) && in_all(p))
-            .filter(|p| !self.has_completed(*p) && !self.is_common(*p));
+            .filter(|p| !self.is_proven_part(*p));
         others.any(|p| {
             let theirs = self.unexplained_crashes(p, now).len();
             theirs > crashes.len() || (theirs == crashes.len() && self.breadth(p) < breadth)
         })
     }
 
-    /// Whether many requests hold the part, so that it is in most crashes whatever their cause.
-    fn is_common(&self, part: Fingerprint) -> bool {
-        self.traffic.is_common(part)
+    /// Whether many requests hold the part, so that it is in most crashes whatever their cause. Until
+    /// that is known, the first part of a prompt counts as such.
+    pub(crate) fn is_common_part(&self, candidate: Fingerprint) -> bool {
+        let breadth = self.breadth(candidate);
+        let is_common = self.traffic.is_common(candidate);
+        breadth > 0 && is_common.unwrap_or_else(|| self.is_broadest(candidate, breadth))
+    }
+
+    fn is_broadest(&self, part: Fingerprint, breadth: u8) -> bool {
+        let ids = self.appearances.get(&part).map(|a| &a.crashes);
+        let mut crashes = ids
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.crashes.get(id));
+        crashes.all(|c| c.running.values().all(|run| run.breadth <= breadth))
     }
 
     /// Whether a request was in enough crashes that no other candidate explains.
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -211,6 +211,16 @@
         distinct.into_iter().collect()
     }
 
+    /// Whether both candidates were in one of the crashes that are kept.
+    pub(crate) fn share_crash(&self, one: Fingerprint, other: Fingerprint) -> bool {
+        let ids = self.appearances.get(&one).map(|a| &a.crashes);
+        let mut crashes = ids
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.crashes.get(id));
+        crashes.any(|c| c.running.contains_key(&other))
+    }
+
     /// Starts a suspect's trial at the group; returns false if another suspect runs there.
     pub fn begin_trial(&mut self, fingerprint: Fingerprint, group: &GroupId, now: Instant) -> bool {
         if !self.may_begin_trial(group, now) {
--- a/crates/route/src/suspects/traffic.rs
+++ b/crates/route/src/suspects/traffic.rs
@@ -10,7 +10,7 @@
 /// Requests of a service that are remembered.
 const WINDOW: usize = 256;
 /// Requests without which no share is known.
-const MIN_REQUESTS: usize = 8;
+const MIN_REQUESTS: usize = 16;
 /// Parts that are counted of one request, the first ones.
 const MAX_PARTS: usize = 16;
 /// Services whose requests are remembered.
@@ -42,14 +42,14 @@
         window.push(parts.take(MAX_PARTS).map(|c| c.fingerprint).collect());
     }
 
-    /// Whether many requests have the part; also while too few requests came to know.
-    pub(crate) fn is_common(&self, part: Fingerprint) -> bool {
+    /// Whether many requests have the part; `None` while too few requests came to know.
+    pub(crate) fn is_common(&self, part: Fingerprint) -> Option<bool> {
         let mut known = self
             .services
             .values()
             .filter(|w| w.requests.len() >= MIN_REQUESTS);
         let has_known = known.clone().next().is_some();
-        !has_known || known.any(|w| w.is_common(part))
+        has_known.then(|| known.any(|w| w.is_common(part)))
     }
 }
 
