Keep streams of a replica that is dissolved while it is checked

Its head rejected other requests, so the planner dissolved the replica; what runs there goes on. A check of the stalled stream, with pauses of 406 ms, had begun just before. It saw the head outside the replica and reported a loss, which breaks all streams of the replica at this node.

Cause: a member that has left and a member that is broken count the same. A broken replica's streams stand still for good, those of a dissolved one don't.

Change: if members have only left, streams get 320 ms more, and the loss is reported only if no event has come since the check began.

--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -29,6 +29,9 @@
 /// Timeout of a report request, after which the member counts as silent: a reply takes 1 to 5 ms
 /// between failure domains, and one retransmission some 200 ms.
 pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(230);
+/// How long streams of a replica that members have left may stand still: those that run go on when a
+/// replica is dissolved.
+const MOVED_GRACE: Duration = Duration::from_millis(320);
 /// How long other nodes keep the loss report: until well after the replica was dissolved.
 const LOSS_REPORT_TTL: Duration = Duration::from_secs(15);
 
@@ -42,6 +45,14 @@
     }
 }
 
+/// What a member reports about its replica.
+enum MemberState {
+    InReplica,
+    Broken,
+    /// It has left.
+    Moved,
+}
+
 /// Checks for stalled replicas until the process ends.
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let threshold = StallThreshold::default();
@@ -129,6 +140,7 @@
     head: Arc<Head>,
     silent_since: Option<Instant>,
 ) {
+    let began = Instant::now();
     let members = members_of(&core, &head);
     let member_count = members.len();
     let mut reports = JoinSet::new();
@@ -145,13 +157,18 @@
     }
     let mut silent: SmallVec<[HostId; 2]> = SmallVec::new();
     let mut broken = false;
+    let mut moved = false;
     while let Some(joined) = reports.join_next().await {
         // A report request can't panic; one that did would show nothing about its host.
         let Ok((member, report)) = joined else {
             continue;
         };
         match report {
-            Ok(report) => broken |= is_broken(&head, &report),
+            Ok(report) => match state_of(&head, &report) {
+                MemberState::InReplica => {}
+                MemberState::Broken => broken = true,
+                MemberState::Moved => moved = true,
+            },
             Err(err) => {
                 let id = member.start.0;
                 log_silent_member(&head, &id, &err);
@@ -163,7 +180,14 @@
         info!(event = "links-lost", replica = %head.replica, epoch = head.epoch);
         return;
     }
-    if !silent.is_empty() || broken {
+    if moved && !broken && silent.is_empty() {
+        tokio::time::sleep(MOVED_GRACE).await;
+        if head.stream_activity().last_event() > Some(began) {
+            info!(event = "replica-moves", replica = %head.replica, epoch = head.epoch);
+            return;
+        }
+    }
+    if !silent.is_empty() || broken || moved {
         return report_loss(&core, &head, silent_since, silent);
     }
     // Finds out whether only the link is lost, for `break_lost_links`.
@@ -201,12 +225,12 @@
     lost
 }
 
-fn is_broken(head: &Head, report: &HostReport) -> bool {
-    match &report.membership {
-        None => true,
-        Some(m) => {
-            m.replica != head.replica || m.epoch != head.epoch || m.phase == MembershipPhase::Broken
-        }
+fn state_of(head: &Head, report: &HostReport) -> MemberState {
+    let membership = report.membership.as_ref();
+    match membership.filter(|m| m.replica == head.replica && m.epoch == head.epoch) {
+        None => MemberState::Moved,
+        Some(m) if m.phase == MembershipPhase::Broken => MemberState::Broken,
+        Some(_) => MemberState::InReplica,
     }
 }
 
