--- a/crates/core/tests/process/child.rs
+++ b/crates/core/tests/process/child.rs
@@ -51,8 +51,31 @@
     }
 }
 
+/// The state of each thread of a process: stopped, sleeping in which call, or ended.
+fn thread_states(pid: u32) -> String {
+    let tasks = std::fs::read_dir(format!("/proc/{pid}/task"));
+    let state = |task: std::fs::DirEntry| {
+        let read = |name: &str| std::fs::read_to_string(task.path().join(name));
+        let status = read("status").unwrap_or_default();
+        let state = status.lines().find(|line| line.starts_with("State:"));
+        let call = read("wchan").unwrap_or_default();
+        let id = task.file_name();
+        format!(
+            "{} {} {call}",
+            id.to_string_lossy(),
+            state.unwrap_or_default()
+        )
+    };
+    let states = tasks.into_iter().flatten().flatten().map(state);
+    states.collect::<Vec<_>>().join("; ")
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            let pid = self.child.id();
+            eprintln!("process {pid}: {}", thread_states(pid));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
