Send requests of split routes only to services with a weight

By reading the change: if a request was quarantined at all services of its route that have a weight, one without weight would have been chosen, which gets no requests. No caller saw it; the choice among services that aren't quarantined is new. Also puts a doc comment back to its function and words some others for readers.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -564,8 +564,6 @@
     })
 }
 
-/// A body that ends with the connection looks whole also when it was cut; only
-/// an event stream has an end marker of its own.
 /// Whether the end of a response's body is marked, by its length or by chunks.
 pub(crate) fn is_framed(status: StatusCode, headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH)
@@ -573,6 +571,8 @@
         || status == StatusCode::NO_CONTENT
 }
 
+/// A body that ends with the connection looks whole also when it was cut; only
+/// an event stream has an end marker of its own.
 fn check_framing(response: &Response<Incoming>) -> Result<(), SendError> {
     let headers = response.headers();
     let framed = is_framed(response.status(), headers);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -200,7 +200,9 @@
     core: &Core<P>,
     call: &Call,
 ) -> Result<ServiceName, Refusal> {
-    let is_allowed = |(service, _): &&(ServiceName, u32)| quarantine::is_clear(core, call, service);
+    let is_allowed = |(service, weight): &&(ServiceName, u32)| {
+        *weight > 0 && quarantine::is_clear(core, call, service)
+    };
     let mut services: SmallVec<[&(ServiceName, u32); 2]> =
         call.route.services.iter().filter(is_allowed).collect();
     if services.is_empty() {
--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -60,13 +60,14 @@
     }
 }
 
-/// A candidate to decide on.
+/// When to decide on a candidate.
 #[derive(Clone, Debug)]
 struct Pending {
     service: ServiceName,
     due_at: Instant,
 }
 
+/// The notice of a part, which may be extended.
 #[derive(Clone, Copy, Debug)]
 struct Notice {
     began: Instant,
@@ -148,8 +149,8 @@
         self.pending.entry(fingerprint).or_insert(pending);
     }
 
-    /// Handles a node's report that a request completed `age` ago on a host that stayed up; the same
-    /// for each of its parts. Returns the decision if this clears it.
+    /// Handles a node's report that a request, or one with a part, completed `age` ago on a host that
+    /// stayed up. Returns the decision if this clears the candidate.
     pub fn on_completed(
         &mut self,
         service: &ServiceName,
@@ -286,8 +287,7 @@
     }
 
     /// Permits one attempt of a request whose quarantine, or that of its part, is over. It ends
-    /// within `lease`.
-    /// Returns the decision that keeps other nodes from trying it too; `None` if it may run freely.
+    /// within `lease`. Returns the decision that keeps other nodes from trying it too; `None` if it may run freely.
     ///
     /// # Errors
     /// When it is quarantined or on trial.
--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -24,8 +24,8 @@
 const SHARED_CRASHES: usize = 2;
 /// The limit for a part that many requests have, or that has completed before.
 const PROVEN_PART_CRASH_LIMIT: usize = 6;
-/// Parts each known to have caused some of the crashes of a common part, of which that one is the
-/// likelier cause.
+/// If this many other parts each seem to have caused some of a common part's crashes, none of them
+/// explains these.
 const MAX_EXPLAINING_PARTS: usize = 3;
 
 impl SuspectTracker {
@@ -166,7 +166,7 @@
         if crashes.len() < limit {
             return false;
         }
-        // Also those that began before the one before had crashed: few others were in them.
+        // Crashes that overlap tell candidates apart as well.
         let all = self.unexplained_crashes(part, now);
         let is_shared = is_one_request(&all) || self.has_likelier_part(part, &all, now);
         crashes.len() >= limit + SHARED_CRASHES || !is_shared
