Leave the common part clear while narrower ones may explain crashes

The trial after 10 s ran a request with a crashing part, so the common part was quarantined for 2 minutes more.

- Until a coordinator knows the shares of parts, the limit of narrower parts is that of the common one, which is in the crashes of both and so reaches it first.
- A common part on notice counted as a known cause, so the crashes of the narrower ones were explained and their notices ended.
- A crash under a trial counted against the common part alone, although the request held a narrower suspect.
- Found on the way: any completion ended a notice, also one that is older than the crashes.

Change: a common part is doubtful if it has completed, or if two narrower parts were in all of its crashes between them. A doubtful one needs four more crashes and explains nothing while on notice; one that has completed is on notice for 2 s. A trial of it that crashes a host is repeated after 2 s without a further offence, and it is released as soon as a narrower part is quarantined. A notice ends only with a completion that clears the part.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -24,6 +24,8 @@
 const NOTICE_PERIOD: Duration = Duration::from_millis(500);
 /// The same for a part that many requests have, or of which one has completed before.
 const LONG_NOTICE_PERIOD: Duration = Duration::from_millis(800);
+/// The same for a part of which both is true: narrower ones are decided on before it.
+const LONGEST_NOTICE_PERIOD: Duration = Duration::from_millis(2000);
 /// How much longer a notice gets at a time.
 const NOTICE_EXTENSION: Duration = Duration::from_millis(200);
 /// Longest notice of a part that many requests have, while other parts that were in its crashes are
@@ -41,6 +43,8 @@
     Duration::from_secs(20 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
+/// The same after a trial of a part that crashed a host with a narrower suspect.
+const RETRY_AFTER_UNCLEAR_TRIAL: Duration = Duration::from_secs(2);
 
 value! { copy
     /// Why a trial is denied.
@@ -132,8 +136,16 @@
         let mut decided = Vec::new();
         for fingerprint in running {
             if self.trials.remove(&fingerprint).is_some() {
-                let offences = table.offences(fingerprint, now) + 1;
-                decided.push(quarantine(fingerprint, service, offences));
+                let offences = table.offences(fingerprint, now);
+                // A narrower part of the request on trial may be the cause.
+                let is_unclear = self.tracker.is_explained_by_few(fingerprint, now);
+                decided.push(match is_unclear {
+                    true => QuarantineRecord {
+                        retry_after: RETRY_AFTER_UNCLEAR_TRIAL,
+                        ..quarantine(fingerprint, service, offences)
+                    },
+                    false => quarantine(fingerprint, service, offences + 1),
+                });
             } else if self.tracker.is_repeated(fingerprint)
                 && table.status(fingerprint, now) == QuarantineStatus::Clear
             {
@@ -159,10 +171,6 @@
         table: &QuarantineTable,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        let beside = match self.on_notice.remove(&fingerprint) {
-            Some(_) => self.tracker.repeated_beside(fingerprint),
-            None => Vec::new(),
-        };
         self.tracker.merge(
             SuspectUpdate {
                 cleared: vec![ClearedRecord { fingerprint, age }],
@@ -170,12 +178,15 @@
             },
             now,
         );
-        // Crashes that it seemed to explain count against others again.
-        for other in beside {
-            self.decide_at(other, service, now);
-        }
         self.trials.remove(&fingerprint);
+        // It may have completed before the crashes only.
         let is_cleared = !self.tracker.is_cause(fingerprint, now);
+        if is_cleared && self.on_notice.remove(&fingerprint).is_some() {
+            // Crashes that it seemed to explain count against others again.
+            for other in self.tracker.repeated_beside(fingerprint) {
+                self.decide_at(other, service, now);
+            }
+        }
         (is_cleared && table.offences(fingerprint, now) > 0).then(|| clear(fingerprint, service))
     }
 
@@ -188,7 +199,7 @@
         // The narrowest first: it explains crashes of the broader ones.
         ready.sort_by_key(|(fingerprint, _)| self.tracker.breadth(*fingerprint));
         if !ready.is_empty() {
-            self.update_causes(table);
+            self.update_causes(table, now);
         }
         let mut decided: Vec<QuarantineRecord> = Vec::new();
         for (fingerprint, Pending { service, .. }) in ready {
@@ -200,14 +211,17 @@
             }
             if let Some(until) = self.notice_end(fingerprint, &service, now) {
                 self.decide_at(fingerprint, &service, until);
-                self.update_causes(table);
+                self.update_causes(table, now);
                 continue;
             }
             let is_late = self.tracker.breadth(fingerprint) == 0
                 && self.tracker.crash_count(fingerprint, now) >= MANY_CRASHES;
             decided.push(quarantine(fingerprint, &service, 1 + u32::from(is_late)));
+            let is_part = self.tracker.breadth(fingerprint) > 0;
             let released = table.fingerprints().filter(|p| {
-                table.offences(*p, now) == 1 && self.tracker.outweighs(fingerprint, *p, now)
+                let is_explained = is_part && self.tracker.is_explained_by_few(*p, now);
+                let is_outweighed = self.tracker.outweighs(fingerprint, *p, now);
+                table.offences(*p, now) == 1 && (is_explained || is_outweighed)
             });
             decided.extend(released.map(|p| clear(p, &service)));
         }
@@ -233,9 +247,11 @@
         if let Some(notice) = self.on_notice.get(&fingerprint).copied() {
             return self.extend_notice(fingerprint, notice, now);
         }
-        let period = match self.tracker.is_proven_part(fingerprint) {
-            true => LONG_NOTICE_PERIOD,
-            false => NOTICE_PERIOD,
+        let is_common = self.tracker.is_common_part(fingerprint);
+        let period = match (is_common, self.tracker.has_completed(fingerprint)) {
+            (true, true) => LONGEST_NOTICE_PERIOD,
+            (false, false) => NOTICE_PERIOD,
+            _ => LONG_NOTICE_PERIOD,
         };
         if self.on_notice.len() < MAX_NOTICES {
             let (began, until) = (now, now + period);
@@ -276,8 +292,13 @@
         Some(until)
     }
 
-    fn update_causes(&mut self, table: &QuarantineTable) {
-        let known = table.fingerprints().chain(self.on_notice.keys().copied());
+    fn update_causes(&mut self, table: &QuarantineTable, now: Instant) {
+        let tracker = &self.tracker;
+        let decided = table.fingerprints();
+        let decided = decided.filter(|p| !tracker.is_explained_by_few(*p, now));
+        let on_notice = self.on_notice.keys().copied();
+        let on_notice = on_notice.filter(|p| !tracker.is_doubtful_part(*p, now));
+        let known: Vec<Fingerprint> = decided.chain(on_notice).collect();
         self.tracker.update_causes(known);
     }
 
--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -1,6 +1,7 @@
 //! Which candidates are the likely causes of crashes.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
@@ -22,6 +23,8 @@
 const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
 /// Further crashes that quarantine a candidate although another one was in all of its crashes.
 const SHARED_CRASHES: usize = 2;
+/// Further crashes that quarantine a common part that is doubtful.
+const DOUBTFUL_CRASHES: usize = 4;
 /// The limit for a part that many requests have, or that has completed before.
 const PROVEN_PART_CRASH_LIMIT: usize = 6;
 /// If this many other parts each seem to have caused some of a common part's crashes, none of them
@@ -168,10 +171,55 @@
         }
         // Crashes that overlap tell candidates apart as well.
         let all = self.unexplained_crashes(part, now);
+        if self.is_doubtful_part(part, now) {
+            return crashes.len() >= limit + DOUBTFUL_CRASHES;
+        }
         let is_shared = is_one_request(&all) || self.has_likelier_part(part, &all, now);
         crashes.len() >= limit + SHARED_CRASHES || !is_shared
     }
 
+    /// Whether the part is common and more likely present than the cause.
+    pub(crate) fn is_doubtful_part(&self, part: Fingerprint, now: Instant) -> bool {
+        self.is_common_part(part)
+            && (self.has_completed(part) || self.is_explained_by_few(part, now))
+    }
+
+    /// Whether a few narrower parts were in all of the crashes of a common one: each may have caused
+    /// some of them.
+    pub(crate) fn is_explained_by_few(&self, part: Fingerprint, now: Instant) -> bool {
+        let mut left = self.unexplained_crashes(part, now);
+        if !self.is_common_part(part) || left.is_empty() {
+            return false;
+        }
+        for _ in 1..MAX_EXPLAINING_PARTS {
+            let Some(likeliest) = self.likeliest_narrower_part(part, &left) else {
+                return false;
+            };
+            left.retain(|c| !self.may_have_caused(likeliest, c));
+        }
+        left.is_empty()
+    }
+
+    /// The narrower part that was in most of the crashes.
+    fn likeliest_narrower_part(
+        &self,
+        part: Fingerprint,
+        crashes: &[&Crash],
+    ) -> Option<Fingerprint> {
+        let narrower = 1..self.breadth(part);
+        let mut counts: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+        let running = crashes.iter().flat_map(|c| &c.running);
+        let may_explain = running
+            .filter(|(_, run)| narrower.contains(&run.breadth))
+            .map(|(other, _)| *other)
+            .filter(|other| self.repeated.contains(other) && !self.is_proven_part(*other));
+        for other in may_explain {
+            *counts.entry(other).or_default() += 1;
+        }
+        let likeliest = counts.into_iter().max_by_key(|(_, count)| *count);
+        likeliest.map(|(other, _)| other)
+    }
+
     /// Whether another part was in all of the crashes and is likelier the cause: a narrower one, or
     /// one that was in more crashes.
     fn has_likelier_part(&self, part: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
--- a/crates/route/tests/crashing_parts.rs
+++ b/crates/route/tests/crashing_parts.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 
-use crate::support::{CRASHING, Day, Fleet, ms};
+use crate::support::{CRASHING, Day, Fleet, Outcome, ms};
 
 /// Arrivals of requests with a crashing part that are permitted after it should be quarantined.
 const MAX_LATE_ARRIVALS: usize = 3;
@@ -74,6 +74,48 @@
     check(day, Duration::ZERO, 10);
 }
 
+/// Guards against the same where all hosts are often down, so that few sound requests complete.
+#[gtest]
+fn two_crashing_parts_before_two_hosts_leave_the_common_part_clear() {
+    for (seed, out) in small_fleet_days() {
+        expect_that!(out.common_quarantined, eq(Duration::ZERO), "seed {seed}");
+    }
+}
+
+/// Guards against crashing parts that are taken for sound ones, which were in the same crashes.
+#[gtest]
+fn two_crashing_parts_before_two_hosts_are_quarantined() {
+    for (seed, out) in small_fleet_days() {
+        for part in CRASHING..CRASHING + 2 {
+            let late = out.late_arrivals(part, None);
+            expect_that!(late, le(MAX_LATE_ARRIVALS), "seed {seed}, {part:x}");
+        }
+    }
+}
+
+/// Days of two hosts that are attacked from the start and before which nothing has completed, with
+/// their seeds.
+fn small_fleet_days() -> impl Iterator<Item = (u64, Outcome)> {
+    (1..=SEEDS).map(|seed| {
+        let day = Day {
+            seed,
+            crashing_parts: 2,
+            crashing_per_s: 1.25,
+            attack: (ms(0), ms(24_000)),
+            lasts: ms(30_000),
+            nodes: 3,
+            hosts: 2,
+            domains: 1,
+            sound_per_s: 5.0,
+            subjects: 5,
+            longest_run: ms(500),
+            down: (ms(600), ms(700)),
+            ..Day::default()
+        };
+        (seed, Fleet::new(day).play().1)
+    })
+}
+
 /// Guards against crashing parts at the beginning of prompts.
 #[gtest]
 fn a_crashing_first_part_is_quarantined() {
@@ -172,6 +214,22 @@
     }
 }
 
+/// Guards against completions before the first crash that postpone the decision without end.
+#[gtest]
+fn a_part_of_all_requests_that_begins_to_crash_hosts_is_quarantined() {
+    for seed in 1..=SEEDS {
+        let day = Day {
+            seed,
+            crashing_parts: 0,
+            common_part_crashes: true,
+            ..Day::default()
+        };
+        let (_, out) = Fleet::new(day).play();
+        let late = out.late_arrivals(crate::support::COMMON, None);
+        expect_that!(late, le(MAX_LATE_ARRIVALS), "seed {seed}");
+    }
+}
+
 /// Guards against evidence that grows with the nodes of a fleet.
 #[gtest]
 fn reports_in_the_largest_fleet_are_bounded() {
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -54,6 +54,8 @@
     pub(crate) other_crashes_per_s: f64,
     /// When all hosts of a domain crash within two seconds.
     pub(crate) domain_fails_at: Option<Duration>,
+    /// How long a crashed host is down, at least and at most.
+    pub(crate) down: (Duration, Duration),
     /// When all nodes restart.
     pub(crate) restart_at: Option<Duration>,
     /// Share of the nodes whose reports come a second late.
@@ -82,6 +84,7 @@
             flood_parts: 0,
             other_crashes_per_s: 0.0,
             domain_fails_at: None,
+            down: (ms(600), ms(3000)),
             restart_at: None,
             late_reporters: 0.0,
             spread: ms(300),
@@ -364,7 +367,8 @@
 
     fn crash(&mut self, h: usize) {
         let now = self.now;
-        let down = ms(self.rng.u64(600..3000));
+        let (least, most) = self.day.down;
+        let down = least + (most - least).mul_f64(self.rng.f64());
         let host = &mut self.hosts[h];
         host.up_at = now + down;
         host.starts += 1;
