Play cut nodes and two services in the model of crashing parts

Two kinds of trouble had not been tried beside crashing parts: nodes that reach no other node but all hosts for 10 s, whose reports come late, and two services with hosts of their own of which requests with the same part come.

--- a/crates/route/tests/crashing_parts.rs
+++ b/crates/route/tests/crashing_parts.rs
@@ -166,6 +166,31 @@
     check(day, Duration::ZERO, 10);
 }
 
+/// Guards against parts of one service that are counted for another one.
+#[gtest]
+fn a_crashing_part_of_two_services_is_quarantined_at_each() {
+    let day = Day {
+        services: 2,
+        hosts: 24,
+        sound_per_s: 120.0,
+        crashing_per_s: 5.0,
+        ..Day::default()
+    };
+    check(day, Duration::ZERO, 5);
+}
+
+/// Guards against the old reports of nodes that were cut off: their crashes must count, and at the
+/// time at which they were.
+#[gtest]
+fn a_crashing_part_is_quarantined_beside_nodes_that_are_cut_off() {
+    let day = Day {
+        cut_nodes: 3,
+        cut: (ms(4_000), ms(14_000)),
+        ..Day::default()
+    };
+    check(day, Duration::ZERO, 10);
+}
+
 /// Guards against floods of random parts that displace the evidence.
 #[gtest]
 fn floods_of_random_parts_hide_no_crashing_part() {
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use eelgrassmill_base::ServiceName;
 use eelgrassmill_route::*;
 use fastrand::Rng;
 
@@ -18,7 +19,8 @@
 pub(crate) const CRASHING: PartId = 0xbad0_0000;
 /// The node that is the coordinator.
 const COORDINATOR: usize = 0;
-const SERVICE: &str = "draft";
+/// Names of the services, as many as the day has.
+const SERVICES: [&str; 2] = ["draft", "review"];
 /// How long after its fifth crash requests with a part may still reach hosts freely.
 pub(crate) const NOTICE_TIME: Duration = Duration::from_secs(3);
 
@@ -33,6 +35,8 @@
     pub(crate) nodes: usize,
     pub(crate) hosts: usize,
     pub(crate) domains: usize,
+    /// Services, each with hosts of its own.
+    pub(crate) services: usize,
     pub(crate) slots: usize,
     pub(crate) lasts: Duration,
     /// Sound requests a second, and the subjects that they share.
@@ -60,6 +64,9 @@
     pub(crate) restart_at: Option<Duration>,
     /// Share of the nodes whose reports come a second late.
     pub(crate) late_reporters: f64,
+    /// Nodes, the last ones, that reach no other node but all hosts, and when.
+    pub(crate) cut_nodes: usize,
+    pub(crate) cut: (Duration, Duration),
     /// Longest time until a decision has reached a node.
     pub(crate) spread: Duration,
 }
@@ -71,6 +78,7 @@
             nodes: 8,
             hosts: 12,
             domains: 3,
+            services: 1,
             slots: 26,
             lasts: ms(40_000),
             sound_per_s: 60.0,
@@ -87,6 +95,8 @@
             down: (ms(600), ms(3000)),
             restart_at: None,
             late_reporters: 0.0,
+            cut_nodes: 0,
+            cut: (ms(0), ms(0)),
             spread: ms(300),
         }
     }
@@ -95,6 +105,7 @@
 #[derive(Clone, Debug)]
 struct Run {
     node: usize,
+    service: &'static str,
     request: Fingerprint,
     parts: Vec<PartId>,
     sent: Instant,
@@ -108,6 +119,7 @@
 
 struct Host {
     name: String,
+    service: &'static str,
     domain: String,
     starts: u64,
     up_at: Instant,
@@ -129,8 +141,8 @@
 }
 
 enum Report {
-    Crash(CrashRecord),
-    Completed(Fingerprint, Instant),
+    Crash(ServiceName, CrashRecord),
+    Completed(ServiceName, Fingerprint, Instant),
 }
 
 /// What happened in a day.
@@ -179,6 +191,7 @@
         let start = Instant::now() + Duration::from_secs(3600);
         let hosts = (0..day.hosts).map(|n| Host {
             name: format!("h{n}"),
+            service: SERVICES[n % day.services],
             domain: format!("d{}", n % day.domains),
             starts: 0,
             up_at: start,
@@ -260,6 +273,7 @@
         }
         let run = Run {
             node: self.rng.usize(..self.nodes.len()),
+            service: self.draw_service(),
             request: self.next_request,
             parts,
             sent: self.now,
@@ -272,11 +286,19 @@
         self.send(run);
     }
 
+    fn draw_service(&mut self) -> &'static str {
+        match self.day.services {
+            1 => SERVICES[0],
+            services => SERVICES[self.rng.usize(..services)],
+        }
+    }
+
     fn send(&mut self, mut run: Run) {
         let now = self.now;
-        let candidates = crash_candidates(run.request, SERVICE, &run.parts);
+        let candidates = crash_candidates(run.request, run.service, &run.parts);
         if run.node == COORDINATOR && run.attempts == 0 {
-            self.coordinator.on_request(&SERVICE.into(), &candidates);
+            self.coordinator
+                .on_request(&run.service.into(), &candidates);
         }
         run.trial = None;
         match self.nodes[run.node].table.status_of_all(&candidates, now) {
@@ -284,8 +306,11 @@
             QuarantineStatus::TrialDue if run.attempts == 0 => {
                 let table = &self.nodes[run.node].table;
                 let due = table.trial_due(&candidates, now).expect("one is due");
+                if self.is_cut(run.node) {
+                    return self.reject(&run);
+                }
                 let trial = self.coordinator.request_trial(
-                    &SERVICE.into(),
+                    &run.service.into(),
                     due,
                     ms(3000),
                     &self.table,
@@ -299,8 +324,10 @@
             }
             _ => return self.reject(&run),
         }
-        let up = (0..self.hosts.len())
-            .filter(|h| self.hosts[*h].up_at <= now && self.hosts[*h].runs.len() < self.day.slots);
+        let may_run = |host: &Host| {
+            host.service == run.service && host.up_at <= now && host.runs.len() < self.day.slots
+        };
+        let up = (0..self.hosts.len()).filter(|h| may_run(&self.hosts[*h]));
         let up: Vec<usize> = up.collect();
         let Some(host) = self.rng.choice(up) else {
             return;
@@ -308,12 +335,19 @@
         run.attempts += 1;
         run.sent = now;
         run.has_survived = false;
-        if let Some(part) = run.cause {
+        let is_in_touch = !self.is_cut(run.node);
+        if let Some(part) = run.cause.filter(|_| is_in_touch) {
             self.out.arrivals.entry(part).or_default().push(now);
         }
         self.hosts[host].runs.push(run);
     }
 
+    fn is_cut(&self, node: usize) -> bool {
+        let at = self.now - self.start;
+        let (from, until) = self.day.cut;
+        node + self.day.cut_nodes >= self.nodes.len() && (from..until).contains(&at)
+    }
+
     fn reject(&mut self, run: &Run) {
         self.out.sound_rejected += usize::from(run.cause.is_none());
     }
@@ -353,14 +387,15 @@
     /// Reports that candidates of this breadth and above have completed, where that is awaited.
     fn clear(&mut self, run: &Run, min_breadth: u8) {
         let now = self.now;
-        let candidates = crash_candidates(run.request, SERVICE, &run.parts);
+        let candidates = crash_candidates(run.request, run.service, &run.parts);
         for candidate in candidates.iter().filter(|c| c.breadth >= min_breadth) {
             let fingerprint = candidate.fingerprint;
             let node = &mut self.nodes[run.node];
             node.completions.insert(fingerprint, now);
             let is_quarantined = node.table.status(fingerprint, now) != QuarantineStatus::Clear;
             if node.watched.remove(&fingerprint) || is_quarantined {
-                self.report(run.node, Report::Completed(fingerprint, now));
+                let report = Report::Completed(run.service.into(), fingerprint, now);
+                self.report(run.node, report);
             }
         }
     }
@@ -374,6 +409,7 @@
         host.starts += 1;
         let runs = std::mem::take(&mut host.runs);
         let (id, domain) = (crash_id(&host.name, host.starts), host.domain.clone());
+        let service = host.service;
         for node in 0..self.nodes.len() {
             let broken: Vec<BrokenRun> = runs
                 .iter()
@@ -382,7 +418,7 @@
                     let ran_for = now - run.sent;
                     let wrote_for = ran_for.saturating_sub(PROMPT_TIME);
                     BrokenRun {
-                        candidates: crash_candidates(run.request, SERVICE, &run.parts),
+                        candidates: crash_candidates(run.request, run.service, &run.parts),
                         ran_for,
                         started: !wrote_for.is_zero(),
                         wrote_for,
@@ -406,11 +442,11 @@
             };
             let fingerprints: Vec<Fingerprint> =
                 crash.running.iter().map(|r| r.fingerprint).collect();
-            self.report(node, Report::Crash(crash));
+            self.report(node, Report::Crash(service.into(), crash));
             self.nodes[node].watched.extend(fingerprints);
             for part in parts {
                 if let Some(at) = self.nodes[node].completions.get(&part).copied() {
-                    self.report(node, Report::Completed(part, at));
+                    self.report(node, Report::Completed(service.into(), part, at));
                 }
             }
         }
@@ -421,15 +457,22 @@
         }
     }
 
-    fn report(&mut self, node: usize, report: Report) {
+    fn report(&mut self, node: usize, mut report: Report) {
         let is_late = (node as f64) < self.nodes.len() as f64 * self.day.late_reporters;
         let delay = if is_late {
             ms(1000)
         } else {
             ms(self.rng.u64(10..100))
         };
+        let sent = match self.is_cut(node) {
+            true => self.start + self.day.cut.1,
+            false => self.now,
+        };
+        if let Report::Crash(_, crash) = &mut report {
+            crash.age = sent - self.now;
+        }
         self.out.reports += 1;
-        self.reports.push_back((self.now + delay, report));
+        self.reports.push_back((sent + delay, report));
     }
 
     fn crash_for_other_reasons(&mut self) {
@@ -473,13 +516,13 @@
     }
 
     fn handle(&mut self, report: Report) {
-        let (now, service) = (self.now, SERVICE.into());
+        let now = self.now;
         match report {
-            Report::Crash(crash) => {
+            Report::Crash(service, crash) => {
                 let decided = self.coordinator.on_crash(&service, crash, &self.table, now);
                 self.publish(decided);
             }
-            Report::Completed(fingerprint, at) => {
+            Report::Completed(service, fingerprint, at) => {
                 let age = now.saturating_duration_since(at);
                 let decided =
                     self.coordinator
@@ -502,14 +545,14 @@
         for n in 0..self.nodes.len() {
             let delay = self.day.spread.mul_f64(n as f64 / self.nodes.len() as f64);
             while let Some((at, message)) = self.published.get(self.nodes[n].received).cloned() {
-                if at + delay > now {
+                if at + delay > now || self.is_cut(n) {
                     break;
                 }
                 self.nodes[n].received += 1;
                 match message {
                     Message::Decision(record) => self.on_decision(n, record, now - at),
                     Message::Notice(notice) => {
-                        self.report_completion(n, notice.fingerprint);
+                        self.report_completion(n, notice.fingerprint, &notice.service);
                         self.nodes[n].watched.insert(notice.fingerprint);
                     }
                 }
@@ -525,13 +568,13 @@
         };
         let is_first = self.nodes[n].table.offences(record.fingerprint, self.now) == 0;
         if self.nodes[n].table.merge(&record, self.now) && is_first && record.offences > 0 {
-            self.report_completion(n, record.fingerprint);
+            self.report_completion(n, record.fingerprint, &record.service);
         }
     }
 
-    fn report_completion(&mut self, n: usize, fingerprint: Fingerprint) {
+    fn report_completion(&mut self, n: usize, fingerprint: Fingerprint, service: &ServiceName) {
         if let Some(at) = self.nodes[n].completions.get(&fingerprint).copied() {
-            self.report(n, Report::Completed(fingerprint, at));
+            self.report(n, Report::Completed(service.clone(), fingerprint, at));
         }
     }
 
@@ -553,9 +596,13 @@
     }
 
     fn check_common(&mut self) {
-        let common = crash_candidates(0, SERVICE, [COMMON])[1].fingerprint;
-        let is_quarantined = |n: &Node| n.table.status(common, self.now) != QuarantineStatus::Clear;
-        let is_stopped = self.nodes.iter().any(is_quarantined);
+        let services = SERVICES.iter().take(self.day.services);
+        let mut common = services.map(|s| crash_candidates(0, s, [COMMON])[1].fingerprint);
+        let is_quarantined = |n: &Node, common| {
+            let status = n.table.status(common, self.now);
+            status != QuarantineStatus::Clear
+        };
+        let is_stopped = common.any(|c| self.nodes.iter().any(|n| is_quarantined(n, c)));
         self.out.common_quarantined += STEP * u32::from(is_stopped);
     }
 }
