Count many narrower causes only if hosts crash without them

Three counted as a sign that none had, although no host crashed without one of them, so the common part was quarantined 0.3 s after the right one.

Change: many narrower causes count against the common part only if two hosts crashed without any of them. Completions that are known already end each notice but that of a common part, which has always completed.

All bounds are as they were.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -31,6 +31,8 @@
 /// Longest notice of a part that many requests have, while other parts that were in its crashes are
 /// on notice.
 const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(1200);
+/// Error of the times of completions, which nodes report repeatedly.
+const COMPLETION_TIME_ERROR: Duration = Duration::from_millis(200);
 /// Maximum number of parts on notice at the same time.
 const MAX_NOTICES: usize = 16;
 /// Crashes that count as two offences: the request was recognized late.
@@ -171,6 +173,12 @@
         table: &QuarantineTable,
         now: Instant,
     ) -> Option<QuarantineRecord> {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let known = self.tracker.last_completion(fingerprint);
+        let is_new = known.is_none_or(|known| at > known + COMPLETION_TIME_ERROR);
+        // Completions before the crashes speak for a part each time that it is suspected. A common
+        // part has always completed, and would never be quarantined.
+        let ends_notice = is_new || !self.tracker.is_common_part(fingerprint);
         self.tracker.merge(
             SuspectUpdate {
                 cleared: vec![ClearedRecord { fingerprint, age }],
@@ -178,15 +186,14 @@
             },
             now,
         );
-        self.trials.remove(&fingerprint);
-        // It may have completed before the crashes only.
-        let is_cleared = !self.tracker.is_cause(fingerprint, now);
-        if is_cleared && self.on_notice.remove(&fingerprint).is_some() {
+        if ends_notice && self.on_notice.remove(&fingerprint).is_some() {
             // Crashes that it seemed to explain count against others again.
             for other in self.tracker.repeated_beside(fingerprint) {
                 self.decide_at(other, service, now);
             }
         }
+        self.trials.remove(&fingerprint);
+        let is_cleared = !self.tracker.is_cause(fingerprint, now);
         (is_cleared && table.offences(fingerprint, now) > 0).then(|| clear(fingerprint, service))
     }
 
--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -27,8 +27,8 @@
 const DOUBTFUL_CRASHES: usize = 4;
 /// The limit for a part that many requests have, or that has completed before.
 const PROVEN_PART_CRASH_LIMIT: usize = 6;
-/// If this many other parts each seem to have caused some of a common part's crashes, none of them
-/// explains these.
+/// If this many other parts each seem to have caused some of a common part's crashes, and hosts go on
+/// to crash without them, none of them explains these.
 const MAX_EXPLAINING_PARTS: usize = 3;
 
 impl SuspectTracker {
@@ -69,7 +69,12 @@
 
     /// Whether a request with this candidate has completed, as far as the crashes that are kept go.
     pub(crate) fn has_completed(&self, candidate: Fingerprint) -> bool {
-        self.cleared.contains_key(&candidate)
+        self.last_completion(candidate).is_some()
+    }
+
+    /// When a request with this candidate last completed, as far as is known.
+    pub(crate) fn last_completion(&self, candidate: Fingerprint) -> Option<Instant> {
+        self.cleared.get(&candidate).copied()
     }
 
     /// Whether a part needs more evidence than others.
@@ -108,16 +113,18 @@
         }
         causes.sort_unstable();
         causes.dedup();
-        let parts = causes.iter().filter(|p| self.breadth(**p) > 0).count();
-        if self.is_common_part(candidate) && parts >= MAX_EXPLAINING_PARTS {
-            return crashes;
-        }
-        for cause in causes {
-            if self.explains(cause, candidate, now) {
-                crashes.retain(|c| !c.running.contains_key(&cause));
+        let all = crashes.clone();
+        for cause in &causes {
+            if self.explains(*cause, candidate, now) {
+                crashes.retain(|c| !c.running.contains_key(cause));
             }
         }
-        crashes
+        let parts = causes.iter().filter(|p| self.breadth(**p) > 0).count();
+        let has_too_many = self.is_common_part(candidate) && parts >= MAX_EXPLAINING_PARTS;
+        match has_too_many && crashes.len() >= MIN_CRASHES {
+            true => all,
+            false => crashes,
+        }
     }
 
     /// Whether crashes with a known cause don't count against the candidate.
