Look for explaining parts of common parts only

The crashes of each quarantined request were collected before it was known whether it is a common part, each time that a coordinator updates the causes.

--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -194,8 +194,11 @@
     /// Whether a few narrower parts were in all of the crashes of a common one: each may have caused
     /// some of them.
     pub(crate) fn is_explained_by_few(&self, part: Fingerprint, now: Instant) -> bool {
+        if !self.is_common_part(part) {
+            return false;
+        }
         let mut left = self.unexplained_crashes(part, now);
-        if !self.is_common_part(part) || left.is_empty() {
+        if left.is_empty() {
             return false;
         }
         for _ in 1..MAX_EXPLAINING_PARTS {
