--- a/crates/route/tests/crashing_parts.rs
+++ b/crates/route/tests/crashing_parts.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 
-use crate::support::{CRASHING, Day, Fleet, Outcome, ms};
+use crate::support::{COMMON, CRASHING, Day, Fleet, Outcome, ms};
 
 /// Arrivals of requests with a crashing part that are permitted after it should be quarantined.
 const MAX_LATE_ARRIVALS: usize = 3;
@@ -179,8 +179,7 @@
     check(day, Duration::ZERO, 5);
 }
 
-/// Guards against the old reports of nodes that were cut off: their crashes must count, and at the
-/// time at which they were.
+/// Guards against reports of nodes that were cut off, which come late and together.
 #[gtest]
 fn a_crashing_part_is_quarantined_beside_nodes_that_are_cut_off() {
     let day = Day {
@@ -222,37 +221,35 @@
     }
 }
 
-/// Guards against never quarantining a part that all requests hold.
-#[gtest]
-fn a_part_of_all_requests_that_crashes_hosts_is_quarantined() {
+/// Plays a day on which the part that all requests hold crashes hosts.
+fn check_common_part(day: &Day) {
     for seed in 1..=SEEDS {
         let day = Day {
             seed,
             crashing_parts: 0,
             common_part_crashes: true,
-            attack: (ms(0), ms(40_000)),
-            ..Day::default()
+            ..day.clone()
         };
         let (_, out) = Fleet::new(day).play();
-        let late = out.late_arrivals(crate::support::COMMON, None);
+        let late = out.late_arrivals(COMMON, None);
         expect_that!(late, le(MAX_LATE_ARRIVALS), "seed {seed}");
     }
 }
 
+/// Guards against never quarantining a part that all requests hold.
+#[gtest]
+fn a_part_of_all_requests_that_crashes_hosts_is_quarantined() {
+    let day = Day {
+        attack: (ms(0), ms(40_000)),
+        ..Day::default()
+    };
+    check_common_part(&day);
+}
+
 /// Guards against completions before the first crash that postpone the decision without end.
 #[gtest]
 fn a_part_of_all_requests_that_begins_to_crash_hosts_is_quarantined() {
-    for seed in 1..=SEEDS {
-        let day = Day {
-            seed,
-            crashing_parts: 0,
-            common_part_crashes: true,
-            ..Day::default()
-        };
-        let (_, out) = Fleet::new(day).play();
-        let late = out.late_arrivals(crate::support::COMMON, None);
-        expect_that!(late, le(MAX_LATE_ARRIVALS), "seed {seed}");
-    }
+    check_common_part(&Day::default());
 }
 
 /// Guards against evidence that grows with the nodes of a fleet.
