Bound the batches of the log writer

Cause, two faults of the thread that writes the log: a batch took lines as long as the queue had any, so a burst that fills it as fast as it is read was in one batch that is written only after its end; and the number of dropped lines was reset before the line that reports it was written, so that a collector that doesn't read made it zero.

Ruled out: the machine's load as the only cause.

Change: a batch is at most as long as the queue, and dropped lines count until the line that reports them is written.

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -130,7 +130,9 @@
         }
         let mut buf = Vec::new();
         let mut received = 0;
-        for line in std::iter::once(first).chain(lines.try_iter()) {
+        // Bounded: a burst may fill the queue as fast as it is read.
+        let batch = lines.try_iter().take(QUEUE_LINES);
+        for line in std::iter::once(first).chain(batch) {
             written += 1;
             received += 1;
             if written > MAX_LINES_PER_SECOND {
@@ -139,7 +141,7 @@
                 buf.extend_from_slice(&line);
             }
         }
-        let dropped_now = dropped.swap(0, Ordering::Relaxed);
+        let dropped_now = dropped.load(Ordering::Relaxed);
         if dropped_now > 0 {
             let line = format!(
                 "{{\"level\":\"WARN\",\"event\":\"log-dropped\",\"lines\":{dropped_now}}}\n"
@@ -150,6 +152,7 @@
         if write_batches(&mut out, &buf).is_err() {
             return;
         }
+        dropped.fetch_sub(dropped_now, Ordering::Relaxed);
         pending.fetch_sub(received, Ordering::AcqRel);
     }
 }
--- a/crates/gateway/tests/logs.rs
+++ b/crates/gateway/tests/logs.rs
@@ -71,3 +71,18 @@
         contains_substring("\"event\":\"log-dropped\",\"lines\":800")
     );
 }
+
+/// Guards against losing the number of dropped lines while the collector doesn't read.
+#[gtest]
+fn dropped_lines_count_until_they_are_reported() {
+    let (unblock, blocked) = mpsc::channel();
+    let mut queue = LogQueue::start(BlockedWriter(blocked)).expect("the writer thread starts");
+    for n in 0..1800 {
+        queue
+            .write_all(format!("line {n}\n").as_bytes())
+            .expect("writes to the queue never fail");
+    }
+    std::thread::sleep(Duration::from_millis(400));
+    expect_that!(queue.dropped(), eq(800));
+    drop(unblock);
+}
