Save quarantine decisions for nodes that all restart

What callers saw, in a test with three nodes: after all nodes had restarted, requests with a part that had been quarantined reached hosts 9 times later than 3 s after the restart, 3 are permitted, and 24 of 30 sound streams were served.

Cause: decisions lived in the nodes' memory alone. Nodes that restart one by one pass them on; nodes that restart together learn each cause anew, at the cost of several hosts.

Ruled out: collecting evidence faster. Also ruled out: a row written by each coordinator (two compete for it), and a restore by the leader, which is chosen 1.5 to 4 s after a start.

Change: the leader writes the newest 64 decisions to a row of the store, with times of the store's clock, at most once a second and only if they changed. Nodes that read the lists from the store after a restart read the row too and publish what they didn't know. Without decisions no call is made.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -18,6 +18,7 @@
 use crate::peers::publish_leader;
 use crate::planning::PlannerTerm;
 use crate::ports::{LeaderElection, LeaderRecord, Platform};
+use crate::quarantine;
 
 /// How often a node that isn't the leader checks whether there is a leader.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -167,6 +168,7 @@
     tokio::select! {
         () = confirm(core, leader, &lease) => {}
         () = run_planner(core, leader, &lease) => {}
+        () = quarantine::save_loop(core) => {}
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,9 +47,10 @@
 pub use crate::log_report::{LogReader, Subject};
 pub use crate::logs::{LogQueue, init_logging};
 pub use crate::ports::{
-    AcceptedConfig, AttemptMetadata, Cursor, Dialect, HostControl, HostReport, HostUnavailable,
-    LeaderElection, LeaderRecord, NodeRequest, OperatorChange, Platform, ResponseClass, Source,
-    SourceError,
+    AcceptedConfig, AttemptMetadata, Cursor, DecisionStore, Dialect, HostControl, HostReport,
+    HostUnavailable, LeaderElection, LeaderRecord, NodeRequest, OperatorChange, Platform,
+    ResponseClass, Source, SourceError, StoredDecisions,
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
+pub use eelgrassmill_route::SavedDecision;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ModelName, NodeId, RowVersion, TenantId, value};
 use eelgrassmill_fleet::{Catalog, EvacuationChange, FleetChange, Membership, Order, OrderReply};
+use eelgrassmill_route::SavedDecision;
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -94,6 +95,32 @@
     ) -> impl Future<Output = Result<bool, SourceError>> + Send;
 }
 
+value! {
+    /// Decisions of the quarantine as they are stored.
+    pub struct StoredDecisions {
+        /// The decisions; none if they were never written.
+        pub decisions: Vec<SavedDecision>,
+        /// The version of the record; 0 if it was never written.
+        pub version: RowVersion,
+        /// The time of the store's clock, which is steady and the same for all nodes.
+        pub clock: Duration,
+    }
+}
+
+/// Store of the quarantine's decisions, for nodes that all restart at the same time.
+pub trait DecisionStore: Send + Sync + 'static {
+    /// Reads the decisions.
+    fn read(&self) -> impl Future<Output = Result<StoredDecisions, SourceError>> + Send;
+
+    /// Replaces the decisions if the record still has `version` (compare and set). `false` if it has
+    /// another.
+    fn write(
+        &self,
+        version: RowVersion,
+        decisions: &[SavedDecision],
+    ) -> impl Future<Output = Result<bool, SourceError>> + Send;
+}
+
 value! {
     /// A host's report of its state.
     pub struct HostReport {
@@ -227,6 +254,8 @@
     type Operator: Source<Change = OperatorChange>;
     /// The planner's leader.
     type LeaderElection: LeaderElection;
+    /// The quarantine's decisions.
+    type Decisions: DecisionStore;
     /// Orders and report requests to hosts.
     type Control: HostControl;
     /// HTTP headers and endpoints.
@@ -243,6 +272,8 @@
     fn read_catalog(&self, text: &str) -> Result<Catalog, SourceError>;
     /// The planner's leader.
     fn leader(&self) -> &Self::LeaderElection;
+    /// The quarantine's decisions.
+    fn decisions(&self) -> &Self::Decisions;
     /// Orders and report requests to hosts.
     fn control(&self) -> &Self::Control;
     /// HTTP headers and endpoints.
--- a/crates/gateway/src/quarantine/coordinator.rs
+++ b/crates/gateway/src/quarantine/coordinator.rs
@@ -160,9 +160,10 @@
     }
 }
 
-fn merge<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
+/// Puts a decision in force at this node; returns whether it is newer than the known one.
+pub(super) fn merge<P: Platform>(core: &Core<P>, record: &QuarantineRecord) -> bool {
     let now = Instant::now();
-    let is_new = {
+    let (is_newer, is_new) = {
         let mut table = locked(&core.quarantine.table);
         let known = table.offences(record.fingerprint, now);
         let is_newer = table.merge(record, now);
@@ -171,11 +172,13 @@
         if is_newer && record.offences > 0 {
             core.quarantine.decided.send_modify(|count| *count += 1);
         }
-        is_newer && known == 0 && record.offences > 0
+        let is_new = is_newer && known == 0 && record.offences > 0;
+        (is_newer, is_new)
     };
     if is_new {
         report_completion(core, record.fingerprint, &record.service);
     }
+    is_newer
 }
 
 fn log_decision<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
@@ -198,7 +201,7 @@
     decisions.with_label_values(&labels).inc();
 }
 
-fn publish<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
+pub(super) fn publish<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
     let Some(peer) = core.peer() else { return };
     let wire = WireRecord {
         service: record.service.clone(),
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -6,6 +6,7 @@
 mod completions;
 mod coordinator;
 mod reports;
+mod saved;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -30,6 +31,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 
 pub(crate) use crate::quarantine::coordinator::{handle, on_record};
+pub(crate) use crate::quarantine::saved::{restore, save_loop};
 
 /// Coordinators of a service. A second one keeps the evidence if the first one dies.
 const COORDINATORS: usize = 2;
@@ -63,12 +65,19 @@
     reported: Notify,
     /// Notified of other nodes' reports.
     evidence: Notify,
+    /// Notified when this node reads a list from the store itself.
+    store_read: Notify,
 }
 
 /// Waits for quarantine decisions.
 pub(crate) struct Decisions(watch::Receiver<u64>);
 
 impl Quarantine {
+    /// Records that this node read a list from the store itself.
+    pub(crate) fn on_store_read(&self) {
+        self.store_read.notify_one();
+    }
+
     /// The decisions from now on.
     pub(crate) fn decisions(&self) -> Decisions {
         Decisions(self.decided.subscribe())
--- /dev/null
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -0,0 +1,94 @@
+//! Decisions that are saved in the platform's store: nodes that all restart at the same time would
+//! forget them.
+//!
+//! The leader saves them. Nodes that read the lists from the store when they start read the
+//! decisions as well, and publish them to the others.
+
+use std::time::{Duration, Instant};
+
+use eelgrassmill_route::{QuarantineRecord, are_same_decisions};
+use tracing::{info, warn};
+
+use crate::core::Core;
+use crate::heads::locked;
+use crate::ports::{DecisionStore, Platform, SourceError, StoredDecisions};
+use crate::quarantine::coordinator::{merge, publish};
+
+/// How often the leader checks whether there are decisions to save.
+const SAVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a failure to read saved decisions.
+const RESTORE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// How long after its start a node restores decisions. Later, other nodes know all that matter.
+const RESTORE_PERIOD: Duration = Duration::from_secs(15);
+
+/// Saves decisions until the future is dropped. Only the leader does.
+pub(crate) async fn save_loop<P: Platform>(core: &Core<P>) {
+    let mut saved = 0;
+    let mut last_save_ok = true;
+    loop {
+        tokio::time::sleep(SAVE_INTERVAL).await;
+        let revision = locked(&core.quarantine.table).revision();
+        if revision == saved {
+            continue;
+        }
+        let result = save(core).await;
+        match &result {
+            Ok(true) => saved = revision,
+            // Another node wrote since the read.
+            Ok(false) => {}
+            Err(err) if last_save_ok => {
+                warn!(event = "quarantine", outcome = "not-saved", %err);
+            }
+            // Logged at the first of consecutive failures.
+            Err(_) => {}
+        }
+        last_save_ok = result.is_ok();
+    }
+}
+
+/// Saves the decisions of this node and those that are saved already. `false` if another node wrote
+/// at the same time.
+async fn save<P: Platform>(core: &Core<P>) -> Result<bool, SourceError> {
+    let stored = core.platform.decisions().read().await?;
+    adopt(core, &stored);
+    let decisions = locked(&core.quarantine.table).to_saved(Instant::now(), stored.clock);
+    if are_same_decisions(&decisions, &stored.decisions) {
+        return Ok(true);
+    }
+    let store = core.platform.decisions();
+    store.write(stored.version, &decisions).await
+}
+
+/// Restores saved decisions once this node has read the lists from the store itself.
+pub(crate) async fn restore<P: Platform>(core: &Core<P>) {
+    if core.cfg.first_start {
+        return;
+    }
+    let left = || RESTORE_PERIOD.saturating_sub(core.started_at.elapsed());
+    let store_read = core.quarantine.store_read.notified();
+    if tokio::time::timeout(left(), store_read).await.is_err() {
+        return;
+    }
+    while !left().is_zero() {
+        match core.platform.decisions().read().await {
+            Ok(stored) => return adopt(core, &stored),
+            Err(err) => warn!(event = "quarantine", outcome = "not-restored", %err),
+        }
+        tokio::time::sleep(RESTORE_RETRY_INTERVAL).await;
+    }
+}
+
+/// Puts stored decisions in force that this node doesn't know, and publishes them.
+fn adopt<P: Platform>(core: &Core<P>, stored: &StoredDecisions) {
+    let records = stored.decisions.iter().map(|d| d.to_record(stored.clock));
+    for record in records.collect::<Vec<QuarantineRecord>>() {
+        if merge(core, &record) {
+            info!(
+                event = "quarantine", fingerprint = format!("{:016x}", record.fingerprint),
+                service = %record.service, outcome = "restored", offences = record.offences,
+                retry_after_ms = record.retry_after.as_millis() as u64,
+            );
+            publish(core, &record);
+        }
+    }
+}
--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -383,6 +383,9 @@
 impl<P: Platform> Sink<OperatorChange> for OperatorSink<P> {
     fn apply(&self, changes: Vec<OperatorChange>, version: Cursor, from: Option<&NodeId>) {
         let source = from.map_or("store", |node| node.as_str());
+        if from.is_none() {
+            self.0.quarantine.on_store_read();
+        }
         for change in changes {
             match change {
                 OperatorChange::Configuration(accepted) => {
--- a/crates/route/src/quarantine/table.rs
+++ b/crates/route/src/quarantine/table.rs
@@ -68,6 +68,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
     requests: BTreeMap<Fingerprint, Entry>,
+    /// Number of decisions that were merged.
+    revision: u64,
 }
 
 impl QuarantineTable {
@@ -76,6 +78,11 @@
         self.requests.is_empty()
     }
 
+    /// Changes with each decision; 0 before the first one.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Number of quarantined requests.
     pub fn quarantined(&self) -> usize {
         self.requests.values().filter(|e| e.offences > 0).count()
@@ -141,6 +148,7 @@
             retry_at: now + record.retry_after,
         };
         self.requests.insert(record.fingerprint, entry);
+        self.revision += 1;
         self.prune(now);
         true
     }
--- a/crates/route/tests/crashing_parts.rs
+++ b/crates/route/tests/crashing_parts.rs
@@ -221,6 +221,26 @@
     }
 }
 
+/// Guards against decisions that are lost when all nodes restart.
+#[gtest]
+fn a_crashing_part_stays_quarantined_when_all_nodes_restart() {
+    let day = Day {
+        saves_decisions: true,
+        ..restart_day(1)
+    };
+    check(day, Duration::ZERO, 5);
+}
+
+/// Guards against the same with two crashing parts.
+#[gtest]
+fn two_crashing_parts_stay_quarantined_when_all_nodes_restart() {
+    let day = Day {
+        saves_decisions: true,
+        ..restart_day(2)
+    };
+    check(day, Duration::ZERO, 10);
+}
+
 /// Plays a day on which the part that all requests hold crashes hosts.
 fn check_common_part(day: &Day) {
     for seed in 1..=SEEDS {
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -287,6 +287,55 @@
     }
 }
 
+/// Guards against restored decisions that end too soon or too late.
+#[gtest]
+fn saved_decisions_keep_their_times() {
+    let (now, before) = (Instant::now(), 50 * SECOND);
+    let mut table = QuarantineTable::default();
+    for (fingerprint, offences) in [(1, 2), (2, 0)] {
+        let record = QuarantineRecord {
+            fingerprint,
+            service: "draft".into(),
+            offences,
+            age: 3 * SECOND,
+            retry_after: 100 * SECOND,
+        };
+        table.merge(&record, now);
+    }
+    let saved = table.to_saved(now, before);
+    let restored = saved.iter().map(|d| d.to_record(before + 10 * SECOND));
+    expect_that!(
+        restored.collect::<Vec<_>>(),
+        elements_are![eq(&QuarantineRecord {
+            fingerprint: 1,
+            service: "draft".into(),
+            offences: 2,
+            age: 13 * SECOND,
+            retry_after: 90 * SECOND,
+        })]
+    );
+}
+
+/// Guards against saved decisions that grow with the requests that crash hosts.
+#[gtest]
+fn the_newest_decisions_are_saved() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    for n in 0..200 {
+        let record = QuarantineRecord {
+            fingerprint: n.into(),
+            service: "draft".into(),
+            offences: 1,
+            age: n * SECOND,
+            retry_after: 100 * SECOND,
+        };
+        table.merge(&record, now);
+    }
+    let saved = table.to_saved(now, 1000 * SECOND);
+    let fingerprints: Vec<u64> = saved.iter().map(|d| d.fingerprint).collect();
+    expect_that!(fingerprints, eq(&(0..64).collect::<Vec<u64>>()));
+}
+
 /// Guards against state that grows with the requests that crash hosts, or with the hosts.
 #[gtest]
 fn state_is_bounded() {
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -17,6 +17,10 @@
 pub(crate) const COMMON: PartId = 1;
 /// Ids of crashing parts begin here.
 pub(crate) const CRASHING: PartId = 0xbad0_0000;
+/// How often decisions are saved.
+const SAVE_INTERVAL: Duration = ms(1000);
+/// How long after a restart they are read.
+const RESTORE_DELAY: Duration = ms(500);
 /// The node that is the coordinator.
 const COORDINATOR: usize = 0;
 /// Names of the services, as many as the day has.
@@ -62,6 +66,8 @@
     pub(crate) down: (Duration, Duration),
     /// When all nodes restart.
     pub(crate) restart_at: Option<Duration>,
+    /// Whether decisions are saved where they outlive the nodes.
+    pub(crate) saves_decisions: bool,
     /// Share of the nodes whose reports come a second late.
     pub(crate) late_reporters: f64,
     /// Nodes, the last ones, that reach no other node but all hosts, and when.
@@ -94,6 +100,7 @@
             domain_fails_at: None,
             down: (ms(600), ms(3000)),
             restart_at: None,
+            saves_decisions: false,
             late_reporters: 0.0,
             cut_nodes: 0,
             cut: (ms(0), ms(0)),
@@ -180,6 +187,8 @@
     nodes: Vec<Node>,
     coordinator: QuarantineCoordinator,
     table: QuarantineTable,
+    saved: Vec<SavedDecision>,
+    saved_at: Instant,
     published: Vec<(Instant, Message)>,
     reports: VecDeque<(Instant, Report)>,
     next_request: u64,
@@ -205,6 +214,8 @@
             nodes: (0..day.nodes).map(|_| Node::default()).collect(),
             coordinator: QuarantineCoordinator::default(),
             table: QuarantineTable::default(),
+            saved: Vec::new(),
+            saved_at: start,
             published: Vec::new(),
             reports: VecDeque::new(),
             next_request: 0,
@@ -219,6 +230,7 @@
             self.now += STEP;
             self.spread();
             self.restart_nodes();
+            self.save_decisions();
             self.arrivals();
             self.run_hosts();
             self.crash_for_other_reasons();
@@ -595,6 +607,27 @@
         self.reports.clear();
     }
 
+    fn save_decisions(&mut self) {
+        if !self.day.saves_decisions {
+            return;
+        }
+        let clock = self.now - self.start;
+        let restored_at = self.day.restart_at.map(|at| at + RESTORE_DELAY);
+        if restored_at.is_some_and(|at| at <= clock && clock < at + STEP) {
+            let records = self.saved.iter().map(|d| d.to_record(clock));
+            let records: Vec<QuarantineRecord> = records.collect();
+            self.publish(records);
+            self.saved_at = self.now;
+        }
+        // Nothing is saved between a restart and its end.
+        let restarts = |at: Duration| at <= clock && clock < at + RESTORE_DELAY;
+        let is_due = self.now >= self.saved_at + SAVE_INTERVAL;
+        if is_due && !self.day.restart_at.is_some_and(restarts) {
+            self.saved = self.table.to_saved(self.now, clock);
+            self.saved_at = self.now;
+        }
+    }
+
     fn check_common(&mut self) {
         let services = SERVICES.iter().take(self.day.services);
         let mut common = services.map(|s| crash_candidates(0, s, [COMMON])[1].fingerprint);
