--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,4 +53,3 @@
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
-pub use eelgrassmill_route::SavedDecision;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ModelName, NodeId, RowVersion, TenantId, value};
 use eelgrassmill_fleet::{Catalog, EvacuationChange, FleetChange, Membership, Order, OrderReply};
-use eelgrassmill_route::SavedDecision;
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -96,10 +95,10 @@
 }
 
 value! {
-    /// Decisions of the quarantine as they are stored.
+    /// The record of the quarantine's decisions.
     pub struct StoredDecisions {
-        /// The decisions; none if they were never written.
-        pub decisions: Vec<SavedDecision>,
+        /// What was written last; `None` if nothing was.
+        pub encoded: Option<Vec<u8>>,
         /// The version of the record; 0 if it was never written.
         pub version: RowVersion,
         /// The time of the store's clock, which is steady and the same for all nodes.
@@ -109,15 +108,15 @@
 
 /// Store of the quarantine's decisions, for nodes that all restart at the same time.
 pub trait DecisionStore: Send + Sync + 'static {
-    /// Reads the decisions.
+    /// Reads the record.
     fn read(&self) -> impl Future<Output = Result<StoredDecisions, SourceError>> + Send;
 
-    /// Replaces the decisions if the record still has `version` (compare and set). `false` if it has
-    /// another.
+    /// Replaces the record, of at most 16 KB, if it still has `version` (compare and set). `false` if
+    /// it has another.
     fn write(
         &self,
         version: RowVersion,
-        decisions: &[SavedDecision],
+        encoded: &[u8],
     ) -> impl Future<Output = Result<bool, SourceError>> + Send;
 }
 
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -6,7 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-use eelgrassmill_route::{QuarantineRecord, are_same_decisions};
+use eelgrassmill_route::{Fingerprint, SavedDecision, are_same_decisions};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use tracing::{info, warn};
 
 use crate::core::Core;
@@ -21,6 +23,54 @@
 /// How long after its start a node restores decisions. Later, other nodes know all that matter.
 const RESTORE_PERIOD: Duration = Duration::from_secs(15);
 
+/// A decision in the record.
+#[derive(Serialize, Deserialize)]
+struct WireDecision {
+    fingerprint: Fingerprint,
+    service: SmolStr,
+    offences: u32,
+    decided_ms: u64,
+    retry_ms: u64,
+}
+
+impl From<&SavedDecision> for WireDecision {
+    fn from(decision: &SavedDecision) -> WireDecision {
+        WireDecision {
+            fingerprint: decision.fingerprint,
+            service: decision.service.clone(),
+            offences: decision.offences,
+            decided_ms: decision.decided_at.as_millis() as u64,
+            retry_ms: decision.retry_at.as_millis() as u64,
+        }
+    }
+}
+
+impl From<WireDecision> for SavedDecision {
+    fn from(wire: WireDecision) -> SavedDecision {
+        SavedDecision {
+            fingerprint: wire.fingerprint,
+            service: wire.service,
+            offences: wire.offences,
+            decided_at: Duration::from_millis(wire.decided_ms),
+            retry_at: Duration::from_millis(wire.retry_ms),
+        }
+    }
+}
+
+fn decode(stored: &StoredDecisions) -> Vec<SavedDecision> {
+    let Some(encoded) = &stored.encoded else {
+        return Vec::new();
+    };
+    match serde_json::from_slice::<Vec<WireDecision>>(encoded) {
+        Ok(wire) => wire.into_iter().map(SavedDecision::from).collect(),
+        Err(err) => {
+            // It is replaced at the next decision.
+            warn!(event = "quarantine", outcome = "unreadable", %err);
+            Vec::new()
+        }
+    }
+}
+
 /// Saves decisions until the future is dropped. Only the leader does.
 pub(crate) async fn save_loop<P: Platform>(core: &Core<P>) {
     let mut saved = 0;
@@ -50,13 +100,16 @@
 /// at the same time.
 async fn save<P: Platform>(core: &Core<P>) -> Result<bool, SourceError> {
     let stored = core.platform.decisions().read().await?;
-    adopt(core, &stored);
+    let known = decode(&stored);
+    adopt(core, &known, stored.clock);
     let decisions = locked(&core.quarantine.table).to_saved(Instant::now(), stored.clock);
-    if are_same_decisions(&decisions, &stored.decisions) {
+    if are_same_decisions(&decisions, &known) {
         return Ok(true);
     }
+    let wire: Vec<WireDecision> = decisions.iter().map(WireDecision::from).collect();
+    let encoded = serde_json::to_vec(&wire).map_err(|e| SourceError::Malformed(e.to_string()))?;
     let store = core.platform.decisions();
-    store.write(stored.version, &decisions).await
+    store.write(stored.version, &encoded).await
 }
 
 /// Restores saved decisions once this node has read the lists from the store itself.
@@ -71,17 +124,17 @@
     }
     while !left().is_zero() {
         match core.platform.decisions().read().await {
-            Ok(stored) => return adopt(core, &stored),
+            Ok(stored) => return adopt(core, &decode(&stored), stored.clock),
             Err(err) => warn!(event = "quarantine", outcome = "not-restored", %err),
         }
         tokio::time::sleep(RESTORE_RETRY_INTERVAL).await;
     }
 }
 
-/// Puts stored decisions in force that this node doesn't know, and publishes them.
-fn adopt<P: Platform>(core: &Core<P>, stored: &StoredDecisions) {
-    let records = stored.decisions.iter().map(|d| d.to_record(stored.clock));
-    for record in records.collect::<Vec<QuarantineRecord>>() {
+/// Puts saved decisions in force that this node doesn't know, and publishes them. `clock` is the time
+/// of the store's clock now.
+fn adopt<P: Platform>(core: &Core<P>, saved: &[SavedDecision], clock: Duration) {
+    for record in saved.iter().map(|d| d.to_record(clock)) {
         if merge(core, &record) {
             info!(
                 event = "quarantine", fingerprint = format!("{:016x}", record.fingerprint),
