Decide on common prompt parts by one rule, and explain crashes strictly

What callers saw, in the model: parts that crash hosts reach them too often since a sound part that was in as many crashes is quarantined first and explains them.

Causes, from traces of each notice and decision:

- A known cause explained the crashes of any part that was in no more crashes.
In as many it may itself be the one that is merely present.
- A common part counted crashes that no narrower part on notice or quarantined explained.
With 40 sound parts in its crashes its notice began and ended again and again.
- Its rules differed by whether a request with it had completed, and by whether a few narrower parts were in all of its crashes.

Change: a known cause explains the crashes of another part only if it was in more of them. A common part is the cause if it was in 12 crashes since the last completion, three of them one after the other, and no two narrower parts were in all but one of them; completions are awaited for 1.5 s as soon as there were 12.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -25,7 +25,7 @@
 /// The same for a part that many requests have, or of which one has completed before.
 const LONG_NOTICE_PERIOD: Duration = Duration::from_millis(800);
 /// The same for a part of which both is true: narrower ones are decided on before it.
-const LONGEST_NOTICE_PERIOD: Duration = Duration::from_millis(2000);
+const LONGEST_NOTICE_PERIOD: Duration = Duration::from_millis(1500);
 /// How much longer a notice gets at a time.
 const NOTICE_EXTENSION: Duration = Duration::from_millis(200);
 /// Longest notice of a part that many requests have, while other parts that were in its crashes are
@@ -144,9 +144,9 @@
                 decided.push(match is_unclear {
                     true => QuarantineRecord {
                         retry_after: RETRY_AFTER_UNCLEAR_TRIAL,
-                        ..quarantine(fingerprint, service, offences)
+                        ..self.quarantine(fingerprint, service, offences)
                     },
-                    false => quarantine(fingerprint, service, offences + 1),
+                    false => self.quarantine(fingerprint, service, offences + 1),
                 });
             } else if self.tracker.is_repeated(fingerprint)
                 && table.status(fingerprint, now) == QuarantineStatus::Clear
@@ -212,18 +212,19 @@
         for (fingerprint, Pending { service, .. }) in ready {
             let is_cause = table.status(fingerprint, now) == QuarantineStatus::Clear
                 && self.tracker.is_cause(fingerprint, now);
-            if !is_cause {
+            let is_suspected = is_cause || self.tracker.is_suspected_common_part(fingerprint, now);
+            if !is_suspected {
                 self.on_notice.remove(&fingerprint);
                 continue;
             }
-            if let Some(until) = self.notice_end(fingerprint, &service, now) {
+            if let Some(until) = self.notice_end(fingerprint, &service, is_cause, now) {
                 self.decide_at(fingerprint, &service, until);
                 self.update_causes(table, now);
                 continue;
             }
             let is_late = self.tracker.breadth(fingerprint) == 0
                 && self.tracker.crash_count(fingerprint, now) >= MANY_CRASHES;
-            decided.push(quarantine(fingerprint, &service, 1 + u32::from(is_late)));
+            decided.push(self.quarantine(fingerprint, &service, 1 + u32::from(is_late)));
             let is_part = self.tracker.breadth(fingerprint) > 0;
             let released = table.fingerprints().filter(|p| {
                 let is_explained = is_part && self.tracker.is_explained_by_few(*p, now);
@@ -246,13 +247,14 @@
         &mut self,
         fingerprint: Fingerprint,
         service: &ServiceName,
+        is_cause: bool,
         now: Instant,
     ) -> Option<Instant> {
         if self.tracker.breadth(fingerprint) == 0 {
             return None;
         }
         if let Some(notice) = self.on_notice.get(&fingerprint).copied() {
-            return self.extend_notice(fingerprint, notice, now);
+            return self.extend_notice(fingerprint, notice, is_cause, now);
         }
         let is_common = self.tracker.is_common_part(fingerprint);
         let period = match (is_common, self.tracker.has_completed(fingerprint)) {
@@ -277,6 +279,7 @@
         &mut self,
         fingerprint: Fingerprint,
         notice: Notice,
+        is_cause: bool,
         now: Instant,
     ) -> Option<Instant> {
         if now < notice.until {
@@ -286,9 +289,10 @@
         let is_rival = |other: &Fingerprint| {
             !tracker.is_common_part(*other) && tracker.share_crash(fingerprint, *other)
         };
-        let may_extend = tracker.is_common_part(fingerprint)
+        let awaits_rivals = tracker.is_common_part(fingerprint)
             && now < notice.began + MAX_NOTICE_PERIOD
             && self.on_notice.keys().any(is_rival);
+        let may_extend = awaits_rivals || !is_cause;
         if !may_extend {
             self.on_notice.remove(&fingerprint);
             return None;
@@ -299,12 +303,32 @@
         Some(until)
     }
 
+    fn quarantine(
+        &self,
+        fingerprint: Fingerprint,
+        service: &ServiceName,
+        offences: u32,
+    ) -> QuarantineRecord {
+        let retry_after = match self.tracker.breadth(fingerprint) {
+            0 => RETRY_AFTER,
+            _ => RETRY_AFTER,
+        };
+        let index = (offences.max(1) as usize - 1).min(retry_after.len() - 1);
+        QuarantineRecord {
+            fingerprint,
+            service: service.clone(),
+            offences,
+            age: Duration::ZERO,
+            retry_after: retry_after[index],
+        }
+    }
+
     fn update_causes(&mut self, table: &QuarantineTable, now: Instant) {
         let tracker = &self.tracker;
         let decided = table.fingerprints();
         let decided = decided.filter(|p| !tracker.is_explained_by_few(*p, now));
         let on_notice = self.on_notice.keys().copied();
-        let on_notice = on_notice.filter(|p| !tracker.is_doubtful_part(*p, now));
+        let on_notice = on_notice.filter(|p| !tracker.is_common_part(*p));
         let known: Vec<Fingerprint> = decided.chain(on_notice).collect();
         self.tracker.update_causes(known);
     }
@@ -353,14 +377,3 @@
         retry_after: Duration::ZERO,
     }
 }
-
-fn quarantine(fingerprint: Fingerprint, service: &ServiceName, offences: u32) -> QuarantineRecord {
-    let index = (offences.max(1) as usize - 1).min(RETRY_AFTER.len() - 1);
-    QuarantineRecord {
-        fingerprint,
-        service: service.clone(),
-        offences,
-        age: Duration::ZERO,
-        retry_after: RETRY_AFTER[index],
-    }
-}
--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -23,13 +23,15 @@
 const ONE_DOMAIN_CRASH_LIMIT: usize = 4;
 /// Further crashes that quarantine a candidate although another one was in all of its crashes.
 const SHARED_CRASHES: usize = 2;
-/// Further crashes that quarantine a common part that is doubtful.
-const DOUBTFUL_CRASHES: usize = 4;
-/// The limit for a part that many requests have, or that has completed before.
+/// The limit for a part that has completed before.
 const PROVEN_PART_CRASH_LIMIT: usize = 6;
-/// If this many other parts each seem to have caused some of a common part's crashes, and hosts go on
-/// to crash without them, none of them explains these.
-const MAX_EXPLAINING_PARTS: usize = 3;
+/// Crashes since its last completion that quarantine a part that many requests have, unless a few
+/// narrower parts were in all but one of them.
+const COMMON_PART_CRASH_LIMIT: usize = 12;
+/// How many of them must come one after the other.
+const COMMON_PART_SUCCESSIVE_CRASHES: usize = 3;
+/// Maximum number of narrower parts that explain the crashes of a common one between them.
+const MAX_EXPLAINING_PARTS: usize = 2;
 
 impl SuspectTracker {
     /// Updates which crashes the known causes explain.
@@ -50,6 +52,9 @@
 
     /// Whether the candidate is the likely cause of its crashes.
     pub(crate) fn is_cause(&self, candidate: Fingerprint, now: Instant) -> bool {
+        if self.is_common_part(candidate) {
+            return self.is_cause_as_common_part(candidate, now);
+        }
         let crashes = self.crashes_of(candidate, now);
         if crashes.is_empty() {
             return false;
@@ -113,28 +118,22 @@
         }
         causes.sort_unstable();
         causes.dedup();
-        let all = crashes.clone();
         for cause in &causes {
             if self.explains(*cause, candidate, now) {
                 crashes.retain(|c| !c.running.contains_key(cause));
             }
         }
-        let parts = causes.iter().filter(|p| self.breadth(**p) > 0).count();
-        let has_too_many = self.is_common_part(candidate) && parts >= MAX_EXPLAINING_PARTS;
-        match has_too_many && crashes.len() >= MIN_CRASHES {
-            true => all,
-            false => crashes,
-        }
+        crashes
     }
 
     /// Whether crashes with a known cause don't count against the candidate.
     ///
     /// A request that was sent again after each crash, or a part of it, may have been quarantined
-    /// although a part of others is the cause. It was in fewer crashes than that one.
+    /// although a part of others is the cause. It was in no more crashes than that one.
     fn explains(&self, cause: Fingerprint, candidate: Fingerprint, now: Instant) -> bool {
         if self.breadth(candidate) > 0 && !self.is_common_part(candidate) {
             let theirs = self.crashes_with(cause, now).len();
-            return theirs >= self.crashes_with(candidate, now).len();
+            return theirs > self.crashes_with(candidate, now).len();
         }
         !self.outweighs(candidate, cause, now)
     }
@@ -166,7 +165,7 @@
 
     /// Whether a prompt part is the likely cause. Requests that hold it hold others too.
     fn is_cause_as_part(&self, part: Fingerprint, crashes: &[&Crash], now: Instant) -> bool {
-        let limit = if self.is_proven_part(part) {
+        let limit = if self.has_completed(part) {
             PROVEN_PART_CRASH_LIMIT
         } else if self.traffic.is_common(part).is_none() {
             quarantine_threshold(crashes) + SHARED_CRASHES
@@ -178,17 +177,21 @@
         }
         // Crashes that overlap tell candidates apart as well.
         let all = self.unexplained_crashes(part, now);
-        if self.is_doubtful_part(part, now) {
-            return crashes.len() >= limit + DOUBTFUL_CRASHES;
-        }
         let is_shared = is_one_request(&all) || self.has_likelier_part(part, &all, now);
         crashes.len() >= limit + SHARED_CRASHES || !is_shared
     }
 
-    /// Whether the part is common and more likely present than the cause.
-    pub(crate) fn is_doubtful_part(&self, part: Fingerprint, now: Instant) -> bool {
-        self.is_common_part(part)
-            && (self.has_completed(part) || self.is_explained_by_few(part, now))
+    /// Whether completions with a common part are to be awaited.
+    pub(crate) fn is_suspected_common_part(&self, part: Fingerprint, now: Instant) -> bool {
+        self.is_common_part(part) && self.crashes_with(part, now).len() >= COMMON_PART_CRASH_LIMIT
+    }
+
+    /// Whether a common part is the likely cause: it is in the crashes of narrower ones as well.
+    fn is_cause_as_common_part(&self, part: Fingerprint, now: Instant) -> bool {
+        let crashes = self.crashes_with(part, now);
+        self.is_suspected_common_part(part, now)
+            && successive(part, crashes.clone()).len() >= COMMON_PART_SUCCESSIVE_CRASHES
+            && self.crashes_without_few(part, crashes) > 1
     }
 
     /// Whether a few narrower parts were in all of the crashes of a common one: each may have caused
@@ -197,17 +200,19 @@
         if !self.is_common_part(part) {
             return false;
         }
-        let mut left = self.unexplained_crashes(part, now);
-        if left.is_empty() {
-            return false;
-        }
-        for _ in 1..MAX_EXPLAINING_PARTS {
-            let Some(likeliest) = self.likeliest_narrower_part(part, &left) else {
-                return false;
+        let crashes = self.crashes_with(part, now);
+        !crashes.is_empty() && self.crashes_without_few(part, crashes) == 0
+    }
+
+    /// Number of crashes without any of the few narrower parts that were in most of them.
+    fn crashes_without_few(&self, part: Fingerprint, mut crashes: SmallVec<[&Crash; 4]>) -> usize {
+        for _ in 0..MAX_EXPLAINING_PARTS {
+            let Some(likeliest) = self.likeliest_narrower_part(part, &crashes) else {
+                break;
             };
-            left.retain(|c| !self.may_have_caused(likeliest, c));
+            crashes.retain(|c| !self.may_have_caused(likeliest, c));
         }
-        left.is_empty()
+        crashes.len()
     }
 
     /// The narrower part that was in most of the crashes.
