Try quarantined prompt parts sooner, one after the other

Ruled out: heads that are down because both crashing parts are tried at the same time, which was suspected first.

Change: the first trial of a part is due after 3 s; requests keep 10 s. A later trial of a crashing part is as rare as before. Trials of different candidates begin at least 1 s apart, so that the crash of one isn't taken for the failure of another.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -45,7 +45,18 @@
     Duration::from_secs(20 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
-/// The same after a trial of a part that crashed a host with a narrower suspect.
+/// The same for a part of prompts. The first is shorter: many sound requests may hold a part that was
+/// merely present.
+const PART_RETRY_AFTER: [Duration; 4] = [
+    Duration::from_secs(3),
+    Duration::from_secs(2 * 60),
+    Duration::from_secs(20 * 60),
+    Duration::from_secs(24 * 60 * 60),
+];
+/// Shortest time between the trials of two candidates, so that one which crashes its host isn't taken
+/// for the failure of another.
+const TRIAL_GAP: Duration = Duration::from_secs(1);
+/// Time until the next trial after one of a part that crashed a host with a narrower suspect.
 const RETRY_AFTER_UNCLEAR_TRIAL: Duration = Duration::from_secs(2);
 
 value! { copy
@@ -88,6 +99,8 @@
     pending: BTreeMap<Fingerprint, Pending>,
     /// Candidates on trial, and until when.
     trials: BTreeMap<Fingerprint, Instant>,
+    /// When the last trial began.
+    last_trial: Option<Instant>,
     /// Parts that are quarantined unless a request with them completes.
     on_notice: BTreeMap<Fingerprint, Notice>,
     notices: Vec<SuspectNotice>,
@@ -99,6 +112,7 @@
             tracker: SuspectTracker::with_capacity(MAX_CRASHES),
             pending: BTreeMap::new(),
             trials: BTreeMap::new(),
+            last_trial: None,
             on_notice: BTreeMap::new(),
             notices: Vec::new(),
         }
@@ -311,7 +325,7 @@
     ) -> QuarantineRecord {
         let retry_after = match self.tracker.breadth(fingerprint) {
             0 => RETRY_AFTER,
-            _ => RETRY_AFTER,
+            _ => PART_RETRY_AFTER,
         };
         let index = (offences.max(1) as usize - 1).min(retry_after.len() - 1);
         QuarantineRecord {
@@ -355,6 +369,12 @@
             QuarantineStatus::Clear => Ok(None),
             QuarantineStatus::Quarantined { retry_after } => Err(TrialDenied { retry_after }),
             QuarantineStatus::TrialDue => {
+                let since_last = self.last_trial.map(|at| now.saturating_duration_since(at));
+                if let Some(since_last) = since_last.filter(|since| *since < TRIAL_GAP) {
+                    let retry_after = TRIAL_GAP - since_last;
+                    return Err(TrialDenied { retry_after });
+                }
+                self.last_trial = Some(now);
                 self.trials.insert(fingerprint, now + lease);
                 Ok(Some(QuarantineRecord {
                     fingerprint,
