Restore saved decisions only where they are unknown

By reading: each time that the leader saves, it merges what is saved. The time on the way from the store made these decisions look newer than they are by some milliseconds, so that they were logged, published and counted as changes once more, and the next trial was due later.

Ruled out: the decision's own time as the key alone, which two nodes compute with different errors.

--- a/crates/gateway/src/quarantine/coordinator.rs
+++ b/crates/gateway/src/quarantine/coordinator.rs
@@ -160,10 +160,10 @@
     }
 }
 
-/// Puts a decision in force at this node; returns whether it is newer than the known one.
-pub(super) fn merge<P: Platform>(core: &Core<P>, record: &QuarantineRecord) -> bool {
+/// Puts a decision in force at this node, unless a newer one is known.
+pub(super) fn merge<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
     let now = Instant::now();
-    let (is_newer, is_new) = {
+    let is_new = {
         let mut table = locked(&core.quarantine.table);
         let known = table.offences(record.fingerprint, now);
         let is_newer = table.merge(record, now);
@@ -172,13 +172,11 @@
         if is_newer && record.offences > 0 {
             core.quarantine.decided.send_modify(|count| *count += 1);
         }
-        let is_new = is_newer && known == 0 && record.offences > 0;
-        (is_newer, is_new)
+        is_newer && known == 0 && record.offences > 0
     };
     if is_new {
         report_completion(core, record.fingerprint, &record.service);
     }
-    is_newer
 }
 
 fn log_decision<P: Platform>(core: &Core<P>, record: &QuarantineRecord) {
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -135,13 +135,16 @@
 /// of the store's clock now.
 fn adopt<P: Platform>(core: &Core<P>, saved: &[SavedDecision], clock: Duration) {
     for record in saved.iter().map(|d| d.to_record(clock)) {
-        if merge(core, &record) {
-            info!(
-                event = "quarantine", fingerprint = format!("{:016x}", record.fingerprint),
-                service = %record.service, outcome = "restored", offences = record.offences,
-                retry_after_ms = record.retry_after.as_millis() as u64,
-            );
-            publish(core, &record);
+        // The time on the way makes a decision look newer than it is.
+        if locked(&core.quarantine.table).knows(&record, Instant::now()) {
+            continue;
         }
+        info!(
+            event = "quarantine", fingerprint = format!("{:016x}", record.fingerprint),
+            service = %record.service, outcome = "restored", offences = record.offences,
+            retry_after_ms = record.retry_after.as_millis() as u64,
+        );
+        merge(core, &record);
+        publish(core, &record);
     }
 }
--- a/crates/route/src/quarantine/saved.rs
+++ b/crates/route/src/quarantine/saved.rs
@@ -48,6 +48,14 @@
 }
 
 impl QuarantineTable {
+    /// Whether a restored decision, or a later one on the same candidate, is known.
+    pub fn knows(&self, record: &QuarantineRecord, now: Instant) -> bool {
+        let known = self
+            .export(now)
+            .find(|k| k.fingerprint == record.fingerprint);
+        known.is_some_and(|known| known.age <= record.age + TIME_ERROR)
+    }
+
     /// The decisions to save, in the order of fingerprints; `clock` is the time of the shared clock
     /// now.
     pub fn to_saved(&self, now: Instant, clock: Duration) -> Vec<SavedDecision> {
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -316,6 +316,27 @@
     );
 }
 
+/// Guards against a saved quarantine that was lifted meanwhile, and against one that is restored again
+/// and again, later each time.
+#[gtest]
+fn a_saved_decision_is_restored_only_where_it_is_unknown() {
+    let now = Instant::now();
+    let record = |offences, age| QuarantineRecord {
+        fingerprint: 1,
+        service: "draft".into(),
+        offences,
+        age,
+        retry_after: 10 * SECOND,
+    };
+    let mut table = QuarantineTable::default();
+    expect_that!(table.knows(&record(1, 5 * SECOND), now), eq(false));
+    table.merge(&record(1, 5 * SECOND), now);
+    expect_that!(table.knows(&record(1, 5 * SECOND - ms(200)), now), eq(true));
+    expect_that!(table.knows(&record(2, SECOND), now), eq(false));
+    table.merge(&record(0, 2 * SECOND), now);
+    expect_that!(table.knows(&record(1, 5 * SECOND - ms(200)), now), eq(true));
+}
+
 /// Guards against saved decisions that grow with the requests that crash hosts.
 #[gtest]
 fn the_newest_decisions_are_saved() {
