--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -257,18 +257,22 @@
     expect_that!(crashes, eq(5));
 }
 
-/// Guards against a late message restoring a quarantine that was lifted, and against nodes that
-/// differ by the order in which they receive decisions.
-#[gtest]
-fn the_newest_decision_wins_in_any_order() {
-    let now = Instant::now();
-    let record = |offences, age| QuarantineRecord {
+/// A decision on a request that was made `age` ago.
+fn record(offences: u32, age: Duration) -> QuarantineRecord {
+    QuarantineRecord {
         fingerprint: 1,
         service: "draft".into(),
         offences,
         age,
         retry_after: 10 * SECOND,
-    };
+    }
+}
+
+/// Guards against a late message restoring a quarantine that was lifted, and against nodes that
+/// differ by the order in which they receive decisions.
+#[gtest]
+fn the_newest_decision_wins_in_any_order() {
+    let now = Instant::now();
     let decisions = [
         record(1, 3 * SECOND),
         record(2, 2 * SECOND),
@@ -321,13 +325,6 @@
 #[gtest]
 fn a_saved_decision_is_restored_only_where_it_is_unknown() {
     let now = Instant::now();
-    let record = |offences, age| QuarantineRecord {
-        fingerprint: 1,
-        service: "draft".into(),
-        offences,
-        age,
-        retry_after: 10 * SECOND,
-    };
     let mut table = QuarantineTable::default();
     expect_that!(table.knows(&record(1, 5 * SECOND), now), eq(false));
     table.merge(&record(1, 5 * SECOND), now);
