Play a crashing part that comes back after minutes in the model

This had not been tried: a part crashes hosts for 10 s, stays away for three minutes and comes again. The risk was that decision or evidence is forgotten meanwhile, or that too many trials run.

--- a/crates/route/tests/crashing_parts.rs
+++ b/crates/route/tests/crashing_parts.rs
@@ -64,6 +64,18 @@
     check(day, Duration::ZERO, 5);
 }
 
+/// Guards against a part that is forgotten, or tried again and again, when it comes back minutes later.
+#[gtest]
+fn a_crashing_part_that_comes_back_after_minutes_stays_quarantined() {
+    let day = Day {
+        attack: (ms(5_000), ms(15_000)),
+        second_attack: Some((ms(200_000), ms(230_000))),
+        lasts: ms(240_000),
+        ..Day::default()
+    };
+    check(day, Duration::ZERO, 5);
+}
+
 /// Guards against attributing the crashes of several parts to the part that all requests hold.
 #[gtest]
 fn several_crashing_parts_are_told_from_the_part_that_all_requests_hold() {
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -52,6 +52,8 @@
     pub(crate) crashing_parts: u64,
     pub(crate) crashing_per_s: f64,
     pub(crate) attack: (Duration, Duration),
+    /// When they come again.
+    pub(crate) second_attack: Option<(Duration, Duration)>,
     /// Whether the crashing part is the first one, in place of the common one.
     pub(crate) first_part_crashes: bool,
     /// Whether the part that all requests share crashes hosts.
@@ -93,6 +95,7 @@
             crashing_parts: 1,
             crashing_per_s: 2.5,
             attack: (ms(5_000), ms(35_000)),
+            second_attack: None,
             first_part_crashes: false,
             common_part_crashes: false,
             flood_parts: 0,
@@ -273,7 +276,9 @@
 
     fn is_attack(&self) -> bool {
         let at = self.now - self.start;
-        self.day.attack.0 <= at && at < self.day.attack.1
+        let attacks = [Some(self.day.attack), self.day.second_attack];
+        let is_within = |(from, until)| from <= at && at < until;
+        attacks.into_iter().flatten().any(is_within)
     }
 
     fn send_new(&mut self, parts: Vec<PartId>, cause: Option<PartId>) {
