Bound the notice of a common part without enough evidence

Found by reading the change again and seen in the model's traces: a common part that had just been quarantined got another notice, and one that is in many crashes without being the cause kept its notice for as long as nothing completed, with a decision every 0.2 s. Callers saw nothing; a coordinator of a service without traffic would have gone on for an hour.

Change: only parts that aren't quarantined are put on notice, and a notice without enough evidence ends after 5 s. The next crash begins another one.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -31,6 +31,8 @@
 /// Longest notice of a part that many requests have, while other parts that were in its crashes are
 /// on notice.
 const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(1200);
+/// Longest notice of a part that many requests have, while there isn't enough evidence against it.
+const MAX_SUSPICION_PERIOD: Duration = Duration::from_secs(5);
 /// Error of the times of completions, which nodes report repeatedly.
 const COMPLETION_TIME_ERROR: Duration = Duration::from_millis(200);
 /// Maximum number of parts on notice at the same time.
@@ -224,9 +226,10 @@
         }
         let mut decided: Vec<QuarantineRecord> = Vec::new();
         for (fingerprint, Pending { service, .. }) in ready {
-            let is_cause = table.status(fingerprint, now) == QuarantineStatus::Clear
-                && self.tracker.is_cause(fingerprint, now);
-            let is_suspected = is_cause || self.tracker.is_suspected_common_part(fingerprint, now);
+            let is_clear = table.status(fingerprint, now) == QuarantineStatus::Clear;
+            let is_cause = is_clear && self.tracker.is_cause(fingerprint, now);
+            let is_suspected =
+                is_cause || is_clear && self.tracker.is_suspected_common_part(fingerprint, now);
             if !is_suspected {
                 self.on_notice.remove(&fingerprint);
                 continue;
@@ -236,6 +239,9 @@
                 self.update_causes(table, now);
                 continue;
             }
+            if !is_cause {
+                continue;
+            }
             let is_late = self.tracker.breadth(fingerprint) == 0
                 && self.tracker.crash_count(fingerprint, now) >= MANY_CRASHES;
             decided.push(self.quarantine(fingerprint, &service, 1 + u32::from(is_late)));
@@ -306,7 +312,8 @@
         let awaits_rivals = tracker.is_common_part(fingerprint)
             && now < notice.began + MAX_NOTICE_PERIOD
             && self.on_notice.keys().any(is_rival);
-        let may_extend = awaits_rivals || !is_cause;
+        let awaits_crashes = !is_cause && now < notice.began + MAX_SUSPICION_PERIOD;
+        let may_extend = awaits_rivals || awaits_crashes;
         if !may_extend {
             self.on_notice.remove(&fingerprint);
             return None;
