--- a/crates/route/tests/crashing_parts.rs
+++ b/crates/route/tests/crashing_parts.rs
@@ -86,6 +86,18 @@
     check(day, Duration::ZERO, 10);
 }
 
+/// Guards against many crashing parts before anything has completed.
+#[gtest]
+fn five_crashing_parts_from_the_start_are_quarantined() {
+    let day = Day {
+        crashing_parts: 5,
+        crashing_per_s: 1.5,
+        attack: (ms(0), ms(40_000)),
+        ..Day::default()
+    };
+    check(day, Duration::ZERO, 20);
+}
+
 /// Guards against the same where all hosts are often down, so that few sound requests complete.
 #[gtest]
 fn two_crashing_parts_before_two_hosts_leave_the_common_part_clear() {
