Read the body of a refused request before the refusal

What callers saw: a request with a long body whose route or key had just been taken away, whose body was longer than a new limit, or whose node had no configuration yet, got a connection reset while it was still being sent. A caller that reads its answer only after a write that succeeds got neither an answer nor a refusal.

Cause: the node refused as soon as it had the header. hyper then reads one more piece of the body and closes the connection; with unread bytes that is a reset.

Ruled out: the refusal itself was sent.

Now the body of a refused request is read and discarded, within the limits of an accepted one: the caller's timeout and max_body_bytes. Callers that wait for 100 Continue are refused without it. A body of more than twice the limit is still cut off.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassmill_fleet::{CallerLimits, RouteError};
+use eelgrassmill_fleet::{Caller, CallerLimits, Route, RouteError};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -278,25 +279,21 @@
     req: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Call, Refusal> {
-    if !core.is_loaded() {
-        return Err(Refusal::with_retry_after(
-            RefusalCause::NotLoaded,
-            RETRY_AFTER_NOT_LOADED,
-        ));
-    }
-    let (parts, body) = req.into_parts();
-    let catalog = core.catalog();
-    let host = parts
-        .headers
-        .get(header::HOST)
-        .and_then(|h| h.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let route = catalog
-        .route(host, parts.uri.path())
-        .map_err(route_refusal)?;
-    let key = core.platform.dialect().api_key(&parts.headers);
-    let caller = catalog.caller(route, key).map_err(route_refusal)?;
+    let (parts, mut body) = req.into_parts();
     let metadata = core.platform.dialect().request_metadata(&parts.headers);
+    let max_bytes = limits(core).body_bytes;
+    let (route, caller) = match authorize(core, &parts) {
+        Ok(authorized) => authorized,
+        Err(refusal) => {
+            let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
+            let deadline = arrived + timeout.min(DEFAULT_TIMEOUT);
+            // A caller that waits for 100 Continue must not be asked for the body.
+            if !parts.headers.contains_key(header::EXPECT) {
+                discard_body(&mut body, max_bytes, deadline).await;
+            }
+            return Err(refusal);
+        }
+    };
     let timeout = metadata
         .timeout
         .unwrap_or(DEFAULT_TIMEOUT)
@@ -308,15 +305,14 @@
         .path_and_query()
         .map_or("/", |p| p.as_str())
         .into();
-    let max_bytes = limits(core).body_bytes;
-    let body = read_body(body, max_bytes, deadline).await?;
+    let body = read_body(&mut body, max_bytes, deadline).await?;
     Ok(Call {
         metadata,
         method: parts.method,
         path,
         headers: parts.headers,
         body,
-        route: Arc::clone(route),
+        route,
         caller,
         arrived,
         first_sent,
@@ -325,6 +321,31 @@
     })
 }
 
+/// The route of a request and its caller, if the route needs one.
+fn authorize<P: Platform>(
+    core: &Core<P>,
+    parts: &Parts,
+) -> Result<(Arc<Route>, Option<Arc<Caller>>), Refusal> {
+    if !core.is_loaded() {
+        return Err(Refusal::with_retry_after(
+            RefusalCause::NotLoaded,
+            RETRY_AFTER_NOT_LOADED,
+        ));
+    }
+    let catalog = core.catalog();
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let route = catalog
+        .route(host, parts.uri.path())
+        .map_err(route_refusal)?;
+    let key = core.platform.dialect().api_key(&parts.headers);
+    let caller = catalog.caller(route, key).map_err(route_refusal)?;
+    Ok((Arc::clone(route), caller))
+}
+
 /// Estimates when the caller of a request that just arrived sent its first attempt.
 fn first_sent<P: Platform>(
     core: &Core<P>,
@@ -348,14 +369,36 @@
     })
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: &mut Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
     let left = deadline.saturating_duration_since(Instant::now());
-    let read = tokio::time::timeout(left, Limited::new(body, max_bytes).collect()).await;
+    let read = tokio::time::timeout(left, Limited::new(&mut *body, max_bytes).collect()).await;
     match read {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            discard_body(body, max_bytes, deadline).await;
             Err(Refusal::new(RefusalCause::BodyTooLarge))
         }
         _ => Err(Refusal::new(RefusalCause::BodyIncomplete)),
     }
 }
+
+/// Reads the rest of a refused request's body, up to `max_bytes`. Closing a connection with unread
+/// bytes resets it, and a caller that is still sending may never see the refusal.
+async fn discard_body(body: &mut Incoming, max_bytes: usize, deadline: Instant) {
+    let mut left = max_bytes;
+    let read = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(bytes) else {
+                break;
+            };
+            left = rest;
+        }
+    };
+    // At the deadline the caller no longer waits for the refusal.
+    let _ = tokio::time::timeout_at(deadline.into(), read).await;
+}
