Give a header its full time after an idle connection

What callers saw: a connection that had been idle for most of the idle timeout was closed without an answer while the header of the next request was arriving, although the idle time and the header's time were both within their limits.

Cause: hyper's one timer runs from the end of a response to the end of the next header, and was set to the longer of the two limits.

Now it is set to their sum. A connection may so be idle longer than the idle timeout by the header timeout before it is closed.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -134,7 +134,7 @@
     builder
         .timer(TokioTimer::new())
         // hyper's header timeout includes the idle time between two requests.
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .header_read_timeout(limits.idle_timeout + limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
     let conn = builder.serve_connection(TokioIo::new(stream), service_fn(service));
     tokio::pin!(conn);
