Apply the idle timeout in force to open connections

What callers saw: after a change that raised the idle timeout, connections that had been opened before were still closed by the old one. A caller that goes by the new limit can send a request just as its connection closes, and gets neither an answer nor a refusal.

Cause: hyper takes the header timeout once, when a connection is opened.

Now the connection's timer asks for the limits in force when an idle period begins and again when it would fire. A raised limit counts at once. A lowered one counts from the next request on, so that no connection closes sooner than the limit said when its idle period began.

Not changed: the longest header of a connection is still the one that was permitted when it was opened.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod config;
 mod configuration;
+mod connection_timer;
 mod core;
 mod crash_detection;
 mod dispatch;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,13 +14,14 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tracing::{info, warn};
 
 use crate::body::ResponseBody;
 use crate::call::Call;
+use crate::connection_timer::{ConnectionTimer, header_read_timeout};
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Dialect, Platform};
@@ -78,7 +79,7 @@
 pub(crate) async fn listen<S, F>(
     listener: TcpListener,
     open: Arc<OpenConnections>,
-    limits: impl Fn() -> CallerLimits,
+    limits: impl Fn() -> CallerLimits + Clone + Send + Sync + Unpin + 'static,
     mut stopping: watch::Receiver<bool>,
     service: S,
 ) where
@@ -96,7 +97,7 @@
                 let stopping = stopping.clone();
                 tokio::spawn(serve_connection(
                     stream,
-                    limits(),
+                    limits.clone(),
                     stopping,
                     service.clone(),
                     guard,
@@ -117,7 +118,7 @@
 
 async fn serve_connection<S, F>(
     stream: TcpStream,
-    limits: CallerLimits,
+    limits: impl Fn() -> CallerLimits + Clone + Send + Sync + Unpin + 'static,
     mut stopping: watch::Receiver<bool>,
     service: S,
     _guard: ConnectionGuard,
@@ -130,12 +131,12 @@
         tracing::debug!(%err, "connection closed before its first request");
         return;
     }
+    let initial = limits();
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        // hyper's header timeout includes the idle time between two requests.
-        .header_read_timeout(limits.idle_timeout + limits.header_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+        .timer(ConnectionTimer(limits))
+        .header_read_timeout(header_read_timeout(&initial))
+        .max_buf_size(initial.header_bytes.max(MIN_BUFFER_BYTES));
     let conn = builder.serve_connection(TokioIo::new(stream), service_fn(service));
     tokio::pin!(conn);
     let ended = tokio::select! {
