Read the body of a refused request at the project's own interface

The rest of the body is read and discarded, at most MAX_BODY and until the time that an accepted body has. The operators' port is unchanged.

Test: bodies of 900 KB without a token and of 1.5 MB with one, in pieces of 64 KB each 10 ms.

--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -49,27 +49,39 @@
 
 impl Handler for Entry {
     async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
-        match self.answer(req).await {
+        let (parts, mut body) = req.into_parts();
+        let deadline = Instant::now() + parse::BODY_TIMEOUT;
+        match self.answer(&parts, &mut body, deadline).await {
             Ok(resp) => resp,
-            Err(problem) => problem.into_response(),
+            Err(problem) => {
+                // A caller that waits for 100 Continue must not be asked for the body.
+                if !parts.headers.contains_key(header::EXPECT) {
+                    parse::discard_body(&mut body, deadline).await;
+                }
+                problem.into_response()
+            }
         }
     }
 }
 
 impl Entry {
-    async fn answer(&self, req: Request<Incoming>) -> Result<Response<AnswerBody>, Problem> {
-        let (parts, body) = req.into_parts();
+    async fn answer(
+        &self,
+        parts: &Parts,
+        body: &mut Incoming,
+        body_deadline: Instant,
+    ) -> Result<Response<AnswerBody>, Problem> {
         let route = parse::route(&parts.method, &parts.uri)?;
         let cfg = self.core.config.config();
         if route == Route::Addresses {
             // Where the entries are is no secret; a token only spreads callers better.
             let tenant = tenant(&cfg, &parts.headers).ok();
-            return addresses::answer(&self.core, &cfg, &parts, tenant);
+            return addresses::answer(&self.core, &cfg, parts, tenant);
         }
         let tenant = tenant(&cfg, &parts.headers)?;
-        let wishes = parse::wishes(&parts)?;
-        let body = parse::read_body(body).await?;
-        let call = self.call(&cfg, tenant, route, &parts, wishes, body)?;
+        let wishes = parse::wishes(parts)?;
+        let body = parse::read_body(body, body_deadline).await?;
+        let call = self.call(&cfg, tenant, route, parts, wishes, body)?;
         lock(&self.core.retries).deposit(&call.tenant);
         self.core.count(&call.tenant, |c| c.admitted += 1);
         self.core.journal.note(EventKind::RequestAdmitted {
--- a/crates/node/src/entry/parse/mod.rs
+++ b/crates/node/src/entry/parse/mod.rs
@@ -1,6 +1,6 @@
 //! From a caller's HTTP request to a checked one.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use eelgrassmill_base::{IdempotencyKey, ServiceName, Tokens, Urgency};
@@ -16,7 +16,7 @@
 /// Largest body of a request, in bytes.
 pub(crate) const MAX_BODY: usize = 1024 * 1024;
 /// A caller that has not sent its whole body after this long is refused.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest idempotency key, in bytes.
 const MAX_KEY: usize = 200;
 /// Longest deadline a caller may ask for.
@@ -205,8 +205,8 @@
         .map(str::trim)
 }
 
-/// Reads the whole body, within its limits of size and time.
-pub(crate) async fn read_body(mut body: Incoming) -> Result<Bytes, Problem> {
+/// Reads the whole body, within its limits of size and until `deadline`.
+pub(crate) async fn read_body(body: &mut Incoming, deadline: Instant) -> Result<Bytes, Problem> {
     let read = async {
         let mut buf = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -224,7 +224,7 @@
         }
         Ok(buf.freeze())
     };
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+    match tokio::time::timeout_at(deadline.into(), read).await {
         Ok(read) => read,
         Err(_) => Err(Problem::not_run(
             StatusCode::REQUEST_TIMEOUT,
@@ -233,6 +233,24 @@
     }
 }
 
+/// Reads the rest of a refused request's body until `deadline`, at most as much as an accepted one may
+/// have. Closing a connection with unread bytes resets it, and a caller that is still sending may
+/// never see the answer.
+pub(crate) async fn discard_body(body: &mut Incoming, deadline: Instant) {
+    let mut left = MAX_BODY;
+    let read = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(bytes) else {
+                break;
+            };
+            left = rest;
+        }
+    };
+    // The caller has had as much time as for an accepted request.
+    let _ = tokio::time::timeout_at(deadline.into(), read).await;
+}
+
 /// Reads a completion's body.
 pub(crate) fn model_call(body: &[u8]) -> Result<ModelCall, Problem> {
     let wire: Wire = serde_json::from_slice(body)
--- a/crates/node/tests/refused.rs
+++ b/crates/node/tests/refused.rs
@@ -137,6 +137,34 @@
     assert_eq!(cluster.complete(0, "still there", 4).status, 200);
 }
 
+/// Guards against resetting a connection over which the rest of a refused body comes: its caller may
+/// never see the answer.
+#[test]
+fn a_caller_that_is_still_sending_sees_why_it_is_refused() {
+    let cluster = cluster();
+    let piece = [b'x'; 0x10000];
+    let authorized = format!("authorization: Bearer {TENANT_TOKEN}\r\n");
+    for (token, pieces, status) in [("", 14, 401), (&*authorized, 24, 413)] {
+        let mut conn = connect(cluster.nodes[0].caller_address());
+        let length = pieces * piece.len();
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{token}\
+             content-length: {length}\r\n\r\n"
+        );
+        conn.write_all(head.as_bytes()).unwrap();
+        for _ in 0..pieces {
+            std::thread::sleep(Duration::from_millis(10));
+            conn.write_all(&piece).unwrap();
+        }
+        let mut answer = String::new();
+        conn.read_to_string(&mut answer).unwrap();
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{answer}"
+        );
+    }
+}
+
 /// Slow clients, by fault or on purpose, hold connections without ever sending
 /// a whole head. Others must still be answered, and the slow ones are cut off.
 #[test]
