Suspect silent replicas before they count as lost

Callers: streams were cut off or rejected, and sound replicas were dissolved, when hosts fell silent for 0.7 s or 1.2 s and went on with everything where it was.

Cause: a stalled replica whose member gave no report within 230 ms was lost at once. Its streams broke, all nodes were told, and the planner took it apart. Ruled out: the planner's own queries, which no test of these reaches; relays, since direct connections stay open.

Now a pure policy (fleet/src/suspicion.rs) keeps suspicion apart from loss. A suspected replica gets no new requests from this node as long as another one of the model isn't suspected, and is as before with the next event or the reports of all members. It is lost after 2 s of silence, or at once by evidence: a member that is no longer listed, refuses connections, has left, or says that the replica is broken.

Streams of a suspected head that may run once more begin elsewhere within the retry budget, and the first run is given up only when the second has sent its next event; if the first goes on before, the second is dropped, and counts as a run. A request without a response moves once it has a slot elsewhere. All others wait. Crashes under runs that were given up are looked for once the loss is known.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,6 +30,7 @@
 mod spill;
 mod stall;
 mod success;
+mod suspicion;
 mod targets;
 
 pub use crate::balance::{HostCandidate, choose_host};
@@ -68,4 +69,5 @@
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{StallThreshold, StreamActivity};
 pub use crate::success::SuccessRate;
+pub use crate::suspicion::{MAX_SILENCE, MemberCheck, Suspicion, SuspicionStep};
 pub use crate::targets::{TargetOutcome, TargetStats};
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -16,13 +16,16 @@
 
 use crate::call::Call;
 use crate::core::Core;
-use crate::heads::{Head, locked};
+use crate::heads::{Head, Loss, locked};
 use crate::host_relay::reaches_hosts;
 use crate::ports::Platform;
 use crate::quarantine;
 
 /// Maximum number of requests, and of prompt parts, that the log names for one crash.
 const MAX_LOGGED: usize = 64;
+/// Time from the last event of a replica within which a member crashed that stopped its streams:
+/// several passes, which usually take 50 ms.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(150);
 
 value! {
     /// A host that crashed while requests of this node ran there.
@@ -121,6 +124,17 @@
     }
 }
 
+/// Records that the response to a call broke because its replica lost members.
+pub(crate) fn on_lost<P: Platform>(core: &Arc<Core<P>>, call: &Call, loss: Loss, broken: Broken) {
+    let broken = Broken {
+        at: loss.silent_since + MAX_EVENT_GAP,
+        ..broken
+    };
+    for member in loss.silent {
+        on_broken(core, call, member, broken);
+    }
+}
+
 /// Records that a host answered.
 pub(crate) fn on_received<P: Platform>(core: &Core<P>, host: &Host) {
     let mut detector = locked(&core.crash_detection.detector);
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -58,6 +58,10 @@
     /// Set once a member was found to be lost, after which no events arrive. Reset by
     /// [`HeadTable::retry_lost`].
     lost: watch::Sender<Option<Loss>>,
+    /// Whether members give no answer, so that it may be lost.
+    suspected: watch::Sender<bool>,
+    /// Whether its members are being checked.
+    is_checked: AtomicBool,
     /// Number of calls of [`Head::break_direct_responses`].
     link_losses: watch::Sender<u64>,
 }
@@ -118,6 +122,8 @@
             backoff: Mutex::default(),
             cold: Mutex::default(),
             lost: watch::Sender::new(None),
+            suspected: watch::Sender::new(false),
+            is_checked: AtomicBool::new(false),
             link_losses: watch::Sender::new(0),
         })
     }
@@ -279,6 +285,45 @@
         self.lost.borrow().clone()
     }
 
+    /// Begins a check of its members, unless one is in progress.
+    pub(crate) fn begin_check(&self) -> bool {
+        !self.is_checked.swap(true, Ordering::Relaxed)
+    }
+
+    pub(crate) fn end_check(&self) {
+        self.is_checked.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether members give no answer, so that it gets new requests only if all heads are suspected.
+    pub(crate) fn is_suspected(&self) -> bool {
+        *self.suspected.borrow()
+    }
+
+    /// Marks it as suspected, unless events have arrived since `since`.
+    pub(crate) fn suspect(&self, since: Instant) {
+        let has_event = self.stream_activity().last_event() > Some(since);
+        self.set_suspected(!has_event);
+    }
+
+    /// Ends a suspicion.
+    pub(crate) fn trust(&self) {
+        if self.is_suspected() {
+            self.set_suspected(false);
+        }
+    }
+
+    fn set_suspected(&self, is_suspected: bool) {
+        self.suspected
+            .send_if_modified(|known| std::mem::replace(known, is_suspected) != is_suspected);
+    }
+
+    /// Waits until it is suspected, or no longer is.
+    pub(crate) async fn wait_until_suspected(&self, is_suspected: bool) {
+        let mut rx = self.suspected.subscribe();
+        // The sender lives as long as `self`, so the channel can't close before.
+        let _ = rx.wait_for(|known| *known == is_suspected).await;
+    }
+
     /// Forgets members that the host list shows outside the replica: they left it.
     fn forget_left_members(&self, fleet: &Fleet) {
         locked(&self.members).retain(|member| {
@@ -373,6 +418,7 @@
     /// Records that an event has arrived.
     pub(crate) fn on_event(&mut self, now: Instant) {
         self.head.stream_activity().on_event(now);
+        self.head.trust();
         match &mut self.events {
             Some((_, last)) => *last = now,
             None => {
@@ -537,14 +583,16 @@
         self.hosts.get(service).copied().unwrap_or_default()
     }
 
-    /// Heads of a model that can take a request.
+    /// Heads of a model that can take a request: those that aren't suspected, if there are any.
     pub(crate) fn of_model<'t>(
         &'t self,
         service: &'t str,
         model: &'t str,
     ) -> impl Iterator<Item = &'t Arc<Head>> {
         let takes = move |h: &&Arc<Head>| h.service == service && h.model == model && !h.is_lost();
-        self.open.values().filter(takes)
+        let is_any_trusted = self.open.values().filter(takes).any(|h| !h.is_suspected());
+        let takes_now = move |h: &&Arc<Head>| takes(h) && !(is_any_trusted && h.is_suspected());
+        self.open.values().filter(takes_now)
     }
 
     /// All heads, open or draining.
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -8,7 +8,11 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, NodeId, value};
-use eelgrassmill_fleet::{CpuOverload, MembershipPhase, StallThreshold};
+use eelgrassmill_engine::SendError;
+use eelgrassmill_fleet::{
+    CpuOverload, HostPresence, MemberCheck, MembershipPhase, StallThreshold, Suspicion,
+    SuspicionStep,
+};
 use eelgrassmill_peer::{GroupRecord, Item};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -72,9 +76,9 @@
         break_lost_links(&core);
         for head in stalled_heads(&core, &threshold) {
             let silent_since = head.stream_activity().silent_since();
-            // Keeps the next round from starting a second check of the same replica.
-            head.stream_activity().on_work_resumed(Instant::now());
-            tokio::spawn(check_members(Arc::clone(&core), head, silent_since));
+            if head.begin_check() {
+                tokio::spawn(check_until_settled(Arc::clone(&core), head, silent_since));
+            }
         }
     }
 }
@@ -134,68 +138,150 @@
     heads.all().filter(is_stalled).cloned().collect()
 }
 
-/// Requests a report from each member of a replica that has been silent since `silent_since`.
-async fn check_members<P: Platform>(
+/// Checks the members of a replica that has been silent since `silent_since`, until it is known
+/// whether it is lost.
+async fn check_until_settled<P: Platform>(
     core: Arc<Core<P>>,
     head: Arc<Head>,
     silent_since: Option<Instant>,
 ) {
     let began = Instant::now();
-    let members = members_of(&core, &head);
+    let suspicion = Suspicion::new(silent_since, began);
+    loop {
+        let found = check_members(&core, &head, began).await;
+        if head.is_lost() || head.stream_activity().last_event() > Some(began) {
+            break;
+        }
+        match suspicion.on_check(found.check, Instant::now()) {
+            SuspicionStep::Trust => break,
+            SuspicionStep::Lose => {
+                report_loss(&core, &head, silent_since, found.silent);
+                break;
+            }
+            SuspicionStep::Suspect(wait) => {
+                if !head.is_suspected() {
+                    log_suspected(&head, &found.silent);
+                    head.suspect(began);
+                    core.wake_waiting_requests();
+                }
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+    if head.is_suspected() {
+        head.trust();
+        info!(event = "replica-trusted", replica = %head.replica, epoch = head.epoch);
+    }
+    head.stream_activity().on_work_resumed(Instant::now());
+    head.end_check();
+}
+
+/// What the reports of a replica's members show.
+struct CheckedMembers {
+    check: MemberCheck,
+    /// Members that didn't reply.
+    silent: SmallVec<[HostId; 2]>,
+}
+
+impl CheckedMembers {
+    fn sound() -> CheckedMembers {
+        CheckedMembers {
+            check: MemberCheck::Sound,
+            silent: SmallVec::new(),
+        }
+    }
+}
+
+/// Requests a report from each member of a replica.
+async fn check_members<P: Platform>(
+    core: &Arc<Core<P>>,
+    head: &Arc<Head>,
+    began: Instant,
+) -> CheckedMembers {
+    let members = members_of(core, head);
     let member_count = members.len();
     let mut reports = JoinSet::new();
     for member in members {
-        let core = Arc::clone(&core);
+        let core = Arc::clone(core);
         reports.spawn(async move {
             let report = core
                 .platform
                 .control()
                 .report(&member.start.0, &member.address, REPORT_TIMEOUT)
                 .await;
-            (member, report)
+            let is_gone = match &report {
+                Err(err) => is_gone(&core, &member, err).await,
+                Ok(_) => false,
+            };
+            (member, report, is_gone)
         });
     }
     let mut silent: SmallVec<[HostId; 2]> = SmallVec::new();
+    let mut gone = false;
     let mut broken = false;
     let mut moved = false;
     while let Some(joined) = reports.join_next().await {
         // A report request can't panic; one that did would show nothing about its host.
-        let Ok((member, report)) = joined else {
+        let Ok((member, report, is_gone)) = joined else {
             continue;
         };
+        gone |= is_gone;
         match report {
-            Ok(report) => match state_of(&head, &report) {
+            Ok(report) => match state_of(head, &report) {
                 MemberState::InReplica => {}
                 MemberState::Broken => broken = true,
                 MemberState::Moved => moved = true,
             },
             Err(err) => {
                 let id = member.start.0;
-                log_silent_member(&head, &id, &err);
+                if !head.is_suspected() {
+                    log_silent_member(head, &id, &err);
+                }
                 silent.push(id);
             }
         }
     }
-    if silent.len() == member_count && !reaches_hosts(&core, &silent).await {
+    if silent.len() == member_count && !reaches_hosts(core, &silent).await {
         info!(event = "links-lost", replica = %head.replica, epoch = head.epoch);
-        return;
+        return CheckedMembers::sound();
     }
     if moved && !broken && silent.is_empty() {
         tokio::time::sleep(MOVED_GRACE).await;
         if head.stream_activity().last_event() > Some(began) {
             info!(event = "replica-moves", replica = %head.replica, epoch = head.epoch);
-            return;
+            return CheckedMembers::sound();
         }
     }
-    if !silent.is_empty() || broken || moved {
-        return report_loss(&core, &head, silent_since, silent);
-    }
-    // Finds out whether only the link is lost, for `break_lost_links`.
-    if core.http.needs_relay(&head.address).await {
-        info!(event = "link-lost", replica = %head.replica, epoch = head.epoch);
+    let check = if gone || broken || moved {
+        MemberCheck::Lost
+    } else if !silent.is_empty() {
+        MemberCheck::Silent
     } else {
-        info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
+        MemberCheck::Sound
+    };
+    if check == MemberCheck::Sound {
+        // Finds out whether only the link is lost, for `break_lost_links`.
+        if core.http.needs_relay(&head.address).await {
+            info!(event = "link-lost", replica = %head.replica, epoch = head.epoch);
+        } else {
+            info!(event = "replica-slow", replica = %head.replica, epoch = head.epoch);
+        }
     }
+    CheckedMembers { check, silent }
+}
+
+/// Whether a member that gave no report is known to be gone: it isn't listed, or refuses
+/// connections, which a host that is silent for a moment doesn't.
+async fn is_gone<P: Platform>(core: &Core<P>, member: &UsedHost, err: &HostUnavailable) -> bool {
+    let (id, started_ms) = &member.start;
+    if locked(&core.fleet).presence(id, *started_ms) != HostPresence::Listed {
+        return true;
+    }
+    let is_refused = || async {
+        let listening = core.http.check_listening(&member.address).await;
+        matches!(listening, Err(SendError::Refused(_)))
+    };
+    matches!(err, HostUnavailable::NotReached(_)) && is_refused().await
 }
 
 /// The members that are listed, and those that crashed, whose entries may be gone.
@@ -234,6 +320,13 @@
     }
 }
 
+fn log_suspected(head: &Head, silent: &[HostId]) {
+    info!(
+        event = "replica-suspected", replica = %head.replica, epoch = head.epoch,
+        ?silent, running = head.running_here(),
+    );
+}
+
 fn log_silent_member(head: &Head, host: &HostId, err: &HostUnavailable) {
     info!(
         event = "member-silent", replica = %head.replica, epoch = head.epoch,
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -14,6 +14,14 @@
 }
 
 impl EventSplitter {
+    /// For a stream that resumes after the event of this id.
+    pub(crate) fn resumed(last_id: Option<SmolStr>) -> EventSplitter {
+        EventSplitter {
+            last_id,
+            ..EventSplitter::default()
+        }
+    }
+
     /// Adds bytes and returns all events that are complete by now.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.buf.extend_from_slice(bytes);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,9 @@
 //! Requests whose response is a stream of events.
 
+mod hedge;
+
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
@@ -24,6 +27,7 @@
 use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::sse::EventSplitter;
+use crate::stream::hedge::Moved;
 use crate::{admission, crash_detection, host_limits, quarantine};
 
 /// Chunks that are buffered for a slow caller before its stream stops reading from the host.
@@ -33,9 +37,6 @@
 const MAX_REFUSALS: u32 = 4;
 /// Retry-After when hosts refused a request.
 const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(300);
-/// Time from the last event of a replica within which a member crashed that stopped its streams:
-/// several passes, which usually take 50 ms.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(150);
 /// Longest response of a host that isn't a stream, in bytes.
 const MAX_FULL_BODY_BYTES: usize = 1 << 20;
 
@@ -50,6 +51,8 @@
     avoid: SmallVec<[HostId; 4]>,
     /// Hosts at which it may have run.
     runs: u32,
+    /// Further hosts at which it may have run while its head was suspected.
+    second_runs: AtomicU32,
     /// Attempts that reached a host.
     deliveries: u32,
     refusals: u32,
@@ -75,17 +78,21 @@
 }
 
 /// Why an attempt got no response.
-enum AttemptError {
+enum AttemptError<P: Platform> {
     /// No host ran it.
     NotRun,
     /// A host may have run it.
     Unknown,
+    /// Its head is suspected, and it has got a slot at another one.
+    Moved(Box<SlotGuard<P>>),
 }
 
 /// How reading a response ended.
-enum ReadEnd {
+enum ReadEnd<P: Platform> {
     /// It was read to its end.
     Complete,
+    /// It goes on at another head.
+    Moved(Box<Moved<P>>),
     /// Its connection broke or its replica was lost.
     Broken(SmolStr),
     /// Reading was stopped.
@@ -132,6 +139,7 @@
         model,
         avoid: SmallVec::new(),
         runs: 0,
+        second_runs: AtomicU32::new(0),
         deliveries: 0,
         refusals: 0,
         events: EventSplitter::default(),
@@ -143,14 +151,23 @@
 impl<P: Platform> StreamCall<P> {
     /// Attempts the call at replicas until one starts a response.
     async fn start_response(&mut self) -> Result<StartedResponse<P>, Refusal> {
+        let mut moved_to = None;
         loop {
-            let slot = self.acquire_slot().await?;
+            let has_moved = moved_to.is_some();
+            let slot = match moved_to.take() {
+                Some(slot) => slot,
+                None => self.acquire_slot().await?,
+            };
             self.check_quarantine()?;
-            if self.deliveries > 0 && !self.core.try_retry(&self.service, self.retry_reason()) {
+            if !has_moved
+                && self.deliveries > 0
+                && !self.core.try_retry(&self.service, self.retry_reason())
+            {
                 return Err(self.refusal(RefusalCause::RetryBudgetExhausted));
             }
             match self.attempt(slot).await {
                 Ok(started) => return Ok(started),
+                Err(AttemptError::Moved(slot)) => moved_to = Some(*slot),
                 Err(AttemptError::NotRun) if self.refusals < MAX_REFUSALS => {}
                 Err(AttemptError::Unknown) if self.may_retry() => {}
                 Err(_) => return Err(self.refusal(RefusalCause::HostsRefused)),
@@ -209,7 +226,12 @@
     }
 
     fn may_retry(&self) -> bool {
-        self.call.is_idempotent() && self.runs < self.call.route.attempts
+        let runs = self.runs + self.second_runs.load(Ordering::Relaxed);
+        self.call.is_idempotent() && runs < self.call.route.attempts
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.call.route.stream.as_ref().is_some_and(|s| s.resumable)
     }
 
     /// The refusal of a call after an attempt. `cause` applies if it has not run or may be retried.
@@ -238,7 +260,7 @@
     async fn attempt(
         &mut self,
         mut slot: SlotGuard<P>,
-    ) -> Result<StartedResponse<P>, AttemptError> {
+    ) -> Result<StartedResponse<P>, AttemptError<P>> {
         let head = Arc::clone(&slot.head);
         let resume = self
             .events
@@ -252,6 +274,7 @@
         let sent = tokio::select! {
             sent = self.core.http.send_within(&head.address, req, self.call.remaining()) => sent,
             why = slot.wait_until_broken() => Err(SendError::Unknown(why.to_owned())),
+            other = self.slot_elsewhere(&head) => return Err(self.moved(&slot, other)),
         };
         let response = match sent {
             Ok(response) => response,
@@ -297,7 +320,16 @@
         }
     }
 
-    fn rejected(&mut self, slot: &mut SlotGuard<P>) -> AttemptError {
+    fn moved(&mut self, slot: &SlotGuard<P>, other: SlotGuard<P>) -> AttemptError<P> {
+        self.log_attempt(&slot.head, "moved", "its replica is silent");
+        self.check_for_crash_later(slot);
+        self.avoid.push(slot.head.host.clone());
+        self.deliveries += 1;
+        self.runs += 1;
+        AttemptError::Moved(Box::new(other))
+    }
+
+    fn rejected(&mut self, slot: &mut SlotGuard<P>) -> AttemptError<P> {
         self.avoid.push(slot.head.host.clone());
         slot.rejected();
         self.refusals += 1;
@@ -305,7 +337,7 @@
     }
 
     /// Like [`StreamCall::rejected`], for a head that was reached neither directly nor otherwise.
-    fn not_reached(&mut self, slot: &mut SlotGuard<P>) -> AttemptError {
+    fn not_reached(&mut self, slot: &mut SlotGuard<P>) -> AttemptError<P> {
         self.avoid.push(slot.head.host.clone());
         self.refusals += 1;
         let (core, failure) = (Arc::clone(&self.core), slot.take_failure());
@@ -317,7 +349,7 @@
         AttemptError::NotRun
     }
 
-    fn failed(&mut self, slot: &mut SlotGuard<P>) -> AttemptError {
+    fn failed(&mut self, slot: &mut SlotGuard<P>) -> AttemptError<P> {
         self.avoid.push(slot.head.host.clone());
         // An exceeded deadline or a lost member is not the head's failure.
         let head_failed = !self.call.remaining().is_zero() && !slot.head.is_lost();
@@ -347,23 +379,23 @@
         if self.call.remaining().is_zero() {
             return;
         }
-        let broken = Broken {
+        let broken = Self::broken_at(slot);
+        match slot.head.loss() {
+            Some(loss) => crash_detection::on_lost(&self.core, &self.call, loss, broken),
+            None => {
+                let head = (&*slot.head).into();
+                crash_detection::on_broken(&self.core, &self.call, head, broken);
+            }
+        }
+    }
+
+    fn broken_at(slot: &SlotGuard<P>) -> Broken {
+        Broken {
             sent: slot.sent(),
             at: Instant::now(),
             started: slot.has_started(),
             wrote_for: slot.wrote_for(),
             last_received: slot.last_received(),
-        };
-        let Some(loss) = slot.head.loss() else {
-            let head = (&*slot.head).into();
-            return crash_detection::on_broken(&self.core, &self.call, head, broken);
-        };
-        let broken = Broken {
-            at: loss.silent_since + MAX_EVENT_GAP,
-            ..broken
-        };
-        for member in loss.silent {
-            crash_detection::on_broken(&self.core, &self.call, member, broken);
         }
     }
 
@@ -417,6 +449,16 @@
     ) {
         loop {
             let end = self.forward_until_end(&mut started, &tx).await;
+            if let ReadEnd::Moved(moved) = end {
+                self.log_attempt(&started.slot.head, "moved", "its replica is silent");
+                self.check_for_crash_later(&started.slot);
+                (self, started) = (moved.call, moved.started);
+                self.core.wake_waiting_requests();
+                if let Err(reason) = self.send(&tx, StreamChunk::Events(moved.events)).await {
+                    return self.abort(reason);
+                }
+                continue;
+            }
             if let ReadEnd::Broken(why) = &end {
                 self.log_attempt(&started.slot.head, "broken", why);
                 self.check_for_crash(&started.slot);
@@ -435,10 +477,9 @@
                     return self.finish(&tx).await;
                 }
                 ReadEnd::Stopped(reason) => return self.abort(reason),
-                ReadEnd::Broken(_) => self.events.discard_partial_event(),
+                ReadEnd::Moved(_) | ReadEnd::Broken(_) => self.events.discard_partial_event(),
             }
-            let resumable = self.call.route.stream.as_ref().is_some_and(|s| s.resumable);
-            if !resumable || !self.may_retry() {
+            if !self.is_resumable() || !self.may_retry() {
                 return self.truncate("no further attempt is permitted");
             }
             let (core, call) = (Arc::clone(&self.core), Arc::clone(&self.call));
@@ -458,13 +499,16 @@
         &mut self,
         started: &mut StartedResponse<P>,
         tx: &mpsc::Sender<StreamChunk>,
-    ) -> ReadEnd {
+    ) -> ReadEnd<P> {
         loop {
             started.slot.await_chunk();
             let chunk = tokio::select! {
                 chunk = started.response.chunk() => chunk,
                 why = started.slot.wait_until_broken() => return ReadEnd::Broken(why.into()),
                 reason = wait_for_stop(&self.core, &self.call, tx) => return ReadEnd::Stopped(reason),
+                moved = self.go_on_elsewhere(&started.slot.head) => {
+                    return ReadEnd::Moved(Box::new(moved));
+                }
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
--- /dev/null
+++ b/crates/gateway/src/stream/hedge.rs
@@ -0,0 +1,153 @@
+//! Second runs of streams whose head is suspected.
+//!
+//! The first run isn't given up before the second one has sent its next event. If the first goes on
+//! before, the second is dropped. A request that has got no response yet moves as soon as it has a
+//! slot elsewhere.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrassmill_base::HostId;
+use http::StatusCode;
+use smallvec::SmallVec;
+
+use crate::admission;
+use crate::crash_detection;
+use crate::heads::{Head, SlotGuard, locked};
+use crate::ports::Platform;
+use crate::sse::EventSplitter;
+use crate::stream::{AttemptError, StartedResponse, StreamCall};
+
+/// How often a stream of a suspected head checks for another head: two passes.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A stream that goes on at another head.
+pub(super) struct Moved<P: Platform> {
+    pub(super) call: StreamCall<P>,
+    pub(super) started: StartedResponse<P>,
+    /// Its first events there.
+    pub(super) events: Bytes,
+}
+
+impl<P: Platform> StreamCall<P> {
+    /// Waits until the stream, which runs at `head`, has gone on at another one.
+    pub(super) async fn go_on_elsewhere(&self, head: &Arc<Head>) -> Moved<P> {
+        if !self.is_resumable() {
+            return std::future::pending().await;
+        }
+        loop {
+            let slot = self.slot_elsewhere(head).await;
+            if let Some(moved) = self.resume_at(slot, head).await {
+                return moved;
+            }
+        }
+    }
+
+    /// Waits until `head` is suspected and the call has got a slot at another head, and may run
+    /// there.
+    pub(super) async fn slot_elsewhere(&self, head: &Arc<Head>) -> SlotGuard<P> {
+        loop {
+            if !self.may_run_twice() {
+                return std::future::pending().await;
+            }
+            head.wait_until_suspected(true).await;
+            if self.has_other_head(head) {
+                let avoid = self.avoid_also(head);
+                let (core, call) = (&self.core, &self.call);
+                let admitted =
+                    admission::admit(core, call, &self.service, &self.model, true, &avoid).await;
+                let usable = admitted.ok().filter(|slot| !slot.head.is_suspected());
+                if let Some(slot) = usable {
+                    if core.try_retry(&self.service, self.retry_reason()) {
+                        return slot;
+                    }
+                    drop(slot);
+                    head.wait_until_suspected(false).await;
+                }
+            }
+            tokio::time::sleep(RECHECK_INTERVAL).await;
+        }
+    }
+
+    /// Whether it may run once more while it runs at a host.
+    fn may_run_twice(&self) -> bool {
+        let runs = self.runs + self.second_runs.load(Ordering::Relaxed) + 1;
+        self.call.is_idempotent() && runs < self.call.route.attempts
+    }
+
+    fn has_other_head(&self, head: &Arc<Head>) -> bool {
+        let heads = locked(&self.core.heads);
+        let mut others = heads.of_model(&self.service, &self.model);
+        others.any(|h| !Arc::ptr_eq(h, head) && !h.is_suspected())
+    }
+
+    fn avoid_also(&self, head: &Head) -> SmallVec<[HostId; 4]> {
+        let mut avoid = self.avoid.clone();
+        avoid.push(head.host.clone());
+        avoid
+    }
+
+    /// Runs the rest of the stream at another head until its first event there. `None` if it isn't
+    /// run or fails.
+    async fn resume_at(&self, slot: SlotGuard<P>, head: &Arc<Head>) -> Option<Moved<P>> {
+        let mut call = StreamCall {
+            core: Arc::clone(&self.core),
+            call: Arc::clone(&self.call),
+            admission: self.admission,
+            service: self.service.clone(),
+            model: self.model.clone(),
+            avoid: self.avoid_also(head),
+            runs: self.runs + self.second_runs.load(Ordering::Relaxed) + 1,
+            second_runs: AtomicU32::new(0),
+            deliveries: self.deliveries,
+            refusals: self.refusals,
+            events: EventSplitter::resumed(self.events.last_id().cloned()),
+        };
+        call.check_quarantine().ok()?;
+        self.second_runs.fetch_add(1, Ordering::Relaxed);
+        let mut started = match call.attempt(slot).await {
+            Ok(started) if started.response.status == StatusCode::OK => started,
+            Err(AttemptError::NotRun) => {
+                self.second_runs.fetch_sub(1, Ordering::Relaxed);
+                return None;
+            }
+            _ => return None,
+        };
+        let events = call.first_events(&mut started).await?;
+        Some(Moved {
+            call,
+            started,
+            events,
+        })
+    }
+
+    /// The first events of a resumed stream; `None` if it breaks or ends before.
+    async fn first_events(&mut self, started: &mut StartedResponse<P>) -> Option<Bytes> {
+        loop {
+            started.slot.await_chunk();
+            let chunk = tokio::select! {
+                chunk = started.response.chunk() => chunk,
+                _ = started.slot.wait_until_broken() => return None,
+            };
+            let bytes = chunk.ok()??;
+            started.slot.on_event(Instant::now());
+            if let Some(events) = self.events.push(&bytes) {
+                return Some(events);
+            }
+        }
+    }
+
+    /// Checks, once it is known whether the head of a run that was given up is lost, for crashes
+    /// under that run.
+    pub(super) fn check_for_crash_later(&self, slot: &SlotGuard<P>) {
+        let (core, call) = (Arc::clone(&self.core), Arc::clone(&self.call));
+        let (head, broken) = (Arc::clone(&slot.head), Self::broken_at(slot));
+        tokio::spawn(async move {
+            head.wait_until_suspected(false).await;
+            let Some(loss) = head.loss() else { return };
+            crash_detection::on_lost(&core, &call, loss, broken);
+        });
+    }
+}
