Give hosts the rest for which they ask

A host that rejects a request with 503 may ask the node that sent it for rest by Retry-After. Callers saw nothing; hosts got up to 25 requests of one node within three seconds of rest, and replicas whose heads asked for rest were dissolved.

Cause: nothing read the header. A rejection only made a host avoided by failure statistics, or ejected by its scheduler, and where all were avoided, all were tried.

What a host says in its answers is kept in one policy (`HostSignals`), which `HostLimits` becomes a part of. A rest binds the node that was asked: plain hosts are left out, slot requests name the heads that rest for their node as excluded, and a head that rests by the time it is granted is given back. A rest is neither a rejection for the scheduler's ejection nor a failure. While all hosts of a service or model rest, requests are rejected at once, those that wait too, with Retry-After behind the first rest that ends. Times are bounded: 250 ms where none can be read or it is shorter, ten minutes where it is longer.

A rest of 0 counts as 250 ms: a host that rejects at once has no running requests, looks like the least loaded one, and would get most of them.

--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -46,6 +46,7 @@
         deadline: now + Duration::from_millis(1400),
         max_event_gap: Duration::from_millis(200),
         avoid: Default::default(),
+        excluded: Default::default(),
     }
 }
 
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -108,6 +108,8 @@
         pub max_event_gap: Duration,
         /// Hosts to use only if there are no others.
         pub avoid: SmallVec<[HostId; 4]>,
+        /// Hosts that must not get it.
+        pub excluded: SmallVec<[HostId; 4]>,
     }
 }
 
@@ -277,9 +279,11 @@
         self.queue.len()
     }
 
-    /// Queues a request, unless it is already queued; returns whether it was added.
+    /// Queues a request; returns whether it was added. One that is already queued only gets its new
+    /// excluded hosts.
     pub fn enqueue(&mut self, request: PendingRequest, now: Instant) -> bool {
-        if self.queue.contains(&request.key) {
+        if let Some(queued) = self.queue.get_mut(&request.key) {
+            queued.excluded = request.excluded;
             return false;
         }
         if now < request.on_time_until {
@@ -587,10 +591,9 @@
         heads: &'h [OpenHead],
         now: Instant,
     ) -> Option<&'h OpenHead> {
-        let other = heads.iter().any(|h| !request.avoid.contains(&h.host));
-        let wanted = heads
-            .iter()
-            .filter(|h| !other || !request.avoid.contains(&h.host));
+        let permitted = || heads.iter().filter(|h| !request.excluded.contains(&h.host));
+        let other = permitted().any(|h| !request.avoid.contains(&h.host));
+        let wanted = permitted().filter(|h| !other || !request.avoid.contains(&h.host));
         let mut best: Option<((bool, Duration), &OpenHead)> = None;
         for head in wanted {
             let Some(state) = self.head_states.get(&head.key) else {
--- a/crates/fleet/src/schedule/queue.rs
+++ b/crates/fleet/src/schedule/queue.rs
@@ -28,10 +28,6 @@
         self.waiting.len()
     }
 
-    pub(super) fn contains(&self, key: &RequestKey) -> bool {
-        self.positions.contains_key(key)
-    }
-
     pub(super) fn keys(&self) -> impl Iterator<Item = &RequestKey> {
         self.positions.keys()
     }
@@ -57,6 +53,10 @@
         self.waiting.get(&position)
     }
 
+    pub(super) fn get_mut(&mut self, key: &RequestKey) -> Option<&mut PendingRequest> {
+        self.waiting.get_mut(self.positions.get(key)?)
+    }
+
     pub(super) fn last(&self) -> Option<(Position, &PendingRequest)> {
         let last = self.waiting.last_key_value();
         last.map(|(position, request)| (*position, request))
--- a/crates/fleet/src/targets.rs
+++ b/crates/fleet/src/targets.rs
@@ -21,6 +21,8 @@
     /// A host that rejects immediately has no running requests: unless rejections count as
     /// failures, it looks like the least loaded host and receives all requests.
     Failed,
+    /// The host asked for rest, which says nothing of how it serves.
+    Resting,
 }
 
 /// Running requests and failure rate of each host, as seen by this node.
@@ -49,6 +51,9 @@
             return;
         };
         stat.running = stat.running.saturating_sub(1);
+        if outcome == TargetOutcome::Resting {
+            return;
+        }
         let newest = if outcome == TargetOutcome::Failed {
             1000
         } else {
--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -124,6 +124,7 @@
         deadline: now + Duration::from_millis(600),
         max_event_gap: Duration::from_millis(300),
         avoid: Default::default(),
+        excluded: Default::default(),
     }
 }
 
--- a/crates/fleet/tests/host_limits.rs
+++ b/crates/fleet/tests/host_limits.rs
@@ -5,7 +5,7 @@
 
 use eelgrassmill_base::HostId;
 use eelgrassmill_fleet::{
-    EngineSpeed, HostLimits, LimitObservation, Millionths, OpenHead, PendingRequest, RequestKey,
+    EngineSpeed, HostSignals, LimitObservation, Millionths, OpenHead, PendingRequest, RequestKey,
     RequestPermits, Scheduler, SlotOutcome,
 };
 use googletest::prelude::*;
@@ -57,7 +57,7 @@
         [&lifted, &changed, &named],
         [&changed, &lifted, &named],
     ] {
-        let mut limits = HostLimits::default();
+        let mut limits = HostSignals::default();
         for observation in order {
             limits.merge(observation, now);
         }
@@ -70,7 +70,7 @@
 #[gtest]
 fn limits_are_news_only_if_they_change_and_end_with_their_hosts() {
     let now = Instant::now();
-    let mut limits = HostLimits::default();
+    let mut limits = HostSignals::default();
     let host = HostId::from("h1");
     let of = |limit: f64| Some(Millionths::of(limit));
     expect_that!(limits.observe(&host, None, now), eq(false));
@@ -170,6 +170,7 @@
         deadline: now + ms(1400),
         max_event_gap: ms(300),
         avoid: Default::default(),
+        excluded: Default::default(),
     }
 }
 
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -76,6 +76,7 @@
         deadline: now + MAX_WAIT,
         max_event_gap: MAX_EVENT_GAP,
         avoid: Default::default(),
+        excluded: Default::default(),
     }
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -196,6 +196,7 @@
         Acquired::Granted(slot) => return Ok(*slot),
         Acquired::Full => return Err(full_refusal(no_slot_cause(core, service, model))),
         Acquired::Limited(retry_after) => return Err(limit_refusal(core, service, retry_after)),
+        Acquired::Resting(rest) => return Err(core.host_signals.rest_refusal(rest)),
         Acquired::NoScheduler => {}
     }
     let priority = Priority::first(resumed, call.urgency());
@@ -210,6 +211,7 @@
                 Choice::Limited => {
                     return Err(limit_refusal(core, service, RETRY_AFTER_NO_SCHEDULER));
                 }
+                Choice::Resting(rest) => return Err(core.host_signals.rest_refusal(rest)),
                 Choice::Full { slots } if waiting.others() >= slots => {
                     return Err(full_refusal(RefusalCause::Full));
                 }
@@ -251,6 +253,8 @@
     },
     /// All heads name limits, which only a scheduler can keep.
     Limited,
+    /// All heads rest, the first of them for this much longer.
+    Resting(Duration),
     NoHeads,
 }
 
@@ -281,6 +285,12 @@
     let unreported = unreported(core, service, model);
     let heads = locked(&core.heads);
     let mut open: Vec<&Arc<Head>> = heads.of_model(service, model).collect();
+    let now = Instant::now();
+    let signals = &core.host_signals;
+    if let Some(rest) = signals.shortest_rest(open.iter().map(|h| &h.host), now) {
+        return Choice::Resting(rest);
+    }
+    open.retain(|h| !signals.is_resting(&h.host, now));
     if open.iter().any(|h| !avoid.contains(&h.host)) {
         open.retain(|h| !avoid.contains(&h.host));
     }
@@ -288,8 +298,7 @@
         return Choice::NoHeads;
     }
     let slots: usize = open.iter().map(|h| h.slots).sum();
-    let now = Instant::now();
-    let is_limited = |h: &Head| core.host_limits.limit(&h.host).is_some();
+    let is_limited = |h: &Head| signals.limit(&h.host).is_some();
     if open.iter().all(|h| is_limited(h)) {
         return Choice::Limited;
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -19,8 +19,8 @@
 use crate::configuration::Configuration;
 use crate::crash_detection::CrashDetection;
 use crate::heads::{HeadTable, locked};
-use crate::host_limits::LimitState;
 use crate::host_relay::HostRelay;
+use crate::host_signals::SignalState;
 use crate::inbox::Inbox;
 use crate::logs::LogRateLimit;
 use crate::metrics::{Metrics, RetryReason};
@@ -63,7 +63,7 @@
     pub(crate) slot_events: SlotEvents,
     pub(crate) crash_detection: CrashDetection,
     pub(crate) quarantine: Quarantine,
-    pub(crate) host_limits: LimitState,
+    pub(crate) host_signals: SignalState,
     pub(crate) host_relay: HostRelay,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
@@ -111,7 +111,7 @@
             slot_events: SlotEvents::default(),
             crash_detection: CrashDetection::default(),
             quarantine: Quarantine::default(),
-            host_limits: LimitState::default(),
+            host_signals: SignalState::default(),
             host_relay: HostRelay::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,7 +23,7 @@
 use crate::ports::{AttemptMetadata, Dialect, Platform, ResponseClass};
 use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::{crash_detection, host_limits, quarantine};
+use crate::{crash_detection, host_signals, quarantine};
 
 /// Longest response that is held in memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -87,7 +87,7 @@
             }
             return Err(refusal);
         }
-        if !host_limits::may_send(core, &host.id).await {
+        if !host_signals::may_send(core, &host.id).await {
             denials += 1;
             if denials >= MAX_DENIALS {
                 break;
@@ -140,6 +140,9 @@
         }
     }
     fallback.ok_or_else(|| {
+        if let Some(refusal) = (runs == 0).then(|| rest_refusal(core, &service)).flatten() {
+            return refusal;
+        }
         let limited = (delivered == 0).then(|| limit_refusal(core, &service));
         limited
             .flatten()
@@ -147,13 +150,24 @@
     })
 }
 
+/// The refusal of a call that has not run, if all hosts of the service rest.
+fn rest_refusal<P: Platform>(core: &Core<P>, service: &str) -> Option<Refusal> {
+    let fleet = locked(&core.fleet);
+    let hosts = fleet
+        .hosts()
+        .filter(|h| h.service == service && fleet.takes_requests(h));
+    let signals = &core.host_signals;
+    let remaining = signals.shortest_rest(hosts.map(|h| &h.id), Instant::now())?;
+    Some(signals.rest_refusal(remaining))
+}
+
 /// The refusal of a call that no host received, if limits that hosts of the service name are used
 /// up.
 fn limit_refusal<P: Platform>(core: &Core<P>, service: &str) -> Option<Refusal> {
     let now = Instant::now();
     let fleet = locked(&core.fleet);
     let hosts = fleet.hosts().filter(|h| h.service == service);
-    let retry_after = core.host_limits.retry_after(hosts.map(|h| &h.id), now)?;
+    let retry_after = core.host_signals.retry_after(hosts.map(|h| &h.id), now)?;
     // Callers of this node that are rejected until the same time must not return together.
     let retry_after = retry_after.mul_f64(1.0 + fastrand::f64());
     Some(Refusal::with_retry_after(
@@ -254,7 +268,8 @@
         let is_wanted = h.service == service && !tried.contains(&h.id);
         is_wanted
             && fleet.takes_requests(h)
-            && !core.host_limits.is_denied(&h.id, now)
+            && !core.host_signals.is_resting(&h.id, now)
+            && !core.host_signals.is_denied(&h.id, now)
             && is_within_rate(h, &mut limiter)
     };
     let candidates: Vec<HostCandidate> = fleet
@@ -313,7 +328,9 @@
     let class = core.platform.dialect().classify(status, &response.headers);
     if class.is_of_host() {
         crash_detection::on_received(core, host);
-        host_limits::observe(core, &host.id, status, &response.headers);
+        if host_signals::observe(core, &host.id, status, &response.headers) {
+            running.outcome = TargetOutcome::Resting;
+        }
     }
     match class {
         ResponseClass::NotRun => AttemptResult::NotRun("refused".into()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,9 @@
 use crate::ports::Platform;
 use crate::reflector::{HostSink, OperatorSink, run_reflector};
 use crate::server::{self, OpenConnections};
-use crate::{configuration, host_limits, host_relay, leader, loss_detection, node_api, quarantine};
+use crate::{
+    configuration, host_relay, host_signals, leader, loss_detection, node_api, quarantine,
+};
 
 /// How long new connections are still accepted after the signal to stop, in multiples of the
 /// address TTL: callers keep this node's address for the TTL, and some for three times as long.
@@ -219,7 +221,7 @@
     tokio::spawn(configuration::fetch_from_peers(Arc::clone(core)));
     tokio::spawn(leader::run(Arc::clone(core)));
     tokio::spawn(loss_detection::run(Arc::clone(core)));
-    tokio::spawn(host_limits::run(Arc::clone(core)));
+    tokio::spawn(host_signals::run(Arc::clone(core)));
     tokio::spawn(quarantine::send_reports_loop(Arc::clone(core)));
     tokio::spawn(quarantine::decide_loop(Arc::clone(core)));
     let shared = Arc::clone(core);
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -218,6 +218,7 @@
         }
         SlotGuard {
             is_scheduled: permit.is_some(),
+            is_resting: false,
             link_losses: self.link_losses.subscribe(),
             is_relayed: false,
             waiting_since: Instant::now(),
@@ -336,6 +337,8 @@
     /// `None` if it was placed without a scheduler.
     permit: Option<Permit<P>>,
     is_scheduled: bool,
+    /// Whether the head rejected it and asked for rest.
+    is_resting: bool,
     sent: Instant,
     /// When its response's headers arrived.
     responded_at: Option<Instant>,
@@ -406,8 +409,22 @@
         span.unwrap_or_default()
     }
 
+    /// Records that the head asked for rest. It works, so that its rejection doesn't count.
+    pub(crate) fn on_rest(&mut self) {
+        self.is_resting = true;
+        self.permit = None;
+    }
+
+    /// Whether the head rejected it and asked for rest.
+    pub(crate) fn is_resting(&self) -> bool {
+        self.is_resting
+    }
+
     /// Records that the head rejected it.
     pub(crate) fn rejected(&mut self) {
+        if self.is_resting {
+            return;
+        }
         self.head.eject(self.sent);
         if let Some(permit) = self.permit.take() {
             permit.rejected();
--- a/crates/gateway/src/host_limits.rs
+++ b/crates/gateway/src/host_signals.rs
@@ -1,6 +1,7 @@
-//! Request rates that hosts in need name in their answers, kept over all nodes.
+//! What hosts say of themselves in their answers, and whether they may be sent to by it.
 //!
-//! A limit may be far less than one request per second and node, so nodes can't divide it. One node
+//! A host may ask a node for rest, which binds that node alone. The request rates that hosts in need
+//! name are kept over all nodes. A limit may be far less than one request per second and node, so nodes can't divide it. One node
 //! decides on all requests to a host: the scheduler of its model, or for plain hosts the node that
 //! ranks first for the host. That node also publishes the host's limit to all nodes.
 
@@ -10,15 +11,18 @@
 
 use eelgrassmill_base::{HostId, NodeId};
 use eelgrassmill_fleet::{
-    HostLimits, LimitObservation, Millionths, RequestPermits, ranked_for_role,
+    HostSignals, LimitObservation, Millionths, RequestPermits, RequestedRest, ReturnTimes,
+    ranked_for_role,
 };
 use eelgrassmill_peer::{Item, ItemKey, LimitReply, LimitRequest, TargetLimit, WireTargetLimit};
 use http::{HeaderMap, StatusCode};
+use smallvec::SmallVec;
 use tracing::info;
 
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Dialect, Platform};
+use crate::refusal::{Refusal, RefusalCause};
 
 /// How long observations are batched before they are reported. Another node's may arrive first.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
@@ -31,11 +35,13 @@
 const RPC_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a host isn't asked for again if the node that keeps its limit gave no answer.
 const RETRY_AFTER_NO_KEEPER: Duration = Duration::from_secs(1);
+/// Longest part of a header's value in a log line, in characters.
+const MAX_LOGGED_CHARS: usize = 60;
 
-/// What this node knows of limits, and those that it keeps.
-#[derive(Debug, Default)]
-pub(crate) struct LimitState {
-    limits: Mutex<HostLimits>,
+/// What this node knows of hosts by their answers, and the limits that it keeps.
+#[derive(Debug)]
+pub(crate) struct SignalState {
+    signals: Mutex<HostSignals>,
     permits: Mutex<RequestPermits>,
     /// Observations that the nodes which publish them don't have yet.
     unreported: Mutex<BTreeSet<HostId>>,
@@ -43,6 +49,20 @@
     published: Mutex<BTreeMap<HostId, Instant>>,
     /// Plain hosts whose limits are used up.
     denied: Mutex<BTreeMap<HostId, Denial>>,
+    return_times: Mutex<ReturnTimes>,
+}
+
+impl Default for SignalState {
+    fn default() -> SignalState {
+        SignalState {
+            signals: Mutex::default(),
+            permits: Mutex::default(),
+            unreported: Mutex::default(),
+            published: Mutex::default(),
+            denied: Mutex::default(),
+            return_times: Mutex::new(ReturnTimes::new(fastrand::f64())),
+        }
+    }
 }
 
 /// A used-up limit.
@@ -54,10 +74,34 @@
     retry_at: Instant,
 }
 
-impl LimitState {
+impl SignalState {
     /// The requests per second that a host takes from all nodes together, if it names a limit.
     pub(crate) fn limit(&self, host: &str) -> Option<Millionths> {
-        locked(&self.limits).limit(host)
+        locked(&self.signals).limit(host)
+    }
+
+    /// Whether a host has asked this node for rest, which isn't over.
+    pub(crate) fn is_resting(&self, host: &str, now: Instant) -> bool {
+        locked(&self.signals).rest(host, now).is_some()
+    }
+
+    /// How long the first of some hosts still rests; `None` if one of them doesn't rest, or there is
+    /// none.
+    pub(crate) fn shortest_rest<'h>(
+        &self,
+        hosts: impl IntoIterator<Item = &'h HostId>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let signals = locked(&self.signals);
+        let rests = hosts.into_iter().map(|host| signals.rest(host, now));
+        let rests: Option<SmallVec<[Duration; 8]>> = rests.collect();
+        rests?.into_iter().min()
+    }
+
+    /// The refusal of a request whose hosts all rest, the first of them for `remaining` more.
+    pub(crate) fn rest_refusal(&self, remaining: Duration) -> Refusal {
+        let retry_after = locked(&self.return_times).next(remaining);
+        Refusal::with_retry_after(RefusalCause::HostRest, retry_after)
     }
 
     /// Whether a plain host's limit is known to be used up.
@@ -81,26 +125,62 @@
     }
 }
 
-/// Handles the head of a host's answer. Only a success without a limit shows that there is none:
-/// hosts may reject requests in fewer words.
+/// Handles the head of a host's answer. Returns whether it asks this node for rest.
 pub(crate) fn observe<P: Platform>(
     core: &Core<P>,
     host: &HostId,
     status: StatusCode,
     headers: &HeaderMap,
+) -> bool {
+    observe_limit(core, host, status, headers);
+    status == StatusCode::SERVICE_UNAVAILABLE && observe_rest(core, host, headers)
+}
+
+/// Only a success without a limit shows that there is none: hosts may reject requests in fewer words.
+fn observe_limit<P: Platform>(
+    core: &Core<P>,
+    host: &HostId,
+    status: StatusCode,
+    headers: &HeaderMap,
 ) {
     let limit = core.platform.dialect().host_limit(headers);
     let limit = limit.map(Millionths::of);
     if limit.is_none() && !status.is_success() {
         return;
     }
-    let state = &core.host_limits;
-    if locked(&state.limits).observe(host, limit, Instant::now()) {
+    let state = &core.host_signals;
+    if locked(&state.signals).observe(host, limit, Instant::now()) {
         locked(&state.unreported).insert(host.clone());
         on_change(core, host, limit, "answer");
     }
 }
 
+fn observe_rest<P: Platform>(core: &Core<P>, host: &HostId, headers: &HeaderMap) -> bool {
+    let values = core.platform.dialect().host_rest(headers);
+    let Some(rest) = RequestedRest::parse(values.iter().copied()) else {
+        return false;
+    };
+    let now = Instant::now();
+    let state = &core.host_signals;
+    let is_news = locked(&state.signals).on_rest(host, rest, now);
+    if is_news {
+        show_resting(core, now);
+        let outcome = if rest.is_bounded { "bounded" } else { "named" };
+        let named = values.join(", ");
+        let named: String = named.chars().take(MAX_LOGGED_CHARS).collect();
+        info!(
+            event = "host-rest", %host, outcome, named, seconds = rest.duration.as_secs_f64(),
+        );
+    }
+    true
+}
+
+fn show_resting<P: Platform>(core: &Core<P>, now: Instant) {
+    let resting = locked(&core.host_signals.signals).resting(now);
+    let shown = i64::try_from(resting).unwrap_or(i64::MAX);
+    core.metrics.resting_hosts.set(shown);
+}
+
 /// Handles a limit that another node published.
 pub(crate) fn on_item<P: Platform>(core: &Core<P>, from: &NodeId, item: &TargetLimit, at: Instant) {
     let limit = item.limit_millionths.map(Millionths::from_count);
@@ -114,10 +194,10 @@
 
 /// Merges an observation. Returns whether it is newer than the known one.
 fn merge<P: Platform>(core: &Core<P>, observation: &LimitObservation, from: &NodeId) -> bool {
-    let state = &core.host_limits;
+    let state = &core.host_signals;
     let host = &observation.host;
     let before = state.limit(host);
-    let is_newer = locked(&state.limits).merge(observation, Instant::now());
+    let is_newer = locked(&state.signals).merge(observation, Instant::now());
     if is_newer {
         locked(&state.unreported).remove(host);
         if before != observation.limit {
@@ -128,11 +208,11 @@
 }
 
 fn on_change<P: Platform>(core: &Core<P>, host: &HostId, limit: Option<Millionths>, source: &str) {
-    let state = &core.host_limits;
+    let state = &core.host_signals;
     if limit.is_none() {
         locked(&state.denied).remove(host);
     }
-    let limited = locked(&state.limits).limited();
+    let limited = locked(&state.signals).limited();
     let shown = i64::try_from(limited).unwrap_or(i64::MAX);
     core.metrics.limited_hosts.set(shown);
     let outcome = if limit.is_some() { "named" } else { "lifted" };
@@ -142,7 +222,7 @@
 
 /// Asks to send one request to a plain host. Always permitted if it names no limit.
 pub(crate) async fn may_send<P: Platform>(core: &Arc<Core<P>>, host: &HostId) -> bool {
-    if core.host_limits.limit(host).is_none() {
+    if core.host_signals.limit(host).is_none() {
         return true;
     }
     let req = request(core, [host], host);
@@ -165,7 +245,7 @@
         until: now + available_in,
         retry_at: now + retry_after,
     };
-    locked(&core.host_limits.denied).insert(host.clone(), denial);
+    locked(&core.host_signals.denied).insert(host.clone(), denial);
     false
 }
 
@@ -175,7 +255,7 @@
     host: &str,
 ) -> LimitRequest {
     let now = Instant::now();
-    let limits = locked(&core.host_limits.limits);
+    let limits = locked(&core.host_signals.signals);
     let observations = observed
         .into_iter()
         .filter_map(|h| limits.observation(h, now));
@@ -220,14 +300,14 @@
             publish(core, &observation.host);
         }
     }
-    let Some(limit) = core.host_limits.limit(&req.host) else {
+    let Some(limit) = core.host_signals.limit(&req.host) else {
         return LimitReply {
             permitted: true,
             ..LimitReply::default()
         };
     };
     let host = HostId::from(req.host.as_str());
-    match locked(&core.host_limits.permits).request(&host, limit, Instant::now()) {
+    match locked(&core.host_signals.permits).request(&host, limit, Instant::now()) {
         Ok(()) => LimitReply {
             permitted: true,
             ..LimitReply::default()
@@ -244,11 +324,11 @@
 fn publish<P: Platform>(core: &Core<P>, host: &HostId) {
     let Some(peer) = core.peer() else { return };
     let now = Instant::now();
-    let Some(known) = locked(&core.host_limits.limits).observation(host, now) else {
+    let Some(known) = locked(&core.host_signals.signals).observation(host, now) else {
         return;
     };
     let observed_at = now.checked_sub(known.age).unwrap_or(now);
-    let before = locked(&core.host_limits.published).insert(host.clone(), observed_at);
+    let before = locked(&core.host_signals.published).insert(host.clone(), observed_at);
     if before == Some(observed_at) {
         return;
     }
@@ -278,7 +358,7 @@
 /// Reports this node's observations to the nodes that publish them. Those without an answer are
 /// reported again.
 async fn report<P: Platform>(core: &Arc<Core<P>>) {
-    let unreported = std::mem::take(&mut *locked(&core.host_limits.unreported));
+    let unreported = std::mem::take(&mut *locked(&core.host_signals.unreported));
     let mut by_node: BTreeMap<NodeId, Vec<HostId>> = BTreeMap::new();
     for host in unreported {
         if let Some(node) = keeper(core, &host) {
@@ -288,24 +368,25 @@
     for (node, hosts) in by_node {
         let req = request(core, &hosts, "");
         if send(core, &node, req).await.is_none() {
-            locked(&core.host_limits.unreported).extend(hosts);
+            locked(&core.host_signals.unreported).extend(hosts);
         }
     }
 }
 
 /// Forgets hosts that are no longer listed.
 fn prune<P: Platform>(core: &Core<P>, now: Instant) {
-    let state = &core.host_limits;
-    if locked(&state.limits).hosts().next().is_none() {
+    let state = &core.host_signals;
+    if locked(&state.signals).is_empty() {
         return;
     }
     {
         let fleet = locked(&core.fleet);
         let listed: BTreeSet<&HostId> = fleet.hosts().map(|h| &h.id).collect();
-        locked(&state.limits).prune(&listed, now);
+        locked(&state.signals).prune(&listed, now);
     }
     locked(&state.denied).retain(|_, denial| now < denial.until);
-    let limits = locked(&state.limits);
+    show_resting(core, now);
+    let limits = locked(&state.signals);
     let shown = i64::try_from(limits.limited()).unwrap_or(i64::MAX);
     core.metrics.limited_hosts.set(shown);
     let is_known = |host: &HostId| limits.observation(host, now).is_some();
@@ -322,7 +403,7 @@
 /// up to [`MAX_CHECKS`] from `from` on, and returns where to go on.
 fn publish_adopted<P: Platform>(core: &Core<P>, from: Option<HostId>) -> Option<HostId> {
     let mut hosts: Vec<HostId> = {
-        let limits = locked(&core.host_limits.limits);
+        let limits = locked(&core.host_signals.signals);
         let rest = limits
             .hosts()
             .filter(|h| from.as_ref().is_none_or(|f| *h >= f));
@@ -333,7 +414,7 @@
         let is_kept_here = keeper(core, &host).is_some_and(|node| node == core.cfg.node);
         if is_kept_here {
             publish(core, &host);
-        } else if locked(&core.host_limits.published).remove(&host).is_some()
+        } else if locked(&core.host_signals.published).remove(&host).is_some()
             && let Some(peer) = core.peer()
         {
             peer.withdraw(&ItemKey::TargetLimit(host));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) quarantine_decisions: IntCounterVec,
     /// Hosts that name a limit, as far as this node knows.
     pub(crate) limited_hosts: IntGauge,
+    /// Hosts that have asked this node for rest.
+    pub(crate) resting_hosts: IntGauge,
     /// Times that a host's limit held back a request of this node, by service.
     limited: IntCounterVec,
     /// Connections to hosts through other nodes by outcome, and those carried for other nodes.
@@ -115,6 +117,10 @@
                 "gateway_limited_hosts",
                 "Hosts that name the requests a second that they take.",
             ),
+            resting_hosts: gauge(
+                "gateway_resting_hosts",
+                "Hosts that have asked this node for rest.",
+            ),
             relayed_connections: counter(
                 "gateway_relayed_connections_total",
                 "Connections to hosts through other nodes, and for them.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,7 +21,7 @@
 use crate::nodes::NodeInfo;
 use crate::ports::{LeaderRecord, Platform};
 use crate::scheduler::ScheduledLoad;
-use crate::{host_limits, host_relay, loss_detection, quarantine, scheduler, snapshot_relay};
+use crate::{host_relay, host_signals, loss_detection, quarantine, scheduler, snapshot_relay};
 
 /// The group name under which the leader publishes its term.
 const LEADER_GROUP: &str = "planner";
@@ -74,7 +74,7 @@
                 locked(&self.core.leaders).insert(origin.clone(), record.version);
             }
             Item::Group(update) => loss_detection::on_loss_report(&self.core, origin, &update),
-            Item::TargetLimit(limit) => host_limits::on_item(&self.core, origin, &limit, as_of),
+            Item::TargetLimit(limit) => host_signals::on_item(&self.core, origin, &limit, as_of),
             Item::Suspect(suspect) => quarantine::on_record(&self.core, &suspect, as_of),
             Item::Load(load) => self.apply_node_load(origin, &load),
             _ => {}
@@ -163,7 +163,7 @@
     }
 
     fn limits(&self, req: LimitRequest) -> LimitReply {
-        host_limits::handle(&self.core, req)
+        host_signals::handle(&self.core, req)
     }
 
     fn schedule(&self, req: ScheduleRequest) -> impl Future<Output = ScheduleReply> + Send {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -235,6 +235,10 @@
     /// all nodes together, for as long as it names it.
     fn host_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// The times in seconds for which a target that rejects a request wants no other from this node,
+    /// as it names them.
+    fn host_rest<'h>(&self, headers: &'h HeaderMap) -> SmallVec<[&'h str; 1]>;
+
     /// The response headers for the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,6 +29,8 @@
         Full,
         /// The limits that all its hosts name are used up.
         HostLimit,
+        /// All its hosts have asked this node for rest.
+        HostRest,
         /// Hosts refused it, and no further attempt is permitted.
         HostsRefused,
         /// It needs a retry, and the retry budget is exhausted.
@@ -59,6 +61,7 @@
             RefusalCause::NoHealthyTarget => "nothing-serves",
             RefusalCause::Full => "full",
             RefusalCause::HostLimit => "host-limit",
+            RefusalCause::HostRest => "host-rest",
             RefusalCause::HostsRefused => "hosts-refused",
             RefusalCause::RetryBudgetExhausted => "no-repeats-left",
             RefusalCause::Quarantined => "quarantined",
@@ -76,6 +79,7 @@
             | RefusalCause::NoHealthyTarget
             | RefusalCause::Full
             | RefusalCause::HostLimit
+            | RefusalCause::HostRest
             | RefusalCause::HostsRefused
             | RefusalCause::RetryBudgetExhausted
             | RefusalCause::Quarantined
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -160,6 +160,11 @@
             .iter()
             .map(|h| h.as_str().into())
             .collect(),
+        excluded: slot_request
+            .excluded_hosts
+            .iter()
+            .map(|h| h.as_str().into())
+            .collect(),
     }
 }
 
@@ -268,7 +273,7 @@
         inherited_requests: h.assigned(),
         unscheduled_requests: h.unscheduled(),
         cold: h.cold(now),
-        limit: core.host_limits.limit(&h.host),
+        limit: core.host_signals.limit(&h.host),
     });
     open.collect()
 }
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -149,6 +149,8 @@
     Full,
     /// The limits that the heads name are used up for this long.
     Limited(Duration),
+    /// All heads rest, the first of them for this much longer.
+    Resting(Duration),
     /// No scheduler answers.
     NoScheduler,
 }
@@ -175,6 +177,9 @@
     let mut waiting: Option<Permit<P>> = None;
     let mut limited = LimitedScopes::default();
     loop {
+        if let Some(rest) = shortest_rest(core, query) {
+            return Acquired::Resting(rest);
+        }
         // Chosen again at each turn: the heads of another failure domain may have room by now, and
         // after an ejection another node schedules.
         let chosen = scheduler_for(core, query.service, query.model, &limited.domains);
@@ -213,10 +218,14 @@
             SlotDecision::Unknown => return Acquired::NoScheduler,
             SlotDecision::Granted => {}
         }
-        if let Some(head) = usable_head(core, &reply) {
-            return Acquired::Granted(Box::new(head.enter(Some(permit))));
+        match granted_head(core, &reply) {
+            Some(head) if !core.host_signals.is_resting(&head.host, Instant::now()) => {
+                return Acquired::Granted(Box::new(head.enter(Some(permit))));
+            }
+            // It has asked for rest meanwhile; dropping the permit releases its slot.
+            Some(_) => {}
+            None => permit.rejected(),
         }
-        permit.rejected();
         stale += 1;
         if stale >= MAX_STALE_GRANTS {
             return Acquired::NoScheduler;
@@ -247,7 +256,8 @@
     query: &SlotQuery<'_>,
     permit: &Permit<P>,
 ) -> Option<ScheduleReply> {
-    let slot_request = slot_request(query, permit.number);
+    let mut slot_request = slot_request(query, permit.number);
+    slot_request.excluded_hosts = resting_hosts(core, query, &permit.scope);
     let batch = EventBatch::take(core, &(permit.node.clone(), permit.scope.clone()));
     let wait = Duration::from_millis(slot_request.wait_ms.into());
     let req = request(core, &permit.scope, Some(slot_request), batch.messages());
@@ -260,13 +270,37 @@
 ///
 /// A scheduler without access to the store may grant a host that is leaving. Nodes that know of
 /// that must not send it anything.
-fn usable_head<P: Platform>(core: &Core<P>, reply: &ScheduleReply) -> Option<Arc<Head>> {
+fn granted_head<P: Platform>(core: &Core<P>, reply: &ScheduleReply) -> Option<Arc<Head>> {
     let (replica, epoch) = scheduler::granted_head(reply)?;
     let heads = locked(&core.heads);
     let head = heads.open(&replica, epoch)?;
     (!head.is_lost()).then(|| Arc::clone(head))
 }
 
+/// How long the first of a model's heads still rests; `None` if one of them doesn't rest.
+fn shortest_rest<P: Platform>(core: &Core<P>, query: &SlotQuery<'_>) -> Option<Duration> {
+    let heads = locked(&core.heads);
+    let heads = heads.of_model(query.service, query.model);
+    let signals = &core.host_signals;
+    signals.shortest_rest(heads.map(|h| &h.host), Instant::now())
+}
+
+/// The hosts of a scope's heads that have asked this node for rest.
+fn resting_hosts<P: Platform>(core: &Core<P>, query: &SlotQuery<'_>, scope: &Scope) -> Vec<String> {
+    let now = Instant::now();
+    let heads = locked(&core.heads);
+    let is_in_scope = |h: &&Arc<Head>| {
+        let domain = scope.heads_in.as_ref();
+        domain.is_none_or(|d| *d == h.failure_domain)
+    };
+    let heads = heads.of_model(query.service, query.model);
+    heads
+        .filter(is_in_scope)
+        .filter(|h| core.host_signals.is_resting(&h.host, now))
+        .map(|h| h.host.to_string())
+        .collect()
+}
+
 fn new_permit<P: Platform>(core: &Arc<Core<P>>, node: NodeId, scope: Scope) -> Permit<P> {
     Permit {
         core: Arc::clone(core),
@@ -298,6 +332,7 @@
             .map_or(call.route.latency_objective, |s| s.max_event_gap)),
         avoid_hosts: query.avoid.iter().map(ToString::to_string).collect(),
         wait_ms: ms(RPC_WAIT),
+        excluded_hosts: Vec::new(),
     }
 }
 
@@ -365,7 +400,7 @@
     hosts * spec.share.get() / spec.size.max(1) as f64 > MAX_REPLICAS_PER_SHARD
 }
 
-/// The failure domains in which a model has heads, each with its requests and usable slots. A head
+/// The failure domains in which a model has heads that don't rest, each with its requests and usable slots. A head
 /// that names a limit counts as one slot: it looks idle, but takes few requests.
 fn open_domains<P: Platform>(
     core: &Core<P>,
@@ -373,11 +408,15 @@
     model: &ModelName,
 ) -> BTreeMap<FailureDomain, (usize, usize)> {
     let mut domains: BTreeMap<FailureDomain, (usize, usize)> = BTreeMap::new();
+    let now = Instant::now();
     let heads = locked(&core.heads);
     for head in heads.of_model(service, model) {
+        if core.host_signals.is_resting(&head.host, now) {
+            continue;
+        }
         let domain = domains.entry(head.failure_domain.clone()).or_default();
         domain.0 += head.load() + head.queued();
-        let is_limited = core.host_limits.limit(&head.host).is_some();
+        let is_limited = core.host_signals.limit(&head.host).is_some();
         domain.1 += if is_limited { 1 } else { head.usable_slots() };
     }
     domains
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,7 +24,7 @@
 use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::sse::EventSplitter;
-use crate::{admission, crash_detection, host_limits, quarantine};
+use crate::{admission, crash_detection, host_signals, quarantine};
 
 /// Chunks that are buffered for a slow caller before its stream stops reading from the host.
 const STREAM_BUFFER_CHUNKS: usize = 64;
@@ -271,8 +271,10 @@
         slot.on_response();
         let dialect = self.core.platform.dialect();
         let class = dialect.classify(response.status, &response.headers);
-        if class.is_of_host() {
-            host_limits::observe(&self.core, &head.host, response.status, &response.headers);
+        if class.is_of_host()
+            && host_signals::observe(&self.core, &head.host, response.status, &response.headers)
+        {
+            slot.on_rest();
         }
         match class {
             ResponseClass::NotRun | ResponseClass::WrongHost => {
@@ -321,7 +323,7 @@
         self.avoid.push(slot.head.host.clone());
         // An exceeded deadline or a lost member is not the head's failure.
         let head_failed = !self.call.remaining().is_zero() && !slot.head.is_lost();
-        if head_failed && !slot.has_started() {
+        if head_failed && !slot.has_started() && !slot.is_resting() {
             self.report_failure(slot);
         }
         self.runs += 1;
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -542,6 +542,9 @@
     /// Longest wait for this reply, in milliseconds.
     #[prost(uint32, tag = "9")]
     pub wait_ms: u32,
+    /// Hosts that must not get it.
+    #[prost(string, repeated, tag = "10")]
+    pub excluded_hosts: Vec<String>,
 }
 
 /// A change of a slot.
