Send nothing to hosts whose answers say that they leave

A host that leaves says so in all its answers, by Server-Leaving, before its entry may say it. Callers saw nothing; such hosts got all their usual requests, 5 to 35 of each node in the four seconds after the two that are permitted in the tests.

Cause: nothing read the header.

That a start of a host leaves is now known to all nodes by the same observation, keeper and item as its limit (a new optional field). The fleet treats the entries of that start as leaving: it is no candidate for requests, its head drains, and the planner replaces its replica. It lasts until the entry is gone or shows a later start. Other values of the header are ignored, with a log line.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::cold::ColdStart;
-use crate::host::Host;
+use crate::host::{Host, HostState};
 use crate::presence::{Departures, HostPresence};
 
 /// How long hosts that are missing after a store outage are kept once the store is back. The
@@ -65,6 +65,8 @@
     /// Until when hosts are cold according to their entries.
     cold_until: BTreeMap<HostId, Instant>,
     departures: Departures,
+    /// Starts of hosts whose answers say that they leave, whatever their entries say.
+    leaving: BTreeMap<HostId, u64>,
     /// End of the grace period in which missing hosts are kept.
     grace_until: Option<Instant>,
     loaded: bool,
@@ -164,9 +166,10 @@
     pub fn apply(&mut self, change: FleetChange, now: Instant) -> Vec<HostId> {
         match change {
             FleetChange::Put(host) => {
+                let host = self.with_answers(*host);
                 self.missing.remove(&host.id);
                 self.superseded.remove(&host.id);
-                self.insert(*host, now);
+                self.insert(host, now);
                 Vec::new()
             }
             FleetChange::Removed(id) => self.remove(id, now).into_iter().collect(),
@@ -186,6 +189,35 @@
         gone.into_iter().collect()
     }
 
+    /// Records that an answer of a host, which started at `started_ms`, said that it leaves. Its
+    /// entries count as leaving from now on. Returns whether that is news.
+    pub fn on_leaving(&mut self, id: &str, started_ms: u64, now: Instant) -> bool {
+        let same = |h: &&mut Host| h.is_same_start(started_ms);
+        let Some(host) = self.hosts.get_mut(id).filter(same) else {
+            return false;
+        };
+        self.leaving.insert(host.id.clone(), started_ms);
+        let is_news = host.is_ready();
+        host.state = HostState::Leaving;
+        self.departures.on_listed(host, now);
+        if let Some(listed) = self.superseded.get_mut(id).filter(same) {
+            listed.state = HostState::Leaving;
+        }
+        is_news
+    }
+
+    /// The entry of a host, which counts as leaving if an answer of this start of it said so.
+    fn with_answers(&mut self, mut entry: Host) -> Host {
+        if let Some(started_ms) = self.leaving.get(&entry.id) {
+            if entry.is_same_start(*started_ms) {
+                entry.state = HostState::Leaving;
+            } else {
+                self.leaving.remove(&entry.id);
+            }
+        }
+        entry
+    }
+
     /// Applies a host's own report, which is newer than its entry.
     pub fn apply_report(&mut self, host: Host) {
         if let Some(known) = self.hosts.get_mut(&host.id) {
@@ -212,6 +244,7 @@
     /// A host that can't reach the store keeps its stale entry for seconds. Each time the list was
     /// read, its replica would seem to have lost a member and be dissolved while it serves.
     fn apply_listed(&mut self, entry: Host, now: Instant) {
+        let entry = self.with_answers(entry);
         self.missing.remove(&entry.id);
         if self.superseded.get(&entry.id) == Some(&entry) {
             return;
@@ -237,6 +270,7 @@
     fn discard(&mut self, id: &HostId, now: Instant) {
         self.departures.on_removed(id, now);
         self.cold_until.remove(id);
+        self.leaving.remove(id);
         self.hosts.remove(id);
         self.superseded.remove(id);
     }
--- a/crates/fleet/src/host_signals.rs
+++ b/crates/fleet/src/host_signals.rs
@@ -1,7 +1,8 @@
 //! What hosts say of themselves in their answers, as known to one node.
 //!
-//! A host in need names the requests per second that it takes from all nodes together. One that
-//! rejects a request may ask the node that sent it for rest, which binds that node alone.
+//! A host in need names the requests per second that it takes from all nodes together, and one that
+//! shuts down says that it leaves: both bind all nodes. A host that rejects a request may ask the
+//! node that sent it for rest, which binds that node alone.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -33,13 +34,15 @@
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
 value! {
-    /// What a host's answer said of its limit.
-    pub struct LimitObservation {
+    /// What a host's answers said that binds all nodes.
+    pub struct HostObservation {
         /// The host.
         pub host: HostId,
         /// Requests per second from all nodes together; `None` if it names no limit any more.
         pub limit: Option<Millionths>,
-        /// Time since the answer.
+        /// Start time of the host in milliseconds if that start of it said that it leaves.
+        pub leaving: Option<u64>,
+        /// Time since the answer that named the limit or none.
         pub age: Duration,
     }
 }
@@ -98,6 +101,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Known {
     limit: Option<Millionths>,
+    /// Start time of the host in milliseconds if that start of it said that it leaves.
+    leaving: Option<u64>,
     observed_at: Instant,
 }
 
@@ -107,7 +112,7 @@
     noticed_at: Instant,
 }
 
-/// The newest limit of each host that names one, and the hosts that rest.
+/// The newest limit of each host that names one, and the hosts that leave or rest.
 #[derive(Clone, Debug, Default)]
 pub struct HostSignals {
     hosts: BTreeMap<HostId, Known>,
@@ -164,33 +169,60 @@
         true
     }
 
+    /// Handles an answer of a host, which started at `started_ms` and says that it leaves. Returns
+    /// whether that is news.
+    pub fn on_leaving(&mut self, host: &HostId, started_ms: u64, now: Instant) -> bool {
+        let known = self.hosts.entry(host.clone()).or_insert(Known {
+            limit: None,
+            leaving: None,
+            observed_at: now,
+        });
+        let is_news = known.leaving < Some(started_ms);
+        known.leaving = known.leaving.max(Some(started_ms));
+        is_news
+    }
+
+    /// The hosts that said that they leave, with their start times in milliseconds.
+    pub fn leaving(&self) -> impl Iterator<Item = (&HostId, u64)> {
+        let hosts = self.hosts.iter();
+        hosts.filter_map(|(host, known)| Some((host, known.leaving?)))
+    }
+
     /// Merges another node's observation. Returns whether it is newer than the known one.
-    pub fn merge(&mut self, observation: &LimitObservation, now: Instant) -> bool {
+    pub fn merge(&mut self, observation: &HostObservation, now: Instant) -> bool {
         let observed_at = now.checked_sub(observation.age).unwrap_or(now);
+        let leaves = observation
+            .leaving
+            .is_some_and(|start| self.on_leaving(&observation.host, start, observed_at));
         let known = self.hosts.get(&observation.host);
         if known.is_some_and(|k| k.observed_at >= observed_at) {
-            return false;
+            return leaves;
         }
         self.insert(&observation.host, observation.limit, observed_at);
         true
     }
 
     fn insert(&mut self, host: &HostId, limit: Option<Millionths>, observed_at: Instant) {
-        self.hosts
-            .insert(host.clone(), Known { limit, observed_at });
+        let known = Known {
+            limit,
+            leaving: self.hosts.get(host).and_then(|k| k.leaving),
+            observed_at,
+        };
+        self.hosts.insert(host.clone(), known);
     }
 
     /// What is known of a host.
-    pub fn observation(&self, host: &HostId, now: Instant) -> Option<LimitObservation> {
+    pub fn observation(&self, host: &HostId, now: Instant) -> Option<HostObservation> {
         let known = self.hosts.get(host)?;
-        Some(LimitObservation {
+        Some(HostObservation {
             host: host.clone(),
             limit: known.limit,
+            leaving: known.leaving,
             age: now.saturating_duration_since(known.observed_at),
         })
     }
 
-    /// The hosts that name a limit, or did.
+    /// The hosts that name a limit, or did, or leave.
     pub fn hosts(&self) -> impl Iterator<Item = &HostId> {
         self.hosts.keys()
     }
@@ -207,7 +239,8 @@
             .retain(|host, rest| listed.contains(host) && now < rest.until);
         self.hosts.retain(|host, known| {
             let age = now.saturating_duration_since(known.observed_at);
-            listed.contains(host) && (known.limit.is_some() || age < LIFTED_TTL)
+            let is_lasting = known.limit.is_some() || known.leaving.is_some();
+            listed.contains(host) && (is_lasting || age < LIFTED_TTL)
         });
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -46,7 +46,7 @@
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
-pub use crate::host_signals::{HostSignals, LimitObservation, RequestedRest, ReturnTimes};
+pub use crate::host_signals::{HostObservation, HostSignals, RequestedRest, ReturnTimes};
 pub use crate::lease::{LEASE_TERM, Lease, LeaseStatus, SinceBoot, hears_majority, is_majority};
 pub use crate::planner::{
     Command, Formation, FormationPhase, LossReason, Order, OrderReply, Planner, PlannerTiming,
--- a/crates/fleet/tests/host_limits.rs
+++ b/crates/fleet/tests/host_limits.rs
@@ -5,7 +5,7 @@
 
 use eelgrassmill_base::HostId;
 use eelgrassmill_fleet::{
-    EngineSpeed, HostSignals, LimitObservation, Millionths, OpenHead, PendingRequest, RequestKey,
+    EngineSpeed, HostObservation, HostSignals, Millionths, OpenHead, PendingRequest, RequestKey,
     RequestPermits, Scheduler, SlotOutcome,
 };
 use googletest::prelude::*;
@@ -37,10 +37,11 @@
     counts.max().unwrap_or(0)
 }
 
-fn observation(limit: Option<f64>, age: Duration) -> LimitObservation {
-    LimitObservation {
+fn observation(limit: Option<f64>, age: Duration) -> HostObservation {
+    HostObservation {
         host: "h1".into(),
         limit: limit.map(Millionths::of),
+        leaving: None,
         age,
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -328,7 +328,8 @@
     let class = core.platform.dialect().classify(status, &response.headers);
     if class.is_of_host() {
         crash_detection::on_received(core, host);
-        if host_signals::observe(core, &host.id, status, &response.headers) {
+        let headers = &response.headers;
+        if host_signals::observe(core, &host.id, host.started_ms, status, headers) {
             running.outcome = TargetOutcome::Resting;
         }
     }
--- a/crates/gateway/src/host_signals.rs
+++ b/crates/gateway/src/host_signals.rs
@@ -11,7 +11,7 @@
 
 use eelgrassmill_base::{HostId, NodeId};
 use eelgrassmill_fleet::{
-    HostSignals, LimitObservation, Millionths, RequestPermits, RequestedRest, ReturnTimes,
+    HostObservation, HostSignals, Millionths, RequestPermits, RequestedRest, ReturnTimes,
     ranked_for_role,
 };
 use eelgrassmill_peer::{Item, ItemKey, LimitReply, LimitRequest, TargetLimit, WireTargetLimit};
@@ -21,6 +21,7 @@
 
 use crate::core::Core;
 use crate::heads::locked;
+use crate::logs::LogRateLimit;
 use crate::ports::{Dialect, Platform};
 use crate::refusal::{Refusal, RefusalCause};
 
@@ -45,11 +46,13 @@
     permits: Mutex<RequestPermits>,
     /// Observations that the nodes which publish them don't have yet.
     unreported: Mutex<BTreeSet<HostId>>,
-    /// Limits that this node published, by when they were observed.
-    published: Mutex<BTreeMap<HostId, Instant>>,
+    /// What this node published: when limits were observed, and which starts of hosts leave.
+    published: Mutex<BTreeMap<HostId, (Instant, Option<u64>)>>,
     /// Plain hosts whose limits are used up.
     denied: Mutex<BTreeMap<HostId, Denial>>,
     return_times: Mutex<ReturnTimes>,
+    /// Rate limit for log lines on values that are ignored.
+    log_limit: Mutex<LogRateLimit>,
 }
 
 impl Default for SignalState {
@@ -60,6 +63,7 @@
             unreported: Mutex::default(),
             published: Mutex::default(),
             denied: Mutex::default(),
+            log_limit: Mutex::default(),
             return_times: Mutex::new(ReturnTimes::new(fastrand::f64())),
         }
     }
@@ -125,17 +129,47 @@
     }
 }
 
-/// Handles the head of a host's answer. Returns whether it asks this node for rest.
+/// Handles the head of an answer of a host that started at `started_ms`. Returns whether it asks
+/// this node for rest.
 pub(crate) fn observe<P: Platform>(
     core: &Core<P>,
     host: &HostId,
+    started_ms: u64,
     status: StatusCode,
     headers: &HeaderMap,
 ) -> bool {
     observe_limit(core, host, status, headers);
+    if let Some(value) = core.platform.dialect().host_leaving(headers) {
+        observe_leaving(core, host, started_ms, value);
+    }
     status == StatusCode::SERVICE_UNAVAILABLE && observe_rest(core, host, headers)
 }
 
+fn observe_leaving<P: Platform>(core: &Core<P>, host: &HostId, started_ms: u64, value: &str) {
+    let state = &core.host_signals;
+    let now = Instant::now();
+    if value.trim() != "1" {
+        if locked(&state.log_limit).is_due(now) {
+            let named: String = value.chars().take(MAX_LOGGED_CHARS).collect();
+            info!(event = "host-leaving", %host, outcome = "ignored", named);
+        }
+        return;
+    }
+    if locked(&state.signals).on_leaving(host, started_ms, now) {
+        locked(&state.unreported).insert(host.clone());
+        mark_leaving(core, host, started_ms, "answer");
+    }
+}
+
+/// Treats a host like one whose entry says that it leaves.
+fn mark_leaving<P: Platform>(core: &Core<P>, host: &HostId, started_ms: u64, source: &str) {
+    if !locked(&core.fleet).on_leaving(host, started_ms, Instant::now()) {
+        return;
+    }
+    info!(event = "host-leaving", %host, outcome = "leaves", source);
+    core.refresh_heads();
+}
+
 /// Only a success without a limit shows that there is none: hosts may reject requests in fewer words.
 fn observe_limit<P: Platform>(
     core: &Core<P>,
@@ -184,24 +218,29 @@
 /// Handles a limit that another node published.
 pub(crate) fn on_item<P: Platform>(core: &Core<P>, from: &NodeId, item: &TargetLimit, at: Instant) {
     let limit = item.limit_millionths.map(Millionths::from_count);
-    let observation = LimitObservation {
+    let observation = HostObservation {
         host: item.host.clone(),
         limit,
+        leaving: item.leaving_start_ms,
         age: item.age + at.elapsed(),
     };
     merge(core, &observation, from);
 }
 
 /// Merges an observation. Returns whether it is newer than the known one.
-fn merge<P: Platform>(core: &Core<P>, observation: &LimitObservation, from: &NodeId) -> bool {
+fn merge<P: Platform>(core: &Core<P>, observation: &HostObservation, from: &NodeId) -> bool {
     let state = &core.host_signals;
     let host = &observation.host;
     let before = state.limit(host);
     let is_newer = locked(&state.signals).merge(observation, Instant::now());
     if is_newer {
         locked(&state.unreported).remove(host);
-        if before != observation.limit {
-            on_change(core, host, observation.limit, from);
+        let limit = state.limit(host);
+        if before != limit {
+            on_change(core, host, limit, from);
+        }
+        if let Some(started_ms) = observation.leaving {
+            mark_leaving(core, host, started_ms, from);
         }
     }
     is_newer
@@ -266,11 +305,12 @@
     }
 }
 
-fn wire_observation(observation: LimitObservation) -> WireTargetLimit {
+fn wire_observation(observation: HostObservation) -> WireTargetLimit {
     WireTargetLimit {
         host: observation.host.to_string(),
         limit_millionths: observation.limit.map(Millionths::count),
         age_ms: observation.age.as_millis() as u64,
+        leaving_start_ms: observation.leaving,
     }
 }
 
@@ -290,9 +330,10 @@
 pub(crate) fn handle<P: Platform>(core: &Core<P>, req: LimitRequest) -> LimitReply {
     let from = NodeId::from(req.from.as_str());
     for observation in req.observations {
-        let observation = LimitObservation {
+        let observation = HostObservation {
             host: observation.host.into(),
             limit: observation.limit_millionths.map(Millionths::from_count),
+            leaving: observation.leaving_start_ms,
             age: Duration::from_millis(observation.age_ms),
         };
         let is_newer = merge(core, &observation, &from);
@@ -327,14 +368,15 @@
     let Some(known) = locked(&core.host_signals.signals).observation(host, now) else {
         return;
     };
-    let observed_at = now.checked_sub(known.age).unwrap_or(now);
-    let before = locked(&core.host_signals.published).insert(host.clone(), observed_at);
-    if before == Some(observed_at) {
+    let version = (now.checked_sub(known.age).unwrap_or(now), known.leaving);
+    let before = locked(&core.host_signals.published).insert(host.clone(), version);
+    if before == Some(version) {
         return;
     }
     peer.publish(Item::TargetLimit(TargetLimit {
         host: known.host,
         limit_millionths: known.limit.map(Millionths::count),
+        leaving_start_ms: known.leaving,
         age: known.age,
     }));
 }
@@ -386,6 +428,17 @@
     }
     locked(&state.denied).retain(|_, denial| now < denial.until);
     show_resting(core, now);
+    // The list of hosts may be newer than what other nodes said of them.
+    let leaving: Vec<(HostId, u64)> = {
+        let signals = locked(&state.signals);
+        signals.leaving().map(|(h, at)| (h.clone(), at)).collect()
+    };
+    core.metrics
+        .leaving_hosts
+        .set(i64::try_from(leaving.len()).unwrap_or(i64::MAX));
+    for (host, started_ms) in leaving {
+        mark_leaving(core, &host, started_ms, "answer");
+    }
     let limits = locked(&state.signals);
     let shown = i64::try_from(limits.limited()).unwrap_or(i64::MAX);
     core.metrics.limited_hosts.set(shown);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,8 @@
     pub(crate) limited_hosts: IntGauge,
     /// Hosts that have asked this node for rest.
     pub(crate) resting_hosts: IntGauge,
+    /// Hosts whose answers say that they leave, as far as this node knows.
+    pub(crate) leaving_hosts: IntGauge,
     /// Times that a host's limit held back a request of this node, by service.
     limited: IntCounterVec,
     /// Connections to hosts through other nodes by outcome, and those carried for other nodes.
@@ -121,6 +123,10 @@
                 "gateway_resting_hosts",
                 "Hosts that have asked this node for rest.",
             ),
+            leaving_hosts: gauge(
+                "gateway_leaving_hosts",
+                "Hosts whose answers say that they leave.",
+            ),
             relayed_connections: counter(
                 "gateway_relayed_connections_total",
                 "Connections to hosts through other nodes, and for them.",
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -239,6 +239,9 @@
     /// as it names them.
     fn host_rest<'h>(&self, headers: &'h HeaderMap) -> SmallVec<[&'h str; 1]>;
 
+    /// What the target says of its leaving in a response, if anything: "1" if it leaves.
+    fn host_leaving<'h>(&self, headers: &'h HeaderMap) -> Option<&'h str>;
+
     /// The response headers for the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -272,7 +272,13 @@
         let dialect = self.core.platform.dialect();
         let class = dialect.classify(response.status, &response.headers);
         if class.is_of_host()
-            && host_signals::observe(&self.core, &head.host, response.status, &response.headers)
+            && host_signals::observe(
+                &self.core,
+                &head.host,
+                head.started_ms,
+                response.status,
+                &response.headers,
+            )
         {
             slot.on_rest();
         }
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -40,6 +40,8 @@
         /// Millionths of a request per second that it takes from all nodes together; `None` if it
         /// names no limit any more.
         pub limit_millionths: Option<u64>,
+        /// Start time of the target in milliseconds if that start of it said that it leaves.
+        pub leaving_start_ms: Option<u64>,
         /// Time from the answer until this was published.
         pub age: Duration,
     }
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -73,6 +73,7 @@
             host: l.host.to_string(),
             limit_millionths: l.limit_millionths,
             age_ms: u64::try_from(l.age.as_millis()).unwrap_or(u64::MAX),
+            leaving_start_ms: l.leaving_start_ms,
         }),
         Item::Usage(u) => Kind::Usage(wire::UsageReport {
             service: u.service.to_string(),
@@ -169,6 +170,7 @@
         Kind::TargetLimit(l) => Item::TargetLimit(TargetLimit {
             host: name(l.host)?,
             limit_millionths: l.limit_millionths,
+            leaving_start_ms: l.leaving_start_ms,
             age: Duration::from_millis(l.age_ms),
         }),
         Kind::Removed(r) => return removed_key(r).map(Received::Removed),
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -134,6 +134,9 @@
     /// Time since the answer, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Start time of the target in milliseconds if that start of it said that it leaves.
+    #[prost(uint64, optional, tag = "4")]
+    pub leaving_start_ms: Option<u64>,
 }
 
 /// An accepted configuration.
