--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -134,6 +134,9 @@
     /// Time since the answer, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Start time of the target in milliseconds if that start of it said that it leaves.
+    #[prost(uint64, optional, tag = "4")]
+    pub leaving_start_ms: Option<u64>,
 }
 
 /// An accepted configuration.
@@ -542,6 +545,9 @@
     /// Longest wait for this reply, in milliseconds.
     #[prost(uint32, tag = "9")]
     pub wait_ms: u32,
+    /// Hosts that must not get it.
+    #[prost(string, repeated, tag = "10")]
+    pub excluded_hosts: Vec<String>,
 }
 
 /// A change of a slot.
