Keep open replicas when hosts leave two queries unanswered

A new planner asks all hosts about their replicas. A member of a sound replica that was silent for that moment left two queries unanswered within 0.6 s, counted as silent, and its replica was dissolved.

A member of an open replica now counts as silent once it has answered nothing for 2 s, and is queried until then. Spares, and members of replicas that don't serve yet, count as silent after two messages as before. Planner::on_unanswered gets the time for this, so that the fake hosts of the planner's tests pass it.

a_new_planner_keeps_a_replica_whose_member_is_silent_for_a_moment fails without the change. cargo test -p eelgrassmill-fleet: all pass, one run.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -38,7 +38,7 @@
 use crate::host::{Host, MembershipPhase};
 use crate::planner::advance::PlanInput;
 use crate::planner::formations::Formations;
-use crate::planner::host_reports::{LastReport, MAX_ORDER_DELAY, Silence};
+use crate::planner::host_reports::{LastReport, MAX_ORDER_DELAY, Silence, Unanswered};
 use crate::planner::placement::ServiceView;
 use crate::planner::rejecting::RejectingHosts;
 use crate::planner::serving::ServingCounts;
@@ -117,7 +117,7 @@
     silent: BTreeMap<HostId, Silence>,
     /// Formations whose hosts are free, while entries may still show them as members.
     dissolved: BTreeMap<GroupId, Dissolved>,
-    unanswered_counts: BTreeMap<HostId, u32>,
+    unanswered: BTreeMap<HostId, Unanswered>,
     /// Hosts to query because an order got no answer.
     pending_queries: BTreeSet<HostId>,
     /// When each recent order or query was sent, by the epoch it refers to (0 for none).
@@ -167,7 +167,7 @@
             unconfirmed_orders: BTreeMap::new(),
             silent: BTreeMap::new(),
             dissolved: BTreeMap::new(),
-            unanswered_counts: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
             pending_queries: BTreeSet::new(),
             sent: BTreeMap::new(),
             primed: BTreeMap::new(),
@@ -204,7 +204,7 @@
         now: Instant,
     ) {
         if reply.is_some() {
-            self.unanswered_counts.remove(host);
+            self.unanswered.remove(host);
         } else {
             self.unconfirmed_orders.insert(host.clone(), now);
             self.pending_queries.insert(host.clone());
@@ -333,7 +333,7 @@
             .flat_map(|f| f.held_members().cloned())
             .collect();
         let concerns = |id: &HostId| fleet.host(id).is_some() || bound.contains(id);
-        self.unanswered_counts.retain(|id, _| concerns(id));
+        self.unanswered.retain(|id, _| concerns(id));
         self.pending_queries.retain(concerns);
         self.last_reports
             .retain(|id, a| fleet.host(id).is_some_and(|h| h.started_ms == a.born_ms));
--- a/crates/fleet/src/planner/host_reports.rs
+++ b/crates/fleet/src/planner/host_reports.rs
@@ -11,6 +11,8 @@
 use crate::fleet::Fleet;
 use crate::host::Host;
 use crate::planner::Planner;
+use crate::planner::formation::{Formation, FormationPhase, Purpose};
+use crate::suspicion::MAX_SILENCE;
 
 /// Unanswered orders are executed up to 12 s later; the rest is a margin.
 pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
@@ -29,6 +31,16 @@
     pub(super) listed: bool,
 }
 
+/// Consecutive messages to a host without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unanswered {
+    count: u32,
+    /// When the first of them was given up, unless it had long passed before the next.
+    since: Instant,
+    /// When the last of them was given up.
+    last: Instant,
+}
+
 /// A host's last answer to a query.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LastReport {
@@ -52,7 +64,9 @@
     /// which case the report is to be ignored.
     pub fn on_report(&mut self, report: &Host, fleet: &Fleet, now: Instant) -> bool {
         if !self.is_from_same_host(report, fleet) {
-            self.on_unanswered(&report.id, fleet);
+            if self.count_unanswered(&report.id, now).count >= MAX_UNANSWERED {
+                self.mark_silent(&report.id, fleet);
+            }
             return false;
         }
         if !self.is_taking_over(now) {
@@ -63,7 +77,7 @@
             self.last_reports.insert(report.id.clone(), asked);
         }
         self.silent.remove(&report.id);
-        self.unanswered_counts.remove(&report.id);
+        self.unanswered.remove(&report.id);
         self.pending_queries.remove(&report.id);
         true
     }
@@ -88,14 +102,44 @@
     }
 
     /// Records that a host was unreachable or did not answer a query.
-    pub fn on_unanswered(&mut self, host: &HostId, fleet: &Fleet) {
-        let count = self.unanswered_counts.entry(host.clone()).or_default();
-        *count += 1;
-        if *count >= MAX_UNANSWERED {
+    ///
+    /// A member of a replica that may serve is queried again until it has been silent for
+    /// [`MAX_SILENCE`]: sound hosts fall silent for a moment.
+    pub fn on_unanswered(&mut self, host: &HostId, fleet: &Fleet, now: Instant) {
+        let unanswered = self.count_unanswered(host, now);
+        if unanswered.count < MAX_UNANSWERED {
+            return;
+        }
+        let is_long = now.saturating_duration_since(unanswered.since) >= MAX_SILENCE;
+        if is_long || !self.may_serve(host) {
             self.mark_silent(host, fleet);
+        } else {
+            self.pending_queries.insert(host.clone());
         }
     }
 
+    fn count_unanswered(&mut self, host: &HostId, now: Instant) -> Unanswered {
+        let first = Unanswered {
+            count: 0,
+            since: now,
+            last: now,
+        };
+        let unanswered = self.unanswered.entry(host.clone()).or_insert(first);
+        // Between messages that are far apart it may have been sound.
+        if now.saturating_duration_since(unanswered.last) >= MAX_SILENCE {
+            unanswered.since = now;
+        }
+        unanswered.count += 1;
+        unanswered.last = now;
+        *unanswered
+    }
+
+    fn may_serve(&self, host: &HostId) -> bool {
+        let serving =
+            |f: &Formation| f.purpose == Purpose::Serve && f.phase == FormationPhase::Open;
+        self.formation_of(host).is_some_and(serving)
+    }
+
     /// Whether this planner knows which replica a host belongs to.
     ///
     /// A host that can't reach the store may have joined a replica of the previous planner while
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -410,6 +410,29 @@
     expect_that!(world.violations, is_empty());
 }
 
+/// Guards against a new planner that dissolves a sound replica because a member is silent for a
+/// moment while it asks all hosts.
+#[gtest]
+fn a_new_planner_keeps_a_replica_whose_member_is_silent_for_a_moment() {
+    let mut world = settled(1, 11);
+    let members = world.members("d0", "large");
+    let of_members = |world: &World| {
+        let formation = world.planner().formations().find(|f| f.members == members);
+        formation.map(|f| (f.epoch, f.phase))
+    };
+    let before = of_members(&world);
+    world.new_planner(None);
+    // It asks all hosts once the orders of the one before can't be under way any more.
+    world.run(millis(1800));
+    world.partition_from_planners(&members[1]);
+    world.run(millis(1500));
+    world.host(&members[1]).reachable = true;
+    world.run(seconds(2));
+    expect_that!(of_members(&world), eq(before));
+    expect_that!(before, some((anything(), eq(FormationPhase::Open))));
+    expect_that!(world.violations, is_empty());
+}
+
 /// A spare restarted under another name at the same address and is already a member of a replica,
 /// while its old entry remains. A query for the old host is answered by the new one, and must not
 /// add a member to the replica.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -430,7 +430,7 @@
         }
         let Actor { planner, fleet, .. } = &mut self.actors[i];
         if !reached {
-            planner.on_unanswered(&host, fleet);
+            planner.on_unanswered(&host, fleet, now);
             return;
         }
         if late {
@@ -458,7 +458,7 @@
         let now = self.instant();
         let Actor { planner, fleet, .. } = &mut self.actors[i];
         let Some(entry) = entry else {
-            planner.on_unanswered(id, fleet);
+            planner.on_unanswered(id, fleet, now);
             return;
         };
         if planner.on_report(&entry, fleet, now) {
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -175,7 +175,7 @@
                     fleet.clear_membership(&host, replica, *epoch);
                 }
                 if let Err(HostUnavailable::NotReached(_)) = reply {
-                    self.planner.on_unanswered(&host, &fleet);
+                    self.planner.on_unanswered(&host, &fleet, now);
                 } else {
                     self.planner.on_reply(&host, &order, reply.ok(), now);
                 }
@@ -193,7 +193,7 @@
             }
             PlanningEvent::Report(host, Err(_)) => {
                 let fleet = locked(&self.core.fleet);
-                self.planner.on_unanswered(&host, &fleet);
+                self.planner.on_unanswered(&host, &fleet, now);
             }
         }
     }
