Tell schedulers which replicas a node suspects

A node without streams at a head didn't know that its replica was silent, and schedulers went on to assign it requests. While a member that is no head is silent, its head begins to run them.

Each request for a slot now names the replicas of the model that its node suspects, in an optional field. The scheduler assigns their heads nothing for 0.4 s, unless all heads of the model are avoided or it has just got events from them itself.

--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -10,7 +10,8 @@
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, ModelName, NodeId, ServiceName};
 use eelgrassmill_fleet::{
-    Catalog, ColdStart, EjectionBackoff, Fleet, HeadKey, Host, HostPresence, StreamActivity,
+    Catalog, ColdStart, EjectionBackoff, Fleet, HeadKey, Host, HostPresence, StallThreshold,
+    StreamActivity,
 };
 use smallvec::SmallVec;
 use smol_str::SmolStr;
@@ -29,6 +30,10 @@
 /// most events come within 50 ms.
 const MIN_LINK_SILENCE: Duration = Duration::from_millis(250);
 
+/// How long another node's suspicion counts. A node that suspects a head repeats that with each
+/// request for a slot, several a second.
+const ELSEWHERE_SUSPICION_TTL: Duration = Duration::from_millis(400);
+
 /// The head of a replica in one epoch.
 #[derive(Debug)]
 pub(crate) struct Head {
@@ -60,6 +65,8 @@
     lost: watch::Sender<Option<Loss>>,
     /// Whether members give no answer, so that it may be lost.
     suspected: watch::Sender<bool>,
+    /// Until when it counts as suspected because another node suspects it.
+    suspected_elsewhere: Mutex<Option<Instant>>,
     /// Whether its members are being checked.
     is_checked: AtomicBool,
     /// Number of calls of [`Head::break_direct_responses`].
@@ -123,6 +130,7 @@
             cold: Mutex::default(),
             lost: watch::Sender::new(None),
             suspected: watch::Sender::new(false),
+            suspected_elsewhere: Mutex::default(),
             is_checked: AtomicBool::new(false),
             link_losses: watch::Sender::new(0),
         })
@@ -294,11 +302,23 @@
         self.is_checked.store(false, Ordering::Relaxed);
     }
 
-    /// Whether members give no answer, so that it gets new requests only if all heads are suspected.
+    /// Whether members give this node no answer, so that it may be lost.
     pub(crate) fn is_suspected(&self) -> bool {
         *self.suspected.borrow()
     }
 
+    /// Whether it gets new requests only if all heads of its model are avoided: this node suspects
+    /// it, or another node does and no event shows the contrary here.
+    fn is_avoided(&self, now: Instant) -> bool {
+        let until = *locked(&self.suspected_elsewhere);
+        let is_suspected_elsewhere = until.is_some_and(|until| now < until);
+        let has_event = || {
+            let threshold = StallThreshold::default();
+            self.stream_activity().has_recent_event(&threshold, now)
+        };
+        self.is_suspected() || is_suspected_elsewhere && !has_event()
+    }
+
     /// Marks it as suspected, unless events have arrived since `since`.
     pub(crate) fn suspect(&self, since: Instant) {
         let has_event = self.stream_activity().last_event() > Some(since);
@@ -578,20 +598,28 @@
         }
     }
 
+    /// Records that another node suspects a replica.
+    pub(crate) fn suspect_elsewhere(&self, replica: &str, now: Instant) {
+        for head in self.open.values().filter(|h| h.replica == replica) {
+            *locked(&head.suspected_elsewhere) = Some(now + ELSEWHERE_SUSPICION_TTL);
+        }
+    }
+
     /// Number of hosts of a service.
     pub(crate) fn hosts_of(&self, service: &str) -> usize {
         self.hosts.get(service).copied().unwrap_or_default()
     }
 
-    /// Heads of a model that can take a request: those that aren't suspected, if there are any.
+    /// Heads of a model that can take a request: those that aren't avoided, if there are any.
     pub(crate) fn of_model<'t>(
         &'t self,
         service: &'t str,
         model: &'t str,
     ) -> impl Iterator<Item = &'t Arc<Head>> {
         let takes = move |h: &&Arc<Head>| h.service == service && h.model == model && !h.is_lost();
-        let is_any_trusted = self.open.values().filter(takes).any(|h| !h.is_suspected());
-        let takes_now = move |h: &&Arc<Head>| takes(h) && !(is_any_trusted && h.is_suspected());
+        let now = Instant::now();
+        let may_avoid = self.open.values().filter(takes).any(|h| !h.is_avoided(now));
+        let takes_now = move |h: &&Arc<Head>| takes(h) && !(may_avoid && h.is_avoided(now));
         self.open.values().filter(takes_now)
     }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -120,6 +120,9 @@
     };
     let node = NodeId::from(req.from.as_str());
     let now = Instant::now();
+    for replica in &req.suspected_replicas {
+        locked(&core.heads).suspect_elsewhere(replica, now);
+    }
     for slot_event in &req.slot_events {
         locked(&running).on_slot_event(&node, slot_event, now);
     }
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -124,9 +124,19 @@
         head_domain: scope.heads_in.as_deref().unwrap_or_default().to_owned(),
         slot_request,
         slot_events,
+        suspected_replicas: suspected_replicas(core, scope),
     }
 }
 
+/// The replicas of a scope that are suspected here: nodes without streams there don't know.
+fn suspected_replicas<P: Platform>(core: &Core<P>, scope: &Scope) -> Vec<String> {
+    let heads = locked(&core.heads);
+    let suspected = heads
+        .all()
+        .filter(|h| h.is_suspected() && h.service == scope.service && h.model == scope.model);
+    suspected.map(|h| h.replica.to_string()).collect()
+}
+
 /// Calls a scheduler, which may be at this node. `None` if it gives no reply.
 async fn send<P: Platform>(
     core: &Arc<Core<P>>,
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -510,6 +510,9 @@
     /// Events of requests that have or had a slot, in order.
     #[prost(message, repeated, tag = "7")]
     pub slot_events: Vec<SlotEvent>,
+    /// Replicas of the model whose members give the calling node no answer.
+    #[prost(string, repeated, tag = "8")]
+    pub suspected_replicas: Vec<String>,
 }
 
 /// A request that needs a slot.
