Read what hosts say of themselves in answers to orders and reports

A member of a replica that isn't its head gets no requests, so that no answer to one says that it leaves; its entry may say so seconds later.

Orders and report requests now hand the heads of their answers to the same policy: leaving, and rest that a 503 asks for. Limits aren't read there, since such an answer without one doesn't show that there is none.

Requests that were sent before a rest began, and are rejected without asking for it again, no longer count as rejections of a head either.

--- a/crates/gateway/src/host_signals.rs
+++ b/crates/gateway/src/host_signals.rs
@@ -11,8 +11,8 @@
 
 use eelgrassmill_base::{HostId, NodeId};
 use eelgrassmill_fleet::{
-    HostObservation, HostSignals, Millionths, RequestPermits, RequestedRest, ReturnTimes,
-    ranked_for_role,
+    HostObservation, HostSignals, Millionths, Order, OrderReply, RequestPermits, RequestedRest,
+    ReturnTimes, ranked_for_role,
 };
 use eelgrassmill_peer::{Item, ItemKey, LimitReply, LimitRequest, TargetLimit, WireTargetLimit};
 use http::{HeaderMap, StatusCode};
@@ -22,7 +22,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::logs::LogRateLimit;
-use crate::ports::{Dialect, Platform};
+use crate::ports::{Dialect, HostControl, HostReport, HostUnavailable, Platform, ResponseClass};
 use crate::refusal::{Refusal, RefusalCause};
 
 /// How long observations are batched before they are reported. Another node's may arrive first.
@@ -129,8 +129,8 @@
     }
 }
 
-/// Handles the head of an answer of a host that started at `started_ms`. Returns whether it asks
-/// this node for rest.
+/// Handles the head of an answer of a host that started at `started_ms`. Returns whether it rejects
+/// a request for the sake of rest.
 pub(crate) fn observe<P: Platform>(
     core: &Core<P>,
     host: &HostId,
@@ -139,10 +139,65 @@
     headers: &HeaderMap,
 ) -> bool {
     observe_limit(core, host, status, headers);
+    observe_own_state(core, host, started_ms, status, headers)
+}
+
+/// Requests a host's report, and reads the head of its answer.
+pub(crate) async fn report<P: Platform>(
+    core: &Core<P>,
+    host: &HostId,
+    address: &str,
+    timeout: Duration,
+) -> Result<HostReport, HostUnavailable> {
+    let on_answer = control_observer(core, host);
+    let control = core.platform.control();
+    control.report(host, address, timeout, on_answer).await
+}
+
+/// Sends an order to a host, and reads the head of its answer.
+pub(crate) async fn order<P: Platform>(
+    core: &Core<P>,
+    host: &HostId,
+    address: &str,
+    order: &Order,
+    timeout: Duration,
+) -> Result<OrderReply, HostUnavailable> {
+    let on_answer = control_observer(core, host);
+    let control = core.platform.control();
+    control
+        .order(host, address, order, timeout, on_answer)
+        .await
+}
+
+/// Handles the head of an answer to an order or a report request. It says nothing of the limit on
+/// requests.
+fn control_observer<'c, P: Platform>(
+    core: &'c Core<P>,
+    host: &'c HostId,
+) -> impl FnOnce(StatusCode, &HeaderMap) + Send + 'c {
+    let known = locked(&core.fleet).host(host).map(|h| h.started_ms);
+    move |status, headers| {
+        let class = core.platform.dialect().classify(status, headers);
+        if let Some(started_ms) = known.filter(|_| class != ResponseClass::WrongHost) {
+            observe_own_state(core, host, started_ms, status, headers);
+        }
+    }
+}
+
+/// Handles what an answer says but for the limit. Returns whether it rejects a request for the sake
+/// of rest: those that were sent before it began are rejected without asking for it again.
+fn observe_own_state<P: Platform>(
+    core: &Core<P>,
+    host: &HostId,
+    started_ms: u64,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> bool {
     if let Some(value) = core.platform.dialect().host_leaving(headers) {
         observe_leaving(core, host, started_ms, value);
     }
-    status == StatusCode::SERVICE_UNAVAILABLE && observe_rest(core, host, headers)
+    let is_resting = || core.host_signals.is_resting(host, Instant::now());
+    status == StatusCode::SERVICE_UNAVAILABLE && (observe_rest(core, host, headers) || is_resting())
 }
 
 fn observe_leaving<P: Platform>(core: &Core<P>, host: &HostId, started_ms: u64, value: &str) {
@@ -387,7 +442,7 @@
     let mut next_check = None;
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
-        report(&core).await;
+        report_observations(&core).await;
         let now = Instant::now();
         if now.saturating_duration_since(checked_at) >= CHECK_INTERVAL {
             checked_at = now;
@@ -399,7 +454,7 @@
 
 /// Reports this node's observations to the nodes that publish them. Those without an answer are
 /// reported again.
-async fn report<P: Platform>(core: &Arc<Core<P>>) {
+async fn report_observations<P: Platform>(core: &Arc<Core<P>>) {
     let unreported = std::mem::take(&mut *locked(&core.host_signals.unreported));
     let mut by_node: BTreeMap<NodeId, Vec<HostId>> = BTreeMap::new();
     for host in unreported {
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -19,8 +19,9 @@
 use crate::crash_detection::UsedHost;
 use crate::heads::{Head, locked};
 use crate::host_relay::reaches_hosts;
+use crate::host_signals;
 use crate::planning::PlanningEvent;
-use crate::ports::{HostControl, HostReport, HostUnavailable, Platform};
+use crate::ports::{HostReport, HostUnavailable, Platform};
 
 /// How often replicas are checked for stalls: a sixth of the shortest stall that counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -147,11 +148,8 @@
     for member in members {
         let core = Arc::clone(&core);
         reports.spawn(async move {
-            let report = core
-                .platform
-                .control()
-                .report(&member.start.0, &member.address, REPORT_TIMEOUT)
-                .await;
+            let (host, address) = (&member.start.0, &member.address);
+            let report = host_signals::report(&core, host, address, REPORT_TIMEOUT).await;
             (member, report)
         });
     }
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -13,8 +13,9 @@
 
 use crate::core::Core;
 use crate::heads::locked;
+use crate::host_signals;
 use crate::loss_detection::{LostReplica, REPORT_TIMEOUT};
-use crate::ports::{HostControl, HostReport, HostUnavailable, LeaderRecord, Platform};
+use crate::ports::{HostReport, HostUnavailable, LeaderRecord, Platform};
 
 /// Longest time between two steps of the planner: its shortest own interval is the 120 ms between
 /// two report requests to a host.
@@ -206,15 +207,16 @@
         };
         let Some(address) = address else { return };
         tokio::spawn(async move {
-            let control = core.platform.control();
             let event = match command {
                 Command::Order { host, order, .. } => {
-                    let reply = control.order(&host, &address, &order, ORDER_TIMEOUT).await;
+                    let sent = host_signals::order(&core, &host, &address, &order, ORDER_TIMEOUT);
+                    let reply = sent.await;
                     record_order(&core, &host, &order, &reply);
                     PlanningEvent::Reply(host, order, reply)
                 }
                 Command::Query { host } => {
-                    let report = control.report(&host, &address, REPORT_TIMEOUT).await;
+                    let sent = host_signals::report(&core, &host, &address, REPORT_TIMEOUT);
+                    let report = sent.await;
                     PlanningEvent::Report(host, report)
                 }
             };
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -143,7 +143,8 @@
     NoAnswer(String),
 }
 
-/// Sends report requests and orders to hosts.
+/// Sends report requests and orders to hosts. `on_answer` gets the heads of their answers, also of
+/// those that count as no response.
 pub trait HostControl: Send + Sync + 'static {
     /// Requests the report of `host` at `address`. A reply of another host counts as no response.
     fn report(
@@ -151,6 +152,7 @@
         host: &HostId,
         address: &str,
         timeout: Duration,
+        on_answer: impl FnOnce(StatusCode, &HeaderMap) + Send,
     ) -> impl Future<Output = Result<HostReport, HostUnavailable>> + Send;
 
     /// Sends an order to `host` at `address`.
@@ -160,6 +162,7 @@
         address: &str,
         order: &Order,
         timeout: Duration,
+        on_answer: impl FnOnce(StatusCode, &HeaderMap) + Send,
     ) -> impl Future<Output = Result<OrderReply, HostUnavailable>> + Send;
 }
 
