Bound the events of streams

A host in trouble may send bytes without end. Where one of two heads sent an event without end, callers of its streams got nothing until their deadline, each time: the node kept all bytes of an incomplete event and searched all of them again at each chunk, so that memory grew with the bytes and cost with their square. The head did not count as failing, since any byte counted as an event, and got each second stream.

An incomplete event is now bounded to 256 KiB, and to 500 ms that its bytes are waited for, so that one that trickles ends too; each byte is searched once. Beyond, the response is broken, its connection is closed, the stream resumes elsewhere, and the head is reported as failing, also after sound events. Only complete events count as progress.

Ruled out: bodies of plain hosts without end; the tests of these passed before.

--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -221,6 +221,7 @@
             link_losses: self.link_losses.subscribe(),
             is_relayed: false,
             waiting_since: Instant::now(),
+            is_malformed: false,
             head: Arc::clone(self),
             permit,
             sent: Instant::now(),
@@ -346,6 +347,8 @@
     is_relayed: bool,
     /// Since when the next part of its response is waited for.
     waiting_since: Instant,
+    /// Whether its response is none, so that the head is at fault.
+    is_malformed: bool,
 }
 
 impl<P: Platform> SlotGuard<P> {
@@ -364,13 +367,27 @@
         self.waiting_since = Instant::now();
     }
 
+    /// How long the part of its response that has just come was waited for.
+    pub(crate) fn waited(&self) -> Duration {
+        self.waiting_since.elapsed()
+    }
+
+    /// Records that its response has bytes that are none.
+    pub(crate) fn on_malformed(&mut self) {
+        self.is_malformed = true;
+    }
+
+    pub(crate) fn is_malformed(&self) -> bool {
+        self.is_malformed
+    }
+
     /// When this node last received a part of any response from the head.
     pub(crate) fn last_received(&self) -> Option<Instant> {
         self.responded_at
             .max(self.head.stream_activity().last_event())
     }
 
-    /// Records that an event has arrived.
+    /// Records that a complete event has arrived.
     pub(crate) fn on_event(&mut self, now: Instant) {
         self.head.stream_activity().on_event(now);
         match &mut self.events {
--- /dev/null
+++ b/crates/gateway/src/sse/mod.rs
@@ -0,0 +1,112 @@
+//! Splits a byte stream into complete server-sent events.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use smol_str::SmolStr;
+
+/// Longest incomplete event that is buffered, in bytes: events of sound hosts have some hundred.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+/// How long the bytes of one event may be waited for. A host may be silent within an event, but not
+/// send it in parts for ever.
+const MAX_EVENT_TIME: Duration = Duration::from_millis(500);
+/// Bytes of an event's end that may lie before the newest bytes.
+const END_OVERLAP: usize = b"\r\n\r\n".len() - 1;
+
+/// Why a byte stream has no further events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum EventError {
+    /// An event doesn't end.
+    #[error("event longer than {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+    /// An event comes in parts for too long.
+    #[error("event incomplete after {} ms", MAX_EVENT_TIME.as_millis())]
+    TooSlow,
+}
+
+/// Buffers an event stream and returns only complete events.
+///
+/// If a host's stream breaks in the middle of an event, the caller must not get half of it: the
+/// stream resumes at another replica with that event from its start.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    buf: BytesMut,
+    /// How long the bytes of the incomplete event were waited for.
+    waited: Duration,
+    last_id: Option<SmolStr>,
+}
+
+impl EventSplitter {
+    /// Adds bytes that were waited for that long, and returns all events that are complete by now.
+    ///
+    /// # Errors
+    /// If an event doesn't end. The stream is of no further use.
+    pub(crate) fn push(
+        &mut self,
+        bytes: &[u8],
+        waited: Duration,
+    ) -> Result<Option<Bytes>, EventError> {
+        // The bytes before were searched when they came.
+        let searched = self.buf.len().saturating_sub(END_OVERLAP);
+        if self.has_partial_event() {
+            self.waited += waited;
+        }
+        self.buf.extend_from_slice(bytes);
+        let Some(end) = last_event_end(&self.buf[searched..]) else {
+            return self.check_partial_event().map(|()| None);
+        };
+        let complete = self.buf.split_to(searched + end).freeze();
+        self.waited = Duration::ZERO;
+        if let Some(id) = last_id(&complete) {
+            self.last_id = Some(id);
+        }
+        Ok(Some(complete))
+    }
+
+    fn check_partial_event(&self) -> Result<(), EventError> {
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(EventError::TooLong);
+        }
+        if self.waited > MAX_EVENT_TIME {
+            return Err(EventError::TooSlow);
+        }
+        Ok(())
+    }
+
+    /// The id of the last complete event.
+    pub(crate) fn last_id(&self) -> Option<&SmolStr> {
+        self.last_id.as_ref()
+    }
+
+    /// Whether bytes of an incomplete event are buffered.
+    pub(crate) fn has_partial_event(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Discards the incomplete event before the stream resumes.
+    pub(crate) fn discard_partial_event(&mut self) {
+        self.buf = BytesMut::new();
+        self.waited = Duration::ZERO;
+    }
+}
+
+/// The offset behind the last empty line.
+fn last_event_end(buf: &[u8]) -> Option<usize> {
+    let lf = rfind(buf, b"\n\n").map(|at| at + 2);
+    let crlf = rfind(buf, b"\r\n\r\n").map(|at| at + 4);
+    lf.max(crlf)
+}
+
+fn rfind(buf: &[u8], what: &[u8]) -> Option<usize> {
+    buf.windows(what.len()).rposition(|w| w == what)
+}
+
+fn last_id(events: &[u8]) -> Option<SmolStr> {
+    let lines = events.rsplit(|b| *b == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next()?).ok()?;
+    Some(SmolStr::new(id.trim()))
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -321,7 +321,7 @@
         self.avoid.push(slot.head.host.clone());
         // An exceeded deadline or a lost member is not the head's failure.
         let head_failed = !self.call.remaining().is_zero() && !slot.head.is_lost();
-        if head_failed && !slot.has_started() {
+        if head_failed && (!slot.has_started() || slot.is_malformed()) {
             self.report_failure(slot);
         }
         self.runs += 1;
@@ -477,14 +477,19 @@
                 Ok(None) => return ReadEnd::Complete,
                 Err(err) => return ReadEnd::Broken(err.to_string().into()),
             };
+            let events = match self.events.push(&bytes, started.slot.waited()) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(err) => {
+                    started.slot.on_malformed();
+                    return ReadEnd::Broken(err.to_string().into());
+                }
+            };
             started.slot.on_event(Instant::now());
             if !started.has_survived && started.slot.wrote_for() >= MAX_TIME_TO_CRASH {
                 started.has_survived = true;
                 quarantine::on_survived(&self.core, &self.call, &self.service);
             }
-            let Some(events) = self.events.push(&bytes) else {
-                continue;
-            };
             if let Err(reason) = self.send(tx, StreamChunk::Events(events)).await {
                 return ReadEnd::Stopped(reason);
             }
