End answers whose framing has no end

Where one of two heads sent interim responses (1xx) or zeros of a chunk size without end, callers of its streams got nothing until their deadline, and plain requests were served by another host only after their first attempt's time: the parser of responses skips such bytes however many come, so that the connection read on and kept a core busy. Heads whose framing broke after an event, by extensions or trailers without end, did not count as failing.

Bytes that are no answer are told apart from connections that break, which may be the link's fault: they count against the head also after its first event, like an event without end.

Ruled out: headers, one header, a chunk's extensions and junk after an answer; the parser bounds these, and their cases passed before.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -19,6 +19,7 @@
 
 use crate::blocked_targets::{BlockedTargets, LinkFault};
 use crate::pool::{Conn, Pool, PoolLimits};
+use crate::read_limit::{ReadLimited, UnusedBytes};
 use crate::relay::{Relay, RelayError, RelayStream};
 use crate::response::Lease;
 use crate::{SendError, TargetResponse};
@@ -377,9 +378,11 @@
         if !matches!(timeout(READY_TIME, conn.sender.ready()).await, Ok(Ok(()))) {
             return Ok(Attempt::Unwritten(Box::new(req)));
         }
+        conn.unused.reset();
         let answer = timeout(head_timeout, conn.sender.try_send_request(req)).await;
         match answer {
             Ok(Ok(response)) => {
+                conn.unused.reset();
                 if let Some(relay) = self.shared.relay.as_ref().filter(|_| conn.reusable) {
                     relay.paths().on_received(Instant::now());
                 }
@@ -503,6 +506,8 @@
 ) -> Result<Conn, SendError> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEADER_BYTES);
+    let unused = UnusedBytes::default();
+    let io = ReadLimited::new(io, unused.clone());
     let handshake = builder.handshake(TokioIo::new(io)).await;
     let (sender, connection) =
         handshake.map_err(|e| SendError::NotSent(format!("{address}: {e}")))?;
@@ -519,7 +524,7 @@
             }
         }
     });
-    Ok(Conn::new(sender, task.abort_handle(), reusable))
+    Ok(Conn::new(sender, task.abort_handle(), unused, reusable))
 }
 
 fn request_id(headers: &HeaderMap, name: &HeaderName) -> Result<RequestId, SendError> {
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -83,6 +83,9 @@
     /// The connection broke before the end of the body or of the stream.
     #[error("answer cut off: {0}")]
     Cut(String),
+    /// It has bytes that belong to no answer.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
     /// Nothing came for the idle timeout.
     #[error("target went silent within its answer")]
     Idle,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod control;
 mod error;
 mod pool;
+mod read_limit;
 mod relay;
 mod response;
 mod stream;
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -11,6 +11,8 @@
 use smol_str::SmolStr;
 use tokio::task::AbortHandle;
 
+use crate::read_limit::UnusedBytes;
+
 const SHARDS: usize = 16;
 
 /// Bounds of the pool.
@@ -26,16 +28,23 @@
 pub(crate) struct Conn {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    pub(crate) unused: UnusedBytes,
     /// Whether it may carry another request. One through a relay would keep the relay from
     /// stopping.
     pub(crate) reusable: bool,
 }
 
 impl Conn {
-    pub(crate) fn new(sender: SendRequest<Full<Bytes>>, task: AbortHandle, reusable: bool) -> Conn {
+    pub(crate) fn new(
+        sender: SendRequest<Full<Bytes>>,
+        task: AbortHandle,
+        unused: UnusedBytes,
+        reusable: bool,
+    ) -> Conn {
         Conn {
             sender,
             task,
+            unused,
             reusable,
         }
     }
--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -1,5 +1,7 @@
 //! Answers of targets, read piece by piece.
 
+use std::error::Error;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -121,13 +123,16 @@
             let idle = self.lease.shared.idle_body_timeout;
             let frame = match timeout(idle, self.body.frame()).await {
                 Err(_) => return Err(BodyError::Idle),
-                Ok(Some(Err(e))) => return Err(BodyError::Cut(e.to_string())),
+                Ok(Some(Err(e))) => return Err(body_error(&e)),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => {
                     self.lease.keep(lifetime(&self.headers));
                     return Ok(None);
                 }
             };
+            if let Some(conn) = &self.lease.conn {
+                conn.unused.reset();
+            }
             // Trailers carry nothing for us.
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
@@ -150,3 +155,16 @@
         Ok(body.freeze())
     }
 }
+
+/// Bytes that are no answer are the target's fault; a connection that breaks may be the link's.
+fn body_error(error: &hyper::Error) -> BodyError {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
+        if let Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) = kind {
+            return BodyError::Malformed(cause.to_string());
+        }
+        source = cause.source();
+    }
+    BodyError::Cut(error.to_string())
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
-use eelgrassmill_engine::{SendError, TargetResponse};
+use eelgrassmill_engine::{BodyError, SendError, TargetResponse};
 use eelgrassmill_route::MAX_TIME_TO_CRASH;
 use http::{HeaderMap, Response, StatusCode};
 use smallvec::SmallVec;
@@ -475,7 +475,12 @@
                     return ReadEnd::Broken("stream ended before its first event".into());
                 }
                 Ok(None) => return ReadEnd::Complete,
-                Err(err) => return ReadEnd::Broken(err.to_string().into()),
+                Err(err) => {
+                    if matches!(err, BodyError::Malformed(_)) {
+                        started.slot.on_malformed();
+                    }
+                    return ReadEnd::Broken(err.to_string().into());
+                }
             };
             let events = match self.events.push(&bytes, started.slot.waited()) {
                 Ok(Some(events)) => events,
