--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
-use eelgrassmill_engine::{SendError, TargetResponse};
+use eelgrassmill_engine::{BodyError, SendError, TargetResponse};
 use eelgrassmill_route::MAX_TIME_TO_CRASH;
 use http::{HeaderMap, Response, StatusCode};
 use smallvec::SmallVec;
@@ -361,7 +361,8 @@
         self.avoid.push(slot.head.host.clone());
         // An exceeded deadline or a lost member is not the head's failure.
         let head_failed = !self.call.remaining().is_zero() && !slot.head.is_lost();
-        if head_failed && !slot.has_started() && !slot.is_resting() {
+        let is_to_blame = !slot.has_started() || slot.is_malformed();
+        if head_failed && is_to_blame && !slot.is_resting() {
             self.report_failure(slot);
         }
         self.runs += 1;
@@ -527,16 +528,26 @@
                     return ReadEnd::Broken("stream ended before its first event".into());
                 }
                 Ok(None) => return ReadEnd::Complete,
-                Err(err) => return ReadEnd::Broken(err.to_string().into()),
+                Err(err) => {
+                    if matches!(err, BodyError::Malformed(_)) {
+                        started.slot.on_malformed();
+                    }
+                    return ReadEnd::Broken(err.to_string().into());
+                }
+            };
+            let events = match self.events.push(&bytes, started.slot.waited()) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(err) => {
+                    started.slot.on_malformed();
+                    return ReadEnd::Broken(err.to_string().into());
+                }
             };
             started.slot.on_event(Instant::now());
             if !started.has_survived && started.slot.wrote_for() >= MAX_TIME_TO_CRASH {
                 started.has_survived = true;
                 quarantine::on_survived(&self.core, &self.call, &self.service);
             }
-            let Some(events) = self.events.push(&bytes) else {
-                continue;
-            };
             if let Err(reason) = self.send(tx, StreamChunk::Events(events)).await {
                 return ReadEnd::Stopped(reason);
             }
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -132,9 +132,17 @@
                 _ = started.slot.wait_until_broken() => return None,
             };
             let bytes = chunk.ok()??;
-            started.slot.on_event(Instant::now());
-            if let Some(events) = self.events.push(&bytes) {
-                return Some(events);
+            let events = match self.events.push(&bytes, started.slot.waited()) {
+                Ok(events) => events,
+                Err(_) => {
+                    started.slot.on_malformed();
+                    self.failed(&mut started.slot);
+                    return None;
+                }
+            };
+            if events.is_some() {
+                started.slot.on_event(Instant::now());
+                return events;
             }
         }
     }
