Answer requests over connections opened just before the port closes

A caller that connected to a stopping node in the last moment, and whose request was on its way when the port closed, got neither an answer nor a refusal.

Cause: as the port closes, every connection between two requests is closed at once, also one that has not carried its first request yet, and connections that are established but not accepted are reset. The class is the same as that of streams cut off by a stop: an end is planned without what may be under way. Ruled out: requests that the node had read; their answers came.

Now the port's last connections are accepted, and each connection has 200 ms for its next request before it closes.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -44,6 +44,11 @@
 const RETRY_AFTER_LEAVING: Duration = Duration::ZERO;
 /// Pause after a failure to accept a connection, such as no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long a connection may bring its next request after the port was closed.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(200);
+/// Maximum number of established connections that are accepted as the port is closed: the usual
+/// backlog of a listener.
+const MAX_LAST_ACCEPTED: usize = 1024;
 /// Allowance beyond the deadline for an attempt to report that the deadline was exceeded.
 const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
 /// Smallest buffer size that hyper accepts.
@@ -75,7 +80,7 @@
 }
 
 /// Accepts and serves connections until `stopping` is set. Each open connection then closes after
-/// its current request.
+/// its current request, or after [`LAST_REQUEST_WAIT`] without one.
 pub(crate) async fn listen<S, F>(
     listener: TcpListener,
     open: Arc<OpenConnections>,
@@ -86,29 +91,34 @@
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<ResponseBody>, Infallible>> + Send + 'static,
 {
+    let serve = |stream: TcpStream, stopping: &watch::Receiver<bool>| {
+        tokio::spawn(serve_connection(
+            stream,
+            limits.clone(),
+            stopping.clone(),
+            service.clone(),
+            ConnectionGuard::new(&open),
+        ));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_stop(&mut stopping) => return,
+            () = wait_for_stop(&mut stopping) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let guard = ConnectionGuard::new(&open);
-                let stopping = stopping.clone();
-                tokio::spawn(serve_connection(
-                    stream,
-                    limits.clone(),
-                    stopping,
-                    service.clone(),
-                    guard,
-                ));
-            }
+            Ok((stream, _)) => serve(stream, &stopping),
             Err(err) => {
                 warn!(event = "accept", %err);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // Connections that are established but not accepted would be reset.
+    for _ in 0..MAX_LAST_ACCEPTED {
+        let accepted = tokio::time::timeout(Duration::ZERO, listener.accept()).await;
+        let Ok(Ok((stream, _))) = accepted else { break };
+        serve(stream, &stopping);
+    }
 }
 
 /// Waits until `stopping` is set or its sender is dropped.
@@ -142,8 +152,14 @@
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
         () = wait_for_stop(&mut stopping) => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+            // The request of a connection that was opened just before may be on its way.
+            match tokio::time::timeout(LAST_REQUEST_WAIT, conn.as_mut()).await {
+                Ok(ended) => ended,
+                Err(_) => {
+                    conn.as_mut().graceful_shutdown();
+                    conn.await
+                }
+            }
         }
     };
     // Callers that disconnect, and truncated responses, end connections with an error.
