Resume streams once a head has rested

A stream whose head crashed while all heads of its model rested was cut at once, though they took requests again 0.6 s later: "rejected at once" applied to resumed streams too, whose callers have a part and can't come back. Such a stream now waits for the first rest that ends within the time that it may wait.

Ruled out: a head that rests being granted meanwhile; it stays excluded.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -211,7 +211,9 @@
                 Choice::Limited => {
                     return Err(limit_refusal(core, service, RETRY_AFTER_NO_SCHEDULER));
                 }
-                Choice::Resting(rest) => return Err(core.host_signals.rest_refusal(rest)),
+                Choice::Resting(rest) if !resumed || Instant::now() + rest >= give_up_at => {
+                    return Err(core.host_signals.rest_refusal(rest));
+                }
                 Choice::Full { slots } if waiting.others() >= slots => {
                     return Err(full_refusal(RefusalCause::Full));
                 }
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -178,7 +178,13 @@
     let mut limited = LimitedScopes::default();
     loop {
         if let Some(rest) = shortest_rest(core, query) {
-            return Acquired::Resting(rest);
+            // The caller of a stream that resumes has a part of it and can't come back later.
+            if !query.resumed || Instant::now() + rest >= query.until {
+                return Acquired::Resting(rest);
+            }
+            waiting = None;
+            tokio::time::sleep(rest).await;
+            continue;
         }
         // Chosen again at each turn: the heads of another failure domain may have room by now, and
         // after an ejection another node schedules.
