Break streams of bytes that are no events

Bytes that are no events but have empty lines were handed on to the caller as events, for as long as they came, and comments without end counted as progress of the stream and of its replica.

An event that has lines, but none with a known field or a comment, now breaks the response like one without end: it resumes elsewhere and the head counts as failing. Unknown fields beside known ones are handed on as before. Events with nothing but comments and settings are handed on, don't count as progress, and are bounded together like an incomplete event.

--- a/crates/gateway/src/sse/mod.rs
+++ b/crates/gateway/src/sse/mod.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use smol_str::SmolStr;
 
-/// Longest incomplete event that is buffered, in bytes: events of sound hosts have some hundred.
+/// Most bytes without a complete event, in bytes: events of sound hosts have some hundred.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 /// How long the bytes of one event may be waited for. A host may be silent within an event, but not
 /// send it in parts for ever.
@@ -25,6 +25,17 @@
     /// An event comes in parts for too long.
     #[error("event incomplete after {} ms", MAX_EVENT_TIME.as_millis())]
     TooSlow,
+    /// An event has no field of one.
+    #[error("bytes that are no event")]
+    NoEvent,
+}
+
+/// Complete events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Events {
+    pub(crate) bytes: Bytes,
+    /// Whether none has more than comments and settings, so that the stream makes no progress.
+    pub(crate) are_empty: bool,
 }
 
 /// Buffers an event stream and returns only complete events.
@@ -36,6 +47,8 @@
     buf: BytesMut,
     /// How long the bytes of the incomplete event were waited for.
     waited: Duration,
+    /// Bytes of empty events since the last one that isn't.
+    empty_bytes: usize,
     last_id: Option<SmolStr>,
 }
 
@@ -43,12 +56,12 @@
     /// Adds bytes that were waited for that long, and returns all events that are complete by now.
     ///
     /// # Errors
-    /// If an event doesn't end. The stream is of no further use.
+    /// If an event doesn't end or is none. The stream is of no further use.
     pub(crate) fn push(
         &mut self,
         bytes: &[u8],
         waited: Duration,
-    ) -> Result<Option<Bytes>, EventError> {
+    ) -> Result<Option<Events>, EventError> {
         // The bytes before were searched when they came.
         let searched = self.buf.len().saturating_sub(END_OVERLAP);
         if self.has_partial_event() {
@@ -60,14 +73,24 @@
         };
         let complete = self.buf.split_to(searched + end).freeze();
         self.waited = Duration::ZERO;
+        let are_empty = are_empty(&complete)?;
+        self.empty_bytes = if are_empty {
+            self.empty_bytes + complete.len()
+        } else {
+            0
+        };
+        self.check_partial_event()?;
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
-        Ok(Some(complete))
+        Ok(Some(Events {
+            bytes: complete,
+            are_empty,
+        }))
     }
 
     fn check_partial_event(&self) -> Result<(), EventError> {
-        if self.buf.len() > MAX_EVENT_BYTES {
+        if self.empty_bytes + self.buf.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
         if self.waited > MAX_EVENT_TIME {
@@ -90,6 +113,7 @@
     pub(crate) fn discard_partial_event(&mut self) {
         self.buf = BytesMut::new();
         self.waited = Duration::ZERO;
+        self.empty_bytes = 0;
     }
 }
 
@@ -104,6 +128,33 @@
     buf.windows(what.len()).rposition(|w| w == what)
 }
 
+/// Whether all events are empty.
+///
+/// # Errors
+/// If one has lines, but none with a field or a comment.
+fn are_empty(events: &[u8]) -> Result<bool, EventError> {
+    let mut are_empty = true;
+    let (mut has_lines, mut has_fields) = (false, false);
+    for line in events.split(|b| *b == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            if has_lines && !has_fields {
+                return Err(EventError::NoEvent);
+            }
+            (has_lines, has_fields) = (false, false);
+            continue;
+        }
+        has_lines = true;
+        // A comment has an empty name.
+        match line.split(|b| *b == b':').next() {
+            Some(b"data" | b"id" | b"event") => (are_empty, has_fields) = (false, true),
+            Some(b"retry" | b"") => has_fields = true,
+            _ => {}
+        }
+    }
+    Ok(are_empty)
+}
+
 fn last_id(events: &[u8]) -> Option<SmolStr> {
     let lines = events.rsplit(|b| *b == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/gateway/src/sse/tests.rs
+++ b/crates/gateway/src/sse/tests.rs
@@ -14,7 +14,8 @@
 
 fn push(splitter: &mut EventSplitter, bytes: &[u8]) -> Option<Bytes> {
     let pushed = splitter.push(bytes, Duration::ZERO);
-    pushed.expect("the event is no longer than permitted")
+    let pushed = pushed.expect("the event is no longer than permitted");
+    pushed.map(|events| events.bytes)
 }
 
 /// Pushes chunks of an event without end until it is refused. Returns how many bytes it took.
@@ -117,7 +118,7 @@
     for size in [1, CHUNK_BYTES] {
         let cost = |length: usize| {
             let events = 4 * MAX_EVENT_BYTES / length;
-            let event = ["x".repeat(length - 2), "\n\n".to_owned()].concat();
+            let event = format!("data:{}\n\n", "x".repeat(length - 7));
             fastest(|| {
                 let mut splitter = EventSplitter::default();
                 for _ in 0..events {
@@ -149,7 +150,8 @@
     let mut splitter = EventSplitter::default();
     push(&mut splitter, b"data: a");
     let ended = splitter.push(b"b\n\n", 2 * MAX_EVENT_TIME);
-    expect_that!(ended, ok(some(eq(&b"data: ab\n\n"[..]))));
+    let ended = ended.expect("it has ended").expect("it has ended");
+    expect_that!(ended.bytes, eq(&b"data: ab\n\n"[..]));
 }
 
 /// Guards against adding up the pauses between events.
@@ -162,3 +164,47 @@
         expect_that!(ended, ok(some(anything())));
     }
 }
+
+/// Guards against handing on bytes that are no events because they have empty lines.
+#[gtest]
+fn bytes_with_empty_lines_are_no_events() {
+    for junk in [
+        "xxxx\n\n",
+        "data: a\n\nxxxx\n\ndata: b\n\n",
+        "<html>\r\n\r\n",
+        "database\n\n",
+    ] {
+        let pushed = EventSplitter::default().push(junk.as_bytes(), Duration::ZERO);
+        expect_that!(pushed, err(eq(&EventError::NoEvent)), "{junk:?}");
+    }
+}
+
+/// Guards against comments that count as progress for ever.
+#[gtest]
+fn empty_events_without_end_are_refused() {
+    for empty in [": still there\n\n", "\n\n", "retry: 1\r\n\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let mut taken = 0;
+        while let Ok(events) = splitter.push(empty.as_bytes(), Duration::ZERO) {
+            let events = events.expect("they are complete");
+            expect_that!(events.are_empty, eq(true));
+            taken += empty.len();
+            assert_that!(taken, le(MAX_EVENT_BYTES), "{empty:?}");
+        }
+    }
+}
+
+/// Guards against refusing a stream with comments between its events.
+#[gtest]
+fn comments_between_events_are_handed_on() {
+    let mut splitter = EventSplitter::default();
+    for n in 0..2 * MAX_EVENT_BYTES / 1000 {
+        let comment = format!(":{}\n\n", "x".repeat(1000));
+        expect_that!(push(&mut splitter, comment.as_bytes()), some(len(eq(1003))));
+        let event = format!("id: {n}\ndata\nother: 1\n\n");
+        let events = splitter.push(event.as_bytes(), Duration::ZERO);
+        let events = events.expect("it is sound").expect("it is complete");
+        expect_that!(events.are_empty, eq(false));
+        expect_that!(events.bytes, eq(event.as_bytes()));
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -490,12 +490,14 @@
                     return ReadEnd::Broken(err.to_string().into());
                 }
             };
-            started.slot.on_event(Instant::now());
+            if !events.are_empty {
+                started.slot.on_event(Instant::now());
+            }
             if !started.has_survived && started.slot.wrote_for() >= MAX_TIME_TO_CRASH {
                 started.has_survived = true;
                 quarantine::on_survived(&self.core, &self.call, &self.service);
             }
-            if let Err(reason) = self.send(tx, StreamChunk::Events(events)).await {
+            if let Err(reason) = self.send(tx, StreamChunk::Events(events.bytes)).await {
                 return ReadEnd::Stopped(reason);
             }
         }
