Keep a trial going when an earlier completion is reported

Callers whose prompts hold a quarantined part saw another host crash under a trial every 3 s instead of once in 2 minutes.

Cause: a report of a completion ended the trial in the coordinator's books whenever it had happened. A node that reports a crash also reports its last completions with the parts that ran in it, and such a report may arrive before the crash of the trial, which then was no further offence.

A trial now ends only by a completion since it began. The test fails without the change: the next trial is permitted after 30 s.

--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -93,14 +93,21 @@
     until: Instant,
 }
 
+/// A trial that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    began: Instant,
+    until: Instant,
+}
+
 /// The coordinator of some services at one node.
 #[derive(Clone, Debug)]
 pub struct QuarantineCoordinator {
     tracker: SuspectTracker,
     /// Candidates to decide on, due when the reports on their last crash are complete.
     pending: BTreeMap<Fingerprint, Pending>,
-    /// Candidates on trial, and until when.
-    trials: BTreeMap<Fingerprint, Instant>,
+    /// Candidates on trial.
+    trials: BTreeMap<Fingerprint, Trial>,
     /// When the last trial began.
     last_trial: Option<Instant>,
     /// Parts that are quarantined unless a request with them completes.
@@ -150,7 +157,7 @@
             },
             now,
         );
-        self.trials.retain(|_, until| now < *until);
+        self.trials.retain(|_, trial| now < trial.until);
         let mut decided = Vec::new();
         for fingerprint in running {
             if self.trials.remove(&fingerprint).is_some() {
@@ -208,7 +215,10 @@
                 self.decide_at(other, service, now);
             }
         }
-        self.trials.remove(&fingerprint);
+        // Nodes report completions from before a trial, too.
+        if self.trials.get(&fingerprint).is_some_and(|t| at >= t.began) {
+            self.trials.remove(&fingerprint);
+        }
         let is_cleared = !self.tracker.is_cause(fingerprint, now);
         (is_cleared && table.offences(fingerprint, now) > 0).then(|| clear(fingerprint, service))
     }
@@ -382,7 +392,8 @@
                     return Err(TrialDenied { retry_after });
                 }
                 self.last_trial = Some(now);
-                self.trials.insert(fingerprint, now + lease);
+                let (began, until) = (now, now + lease);
+                self.trials.insert(fingerprint, Trial { began, until });
                 Ok(Some(QuarantineRecord {
                     fingerprint,
                     service: service.clone(),
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -45,13 +45,14 @@
     }
 
     fn completed(&mut self, fingerprint: Fingerprint, now: Instant) {
-        let decided = self.coordinator.on_completed(
-            &"draft".into(),
-            fingerprint,
-            Duration::ZERO,
-            &self.table,
-            now,
-        );
+        self.completed_before(fingerprint, Duration::ZERO, now);
+    }
+
+    /// A completion that was `age` ago.
+    fn completed_before(&mut self, fingerprint: Fingerprint, age: Duration, now: Instant) {
+        let decided =
+            self.coordinator
+                .on_completed(&"draft".into(), fingerprint, age, &self.table, now);
         self.apply(decided, now);
     }
 
@@ -257,6 +258,25 @@
     expect_that!(crashes, eq(5));
 }
 
+/// Guards against trials that seem over when another node reports an earlier completion.
+#[gtest]
+fn a_completion_from_before_a_trial_does_not_end_it() {
+    let start = Instant::now();
+    let mut node = Node::default();
+    for (n, host) in (0..).zip(["h1", "h2", "h3", "h4"]) {
+        let at = start + n * SECOND;
+        node.crash(host, "a", &[run(CRASHING, ms(60), false)], at);
+        node.decide(at + ms(900));
+    }
+    let now = start + 20 * SECOND;
+    expect_that!(node.is_quarantined(CRASHING, now), eq(true));
+    expect_that!(node.may_try(CRASHING, now), eq(true));
+    node.completed_before(CRASHING, 21 * SECOND, now + ms(100));
+    node.crash("h5", "a", &[run(CRASHING, ms(60), false)], now + ms(200));
+    expect_that!(node.may_try(CRASHING, now + 30 * SECOND), eq(false));
+    expect_that!(node.may_try(CRASHING, now + 130 * SECOND), eq(true));
+}
+
 /// A decision on a request that was made `age` ago.
 fn record(offences: u32, age: Duration) -> QuarantineRecord {
     QuarantineRecord {
