Quarantine a common part that begins to crash hosts in time

Cause: a completion cleared a part of all crashes before it. Runs that hosts had processed before the part became harmful completed until all twelve hosts had crashed, so that those crashes counted for nothing and the notice began 2.7 s after the fifth one. A shorter notice alone is ruled out by that.

A completion with a common part now says nothing of crashes in the 500 ms before it, the longest time from the first output to a crash that a prompt causes.

--- a/crates/route/src/suspects/cause.rs
+++ b/crates/route/src/suspects/cause.rs
@@ -7,7 +7,9 @@
 use smallvec::SmallVec;
 
 use crate::suspects::record::Crash;
-use crate::suspects::{COMMON_CAUSE_WINDOW, CRASH_TTL, CrashId, Fingerprint, SuspectTracker};
+use crate::suspects::{
+    COMMON_CAUSE_WINDOW, CRASH_TTL, CrashId, Fingerprint, MAX_TIME_TO_CRASH, SuspectTracker,
+};
 
 /// Error of the times that nodes report: their messages' time on the way.
 const TIME_ERROR: Duration = Duration::from_millis(25);
@@ -30,6 +32,9 @@
 const COMMON_PART_CRASH_LIMIT: usize = 12;
 /// How many of them must come one after the other.
 const COMMON_PART_SUCCESSIVE_CRASHES: usize = 3;
+/// One in this many of its crashes must be without those few narrower parts if it has completed
+/// before: most sound parts beside it have completed as well, and explain none.
+const PROVEN_COMMON_PART_DIVISOR: usize = 3;
 /// Maximum number of narrower parts that explain the crashes of a common one between them.
 const MAX_EXPLAINING_PARTS: usize = 2;
 
@@ -140,8 +145,17 @@
 
     /// Whether the candidate was running in the crash and has not completed since.
     fn may_have_caused(&self, candidate: Fingerprint, crash: &Crash) -> bool {
-        let cleared = self.cleared.get(&candidate);
-        crash.running.contains_key(&candidate) && cleared.is_none_or(|at| crash.at > *at)
+        crash.running.contains_key(&candidate) && !self.is_cleared_of(candidate, crash)
+    }
+
+    /// Whether a completion shows that the candidate didn't cause the crash. Runs that a host had
+    /// processed before a common part began to crash hosts complete after the first crashes.
+    fn is_cleared_of(&self, candidate: Fingerprint, crash: &Crash) -> bool {
+        let Some(completed_at) = self.cleared.get(&candidate).copied() else {
+            return false;
+        };
+        let is_recent = crash.at + MAX_TIME_TO_CRASH > completed_at;
+        crash.at <= completed_at && !(is_recent && self.is_common_part(candidate))
     }
 
     /// Whether the candidate was running in all crashes in which `other` was, and in more. A common
@@ -189,9 +203,13 @@
     /// Whether a common part is the likely cause: it is in the crashes of narrower ones as well.
     fn is_cause_as_common_part(&self, part: Fingerprint, now: Instant) -> bool {
         let crashes = self.crashes_with(part, now);
+        let least_unexplained = match self.has_completed(part) {
+            true => crashes.len().div_ceil(PROVEN_COMMON_PART_DIVISOR),
+            false => 2,
+        };
         self.is_suspected_common_part(part, now)
             && successive(part, crashes.clone()).len() >= COMMON_PART_SUCCESSIVE_CRASHES
-            && self.crashes_without_few(part, crashes) > 1
+            && self.crashes_without_few(part, crashes) >= least_unexplained
     }
 
     /// Whether a few narrower parts were in all of the crashes of a common one: each may have caused
