Answer requests on connections opened as the port closes

What callers saw: a request on a connection that was opened just before a stopping node closed its port ended with a reset or the end of the connection, without a byte of an answer.

Cause, by reading: a closing listener resets the connections that it has not accepted, and hyper's graceful shutdown closes a connection that has carried no request at once, even if one has arrived. Which of the two it was in each case was not traced.

Now the connections that wait are accepted before the listener is closed, and one that was just opened has 300 ms for its first request. Connections between two requests are polled once more before they are closed. A connection that arrives after the last accept is still reset.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -46,6 +46,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Allowance beyond the deadline for an attempt to report that the deadline was exceeded.
 const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
+/// How long a connection that was just opened stays open for its first request when the node stops.
+/// Callers open connections to send at once.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -80,35 +83,49 @@
     listener: TcpListener,
     open: Arc<OpenConnections>,
     limits: impl Fn() -> CallerLimits + Clone + Send + Sync + Unpin + 'static,
-    mut stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<bool>,
     service: S,
 ) where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<ResponseBody>, Infallible>> + Send + 'static,
 {
+    let accept = |stream: TcpStream| {
+        let guard = ConnectionGuard::new(&open);
+        let stopping = stopping.clone();
+        tokio::spawn(serve_connection(
+            stream,
+            limits.clone(),
+            stopping,
+            service.clone(),
+            guard,
+        ));
+    };
+    let mut stopped = stopping.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_stop(&mut stopping) => return,
+            () = wait_for_stop(&mut stopped) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let guard = ConnectionGuard::new(&open);
-                let stopping = stopping.clone();
-                tokio::spawn(serve_connection(
-                    stream,
-                    limits.clone(),
-                    stopping,
-                    service.clone(),
-                    guard,
-                ));
-            }
+            Ok((stream, _)) => accept(stream),
             Err(err) => {
                 warn!(event = "accept", %err);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // Closing the listener resets the connections that wait to be accepted.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            accept(stream);
+        }
+    }
 }
 
 /// Waits until `stopping` is set or its sender is dropped.
@@ -137,11 +154,24 @@
         .timer(ConnectionTimer(limits))
         .header_read_timeout(header_read_timeout(&initial))
         .max_buf_size(initial.header_bytes.max(MIN_BUFFER_BYTES));
+    let (received, mut first_request) = watch::channel(false);
+    let service = move |req| {
+        received.send_replace(true);
+        service(req)
+    };
     let conn = builder.serve_connection(TokioIo::new(stream), service_fn(service));
     tokio::pin!(conn);
+    let stop = async {
+        wait_for_stop(&mut stopping).await;
+        // hyper closes a connection at once that has carried no request, even if one has arrived.
+        let received = first_request.wait_for(|received| *received);
+        let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, received).await;
+    };
     let ended = tokio::select! {
+        // Reads what has arrived before an idle connection is closed.
+        biased;
         ended = conn.as_mut() => ended,
-        () = wait_for_stop(&mut stopping) => {
+        () = stop => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
