--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -113,11 +113,20 @@
             }
         }
     }
-    // Connections that are established but not accepted would be reset.
+    // Closing the listener resets the connections that wait to be accepted.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
     for _ in 0..MAX_LAST_ACCEPTED {
-        let accepted = tokio::time::timeout(Duration::ZERO, listener.accept()).await;
-        let Ok(Ok((stream, _))) = accepted else { break };
-        serve(stream, &stopping);
+        let Ok((stream, _)) = listener.accept() else {
+            break;
+        };
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            serve(stream, &stopping);
+        }
     }
 }
 
