Keep the second run of a stream whose first one is lost

A stream of a silent head that had begun a second run elsewhere was cut off when the head counted as lost, 2 s later, or when its connection broke, if the second run had not sent an event yet: it was dropped with the wait for the first one, and had used the last of two attempts. Found by a review.

Now the second run of a stream is waited for when the first one breaks. Second runs that heads reject are also no longer repeated at once: the head is avoided, there is a pause of 0.1 s, and there are at most four, since each takes from the retry budget that other streams share.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,13 +6,14 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
 use eelgrassmill_engine::{BodyError, SendError, TargetResponse};
 use eelgrassmill_route::MAX_TIME_TO_CRASH;
 use http::{HeaderMap, Response, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tracing::info;
 
 use crate::body::{ResponseBody, StreamChunk};
@@ -53,6 +54,8 @@
     runs: u32,
     /// Further hosts at which it may have run while its head was suspected.
     second_runs: AtomicU32,
+    /// Whether a second run is in progress.
+    second_run: watch::Sender<bool>,
     /// Attempts that reached a host.
     deliveries: u32,
     refusals: u32,
@@ -140,6 +143,7 @@
         avoid: SmallVec::new(),
         runs: 0,
         second_runs: AtomicU32::new(0),
+        second_run: watch::Sender::new(false),
         deliveries: 0,
         refusals: 0,
         events: EventSplitter::default(),
@@ -271,10 +275,11 @@
         let req = target_request(&*self.core, &self.call, &head.host, urgency, resume);
         let relay = self.core.http.relay();
         slot.set_relayed(relay.is_some_and(|relay| relay.is_relayed(&head.address)));
+        let avoid = self.avoid_also(&head);
         let sent = tokio::select! {
             sent = self.core.http.send_within(&head.address, req, self.call.remaining()) => sent,
             why = slot.wait_until_broken() => Err(SendError::Unknown(why.to_owned())),
-            other = self.slot_elsewhere(&head) => return Err(self.moved(&slot, other)),
+            other = self.slot_elsewhere(&head, &avoid) => return Err(self.moved(&slot, other)),
         };
         let response = match sent {
             Ok(response) => response,
@@ -511,13 +516,10 @@
     ) -> ReadEnd<P> {
         loop {
             started.slot.await_chunk();
-            let chunk = tokio::select! {
-                chunk = started.response.chunk() => chunk,
-                why = started.slot.wait_until_broken() => return ReadEnd::Broken(why.into()),
-                reason = wait_for_stop(&self.core, &self.call, tx) => return ReadEnd::Stopped(reason),
-                moved = self.go_on_elsewhere(&started.slot.head) => {
-                    return ReadEnd::Moved(Box::new(moved));
-                }
+            let (response, slot) = (&mut started.response, &started.slot);
+            let chunk = match self.next_chunk(response, slot, tx).await {
+                Ok(chunk) => chunk,
+                Err(end) => return end,
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
@@ -556,6 +558,34 @@
         }
     }
 
+    /// The next part of a response, unless the stream goes on elsewhere or stops before.
+    async fn next_chunk(
+        &self,
+        response: &mut TargetResponse,
+        slot: &SlotGuard<P>,
+        tx: &mpsc::Sender<StreamChunk>,
+    ) -> Result<Result<Option<Bytes>, BodyError>, ReadEnd<P>> {
+        // A second run that was in progress ended with the wait for the part before.
+        self.second_run.send_replace(false);
+        let elsewhere = self.go_on_elsewhere(&slot.head);
+        tokio::pin!(elsewhere);
+        let chunk = tokio::select! {
+            chunk = response.chunk() => chunk,
+            why = slot.wait_until_broken() => Err(BodyError::Cut(why.to_owned())),
+            reason = wait_for_stop(&self.core, &self.call, tx) => return Err(ReadEnd::Stopped(reason)),
+            moved = &mut elsewhere => return Err(ReadEnd::Moved(Box::new(moved))),
+        };
+        if chunk.is_err() {
+            // The second run, if there is one, has used the attempt with which it would be resumed.
+            tokio::select! {
+                () = self.wait_for_second_run() => {}
+                reason = wait_for_stop(&self.core, &self.call, tx) => return Err(ReadEnd::Stopped(reason)),
+                moved = &mut elsewhere => return Err(ReadEnd::Moved(Box::new(moved))),
+            }
+        }
+        Ok(chunk)
+    }
+
     /// Whether a response without framing has ended without any event.
     fn is_empty(&self, started: &StartedResponse<P>) -> bool {
         !started.response.is_framed()
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -1,7 +1,7 @@
 //! Second runs of streams whose head is suspected.
 //!
 //! The first run isn't given up before the second one has sent its next event. If the first goes on
-//! before, the second is dropped. A request that has got no response yet moves as soon as it has a
+//! before, the second is dropped; if the first breaks, the second goes on. A request that has got no response yet moves as soon as it has a
 //! slot elsewhere.
 
 use std::sync::Arc;
@@ -12,13 +12,14 @@
 use eelgrassmill_base::HostId;
 use http::StatusCode;
 use smallvec::SmallVec;
+use tokio::sync::watch;
 
 use crate::admission;
 use crate::crash_detection;
 use crate::heads::{Head, SlotGuard, locked};
 use crate::ports::Platform;
 use crate::sse::EventSplitter;
-use crate::stream::{AttemptError, StartedResponse, StreamCall};
+use crate::stream::{AttemptError, MAX_REFUSALS, StartedResponse, StreamCall};
 
 /// How often a stream of a suspected head checks for another head: two passes.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -37,27 +38,40 @@
         if !self.is_resumable() {
             return std::future::pending().await;
         }
-        loop {
-            let slot = self.slot_elsewhere(head).await;
-            if let Some(moved) = self.resume_at(slot, head).await {
+        let mut avoid = self.avoid_also(head);
+        for _ in 0..MAX_REFUSALS {
+            let slot = self.slot_elsewhere(head, &avoid).await;
+            let host = slot.head.host.clone();
+            let moved = self.resume_at(slot, &avoid).await;
+            self.second_run.send_replace(false);
+            if let Some(moved) = moved {
                 return moved;
             }
+            avoid.push(host);
+            tokio::time::sleep(RECHECK_INTERVAL).await;
         }
+        std::future::pending().await
+    }
+
+    /// Waits until no second run is in progress.
+    pub(super) async fn wait_for_second_run(&self) {
+        let mut rx = self.second_run.subscribe();
+        // The sender lives as long as `self`, so the channel can't close before.
+        let _ = rx.wait_for(|is_running| !*is_running).await;
     }
 
-    /// Waits until `head` is suspected and the call has got a slot at another head, and may run
-    /// there.
-    pub(super) async fn slot_elsewhere(&self, head: &Arc<Head>) -> SlotGuard<P> {
+    /// Waits until `head` is suspected and the call has got a slot at another head, if possible none
+    /// in `avoid`, and may run there.
+    pub(super) async fn slot_elsewhere(&self, head: &Arc<Head>, avoid: &[HostId]) -> SlotGuard<P> {
         loop {
             if !self.may_run_twice() {
                 return std::future::pending().await;
             }
             head.wait_until_suspected(true).await;
             if self.has_other_head(head) {
-                let avoid = self.avoid_also(head);
                 let (core, call) = (&self.core, &self.call);
                 let admitted =
-                    admission::admit(core, call, &self.service, &self.model, true, &avoid).await;
+                    admission::admit(core, call, &self.service, &self.model, true, avoid).await;
                 let usable = admitted.ok().filter(|slot| !slot.head.is_suspected());
                 if let Some(slot) = usable {
                     if core.try_retry(&self.service, self.retry_reason()) {
@@ -83,7 +97,7 @@
         others.any(|h| !Arc::ptr_eq(h, head) && !h.is_suspected())
     }
 
-    fn avoid_also(&self, head: &Head) -> SmallVec<[HostId; 4]> {
+    pub(super) fn avoid_also(&self, head: &Head) -> SmallVec<[HostId; 4]> {
         let mut avoid = self.avoid.clone();
         avoid.push(head.host.clone());
         avoid
@@ -91,22 +105,24 @@
 
     /// Runs the rest of the stream at another head until its first event there. `None` if it isn't
     /// run or fails.
-    async fn resume_at(&self, slot: SlotGuard<P>, head: &Arc<Head>) -> Option<Moved<P>> {
+    async fn resume_at(&self, slot: SlotGuard<P>, avoid: &[HostId]) -> Option<Moved<P>> {
         let mut call = StreamCall {
             core: Arc::clone(&self.core),
             call: Arc::clone(&self.call),
             admission: self.admission,
             service: self.service.clone(),
             model: self.model.clone(),
-            avoid: self.avoid_also(head),
+            avoid: avoid.iter().cloned().collect(),
             runs: self.runs + self.second_runs.load(Ordering::Relaxed) + 1,
             second_runs: AtomicU32::new(0),
+            second_run: watch::Sender::new(false),
             deliveries: self.deliveries,
             refusals: self.refusals,
             events: EventSplitter::resumed(self.events.last_id().cloned()),
         };
         call.check_quarantine().ok()?;
         self.second_runs.fetch_add(1, Ordering::Relaxed);
+        self.second_run.send_replace(true);
         let mut started = match call.attempt(slot).await {
             Ok(started) if started.response.status == StatusCode::OK => started,
             Err(AttemptError::NotRun) => {
