--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -56,7 +56,7 @@
             Err(problem) => {
                 // A caller that waits for 100 Continue must not be asked for the body.
                 if !parts.headers.contains_key(header::EXPECT) {
-                    parse::discard_body(&mut body, deadline).await;
+                    tokio::spawn(parse::discard_body(body, deadline));
                 }
                 problem.into_response()
             }
--- a/crates/node/src/entry/parse/mod.rs
+++ b/crates/node/src/entry/parse/mod.rs
@@ -233,10 +233,10 @@
     }
 }
 
-/// Reads the rest of a refused request's body until `deadline`, at most as much as an accepted one may
-/// have. Closing a connection with unread bytes resets it, and a caller that is still sending may
+/// Reads the rest of a refused request's body until `deadline` while the answer is sent, at most as
+/// much as an accepted one may have. Closing a connection with unread bytes resets it, and a caller that is still sending may
 /// never see the answer.
-pub(crate) async fn discard_body(body: &mut Incoming, deadline: Instant) {
+pub(crate) async fn discard_body(mut body: Incoming, deadline: Instant) {
     let mut left = MAX_BODY;
     let read = async {
         while let Some(Ok(frame)) = body.frame().await {
@@ -247,7 +247,6 @@
             left = rest;
         }
     };
-    // The caller has had as much time as for an accepted request.
     let _ = tokio::time::timeout_at(deadline.into(), read).await;
 }
 
--- a/crates/node/tests/refused.rs
+++ b/crates/node/tests/refused.rs
@@ -165,6 +165,21 @@
     }
 }
 
+/// Guards against waiting for the body of a refused request.
+#[test]
+fn a_refused_caller_whose_body_never_comes_is_told_at_once() {
+    let cluster = cluster();
+    let mut conn = connect(cluster.nodes[0].caller_address());
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                content-length: 100000\r\n\r\nthe first part";
+    conn.write_all(head.as_bytes()).unwrap();
+    let began = Instant::now();
+    let mut answer = [0; 12];
+    conn.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 401");
+    assert!(began.elapsed() < Duration::from_millis(500));
+}
+
 /// Slow clients, by fault or on purpose, hold connections without ever sending
 /// a whole head. Others must still be answered, and the slow ones are cut off.
 #[test]
