--- a/crates/engine/tests/endless.rs
+++ b/crates/engine/tests/endless.rs
@@ -1,4 +1,4 @@
-//! What a sender is told of answers without end.
+//! Errors that senders get for answers without end.
 
 mod common;
 
--- a/crates/fleet/src/host_signals.rs
+++ b/crates/fleet/src/host_signals.rs
@@ -25,7 +25,7 @@
 const MAX_REST: Duration = Duration::from_secs(600);
 /// Interval between two notices of a host that asks for rest again and again.
 const REST_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time until the callers of resting hosts are told to return: other hosts may start.
+/// Longest Retry-After while hosts rest: other hosts may start.
 const MAX_REST_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Minimum time over which the callers that are rejected during a rest return.
 const MIN_RETURN_SPREAD: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/host_signals.rs
+++ b/crates/gateway/src/host_signals.rs
@@ -1,9 +1,10 @@
-//! What hosts say of themselves in their answers, and whether they may be sent to by it.
+//! What hosts say of themselves in their answers, and which requests that permits.
 //!
-//! A host may ask a node for rest, which binds that node alone. The request rates that hosts in need
-//! name are kept over all nodes. A limit may be far less than one request per second and node, so nodes can't divide it. One node
-//! decides on all requests to a host: the scheduler of its model, or for plain hosts the node that
-//! ranks first for the host. That node also publishes the host's limit to all nodes.
+//! A host may ask a node for rest, which binds that node alone. Request rates that hosts in need name
+//! are kept over all nodes. Such a limit may be far less than one request per second and node, so
+//! nodes can't divide it. One node decides on all requests to a host: the scheduler of its model, or
+//! for plain hosts the node that ranks first for the host. That node also publishes the host's limit
+//! to all nodes.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -416,8 +416,8 @@
     hosts * spec.share.get() / spec.size.max(1) as f64 > MAX_REPLICAS_PER_SHARD
 }
 
-/// The failure domains in which a model has heads that don't rest, each with its requests and usable slots. A head
-/// that names a limit counts as one slot: it looks idle, but takes few requests.
+/// The failure domains in which a model has heads that don't rest, each with its requests and usable
+/// slots. A head that names a limit counts as one slot: it looks idle, but takes few requests.
 fn open_domains<P: Platform>(
     core: &Core<P>,
     service: &ServiceName,
--- a/crates/stores/tests/endless.rs
+++ b/crates/stores/tests/endless.rs
@@ -1,4 +1,4 @@
-//! What a caller is told of answers without end.
+//! Errors that callers get for answers without end.
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
