--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -32,6 +32,19 @@
     }
 }
 
+value! { copy
+    /// Optional policies; those that are off leave decisions as they are without them.
+    #[derive(Default)]
+    pub struct PolicySwitches {
+        /// The number of replicas of each model follows the measured demand.
+        pub capacity_follows_demand: bool,
+        /// Customers share a model's slots fairly while requests wait for them.
+        pub fair_share: bool,
+        /// Hosts get as many requests as their own answers show that they can handle.
+        pub adaptive_pacing: bool,
+    }
+}
+
 /// A node's configuration.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -53,4 +66,6 @@
     pub address_ttl: Duration,
     /// Whether the whole system starts for the first time, so that model loads are fast.
     pub first_start: bool,
+    /// The optional policies that are on.
+    pub policies: PolicySwitches,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,7 +43,7 @@
 mod stream;
 
 pub use crate::call::RequestMetadata;
-pub use crate::config::{Addresses, GatewayConfig, RetryBudgetConfig};
+pub use crate::config::{Addresses, GatewayConfig, PolicySwitches, RetryBudgetConfig};
 pub use crate::gateway::{Gateway, GatewayError};
 pub use crate::log_report::{LogReader, Subject};
 pub use crate::logs::{LogQueue, init_logging};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,7 +10,7 @@
     required,
 };
 
-use crate::config::{Addresses, GatewayConfig, RetryBudgetConfig};
+use crate::config::{Addresses, GatewayConfig, PolicySwitches, RetryBudgetConfig};
 
 const ONE_MILLISECOND: Duration = Duration::from_millis(1);
 const ONE_HOUR: Duration = Duration::from_secs(3_600);
@@ -124,6 +124,27 @@
     "The least severe lines that are written.",
 )];
 
+const CAPACITY: &[Key] = &[defaulted(
+    "follow_demand",
+    ValueType::Choice(&["no", "yes"]),
+    "no",
+    "Whether the number of replicas of each model follows the measured demand.",
+)];
+
+const ADMISSION: &[Key] = &[defaulted(
+    "fair_share",
+    ValueType::Choice(&["no", "yes"]),
+    "no",
+    "Whether customers share a model's slots fairly while requests wait for them.",
+)];
+
+const PACING: &[Key] = &[defaulted(
+    "adaptive",
+    ValueType::Choice(&["no", "yes"]),
+    "no",
+    "Whether hosts get as many requests as their own answers show that they can handle.",
+)];
+
 /// All sections with their keys.
 pub const SECTIONS: &[SectionKeys] = &[
     SectionKeys {
@@ -150,6 +171,18 @@
         section: "[times]",
         keys: TIMES,
     },
+    SectionKeys {
+        section: "[capacity]",
+        keys: CAPACITY,
+    },
+    SectionKeys {
+        section: "[admission]",
+        keys: ADMISSION,
+    },
+    SectionKeys {
+        section: "[pacing]",
+        keys: PACING,
+    },
     SectionKeys {
         section: "[log]",
         keys: LOG,
@@ -263,6 +296,12 @@
             r.address("store", p).unwrap_or(unset)
         });
         let log_level = self.read("log", LOG, |r, p| r.choice("level", p));
+        let policies = PolicySwitches {
+            capacity_follows_demand: self
+                .read("capacity", CAPACITY, |r, p| r.boolean("follow_demand", p)),
+            fair_share: self.read("admission", ADMISSION, |r, p| r.boolean("fair_share", p)),
+            adaptive_pacing: self.read("pacing", PACING, |r, p| r.boolean("adaptive", p)),
+        };
         let gateway = GatewayConfig {
             node,
             region,
@@ -273,6 +312,7 @@
             grace,
             address_ttl: ttl.min(MAX_ADDRESS_TTL),
             first_start,
+            policies,
         };
         Settings {
             gateway,
