Count a replica as lost after 1 s if a member accepts no connection

Waiting 2 s for every silent member costs callers the replica's slots and hosts for a second more whenever a host is really down. A host that only stands still accepts connections, since its kernel does. Two consecutive connection attempts without an answer, while other hosts are reached, now bring the bound down to 1 s; what accepts connections is waited for as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -69,5 +69,7 @@
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{StallThreshold, StreamActivity};
 pub use crate::success::SuccessRate;
-pub use crate::suspicion::{MAX_SILENCE, MemberCheck, Suspicion, SuspicionStep};
+pub use crate::suspicion::{
+    MAX_SILENCE, MAX_UNREACHABLE_SILENCE, MemberCheck, Suspicion, SuspicionStep,
+};
 pub use crate::targets::{TargetOutcome, TargetStats};
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -10,6 +10,12 @@
 /// for which sound hosts fall silent, and well before callers give up streams or the host list
 /// shows a death.
 pub const MAX_SILENCE: Duration = Duration::from_millis(2000);
+/// The same if a member also leaves new connections unanswered. A host that only stands still
+/// accepts them, since its kernel does; one that is down or cut off doesn't.
+pub const MAX_UNREACHABLE_SILENCE: Duration = Duration::from_millis(1000);
+/// Consecutive connection attempts without an answer after which a member counts as unreachable. A
+/// single packet may be lost, and is sent again only after a second.
+const MIN_UNANSWERED_CONNECTS: u8 = 2;
 /// Pause between two checks of a suspected replica.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -42,6 +48,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Suspicion {
     silent_since: Instant,
+    /// Latest consecutive connection attempts that a silent member left unanswered.
+    unanswered_connects: u8,
+    /// Whether all silent members have accepted a connection.
+    accepts_connections: bool,
 }
 
 impl Suspicion {
@@ -52,12 +62,35 @@
         let since = now.checked_sub(min_silence).unwrap_or(now);
         Suspicion {
             silent_since: last_event.map_or(since, |last| last.max(since)),
+            unanswered_connects: 0,
+            accepts_connections: false,
         }
     }
 
+    /// Whether another connection attempt to the silent members may show more.
+    pub fn needs_connect(&self) -> bool {
+        !self.accepts_connections && self.unanswered_connects < MIN_UNANSWERED_CONNECTS
+    }
+
+    /// Handles the result of a connection attempt to each silent member: whether all accepted it.
+    pub fn on_connect(&mut self, accepted: bool) {
+        self.accepts_connections = accepted;
+        self.unanswered_connects = if accepted {
+            0
+        } else {
+            self.unanswered_connects.saturating_add(1)
+        };
+    }
+
     /// Handles the result of a check.
     pub fn on_check(&self, check: MemberCheck, now: Instant) -> SuspicionStep {
-        let left = MAX_SILENCE.saturating_sub(now.saturating_duration_since(self.silent_since));
+        let is_unreachable = self.unanswered_connects >= MIN_UNANSWERED_CONNECTS;
+        let max_silence = if is_unreachable {
+            MAX_UNREACHABLE_SILENCE
+        } else {
+            MAX_SILENCE
+        };
+        let left = max_silence.saturating_sub(now.saturating_duration_since(self.silent_since));
         match check {
             MemberCheck::Sound => SuspicionStep::Trust,
             MemberCheck::Lost => SuspicionStep::Lose,
--- a/crates/fleet/tests/suspicion.rs
+++ b/crates/fleet/tests/suspicion.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use eelgrassmill_fleet::{MAX_SILENCE, MemberCheck, Suspicion, SuspicionStep};
+use eelgrassmill_fleet::{
+    MAX_SILENCE, MAX_UNREACHABLE_SILENCE, MemberCheck, Suspicion, SuspicionStep,
+};
 use googletest::prelude::*;
 
 /// Longest silence of a sound host.
@@ -74,3 +76,21 @@
         expect_that!(suspicion.on_check(check, now + millis(ms)), eq(step));
     }
 }
+
+/// Guards against keeping the hosts of a replica for 2 s whose member is down, and against taking one
+/// apart because of a single lost packet or while its member accepts connections.
+#[gtest]
+fn a_member_that_accepts_no_connection_is_lost_sooner() {
+    let began = Instant::now();
+    let lost_after = |connects: &[bool]| {
+        let mut suspicion = Suspicion::new(Some(began), began + STALL);
+        for accepted in connects {
+            suspicion.on_connect(*accepted);
+        }
+        check_until_lost(suspicion, began + STALL) + STALL
+    };
+    expect_that!(lost_after(&[false, false]), eq(MAX_UNREACHABLE_SILENCE));
+    expect_that!(lost_after(&[false]), eq(MAX_SILENCE));
+    expect_that!(lost_after(&[true]), eq(MAX_SILENCE));
+    expect_that!(lost_after(&[false, true]), eq(MAX_SILENCE));
+}
--- a/crates/gateway/src/loss_detection.rs
+++ b/crates/gateway/src/loss_detection.rs
@@ -147,9 +147,11 @@
     silent_since: Option<Instant>,
 ) {
     let began = Instant::now();
-    let suspicion = Suspicion::new(silent_since, began);
+    let mut suspicion = Suspicion::new(silent_since, began);
+    let mut silent: SmallVec<[HostId; 2]> = SmallVec::new();
     loop {
-        let found = check_members(&core, &head, began).await;
+        let members = check_members(&core, &head, began);
+        let (found, ()) = tokio::join!(members, try_connect(&core, &mut suspicion, &silent));
         if head.is_lost() || head.stream_activity().last_event() > Some(began) {
             break;
         }
@@ -165,7 +167,9 @@
                     head.suspect(began);
                     core.wake_waiting_requests();
                 }
-                tokio::time::sleep(wait).await;
+                silent = found.silent;
+                let connect = try_connect(&core, &mut suspicion, &silent);
+                tokio::join!(tokio::time::sleep(wait), connect);
             }
         }
     }
@@ -177,6 +181,37 @@
     head.end_check();
 }
 
+/// Finds out whether silent members still accept connections. Without a link to other hosts, or
+/// beyond what the suspicion needs to know, nothing is tried.
+async fn try_connect<P: Platform>(
+    core: &Arc<Core<P>>,
+    suspicion: &mut Suspicion,
+    silent: &[HostId],
+) {
+    if silent.is_empty() || !suspicion.needs_connect() || !reaches_hosts(core, silent).await {
+        return;
+    }
+    let addresses: SmallVec<[SmolStr; 2]> = {
+        let fleet = locked(&core.fleet);
+        let listed = silent.iter().filter_map(|id| fleet.host(id));
+        listed.map(|h| h.address.clone()).collect()
+    };
+    let mut connects = JoinSet::new();
+    for address in addresses {
+        let core = Arc::clone(core);
+        connects.spawn(async move {
+            let connect = core.http.check_listening(&address);
+            let connected = tokio::time::timeout(REPORT_TIMEOUT, connect).await;
+            matches!(connected, Ok(Ok(())))
+        });
+    }
+    let mut all_accept = true;
+    while let Some(accepts) = connects.join_next().await {
+        all_accept &= accepts.unwrap_or(false);
+    }
+    suspicion.on_connect(all_accept);
+}
+
 /// What the reports of a replica's members show.
 struct CheckedMembers {
     check: MemberCheck,
