Choose plain hosts and unscheduled heads by their pace, and move requests from slow heads

Nodes chose plain hosts by their own running requests alone, so a slow one kept one in six, and a stream without a first event waited at a slow head until its timeout. With [pacing] adaptive = yes, each node judges plain hosts, and heads while no scheduler answers, by its own answers, and a stream that waits beyond its objective at a head slower than the others goes on at another one.

--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_fleet::{
-    HostPace, OpenHead, PaceSummary, Pacing, PendingRequest, RequestKey, Scheduler, SlotOutcome,
-    judge,
+    HostCandidate, HostPace, OpenHead, PaceSummary, PacedHost, PacedHosts, Pacing, PendingRequest,
+    Preference, RequestKey, Scheduler, SlotOutcome, choose_host, judge,
 };
 use googletest::prelude::*;
 use smol_str::format_smolstr;
@@ -484,3 +484,138 @@
     expect_that!(to_new(ms(3000), ms(3100)), ge(2));
     expect_that!(to_new(ms(3000), ms(4200)), ge(SLOTS));
 }
+
+fn plain_host(n: usize, incarnation: u64) -> PacedHost {
+    PacedHost {
+        host: format_smolstr!("p{n}"),
+        incarnation,
+        slots: 3,
+        cold_limit: None,
+    }
+}
+
+/// One node that sends plain requests, one at a time, to hosts of its own speeds.
+struct PlainNode {
+    paces: PacedHosts,
+    rng: fastrand::Rng,
+    late: usize,
+    sent: [usize; 3],
+}
+
+impl PlainNode {
+    fn new(seed: u64) -> PlainNode {
+        PlainNode {
+            paces: PacedHosts::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            late: 0,
+            sent: [0; 3],
+        }
+    }
+
+    /// Sends `requests`, one each 50 ms, to hosts that take 60 ms times their factor.
+    fn send(&mut self, from: Instant, requests: u32, factors: [f64; 3]) {
+        (self.late, self.sent) = (0, [0; 3]);
+        let hosts: Vec<PacedHost> = (0..3).map(|n| plain_host(n, 1)).collect();
+        let mut running: Vec<(Instant, usize, _)> = Vec::new();
+        for step in 0..requests {
+            let now = from + ms(50) * step;
+            running.retain(|(end, host, request)| {
+                if *end > now {
+                    return true;
+                }
+                let host = &hosts[*host].host;
+                self.paces.on_first_event(host, *request, *end);
+                self.paces.on_end(host, *request, *end);
+                false
+            });
+            self.paces.observe(&hosts, now);
+            let rated = |n: usize| self.paces.preference(&hosts[n].host, true, now).0;
+            let best = (0..3).map(rated).min();
+            let candidates = (0..3).filter(|n| Some(rated(*n)) == best);
+            let candidates: Vec<HostCandidate> = candidates
+                .map(|n| HostCandidate {
+                    host: hosts[n].host.clone(),
+                    load: running.iter().filter(|(_, host, _)| *host == n).count(),
+                    slots: 3,
+                    same_domain: true,
+                    failure_permille: 0,
+                })
+                .collect();
+            let chosen = choose_host(&candidates, 0.0, self.rng.f64()).expect("a host is left");
+            let chosen = hosts.iter().position(|h| h.host == chosen.host);
+            let chosen = chosen.expect("it is one of the hosts");
+            let request = self
+                .paces
+                .on_sent(&hosts[chosen].host, ms(100), OBJECTIVE, now)
+                .expect("the host is known");
+            let took = ms(60).mul_f64(factors[chosen]);
+            self.late += usize::from(took > OBJECTIVE);
+            self.sent[chosen] += 1;
+            running.push((now + took, chosen, request));
+        }
+        for (end, host, request) in running {
+            self.paces.on_first_event(&hosts[host].host, request, end);
+            self.paces.on_end(&hosts[host].host, request, end);
+        }
+    }
+}
+
+/// Guards against a plain host that keeps its share of a node's requests while it is slow for that
+/// node, and against its loss for nodes that it serves in time.
+#[gtest]
+fn a_plain_host_that_is_slow_for_one_node_serves_the_others() {
+    let start = Instant::now();
+    let (mut cut_off, mut other) = (PlainNode::new(3), PlainNode::new(4));
+    let slow = [1.0, 12.0, 1.0];
+    for (node, factors) in [(&mut cut_off, slow), (&mut other, [1.0; 3])] {
+        node.send(start, 40, [1.0; 3]);
+        node.send(start + ms(2000), 40, factors);
+        node.send(start + ms(4000), 120, factors);
+    }
+    println!(
+        "slow for one node: late {} of 120, sent {:?}",
+        cut_off.late, cut_off.sent
+    );
+    expect_that!(cut_off.paces.summary().slow, eq(1));
+    expect_that!(cut_off.late, le(6));
+    expect_that!(other.paces.summary(), eq(PaceSummary::default()));
+    expect_that!(other.sent[1], ge(25));
+    // It comes back.
+    cut_off.send(start + ms(10_000), 120, [1.0; 3]);
+    cut_off.send(start + ms(16_000), 120, [1.0; 3]);
+    expect_that!(cut_off.paces.summary(), eq(PaceSummary::default()));
+    expect_that!(cut_off.sent[1], ge(25));
+}
+
+/// Guards against judging a plain host that restarted under the same name by its former start.
+#[gtest]
+fn a_restarted_plain_host_begins_anew() {
+    let start = Instant::now();
+    let mut node = PlainNode::new(5);
+    node.send(start, 40, [1.0; 3]);
+    node.send(start + ms(2000), 80, [1.0, 12.0, 1.0]);
+    expect_that!(node.paces.summary().slow, eq(1));
+    let old = node
+        .paces
+        .on_sent("p1", ms(100), OBJECTIVE, start + ms(6000));
+    let hosts = [plain_host(0, 1), plain_host(1, 2), plain_host(2, 1)];
+    node.paces.observe(&hosts, start + ms(7000));
+    expect_that!(node.paces.summary().slow, eq(0));
+    expect_that!(node.paces.summary().paced, eq(1));
+    // The end of a request to the former start doesn't open the window.
+    node.paces
+        .on_end("p1", old.expect("the host is known"), start + ms(7100));
+    let now = start + ms(7200);
+    let request = node.paces.on_sent("p1", ms(100), OBJECTIVE, now);
+    expect_that!(
+        node.paces.preference("p1", true, now).0,
+        eq(Preference::Closed)
+    );
+    let request = request.expect("the host is known");
+    node.paces.on_first_event("p1", request, now + ms(60));
+    node.paces.on_end("p1", request, now + ms(60));
+    expect_that!(
+        node.paces.preference("p1", true, now).0,
+        eq(Preference::Normal)
+    );
+}
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -18,6 +18,7 @@
 use crate::call::Call;
 use crate::core::Core;
 use crate::heads::{Head, SlotGuard, locked};
+use crate::pacing;
 use crate::ports::Platform;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::scheduler_client::{self, Acquired, SlotQuery};
@@ -193,7 +194,7 @@
         until: give_up_at,
     };
     match scheduler_client::acquire(core, &query).await {
-        Acquired::Granted(slot) => return Ok(*slot),
+        Acquired::Granted(slot) => return Ok(paced(core, call, *slot)),
         Acquired::Full => return Err(full_refusal(no_slot_cause(core, service, model))),
         Acquired::Limited(retry_after) => return Err(limit_refusal(core, service, retry_after)),
         Acquired::Resting(rest) => return Err(core.host_signals.rest_refusal(rest)),
@@ -206,7 +207,7 @@
             match choose_head(core, service, model, avoid) {
                 Choice::Free(head) => {
                     waiting.ended(true, Instant::now());
-                    return Ok(head.enter(None));
+                    return Ok(paced(core, call, head.enter(None)));
                 }
                 Choice::Limited => {
                     return Err(limit_refusal(core, service, RETRY_AFTER_NO_SCHEDULER));
@@ -238,6 +239,13 @@
     }
 }
 
+/// The slot with its times counted for the pace of its head.
+fn paced<P: Platform>(core: &Core<P>, call: &Call, mut slot: SlotGuard<P>) -> SlotGuard<P> {
+    let request = pacing::send_to_head(core, call, &slot.head);
+    slot.set_paced(request);
+    slot
+}
+
 fn limit_refusal<P: Platform>(core: &Core<P>, service: &str, retry_after: Duration) -> Refusal {
     core.metrics.count_limited(service);
     Refusal::with_retry_after(RefusalCause::HostLimit, retry_after)
@@ -316,7 +324,7 @@
         failure_permille: 0,
     });
     let candidates = candidates.filter(|c| c.load < c.slots + PIPELINE_DEPTH);
-    let free: Vec<HostCandidate> = candidates.collect();
+    let free = pacing::preferred_heads(core, service, model, candidates.collect());
     let Some(chosen) = choose_host(&free, unreported, fastrand::f64()) else {
         return Choice::Full { slots };
     };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -25,6 +25,7 @@
 use crate::logs::LogRateLimit;
 use crate::metrics::{Metrics, RetryReason};
 use crate::nodes::{NodeTable, usable_processor};
+use crate::pacing::Paces;
 use crate::peers::{LOAD_INTERVAL, UpdateHandler};
 use crate::planning::PlanningEvent;
 use crate::ports::Platform;
@@ -65,6 +66,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) host_signals: SignalState,
     pub(crate) host_relay: HostRelay,
+    pub(crate) paces: Paces,
     pub(crate) planning: Inbox<PlanningEvent>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
     /// aborts the remaining requests (`exiting`).
@@ -113,6 +115,7 @@
             quarantine: Quarantine::default(),
             host_signals: SignalState::default(),
             host_relay: HostRelay::default(),
+            paces: Paces::default(),
             planning: Inbox::default(),
             shutdown: OnceLock::new(),
             stopping: watch::Sender::new(false),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,7 @@
 use eelgrassmill_base::{HostId, ServiceName};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
 use eelgrassmill_fleet::{
-    ColdRateLimiter, ColdStart, Fleet, Host, HostCandidate, TargetOutcome, choose_host,
+    ColdRateLimiter, ColdStart, Fleet, Host, HostCandidate, PacedHost, TargetOutcome, choose_host,
 };
 use http::{Response, StatusCode};
 use smallvec::SmallVec;
@@ -20,10 +20,11 @@
 use crate::crash_detection::Broken;
 use crate::heads::locked;
 use crate::metrics::RetryReason;
+use crate::pacing::PacedRequest;
 use crate::ports::{AttemptMetadata, Dialect, Platform, ResponseClass};
 use crate::quarantine::Admission;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::{crash_detection, host_signals, quarantine};
+use crate::{crash_detection, host_signals, pacing, quarantine};
 
 /// Longest response that is held in memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -286,6 +287,19 @@
             }
         })
         .collect();
+    let listed = || {
+        let hosts = fleet.hosts().filter(|h| h.service == service);
+        let listed = hosts.map(|h| PacedHost {
+            host: h.id.clone(),
+            incarnation: h.started_ms,
+            slots: pacing::part_of(h.slots, nodes),
+            cold_limit: cold_start_of(h)
+                .map(|cold| pacing::part_of(cold.max_rate.get() as usize, nodes)),
+        });
+        listed.collect()
+    };
+    let candidates =
+        pacing::preferred_plain(core, service, listed, candidates, tried.is_empty(), now);
     let chosen = choose_host(&candidates, 0.0, fastrand::f64())?;
     let chosen = fleet.host(&chosen.host)?;
     if cold_start_of(chosen).is_some() {
@@ -311,6 +325,7 @@
         host: host.id.clone(),
         outcome: TargetOutcome::Failed,
     };
+    let mut paced = pacing::send_plain(core, call, &host.service, &host.id);
     let req = target_request(core, call, &host.id, None, None);
     let attempt_timeout = until.saturating_duration_since(Instant::now());
     let sent = core
@@ -334,13 +349,21 @@
         }
     }
     match class {
-        ResponseClass::NotRun => AttemptResult::NotRun("refused".into()),
+        ResponseClass::NotRun => {
+            if running.outcome != TargetOutcome::Resting {
+                paced.iter().for_each(PacedRequest::on_failed);
+            }
+            AttemptResult::NotRun("refused".into())
+        }
         ResponseClass::WrongHost => AttemptResult::NotRun("another host has this address".into()),
         ResponseClass::Unverified => AttemptResult::Unknown("unverified response".into()),
         ResponseClass::Answered => {
             let read = read_whole(response, until).await;
             if read.is_ok() && !status.is_server_error() {
                 running.outcome = TargetOutcome::Served;
+                if let Some(paced) = &mut paced {
+                    paced.on_event(Instant::now());
+                }
             }
             match read {
                 Ok((headers, body)) => AttemptResult::Answered(status, headers, body),
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::crash_detection::UsedHost;
+use crate::pacing::PacedRequest;
 use crate::ports::Platform;
 use crate::scheduler::ScheduledLoad;
 use crate::scheduler_client::Permit;
@@ -242,6 +243,7 @@
             sent: Instant::now(),
             responded_at: None,
             events: None,
+            paced: None,
         }
     }
 
@@ -410,6 +412,8 @@
     responded_at: Option<Instant>,
     /// When its first and its last event so far arrived.
     events: Option<(Instant, Instant)>,
+    /// Set if its times count for the head's pace.
+    paced: Option<PacedRequest>,
     link_losses: watch::Receiver<u64>,
     /// Whether its connection leads through another node.
     is_relayed: bool,
@@ -420,6 +424,11 @@
 }
 
 impl<P: Platform> SlotGuard<P> {
+    /// Sets where its times count for the head's pace.
+    pub(crate) fn set_paced(&mut self, paced: Option<PacedRequest>) {
+        self.paced = paced;
+    }
+
     /// Records whether its connection leads through another node.
     pub(crate) fn set_relayed(&mut self, is_relayed: bool) {
         self.is_relayed = is_relayed;
@@ -459,6 +468,9 @@
     pub(crate) fn on_event(&mut self, now: Instant) {
         self.head.stream_activity().on_event(now);
         self.head.trust();
+        if let Some(paced) = &mut self.paced {
+            paced.on_event(now);
+        }
         match &mut self.events {
             Some((_, last)) => *last = now,
             None => {
@@ -509,6 +521,7 @@
             return;
         }
         self.head.eject(self.sent);
+        self.paced.iter().for_each(PacedRequest::on_failed);
         if let Some(permit) = self.permit.take() {
             permit.rejected();
         }
@@ -516,6 +529,7 @@
 
     /// Takes the report that the head gave it no response.
     pub(crate) fn take_failure(&mut self) -> HeadFailure<P> {
+        self.paced.iter().for_each(PacedRequest::on_failed);
         HeadFailure {
             head: Arc::clone(&self.head),
             sent: self.sent,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod node_api;
 mod nodes;
+mod pacing;
 mod peers;
 mod planning;
 mod ports;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     pub(crate) resting_hosts: IntGauge,
     /// Hosts whose answers say that they leave, as far as this node knows.
     pub(crate) leaving_hosts: IntGauge,
+    /// Hosts with a concurrency window, as judged by this node.
+    pub(crate) paced_hosts: IntGauge,
+    /// Hosts that get trial requests alone while others have room, as judged by this node.
+    pub(crate) slow_hosts: IntGauge,
     /// Times that a host's limit held back a request of this node, by service.
     limited: IntCounterVec,
     /// Connections to hosts through other nodes by outcome, and those carried for other nodes.
@@ -127,6 +131,14 @@
                 "gateway_leaving_hosts",
                 "Hosts whose answers say that they leave.",
             ),
+            paced_hosts: gauge(
+                "gateway_paced_hosts",
+                "Hosts whose requests are limited by a window that their answers open.",
+            ),
+            slow_hosts: gauge(
+                "gateway_slow_hosts",
+                "Hosts that are much slower than the others.",
+            ),
             relayed_connections: counter(
                 "gateway_relayed_connections_total",
                 "Connections to hosts through other nodes, and for them.",
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -9,7 +9,8 @@
 
 use eelgrassmill_base::{FailureDomain, GroupId, ModelName, NodeId, ServiceName, value};
 use eelgrassmill_fleet::{
-    EngineSpeed, HeadKey, Millionths, OpenHead, PendingRequest, RequestKey, Scheduler, SlotOutcome,
+    EngineSpeed, HeadKey, Millionths, OpenHead, PaceSummary, Pacing, PendingRequest, RequestKey,
+    Scheduler, SlotOutcome,
 };
 use eelgrassmill_peer::{
     ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent, SlotEventKind, SlotRequest,
@@ -20,6 +21,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::logs::LogRateLimit;
+use crate::pacing;
 use crate::ports::Platform;
 
 /// How often deadlines and free slots are checked while requests wait.
@@ -43,6 +45,14 @@
     }
 }
 
+impl Scope {
+    /// Names it in logs.
+    fn label(&self) -> String {
+        let domain = self.heads_in.as_deref().unwrap_or("*");
+        format!("{}/{}/{domain}", self.service, self.model)
+    }
+}
+
 /// The schedulers that run at this node.
 #[derive(Debug, Default)]
 pub(crate) struct Schedulers {
@@ -127,7 +137,9 @@
         locked(&running).on_slot_event(&node, slot_event, now);
     }
     let Some(slot_request) = &req.slot_request else {
-        locked(&running).decide(&open_heads(&core, &scope), now);
+        let heads = open_heads(&core, &scope);
+        locked(&running).decide(&heads, now);
+        report_paces(&core, &scope, &running, &heads, now);
         return ScheduleReply::default();
     };
     let request = pending_request(&node, &req.failure_domain, slot_request, now);
@@ -202,7 +214,7 @@
     core: &Arc<Core<P>>,
     scope: &Scope,
 ) -> Option<Arc<Mutex<RunningScheduler>>> {
-    let speed = engine_speed(core, scope)?;
+    let speed = engine_speed(core, &scope.service, &scope.model)?;
     let mut all = locked(&core.schedulers.running);
     if let Some(running) = all.get(scope) {
         let mut found = locked(running);
@@ -211,9 +223,10 @@
         return Some(Arc::clone(running));
     }
     let now = Instant::now();
+    let pacing = Pacing::from_setting(core.cfg.policies.adaptive_pacing);
     let running = Arc::new(Mutex::new(RunningScheduler {
         scope: scope.clone(),
-        scheduler: Scheduler::new(speed, now),
+        scheduler: Scheduler::new(speed, now).with_pacing(pacing),
         unserved: 0,
         log_limit: LogRateLimit::default(),
         pending_replies: HashMap::new(),
@@ -229,9 +242,14 @@
     Some(running)
 }
 
-fn engine_speed<P: Platform>(core: &Core<P>, scope: &Scope) -> Option<EngineSpeed> {
+/// The speed of a model's replicas; `None` if the configuration has no such model.
+pub(crate) fn engine_speed<P: Platform>(
+    core: &Core<P>,
+    service: &str,
+    model: &str,
+) -> Option<EngineSpeed> {
     let catalog = core.catalog();
-    let (engine, model) = catalog.model(&scope.service, &scope.model)?;
+    let (engine, model) = catalog.model(service, model)?;
     let time_factor = Millionths::of(engine.speed.time_factor.get() * model.time_factor.get());
     Some(EngineSpeed {
         time_factor,
@@ -252,11 +270,13 @@
         if waits {
             let heads = open_heads(&core, &scope);
             locked(&running).decide(&heads, now);
+            report_paces(&core, &scope, &running, &heads, now);
         }
         // Under both locks: a scheduler that is called just now must not be dropped with its slots.
         let mut all = locked(&core.schedulers.running);
         if now.saturating_duration_since(locked(&running).last_used) > IDLE_TIMEOUT {
             all.remove(&scope);
+            pacing::show(&core, &scope.label(), PaceSummary::default());
             return;
         }
     }
@@ -281,6 +301,28 @@
     open.collect()
 }
 
+/// Reports the heads whose pace has changed.
+fn report_paces<P: Platform>(
+    core: &Core<P>,
+    scope: &Scope,
+    running: &Mutex<RunningScheduler>,
+    heads: &[OpenHead],
+    now: Instant,
+) {
+    let (changes, summary) = {
+        let scheduler = &mut locked(running).scheduler;
+        (scheduler.take_pace_changes(), scheduler.pace_summary(heads))
+    };
+    if changes.is_empty() {
+        return;
+    }
+    let host_of = |key: &HeadKey| heads.iter().find(|h| h.key == *key).map(|h| h.host.clone());
+    let changes = changes
+        .into_iter()
+        .filter_map(|(key, change)| Some((host_of(&key)?, change)));
+    pacing::report(core, &scope.label(), summary, changes, now);
+}
+
 impl RunningScheduler {
     fn is_waiting(&self) -> bool {
         self.scheduler.queue_len() > 0 || !self.uncollected.is_empty()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -279,7 +279,7 @@
         let sent = tokio::select! {
             sent = self.core.http.send_within(&head.address, req, self.call.remaining()) => sent,
             why = slot.wait_until_broken() => Err(SendError::Unknown(why.to_owned())),
-            other = self.slot_elsewhere(&head, &avoid) => return Err(self.moved(&slot, other)),
+            other = self.slot_elsewhere(&head, &avoid, self.late_at(&slot)) => return Err(self.moved(&slot, other)),
         };
         let response = match sent {
             Ok(response) => response,
@@ -333,8 +333,16 @@
         }
     }
 
+    fn why_moved(head: &Head) -> &'static str {
+        if head.is_suspected() {
+            "its replica is silent"
+        } else {
+            "its replica is slow"
+        }
+    }
+
     fn moved(&mut self, slot: &SlotGuard<P>, other: SlotGuard<P>) -> AttemptError<P> {
-        self.log_attempt(&slot.head, "moved", "its replica is silent");
+        self.log_attempt(&slot.head, "moved", Self::why_moved(&slot.head));
         self.check_for_crash_later(slot);
         self.avoid.push(slot.head.host.clone());
         self.deliveries += 1;
@@ -464,7 +472,8 @@
         loop {
             let end = self.forward_until_end(&mut started, &tx).await;
             if let ReadEnd::Moved(moved) = end {
-                self.log_attempt(&started.slot.head, "moved", "its replica is silent");
+                let head = &started.slot.head;
+                self.log_attempt(head, "moved", Self::why_moved(head));
                 self.check_for_crash_later(&started.slot);
                 (self, started) = (moved.call, moved.started);
                 self.core.wake_waiting_requests();
@@ -567,7 +576,7 @@
     ) -> Result<Result<Option<Bytes>, BodyError>, ReadEnd<P>> {
         // A second run that was in progress ended with the wait for the part before.
         self.second_run.send_replace(false);
-        let elsewhere = self.go_on_elsewhere(&slot.head);
+        let elsewhere = self.go_on_elsewhere(&slot.head, self.late_at(slot));
         tokio::pin!(elsewhere);
         let chunk = tokio::select! {
             chunk = response.chunk() => chunk,
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -1,4 +1,4 @@
-//! Second runs of streams whose head is suspected.
+//! Second runs of streams whose head is suspected, or slow before their first event.
 //!
 //! The first run isn't given up before the second one has sent its next event. If the first goes on
 //! before, the second is dropped; if the first breaks, the second goes on. A request that has got no response yet moves as soon as it has a
@@ -17,6 +17,7 @@
 use crate::admission;
 use crate::crash_detection;
 use crate::heads::{Head, SlotGuard, locked};
+use crate::pacing;
 use crate::ports::Platform;
 use crate::sse::EventSplitter;
 use crate::stream::{AttemptError, MAX_REFUSALS, StartedResponse, StreamCall};
@@ -34,13 +35,17 @@
 
 impl<P: Platform> StreamCall<P> {
     /// Waits until the stream, which runs at `head`, has gone on at another one.
-    pub(super) async fn go_on_elsewhere(&self, head: &Arc<Head>) -> Moved<P> {
+    pub(super) async fn go_on_elsewhere(
+        &self,
+        head: &Arc<Head>,
+        late_at: Option<Instant>,
+    ) -> Moved<P> {
         if !self.is_resumable() {
             return std::future::pending().await;
         }
         let mut avoid = self.avoid_also(head);
         for _ in 0..MAX_REFUSALS {
-            let slot = self.slot_elsewhere(head, &avoid).await;
+            let slot = self.slot_elsewhere(head, &avoid, late_at).await;
             let host = slot.head.host.clone();
             let moved = self.resume_at(slot, &avoid).await;
             self.second_run.send_replace(false);
@@ -60,24 +65,36 @@
         let _ = rx.wait_for(|is_running| !*is_running).await;
     }
 
-    /// Waits until `head` is suspected and the call has got a slot at another head, if possible none
-    /// in `avoid`, and may run there.
-    pub(super) async fn slot_elsewhere(&self, head: &Arc<Head>, avoid: &[HostId]) -> SlotGuard<P> {
+    /// Waits until `head` is suspected, or no first event has come by `late_at` and the head is slow,
+    /// and the call has got a slot at another head, if possible none in `avoid`, and may run there.
+    pub(super) async fn slot_elsewhere(
+        &self,
+        head: &Arc<Head>,
+        avoid: &[HostId],
+        mut late_at: Option<Instant>,
+    ) -> SlotGuard<P> {
         loop {
             if !self.may_run_twice() {
                 return std::future::pending().await;
             }
-            head.wait_until_suspected(true).await;
+            tokio::select! {
+                () = head.wait_until_suspected(true) => {}
+                () = self.wait_until_slow(head, late_at) => {}
+            }
             if self.has_other_head(head) {
                 let (core, call) = (&self.core, &self.call);
                 let admitted =
                     admission::admit(core, call, &self.service, &self.model, true, avoid).await;
-                let usable = admitted.ok().filter(|slot| !slot.head.is_suspected());
+                let is_usable = |slot: &SlotGuard<P>| {
+                    !slot.head.is_suspected() && !Arc::ptr_eq(&slot.head, head)
+                };
+                let usable = admitted.ok().filter(is_usable);
                 if let Some(slot) = usable {
                     if core.try_retry(&self.service, self.retry_reason()) {
                         return slot;
                     }
                     drop(slot);
+                    late_at = None;
                     head.wait_until_suspected(false).await;
                 }
             }
@@ -85,6 +102,23 @@
         }
     }
 
+    /// When the first event of a request that is sent now is late, if it then goes on elsewhere.
+    pub(super) fn late_at(&self, slot: &SlotGuard<P>) -> Option<Instant> {
+        let is_hedged = self.core.cfg.policies.adaptive_pacing && !slot.has_started();
+        is_hedged.then(|| slot.sent() + self.call.route.latency_objective)
+    }
+
+    /// Waits until after `late_at` the head answers more slowly than others.
+    async fn wait_until_slow(&self, head: &Head, late_at: Option<Instant>) {
+        let Some(late_at) = late_at else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep_until(late_at.into()).await;
+        while !pacing::is_slower(&self.core, head) {
+            tokio::time::sleep(RECHECK_INTERVAL).await;
+        }
+    }
+
     /// Whether it may run once more while it runs at a host.
     fn may_run_twice(&self) -> bool {
         let runs = self.runs + self.second_runs.load(Ordering::Relaxed) + 1;
