Stage weights on serving hosts before the first request

A host of one model joins a replica of another only after loading its weights for 12 to 16 s, while the memory of a serving host is unused: it rejoins its own model whatever its memory holds. With capacity by demand on, the planner stages the other model's weights on serving members during the first start, once all replicas serve and all spares are primed.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -23,6 +23,7 @@
 mod send;
 mod serving;
 mod spares;
+mod weights_ahead;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -132,6 +133,10 @@
     rejecting: RejectingHosts,
     /// Number of listed hosts, and when it last changed.
     host_count: (usize, Instant),
+    /// Whether the policies of capacity by demand are on.
+    follows_demand: bool,
+    /// When loads cease to be fast even if no request was served, if known.
+    first_start_end: Option<Instant>,
 }
 
 /// A formation that has ended.
@@ -175,6 +180,8 @@
             loads: VecDeque::new(),
             rejecting: RejectingHosts::default(),
             host_count: (0, now),
+            follows_demand: false,
+            first_start_end: None,
         }
     }
 
--- a/crates/fleet/src/planner/placement.rs
+++ b/crates/fleet/src/planner/placement.rs
@@ -73,6 +73,7 @@
         for (fabric, free) in &domains {
             self.stage_spares(view, fabric, free, commands);
         }
+        self.stage_ahead(view, commands);
     }
 
     /// Fabric domains with hosts that have yet to report their membership to this planner.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -93,6 +93,12 @@
     pub(crate) orders: usize,
     pub(crate) queries: usize,
     pub(crate) loads: Vec<Duration>,
+    /// Whether no request was ever served: loads are fast then.
+    pub(crate) cold: bool,
+    /// Whether planners follow the demand.
+    pub(crate) follows_demand: bool,
+    /// Number of failure domains over which fabric domains are spread.
+    failure_domains: usize,
     rng: fastrand::Rng,
     term: u64,
     next_host: usize,
@@ -141,6 +147,17 @@
 impl World {
     /// Creates `domains` fabric domains of `each` hosts, and a first planner.
     pub(crate) fn new(domains: usize, each: usize, seed: u64) -> World {
+        World::with_service(domains, each, seed, service(), 1)
+    }
+
+    /// Creates a world with another service and several failure domains.
+    pub(crate) fn with_service(
+        domains: usize,
+        each: usize,
+        seed: u64,
+        service: Service,
+        failure_domains: usize,
+    ) -> World {
         let began = Instant::now();
         let mut world = World {
             began,
@@ -148,7 +165,7 @@
             hosts: BTreeMap::new(),
             listed: Fleet::default(),
             actors: Vec::new(),
-            service: service(),
+            service,
             entries: Vec::new(),
             late: Vec::new(),
             delayed_ratio: 0.0,
@@ -158,6 +175,9 @@
             orders: 0,
             queries: 0,
             loads: Vec::new(),
+            cold: false,
+            follows_demand: false,
+            failure_domains,
             rng: fastrand::Rng::with_seed(seed),
             term: 0,
             next_host: 0,
@@ -208,7 +228,10 @@
         for actor in &mut self.actors {
             actor.until.get_or_insert(until);
         }
-        let planner = Planner::new(self.term, PlannerTiming::default(), self.began + self.now);
+        let mut planner = Planner::new(self.term, PlannerTiming::default(), self.began + self.now);
+        if self.follows_demand {
+            planner.enable_demand_policy();
+        }
         self.actors.push(Actor {
             planner,
             until: None,
@@ -410,7 +433,7 @@
         let now = self.instant();
         let services = [&self.service];
         let Actor { planner, fleet, .. } = &mut self.actors[i];
-        let commands = planner.plan(fleet, &services, false, now);
+        let commands = planner.plan(fleet, &services, self.cold, now);
         for command in commands {
             match command {
                 Command::Order { host, order, .. } => self.order(i, host, order),
@@ -539,10 +562,24 @@
             .models
             .iter()
             .find(|m| m.name == model)
-            .map(|m| m.load_time)
+            .map(|m| m.load_time / if self.cold { 10 } else { 1 })
             .unwrap_or_default()
     }
 
+    /// Switches on capacity by demand, for the current planner and later ones.
+    pub(crate) fn follow_demand(&mut self) {
+        self.follows_demand = true;
+        for actor in &mut self.actors {
+            actor.planner.enable_demand_policy();
+        }
+    }
+
+    /// The failure domain of a host, by the number of its fabric domain.
+    fn failure_domain(&self, host: &FakeHost) -> SmolStr {
+        let number: usize = host.fabric[1..].parse().unwrap_or_default();
+        format_smolstr!("z{}", number % self.failure_domains + 1)
+    }
+
     fn join(
         &mut self,
         id: &HostId,
@@ -701,7 +738,7 @@
             started_ms: host.started_ms,
             service: SERVICE.into(),
             address: format_smolstr!("10.0.0.1:{}", host.id),
-            failure_domain: "z1".into(),
+            failure_domain: self.failure_domain(host),
             fabric: host.fabric.clone(),
             state: host.state,
             slots: 26,
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -58,7 +58,11 @@
 impl<P: Platform> PlannerTerm<P> {
     pub(crate) fn new(core: Arc<Core<P>>, leader: &LeaderRecord) -> PlannerTerm<P> {
         core.planning.open();
-        let planner = Planner::new(leader.term, PlannerTiming::default(), Instant::now());
+        let mut planner = Planner::new(leader.term, PlannerTiming::default(), Instant::now());
+        planner.set_first_start_end(core.started_at + COLD_START_PERIOD);
+        if core.cfg.policies.capacity_follows_demand {
+            planner.enable_demand_policy();
+        }
         PlannerTerm {
             core,
             planner,
