Let the number of replicas follow measured demand

Capacity was divided by the configured share alone, so one model rejected requests while another's replicas and all spares were idle. The planner now computes targets from the demand of all models (set_demand), orders the assignment of free hosts by them, lets spares serve a short model, gives up such replicas and those of models above their target when another replica cannot replace a lost member, and leaves survivors of a lost replica to the model that is short. Steps are counted and logged; without demand the decisions are as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod cold;
 mod cpu_overload;
 mod crash_detector;
+mod demand;
 mod ejection;
 mod fleet;
 mod host;
@@ -44,14 +45,15 @@
 pub use crate::crash_detector::{
     BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
 };
+pub use crate::demand::{DemandSnapshot, ModelDemand};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::host_signals::{HostObservation, HostSignals, RequestedRest, ReturnTimes};
 pub use crate::lease::{LEASE_TERM, Lease, LeaseStatus, SinceBoot, hears_majority, is_majority};
 pub use crate::planner::{
-    Command, Formation, FormationPhase, LossReason, Order, OrderReply, Planner, PlannerTiming,
-    Purpose,
+    CapacityStep, CapacityStepKind, CapacityTarget, Command, Formation, FormationPhase, LossReason,
+    Order, OrderReply, Planner, PlannerTiming, Purpose,
 };
 pub use crate::presence::HostPresence;
 pub use crate::priority::{LateRejection, Priority};
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -14,9 +14,11 @@
 //!   planners, so that hosts reject delayed orders for an older formation.
 
 mod advance;
+mod capacity;
 mod formation;
 mod formations;
 mod host_reports;
+mod lent_spares;
 mod order;
 mod placement;
 mod rejecting;
@@ -31,6 +33,7 @@
 use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName, ServiceName, value};
 use smol_str::format_smolstr;
 
+pub use crate::planner::capacity::{CapacityStep, CapacityStepKind, CapacityTarget};
 pub use crate::planner::formation::{Formation, FormationPhase, LossReason, Purpose};
 pub use crate::planner::order::{Command, Order, OrderReply};
 
@@ -38,8 +41,10 @@
 use crate::fleet::Fleet;
 use crate::host::{Host, MembershipPhase};
 use crate::planner::advance::PlanInput;
+use crate::planner::capacity::CapacityState;
 use crate::planner::formations::Formations;
 use crate::planner::host_reports::{LastReport, MAX_ORDER_DELAY, Silence, Unanswered};
+use crate::planner::lent_spares::LossKey;
 use crate::planner::placement::ServiceView;
 use crate::planner::rejecting::RejectingHosts;
 use crate::planner::serving::ServingCounts;
@@ -135,6 +140,10 @@
     host_count: (usize, Instant),
     /// Whether the policies of capacity by demand are on.
     follows_demand: bool,
+    /// Demand, targets and steps. Without demand it has no effect.
+    capacity: CapacityState,
+    /// When a replica of a model was last seen lost in a fabric domain.
+    recent_losses: BTreeMap<LossKey, Instant>,
     /// When loads cease to be fast even if no request was served, if known.
     first_start_end: Option<Instant>,
 }
@@ -145,6 +154,10 @@
     at: Instant,
     /// Members that left it, whatever their entries still show.
     left: BTreeSet<HostId>,
+    /// Its model.
+    model: ModelName,
+    /// Whether it ended because it lost a member.
+    lost_member: bool,
 }
 
 /// Kind of a message to a host.
@@ -181,6 +194,8 @@
             rejecting: RejectingHosts::default(),
             host_count: (0, now),
             follows_demand: false,
+            capacity: CapacityState::default(),
+            recent_losses: BTreeMap::new(),
             first_start_end: None,
         }
     }
@@ -286,6 +301,7 @@
         self.remove_stale(fleet, now);
         self.rejecting.remove_expired(now);
         self.adopt(fleet, services, now);
+        self.capacity.track(services, now);
         let input = PlanInput {
             fleet,
             services,
@@ -296,6 +312,7 @@
         for id in ids {
             self.advance(&id, &input, &mut commands);
         }
+        self.record_losses(now);
         if !self.is_taking_over(now) {
             self.serving = ServingCounts::of(self.formations.values());
             for service in services {
@@ -309,7 +326,9 @@
                     cold,
                     now,
                 };
+                self.update_targets(&view);
                 self.form_replicas(&view, &mut commands);
+                self.reclaim(&view);
             }
         }
         if !self.is_taking_over(now) {
--- a/crates/fleet/src/planner/advance.rs
+++ b/crates/fleet/src/planner/advance.rs
@@ -303,6 +303,8 @@
                 Dissolved {
                     at: input.now,
                     left,
+                    model: f.model.clone(),
+                    lost_member: f.lost_member(),
                 },
             );
         }
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -52,6 +52,10 @@
         Rejects(HostId),
         /// The head reports that it lost a member.
         Broken,
+        /// Its hosts replace a lost member of another replica.
+        Reclaimed,
+        /// Its hosts serve another model from now on.
+        Converted,
     }
 }
 
@@ -82,6 +86,8 @@
     pub since: Instant,
     /// Why it was dissolved.
     pub loss: Option<LossReason>,
+    /// Whether it consists of spares that serve until a repair needs them.
+    pub reclaimable: bool,
     /// Since when it has been serving with a leaving member.
     pub(crate) leaving_since: Option<Instant>,
     /// Members that accepted the order to join.
@@ -148,6 +154,7 @@
             phase: FormationPhase::Joining,
             since: now,
             loss: None,
+            reclaimable: false,
             leaving_since: None,
             accepted: BTreeSet::new(),
             unconfirmed_joins: BTreeSet::new(),
@@ -224,6 +231,12 @@
         self.since = now;
     }
 
+    /// Whether it was dissolved for another reason than its planner's choice.
+    pub(crate) fn lost_member(&self) -> bool {
+        let chosen = |l: &LossReason| matches!(l, LossReason::Reclaimed | LossReason::Converted);
+        self.loss.as_ref().is_some_and(|l| !chosen(l))
+    }
+
     /// Starts dissolving the formation.
     pub(crate) fn abandon(&mut self, loss: LossReason, now: Instant) {
         self.loss = Some(loss);
--- a/crates/fleet/src/planner/placement.rs
+++ b/crates/fleet/src/planner/placement.rs
@@ -15,6 +15,7 @@
 use crate::catalog::{Engine, ModelSpec, Service};
 use crate::fleet::Fleet;
 use crate::host::Host;
+use crate::planner::capacity::CapacityStepKind;
 use crate::planner::formation::{Formation, FormationPhase, Purpose};
 use crate::planner::{Command, Planner};
 
@@ -28,7 +29,7 @@
 
 /// Number of missing hosts that free hosts wait for. While hosts are lost and replaced, one arrives
 /// in a domain every few seconds; before the first request none is expected.
-const MAX_MISSING_HOSTS: usize = 1;
+pub(super) const MAX_MISSING_HOSTS: usize = 1;
 
 /// Hosts that start together are listed within this time of each other.
 const LIST_SETTLE_TIME: Duration = Duration::from_secs(1);
@@ -56,6 +57,7 @@
             // The first few hosts to answer a new planner would go to whichever model fits.
             if !unasked.contains(fabric) {
                 self.form_in_domain(view, fabric, free, commands);
+                self.lend_spares(view, fabric, free);
             }
         }
         // Before the first request, serving replicas load before spares do.
@@ -73,6 +75,7 @@
         for (fabric, free) in &domains {
             self.stage_spares(view, fabric, free, commands);
         }
+        self.stage_lent_spares(view, commands);
         self.stage_ahead(view, commands);
     }
 
@@ -128,7 +131,7 @@
                 .count();
             if lacking == 0 || view.cold {
                 if !self.is_releasing_members(fabric, view.now)
-                    && self.form_replica(view, model, &chosen)
+                    && self.form_replica(view, model, &chosen).is_some()
                 {
                     free.drain(..model.size);
                 }
@@ -175,7 +178,7 @@
             free.sort_by_key(|h| (self.join_time(h, Some(model), view.now), h.id.clone()));
             let chosen: Vec<&Host> = free.iter().take(model.size).copied().collect();
             let all_hold = chosen.iter().all(|h| self.has_weights(h, model));
-            if all_hold && self.form_replica(view, model, &chosen) {
+            if all_hold && self.form_replica(view, model, &chosen).is_some() {
                 free.drain(..model.size);
             }
         }
@@ -190,7 +193,7 @@
     ///
     /// They leave within milliseconds of each other. A replica formed in between would use up the
     /// spares instead.
-    fn is_releasing_members(&self, fabric: &FabricDomain, now: Instant) -> bool {
+    pub(super) fn is_releasing_members(&self, fabric: &FabricDomain, now: Instant) -> bool {
         let waits_for = |m: &HostId| !self.silent.contains_key(m);
         let leaving = |f: &&Formation| f.phase == FormationPhase::Dissolving && f.fabric == *fabric;
         let mut leaving = self.formations.values().filter(leaving);
@@ -224,9 +227,16 @@
         let lacking = (neediest.size + models.len()).saturating_sub(free);
         let waits_for = if view.cold { 0 } else { MAX_MISSING_HOSTS };
         let others_too = lacking > waits_for && self.all_are_listed(view.now);
+        let has_targets = self.capacity.is_known(&view.service.name);
         models.retain(|m| {
+            // A model that has its target needs no replica in each fabric domain, and leaves
+            // survivors of a lost replica to the model that is below its target.
+            let is_satisfied = has_targets && !self.is_below_target(view, m);
+            if is_satisfied && self.is_awaited(view, fabric, m, free) {
+                return false;
+            }
             let is_first = self.serving_count(view, m, Some(fabric)) == 0;
-            is_first || others_too || neediest.name == m.name
+            is_first && !is_satisfied || others_too || neediest.name == m.name
         });
         models
     }
@@ -243,6 +253,9 @@
 
     /// The work that an additional replica of a model would have.
     fn unmet_demand(&self, view: &ServiceView<'_>, model: &ModelSpec) -> f64 {
+        if let Some(unmet) = self.unmet_target(view, model) {
+            return unmet;
+        }
         let replicas = (self.serving_count(view, model, None) + 1) as f64;
         model.share.get() / (replicas * model.size.max(1) as f64)
     }
@@ -257,31 +270,34 @@
         self.serving.count(&view.service.name, &model.name, fabric)
     }
 
-    /// Creates a formation of the chosen hosts; `false` if the loads that it needs must wait.
-    fn form_replica(
+    /// Creates a formation of the chosen hosts; `None` if the loads that it needs must wait.
+    pub(super) fn form_replica(
         &mut self,
         view: &ServiceView<'_>,
         model: &ModelSpec,
         chosen: &[&Host],
-    ) -> bool {
+    ) -> Option<GroupId> {
         let loads = chosen
             .iter()
             .filter(|h| !self.has_weights(h, model))
             .count();
         if !self.reserve_loads(loads, view) {
-            return false;
+            return None;
         }
         let (id, epoch) = self.next_formation();
         let mut chosen = chosen.to_vec();
         // The first host becomes the head.
         chosen.sort_by_key(|h| self.rejecting.is_unfit_head(&h.id));
-        let Some(formation) = Formation::new(id, epoch, &model.name, &chosen, view.now) else {
-            return false;
-        };
+        let formation = Formation::new(id.clone(), epoch, &model.name, &chosen, view.now)?;
+        if self.is_below_target(view, model) && self.are_survivors(&chosen, model) {
+            let (service, fabric) = (&formation.service, &formation.fabric);
+            self.capacity
+                .record(CapacityStepKind::Survivors, service, &model.name, fabric);
+        }
         self.drop_priming(&formation.members);
         self.serving.add(&formation);
         self.formations.insert(formation);
-        true
+        Some(id)
     }
 
     /// Removes the priming formations of spares that join a serving formation.
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use eelgrassmill_fleet::{Engine, Millionths, ModelSpec, Service};
+use eelgrassmill_fleet::{
+    CapacityStepKind, DemandSnapshot, Engine, Millionths, ModelDemand, ModelSpec, Service,
+};
 use googletest::prelude::*;
 
 use crate::support::{World, speed};
@@ -95,3 +97,61 @@
     expect_that!(members, ge(48));
     expect_that!(both, eq(0));
 }
+
+/// Demand for this many slots of each model.
+fn demand(large: f64, small: f64) -> Option<DemandSnapshot> {
+    let mut demand = DemandSnapshot::default();
+    for (model, wanted) in [("large", large), ("small", small)] {
+        let of_model = ModelDemand {
+            used: wanted,
+            wanted,
+            peak: wanted,
+            rejected_per_second: 0.0,
+            prompt_tokens_per_second: 0.0,
+        };
+        demand.insert("writer", model, of_model);
+    }
+    Some(demand)
+}
+
+/// Guards against spares that idle while requests of a model are rejected.
+#[gtest]
+fn spares_serve_a_short_model() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    let before = (world.replicas("large"), world.replicas("small"));
+    let slots = |replicas: usize| 20.0 * replicas as f64;
+    world.demand = demand(slots(before.0) * 0.5, slots(before.1));
+    // 2 s of demand, 1 s of shortage, and the time to join and open.
+    world.run(seconds(6));
+    expect_that!(world.replicas("small"), gt(before.1));
+    expect_that!(world.count_steps(CapacityStepKind::Spare), ge(1));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Guards against spares that stay with a short model while a replica of another is incomplete.
+#[gtest]
+fn a_lost_member_is_replaced_by_hosts_of_a_reclaimable_replica() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    let before = (world.replicas("large"), world.replicas("small"));
+    world.demand = demand(160.0, 2000.0);
+    // The spares load the large model's weights again while they serve.
+    world.run(seconds(60));
+    expect_that!(world.replicas("small"), gt(before.1));
+    let fabric = (0..9).map(|n| format!("d{n}")).find(|fabric| {
+        let steps = world.steps.iter().filter(|(_, s)| s.fabric == *fabric);
+        let spare = steps.filter(|(_, s)| s.kind == CapacityStepKind::Spare);
+        spare.count() > 0 && !world.members(fabric, "large").is_empty()
+    });
+    let fabric = fabric.expect("spares of some domain serve");
+    let large = world.replicas("large");
+    world.demand = demand(175.0, 500.0);
+    let lost = world.members(&fabric, "large")[3].clone();
+    world.kill(&lost);
+    world.run(seconds(6));
+    expect_that!(world.members(&fabric, "large").len(), eq(8));
+    expect_that!(world.replicas("large"), ge(large));
+    expect_that!(world.count_steps(CapacityStepKind::Reclaim), eq(1));
+    expect_that!(world.violations, is_empty());
+}
--- a/crates/fleet/tests/planner_fuzz.rs
+++ b/crates/fleet/tests/planner_fuzz.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use eelgrassmill_fleet::LEASE_TERM;
+use eelgrassmill_fleet::{DemandSnapshot, LEASE_TERM, ModelDemand};
 use googletest::prelude::*;
 
 use crate::support::World;
@@ -56,9 +56,15 @@
 }
 
 fn play(seed: u64, kinds: u64) -> Vec<String> {
-    let mut world = World::new(2, 11, seed);
+    play_in(World::new(2, 11, seed), kinds)
+}
+
+fn play_in(mut world: World, kinds: u64) -> Vec<String> {
     world.run(Duration::from_secs(40));
     for _ in 0..FAULTS {
+        if world.follows_demand {
+            change_demand(&mut world);
+        }
         fault(&mut world, kinds);
     }
     world.delayed_ratio = 0.0;
@@ -74,6 +80,23 @@
     found
 }
 
+/// Sets a demand that all models' hosts or none could serve; one time in five none is known.
+fn change_demand(world: &mut World) {
+    let mut demand = DemandSnapshot::default();
+    for model in ["large", "small"] {
+        let wanted = world.roll(120) as f64;
+        let of_model = ModelDemand {
+            used: wanted / 2.0,
+            wanted,
+            peak: wanted * 1.2,
+            rejected_per_second: 0.0,
+            prompt_tokens_per_second: 0.0,
+        };
+        demand.insert("writer", model, of_model);
+    }
+    world.demand = (world.roll(5) > 0).then_some(demand);
+}
+
 /// Whether some domain still has enough hosts for the small model.
 fn has_enough_hosts(world: &World) -> bool {
     ["d0", "d1"].iter().any(|fabric| {
@@ -111,3 +134,17 @@
         expect_that!(found, is_empty(), "seed {seed}");
     }
 }
+
+/// Guards against steps for capacity by demand that take a host from a replica that serves.
+#[gtest]
+fn no_rule_is_broken_while_capacity_follows_demand() {
+    let seeds = std::env::var("FLEET_FUZZ_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    for seed in 0..seeds.unwrap_or(SEEDS) {
+        let mut world = World::new(2, 17, seed);
+        world.follow_demand();
+        let found = play_in(world, KINDS);
+        expect_that!(found, is_empty(), "seed {seed}");
+    }
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -7,8 +7,9 @@
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName};
 use eelgrassmill_fleet::{
-    Command, Engine, EngineSpeed, Fleet, FleetChange, Host, HostState, LossReason, Membership,
-    MembershipPhase, Millionths, ModelSpec, Order, OrderReply, Planner, PlannerTiming, Service,
+    CapacityStep, CapacityStepKind, Command, DemandSnapshot, Engine, EngineSpeed, Fleet,
+    FleetChange, Host, HostState, LossReason, Membership, MembershipPhase, Millionths, ModelSpec,
+    Order, OrderReply, Planner, PlannerTiming, Service,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -97,6 +98,10 @@
     pub(crate) cold: bool,
     /// Whether planners follow the demand.
     pub(crate) follows_demand: bool,
+    /// The demand that planners learn.
+    pub(crate) demand: Option<DemandSnapshot>,
+    /// Steps by which capacity followed demand.
+    pub(crate) steps: Vec<(Duration, CapacityStep)>,
     /// Number of failure domains over which fabric domains are spread.
     failure_domains: usize,
     rng: fastrand::Rng,
@@ -177,6 +182,8 @@
             loads: Vec::new(),
             cold: false,
             follows_demand: false,
+            demand: None,
+            steps: Vec::new(),
             failure_domains,
             rng: fastrand::Rng::with_seed(seed),
             term: 0,
@@ -392,6 +399,21 @@
             .count()
     }
 
+    /// Number of open replicas of a model with all their members.
+    pub(crate) fn replicas(&self, model: &str) -> usize {
+        let heads = self.hosts.values().filter(|h| h.alive);
+        let parts = heads.filter_map(|h| h.part.as_ref().map(|p| (h, p)));
+        parts
+            .filter(|(h, p)| p.members[0] == h.id && p.phase == MembershipPhase::Open)
+            .filter(|(_, p)| p.model == model && p.members.iter().all(|m| self.belongs(m, p)))
+            .count()
+    }
+
+    /// Number of steps of a kind.
+    pub(crate) fn count_steps(&self, kind: CapacityStepKind) -> usize {
+        self.steps.iter().filter(|(_, s)| s.kind == kind).count()
+    }
+
     fn belongs(&self, id: &HostId, part: &Part) -> bool {
         let host = self.hosts.get(id).filter(|h| h.alive);
         let own = host.and_then(|h| h.part.as_ref());
@@ -433,7 +455,12 @@
         let now = self.instant();
         let services = [&self.service];
         let Actor { planner, fleet, .. } = &mut self.actors[i];
+        if self.follows_demand {
+            planner.set_demand(self.demand.clone());
+        }
         let commands = planner.plan(fleet, &services, self.cold, now);
+        let steps = planner.take_capacity_steps();
+        self.steps.extend(steps.into_iter().map(|s| (self.now, s)));
         for command in commands {
             match command {
                 Command::Order { host, order, .. } => self.order(i, host, order),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of latency buckets in seconds, dense around the latency objectives of interactive
@@ -64,6 +65,10 @@
     pub(crate) evacuated_domains: IntGauge,
     /// Replicas that take requests.
     pub(crate) open_replicas: IntGauge,
+    /// Target number of replicas by service and model, at the planner.
+    pub(crate) capacity_target_replicas: IntGaugeVec,
+    /// Steps by which capacity followed demand, by kind.
+    pub(crate) capacity_steps: IntCounterVec,
     /// Consecutive failed calls to the store.
     pub(crate) store_failures: IntGauge,
 }
@@ -89,6 +94,14 @@
             &["service", "kind"],
         )
         .expect("constant name and labels are valid");
+        let capacity_target_replicas = IntGaugeVec::new(
+            Opts::new(
+                "gateway_capacity_target_replicas",
+                "Target number of replicas of each model.",
+            ),
+            &["service", "model"],
+        )
+        .expect("constant name and labels are valid");
         Metrics {
             requests: counter(
                 "gateway_requests_total",
@@ -148,6 +161,12 @@
                 "Failure domains whose hosts take nothing new.",
             ),
             open_replicas: gauge("gateway_open_replicas", "Replicas that take requests."),
+            capacity_target_replicas: register(&registry, capacity_target_replicas),
+            capacity_steps: counter(
+                "gateway_capacity_steps_total",
+                "Steps by which the capacity of models followed their demand.",
+                &["step"],
+            ),
             store_failures: gauge(
                 "gateway_store_failures",
                 "Failed calls to the store in a row.",
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -6,7 +6,7 @@
 
 use eelgrassmill_base::{GroupId, HostId};
 use eelgrassmill_fleet::{
-    Command, Formation, FormationPhase, Host, LossReason, Order, OrderReply, Planner,
+    CapacityTarget, Command, Formation, FormationPhase, Host, LossReason, Order, OrderReply, Planner,
     PlannerTiming, Purpose, Service,
 };
 use tracing::info;
@@ -52,6 +52,8 @@
 impl<P: Platform> Drop for PlannerTerm<P> {
     fn drop(&mut self) {
         self.core.planning.close();
+        // Targets are those of the planner; a node that is none shows no old ones.
+        self.core.metrics.capacity_target_replicas.reset();
     }
 }
 
@@ -113,6 +115,7 @@
             .open_replicas
             .set(i64::try_from(open).unwrap_or(i64::MAX));
         self.log_formations();
+        self.report_capacity();
         for command in commands {
             self.execute(command);
         }
@@ -137,6 +140,31 @@
         self.logged_phases = formations.map(|f| (f.id.clone(), f.phase)).collect();
     }
 
+    /// Counts and logs the steps by which capacity followed demand, and publishes the targets.
+    ///
+    /// Steps need no limit on log lines: each of them forms or dissolves a replica.
+    fn report_capacity(&mut self) {
+        let metrics = &self.core.metrics;
+        for step in self.planner.take_capacity_steps() {
+            let kind = step.kind.name();
+            metrics.capacity_steps.with_label_values(&[kind]).inc();
+            info!(
+                event = "capacity", step = kind, service = %step.service, model = %step.model,
+                fabric = %step.fabric,
+            );
+        }
+        let targets: Vec<CapacityTarget> = self.planner.capacity_targets().collect();
+        if targets.is_empty() {
+            metrics.capacity_target_replicas.reset();
+        }
+        for target in targets {
+            let replicas = i64::try_from(target.replicas).unwrap_or(i64::MAX);
+            let labels = [target.service.as_str(), target.model.as_str()];
+            let gauge = &metrics.capacity_target_replicas;
+            gauge.with_label_values(&labels).set(replicas);
+        }
+    }
+
     /// Gives up replicas that are known here to be lost.
     ///
     /// A loss that is reported before this planner knows the replica, or while no node leads, is
