--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod cold;
 mod cpu_overload;
 mod crash_detector;
+mod demand;
 mod ejection;
 mod fleet;
 mod host;
@@ -46,6 +47,7 @@
 pub use crate::crash_detector::{
     BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
 };
+pub use crate::demand::{DemandSnapshot, ModelDemand};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
@@ -54,8 +56,8 @@
 pub use crate::pace::{HostPace, PaceChange, PaceSummary, Pacing, Preference, SentRequest, judge};
 pub use crate::paced_hosts::{PacedHost, PacedHosts};
 pub use crate::planner::{
-    Command, Formation, FormationPhase, LossReason, Order, OrderReply, Planner, PlannerTiming,
-    Purpose,
+    CapacityStep, CapacityStepKind, CapacityTarget, Command, Formation, FormationPhase, LossReason,
+    Order, OrderReply, Planner, PlannerTiming, Purpose,
 };
 pub use crate::presence::HostPresence;
 pub use crate::priority::{LateRejection, Priority};
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -7,8 +7,9 @@
 
 use eelgrassmill_base::{Epoch, GroupId, HostId, ModelName};
 use eelgrassmill_fleet::{
-    Command, Engine, EngineSpeed, Fleet, FleetChange, Host, HostState, LossReason, Membership,
-    MembershipPhase, Millionths, ModelSpec, Order, OrderReply, Planner, PlannerTiming, Service,
+    CapacityStep, CapacityStepKind, Command, DemandSnapshot, Engine, EngineSpeed, Fleet,
+    FleetChange, Host, HostState, LossReason, Membership, MembershipPhase, Millionths, ModelSpec,
+    Order, OrderReply, Planner, PlannerTiming, Service,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -93,6 +94,16 @@
     pub(crate) orders: usize,
     pub(crate) queries: usize,
     pub(crate) loads: Vec<Duration>,
+    /// Whether no request was ever served: loads are fast then.
+    pub(crate) cold: bool,
+    /// Whether planners follow the demand.
+    pub(crate) follows_demand: bool,
+    /// The demand that planners learn.
+    pub(crate) demand: Option<DemandSnapshot>,
+    /// Steps by which capacity followed demand.
+    pub(crate) steps: Vec<(Duration, CapacityStep)>,
+    /// Number of failure domains over which fabric domains are spread.
+    failure_domains: usize,
     rng: fastrand::Rng,
     term: u64,
     next_host: usize,
@@ -141,6 +152,17 @@
 impl World {
     /// Creates `domains` fabric domains of `each` hosts, and a first planner.
     pub(crate) fn new(domains: usize, each: usize, seed: u64) -> World {
+        World::with_service(domains, each, seed, service(), 1)
+    }
+
+    /// Creates a world with another service and several failure domains.
+    pub(crate) fn with_service(
+        domains: usize,
+        each: usize,
+        seed: u64,
+        service: Service,
+        failure_domains: usize,
+    ) -> World {
         let began = Instant::now();
         let mut world = World {
             began,
@@ -148,7 +170,7 @@
             hosts: BTreeMap::new(),
             listed: Fleet::default(),
             actors: Vec::new(),
-            service: service(),
+            service,
             entries: Vec::new(),
             late: Vec::new(),
             delayed_ratio: 0.0,
@@ -158,6 +180,11 @@
             orders: 0,
             queries: 0,
             loads: Vec::new(),
+            cold: false,
+            follows_demand: false,
+            demand: None,
+            steps: Vec::new(),
+            failure_domains,
             rng: fastrand::Rng::with_seed(seed),
             term: 0,
             next_host: 0,
@@ -208,7 +235,10 @@
         for actor in &mut self.actors {
             actor.until.get_or_insert(until);
         }
-        let planner = Planner::new(self.term, PlannerTiming::default(), self.began + self.now);
+        let mut planner = Planner::new(self.term, PlannerTiming::default(), self.began + self.now);
+        if self.follows_demand {
+            planner.enable_demand_policy();
+        }
         self.actors.push(Actor {
             planner,
             until: None,
@@ -369,6 +399,21 @@
             .count()
     }
 
+    /// Number of open replicas of a model with all their members.
+    pub(crate) fn replicas(&self, model: &str) -> usize {
+        let heads = self.hosts.values().filter(|h| h.alive);
+        let parts = heads.filter_map(|h| h.part.as_ref().map(|p| (h, p)));
+        parts
+            .filter(|(h, p)| p.members[0] == h.id && p.phase == MembershipPhase::Open)
+            .filter(|(_, p)| p.model == model && p.members.iter().all(|m| self.belongs(m, p)))
+            .count()
+    }
+
+    /// Number of steps of a kind.
+    pub(crate) fn count_steps(&self, kind: CapacityStepKind) -> usize {
+        self.steps.iter().filter(|(_, s)| s.kind == kind).count()
+    }
+
     fn belongs(&self, id: &HostId, part: &Part) -> bool {
         let host = self.hosts.get(id).filter(|h| h.alive);
         let own = host.and_then(|h| h.part.as_ref());
@@ -410,7 +455,12 @@
         let now = self.instant();
         let services = [&self.service];
         let Actor { planner, fleet, .. } = &mut self.actors[i];
-        let commands = planner.plan(fleet, &services, false, now);
+        if self.follows_demand {
+            planner.set_demand(self.demand.clone());
+        }
+        let commands = planner.plan(fleet, &services, self.cold, now);
+        let steps = planner.take_capacity_steps();
+        self.steps.extend(steps.into_iter().map(|s| (self.now, s)));
         for command in commands {
             match command {
                 Command::Order { host, order, .. } => self.order(i, host, order),
@@ -539,10 +589,24 @@
             .models
             .iter()
             .find(|m| m.name == model)
-            .map(|m| m.load_time)
+            .map(|m| m.load_time / if self.cold { 10 } else { 1 })
             .unwrap_or_default()
     }
 
+    /// Switches on capacity by demand, for the current planner and later ones.
+    pub(crate) fn follow_demand(&mut self) {
+        self.follows_demand = true;
+        for actor in &mut self.actors {
+            actor.planner.enable_demand_policy();
+        }
+    }
+
+    /// The failure domain of a host, by the number of its fabric domain.
+    fn failure_domain(&self, host: &FakeHost) -> SmolStr {
+        let number: usize = host.fabric[1..].parse().unwrap_or_default();
+        format_smolstr!("z{}", number % self.failure_domains + 1)
+    }
+
     fn join(
         &mut self,
         id: &HostId,
@@ -701,7 +765,7 @@
             started_ms: host.started_ms,
             service: SERVICE.into(),
             address: format_smolstr!("10.0.0.1:{}", host.id),
-            failure_domain: "z1".into(),
+            failure_domain: self.failure_domain(host),
             fabric: host.fabric.clone(),
             state: host.state,
             slots: 26,
