Share a model's slots fairly between customers at its scheduler

Cause: one customer that sends more than fits takes the slots of all others, and a rejected request that comes back when told is sorted behind all others and rejected again.

Change: Scheduler::with_policy queues requests by customer (virtual token counter), rejects those that can't begin in time at once, tells them a time at which a place is kept, and reserves a tenth of the grants for those that come back. Scheduler::new decides as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod cpu_overload;
 mod crash_detector;
 mod ejection;
+mod fair_share;
 mod fleet;
 mod host;
 mod host_signals;
@@ -32,6 +33,7 @@
 mod success;
 mod suspicion;
 mod targets;
+mod wait_estimate;
 
 pub use crate::balance::{HostCandidate, choose_host};
 pub use crate::caller_timeouts::CallerTimeouts;
@@ -45,6 +47,7 @@
     BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
 };
 pub use crate::ejection::{Ejection, EjectionBackoff};
+pub use crate::fair_share::{Candidates, FairQueue, QueueId, WaitClass, WaitingRequest};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::host_signals::{HostObservation, HostSignals, RequestedRest, ReturnTimes};
@@ -64,7 +67,8 @@
 pub use crate::retry::{RetryBudget, RetryWindow};
 pub use crate::roles::{RoleCandidate, ranked_for_role, strongest};
 pub use crate::schedule::{
-    HeadKey, HeadLoad, OpenHead, PendingRequest, RequestKey, Scheduler, SchedulerState, SlotOutcome,
+    AdmissionDecision, Decision, HeadKey, HeadLoad, OpenHead, PendingRequest, RequestKey,
+    RequestOrigin, Scheduler, SchedulerState, SchedulingPolicy, SlotOutcome,
 };
 pub use crate::spill::{DomainLoad, choose_domain};
 pub use crate::stall::{StallThreshold, StreamActivity};
@@ -73,3 +77,4 @@
     MAX_SILENCE, MAX_UNREACHABLE_SILENCE, MemberCheck, Suspicion, SuspicionStep,
 };
 pub use crate::targets::{TargetOutcome, TargetStats};
+pub use crate::wait_estimate::{MAX_REJECTION_WAIT, RETURNING_RATIO, ReturnTicket, WaitEstimate};
--- a/crates/fleet/src/rate.rs
+++ b/crates/fleet/src/rate.rs
@@ -26,6 +26,11 @@
         self.weight_at(now) / TIME_CONSTANT.as_secs_f64()
     }
 
+    /// Fraction of a steady rate that the average shows `age` after its first event.
+    pub(crate) fn settled(age: Duration) -> f64 {
+        1.0 - (-age.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
+    }
+
     fn weight_at(&self, now: Instant) -> f64 {
         let age = self.at.map_or(0.0, |at| {
             now.saturating_duration_since(at).as_secs_f64() / TIME_CONSTANT.as_secs_f64()
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -9,6 +9,7 @@
 //! streams. Further requests are queued here, where they can be reordered or rejected; at the head
 //! they would delay all its streams.
 
+mod fair;
 mod head;
 mod queue;
 
@@ -17,12 +18,14 @@
 
 use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, NodeId, value};
 use smallvec::SmallVec;
+use smol_str::SmolStr;
 
 use crate::catalog::{EngineSpeed, Millionths};
 use crate::cold::ColdStart;
 use crate::priority::{LateRejection, Priority};
 use crate::rate::Rate;
 use crate::rate_limit::{RetryTimes, usable_rate};
+use crate::schedule::fair::Contention;
 use crate::schedule::head::{Demand, HeadState, LimitState};
 use crate::schedule::queue::{Position, Queue};
 
@@ -128,6 +131,54 @@
     }
 }
 
+value! { copy
+    /// Optional policies of a scheduler. Those that are off leave decisions as they are without them.
+    #[derive(Default)]
+    pub struct SchedulingPolicy {
+        /// Customers share slots fairly, and requests that can't begin in time are rejected at once.
+        pub fair_share: bool,
+    }
+
+    /// Why a request was granted or rejected.
+    pub enum AdmissionDecision {
+        /// It got a slot.
+        Granted,
+        /// It was rejected on arrival, since it would begin too late.
+        RejectedEstimate,
+        /// It was queued, and rejected for a request of a customer with less service.
+        RejectedShare,
+        /// It was queued, and can no longer begin in time.
+        Shed,
+    }
+}
+
+value! {
+    /// Who sends a request.
+    #[derive(Default)]
+    pub struct RequestOrigin {
+        /// The customer; empty if unknown.
+        pub customer: SmolStr,
+        /// Whether the request was rejected before.
+        pub returning: bool,
+    }
+
+    /// Decision on a pending request, and its reasons.
+    pub struct Decision {
+        /// The request.
+        pub key: RequestKey,
+        /// The decision.
+        pub outcome: SlotOutcome,
+        /// For [`SlotOutcome::Full`], when it can be served; `None` if unknown.
+        pub retry_after: Option<Duration>,
+        /// Why.
+        pub decision: AdmissionDecision,
+        /// Its customer; empty if unknown.
+        pub customer: SmolStr,
+        /// Whether it was rejected before.
+        pub is_returning: bool,
+    }
+}
+
 value! { copy
     /// State of one head.
     pub struct HeadLoad {
@@ -155,6 +206,23 @@
     }
 }
 
+impl From<(RequestKey, SlotOutcome)> for Decision {
+    fn from((key, outcome): (RequestKey, SlotOutcome)) -> Decision {
+        let decision = match outcome {
+            SlotOutcome::Granted(_) => AdmissionDecision::Granted,
+            SlotOutcome::Full | SlotOutcome::Limited { .. } => AdmissionDecision::Shed,
+        };
+        Decision {
+            key,
+            outcome,
+            retry_after: None,
+            decision,
+            customer: SmolStr::default(),
+            is_returning: false,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Assignment {
     head: HeadKey,
@@ -202,6 +270,8 @@
     grants: Rate,
     /// When requests that the heads' limits don't admit may come back.
     retry_times: RetryTimes,
+    /// Set if customers share slots fairly; it then replaces `queue`.
+    contention: Option<Box<Contention>>,
 }
 
 impl Scheduler {
@@ -220,6 +290,15 @@
             arrivals: Rate::default(),
             grants: Rate::default(),
             retry_times: RetryTimes::default(),
+            contention: None,
+        }
+    }
+
+    /// Creates an empty scheduler with optional policies.
+    pub fn with_policy(speed: EngineSpeed, policy: SchedulingPolicy, now: Instant) -> Scheduler {
+        Scheduler {
+            contention: policy.fair_share.then(Box::default),
+            ..Scheduler::new(speed, now)
         }
     }
 
@@ -264,7 +343,7 @@
             slots: heads.iter().map(|h| h.slots).sum(),
             requests: heads.iter().map(|h| self.requests_of(h, now)).sum(),
             rejecting: heads.iter().filter(rejects).count(),
-            waiting: self.queue.len(),
+            waiting: self.queue_len(),
             first_event_latency: self.first_event_latency,
         }
     }
@@ -276,19 +355,38 @@
 
     /// Number of queued requests.
     pub fn queue_len(&self) -> usize {
-        self.queue.len()
+        let contention = self.contention.as_ref();
+        contention.map_or(self.queue.len(), |c| c.queue.len())
     }
 
     /// Queues a request; returns whether it was added. One that is already queued only gets its new
     /// excluded hosts.
     pub fn enqueue(&mut self, request: PendingRequest, now: Instant) -> bool {
-        if let Some(queued) = self.queue.get_mut(&request.key) {
+        self.enqueue_from(request, RequestOrigin::default(), now)
+    }
+
+    /// Queues a request of a known customer, as [`Self::enqueue`] does.
+    pub fn enqueue_from(
+        &mut self,
+        request: PendingRequest,
+        origin: RequestOrigin,
+        now: Instant,
+    ) -> bool {
+        let queued = match &mut self.contention {
+            Some(contention) => contention.get_mut(&request.key),
+            None => self.queue.get_mut(&request.key),
+        };
+        if let Some(queued) = queued {
             queued.excluded = request.excluded;
             return false;
         }
         if now < request.on_time_until {
             self.arrivals.on_event(now);
         }
+        if let Some(contention) = &mut self.contention {
+            contention.push(request, origin, now);
+            return true;
+        }
         let priority = Priority::first(request.resumed, request.urgency);
         self.queue.push(priority, request);
         true
@@ -342,10 +440,22 @@
         }
     }
 
+    /// Records that a request has ended or was abandoned.
+    pub fn on_released(&mut self, key: &RequestKey, now: Instant) {
+        let served = self.assigned.get(key).filter(|a| a.prefilled);
+        if let (Some(served), Some(contention)) = (served, &mut self.contention) {
+            contention.on_released(now.saturating_duration_since(served.granted_at));
+        }
+        self.release(key);
+    }
+
     /// Removes a request that has ended or was abandoned, whether it has a slot or is queued.
     pub fn release(&mut self, key: &RequestKey) {
         self.on_prefilled(key);
         self.queue.remove_key(key);
+        if let Some(contention) = &mut self.contention {
+            contention.remove_key(key);
+        }
         let Some(assigned) = self.assigned.remove(key) else {
             return;
         };
@@ -397,6 +507,7 @@
             .assigned
             .keys()
             .chain(self.queue.keys())
+            .chain(self.contention.iter().flat_map(|c| c.keys()))
             .filter(of_node)
             .cloned()
             .collect();
@@ -407,6 +518,12 @@
 
     /// Decides on all queued requests that can be decided now.
     pub fn assign(&mut self, heads: &[OpenHead], now: Instant) -> Vec<(RequestKey, SlotOutcome)> {
+        let decided = self.decide_all(heads, now).into_iter();
+        decided.map(|d| (d.key, d.outcome)).collect()
+    }
+
+    /// Decides on all queued requests that can be decided now, with the reasons.
+    pub fn decide_all(&mut self, heads: &[OpenHead], now: Instant) -> Vec<Decision> {
         self.inherited.get_or_insert_with(|| {
             let busy = heads.iter().filter(|h| h.inherited_requests > 0);
             busy.map(|h| (h.key.clone(), h.inherited_requests))
@@ -414,6 +531,21 @@
         });
         self.update_heads(heads, now);
         self.accept_unrejected(now);
+        if let Some(mut contention) = self.contention.take() {
+            let decided = self.decide_fairly(&mut contention, heads, now);
+            self.contention = Some(contention);
+            return decided;
+        }
+        let decided = self.decide_in_order(heads, now).into_iter();
+        decided.map(Decision::from).collect()
+    }
+
+    /// Decides on the queued requests by priority, without regard to customers.
+    fn decide_in_order(
+        &mut self,
+        heads: &[OpenHead],
+        now: Instant,
+    ) -> Vec<(RequestKey, SlotOutcome)> {
         let first_event_latency = self.first_event_latency.mul_f64(MIN_LATENCY_RATIO);
         self.queue.demote_late(first_event_latency, now);
         let mut decided = Vec::new();
