Ask schedulers for slots with the customer, and tell callers when to come back

Cause: a scheduler doesn't know whose requests wait, and a full model's Retry-After is a constant.

Change: SlotRequest names the customer and whether the request was rejected before; a Full reply says when it can be served. Counters for decisions and returning requests, and a log line for a customer above its share.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::{HostId, ModelName, ServiceName};
-use eelgrassmill_fleet::{HostCandidate, LateRejection, Priority, Rate, choose_host};
+use eelgrassmill_fleet::{
+    HostCandidate, LateRejection, MAX_REJECTION_WAIT, Priority, Rate, choose_host,
+};
 use tokio::sync::Notify;
 
 use crate::call::Call;
@@ -33,7 +35,7 @@
 /// Longest wait of a request. Callers disconnect after 2 s without an event, and the first event
 /// takes some 300 ms.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(1400);
-/// Retry-After when every replica is full, times a random factor from 1 to 2 so that callers
+/// Retry-After when every replica is full and nothing was measured, times a random factor from 1 to 2 so that callers
 /// don't return together.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
 
@@ -183,7 +185,13 @@
 ) -> Result<SlotGuard<P>, Refusal> {
     core.admission.arrived(service, model);
     let needed = (call.deadline - call.arrived).mul_f64(MIN_REMAINING_RATIO);
-    let give_up_at = (call.deadline - needed).min(Instant::now() + MAX_QUEUE_TIME);
+    let is_fair = core.cfg.policies.fair_share;
+    let longest = if is_fair && !resumed {
+        call.arrived + MAX_REJECTION_WAIT
+    } else {
+        Instant::now() + MAX_QUEUE_TIME
+    };
+    let give_up_at = (call.deadline - needed).min(longest);
     let query = SlotQuery {
         call,
         service,
@@ -194,7 +202,10 @@
     };
     match scheduler_client::acquire(core, &query).await {
         Acquired::Granted(slot) => return Ok(*slot),
-        Acquired::Full => return Err(full_refusal(no_slot_cause(core, service, model))),
+        Acquired::Full(retry_after) => {
+            let cause = no_slot_cause(core, service, model);
+            return Err(full_refusal(cause, retry_after));
+        }
         Acquired::Limited(retry_after) => return Err(limit_refusal(core, service, retry_after)),
         Acquired::Resting(rest) => return Err(core.host_signals.rest_refusal(rest)),
         Acquired::NoScheduler => {}
@@ -215,7 +226,7 @@
                     return Err(core.host_signals.rest_refusal(rest));
                 }
                 Choice::Full { slots } if waiting.others() >= slots => {
-                    return Err(full_refusal(RefusalCause::Full));
+                    return Err(full_refusal(RefusalCause::Full, None));
                 }
                 _ => {}
             }
@@ -224,13 +235,13 @@
         let left = give_up_at.saturating_duration_since(now);
         if left.is_zero() {
             waiting.ended(false, now);
-            return Err(full_refusal(no_slot_cause(core, service, model)));
+            return Err(full_refusal(no_slot_cause(core, service, model), None));
         }
         if now >= call.on_time_until() {
             waiting.demote_late();
         }
         if waiting.is_rejected_as_late(now) && !waiting.is_first() {
-            return Err(full_refusal(no_slot_cause(core, service, model)));
+            return Err(full_refusal(no_slot_cause(core, service, model), None));
         }
         let woken = Arc::clone(&waiting.woken);
         // A timeout is the periodic recheck.
@@ -243,8 +254,10 @@
     Refusal::with_retry_after(RefusalCause::HostLimit, retry_after)
 }
 
-fn full_refusal(cause: RefusalCause) -> Refusal {
-    Refusal::with_retry_after(cause, RETRY_AFTER_FULL.mul_f64(1.0 + fastrand::f64()))
+/// A rejection that says when a slot will be free, or [`RETRY_AFTER_FULL`] if that is unknown.
+fn full_refusal(cause: RefusalCause, retry_after: Option<Duration>) -> Refusal {
+    let unknown = || RETRY_AFTER_FULL.mul_f64(1.0 + fastrand::f64());
+    Refusal::with_retry_after(cause, retry_after.unwrap_or_else(unknown))
 }
 
 enum Choice {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -61,6 +61,16 @@
         self.first_sent + self.route.latency_objective
     }
 
+    /// Whether its caller has sent it before.
+    pub(crate) fn is_returning(&self) -> bool {
+        self.first_sent < self.arrived
+    }
+
+    /// The name of its customer; empty if it has none.
+    pub(crate) fn customer(&self) -> &str {
+        self.caller.as_ref().map_or("", |c| c.tenant.as_str())
+    }
+
     /// Identifies the request whenever its caller sends it again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use eelgrassmill_fleet::AdmissionDecision;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -54,6 +55,10 @@
     pub(crate) leaving_hosts: IntGauge,
     /// Times that a host's limit held back a request of this node, by service.
     limited: IntCounterVec,
+    /// Decisions on requests for slots, by service and decision.
+    pub(crate) admission: IntCounterVec,
+    /// Requests that came back after a rejection, by service and outcome.
+    pub(crate) returning: IntCounterVec,
     /// Connections to hosts through other nodes by outcome, and those carried for other nodes.
     pub(crate) relayed_connections: IntCounterVec,
     /// Orders by kind and reply.
@@ -132,6 +137,16 @@
                 "Connections to hosts through other nodes, and for them.",
                 &["outcome"],
             ),
+            admission: counter(
+                "gateway_admission_total",
+                "Decisions of this node on requests for slots.",
+                &["service", "decision"],
+            ),
+            returning: counter(
+                "gateway_returning_total",
+                "Requests that came back after a rejection.",
+                &["service", "outcome"],
+            ),
             limited: counter(
                 "gateway_limited_total",
                 "Times that a limit that hosts name held back a request.",
@@ -181,6 +196,27 @@
         self.retries.with_label_values(&labels).inc();
     }
 
+    /// Counts a decision on a request for a slot.
+    pub(crate) fn count_admission(
+        &self,
+        service: &str,
+        decision: AdmissionDecision,
+        is_returning: bool,
+    ) {
+        let is_served = decision == AdmissionDecision::Granted;
+        let name = match decision {
+            AdmissionDecision::Granted => "granted",
+            AdmissionDecision::RejectedEstimate => "rejected-estimate",
+            AdmissionDecision::RejectedShare => "rejected-share",
+            AdmissionDecision::Shed => "shed",
+        };
+        self.admission.with_label_values(&[service, name]).inc();
+        if is_returning {
+            let outcome = if is_served { "served" } else { "rejected" };
+            self.returning.with_label_values(&[service, outcome]).inc();
+        }
+    }
+
     /// Counts a request that a limit held back.
     pub(crate) fn count_limited(&self, service: &str) {
         self.limited.with_label_values(&[service]).inc();
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -9,11 +9,13 @@
 
 use eelgrassmill_base::{FailureDomain, GroupId, ModelName, NodeId, ServiceName, value};
 use eelgrassmill_fleet::{
-    EngineSpeed, HeadKey, Millionths, OpenHead, PendingRequest, RequestKey, Scheduler, SlotOutcome,
+    AdmissionDecision, Decision, EngineSpeed, HeadKey, Millionths, OpenHead, PendingRequest,
+    RequestKey, RequestOrigin, Scheduler, SchedulingPolicy, SlotOutcome,
 };
 use eelgrassmill_peer::{
     ScheduleReply, ScheduleRequest, SlotDecision, SlotEvent, SlotEventKind, SlotRequest,
 };
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use tracing::info;
 
@@ -29,6 +31,11 @@
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// A scheduler that got no call for this long is dropped.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// A customer takes more than its share until this long after the last of its requests was rejected
+/// for those of others.
+const SHARE_PERIOD: Duration = Duration::from_secs(2);
+/// Customers that are watched for that: few at a time take more than their share.
+const MAX_OVER_SHARE: usize = 16;
 /// Longest time that a slot request is held before its reply.
 const MAX_RPC_WAIT: Duration = Duration::from_millis(250);
 
@@ -49,6 +56,9 @@
     running: Mutex<HashMap<Scope, Arc<Mutex<RunningScheduler>>>>,
 }
 
+/// A decision, and for [`SlotOutcome::Full`], when the request can be served, if that is known.
+type Answer = (SlotOutcome, Option<Duration>);
+
 #[derive(Debug)]
 struct RunningScheduler {
     scope: Scope,
@@ -57,9 +67,11 @@
     unserved: usize,
     log_limit: LogRateLimit,
     /// Replies to pending calls, by the request whose decision they wait for.
-    pending_replies: HashMap<RequestKey, oneshot::Sender<SlotOutcome>>,
+    pending_replies: HashMap<RequestKey, oneshot::Sender<Answer>>,
     /// Decisions that were made while no call was pending.
-    uncollected: HashMap<RequestKey, (SlotOutcome, Instant)>,
+    uncollected: HashMap<RequestKey, (Answer, Instant)>,
+    /// Customers that take more than their share.
+    over_share: OverShare,
     last_used: Instant,
 }
 
@@ -127,14 +139,19 @@
         locked(&running).on_slot_event(&node, slot_event, now);
     }
     let Some(slot_request) = &req.slot_request else {
-        locked(&running).decide(&open_heads(&core, &scope), now);
+        locked(&running).decide(&core, &open_heads(&core, &scope), now);
         return ScheduleReply::default();
     };
     let request = pending_request(&node, &req.failure_domain, slot_request, now);
-    let outcome_rx = locked(&running).request_slot(request, &open_heads(&core, &scope), now);
+    let origin = RequestOrigin {
+        customer: slot_request.customer.as_str().into(),
+        returning: slot_request.returning,
+    };
+    let heads = open_heads(&core, &scope);
+    let outcome_rx = locked(&running).request_slot(&core, request, origin, &heads, now);
     let wait = Duration::from_millis(slot_request.wait_ms.into()).min(MAX_RPC_WAIT);
     match tokio::time::timeout(wait, outcome_rx).await {
-        Ok(Ok(outcome)) => reply(outcome),
+        Ok(Ok(answer)) => reply(answer),
         _ => decision(SlotDecision::Waiting),
     }
 }
@@ -171,7 +188,7 @@
     }
 }
 
-fn reply(outcome: SlotOutcome) -> ScheduleReply {
+fn reply((outcome, retry_after): Answer) -> ScheduleReply {
     match outcome {
         SlotOutcome::Granted((replica, epoch)) => ScheduleReply {
             decision: SlotDecision::Granted.into(),
@@ -179,7 +196,10 @@
             epoch,
             retry_after_ms: 0,
         },
-        SlotOutcome::Full => decision(SlotDecision::Full),
+        SlotOutcome::Full => ScheduleReply {
+            retry_after_ms: retry_after.map_or(0, |r| r.as_millis() as u64),
+            ..decision(SlotDecision::Full)
+        },
         SlotOutcome::Limited { retry_after } => ScheduleReply {
             retry_after_ms: retry_after.as_millis() as u64,
             ..decision(SlotDecision::Limited)
@@ -211,13 +231,17 @@
         return Some(Arc::clone(running));
     }
     let now = Instant::now();
+    let policy = SchedulingPolicy {
+        fair_share: core.cfg.policies.fair_share,
+    };
     let running = Arc::new(Mutex::new(RunningScheduler {
         scope: scope.clone(),
-        scheduler: Scheduler::new(speed, now),
+        scheduler: Scheduler::with_policy(speed, policy, now),
         unserved: 0,
         log_limit: LogRateLimit::default(),
         pending_replies: HashMap::new(),
         uncollected: HashMap::new(),
+        over_share: OverShare::default(),
         last_used: now,
     }));
     all.insert(scope.clone(), Arc::clone(&running));
@@ -251,7 +275,7 @@
         let waits = locked(&running).is_waiting();
         if waits {
             let heads = open_heads(&core, &scope);
-            locked(&running).decide(&heads, now);
+            locked(&running).decide(&core, &heads, now);
         }
         // Under both locks: a scheduler that is called just now must not be dropped with its slots.
         let mut all = locked(&core.schedulers.running);
@@ -298,17 +322,19 @@
             SlotEventKind::Released => {
                 self.pending_replies.remove(&key);
                 self.uncollected.remove(&key);
-                self.scheduler.release(&key);
+                self.scheduler.on_released(&key, now);
             }
         }
     }
 
-    fn request_slot(
+    fn request_slot<P: Platform>(
         &mut self,
+        core: &Core<P>,
         request: PendingRequest,
+        origin: RequestOrigin,
         heads: &[OpenHead],
         now: Instant,
-    ) -> oneshot::Receiver<SlotOutcome> {
+    ) -> oneshot::Receiver<Answer> {
         let (tx, rx) = oneshot::channel();
         if let Some((outcome, _)) = self.uncollected.remove(&request.key) {
             // The receiver is still in this function, so this can't fail.
@@ -316,24 +342,33 @@
             return rx;
         }
         self.pending_replies.insert(request.key.clone(), tx);
-        if self.scheduler.enqueue(request, now) {
-            self.decide(heads, now);
+        if self.scheduler.enqueue_from(request, origin, now) {
+            self.decide(core, heads, now);
         }
         rx
     }
 
     /// Makes the decisions that are possible now and sends them to the pending calls.
-    fn decide(&mut self, heads: &[OpenHead], now: Instant) {
-        for (key, outcome) in self.scheduler.assign(heads, now) {
+    fn decide<P: Platform>(&mut self, core: &Core<P>, heads: &[OpenHead], now: Instant) {
+        for decision in self.scheduler.decide_all(heads, now) {
+            if core.cfg.policies.fair_share {
+                self.record(core, &decision, now);
+            }
+            let Decision {
+                key,
+                outcome,
+                retry_after,
+                ..
+            } = decision;
             if !matches!(outcome, SlotOutcome::Granted(_)) {
                 self.unserved += 1;
             }
             let unsent = match self.pending_replies.remove(&key) {
-                Some(tx) => tx.send(outcome).err(),
-                None => Some(outcome),
+                Some(tx) => tx.send((outcome, retry_after)).err(),
+                None => Some((outcome, retry_after)),
             };
-            if let Some(outcome) = unsent {
-                self.uncollected.insert(key, (outcome, now));
+            if let Some(answer) = unsent {
+                self.uncollected.insert(key, (answer, now));
             }
         }
         let stale = |at: Instant| now.saturating_duration_since(at) > COLLECT_TIMEOUT;
@@ -352,6 +387,25 @@
         }
     }
 
+    /// Counts a decision, and logs when a customer begins or ceases to take more than its share.
+    fn record<P: Platform>(&mut self, core: &Core<P>, decision: &Decision, now: Instant) {
+        core.metrics.count_admission(
+            &self.scope.service,
+            decision.decision,
+            decision.is_returning,
+        );
+        if decision.decision == AdmissionDecision::RejectedShare {
+            self.over_share.on_rejected(&decision.customer, now);
+        }
+        if let Some(change) = self.over_share.change(now) {
+            info!(
+                event = "contention", model = %self.scope.model, customer = %change.customer,
+                outcome = if change.begins { "begins" } else { "ceases" },
+                waiting = self.scheduler.queue_len(),
+            );
+        }
+    }
+
     fn log_unserved(&mut self, heads: &[OpenHead], now: Instant) {
         let state = self.scheduler.state(heads, now);
         info!(
@@ -365,6 +419,52 @@
     }
 }
 
+/// Customers that take more than their share while others wait.
+#[derive(Debug, Default)]
+struct OverShare {
+    /// When a request of a customer was last rejected for others, and whether it was logged that it
+    /// takes more than its share.
+    customers: HashMap<SmolStr, (Instant, bool)>,
+    log_limit: LogRateLimit,
+}
+
+/// A customer that begins or ceases to take more than its share.
+struct ShareChange {
+    customer: SmolStr,
+    begins: bool,
+}
+
+impl OverShare {
+    fn on_rejected(&mut self, customer: &SmolStr, now: Instant) {
+        if let Some(known) = self.customers.get_mut(customer) {
+            known.0 = now;
+        } else if self.customers.len() < MAX_OVER_SHARE {
+            self.customers.insert(customer.clone(), (now, false));
+        }
+    }
+
+    /// The next change to log, if one may be logged now.
+    fn change(&mut self, now: Instant) -> Option<ShareChange> {
+        let is_over = |at: Instant| now.saturating_duration_since(at) < SHARE_PERIOD;
+        // Those that ceased before they were logged leave no line.
+        self.customers
+            .retain(|_, (at, logged)| *logged || is_over(*at));
+        let is_changed = |(at, logged): &(Instant, bool)| is_over(*at) != *logged;
+        let (customer, _) = self.customers.iter().find(|(_, c)| is_changed(c))?;
+        if !self.log_limit.is_due(now) {
+            return None;
+        }
+        let customer = customer.clone();
+        let known = self.customers.get_mut(&customer)?;
+        let begins = is_over(known.0);
+        known.1 = begins;
+        if !begins {
+            self.customers.remove(&customer);
+        }
+        Some(ShareChange { customer, begins })
+    }
+}
+
 /// The head that a reply grants.
 pub(crate) fn granted_head(reply: &ScheduleReply) -> Option<HeadKey> {
     let granted = reply.decision() == SlotDecision::Granted;
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -155,8 +155,8 @@
 pub(crate) enum Acquired<P: Platform> {
     /// A slot was granted.
     Granted(Box<SlotGuard<P>>),
-    /// No slot became free in time.
-    Full,
+    /// No slot became free in time; one is free after this time, if that is known.
+    Full(Option<Duration>),
     /// The limits that the heads name are used up for this long.
     Limited(Duration),
     /// All heads rest, the first of them for this much longer.
@@ -223,7 +223,8 @@
             }
             SlotDecision::Full => {
                 permit.is_released = true;
-                return Acquired::Full;
+                let retry_after = Duration::from_millis(reply.retry_after_ms);
+                return Acquired::Full((!retry_after.is_zero()).then_some(retry_after));
             }
             SlotDecision::Limited => {
                 permit.is_released = true;
@@ -349,6 +350,8 @@
         avoid_hosts: query.avoid.iter().map(ToString::to_string).collect(),
         wait_ms: ms(RPC_WAIT),
         excluded_hosts: Vec::new(),
+        customer: call.customer().to_owned(),
+        returning: call.is_returning(),
     }
 }
 
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -551,6 +551,12 @@
     /// Hosts that must not get it.
     #[prost(string, repeated, tag = "10")]
     pub excluded_hosts: Vec<String>,
+    /// The customer; empty if unknown.
+    #[prost(string, tag = "11")]
+    pub customer: String,
+    /// Whether the request was rejected before.
+    #[prost(bool, tag = "12")]
+    pub returning: bool,
 }
 
 /// A change of a slot.
@@ -590,7 +596,8 @@
     /// The replica's epoch.
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
-    /// For [`SlotDecision::Limited`], time until the request can be served, in milliseconds.
+    /// For [`SlotDecision::Limited`] and [`SlotDecision::Full`], time until the request can be
+    /// served, in milliseconds; 0 if unknown.
     #[prost(uint64, tag = "4")]
     pub retry_after_ms: u64,
 }
