--- a/crates/fleet/src/schedule/pacing.rs
+++ b/crates/fleet/src/schedule/pacing.rs
@@ -6,7 +6,7 @@
 use crate::pace::{HostPace, PaceChange, PaceSummary, Pacing, SentRequest, judge};
 use crate::schedule::head::HeadState;
 use crate::schedule::{
-    Assignment, HeadKey, OpenHead, PendingRequest, RequestKey, Scheduler, SlotOutcome,
+    Assignment, Decision, HeadKey, OpenHead, PendingRequest, RequestKey, Scheduler,
 };
 
 /// How often heads are compared with each other: a fraction of a pass.
@@ -47,9 +47,9 @@
         self.objectives.remove(key);
     }
 
-    pub(super) fn on_round_end(&mut self, decided: &[(RequestKey, SlotOutcome)], now: Instant) {
+    pub(super) fn on_round_end(&mut self, decided: &[Decision], now: Instant) {
         self.last_now = Some(now);
-        for (key, _) in decided {
+        for Decision { key, .. } in decided {
             self.objectives.remove(key);
         }
     }
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -6,8 +6,8 @@
 
 use eelgrassmill_base::{GroupId, HostId};
 use eelgrassmill_fleet::{
-    CapacityTarget, Command, Formation, FormationPhase, Host, LossReason, Order, OrderReply, Planner,
-    PlannerTiming, Purpose, Service,
+    CapacityTarget, Command, Formation, FormationPhase, Host, LossReason, Order, OrderReply,
+    Planner, PlannerTiming, Purpose, Service,
 };
 use tracing::info;
 
