Measure the demand for models at their schedulers

Slots in use don't show requests that wait or are rejected, so capacity can't follow them. DemandMeter multiplies the arrival rate of requests that are no repeats by the mean time that a slot is held, smoothed over 2 s, and keeps the peak of 8 s. DemandTable adds up the reports of a model's schedulers; missing, old and contradictory ones make the demand unknown. The planner stores the demand and doesn't use it yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 mod ids;
 mod macros;
 mod outcome;
+mod scope;
 mod shutdown;
 
 pub use crate::hash::{rendezvous, stable_hash};
@@ -21,4 +22,5 @@
     SubmitId, TenantId, Tokens, TxnId,
 };
 pub use crate::outcome::{Outcome, Urgency};
+pub use crate::scope::SchedulerScope;
 pub use crate::shutdown::Shutdown;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod cold;
 mod cpu_overload;
 mod crash_detector;
+mod demand;
 mod ejection;
 mod fleet;
 mod host;
@@ -44,6 +45,7 @@
 pub use crate::crash_detector::{
     BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
 };
+pub use crate::demand::{DemandMeter, DemandReport, DemandSnapshot, DemandTable, ModelDemand};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -34,6 +34,7 @@
 pub use crate::planner::order::{Command, Order, OrderReply};
 
 use crate::catalog::{ModelSpec, Service};
+use crate::demand::DemandSnapshot;
 use crate::fleet::Fleet;
 use crate::host::{Host, MembershipPhase};
 use crate::planner::advance::PlanInput;
@@ -132,6 +133,8 @@
     rejecting: RejectingHosts,
     /// Number of listed hosts, and when it last changed.
     host_count: (usize, Instant),
+    /// Demand for each model; `None` where capacity doesn't follow demand.
+    demand: Option<DemandSnapshot>,
 }
 
 /// A formation that has ended.
@@ -175,9 +178,20 @@
             loads: VecDeque::new(),
             rejecting: RejectingHosts::default(),
             host_count: (0, now),
+            demand: None,
         }
     }
 
+    /// Sets the demand for each model; `None` where capacity doesn't follow demand.
+    pub fn set_demand(&mut self, demand: Option<DemandSnapshot>) {
+        self.demand = demand;
+    }
+
+    /// The demand that was last set.
+    pub fn demand(&self) -> Option<&DemandSnapshot> {
+        self.demand.as_ref()
+    }
+
     /// All formations that this planner manages.
     pub fn formations(&self) -> impl Iterator<Item = &Formation> {
         self.formations.values()
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -20,6 +20,7 @@
 
 use crate::catalog::{EngineSpeed, Millionths};
 use crate::cold::ColdStart;
+use crate::demand::{DemandMeter, ModelDemand};
 use crate::priority::{LateRejection, Priority};
 use crate::rate::Rate;
 use crate::rate_limit::{RetryTimes, usable_rate};
@@ -202,6 +203,7 @@
     grants: Rate,
     /// When requests that the heads' limits don't admit may come back.
     retry_times: RetryTimes,
+    demand_meter: DemandMeter,
 }
 
 impl Scheduler {
@@ -220,6 +222,7 @@
             arrivals: Rate::default(),
             grants: Rate::default(),
             retry_times: RetryTimes::default(),
+            demand_meter: DemandMeter::new(now),
         }
     }
 
@@ -294,6 +297,27 @@
         true
     }
 
+    /// Counts a request that was just queued as demand. `repeated` if it was counted before.
+    pub fn count_demand(&mut self, repeated: bool, prompt_tokens: u64, now: Instant) {
+        self.demand_meter.on_arrival(repeated, prompt_tokens, now);
+    }
+
+    /// The demand for the slots of `heads`, and when the last request arrived; `None` until it is
+    /// known. To be called several times a second.
+    pub fn measure_demand(
+        &mut self,
+        heads: &[OpenHead],
+        now: Instant,
+    ) -> Option<(ModelDemand, Instant)> {
+        self.demand_meter.set_used(self.used_slots(heads, now), now);
+        let last_request = self.demand_meter.last_request()?;
+        Some((self.demand_meter.measure(now)?, last_request))
+    }
+
+    fn used_slots(&self, heads: &[OpenHead], now: Instant) -> usize {
+        heads.iter().map(|h| self.requests_of(h, now)).sum()
+    }
+
     /// Records that the first event of a request has arrived.
     pub fn on_first_event(&mut self, key: &RequestKey, now: Instant) {
         if let Some(assigned) = self.assigned.get(key).filter(|p| !p.prefilled) {
@@ -342,6 +366,14 @@
         }
     }
 
+    /// Records that a request has ended, and releases its slot.
+    pub fn on_ended(&mut self, key: &RequestKey, now: Instant) {
+        if let Some(assigned) = self.assigned.get(key) {
+            self.demand_meter.on_served(assigned.granted_at, now);
+        }
+        self.release(key);
+    }
+
     /// Removes a request that has ended or was abandoned, whether it has a slot or is queued.
     pub fn release(&mut self, key: &RequestKey) {
         self.on_prefilled(key);
@@ -349,6 +381,7 @@
         let Some(assigned) = self.assigned.remove(key) else {
             return;
         };
+        self.demand_meter.on_release(assigned.granted_at);
         if let Some(state) = self.head_states.get_mut(&assigned.head) {
             state.requests = state.requests.saturating_sub(1);
             if !assigned.accepted {
@@ -441,6 +474,10 @@
             let rejected = self.queue.remove(position);
             decided.extend(rejected.map(|request| (request.key, SlotOutcome::Full)));
         }
+        let got_none = |(_, outcome): &&(_, _)| !matches!(outcome, SlotOutcome::Granted(_));
+        let rejections = decided.iter().filter(got_none).count();
+        self.demand_meter.on_rejections(rejections, now);
+        self.demand_meter.set_used(self.used_slots(heads, now), now);
         decided
     }
 
@@ -561,6 +598,7 @@
 
     fn assign_to(&mut self, request: &PendingRequest, head: &OpenHead, now: Instant) {
         self.grants.on_event(now);
+        self.demand_meter.on_grant(now);
         let state = self.head_states.entry(head.key.clone()).or_default();
         state.requests += 1;
         state.unaccepted += 1;
