Count further runs of a stream as part of its demand

A stream that is cut off and resumed ended twice for the meter, so that the mean holding time was that of its parts. The time of a resumed run now counts for the request that it resumes: 20 streams/s of two runs of 1 s each want 40 +- 2 slots.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -17,9 +17,9 @@
 /// How long a peak counts: longer than bursts last, so that capacity added for one isn't taken away
 /// between its waves.
 const PEAK_WINDOW: Duration = Duration::from_secs(8);
-/// Served requests per held slot from which on the mean time that a slot is held is known. The
+/// Ended requests per held slot from which on the mean time that a slot is held is known. The
 /// first requests to end are those that hold their slot for the shortest time.
-const MIN_SERVED_PER_HELD: f64 = 0.25;
+const MIN_ENDED_PER_HELD: f64 = 0.25;
 /// Age at which a report no longer counts: three times the longest time between two reports.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 /// Demand over this multiple of the slots is a fault of the report and not a burst.
@@ -108,11 +108,12 @@
     arrivals: DecayingSum,
     prompt_tokens: DecayingSum,
     rejections: DecayingSum,
-    /// Seconds for which served requests held their slots, and the number of these requests.
+    /// Seconds for which requests that have ended held their slots, and the number of those requests
+    /// that resume no other.
     held_time: DecayingSum,
-    served: DecayingSum,
-    /// Undecayed number of served requests.
-    total_served: u64,
+    ended: DecayingSum,
+    /// Undecayed number of requests that have ended.
+    total_ended: u64,
     /// Number of held slots, and the sum of the seconds from `started_at` to their grants.
     held: usize,
     granted_at: f64,
@@ -135,8 +136,8 @@
             prompt_tokens: DecayingSum::new(now),
             rejections: DecayingSum::new(now),
             held_time: DecayingSum::new(now),
-            served: DecayingSum::new(now),
-            total_served: 0,
+            ended: DecayingSum::new(now),
+            total_ended: 0,
             held: 0,
             granted_at: 0.0,
             used: DecayingSum::new(now),
@@ -162,16 +163,19 @@
         self.granted_at += self.offset(now);
     }
 
-    /// Records that a request that has held its slot since `granted_at` was served to its end.
-    pub fn on_served(&mut self, granted_at: Instant, now: Instant) {
+    /// Records that a request that has held its slot since `granted_at` has ended at its head. The
+    /// time of a `resumed` one counts as a part of the request that it resumes.
+    pub fn on_ended(&mut self, granted_at: Instant, resumed: bool, now: Instant) {
         let held = now.saturating_duration_since(granted_at);
         self.held_time.add(held.as_secs_f64(), now);
-        self.served.add(1.0, now);
-        self.total_served += 1;
+        // Without recent requests that it could be a part of, the mean would grow without bound.
+        let is_part = resumed && self.ended.at(now) >= 1.0;
+        self.ended.add(if is_part { 0.0 } else { 1.0 }, now);
+        self.total_ended += 1;
     }
 
     /// Records that a slot that was granted at `granted_at` is free, whether its request was served
-    /// or not.
+    /// or rejected by the head.
     pub fn on_release(&mut self, granted_at: Instant) {
         self.held = self.held.saturating_sub(1);
         self.granted_at -= self.offset(granted_at);
@@ -219,8 +223,8 @@
     /// shortest ones.
     fn is_known(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
-        let served = self.total_served as f64;
-        age >= PEAK_WINDOW || (age >= SMOOTHING && served >= MIN_SERVED_PER_HELD * self.held as f64)
+        let ended = self.total_ended as f64;
+        age >= PEAK_WINDOW || (age >= SMOOTHING && ended >= MIN_ENDED_PER_HELD * self.held as f64)
     }
 
     /// Mean time in seconds that a request holds its slot. Where requests take longer than this
@@ -231,14 +235,14 @@
         } else {
             self.offset(now) - self.granted_at / self.held as f64
         };
-        let served = if self.served.sum > 0.0 {
+        let ended = if self.ended.sum > 0.0 {
             // Both have the same decay; without it the quotient stays defined after a long idle
             // time.
-            self.held_time.sum / self.served.sum
+            self.held_time.sum / self.ended.sum
         } else {
             0.0
         };
-        served.max(age)
+        ended.max(age)
     }
 
     fn update_peak(&mut self, wanted: f64, now: Instant) -> f64 {
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -162,6 +162,8 @@
     /// Maximum number of concurrent requests of the head.
     slots: usize,
     granted_at: Instant,
+    /// Whether it resumes a stream whose replica was lost.
+    resumed: bool,
     prompt_tokens: u64,
     /// Whether its prompt counts as prefilled.
     prefilled: bool,
@@ -368,10 +370,15 @@
 
     /// Records that a request has ended, and releases its slot.
     pub fn on_ended(&mut self, key: &RequestKey, now: Instant) {
+        self.record_held_time(key, now);
+        self.release(key);
+    }
+
+    fn record_held_time(&mut self, key: &RequestKey, now: Instant) {
         if let Some(assigned) = self.assigned.get(key) {
-            self.demand_meter.on_served(assigned.granted_at, now);
+            let (granted_at, resumed) = (assigned.granted_at, assigned.resumed);
+            self.demand_meter.on_ended(granted_at, resumed, now);
         }
-        self.release(key);
     }
 
     /// Removes a request that has ended or was abandoned, whether it has a slot or is queued.
@@ -412,6 +419,7 @@
         let Some(head) = self.assigned.get(key).map(|a| a.head.clone()) else {
             return self.release(key);
         };
+        self.record_held_time(key, now);
         let state = self.head_states.entry(head.clone()).or_default();
         state.success.on_failed(now);
         let success = state.success;
@@ -613,6 +621,7 @@
             head: head.key.clone(),
             slots: head.slots,
             granted_at: now,
+            resumed: request.resumed,
             prompt_tokens: request.prompt_tokens,
             prefilled: false,
             accepted: false,
--- a/crates/fleet/tests/demand.rs
+++ b/crates/fleet/tests/demand.rs
@@ -97,7 +97,7 @@
         let (meter, now) = (&mut self.meter, self.now);
         self.held.retain(|(granted_at, end)| {
             if *end <= now {
-                meter.on_served(*granted_at, now);
+                meter.on_ended(*granted_at, false, now);
                 meter.on_release(*granted_at);
             }
             *end > now
@@ -162,7 +162,7 @@
         meter.on_arrival(false, 0, at(ms));
         meter.on_grant(at(ms));
         if ms >= 5_600 {
-            meter.on_served(at(ms - 5_600), at(ms));
+            meter.on_ended(at(ms - 5_600), false, at(ms));
             meter.on_release(at(ms - 5_600));
         }
         if let Some(demand) = meter.measure(at(ms)) {
@@ -186,6 +186,48 @@
     expect_that!(meter.measure(at(20)).map(|d| d.wanted), some(ge(8.0)));
 }
 
+/// Guards against taking streams that are cut off and resumed elsewhere for short ones.
+#[gtest]
+fn both_runs_of_a_resumed_stream_count() {
+    let start = Instant::now();
+    let mut meter = DemandMeter::new(start);
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    for ms in (0..12_000).step_by(50) {
+        meter.on_arrival(false, 0, at(ms));
+        meter.on_grant(at(ms));
+        for (ended, resumed) in [(1_000, false), (2_000, true)] {
+            if ms >= ended {
+                meter.on_ended(at(ms - 1_000), resumed, at(ms));
+                meter.on_release(at(ms - 1_000));
+            }
+        }
+        if ms >= 1_000 {
+            meter.on_arrival(true, 0, at(ms));
+            meter.on_grant(at(ms));
+        }
+    }
+    expect_that!(
+        meter.measure(at(12_000)).map(|d| d.wanted),
+        some(near(40.0, 2.0))
+    );
+}
+
+/// Guards against a mean holding time of hours when only resumed streams have ended lately.
+#[gtest]
+fn resumed_streams_alone_count_as_requests() {
+    let start = Instant::now();
+    let mut meter = DemandMeter::new(start);
+    let at = |s: u64| start + Duration::from_secs(s);
+    for (granted, ended, resumed) in [(0, 1, false), (60, 63, true), (61, 64, true)] {
+        meter.on_arrival(resumed, 0, at(granted));
+        meter.on_grant(at(granted));
+        meter.on_ended(at(granted), resumed, at(ended));
+        meter.on_release(at(granted));
+    }
+    meter.on_arrival(false, 0, at(64));
+    expect_that!(meter.measure(at(64)).map(|d| d.wanted), some(le(3.5)));
+}
+
 /// Guards against slots leaking from the measurement when heads reject requests, and against these
 /// counting as short holding times.
 #[gtest]
