Report the demand for models to the planner

The planner learned nothing of requests that wait or are rejected at other nodes' schedulers. Where follow_demand is on, nodes now publish the demand at their schedulers as the item ModelDemand every 250 ms, keep the reports of all nodes, and the planner's node sums them up once per step for Planner::set_demand and gateway_capacity_wanted_slots. Slot requests say whether they repeat a request that a scheduler has counted.

Between two real nodes the planner knows the demand at the other one's scheduler, and drops the reports of a lost node.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -47,6 +47,8 @@
     pub(crate) first_sent: Instant,
     /// The end of the caller's or the route's timeout, whichever is first.
     pub(crate) deadline: Instant,
+    /// Set once a scheduler has counted it as demand.
+    pub(crate) demand_counted: OnceLock<()>,
     /// Computed at its first use.
     pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
@@ -61,6 +63,14 @@
         self.first_sent + self.route.latency_objective
     }
 
+    /// Whether a scheduler has counted it as demand before, now or at an earlier attempt of its
+    /// caller.
+    pub(crate) fn is_repeated(&self) -> bool {
+        self.demand_counted.get().is_some()
+            || self.first_sent < self.arrived
+            || self.metadata.resume_after.is_some()
+    }
+
     /// Identifies the request whenever its caller sends it again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,7 +8,8 @@
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
-    CallerTimeouts, Catalog, ColdRateLimiter, Fleet, RetryWindow, RoleCandidate, TargetStats,
+    CallerTimeouts, Catalog, ColdRateLimiter, DemandTable, Fleet, RetryWindow, RoleCandidate,
+    TargetStats,
 };
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
@@ -58,6 +59,8 @@
     pub(crate) admission: AdmissionQueues,
     /// Schedulers that run at this node.
     pub(crate) schedulers: Schedulers,
+    /// The demand at the schedulers of all nodes, this one included.
+    pub(crate) demand: Mutex<DemandTable>,
     pub(crate) caller_timeouts: Mutex<CallerTimeouts>,
     pub(crate) scheduler_client: SchedulerClient,
     pub(crate) slot_events: SlotEvents,
@@ -106,6 +109,7 @@
             metrics: Metrics::default(),
             admission: AdmissionQueues::default(),
             schedulers: Schedulers::default(),
+            demand: Mutex::default(),
             caller_timeouts: Mutex::default(),
             scheduler_client: SchedulerClient::default(),
             slot_events: SlotEvents::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod connection_timer;
 mod core;
 mod crash_detection;
+mod demand;
 mod dispatch;
 mod gateway;
 mod heads;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use eelgrassmill_fleet::{Catalog, DemandSnapshot};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of latency buckets in seconds, dense around the latency objectives of interactive
@@ -64,6 +66,9 @@
     pub(crate) evacuated_domains: IntGauge,
     /// Replicas that take requests.
     pub(crate) open_replicas: IntGauge,
+    /// Slots that the planner takes each model to want, by service and model; absent where that is
+    /// unknown.
+    pub(crate) wanted_slots: GaugeVec,
     /// Consecutive failed calls to the store.
     pub(crate) store_failures: IntGauge,
 }
@@ -89,6 +94,14 @@
             &["service", "kind"],
         )
         .expect("constant name and labels are valid");
+        let wanted_slots = GaugeVec::new(
+            Opts::new(
+                "gateway_capacity_wanted_slots",
+                "Slots that the requests of a model want.",
+            ),
+            &["service", "model"],
+        )
+        .expect("constant name and labels are valid");
         Metrics {
             requests: counter(
                 "gateway_requests_total",
@@ -148,6 +161,7 @@
                 "Failure domains whose hosts take nothing new.",
             ),
             open_replicas: gauge("gateway_open_replicas", "Replicas that take requests."),
+            wanted_slots: register(&registry, wanted_slots),
             store_failures: gauge(
                 "gateway_store_failures",
                 "Failed calls to the store in a row.",
@@ -192,6 +206,23 @@
         histogram.observe(latency.as_secs_f64());
     }
 
+    /// Sets the wanted slots of each model, or removes them where they are unknown.
+    pub(crate) fn set_wanted_slots(&self, catalog: &Catalog, demand: &DemandSnapshot) {
+        for service in catalog.services() {
+            let models = service.engine.iter().flat_map(|e| &e.models);
+            for model in models {
+                let labels = [service.name.as_str(), model.name.as_str()];
+                if let Some(demand) = demand.get(&service.name, &model.name) {
+                    let gauge = self.wanted_slots.with_label_values(&labels);
+                    gauge.set(demand.wanted);
+                } else {
+                    // An error means that it was unknown before.
+                    let _ = self.wanted_slots.remove_label_values(&labels);
+                }
+            }
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,11 +17,14 @@
 use tracing::info;
 
 use crate::core::Core;
+use crate::demand::ReportedScopes;
 use crate::heads::locked;
 use crate::nodes::NodeInfo;
 use crate::ports::{LeaderRecord, Platform};
 use crate::scheduler::ScheduledLoad;
-use crate::{host_relay, host_signals, loss_detection, quarantine, scheduler, snapshot_relay};
+use crate::{
+    demand, host_relay, host_signals, loss_detection, quarantine, scheduler, snapshot_relay,
+};
 
 /// The group name under which the leader publishes its term.
 const LEADER_GROUP: &str = "planner";
@@ -55,6 +58,9 @@
             }
             Change::Confirmed(as_of) => locked(&self.core.nodes).mark_heard(&origin, as_of),
             Change::Removed(ItemKey::GroupLoad(replica)) => self.clear_load(&origin, &replica),
+            Change::Removed(ItemKey::ModelDemand(scope)) => {
+                locked(&self.core.demand).remove(&origin, &scope);
+            }
             Change::Removed(ItemKey::Group(name)) if name == LEADER_GROUP => {
                 locked(&self.core.leaders).remove(&origin);
             }
@@ -77,6 +83,7 @@
             Item::TargetLimit(limit) => host_signals::on_item(&self.core, origin, &limit, as_of),
             Item::Suspect(suspect) => quarantine::on_record(&self.core, &suspect, as_of),
             Item::Load(load) => self.apply_node_load(origin, &load),
+            Item::ModelDemand(item) => demand::on_item(&self.core, origin, &item, as_of),
             _ => {}
         }
     }
@@ -134,6 +141,7 @@
         locked(&self.core.leaders).remove(origin);
         self.core.configuration.forget_node(origin);
         self.core.schedulers.forget_node(origin);
+        locked(&self.core.demand).forget_node(origin);
         for head in locked(&self.core.heads).all() {
             head.forget_node(origin);
         }
@@ -265,9 +273,11 @@
 }
 
 /// Publishes load reports to the other nodes until the process ends: the requests that this node
-/// assigned to heads as their scheduler, and those that it placed without one.
+/// assigned to heads as their scheduler, and those that it placed without one. Where capacity
+/// follows demand, also the demand at this node's schedulers.
 pub(crate) async fn publish_loads<P: Platform>(core: Arc<Core<P>>) {
     let mut reported = BTreeSet::new();
+    let mut reported_demand = ReportedScopes::new();
     loop {
         tokio::time::sleep(LOAD_INTERVAL).await;
         let Some(peer) = core.peer() else { continue };
@@ -287,6 +297,9 @@
             overloaded: core.is_overloaded(),
         }));
         reported = current;
+        if core.cfg.policies.capacity_follows_demand {
+            demand::publish(&core, &mut reported_demand, Instant::now());
+        }
     }
 }
 
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -12,6 +12,7 @@
 use tracing::info;
 
 use crate::core::Core;
+use crate::demand;
 use crate::heads::locked;
 use crate::host_signals;
 use crate::loss_detection::{LostReplica, REPORT_TIMEOUT};
@@ -52,6 +53,7 @@
 impl<P: Platform> Drop for PlannerTerm<P> {
     fn drop(&mut self) {
         self.core.planning.close();
+        self.core.metrics.wanted_slots.reset();
     }
 }
 
@@ -93,6 +95,11 @@
         let cold = core.cfg.first_start
             && !core.has_served()
             && core.started_at.elapsed() < COLD_START_PERIOD;
+        if core.cfg.policies.capacity_follows_demand {
+            let demand = demand::snapshot(core, now);
+            core.metrics.set_wanted_slots(&catalog, &demand);
+            self.planner.set_demand(Some(demand));
+        }
         let commands = {
             let fleet = locked(&core.fleet);
             if !fleet.is_loaded() {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, GroupId, ModelName, NodeId, ServiceName, value};
+pub(crate) use eelgrassmill_base::SchedulerScope as Scope;
+use eelgrassmill_base::{FailureDomain, GroupId, NodeId, value};
 use eelgrassmill_fleet::{
     EngineSpeed, HeadKey, Millionths, OpenHead, PendingRequest, RequestKey, Scheduler, SlotOutcome,
 };
@@ -18,6 +19,7 @@
 use tracing::info;
 
 use crate::core::Core;
+use crate::demand::Measurement;
 use crate::heads::locked;
 use crate::logs::LogRateLimit;
 use crate::ports::Platform;
@@ -32,17 +34,6 @@
 /// Longest time that a slot request is held before its reply.
 const MAX_RPC_WAIT: Duration = Duration::from_millis(250);
 
-value! {
-    /// The requests that one scheduler assigns.
-    #[derive(Hash, PartialOrd, Ord)]
-    pub(crate) struct Scope {
-        pub(crate) service: ServiceName,
-        pub(crate) model: ModelName,
-        /// The failure domain of the heads; `None` for all.
-        pub(crate) heads_in: Option<FailureDomain>,
-    }
-}
-
 /// The schedulers that run at this node.
 #[derive(Debug, Default)]
 pub(crate) struct Schedulers {
@@ -108,6 +99,18 @@
     }
 }
 
+/// The demand at the schedulers of this node, where it is known.
+pub(crate) fn measure_demand<P: Platform>(core: &Core<P>, now: Instant) -> Vec<Measurement> {
+    let all: Vec<_> = locked(&core.schedulers.running).values().cloned().collect();
+    let measured = all.iter().filter_map(|running| {
+        let scope = locked(running).scope.clone();
+        let heads = open_heads(core, &scope);
+        let measured = locked(running).scheduler.measure_demand(&heads, now)?;
+        Some(Measurement::new(&scope, &heads, measured))
+    });
+    measured.collect()
+}
+
 /// Handles a node's call that asks for a slot or reports slot events.
 pub(crate) async fn handle<P: Platform>(core: Arc<Core<P>>, req: ScheduleRequest) -> ScheduleReply {
     let scope = Scope {
@@ -131,7 +134,9 @@
         return ScheduleReply::default();
     };
     let request = pending_request(&node, &req.failure_domain, slot_request, now);
-    let outcome_rx = locked(&running).request_slot(request, &open_heads(&core, &scope), now);
+    let heads = open_heads(&core, &scope);
+    let repeated = slot_request.repeated || slot_request.resumed;
+    let outcome_rx = locked(&running).request_slot(request, repeated, &heads, now);
     let wait = Duration::from_millis(slot_request.wait_ms.into()).min(MAX_RPC_WAIT);
     match tokio::time::timeout(wait, outcome_rx).await {
         Ok(Ok(outcome)) => reply(outcome),
@@ -298,7 +303,7 @@
             SlotEventKind::Released => {
                 self.pending_replies.remove(&key);
                 self.uncollected.remove(&key);
-                self.scheduler.release(&key);
+                self.scheduler.on_ended(&key, now);
             }
         }
     }
@@ -306,6 +311,7 @@
     fn request_slot(
         &mut self,
         request: PendingRequest,
+        repeated: bool,
         heads: &[OpenHead],
         now: Instant,
     ) -> oneshot::Receiver<SlotOutcome> {
@@ -316,7 +322,9 @@
             return rx;
         }
         self.pending_replies.insert(request.key.clone(), tx);
+        let prompt_tokens = request.prompt_tokens;
         if self.scheduler.enqueue(request, now) {
+            self.scheduler.count_demand(repeated, prompt_tokens, now);
             self.decide(heads, now);
         }
         rx
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -279,6 +279,8 @@
     let req = request(core, &permit.scope, Some(slot_request), batch.messages());
     let reply = send(core, &permit.node, req, wait + RPC_SLACK).await?;
     batch.acknowledge();
+    // Already set if it waited or was granted a slot before.
+    let _ = query.call.demand_counted.set(());
     Some(reply)
 }
 
@@ -349,6 +351,7 @@
         avoid_hosts: query.avoid.iter().map(ToString::to_string).collect(),
         wait_ms: ms(RPC_WAIT),
         excluded_hosts: Vec::new(),
+        repeated: query.resumed || call.is_repeated(),
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -343,6 +343,7 @@
         arrived,
         first_sent,
         deadline,
+        demand_counted: OnceLock::new(),
         fingerprint: OnceLock::new(),
     })
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -110,7 +110,7 @@
                 }
             }
             Item::Group(told) => group_rows::take(&self.core, &told),
-            Item::GroupLoad(_) | Item::TargetLimit(_) => {}
+            Item::GroupLoad(_) | Item::TargetLimit(_) | Item::ModelDemand(_) => {}
         }
     }
 
--- a/crates/peer/src/item.rs
+++ b/crates/peer/src/item.rs
@@ -4,7 +4,7 @@
 
 use eelgrassmill_base::{
     ConfigVersion, Epoch, FailureDomain, GroupId, HostId, Incarnation, NodeId, Region, RowVersion,
-    ServiceName, TenantId, value,
+    SchedulerScope, ServiceName, TenantId, value,
 };
 use smol_str::SmolStr;
 
@@ -31,6 +31,32 @@
         Group(GroupRecord),
         /// A limit that a target named.
         TargetLimit(TargetLimit),
+        /// The demand for a model at one of its schedulers.
+        ModelDemand(ModelDemand),
+    }
+
+    /// The demand for a model as one of its schedulers measured it, a low-priority item. Numbers
+    /// are in thousandths.
+    pub struct ModelDemand {
+        /// The scheduler's requests.
+        pub scope: SchedulerScope,
+        /// Seconds from the node's start to the measurement. Since it changes, the item is
+        /// published again though the demand is the same, and its age is that of the measurement.
+        pub measured_s: u32,
+        /// Milliseconds from the scheduler's last request to the measurement.
+        pub idle_ms: u32,
+        /// Slots of the scheduler's heads.
+        pub slots: u64,
+        /// Slots in use.
+        pub used: u64,
+        /// Slots that all requests would hold if none had to wait or was rejected.
+        pub wanted: u64,
+        /// Highest number of wanted slots in the last seconds.
+        pub peak: u64,
+        /// Requests per second that got no slot.
+        pub rejected_per_second: u64,
+        /// Prompt tokens per second.
+        pub prompt_tokens_per_second: u64,
     }
 
     /// What a target's answer said of the requests that it takes.
@@ -205,6 +231,8 @@
     Group(GroupId),
     /// The limit of a target.
     TargetLimit(HostId),
+    /// The demand for a model.
+    ModelDemand(SchedulerScope),
 }
 
 /// Longest name or reason, in bytes.
@@ -217,6 +245,13 @@
 /// A node's load is published again after a change by this many thousandths.
 const MIN_LOAD_CHANGE_PERMILLE: u32 = 50;
 
+/// A model's demand is published again at once after a change by this part, and by this many
+/// thousandths: a slot or a request per second.
+const MIN_DEMAND_CHANGE_RATIO: u64 = 16;
+const MIN_DEMAND_CHANGE: u64 = 1000;
+/// The same for prompt tokens, of which a request has some hundred.
+const MIN_TOKENS_CHANGE: u64 = 1_000_000;
+
 /// How soon a change must be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Priority {
@@ -240,6 +275,29 @@
     }
 }
 
+impl ModelDemand {
+    fn is_similar_to(&self, new: &ModelDemand) -> bool {
+        let is_close = |a: u64, b: u64, min: u64| {
+            let step = (a / MIN_DEMAND_CHANGE_RATIO).max(min);
+            a.abs_diff(b) < step
+        };
+        let pairs = [
+            (self.slots, new.slots),
+            (self.used, new.used),
+            (self.wanted, new.wanted),
+            (self.peak, new.peak),
+            (self.rejected_per_second, new.rejected_per_second),
+        ];
+        let tokens = (self.prompt_tokens_per_second, new.prompt_tokens_per_second);
+        self.scope == new.scope
+            && self.measured_s == new.measured_s
+            && pairs
+                .iter()
+                .all(|(a, b)| is_close(*a, *b, MIN_DEMAND_CHANGE))
+            && is_close(tokens.0, tokens.1, MIN_TOKENS_CHANGE)
+    }
+}
+
 impl Item {
     /// The item's key.
     pub fn key(&self) -> ItemKey {
@@ -254,6 +312,7 @@
             Item::Usage(u) => ItemKey::Usage(u.service.clone(), u.tenant.clone()),
             Item::Group(g) => ItemKey::Group(g.group.clone()),
             Item::TargetLimit(l) => ItemKey::TargetLimit(l.host.clone()),
+            Item::ModelDemand(d) => ItemKey::ModelDemand(d.scope.clone()),
         }
     }
 
@@ -271,6 +330,7 @@
                 let same = a.epoch == b.epoch && a.ejected == b.ejected;
                 same && a.total_requests().abs_diff(b.total_requests()) < step
             }
+            (Item::ModelDemand(a), Item::ModelDemand(b)) => a.is_similar_to(b),
             (a, b) => a == b,
         }
     }
@@ -291,7 +351,9 @@
             Item::Health(v) if !v.serving => Priority::Urgent,
             Item::Status(s) if s.leaving => Priority::Urgent,
             Item::Health(_) | Item::Status(_) | Item::TargetLimit(_) => Priority::Normal,
-            Item::Load(_) | Item::GroupLoad(_) | Item::Usage(_) => Priority::Low,
+            Item::Load(_) | Item::GroupLoad(_) | Item::Usage(_) | Item::ModelDemand(_) => {
+                Priority::Low
+            }
         }
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,8 +25,8 @@
 pub use crate::error::PeerError;
 pub use crate::item::{
     Change, ConfigAnnouncement, GroupLoad, GroupRecord, HealthReport, Item, ItemKey, LeavingTarget,
-    MAX_GROUP_RECORD_BYTES, MAX_SUSPECT_RECORD_BYTES, MAX_TEXT_BYTES, NodeLoad, NodeStatus,
-    Suspect, TargetLimit, Update, UsageReport,
+    MAX_GROUP_RECORD_BYTES, MAX_SUSPECT_RECORD_BYTES, MAX_TEXT_BYTES, ModelDemand, NodeLoad,
+    NodeStatus, Suspect, TargetLimit, Update, UsageReport,
 };
 pub use crate::meter::Traffic;
 pub use crate::node::{HlcTimestamp, PeerHandler, PeerNode, PeerNodeConfig};
@@ -37,7 +37,8 @@
     SuspectRequest, TrialRequest,
 };
 pub use crate::wire::messages::{
-    Batch, Item as WireItem, Kind as WireKind, ListReply, ListRequest, OriginUpdate, QuotaReply,
-    QuotaRequest, ScheduleReply, ScheduleRequest, SlotDecision, SlotDemand, SlotEvent,
-    SlotEventKind, SlotGrant, SlotRequest, TargetLimit as WireTargetLimit,
+    Batch, Item as WireItem, Kind as WireKind, ListReply, ListRequest,
+    ModelDemand as WireModelDemand, OriginUpdate, QuotaReply, QuotaRequest, ScheduleReply,
+    ScheduleRequest, SlotDecision, SlotDemand, SlotEvent, SlotEventKind, SlotGrant, SlotRequest,
+    TargetLimit as WireTargetLimit,
 };
--- a/crates/peer/src/wire/convert.rs
+++ b/crates/peer/src/wire/convert.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use eelgrassmill_base::Incarnation;
+use eelgrassmill_base::{Incarnation, SchedulerScope};
 
 use crate::item::{
     ConfigAnnouncement, GroupLoad, GroupRecord, HealthReport, Item, ItemKey, LeavingTarget,
-    MAX_GROUP_RECORD_BYTES, MAX_SUSPECT_RECORD_BYTES, MAX_TEXT_BYTES, NodeLoad, NodeStatus,
-    Suspect, TargetLimit, UsageReport,
+    MAX_GROUP_RECORD_BYTES, MAX_SUSPECT_RECORD_BYTES, MAX_TEXT_BYTES, ModelDemand, NodeLoad,
+    NodeStatus, Suspect, TargetLimit, UsageReport,
 };
 use crate::wire::messages::{self as wire, Kind};
 
-/// Separates service and tenant in the key of a usage; no name contains it.
-const USAGE_SEPARATOR: char = '\u{1f}';
+/// Separates the names in the key of a usage or a demand; no name contains it.
+const KEY_SEPARATOR: char = '\u{1f}';
 
 /// A received item, or the key of a removed one.
 pub(crate) enum Received {
@@ -75,6 +75,19 @@
             age_ms: u64::try_from(l.age.as_millis()).unwrap_or(u64::MAX),
             leaving_start_ms: l.leaving_start_ms,
         }),
+        Item::ModelDemand(d) => Kind::ModelDemand(wire::ModelDemand {
+            service: d.scope.service.to_string(),
+            model: d.scope.model.to_string(),
+            head_domain: d.scope.heads_in.as_deref().unwrap_or_default().to_owned(),
+            measured_s: d.measured_s,
+            idle_ms: d.idle_ms,
+            slots: d.slots,
+            used: d.used,
+            wanted: d.wanted,
+            peak: d.peak,
+            rejected_per_second: d.rejected_per_second,
+            prompt_tokens_per_second: d.prompt_tokens_per_second,
+        }),
         Item::Usage(u) => Kind::Usage(wire::UsageReport {
             service: u.service.to_string(),
             tenant: u.tenant.to_string(),
@@ -99,7 +112,15 @@
         ItemKey::Usage(service, tenant) => {
             return Kind::Removed(wire::Removed {
                 kind: 12,
-                name: format!("{service}{USAGE_SEPARATOR}{tenant}"),
+                name: format!("{service}{KEY_SEPARATOR}{tenant}"),
+            });
+        }
+        ItemKey::ModelDemand(scope) => {
+            let SchedulerScope { service, model, .. } = scope;
+            let domain = scope.heads_in.as_deref().unwrap_or_default();
+            return Kind::Removed(wire::Removed {
+                kind: 15,
+                name: format!("{service}{KEY_SEPARATOR}{model}{KEY_SEPARATOR}{domain}"),
             });
         }
     };
@@ -173,6 +194,17 @@
             leaving_start_ms: l.leaving_start_ms,
             age: Duration::from_millis(l.age_ms),
         }),
+        Kind::ModelDemand(d) => Item::ModelDemand(ModelDemand {
+            scope: demand_scope(d.service, d.model, d.head_domain)?,
+            measured_s: d.measured_s,
+            idle_ms: d.idle_ms,
+            slots: d.slots,
+            used: d.used,
+            wanted: d.wanted,
+            peak: d.peak,
+            rejected_per_second: d.rejected_per_second,
+            prompt_tokens_per_second: d.prompt_tokens_per_second,
+        }),
         Kind::Removed(r) => return removed_key(r).map(Received::Removed),
     };
     Some(Received::Put(item))
@@ -190,13 +222,27 @@
         13 => ItemKey::Group(name(removed.name)?),
         14 => ItemKey::TargetLimit(name(removed.name)?),
         12 => {
-            let (service, tenant) = removed.name.split_once(USAGE_SEPARATOR)?;
+            let (service, tenant) = removed.name.split_once(KEY_SEPARATOR)?;
             ItemKey::Usage(name(service.to_owned())?, name(tenant.to_owned())?)
         }
+        15 => {
+            let (service, rest) = removed.name.split_once(KEY_SEPARATOR)?;
+            let (model, domain) = rest.split_once(KEY_SEPARATOR)?;
+            ItemKey::ModelDemand(demand_scope(service.into(), model.into(), domain.into())?)
+        }
         _ => return None,
     })
 }
 
+fn demand_scope(service: String, model: String, head_domain: String) -> Option<SchedulerScope> {
+    let heads_in = text(head_domain)?;
+    Some(SchedulerScope {
+        service: name(service)?,
+        model: name(model)?,
+        heads_in: (!heads_in.is_empty()).then_some(heads_in),
+    })
+}
+
 /// A text within its limit, possibly empty.
 fn text(value: String) -> Option<smol_str::SmolStr> {
     (value.len() <= MAX_TEXT_BYTES).then(|| value.into())
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -80,7 +80,7 @@
     #[prost(uint64, tag = "3")]
     pub ttl_ms: u64,
     /// The value.
-    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub kind: Option<Kind>,
 }
 
@@ -117,6 +117,9 @@
     /// A limit that a target named.
     #[prost(message, tag = "14")]
     TargetLimit(TargetLimit),
+    /// The demand for a model at one of its schedulers.
+    #[prost(message, tag = "15")]
+    ModelDemand(ModelDemand),
     /// The key of a removed item.
     #[prost(message, tag = "11")]
     Removed(Removed),
@@ -139,6 +142,44 @@
     pub leaving_start_ms: Option<u64>,
 }
 
+/// The demand for a model at one of its schedulers. Numbers are in thousandths.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ModelDemand {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The model.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// The failure domain of the scheduler's heads; empty for all.
+    #[prost(string, tag = "3")]
+    pub head_domain: String,
+    /// Seconds from the node's start to the measurement.
+    #[prost(uint32, tag = "4")]
+    pub measured_s: u32,
+    /// Milliseconds from the scheduler's last request to the measurement.
+    #[prost(uint32, tag = "5")]
+    pub idle_ms: u32,
+    /// Slots of the scheduler's heads.
+    #[prost(uint64, tag = "6")]
+    pub slots: u64,
+    /// Slots in use.
+    #[prost(uint64, tag = "7")]
+    pub used: u64,
+    /// Slots that all requests would hold if none had to wait or was rejected.
+    #[prost(uint64, tag = "8")]
+    pub wanted: u64,
+    /// Highest number of wanted slots in the last seconds.
+    #[prost(uint64, tag = "9")]
+    pub peak: u64,
+    /// Requests per second that got no slot.
+    #[prost(uint64, tag = "10")]
+    pub rejected_per_second: u64,
+    /// Prompt tokens per second.
+    #[prost(uint64, tag = "11")]
+    pub prompt_tokens_per_second: u64,
+}
+
 /// An accepted configuration.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ConfigAnnouncement {
@@ -551,6 +592,10 @@
     /// Hosts that must not get it.
     #[prost(string, repeated, tag = "10")]
     pub excluded_hosts: Vec<String>,
+    /// Whether a scheduler has counted it as demand before: its caller sends it again, or it needs
+    /// another slot.
+    #[prost(bool, tag = "13")]
+    pub repeated: bool,
 }
 
 /// A change of a slot.
--- a/crates/peer/tests/support/net.rs
+++ b/crates/peer/tests/support/net.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_base::NodeId;
 use eelgrassmill_peer::{
     Batch, Change, Dissemination, DisseminationConfig, Item, ItemKey, Member, NodeStatus, Timing,
-    Update,
+    Update, WireKind,
 };
 use prost::Message;
 
@@ -65,6 +65,8 @@
     pub(crate) timing: Timing,
     /// Whether received updates are kept in `updates`.
     pub(crate) record_updates: bool,
+    /// Nodes of a build that doesn't know the demand for models.
+    pub(crate) old_nodes: BTreeSet<NodeId>,
     cut: BTreeSet<(NodeId, NodeId)>,
     queue: BTreeMap<(Instant, u64), (NodeId, NodeId, Packet)>,
     next_flush: BTreeMap<NodeId, Instant>,
@@ -104,6 +106,19 @@
     Batch::decode(bytes).expect("a batch as it was sent")
 }
 
+/// Decodes a batch like an old node: the kind of an item with an unknown tag is absent.
+fn decode_at_old_node(bytes: &[u8]) -> Batch {
+    let mut batch = decode(bytes);
+    for item in batch.updates.iter_mut().flat_map(|u| &mut u.items) {
+        item.kind.take_if(|kind| match kind {
+            WireKind::ModelDemand(_) => true,
+            WireKind::Removed(removed) => removed.kind == 15,
+            _ => false,
+        });
+    }
+    batch
+}
+
 impl Net {
     /// Starts nodes that have the same list of members and have published their status.
     pub(crate) fn new(members: &[Member], seed: u64) -> Net {
@@ -123,6 +138,7 @@
             conditions: NetworkConditions::default(),
             timing: Timing::default(),
             record_updates: true,
+            old_nodes: BTreeSet::new(),
             cut: BTreeSet::new(),
             queue: BTreeMap::new(),
             next_flush: BTreeMap::new(),
@@ -253,6 +269,11 @@
 
     fn deliver(&mut self, from: NodeId, to: NodeId, packet: Packet) {
         let now = self.now;
+        let decode = if self.old_nodes.contains(&to) {
+            decode_at_old_node
+        } else {
+            decode
+        };
         let Some(node) = self.nodes.get_mut(&to) else {
             if matches!(packet, Packet::Request(_)) {
                 self.send(to, from, Packet::Failure);
