--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -49,7 +49,7 @@
 pub use crate::crash_detector::{
     BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
 };
-pub use crate::demand::{DemandSnapshot, ModelDemand};
+pub use crate::demand::{DemandMeter, DemandReport, DemandSnapshot, DemandTable, ModelDemand};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fair_share::{Candidates, FairQueue, QueueId, WaitClass, WaitingRequest};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -23,6 +23,7 @@
 
 use crate::catalog::{EngineSpeed, Millionths};
 use crate::cold::ColdStart;
+use crate::demand::{DemandMeter, ModelDemand};
 use crate::pace::{Preference, SentRequest};
 use crate::priority::{LateRejection, Priority};
 use crate::rate::Rate;
@@ -232,6 +233,8 @@
     /// Maximum number of concurrent requests of the head.
     slots: usize,
     granted_at: Instant,
+    /// Whether it resumes a stream whose replica was lost.
+    resumed: bool,
     prompt_tokens: u64,
     /// Whether its prompt counts as prefilled.
     prefilled: bool,
@@ -278,6 +281,7 @@
     pacing: PacingState,
     /// Set if customers share slots fairly; it then replaces `queue`.
     contention: Option<Box<Contention>>,
+    demand_meter: DemandMeter,
 }
 
 impl Scheduler {
@@ -296,6 +300,7 @@
             arrivals: Rate::default(),
             grants: Rate::default(),
             retry_times: RetryTimes::default(),
+            demand_meter: DemandMeter::new(now),
             pacing: PacingState::default(),
             contention: None,
         }
@@ -400,6 +405,27 @@
         true
     }
 
+    /// Counts a request that was just queued as demand. `repeated` if it was counted before.
+    pub fn count_demand(&mut self, repeated: bool, prompt_tokens: u64, now: Instant) {
+        self.demand_meter.on_arrival(repeated, prompt_tokens, now);
+    }
+
+    /// The demand for the slots of `heads`, and when the last request arrived; `None` until it is
+    /// known. To be called several times a second.
+    pub fn measure_demand(
+        &mut self,
+        heads: &[OpenHead],
+        now: Instant,
+    ) -> Option<(ModelDemand, Instant)> {
+        self.demand_meter.set_used(self.used_slots(heads, now), now);
+        let last_request = self.demand_meter.last_request()?;
+        Some((self.demand_meter.measure(now)?, last_request))
+    }
+
+    fn used_slots(&self, heads: &[OpenHead], now: Instant) -> usize {
+        heads.iter().map(|h| self.requests_of(h, now)).sum()
+    }
+
     /// Records that the first event of a request has arrived.
     pub fn on_first_event(&mut self, key: &RequestKey, now: Instant) {
         if let Some(assigned) = self.assigned.get(key).filter(|p| !p.prefilled) {
@@ -449,15 +475,23 @@
         }
     }
 
-    /// Records that a request has ended or was abandoned.
+    /// Records that a request has ended or was abandoned, and releases its slot.
     pub fn on_released(&mut self, key: &RequestKey, now: Instant) {
         let served = self.assigned.get(key).filter(|a| a.prefilled);
         if let (Some(served), Some(contention)) = (served, &mut self.contention) {
             contention.on_released(now.saturating_duration_since(served.granted_at));
         }
+        self.record_held_time(key, now);
         self.release(key);
     }
 
+    fn record_held_time(&mut self, key: &RequestKey, now: Instant) {
+        if let Some(assigned) = self.assigned.get(key) {
+            let (granted_at, resumed) = (assigned.granted_at, assigned.resumed);
+            self.demand_meter.on_ended(granted_at, resumed, now);
+        }
+    }
+
     /// Removes a request that has ended or was abandoned, whether it has a slot or is queued.
     pub fn release(&mut self, key: &RequestKey) {
         self.on_prefilled(key);
@@ -470,6 +504,7 @@
             return;
         };
         self.pace_ended(&assigned);
+        self.demand_meter.on_release(assigned.granted_at);
         if let Some(state) = self.head_states.get_mut(&assigned.head) {
             state.requests = state.requests.saturating_sub(1);
             if !assigned.accepted {
@@ -502,6 +537,7 @@
             return self.release(key);
         };
         let (head, sent, slots) = (assigned.head.clone(), assigned.sent, assigned.slots);
+        self.record_held_time(key, now);
         let state = self.head_states.entry(head.clone()).or_default();
         state.success.on_failed(now);
         state.pace_failed(sent, slots, now);
@@ -557,6 +593,10 @@
             }
         };
         self.pacing.on_round_end(&decided, now);
+        let got_none = |d: &&Decision| !matches!(d.outcome, SlotOutcome::Granted(_));
+        let rejections = decided.iter().filter(got_none).count();
+        self.demand_meter.on_rejections(rejections, now);
+        self.demand_meter.set_used(self.used_slots(heads, now), now);
         decided
     }
 
@@ -714,6 +754,7 @@
     fn assign_to(&mut self, request: &PendingRequest, head: &OpenHead, now: Instant) {
         self.grants.on_event(now);
         let sent = self.pace_sent(request, head, now);
+        self.demand_meter.on_grant(now);
         let state = self.head_states.entry(head.key.clone()).or_default();
         state.requests += 1;
         state.unaccepted += 1;
@@ -728,6 +769,7 @@
             head: head.key.clone(),
             slots: head.slots,
             granted_at: now,
+            resumed: request.resumed,
             prompt_tokens: request.prompt_tokens,
             prefilled: false,
             accepted: false,
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -12,6 +12,7 @@
 use tracing::info;
 
 use crate::core::Core;
+use crate::demand;
 use crate::heads::locked;
 use crate::host_signals;
 use crate::loss_detection::{LostReplica, REPORT_TIMEOUT};
@@ -54,6 +55,7 @@
         self.core.planning.close();
         // Targets are those of the planner; a node that is none shows no old ones.
         self.core.metrics.capacity_target_replicas.reset();
+        self.core.metrics.wanted_slots.reset();
     }
 }
 
@@ -99,6 +101,11 @@
         let cold = core.cfg.first_start
             && !core.has_served()
             && core.started_at.elapsed() < COLD_START_PERIOD;
+        if core.cfg.policies.capacity_follows_demand {
+            let demand = demand::snapshot(core, now);
+            core.metrics.set_wanted_slots(&catalog, &demand);
+            self.planner.set_demand(Some(demand));
+        }
         let commands = {
             let fleet = locked(&core.fleet);
             if !fleet.is_loaded() {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, GroupId, ModelName, NodeId, ServiceName, value};
+pub(crate) use eelgrassmill_base::SchedulerScope as Scope;
+use eelgrassmill_base::{FailureDomain, GroupId, NodeId, value};
 use eelgrassmill_fleet::{
     AdmissionDecision, Decision, EngineSpeed, HeadKey, Millionths, OpenHead, PaceSummary, Pacing,
     PendingRequest, RequestKey, RequestOrigin, Scheduler, SchedulingPolicy, SlotOutcome,
@@ -20,6 +21,7 @@
 use tracing::info;
 
 use crate::core::Core;
+use crate::demand::Measurement;
 use crate::heads::locked;
 use crate::logs::LogRateLimit;
 use crate::pacing;
@@ -40,23 +42,10 @@
 /// Longest time that a slot request is held before its reply.
 const MAX_RPC_WAIT: Duration = Duration::from_millis(250);
 
-value! {
-    /// The requests that one scheduler assigns.
-    #[derive(Hash, PartialOrd, Ord)]
-    pub(crate) struct Scope {
-        pub(crate) service: ServiceName,
-        pub(crate) model: ModelName,
-        /// The failure domain of the heads; `None` for all.
-        pub(crate) heads_in: Option<FailureDomain>,
-    }
-}
-
-impl Scope {
-    /// Names it in logs.
-    fn label(&self) -> String {
-        let domain = self.heads_in.as_deref().unwrap_or("*");
-        format!("{}/{}/{domain}", self.service, self.model)
-    }
+/// Names a scope in logs.
+fn scope_label(scope: &Scope) -> String {
+    let domain = scope.heads_in.as_deref().unwrap_or("*");
+    format!("{}/{}/{domain}", scope.service, scope.model)
 }
 
 /// The schedulers that run at this node.
@@ -129,6 +118,18 @@
     }
 }
 
+/// The demand at the schedulers of this node, where it is known.
+pub(crate) fn measure_demand<P: Platform>(core: &Core<P>, now: Instant) -> Vec<Measurement> {
+    let all: Vec<_> = locked(&core.schedulers.running).values().cloned().collect();
+    let measured = all.iter().filter_map(|running| {
+        let scope = locked(running).scope.clone();
+        let heads = open_heads(core, &scope);
+        let measured = locked(running).scheduler.measure_demand(&heads, now)?;
+        Some(Measurement::new(&scope, &heads, measured))
+    });
+    measured.collect()
+}
+
 /// Handles a node's call that asks for a slot or reports slot events.
 pub(crate) async fn handle<P: Platform>(core: Arc<Core<P>>, req: ScheduleRequest) -> ScheduleReply {
     let scope = Scope {
@@ -159,7 +160,8 @@
         returning: slot_request.returning,
     };
     let heads = open_heads(&core, &scope);
-    let outcome_rx = locked(&running).request_slot(&core, request, origin, &heads, now);
+    let repeated = slot_request.repeated || slot_request.resumed;
+    let outcome_rx = locked(&running).request_slot(&core, request, (origin, repeated), &heads, now);
     let wait = Duration::from_millis(slot_request.wait_ms.into()).min(MAX_RPC_WAIT);
     match tokio::time::timeout(wait, outcome_rx).await {
         Ok(Ok(answer)) => reply(answer),
@@ -299,7 +301,7 @@
         let mut all = locked(&core.schedulers.running);
         if now.saturating_duration_since(locked(&running).last_used) > IDLE_TIMEOUT {
             all.remove(&scope);
-            pacing::show(&core, &scope.label(), PaceSummary::default());
+            pacing::show(&core, &scope_label(&scope), PaceSummary::default());
             return;
         }
     }
@@ -343,7 +345,7 @@
     let changes = changes
         .into_iter()
         .filter_map(|(key, change)| Some((host_of(&key)?, change)));
-    pacing::report(core, &scope.label(), summary, changes, now);
+    pacing::report(core, &scope_label(scope), summary, changes, now);
 }
 
 impl RunningScheduler {
@@ -372,7 +374,7 @@
         &mut self,
         core: &Core<P>,
         request: PendingRequest,
-        origin: RequestOrigin,
+        (origin, repeated): (RequestOrigin, bool),
         heads: &[OpenHead],
         now: Instant,
     ) -> oneshot::Receiver<Answer> {
@@ -383,7 +385,9 @@
             return rx;
         }
         self.pending_replies.insert(request.key.clone(), tx);
+        let prompt_tokens = request.prompt_tokens;
         if self.scheduler.enqueue_from(request, origin, now) {
+            self.scheduler.count_demand(repeated, prompt_tokens, now);
             self.decide(core, heads, now);
         }
         rx
--- a/crates/gateway/src/scheduler_client.rs
+++ b/crates/gateway/src/scheduler_client.rs
@@ -280,6 +280,8 @@
     let req = request(core, &permit.scope, Some(slot_request), batch.messages());
     let reply = send(core, &permit.node, req, wait + RPC_SLACK).await?;
     batch.acknowledge();
+    // Already set if it waited or was granted a slot before.
+    let _ = query.call.demand_counted.set(());
     Some(reply)
 }
 
@@ -352,6 +354,7 @@
         excluded_hosts: Vec::new(),
         customer: call.customer().to_owned(),
         returning: call.is_returning(),
+        repeated: query.resumed || call.is_repeated(),
     }
 }
 
