--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -25,6 +25,9 @@
 const MAX_OVERDUE: usize = 4;
 /// Range of a sample relative to the predicted time, so that a single one can't dominate the mean.
 const MAX_SAMPLE: f64 = 32.0;
+/// Shorter times than 1 / this of those that are late count as equal: callers don't notice, and
+/// times of a few milliseconds vary by more than [`SLOW_RATIO`] on a busy machine.
+const NOISE_DIVISOR: u32 = 5;
 /// A host is slow if it is this many times slower than the median of the others.
 const SLOW_RATIO: f64 = 3.0;
 /// A slow host is no longer slow below this ratio. The gap to [`SLOW_RATIO`] prevents flapping.
@@ -289,7 +292,7 @@
             return;
         };
         let latency = now.saturating_duration_since(request.sent);
-        self.on_sample(latency, unanswered.expected, now);
+        self.on_sample(latency, unanswered.expected, unanswered.objective, now);
         if latency <= unanswered.objective {
             self.grow_window(request);
         } else {
@@ -307,7 +310,7 @@
         permitted: Duration,
         now: Instant,
     ) {
-        self.on_sample(gap, expected, now);
+        self.on_sample(gap, expected, permitted, now);
         if gap <= permitted {
             self.grow_window(request);
         }
@@ -330,7 +333,7 @@
         if let Some(unanswered) = self.unanswered.remove(&request) {
             let age = now.saturating_duration_since(request.sent);
             if age > unanswered.objective {
-                self.on_sample(age, unanswered.expected, now);
+                self.on_sample(age, unanswered.expected, unanswered.objective, now);
                 self.halve_window(request);
             }
         }
@@ -341,9 +344,10 @@
         }
     }
 
-    fn on_sample(&mut self, took: Duration, expected: Duration, now: Instant) {
+    fn on_sample(&mut self, took: Duration, expected: Duration, objective: Duration, now: Instant) {
+        let sample = sample(took, expected, objective);
         self.service_time = Some(ServiceTime {
-            log: with_sample(self.service_time, sample(took, expected), now),
+            log: with_sample(self.service_time, sample, now),
             at: now,
         });
     }
@@ -378,7 +382,7 @@
         let mut known = self.service_time;
         for (request, unanswered) in self.unanswered.iter().take(MAX_OVERDUE) {
             let age = now.saturating_duration_since(request.sent);
-            let sample = sample(age, unanswered.expected);
+            let sample = sample(age, unanswered.expected, unanswered.objective);
             if age > unanswered.objective && known.is_none_or(|k| sample > k.log) {
                 let log = with_sample(known, sample, now);
                 known = Some(ServiceTime { log, at: now });
@@ -421,8 +425,10 @@
     }
 }
 
-fn sample(took: Duration, expected: Duration) -> f64 {
-    let ratio = took.as_secs_f64() / expected.as_secs_f64().max(1e-6);
+/// Natural logarithm of a time relative to the predicted one.
+fn sample(took: Duration, expected: Duration, objective: Duration) -> f64 {
+    let noise = (objective / NOISE_DIVISOR).max(Duration::from_micros(1));
+    let ratio = took.max(noise).div_duration_f64(expected.max(noise));
     ratio.clamp(1.0 / MAX_SAMPLE, MAX_SAMPLE).ln()
 }
 
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -211,6 +211,24 @@
     expect_that!(paces[0].is_slow(), eq(false));
 }
 
+/// Guards against hosts that become slow in turn since their answers of a few milliseconds vary.
+#[gtest]
+fn differences_that_callers_do_not_notice_make_no_host_slow() {
+    let now = Instant::now();
+    let mut paces = [HostPace::default(), HostPace::default()];
+    for step in 0..20 {
+        for (pace, latency) in paces.iter_mut().zip([ms(2), ms(40)]) {
+            let at = now + ms(50) * step;
+            let request = pace.on_sent(ms(5), OBJECTIVE, 0, at);
+            pace.on_first_event(request, at + latency);
+            pace.on_end(request, at + latency);
+        }
+        let slots = paces.iter_mut().map(|p| (p, SLOTS));
+        judge(slots, 0, now + ms(50) * (step + 1));
+        expect_that!(paces[1].is_slow(), eq(false));
+    }
+}
+
 fn head(name: &str, epoch: u64) -> OpenHead {
     OpenHead {
         key: (name.into(), epoch),
