--- a/crates/fleet/benches/schedule.rs
+++ b/crates/fleet/benches/schedule.rs
@@ -2,11 +2,13 @@
 //!
 //! Run with `cargo bench -p eelgrassmill-fleet --bench schedule`.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use divan::Bencher;
 use eelgrassmill_fleet::{
-    EngineSpeed, Millionths, OpenHead, PendingRequest, RequestKey, Scheduler,
+    EngineSpeed, Millionths, OpenHead, PendingRequest, RequestKey, RequestOrigin, Scheduler,
+    SchedulingPolicy,
 };
 use smol_str::format_smolstr;
 
@@ -109,3 +111,46 @@
         scheduler.assign(&heads, now);
     });
 }
+
+/// One more request that is decided at once while others wait, with fair shares, by number of
+/// customers and queue length.
+#[divan::bench(args = [(24, 10), (24, 10_000), (333, 10), (333, 10_000)])]
+fn decide_fairly(bencher: Bencher, (customers, waiting): (u64, u64)) {
+    let heads = heads(16);
+    let now = Instant::now();
+    let policy = SchedulingPolicy { fair_share: true };
+    let mut scheduler = Scheduler::with_policy(speed(), policy, now);
+    let origin = |n: u64| RequestOrigin {
+        customer: format_smolstr!("customer-{}", n % customers),
+        returning: false,
+    };
+    let full = (heads.len() * (SLOTS + 1)) as u64;
+    for n in 0..full {
+        scheduler.enqueue_from(pending_request(n, now), origin(n), now);
+        scheduler.assign(&heads, now);
+        scheduler.on_first_event(&pending_request(n, now).key, now);
+    }
+    for n in full..full + waiting {
+        scheduler.enqueue_from(pending_request(n, now), origin(n), now);
+    }
+    let mut number = full + waiting;
+    let mut running: VecDeque<RequestKey> =
+        (0..full).map(|n| pending_request(n, now).key).collect();
+    bencher.bench_local(|| {
+        number += 1;
+        scheduler.enqueue_from(pending_request(number, now), origin(number), now);
+        if let Some(ended) = running.pop_front() {
+            scheduler.release(&ended);
+        }
+        let decided = scheduler.decide_all(&heads, now);
+        for granted in &decided {
+            scheduler.on_first_event(&granted.key, now);
+            running.push_back(granted.key.clone());
+        }
+        decided.len()
+    });
+    assert!(
+        scheduler.queue_len() as u64 >= waiting,
+        "the queue keeps its length"
+    );
+}
--- a/crates/fleet/src/fair_share.rs
+++ b/crates/fleet/src/fair_share.rs
@@ -42,7 +42,8 @@
         OnTime(u8),
         /// A request that came back, by the time at which it was told to come.
         Returning(Instant),
-        /// A request that came back, but not when it was told to, or that was told by another node.
+        /// A request that came back, but not when it was told to, or that was told by another node;
+        /// and a late one that is the only one of its customer.
         Untold,
         /// A request that can no longer be on time, by urgency.
         Late(u8),
@@ -491,12 +492,19 @@
     }
 
     /// Moves a request that can't be on time behind those that can.
+    ///
+    /// The only waiting request of a customer may use a reserved grant. A customer that sends little
+    /// must not depend on slots becoming free evenly.
     pub fn demote(&mut self, id: QueueId) {
+        let is_only = !self.waits_behind_own(id);
         let Some(mut request) = self.entries.remove(&id) else {
             return;
         };
         self.unlink(id, &request);
-        request.class = request.late_class;
+        request.class = match request.late_class {
+            WaitClass::Late(_) if is_only => WaitClass::Untold,
+            late_class => late_class,
+        };
         self.link(id, &request);
         self.entries.insert(id, request);
     }
@@ -533,6 +541,16 @@
         self.on_time.get(&urgency)?.last(self.is_newest_first(now))
     }
 
+    /// Whether other requests of its customer and urgency wait that can be on time.
+    pub fn waits_behind_own(&self, id: QueueId) -> bool {
+        let Some(request) = self.entries.get(&id) else {
+            return false;
+        };
+        let class = self.on_time.get(&request.urgency);
+        let own = class.and_then(|c| c.customers.get(&request.customer));
+        own.is_some_and(|queue| queue.ids.len() > 1)
+    }
+
     /// The returning request that is served last.
     pub fn last_returning(&self) -> Option<QueueId> {
         let told = || self.returning.last().map(|(_, id)| *id);
--- a/crates/fleet/src/schedule/fair.rs
+++ b/crates/fleet/src/schedule/fair.rs
@@ -57,13 +57,14 @@
         if !request.resumed && now < request.on_time_until {
             self.estimate.on_arrival(now);
         }
-        let late_class = if origin.returning {
-            let told = self
-                .estimate
-                .take_place(&ticket(&origin.customer, &request), now);
-            told.map_or(WaitClass::Untold, WaitClass::Returning)
-        } else {
-            WaitClass::Late(request.urgency)
+        // Not all that come back are recognized by their timeouts, but those that were told a place
+        // come at its time.
+        let ticket = ticket(&origin.customer, &request);
+        let told = self.estimate.take_place(&ticket, now);
+        let late_class = match told {
+            Some(told) => WaitClass::Returning(told),
+            None if origin.returning => WaitClass::Untold,
+            None => WaitClass::Late(request.urgency),
         };
         self.newest = origin.customer.clone();
         let key = request.key.clone();
@@ -72,7 +73,7 @@
             class,
             prompt_tokens: request.prompt_tokens,
             urgency: request.urgency,
-            is_returning: origin.returning,
+            is_returning: origin.returning || told.is_some(),
             late_class,
             on_time_until: request.on_time_until,
             deadline,
@@ -252,7 +253,8 @@
         now: Instant,
     ) {
         let request = contention.queue.get(id);
-        if request.is_some_and(|r| r.is_returning) {
+        let is_only = !contention.queue.waits_behind_own(id);
+        if is_only || request.is_some_and(|r| r.is_returning) {
             contention.queue.demote(id);
         } else {
             decided.extend(self.reject(contention, id, Some(rate), now));
@@ -300,7 +302,8 @@
     let request = queue.get(last)?;
     let until = request.on_time_until.min(request.deadline);
     let time = until.saturating_duration_since(now + lead);
-    let servable = if queue.is_newest_first(now) {
+    // Later arrivals go ahead of older ones of the same customer only.
+    let servable = if queue.is_newest_first(now) && queue.waits_behind_own(last) {
         contention.estimate.servable_newest_first(rate, time, now)
     } else {
         contention.estimate.servable_in_order(rate, time)
--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -27,7 +27,7 @@
 const DEVIATIONS: f64 = 1.0;
 /// Fraction of the capacity for returning requests that is given as places. The rest is a margin for
 /// errors of the estimate, and for those that come back earlier than told.
-const RETURN_UTILIZATION: f64 = 0.7;
+const RETURN_UTILIZATION: f64 = 0.5;
 /// Age below which the arrival rate is not extrapolated.
 const MIN_RATE_AGE: Duration = Duration::from_millis(250);
 /// Minimum Retry-After: a slot takes this long to become free at the shortest streams.
