Share slots fairly at nodes without a scheduler, and measure Retry-After of plain services

Cause: a node that no scheduler answers orders requests without regard to customers, and tells them a constant time; so does a full plain service.

Change: with fair_share, such a node queues by customer with the scheduler's policy (FairQueue::excess). A plain service's Retry-After follows from its slots and the mean time that a host takes, divided by the number of nodes.

Not tested yet with a node whose schedulers are gone.

--- a/crates/fleet/src/fair_share.rs
+++ b/crates/fleet/src/fair_share.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use crate::wait_estimate::RETURNING_RATIO;
+use crate::wait_estimate::{MAX_REJECTION_WAIT, RETURNING_RATIO, WaitEstimate};
 
 /// Maximum number of customers with a counter.
 const MAX_CUSTOMERS: usize = 1024;
@@ -245,6 +245,16 @@
     }
 }
 
+value! { copy
+    /// A request that can't begin while it can be on time.
+    pub enum Excess {
+        /// It may wait for a reserved grant.
+        Demoted(QueueId),
+        /// It is rejected.
+        Rejected(QueueId),
+    }
+}
+
 /// Requests to try for a slot, in order.
 pub type Candidates = SmallVec<[QueueId; MAX_CANDIDATES]>;
 
@@ -541,6 +551,48 @@
         self.on_time.get(&urgency)?.last(self.is_newest_first(now))
     }
 
+    /// The last request of a class that is longer than what `rate` slots per second can serve in
+    /// time, at `heads` heads that take `lead` to the first event.
+    pub fn excess(
+        &self,
+        estimate: &WaitEstimate,
+        heads: usize,
+        rate: f64,
+        lead: Duration,
+        now: Instant,
+    ) -> Option<Excess> {
+        for (urgency, ahead) in self.on_time_lengths() {
+            let last = self.last_on_time(urgency, now)?;
+            let request = self.get(last)?;
+            let until = request.on_time_until.min(request.deadline);
+            let time = until.saturating_duration_since(now + lead);
+            // Later arrivals go ahead of older ones of the same customer only.
+            let waits_behind_own = self.waits_behind_own(last);
+            let servable = if self.is_newest_first(now) && waits_behind_own {
+                estimate.servable_newest_first(rate, time, now)
+            } else {
+                estimate.servable_in_order(rate, time)
+            };
+            if ahead as f64 > servable + heads as f64 {
+                let may_wait = request.is_returning || !waits_behind_own;
+                return Some(if may_wait {
+                    Excess::Demoted(last)
+                } else {
+                    Excess::Rejected(last)
+                });
+            }
+        }
+        let free = estimate.returning_rate(rate, now);
+        let servable = estimate.servable_in_order(free, MAX_REJECTION_WAIT) + heads as f64;
+        if self.returning_len() as f64 > servable {
+            return self.last_returning().map(Excess::Rejected);
+        }
+        let free = estimate.leftover_rate(rate, now);
+        let servable = estimate.servable_in_order(free, MAX_REJECTION_WAIT);
+        let is_excess = self.late_len() as f64 > servable;
+        is_excess.then(|| self.last_late().map(Excess::Rejected))?
+    }
+
     /// Whether other requests of its customer and urgency wait that can be on time.
     pub fn waits_behind_own(&self, id: QueueId) -> bool {
         let Some(request) = self.entries.get(&id) else {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -47,7 +47,7 @@
     BrokenResponse, CheckStep, CrashDetector, HostCrash, HostStart, ProbeResult,
 };
 pub use crate::ejection::{Ejection, EjectionBackoff};
-pub use crate::fair_share::{Candidates, FairQueue, QueueId, WaitClass, WaitingRequest};
+pub use crate::fair_share::{Candidates, Excess, FairQueue, QueueId, WaitClass, WaitingRequest};
 pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::host_signals::{HostObservation, HostSignals, RequestedRest, ReturnTimes};
--- a/crates/fleet/src/schedule/fair.rs
+++ b/crates/fleet/src/schedule/fair.rs
@@ -5,7 +5,7 @@
 
 use smol_str::SmolStr;
 
-use crate::fair_share::{FairQueue, QueueId, WaitClass, WaitingRequest};
+use crate::fair_share::{Excess, FairQueue, QueueId, WaitClass, WaitingRequest};
 use crate::rate_limit::usable_rate;
 use crate::schedule::{
     AdmissionDecision, Decision, LEARNING_PERIOD, MIN_LATENCY_RATIO, OpenHead, PendingRequest,
@@ -167,6 +167,9 @@
     /// The rate at which slots become free: by the time that slots are held, or if that is unknown,
     /// by the grants while requests wait.
     fn free_rate(&self, contention: &Contention, slots: usize, now: Instant) -> Option<f64> {
+        if slots == 0 {
+            return None;
+        }
         let is_learned = contention.queue.nonempty_for(now) >= LEARNING_PERIOD;
         let granted = || is_learned.then(|| self.grants.per_second(now));
         contention.estimate.free_rate(slots).or_else(granted)
@@ -215,50 +218,18 @@
         decided: &mut Vec<Decision>,
         now: Instant,
     ) {
-        for (urgency, _) in contention.queue.on_time_lengths() {
-            while let Some(id) = last_unservable(contention, urgency, heads, rate, lead, now) {
-                self.shed_on_time(contention, id, rate, decided, now);
+        while let Some(excess) =
+            contention
+                .queue
+                .excess(&contention.estimate, heads, rate, lead, now)
+        {
+            match excess {
+                Excess::Demoted(id) => contention.queue.demote(id),
+                Excess::Rejected(id) => {
+                    decided.extend(self.reject(contention, id, Some(rate), now));
+                }
             }
         }
-        let free = contention.estimate.returning_rate(rate, now);
-        let servable = contention
-            .estimate
-            .servable_in_order(free, MAX_REJECTION_WAIT)
-            + heads as f64;
-        while contention.queue.returning_len() as f64 > servable {
-            let Some(id) = contention.queue.last_returning() else {
-                break;
-            };
-            decided.extend(self.reject(contention, id, Some(rate), now));
-        }
-        let free = contention.estimate.leftover_rate(rate, now);
-        let servable = contention
-            .estimate
-            .servable_in_order(free, MAX_REJECTION_WAIT);
-        while contention.queue.late_len() as f64 > servable {
-            let Some(id) = contention.queue.last_late() else {
-                break;
-            };
-            decided.extend(self.reject(contention, id, Some(rate), now));
-        }
-    }
-
-    /// Rejects a request that can't be on time, unless it was told to come now.
-    fn shed_on_time(
-        &mut self,
-        contention: &mut Contention,
-        id: QueueId,
-        rate: f64,
-        decided: &mut Vec<Decision>,
-        now: Instant,
-    ) {
-        let request = contention.queue.get(id);
-        let is_only = !contention.queue.waits_behind_own(id);
-        if is_only || request.is_some_and(|r| r.is_returning) {
-            contention.queue.demote(id);
-        } else {
-            decided.extend(self.reject(contention, id, Some(rate), now));
-        }
     }
 
     /// The last queued request and the rate that is served, if all heads name limits that don't
@@ -285,28 +256,3 @@
         (queue.len() as f64 > tokens + rate * time).then_some((last, rate))
     }
 }
-
-/// The last request of an urgency, if it can't begin while it can be on time.
-fn last_unservable(
-    contention: &Contention,
-    urgency: u8,
-    heads: usize,
-    rate: f64,
-    lead: Duration,
-    now: Instant,
-) -> Option<QueueId> {
-    let queue = &contention.queue;
-    let lengths = queue.on_time_lengths();
-    let (_, ahead) = lengths.iter().find(|(u, _)| *u == urgency)?;
-    let last = queue.last_on_time(urgency, now)?;
-    let request = queue.get(last)?;
-    let until = request.on_time_until.min(request.deadline);
-    let time = until.saturating_duration_since(now + lead);
-    // Later arrivals go ahead of older ones of the same customer only.
-    let servable = if queue.is_newest_first(now) && queue.waits_behind_own(last) {
-        contention.estimate.servable_newest_first(rate, time, now)
-    } else {
-        contention.estimate.servable_in_order(rate, time)
-    };
-    (*ahead as f64 > servable + heads as f64).then_some(last)
-}
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -19,6 +19,7 @@
 
 use crate::call::Call;
 use crate::core::Core;
+use crate::fair_admission;
 use crate::heads::{Head, SlotGuard, locked};
 use crate::ports::Platform;
 use crate::refusal::{Refusal, RefusalCause};
@@ -29,7 +30,7 @@
 const PIPELINE_DEPTH: usize = 3;
 /// How often a waiting request checks for free slots: this node gets no event when other nodes'
 /// loads fall.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of a call's timeout that must remain for its response.
 const MIN_REMAINING_RATIO: f64 = 0.4;
 /// Longest wait of a request. Callers disconnect after 2 s without an event, and the first event
@@ -41,7 +42,7 @@
 
 /// Retry-After when no scheduler answers and only one can place the request: by then another node
 /// has the role.
-const RETRY_AFTER_NO_SCHEDULER: Duration = Duration::from_secs(2);
+pub(crate) const RETRY_AFTER_NO_SCHEDULER: Duration = Duration::from_secs(2);
 
 type QueueKey = (Priority, u64);
 
@@ -210,6 +211,9 @@
         Acquired::Resting(rest) => return Err(core.host_signals.rest_refusal(rest)),
         Acquired::NoScheduler => {}
     }
+    if is_fair {
+        return fair_admission::admit(core, &query).await;
+    }
     let priority = Priority::first(resumed, call.urgency());
     let mut waiting = core.admission.enter(service, model, priority);
     loop {
@@ -249,18 +253,22 @@
     }
 }
 
-fn limit_refusal<P: Platform>(core: &Core<P>, service: &str, retry_after: Duration) -> Refusal {
+pub(crate) fn limit_refusal<P: Platform>(
+    core: &Core<P>,
+    service: &str,
+    retry_after: Duration,
+) -> Refusal {
     core.metrics.count_limited(service);
     Refusal::with_retry_after(RefusalCause::HostLimit, retry_after)
 }
 
 /// A rejection that says when a slot will be free, or [`RETRY_AFTER_FULL`] if that is unknown.
-fn full_refusal(cause: RefusalCause, retry_after: Option<Duration>) -> Refusal {
+pub(crate) fn full_refusal(cause: RefusalCause, retry_after: Option<Duration>) -> Refusal {
     let unknown = || RETRY_AFTER_FULL.mul_f64(1.0 + fastrand::f64());
     Refusal::with_retry_after(cause, retry_after.unwrap_or_else(unknown))
 }
 
-enum Choice {
+pub(crate) enum Choice {
     Free(Arc<Head>),
     /// All heads are full; `slots` is their total.
     Full {
@@ -274,7 +282,11 @@
 }
 
 /// The cause when no slot is available.
-fn no_slot_cause<P: Platform>(core: &Core<P>, service: &str, model: &str) -> RefusalCause {
+pub(crate) fn no_slot_cause<P: Platform>(
+    core: &Core<P>,
+    service: &str,
+    model: &str,
+) -> RefusalCause {
     let heads = locked(&core.heads);
     let is_served = heads.of_model(service, model).next().is_some();
     if is_served {
@@ -291,7 +303,7 @@
     core.admission.arrivals(service, model) * others * core.load_age().as_secs_f64()
 }
 
-fn choose_head<P: Platform>(
+pub(crate) fn choose_head<P: Platform>(
     core: &Core<P>,
     service: &ServiceName,
     model: &ModelName,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -9,6 +9,7 @@
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
     CallerTimeouts, Catalog, ColdRateLimiter, Fleet, RetryWindow, RoleCandidate, TargetStats,
+    WaitEstimate,
 };
 use eelgrassmill_peer::PeerNode;
 use tokio::sync::watch;
@@ -18,6 +19,7 @@
 use crate::config::GatewayConfig;
 use crate::configuration::Configuration;
 use crate::crash_detection::CrashDetection;
+use crate::fair_admission::FairQueues;
 use crate::heads::{HeadTable, locked};
 use crate::host_relay::HostRelay;
 use crate::host_signals::SignalState;
@@ -56,6 +58,9 @@
     budget_log_limit: Mutex<LogRateLimit>,
     pub(crate) metrics: Metrics,
     pub(crate) admission: AdmissionQueues,
+    pub(crate) fair_queues: FairQueues,
+    /// Capacity of plain services for this node, if customers share fairly.
+    pub(crate) plain_estimates: Mutex<HashMap<ServiceName, WaitEstimate>>,
     /// Schedulers that run at this node.
     pub(crate) schedulers: Schedulers,
     pub(crate) caller_timeouts: Mutex<CallerTimeouts>,
@@ -105,6 +110,8 @@
             budget_log_limit: Mutex::default(),
             metrics: Metrics::default(),
             admission: AdmissionQueues::default(),
+            fair_queues: FairQueues::default(),
+            plain_estimates: Mutex::default(),
             schedulers: Schedulers::default(),
             caller_timeouts: Mutex::default(),
             scheduler_client: SchedulerClient::default(),
@@ -246,6 +253,7 @@
     /// Wakes the admission queues after a slot may have become free.
     pub(crate) fn wake_waiting_requests(&self) {
         self.admission.wake();
+        self.fair_queues.wake();
     }
 
     /// Updates the table of heads from the host list.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,8 @@
 use eelgrassmill_base::{HostId, ServiceName};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
 use eelgrassmill_fleet::{
-    ColdRateLimiter, ColdStart, Fleet, Host, HostCandidate, TargetOutcome, choose_host,
+    ColdRateLimiter, ColdStart, Fleet, Host, HostCandidate, ReturnTicket, TargetOutcome,
+    choose_host,
 };
 use http::{Response, StatusCode};
 use smallvec::SmallVec;
@@ -30,7 +31,7 @@
 /// Timeout of an attempt that can be retried, in multiples of the route's latency objective: by
 /// then the response is late, and half of the route's timeout is left for another host.
 const ATTEMPT_TIMEOUT_IN_OBJECTIVES: u32 = 2;
-/// Retry-After when every host refused: hosts refuse while their short queue is full, and it has
+/// Retry-After when every host refused and nothing was measured: hosts refuse while their short queue is full, and it has
 /// room again a few responses later.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 
@@ -71,6 +72,11 @@
     admission: Admission,
 ) -> Result<Response<ResponseBody>, Refusal> {
     core.count_for_retry_budget(&service);
+    if core.cfg.policies.fair_share && !call.is_returning() {
+        let mut estimates = locked(&core.plain_estimates);
+        let estimate = estimates.entry(service.clone()).or_default();
+        estimate.on_arrival(Instant::now());
+    }
     let mut tried: SmallVec<[HostId; 4]> = SmallVec::new();
     let mut runs = 0;
     let mut delivered = 0;
@@ -146,7 +152,7 @@
         let limited = (delivered == 0).then(|| limit_refusal(core, &service));
         limited
             .flatten()
-            .unwrap_or_else(|| refusal_of(call, runs, delivered, refused))
+            .unwrap_or_else(|| refusal_of(core, call, &service, runs, delivered, refused))
     })
 }
 
@@ -178,7 +184,14 @@
 
 /// The refusal of a call that no host answered. It states that the call didn't run only where
 /// that is certain; the cause is then `refused` if the call reached a host at all.
-fn refusal_of(call: &Call, runs: u32, delivered: u32, refused: RefusalCause) -> Refusal {
+fn refusal_of<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    service: &ServiceName,
+    runs: u32,
+    delivered: u32,
+    refused: RefusalCause,
+) -> Refusal {
     let out_of_time = call.remaining().is_zero();
     if runs > 0 {
         let cause = if out_of_time {
@@ -196,7 +209,44 @@
     } else {
         RefusalCause::NoHealthyTarget
     };
-    Refusal::with_retry_after(cause, RETRY_AFTER_FULL)
+    let measured = (delivered > 0).then(|| retry_after(core, call, service));
+    Refusal::with_retry_after(cause, measured.flatten().unwrap_or(RETRY_AFTER_FULL))
+}
+
+/// When the hosts of a full service have room for a call again; `None` if that is not known.
+fn retry_after<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    service: &ServiceName,
+) -> Option<Duration> {
+    let slots = {
+        let fleet = locked(&core.fleet);
+        let hosts = fleet.hosts();
+        let hosts = hosts.filter(|h| h.service == *service && fleet.takes_requests(h));
+        hosts.map(|h| h.slots).sum()
+    };
+    let nodes = core.active_node_count().max(1) as f64;
+    let mut estimates = locked(&core.plain_estimates);
+    let estimate = estimates.get_mut(service)?;
+    // Callers choose nodes evenly, so each node has an equal part of the slots.
+    let rate = estimate.free_rate(slots)? / nodes;
+    let ticket = ReturnTicket {
+        customer: call.customer().into(),
+        prompt_tokens: call.metadata.prompt_tokens,
+        urgency: call.urgency(),
+    };
+    Some(estimate.retry_after(ticket, rate, 0, Instant::now()))
+}
+
+/// Records how long a host of a plain service took.
+fn on_served<P: Platform>(core: &Core<P>, service: &ServiceName, took: Duration) {
+    if core.cfg.policies.fair_share {
+        let mut estimates = locked(&core.plain_estimates);
+        estimates
+            .entry(service.clone())
+            .or_default()
+            .on_released(took);
+    }
 }
 
 fn attempt_timeout(call: &Call, runs: u32) -> Duration {
@@ -312,6 +362,7 @@
         outcome: TargetOutcome::Failed,
     };
     let req = target_request(core, call, &host.id, None, None);
+    let sent_at = Instant::now();
     let attempt_timeout = until.saturating_duration_since(Instant::now());
     let sent = core
         .http
@@ -341,6 +392,7 @@
             let read = read_whole(response, until).await;
             if read.is_ok() && !status.is_server_error() {
                 running.outcome = TargetOutcome::Served;
+                on_served(core, &host.service, sent_at.elapsed());
             }
             match read {
                 Ok((headers, body)) => AttemptResult::Answered(status, headers, body),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 mod crash_detection;
 mod dispatch;
+mod fair_admission;
 mod gateway;
 mod heads;
 mod host_relay;
