--- a/crates/fleet/src/fair_share.rs
+++ b/crates/fleet/src/fair_share.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
-use crate::wait_estimate::RETURNING_RATIO;
+use crate::wait_estimate::{MAX_REJECTION_WAIT, RETURNING_RATIO, WaitEstimate};
 
 /// Maximum number of customers with a counter.
 const MAX_CUSTOMERS: usize = 1024;
@@ -42,7 +42,8 @@
         OnTime(u8),
         /// A request that came back, by the time at which it was told to come.
         Returning(Instant),
-        /// A request that came back, but not when it was told to, or that was told by another node.
+        /// A request that came back, but not when it was told to, or that was told by another node;
+        /// and a late one that is the only one of its customer.
         Untold,
         /// A request that can no longer be on time, by urgency.
         Late(u8),
@@ -244,6 +245,16 @@
     }
 }
 
+value! { copy
+    /// A request that can't begin while it can be on time.
+    pub enum Excess {
+        /// It may wait for a reserved grant.
+        Demoted(QueueId),
+        /// It is rejected.
+        Rejected(QueueId),
+    }
+}
+
 /// Requests to try for a slot, in order.
 pub type Candidates = SmallVec<[QueueId; MAX_CANDIDATES]>;
 
@@ -491,12 +502,19 @@
     }
 
     /// Moves a request that can't be on time behind those that can.
+    ///
+    /// The only waiting request of a customer may use a reserved grant. A customer that sends little
+    /// must not depend on slots becoming free evenly.
     pub fn demote(&mut self, id: QueueId) {
+        let is_only = !self.waits_behind_own(id);
         let Some(mut request) = self.entries.remove(&id) else {
             return;
         };
         self.unlink(id, &request);
-        request.class = request.late_class;
+        request.class = match request.late_class {
+            WaitClass::Late(_) if is_only => WaitClass::Untold,
+            late_class => late_class,
+        };
         self.link(id, &request);
         self.entries.insert(id, request);
     }
@@ -533,6 +551,58 @@
         self.on_time.get(&urgency)?.last(self.is_newest_first(now))
     }
 
+    /// The last request of a class that is longer than what `rate` slots per second can serve in
+    /// time, at `heads` heads that take `lead` to the first event.
+    pub fn excess(
+        &self,
+        estimate: &WaitEstimate,
+        heads: usize,
+        rate: f64,
+        lead: Duration,
+        now: Instant,
+    ) -> Option<Excess> {
+        for (urgency, ahead) in self.on_time_lengths() {
+            let last = self.last_on_time(urgency, now)?;
+            let request = self.get(last)?;
+            let until = request.on_time_until.min(request.deadline);
+            let time = until.saturating_duration_since(now + lead);
+            // Later arrivals go ahead of older ones of the same customer only.
+            let waits_behind_own = self.waits_behind_own(last);
+            let servable = if self.is_newest_first(now) && waits_behind_own {
+                estimate.servable_newest_first(rate, time, now)
+            } else {
+                estimate.servable_in_order(rate, time)
+            };
+            if ahead as f64 > servable + heads as f64 {
+                let may_wait = request.is_returning || !waits_behind_own;
+                return Some(if may_wait {
+                    Excess::Demoted(last)
+                } else {
+                    Excess::Rejected(last)
+                });
+            }
+        }
+        let free = estimate.returning_rate(rate, now);
+        let servable = estimate.servable_in_order(free, MAX_REJECTION_WAIT) + heads as f64;
+        if self.returning_len() as f64 > servable {
+            return self.last_returning().map(Excess::Rejected);
+        }
+        let free = estimate.leftover_rate(rate, now);
+        let servable = estimate.servable_in_order(free, MAX_REJECTION_WAIT);
+        let is_excess = self.late_len() as f64 > servable;
+        is_excess.then(|| self.last_late().map(Excess::Rejected))?
+    }
+
+    /// Whether other requests of its customer and urgency wait that can be on time.
+    pub fn waits_behind_own(&self, id: QueueId) -> bool {
+        let Some(request) = self.entries.get(&id) else {
+            return false;
+        };
+        let class = self.on_time.get(&request.urgency);
+        let own = class.and_then(|c| c.customers.get(&request.customer));
+        own.is_some_and(|queue| queue.ids.len() > 1)
+    }
+
     /// The returning request that is served last.
     pub fn last_returning(&self) -> Option<QueueId> {
         let told = || self.returning.last().map(|(_, id)| *id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash_detection;
 mod demand;
 mod dispatch;
+mod fair_admission;
 mod gateway;
 mod heads;
 mod host_relay;
