--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -100,6 +100,12 @@
         self.membership.as_ref().is_some_and(open)
     }
 
+    /// Whether it is a head that finishes its requests and accepts no new ones.
+    pub(crate) fn is_closing_head(&self) -> bool {
+        let closing = |m: &Membership| m.rank == 0 && m.phase == MembershipPhase::Closing;
+        self.membership.as_ref().is_some_and(closing)
+    }
+
     /// Whether it reports membership in this formation.
     pub fn belongs_to(&self, replica: &str, epoch: Epoch) -> bool {
         let same = |m: &Membership| m.replica == replica && m.epoch == epoch;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -15,6 +15,7 @@
 
 mod advance;
 mod capacity;
+mod conversion;
 mod formation;
 mod formations;
 mod host_reports;
@@ -42,6 +43,7 @@
 use crate::host::{Host, MembershipPhase};
 use crate::planner::advance::PlanInput;
 use crate::planner::capacity::CapacityState;
+use crate::planner::conversion::Conversions;
 use crate::planner::formations::Formations;
 use crate::planner::host_reports::{LastReport, MAX_ORDER_DELAY, Silence, Unanswered};
 use crate::planner::lent_spares::LossKey;
@@ -142,6 +144,8 @@
     follows_demand: bool,
     /// Demand, targets and steps. Without demand it has no effect.
     capacity: CapacityState,
+    /// Conversions of idle replicas.
+    conversions: Conversions,
     /// When a replica of a model was last seen lost in a fabric domain.
     recent_losses: BTreeMap<LossKey, Instant>,
     /// When loads cease to be fast even if no request was served, if known.
@@ -195,6 +199,7 @@
             host_count: (0, now),
             follows_demand: false,
             capacity: CapacityState::default(),
+            conversions: Conversions::default(),
             recent_losses: BTreeMap::new(),
             first_start_end: None,
         }
@@ -329,6 +334,7 @@
                 self.update_targets(&view);
                 self.form_replicas(&view, &mut commands);
                 self.reclaim(&view);
+                self.convert(&view, &mut commands);
             }
         }
         if !self.is_taking_over(now) {
@@ -438,6 +444,11 @@
             if first.is_open_head() {
                 formation.enter_phase(FormationPhase::Open, now);
             }
+            // The previous planner gave it up; opened again, it would undo a conversion.
+            if self.follows_demand && first.is_closing_head() {
+                formation.abandon(LossReason::Converted, now);
+                formation.enter_phase(FormationPhase::Draining, now);
+            }
             if !whole || self.is_own_epoch(replica.epoch) {
                 formation.abandon(LossReason::Incomplete, now);
             }
--- a/crates/fleet/src/planner/placement.rs
+++ b/crates/fleet/src/planner/placement.rs
@@ -170,7 +170,9 @@
         let neediest = wanted.first().map_or(0.0, |m| self.unmet_demand(view, m));
         for model in wanted {
             let is_first = self.serving_count(view, model, Some(fabric)) == 0;
-            let spares_kept = usize::from(!is_first);
+            // The hosts of a conversion are all meant for its model.
+            let is_converting = self.conversions.is_for(fabric, &model.name);
+            let spares_kept = usize::from(!is_first && !is_converting);
             let is_needed = self.unmet_demand(view, model) * REBALANCE_RATIO >= neediest;
             if model.size == 0 || free.len() < model.size + spares_kept || !is_needed {
                 continue;
@@ -232,7 +234,8 @@
             // A model that has its target needs no replica in each fabric domain, and leaves
             // survivors of a lost replica to the model that is below its target.
             let is_satisfied = has_targets && !self.is_below_target(view, m);
-            if is_satisfied && self.is_awaited(view, fabric, m, free) {
+            let is_converted = self.conversions.is_from(fabric, &m.name);
+            if is_converted || is_satisfied && self.is_awaited(view, fabric, m, free) {
                 return false;
             }
             let is_first = self.serving_count(view, m, Some(fabric)) == 0;
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -155,3 +155,146 @@
     expect_that!(world.count_steps(CapacityStepKind::Reclaim), eq(1));
     expect_that!(world.violations, is_empty());
 }
+
+/// Sum of the whole replicas' slots of a model, by 0.5 s, while the world runs.
+fn least_replicas(world: &mut World, model: &str, time: Duration) -> usize {
+    let end = world.now + time;
+    let mut least = usize::MAX;
+    while world.now < end {
+        world.run(Duration::from_millis(500));
+        least = least.min(world.replicas(model));
+    }
+    least
+}
+
+/// Guards against a model that rejects requests while another's replicas are idle, and against
+/// conversions that take the other model's reserve.
+#[gtest]
+fn idle_replicas_are_converted_to_a_short_model() {
+    for (world, slots) in [(layout_d(), 20.0), (layout_b(), 48.0)] {
+        let mut world = started(world);
+        world.run(seconds(60));
+        let before = (world.replicas("large"), world.replicas("small"));
+        // More than the spares can serve.
+        let small = before.1 as f64 * slots * 1.4;
+        world.demand = demand(slots, small);
+        let least = least_replicas(&mut world, "large", seconds(40));
+        expect_that!(world.replicas("small"), gt(before.1));
+        expect_that!(world.count_steps(CapacityStepKind::Convert), ge(1));
+        expect_that!(least, ge(3));
+        expect_that!(world.violations, is_empty());
+    }
+}
+
+/// Guards against capacity that stays with a model once its demand is gone.
+#[gtest]
+fn capacity_returns_when_demand_shifts_back() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    world.demand = demand(20.0, 1000.0);
+    world.run(seconds(40));
+    expect_that!(world.count_steps(CapacityStepKind::Convert), ge(1));
+    let shifted = world.replicas("large");
+    world.demand = demand(180.0, 100.0);
+    world.run(seconds(60));
+    expect_that!(world.replicas("large"), gt(shifted));
+    expect_that!(world.replicas("small"), ge(6));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Guards against conversions of loaded replicas by a burst that ends before they would serve.
+#[gtest]
+fn an_overload_of_one_second_converts_nothing() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    world.demand = demand(100.0, 400.0);
+    world.run(seconds(5));
+    world.demand = demand(100.0, 1500.0);
+    world.run(seconds(1));
+    world.demand = demand(100.0, 400.0);
+    world.run(seconds(10));
+    expect_that!(world.count_steps(CapacityStepKind::Convert), eq(0));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Guards against steps on old evidence when schedulers no longer report.
+#[gtest]
+fn reports_that_stop_begin_no_step() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    world.demand = demand(20.0, 1000.0);
+    world.run(Duration::from_millis(1500));
+    world.demand = None;
+    world.run(seconds(20));
+    expect_that!(world.steps, is_empty());
+    expect_that!(world.planner().capacity_targets().count(), eq(0));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Guards against replicas that a new planner cannot complete or opens with members missing.
+#[gtest]
+fn a_new_planner_completes_a_conversion() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    let before = world.replicas("small");
+    world.demand = demand(20.0, 1000.0);
+    while world.count_steps(CapacityStepKind::Convert) == 0 {
+        world.run(Duration::from_millis(20));
+        assert_that!(world.now, lt(seconds(120)));
+    }
+    world.new_planner(None);
+    world.run(seconds(12));
+    expect_that!(world.replicas("small"), gt(before));
+    expect_that!(world.violations, is_empty());
+}
+
+/// Guards against repairs that conversions hold up: two hosts are lost every 3 s, and two empty
+/// ones added.
+#[gtest]
+fn losses_of_hosts_are_repaired_while_demand_shifts() {
+    for (world, slots) in [(layout_d(), 20.0), (layout_b(), 48.0)] {
+        let mut world = started(world);
+        world.run(seconds(60));
+        let small = world.replicas("small") as f64 * slots;
+        for round in 0..10 {
+            let wanted = if round < 5 { small } else { small * 0.5 };
+            world.demand = demand(2.0 * slots, wanted);
+            for _ in 0..2 {
+                let host = world.pick(true);
+                let fabric = world.host(&host).fabric.clone();
+                world.kill(&host);
+                world.add_host(&fabric);
+            }
+            world.run(seconds(3));
+            expect_that!(world.replicas("large"), ge(2));
+        }
+        world.run(seconds(30));
+        expect_that!(world.replicas("large"), ge(3));
+        expect_that!(world.replicas("small") as f64 * slots, ge(small * 0.5));
+        expect_that!(world.violations, is_empty());
+    }
+}
+
+/// Guards against a model that is left without replicas when a fabric domain is unreachable.
+#[gtest]
+fn a_lost_domain_leaves_both_models_their_mean_demand() {
+    let mut world = started(layout_d());
+    world.run(seconds(60));
+    world.demand = demand(60.0, 500.0);
+    world.run(seconds(20));
+    let of_domain = |h: &&support::FakeHost| h.fabric == "d4";
+    let hosts = world.hosts.values().filter(of_domain);
+    let hosts: Vec<_> = hosts.map(|h| h.id.clone()).collect();
+    for host in &hosts {
+        world.partition(host);
+    }
+    let least = least_replicas(&mut world, "large", seconds(8));
+    expect_that!(least, ge(3));
+    for host in &hosts {
+        world.heal(host);
+    }
+    world.run(seconds(40));
+    expect_that!(world.replicas("large"), ge(4));
+    expect_that!(world.replicas("small"), ge(25));
+    expect_that!(world.violations, is_empty());
+}
