Give fewer of the reserved grants as places

Cause: places took half of the reserved grants, and late requests of small customers had too few.

Change: 0.35 of them.

--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -26,8 +26,9 @@
 /// Standard deviations by which more slots may become free than estimated.
 const DEVIATIONS: f64 = 1.0;
 /// Fraction of the capacity for returning requests that is given as places. The rest is a margin for
-/// errors of the estimate, and for those that come back earlier than told.
-const RETURN_UTILIZATION: f64 = 0.5;
+/// errors of the estimate, and for small customers' late requests: with 0.5, the worst-served of them
+/// got 0.71 to 0.94 in `platform/tests/contention.rs`, with this 0.92 to 0.94.
+const RETURN_UTILIZATION: f64 = 0.35;
 /// Age below which the arrival rate is not extrapolated.
 const MIN_RATE_AGE: Duration = Duration::from_millis(250);
 /// Minimum Retry-After: a slot takes this long to become free at the shortest streams.
