--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -85,9 +85,10 @@
                 let (core, call) = (&self.core, &self.call);
                 let admitted =
                     admission::admit(core, call, &self.service, &self.model, true, avoid).await;
-                let is_usable = |slot: &SlotGuard<P>| {
-                    !slot.head.is_suspected() && !Arc::ptr_eq(&slot.head, head)
-                };
+                // A head that is slow may be granted again, unlike one that is suspected.
+                let is_same =
+                    |slot: &SlotGuard<P>| late_at.is_some() && Arc::ptr_eq(&slot.head, head);
+                let is_usable = |slot: &SlotGuard<P>| !slot.head.is_suspected() && !is_same(slot);
                 let usable = admitted.ok().filter(is_usable);
                 if let Some(slot) = usable {
                     if core.try_retry(&self.service, self.retry_reason()) {
