--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -156,7 +156,7 @@
     expect_that!(world.violations, is_empty());
 }
 
-/// Sum of the whole replicas' slots of a model, by 0.5 s, while the world runs.
+/// The fewest replicas of a model that serve while the world runs, seen every 0.5 s.
 fn least_replicas(world: &mut World, model: &str, time: Duration) -> usize {
     let end = world.now + time;
     let mut least = usize::MAX;
@@ -298,3 +298,25 @@
     expect_that!(world.replicas("small"), ge(25));
     expect_that!(world.violations, is_empty());
 }
+
+/// The targets of the large and of the small model.
+fn targets(world: &mut World, large: f64, small: f64) -> Vec<usize> {
+    world.demand = demand(large, small);
+    world.run(Duration::from_millis(2500));
+    let targets = world.planner().capacity_targets();
+    targets.map(|t| t.replicas).collect()
+}
+
+/// Guards against targets without a reserve for the loss of a failure domain, and against a model
+/// that is left without one in favour of another that wants more than all hosts.
+#[gtest]
+fn targets_follow_from_demand_and_hosts() {
+    let mut d = started(layout_d());
+    // One replica serves the large model, and each of three failure domains has one. Of the small
+    // model 20 replicas must be left when one failure domain is lost.
+    expect_that!(targets(&mut d, 20.0, 400.0), container_eq([3, 30]));
+    // 144 of 162 hosts are no spares; the rest is for the small model.
+    expect_that!(targets(&mut d, 20.0, 2000.0), container_eq([3, 60]));
+    let mut b = started(layout_b());
+    expect_that!(targets(&mut b, 48.0, 480.0), container_eq([3, 15]));
+}
