--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -282,6 +282,8 @@
     /// Set if customers share slots fairly; it then replaces `queue`.
     contention: Option<Box<Contention>>,
     demand_meter: DemandMeter,
+    /// Whether the slots in use are measured in each round, which takes time for each head.
+    measures_demand: bool,
 }
 
 impl Scheduler {
@@ -301,6 +303,7 @@
             grants: Rate::default(),
             retry_times: RetryTimes::default(),
             demand_meter: DemandMeter::new(now),
+            measures_demand: true,
             pacing: PacingState::default(),
             contention: None,
         }
@@ -314,6 +317,13 @@
         }
     }
 
+    /// Sets whether demand is measured, which is the default.
+    #[must_use]
+    pub fn with_demand_measured(mut self, measures_demand: bool) -> Scheduler {
+        self.measures_demand = measures_demand;
+        self
+    }
+
     /// Updates the speed after a configuration change.
     pub fn set_speed(&mut self, speed: EngineSpeed) {
         self.speed = speed;
@@ -593,10 +603,12 @@
             }
         };
         self.pacing.on_round_end(&decided, now);
-        let got_none = |d: &&Decision| !matches!(d.outcome, SlotOutcome::Granted(_));
-        let rejections = decided.iter().filter(got_none).count();
-        self.demand_meter.on_rejections(rejections, now);
-        self.demand_meter.set_used(self.used_slots(heads, now), now);
+        if self.measures_demand {
+            let got_none = |d: &&Decision| !matches!(d.outcome, SlotOutcome::Granted(_));
+            let rejections = decided.iter().filter(got_none).count();
+            self.demand_meter.on_rejections(rejections, now);
+            self.demand_meter.set_used(self.used_slots(heads, now), now);
+        }
         decided
     }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -250,7 +250,9 @@
     let pacing = Pacing::from_setting(core.cfg.policies.adaptive_pacing);
     let running = Arc::new(Mutex::new(RunningScheduler {
         scope: scope.clone(),
-        scheduler: Scheduler::with_policy(speed, policy, now).with_pacing(pacing),
+        scheduler: Scheduler::with_policy(speed, policy, now)
+            .with_pacing(pacing)
+            .with_demand_measured(core.cfg.policies.capacity_follows_demand),
         unserved: 0,
         log_limit: LogRateLimit::default(),
         pending_replies: HashMap::new(),
@@ -334,6 +336,9 @@
     heads: &[OpenHead],
     now: Instant,
 ) {
+    if !core.cfg.policies.adaptive_pacing {
+        return;
+    }
     let (changes, summary) = {
         let scheduler = &mut locked(running).scheduler;
         (scheduler.take_pace_changes(), scheduler.pace_summary(heads))
