Leave larger replicas to conversions when a smaller one lost a member

In a burst, four of nine large replicas were given up in one pass, each to replace a single host of a small one, and 32 hosts served nobody for seconds. Also: a node without a scheduler counts the times of requests for the pace of heads while customers share fairly.

--- a/crates/fleet/src/planner/lent_spares.rs
+++ b/crates/fleet/src/planner/lent_spares.rs
@@ -218,6 +218,9 @@
     }
 
     /// The replica to give up so that `lacking` hosts can join a replica of `model`.
+    ///
+    /// Only conversions take a larger replica for a smaller one: in a burst each of several lost
+    /// small replicas would otherwise take a large one, and most of the hosts would serve nobody.
     fn choose_donor(
         &self,
         view: &ServiceView<'_>,
@@ -228,7 +231,8 @@
         let can_give = |f: &&Formation| {
             let is_other = f.service == view.service.name && f.model != model.name;
             let serves = f.purpose == Purpose::Serve && f.phase == FormationPhase::Open;
-            is_other && serves && f.fabric == *fabric && self.is_spared(view, f) && {
+            let is_small = f.reclaimable || f.members.len() <= model.size;
+            is_other && serves && is_small && f.fabric == *fabric && self.is_spared(view, f) && {
                 let hosts = f.members.iter().filter_map(|m| view.fleet.host(m));
                 let joining = hosts.filter(|h| self.joins_soon(h, model, view.now));
                 joining.count() >= lacking
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -255,7 +255,11 @@
 }
 
 /// The slot with its times counted for the pace of its head.
-fn paced<P: Platform>(core: &Core<P>, call: &Call, mut slot: SlotGuard<P>) -> SlotGuard<P> {
+pub(crate) fn paced<P: Platform>(
+    core: &Core<P>,
+    call: &Call,
+    mut slot: SlotGuard<P>,
+) -> SlotGuard<P> {
     let request = pacing::send_to_head(core, call, &slot.head);
     slot.set_paced(request);
     slot
--- a/crates/gateway/src/fair_admission.rs
+++ b/crates/gateway/src/fair_admission.rs
@@ -16,7 +16,7 @@
 
 use crate::admission::{
     Choice, RECHECK_INTERVAL, RETRY_AFTER_NO_SCHEDULER, choose_head, full_refusal, limit_refusal,
-    no_slot_cause,
+    no_slot_cause, paced,
 };
 use crate::call::Call;
 use crate::core::Core;
@@ -230,7 +230,7 @@
                 Choice::Free(head) => {
                     entry.on_granted(now);
                     count(AdmissionDecision::Granted);
-                    return Ok(head.enter(None));
+                    return Ok(paced(core, call, head.enter(None)));
                 }
                 Choice::Limited => {
                     return Err(limit_refusal(core, service, RETRY_AFTER_NO_SCHEDULER));
