--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -42,7 +42,7 @@
 const PLACE_TTL: Duration = Duration::from_secs(1);
 /// How much earlier than told a request may come: `Retry-After` is rounded to 10 ms.
 const EARLY_TOLERANCE: Duration = Duration::from_millis(50);
-/// Maximum number of places; further requests are told a time without one.
+/// Maximum number of pending return reservations; beyond it Retry-After carries no reservation.
 const MAX_PLACES: usize = 4096;
 
 /// Rate at which slots become free, and the arrivals that want them.
