--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -74,6 +74,8 @@
     newest: Cursor,
     /// Whether the last read succeeded.
     healthy: bool,
+    /// Whether the last list that was read was ignored.
+    ignores: bool,
 }
 
 /// The result of one read of a list.
@@ -249,6 +251,21 @@
         update.is_snapshot && update.version < self.newest
     }
 
+    /// Logs the first of consecutive lists that are ignored.
+    fn log_ignored(&mut self, read: &ListRead<S::Change>) {
+        if std::mem::replace(&mut self.ignores, true) {
+            return;
+        }
+        warn!(
+            event = "dependency",
+            list = S::Change::LIST,
+            state = "older",
+            version = read.update.version,
+            newest = self.newest,
+            from = read.from.as_deref().unwrap_or("store"),
+        );
+    }
+
     /// Applies what was read. Returns whether it had changes.
     fn apply(&mut self, read: ListRead<S::Change>, sink: &impl Sink<S::Change>) -> bool {
         let ListRead {
@@ -267,6 +284,7 @@
             );
         }
         self.healthy = true;
+        self.ignores = false;
         self.newest = self.newest.max(update.version);
         self.cursor = Some(self.newest);
         let changed = !update.changes.is_empty();
@@ -300,11 +318,15 @@
         cursor: None,
         newest: 0,
         healthy: false,
+        ignores: false,
     };
     let mut backoff = INITIAL_BACKOFF;
     loop {
         match reflector.next().await {
-            Ok(read) if reflector.is_older(&read.update) => tokio::time::sleep(backoff).await,
+            Ok(read) if reflector.is_older(&read.update) => {
+                reflector.log_ignored(&read);
+                tokio::time::sleep(backoff).await;
+            }
             Ok(read) => {
                 if read.is_fresh {
                     core.record_store_success();
