Read a list anew when the store comes back from an older copy

Cause: a node never takes a whole list that is older than one it has read, and compared versions alone. The store came back from a copy: its counter was lower, so feeds got 410 and each whole list was ignored, by every node, until the counter had passed its former value.

Ruled out: lagging reads (each node would end them at a version of its own), and lists that are read but not applied (no "unreadable", no node ahead of others).

Now versions are compared within an era of the store alone. A position is (era, version), in the order of this pair, in reflectors, in the log that nodes serve to each other, in waits for news and in the cached encoding. A reader that meets a later era, in any answer or a 410, reads the whole list once; one of an earlier era is ignored, and a parent of an earlier era is passed over for the store. The era is optional between nodes: older builds poll as before, and their copies count as of era 0. A store that names no era is read as before. Log line "store" with the era, and gateway_store_era.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 mod ids;
 mod macros;
 mod outcome;
+mod position;
 mod scope;
 mod shutdown;
 
@@ -22,5 +23,6 @@
     SubmitId, TenantId, Tokens, TxnId,
 };
 pub use crate::outcome::{Outcome, Urgency};
+pub use crate::position::{StoreEra, StorePosition};
 pub use crate::scope::SchedulerScope;
 pub use crate::shutdown::Shutdown;
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, rendezvous, value};
+use eelgrassmill_base::{NodeId, StorePosition, rendezvous, value};
 
 use crate::roles::{RoleCandidate, ranked_for_role};
 
@@ -132,8 +132,8 @@
 
 #[derive(Clone, Debug)]
 struct Batch {
-    /// The list's version with these changes.
-    version: u64,
+    /// The list's position with these changes.
+    position: StorePosition,
     at: Instant,
     changes: Vec<Vec<u8>>,
 }
@@ -141,19 +141,19 @@
 /// Recent changes of a list, in the order in which this node received them.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
-    /// The version before the oldest change in `batches`.
-    base_version: u64,
-    /// Invariant: sorted by version.
+    /// The position before the oldest change in `batches`.
+    base: StorePosition,
+    /// Invariant: sorted by position, all of the era of `base`.
     batches: VecDeque<Batch>,
-    version: u64,
-    /// The last time at which this version is known to have been current.
+    position: StorePosition,
+    /// The last time at which this position is known to have been current.
     as_of: Option<Instant>,
 }
 
 impl ChangeLog {
-    /// The list's version at this node; 0 for none.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// The list's position at this node; its version is 0 if there is none.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Age of the list's content; `None` if the list was never read.
@@ -161,32 +161,38 @@
         self.as_of.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Appends the changes up to `version`, which was current at `as_of`.
-    pub fn append(&mut self, changes: Vec<Vec<u8>>, version: u64, as_of: Instant, now: Instant) {
-        self.advance(version, as_of);
+    /// Appends the changes up to `position`, which was current at `as_of`.
+    pub fn append(
+        &mut self,
+        changes: Vec<Vec<u8>>,
+        position: StorePosition,
+        as_of: Instant,
+        now: Instant,
+    ) {
+        self.advance(position, as_of);
         if !changes.is_empty() {
             let at = now;
             self.batches.push_back(Batch {
-                version,
+                position,
                 at,
                 changes,
             });
         }
         let old = |b: &Batch| now.saturating_duration_since(b.at) > CHANGE_TTL;
         while let Some(batch) = self.batches.pop_front_if(|b| old(b)) {
-            self.base_version = batch.version;
+            self.base = batch.position;
         }
     }
 
-    /// Records that the full list was read; changes before `version` are unknown.
-    pub fn reset(&mut self, version: u64, as_of: Instant) {
+    /// Records that the full list was read; changes before `position` are unknown.
+    pub fn reset(&mut self, position: StorePosition, as_of: Instant) {
         self.batches.clear();
-        self.base_version = version;
-        self.advance(version, as_of);
+        self.base = position;
+        self.advance(position, as_of);
     }
 
-    fn advance(&mut self, version: u64, as_of: Instant) {
-        self.version = self.version.max(version);
+    fn advance(&mut self, position: StorePosition, as_of: Instant) {
+        self.position = self.position.max(position);
         self.as_of = self.as_of.max(Some(as_of));
     }
 
@@ -194,11 +200,11 @@
     ///
     /// A batch that the node has partly received is sent in full: reapplying its changes in order
     /// gives the same result.
-    pub fn changes_since(&self, since: u64) -> SyncUpdate {
-        if since < self.base_version || since == 0 || self.as_of.is_none() {
+    pub fn changes_since(&self, since: StorePosition) -> SyncUpdate {
+        if since < self.base || since.version == 0 || self.as_of.is_none() {
             return SyncUpdate::Snapshot;
         }
-        let newer = self.batches.iter().filter(|b| b.version > since);
+        let newer = self.batches.iter().filter(|b| b.position > since);
         SyncUpdate::Delta(newer.flat_map(|b| b.changes.iter().cloned()).collect())
     }
 }
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, NodeId};
+use eelgrassmill_base::{FailureDomain, NodeId, StorePosition};
 use eelgrassmill_fleet::{
     ChangeLog, RoleCandidate, SyncUpdate, initial_read_delay, initial_sync_source, list_parent,
 };
@@ -108,6 +108,10 @@
     expect_that!(most[1] as f64 / most[0] as f64, le(1.5));
 }
 
+fn at(version: u64) -> StorePosition {
+    StorePosition { era: 0, version }
+}
+
 fn change(n: u8) -> Vec<u8> {
     vec![n]
 }
@@ -118,21 +122,49 @@
 fn changes_are_sent_without_a_gap() {
     let now = Instant::now();
     let mut log = ChangeLog::default();
-    expect_that!(log.changes_since(3), eq(&SyncUpdate::Snapshot));
-    log.reset(10, now);
-    log.append(vec![change(1), change(2)], 14, now, now);
-    log.append(vec![], 17, now + millis(500), now + millis(500));
-    log.append(vec![change(3)], 20, now + millis(900), now + millis(900));
-    expect_that!(log.changes_since(0), eq(&SyncUpdate::Snapshot));
-    expect_that!(log.changes_since(9), eq(&SyncUpdate::Snapshot));
+    expect_that!(log.changes_since(at(3)), eq(&SyncUpdate::Snapshot));
+    log.reset(at(10), now);
+    log.append(vec![change(1), change(2)], at(14), now, now);
+    log.append(vec![], at(17), now + millis(500), now + millis(500));
+    log.append(
+        vec![change(3)],
+        at(20),
+        now + millis(900),
+        now + millis(900),
+    );
+    expect_that!(log.changes_since(at(0)), eq(&SyncUpdate::Snapshot));
+    expect_that!(log.changes_since(at(9)), eq(&SyncUpdate::Snapshot));
     let changes = |parts: &[u8]| SyncUpdate::Delta(parts.iter().map(|n| change(*n)).collect());
-    expect_that!(log.changes_since(10), eq(&changes(&[1, 2, 3])));
-    expect_that!(log.changes_since(12), eq(&changes(&[1, 2, 3])));
-    expect_that!(log.changes_since(14), eq(&changes(&[3])));
-    expect_that!(log.changes_since(20), eq(&changes(&[])));
-    log.append(vec![change(4)], 30, now + millis(6000), now + millis(6000));
-    expect_that!(log.changes_since(14), eq(&SyncUpdate::Snapshot));
-    expect_that!(log.changes_since(20), eq(&changes(&[4])));
+    expect_that!(log.changes_since(at(10)), eq(&changes(&[1, 2, 3])));
+    expect_that!(log.changes_since(at(12)), eq(&changes(&[1, 2, 3])));
+    expect_that!(log.changes_since(at(14)), eq(&changes(&[3])));
+    expect_that!(log.changes_since(at(20)), eq(&changes(&[])));
+    log.append(
+        vec![change(4)],
+        at(30),
+        now + millis(6000),
+        now + millis(6000),
+    );
+    expect_that!(log.changes_since(at(14)), eq(&SyncUpdate::Snapshot));
+    expect_that!(log.changes_since(at(20)), eq(&changes(&[4])));
+}
+
+/// Guards against sending a node changes of a list that it doesn't have: versions of a former era
+/// are given out again.
+#[gtest]
+fn a_node_with_a_list_of_another_era_gets_the_full_list() {
+    let now = Instant::now();
+    let mut log = ChangeLog::default();
+    log.reset(at(100), now);
+    let in_era = |era, version| StorePosition { era, version };
+    log.reset(in_era(1, 40), now);
+    log.append(vec![change(1)], in_era(1, 45), now, now);
+    expect_that!(log.position(), eq(in_era(1, 45)));
+    for version in [39, 40, 42, 100] {
+        expect_that!(log.changes_since(at(version)), eq(&SyncUpdate::Snapshot));
+    }
+    let delta = SyncUpdate::Delta(vec![change(1)]);
+    expect_that!(log.changes_since(in_era(1, 40)), eq(&delta));
 }
 
 /// A node that is partitioned from the store keeps answering others. The age that it reports must
@@ -142,13 +174,13 @@
     let now = Instant::now();
     let mut log = ChangeLog::default();
     expect_that!(log.age(now), none());
-    log.reset(10, now);
-    log.append(vec![], 10, now + millis(400), now + millis(410));
+    log.reset(at(10), now);
+    log.append(vec![], at(10), now + millis(400), now + millis(410));
     expect_that!(log.age(now + millis(1000)), some(eq(millis(600))));
     // Older information does not change the age.
-    log.append(vec![], 8, now + millis(100), now + millis(1000));
+    log.append(vec![], at(8), now + millis(100), now + millis(1000));
     expect_that!(log.age(now + millis(1000)), some(eq(millis(600))));
-    expect_that!(log.version(), eq(10));
+    expect_that!(log.position(), eq(at(10)));
 }
 
 /// Guards against the first lists crossing between failure domains once per node.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, ServiceName, Shutdown};
+use eelgrassmill_base::{NodeId, ServiceName, Shutdown, StoreEra};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
     CallerTimeouts, Catalog, ColdRateLimiter, DemandTable, Fleet, RetryWindow, RoleCandidate,
@@ -86,6 +86,8 @@
     overloaded: AtomicBool,
     /// Consecutive failed calls to the store.
     store_failures: AtomicU64,
+    /// The latest era that the store named; `None` before its first answer.
+    store_era: Mutex<Option<StoreEra>>,
     peer: OnceLock<Arc<PeerNode<UpdateHandler<P>>>>,
     /// Moving average of the age of other nodes' load reports on arrival.
     load_report_delay: Mutex<Duration>,
@@ -133,6 +135,7 @@
             served: AtomicBool::new(false),
             overloaded: AtomicBool::new(false),
             store_failures: AtomicU64::new(0),
+            store_era: Mutex::default(),
             peer: OnceLock::new(),
             load_report_delay: Mutex::new(LOAD_INTERVAL),
             started_at: Instant::now(),
@@ -208,6 +211,25 @@
         locked(&self.fleet).on_store_failure(Instant::now());
     }
 
+    /// Records the era that the store named. Hosts that are missing in its first lists after it came
+    /// back from a copy may have been listed in the part that it lost.
+    pub(crate) fn record_store_era(&self, era: StoreEra) {
+        let previous = {
+            let mut known = locked(&self.store_era);
+            if known.is_some_and(|known| era <= known) {
+                return;
+            }
+            known.replace(era)
+        };
+        info!(event = "store", era, ?previous);
+        self.metrics
+            .store_era
+            .set(i64::try_from(era).unwrap_or(i64::MAX));
+        if previous.is_some() {
+            locked(&self.fleet).on_store_failure(Instant::now());
+        }
+    }
+
     pub(crate) fn record_store_success(&self) {
         self.store_failures.store(0, Ordering::Relaxed);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,9 +51,9 @@
 pub use crate::log_report::{LogReader, Subject};
 pub use crate::logs::{LogQueue, init_logging};
 pub use crate::ports::{
-    AcceptedConfig, AttemptMetadata, Cursor, DecisionStore, Dialect, HostControl, HostReport,
+    AcceptedConfig, AttemptMetadata, DecisionStore, Dialect, HostControl, HostReport,
     HostUnavailable, LeaderElection, LeaderRecord, NodeRequest, OperatorChange, Platform,
-    ResponseClass, Source, SourceError, StoredDecisions,
+    ResponseClass, Source, SourceError, SourceRead, StoredDecisions,
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -83,6 +83,8 @@
     pub(crate) wanted_slots: GaugeVec,
     /// Consecutive failed calls to the store.
     pub(crate) store_failures: IntGauge,
+    /// How often the store came back from an older copy.
+    pub(crate) store_era: IntGauge,
 }
 
 impl Default for Metrics {
@@ -210,6 +212,10 @@
                 "gateway_store_failures",
                 "Failed calls to the store in a row.",
             ),
+            store_era: gauge(
+                "gateway_store_era",
+                "How often the store came back from an older copy, as it says itself.",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassmill_base::{HostId, ModelName, NodeId, RowVersion, TenantId, value};
+use eelgrassmill_base::{HostId, ModelName, NodeId, RowVersion, StoreEra, TenantId, value};
 use eelgrassmill_fleet::{Catalog, EvacuationChange, FleetChange, Membership, Order, OrderReply};
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
@@ -12,9 +12,6 @@
 
 use crate::call::RequestMetadata;
 
-/// A position in a source's change feed.
-pub type Cursor = u64;
-
 /// Why a source could not be read or written.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SourceError {
@@ -24,30 +21,45 @@
     /// It refused the call with this HTTP status and did nothing.
     #[error("refused with status {0}")]
     Refused(u16),
-    /// It no longer has the history since the requested cursor.
+    /// It has no history since the requested version: it was discarded, or the store has come back
+    /// from an older copy.
     #[error("the requested history has been compacted")]
-    Compacted,
+    Compacted {
+        /// The store's era, if it names one.
+        era: Option<StoreEra>,
+    },
     /// Its response can't be decoded.
     #[error("malformed response: {0}")]
     Malformed(String),
 }
 
+/// What a source answered.
+#[derive(Clone, Debug)]
+pub struct SourceRead<C> {
+    /// The changes, in order.
+    pub changes: Vec<C>,
+    /// The store's era, if it names one.
+    pub era: Option<StoreEra>,
+    /// The version to which the changes lead, at which the feed continues.
+    pub version: RowVersion,
+}
+
 /// A list with a feed of its changes.
 pub trait Source: Send + Sync + 'static {
     /// One change, or a snapshot of the list.
     type Change: Send;
 
-    /// Reads the whole list, and the cursor at which its feed continues.
+    /// Reads the whole list.
     fn snapshot(
         &self,
-    ) -> impl Future<Output = Result<(Vec<Self::Change>, Cursor), SourceError>> + Send;
+    ) -> impl Future<Output = Result<SourceRead<Self::Change>, SourceError>> + Send;
 
     /// Long polls the changes since `since`: returns once there are any or `wait` is over.
     fn changes(
         &self,
-        since: Cursor,
+        since: RowVersion,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Vec<Self::Change>, Cursor), SourceError>> + Send;
+    ) -> impl Future<Output = Result<SourceRead<Self::Change>, SourceError>> + Send;
 }
 
 /// An accepted configuration, with the text that it was parsed from.
--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{FailureDomain, NodeId};
+use eelgrassmill_base::{FailureDomain, NodeId, RowVersion, StoreEra, StorePosition};
 use eelgrassmill_fleet::{EvacuationChange, FleetChange, Host};
 use tracing::{info, warn};
 
 use crate::configuration;
 use crate::core::Core;
 use crate::heads::locked;
-use crate::ports::{Cursor, OperatorChange, Platform, Source, SourceError};
+use crate::ports::{OperatorChange, Platform, Source, SourceError};
 use crate::snapshot_relay::{self, ListCopy, ListUpdate, Parent, RelayError, Relayed};
 
 /// Longest wait of one long poll of the store. Its response also confirms that nothing else has
@@ -52,7 +52,7 @@
 /// Receives the changes of a list.
 pub(crate) trait Sink<C> {
     /// Applies changes in order. `from` is the node that sent them, `None` for the store.
-    fn apply(&self, changes: Vec<C>, version: Cursor, from: Option<&NodeId>);
+    fn apply(&self, changes: Vec<C>, version: RowVersion, from: Option<&NodeId>);
 }
 
 /// Which copies of a list are acceptable.
@@ -69,15 +69,25 @@
     core: &'r Core<P>,
     source: &'r S,
     /// Where the list's feed continues; `None` if the whole list has to be read.
-    cursor: Option<Cursor>,
-    /// The highest version that was read.
-    newest: Cursor,
+    cursor: Option<StorePosition>,
+    /// The highest position that was read. Its version is 0 if only its era is known.
+    newest: StorePosition,
     /// Whether the last read succeeded.
     healthy: bool,
     /// Whether the last list that was read was ignored.
     ignores: bool,
 }
 
+/// What to do with an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    Apply,
+    /// It shows an older state than one that was read before.
+    Ignore,
+    /// Its changes follow a list of another era than the one that this node has.
+    ReadWholeList,
+}
+
 /// The result of one read of a list.
 struct ListRead<C> {
     update: ListUpdate<C>,
@@ -182,8 +192,10 @@
             let Some(node) = snapshot_relay::any_copy_source(self.core) else {
                 continue;
             };
-            let copy = snapshot_relay::fetch(self.core, &node, 0, COPY_RPC_TIMEOUT).await;
+            let start = StorePosition::default();
+            let copy = snapshot_relay::fetch(self.core, &node, start, COPY_RPC_TIMEOUT).await;
             match copy {
+                Ok(copy) if copy.check_era(self.newest.era).is_err() => {}
                 Ok(copy) if age == CopyAge::Any || copy.check().is_ok() => {
                     return ListRead::from_copy(copy, node);
                 }
@@ -201,6 +213,7 @@
         let node = &parent.node;
         let copy = snapshot_relay::fetch(self.core, node, since, parent.wait).await?;
         copy.check()?;
+        copy.check_era(self.newest.era)?;
         Ok(ListRead::from_copy(copy, node.clone()))
     }
 
@@ -227,16 +240,19 @@
     }
 
     async fn read_store(&self, wait: Duration) -> Result<ListRead<S::Change>, SourceError> {
-        let (changes, version) = match self.cursor {
+        let read = match self.cursor {
             None => self.source.snapshot().await?,
-            Some(since) => self.source.changes(since, wait).await?,
+            Some(since) => self.source.changes(since.version, wait).await?,
         };
-        let encoded: Result<Vec<_>, _> = changes.iter().map(Relayed::encode).collect();
+        let encoded: Result<Vec<_>, _> = read.changes.iter().map(Relayed::encode).collect();
         Ok(ListRead {
             encoded: encoded?,
             update: ListUpdate {
-                changes,
-                version,
+                changes: read.changes,
+                position: StorePosition {
+                    era: read.era.unwrap_or(self.newest.era),
+                    version: read.version,
+                },
                 as_of: Instant::now(),
                 is_snapshot: self.cursor.is_none(),
             },
@@ -245,10 +261,28 @@
         })
     }
 
-    /// Whether an update shows an older state than one that was read before, so that it must be
-    /// ignored.
-    fn is_older(&self, update: &ListUpdate<S::Change>) -> bool {
-        update.is_snapshot && update.version < self.newest
+    fn assess(&self, update: &ListUpdate<S::Change>) -> Verdict {
+        let position = update.position;
+        if position.era > self.newest.era && !update.is_snapshot {
+            return Verdict::ReadWholeList;
+        }
+        // Changes of this era may have been read already; to apply them again changes nothing.
+        let is_older =
+            position.era < self.newest.era || update.is_snapshot && position < self.newest;
+        if is_older {
+            Verdict::Ignore
+        } else {
+            Verdict::Apply
+        }
+    }
+
+    /// Records the store's era. What was read in an earlier one is no base for further changes.
+    fn enter_era(&mut self, era: StoreEra) {
+        if era > self.newest.era {
+            self.newest = StorePosition { era, version: 0 };
+            self.cursor = None;
+        }
+        self.core.record_store_era(era);
     }
 
     /// Logs the first of consecutive lists that are ignored.
@@ -260,8 +294,10 @@
             event = "dependency",
             list = S::Change::LIST,
             state = "older",
-            version = read.update.version,
-            newest = self.newest,
+            version = read.update.position.version,
+            era = read.update.position.era,
+            newest = self.newest.version,
+            newest_era = self.newest.era,
             from = read.from.as_deref().unwrap_or("store"),
         );
     }
@@ -279,23 +315,24 @@
                 event = "dependency",
                 list = S::Change::LIST,
                 state = "answers",
-                version = update.version,
+                version = update.position.version,
                 from = from.as_deref().unwrap_or("store"),
             );
         }
         self.healthy = true;
         self.ignores = false;
-        self.newest = self.newest.max(update.version);
+        self.enter_era(update.position.era);
+        self.newest = self.newest.max(update.position);
         self.cursor = Some(self.newest);
         let changed = !update.changes.is_empty();
         if changed {
-            sink.apply(update.changes, update.version, from.as_ref());
+            sink.apply(update.changes, update.position.version, from.as_ref());
         }
         // Published to other nodes only once it is in force here: requests for the whole list are
         // answered from this node's state.
         S::Change::published(self.core).record(&ListUpdate {
             changes: encoded,
-            version: update.version,
+            position: update.position,
             as_of: update.as_of,
             is_snapshot: update.is_snapshot,
         });
@@ -316,17 +353,22 @@
         core,
         source,
         cursor: None,
-        newest: 0,
+        newest: StorePosition::default(),
         healthy: false,
         ignores: false,
     };
     let mut backoff = INITIAL_BACKOFF;
     loop {
-        match reflector.next().await {
-            Ok(read) if reflector.is_older(&read.update) => {
+        let read = reflector.next().await;
+        let verdict = read.as_ref().ok().map(|r| reflector.assess(&r.update));
+        match read {
+            Ok(read) if verdict == Some(Verdict::Ignore) => {
                 reflector.log_ignored(&read);
                 tokio::time::sleep(backoff).await;
             }
+            Ok(read) if verdict == Some(Verdict::ReadWholeList) => {
+                reflector.enter_era(read.update.position.era);
+            }
             Ok(read) => {
                 if read.is_fresh {
                     core.record_store_success();
@@ -336,9 +378,14 @@
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
             }
-            Err(SourceError::Compacted) => {
+            Err(SourceError::Compacted { era }) => {
                 info!(event = "dependency", list, state = "history-gone");
-                reflector.cursor = None;
+                if reflector.cursor.take().is_none() {
+                    tokio::time::sleep(backoff).await;
+                }
+                if let Some(era) = era {
+                    reflector.enter_era(era);
+                }
             }
             Err(err) => {
                 core.record_store_failure();
@@ -359,7 +406,7 @@
 pub(crate) struct HostSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
 impl<P: Platform> Sink<FleetChange> for HostSink<P> {
-    fn apply(&self, changes: Vec<FleetChange>, version: Cursor, from: Option<&NodeId>) {
+    fn apply(&self, changes: Vec<FleetChange>, version: RowVersion, from: Option<&NodeId>) {
         let now = Instant::now();
         // The planner decides by the entries and logs each change; other nodes log only the
         // version.
@@ -388,7 +435,7 @@
     }
 }
 
-fn log_host(host: &Host, version: Cursor) {
+fn log_host(host: &Host, version: RowVersion) {
     let m = host.membership.as_ref();
     info!(
         event = "host", version, host = %host.id, state = ?host.state, born = host.started_ms,
@@ -403,7 +450,7 @@
 pub(crate) struct OperatorSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
 impl<P: Platform> Sink<OperatorChange> for OperatorSink<P> {
-    fn apply(&self, changes: Vec<OperatorChange>, version: Cursor, from: Option<&NodeId>) {
+    fn apply(&self, changes: Vec<OperatorChange>, version: RowVersion, from: Option<&NodeId>) {
         let source = from.map_or("store", |node| node.as_str());
         if from.is_none() {
             self.0.quarantine.on_store_read();
@@ -424,7 +471,7 @@
 fn apply_evacuation<P: Platform>(
     core: &Core<P>,
     change: EvacuationChange,
-    version: Cursor,
+    version: RowVersion,
     source: &str,
 ) {
     let evacuated: Vec<FailureDomain> = {
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::NodeId;
+use eelgrassmill_base::{NodeId, StoreEra, StorePosition};
 use eelgrassmill_fleet::{
     ChangeLog, EvacuationChange, FleetChange, ListParent, SyncUpdate, initial_sync_source,
     list_parent,
@@ -21,7 +21,7 @@
 use crate::heads::locked;
 use crate::leader;
 use crate::list_codec;
-use crate::ports::{AcceptedConfig, Cursor, OperatorChange, Platform, SourceError};
+use crate::ports::{AcceptedConfig, OperatorChange, Platform, SourceError};
 
 /// Oldest usable copy: including one more read of the store, a change must be seen within 2 s, the
 /// shortest bound that platforms set. Healthy copies are half a second old at the node that polls
@@ -42,14 +42,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct PublishedList {
     log: Mutex<ChangeLog>,
-    version: watch::Sender<Cursor>,
+    position: watch::Sender<StorePosition>,
     snapshot: Mutex<Option<EncodedList>>,
 }
 
 /// A snapshot in its wire form, shared by the nodes that request it at once when they start.
 #[derive(Clone, Debug)]
 struct EncodedList {
-    version: Cursor,
+    position: StorePosition,
     /// The latest time at which this was known to be the list's state.
     as_of: Instant,
     encoded_at: Instant,
@@ -62,24 +62,24 @@
         {
             let mut log = locked(&self.log);
             if update.is_snapshot {
-                log.reset(update.version, update.as_of);
+                log.reset(update.position, update.as_of);
             } else {
                 let changes = update.changes.clone();
-                log.append(changes, update.version, update.as_of, Instant::now());
+                log.append(changes, update.position, update.as_of, Instant::now());
             }
         }
-        self.version.send_if_modified(|version| {
-            let newer = update.version > *version;
-            *version = update.version.max(*version);
+        self.position.send_if_modified(|position| {
+            let newer = update.position > *position;
+            *position = update.position.max(*position);
             newer
         });
     }
 
     /// Waits until the list is newer than `since`.
-    async fn wait_newer_than(&self, since: Cursor) {
-        let mut rx = self.version.subscribe();
+    async fn wait_newer_than(&self, since: StorePosition) {
+        let mut rx = self.position.subscribe();
         // The sender lives as long as `self`, so the channel can't close.
-        let _ = rx.wait_for(|version| *version > since).await;
+        let _ = rx.wait_for(|position| *position > since).await;
     }
 }
 
@@ -90,11 +90,11 @@
     pub(crate) operator: PublishedList,
 }
 
-/// Changes of a list, with the version and time of the state that they lead to.
+/// Changes of a list, with the position and time of the state that they lead to.
 #[derive(Clone, Debug)]
 pub(crate) struct ListUpdate<C> {
     pub(crate) changes: Vec<C>,
-    pub(crate) version: Cursor,
+    pub(crate) position: StorePosition,
     /// The latest time at which this was known to be the list's state.
     pub(crate) as_of: Instant,
     /// Whether the changes are the whole list.
@@ -201,15 +201,20 @@
 
 async fn handle_for<P: Platform, C: Relayed<P>>(core: &Core<P>, req: &ListRequest) -> ListReply {
     let published = C::published(core);
-    if req.since > 0 {
+    let since = StorePosition {
+        // Older builds don't know of eras: their versions count as those of this node's era.
+        era: (req.era).unwrap_or_else(|| locked(&published.log).position().era),
+        version: req.since,
+    };
+    if since.version > 0 {
         let wait = Duration::from_millis(req.wait_ms.into()).min(MAX_POLL_WAIT);
         // A timeout is the usual case: nothing changed.
-        let _ = tokio::time::timeout(wait, published.wait_newer_than(req.since)).await;
+        let _ = tokio::time::timeout(wait, published.wait_newer_than(since)).await;
     }
     let now = Instant::now();
-    let (version, age, catch_up) = {
+    let (position, age, catch_up) = {
         let log = locked(&published.log);
-        (log.version(), log.age(now), log.changes_since(req.since))
+        (log.position(), log.age(now), log.changes_since(since))
     };
     let as_of = age.and_then(|age| now.checked_sub(age));
     let Some(as_of) = as_of else {
@@ -218,21 +223,22 @@
     let (list, is_snapshot) = match catch_up {
         SyncUpdate::Delta(changes) => {
             let list = EncodedList {
-                version,
+                position,
                 as_of,
                 encoded_at: now,
                 changes,
             };
             (Some(list), false)
         }
-        SyncUpdate::Snapshot => (encoded_snapshot::<P, C>(core, version, as_of, now), true),
+        SyncUpdate::Snapshot => (encoded_snapshot::<P, C>(core, position, as_of, now), true),
     };
     let Some(list) = list else {
         return ListReply::default();
     };
     let age = now.saturating_duration_since(list.as_of);
     ListReply {
-        version: list.version,
+        version: list.position.version,
+        era: Some(list.position.era),
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         platform_unreachable: core.store_failures() > 0,
         is_snapshot,
@@ -243,19 +249,21 @@
 /// The cached snapshot if it is recent, else a new one.
 fn encoded_snapshot<P: Platform, C: Relayed<P>>(
     core: &Core<P>,
-    version: Cursor,
+    position: StorePosition,
     as_of: Instant,
     now: Instant,
 ) -> Option<EncodedList> {
     let mut cached = locked(&C::published(core).snapshot);
-    let is_recent =
-        |list: &EncodedList| now.saturating_duration_since(list.encoded_at) < ENCODED_LIST_TTL;
-    if let Some(list) = cached.as_ref().filter(|list| is_recent(list)) {
+    let is_usable = |list: &&EncodedList| {
+        let age = now.saturating_duration_since(list.encoded_at);
+        age < ENCODED_LIST_TTL && list.position.era == position.era
+    };
+    if let Some(list) = cached.as_ref().filter(is_usable) {
         return Some(list.clone());
     }
     let changes: Result<_, SourceError> = C::snapshot(core).iter().map(C::encode).collect();
     let list = EncodedList {
-        version,
+        position,
         as_of,
         encoded_at: now,
         changes: changes.ok()?,
@@ -276,6 +284,9 @@
     /// It can't read the store itself.
     #[error("it can't read the store")]
     StoreUnavailable,
+    /// Its copy is of an earlier era of the store.
+    #[error("its copy is of era {0}, not {1}")]
+    EarlierEra(StoreEra, StoreEra),
     /// Its copy is too old and may lack changes.
     #[error("its copy is {0:?} old")]
     Stale(Duration),
@@ -355,13 +366,23 @@
         }
         Ok(())
     }
+
+    /// # Errors
+    /// If it is of an earlier era than `known`.
+    pub(crate) fn check_era(&self, known: StoreEra) -> Result<(), RelayError> {
+        let era = self.update.position.era;
+        if era < known {
+            return Err(RelayError::EarlierEra(era, known));
+        }
+        Ok(())
+    }
 }
 
-/// Requests the changes since `since` from another node; the whole list if `since` is 0.
+/// Requests the changes since `since` from another node; the whole list if its version is 0.
 pub(crate) async fn fetch<P: Platform, C: Relayed<P>>(
     core: &Core<P>,
     node: &NodeId,
-    since: Cursor,
+    since: StorePosition,
     wait: Duration,
 ) -> Result<ListCopy<C>, RelayError> {
     let peer = core.peer().ok_or(RelayError::NoCopy)?;
@@ -380,7 +401,10 @@
     Ok(ListCopy {
         update: ListUpdate {
             changes: changes.map_err(RelayError::Malformed)?,
-            version: reply.version,
+            position: StorePosition {
+                era: reply.era.unwrap_or_default(),
+                version: reply.version,
+            },
             as_of: now.checked_sub(age).unwrap_or(now),
             is_snapshot: reply.is_snapshot,
         },
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, value};
+use eelgrassmill_base::{NodeId, StorePosition, value};
 use prost::bytes::Bytes;
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -282,8 +282,7 @@
         self.inner.call(node, path::QUOTA, req, timeout).await
     }
 
-    /// Fetches the changes of `list` after version `since` from `node`, which waits up to `wait`
-    /// for one.
+    /// Fetches the changes of `list` after `since` from `node`, which waits up to `wait` for one.
     ///
     /// # Errors
     /// If the node can't be reached, times out or rejects the call.
@@ -291,15 +290,16 @@
         &self,
         node: &NodeId,
         list: &str,
-        since: u64,
+        since: StorePosition,
         wait: Duration,
         timeout: Duration,
     ) -> Result<ListReply, PeerError> {
         let req = ListRequest {
             from: self.inner.me.to_string(),
             list: list.to_owned(),
-            since,
+            since: since.version,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            era: Some(since.era),
         };
         self.inner.call(node, path::LIST, req, wait + timeout).await
     }
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -508,6 +508,9 @@
     /// Longest wait for a change, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub wait_ms: u32,
+    /// The era of the store in which `since` was given out; absent from older builds.
+    #[prost(uint64, optional, tag = "5")]
+    pub era: Option<u64>,
 }
 
 /// Changes of a list.
@@ -528,6 +531,9 @@
     /// The changes in order, in the encoding of the calling crate.
     #[prost(bytes = "vec", repeated, tag = "5")]
     pub changes: Vec<Vec<u8>>,
+    /// The era of the store in which `version` was given out; absent from older builds.
+    #[prost(uint64, optional, tag = "6")]
+    pub era: Option<u64>,
 }
 
 /// Reports slot events to a model's scheduler, and may request a slot.
