Keep what a returned store forgot until it is written again

A store that comes back from an older copy shows hosts, memberships and evacuations of before the copy until hosts and the operator have written theirs again. Nodes took the first whole list of the new era at its word.

A whole list is now provisional for 4 s after a later era is met: a host's entry counts only if it must be newer than the known one (a later start, leaving, a later epoch), removed hosts stay removed, and the set of evacuations stays as it is. Changes of the feed apply at once. After that the whole list is read once more, from the parent or the store as before, and taken as it is; a node whose parent's list is still provisional reads again. 4 s are longer than hosts take to be listed again (2 s) and than the entry of a dead host lasts (3.5 s).

Weighed: to treat each list in the fleet's state with a deadline of its own, which needs the raw list beside the merged one at each node and on the wire; and to read nothing for 4 s, which delays changes beyond their bound.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -13,6 +13,9 @@
 /// How long hosts that are missing after a store outage are kept once the store is back. The
 /// platform guarantees that live hosts are listed again within about 2 s.
 const RELIST_GRACE_PERIOD: Duration = Duration::from_millis(2000);
+/// How long removed hosts are remembered: longer than a store that came back from an older copy
+/// lists them again.
+const REMOVAL_TTL: Duration = Duration::from_secs(60);
 
 value! { wire
     /// A change to the host list.
@@ -67,6 +70,8 @@
     departures: Departures,
     /// Starts of hosts whose answers say that they leave, whatever their entries say.
     leaving: BTreeMap<HostId, u64>,
+    /// Starts of hosts that were removed, and when.
+    removed: BTreeMap<HostId, (u64, Instant)>,
     /// End of the grace period in which missing hosts are kept.
     grace_until: Option<Instant>,
     loaded: bool,
@@ -177,6 +182,27 @@
         }
     }
 
+    /// Applies the full list of a store that has just come back from an older copy.
+    ///
+    /// The copy may lack hosts, show entries from before the last ones, and list hosts that are gone.
+    /// Hosts write their entries again; until then, only what can't be older is applied.
+    pub fn apply_restored(&mut self, hosts: Vec<Host>, now: Instant) {
+        if !self.loaded {
+            self.apply_snapshot(hosts, now);
+            return;
+        }
+        for entry in hosts {
+            let is_newer = match (self.hosts.get(&entry.id), self.removed.get(&entry.id)) {
+                (Some(known), _) => entry.is_newer_than(known),
+                (None, Some((started_ms, _))) => entry.started_ms > *started_ms,
+                (None, None) => true,
+            };
+            if is_newer {
+                self.apply_listed(entry, now);
+            }
+        }
+    }
+
     /// Removes hosts that are still missing after the grace period, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<HostId> {
         if self.missing.is_empty() || self.in_grace_period(now) {
@@ -264,6 +290,7 @@
             self.cold_until.remove(&entry.id);
         }
         self.departures.on_listed(&entry, now);
+        self.removed.remove(&entry.id);
         self.hosts.insert(entry.id.clone(), entry);
     }
 
@@ -271,7 +298,11 @@
         self.departures.on_removed(id, now);
         self.cold_until.remove(id);
         self.leaving.remove(id);
-        self.hosts.remove(id);
+        if let Some(host) = self.hosts.remove(id) {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < REMOVAL_TTL;
+            self.removed.retain(|_, (_, at)| is_recent(*at));
+            self.removed.insert(host.id, (host.started_ms, now));
+        }
         self.superseded.remove(id);
     }
 
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -94,6 +94,19 @@
         self.started_ms == started_ms || self.started_ms == 0 || started_ms == 0
     }
 
+    /// Whether this entry must be from after `known`, whichever of them was read last.
+    pub(crate) fn is_newer_than(&self, known: &Host) -> bool {
+        if self.started_ms != known.started_ms {
+            return self.started_ms > known.started_ms;
+        }
+        // A host that leaves never comes back under the same start.
+        if self.is_ready() != known.is_ready() {
+            return !self.is_ready();
+        }
+        let epoch = |host: &Host| host.membership.as_ref().map_or(0, |m| m.epoch);
+        epoch(self) > epoch(known)
+    }
+
     /// Whether it is the head of an open replica.
     pub fn is_open_head(&self) -> bool {
         let open = |m: &Membership| m.rank == 0 && m.phase == MembershipPhase::Open;
--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -49,10 +49,31 @@
 /// effect.
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
+/// How long lists are provisional after the store came back from an older copy. By then hosts that
+/// are alive have written their entries again, and the entries of the others have expired.
+const PROVISIONAL_PERIOD: Duration = Duration::from_secs(4);
+/// How often a node then polls a parent whose list is still provisional.
+const PROVISIONAL_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Where changes are from.
+pub(crate) struct ChangeOrigin<'r> {
+    version: RowVersion,
+    /// The node that sent them; `None` for the store.
+    node: Option<&'r NodeId>,
+    /// Whether a whole list may be older than what is known.
+    is_provisional: bool,
+}
+
+impl ChangeOrigin<'_> {
+    fn name(&self) -> &str {
+        self.node.map_or("store", |node| node.as_str())
+    }
+}
+
 /// Receives the changes of a list.
 pub(crate) trait Sink<C> {
-    /// Applies changes in order. `from` is the node that sent them, `None` for the store.
-    fn apply(&self, changes: Vec<C>, version: RowVersion, from: Option<&NodeId>);
+    /// Applies changes in order.
+    fn apply(&self, changes: Vec<C>, origin: &ChangeOrigin<'_>);
 }
 
 /// Which copies of a list are acceptable.
@@ -76,6 +97,9 @@
     healthy: bool,
     /// Whether the last list that was read was ignored.
     ignores: bool,
+    /// When the whole list has to be read again, if it was read soon after the store came back from
+    /// an older copy.
+    provisional_until: Option<Instant>,
 }
 
 /// What to do with an update.
@@ -209,7 +233,7 @@
     }
 
     async fn poll_parent(&self, parent: &Parent) -> Result<ListRead<S::Change>, RelayError> {
-        let since = self.cursor.unwrap_or_default();
+        let since = self.feed_position().unwrap_or_default();
         let node = &parent.node;
         let copy = snapshot_relay::fetch(self.core, node, since, parent.wait).await?;
         copy.check()?;
@@ -228,6 +252,14 @@
         self.read_store(Duration::ZERO).await
     }
 
+    /// Where the list's feed continues; `None` if the whole list has to be read now.
+    fn feed_position(&self) -> Option<StorePosition> {
+        let is_due = self
+            .provisional_until
+            .is_some_and(|at| Instant::now() >= at);
+        self.cursor.filter(|_| !is_due)
+    }
+
     /// Whether this node has seeds, knows no other node yet, and has only just started.
     fn is_discovering_peers(&self) -> bool {
         let addresses = &self.core.cfg.addresses;
@@ -240,7 +272,8 @@
     }
 
     async fn read_store(&self, wait: Duration) -> Result<ListRead<S::Change>, SourceError> {
-        let read = match self.cursor {
+        let since = self.feed_position();
+        let read = match since {
             None => self.source.snapshot().await?,
             Some(since) => self.source.changes(since.version, wait).await?,
         };
@@ -254,7 +287,8 @@
                     version: read.version,
                 },
                 as_of: Instant::now(),
-                is_snapshot: self.cursor.is_none(),
+                is_snapshot: since.is_none(),
+                is_provisional: false,
             },
             from: None,
             is_fresh: true,
@@ -279,6 +313,9 @@
     /// Records the store's era. What was read in an earlier one is no base for further changes.
     fn enter_era(&mut self, era: StoreEra) {
         if era > self.newest.era {
+            if self.newest.version > 0 {
+                self.provisional_until = Some(Instant::now() + PROVISIONAL_PERIOD);
+            }
             self.newest = StorePosition { era, version: 0 };
             self.cursor = None;
         }
@@ -302,6 +339,23 @@
         );
     }
 
+    /// Returns whether a whole list that was read just now is provisional; one that isn't ends the
+    /// period. `at_parent` is whether it is so at the node that sent it.
+    fn settle(&mut self, at_parent: bool) -> bool {
+        let now = Instant::now();
+        match self.provisional_until {
+            Some(until) if now < until => true,
+            Some(_) if at_parent => {
+                self.provisional_until = Some(now + PROVISIONAL_POLL_INTERVAL);
+                true
+            }
+            _ => {
+                self.provisional_until = None;
+                false
+            }
+        }
+    }
+
     /// Applies what was read. Returns whether it had changes.
     fn apply(&mut self, read: ListRead<S::Change>, sink: &impl Sink<S::Change>) -> bool {
         let ListRead {
@@ -322,11 +376,17 @@
         self.healthy = true;
         self.ignores = false;
         self.enter_era(update.position.era);
+        let is_provisional = update.is_snapshot && self.settle(update.is_provisional);
         self.newest = self.newest.max(update.position);
         self.cursor = Some(self.newest);
         let changed = !update.changes.is_empty();
         if changed {
-            sink.apply(update.changes, update.position.version, from.as_ref());
+            let origin = ChangeOrigin {
+                version: update.position.version,
+                node: from.as_ref(),
+                is_provisional,
+            };
+            sink.apply(update.changes, &origin);
         }
         // Published to other nodes only once it is in force here: requests for the whole list are
         // answered from this node's state.
@@ -335,6 +395,7 @@
             position: update.position,
             as_of: update.as_of,
             is_snapshot: update.is_snapshot,
+            is_provisional,
         });
         changed
     }
@@ -356,6 +417,7 @@
         newest: StorePosition::default(),
         healthy: false,
         ignores: false,
+        provisional_until: None,
     };
     let mut backoff = INITIAL_BACKOFF;
     loop {
@@ -406,17 +468,12 @@
 pub(crate) struct HostSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
 impl<P: Platform> Sink<FleetChange> for HostSink<P> {
-    fn apply(&self, changes: Vec<FleetChange>, version: RowVersion, from: Option<&NodeId>) {
+    fn apply(&self, changes: Vec<FleetChange>, origin: &ChangeOrigin<'_>) {
         let now = Instant::now();
         // The planner decides by the entries and logs each change; other nodes log only the
         // version.
-        let from_name = from.map_or("store", |node| node.as_str());
-        info!(
-            event = "hosts",
-            version,
-            changes = changes.len(),
-            from = from_name
-        );
+        let (version, from) = (origin.version, origin.name());
+        info!(event = "hosts", version, changes = changes.len(), from);
         let is_planner = self.0.is_planner();
         {
             let mut fleet = locked(&self.0.fleet);
@@ -425,7 +482,12 @@
                 if let (FleetChange::Put(host), true) = (&change, is_planner) {
                     log_host(host, version);
                 }
-                removed.extend(fleet.apply(change, now));
+                match change {
+                    FleetChange::Snapshot(hosts) if origin.is_provisional => {
+                        fleet.apply_restored(hosts, now);
+                    }
+                    change => removed.extend(fleet.apply(change, now)),
+                }
             }
             for host in removed.iter().filter(|_| is_planner) {
                 info!(event = "host-gone", %host, reason = "no longer listed");
@@ -450,9 +512,9 @@
 pub(crate) struct OperatorSink<P: Platform>(pub(crate) Arc<Core<P>>);
 
 impl<P: Platform> Sink<OperatorChange> for OperatorSink<P> {
-    fn apply(&self, changes: Vec<OperatorChange>, version: RowVersion, from: Option<&NodeId>) {
-        let source = from.map_or("store", |node| node.as_str());
-        if from.is_none() {
+    fn apply(&self, changes: Vec<OperatorChange>, origin: &ChangeOrigin<'_>) {
+        let source = origin.name();
+        if origin.node.is_none() {
             self.0.quarantine.on_store_read();
         }
         for change in changes {
@@ -460,8 +522,12 @@
                 OperatorChange::Configuration(accepted) => {
                     configuration::apply(&self.0, accepted, source);
                 }
+                // What was begun or cancelled in the part that the store lost is in force until the
+                // operator has written it again.
+                OperatorChange::Evacuation(EvacuationChange::Snapshot(_))
+                    if origin.is_provisional && locked(&self.0.fleet).knows_evacuations() => {}
                 OperatorChange::Evacuation(change) => {
-                    apply_evacuation(&self.0, change, version, source);
+                    apply_evacuation(&self.0, change, origin.version, source);
                 }
             }
         }
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -5,6 +5,7 @@
 //! store delays changes by less than their bound.
 
 use std::borrow::Cow;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PublishedList {
     log: Mutex<ChangeLog>,
+    is_provisional: AtomicBool,
     position: watch::Sender<StorePosition>,
     snapshot: Mutex<Option<EncodedList>>,
 }
@@ -62,6 +64,8 @@
         {
             let mut log = locked(&self.log);
             if update.is_snapshot {
+                let is_provisional = update.is_provisional;
+                self.is_provisional.store(is_provisional, Ordering::Relaxed);
                 log.reset(update.position, update.as_of);
             } else {
                 let changes = update.changes.clone();
@@ -99,6 +103,8 @@
     pub(crate) as_of: Instant,
     /// Whether the changes are the whole list.
     pub(crate) is_snapshot: bool,
+    /// Whether the whole list may be older than what was known in an earlier era of the store.
+    pub(crate) is_provisional: bool,
 }
 
 /// A list that nodes relay to each other, with the encoding of its changes.
@@ -242,6 +248,7 @@
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         platform_unreachable: core.store_failures() > 0,
         is_snapshot,
+        is_provisional: is_snapshot && published.is_provisional.load(Ordering::Relaxed),
         changes: list.changes,
     }
 }
@@ -407,6 +414,7 @@
             },
             as_of: now.checked_sub(age).unwrap_or(now),
             is_snapshot: reply.is_snapshot,
+            is_provisional: reply.is_provisional,
         },
         encoded: reply.changes,
         age,
--- a/crates/peer/src/wire/messages.rs
+++ b/crates/peer/src/wire/messages.rs
@@ -534,6 +534,9 @@
     /// The era of the store in which `version` was given out; absent from older builds.
     #[prost(uint64, optional, tag = "6")]
     pub era: Option<u64>,
+    /// Whether the list is that of an earlier era but for what must be newer.
+    #[prost(bool, tag = "7")]
+    pub is_provisional: bool,
 }
 
 /// Reports slot events to a model's scheduler, and may request a slot.
