Write the leader's record and the decisions again to a returned store

A leader whose lease is valid now writes its record again, with its term, when it meets a later era in which the row names no later one; its planner goes on. Nobody can have succeeded it while its lease was valid. One whose lease isn't valid gives up, also if the copy names it. A new claim takes a term above the row's, above all that are announced, and above 65536 times the era: a claim in a lost part is below that, whether anybody remembers it or not. In era 0, and for a store without eras, terms are counted as before. A claim whose answer names another era than the read counts as unknown, since its condition may have held by chance. Decisions of the quarantine are saved again by a leader that goes on.

Weighed: terms above all that other nodes and hosts report, which fails if those that know a claim are gone; and giving up the term at each return, which stops repairs for 3 s.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -221,7 +221,7 @@
             }
             known.replace(era)
         };
-        info!(event = "store", era, ?previous);
+        info!(event = "store", era, previous);
         self.metrics
             .store_era
             .set(i64::try_from(era).unwrap_or(i64::MAX));
@@ -230,6 +230,11 @@
         }
     }
 
+    /// The latest era that the store named; 0 if it named none.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        locked(&self.store_era).unwrap_or_default()
+    }
+
     pub(crate) fn record_store_success(&self) {
         self.store_failures.store(0, Ordering::Relaxed);
     }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -5,10 +5,11 @@
 //! Renewals are not written: the leader rereads the row periodically and acts only while its
 //! [`Lease`] is valid, and a successor waits until that has expired.
 
+use std::cmp::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::NodeId;
+use eelgrassmill_base::{NodeId, StoreEra};
 use eelgrassmill_fleet::{Lease, LeaseStatus, SinceBoot, hears_majority, strongest};
 use rustix::time::{ClockId, clock_gettime};
 use tracing::{info, warn};
@@ -17,7 +18,7 @@
 use crate::heads::locked;
 use crate::peers::publish_leader;
 use crate::planning::PlannerTerm;
-use crate::ports::{LeaderElection, LeaderRecord, Platform};
+use crate::ports::{LeaderElection, LeaderRecord, Platform, StoredLeader};
 use crate::quarantine;
 
 /// How often a node that isn't the leader checks whether there is a leader.
@@ -31,6 +32,12 @@
 /// How often a leader rereads the row that names it: twice per lease.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Terms of one era of the store. Claims in the part that a store lost are not known to all, so each
+/// era begins above all terms of earlier ones.
+const TERMS_PER_ERA: u64 = 1 << 16;
+/// Highest era that counts for terms, which are part of epochs.
+const MAX_TERM_ERA: StoreEra = 1 << 24;
+
 /// The time since the machine booted, including time in suspend.
 fn since_boot() -> SinceBoot {
     let now = clock_gettime(ClockId::Boottime);
@@ -52,10 +59,10 @@
     let mut observed = ObservedRecord::default();
     loop {
         let read_at = since_boot();
-        if let Some(leader) = try_acquire(&core, &mut observed).await {
+        if let Some((leader, era)) = try_acquire(&core, &mut observed).await {
             info!(event = "leader", term = leader.term, outcome = "taken");
             publish_leader(&core, Some(&leader));
-            lead(&core, &leader, Lease::new(read_at)).await;
+            lead(&core, &leader, era, Lease::new(read_at)).await;
             publish_leader(&core, None);
             info!(event = "leader", term = leader.term, outcome = "given-up");
         }
@@ -63,10 +70,11 @@
     }
 }
 
+/// Claims the leader role, and returns the era of the store in which this node has it.
 async fn try_acquire<P: Platform>(
     core: &Arc<Core<P>>,
     observed: &mut ObservedRecord,
-) -> Option<LeaderRecord> {
+) -> Option<(LeaderRecord, StoreEra)> {
     let now = Instant::now();
     if core.is_leaving() || !core.is_loaded() || core.store_failures() > 0 {
         return None;
@@ -96,24 +104,30 @@
         return None;
     }
     let read = core.platform.leader().read().await;
-    let (record, version) = match read {
-        Ok(read) => read,
+    let stored = match read {
+        Ok(stored) => stored,
         Err(err) => {
             warn!(event = "leader", outcome = "not-read", %err);
             return None;
         }
     };
-    if observed.is_new_holder(record.as_ref(), &core.cfg.node, now) {
+    let era = stored.era.unwrap_or_else(|| core.store_era());
+    core.record_store_era(era);
+    // A late answer of an earlier era.
+    if era < core.store_era() {
+        return None;
+    }
+    if observed.is_new_holder(stored.record.as_ref(), &core.cfg.node, now) {
         return None;
     }
-    let term = record.map_or(0, |r| r.term) + 1;
     let claim = LeaderRecord {
         node: core.cfg.node.clone(),
-        term,
+        term: next_term(core, stored.record.as_ref(), era),
     };
-    match core.platform.leader().claim(version, &claim).await {
-        Ok(true) => Some(claim),
-        Ok(false) => None,
+    match core.platform.leader().claim(stored.version, &claim).await {
+        Ok(write) if write.done && write.era.is_none_or(|e| e == era) => Some((claim, era)),
+        // If the store came back in between, the next read shows what it has.
+        Ok(_) => None,
         Err(err) => {
             // The write may have succeeded; the next read shows it.
             warn!(event = "leader", outcome = "unknown", %err);
@@ -122,6 +136,13 @@
     }
 }
 
+/// A term above all that are known to have been claimed, and above all of earlier eras.
+fn next_term<P: Platform>(core: &Core<P>, record: Option<&LeaderRecord>, era: StoreEra) -> u64 {
+    let announced = locked(&core.leaders).values().copied().max();
+    let known = record.map(|r| r.term).max(announced).unwrap_or_default();
+    known.max(era.min(MAX_TERM_ERA) * TERMS_PER_ERA) + 1
+}
+
 impl ObservedRecord {
     /// Records what was read. Returns whether it newly names another node, which has to be awaited.
     fn is_new_holder(&mut self, record: Option<&LeaderRecord>, me: &str, now: Instant) -> bool {
@@ -163,35 +184,97 @@
 }
 
 /// Runs the planner until another node is the leader or may be.
-async fn lead<P: Platform>(core: &Arc<Core<P>>, leader: &LeaderRecord, lease: Lease) {
+async fn lead<P: Platform>(
+    core: &Arc<Core<P>>,
+    leader: &LeaderRecord,
+    era: StoreEra,
+    lease: Lease,
+) {
     let lease = Mutex::new(lease);
     tokio::select! {
-        () = confirm(core, leader, &lease) => {}
+        () = confirm(core, leader, era, &lease) => {}
         () = run_planner(core, leader, &lease) => {}
         () = quarantine::save_loop(core) => {}
     }
 }
 
-/// Rereads the row until it names another holder.
-async fn confirm<P: Platform>(core: &Core<P>, leader: &LeaderRecord, lease: &Mutex<Lease>) {
+/// Rereads the row until it names another holder. `era` is that of the store in which the row named
+/// this node.
+async fn confirm<P: Platform>(
+    core: &Core<P>,
+    leader: &LeaderRecord,
+    mut era: StoreEra,
+    lease: &Mutex<Lease>,
+) {
     let mut last_read_ok = true;
     loop {
         tokio::time::sleep(CONFIRM_INTERVAL).await;
         let read_at = since_boot();
         let read = core.platform.leader().read().await;
-        match &read {
-            Ok((Some(record), _)) if record == leader => locked(lease).confirm(read_at),
-            Ok(_) => return,
-            Err(err) if last_read_ok => {
-                warn!(event = "leader", term = leader.term, outcome = "not-confirmed", %err);
+        let was_ok = std::mem::replace(&mut last_read_ok, read.is_ok());
+        let stored = match read {
+            Ok(stored) => stored,
+            Err(err) => {
+                // Logged at the first of consecutive failures.
+                if was_ok {
+                    warn!(event = "leader", term = leader.term, outcome = "not-confirmed", %err);
+                }
+                continue;
+            }
+        };
+        let read_era = stored.era.unwrap_or(era);
+        core.record_store_era(read_era);
+        let is_named = stored.record.as_ref() == Some(leader);
+        match read_era.cmp(&era) {
+            // A late answer of an earlier era.
+            Ordering::Less => {}
+            Ordering::Equal if is_named => locked(lease).confirm(read_at),
+            Ordering::Equal => return,
+            Ordering::Greater => {
+                // A successor may have been named in the part that the store lost, but not while
+                // the lease was valid.
+                if lease_status(core, lease) != LeaseStatus::Act || is_superseded(&stored, leader) {
+                    return;
+                }
+                if is_named || write_again(core, leader, &stored, read_era).await {
+                    locked(lease).confirm(read_at);
+                    era = read_era;
+                }
             }
-            // Logged at the first of consecutive failures.
-            Err(_) => {}
         }
-        last_read_ok = read.is_ok();
     }
 }
 
+/// Whether the row names another leader of the same or a later term.
+fn is_superseded(stored: &StoredLeader, leader: &LeaderRecord) -> bool {
+    let named = stored.record.as_ref();
+    named.is_some_and(|r| r.node != leader.node && r.term >= leader.term)
+}
+
+/// Writes the record to a store that came back from a copy without it. Returns whether it has it.
+async fn write_again<P: Platform>(
+    core: &Core<P>,
+    leader: &LeaderRecord,
+    stored: &StoredLeader,
+    era: StoreEra,
+) -> bool {
+    let write = core.platform.leader().claim(stored.version, leader).await;
+    let is_written = write.is_ok_and(|w| w.done && w.era.is_none_or(|e| e == era));
+    info!(
+        event = "leader",
+        term = leader.term,
+        outcome = "written-again",
+        era,
+        is_written
+    );
+    is_written
+}
+
+fn lease_status<P: Platform>(core: &Core<P>, lease: &Mutex<Lease>) -> LeaseStatus {
+    let heard = hears_majority(locked(&core.nodes).silences(Instant::now()));
+    locked(lease).update(since_boot(), heard)
+}
+
 async fn run_planner<P: Platform>(
     core: &Arc<Core<P>>,
     leader: &LeaderRecord,
@@ -203,9 +286,9 @@
         if core.is_leaving() || higher_term_exists(core, leader) {
             return;
         }
-        let heard = hears_majority(locked(&core.nodes).silences(Instant::now()));
-        let standing = locked(lease).update(since_boot(), heard);
+        let standing = lease_status(core, lease);
         if standing != last {
+            let heard = hears_majority(locked(&core.nodes).silences(Instant::now()));
             info!(
                 event = "leader",
                 term = leader.term,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -91,19 +91,40 @@
     }
 }
 
+value! {
+    /// The leader record as the store has it.
+    pub struct StoredLeader {
+        /// The record; `None` if it was never written.
+        pub record: Option<LeaderRecord>,
+        /// Its version; 0 if it was never written.
+        pub version: RowVersion,
+        /// The store's era, if it names one.
+        pub era: Option<StoreEra>,
+    }
+}
+
+value! { copy
+    /// The answer to a write on a condition.
+    pub struct ConditionalWrite {
+        /// Whether the condition held, so that the write was done.
+        pub done: bool,
+        /// The store's era, if it names one. A condition on a version that was read in an earlier
+        /// era may have held by chance.
+        pub era: Option<StoreEra>,
+    }
+}
+
 /// Store of the planner's leader record.
 pub trait LeaderElection: Send + Sync + 'static {
-    /// Reads the record and its version; `None` and 0 if it was never written.
-    fn read(
-        &self,
-    ) -> impl Future<Output = Result<(Option<LeaderRecord>, RowVersion), SourceError>> + Send;
+    /// Reads the record.
+    fn read(&self) -> impl Future<Output = Result<StoredLeader, SourceError>> + Send;
 
-    /// Writes the record if it still has `version` (compare and set). `false` if it has another.
+    /// Writes the record if it still has `version` (compare and set).
     fn claim(
         &self,
         version: RowVersion,
         record: &LeaderRecord,
-    ) -> impl Future<Output = Result<bool, SourceError>> + Send;
+    ) -> impl Future<Output = Result<ConditionalWrite, SourceError>> + Send;
 }
 
 value! {
@@ -123,13 +144,12 @@
     /// Reads the record.
     fn read(&self) -> impl Future<Output = Result<StoredDecisions, SourceError>> + Send;
 
-    /// Replaces the record, of at most 16 KB, if it still has `version` (compare and set). `false` if
-    /// it has another.
+    /// Replaces the record, of at most 16 KB, if it still has `version` (compare and set).
     fn write(
         &self,
         version: RowVersion,
         encoded: &[u8],
-    ) -> impl Future<Output = Result<bool, SourceError>> + Send;
+    ) -> impl Future<Output = Result<ConditionalWrite, SourceError>> + Send;
 }
 
 value! {
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -73,17 +73,18 @@
 
 /// Saves decisions until the future is dropped. Only the leader does.
 pub(crate) async fn save_loop<P: Platform>(core: &Core<P>) {
-    let mut saved = 0;
+    // The revision that was saved, and the era of the store before it was.
+    let mut saved = (0, core.store_era());
     let mut last_save_ok = true;
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
-        let revision = locked(&core.quarantine.table).revision();
-        if revision == saved {
+        let current = (locked(&core.quarantine.table).revision(), core.store_era());
+        if current == saved {
             continue;
         }
         let result = save(core).await;
         match &result {
-            Ok(true) => saved = revision,
+            Ok(true) => saved = current,
             // Another node wrote since the read.
             Ok(false) => {}
             Err(err) if last_save_ok => {
@@ -109,7 +110,7 @@
     let wire: Vec<WireDecision> = decisions.iter().map(WireDecision::from).collect();
     let encoded = serde_json::to_vec(&wire).map_err(|e| SourceError::Malformed(e.to_string()))?;
     let store = core.platform.decisions();
-    store.write(stored.version, &encoded).await
+    Ok(store.write(stored.version, &encoded).await?.done)
 }
 
 /// Restores saved decisions once this node has read the lists from the store itself.
