Show in the claim model that claims need a table that keeps its writes

No rule of the protocol makes up for a table that comes back from an older copy: with that assumption left out the check finds a claim that stays in progress for good, and the row that kept another attempt from running is gone.

--- a/crates/spec/src/claims.rs
+++ b/crates/spec/src/claims.rs
@@ -40,6 +40,8 @@
     LapsedKeepsClaim,
     /// A row that says answered or unknown isn't claimed anew.
     FinalStateStays,
+    /// The table never comes back from an older copy. No rule of the protocol makes up for it.
+    TableKeepsWrites,
 }
 
 /// A step of one attempt.
@@ -59,9 +61,10 @@
     HearsOfClose,
     OwnerDies,
     OwnerSeemsLapsed,
+    TableForgets,
 }
 
-const ACTIONS: [Action; 14] = [
+const ACTIONS: [Action; 15] = [
     Action::Begins,
     Action::StoreTakesClaim,
     Action::HearsOfClaim,
@@ -76,12 +79,16 @@
     Action::HearsOfClose,
     Action::OwnerDies,
     Action::OwnerSeemsLapsed,
+    Action::TableForgets,
 ];
 
 impl Action {
     /// Whether it is something that goes wrong, rather than progress.
     fn is_fault(self) -> bool {
-        matches!(self, Action::OwnerDies | Action::OwnerSeemsLapsed)
+        matches!(
+            self,
+            Action::OwnerDies | Action::OwnerSeemsLapsed | Action::TableForgets
+        )
     }
 }
 
@@ -254,10 +261,22 @@
             Action::HearsOfClose => self.hear_close(&mut next, i)?,
             Action::OwnerDies => self.fault(&mut next, i, true)?,
             Action::OwnerSeemsLapsed => self.fault(&mut next, i, false)?,
+            Action::TableForgets => self.forget_row(&mut next, i)?,
         }
         Some(next)
     }
 
+    /// The table comes back from a copy without the row. A step of no attempt, counted as one of the
+    /// first.
+    fn forget_row(&self, state: &mut State, i: usize) -> Option<()> {
+        if self.holds(Guard::TableKeepsWrites) || i > 0 {
+            return None;
+        }
+        state.row.take()?;
+        state.version = 0;
+        Some(())
+    }
+
     /// Reads the row and decides, as one step; the write that follows is another.
     fn begin(&self, state: &mut State, i: usize) -> Option<()> {
         if state.attempts[i].phase != Phase::Unused {
--- a/crates/spec/tests/claims.rs
+++ b/crates/spec/tests/claims.rs
@@ -38,6 +38,7 @@
         Guard::TimeoutIsUnknown,
         Guard::LapsedKeepsClaim,
         Guard::FinalStateStays,
+        Guard::TableKeepsWrites,
     ];
     let mut found = String::new();
     for rule in rules {
