Label a relayed list by whether it was provisional when it was encoded

Found by reading: a list that was encoded for other nodes while it was provisional was reused for 0.3 s after that, and then sent as the final one; a node that started on a provisional copy took it as final. Both would keep what the store no longer has until the next change of that row. The state is now kept with the log and with the encoding, and a provisional copy is read again by any node. The loop of the reflector decides by one match.

--- a/crates/base/src/position.rs
+++ b/crates/base/src/position.rs
@@ -11,7 +11,7 @@
     /// held at any version of an earlier one. The default is before everything.
     #[derive(Default)]
     pub struct StorePosition {
-        /// The era, in which `version` was given out. 0 for a store that names none.
+        /// The era in which `version` was given out; 0 for a store that names none.
         pub era: StoreEra,
         /// The version; 0 before the first one.
         pub version: RowVersion,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -13,8 +13,8 @@
 /// How long hosts that are missing after a store outage are kept once the store is back. The
 /// platform guarantees that live hosts are listed again within about 2 s.
 const RELIST_GRACE_PERIOD: Duration = Duration::from_millis(2000);
-/// How long removed hosts are remembered: longer than a store that came back from an older copy
-/// lists them again.
+/// How long removed hosts are remembered, so that an older copy of the list doesn't bring them back.
+/// Entries of hosts that are gone expire within 4 s.
 const REMOVAL_TTL: Duration = Duration::from_secs(60);
 
 value! { wire
--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -53,7 +53,7 @@
 /// are alive have written their entries again, and the entries of the others have expired.
 const PROVISIONAL_PERIOD: Duration = Duration::from_secs(4);
 /// How often a node then polls a parent whose list is still provisional.
-const PROVISIONAL_POLL_INTERVAL: Duration = Duration::from_millis(200);
+const PROVISIONAL_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Where changes are from.
 pub(crate) struct ChangeOrigin<'r> {
@@ -97,8 +97,8 @@
     healthy: bool,
     /// Whether the last list that was read was ignored.
     ignores: bool,
-    /// When the whole list has to be read again, if it was read soon after the store came back from
-    /// an older copy.
+    /// When the whole list has to be read again; `None` unless the one that was read last is
+    /// provisional, or the next one will be.
     provisional_until: Option<Instant>,
 }
 
@@ -295,6 +295,7 @@
         })
     }
 
+    /// Decides what to do with an update, by its position and those that were read before.
     fn assess(&self, update: &ListUpdate<S::Change>) -> Verdict {
         let position = update.position;
         if position.era > self.newest.era && !update.is_snapshot {
@@ -343,17 +344,10 @@
     /// period. `at_parent` is whether it is so at the node that sent it.
     fn settle(&mut self, at_parent: bool) -> bool {
         let now = Instant::now();
-        match self.provisional_until {
-            Some(until) if now < until => true,
-            Some(_) if at_parent => {
-                self.provisional_until = Some(now + PROVISIONAL_POLL_INTERVAL);
-                true
-            }
-            _ => {
-                self.provisional_until = None;
-                false
-            }
+        if self.provisional_until.is_none_or(|until| now >= until) {
+            self.provisional_until = at_parent.then(|| now + PROVISIONAL_POLL_INTERVAL);
         }
+        self.provisional_until.is_some()
     }
 
     /// Applies what was read. Returns whether it had changes.
@@ -421,25 +415,23 @@
     };
     let mut backoff = INITIAL_BACKOFF;
     loop {
-        let read = reflector.next().await;
-        let verdict = read.as_ref().ok().map(|r| reflector.assess(&r.update));
-        match read {
-            Ok(read) if verdict == Some(Verdict::Ignore) => {
-                reflector.log_ignored(&read);
-                tokio::time::sleep(backoff).await;
-            }
-            Ok(read) if verdict == Some(Verdict::ReadWholeList) => {
-                reflector.enter_era(read.update.position.era);
-            }
-            Ok(read) => {
-                if read.is_fresh {
-                    core.record_store_success();
+        match reflector.next().await {
+            Ok(read) => match reflector.assess(&read.update) {
+                Verdict::Apply => {
+                    if read.is_fresh {
+                        core.record_store_success();
+                    }
+                    backoff = INITIAL_BACKOFF;
+                    if reflector.apply(read, sink) {
+                        tokio::time::sleep(BATCH_DELAY).await;
+                    }
                 }
-                backoff = INITIAL_BACKOFF;
-                if reflector.apply(read, sink) {
-                    tokio::time::sleep(BATCH_DELAY).await;
+                Verdict::Ignore => {
+                    reflector.log_ignored(&read);
+                    tokio::time::sleep(backoff).await;
                 }
-            }
+                Verdict::ReadWholeList => reflector.enter_era(read.update.position.era),
+            },
             Err(SourceError::Compacted { era }) => {
                 info!(event = "dependency", list, state = "history-gone");
                 if reflector.cursor.take().is_none() {
--- a/crates/gateway/src/snapshot_relay.rs
+++ b/crates/gateway/src/snapshot_relay.rs
@@ -5,7 +5,6 @@
 //! store delays changes by less than their bound.
 
 use std::borrow::Cow;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -39,11 +38,17 @@
 /// retransmission some 200 ms.
 const RPC_SLACK: Duration = Duration::from_millis(250);
 
+/// The changes of a list, and whether the last whole list was provisional.
+#[derive(Debug, Default)]
+struct PublishedLog {
+    changes: ChangeLog,
+    is_provisional: bool,
+}
+
 /// A list as it is served to other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct PublishedList {
-    log: Mutex<ChangeLog>,
-    is_provisional: AtomicBool,
+    log: Mutex<PublishedLog>,
     position: watch::Sender<StorePosition>,
     snapshot: Mutex<Option<EncodedList>>,
 }
@@ -52,6 +57,7 @@
 #[derive(Clone, Debug)]
 struct EncodedList {
     position: StorePosition,
+    is_provisional: bool,
     /// The latest time at which this was known to be the list's state.
     as_of: Instant,
     encoded_at: Instant,
@@ -64,12 +70,12 @@
         {
             let mut log = locked(&self.log);
             if update.is_snapshot {
-                let is_provisional = update.is_provisional;
-                self.is_provisional.store(is_provisional, Ordering::Relaxed);
-                log.reset(update.position, update.as_of);
+                log.is_provisional = update.is_provisional;
+                log.changes.reset(update.position, update.as_of);
             } else {
                 let changes = update.changes.clone();
-                log.append(changes, update.position, update.as_of, Instant::now());
+                log.changes
+                    .append(changes, update.position, update.as_of, Instant::now());
             }
         }
         self.position.send_if_modified(|position| {
@@ -209,7 +215,7 @@
     let published = C::published(core);
     let since = StorePosition {
         // Older builds don't know of eras: their versions count as those of this node's era.
-        era: (req.era).unwrap_or_else(|| locked(&published.log).position().era),
+        era: (req.era).unwrap_or_else(|| locked(&published.log).changes.position().era),
         version: req.since,
     };
     if since.version > 0 {
@@ -218,9 +224,15 @@
         let _ = tokio::time::timeout(wait, published.wait_newer_than(since)).await;
     }
     let now = Instant::now();
-    let (position, age, catch_up) = {
+    let (position, is_provisional, age, catch_up) = {
         let log = locked(&published.log);
-        (log.position(), log.age(now), log.changes_since(since))
+        let changes = &log.changes;
+        (
+            changes.position(),
+            log.is_provisional,
+            changes.age(now),
+            changes.changes_since(since),
+        )
     };
     let as_of = age.and_then(|age| now.checked_sub(age));
     let Some(as_of) = as_of else {
@@ -230,13 +242,17 @@
         SyncUpdate::Delta(changes) => {
             let list = EncodedList {
                 position,
+                is_provisional: false,
                 as_of,
                 encoded_at: now,
                 changes,
             };
             (Some(list), false)
         }
-        SyncUpdate::Snapshot => (encoded_snapshot::<P, C>(core, position, as_of, now), true),
+        SyncUpdate::Snapshot => {
+            let list = encoded_snapshot::<P, C>(core, position, is_provisional, as_of, now);
+            (list, true)
+        }
     };
     let Some(list) = list else {
         return ListReply::default();
@@ -248,7 +264,7 @@
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         platform_unreachable: core.store_failures() > 0,
         is_snapshot,
-        is_provisional: is_snapshot && published.is_provisional.load(Ordering::Relaxed),
+        is_provisional: list.is_provisional,
         changes: list.changes,
     }
 }
@@ -257,13 +273,16 @@
 fn encoded_snapshot<P: Platform, C: Relayed<P>>(
     core: &Core<P>,
     position: StorePosition,
+    is_provisional: bool,
     as_of: Instant,
     now: Instant,
 ) -> Option<EncodedList> {
     let mut cached = locked(&C::published(core).snapshot);
     let is_usable = |list: &&EncodedList| {
         let age = now.saturating_duration_since(list.encoded_at);
-        age < ENCODED_LIST_TTL && list.position.era == position.era
+        let is_same_kind =
+            list.position.era == position.era && list.is_provisional == is_provisional;
+        age < ENCODED_LIST_TTL && is_same_kind
     };
     if let Some(list) = cached.as_ref().filter(is_usable) {
         return Some(list.clone());
@@ -271,6 +290,7 @@
     let changes: Result<_, SourceError> = C::snapshot(core).iter().map(C::encode).collect();
     let list = EncodedList {
         position,
+        is_provisional,
         as_of,
         encoded_at: now,
         changes: changes.ok()?,
