Keep the encoding of the leader's record out of the adapter

The leader's record is the product's own, like the decisions: both are now read and written as bytes by one trait, and the leader decodes its own.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{NodeId, StoreEra};
+use eelgrassmill_base::{NodeId, RowVersion, StoreEra, value};
 use eelgrassmill_fleet::{Lease, LeaseStatus, SinceBoot, hears_majority, strongest};
 use rustix::time::{ClockId, clock_gettime};
 use tracing::{info, warn};
@@ -18,7 +18,7 @@
 use crate::heads::locked;
 use crate::peers::publish_leader;
 use crate::planning::PlannerTerm;
-use crate::ports::{LeaderElection, LeaderRecord, Platform, StoredLeader};
+use crate::ports::{ConditionalWrite, Platform, RecordStore, SourceError};
 use crate::quarantine;
 
 /// How often a node that isn't the leader checks whether there is a leader.
@@ -46,6 +46,44 @@
     Duration::new(seconds, nanos)
 }
 
+value! { wire
+    /// The record of the planner's leader.
+    pub(crate) struct LeaderRecord {
+        /// The node.
+        pub(crate) node: NodeId,
+        /// Number of the leader's term. Epochs of a term are higher than those of all earlier
+        /// terms.
+        pub(crate) term: u64,
+    }
+}
+
+/// The leader record as the store has it.
+struct StoredLeader {
+    record: Option<LeaderRecord>,
+    version: RowVersion,
+    era: Option<StoreEra>,
+}
+
+async fn read_record<P: Platform>(core: &Core<P>) -> Result<StoredLeader, SourceError> {
+    let stored = core.platform.leader().read().await?;
+    let record = stored.encoded.map(|bytes| serde_json::from_slice(&bytes));
+    let record = record.transpose();
+    Ok(StoredLeader {
+        record: record.map_err(|e| SourceError::Malformed(e.to_string()))?,
+        version: stored.version,
+        era: stored.era,
+    })
+}
+
+async fn write_record<P: Platform>(
+    core: &Core<P>,
+    version: RowVersion,
+    record: &LeaderRecord,
+) -> Result<ConditionalWrite, SourceError> {
+    let encoded = serde_json::to_vec(record).map_err(|e| SourceError::Malformed(e.to_string()))?;
+    core.platform.leader().write(version, &encoded).await
+}
+
 /// The leader's row as this node last read it.
 #[derive(Debug, Default)]
 struct ObservedRecord {
@@ -103,7 +141,7 @@
     if awaits_holder {
         return None;
     }
-    let read = core.platform.leader().read().await;
+    let read = read_record(core).await;
     let stored = match read {
         Ok(stored) => stored,
         Err(err) => {
@@ -124,7 +162,7 @@
         node: core.cfg.node.clone(),
         term: next_term(core, stored.record.as_ref(), era),
     };
-    match core.platform.leader().claim(stored.version, &claim).await {
+    match write_record(core, stored.version, &claim).await {
         Ok(write) if write.done && write.era.is_none_or(|e| e == era) => Some((claim, era)),
         // If the store came back in between, the next read shows what it has.
         Ok(_) => None,
@@ -210,7 +248,7 @@
     loop {
         tokio::time::sleep(CONFIRM_INTERVAL).await;
         let read_at = since_boot();
-        let read = core.platform.leader().read().await;
+        let read = read_record(core).await;
         let was_ok = std::mem::replace(&mut last_read_ok, read.is_ok());
         let stored = match read {
             Ok(stored) => stored,
@@ -258,7 +296,7 @@
     stored: &StoredLeader,
     era: StoreEra,
 ) -> bool {
-    let write = core.platform.leader().claim(stored.version, leader).await;
+    let write = write_record(core, stored.version, leader).await;
     let is_written = write.is_ok_and(|w| w.done && w.era.is_none_or(|e| e == era));
     info!(
         event = "leader",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,9 +51,9 @@
 pub use crate::log_report::{LogReader, Subject};
 pub use crate::logs::{LogQueue, init_logging};
 pub use crate::ports::{
-    AcceptedConfig, AttemptMetadata, ConditionalWrite, DecisionStore, Dialect, HostControl,
-    HostReport, HostUnavailable, LeaderElection, LeaderRecord, NodeRequest, OperatorChange,
-    Platform, ResponseClass, Source, SourceError, SourceRead, StoredDecisions, StoredLeader,
+    AcceptedConfig, AttemptMetadata, ConditionalWrite, Dialect, HostControl, HostReport,
+    HostUnavailable, NodeRequest, OperatorChange, Platform, RecordStore, ResponseClass, Source,
+    SourceError, SourceRead, StoredRecord,
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,8 +19,9 @@
 use crate::core::Core;
 use crate::demand::ReportedScopes;
 use crate::heads::locked;
+use crate::leader::LeaderRecord;
 use crate::nodes::NodeInfo;
-use crate::ports::{LeaderRecord, Platform};
+use crate::ports::Platform;
 use crate::scheduler::ScheduledLoad;
 use crate::{
     demand, host_relay, host_signals, loss_detection, quarantine, scheduler, snapshot_relay,
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -15,8 +15,9 @@
 use crate::demand;
 use crate::heads::locked;
 use crate::host_signals;
+use crate::leader::LeaderRecord;
 use crate::loss_detection::{LostReplica, REPORT_TIMEOUT};
-use crate::ports::{HostReport, HostUnavailable, LeaderRecord, Platform};
+use crate::ports::{HostReport, HostUnavailable, Platform};
 
 /// Longest time between two steps of the planner: its shortest own interval is the 120 ms between
 /// two report requests to a host.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrassmill_base::{HostId, ModelName, NodeId, RowVersion, StoreEra, TenantId, value};
+use eelgrassmill_base::{HostId, ModelName, RowVersion, StoreEra, TenantId, value};
 use eelgrassmill_fleet::{Catalog, EvacuationChange, FleetChange, Membership, Order, OrderReply};
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
@@ -81,25 +81,16 @@
 }
 
 value! {
-    /// The record of the planner's leader.
-    pub struct LeaderRecord {
-        /// The node.
-        pub node: NodeId,
-        /// Number of the leader's term. Epochs of a term are higher than those of all earlier
-        /// terms.
-        pub term: u64,
-    }
-}
-
-value! {
-    /// The leader record as the store has it.
-    pub struct StoredLeader {
-        /// The record; `None` if it was never written.
-        pub record: Option<LeaderRecord>,
-        /// Its version; 0 if it was never written.
+    /// A record of the nodes' own as the store has it.
+    pub struct StoredRecord {
+        /// What was written last; `None` if nothing was.
+        pub encoded: Option<Vec<u8>>,
+        /// The version of the record; 0 if it was never written.
         pub version: RowVersion,
         /// The store's era, if it names one.
         pub era: Option<StoreEra>,
+        /// The time of the store's clock, which is steady and the same for all nodes.
+        pub clock: Duration,
     }
 }
 
@@ -114,37 +105,12 @@
     }
 }
 
-/// Store of the planner's leader record.
-pub trait LeaderElection: Send + Sync + 'static {
-    /// Reads the record.
-    fn read(&self) -> impl Future<Output = Result<StoredLeader, SourceError>> + Send;
-
-    /// Writes the record if it still has `version` (compare and set).
-    fn claim(
-        &self,
-        version: RowVersion,
-        record: &LeaderRecord,
-    ) -> impl Future<Output = Result<ConditionalWrite, SourceError>> + Send;
-}
-
-value! {
-    /// The record of the quarantine's decisions.
-    pub struct StoredDecisions {
-        /// What was written last; `None` if nothing was.
-        pub encoded: Option<Vec<u8>>,
-        /// The version of the record; 0 if it was never written.
-        pub version: RowVersion,
-        /// The time of the store's clock, which is steady and the same for all nodes.
-        pub clock: Duration,
-    }
-}
-
-/// Store of the quarantine's decisions, for nodes that all restart at the same time.
-pub trait DecisionStore: Send + Sync + 'static {
+/// Store of a record of the nodes' own, of at most 16 KB.
+pub trait RecordStore: Send + Sync + 'static {
     /// Reads the record.
-    fn read(&self) -> impl Future<Output = Result<StoredDecisions, SourceError>> + Send;
+    fn read(&self) -> impl Future<Output = Result<StoredRecord, SourceError>> + Send;
 
-    /// Replaces the record, of at most 16 KB, if it still has `version` (compare and set).
+    /// Replaces the record if it still has `version` (compare and set).
     fn write(
         &self,
         version: RowVersion,
@@ -293,10 +259,8 @@
     type Hosts: Source<Change = FleetChange>;
     /// The operator's accepted configuration and evacuations.
     type Operator: Source<Change = OperatorChange>;
-    /// The planner's leader.
-    type LeaderElection: LeaderElection;
-    /// The quarantine's decisions.
-    type Decisions: DecisionStore;
+    /// Records of the nodes' own.
+    type Records: RecordStore;
     /// Orders and report requests to hosts.
     type Control: HostControl;
     /// HTTP headers and endpoints.
@@ -311,10 +275,10 @@
     /// # Errors
     /// [`SourceError::Malformed`].
     fn read_catalog(&self, text: &str) -> Result<Catalog, SourceError>;
-    /// The planner's leader.
-    fn leader(&self) -> &Self::LeaderElection;
-    /// The quarantine's decisions.
-    fn decisions(&self) -> &Self::Decisions;
+    /// The record of the planner's leader.
+    fn leader(&self) -> &Self::Records;
+    /// The record of the quarantine's decisions, for nodes that all restart at the same time.
+    fn decisions(&self) -> &Self::Records;
     /// Orders and report requests to hosts.
     fn control(&self) -> &Self::Control;
     /// HTTP headers and endpoints.
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -13,7 +13,7 @@
 
 use crate::core::Core;
 use crate::heads::locked;
-use crate::ports::{DecisionStore, Platform, SourceError, StoredDecisions};
+use crate::ports::{Platform, RecordStore, SourceError, StoredRecord};
 use crate::quarantine::coordinator::{merge, publish};
 
 /// How often the leader checks whether there are decisions to save.
@@ -57,7 +57,7 @@
     }
 }
 
-fn decode(stored: &StoredDecisions) -> Vec<SavedDecision> {
+fn decode(stored: &StoredRecord) -> Vec<SavedDecision> {
     let Some(encoded) = &stored.encoded else {
         return Vec::new();
     };
