--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -250,11 +250,12 @@
             stdout=self.log, stderr=self.log)
         self.starts += 1
 
-    async def rewrite(self, seeds):
+    async def rewrite(self, seeds, bounds=None):
         """The settings file changes, and the process gets SIGHUP."""
         path = os.path.join(self.folder, self.name + ".ini")
         with open(path, "w") as f:
-            f.write(settings(self.name, self.zone, self.ports, seeds, self.door.address, False))
+            f.write(settings(self.name, self.zone, self.ports, seeds, self.door.address, False,
+                             bounds))
         self.process.send_signal(signal.SIGHUP)
 
     def is_running(self):
@@ -418,6 +419,7 @@
             if mine:
                 return 200 if self.group["members"] == order["members"] else 412
             self.seq += 1
+            self.check_two(order)
             self.seen_epoch = order["epoch"]
             self.group = {"name": order["group"], "epoch": order["epoch"], "state": "joining",
                           "rank": order["members"].index(self.id), "members": order["members"]}
@@ -454,6 +456,28 @@
             return 200
         return 400
 
+    def check_two(self, order):
+        """Rule TWO: a join of another group while the head of its group is open or closing, or
+        stands still and isn't yet broken."""
+        if not self.group:
+            return
+        head = self.site.workers.get(self.group["members"][0])
+        if head and self.site.is_member(head.id, self.group) and head.group["state"] in (
+                "open", "closing"):
+            self.site.record.say("TWO: %s joins %s while the head %s of %s is %s" % (
+                self.id, order["group"], head.id, self.group["name"], head.group["state"]))
+            self.site.breaks.append(("TWO", now(), self.id, order["group"]))
+
+    def check_partial(self):
+        """Rule PARTIAL: a request begins to run in a group that isn't whole."""
+        group = self.group
+        size = self.site.models[self.model]["size"]
+        known = [(m, group["name"], group["epoch"], tuple(group["members"])) in self.site.readied
+                 for m in group["members"]]
+        if len(known) != size or not all(known):
+            self.site.record.say("PARTIAL: a request begins at %s in %s" % (self.id, group))
+            self.site.breaks.append(("PARTIAL", now(), self.id, group["name"]))
+
     async def become(self, group, after, old, new):
         await asyncio.sleep(after)
         if self.group is group and group["state"] == old:
@@ -471,6 +495,8 @@
         if self.group is group:
             group["state"] = "ready"
             self.primed = model
+            self.site.readied.add((self.id, group["name"], group["epoch"],
+                                   tuple(group["members"])))
             await self.write()
 
     async def stage(self, model):
@@ -503,6 +529,7 @@
         writer.write(answer(200, ("answer to %s" % rid).encode().ljust(800, b"."), sign))
 
     async def stream(self, rid, sign, writer):
+        self.check_partial()
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         head += ["%s: %s" % kv for kv in sign.items()]
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
@@ -523,6 +550,7 @@
     def __init__(self, record, models, events=20):
         self.record, self.models, self.events = record, models, events
         self.store, self.workers, self.requests = Store(), {}, 0
+        self.breaks, self.readied = [], set()
 
     async def add_worker(self, *args, **kwargs):
         worker = Worker(self, *args, **kwargs)
