--- a/review/1/case.py
+++ b/review/1/case.py
@@ -60,9 +60,10 @@
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", node.ports[0])
         try:
-            head = ["POST /write/x HTTP/1.1", "Content-Length: 1"]
+            # No two bodies are alike, so that no request is taken for one that comes again.
+            head = ["POST /write/x HTTP/1.1", "Content-Length: %d" % len(rid)]
             head += ["%s: %s" % kv for kv in headers(rid, 8000, "m1").items()]
-            writer.write("\r\n".join(head).encode() + b"\r\n\r\nq")
+            writer.write(("\r\n".join(head) + "\r\n\r\n" + rid).encode())
             line, _ = await asyncio.wait_for(read_head(reader), 8)
             status, body = int(line.split(" ")[1]), b""
             while status == 200 and not complete:
