--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -52,7 +52,7 @@
     for (n, zone) in ["hall-ost", "hall-west", "hall-bad"].iter().enumerate() {
         PlainWorker::start(&store, &record, &runs, &format!("i-{n}"), "wuno96b", zone);
     }
-    let nodes = match start_nodes(&scratch.0, &store, 3, &["hall-ost", "hall-west", "hall-bad"]) {
+    let nodes = match start_nodes(&scratch.0, &store.addr, 3, &["hall-ost", "hall-west", "hall-bad"]) {
         Ok(nodes) => nodes,
         Err(why) => {
             record.say(&format!("can't run: {why}"));
--- a/review/common/standin.rs
+++ b/review/common/standin.rs
@@ -9,6 +9,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -533,7 +534,7 @@
 
 /// Starts `count` nodes as the deploy file does, with the settings that its template gives for a small
 /// installation, and waits until all are ready.
-pub fn start_nodes(dir: &Path, store: &Store, count: usize, zones: &[&str]) -> Result<Vec<Node>, String> {
+pub fn start_nodes(dir: &Path, store: &str, count: usize, zones: &[&str]) -> Result<Vec<Node>, String> {
     let ports: Vec<[u16; 4]> = (0..count).map(|_| [(); 4].map(|()| free_port())).collect();
     let seeds: Vec<String> = ports.iter().take(3).map(|p| format!("127.0.0.1:{}", p[3])).collect();
     let mut nodes = Vec::new();
@@ -549,7 +550,7 @@
              [retries]\nwindow = 10s\nratio = 0.2\nslack = 132\n\
              [capacity]\nfollow_demand = no\n[admission]\nfair_share = no\n[pacing]\nadaptive = no\n\
              [times]\ngrace = 8s\naddress_ttl_most = 5s\n",
-            seeds.join(", "), store.addr
+            seeds.join(", "), store
         );
         let path: PathBuf = dir.join(format!("{name}.ini"));
         std::fs::write(&path, text).map_err(|e| e.to_string())?;
@@ -652,8 +653,13 @@
 }
 
 /// A plain worker: it lists itself, runs each request that names it, and answers 800 bytes.
+#[derive(Clone)]
 pub struct PlainWorker {
     pub id: String,
+    /// Whether the bodies of its answers have no end.
+    pub endless: Arc<AtomicBool>,
+    /// Whether it has left: it lists itself no more, and goes on serving.
+    gone: Arc<Mutex<bool>>,
 }
 
 impl PlainWorker {
@@ -661,29 +667,62 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let addr = listener.local_addr().expect("it is bound").to_string();
         let born = unix_ms();
+        let (record, runs) = (record.clone(), runs.clone());
+        let worker = PlainWorker { id: id.to_owned(), endless: Arc::default(), gone: Arc::default() };
+        let gone = Arc::clone(&worker.gone);
         let (beat_store, beat) = (store.clone(), (id.to_owned(), service.to_owned(), zone.to_owned()));
         thread::spawn(move || {
             let (id, service, zone) = beat;
             for seq in 1u64.. {
+                let gone = lock(&gone);
+                if *gone {
+                    return;
+                }
                 beat_store.put("servers", &id, &format!(
                     "{{\"service\":\"{service}\",\"addr\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
                      \"slots\":6,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":{seq},\"born\":{born}}}"
                 ));
+                drop(gone);
                 sleep_ms(1200);
             }
         });
-        let (record, runs, own) = (record.clone(), runs.clone(), id.to_owned());
+        let own = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (record, runs, own) = (record.clone(), runs.clone(), own.clone());
                 thread::spawn(move || serve_plain(stream, &record, &runs, &own));
             }
         });
-        PlainWorker { id: id.to_owned() }
+        worker
+    }
+
+    /// Its entry is removed without a report of `draining`; returns the moment of the ack.
+    pub fn leave(&self, store: &Store) -> Instant {
+        let mut gone = lock(&self.gone);
+        *gone = true;
+        store.remove("servers", &self.id);
+        Instant::now()
+    }
+}
+
+/// Sends a body until the caller closes, and returns how many bytes it took.
+fn write_endlessly(out: &mut TcpStream, echo: &str) -> usize {
+    let head = format!("HTTP/1.1 200 OK\r\n{echo}Transfer-Encoding: chunked\r\n\r\n");
+    let mut part = b"10000\r\n".to_vec();
+    part.extend_from_slice(&[b'x'; 0x10000]);
+    part.extend_from_slice(b"\r\n");
+    let mut sent = 0;
+    if out.write_all(head.as_bytes()).is_err() {
+        return sent;
+    }
+    while out.write_all(&part).is_ok() {
+        sent += part.len();
     }
+    sent
 }
 
-fn serve_plain(stream: TcpStream, record: &Record, runs: &Runs, own: &str) {
+fn serve_plain(stream: TcpStream, record: &Record, runs: &Runs, worker: &PlainWorker) {
+    let own = worker.id.as_str();
     let _ = stream.set_nodelay(true);
     let Ok(mut out) = stream.try_clone() else { return };
     let mut r = BufReader::new(stream);
@@ -703,6 +742,11 @@
         record.say(&format!("worker {own} runs {id}, tenant {tenant:?}"));
         runs.push(Run { at: Instant::now(), worker: own.to_owned(), id, tenant });
         sleep_ms(15);
+        if worker.endless.load(Ordering::Relaxed) {
+            let sent = write_endlessly(&mut out, &echo);
+            record.say(&format!("worker {own} has sent {sent} bytes when its caller closes"));
+            return;
+        }
         if write_answer(&mut out, 200, &echo, &[b'x'; 800]).is_err() {
             return;
         }
