--- a/review/common/standin.rs
+++ b/review/common/standin.rs
@@ -9,7 +9,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -513,6 +513,7 @@
     pub name: String,
     pub callers: String,
     pub ready: String,
+    pub control: String,
     child: Child,
 }
 
@@ -524,33 +525,27 @@
 }
 
 impl Node {
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|s| s.is_some())
-    }
-}
-
-/// Starts `count` nodes as the deploy file does, with the settings that its template gives for a small
-/// installation, and waits until all are ready.
-pub fn start_nodes(dir: &Path, store: &str, count: usize, zones: &[&str]) -> Result<Vec<Node>, String> {
-    let ports: Vec<[u16; 4]> = (0..count).map(|_| [(); 4].map(|()| free_port())).collect();
-    let seeds: Vec<String> = ports.iter().take(3).map(|p| format!("127.0.0.1:{}", p[3])).collect();
-    let mut nodes = Vec::new();
-    for (n, [callers, ready, directory, peers]) in ports.iter().enumerate() {
-        let name = format!("front-{n}");
-        let zone = zones[n % zones.len()];
+    /// Starts a process with the command of the deploy file.
+    pub fn start(
+        dir: &Path,
+        store: &str,
+        name: &str,
+        zone: &str,
+        [callers, ready, directory, peers]: [u16; 4],
+        seeds: &[String],
+        bootstrap: bool,
+    ) -> Result<Node, String> {
+        let first_start = if bootstrap { "yes" } else { "no" };
         let text = format!(
-            "[node]\nid = {name}\nregion = oberbayern\nfailure_domain = {zone}\nfirst_start = yes\n\
+            "[node]\nid = {name}\nregion = oberbayern\nfailure_domain = {zone}\nfirst_start = {first_start}\n\
              processor_share = 0.25\nprocessor_cores = 1\n\
              [listen]\ncallers = 127.0.0.1:{callers}\nready = 127.0.0.1:{ready}\n\
              directory = 127.0.0.1:{directory}\npeers = 127.0.0.1:{peers}\n\
-             [peers]\nseeds = {}\n[platform]\nstore = {}\n\
+             [peers]\nseeds = {}\n[platform]\nstore = {store}\n\
              [retries]\nwindow = 10s\nratio = 0.2\nslack = 132\n\
              [capacity]\nfollow_demand = no\n[admission]\nfair_share = no\n[pacing]\nadaptive = no\n\
              [times]\ngrace = 8s\naddress_ttl_most = 5s\n",
-            seeds.join(", "), store
+            seeds.join(",")
         );
         let path: PathBuf = dir.join(format!("{name}.ini"));
         std::fs::write(&path, text).map_err(|e| e.to_string())?;
@@ -564,15 +559,38 @@
             .stderr(log)
             .spawn()
             .map_err(|e| format!("the program doesn't start: {e}"))?;
-        nodes.push(Node {
-            name,
+        Ok(Node {
+            name: name.to_owned(),
             callers: format!("127.0.0.1:{callers}"),
             ready: format!("127.0.0.1:{ready}"),
+            control: format!("127.0.0.1:{peers}"),
             child,
-        });
+        })
+    }
+    pub fn pid(&self) -> u32 {
+        self.child.id()
     }
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|s| s.is_some())
+    }
+}
+
+/// Starts `count` nodes as the deploy file does, with the settings that its template gives for a small
+/// installation, and waits until all are ready. The first three are the seeds.
+pub fn start_nodes(dir: &Path, store: &str, count: usize, zones: &[&str]) -> Result<Vec<Node>, String> {
+    let ports: Vec<[u16; 4]> = (0..count).map(|_| [(); 4].map(|()| free_port())).collect();
+    let seeds: Vec<String> = ports.iter().take(3).map(|p| format!("127.0.0.1:{}", p[3])).collect();
+    let mut nodes = Vec::new();
+    for (n, ports) in ports.into_iter().enumerate() {
+        nodes.push(Node::start(dir, store, &format!("front-{n}"), zones[n % zones.len()], ports, &seeds, true)?);
+    }
+    wait_ready(&nodes)?;
+    Ok(nodes)
+}
+
+pub fn wait_ready(nodes: &[Node]) -> Result<(), String> {
     let end = Instant::now() + Duration::from_secs(15);
-    for node in &nodes {
+    for node in nodes {
         while call(&node.ready, "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 1000).status() != 200 {
             if Instant::now() > end {
                 return Err(format!("{} isn't ready", node.name));
@@ -580,7 +598,7 @@
             sleep_ms(50);
         }
     }
-    Ok(nodes)
+    Ok(())
 }
 
 /// Sends a request on a new connection; status 0 where no whole answer came.
@@ -658,6 +676,8 @@
     pub id: String,
     /// Whether the bodies of its answers have no end.
     pub endless: Arc<AtomicBool>,
+    /// The requests a second that it names in its answers; 0 for none.
+    pub limit: Arc<AtomicU64>,
     /// Whether it has left: it lists itself no more, and goes on serving.
     gone: Arc<Mutex<bool>>,
 }
@@ -668,7 +688,7 @@
         let addr = listener.local_addr().expect("it is bound").to_string();
         let born = unix_ms();
         let (record, runs) = (record.clone(), runs.clone());
-        let worker = PlainWorker { id: id.to_owned(), endless: Arc::default(), gone: Arc::default() };
+        let worker = PlainWorker { id: id.to_owned(), endless: Arc::default(), limit: Arc::default(), gone: Arc::default() };
         let gone = Arc::clone(&worker.gone);
         let (beat_store, beat) = (store.clone(), (id.to_owned(), service.to_owned(), zone.to_owned()));
         thread::spawn(move || {
@@ -728,9 +748,13 @@
     let mut r = BufReader::new(stream);
     while let Ok(Some(m)) = read_message(&mut r, false, |_| {}) {
         let id = m.header("x-eelgrassmill-request-id").to_owned();
-        let echo = format!(
+        let mut echo = format!(
             "X-Eelgrassmill-Request-Id: {id}\r\nX-Eelgrassmill-Response-Seal: {}\r\n", proof(own, &id)
         );
+        let limit = worker.limit.load(Ordering::SeqCst);
+        if limit > 0 {
+            echo += &format!("Server-Limit: {limit}\r\n");
+        }
         let expected = m.header("x-eelgrassmill-expect-instance");
         if !expected.is_empty() && expected != own {
             if write_answer(&mut out, 421, &echo, b"").is_err() {
