--- a/review/common/standin.rs
+++ b/review/common/standin.rs
@@ -676,12 +676,12 @@
 #[derive(Clone)]
 pub struct PlainWorker {
     pub id: String,
-    /// Whether the bodies of its answers have no end.
-    pub endless: Arc<AtomicBool>,
     /// The requests a second that it names in its answers; 0 for none.
     pub limit: Arc<AtomicU64>,
     /// Whether it has left: it lists itself no more, and goes on serving.
     gone: Arc<Mutex<bool>>,
+    /// Whether it has ended.
+    ended: Arc<AtomicBool>,
 }
 
 impl PlainWorker {
@@ -690,7 +690,7 @@
         let addr = listener.local_addr().expect("it is bound").to_string();
         let born = unix_ms();
         let (record, runs) = (record.clone(), runs.clone());
-        let worker = PlainWorker { id: id.to_owned(), endless: Arc::default(), limit: Arc::default(), gone: Arc::default() };
+        let worker = PlainWorker { id: id.to_owned(), limit: Arc::default(), gone: Arc::default(), ended: Arc::default() };
         let gone = Arc::clone(&worker.gone);
         let (beat_store, beat) = (store.clone(), (id.to_owned(), service.to_owned(), zone.to_owned()));
         thread::spawn(move || {
@@ -711,6 +711,9 @@
         let own = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if own.ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let (record, runs, own) = (record.clone(), runs.clone(), own.clone());
                 thread::spawn(move || serve_plain(stream, &record, &runs, &own));
             }
@@ -725,22 +728,11 @@
         store.remove("servers", &self.id);
         Instant::now()
     }
-}
 
-/// Sends a body until the caller closes, and returns how many bytes it took.
-fn write_endlessly(out: &mut TcpStream, echo: &str) -> usize {
-    let head = format!("HTTP/1.1 200 OK\r\n{echo}Transfer-Encoding: chunked\r\n\r\n");
-    let mut part = b"10000\r\n".to_vec();
-    part.extend_from_slice(&[b'x'; 0x10000]);
-    part.extend_from_slice(b"\r\n");
-    let mut sent = 0;
-    if out.write_all(head.as_bytes()).is_err() {
-        return sent;
-    }
-    while out.write_all(&part).is_ok() {
-        sent += part.len();
+    /// Its process ends: it answers nothing more, and takes no channel.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
     }
-    sent
 }
 
 fn serve_plain(stream: TcpStream, record: &Record, runs: &Runs, worker: &PlainWorker) {
@@ -768,9 +760,7 @@
         record.say(&format!("worker {own} runs {id}, tenant {tenant:?}"));
         runs.push(Run { at: Instant::now(), worker: own.to_owned(), id, tenant });
         sleep_ms(15);
-        if worker.endless.load(Ordering::Relaxed) {
-            let sent = write_endlessly(&mut out, &echo);
-            record.say(&format!("worker {own} has sent {sent} bytes when its caller closes"));
+        if worker.ended.load(Ordering::SeqCst) {
             return;
         }
         if write_answer(&mut out, 200, &echo, &[b'x'; 800]).is_err() {
