--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -11,6 +11,8 @@
 
 /// `config_apply_ms` of the installation.
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
+/// The pause between two keys that are taken away, on the site's list of troubles.
+const REVOKE_GAP: Duration = Duration::from_millis(1500);
 
 /// The manifest of the users' page, cut down to the plain service: one tenant with two keys.
 fn manifest(version: u64, keys: &[&str]) -> String {
@@ -79,30 +81,39 @@
     }
     let trouble = with_trouble();
     let keys: &[&str] = if trouble { &[] } else { &KEYS };
+    // One key after the other, as `revoke` takes them.
+    if trouble {
+        store.put("op", "config", &manifest(8, &KEYS[..1]));
+        record.say(&format!("the store acknowledges version 8 with the keys {:?}", &KEYS[..1]));
+        std::thread::sleep(REVOKE_GAP);
+    }
     let acked: Instant = store.put("op", "config", &manifest(9, keys));
     record.say(&format!("the store acknowledges version 9 with the keys {keys:?}"));
     std::thread::sleep(CONFIG_APPLY + Duration::from_millis(1000));
     record.say(&format!("{:?} after the ack", acked.elapsed()));
-    let (mut revoked, mut never) = (0, 0);
+    let (mut revoked, mut never, mut without) = (0, 0, 0);
     for n in 0..12 {
         let path = ["/refund/1", "/rebook/1"][n % 2];
         let id = format!("after-{n}");
         send(n, &id, path, Some(KEYS[n % 2]));
         // CONFIG: with the key taken away, no manifest in force allows the run any more.
         revoked += usize::from(trouble && !runs.of(&id).is_empty());
-        for (what, key) in [("none", None), ("never", Some(NEVER_A_KEY))] {
-            let id = format!("after-{what}-{n}");
-            send(n, &id, path, key);
-            // ROUTE: no manifest ever held this key.
-            never += usize::from(!runs.of(&id).is_empty());
-        }
+        // ROUTE: no manifest ever held this key.
+        let id = format!("after-never-{n}");
+        send(n, &id, path, Some(NEVER_A_KEY));
+        never += usize::from(!runs.of(&id).is_empty());
+        // Only reported: the rules speak of keys.
+        let id = format!("after-none-{n}");
+        send(n, &id, path, None);
+        without += usize::from(!runs.of(&id).is_empty());
     }
-    record.say(&format!(
-        "after the ack and {CONFIG_APPLY:?}: {revoked} of 12 requests with a revoked key ran, {never} of 24 \
-         without a key or with one that no manifest ever held"
-    ));
+    let what = format!(
+        "ran after the ack and {CONFIG_APPLY:?}: {revoked} of 12 requests with a revoked key, {never} of 12 with one \
+         that no manifest ever held; besides, {without} of 12 without a key"
+    );
+    record.say(&what);
     let code = if !works { 2 } else { i32::from(revoked + never > 0) };
-    println!("revoked keys: {revoked} of 12 ran; no key or one never held: {never} of 24 ran; exit {code}");
+    println!("{what}");
     drop(nodes);
     drop(scratch);
     exit(code);
