Count requests by the length of their prompts, and log what the queue passes over

Logs and metrics couldn't tell the hypotheses on unserved large requests apart: no line named the size of a request, and nothing showed whether a scheduler grants slots to requests behind one that found no room.

- request lines name prompt_tokens and body_bytes
- gateway_prompts_total counts by prompt length and outcome
- queue lines name the longest prompt that waits, and the grants so far while a longer prompt ahead in the queue found no room

No decision changes.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -205,6 +205,10 @@
     pub rejecting: usize,
     /// Queued requests.
     pub waiting: usize,
+    /// Tokens of the longest queued prompt.
+    pub longest_prompt: u64,
+    /// Grants so far to a request while one ahead of it with a longer prompt found no room.
+    pub passed_over: u64,
         /// Moving average of the time from a grant to its first event.
         pub first_event_latency: Duration,
     }
@@ -281,6 +285,8 @@
     pacing: PacingState,
     /// Set if customers share slots fairly; it then replaces `queue`.
     contention: Option<Box<Contention>>,
+    /// Grants so far to a request while one ahead of it with a longer prompt found no room.
+    passed_over: u64,
     demand_meter: DemandMeter,
     /// Whether the slots in use are measured in each round, which takes time for each head.
     measures_demand: bool,
@@ -302,6 +308,7 @@
             arrivals: Rate::default(),
             grants: Rate::default(),
             retry_times: RetryTimes::default(),
+            passed_over: 0,
             demand_meter: DemandMeter::new(now),
             measures_demand: true,
             pacing: PacingState::default(),
@@ -366,6 +373,8 @@
             requests: heads.iter().map(|h| self.requests_of(h, now)).sum(),
             rejecting: heads.iter().filter(rejects).count(),
             waiting: self.queue_len(),
+            longest_prompt: self.longest_queued_prompt(),
+            passed_over: self.passed_over,
             first_event_latency: self.first_event_latency,
         }
     }
@@ -381,6 +390,12 @@
         contention.map_or(self.queue.len(), |c| c.queue.len())
     }
 
+    fn longest_queued_prompt(&self) -> u64 {
+        let fair = self.contention.iter().flat_map(|c| c.requests());
+        let queued = self.queue.requests().chain(fair);
+        queued.map(|r| r.prompt_tokens).max().unwrap_or_default()
+    }
+
     /// Queues a request; returns whether it was added. One that is already queued only gets its new
     /// excluded hosts.
     pub fn enqueue(&mut self, request: PendingRequest, now: Instant) -> bool {
@@ -622,14 +637,18 @@
         self.queue.demote_late(first_event_latency, now);
         let mut decided = Vec::new();
         let mut round = Round::default();
+        let mut longest_ahead = 0;
         for position in self.queue.positions(now) {
             let Some((outcome, head)) = self.decide(position, &mut round, heads, now) else {
+                let stays = self.queue.get(position);
+                longest_ahead = longest_ahead.max(stays.map_or(0, |r| r.prompt_tokens));
                 continue;
             };
             let Some(request) = self.queue.remove(position) else {
                 continue;
             };
             if let Some(head) = head {
+                self.passed_over += u64::from(request.prompt_tokens < longest_ahead);
                 self.assign_to(&request, head, now);
                 round.is_scarce = None;
             }
--- a/crates/fleet/src/schedule/fair.rs
+++ b/crates/fleet/src/schedule/fair.rs
@@ -33,6 +33,11 @@
         self.ids.keys()
     }
 
+    pub(super) fn requests(&self) -> impl Iterator<Item = &PendingRequest> {
+        let queued = self.ids.values().filter_map(|id| self.queue.get(*id));
+        queued.map(|waiting| &waiting.item)
+    }
+
     pub(super) fn remove_key(&mut self, key: &RequestKey) {
         if let Some(id) = self.ids.remove(key) {
             self.queue.remove(id);
@@ -149,7 +154,11 @@
             Some((*id, self.choose_head(&request.item, heads, now)?))
         };
         let (id, head) = candidates.iter().find_map(fits)?;
+        let ahead = candidates.iter().take_while(|ahead| **ahead != id);
+        let prompts = ahead.filter_map(|ahead| Some(contention.queue.get(*ahead)?.prompt_tokens));
+        let longest_ahead = prompts.max().unwrap_or_default();
         let waiting = contention.queue.get(id)?;
+        self.passed_over += u64::from(waiting.prompt_tokens < longest_ahead);
         let customer = waiting.customer.clone();
         let is_returning = waiting.is_returning;
         let request = contention.take(id)?;
--- a/crates/fleet/src/schedule/queue.rs
+++ b/crates/fleet/src/schedule/queue.rs
@@ -32,6 +32,10 @@
         self.positions.keys()
     }
 
+    pub(super) fn requests(&self) -> impl Iterator<Item = &PendingRequest> {
+        self.waiting.values()
+    }
+
     /// All positions in the order in which they are served.
     ///
     /// Requests that can be on time are served oldest first, and newest first once the queue has
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,15 @@
     Resume,
 }
 
+/// Largest prompt of each class of [`prompt_class`], in tokens.
+const PROMPT_CLASSES: [(u64, &str); 3] = [(1024, "1024"), (2048, "2048"), (4096, "4096")];
+
+/// The class of a prompt by its length, for a label: the largest prompt of the class.
+fn prompt_class(tokens: u64) -> &'static str {
+    let class = PROMPT_CLASSES.iter().find(|(max, _)| tokens <= *max);
+    class.map_or("+Inf", |(_, name)| name)
+}
+
 impl RetryReason {
     fn name(self) -> &'static str {
         match self {
@@ -38,6 +47,8 @@
     registry: Registry,
     /// Requests by service, kind and outcome.
     pub(crate) requests: IntCounterVec,
+    /// Requests with a prompt by service, class of the prompt and outcome.
+    prompts: IntCounterVec,
     /// Time to the first byte of a response, by service and kind.
     pub(crate) first_byte: HistogramVec,
     /// Retries by service and reason.
@@ -130,6 +141,11 @@
                 "Requests of callers by outcome.",
                 &["service", "kind", "outcome"],
             ),
+            prompts: counter(
+                "gateway_prompts_total",
+                "Requests with a prompt by its length and outcome.",
+                &["service", "max_tokens", "outcome"],
+            ),
             first_byte: register(&registry, first_byte),
             retries: counter(
                 "gateway_repeats_total",
@@ -239,6 +255,13 @@
             .inc();
     }
 
+    /// Counts a finished request with a prompt.
+    pub(crate) fn count_prompt(&self, service: &str, tokens: u64, is_served: bool) {
+        let outcome = if is_served { "served" } else { "unserved" };
+        let labels = [service, prompt_class(tokens), outcome];
+        self.prompts.with_label_values(&labels).inc();
+    }
+
     /// Counts a retry.
     pub(crate) fn count_retry(&self, service: &str, reason: RetryReason) {
         let labels = [service, reason.name()];
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -462,6 +462,7 @@
             event = "queue", model = %self.scope.model,
             heads_in = self.scope.heads_in.as_deref().unwrap_or_default(), outcome = "full",
             requests = self.unserved, waiting = state.waiting, heads = state.heads,
+            longest_prompt = state.longest_prompt, passed_over = state.passed_over,
             slots = state.slots, running = state.requests, rejecting = state.rejecting,
             lead_ms = state.first_event_latency.as_millis() as u64,
         );
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -277,6 +277,11 @@
     let elapsed = call.arrived.elapsed();
     let waited = call.arrived.saturating_duration_since(call.first_sent);
     let waited_ms = waited.as_millis() as u64;
+    let (prompt_tokens, body_bytes) = (call.metadata.prompt_tokens, call.body.len());
+    if prompt_tokens > 0 {
+        let is_served = result.as_ref().is_ok_and(|r| r.status().is_success());
+        core.metrics.count_prompt(service, prompt_tokens, is_served);
+    }
     match result {
         Ok(response) => {
             core.metrics.observe_first_byte(service, kind, elapsed);
@@ -286,6 +291,7 @@
                 info!(
                     event = "request", request = %call.metadata.id, route = %call.route.name,
                     outcome = "late", ms = elapsed.as_millis() as u64, waited_ms,
+                    prompt_tokens, body_bytes,
                 );
             }
         }
@@ -294,7 +300,7 @@
             core.metrics.count_request(service, kind, outcome);
             info!(
                 event = "request", request = %call.metadata.id, route = %call.route.name, outcome,
-                ms = elapsed.as_millis() as u64, waited_ms, config = core.catalog().version(),
+                ms = elapsed.as_millis() as u64, waited_ms, prompt_tokens, body_bytes, config = core.catalog().version(),
             );
         }
     }
