Hold a head free for a long prompt that shorter ones pass over

Callers with long prompts waited until their time in the queue was over and were rejected with `full`, while short prompts that came later were served.

A head gets no more prompt tokens than it prefills within the permitted event gap, and each request in the queue got the first head that had room for it. While a queue drains after a silence of the heads, short prompts take the room as it appears, so that no head ever has room for a long one: backfilling without a reservation. In real processes all long prompts that weren't served were rejected with `full`, none was moved or cut off.

When a grant passes over a longer prompt that found no room, one head with a free slot, the one that has prefilled its prompts soonest, is now held for the first such request: it gets nothing else until the prompt fits there or elsewhere, or its wait ends. At most one head of a scheduler is held, and no longer than its prompts take, so that short prompts lose little.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -13,6 +13,7 @@
 mod head;
 mod pacing;
 mod queue;
+mod reservation;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -32,6 +33,7 @@
 use crate::schedule::head::{Demand, HeadState, LimitState};
 use crate::schedule::pacing::PacingState;
 use crate::schedule::queue::{Position, Queue};
+use crate::schedule::reservation::Reservation;
 
 /// Cost of a head in another failure domain, as additional latency of the first event.
 const CROSS_DOMAIN_COST: Duration = Duration::from_millis(20);
@@ -176,6 +178,8 @@
         pub retry_after: Option<Duration>,
         /// Why.
         pub decision: AdmissionDecision,
+        /// Tokens of its prompt.
+        pub prompt_tokens: u64,
         /// Its customer; empty if unknown.
         pub customer: SmolStr,
         /// Whether it was rejected before.
@@ -214,17 +218,18 @@
     }
 }
 
-impl From<(RequestKey, SlotOutcome)> for Decision {
-    fn from((key, outcome): (RequestKey, SlotOutcome)) -> Decision {
+impl Decision {
+    fn new(request: PendingRequest, outcome: SlotOutcome) -> Decision {
         let decision = match outcome {
             SlotOutcome::Granted(_) => AdmissionDecision::Granted,
             SlotOutcome::Full | SlotOutcome::Limited { .. } => AdmissionDecision::Shed,
         };
         Decision {
-            key,
+            key: request.key,
             outcome,
             retry_after: None,
             decision,
+            prompt_tokens: request.prompt_tokens,
             customer: SmolStr::default(),
             is_returning: false,
         }
@@ -287,6 +292,8 @@
     contention: Option<Box<Contention>>,
     /// Grants so far to a request while one ahead of it with a longer prompt found no room.
     passed_over: u64,
+    /// Set while a head is held free for a long prompt.
+    reservation: Option<Reservation>,
     demand_meter: DemandMeter,
     /// Whether the slots in use are measured in each round, which takes time for each head.
     measures_demand: bool,
@@ -309,6 +316,7 @@
             grants: Rate::default(),
             retry_times: RetryTimes::default(),
             passed_over: 0,
+            reservation: None,
             demand_meter: DemandMeter::new(now),
             measures_demand: true,
             pacing: PacingState::default(),
@@ -522,6 +530,7 @@
         self.on_prefilled(key);
         self.queue.remove_key(key);
         self.pacing.forget(key);
+        self.reservation.take_if(|r| r.is_of(key));
         if let Some(contention) = &mut self.contention {
             contention.remove_key(key);
         }
@@ -612,11 +621,11 @@
                 self.contention = Some(contention);
                 decided
             }
-            None => {
-                let decided = self.decide_in_order(heads, now).into_iter();
-                decided.map(Decision::from).collect()
-            }
+            None => self.decide_in_order(heads, now),
         };
+        for decision in &decided {
+            self.reservation.take_if(|r| r.is_of(&decision.key));
+        }
         self.pacing.on_round_end(&decided, now);
         if self.measures_demand {
             let got_none = |d: &&Decision| !matches!(d.outcome, SlotOutcome::Granted(_));
@@ -628,19 +637,21 @@
     }
 
     /// Decides on the queued requests by priority, without regard to customers.
-    fn decide_in_order(
-        &mut self,
-        heads: &[OpenHead],
-        now: Instant,
-    ) -> Vec<(RequestKey, SlotOutcome)> {
+    fn decide_in_order(&mut self, heads: &[OpenHead], now: Instant) -> Vec<Decision> {
         let first_event_latency = self.first_event_latency.mul_f64(MIN_LATENCY_RATIO);
         self.queue.demote_late(first_event_latency, now);
         let mut decided = Vec::new();
         let mut round = Round::default();
         let mut longest_ahead = 0;
-        for position in self.queue.positions(now) {
+        let positions = self.positions_with_reserved_first(heads, now);
+        // Requests that found no room, in order.
+        let mut without_room = Vec::new();
+        for position in positions {
             let Some((outcome, head)) = self.decide(position, &mut round, heads, now) else {
                 let stays = self.queue.get(position);
+                if !(position.0.is_late() && round.is_scarce == Some(true)) {
+                    without_room.push(position);
+                }
                 longest_ahead = longest_ahead.max(stays.map_or(0, |r| r.prompt_tokens));
                 continue;
             };
@@ -652,21 +663,36 @@
                 self.assign_to(&request, head, now);
                 round.is_scarce = None;
             }
-            decided.push((request.key, outcome));
+            decided.push(Decision::new(request, outcome));
         }
+        let queue = std::mem::take(&mut self.queue);
+        let waiting = without_room.into_iter().filter_map(|p| queue.get(p));
+        self.reserve_for_passed_over(&decided, waiting, heads, now);
+        self.queue = queue;
         self.queue.on_round_end(now);
         while let Some((position, retry_after)) = self.last_over_limits(heads, now) {
             let rejected = self.queue.remove(position);
             let outcome = SlotOutcome::Limited { retry_after };
-            decided.extend(rejected.map(|request| (request.key, outcome)));
+            decided.extend(rejected.map(|request| Decision::new(request, outcome)));
         }
         while let Some(position) = self.last_unservable(heads, now) {
             let rejected = self.queue.remove(position);
-            decided.extend(rejected.map(|request| (request.key, SlotOutcome::Full)));
+            decided.extend(rejected.map(|request| Decision::new(request, SlotOutcome::Full)));
         }
         decided
     }
 
+    /// The order in which queued requests are decided on.
+    fn positions_with_reserved_first(&mut self, heads: &[OpenHead], now: Instant) -> Vec<Position> {
+        let reserved = self.reserved_request(heads, now);
+        let reserved = reserved.and_then(|key| self.queue.position(&key));
+        let mut positions = self.queue.positions(now);
+        if let Some(index) = positions.iter().position(|p| Some(*p) == reserved) {
+            positions[..=index].rotate_right(1);
+        }
+        positions
+    }
+
     /// Limits of the heads, if all of them name one.
     fn limits(&self, heads: &[OpenHead]) -> Option<SmallVec<[LimitState; 8]>> {
         let limits = heads.iter().map(|h| self.head_states.get(&h.key)?.limit);
@@ -748,18 +774,45 @@
             round.is_scarce = Some(is_scarce);
             is_scarce
         };
-        if round.is_full || (position.0.is_late() && is_scarce(round)) {
+        let request = self.queue.get(position)?;
+        let has_reservation = self
+            .reservation
+            .as_ref()
+            .is_some_and(|r| r.is_of(&request.key));
+        let waits_as_late = position.0.is_late() && !has_reservation;
+        if round.is_full || (waits_as_late && is_scarce(round)) {
             return None;
         }
-        let head = self.choose_head(self.queue.get(position)?, heads, now);
+        let head = self.choose_head(request, heads, now);
         if head.is_none() {
             round.is_full = !heads.iter().any(|h| self.has_any_room(h, now));
         }
         head
     }
 
-    /// Whether a head has room for the shortest prompt.
+    /// Whether a head takes a further request, whatever its prompt.
+    fn has_free_slot(&self, head: &OpenHead, now: Instant) -> bool {
+        let demand = self.demand(head, 0, Duration::MAX, now);
+        let state = self.head_states.get(&head.key);
+        state.is_some_and(|state| state.has_slot(&demand, now))
+    }
+
+    /// Expected time until a head has prefilled all its prompts.
+    fn time_to_prefill(&self, head: &OpenHead, now: Instant) -> Duration {
+        let Some(state) = self.head_states.get(&head.key) else {
+            return Duration::MAX;
+        };
+        let pass = self
+            .speed
+            .pass_time(self.requests_of(head, now), state.unprefilled_tokens);
+        pass.mul_f64(state.slowdown(self.first_event_latency, now))
+    }
+
+    /// Whether a head has room for the shortest prompt of any request.
     fn has_any_room(&self, head: &OpenHead, now: Instant) -> bool {
+        if self.is_reserved(&head.key, None) {
+            return false;
+        }
         let demand = self.demand(head, 0, Duration::MAX, now);
         let state = self.head_states.get(&head.key);
         state
@@ -807,6 +860,7 @@
             expires_at: request.deadline.max(now) + ASSIGNMENT_TTL,
             sent,
         };
+        self.reservation.take_if(|r| r.is_of(&request.key));
         self.assigned.insert(request.key.clone(), assigned);
         self.unaccepted_grants.push_back((now, request.key.clone()));
     }
@@ -818,7 +872,12 @@
         heads: &'h [OpenHead],
         now: Instant,
     ) -> Option<&'h OpenHead> {
-        let permitted = || heads.iter().filter(|h| !request.excluded.contains(&h.host));
+        let permitted = || {
+            let is_permitted = |h: &&OpenHead| {
+                !request.excluded.contains(&h.host) && !self.is_reserved(&h.key, Some(&request.key))
+            };
+            heads.iter().filter(is_permitted)
+        };
         let other = permitted().any(|h| !request.avoid.contains(&h.host));
         let wanted = permitted().filter(|h| !other || !request.avoid.contains(&h.host));
         let mut best: Option<((Preference, bool, Duration), &OpenHead)> = None;
--- a/crates/fleet/src/schedule/fair.rs
+++ b/crates/fleet/src/schedule/fair.rs
@@ -114,9 +114,16 @@
         let lead = self.first_event_latency.mul_f64(MIN_LATENCY_RATIO);
         contention.queue.demote_late(now + lead);
         let mut decided = Vec::new();
+        decided.extend(self.grant_reserved(contention, heads, now));
         while let Some(granted) = self.grant_next(contention, heads, now) {
             decided.push(granted);
         }
+        let candidates = contention
+            .queue
+            .candidates(!self.is_scarce(heads, now), now);
+        let waiting = candidates.iter().filter_map(|id| contention.queue.get(*id));
+        let waiting = waiting.map(|waiting| &waiting.item);
+        self.reserve_for_passed_over(&decided, waiting, heads, now);
         let slots = heads.iter().map(|h| h.slots).sum();
         let rate = self.free_rate(contention, slots, now);
         while let Some(id) = contention.queue.expired(now) {
@@ -159,6 +166,31 @@
         let longest_ahead = prompts.max().unwrap_or_default();
         let waiting = contention.queue.get(id)?;
         self.passed_over += u64::from(waiting.prompt_tokens < longest_ahead);
+        self.grant(contention, id, head, now)
+    }
+
+    /// Grants the request for which a head is held, if it fits at one.
+    fn grant_reserved(
+        &mut self,
+        contention: &mut Contention,
+        heads: &[OpenHead],
+        now: Instant,
+    ) -> Option<Decision> {
+        let key = self.reserved_request(heads, now)?;
+        let id = *contention.ids.get(&key)?;
+        let request = contention.queue.get(id)?;
+        let head = self.choose_head(&request.item, heads, now)?;
+        self.grant(contention, id, head, now)
+    }
+
+    fn grant(
+        &mut self,
+        contention: &mut Contention,
+        id: QueueId,
+        head: &OpenHead,
+        now: Instant,
+    ) -> Option<Decision> {
+        let waiting = contention.queue.get(id)?;
         let customer = waiting.customer.clone();
         let is_returning = waiting.is_returning;
         let request = contention.take(id)?;
@@ -168,6 +200,7 @@
             outcome: SlotOutcome::Granted(head.key.clone()),
             retry_after: None,
             decision: AdmissionDecision::Granted,
+            prompt_tokens: request.prompt_tokens,
             customer,
             is_returning,
         })
@@ -209,6 +242,7 @@
             outcome: SlotOutcome::Full,
             retry_after: rate.map(|rate| estimate.retry_after(ticket, rate, returning, now)),
             decision,
+            prompt_tokens: rejected.prompt_tokens,
             customer: rejected.customer,
             is_returning: rejected.is_returning,
         })
--- a/crates/fleet/src/schedule/head.rs
+++ b/crates/fleet/src/schedule/head.rs
@@ -144,6 +144,18 @@
         })
     }
 
+    /// Whether it takes one more request, whatever its prompt.
+    pub(super) fn has_slot(&self, demand: &Demand, now: Instant) -> bool {
+        let is_full = demand.requests >= demand.slots + PIPELINE_DEPTH;
+        let is_cold = demand
+            .max_grants
+            .is_some_and(|most| self.recent_grants.count(now) >= most);
+        let is_limited = self.limit.is_some_and(|limit| limit.tokens(now) < 1.0);
+        let is_paced = self.pace.as_ref().is_some_and(|pace| !pace.has_room());
+        let is_held_back = is_full || is_cold || is_limited || is_paced;
+        !is_held_back && self.ejection.admits(self.unaccepted, now)
+    }
+
     /// Whether it has room for one more request. `mean_latency` is the mean first-event latency of
     /// all heads.
     pub(super) fn has_room(
@@ -153,18 +165,7 @@
         mean_latency: Duration,
         now: Instant,
     ) -> bool {
-        let is_full = demand.requests >= demand.slots + PIPELINE_DEPTH;
-        let is_cold = demand
-            .max_grants
-            .is_some_and(|most| self.recent_grants.count(now) >= most);
-        let is_limited = self.limit.is_some_and(|limit| limit.tokens(now) < 1.0);
-        let is_paced = self.pace.as_ref().is_some_and(|pace| !pace.has_room());
-        if is_full
-            || is_cold
-            || is_limited
-            || is_paced
-            || !self.ejection.admits(self.unaccepted, now)
-        {
+        if !self.has_slot(&demand, now) {
             return false;
         }
         // Even the longest prompt must run somewhere, and does the least harm on its own.
--- a/crates/fleet/src/schedule/queue.rs
+++ b/crates/fleet/src/schedule/queue.rs
@@ -57,6 +57,10 @@
         self.waiting.get(&position)
     }
 
+    pub(super) fn position(&self, key: &RequestKey) -> Option<Position> {
+        self.positions.get(key).copied()
+    }
+
     pub(super) fn get_mut(&mut self, key: &RequestKey) -> Option<&mut PendingRequest> {
         self.waiting.get_mut(self.positions.get(key)?)
     }
