Hold heads only for prompts that fit beside hardly any other

The first form of the reservation held heads for prompts of any length that were passed over.

Only a prompt that needs more than two thirds of a permitted pass holds a head now.

--- a/crates/fleet/src/schedule/head.rs
+++ b/crates/fleet/src/schedule/head.rs
@@ -14,7 +14,7 @@
 const PIPELINE_DEPTH: usize = 1;
 /// Maximum duration of a pass, as a fraction of the permitted event gap. The rest is a margin for
 /// network latency and estimation errors.
-const MAX_PASS_RATIO: f64 = 0.8;
+pub(super) const MAX_PASS_RATIO: f64 = 0.8;
 /// How long a head's own first-event latency is used after its last first event. Then it is treated
 /// like the other heads again.
 const SLOWDOWN_TTL: Duration = Duration::from_secs(2);
--- a/crates/fleet/src/schedule/reservation.rs
+++ b/crates/fleet/src/schedule/reservation.rs
@@ -6,10 +6,16 @@
 
 use std::time::Instant;
 
+use crate::schedule::head::MAX_PASS_RATIO;
 use crate::schedule::{
     Decision, HeadKey, OpenHead, PendingRequest, RequestKey, Scheduler, SlotOutcome,
 };
 
+/// Fraction of the longest permitted pass beyond which a prompt may hold a head: decoding takes most of
+/// the rest, so that it fits beside hardly any other prompt. Shorter ones would hold heads all the time
+/// in an overload.
+const MIN_RESERVED_RATIO: f64 = 2.0 / 3.0;
+
 /// Holds a head for a queued request.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
@@ -24,14 +30,22 @@
 }
 
 impl Scheduler {
+    /// Whether a prompt is so long that it fits at few heads while others wait. A shorter one finds
+    /// room as soon as a head has prefilled some of its prompts.
+    fn needs_most_of_a_pass(&self, request: &PendingRequest) -> bool {
+        let pass = self.speed.pass_time(0, request.prompt_tokens);
+        pass > request
+            .max_event_gap
+            .mul_f64(MAX_PASS_RATIO * MIN_RESERVED_RATIO)
+    }
+
     /// Whether a head is held for another request than `key`.
     pub(super) fn is_reserved(&self, head: &HeadKey, key: Option<&RequestKey>) -> bool {
         let reservation = self.reservation.as_ref().filter(|r| r.head == *head);
         reservation.is_some_and(|r| key.is_none_or(|key| !r.is_of(key)))
     }
 
-    /// Ends a reservation whose request no longer waits or whose head takes nothing. Otherwise returns
-    /// its request.
+    /// The request for which a head is held. Ends the reservation if the head takes nothing.
     pub(super) fn reserved_request(
         &mut self,
         heads: &[OpenHead],
@@ -64,7 +78,9 @@
         let Some(shortest) = granted.map(|d| d.prompt_tokens).min() else {
             return;
         };
-        let mut passed_over = waiting.into_iter().filter(|r| r.prompt_tokens > shortest);
+        let mut passed_over = waiting
+            .into_iter()
+            .filter(|r| r.prompt_tokens > shortest && self.needs_most_of_a_pass(r));
         let Some(request) = passed_over.next() else {
             return;
         };
