Scheduler: move the request types and the reservation's code to modules of their own

The reservation is chosen by a function that changes nothing, so that the queue needn't be taken out meanwhile, and it ends in one place. While customers share slots the candidates are no longer collected a second time in rounds that grant nothing.

passed_over no longer counts late requests that wait because slots are scarce: those didn't lack room for their prompt.

Three test files had the same heads and request keys; they share them.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -13,17 +13,20 @@
 mod head;
 mod pacing;
 mod queue;
+mod request;
 mod reservation;
 
+pub use request::{
+    AdmissionDecision, Decision, HeadKey, HeadLoad, OpenHead, PendingRequest, RequestKey,
+    RequestOrigin, SchedulerState, SchedulingPolicy, SlotOutcome,
+};
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_base::{Epoch, FailureDomain, GroupId, HostId, NodeId, value};
 use smallvec::SmallVec;
-use smol_str::SmolStr;
 
-use crate::catalog::{EngineSpeed, Millionths};
-use crate::cold::ColdStart;
+use crate::catalog::EngineSpeed;
 use crate::demand::{DemandMeter, ModelDemand};
 use crate::pace::{Preference, SentRequest};
 use crate::priority::{LateRejection, Priority};
@@ -64,178 +67,6 @@
 /// longer than streams usually take.
 const ASSIGNMENT_TTL: Duration = Duration::from_secs(4);
 
-/// Identifies a replica's formation.
-pub type HeadKey = (GroupId, Epoch);
-
-value! {
-    /// Identifies a request.
-    #[derive(Hash, PartialOrd, Ord)]
-    pub struct RequestKey {
-        /// The node that received the request.
-        pub node: NodeId,
-        /// Unique per node.
-        pub number: u64,
-    }
-
-    /// A head that accepts requests.
-    pub struct OpenHead {
-    /// Its replica's formation.
-    pub key: HeadKey,
-    /// Its host.
-    pub host: HostId,
-        /// Maximum number of concurrent requests.
-        pub slots: usize,
-        /// Its failure domain.
-        pub failure_domain: FailureDomain,
-        /// Requests that the previous scheduler reported as assigned to it.
-        pub inherited_requests: usize,
-        /// Requests that nodes sent there without a scheduler.
-        pub unscheduled_requests: usize,
-        /// Set while it is cold.
-        pub cold: Option<ColdStart>,
-        /// Requests per second that it takes from all nodes together, if it names a limit.
-        pub limit: Option<Millionths>,
-    }
-
-    /// A request that needs a slot.
-    pub struct PendingRequest {
-    /// Identifies the request.
-    pub key: RequestKey,
-    /// Failure domain of the requesting node.
-    pub failure_domain: FailureDomain,
-    /// Prompt tokens to prefill.
-    pub prompt_tokens: u64,
-        /// Whether it resumes a stream whose replica was lost.
-        pub resumed: bool,
-        /// 0 is the most urgent.
-        pub urgency: u8,
-        /// Until when its response can be on time.
-        pub on_time_until: Instant,
-        /// Until when it may be queued.
-        pub deadline: Instant,
-        /// Longest gap between events of a stream that is on time.
-        pub max_event_gap: Duration,
-        /// Hosts to use only if there are no others.
-        pub avoid: SmallVec<[HostId; 4]>,
-        /// Hosts that must not get it.
-        pub excluded: SmallVec<[HostId; 4]>,
-    }
-}
-
-value! {
-    /// Decision on a pending request.
-    pub enum SlotOutcome {
-    /// The request gets a slot at this head.
-    Granted(HeadKey),
-        /// The request is rejected, since no slot is or will be free in time.
-        Full,
-        /// The request is rejected, since the limits that the heads name are used up.
-        Limited {
-            /// Time until it can be served.
-            retry_after: Duration,
-        },
-    }
-}
-
-value! { copy
-    /// Optional policies of a scheduler. Those that are off leave decisions as they are without them.
-    #[derive(Default)]
-    pub struct SchedulingPolicy {
-        /// Customers share slots fairly, and requests that can't begin in time are rejected at once.
-        pub fair_share: bool,
-    }
-
-    /// Why a request was granted or rejected.
-    pub enum AdmissionDecision {
-        /// It got a slot.
-        Granted,
-        /// It was rejected on arrival, since it would begin too late.
-        RejectedEstimate,
-        /// It was queued, and rejected for a request of a customer with less service.
-        RejectedShare,
-        /// It was queued, and can no longer begin in time.
-        Shed,
-    }
-}
-
-value! {
-    /// Who sends a request.
-    #[derive(Default)]
-    pub struct RequestOrigin {
-        /// The customer; empty if unknown.
-        pub customer: SmolStr,
-        /// Whether the request was rejected before.
-        pub returning: bool,
-    }
-
-    /// Decision on a pending request, and its reasons.
-    pub struct Decision {
-        /// The request.
-        pub key: RequestKey,
-        /// The decision.
-        pub outcome: SlotOutcome,
-        /// For [`SlotOutcome::Full`], when it can be served; `None` if unknown.
-        pub retry_after: Option<Duration>,
-        /// Why.
-        pub decision: AdmissionDecision,
-        /// Tokens of its prompt.
-        pub prompt_tokens: u64,
-        /// Its customer; empty if unknown.
-        pub customer: SmolStr,
-        /// Whether it was rejected before.
-        pub is_returning: bool,
-    }
-}
-
-value! { copy
-    /// State of one head.
-    pub struct HeadLoad {
-    /// Requests at the head.
-    pub requests: usize,
-        /// Whether it is ejected because it rejects all requests.
-        pub is_ejected: bool,
-    }
-
-    /// Summary of a scheduler's heads and queue.
-    #[derive(Default)]
-    pub struct SchedulerState {
-    /// Number of open heads.
-    pub heads: usize,
-    /// Total number of slots.
-    pub slots: usize,
-    /// Requests at all heads.
-    pub requests: usize,
-    /// Heads that recently rejected a request.
-    pub rejecting: usize,
-    /// Queued requests.
-    pub waiting: usize,
-    /// Tokens of the longest queued prompt.
-    pub longest_prompt: u64,
-    /// Grants so far to a request while one ahead of it with a longer prompt found no room.
-    pub passed_over: u64,
-        /// Moving average of the time from a grant to its first event.
-        pub first_event_latency: Duration,
-    }
-}
-
-impl Decision {
-    fn new(request: PendingRequest, outcome: SlotOutcome) -> Decision {
-        let decision = match outcome {
-            SlotOutcome::Granted(_) => AdmissionDecision::Granted,
-            SlotOutcome::Full | SlotOutcome::Limited { .. } => AdmissionDecision::Shed,
-        };
-        Decision {
-            key: request.key,
-            outcome,
-            retry_after: None,
-            decision,
-            prompt_tokens: request.prompt_tokens,
-            customer: SmolStr::default(),
-            is_returning: false,
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Assignment {
     head: HeadKey,
@@ -530,7 +361,7 @@
         self.on_prefilled(key);
         self.queue.remove_key(key);
         self.pacing.forget(key);
-        self.reservation.take_if(|r| r.is_of(key));
+        self.end_reservation(key);
         if let Some(contention) = &mut self.contention {
             contention.remove_key(key);
         }
@@ -624,7 +455,7 @@
             None => self.decide_in_order(heads, now),
         };
         for decision in &decided {
-            self.reservation.take_if(|r| r.is_of(&decision.key));
+            self.end_reservation(&decision.key);
         }
         self.pacing.on_round_end(&decided, now);
         if self.measures_demand {
@@ -643,16 +474,15 @@
         let mut decided = Vec::new();
         let mut round = Round::default();
         let mut longest_ahead = 0;
-        let positions = self.positions_with_reserved_first(heads, now);
         // Requests that found no room, in order.
         let mut without_room = Vec::new();
-        for position in positions {
+        for position in self.positions_with_reserved_first(heads, now) {
             let Some((outcome, head)) = self.decide(position, &mut round, heads, now) else {
-                let stays = self.queue.get(position);
                 if !(position.0.is_late() && round.is_scarce == Some(true)) {
+                    let tokens = self.queue.get(position).map_or(0, |r| r.prompt_tokens);
+                    longest_ahead = longest_ahead.max(tokens);
                     without_room.push(position);
                 }
-                longest_ahead = longest_ahead.max(stays.map_or(0, |r| r.prompt_tokens));
                 continue;
             };
             let Some(request) = self.queue.remove(position) else {
@@ -665,10 +495,10 @@
             }
             decided.push(Decision::new(request, outcome));
         }
-        let queue = std::mem::take(&mut self.queue);
-        let waiting = without_room.into_iter().filter_map(|p| queue.get(p));
-        self.reserve_for_passed_over(&decided, waiting, heads, now);
-        self.queue = queue;
+        if self.reservation.is_none() {
+            let waiting = without_room.iter().filter_map(|p| self.queue.get(*p));
+            self.reservation = self.reservation_for_passed_over(&decided, waiting, heads, now);
+        }
         self.queue.on_round_end(now);
         while let Some((position, retry_after)) = self.last_over_limits(heads, now) {
             let rejected = self.queue.remove(position);
@@ -682,17 +512,6 @@
         decided
     }
 
-    /// The order in which queued requests are decided on.
-    fn positions_with_reserved_first(&mut self, heads: &[OpenHead], now: Instant) -> Vec<Position> {
-        let reserved = self.reserved_request(heads, now);
-        let reserved = reserved.and_then(|key| self.queue.position(&key));
-        let mut positions = self.queue.positions(now);
-        if let Some(index) = positions.iter().position(|p| Some(*p) == reserved) {
-            positions[..=index].rotate_right(1);
-        }
-        positions
-    }
-
     /// Limits of the heads, if all of them name one.
     fn limits(&self, heads: &[OpenHead]) -> Option<SmallVec<[LimitState; 8]>> {
         let limits = heads.iter().map(|h| self.head_states.get(&h.key)?.limit);
@@ -775,11 +594,7 @@
             is_scarce
         };
         let request = self.queue.get(position)?;
-        let has_reservation = self
-            .reservation
-            .as_ref()
-            .is_some_and(|r| r.is_of(&request.key));
-        let waits_as_late = position.0.is_late() && !has_reservation;
+        let waits_as_late = position.0.is_late() && !self.has_reservation(&request.key);
         if round.is_full || (waits_as_late && is_scarce(round)) {
             return None;
         }
@@ -790,27 +605,9 @@
         head
     }
 
-    /// Whether a head takes a further request, whatever its prompt.
-    fn has_free_slot(&self, head: &OpenHead, now: Instant) -> bool {
-        let demand = self.demand(head, 0, Duration::MAX, now);
-        let state = self.head_states.get(&head.key);
-        state.is_some_and(|state| state.has_slot(&demand, now))
-    }
-
-    /// Expected time until a head has prefilled all its prompts.
-    fn time_to_prefill(&self, head: &OpenHead, now: Instant) -> Duration {
-        let Some(state) = self.head_states.get(&head.key) else {
-            return Duration::MAX;
-        };
-        let pass = self
-            .speed
-            .pass_time(self.requests_of(head, now), state.unprefilled_tokens);
-        pass.mul_f64(state.slowdown(self.first_event_latency, now))
-    }
-
     /// Whether a head has room for the shortest prompt of any request.
     fn has_any_room(&self, head: &OpenHead, now: Instant) -> bool {
-        if self.is_reserved(&head.key, None) {
+        if self.is_held(&head.key) {
             return false;
         }
         let demand = self.demand(head, 0, Duration::MAX, now);
@@ -860,7 +657,7 @@
             expires_at: request.deadline.max(now) + ASSIGNMENT_TTL,
             sent,
         };
-        self.reservation.take_if(|r| r.is_of(&request.key));
+        self.end_reservation(&request.key);
         self.assigned.insert(request.key.clone(), assigned);
         self.unaccepted_grants.push_back((now, request.key.clone()));
     }
@@ -874,7 +671,8 @@
     ) -> Option<&'h OpenHead> {
         let permitted = || {
             let is_permitted = |h: &&OpenHead| {
-                !request.excluded.contains(&h.host) && !self.is_reserved(&h.key, Some(&request.key))
+                !request.excluded.contains(&h.host)
+                    && (!self.is_held(&h.key) || self.has_reservation(&request.key))
             };
             heads.iter().filter(is_permitted)
         };
--- a/crates/fleet/src/schedule/fair.rs
+++ b/crates/fleet/src/schedule/fair.rs
@@ -118,12 +118,13 @@
         while let Some(granted) = self.grant_next(contention, heads, now) {
             decided.push(granted);
         }
-        let candidates = contention
-            .queue
-            .candidates(!self.is_scarce(heads, now), now);
-        let waiting = candidates.iter().filter_map(|id| contention.queue.get(*id));
-        let waiting = waiting.map(|waiting| &waiting.item);
-        self.reserve_for_passed_over(&decided, waiting, heads, now);
+        if self.reservation.is_none() && !decided.is_empty() {
+            let with_late = !self.is_scarce(heads, now);
+            let candidates = contention.queue.candidates(with_late, now);
+            let waiting = candidates.iter().filter_map(|id| contention.queue.get(*id));
+            let waiting = waiting.map(|waiting| &waiting.item);
+            self.reservation = self.reservation_for_passed_over(&decided, waiting, heads, now);
+        }
         let slots = heads.iter().map(|h| h.slots).sum();
         let rate = self.free_rate(contention, slots, now);
         while let Some(id) = contention.queue.expired(now) {
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_fleet::{
-    OpenHead, PendingRequest, RequestKey, RequestOrigin, Scheduler, SchedulingPolicy, SlotOutcome,
+    OpenHead, PendingRequest, RequestOrigin, Scheduler, SchedulingPolicy, SlotOutcome,
 };
 use googletest::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::support::speed;
+use crate::support::{key, open_heads_with, speed};
 
 const OBJECTIVE: Duration = Duration::from_millis(300);
 const TIMEOUT: Duration = Duration::from_secs(6);
@@ -114,24 +114,7 @@
 }
 
 fn heads() -> Vec<OpenHead> {
-    let head = |n: usize| OpenHead {
-        key: (format_smolstr!("r{n}"), 1),
-        host: format_smolstr!("h{n}"),
-        slots: SLOTS,
-        failure_domain: "z1".into(),
-        inherited_requests: 0,
-        unscheduled_requests: 0,
-        cold: None,
-        limit: None,
-    };
-    (0..HEADS).map(head).collect()
-}
-
-fn key(number: u64) -> RequestKey {
-    RequestKey {
-        node: "n1".into(),
-        number,
-    }
+    open_heads_with(HEADS, SLOTS)
 }
 
 /// Arrivals, running requests and callers that retry once, around one scheduler.
--- a/crates/fleet/tests/long_prompts.rs
+++ b/crates/fleet/tests/long_prompts.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_fleet::{
-    OpenHead, PendingRequest, RequestKey, RequestOrigin, Scheduler, SchedulingPolicy, SlotOutcome,
+    OpenHead, PendingRequest, RequestOrigin, Scheduler, SchedulingPolicy, SlotOutcome,
 };
 use googletest::prelude::*;
 use smol_str::format_smolstr;
 
-use crate::support::speed;
+use crate::support::{key, open_heads_with, speed};
 
 const HEADS: usize = 6;
 const SLOTS: usize = 26;
@@ -71,25 +71,8 @@
     }
 }
 
-fn key(number: u64) -> RequestKey {
-    RequestKey {
-        node: "n1".into(),
-        number,
-    }
-}
-
 fn open_heads() -> Vec<OpenHead> {
-    let head = |n: usize| OpenHead {
-        key: (format_smolstr!("{n}"), 1),
-        host: format_smolstr!("h{n}"),
-        slots: SLOTS,
-        failure_domain: "z1".into(),
-        inherited_requests: 0,
-        unscheduled_requests: 0,
-        cold: None,
-        limit: None,
-    };
-    (0..HEADS).map(head).collect()
+    open_heads_with(HEADS, SLOTS)
 }
 
 fn request(number: u64, prompt_tokens: u64, now: Instant) -> PendingRequest {
@@ -140,7 +123,7 @@
                 served[usize::from(long)].served += 1;
                 let prompt = if long { LONG } else { SHORT };
                 let time = speed().prefill_per_token * prompt as u32;
-                let head: usize = head.parse().expect("heads have numbers");
+                let head: usize = head[1..].parse().expect("heads have numbers");
                 heads[head].unprefilled.push_back((key.number, time));
             }
         }
--- a/crates/fleet/tests/schedule.rs
+++ b/crates/fleet/tests/schedule.rs
@@ -7,14 +7,14 @@
 
 use eelgrassmill_base::HostId;
 use eelgrassmill_fleet::{
-    CallerTimeouts, HeadKey, HostCandidate, OpenHead, PendingRequest, RequestKey, Scheduler,
-    SlotOutcome, choose_host,
+    CallerTimeouts, HeadKey, HostCandidate, OpenHead, PendingRequest, Scheduler, SlotOutcome,
+    choose_host,
 };
 use googletest::prelude::*;
 use smallvec::SmallVec;
 use smol_str::format_smolstr;
 
-use crate::support::speed;
+use crate::support::{key, open_heads_with, speed};
 
 const LATENCY_OBJECTIVE: Duration = Duration::from_millis(300);
 const MAX_EVENT_GAP: Duration = Duration::from_millis(300);
@@ -45,24 +45,7 @@
 }
 
 fn heads(count: usize) -> Vec<OpenHead> {
-    let head = |n: usize| OpenHead {
-        key: head_key(n),
-        host: format_smolstr!("h{n}"),
-        slots: SLOTS,
-        failure_domain: "z1".into(),
-        inherited_requests: 0,
-        unscheduled_requests: 0,
-        cold: None,
-        limit: None,
-    };
-    (0..count).map(head).collect()
-}
-
-fn key(number: u64) -> RequestKey {
-    RequestKey {
-        node: "n1".into(),
-        number,
-    }
+    open_heads_with(count, SLOTS)
 }
 
 fn ask(number: u64, prompt_tokens: u64, now: Instant) -> PendingRequest {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use eelgrassmill_fleet::{
     CapacityStep, CapacityStepKind, Command, DemandSnapshot, Engine, EngineSpeed, Fleet,
     FleetChange, Host, HostState, LossReason, Membership, MembershipPhase, Millionths, ModelSpec,
-    Order, OrderReply, Planner, PlannerTiming, Service,
+    OpenHead, Order, OrderReply, Planner, PlannerTiming, RequestKey, Service,
 };
 use smol_str::{SmolStr, format_smolstr};
 
@@ -110,6 +110,28 @@
 }
 
 /// Speed of replicas with decode steps of 6 ms that prefill 50 tokens per millisecond.
+pub(crate) fn key(number: u64) -> RequestKey {
+    RequestKey {
+        node: "n1".into(),
+        number,
+    }
+}
+
+/// Heads `r0`, `r1` and so on, at the hosts `h0`, `h1` and so on.
+pub(crate) fn open_heads_with(count: usize, slots: usize) -> Vec<OpenHead> {
+    let head = |n: usize| OpenHead {
+        key: (format_smolstr!("r{n}"), 1),
+        host: format_smolstr!("h{n}"),
+        slots,
+        failure_domain: "z1".into(),
+        inherited_requests: 0,
+        unscheduled_requests: 0,
+        cold: None,
+        limit: None,
+    };
+    (0..count).map(head).collect()
+}
+
 pub(crate) fn speed() -> EngineSpeed {
     EngineSpeed {
         decode_step: Duration::from_millis(6),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,15 +14,6 @@
     0.025, 0.05, 0.1, 0.2, 0.25, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, 15.0,
 ];
 
-/// Why a request is retried.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum RetryReason {
-    /// An attempt at a host failed or was refused.
-    Attempt,
-    /// Its stream broke and resumes at another replica.
-    Resume,
-}
-
 /// Largest prompt of each class of [`prompt_class`], in tokens.
 const PROMPT_CLASSES: [(u64, &str); 3] = [(1024, "1024"), (2048, "2048"), (4096, "4096")];
 
@@ -32,6 +23,15 @@
     class.map_or("+Inf", |(_, name)| name)
 }
 
+/// Why a request is retried.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RetryReason {
+    /// An attempt at a host failed or was refused.
+    Attempt,
+    /// Its stream broke and resumes at another replica.
+    Resume,
+}
+
 impl RetryReason {
     fn name(self) -> &'static str {
         match self {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -300,7 +300,8 @@
             core.metrics.count_request(service, kind, outcome);
             info!(
                 event = "request", request = %call.metadata.id, route = %call.route.name, outcome,
-                ms = elapsed.as_millis() as u64, waited_ms, prompt_tokens, body_bytes, config = core.catalog().version(),
+                ms = elapsed.as_millis() as u64, waited_ms, prompt_tokens, body_bytes,
+                config = core.catalog().version(),
             );
         }
     }
