--- a/crates/core/tests/process/child.rs
+++ b/crates/core/tests/process/child.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -40,6 +40,11 @@
         assert!(sent.expect("kill runs").success(), "SIG{name} to {pid}");
     }
 
+    /// A file of the process in `/proc`.
+    pub fn proc_file(&self, name: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{name}", self.child.id()))
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("its state").is_some()
     }
--- a/crates/core/tests/process/world.rs
+++ b/crates/core/tests/process/world.rs
@@ -27,6 +27,8 @@
     pub per_fabric: usize,
     pub groups: usize,
     pub slots: usize,
+    /// Sections of the nodes' settings beyond the usual ones.
+    pub settings: &'static str,
 }
 
 impl Default for Shape {
@@ -37,6 +39,7 @@
             per_fabric: 6,
             groups: 2,
             slots: 8,
+            settings: "",
         }
     }
 }
@@ -152,7 +155,7 @@
              [listen]\ncallers = {}\nadmin = {}\npeers = {}\n\
              [platform]\ntable = {}\n[admin]\ntoken_sha256 = {}\n[peers]\nseeds = {}\n\
              [timing]\nlease_term = 3s\nclock_margin = 500ms\norder_time = 1s\n\
-             address_keep = 2s\nstop_time = 30s\n",
+             address_keep = 2s\nstop_time = 30s\n{}",
             place % 3 + 1,
             ports.callers,
             ports.admin,
@@ -160,6 +163,7 @@
             self.platform,
             TokenHash::of(ADMIN),
             seeds.join(", "),
+            self.shape.settings,
         )
     }
 
--- a/crates/core/tests/process_streams.rs
+++ b/crates/core/tests/process_streams.rs
@@ -38,6 +38,7 @@
         per_fabric: 4,
         groups: GROUPS,
         slots: STREAMS / GROUPS,
+        ..Shape::default()
     });
     for (host, _) in &world.engines {
         world.fault(host, "slow", SLOWED);
