Hold request bodies of callers within the account

Callers that send many large bodies at once, whole, in pieces or in chunks, most of them stopping just short of the end, ended a node by memory: 150 bodies of legal size took 500 to 640 MB of 260 while each was inside its limit.

Cause: each body was collected by itself up to max_body_bytes, and nothing counted all of them. Beside that a body announced to be 2 GB long was read until the limit, and each chunk of one byte kept the read buffer that it came in, some 25 times its payload.

Bodies are now read into the account's buffers. The limit comes from the platform's limits.memory_mb by the settings template; half of it is for callers. A body that is announced to be too long is refused before it is read. One that doesn't fit, or that was evicted since it made no progress, is answered 503 with Retry-After; it never reached a host.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -45,6 +45,24 @@
     }
 }
 
+value! { copy
+    /// What the process may use; beyond it the platform ends it, or calls fail.
+    pub struct ProcessLimits {
+        /// Memory in bytes.
+        pub memory: usize,
+        /// Descriptors; those of the process's own limit if not set.
+        pub descriptors: Option<usize>,
+    }
+}
+
+impl ProcessLimits {
+    /// Most bytes that are held for callers. The rest is for the node itself, buffers of connections
+    /// and what the allocator keeps.
+    pub(crate) fn client_bytes(&self) -> usize {
+        self.memory / 2
+    }
+}
+
 /// A node's configuration.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -66,6 +84,8 @@
     pub address_ttl: Duration,
     /// Whether the whole system starts for the first time, so that model loads are fast.
     pub first_start: bool,
+    /// What the process may use.
+    pub limits: ProcessLimits,
     /// The optional policies that are on.
     pub policies: PolicySwitches,
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use eelgrassmill_account::ByteAccount;
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown, StoreEra};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
@@ -16,6 +17,7 @@
 use tracing::info;
 
 use crate::admission::AdmissionQueues;
+use crate::client_memory::MemoryPressure;
 use crate::config::GatewayConfig;
 use crate::configuration::Configuration;
 use crate::crash_detection::CrashDetection;
@@ -42,6 +44,9 @@
     pub(crate) cfg: GatewayConfig,
     pub(crate) platform: P,
     pub(crate) http: TargetClient,
+    /// What this node holds for callers.
+    pub(crate) account: ByteAccount,
+    pub(crate) memory_pressure: MemoryPressure,
     pub(crate) configuration: Configuration,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) heads: Mutex<HeadTable>,
@@ -101,6 +106,8 @@
 impl<P: Platform> Core<P> {
     pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
         Core {
+            account: ByteAccount::new(cfg.limits.client_bytes()),
+            memory_pressure: MemoryPressure::default(),
             cfg,
             platform,
             http,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod body;
 mod call;
+mod client_memory;
 mod config;
 mod configuration;
 mod connection_timer;
@@ -46,7 +47,9 @@
 mod stream;
 
 pub use crate::call::RequestMetadata;
-pub use crate::config::{Addresses, GatewayConfig, PolicySwitches, RetryBudgetConfig};
+pub use crate::config::{
+    Addresses, GatewayConfig, PolicySwitches, ProcessLimits, RetryBudgetConfig,
+};
 pub use crate::gateway::{Gateway, GatewayError};
 pub use crate::log_report::{LogReader, Subject};
 pub use crate::logs::{LogQueue, init_logging};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,12 @@
     /// Slots that the planner takes each model to want, by service and model; absent where that is
     /// unknown.
     pub(crate) wanted_slots: GaugeVec,
+    /// Bytes that are held for callers, by kind.
+    pub(crate) client_bytes: IntGaugeVec,
+    /// Most bytes that may be held for callers.
+    pub(crate) client_bytes_limit: IntGauge,
+    /// What was evicted or refused because the memory for callers was used up, by action.
+    pub(crate) client_memory_short: IntCounterVec,
     /// Consecutive failed calls to the store.
     pub(crate) store_failures: IntGauge,
     /// How often the store came back from an older copy.
@@ -127,6 +133,11 @@
             &["service", "model"],
         )
         .expect("constant name and labels are valid");
+        let client_bytes = IntGaugeVec::new(
+            Opts::new("gateway_client_bytes", "Bytes that are held for callers."),
+            &["kind"],
+        )
+        .expect("constant name and labels are valid");
         let wanted_slots = GaugeVec::new(
             Opts::new(
                 "gateway_capacity_wanted_slots",
@@ -224,6 +235,16 @@
                 &["step"],
             ),
             wanted_slots: register(&registry, wanted_slots),
+            client_bytes: register(&registry, client_bytes),
+            client_bytes_limit: gauge(
+                "gateway_client_bytes_limit",
+                "Most bytes that may be held for callers.",
+            ),
+            client_memory_short: counter(
+                "gateway_client_memory_short_total",
+                "What was evicted or refused because the memory for callers was used up.",
+                &["action"],
+            ),
             store_failures: gauge(
                 "gateway_store_failures",
                 "Failed calls to the store in a row.",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,8 @@
 use crate::ports::Platform;
 use crate::scheduler::ScheduledLoad;
 use crate::{
-    demand, host_relay, host_signals, loss_detection, quarantine, scheduler, snapshot_relay,
+    client_memory, demand, host_relay, host_signals, loss_detection, quarantine, scheduler,
+    snapshot_relay,
 };
 
 /// The group name under which the leader publishes its term.
@@ -281,6 +282,7 @@
     let mut reported_demand = ReportedScopes::new();
     loop {
         tokio::time::sleep(LOAD_INTERVAL).await;
+        client_memory::observe(&core, Instant::now());
         let Some(peer) = core.peer() else { continue };
         let loads = group_loads(&core, Instant::now());
         let current: BTreeSet<GroupId> = loads.iter().map(|l| l.group.clone()).collect();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -21,6 +21,8 @@
         BodyTooLarge,
         /// Its body did not arrive in time or is incomplete.
         BodyIncomplete,
+        /// The memory for callers is used up.
+        OutOfMemory,
         /// It could run longer than this node, which is stopping.
         NodeLeaving,
         /// No host or replica is available for it.
@@ -57,6 +59,7 @@
             RefusalCause::UnknownKey => "unknown-key",
             RefusalCause::BodyTooLarge => "too-long",
             RefusalCause::BodyIncomplete => "body-cut",
+            RefusalCause::OutOfMemory => "memory-full",
             RefusalCause::NodeLeaving => "node-leaves",
             RefusalCause::NoHealthyTarget => "nothing-serves",
             RefusalCause::Full => "full",
@@ -75,6 +78,7 @@
     fn status(self) -> StatusCode {
         match self {
             RefusalCause::NotLoaded
+            | RefusalCause::OutOfMemory
             | RefusalCause::NodeLeaving
             | RefusalCause::NoHealthyTarget
             | RefusalCause::Full
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,11 +6,10 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use eelgrassmill_account::{DrainLimits, ReadError, drain_body, read_body};
 use eelgrassmill_fleet::{Caller, CallerLimits, Route, RouteError};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{HeaderMap, HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -42,6 +41,9 @@
 const RETRY_AFTER_NOT_LOADED: Duration = Duration::from_millis(300);
 /// Retry-After of a node that is leaving: the caller should retry at once at another node.
 const RETRY_AFTER_LEAVING: Duration = Duration::ZERO;
+/// Retry-After when the memory for callers is used up, times a random factor from 1 to 2 so that callers
+/// don't return together. Bodies that stall are evicted within this.
+const RETRY_AFTER_OUT_OF_MEMORY: Duration = Duration::from_millis(500);
 /// Pause after a failure to accept a connection, such as no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How long a connection may bring its next request after the port was closed.
@@ -312,7 +314,7 @@
     req: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Call, Refusal> {
-    let (parts, body) = req.into_parts();
+    let (parts, mut body) = req.into_parts();
     let metadata = core.platform.dialect().request_metadata(&parts.headers);
     let max_bytes = limits(core).body_bytes;
     let (route, caller) = match authorize(core, &parts) {
@@ -320,10 +322,7 @@
         Err(refusal) => {
             let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
             let deadline = arrived + timeout.min(DEFAULT_TIMEOUT);
-            // A caller that waits for 100 Continue must not be asked for the body.
-            if !parts.headers.contains_key(header::EXPECT) {
-                tokio::spawn(discard_body(body, max_bytes, deadline));
-            }
+            drain(&parts.headers, body, max_bytes, deadline);
             return Err(refusal);
         }
     };
@@ -338,7 +337,15 @@
         .path_and_query()
         .map_or("/", |p| p.as_str())
         .into();
-    let body = read_body(body, max_bytes, deadline).await?;
+    let body = match read_body(&mut body, &core.account, max_bytes, deadline).await {
+        Ok(body) => body,
+        Err(err) => {
+            if matches!(err, ReadError::TooLong | ReadError::OutOfMemory) {
+                drain(&parts.headers, body, max_bytes, deadline);
+            }
+            return Err(body_refusal(err));
+        }
+    };
     Ok(Call {
         metadata,
         method: parts.method,
@@ -355,6 +362,14 @@
     })
 }
 
+/// Reads the rest of a refused request's body while the refusal is sent.
+fn drain(headers: &HeaderMap, body: Incoming, bytes: usize, deadline: Instant) {
+    // A caller that waits for 100 Continue must not be asked for the body.
+    if !headers.contains_key(header::EXPECT) {
+        tokio::spawn(drain_body(body, DrainLimits { bytes, deadline }));
+    }
+}
+
 /// The route of a request and its caller, if the route needs one.
 fn authorize<P: Platform>(
     core: &Core<P>,
@@ -403,36 +418,14 @@
     })
 }
 
-async fn read_body(
-    mut body: Incoming,
-    max_bytes: usize,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let read = tokio::time::timeout(left, Limited::new(&mut body, max_bytes).collect()).await;
-    match read {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            tokio::spawn(discard_body(body, max_bytes, deadline));
-            Err(Refusal::new(RefusalCause::BodyTooLarge))
-        }
-        _ => Err(Refusal::new(RefusalCause::BodyIncomplete)),
+/// The refusal of a request whose body was not read. It was not sent to any host.
+fn body_refusal(err: ReadError) -> Refusal {
+    match err {
+        ReadError::TooLong => Refusal::new(RefusalCause::BodyTooLarge),
+        ReadError::Broken | ReadError::TimedOut => Refusal::new(RefusalCause::BodyIncomplete),
+        ReadError::OutOfMemory => Refusal::with_retry_after(
+            RefusalCause::OutOfMemory,
+            RETRY_AFTER_OUT_OF_MEMORY.mul_f64(1.0 + fastrand::f64()),
+        ),
     }
 }
-
-/// Reads the rest of a refused request's body, up to `max_bytes`, while the refusal is sent. Closing a
-/// connection with unread bytes resets it, and a caller that is still sending may never see the
-/// refusal.
-async fn discard_body(mut body: Incoming, max_bytes: usize, deadline: Instant) {
-    let mut left = max_bytes;
-    let read = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            let bytes = frame.data_ref().map_or(0, Bytes::len);
-            let Some(rest) = left.checked_sub(bytes) else {
-                break;
-            };
-            left = rest;
-        }
-    };
-    let _ = tokio::time::timeout_at(deadline.into(), read).await;
-}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,16 +7,21 @@
 
 use eelgrassmill_config::{
     ConfigErrors, Diagnostics, Key, SectionKeys, SectionReader, Sections, ValueType, defaulted,
-    required,
+    optional, required,
 };
 
-use crate::config::{Addresses, GatewayConfig, PolicySwitches, RetryBudgetConfig};
+use crate::config::{Addresses, GatewayConfig, PolicySwitches, ProcessLimits, RetryBudgetConfig};
 
 const ONE_MILLISECOND: Duration = Duration::from_millis(1);
 const ONE_HOUR: Duration = Duration::from_secs(3_600);
 const DURATION: ValueType = ValueType::duration(ONE_MILLISECOND, ONE_HOUR);
 const MAX_SEEDS: usize = 64;
 const MAX_CORES: u64 = 1024;
+/// Bounds of the memory and descriptors that a process may use.
+const MIN_MEMORY_MB: f64 = 32.0;
+const MAX_MEMORY_MB: u64 = 1 << 20;
+const MIN_DESCRIPTORS: f64 = 256.0;
+const MAX_DESCRIPTORS: u64 = 1 << 20;
 
 /// How long callers may cache addresses, unless the setting is shorter: each response costs a
 /// little, and a stopping node waits until cached addresses have expired.
@@ -117,6 +122,23 @@
     ),
 ];
 
+const LIMITS: &[Key] = &[
+    defaulted(
+        "memory_mb",
+        ValueType::Decimal { max: MAX_MEMORY_MB },
+        "256",
+        "Memory that the process may use, in MB, at least 32. Half of it is for what the process holds for callers.",
+    ),
+    optional(
+        "max_fds",
+        ValueType::Decimal {
+            max: MAX_DESCRIPTORS,
+        },
+        "the process's own limit",
+        "Descriptors that the process may use, at least 256. Two fifths are for callers' connections.",
+    ),
+];
+
 const LOG: &[Key] = &[defaulted(
     "level",
     ValueType::Choice(&["info", "warn", "error", "debug"]),
@@ -171,6 +193,10 @@
         section: "[times]",
         keys: TIMES,
     },
+    SectionKeys {
+        section: "[limits]",
+        keys: LIMITS,
+    },
     SectionKeys {
         section: "[capacity]",
         keys: CAPACITY,
@@ -295,6 +321,7 @@
         let store = self.read("platform", PLATFORM, |r, p| {
             r.address("store", p).unwrap_or(unset)
         });
+        let limits = self.read("limits", LIMITS, process_limits);
         let log_level = self.read("log", LOG, |r, p| r.choice("level", p));
         let policies = PolicySwitches {
             capacity_follows_demand: self
@@ -312,6 +339,7 @@
             grace,
             address_ttl: ttl.min(MAX_ADDRESS_TTL),
             first_start,
+            limits,
             policies,
         };
         Settings {
@@ -321,3 +349,21 @@
         }
     }
 }
+
+fn process_limits(reader: &SectionReader<'_>, diagnostics: &mut Diagnostics) -> ProcessLimits {
+    let mut read = |key: &str, min: f64| {
+        let value = reader.decimal(key, diagnostics);
+        // Zero stands for a key that is left out, or wrong by itself.
+        if value > 0.0 && value < min {
+            let what = format!("`{key} = {value}` is too low, write at least {min}");
+            diagnostics.add(reader.line(key), what);
+        }
+        value
+    };
+    let memory_mb = read("memory_mb", MIN_MEMORY_MB);
+    let max_fds = read("max_fds", MIN_DESCRIPTORS);
+    ProcessLimits {
+        memory: (memory_mb * f64::from(1 << 20)) as usize,
+        descriptors: (max_fds > 0.0).then_some(max_fds as usize),
+    }
+}
