Bound the connections of each port

Connections that bring no whole head were accepted until a node had no descriptor left (5,200 clients before 4,200 descriptors), and none was kept for its own connections to hosts, the store and other nodes. The ports for readiness and the directory did the same, and silent connections at the peers port took all of its 512 places for good.

Cause: accept loops took whatever came. Each port now has a table with a limit of its own, from limits.max_fds of the platform and the process's own limit: two fifths for callers, a sixteenth of that for the other two ports, an eighth for other nodes. The rest is left for the node itself. A full table closes the connection that waits longest for its client: first those that have never brought a whole request, then idle ones, then those whose clients don't read. A request that runs is never given up for a connection, and a node that has spoken keeps its connection. Sockets have bounded buffers, which are held for whatever isn't read, and a client that reads nothing for the idle timeout is disconnected.

--- a/crates/account/src/connection.rs
+++ b/crates/account/src/connection.rs
@@ -172,6 +172,7 @@
                     unread_id: None,
                     write_timeout,
                     stall: None,
+                    untrusted: None,
                 };
             }
             // A connection becomes idle without an event.
@@ -331,6 +332,8 @@
     write_timeout: Duration,
     /// Runs while its client doesn't read.
     stall: Option<Pin<Box<Sleep>>>,
+    /// Bytes that its client still has to send before it is trusted.
+    untrusted: Option<usize>,
 }
 
 impl<T> ClientStream<T> {
@@ -344,6 +347,22 @@
         &self.io
     }
 
+    /// For protocols whose requests aren't marked: the connection may be closed for another one until
+    /// its client has sent this many bytes, and not from then on.
+    pub fn trust_after(mut self, bytes: usize) -> ClientStream<T> {
+        self.untrusted = Some(bytes);
+        self
+    }
+
+    fn on_received(&mut self, bytes: usize) {
+        self.connection.on_received();
+        let Some(left) = self.untrusted else { return };
+        self.untrusted = left.checked_sub(bytes).filter(|left| *left > 0);
+        if self.untrusted.is_none() {
+            self.connection.mark_received();
+        }
+    }
+
     /// Fails if it was evicted; registers the task that an eviction wakes.
     fn check(&self, side: usize, cx: &Context<'_>) -> io::Result<()> {
         let mut state = self.connection.lock();
@@ -411,8 +430,9 @@
         self.check(READ, cx)?;
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
-        if buf.filled().len() > before {
-            self.connection.on_received();
+        let received = buf.filled().len() - before;
+        if received > 0 {
+            self.on_received(received);
         }
         Poll::Ready(Ok(()))
     }
--- /dev/null
+++ b/crates/gateway/src/client_limits.rs
@@ -0,0 +1,122 @@
+//! Metrics and log lines of what the node holds for callers.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use eelgrassmill_account::{AccountUsage, ConnectionUsage, HeldKind};
+use tracing::info;
+
+use crate::core::Core;
+use crate::heads::locked;
+use crate::metrics::Metrics;
+use crate::ports::Platform;
+
+/// Time without an eviction or refusal after which a limit is no longer reached.
+const CALM_TIME: Duration = Duration::from_secs(5);
+
+/// The ports of [`Core::ports`], by their names in metrics and logs.
+pub(crate) const PORTS: [&str; 3] = ["callers", "ready", "directory"];
+
+/// Which limits are reached, as logged last.
+#[derive(Debug, Default)]
+pub(crate) struct ClientPressure(Mutex<PressureState>);
+
+#[derive(Debug, Default)]
+struct PressureState {
+    memory: Pressure,
+    connections: [Pressure; PORTS.len()],
+}
+
+/// Whether a limit is reached.
+#[derive(Debug, Default)]
+struct Pressure {
+    /// Evictions and refusals until the last observation.
+    events: u64,
+    last_event: Option<Instant>,
+}
+
+impl Pressure {
+    /// Whether the limit is reached, if that has changed.
+    fn observe(&mut self, events: u64, now: Instant) -> Option<bool> {
+        if std::mem::replace(&mut self.events, events) < events {
+            let was_reached = self.last_event.replace(now).is_some();
+            return (!was_reached).then_some(true);
+        }
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= CALM_TIME;
+        let ended = self.last_event.take_if(|at| is_over(*at));
+        ended.map(|_| false)
+    }
+}
+
+fn memory_events(usage: &AccountUsage) -> u64 {
+    usage.evicted_bodies + usage.evicted_connections + usage.refused
+}
+
+/// Logs when a limit is reached and when it no longer is.
+pub(crate) fn observe<P: Platform>(core: &Core<P>, now: Instant) {
+    let mut state = locked(&core.client_pressure.0);
+    let usage = core.account.usage();
+    if let Some(is_short) = state.memory.observe(memory_events(&usage), now) {
+        info!(
+            event = "client-memory",
+            outcome = if is_short { "short" } else { "free" },
+            held = usage.total(),
+            limit = usage.limit,
+            evicted_bodies = usage.evicted_bodies,
+            evicted_connections = usage.evicted_connections,
+            refused = usage.refused,
+        );
+    }
+    let ports = PORTS.iter().zip(&core.ports);
+    for ((port, connections), pressure) in ports.zip(&mut state.connections) {
+        let usage = connections.usage();
+        if let Some(is_full) = pressure.observe(usage.evicted, now) {
+            info!(
+                event = "connections",
+                port,
+                outcome = if is_full { "full" } else { "free" },
+                open = usage.open,
+                limit = usage.limit,
+                evicted = usage.evicted,
+            );
+        }
+    }
+}
+
+/// Sets the metrics of what is held for callers.
+pub(crate) fn set_metrics<P: Platform>(core: &Core<P>) {
+    set_memory_metrics(&core.metrics, &core.account.usage());
+    for (port, connections) in PORTS.iter().zip(&core.ports) {
+        set_connection_metrics(&core.metrics, port, &connections.usage());
+    }
+}
+
+fn set_memory_metrics(metrics: &Metrics, usage: &AccountUsage) {
+    for kind in HeldKind::ALL {
+        let gauge = metrics.client_bytes.with_label_values(&[kind.name()]);
+        gauge.set(count(usage.held[kind as usize]));
+    }
+    metrics.client_bytes_limit.set(count(usage.limit));
+    let actions = [
+        ("body", usage.evicted_bodies),
+        ("connection", usage.evicted_connections),
+        ("refused", usage.refused),
+    ];
+    for (action, total) in actions {
+        let counter = metrics.client_memory_short.with_label_values(&[action]);
+        counter.inc_by(total.saturating_sub(counter.get()));
+    }
+}
+
+fn set_connection_metrics(metrics: &Metrics, port: &str, usage: &ConnectionUsage) {
+    let open = metrics.connections.with_label_values(&[port]);
+    open.set(count(usage.open));
+    let limit = metrics.connections_limit.with_label_values(&[port]);
+    limit.set(count(usage.limit));
+    let evicted = metrics.connections_evicted.with_label_values(&[port]);
+    evicted.inc_by(usage.evicted.saturating_sub(evicted.get()));
+}
+
+fn count(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrassmill_base::{FailureDomain, NodeId, Region, value};
+use rustix::process::{Resource, getrlimit};
 
 /// The retry budget of all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,12 +56,51 @@
     }
 }
 
+/// Bytes of a connection without a request: its task and the buffers of the HTTP library.
+const CONNECTION_BYTES: usize = 16 << 10;
+/// Part of the memory for callers that connections without requests may be worth, as 1 / this.
+const CONNECTION_SHARE: usize = 4;
+/// Fewest connections of a port.
+const MIN_CONNECTIONS: usize = 16;
+/// Fewest and most connections that are accepted from other nodes.
+const MIN_PEER_CONNECTIONS: usize = 32;
+const MAX_PEER_CONNECTIONS: usize = 512;
+
 impl ProcessLimits {
     /// Most bytes that are held for callers. The rest is for the node itself, buffers of connections
     /// and what the allocator keeps.
     pub(crate) fn client_bytes(&self) -> usize {
         self.memory / 2
     }
+
+    /// Descriptors that the process may use: those that were set, as far as its own limit goes.
+    pub(crate) fn descriptors(&self) -> usize {
+        let own = getrlimit(Resource::Nofile).current;
+        let own = own.and_then(|n| usize::try_from(n).ok());
+        let limits = self.descriptors.into_iter().chain(own);
+        limits.min().unwrap_or(usize::MAX)
+    }
+
+    /// Connections of callers. As many descriptors and some more are left for connections to hosts,
+    /// to the store and to other nodes.
+    fn caller_connections(&self) -> usize {
+        let by_memory = self.client_bytes() / CONNECTION_SHARE / CONNECTION_BYTES;
+        let by_descriptors = self.descriptors() / 5 * 2;
+        by_memory.min(by_descriptors).max(MIN_CONNECTIONS)
+    }
+
+    /// Connections of the ports for callers, for readiness checks and for the directory.
+    pub(crate) fn port_connections(&self) -> [usize; 3] {
+        let callers = self.caller_connections();
+        let node_api = (callers / 16).max(MIN_CONNECTIONS);
+        [callers, node_api, node_api]
+    }
+
+    /// Connections that are accepted from other nodes.
+    pub(crate) fn peer_connections(&self) -> usize {
+        let part = self.descriptors() / 8;
+        part.clamp(MIN_PEER_CONNECTIONS, MAX_PEER_CONNECTIONS)
+    }
 }
 
 /// A node's configuration.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_account::ByteAccount;
+use eelgrassmill_account::{ByteAccount, ConnectionTable};
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown, StoreEra};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
@@ -17,7 +17,7 @@
 use tracing::info;
 
 use crate::admission::AdmissionQueues;
-use crate::client_memory::MemoryPressure;
+use crate::client_limits::{ClientPressure, PORTS};
 use crate::config::GatewayConfig;
 use crate::configuration::Configuration;
 use crate::crash_detection::CrashDetection;
@@ -46,7 +46,9 @@
     pub(crate) http: TargetClient,
     /// What this node holds for callers.
     pub(crate) account: ByteAccount,
-    pub(crate) memory_pressure: MemoryPressure,
+    /// Connections of each of the [`PORTS`].
+    pub(crate) ports: [ConnectionTable; PORTS.len()],
+    pub(crate) client_pressure: ClientPressure,
     pub(crate) configuration: Configuration,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) heads: Mutex<HeadTable>,
@@ -107,7 +109,8 @@
     pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
         Core {
             account: ByteAccount::new(cfg.limits.client_bytes()),
-            memory_pressure: MemoryPressure::default(),
+            ports: cfg.limits.port_connections().map(ConnectionTable::new),
+            client_pressure: ClientPressure::default(),
             cfg,
             platform,
             http,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use eelgrassmill_account::ConnectionTable;
 use eelgrassmill_base::Shutdown;
 use eelgrassmill_engine::{RelayRequest, TargetClient};
 use eelgrassmill_peer::{PeerError, PeerNode};
@@ -19,7 +20,7 @@
 use crate::peers::{self, UpdateHandler};
 use crate::ports::Platform;
 use crate::reflector::{HostSink, OperatorSink, run_reflector};
-use crate::server::{self, OpenConnections};
+use crate::server::{self, Port};
 use crate::{
     configuration, host_relay, host_signals, leader, loss_detection, node_api, quarantine,
 };
@@ -50,7 +51,6 @@
 /// A running node.
 pub struct Gateway<P: Platform> {
     core: Arc<Core<P>>,
-    connections: Arc<OpenConnections>,
     /// Accepts callers' connections until the port closes.
     accept_loop: Mutex<Option<JoinHandle<()>>>,
     peer: Arc<PeerNode<UpdateHandler<P>>>,
@@ -70,19 +70,18 @@
     ) -> Result<Gateway<P>, GatewayError> {
         let core = Arc::new(Core::new(cfg, platform, http));
         let addresses = core.cfg.addresses.clone();
-        let callers = listen(addresses.callers).await?;
-        let ready = listen(addresses.ready).await?;
-        let directory = listen(addresses.directory).await?;
+        let callers = listen(addresses.callers)?;
+        let ready = listen(addresses.ready)?;
+        let directory = listen(addresses.directory)?;
         let peer = peers::start(&core, incarnation(), &Handle::current())?;
-        let connections = Arc::new(OpenConnections::default());
-        let accept_loop = serve_callers(&core, callers, Arc::clone(&connections));
-        serve_node_api(&core, ready);
-        serve_node_api(&core, directory);
+        let [of_callers, of_ready, of_directory] = &core.ports;
+        let accept_loop = serve_callers(&core, callers, of_callers);
+        serve_node_api(&core, ready, of_ready);
+        serve_node_api(&core, directory, of_directory);
         spawn_tasks(&core);
         tokio::spawn(host_relay::run(Arc::clone(&core), relay_requests));
         Ok(Gateway {
             core,
-            connections,
             accept_loop: Mutex::new(Some(accept_loop)),
             peer,
         })
@@ -93,14 +92,14 @@
     pub async fn stop(&self) -> bool {
         let shutdown = self.core.begin_shutdown(self.shutdown_from(Instant::now()));
         peers::publish_status(&self.core);
-        info!(event = "stop", connections = self.connections.count());
+        info!(event = "stop", connections = self.open_connections());
         self.wait_drained(shutdown.accept_until()).await;
         self.core.stopping.send_replace(true);
         self.wait_port_closed().await;
         info!(
             event = "stop",
             outcome = "port closed",
-            connections = self.connections.count()
+            connections = self.open_connections()
         );
         let done = self.wait_drained(shutdown.drain_until()).await;
         // Tunnels of other nodes count as requests in progress, but not as failures to finish.
@@ -124,6 +123,12 @@
         }
     }
 
+    /// Callers' open connections.
+    fn open_connections(&self) -> usize {
+        let [callers, ..] = &self.core.ports;
+        callers.usage().open
+    }
+
     fn shutdown_from(&self, signalled_at: Instant) -> Shutdown {
         let cfg = &self.core.cfg;
         let addresses_expire = cfg.address_ttl * OPEN_PORT_TTLS;
@@ -142,9 +147,9 @@
     /// Waits until no connection is open or `end` is reached. Returns whether none is open.
     async fn wait_drained(&self, end: Instant) -> bool {
         // Before the port closes, callers with open connections still have to learn of other nodes.
-        while self.connections.count() > 0 || !*self.core.stopping.borrow() {
+        while self.open_connections() > 0 || !*self.core.stopping.borrow() {
             if Instant::now() >= end {
-                return self.connections.count() == 0;
+                return self.open_connections() == 0;
             }
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
@@ -152,10 +157,8 @@
     }
 }
 
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|err| GatewayError::Listen(address, err))
+fn listen(address: std::net::SocketAddr) -> Result<TcpListener, GatewayError> {
+    eelgrassmill_account::listen(address).map_err(|err| GatewayError::Listen(address, err))
 }
 
 /// Identifies this start of the node; later starts have a higher value unless the wall clock was
@@ -170,14 +173,18 @@
 fn serve_callers<P: Platform>(
     core: &Arc<Core<P>>,
     listener: TcpListener,
-    connections: Arc<OpenConnections>,
+    connections: &ConnectionTable,
 ) -> JoinHandle<()> {
     let (for_limits, for_requests) = (Arc::clone(core), Arc::clone(core));
     let stopping = core.stopping.subscribe();
     let limits = move || server::limits(&*for_limits);
+    let port = Port {
+        connections: connections.clone(),
+        account: core.account.clone(),
+    };
     tokio::spawn(server::listen(
         listener,
-        connections,
+        port,
         limits,
         stopping,
         move |req| server::handle(Arc::clone(&for_requests), req),
@@ -185,14 +192,21 @@
 }
 
 /// Serves requests to the node itself until the process ends.
-fn serve_node_api<P: Platform>(core: &Arc<Core<P>>, listener: TcpListener) {
+fn serve_node_api<P: Platform>(
+    core: &Arc<Core<P>>,
+    listener: TcpListener,
+    connections: &ConnectionTable,
+) {
     let (for_limits, for_requests) = (Arc::clone(core), Arc::clone(core));
     let (never, stopping) = tokio::sync::watch::channel(false);
     let limits = move || server::limits(&*for_limits);
-    let connections = Arc::new(OpenConnections::default());
+    let port = Port {
+        connections: connections.clone(),
+        account: core.account.clone(),
+    };
     tokio::spawn(async move {
         let _never = never;
-        server::listen(listener, connections, limits, stopping, move |req| {
+        server::listen(listener, port, limits, stopping, move |req| {
             node_api::handle(Arc::clone(&for_requests), req)
         })
         .await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 mod admission;
 mod body;
 mod call;
-mod client_memory;
+mod client_limits;
 mod config;
 mod configuration;
 mod connection_timer;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -96,6 +96,12 @@
     pub(crate) client_bytes: IntGaugeVec,
     /// Most bytes that may be held for callers.
     pub(crate) client_bytes_limit: IntGauge,
+    /// Open connections, by port.
+    pub(crate) connections: IntGaugeVec,
+    /// Most open connections, by port.
+    pub(crate) connections_limit: IntGaugeVec,
+    /// Connections that were closed for others, by port.
+    pub(crate) connections_evicted: IntCounterVec,
     /// What was evicted or refused because the memory for callers was used up, by action.
     pub(crate) client_memory_short: IntCounterVec,
     /// Consecutive failed calls to the store.
@@ -133,11 +139,11 @@
             &["service", "model"],
         )
         .expect("constant name and labels are valid");
-        let client_bytes = IntGaugeVec::new(
-            Opts::new("gateway_client_bytes", "Bytes that are held for callers."),
-            &["kind"],
-        )
-        .expect("constant name and labels are valid");
+        let gauges = |name: &str, help: &str, label: &str| {
+            let vec = IntGaugeVec::new(Opts::new(name, help), &[label])
+                .expect("constant name and labels are valid");
+            register(&registry, vec)
+        };
         let wanted_slots = GaugeVec::new(
             Opts::new(
                 "gateway_capacity_wanted_slots",
@@ -235,7 +241,22 @@
                 &["step"],
             ),
             wanted_slots: register(&registry, wanted_slots),
-            client_bytes: register(&registry, client_bytes),
+            client_bytes: gauges(
+                "gateway_client_bytes",
+                "Bytes that are held for callers.",
+                "kind",
+            ),
+            connections: gauges("gateway_connections", "Open connections.", "port"),
+            connections_limit: gauges(
+                "gateway_connections_limit",
+                "Most open connections.",
+                "port",
+            ),
+            connections_evicted: counter(
+                "gateway_connections_evicted_total",
+                "Connections that were closed for others.",
+                &["port"],
+            ),
             client_bytes_limit: gauge(
                 "gateway_client_bytes_limit",
                 "Most bytes that may be held for callers.",
--- a/crates/gateway/src/node_api.rs
+++ b/crates/gateway/src/node_api.rs
@@ -10,7 +10,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::body::ResponseBody;
-use crate::client_memory;
+use crate::client_limits;
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::{Dialect, NodeRequest, Platform};
@@ -29,7 +29,7 @@
             NodeRequest::Ready => ready(&core),
             NodeRequest::Resolve { failure_domain } => resolve(&core, &failure_domain),
             NodeRequest::Metrics => {
-                client_memory::set_metrics(&core.metrics, &core.account.usage());
+                client_limits::set_metrics(&core);
                 text(core.metrics.encode().into(), "text/plain; version=0.0.4")
             }
             NodeRequest::Unknown => status(StatusCode::NOT_FOUND),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 use crate::ports::Platform;
 use crate::scheduler::ScheduledLoad;
 use crate::{
-    client_memory, demand, host_relay, host_signals, loss_detection, quarantine, scheduler,
+    client_limits, demand, host_relay, host_signals, loss_detection, quarantine, scheduler,
     snapshot_relay,
 };
 
@@ -226,6 +226,7 @@
             .copied()
             .filter(|s| *s != cfg.addresses.peers)
             .collect(),
+        max_connections: cfg.limits.peer_connections(),
     };
     let handler = Arc::new(UpdateHandler {
         core: Arc::clone(core),
@@ -282,7 +283,7 @@
     let mut reported_demand = ReportedScopes::new();
     loop {
         tokio::time::sleep(LOAD_INTERVAL).await;
-        client_memory::observe(&core, Instant::now());
+        client_limits::observe(&core, Instant::now());
         let Some(peer) = core.peer() else { continue };
         let loads = group_loads(&core, Instant::now());
         let current: BTreeSet<GroupId> = loads.iter().map(|l| l.group.clone()).collect();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_account::{DrainLimits, ReadError, drain_body, read_body};
+use eelgrassmill_account::{
+    ByteAccount, ClientStream, Connection, ConnectionTable, DrainLimits, Held, ReadError,
+    drain_body, read_body,
+};
 use eelgrassmill_fleet::{Caller, CallerLimits, Route, RouteError};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -56,36 +58,11 @@
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Number of open connections.
-#[derive(Debug, Default)]
-pub(crate) struct OpenConnections(AtomicUsize);
-
-impl OpenConnections {
-    pub(crate) fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-struct ConnectionGuard(Arc<OpenConnections>);
-
-impl ConnectionGuard {
-    fn new(open: &Arc<OpenConnections>) -> ConnectionGuard {
-        open.0.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(Arc::clone(open))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Accepts and serves connections until `stopping` is set. Each open connection then closes after
 /// its current request, or after [`LAST_REQUEST_WAIT`] without one.
 pub(crate) async fn listen<S, F>(
     listener: TcpListener,
-    open: Arc<OpenConnections>,
+    port: Port,
     limits: impl Fn() -> CallerLimits + Clone + Send + Sync + Unpin + 'static,
     mut stopping: watch::Receiver<bool>,
     service: S,
@@ -93,13 +70,12 @@
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<ResponseBody>, Infallible>> + Send + 'static,
 {
-    let serve = |stream: TcpStream, stopping: &watch::Receiver<bool>| {
+    let serve = |stream, stopping: &watch::Receiver<bool>| {
         tokio::spawn(serve_connection(
             stream,
             limits.clone(),
             stopping.clone(),
             service.clone(),
-            ConnectionGuard::new(&open),
         ));
     };
     loop {
@@ -108,7 +84,12 @@
             () = wait_for_stop(&mut stopping) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(stream, &stopping),
+            Ok((stream, _)) => {
+                tokio::select! {
+                    stream = port.admit(stream, limits().idle_timeout) => serve(stream, &stopping),
+                    () = wait_for_stop(&mut stopping) => break,
+                }
+            }
             Err(err) => {
                 warn!(event = "accept", %err);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -126,9 +107,26 @@
         let stream = stream
             .set_nonblocking(true)
             .and_then(|()| TcpStream::from_std(stream));
-        if let Ok(stream) = stream {
-            serve(stream, &stopping);
-        }
+        let Ok(stream) = stream else { continue };
+        let admitted = port.admit(stream, limits().idle_timeout);
+        let Ok(stream) = tokio::time::timeout(LAST_REQUEST_WAIT, admitted).await else {
+            break;
+        };
+        serve(stream, &stopping);
+    }
+}
+
+/// What a port's connections are counted in.
+#[derive(Clone, Debug)]
+pub(crate) struct Port {
+    pub(crate) connections: ConnectionTable,
+    pub(crate) account: ByteAccount,
+}
+
+impl Port {
+    async fn admit(&self, stream: TcpStream, write_timeout: Duration) -> ClientStream<TcpStream> {
+        let admitted = self.connections.admit(stream, &self.account, write_timeout);
+        admitted.await
     }
 }
 
@@ -138,16 +136,15 @@
 }
 
 async fn serve_connection<S, F>(
-    stream: TcpStream,
+    stream: ClientStream<TcpStream>,
     limits: impl Fn() -> CallerLimits + Clone + Send + Sync + Unpin + 'static,
     mut stopping: watch::Receiver<bool>,
     service: S,
-    _guard: ConnectionGuard,
 ) where
     S: Fn(Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Result<Response<ResponseBody>, Infallible>> + Send + 'static,
 {
-    if let Err(err) = stream.set_nodelay(true) {
+    if let Err(err) = stream.get_ref().set_nodelay(true) {
         // The caller has already disconnected.
         tracing::debug!(%err, "connection closed before its first request");
         return;
@@ -158,7 +155,17 @@
         .timer(ConnectionTimer(limits))
         .header_read_timeout(header_read_timeout(&initial))
         .max_buf_size(initial.header_bytes.max(MIN_BUFFER_BYTES));
-    let conn = builder.serve_connection(TokioIo::new(stream), service_fn(service));
+    let connection = stream.connection().clone();
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        let active = connection.begin_request();
+        req.extensions_mut().insert(connection.clone());
+        let served = service(req);
+        async move {
+            let response = served.await?;
+            Ok::<_, Infallible>(response.map(|body| Held::new(body, active)))
+        }
+    });
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
@@ -314,7 +321,7 @@
     req: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Call, Refusal> {
-    let (parts, mut body) = req.into_parts();
+    let (mut parts, mut body) = req.into_parts();
     let metadata = core.platform.dialect().request_metadata(&parts.headers);
     let max_bytes = limits(core).body_bytes;
     let (route, caller) = match authorize(core, &parts) {
@@ -337,6 +344,7 @@
         .path_and_query()
         .map_or("/", |p| p.as_str())
         .into();
+    let connection = parts.extensions.remove::<Connection>();
     let body = match read_body(&mut body, &core.account, max_bytes, deadline).await {
         Ok(body) => body,
         Err(err) => {
@@ -346,6 +354,9 @@
             return Err(body_refusal(err));
         }
     };
+    if let Some(connection) = connection {
+        connection.mark_received();
+    }
     Ok(Call {
         metadata,
         method: parts.method,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -66,6 +66,8 @@
 const LAST_WORDS: Duration = Duration::from_millis(200);
 /// Period of looking for claims whose time is over.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+/// Connections that are accepted from other nodes.
+const MAX_PEER_CONNECTIONS: usize = 512;
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -370,6 +372,7 @@
         },
         listen: ident.peer,
         seeds: core.settings.seeds.clone(),
+        max_connections: MAX_PEER_CONNECTIONS,
     };
     let handler = Arc::new(Peers::new(core.clone(), runtime.handle().clone()));
     let node = PeerNode::start_on(
--- a/crates/peer/src/meter.rs
+++ b/crates/peer/src/meter.rs
@@ -8,11 +8,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
+use eelgrassmill_account::ClientStream;
 use eelgrassmill_base::value;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tonic::codegen::Service;
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
@@ -66,36 +66,27 @@
     }
 }
 
-/// A TCP stream that counts its bytes and, if inbound, holds its permit.
-pub(crate) struct MeteredStream {
-    io: TcpStream,
+/// A connection that counts its bytes.
+pub(crate) struct MeteredStream<T> {
+    io: T,
     meter: Meter,
-    _permit: Option<OwnedSemaphorePermit>,
 }
 
-impl MeteredStream {
-    pub(crate) fn new(
-        io: TcpStream,
-        meter: Meter,
-        permit: Option<OwnedSemaphorePermit>,
-    ) -> MeteredStream {
-        MeteredStream {
-            io,
-            meter,
-            _permit: permit,
-        }
+impl<T> MeteredStream<T> {
+    pub(crate) fn new(io: T, meter: Meter) -> MeteredStream<T> {
+        MeteredStream { io, meter }
     }
 }
 
-impl Connected for MeteredStream {
+impl Connected for MeteredStream<ClientStream<TcpStream>> {
     type ConnectInfo = TcpConnectInfo;
 
     fn connect_info(&self) -> TcpConnectInfo {
-        self.io.connect_info()
+        self.io.get_ref().connect_info()
     }
 }
 
-impl AsyncRead for MeteredStream {
+impl<T: AsyncRead + Unpin> AsyncRead for MeteredStream<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -110,7 +101,7 @@
     }
 }
 
-impl AsyncWrite for MeteredStream {
+impl<T: AsyncWrite + Unpin> AsyncWrite for MeteredStream<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -146,7 +137,7 @@
 }
 
 impl Service<http::Uri> for Connector {
-    type Response = TokioIo<MeteredStream>;
+    type Response = TokioIo<MeteredStream<TcpStream>>;
     type Error = io::Error;
     type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
 
@@ -160,7 +151,7 @@
         Box::pin(async move {
             let stream = TcpStream::connect(parse_authority(&uri)?).await?;
             stream.set_nodelay(true)?;
-            Ok(TokioIo::new(MeteredStream::new(stream, meter, None)))
+            Ok(TokioIo::new(MeteredStream::new(stream, meter)))
         })
     }
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -6,10 +6,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use eelgrassmill_account::{ByteAccount, ConnectionTable};
 use eelgrassmill_base::{NodeId, StorePosition, value};
 use prost::bytes::Bytes;
 use tokio::runtime::Handle;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::TcpListenerStream;
 
@@ -29,8 +30,15 @@
 use crate::wire::path;
 use crate::wire::server::PeerServer;
 
-/// Maximum number of connections accepted from other nodes.
-const MAX_INBOUND_CONNECTIONS: usize = 512;
+/// Bytes after which a connection counts as another node's: more than the preface of HTTP/2.
+const TRUSTED_BYTES: usize = 256;
+/// How long an accepted connection may wait for another one to be closed for it.
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a failure to accept a connection.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time after which a node that doesn't read is disconnected, if its keep-alive pings haven't
+/// shown that before.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum number of concurrent calls per connection. Besides short calls these are slot requests
 /// of one node, which wait for up to 1.4 s.
 const MAX_STREAMS_PER_CONNECTION: u32 = 256;
@@ -139,6 +147,8 @@
         pub listen: SocketAddr,
         /// Nodes to contact while no other is known.
         pub seeds: Vec<SocketAddr>,
+        /// Maximum number of connections accepted from other nodes.
+        pub max_connections: usize,
     }
 }
 
@@ -162,6 +172,8 @@
     seeds: Vec<SocketAddr>,
     flush_interval: Duration,
     call_timeout: Duration,
+    /// Connections accepted from other nodes.
+    connections: ConnectionTable,
     /// Updates queued for the handler. Capacity is reserved before the state changes, which
     /// keeps the order and loses no update if the handler lags.
     update_queue: mpsc::Sender<Vec<Update>>,
@@ -436,6 +448,7 @@
             tunnels: Pool::new(timing.call_timeout, meter.clone(), PoolKind::Tunnels),
             meter,
             seeds: cfg.seeds,
+            connections: ConnectionTable::new(cfg.max_connections),
             flush_interval: timing.flush_interval,
             call_timeout: timing.call_timeout,
             update_queue,
@@ -575,15 +588,26 @@
     listener: tokio::net::TcpListener,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let permits = Arc::new(Semaphore::new(MAX_INBOUND_CONNECTIONS));
-    let meter = inner.meter.clone();
     let timeout = inner.call_timeout;
-    let incoming = TcpListenerStream::new(listener).filter_map(move |accepted| {
-        let io = accepted.ok()?;
-        let permit = Arc::clone(&permits).try_acquire_owned().ok()?;
-        let metered = MeteredStream::new(io, meter.clone(), Some(permit));
-        Some(Ok::<_, std::io::Error>(metered))
+    // Nodes are trusted with what they send; only their connections are bounded.
+    let account = ByteAccount::new(usize::MAX);
+    let (connections, meter) = (inner.connections.clone(), inner.meter.clone());
+    let accepted = TcpListenerStream::new(listener).then(move |accepted| {
+        let (connections, account, meter) = (connections.clone(), account.clone(), meter.clone());
+        async move {
+            let Ok(io) = accepted else {
+                // Without a pause a lack of descriptors would spin a core.
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                return None;
+            };
+            // A connection that isn't admitted is closed, so that the node asks another one.
+            let admitted = connections.admit(io, &account, WRITE_TIMEOUT);
+            let io = tokio::time::timeout(ADMISSION_TIMEOUT, admitted).await;
+            let io = io.ok()?.trust_after(TRUSTED_BYTES);
+            Some(Ok::<_, std::io::Error>(MeteredStream::new(io, meter)))
+        }
     });
+    let incoming = accepted.filter_map(|accepted| accepted);
     let served = tonic::transport::Server::builder()
         .timeout(timeout)
         .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
--- a/crates/peer/tests/support/cluster.rs
+++ b/crates/peer/tests/support/cluster.rs
@@ -136,6 +136,7 @@
             },
             listen,
             seeds,
+            max_connections: 512,
         };
         let handler = Arc::new(Recorder::default());
         let blocked_peers = BlockedPeers::default();
