Read whole responses of hosts within the account

Callers that don't read their answers made a node hold them all: a response of up to 8 MB a request was read into memory whatever else was held, and was kept for as long as its caller kept the connection open. 60 such callers of answers of 4 MB took 271 MB of 96 in the crowd test.

The bytes of responses are charged to the account until hyper has written them. A response waits for room, since its request has run: the node reads no more from the host until room is there, evicts incomplete bodies of requests for it, then disconnects the caller that hasn't read for longest.

--- a/crates/engine/src/response.rs
+++ b/crates/engine/src/response.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use eelgrassmill_account::{ByteAccount, ResponseBuffer};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -154,6 +155,25 @@
         }
         Ok(body.freeze())
     }
+
+    /// The same within an account: while that is full, this doesn't read from the target.
+    ///
+    /// # Errors
+    /// Those of [`TargetResponse::read_whole`].
+    pub async fn read_whole_within(
+        mut self,
+        account: &ByteAccount,
+        limit: usize,
+    ) -> Result<Bytes, BodyError> {
+        let announced = self.body.size_hint().exact();
+        let too_long = |_| BodyError::TooLong(limit);
+        let buffer = ResponseBuffer::new(account, announced, limit).await;
+        let mut buffer = buffer.map_err(too_long)?;
+        while let Some(piece) = self.chunk().await? {
+            buffer.push(&piece).await.map_err(too_long)?;
+        }
+        Ok(buffer.finish())
+    }
 }
 
 /// Bytes that are no answer are the target's fault; a connection that breaks may be the link's.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use eelgrassmill_account::ByteAccount;
 use eelgrassmill_base::{HostId, ServiceName};
 use eelgrassmill_engine::{SendError, TargetRequest, TargetResponse};
 use eelgrassmill_fleet::{
@@ -409,7 +410,7 @@
         ResponseClass::WrongHost => AttemptResult::NotRun("another host has this address".into()),
         ResponseClass::Unverified => AttemptResult::Unknown("unverified response".into()),
         ResponseClass::Answered => {
-            let read = read_whole(response, until).await;
+            let read = read_whole(&core.account, response, until).await;
             if read.is_ok() && !status.is_server_error() {
                 running.outcome = TargetOutcome::Served;
                 if let Some(paced) = &mut paced {
@@ -426,12 +427,14 @@
 }
 
 async fn read_whole(
+    account: &ByteAccount,
     response: TargetResponse,
     until: Instant,
 ) -> Result<(http::HeaderMap, Bytes), SmolStr> {
     let headers = response.headers.clone();
     let left = until.saturating_duration_since(Instant::now());
-    match tokio::time::timeout(left, response.read_whole(MAX_RESPONSE_BYTES)).await {
+    let read = response.read_whole_within(account, MAX_RESPONSE_BYTES);
+    match tokio::time::timeout(left, read).await {
         Ok(Ok(body)) => Ok((headers, body)),
         Ok(Err(err)) => Err(err.to_string().into()),
         Err(_) => Err("timed out reading the response body".into()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -449,7 +449,10 @@
         status: StatusCode,
         headers: HeaderMap,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let read = started.response.read_whole(MAX_FULL_BODY_BYTES);
+        let account = &self.core.account;
+        let read = started
+            .response
+            .read_whole_within(account, MAX_FULL_BODY_BYTES);
         let body = match tokio::time::timeout(self.call.remaining(), read).await {
             Ok(Ok(body)) => body,
             _ => {
