Bound what a stream holds for a caller that doesn't read

A stream's buffer was bounded in chunks, 64 of them, and a chunk is as large as the events that a host sent at once, up to 256 KB. Callers that read nothing made a node hold 4 MB and more each; 60 of them took 266 to 269 MB of 96 in the crowd test.

The buffer is bounded in bytes, 64 KB for a stream, and each event is charged to the account until hyper has written it. A stream whose caller doesn't read stops reading from its host, as before, only sooner; one event is always let through.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use eelgrassmill_account::ByteAccount;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 /// The response was cut off. hyper then closes the connection without the final chunk, so that the
 /// caller detects the incomplete response.
@@ -20,14 +22,64 @@
     }
 }
 
+/// Chunks of a stream that its caller hasn't read.
+const STREAM_BUFFER_CHUNKS: usize = 64;
+/// Bytes of a stream that its caller hasn't read, unless one chunk is longer. Beyond them its stream
+/// is no longer read from the host.
+const STREAM_BUFFER_BYTES: usize = 64 << 10;
+
 /// A part of a forwarded stream.
 #[derive(Debug)]
 pub(crate) enum StreamChunk {
-    Events(Bytes),
+    Events {
+        events: Bytes,
+        /// Its part of the stream's buffer.
+        _permit: OwnedSemaphorePermit,
+    },
     /// All events were sent.
     End,
 }
 
+/// The caller has disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallerDisconnected;
+
+/// The sending side of a stream.
+#[derive(Debug)]
+pub(crate) struct StreamSender {
+    tx: mpsc::Sender<StreamChunk>,
+    /// The free bytes of the buffer.
+    free: Arc<Semaphore>,
+    account: ByteAccount,
+}
+
+impl StreamSender {
+    /// Sends events once the caller has read those before them.
+    pub(crate) async fn send_events(&self, events: Bytes) -> Result<(), CallerDisconnected> {
+        let bytes = events.len().min(STREAM_BUFFER_BYTES) as u32;
+        let permit = Arc::clone(&self.free).acquire_many_owned(bytes).await;
+        // The semaphore is never closed.
+        let permit = permit.map_err(|_| CallerDisconnected)?;
+        let events = self.account.hold_response(events).await;
+        let chunk = StreamChunk::Events {
+            events,
+            _permit: permit,
+        };
+        self.tx.send(chunk).await.map_err(|_| CallerDisconnected)
+    }
+
+    /// Sends the end of a complete stream.
+    pub(crate) async fn send_end(&self) -> Result<(), CallerDisconnected> {
+        let sent = self.tx.send(StreamChunk::End).await;
+        sent.map_err(|_| CallerDisconnected)
+    }
+
+    /// Waits until the caller has disconnected.
+    pub(crate) async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
+
 /// The body of a response.
 ///
 /// A stream is complete only after [`StreamChunk::End`]: a channel that closes without it is a
@@ -42,6 +94,17 @@
     pub(crate) fn full(bytes: Bytes) -> ResponseBody {
         ResponseBody::Full(Some(bytes))
     }
+
+    /// A stream whose unread bytes are held within the account.
+    pub(crate) fn stream(account: &ByteAccount) -> (StreamSender, ResponseBody) {
+        let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+        let sender = StreamSender {
+            tx,
+            free: Arc::new(Semaphore::new(STREAM_BUFFER_BYTES)),
+            account: account.clone(),
+        };
+        (sender, ResponseBody::Stream(rx))
+    }
 }
 
 impl Body for ResponseBody {
@@ -58,7 +121,7 @@
                 Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
             }
             ResponseBody::Stream(rx) => rx.poll_recv(cx).map(|chunk| match chunk {
-                Some(StreamChunk::Events(events)) => Some(Ok(Frame::data(events))),
+                Some(StreamChunk::Events { events, .. }) => Some(Ok(Frame::data(events))),
                 Some(StreamChunk::End) => None,
                 None => Some(Err(Truncated)),
             }),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,10 +13,10 @@
 use http::{HeaderMap, Response, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tracing::info;
 
-use crate::body::{ResponseBody, StreamChunk};
+use crate::body::{CallerDisconnected, ResponseBody, StreamSender};
 use crate::call::Call;
 use crate::core::Core;
 use crate::crash_detection::Broken;
@@ -31,8 +31,6 @@
 use crate::stream::hedge::Moved;
 use crate::{admission, crash_detection, host_signals, quarantine};
 
-/// Chunks that are buffered for a slow caller before its stream stops reading from the host.
-const STREAM_BUFFER_CHUNKS: usize = 64;
 /// Refusals by hosts after which a call is refused: each came from a host that was fuller than
 /// reported, and by then the load reports are a second old.
 const MAX_REFUSALS: u32 = 4;
@@ -113,11 +111,7 @@
 }
 
 /// Waits until a response should no longer be forwarded.
-async fn wait_for_stop<P: Platform>(
-    core: &Core<P>,
-    call: &Call,
-    tx: &mpsc::Sender<StreamChunk>,
-) -> StopReason {
+async fn wait_for_stop<P: Platform>(core: &Core<P>, call: &Call, tx: &StreamSender) -> StopReason {
     tokio::select! {
         () = tokio::time::sleep(call.remaining()) => StopReason::DeadlineExceeded,
         () = tx.closed() => StopReason::CallerDisconnected,
@@ -435,8 +429,8 @@
         if status != StatusCode::OK {
             return self.forward_full(started, status, headers).await;
         }
-        let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        let mut response = Response::new(ResponseBody::Stream(rx));
+        let (tx, body) = ResponseBody::stream(&self.core.account);
+        let mut response = Response::new(body);
         *response.headers_mut() = headers;
         tokio::spawn(async move { self.forward_events(started, tx).await });
         Ok(response)
@@ -467,11 +461,7 @@
     }
 
     /// Forwards events and, if the stream breaks, resumes it at another replica.
-    async fn forward_events(
-        mut self,
-        mut started: StartedResponse<P>,
-        tx: mpsc::Sender<StreamChunk>,
-    ) {
+    async fn forward_events(mut self, mut started: StartedResponse<P>, tx: StreamSender) {
         loop {
             let end = self.forward_until_end(&mut started, &tx).await;
             if let ReadEnd::Moved(moved) = end {
@@ -480,7 +470,7 @@
                 self.check_for_crash_later(&started.slot);
                 (self, started) = (moved.call, moved.started);
                 self.core.wake_waiting_requests();
-                if let Err(reason) = self.send(&tx, StreamChunk::Events(moved.events)).await {
+                if let Err(reason) = self.send_events(&tx, moved.events).await {
                     return self.abort(reason);
                 }
                 continue;
@@ -524,7 +514,7 @@
     async fn forward_until_end(
         &mut self,
         started: &mut StartedResponse<P>,
-        tx: &mpsc::Sender<StreamChunk>,
+        tx: &StreamSender,
     ) -> ReadEnd<P> {
         loop {
             started.slot.await_chunk();
@@ -564,7 +554,7 @@
                 started.has_survived = true;
                 quarantine::on_survived(&self.core, &self.call, &self.service);
             }
-            if let Err(reason) = self.send(tx, StreamChunk::Events(events.bytes)).await {
+            if let Err(reason) = self.send_events(tx, events.bytes).await {
                 return ReadEnd::Stopped(reason);
             }
         }
@@ -575,7 +565,7 @@
         &self,
         response: &mut TargetResponse,
         slot: &SlotGuard<P>,
-        tx: &mpsc::Sender<StreamChunk>,
+        tx: &StreamSender,
     ) -> Result<Result<Option<Bytes>, BodyError>, ReadEnd<P>> {
         // A second run that was in progress ended with the wait for the part before.
         self.second_run.send_replace(false);
@@ -605,21 +595,25 @@
             && self.events.last_id().is_none()
     }
 
-    async fn send(
+    async fn send_events(&self, tx: &StreamSender, events: Bytes) -> Result<(), StopReason> {
+        self.until_stopped(tx, tx.send_events(events)).await
+    }
+
+    async fn until_stopped(
         &self,
-        tx: &mpsc::Sender<StreamChunk>,
-        chunk: StreamChunk,
+        tx: &StreamSender,
+        sent: impl Future<Output = Result<(), CallerDisconnected>>,
     ) -> Result<(), StopReason> {
         tokio::select! {
-            sent = tx.send(chunk) => sent.map_err(|_| StopReason::CallerDisconnected),
+            sent = sent => sent.map_err(|CallerDisconnected| StopReason::CallerDisconnected),
             reason = wait_for_stop(&self.core, &self.call, tx) => Err(reason),
         }
     }
 
     /// Sends the end of the stream. The slot at the host was released before, so that a slow caller
     /// doesn't hold it.
-    async fn finish(&self, tx: &mpsc::Sender<StreamChunk>) {
-        match self.send(tx, StreamChunk::End).await {
+    async fn finish(&self, tx: &StreamSender) {
+        match self.until_stopped(tx, tx.send_end()).await {
             Ok(()) => self.count_end("answered"),
             Err(reason) => self.abort(reason),
         }
