Charge requests in progress and relayed connections

A request without a body and a connection relayed for another node were held without being counted: their tasks, socket buffers and frames are as much as many small bodies. They are charged with what they hold at most, 32 KB for a request until its response is sent, 192 KB for a tunnel while it is open. A request that doesn't fit is refused before its body is read, a tunnel as one that is unavailable, so that the asking node goes to another one.

--- a/crates/gateway/src/host_relay.rs
+++ b/crates/gateway/src/host_relay.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use eelgrassmill_account::HeldKind;
 use eelgrassmill_base::{HostId, NodeId};
 use eelgrassmill_engine::{Relay, RelayEnd, RelayError, RelayRequest, RelayStream, SendError};
 use eelgrassmill_fleet::RelayChoice;
@@ -25,6 +26,9 @@
 
 /// Tunnels that this node carries for others: several times the requests that run at one node.
 const MAX_TUNNELS: usize = 256;
+/// What a tunnel for another node holds at most, in bytes: frames and the flow-control windows both
+/// ways.
+const TUNNEL_BYTES: usize = 192 << 10;
 /// Tunnels that this node opens at the same time.
 const MAX_OPENING: usize = 256;
 /// Timeout of a tunnel: connecting to a host takes 1 to 5 ms, and as long to another node.
@@ -196,6 +200,8 @@
     }
     let permit = Arc::clone(&core.host_relay.carried).try_acquire_owned();
     let permit = permit.map_err(|_| TunnelError::Unavailable)?;
+    let charge = core.account.try_charge(HeldKind::Relay, TUNNEL_BYTES);
+    let charge = charge.map_err(|_| TunnelError::Unavailable)?;
     // The calling node's time includes the way here and back.
     let opened = tokio::time::timeout(timeout.mul_f64(0.8), core.http.open_for_peer(address));
     let stream = match opened.await {
@@ -214,6 +220,7 @@
     Ok(HostConnection {
         stream,
         permit,
+        charge,
         closing: core.exiting(),
     })
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_account::{
-    ByteAccount, ClientStream, Connection, ConnectionTable, DrainLimits, Held, ReadError,
+    ByteAccount, ClientStream, Connection, ConnectionTable, DrainLimits, Held, HeldKind, ReadError,
     drain_body, read_body,
 };
 use eelgrassmill_fleet::{Caller, CallerLimits, Route, RouteError};
@@ -55,6 +55,9 @@
 const MAX_LAST_ACCEPTED: usize = 1024;
 /// Allowance beyond the deadline for an attempt to report that the deadline was exceeded.
 const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
+/// What a request in progress takes beside its body and response, in bytes: its task, the socket
+/// buffer of its connection and the buffers of a connection to a host.
+const REQUEST_BYTES: usize = 32 << 10;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -345,7 +348,15 @@
         .map_or("/", |p| p.as_str())
         .into();
     let connection = parts.extensions.remove::<Connection>();
-    let body = match read_body(&mut body, &core.account, max_bytes, deadline).await {
+    let read = async {
+        let charge = core.account.charge(HeldKind::InProgress, REQUEST_BYTES);
+        let charge = charge.await?;
+        if let Some(connection) = &connection {
+            connection.hold(charge);
+        }
+        read_body(&mut body, &core.account, max_bytes, deadline).await
+    };
+    let body = match read.await {
         Ok(body) => body,
         Err(err) => {
             if matches!(err, ReadError::TooLong | ReadError::OutOfMemory) {
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::time::Duration;
 
+use eelgrassmill_account::Charge;
 use prost::bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -70,6 +71,8 @@
     pub stream: TcpStream,
     /// Held while the tunnel is open.
     pub permit: OwnedSemaphorePermit,
+    /// What the tunnel is charged, held as long.
+    pub charge: Charge,
     /// Closes the tunnel once it is set.
     pub closing: watch::Receiver<bool>,
 }
@@ -135,7 +138,7 @@
                 let _ = tx.try_send(Err(Status::unavailable("the relay is stopping")));
             }
         }
-        drop(host.permit);
+        drop((host.permit, host.charge));
     });
     ReceiverStream::new(rx)
 }
