Bound what a node of the own interface holds for callers

Silent connections held all places of the port for the 10 s in which a head may come.

The callers' port uses the same account and table as the other entry: bodies, whole answers and streams are charged until the last clone of their bytes is dropped, calls in progress with 32 KB; [limits] memory_mb is new and 256 when left out, half of it for callers. A call that doesn't fit is refused as not run with Retry-After. When all connections are taken, one that has waited for its caller for over 1 s is closed for another; connections are checked at the start against two fifths of the process's descriptors.

--- a/crates/account/src/body.rs
+++ b/crates/account/src/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::Body;
 use tokio::sync::Notify;
 
-use crate::bytes_account::{AccountFull, ByteAccount, Charge};
+use crate::bytes_account::{AccountFull, ByteAccount, Charge, HeldKind};
 use crate::storage::{MAX_HEAP_BYTES, Storage};
 
 /// Bytes after which a client has made progress.
@@ -258,6 +258,15 @@
         })
     }
 
+    /// A buffer for a response whose length isn't known.
+    pub fn empty(account: &ByteAccount, max: usize) -> ResponseBuffer {
+        ResponseBuffer {
+            charge: account.empty_charge(HeldKind::Response),
+            storage: Storage::default(),
+            max,
+        }
+    }
+
     /// Appends bytes that have been received, once the account has room.
     ///
     /// # Errors
--- a/crates/account/src/bytes_account.rs
+++ b/crates/account/src/bytes_account.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use eelgrassmill_base::value;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
@@ -74,6 +73,11 @@
 }
 
 impl AccountUsage {
+    /// Evictions and refusals so far.
+    pub fn shortages(&self) -> u64 {
+        self.evicted_bodies + self.evicted_connections + self.refused
+    }
+
     /// Bytes of all kinds.
     pub fn total(&self) -> usize {
         self.held.iter().sum()
@@ -116,18 +120,6 @@
     bytes: usize,
 }
 
-/// A part of a response with what it is charged.
-struct HeldPart {
-    bytes: Bytes,
-    _charge: Charge,
-}
-
-impl AsRef<[u8]> for HeldPart {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl ByteAccount {
     /// An account of at most `limit` bytes.
     pub fn new(limit: usize) -> ByteAccount {
@@ -175,16 +167,6 @@
         charge
     }
 
-    /// Charges a part of a response until its last clone is dropped: waits until the account has
-    /// room.
-    pub async fn hold_response(&self, bytes: Bytes) -> Bytes {
-        let charge = self.charge_response(bytes.len()).await;
-        Bytes::from_owner(HeldPart {
-            bytes,
-            _charge: charge,
-        })
-    }
-
     /// Charges without regard to the limit. For what is bounded elsewhere and must not wait.
     pub fn charge_always(&self, kind: HeldKind, bytes: usize) -> Charge {
         self.state().usage.held[kind as usize] += bytes;
--- a/crates/account/src/connection.rs
+++ b/crates/account/src/connection.rs
@@ -23,8 +23,11 @@
 pub const SEND_BUFFER_BYTES: u32 = 64 << 10;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Time after which a connection that has not brought a request may be closed for another one.
-const MIN_WAIT: Duration = Duration::from_millis(200);
+/// Time after which a connection that waits for its client may be closed for another one, unless
+/// another time is set.
+const MIN_WAIT: Duration = Duration::from_millis(500);
+/// How often a full table is looked at for such a connection: it becomes one without an event.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Listens on `address` with bounded socket buffers for each connection.
 ///
@@ -70,9 +73,12 @@
     freed: Notify,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     limit: usize,
+    min_wait: Duration,
+    /// Most connections that have brought no whole request, if that is bounded apart.
+    unproven_limit: Option<usize>,
     next_id: u64,
     open: BTreeMap<u64, Connection>,
     evicted: u64,
@@ -122,7 +128,11 @@
     pub fn new(limit: usize) -> ConnectionTable {
         let state = State {
             limit,
-            ..State::default()
+            min_wait: MIN_WAIT,
+            unproven_limit: None,
+            next_id: 0,
+            open: BTreeMap::new(),
+            evicted: 0,
         };
         ConnectionTable {
             shared: Arc::new(Shared {
@@ -132,6 +142,18 @@
         }
     }
 
+    /// Sets how long a connection has to wait for its client before it may be closed for another one.
+    pub fn evict_after(self, min_wait: Duration) -> ConnectionTable {
+        self.state().min_wait = min_wait;
+        self
+    }
+
+    /// Also bounds the connections that have brought no whole request yet.
+    pub fn limit_unproven(self, limit: usize) -> ConnectionTable {
+        self.state().unproven_limit = Some(limit);
+        self
+    }
+
     /// Changes the limit. Open connections beyond it stay until they are closed.
     pub fn set_limit(&self, limit: usize) {
         self.state().limit = limit;
@@ -163,28 +185,74 @@
             tokio::pin!(freed);
             freed.as_mut().enable();
             if let Some((id, connection)) = self.try_add() {
-                return ClientStream {
-                    io,
-                    connection,
-                    id,
-                    table: self.clone(),
-                    account: account.clone(),
-                    unread_id: None,
-                    write_timeout,
-                    stall: None,
-                    untrusted: None,
-                };
+                return self.stream(io, id, connection, account, write_timeout);
+            }
+            self.state().evict(Instant::now());
+            let _ = tokio::time::timeout(RECHECK_INTERVAL, freed).await;
+        }
+    }
+
+    /// Like [`ConnectionTable::admit`], but doesn't wait. `None` if all connections are taken and none
+    /// can be closed.
+    pub async fn try_admit<T>(
+        &self,
+        io: T,
+        account: &ByteAccount,
+        write_timeout: Duration,
+    ) -> Option<ClientStream<T>> {
+        let mut may_evict = true;
+        loop {
+            let freed = self.shared.freed.notified();
+            tokio::pin!(freed);
+            freed.as_mut().enable();
+            if let Some((id, connection)) = self.try_add() {
+                return Some(self.stream(io, id, connection, account, write_timeout));
+            }
+            if !std::mem::take(&mut may_evict) || !self.state().evict(Instant::now()) {
+                return None;
             }
-            // A connection becomes idle without an event.
-            let _ = tokio::time::timeout(MIN_WAIT, freed).await;
+            let _ = tokio::time::timeout(RECHECK_INTERVAL, freed).await;
         }
     }
 
-    /// Adds a connection, or closes one to make room.
+    /// Waits until no connection is open.
+    pub async fn wait_empty(&self) {
+        loop {
+            let freed = self.shared.freed.notified();
+            tokio::pin!(freed);
+            freed.as_mut().enable();
+            if self.state().open.is_empty() {
+                return;
+            }
+            freed.await;
+        }
+    }
+
+    fn stream<T>(
+        &self,
+        io: T,
+        id: u64,
+        connection: Connection,
+        account: &ByteAccount,
+        write_timeout: Duration,
+    ) -> ClientStream<T> {
+        ClientStream {
+            io,
+            connection,
+            id,
+            table: self.clone(),
+            account: account.clone(),
+            unread_id: None,
+            write_timeout,
+            stall: None,
+            untrusted: None,
+        }
+    }
+
+    /// Adds a connection if there is room.
     fn try_add(&self) -> Option<(u64, Connection)> {
         let mut state = self.state();
-        if state.open.len() >= state.limit {
-            state.evict(Instant::now());
+        if state.is_full() {
             return None;
         }
         state.next_id += 1;
@@ -205,12 +273,22 @@
 }
 
 impl State {
-    fn evict(&mut self, now: Instant) {
+    fn is_full(&self) -> bool {
+        let unproven = || self.open.values().filter(|c| !c.lock().is_proven).count();
+        let has_unproven = |limit| unproven() >= limit;
+        self.open.len() >= self.limit || self.unproven_limit.is_some_and(has_unproven)
+    }
+
+    /// Closes the connection that waits longest for its client, if one waits for long enough.
+    fn evict(&mut self, now: Instant) -> bool {
         let ranked = self.open.values().filter_map(|c| Some((c.rank(now)?, c)));
-        if let Some((_, connection)) = ranked.max_by_key(|(rank, _)| *rank) {
-            connection.evict();
-            self.evicted += 1;
-        }
+        let slow = ranked.filter(|((_, wait), _)| *wait >= self.min_wait);
+        let Some((_, connection)) = slow.max_by_key(|(rank, _)| *rank) else {
+            return false;
+        };
+        connection.evict();
+        self.evicted += 1;
+        true
     }
 }
 
@@ -278,14 +356,12 @@
             .unread_since
             .map(|at| now.saturating_duration_since(at));
         let waits = now.saturating_duration_since(state.since);
-        let is_slow = waits >= MIN_WAIT;
         match (state.phase, unread) {
-            (Phase::Receiving, _) if is_slow => Some((3, waits)),
-            (Phase::Idle, None) if is_slow && !state.is_proven => Some((3, waits)),
-            (Phase::Idle, None) if state.is_proven => Some((2, waits)),
-            (_, Some(unread)) if unread >= MIN_WAIT => Some((1, unread)),
-            (Phase::Running, _) => None,
-            _ => Some((0, waits)),
+            (Phase::Receiving, _) => Some((3, waits)),
+            (Phase::Idle, None) if !state.is_proven => Some((3, waits)),
+            (Phase::Idle, None) => Some((2, waits)),
+            (_, Some(unread)) => Some((1, unread)),
+            (Phase::Running, None) => None,
         }
     }
 
--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -13,7 +13,9 @@
 mod bytes_account;
 mod connection;
 mod in_progress;
+mod pressure;
 mod storage;
+mod window;
 
 pub use crate::body::{BodyBuffer, DrainLimits, ReadError, ResponseBuffer, drain_body, read_body};
 pub use crate::bytes_account::{AccountFull, AccountUsage, ByteAccount, Charge, HeldKind};
@@ -22,3 +24,5 @@
     RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, listen,
 };
 pub use crate::in_progress::Held;
+pub use crate::pressure::Pressure;
+pub use crate::window::ResponseWindow;
--- a/crates/core/tests/pages.rs
+++ b/crates/core/tests/pages.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use eelgrassmill_account::{AccountUsage, ConnectionUsage};
 use eelgrassmill_base::Urgency;
 use eelgrassmill_config::{CONFIG_SECTIONS, Config, SectionKeys};
 use eelgrassmill_node::{
@@ -75,6 +76,8 @@
     metrics.add_peer_bytes(0, 0);
     metrics.admin_refused(AdminRefusal::TooSlow);
     metrics.set_groups(0, 0);
+    metrics.set_client_bytes(&AccountUsage::default());
+    metrics.set_connections("callers", &ConnectionUsage::default());
     let page = page("docs/REFERENCE.md");
     let rendered = metrics.render();
     let names: Vec<&str> = rendered
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,13 +2,12 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use eelgrassmill_account::ByteAccount;
+use eelgrassmill_account::{ByteAccount, ResponseWindow};
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::mpsc;
 
 /// The response was cut off. hyper then closes the connection without the final chunk, so that the
 /// caller detects the incomplete response.
@@ -24,18 +23,11 @@
 
 /// Chunks of a stream that its caller hasn't read.
 const STREAM_BUFFER_CHUNKS: usize = 64;
-/// Bytes of a stream that its caller hasn't read, unless one chunk is longer. Beyond them its stream
-/// is no longer read from the host.
-const STREAM_BUFFER_BYTES: usize = 64 << 10;
 
 /// A part of a forwarded stream.
 #[derive(Debug)]
 pub(crate) enum StreamChunk {
-    Events {
-        events: Bytes,
-        /// Its part of the stream's buffer.
-        _permit: OwnedSemaphorePermit,
-    },
+    Events(Bytes),
     /// All events were sent.
     End,
 }
@@ -48,24 +40,15 @@
 #[derive(Debug)]
 pub(crate) struct StreamSender {
     tx: mpsc::Sender<StreamChunk>,
-    /// The free bytes of the buffer.
-    free: Arc<Semaphore>,
-    account: ByteAccount,
+    window: ResponseWindow,
 }
 
 impl StreamSender {
     /// Sends events once the caller has read those before them.
     pub(crate) async fn send_events(&self, events: Bytes) -> Result<(), CallerDisconnected> {
-        let bytes = events.len().min(STREAM_BUFFER_BYTES) as u32;
-        let permit = Arc::clone(&self.free).acquire_many_owned(bytes).await;
-        // The semaphore is never closed.
-        let permit = permit.map_err(|_| CallerDisconnected)?;
-        let events = self.account.hold_response(events).await;
-        let chunk = StreamChunk::Events {
-            events,
-            _permit: permit,
-        };
-        self.tx.send(chunk).await.map_err(|_| CallerDisconnected)
+        let events = self.window.hold(events).await;
+        let sent = self.tx.send(StreamChunk::Events(events)).await;
+        sent.map_err(|_| CallerDisconnected)
     }
 
     /// Sends the end of a complete stream.
@@ -100,8 +83,7 @@
         let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
         let sender = StreamSender {
             tx,
-            free: Arc::new(Semaphore::new(STREAM_BUFFER_BYTES)),
-            account: account.clone(),
+            window: ResponseWindow::new(account),
         };
         (sender, ResponseBody::Stream(rx))
     }
@@ -121,7 +103,7 @@
                 Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
             }
             ResponseBody::Stream(rx) => rx.poll_recv(cx).map(|chunk| match chunk {
-                Some(StreamChunk::Events { events, .. }) => Some(Ok(Frame::data(events))),
+                Some(StreamChunk::Events(events)) => Some(Ok(Frame::data(events))),
                 Some(StreamChunk::End) => None,
                 None => Some(Err(Truncated)),
             }),
--- a/crates/gateway/src/client_limits.rs
+++ b/crates/gateway/src/client_limits.rs
@@ -1,9 +1,9 @@
 //! Metrics and log lines of what the node holds for callers.
 
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use eelgrassmill_account::{AccountUsage, ConnectionUsage, HeldKind};
+use eelgrassmill_account::{AccountUsage, ConnectionUsage, HeldKind, Pressure};
 use tracing::info;
 
 use crate::core::Core;
@@ -11,9 +11,6 @@
 use crate::metrics::Metrics;
 use crate::ports::Platform;
 
-/// Time without an eviction or refusal after which a limit is no longer reached.
-const CALM_TIME: Duration = Duration::from_secs(5);
-
 /// The ports of [`Core::ports`], by their names in metrics and logs.
 pub(crate) const PORTS: [&str; 3] = ["callers", "ready", "directory"];
 
@@ -27,36 +24,11 @@
     connections: [Pressure; PORTS.len()],
 }
 
-/// Whether a limit is reached.
-#[derive(Debug, Default)]
-struct Pressure {
-    /// Evictions and refusals until the last observation.
-    events: u64,
-    last_event: Option<Instant>,
-}
-
-impl Pressure {
-    /// Whether the limit is reached, if that has changed.
-    fn observe(&mut self, events: u64, now: Instant) -> Option<bool> {
-        if std::mem::replace(&mut self.events, events) < events {
-            let was_reached = self.last_event.replace(now).is_some();
-            return (!was_reached).then_some(true);
-        }
-        let is_over = |at: Instant| now.saturating_duration_since(at) >= CALM_TIME;
-        let ended = self.last_event.take_if(|at| is_over(*at));
-        ended.map(|_| false)
-    }
-}
-
-fn memory_events(usage: &AccountUsage) -> u64 {
-    usage.evicted_bodies + usage.evicted_connections + usage.refused
-}
-
 /// Logs when a limit is reached and when it no longer is.
 pub(crate) fn observe<P: Platform>(core: &Core<P>, now: Instant) {
     let mut state = locked(&core.client_pressure.0);
     let usage = core.account.usage();
-    if let Some(is_short) = state.memory.observe(memory_events(&usage), now) {
+    if let Some(is_short) = state.memory.observe(usage.shortages(), now) {
         info!(
             event = "client-memory",
             outcome = if is_short { "short" } else { "free" },
--- a/crates/node/src/entry/answer.rs
+++ b/crates/node/src/entry/answer.rs
@@ -13,7 +13,7 @@
 use crate::state::core::Core;
 
 /// Largest answer that is buffered, in bytes.
-const MAX_ANSWER: usize = 16 * 1024 * 1024;
+pub(crate) const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
 /// A whole answer.
 #[derive(Clone, Debug)]
@@ -50,7 +50,7 @@
     let status = response.status;
     let content_type = response.headers.get(header::CONTENT_TYPE).cloned();
     let left = call.left(std::time::Instant::now());
-    let reading = response.read_whole(MAX_ANSWER);
+    let reading = response.read_whole_within(&core.account, MAX_ANSWER);
     let body = match tokio::time::timeout(left, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(err)) => {
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use eelgrassmill_account::{Connection, HeldKind};
 use eelgrassmill_base::{Outcome, Tokens};
 use eelgrassmill_config::{Config, Service, ServiceKind, Tenant};
 use eelgrassmill_engine::StreamEvent;
@@ -30,6 +31,9 @@
 use crate::state::lock::lock;
 use crate::state::shard::{Avoided, Shard};
 
+/// What a call in progress takes beside its body and answer, in bytes: its task, the socket buffer
+/// of its connection and the buffers of a connection to a target.
+const REQUEST_BYTES: usize = 32 << 10;
 /// Estimated cost of a call of a plain service, in tokens.
 const PLAIN_COST: Tokens = 1;
 
@@ -56,7 +60,7 @@
             Err(problem) => {
                 // A caller that waits for 100 Continue must not be asked for the body.
                 if !parts.headers.contains_key(header::EXPECT) {
-                    tokio::spawn(parse::discard_body(body, deadline));
+                    tokio::spawn(parse::drain_body(body, deadline));
                 }
                 problem.into_response()
             }
@@ -80,7 +84,19 @@
         }
         let tenant = tenant(&cfg, &parts.headers)?;
         let wishes = parse::wishes(parts)?;
-        let body = parse::read_body(body, body_deadline).await?;
+        let connection = parts.extensions.get::<Connection>();
+        let charge = self
+            .core
+            .account
+            .charge(HeldKind::InProgress, REQUEST_BYTES);
+        let charge = charge.await.map_err(|_| parse::out_of_memory())?;
+        if let Some(connection) = connection {
+            connection.hold(charge);
+        }
+        let body = parse::read_body(body, &self.core.account, body_deadline).await?;
+        if let Some(connection) = connection {
+            connection.mark_received();
+        }
         let call = self.call(&cfg, tenant, route, parts, wishes, body)?;
         lock(&self.core.retries).deposit(&call.tenant);
         self.core.count(&call.tenant, |c| c.admitted += 1);
@@ -125,7 +141,7 @@
         match run(&self.core, &call).await? {
             Ran::Whole(whole) => Ok(whole.into_response()),
             Ran::Stream(relay, first) => {
-                let (audience, body) = super::relay::Audience::new(false);
+                let (audience, body) = super::relay::Audience::new(&self.core.account, false);
                 tokio::spawn(relay.run(first, audience));
                 Ok(super::relay::response(body))
             }
--- a/crates/node/src/entry/listen.rs
+++ b/crates/node/src/entry/listen.rs
@@ -10,13 +10,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassmill_account::{ByteAccount, ClientStream, ConnectionTable, Held};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 use super::body::AnswerBody;
 
@@ -26,6 +27,8 @@
 const MAX_HEADERS: usize = 64;
 /// Largest head of one request, in bytes; hyper's floor is 8 KiB.
 const MAX_HEAD: usize = 32 * 1024;
+/// A caller that reads nothing of its answer for this long is cut off.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long accepting pauses when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -36,19 +39,17 @@
 
 /// Accepts connections until `stop` turns true, then waits for every request in progress.
 ///
-/// At most `max_connections` are held at once; more wait in the kernel's
-/// queue, where they cost nothing.
+/// When all connections of the table are taken, the one that waits longest for its caller is closed
+/// for another one. While all of them run requests, more wait in the kernel's queue, where they
+/// cost nothing.
 pub(crate) async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
-    max_connections: usize,
+    connections: ConnectionTable,
+    account: ByteAccount,
     mut stop: watch::Receiver<bool>,
 ) {
-    let slots = Arc::new(Semaphore::new(max_connections));
     loop {
-        let Ok(permit) = slots.clone().acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|s| *s) => break,
@@ -57,31 +58,34 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let handler = handler.clone();
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            connection(stream, remote, handler, stop).await;
-            drop(permit);
-        });
+        let stream = tokio::select! {
+            stream = connections.admit(stream, &account, WRITE_TIMEOUT) => stream,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        tokio::spawn(connection(stream, remote, handler.clone(), stop.clone()));
     }
     drop(listener);
-    // All permits free means that no connection is left.
-    let all = u32::try_from(max_connections).unwrap_or(u32::MAX);
-    let _ = slots.acquire_many(all).await;
+    connections.wait_empty().await;
 }
 
 async fn connection<H: Handler>(
-    stream: TcpStream,
+    stream: ClientStream<TcpStream>,
     remote: SocketAddr,
     handler: Arc<H>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Tokens are small writes; waiting to join them would delay each.
-    let _ = stream.set_nodelay(true);
+    let _ = stream.get_ref().set_nodelay(true);
+    let entry = stream.connection().clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
+        let active = entry.begin_request();
         req.extensions_mut().insert(remote);
+        req.extensions_mut().insert(entry.clone());
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        async move {
+            let resp = handler.handle(req).await;
+            Ok::<_, Infallible>(resp.map(|body| Held::new(body, active)))
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/node/src/entry/parse/mod.rs
+++ b/crates/node/src/entry/parse/mod.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use eelgrassmill_account::{ByteAccount, DrainLimits, ReadError};
 use eelgrassmill_base::{IdempotencyKey, ServiceName, Tokens, Urgency};
 use http::request::Parts;
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -17,6 +17,8 @@
 pub(crate) const MAX_BODY: usize = 1024 * 1024;
 /// A caller that has not sent its whole body after this long is refused.
 pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// When a caller may come back whose request didn't fit into memory.
+const OUT_OF_MEMORY_RETRY: Duration = Duration::from_secs(1);
 /// Longest idempotency key, in bytes.
 const MAX_KEY: usize = 200;
 /// Longest deadline a caller may ask for.
@@ -205,49 +207,42 @@
         .map(str::trim)
 }
 
-/// Reads the whole body, within its limits of size and until `deadline`.
-pub(crate) async fn read_body(body: &mut Incoming, deadline: Instant) -> Result<Bytes, Problem> {
-    let read = async {
-        let mut buf = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| bad("the body broke off"))?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if buf.len() + data.len() > MAX_BODY {
-                return Err(Problem::not_run(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    format!("the body is larger than {MAX_BODY} bytes"),
-                ));
-            }
-            buf.extend_from_slice(&data);
+/// Reads the whole body, within the account and its limits of size and until `deadline`.
+pub(crate) async fn read_body(
+    body: &mut Incoming,
+    account: &ByteAccount,
+    deadline: Instant,
+) -> Result<Bytes, Problem> {
+    let read = eelgrassmill_account::read_body(body, account, MAX_BODY, deadline);
+    read.await.map_err(body_problem)
+}
+
+fn body_problem(err: ReadError) -> Problem {
+    let status = match err {
+        ReadError::TooLong => {
+            let detail = format!("the body is larger than {MAX_BODY} bytes");
+            return Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail);
         }
-        Ok(buf.freeze())
+        ReadError::Broken => return bad("the body broke off"),
+        ReadError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        ReadError::OutOfMemory => return out_of_memory(),
     };
-    match tokio::time::timeout_at(deadline.into(), read).await {
-        Ok(read) => read,
-        Err(_) => Err(Problem::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body took too long to arrive",
-        )),
-    }
+    Problem::not_run(status, err.to_string())
 }
 
-/// Reads the rest of a refused request's body until `deadline` while the answer is sent, at most as
-/// much as an accepted one may have. Closing a connection with unread bytes resets it, and a caller that is still sending may
-/// never see the answer.
-pub(crate) async fn discard_body(mut body: Incoming, deadline: Instant) {
-    let mut left = MAX_BODY;
-    let read = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            let bytes = frame.data_ref().map_or(0, Bytes::len);
-            let Some(rest) = left.checked_sub(bytes) else {
-                break;
-            };
-            left = rest;
-        }
+/// What a caller is told whose request doesn't fit into the memory for callers.
+pub(crate) fn out_of_memory() -> Problem {
+    let detail = ReadError::OutOfMemory.to_string();
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail).retry_after(OUT_OF_MEMORY_RETRY)
+}
+
+/// Reads the rest of a refused request's body until `deadline` while the answer is sent.
+pub(crate) async fn drain_body(body: Incoming, deadline: Instant) {
+    let limits = DrainLimits {
+        bytes: MAX_BODY,
+        deadline,
     };
-    let _ = tokio::time::timeout_at(deadline.into(), read).await;
+    eelgrassmill_account::drain_body(body, limits).await;
 }
 
 /// Reads a completion's body.
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use eelgrassmill_account::{ByteAccount, ResponseBuffer, ResponseWindow};
 use eelgrassmill_base::{Outcome, Tokens};
 use eelgrassmill_engine::{BodyError, StreamEvent, TokenEvent, TokenStream};
 use eelgrassmill_route::{LatencySample, may_retry};
@@ -12,6 +13,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::{mpsc, oneshot};
 
+use super::answer::MAX_ANSWER;
 use super::attempt::{self, Attempt, NotStarted, Started};
 use super::body::{AnswerBody, Broken};
 use super::call::{Call, Failure};
@@ -32,8 +34,9 @@
 /// Where the tokens go.
 pub(crate) struct Audience {
     tx: mpsc::Sender<Result<Bytes, Broken>>,
+    window: ResponseWindow,
     /// The whole stream so far, for calls whose answer is kept for repeats.
-    kept: Option<BytesMut>,
+    kept: Option<ResponseBuffer>,
 }
 
 /// A stream on its way from an engine to a caller.
@@ -67,11 +70,12 @@
 
 impl Audience {
     /// An audience and the body that its tokens come out of.
-    pub(crate) fn new(keep: bool) -> (Audience, AnswerBody) {
+    pub(crate) fn new(account: &ByteAccount, keep: bool) -> (Audience, AnswerBody) {
         let (tx, rx) = mpsc::channel(BACKLOG);
         let audience = Audience {
             tx,
-            kept: keep.then(BytesMut::new),
+            window: ResponseWindow::new(account),
+            kept: keep.then(|| ResponseBuffer::empty(account, MAX_ANSWER)),
         };
         (audience, AnswerBody::Stream(rx))
     }
@@ -81,9 +85,19 @@
     /// A call whose answer is kept runs to its end though its caller has left:
     /// the caller asks again under the same key, and the call can't run twice.
     async fn push(&mut self, bytes: Bytes) -> bool {
-        if let Some(kept) = &mut self.kept {
-            kept.extend_from_slice(&bytes);
+        if let Some(kept) = &mut self.kept
+            && kept.push(&bytes).await.is_err()
+        {
+            // Longer than any answer that is kept: a repeat is told that it may have run.
+            self.kept = None;
         }
+        if self.tx.is_closed() {
+            return self.kept.is_some();
+        }
+        let bytes = tokio::select! {
+            bytes = self.window.hold(bytes) => bytes,
+            () = self.tx.closed() => return self.kept.is_some(),
+        };
         let taken = self.tx.send(Ok(bytes)).await.is_ok();
         taken || self.kept.is_some()
     }
@@ -244,7 +258,7 @@
         if !audience.push(Bytes::from_static(DONE)).await {
             return Ended::CallerLeft;
         }
-        Ended::Whole(audience.kept.map(BytesMut::freeze))
+        Ended::Whole(audience.kept.map(ResponseBuffer::finish))
     }
 
     fn used(&self) -> Tokens {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin_token;
 mod apply;
 mod backend;
+mod client_limits;
 mod entry;
 mod group_rows;
 mod loops;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use eelgrassmill_account::{AccountUsage, ConnectionUsage, HeldKind};
 use eelgrassmill_base::Urgency;
 use prometheus::{
     Counter, CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
@@ -43,6 +44,12 @@
     table_calls: IntCounterVec,
     peer_bytes: IntCounterVec,
     admin_refusals: IntCounterVec,
+    client_bytes: IntGaugeVec,
+    client_bytes_limit: IntGauge,
+    client_memory_short: IntCounterVec,
+    connections: IntGaugeVec,
+    connections_limit: IntGaugeVec,
+    connections_evicted: IntCounterVec,
     groups: IntGaugeVec,
     config_version: IntGauge,
     /// Values of the tenant label in use. Invariant: at most [`MAX_LABEL_VALUES`].
@@ -108,8 +115,42 @@
                 "Admin calls that were refused.",
                 &["reason"],
             )?,
-            groups: groups(&r)?,
-            config_version: config_version(&r)?,
+            client_bytes: gauges(
+                &r,
+                "client_bytes",
+                "Bytes that are held for callers.",
+                &["kind"],
+            )?,
+            client_bytes_limit: gauge(
+                &r,
+                "client_bytes_limit",
+                "Most bytes that may be held for callers.",
+            )?,
+            client_memory_short: counters(
+                &r,
+                "client_memory_short_total",
+                "What was evicted or refused because the memory for callers was used up.",
+                &["action"],
+            )?,
+            connections: gauges(&r, "connections", "Open connections.", &["port"])?,
+            connections_limit: gauges(
+                &r,
+                "connections_limit",
+                "Most open connections.",
+                &["port"],
+            )?,
+            connections_evicted: counters(
+                &r,
+                "connections_evicted_total",
+                "Connections that were closed for others.",
+                &["port"],
+            )?,
+            groups: gauges(&r, "groups", "Groups as this node sees them.", &["state"])?,
+            config_version: gauge(
+                &r,
+                "config_version",
+                "Version of the configuration in force at this node.",
+            )?,
             tenants: Mutex::default(),
             services: Mutex::default(),
             registry: r,
@@ -213,12 +254,38 @@
             .get()
     }
 
+    /// What the account of bytes holds.
+    pub fn set_client_bytes(&self, usage: &AccountUsage) {
+        for kind in HeldKind::ALL {
+            let gauge = self.client_bytes.with_label_values(&[kind.name()]);
+            gauge.set(gauge_value(usage.held[kind as usize]));
+        }
+        self.client_bytes_limit.set(gauge_value(usage.limit));
+        let actions = [
+            ("body", usage.evicted_bodies),
+            ("connection", usage.evicted_connections),
+            ("refused", usage.refused),
+        ];
+        for (action, total) in actions {
+            let counter = self.client_memory_short.with_label_values(&[action]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
+    /// The connections of a port.
+    pub fn set_connections(&self, port: &str, usage: &ConnectionUsage) {
+        let open = self.connections.with_label_values(&[port]);
+        open.set(gauge_value(usage.open));
+        let limit = self.connections_limit.with_label_values(&[port]);
+        limit.set(gauge_value(usage.limit));
+        let evicted = self.connections_evicted.with_label_values(&[port]);
+        evicted.inc_by(usage.evicted.saturating_sub(evicted.get()));
+    }
+
     /// How many groups this node sees serving and not serving.
     pub fn set_groups(&self, serving: usize, down: usize) {
         let gauge = |state: &str, n| {
-            self.groups
-                .with_label_values(&[state])
-                .set(i64::try_from(n).unwrap_or(i64::MAX));
+            self.groups.with_label_values(&[state]).set(gauge_value(n));
         };
         gauge("serving", serving);
         gauge("down", down);
@@ -299,16 +366,23 @@
     Ok(counter)
 }
 
-fn groups(r: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
-    let help = "Groups as this node sees them.";
-    let gauges = IntGaugeVec::new(Opts::new(full_name("groups"), help), &["state"])?;
+fn gauges(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, prometheus::Error> {
+    let gauges = IntGaugeVec::new(Opts::new(full_name(name), help), labels)?;
     r.register(Box::new(gauges.clone()))?;
     Ok(gauges)
 }
 
-fn config_version(r: &Registry) -> Result<IntGauge, prometheus::Error> {
-    let help = "Version of the configuration in force at this node.";
-    let gauge = IntGauge::new(full_name("config_version"), help)?;
+fn gauge(r: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(full_name(name), help)?;
     r.register(Box::new(gauge.clone()))?;
     Ok(gauge)
 }
+
+fn gauge_value(n: usize) -> i64 {
+    i64::try_from(n).unwrap_or(i64::MAX)
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 
 use crate::admin::{AdminLimits, AdminServer, AdminServerError};
 use crate::backend::Backend;
+use crate::client_limits::{ClientPressure, peer_connections};
 use crate::entry::addresses::takes_no_callers;
 use crate::entry::handler::Entry;
 use crate::entry::listen;
@@ -66,8 +67,6 @@
 const LAST_WORDS: Duration = Duration::from_millis(200);
 /// Period of looking for claims whose time is over.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
-/// Connections that are accepted from other nodes.
-const MAX_PEER_CONNECTIONS: usize = 512;
 /// Threads that carry requests.
 const WORKERS: usize = 4;
 
@@ -125,7 +124,7 @@
             .enable_all()
             .build()
             .map_err(NodeError::Runtime)?;
-        let callers = bind(settings.callers)?;
+        let callers = bind_callers(&runtime, settings.callers)?;
         let admin = bind(settings.admin)?;
         let metrics = Arc::new(Metrics::new()?);
         let platform = platform(&settings, &metrics);
@@ -320,6 +319,14 @@
     moment.saturating_duration_since(Instant::now())
 }
 
+/// Binds the callers' port, with bounded socket buffers for each connection.
+fn bind_callers(runtime: &Runtime, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    let _guard = runtime.enter();
+    let listener = eelgrassmill_account::listen(address);
+    let listener = listener.and_then(tokio::net::TcpListener::into_std);
+    listener.map_err(|error| NodeError::Listen { address, error })
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address).map_err(|error| NodeError::Listen { address, error })
 }
@@ -372,7 +379,7 @@
         },
         listen: ident.peer,
         seeds: core.settings.seeds.clone(),
-        max_connections: MAX_PEER_CONNECTIONS,
+        max_connections: peer_connections(),
     };
     let handler = Arc::new(Peers::new(core.clone(), runtime.handle().clone()));
     let node = PeerNode::start_on(
@@ -455,6 +462,7 @@
     let (load_core, load_peer) = (core.clone(), peer.clone());
     let (news_core, news_peer) = (core.clone(), peer.clone());
     // What start_peer() published: no row is known then.
+    let mut client_pressure = ClientPressure::default();
     let mut was_leaving = true;
     let mut traffic = peer.traffic();
     vec![
@@ -486,6 +494,7 @@
             }
         }),
         every(core, "load", LOAD_PERIOD, move || {
+            client_pressure.observe(&load_core, Instant::now());
             publish_load(&load_core, &load_peer);
             publish_usage(&load_core, &load_peer);
             traffic = count_traffic(&load_core, &load_peer, traffic);
@@ -509,13 +518,13 @@
         core: core.clone(),
         once,
     });
-    let connections = core.settings.limits.connections as usize;
+    let (connections, account) = (core.connections.clone(), core.account.clone());
     runtime.spawn(async move {
         let ready = listener
             .set_nonblocking(true)
             .and_then(|()| tokio::net::TcpListener::from_std(listener));
         match ready {
-            Ok(listener) => listen::serve(listener, entry, connections, stopped).await,
+            Ok(listener) => listen::serve(listener, entry, connections, account, stopped).await,
             Err(err) => tracing::error!(%err, "callers' port does not start"),
         }
     })
--- a/crates/node/src/once/run.rs
+++ b/crates/node/src/once/run.rs
@@ -251,7 +251,7 @@
                 change
             }
             Ok(Ran::Stream(relay, first)) => {
-                let (audience, body) = Audience::new(true);
+                let (audience, body) = Audience::new(&self.core.account, true);
                 drop(tx.send(Ok(response(body))));
                 let outcome = match relay.run(first, audience).await {
                     Ended::Whole(Some(bytes)) => self.keep(&stream_answer(bytes)).await,
@@ -309,9 +309,12 @@
             &whole.body,
         );
         let core = self.core.clone();
+        let charge = core.account.charge_response(whole.body.len()).await;
         let body = whole.body.to_vec();
         let putting = tokio::task::spawn_blocking(move || core.platform.objects.put(&object, body));
-        match putting.await {
+        let put = putting.await;
+        drop(charge);
+        match put {
             Ok(Ok(())) => DispatchOutcome::Answered(kept),
             // This caller has its answer; a repeat is told that it may have run.
             _ => DispatchOutcome::Unknown,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -77,6 +77,8 @@
     pub struct Limits {
         /// Connections of callers at a time.
         pub connections: u32,
+        /// Memory that the process may use, in MB.
+        pub memory_mb: u32,
     }
 
     /// How a node logs.
--- a/crates/node/src/settings_keys.rs
+++ b/crates/node/src/settings_keys.rs
@@ -132,12 +132,20 @@
     ),
 ];
 
-pub(crate) const LIMITS: &[Key] = &[defaulted(
-    "connections",
-    ValueType::number(1, 100_000),
-    "4096",
-    "Connections of callers at a time.",
-)];
+pub(crate) const LIMITS: &[Key] = &[
+    defaulted(
+        "connections",
+        ValueType::number(1, 100_000),
+        "4096",
+        "Connections of callers at a time, at most two fifths of the process's descriptors. When all are taken, the one that waits longest for its caller is closed for another one.",
+    ),
+    defaulted(
+        "memory_mb",
+        ValueType::number(32, 1_048_576),
+        "256",
+        "Memory that the process may use, in MB. Half of it is for what the process holds for callers.",
+    ),
+];
 
 pub(crate) const LOG: &[Key] = &[
     defaulted(
--- a/crates/node/src/settings_read.rs
+++ b/crates/node/src/settings_read.rs
@@ -169,6 +169,7 @@
 pub(crate) fn limits(reader: &SectionReader<'_>, diagnostics: &mut Diagnostics) -> Limits {
     Limits {
         connections: reader.number("connections", diagnostics),
+        memory_mb: reader.number("memory_mb", diagnostics),
     }
 }
 
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
 
+use eelgrassmill_account::{ByteAccount, ConnectionTable};
 use eelgrassmill_base::{Epoch, HostId, NodeId, ServiceName, Shutdown, TargetKind, TenantId};
 use eelgrassmill_claim::EraClock;
 use eelgrassmill_config::{Config, Service, ServiceKind};
@@ -31,6 +32,7 @@
 use super::usage::UsageBook;
 use super::wholeness::Wholeness;
 use crate::Settings;
+use crate::client_limits::{SILENT_TIME, caller_connections, client_bytes};
 use crate::metrics::Metrics;
 
 /// Clients of the platform's services.
@@ -63,6 +65,9 @@
     pub(crate) platform: Platform,
     pub(crate) control: Arc<HostControl>,
     pub(crate) targets: TargetClient,
+    /// What this node holds for callers.
+    pub(crate) account: ByteAccount,
+    pub(crate) connections: ConnectionTable,
     pub(crate) reports: Arc<Reports>,
     pub(crate) config: ConfigCell,
     pub(crate) lease: Mutex<HeldLease>,
@@ -112,6 +117,9 @@
             platform,
             control: Arc::new(control),
             targets: TargetClient::builder().build(),
+            account: ByteAccount::new(client_bytes(&settings.limits)),
+            connections: ConnectionTable::new(caller_connections(&settings.limits))
+                .evict_after(SILENT_TIME),
             reports: Arc::new(Reports::new()),
             config: ConfigCell::new(),
             lease: Mutex::new(HeldLease::new(timing, ident.incarnation)),
