Let operators through while silent connections hold the admin port

32 connections that send nothing kept operators out for 5 s, again and again: further ones were closed at once, whoever they were. A connection that has brought no call for 1 s is now closed for another one; only where all are younger or run calls the new one is closed, as before.

The crowd test got no answer to /live before, and gets one now.

--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassmill_account::{ByteAccount, ClientStream, Connection, ConnectionTable, Held};
 use eelgrassmill_base::value;
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -20,7 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_blocking;
 use tokio::time::timeout;
 
@@ -35,6 +36,8 @@
 const MAX_HEADERS: usize = 8 * 1024;
 /// Calls that may wait for the table or for other nodes at a time.
 const BLOCKING_CALLS: usize = 16;
+/// A connection that has brought no call for this long may be closed for another one.
+const SILENT_TIME: Duration = Duration::from_secs(1);
 /// Wait after a failed accept; without it a lack of descriptors would spin a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -158,8 +161,10 @@
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
         return;
     };
-    let all = port.limits.connections;
-    let free = Arc::new(Semaphore::new(all as usize));
+    let connections = ConnectionTable::new(port.limits.connections as usize);
+    let connections = connections.evict_after(SILENT_TIME);
+    // What operators may send is bounded for each connection.
+    let account = ByteAccount::new(usize::MAX);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -169,27 +174,29 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let admitted = connections.try_admit(stream, &account, port.limits.call_time);
         // Closing at once tells the caller at once; queueing would hide the overload.
-        let Ok(permit) = Arc::clone(&free).try_acquire_owned() else {
+        let Some(stream) = admitted.await else {
             port.metrics.admin_refused(AdminRefusal::TooMany);
             continue;
         };
-        let port = Arc::clone(&port);
-        tokio::spawn(async move {
-            connection(stream, port).await;
-            drop(permit);
-        });
+        tokio::spawn(connection(stream, Arc::clone(&port)));
     }
     drop(listener);
-    let _ = timeout(port.limits.call_time, free.acquire_many(all)).await;
+    let _ = timeout(port.limits.call_time, connections.wait_empty()).await;
 }
 
 /// Serves one call on one connection.
-async fn connection<B: AdminBackend>(stream: TcpStream, port: Arc<Port<B>>) {
+async fn connection<B: AdminBackend>(stream: ClientStream<TcpStream>, port: Arc<Port<B>>) {
     let call_port = Arc::clone(&port);
+    let entry = stream.connection().clone();
     let service = service_fn(move |req| {
-        let port = Arc::clone(&call_port);
-        async move { Ok::<_, Infallible>(call(req, port).await.map(Full::new)) }
+        let (port, entry) = (Arc::clone(&call_port), entry.clone());
+        async move {
+            let active = entry.begin_request();
+            let resp = call(req, port, &entry).await;
+            Ok::<_, Infallible>(resp.map(|body| Held::new(Full::new(body), active)))
+        }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -215,7 +222,11 @@
     }
 }
 
-async fn call<B: AdminBackend>(req: Request<Incoming>, port: Arc<Port<B>>) -> Response<Bytes> {
+async fn call<B: AdminBackend>(
+    req: Request<Incoming>,
+    port: Arc<Port<B>>,
+    connection: &Connection,
+) -> Response<Bytes> {
     let (head, body) = req.into_parts();
     let call = match admit(&head, &port.token) {
         Ok(call) => call,
@@ -225,6 +236,7 @@
         Ok(body) => body,
         Err(refused) => return refused.answer(&port.metrics),
     };
+    connection.mark_received();
     if call == Call::Live {
         return handle(&*port.backend, &port.metrics, call, &body);
     }
