Bound silent connections at the peers port

Connections that send nothing could take all 512 places for other nodes, for as long as they stayed open: the port closed new ones, and nothing times out before the preface of HTTP/2. At most 64 connections may have sent less than 256 bytes; the one that waits longest is closed for another.

--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -30,6 +30,8 @@
 use crate::wire::path;
 use crate::wire::server::PeerServer;
 
+/// Maximum number of accepted connections that have sent nothing, or hardly anything.
+const MAX_UNPROVEN_CONNECTIONS: usize = 64;
 /// Bytes after which a connection counts as another node's: more than the preface of HTTP/2.
 const TRUSTED_BYTES: usize = 256;
 /// How long an accepted connection may wait for another one to be closed for it.
@@ -448,7 +450,8 @@
             tunnels: Pool::new(timing.call_timeout, meter.clone(), PoolKind::Tunnels),
             meter,
             seeds: cfg.seeds,
-            connections: ConnectionTable::new(cfg.max_connections),
+            connections: ConnectionTable::new(cfg.max_connections)
+                .limit_unproven(MAX_UNPROVEN_CONNECTIONS),
             flush_interval: timing.flush_interval,
             call_timeout: timing.call_timeout,
             update_queue,
