Read the settings again on SIGHUP and before a stop

A changed settings file was answered with "nothing to change while running", true or not: neither a new memory limit nor a shorter grace period was in force, and nobody was told.

The file is read again on SIGHUP, and at the signal to stop since it may change without a signal. Memory, descriptors and a shorter grace period are in force at once; a stop keeps to the shortest grace that the process was told. Log lines name the keys that are in force and those that need a restart; a file that can't be read changes nothing and is told.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -82,6 +82,8 @@
     pub(crate) host_relay: HostRelay,
     pub(crate) paces: Paces,
     pub(crate) planning: Inbox<PlanningEvent>,
+    /// The shortest grace period that the node was told.
+    grace: Mutex<Duration>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
     /// aborts the remaining requests (`exiting`).
     shutdown: OnceLock<Shutdown>,
@@ -109,6 +111,7 @@
     pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
         Core {
             account: ByteAccount::new(cfg.limits.client_bytes()),
+            grace: Mutex::new(cfg.grace),
             ports: cfg.limits.port_connections().map(ConnectionTable::new),
             client_pressure: ClientPressure::default(),
             cfg,
@@ -162,6 +165,18 @@
         self.catalog().version() > 0 && fleet.is_loaded() && fleet.knows_evacuations()
     }
 
+    /// Time from the signal to stop until the process is killed.
+    pub(crate) fn grace(&self) -> Duration {
+        *locked(&self.grace)
+    }
+
+    /// Takes a shorter grace period. Returns the one in force.
+    pub(crate) fn shorten_grace(&self, grace: Duration) -> Duration {
+        let mut current = locked(&self.grace);
+        *current = grace.min(*current);
+        *current
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.shutdown.get().is_some()
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,6 +87,17 @@
         })
     }
 
+    /// Puts into force what may change while the node runs: its limits, and a grace period that is
+    /// shorter. Returns the grace period in force.
+    pub(crate) fn apply(&self, cfg: &GatewayConfig) -> Duration {
+        let core = &self.core;
+        core.account.set_limit(cfg.limits.client_bytes());
+        for (port, limit) in core.ports.iter().zip(cfg.limits.port_connections()) {
+            port.set_limit(limit);
+        }
+        core.shorten_grace(cfg.grace)
+    }
+
     /// Stops gracefully: withdraws this node's address, then closes connections between requests,
     /// and lets running requests finish. `false` if some still ran at the end.
     pub async fn stop(&self) -> bool {
@@ -130,10 +141,10 @@
     }
 
     fn shutdown_from(&self, signalled_at: Instant) -> Shutdown {
-        let cfg = &self.core.cfg;
-        let addresses_expire = cfg.address_ttl * OPEN_PORT_TTLS;
-        let open = addresses_expire.min(cfg.grace.mul_f64(MAX_OPEN_PORT_RATIO));
-        let total = cfg.grace.mul_f64(GRACE_RATIO);
+        let grace = self.core.grace();
+        let addresses_expire = self.core.cfg.address_ttl * OPEN_PORT_TTLS;
+        let open = addresses_expire.min(grace.mul_f64(MAX_OPEN_PORT_RATIO));
+        let total = grace.mul_f64(GRACE_RATIO);
         Shutdown::new(signalled_at, open, total.saturating_sub(SHUTDOWN_NOTICE))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod quarantine;
 mod reflector;
 mod refusal;
+mod reload;
 mod scheduler;
 mod scheduler_client;
 mod server;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! A node's settings: an INI file, parsed by tables of keys that the reference page is also
 //! generated from.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -10,6 +11,8 @@
     optional, required,
 };
 
+use smol_str::{SmolStr, format_smolstr};
+
 use crate::config::{Addresses, GatewayConfig, PolicySwitches, ProcessLimits, RetryBudgetConfig};
 
 const ONE_MILLISECOND: Duration = Duration::from_millis(1);
@@ -240,6 +243,8 @@
     pub store: SocketAddr,
     /// The minimum level of log lines.
     pub log_level: &'static str,
+    /// The keys that are set, as `[section] key`, with their values.
+    values: BTreeMap<SmolStr, SmolStr>,
 }
 
 impl Settings {
@@ -272,6 +277,29 @@
     }
 }
 
+impl Settings {
+    /// The keys, as `[section] key`, that `newer` has with another value, or one of both lacks.
+    pub fn changed_keys(&self, newer: &Settings) -> Vec<SmolStr> {
+        let keys = self.values.keys().chain(newer.values.keys());
+        let changed = keys.filter(|key| self.values.get(*key) != newer.values.get(*key));
+        let changed: BTreeSet<&SmolStr> = changed.collect();
+        changed.into_iter().cloned().collect()
+    }
+}
+
+/// The entries of all sections.
+fn values(found: &Sections) -> BTreeMap<SmolStr, SmolStr> {
+    let names = SECTIONS.iter().map(|s| s.section.trim_matches(['[', ']']));
+    let entries = names.flat_map(|name| {
+        let entries = found.get(name).entries.iter();
+        entries.map(move |e| {
+            let key = format_smolstr!("[{name}] {}", e.key);
+            (key, SmolStr::new(&e.value))
+        })
+    });
+    entries.collect()
+}
+
 struct SettingsReader<'a> {
     found: &'a Sections,
     diagnostics: &'a mut Diagnostics,
@@ -346,6 +374,7 @@
             gateway,
             store,
             log_level,
+            values: values(self.found),
         }
     }
 }
