Hold less for callers while the process itself takes more of its memory

A node of 256 MB before 1,500 clients that had sent many small requests each took 251 MB beside 40 MB that it had received and not read: 159 MB stayed with the process after the first crowd, since the allocator keeps what lies between live buffers, and the next one filled the account on top of it.

The account's limit follows the resident memory of the process, looked at each 250 ms while much is held and each second otherwise: an eighth of the memory is kept free, and what the process takes beside what it holds is not held for callers. A connection without a request took 35 KB, most of it room for the future of a request that hyper keeps in each; it is on the heap now while there is one, and an idle connection takes 8 KB. A request in progress is charged 64 KB, which is nearer to what was seen.

--- a/crates/account/src/body.rs
+++ b/crates/account/src/body.rs
@@ -80,6 +80,13 @@
         self.lock().charged
     }
 
+    /// Bytes that are charged and have not come.
+    pub(crate) fn reserved(&self) -> usize {
+        let state = self.lock();
+        let stored = state.storage.as_ref().map_or(0, Storage::len);
+        state.charged.saturating_sub(stored)
+    }
+
     pub(crate) fn set_charged(&self, bytes: usize) {
         self.lock().charged = bytes;
     }
--- a/crates/account/src/bytes_account.rs
+++ b/crates/account/src/bytes_account.rs
@@ -43,6 +43,8 @@
         pub limit: usize,
         /// Bytes by kind.
         pub held: [usize; KINDS],
+        /// Bytes that are held for bodies and have not come yet.
+        pub reserved: usize,
         /// Incomplete request bodies that were evicted so far.
         pub evicted_bodies: u64,
         /// Connections that were evicted so far because their clients don't read.
@@ -78,6 +80,13 @@
         self.evicted_bodies + self.evicted_connections + self.refused
     }
 
+    /// Bytes that are in memory for what is held: all but relays, which may take what they are charged
+    /// and mostly don't, and what was announced and has not come.
+    pub(crate) fn resident(&self) -> usize {
+        let relays = self.held[HeldKind::Relay as usize];
+        self.total().saturating_sub(relays + self.reserved)
+    }
+
     /// Bytes of all kinds.
     pub fn total(&self) -> usize {
         self.held.iter().sum()
@@ -146,7 +155,12 @@
 
     /// What it holds now.
     pub fn usage(&self) -> AccountUsage {
-        self.state().usage
+        let state = self.state();
+        let reserved = state.partial.values().map(|body| body.reserved());
+        AccountUsage {
+            reserved: reserved.sum(),
+            ..state.usage
+        }
     }
 
     /// Charges a holding of `bytes`. Clients that have stalled are evicted for it.
--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -13,6 +13,7 @@
 mod bytes_account;
 mod connection;
 mod in_progress;
+mod memory;
 mod pressure;
 mod storage;
 mod window;
@@ -24,5 +25,6 @@
     RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, listen,
 };
 pub use crate::in_progress::Held;
+pub use crate::memory::MemoryLimit;
 pub use crate::pressure::Pressure;
 pub use crate::window::ResponseWindow;
--- a/crates/gateway/src/client_limits.rs
+++ b/crates/gateway/src/client_limits.rs
@@ -21,12 +21,26 @@
 #[derive(Debug, Default)]
 struct PressureState {
     memory: Pressure,
+    /// Observations since the memory of the process was looked at.
+    since_look: u32,
     connections: [Pressure; PORTS.len()],
 }
 
-/// Logs when a limit is reached and when it no longer is.
+/// Observations between two looks at the memory of the process while little is held.
+const CALM_OBSERVATIONS: u32 = 4;
+/// Part of the account's limit from which on each observation looks, as 1 / this.
+const BUSY_SHARE: usize = 8;
+
+/// Adapts the account to the memory of the process, and logs when a limit is reached and when it no
+/// longer is.
 pub(crate) fn observe<P: Platform>(core: &Core<P>, now: Instant) {
     let mut state = locked(&core.client_pressure.0);
+    let is_busy = core.account.usage().total() > core.account.usage().limit / BUSY_SHARE;
+    state.since_look += 1;
+    if is_busy || state.since_look >= CALM_OBSERVATIONS {
+        state.since_look = 0;
+        core.memory_limit().apply(&core.account);
+    }
     let usage = core.account.usage();
     if let Some(is_short) = state.memory.observe(usage.shortages(), now) {
         info!(
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use eelgrassmill_account::MemoryLimit;
 use eelgrassmill_base::{FailureDomain, NodeId, Region, value};
 use rustix::process::{Resource, getrlimit};
 
@@ -67,10 +68,15 @@
 const MAX_PEER_CONNECTIONS: usize = 512;
 
 impl ProcessLimits {
-    /// Most bytes that are held for callers. The rest is for the node itself, buffers of connections
-    /// and what the allocator keeps.
+    pub(crate) fn memory(&self) -> MemoryLimit {
+        MemoryLimit {
+            process: self.memory,
+        }
+    }
+
+    /// Most bytes that are held for callers.
     pub(crate) fn client_bytes(&self) -> usize {
-        self.memory / 2
+        self.memory().client_bytes()
     }
 
     /// Descriptors that the process may use: those that were set, as far as its own limit goes.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_account::{ByteAccount, ConnectionTable};
+use eelgrassmill_account::{ByteAccount, ConnectionTable, MemoryLimit};
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown, StoreEra};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
@@ -82,6 +82,8 @@
     pub(crate) host_relay: HostRelay,
     pub(crate) paces: Paces,
     pub(crate) planning: Inbox<PlanningEvent>,
+    /// Memory that the process may use.
+    memory: Mutex<MemoryLimit>,
     /// The shortest grace period that the node was told.
     grace: Mutex<Duration>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
@@ -111,6 +113,7 @@
     pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
         Core {
             account: ByteAccount::new(cfg.limits.client_bytes()),
+            memory: Mutex::new(cfg.limits.memory()),
             grace: Mutex::new(cfg.grace),
             ports: cfg.limits.port_connections().map(ConnectionTable::new),
             client_pressure: ClientPressure::default(),
@@ -165,6 +168,17 @@
         self.catalog().version() > 0 && fleet.is_loaded() && fleet.knows_evacuations()
     }
 
+    /// Memory that the process may use.
+    pub(crate) fn memory_limit(&self) -> MemoryLimit {
+        *locked(&self.memory)
+    }
+
+    /// Changes the memory that the process may use.
+    pub(crate) fn set_memory_limit(&self, memory: MemoryLimit) {
+        *locked(&self.memory) = memory;
+        self.account.set_limit(memory.client_bytes());
+    }
+
     /// Time from the signal to stop until the process is killed.
     pub(crate) fn grace(&self) -> Duration {
         *locked(&self.grace)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -91,7 +91,7 @@
     /// shorter. Returns the grace period in force.
     pub(crate) fn apply(&self, cfg: &GatewayConfig) -> Duration {
         let core = &self.core;
-        core.account.set_limit(cfg.limits.client_bytes());
+        core.set_memory_limit(cfg.limits.memory());
         for (port, limit) in core.ports.iter().zip(cfg.limits.port_connections()) {
             port.set_limit(limit);
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -57,7 +57,7 @@
 const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
 /// What a request in progress takes beside its body and response, in bytes: its task, the socket
 /// buffer of its connection and the buffers of a connection to a host.
-const REQUEST_BYTES: usize = 32 << 10;
+const REQUEST_BYTES: usize = 64 << 10;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -163,10 +163,11 @@
         let active = connection.begin_request();
         req.extensions_mut().insert(connection.clone());
         let served = service(req);
-        async move {
+        // On the heap only while there is a request: hyper keeps room for it in each connection.
+        Box::pin(async move {
             let response = served.await?;
             Ok::<_, Infallible>(response.map(|body| Held::new(body, active)))
-        }
+        })
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
--- a/crates/node/src/client_limits.rs
+++ b/crates/node/src/client_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use eelgrassmill_account::Pressure;
+use eelgrassmill_account::{MemoryLimit, Pressure};
 use rustix::process::{Resource, getrlimit};
 
 use crate::settings::Limits;
@@ -13,10 +13,11 @@
 /// The callers' port in metrics and logs.
 const CALLERS: &str = "callers";
 
-/// Most bytes that are held for callers. The rest is for the node itself, buffers of connections and
-/// what the allocator keeps.
-pub(crate) fn client_bytes(limits: &Limits) -> usize {
-    (limits.memory_mb as usize) << 19
+/// Memory that the process may use.
+pub(crate) fn memory_limit(limits: &Limits) -> MemoryLimit {
+    MemoryLimit {
+        process: (limits.memory_mb as usize) << 20,
+    }
 }
 
 /// Fewest and most connections that are accepted from other nodes.
@@ -59,8 +60,9 @@
 }
 
 impl ClientPressure {
-    /// Sets the metrics, and logs when a limit is reached and when it no longer is.
+    /// Adapts the account to the memory of the process, sets the metrics, and logs when a limit is reached and when it no longer is.
     pub(crate) fn observe(&mut self, core: &Core, now: Instant) {
+        memory_limit(&core.settings.limits).apply(&core.account);
         let usage = core.account.usage();
         core.metrics.set_client_bytes(&usage);
         if let Some(is_short) = self.memory.observe(usage.shortages(), now) {
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -33,7 +33,7 @@
 
 /// What a call in progress takes beside its body and answer, in bytes: its task, the socket buffer
 /// of its connection and the buffers of a connection to a target.
-const REQUEST_BYTES: usize = 32 << 10;
+const REQUEST_BYTES: usize = 64 << 10;
 /// Estimated cost of a call of a plain service, in tokens.
 const PLAIN_COST: Tokens = 1;
 
--- a/crates/node/src/entry/listen.rs
+++ b/crates/node/src/entry/listen.rs
@@ -82,10 +82,11 @@
         req.extensions_mut().insert(remote);
         req.extensions_mut().insert(entry.clone());
         let handler = handler.clone();
-        async move {
+        // On the heap only while there is a request: hyper keeps room for it in each connection.
+        Box::pin(async move {
             let resp = handler.handle(req).await;
             Ok::<_, Infallible>(resp.map(|body| Held::new(body, active)))
-        }
+        })
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/node/src/state/core.rs
+++ b/crates/node/src/state/core.rs
@@ -32,7 +32,7 @@
 use super::usage::UsageBook;
 use super::wholeness::Wholeness;
 use crate::Settings;
-use crate::client_limits::{SILENT_TIME, caller_connections, client_bytes};
+use crate::client_limits::{SILENT_TIME, caller_connections, memory_limit};
 use crate::metrics::Metrics;
 
 /// Clients of the platform's services.
@@ -117,7 +117,7 @@
             platform,
             control: Arc::new(control),
             targets: TargetClient::builder().build(),
-            account: ByteAccount::new(client_bytes(&settings.limits)),
+            account: ByteAccount::new(memory_limit(&settings.limits).client_bytes()),
             connections: ConnectionTable::new(caller_connections(&settings.limits))
                 .evict_after(SILENT_TIME),
             reports: Arc::new(Reports::new()),
