--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -188,6 +188,16 @@
     UnknownKey,
 }
 
+/// Who may send requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum CallerAccess {
+    /// No customers are configured: everybody, without a key.
+    #[default]
+    Open,
+    /// Customers are configured: callers with one of these keys, which may be none.
+    ByKey(HashMap<SmolStr, Arc<Caller>>),
+}
+
 /// An accepted configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -195,7 +205,7 @@
     /// Routes by host name, the longest prefix first.
     routes: HashMap<SmolStr, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Service>,
-    callers: HashMap<SmolStr, Arc<Caller>>,
+    access: CallerAccess,
     limits: Option<CallerLimits>,
 }
 
@@ -205,7 +215,7 @@
         version: ConfigVersion,
         routes: impl IntoIterator<Item = Route>,
         services: impl IntoIterator<Item = Service>,
-        callers: impl IntoIterator<Item = (SmolStr, Arc<Caller>)>,
+        access: CallerAccess,
         limits: Option<CallerLimits>,
     ) -> Catalog {
         let mut by_host: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
@@ -222,7 +232,7 @@
             version,
             routes: by_host,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
-            callers: callers.into_iter().collect(),
+            access,
             limits,
         }
     }
@@ -242,7 +252,8 @@
         found.ok_or(RouteError::NoRoute)
     }
 
-    /// The owner of `key`. On a public route a missing or unknown key gives `None`.
+    /// The owner of `key`. On a public route, or if no customers are configured, a missing or unknown
+    /// key gives `None`.
     ///
     /// # Errors
     /// [`RouteError::UnknownKey`].
@@ -251,8 +262,11 @@
         route: &Route,
         key: Option<&str>,
     ) -> Result<Option<Arc<Caller>>, RouteError> {
-        let known = key.and_then(|k| self.callers.get(k));
-        if known.is_some() || route.public || self.callers.is_empty() {
+        let CallerAccess::ByKey(callers) = &self.access else {
+            return Ok(None);
+        };
+        let known = key.and_then(|k| callers.get(k));
+        if known.is_some() || route.public {
             return Ok(known.cloned());
         }
         Err(RouteError::UnknownKey)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -41,8 +41,8 @@
 pub use crate::balance::{HostCandidate, choose_host};
 pub use crate::caller_timeouts::CallerTimeouts;
 pub use crate::catalog::{
-    Caller, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec, RetryPolicy, Route,
-    RouteError, Service, StreamRules,
+    Caller, CallerAccess, CallerLimits, Catalog, Engine, EngineSpeed, Millionths, ModelSpec,
+    RetryPolicy, Route, RouteError, Service, StreamRules,
 };
 pub use crate::cold::{ColdRateLimiter, ColdStart};
 pub use crate::cpu_overload::CpuOverload;
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -5,8 +5,9 @@
 
 use eelgrassmill_base::HostId;
 use eelgrassmill_fleet::{
-    Caller, Catalog, Fleet, FleetChange, Host, HostCandidate, HostState, RetryPolicy, RetryWindow,
-    Route, RouteError, StallThreshold, StreamActivity, TargetOutcome, TargetStats, choose_host,
+    Caller, CallerAccess, Catalog, Fleet, FleetChange, Host, HostCandidate, HostState, RetryPolicy,
+    RetryWindow, Route, RouteError, StallThreshold, StreamActivity, TargetOutcome, TargetStats,
+    choose_host,
 };
 use googletest::prelude::*;
 
@@ -40,7 +41,8 @@
         tenant: "baths".into(),
         urgency: Some(0),
     });
-    Catalog::new(3, routes, [], [("key-1".into(), baths)], None)
+    let callers = [("key-1".into(), baths)].into_iter().collect();
+    Catalog::new(3, routes, [], CallerAccess::ByKey(callers), None)
 }
 
 #[gtest]
@@ -372,3 +374,16 @@
         eq(false)
     );
 }
+
+/// Guards against taking "no key is left" for "no customers are configured".
+#[gtest]
+fn a_configuration_without_keys_lets_nobody_in() {
+    let of = |access| {
+        let catalog = Catalog::new(3, [route("a", "/a/", false)], [], access, None);
+        let route = catalog.route("site.example", "/a/x").map(Arc::clone);
+        let route = route.expect("it has the route");
+        [None, Some("key-1")].map(|key| catalog.caller(&route, key).is_ok())
+    };
+    expect_that!(of(CallerAccess::ByKey([].into())), eq([false, false]));
+    expect_that!(of(CallerAccess::Open), eq([true, true]));
+}
