--- a/crates/account/src/bytes_account.rs
+++ b/crates/account/src/bytes_account.rs
@@ -181,23 +181,17 @@
         charge
     }
 
-    /// Charges without regard to the limit. For what is bounded elsewhere and must not wait.
-    pub fn charge_always(&self, kind: HeldKind, bytes: usize) -> Charge {
-        self.state().usage.held[kind as usize] += bytes;
-        Charge {
-            account: self.clone(),
-            kind,
-            bytes,
-        }
-    }
-
     /// Charges a holding if it fits, evicting nothing.
     ///
     /// # Errors
     /// If the account is full.
     pub fn try_charge(&self, kind: HeldKind, bytes: usize) -> Result<Charge, AccountFull> {
         let mut charge = self.empty_charge(kind);
-        charge.try_grow(bytes)?;
+        let mut state = self.state();
+        if !charge.try_grow_in(&mut state, bytes) {
+            state.usage.refused += 1;
+            return Err(AccountFull);
+        }
         Ok(charge)
     }
 
@@ -310,6 +304,14 @@
         true
     }
 
+    /// Evicts one body for a request's holding of `total` bytes. A small one may evict any.
+    fn make_room(&mut self, except: Option<u64>, total: usize, now: Instant) -> bool {
+        if self.evict_body(except, STALL_TIME, now) {
+            return true;
+        }
+        total <= SMALL_BYTES && self.evict_body(except, Duration::ZERO, now)
+    }
+
     /// Closes the connection whose client hasn't read for longest, if any has stalled.
     fn evict_unread(&mut self, now: Instant) -> bool {
         let stalled = self.unread.iter().filter_map(|(id, connection)| {
@@ -333,20 +335,7 @@
         self.bytes
     }
 
-    /// Grows to `bytes` if they fit, evicting nothing.
-    ///
-    /// # Errors
-    /// If the account is full.
-    pub fn try_grow(&mut self, bytes: usize) -> Result<(), AccountFull> {
-        let account = self.account.clone();
-        let mut state = account.state();
-        if !self.try_grow_in(&mut state, bytes) {
-            state.usage.refused += 1;
-            return Err(AccountFull);
-        }
-        Ok(())
-    }
-
+    /// Grows to `bytes` if they fit.
     fn try_grow_in(&mut self, state: &mut State, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
         if more > state.room(bytes) {
@@ -419,16 +408,6 @@
     }
 }
 
-impl State {
-    /// Evicts one body for a request's holding of `total` bytes. A small one may evict any.
-    fn make_room(&mut self, except: Option<u64>, total: usize, now: Instant) -> bool {
-        if self.evict_body(except, STALL_TIME, now) {
-            return true;
-        }
-        total <= SMALL_BYTES && self.evict_body(except, Duration::ZERO, now)
-    }
-}
-
 impl Drop for Charge {
     fn drop(&mut self) {
         self.shrink(0);
