Account: the system's page size, which isn't 4 KB on every arm64 kernel

/proc/self/statm counts pages of the system's size; with 16 or 64 KB the resident memory would have been taken for a part of what it is, and the account's limit would never have been lowered. Found by reading; no run on such a machine.

--- a/crates/account/src/memory.rs
+++ b/crates/account/src/memory.rs
@@ -4,11 +4,10 @@
 mod tests;
 
 use eelgrassmill_base::value;
+use rustix::param::page_size;
 
 use crate::bytes_account::{AccountUsage, ByteAccount};
 
-/// Size of a page in the system's counts, in bytes.
-const PAGE_BYTES: usize = 4 << 10;
 /// Part of the memory that is kept free, as 1 / this.
 const FREE_SHARE: usize = 8;
 
@@ -48,5 +47,5 @@
 fn resident_bytes() -> Option<usize> {
     let counts = std::fs::read_to_string("/proc/self/statm").ok()?;
     let pages: usize = counts.split(' ').nth(1)?.parse().ok()?;
-    Some(pages * PAGE_BYTES)
+    Some(pages * page_size())
 }
