Account: limits of descriptors and of requests in progress in one place

Both entries had the same rules for descriptors and the same figure for a request in progress. No change of behaviour: the tests of crowds that take connections pass at both.

--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod bytes_account;
 mod connection;
+mod descriptors;
 mod in_progress;
 mod memory;
 mod pressure;
@@ -24,7 +25,12 @@
     ActiveRequest, ClientStream, Connection, ConnectionTable, ConnectionUsage,
     RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, listen,
 };
+pub use crate::descriptors::DescriptorLimit;
 pub use crate::in_progress::Held;
 pub use crate::memory::MemoryLimit;
 pub use crate::pressure::Pressure;
 pub use crate::window::ResponseWindow;
+
+/// What a request in progress takes beside its body and response, in bytes: its task, the socket
+/// buffer of its connection and the buffers of a connection to a host.
+pub const REQUEST_BYTES: usize = 64 << 10;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassmill_account::MemoryLimit;
+use eelgrassmill_account::{DescriptorLimit, MemoryLimit};
 use eelgrassmill_base::{FailureDomain, NodeId, Region, value};
-use rustix::process::{Resource, getrlimit};
 
 /// The retry budget of all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,9 +62,6 @@
 const CONNECTION_SHARE: usize = 4;
 /// Fewest connections of a port.
 const MIN_CONNECTIONS: usize = 16;
-/// Fewest and most connections that are accepted from other nodes.
-const MIN_PEER_CONNECTIONS: usize = 32;
-const MAX_PEER_CONNECTIONS: usize = 512;
 
 impl ProcessLimits {
     pub(crate) fn memory(&self) -> MemoryLimit {
@@ -80,18 +76,15 @@
     }
 
     /// Descriptors that the process may use: those that were set, as far as its own limit goes.
-    pub(crate) fn descriptors(&self) -> usize {
-        let own = getrlimit(Resource::Nofile).current;
-        let own = own.and_then(|n| usize::try_from(n).ok());
-        let limits = self.descriptors.into_iter().chain(own);
-        limits.min().unwrap_or(usize::MAX)
+    fn descriptors(&self) -> DescriptorLimit {
+        let own = DescriptorLimit::of_process();
+        self.descriptors
+            .map_or(own, |n| own.min(DescriptorLimit(n)))
     }
 
-    /// Connections of callers. As many descriptors and some more are left for connections to hosts,
-    /// to the store and to other nodes.
     fn caller_connections(&self) -> usize {
         let by_memory = self.client_bytes() / CONNECTION_SHARE / CONNECTION_BYTES;
-        let by_descriptors = self.descriptors() / 5 * 2;
+        let by_descriptors = self.descriptors().client_connections();
         by_memory.min(by_descriptors).max(MIN_CONNECTIONS)
     }
 
@@ -104,8 +97,7 @@
 
     /// Connections that are accepted from other nodes.
     pub(crate) fn peer_connections(&self) -> usize {
-        let part = self.descriptors() / 8;
-        part.clamp(MIN_PEER_CONNECTIONS, MAX_PEER_CONNECTIONS)
+        self.descriptors().peer_connections()
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_account::{
-    ByteAccount, ClientStream, Connection, ConnectionTable, DrainLimits, Held, HeldKind, ReadError,
-    drain_body, read_body,
+    ByteAccount, ClientStream, Connection, ConnectionTable, DrainLimits, Held, HeldKind,
+    REQUEST_BYTES, ReadError, drain_body, read_body,
 };
 use eelgrassmill_fleet::{Caller, CallerLimits, Route, RouteError};
 use http::request::Parts;
@@ -55,9 +55,6 @@
 const MAX_LAST_ACCEPTED: usize = 1024;
 /// Allowance beyond the deadline for an attempt to report that the deadline was exceeded.
 const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
-/// What a request in progress takes beside its body and response, in bytes: its task, the socket
-/// buffer of its connection and the buffers of a connection to a host.
-const REQUEST_BYTES: usize = 64 << 10;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
--- a/crates/node/src/client_limits.rs
+++ b/crates/node/src/client_limits.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use eelgrassmill_account::{MemoryLimit, Pressure};
-use rustix::process::{Resource, getrlimit};
+use eelgrassmill_account::{DescriptorLimit, MemoryLimit, Pressure};
 
 use crate::settings::Limits;
 use crate::state::core::Core;
@@ -20,32 +19,14 @@
     }
 }
 
-/// Fewest and most connections that are accepted from other nodes.
-const MIN_PEER_CONNECTIONS: usize = 32;
-const MAX_PEER_CONNECTIONS: usize = 512;
-
-/// Descriptors that the process may use.
-fn descriptors() -> usize {
-    let limit = getrlimit(Resource::Nofile).current;
-    limit.map_or(usize::MAX, |n| usize::try_from(n).unwrap_or(usize::MAX))
-}
-
-/// Connections that are accepted from other nodes.
-pub(crate) fn peer_connections() -> usize {
-    (descriptors() / 8).clamp(MIN_PEER_CONNECTIONS, MAX_PEER_CONNECTIONS)
-}
-
-/// Connections of callers: as many descriptors and some more are left for those to targets, to the
-/// table and to other nodes.
+/// Connections of callers, as far as the process's descriptors go.
 pub(crate) fn caller_connections(limits: &Limits) -> usize {
     let wanted = limits.connections as usize;
-    let descriptors = descriptors();
-    let most = (descriptors / 5 * 2).max(1);
+    let most = DescriptorLimit::of_process().client_connections();
     if most < wanted {
         tracing::warn!(
             wanted,
             most,
-            descriptors,
             "limits.connections exceeds two fifths of the process's descriptors"
         );
     }
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrassmill_account::{Connection, HeldKind};
+use eelgrassmill_account::{Connection, HeldKind, REQUEST_BYTES};
 use eelgrassmill_base::{Outcome, Tokens};
 use eelgrassmill_config::{Config, Service, ServiceKind, Tenant};
 use eelgrassmill_engine::StreamEvent;
@@ -31,9 +31,6 @@
 use crate::state::lock::lock;
 use crate::state::shard::{Avoided, Shard};
 
-/// What a call in progress takes beside its body and answer, in bytes: its task, the socket buffer
-/// of its connection and the buffers of a connection to a target.
-const REQUEST_BYTES: usize = 64 << 10;
 /// Estimated cost of a call of a plain service, in tokens.
 const PLAIN_COST: Tokens = 1;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use eelgrassmill_account::DescriptorLimit;
 use eelgrassmill_base::{Incarnation, Shutdown};
 use eelgrassmill_group::{LeaseObserver, NodeRow, node_key};
 use eelgrassmill_peer::{
@@ -22,7 +23,7 @@
 
 use crate::admin::{AdminLimits, AdminServer, AdminServerError};
 use crate::backend::Backend;
-use crate::client_limits::{ClientPressure, peer_connections};
+use crate::client_limits::ClientPressure;
 use crate::entry::addresses::takes_no_callers;
 use crate::entry::handler::Entry;
 use crate::entry::listen;
@@ -379,7 +380,7 @@
         },
         listen: ident.peer,
         seeds: core.settings.seeds.clone(),
-        max_connections: peer_connections(),
+        max_connections: DescriptorLimit::of_process().peer_connections(),
     };
     let handler = Arc::new(Peers::new(core.clone(), runtime.handle().clone()));
     let node = PeerNode::start_on(
