--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -198,6 +198,12 @@
     ByKey(HashMap<SmolStr, Arc<Caller>>),
 }
 
+impl FromIterator<(SmolStr, Arc<Caller>)> for CallerAccess {
+    fn from_iter<I: IntoIterator<Item = (SmolStr, Arc<Caller>)>>(keys: I) -> CallerAccess {
+        CallerAccess::ByKey(keys.into_iter().collect())
+    }
+}
+
 /// An accepted configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
--- a/crates/fleet/tests/policy.rs
+++ b/crates/fleet/tests/policy.rs
@@ -42,7 +42,7 @@
         urgency: Some(0),
     });
     let callers = [("key-1".into(), baths)].into_iter().collect();
-    Catalog::new(3, routes, [], CallerAccess::ByKey(callers), None)
+    Catalog::new(3, routes, [], callers, None)
 }
 
 #[gtest]
