--- a/crates/account/src/pressure.rs
+++ b/crates/account/src/pressure.rs
@@ -1,4 +1,4 @@
-//! Whether a limit is reached, as operators are told.
+//! Detects when a limit is reached and when it no longer is, for logs.
 
 use std::time::{Duration, Instant};
 
--- a/crates/gateway/src/client_limits.rs
+++ b/crates/gateway/src/client_limits.rs
@@ -1,4 +1,4 @@
-//! Metrics and log lines of what the node holds for callers.
+//! What the node holds for callers: the limit of the account, metrics and log lines.
 
 use std::sync::Mutex;
 use std::time::Instant;
--- a/crates/node/src/entry/parse/mod.rs
+++ b/crates/node/src/entry/parse/mod.rs
@@ -230,7 +230,7 @@
     Problem::not_run(status, err.to_string())
 }
 
-/// What a caller is told whose request doesn't fit into the memory for callers.
+/// The refusal of a request that exceeds the memory for callers.
 pub(crate) fn out_of_memory() -> Problem {
     let detail = ReadError::OutOfMemory.to_string();
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail).retry_after(OUT_OF_MEMORY_RETRY)
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -88,7 +88,7 @@
         if let Some(kept) = &mut self.kept
             && kept.push(&bytes).await.is_err()
         {
-            // Longer than any answer that is kept: a repeat is told that it may have run.
+            // Too long to be kept: a repeat gets the outcome `unknown`.
             self.kept = None;
         }
         if self.tx.is_closed() {
