Know no key when a later version has no customers

When a version left out the whole list of customers that an earlier one had, requests ran with each key that had been taken away and with keys that no version ever held: without the list the service counts as open, and an open service doesn't look at keys. An encoder that omits empty lists does this when the last customer goes.

A version without the list that follows one with it still asks for no key, as documented, but knows none: a request that presents one gets 401. A log line `config` with outcome=without-customers tells of it. A node that starts later has no earlier version to compare with and serves as before.

Tests, real sockets: keys_stay_unknown_when_a_later_version_has_no_customers fails before (200 for both keys, 401 wanted). Three neighbours passed before and stay as guards: a version without routes, a key that moves to another customer, and a node that takes the configuration from others while the store is away.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -194,6 +194,8 @@
     /// No customers are configured: everybody, without a key.
     #[default]
     Open,
+    /// No customers are configured any more: callers without a key. No key is known.
+    WithoutKey,
     /// Customers are configured: callers with one of these keys, which may be none.
     ByKey(HashMap<SmolStr, Arc<Caller>>),
 }
@@ -258,6 +260,20 @@
         found.ok_or(RouteError::NoRoute)
     }
 
+    /// This configuration as the next version after `earlier`. Keys that were taken away with the whole
+    /// list of customers are unknown, as if only they had been taken away.
+    pub fn following(mut self, earlier: &Catalog) -> Catalog {
+        if self.access == CallerAccess::Open && earlier.access != CallerAccess::Open {
+            self.access = CallerAccess::WithoutKey;
+        }
+        self
+    }
+
+    /// Whether an earlier version had customers and this one has not.
+    pub fn has_lost_customers(&self) -> bool {
+        self.access == CallerAccess::WithoutKey
+    }
+
     /// The owner of `key`. On a public route, or if no customers are configured, a missing or unknown
     /// key gives `None`.
     ///
@@ -268,11 +284,12 @@
         route: &Route,
         key: Option<&str>,
     ) -> Result<Option<Arc<Caller>>, RouteError> {
-        let CallerAccess::ByKey(callers) = &self.access else {
-            return Ok(None);
+        let (known, is_key_needed) = match &self.access {
+            CallerAccess::Open => return Ok(None),
+            CallerAccess::WithoutKey => (None, key.is_some()),
+            CallerAccess::ByKey(callers) => (key.and_then(|k| callers.get(k)), true),
         };
-        let known = key.and_then(|k| callers.get(k));
-        if known.is_some() || route.public {
+        if known.is_some() || route.public || !is_key_needed {
             return Ok(known.cloned());
         }
         Err(RouteError::UnknownKey)
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -78,7 +78,7 @@
             return false;
         }
         *current = Current {
-            catalog: Arc::new(accepted.catalog),
+            catalog: Arc::new(accepted.catalog.following(&current.catalog)),
             text: accepted.text,
         };
         true
@@ -121,6 +121,9 @@
     info!(event = "config", version, outcome = "in-force", source);
     let shown = i64::try_from(version).unwrap_or(i64::MAX);
     core.metrics.config_version.set(shown);
+    if core.catalog().has_lost_customers() {
+        warn!(event = "config", version, outcome = "without-customers");
+    }
     core.planning.wake();
 }
 
