Send nothing to services of weight zero

A route whose services all have weight zero went on to run its requests at the first of them: when no service was left by weight and quarantine, all services of the route were candidates again, those of weight zero included, and the first one was the default. Operators set weights to zero to take a route out of service.

Services of weight zero are never candidates; without any other the request is rejected with 503 and Retry-After. The weights are added in 64 bits, since two large ones overflowed.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -53,7 +53,7 @@
         pub attempts: u32,
         /// Whether callers need no key.
         pub public: bool,
-        /// Services and their weights. Invariant: never empty.
+        /// Services and their weights. One of weight zero gets no requests.
         pub services: SmallVec<[(ServiceName, u32); 2]>,
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -261,32 +261,31 @@
 }
 
 /// Picks one of the route's services by weight, if possible one for which the call isn't
-/// quarantined.
+/// quarantined. Services of weight zero get no requests.
 pub(crate) fn pick_service<P: Platform>(
     core: &Core<P>,
     call: &Call,
 ) -> Result<ServiceName, Refusal> {
-    let is_allowed = |(service, weight): &&(ServiceName, u32)| {
-        *weight > 0 && quarantine::is_clear(core, call, service)
-    };
-    let mut services: SmallVec<[&(ServiceName, u32); 2]> =
-        call.route.services.iter().filter(is_allowed).collect();
+    let unavailable = || Refusal::with_retry_after(RefusalCause::NoHealthyTarget, RETRY_AFTER_FULL);
+    let weighted = call.route.services.iter().filter(|(_, weight)| *weight > 0);
+    let mut services: SmallVec<[&(ServiceName, u32); 2]> = weighted.clone().collect();
+    services.retain(|(service, _)| quarantine::is_clear(core, call, service));
     if services.is_empty() {
-        services.extend(&call.route.services);
+        services.extend(weighted);
     }
-    let total: u32 = services.iter().map(|(_, weight)| *weight).sum();
-    let unavailable = || Refusal::with_retry_after(RefusalCause::NoHealthyTarget, RETRY_AFTER_FULL);
-    let mut at = fastrand::u32(0..total.max(1));
-    let mut chosen = None;
-    for (service, weight) in &services {
-        if at < *weight {
-            chosen = Some(service.clone());
-            break;
-        }
-        at -= weight;
+    let total: u64 = services.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    if total == 0 {
+        return Err(unavailable());
     }
-    let first = services.first().map(|(service, _)| service.clone());
-    let service = chosen.or(first).ok_or_else(unavailable)?;
+    let mut at = fastrand::u64(0..total);
+    let chosen = services.iter().find(|(_, weight)| {
+        let is_chosen = at < u64::from(*weight);
+        at = at.saturating_sub(u64::from(*weight));
+        is_chosen
+    });
+    let service = chosen
+        .map(|(service, _)| service.clone())
+        .ok_or_else(unavailable)?;
     let fleet = locked(&core.fleet);
     let serves = |s: &ServiceName| {
         fleet
@@ -297,7 +296,7 @@
         return Ok(service);
     }
     // Falls back to another service of a weighted route if the picked one has no host.
-    let other = services.iter().find(|(s, weight)| *weight > 0 && serves(s));
+    let other = services.iter().find(|(s, _)| serves(s));
     other.map(|(s, _)| s.clone()).ok_or_else(unavailable)
 }
 
