Send nothing on a route that permits no attempt

`attempts` is the most hosts to which a request may be sent. Zero was taken for one: the limit was compared only before a retry. Such requests are rejected with 503 now, and run nowhere.

a_route_without_attempts_runs_nowhere fails before (200, run).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -274,7 +274,7 @@
         services.extend(weighted);
     }
     let total: u64 = services.iter().map(|(_, weight)| u64::from(*weight)).sum();
-    if total == 0 {
+    if total == 0 || call.route.attempts == 0 {
         return Err(unavailable());
     }
     let mut at = fastrand::u64(0..total);
