Send nothing to cold hosts that bear no requests

A service whose cold hosts bear zero requests a second got full traffic at hosts that had just started: a rate of zero was read like a missing one, which means that hosts are never cold.

a_cold_rate_of_zero_is_not_a_missing_one fails before (no cold start).

--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -36,6 +36,9 @@
     pub(crate) fn grants(&self, started_at: Instant, now: Instant) -> usize {
         let is_successor = now.saturating_duration_since(started_at) < WINDOW;
         let ratio = if is_successor { SUCCESSOR_RATIO } else { 1.0 };
+        if self.max_rate.count() == 0 {
+            return 0;
+        }
         (self.max_rate.get() * ratio).floor().max(1.0) as usize
     }
 }
