Refuse limits of zero in the settings

`max_fds = 0` was taken for a key that is left out, so that the process's own limit counted, and `memory_mb = 0` was accepted and left no room for any request. Both are refused with the least value that is permitted, as other low values are.

a_limit_of_zero_is_an_error_and_not_a_missing_limit fails before: both texts were accepted.

--- a/crates/config/src/section_reader.rs
+++ b/crates/config/src/section_reader.rs
@@ -141,14 +141,18 @@
 
     /// A decimal number; zero if invalid.
     pub fn decimal(&self, name: &str, diagnostics: &mut Diagnostics) -> f64 {
-        let value = self.value(name, diagnostics, |text, value_type| {
+        self.optional_decimal(name, diagnostics).unwrap_or_default()
+    }
+
+    /// A decimal number; `None` if omitted without a default, or invalid.
+    pub fn optional_decimal(&self, name: &str, diagnostics: &mut Diagnostics) -> Option<f64> {
+        self.value(name, diagnostics, |text, value_type| {
             let ValueType::Decimal { max } = value_type else {
                 return None;
             };
             let number: f64 = text.parse().ok()?;
             (number >= 0.0 && number <= *max as f64).then_some(number)
-        });
-        value.unwrap_or_default()
+        })
     }
 
     /// A duration; zero if invalid.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -381,18 +381,17 @@
 
 fn process_limits(reader: &SectionReader<'_>, diagnostics: &mut Diagnostics) -> ProcessLimits {
     let mut read = |key: &str, min: f64| {
-        let value = reader.decimal(key, diagnostics);
-        // Zero stands for a key that is left out, or wrong by itself.
-        if value > 0.0 && value < min {
+        let value = reader.optional_decimal(key, diagnostics);
+        if let Some(value) = value.filter(|v| *v < min) {
             let what = format!("`{key} = {value}` is too low, write at least {min}");
             diagnostics.add(reader.line(key), what);
         }
         value
     };
-    let memory_mb = read("memory_mb", MIN_MEMORY_MB);
+    let memory_mb = read("memory_mb", MIN_MEMORY_MB).unwrap_or_default();
     let max_fds = read("max_fds", MIN_DESCRIPTORS);
     ProcessLimits {
         memory: (memory_mb * f64::from(1 << 20)) as usize,
-        descriptors: (max_fds > 0.0).then_some(max_fds as usize),
+        descriptors: max_fds.map(|n| n as usize),
     }
 }
