Keep a host's limit when a later one can't be read

A host that had named the requests a second that it takes, and then named a limit that can't be read ("2,0", "nan", nothing), got full traffic again: such a header was taken for a missing one, and a success without a limit lifts it. A limit that is absent and one that can't be read are different now; the latter changes nothing and is logged once a second.

limits_that_cannot_be_read_lift_nothing, three nodes over real sockets: 50 to 64 requests in 4 s before, 17 permitted at 2 a second.

--- a/crates/gateway/src/host_signals.rs
+++ b/crates/gateway/src/host_signals.rs
@@ -18,12 +18,14 @@
 use eelgrassmill_peer::{Item, ItemKey, LimitReply, LimitRequest, TargetLimit, WireTargetLimit};
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::core::Core;
 use crate::heads::locked;
 use crate::logs::LogRateLimit;
-use crate::ports::{Dialect, HostControl, HostReport, HostUnavailable, Platform, ResponseClass};
+use crate::ports::{
+    Dialect, HostControl, HostReport, HostUnavailable, NamedLimit, Platform, ResponseClass,
+};
 use crate::refusal::{Refusal, RefusalCause};
 
 /// How long observations are batched before they are reported. Another node's may arrive first.
@@ -233,12 +235,18 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) {
-    let limit = core.platform.dialect().host_limit(headers);
-    let limit = limit.map(Millionths::of);
-    if limit.is_none() && !status.is_success() {
-        return;
-    }
     let state = &core.host_signals;
+    let limit = match core.platform.dialect().host_limit(headers) {
+        NamedLimit::PerSecond(limit) => Some(Millionths::of(limit)),
+        NamedLimit::Absent if status.is_success() => None,
+        NamedLimit::Absent => return,
+        NamedLimit::Unreadable => {
+            if locked(&state.log_limit).is_due(Instant::now()) {
+                warn!(event = "host-limit", %host, outcome = "unreadable");
+            }
+            return;
+        }
+    };
     if locked(&state.signals).observe(host, limit, Instant::now()) {
         locked(&state.unreported).insert(host.clone());
         on_change(core, host, limit, "answer");
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -201,6 +201,17 @@
     }
 }
 
+/// What a response says of its target's limit, which holds for as long as the target names it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    Absent,
+    /// Requests per second that the target takes from all nodes together.
+    PerSecond(f64),
+    /// It names one that can't be read.
+    Unreadable,
+}
+
 value! {
     /// A request to the node itself.
     pub enum NodeRequest {
@@ -232,9 +243,8 @@
     /// Classifies a target's response by its status and headers.
     fn classify(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass;
 
-    /// The request rate that the target names in a response: requests per second that it takes from
-    /// all nodes together, for as long as it names it.
-    fn host_limit(&self, headers: &HeaderMap) -> Option<f64>;
+    /// The request rate that the target names in a response.
+    fn host_limit(&self, headers: &HeaderMap) -> NamedLimit;
 
     /// The times in seconds for which a target that rejects a request wants no other from this node,
     /// as it names them.
