Close connections that were opened under a lower header limit

After a version raised `max_header_bytes`, requests with larger headers got 431 on connections that were opened before, for as long as these were kept: the HTTP library's buffer has the size that was in force when the connection was accepted. Callers don't repeat a 431. Such connections are closed between requests when the limit rises, and callers open new ones.

an_open_connection_takes_the_headers_that_the_new_limit_permits fails before (431, 200 wanted).

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -10,7 +10,7 @@
 use eelgrassmill_base::{ConfigVersion, NodeId};
 use eelgrassmill_fleet::Catalog;
 use eelgrassmill_peer::{ConfigText, checksum};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tracing::{info, warn};
 
 use crate::core::Core;
@@ -30,6 +30,8 @@
     /// The version that each other node last reported to have in force.
     peer_versions: Mutex<BTreeMap<NodeId, ConfigVersion>>,
     peer_ahead: Notify,
+    /// Largest request head that the configuration in force permits; 0 before there is one.
+    header_bytes: watch::Sender<usize>,
 }
 
 /// Invariant: the version never decreases, and `catalog` was parsed from `text`.
@@ -81,9 +83,17 @@
             catalog: Arc::new(accepted.catalog.following(&current.catalog)),
             text: accepted.text,
         };
+        if let Some(limits) = current.catalog.limits() {
+            self.header_bytes.send_replace(limits.header_bytes);
+        }
         true
     }
 
+    /// Follows the largest request head that the configuration in force permits.
+    pub(crate) fn header_bytes(&self) -> watch::Receiver<usize> {
+        self.header_bytes.subscribe()
+    }
+
     /// Records the version that another node has in force.
     pub(crate) fn on_peer_version(&self, node: &NodeId, version: ConfigVersion) {
         locked(&self.peer_versions).insert(node.clone(), version);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -192,6 +192,7 @@
     let port = Port {
         connections: connections.clone(),
         account: core.account.clone(),
+        header_bytes: core.configuration.header_bytes(),
     };
     tokio::spawn(server::listen(
         listener,
@@ -214,6 +215,7 @@
     let port = Port {
         connections: connections.clone(),
         account: core.account.clone(),
+        header_bytes: core.configuration.header_bytes(),
     };
     tokio::spawn(async move {
         let _never = never;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -74,6 +74,7 @@
         tokio::spawn(serve_connection(
             stream,
             limits.clone(),
+            port.header_bytes.clone(),
             stopping.clone(),
             service.clone(),
         ));
@@ -121,6 +122,8 @@
 pub(crate) struct Port {
     pub(crate) connections: ConnectionTable,
     pub(crate) account: ByteAccount,
+    /// Largest request head that the configuration in force permits.
+    pub(crate) header_bytes: watch::Receiver<usize>,
 }
 
 impl Port {
@@ -135,9 +138,15 @@
     let _ = stopping.wait_for(|stop| *stop).await;
 }
 
+/// Waits until request heads may be larger than `bytes`.
+async fn wait_for_more(header_bytes: &mut watch::Receiver<usize>, bytes: usize) {
+    let _ = header_bytes.wait_for(|permitted| *permitted > bytes).await;
+}
+
 async fn serve_connection<S, F>(
     stream: ClientStream<TcpStream>,
     limits: impl Fn() -> CallerLimits + Clone + Send + Sync + Unpin + 'static,
+    mut header_bytes: watch::Receiver<usize>,
     mut stopping: watch::Receiver<bool>,
     service: S,
 ) where
@@ -170,6 +179,11 @@
     tokio::pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
+        // The buffer of a connection can't grow with the limit.
+        () = wait_for_more(&mut header_bytes, initial.header_bytes) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
         () = wait_for_stop(&mut stopping) => {
             // The request of a connection that was opened just before may be on its way.
             match tokio::time::timeout(LAST_REQUEST_WAIT, conn.as_mut()).await {
