Take the slots of a head from its newest entry

A head kept the number of slots that its entry had when the node first saw it, for as long as the replica served. After an entry with a wrong number, of another writer or a damaged one, the head stayed overfull or idle although its host had written the right one since. The number is taken from each list now.

a_head_has_the_slots_of_its_newest_entry can't be built before (the field was fixed); by reading, the table reused the former head unchanged.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -336,7 +336,7 @@
     if open.is_empty() {
         return Choice::NoHeads;
     }
-    let slots: usize = open.iter().map(|h| h.slots).sum();
+    let slots: usize = open.iter().map(|h| h.slots()).sum();
     let is_limited = |h: &Head| signals.limit(&h.host).is_some();
     if open.iter().all(|h| is_limited(h)) {
         return Choice::Limited;
@@ -348,7 +348,7 @@
     let candidates = accepting.map(|h| HostCandidate {
         host: h.host.clone(),
         load: h.load(),
-        slots: h.slots,
+        slots: h.slots(),
         same_domain: h.failure_domain == core.cfg.failure_domain,
         failure_permille: 0,
     });
--- a/crates/gateway/src/heads/mod.rs
+++ b/crates/gateway/src/heads/mod.rs
@@ -50,7 +50,8 @@
     /// Members of the replica that were listed when this node learned of the head and haven't left
     /// it since.
     members: Mutex<SmallVec<[UsedHost; 8]>>,
-    pub(crate) slots: usize,
+    /// Its slots by its newest entry.
+    slots: AtomicUsize,
     /// Requests of this node that run there.
     running: AtomicUsize,
     /// The subset of them that this node placed without a scheduler.
@@ -122,7 +123,7 @@
             replica: membership.replica.clone(),
             epoch: membership.epoch,
             members: Mutex::new(members.map(UsedHost::from).collect()),
-            slots: host.slots,
+            slots: AtomicUsize::new(host.slots),
             running: AtomicUsize::new(0),
             unscheduled: AtomicUsize::new(0),
             reports: Mutex::default(),
@@ -170,9 +171,13 @@
         reports.assigned.as_ref().map_or(0, |a| a.queued)
     }
 
+    pub(crate) fn slots(&self) -> usize {
+        self.slots.load(Ordering::Relaxed)
+    }
+
     /// Its slots; one while it is ejected, for probe requests.
     pub(crate) fn usable_slots(&self) -> usize {
-        if self.is_ejected() { 1 } else { self.slots }
+        if self.is_ejected() { 1 } else { self.slots() }
     }
 
     /// Whether its scheduler reported that it rejects all requests.
@@ -183,7 +188,7 @@
 
     /// Whether half of its slots are taken, by the reports of nodes.
     pub(crate) fn is_half_full(&self) -> bool {
-        self.load() * 2 >= self.slots
+        self.load() * 2 >= self.slots()
     }
 
     /// Records another node's report of the requests that it placed without a scheduler.
@@ -627,6 +632,7 @@
                 let cold = catalog.service(&host.service).and_then(|s| s.cold);
                 let until = |cold: ColdStart| Some((cold, fleet.cold_until(host, &cold)?));
                 *locked(&head.cold) = cold.and_then(until);
+                head.slots.store(host.slots, Ordering::Relaxed);
                 open.insert(key, head);
             }
         }
--- a/crates/gateway/src/heads/tests.rs
+++ b/crates/gateway/src/heads/tests.rs
@@ -1,11 +1,13 @@
 use std::time::{Duration, Instant};
 
 use eelgrassmill_base::NodeId;
-use eelgrassmill_fleet::{Fleet, FleetChange, Host, HostState, Membership, MembershipPhase};
+use eelgrassmill_fleet::{
+    Catalog, Fleet, FleetChange, Host, HostState, Membership, MembershipPhase,
+};
 use googletest::prelude::*;
 use smol_str::SmolStr;
 
-use crate::heads::Head;
+use crate::heads::{Head, HeadTable};
 use crate::scheduler::ScheduledLoad;
 
 fn assigned(assigned: usize) -> ScheduledLoad {
@@ -119,3 +121,18 @@
     fleet.apply(FleetChange::Removed("host-3".into()), now);
     expect_that!(crashed(&fleet), eq(&vec![SmolStr::from("host-3")]));
 }
+
+/// Guards against placing requests by the slots of an entry that has been replaced.
+#[gtest]
+fn a_head_has_the_slots_of_its_newest_entry() {
+    let now = Instant::now();
+    let (mut fleet, mut heads) = (Fleet::default(), HeadTable::default());
+    for slots in [13, 1_000, 4] {
+        let mut host = member("host-1", 0);
+        host.slots = slots;
+        fleet.apply(FleetChange::Snapshot(vec![host]), now);
+        heads.update(&fleet, &Catalog::default());
+        let slots_of = |h: &std::sync::Arc<Head>| h.slots();
+        expect_that!(heads.open("r1-1", 7).map(slots_of), some(eq(slots)));
+    }
+}
--- a/crates/gateway/src/pacing.rs
+++ b/crates/gateway/src/pacing.rs
@@ -145,7 +145,7 @@
         let listed = heads.map(|h| PacedHost {
             host: h.host.clone(),
             incarnation: h.epoch,
-            slots: part_of(h.slots, nodes),
+            slots: part_of(h.slots(), nodes),
             cold_limit: None,
         });
         listed.collect()
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -318,7 +318,7 @@
     let open = open.map(|h| OpenHead {
         key: (h.replica.clone(), h.epoch),
         host: h.host.clone(),
-        slots: h.slots,
+        slots: h.slots(),
         failure_domain: h.failure_domain.clone(),
         inherited_requests: h.assigned(),
         unscheduled_requests: h.unscheduled(),
