Serve the connection that is accepted as the port closes

A connection that was accepted at the moment at which a stopping node closed its port was dropped without an answer: two random choices between the connection and the stop were each ready, and the second one abandoned what the first had accepted. Where the table has room the connection is served now, else it waits as long as those that are accepted after it.

Found by the tests of a shorter grace period, whose requests meet the close: beside load, two runs had one caller without an answer (status 0), one of them traced: it connected within a millisecond of `port closed`, with no connection counted.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -86,9 +86,18 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let admitted = port.admit(stream, limits().idle_timeout);
+                tokio::pin!(admitted);
                 tokio::select! {
-                    stream = port.admit(stream, limits().idle_timeout) => serve(stream, &stopping),
-                    () = wait_for_stop(&mut stopping) => break,
+                    biased;
+                    stream = &mut admitted => serve(stream, &stopping),
+                    () = wait_for_stop(&mut stopping) => {
+                        let admitted = tokio::time::timeout(LAST_REQUEST_WAIT, admitted).await;
+                        if let Ok(stream) = admitted {
+                            serve(stream, &stopping);
+                        }
+                        break;
+                    }
                 }
             }
             Err(err) => {
