Follow the settings file while a node runs

Of a settings file that changed, limits and a shorter grace period were in force after SIGHUP; all else was read once and held until the process ended, and only a log line said so. Seen by tests with real processes:

- a store or a seed that moves: the node went on asking the former address, saw no further configuration, or never found the other nodes;
- the retry budget and the address TTL: the former ones were kept to;
- a grace period that gets shorter during a stop: streams were taken by the former one and cut by SIGKILL;
- a file that was half written when it was read: nothing of it was in force until the next signal, which may never come;
- a change without a signal: unknown until the stop.

The schema of the keys says of each when a change takes effect; the reload, its log lines and the table in REFERENCE.md are made from it. What may change is one value that readers take anew each time. Names, listening addresses, policies and the log level still need a restart; a metric counts such changes.

--- a/crates/base/src/shutdown.rs
+++ b/crates/base/src/shutdown.rs
@@ -24,6 +24,12 @@
         }
     }
 
+    /// Moves the deadlines to those of `other` that are earlier.
+    pub fn shorten(&mut self, other: Shutdown) {
+        self.accept_until = self.accept_until.min(other.accept_until);
+        self.drain_until = self.drain_until.min(other.drain_until);
+    }
+
     /// Returns when to stop accepting connections.
     pub fn accept_until(&self) -> Instant {
         self.accept_until
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -30,7 +30,9 @@
 pub use crate::model::{
     Config, ModelService, NodeOptions, RepairObjective, Service, ServiceKind, TargetOptions, Tenant,
 };
-pub use crate::schema::{Key, Presence, SectionKeys, ValueType, defaulted, optional, required};
+pub use crate::schema::{
+    Key, Presence, Reload, SectionKeys, ValueType, defaulted, optional, required,
+};
 pub use crate::section_reader::SectionReader;
 pub use crate::sections::Sections;
 pub use crate::units::{MAX_NAME_BYTES, format_duration, is_valid_name, parse_duration};
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -9,6 +9,18 @@
 
 use crate::units::format_duration;
 
+value! { copy
+    /// When a changed value of a setting takes effect.
+    pub enum Reload {
+        /// At the next start.
+        Restart,
+        /// When the settings are read again.
+        Live,
+        /// When the settings are read again, unless the value is longer.
+        LiveIfShorter,
+    }
+}
+
 value! {
     /// Type and limits of a value.
     pub enum ValueType {
@@ -73,6 +85,8 @@
         pub presence: Presence,
         /// One-line description.
         pub description: &'static str,
+        /// When a changed value takes effect, if the key is a setting of a process.
+        pub reload: Reload,
     }
 
     /// Schema of one kind of section.
@@ -91,6 +105,7 @@
         value_type,
         presence: Presence::Required,
         description,
+        reload: Reload::Restart,
     }
 }
 
@@ -106,6 +121,7 @@
         value_type,
         presence: Presence::Default(value),
         description,
+        reload: Reload::Restart,
     }
 }
 
@@ -121,6 +137,32 @@
         value_type,
         presence: Presence::Derived(source),
         description,
+        reload: Reload::Restart,
+    }
+}
+
+impl Key {
+    /// The same key with a value that takes effect when the settings are read again.
+    pub const fn live(mut self) -> Key {
+        self.reload = Reload::Live;
+        self
+    }
+
+    /// The same key with a value of which a shorter one takes effect when the settings are read again.
+    pub const fn live_if_shorter(mut self) -> Key {
+        self.reload = Reload::LiveIfShorter;
+        self
+    }
+}
+
+impl Reload {
+    /// Describes when a change takes effect, for the reference page.
+    pub fn describe(self) -> &'static str {
+        match self {
+            Reload::Restart => "restart",
+            Reload::Live => "at once",
+            Reload::LiveIfShorter => "at once if shorter, else restart",
+        }
     }
 }
 
@@ -176,18 +218,37 @@
         self.section.trim_matches(['[', ']'])
     }
 
+    /// The key of this name.
+    pub fn key(&self, name: &str) -> Option<&'static Key> {
+        self.keys.iter().find(|k| k.name == name)
+    }
+
     /// Markdown table for the reference page: key, valid values, default, description.
     pub fn reference_table(&self) -> String {
+        self.table("", |_| String::new())
+    }
+
+    /// The same of settings that are read again while the process runs: also says when a change takes
+    /// effect.
+    pub fn reloadable_table(&self) -> String {
+        self.table(" a change is in force |", |key| {
+            format!(" {} |", key.reload.describe())
+        })
+    }
+
+    fn table(&self, last_header: &str, last_cell: impl Fn(&Key) -> String) -> String {
         let mut page = format!("### `{}`\n\n", self.section);
-        page.push_str("| key | what to write | when left out | meaning |\n");
-        page.push_str("| --- | --- | --- | --- |\n");
+        let header = format!("| key | what to write | when left out | meaning |{last_header}");
+        let rule = "| --- ".repeat(header.matches(" |").count());
+        page.push_str(&format!("{header}\n{rule}|\n"));
         for key in self.keys {
             let line = format!(
-                "| `{}` | {} | {} | {} |\n",
+                "| `{}` | {} | {} | {} |{}\n",
                 key.name,
                 key.value_type.describe(),
                 key.presence.describe(),
-                key.description
+                key.description,
+                last_cell(key)
             );
             page.push_str(&line);
         }
--- a/crates/fleet/src/retry.rs
+++ b/crates/fleet/src/retry.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Changes the rules of the budget; what was counted stays.
+    pub fn set_rules(&mut self, window: Duration, ratio: f64, slack: f64) {
+        (self.window, self.ratio, self.slack) = (window, ratio, slack);
+    }
+
     /// Records a request of a caller.
     pub fn on_request(&mut self, now: Instant) {
         self.remove_expired(now);
--- a/crates/gateway/src/client_limits.rs
+++ b/crates/gateway/src/client_limits.rs
@@ -39,7 +39,7 @@
     state.since_look += 1;
     if is_busy || state.since_look >= CALM_OBSERVATIONS {
         state.since_look = 0;
-        core.memory_limit().apply(&core.account);
+        core.live().memory.apply(&core.account);
     }
     let usage = core.account.usage();
     if let Some(is_short) = state.memory.observe(usage.shortages(), now) {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -63,6 +63,14 @@
 /// Fewest connections of a port.
 const MIN_CONNECTIONS: usize = 16;
 
+impl Addresses {
+    /// The seeds without this node itself.
+    pub(crate) fn other_seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| *seed != self.peers).collect()
+    }
+}
+
 impl ProcessLimits {
     pub(crate) fn memory(&self) -> MemoryLimit {
         MemoryLimit {
@@ -101,7 +109,31 @@
     }
 }
 
-/// A node's configuration.
+/// The part of a node's configuration that may change while it runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LiveConfig {
+    pub(crate) memory: MemoryLimit,
+    /// The shortest grace period that the node was told.
+    pub(crate) grace: Duration,
+    pub(crate) address_ttl: Duration,
+    pub(crate) retries: RetryBudgetConfig,
+    /// CPU that the node may use, in thousandths of a core; 0 if unknown.
+    pub(crate) processor: u32,
+}
+
+impl From<&GatewayConfig> for LiveConfig {
+    fn from(cfg: &GatewayConfig) -> LiveConfig {
+        LiveConfig {
+            memory: cfg.limits.memory(),
+            grace: cfg.grace,
+            address_ttl: cfg.address_ttl,
+            retries: cfg.retries,
+            processor: cfg.processor,
+        }
+    }
+}
+
+/// A node's configuration at its start.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
     /// Its name, unique over all nodes.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use eelgrassmill_account::{ByteAccount, ConnectionTable, MemoryLimit};
+use eelgrassmill_account::{ByteAccount, ConnectionTable};
 use eelgrassmill_base::{NodeId, ServiceName, Shutdown, StoreEra};
 use eelgrassmill_engine::TargetClient;
 use eelgrassmill_fleet::{
@@ -18,7 +18,7 @@
 
 use crate::admission::AdmissionQueues;
 use crate::client_limits::{ClientPressure, PORTS};
-use crate::config::GatewayConfig;
+use crate::config::{GatewayConfig, LiveConfig};
 use crate::configuration::Configuration;
 use crate::crash_detection::CrashDetection;
 use crate::fair_admission::FairQueues;
@@ -82,13 +82,10 @@
     pub(crate) host_relay: HostRelay,
     pub(crate) paces: Paces,
     pub(crate) planning: Inbox<PlanningEvent>,
-    /// Memory that the process may use.
-    memory: Mutex<MemoryLimit>,
-    /// The shortest grace period that the node was told.
-    grace: Mutex<Duration>,
+    live: Mutex<LiveConfig>,
     /// Set when the node receives the signal to stop. It then closes its port (`stopping`) and
-    /// aborts the remaining requests (`exiting`).
-    shutdown: OnceLock<Shutdown>,
+    /// aborts the remaining requests (`exiting`). Invariant: its deadlines never get later.
+    shutdown: watch::Sender<Option<Shutdown>>,
     pub(crate) stopping: watch::Sender<bool>,
     /// True once the grace period of running requests is over and the process is about to exit.
     exiting: watch::Sender<bool>,
@@ -113,8 +110,7 @@
     pub(crate) fn new(cfg: GatewayConfig, platform: P, http: TargetClient) -> Core<P> {
         Core {
             account: ByteAccount::new(cfg.limits.client_bytes()),
-            memory: Mutex::new(cfg.limits.memory()),
-            grace: Mutex::new(cfg.grace),
+            live: Mutex::new(LiveConfig::from(&cfg)),
             ports: cfg.limits.port_connections().map(ConnectionTable::new),
             client_pressure: ClientPressure::default(),
             cfg,
@@ -145,7 +141,7 @@
             host_relay: HostRelay::default(),
             paces: Paces::default(),
             planning: Inbox::default(),
-            shutdown: OnceLock::new(),
+            shutdown: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
             exiting: watch::Sender::new(false),
             served: AtomicBool::new(false),
@@ -168,41 +164,40 @@
         self.catalog().version() > 0 && fleet.is_loaded() && fleet.knows_evacuations()
     }
 
-    /// Memory that the process may use.
-    pub(crate) fn memory_limit(&self) -> MemoryLimit {
-        *locked(&self.memory)
+    /// The settings in force that may change while the node runs.
+    pub(crate) fn live(&self) -> LiveConfig {
+        *locked(&self.live)
     }
 
-    /// Changes the memory that the process may use.
-    pub(crate) fn set_memory_limit(&self, memory: MemoryLimit) {
-        *locked(&self.memory) = memory;
-        self.account.set_limit(memory.client_bytes());
+    /// Puts settings into force; of the grace period only a shorter one.
+    pub(crate) fn set_live(&self, newer: LiveConfig) {
+        let mut live = locked(&self.live);
+        let grace = newer.grace.min(live.grace);
+        *live = LiveConfig { grace, ..newer };
+        self.account.set_limit(live.memory.client_bytes());
     }
 
-    /// Time from the signal to stop until the process is killed.
-    pub(crate) fn grace(&self) -> Duration {
-        *locked(&self.grace)
-    }
-
-    /// Takes a shorter grace period. Returns the one in force.
-    pub(crate) fn shorten_grace(&self, grace: Duration) -> Duration {
-        let mut current = locked(&self.grace);
-        *current = grace.min(*current);
-        *current
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.shutdown.borrow().is_some()
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.shutdown.get().is_some()
+    /// The deadlines of the shutdown; `None` before the signal to stop.
+    pub(crate) fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
     }
 
-    /// Records that this node received the signal to stop. Only the first call has an effect.
-    pub(crate) fn begin_shutdown(&self, shutdown: Shutdown) -> &Shutdown {
-        self.shutdown.get_or_init(|| shutdown)
+    /// Records that this node received the signal to stop, or that it has to stop earlier than it was
+    /// told before.
+    pub(crate) fn begin_shutdown(&self, shutdown: Shutdown) {
+        self.shutdown.send_modify(|current| match current {
+            Some(current) => current.shorten(shutdown),
+            None => *current = Some(shutdown),
+        });
     }
 
     /// Whether this node may start a request that can run until `deadline`.
     pub(crate) fn may_start(&self, deadline: Instant) -> bool {
-        self.shutdown.get().is_none_or(|s| s.may_begin(deadline))
+        self.shutdown().is_none_or(|s| s.may_begin(deadline))
     }
 
     /// Signals all running requests that the process is about to exit.
@@ -283,7 +278,7 @@
         RoleCandidate {
             id: &self.cfg.node,
             failure_domain: &self.cfg.failure_domain,
-            processor: usable_processor(self.cfg.processor, self.is_overloaded()),
+            processor: usable_processor(self.live().processor, self.is_overloaded()),
         }
     }
 
@@ -370,9 +365,11 @@
         windows: &'w mut HashMap<ServiceName, RetryWindow>,
         service: &ServiceName,
     ) -> &'w mut RetryWindow {
-        let rules = self.cfg.retries;
+        let rules = self.live().retries;
         let restarted = (!self.cfg.first_start).then_some(self.started_at);
         let fresh = || RetryWindow::new(rules.window, rules.ratio, rules.slack, restarted);
-        windows.entry(service.clone()).or_insert_with(fresh)
+        let window = windows.entry(service.clone()).or_insert_with(fresh);
+        window.set_rules(rules.window, rules.ratio, rules.slack);
+        window
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Start and graceful shutdown of a node.
 
 use std::io;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eelgrassmill_account::ConnectionTable;
@@ -14,13 +14,14 @@
 use tokio::task::JoinHandle;
 use tracing::info;
 
-use crate::config::GatewayConfig;
+use crate::config::{GatewayConfig, LiveConfig};
 use crate::core::Core;
 use crate::heads::locked;
 use crate::peers::{self, UpdateHandler};
 use crate::ports::Platform;
 use crate::reflector::{HostSink, OperatorSink, run_reflector};
 use crate::server::{self, Port};
+use crate::settings::Settings;
 use crate::{
     configuration, host_relay, host_signals, leader, loss_detection, node_api, quarantine,
 };
@@ -54,6 +55,8 @@
     /// Accepts callers' connections until the port closes.
     accept_loop: Mutex<Option<JoinHandle<()>>>,
     peer: Arc<PeerNode<UpdateHandler<P>>>,
+    /// When the node received the signal to stop.
+    signalled_at: OnceLock<Instant>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -84,27 +87,47 @@
             core,
             accept_loop: Mutex::new(Some(accept_loop)),
             peer,
+            signalled_at: OnceLock::new(),
         })
     }
 
-    /// Puts into force what may change while the node runs: its limits, and a grace period that is
-    /// shorter. Returns the grace period in force.
-    pub(crate) fn apply(&self, cfg: &GatewayConfig) -> Duration {
-        let core = &self.core;
-        core.set_memory_limit(cfg.limits.memory());
+    /// Puts into force what may change while the node runs.
+    pub(crate) fn apply(&self, settings: &Settings) {
+        let (core, cfg) = (&self.core, &settings.gateway);
+        core.set_live(LiveConfig::from(cfg));
         for (port, limit) in core.ports.iter().zip(cfg.limits.port_connections()) {
             port.set_limit(limit);
         }
-        core.shorten_grace(cfg.grace)
+        self.peer.set_seeds(cfg.addresses.other_seeds());
+        core.platform.set_store(settings.store);
+        if let Some(signalled_at) = self.signalled_at.get() {
+            core.begin_shutdown(self.shutdown_from(*signalled_at));
+        }
+        peers::publish_status(core);
+    }
+
+    /// Shows how many changed settings need a restart.
+    pub(crate) fn show_pending_settings(&self, count: usize) {
+        let shown = i64::try_from(count).unwrap_or(i64::MAX);
+        self.core.metrics.pending_settings.set(shown);
+    }
+
+    /// The settings in force that may change while the node runs.
+    pub(crate) fn live(&self) -> LiveConfig {
+        self.core.live()
     }
 
     /// Stops gracefully: withdraws this node's address, then closes connections between requests,
     /// and lets running requests finish. `false` if some still ran at the end.
     pub async fn stop(&self) -> bool {
-        let shutdown = self.core.begin_shutdown(self.shutdown_from(Instant::now()));
+        let signalled_at = *self.signalled_at.get_or_init(Instant::now);
+        let initial = self.shutdown_from(signalled_at);
+        self.core.begin_shutdown(initial);
+        // A grace period that gets shorter meanwhile moves the deadlines.
+        let shutdown = || self.core.shutdown().unwrap_or(initial);
         peers::publish_status(&self.core);
         info!(event = "stop", connections = self.open_connections());
-        self.wait_drained(shutdown.accept_until()).await;
+        self.wait_drained(|| shutdown().accept_until()).await;
         self.core.stopping.send_replace(true);
         self.wait_port_closed().await;
         info!(
@@ -112,13 +135,13 @@
             outcome = "port closed",
             connections = self.open_connections()
         );
-        let done = self.wait_drained(shutdown.drain_until()).await;
+        let done = self.wait_drained(|| shutdown().drain_until()).await;
         // Tunnels of other nodes count as requests in progress, but not as failures to finish.
-        self.wait_tunnels_closed(shutdown.drain_until()).await;
+        self.wait_tunnels_closed(|| shutdown().drain_until()).await;
         if !done || self.core.host_relay.carried() > 0 {
             self.core.signal_exit();
-            self.wait_drained(shutdown.drain_until() + SHUTDOWN_NOTICE)
-                .await;
+            let end = shutdown().drain_until().max(Instant::now()) + SHUTDOWN_NOTICE;
+            self.wait_drained(|| end).await;
         }
         self.peer.stop();
         done
@@ -141,25 +164,26 @@
     }
 
     fn shutdown_from(&self, signalled_at: Instant) -> Shutdown {
-        let grace = self.core.grace();
-        let addresses_expire = self.core.cfg.address_ttl * OPEN_PORT_TTLS;
+        let live = self.core.live();
+        let grace = live.grace;
+        let addresses_expire = live.address_ttl * OPEN_PORT_TTLS;
         let open = addresses_expire.min(grace.mul_f64(MAX_OPEN_PORT_RATIO));
         let total = grace.mul_f64(GRACE_RATIO);
         Shutdown::new(signalled_at, open, total.saturating_sub(SHUTDOWN_NOTICE))
     }
 
     /// Waits until this node carries no tunnel or `end` is reached.
-    async fn wait_tunnels_closed(&self, end: Instant) {
-        while self.core.host_relay.carried() > 0 && Instant::now() < end {
+    async fn wait_tunnels_closed(&self, end: impl Fn() -> Instant) {
+        while self.core.host_relay.carried() > 0 && Instant::now() < end() {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
     }
 
     /// Waits until no connection is open or `end` is reached. Returns whether none is open.
-    async fn wait_drained(&self, end: Instant) -> bool {
+    async fn wait_drained(&self, end: impl Fn() -> Instant) -> bool {
         // Before the port closes, callers with open connections still have to learn of other nodes.
         while self.open_connections() > 0 || !*self.core.stopping.borrow() {
-            if Instant::now() >= end {
+            if Instant::now() >= end() {
                 return self.open_connections() == 0;
             }
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,4 +60,5 @@
     Source, SourceError, SourceRead, StoredRecord,
 };
 pub use crate::refusal::{Refusal, RefusalCause};
+pub use crate::reload::SettingsFollower;
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -81,6 +81,8 @@
     pub(crate) orders: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
+    /// Settings that were changed and need a restart.
+    pub(crate) pending_settings: IntGauge,
     /// Evacuated failure domains, whose hosts take no new requests.
     pub(crate) evacuated_domains: IntGauge,
     /// Replicas that take requests.
@@ -229,6 +231,10 @@
                 &["order", "reply"],
             ),
             config_version: gauge("gateway_config_version", "Configuration in force."),
+            pending_settings: gauge(
+                "gateway_pending_settings",
+                "Settings that were changed and need a restart.",
+            ),
             evacuated_domains: gauge(
                 "gateway_evacuated_domains",
                 "Failure domains whose hosts take nothing new.",
--- a/crates/gateway/src/node_api.rs
+++ b/crates/gateway/src/node_api.rs
@@ -59,7 +59,7 @@
     let body = core
         .platform
         .dialect()
-        .addresses(&addresses, core.cfg.address_ttl);
+        .addresses(&addresses, core.live().address_ttl);
     text(body, "application/json")
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -219,13 +219,7 @@
             timing,
         },
         listen: cfg.addresses.peers,
-        seeds: cfg
-            .addresses
-            .seeds
-            .iter()
-            .copied()
-            .filter(|s| *s != cfg.addresses.peers)
-            .collect(),
+        seeds: cfg.addresses.other_seeds(),
         max_connections: cfg.limits.peer_connections(),
     };
     let handler = Arc::new(UpdateHandler {
@@ -253,7 +247,7 @@
         failure_domain: cfg.failure_domain.clone(),
         region: cfg.region.clone(),
         leaving: core.is_leaving(),
-        cpu_millicores: cfg.processor,
+        cpu_millicores: core.live().processor,
     }));
 }
 
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -1,6 +1,7 @@
 //! The traits that a platform implements so that a node can run on it.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -293,4 +294,6 @@
     fn control(&self) -> &Self::Control;
     /// HTTP headers and endpoints.
     fn dialect(&self) -> &Self::Dialect;
+    /// Uses the store at another address from now on.
+    fn set_store(&self, address: SocketAddr);
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use eelgrassmill_config::{
-    ConfigErrors, Diagnostics, Key, SectionKeys, SectionReader, Sections, ValueType, defaulted,
-    optional, required,
+    ConfigErrors, Diagnostics, Key, Reload, SectionKeys, SectionReader, Sections, ValueType,
+    defaulted, optional, required,
 };
 
 use smol_str::{SmolStr, format_smolstr};
@@ -49,13 +49,13 @@
         ValueType::Decimal { max: 1 },
         "1",
         "The part of its processor that the node may use. Nodes with more take on roles for others.",
-    ),
+    ).live(),
     defaulted(
         "processor_cores",
         ValueType::Decimal { max: MAX_CORES },
         "1",
         "How fast that processor is, in cores.",
-    ),
+    ).live(),
 ];
 
 const LISTEN: &[Key] = &[
@@ -86,30 +86,30 @@
     ValueType::Addresses { max: MAX_SEEDS },
     "",
     "Nodes to greet first.",
-)];
+)
+.live()];
 
-const PLATFORM: &[Key] = &[required(
-    "store",
-    ValueType::Address,
-    "The platform's store.",
-)];
+const PLATFORM: &[Key] = &[required("store", ValueType::Address, "The platform's store.").live()];
 
 const RETRIES: &[Key] = &[
     required(
         "window",
         DURATION,
         "Any span of this length counts for the bound on repeats.",
-    ),
+    )
+    .live(),
     required(
         "ratio",
         ValueType::Decimal { max: 10 },
         "Repeats for each request of a caller.",
-    ),
+    )
+    .live(),
     required(
         "slack",
         ValueType::Decimal { max: 1_000_000 },
         "Repeats beside that, of all nodes together.",
-    ),
+    )
+    .live(),
 ];
 
 const TIMES: &[Key] = &[
@@ -117,12 +117,14 @@
         "grace",
         DURATION,
         "From the signal to stop until the process is killed.",
-    ),
+    )
+    .live_if_shorter(),
     required(
         "address_ttl_most",
         DURATION,
         "The longest time that callers may keep addresses.",
-    ),
+    )
+    .live(),
 ];
 
 const LIMITS: &[Key] = &[
@@ -131,7 +133,7 @@
         ValueType::Decimal { max: MAX_MEMORY_MB },
         "256",
         "Memory that the process may use, in MB, at least 32. Half of it is for what the process holds for callers.",
-    ),
+    ).live(),
     optional(
         "max_fds",
         ValueType::Decimal {
@@ -139,7 +141,7 @@
         },
         "the process's own limit",
         "Descriptors that the process may use, at least 256. Two fifths are for callers' connections.",
-    ),
+    ).live(),
 ];
 
 const LOG: &[Key] = &[defaulted(
@@ -287,6 +289,14 @@
     }
 }
 
+/// When a change of a key, named as `[section] key`, takes effect.
+pub(crate) fn reload_of(key: &str) -> Reload {
+    let (section, name) = key.split_once(' ').unwrap_or_default();
+    let keys = SECTIONS.iter().find(|s| s.section == section);
+    let key = keys.and_then(|s| s.key(name));
+    key.map_or(Reload::Restart, |k| k.reload)
+}
+
 /// The entries of all sections.
 fn values(found: &Sections) -> BTreeMap<SmolStr, SmolStr> {
     let names = SECTIONS.iter().map(|s| s.section.trim_matches(['[', ']']));
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -171,7 +171,7 @@
     /// Connections for tunnels.
     tunnels: Pool,
     meter: Meter,
-    seeds: Vec<SocketAddr>,
+    seeds: Mutex<Vec<SocketAddr>>,
     flush_interval: Duration,
     call_timeout: Duration,
     /// Connections accepted from other nodes.
@@ -262,6 +262,15 @@
         self.inner.state().confirm(as_of);
     }
 
+    /// Replaces the nodes to contact while no other is known.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self
+            .inner
+            .seeds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
     /// Sets the list of members as read from the table.
     pub fn set_members(&self, members: impl IntoIterator<Item = Member>) {
         self.inner.state().set_members(members, Instant::now());
@@ -449,7 +458,7 @@
             pool: Pool::new(timing.call_timeout, meter.clone(), PoolKind::Calls),
             tunnels: Pool::new(timing.call_timeout, meter.clone(), PoolKind::Tunnels),
             meter,
-            seeds: cfg.seeds,
+            seeds: Mutex::new(cfg.seeds),
             connections: ConnectionTable::new(cfg.max_connections)
                 .limit_unproven(MAX_UNPROVEN_CONNECTIONS),
             flush_interval: timing.flush_interval,
@@ -460,6 +469,11 @@
         }
     }
 
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.clone()
+    }
+
     fn state(&self) -> MutexGuard<'_, Dissemination> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -692,7 +706,7 @@
         }
         state.hello(Instant::now())
     };
-    for &seed in &inner.seeds {
+    for seed in inner.seeds() {
         let inner = Arc::clone(inner);
         let hello = hello.clone();
         tokio::spawn(async move { inner.send_hello(seed, hello, timeout).await });
