Reject waiting requests that a stopping node would cut off

A request that waited for a slot when its node was told to stop, or when the grace period got shorter, went on waiting although its own timeout lies beyond the node's end. It was then begun and cut off when the process exited, or answered with 502 at the end though it had never run. Requests that come after the signal are rejected at once for the same reason.

Before its first run a waiting request is rejected as soon as the node's end lies before the request's, with 503 and Retry-After 0: another node can take it. So is a plain request that waited for a host's limit.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Allowance beyond the deadline for an attempt to report that the deadline was exceeded.
+const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
+
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
@@ -54,6 +57,11 @@
 }
 
 impl Call {
+    /// When its caller has an answer at the latest.
+    pub(crate) fn last_reply_at(&self) -> Instant {
+        self.deadline + FINAL_REPLY_MARGIN
+    }
+
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -200,6 +200,15 @@
         self.shutdown().is_none_or(|s| s.may_begin(deadline))
     }
 
+    /// Waits until this node may no longer start a request that can run until `deadline`.
+    pub(crate) async fn wait_until_stops_before(&self, deadline: Instant) {
+        let mut rx = self.shutdown.subscribe();
+        // The sender lives as long as `self`, so the channel can't close before.
+        let _ = rx
+            .wait_for(|shutdown| shutdown.is_some_and(|s| !s.may_begin(deadline)))
+            .await;
+    }
+
     /// Signals all running requests that the process is about to exit.
     pub(crate) fn signal_exit(&self) {
         self.exiting.send_replace(true);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -102,6 +102,10 @@
             }
             continue;
         }
+        // It may have waited, and the node may have been told to stop meanwhile.
+        if runs == 0 && !core.may_start(call.last_reply_at()) {
+            return Err(Refusal::node_leaving());
+        }
         if delivered > 0 && !core.try_retry(&service, RetryReason::Attempt) {
             refused = RefusalCause::RetryBudgetExhausted;
             break;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// The refusal of a request that has not run and could outlast this node, which is stopping: the
+    /// caller should retry at once at another node.
+    pub(crate) fn node_leaving() -> Refusal {
+        Refusal::with_retry_after(RefusalCause::NodeLeaving, Duration::ZERO)
+    }
+
     /// Converts it to an HTTP response.
     pub(crate) fn into_response(self) -> Response<ResponseBody> {
         let text = format!("{{\"error\":\"{}\"}}", self.cause.name());
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -41,8 +41,6 @@
 /// Retry-After of a node that has no configuration or hosts yet. Nodes load them within a second of
 /// their start.
 const RETRY_AFTER_NOT_LOADED: Duration = Duration::from_millis(300);
-/// Retry-After of a node that is leaving: the caller should retry at once at another node.
-const RETRY_AFTER_LEAVING: Duration = Duration::ZERO;
 /// Retry-After when the memory for callers is used up, times a random factor from 1 to 2 so that callers
 /// don't return together. Bodies that stall are evicted within this.
 const RETRY_AFTER_OUT_OF_MEMORY: Duration = Duration::from_millis(500);
@@ -53,8 +51,6 @@
 /// Maximum number of established connections that are accepted as the port is closed: the usual
 /// backlog of a listener.
 const MAX_LAST_ACCEPTED: usize = 1024;
-/// Allowance beyond the deadline for an attempt to report that the deadline was exceeded.
-const FINAL_REPLY_MARGIN: Duration = Duration::from_millis(40);
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -243,7 +239,7 @@
     let read = tokio::select! {
         read = read_call(core, req, arrived) => read,
         // A request that isn't read completely was not sent to any host.
-        () = core.wait_for_exit() => Err(Refusal::with_retry_after(RefusalCause::NodeLeaving, RETRY_AFTER_LEAVING)),
+        () = core.wait_for_exit() => Err(Refusal::node_leaving()),
     };
     let call = match read {
         Ok(call) => Arc::new(call),
@@ -274,11 +270,8 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     // Only after the body is read: closing a connection with unread bytes resets it, and the
     // caller may never see this response.
-    if !core.may_start(call.deadline + FINAL_REPLY_MARGIN) {
-        return Err(Refusal::with_retry_after(
-            RefusalCause::NodeLeaving,
-            RETRY_AFTER_LEAVING,
-        ));
+    if !core.may_start(call.last_reply_at()) {
+        return Err(Refusal::node_leaving());
     }
     let service = dispatch::pick_service(core, call)?;
     quarantine::on_request(core, call, &service);
@@ -287,7 +280,8 @@
         return stream::run(core, call, service, admission).await;
     }
     let dispatched = tokio::time::timeout(
-        call.remaining() + FINAL_REPLY_MARGIN,
+        call.last_reply_at()
+            .saturating_duration_since(Instant::now()),
         dispatch::run(core, call, service, admission),
     );
     // The attempt in progress may have run.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -195,6 +195,9 @@
             tokio::select! {
                 admitted = &mut admitted => break admitted,
                 () = decisions.next() => self.check_quarantine()?,
+                () = self.core.wait_until_stops_before(self.call.last_reply_at()), if self.runs == 0 => {
+                    return Err(Refusal::node_leaving());
+                }
             }
         };
         admitted.map_err(|refusal| {
