Claim the leader's record although another writer damaged it

A row of another writer in place of the leader's record stopped all planning for ever: no node could read whom it names, so none claimed it, and no replica was formed; a term of 2^64 - 1 made the next one zero, whose orders all hosts refuse. Neither was logged as more than a failed read.

A record that can't be read, or whose term can't have been reached, names an unknown holder: it is awaited like any holder that isn't heard, and then followed. The next term is above all that this node has read or claimed, that others announce, and, since the row doesn't tell, those of the replicas that hosts belong to. A leader whose row is damaged while its lease is valid writes it again.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::cold::ColdStart;
 use crate::host::{Host, HostState};
+use crate::planner::EPOCHS_PER_TERM;
 use crate::presence::{Departures, HostPresence};
 
 /// How long hosts that are missing after a store outage are kept once the store is back. The
@@ -279,6 +280,13 @@
         self.insert(entry, now);
     }
 
+    /// The highest term of a planner, up to `most`, whose replicas hosts belong to; 0 if there is none.
+    pub fn highest_term(&self, most: u64) -> u64 {
+        let memberships = self.hosts.values().filter_map(|h| h.membership.as_ref());
+        let terms = memberships.map(|m| m.epoch / EPOCHS_PER_TERM);
+        terms.filter(|term| *term <= most).max().unwrap_or_default()
+    }
+
     fn insert(&mut self, entry: Host, now: Instant) {
         if self.hosts.get(&entry.id) == Some(&entry) {
             return;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -52,7 +52,7 @@
 use crate::planner::serving::ServingCounts;
 
 /// Epochs reserved for one planner term; far more than a term can use.
-const EPOCHS_PER_TERM: u64 = 1 << 20;
+pub(crate) const EPOCHS_PER_TERM: u64 = 1 << 20;
 /// How long sent messages are remembered. Longer than any resend interval.
 const SENT_TTL: Duration = Duration::from_secs(2);
 /// Join time of a host whose last replica was of the same model, as the platform specifies.
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -37,6 +37,8 @@
 const TERMS_PER_ERA: u64 = 1 << 16;
 /// Highest era that counts for terms, which are part of epochs.
 const MAX_TERM_ERA: StoreEra = 1 << 24;
+/// Terms above this are not those of a leader: their epochs wouldn't fit.
+const MAX_TERM: u64 = 1 << 42;
 
 /// The time since the machine booted, including time in suspend.
 fn since_boot() -> SinceBoot {
@@ -48,8 +50,9 @@
 
 value! { wire
     /// The record of the planner's leader.
+    #[derive(Default)]
     pub(crate) struct LeaderRecord {
-        /// The node.
+        /// The node; empty if the record can't be read.
         pub(crate) node: NodeId,
         /// Number of the leader's term. Epochs of a term are higher than those of all earlier
         /// terms.
@@ -64,17 +67,36 @@
     era: Option<StoreEra>,
 }
 
+impl StoredLeader {
+    fn is_unreadable(&self) -> bool {
+        self.record
+            .as_ref()
+            .is_some_and(LeaderRecord::is_unreadable)
+    }
+}
+
+impl LeaderRecord {
+    fn is_unreadable(&self) -> bool {
+        self.node.is_empty()
+    }
+}
+
 async fn read_record<P: Platform>(core: &Core<P>) -> Result<StoredLeader, SourceError> {
     let stored = core.platform.leader().read().await?;
-    let record = stored.encoded.map(|bytes| serde_json::from_slice(&bytes));
-    let record = record.transpose();
     Ok(StoredLeader {
-        record: record.map_err(|e| SourceError::Malformed(e.to_string()))?,
+        record: stored.encoded.map(|bytes| decode_record(&bytes)),
         version: stored.version,
         era: stored.era,
     })
 }
 
+/// Reads a record. One that can't be read names no known node, which is awaited and then followed
+/// like one that is gone.
+fn decode_record(bytes: &[u8]) -> LeaderRecord {
+    let record = serde_json::from_slice::<LeaderRecord>(bytes).ok();
+    record.filter(|r| r.term <= MAX_TERM).unwrap_or_default()
+}
+
 async fn write_record<P: Platform>(
     core: &Core<P>,
     version: RowVersion,
@@ -89,6 +111,8 @@
 struct ObservedRecord {
     /// The record that was read last, and when this node first read it.
     record: Option<(LeaderRecord, Instant)>,
+    /// The highest term that was read or claimed.
+    highest_term: u64,
 }
 
 /// Campaigns for the leader role and runs the planner while this node has it, until the process
@@ -158,10 +182,12 @@
     if observed.is_new_holder(stored.record.as_ref(), &core.cfg.node, now) {
         return None;
     }
+    let known = observed.highest_known(core, stored.record.as_ref());
     let claim = LeaderRecord {
         node: core.cfg.node.clone(),
-        term: next_term(core, stored.record.as_ref(), era),
+        term: next_term(core, known, era),
     };
+    observed.highest_term = claim.term;
     match write_record(core, stored.version, &claim).await {
         Ok(write) if write.done && write.era.is_none_or(|e| e == era) => Some((claim, era)),
         // If the store came back in between, the next read shows what it has.
@@ -175,13 +201,26 @@
 }
 
 /// A term above all that are known to have been claimed, and above all of earlier eras.
-fn next_term<P: Platform>(core: &Core<P>, record: Option<&LeaderRecord>, era: StoreEra) -> u64 {
+fn next_term<P: Platform>(core: &Core<P>, known: u64, era: StoreEra) -> u64 {
     let announced = locked(&core.leaders).values().copied().max();
-    let known = record.map(|r| r.term).max(announced).unwrap_or_default();
+    let known = known.max(announced.unwrap_or_default());
     known.max(era.min(MAX_TERM_ERA) * TERMS_PER_ERA) + 1
 }
 
 impl ObservedRecord {
+    /// The highest term that is known from records; if the stored one can't be read, also from the
+    /// replicas that hosts belong to.
+    fn highest_known<P: Platform>(&mut self, core: &Core<P>, stored: Option<&LeaderRecord>) -> u64 {
+        let term = stored.map_or(0, |r| r.term);
+        self.highest_term = self.highest_term.max(term);
+        if stored.is_some_and(LeaderRecord::is_unreadable) {
+            warn!(event = "leader", outcome = "unreadable");
+            let formed = locked(&core.fleet).highest_term(MAX_TERM);
+            self.highest_term = self.highest_term.max(formed);
+        }
+        self.highest_term
+    }
+
     /// Records what was read. Returns whether it newly names another node, which has to be awaited.
     fn is_new_holder(&mut self, record: Option<&LeaderRecord>, me: &str, now: Instant) -> bool {
         let Some(record) = record.filter(|r| r.node != me) else {
@@ -267,6 +306,14 @@
             // A late answer of an earlier era.
             Ordering::Less => {}
             Ordering::Equal if is_named => locked(lease).confirm(read_at),
+            // No successor is named while the lease is valid.
+            Ordering::Equal
+                if stored.is_unreadable()
+                    && lease_status(core, lease) == LeaseStatus::Act
+                    && write_again(core, leader, &stored, era).await =>
+            {
+                locked(lease).confirm(read_at);
+            }
             Ordering::Equal => return,
             Ordering::Greater => {
                 // A successor may have been named in the part that the store lost, but not while
