Move the run of a node's process into the product

No behavior changes, but for one: a settings file counts as written anew also if only its length differs, since a version that is half written may have the same time as the whole one.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod host_signals;
 mod inbox;
 mod leader;
+mod lifecycle;
 mod list_codec;
 mod log_report;
 mod logs;
@@ -52,13 +53,13 @@
     Addresses, GatewayConfig, PolicySwitches, ProcessLimits, RetryBudgetConfig,
 };
 pub use crate::gateway::{Gateway, GatewayError};
+pub use crate::lifecycle::{RunError, run_until_stopped};
 pub use crate::log_report::{LogReader, Subject};
-pub use crate::logs::{LogQueue, init_logging};
+pub use crate::logs::{LogQueue, SkippedEntries, init_logging};
 pub use crate::ports::{
     AcceptedConfig, AttemptMetadata, ConditionalWrite, Dialect, HostControl, HostReport,
     HostUnavailable, NamedLimit, NodeRequest, OperatorChange, Platform, RecordStore, ResponseClass,
     Source, SourceError, SourceRead, StoredRecord,
 };
 pub use crate::refusal::{Refusal, RefusalCause};
-pub use crate::reload::SettingsFollower;
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
--- a/crates/gateway/src/log_report.rs
+++ b/crates/gateway/src/log_report.rs
@@ -1,6 +1,8 @@
 //! Reports on one request, replica, host or configuration, extracted from the logs of many nodes.
 
 use std::collections::BTreeSet;
+use std::ffi::OsString;
+use std::path::Path;
 use std::time::Duration;
 
 use eelgrassmill_base::value;
@@ -43,6 +45,28 @@
 }
 
 impl LogReader {
+    /// Reads log files, or standard input if there are none.
+    ///
+    /// # Errors
+    /// If one can't be read; names it.
+    pub fn read_files(files: &[OsString]) -> Result<LogReader, String> {
+        let mut reader = LogReader::default();
+        if files.is_empty() {
+            for line in std::io::stdin().lines() {
+                reader.push("standard input", &line.map_err(|err| err.to_string())?);
+            }
+        }
+        for file in files {
+            let name = Path::new(file);
+            let text = std::fs::read(name).map_err(|err| format!("{}: {err}", name.display()))?;
+            let label = name.file_stem().unwrap_or_default().to_string_lossy();
+            for line in String::from_utf8_lossy(&text).lines() {
+                reader.push(&label, line);
+            }
+        }
+        Ok(reader)
+    }
+
     /// Adds a line of a log. The text before its `{` names its node; if there is none, `file` does.
     pub fn push(&mut self, file: &str, text: &str) {
         let Some(start) = text.find('{') else { return };
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -11,6 +11,8 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded};
+use eelgrassmill_base::RowVersion;
+use tracing::warn;
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
@@ -26,6 +28,8 @@
 /// each line.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Entries of one read that are logged by name when they name no host.
+const MAX_LOGGED_ENTRIES: usize = 20;
 /// Shortest time between two lines of a [`LogRateLimit`].
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -157,6 +161,34 @@
     }
 }
 
+/// Entries of one read of the host list that name no host to use.
+///
+/// The first ones are logged by name, and how many there are when it is dropped.
+#[derive(Debug, Default)]
+pub struct SkippedEntries(usize);
+
+impl SkippedEntries {
+    /// Adds an entry.
+    pub fn add(&mut self, host: &str, version: RowVersion) {
+        self.0 += 1;
+        if self.0 <= MAX_LOGGED_ENTRIES {
+            warn!(event = "host-entry", %host, version, outcome = "unreadable");
+        }
+    }
+}
+
+impl Drop for SkippedEntries {
+    fn drop(&mut self) {
+        if self.0 > MAX_LOGGED_ENTRIES {
+            warn!(
+                event = "host-entry",
+                outcome = "unreadable",
+                entries = self.0
+            );
+        }
+    }
+}
+
 /// Writes complete lines, several per write up to [`MAX_WRITE_BYTES`].
 fn write_batches(out: &mut impl Write, lines: &[u8]) -> io::Result<()> {
     let mut batch = Vec::new();
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use eelgrassmill_base::{HostId, ModelName, RowVersion, StoreEra, TenantId, value};
 use eelgrassmill_fleet::{Catalog, EvacuationChange, FleetChange, Membership, Order, OrderReply};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -213,6 +213,18 @@
     Unreadable,
 }
 
+impl NamedLimit {
+    /// Parses a decimal number; `None` is a header that is missing.
+    pub fn parse(value: Option<&HeaderValue>) -> NamedLimit {
+        let Some(value) = value else {
+            return NamedLimit::Absent;
+        };
+        let limit = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+        let limit = limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
+        limit.map_or(NamedLimit::Unreadable, NamedLimit::PerSecond)
+    }
+}
+
 value! {
     /// A request to the node itself.
     pub enum NodeRequest {
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -17,34 +17,38 @@
 /// The same after a version that can't be read, which may be half written.
 const INVALID_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// When a file was written, and its length: the time alone may be that of a version that was half
+/// written just before.
+type FileVersion = (SystemTime, u64);
+
 /// Follows a settings file that may change at any time, with a signal or without one.
 #[derive(Debug)]
-pub struct SettingsFollower {
+pub(crate) struct SettingsFollower {
     file: PathBuf,
     /// The settings with which the node has started.
     started: Settings,
     /// The settings that were read last.
     newest: Settings,
-    /// When the file was written that `newest` is from.
-    modified: Option<SystemTime>,
+    /// The version of the file that `newest` is from.
+    version: Option<FileVersion>,
     /// Why the file can't be read, as logged last.
     error: Option<String>,
 }
 
 impl SettingsFollower {
     /// Follows `file`, from which `started` was read.
-    pub fn new(started: Settings, file: &Path) -> SettingsFollower {
+    pub(crate) fn new(started: Settings, file: &Path) -> SettingsFollower {
         SettingsFollower {
             file: file.to_owned(),
             newest: started.clone(),
             started,
-            modified: None,
+            version: None,
             error: None,
         }
     }
 
     /// Waits until the file should be checked again.
-    pub async fn wait(&self) {
+    pub(crate) async fn wait(&self) {
         let is_invalid = self.error.is_some();
         tokio::time::sleep(if is_invalid {
             INVALID_CHECK_INTERVAL
@@ -55,31 +59,32 @@
     }
 
     /// Reads the file again if it was written since.
-    pub fn check<P: Platform>(&mut self, gateway: &Gateway<P>) {
-        let modified = self.modified();
-        if self.error.is_some() || modified.is_some() && modified != self.modified {
+    pub(crate) fn check<P: Platform>(&mut self, gateway: &Gateway<P>) {
+        let version = self.file_version();
+        if self.error.is_some() || version.is_some() && version != self.version {
             self.read(gateway);
         }
     }
 
     /// Reads the file again, puts into force what can be, and logs what needs a restart.
-    pub fn reload<P: Platform>(&mut self, gateway: &Gateway<P>) {
+    pub(crate) fn reload<P: Platform>(&mut self, gateway: &Gateway<P>) {
         if !self.read(gateway) && self.error.is_none() {
             self.log(gateway);
         }
     }
 
-    fn modified(&self) -> Option<SystemTime> {
-        fs::metadata(&self.file).and_then(|m| m.modified()).ok()
+    fn file_version(&self) -> Option<FileVersion> {
+        let metadata = fs::metadata(&self.file).ok()?;
+        Some((metadata.modified().ok()?, metadata.len()))
     }
 
     /// Returns whether the settings differ from those that were read before.
     fn read<P: Platform>(&mut self, gateway: &Gateway<P>) -> bool {
         // Before the text: one that is written meanwhile is read again.
-        let modified = self.modified();
+        let version = self.file_version();
         match Settings::load(&self.file) {
             Ok(settings) => {
-                self.modified = modified;
+                self.version = version;
                 self.error = None;
                 let is_changed = !self.newest.changed_keys(&settings).is_empty();
                 if is_changed {
