--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -1,4 +1,4 @@
-//! A node's process, from its start until it is told to stop.
+//! A node's process, from its start to its stop.
 
 use std::path::Path;
 
