--- a/review/common-2/engines.py
+++ b/review/common-2/engines.py
@@ -1,6 +1,7 @@
 """Model workers as PROTOCOL.md tells: orders, groups, reports, streams."""
 
 import json
+import socket
 import threading
 import time
 
@@ -236,9 +237,14 @@
         if expected is not None and expected != self.id:
             return http.reply(421, b"", [("X-Eelgrassmill-Instance-Id", self.id)])
         extra, http.extra = http.extra, None
+        order = json.loads(body) if http.path == "/-/order" else None
+        late = self.late_by(order) if order else None
         if http.path in ("/-/report", "/-/order") and extra is not None:
-            self.record.say(f"worker {self.id} sends the extra answer before that to {http.command} {http.path}")
             http.reply(200, extra, [("Content-Type", "application/json")])
+            if late is not None:
+                # The order gets no answer: the channel closes.
+                http.connection.shutdown(socket.SHUT_WR)
+            self.record.say(f"worker {self.id} sends the extra answer before that to {http.command} {http.path}")
         if http.path == "/-/report":
             found = json.dumps(self.report()).encode()
             self.answers += 1
@@ -246,14 +252,11 @@
                 http.extra = found
             return http.reply(200, found, [("Content-Type", "application/json")])
         if http.path == "/-/order":
-            order = json.loads(body)
-            late = self.late_by(order)
             told = f"{order['op']} {order.get('group', '')} {order.get('epoch', '')}"
             if late is not None:
                 self.record.say(f"worker {self.id} leaves the order {told} unanswered")
                 self.later(late, lambda: self.record.say(
                     f"worker {self.id} carries out {told}: {self.order(order)}"))
-                # No answer comes, and the channel closes.
                 http.close_connection = True
                 return None
             status = self.order(order)
--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -530,6 +530,9 @@
 
 def run_case(file, case, **site_options):
     """Runs a case; ends this process with 0 (held), 1 (broken) or 2 (couldn't run)."""
+    # What was started is ended also when this process is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGINT, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = os.path.dirname(os.path.abspath(file))
     site = None
