--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -232,6 +232,8 @@
         self.lock = threading.Lock()
         # Called with the request before it is answered; may return another status.
         self.on_run = lambda run: 200
+        # Further headers of all its answers to requests.
+        self.says = []
         self.state = "ready"
         self.seq = 0
         self.alive = True
@@ -319,7 +321,7 @@
         return http.reply(status, f"answer to {rid}".encode(), [
             ("X-Eelgrassmill-Request-Id", rid),
             ("X-Eelgrassmill-Response-Seal", f"{self.id}.{rid}"),
-        ])
+        ] + self.says)
 
 
 def render(template, fields):
@@ -383,13 +385,13 @@
     def front(self):
         return self.ports["front"]
 
-    def start(self, bootstrap, store=None):
+    def start(self, bootstrap, seeds=None):
         fields = {
             "node": self.name, "role": "gateway", "class": "front", "zone": self.zone,
             "region": "r1", "bootstrap": bootstrap, "listen": self.ports,
-            "seeds": [n.ports["control"] for n in self.site.nodes[:3]],
+            "seeds": seeds or [n.ports["control"] for n in self.site.nodes[:3]],
             "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4200},
-            "bounds": BOUNDS, "provider": {"addr": store or self.site.store.address},
+            "bounds": BOUNDS, "provider": {"addr": self.site.store.address},
         }
         with open(os.path.join(REPO, "deploy", "settings.ini"), encoding="utf-8") as file:
             settings = render(file.read(), fields)
@@ -472,7 +474,8 @@
             for n in range(workers)
         ]
         self.nodes = []
-        self.nodes += [Node(self, f"front-{zones[n % 3]}-{n // 3 + 1}", zones[n % 3]) for n in range(machines)]
+        for n in range(machines):
+            self.nodes.append(Node(self, f"front-{zones[n % 3]}-{n // 3 + 1}", zones[n % 3]))
 
     def manifest(self, version, tenants):
         def route(name, kind):
