Ask for no page again that brought nothing new

Operators saw three nodes call the store some 8,000 times in 13 s, with 2,000 calls a second permitted to all nodes: the same page of a table, again and again. A table was read until a page said that nothing is behind it or 16 MiB were together; rows that came twice counted and were kept twice, and nothing checked that a page brought any new one. Why the store repeated itself is another fault (keys that aren't encoded); whatever the reason, a node must not ask without a pause.

TablePages merges the pages in the product and refuses one without a new row, although there are more. The read then fails like any other and is repeated after 100 to 600 ms. An empty page that claims more behind it ended the table before and is the same error now: a list cut short would free hosts that live.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod snapshot_relay;
 mod sse;
 mod stream;
+mod table_pages;
 
 pub use crate::call::RequestMetadata;
 pub use crate::config::{
@@ -63,3 +64,4 @@
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
+pub use crate::table_pages::{TablePages, TableRow};
