Decode the names in queries of callers who ask where to connect

A caller whose failure domain has a blank or another character that is encoded in a query was told addresses in any failure domain: the encoded name was compared with those of the nodes.

Queries are decoded as forms are. the_failure_domain_of_a_query_is_decoded and names_in_the_query_are_decoded fail with the former parsing.

Names outside ASCII that become headers do reach hosts whole; the test names_outside_ascii_reach_hosts passed before. The operators' interface goes on refusing encoded names with an error that says so, as its test asks for.

--- a/crates/node/src/entry/addresses.rs
+++ b/crates/node/src/entry/addresses/mod.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use eelgrassmill_base::{FailureDomain, ServiceName};
 use eelgrassmill_config::{Config, Tenant};
 use eelgrassmill_route::{AddressList, EntryView, LoadLevel, choose_addresses};
 use http::request::Parts;
@@ -23,12 +24,13 @@
 }
 
 /// What a caller says of itself in the query.
-struct Asker<'a> {
-    service: &'a str,
-    /// Its failure domain, where it has one.
-    domain: &'a str,
+#[derive(Debug, PartialEq, Eq)]
+struct Asker {
+    service: ServiceName,
+    /// Its failure domain; empty if it names none.
+    domain: FailureDomain,
     /// Its own name, which keeps the order the same over its connections.
-    name: Option<&'a str>,
+    name: Option<SmolStr>,
 }
 
 /// Answers `GET /v1/addresses?service=NAME[&domain=DOMAIN][&caller=NAME]`.
@@ -38,12 +40,12 @@
     parts: &Parts,
     tenant: Option<&Tenant>,
 ) -> Result<Response<AnswerBody>, Problem> {
-    let asker = asker(parts)?;
-    if !cfg.services.contains_key(asker.service) {
+    let asker = asker(parts.uri.query().unwrap_or_default())?;
+    if !cfg.services.contains_key(&asker.service) {
         let detail = format!("no such service: {}", asker.service);
         return Err(Problem::not_run(StatusCode::NOT_FOUND, detail));
     }
-    let told = choose(core, cfg, &key(&asker, parts, tenant), asker.domain, None);
+    let told = choose(core, cfg, &key(&asker, parts, tenant), &asker.domain, None);
     let keep = told.ttl.min(core.settings.timing.address_keep);
     let doc = Document {
         addresses: &told.addresses,
@@ -64,21 +66,21 @@
 
 /// By what callers are told apart: by tenant alone, a large tenant's callers
 /// would all be told the same entry.
-fn key(asker: &Asker<'_>, parts: &Parts, tenant: Option<&Tenant>) -> SmolStr {
+fn key(asker: &Asker, parts: &Parts, tenant: Option<&Tenant>) -> SmolStr {
     let tenant = tenant.map_or("", |t| t.name.as_str());
     let remote = parts.extensions.get::<SocketAddr>();
-    let caller = match asker.name {
-        Some(name) => SmolStr::new(name),
+    let caller = match &asker.name {
+        Some(name) => name.clone(),
         None => remote.map(ToSmolStr::to_smolstr).unwrap_or_default(),
     };
     format_smolstr!("{tenant}/{}/{caller}", asker.service)
 }
 
-fn asker(parts: &Parts) -> Result<Asker<'_>, Problem> {
-    let query = parts.uri.query().unwrap_or_default();
+fn asker(query: &str) -> Result<Asker, Problem> {
     let named = |key: &str| {
-        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find_map(|(name, value)| (name == key && !value.is_empty()).then_some(value))
+        let mut pairs = form_urlencoded::parse(query.as_bytes());
+        let found = pairs.find(|(name, value)| name == key && !value.is_empty());
+        found.map(|(_, value)| SmolStr::new(value))
     };
     let service = named("service")
         .ok_or_else(|| Problem::not_run(StatusCode::BAD_REQUEST, "the query names no service"))?;
@@ -132,3 +134,6 @@
 pub(crate) fn takes_no_callers(core: &Core) -> bool {
     core.is_leaving() || !lock(&core.fleet).knows_groups()
 }
+
+#[cfg(test)]
+mod tests;
