--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod client_limits;
 mod config;
 mod configuration;
+mod connection_headers;
 mod connection_timer;
 mod core;
 mod crash_detection;
@@ -53,6 +54,7 @@
 pub use crate::config::{
     Addresses, GatewayConfig, PolicySwitches, ProcessLimits, RetryBudgetConfig,
 };
+pub use crate::connection_headers::without_connection_headers;
 pub use crate::gateway::{Gateway, GatewayError};
 pub use crate::lifecycle::{RunError, run_until_stopped};
 pub use crate::log_report::{LogReader, Subject};
