Hand on no status that promises what the host didn't state

For callers 408, 429 and 503 are a promise; a host states with a header that it did not run a request (or with 421). classify took each response without that header for the host's answer, whatever its status.

Such a response has a class of its own. It is the host's, so what it says of limits, rest and leaving holds. The request may have run: it is repeated only where it may be, and otherwise its caller gets 502 without the seal, which belongs to another status. attempt lines tell `false-promise` from `not-run` and `failed`; gateway_false_promises_total counts by service and status.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -64,6 +64,8 @@
     NotRun(SmolStr),
     /// A host may have executed it.
     Unknown(SmolStr),
+    /// The same, of a host that answered with this status, which would promise otherwise.
+    FalsePromise(StatusCode),
 }
 
 /// Serves a unary call.
@@ -132,8 +134,9 @@
             }
             AttemptResult::NotSent(_) => {}
             AttemptResult::NotRun(_) => delivered += 1,
-            AttemptResult::Unknown(_) => {
-                if Instant::now() < until {
+            AttemptResult::Unknown(_) | AttemptResult::FalsePromise(_) => {
+                let is_broken = matches!(attempt, AttemptResult::Unknown(_));
+                if is_broken && Instant::now() < until {
                     let broken = Broken {
                         sent: sent_at,
                         at: Instant::now(),
@@ -412,6 +415,10 @@
         }
         ResponseClass::WrongHost => AttemptResult::NotRun("another host has this address".into()),
         ResponseClass::Unverified => AttemptResult::Unknown("unverified response".into()),
+        ResponseClass::FalsePromise => {
+            core.metrics.count_false_promise(&host.service, status);
+            AttemptResult::FalsePromise(status)
+        }
         ResponseClass::Answered => {
             let read = read_whole(&core.account, response, until).await;
             if read.is_ok() && !status.is_server_error() {
@@ -489,6 +496,7 @@
         AttemptResult::NotSent(why) => ("not-sent", why.clone()),
         AttemptResult::NotRun(why) => ("not-run", why.clone()),
         AttemptResult::Unknown(why) => ("unknown", why.clone()),
+        AttemptResult::FalsePromise(status) => ("false-promise", SmolStr::from(status.as_str())),
     };
     info!(event = "attempt", request = %call.metadata.id, host = %host.id, outcome, %why);
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use eelgrassmill_fleet::{AdmissionDecision, Catalog, DemandSnapshot};
+use http::StatusCode;
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -53,6 +54,9 @@
     pub(crate) first_byte: HistogramVec,
     /// Retries by service and reason.
     pub(crate) retries: IntCounterVec,
+    /// Responses of hosts whose status promises that the request has not run, without the host's
+    /// statement, by service and status.
+    false_promises: IntCounterVec,
     /// Crashes of hosts under requests of this node, by service.
     pub(crate) host_crashes: IntCounterVec,
     /// Quarantined requests that this node knows of.
@@ -171,6 +175,11 @@
                 "Requests that were sent once more.",
                 &["service", "reason"],
             ),
+            false_promises: counter(
+                "gateway_false_promises_total",
+                "Responses of hosts that promise by their status alone that a request has not run.",
+                &["service", "status"],
+            ),
             host_crashes: counter(
                 "gateway_host_crashes_total",
                 "Hosts that crashed under requests of this node.",
@@ -316,6 +325,12 @@
         self.retries.with_label_values(&labels).inc();
     }
 
+    /// Counts a response whose status makes a promise that its host doesn't.
+    pub(crate) fn count_false_promise(&self, service: &str, status: StatusCode) {
+        let labels = [service, status.as_str()];
+        self.false_promises.with_label_values(&labels).inc();
+    }
+
     /// Counts a decision on a request for a slot.
     pub(crate) fn count_admission(
         &self,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -192,13 +192,19 @@
         WrongHost,
         /// It has a success status but lacks the header that every response of a host has.
         Unverified,
+        /// Its status promises that the request did not run, but the host doesn't state so. The
+        /// request may have run, and the status must not reach the caller.
+        FalsePromise,
     }
 }
 
 impl ResponseClass {
     /// Whether the host that was asked sent the response.
     pub(crate) fn is_of_host(self) -> bool {
-        matches!(self, ResponseClass::Answered | ResponseClass::NotRun)
+        matches!(
+            self,
+            ResponseClass::Answered | ResponseClass::NotRun | ResponseClass::FalsePromise
+        )
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -316,6 +316,12 @@
                 self.log_attempt(&head, "unknown", "unverified response");
                 Err(self.failed(&mut slot))
             }
+            ResponseClass::FalsePromise => {
+                self.log_attempt(&head, "false-promise", response.status.as_str());
+                let metrics = &self.core.metrics;
+                metrics.count_false_promise(&self.service, response.status);
+                Err(self.failed(&mut slot))
+            }
             ResponseClass::Answered if response.status.is_server_error() => {
                 self.log_attempt(&head, "failed", response.status.as_str());
                 let retries = self.may_retry();
