Promise nothing of a stream that may have run

A stream that may be resumed was rejected with 503 after a host had run it, where no further attempt was permitted: both heads answered 503, 429, 408 or a status that is none, and the node told the caller that nothing had run. That it may run again doesn't make the promise true; for plain requests the node has always answered 502.

The rejection after a run is 502 now, with Retry-After as before where the call may repeat, and 504 at its deadline.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -235,27 +235,18 @@
         self.call.route.stream.as_ref().is_some_and(|s| s.resumable)
     }
 
-    /// The refusal of a call after an attempt. `cause` applies if it has not run or may be retried.
+    /// The refusal of a call after an attempt. `cause` applies if it has not run.
     fn refusal(&self, cause: RefusalCause) -> Refusal {
-        let late = self.call.remaining().is_zero();
-        // The caller of an idempotent call may retry it even if it has run.
-        if self.runs > 0 && !self.call.is_idempotent() {
-            let cause = if late {
-                RefusalCause::ResponseTimeout
-            } else {
-                RefusalCause::BrokenResponse
-            };
-            return Refusal::new(cause);
-        }
-        if late {
-            let cause = if self.runs > 0 {
-                RefusalCause::ResponseTimeout
-            } else {
-                RefusalCause::DeadlineExceeded
-            };
-            return Refusal::new(cause);
+        let is_late = self.call.remaining().is_zero();
+        match (self.runs > 0, is_late) {
+            (true, true) => Refusal::new(RefusalCause::ResponseTimeout),
+            (true, false) if self.call.is_idempotent() => {
+                Refusal::with_retry_after(RefusalCause::BrokenResponse, RETRY_AFTER_REFUSED)
+            }
+            (true, false) => Refusal::new(RefusalCause::BrokenResponse),
+            (false, true) => Refusal::new(RefusalCause::DeadlineExceeded),
+            (false, false) => Refusal::with_retry_after(cause, RETRY_AFTER_REFUSED),
         }
-        Refusal::with_retry_after(cause, RETRY_AFTER_REFUSED)
     }
 
     async fn attempt(
