Take a response with an invalid status for no answer

Hosts in trouble answered 101, 600 or 999, and callers got these with the host's seal, on streams too. 101 answers a wish for another protocol, which no request here has; RFC 9110, section 15, knows the statuses 100 to 599 and has a client take others for a failure of the server. A caller that gets bytes that are no answer can do nothing with them, and a proxy must not pass on what it could not have asked for.

The HTTP library rejects 000 and 099 and hands out all from 101 on. The client of hosts and of the store rejects 101 and all over 599 now: such a request may have run, so it is repeated where it may be, else answered 502 without a seal. An order answered like that counts as not answered, not as refused.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -289,6 +289,7 @@
         } else {
             self.exchange(&mut lease, req, head_timeout).await?
         };
+        check_status(response.status())?;
         if let (Some(name), Some(expected)) = (echo, expected) {
             check_echo(&response, name, expected)?;
         }
@@ -549,6 +550,15 @@
     Ok(out)
 }
 
+/// The HTTP library hands out 101 although no request asks for another protocol, and statuses over
+/// 599. RFC 9110, section 15, has clients take these for a failure of the server.
+fn check_status(status: StatusCode) -> Result<(), SendError> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        invalid => Err(SendError::InvalidStatus(invalid)),
+    }
+}
+
 /// A late answer to an earlier request on a kept connection, or one that the
 /// target mixed up, would otherwise reach the wrong caller.
 fn check_echo(
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -60,6 +60,10 @@
         /// What was answered; `None` when the answer names no request.
         got: Option<RequestId>,
     },
+    /// The answer has a status that HTTP doesn't define for a request like this; nothing of it was
+    /// handed out.
+    #[error("answer with invalid status {0}")]
+    InvalidStatus(u16),
     /// The answer's end can't be told from a cut: neither length, chunks nor end marker.
     #[error("answer without an end that can be checked")]
     Unframed,
@@ -70,9 +74,10 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             SendError::NotSent(_) | SendError::Refused(_) => Outcome::NotRun,
-            SendError::Unknown(_) | SendError::WrongId { .. } | SendError::Unframed => {
-                Outcome::Unknown
-            }
+            SendError::Unknown(_)
+            | SendError::WrongId { .. }
+            | SendError::InvalidStatus(_)
+            | SendError::Unframed => Outcome::Unknown,
         }
     }
 }
--- a/crates/engine/tests/breaks.rs
+++ b/crates/engine/tests/breaks.rs
@@ -259,3 +259,31 @@
     }
     server.join().expect("the server ends");
 }
+
+/// Guards against handing out a response whose status isn't one, also on a connection that has served
+/// a request before.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_statuses_are_no_answers() {
+    for status in ["000", "0", "099", "101", "600", "999", "2000"] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("it is bound").to_string();
+        let line = format!("HTTP/1.1 {status} x\r\n");
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a caller");
+            let answer = format!("{HEAD}content-length: 2\r\n\r\nok");
+            serve(&mut stream, 1, answer.as_bytes(), &AtomicUsize::new(0));
+            let invalid = answer.replacen("HTTP/1.1 200 OK\r\n", &line, 1);
+            assert_ne!(invalid, answer);
+            serve(&mut stream, 1, invalid.as_bytes(), &AtomicUsize::new(0));
+        });
+        let client = client();
+        let req = || completion("r1", "hello", 4, false);
+        let first = client.send(&address, req()).await.unwrap();
+        expect_that!(first.read_whole(16).await, ok(eq("ok")));
+        let second = client.send(&address, req()).await.map(drop);
+        let outcome = second.map_err(|err| err.outcome());
+        expect_that!(outcome, err(eq(Outcome::Unknown)), "{status}");
+        server.join().expect("the server ends");
+    }
+}
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -239,7 +239,7 @@
             if err.outcome() != Outcome::NotRun {
                 place.used(call.tokens);
             }
-            if matches!(err, SendError::WrongId { .. } | SendError::Unframed) {
+            if is_no_answer(&err) {
                 core.metrics.promise_guarded(Promise::WholeOwnAnswer);
             }
             let broke = matches!(err, SendError::Unknown(_));
@@ -262,6 +262,14 @@
     Ok(response)
 }
 
+/// Whether a target sent a response that is none of its own to this request.
+fn is_no_answer(err: &SendError) -> bool {
+    matches!(
+        err,
+        SendError::WrongId { .. } | SendError::InvalidStatus(_) | SendError::Unframed
+    )
+}
+
 /// The lead of the picked group, if the group may still serve in that epoch.
 ///
 /// Time passes between the pick and this last step before the bytes leave: a
