Pause between polls of the feed that bring nothing

A node polled the feed without a pause when it answered at once: 755 calls a second of one node before a store whose feed doesn't wait, of 2,000 permitted to all. The pause came after an answer with changes alone. Since rows in other partitions are left out, an answer with only such rows has none, and a writer of them made every node call as often as it wrote.

The reflector pauses for 60 ms also after an answer that came sooner than that.

--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -18,7 +18,8 @@
 /// changed, which other nodes have to know twice a second, and a dead connection is detected only
 /// by a poll without a response.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause after a response with changes, so that changes in quick succession cost one call.
+/// Pause after a response with changes, so that changes in quick succession cost one call, and after
+/// one that came sooner than this.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
 /// How long after its start a node reads the store, unless it has a copy from another node by then.
 /// A node that joins a running system discovers the others sooner.
@@ -415,6 +416,7 @@
     };
     let mut backoff = INITIAL_BACKOFF;
     loop {
+        let polled_at = Instant::now();
         match reflector.next().await {
             Ok(read) => match reflector.assess(&read.update) {
                 Verdict::Apply => {
@@ -422,7 +424,9 @@
                         core.record_store_success();
                     }
                     backoff = INITIAL_BACKOFF;
-                    if reflector.apply(read, sink) {
+                    let had_changes = reflector.apply(read, sink);
+                    // A long poll may end early without changes, as often as it is repeated.
+                    if had_changes || polled_at.elapsed() < BATCH_DELAY {
                         tokio::time::sleep(BATCH_DELAY).await;
                     }
                 }
