Save the evidence on crashes in the store

Decisions outlive a restart of all nodes, evidence didn't: coordinators and the nodes that report crashes keep it in memory.

The first coordinator of a service saves its evidence 20 ms after a reported crash, with a condition on the row's version: the last 16 crashes with up to 20 candidates that were in several of them, some 14 KB at most. Before, it adds what was saved to its own, so that a coordinator that starts anew knows all at the first crash. One read and one write a crash, none without.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -275,6 +275,7 @@
     tokio::spawn(host_signals::run(Arc::clone(core)));
     tokio::spawn(quarantine::send_reports_loop(Arc::clone(core)));
     tokio::spawn(quarantine::decide_loop(Arc::clone(core)));
+    tokio::spawn(quarantine::save_evidence_loop(Arc::clone(core)));
     let shared = Arc::clone(core);
     tokio::spawn(async move { quarantine::restore(&shared).await });
     tokio::spawn(peers::publish_loads(Arc::clone(core)));
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -82,7 +82,7 @@
 }
 
 async fn read_record<P: Platform>(core: &Core<P>) -> Result<StoredLeader, SourceError> {
-    let stored = core.platform.leader().read().await?;
+    let stored = core.platform.records().leader.read().await?;
     Ok(StoredLeader {
         record: stored.encoded.map(|bytes| decode_record(&bytes)),
         version: stored.version,
@@ -103,7 +103,11 @@
     record: &LeaderRecord,
 ) -> Result<ConditionalWrite, SourceError> {
     let encoded = serde_json::to_vec(record).map_err(|e| SourceError::Malformed(e.to_string()))?;
-    core.platform.leader().write(version, &encoded).await
+    core.platform
+        .records()
+        .leader
+        .write(version, &encoded)
+        .await
 }
 
 /// The leader's row as this node last read it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,8 +61,8 @@
 pub use crate::logs::{LogQueue, SkippedEntries, init_logging};
 pub use crate::ports::{
     AcceptedConfig, AttemptMetadata, ConditionalWrite, Dialect, HostControl, HostReport,
-    HostUnavailable, NamedLimit, NodeRequest, OperatorChange, Platform, RecordStore, ResponseClass,
-    Source, SourceError, SourceRead, StoredRecord,
+    HostUnavailable, NamedLimit, NodeRequest, OperatorChange, OwnRecords, Platform, RecordStore,
+    ResponseClass, Source, SourceError, SourceRead, StoredRecord,
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -282,6 +282,17 @@
     fn addresses(&self, addresses: &[SmolStr], ttl: Duration) -> Bytes;
 }
 
+/// Records of the nodes' own.
+#[derive(Debug)]
+pub struct OwnRecords<R> {
+    /// The planner's leader.
+    pub leader: R,
+    /// The quarantine's decisions, for nodes that all restart at the same time.
+    pub decisions: R,
+    /// The quarantine's evidence on crashes, for the same.
+    pub evidence: R,
+}
+
 /// A platform on which a node can run.
 pub trait Platform: Send + Sync + Sized + 'static {
     /// The list of hosts.
@@ -304,10 +315,8 @@
     /// # Errors
     /// [`SourceError::Malformed`].
     fn read_catalog(&self, text: &str) -> Result<Catalog, SourceError>;
-    /// The record of the planner's leader.
-    fn leader(&self) -> &Self::Records;
-    /// The record of the quarantine's decisions, for nodes that all restart at the same time.
-    fn decisions(&self) -> &Self::Records;
+    /// Records of the nodes' own.
+    fn records(&self) -> &OwnRecords<Self::Records>;
     /// Orders and report requests to hosts.
     fn control(&self) -> &Self::Control;
     /// HTTP headers and endpoints.
--- a/crates/gateway/src/quarantine/coordinator.rs
+++ b/crates/gateway/src/quarantine/coordinator.rs
@@ -17,7 +17,7 @@
 use crate::core::Core;
 use crate::heads::locked;
 use crate::ports::Platform;
-use crate::quarantine::{await_completion, coordinators, report_completion};
+use crate::quarantine::{await_completion, coordinators, evidence, report_completion};
 
 /// Maximum number of decisions that a node publishes; the oldest is withdrawn first.
 const MAX_PUBLISHED: usize = 64;
@@ -43,6 +43,7 @@
 pub(crate) fn handle<P: Platform>(core: &Arc<Core<P>>, req: SuspectRequest) -> SuspectReply {
     let now = Instant::now();
     let service = ServiceName::from(req.service.as_str());
+    let has_crashes = !req.crashes.is_empty();
     for report in req.crashes {
         let running = report.running.iter().take(MAX_REPORTED_CANDIDATES);
         let running = running.map(|run| CrashedRun {
@@ -74,6 +75,9 @@
         apply_all(core, decided);
     }
     core.quarantine.evidence.notify_one();
+    if has_crashes {
+        evidence::on_crash(core, &service);
+    }
     let Some(trial) = req.trial else {
         return SuspectReply::default();
     };
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -5,6 +5,7 @@
 
 mod completions;
 mod coordinator;
+mod evidence;
 mod reports;
 mod saved;
 
@@ -31,6 +32,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 
 pub(crate) use crate::quarantine::coordinator::{handle, on_record};
+pub(crate) use crate::quarantine::evidence::save_evidence_loop;
 pub(crate) use crate::quarantine::saved::{restore, save_loop};
 
 /// Coordinators of a service. A second one keeps the evidence if the first one dies.
@@ -65,6 +67,8 @@
     reported: Notify,
     /// Notified of other nodes' reports.
     evidence: Notify,
+    /// Notified of reports of crashes for whose evidence this node is responsible.
+    crashed: Notify,
     /// Notified when this node reads a list from the store itself.
     store_read: Notify,
 }
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -100,7 +100,7 @@
 /// Saves the decisions of this node and those that are saved already. `false` if another node wrote
 /// at the same time.
 async fn save<P: Platform>(core: &Core<P>) -> Result<bool, SourceError> {
-    let stored = core.platform.decisions().read().await?;
+    let stored = core.platform.records().decisions.read().await?;
     let known = decode(&stored);
     adopt(core, &known, stored.clock);
     let decisions = locked(&core.quarantine.table).to_saved(Instant::now(), stored.clock);
@@ -109,7 +109,7 @@
     }
     let wire: Vec<WireDecision> = decisions.iter().map(WireDecision::from).collect();
     let encoded = serde_json::to_vec(&wire).map_err(|e| SourceError::Malformed(e.to_string()))?;
-    let store = core.platform.decisions();
+    let store = &core.platform.records().decisions;
     Ok(store.write(stored.version, &encoded).await?.done)
 }
 
@@ -124,7 +124,7 @@
         return;
     }
     while !left().is_zero() {
-        match core.platform.decisions().read().await {
+        match core.platform.records().decisions.read().await {
             Ok(stored) => return adopt(core, &decode(&stored), stored.clock),
             Err(err) => warn!(event = "quarantine", outcome = "not-restored", %err),
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,8 +17,8 @@
     PrefixHashes, TIME_TO_FIRST_TOKEN_SLO, prefix_hashes,
 };
 pub use crate::quarantine::{
-    QuarantineCoordinator, QuarantineRecord, QuarantineStatus, QuarantineTable, SavedDecision,
-    SuspectNotice, TrialDenied, are_same_decisions,
+    QuarantineCoordinator, QuarantineRecord, QuarantineStatus, QuarantineTable, SavedCrash,
+    SavedDecision, SavedEvidence, SuspectNotice, TrialDenied, are_same_decisions,
 };
 pub use crate::queue::{
     AdmissionRequest, Dequeued, QueueOptions, Refusal, RefusalReason, ServiceQueue, SlotKind,
--- a/crates/route/src/quarantine/coordinator.rs
+++ b/crates/route/src/quarantine/coordinator.rs
@@ -7,7 +7,7 @@
 
 use crate::quarantine::table::{QuarantineRecord, QuarantineStatus, QuarantineTable};
 use crate::suspects::{
-    ClearedRecord, CrashCandidate, CrashRecord, CrashedRun, Fingerprint, SuspectTracker,
+    ClearedRecord, CrashCandidate, CrashId, CrashRecord, CrashedRun, Fingerprint, SuspectTracker,
     SuspectUpdate,
 };
 
@@ -103,7 +103,9 @@
 /// The coordinator of some services at one node.
 #[derive(Clone, Debug)]
 pub struct QuarantineCoordinator {
-    tracker: SuspectTracker,
+    pub(super) tracker: SuspectTracker,
+    /// The services of crashes. Invariant: has all that the tracker keeps.
+    pub(super) services: BTreeMap<CrashId, ServiceName>,
     /// Candidates to decide on, due when the reports on their last crash are complete.
     pending: BTreeMap<Fingerprint, Pending>,
     /// Candidates on trial.
@@ -119,6 +121,7 @@
     fn default() -> QuarantineCoordinator {
         QuarantineCoordinator {
             tracker: SuspectTracker::with_capacity(MAX_CRASHES),
+            services: BTreeMap::new(),
             pending: BTreeMap::new(),
             trials: BTreeMap::new(),
             last_trial: None,
@@ -150,6 +153,7 @@
             .map(|run: &CrashedRun| run.fingerprint)
             .collect();
         let settle_time = crash.age.clamp(SETTLE_TIME, MAX_SETTLE_TIME);
+        self.services.insert(crash.id, service.clone());
         self.tracker.merge(
             SuspectUpdate {
                 crashes: vec![crash],
@@ -157,6 +161,7 @@
             },
             now,
         );
+        self.services.retain(|id, _| self.tracker.keeps(*id));
         self.trials.retain(|_, trial| now < trial.until);
         let mut decided = Vec::new();
         for fingerprint in running {
@@ -180,7 +185,12 @@
         decided
     }
 
-    fn decide_at(&mut self, fingerprint: Fingerprint, service: &ServiceName, due_at: Instant) {
+    pub(super) fn decide_at(
+        &mut self,
+        fingerprint: Fingerprint,
+        service: &ServiceName,
+        due_at: Instant,
+    ) {
         let service = service.clone();
         let pending = Pending { service, due_at };
         self.pending.entry(fingerprint).or_insert(pending);
--- a/crates/route/src/quarantine/mod.rs
+++ b/crates/route/src/quarantine/mod.rs
@@ -10,9 +10,11 @@
 //! Quarantining a part rejects all requests with it, so nodes are first asked whether any completed.
 
 mod coordinator;
+mod evidence;
 mod saved;
 mod table;
 
 pub use crate::quarantine::coordinator::{QuarantineCoordinator, SuspectNotice, TrialDenied};
+pub use crate::quarantine::evidence::{SavedCrash, SavedEvidence};
 pub use crate::quarantine::saved::{SavedDecision, are_same_decisions};
 pub use crate::quarantine::table::{QuarantineRecord, QuarantineStatus, QuarantineTable};
--- a/crates/route/src/suspects/mod.rs
+++ b/crates/route/src/suspects/mod.rs
@@ -194,6 +194,11 @@
         self.crashes_of(fingerprint, now).len()
     }
 
+    /// Whether the crash is kept.
+    pub(crate) fn keeps(&self, crash: CrashId) -> bool {
+        self.crashes.contains_key(&crash)
+    }
+
     /// Whether the candidate was in several of the crashes that are kept.
     pub(crate) fn is_repeated(&self, candidate: Fingerprint) -> bool {
         self.repeated.contains(&candidate)
--- a/crates/route/tests/quarantine.rs
+++ b/crates/route/tests/quarantine.rs
@@ -540,3 +540,87 @@
     // Two coordinators: the quarantine, a trial and its failure for each of the first terms.
     expect_that!(fleet.published.len() as u64, le(REQUESTS * 2 * 8));
 }
+
+/// A run of requests with a part that others share.
+fn part(fingerprint: Fingerprint) -> CrashedRun {
+    CrashedRun {
+        breadth: 1,
+        ..run(fingerprint, ms(60), false)
+    }
+}
+
+/// Guards against beginning anew with the evidence against a part when all nodes restart.
+#[gtest]
+fn saved_evidence_counts_for_coordinators_that_start_anew() {
+    let start = Instant::now();
+    let clock = 1000 * SECOND;
+    let mut first = Node::default();
+    for (n, host) in (0..).zip(["h1", "h2"]) {
+        let running = [
+            part(CRASHING),
+            part(10 + u64::from(n)),
+            run(20 + u64::from(n), ms(60), false),
+        ];
+        first.crash(host, ["a", "b"][n as usize], &running, start + n * SECOND);
+    }
+    first.completed(11, start + SECOND);
+    let saved = first.coordinator.to_saved(start + 2 * SECOND, clock);
+    let at = [clock - 2 * SECOND, clock - SECOND];
+    let mut crashes: Vec<_> = saved
+        .crashes
+        .iter()
+        .map(|c| (c.at, c.running.clone()))
+        .collect();
+    crashes.sort_by_key(|(at, _)| *at);
+    // Only the part was in several crashes.
+    expect_that!(
+        crashes,
+        eq(&at.map(|at| (at, vec![part(CRASHING)])).to_vec())
+    );
+    let now = start + 10 * SECOND;
+    for has_evidence in [false, true] {
+        let mut node = Node::default();
+        for n in 0..20 {
+            let sound = [(100 + n, 0), (12 + n, 1)];
+            let sound = sound.map(|(fingerprint, breadth)| CrashCandidate {
+                fingerprint,
+                breadth,
+            });
+            node.coordinator.on_request(&"draft".into(), &sound);
+        }
+        if has_evidence {
+            let table = QuarantineTable::default();
+            node.coordinator
+                .restore(&saved, clock + 8 * SECOND, &table, now);
+        }
+        node.crash("h3", "c", &[part(CRASHING), part(12)], now);
+        for n in 1..40 {
+            node.decide(now + n * ms(100));
+        }
+        let later = now + 3 * SECOND;
+        expect_that!(node.is_quarantined(CRASHING, later), eq(has_evidence));
+        expect_that!(node.is_quarantined(12, later), eq(false));
+    }
+}
+
+/// Guards against writes of evidence that the store has already, or of none.
+#[gtest]
+fn evidence_that_is_saved_is_the_same_when_it_is_restored() {
+    let now = Instant::now();
+    let clock = 1000 * SECOND;
+    let mut first = Node::default();
+    let none = first.coordinator.to_saved(now, clock);
+    expect_true!(none.is_same(&SavedEvidence::default()));
+    first.crash("h1", "a", &[part(CRASHING), part(1)], now);
+    expect_true!(first.coordinator.to_saved(now, clock).is_same(&none));
+    first.crash("h2", "b", &[part(CRASHING), part(2)], now);
+    let saved = first.coordinator.to_saved(now, clock);
+    expect_false!(saved.is_same(&none));
+    let mut second = Node::default();
+    second
+        .coordinator
+        .restore(&saved, clock, &QuarantineTable::default(), now);
+    expect_true!(second.coordinator.to_saved(now, clock).is_same(&saved));
+    second.crash("h3", "c", &[part(CRASHING)], now);
+    expect_false!(second.coordinator.to_saved(now, clock).is_same(&saved));
+}
