--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -550,8 +550,9 @@
     Ok(out)
 }
 
-/// The HTTP library hands out 101 although no request asks for another protocol, and statuses over
-/// 599. RFC 9110, section 15, has clients take these for a failure of the server.
+/// Rejects statuses that no request of ours can get. The HTTP library hands out 101, which agrees to
+/// an upgrade that was never asked for, and those over 599, which HTTP doesn't define (RFC 9110,
+/// section 15).
 fn check_status(status: StatusCode) -> Result<(), SendError> {
     match status.as_u16() {
         200..=599 => Ok(()),
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -119,6 +119,7 @@
 
 /// Saves evidence until the process ends.
 pub(crate) async fn save_evidence_loop<P: Platform>(core: Arc<Core<P>>) {
+    // Whether the evidence of former coordinators was read.
     let mut is_restored = false;
     loop {
         core.quarantine.crashed.notified().await;
--- a/crates/gateway/src/table_pages.rs
+++ b/crates/gateway/src/table_pages.rs
@@ -15,15 +15,15 @@
 
 /// The pages of a table that were read so far.
 ///
-/// Each further page begins at the last key of the one before and not behind it: no key is known to
-/// be the next one, and one made from the last key could exceed the store's limit on keys.
+/// Each further page begins at the last key of the one before, and so repeats its row: a key behind it
+/// would have to be made from it, and could exceed the store's limit on keys.
 #[derive(Debug)]
 pub struct TablePages<R> {
     /// Invariant: in ascending order of their keys, without duplicates.
     rows: Vec<R>,
     bytes: usize,
     max_bytes: usize,
-    /// The era of the first page.
+    /// The era that the first page names, if any; `None` before that page.
     era: Option<Option<StoreEra>>,
 }
 
