Keep of a table only what is needed, and read it in parts

What callers saw: with 400 rows of 48,000 bytes of another writer in the table of hosts, no node became ready after a restart, 0 of 45 requests served; in the operator's table, a new configuration wasn't followed. After 6 MB of changes at one moment, a new host got no request at any node, for good.

Cause: bounds of the node's own that each retry meets again. All rows of a table counted against 16 MiB, whether they name a host or not, and the table was read from its start each time. The feed has no pages: changes over 4 MiB were an error, and the next poll asked for the same changes. Evidence: the same calls come again at the pace of the retries, and the log repeats one error.

Change: pages are reduced to what a node needs as they come, up to a number of hosts rather than bytes; beyond it, hosts are left out and the log says so. An answer that is too large, or can't be read in time, is an error of its own: pages get smaller, and changes that don't fit are replaced by the list itself, behind which the feed goes on. A copy of another node that is older than what is known isn't taken meanwhile.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -18,6 +18,9 @@
 /// Entries of hosts that are gone expire within 4 s.
 const REMOVAL_TTL: Duration = Duration::from_secs(60);
 
+/// Most hosts that a node knows: more than any fleet has, few enough for a node's memory.
+pub const MAX_HOSTS: usize = 30_000;
+
 value! { wire
     /// A change to the host list.
     pub enum FleetChange {
@@ -288,7 +291,8 @@
     }
 
     fn insert(&mut self, entry: Host, now: Instant) {
-        if self.hosts.get(&entry.id) == Some(&entry) {
+        let known = self.hosts.get(&entry.id);
+        if known == Some(&entry) || known.is_none() && self.hosts.len() >= MAX_HOSTS {
             return;
         }
         if entry.cold_ms > 0 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -52,7 +52,7 @@
 pub use crate::demand::{DemandMeter, DemandReport, DemandSnapshot, DemandTable, ModelDemand};
 pub use crate::ejection::{Ejection, EjectionBackoff};
 pub use crate::fair_share::{Candidates, Excess, FairQueue, QueueId, WaitClass, WaitingRequest};
-pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, Replica};
+pub use crate::fleet::{EvacuationChange, Fleet, FleetChange, MAX_HOSTS, Replica};
 pub use crate::host::{Host, HostState, Membership, MembershipPhase};
 pub use crate::host_signals::{HostObservation, HostSignals, RequestedRest, ReturnTimes};
 pub use crate::lease::{LEASE_TERM, Lease, LeaseStatus, SinceBoot, hears_majority, is_majority};
--- a/crates/fleet/tests/presence.rs
+++ b/crates/fleet/tests/presence.rs
@@ -2,8 +2,9 @@
 
 use std::time::Instant;
 
-use eelgrassmill_fleet::{Fleet, FleetChange, Host, HostPresence, HostState};
+use eelgrassmill_fleet::{Fleet, FleetChange, Host, HostPresence, HostState, MAX_HOSTS};
 use googletest::prelude::*;
+use smol_str::format_smolstr;
 
 fn host(started_ms: u64, state: HostState) -> FleetChange {
     FleetChange::Put(Box::new(Host {
@@ -64,3 +65,31 @@
     ];
     expect_that!(presences(changes), eq(&expected));
 }
+
+/// Guards against a list without end, by changes as well as read whole.
+#[gtest]
+fn hosts_beyond_the_limit_are_not_kept() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    let FleetChange::Put(template) = host(1, HostState::Ready) else {
+        panic!("it is the entry of one host");
+    };
+    let mut next = (0..).map(|n| Host {
+        id: format_smolstr!("host-{n:06}"),
+        ..Host::clone(&template)
+    });
+    fleet.apply(
+        FleetChange::Snapshot(next.by_ref().take(MAX_HOSTS + 1).collect()),
+        now,
+    );
+    expect_that!(fleet.hosts().count(), eq(MAX_HOSTS));
+    fleet.apply(
+        FleetChange::Put(Box::new(next.next().expect("it has no end"))),
+        now,
+    );
+    expect_that!(fleet.hosts().count(), eq(MAX_HOSTS));
+    // Those that are known are followed, and others take the place of one that is gone.
+    fleet.apply(FleetChange::Removed("host-000000".into()), now);
+    expect_that!(fleet.hosts().count(), eq(MAX_HOSTS - 1));
+    fleet.apply(FleetChange::Put(template), now);
+    expect_that!(fleet.host("host-1"), some(anything()));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,4 +66,4 @@
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
-pub use crate::table_pages::{TablePages, TableRow};
+pub use crate::table_pages::{PageSize, TablePages};
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -29,6 +29,10 @@
         /// The store's era, if it names one.
         era: Option<StoreEra>,
     },
+    /// Its response is longer than this node holds, or can't be read in time. The same request would
+    /// get the same response: what is asked for next must be less.
+    #[error("response too large: {0}")]
+    TooLarge(String),
     /// Its response can't be decoded.
     #[error("malformed response: {0}")]
     Malformed(String),
--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -221,6 +221,8 @@
             let copy = snapshot_relay::fetch(self.core, &node, start, COPY_RPC_TIMEOUT).await;
             match copy {
                 Ok(copy) if copy.check_era(self.newest.era).is_err() => {}
+                // It would be ignored, and this node may be the one that has to read the store.
+                Ok(copy) if copy.update.position < self.newest => {}
                 Ok(copy) if age == CopyAge::Any || copy.check().is_ok() => {
                     return ListRead::from_copy(copy, node);
                 }
@@ -445,6 +447,11 @@
                     reflector.enter_era(era);
                 }
             }
+            // The list itself is read in parts, and the feed goes on behind it.
+            Err(SourceError::TooLarge(why)) if reflector.cursor.is_some() => {
+                warn!(event = "dependency", list, state = "changes-too-large", %why);
+                reflector.cursor = None;
+            }
             Err(err) => {
                 core.record_store_failure();
                 if reflector.healthy || backoff == INITIAL_BACKOFF {
