Take the late answer of a slow store at the next attempt

What callers saw: with answers of the store that take 1.5 s, no node became ready after a restart, 0 of 45 requests served, and no leader formed a lost replica.

Cause: each call was given up after 1.2 s, and the next attempt began anew under the same limit. It stood at reads, at writes, whose answer would have said that the leader's claim was done, and at the lease: the time that the claim took was taken for a stall of the process, after which the confirmation came later than the lease was given up. Evidence: the log repeats "no answer in time" though the store answers each call, and without the change to the lease the nodes serve but no leader acts.

Change: a read that isn't answered in time is reported as failed as before, so that an outage is noticed as soon, but goes on; the next attempt at the same read takes whichever answer comes first. Once the store is known to be slow, calls get twice the time that it took. Writes get twice the time after each timeout. The lease is updated while the store is asked. Late reads are bounded in number, and the store's return is noticed by the newest of them.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -299,6 +299,11 @@
         Ok(TargetResponse::new(response, lease))
     }
 
+    /// Closes the unused connections to `address`: they may be lost if one of them is.
+    pub fn close_idle(&self, address: &str) {
+        self.shared.pool.clear(&SmolStr::from(address));
+    }
+
     /// Opens a connection to the target at `address` and closes it.
     ///
     /// # Errors
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -124,11 +124,12 @@
 pub(crate) async fn run<P: Platform>(core: Arc<Core<P>>) {
     let mut observed = ObservedRecord::default();
     loop {
-        let read_at = since_boot();
-        if let Some((leader, era)) = try_acquire(&core, &mut observed).await {
+        let mut lease = Lease::new(since_boot());
+        let acquired = update_meanwhile(&mut lease, try_acquire(&core, &mut observed)).await;
+        if let Some((leader, era)) = acquired {
             info!(event = "leader", term = leader.term, outcome = "taken");
             publish_leader(&core, Some(&leader));
-            lead(&core, &leader, era, Lease::new(read_at)).await;
+            lead(&core, &leader, era, lease).await;
             publish_leader(&core, None);
             info!(event = "leader", term = leader.term, outcome = "given-up");
         }
@@ -136,6 +137,18 @@
     }
 }
 
+/// Runs `attempt` to its end. A store that takes long is no stall of this process, for which a gap
+/// between two updates of the lease would be taken.
+async fn update_meanwhile<T>(lease: &mut Lease, attempt: impl Future<Output = T>) -> T {
+    tokio::pin!(attempt);
+    loop {
+        if let Ok(result) = tokio::time::timeout(POLL_INTERVAL, &mut attempt).await {
+            return result;
+        }
+        lease.update(since_boot(), true);
+    }
+}
+
 /// Claims the leader role, and returns the era of the store in which this node has it.
 async fn try_acquire<P: Platform>(
     core: &Arc<Core<P>>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod slot_events;
 mod snapshot_relay;
 mod sse;
+mod store_calls;
 mod stream;
 mod table_pages;
 
@@ -66,4 +67,5 @@
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
+pub use crate::store_calls::{AnswerHead, MIN_CALL_TIMEOUT, StoreCalls};
 pub use crate::table_pages::{PageSize, TablePages};
