Load the weights of first replicas before those of other hosts

What callers saw: after all nodes and 24 hosts had lost power, and hosts came back without weights that load in 4 s, the first stream was served after 19.3 s.

Cause: all hosts were told to load within milliseconds, though the weight store slows down loads beyond eight, so that all had their weights when the last one did. Only loads of second models were bounded. Before that, a new planner began no load for 5 s, since its predecessor may have begun some, also where each host had started after it.

Change: loads of first replicas are ordered by the share of requests that the replica serves for each load that it still needs, those of one replica together, and further ones as far as the weight store serves them at full speed. Spares load what is left, and not while members of their domain are about to be free. The timeout of a load grows with those that run beside it, and doubles when it is ordered again. A host that restarts during a load is told again. Of the predecessor's loads those at hosts that have begun an order count, which hosts report; domains whose hosts all belong to nothing, hold nothing and have begun nothing load during the takeover.

The check that twelve replicas serve after 94 s in loads_stay_below_the_rate_limit assumed a weight store without a limit.

Six of seven cases of the planner's power_loss failed before, all pass; planner_fuzz, packing and capacity pass.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -20,6 +20,7 @@
 mod formations;
 mod host_reports;
 mod lent_spares;
+mod loads;
 mod order;
 mod placement;
 mod rejecting;
@@ -47,6 +48,7 @@
 use crate::planner::formations::Formations;
 use crate::planner::host_reports::{LastReport, MAX_ORDER_DELAY, Silence, Unanswered};
 use crate::planner::lent_spares::LossKey;
+use crate::planner::loads::Load;
 use crate::planner::placement::ServiceView;
 use crate::planner::rejecting::RejectingHosts;
 use crate::planner::serving::ServingCounts;
@@ -132,10 +134,15 @@
     sent: BTreeMap<(HostId, MessageKind, Epoch), Instant>,
     /// The model of the last replica that each host joined, with the host's start time.
     primed: BTreeMap<HostId, (u64, ModelName)>,
-    /// Hosts that are loading a model's weights, and the load's timeout.
-    staging: BTreeMap<HostId, (ModelName, Instant)>,
+    /// Hosts that were ordered to load a model's weights and don't have them yet.
+    staging: BTreeMap<HostId, Load>,
     /// Start times of recent loads from the weight store.
     loads: VecDeque<Instant>,
+    /// Hosts that had begun no order when they reported to this planner, with their start times:
+    /// no load that a former planner ordered is in progress there.
+    unordered: BTreeMap<HostId, u64>,
+    /// Hosts that reported during the takeover.
+    early_reports: BTreeSet<HostId>,
     /// Heads that reject requests.
     rejecting: RejectingHosts,
     /// Number of listed hosts, and when it last changed.
@@ -195,6 +202,8 @@
             primed: BTreeMap::new(),
             staging: BTreeMap::new(),
             loads: VecDeque::new(),
+            unordered: BTreeMap::new(),
+            early_reports: BTreeSet::new(),
             rejecting: RejectingHosts::default(),
             host_count: (0, now),
             follows_demand: false,
@@ -318,28 +327,28 @@
             self.advance(&id, &input, &mut commands);
         }
         self.record_losses(now);
-        if !self.is_taking_over(now) {
-            self.serving = ServingCounts::of(self.formations.values());
-            for service in services {
-                let Some(engine) = &service.engine else {
-                    continue;
-                };
-                let view = ServiceView {
-                    service,
-                    engine,
-                    fleet,
-                    cold,
-                    now,
-                };
-                self.update_targets(&view);
-                self.form_replicas(&view, &mut commands);
-                self.reclaim(&view);
-                self.convert(&view, &mut commands);
+        self.serving = ServingCounts::of(self.formations.values());
+        for service in services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let view = ServiceView {
+                service,
+                engine,
+                fleet,
+                cold,
+                now,
+            };
+            if self.is_taking_over(now) {
+                self.load_unused_domains(&view, &mut commands);
+                continue;
             }
+            self.update_targets(&view);
+            self.form_replicas(&view, &mut commands);
+            self.reclaim(&view);
+            self.convert(&view, &mut commands);
         }
-        if !self.is_taking_over(now) {
-            self.query_unknown(fleet, services, now, &mut commands);
-        }
+        self.query_unknown(fleet, services, now, &mut commands);
         self.query_pending(fleet, now, &mut commands);
         self.query_silent(fleet, now, &mut commands);
         // Sends the orders of new formations in the same pass.
@@ -374,10 +383,12 @@
         let recent = |at: Instant| now.saturating_duration_since(at) < SENT_TTL;
         self.sent.retain(|(id, ..), at| recent(*at) && concerns(id));
         // A finished load must not count as in progress once its host holds another model.
-        self.staging.retain(|id, (model, until)| {
+        self.staging.retain(|id, load| {
             let host = fleet.host(id);
-            now < *until && host.is_some_and(|h| !h.staged.contains(model))
+            host.is_some_and(|h| h.started_ms == load.born_ms && !h.staged.contains(&load.model))
         });
+        self.unordered
+            .retain(|id, born| fleet.host(id).is_some_and(|h| h.started_ms == *born));
         self.silent.retain(|id, silence| match fleet.host(id) {
             None => {
                 silence.listed = false;
--- a/crates/fleet/src/planner/conversion.rs
+++ b/crates/fleet/src/planner/conversion.rs
@@ -12,6 +12,7 @@
 use crate::catalog::ModelSpec;
 use crate::planner::capacity::{CapacityStepKind, replicas_for};
 use crate::planner::formation::{Formation, FormationPhase, LossReason, Purpose};
+use crate::planner::loads::LoadPurpose;
 use crate::planner::placement::ServiceView;
 use crate::planner::{Command, Planner};
 
@@ -322,8 +323,8 @@
                 continue;
             }
             is_ready = false;
-            if self.loads_in_progress(view) * 2 < view.engine.max_concurrent_loads {
-                self.stage(view, host, to, commands);
+            if self.loads_in_progress(view.now) * 2 < view.engine.max_concurrent_loads {
+                self.stage(view, host, to, LoadPurpose::Spare, commands);
             }
         }
         if is_ready {
--- a/crates/fleet/src/planner/host_reports.rs
+++ b/crates/fleet/src/planner/host_reports.rs
@@ -69,7 +69,9 @@
             }
             return false;
         }
-        if !self.is_taking_over(now) {
+        if self.is_taking_over(now) {
+            self.early_reports.insert(report.id.clone());
+        } else {
             let asked = LastReport {
                 born_ms: report.started_ms,
                 at: now,
@@ -82,6 +84,11 @@
         true
     }
 
+    /// Records that a host has begun no order since its start.
+    pub fn on_unordered(&mut self, report: &Host) {
+        self.unordered.insert(report.id.clone(), report.started_ms);
+    }
+
     /// Whether a report can come from the host that was queried.
     ///
     /// A crashed host restarts under another name at the same address while its old entry remains,
--- a/crates/fleet/src/planner/lent_spares.rs
+++ b/crates/fleet/src/planner/lent_spares.rs
@@ -11,6 +11,7 @@
 use crate::host::Host;
 use crate::planner::capacity::CapacityStepKind;
 use crate::planner::formation::{Formation, FormationPhase, LossReason, Purpose};
+use crate::planner::loads::LoadPurpose;
 use crate::planner::placement::{MAX_MISSING_HOSTS, ServiceView};
 use crate::planner::serving::ServingCounts;
 use crate::planner::{Command, Planner};
@@ -89,7 +90,7 @@
         let members = lent.filter(|f| f.service == view.service.name);
         let members: Vec<HostId> = members.flat_map(|f| f.members.iter().cloned()).collect();
         for host in members.iter().filter_map(|id| view.fleet.host(id)) {
-            if self.loads_in_progress(view) * 2 >= view.engine.max_concurrent_loads {
+            if self.loads_in_progress(view.now) * 2 >= view.engine.max_concurrent_loads {
                 return;
             }
             let primed = self.primed_model(host);
@@ -101,7 +102,7 @@
                 continue;
             }
             if let Some(model) = others.max_by_key(members) {
-                self.stage(view, host, model, commands);
+                self.stage(view, host, model, LoadPurpose::Spare, commands);
             }
         }
     }
--- a/crates/fleet/src/planner/placement.rs
+++ b/crates/fleet/src/planner/placement.rs
@@ -17,12 +17,9 @@
 use crate::host::Host;
 use crate::planner::capacity::CapacityStepKind;
 use crate::planner::formation::{Formation, FormationPhase, Purpose};
+use crate::planner::loads::UnloadedReplica;
 use crate::planner::{Command, Planner};
 
-/// Timeout of a load as a multiple of its usual time. Beyond its concurrency limit the weight
-/// store slows each load down proportionally.
-pub(super) const STAGE_TIMEOUT_FACTOR: u32 = 2;
-
 /// A model whose replicas would have this many times less work each than another's leaves free
 /// hosts to that other model.
 const REBALANCE_RATIO: f64 = 2.0;
@@ -53,13 +50,15 @@
         }
         let mut domains = self.free_hosts(view);
         let unasked = self.unreported_domains(view);
+        let mut unloaded = Vec::new();
         for (fabric, free) in &mut domains {
             // The first few hosts to answer a new planner would go to whichever model fits.
             if !unasked.contains(fabric) {
-                self.form_in_domain(view, fabric, free, commands);
+                self.form_in_domain(view, fabric, free, &mut unloaded);
                 self.lend_spares(view, fabric, free);
             }
         }
+        self.load_replicas(view, unloaded, commands);
         // Before the first request, serving replicas load before spares do.
         let waits = |f: &Formation| f.purpose == Purpose::Serve && f.phase != FormationPhase::Open;
         if view.cold && self.formations.values().any(waits) {
@@ -103,14 +102,14 @@
         domains
     }
 
-    /// Forms replicas from a domain's free hosts, and removes the hosts that it uses or loads
-    /// weights on from `free`.
-    fn form_in_domain(
+    /// Forms replicas from a domain's free hosts, and adds first ones that lack weights to `unloaded`.
+    /// Removes the hosts of both from `free`.
+    fn form_in_domain<'v>(
         &mut self,
-        view: &ServiceView<'_>,
+        view: &ServiceView<'v>,
         fabric: &FabricDomain,
-        free: &mut Vec<&Host>,
-        commands: &mut Vec<Command>,
+        free: &mut Vec<&'v Host>,
+        unloaded: &mut Vec<UnloadedReplica<'v>>,
     ) {
         self.form_without_loads(view, fabric, free);
         for model in self.wanted_models(view, fabric, free.len()) {
@@ -123,7 +122,7 @@
             if model.size == 0 || free.len() < model.size + spares_kept {
                 continue;
             }
-            free.sort_by_key(|h| (self.join_time(h, Some(model), view.now), h.id.clone()));
+            self.sort_by_join_time(free, model, view.now);
             let chosen: Vec<&Host> = free.iter().take(model.size).copied().collect();
             let lacking = chosen
                 .iter()
@@ -141,10 +140,8 @@
             // are leaving, a model may only seem to have none, and loading it would evict the
             // weights of another model from hosts that wait for that one.
             if is_first && !self.is_releasing_members(fabric, view.now) {
-                for host in chosen {
-                    self.stage(view, host, model, commands);
-                }
-                free.drain(..model.size);
+                let hosts = free.drain(..model.size).collect();
+                unloaded.push(UnloadedReplica { model, hosts });
             }
         }
     }
@@ -177,7 +174,7 @@
             if model.size == 0 || free.len() < model.size + spares_kept || !is_needed {
                 continue;
             }
-            free.sort_by_key(|h| (self.join_time(h, Some(model), view.now), h.id.clone()));
+            self.sort_by_join_time(free, model, view.now);
             let chosen: Vec<&Host> = free.iter().take(model.size).copied().collect();
             let all_hold = chosen.iter().all(|h| self.has_weights(h, model));
             if all_hold && self.form_replica(view, model, &chosen).is_some() {
@@ -212,7 +209,7 @@
     /// four to one with sizes of 16 and 4 and equal shares. While the `free` hosts lack only a few
     /// for a replica of the model with the most unmet demand, no other model gets an additional
     /// replica, since it would take hosts that wait for the missing ones.
-    fn wanted_models<'e>(
+    pub(super) fn wanted_models<'e>(
         &self,
         view: &ServiceView<'e>,
         fabric: &FabricDomain,
@@ -255,7 +252,7 @@
     }
 
     /// The work that an additional replica of a model would have.
-    fn unmet_demand(&self, view: &ServiceView<'_>, model: &ModelSpec) -> f64 {
+    pub(super) fn unmet_demand(&self, view: &ServiceView<'_>, model: &ModelSpec) -> f64 {
         if let Some(unmet) = self.unmet_target(view, model) {
             return unmet;
         }
@@ -335,14 +332,24 @@
         if host.staged.contains(&model.name) {
             return model.warm_load_time;
         }
-        match self.staging.get(&host.id) {
-            Some((staging, until)) if *staging == model.name => {
-                let timeout_margin = model.load_time * (STAGE_TIMEOUT_FACTOR - 1);
-                let end = *until - timeout_margin;
-                end.saturating_duration_since(now) + model.warm_load_time
-            }
-            _ => model.load_time + model.warm_load_time,
-        }
+        let load_time = match self.load_of(host, model) {
+            Some(load) => load.time_left(now),
+            None => model.load_time,
+        };
+        load_time + model.warm_load_time
+    }
+
+    /// Sorts hosts by the time in which they could join a replica of `model`; those that load another
+    /// model come after others that load nothing.
+    pub(super) fn sort_by_join_time(&self, hosts: &mut [&Host], model: &ModelSpec, now: Instant) {
+        hosts.sort_by_key(|h| {
+            let loads_another = self
+                .staging
+                .get(&h.id)
+                .is_some_and(|l| l.model != model.name);
+            let join_time = self.join_time(h, Some(model), now);
+            (join_time, loads_another, h.id.clone())
+        });
     }
 
     pub(super) fn is_primed(&self, host: &Host, model: &ModelSpec) -> bool {
--- a/crates/fleet/src/planner/send.rs
+++ b/crates/fleet/src/planner/send.rs
@@ -8,6 +8,7 @@
 use crate::fleet::Fleet;
 use crate::host::Host;
 use crate::planner::formation::Formation;
+use crate::planner::loads::is_blank;
 use crate::planner::order::{Command, Order};
 use crate::planner::{MessageKind, Planner};
 
@@ -94,7 +95,8 @@
         }
     }
 
-    /// Queries usable hosts whose membership is unknown.
+    /// Queries usable hosts whose membership is unknown; during a takeover only those that may be
+    /// unused, since the membership of others is known only afterwards.
     pub(super) fn query_unknown(
         &mut self,
         fleet: &Fleet,
@@ -106,12 +108,16 @@
             let service = services.iter().find(|s| s.name == host.service);
             service.is_some_and(|s| s.engine.is_some())
         };
-        let unknown = |h: &&Host| {
-            h.is_ready()
-                && !self.knows_membership(h)
-                && !self.silent.contains_key(&h.id)
-                && forms(h)
+        let is_taking_over = self.is_taking_over(now);
+        let is_asked = |h: &Host| {
+            if is_taking_over {
+                is_blank(h) && !self.early_reports.contains(&h.id)
+            } else {
+                !self.knows_membership(h)
+            }
         };
+        let unknown =
+            |h: &&Host| h.is_ready() && is_asked(h) && !self.silent.contains_key(&h.id) && forms(h);
         let hosts = fleet.hosts().filter(unknown).take(MAX_UNKNOWN_QUERIES);
         for host in hosts.map(|h| h.id.clone()).collect::<Vec<_>>() {
             self.query(&host, now, commands);
--- a/crates/fleet/src/planner/spares.rs
+++ b/crates/fleet/src/planner/spares.rs
@@ -4,76 +4,16 @@
 //! weights are in its memory within 1.6 s, and any other within 16 s. So each spare is primed for
 //! one model and stages another one in the background.
 
-use std::time::Instant;
-
 use eelgrassmill_base::{FabricDomain, ModelName};
 
 use crate::catalog::ModelSpec;
 use crate::host::Host;
 use crate::planner::formation::{Formation, Purpose};
-use crate::planner::placement::{STAGE_TIMEOUT_FACTOR, ServiceView};
-use crate::planner::{Command, Order, Planner};
+use crate::planner::loads::LoadPurpose;
+use crate::planner::placement::ServiceView;
+use crate::planner::{Command, Planner};
 
 impl Planner {
-    /// Orders a host to load a model's weights in the background, unless it is already loading.
-    pub(super) fn stage(
-        &mut self,
-        view: &ServiceView<'_>,
-        host: &Host,
-        model: &ModelSpec,
-        commands: &mut Vec<Command>,
-    ) {
-        let busy = self
-            .staging
-            .get(&host.id)
-            .is_some_and(|(_, until)| view.now < *until);
-        if busy || self.has_weights(host, model) || !self.reserve_loads(1, view) {
-            return;
-        }
-        let until = view.now + model.load_time * STAGE_TIMEOUT_FACTOR;
-        self.staging
-            .insert(host.id.clone(), (model.name.clone(), until));
-        commands.push(Command::Order {
-            host: host.id.clone(),
-            address: host.address.clone(),
-            order: Order::Stage {
-                model: model.name.clone(),
-            },
-        });
-    }
-
-    /// Loads that were ordered and have not completed as far as host entries show.
-    ///
-    /// Beyond a number of concurrent loads the weight store slows all of them down: twenty at once
-    /// finish after 40 s, while the first eight finish after 16 s if the others wait.
-    pub(super) fn loads_in_progress(&self, view: &ServiceView<'_>) -> usize {
-        let is_loading = |(_, until): &&(ModelName, Instant)| view.now < *until;
-        self.staging.values().filter(is_loading).count()
-    }
-
-    /// Reserves `count` loads that start now, if the rate limit permits; returns whether it does.
-    ///
-    /// The weight store serves a limited number of loads and slows down beyond it, so spares that
-    /// load at the same time would delay the replica that waits for its weights.
-    pub(super) fn reserve_loads(&mut self, count: usize, view: &ServiceView<'_>) -> bool {
-        if count == 0 {
-            return true;
-        }
-        let (window, now) = (self.timing.load_window, view.now);
-        let old = |at: &Instant| now.saturating_duration_since(*at) > window;
-        while self.loads.front().is_some_and(old) {
-            self.loads.pop_front();
-        }
-        let permitted = view.engine.loads_per_ks as f64 / 1000.0 * window.as_secs_f64();
-        // The loads that the previous planner started in the window are unknown.
-        let before = self.term > 1 && now.saturating_duration_since(self.started_at) < window;
-        if !view.cold && (before || (self.loads.len() + count) as f64 > permitted) {
-            return false;
-        }
-        self.loads.extend(std::iter::repeat_n(now, count));
-        true
-    }
-
     /// Primes a spare for one model by joining it to a replica of its own that is never opened.
     ///
     /// A host rejoins the model that it was last a member for in 0.2 s, whatever weights its memory
@@ -93,8 +33,12 @@
         };
         if self.has_weights(host, model) || view.cold {
             self.prime(view, host, model);
-        } else {
-            self.stage(view, host, model, commands);
+            return;
+        }
+        // The host may be wanted by a replica once the others are free.
+        let is_wanted = self.is_releasing_members(&host.fabric, view.now);
+        if !is_wanted && self.loads_in_progress(view.now) < view.engine.max_concurrent_loads {
+            self.stage(view, host, model, LoadPurpose::Spare, commands);
         }
     }
 
@@ -120,7 +64,9 @@
             return;
         }
         for host in spares {
-            if !view.cold && self.loads_in_progress(view) * 2 >= view.engine.max_concurrent_loads {
+            if !view.cold
+                && self.loads_in_progress(view.now) * 2 >= view.engine.max_concurrent_loads
+            {
                 return;
             }
             let primed = self.primed_model(host);
@@ -136,7 +82,7 @@
             let members =
                 |m: &&ModelSpec| m.size * self.serving_count(view, m, Some(fabric)).max(1);
             if let Some(model) = others().max_by_key(members) {
-                self.stage(view, host, model, commands);
+                self.stage(view, host, model, LoadPurpose::Spare, commands);
             }
         }
     }
@@ -184,7 +130,7 @@
     fn spares(&self, unbound: &[&Host]) -> Vec<ModelName> {
         let models = unbound.iter().filter_map(|host| {
             let priming = self.formation_of(&host.id).map(|f| f.model.clone());
-            let staging = self.staging.get(&host.id).map(|(model, _)| model.clone());
+            let staging = self.staging.get(&host.id).map(|load| load.model.clone());
             self.primed_model(host).or(priming).or(staging)
         });
         models.collect()
--- a/crates/fleet/src/planner/weights_ahead.rs
+++ b/crates/fleet/src/planner/weights_ahead.rs
@@ -11,6 +11,7 @@
 
 use crate::catalog::ModelSpec;
 use crate::planner::formation::{Formation, FormationPhase, Purpose};
+use crate::planner::loads::LoadPurpose;
 use crate::planner::placement::ServiceView;
 use crate::planner::{Command, Planner};
 
@@ -59,7 +60,7 @@
         }
         let hosts = [in_turn(first), in_turn(then)].concat();
         for host in hosts.iter().filter_map(|id| view.fleet.host(id)) {
-            if self.loads_in_progress(view) >= view.engine.max_concurrent_loads {
+            if self.loads_in_progress(view.now) >= view.engine.max_concurrent_loads {
                 return;
             }
             let holds = |m: &&ModelSpec| host.staged.contains(&m.name);
@@ -75,7 +76,7 @@
             if let Some(model) = others().max_by_key(members)
                 && self.ends_in_first_start(model, view.now)
             {
-                self.stage(view, host, model, commands);
+                self.stage(view, host, model, LoadPurpose::Spare, commands);
             }
         }
     }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -46,7 +46,10 @@
     /// Its start time.
     started_ms: u64,
     highest_epoch: Epoch,
+    /// The model that it loads, and when it has loaded it.
     staging: Option<(ModelName, Duration)>,
+    /// Orders that it has begun since its start.
+    pub(crate) begun: u64,
     silent_since: Option<Duration>,
     /// Since when it can't write its entry, which is stale until it expires.
     unheard_since: Option<Duration>,
@@ -94,6 +97,10 @@
     pub(crate) orders: usize,
     pub(crate) queries: usize,
     pub(crate) loads: Vec<Duration>,
+    /// Whether loads beyond those that the weight store serves at once slow each other down.
+    pub(crate) shares_weight_store: bool,
+    /// The most loads that ran at once.
+    pub(crate) most_loads: usize,
     /// Whether no request was ever served: loads are fast then.
     pub(crate) cold: bool,
     /// Whether planners follow the demand.
@@ -202,6 +209,8 @@
             orders: 0,
             queries: 0,
             loads: Vec::new(),
+            shares_weight_store: false,
+            most_loads: 0,
             cold: false,
             follows_demand: false,
             demand: None,
@@ -239,6 +248,7 @@
             started_ms: 1,
             highest_epoch: 0,
             staging: None,
+            begun: 0,
             silent_since: None,
             unheard_since: None,
             listed: true,
@@ -298,6 +308,19 @@
         host.last_model = None;
         host.highest_epoch = 0;
         host.staging = None;
+        host.begun = 0;
+    }
+
+    /// All hosts restart without their weights, and a new planner takes over.
+    pub(crate) fn lose_power(&mut self) {
+        let ids: Vec<HostId> = self.hosts.keys().cloned().collect();
+        for id in ids {
+            self.restart(&id);
+            self.host(&id).staged.clear();
+        }
+        self.loads.clear();
+        self.most_loads = 0;
+        self.new_planner(None);
     }
 
     /// Partitions the host from planners and the list; it keeps serving.
@@ -461,6 +484,7 @@
 
     fn tick(&mut self) {
         self.execute_delayed();
+        self.share_weight_store();
         self.advance_hosts();
         self.write_entries();
         self.deliver_entries();
@@ -520,6 +544,7 @@
     fn query(&mut self, i: usize, id: &HostId) {
         self.queries += 1;
         let host = self.hosts.get(id).filter(|h| h.reachable && !h.replaced);
+        let has_no_orders = host.is_some_and(|h| h.begun == 0 && h.answered_by.is_none());
         let entry = host.map(|h| self.entry(h));
         let answers = self.hosts.get(id).and_then(|h| h.answered_by.as_ref());
         let entry = answers.map_or(entry, |other| {
@@ -534,6 +559,9 @@
             return;
         };
         if planner.on_report(&entry, fleet, now) {
+            if has_no_orders {
+                planner.on_unordered(&entry);
+            }
             fleet.apply_report(entry);
         }
     }
@@ -556,6 +584,7 @@
         } else {
             self.execute_order(id, order)
         };
+        self.host(id).begun += u64::from(reply == OrderReply::Begun);
         let at = self.now.as_millis();
         self.history
             .push(format!("{at} {id} {order:?} -> {reply:?}"));
@@ -591,6 +620,7 @@
                 }
                 OrderReply::Done
             }
+            Order::Stage { model } if self.loads_model(id, model) => OrderReply::Done,
             Order::Stage { model } => {
                 let load = self.load_time(model);
                 let now = self.now;
@@ -601,6 +631,28 @@
         }
     }
 
+    fn loads_model(&self, id: &HostId, model: &ModelName) -> bool {
+        let staging = self.hosts[id].staging.as_ref();
+        staging.is_some_and(|(loads, _)| loads == model)
+    }
+
+    /// Delays loads that slow each other down.
+    fn share_weight_store(&mut self) {
+        let engine = self.service.engine.as_ref();
+        let at_once = engine.map_or(0, |e| e.max_concurrent_loads);
+        let loading = |h: &&mut FakeHost| h.alive && h.staging.is_some();
+        let running = self.hosts.values_mut().filter(loading).count();
+        self.most_loads = self.most_loads.max(running);
+        if !self.shares_weight_store || running <= at_once {
+            return;
+        }
+        let delay = TICK.mul_f64(1.0 - at_once as f64 / running as f64);
+        let loading = self.hosts.values_mut().filter(loading);
+        for (_, at) in loading.filter_map(|h| h.staging.as_mut()) {
+            *at += delay;
+        }
+    }
+
     fn load_time(&self, model: &str) -> Duration {
         let engine = self
             .service
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -224,8 +224,12 @@
             PlanningEvent::Report(host, Ok(report)) => {
                 let mut fleet = locked(&self.core.fleet);
                 if let Some(known) = fleet.host(&host).cloned() {
+                    let has_begun_none = report.orders == Some(0);
                     let reported = merge_report(known, report);
                     if self.planner.on_report(&reported, &fleet, now) {
+                        if has_begun_none {
+                            self.planner.on_unordered(&reported);
+                        }
                         fleet.apply_report(reported);
                     } else {
                         info!(event = "host-entry", %host, outcome = "another-answers");
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -132,6 +132,8 @@
         pub staged: SmallVec<[ModelName; 2]>,
         /// Its membership in a replica.
         pub membership: Option<Membership>,
+        /// Number of orders that it has begun since its start, if it says so.
+        pub orders: Option<u64>,
     }
 }
 
