Wait longer for hosts that take long to answer orders and reports

What callers saw, by a run of a node before hosts that take 500 ms to answer orders and report requests: replicas form and are given up again, and no replica is left.

Cause: orders have 350 ms and report requests 230 ms at each attempt. A host that takes longer counts as silent, and is asked again under the same limit.

Change: a host that counts as silent gets twice the time at each further request, up to 4 s; once it answers, orders and requests to it get twice the time that it took. Hosts that answer as usual, or aren't reached at all, are detected as before.

--- a/crates/fleet/src/planner/host_reports.rs
+++ b/crates/fleet/src/planner/host_reports.rs
@@ -60,6 +60,11 @@
         self.silent.entry(host.clone()).or_insert(silence);
     }
 
+    /// Whether a host counts as silent.
+    pub fn is_silent(&self, host: &str) -> bool {
+        self.silent.contains_key(host)
+    }
+
     /// Handles a host's answer to a query. Returns `false` if another host must have answered, in
     /// which case the report is to be ignored.
     pub fn on_report(&mut self, report: &Host, fleet: &Fleet, now: Instant) -> bool {
--- a/crates/gateway/src/host_signals.rs
+++ b/crates/gateway/src/host_signals.rs
@@ -20,6 +20,7 @@
 use smallvec::SmallVec;
 use tracing::{info, warn};
 
+use crate::control_timeouts::ControlTimeouts;
 use crate::core::Core;
 use crate::heads::locked;
 use crate::logs::LogRateLimit;
@@ -54,6 +55,7 @@
     /// Plain hosts whose limits are used up.
     denied: Mutex<BTreeMap<HostId, Denial>>,
     return_times: Mutex<ReturnTimes>,
+    control_timeouts: Mutex<ControlTimeouts>,
     /// Rate limit for log lines on values that are ignored.
     log_limit: Mutex<LogRateLimit>,
 }
@@ -67,6 +69,7 @@
             published: Mutex::default(),
             denied: Mutex::default(),
             log_limit: Mutex::default(),
+            control_timeouts: Mutex::default(),
             return_times: Mutex::new(ReturnTimes::new(fastrand::f64())),
         }
     }
@@ -145,33 +148,51 @@
     observe_own_state(core, host, started_ms, status, headers)
 }
 
-/// Requests a host's report, and reads the head of its answer.
+/// Requests a host's report, and reads the head of its answer. `usual` is the timeout unless the host
+/// is known to take longer.
 pub(crate) async fn report<P: Platform>(
     core: &Core<P>,
     host: &HostId,
     address: &str,
-    timeout: Duration,
+    usual: Duration,
 ) -> Result<HostReport, HostUnavailable> {
     let on_answer = control_observer(core, host);
     let control = core.platform.control();
-    control.report(host, address, timeout, on_answer).await
+    let timeouts = &core.host_signals.control_timeouts;
+    let timeout = locked(timeouts).timeout(host, usual);
+    let began = Instant::now();
+    let report = control.report(host, address, timeout, on_answer).await;
+    if report.is_ok() {
+        locked(timeouts).record_answer(host, began.elapsed(), usual);
+    }
+    report
 }
 
-/// Sends an order to a host, and reads the head of its answer.
+/// Sends an order to a host, and reads the head of its answer. `usual` is the timeout unless the host
+/// is known to take longer.
 pub(crate) async fn order<P: Platform>(
     core: &Core<P>,
     host: &HostId,
     address: &str,
     order: &Order,
-    timeout: Duration,
+    usual: Duration,
 ) -> Result<OrderReply, HostUnavailable> {
     let on_answer = control_observer(core, host);
     let control = core.platform.control();
+    let timeout = locked(&core.host_signals.control_timeouts).timeout(host, usual);
     control
         .order(host, address, order, timeout, on_answer)
         .await
 }
 
+/// Records that a host that counts as silent didn't answer a report request in time.
+pub(crate) fn record_silence<P: Platform>(core: &Core<P>, host: &HostId, usual: Duration) {
+    let fleet = locked(&core.fleet);
+    let mut timeouts = locked(&core.host_signals.control_timeouts);
+    timeouts.retain(|id| fleet.host(id).is_some());
+    timeouts.record_silence(host, usual);
+}
+
 /// Handles the head of an answer to an order or a report request. It says nothing of the limit on
 /// requests.
 fn control_observer<'c, P: Platform>(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration;
 mod connection_headers;
 mod connection_timer;
+mod control_timeouts;
 mod core;
 mod crash_detection;
 mod demand;
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -236,7 +236,11 @@
                     }
                 }
             }
-            PlanningEvent::Report(host, Err(_)) => {
+            PlanningEvent::Report(host, Err(err)) => {
+                let is_slow = matches!(err, HostUnavailable::NoAnswer(_));
+                if is_slow && self.planner.is_silent(&host) {
+                    host_signals::record_silence(&self.core, &host, REPORT_TIMEOUT);
+                }
                 let fleet = locked(&self.core.fleet);
                 self.planner.on_unanswered(&host, &fleet, now);
             }
