Take a late answer that is too large for an answer

Cause: of reads that go on, only a success was taken. An answer over 4 MiB that came after 1.2 s was dropped as the error of an earlier read, each later read ended the same, and the list was never read in its place.

Change: an answer that can't be read is an answer. Only reads without one are passed over for the newest. A read without an answer in time has an error of its own, apart from a store that can't be reached.

--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -19,6 +19,10 @@
     /// It could not be connected to or gave no response. A write may have been done.
     #[error("no response: {0}")]
     Unreachable(String),
+    /// It gave no response in time, while nothing shows that it can't be reached. A write may have
+    /// been done.
+    #[error("no response in time")]
+    NoAnswer,
     /// It refused the call with this HTTP status and did nothing.
     #[error("refused with status {0}")]
     Refused(u16),
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -122,16 +122,12 @@
     }
 }
 
-fn no_answer() -> SourceError {
-    SourceError::Unreachable("no answer in time".to_owned())
-}
-
 impl<A: Send + 'static> StoreCalls<A> {
     /// Does a read that the store may answer after `wait`. `subject` is the same for attempts of
     /// which any answer will do. Once the head of its answer has come, `call` has to bound the rest.
     ///
     /// # Errors
-    /// Those of the call, and [`SourceError::Unreachable`] if no answer came in time. The call goes
+    /// Those of the call, and [`SourceError::NoAnswer`] if none came in time. The call goes
     /// on then.
     pub async fn read<F>(
         &self,
@@ -163,17 +159,17 @@
         }
         let mut state = locked(&self.0);
         match answered {
-            Ok((latency, Ok(answer))) => {
+            Ok((latency, ended)) if is_answer(&ended) => {
                 state.read_timeout.record_answer(latency);
-                Ok(answer)
+                ended
             }
-            Ok((_, Err(err))) => {
+            Ok((_, ended)) => {
                 state.keep(subject, reads);
-                Err(err)
+                ended
             }
             Err(_) => {
                 state.keep(subject, reads);
-                Err(no_answer())
+                Err(SourceError::NoAnswer)
             }
         }
     }
@@ -181,7 +177,7 @@
     /// Does a write. One that isn't answered in time may have been done.
     ///
     /// # Errors
-    /// Those of the call, and [`SourceError::Unreachable`] if no answer came in time.
+    /// Those of the call, and [`SourceError::NoAnswer`] if none came in time.
     pub async fn write(
         &self,
         call: impl Future<Output = Result<A, SourceError>>,
@@ -201,12 +197,20 @@
             Ok(Err(err)) => Err(err),
             Err(_) => {
                 state.write_timeout.record_timeout();
-                Err(no_answer())
+                Err(SourceError::NoAnswer)
             }
         }
     }
 }
 
+/// Whether the store answered, also with what can't be read.
+fn is_answer<A>(ended: &Result<A, SourceError>) -> bool {
+    !matches!(
+        ended,
+        Err(SourceError::Unreachable(_) | SourceError::NoAnswer)
+    )
+}
+
 impl<A> State<A> {
     fn keep(&mut self, subject: SmolStr, reads: RunningReads<A>) {
         if !reads.is_empty() {
@@ -246,8 +250,8 @@
         };
         let read = reads.remove(at);
         // A task that was stopped with the runtime gave no answer.
-        let ended = ended.unwrap_or_else(|_| Err(no_answer()));
-        if ended.is_ok() || read.since == newest {
+        let ended = ended.unwrap_or_else(|_| Err(SourceError::NoAnswer));
+        if is_answer(&ended) || read.since == newest {
             return Poll::Ready((read.latency(), ended));
         }
     }
--- a/crates/gateway/tests/store_calls.rs
+++ b/crates/gateway/tests/store_calls.rs
@@ -131,3 +131,20 @@
     });
     expect_that!(answer.await, ok(anything()));
 }
+
+/// Guards against asking again and again for what is too large, where the answer also comes late.
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_that_comes_late_and_is_too_large_serves_a_later_attempt() {
+    let calls: StoreCalls<()> = StoreCalls::default();
+    let attempt = || {
+        calls.read(SUBJECT.into(), Duration::ZERO, |head| async move {
+            sleep(Duration::from_secs(2)).await;
+            head.record();
+            Err(SourceError::TooLarge("4 MiB".to_owned()))
+        })
+    };
+    expect_that!(attempt().await, err(eq(&SourceError::NoAnswer)));
+    let second = attempt().await;
+    expect_that!(second, err(matches_pattern!(SourceError::TooLarge(_))));
+}
