Ask the store again before a silent connection counts as an outage

Cause: a call without an answer counted as a failure of the store, which starts 2 s in which hosts without an entry are kept, though the store served all others.

Change: the first read without an answer is repeated at once, over a new connection. Only if that gets none either, the store counts as away. An outage is noticed one call later, still before entries can lapse.

--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -96,6 +96,8 @@
     newest: StorePosition,
     /// Whether the last read succeeded.
     healthy: bool,
+    /// Whether a read of the store got no answer in time since the last successful one.
+    is_unanswered: bool,
     /// Whether the last list that was read was ignored.
     ignores: bool,
     /// When the whole list has to be read again; `None` unless the one that was read last is
@@ -151,7 +153,7 @@
         let Some(parent) = snapshot_relay::parent(self.core) else {
             // The first poll after a failure asks for an immediate response: a long poll on a dead
             // connection would hide for seconds that the store is back.
-            let wait = if self.healthy {
+            let wait = if self.healthy && !self.is_unanswered {
                 LONG_POLL_TIMEOUT
             } else {
                 Duration::ZERO
@@ -371,6 +373,7 @@
             );
         }
         self.healthy = true;
+        self.is_unanswered = false;
         self.ignores = false;
         self.enter_era(update.position.era);
         let is_provisional = update.is_snapshot && self.settle(update.is_provisional);
@@ -413,6 +416,7 @@
         cursor: None,
         newest: StorePosition::default(),
         healthy: false,
+        is_unanswered: false,
         ignores: false,
         provisional_until: None,
     };
@@ -447,6 +451,12 @@
                     reflector.enter_era(era);
                 }
             }
+            // Its connection may have gone silent though the store answers on others. Taken for an
+            // outage, it would keep hosts that are gone.
+            Err(SourceError::NoAnswer) if reflector.healthy && !reflector.is_unanswered => {
+                info!(event = "dependency", list, state = "unanswered");
+                reflector.is_unanswered = true;
+            }
             // The list itself is read in parts, and the feed goes on behind it.
             Err(SourceError::TooLarge(why)) if reflector.cursor.is_some() => {
                 warn!(event = "dependency", list, state = "changes-too-large", %why);
