Check that a host is up before a response without a marked end is whole

Cause: the kernel ends the connections of a killed process in order. Unless the end lay inside an event, it was taken for that of the stream; plain responses were taken as they were.

Change: a moment after such an end, a connection is opened to the host. If that fails, the response is broken: a stream goes on at another replica, or its end shows that it isn't whole; a plain request is repeated if it may be. What can't be decided: a host that exits right after its last response, whose streams are resumed behind their last event, and whose plain responses count as lost.

Measured: a_stream_without_framing_goes_on_after_its_head_has_crashed_between_events and plain_answers_without_framing_of_a_host_that_crashes_are_failures failed before and pass; streams, statuses, crashes and crashing_parts pass.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -27,6 +27,10 @@
 /// several passes, which usually take 50 ms.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(150);
 
+/// Time from the end of a response until its host is checked. A crash closes all sockets of the host,
+/// in any order.
+const END_CHECK_DELAY: Duration = Duration::from_millis(10);
+
 value! {
     /// A host that crashed while requests of this node ran there.
     pub(crate) struct Crash {
@@ -95,6 +99,13 @@
     detector: Mutex<CrashDetector<BrokenRun>>,
 }
 
+/// Whether a host listens a moment after a response whose end isn't marked. One that crashed ends its
+/// connections like one that has sent all, and its response would look complete.
+pub(crate) async fn is_up_after_end<P: Platform>(core: &Core<P>, address: &str) -> bool {
+    tokio::time::sleep(END_CHECK_DELAY).await;
+    core.http.check_listening(address).await.is_ok()
+}
+
 /// Records that the response to a call broke at a host, and checks whether the host crashed.
 pub(crate) fn on_broken<P: Platform>(
     core: &Arc<Core<P>>,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::core::Core;
-use crate::crash_detection::Broken;
+use crate::crash_detection::{Broken, is_up_after_end};
 use crate::heads::locked;
 use crate::metrics::RetryReason;
 use crate::pacing::PacedRequest;
@@ -420,7 +420,11 @@
             AttemptResult::FalsePromise(status)
         }
         ResponseClass::Answered => {
+            let is_framed = response.is_framed();
             let read = read_whole(&core.account, response, until).await;
+            if read.is_ok() && !is_framed && !is_up_after_end(core, &host.address).await {
+                return AttemptResult::Unknown("host is down at the end of its response".into());
+            }
             if read.is_ok() && !status.is_server_error() {
                 running.outcome = TargetOutcome::Served;
                 if let Some(paced) = &mut paced {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -531,6 +531,9 @@
                 Ok(None) if self.is_empty(started) => {
                     return ReadEnd::Broken("stream ended before its first event".into());
                 }
+                Ok(None) if !self.is_whole(started).await => {
+                    return ReadEnd::Broken("host is down at the end of its stream".into());
+                }
                 Ok(None) => return ReadEnd::Complete,
                 Err(err) => {
                     if matches!(err, BodyError::Malformed(_)) {
@@ -595,6 +598,12 @@
             && self.events.last_id().is_none()
     }
 
+    /// Whether a response that has ended is whole.
+    async fn is_whole(&self, started: &StartedResponse<P>) -> bool {
+        let address = &started.slot.head.address;
+        started.response.is_framed() || crash_detection::is_up_after_end(&self.core, address).await
+    }
+
     async fn send_events(&self, tx: &StreamSender, events: Bytes) -> Result<(), StopReason> {
         self.until_stopped(tx, tx.send_events(events)).await
     }
