--- a/crates/fleet/src/planner/loads.rs
+++ b/crates/fleet/src/planner/loads.rs
@@ -60,7 +60,7 @@
     pub(super) hosts: Vec<&'v Host>,
 }
 
-/// Whether a host belongs to nothing and holds nothing, as far as its entry shows.
+/// Whether a host has neither a membership nor staged weights, as far as its entry shows.
 pub(super) fn is_blank(host: &Host) -> bool {
     host.membership.is_none() && host.staged.is_empty()
 }
@@ -153,11 +153,10 @@
         load.filter(|load| load.model == model.name)
     }
 
-    /// During a takeover, orders loads for first replicas of domains whose hosts belong to nothing,
-    /// hold nothing and have begun no order since their start.
+    /// During a takeover, orders loads for first replicas of fabric domains whose hosts have neither a
+    /// membership nor staged weights, and have begun no order since their start.
     ///
-    /// Such hosts have just started, all together if a domain lost its power. Until their weights
-    /// are loaded they can be members of no replica, so that no order of the former planner matters.
+    /// A background load breaks no replica, whatever orders of the former planner are still in flight.
     pub(super) fn load_unused_domains(
         &mut self,
         view: &ServiceView<'_>,
