Move the store's HTTP calls and pages out of the platform's folder

Reading a table page by page, and calls whose answers come late, know nothing of the platform's words.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod snapshot_relay;
 mod sse;
 mod store_calls;
+mod store_http;
 mod stream;
 mod table_pages;
 
@@ -68,5 +69,6 @@
 };
 pub use crate::refusal::{Refusal, RefusalCause};
 pub use crate::settings::{SECTIONS, Settings, SettingsError};
-pub use crate::store_calls::{AnswerHead, MIN_CALL_TIMEOUT, StoreCalls};
-pub use crate::table_pages::{PageSize, TablePages};
+pub use crate::store_calls::{AnswerHead, StoreCalls};
+pub use crate::store_http::{StoreAnswer, StoreHttp};
+pub use crate::table_pages::{PageSize, PagedStore, TablePages, TableRange, TableRead, read_table};
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -21,7 +21,7 @@
 
 /// Shortest time after which a call counts as failed. Slow answers of a sound store take some
 /// 200 ms; a connection that went silent for good shows in no other way.
-pub const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+pub(crate) const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Longest time after which a call counts as failed.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// A call may take this many times longer than the last one.
--- a/crates/gateway/src/table_pages.rs
+++ b/crates/gateway/src/table_pages.rs
@@ -1,11 +1,123 @@
 //! Tables of the store that are read page by page.
 
+use std::future::Future;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
-use eelgrassmill_base::StoreEra;
+use eelgrassmill_base::{RowVersion, StoreEra};
 use smol_str::SmolStr;
+use tracing::warn;
 
-use crate::ports::SourceError;
+use crate::ports::{SourceError, SourceRead};
+
+/// Rows of a table with keys from `from` to before `target`; without bound where one is empty.
+#[derive(Clone, Copy, Debug)]
+pub struct TableRange<'t> {
+    /// The table.
+    pub table: &'t str,
+    /// The first key.
+    pub from: &'t str,
+    /// The key behind the last one.
+    pub target: &'t str,
+}
+
+impl<'t> TableRange<'t> {
+    /// All rows of a table.
+    pub fn all(table: &'t str) -> TableRange<'t> {
+        TableRange {
+            table,
+            from: "",
+            target: "",
+        }
+    }
+}
+
+/// A page of a table, what was kept of all its pages, or its changes.
+#[derive(Debug)]
+pub struct TableRead<T> {
+    /// The rows, in ascending order of their keys; changes, in the order of versions.
+    pub rows: Vec<T>,
+    /// Whether there are rows behind them.
+    pub has_more: bool,
+    /// The version of the store that the rows show, or an earlier one.
+    pub version: RowVersion,
+    /// The store's steady clock.
+    pub clock: Duration,
+    /// The store's era, if it names one.
+    pub era: Option<StoreEra>,
+}
+
+impl<T> TableRead<T> {
+    /// What the rows say.
+    pub fn with_changes<C>(&self, changes: impl IntoIterator<Item = C>) -> SourceRead<C> {
+        SourceRead {
+            changes: changes.into_iter().collect(),
+            era: self.era,
+            version: self.version,
+        }
+    }
+}
+
+/// A store whose tables are read page by page.
+pub trait PagedStore: Sync {
+    /// A row.
+    type Row: Send;
+
+    /// Reads up to `limit` rows, with their keys.
+    fn page(
+        &self,
+        range: TableRange<'_>,
+        limit: usize,
+    ) -> impl Future<Output = Result<TableRead<(SmolStr, Self::Row)>, SourceError>> + Send;
+
+    /// The sizes of pages.
+    fn page_size(&self) -> &PageSize;
+}
+
+/// Reads what is needed of the rows of a table, up to `max_kept`.
+///
+/// # Errors
+/// Those of the store and of [`TablePages::push`].
+pub async fn read_table<S: PagedStore, T: Send>(
+    store: &S,
+    range: TableRange<'_>,
+    max_kept: usize,
+    mut needed: impl FnMut(S::Row) -> Option<T> + Send,
+) -> Result<TableRead<T>, SourceError> {
+    let mut pages = TablePages::new(max_kept);
+    let mut first = None;
+    loop {
+        let from = pages.next_from().map_or(range.from, SmolStr::as_str);
+        let limit = store.page_size().rows();
+        let page = store.page(TableRange { from, ..range }, limit).await;
+        store.page_size().record(&page);
+        let page = page?;
+        // Later pages show later states, and the feed has to continue at the earliest one.
+        let (version, clock) = *first.get_or_insert((page.version, page.clock));
+        let (has_more, era) = (page.has_more, page.era);
+        pages.push(page.rows, has_more, era, |_, row| needed(row))?;
+        if has_more {
+            continue;
+        }
+        let left_out = pages.left_out();
+        if left_out > 0 {
+            let table = range.table;
+            warn!(
+                event = "dependency",
+                table,
+                state = "too-many-rows",
+                left_out
+            );
+        }
+        return Ok(TableRead {
+            rows: pages.into_kept(),
+            has_more,
+            version,
+            clock,
+            era,
+        });
+    }
+}
 
 /// Rows asked for at once, by what could be read before.
 ///
