--- a/crates/node/src/entry/addresses/tests.rs
+++ b/crates/node/src/entry/addresses/tests.rs
@@ -2,8 +2,7 @@
 
 use super::{Asker, asker};
 
-/// Guards against names that are compared in their encoded form, by which a caller is told entries
-/// of any failure domain.
+/// Guards against comparing percent-encoded names, which ignores the caller's failure domain.
 #[gtest]
 fn names_in_the_query_are_decoded() {
     let queries = [
