Keep hosts whose entries lapse in an outage of a slow store

Cause: timeouts follow the time that the store takes, and the first read without an answer is repeated. The repeated read came after the outage, so that no failure was recorded, and hosts without an entry were taken for gone.

Change: the grace in which hosts without an entry are kept also starts when the last good read was 2.4 s ago, before any entry can have lapsed in between.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -278,6 +278,11 @@
         locked(&self.store_era).unwrap_or_default()
     }
 
+    /// Records that entries may have lapsed since the last read, because the store was away.
+    pub(crate) fn record_store_gap(&self) {
+        locked(&self.fleet).on_store_failure(Instant::now());
+    }
+
     pub(crate) fn record_store_success(&self) {
         self.store_failures.store(0, Ordering::Relaxed);
     }
--- a/crates/gateway/src/reflector.rs
+++ b/crates/gateway/src/reflector.rs
@@ -44,6 +44,9 @@
 const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How often it checks for them.
 const PEER_DISCOVERY_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time between two reads in which no host's entry can lapse: entries lapse after three
+/// intervals of 1.2 s without a report, of which one may have passed before.
+const MAX_READ_GAP: Duration = Duration::from_millis(2400);
 /// Backoff after a failure; doubles up to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// After an outage the store must be read again well within the 2 s in which a change has to take
@@ -98,6 +101,8 @@
     healthy: bool,
     /// Whether a read of the store got no answer in time since the last successful one.
     is_unanswered: bool,
+    /// When the last read that proves that the store is available was done.
+    last_fresh: Option<Instant>,
     /// Whether the last list that was read was ignored.
     ignores: bool,
     /// When the whole list has to be read again; `None` unless the one that was read last is
@@ -355,6 +360,17 @@
         self.provisional_until.is_some()
     }
 
+    /// Records a read that proves that the store is available. After a gap, the store may have been
+    /// away although no read has timed out yet: those of a slow store have longer timeouts.
+    fn record_fresh_read(&mut self) {
+        let now = Instant::now();
+        let last = self.last_fresh.replace(now);
+        if last.is_some_and(|last| now.duration_since(last) > MAX_READ_GAP) {
+            self.core.record_store_gap();
+        }
+        self.core.record_store_success();
+    }
+
     /// Applies what was read. Returns whether it had changes.
     fn apply(&mut self, read: ListRead<S::Change>, sink: &impl Sink<S::Change>) -> bool {
         let ListRead {
@@ -417,6 +433,7 @@
         newest: StorePosition::default(),
         healthy: false,
         is_unanswered: false,
+        last_fresh: None,
         ignores: false,
         provisional_until: None,
     };
@@ -427,7 +444,7 @@
             Ok(read) => match reflector.assess(&read.update) {
                 Verdict::Apply => {
                     if read.is_fresh {
-                        core.record_store_success();
+                        reflector.record_fresh_read();
                     }
                     backoff = INITIAL_BACKOFF;
                     let had_changes = reflector.apply(read, sink);
